--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+SHELL := /bin/bash
+PYTHON ?= python3
+VENV ?= .venv
+PACKAGES := core adapters daemon cli standins
+SOURCES := packages features
+export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agatecross-$(p)))
+export PATH := $(abspath $(VENV))/bin:$(PATH)
+
+.PHONY: setup test demo format lint types
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install -q -c constraints.txt -r requirements-dev.txt \
+		$(foreach p,$(PACKAGES),-e packages/agatecross-$(p))
+	touch $@
+
+test: setup
+	$(VENV)/bin/behave -q --no-capture features
+
+demo: setup
+	$(VENV)/bin/python -m agatecross_standins.demo
+
+format: setup
+	$(VENV)/bin/black -q $(SOURCES)
+	$(VENV)/bin/ruff check -q --fix $(SOURCES)
+
+lint: setup
+	$(VENV)/bin/black -q --check $(SOURCES)
+	$(VENV)/bin/ruff check -q $(SOURCES)
+
+types: setup
+	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),-p agatecross_$(p))
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -0,0 +1,91 @@
+"""Encoding of control messages (msgpack) and log records (JSON)."""
+
+from collections.abc import Mapping
+from typing import Final, TypeVar
+
+import msgspec
+
+from agatecross_core.config.model import ConfigRecord, PublishRecord, SnapshotRecord
+from agatecross_core.distribution.sync import NoticeAck, PullReply, PullRequest, VersionNotice
+from agatecross_core.errors import MessageDecodeError
+from agatecross_core.members.records import (
+    AnnounceRecord,
+    IndirectProbe,
+    Probe,
+    ProbeAck,
+    SyncReply,
+    SyncRequest,
+)
+
+T = TypeVar("T")
+
+ControlMessage = (
+    Probe
+    | ProbeAck
+    | IndirectProbe
+    | SyncRequest
+    | SyncReply
+    | VersionNotice
+    | NoticeAck
+    | PullRequest
+    | PullReply
+)
+LogRecord = ConfigRecord | AnnounceRecord
+
+CONTROL_TAGS: Final[Mapping[int, type]] = {
+    1: Probe,
+    2: ProbeAck,
+    3: IndirectProbe,
+    4: SyncRequest,
+    5: SyncReply,
+    6: VersionNotice,
+    7: NoticeAck,
+    8: PullRequest,
+    9: PullReply,
+}
+TAG_OF: Final = {kind: tag for tag, kind in CONTROL_TAGS.items()}
+RECORD_KINDS: Final[Mapping[str, type]] = {
+    "publish": PublishRecord,
+    "snapshot": SnapshotRecord,
+    "announce": AnnounceRecord,
+}
+KIND_OF: Final = {kind: name for name, kind in RECORD_KINDS.items()}
+
+
+def encode_control(message: ControlMessage) -> bytes:
+    """Encode a control message as a pair of its tag and its fields."""
+    return msgspec.msgpack.encode((TAG_OF[type(message)], message))
+
+
+def decode_control(data: bytes) -> ControlMessage:
+    """Decode a control message; raises `MessageDecodeError`."""
+    try:
+        tag, body = msgspec.msgpack.decode(data, type=tuple[int, msgspec.Raw])
+        if tag not in CONTROL_TAGS:
+            raise MessageDecodeError(f"unknown control message tag {tag}")
+        message: ControlMessage = msgspec.msgpack.decode(body, type=CONTROL_TAGS[tag])
+    except msgspec.MsgspecError as error:
+        raise MessageDecodeError(f"control message: {error}") from error
+    return message
+
+
+def encode_record(record: LogRecord) -> bytes:
+    """Encode a log record as an object with its kind and body."""
+    return msgspec.json.encode({"kind": KIND_OF[type(record)], "body": record})
+
+
+def decode_record(data: bytes, kind: type[T]) -> T:
+    """Decode a log record of an expected type or union; raises `MessageDecodeError`."""
+    try:
+        envelope = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        name = msgspec.json.decode(envelope.get("kind", msgspec.Raw(b'""')), type=str)
+        if name not in RECORD_KINDS:
+            raise MessageDecodeError(f"unknown record kind {name!r}")
+        record: object = msgspec.json.decode(
+            envelope.get("body", msgspec.Raw(b"null")), type=RECORD_KINDS[name]
+        )
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise MessageDecodeError(f"log record: {error}") from error
+    if not isinstance(record, kind):
+        raise MessageDecodeError(f"record of kind {name!r} does not belong to this stream")
+    return record
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/log_http.py
@@ -0,0 +1,91 @@
+"""The platform's log service over HTTP."""
+
+import base64
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from agatecross_core.calls.model import Request, Response
+from agatecross_core.errors import (
+    ConnectFailedError,
+    ExchangeError,
+    LogOutcomeUnknownError,
+    LogUnavailableError,
+)
+from agatecross_core.ids import Address, Millis, Offset, StreamName
+
+from .protocols import HttpClient, LogEntry, LogPage
+
+T = TypeVar("T")
+
+APPEND_TIMEOUT = Millis(2_000)
+READ_MARGIN = Millis(2_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Body of the answer to an append."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryBody:
+    """One record of a page, its data in base64."""
+
+    offset: int
+    data: str
+
+
+@dataclass(frozen=True, slots=True)
+class PageBody:
+    """Body of the answer to a read."""
+
+    entries: tuple[EntryBody, ...]
+    first: int
+    end: int
+
+
+class HttpLogService:
+    """Client of a log service with `/streams/{name}/records`."""
+
+    def __init__(self, address: Address, http: HttpClient) -> None:
+        self.address = address
+        self.http = http
+
+    async def append(self, stream: StreamName, data: bytes) -> Offset:
+        """Append a record; raises `LogUnavailableError` or `LogOutcomeUnknownError`."""
+        request = Request("POST", f"/streams/{stream}/records", (), data)
+        try:
+            response = await self.http.send(self.address, request, APPEND_TIMEOUT)
+        except ConnectFailedError as error:
+            raise LogUnavailableError(stream, error.reason) from error
+        except ExchangeError as error:
+            raise LogOutcomeUnknownError(stream, error.reason) from error
+        if response.status != 200:
+            raise LogUnavailableError(stream, f"append refused with status {response.status}")
+        return Offset(_decode(stream, response, Appended).offset)
+
+    async def read(self, stream: StreamName, start: Offset, limit: int, wait: Millis) -> LogPage:
+        """Return records from `start`, waiting up to `wait` for one; raises `LogError`."""
+        query = f"start={start}&limit={limit}&wait_ms={int(wait)}"
+        request = Request("GET", f"/streams/{stream}/records?{query}", (), b"")
+        try:
+            response = await self.http.send(self.address, request, Millis(wait + READ_MARGIN))
+        except ExchangeError as error:
+            raise LogUnavailableError(stream, error.reason) from error
+        if response.status != 200:
+            raise LogUnavailableError(stream, f"read refused with status {response.status}")
+        page = _decode(stream, response, PageBody)
+        entries = tuple(
+            LogEntry(Offset(row.offset), base64.b64decode(row.data)) for row in page.entries
+        )
+        return LogPage(entries, Offset(page.first), Offset(page.end))
+
+
+def _decode(stream: StreamName, response: Response, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise LogUnavailableError(stream, f"unreadable answer: {error}") from error
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
@@ -0,0 +1,41 @@
+"""Decoding of TOML documents with the line of each key."""
+
+import re
+import tomllib
+from collections.abc import Iterator
+
+from agatecross_core.config.model import DecodedDocument, Document, KeyPath
+from agatecross_core.errors import DocumentSyntaxError
+
+TABLE = re.compile(r"^\s*\[+\s*(?P<key>[^\]]+?)\s*\]+")
+PAIR = re.compile(r"""^\s*(?P<key>(?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*')(?:\s*\.\s*[^=\s]+)*)\s*=""")
+PART = re.compile(r"""[A-Za-z0-9_-]+|"[^"]*"|'[^']*'""")
+LINE_NUMBER = re.compile(r"at line (\d+)")
+
+
+def decode_toml(document: Document) -> DecodedDocument:
+    """Decode one document; raises `DocumentSyntaxError`."""
+    try:
+        values = tomllib.loads(document.text)
+    except tomllib.TOMLDecodeError as error:
+        found = LINE_NUMBER.search(str(error))
+        line = int(found.group(1)) if found else document.text.count("\n") + 1
+        raise DocumentSyntaxError(document.name, line, str(error)) from error
+    return DecodedDocument(document.name, values, dict(_key_lines(document.text)))
+
+
+def _key_lines(text: str) -> Iterator[tuple[KeyPath, int]]:
+    table: KeyPath = ()
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = TABLE.match(line)
+        if header:
+            table = _split(header.group("key"))
+            yield table, number
+            continue
+        pair = PAIR.match(line)
+        if pair:
+            yield (*table, *_split(pair.group("key"))), number
+
+
+def _split(key: str) -> KeyPath:
+    return tuple(part.strip("\"'") for part in PART.findall(key))
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and types of agatecross; no module here performs I/O or reads a clock."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control next to the upstream."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/admission/retry.py
@@ -0,0 +1,23 @@
+"""Retry budget: retries as a share of first attempts."""
+
+MAX_TOKENS = 10.0
+
+
+class RetryBudget:
+    """Token bucket that first attempts fill and retries empty."""
+
+    def __init__(self, ratio: float) -> None:
+        """Start full, so that a service with few calls can retry."""
+        self.ratio = ratio
+        self.tokens = MAX_TOKENS
+
+    def first_attempt(self) -> None:
+        """Add the share of one first attempt."""
+        self.tokens = min(MAX_TOKENS, self.tokens + self.ratio)
+
+    def take(self) -> bool:
+        """Take the token of one retry, if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/calls/__init__.py
@@ -0,0 +1,1 @@
+"""One call from its arrival to its outcome."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -0,0 +1,77 @@
+"""A call, its attempts and its outcome."""
+
+from dataclasses import dataclass
+
+from ..ids import CallId, IdempotencyKey, Millis, ServiceName
+from ..states import Outcome, Reason
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request as the caller sent it, with its whole body."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, compared without case, or None."""
+    name = name.lower()
+    return next((value for key, value in headers if key.lower() == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A routed call; `deadline` is a reading of this process's monotonic clock."""
+
+    call_id: CallId
+    service: ServiceName
+    request: Request
+    deadline: Millis
+    idempotent: bool
+    key: IdempotencyKey | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """Result of a call or of one attempt; `response` is there when it ran to its end."""
+
+    outcome: Outcome
+    response: Response | None = None
+    reason: Reason | None = None
+
+
+def not_run(reason: Reason) -> CallResult:
+    """Return the result of a call that surely did not run."""
+    return CallResult(Outcome.NOT_RUN, None, reason)
+
+
+def unknown(reason: Reason) -> CallResult:
+    """Return the result of a call that may have run."""
+    return CallResult(Outcome.UNKNOWN, None, reason)
+
+
+def ran(response: Response) -> CallResult:
+    """Return the result of a call that ran and whose response is whole."""
+    return CallResult(Outcome.RAN, response, None)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -0,0 +1,113 @@
+"""Third filter: checks every merged site; sites and findings both pass on."""
+
+import difflib
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+from ..findings import Finding, Place
+from .model import KeyPath, MergedSite
+from .schema import MESH_KEYS, REGION_KEYS, ROUTE_KEYS, SERVICE_KEYS, TOP_KEYS, Key
+
+PlaceOf = Callable[[KeyPath], Place]
+
+
+def check(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
+    """Yield each item, and after each site its findings; equal findings only once."""
+    seen: set[Finding] = set()
+    for item in items:
+        yield item
+        if isinstance(item, Finding):
+            continue
+        for finding in _check_site(item):
+            if finding not in seen:
+                seen.add(finding)
+                yield finding
+
+
+def _check_site(site: MergedSite) -> Iterator[Finding]:
+    yield from check_table(site.place, site.values, TOP_KEYS, ())
+    yield from check_table(site.place, _table(site.values, "mesh"), MESH_KEYS, ("mesh",))
+    yield from _check_named(site, "regions", REGION_KEYS)
+    yield from _check_named(site, "services", SERVICE_KEYS)
+    yield from _check_named(site, "routes", ROUTE_KEYS)
+    yield from _check_routes(site)
+
+
+def _table(values: Mapping[str, object], key: str) -> Mapping[str, object]:
+    value = values.get(key)
+    return value if isinstance(value, Mapping) else {}
+
+
+def _check_named(site: MergedSite, table: str, keys: Mapping[str, Key]) -> Iterator[Finding]:
+    for name, value in _table(site.values, table).items():
+        path = (table, name)
+        if not isinstance(value, Mapping):
+            yield Finding(site.place(path), "type", "must be a table")
+            continue
+        yield from check_table(site.place, value, keys, path)
+
+
+def check_table(
+    place: PlaceOf, values: Mapping[str, object], keys: Mapping[str, Key], path: KeyPath
+) -> Iterator[Finding]:
+    """Yield a finding for each missing, unknown, mistyped or out-of-range key of one table."""
+    for name, key in keys.items():
+        if key.required and name not in values:
+            yield Finding(place((*path, name)), "missing", f"key {name!r} is missing")
+    for name, value in values.items():
+        here = (*path, name)
+        if name not in keys:
+            yield Finding(place(here), "unknown-key", unknown_key(name, keys))
+        else:
+            yield from _check_value(place, value, keys[name], here)
+
+
+def unknown_key(name: str, keys: Iterable[str]) -> str:
+    """Return the message for an unknown key, with the nearest known one if any is near."""
+    near = difflib.get_close_matches(name, list(keys), n=1)
+    hint = f"; did you mean {near[0]!r}?" if near else ""
+    return f"unknown key {name!r}{hint}"
+
+
+def _check_value(place: PlaceOf, value: object, key: Key, path: KeyPath) -> Iterator[Finding]:
+    if not has_kind(value, key.kind):
+        wanted = {dict: "a table", list: "a list", str: "a string", bool: "true or false"}
+        yield Finding(place(path), "type", f"must be {wanted.get(key.kind, 'a number')}")
+        return
+    if isinstance(value, list) and not all(isinstance(part, str) for part in value):
+        yield Finding(place(path), "type", "must be a list of strings")
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        if key.low is not None and value < key.low:
+            yield Finding(place(path), "range", f"must be at least {key.low:g}")
+        if key.high is not None and value > key.high:
+            yield Finding(place(path), "range", f"must be at most {key.high:g}")
+
+
+def has_kind(value: object, kind: type) -> bool:
+    """Return whether a decoded value has the type of a key; an integer is a valid float."""
+    if kind in (int, float) and isinstance(value, bool):
+        return False
+    if kind is float:
+        return isinstance(value, int | float)
+    return isinstance(value, kind)
+
+
+def _check_routes(site: MergedSite) -> Iterator[Finding]:
+    services = _table(site.values, "services")
+    taken: dict[tuple[object, object], str] = {}
+    for name, route in _table(site.values, "routes").items():
+        if not isinstance(route, Mapping) or route.get("enabled") is False:
+            continue
+        path = ("routes", name)
+        service, prefix = route.get("service"), route.get("prefix")
+        if isinstance(service, str) and service not in services:
+            near = difflib.get_close_matches(service, list(services), n=1)
+            hint = f"; did you mean {near[0]!r}?" if near else ""
+            message = f"service {service!r} does not exist{hint}"
+            yield Finding(site.place((*path, "service")), "no-such-service", message)
+        if isinstance(prefix, str) and not prefix.startswith("/"):
+            yield Finding(site.place((*path, "prefix")), "prefix", "must start with '/'")
+        match = (route.get("host", ""), prefix)
+        if match in taken:
+            message = f"route {taken[match]!r} has the same host and prefix"
+            yield Finding(site.place((*path, "prefix")), "same-match", message)
+        taken.setdefault(match, name)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -0,0 +1,79 @@
+"""Last filter: checked sites to one compiled snapshot, and the pipeline as a whole."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+
+from ..findings import Finding, sort_findings, split_findings
+from ..ids import DataCentreName, Digest, RegionName, RouteName, ServiceName, Version
+from .check import check
+from .merge import merge
+from .model import (
+    Document,
+    DocumentDecoder,
+    MergedSite,
+    MeshSnapshot,
+    Route,
+    ServicePolicy,
+    SiteSnapshot,
+)
+from .parse import parse
+
+
+def compile_documents(
+    documents: Iterable[Document], decoder: DocumentDecoder, version: Version
+) -> tuple[MeshSnapshot | None, tuple[Finding, ...]]:
+    """Run the whole pipeline; the snapshot is None when there is any finding."""
+    documents = tuple(documents)
+    sites, findings = split_findings(check(merge(parse(documents, decoder))))
+    if findings:
+        return None, tuple(sort_findings(findings))
+    compiled = {site.data_centre: _compile_site(site) for site in sites}
+    return MeshSnapshot(version, digest_of(documents), compiled), ()
+
+
+def digest_of(documents: Iterable[Document]) -> Digest:
+    """Return the digest of a set of documents, independent of their order."""
+    digest = hashlib.blake2b(digest_size=16)
+    for document in sorted(documents, key=lambda d: d.name):
+        for part in (document.name.encode(), document.text.encode()):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+    return Digest(digest.hexdigest())
+
+
+def _compile_site(site: MergedSite) -> SiteSnapshot:
+    services = _rows(site, "services")
+    policies = {ServiceName(name): _compile_service(name, row) for name, row in services.items()}
+    rows = _rows(site, "routes").items()
+    routes = [_compile_route(name, row) for name, row in rows if row.get("enabled", True)]
+    routes.sort(key=lambda route: (not route.host, -len(route.prefix), route.name))
+    region = _region_of(site, site.data_centre)
+    return SiteSnapshot(site.data_centre, region, policies, tuple(routes))
+
+
+def _rows(site: MergedSite, table: str) -> Mapping[str, dict[str, object]]:
+    rows = site.values[table]
+    assert isinstance(rows, dict)
+    return rows
+
+
+def _region_of(site: MergedSite, data_centre: DataCentreName) -> RegionName:
+    for name, region in _rows(site, "regions").items():
+        names = region["data_centres"]
+        if isinstance(names, list) and data_centre in names:
+            return RegionName(name)
+    raise AssertionError(f"data centre {data_centre!r} was checked to be in a region")
+
+
+def _compile_service(name: str, row: Mapping[str, object]) -> ServicePolicy:
+    values = {key: tuple(value) if isinstance(value, list) else value for key, value in row.items()}
+    return ServicePolicy(ServiceName(name), **values)  # type: ignore[arg-type]
+
+
+def _compile_route(name: str, row: Mapping[str, object]) -> Route:
+    return Route(
+        RouteName(name),
+        str(row["prefix"]),
+        ServiceName(str(row["service"])),
+        str(row.get("host", "")),
+    )
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/config/merge.py
@@ -0,0 +1,91 @@
+"""Second filter: the base and the overlays to one merged site for each data centre."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from ..constants import MAX_OVERLAYS
+from ..findings import Finding, Place
+from ..ids import DataCentreName
+from .model import BASE, DecodedDocument, KeyPath, MergedSite
+
+OVERLAY_TABLES = ("services", "routes")
+"""Tables that an overlay may change; the list of regions is the same for every site."""
+
+
+def merge(
+    items: Iterable[DecodedDocument | Finding],
+) -> Iterator[MergedSite | Finding]:
+    """Apply each overlay to the base; findings pass through."""
+    documents: dict[str, DecodedDocument] = {}
+    for item in items:
+        if isinstance(item, Finding):
+            yield item
+        else:
+            documents[item.name] = item
+    base = documents.pop(BASE, None)
+    if base is None:
+        yield Finding(Place(BASE, 0, ""), "no-base", "there is no readable base document")
+        return
+    if len(documents) > MAX_OVERLAYS:
+        message = f"there are more than {MAX_OVERLAYS} overlays"
+        yield Finding(Place(BASE, 0, ""), "too-many-overlays", message)
+        return
+    yield from _check_overlay_names(base, documents)
+    for data_centre in data_centres(base.values):
+        yield _merge_site(DataCentreName(data_centre), base, documents.get(data_centre))
+
+
+def data_centres(values: Mapping[str, object]) -> Iterator[str]:
+    """Yield the data centres that a base document lists under its regions."""
+    regions = values.get("regions")
+    if not isinstance(regions, Mapping):
+        return
+    for region in regions.values():
+        names = region.get("data_centres") if isinstance(region, Mapping) else None
+        if isinstance(names, list):
+            yield from (name for name in names if isinstance(name, str))
+
+
+def _check_overlay_names(
+    base: DecodedDocument, overlays: Mapping[str, DecodedDocument]
+) -> Iterator[Finding]:
+    known = set(data_centres(base.values))
+    for name, overlay in overlays.items():
+        if name not in known:
+            message = f"no region of the base lists data centre {name!r}"
+            yield Finding(Place(overlay.name, 0, ""), "unknown-data-centre", message)
+        for key in overlay.values:
+            if key not in OVERLAY_TABLES:
+                message = f"an overlay may only change {' and '.join(OVERLAY_TABLES)}"
+                yield Finding(overlay.place((key,)), "not-in-overlay", message)
+
+
+def _merge_site(
+    name: DataCentreName, base: DecodedDocument, overlay: DecodedDocument | None
+) -> MergedSite:
+    values: dict[str, object] = {}
+    places: dict[KeyPath, Place] = {}
+    _apply(values, places, base, base.values, ())
+    if overlay is not None:
+        changes = {key: overlay.values[key] for key in OVERLAY_TABLES if key in overlay.values}
+        _apply(values, places, overlay, changes, ())
+    return MergedSite(name, values, places)
+
+
+def _apply(
+    target: dict[str, object],
+    places: dict[KeyPath, Place],
+    document: DecodedDocument,
+    changes: Mapping[str, object],
+    path: KeyPath,
+) -> None:
+    for key, value in changes.items():
+        here = (*path, key)
+        if not isinstance(value, Mapping):
+            target[key] = value
+            places[here] = document.place(here)
+            continue
+        old = target.get(key)
+        table = old if isinstance(old, dict) else {}
+        target[key] = table
+        places.setdefault(here, document.place(here))
+        _apply(table, places, document, value, here)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -0,0 +1,39 @@
+"""The keys of the documents, with their types and bounds."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """One key: the type of its value, whether it must be there, and the bounds of a number."""
+
+    kind: type
+    required: bool = False
+    low: float | None = None
+    high: float | None = None
+
+
+TOP_KEYS: Mapping[str, Key] = {
+    "mesh": Key(dict, required=True),
+    "regions": Key(dict, required=True),
+    "services": Key(dict, required=True),
+    "routes": Key(dict, required=True),
+}
+MESH_KEYS: Mapping[str, Key] = {"name": Key(str, required=True)}
+REGION_KEYS: Mapping[str, Key] = {"data_centres": Key(list, required=True)}
+SERVICE_KEYS: Mapping[str, Key] = {
+    "timeout_ms": Key(int, low=1, high=600_000),
+    "attempts": Key(int, low=1, high=5),
+    "retry_ratio": Key(float, low=0.0, high=1.0),
+    "hedge_quantile": Key(float, low=0.0, high=0.9999),
+    "long_share": Key(float, low=0.0, high=1.0),
+    "long_ms": Key(int, low=1, high=600_000),
+    "idempotent_methods": Key(list),
+}
+ROUTE_KEYS: Mapping[str, Key] = {
+    "prefix": Key(str, required=True),
+    "service": Key(str, required=True),
+    "host": Key(str),
+    "enabled": Key(bool),
+}
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -0,0 +1,67 @@
+"""Limits and periods with their units."""
+
+from typing import Final
+
+from .ids import Digest, Millis, StreamName, Version
+
+KIB: Final = 1024
+MIB: Final = 1024 * KIB
+
+# Streams on the log service.
+CONFIG_STREAM: Final = StreamName("config")
+MEMBERS_STREAM: Final = StreamName("members")
+CLAIMS_STREAM: Final = StreamName("claims")
+
+# Configuration.
+NO_VERSION: Final = Version(0)
+NO_DIGEST: Final = Digest("")
+RULE_SET: Final = 1
+MAX_OVERLAYS: Final = 64
+MAX_DOCUMENT_BYTES: Final = 256 * KIB
+MAX_SEEN_PUBLISH_IDS: Final = 4096
+SNAPSHOT_AFTER_RECORDS: Final = 256
+
+# Distribution.
+READERS_PER_REGION: Final = 2
+NOTICE_FANOUT: Final = 4
+PEER_SILENCE: Final = Millis(5_000)
+LOG_POLL_WAIT: Final = Millis(2_000)
+LOG_PAGE_RECORDS: Final = 512
+
+# Membership.
+PROBE_PERIOD: Final = Millis(1_000)
+PROBE_TIMEOUT: Final = Millis(400)
+INDIRECT_PROBES: Final = 3
+SUSPICION_BASE: Final = Millis(4_000)
+SUSPICION_PER_DOUBLING: Final = Millis(200)
+DEAD_PROBE_PERIOD: Final = Millis(10_000)
+DEAD_RETENTION: Final = Millis(600_000)
+LEAVE_FANOUT: Final = 4
+MAX_UPDATES_PER_MESSAGE: Final = 12
+MAX_MEMBERS: Final = 4096
+BOOTSTRAP_ANNOUNCEMENTS: Final = 16
+# A pause longer than this may hide a whole suspicion timeout of its peers.
+MAX_TICK_GAP: Final = Millis(2_000)
+
+# Calls.
+MAX_REQUEST_BYTES: Final = 1 * MIB
+MAX_RESPONSE_BYTES: Final = 8 * MIB
+MAX_HEAD_BYTES: Final = 32 * KIB
+MAX_CALLS_IN_FLIGHT: Final = 10_000
+CONNECT_TIMEOUT: Final = Millis(500)
+MAX_IDLE_CONNECTIONS_PER_PEER: Final = 64
+
+# Upstream.
+UPSTREAM_LEASE: Final = Millis(3_000)
+QUEUE_SLOTS_FACTOR: Final = 4
+
+# Idempotency.
+CLAIM_BATCH_WAIT: Final = Millis(10)
+KEY_RETENTION: Final = Millis(15 * 60_000)
+MAX_KEYS: Final = 200_000
+MAX_RETAINED_RESPONSE_BYTES: Final = 32 * MIB
+
+# Quarantine.
+QUARANTINE_DEATHS: Final = 2
+QUARANTINE_TIME: Final = Millis(10 * 60_000)
+MAX_FINGERPRINTS: Final = 1024
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Decides who reads the log and what to pull from which peer."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution by claims on the log."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -0,0 +1,32 @@
+"""Identifiers and scalar quantities with their own types."""
+
+from typing import NewType
+
+Address = NewType("Address", str)
+"""IP address and port, written ``ip:port``."""
+
+DaemonId = NewType("DaemonId", str)
+ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+RegionName = NewType("RegionName", str)
+DataCentreName = NewType("DataCentreName", str)
+DocumentName = NewType("DocumentName", str)
+"""``base`` or the name of the data centre whose overlay it is."""
+
+Version = NewType("Version", int)
+"""Counter of accepted configurations; 0 means none."""
+
+Digest = NewType("Digest", str)
+"""Hexadecimal BLAKE2b digest of 16 bytes."""
+
+PublishId = NewType("PublishId", str)
+StreamName = NewType("StreamName", str)
+Offset = NewType("Offset", int)
+Incarnation = NewType("Incarnation", int)
+CallId = NewType("CallId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+ClaimId = NewType("ClaimId", str)
+Fingerprint = NewType("Fingerprint", str)
+
+Millis = NewType("Millis", float)
+"""Milliseconds: a duration, or a reading of a monotonic clock."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet: SWIM probes, suspicion, leaving and gossip."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of requests that crash upstreams."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/health.py
@@ -0,0 +1,15 @@
+"""Required filter: members that take new work."""
+
+from collections.abc import Iterable, Iterator
+
+from ..states import MemberState, UpstreamState
+from .model import Candidate
+
+
+def healthy(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
+    """Yield candidates that are alive and whose upstream is ready."""
+    for candidate in candidates:
+        if candidate.member.state is not MemberState.ALIVE:
+            continue
+        if candidate.upstream.state is UpstreamState.READY:
+            yield candidate
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/locality.py
@@ -0,0 +1,22 @@
+"""Preference filter: the nearest members with spare capacity."""
+
+from collections.abc import Iterable, Iterator
+
+from ..states import Locality
+from .model import Candidate
+
+
+def nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
+    """Yield the candidates of the nearest locality that has room, or all when none has."""
+    rows = list(candidates)
+    for locality in Locality:
+        near = [row for row in rows if row.locality is locality and has_room(row)]
+        if near:
+            yield from near
+            return
+    yield from rows
+
+
+def has_room(candidate: Candidate) -> bool:
+    """Return whether this daemon alone has not yet filled the upstream's slots."""
+    return candidate.outstanding < candidate.upstream.slots
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/routes.py
@@ -0,0 +1,21 @@
+"""Finds the route of a call in the configuration in force."""
+
+from ..config.model import Route, SiteSnapshot
+
+
+def find_route(site: SiteSnapshot, host: str, path: str) -> Route | None:
+    """Return the first matching route; routes are ordered by host, then by longest prefix."""
+    for route in site.routes:
+        if route.host and route.host != host:
+            continue
+        if matches_prefix(path, route.prefix):
+            return route
+    return None
+
+
+def matches_prefix(path: str, prefix: str) -> bool:
+    """Return whether a path lies under a prefix, by whole segments."""
+    path = path.split("?", 1)[0]
+    if prefix.endswith("/"):
+        return path.startswith(prefix)
+    return path == prefix or path.startswith(prefix + "/")
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -0,0 +1,85 @@
+"""States and outcomes that cross module boundaries."""
+
+from enum import Enum
+
+
+class MemberState(Enum):
+    """State of a daemon as its peers see it."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+class UpstreamState(Enum):
+    """State that an upstream announces to the daemon next to it."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class DaemonState(Enum):
+    """State of this daemon towards callers."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Outcome(Enum):
+    """What is known about the execution of a call."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(Enum):
+    """Why a call was refused or its outcome is unknown."""
+
+    NO_CONFIGURATION = "no-configuration"
+    NO_ROUTE = "no-route"
+    NO_UPSTREAM = "no-upstream"
+    STALE_VIEW = "stale-view"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+    QUEUE_FULL = "queue-full"
+    TOO_MANY_CALLS = "too-many-calls"
+    SHED = "shed"
+    RETRY_BUDGET = "retry-budget"
+    QUARANTINED = "quarantined"
+    LOG_UNAVAILABLE = "log-unavailable"
+    CLAIMS_FULL = "claims-full"
+    KEY_HOLDER_GONE = "key-holder-gone"
+    RESPONSE_EVICTED = "response-evicted"
+    CONNECT_FAILED = "connect-failed"
+    CONNECTION_LOST = "connection-lost"
+    TIMEOUT = "timeout"
+    BAD_REQUEST = "bad-request"
+
+
+class WorkClass(Enum):
+    """Class of a call by its observed cost."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+class Locality(Enum):
+    """Distance between this daemon and a member, nearest first."""
+
+    DATA_CENTRE = 0
+    REGION = 1
+    REMOTE = 2
+
+
+class Verdict(Enum):
+    """Result of folding one publish record."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    CONFLICT = "conflict"
+    DUPLICATE = "duplicate"
+    UNKNOWN_RULES = "unknown-rules"
