--- /dev/null
+++ b/features/config_check.feature
@@ -0,0 +1,16 @@
+Feature: Configuration check
+  Guards against versions that name missing resources or carry unnoticed mistakes.
+
+  Scenario Outline: <fault> is found with its place
+    Given the example configuration "kafeskoop"
+    When "<old>" is replaced by "<new>" in document "<document>"
+    Then the only finding has code "<code>" at line <line> and key "<key>"
+
+    Examples:
+      | fault                  | document | old                               | new                       | code                | line | key                          |
+      | missing service        | base     | service = "catalogue"             | service = "catalog"       | no-such-service     | 30   | routes.catalogue.service     |
+      | unknown key            | base     | long_ms = 250                     | long_mss = 250            | unknown-key         | 14   | services.catalogue.long_mss  |
+      | wrong type             | base     | long_ms = 250                     | long_ms = "250"           | type                | 14   | services.catalogue.long_ms   |
+      | number out of range    | base     | long_share = 0.25                 | long_share = 1.5          | range               | 15   | services.catalogue.long_share|
+      | broken syntax          | bursa-a  | timeout_ms = 4000                 | timeout_ms = = 4000       | syntax              | 4    |                              |
+      | prefix without slash   | base     | prefix = "/members"               | prefix = "members"        | prefix              | 37   | routes.member-accounts.prefix|
--- /dev/null
+++ b/features/steps/config_steps.py
@@ -0,0 +1,43 @@
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given, then, when
+
+from agatecross_adapters.toml_documents import decode_toml
+from agatecross_cli.documents import read_documents
+from agatecross_core.config.compile import compile_documents
+from agatecross_core.constants import NO_VERSION
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+@given('the example configuration "{name}"')
+def load_example(context, name):
+    context.documents = list(read_documents(EXAMPLES / name))
+
+
+@when('"{old}" is replaced by "{new}" in document "{name}"')
+def edit_document(context, old, new, name):
+    edited = []
+    for document in context.documents:
+        if document.name == name:
+            assert old in document.text, f"{old!r} is not in {name}"
+            document = replace(document, text=document.text.replace(old, new, 1))
+        edited.append(document)
+    context.documents = edited
+
+
+@then('the only finding has code "{code}" at line {line:d} and key "{key}"')
+def check_finding(context, code, line, key):
+    check_only_finding(context, code, line, key)
+
+
+@then('the only finding has code "{code}" at line {line:d} and key ""')
+def check_finding_without_key(context, code, line):
+    check_only_finding(context, code, line, "")
+
+
+def check_only_finding(context, code, line, key):
+    _, findings = compile_documents(context.documents, decode_toml, NO_VERSION)
+    rows = [(f.code, f.place.line, f.place.key) for f in findings]
+    assert rows == [(code, line, key)], rows
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,49 @@
+import json
+from pathlib import Path
+
+from behave import given, then, when
+
+from agatecross_standins.fleet import Fleet, Site, fetch
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+REGIONS = {
+    "aarhus-a": "jylland",
+    "aalborg-b": "jylland",
+    "koebenhavn-a": "sjaelland",
+    "roskilde-b": "sjaelland",
+}
+
+
+@given('a fleet of {count:d} upstream for each of "{services}" at "{data_centres}"')
+def start_fleet(context, count, services, data_centres):
+    context.fleet = Fleet()
+    context.fleet.__enter__()
+    context.add_cleanup(context.fleet.__exit__)
+    for data_centre in data_centres.split(","):
+        for service in services.split(",") * count:
+            context.fleet.add_node(Site(REGIONS[data_centre], data_centre), service)
+    context.fleet.wait_joined()
+
+
+@when('the example configuration "{name}" is published')
+def publish_example(context, name):
+    context.result = context.fleet.cli("publish", str(EXAMPLES / name))
+
+
+@then("the client ends with code {code:d}")
+def check_client(context, code):
+    assert context.result.returncode == code, (context.result.stdout, context.result.stderr)
+
+
+@then('every daemon answers a call to "{path}" by service "{service}"')
+def check_calls(context, path, service):
+    for node in context.fleet.nodes:
+        status, headers, body = fetch(node.call + path)
+        assert status == 200, (node.name, status, body)
+        assert headers["Agatecross-Outcome"] == "ran", headers
+        assert json.loads(body)["service"] == service, body
+
+
+@then("a daemon that gets SIGTERM exits with code {code:d}")
+def check_shutdown(context, code):
+    assert context.fleet.stop_daemon(context.fleet.nodes[-1]) == code
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -0,0 +1,107 @@
+"""Headers that carry a call and its outcome between callers, daemons and upstreams."""
+
+from dataclasses import replace
+
+from agatecross_core.calls.model import (
+    Call,
+    CallResult,
+    Headers,
+    Request,
+    Response,
+    find_header,
+    not_run,
+    unknown,
+)
+from agatecross_core.ids import CallId, Millis, ServiceName
+from agatecross_core.states import Outcome, Reason
+
+CALL_ID = "Agatecross-Call-Id"
+SERVICE = "Agatecross-Service"
+DEADLINE = "Agatecross-Deadline-Ms"
+OUTCOME = "Agatecross-Outcome"
+REASON = "Agatecross-Reason"
+LOAD = "Agatecross-Load"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+IDEMPOTENT = "Agatecross-Idempotent"
+
+PRIVATE_PREFIX = "agatecross-"
+
+STATUS_OF = {
+    Reason.NO_ROUTE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.QUARANTINED: 422,
+    Reason.KEY_HOLDER_GONE: 409,
+    Reason.RESPONSE_EVICTED: 409,
+    Reason.DEADLINE: 504,
+    Reason.TIMEOUT: 504,
+    Reason.CONNECTION_LOST: 502,
+}
+DEFAULT_STATUS = 503
+
+
+def public_headers(headers: Headers) -> Headers:
+    """Drop the headers that only daemons may set."""
+    return tuple(row for row in headers if not row[0].lower().startswith(PRIVATE_PREFIX))
+
+
+def remaining_ms(request: Request) -> float | None:
+    """Return the time left that a request states; None when it states none or a bad one."""
+    text = request.header(DEADLINE)
+    try:
+        return float(text) if text is not None else None
+    except ValueError:
+        return None
+
+
+def encode_call(call: Call, now: Millis) -> Request:
+    """Return the request that carries a call to the daemon next to its upstream."""
+    headers = (
+        *public_headers(call.request.headers),
+        (CALL_ID, call.call_id),
+        (SERVICE, call.service),
+        (DEADLINE, f"{max(0.0, call.deadline - now):.1f}"),
+        (IDEMPOTENT, "1" if call.idempotent else "0"),
+    )
+    return replace(call.request, headers=headers)
+
+
+def decode_call(request: Request, now: Millis) -> Call | None:
+    """Return the call that a peer sent, or None when its headers are not those of a call."""
+    call_id, service = request.header(CALL_ID), request.header(SERVICE)
+    left = remaining_ms(request)
+    if not call_id or not service or left is None:
+        return None
+    idempotent = request.header(IDEMPOTENT) == "1"
+    plain = replace(request, headers=public_headers(request.headers))
+    return Call(CallId(call_id), ServiceName(service), plain, Millis(now + left), idempotent)
+
+
+def encode_result(result: CallResult, *extra: tuple[str, str]) -> Response:
+    """Return the response that carries a result."""
+    outcome = (OUTCOME, result.outcome.value)
+    if result.response is not None:
+        headers = (*public_headers(result.response.headers), outcome, *extra)
+        return replace(result.response, headers=headers)
+    reason = result.reason or Reason.BAD_REQUEST
+    body = f"{result.outcome.value}: {reason.value}\n".encode()
+    status = STATUS_OF.get(reason, DEFAULT_STATUS)
+    headers = (("Content-Type", "text/plain"), outcome, (REASON, reason.value), *extra)
+    return Response(status, headers, body)
+
+
+def decode_result(response: Response) -> CallResult:
+    """Return the result that a daemon's response carries; without its headers it is unknown."""
+    outcome = find_header(response.headers, OUTCOME)
+    if outcome == Outcome.RAN.value:
+        return CallResult(Outcome.RAN, response)
+    reason = _reason(find_header(response.headers, REASON))
+    if outcome == Outcome.NOT_RUN.value:
+        return not_run(reason)
+    return unknown(reason)
+
+
+def _reason(text: str | None) -> Reason:
+    try:
+        return Reason(text)
+    except ValueError:
+        return Reason.CONNECTION_LOST
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -42,8 +42,7 @@
         for _ in range(ANSWERERS):
             context = self.listener.new_context()
             self.answerers.append(asyncio.ensure_future(self._answer(context, handler)))
-        host = address.rpartition(":")[0]
-        return Address(f"{host}:{bound.local_address.port_as_int}") if bound else address
+        return Address(str(bound.local_address))
 
     async def _answer(self, context: pynng.Context, handler: ControlHandler) -> None:
         while True:
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client `agatecross`."""
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs `agatecross` as a module."""
+
+from .main import run
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/fleet.py
@@ -0,0 +1,66 @@
+"""Asks the daemons which version they have in force."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from agatecross_adapters.protocols import HttpClient
+from agatecross_core.calls.model import Request
+from agatecross_core.errors import ExchangeError
+from agatecross_core.ids import Address, DaemonId, Digest, Millis, Version
+from agatecross_core.members.records import Member
+
+ASK_TIMEOUT = Millis(2_000)
+CONCURRENT_ASKS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonStatus:
+    """What one daemon reports; `version` is None when it does not answer."""
+
+    daemon_id: DaemonId
+    data_centre: str
+    state: str
+    version: Version | None
+    digest: Digest
+
+
+@dataclass(frozen=True, slots=True)
+class StatusBody:
+    """The fields of a daemon's status that the client uses."""
+
+    daemon_id: DaemonId
+    state: str
+    version: Version
+    digest: Digest
+
+
+async def list_members(http: HttpClient, daemon: Address) -> tuple[Member, ...]:
+    """Return the members that a daemon knows; raises `ExchangeError`."""
+    request = Request("GET", "/agatecross/v1/members", (), b"")
+    response = await http.send(daemon, request, ASK_TIMEOUT)
+    return msgspec.json.decode(response.body, type=tuple[Member, ...])
+
+
+async def ask_all(http: HttpClient, members: Iterable[Member]) -> list[DaemonStatus]:
+    """Return the status of each member, asking a bounded number at once."""
+    limit = asyncio.Semaphore(CONCURRENT_ASKS)
+
+    async def ask(member: Member) -> DaemonStatus:
+        async with limit:
+            return await ask_one(http, member)
+
+    return list(await asyncio.gather(*(ask(member) for member in members)))
+
+
+async def ask_one(http: HttpClient, member: Member) -> DaemonStatus:
+    """Return the status of one member."""
+    request = Request("GET", "/agatecross/v1/status", (), b"")
+    try:
+        response = await http.send(member.admin_address, request, ASK_TIMEOUT)
+        body = msgspec.json.decode(response.body, type=StatusBody)
+    except (ExchangeError, msgspec.MsgspecError):
+        return DaemonStatus(member.daemon_id, member.data_centre, "unreachable", None, Digest(""))
+    return DaemonStatus(member.daemon_id, member.data_centre, body.state, body.version, body.digest)
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/__main__.py
@@ -0,0 +1,6 @@
+"""Runs `agatecrossd` as a module."""
+
+from .main import run
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/mailbox.py
@@ -0,0 +1,59 @@
+"""Mailboxes, the only way in which tasks reach each other."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+from agatecross_core.ids import Millis
+
+M = TypeVar("M")
+Q = TypeVar("Q")
+A = TypeVar("A")
+M_contra = TypeVar("M_contra", contravariant=True)
+
+
+class Sender(Protocol[M_contra]):
+    """The end of a mailbox that other tasks hold."""
+
+    def put(self, message: M_contra) -> None:
+        """Deliver a message without waiting."""
+        ...
+
+
+class Mailbox(Generic[M]):
+    """Queue of messages to one task."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[M] = asyncio.Queue()
+
+    def put(self, message: M) -> None:
+        """Deliver a message without waiting."""
+        self.queue.put_nowait(message)
+
+    async def get(self) -> M:
+        """Wait for the next message."""
+        return await self.queue.get()
+
+
+@dataclass(frozen=True, slots=True)
+class Ask(Generic[Q, A]):
+    """A message whose sender waits for an answer."""
+
+    question: Q
+    reply: asyncio.Future[A]
+
+    def answer(self, answer: A) -> None:
+        """Give the answer, unless the sender no longer waits."""
+        if not self.reply.done():
+            self.reply.set_result(answer)
+
+
+def new_ask(question: Q) -> "Ask[Q, A]":
+    """Return an ask with a fresh reply."""
+    return Ask(question, asyncio.get_running_loop().create_future())
+
+
+def monotonic() -> Millis:
+    """Return the reading of the monotonic clock in milliseconds."""
+    return Millis(time.monotonic() * 1000)
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the daemon; each owns its sockets and one decision object."""
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -0,0 +1,118 @@
+"""Owns the listener for operators and for the upstream next to this daemon."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from agatecross_adapters.control_nng import TrafficCount
+from agatecross_adapters.protocols import HttpListener
+from agatecross_core.calls.model import Request, Response
+from agatecross_core.constants import NO_DIGEST, NO_VERSION
+from agatecross_core.ids import Address, DaemonId, Digest, Version
+from agatecross_core.members.records import Member, UpstreamInfo
+from agatecross_core.members.view import FleetView
+from agatecross_core.states import DaemonState
+
+from ..mailbox import Mailbox, Sender
+from ..messages import ConfigInForce, Leaving, ViewChanged
+from .upstream_task import UpstreamAnnounced
+
+PREFIX = "/agatecross/v1"
+
+AdminMessage = ConfigInForce | ViewChanged | Leaving
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """Body of the status answer; control traffic in payload bytes since the start."""
+
+    daemon_id: DaemonId
+    state: DaemonState
+    version: Version
+    digest: Digest
+    members: int
+    control_sent_bytes: int
+    control_received_bytes: int
+
+
+class AdminTask:
+    """Answers status requests and takes the upstream's announcements."""
+
+    def __init__(
+        self,
+        mailbox: Mailbox[AdminMessage],
+        address: Address,
+        me: Member,
+        listener: HttpListener,
+        upstream: Sender[UpstreamAnnounced],
+        traffic: TrafficCount,
+    ) -> None:
+        self.address = address
+        self.me = me
+        self.listener = listener
+        self.upstream = upstream
+        self.traffic = traffic
+        self.mailbox = mailbox
+        self.state = DaemonState.STARTING
+        self.version = NO_VERSION
+        self.digest = NO_DIGEST
+        self.view = FleetView()
+        self.answers: dict[tuple[str, str], Callable[[Request], Response]] = {
+            ("GET", f"{PREFIX}/status"): self._status,
+            ("GET", f"{PREFIX}/members"): self._members,
+            ("GET", f"{PREFIX}/ready"): self._ready,
+            ("PUT", f"{PREFIX}/upstream"): self._announce,
+        }
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        self.listener.listen(self.address, self._request)
+        while True:
+            match await self.mailbox.get():
+                case ConfigInForce(snapshot):
+                    self.version, self.digest = snapshot.version, snapshot.digest
+                    if self.state is DaemonState.STARTING:
+                        self.state = DaemonState.READY
+                case ViewChanged(view):
+                    self.view = view
+                case Leaving():
+                    self.state = DaemonState.LEAVING
+
+    async def _request(self, request: Request) -> Response:
+        answer = self.answers.get((request.method, request.path.split("?", 1)[0]))
+        return answer(request) if answer else _json(404, {"error": "no such page"})
+
+    def _status(self, request: Request) -> Response:
+        del request
+        status = Status(
+            self.me.daemon_id,
+            self.state,
+            self.version,
+            self.digest,
+            len(self.view.members),
+            self.traffic.sent_bytes,
+            self.traffic.received_bytes,
+        )
+        return _json(200, status)
+
+    def _members(self, request: Request) -> Response:
+        del request
+        return _json(200, tuple(self.view.members.values()))
+
+    def _ready(self, request: Request) -> Response:
+        del request
+        ready = self.state is DaemonState.READY and not self.view.stale
+        return _json(200 if ready else 503, {"state": self.state.value})
+
+    def _announce(self, request: Request) -> Response:
+        try:
+            info = msgspec.json.decode(request.body, type=UpstreamInfo)
+        except msgspec.MsgspecError as error:
+            return _json(400, {"error": str(error)})
+        self.upstream.put(UpstreamAnnounced(info))
+        return _json(200, {"daemon_id": self.me.daemon_id})
+
+
+def _json(status: int, body: object) -> Response:
+    return Response(status, (("Content-Type", "application/json"),), msgspec.json.encode(body))
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/subtasks.py
@@ -0,0 +1,28 @@
+"""Coroutines that a task starts and whose results come back to its mailbox."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+
+class Subtasks:
+    """Keeps references to running coroutines and cancels them with their owner."""
+
+    def __init__(self) -> None:
+        self.running: set[asyncio.Task[object]] = set()
+
+    def start(self, work: Coroutine[Any, Any, object]) -> None:
+        """Start a coroutine."""
+        task = asyncio.ensure_future(work)
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+    def cancel(self) -> None:
+        """Cancel everything that still runs."""
+        for task in self.running:
+            task.cancel()
+
+    async def wait(self) -> None:
+        """Wait until nothing runs any more."""
+        while self.running:
+            await asyncio.wait(self.running)
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -0,0 +1,183 @@
+"""Owns the upstream next to this daemon: its lease, queue, slots and connections."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from agatecross_adapters.call_headers import (
+    CALL_ID,
+    DEADLINE,
+    LOAD,
+    decode_call,
+    encode_result,
+)
+from agatecross_adapters.protocols import HttpClient, HttpListener
+from agatecross_core.admission.model import AdmissionAction, RefuseCall, StartCall
+from agatecross_core.admission.queue import AdmissionQueue
+from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, ran, unknown
+from agatecross_core.constants import UPSTREAM_LEASE
+from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
+from agatecross_core.ids import Address, CallId, Millis
+from agatecross_core.members.records import UpstreamInfo
+from agatecross_core.states import Reason, UpstreamState
+
+from ..events import log_event
+from ..mailbox import Ask, Mailbox, Sender, monotonic, new_ask
+from ..messages import Leaving, Tick, UpstreamChanged
+from .subtasks import Subtasks
+
+TICK_SECONDS = 0.25
+SHED_HEADER = "Agatecross-Outcome"
+
+CallAsk = Ask[Call, CallResult]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnnounced:
+    """The upstream announced itself."""
+
+    info: UpstreamInfo
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """A call that was started has a result."""
+
+    call_id: CallId
+    result: CallResult
+
+
+UpstreamMessage = CallAsk | UpstreamAnnounced | CallEnded | Leaving | Tick
+
+
+class UpstreamTask:
+    """Runs calls on the upstream within its slots and refuses the others as not run."""
+
+    def __init__(
+        self,
+        mailbox: Mailbox[UpstreamMessage],
+        address: Address,
+        listener: HttpListener,
+        client: HttpClient,
+        members: Sender[UpstreamChanged],
+    ) -> None:
+        self.address = address
+        self.listener = listener
+        self.client = client
+        self.members = members
+        self.mailbox = mailbox
+        self.info: UpstreamInfo | None = None
+        self.lease_until = Millis(0)
+        self.queue = AdmissionQueue(0)
+        self.asks: dict[CallId, CallAsk] = {}
+        self.subtasks = Subtasks()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        self.listener.listen(self.address, self._peer_request)
+        ticks = asyncio.ensure_future(self._ticks())
+        try:
+            while True:
+                self._handle(await self.mailbox.get())
+        finally:
+            ticks.cancel()
+            self.subtasks.cancel()
+
+    async def drained(self) -> None:
+        """Return when no call runs on the upstream and every response was written."""
+        await self.subtasks.wait()
+        await self.listener.close()
+
+    async def _peer_request(self, request: Request) -> Response:
+        call = decode_call(request, monotonic())
+        if call is None:
+            return encode_result(not_run(Reason.BAD_REQUEST))
+        ask: CallAsk = new_ask(call)
+        self.mailbox.put(ask)
+        result = await ask.reply
+        return encode_result(result, (LOAD, self._load()))
+
+    def _load(self) -> str:
+        return f"{len(self.queue.running)} {len(self.queue.waiting)} {self.queue.slots}"
+
+    def _handle(self, message: UpstreamMessage) -> None:
+        now = monotonic()
+        match message:
+            case UpstreamAnnounced(info):
+                self._announced(info, now)
+            case CallEnded(call_id, result):
+                self._answer(call_id, result)
+                self._act(self.queue.finished(call_id, now))
+            case Leaving():
+                self._act(self.queue.drain())
+            case Tick():
+                self._check_lease(now)
+            case _:
+                self._arrived(message, now)
+
+    def _arrived(self, ask: CallAsk, now: Millis) -> None:
+        call = ask.question
+        if self.info is None or self.info.service != call.service:
+            ask.answer(not_run(Reason.NO_UPSTREAM))
+            return
+        self.asks[call.call_id] = ask
+        self._act(self.queue.arrived(call, now))
+
+    def _announced(self, info: UpstreamInfo, now: Millis) -> None:
+        self.lease_until = Millis(now + UPSTREAM_LEASE)
+        if info == self.info:
+            return
+        log_event("upstream_changed", service=info.service, state=info.state.value)
+        self.info = info
+        self.queue.slots = info.slots
+        self.queue.draining = info.state is UpstreamState.DRAINING
+        self.members.put(UpstreamChanged(info))
+
+    def _check_lease(self, now: Millis) -> None:
+        if self.info is not None and now > self.lease_until:
+            log_event("upstream_lease_expired", service=self.info.service)
+            self.info = None
+            self.members.put(UpstreamChanged(None))
+
+    def _act(self, actions: Iterable[AdmissionAction]) -> None:
+        for action in actions:
+            match action:
+                case StartCall(call):
+                    self.subtasks.start(self._run(call))
+                case RefuseCall(call_id, reason):
+                    self._answer(call_id, not_run(reason))
+
+    def _answer(self, call_id: CallId, result: CallResult) -> None:
+        ask = self.asks.pop(call_id, None)
+        if ask is not None:
+            ask.answer(result)
+
+    async def _run(self, call: Call) -> None:
+        assert self.info is not None
+        left = Millis(max(1.0, call.deadline - monotonic()))
+        headers = (
+            *call.request.headers,
+            (CALL_ID, call.call_id),
+            (DEADLINE, f"{left:.1f}"),
+        )
+        request = Request(call.request.method, call.request.path, headers, call.request.body)
+        result = await self._exchange(self.info.address, request, left)
+        self.mailbox.put(CallEnded(call.call_id, result))
+
+    async def _exchange(self, address: Address, request: Request, left: Millis) -> CallResult:
+        try:
+            response = await self.client.send(address, request, left)
+        except ConnectFailedError:
+            return not_run(Reason.CONNECT_FAILED)
+        except ConnectionLostError:
+            return unknown(Reason.CONNECTION_LOST)
+        except ExchangeTimeoutError:
+            return unknown(Reason.TIMEOUT)
+        if response.header(SHED_HEADER) == "not-run":
+            return not_run(Reason.SHED)
+        return ran(response)
+
+    async def _ticks(self) -> None:
+        while True:
+            self.mailbox.put(Tick())
+            await asyncio.sleep(TICK_SECONDS)
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks over real processes; each module is one command."""
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -0,0 +1,260 @@
+"""Starts a log service, upstreams and daemons as processes, for the demo, tests and benchmarks."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+
+START_SECONDS = 30.0
+POLL_SECONDS = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """A data centre and its region."""
+
+    region: str
+    data_centre: str
+
+
+@dataclass(slots=True)
+class Node:
+    """One daemon with the upstream next to it."""
+
+    name: str
+    site: Site
+    service: str
+    call_port: int
+    peer_port: int
+    control_port: int
+    admin_port: int
+    upstream_port: int
+    daemon: subprocess.Popen[bytes] | None = None
+    upstream: subprocess.Popen[bytes] | None = None
+    upstream_flags: tuple[str, ...] = ()
+
+    @property
+    def call(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://127.0.0.1:{self.call_port}"
+
+    @property
+    def admin(self) -> str:
+        """Return the address for operators."""
+        return f"127.0.0.1:{self.admin_port}"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the kernel had free a moment ago."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [int(sock.getsockname()[1]) for sock in sockets]
+
+
+def fetch(
+    url: str,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 10.0,
+) -> tuple[int, dict[str, str], bytes]:
+    """Return status, headers and body of one request, whatever the status."""
+    request = urllib.request.Request(url, data=body, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read()
+
+
+def wait_until(condition: Callable[[], bool], what: str, seconds: float = START_SECONDS) -> None:
+    """Wait for a condition; raises `TimeoutError` that names it."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f"timed out waiting for {what}")
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Running processes of one small deployment; use as a context manager."""
+
+    directory: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="agatecross-")))
+    nodes: list[Node] = field(default_factory=list)
+    log_port: int = 0
+    log_process: subprocess.Popen[bytes] | None = None
+    log_flags: tuple[str, ...] = ()
+    extra_settings: str = ""
+    extra: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    def __enter__(self) -> "Fleet":
+        """Start the log service."""
+        if not self.log_port:
+            self.log_port = free_ports(1)[0]
+        self.start_log()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        """Kill every process."""
+        for process in self.processes():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes():
+            process.wait()
+
+    def processes(self) -> Iterator[subprocess.Popen[bytes]]:
+        """Yield every process that was started and not replaced."""
+        rows = [self.log_process, *self.extra]
+        rows += [p for node in self.nodes for p in (node.daemon, node.upstream)]
+        yield from (process for process in rows if process is not None)
+
+    @property
+    def log(self) -> str:
+        """Return the address of the log service."""
+        return f"127.0.0.1:{self.log_port}"
+
+    def spawn(self, name: str, *command: str) -> subprocess.Popen[bytes]:
+        """Start a module of ours, its output in a file of the fleet's directory."""
+        with (self.directory / f"{name}.out").open("ab") as output:
+            return subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def start_log(self) -> None:
+        """Start the log service and wait until it answers."""
+        self.log_process = self.spawn(
+            "log", "agatecross_standins.log_service", f"--port={self.log_port}", *self.log_flags
+        )
+        wait_until(lambda: fetch(f"http://{self.log}/switches")[0] == 200, "the log service")
+
+    def switch_log(self, **switches: object) -> None:
+        """Set switches of the log service."""
+        fetch(f"http://{self.log}/switches", "PUT", json.dumps(switches).encode())
+
+    def add_node(self, site: Site, service: str, *upstream_flags: str) -> Node:
+        """Start a daemon and its upstream."""
+        call, peer, control, admin, upstream = free_ports(5)
+        name = f"{site.data_centre}-{service}-{len(self.nodes)}"
+        node = Node(name, site, service, call, peer, control, admin, upstream)
+        node.upstream_flags = upstream_flags
+        self.nodes.append(node)
+        self.start_daemon(node)
+        self.start_upstream(node)
+        return node
+
+    def start_daemon(self, node: Node, *flags: str) -> None:
+        """Start the daemon of a node."""
+        settings = self.directory / f"{node.name}.toml"
+        settings.write_text(self.settings_text(node), encoding="utf-8")
+        node.daemon = self.spawn(
+            f"{node.name}-daemon", "agatecross_daemon", f"--settings={settings}", *flags
+        )
+
+    def settings_text(self, node: Node) -> str:
+        """Return the settings of a node's daemon."""
+        return (
+            f'[daemon]\nid = "{node.name}"\nregion = "{node.site.region}"\n'
+            f'data_centre = "{node.site.data_centre}"\nhost = "127.0.0.1"\n'
+            f"call_port = {node.call_port}\npeer_port = {node.peer_port}\n"
+            f"control_port = {node.control_port}\nadmin_port = {node.admin_port}\n"
+            f'\n[log]\naddress = "{self.log}"\n{self.extra_settings}'
+        )
+
+    def start_upstream(self, node: Node) -> None:
+        """Start the upstream of a node."""
+        node.upstream = self.spawn(
+            f"{node.name}-upstream",
+            "agatecross_standins.upstream",
+            f"--port={node.upstream_port}",
+            f"--admin={node.admin}",
+            f"--service={node.service}",
+            *node.upstream_flags,
+        )
+
+    def switch_upstream(self, node: Node, **switches: object) -> None:
+        """Set switches of an upstream."""
+        url = f"http://127.0.0.1:{node.upstream_port}/switches"
+        fetch(url, "PUT", json.dumps(switches).encode())
+
+    def executions(self, node: Node) -> list[dict[str, object]]:
+        """Return the executions that an upstream recorded since its start."""
+        url = f"http://127.0.0.1:{node.upstream_port}/executions"
+        rows: list[dict[str, object]] = json.loads(fetch(url)[2])["executions"]
+        return rows
+
+    def status(self, node: Node) -> dict[str, object]:
+        """Return the status of a daemon."""
+        status: dict[str, object] = json.loads(
+            fetch(f"http://{node.admin}/agatecross/v1/status")[2]
+        )
+        return status
+
+    def members(self, node: Node) -> list[dict[str, object]]:
+        """Return the members that a daemon knows."""
+        rows: list[dict[str, object]] = json.loads(
+            fetch(f"http://{node.admin}/agatecross/v1/members")[2]
+        )
+        return rows
+
+    def wait_joined(self, seconds: float = START_SECONDS) -> None:
+        """Wait until every daemon sees every upstream as ready."""
+        wanted = {node.name for node in self.nodes}
+
+        def joined(node: Node) -> bool:
+            ready = {
+                str(row["daemon_id"])
+                for row in self.members(node)
+                if row["upstream"] and row["upstream"]["state"] == "ready"  # type: ignore[index]
+            }
+            return wanted <= ready
+
+        for node in self.nodes:
+            wait_until(lambda node=node: joined(node), f"{node.name} to join", seconds)  # type: ignore[misc]
+
+    def wait_version(
+        self, version: int, nodes: Sequence[Node] | None = None, seconds: float = START_SECONDS
+    ) -> None:
+        """Wait until daemons have this version or a later one in force."""
+        for node in self.nodes if nodes is None else nodes:
+            wait_until(
+                lambda node=node: int(str(self.status(node)["version"])) >= version,  # type: ignore[misc]
+                f"version {version} on {node.name}",
+                seconds,
+            )
+
+    def cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operator's client against this fleet."""
+        target = (f"--log={self.log}", f"--daemon={self.nodes[0].admin if self.nodes else ''}")
+        return subprocess.run(
+            [sys.executable, "-m", "agatecross_cli", *arguments, *target],
+            capture_output=True,
+            text=True,
+            timeout=120,
+            check=False,
+        )
+
+    def stop_daemon(self, node: Node, signal_number: int = signal.SIGTERM) -> int:
+        """Send a signal to a daemon and return its exit code."""
+        assert node.daemon is not None
+        node.daemon.send_signal(signal_number)
+        return node.daemon.wait(60)
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -0,0 +1,185 @@
+"""Stand-in for the platform's log service, with switches for its failures.
+
+HTTP interface: `POST /streams/{name}/records` appends the body and answers `{"offset": n}`;
+`GET /streams/{name}/records?start=&limit=&wait_ms=` answers a page; `PUT /switches` sets the
+switches, for example `{"outage": true}`.
+"""
+
+import asyncio
+import base64
+import contextlib
+import json
+import time
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from absl import app, flags
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+PORT = flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
+RETENTION_RECORDS = flags.DEFINE_integer("retention_records", 100_000, "Records kept per stream.")
+APPENDS_PER_SECOND = flags.DEFINE_float("appends_per_second", 500.0, "Limit on appends.")
+
+BURST_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class Stream:
+    """One stream: retained records and the next offset."""
+
+    records: deque[bytes] = field(default_factory=deque)
+    end: int = 0
+    appended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def first(self) -> int:
+        """Return the oldest retained offset."""
+        return self.end - len(self.records)
+
+
+@dataclass(slots=True)
+class Switches:
+    """Failures to show: all requests fail; the next appends are applied but not answered."""
+
+    outage: bool = False
+    lose_answers: int = 0
+    delay_ms: int = 0
+    retention_records: int = 100_000
+
+
+class LogState:
+    """Streams, switches and the append rate limit."""
+
+    def __init__(self, switches: Switches, appends_per_second: float) -> None:
+        self.streams: dict[str, Stream] = {}
+        self.switches = switches
+        self.rate = appends_per_second
+        self.tokens = appends_per_second * BURST_SECONDS
+        self.filled_at = time.monotonic()
+        self.counts = {"appends": 0, "reads": 0, "limited": 0}
+
+    def stream(self, name: str) -> Stream:
+        """Return a stream, created on first use."""
+        return self.streams.setdefault(name, Stream())
+
+    def take_token(self) -> bool:
+        """Take one append from the rate limit."""
+        now = time.monotonic()
+        limit = self.rate * BURST_SECONDS
+        self.tokens = min(limit, self.tokens + (now - self.filled_at) * self.rate)
+        self.filled_at = now
+        if self.tokens < 1:
+            self.counts["limited"] += 1
+            return False
+        self.tokens -= 1
+        return True
+
+    def append(self, name: str, data: bytes) -> int:
+        """Append a record and return its offset."""
+        stream = self.stream(name)
+        stream.records.append(data)
+        stream.end += 1
+        while len(stream.records) > self.switches.retention_records:
+            stream.records.popleft()
+        stream.appended.set()
+        stream.appended = asyncio.Event()
+        self.counts["appends"] += 1
+        return stream.end - 1
+
+
+class LogHandler(RequestHandler):
+    """Base of the handlers that fail during an outage."""
+
+    def initialize(self, state: LogState) -> None:
+        """Take the shared state."""
+        self.state = state
+
+    async def prepare(self) -> None:
+        """Apply the outage and delay switches."""
+        if self.state.switches.delay_ms:
+            await asyncio.sleep(self.state.switches.delay_ms / 1000)
+        if self.state.switches.outage:
+            self.send_error(503)
+
+
+class RecordsHandler(LogHandler):
+    """Appends and reads."""
+
+    def post(self, name: str) -> None:
+        """Append the body."""
+        if not self.state.take_token():
+            self.send_error(429)
+            return
+        offset = self.state.append(name, self.request.body)
+        if self.state.switches.lose_answers > 0:
+            self.state.switches.lose_answers -= 1
+            self.detach().close()
+            return
+        self.finish({"offset": offset})
+
+    async def get(self, name: str) -> None:
+        """Return a page, waiting for a first record when there is none."""
+        start = int(self.get_query_argument("start", "0"))
+        limit = int(self.get_query_argument("limit", "100"))
+        wait = int(self.get_query_argument("wait_ms", "0"))
+        stream = self.state.stream(name)
+        self.state.counts["reads"] += 1
+        if start >= stream.end and wait:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stream.appended.wait(), wait / 1000)
+        if self.state.switches.outage:
+            self.send_error(503)
+            return
+        begin = max(start, stream.first)
+        rows = list(stream.records)[begin - stream.first :][:limit]
+        entries = [
+            {"offset": begin + index, "data": base64.b64encode(row).decode()}
+            for index, row in enumerate(rows)
+        ]
+        self.finish({"entries": entries, "first": stream.first, "end": stream.end})
+
+
+class SwitchesHandler(RequestHandler):
+    """Sets the switches; works during an outage."""
+
+    def initialize(self, state: LogState) -> None:
+        """Take the shared state."""
+        self.state = state
+
+    def put(self) -> None:
+        """Set the given switches; `reset` drops every stream."""
+        changes = json.loads(self.request.body)
+        if changes.pop("reset", False):
+            self.state.streams.clear()
+        for name, value in changes.items():
+            setattr(self.state.switches, name, value)
+        self.finish({})
+
+    def get(self) -> None:
+        """Return the counts."""
+        self.finish(self.state.counts)
+
+
+async def serve(state: LogState, port: int) -> None:
+    """Serve until the process ends."""
+    shared = {"state": state}
+    routes = [
+        (r"/streams/([a-z0-9.-]+)/records", RecordsHandler, shared),
+        (r"/switches", SwitchesHandler, shared),
+    ]
+    server = HTTPServer(Application(routes, log_function=lambda handler: None))
+    server.listen(port, "127.0.0.1")
+    await asyncio.Event().wait()
+
+
+def main(argv: Sequence[str]) -> None:
+    """Start the service."""
+    del argv
+    switches = Switches(retention_records=RETENTION_RECORDS.value)
+    asyncio.run(serve(LogState(switches, APPENDS_PER_SECOND.value), PORT.value))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -0,0 +1,177 @@
+"""Stand-in for an upstream: slots, delays and announced state, with switches for its failures.
+
+It announces itself each second to the daemon next to it (`PUT /agatecross/v1/upstream`), answers
+every call with its own name and the call's id, and records each execution. `PUT /switches` sets
+the switches; `GET /executions` returns the recorded executions.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+from absl import app, flags
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+PORT = flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
+ADMIN = flags.DEFINE_string("admin", None, "Admin address of the daemon.", required=True)
+SERVICE = flags.DEFINE_string("service", None, "Service of this upstream.", required=True)
+SLOTS = flags.DEFINE_integer("slots", 12, "Calls run at once; more are shed.")
+CONNECTIONS = flags.DEFINE_integer("connections", 110, "Connections accepted.")
+WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Time that a call takes.")
+COLD_START_MS = flags.DEFINE_float("cold_start_ms", 0.0, "Time in state starting.")
+
+ANNOUNCE_SECONDS = 1.0
+CRASH_EXIT = 70
+
+
+@dataclass(slots=True)
+class Switches:
+    """Behaviour: slow-down factor, draining, crash on a path that contains this text."""
+
+    slow_factor: float = 1.0
+    draining: bool = False
+    silent: bool = False
+    crash_on: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """One started call; times in wall-clock seconds, `ended_at` 0 while it runs."""
+
+    call_id: str
+    key: str
+    method: str
+    path: str
+    started_at: float
+
+
+class UpstreamState:
+    """Switches, running count and recorded executions."""
+
+    def __init__(self) -> None:
+        self.switches = Switches()
+        self.running = 0
+        self.executions: list[Execution] = []
+        self.started_at = time.monotonic()
+
+    def announced(self) -> dict[str, object]:
+        """Return the body of the announcement."""
+        cold = time.monotonic() - self.started_at < COLD_START_MS.value / 1000
+        state = "draining" if self.switches.draining else "starting" if cold else "ready"
+        return {
+            "service": SERVICE.value,
+            "address": f"127.0.0.1:{PORT.value}",
+            "slots": SLOTS.value,
+            "connections": CONNECTIONS.value,
+            "state": state,
+        }
+
+
+class WorkHandler(RequestHandler):
+    """Runs a call."""
+
+    def initialize(self, state: UpstreamState) -> None:
+        """Take the shared state."""
+        self.state = state
+
+    async def work(self) -> None:
+        """Hold a slot for the call's time, then answer."""
+        state = self.state
+        if state.running >= SLOTS.value:
+            self.set_header("Agatecross-Outcome", "not-run")
+            self.send_error(503)
+            return
+        state.running += 1
+        try:
+            state.executions.append(self._execution())
+            if state.switches.crash_on and state.switches.crash_on in self.request.path:
+                os._exit(CRASH_EXIT)
+            if state.switches.silent:
+                await asyncio.Event().wait()
+            work = float(self.get_query_argument("work_ms", str(WORK_MS.value)))
+            await asyncio.sleep(work * state.switches.slow_factor / 1000)
+            call_id = self.request.headers.get("Agatecross-Call-Id", "")
+            self.finish(
+                {
+                    "upstream": f"127.0.0.1:{PORT.value}",
+                    "service": SERVICE.value,
+                    "call_id": call_id,
+                    "echo": self.request.headers.get("X-Echo", ""),
+                }
+            )
+        finally:
+            state.running -= 1
+
+    get = post = put = delete = work
+
+    def _execution(self) -> Execution:
+        headers = self.request.headers
+        return Execution(
+            headers.get("Agatecross-Call-Id", ""),
+            headers.get("Idempotency-Key", ""),
+            self.request.method or "",
+            self.request.path,
+            time.time(),
+        )
+
+
+class SwitchesHandler(RequestHandler):
+    """Sets the switches and returns the recorded executions."""
+
+    def initialize(self, state: UpstreamState) -> None:
+        """Take the shared state."""
+        self.state = state
+
+    def put(self) -> None:
+        """Set the given switches."""
+        for name, value in json.loads(self.request.body).items():
+            setattr(self.state.switches, name, value)
+        self.finish({})
+
+    def get(self) -> None:
+        """Return the recorded executions."""
+        self.finish({"executions": [asdict(row) for row in self.state.executions]})
+
+
+async def announce(state: UpstreamState) -> None:
+    """Announce the upstream to its daemon each second."""
+    client = AsyncHTTPClient()
+    url = f"http://{ADMIN.value}/agatecross/v1/upstream"
+    while True:
+        body = json.dumps(state.announced())
+        with contextlib.suppress(HTTPClientError, OSError):
+            await client.fetch(HTTPRequest(url, method="PUT", body=body, request_timeout=1.0))
+        await asyncio.sleep(ANNOUNCE_SECONDS)
+
+
+async def serve(state: UpstreamState, port: int) -> None:
+    """Serve until SIGTERM."""
+    shared = {"state": state}
+    routes = [
+        (r"/(?:switches|executions)", SwitchesHandler, shared),
+        (r".*", WorkHandler, shared),
+    ]
+    server = HTTPServer(Application(routes, log_function=lambda handler: None))
+    server.listen(port, "127.0.0.1")
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    announcing = asyncio.ensure_future(announce(state))
+    await stop.wait()
+    announcing.cancel()
+
+
+def main(argv: Sequence[str]) -> None:
+    """Start the upstream."""
+    del argv
+    asyncio.run(serve(UpstreamState(), PORT.value))
+
+
+if __name__ == "__main__":
+    app.run(main)
