--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -16,7 +16,7 @@
 
 @given('a fleet of {count:d} upstream for each of "{services}" at "{data_centres}"')
 def start_fleet(context, count, services, data_centres):
-    context.fleet = Fleet()
+    context.fleet = getattr(context, "fleet", None) or Fleet()
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
     for data_centre in data_centres.split(","):
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -12,6 +12,7 @@
 
 from absl import app, flags, logging
 
+from agatecross_adapters.address_map import MappedHttpClient, MappedTransport
 from agatecross_adapters.control_nng import NngTransport
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.http_server import TornadoHttpListener
@@ -38,6 +39,7 @@
 from .tasks.control_task import ControlAsk, ControlTask, ReceivedAsk
 from .tasks.members_task import MembersMessage, MembersTask
 from .tasks.upstream_task import UpstreamMessage, UpstreamTask
+from .telemetry import Telemetry
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file (TOML).", required=True)
 
@@ -104,18 +106,22 @@
     )
 
 
-def build_tasks(settings: Settings) -> Tasks:
+def build_tasks(settings: Settings, telemetry: Telemetry) -> Tasks:
     """Create the tasks and join their mailboxes."""
     me = own_record(settings)
     rng = random.Random(settings.seed)
     transport = NngTransport()
+    control = MappedTransport(transport, settings.address_map)
     log = HttpLogService(settings.log_address, TornadoHttpClient())
+    peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
     boxes = Mailboxes()
     position = Position(settings.daemon_id, settings.region, settings.data_centre)
     balancer = AdaptiveBalancer(position, rng)
-    driver = CallDriver(settings.daemon_id, balancer, TornadoHttpClient(), boxes.upstream)
+    driver = CallDriver(
+        settings.daemon_id, balancer, telemetry.client(peers, "peer"), boxes.upstream
+    )
     return Tasks(
-        ControlTask(boxes.control, settings.control_address, transport, _receivers(boxes)),
+        ControlTask(boxes.control, settings.control_address, control, _receivers(boxes)),
         MembersTask(
             boxes.members,
             Swim(me, rng),
@@ -134,15 +140,15 @@
         UpstreamTask(
             boxes.upstream,
             settings.peer_address,
-            TornadoHttpListener(),
-            TornadoHttpClient(),
+            telemetry.listener(TornadoHttpListener(), "peers"),
+            telemetry.client(TornadoHttpClient(), "upstream"),
             boxes.members,
         ),
         CallTask(
             boxes.call,
             settings.call_address,
             settings.data_centre,
-            TornadoHttpListener(),
+            telemetry.listener(TornadoHttpListener(), "callers"),
             balancer,
             driver,
         ),
@@ -169,7 +175,8 @@
 
 async def serve(settings: Settings) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
-    tasks = build_tasks(settings)
+    telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
+    tasks = build_tasks(settings, telemetry)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -186,6 +193,7 @@
     for result in results:
         if isinstance(result, Exception):
             raise result
+    telemetry.shut_down()
     log_event("daemon_stopped", daemon=settings.daemon_id)
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -1,8 +1,9 @@
 """Settings of the daemon, read from TOML and checked whole."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.check import check_table
@@ -12,10 +13,14 @@
 from agatecross_core.findings import Finding
 from agatecross_core.ids import Address, DaemonId, DataCentreName, DocumentName, RegionName
 
+from .telemetry import TelemetrySettings
+
 TOP_KEYS: Mapping[str, Key] = {
     "daemon": Key(dict, required=True),
     "log": Key(dict, required=True),
     "policy": Key(dict),
+    "telemetry": Key(dict),
+    "address_map": Key(dict),
 }
 DAEMON_KEYS: Mapping[str, Key] = {
     "id": Key(str, required=True),
@@ -29,13 +34,20 @@
     "seed": Key(int),
 }
 LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True)}
+TELEMETRY_KEYS: Mapping[str, Key] = {
+    "sample_ratio": Key(float, low=0.0, high=1.0),
+    "spans_to_log": Key(bool),
+    "otlp_endpoint": Key(str),
+}
 POLICY_KEYS: Mapping[str, Key] = {"balancing": Key(str), "admission": Key(str)}
 
 
+DEFAULT_TELEMETRY = TelemetrySettings()
 TABLES: Mapping[str, Mapping[str, Key]] = {
     "daemon": DAEMON_KEYS,
     "log": LOG_KEYS,
     "policy": POLICY_KEYS,
+    "telemetry": TELEMETRY_KEYS,
 }
 
 
@@ -54,6 +66,8 @@
     seed: int | None = None
     balancing: str = "adaptive"
     admission: str = "adaptive"
+    telemetry: TelemetrySettings = DEFAULT_TELEMETRY
+    address_map: Mapping[Address, Address] = field(default_factory=dict)
 
 
 def load_settings(path: Path) -> Settings:
@@ -66,7 +80,7 @@
     findings = list(_check(decoded))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
-    return _build(decoded.values["daemon"], decoded.values["log"], decoded.values.get("policy", {}))
+    return _build(decoded.values)
 
 
 def _check(decoded: DecodedDocument) -> Iterator[Finding]:
@@ -77,11 +91,10 @@
             yield from check_table(decoded.place, table, keys, (name,))
 
 
-def _build(daemon: object, log: object, policy: object) -> Settings:
-    assert isinstance(daemon, Mapping)
-    assert isinstance(log, Mapping)
-    assert isinstance(policy, Mapping)
+def _build(values: Mapping[str, object]) -> Settings:
+    daemon, log, policy = _table(values, "daemon"), _table(values, "log"), _table(values, "policy")
     host = daemon["host"]
+    addresses = _table(values, "address_map").items()
     return Settings(
         DaemonId(daemon["id"]),
         RegionName(daemon["region"]),
@@ -94,4 +107,12 @@
         daemon.get("seed"),
         policy.get("balancing", "adaptive"),
         policy.get("admission", "adaptive"),
+        TelemetrySettings(**_table(values, "telemetry")),
+        {Address(name): Address(value) for name, value in addresses},
     )
+
+
+def _table(values: Mapping[str, object], name: str) -> Mapping[str, Any]:
+    table = values.get(name, {})
+    assert isinstance(table, Mapping)
+    return table
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -0,0 +1,231 @@
+"""OpenTelemetry metrics and traces, put around the listeners and clients of the daemon.
+
+Every hop has a server span at the listener and a client span at the client. The context travels in
+the `traceparent` header of the request itself, because a call changes tasks inside the daemon.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from opentelemetry.context import Context
+from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.metrics import Meter
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import (
+    InMemoryMetricReader,
+    MetricReader,
+    PeriodicExportingMetricReader,
+)
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span, SpanKind, Tracer
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from agatecross_adapters.call_headers import OUTCOME, REASON, SERVICE
+from agatecross_adapters.protocols import HttpClient, HttpListener, RequestHandler
+from agatecross_core.calls.model import Headers, Request, Response
+from agatecross_core.errors import ExchangeError
+from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis
+
+from .events import log_event
+from .mailbox import monotonic
+
+TRACE_HEADERS = ("traceparent", "tracestate")
+NANOS_PER_MILLI = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class TelemetrySettings:
+    """Where telemetry goes; `sample_ratio` from 0 to 1 for calls that bring no sampling decision.
+
+    Spans go to the log when `spans_to_log` is set. With an OTLP endpoint (base URL), spans and
+    metrics also go there.
+    """
+
+    sample_ratio: float = 0.01
+    spans_to_log: bool = False
+    otlp_endpoint: str = ""
+
+
+class LogSpanExporter(SpanExporter):
+    """Writes one log line for each span."""
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Log the spans."""
+        for span in spans:
+            context = span.get_span_context()
+            if context is None:
+                continue
+            took = ((span.end_time or 0) - (span.start_time or 0)) / NANOS_PER_MILLI
+            log_event(
+                "span",
+                name=span.name,
+                trace=f"{context.trace_id:032x}",
+                span=f"{context.span_id:016x}",
+                parent=f"{span.parent.span_id:016x}" if span.parent else "none",
+                took_ms=took,
+                **{key.replace(".", "_"): value for key, value in (span.attributes or {}).items()},
+            )
+        return SpanExportResult.SUCCESS
+
+
+class Telemetry:
+    """Providers of one daemon, and the wrappers that use them."""
+
+    def __init__(
+        self, settings: TelemetrySettings, daemon: DaemonId, data_centre: DataCentreName
+    ) -> None:
+        resource = Resource.create(
+            {
+                "service.name": "agatecrossd",
+                "service.instance.id": daemon,
+                "agatecross.data_centre": data_centre,
+            }
+        )
+        self.metrics = InMemoryMetricReader()
+        self.tracers = _tracer_provider(settings, resource)
+        readers: list[MetricReader] = [self.metrics]
+        if settings.otlp_endpoint:
+            exporter = OTLPMetricExporter(endpoint=f"{settings.otlp_endpoint}/v1/metrics")
+            readers.append(PeriodicExportingMetricReader(exporter))
+        self.meters = MeterProvider(metric_readers=readers, resource=resource)
+        self.tracer = self.tracers.get_tracer("agatecross")
+        self.meter = self.meters.get_meter("agatecross")
+
+    def listener(self, inner: HttpListener, name: str) -> "TracedListener":
+        """Wrap a listener."""
+        return TracedListener(inner, name, self.tracer, self.meter)
+
+    def client(self, inner: HttpClient, name: str) -> "TracedClient":
+        """Wrap a client."""
+        return TracedClient(inner, name, self.tracer)
+
+    def shut_down(self) -> None:
+        """Flush what is not exported yet."""
+        self.tracers.shutdown()
+        self.meters.shutdown()
+
+
+def _tracer_provider(settings: TelemetrySettings, resource: Resource) -> TracerProvider:
+    sampler = ParentBased(TraceIdRatioBased(settings.sample_ratio))
+    provider = TracerProvider(sampler=sampler, resource=resource)
+    if settings.spans_to_log:
+        provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
+    if settings.otlp_endpoint:
+        exporter = OTLPSpanExporter(endpoint=f"{settings.otlp_endpoint}/v1/traces")
+        provider.add_span_processor(BatchSpanProcessor(exporter))
+    return provider
+
+
+PROPAGATOR = TraceContextTextMapPropagator()
+
+
+def parent_context(headers: Headers) -> Context:
+    """Return the trace context that a request carries."""
+    carrier = {name.lower(): value for name, value in headers if name.lower() in TRACE_HEADERS}
+    return PROPAGATOR.extract(carrier)
+
+
+def with_span(request: Request, span: Span) -> Request:
+    """Return the request with the span as its trace context."""
+    context = span.get_span_context()
+    kept = tuple(row for row in request.headers if row[0].lower() != "traceparent")
+    value = f"00-{context.trace_id:032x}-{context.span_id:016x}-{int(context.trace_flags):02x}"
+    return replace(request, headers=(*kept, ("traceparent", value)))
+
+
+class TracedListener:
+    """Adds a server span and the call metrics to each request of a listener."""
+
+    def __init__(self, inner: HttpListener, name: str, tracer: Tracer, meter: Meter) -> None:
+        self.inner = inner
+        self.name = name
+        self.tracer = tracer
+        self.calls = meter.create_counter(
+            "agatecross.calls", unit="{call}", description="Calls by listener and outcome."
+        )
+        self.duration = meter.create_histogram(
+            "agatecross.call.duration", unit="ms", description="Time from request to response."
+        )
+
+    def listen(self, address: Address, handler: RequestHandler) -> Address:
+        """Start to serve and return the bound address."""
+
+        async def traced(request: Request) -> Response:
+            return await self._serve(request, handler)
+
+        return self.inner.listen(address, traced)
+
+    async def _serve(self, request: Request, handler: RequestHandler) -> Response:
+        started = monotonic()
+        span = self.tracer.start_span(
+            f"serve {self.name}", parent_context(request.headers), SpanKind.SERVER
+        )
+        outcome = "cancelled"
+        try:
+            response = await handler(with_span(request, span))
+            outcome = response.header(OUTCOME) or "none"
+            _describe(span, request, response)
+            return response
+        finally:
+            span.end()
+            attributes = {"listener": self.name, "outcome": outcome}
+            self.calls.add(1, attributes)
+            self.duration.record(monotonic() - started, attributes)
+
+    def close_idle(self) -> None:
+        """Accept no new connection; connections close after their current response."""
+        self.inner.close_idle()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self.inner.close()
+
+
+def _describe(span: Span, request: Request, response: Response) -> None:
+    if not span.is_recording():
+        return
+    span.set_attribute("http.request.method", request.method)
+    span.set_attribute("url.path", request.path.split("?", 1)[0])
+    span.set_attribute("http.response.status_code", response.status)
+    for key, name in (("outcome", OUTCOME), ("reason", REASON)):
+        value = response.header(name)
+        if value:
+            span.set_attribute(f"agatecross.{key}", value)
+    service = request.header(SERVICE)
+    if service:
+        span.set_attribute("agatecross.service", service)
+
+
+class TracedClient:
+    """Adds a client span to each request of a client."""
+
+    def __init__(self, inner: HttpClient, name: str, tracer: Tracer) -> None:
+        self.inner = inner
+        self.name = name
+        self.tracer = tracer
+
+    async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
+        """Return the whole response; raises a subclass of `ExchangeError`."""
+        span = self.tracer.start_span(
+            f"send to {self.name}", parent_context(request.headers), SpanKind.CLIENT
+        )
+        try:
+            response = await self.inner.send(address, with_span(request, span), timeout)
+            if span.is_recording():
+                span.set_attribute("server.address", address)
+                span.set_attribute("http.response.status_code", response.status)
+            return response
+        except ExchangeError as error:
+            span.record_exception(error)
+            raise
+        finally:
+            span.end()
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -27,6 +27,15 @@
     data_centre: str
 
 
+@dataclass(frozen=True, slots=True)
+class LinkShape:
+    """The link between two regions; the log service is in `home`, the other region is remote."""
+
+    home: str
+    delay_ms: float = 8.0
+    mbit: float = 30.0
+
+
 @dataclass(slots=True)
 class Node:
     """One daemon with the upstream next to it."""
@@ -42,6 +51,7 @@
     daemon: subprocess.Popen[bytes] | None = None
     upstream: subprocess.Popen[bytes] | None = None
     upstream_flags: tuple[str, ...] = ()
+    remote_ports: dict[int, int] = field(default_factory=dict)
 
     @property
     def call(self) -> str:
@@ -102,6 +112,9 @@
     log_process: subprocess.Popen[bytes] | None = None
     log_flags: tuple[str, ...] = ()
     extra_settings: str = ""
+    link: LinkShape | None = None
+    link_port: int = 0
+    remote_log_port: int = 0
     extra: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
     def __enter__(self) -> "Fleet":
@@ -153,15 +166,60 @@
 
     def add_node(self, site: Site, service: str, *upstream_flags: str) -> Node:
         """Start a daemon and its upstream."""
+        node = self._plan_node(site, service)
+        node.upstream_flags = upstream_flags
+        self.start_daemon(node)
+        self.start_upstream(node)
+        return node
+
+    def _plan_node(self, site: Site, service: str) -> Node:
         call, peer, control, admin, upstream = free_ports(5)
         name = f"{site.data_centre}-{service}-{len(self.nodes)}"
         node = Node(name, site, service, call, peer, control, admin, upstream)
-        node.upstream_flags = upstream_flags
         self.nodes.append(node)
-        self.start_daemon(node)
-        self.start_upstream(node)
         return node
 
+    def start_link(self, sites: Sequence[tuple[Site, str]]) -> None:
+        """Plan the nodes and start the link proxy; `add_node` then takes the planned ports."""
+        assert self.link is not None
+        self.link_port, self.remote_log_port = free_ports(2)
+        pairs = [f"--pair={self.remote_log_port}={self.log_port}"]
+        for site, service in sites:
+            node = self._plan_node(site, service)
+            node.remote_ports = dict(
+                zip((node.peer_port, node.control_port), free_ports(2), strict=True)
+            )
+            pairs += [f"--pair={there}={here}" for here, there in node.remote_ports.items()]
+        flags = (f"--delay_ms={self.link.delay_ms}", f"--mbit={self.link.mbit}")
+        self.extra.append(
+            self.spawn(
+                "link",
+                "agatecross_standins.link_proxy",
+                f"--port={self.link_port}",
+                *flags,
+                *pairs,
+            )
+        )
+        url = f"http://127.0.0.1:{self.link_port}/switches"
+        wait_until(lambda: fetch(url)[0] == 200, "the link proxy")
+
+    def switch_link(self, **switches: object) -> None:
+        """Set switches of the link."""
+        url = f"http://127.0.0.1:{self.link_port}/switches"
+        fetch(url, "PUT", json.dumps(switches).encode())
+
+    def link_bytes(self) -> tuple[int, int]:
+        """Return the payload bytes that the link carried, by direction of the connections."""
+        carried = json.loads(fetch(f"http://127.0.0.1:{self.link_port}/switches")[2])
+        return int(carried["forward"]), int(carried["backward"])
+
+    def start_planned(self, *upstream_flags: str) -> None:
+        """Start every planned node."""
+        for node in self.nodes:
+            node.upstream_flags = upstream_flags
+            self.start_daemon(node)
+            self.start_upstream(node)
+
     def start_daemon(self, node: Node, *flags: str) -> None:
         """Start the daemon of a node."""
         settings = self.directory / f"{node.name}.toml"
@@ -177,9 +235,23 @@
             f'data_centre = "{node.site.data_centre}"\nhost = "127.0.0.1"\n'
             f"call_port = {node.call_port}\npeer_port = {node.peer_port}\n"
             f"control_port = {node.control_port}\nadmin_port = {node.admin_port}\n"
-            f'\n[log]\naddress = "{self.log}"\n{self.extra_settings}'
+            f'\n[log]\naddress = "{self._log_seen_by(node)}"\n{self.extra_settings}'
+            f"{self._address_map(node)}"
         )
 
+    def _log_seen_by(self, node: Node) -> str:
+        remote = self.link is not None and node.site.region != self.link.home
+        return f"127.0.0.1:{self.remote_log_port if remote else self.log_port}"
+
+    def _address_map(self, node: Node) -> str:
+        others = (other for other in self.nodes if other.site.region != node.site.region)
+        rows = [
+            f'"127.0.0.1:{here}" = "127.0.0.1:{there}"\n'
+            for other in others
+            for here, there in other.remote_ports.items()
+        ]
+        return "\n[address_map]\n" + "".join(rows) if rows else ""
+
     def start_upstream(self, node: Node) -> None:
         """Start the upstream of a node."""
         node.upstream = self.spawn(
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -0,0 +1,167 @@
+"""Stand-in for the link between regions: delays, limits and cuts TCP connections.
+
+Each `--pair=LISTEN=TARGET` forwards one port of 127.0.0.1 to another; all pairs share one rate for
+each direction. `PUT /switches` sets the switches, for example `{"cut": true}`; `GET /switches`
+returns the bytes carried in each direction.
+"""
+
+import asyncio
+import json
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+from absl import app, flags
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+PORT = flags.DEFINE_integer("port", None, "Port of the switches.", required=True)
+PAIRS = flags.DEFINE_multi_string("pair", [], "LISTEN=TARGET ports on 127.0.0.1.")
+DELAY_MS = flags.DEFINE_float("delay_ms", 8.0, "One-way latency.")
+MBIT = flags.DEFINE_float("mbit", 30.0, "Rate of each direction in Mbit/s.")
+
+CHUNK_BYTES = 16 * 1024
+QUEUE_CHUNKS = 256
+
+
+@dataclass(slots=True)
+class Switches:
+    """While `cut` is set, nothing is carried and connections stay open without an answer."""
+
+    cut: bool = False
+
+
+@dataclass(slots=True)
+class Carried:
+    """Payload bytes carried since the start."""
+
+    forward: int = 0
+    backward: int = 0
+
+
+class Direction:
+    """One direction of the link: a shared rate and a fixed delay."""
+
+    def __init__(self, bytes_per_second: float, delay: float) -> None:
+        self.rate = bytes_per_second
+        self.delay = delay
+        self.free_at = 0.0
+
+    def arrival(self, size: int, now: float) -> float:
+        """Return when a chunk that is sent now arrives at the other end."""
+        self.free_at = max(now, self.free_at) + size / self.rate
+        return self.free_at + self.delay
+
+
+class Link:
+    """Forwards connections over two directions."""
+
+    def __init__(self, mbit: float, delay_ms: float) -> None:
+        rate, delay = mbit * 1e6 / 8, delay_ms / 1000
+        self.forward = Direction(rate, delay)
+        self.backward = Direction(rate, delay)
+        self.switches = Switches()
+        self.carried = Carried()
+        self.restored = asyncio.Event()
+        self.restored.set()
+
+    def switch(self, changes: dict[str, object]) -> None:
+        """Set switches."""
+        self.switches.cut = bool(changes.get("cut", self.switches.cut))
+        if self.switches.cut:
+            self.restored.clear()
+        else:
+            self.restored.set()
+
+    async def serve(self, listen: int, target: int) -> None:
+        """Forward connections to one port."""
+
+        async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._connect(target, reader, writer)
+
+        await asyncio.start_server(accepted, "127.0.0.1", listen, backlog=512)
+
+    async def _connect(
+        self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self.restored.wait()
+            there_reader, there_writer = await asyncio.open_connection("127.0.0.1", target)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pump(reader, there_writer, self.forward, "forward"),
+            self._pump(there_reader, writer, self.backward, "backward"),
+        )
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+        name: str,
+    ) -> None:
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_CHUNKS)
+        writing = asyncio.ensure_future(self._write(queue, writer))
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                setattr(self.carried, name, getattr(self.carried, name) + len(data))
+                await queue.put((direction.arrival(len(data), loop.time()), data))
+        except OSError:
+            pass
+        await queue.put((loop.time() + direction.delay, b""))
+        await writing
+
+    async def _write(
+        self, queue: "asyncio.Queue[tuple[float, bytes]]", writer: asyncio.StreamWriter
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            at, data = await queue.get()
+            await asyncio.sleep(max(0.0, at - loop.time()))
+            await self.restored.wait()
+            if not data or writer.is_closing():
+                writer.close()
+                return
+            writer.write(data)
+
+
+class SwitchesHandler(RequestHandler):
+    """Sets the switches and returns the bytes carried."""
+
+    def initialize(self, link: Link) -> None:
+        """Take the link."""
+        self.link = link
+
+    def put(self) -> None:
+        """Set the given switches."""
+        self.link.switch(json.loads(self.request.body))
+        self.finish({})
+
+    def get(self) -> None:
+        """Return the bytes carried."""
+        self.finish(asdict(self.link.carried))
+
+
+async def serve(port: int, pairs: Sequence[str], mbit: float, delay_ms: float) -> None:
+    """Serve until the process ends."""
+    link = Link(mbit, delay_ms)
+    for pair in pairs:
+        listen, _, target = pair.partition("=")
+        await link.serve(int(listen), int(target))
+    application = Application(
+        [(r"/switches", SwitchesHandler, {"link": link})], log_function=lambda handler: None
+    )
+    HTTPServer(application).listen(port, "127.0.0.1")
+    await asyncio.Event().wait()
+
+
+def main(argv: Sequence[str]) -> None:
+    """Start the link."""
+    del argv
+    asyncio.run(serve(PORT.value, PAIRS.value, MBIT.value, DELAY_MS.value))
+
+
+if __name__ == "__main__":
+    app.run(main)
