--- /dev/null
+++ b/features/steps/fleet_change_steps.py
@@ -0,0 +1,114 @@
+import json
+import shutil
+import signal
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from agatecross_standins.fleet import Fleet, LinkShape, Site, fetch, wait_until
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+PLACES = [
+    Site("jylland", "aarhus-a"),
+    Site("jylland", "aalborg-b"),
+    Site("sjaelland", "koebenhavn-a"),
+    Site("sjaelland", "roskilde-b"),
+]
+
+
+@given('a fleet in two regions joined by a link, with "{service}" in each data centre')
+def start_linked(context, service):
+    context.fleet = Fleet(link=LinkShape("jylland"))
+    context.fleet.__enter__()
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.start_link([(site, service) for site in PLACES])
+    context.fleet.start_planned()
+    context.fleet.wait_joined()
+
+
+@when("the link is cut")
+def cut_link(context):
+    context.fleet.switch_link(cut=True)
+
+
+@when("the link is restored")
+def restore_link(context):
+    context.fleet.switch_link(cut=False)
+
+
+@when("a changed configuration is published with a wait of {seconds:d} seconds")
+def publish_changed(context, seconds):
+    folder = context.fleet.directory / "changed"
+    shutil.copytree(EXAMPLES / "lysknude", folder)
+    base = folder / "base.toml"
+    base.write_text(base.read_text().replace("timeout_ms = 2000", "timeout_ms = 2500", 1))
+    context.result = context.fleet.cli("publish", str(folder), f"--timeout={seconds}")
+
+
+@then('the client names every daemon of region "{region}" as behind')
+def check_behind(context, region):
+    for node in context.fleet.nodes:
+        assert (node.name in context.result.stdout) == (node.site.region == region), (
+            node.name,
+            context.result.stdout,
+        )
+
+
+@then("version {version:d} is in force on every daemon")
+def check_version(context, version):
+    context.fleet.wait_version(version, seconds=60)
+
+
+@then("every daemon sees every upstream as ready")
+def check_joined(context):
+    context.fleet.wait_joined(60)
+
+
+@when('the daemon next to "{service}" is {condition} while the first upstream starts to drain')
+def drain_first(context, service, condition):
+    fleet = context.fleet
+    context.first = fleet.nodes[0]
+    caller_side = next(node for node in fleet.nodes if node.service == service)
+    if condition == "paused":
+        caller_side.daemon.send_signal(signal.SIGSTOP)
+    fleet.switch_upstream(context.first, draining=True)
+    wait_until(lambda: state_at(fleet, context.first, context.first) == "draining", "drain")
+    if condition == "paused":
+        # The promise is "after a few seconds", so the resumed daemon gets calls at once.
+        time.sleep(3)
+        caller_side.daemon.send_signal(signal.SIGCONT)
+    else:
+        wait_until(lambda: state_at(fleet, caller_side, context.first) == "draining", "gossip")
+    context.before = len(fleet.executions(context.first))
+
+
+def state_at(fleet, observer, subject):
+    rows = {row["daemon_id"]: row for row in fleet.members(observer)}
+    upstream = rows[subject.name]["upstream"]
+    return upstream and upstream["state"]
+
+
+@when('{count:d} calls to "{path}" go through the daemon next to "{service}"')
+def send_calls(context, count, path, service):
+    node = next(node for node in context.fleet.nodes if node.service == service)
+    context.answers = []
+    deadline = time.monotonic() + 30
+    while len(context.answers) < count and time.monotonic() < deadline:
+        status, headers, body = fetch(node.call + path)
+        # A daemon that was paused refuses calls as "not run" until its view is current again.
+        if headers.get("Agatecross-Reason") != "stale-view":
+            context.answers.append((status, headers, body))
+
+
+@then("all calls ran")
+def check_ran(context):
+    assert context.answers
+    for status, headers, body in context.answers:
+        assert (status, headers["Agatecross-Outcome"]) == (200, "ran"), (status, headers, body)
+        assert json.loads(body)["service"] == "case-portal"
+
+
+@then("the first upstream executed none of them")
+def check_executed(context):
+    assert len(context.fleet.executions(context.first)) == context.before
