Prove that the daemon next to a draining upstream refuses late work

Cause: the test with a paused daemon passes with the refusal at the target and the stale-view check both turned off, because the buffered gossip reaches the resumed daemon before the first call; it does not prove the refusal.

Change: a call is sent to the peer port as a daemon with an old view would.

--- a/features/fleet_changes.feature
+++ b/features/fleet_changes.feature
@@ -26,3 +26,11 @@
       | condition |
       | running   |
       | paused    |
+
+  Scenario: a peer that missed the draining is refused as not run
+    Given a fleet of 1 upstream for each of "case-portal,case-portal,van-booking" at "aarhus-a"
+    When the example configuration "lysknude" is published
+    And the daemon next to "van-booking" is running while the first upstream starts to drain
+    And a peer sends a call to "/cases/1" straight to the first daemon
+    Then the peer is told "not-run" because of "leaving"
+    And the first upstream executed none of them
--- a/features/steps/fleet_change_steps.py
+++ b/features/steps/fleet_change_steps.py
@@ -112,3 +112,22 @@
 @then("the first upstream executed none of them")
 def check_executed(context):
     assert len(context.fleet.executions(context.first)) == context.before
+
+
+@when('a peer sends a call to "{path}" straight to the first daemon')
+def send_as_peer(context, path):
+    headers = {
+        "Agatecross-Call-Id": "peer-call",
+        "Agatecross-Service": context.first.service,
+        "Agatecross-Deadline-Ms": "2000",
+        "Agatecross-Idempotent": "1",
+    }
+    url = f"http://127.0.0.1:{context.first.peer_port}{path}"
+    context.peer_answer = fetch(url, headers=headers)
+
+
+@then('the peer is told "{outcome}" because of "{reason}"')
+def check_refusal(context, outcome, reason):
+    _, headers, _ = context.peer_answer
+    found = (headers.get("Agatecross-Outcome"), headers.get("Agatecross-Reason"))
+    assert found == (outcome, reason), found
