Follow the log and the peers through retention, replacement and silence

Cause: a reader could not tell an expired or replaced log from a quiet one, a state pulled from a peer carried no log position, and subtasks changed the follower directly.

--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -1,7 +1,9 @@
 """The deterministic fold over the config stream."""
 
+from dataclasses import replace
+
 from ..constants import MAX_SEEN_PUBLISH_IDS, RULE_SET
-from ..ids import Version
+from ..ids import PublishId, Version
 from ..states import Verdict
 from .compile import compile_documents, digest_of
 from .model import (
@@ -10,11 +12,23 @@
     Document,
     DocumentDecoder,
     FoldStep,
+    OffsetRecord,
     PublishRecord,
     SnapshotRecord,
 )
 
 
+def fold_entry(state: ConfigState, entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
+    """Fold the record after `state.through`; an unknown rule set leaves the position unchanged."""
+    if entry.record is None:
+        step = FoldStep(state, Verdict.UNDECODABLE)
+    else:
+        step = fold(state, entry.record, decoder)
+    if step.verdict is Verdict.UNKNOWN_RULES:
+        return step
+    return replace(step, state=replace(step.state, through=entry.offset, mark=entry.mark))
+
+
 def fold(state: ConfigState, record: ConfigRecord, decoder: DocumentDecoder) -> FoldStep:
     """Fold one record into the state; the result depends on nothing else."""
     if record.rules > RULE_SET:
@@ -24,30 +38,43 @@
     return _fold_publish(state, record, decoder)
 
 
+def start_from(record: SnapshotRecord, decoder: DocumentDecoder) -> FoldStep:
+    """Return the state that a snapshot holds, for a reader that lacks the records before it."""
+    if record.rules > RULE_SET:
+        return FoldStep(ConfigState(), Verdict.UNKNOWN_RULES)
+    step = _fold_snapshot(ConfigState(), record, decoder)
+    return replace(step, state=replace(step.state, through=record.through, mark=record.mark))
+
+
+def merge_documents(documents: tuple[Document, ...], record: PublishRecord) -> tuple[Document, ...]:
+    """Return the documents after a publish, ordered by name."""
+    by_name = {document.name: document for document in documents}
+    by_name.update({document.name: document for document in record.documents})
+    for name in record.removed:
+        by_name.pop(name, None)
+    return tuple(sorted(by_name.values(), key=lambda document: document.name))
+
+
 def _fold_publish(state: ConfigState, record: PublishRecord, decoder: DocumentDecoder) -> FoldStep:
     if record.publish_id in state.seen:
         return FoldStep(state, Verdict.DUPLICATE)
-    seen = (*state.seen, record.publish_id)[-MAX_SEEN_PUBLISH_IDS:]
-    refused = ConfigState(state.version, state.digest, state.documents, seen)
+    refused = replace(state, seen=_add_seen(state.seen, (record.publish_id,)))
     if record.parent != state.version:
         return FoldStep(refused, Verdict.CONFLICT)
     documents = merge_documents(state.documents, record)
     snapshot, findings = compile_documents(documents, decoder, Version(state.version + 1))
     if snapshot is None:
         return FoldStep(refused, Verdict.REJECTED, findings)
-    accepted = ConfigState(snapshot.version, snapshot.digest, documents, seen)
+    accepted = replace(
+        refused,
+        version=snapshot.version,
+        digest=snapshot.digest,
+        documents=documents,
+        rules=record.rules,
+    )
     return FoldStep(accepted, Verdict.ACCEPTED, (), snapshot)
 
 
-def merge_documents(documents: tuple[Document, ...], record: PublishRecord) -> tuple[Document, ...]:
-    """Return the documents after a publish, ordered by name."""
-    by_name = {document.name: document for document in documents}
-    by_name.update({document.name: document for document in record.documents})
-    for name in record.removed:
-        by_name.pop(name, None)
-    return tuple(sorted(by_name.values(), key=lambda document: document.name))
-
-
 def _fold_snapshot(
     state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
 ) -> FoldStep:
@@ -58,5 +85,19 @@
     snapshot, findings = compile_documents(record.documents, decoder, record.version)
     if snapshot is None:
         return FoldStep(state, Verdict.REJECTED, findings)
-    taken = ConfigState(record.version, record.digest, record.documents, record.seen)
+    # A newer version than the folded one occurs only after the log was replaced. Ids that the new
+    # log already holds stay known, so that none of them is folded a second time.
+    taken = replace(
+        state,
+        version=record.version,
+        digest=record.digest,
+        documents=record.documents,
+        seen=_add_seen(record.seen, state.seen),
+        rules=record.rules,
+    )
     return FoldStep(taken, Verdict.ACCEPTED, (), snapshot)
+
+
+def _add_seen(old: tuple[PublishId, ...], new: tuple[PublishId, ...]) -> tuple[PublishId, ...]:
+    known = set(old)
+    return (*old, *(i for i in new if i not in known))[-MAX_SEEN_PUBLISH_IDS:]
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..constants import NO_DIGEST, NO_VERSION
+from ..constants import NO_DIGEST, NO_OFFSET, NO_VERSION, RULE_SET
 from ..findings import Finding, Place
 from ..ids import (
     DataCentreName,
     Digest,
     DocumentName,
+    Millis,
     Offset,
     PublishId,
     RegionName,
@@ -21,6 +22,8 @@
 
 BASE = DocumentName("base")
 
+NO_AGE = Millis(0)
+
 KeyPath = tuple[str, ...]
 
 
@@ -130,7 +133,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRecord:
-    """The folded state through offset `through`, written before retention drops its records."""
+    """The folded state through offset `through`, written before retention drops its records.
+
+    `mark` is the digest of the record at `through`; `at_ms` is wall-clock milliseconds and only
+    tells when the next snapshot is due. After the log was replaced, `through` is `NO_OFFSET`.
+    """
 
     version: Version
     digest: Digest
@@ -138,19 +145,40 @@
     through: Offset
     documents: tuple[Document, ...]
     seen: tuple[PublishId, ...]
+    mark: Digest = NO_DIGEST
+    at_ms: int = 0
 
 
 ConfigRecord = PublishRecord | SnapshotRecord
 
 
+@dataclass(frozen=True, slots=True)
+class OffsetRecord:
+    """A record of the config stream; `record` is None when it cannot be decoded.
+
+    `mark` is the digest of the encoded record, `age` the time since a snapshot was written.
+    """
+
+    offset: Offset
+    record: ConfigRecord | None
+    mark: Digest = NO_DIGEST
+    age: Millis = NO_AGE
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigState:
-    """What a reader of the config stream knows after folding a prefix of it."""
+    """What a reader of the config stream knows after folding its records through `through`.
+
+    `rules` is the rule set of the version, `mark` the digest of the record at `through`.
+    """
 
     version: Version = NO_VERSION
     digest: Digest = NO_DIGEST
     documents: tuple[Document, ...] = ()
     seen: tuple[PublishId, ...] = ()
+    rules: int = RULE_SET
+    through: Offset = NO_OFFSET
+    mark: Digest = NO_DIGEST
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from .ids import Digest, Millis, StreamName, Version
+from .ids import Digest, Millis, Offset, StreamName, Version
 
 KIB: Final = 1024
 MIB: Final = 1024 * KIB
@@ -15,6 +15,7 @@
 # Configuration.
 NO_VERSION: Final = Version(0)
 NO_DIGEST: Final = Digest("")
+NO_OFFSET: Final = Offset(-1)
 RULE_SET: Final = 1
 MAX_OVERLAYS: Final = 64
 MAX_DOCUMENT_BYTES: Final = 256 * KIB
@@ -26,7 +27,29 @@
 NOTICE_FANOUT: Final = 4
 PEER_SILENCE: Final = Millis(5_000)
 LOG_POLL_WAIT: Final = Millis(2_000)
+# With this wait, 1,300 daemons that start without a peer cause 130 reads per second.
+LONE_POLL_WAIT: Final = Millis(10_000)
 LOG_PAGE_RECORDS: Final = 512
+LOG_RETRY_BASE: Final = Millis(500)
+LOG_RETRY_CAP: Final = Millis(10_000)
+BLOCKED_RETRY: Final = Millis(30_000)
+# 64 documents of 256 KiB need 4.5 s on a link of 30 Mbit/s.
+PULL_TIMEOUT: Final = Millis(5_000)
+# Longer than the time-out of the transport, so that it only ends pulls without any answer.
+PULL_DEADLINE: Final = Millis(6_000)
+POSITION_PULL_PERIOD: Final = Millis(2_000)
+
+# Snapshots.
+LOG_RETENTION: Final = Millis(24 * 3_600_000)
+SNAPSHOT_MAX_AGE: Final = Millis(LOG_RETENTION / 4)
+# Without a known snapshot its age is unknown; waiting longer could outlast the retention time when
+# readers are replaced often.
+SNAPSHOT_FIRST_AGE: Final = Millis(60_000)
+# Longer than a snapshot needs to reach the other readers, so that normally only one writes it.
+SNAPSHOT_RANK_DELAY: Final = Millis(2_000)
+SNAPSHOT_RETRY: Final = Millis(10_000)
+APPENDS_BURST: Final = 2
+APPEND_REFILL: Final = Millis(10_000)
 
 # Membership.
 PROBE_PERIOD: Final = Millis(1_000)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -2,65 +2,83 @@
 
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import Enum
 
-from ..config.compile import compile_documents
-from ..config.fold import fold
 from ..config.model import (
-    ConfigRecord,
     ConfigState,
     DocumentDecoder,
-    FoldStep,
     MeshSnapshot,
     PublishRecord,
     SnapshotRecord,
 )
-from ..constants import NOTICE_FANOUT, PEER_SILENCE, RULE_SET, SNAPSHOT_AFTER_RECORDS
+from ..constants import (
+    APPEND_REFILL,
+    APPENDS_BURST,
+    BLOCKED_RETRY,
+    LOG_POLL_WAIT,
+    LOG_RETRY_BASE,
+    LOG_RETRY_CAP,
+    LONE_POLL_WAIT,
+    NO_DIGEST,
+    NO_OFFSET,
+    NOTICE_FANOUT,
+    PEER_SILENCE,
+    POSITION_PULL_PERIOD,
+    PULL_DEADLINE,
+    SNAPSHOT_AFTER_RECORDS,
+)
 from ..findings import Finding
-from ..ids import Digest, Millis, Offset, PublishId, Version
+from ..ids import DaemonId, Digest, Millis, Offset, PublishId, Version
 from ..members.records import Member
 from ..states import Verdict
-from .readers import is_reader
-from .sync import PullReply, PullRequest, answer_pull, apply_pull, known_digests
-
-
-@dataclass(frozen=True, slots=True)
-class OffsetRecord:
-    """A decoded record of the config stream."""
-
-    offset: Offset
-    record: ConfigRecord
-
-
-@dataclass(frozen=True, slots=True)
-class RecordsRead:
-    """A page of the config stream: decoded records, oldest retained offset, next offset."""
+from .bucket import TokenBucket
+from .jitter import full_jitter
+from .log_fold import (
+    LogFold,
+    LogReplaced,
+    RecordFolded,
+    RecordsExpired,
+    RecordsRead,
+    UnknownRules,
+)
+from .offers import Offers, PeerVersion
+from .readers import readers
+from .snapshots import SnapshotSchedule
+from .sync import (
+    PullReply,
+    PullRequest,
+    PullResult,
+    PullVerdict,
+    answer_pull,
+    judge_pull,
+    known_digests,
+)
 
-    records: tuple[OffsetRecord, ...]
-    first: Offset
-    end: Offset
+__all__ = ["ConfigFollower", "PeerVersion", "RecordsRead"]
 
 
 @dataclass(frozen=True, slots=True)
-class PeerVersion:
-    """A peer has this version in force."""
+class PullAnswered:
+    """A pull ended; `reply` is None when the peer did not answer."""
 
-    peer: Member
-    version: Version
-    digest: Digest
+    pull_id: int
+    reply: PullReply | None
 
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Action: read the config stream from `start`."""
+    """Action: read the config stream from `start`, waiting up to `wait` for a record."""
 
     start: Offset
+    wait: Millis
 
 
 @dataclass(frozen=True, slots=True)
 class PullFrom:
     """Action: send the request to the peer."""
 
+    pull_id: int
     peer: Member
     request: PullRequest
 
@@ -70,6 +88,8 @@
     """Action: tell these peers which version is in force here."""
 
     peers: tuple[Member, ...]
+    version: Version
+    digest: Digest
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,114 +115,307 @@
     findings: tuple[Finding, ...]
 
 
-FollowerAction = ReadLog | PullFrom | NotifyPeers | PutInForce | WriteSnapshot | ReportVerdict
+class Condition(Enum):
+    """A condition of the log or of a peer that operators should know."""
 
+    LOG_REPLACED = "log_replaced"
+    RECORDS_EXPIRED = "log_records_expired"
+    UNKNOWN_RULES = "unknown_rules"
+    UNDECODABLE = "record_undecodable"
+    OTHER_DIGEST = "same_version_other_digest"
+    PULL_REFUSED = "pull_refused"
 
-class ConfigFollower:
-    """Decides what to read, pull, put in force and pass on."""
 
-    def __init__(self, me: Member, decoder: DocumentDecoder, rng: random.Random) -> None:
+@dataclass(frozen=True, slots=True)
+class ReportCondition:
+    """Action: report a condition with the values that describe it."""
+
+    condition: Condition
+    values: tuple[tuple[str, object], ...]
+
+
+FollowerAction = (
+    ReadLog | PullFrom | NotifyPeers | PutInForce | WriteSnapshot | ReportVerdict | ReportCondition
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """The pull in flight."""
+
+    pull_id: int
+    peer: DaemonId
+    started: Millis
+
+
+class ConfigFollower:
+    """Decides what to read, pull, put in force and pass on.
+
+    `state` is the newest version ever taken and never goes back. `log.state` is the fold of the
+    log that exists now; it is older than `state` only after the log was replaced.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        decoder: DocumentDecoder,
+        rng: random.Random,
+        snapshot_after: int = SNAPSHOT_AFTER_RECORDS,
+    ) -> None:
         """Start without a configuration."""
         self.me = me
         self.decoder = decoder
         self.rng = rng
         self.state = ConfigState()
-        self.position = Offset(0)
-        self.records_since_snapshot = 0
+        self.log = LogFold(decoder)
+        self.offers = Offers(me, rng)
+        self.schedule = SnapshotSchedule(rng, snapshot_after)
+        self.appends = TokenBucket(APPENDS_BURST, APPEND_REFILL)
         self.members: tuple[Member, ...] = (me,)
+        self.readers: tuple[DaemonId, ...] = (me.daemon_id,)
         self.reading = False
-        self.pulling = False
+        self.discard_page = False
+        self.read_failures = 0
+        self.read_after = Millis(0)
+        self.pull: Pull | None = None
+        self.pulls = 0
+        self.position_pull_at = Millis(0)
         self.heard_at: Millis | None = None
+        self.reported: set[tuple[object, ...]] = set()
 
     def tick(self, now: Millis) -> Iterator[FollowerAction]:
-        """Start a read of the log when this daemon should read and none is in flight."""
+        """Start what is due: a pull, a read of the log, a snapshot."""
         if self.heard_at is None:
             self.heard_at = now
-        alone = len(self.members) == 1 or now - self.heard_at > PEER_SILENCE
-        if not self.reading and (alone or is_reader(self.me, self.members)):
-            self.reading = True
-            yield ReadLog(self.position)
+        if self.pull is not None and now - self.pull.started >= PULL_DEADLINE:
+            self.offers.failed(self.pull.peer)
+            self.pull = None
+        yield from self._pull(now)
+        yield from self._read(now)
+        yield from self._snapshot(now)
 
     def view_changed(self, members: tuple[Member, ...]) -> None:
         """Take the members that are not dead."""
         self.members = members
+        self.readers = readers(self.me, members)
+        self.offers.retain(members)
 
-    def records_read(self, page: RecordsRead) -> Iterator[FollowerAction]:
+    def records_read(self, page: RecordsRead, now: Millis) -> Iterator[FollowerAction]:
         """Fold a page of the stream."""
         self.reading = False
-        before = self.state.version
-        snapshot: MeshSnapshot | None = None
-        for row in page.records:
-            step = fold(self.state, row.record, self.decoder)
-            if step.verdict is Verdict.UNKNOWN_RULES:
-                return
-            self.state = step.state
-            self.position = Offset(row.offset + 1)
-            snapshot = step.snapshot or snapshot
-            yield from self._after_record(row.record, step)
-        if snapshot is not None and self.state.version > before:
-            yield PutInForce(snapshot)
-            yield from self._notify()
-        yield from self._maybe_snapshot()
-
-    def read_failed(self) -> None:
-        """Note that the read in flight ended without a page."""
+        self.read_failures = 0
+        if self.discard_page:
+            self.discard_page = False
+            return
+        before = self.log.start()
+        compiled: MeshSnapshot | None = None
+        for event in self.log.page(page):
+            match event:
+                case RecordFolded(_, step):
+                    compiled = step.snapshot or compiled
+                    yield from self._folded(event, now)
+                case LogReplaced(through, end):
+                    self.state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
+                    self.schedule.log_replaced()
+                    yield _report(Condition.LOG_REPLACED, through=through, end=end)
+                case RecordsExpired(through, first):
+                    yield _report(Condition.RECORDS_EXPIRED, through=through, first=first)
+                case UnknownRules(offset, rules):
+                    self.read_after = Millis(now + BLOCKED_RETRY)
+                    yield from self._report_once(
+                        Condition.UNKNOWN_RULES, offset=offset, rules=rules
+                    )
+        yield from self._adopt_folded(compiled)
+        if self.log.start() != before:
+            yield from self._read(now)
+
+    def read_failed(self, now: Millis) -> None:
+        """Note that the read in flight ended without a page, and delay the next one."""
         self.reading = False
+        self.discard_page = False
+        self.log.read_failed()
+        delay = full_jitter(self.read_failures, LOG_RETRY_BASE, LOG_RETRY_CAP, self.rng)
+        self.read_failures += 1
+        self.read_after = Millis(now + delay)
 
     def peer_version(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
         """Pull from a peer that has a newer version."""
         self.heard_at = now
-        if message.version > self.state.version and not self.pulling:
-            self.pulling = True
-            request = PullRequest(self.state.version, known_digests(self.state))
-            yield PullFrom(message.peer, request)
+        if message.version > self.state.version:
+            self.offers.add(message)
+            yield from self._pull(now)
+        elif message.version == self.state.version and message.digest != self.state.digest:
+            yield from self._report_other_digest(message.digest, message.peer.daemon_id)
 
-    def pull_answered(self, reply: PullReply | None, now: Millis) -> Iterator[FollowerAction]:
+    def pull_answered(self, answer: PullAnswered, now: Millis) -> Iterator[FollowerAction]:
         """Put a pulled version in force when it is newer, whole and free of findings."""
-        self.pulling = False
-        if reply is None:
+        if self.pull is None or answer.pull_id != self.pull.pull_id:
             return
-        self.heard_at = now
-        state = apply_pull(self.state, reply)
-        if state is None:
-            return
-        snapshot, findings = compile_documents(state.documents, self.decoder, state.version)
-        if snapshot is None or findings:
-            return
-        self.state = state
-        yield PutInForce(snapshot)
-        yield from self._notify()
+        peer = self.pull.peer
+        self.pull = None
+        if answer.reply is None:
+            self.offers.failed(peer)
+        else:
+            self.heard_at = now
+            result = judge_pull(self.state, answer.reply, self.decoder)
+            yield from self._pulled(peer, answer.reply, result)
+        yield from self._pull(now)
 
     def answer(self, request: PullRequest) -> PullReply:
         """Answer a peer's pull."""
         return answer_pull(self.state, request)
 
-    def _after_record(self, record: ConfigRecord, step: FoldStep) -> Iterator[FollowerAction]:
+    def _pulled(
+        self, peer: DaemonId, reply: PullReply, result: PullResult
+    ) -> Iterator[FollowerAction]:
+        if result.snapshot is not None and result.state is not None:
+            self.state = result.state
+            self.offers.taken(peer, result.state.version)
+            if result.state.through != NO_OFFSET:
+                self._move(result.state)
+            yield PutInForce(result.snapshot)
+            yield from self._notify()
+            return
+        if result.verdict is PullVerdict.SAME and not self.log.lost:
+            self.offers.taken(peer, self.state.version)
+            return
+        if result.state is not None and reply.through > self.log.state.through:
+            self.state = result.state
+            self._move(result.state)
+            return
+        self.offers.failed(peer)
+        if result.verdict in (PullVerdict.UNKNOWN_RULES, PullVerdict.FINDINGS):
+            self.offers.refuse(reply.version, reply.digest)
+        if result.verdict is PullVerdict.OTHER_DIGEST:
+            yield from self._report_other_digest(reply.digest, peer)
+        elif result.verdict not in (PullVerdict.SAME, PullVerdict.OLDER):
+            yield from self._report_once(
+                Condition.PULL_REFUSED,
+                peer=peer,
+                version=reply.version,
+                reason=result.verdict.value,
+                findings=len(result.findings),
+            )
+
+    def _move(self, state: ConfigState) -> None:
+        # A page in flight was asked for at the old position, maybe from a log replaced since.
+        self.discard_page = self.reading
+        self.read_after = Millis(0)
+        self.log.take(state)
+
+    def _folded(self, event: RecordFolded, now: Millis) -> Iterator[FollowerAction]:
+        entry, step = event.entry, event.step
+        record = entry.record
+        if isinstance(record, SnapshotRecord):
+            after = entry.offset - record.through - 1
+            self.schedule.snapshot_read(now, entry.age, after)
+            return
+        self.schedule.record_read()
         if isinstance(record, PublishRecord):
-            self.records_since_snapshot += 1
             yield ReportVerdict(record.publish_id, step.verdict, step.findings)
         else:
-            self.records_since_snapshot = 0
+            yield _report(Condition.UNDECODABLE, offset=entry.offset)
+
+    def _adopt_folded(self, compiled: MeshSnapshot | None) -> Iterator[FollowerAction]:
+        folded = self.log.state
+        if folded.version > self.state.version:
+            assert compiled is not None and compiled.version == folded.version
+            self.state = folded
+            self.offers.taken(self.me.daemon_id, folded.version)
+            yield PutInForce(compiled)
+            yield from self._notify()
+        elif (folded.version, folded.digest) == (self.state.version, self.state.digest):
+            self.state = folded
+        elif folded.version == self.state.version:
+            yield from self._report_other_digest(folded.digest, None)
+
+    def _pull(self, now: Millis) -> Iterator[FollowerAction]:
+        if self.pull is not None:
+            return
+        offer = self.offers.best(self.state.version)
+        peer = offer.peer if offer is not None else self._position_peer(now)
+        if peer is None:
+            return
+        self.pulls += 1
+        self.pull = Pull(self.pulls, peer.daemon_id, now)
+        request = PullRequest(self.state.version, known_digests(self.state))
+        yield PullFrom(self.pulls, peer, request)
+
+    def _position_peer(self, now: Millis) -> Member | None:
+        if not self.log.lost or now < self.position_pull_at:
+            return None
+        self.position_pull_at = Millis(now + POSITION_PULL_PERIOD * self.rng.uniform(0.5, 1.5))
+        return self.offers.position_peer(self.members)
+
+    def _read(self, now: Millis) -> Iterator[FollowerAction]:
+        if self.reading or now < self.read_after:
+            return
+        silent = self.heard_at is not None and now - self.heard_at > PEER_SILENCE
+        alone = silent or len(self.members) <= 1
+        if not alone and self.me.daemon_id not in self.readers:
+            self.log.read_failed()
+            return
+        self.reading = True
+        yield ReadLog(self.log.start(), LONE_POLL_WAIT if alone else LOG_POLL_WAIT)
 
-    def _maybe_snapshot(self) -> Iterator[FollowerAction]:
-        if self.records_since_snapshot < SNAPSHOT_AFTER_RECORDS or not self.state.version:
+    def _snapshot(self, now: Millis) -> Iterator[FollowerAction]:
+        if not self.log.caught_up or not self.state.version:
             return
-        self.records_since_snapshot = 0
+        replaced = self.state.version > self.log.state.version
+        if not self.schedule.due(now, self._rank(), replaced) or not self.appends.take(now):
+            return
+        self.schedule.started(now)
+        state = self.log.state
+        if replaced:
+            state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
         yield WriteSnapshot(
             SnapshotRecord(
-                self.state.version,
-                self.state.digest,
-                RULE_SET,
-                Offset(self.position - 1),
-                self.state.documents,
-                self.state.seen,
+                state.version,
+                state.digest,
+                state.rules,
+                state.through,
+                state.documents,
+                state.seen,
+                state.mark,
             )
         )
 
+    def _rank(self) -> int:
+        if self.me.daemon_id in self.readers:
+            return self.readers.index(self.me.daemon_id)
+        return len(self.readers)
+
     def _notify(self) -> Iterator[FollowerAction]:
         near = [
             m
             for m in self.members
             if m.region == self.me.region and m.daemon_id != self.me.daemon_id
         ]
-        yield NotifyPeers(tuple(self.rng.sample(near, min(NOTICE_FANOUT, len(near)))))
+        peers = tuple(self.rng.sample(near, min(NOTICE_FANOUT, len(near))))
+        yield NotifyPeers(peers, self.state.version, self.state.digest)
+
+    def _report_other_digest(
+        self, digest: Digest, peer: DaemonId | None
+    ) -> Iterator[FollowerAction]:
+        yield from self._report_once(
+            Condition.OTHER_DIGEST,
+            version=self.state.version,
+            digest=self.state.digest,
+            other=digest,
+            peer=peer or "log",
+        )
+
+    def _report_once(self, condition: Condition, **values: object) -> Iterator[FollowerAction]:
+        # Peers repeat their version with every probe; one report for each peer and version is
+        # enough, and the limit keeps a faulty peer from filling the memory.
+        key = (condition, *values.values())
+        if key in self.reported:
+            return
+        if len(self.reported) >= 1024:
+            self.reported.clear()
+        self.reported.add(key)
+        yield _report(condition, **values)
+
+
+def _report(condition: Condition, **values: object) -> ReportCondition:
+    return ReportCondition(condition, tuple(values.items()))
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -0,0 +1,159 @@
+"""Folds the config stream from the position that the state names, or from a snapshot."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..config.fold import fold_entry, start_from
+from ..config.model import (
+    ConfigState,
+    DocumentDecoder,
+    FoldStep,
+    OffsetRecord,
+    SnapshotRecord,
+)
+from ..constants import NO_OFFSET
+from ..ids import Offset
+from ..states import Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """A page of the config stream: records, oldest retained offset, next offset."""
+
+    records: tuple[OffsetRecord, ...]
+    first: Offset
+    end: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class RecordFolded:
+    """A record was folded, or a snapshot was taken as the start."""
+
+    entry: OffsetRecord
+    step: FoldStep
+
+
+@dataclass(frozen=True, slots=True)
+class LogReplaced:
+    """The log is not the one that was read before: it came back empty or with lower offsets."""
+
+    through: Offset
+    end: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsExpired:
+    """The log no longer holds the records after `through`."""
+
+    through: Offset
+    first: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownRules:
+    """The record needs a rule set that this daemon does not know; folding stops before it."""
+
+    offset: Offset
+    rules: int
+
+
+FoldEvent = RecordFolded | LogReplaced | RecordsExpired | UnknownRules
+
+
+class LogFold:
+    """The fold state of this reader; equal for all readers at the same offset of one log."""
+
+    def __init__(self, decoder: DocumentDecoder) -> None:
+        """Start before the first record."""
+        self.decoder = decoder
+        self.state = ConfigState()
+        self.verify = False
+        self.search_from: Offset | None = None
+        self.blocked = False
+        self.caught_up = False
+
+    @property
+    def lost(self) -> bool:
+        """Return whether records are missing and no snapshot that was read bridges them."""
+        return self.search_from is not None
+
+    def start(self) -> Offset:
+        """Return the offset at which the next read starts."""
+        if self.search_from is not None:
+            return self.search_from
+        if self.verify and self.state.through != NO_OFFSET:
+            return self.state.through
+        return Offset(self.state.through + 1)
+
+    def take(self, state: ConfigState) -> None:
+        """Continue from a peer's state and position."""
+        self.state = state
+        # The peer's position may belong to a log that was replaced since.
+        self.verify = True
+        self.search_from = None
+        self.blocked = False
+        self.caught_up = False
+
+    def read_failed(self) -> None:
+        """Check at the next read that the log is still the same."""
+        self.verify = True
+        self.caught_up = False
+
+    def page(self, page: RecordsRead) -> Iterator[FoldEvent]:
+        """Fold a page that starts at `start()`."""
+        self.caught_up = False
+        self.blocked = False
+        if self._replaced(page):
+            yield LogReplaced(self.state.through, page.end)
+            self.state = ConfigState()
+            self.search_from = None
+            self.verify = False
+            return
+        self.verify = False
+        if self.search_from is None and page.first > self.state.through + 1:
+            yield RecordsExpired(self.state.through, page.first)
+            self.search_from = page.first
+        if self.search_from is None:
+            yield from self._fold(page)
+        else:
+            yield from self._search(page)
+
+    def _replaced(self, page: RecordsRead) -> bool:
+        if page.end < self.start() or page.end <= self.state.through:
+            return True
+        if not self.verify or self.state.through == NO_OFFSET:
+            return False
+        for entry in page.records:
+            if entry.offset == self.state.through:
+                return entry.mark != self.state.mark
+        return False
+
+    def _fold(self, page: RecordsRead) -> Iterator[FoldEvent]:
+        for entry in page.records:
+            if entry.offset != self.state.through + 1:
+                continue
+            step = fold_entry(self.state, entry, self.decoder)
+            if step.verdict is Verdict.UNKNOWN_RULES and entry.record is not None:
+                self.blocked = True
+                yield UnknownRules(entry.offset, entry.record.rules)
+                return
+            self.state = step.state
+            yield RecordFolded(entry, step)
+        self.caught_up = self.state.through + 1 >= page.end
+
+    def _search(self, page: RecordsRead) -> Iterator[FoldEvent]:
+        for entry in page.records:
+            self.search_from = Offset(entry.offset + 1)
+            record = entry.record
+            if not isinstance(record, SnapshotRecord) or not page.first - 1 <= record.through:
+                continue
+            # A snapshot at or before its own `through` was made for a log that was replaced.
+            if record.through >= entry.offset:
+                continue
+            step = start_from(record, self.decoder)
+            if step.verdict is not Verdict.ACCEPTED:
+                continue
+            self.state = step.state
+            self.search_from = None
+            yield RecordFolded(entry, step)
+            return
--- a/packages/agatecross-core/agatecross_core/distribution/readers.py
+++ b/packages/agatecross-core/agatecross_core/distribution/readers.py
@@ -2,30 +2,26 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
-from ..constants import READERS_PER_REGION
-from ..ids import DaemonId
+from ..constants import MAX_MEMBERS, READERS_PER_REGION
+from ..ids import DaemonId, RegionName
 from ..members.records import Member
 from ..states import MemberState
 
 
-def reader_rank(me: Member, members: Iterable[Member]) -> int:
-    """Return this daemon's rank among the members of its region, 0 for the first reader."""
-    mine = _weight(me.daemon_id)
-    rivals = (
-        member
-        for member in members
-        if member.region == me.region
-        and member.daemon_id != me.daemon_id
-        and member.state is MemberState.ALIVE
-    )
-    return sum(1 for member in rivals if _weight(member.daemon_id) < mine)
+def readers(me: Member, members: Iterable[Member]) -> tuple[DaemonId, ...]:
+    """Return the log readers of all regions, lowest weight first; this daemon counts as alive."""
+    by_region: dict[RegionName, set[DaemonId]] = {me.region: {me.daemon_id}}
+    for member in members:
+        if member.state is MemberState.ALIVE:
+            by_region.setdefault(member.region, set()).add(member.daemon_id)
+    chosen = (sorted(ids, key=weight)[:READERS_PER_REGION] for ids in by_region.values())
+    return tuple(sorted((name for names in chosen for name in names), key=weight))
 
 
-def is_reader(me: Member, members: Iterable[Member]) -> bool:
-    """Return whether this daemon is one of the log readers of its region."""
-    return reader_rank(me, members) < READERS_PER_REGION
-
-
-def _weight(daemon_id: DaemonId) -> bytes:
+# A view change asks for the weight of every member, and the weight of an id never changes.
+@lru_cache(maxsize=2 * MAX_MEMBERS)
+def weight(daemon_id: DaemonId) -> bytes:
+    """Return the rendezvous weight of a daemon; the lowest weights read the log."""
     return hashlib.blake2b(daemon_id.encode(), digest_size=8).digest()
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -83,3 +83,4 @@
     CONFLICT = "conflict"
     DUPLICATE = "duplicate"
     UNKNOWN_RULES = "unknown-rules"
+    UNDECODABLE = "undecodable"
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -1,33 +1,37 @@
 """Owns the configuration of this daemon: follows the log and the peers."""
 
 import asyncio
+import hashlib
+import time
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
 
 from agatecross_adapters.codec import decode_record, encode_record
 from agatecross_adapters.protocols import LogPage, LogService
-from agatecross_core.config.model import PublishRecord, SnapshotRecord
+from agatecross_core.config.model import OffsetRecord, PublishRecord, SnapshotRecord
 from agatecross_core.constants import (
     CONFIG_STREAM,
     LOG_PAGE_RECORDS,
-    LOG_POLL_WAIT,
     PROBE_TIMEOUT,
+    PULL_TIMEOUT,
 )
 from agatecross_core.distribution.follower import (
     ConfigFollower,
     FollowerAction,
     NotifyPeers,
-    OffsetRecord,
-    PeerVersion,
+    PullAnswered,
     PullFrom,
     PutInForce,
     ReadLog,
-    RecordsRead,
+    ReportCondition,
     ReportVerdict,
     WriteSnapshot,
 )
+from agatecross_core.distribution.log_fold import RecordsRead
+from agatecross_core.distribution.offers import PeerVersion
 from agatecross_core.distribution.sync import NoticeAck, PullReply, PullRequest, VersionNotice
 from agatecross_core.errors import LogError, MessageDecodeError
-from agatecross_core.ids import Millis, Offset
+from agatecross_core.ids import Digest, Millis
 from agatecross_core.members.records import Member
 
 from ..events import log_event, log_warning
@@ -37,14 +41,24 @@
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.1
-PULL_TIMEOUT = Millis(5_000)
-READ_RETRY_SECONDS = 1.0
 
-ConfigMessage = ReceivedAsk | ViewChanged | PeerVersion | Tick | RecordsRead
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """The read of the log in flight ended without a page."""
+
+
+ConfigMessage = (
+    ReceivedAsk | ViewChanged | PeerVersion | Tick | RecordsRead | ReadFailed | PullAnswered
+)
 
 
 class ConfigTask:
-    """Puts the newest accepted configuration in force and passes it on."""
+    """Puts the newest accepted configuration in force and passes it on.
+
+    Subtasks do the waiting; their results come back through the mailbox, so that only `run` uses
+    the follower.
+    """
 
     def __init__(
         self,
@@ -80,7 +94,11 @@
             case PeerVersion():
                 self._act(self.follower.peer_version(message, now))
             case RecordsRead():
-                self._act(self.follower.records_read(message))
+                self._act(self.follower.records_read(message, now))
+            case ReadFailed():
+                self.follower.read_failed(now)
+            case PullAnswered():
+                self._act(self.follower.pull_answered(message, now))
             case _:
                 self._received(message, now)
 
@@ -101,48 +119,51 @@
                     log_event("config_in_force", version=snapshot.version, digest=snapshot.digest)
                     for mailbox in self.subscribers:
                         mailbox.put(ConfigInForce(snapshot))
-                case ReportVerdict(publish_id, verdict, findings):
-                    log_event(
-                        "publish_folded",
-                        publish_id=publish_id,
-                        verdict=verdict.value,
-                        findings=len(findings),
-                    )
-                case ReadLog(start):
-                    self.subtasks.start(self._read(start))
-                case PullFrom(peer, request):
-                    self.subtasks.start(self._pull(peer, request))
-                case NotifyPeers(peers):
+                case ReportVerdict():
+                    _log_verdict(action)
+                case ReportCondition(condition, values):
+                    log_warning(condition.value, **dict(values))
+                case ReadLog():
+                    self.subtasks.start(self._read(action))
+                case PullFrom():
+                    self.subtasks.start(self._pull(action))
+                case NotifyPeers(peers, version, digest):
+                    notice = VersionNotice(self.follower.me, version, digest)
                     for peer in peers:
-                        self.subtasks.start(self._notify(peer))
+                        self.subtasks.start(self._notify(peer, notice))
                 case WriteSnapshot(record):
                     self.subtasks.start(self._write_snapshot(record))
 
-    async def _read(self, start: Offset) -> None:
+    async def _read(self, action: ReadLog) -> None:
         try:
-            page = await self.log.read(CONFIG_STREAM, start, LOG_PAGE_RECORDS, LOG_POLL_WAIT)
+            page = await self.log.read(CONFIG_STREAM, action.start, LOG_PAGE_RECORDS, action.wait)
         except LogError as error:
             log_warning("log_read_failed", reason=error)
-            await asyncio.sleep(READ_RETRY_SECONDS * self.follower.rng.random())
-            self.follower.read_failed()
+            self.mailbox.put(ReadFailed())
             return
-        self.mailbox.put(RecordsRead(tuple(_decode_page(page)), page.first, page.end))
+        wall_ms = time.time() * 1000
+        records = tuple(_decode_page(page, wall_ms))
+        self.mailbox.put(RecordsRead(records, page.first, page.end))
 
-    async def _pull(self, peer: Member, request: PullRequest) -> None:
-        reply = await send_control(self.control, peer.control_address, request, PULL_TIMEOUT)
+    async def _pull(self, action: PullFrom) -> None:
+        peer = action.peer.control_address
+        reply = await send_control(self.control, peer, action.request, PULL_TIMEOUT)
         pulled = reply if isinstance(reply, PullReply) else None
-        self._act(self.follower.pull_answered(pulled, monotonic()))
+        self.mailbox.put(PullAnswered(action.pull_id, pulled))
 
-    async def _notify(self, peer: Member) -> None:
-        state = self.follower.state
-        notice = VersionNotice(self.follower.me, state.version, state.digest)
-        await send_control(self.control, peer.control_address, notice, PROBE_TIMEOUT)
+    async def _notify(self, peer: Member, notice: VersionNotice) -> None:
+        reply = await send_control(self.control, peer.control_address, notice, PROBE_TIMEOUT)
+        if isinstance(reply, NoticeAck):
+            self.mailbox.put(PeerVersion(peer, reply.version, reply.digest))
 
     async def _write_snapshot(self, record: SnapshotRecord) -> None:
+        stamped = replace(record, at_ms=int(time.time() * 1000))
         try:
-            await self.log.append(CONFIG_STREAM, encode_record(record))
+            offset = await self.log.append(CONFIG_STREAM, encode_record(stamped))
         except LogError as error:
             log_warning("snapshot_failed", reason=error)
+            return
+        log_event("snapshot_written", version=record.version, through=record.through, offset=offset)
 
     async def _ticks(self) -> None:
         while True:
@@ -150,11 +171,24 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-def _decode_page(page: LogPage) -> Iterator[OffsetRecord]:
+def _log_verdict(report: ReportVerdict) -> None:
+    log_event(
+        "publish_folded",
+        publish_id=report.publish_id,
+        verdict=report.verdict.value,
+        findings=len(report.findings),
+    )
+    for finding in report.findings:
+        log_warning("publish_finding", publish_id=report.publish_id, finding=finding)
+
+
+def _decode_page(page: LogPage, wall_ms: float) -> Iterator[OffsetRecord]:
     for entry in page.entries:
+        mark = Digest(hashlib.blake2b(entry.data, digest_size=16).hexdigest())
         try:
             record = decode_record(entry.data, PublishRecord | SnapshotRecord)  # type: ignore[arg-type]
-        except MessageDecodeError as error:
-            log_warning("record_ignored", offset=entry.offset, reason=error)
+        except MessageDecodeError:
+            yield OffsetRecord(entry.offset, None, mark)
             continue
-        yield OffsetRecord(entry.offset, record)
+        written = record.at_ms if isinstance(record, SnapshotRecord) else wall_ms
+        yield OffsetRecord(entry.offset, record, mark, Millis(max(0.0, wall_ms - written)))
