Check every base and bound what a document can cost

Cause: a base without data centres passed every check, nan passed every bound, a repeated data centre was ambiguous, and deep nesting could exhaust the stack of every reader at once. Change: findings no-data-centre, same-data-centre, too-deep and choice; nan is out of range.

--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -14,3 +14,19 @@
       | number out of range    | base     | long_share = 0.25                 | long_share = 1.5          | range               | 15   | services.catalogue.long_share|
       | broken syntax          | bursa-a  | timeout_ms = 4000                 | timeout_ms = = 4000       | syntax              | 4    |                              |
       | prefix without slash   | base     | prefix = "/members"               | prefix = "members"        | prefix              | 37   | routes.member-accounts.prefix|
+      | not a number           | base     | long_share = 0.25                 | long_share = nan          | range               | 15   | services.catalogue.long_share|
+      | unknown method         | base     | long_ms = 250                     | idempotent_methods = ["GETS"] | choice          | 14   | services.catalogue.idempotent_methods |
+      | repeated data centre   | base     | "denizli-b"                       | "denizli-b", "bursa-a"    | same-data-centre    | 9    | regions.ege.data_centres                     |
+      | list for a number      | bursa-a  | timeout_ms = 4000                 | timeout_ms = [4000]       | type                | 4    | services.materials-ordering.timeout_ms |
+
+  Scenario Outline: a configuration with <fault> has the findings "<codes>"
+    Given the example configuration "kafeskoop"
+    When document "<document>" is "<text>" repeated <times> times
+    Then the codes of the findings are "<codes>"
+
+    Examples:
+      | fault               | document | text       | times | codes                                                |
+      | an empty base       | base     |            | 1     | missing,no-data-centre,unknown-data-centre |
+      | nested arrays       | bursa-a  | [          | 5000  | too-deep                                             |
+      | a long dotted key   | bursa-a  | a.         | 2000  | not-in-overlay                                       |
+      | a too long document | bursa-a  | # comment~ | 30000 | too-long                                             |
--- /dev/null
+++ b/features/config_follow.feature
@@ -0,0 +1,86 @@
+Feature: Following the configuration
+  Guards against readers that disagree, versions that go back and pulls that get stuck.
+
+  Scenario Outline: readers agree under random <faults>
+    Given 6 followers in 2 regions on a simulated log with "<faults>"
+    Then in <examples> random histories no version goes back and all readers fold alike
+
+    Examples:
+      | faults                         | examples |
+      | none                           | 40       |
+      | retention                      | 60       |
+      | retention, replacement         | 60       |
+
+  Scenario Outline: a follower with version 2 meets a peer that <behaviour>
+    Given a follower with version 2 and peers "near, far"
+    When peer "near" offers version <offered> and its pull ends as "<behaviour>"
+    Then the next pull goes to "<next>" and version <version> is in force
+    And the reported conditions are "<conditions>"
+
+    Examples:
+      | behaviour       | offered | next | version | conditions                |
+      | answers newer   | 3       | none | 3       |                           |
+      | fails           | 3       | far  | 2       |                           |
+      | is silent       | 3       | far  | 2       |                           |
+      | answers older   | 3       | far  | 2       |                           |
+      | broken document | 3       | far  | 2       | pull_refused              |
+      | unknown rules   | 3       | none | 2       | pull_refused              |
+      | has findings    | 3       | none | 2       | pull_refused              |
+      | not asked       | 1       | none | 2       |                           |
+      | other digest    | 2       | none | 2       | same_version_other_digest |
+
+  Scenario Outline: a reader whose position is 3 meets <log>
+    Given a reader that folded 3 publishes
+    When it reads a log that <log>
+    Then version <version> is in force and the next read starts at <start>
+    And the reported conditions are "<conditions>"
+
+    Examples:
+      | log                             | version | start | conditions          |
+      | goes on                         | 4       | 4     |                     |
+      | is empty                        | 3       | 0     | log_replaced        |
+      | has lower offsets               | 3       | 0     | log_replaced        |
+      | has other records               | 3       | 0     | log_replaced        |
+      | expired records                 | 3       | 7     | log_records_expired |
+      | expired records before snapshot | 5       | 5     | log_records_expired |
+      | holds a late snapshot only      | 3       | 7     | log_records_expired |
+      | needs unknown rules             | 3       | 2     | unknown_rules       |
+      | holds an undecodable record     | 4       | 5     | record_undecodable  |
+
+  Scenario Outline: snapshots of the newest state are written when <case>
+    Given a reader of rank <rank> that folded 3 publishes and writes after 2 records
+    When <seconds> seconds pass after "<case>"
+    Then <count> snapshots were written, through offset <through>
+
+    Examples:
+      | case                       | rank | seconds | count | through |
+      | two records                | 0    | 2       | 1     | 2       |
+      | two records                | 1    | 1       | 0     | 0       |
+      | two records                | 1    | 4       | 1     | 2       |
+      | a snapshot by another      | 1    | 9       | 0     | 0       |
+      | the log came back empty    | 0    | 2       | 1     | -1      |
+      | the log came back empty    | 1    | 4       | 1     | -1      |
+      | repeated lost appends      | 0    | 600     | 11    | 2       |
+
+  Scenario Outline: delays of read attempt <attempt> are drawn from zero to <limit> ms
+    Then 200 delays of attempt <attempt> are within <limit> ms and reach both halves
+
+    Examples:
+      | attempt | limit |
+      | 0       | 500   |
+      | 2       | 2000  |
+      | 9       | 10000 |
+      | 2000    | 10000 |
+
+  Scenario Outline: the log is read by the two lowest ranks of each region and by lone daemons
+    Given a member with <others> other members in its region, rank <rank>
+    When its peers have been silent for <silent> seconds
+    Then it reads the log: <reads>
+
+    Examples:
+      | others | rank | silent | reads |
+      | 4      | 0    | 0      | yes   |
+      | 4      | 1    | 0      | yes   |
+      | 4      | 2    | 0      | no    |
+      | 4      | 2    | 6      | yes   |
+      | 0      | 0    | 0      | yes   |
--- /dev/null
+++ b/features/steps/config_follow_steps.py
@@ -0,0 +1,480 @@
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.config.compile import digest_of
+from agatecross_core.config.fold import fold_entry
+from agatecross_core.config.model import (
+    BASE,
+    ConfigState,
+    Document,
+    OffsetRecord,
+    PublishRecord,
+    SnapshotRecord,
+)
+from agatecross_core.constants import LOG_RETRY_BASE, LOG_RETRY_CAP, NO_OFFSET
+from agatecross_core.distribution.follower import (
+    ConfigFollower,
+    PeerVersion,
+    PullAnswered,
+    PullFrom,
+    PutInForce,
+    ReadLog,
+    RecordsRead,
+    ReportCondition,
+    WriteSnapshot,
+)
+from agatecross_core.distribution.jitter import full_jitter
+from agatecross_core.distribution.readers import weight
+from agatecross_core.members.records import Member
+from agatecross_core.states import MemberState
+
+BASE_TEXT = """[mesh]
+name = "m"
+[regions.r]
+data_centres = ["a"]
+[services.s]
+timeout_ms = {}
+[routes.r]
+prefix = "/"
+service = "s"
+"""
+
+
+def base(timeout_ms):
+    return (Document(BASE, BASE_TEXT.format(timeout_ms)),)
+
+
+def member(name, region="r0", data_centre="a"):
+    where = (f"{name}:1", f"{name}:2", f"{name}:3", f"{name}:4")
+    return Member(name, 1, MemberState.ALIVE, region, data_centre, *where)
+
+
+class SimulatedLog:
+    """A log with the reference fold over each of its records, from the first one on."""
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.entries = []
+        self.first = 0
+        self.folded = []
+
+    def append(self, record):
+        offset = len(self.entries)
+        entry = OffsetRecord(offset, record, f"{self.epoch}:{offset}")
+        self.entries.append(entry)
+        self.folded.append(fold_entry(self.current, entry, decode_toml).state)
+
+    @property
+    def current(self):
+        return self.folded[-1] if self.folded else ConfigState()
+
+    def page(self, start, limit=512):
+        begin = max(start, self.first)
+        records = tuple(self.entries[begin:][:limit])
+        return RecordsRead(records, self.first, len(self.entries))
+
+
+class Instance:
+    """A follower with its actions that wait for an answer."""
+
+    def __init__(self, me, members, seed, snapshot_after):
+        self.me = me
+        self.follower = ConfigFollower(me, decode_toml, random.Random(seed), snapshot_after)
+        self.follower.view_changed(members)
+        self.read = self.pull = None
+        self.notices = []
+        self.snapshots = []
+        self.versions = [(0, "")]
+        self.conditions = []
+        self.must_fail = False
+
+    def act(self, actions):
+        for action in actions:
+            match action:
+                case ReadLog():
+                    assert self.read is None, "two reads in flight"
+                    self.read = action
+                case PullFrom():
+                    self.pull = action
+                case WriteSnapshot(record):
+                    self.snapshots.append(record)
+                case PutInForce(snapshot):
+                    self.versions.append((snapshot.version, snapshot.digest))
+                case ReportCondition(condition, _):
+                    self.conditions.append(condition.value)
+
+
+def machine_class(faults):
+    class FollowMachine(RuleBasedStateMachine):
+        def __init__(self):
+            super().__init__()
+            self.now = 0.0
+            self.logs = [SimulatedLog(0)]
+            self.count = 0
+            self.members = tuple(member(f"d{i}", f"r{i % 2}", f"dc{i % 3}") for i in range(6))
+            self.instances = [Instance(m, self.members, i, 4) for i, m in enumerate(self.members)]
+
+        @property
+        def log(self):
+            return self.logs[-1]
+
+        def instance(self, number):
+            return self.instances[number]
+
+        @rule(kind=st.sampled_from(["valid"] * 4 + ["stale", "invalid", "again", "undecodable"]))
+        def publish(self, kind):
+            self.count += 1
+            state = self.log.current
+            record = PublishRecord(f"p{self.count}", state.version, 1, base(self.count))
+            if kind == "stale":
+                record = replace(record, parent=state.version - 1)
+            elif kind == "invalid":
+                record = replace(record, documents=base(0))
+            elif kind == "again" and state.seen:
+                record = replace(record, publish_id=state.seen[-1])
+            self.log.append(None if kind == "undecodable" else record)
+
+        @rule(number=st.integers(0, 5), limit=st.integers(1, 6))
+        def serve_read(self, number, limit):
+            one = self.instance(number)
+            if one.read is None:
+                return
+            read, one.read = one.read, None
+            if one.must_fail:
+                one.must_fail = False
+                one.follower.read_failed(self.now)
+                return
+            one.act(one.follower.records_read(self.log.page(read.start, limit), self.now))
+
+        @rule(number=st.integers(0, 5))
+        def fail_read(self, number):
+            one = self.instance(number)
+            if one.read is not None:
+                one.read = None
+                one.follower.read_failed(self.now)
+
+        @rule(number=st.integers(0, 5), answered=st.booleans())
+        def end_pull(self, number, answered):
+            one = self.instance(number)
+            if one.pull is None:
+                return
+            pull, one.pull = one.pull, None
+            reply = None
+            if answered:
+                peer = next(i for i in self.instances if i.me.daemon_id == pull.peer.daemon_id)
+                reply = peer.follower.answer(pull.request)
+            one.act(one.follower.pull_answered(PullAnswered(pull.pull_id, reply), self.now))
+
+        @rule(sender=st.integers(0, 5), receiver=st.integers(0, 5))
+        def gossip(self, sender, receiver):
+            if sender == receiver:
+                return
+            peer, one = self.instance(sender), self.instance(receiver)
+            state = peer.follower.state
+            heard = PeerVersion(peer.me, state.version, state.digest)
+            one.act(one.follower.peer_version(heard, self.now))
+
+        @rule(seconds=st.floats(0.1, 40))
+        def pass_time(self, seconds):
+            self.now += seconds * 1000
+            for one in self.instances:
+                one.act(one.follower.tick(self.now))
+
+        @rule(number=st.integers(0, 5), lost=st.booleans())
+        def append_snapshots(self, number, lost):
+            one = self.instance(number)
+            for record in () if lost else one.snapshots:
+                self.log.append(record)
+            one.snapshots.clear()
+
+        @rule(number=st.integers(0, 5))
+        def restart(self, number):
+            me = self.members[number]
+            self.count += 1
+            self.instances[number] = Instance(me, self.members, self.count, 4)
+
+        if "retention" in faults:
+
+            @rule(count=st.integers(1, 6))
+            def expire(self, count):
+                self.log.first = min(self.log.first + count, len(self.log.entries))
+
+        if "replacement" in faults:
+
+            @rule(records=st.integers(0, 3))
+            def replace_log(self, records):
+                self.logs.append(SimulatedLog(len(self.logs)))
+                for _ in range(records):
+                    self.publish("valid")
+                for one in self.instances:
+                    # A log is replaced during an outage, in which reads and appends fail.
+                    one.must_fail = True
+                    one.snapshots.clear()
+
+        @invariant()
+        def versions_never_go_back(self):
+            for one in self.instances:
+                numbers = [version for version, _ in one.versions]
+                assert numbers == sorted(set(numbers)), numbers
+                state = one.follower.state
+                assert (state.version, state.digest) == one.versions[-1]
+
+        @invariant()
+        def readers_fold_alike(self):
+            for one in self.instances:
+                state = one.follower.log.state
+                if state.through == NO_OFFSET:
+                    assert state == ConfigState()
+                    continue
+                epoch = int(state.mark.split(":")[0])
+                assert state == self.logs[epoch].folded[state.through], one.me.daemon_id
+
+        @invariant()
+        def one_digest_for_each_version(self):
+            if len(self.logs) > 1:
+                return
+            pairs = {pair for one in self.instances for pair in one.versions}
+            assert len(pairs) == len({version for version, _ in pairs}), pairs
+
+        def teardown(self):
+            self.settle()
+            if all(i.follower.log.lost for i in self.instances if i.follower.reading):
+                return
+            self.publish("valid")
+            self.settle()
+            wanted = (self.log.current.version, self.log.current.digest)
+            states = {i.me.daemon_id: i.versions[-1] for i in self.instances}
+            assert set(states.values()) == {wanted}, (wanted, states)
+
+        def settle(self):
+            for _ in range(40):
+                self.pass_time(1.0)
+                for number in range(6):
+                    self.serve_read(number, 512)
+                    self.end_pull(number, True)
+                    self.append_snapshots(number, False)
+                    for other in range(6):
+                        self.gossip(other, number)
+
+    return FollowMachine
+
+
+@given('6 followers in 2 regions on a simulated log with "{faults}"')
+def set_faults(context, faults):
+    context.machine = machine_class(faults.split(", "))
+
+
+@then("in {examples:d} random histories no version goes back and all readers fold alike")
+def run_machine(context, examples):
+    run_state_machine_as_test(
+        context.machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=40,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def follower_at(versions, members, me=None, snapshot_after=256):
+    """Return an instance that folded this many publishes, and its log."""
+    log = SimulatedLog(0)
+    for number in range(versions):
+        log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
+    one = Instance(me or members[0], members, 1, snapshot_after)
+    one.act(one.follower.tick(0.0))
+    one.read = None
+    one.act(one.follower.records_read(log.page(0), 0.0))
+    return one, log
+
+
+@given('a follower with version 2 and peers "near, far"')
+def start_puller(context):
+    me = member("me")
+    context.peers = {"near": member("near"), "far": member("far", "r1", "b")}
+    context.one, context.log = follower_at(2, (me, *context.peers.values()))
+    context.log.append(PublishRecord("p3", 2, 1, base(9)))
+    context.newest = context.log.current
+
+
+@when('peer "near" offers version {offered:d} and its pull ends as "{behaviour}"')
+def end_pull(context, offered, behaviour):
+    one, newest = context.one, context.newest
+    digest = newest.digest if offered == 3 else "other" * (behaviour == "other digest")
+    if offered == 3:
+        one.follower.offers.add(PeerVersion(context.peers["far"], offered, digest))
+    one.act(one.follower.peer_version(PeerVersion(context.peers["near"], offered, digest), 0.0))
+    if offered != 3:
+        assert one.pull is None
+        return
+    assert one.pull.peer.daemon_id == "near", "the nearest peer is asked first"
+    pull, one.pull = one.pull, None
+    source = SimpleNamespace(follower=ConfigFollower(one.me, decode_toml, random.Random(1)))
+    source.follower.state = newest
+    reply = source.follower.answer(pull.request)
+    broken = (Document(BASE, "[mesh]\n"),)
+    replies = {
+        "answers newer": reply,
+        "fails": None,
+        "answers older": replace(reply, version=1),
+        "broken document": replace(reply, changed=broken),
+        "unknown rules": replace(reply, rules=99),
+        "has findings": replace(reply, changed=broken, digest=digest_of(broken)),
+    }
+    if behaviour == "is silent":
+        one.act(one.follower.tick(7_000.0))
+        return
+    if behaviour == "has findings":
+        refused = PeerVersion(context.peers["far"], 3, digest_of(broken))
+        one.follower.offers.add(refused)
+    one.act(one.follower.pull_answered(PullAnswered(pull.pull_id, replies[behaviour]), 0.0))
+
+
+@then('the next pull goes to "{name}" and version {version:d} is in force')
+def check_next_pull(context, name, version):
+    pull = context.one.pull
+    assert (pull.peer.daemon_id if pull else "none") == name, pull
+    assert context.one.versions[-1][0] == version, context.one.versions
+    assert context.one.follower.state.version == version
+
+
+@then('the reported conditions are "{conditions}"')
+def check_conditions(context, conditions):
+    assert context.one.conditions == [conditions], context.one.conditions
+
+
+@then('the reported conditions are ""')
+def check_no_conditions(context):
+    assert context.one.conditions == [], context.one.conditions
+
+
+@given("a reader that folded 3 publishes")
+def start_reader(context):
+    context.one, context.log = follower_at(3, (member("me"),))
+
+
+@when("it reads a log that {case}")
+def read_log(context, case):
+    one, log = context.one, context.log
+    other = SimulatedLog(1)
+    for number in range(6 if case == "has other records" else 2):
+        other.append(PublishRecord(f"q{number}", number, 1, base(number + 100)))
+    if case == "has other records":
+        one.read = None
+        one.follower.read_failed(0.0)
+        one.follower.read_after = 0.0
+        one.act(one.follower.tick(0.0))
+        assert one.read.start == 2, "after a failure the last folded record is read again"
+    if case in ("is empty", "has lower offsets", "has other records"):
+        log = SimulatedLog(1) if case == "is empty" else other
+    elif case == "needs unknown rules":
+        log.append(PublishRecord("p3", 3, 99, base(9)))
+    elif case == "holds an undecodable record":
+        log.append(None)
+        log.append(PublishRecord("p3", 3, 1, base(9)))
+    else:
+        for number in range(3, 6 if "expired" in case or "late" in case else 4):
+            log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
+        if "expired" in case or "late" in case:
+            state = log.folded[3 if case.startswith("holds") else 4]
+            through = NO_OFFSET if case == "expired records" else state.through
+            log.append(
+                SnapshotRecord(
+                    state.version, state.digest, 1, through, state.documents, state.seen, state.mark
+                )
+            )
+            log.first = 5
+    start = one.read.start
+    one.read = None
+    one.act(one.follower.records_read(log.page(start), 0.0))
+
+
+@then("version {version:d} is in force and the next read starts at {start:d}")
+def check_position(context, version, start):
+    one = context.one
+    assert one.versions[-1][0] == version, one.versions
+    assert one.follower.log.start() == start, one.follower.log.start()
+
+
+def ranked_members(count, rank, region="r0"):
+    """Return members of one region, the one of this rank first."""
+    names = sorted((f"d{i}" for i in range(count)), key=weight)
+    mine = names.pop(rank)
+    return tuple(member(name, region) for name in (mine, *names))
+
+
+@given("a reader of rank {rank:d} that folded 3 publishes and writes after 2 records")
+def start_writer(context, rank):
+    members = ranked_members(3, rank)
+    context.one, context.log = follower_at(3, members, snapshot_after=2)
+
+
+@when('{seconds:d} seconds pass after "{case}"')
+def pass_seconds(context, seconds, case):
+    one, log = context.one, context.log
+    context.written = []
+    if case == "the log came back empty":
+        log = SimulatedLog(1)
+    for tenth in range(seconds * 10):
+        now = tenth * 100.0
+        if case == "a snapshot by another" and tenth == 10:
+            state = log.current
+            log.append(
+                SnapshotRecord(
+                    state.version, state.digest, 1, state.through, state.documents, state.seen
+                )
+            )
+        one.act(one.follower.peer_version(PeerVersion(one.follower.members[1], 0, ""), now))
+        one.act(one.follower.tick(now))
+        if one.read is not None:
+            read, one.read = one.read, None
+            one.act(one.follower.records_read(log.page(read.start), now))
+        context.written += one.snapshots
+        if case != "repeated lost appends":
+            for record in one.snapshots:
+                log.append(record)
+        one.snapshots.clear()
+
+
+@then("{count:d} snapshots were written, through offset {through:d}")
+def check_snapshots(context, count, through):
+    rows = context.written
+    assert len(rows) == count, len(rows)
+    assert all(record.through == through for record in rows), rows
+    assert all(record.version == 3 for record in rows), rows
+
+
+@then("200 delays of attempt {attempt:d} are within {limit:d} ms and reach both halves")
+def check_delays(context, attempt, limit):
+    rng = random.Random(7)
+    delays = [full_jitter(attempt, LOG_RETRY_BASE, LOG_RETRY_CAP, rng) for _ in range(200)]
+    assert all(0 <= delay <= limit for delay in delays)
+    assert min(delays) < limit / 2 < max(delays)
+
+
+@given("a member with {others:d} other members in its region, rank {rank:d}")
+def start_member(context, others, rank):
+    members = ranked_members(others + 1, rank)
+    context.one = Instance(members[0], members, 1, 256)
+
+
+@when("its peers have been silent for {seconds:d} seconds")
+def be_silent(context, seconds):
+    follower = context.one.follower
+    follower.heard_at = 0.0
+    context.one.act(follower.tick(seconds * 1000.0))
+
+
+@then("it reads the log: {reads}")
+def check_reads(context, reads):
+    assert (context.one.read is not None) == (reads == "yes")
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -41,3 +41,24 @@
     _, findings = compile_documents(context.documents, decode_toml, NO_VERSION)
     rows = [(f.code, f.place.line, f.place.key) for f in findings]
     assert rows == [(code, line, key)], rows
+
+
+@when('document "{name}" is "{text}" repeated {times:d} times')
+def repeat_document(context, name, text, times):
+    body = text.replace("~", "\n") * times + ("a = 1" if text == "a." else "")
+    context.documents = [
+        replace(document, text=body) if document.name == name else document
+        for document in context.documents
+    ]
+
+
+@when('document "{name}" is "" repeated 1 times')
+def empty_document(context, name):
+    repeat_document(context, name, "", 1)
+
+
+@then('the codes of the findings are "{codes}"')
+def check_codes(context, codes):
+    snapshot, findings = compile_documents(context.documents, decode_toml, NO_VERSION)
+    assert snapshot is None
+    assert sorted({f.code for f in findings}) == sorted(set(codes.split(","))), findings
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -1,6 +1,7 @@
 """Third filter: checks every merged site; sites and findings both pass on."""
 
 import difflib
+import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from ..findings import Finding, Place
@@ -73,15 +74,34 @@
         wanted = {dict: "a table", list: "a list", str: "a string", bool: "true or false"}
         yield Finding(place(path), "type", f"must be {wanted.get(key.kind, 'a number')}")
         return
-    if isinstance(value, list) and not all(isinstance(part, str) for part in value):
-        yield Finding(place(path), "type", "must be a list of strings")
+    if isinstance(value, list):
+        yield from _check_list(place, value, key, path)
+    if isinstance(value, str) and key.choices and value not in key.choices:
+        yield Finding(place(path), "choice", unknown_choice(value, key.choices))
     if isinstance(value, int | float) and not isinstance(value, bool):
+        if not math.isfinite(value):
+            yield Finding(place(path), "range", "must be a finite number")
         if key.low is not None and value < key.low:
             yield Finding(place(path), "range", f"must be at least {key.low:g}")
         if key.high is not None and value > key.high:
             yield Finding(place(path), "range", f"must be at most {key.high:g}")
 
 
+def _check_list(place: PlaceOf, values: list[object], key: Key, path: KeyPath) -> Iterator[Finding]:
+    for value in values:
+        if not isinstance(value, str):
+            yield Finding(place(path), "type", "must be a list of strings")
+        elif key.choices and value not in key.choices:
+            yield Finding(place(path), "choice", unknown_choice(value, key.choices))
+
+
+def unknown_choice(value: str, choices: Iterable[str]) -> str:
+    """Return the message for a value that is none of the choices, with the nearest one."""
+    near = difflib.get_close_matches(value, list(choices), n=1)
+    hint = f"; did you mean {near[0]!r}?" if near else ""
+    return f"{value!r} is none of {', '.join(choices)}{hint}"
+
+
 def has_kind(value: object, kind: type) -> bool:
     """Return whether a decoded value has the type of a key; an integer is a valid float."""
     if kind in (int, float) and isinstance(value, bool):
--- a/packages/agatecross-core/agatecross_core/config/merge.py
+++ b/packages/agatecross-core/agatecross_core/config/merge.py
@@ -10,6 +10,9 @@
 OVERLAY_TABLES = ("services", "routes")
 """Tables that an overlay may change; the list of regions is the same for every site."""
 
+MAX_TABLE_DEPTH = 4
+"""Deeper tables hold only unknown keys; following them could exhaust the stack."""
+
 
 def merge(
     items: Iterable[DecodedDocument | Finding],
@@ -30,19 +33,41 @@
         yield Finding(Place(BASE, 0, ""), "too-many-overlays", message)
         return
     yield from _check_overlay_names(base, documents)
-    for data_centre in data_centres(base.values):
-        yield _merge_site(DataCentreName(data_centre), base, documents.get(data_centre))
+    names = list(data_centres(base.values))
+    yield from _check_data_centres(base, names)
+    # Without a data centre there is no site, and the rest of the base would stay unchecked.
+    for name in dict.fromkeys(names or [""]):
+        yield _merge_site(DataCentreName(name), base, documents.get(name))
 
 
 def data_centres(values: Mapping[str, object]) -> Iterator[str]:
     """Yield the data centres that a base document lists under its regions."""
+    yield from (name for _, name in region_names(values))
+
+
+def region_names(values: Mapping[str, object]) -> Iterator[tuple[str, str]]:
+    """Yield each region with each of its data centres."""
     regions = values.get("regions")
     if not isinstance(regions, Mapping):
         return
-    for region in regions.values():
+    for region_name, region in regions.items():
         names = region.get("data_centres") if isinstance(region, Mapping) else None
         if isinstance(names, list):
-            yield from (name for name in names if isinstance(name, str))
+            yield from ((region_name, name) for name in names if isinstance(name, str))
+
+
+def _check_data_centres(base: DecodedDocument, names: list[str]) -> Iterator[Finding]:
+    if not names:
+        message = "no region lists a data centre"
+        yield Finding(base.place(("regions",)), "no-data-centre", message)
+        return
+    listed: set[str] = set()
+    for region, name in region_names(base.values):
+        if name in listed:
+            place = base.place(("regions", region, "data_centres"))
+            message = f"data centre {name!r} is listed more than once"
+            yield Finding(place, "same-data-centre", message)
+        listed.add(name)
 
 
 def _check_overlay_names(
@@ -80,7 +105,7 @@
 ) -> None:
     for key, value in changes.items():
         here = (*path, key)
-        if not isinstance(value, Mapping):
+        if not isinstance(value, Mapping) or len(here) > MAX_TABLE_DEPTH:
             target[key] = value
             places[here] = document.place(here)
             continue
--- a/packages/agatecross-core/agatecross_core/config/parse.py
+++ b/packages/agatecross-core/agatecross_core/config/parse.py
@@ -7,6 +7,9 @@
 from ..findings import Finding, Place
 from .model import DecodedDocument, Document, DocumentDecoder
 
+MAX_NESTING = 64
+"""The decoder recurses for each level; every reader must refuse the same documents."""
+
 
 def parse(
     documents: Iterable[Document], decoder: DocumentDecoder
@@ -17,7 +20,23 @@
             message = f"document is longer than {MAX_DOCUMENT_BYTES} bytes"
             yield Finding(Place(document.name, 0, ""), "too-long", message)
             continue
+        if _nesting(document.text) > MAX_NESTING:
+            message = f"values are nested deeper than {MAX_NESTING} levels"
+            yield Finding(Place(document.name, 0, ""), "too-deep", message)
+            continue
         try:
             yield decoder(document)
         except DocumentSyntaxError as error:
             yield Finding(Place(document.name, error.line, ""), "syntax", error.reason)
+
+
+def _nesting(text: str) -> int:
+    """Return the most brackets open at once; brackets inside strings and comments count too."""
+    deepest = depth = 0
+    for character in text:
+        if character in "[{":
+            depth += 1
+            deepest = max(deepest, depth)
+        elif character in "]}":
+            depth = max(0, depth - 1)
+    return deepest
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -6,14 +6,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it must be there, and the bounds of a number."""
+    """One key: the type of its value, whether it must be there, bounds, and allowed strings."""
 
     kind: type
     required: bool = False
     low: float | None = None
     high: float | None = None
+    choices: tuple[str, ...] = ()
 
 
+METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
+
 TOP_KEYS: Mapping[str, Key] = {
     "mesh": Key(dict, required=True),
     "regions": Key(dict, required=True),
@@ -29,7 +32,7 @@
     "hedge_quantile": Key(float, low=0.0, high=0.9999),
     "long_share": Key(float, low=0.0, high=1.0),
     "long_ms": Key(int, low=1, high=600_000),
-    "idempotent_methods": Key(list),
+    "idempotent_methods": Key(list, choices=METHODS),
 }
 ROUTE_KEYS: Mapping[str, Key] = {
     "prefix": Key(str, required=True),
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -49,7 +49,7 @@
 SNAPSHOT_RANK_DELAY: Final = Millis(2_000)
 SNAPSHOT_RETRY: Final = Millis(10_000)
 APPENDS_BURST: Final = 2
-APPEND_REFILL: Final = Millis(10_000)
+APPEND_REFILL: Final = Millis(60_000)
 
 # Membership.
 PROBE_PERIOD: Final = Millis(1_000)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -221,6 +221,8 @@
                 case RecordsExpired(through, first):
                     yield _report(Condition.RECORDS_EXPIRED, through=through, first=first)
                 case UnknownRules(offset, rules):
+                    # No read is in flight meanwhile that would fail if the log were replaced.
+                    self.log.read_failed()
                     self.read_after = Millis(now + BLOCKED_RETRY)
                     yield from self._report_once(
                         Condition.UNKNOWN_RULES, offset=offset, rules=rules
