Split the client into commands with text and JSON output

Cause: the client knew publish, check and status in one module, and could not show why a publish lost, what differs, or where a value comes from. Change: one module for each command; diff, log and explain added; history folds with the daemon's LogFold; a publish on a replaced log is refused; every data centre rule and value is checked even without sites; the conflict names the winner.

--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -16,7 +16,7 @@
       | prefix without slash   | base     | prefix = "/members"               | prefix = "members"        | prefix              | 37   | routes.member-accounts.prefix|
       | not a number           | base     | long_share = 0.25                 | long_share = nan          | range               | 15   | services.catalogue.long_share|
       | unknown method         | base     | long_ms = 250                     | idempotent_methods = ["GETS"] | choice          | 14   | services.catalogue.idempotent_methods |
-      | repeated data centre   | base     | "denizli-b"                       | "denizli-b", "bursa-a"    | same-data-centre    | 9    | regions.ege.data_centres                     |
+      | repeated data centre   | base     | "denizli-b"                       | "denizli-b", "bursa-a"    | same-data-centre    | 10   | regions.ege.data_centres                     |
       | list for a number      | bursa-a  | timeout_ms = 4000                 | timeout_ms = [4000]       | type                | 4    | services.materials-ordering.timeout_ms |
 
   Scenario Outline: a configuration with <fault> has the findings "<codes>"
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/command.py
@@ -0,0 +1,49 @@
+"""What a command gets and gives."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+from agatecross_adapters.protocols import HttpClient, LogService
+from agatecross_core.errors import AgatecrossError
+from agatecross_core.ids import Address
+
+from .exit_codes import ExitCode
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """Outside systems and flags of one run; `timeout` in seconds."""
+
+    log: LogService
+    http: HttpClient
+    daemon: Address
+    timeout: float
+    author: str
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Exit code, the lines for a reader, and the same content for a program."""
+
+    code: ExitCode
+    lines: tuple[str, ...]
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A command with its usage line and its least and most positional arguments."""
+
+    usage: str
+    least: int
+    most: int
+    run: Callable[[Context, Sequence[str]], Awaitable[Result]]
+
+
+class CommandError(AgatecrossError):
+    """A command cannot go on; the exit code tells what is known."""
+
+    def __init__(self, code: ExitCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -0,0 +1,107 @@
+"""The command `publish`: appends a publish once and waits until it is in force."""
+
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+
+from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.config.compile import compile_documents
+from agatecross_core.config.model import ConfigState, Document, PublishRecord
+from agatecross_core.constants import RULE_SET
+from agatecross_core.ids import PublishId, Version
+from agatecross_core.states import Verdict
+
+from ..append import append_once
+from ..command import Command, CommandError, Context, Result
+from ..documents import read_documents
+from ..exit_codes import ExitCode
+from ..findings_output import findings_result
+from ..fleet import ask_version
+from ..history import Folded, History, read_history
+from ..in_force import wait_in_force
+
+STATE_READS = 3
+
+
+async def run(context: Context, arguments: Sequence[str]) -> Result:
+    """Publish a folder and wait until its version is in force everywhere."""
+    documents = tuple(read_documents(Path(arguments[0])))
+    state = await read_parent(context)
+    _, findings = compile_documents(documents, decode_toml, Version(state.version + 1))
+    if findings:
+        return findings_result(findings)
+    record = new_record(state, documents, context.author)
+    if not record.documents and not record.removed:
+        line = f"version {state.version} already holds these documents"
+        return Result(ExitCode.SUCCESS, (line,), {"version": state.version, "changed": False})
+    history, folded = await append_once(context, record)
+    match folded.verdict:
+        case Verdict.ACCEPTED:
+            version, digest = folded.state.version, folded.state.digest
+            return await wait_in_force(context, version, digest, record.publish_id)
+        case Verdict.CONFLICT:
+            return conflict(history, record, folded)
+        case _:
+            return findings_result(folded.findings)
+
+
+async def read_parent(context: Context) -> ConfigState:
+    """Return the newest state on the log; raises when a daemon has a newer one in force."""
+    ahead = None
+    for _ in range(STATE_READS):
+        state = (await read_history(context.log)).state
+        ahead = await ask_version(context.http, context.daemon)
+        if ahead is None or ahead <= state.version:
+            return state
+    # Publishing now would be accepted by the log but never be put in force.
+    message = (
+        f"the log holds version {state.version}, but version {ahead} is in force: the log was "
+        "replaced; the daemons write a snapshot, try again in a few seconds"
+    )
+    raise CommandError(ExitCode.LOG_UNREACHABLE, message)
+
+
+def new_record(
+    state: ConfigState, documents: tuple[Document, ...], author: str = ""
+) -> PublishRecord:
+    """Return the record that turns the current documents into these."""
+    before = {document.name: document.text for document in state.documents}
+    names = {document.name for document in documents}
+    return PublishRecord(
+        PublishId(uuid.uuid4().hex),
+        state.version,
+        RULE_SET,
+        tuple(d for d in documents if before.get(d.name) != d.text),
+        tuple(name for name in before if name not in names),
+        author,
+    )
+
+
+def conflict(history: History, record: PublishRecord, folded: Folded) -> Result:
+    """Return the result of a publish whose parent was no longer the newest version."""
+    winner = find_winner(history, Version(record.parent + 1))
+    author, winner_id = (winner.author, winner.publish_id) if winner else ("", "")
+    version = folded.state.version
+    line = (
+        f"conflict: version {record.parent + 1} by {author or 'unknown'} was accepted first; "
+        f"the newest version was {version}; nothing of this publish was applied"
+    )
+    body = {
+        "publish_id": record.publish_id,
+        "parent": record.parent,
+        "version": version,
+        "winner": {"version": record.parent + 1, "author": author, "publish_id": winner_id},
+    }
+    return Result(ExitCode.CONFLICT, (line,), body)
+
+
+def find_winner(history: History, version: Version) -> PublishRecord | None:
+    """Return the publish that became a version, if the log still holds it."""
+    for row in history.rows:
+        accepted = row.verdict is Verdict.ACCEPTED and row.state.version == version
+        if accepted and isinstance(row.record, PublishRecord):
+            return row.record
+    return None
+
+
+COMMAND = Command("publish FOLDER", 1, 1, run)
--- a/packages/agatecross-cli/agatecross_cli/documents.py
+++ b/packages/agatecross-cli/agatecross_cli/documents.py
@@ -6,9 +6,24 @@
 from agatecross_core.config.model import BASE, Document
 from agatecross_core.ids import DocumentName
 
+from .command import CommandError
+from .exit_codes import ExitCode
+
 
 def read_documents(folder: Path) -> Iterator[Document]:
-    """Yield the base and the overlays in the order of their names; raises `OSError`."""
-    yield Document(BASE, (folder / "base.toml").read_text(encoding="utf-8"))
+    """Yield the base and the overlays in the order of their names; raises `CommandError`."""
+    yield Document(BASE, _read(folder / "base.toml"))
     for path in sorted((folder / "overlays").glob("*.toml")):
-        yield Document(DocumentName(path.stem), path.read_text(encoding="utf-8"))
+        if path.stem == BASE:
+            raise CommandError(ExitCode.FINDINGS, f"{path}:0: an overlay cannot be named {BASE!r}")
+        yield Document(DocumentName(path.stem), _read(path))
+
+
+def _read(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        line = path.read_bytes()[: error.start].count(b"\n") + 1
+        raise CommandError(ExitCode.FINDINGS, f"{path}:{line}: not UTF-8") from error
+    except OSError as error:
+        raise CommandError(ExitCode.USAGE, f"{path}: {error.strerror}") from error
--- a/packages/agatecross-cli/agatecross_cli/fleet.py
+++ b/packages/agatecross-cli/agatecross_cli/fleet.py
@@ -41,7 +41,20 @@
     """Return the members that a daemon knows; raises `ExchangeError`."""
     request = Request("GET", "/agatecross/v1/members", (), b"")
     response = await http.send(daemon, request, ASK_TIMEOUT)
-    return msgspec.json.decode(response.body, type=tuple[Member, ...])
+    try:
+        return msgspec.json.decode(response.body, type=tuple[Member, ...])
+    except msgspec.MsgspecError as error:
+        raise ExchangeError(daemon, f"unreadable list of members: {error}") from error
+
+
+async def ask_version(http: HttpClient, daemon: Address) -> Version | None:
+    """Return the version in force on one daemon, None when it does not answer."""
+    request = Request("GET", "/agatecross/v1/status", (), b"")
+    try:
+        response = await http.send(daemon, request, ASK_TIMEOUT)
+        return msgspec.json.decode(response.body, type=StatusBody).version
+    except (ExchangeError, msgspec.MsgspecError):
+        return None
 
 
 async def ask_all(http: HttpClient, members: Iterable[Member]) -> list[DaemonStatus]:
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -1,73 +1,96 @@
 """Entry point of `agatecross`."""
 
 import asyncio
+import os
 import sys
-from collections.abc import Sequence
-from pathlib import Path
+from collections.abc import Mapping, Sequence
 
 from absl import app, flags
 
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.log_http import HttpLogService
-from agatecross_adapters.toml_documents import decode_toml
-from agatecross_core.config.compile import compile_documents
-from agatecross_core.constants import NO_VERSION
-from agatecross_core.errors import ExchangeError, LogError
+from agatecross_core.errors import LogError
 from agatecross_core.ids import Address
 
-from .documents import read_documents
+from .command import Command, CommandError, Context, Result
+from .commands import check, diff, explain, log, publish, status
 from .exit_codes import ExitCode
-from .fleet import ask_all, list_members
-from .publish import publish
+from .output import FORMATTERS
+
+COMMANDS: Mapping[str, Command] = {
+    "publish": publish.COMMAND,
+    "check": check.COMMAND,
+    "diff": diff.COMMAND,
+    "status": status.COMMAND,
+    "log": log.COMMAND,
+    "explain": explain.COMMAND,
+}
 
 LOG = flags.DEFINE_string("log", "127.0.0.1:9000", "Address of the log service.")
 DAEMON = flags.DEFINE_string("daemon", "127.0.0.1:7004", "Admin address of any daemon.")
 TIMEOUT = flags.DEFINE_float("timeout", 30.0, "Seconds that publish waits for all daemons.")
+AUTHOR = flags.DEFINE_string("author", os.environ.get("USER", ""), "Author of a publish.")
+HOST = flags.DEFINE_string("host", "", "Host of the path that explain looks up.")
+FORMAT = flags.DEFINE_enum("format", "text", list(FORMATTERS), "Format of the output.")
+
+
+def parse_flags(argv: Sequence[str]) -> list[str]:
+    """Return the arguments without flags; exits with the code of a usage error."""
+    try:
+        return list(flags.FLAGS(argv))
+    except flags.Error as error:
+        print(f"agatecross: {error}\n{usage()}", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+
+
+def usage() -> str:
+    """Return the usage of every command."""
+    rows = [f"  agatecross {command.usage}" for command in COMMANDS.values()]
+    flag_names = "flags: --log --daemon --timeout --author --host --format (--help explains)"
+    return "\n".join(["usage:", *rows, flag_names])
 
 
 def main(argv: Sequence[str]) -> None:
     """Run one command and exit with its code."""
-    sys.exit(asyncio.run(run_command(argv[1:])))
+    command = COMMANDS.get(argv[1]) if len(argv) > 1 else None
+    if command is None:
+        what = f"unknown command {argv[1]!r}" if len(argv) > 1 else "no command"
+        print(f"agatecross: {what}\n{usage()}", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+    if not command.least <= len(argv) - 2 <= command.most:
+        print(f"usage: agatecross {command.usage}", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+    result = asyncio.run(run_command(command, argv[2:]))
+    print(FORMATTERS[FORMAT.value](result))
+    sys.exit(result.code)
 
 
-async def run_command(arguments: Sequence[str]) -> ExitCode:
-    """Dispatch a command."""
+async def run_command(command: Command, arguments: Sequence[str]) -> Result:
+    """Run a command; failures that it does not handle become results."""
     http = TornadoHttpClient()
-    log = HttpLogService(Address(LOG.value), http)
+    context = Context(
+        HttpLogService(Address(LOG.value), http),
+        http,
+        Address(DAEMON.value),
+        TIMEOUT.value,
+        AUTHOR.value,
+        HOST.value,
+    )
     try:
-        match list(arguments):
-            case ["publish", folder]:
-                return await publish(Path(folder), log, http, Address(DAEMON.value), TIMEOUT.value)
-            case ["check", folder]:
-                return check(Path(folder))
-            case ["status"]:
-                return await status(http)
+        return await command.run(context, arguments)
     except LogError as error:
-        print(error, file=sys.stderr)
-        return ExitCode.LOG_UNREACHABLE
-    except (ExchangeError, OSError) as error:
-        print(error, file=sys.stderr)
-        return ExitCode.USAGE
-    print("usage: agatecross publish FOLDER | check FOLDER | status", file=sys.stderr)
-    return ExitCode.USAGE
-
-
-def check(folder: Path) -> ExitCode:
-    """Print every finding of a configuration folder."""
-    _, findings = compile_documents(tuple(read_documents(folder)), decode_toml, NO_VERSION)
-    for finding in findings:
-        print(finding)
-    return ExitCode.FINDINGS if findings else ExitCode.SUCCESS
+        message = f"log service {LOG.value} unreachable: {error}"
+        return failure(ExitCode.LOG_UNREACHABLE, message)
+    except CommandError as error:
+        return failure(error.code, str(error))
 
 
-async def status(http: TornadoHttpClient) -> ExitCode:
-    """Print the version in force on each daemon."""
-    members = await list_members(http, Address(DAEMON.value))
-    for row in sorted(await ask_all(http, members), key=lambda r: r.daemon_id):
-        print(f"{row.daemon_id} {row.data_centre} {row.state} {row.version} {row.digest}")
-    return ExitCode.SUCCESS
+def failure(code: ExitCode, message: str) -> Result:
+    """Report a failure on standard error and return its result."""
+    print(f"agatecross: {message}", file=sys.stderr)
+    return Result(code, (), {"error": message})
 
 
 def run() -> None:
     """Run the binary."""
-    app.run(main)
+    app.run(main, flags_parser=parse_flags)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/config/explain.py
@@ -0,0 +1,46 @@
+"""Tells where the values that apply to one route come from."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, fields
+
+from ..findings import Finding, Place
+from ..ids import DataCentreName
+from .merge import merge
+from .model import Document, DocumentDecoder, MergedSite, Route, ServicePolicy
+from .parse import parse
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainedValue:
+    """A value in force; `place` is None when it is the default."""
+
+    key: str
+    value: object
+    place: Place | None
+
+
+def merged_site(
+    documents: Iterable[Document], decoder: DocumentDecoder, data_centre: DataCentreName
+) -> MergedSite | None:
+    """Return the merged documents of one data centre, if the base lists it."""
+    for item in merge(parse(documents, decoder)):
+        if not isinstance(item, Finding) and item.data_centre == data_centre:
+            return item
+    return None
+
+
+def explain_route(
+    site: MergedSite, route: Route, policy: ServicePolicy
+) -> Iterator[ExplainedValue]:
+    """Yield the values of a route and of its service with their places."""
+    for key in ("prefix", "host", "service"):
+        yield _explain(site, "routes", route.name, key, getattr(route, key))
+    for field in fields(policy):
+        if field.name != "name":
+            value = getattr(policy, field.name)
+            yield _explain(site, "services", policy.name, field.name, value)
+
+
+def _explain(site: MergedSite, table: str, name: str, key: str, value: object) -> ExplainedValue:
+    path = (table, name, key)
+    return ExplainedValue(".".join(path), value, site.places.get(path))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -1,14 +1,14 @@
 """Owns the configuration of this daemon: follows the log and the peers."""
 
 import asyncio
-import hashlib
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from agatecross_adapters.codec import decode_record, encode_record
-from agatecross_adapters.protocols import LogPage, LogService
-from agatecross_core.config.model import OffsetRecord, PublishRecord, SnapshotRecord
+from agatecross_adapters.codec import encode_record
+from agatecross_adapters.config_records import decode_page
+from agatecross_adapters.protocols import LogService
+from agatecross_core.config.model import SnapshotRecord
 from agatecross_core.constants import (
     CONFIG_STREAM,
     LOG_PAGE_RECORDS,
@@ -30,8 +30,8 @@
 from agatecross_core.distribution.log_fold import RecordsRead
 from agatecross_core.distribution.offers import PeerVersion
 from agatecross_core.distribution.sync import NoticeAck, PullReply, PullRequest, VersionNotice
-from agatecross_core.errors import LogError, MessageDecodeError
-from agatecross_core.ids import Digest, Millis
+from agatecross_core.errors import LogError
+from agatecross_core.ids import Millis
 from agatecross_core.members.records import Member
 
 from ..events import log_event, log_warning
@@ -141,9 +141,7 @@
             log_warning("log_read_failed", reason=error)
             self.mailbox.put(ReadFailed())
             return
-        wall_ms = time.time() * 1000
-        records = tuple(_decode_page(page, wall_ms))
-        self.mailbox.put(RecordsRead(records, page.first, page.end))
+        self.mailbox.put(decode_page(page, time.time() * 1000))
 
     async def _pull(self, action: PullFrom) -> None:
         peer = action.peer.control_address
@@ -180,15 +178,3 @@
     )
     for finding in report.findings:
         log_warning("publish_finding", publish_id=report.publish_id, finding=finding)
-
-
-def _decode_page(page: LogPage, wall_ms: float) -> Iterator[OffsetRecord]:
-    for entry in page.entries:
-        mark = Digest(hashlib.blake2b(entry.data, digest_size=16).hexdigest())
-        try:
-            record = decode_record(entry.data, PublishRecord | SnapshotRecord)  # type: ignore[arg-type]
-        except MessageDecodeError:
-            yield OffsetRecord(entry.offset, None, mark)
-            continue
-        written = record.at_ms if isinstance(record, SnapshotRecord) else wall_ms
-        yield OffsetRecord(entry.offset, record, mark, Millis(max(0.0, wall_ms - written)))
