Test the follower with tables and random histories; restart a lost fold

Cause: hypothesis showed readers that stayed without a position for ever after a replaced log lost its first records; a base without data centres passed every check.

--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -41,7 +41,8 @@
       | is empty                        | 3       | 0     | log_replaced        |
       | has lower offsets               | 3       | 0     | log_replaced        |
       | has other records               | 3       | 0     | log_replaced        |
-      | expired records                 | 3       | 7     | log_records_expired |
+      | expired records                 | 3       | 6     | log_records_expired |
+      | expired records before restart  | 5       | 7     | log_records_expired |
       | expired records before snapshot | 5       | 5     | log_records_expired |
       | holds a late snapshot only      | 3       | 7     | log_records_expired |
       | needs unknown rules             | 3       | 2     | unknown_rules       |
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
@@ -153,6 +153,12 @@
                 return
             one.act(one.follower.records_read(self.log.page(read.start, limit), self.now))
 
+        @rule(order=st.permutations(range(6)), limit=st.integers(1, 6))
+        def serve_reads(self, order, limit):
+            self.pass_time(1.0)
+            for number in order[:3]:
+                self.serve_read(number, limit)
+
         @rule(number=st.integers(0, 5))
         def fail_read(self, number):
             one = self.instance(number)
@@ -172,6 +178,11 @@
                 reply = peer.follower.answer(pull.request)
             one.act(one.follower.pull_answered(PullAnswered(pull.pull_id, reply), self.now))
 
+        @rule(sender=st.integers(0, 5), receiver=st.integers(0, 5))
+        def pull_from(self, sender, receiver):
+            self.gossip(sender, receiver)
+            self.end_pull(receiver, True)
+
         @rule(sender=st.integers(0, 5), receiver=st.integers(0, 5))
         def gossip(self, sender, receiver):
             if sender == receiver:
@@ -202,9 +213,9 @@
 
         if "retention" in faults:
 
-            @rule(count=st.integers(1, 6))
-            def expire(self, count):
-                self.log.first = min(self.log.first + count, len(self.log.entries))
+            @rule(keep=st.integers(0, 12))
+            def expire(self, keep):
+                self.log.first = max(self.log.first, len(self.log.entries) - keep)
 
         if "replacement" in faults:
 
@@ -245,16 +256,20 @@
 
         def teardown(self):
             self.settle()
-            if all(i.follower.log.lost for i in self.instances if i.follower.reading):
-                return
             self.publish("valid")
             self.settle()
-            wanted = (self.log.current.version, self.log.current.digest)
             states = {i.me.daemon_id: i.versions[-1] for i in self.instances}
-            assert set(states.values()) == {wanted}, (wanted, states)
+            assert self.agreed(), (self.log.current.version, states)
+
+        def agreed(self):
+            wanted = (self.log.current.version, self.log.current.digest)
+            lost = any(i.follower.log.lost for i in self.instances)
+            return {i.versions[-1] for i in self.instances} == {wanted} and not lost
 
         def settle(self):
-            for _ in range(40):
+            for _ in range(90):
+                if self.agreed():
+                    return
                 self.pass_time(1.0)
                 for number in range(6):
                     self.serve_read(number, 512)
@@ -262,6 +277,9 @@
                     self.append_snapshots(number, False)
                     for other in range(6):
                         self.gossip(other, number)
+                self.versions_never_go_back()
+                self.readers_fold_alike()
+                self.one_digest_for_each_version()
 
     return FollowMachine
 
@@ -277,10 +295,11 @@
         context.machine,
         settings=settings(
             max_examples=examples,
-            stateful_step_count=40,
+            stateful_step_count=50,
             derandomize=True,
             deadline=None,
             database=None,
+            phases=[Phase.generate],
             suppress_health_check=list(HealthCheck),
         ),
     )
@@ -387,12 +406,10 @@
             log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
         if "expired" in case or "late" in case:
             state = log.folded[3 if case.startswith("holds") else 4]
-            through = NO_OFFSET if case == "expired records" else state.through
-            log.append(
-                SnapshotRecord(
-                    state.version, state.digest, 1, through, state.documents, state.seen, state.mark
-                )
-            )
+            through = NO_OFFSET if "restart" in case else state.through
+            kept = (state.documents, state.seen, state.mark)
+            if case != "expired records":
+                log.append(SnapshotRecord(state.version, state.digest, 1, through, *kept))
             log.first = 5
     start = one.read.start
     one.read = None
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -9,6 +9,7 @@
 
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.log_http import HttpLogService
+from agatecross_core.config.forms import check_address
 from agatecross_core.errors import LogError
 from agatecross_core.ids import Address
 
@@ -60,6 +61,10 @@
     if not command.least <= len(argv) - 2 <= command.most:
         print(f"usage: agatecross {command.usage}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
+    wrong = [check_address(flag.value) for flag in (LOG, DAEMON)]
+    if any(wrong):
+        print(f"agatecross: {'; '.join(filter(None, wrong))}", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
     result = asyncio.run(run_command(command, argv[2:]))
     print(FORMATTERS[FORMAT.value](result))
     sys.exit(result.code)
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -78,6 +78,10 @@
         yield from _check_list(place, value, key, path)
     if isinstance(value, str) and key.choices and value not in key.choices:
         yield Finding(place(path), "choice", unknown_choice(value, key.choices))
+    if isinstance(value, str) and key.form is not None:
+        message = key.form(value)
+        if message is not None:
+            yield Finding(place(path), "form", message)
     if isinstance(value, int | float) and not isinstance(value, bool):
         if not math.isfinite(value):
             yield Finding(place(path), "range", "must be a finite number")
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from ..constants import MAX_SEEN_PUBLISH_IDS, RULE_SET
-from ..ids import PublishId, Version
+from ..constants import MAX_SEEN_PUBLISH_IDS, NO_OFFSET, RULE_SET
+from ..ids import Version
 from ..states import Verdict
 from .compile import compile_documents, digest_of
 from .model import (
@@ -38,11 +38,16 @@
     return _fold_publish(state, record, decoder)
 
 
-def start_from(record: SnapshotRecord, decoder: DocumentDecoder) -> FoldStep:
+def start_from(entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
     """Return the state that a snapshot holds, for a reader that lacks the records before it."""
+    record = entry.record
+    if not isinstance(record, SnapshotRecord):
+        return FoldStep(ConfigState(), Verdict.DUPLICATE)
+    if record.through == NO_OFFSET:
+        return fold_entry(ConfigState(), entry, decoder)
     if record.rules > RULE_SET:
         return FoldStep(ConfigState(), Verdict.UNKNOWN_RULES)
-    step = _fold_snapshot(ConfigState(), record, decoder)
+    step = _take_snapshot(ConfigState(), record, decoder)
     return replace(step, state=replace(step.state, through=record.through, mark=record.mark))
 
 
@@ -58,7 +63,8 @@
 def _fold_publish(state: ConfigState, record: PublishRecord, decoder: DocumentDecoder) -> FoldStep:
     if record.publish_id in state.seen:
         return FoldStep(state, Verdict.DUPLICATE)
-    refused = replace(state, seen=_add_seen(state.seen, (record.publish_id,)))
+    seen = (*state.seen, record.publish_id)[-MAX_SEEN_PUBLISH_IDS:]
+    refused = replace(state, seen=seen)
     if record.parent != state.version:
         return FoldStep(refused, Verdict.CONFLICT)
     documents = merge_documents(state.documents, record)
@@ -78,26 +84,22 @@
 def _fold_snapshot(
     state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
 ) -> FoldStep:
-    if record.version <= state.version:
+    if record.through != NO_OFFSET:
         return FoldStep(state, Verdict.DUPLICATE)
+    # Readers that lack the records before a restart start from it, so that readers that have them
+    # must come to the same state, even when that is older than what they folded.
+    return _take_snapshot(state, record, decoder)
+
+
+def _take_snapshot(
+    state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
+) -> FoldStep:
+    if not record.version:
+        return FoldStep(ConfigState(seen=record.seen), Verdict.ACCEPTED)
     if digest_of(record.documents) != record.digest:
         return FoldStep(state, Verdict.REJECTED)
     snapshot, findings = compile_documents(record.documents, decoder, record.version)
     if snapshot is None:
         return FoldStep(state, Verdict.REJECTED, findings)
-    # A newer version than the folded one occurs only after the log was replaced. Ids that the new
-    # log already holds stay known, so that none of them is folded a second time.
-    taken = replace(
-        state,
-        version=record.version,
-        digest=record.digest,
-        documents=record.documents,
-        seen=_add_seen(record.seen, state.seen),
-        rules=record.rules,
-    )
+    taken = ConfigState(record.version, record.digest, record.documents, record.seen, record.rules)
     return FoldStep(taken, Verdict.ACCEPTED, (), snapshot)
-
-
-def _add_seen(old: tuple[PublishId, ...], new: tuple[PublishId, ...]) -> tuple[PublishId, ...]:
-    known = set(old)
-    return (*old, *(i for i in new if i not in known))[-MAX_SEEN_PUBLISH_IDS:]
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/config/forms.py
@@ -0,0 +1,35 @@
+"""Checks of the form of strings; each returns a message, or None when the string is valid."""
+
+import ipaddress
+from collections.abc import Callable
+
+Form = Callable[[str], str | None]
+
+MAX_PORT = 65_535
+
+
+def check_ip(text: str) -> str | None:
+    """Check an IP address without a port."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return f"{text!r} is not an IP address"
+    return None
+
+
+def check_address(text: str) -> str | None:
+    """Check an address written `ip:port`."""
+    host, _, port = text.rpartition(":")
+    if check_ip(host.removeprefix("[").removesuffix("]")) is not None:
+        return f"{text!r} is not an address of the form ip:port"
+    # `isdecimal` alone admits digits of other scripts, which no peer would understand.
+    if not (port.isascii() and port.isdecimal() and 1 <= int(port[:6]) <= MAX_PORT):
+        return f"{text!r} has no port from 1 to {MAX_PORT}"
+    return None
+
+
+def check_name(text: str) -> str | None:
+    """Check a name that must not be empty or contain white space."""
+    if not text or any(character.isspace() for character in text):
+        return f"{text!r} is empty or contains white space"
+    return None
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -136,7 +136,8 @@
     """The folded state through offset `through`, written before retention drops its records.
 
     `mark` is the digest of the record at `through`; `at_ms` is wall-clock milliseconds and only
-    tells when the next snapshot is due. After the log was replaced, `through` is `NO_OFFSET`.
+    tells when the next snapshot is due. With `through` `NO_OFFSET` it is a restart: written after
+    the log was replaced or lost its history, it sets the folded state whatever came before.
     """
 
     version: Version
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -3,16 +3,19 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from .forms import Form
+
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it must be there, bounds, and allowed strings."""
+    """One key: the type of its value, whether it must be there, bounds, strings."""
 
     kind: type
     required: bool = False
     low: float | None = None
     high: float | None = None
     choices: tuple[str, ...] = ()
+    form: Form | None = None
 
 
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -38,6 +38,8 @@
 # Longer than the time-out of the transport, so that it only ends pulls without any answer.
 PULL_DEADLINE: Final = Millis(6_000)
 POSITION_PULL_PERIOD: Final = Millis(2_000)
+# Ten pulls of a position, each from another peer, find a reader that still has one.
+POSITION_TIMEOUT: Final = Millis(20_000)
 
 # Snapshots.
 LOG_RETENTION: Final = Millis(24 * 3_600_000)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -25,6 +25,7 @@
     NOTICE_FANOUT,
     PEER_SILENCE,
     POSITION_PULL_PERIOD,
+    POSITION_TIMEOUT,
     PULL_DEADLINE,
     SNAPSHOT_AFTER_RECORDS,
 )
@@ -126,6 +127,9 @@
     PULL_REFUSED = "pull_refused"
 
 
+LOG_CONDITIONS = (Condition.LOG_REPLACED, Condition.RECORDS_EXPIRED)
+
+
 @dataclass(frozen=True, slots=True)
 class ReportCondition:
     """Action: report a condition with the values that describe it."""
@@ -180,6 +184,7 @@
         self.pull: Pull | None = None
         self.pulls = 0
         self.position_pull_at = Millis(0)
+        self.lost_at: Millis | None = None
         self.heard_at: Millis | None = None
         self.reported: set[tuple[object, ...]] = set()
 
@@ -217,9 +222,12 @@
                 case LogReplaced(through, end):
                     self.state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
                     self.schedule.log_replaced()
-                    yield _report(Condition.LOG_REPLACED, through=through, end=end)
+                    yield from self._report_once(Condition.LOG_REPLACED, through=through, end=end)
                 case RecordsExpired(through, first):
-                    yield _report(Condition.RECORDS_EXPIRED, through=through, first=first)
+                    self.lost_at = now if self.lost_at is None else self.lost_at
+                    yield from self._report_once(
+                        Condition.RECORDS_EXPIRED, through=through, first=first
+                    )
                 case UnknownRules(offset, rules):
                     # No read is in flight meanwhile that would fail if the log were replaced.
                     self.log.read_failed()
@@ -227,6 +235,9 @@
                     yield from self._report_once(
                         Condition.UNKNOWN_RULES, offset=offset, rules=rules
                     )
+        if self.log.caught_up:
+            self.lost_at = None
+            self.reported = {row for row in self.reported if row[0] not in LOG_CONDITIONS}
         yield from self._adopt_folded(compiled)
         if self.log.start() != before:
             yield from self._read(now)
@@ -309,7 +320,8 @@
         entry, step = event.entry, event.step
         record = entry.record
         if isinstance(record, SnapshotRecord):
-            after = entry.offset - record.through - 1
+            restart = record.through == NO_OFFSET
+            after = 0 if restart else entry.offset - record.through - 1
             self.schedule.snapshot_read(now, entry.age, after)
             return
         self.schedule.record_read()
@@ -361,14 +373,17 @@
         yield ReadLog(self.log.start(), LONE_POLL_WAIT if alone else LOG_POLL_WAIT)
 
     def _snapshot(self, now: Millis) -> Iterator[FollowerAction]:
-        if not self.log.caught_up or not self.state.version:
+        replaced = self.log.caught_up and self.state.version > self.log.state.version
+        # Readers that all lost their position would never fold again, so one restarts the fold.
+        lost = self.log.lost and self.log.searched and self._is_lost_long(now)
+        if not lost and not (self.log.caught_up and self.state.version):
             return
-        replaced = self.state.version > self.log.state.version
-        if not self.schedule.due(now, self._rank(), replaced) or not self.appends.take(now):
+        restart = replaced or lost
+        if not self.schedule.due(now, self._rank(), restart) or not self.appends.take(now):
             return
         self.schedule.started(now)
         state = self.log.state
-        if replaced:
+        if restart:
             state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
         yield WriteSnapshot(
             SnapshotRecord(
@@ -382,6 +397,9 @@
             )
         )
 
+    def _is_lost_long(self, now: Millis) -> bool:
+        return self.lost_at is not None and now - self.lost_at >= POSITION_TIMEOUT
+
     def _rank(self) -> int:
         if self.me.daemon_id in self.readers:
             return self.readers.index(self.me.daemon_id)
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -71,6 +71,7 @@
         self.search_from: Offset | None = None
         self.blocked = False
         self.caught_up = False
+        self.searched = False
 
     @property
     def lost(self) -> bool:
@@ -142,18 +143,25 @@
         self.caught_up = self.state.through + 1 >= page.end
 
     def _search(self, page: RecordsRead) -> Iterator[FoldEvent]:
+        self.searched = False
         for entry in page.records:
             self.search_from = Offset(entry.offset + 1)
-            record = entry.record
-            if not isinstance(record, SnapshotRecord) or not page.first - 1 <= record.through:
+            if not _is_start(entry, page.first):
                 continue
-            # A snapshot at or before its own `through` was made for a log that was replaced.
-            if record.through >= entry.offset:
-                continue
-            step = start_from(record, self.decoder)
+            step = start_from(entry, self.decoder)
             if step.verdict is not Verdict.ACCEPTED:
                 continue
             self.state = step.state
             self.search_from = None
             yield RecordFolded(entry, step)
             return
+        self.searched = self.start() >= page.end
+
+
+def _is_start(entry: OffsetRecord, first: Offset) -> bool:
+    record = entry.record
+    if not isinstance(record, SnapshotRecord):
+        return False
+    # A snapshot at or before its own `through` was made for a log that was replaced.
+    restart = record.through == NO_OFFSET
+    return restart or first - 1 <= record.through < entry.offset
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -6,10 +6,11 @@
 
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.check import check_table
+from agatecross_core.config.forms import check_address, check_ip, check_name
 from agatecross_core.config.model import DecodedDocument, Document
 from agatecross_core.config.schema import Key
 from agatecross_core.errors import DocumentSyntaxError, SettingsError
-from agatecross_core.findings import Finding
+from agatecross_core.findings import Finding, sort_findings
 from agatecross_core.ids import Address, DaemonId, DataCentreName, DocumentName, RegionName
 
 TOP_KEYS: Mapping[str, Key] = {
@@ -18,18 +19,22 @@
     "policy": Key(dict),
 }
 DAEMON_KEYS: Mapping[str, Key] = {
-    "id": Key(str, required=True),
-    "region": Key(str, required=True),
-    "data_centre": Key(str, required=True),
-    "host": Key(str, required=True),
+    "id": Key(str, required=True, form=check_name),
+    "region": Key(str, required=True, form=check_name),
+    "data_centre": Key(str, required=True, form=check_name),
+    "host": Key(str, required=True, form=check_ip),
     "call_port": Key(int, required=True, low=1, high=65535),
     "peer_port": Key(int, required=True, low=1, high=65535),
     "control_port": Key(int, required=True, low=1, high=65535),
     "admin_port": Key(int, required=True, low=1, high=65535),
     "seed": Key(int),
 }
-LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True)}
-POLICY_KEYS: Mapping[str, Key] = {"balancing": Key(str), "admission": Key(str)}
+LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True, form=check_address)}
+POLICY_KEYS: Mapping[str, Key] = {
+    "balancing": Key(str, choices=("adaptive", "round-robin", "two-random")),
+    "admission": Key(str, choices=("adaptive", "fixed", "none")),
+}
+PORT_KEYS = ("call_port", "peer_port", "control_port", "admin_port")
 
 
 TABLES: Mapping[str, Mapping[str, Key]] = {
@@ -58,12 +63,15 @@
 
 def load_settings(path: Path) -> Settings:
     """Read the settings; raises `SettingsError` with every finding."""
-    document = Document(DocumentName(str(path)), path.read_text(encoding="utf-8"))
+    try:
+        document = Document(DocumentName(str(path)), path.read_text(encoding="utf-8"))
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8") from error
     try:
         decoded = decode_toml(document)
     except DocumentSyntaxError as error:
         raise SettingsError(str(error)) from error
-    findings = list(_check(decoded))
+    findings = list(sort_findings(_check(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
     return _build(decoded.values["daemon"], decoded.values["log"], decoded.values.get("policy", {}))
@@ -75,6 +83,22 @@
         table = decoded.values.get(name)
         if isinstance(table, Mapping):
             yield from check_table(decoded.place, table, keys, (name,))
+    yield from _check_ports(decoded)
+
+
+def _check_ports(decoded: DecodedDocument) -> Iterator[Finding]:
+    daemon = decoded.values.get("daemon")
+    if not isinstance(daemon, Mapping):
+        return
+    taken: dict[object, str] = {}
+    for name in PORT_KEYS:
+        port = daemon.get(name)
+        if not isinstance(port, int):
+            continue
+        if port in taken:
+            message = f"{taken[port]!r} has the same port"
+            yield Finding(decoded.place(("daemon", name)), "same-port", message)
+        taken.setdefault(port, name)
 
 
 def _build(daemon: object, log: object, policy: object) -> Settings:
