--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -39,8 +39,8 @@
       | log                             | version | start | conditions          |
       | goes on                         | 4       | 4     |                     |
       | is empty                        | 3       | 0     | log_replaced        |
-      | has lower offsets               | 3       | 0     | log_replaced        |
-      | has other records               | 3       | 0     | log_replaced        |
+      | has lower offsets               | 3       | 2     | log_replaced        |
+      | has other records               | 3       | 4     | log_replaced        |
       | expired records                 | 3       | 6     | log_records_expired |
       | expired records before restart  | 5       | 7     | log_records_expired |
       | expired records before snapshot | 5       | 5     | log_records_expired |
@@ -48,6 +48,12 @@
       | needs unknown rules             | 3       | 2     | unknown_rules       |
       | holds an undecodable record     | 4       | 5     | record_undecodable  |
 
+  Scenario: a page that was asked for before a peer's position was taken is not folded
+    Given a reader that folded 3 publishes
+    When it takes version 4 and position 4 from a peer that reads a replaced log
+    And the page of the log before arrives with a publish on version 4
+    Then version 4 is in force and the next read starts at 4
+
   Scenario Outline: snapshots of the newest state are written when <case>
     Given a reader of rank <rank> that folded 3 publishes and writes after 2 records
     When <seconds> seconds pass after "<case>"
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -364,7 +364,10 @@
     pull = context.one.pull
     assert (pull.peer.daemon_id if pull else "none") == name, pull
     assert context.one.versions[-1][0] == version, context.one.versions
-    assert context.one.follower.state.version == version
+    follower = context.one.follower
+    assert follower.state.version == version
+    wanted = 2 if version == 3 else 1
+    assert follower.log.state.through == wanted, "the position comes with the state"
 
 
 @then('the reported conditions are "{conditions}"')
@@ -386,8 +389,10 @@
 def read_log(context, case):
     one, log = context.one, context.log
     other = SimulatedLog(1)
-    for number in range(6 if case == "has other records" else 2):
+    for number in range(2):
         other.append(PublishRecord(f"q{number}", number, 1, base(number + 100)))
+    for _ in range(2 if case == "has other records" else 0):
+        other.append(None)
     if case == "has other records":
         one.read = None
         one.follower.read_failed(0.0)
@@ -411,9 +416,14 @@
             if case != "expired records":
                 log.append(SnapshotRecord(state.version, state.digest, 1, through, *kept))
             log.first = 5
-    start = one.read.start
-    one.read = None
-    one.act(one.follower.records_read(log.page(start), 0.0))
+    for _ in range(2 if log.epoch else 1):
+        start, one.read = one.read.start, None
+        one.act(one.follower.records_read(log.page(start), 0.0))
+    if case in ("has lower offsets", "has other records"):
+        assert one.follower.log.state == log.current, "the new log is folded"
+    if case == "has other records":
+        assert one.conditions.pop() == "record_undecodable"
+        assert one.conditions.pop() == "record_undecodable"
 
 
 @then("version {version:d} is in force and the next read starts at {start:d}")
@@ -423,6 +433,30 @@
     assert one.follower.log.start() == start, one.follower.log.start()
 
 
+@when("it takes version 4 and position 4 from a peer that reads a replaced log")
+def take_position(context):
+    one, peer = context.one, member("peer")
+    replaced = SimulatedLog(1)
+    for number in range(4):
+        replaced.append(PublishRecord(f"q{number}", number, 1, base(number + 50)))
+    replaced.append(None)
+    source = ConfigFollower(peer, decode_toml, random.Random(1))
+    source.state = replaced.current
+    context.late_read = one.read
+    one.act(one.follower.peer_version(PeerVersion(peer, 4, source.state.digest), 0.0))
+    reply = source.answer(one.pull.request)
+    one.act(one.follower.pull_answered(PullAnswered(one.pull.pull_id, reply), 0.0))
+
+
+@when("the page of the log before arrives with a publish on version 4")
+def deliver_late_page(context):
+    log = context.log
+    for _ in range(2):
+        log.append(None)
+    log.append(PublishRecord("late", 4, 1, base(77)))
+    context.one.act(context.one.follower.records_read(log.page(context.late_read.start), 0.0))
+
+
 def ranked_members(count, rank, region="r0"):
     """Return members of one region, the one of this rank first."""
     names = sorted((f"d{i}" for i in range(count)), key=weight)
--- a/packages/agatecross-cli/agatecross_cli/command.py
+++ b/packages/agatecross-cli/agatecross_cli/command.py
@@ -18,8 +18,9 @@
     http: HttpClient
     daemon: Address
     timeout: float
-    author: str
-    host: str
+    author: str = ""
+    host: str = ""
+    parent: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -17,7 +17,7 @@
 from ..exit_codes import ExitCode
 from ..findings_output import findings_result
 from ..fleet import ask_version
-from ..history import Folded, History, read_history
+from ..history import History, read_history
 from ..in_force import wait_in_force
 
 STATE_READS = 3
@@ -26,7 +26,10 @@
 async def run(context: Context, arguments: Sequence[str]) -> Result:
     """Publish a folder and wait until its version is in force everywhere."""
     documents = tuple(read_documents(Path(arguments[0])))
-    state = await read_parent(context)
+    history = await read_parent(context)
+    state = history.state
+    if context.parent not in (None, state.version):
+        return conflict(history, "", Version(context.parent or 0))
     _, findings = compile_documents(documents, decode_toml, Version(state.version + 1))
     if findings:
         return findings_result(findings)
@@ -40,19 +43,20 @@
             version, digest = folded.state.version, folded.state.digest
             return await wait_in_force(context, version, digest, record.publish_id)
         case Verdict.CONFLICT:
-            return conflict(history, record, folded)
+            return conflict(history, record.publish_id, record.parent)
         case _:
             return findings_result(folded.findings)
 
 
-async def read_parent(context: Context) -> ConfigState:
-    """Return the newest state on the log; raises when a daemon has a newer one in force."""
+async def read_parent(context: Context) -> History:
+    """Return the history on the log; raises when a daemon has a newer one in force."""
     ahead = None
     for _ in range(STATE_READS):
-        state = (await read_history(context.log)).state
+        history = await read_history(context.log)
+        state = history.state
         ahead = await ask_version(context.http, context.daemon)
         if ahead is None or ahead <= state.version:
-            return state
+            return history
     # Publishing now would be accepted by the log but never be put in force.
     message = (
         f"the log holds version {state.version}, but version {ahead} is in force: the log was "
@@ -77,20 +81,21 @@
     )
 
 
-def conflict(history: History, record: PublishRecord, folded: Folded) -> Result:
-    """Return the result of a publish whose parent was no longer the newest version."""
-    winner = find_winner(history, Version(record.parent + 1))
+def conflict(history: History, publish_id: str, parent: Version) -> Result:
+    """Return the result of a publish whose parent is not the newest version."""
+    next_version = Version(parent + 1)
+    winner = find_winner(history, next_version)
     author, winner_id = (winner.author, winner.publish_id) if winner else ("", "")
-    version = folded.state.version
-    line = (
-        f"conflict: version {record.parent + 1} by {author or 'unknown'} was accepted first; "
-        f"the newest version was {version}; nothing of this publish was applied"
-    )
+    version = history.state.version
+    what = f"version {next_version} by {author or 'unknown'} was accepted first"
+    if version < next_version:
+        what = f"version {parent} does not exist"
+    line = f"conflict: {what}; the newest version is {version}; nothing was applied"
     body = {
-        "publish_id": record.publish_id,
-        "parent": record.parent,
+        "publish_id": publish_id,
+        "parent": parent,
         "version": version,
-        "winner": {"version": record.parent + 1, "author": author, "publish_id": winner_id},
+        "winner": {"version": next_version, "author": author, "publish_id": winner_id},
     }
     return Result(ExitCode.CONFLICT, (line,), body)
 
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -31,6 +31,7 @@
 DAEMON = flags.DEFINE_string("daemon", "127.0.0.1:7004", "Admin address of any daemon.")
 TIMEOUT = flags.DEFINE_float("timeout", 30.0, "Seconds that publish waits for all daemons.")
 AUTHOR = flags.DEFINE_string("author", os.environ.get("USER", ""), "Author of a publish.")
+PARENT = flags.DEFINE_integer("parent", None, "Publish only on this version.", lower_bound=0)
 HOST = flags.DEFINE_string("host", "", "Host of the path that explain looks up.")
 FORMAT = flags.DEFINE_enum("format", "text", list(FORMATTERS), "Format of the output.")
 
@@ -47,7 +48,9 @@
 def usage() -> str:
     """Return the usage of every command."""
     rows = [f"  agatecross {command.usage}" for command in COMMANDS.values()]
-    flag_names = "flags: --log --daemon --timeout --author --host --format (--help explains)"
+    flag_names = (
+        "flags: --log --daemon --timeout --author --parent --host --format (--help explains)"
+    )
     return "\n".join(["usage:", *rows, flag_names])
 
 
@@ -71,7 +74,7 @@
 
 
 async def run_command(command: Command, arguments: Sequence[str]) -> Result:
-    """Run a command; failures that it does not handle become results."""
+    """Run a command with the outside systems that the flags name."""
     http = TornadoHttpClient()
     context = Context(
         HttpLogService(Address(LOG.value), http),
@@ -80,11 +83,17 @@
         TIMEOUT.value,
         AUTHOR.value,
         HOST.value,
+        PARENT.value,
     )
+    return await execute(command, context, arguments)
+
+
+async def execute(command: Command, context: Context, arguments: Sequence[str]) -> Result:
+    """Run a command; failures that it does not handle become results."""
     try:
         return await command.run(context, arguments)
     except LogError as error:
-        message = f"log service {LOG.value} unreachable: {error}"
+        message = f"log service unreachable: {error}"
         return failure(ExitCode.LOG_UNREACHABLE, message)
     except CommandError as error:
         return failure(error.code, str(error))
