--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -11,6 +11,12 @@
       | retention                      | 60       |
       | retention, replacement         | 60       |
 
+  Scenario: the fold of random records is whole, idempotent and never partly applied
+    Then 200 random sequences of records leave only checked versions with their own digest
+
+  Scenario: a pull carries only the publish ids that the receiver lacks
+    Then a pull after 4096 common publishes carries 1 publish id
+
   Scenario Outline: a follower with version 2 meets a peer that <behaviour>
     Given a follower with version 2 and peers "near, far"
     When peer "near" offers version <offered> and its pull ends as "<behaviour>"
@@ -25,6 +31,7 @@
       | answers older   | 3       | far  | 2       |                           |
       | broken document | 3       | far  | 2       | pull_refused              |
       | unknown rules   | 3       | none | 2       | pull_refused              |
+      | other seen ids  | 3       | near | 2       |                           |
       | has findings    | 3       | none | 2       | pull_refused              |
       | not asked       | 1       | none | 2       |                           |
       | other digest    | 2       | none | 2       | same_version_other_digest |
@@ -67,6 +74,8 @@
       | a snapshot by another      | 1    | 9       | 0     | 0       |
       | the log came back empty    | 0    | 2       | 1     | -1      |
       | the log came back empty    | 1    | 4       | 1     | -1      |
+      | no peer has a position     | 0    | 19      | 0     | 0       |
+      | no peer has a position     | 0    | 24      | 1     | -1      |
       | repeated lost appends      | 0    | 600     | 11    | 2       |
 
   Scenario Outline: delays of read attempt <attempt> are drawn from zero to <limit> ms
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -4,11 +4,12 @@
 
 from behave import given, then, when
 from hypothesis import HealthCheck, Phase, settings
+from hypothesis import given as given_example
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from agatecross_adapters.toml_documents import decode_toml
-from agatecross_core.config.compile import digest_of
+from agatecross_core.config.compile import compile_documents, digest_of
 from agatecross_core.config.fold import fold_entry
 from agatecross_core.config.model import (
     BASE,
@@ -32,8 +33,9 @@
 )
 from agatecross_core.distribution.jitter import full_jitter
 from agatecross_core.distribution.readers import weight
+from agatecross_core.distribution.sync import answer_pull, judge_pull, new_request
 from agatecross_core.members.records import Member
-from agatecross_core.states import MemberState
+from agatecross_core.states import MemberState, Verdict
 
 BASE_TEXT = """[mesh]
 name = "m"
@@ -305,6 +307,62 @@
     )
 
 
+DOCUMENTS = (
+    *base(1),
+    *base(2),
+    *base(0),
+    Document("a", "[services.s]\ntimeout_ms = 7\n"),
+    Document("a", "[services.s]\ntimeout = 7\n"),
+    Document("b", "[services.s]\ntimeout_ms = 7\n"),
+)
+RECORDS = st.builds(
+    PublishRecord,
+    st.sampled_from([f"p{i}" for i in range(6)]),
+    st.integers(0, 3),
+    st.sampled_from([1, 1, 1, 99]),
+    st.lists(st.sampled_from(DOCUMENTS), max_size=2).map(tuple),
+    st.lists(st.sampled_from(["a", "b", "base"]), max_size=1).map(tuple),
+)
+
+
+@then("{examples:d} random sequences of records leave only checked versions with their own digest")
+def fold_random(context, examples):
+    @settings(max_examples=examples, derandomize=True, deadline=None, database=None)
+    @given_example(st.lists(st.none() | RECORDS, max_size=12))
+    def check(records):
+        state = ConfigState()
+        for offset, record in enumerate(records):
+            entry = OffsetRecord(offset, record, str(offset))
+            step = fold_entry(state, entry, decode_toml)
+            assert fold_entry(state, entry, decode_toml) == step
+            if step.verdict is Verdict.UNKNOWN_RULES:
+                assert step.state == state
+                return
+            accepted = step.verdict is Verdict.ACCEPTED
+            assert step.state.version == state.version + accepted
+            assert accepted or step.state.documents == state.documents
+            assert accepted == (step.snapshot is not None)
+            again = fold_entry(step.state, replace(entry, offset=offset + 1), decode_toml)
+            assert record is None or again.verdict is Verdict.DUPLICATE
+            state = step.state
+            if state.version:
+                snapshot, findings = compile_documents(state.documents, decode_toml, state.version)
+                assert snapshot is not None, findings
+                assert snapshot.digest == state.digest
+
+    check()
+
+
+@then("a pull after {common:d} common publishes carries {count:d} publish id")
+def check_pull_size(context, common, count):
+    ids = tuple(f"p{i}" for i in range(common + 1))
+    mine = ConfigState(1, digest_of(base(1)), base(1), ids[:-1], through=common - 1, mark="a")
+    theirs = ConfigState(2, digest_of(base(2)), base(2), ids[1:], through=common, mark="b")
+    reply = answer_pull(theirs, new_request(mine, False))
+    assert len(reply.seen) == count, len(reply.seen)
+    assert judge_pull(mine, reply, decode_toml).state == theirs
+
+
 def follower_at(versions, members, me=None, snapshot_after=256):
     """Return an instance that folded this many publishes, and its log."""
     log = SimulatedLog(0)
@@ -347,6 +405,7 @@
         "fails": None,
         "answers older": replace(reply, version=1),
         "broken document": replace(reply, changed=broken),
+        "other seen ids": replace(reply, seen_digest="other"),
         "unknown rules": replace(reply, rules=99),
         "has findings": replace(reply, changed=broken, digest=digest_of(broken)),
     }
@@ -474,6 +533,11 @@
 def pass_seconds(context, seconds, case):
     one, log = context.one, context.log
     context.written = []
+    if case == "no peer has a position":
+        one.follower.schedule.after_records = 256
+        for number in range(3):
+            log.append(PublishRecord(f"x{number}", 3 + number, 1, base(number + 9)))
+        log.first = 5
     if case == "the log came back empty":
         log = SimulatedLog(1)
     for tenth in range(seconds * 10):
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -53,7 +53,7 @@
     PullVerdict,
     answer_pull,
     judge_pull,
-    known_digests,
+    new_request,
 )
 
 __all__ = ["ConfigFollower", "PeerVersion", "RecordsRead"]
@@ -183,6 +183,7 @@
         self.read_after = Millis(0)
         self.pull: Pull | None = None
         self.pulls = 0
+        self.pull_all_seen = False
         self.position_pull_at = Millis(0)
         self.lost_at: Millis | None = None
         self.heard_at: Millis | None = None
@@ -281,6 +282,11 @@
     def _pulled(
         self, peer: DaemonId, reply: PullReply, result: PullResult
     ) -> Iterator[FollowerAction]:
+        # The ids that both know may differ after a restart of the fold; then all are asked for.
+        asked_for_all, self.pull_all_seen = self.pull_all_seen, False
+        if result.verdict is PullVerdict.OTHER_SEEN and not asked_for_all:
+            self.pull_all_seen = True
+            return
         if result.snapshot is not None and result.state is not None:
             self.state = result.state
             self.offers.taken(peer, result.state.version)
@@ -352,8 +358,7 @@
             return
         self.pulls += 1
         self.pull = Pull(self.pulls, peer.daemon_id, now)
-        request = PullRequest(self.state.version, known_digests(self.state))
-        yield PullFrom(self.pulls, peer, request)
+        yield PullFrom(self.pulls, peer, new_request(self.state, self.pull_all_seen))
 
     def _position_peer(self, now: Millis) -> Member | None:
         if not self.log.lost or now < self.position_pull_at:
--- a/packages/agatecross-core/agatecross_core/distribution/sync.py
+++ b/packages/agatecross-core/agatecross_core/distribution/sync.py
@@ -1,5 +1,6 @@
 """Messages and decisions for pulling configuration from peers."""
 
+import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -29,12 +30,19 @@
     digest: Digest
 
 
+NO_PUBLISH = PublishId("")
+
+
 @dataclass(frozen=True, slots=True)
 class PullRequest:
-    """Asks for the documents that differ from those whose digests are given."""
+    """Asks for the documents that differ from those whose digests are given.
+
+    `last_seen` is the newest publish id that the sender knows; empty asks for all ids.
+    """
 
     version: Version
     known: Mapping[DocumentName, Digest]
+    last_seen: PublishId = NO_PUBLISH
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +50,9 @@
     """The changed documents and the names of all documents of `version`.
 
     `through` and `mark` tell the position of the log to which the state belongs, so that the
-    receiver folds exactly the records after it.
+    receiver folds exactly the records after it. `seen` follows the last `kept` ids of the
+    receiver, because all 4,096 ids would often be larger than a changed document; `seen_digest`
+    covers both parts.
     """
 
     version: Version
@@ -50,6 +60,8 @@
     names: tuple[DocumentName, ...]
     changed: tuple[Document, ...]
     seen: tuple[PublishId, ...]
+    kept: int
+    seen_digest: Digest
     rules: int = RULE_SET
     through: Offset = NO_OFFSET
     mark: Digest = NO_DIGEST
@@ -63,6 +75,7 @@
     OLDER = "older"
     OTHER_DIGEST = "other-digest"
     BROKEN = "broken"
+    OTHER_SEEN = "other-seen"
     UNKNOWN_RULES = "unknown-rules"
     FINDINGS = "findings"
 
@@ -87,12 +100,16 @@
     mine = known_digests(state)
     changed = tuple(d for d in state.documents if request.known.get(d.name) != mine[d.name])
     names = tuple(document.name for document in state.documents)
+    known = request.last_seen in state.seen
+    kept = state.seen.index(request.last_seen) + 1 if known else 0
     return PullReply(
         state.version,
         state.digest,
         names,
         changed,
-        state.seen,
+        state.seen[kept:],
+        kept,
+        digest_of_ids(state.seen),
         state.rules,
         state.through,
         state.mark,
@@ -101,15 +118,20 @@
 
 def judge_pull(state: ConfigState, reply: PullReply, decoder: DocumentDecoder) -> PullResult:
     """Check a reply against the state in force; a version is only taken whole and checked."""
+    seen = _assemble_seen(state.seen, reply)
     if reply.version < state.version:
         return PullResult(PullVerdict.OLDER)
     if reply.version == state.version:
         if reply.digest != state.digest:
             return PullResult(PullVerdict.OTHER_DIGEST)
-        moved = replace(state, seen=reply.seen, through=reply.through, mark=reply.mark)
+        if seen is None:
+            return PullResult(PullVerdict.OTHER_SEEN)
+        moved = replace(state, seen=seen, through=reply.through, mark=reply.mark)
         return PullResult(PullVerdict.SAME, moved)
     if reply.rules > RULE_SET:
         return PullResult(PullVerdict.UNKNOWN_RULES)
+    if seen is None:
+        return PullResult(PullVerdict.OTHER_SEEN)
     documents = _assemble(state.documents, reply)
     if digest_of(documents) != reply.digest:
         return PullResult(PullVerdict.BROKEN)
@@ -120,7 +142,7 @@
         reply.version,
         reply.digest,
         documents,
-        reply.seen,
+        seen,
         reply.rules,
         reply.through,
         reply.mark,
@@ -128,6 +150,22 @@
     return PullResult(PullVerdict.NEWER, taken, snapshot)
 
 
+def digest_of_ids(ids: Iterable[PublishId]) -> Digest:
+    """Return the digest of publish ids in their order."""
+    return Digest(hashlib.blake2b("\n".join(ids).encode(), digest_size=16).hexdigest())
+
+
+def new_request(state: ConfigState, all_seen: bool) -> PullRequest:
+    """Return the request for what this state lacks."""
+    last = state.seen[-1] if state.seen and not all_seen else NO_PUBLISH
+    return PullRequest(state.version, known_digests(state), last)
+
+
+def _assemble_seen(own: tuple[PublishId, ...], reply: PullReply) -> tuple[PublishId, ...] | None:
+    seen = (*own[len(own) - reply.kept :], *reply.seen) if reply.kept else reply.seen
+    return seen if digest_of_ids(seen) == reply.seen_digest else None
+
+
 def _assemble(documents: Iterable[Document], reply: PullReply) -> tuple[Document, ...]:
     by_name = {document.name: document for document in documents}
     by_name.update({document.name: document for document in reply.changed})
