--- a/features/cli.feature
+++ b/features/cli.feature
@@ -80,7 +80,14 @@
     And every daemon has version 3
     When the log fails and half of the daemons are replaced
     Then every daemon has version 3
-    And the client's command "log" ends with code 5
+    And the client's "log" ends with code 5 and shows "log service unreachable"
+    And the client's "status" ends with code 0 and shows "ready 3"
     When the log works again and is empty
     And an operator publishes until the log holds the version in force
     Then every daemon has version 4
+    And the client's "diff FOLDER" ends with code 0 and shows "no difference from version 4"
+    And the client's "diff EXAMPLE" ends with code 0 and shows "+timeout_ms = 3000"
+    And the client's "diff EXAMPLE --format=json" ends with code 0 and shows ""change":"changed""
+    And the client's "explain aarhus-a /vans" ends with code 0 and shows "3300 (overlays/aarhus-a.toml:2)"
+    And the client's "publish EXAMPLE --parent=3" ends with code 3 and shows "the newest version is 4"
+    And the client's "log" ends with code 0 and shows "snapshot version 3"
--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -74,6 +74,10 @@
       | a snapshot by another      | 1    | 9       | 0     | 0       |
       | the log came back empty    | 0    | 2       | 1     | -1      |
       | the log came back empty    | 1    | 4       | 1     | -1      |
+      | a snapshot of 7 hours      | 0    | 2       | 1     | 3       |
+      | a snapshot of 5 hours      | 0    | 9       | 0     | 0       |
+      | no known snapshot          | 0    | 59      | 0     | 0       |
+      | no known snapshot          | 0    | 62      | 1     | 2       |
       | no peer has a position     | 0    | 19      | 0     | 0       |
       | no peer has a position     | 0    | 24      | 1     | -1      |
       | repeated lost appends      | 0    | 600     | 11    | 2       |
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -58,6 +58,11 @@
     return Member(name, 1, MemberState.ALIVE, region, data_centre, *where)
 
 
+def snapshot_of(state):
+    what = (state.version, state.digest, state.rules, state.through)
+    return SnapshotRecord(*what, state.documents, state.seen, state.mark)
+
+
 class SimulatedLog:
     """A log with the reference fold over each of its records, from the first one on."""
 
@@ -67,9 +72,9 @@
         self.first = 0
         self.folded = []
 
-    def append(self, record):
+    def append(self, record, age=0.0):
         offset = len(self.entries)
-        entry = OffsetRecord(offset, record, f"{self.epoch}:{offset}")
+        entry = OffsetRecord(offset, record, f"{self.epoch}:{offset}", age)
         self.entries.append(entry)
         self.folded.append(fold_entry(self.current, entry, decode_toml).state)
 
@@ -127,9 +132,6 @@
         def log(self):
             return self.logs[-1]
 
-        def instance(self, number):
-            return self.instances[number]
-
         @rule(kind=st.sampled_from(["valid"] * 4 + ["stale", "invalid", "again", "undecodable"]))
         def publish(self, kind):
             self.count += 1
@@ -145,7 +147,7 @@
 
         @rule(number=st.integers(0, 5), limit=st.integers(1, 6))
         def serve_read(self, number, limit):
-            one = self.instance(number)
+            one = self.instances[number]
             if one.read is None:
                 return
             read, one.read = one.read, None
@@ -163,14 +165,14 @@
 
         @rule(number=st.integers(0, 5))
         def fail_read(self, number):
-            one = self.instance(number)
+            one = self.instances[number]
             if one.read is not None:
                 one.read = None
                 one.follower.read_failed(self.now)
 
         @rule(number=st.integers(0, 5), answered=st.booleans())
         def end_pull(self, number, answered):
-            one = self.instance(number)
+            one = self.instances[number]
             if one.pull is None:
                 return
             pull, one.pull = one.pull, None
@@ -189,7 +191,7 @@
         def gossip(self, sender, receiver):
             if sender == receiver:
                 return
-            peer, one = self.instance(sender), self.instance(receiver)
+            peer, one = self.instances[sender], self.instances[receiver]
             state = peer.follower.state
             heard = PeerVersion(peer.me, state.version, state.digest)
             one.act(one.follower.peer_version(heard, self.now))
@@ -202,7 +204,7 @@
 
         @rule(number=st.integers(0, 5), lost=st.booleans())
         def append_snapshots(self, number, lost):
-            one = self.instance(number)
+            one = self.instances[number]
             for record in () if lost else one.snapshots:
                 self.log.append(record)
             one.snapshots.clear()
@@ -470,10 +472,9 @@
             log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
         if "expired" in case or "late" in case:
             state = log.folded[3 if case.startswith("holds") else 4]
-            through = NO_OFFSET if "restart" in case else state.through
-            kept = (state.documents, state.seen, state.mark)
             if case != "expired records":
-                log.append(SnapshotRecord(state.version, state.digest, 1, through, *kept))
+                through = NO_OFFSET if "restart" in case else state.through
+                log.append(replace(snapshot_of(state), through=through))
             log.first = 5
     for _ in range(2 if log.epoch else 1):
         start, one.read = one.read.start, None
@@ -533,8 +534,11 @@
 def pass_seconds(context, seconds, case):
     one, log = context.one, context.log
     context.written = []
-    if case == "no peer has a position":
+    if case.startswith(("no ", "a snapshot of")):
         one.follower.schedule.after_records = 256
+    if case.startswith("a snapshot of"):
+        log.append(snapshot_of(log.current), age=int(case.split()[3]) * 3_600_000.0)
+    if case == "no peer has a position":
         for number in range(3):
             log.append(PublishRecord(f"x{number}", 3 + number, 1, base(number + 9)))
         log.first = 5
@@ -543,12 +547,7 @@
     for tenth in range(seconds * 10):
         now = tenth * 100.0
         if case == "a snapshot by another" and tenth == 10:
-            state = log.current
-            log.append(
-                SnapshotRecord(
-                    state.version, state.digest, 1, state.through, state.documents, state.seen
-                )
-            )
+            log.append(snapshot_of(log.current))
         one.act(one.follower.peer_version(PeerVersion(one.follower.members[1], 0, ""), now))
         one.act(one.follower.tick(now))
         if one.read is not None:
