Treat a log without the last folded record as expired when it may be another

Cause: 900 random histories found a reader whose position came from a replaced log and whose next record was exactly the oldest one retained; it folded the new log onto the old state.

--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -48,6 +48,7 @@
       | is empty                        | 3       | 0     | log_replaced        |
       | has lower offsets               | 3       | 2     | log_replaced        |
       | has other records               | 3       | 4     | log_replaced        |
+      | expired the last folded record  | 3       | 6     | log_records_expired |
       | expired records                 | 3       | 6     | log_records_expired |
       | expired records before restart  | 5       | 7     | log_records_expired |
       | expired records before snapshot | 5       | 5     | log_records_expired |
@@ -55,6 +56,12 @@
       | needs unknown rules             | 3       | 2     | unknown_rules       |
       | holds an undecodable record     | 4       | 5     | record_undecodable  |
 
+  Scenario: a search for a snapshot starts again after a failed read, as the log may be another
+    Given a reader that folded 3 publishes
+    When it reads a log that expired records
+    And its read fails
+    Then version 3 is in force and the next read starts at 2
+
   Scenario: a page that was asked for before a peer's position was taken is not folded
     Given a reader that folded 3 publishes
     When it takes version 4 and position 4 from a peer that reads a replaced log
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -344,6 +344,8 @@
             assert step.state.version == state.version + accepted
             assert accepted or step.state.documents == state.documents
             assert accepted == (step.snapshot is not None)
+            if step.verdict not in (Verdict.DUPLICATE, Verdict.UNDECODABLE):
+                assert (step.verdict is Verdict.CONFLICT) == (record.parent != state.version)
             again = fold_entry(step.state, replace(entry, offset=offset + 1), decode_toml)
             assert record is None or again.verdict is Verdict.DUPLICATE
             state = step.state
@@ -454,7 +456,7 @@
         other.append(PublishRecord(f"q{number}", number, 1, base(number + 100)))
     for _ in range(2 if case == "has other records" else 0):
         other.append(None)
-    if case == "has other records":
+    if case in ("has other records", "expired the last folded record"):
         one.read = None
         one.follower.read_failed(0.0)
         one.follower.read_after = 0.0
@@ -470,12 +472,14 @@
     else:
         for number in range(3, 6 if "expired" in case or "late" in case else 4):
             log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
-        if "expired" in case or "late" in case:
+        if case == "expired the last folded record":
+            log.first = 3
+        elif "expired" in case or "late" in case:
+            log.first = 5
             state = log.folded[3 if case.startswith("holds") else 4]
             if case != "expired records":
                 through = NO_OFFSET if "restart" in case else state.through
                 log.append(replace(snapshot_of(state), through=through))
-            log.first = 5
     for _ in range(2 if log.epoch else 1):
         start, one.read = one.read.start, None
         one.act(one.follower.records_read(log.page(start), 0.0))
@@ -486,6 +490,11 @@
         assert one.conditions.pop() == "record_undecodable"
 
 
+@when("its read fails")
+def fail_read(context):
+    context.one.follower.read_failed(0.0)
+
+
 @then("version {version:d} is in force and the next read starts at {start:d}")
 def check_position(context, version, start):
     one = context.one
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -231,7 +231,7 @@
                     )
                 case UnknownRules(offset, rules):
                     # No read is in flight meanwhile that would fail if the log were replaced.
-                    self.log.read_failed()
+                    self.log.interrupt()
                     self.read_after = Millis(now + BLOCKED_RETRY)
                     yield from self._report_once(
                         Condition.UNKNOWN_RULES, offset=offset, rules=rules
@@ -247,7 +247,7 @@
         """Note that the read in flight ended without a page, and delay the next one."""
         self.reading = False
         self.discard_page = False
-        self.log.read_failed()
+        self.log.interrupt()
         delay = full_jitter(self.read_failures, LOG_RETRY_BASE, LOG_RETRY_CAP, self.rng)
         self.read_failures += 1
         self.read_after = Millis(now + delay)
@@ -372,7 +372,8 @@
         silent = self.heard_at is not None and now - self.heard_at > PEER_SILENCE
         alone = silent or len(self.members) <= 1
         if not alone and self.me.daemon_id not in self.readers:
-            self.log.read_failed()
+            self.log.interrupt()
+            self.lost_at = None
             return
         self.reading = True
         yield ReadLog(self.log.start(), LONE_POLL_WAIT if alone else LOG_POLL_WAIT)
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -95,10 +95,12 @@
         self.blocked = False
         self.caught_up = False
 
-    def read_failed(self) -> None:
-        """Check at the next read that the log is still the same."""
+    def interrupt(self) -> None:
+        """Check at the next read that the log is still the same; a search starts again."""
         self.verify = True
+        self.search_from = None
         self.caught_up = False
+        self.searched = False
 
     def page(self, page: RecordsRead) -> Iterator[FoldEvent]:
         """Fold a page that starts at `start()`."""
@@ -110,8 +112,10 @@
             self.search_from = None
             self.verify = False
             return
+        # Without the last folded record nothing shows that the log is still the same.
+        expired = self.search_from is None and page.first > self.start()
         self.verify = False
-        if self.search_from is None and page.first > self.state.through + 1:
+        if expired:
             yield RecordsExpired(self.state.through, page.first)
             self.search_from = page.first
         if self.search_from is None:
