--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -3,16 +3,22 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from .forms import Form
+
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it must be there, and the bounds of a number."""
+    """One key: the type of its value, whether it must be there, bounds, strings."""
 
     kind: type
     required: bool = False
     low: float | None = None
     high: float | None = None
+    choices: tuple[str, ...] = ()
+    form: Form | None = None
+
 
+METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
 
 TOP_KEYS: Mapping[str, Key] = {
     "mesh": Key(dict, required=True),
@@ -29,7 +35,7 @@
     "hedge_quantile": Key(float, low=0.0, high=0.9999),
     "long_share": Key(float, low=0.0, high=1.0),
     "long_ms": Key(int, low=1, high=600_000),
-    "idempotent_methods": Key(list),
+    "idempotent_methods": Key(list, choices=METHODS),
 }
 ROUTE_KEYS: Mapping[str, Key] = {
     "prefix": Key(str, required=True),
--- a/packages/agatecross-core/agatecross_core/distribution/sync.py
+++ b/packages/agatecross-core/agatecross_core/distribution/sync.py
@@ -1,11 +1,15 @@
 """Messages and decisions for pulling configuration from peers."""
 
+import hashlib
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-
-from ..config.compile import digest_of
-from ..config.model import ConfigState, Document
-from ..ids import Digest, DocumentName, PublishId, Version
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from ..config.compile import compile_documents, digest_of
+from ..config.model import ConfigState, Document, DocumentDecoder, MeshSnapshot
+from ..constants import NO_DIGEST, NO_OFFSET, RULE_SET
+from ..findings import Finding
+from ..ids import Digest, DocumentName, Offset, PublishId, Version
 from ..members.records import Member
 
 
@@ -26,23 +30,64 @@
     digest: Digest
 
 
+NO_PUBLISH = PublishId("")
+
+
 @dataclass(frozen=True, slots=True)
 class PullRequest:
-    """Asks for the documents that differ from those whose digests are given."""
+    """Asks for the documents that differ from those whose digests are given.
+
+    `last_seen` is the newest publish id that the sender knows; empty asks for all ids.
+    """
 
     version: Version
     known: Mapping[DocumentName, Digest]
+    last_seen: PublishId = NO_PUBLISH
 
 
 @dataclass(frozen=True, slots=True)
 class PullReply:
-    """The changed documents and the names of all documents of `version`."""
+    """The changed documents and the names of all documents of `version`.
+
+    `through` and `mark` tell the position of the log to which the state belongs, so that the
+    receiver folds exactly the records after it. `seen` follows the last `kept` ids of the
+    receiver, because all 4,096 ids would often be larger than a changed document; `seen_digest`
+    covers both parts.
+    """
 
     version: Version
     digest: Digest
     names: tuple[DocumentName, ...]
     changed: tuple[Document, ...]
     seen: tuple[PublishId, ...]
+    kept: int
+    seen_digest: Digest
+    rules: int = RULE_SET
+    through: Offset = NO_OFFSET
+    mark: Digest = NO_DIGEST
+
+
+class PullVerdict(Enum):
+    """What the receiver makes of a pull reply."""
+
+    NEWER = "newer"
+    SAME = "same"
+    OLDER = "older"
+    OTHER_DIGEST = "other-digest"
+    BROKEN = "broken"
+    OTHER_SEEN = "other-seen"
+    UNKNOWN_RULES = "unknown-rules"
+    FINDINGS = "findings"
+
+
+@dataclass(frozen=True, slots=True)
+class PullResult:
+    """The verdict, and for `NEWER` and `SAME` the peer's state; `NEWER` is compiled."""
+
+    verdict: PullVerdict
+    state: ConfigState | None = None
+    snapshot: MeshSnapshot | None = None
+    findings: tuple[Finding, ...] = ()
 
 
 def known_digests(state: ConfigState) -> dict[DocumentName, Digest]:
@@ -55,17 +100,70 @@
     mine = known_digests(state)
     changed = tuple(d for d in state.documents if request.known.get(d.name) != mine[d.name])
     names = tuple(document.name for document in state.documents)
-    return PullReply(state.version, state.digest, names, changed, state.seen)
-
-
-def apply_pull(state: ConfigState, reply: PullReply) -> ConfigState | None:
-    """Return the peer's state, or None when it is not newer or its digest is wrong."""
-    if reply.version <= state.version:
-        return None
+    known = request.last_seen in state.seen
+    kept = state.seen.index(request.last_seen) + 1 if known else 0
+    return PullReply(
+        state.version,
+        state.digest,
+        names,
+        changed,
+        state.seen[kept:],
+        kept,
+        digest_of_ids(state.seen),
+        state.rules,
+        state.through,
+        state.mark,
+    )
+
+
+def judge_pull(state: ConfigState, reply: PullReply, decoder: DocumentDecoder) -> PullResult:
+    """Check a reply against the state in force; a version is only taken whole and checked."""
+    seen = _assemble_seen(state.seen, reply)
+    if reply.version < state.version:
+        return PullResult(PullVerdict.OLDER)
+    if reply.version == state.version:
+        if reply.digest != state.digest:
+            return PullResult(PullVerdict.OTHER_DIGEST)
+        if seen is None:
+            return PullResult(PullVerdict.OTHER_SEEN)
+        moved = replace(state, seen=seen, through=reply.through, mark=reply.mark)
+        return PullResult(PullVerdict.SAME, moved)
+    if reply.rules > RULE_SET:
+        return PullResult(PullVerdict.UNKNOWN_RULES)
+    if seen is None:
+        return PullResult(PullVerdict.OTHER_SEEN)
     documents = _assemble(state.documents, reply)
     if digest_of(documents) != reply.digest:
-        return None
-    return ConfigState(reply.version, reply.digest, documents, reply.seen)
+        return PullResult(PullVerdict.BROKEN)
+    snapshot, findings = compile_documents(documents, decoder, reply.version)
+    if snapshot is None:
+        return PullResult(PullVerdict.FINDINGS, findings=findings)
+    taken = ConfigState(
+        reply.version,
+        reply.digest,
+        documents,
+        seen,
+        reply.rules,
+        reply.through,
+        reply.mark,
+    )
+    return PullResult(PullVerdict.NEWER, taken, snapshot)
+
+
+def digest_of_ids(ids: Iterable[PublishId]) -> Digest:
+    """Return the digest of publish ids in their order."""
+    return Digest(hashlib.blake2b("\n".join(ids).encode(), digest_size=16).hexdigest())
+
+
+def new_request(state: ConfigState, all_seen: bool) -> PullRequest:
+    """Return the request for what this state lacks."""
+    last = state.seen[-1] if state.seen and not all_seen else NO_PUBLISH
+    return PullRequest(state.version, known_digests(state), last)
+
+
+def _assemble_seen(own: tuple[PublishId, ...], reply: PullReply) -> tuple[PublishId, ...] | None:
+    seen = (*own[len(own) - reply.kept :], *reply.seen) if reply.kept else reply.seen
+    return seen if digest_of_ids(seen) == reply.seen_digest else None
 
 
 def _assemble(documents: Iterable[Document], reply: PullReply) -> tuple[Document, ...]:
--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -20,7 +20,7 @@
 from agatecross_core.config.compile import compile_documents
 from agatecross_core.config.model import BASE, Document
 from agatecross_core.constants import MAX_UPDATES_PER_MESSAGE
-from agatecross_core.distribution.readers import is_reader
+from agatecross_core.distribution.readers import readers
 from agatecross_core.ids import (
     Address,
     DaemonId,
@@ -151,7 +151,7 @@
 
     yield Row("membership tick", size, micros(tick), "us")
     yield Row("view build", size, micros(lambda: build_view(members, False)), "us")
-    yield Row("reader choice", size, micros(lambda: is_reader(members[0], members)), "us")
+    yield Row("reader choice", size, micros(lambda: readers(members[0], members)), "us")
     yield Row("upstream choice", size, micros(lambda: balancer.choose(request, now)), "us")
     yield Row("member table", size, kibibytes(table), "KiB")
     gossip = Gossip(Version(1), Digest("0" * 32))
