Decide admission in a pipeline of filters next to the upstream

Cause: the first queue was FIFO with a fixed limit, so that long jobs took every slot, late calls were served first and a slowed upstream kept a full queue. A change of the announced state also reopened a daemon that was leaving.

Change: gate, deadline, class, queue and limit are filters of `AdaptiveAdmission`. The limit is a gradient on the service time with a multiplicative decrease when the upstream sheds. The upstream task gets the configuration for `long_ms` and `long_share`. A cancelled call leaves the queue; a running idempotent one is stopped.

--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -0,0 +1,90 @@
+"""Filter: class of a call by the observed cost of calls of the same shape."""
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+from ..calls.model import Call
+from ..constants import (
+    BASELINE_FALL,
+    BASELINE_RISE_TIME,
+    EXPECTED_HALF_LIFE,
+    MAX_COST_SHAPES,
+    MIN_BASELINE,
+    RECENT_WEIGHT,
+)
+from ..ids import Millis
+from ..states import WorkClass
+from .model import ClassPolicy, Entry, Shape, Step
+
+MAX_SEGMENTS = 6
+MAX_SAMPLE_GAP = Millis(1_000)
+
+
+def shape_of(call: Call) -> Shape:
+    """Return the shape: the path without its query, segments with a digit replaced by `*`."""
+    path = call.request.path.partition("?")[0]
+    segments = path.split("/")[: MAX_SEGMENTS + 1]
+    plain = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
+    return Shape(call.service, call.request.method, plain)
+
+
+@dataclass(slots=True)
+class Cost:
+    """Costs of one shape in milliseconds; `baseline` is the cost without a slowdown."""
+
+    baseline: float
+    recent: float
+    seen_at: Millis
+
+
+class CostTable:
+    """Bounded table of observed costs; the shape that was unused longest is evicted."""
+
+    def __init__(self, size: int = MAX_COST_SHAPES) -> None:
+        self.size = size
+        self.costs: OrderedDict[Shape, Cost] = OrderedDict()
+
+    def observe(self, shape: Shape, took: Millis, now: Millis) -> float:
+        """Learn one sample and return its ratio to the baseline before it."""
+        cost = self.costs.get(shape)
+        if cost is None:
+            self.costs[shape] = Cost(took, took, now)
+            if len(self.costs) > self.size:
+                self.costs.popitem(last=False)
+            return 1.0
+        self.costs.move_to_end(shape)
+        ratio = took / max(cost.baseline, MIN_BASELINE)
+        gap = min(now - cost.seen_at, MAX_SAMPLE_GAP)
+        rise = 1 - math.exp(-gap / BASELINE_RISE_TIME)
+        cost.baseline += (took - cost.baseline) * (BASELINE_FALL if took < cost.baseline else rise)
+        cost.recent += (took - cost.recent) * RECENT_WEIGHT
+        cost.seen_at = now
+        return ratio
+
+    def still_running(self, shape: Shape, elapsed: Millis, now: Millis) -> None:
+        """Learn the cost of a shape of which no call has ended yet."""
+        if shape not in self.costs:
+            self.observe(shape, elapsed, now)
+
+    def baseline(self, shape: Shape) -> float:
+        """Return the cost without a slowdown; 0 for an unknown shape."""
+        cost = self.costs.get(shape)
+        return cost.baseline if cost else 0.0
+
+    def expected(self, shape: Shape, now: Millis) -> float:
+        """Return the recent cost, which decays while no call of the shape ends."""
+        cost = self.costs.get(shape)
+        if cost is None:
+            return 0.0
+        return cost.recent * float(0.5 ** ((now - cost.seen_at) / EXPECTED_HALF_LIFE))
+
+
+def classify(steps: Iterable[Step], costs: CostTable, policy: ClassPolicy) -> Iterator[Step]:
+    """Mark entries whose shape costs at least `long_ms` as long."""
+    for step in steps:
+        if isinstance(step, Entry) and costs.baseline(step.shape) >= policy.long_ms:
+            yield replace(step, work_class=WorkClass.LONG)
+        else:
+            yield step
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/admission/deadline.py
@@ -0,0 +1,22 @@
+"""Filter: refuses calls that cannot end before their deadline."""
+
+from collections.abc import Iterable, Iterator
+
+from ..ids import Millis
+from ..states import Reason
+from .classes import CostTable
+from .model import Entry, RefuseCall, Step
+
+
+def within_deadline(steps: Iterable[Step], costs: CostTable, now: Millis) -> Iterator[Step]:
+    """Refuse entries whose time left is shorter than the observed cost of their shape."""
+    for step in steps:
+        if isinstance(step, Entry) and not can_finish(step, costs, now):
+            yield RefuseCall(step.call.call_id, Reason.DEADLINE)
+        else:
+            yield step
+
+
+def can_finish(entry: Entry, costs: CostTable, now: Millis) -> bool:
+    """Return whether an entry that starts now is expected to end in time."""
+    return entry.call.deadline - now > costs.expected(entry.shape, now)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/admission/limit.py
@@ -0,0 +1,78 @@
+"""Concurrency limit below the announced slots.
+
+A gradient on the service time lowers the limit when calls take longer than their baseline, down to
+a quarter of the slots: a slowdown from outside does not end at a lower concurrency, and the
+upstream must stay observed. Shed calls lower it by a constant factor, down to one. It grows by half
+in each window without either, so that it is restored within a second.
+"""
+
+import math
+
+from ..constants import (
+    LIMIT_GROWTH,
+    LIMIT_MIN_GRADIENT,
+    LIMIT_MIN_SAMPLES,
+    LIMIT_SHED_FACTOR,
+    LIMIT_SLOW_FLOOR,
+    LIMIT_TOLERANCE,
+    LIMIT_WINDOW,
+)
+from ..ids import Millis
+
+
+class ConcurrencyLimit:
+    """Adapts the number of calls that may run at once to what the upstream can run."""
+
+    def __init__(self) -> None:
+        self.ceiling = 0
+        self.level = 0.0
+        self.window_end = Millis(0)
+        self.ratios = 0.0
+        self.samples = 0
+
+    @property
+    def value(self) -> int:
+        """Return the limit in calls."""
+        return min(self.ceiling, max(1, math.floor(self.level)))
+
+    def announced(self, ceiling: int) -> None:
+        """Take over the announced capacity; a new ceiling starts without a reduction."""
+        if ceiling != self.ceiling:
+            self.ceiling = ceiling
+            self.level = float(ceiling)
+
+    def completed(self, ratio: float, now: Millis) -> None:
+        """Count a completed call that took `ratio` times its baseline."""
+        self.ratios += ratio
+        self.samples += 1
+        if now >= self.window_end and self.samples >= LIMIT_MIN_SAMPLES:
+            self._adjust(self.ratios / self.samples)
+            self._next_window(now)
+
+    def shed(self, running: int, now: Millis) -> None:
+        """Lower the limit below the concurrency at which the upstream shed, once in a window."""
+        if now >= self.window_end:
+            self.level = max(1.0, min(self.level, running) * LIMIT_SHED_FACTOR)
+            self._next_window(now)
+
+    def idle(self, now: Millis) -> None:
+        """Grow while nothing runs, because no completed call can show that the upstream is well."""
+        if now >= self.window_end:
+            self._grow()
+            self._next_window(now)
+
+    def _adjust(self, ratio: float) -> None:
+        gradient = max(LIMIT_MIN_GRADIENT, LIMIT_TOLERANCE / ratio) if ratio else 1.0
+        if gradient >= 1.0:
+            self._grow()
+        else:
+            floor = min(self.level, max(1.0, self.ceiling * LIMIT_SLOW_FLOOR))
+            self.level = max(floor, self.level * gradient)
+
+    def _grow(self) -> None:
+        self.level = min(float(self.ceiling), self.level + max(1.0, self.level * LIMIT_GROWTH))
+
+    def _next_window(self, now: Millis) -> None:
+        self.window_end = Millis(now + LIMIT_WINDOW)
+        self.ratios = 0.0
+        self.samples = 0
--- a/packages/agatecross-core/agatecross_core/admission/model.py
+++ b/packages/agatecross-core/agatecross_core/admission/model.py
@@ -1,10 +1,88 @@
-"""Messages of the queue next to the upstream."""
+"""Messages of admission control next to the upstream."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from ..calls.model import Call
-from ..ids import CallId
-from ..states import Reason
+from ..ids import CallId, Millis
+from ..states import Reason, UpstreamState, WorkClass
+
+
+class Ending(Enum):
+    """How a started call ended on the upstream."""
+
+    COMPLETED = "completed"
+    SHED = "shed"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class CallArrived:
+    """A call asks to be started."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class CallFinished:
+    """A started call ended."""
+
+    call_id: CallId
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class CallCancelled:
+    """The side that sent the call closed its connection."""
+
+    call_id: CallId
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityAnnounced:
+    """The upstream announced its slots, its connection limit and its state."""
+
+    slots: int
+    connections: int
+    state: UpstreamState
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseExpired:
+    """The upstream no longer announces itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClassPolicy:
+    """Calls of at least `long_ms` are long and hold at most `long_share` of the limit."""
+
+    long_ms: Millis
+    long_share: float
+
+
+DEFAULT_CLASS_POLICY = ClassPolicy(Millis(500), 0.25)
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """The daemon leaves: nothing that waits or arrives will start."""
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """A period passed."""
+
+
+AdmissionMessage = (
+    CallArrived
+    | CallFinished
+    | CallCancelled
+    | CapacityAnnounced
+    | LeaseExpired
+    | ClassPolicy
+    | Drain
+    | TimePassed
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,4 +100,34 @@
     reason: Reason
 
 
-AdmissionAction = StartCall | RefuseCall
+@dataclass(frozen=True, slots=True)
+class StopCall:
+    """Action: cancel a started call by closing its connection to the upstream."""
+
+    call_id: CallId
+
+
+AdmissionAction = StartCall | RefuseCall | StopCall
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Calls that are expected to cost about the same."""
+
+    service: str
+    method: str
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A call on its way through the filters; `arrived` is a reading of the monotonic clock."""
+
+    call: Call
+    shape: Shape
+    arrived: Millis
+    work_class: WorkClass = WorkClass.SHORT
+
+
+Step = Entry | RefuseCall
+"""What a filter takes and yields: an entry that goes on, or the refusal of an earlier filter."""
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/admission/pipeline.py
@@ -0,0 +1,172 @@
+"""The adaptive admission pipeline: gate, deadline, class, queue, limit, start."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from ..calls.model import Call
+from ..constants import QUEUE_SLOTS_FACTOR, SWEEP_PERIOD
+from ..ids import CallId, Millis
+from ..states import Reason, UpstreamState, WorkClass
+from .classes import CostTable, classify, shape_of
+from .deadline import can_finish, within_deadline
+from .limit import ConcurrencyLimit
+from .model import (
+    DEFAULT_CLASS_POLICY,
+    AdmissionAction,
+    AdmissionMessage,
+    CallArrived,
+    CallCancelled,
+    CallFinished,
+    CapacityAnnounced,
+    ClassPolicy,
+    Drain,
+    Ending,
+    Entry,
+    LeaseExpired,
+    RefuseCall,
+    StartCall,
+    Step,
+    StopCall,
+    TimePassed,
+)
+from .queue import WaitingQueue
+
+
+class Gate:
+    """First filter: whether the upstream takes calls at all."""
+
+    def __init__(self) -> None:
+        self.state: UpstreamState | None = None
+        self.leaving = False
+
+    def reason(self) -> Reason | None:
+        """Return why every call is refused, or None."""
+        if self.leaving or self.state is UpstreamState.DRAINING:
+            return Reason.LEAVING
+        return None if self.state is UpstreamState.READY else Reason.NO_UPSTREAM
+
+    def passed(self, steps: Iterable[Step]) -> Iterator[Step]:
+        """Refuse entries while the upstream takes none."""
+        for step in steps:
+            reason = self.reason()
+            if isinstance(step, Entry) and reason is not None:
+                yield RefuseCall(step.call.call_id, reason)
+            else:
+                yield step
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A started call."""
+
+    entry: Entry
+    started: Millis
+
+
+class AdaptiveAdmission:
+    """Decides which calls start, wait or are refused; never runs more than the limit."""
+
+    def __init__(self) -> None:
+        self.gate = Gate()
+        self.policy = DEFAULT_CLASS_POLICY
+        self.next_sweep = Millis(0)
+        self.costs = CostTable()
+        self.limit = ConcurrencyLimit()
+        self.queue = WaitingQueue()
+        self.started: dict[CallId, Running] = {}
+
+    @property
+    def running(self) -> int:
+        """Return the number of started calls that have not ended."""
+        return len(self.started)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of calls in the queue."""
+        return len(self.queue)
+
+    @property
+    def slots(self) -> int:
+        """Return the number of calls that may run at once."""
+        return self.limit.value
+
+    def handle(self, message: AdmissionMessage, now: Millis) -> Iterator[AdmissionAction]:
+        """Take one message and yield the actions that follow from it."""
+        match message:
+            case CallArrived(call):
+                yield from self._arrived(call, now)
+            case CallFinished(call_id, ending):
+                self._finished(call_id, ending, now)
+            case CallCancelled(call_id):
+                yield from self._cancelled(call_id)
+            case CapacityAnnounced(slots, connections, state):
+                self.gate.state = state
+                self.limit.announced(min(slots, connections))
+            case LeaseExpired():
+                self.gate.state = None
+            case ClassPolicy():
+                self.policy = message
+            case Drain():
+                self.gate.leaving = True
+            case TimePassed():
+                self._time_passed(now)
+        yield from self._start(now)
+
+    def _arrived(self, call: Call, now: Millis) -> Iterator[AdmissionAction]:
+        steps: Iterable[Step] = (Entry(call, shape_of(call), now),)
+        steps = self.gate.passed(steps)
+        steps = within_deadline(steps, self.costs, now)
+        steps = classify(steps, self.costs, self.policy)
+        free = max(0, self.limit.value - self.running)
+        yield from self.queue.offer(steps, self.limit.value * QUEUE_SLOTS_FACTOR + free, now)
+
+    def _finished(self, call_id: CallId, ending: Ending, now: Millis) -> None:
+        ended = self.started.pop(call_id, None)
+        if ended is None:
+            return
+        if ending is Ending.SHED:
+            self.limit.shed(self.running + 1, now)
+        elif ending is Ending.COMPLETED:
+            took = Millis(now - ended.started)
+            self.limit.completed(self.costs.observe(ended.entry.shape, took, now), now)
+
+    def _cancelled(self, call_id: CallId) -> Iterator[AdmissionAction]:
+        running = self.started.get(call_id)
+        if running is None:
+            self.queue.remove(call_id)
+        elif running.entry.call.idempotent:
+            # The slot is freed when the closed connection is reported.
+            yield StopCall(call_id)
+
+    def _time_passed(self, now: Millis) -> None:
+        for row in self.started.values():
+            if self._is_long(row, now):
+                self.costs.still_running(row.entry.shape, Millis(now - row.started), now)
+        if not self.started:
+            self.limit.idle(now)
+
+    def _start(self, now: Millis) -> Iterator[AdmissionAction]:
+        reason = self.gate.reason()
+        if reason is not None:
+            yield from self.queue.clear(reason)
+            return
+        if now >= self.next_sweep:
+            self.next_sweep = Millis(now + SWEEP_PERIOD)
+            yield from self.queue.drop_hopeless(self.costs, now)
+        while self.waiting and self.running < self.limit.value:
+            long_running = sum(1 for row in self.started.values() if self._is_long(row, now))
+            entry = self.queue.take(long_running, self._long_limit(), now)
+            if entry is None:
+                return
+            if not can_finish(entry, self.costs, now):
+                yield RefuseCall(entry.call.call_id, Reason.DEADLINE)
+                continue
+            self.started[entry.call.call_id] = Running(entry, now)
+            yield StartCall(entry.call)
+
+    def _long_limit(self) -> int:
+        return max(1, int(self.limit.value * self.policy.long_share))
+
+    def _is_long(self, row: Running, now: Millis) -> bool:
+        late = now - row.started >= self.policy.long_ms
+        return late or row.entry.work_class is WorkClass.LONG
--- a/packages/agatecross-core/agatecross_core/admission/queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/queue.py
@@ -1,53 +1,82 @@
-"""The bounded queue in front of the upstream's slots."""
+"""The bounded queue in front of the upstream's slots: short before long, newest first when late."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
-from ..calls.model import Call
-from ..constants import QUEUE_SLOTS_FACTOR
+from ..constants import QUEUE_TARGET
 from ..ids import CallId, Millis
-from ..states import Reason
-from .model import AdmissionAction, RefuseCall, StartCall
-
-
-class AdmissionQueue:
-    """Decides which calls start, wait or are refused; holds at most `slots` running calls."""
-
-    def __init__(self, slots: int) -> None:
-        """Start empty; `slots` is the number of calls that the upstream runs at once."""
-        self.slots = slots
-        self.running: set[CallId] = set()
-        self.waiting: deque[Call] = deque()
-        self.draining = False
-
-    def arrived(self, call: Call, now: Millis) -> Iterator[AdmissionAction]:
-        """Admit, queue or refuse a call."""
-        if self.draining:
-            yield RefuseCall(call.call_id, Reason.LEAVING)
-        elif call.deadline <= now:
-            yield RefuseCall(call.call_id, Reason.DEADLINE)
-        elif len(self.waiting) >= self.slots * QUEUE_SLOTS_FACTOR:
-            yield RefuseCall(call.call_id, Reason.QUEUE_FULL)
-        else:
-            self.waiting.append(call)
-            yield from self._start(now)
-
-    def finished(self, call_id: CallId, now: Millis) -> Iterator[AdmissionAction]:
-        """Free the slot of a call that ended."""
-        self.running.discard(call_id)
-        yield from self._start(now)
-
-    def drain(self) -> Iterator[AdmissionAction]:
-        """Refuse all that waits and all that comes; running calls go on."""
-        self.draining = True
-        while self.waiting:
-            yield RefuseCall(self.waiting.popleft().call_id, Reason.LEAVING)
-
-    def _start(self, now: Millis) -> Iterator[AdmissionAction]:
-        while self.waiting and len(self.running) < self.slots:
-            call = self.waiting.popleft()
-            if call.deadline <= now:
-                yield RefuseCall(call.call_id, Reason.DEADLINE)
+from ..states import Reason, WorkClass
+from .classes import CostTable
+from .deadline import can_finish
+from .model import Entry, RefuseCall, Step
+
+Lane = deque[Entry]
+
+
+class WaitingQueue:
+    """Holds the entries of each class in order of arrival."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[WorkClass, Lane] = {WorkClass.SHORT: deque(), WorkClass.LONG: deque()}
+
+    def __len__(self) -> int:
+        return sum(map(len, self.lanes.values()))
+
+    def offer(self, steps: Iterable[Step], bound: int, now: Millis) -> Iterator[RefuseCall]:
+        """Queue entries; at the bound yield the refusal of the entry that is worth least."""
+        for step in steps:
+            if isinstance(step, RefuseCall):
+                yield step
                 continue
-            self.running.add(call.call_id)
-            yield StartCall(call)
+            self.lanes[step.work_class].append(step)
+            if len(self) > bound:
+                yield RefuseCall(self._evict(now).call.call_id, Reason.QUEUE_FULL)
+
+    def take(self, long_running: int, long_limit: int, now: Millis) -> Entry | None:
+        """Remove and return the entry to start next.
+
+        Short work goes first, except that one long call may run at any load: without it, steady
+        short work would starve the long work.
+        """
+        short, long = self.lanes[WorkClass.SHORT], self.lanes[WorkClass.LONG]
+        long_allowed = bool(long) and long_running < long_limit
+        if long_allowed and (not short or (not long_running and is_late(long, now))):
+            return pop_next(long, now)
+        return pop_next(short, now) if short else None
+
+    def drop_hopeless(self, costs: CostTable, now: Millis) -> Iterator[RefuseCall]:
+        """Remove the entries that could not end in time if they started now."""
+        for lane in self.lanes.values():
+            hopeless = [entry for entry in lane if not can_finish(entry, costs, now)]
+            for entry in hopeless:
+                lane.remove(entry)
+                yield RefuseCall(entry.call.call_id, Reason.DEADLINE)
+
+    def remove(self, call_id: CallId) -> bool:
+        """Remove a call; return whether it waited."""
+        for lane in self.lanes.values():
+            for entry in lane:
+                if entry.call.call_id == call_id:
+                    lane.remove(entry)
+                    return True
+        return False
+
+    def clear(self, reason: Reason) -> Iterator[RefuseCall]:
+        """Remove and refuse everything."""
+        for lane in self.lanes.values():
+            while lane:
+                yield RefuseCall(lane.popleft().call.call_id, reason)
+
+    def _evict(self, now: Millis) -> Entry:
+        lane = self.lanes[WorkClass.LONG] or self.lanes[WorkClass.SHORT]
+        return lane.popleft() if is_late(lane, now) else lane.pop()
+
+
+def is_late(lane: Lane, now: Millis) -> bool:
+    """Return whether the oldest entry has waited longer than the target."""
+    return now - lane[0].arrived > QUEUE_TARGET
+
+
+def pop_next(lane: Lane, now: Millis) -> Entry:
+    """Remove the newest entry of a late lane, which has the most time left, else the oldest."""
+    return lane.pop() if is_late(lane, now) else lane.popleft()
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -55,6 +55,36 @@
 UPSTREAM_LEASE: Final = Millis(3_000)
 QUEUE_SLOTS_FACTOR: Final = 4
 
+# Admission.
+# A queue whose oldest entry has waited longer is overloaded and serves the newest entry first.
+QUEUE_TARGET: Final = Millis(100)
+# Checking every entry of a full queue on each message would cost more than carrying the call.
+SWEEP_PERIOD: Final = Millis(10)
+MAX_COST_SHAPES: Final = 1024
+# Weight of one sample in the recent cost, and of one faster sample in the baseline.
+RECENT_WEIGHT: Final = 0.2
+BASELINE_FALL: Final = 0.1
+# A slowdown of a few seconds must not become the baseline that it is compared with.
+BASELINE_RISE_TIME: Final = Millis(10_000)
+# An expected cost loses half its value in this time, so that refusals by cost end by themselves.
+EXPECTED_HALF_LIFE: Final = Millis(1_000)
+# Scheduling noise of a busy host is a few milliseconds and says nothing about the upstream.
+MIN_BASELINE: Final = Millis(5)
+LIMIT_WINDOW: Final = Millis(100)
+LIMIT_MIN_SAMPLES: Final = 4
+LIMIT_TOLERANCE: Final = 2.0
+LIMIT_MIN_GRADIENT: Final = 0.5
+LIMIT_SLOW_FLOOR: Final = 0.25
+LIMIT_SHED_FACTOR: Final = 0.7
+LIMIT_GROWTH: Final = 0.5
+
+# HTTP.
+# An idle connection is discarded before the server's own limit closes it.
+CLIENT_IDLE_LIMIT: Final = Millis(15_000)
+SERVER_HEAD_TIMEOUT: Final = Millis(60_000)
+SERVER_BODY_TIMEOUT: Final = Millis(10_000)
+SERVER_WRITE_TIMEOUT: Final = Millis(10_000)
+
 # Idempotency.
 CLAIM_BATCH_WAIT: Final = Millis(10)
 KEY_RETENTION: Final = Millis(15 * 60_000)
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -17,6 +17,7 @@
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.admission.policies import new_admission
 from agatecross_core.distribution.follower import ConfigFollower
 from agatecross_core.distribution.sync import PullRequest, VersionNotice
 from agatecross_core.errors import SettingsError
@@ -129,14 +130,16 @@
             ConfigFollower(me, decode_toml, rng),
             boxes.control,
             log,
-            (boxes.members, boxes.call, boxes.admin),
+            (boxes.members, boxes.call, boxes.admin, boxes.upstream),
         ),
         UpstreamTask(
             boxes.upstream,
             settings.peer_address,
+            settings.data_centre,
             TornadoHttpListener(),
             TornadoHttpClient(),
             boxes.members,
+            new_admission(settings.admission),
         ),
         CallTask(
             boxes.call,
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.admission.policies import POLICIES
 from agatecross_core.config.check import check_table
 from agatecross_core.config.model import DecodedDocument, Document
 from agatecross_core.config.schema import Key
@@ -75,6 +76,11 @@
         table = decoded.values.get(name)
         if isinstance(table, Mapping):
             yield from check_table(decoded.place, table, keys, (name,))
+    policy = decoded.values.get("policy")
+    admission = policy.get("admission") if isinstance(policy, Mapping) else None
+    if isinstance(admission, str) and admission not in POLICIES:
+        place = decoded.place(("policy", "admission"))
+        yield Finding(place, "no-such-policy", f"must be one of {', '.join(sorted(POLICIES))}")
 
 
 def _build(daemon: object, log: object, policy: object) -> Settings:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/subtasks.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/subtasks.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
+
+T = TypeVar("T")
 
 
 class Subtasks:
@@ -11,11 +13,12 @@
     def __init__(self) -> None:
         self.running: set[asyncio.Task[object]] = set()
 
-    def start(self, work: Coroutine[Any, Any, object]) -> None:
-        """Start a coroutine."""
+    def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Start a coroutine and return its task."""
         task = asyncio.ensure_future(work)
         self.running.add(task)
         task.add_done_callback(self.running.discard)
+        return task
 
     def cancel(self) -> None:
         """Cancel everything that still runs."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -12,22 +12,40 @@
     encode_result,
 )
 from agatecross_adapters.protocols import HttpClient, HttpListener
-from agatecross_core.admission.model import AdmissionAction, RefuseCall, StartCall
-from agatecross_core.admission.queue import AdmissionQueue
+from agatecross_core.admission.model import (
+    DEFAULT_CLASS_POLICY,
+    AdmissionAction,
+    AdmissionMessage,
+    CallArrived,
+    CallCancelled,
+    CallFinished,
+    CapacityAnnounced,
+    ClassPolicy,
+    Drain,
+    Ending,
+    LeaseExpired,
+    RefuseCall,
+    StartCall,
+    StopCall,
+    TimePassed,
+)
+from agatecross_core.admission.policies import AdmissionPolicy
 from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, ran, unknown
+from agatecross_core.config.model import MeshSnapshot
 from agatecross_core.constants import UPSTREAM_LEASE
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
-from agatecross_core.ids import Address, CallId, Millis
+from agatecross_core.ids import Address, CallId, DataCentreName, Millis
 from agatecross_core.members.records import UpstreamInfo
-from agatecross_core.states import Reason, UpstreamState
+from agatecross_core.states import Outcome, Reason
 
-from ..events import log_event
+from ..events import log_event, log_warning
 from ..mailbox import Ask, Mailbox, Sender, monotonic, new_ask
-from ..messages import Leaving, Tick, UpstreamChanged
+from ..messages import ConfigInForce, Leaving, Tick, UpstreamChanged
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.25
 SHED_HEADER = "Agatecross-Outcome"
+CLOSE_CONNECTION = ("Connection", "close")
 
 CallAsk = Ask[Call, CallResult]
 
@@ -47,29 +65,37 @@
     result: CallResult
 
 
-UpstreamMessage = CallAsk | UpstreamAnnounced | CallEnded | Leaving | Tick
+UpstreamMessage = (
+    CallAsk | CallCancelled | UpstreamAnnounced | CallEnded | ConfigInForce | Leaving | Tick
+)
 
 
 class UpstreamTask:
-    """Runs calls on the upstream within its slots and refuses the others as not run."""
+    """Runs calls on the upstream as its admission policy decides; refuses the others as not run."""
 
     def __init__(
         self,
         mailbox: Mailbox[UpstreamMessage],
         address: Address,
+        data_centre: DataCentreName,
         listener: HttpListener,
         client: HttpClient,
         members: Sender[UpstreamChanged],
+        admission: AdmissionPolicy,
     ) -> None:
         self.address = address
+        self.data_centre = data_centre
         self.listener = listener
         self.client = client
         self.members = members
+        self.admission = admission
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
+        self.snapshot: MeshSnapshot | None = None
         self.lease_until = Millis(0)
-        self.queue = AdmissionQueue(0)
+        self.leaving = False
         self.asks: dict[CallId, CallAsk] = {}
+        self.exchanges: dict[CallId, asyncio.Task[CallResult]] = {}
         self.subtasks = Subtasks()
 
     async def run(self) -> None:
@@ -87,6 +113,8 @@
         """Return when no call runs on the upstream and every response was written."""
         await self.subtasks.wait()
         await self.listener.close()
+        # A call that arrived just before the queue closed may have outlived its sender.
+        await self.subtasks.wait()
 
     async def _peer_request(self, request: Request) -> Response:
         call = decode_call(request, monotonic())
@@ -95,10 +123,12 @@
         ask: CallAsk = new_ask(call)
         self.mailbox.put(ask)
         result = await ask.reply
-        return encode_result(result, (LOAD, self._load()))
+        # Peers drop their idle connections to a daemon that leaves before it closes them.
+        extra = (CLOSE_CONNECTION,) if self.leaving else ()
+        return encode_result(result, (LOAD, self._load()), *extra)
 
     def _load(self) -> str:
-        return f"{len(self.queue.running)} {len(self.queue.waiting)} {self.queue.slots}"
+        return f"{self.admission.running} {self.admission.waiting} {self.admission.slots}"
 
     def _handle(self, message: UpstreamMessage) -> None:
         now = monotonic()
@@ -106,22 +136,43 @@
             case UpstreamAnnounced(info):
                 self._announced(info, now)
             case CallEnded(call_id, result):
+                self.exchanges.pop(call_id, None)
                 self._answer(call_id, result)
-                self._act(self.queue.finished(call_id, now))
+                self._decide(CallFinished(call_id, _ending(result)), now)
+            case CallCancelled(call_id):
+                self.asks.pop(call_id, None)
+                self._decide(message, now)
+            case ConfigInForce(snapshot):
+                self.snapshot = snapshot
+                self._decide(self._class_policy(), now)
             case Leaving():
-                self._act(self.queue.drain())
+                self.leaving = True
+                self._decide(Drain(), now)
             case Tick():
                 self._check_lease(now)
+                self._decide(TimePassed(), now)
             case _:
                 self._arrived(message, now)
 
     def _arrived(self, ask: CallAsk, now: Millis) -> None:
         call = ask.question
-        if self.info is None or self.info.service != call.service:
-            ask.answer(not_run(Reason.NO_UPSTREAM))
+        if ask.reply.cancelled():
             return
-        self.asks[call.call_id] = ask
-        self._act(self.queue.arrived(call, now))
+        if self.leaving:
+            ask.answer(not_run(Reason.LEAVING))
+        elif self.info is None or self.info.service != call.service:
+            ask.answer(not_run(Reason.NO_UPSTREAM))
+        elif call.call_id in self.asks or call.call_id in self.exchanges:
+            # An earlier attempt of the same call is still here; its answer must stay its own.
+            ask.answer(not_run(Reason.TOO_MANY_CALLS))
+        else:
+            self.asks[call.call_id] = ask
+            ask.reply.add_done_callback(lambda reply: self._reply_done(call.call_id, reply))
+            self._decide(CallArrived(call), now)
+
+    def _reply_done(self, call_id: CallId, reply: asyncio.Future[CallResult]) -> None:
+        if reply.cancelled():
+            self.mailbox.put(CallCancelled(call_id))
 
     def _announced(self, info: UpstreamInfo, now: Millis) -> None:
         self.lease_until = Millis(now + UPSTREAM_LEASE)
@@ -129,31 +180,58 @@
             return
         log_event("upstream_changed", service=info.service, state=info.state.value)
         self.info = info
-        self.queue.slots = info.slots
-        self.queue.draining = info.state is UpstreamState.DRAINING
+        self._decide(self._class_policy(), now)
+        self._decide(CapacityAnnounced(info.slots, info.connections, info.state), now)
         self.members.put(UpstreamChanged(info))
 
+    def _class_policy(self) -> ClassPolicy:
+        site = self.snapshot.sites.get(self.data_centre) if self.snapshot else None
+        policy = site.services.get(self.info.service) if site and self.info else None
+        if policy is None:
+            return DEFAULT_CLASS_POLICY
+        return ClassPolicy(Millis(policy.long_ms), policy.long_share)
+
     def _check_lease(self, now: Millis) -> None:
         if self.info is not None and now > self.lease_until:
             log_event("upstream_lease_expired", service=self.info.service)
             self.info = None
+            self._decide(LeaseExpired(), now)
             self.members.put(UpstreamChanged(None))
 
+    def _decide(self, message: AdmissionMessage, now: Millis) -> None:
+        self._act(self.admission.handle(message, now))
+
     def _act(self, actions: Iterable[AdmissionAction]) -> None:
         for action in actions:
             match action:
                 case StartCall(call):
-                    self.subtasks.start(self._run(call))
+                    self._start(call)
                 case RefuseCall(call_id, reason):
                     self._answer(call_id, not_run(reason))
+                case StopCall(call_id):
+                    self.exchanges[call_id].cancel()
+
+    def _start(self, call: Call) -> None:
+        assert self.info is not None
+        exchange = self.subtasks.start(self._run(call, self.info.address))
+        self.exchanges[call.call_id] = exchange
+        # A callback and not the exchange reports the end: a cancelled exchange must free its slot.
+        exchange.add_done_callback(lambda ended: self._exchange_done(call.call_id, ended))
+
+    def _exchange_done(self, call_id: CallId, exchange: asyncio.Task[CallResult]) -> None:
+        result = unknown(Reason.CONNECTION_LOST)
+        if not exchange.cancelled() and (error := exchange.exception()) is None:
+            result = exchange.result()
+        elif not exchange.cancelled():
+            log_warning("exchange_failed", call_id=call_id, reason=repr(error))
+        self.mailbox.put(CallEnded(call_id, result))
 
     def _answer(self, call_id: CallId, result: CallResult) -> None:
         ask = self.asks.pop(call_id, None)
         if ask is not None:
             ask.answer(result)
 
-    async def _run(self, call: Call) -> None:
-        assert self.info is not None
+    async def _run(self, call: Call, address: Address) -> CallResult:
         left = Millis(max(1.0, call.deadline - monotonic()))
         headers = (
             *call.request.headers,
@@ -161,8 +239,7 @@
             (DEADLINE, f"{left:.1f}"),
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
-        result = await self._exchange(self.info.address, request, left)
-        self.mailbox.put(CallEnded(call.call_id, result))
+        return await self._exchange(address, request, left)
 
     async def _exchange(self, address: Address, request: Request, left: Millis) -> CallResult:
         try:
@@ -181,3 +258,9 @@
         while True:
             self.mailbox.put(Tick())
             await asyncio.sleep(TICK_SECONDS)
+
+
+def _ending(result: CallResult) -> Ending:
+    if result.outcome is Outcome.RAN or result.reason is Reason.TIMEOUT:
+        return Ending.COMPLETED
+    return Ending.SHED if result.reason is Reason.SHED else Ending.FAILED
