Make the HTTP listener and client safe against faulty peers

Cause: fields of one connection (Transfer-Encoding, Expect, Connection) were passed on to the next one, a response without a length looked whole when it was truncated, a pooled connection that the server had closed turned a call into an unknown outcome, a handler exception left its caller waiting, and a sender could take an hour for a head.

Change: the listener collects requests itself and passes only end-to-end fields on; it bounds the time for head, body and response, answers 500 with outcome unknown when a handler fails and closes its connections after their answer while it leaves. The client counts the bytes of a request that were sent: with none, the call is sent on another connection or reported as a failed connect. Idle connections that are old, closed or readable are discarded. A response that states no length is not complete.

--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -1,21 +1,23 @@
 """HTTP/1.1 client on tornado's connections, with a pool for each address."""
 
 import asyncio
+import socket
 import time
 from collections import deque
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
 )
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.constants import (
+    CLIENT_IDLE_LIMIT,
     CONNECT_TIMEOUT,
     MAX_HEAD_BYTES,
     MAX_IDLE_CONNECTIONS_PER_PEER,
@@ -24,17 +26,49 @@
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
 from agatecross_core.ids import Address, Millis
 
+from .http_fields import end_to_end
+
 PARAMETERS = HTTP1ConnectionParameters(
     no_keep_alive=False,
     max_header_size=MAX_HEAD_BYTES,
     max_body_size=MAX_RESPONSE_BYTES,
 )
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+class ClientStream(IOStream):
+    """Connection to a server that knows whether a byte of the current request was sent."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock)
+        self.sent = 0
+        self.idle_since = 0.0
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Send and count."""
+        count = super().write_to_fd(data)
+        self.sent += count
+        return count
+
+    def usable(self, now: float) -> bool:
+        """Return whether an idle connection is recent, open and without unexpected data."""
+        if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_LIMIT:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either the server closed the connection or it sent data that belongs to no request.
+        return False
 
 
 class ResponseCollector(HTTPMessageDelegate):
     """Collects one response until it is whole."""
 
-    def __init__(self) -> None:
+    def __init__(self, method: str) -> None:
+        self.method = method
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -47,6 +81,11 @@
         assert isinstance(start_line, ResponseStartLine)
         self.status = start_line.code
         self.headers = headers
+        bodiless = self.method == "HEAD" or self.status in BODILESS_STATUSES or self.status < 200
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        if not framed and not bodiless:
+            # Such a body ends with the connection, so a truncated one would look whole.
+            raise HTTPInputError("response states no length")
 
     def data_received(self, chunk: bytes) -> None:
         """Keep one part of the body."""
@@ -62,41 +101,66 @@
 
     def __init__(self, max_idle: int = MAX_IDLE_CONNECTIONS_PER_PEER) -> None:
         self.max_idle = max_idle
-        self.connector = TCPClient()
-        self.idle: dict[Address, deque[IOStream]] = {}
+        self.idle: dict[Address, deque[ClientStream]] = {}
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
         """Return the whole response; raises a subclass of `ExchangeError`."""
         deadline = time.monotonic() + timeout / 1000
-        stream = await self._connection(address, timeout)
-        keep = False
-        try:
-            async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
-                response = await self._exchange(address, stream, request)
-            keep = (response.header("Connection") or "").lower() != "close"
-            return response
-        except TimeoutError as error:
-            raise ExchangeTimeoutError(address, "no complete response in time") from error
-        finally:
-            # A connection whose response was not read to its end could deliver it to a later call.
-            self._release(address, stream, keep)
-
-    async def _connection(self, address: Address, timeout: Millis) -> IOStream:
+        while stream := self._take_idle(address):
+            try:
+                return await self._carry(address, stream, request, deadline)
+            except ConnectFailedError:
+                # The server closed the pooled connection before the first byte was sent.
+                continue
+        stream = await self._connect(address, timeout)
+        return await self._carry(address, stream, request, deadline)
+
+    def _take_idle(self, address: Address) -> ClientStream | None:
         idle = self.idle.get(address)
+        now = time.monotonic()
         while idle:
             stream = idle.pop()
-            if not stream.closed():
+            if stream.usable(now):
                 return stream
+            stream.close()
+        return None
+
+    async def _connect(self, address: Address, timeout: Millis) -> ClientStream:
         host, _, port = address.rpartition(":")
         limit = min(timeout, CONNECT_TIMEOUT) / 1000
+        stream: ClientStream | None = None
         try:
-            stream = await asyncio.wait_for(self.connector.connect(host, int(port)), limit)
+            stream = ClientStream(socket.socket(_family(host)))
+            await asyncio.wait_for(stream.connect((host.strip("[]"), int(port))), limit)
         except (OSError, TimeoutError, StreamClosedError) as error:
+            if stream is not None:
+                stream.close()
             raise ConnectFailedError(address, str(error) or type(error).__name__) from error
         stream.set_nodelay(True)
         return stream
 
-    async def _exchange(self, address: Address, stream: IOStream, request: Request) -> Response:
+    async def _carry(
+        self, address: Address, stream: ClientStream, request: Request, deadline: float
+    ) -> Response:
+        stream.sent = 0
+        keep = False
+        try:
+            async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
+                response, keep = await self._exchange(address, stream, request)
+            return response
+        except TimeoutError as error:
+            raise ExchangeTimeoutError(address, "no complete response in time") from error
+        except ConnectionLostError as error:
+            if not stream.sent:
+                raise ConnectFailedError(address, "closed before a byte was sent") from error
+            raise
+        finally:
+            # A connection whose response was not read to its end could deliver it to a later call.
+            self._release(address, stream, keep)
+
+    async def _exchange(
+        self, address: Address, stream: ClientStream, request: Request
+    ) -> tuple[Response, bool]:
         connection = HTTP1Connection(stream, True, PARAMETERS)
         headers = HTTPHeaders()
         for name, value in request.headers:
@@ -104,7 +168,7 @@
         headers["Host"] = headers.get("Host", address)
         headers["Content-Length"] = str(len(request.body))
         start = RequestStartLine(request.method, request.path, "HTTP/1.1")
-        collector = ResponseCollector()
+        collector = ResponseCollector(request.method)
         try:
             write = connection.write_headers(start, headers, request.body)
             connection.finish()
@@ -114,12 +178,14 @@
             raise ConnectionLostError(address, "connection closed") from error
         if not collector.whole:
             raise ConnectionLostError(address, "response is not complete")
-        fields = tuple(collector.headers.get_all())
-        return Response(collector.status, fields, b"".join(collector.chunks))
+        keep = collector.headers.get("Connection", "").lower() != "close"
+        fields = end_to_end(collector.headers)
+        return Response(collector.status, fields, b"".join(collector.chunks)), keep
 
-    def _release(self, address: Address, stream: IOStream, keep: bool) -> None:
+    def _release(self, address: Address, stream: ClientStream, keep: bool) -> None:
         idle = self.idle.setdefault(address, deque())
         if keep and not stream.closed() and len(idle) < self.max_idle:
+            stream.idle_since = time.monotonic()
             idle.append(stream)
         else:
             stream.close()
@@ -130,3 +196,7 @@
             for stream in streams:
                 stream.close()
         self.idle.clear()
+
+
+def _family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -3,27 +3,56 @@
 import asyncio
 from http.client import responses
 
+from absl import logging
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 from agatecross_core.calls.model import Request, Response
-from agatecross_core.constants import MAX_HEAD_BYTES, MAX_REQUEST_BYTES
-from agatecross_core.ids import Address
+from agatecross_core.constants import (
+    MAX_HEAD_BYTES,
+    MAX_REQUEST_BYTES,
+    SERVER_BODY_TIMEOUT,
+    SERVER_HEAD_TIMEOUT,
+    SERVER_WRITE_TIMEOUT,
+)
+from agatecross_core.ids import Address, Millis
+from agatecross_core.states import Outcome
 
+from .call_headers import OUTCOME
+from .http_fields import HOP_FIELDS, end_to_end
 from .protocols import RequestHandler
 
-HOP_HEADERS = frozenset(
-    ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade", "trailer")
+HANDLER_FAILED = Response(
+    500,
+    (("Content-Type", "text/plain"), (OUTCOME, Outcome.UNKNOWN.value)),
+    b"unknown: internal error\n",
 )
+BODILESS_STATUSES = frozenset((204, 304))
 
 
-class TornadoHttpListener:
-    """Serves whole requests with whole responses."""
+class TornadoHttpListener(HTTPServerConnectionDelegate):
+    """Serves whole requests with whole responses; bounds the time to send each of them."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        head_timeout: Millis = SERVER_HEAD_TIMEOUT,
+        body_timeout: Millis = SERVER_BODY_TIMEOUT,
+        write_timeout: Millis = SERVER_WRITE_TIMEOUT,
+    ) -> None:
+        self.head_timeout = head_timeout
+        self.body_timeout = body_timeout
+        self.write_timeout = write_timeout
         self.server: HTTPServer | None = None
         self.handler: RequestHandler | None = None
         self.running: set[asyncio.Task[None]] = set()
@@ -35,7 +64,11 @@
         sockets = bind_sockets(int(port), host, backlog=1024)
         self.handler = handler
         self.server = HTTPServer(
-            self._received, max_header_size=MAX_HEAD_BYTES, max_body_size=MAX_REQUEST_BYTES
+            self,
+            max_header_size=MAX_HEAD_BYTES,
+            max_body_size=MAX_REQUEST_BYTES,
+            idle_connection_timeout=self.head_timeout / 1000,
+            body_timeout=self.body_timeout / 1000,
         )
         self.server.add_sockets(sockets)
         return Address(f"{host}:{sockets[0].getsockname()[1]}")
@@ -49,48 +82,108 @@
     async def close(self) -> None:
         """Wait for running handlers, then close every connection."""
         self.close_idle()
-        if self.running:
+        while self.running:
             await asyncio.wait(self.running)
         if self.server is not None:
             await self.server.close_all_connections()
 
-    def _received(self, received: HTTPServerRequest) -> None:
-        task = asyncio.ensure_future(self._answer(received))
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the collector of the next request of a connection."""
+        del server_conn
+        assert isinstance(request_conn, HTTP1Connection)
+        return RequestCollector(self, request_conn)
+
+    def received(self, connection: HTTP1Connection, request: Request) -> None:
+        """Answer a whole request in a task that ends with its connection."""
+        task = asyncio.ensure_future(self._answer(connection, request))
         self.running.add(task)
         task.add_done_callback(self.running.discard)
-        assert isinstance(received.connection, HTTP1Connection)
-        received.connection.set_close_callback(lambda: _cancel(task))
+        connection.set_close_callback(lambda: _cancel(task))
 
-    async def _answer(self, received: HTTPServerRequest) -> None:
+    async def _answer(self, connection: HTTP1Connection, request: Request) -> None:
         assert self.handler is not None
-        request = Request(
-            received.method or "GET",
-            received.uri or "/",
-            tuple(received.headers.get_all()),
-            received.body,
-        )
-        response = await self.handler(request)
-        self._write(received, response)
+        try:
+            response = await self.handler(request)
+            headers, close = self._response_headers(request, response)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        except Exception as error:
+            # The handler may be anything; its failure must end neither the daemon nor the caller.
+            logging.error("event=handler_failed reason=%r", repr(error), exc_info=True)
+            response = HANDLER_FAILED
+            headers, close = self._response_headers(request, response)
+        connection.set_close_callback(None)
+        bodiless = request.method == "HEAD" or response.status in BODILESS_STATUSES
+        try:
+            await self._write(connection, response, headers, b"" if bodiless else response.body)
+        except (StreamClosedError, TimeoutError):
+            close = True
+        if close:
+            connection.close()
+
+    async def _write(
+        self, connection: HTTP1Connection, response: Response, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        reason = responses.get(response.status, "Unknown")
+        start = ResponseStartLine("HTTP/1.1", response.status, reason)
+        written = connection.write_headers(start, headers, body)
+        connection.finish()
+        if not written.done():
+            await asyncio.wait_for(written, self.write_timeout / 1000)
 
-    def _write(self, received: HTTPServerRequest, response: Response) -> None:
-        connection = received.connection
-        assert isinstance(connection, HTTP1Connection)
+    def _response_headers(self, request: Request, response: Response) -> tuple[HTTPHeaders, bool]:
         headers = HTTPHeaders()
+        close = self.closing
+        length = str(len(response.body))
         for name, value in response.headers:
-            if name.lower() not in HOP_HEADERS:
+            normal = name.title()
+            if normal not in HOP_FIELDS:
                 headers.add(name, value)
-        headers["Content-Length"] = str(len(response.body))
-        if self.closing:
+            elif normal == "Connection" and value == "close":
+                close = True
+            elif normal == "Content-Length" and request.method == "HEAD" and not response.body:
+                # The length that a GET would have had.
+                length = value
+        if response.status not in BODILESS_STATUSES:
+            headers["Content-Length"] = length
+        if close:
             headers["Connection"] = "close"
-        reason = responses.get(response.status, "Unknown")
-        start = ResponseStartLine("HTTP/1.1", response.status, reason)
-        body = b"" if received.method == "HEAD" else response.body
-        connection.set_close_callback(None)
-        try:
-            connection.write_headers(start, headers, body)
-            connection.finish()
-        except StreamClosedError:
-            return
+        return headers, close
+
+
+class RequestCollector(HTTPMessageDelegate):
+    """Collects one request until it is whole."""
+
+    def __init__(self, listener: TornadoHttpListener, connection: HTTP1Connection) -> None:
+        self.listener = listener
+        self.connection = connection
+        self.start: RequestStartLine | None = None
+        self.headers = HTTPHeaders()
+        self.chunks: list[bytes] = []
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Keep the head; HTTP/1.1 demands exactly one host."""
+        assert isinstance(start_line, RequestStartLine)
+        if start_line.version == "HTTP/1.1" and len(headers.get_list("Host")) != 1:
+            raise HTTPInputError("exactly one Host header is required")
+        self.start = start_line
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep one part of the body."""
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Pass the whole request on."""
+        assert self.start is not None
+        fields, body = end_to_end(self.headers), b"".join(self.chunks)
+        request = Request(self.start.method, self.start.path, fields, body)
+        self.listener.received(self.connection, request)
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
