Test shutdown and cancellation of calls over processes

Cause: the queue's rules were tested without sockets only.

Change: the stand-in upstream can hold calls, records their ends and deadlines, cancels the work of a closed connection and can queue above its slots instead of shedding.

--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -2,7 +2,8 @@
 
 It announces itself each second to the daemon next to it (`PUT /agatecross/v1/upstream`), answers
 every call with its own name and the call's id, and records each execution. `PUT /switches` sets
-the switches; `GET /executions` returns the recorded executions.
+the switches; `GET /executions` returns the recorded executions and the ids of the calls that
+completed or were cancelled by a closed connection.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
 SERVICE = flags.DEFINE_string("service", None, "Service of this upstream.", required=True)
 SLOTS = flags.DEFINE_integer("slots", 12, "Calls run at once; more are shed.")
 CONNECTIONS = flags.DEFINE_integer("connections", 110, "Connections accepted.")
+SHED = flags.DEFINE_bool("shed", True, "Shed calls above the slots instead of queueing them.")
 WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Time that a call takes.")
 COLD_START_MS = flags.DEFINE_float("cold_start_ms", 0.0, "Time in state starting.")
 
@@ -33,23 +35,25 @@
 
 @dataclass(slots=True)
 class Switches:
-    """Behaviour: slow-down factor, draining, crash on a path that contains this text."""
+    """Behaviour: slow-down factor, draining, crash or hold on a path that contains this text."""
 
     slow_factor: float = 1.0
     draining: bool = False
     silent: bool = False
     crash_on: str = ""
+    hold_on: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """One started call; times in wall-clock seconds, `ended_at` 0 while it runs."""
+    """One started call; time in wall-clock seconds, deadline in milliseconds as received."""
 
     call_id: str
     key: str
     method: str
     path: str
     started_at: float
+    deadline_ms: str
 
 
 class UpstreamState:
@@ -57,8 +61,11 @@
 
     def __init__(self) -> None:
         self.switches = Switches()
-        self.running = 0
+        self.slots = asyncio.Semaphore(SLOTS.value)
+        self.released = asyncio.Condition()
         self.executions: list[Execution] = []
+        self.completed: list[str] = []
+        self.cancelled: list[str] = []
         self.started_at = time.monotonic()
 
     def announced(self) -> dict[str, object]:
@@ -80,34 +87,51 @@
     def initialize(self, state: UpstreamState) -> None:
         """Take the shared state."""
         self.state = state
+        self.running: asyncio.Future[None] | None = None
 
     async def work(self) -> None:
         """Hold a slot for the call's time, then answer."""
-        state = self.state
-        if state.running >= SLOTS.value:
+        if SHED.value and self.state.slots.locked():
             self.set_header("Agatecross-Outcome", "not-run")
             self.send_error(503)
             return
-        state.running += 1
+        call_id = self.request.headers.get("Agatecross-Call-Id", "")
+        self.running = asyncio.ensure_future(self._run())
         try:
+            await self.running
+        except asyncio.CancelledError:
+            self.state.cancelled.append(call_id)
+            return
+        self.state.completed.append(call_id)
+        body = {
+            "upstream": f"127.0.0.1:{PORT.value}",
+            "service": SERVICE.value,
+            "call_id": call_id,
+            "echo": self.request.headers.get("X-Echo", ""),
+        }
+        size = int(self.get_query_argument("size", "0"))
+        self.finish(body | {"padding": "x" * size} if size else body)
+
+    def on_connection_close(self) -> None:
+        """Cancel the work: the daemon closes the connection of a cancelled call."""
+        if self.running is not None:
+            self.running.cancel()
+
+    async def _run(self) -> None:
+        state = self.state
+        path = self.request.path
+        async with state.slots:
             state.executions.append(self._execution())
-            if state.switches.crash_on and state.switches.crash_on in self.request.path:
+            if state.switches.crash_on and state.switches.crash_on in path:
                 os._exit(CRASH_EXIT)
             if state.switches.silent:
                 await asyncio.Event().wait()
+            async with state.released:
+                await state.released.wait_for(
+                    lambda: not state.switches.hold_on or state.switches.hold_on not in path
+                )
             work = float(self.get_query_argument("work_ms", str(WORK_MS.value)))
             await asyncio.sleep(work * state.switches.slow_factor / 1000)
-            call_id = self.request.headers.get("Agatecross-Call-Id", "")
-            self.finish(
-                {
-                    "upstream": f"127.0.0.1:{PORT.value}",
-                    "service": SERVICE.value,
-                    "call_id": call_id,
-                    "echo": self.request.headers.get("X-Echo", ""),
-                }
-            )
-        finally:
-            state.running -= 1
 
     get = post = put = delete = work
 
@@ -119,6 +143,7 @@
             self.request.method or "",
             self.request.path,
             time.time(),
+            headers.get("Agatecross-Deadline-Ms", ""),
         )
 
 
@@ -129,15 +154,20 @@
         """Take the shared state."""
         self.state = state
 
-    def put(self) -> None:
+    async def put(self) -> None:
         """Set the given switches."""
         for name, value in json.loads(self.request.body).items():
             setattr(self.state.switches, name, value)
+        async with self.state.released:
+            self.state.released.notify_all()
         self.finish({})
 
     def get(self) -> None:
         """Return the recorded executions."""
-        self.finish({"executions": [asdict(row) for row in self.state.executions]})
+        state = self.state
+        rows = [asdict(row) for row in state.executions]
+        ends = {"completed": state.completed, "cancelled": state.cancelled}
+        self.finish({"executions": rows, **ends})
 
 
 async def announce(state: UpstreamState) -> None:
