--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -0,0 +1,157 @@
+"""Time and processor time that one and two daemon hops add to a call.
+
+Sequential keep-alive calls go directly to an upstream, through the daemon next to it and through
+another daemon, in rotating order. `--profile` runs the daemon next to the upstream under cProfile
+instead and prints where its time goes.
+"""
+
+import asyncio
+import pstats
+import random
+import signal
+import time
+from collections.abc import Sequence
+from contextlib import ExitStack
+
+import psutil
+from absl import app, flags
+
+from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_core.calls.model import Request
+from agatecross_core.ids import Address, Millis
+
+from ..fleet import Fleet, Node, Site, wait_until
+from ..load import Planned, poisson_times, run_load, summarise
+from .admission_runs import KAFESKOOP, publish, quantile, spread, write_report
+
+SEED = flags.DEFINE_integer("seed", 7, "Seed of the order of paths and of the arrivals.")
+ROUNDS = flags.DEFINE_integer("rounds", 5, "Rounds of sequential calls.")
+CALLS = flags.DEFINE_integer("calls", 600, "Sequential calls for each path and round.")
+PROFILE = flags.DEFINE_bool("profile", False, "Profile the daemon instead.")
+
+TARGET_MS = 0.36
+ANSWER_BYTES = 256
+RATES = (100, 200, 400, 800)
+RATE_SECONDS = 4.0
+PROFILE_LINES = 25
+TIMEOUT = Millis(5_000)
+PATHS = ("direct", "one hop", "two hops")
+
+
+def start_fleet(stack: ExitStack) -> Fleet:
+    """Start the upstream's node and another node whose daemon is the entry for two hops."""
+    fleet = stack.enter_context(Fleet())
+    fleet.add_node(KAFESKOOP.site, KAFESKOOP.service, "--work_ms=0", "--slots=64")
+    fleet.add_node(Site("marmara", "bursa-b"), "member-accounts")
+    publish(fleet, KAFESKOOP)
+    return fleet
+
+
+def addresses(fleet: Fleet) -> dict[str, Address]:
+    """Return where each path begins."""
+    ports = (fleet.nodes[0].upstream_port, fleet.nodes[0].call_port, fleet.nodes[1].call_port)
+    return {path: Address(f"127.0.0.1:{p}") for path, p in zip(PATHS, ports, strict=True)}
+
+
+async def padding(client: TornadoHttpClient, address: Address) -> int:
+    """Return the padding that makes an answer 256 bytes long."""
+    response = await client.send(address, Request("GET", "/catalogue/1?size=1", (), b""), TIMEOUT)
+    return ANSWER_BYTES - len(response.body) + 1
+
+
+async def sequential(targets: dict[str, Address], calls: int, rng: random.Random) -> list[float]:
+    """Return p50 and p99 of each path, in milliseconds."""
+    client = TornadoHttpClient()
+    size = await padding(client, targets["one hop"])
+    request = Request("GET", f"/catalogue/1?size={size}", (), b"")
+    took: dict[str, list[float]] = {path: [] for path in PATHS}
+    for _ in range(calls):
+        for path in rng.sample(PATHS, len(PATHS)):
+            started = time.perf_counter()
+            response = await client.send(targets[path], request, TIMEOUT)
+            took[path].append((time.perf_counter() - started) * 1000)
+            assert response.status == 200, response
+    client.close()
+    return [quantile(took[path], q) for path in PATHS for q in (0.5, 0.99)]
+
+
+def processor_ms(node: Node) -> float:
+    """Return the processor time that a node's daemon has used, in milliseconds."""
+    assert node.daemon is not None
+    used = psutil.Process(node.daemon.pid).cpu_times()
+    return float(used.user + used.system) * 1000
+
+
+def at_rate(fleet: Fleet, rate: int, rng: random.Random) -> dict[str, float]:
+    """Return processor time per call of both daemons at a rate, and the latency."""
+    request = Request("GET", "/catalogue/1", (), b"")
+    entry = addresses(fleet)["two hops"]
+    times = poisson_times(rate, RATE_SECONDS, rng)
+    plan = [Planned(at, entry, request, TIMEOUT) for at in times]
+    before = [processor_ms(node) for node in fleet.nodes]
+    summary = summarise(asyncio.run(run_load(plan)))
+    next_to, entry_ms = (
+        (processor_ms(node) - used) / len(plan)
+        for node, used in zip(fleet.nodes, before, strict=True)
+    )
+    ran = summary.ran / summary.calls
+    return {
+        "rate": rate,
+        "entry_ms": entry_ms,
+        "next_to_upstream_ms": next_to,
+        "ran": ran,
+        "p99": summary.p99,
+    }
+
+
+def profile(fleet: Fleet) -> None:
+    """Print where the daemon next to the upstream spends its time."""
+    node = fleet.nodes[0]
+    fleet.stop_daemon(node)
+    output = fleet.directory / "daemon.prof"
+    settings = fleet.directory / f"{node.name}.toml"
+    command = ("cProfile", "-o", str(output), "-m", "agatecross_daemon", f"--settings={settings}")
+    node.daemon = fleet.spawn("profiled", *command)
+    fleet.wait_joined()
+    fleet.wait_version(1)
+    rng = random.Random(SEED.value)
+    request = Request("GET", "/catalogue/1", (), b"")
+    target = addresses(fleet)["one hop"]
+    plan = [Planned(at, target, request, TIMEOUT) for at in poisson_times(300, 6.0, rng)]
+    print(summarise(asyncio.run(run_load(plan))))
+    node.daemon.send_signal(signal.SIGTERM)
+    node.daemon.wait(60)
+    wait_until(output.exists, "the profile")
+    pstats.Stats(str(output)).sort_stats("tottime").print_stats(PROFILE_LINES)
+
+
+def main(argv: Sequence[str]) -> None:
+    """Measure or profile, and print a table."""
+    del argv
+    rng = random.Random(SEED.value)
+    with ExitStack() as stack:
+        fleet = start_fleet(stack)
+        if PROFILE.value:
+            profile(fleet)
+            return
+        targets = addresses(fleet)
+        asyncio.run(sequential(targets, 200, rng))
+        rounds = [asyncio.run(sequential(targets, CALLS.value, rng)) for _ in range(ROUNDS.value)]
+        rates = [at_rate(fleet, rate, rng) for rate in RATES]
+    added = {
+        f"{path} {name}": [row[column] - row[column % 2] for row in rounds]
+        for column, (path, name) in enumerate([(p, n) for p in PATHS for n in ("p50", "p99")])
+        if path != "direct"
+    }
+    for column, name in enumerate(("direct p50", "direct p99")):
+        print(f"{name} ms: {spread([row[column] for row in rounds])}")
+    for name, values in added.items():
+        print(f"added, {name} ms: {spread(values)}")
+    print(f"target {TARGET_MS} ms added at p99 over both hops")
+    for row in rates:
+        print(" ".join(f"{key}={value:.3f}" for key, value in row.items()))
+    write_report("bench-hop", {"seed": SEED.value, "added_ms": added, "rates": rates})
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/bench/peak.py
@@ -0,0 +1,138 @@
+"""Service during a demand swing to ten times within two seconds, for each admission policy.
+
+One daemon and one upstream for each policy run at the same time; the load goes to one of them at a
+time, in rotating order, with the same arrivals for each policy of a round.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from contextlib import ExitStack
+from dataclasses import asdict, dataclass
+
+from absl import app, flags
+
+from ..load import Sample, run_load
+from .admission_runs import (
+    KAFESKOOP,
+    LYSKAEDE,
+    Deployment,
+    arrivals,
+    is_useful,
+    plan_calls,
+    quantile,
+    spread,
+    start_fleets,
+    write_report,
+)
+
+SEED = flags.DEFINE_integer("seed", 7, "Seed of the arrivals.")
+ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds for each deployment.")
+
+POLICIES = ("adaptive", "fixed", "none")
+BASE_LOAD = 0.25
+SWING = 10.0
+SWING_START = 2.0
+RAMP_SECONDS = 2.0
+SWING_END = 7.0
+RUN_SECONDS = 11.0
+NORMAL_WINDOW = 0.5
+STEP = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Peak:
+    """Figures of one run; shares of the calls that arrived during the swing, times in ms."""
+
+    policy: str
+    offered: int
+    useful: float
+    useful_short: float
+    refused: float
+    late: float
+    refusal_p50: float
+    refusal_p99: float
+    short_p99: float
+    normal_after_ms: float
+
+
+def rate_at(deployment: Deployment, at: float) -> float:
+    """Return calls per second at a time: base, ramp, peak and base again."""
+    base = BASE_LOAD * deployment.capacity
+    if not SWING_START <= at < SWING_END:
+        return base
+    return base * (1 + (SWING - 1) * min(1.0, (at - SWING_START) / RAMP_SECONDS))
+
+
+def measure(policy: str, samples: Sequence[Sample]) -> Peak:
+    """Return the figures of one run."""
+    swing = [s for s in samples if SWING_START <= s.planned.at < SWING_END]
+    short = [s for s in swing if s.planned.kind == "short"]
+    refused = [s for s in swing if s.outcome == "not-run"]
+    useful = sum(map(is_useful, swing))
+    return Peak(
+        policy,
+        len(swing),
+        useful / len(swing),
+        sum(map(is_useful, short)) / len(short),
+        len(refused) / len(swing),
+        (len(swing) - useful - len(refused)) / len(swing),
+        quantile((s.latency_ms for s in refused), 0.5),
+        quantile((s.latency_ms for s in refused), 0.99),
+        quantile((s.latency_ms for s in short if s.outcome == "ran"), 0.99),
+        back_to_normal(samples),
+    )
+
+
+def back_to_normal(samples: Sequence[Sample]) -> float:
+    """Return milliseconds from the end of the swing until all calls of a window are useful."""
+    at = SWING_END
+    while at + NORMAL_WINDOW <= RUN_SECONDS:
+        window = [s for s in samples if at <= s.planned.at < at + NORMAL_WINDOW]
+        if all(map(is_useful, window)):
+            return (at - SWING_END) * 1000
+        at += STEP
+    return (RUN_SECONDS - SWING_END) * 1000
+
+
+def run_deployment(deployment: Deployment) -> list[list[Peak]]:
+    """Return the figures of each policy for each round."""
+    rounds: list[list[Peak]] = []
+    with ExitStack() as stack:
+        fleets = dict(zip(POLICIES, start_fleets(stack, deployment, POLICIES), strict=True))
+        for number in range(ROUNDS.value):
+            order = POLICIES[number % len(POLICIES) :] + POLICIES[: number % len(POLICIES)]
+            peaks = {}
+            for policy in order:
+                rng = random.Random(SEED.value + number)
+                highest = BASE_LOAD * deployment.capacity * SWING
+                times = list(
+                    arrivals(lambda at: rate_at(deployment, at), highest, RUN_SECONDS, rng)
+                )
+                plan = plan_calls(deployment, fleets[policy].nodes[0], times, rng)
+                peaks[policy] = measure(policy, asyncio.run(run_load(plan)))
+                print(f"{deployment.name} round {number}: {peaks[policy]}", flush=True)
+            rounds.append([peaks[policy] for policy in POLICIES])
+    return rounds
+
+
+def main(argv: Sequence[str]) -> None:
+    """Run both deployments and print a table."""
+    del argv
+    report = {}
+    for deployment in (LYSKAEDE, KAFESKOOP):
+        rounds = run_deployment(deployment)
+        report[deployment.name] = [[asdict(peak) for peak in row] for row in rounds]
+        print(f"\n{deployment.name}: {deployment.scale}; capacity {deployment.capacity:.0f}/s")
+        for index, policy in enumerate(POLICIES):
+            peaks = [row[index] for row in rounds]
+            for name in Peak.__slots__[2:]:
+                print(f"  {policy:9} {name:16} {spread([getattr(p, name) for p in peaks])}")
+        for index, policy in enumerate(POLICIES[1:], 1):
+            ratios = [row[0].useful / max(row[index].useful, 0.001) for row in rounds]
+            print(f"  useful, adaptive / {policy}: {spread(ratios)}")
+    write_report("bench-peak", {"seed": SEED.value, "deployments": report})
+
+
+if __name__ == "__main__":
+    app.run(main)
