--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.admission.policies import POLICIES
 from agatecross_core.config.check import check_table
 from agatecross_core.config.forms import check_address, check_ip, check_name
 from agatecross_core.config.model import DecodedDocument, Document
@@ -37,7 +38,7 @@
 LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True, form=check_address)}
 POLICY_KEYS: Mapping[str, Key] = {
     "balancing": Key(str, choices=("adaptive", "round-robin", "two-random")),
-    "admission": Key(str, choices=("adaptive", "fixed", "none")),
+    "admission": Key(str, choices=tuple(sorted(POLICIES))),
 }
 TELEMETRY_KEYS: Mapping[str, Key] = {
     "sample_ratio": Key(float, low=0.0, high=1.0),
