Add the tail latency benchmark

Cause: tail latency under slowed upstreams was not measured. Change: bench.tail starts one fleet for each balancer and round, slows a quarter of the upstreams on a seeded schedule that no health report shows, and prints quantiles with paired ratios and their spread; bench.experiment alternates the variants.

--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -0,0 +1,173 @@
+"""Tail latency while upstreams on one undeclared power feed are slowed for moments.
+
+Two workloads shaped like the deployments of the design page, scaled to one machine: 4 data
+centres as there, 2 of the 4 services, 1 upstream of each service in a data centre. A quarter of the
+upstreams, one of each service, shares the feed. No link delays are emulated.
+"""
+
+import asyncio
+import random
+import tempfile
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from absl import app, flags
+
+from agatecross_core.calls.model import Request
+from agatecross_core.ids import Address, Millis
+from agatecross_standins.fleet import Fleet, Node, Site
+from agatecross_standins.load import Planned, Sample, Summary, poisson_times, run_load, summarise
+
+from .experiment import alternate, report
+
+VARIANTS = ("adaptive", "round-robin", "two-random")
+SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals, work and slow moments.")
+ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds of each variant.", lower_bound=1, upper_bound=20)
+SECONDS = flags.DEFINE_float("seconds", 15.0, "Measured time of a round.", upper_bound=120.0)
+WARM_SECONDS = flags.DEFINE_float("warm_seconds", 8.0, "Load before the measured time.")
+RATE = flags.DEFINE_float("rate", 240.0, "Calls per second of the fleet.", upper_bound=1000.0)
+SLOW_FACTOR = flags.DEFINE_float("slow_factor", 5.0, "Slow-down on the feed.")
+SLOW_SECONDS = flags.DEFINE_float("slow_seconds", 0.4, "Length of a slow moment.")
+PERIOD_SECONDS = flags.DEFINE_float("period_seconds", 1.5, "Mean time between slow moments.")
+ONLY = flags.DEFINE_enum("workload", "all", ["all", "lyskaede", "kafeskoop"], "Workload.")
+CHOSEN = flags.DEFINE_list("variants", list(VARIANTS), "Balancers; the first is compared.")
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Shape of the load; work in milliseconds, `long_share` of the calls take `long_factor`."""
+
+    name: str
+    example: str
+    regions: tuple[tuple[str, str], ...]
+    services: tuple[tuple[str, str], ...]
+    slots: int
+    mean_work_ms: float
+    long_share: float = 0.0
+    long_factor: float = 1.0
+
+
+WORKLOADS = (
+    Workload(
+        "lyskaede",
+        "lysknude",
+        (
+            ("jylland", "aarhus-a"),
+            ("jylland", "aalborg-b"),
+            ("sjaelland", "koebenhavn-a"),
+            ("sjaelland", "roskilde-b"),
+        ),
+        (("case-portal", "/cases"), ("untangling-queue", "/queue")),
+        17,
+        8.0,
+    ),
+    Workload(
+        "kafeskoop",
+        "kafeskoop",
+        (
+            ("marmara", "bursa-a"),
+            ("marmara", "bursa-b"),
+            ("ege", "denizli-a"),
+            ("ege", "denizli-b"),
+        ),
+        (("catalogue", "/catalogue"), ("materials-ordering", "/materials")),
+        12,
+        15.0,
+        0.01,
+        12.0,
+    ),
+)
+
+
+def plan(workload: Workload, nodes: Sequence[Node], seed: int) -> Iterator[Planned]:
+    """Yield the arrivals; equal for every variant up to the port numbers."""
+    rng = random.Random(f"{workload.name} arrivals {seed}")
+    for at in poisson_times(RATE.value, WARM_SECONDS.value + SECONDS.value, rng):
+        node = nodes[rng.randrange(len(nodes))]
+        _, prefix = workload.services[rng.randrange(len(workload.services))]
+        # Gamma with shape 4: spread by a factor of about two around the mean.
+        work = rng.gammavariate(4.0, workload.mean_work_ms / 4.0)
+        if rng.random() < workload.long_share:
+            work *= workload.long_factor
+        kind = "warm" if at < WARM_SECONDS.value else "measured"
+        request = Request("GET", f"{prefix}/1?work_ms={work:.2f}", (), b"")
+        yield Planned(at, Address(node.call.removeprefix("http://")), request, Millis(10_000), kind)
+
+
+def slow_moments(seed: int) -> Iterator[tuple[float, float]]:
+    """Yield start and end of each slow moment of the feed, in seconds."""
+    rng = random.Random(f"feed {seed}")
+    at = 0.5
+    while at < WARM_SECONDS.value + SECONDS.value:
+        yield at, at + SLOW_SECONDS.value
+        at += PERIOD_SECONDS.value * rng.uniform(0.8, 1.2)
+
+
+def feed_of(workload: Workload, nodes: Sequence[Node], seed: int) -> list[Node]:
+    """Return one upstream of each service, in different data centres."""
+    places = random.Random(f"places {seed}").sample(workload.regions, len(workload.services))
+    wanted = {(place, s) for (_, place), (s, _) in zip(places, workload.services, strict=True)}
+    return [node for node in nodes if (node.site.data_centre, node.service) in wanted]
+
+
+async def switch_feed(fleet: Fleet, feed: Sequence[Node], seed: int) -> None:
+    """Slow the upstreams of the feed at its moments; their announced health does not change."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    for begin, end in slow_moments(seed):
+        for at, factor in ((begin, SLOW_FACTOR.value), (end, 1.0)):
+            await asyncio.sleep(max(0.0, start + at - loop.time()))
+            calls = (
+                asyncio.to_thread(fleet.switch_upstream, node, slow_factor=factor) for node in feed
+            )
+            await asyncio.gather(*calls)
+
+
+async def carry(fleet: Fleet, workload: Workload, seed: int) -> list[Sample]:
+    """Run the load and the slow moments together."""
+    feed = feed_of(workload, fleet.nodes, seed)
+    switching = asyncio.ensure_future(switch_feed(fleet, feed, seed))
+    samples = await run_load(plan(workload, fleet.nodes, seed))
+    switching.cancel()
+    return [sample for sample in samples if sample.planned.kind == "measured"]
+
+
+def measure(workload: Workload, variant: str, number: int) -> Summary:
+    """Start a fleet with one balancer and measure one round."""
+    settings = f'\n[policy]\nbalancing = "{variant}"\n'
+    with (
+        tempfile.TemporaryDirectory(prefix="agatecross-tail-") as place,
+        Fleet(directory=Path(place), extra_settings=settings) as fleet,
+    ):
+        for region, data_centre in workload.regions:
+            for service, _ in workload.services:
+                fleet.add_node(Site(region, data_centre), service, f"--slots={workload.slots}")
+        fleet.wait_joined()
+        result = fleet.cli("publish", f"examples/{workload.example}")
+        if result.returncode:
+            raise RuntimeError(f"publish failed: {result.stdout}{result.stderr}")
+        fleet.wait_version(1)
+        return summarise(asyncio.run(carry(fleet, workload, SEED.value * 1000 + number)))
+
+
+def main(argv: Sequence[str]) -> None:
+    """Measure the chosen workloads."""
+    del argv
+    for workload in WORKLOADS:
+        if ONLY.value not in ("all", workload.name):
+            continue
+        rounds = list(
+            alternate(CHOSEN.value, ROUNDS.value, lambda v, n, w=workload: measure(w, v, n))  # type: ignore[misc]
+        )
+        facts: dict[str, object] = {
+            "seed": SEED.value,
+            "rate": RATE.value,
+            "seconds": SECONDS.value,
+            "slow_factor": SLOW_FACTOR.value,
+        }
+        report(f"tail-{workload.name}", facts, rounds, CHOSEN.value[0])
+
+
+if __name__ == "__main__":
+    app.run(main)
