Choose upstreams by filters over observed slowness, and hedge slow calls

Cause: the choice knew outstanding calls and a moving average only, so slowed, frozen or failing upstreams kept their traffic. Change: filters for earlier attempts, hidden groups, ejection, cold start and locality with spare capacity; latency statistics that are robust to slow moments and judge by overdue calls; failures raise the cost; hedges within the retry budget; round-robin and two-random balancers behind policy.balancing, whose unknown values are a finding; Agatecross-Load is read in call_driver.

--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -13,6 +13,7 @@
     unknown,
 )
 from agatecross_core.ids import CallId, Millis, ServiceName
+from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.states import Outcome, Reason
 
 CALL_ID = "Agatecross-Call-Id"
@@ -105,3 +106,12 @@
         return Reason(text)
     except ValueError:
         return Reason.CONNECTION_LOST
+
+
+def decode_load(response: Response) -> ReportedLoad | None:
+    """Return the load that a daemon reported with a response, or None."""
+    try:
+        running, queued, slots = map(int, (response.header(LOAD) or "").split())
+    except ValueError:
+        return None
+    return ReportedLoad(running, queued, slots)
--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -1,12 +1,13 @@
-"""One call from its arrival to its outcome, as a generator of attempts."""
+"""One call from its arrival to its outcome, as a generator of actions."""
 
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from enum import Enum
 
 from ..admission.retry import RetryBudget
 from ..config.model import ServicePolicy
-from ..ids import DaemonId
-from ..routing.model import Candidate, ChoiceRequest
+from ..ids import DaemonId, Millis
+from ..routing.model import Candidate, ChoiceRequest, Purpose
 from ..states import Outcome, Reason
 from .model import Call, CallResult, not_run
 
@@ -15,34 +16,97 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Action: send the call to this candidate and send back the result."""
+    """Action: send the call to this candidate and send back the result.
+
+    If there is no result after `hedge_after`, send back `Progress.ELAPSED` and keep the attempt.
+    """
 
     call: Call
     target: Candidate
+    hedge_after: Millis | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HedgedAttempt:
+    """Action: send the call here too and send back the first result of the two attempts."""
+
+    call: Call
+    target: Candidate
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitResult:
+    """Action: send back the next result of the attempts that are outstanding."""
+
 
+class Progress(Enum):
+    """What is sent back to a flow other than a result."""
 
-CallFlow = Generator[Attempt, CallResult, CallResult]
+    ELAPSED = "elapsed"
+
+
+FlowAction = Attempt | HedgedAttempt | AwaitResult
+FlowEvent = CallResult | Progress
+CallFlow = Generator[FlowAction, FlowEvent, CallResult]
 
 
 def run_call(call: Call, policy: ServicePolicy, chooser: Chooser, budget: RetryBudget) -> CallFlow:
-    """Yield attempts until the call has an outcome that must or may not be improved."""
+    """Yield actions until the call has an outcome that must or may not be improved.
+
+    Attempts that are outstanding when the flow ends are to be cancelled.
+    """
     tried: list[DaemonId] = []
     result = not_run(Reason.NO_UPSTREAM)
     budget.first_attempt()
-    for number in range(policy.attempts):
-        if number and not budget.take():
-            break
-        target = chooser(ChoiceRequest(call.service, tuple(tried)))
-        if target is None:
+    while len(tried) < policy.attempts:
+        purpose = Purpose.RETRY if tried else Purpose.FIRST
+        target = chooser(_request(call, policy, tried, purpose))
+        if target is None or (tried and not budget.take()):
             break
         tried.append(target.member.daemon_id)
-        latest = yield Attempt(call, target)
+        latest = yield from _attempt(call, policy, target, chooser, budget, tried)
         result = _combine(result, latest)
         if not _may_repeat(call, latest):
             break
     return result
 
 
+def _attempt(
+    call: Call,
+    policy: ServicePolicy,
+    target: Candidate,
+    chooser: Chooser,
+    budget: RetryBudget,
+    tried: list[DaemonId],
+) -> CallFlow:
+    hedges = call.idempotent and len(tried) < policy.attempts
+    event = yield Attempt(call, target, target.hedge_after if hedges else None)
+    if isinstance(event, CallResult):
+        return event
+    second = chooser(_request(call, policy, tried, Purpose.HEDGE))
+    if second is None or not budget.take():
+        return (yield from _result())
+    tried.append(second.member.daemon_id)
+    first_result = yield HedgedAttempt(call, second)
+    assert isinstance(first_result, CallResult)
+    if first_result.outcome is Outcome.RAN:
+        return first_result
+    return _combine(first_result, (yield from _result()))
+
+
+def _result() -> CallFlow:
+    event = yield AwaitResult()
+    assert isinstance(event, CallResult)
+    return event
+
+
+def _request(
+    call: Call, policy: ServicePolicy, tried: list[DaemonId], purpose: Purpose
+) -> ChoiceRequest:
+    quantile = policy.hedge_quantile if call.idempotent else 0.0
+    return ChoiceRequest(call.service, tuple(tried), purpose, call.deadline, quantile)
+
+
 def _may_repeat(call: Call, result: CallResult) -> bool:
     if result.outcome is Outcome.RAN or result.reason is Reason.DEADLINE:
         return False
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/baselines.py
@@ -0,0 +1,61 @@
+"""Simple balancers that the adaptive one is compared with."""
+
+import random
+
+from ..ids import DaemonId, Millis, ServiceName
+from ..members.view import FleetView
+from .candidates import candidates, untried
+from .health import healthy
+from .load import LoadTable
+from .model import Candidate, ChoiceRequest, Position
+from .router import AttemptEnded
+
+
+class RoundRobinBalancer:
+    """Takes the ready upstreams of a service in turn."""
+
+    def __init__(self, here: Position, rng: random.Random) -> None:
+        self.here = here
+        self.rng = rng
+        self.view = FleetView()
+        self.load = LoadTable()
+        self.turns: dict[ServiceName, int] = {}
+
+    def view_changed(self, view: FleetView) -> None:
+        """Take a new view of the fleet."""
+        self.view = view
+        self.load.retain(set(view.members))
+
+    def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
+        """Return the next ready upstream in the order of the ids, or None."""
+        rows = self.ready(request, now)
+        if not rows:
+            return None
+        # A random first turn keeps daemons that start together from moving in step.
+        turn = self.turns.get(request.service, self.rng.randrange(len(rows)))
+        self.turns[request.service] = turn + 1
+        return sorted(rows, key=lambda row: row.member.daemon_id)[turn % len(rows)]
+
+    def ready(self, request: ChoiceRequest, now: Millis) -> list[Candidate]:
+        """Return the ready upstreams, those of earlier attempts only when there is no other."""
+        rows = healthy(candidates(request, self.view, self.load, self.here, now))
+        return list(untried(request, rows))
+
+    def started(self, daemon_id: DaemonId, now: Millis) -> None:
+        """Count an attempt that was sent."""
+        self.load.started(daemon_id, now)
+
+    def ended(self, attempt: AttemptEnded, now: Millis) -> None:
+        """Count an attempt that ended."""
+        self.load.released(attempt.daemon_id, Millis(now - attempt.took))
+
+
+class TwoRandomBalancer(RoundRobinBalancer):
+    """Takes the one with fewer own outstanding calls of two random ready upstreams."""
+
+    def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
+        """Return the less busy of two, or None."""
+        rows = self.ready(request, now)
+        if not rows:
+            return None
+        return min(self.rng.sample(rows, min(2, len(rows))), key=lambda row: row.outstanding)
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -2,20 +2,43 @@
 
 import random
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-from ..members.view import FleetView
-from .candidates import candidates
-from .health import healthy
+from ..ids import Millis
+from .candidates import untried
+from .ejection import Ejections
+from .groups import GroupDetector
 from .load import LoadTable
 from .locality import nearest
-from .model import Candidate, ChoiceRequest, Position
+from .model import Candidate, ChoiceRequest
+from .ramp import Ramp
+from .tuning import FAILURE_COST
+
+
+@dataclass(frozen=True, slots=True)
+class Filters:
+    """The filters that keep state between choices."""
+
+    load: LoadTable
+    ejections: Ejections
+    groups: GroupDetector
+    ramp: Ramp
 
 
 def choose(
-    request: ChoiceRequest, view: FleetView, load: LoadTable, here: Position, rng: random.Random
+    request: ChoiceRequest,
+    ready: Iterable[Candidate],
+    filters: Filters,
+    rng: random.Random,
+    now: Millis,
 ) -> Candidate | None:
     """Return the candidate for one attempt, or None when no upstream can serve it."""
-    return less_loaded(nearest(healthy(candidates(request, view, load, here))), rng)
+    rows = untried(request, iter(ready))
+    rows = filters.groups.outside(request, rows)
+    rows = filters.ejections.filter(rows, now)
+    rows = filters.groups.not_slow(rows, filters.load, now)
+    rows = filters.ramp.filter(rows, now)
+    return less_loaded(nearest(rows), rng)
 
 
 def less_loaded(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
@@ -27,6 +50,9 @@
 
 
 def cost(candidate: Candidate) -> float:
-    """Return the expected wait: outstanding calls for each slot, scaled by observed latency."""
-    waiting = (candidate.outstanding + 1) / max(1, candidate.upstream.slots)
-    return waiting * max(candidate.latency_ms, 0.1)
+    """Return the expected wait: load for each slot, scaled by expected latency and failures.
+
+    Failures raise the cost because a failing upstream answers fastest and has no load.
+    """
+    waiting = (candidate.load + 1) / max(1, candidate.upstream.slots)
+    return waiting * max(candidate.latency_ms, 0.1) * (1 + FAILURE_COST * candidate.failures)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/ejection.py
@@ -0,0 +1,48 @@
+"""Preference filter: upstreams whose connections did not fail a moment ago."""
+
+from collections.abc import Iterable, Iterator
+
+from ..ids import DaemonId, Millis
+from ..states import Reason
+from .model import Candidate
+from .prefer import prefer
+from .tuning import EJECTION, EJECTION_MAX
+
+# NO_UPSTREAM and LEAVING come from a target that knows better than this daemon's view.
+EJECTING = frozenset(
+    (Reason.CONNECT_FAILED, Reason.CONNECTION_LOST, Reason.NO_UPSTREAM, Reason.LEAVING)
+)
+
+
+class Ejections:
+    """Until when each upstream is ejected, and the time of its next ejection."""
+
+    def __init__(self) -> None:
+        """Start without ejections."""
+        self.rows: dict[DaemonId, tuple[Millis, Millis]] = {}
+
+    def failed(self, daemon_id: DaemonId, now: Millis) -> None:
+        """Eject an upstream; failures while it is ejected do not prolong the time."""
+        until, period = self.rows.get(daemon_id, (now, EJECTION))
+        if now >= until:
+            self.rows[daemon_id] = (
+                Millis(now + period),
+                Millis(min(EJECTION_MAX, period * 2)),
+            )
+
+    def succeeded(self, daemon_id: DaemonId) -> None:
+        """Forget the failures of an upstream that answered."""
+        self.rows.pop(daemon_id, None)
+
+    def retain(self, daemon_ids: set[DaemonId]) -> None:
+        """Forget members that are gone."""
+        self.rows = {i: row for i, row in self.rows.items() if i in daemon_ids}
+
+    def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
+        """Yield candidates that are not ejected, or all."""
+        return prefer(candidates, lambda row: not self.ejected(row.member.daemon_id, now))
+
+    def ejected(self, daemon_id: DaemonId, now: Millis) -> bool:
+        """Return whether an upstream is ejected."""
+        row = self.rows.get(daemon_id)
+        return row is not None and now < row[0]
--- a/packages/agatecross-core/agatecross_core/routing/load.py
+++ b/packages/agatecross-core/agatecross_core/routing/load.py
@@ -1,18 +1,146 @@
-"""What this daemon observes of each peer: outstanding calls and latency."""
+"""What this daemon observes of each peer: outstanding calls, latency and failures."""
 
-from dataclasses import dataclass
+import math
+from bisect import bisect_left, bisect_right, insort
+from dataclasses import dataclass, field
 
 from ..ids import DaemonId, Millis
+from .model import ReportedLoad
+from .tuning import (
+    FAILURE_HALF_LIFE,
+    FAILURE_WEIGHT,
+    RECENT_HALF_LIFE,
+    RECENT_WEIGHT,
+    REPORT_LIFETIME,
+    SLOW_HOLD,
+    SLOW_HOLD_MAX,
+    SLOW_RATIO,
+    SLOW_SLACK,
+    USUAL_MIN_SAMPLES,
+    USUAL_STEP,
+)
 
-LATENCY_WEIGHT = 0.2
+NEVER = Millis(float("-inf"))
 
 
 @dataclass(slots=True)
 class Observed:
-    """Calls outstanding to a member and the moving average of its latency in milliseconds."""
+    """Observations of one member; latencies in milliseconds.
 
-    outstanding: int = 0
-    latency_ms: float = 0.0
+    `starts` holds the sorted start times of outstanding calls. `usual_ms` follows the median by
+    small steps, so that slow moments hardly move it; `recent_ms` follows the last few calls.
+    """
+
+    starts: list[Millis] = field(default_factory=list)
+    samples: int = 0
+    usual_ms: float = 0.0
+    recent_ms: float = 0.0
+    recent_at: Millis = NEVER
+    normal_start: Millis = NEVER
+    normal_at: Millis = NEVER
+    evidence_at: Millis = NEVER
+    slow_until: Millis = NEVER
+    hold: Millis = SLOW_HOLD
+    failure: float = 0.0
+    failure_at: Millis = NEVER
+    others: float = 0.0
+    reported_at: Millis = NEVER
+
+    @property
+    def outstanding(self) -> int:
+        """Return the number of own calls without a result."""
+        return len(self.starts)
+
+    def limit(self) -> float:
+        """Return the latency above which a call is slow; infinite until the usual one is known."""
+        if self.samples < USUAL_MIN_SAMPLES:
+            return float("inf")
+        return self.usual_ms * SLOW_RATIO + SLOW_SLACK
+
+    def overdue_since(self, now: Millis) -> Millis | None:
+        """Return the start of the newest call that should have ended, or None.
+
+        A call that started before one that ended normally is a long call, not a sign of slowness.
+        """
+        end = bisect_left(self.starts, now - self.limit())
+        newest = self.starts[end - 1] if end else NEVER
+        return newest if newest > self.normal_start else None
+
+    def refresh(self, now: Millis) -> bool:
+        """Take outstanding calls that are overdue as evidence; return whether there is any."""
+        start = self.overdue_since(now)
+        if start is None:
+            return False
+        self._slow_evidence(start, now)
+        return True
+
+    def slow(self, now: Millis) -> bool:
+        """Return whether the upstream is taken to be slow."""
+        return now < self.slow_until
+
+    def expected_ms(self, now: Millis) -> float:
+        """Return the expected latency; what was seen in the last moments counts most."""
+        weight = math.exp2((self.recent_at - now) / RECENT_HALF_LIFE)
+        expected = self.usual_ms + (self.recent_ms - self.usual_ms) * weight
+        start = self.overdue_since(now)
+        return expected if start is None else max(expected, now - start)
+
+    def completed(self, took: Millis, now: Millis) -> bool:
+        """Learn from a call that ran; return whether it shows that the upstream was slow."""
+        start = Millis(now - took)
+        late = took > self.limit()
+        slow = late and start >= self.normal_start
+        self._learn(took, now)
+        if slow:
+            self._slow_evidence(start, now)
+        elif not late and start >= self.normal_start:
+            self.normal_start, self.normal_at = start, now
+            if start >= self.evidence_at:
+                self.slow_until, self.hold = now, SLOW_HOLD
+        self._failure(0.0, now)
+        return slow
+
+    def failed(self, now: Millis) -> None:
+        """Count a failure or refusal; its duration says nothing about the speed of work."""
+        self._failure(1.0, now)
+
+    def failures(self, now: Millis) -> float:
+        """Return the recent share of failures, from 0 to 1."""
+        return self.failure * math.exp2((self.failure_at - now) / FAILURE_HALF_LIFE)
+
+    def reported(self, load: ReportedLoad, now: Millis) -> None:
+        """Keep the part of a reported load that this daemon does not see itself."""
+        self.others = max(0.0, load.running + load.queued - self.outstanding)
+        self.reported_at = now
+
+    def load(self, now: Millis) -> float:
+        """Return own outstanding calls and, while the report is fresh, those of others."""
+        fresh = max(0.0, 1.0 - (now - self.reported_at) / REPORT_LIFETIME)
+        return self.outstanding + self.others * fresh
+
+    def _learn(self, took: Millis, now: Millis) -> None:
+        self.samples += 1
+        if self.samples == 1:
+            self.usual_ms = self.recent_ms = took
+        step = max(USUAL_STEP, 1.0 / (self.samples + 1))
+        self.usual_ms *= 1.0 + step if took > self.usual_ms else 1.0 - step
+        weight = (1.0 - RECENT_WEIGHT) * math.exp2((self.recent_at - now) / RECENT_HALF_LIFE)
+        self.recent_ms = took + (self.recent_ms - took) * weight
+        self.recent_at = now
+
+    def _slow_evidence(self, start: Millis, now: Millis) -> None:
+        if start < self.evidence_at:
+            return
+        if start > self.slow_until > NEVER:
+            self.hold = Millis(min(SLOW_HOLD_MAX, self.hold * 2))
+        if not self.slow(now):
+            self.slow_until = Millis(now + self.hold)
+        self.evidence_at = now
+
+    def _failure(self, value: float, now: Millis) -> None:
+        before = self.failures(now)
+        self.failure = before + FAILURE_WEIGHT * (value - before)
+        self.failure_at = now
 
 
 class LoadTable:
@@ -24,19 +152,24 @@
 
     def of(self, daemon_id: DaemonId) -> Observed:
         """Return the observations of a member."""
-        row = self.rows.get(daemon_id)
-        return row if row is not None else Observed()
+        return self.rows.get(daemon_id) or Observed()
 
-    def started(self, daemon_id: DaemonId) -> None:
+    def row(self, daemon_id: DaemonId) -> Observed:
+        """Return the observations of a member, kept from now on."""
+        return self.rows.setdefault(daemon_id, Observed())
+
+    def started(self, daemon_id: DaemonId, now: Millis) -> None:
         """Count a call that was sent."""
-        self.rows.setdefault(daemon_id, Observed()).outstanding += 1
-
-    def finished(self, daemon_id: DaemonId, took: Millis) -> None:
-        """Count a call that ended after `took` milliseconds."""
-        row = self.rows.setdefault(daemon_id, Observed())
-        row.outstanding = max(0, row.outstanding - 1)
-        old = row.latency_ms or took
-        row.latency_ms = old + LATENCY_WEIGHT * (took - old)
+        insort(self.row(daemon_id).starts, now)
+
+    def released(self, daemon_id: DaemonId, start: Millis) -> None:
+        """Count the end of the call that started at `start`, up to rounding."""
+        starts = self.row(daemon_id).starts
+        if not starts:
+            return
+        after = bisect_right(starts, start)
+        near = [i for i in (after - 1, after) if 0 <= i < len(starts)]
+        del starts[min(near, key=lambda i: abs(starts[i] - start))]
 
     def retain(self, daemon_ids: set[DaemonId]) -> None:
         """Forget members that are gone and have no calls outstanding."""
--- a/packages/agatecross-core/agatecross_core/routing/locality.py
+++ b/packages/agatecross-core/agatecross_core/routing/locality.py
@@ -4,6 +4,7 @@
 
 from ..states import Locality
 from .model import Candidate
+from .tuning import FAILING
 
 
 def nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
@@ -18,5 +19,10 @@
 
 
 def has_room(candidate: Candidate) -> bool:
-    """Return whether this daemon alone has not yet filled the upstream's slots."""
-    return candidate.outstanding < candidate.upstream.slots
+    """Return whether the upstream has a free slot and neither is slow nor fails now.
+
+    A slowed upstream costs more than the distance to the next locality.
+    """
+    if candidate.slow or candidate.failures > FAILING:
+        return False
+    return candidate.load < candidate.upstream.slots
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/ramp.py
@@ -0,0 +1,52 @@
+"""Preference filter: a growing share of the calls for upstreams that just became ready."""
+
+import random
+from collections.abc import Iterable, Iterator
+
+from ..ids import DaemonId, Incarnation, Millis
+from ..members.view import FleetView
+from ..states import UpstreamState
+from .model import Candidate
+from .prefer import prefer
+from .tuning import RAMP_START, RAMP_TIME
+
+
+class Ramp:
+    """When each upstream became ready, as far as this daemon saw it."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start without upstreams; those of the first view with any are taken to be warm."""
+        self.rng = rng
+        self.ready: dict[DaemonId, Incarnation] = {}
+        self.unstamped: set[DaemonId] = set()
+        self.since: dict[DaemonId, Millis] = {}
+
+    def view_changed(self, view: FleetView) -> None:
+        """Note which upstreams became ready, also by a restart of their daemon."""
+        ready = {
+            m.daemon_id: m.incarnation
+            for m in view.members.values()
+            if m.upstream is not None and m.upstream.state is UpstreamState.READY
+        }
+        if self.ready:
+            self.unstamped |= {i for i, number in ready.items() if self.ready.get(i) != number}
+        self.ready = ready
+        self.unstamped &= ready.keys()
+        self.since = {i: at for i, at in self.since.items() if i in ready}
+
+    def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
+        """Yield a just-ready candidate with a probability that grows to 1 within the ramp."""
+        for daemon_id in self.unstamped:
+            self.since[daemon_id] = now
+        self.unstamped.clear()
+        return prefer(candidates, lambda row: self._takes(row.member.daemon_id, now))
+
+    def _takes(self, daemon_id: DaemonId, now: Millis) -> bool:
+        since = self.since.get(daemon_id)
+        if since is None:
+            return True
+        share = max(RAMP_START, (now - since) / RAMP_TIME)
+        if share >= 1.0:
+            del self.since[daemon_id]
+            return True
+        return self.rng.random() < share
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -1,24 +1,38 @@
 """The routing decision of one daemon: what it knows of the fleet and whom it chooses."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
-from ..ids import DaemonId, Millis
+from ..ids import DaemonId, Millis, ServiceName
 from ..members.view import FleetView
-from ..states import Outcome
-from .choice import choose
+from ..states import Outcome, Reason
+from .candidates import candidates
+from .choice import Filters, choose
+from .ejection import EJECTING, Ejections
+from .groups import GroupDetector
+from .health import healthy
+from .hedging import REFUSALS, ServiceLatency
 from .load import LoadTable
-from .model import Candidate, ChoiceRequest, Position
+from .model import Candidate, ChoiceRequest, Position, Purpose, ReportedLoad
+from .ramp import Ramp
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt ended after `took` milliseconds."""
+    """An attempt ended after `took` milliseconds.
+
+    `failed` marks a response with a status of 500 or above, `cancelled` an attempt that another one
+    made needless; `load` is what the target reported with its answer.
+    """
 
     daemon_id: DaemonId
     took: Millis
     outcome: Outcome
+    reason: Reason | None = None
+    failed: bool = False
+    cancelled: bool = False
+    load: ReportedLoad | None = None
 
 
 class Balancer(Protocol):
@@ -42,30 +56,75 @@
 
 
 class AdaptiveBalancer:
-    """Prefers near upstreams and the less loaded of two."""
+    """Avoids what is slow or failing now, prefers what is near, and takes the better of two."""
 
     def __init__(self, here: Position, rng: random.Random) -> None:
         self.here = here
         self.rng = rng
         self.view = FleetView()
         self.load = LoadTable()
+        self.ejections = Ejections()
+        self.groups = GroupDetector()
+        self.ramp = Ramp(rng)
+        self.filters = Filters(self.load, self.ejections, self.groups, self.ramp)
+        self.latencies: dict[ServiceName, ServiceLatency] = {}
 
     def view_changed(self, view: FleetView) -> None:
         """Take a new view of the fleet."""
         self.view = view
-        self.load.retain(set(view.members))
+        members = set(view.members)
+        self.load.retain(members)
+        self.ejections.retain(members)
+        self.ramp.view_changed(view)
+        self.latencies = {s: row for s, row in self.latencies.items() if s in view.by_service}
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
         """Return the candidate for one attempt, or None when no upstream can serve it."""
-        del now
-        return choose(request, self.view, self.load, self.here, self.rng)
+        self._refresh(request.service, now)
+        ready = list(healthy(candidates(request, self.view, self.load, self.here, now)))
+        latency = self.latencies.get(request.service)
+        delay = latency.hedge_after(request.hedge_quantile, ready) if latency else None
+        if request.purpose is Purpose.HEDGE and delay is None:
+            return None
+        chosen = choose(request, ready, self.filters, self.rng, now)
+        return replace(chosen, hedge_after=delay) if chosen and delay is not None else chosen
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
         """Count an attempt that was sent."""
-        del now
-        self.load.started(daemon_id)
+        self.load.started(daemon_id, now)
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
-        """Count an attempt that ended."""
-        del now
-        self.load.finished(attempt.daemon_id, attempt.took)
+        """Learn from an attempt that ended."""
+        daemon_id = attempt.daemon_id
+        row = self.load.row(daemon_id)
+        overdue = row.refresh(now)
+        self.load.released(daemon_id, Millis(now - attempt.took))
+        if attempt.load is not None:
+            row.reported(attempt.load, now)
+        worked = attempt.outcome is Outcome.RAN and not attempt.failed
+        if worked:
+            overdue = row.completed(attempt.took, now)
+            self.ejections.succeeded(daemon_id)
+        elif not attempt.cancelled:
+            row.failed(now)
+        if attempt.reason in EJECTING:
+            self.ejections.failed(daemon_id, now)
+        self._count(attempt, worked, overdue, now)
+
+    def _count(self, attempt: AttemptEnded, worked: bool, slow: bool, now: Millis) -> None:
+        member = self.view.members.get(attempt.daemon_id)
+        if member is None or member.upstream is None:
+            return
+        service = member.upstream.service
+        latency = self.latencies.setdefault(service, ServiceLatency())
+        if worked or attempt.cancelled or attempt.reason in REFUSALS:
+            latency.ended(attempt.took, attempt.reason)
+        if worked or slow:
+            self.groups.observed(attempt.daemon_id, service, slow, now)
+
+    def _refresh(self, service: ServiceName, now: Millis) -> None:
+        # A frozen upstream gives no answers; its overdue calls are all there is to judge by.
+        for member in self.view.by_service.get(service, ()):
+            row = self.load.rows.get(member.daemon_id)
+            if row is not None and row.starts and row.refresh(now):
+                self.groups.observed(member.daemon_id, service, True, now)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -0,0 +1,57 @@
+"""Constants of the choice of an upstream, with their units."""
+
+from typing import Final
+
+from ..ids import Millis
+
+# Latency statistics of one upstream.
+USUAL_STEP: Final = 0.05
+RECENT_WEIGHT: Final = 0.5
+RECENT_HALF_LIFE: Final = Millis(300)
+# Work varies by a factor of two to three between calls of a service at normal speed.
+SLOW_RATIO: Final = 3.0
+SLOW_SLACK: Final = Millis(5)
+USUAL_MIN_SAMPLES: Final = 5
+# After this time without new evidence one more call finds out whether the upstream is still slow.
+SLOW_HOLD: Final = Millis(200)
+SLOW_HOLD_MAX: Final = Millis(5_000)
+FAILURE_WEIGHT: Final = 0.2
+FAILURE_HALF_LIFE: Final = Millis(1_000)
+FAILURE_COST: Final = 20.0
+# Two failures in a row reach this share.
+FAILING: Final = 0.3
+
+# Load that a target reported loses its weight within this time.
+REPORT_LIFETIME: Final = Millis(1_000)
+
+# Ejection after failed connections, doubled for each further failure.
+EJECTION: Final = Millis(500)
+EJECTION_MAX: Final = Millis(10_000)
+
+# Cold start: share of its calls at first, and time until it gets all of them.
+RAMP_START: Final = 0.1
+RAMP_TIME: Final = Millis(5_000)
+
+# Groups of upstreams that slow down together.
+BUCKET: Final = Millis(100)
+BUCKETS: Final = 600
+MAX_TRACKED: Final = 512
+MAX_CORRELATED: Final = 64
+GROUP_PERIOD: Final = Millis(1_000)
+GROUP_LIFETIME: Final = Millis(60_000)
+PEAK_SHARE: Final = 0.5
+PEAK_MIN_OBSERVED: Final = 3
+# Slow moments last several buckets, so buckets are not independent: a pair needs this many
+# separate coincidences, a strong correlation, and a deviation that noise does not reach in the
+# 2,016 pairs of 64 upstreams.
+GROUP_MIN_MOMENTS: Final = 3
+GROUP_CORRELATION: Final = 0.35
+GROUP_DEVIATION: Final = 4.5
+
+# Hedging.
+LATENCY_SAMPLES: Final = 512
+HEDGE_MIN_SAMPLES: Final = 32
+QUANTILE_REFRESH: Final = 32
+REFUSAL_WEIGHT: Final = 0.05
+HEDGE_MAX_REFUSALS: Final = 0.05
+HEDGE_MAX_UTILISATION: Final = 0.7
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -23,8 +23,8 @@
 from agatecross_core.ids import Incarnation
 from agatecross_core.members.records import IndirectProbe, Member, Probe, SyncRequest
 from agatecross_core.members.swim import Swim
+from agatecross_core.routing.balancers import new_balancer
 from agatecross_core.routing.model import Position
-from agatecross_core.routing.router import AdaptiveBalancer
 from agatecross_core.states import MemberState
 
 from .events import log_event
@@ -112,7 +112,7 @@
     log = HttpLogService(settings.log_address, TornadoHttpClient())
     boxes = Mailboxes()
     position = Position(settings.daemon_id, settings.region, settings.data_centre)
-    balancer = AdaptiveBalancer(position, rng)
+    balancer = new_balancer(settings.balancing, position, rng)
     driver = CallDriver(settings.daemon_id, balancer, TornadoHttpClient(), boxes.upstream)
     return Tasks(
         ControlTask(boxes.control, settings.control_address, transport, _receivers(boxes)),
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -11,6 +11,7 @@
 from agatecross_core.errors import DocumentSyntaxError, SettingsError
 from agatecross_core.findings import Finding
 from agatecross_core.ids import Address, DaemonId, DataCentreName, DocumentName, RegionName
+from agatecross_core.routing.balancers import BALANCERS
 
 TOP_KEYS: Mapping[str, Key] = {
     "daemon": Key(dict, required=True),
@@ -75,6 +76,11 @@
         table = decoded.values.get(name)
         if isinstance(table, Mapping):
             yield from check_table(decoded.place, table, keys, (name,))
+    policy = decoded.values.get("policy")
+    balancing = policy.get("balancing", "adaptive") if isinstance(policy, Mapping) else "adaptive"
+    if isinstance(balancing, str) and balancing not in BALANCERS:
+        place = decoded.place(("policy", "balancing"))
+        yield Finding(place, "balancing", f"must be one of {', '.join(BALANCERS)}")
 
 
 def _build(daemon: object, log: object, policy: object) -> Settings:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -1,17 +1,29 @@
 """Drives the attempts of a call; belongs to the call task."""
 
-from agatecross_adapters.call_headers import decode_result, encode_call
+import asyncio
+
+from agatecross_adapters.call_headers import decode_load, decode_result, encode_call
 from agatecross_adapters.protocols import HttpClient
-from agatecross_core.calls.flow import Attempt, CallFlow
+from agatecross_core.calls.flow import (
+    Attempt,
+    CallFlow,
+    FlowAction,
+    FlowEvent,
+    HedgedAttempt,
+    Progress,
+)
 from agatecross_core.calls.model import Call, CallResult, not_run, unknown
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
 from agatecross_core.ids import Address, DaemonId, Millis
+from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.routing.router import AttemptEnded, Balancer
 from agatecross_core.states import Reason
 
 from ..mailbox import Sender, monotonic, new_ask
 from .upstream_task import CallAsk
 
+SERVER_ERROR = 500
+
 
 class CallDriver:
     """Sends attempts to the upstream next to this daemon or to the daemons next to others."""
@@ -29,46 +41,84 @@
         self.upstream = upstream
 
     async def drive(self, flow: CallFlow) -> CallResult:
-        """Carry out the attempts of a flow and return its result."""
+        """Carry out the actions of a flow and return its result."""
+        running: set[asyncio.Task[CallResult]] = set()
         try:
-            attempt = next(flow)
+            action = next(flow)
             while True:
-                attempt = flow.send(await self.attempt(attempt))
+                action = flow.send(await self._perform(action, running))
         except StopIteration as stop:
             result: CallResult = stop.value
             return result
+        finally:
+            # Cancelling an attempt closes its connection, so its target stops to work on it.
+            for task in running:
+                task.cancel()
 
-    async def attempt(self, attempt: Attempt) -> CallResult:
+    async def attempt(self, attempt: Attempt | HedgedAttempt) -> CallResult:
         """Carry out one attempt and report its end to the balancer."""
         target = attempt.target.member
         started = monotonic()
         self.balancer.started(target.daemon_id, started)
-        result = unknown(Reason.CONNECTION_LOST)
+        result, load = unknown(Reason.CONNECTION_LOST), None
+        cancelled = True
         try:
             if target.daemon_id == self.daemon_id:
                 result = await self._run_here(attempt.call)
             else:
-                result = await self._send(target.peer_address, attempt.call)
+                result, load = await self._send(target.peer_address, attempt.call)
+            cancelled = False
             return result
         finally:
             now = monotonic()
-            ended = AttemptEnded(target.daemon_id, Millis(now - started), result.outcome)
-            self.balancer.ended(ended, now)
+            took = Millis(now - started)
+            self.balancer.ended(_ended(target.daemon_id, took, result, load, cancelled), now)
+
+    async def _perform(
+        self, action: FlowAction, running: set[asyncio.Task[CallResult]]
+    ) -> FlowEvent:
+        match action:
+            case Attempt(hedge_after=None):
+                return await self.attempt(action)
+            case Attempt(hedge_after=delay):
+                running.add(asyncio.ensure_future(self.attempt(action)))
+                assert delay is not None
+                done, _ = await asyncio.wait(running, timeout=delay / 1000)
+                if not done:
+                    return Progress.ELAPSED
+            case HedgedAttempt():
+                running.add(asyncio.ensure_future(self.attempt(action)))
+        done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+        task = done.pop()
+        running.discard(task)
+        return task.result()
 
     async def _run_here(self, call: Call) -> CallResult:
         ask: CallAsk = new_ask(call)
         self.upstream.put(ask)
         return await ask.reply
 
-    async def _send(self, peer: Address, call: Call) -> CallResult:
+    async def _send(self, peer: Address, call: Call) -> tuple[CallResult, ReportedLoad | None]:
         now = monotonic()
         left = Millis(max(1.0, call.deadline - now))
         try:
             response = await self.client.send(peer, encode_call(call, now), left)
         except ConnectFailedError:
-            return not_run(Reason.CONNECT_FAILED)
+            return not_run(Reason.CONNECT_FAILED), None
         except ConnectionLostError:
-            return unknown(Reason.CONNECTION_LOST)
+            return unknown(Reason.CONNECTION_LOST), None
         except ExchangeTimeoutError:
-            return unknown(Reason.TIMEOUT)
-        return decode_result(response)
+            return unknown(Reason.TIMEOUT), None
+        return decode_result(response), decode_load(response)
+
+
+def _ended(
+    daemon_id: DaemonId,
+    took: Millis,
+    result: CallResult,
+    load: ReportedLoad | None,
+    cancelled: bool,
+) -> AttemptEnded:
+    failed = result.response is not None and result.response.status >= SERVER_ERROR
+    reason = None if cancelled else result.reason
+    return AttemptEnded(daemon_id, took, result.outcome, reason, failed, cancelled, load)
