--- a/packages/agatecross-core/agatecross_core/routing/tuning.py
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -10,8 +10,8 @@
 RECENT_HALF_LIFE: Final = Millis(300)
 # Four mean deviations: 0.5 % of calls with gamma-distributed work (shape 4) exceed this, 3.5 % with
 # exponential work. Services with even work need a least distance.
-SLOW_DEVIATIONS: Final = 3.0
-SLOW_MIN_SHARE: Final = 0.7
+SLOW_DEVIATIONS: Final = 4.0
+SLOW_MIN_SHARE: Final = 1.0
 SLOW_SLACK: Final = Millis(2)
 USUAL_MIN_SAMPLES: Final = 5
 # After this time without new evidence one more call finds out whether the upstream is still slow.
