--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -14,6 +14,7 @@
 from agatecross_core.errors import DocumentSyntaxError, SettingsError
 from agatecross_core.findings import Finding, sort_findings
 from agatecross_core.ids import Address, DaemonId, DataCentreName, DocumentName, RegionName
+from agatecross_core.routing.balancers import BALANCERS
 
 from .telemetry import TelemetrySettings
 
@@ -37,7 +38,7 @@
 }
 LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True, form=check_address)}
 POLICY_KEYS: Mapping[str, Key] = {
-    "balancing": Key(str, choices=("adaptive", "round-robin", "two-random")),
+    "balancing": Key(str, choices=tuple(sorted(BALANCERS))),
     "admission": Key(str, choices=tuple(sorted(POLICIES))),
 }
 TELEMETRY_KEYS: Mapping[str, Key] = {
