Reserve the ports of test fleets until their processes bind them

Cause: a demo run failed because the link proxy found its port in use: a port that was free when it was chosen had become the local port of an outgoing connection. Five logs of earlier fleets show the same.

Change: a pool keeps each port bound, with address reuse allowed, so that the kernel gives it to no connection while our own server can bind it.

--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -11,10 +10,11 @@
 import urllib.error
 import urllib.request
 from collections.abc import Callable, Iterator, Sequence
-from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .ports import PortPool
+
 START_SECONDS = 30.0
 POLL_SECONDS = 0.05
 
@@ -64,15 +64,6 @@
         return f"127.0.0.1:{self.admin_port}"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel had free a moment ago."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [int(sock.getsockname()[1]) for sock in sockets]
-
-
 def fetch(
     url: str,
     method: str = "GET",
@@ -112,6 +103,7 @@
     log_process: subprocess.Popen[bytes] | None = None
     log_flags: tuple[str, ...] = ()
     extra_settings: str = ""
+    ports: PortPool = field(default_factory=PortPool)
     link: LinkShape | None = None
     link_port: int = 0
     remote_log_port: int = 0
@@ -120,7 +112,7 @@
     def __enter__(self) -> "Fleet":
         """Start the log service."""
         if not self.log_port:
-            self.log_port = free_ports(1)[0]
+            self.log_port = self.ports.reserve(1)[0]
         self.start_log()
         return self
 
@@ -131,6 +123,7 @@
                 process.kill()
         for process in self.processes():
             process.wait()
+        self.ports.close()
 
     def processes(self) -> Iterator[subprocess.Popen[bytes]]:
         """Yield every process that was started and not replaced."""
@@ -173,7 +166,7 @@
         return node
 
     def _plan_node(self, site: Site, service: str) -> Node:
-        call, peer, control, admin, upstream = free_ports(5)
+        call, peer, control, admin, upstream = self.ports.reserve(5)
         name = f"{site.data_centre}-{service}-{len(self.nodes)}"
         node = Node(name, site, service, call, peer, control, admin, upstream)
         self.nodes.append(node)
@@ -182,12 +175,12 @@
     def start_link(self, sites: Sequence[tuple[Site, str]]) -> None:
         """Plan the nodes and start the link proxy; `add_node` then takes the planned ports."""
         assert self.link is not None
-        self.link_port, self.remote_log_port = free_ports(2)
+        self.link_port, self.remote_log_port = self.ports.reserve(2)
         pairs = [f"--pair={self.remote_log_port}={self.log_port}"]
         for site, service in sites:
             node = self._plan_node(site, service)
             node.remote_ports = dict(
-                zip((node.peer_port, node.control_port), free_ports(2), strict=True)
+                zip((node.peer_port, node.control_port), self.ports.reserve(2), strict=True)
             )
             pairs += [f"--pair={there}={here}" for here, there in node.remote_ports.items()]
         flags = (f"--delay_ms={self.link.delay_ms}", f"--mbit={self.link.mbit}")
