--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server on tornado's `HTTPServer`."""
 
 import asyncio
+import time
 from http.client import responses
 
 from absl import logging
@@ -38,6 +39,7 @@
     (("Content-Type", "text/plain"), (OUTCOME, Outcome.UNKNOWN.value)),
     b"unknown: internal error\n",
 )
+SWEEPS_PER_TIMEOUT = 4
 BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -56,6 +58,8 @@
         self.server: HTTPServer | None = None
         self.handler: RequestHandler | None = None
         self.running: set[asyncio.Task[None]] = set()
+        self.collecting: set[RequestCollector] = set()
+        self.sweeping: asyncio.Future[None] | None = None
         self.closing = False
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
@@ -67,9 +71,10 @@
             self,
             max_header_size=MAX_HEAD_BYTES,
             max_body_size=MAX_REQUEST_BYTES,
-            idle_connection_timeout=self.head_timeout / 1000,
-            body_timeout=self.body_timeout / 1000,
         )
+        # One sweep replaces a timer and its callbacks for each head and each body.
+        self.server.conn_params.header_timeout = None
+        self.sweeping = asyncio.ensure_future(self._sweep())
         self.server.add_sockets(sockets)
         return Address(f"{host}:{sockets[0].getsockname()[1]}")
 
@@ -86,6 +91,17 @@
             await asyncio.wait(self.running)
         if self.server is not None:
             await self.server.close_all_connections()
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+
+    async def _sweep(self) -> None:
+        period = min(self.head_timeout, self.body_timeout) / 1000 / SWEEPS_PER_TIMEOUT
+        while True:
+            await asyncio.sleep(period)
+            now = time.monotonic()
+            for collector in [row for row in self.collecting if row.expired(now)]:
+                self.collecting.discard(collector)
+                collector.connection.close()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -163,6 +179,12 @@
         self.start: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
+        self.deadline = time.monotonic() + listener.head_timeout / 1000
+        listener.collecting.add(self)
+
+    def expired(self, now: float) -> bool:
+        """Return whether the sender took too long, or left before the head was whole."""
+        return now > self.deadline or self.connection.stream.closed()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -173,6 +195,7 @@
             raise HTTPInputError("exactly one Host header is required")
         self.start = start_line
         self.headers = headers
+        self.deadline = time.monotonic() + self.listener.body_timeout / 1000
 
     def data_received(self, chunk: bytes) -> None:
         """Keep one part of the body."""
@@ -180,11 +203,16 @@
 
     def finish(self) -> None:
         """Pass the whole request on."""
+        self.listener.collecting.discard(self)
         assert self.start is not None
         fields, body = end_to_end(self.headers), b"".join(self.chunks)
         request = Request(self.start.method, self.start.path, fields, body)
         self.listener.received(self.connection, request)
 
+    def on_connection_close(self) -> None:
+        """Forget a request whose connection closed."""
+        self.listener.collecting.discard(self)
+
 
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
