Claim idempotency keys on the log and spread strikes before failed calls are answered

Cause: a booking that is resent through another daemon could run again, and a request that crashes upstreams was retried without limit.

Change: ClaimDecider folds the claims stream, batches claims, grants a call only when its own claim is read as the holder, and asks the holder about resubmissions; ClaimsTask carries out its actions. Each read overlaps by one record, which shows a stream that was lost and grew again. The call task owns the strike table; the upstream task reports a death with every call in flight and answers them after the peers of the service took the strikes. A request with one strike runs only on one member, one at a time.

--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -30,6 +30,7 @@
     Reason.NO_ROUTE: 404,
     Reason.BAD_REQUEST: 400,
     Reason.QUARANTINED: 422,
+    Reason.KEY_MISMATCH: 422,
     Reason.KEY_HOLDER_GONE: 409,
     Reason.RESPONSE_EVICTED: 409,
     Reason.DEADLINE: 504,
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -8,6 +8,7 @@
 from agatecross_core.config.model import ConfigRecord, PublishRecord, SnapshotRecord
 from agatecross_core.distribution.sync import NoticeAck, PullReply, PullRequest, VersionNotice
 from agatecross_core.errors import MessageDecodeError
+from agatecross_core.idempotency.model import ClaimsBatch, OutcomeReply, OutcomeRequest
 from agatecross_core.members.records import (
     AnnounceRecord,
     IndirectProbe,
@@ -16,6 +17,7 @@
     SyncReply,
     SyncRequest,
 )
+from agatecross_core.quarantine.model import StrikeAck, StrikeNotice
 
 T = TypeVar("T")
 
@@ -29,8 +31,12 @@
     | NoticeAck
     | PullRequest
     | PullReply
+    | OutcomeRequest
+    | OutcomeReply
+    | StrikeNotice
+    | StrikeAck
 )
-LogRecord = ConfigRecord | AnnounceRecord
+LogRecord = ConfigRecord | AnnounceRecord | ClaimsBatch
 
 CONTROL_TAGS: Final[Mapping[int, type]] = {
     1: Probe,
@@ -42,12 +48,17 @@
     7: NoticeAck,
     8: PullRequest,
     9: PullReply,
+    20: OutcomeRequest,
+    21: OutcomeReply,
+    22: StrikeNotice,
+    23: StrikeAck,
 }
 TAG_OF: Final = {kind: tag for tag, kind in CONTROL_TAGS.items()}
 RECORD_KINDS: Final[Mapping[str, type]] = {
     "publish": PublishRecord,
     "snapshot": SnapshotRecord,
     "announce": AnnounceRecord,
+    "claims": ClaimsBatch,
 }
 KIND_OF: Final = {kind: name for name, kind in RECORD_KINDS.items()}
 
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -61,7 +61,27 @@
 MAX_KEYS: Final = 200_000
 MAX_RETAINED_RESPONSE_BYTES: Final = 32 * MIB
 
+MAX_KEY_LENGTH: Final = 256
+# A page of full batches stays below the limit on response bodies.
+MAX_BATCH_CLAIMS: Final = 128
+CLAIMS_PAGE_RECORDS: Final = 64
+# The log takes several hundred appends per second from the whole fleet.
+CLAIM_APPENDS_PER_SECOND: Final = 20.0
+CLAIM_APPEND_BURST: Final = 10.0
+CLAIM_RETRY_WAIT: Final = Millis(50)
+CLAIM_RETRY_LIMIT: Final = Millis(1_000)
+# Bounds the time in which a daemon without keyed calls misses that the stream was lost.
+CLAIMS_IDLE_READ: Final = Millis(30_000)
+OUTCOME_POLL: Final = Millis(50)
+OUTCOME_TIMEOUT: Final = Millis(400)
+OUTCOME_TRIES: Final = 2
+# Tolerated difference between the wall clocks of two instances.
+CLOCK_MARGIN: Final = Millis(5 * 60_000)
+
 # Quarantine.
 QUARANTINE_DEATHS: Final = 2
 QUARANTINE_TIME: Final = Millis(10 * 60_000)
 MAX_FINGERPRINTS: Final = 1024
+# Failed calls are answered after the peers took the strikes, or after this time.
+MAX_STRIKE_NOTICES: Final = 64
+STRIKE_NOTICE_TIMEOUT: Final = Millis(400)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/idempotency/claims.py
@@ -0,0 +1,59 @@
+"""The fold over the claims stream."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+from ..constants import KEY_RETENTION
+from ..ids import IdempotencyKey, Millis
+from .model import Claim, ClaimsBatch, Release
+
+
+@dataclass(frozen=True, slots=True)
+class HeldKey:
+    """The claim that holds a key, and when a record about the key was last read here."""
+
+    claim: Claim
+    read_at: Millis
+
+
+class ClaimsFold:
+    """Holders of keys after a prefix of the stream."""
+
+    def __init__(self) -> None:
+        """Start before the first record."""
+        self.held: OrderedDict[IdempotencyKey, HeldKey] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self.held)
+
+    def holder(self, key: IdempotencyKey) -> Claim | None:
+        """Return the claim that holds the key."""
+        row = self.held.get(key)
+        return row.claim if row else None
+
+    def fold(self, batch: ClaimsBatch, now: Millis) -> None:
+        """Fold one record; `now` is the time of reading."""
+        for release in batch.releases:
+            self._release(release)
+        for claim in batch.claims:
+            self._claim(claim, now)
+
+    def expire(self, now: Millis) -> None:
+        """Drop the keys about which nothing was read during the retention time."""
+        while self.held:
+            key, row = next(iter(self.held.items()))
+            if now - row.read_at <= KEY_RETENTION:
+                return
+            del self.held[key]
+
+    def _claim(self, claim: Claim, now: Millis) -> None:
+        row = self.held.get(claim.key)
+        # A refused claim extends the retention too: another daemon, which expired the key
+        # earlier, may have started this claim.
+        self.held[claim.key] = replace(row, read_at=now) if row else HeldKey(claim, now)
+        self.held.move_to_end(claim.key)
+
+    def _release(self, release: Release) -> None:
+        row = self.held.get(release.key)
+        if row is not None and row.claim.claim_id == release.claim_id:
+            del self.held[release.key]
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -0,0 +1,89 @@
+"""Strikes of fingerprints and the decision which requests may run."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from ..constants import MAX_FINGERPRINTS, QUARANTINE_DEATHS, QUARANTINE_TIME
+from ..ids import DaemonId, Fingerprint, Incarnation, Millis
+from ..members.records import Clearance, Strike
+from .model import QuarantineRow
+
+Death = tuple[DaemonId, Incarnation]
+
+
+@dataclass(slots=True)
+class Record:
+    """Deaths with this fingerprint in flight, and when the latest one was counted."""
+
+    at: Millis
+    deaths: set[Death] = field(default_factory=set)
+    path: str = ""
+
+
+class StrikeTable:
+    """Fingerprints with strikes, bounded; the oldest is evicted."""
+
+    def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
+        """Start without strikes."""
+        self.limit = limit
+        self.records: OrderedDict[Fingerprint, Record] = OrderedDict()
+
+    def strike(self, strikes: Iterable[Strike], now: Millis) -> bool:
+        """Count strikes; return whether any of them is new."""
+        changed = False
+        for strike in strikes:
+            record = self.records.setdefault(strike.fingerprint, Record(now))
+            death = (strike.daemon_id, strike.incarnation)
+            # A quarantine ends 10 minutes after it began, whatever is reported late.
+            if death in record.deaths or len(record.deaths) >= QUARANTINE_DEATHS:
+                continue
+            record.deaths.add(death)
+            record.at = now
+            self.records.move_to_end(strike.fingerprint)
+            changed = True
+        while len(self.records) > self.limit:
+            self.records.popitem(last=False)
+        return changed
+
+    def clear(self, clearances: Iterable[Clearance]) -> bool:
+        """Forget the strikes of requests that completed; return whether there were any."""
+        gone = [self.records.pop(row.fingerprint, None) for row in clearances]
+        return any(record is not None for record in gone)
+
+    def suspected(self, fingerprint: Fingerprint, now: Millis) -> bool:
+        """Return whether the fingerprint has a strike."""
+        self._expire(now)
+        return fingerprint in self.records
+
+    def struck_daemons(self, fingerprint: Fingerprint) -> frozenset[DaemonId]:
+        """Return the daemons next to whose upstreams the request was in flight at a death."""
+        record = self.records.get(fingerprint)
+        return frozenset(daemon_id for daemon_id, _ in record.deaths) if record else frozenset()
+
+    def quarantined(self, fingerprint: Fingerprint, now: Millis) -> bool:
+        """Return whether requests with this fingerprint are refused."""
+        self._expire(now)
+        record = self.records.get(fingerprint)
+        return record is not None and len(record.deaths) >= QUARANTINE_DEATHS
+
+    def seen(self, fingerprint: Fingerprint, path: str) -> None:
+        """Note the path of a fingerprint for operators."""
+        record = self.records.get(fingerprint)
+        if record is not None:
+            record.path = path
+
+    def rows(self, now: Millis) -> Iterator[QuarantineRow]:
+        """Yield the table with the oldest first."""
+        self._expire(now)
+        for fingerprint, record in self.records.items():
+            left = Millis(record.at + QUARANTINE_TIME - now)
+            count = len(record.deaths)
+            yield QuarantineRow(fingerprint, record.path, count, count >= QUARANTINE_DEATHS, left)
+
+    def _expire(self, now: Millis) -> None:
+        while self.records:
+            fingerprint, record = next(iter(self.records.items()))
+            if now - record.at < QUARANTINE_TIME:
+                return
+            del self.records[fingerprint]
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/quarantine/trial.py
@@ -0,0 +1,33 @@
+"""Which upstream may try a request that was in flight at an upstream's death."""
+
+import hashlib
+from collections.abc import Iterable, Set
+
+from ..ids import DaemonId, Fingerprint
+from ..members.records import Member
+from ..states import MemberState, UpstreamState
+
+
+def trial_member(
+    fingerprint: Fingerprint, members: Iterable[Member], struck: Set[DaemonId]
+) -> DaemonId | None:
+    """Return the one member that tries the request, the same on every daemon with this view.
+
+    Resubmissions through several daemons at once would otherwise crash several upstreams before
+    the second strike is known. Members without a strike are preferred: the upstream of a struck one
+    may not be back yet.
+    """
+    ready = [
+        m.daemon_id
+        for m in members
+        if m.state is MemberState.ALIVE
+        and m.upstream is not None
+        and m.upstream.state is UpstreamState.READY
+    ]
+    unstruck = [daemon_id for daemon_id in ready if daemon_id not in struck]
+    choice = unstruck or ready
+    return max(choice, key=lambda daemon_id: _weight(fingerprint, daemon_id), default=None)
+
+
+def _weight(fingerprint: Fingerprint, daemon_id: DaemonId) -> bytes:
+    return hashlib.blake2b(f"{fingerprint} {daemon_id}".encode(), digest_size=8).digest()
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -50,10 +50,13 @@
     SHED = "shed"
     RETRY_BUDGET = "retry-budget"
     QUARANTINED = "quarantined"
+    SUSPECTED = "suspected"
     LOG_UNAVAILABLE = "log-unavailable"
     CLAIMS_FULL = "claims-full"
     KEY_HOLDER_GONE = "key-holder-gone"
     RESPONSE_EVICTED = "response-evicted"
+    KEY_MISMATCH = "key-mismatch"
+    CLAIMS_INCOMPLETE = "claims-incomplete"
     CONNECT_FAILED = "connect-failed"
     CONNECTION_LOST = "connection-lost"
     TIMEOUT = "timeout"
@@ -83,3 +86,20 @@
     CONFLICT = "conflict"
     DUPLICATE = "duplicate"
     UNKNOWN_RULES = "unknown-rules"
+
+
+class HeldState(Enum):
+    """State of the call behind a claim, as its holder knows it."""
+
+    RUNNING = "running"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+    NOT_STARTED = "not-started"
+
+
+class AppendState(Enum):
+    """What is known about an append: it landed, it surely did not, or its answer was lost."""
+
+    LANDED = "landed"
+    REFUSED = "refused"
+    LOST = "lost"
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+import uuid
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,23 +21,29 @@
 from agatecross_core.distribution.follower import ConfigFollower
 from agatecross_core.distribution.sync import PullRequest, VersionNotice
 from agatecross_core.errors import SettingsError
-from agatecross_core.ids import Incarnation
+from agatecross_core.idempotency.decider import ClaimDecider
+from agatecross_core.idempotency.model import OutcomeRequest
+from agatecross_core.ids import ClaimId, Incarnation
 from agatecross_core.members.records import IndirectProbe, Member, Probe, SyncRequest
 from agatecross_core.members.swim import Swim
+from agatecross_core.quarantine.gate import TrialGate
+from agatecross_core.quarantine.model import StrikeNotice
 from agatecross_core.routing.model import Position
 from agatecross_core.routing.router import AdaptiveBalancer
 from agatecross_core.states import MemberState
 
 from .events import log_event
 from .mailbox import Mailbox, Sender
-from .messages import Leaving
+from .messages import Leaving, SpreadStrikes
 from .settings import Settings, load_settings
 from .tasks.admin_task import AdminMessage, AdminTask
 from .tasks.call_driver import CallDriver
 from .tasks.call_task import CallMessage, CallTask
+from .tasks.claims_task import ClaimsMessage, ClaimsTask
 from .tasks.config_task import ConfigMessage, ConfigTask
 from .tasks.control_task import ControlAsk, ControlTask, ReceivedAsk
 from .tasks.members_task import MembersMessage, MembersTask
+from .tasks.quarantine_driver import QuarantineDriver
 from .tasks.upstream_task import UpstreamMessage, UpstreamTask
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file (TOML).", required=True)
@@ -63,6 +70,7 @@
     config: Mailbox[ConfigMessage] = field(default_factory=Mailbox)
     upstream: Mailbox[UpstreamMessage] = field(default_factory=Mailbox)
     call: Mailbox[CallMessage] = field(default_factory=Mailbox)
+    claims: Mailbox[ClaimsMessage] = field(default_factory=Mailbox)
     admin: Mailbox[AdminMessage] = field(default_factory=Mailbox)
 
 
@@ -75,6 +83,7 @@
     config: ConfigTask
     upstream: UpstreamTask
     call: CallTask
+    claims: ClaimsTask
     admin: AdminTask
 
     def all(self) -> tuple[Task, ...]:
@@ -85,10 +94,18 @@
             self.config,
             self.upstream,
             self.call,
+            self.claims,
             self.admin,
         )
 
 
+class NoGossip:
+    """Drops strikes until the members task carries them; strike notices still reach the peers."""
+
+    def put(self, message: SpreadStrikes) -> None:
+        """Drop the message."""
+
+
 def own_record(settings: Settings) -> Member:
     """Return this daemon's member record; the wall clock orders its restarts."""
     return Member(
@@ -137,6 +154,8 @@
             TornadoHttpListener(),
             TornadoHttpClient(),
             boxes.members,
+            TrialGate(settings.daemon_id),
+            boxes.call,
         ),
         CallTask(
             boxes.call,
@@ -145,6 +164,14 @@
             TornadoHttpListener(),
             balancer,
             driver,
+            boxes.claims,
+            QuarantineDriver(me, NoGossip(), boxes.control, boxes.upstream),
+        ),
+        ClaimsTask(
+            boxes.claims,
+            ClaimDecider(settings.daemon_id, settings.control_address, _new_claim_id, rng),
+            boxes.control,
+            log,
         ),
         AdminTask(
             boxes.admin,
@@ -153,6 +180,7 @@
             TornadoHttpListener(),
             boxes.upstream,
             transport.traffic,
+            boxes.call,
         ),
     )
 
@@ -164,9 +192,16 @@
         SyncRequest: boxes.members,
         VersionNotice: boxes.config,
         PullRequest: boxes.config,
+        OutcomeRequest: boxes.claims,
+        StrikeNotice: boxes.call,
     }
 
 
+def _new_claim_id() -> ClaimId:
+    # Not from the seeded generator: a restarted daemon must not repeat the ids of its claims.
+    return ClaimId(uuid.uuid4().hex)
+
+
 async def serve(settings: Settings) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
     tasks = build_tasks(settings)
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -1,12 +1,14 @@
 """Messages between the tasks of one daemon."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from agatecross_adapters.codec import ControlMessage
 from agatecross_core.config.model import MeshSnapshot
-from agatecross_core.ids import Address, Millis
-from agatecross_core.members.records import Member, UpstreamInfo
+from agatecross_core.ids import Address, Fingerprint, Millis
+from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import FleetView
+from agatecross_core.quarantine.model import InFlight, Suspect
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,3 +57,45 @@
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time went on."""
+
+
+@dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """Strikes and clearances came with the gossip of a peer."""
+
+    strikes: tuple[Strike, ...]
+    clearances: tuple[Clearance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SpreadStrikes:
+    """Strikes and clearances are to go out with the gossip."""
+
+    strikes: tuple[Strike, ...]
+    clearances: tuple[Clearance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamDied:
+    """Ask by the upstream task: these calls were running; answered when peers know the strikes."""
+
+    calls: tuple[InFlight, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectsChanged:
+    """The fingerprints with strikes changed, or who may try them."""
+
+    suspects: Mapping[Fingerprint, Suspect]
+
+
+@dataclass(frozen=True, slots=True)
+class ListQuarantine:
+    """Ask by the admin task: the rows of the quarantine table."""
+
+
+@dataclass(frozen=True, slots=True)
+class LiftQuarantine:
+    """Ask by the admin task: forget the strikes of a fingerprint; answers whether it had any."""
+
+    fingerprint: Fingerprint
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -9,16 +9,18 @@
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.constants import NO_DIGEST, NO_VERSION
-from agatecross_core.ids import Address, DaemonId, Digest, Version
+from agatecross_core.ids import Address, DaemonId, Digest, Fingerprint, Version
 from agatecross_core.members.records import Member, UpstreamInfo
 from agatecross_core.members.view import FleetView
 from agatecross_core.states import DaemonState
 
-from ..mailbox import Mailbox, Sender
-from ..messages import ConfigInForce, Leaving, ViewChanged
+from ..mailbox import Mailbox, Sender, new_ask
+from ..messages import ConfigInForce, Leaving, LiftQuarantine, ListQuarantine, ViewChanged
+from .quarantine_driver import LiftAsk, ListAsk
 from .upstream_task import UpstreamAnnounced
 
 PREFIX = "/agatecross/v1"
+QUARANTINE = f"{PREFIX}/quarantine"
 
 AdminMessage = ConfigInForce | ViewChanged | Leaving
 
@@ -47,12 +49,14 @@
         listener: HttpListener,
         upstream: Sender[UpstreamAnnounced],
         traffic: TrafficCount,
+        quarantine: Sender[ListAsk | LiftAsk],
     ) -> None:
         self.address = address
         self.me = me
         self.listener = listener
         self.upstream = upstream
         self.traffic = traffic
+        self.quarantine = quarantine
         self.mailbox = mailbox
         self.state = DaemonState.STARTING
         self.version = NO_VERSION
@@ -80,9 +84,26 @@
                     self.state = DaemonState.LEAVING
 
     async def _request(self, request: Request) -> Response:
-        answer = self.answers.get((request.method, request.path.split("?", 1)[0]))
+        path = request.path.split("?", 1)[0]
+        if request.method == "GET" and path == QUARANTINE:
+            return await self._list_quarantine()
+        if request.method == "DELETE" and path.startswith(f"{QUARANTINE}/"):
+            return await self._lift(Fingerprint(path.removeprefix(f"{QUARANTINE}/")))
+        answer = self.answers.get((request.method, path))
         return answer(request) if answer else _json(404, {"error": "no such page"})
 
+    async def _list_quarantine(self) -> Response:
+        ask: ListAsk = new_ask(ListQuarantine())
+        self.quarantine.put(ask)
+        return _json(200, await ask.reply)
+
+    async def _lift(self, fingerprint: Fingerprint) -> Response:
+        ask: LiftAsk = new_ask(LiftQuarantine(fingerprint))
+        self.quarantine.put(ask)
+        if await ask.reply:
+            return _json(200, {"lifted": fingerprint})
+        return _json(404, {"error": "no such fingerprint"})
+
     def _status(self, request: Request) -> Response:
         del request
         status = Status(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -1,5 +1,6 @@
 """Owns the callers' listener and carries each call to an outcome."""
 
+import asyncio
 import uuid
 
 from agatecross_adapters.call_headers import (
@@ -11,9 +12,10 @@
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.admission.retry import RetryBudget
 from agatecross_core.calls.flow import run_call
-from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run
+from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, unknown
 from agatecross_core.config.model import MeshSnapshot, ServicePolicy
-from agatecross_core.constants import MAX_CALLS_IN_FLIGHT
+from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_KEY_LENGTH
+from agatecross_core.idempotency.model import CallFinished, Grant, Submit
 from agatecross_core.ids import (
     Address,
     CallId,
@@ -23,17 +25,20 @@
     ServiceName,
 )
 from agatecross_core.members.view import FleetView
+from agatecross_core.quarantine.model import fingerprint_of
 from agatecross_core.routing.model import Candidate, ChoiceRequest
 from agatecross_core.routing.router import Balancer
 from agatecross_core.routing.routes import find_route
-from agatecross_core.states import Reason
+from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event
-from ..mailbox import Mailbox, monotonic
+from ..mailbox import Mailbox, Sender, monotonic, new_ask
 from ..messages import ConfigInForce, Leaving, ViewChanged
 from .call_driver import CallDriver
+from .claims_task import ClaimAsk
+from .quarantine_driver import QuarantineDriver, QuarantineMessage
 
-CallMessage = ConfigInForce | ViewChanged | Leaving
+CallMessage = ConfigInForce | ViewChanged | Leaving | QuarantineMessage
 
 
 class CallTask:
@@ -47,34 +52,50 @@
         listener: HttpListener,
         balancer: Balancer,
         driver: CallDriver,
+        claims: Sender[ClaimAsk | CallFinished],
+        quarantine: QuarantineDriver,
     ) -> None:
         self.address = address
         self.data_centre = data_centre
         self.listener = listener
         self.balancer = balancer
         self.driver = driver
+        self.claims = claims
+        self.quarantine = quarantine
         self.mailbox = mailbox
         self.snapshot: MeshSnapshot | None = None
         self.view = FleetView()
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.in_flight = 0
+        self.keyed: set[asyncio.Task[CallResult]] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
         self.listener.listen(self.address, self._caller_request)
-        while True:
-            match await self.mailbox.get():
-                case ConfigInForce(snapshot):
-                    self.snapshot = snapshot
-                case ViewChanged(view):
-                    self.view = view
-                    self.balancer.view_changed(view)
-                case Leaving():
-                    self.listener.close_idle()
+        try:
+            while True:
+                self._handle(await self.mailbox.get())
+        finally:
+            self.quarantine.close()
+
+    def _handle(self, message: CallMessage) -> None:
+        match message:
+            case ConfigInForce(snapshot):
+                self.snapshot = snapshot
+            case ViewChanged(view, me):
+                self.view = view
+                self.balancer.view_changed(view)
+                self.quarantine.view_changed(view, me)
+            case Leaving():
+                self.listener.close_idle()
+            case _:
+                self.quarantine.handle(message)
 
     async def drained(self) -> None:
         """Return when no call is in flight and every response was written."""
         await self.listener.close()
+        while self.keyed:
+            await asyncio.wait(self.keyed)
 
     async def _caller_request(self, request: Request) -> Response:
         if self.in_flight >= MAX_CALLS_IN_FLIGHT:
@@ -96,9 +117,48 @@
             return not_run(Reason.NO_ROUTE)
         policy = site.services[route.service]
         call = _new_call(request, policy, monotonic())
+        if self.quarantine.quarantined(fingerprint_of(call.service, call.request)):
+            return not_run(Reason.QUARANTINED)
+        if call.key is None or call.idempotent:
+            return await self._drive(call, policy)
+        if len(call.key) > MAX_KEY_LENGTH:
+            return not_run(Reason.BAD_REQUEST)
+        # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
+        task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key))
+        self.keyed.add(task)
+        task.add_done_callback(self.keyed.discard)
+        return await asyncio.shield(task)
+
+    async def _claim_and_drive(
+        self, call: Call, policy: ServicePolicy, key: IdempotencyKey
+    ) -> CallResult:
+        fingerprint = fingerprint_of(call.service, call.request)
+        scoped = IdempotencyKey(f"{call.service}/{key}")
+        ask: ClaimAsk = new_ask(Submit(call.call_id, scoped, fingerprint, call.deadline))
+        self.claims.put(ask)
+        granted = await ask.reply
+        if not isinstance(granted, Grant):
+            return granted
+        result = unknown(Reason.CONNECTION_LOST)
+        try:
+            result = await self._drive(call, policy)
+            return result
+        finally:
+            self.claims.put(CallFinished(granted.claim_id, result))
+
+    async def _drive(self, call: Call, policy: ServicePolicy) -> CallResult:
         budget = self.budgets.setdefault(policy.name, RetryBudget(policy.retry_ratio))
-        flow = run_call(call, policy, self._choose, budget)
-        result = await self.driver.drive(flow)
+        fingerprint = fingerprint_of(call.service, call.request)
+        chooser = self.quarantine.restrict(fingerprint, call.request.path, self._choose)
+        result = await self.driver.drive(run_call(call, policy, chooser, budget))
+        if result.outcome is Outcome.RAN:
+            self.quarantine.completed(fingerprint)
+        elif result.outcome is Outcome.NOT_RUN and self.quarantine.quarantined(fingerprint):
+            result = not_run(Reason.QUARANTINED)
+        self._log_failure(call, result)
+        return result
+
+    def _log_failure(self, call: Call, result: CallResult) -> None:
         if result.response is None:
             log_event(
                 "call_failed",
@@ -107,7 +167,6 @@
                 outcome=result.outcome.value,
                 reason=result.reason.value if result.reason else "",
             )
-        return result
 
     def _choose(self, request: ChoiceRequest) -> Candidate | None:
         return self.balancer.choose(request, monotonic())
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -15,21 +15,24 @@
 from agatecross_core.admission.model import AdmissionAction, RefuseCall, StartCall
 from agatecross_core.admission.queue import AdmissionQueue
 from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, ran, unknown
-from agatecross_core.constants import UPSTREAM_LEASE
+from agatecross_core.constants import CONNECT_TIMEOUT, UPSTREAM_LEASE
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
 from agatecross_core.ids import Address, CallId, Millis
 from agatecross_core.members.records import UpstreamInfo
+from agatecross_core.quarantine.gate import TrialGate
+from agatecross_core.quarantine.model import InFlight, fingerprint_of
 from agatecross_core.states import Reason, UpstreamState
 
 from ..events import log_event
 from ..mailbox import Ask, Mailbox, Sender, monotonic, new_ask
-from ..messages import Leaving, Tick, UpstreamChanged
+from ..messages import Leaving, SuspectsChanged, Tick, UpstreamChanged, UpstreamDied
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.25
 SHED_HEADER = "Agatecross-Outcome"
 
 CallAsk = Ask[Call, CallResult]
+DeathAsk = Ask[UpstreamDied, None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +50,7 @@
     result: CallResult
 
 
-UpstreamMessage = CallAsk | UpstreamAnnounced | CallEnded | Leaving | Tick
+UpstreamMessage = CallAsk | UpstreamAnnounced | CallEnded | SuspectsChanged | Leaving | Tick
 
 
 class UpstreamTask:
@@ -60,11 +63,16 @@
         listener: HttpListener,
         client: HttpClient,
         members: Sender[UpstreamChanged],
+        gate: TrialGate,
+        deaths: Sender[DeathAsk],
     ) -> None:
         self.address = address
         self.listener = listener
         self.client = client
         self.members = members
+        self.gate = gate
+        self.deaths = deaths
+        self.deaths_of: dict[CallId, DeathAsk] = {}
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
         self.lease_until = Millis(0)
@@ -105,7 +113,11 @@
         match message:
             case UpstreamAnnounced(info):
                 self._announced(info, now)
+            case SuspectsChanged(suspects):
+                self.gate.suspects_changed(suspects)
             case CallEnded(call_id, result):
+                self.gate.ended(call_id)
+                self.deaths_of.pop(call_id, None)
                 self._answer(call_id, result)
                 self._act(self.queue.finished(call_id, now))
             case Leaving():
@@ -143,10 +155,19 @@
         for action in actions:
             match action:
                 case StartCall(call):
-                    self.subtasks.start(self._run(call))
+                    self._start(call)
                 case RefuseCall(call_id, reason):
                     self._answer(call_id, not_run(reason))
 
+    def _start(self, call: Call) -> None:
+        fingerprint = fingerprint_of(call.service, call.request)
+        refusal = self.gate.refusal(fingerprint)
+        if refusal is not None:
+            self.mailbox.put(CallEnded(call.call_id, not_run(refusal)))
+            return
+        self.gate.started(call.call_id, InFlight(fingerprint, call.request.path))
+        self.subtasks.start(self._run(call))
+
     def _answer(self, call_id: CallId, result: CallResult) -> None:
         ask = self.asks.pop(call_id, None)
         if ask is not None:
@@ -154,6 +175,7 @@
 
     async def _run(self, call: Call) -> None:
         assert self.info is not None
+        address = self.info.address
         left = Millis(max(1.0, call.deadline - monotonic()))
         headers = (
             *call.request.headers,
@@ -161,9 +183,22 @@
             (DEADLINE, f"{left:.1f}"),
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
-        result = await self._exchange(self.info.address, request, left)
+        result = await self._exchange(address, request, left)
+        if result.reason is Reason.CONNECTION_LOST and await _refuses(address):
+            await self._report_death(call.call_id)
         self.mailbox.put(CallEnded(call.call_id, result))
 
+    async def _report_death(self, call_id: CallId) -> None:
+        """Report each death once, with every call that was running, and wait until it is known."""
+        if call_id not in self.deaths_of:
+            running = self.gate.running
+            lost = {i: row for i, row in running.items() if i not in self.deaths_of}
+            ask: DeathAsk = new_ask(UpstreamDied(tuple(lost.values())))
+            log_event("upstream_died", calls=len(lost))
+            self.deaths_of.update(dict.fromkeys(lost, ask))
+            self.deaths.put(ask)
+        await self.deaths_of[call_id].reply
+
     async def _exchange(self, address: Address, request: Request, left: Millis) -> CallResult:
         try:
             response = await self.client.send(address, request, left)
@@ -181,3 +216,18 @@
         while True:
             self.mailbox.put(Tick())
             await asyncio.sleep(TICK_SECONDS)
+
+
+async def _refuses(address: Address) -> bool:
+    """Return whether the address refuses new connections, as that of a dead process does."""
+    host, _, port = address.rpartition(":")
+    try:
+        _, writer = await asyncio.wait_for(
+            asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT / 1000
+        )
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
