--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,53 @@
+Feature: Quarantine of requests that crash upstreams
+  Guards against a request that goes on to crash upstreams, and against harmless ones being refused.
+
+  Scenario Outline: <case>
+    Given an empty strike table of <limit> fingerprints
+    When the events "<events>" happen
+    Then fingerprint "p" is <state>
+
+    Examples: strikes name the fingerprint and the death, clear a completion, wait minutes
+      | case                                     | limit | events                                     | state       |
+      | one death                                | 9     | p:d1                                       | suspected   |
+      | two deaths                               | 9     | p:d1 p:d2                                  | quarantined |
+      | one death reported twice                 | 9     | p:d1 p:d1                                  | suspected   |
+      | two deaths of one daemon's upstream      | 9     | p:d1 p:d1+                                 | quarantined |
+      | completion between two deaths            | 9     | p:d1 clear:p p:d2                          | suspected   |
+      | completion after quarantine              | 9     | p:d1 p:d2 clear:p                          | free        |
+      | completion of another request            | 9     | p:d1 clear:q p:d2                          | quarantined |
+      | quarantine ends                          | 9     | p:d1 p:d2 wait:10                          | free        |
+      | quarantine holds until its end           | 9     | p:d1 p:d2 wait:9                           | quarantined |
+      | late reports do not extend it            | 9     | p:d1 p:d2 wait:9 p:d3 wait:1               | free        |
+      | strikes far apart                        | 9     | p:d1 wait:11 p:d2                          | suspected   |
+      | full table drops the oldest              | 2     | p:d1 q:d1 r:d1 p:d2                        | suspected   |
+      | full table keeps the newest              | 2     | q:d1 r:d1 p:d1 p:d2                        | quarantined |
+
+  Scenario Outline: <case>
+    Given an upstream next to daemon "me" where "<running>" runs and "p" has <strikes> strikes
+    Then a call with fingerprint "<fingerprint>" is <decision> when its trial member is "<trial>"
+
+    Examples:
+      | case                                     | running | strikes | fingerprint | trial | decision          |
+      | a request without strikes starts         | p       | 0       | p           | me    | admitted          |
+      | a suspected request starts alone         | q       | 1       | p           | me    | admitted          |
+      | a suspected request waits for the other  | p       | 1       | p           | me    | refused suspected |
+      | a suspected request runs elsewhere       | q       | 1       | p           | other | refused suspected |
+      | a quarantined request is refused         | q       | 2       | p           | me    | refused quarantined |
+      | a neighbour is admitted                  | p       | 2       | q           | me    | admitted          |
+
+  Scenario Outline: a <method> request that crashes upstreams stops after two of them
+    Given a fleet of "van-booking" at "aarhus-a,aalborg-b,koebenhavn-a,roskilde-b" that records executions in a file
+    And the example configuration "lysknude" is in force
+    And every upstream crashes on "poison" and is restarted
+    When the request is sent once, then at once through every daemon, with method "<method>"
+    And it is sent through every daemon in turn
+    Then upstreams crashed 2 times
+    And every daemon lists "/vans/poison" as quarantined
+    And other requests run on every daemon
+    When the quarantine is lifted at one daemon
+    Then no daemon lists it
+
+    Examples:
+      | method |
+      | GET    |
+      | POST   |
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,158 @@
+import contextlib
+import json
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from agatecross_core.members.records import Clearance, Strike
+from agatecross_core.quarantine.gate import TrialGate
+from agatecross_core.quarantine.model import InFlight, Suspect
+from agatecross_core.quarantine.strikes import StrikeTable
+from agatecross_standins.fleet import Fleet, Site, fetch, wait_until
+
+MINUTE = 60_000
+POISON = "/vans/poison"
+CRASH_EXIT = 70
+
+
+@given("an empty strike table of {limit:d} fingerprints")
+def empty_table(context, limit):
+    context.strikes, context.now = StrikeTable(limit), 0.0
+
+
+@when('the events "{events}" happen')
+def apply_events(context, events):
+    for event in events.split():
+        name, value = event.split(":")
+        if name == "wait":
+            context.now += int(value) * MINUTE
+        elif name == "clear":
+            context.strikes.clear([Clearance(value)])
+        else:
+            strike = Strike(name, value.rstrip("+"), value.count("+"))
+            context.strikes.strike([strike], context.now)
+
+
+@then('fingerprint "{fingerprint}" is {state}')
+def check_state(context, fingerprint, state):
+    suspected = context.strikes.suspected(fingerprint, context.now)
+    quarantined = context.strikes.quarantined(fingerprint, context.now)
+    found = "quarantined" if quarantined else "suspected" if suspected else "free"
+    assert found == state, found
+
+
+@given('an upstream next to daemon "{me}" where "{row}" runs and "{name}" has {count:d} strikes')
+def start_gate(context, me, row, name, count):
+    context.gate = TrialGate(me)
+    context.gate.started("c1", InFlight(row, "/"))
+    context.struck = (name, count)
+
+
+@then('a call with fingerprint "{row}" is {decision} when its trial member is "{trial}"')
+def check_gate(context, row, decision, trial):
+    name, count = context.struck
+    context.gate.suspects_changed({name: Suspect(count >= 2, trial)} if count else {})
+    refusal = context.gate.refusal(row)
+    found = f"refused {refusal.value}" if refusal else "admitted"
+    assert found == decision, found
+
+
+@given('a fleet of "{service}" at "{data_centres}" that records executions in a file')
+def start_recording_fleet(context, service, data_centres):
+    context.fleet = Fleet()
+    context.fleet.__enter__()
+    context.add_cleanup(context.fleet.__exit__)
+    context.executions_file = context.fleet.directory / "executions.jsonl"
+    flag = f"--executions_file={context.executions_file}"
+    for data_centre in data_centres.split(","):
+        context.fleet.add_node(Site("jylland", data_centre), service, flag)
+    context.fleet.wait_joined()
+
+
+@given('every upstream crashes on "{text}" and is restarted')
+def supervise(context, text):
+    fleet = context.fleet
+    for node in fleet.nodes:
+        fleet.switch_upstream(node, crash_on=text)
+    stop = threading.Event()
+
+    def watch():
+        while not stop.wait(0.05):
+            for node in fleet.nodes:
+                if node.upstream.poll() == CRASH_EXIT:
+                    fleet.start_upstream(node)
+                    url = f"http://127.0.0.1:{node.upstream_port}/switches"
+                    body = json.dumps({"crash_on": text}).encode()
+                    wait_until(lambda u=url, b=body: fetch(u, "PUT", b)[0] == 200, "the upstream")
+
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    context.add_cleanup(watcher.join)
+    context.add_cleanup(stop.set)
+
+
+def send(node, method, path):
+    with contextlib.suppress(OSError):
+        status, headers, _ = fetch(node.call + path, method, None if method == "GET" else b"{}")
+        return status, headers.get("Agatecross-Outcome"), headers.get("Agatecross-Reason")
+    return 0, "", ""
+
+
+@when('the request is sent once, then at once through every daemon, with method "{method}"')
+def send_poison(context, method):
+    context.method = method
+    nodes = context.fleet.nodes
+    send(nodes[0], method, POISON)
+    with ThreadPoolExecutor(len(nodes) * 2) as pool:
+        list(pool.map(lambda node: send(node, method, POISON), nodes * 2))
+
+
+@when("it is sent through every daemon in turn")
+def send_in_turn(context):
+    def quarantined(node):
+        return send(node, context.method, POISON) == (422, "not-run", "quarantined")
+
+    for node in context.fleet.nodes:
+        wait_until(lambda node=node: quarantined(node), f"the quarantine on {node.name}")
+
+
+@then("upstreams crashed {count:d} times")
+def check_crashes(context, count):
+    lines = context.executions_file.read_text(encoding="utf-8").splitlines()
+    rows = [row for row in map(json.loads, lines) if row["path"] == POISON]
+    assert len(rows) == count, rows
+
+
+def quarantine(node):
+    return json.loads(fetch(f"http://{node.admin}/agatecross/v1/quarantine")[2])
+
+
+@then('every daemon lists "{path}" as quarantined')
+def check_listed(context, path):
+    for node in context.fleet.nodes:
+        rows = [row for row in quarantine(node) if row["quarantined"]]
+        assert [row["strikes"] for row in rows] == [2], rows
+        assert 0 < rows[0]["left_ms"] <= 10 * MINUTE, rows
+        context.fingerprint = rows[0]["fingerprint"]
+    paths = {row["path"] for node in context.fleet.nodes for row in quarantine(node)}
+    assert path in paths, paths
+
+
+@then("other requests run on every daemon")
+def check_others(context):
+    for node in context.fleet.nodes:
+        assert send(node, "POST", "/vans/harmless")[:2] == (200, "ran"), node.name
+
+
+@when("the quarantine is lifted at one daemon")
+def lift(context):
+    url = f"http://{context.fleet.nodes[0].admin}/agatecross/v1/quarantine/{context.fingerprint}"
+    assert fetch(url, "DELETE")[0] == 200
+    assert fetch(url, "DELETE")[0] == 404
+
+
+@then("no daemon lists it")
+def check_lifted(context):
+    for node in context.fleet.nodes:
+        wait_until(lambda node=node: quarantine(node) == [], f"{node.name} to lift it")
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -31,6 +31,7 @@
 
     def strike(self, strikes: Iterable[Strike], now: Millis) -> bool:
         """Count strikes; return whether any of them is new."""
+        self._expire(now)
         changed = False
         for strike in strikes:
             record = self.records.setdefault(strike.fingerprint, Record(now))
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -26,6 +26,9 @@
 CONNECTIONS = flags.DEFINE_integer("connections", 110, "Connections accepted.")
 WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Time that a call takes.")
 COLD_START_MS = flags.DEFINE_float("cold_start_ms", 0.0, "Time in state starting.")
+EXECUTIONS_FILE = flags.DEFINE_string(
+    "executions_file", "", "File that gets a JSON line for each execution, kept when killed."
+)
 
 ANNOUNCE_SECONDS = 1.0
 CRASH_EXIT = 70
@@ -90,7 +93,9 @@
             return
         state.running += 1
         try:
-            state.executions.append(self._execution())
+            execution = self._execution()
+            state.executions.append(execution)
+            append_execution(execution)
             if state.switches.crash_on and state.switches.crash_on in self.request.path:
                 os._exit(CRASH_EXIT)
             if state.switches.silent:
@@ -122,6 +127,14 @@
         )
 
 
+def append_execution(execution: Execution) -> None:
+    """Append the execution to the file, if there is one, before the call can kill the process."""
+    if EXECUTIONS_FILE.value:
+        line = json.dumps({**asdict(execution), "port": PORT.value}) + "\n"
+        with open(EXECUTIONS_FILE.value, "a", encoding="utf-8") as file:
+            file.write(line)
+
+
 class SwitchesHandler(RequestHandler):
     """Sets the switches and returns the recorded executions."""
 
