--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -51,3 +51,21 @@
   Scenario: random interleavings of several daemons
     When 150 random interleavings of 60 steps run
     Then no key was started twice
+
+  Scenario Outline: <case>
+    Given a store of outcomes with room for <room> response bytes
+    When calls "<calls>" of 4 bytes each finish
+    Then resubmissions get "<replies>"
+
+    Examples: a call that did not run is written with !, one that is running with ?
+      | case                                       | room | calls      | replies                          |
+      | responses within the limit are retained    | 8    | a b        | a=ran+body b=ran+body            |
+      | the oldest body is dropped, not its outcome | 8   | a b c      | a=ran b=ran+body c=ran+body      |
+      | a body above the limit is not retained     | 3    | a          | a=ran                            |
+      | other states need no room                  | 4    | a b! c?    | a=ran+body b=not-started c=running |
+      | a claim of an earlier process              | 4    |            | z=unknown                        |
+
+  Scenario: appends of one daemon are limited
+    Given deciders A, B and C that share a model log
+    When a call with a new key arrives at A every 15 ms for 3 seconds
+    Then A appended at least 60 and at most 72 records and every call started
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -35,6 +35,18 @@
       | a quarantined request is refused         | q       | 2       | p           | me    | refused quarantined |
       | a neighbour is admitted                  | p       | 2       | q           | me    | admitted          |
 
+  Scenario Outline: <case>
+    Given a daemon "me" with peers "d1,d2,d3" of one service
+    When gossip brings "<strikes>" and clearances "<clearances>"
+    Then the upstream task holds "p" as <state>
+
+    Examples:
+      | case                                     | strikes             | clearances | state       |
+      | gossip of one strike                     | p:d1                | none       | suspected   |
+      | gossip of two strikes                    | p:d1 p:d2           | none       | quarantined |
+      | gossip of a strike that came before      | p:d1 p:d1           | none       | suspected   |
+      | gossip about another request             | q:d1 q:d2           | none       | free        |
+
   Scenario Outline: a <method> request that crashes upstreams stops after two of them
     Given a fleet of "van-booking" at "aarhus-a,aalborg-b,koebenhavn-a,roskilde-b" that records executions in a file
     And the example configuration "lysknude" is in force
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -26,7 +26,8 @@
     Submit,
     TimePassed,
 )
-from agatecross_core.states import AppendState, Reason
+from agatecross_core.idempotency.outcomes import OutcomeStore
+from agatecross_core.states import AppendState, HeldState, Reason
 
 RESULTS = {
     "ran": ran(Response(200, (), b"done")),
@@ -299,3 +300,52 @@
 @then("no key was started twice")
 def machine_passed(context):
     """The machine raises at the first key that is started twice."""
+
+
+@given("a store of outcomes with room for {room:d} response bytes")
+def start_store(context, room):
+    context.store = OutcomeStore(room)
+
+
+@when('calls "{calls}" of 4 bytes each finish')
+def finish_calls(context, calls):
+    for call in calls.split():
+        name = call[0]
+        if call.endswith("?"):
+            context.store.put(name, HeldState.RUNNING, 0.0)
+        else:
+            result = RESULTS["not-run" if call.endswith("!") else "ran"]
+            context.store.finish(name, result, 0.0)
+
+
+@when('calls "" of 4 bytes each finish')
+def finish_no_calls(context):
+    assert not context.store.claims
+
+
+@then('resubmissions get "{replies}"')
+def check_store(context, replies):
+    for reply in replies.split():
+        name, expected = reply.split("=")
+        found = context.store.reply(name)
+        text = found.state.value + ("+body" if found.body else "")
+        assert text == expected, (name, text)
+
+
+@when("a call with a new key arrives at A every 15 ms for 3 seconds")
+def send_steadily(context):
+    fleet = context.script.fleet
+    context.appended_before = len(fleet.log)
+    for number in range(200):
+        fleet.submit("A", f"c{number}", f"key-{number}")
+        fleet.settle(1, ["A"])
+        fleet.now += 5
+    context.appended = len(fleet.log) - context.appended_before
+    fleet.settle(40, ["A"])
+
+
+@then("A appended at least {low:d} and at most {high:d} records and every call started")
+def check_appends(context, low, high):
+    assert low <= context.appended <= high, context.appended
+    assert set(context.script.fleet.outcomes.values()) == {"granted"}
+    assert len(context.script.fleet.outcomes) == 200
