Count an upstream as dead when it closes new connections at once

Cause: one of eight runs of the POST scenario crashed three upstreams. The second one accepted the probe connection while its process was ending, so that its death gave no strike.

Change: after the probe is accepted, the upstream task waits up to 100 ms for it to be closed.

The table with addresses that close or reset connections fails without the wait.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -47,6 +47,17 @@
       | gossip of a strike that came before      | p:d1 p:d1           | none       | suspected   |
       | gossip about another request             | q:d1 q:d2           | none       | free        |
 
+  Scenario Outline: an upstream that <behaviour> counts as <state>
+    When a lost connection is followed by a probe of an address that <behaviour>
+    Then the upstream counts as <state>
+
+    Examples: a process that is ending may accept connections for a moment
+      | behaviour                | state |
+      | refuses connections      | dead  |
+      | closes connections       | dead  |
+      | resets connections       | dead  |
+      | waits for a call         | alive |
+
   Scenario Outline: a <method> request that crashes upstreams stops after two of them
     Given a fleet of "van-booking" at "aarhus-a,aalborg-b,koebenhavn-a,roskilde-b" that records executions in a file
     And the example configuration "lysknude" is in force
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 import json
 import threading
@@ -13,7 +14,8 @@
 from agatecross_core.states import MemberState, UpstreamState
 from agatecross_daemon.messages import GossipReceived
 from agatecross_daemon.tasks.quarantine_driver import QuarantineDriver
-from agatecross_standins.faults import add_fixed_node
+from agatecross_daemon.tasks.upstream_task import refuses_connections
+from agatecross_standins.faults import add_fixed_node, fixed_ports
 from agatecross_standins.fleet import Fleet, Site, fetch, wait_until
 
 MINUTE = 60_000
@@ -204,3 +206,33 @@
     assert found == state, suspects
     assert context.driver.quarantined(fingerprint) == (state == "quarantined")
     assert row is None or row.trial not in ("", None), row
+
+
+async def probe(behaviour):
+    """Return whether an address with this behaviour counts as that of a dead process."""
+    port = fixed_ports(1)[0]
+    if behaviour == "refuses connections":
+        return await refuses_connections(f"127.0.0.1:{port}")
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        if behaviour == "waits for a call":
+            await ended.wait()
+        elif behaviour == "resets connections":
+            writer.transport.abort()
+        writer.close()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", port):
+        found = await refuses_connections(f"127.0.0.1:{port}")
+        ended.set()
+        return found
+
+
+@when("a lost connection is followed by a probe of an address that {behaviour}")
+def probe_address(context, behaviour):
+    context.dead = asyncio.run(probe(behaviour))
+
+
+@then("the upstream counts as {state}")
+def check_probe(context, state):
+    assert context.dead == (state == "dead")
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -29,6 +29,7 @@
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.25
+ENDING_SECONDS = 0.1
 SHED_HEADER = "Agatecross-Outcome"
 
 CallAsk = Ask[Call, CallResult]
@@ -184,7 +185,7 @@
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
         result = await self._exchange(address, request, left)
-        if result.reason is Reason.CONNECTION_LOST and await _refuses(address):
+        if result.reason is Reason.CONNECTION_LOST and await refuses_connections(address):
             await self._report_death(call.call_id)
         self.mailbox.put(CallEnded(call.call_id, result))
 
@@ -218,16 +219,22 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-async def _refuses(address: Address) -> bool:
+async def refuses_connections(address: Address) -> bool:
     """Return whether the address refuses new connections, as that of a dead process does."""
     host, _, port = address.rpartition(":")
+    connecting = asyncio.open_connection(host, int(port))
     try:
-        _, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT / 1000
-        )
+        reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT / 1000)
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
         return False
-    writer.close()
-    return False
+    try:
+        # A process that is ending may still accept, but then closes; a live one waits for a call.
+        return await asyncio.wait_for(reader.read(1), ENDING_SECONDS) == b""
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    finally:
+        writer.close()
