--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -32,22 +32,33 @@
 from agatecross_core.admission.policies import AdmissionPolicy
 from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, ran, unknown
 from agatecross_core.config.model import MeshSnapshot
-from agatecross_core.constants import UPSTREAM_LEASE
+from agatecross_core.constants import CONNECT_TIMEOUT, UPSTREAM_LEASE
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
 from agatecross_core.ids import Address, CallId, DataCentreName, Millis
 from agatecross_core.members.records import UpstreamInfo
+from agatecross_core.quarantine.gate import TrialGate
+from agatecross_core.quarantine.model import InFlight, fingerprint_of
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event, log_warning
 from ..mailbox import Ask, Mailbox, Sender, monotonic, new_ask
-from ..messages import ConfigInForce, Leaving, Tick, UpstreamChanged
+from ..messages import (
+    ConfigInForce,
+    Leaving,
+    SuspectsChanged,
+    Tick,
+    UpstreamChanged,
+    UpstreamDied,
+)
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.25
+ENDING_SECONDS = 0.1
 SHED_HEADER = "Agatecross-Outcome"
 CLOSE_CONNECTION = ("Connection", "close")
 
 CallAsk = Ask[Call, CallResult]
+DeathAsk = Ask[UpstreamDied, None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +77,14 @@
 
 
 UpstreamMessage = (
-    CallAsk | CallCancelled | UpstreamAnnounced | CallEnded | ConfigInForce | Leaving | Tick
+    CallAsk
+    | CallCancelled
+    | UpstreamAnnounced
+    | CallEnded
+    | ConfigInForce
+    | SuspectsChanged
+    | Leaving
+    | Tick
 )
 
 
@@ -82,6 +100,8 @@
         client: HttpClient,
         members: Sender[UpstreamChanged],
         admission: AdmissionPolicy,
+        gate: TrialGate,
+        deaths: Sender[DeathAsk],
     ) -> None:
         self.address = address
         self.data_centre = data_centre
@@ -89,6 +109,9 @@
         self.client = client
         self.members = members
         self.admission = admission
+        self.gate = gate
+        self.deaths = deaths
+        self.deaths_of: dict[CallId, DeathAsk] = {}
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
         self.snapshot: MeshSnapshot | None = None
@@ -137,6 +160,8 @@
                 self._announced(info, now)
             case CallEnded(call_id, result):
                 self.exchanges.pop(call_id, None)
+                self.gate.ended(call_id)
+                self.deaths_of.pop(call_id, None)
                 self._answer(call_id, result)
                 self._decide(CallFinished(call_id, _ending(result)), now)
             case CallCancelled(call_id):
@@ -145,6 +170,8 @@
             case ConfigInForce(snapshot):
                 self.snapshot = snapshot
                 self._decide(self._class_policy(), now)
+            case SuspectsChanged(suspects):
+                self.gate.suspects_changed(suspects)
             case Leaving():
                 self.leaving = True
                 self._decide(Drain(), now)
@@ -209,10 +236,18 @@
                 case RefuseCall(call_id, reason):
                     self._answer(call_id, not_run(reason))
                 case StopCall(call_id):
-                    self.exchanges[call_id].cancel()
+                    # A call that the gate refused has no exchange.
+                    if call_id in self.exchanges:
+                        self.exchanges[call_id].cancel()
 
     def _start(self, call: Call) -> None:
+        fingerprint = fingerprint_of(call.service, call.request)
+        refusal = self.gate.refusal(fingerprint)
+        if refusal is not None:
+            self.mailbox.put(CallEnded(call.call_id, not_run(refusal)))
+            return
         assert self.info is not None
+        self.gate.started(call.call_id, InFlight(fingerprint, call.request.path))
         exchange = self.subtasks.start(self._run(call, self.info.address))
         self.exchanges[call.call_id] = exchange
         # A callback and not the exchange reports the end: a cancelled exchange must free its slot.
@@ -239,7 +274,21 @@
             (DEADLINE, f"{left:.1f}"),
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
-        return await self._exchange(address, request, left)
+        result = await self._exchange(address, request, left)
+        if result.reason is Reason.CONNECTION_LOST and await refuses_connections(address):
+            await self._report_death(call.call_id)
+        return result
+
+    async def _report_death(self, call_id: CallId) -> None:
+        """Report each death once, with every call that was running, and wait until it is known."""
+        if call_id not in self.deaths_of:
+            running = self.gate.running
+            lost = {i: row for i, row in running.items() if i not in self.deaths_of}
+            ask: DeathAsk = new_ask(UpstreamDied(tuple(lost.values())))
+            log_event("upstream_died", calls=len(lost))
+            self.deaths_of.update(dict.fromkeys(lost, ask))
+            self.deaths.put(ask)
+        await self.deaths_of[call_id].reply
 
     async def _exchange(self, address: Address, request: Request, left: Millis) -> CallResult:
         try:
@@ -264,3 +313,24 @@
     if result.outcome is Outcome.RAN or result.reason is Reason.TIMEOUT:
         return Ending.COMPLETED
     return Ending.SHED if result.reason is Reason.SHED else Ending.FAILED
+
+
+async def refuses_connections(address: Address) -> bool:
+    """Return whether the address refuses new connections, as that of a dead process does."""
+    host, _, port = address.rpartition(":")
+    connecting = asyncio.open_connection(host, int(port))
+    try:
+        reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT / 1000)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    try:
+        # A process that is ending may still accept, but then closes; a live one waits for a call.
+        return await asyncio.wait_for(reader.read(1), ENDING_SECONDS) == b""
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    finally:
+        writer.close()
