--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -17,6 +17,8 @@
     SyncRequest,
 )
 
+from .wire import from_wire, to_wire
+
 T = TypeVar("T")
 
 ControlMessage = (
@@ -53,8 +55,8 @@
 
 
 def encode_control(message: ControlMessage) -> bytes:
-    """Encode a control message as a pair of its tag and its fields."""
-    return msgspec.msgpack.encode((TAG_OF[type(message)], message))
+    """Encode a control message as a pair of its tag and its positional fields."""
+    return msgspec.msgpack.encode((TAG_OF[type(message)], to_wire(message)))
 
 
 def decode_control(data: bytes) -> ControlMessage:
@@ -63,8 +65,8 @@
         tag, body = msgspec.msgpack.decode(data, type=tuple[int, msgspec.Raw])
         if tag not in CONTROL_TAGS:
             raise MessageDecodeError(f"unknown control message tag {tag}")
-        message: ControlMessage = msgspec.msgpack.decode(body, type=CONTROL_TAGS[tag])
-    except msgspec.MsgspecError as error:
+        message: ControlMessage = from_wire(body, CONTROL_TAGS[tag])
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise MessageDecodeError(f"control message: {error}") from error
     return message
 
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -2,9 +2,13 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from typing import Final
 
 import pynng
+from pynng import _nng
 
 from agatecross_core.errors import MessageDecodeError, PeerError
 from agatecross_core.ids import Address, Millis
@@ -12,27 +16,63 @@
 from .codec import ControlMessage, decode_control, encode_control
 from .protocols import ControlHandler
 
-MAX_CONTROL_BYTES = 32 * 1024 * 1024
-MAX_OPEN_PEERS = 16
-ANSWERERS = 8
+MAX_CONTROL_BYTES: Final = 32 * 1024 * 1024
+MAX_OPEN_PEERS: Final = 16
+# An answer to an indirect probe holds a context for up to a probe timeout; direct probes must
+# still find a free one.
+ANSWERERS: Final = 32
+ANSWER_TIMEOUT: Final = Millis(5_000)
+REDIAL_MIN_MS: Final = 100
+REDIAL_MAX_MS: Final = 1_000
+# NNG starts threads for each core, 30 on ten cores; the control traffic needs one of each kind
+# (the library raises the task threads to two).
+NNG_THREADS: Final = {
+    _nng.lib.NNG_INIT_NUM_TASK_THREADS: 2,
+    _nng.lib.NNG_INIT_MAX_TASK_THREADS: 2,
+    _nng.lib.NNG_INIT_NUM_EXPIRE_THREADS: 1,
+    _nng.lib.NNG_INIT_MAX_EXPIRE_THREADS: 1,
+    _nng.lib.NNG_INIT_NUM_POLLER_THREADS: 1,
+    _nng.lib.NNG_INIT_MAX_POLLER_THREADS: 1,
+    _nng.lib.NNG_INIT_NUM_RESOLVER_THREADS: 1,
+}
+
+
+def limit_threads() -> None:
+    """Bound the threads of NNG in this process; has no effect after its first socket."""
+    for parameter, value in NNG_THREADS.items():
+        _nng.lib.nng_init_set_parameter(parameter, value)
 
 
 @dataclass(slots=True)
 class TrafficCount:
-    """Payload bytes and messages of control traffic, both directions."""
+    """Payload bytes, messages and dials of control traffic, both directions."""
 
     sent_bytes: int = 0
     received_bytes: int = 0
     messages: int = 0
+    dials: int = 0
+
+
+@dataclass(slots=True)
+class Peer:
+    """The socket to one peer and the number of requests that use it."""
+
+    socket: pynng.Req0
+    users: int = 0
 
 
 class NngTransport:
-    """Answers and sends control requests; keeps connections to the peers used last."""
+    """Answers and sends control requests; keeps connections to the peers used last.
+
+    At most `MAX_OPEN_PEERS` requests, and so dials, are under way; further ones wait.
+    """
 
     def __init__(self) -> None:
+        limit_threads()
         self.listener: pynng.Rep0 | None = None
         self.answerers: list[asyncio.Task[None]] = []
-        self.peers: OrderedDict[Address, pynng.Req0] = OrderedDict()
+        self.peers: OrderedDict[Address, Peer] = OrderedDict()
+        self.slots = asyncio.Semaphore(MAX_OPEN_PEERS)
         self.traffic = TrafficCount()
 
     async def listen(self, address: Address, handler: ControlHandler) -> Address:
@@ -47,18 +87,21 @@
     async def _answer(self, context: pynng.Context, handler: ControlHandler) -> None:
         while True:
             try:
-                data = await context.arecv()
+                await self._answer_one(context, handler)
             except pynng.Closed:
                 return
-            self.traffic.received_bytes += len(data)
-            try:
-                reply = encode_control(await handler(decode_control(data)))
-            except (MessageDecodeError, PeerError):
+            except (MessageDecodeError, PeerError, TimeoutError, pynng.NNGException):
                 # The request stays without an answer, which the peer sees as a timeout.
                 continue
-            self.traffic.sent_bytes += len(reply)
-            self.traffic.messages += 1
-            await context.asend(reply)
+
+    async def _answer_one(self, context: pynng.Context, handler: ControlHandler) -> None:
+        data = await context.arecv()
+        self.traffic.received_bytes += len(data)
+        async with asyncio.timeout(ANSWER_TIMEOUT / 1000):
+            reply = encode_control(await handler(decode_control(data)))
+        await context.asend(reply)
+        self.traffic.sent_bytes += len(reply)
+        self.traffic.messages += 1
 
     async def request(
         self, peer: Address, message: ControlMessage, timeout: Millis
@@ -66,8 +109,8 @@
         """Return the peer's answer; raises `PeerError`."""
         data = encode_control(message)
         try:
-            async with asyncio.timeout(timeout / 1000):
-                with self._socket(peer).new_context() as context:
+            async with asyncio.timeout(timeout / 1000), self._socket(peer) as socket:
+                with socket.new_context() as context:
                     await context.asend(data)
                     self.traffic.sent_bytes += len(data)
                     self.traffic.messages += 1
@@ -75,23 +118,51 @@
             self.traffic.received_bytes += len(reply)
             return decode_control(reply)
         except (TimeoutError, pynng.NNGException, MessageDecodeError) as error:
-            self._forget(peer)
             raise PeerError(peer, str(error) or type(error).__name__) from error
 
-    def _socket(self, peer: Address) -> pynng.Req0:
-        socket = self.peers.pop(peer, None)
-        if socket is None:
-            socket = pynng.Req0(recv_max_size=MAX_CONTROL_BYTES)
-            socket.dial(f"tcp://{peer}", block=False)
-        self.peers[peer] = socket
-        while len(self.peers) > MAX_OPEN_PEERS:
-            self.peers.popitem(last=False)[1].close()
+    @asynccontextmanager
+    async def _socket(self, address: Address) -> AsyncIterator[pynng.Req0]:
+        """Lend the socket to a peer, which is closed if the exchange fails."""
+        async with self.slots:
+            peer = self._open(address)
+            peer.users += 1
+            try:
+                yield peer.socket
+            except BaseException:
+                if self.peers.get(address) is peer:
+                    del self.peers[address]
+                raise
+            finally:
+                peer.users -= 1
+                if peer.users == 0 and self.peers.get(address) is not peer:
+                    peer.socket.close()
+
+    def _open(self, address: Address) -> Peer:
+        peer = self.peers.pop(address, None)
+        if peer is None:
+            self._evict()
+            peer = Peer(self._dial(address))
+        self.peers[address] = peer
+        return peer
+
+    def _dial(self, address: Address) -> pynng.Req0:
+        self.traffic.dials += 1
+        socket = pynng.Req0(
+            recv_max_size=MAX_CONTROL_BYTES,
+            reconnect_time_min=REDIAL_MIN_MS,
+            reconnect_time_max=REDIAL_MAX_MS,
+        )
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except pynng.NNGException:
+            socket.close()
+            raise
         return socket
 
-    def _forget(self, peer: Address) -> None:
-        socket = self.peers.pop(peer, None)
-        if socket is not None:
-            socket.close()
+    def _evict(self) -> None:
+        idle = [address for address, peer in self.peers.items() if peer.users == 0]
+        for address in idle[: max(0, len(self.peers) + 1 - MAX_OPEN_PEERS)]:
+            self.peers.pop(address).socket.close()
 
     async def close(self) -> None:
         """Close the listener and every connection."""
@@ -99,6 +170,6 @@
             task.cancel()
         if self.listener is not None:
             self.listener.close()
-        for socket in self.peers.values():
-            socket.close()
+        for peer in self.peers.values():
+            peer.socket.close()
         self.peers.clear()
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -0,0 +1,67 @@
+"""Positional forms of the core's dataclasses, so that messages carry no field names."""
+
+import dataclasses
+import functools
+import operator
+import types
+from collections.abc import Mapping
+from enum import Enum
+from typing import Annotated, Any, Final, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from agatecross_core.ids import Address, Incarnation, Millis, Offset, Version
+
+# Peers increase incarnations and versions, so a larger one could not be encoded any more.
+MAX_COUNTER: Final = 2**53
+COUNTER: Final = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+CHECKED: Final[Mapping[object, Any]] = {
+    Address: Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")],
+    Incarnation: COUNTER,
+    Version: COUNTER,
+    Offset: COUNTER,
+    Millis: float,
+}
+
+
+@functools.cache
+def wire_struct(kind: type) -> type[msgspec.Struct]:
+    """Return the positional form of a dataclass."""
+    hints = get_type_hints(kind)
+    fields = [_field(field, hints[field.name]) for field in dataclasses.fields(kind)]
+    return msgspec.defstruct(kind.__name__, fields, array_like=True, frozen=True)
+
+
+def _field(field: "dataclasses.Field[object]", hint: object) -> Any:
+    if field.default is dataclasses.MISSING:
+        return (field.name, wire_type(hint))
+    return (field.name, wire_type(hint), field.default)
+
+
+def wire_type(hint: Any) -> Any:
+    """Return the type by which a field of this type is encoded."""
+    if hint in CHECKED:
+        return CHECKED[hint]
+    if _is_dataclass(hint):
+        return wire_struct(hint)
+    if get_origin(hint) in (Union, types.UnionType):
+        return functools.reduce(operator.or_, (wire_type(part) for part in get_args(hint)))
+    if get_origin(hint) is None or (isinstance(hint, type) and issubclass(hint, Enum)):
+        return hint
+    parts = tuple(part if part is ... else wire_type(part) for part in get_args(hint))
+    return get_origin(hint)[parts]
+
+
+def _is_dataclass(hint: object) -> bool:
+    return isinstance(hint, type) and dataclasses.is_dataclass(hint)
+
+
+def to_wire(message: object) -> msgspec.Struct:
+    """Return the positional form of a message."""
+    return msgspec.convert(message, wire_struct(type(message)), from_attributes=True)
+
+
+def from_wire(data: bytes | msgspec.Raw, kind: type) -> Any:
+    """Decode a positional message into its dataclass; raises `msgspec.MsgspecError`."""
+    struct = msgspec.msgpack.decode(data, type=wire_struct(kind))
+    return msgspec.convert(struct, kind, from_attributes=True)
--- a/packages/agatecross-core/agatecross_core/members/bootstrap.py
+++ b/packages/agatecross-core/agatecross_core/members/bootstrap.py
@@ -1,28 +1,189 @@
-"""Decides whether this daemon announces itself on the log, and whom it contacts first."""
+"""Decides when to read and write announcements on the log, and whom to contact first."""
 
+import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
 
-from ..constants import BOOTSTRAP_ANNOUNCEMENTS
-from ..ids import Address, DaemonId
+from ..constants import BOOTSTRAP_ANNOUNCEMENTS, MAX_MEMBERS
+from ..ids import Address, DaemonId, Millis, Offset
 from .records import AnnounceRecord, Member
 
+RETRY_BASE = Millis(1_000)
+RETRY_LIMIT = Millis(30_000)
+# 1,300 daemons then read the stream about four times per second in all.
+CHECK_PERIOD = Millis(600_000)
+CONTACTS_PER_READ = 3
+ANNOUNCE_WINDOW = Millis(1_000)
+ANNOUNCE_WINDOW_LIMIT = Millis(60_000)
+# With a window of 60 log round trips, the number of announcements grows by at most a third during
+# the two round trips that an announcement takes to become visible.
+ANNOUNCE_WINDOW_ROUND_TRIPS = 60
 
-def contacts(
-    records: Iterable[AnnounceRecord], me: DaemonId, rng: random.Random
-) -> tuple[Address, ...]:
-    """Return the control addresses to try, newest announcement of each daemon, shuffled."""
-    newest = {r.member.daemon_id: r.member for r in records if r.member.daemon_id != me}
-    addresses = [member.control_address for member in newest.values()]
-    rng.shuffle(addresses)
-    return tuple(addresses)
-
-
-def needs_announcement(
-    records: Iterable[AnnounceRecord], live: Iterable[Member], me: DaemonId
-) -> bool:
-    """Return whether too few live members are announced, this daemon not among them."""
-    announced = {r.member.daemon_id: r.member.control_address for r in records}
-    alive = {m.daemon_id: m.control_address for m in live}
-    fresh = [i for i, address in announced.items() if alive.get(i) == address]
-    return me not in fresh and len(fresh) < BOOTSTRAP_ANNOUNCEMENTS
+
+class BootstrapState(Enum):
+    """What this daemon waits for."""
+
+    JOINING = "joining"
+    ANNOUNCING = "announcing"
+    SETTLED = "settled"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAnnouncements:
+    """Action: read the members stream from `start` to its end."""
+
+    start: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class ContactPeer:
+    """Action: fetch the full member table from an announced daemon."""
+
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """Action: append this daemon's own record to the members stream."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncementsRead:
+    """Records with their offsets up to `end`; `first` is the oldest retained offset."""
+
+    records: tuple[tuple[Offset, AnnounceRecord], ...]
+    first: Offset
+    end: Offset
+
+
+BootstrapAction = ReadAnnouncements | ContactPeer | Announce
+
+
+class Bootstrap:
+    """Finds a first peer and keeps a few live daemons announced on the log."""
+
+    def __init__(self, me: Member, rng: random.Random) -> None:
+        """Start without any announcement."""
+        self.me = me
+        self.rng = rng
+        self.state = BootstrapState.JOINING
+        self.announced: dict[DaemonId, Member] = {}
+        self.offsets: dict[DaemonId, Offset] = {}
+        self.silent: set[DaemonId] = set()
+        self.position = Offset(0)
+        self.next_read_at: Millis | None = None
+        self.read_at = Millis(0)
+        self.reading = False
+        self.failures = 0
+
+    def tick(self, now: Millis) -> Iterator[BootstrapAction]:
+        """Start a read of the stream when one is due."""
+        if self.reading or (self.next_read_at is not None and now < self.next_read_at):
+            return
+        self.reading = True
+        self.read_at = now
+        yield ReadAnnouncements(self.position)
+
+    def read_failed(self, now: Millis) -> None:
+        """Try again after a delay with full jitter that grows with each failure."""
+        self.reading = False
+        self._retry(now)
+
+    def read(
+        self, page: AnnouncementsRead, live: Iterable[Member], now: Millis
+    ) -> Iterator[BootstrapAction]:
+        """Contact announced daemons that are not known here, and announce this one if due."""
+        self.reading = False
+        self._take(page)
+        alive = {member.daemon_id: member.control_address for member in live}
+        strangers = [
+            m for i, m in self.announced.items() if i not in alive and i != self.me.daemon_id
+        ]
+        # An announced stranger is also how regions find each other after a partition that lasted
+        # longer than dead members are retained.
+        wanted = [m for m in strangers if m.daemon_id not in self.silent] or strangers
+        for member in self.rng.sample(wanted, min(CONTACTS_PER_READ, len(wanted))):
+            yield ContactPeer(member.control_address)
+        yield from self._consider(alive, now)
+
+    def contact_answered(self, address: Address, answered: bool) -> None:
+        """Note whether an announced daemon answered."""
+        ids = {i for i, m in self.announced.items() if m.control_address == address}
+        self.silent = self.silent - ids if answered else self.silent | ids
+
+    def announce_failed(self, now: Millis) -> None:
+        """Try again later; the append may have taken effect, which the next read shows."""
+        self.state = BootstrapState.JOINING
+        self._retry(now)
+
+    def _take(self, page: AnnouncementsRead) -> None:
+        # A log that came back with lower offsets holds none of the earlier announcements.
+        reset = page.end < self.position
+        for offset, record in page.records:
+            daemon_id = record.member.daemon_id
+            self.silent.discard(daemon_id)
+            self.announced[daemon_id] = record.member
+            self.offsets[daemon_id] = offset
+        # New daemons cannot read announcements that the log no longer retains.
+        for daemon_id in [i for i, offset in self.offsets.items() if reset or offset < page.first]:
+            self._drop(daemon_id)
+        while len(self.announced) > MAX_MEMBERS:
+            self._drop(min(self.offsets, key=self.offsets.__getitem__))
+        self.position = Offset(0) if reset else page.end
+
+    def _drop(self, daemon_id: DaemonId) -> None:
+        del self.announced[daemon_id]
+        del self.offsets[daemon_id]
+        self.silent.discard(daemon_id)
+
+    def _consider(self, alive: dict[DaemonId, Address], now: Millis) -> Iterator[BootstrapAction]:
+        if self._enough(alive):
+            self.state = BootstrapState.SETTLED
+            if alive:
+                self.failures = 0
+                self.next_read_at = Millis(now + CHECK_PERIOD * (0.5 + self.rng.random()))
+            else:
+                self._retry(now)
+        elif self.state is BootstrapState.ANNOUNCING:
+            self.state = BootstrapState.SETTLED
+            yield Announce()
+            self._retry(now)
+        else:
+            self.state = BootstrapState.ANNOUNCING
+            self.next_read_at = Millis(now + self._announce_delay(now))
+
+    def _enough(self, alive: dict[DaemonId, Address]) -> bool:
+        """Return whether this daemon or enough others are announced.
+
+        Strangers count until they fail to answer, so a mass start does not announce a second set.
+        """
+        mine = self.announced.get(self.me.daemon_id)
+        if mine is not None and mine.control_address == self.me.control_address:
+            return True
+        fresh = sum(
+            1
+            for i, member in self.announced.items()
+            if i != self.me.daemon_id
+            and (
+                alive.get(i) == member.control_address or (i not in alive and i not in self.silent)
+            )
+        )
+        return fresh >= BOOTSTRAP_ANNOUNCEMENTS
+
+    def _announce_delay(self, now: Millis) -> Millis:
+        """Draw an exponentially distributed delay, early for only a few daemons of any fleet.
+
+        Of up to `MAX_MEMBERS` daemons that start together, the share whose delay has passed grows
+        from 1/MAX_MEMBERS to 1 over the window, so that few act before they see each other.
+        """
+        round_trips = ANNOUNCE_WINDOW_ROUND_TRIPS * (now - self.read_at)
+        window = min(ANNOUNCE_WINDOW_LIMIT, max(ANNOUNCE_WINDOW, round_trips))
+        share = max(self.rng.random(), 1 / MAX_MEMBERS)
+        return Millis(window * (1 + math.log(share) / math.log(MAX_MEMBERS)))
+
+    def _retry(self, now: Millis) -> None:
+        limit = min(RETRY_LIMIT, RETRY_BASE * 2**self.failures)
+        self.failures = min(self.failures + 1, 16)
+        self.next_read_at = Millis(now + limit * self.rng.random())
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/members/dissemination.py
@@ -0,0 +1,90 @@
+"""Queues of updates that travel on control messages a limited number of times."""
+
+import heapq
+from collections.abc import Callable, Iterable
+from itertools import accumulate
+from typing import Generic, TypeVar
+
+from ..constants import MAX_FINGERPRINTS
+from ..ids import Millis
+from .records import Clearance, Strike
+
+K = TypeVar("K")
+
+# At two messages sent and two received each second this is 4.8 KB/s, half of the control budget.
+MAX_UPDATE_BYTES = 1_200
+MAX_REPORTS_PER_MESSAGE = 8
+# Longer than the 33 protocol periods in which 1,300 daemons stop sending an update, so a late
+# copy does not start another round.
+REPORT_MEMORY = Millis(120_000)
+
+
+class UpdateQueue(Generic[K]):
+    """Keys of updates with the number of times that each was sent."""
+
+    def __init__(self) -> None:
+        self.sent: dict[K, int] = {}
+
+    def add(self, key: K) -> None:
+        """Send the update under this key from the start again."""
+        self.sent[key] = 0
+
+    def discard(self, key: K) -> None:
+        """Send the update no more."""
+        self.sent.pop(key, None)
+
+    def take(self, count: int, limit: int, size: Callable[[K], int] = lambda key: 0) -> list[K]:
+        """Return up to `count` keys, least often sent first, and drop those sent `limit` times.
+
+        Beyond the first key, the sizes in bytes add up to at most `MAX_UPDATE_BYTES`.
+        """
+        order = heapq.nsmallest(count, self.sent, key=self.sent.__getitem__)
+        sizes = accumulate(size(key) for key in order)
+        fitting = sum(1 for total in sizes if total <= MAX_UPDATE_BYTES)
+        taken = order[: max(1, fitting)]
+        for key in taken:
+            self.sent[key] += 1
+            if self.sent[key] >= limit:
+                del self.sent[key]
+        return taken
+
+
+class ReportQueue:
+    """Strikes and clearances: each is passed on and reported once within `REPORT_MEMORY`."""
+
+    def __init__(self) -> None:
+        self.queue: UpdateQueue[Strike | Clearance] = UpdateQueue()
+        self.seen_at: dict[Strike | Clearance, Millis] = {}
+
+    def add(
+        self, strikes: Iterable[Strike], clearances: Iterable[Clearance], now: Millis
+    ) -> tuple[tuple[Strike, ...], tuple[Clearance, ...]]:
+        """Enqueue the reports that are new and return them."""
+        new_strikes = tuple(strike for strike in strikes if self._learn(strike, now))
+        for strike in new_strikes:
+            # The call ran again since it was cleared, so its next clearance is news.
+            self._forget(Clearance(strike.fingerprint))
+        return new_strikes, tuple(c for c in clearances if self._learn(c, now))
+
+    def take(self, limit: int) -> tuple[tuple[Strike, ...], tuple[Clearance, ...]]:
+        """Return the reports to put on the next message, each at most `limit` times."""
+        reports = self.queue.take(MAX_REPORTS_PER_MESSAGE, limit)
+        return (
+            tuple(report for report in reports if isinstance(report, Strike)),
+            tuple(report for report in reports if isinstance(report, Clearance)),
+        )
+
+    def _learn(self, report: Strike | Clearance, now: Millis) -> bool:
+        seen = self.seen_at.pop(report, None)
+        if seen is not None and now - seen < REPORT_MEMORY:
+            self.seen_at[report] = seen
+            return False
+        self.seen_at[report] = now
+        self.queue.add(report)
+        if len(self.seen_at) > MAX_FINGERPRINTS:
+            self._forget(next(iter(self.seen_at)))
+        return True
+
+    def _forget(self, report: Strike | Clearance) -> None:
+        self.seen_at.pop(report, None)
+        self.queue.discard(report)
--- a/packages/agatecross-core/agatecross_core/members/records.py
+++ b/packages/agatecross-core/agatecross_core/members/records.py
@@ -59,6 +59,14 @@
     fingerprint: Fingerprint
 
 
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Names the sender of a message to receivers that hold its record."""
+
+    daemon_id: DaemonId
+    incarnation: Incarnation
+
+
 @dataclass(frozen=True, slots=True)
 class Gossip:
     """Updates that travel on every control message, with the sender's version in force."""
@@ -72,26 +80,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Direct probe; the sender adds its own record so that strangers learn of it."""
+    """Direct probe; `target` detects that another daemon has taken over the address."""
 
-    sender: Member
+    sender: Identity
+    target: DaemonId
     gossip: Gossip
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeAck:
-    """Answer to a probe; `alive` is False when an indirect probe found its target silent."""
+    """Answer to a probe.
+
+    `alive` is False when the probed daemon is not the target or an indirect probe failed.
+    `unknown` asks the sender to introduce itself with its full record.
+    """
 
     gossip: Gossip
     alive: bool = True
+    unknown: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class IndirectProbe:
-    """Asks the receiver to probe `target` on behalf of the sender."""
+    """Asks the receiver to probe `target` at `address` on behalf of the sender."""
 
-    sender: Member
-    target: Address
+    sender: Identity
+    target: DaemonId
+    address: Address
     gossip: Gossip
 
 
@@ -104,10 +119,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """The full member table of the receiver, itself included."""
+    """The member table of the receiver, itself included; a sample when not `complete`."""
 
     members: tuple[Member, ...]
     gossip: Gossip
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,3 +132,25 @@
 
     member: Member
     at_ms: int
+
+
+def identity_of(member: Member) -> Identity:
+    """Return the short form of a member record."""
+    return Identity(member.daemon_id, member.incarnation)
+
+
+def record_bytes(member: Member) -> int:
+    """Return an upper estimate of the encoded size in bytes for ASCII names."""
+    texts = [
+        member.daemon_id,
+        member.region,
+        member.data_centre,
+        member.call_address,
+        member.peer_address,
+        member.control_address,
+        member.admin_address,
+    ]
+    if member.upstream is not None:
+        texts += [member.upstream.service, member.upstream.address]
+    # 42 bytes hold the counts, the states and one length byte for each text.
+    return sum(len(text) for text in texts) + 42
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -14,12 +14,14 @@
     MAX_TICK_GAP,
     MAX_UPDATES_PER_MESSAGE,
     PROBE_PERIOD,
+    PROBE_TIMEOUT,
     SUSPICION_BASE,
     SUSPICION_PER_DOUBLING,
 )
 from ..ids import Address, DaemonId, Incarnation, Millis
 from ..states import MemberState
-from .records import Member
+from .dissemination import UpdateQueue
+from .records import Identity, Member, SyncReply, record_bytes
 
 STATE_RANK = {
     MemberState.ALIVE: 0,
@@ -27,6 +29,11 @@
     MemberState.LEAVING: 2,
     MemberState.DEAD: 3,
 }
+# A full table takes longer than a probe: at 1,300 members it has about 200 KB.
+SYNC_TIMEOUT = Millis(5 * PROBE_TIMEOUT)
+# A full table of 200 KB each second would exceed the budget of 9 KB/s, so only bursts are served.
+MAX_FULL_REPLIES = 8
+FULL_REPLY_PERIOD = Millis(2_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncWith:
-    """Action: exchange full member tables with this address."""
+    """Action: fetch the full member table from this address."""
 
     address: Address
 
@@ -56,7 +63,14 @@
     """Action: the table changed; subscribers get a new view."""
 
 
-SwimAction = ProbeMember | ProbeThrough | SyncWith | MembersChanged
+@dataclass(frozen=True, slots=True)
+class TableFull:
+    """Action: report that a new member was ignored; given once until there is room again."""
+
+    ignored: DaemonId
+
+
+SwimAction = ProbeMember | ProbeThrough | SyncWith | MembersChanged | TableFull
 
 
 class Swim:
@@ -69,20 +83,43 @@
         self.table: dict[DaemonId, Member] = {me.daemon_id: me}
         self.suspected_at: dict[DaemonId, Millis] = {}
         self.dead_at: dict[DaemonId, Millis] = {}
-        self.pending: dict[DaemonId, int] = {}
+        self.pending: UpdateQueue[DaemonId] = UpdateQueue()
         self.probe_order: list[DaemonId] = []
         self.next_probe_at = Millis(0)
         self.next_dead_probe_at = Millis(0)
-        self.last_tick: Millis | None = None
+        self.next_sync_at = Millis(0)
+        self.awake_at: Millis | None = None
+        self.attentive_since = Millis(0)
         self.stale = False
+        self.needs_sync = False
+        self.full_replies = MAX_FULL_REPLIES
+        self.full_replies_at = Millis(0)
+        self.ignored: DaemonId | None = None
+        self.full_reported = False
+
+    def observe(self, now: Millis) -> Iterator[SwimAction]:
+        """Detect a late or paused process; call before any message is handled."""
+        gap = 0.0 if self.awake_at is None else now - self.awake_at
+        self.awake_at = now
+        if gap > PROBE_TIMEOUT:
+            # Answers may have waited unread, so the probes in flight say nothing of their targets.
+            self.attentive_since = now
+        if gap <= MAX_TICK_GAP:
+            return
+        # The refutations of suspects may have been missed, so their timers start again.
+        self.suspected_at = dict.fromkeys(self.suspected_at, now)
+        self.next_probe_at = Millis(now + PROBE_PERIOD)
+        self.next_sync_at = now
+        self.needs_sync = True
+        if not self.stale and self.live_peers():
+            self.stale = True
+            yield MembersChanged()
 
     def tick(self, now: Millis) -> Iterator[SwimAction]:
         """Advance time; call at least every quarter of the probe period."""
-        gap = 0.0 if self.last_tick is None else now - self.last_tick
-        self.last_tick = now
-        if gap > MAX_TICK_GAP and len(self.table) > 1:
-            yield from self._resume(now)
-            return
+        yield from self.observe(now)
+        if self.needs_sync:
+            yield from self._resync(now)
         yield from self._expire(now)
         if now >= self.next_probe_at:
             self.next_probe_at = Millis(now + PROBE_PERIOD)
@@ -91,24 +128,31 @@
                 yield ProbeMember(target)
         if now >= self.next_dead_probe_at:
             self.next_dead_probe_at = Millis(now + DEAD_PROBE_PERIOD)
-            dead = [m for m in self.table.values() if m.state is MemberState.DEAD]
-            if dead:
-                yield ProbeMember(self.rng.choice(dead))
+            if self.dead_at:
+                yield ProbeMember(self.table[self.rng.choice(list(self.dead_at))])
 
-    def probe_failed(self, target: Member) -> Iterator[SwimAction]:
-        """Handle a direct probe without answer."""
+    def probe_failed(self, target: Member, sent_at: Millis) -> Iterator[SwimAction]:
+        """Handle a direct probe, sent at `sent_at`, without answer."""
         known = self.table.get(target.daemon_id)
-        if known is None or known.state is MemberState.DEAD:
+        if known is None or known.state is MemberState.DEAD or sent_at < self.attentive_since:
             return
         others = [m for m in self.live_peers() if m.daemon_id != target.daemon_id]
         helpers = tuple(self.rng.sample(others, min(INDIRECT_PROBES, len(others))))
         yield ProbeThrough(target, helpers)
 
-    def unreachable(self, target: Member, now: Millis) -> Iterator[SwimAction]:
+    def unreachable(self, target: Member, sent_at: Millis, now: Millis) -> Iterator[SwimAction]:
         """Suspect a member that neither answered directly nor through helpers."""
         known = self.table.get(target.daemon_id)
-        if known is not None and known.incarnation == target.incarnation:
-            yield from self.merge([replace(known, state=MemberState.SUSPECT)], now)
+        if (
+            known is None
+            or known.incarnation != target.incarnation
+            or sent_at < self.attentive_since
+        ):
+            return
+        # A leaving member is expected to go and gets no work, so there is nothing to refute.
+        gone = known.state is MemberState.LEAVING
+        state = MemberState.DEAD if gone else MemberState.SUSPECT
+        yield from self.merge([replace(known, state=state)], now)
 
     def merge(self, members: Iterable[Member], now: Millis) -> Iterator[SwimAction]:
         """Merge records from a peer; the newer incarnation wins, then the worse state."""
@@ -117,28 +161,70 @@
             changed = self._merge_one(member, now) or changed
         if changed:
             yield MembersChanged()
+        if self.ignored is not None and not self.full_reported:
+            self.full_reported = True
+            yield TableFull(self.ignored)
 
-    def update_me(self, me: Member, now: Millis) -> Iterator[SwimAction]:
+    def update_me(self, me: Member) -> Iterator[SwimAction]:
         """Replace this daemon's own record under a new incarnation."""
-        del now
-        self.me = replace(me, incarnation=Incarnation(self.me.incarnation + 1))
-        self.table[self.me.daemon_id] = self.me
-        self._enqueue(self.me.daemon_id)
+        self._set_me(replace(me, incarnation=Incarnation(self.me.incarnation + 1)))
         yield MembersChanged()
 
-    def synced(self) -> None:
-        """Note that a full table was merged, so that the view is current again."""
-        self.stale = False
+    def synced(self, reply: SyncReply, now: Millis) -> Iterator[SwimAction]:
+        """Merge the table of a peer; a complete one makes the view current."""
+        if reply.complete:
+            self.stale = self.needs_sync = False
+        elif not self.needs_sync:
+            self.needs_sync = True
+            self.next_sync_at = Millis(now + self.rng.random() * SYNC_TIMEOUT)
+        yield from self.merge(reply.members, now)
+        yield MembersChanged()
 
-    def updates(self) -> tuple[Member, ...]:
-        """Return the records to put on the next message, least often sent first."""
-        ids = sorted(self.pending, key=lambda i: self.pending[i])[:MAX_UPDATES_PER_MESSAGE]
-        limit = self._transmissions()
-        for daemon_id in ids:
-            self.pending[daemon_id] += 1
-            if self.pending[daemon_id] >= limit:
-                del self.pending[daemon_id]
-        return tuple(self.table[i] for i in ids if i in self.table)
+    def sync_rows(self, now: Millis) -> tuple[tuple[Member, ...], bool]:
+        """Return the table and True, or a sample and False when full replies are used up.
+
+        In a mass restart the few announced daemons refer most of the joiners to others.
+        """
+        gained = int((now - self.full_replies_at) / FULL_REPLY_PERIOD)
+        if gained > 0:
+            self.full_replies = min(MAX_FULL_REPLIES, self.full_replies + gained)
+            self.full_replies_at = now
+        if self.full_replies > 0:
+            self.full_replies -= 1
+            return tuple(self.table.values()), True
+        peers = self.live_peers()
+        sample = self.rng.sample(peers, min(MAX_UPDATES_PER_MESSAGE, len(peers)))
+        return (self.me, *sample), False
+
+    def updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
+        """Return the records to put on the next message, least often sent first.
+
+        What is believed of `target` comes first when it is not alive, so that it can refute.
+        """
+        keys = self.pending.take(MAX_UPDATES_PER_MESSAGE, self.transmissions(), self._size)
+        rows = [self.table[key] for key in keys if key in self.table and key != target]
+        known = self.table.get(target) if target is not None else None
+        if known is not None and known.state is not MemberState.ALIVE:
+            rows.insert(0, known)
+        return tuple(rows)
+
+    def news_for(self, sender: Identity) -> tuple[Member, ...]:
+        """Return the updates for the answer to `sender`."""
+        known = self.table.get(sender.daemon_id)
+        rows = self.updates(sender.daemon_id)
+        # A daemon that restarted with a lower clock must learn the incarnation to exceed.
+        if known is None or known.incarnation <= sender.incarnation or known in rows:
+            return rows
+        return (known, *rows)
+
+    def knows(self, sender: Identity) -> bool:
+        """Return whether the sender's record of this incarnation or a later one is here."""
+        known = self.table.get(sender.daemon_id)
+        return known is not None and known.incarnation >= sender.incarnation
+
+    def transmissions(self) -> int:
+        """Return how often an update is sent, which grows with the logarithm of the fleet."""
+        return 3 * math.ceil(math.log2(len(self.table) + 1))
 
     def live_peers(self) -> list[Member]:
         """Return the members other than this daemon that may answer."""
@@ -153,52 +239,56 @@
         peers = self.live_peers()
         return tuple(self.rng.sample(peers, min(LEAVE_FANOUT, len(peers))))
 
-    def _resume(self, now: Millis) -> Iterator[SwimAction]:
-        # Suspicions and probes in flight are as old as the pause, so their timers start again.
-        self.stale = True
-        self.suspected_at = dict.fromkeys(self.suspected_at, now)
+    def suspicion_timeout(self) -> Millis:
+        """Return how long a suspect has to refute, which grows with the size of the fleet."""
+        doublings = math.log2(max(2, len(self.table)))
+        return Millis(SUSPICION_BASE + SUSPICION_PER_DOUBLING * doublings)
+
+    def _resync(self, now: Millis) -> Iterator[SwimAction]:
         peers = self.live_peers()
-        for member in self.rng.sample(peers, min(LEAVE_FANOUT, len(peers))):
-            yield SyncWith(member.control_address)
+        if not peers:
+            self.stale = self.needs_sync = False
+            yield MembersChanged()
+        elif now >= self.next_sync_at:
+            # The next peer is tried when this one, perhaps suspended itself, gives no answer.
+            self.next_sync_at = Millis(now + SYNC_TIMEOUT)
+            yield SyncWith(self.rng.choice(peers).control_address)
 
     def _expire(self, now: Millis) -> Iterator[SwimAction]:
         timeout = self.suspicion_timeout()
         due = [i for i, since in self.suspected_at.items() if now - since >= timeout]
-        dead = [replace(self.table[i], state=MemberState.DEAD) for i in due if i in self.table]
-        yield from self.merge(dead, now)
+        yield from self.merge([replace(self.table[i], state=MemberState.DEAD) for i in due], now)
         for daemon_id in [i for i, since in self.dead_at.items() if now - since > DEAD_RETENTION]:
             del self.dead_at[daemon_id]
-            self.table.pop(daemon_id, None)
-            self.pending.pop(daemon_id, None)
-
-    def suspicion_timeout(self) -> Millis:
-        """Return how long a suspect has to refute, which grows with the size of the fleet."""
-        doublings = math.log2(max(2, len(self.table)))
-        return Millis(SUSPICION_BASE + SUSPICION_PER_DOUBLING * doublings)
+            del self.table[daemon_id]
+            self.pending.discard(daemon_id)
+            self.ignored, self.full_reported = None, False
 
     def _merge_one(self, member: Member, now: Millis) -> bool:
         if member.daemon_id == self.me.daemon_id:
             return self._refute(member)
         known = self.table.get(member.daemon_id)
-        if known is None:
-            if len(self.table) >= MAX_MEMBERS:
-                return False
-        elif not _supersedes(member, known):
+        if known is None and len(self.table) >= MAX_MEMBERS:
+            self.ignored = member.daemon_id
+            return False
+        if known is not None and not _supersedes(member, known):
             return False
         self.table[member.daemon_id] = member
         self._track_state(member, now)
-        self._enqueue(member.daemon_id)
+        self.pending.add(member.daemon_id)
         return True
 
     def _refute(self, member: Member) -> bool:
-        same = member == self.me
-        if same or member.incarnation < self.me.incarnation:
+        if member == self.me or member.incarnation < self.me.incarnation:
             return False
-        self.me = replace(self.me, incarnation=Incarnation(member.incarnation + 1))
-        self.table[self.me.daemon_id] = self.me
-        self._enqueue(self.me.daemon_id)
+        self._set_me(replace(self.me, incarnation=Incarnation(member.incarnation + 1)))
         return True
 
+    def _set_me(self, me: Member) -> None:
+        self.me = me
+        self.table[me.daemon_id] = me
+        self.pending.add(me.daemon_id)
+
     def _track_state(self, member: Member, now: Millis) -> None:
         self.suspected_at.pop(member.daemon_id, None)
         self.dead_at.pop(member.daemon_id, None)
@@ -207,11 +297,9 @@
         if member.state is MemberState.DEAD:
             self.dead_at[member.daemon_id] = now
 
-    def _enqueue(self, daemon_id: DaemonId) -> None:
-        self.pending[daemon_id] = 0
-
-    def _transmissions(self) -> int:
-        return 3 * math.ceil(math.log2(len(self.table) + 1))
+    def _size(self, daemon_id: DaemonId) -> int:
+        member = self.table.get(daemon_id)
+        return record_bytes(member) if member is not None else 0
 
     def _next_target(self) -> Member | None:
         while True:
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -5,7 +5,7 @@
 from agatecross_adapters.codec import ControlMessage
 from agatecross_core.config.model import MeshSnapshot
 from agatecross_core.ids import Address, Millis
-from agatecross_core.members.records import Member, UpstreamInfo
+from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import FleetView
 
 
@@ -55,3 +55,19 @@
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time went on."""
+
+
+@dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """Strikes and clearances that a peer reported and that are new here."""
+
+    strikes: tuple[Strike, ...]
+    clearances: tuple[Clearance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SpreadStrikes:
+    """Ask of the members task: pass these reports on to every daemon."""
+
+    strikes: tuple[Strike, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -1,11 +1,12 @@
 """Owns the SWIM membership of this daemon."""
 
 import asyncio
-from collections.abc import Iterable
-from dataclasses import replace
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
 
 from agatecross_adapters.codec import ControlMessage, decode_record, encode_record
-from agatecross_adapters.protocols import LogService
+from agatecross_adapters.protocols import LogPage, LogService
 from agatecross_core.constants import (
     LOG_PAGE_RECORDS,
     MEMBERS_STREAM,
@@ -15,43 +16,122 @@
 )
 from agatecross_core.distribution.follower import PeerVersion
 from agatecross_core.errors import LogError, MessageDecodeError
-from agatecross_core.ids import Address, Millis, Offset
-from agatecross_core.members.bootstrap import contacts, needs_announcement
+from agatecross_core.ids import Address, DaemonId, Millis, Offset
+from agatecross_core.members.bootstrap import (
+    Announce,
+    AnnouncementsRead,
+    Bootstrap,
+    BootstrapAction,
+    ContactPeer,
+    ReadAnnouncements,
+)
+from agatecross_core.members.dissemination import ReportQueue
 from agatecross_core.members.records import (
     AnnounceRecord,
     Gossip,
+    Identity,
     IndirectProbe,
     Member,
     Probe,
     ProbeAck,
     SyncReply,
     SyncRequest,
+    identity_of,
 )
 from agatecross_core.members.swim import (
+    SYNC_TIMEOUT,
     MembersChanged,
     ProbeMember,
     ProbeThrough,
     Swim,
     SwimAction,
     SyncWith,
+    TableFull,
 )
 from agatecross_core.members.view import build_view
 from agatecross_core.states import MemberState
 
-from ..events import log_event
+from ..events import log_event, log_warning
 from ..mailbox import Mailbox, Sender, monotonic
-from ..messages import ConfigInForce, Leaving, Tick, UpstreamChanged, ViewChanged
+from ..messages import (
+    ConfigInForce,
+    GossipReceived,
+    Leaving,
+    SpreadStrikes,
+    Tick,
+    UpstreamChanged,
+    ViewChanged,
+)
 from .control_task import ControlAsk, ReceivedAsk, send_control
 from .subtasks import Subtasks
 
-TICK_SECONDS = 0.1
-ANNOUNCE_SECONDS = (2.0, 30.0)
+TICK_SECONDS = 0.25
+INDIRECT_TIMEOUT = Millis(2 * PROBE_TIMEOUT)
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAnswered:
+    """A direct probe, sent at `sent_at`, ended; `reply` is None without an answer."""
+
+    target: Member
+    reply: ControlMessage | None
+    sent_at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class HelperAnswered:
+    """One indirect probe of `target`, sent at `sent_at`, ended."""
+
+    target: Member
+    reply: ControlMessage | None
+    sent_at: Millis
+
 
-MembersMessage = ReceivedAsk | ConfigInForce | UpstreamChanged | Leaving | Tick
+@dataclass(frozen=True, slots=True)
+class IndirectAnswered:
+    """The probe on behalf of a peer ended; `ask` waits for the result."""
+
+    ask: ReceivedAsk
+    reply: ControlMessage | None
+
+
+@dataclass(frozen=True, slots=True)
+class SyncAnswered:
+    """A request for the full table ended."""
+
+    address: Address
+    reply: ControlMessage | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceFailed:
+    """An append or a read of the members stream failed."""
+
+    appending: bool
+
+
+MembersMessage = (
+    ReceivedAsk
+    | ConfigInForce
+    | UpstreamChanged
+    | Leaving
+    | Tick
+    | SpreadStrikes
+    | ProbeAnswered
+    | HelperAnswered
+    | IndirectAnswered
+    | SyncAnswered
+    | AnnouncementsRead
+    | AnnounceFailed
+)
 
 
 class MembersTask:
-    """Runs the probes and tells the other tasks how the fleet looks."""
+    """Runs the probes and tells the other tasks how the fleet looks.
+
+    Subtasks only carry one exchange and put its result into the mailbox, so that every decision
+    is taken in `_handle`, one message at a time.
+    """
 
     def __init__(
         self,
@@ -61,21 +141,25 @@
         log: LogService,
         views: Iterable[Sender[ViewChanged]],
         versions: Sender[PeerVersion],
+        strikes: Iterable[Sender[GossipReceived]] = (),
     ) -> None:
         self.swim = swim
+        self.bootstrap = Bootstrap(swim.me, swim.rng)
+        self.reports = ReportQueue()
         self.control = control
         self.log = log
         self.views = tuple(views)
         self.versions = versions
+        self.strikes = tuple(strikes)
         self.mailbox = mailbox
         self.version = NO_VERSION
         self.digest = NO_DIGEST
+        self.waiting: dict[tuple[DaemonId, Millis], int] = {}
         self.subtasks = Subtasks()
 
     async def run(self) -> None:
         """Serve until cancelled."""
         self.subtasks.start(self._ticks())
-        self.subtasks.start(self._bootstrap())
         self._publish_view()
         try:
             while True:
@@ -85,47 +169,108 @@
 
     def _handle(self, message: MembersMessage) -> None:
         now = monotonic()
+        self._act(self.swim.observe(now))
         match message:
             case Tick():
                 self._act(self.swim.tick(now))
+                self._act_bootstrap(self.bootstrap.tick(now))
             case ConfigInForce(snapshot):
                 self.version, self.digest = snapshot.version, snapshot.digest
             case UpstreamChanged(upstream):
-                self._act(self.swim.update_me(replace(self.swim.me, upstream=upstream), now))
-                self._push()
+                self._change_me(replace(self.swim.me, upstream=upstream))
             case Leaving():
-                leaving = replace(self.swim.me, state=MemberState.LEAVING)
-                self._act(self.swim.update_me(leaving, now))
-                self._push()
+                self._change_me(replace(self.swim.me, state=MemberState.LEAVING))
+            case SpreadStrikes(strikes, clearances):
+                self.reports.add(strikes, clearances, now)
+            case AnnouncementsRead():
+                self._announcements_read(message, now)
+            case AnnounceFailed(appending):
+                self._announce_failed(appending, now)
+            case ProbeAnswered():
+                self._probe_answered(message, now)
+            case HelperAnswered():
+                self._helper_answered(message, now)
+            case IndirectAnswered(ask, reply):
+                alive = isinstance(reply, ProbeAck) and reply.alive
+                ask.answer(ProbeAck(self._gossip(), alive=alive))
+            case SyncAnswered():
+                self._sync_answered(message, now)
             case _:
                 self._received(message, now)
 
     def _received(self, ask: ReceivedAsk, now: Millis) -> None:
-        message = ask.question.message
-        if isinstance(message, IndirectProbe):
-            self._act(self.swim.merge((message.sender, *message.gossip.members), now))
-            self.subtasks.start(self._answer_indirect(ask, message))
-        else:
-            ask.answer(self._answer(message, now))
-
-    def _answer(self, message: ControlMessage, now: Millis) -> ControlMessage:
-        match message:
-            case Probe(sender, gossip):
+        match ask.question.message:
+            case Probe(sender, target, gossip):
                 self._heard(sender, gossip, now)
+                ask.answer(self._ack(sender, target))
+            case IndirectProbe(sender, target, address, gossip):
+                self._heard(sender, gossip, now)
+                self._probe_for(ask, target, address)
             case SyncRequest(sender):
                 self._act(self.swim.merge([sender], now))
-                return SyncReply(tuple(self.swim.table.values()), self._gossip())
+                rows, complete = self.swim.sync_rows(now)
+                ask.answer(SyncReply(rows, self._gossip(sender.daemon_id), complete))
             case _:
                 pass
-        return ProbeAck(self._gossip())
 
-    async def _answer_indirect(self, ask: ReceivedAsk, message: IndirectProbe) -> None:
-        reply = await self._probe(message.target)
-        ask.answer(ProbeAck(self._gossip(), alive=reply is not None))
+    def _ack(self, sender: Identity, target: DaemonId) -> ProbeAck:
+        gossip = self._gossip_of(self.swim.news_for(sender))
+        alive = target == self.swim.me.daemon_id
+        return ProbeAck(gossip, alive, unknown=not self.swim.knows(sender))
+
+    def _heard(self, sender: Identity, gossip: Gossip, now: Millis) -> None:
+        self._act(self.swim.merge(gossip.members, now))
+        strikes, clearances = self.reports.add(gossip.strikes, gossip.clearances, now)
+        if strikes or clearances:
+            for mailbox in self.strikes:
+                mailbox.put(GossipReceived(strikes, clearances))
+        member = self.swim.table.get(sender.daemon_id)
+        if member is not None:
+            self.versions.put(PeerVersion(member, gossip.version, gossip.digest))
 
-    def _heard(self, sender: Member, gossip: Gossip, now: Millis) -> None:
-        self._act(self.swim.merge((sender, *gossip.members), now))
-        self.versions.put(PeerVersion(sender, gossip.version, gossip.digest))
+    def _probe_answered(self, message: ProbeAnswered, now: Millis) -> None:
+        target, reply = message.target, message.reply
+        if not isinstance(reply, ProbeAck):
+            self._act(self.swim.probe_failed(target, message.sent_at))
+            return
+        self._heard(identity_of(target), reply.gossip, now)
+        if not reply.alive:
+            self._act(self.swim.probe_failed(target, message.sent_at))
+        elif reply.unknown:
+            self._probe_member(target, introduce=True)
+
+    def _helper_answered(self, message: HelperAnswered, now: Millis) -> None:
+        target, reply = message.target, message.reply
+        left = self.waiting.pop((target.daemon_id, message.sent_at), None)
+        if isinstance(reply, ProbeAck):
+            self._act(self.swim.merge(reply.gossip.members, now))
+            if reply.alive:
+                return
+        if left is not None and left > 1:
+            self.waiting[target.daemon_id, message.sent_at] = left - 1
+        elif left is not None:
+            self._confirm_unreachable(target, message.sent_at)
+
+    def _confirm_unreachable(self, target: Member, sent_at: Millis) -> None:
+        log_event("member_unreachable", peer=target.daemon_id)
+        self._act(self.swim.unreachable(target, sent_at, monotonic()))
+
+    def _sync_answered(self, message: SyncAnswered, now: Millis) -> None:
+        reply = message.reply
+        self.bootstrap.contact_answered(message.address, isinstance(reply, SyncReply))
+        if isinstance(reply, SyncReply):
+            self._act(self.swim.synced(reply, now))
+            members = len(self.swim.table)
+            log_event("synced", peer=message.address, members=members, complete=reply.complete)
+
+    def _announcements_read(self, page: AnnouncementsRead, now: Millis) -> None:
+        self._act_bootstrap(self.bootstrap.read(page, self.swim.live_peers(), now))
+
+    def _announce_failed(self, appending: bool, now: Millis) -> None:
+        if appending:
+            self.bootstrap.announce_failed(now)
+        else:
+            self.bootstrap.read_failed(now)
 
     def _act(self, actions: Iterable[SwimAction]) -> None:
         for action in actions:
@@ -133,97 +278,133 @@
                 case MembersChanged():
                     self._publish_view()
                 case ProbeMember(target):
-                    self.subtasks.start(self._probe_member(target))
+                    self._probe_member(target)
                 case ProbeThrough(target, helpers):
-                    self.subtasks.start(self._probe_through(target, helpers))
+                    self._probe_through(target, helpers)
                 case SyncWith(address):
-                    self.subtasks.start(self._sync(address))
+                    self._sync(address)
+                case TableFull(ignored):
+                    log_warning("member_table_full", ignored=ignored)
+
+    def _act_bootstrap(self, actions: Iterable[BootstrapAction]) -> None:
+        for action in actions:
+            match action:
+                case ReadAnnouncements(start):
+                    self.subtasks.start(self._read_announcements(start))
+                case ContactPeer(address):
+                    self._sync(address)
+                case Announce():
+                    log_event("announcing")
+                    self.subtasks.start(self._announce(self.swim.me))
 
     def _publish_view(self) -> None:
         view = build_view(self.swim.table.values(), self.swim.stale)
         for mailbox in self.views:
             mailbox.put(ViewChanged(view, self.swim.me))
 
-    def _gossip(self) -> Gossip:
-        return Gossip(self.version, self.digest, self.swim.updates())
-
-    def _push(self) -> None:
+    def _change_me(self, me: Member) -> None:
+        self._act(self.swim.update_me(me))
         for peer in self.swim.push_targets():
-            self.subtasks.start(self._probe_member(peer))
+            self._probe_member(peer, introduce=True)
 
-    async def _probe(self, address: Address) -> ControlMessage | None:
-        probe = Probe(self.swim.me, self._gossip())
-        return await send_control(self.control, address, probe, PROBE_TIMEOUT)
+    def _gossip(self, target: DaemonId | None = None, introduce: bool = False) -> Gossip:
+        rows = self.swim.updates(target)
+        return self._gossip_of((self.swim.me, *rows) if introduce else rows)
 
-    async def _probe_member(self, target: Member) -> None:
-        reply = await self._probe(target.control_address)
-        if isinstance(reply, ProbeAck):
-            self._heard(target, reply.gossip, monotonic())
-        else:
-            self._act(self.swim.probe_failed(target))
-
-    async def _probe_through(self, target: Member, helpers: tuple[Member, ...]) -> None:
-        message = IndirectProbe(self.swim.me, target.control_address, self._gossip())
-        timeout = Millis(2 * PROBE_TIMEOUT)
-        asks = [send_control(self.control, h.control_address, message, timeout) for h in helpers]
-        replies = await asyncio.gather(*asks)
-        if not any(isinstance(reply, ProbeAck) and reply.alive for reply in replies):
-            log_event("member_unreachable", peer=target.daemon_id)
-            self._act(self.swim.unreachable(target, monotonic()))
-
-    async def _sync(self, address: Address) -> bool:
-        reply = await send_control(
-            self.control, address, SyncRequest(self.swim.me), Millis(5 * PROBE_TIMEOUT)
+    def _gossip_of(self, rows: tuple[Member, ...]) -> Gossip:
+        strikes, clearances = self.reports.take(self.swim.transmissions())
+        return Gossip(self.version, self.digest, rows, strikes, clearances)
+
+    def _probe_member(self, target: Member, introduce: bool = False) -> None:
+        probe = self._probe(target.daemon_id, introduce)
+        sent_at = monotonic()
+        self._ask(
+            target.control_address,
+            probe,
+            PROBE_TIMEOUT,
+            lambda reply: ProbeAnswered(target, reply, sent_at),
         )
-        if not isinstance(reply, SyncReply):
-            return False
-        self.swim.synced()
-        self._act(self.swim.merge(reply.members, monotonic()))
-        self._publish_view()
-        return True
 
-    async def _ticks(self) -> None:
-        while True:
-            self.mailbox.put(Tick())
-            await asyncio.sleep(TICK_SECONDS)
+    def _probe_for(self, ask: ReceivedAsk, target: DaemonId, address: Address) -> None:
+        probe = self._probe(target)
+        self._ask(address, probe, PROBE_TIMEOUT, lambda reply: IndirectAnswered(ask, reply))
 
-    async def _bootstrap(self) -> None:
-        """Find a first peer on the log and announce this daemon there if few others are."""
-        while True:
-            records = await self._announcements()
-            if records is not None:
-                await self._join(records)
-                if needs_announcement(records, self.swim.live_peers(), self.swim.me.daemon_id):
-                    await self._announce()
-            await asyncio.sleep(self.swim.rng.uniform(*ANNOUNCE_SECONDS))
-
-    async def _join(self, records: list[AnnounceRecord]) -> None:
-        if self.swim.live_peers():
-            return
-        for address in contacts(records, self.swim.me.daemon_id, self.swim.rng)[:8]:
-            if await self._sync(address):
-                log_event("joined", peer=address, members=len(self.swim.table))
-                return
+    def _probe(self, target: DaemonId, introduce: bool = False) -> Probe:
+        return Probe(identity_of(self.swim.me), target, self._gossip(target, introduce))
+
+    def _probe_through(self, target: Member, helpers: tuple[Member, ...]) -> None:
+        sender, sent_at = identity_of(self.swim.me), monotonic()
+        message = IndirectProbe(sender, target.daemon_id, target.control_address, self._gossip())
+        self.waiting[target.daemon_id, sent_at] = len(helpers)
+        for helper in helpers:
+            self._ask(
+                helper.control_address,
+                message,
+                INDIRECT_TIMEOUT,
+                lambda reply: HelperAnswered(target, reply, sent_at),
+            )
+        if not helpers:
+            self._confirm_unreachable(target, sent_at)
+
+    def _sync(self, address: Address) -> None:
+        request = SyncRequest(self.swim.me)
+        self._ask(address, request, SYNC_TIMEOUT, lambda reply: SyncAnswered(address, reply))
+
+    def _ask(
+        self,
+        peer: Address,
+        message: ControlMessage,
+        timeout: Millis,
+        wrap: Callable[[ControlMessage | None], MembersMessage],
+    ) -> None:
+        self.subtasks.start(self._exchange(peer, message, timeout, wrap))
+
+    async def _exchange(
+        self,
+        peer: Address,
+        message: ControlMessage,
+        timeout: Millis,
+        wrap: Callable[[ControlMessage | None], MembersMessage],
+    ) -> None:
+        self.mailbox.put(wrap(await send_control(self.control, peer, message, timeout)))
 
-    async def _announcements(self) -> list[AnnounceRecord] | None:
-        records: list[AnnounceRecord] = []
-        start = Offset(0)
+    async def _read_announcements(self, start: Offset) -> None:
+        records: list[tuple[Offset, AnnounceRecord]] = []
+        position = start
         while True:
             try:
-                page = await self.log.read(MEMBERS_STREAM, start, LOG_PAGE_RECORDS, Millis(0))
-            except LogError:
-                return None
-            for entry in page.entries:
-                try:
-                    records.append(decode_record(entry.data, AnnounceRecord))
-                except MessageDecodeError as error:
-                    log_event("record_ignored", offset=entry.offset, reason=error)
+                page = await self.log.read(MEMBERS_STREAM, position, LOG_PAGE_RECORDS, Millis(0))
+            except LogError as error:
+                log_warning("announcements_unread", reason=error)
+                self.mailbox.put(AnnounceFailed(appending=False))
+                return
+            records += _decode_page(page)
             if not page.entries or page.entries[-1].offset + 1 >= page.end:
-                return records
-            start = Offset(page.entries[-1].offset + 1)
+                self.mailbox.put(AnnouncementsRead(tuple(records), page.first, page.end))
+                return
+            position = Offset(page.entries[-1].offset + 1)
 
-    async def _announce(self) -> None:
+    async def _announce(self, me: Member) -> None:
         try:
-            await self.log.append(MEMBERS_STREAM, encode_record(AnnounceRecord(self.swim.me, 0)))
+            await self.log.append(MEMBERS_STREAM, encode_record(AnnounceRecord(me, wall_clock())))
         except LogError as error:
-            log_event("announce_failed", reason=error)
+            log_warning("announce_failed", reason=error)
+            self.mailbox.put(AnnounceFailed(appending=True))
+
+    async def _ticks(self) -> None:
+        while True:
+            self.mailbox.put(Tick())
+            await asyncio.sleep(TICK_SECONDS)
+
+
+def wall_clock() -> int:
+    """Return the wall-clock time in milliseconds."""
+    return int(time.time() * 1000)
+
+
+def _decode_page(page: LogPage) -> Iterator[tuple[Offset, AnnounceRecord]]:
+    for entry in page.entries:
+        try:
+            yield entry.offset, decode_record(entry.data, AnnounceRecord)
+        except MessageDecodeError as error:
+            log_warning("record_ignored", offset=entry.offset, reason=error)
