--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Protocol
@@ -17,6 +17,7 @@
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.distribution.baselines import FullCopyFollower, LogOnlyFollower
 from agatecross_core.distribution.follower import ConfigFollower
 from agatecross_core.distribution.sync import PullRequest, VersionNotice
 from agatecross_core.errors import SettingsError
@@ -44,6 +45,11 @@
 # Peers stop sending within this time after the leaving state was pushed to them.
 LEAVE_GRACE_SECONDS = 2.0
 EXIT_SETTINGS = 2
+FOLLOWERS: Mapping[str, type[ConfigFollower]] = {
+    "peers": ConfigFollower,
+    "log": LogOnlyFollower,
+    "full": FullCopyFollower,
+}
 
 
 class Task(Protocol):
@@ -126,7 +132,7 @@
         ),
         ConfigTask(
             boxes.config,
-            ConfigFollower(me, decode_toml, rng),
+            FOLLOWERS.get(settings.distribution, ConfigFollower)(me, decode_toml, rng),
             boxes.control,
             log,
             (boxes.members, boxes.call, boxes.admin),
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -29,7 +29,11 @@
     "seed": Key(int),
 }
 LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True)}
-POLICY_KEYS: Mapping[str, Key] = {"balancing": Key(str), "admission": Key(str)}
+POLICY_KEYS: Mapping[str, Key] = {
+    "balancing": Key(str),
+    "admission": Key(str),
+    "distribution": Key(str),
+}
 
 
 TABLES: Mapping[str, Mapping[str, Key]] = {
@@ -54,6 +58,7 @@
     seed: int | None = None
     balancing: str = "adaptive"
     admission: str = "adaptive"
+    distribution: str = "peers"
 
 
 def load_settings(path: Path) -> Settings:
@@ -94,4 +99,5 @@
         daemon.get("seed"),
         policy.get("balancing", "adaptive"),
         policy.get("admission", "adaptive"),
+        policy.get("distribution", "peers"),
     )
