--- a/features/members.feature
+++ b/features/members.feature
@@ -60,6 +60,7 @@
       | 16    | 13   | 5    | 120     | the regions are partitioned for 60 periods| every member is alive to all  |
       | 16    | 14   | 20   | 120     | nothing happens for 120 periods           | every member is alive to all  |
       | 9     | 15   | 0    | 60      | every member restarts with a lower clock  | every member is alive to all  |
+      | 8     | 16   | 0    | 120     | members 1 and 2 have missed each other    | every member is alive to all  |
 
   Scenario: random losses, pauses and restarts
     Guards against combinations that no one listed, and against records of older incarnations.
@@ -72,6 +73,7 @@
     And it asks another peer for the table when the first gives no answer
     And its view is current after a complete table but not after a sample
     And a probe sent before the pause raises no suspicion
+    And the time of the pause does not count against a suspect
 
   Scenario Outline: a tick that is <late> ms late
     Guards against suspicion of healthy peers by a daemon whose own loop is overloaded.
@@ -85,6 +87,32 @@
       | 390  | yes   |
       | 900  | no    |
 
+  Scenario Outline: a table from a peer that says "<heard>" of a member that is alive here, <when>
+    Guards against regions that believe their own members dead after a partition.
+    Given a daemon that holds the record "alive 5"
+    When it gets a table with "<heard>" <when>
+    Then it holds the record "<held>"
+
+    Examples:
+      | heard     | when          | held      |
+      | dead 5    | while current | alive 5   |
+      | suspect 5 | while current | alive 5   |
+      | leaving 5 | while current | leaving 5 |
+      | alive 6   | while current | alive 6   |
+      | dead 5    | after a pause | dead 5    |
+
+  Scenario Outline: the answer to a probe of incarnation <sent> by a member known as "<known>"
+    Guards against daemons that stay dead to their peers because no one tells them.
+    Given a daemon that holds the record "<known>"
+    Then its answer to a probe of incarnation <sent> holds "<told>"
+
+    Examples:
+      | known     | sent | told      |
+      | alive 9   | 4    | alive 9   |
+      | suspect 5 | 5    | suspect 5 |
+      | dead 5    | 5    | dead 5    |
+      | alive 5   | 5    | none      |
+
   Scenario: a full member table
     Guards against growth without limit and against silence about it.
     Given a daemon whose table is full
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -90,6 +90,22 @@
     assert context.swim.me == parse_record(0, text), context.swim.me
 
 
+@when('it gets a table with "{text}" {when}')
+def get_table(context, text, when):
+    now = 60_000.0 if when == "after a pause" else 2.0
+    list(context.swim.observe(now))
+    list(context.swim.synced(SyncReply((parse_record(1, text),), None, True), now))
+
+
+@then('its answer to a probe of incarnation {sent:d} holds "{text}"')
+def check_answer(context, sent, text):
+    for _ in range(40):
+        context.swim.updates()
+    expected = parse_record(1, text)
+    rows = context.swim.news_for(identity_of(make_member(1, sent)))
+    assert rows == ((expected,) if expected else ()), rows
+
+
 @when('{seconds:d} s pass and it hears the record "{text}"')
 def wait_and_hear(context, seconds, text):
     for second in range(seconds):
@@ -154,6 +170,15 @@
         driver.sync(driver.nodes[number], make_member((number + 1) % 9).control_address)
 
 
+@when("members {one:d} and {two:d} have missed each other")
+def miss_each_other(context, one, two):
+    driver = context.driver
+    driver.run(60)
+    for here, there in ((one, two), (two, one)):
+        del driver.nodes[here].table[f"d{there}"]
+        driver.newest.pop((here, f"d{there}"))
+
+
 @when("member {number:d} is replaced under a new id")
 def replace_member(context, number):
     context.driver.kill(number)
@@ -256,6 +281,14 @@
     assert not list(context.swim.unreachable(target, 2.0, context.now))
 
 
+@then("the time of the pause does not count against a suspect")
+def check_suspect_after_pause(context):
+    swim = new_swim(3)
+    list(swim.merge([make_member(1, 1, MemberState.SUSPECT)], 2.0))
+    list(swim.tick(60_000.0))
+    assert swim.table["d1"].state is MemberState.SUSPECT
+
+
 @given("a daemon with {peers:d} peers and a probe in flight")
 def start_probe(context, peers):
     context.swim = new_swim(peers)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -191,6 +191,8 @@
             case HelperAnswered():
                 self._helper_answered(message, now)
             case IndirectAnswered(ask, reply):
+                if isinstance(reply, ProbeAck):
+                    self._merge_gossip(reply.gossip, now)
                 alive = isinstance(reply, ProbeAck) and reply.alive
                 ask.answer(ProbeAck(self._gossip(), alive=alive))
             case SyncAnswered():
@@ -209,7 +211,7 @@
             case SyncRequest(sender) as request:
                 self._act(self.swim.merge([sender], now))
                 rows, complete = self.swim.sync_rows(request, now)
-                ask.answer(SyncReply(rows, self._gossip(sender.daemon_id), complete))
+                ask.answer(SyncReply(rows, Gossip(self.version, self.digest), complete))
             case _:
                 pass
 
@@ -219,14 +221,17 @@
         return ProbeAck(gossip, alive, unknown=not self.swim.knows(sender))
 
     def _heard(self, sender: Identity, gossip: Gossip, now: Millis) -> None:
+        self._merge_gossip(gossip, now)
+        member = self.swim.table.get(sender.daemon_id)
+        if member is not None:
+            self.versions.put(PeerVersion(member, gossip.version, gossip.digest))
+
+    def _merge_gossip(self, gossip: Gossip, now: Millis) -> None:
         self._act(self.swim.merge(gossip.members, now))
         strikes, clearances = self.reports.add(gossip.strikes, gossip.clearances, now)
         if strikes or clearances:
             for mailbox in self.strikes:
                 mailbox.put(GossipReceived(strikes, clearances))
-        member = self.swim.table.get(sender.daemon_id)
-        if member is not None:
-            self.versions.put(PeerVersion(member, gossip.version, gossip.digest))
 
     def _probe_answered(self, message: ProbeAnswered, now: Millis) -> None:
         target, reply = message.target, message.reply
@@ -243,7 +248,7 @@
         target, reply = message.target, message.reply
         left = self.waiting.pop((target.daemon_id, message.sent_at), None)
         if isinstance(reply, ProbeAck):
-            self._act(self.swim.merge(reply.gossip.members, now))
+            self._merge_gossip(reply.gossip, now)
             if reply.alive:
                 return
         if left is not None and left > 1:
