--- a/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
@@ -49,24 +49,40 @@
             return
 
 
-def listening_ports(count: int) -> list[int]:
+def listening_ports(count: int, taken: set[int]) -> list[int]:
     """Return free ports below those that the kernel gives to outgoing connections.
 
     A port of that range may be taken by a connection of another process before the daemon listens
-    on it, or while the daemon is down.
+    on it, or while the daemon is down. `taken` are the ports of daemons that may not listen yet.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(*PORTS)
+        if port in taken or port in ports:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
             ports.append(port)
     return ports
 
 
+def _ports(fleet: Fleet) -> set[int]:
+    return {
+        port
+        for node in fleet.nodes
+        for port in (
+            node.call_port,
+            node.peer_port,
+            node.control_port,
+            node.admin_port,
+            node.upstream_port,
+        )
+    }
+
+
 def add_daemon(fleet: Fleet, site: Site, service: str = "case-portal") -> Node:
     """Start a daemon without an upstream process."""
-    call, peer, control, admin, upstream = listening_ports(5)
+    call, peer, control, admin, upstream = listening_ports(5, _ports(fleet))
     name = f"{site.data_centre}-{service}-{len(fleet.nodes)}"
     node = Node(name, site, service, call, peer, control, admin, upstream)
     fleet.nodes.append(node)
