Test a daemon that is replaced under a new id

Cause: no process test covered a new daemon at the addresses of an old one, whose peers must not take its answers for those of the old id.

Change: a scenario step replaces a killed daemon under a new id.

--- a/features/members_fleet.feature
+++ b/features/members_fleet.feature
@@ -1,12 +1,14 @@
 Feature: Membership of running daemons
   Guards against daemons whose processes die, stop, leave or restart unnoticed.
 
-  Scenario: killed, restarted and leaving daemons are seen by all
+  Scenario: killed, restarted, replaced and leaving daemons are seen by all
     Given 4 daemons that know each other
     When daemon 3 gets SIGKILL
     Then the other daemons no longer list daemon 3
     When daemon 3 is started again
     Then every daemon lists 4 daemons as alive
+    When daemon 3 is replaced under a new id at the same addresses
+    Then every daemon lists 4 daemons as alive
     When daemon 2 gets SIGTERM
     Then the other daemons list daemon 2 as leaving
     And no daemon has more than 10 threads or 128 MiB of memory
--- a/features/steps/members_fleet_steps.py
+++ b/features/steps/members_fleet_steps.py
@@ -65,6 +65,13 @@
     context.fleet.start_daemon(context.fleet.nodes[index])
 
 
+@when("daemon {index:d} is replaced under a new id at the same addresses")
+def replace_daemon(context, index):
+    send_signal(context, index, "SIGKILL")
+    context.fleet.nodes[index].name += "-new"
+    start_again(context, index)
+
+
 @when("all daemons get SIGKILL and are started again")
 def restart_all(context):
     for index in range(len(context.fleet.nodes)):
