--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/distribution/baselines.py
@@ -0,0 +1,52 @@
+"""Followers by name; the rejected alternatives serve as baselines of benchmarks."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
+
+from ..ids import Millis
+from ..members.records import Member
+from .follower import (
+    ConfigFollower,
+    FollowerAction,
+    NotifyPeers,
+    PeerVersion,
+    PullFrom,
+    RecordsRead,
+)
+
+
+class LogOnlyFollower(ConfigFollower):
+    """Reads the log on every daemon and takes nothing from peers."""
+
+    def view_changed(self, members: tuple[Member, ...]) -> None:
+        """Take the members and stay a reader."""
+        super().view_changed(members)
+        self.readers = (self.me.daemon_id,)
+
+    def peer_version(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
+        """Ignore the versions of peers."""
+        del message, now
+        yield from ()
+
+    def records_read(self, page: RecordsRead, now: Millis) -> Iterator[FollowerAction]:
+        """Fold a page without telling the peers."""
+        actions = super().records_read(page, now)
+        yield from (action for action in actions if not isinstance(action, NotifyPeers))
+
+
+class FullCopyFollower(ConfigFollower):
+    """Gets all documents from the peer on each change, not only those that differ."""
+
+    def _pull(self, now: Millis) -> Iterator[FollowerAction]:
+        for action in super()._pull(now):
+            if isinstance(action, PullFrom):
+                yield replace(action, request=replace(action.request, known={}))
+            else:
+                yield action
+
+
+FOLLOWERS: Mapping[str, type[ConfigFollower]] = {
+    "peers": ConfigFollower,
+    "log": LogOnlyFollower,
+    "full": FullCopyFollower,
+}
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -20,7 +20,7 @@
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.policies import new_admission
-from agatecross_core.distribution.follower import ConfigFollower
+from agatecross_core.distribution.baselines import FOLLOWERS
 from agatecross_core.distribution.sync import PullRequest, VersionNotice
 from agatecross_core.errors import SettingsError
 from agatecross_core.idempotency.decider import ClaimDecider
@@ -36,7 +36,7 @@
 
 from .events import log_event
 from .mailbox import Mailbox, Sender
-from .messages import Leaving, SpreadStrikes
+from .messages import Leaving
 from .settings import Settings, load_settings
 from .tasks.admin_task import AdminMessage, AdminTask
 from .tasks.call_driver import CallDriver
@@ -102,13 +102,6 @@
         )
 
 
-class NoGossip:
-    """Drops strikes until the members task carries them; strike notices still reach the peers."""
-
-    def put(self, message: SpreadStrikes) -> None:
-        """Drop the message."""
-
-
 def own_record(settings: Settings) -> Member:
     """Return this daemon's member record; the wall clock orders its restarts."""
     return Member(
@@ -147,10 +140,11 @@
             log,
             (boxes.config, boxes.call, boxes.admin),
             boxes.config,
+            (boxes.call,),
         ),
         ConfigTask(
             boxes.config,
-            ConfigFollower(me, decode_toml, rng),
+            FOLLOWERS[settings.distribution](me, decode_toml, rng),
             boxes.control,
             log,
             (boxes.members, boxes.call, boxes.admin, boxes.upstream),
@@ -174,7 +168,7 @@
             balancer,
             driver,
             boxes.claims,
-            QuarantineDriver(me, NoGossip(), boxes.control, boxes.upstream),
+            QuarantineDriver(me, boxes.members, boxes.control, boxes.upstream),
         ),
         ClaimsTask(
             boxes.claims,
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GossipReceived:
-    """Strikes and clearances came with the gossip of a peer."""
+    """Strikes and clearances that a peer reported and that are new here."""
 
     strikes: tuple[Strike, ...]
     clearances: tuple[Clearance, ...]
@@ -69,10 +69,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SpreadStrikes:
-    """Strikes and clearances are to go out with the gossip."""
+    """Ask of the members task: pass these reports on to every daemon."""
 
-    strikes: tuple[Strike, ...]
-    clearances: tuple[Clearance, ...]
+    strikes: tuple[Strike, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -11,6 +11,7 @@
 from agatecross_core.config.forms import check_address, check_ip, check_name
 from agatecross_core.config.model import DecodedDocument, Document
 from agatecross_core.config.schema import Key
+from agatecross_core.distribution.baselines import FOLLOWERS
 from agatecross_core.errors import DocumentSyntaxError, SettingsError
 from agatecross_core.findings import Finding, sort_findings
 from agatecross_core.ids import Address, DaemonId, DataCentreName, DocumentName, RegionName
@@ -40,6 +41,7 @@
 POLICY_KEYS: Mapping[str, Key] = {
     "balancing": Key(str, choices=tuple(sorted(BALANCERS))),
     "admission": Key(str, choices=tuple(sorted(POLICIES))),
+    "distribution": Key(str, choices=tuple(sorted(FOLLOWERS))),
 }
 TELEMETRY_KEYS: Mapping[str, Key] = {
     "sample_ratio": Key(float, low=0.0, high=1.0),
@@ -73,6 +75,7 @@
     seed: int | None = None
     balancing: str = "adaptive"
     admission: str = "adaptive"
+    distribution: str = "peers"
     telemetry: TelemetrySettings = DEFAULT_TELEMETRY
     address_map: Mapping[Address, Address] = field(default_factory=dict)
 
@@ -144,6 +147,7 @@
         daemon.get("seed"),
         policy.get("balancing", "adaptive"),
         policy.get("admission", "adaptive"),
+        policy.get("distribution", "peers"),
         TelemetrySettings(**_table(values, "telemetry")),
         {Address(name): Address(value) for name, value in addresses},
     )
