--- a/features/steps/members_fleet_steps.py
+++ b/features/steps/members_fleet_steps.py
@@ -4,7 +4,7 @@
 import psutil
 from behave import given, then, when
 
-from agatecross_standins.bench.idle_fleet import SITES, add_daemon
+from agatecross_standins.bench.idle_fleet import SERVICE, SITES
 from agatecross_standins.fleet import Fleet, fetch, wait_until
 
 
@@ -27,7 +27,7 @@
 @given("{count:d} daemons that have started")
 def start_daemons(context, count):
     for index in range(count):
-        add_daemon(context.fleet, SITES[index % len(SITES)])
+        context.fleet.add_daemon(SITES[index % len(SITES)], SERVICE)
     for node in context.fleet.nodes:
         wait_until(lambda node=node: lists(context, node) == {node.name: "alive"}, node.name)
 
@@ -38,7 +38,7 @@
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
     for index in range(count):
-        add_daemon(context.fleet, SITES[index % len(SITES)])
+        context.fleet.add_daemon(SITES[index % len(SITES)], SERVICE)
     check_alive(context, count)
 
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -15,8 +15,8 @@
 from agatecross_daemon.messages import GossipReceived
 from agatecross_daemon.tasks.quarantine_driver import QuarantineDriver
 from agatecross_daemon.tasks.upstream_task import refuses_connections
-from agatecross_standins.faults import add_fixed_node, fixed_ports
 from agatecross_standins.fleet import Fleet, Site, fetch, wait_until
+from agatecross_standins.ports import PortPool
 
 MINUTE = 60_000
 POISON = "/vans/poison"
@@ -73,7 +73,7 @@
     context.executions_file = context.fleet.directory / "executions.jsonl"
     flag = f"--executions_file={context.executions_file}"
     for data_centre in data_centres.split(","):
-        add_fixed_node(context.fleet, Site("jylland", data_centre), service, flag)
+        context.fleet.add_node(Site("jylland", data_centre), service, flag)
     context.fleet.wait_joined()
 
 
@@ -210,7 +210,14 @@
 
 async def probe(behaviour):
     """Return whether an address with this behaviour counts as that of a dead process."""
-    port = fixed_ports(1)[0]
+    pool = PortPool()
+    try:
+        return await probe_port(behaviour, pool.reserve(1)[0])
+    finally:
+        pool.close()
+
+
+async def probe_port(behaviour, port):
     if behaviour == "refuses connections":
         return await refuses_connections(f"127.0.0.1:{port}")
     ended = asyncio.Event()
--- a/packages/agatecross-core/agatecross_core/routing/baselines.py
+++ b/packages/agatecross-core/agatecross_core/routing/baselines.py
@@ -38,7 +38,8 @@
 
     def ready(self, request: ChoiceRequest, now: Millis) -> list[Candidate]:
         """Return the ready upstreams, those of earlier attempts only when there is no other."""
-        rows = healthy(candidates(request, self.view, self.load, self.here, now))
+        members = self.view.by_service.get(request.service, ())
+        rows = healthy(candidates(request, members, self.load, self.here, now))
         return list(untried(request, rows))
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
--- a/packages/agatecross-core/agatecross_core/routing/candidates.py
+++ b/packages/agatecross-core/agatecross_core/routing/candidates.py
@@ -1,10 +1,9 @@
-"""First filter: members whose upstream provides the service."""
+"""First filter: members to candidates."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from ..ids import Millis
 from ..members.records import Member
-from ..members.view import FleetView
 from ..states import Locality
 from .load import LoadTable
 from .model import Candidate, ChoiceRequest, Position, Purpose
@@ -12,12 +11,16 @@
 
 
 def candidates(
-    request: ChoiceRequest, view: FleetView, load: LoadTable, here: Position, now: Millis
+    request: ChoiceRequest,
+    members: Iterable[Member],
+    load: LoadTable,
+    here: Position,
+    now: Millis,
 ) -> Iterator[Candidate]:
-    """Yield every member with the service; none when the deadline has passed."""
+    """Yield the members with what is known of them; none when the deadline has passed."""
     if request.deadline is not None and now >= request.deadline:
         return
-    for member in view.by_service.get(request.service, ()):
+    for member in members:
         if member.upstream is None:
             continue
         row = load.of(member.daemon_id)
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from ..ids import DaemonId, Millis, ServiceName
+from ..members.records import Member
 from ..members.view import FleetView
 from ..states import Outcome, Reason
 from .candidates import candidates
@@ -16,6 +17,7 @@
 from .load import LoadTable
 from .model import Candidate, ChoiceRequest, Position, Purpose, ReportedLoad
 from .ramp import Ramp
+from .sample import MemberSampler
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,7 @@
         self.ejections = Ejections()
         self.groups = GroupDetector()
         self.ramp = Ramp(rng)
+        self.sampler = MemberSampler(here, rng)
         self.filters = Filters(self.load, self.ejections, self.groups, self.ramp)
         self.latencies: dict[ServiceName, ServiceLatency] = {}
 
@@ -76,12 +79,23 @@
         self.load.retain(members)
         self.ejections.retain(members)
         self.ramp.view_changed(view)
+        self.sampler.view_changed(view)
         self.latencies = {s: row for s, row in self.latencies.items() if s in view.by_service}
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
         """Return the candidate for one attempt, or None when no upstream can serve it."""
         self._refresh(request.service, now)
-        ready = list(healthy(candidates(request, self.view, self.load, self.here, now)))
+        chosen = self._choose_from(self.sampler.draw(request.service), request, now)
+        if chosen is None:
+            # The members that were drawn may all be gone while others are ready.
+            everyone = self.view.by_service.get(request.service, ())
+            chosen = self._choose_from(everyone, request, now)
+        return chosen
+
+    def _choose_from(
+        self, members: tuple[Member, ...], request: ChoiceRequest, now: Millis
+    ) -> Candidate | None:
+        ready = list(healthy(candidates(request, members, self.load, self.here, now)))
         latency = self.latencies.get(request.service)
         delay = latency.hedge_after(request.hedge_quantile, ready) if latency else None
         if request.purpose is Purpose.HEDGE and delay is None:
--- a/packages/agatecross-core/agatecross_core/routing/tuning.py
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -4,6 +4,10 @@
 
 from ..ids import Millis
 
+# Members of each locality that one choice looks at; the power of two choices needs two of them to
+# pass the filters.
+SAMPLE_PER_LOCALITY: Final = 4
+
 # Latency statistics of one upstream.
 USUAL_STEP: Final = 0.05
 RECENT_WEIGHT: Final = 0.5
--- a/packages/agatecross-standins/agatecross_standins/bench/experiment.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/experiment.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from agatecross_standins.load import Summary
+from ..load import Summary
 
 QUANTILES = ("p50", "p99", "p999")
 
--- a/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
@@ -1,9 +1,6 @@
 """Starts daemons without upstream processes; a thread announces upstreams in their place."""
 
-import contextlib
 import json
-import random
-import socket
 import threading
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
@@ -19,7 +16,7 @@
 )
 EXAMPLE = "examples/lysknude"
 ANNOUNCE_SECONDS = 1.0
-PORTS = (12_000, 32_000)
+SERVICE = "case-portal"
 
 
 @dataclass(slots=True)
@@ -49,53 +46,12 @@
             return
 
 
-def listening_ports(count: int, taken: set[int]) -> list[int]:
-    """Return free ports below those that the kernel gives to outgoing connections.
-
-    A port of that range may be taken by a connection of another process before the daemon listens
-    on it, or while the daemon is down. `taken` are the ports of daemons that may not listen yet.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(*PORTS)
-        if port in taken or port in ports:
-            continue
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            ports.append(port)
-    return ports
-
-
-def _ports(fleet: Fleet) -> set[int]:
-    return {
-        port
-        for node in fleet.nodes
-        for port in (
-            node.call_port,
-            node.peer_port,
-            node.control_port,
-            node.admin_port,
-            node.upstream_port,
-        )
-    }
-
-
-def add_daemon(fleet: Fleet, site: Site, service: str = "case-portal") -> Node:
-    """Start a daemon without an upstream process."""
-    call, peer, control, admin, upstream = listening_ports(5, _ports(fleet))
-    name = f"{site.data_centre}-{service}-{len(fleet.nodes)}"
-    node = Node(name, site, service, call, peer, control, admin, upstream)
-    fleet.nodes.append(node)
-    fleet.start_daemon(node)
-    return node
-
-
 @contextmanager
 def running_fleet(size: int, extra_settings: str = "") -> Iterator[Fleet]:
     """Start `size` daemons that know each other and have the example configuration in force."""
     with Fleet(extra_settings=extra_settings) as fleet:
         for index in range(size):
-            add_daemon(fleet, SITES[index % len(SITES)])
+            fleet.add_daemon(SITES[index % len(SITES)], SERVICE)
         announcer = Announcer(fleet.nodes)
         threading.Thread(target=announcer.run, daemon=True).start()
         try:
--- a/packages/agatecross-standins/agatecross_standins/bench/tail.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -16,9 +16,9 @@
 
 from agatecross_core.calls.model import Request
 from agatecross_core.ids import Address, Millis
-from agatecross_standins.fleet import Fleet, Node, Site
-from agatecross_standins.load import Planned, Sample, Summary, poisson_times, run_load, summarise
 
+from ..fleet import Fleet, Node, Site
+from ..load import Planned, Sample, Summary, poisson_times, run_load, summarise
 from .experiment import alternate, report
 
 STARTS = 3
--- a/packages/agatecross-standins/agatecross_standins/faults.py
+++ b/packages/agatecross-standins/agatecross_standins/faults.py
@@ -6,11 +6,9 @@
 """
 
 import base64
-import contextlib
 import json
 import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -73,7 +71,6 @@
     Site("sjaelland", "roskilde-b"),
 )
 SERVICES = {"van-booking": "/vans", "case-portal": "/cases"}
-FIXED_PORTS = (10_000, 32_000)
 CALLERS = 8
 CALL_GAP_SECONDS = 0.04
 CALL_TIMEOUT_SECONDS = 8.0
@@ -348,7 +345,7 @@
         executions = fleet.directory / "executions.jsonl"
         for site in SITES:
             for service in SERVICES:
-                add_fixed_node(fleet, site, service, f"--executions_file={executions}")
+                fleet.add_node(site, service, f"--executions_file={executions}")
         fleet.wait_joined()
         recorder.publishes.update(_first_publish(fleet))
         fleet.wait_version(1)
@@ -374,32 +371,6 @@
         return list(_with_publishes(fleet, recorder, events)), Counter(f.kind.value for f in faults)
 
 
-def add_fixed_node(fleet: Fleet, site: Site, service: str, *upstream_flags: str) -> None:
-    """Start a daemon and its upstream on ports that stay theirs while they are down."""
-    name = f"{site.data_centre}-{service}-{len(fleet.nodes)}"
-    call, peer, control, admin, upstream = fixed_ports(5)
-    node = Node(name, site, service, call, peer, control, admin, upstream)
-    node.upstream_flags = upstream_flags
-    fleet.nodes.append(node)
-    fleet.start_daemon(node)
-    fleet.start_upstream(node)
-
-
-def fixed_ports(count: int) -> list[int]:
-    """Return free ports below the ephemeral range.
-
-    The port of a process that is down may otherwise become the source port of a connection, and
-    the process cannot start again.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(*FIXED_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            ports.append(port)
-    return ports
-
-
 def _first_publish(fleet: Fleet) -> dict[str, float]:
     now = time.time()
     result = fleet.cli("publish", str(EXAMPLE))
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -159,12 +159,17 @@
 
     def add_node(self, site: Site, service: str, *upstream_flags: str) -> Node:
         """Start a daemon and its upstream."""
-        node = self._plan_node(site, service)
+        node = self.add_daemon(site, service)
         node.upstream_flags = upstream_flags
-        self.start_daemon(node)
         self.start_upstream(node)
         return node
 
+    def add_daemon(self, site: Site, service: str) -> Node:
+        """Start a daemon without an upstream process."""
+        node = self._plan_node(site, service)
+        self.start_daemon(node)
+        return node
+
     def _plan_node(self, site: Site, service: str) -> Node:
         call, peer, control, admin, upstream = self.ports.reserve(5)
         name = f"{site.data_centre}-{service}-{len(self.nodes)}"
