Close the control contexts before their socket

Cause: every graceful exit printed an ignored exception for each context that outlived its socket. Change: answerers are awaited and contexts closed first.

--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -71,6 +71,7 @@
         limit_threads()
         self.listener: pynng.Rep0 | None = None
         self.answerers: list[asyncio.Task[None]] = []
+        self.contexts: list[pynng.Context] = []
         self.peers: OrderedDict[Address, Peer] = OrderedDict()
         self.slots = asyncio.Semaphore(MAX_OPEN_PEERS)
         self.traffic = TrafficCount()
@@ -81,6 +82,7 @@
         bound = self.listener.listen(f"tcp://{address}")
         for _ in range(ANSWERERS):
             context = self.listener.new_context()
+            self.contexts.append(context)
             self.answerers.append(asyncio.ensure_future(self._answer(context, handler)))
         return Address(str(bound.local_address))
 
@@ -168,6 +170,10 @@
         """Close the listener and every connection."""
         for task in self.answerers:
             task.cancel()
+        await asyncio.gather(*self.answerers, return_exceptions=True)
+        # A context that outlives its socket reports an error when it is collected.
+        for context in self.contexts:
+            context.close()
         if self.listener is not None:
             self.listener.close()
         for peer in self.peers.values():
