Serve metrics to operators on the admin port

Cause: without an OTLP collector the metrics could not be read at all. Change: GET /agatecross/v1/metrics returns them as OpenTelemetry JSON; control traffic has observable counters with units. Measured: features/telemetry.feature reads four metrics with their units.

--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -1,3 +1,4 @@
+import json
 import re
 
 from behave import given, then, when
@@ -33,6 +34,16 @@
         parent = span
 
 
+@then('the daemon next to "{service}" reports these metrics')
+def check_metrics(context, service):
+    node = node_of(context, service)
+    body = json.loads(fetch(f"http://{node.admin}/agatecross/v1/metrics")[2])
+    scopes = [scope for row in body["resource_metrics"] for scope in row["scope_metrics"]]
+    units = {metric["name"]: metric["unit"] for scope in scopes for metric in scope["metrics"]}
+    for row in context.table:
+        assert units.get(row["metric"]) == row["unit"], units
+
+
 def node_of(context, service):
     return next(node for node in context.fleet.nodes if node.service == service)
 
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -12,3 +12,9 @@
       | van-booking | send to peer     |
       | case-portal | serve peers      |
       | case-portal | send to upstream |
+    And the daemon next to "van-booking" reports these metrics
+      | metric                      | unit   |
+      | agatecross.calls            | {call} |
+      | agatecross.call.duration    | ms     |
+      | agatecross.control.sent     | By     |
+      | agatecross.control.received | By     |
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -14,7 +14,7 @@
 from absl import app, flags, logging
 
 from agatecross_adapters.address_map import MappedHttpClient, MappedTransport
-from agatecross_adapters.control_nng import NngTransport
+from agatecross_adapters.control_nng import NngTransport, TrafficCount
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
@@ -122,6 +122,7 @@
     me = own_record(settings)
     rng = random.Random(settings.seed)
     transport = NngTransport()
+    _observe_traffic(telemetry, transport.traffic)
     control = MappedTransport(transport, settings.address_map)
     log = HttpLogService(settings.log_address, TornadoHttpClient())
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
@@ -184,10 +185,18 @@
             boxes.upstream,
             transport.traffic,
             boxes.call,
+            telemetry.collect,
         ),
     )
 
 
+def _observe_traffic(telemetry: Telemetry, traffic: TrafficCount) -> None:
+    name, what = "agatecross.control", "Payload of control messages"
+    telemetry.observe(f"{name}.sent", "By", f"{what} sent.", lambda: traffic.sent_bytes)
+    telemetry.observe(f"{name}.received", "By", f"{what} received.", lambda: traffic.received_bytes)
+    telemetry.observe(f"{name}.dials", "{dial}", "Control connections.", lambda: traffic.dials)
+
+
 def _receivers(boxes: Mailboxes) -> dict[type, Sender[ReceivedAsk]]:
     return {
         Probe: boxes.members,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -50,6 +50,7 @@
         upstream: Sender[UpstreamAnnounced],
         traffic: TrafficCount,
         quarantine: Sender[ListAsk | LiftAsk],
+        collect: Callable[[], bytes],
     ) -> None:
         self.address = address
         self.me = me
@@ -57,6 +58,7 @@
         self.upstream = upstream
         self.traffic = traffic
         self.quarantine = quarantine
+        self.collect = collect
         self.mailbox = mailbox
         self.state = DaemonState.STARTING
         self.version = NO_VERSION
@@ -66,6 +68,7 @@
             ("GET", f"{PREFIX}/status"): self._status,
             ("GET", f"{PREFIX}/members"): self._members,
             ("GET", f"{PREFIX}/ready"): self._ready,
+            ("GET", f"{PREFIX}/metrics"): self._metrics,
             ("PUT", f"{PREFIX}/upstream"): self._announce,
         }
 
@@ -126,6 +129,10 @@
         ready = self.state is DaemonState.READY and not self.view.stale
         return _json(200 if ready else 503, {"state": self.state.value})
 
+    def _metrics(self, request: Request) -> Response:
+        del request
+        return Response(200, (("Content-Type", "application/json"),), self.collect())
+
     def _announce(self, request: Request) -> Response:
         try:
             info = msgspec.json.decode(request.body, type=UpstreamInfo)
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -4,13 +4,13 @@
 the `traceparent` header of the request itself, because a call changes tasks inside the daemon.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from opentelemetry.context import Context
 from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
-from opentelemetry.metrics import Meter
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
     InMemoryMetricReader,
@@ -108,6 +108,20 @@
         """Wrap a client."""
         return TracedClient(inner, name, self.tracer)
 
+    def observe(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
+        """Add a counter that is read when metrics are collected."""
+
+        def observed(options: CallbackOptions) -> Iterable[Observation]:
+            del options
+            yield Observation(read())
+
+        self.meter.create_observable_counter(name, [observed], unit, description)
+
+    def collect(self) -> bytes:
+        """Return the current metrics as OpenTelemetry JSON."""
+        data = self.metrics.get_metrics_data()
+        return data.to_json().encode() if data else b"{}"
+
     def shut_down(self) -> None:
         """Flush what is not exported yet."""
         self.tracers.shutdown()
