--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -31,10 +31,10 @@
     ReportCondition,
     WriteSnapshot,
 )
-from agatecross_core.distribution.jitter import full_jitter
 from agatecross_core.distribution.readers import weight
 from agatecross_core.distribution.sync import answer_pull, judge_pull, new_request
 from agatecross_core.members.records import Member
+from agatecross_core.pacing import full_jitter
 from agatecross_core.states import MemberState, Verdict
 
 BASE_TEXT = """[mesh]
--- a/packages/agatecross-cli/agatecross_cli/append.py
+++ b/packages/agatecross-cli/agatecross_cli/append.py
@@ -7,9 +7,9 @@
 from agatecross_adapters.protocols import LogService
 from agatecross_core.config.model import PublishRecord
 from agatecross_core.constants import CONFIG_STREAM
-from agatecross_core.distribution.jitter import full_jitter
 from agatecross_core.errors import LogError, LogOutcomeUnknownError
 from agatecross_core.ids import Millis
+from agatecross_core.pacing import full_jitter
 
 from .command import CommandError, Context
 from .exit_codes import ExitCode
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -121,7 +121,7 @@
 MAX_BATCH_CLAIMS: Final = 128
 CLAIMS_PAGE_RECORDS: Final = 64
 # The log takes several hundred appends per second from the whole fleet.
-CLAIM_APPENDS_PER_SECOND: Final = 20.0
+CLAIM_APPEND_REFILL: Final = Millis(50)
 CLAIM_APPEND_BURST: Final = 10.0
 CLAIM_RETRY_WAIT: Final = Millis(50)
 CLAIM_RETRY_LIMIT: Final = Millis(1_000)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -32,9 +32,8 @@
 from ..findings import Finding
 from ..ids import DaemonId, Digest, Millis, Offset, PublishId, Version
 from ..members.records import Member
+from ..pacing import TokenBucket, full_jitter
 from ..states import Verdict
-from .bucket import TokenBucket
-from .jitter import full_jitter
 from .log_fold import (
     LogFold,
     LogReplaced,
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -7,6 +7,8 @@
 
 from ..calls.model import CallResult, not_run, unknown
 from ..constants import (
+    CLAIM_APPEND_BURST,
+    CLAIM_APPEND_REFILL,
     CLAIM_BATCH_WAIT,
     CLAIM_RETRY_LIMIT,
     CLAIM_RETRY_WAIT,
@@ -20,6 +22,7 @@
     OUTCOME_TRIES,
 )
 from ..ids import Address, CallId, ClaimId, DaemonId, IdempotencyKey, Millis, Offset
+from ..pacing import TokenBucket
 from ..states import AppendState, HeldState, Outcome, Reason
 from .claims import ClaimsFold
 from .model import (
@@ -45,7 +48,6 @@
 )
 from .outcomes import OutcomeStore, result_of
 from .stream import Continuity, StreamPosition
-from .tokens import AppendTokens
 
 
 class Phase(Enum):
@@ -94,7 +96,7 @@
         self.fold = ClaimsFold()
         self.store = OutcomeStore()
         self.stream = StreamPosition()
-        self.tokens = AppendTokens()
+        self.tokens = TokenBucket(CLAIM_APPEND_BURST, CLAIM_APPEND_REFILL)
         self.waiting: dict[CallId, Waiting] = {}
         self.running: dict[ClaimId, IdempotencyKey] = {}
         self.releases: dict[ClaimId, Release] = {}
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/pacing.py
@@ -0,0 +1,33 @@
+"""Limits and delays of repeated operations."""
+
+import random
+
+from .ids import Millis
+
+
+class TokenBucket:
+    """Holds up to `burst` tokens and gains one in each `refill` period."""
+
+    def __init__(self, burst: float, refill: Millis) -> None:
+        """Start full."""
+        self.burst = burst
+        self.refill = refill
+        self.tokens = burst
+        self.filled_at: Millis | None = None
+
+    def take(self, now: Millis) -> bool:
+        """Take a token if there is one."""
+        if self.filled_at is not None:
+            gained = (now - self.filled_at) / self.refill
+            self.tokens = min(self.burst, self.tokens + gained)
+        self.filled_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+def full_jitter(attempt: int, base: Millis, cap: Millis, rng: random.Random) -> Millis:
+    """Return a delay drawn from zero to `base` doubled for each earlier attempt, at most `cap`."""
+    # The exponent is bounded because a long outage reaches attempts whose power overflows a float.
+    return Millis(rng.uniform(0, min(cap, base * 2 ** min(attempt, 16))))
