--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -0,0 +1,110 @@
+"""Callers that send reads and bookings, and the watcher of versions."""
+
+import json
+import random
+import threading
+import time
+import urllib.error
+import uuid
+from concurrent.futures import Future, ThreadPoolExecutor
+from http.client import HTTPException
+
+from ..fleet import Fleet, Node, fetch
+from ..history import (
+    Answered,
+    Broken,
+    InForce,
+    Refused,
+    Sent,
+    UnknownOutcome,
+)
+from .recorder import Recorder
+
+SERVICES = {"van-booking": "/vans", "case-portal": "/cases"}
+CALLERS = 8
+CALL_GAP_SECONDS = 0.04
+CALL_TIMEOUT_SECONDS = 8.0
+POLL_SECONDS = 0.1
+
+
+class Callers:
+    """Sends reads, bookings with a key through several daemons, and bookings without one."""
+
+    def __init__(self, fleet: Fleet, recorder: Recorder, seed: int) -> None:
+        self.fleet = fleet
+        self.recorder = recorder
+        self.seed = seed
+        self.stop = threading.Event()
+        self.pool = ThreadPoolExecutor(4 * CALLERS)
+
+    def run(self, number: int) -> None:
+        """Send requests one after the other until stopped."""
+        rng = random.Random(f"{self.seed}/{number}")
+        count = 0
+        while not self.stop.wait(rng.expovariate(1 / CALL_GAP_SECONDS)):
+            count += 1
+            request = f"{rng.choice(list(SERVICES.values()))}/{number}-{count}"
+            times = 1
+            method, key = "GET", ""
+            if rng.random() < 0.6:
+                method = "POST"
+                key = f"key{request}" if rng.random() < 0.8 else ""
+                times = rng.randint(1, 3) if key else 1
+            nodes = [rng.choice(self.fleet.nodes) for _ in range(times)]
+            at_once = rng.random() < 0.5
+            sent: list[Future[bool]] = []
+            for node in nodes:
+                sent.append(self.pool.submit(self.send, node, method, request, key))
+                if not at_once and sent[-1].result():
+                    break
+            for future in sent:
+                future.result()
+
+    def send(self, node: Node, method: str, request: str, key: str) -> bool:
+        """Send one request and record what becomes of it; return whether it ran."""
+        call = uuid.uuid4().hex
+        add = self.recorder.events.append
+        headers = {"X-Echo": request, **({"Idempotency-Key": key} if key else {})}
+        body = None if method == "GET" else b"{}"
+        add(Sent(time.time(), call, request, node.name, method == "GET", key))
+        try:
+            _, found, data = fetch(node.call + request, method, body, headers, CALL_TIMEOUT_SECONDS)
+        except (ConnectionError, HTTPException):
+            add(Broken(time.time(), call))
+            return False
+        except (urllib.error.URLError, OSError):
+            add(UnknownOutcome(time.time(), call))
+            return False
+        outcome = found.get("Agatecross-Outcome")
+        if outcome == "not-run":
+            add(Refused(time.time(), call))
+        elif outcome == "ran":
+            add(_answered(call, data))
+        else:
+            add(UnknownOutcome(time.time(), call))
+        return outcome == "ran"
+
+
+def _answered(call: str, data: bytes) -> Answered:
+    try:
+        return Answered(time.time(), call, json.loads(data)["echo"])
+    except (ValueError, KeyError):
+        return Answered(time.time(), call, "", False)
+
+
+def watch_versions(fleet: Fleet, recorder: Recorder, stop: threading.Event) -> None:
+    """Record each change of the version in force at a daemon."""
+    last: dict[str, tuple[int, str]] = {}
+    while not stop.wait(POLL_SECONDS):
+        for node in fleet.nodes:
+            try:
+                url = f"http://{node.admin}/agatecross/v1/status"
+                row = json.loads(fetch(url, timeout=0.5)[2])
+            except (OSError, HTTPException, ValueError):
+                continue
+            # A daemon that has just started has no version and refuses every call.
+            found = (int(row["version"]), str(row["digest"]))
+            if found[0] and last.get(node.name) != found:
+                last[node.name] = found
+                recorder.events.append(InForce(time.time(), node.name, *found))
+                recorder.newest = max(recorder.newest, found[0])
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -0,0 +1,150 @@
+"""Begins and ends the faults of a schedule."""
+
+import signal
+import subprocess
+import time
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from http.client import HTTPException
+from pathlib import Path
+
+from agatecross_adapters.codec import encode_record
+from agatecross_cli.documents import read_documents
+from agatecross_core.config.model import (
+    Document,
+    PublishRecord,
+)
+from agatecross_core.constants import RULE_SET
+from agatecross_core.ids import PublishId, Version
+
+from ..fleet import Fleet, fetch
+from ..history import (
+    Leaving,
+    Returned,
+    ShutdownBegun,
+    ShutdownEnded,
+)
+from .recorder import Recorder
+from .schedule import Fault, FaultKind
+
+RECOVERY_SECONDS = 60.0
+EXAMPLE = Path(__file__).resolve().parents[4] / "examples" / "lysknude"
+
+
+class Publisher:
+    """Appends publish records, without waiting for what becomes of them."""
+
+    def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
+        self.fleet = fleet
+        self.recorder = recorder
+        self.base = next(iter(read_documents(EXAMPLE)))
+        self.count = 0
+
+    def publish(self, valid: bool = True) -> None:
+        """Append one record that follows the newest version seen; twice when the answer is lost."""
+        self.count += 1
+        changed = f"timeout_ms = {2_000 + self.count}"
+        text = self.base.text.replace("timeout_ms = 2000", changed, 1)
+        if not valid:
+            text = text.replace('service = "van-booking"', 'service = "no-such-service"', 1)
+        publish_id = f"publish-{self.count}"
+        document = Document(self.base.name, text)
+        parent = Version(self.recorder.newest)
+        record = PublishRecord(PublishId(publish_id), parent, RULE_SET, (document,))
+        self.recorder.publishes[publish_id] = time.time()
+        url = f"http://{self.fleet.log}/streams/config/records"
+        for _ in range(2):
+            try:
+                fetch(url, "POST", encode_record(record), timeout=2.0)
+                return
+            except (OSError, HTTPException):
+                continue
+
+
+class Injector:
+    """Begins and ends the faults of a schedule."""
+
+    def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
+        self.fleet = fleet
+        self.recorder = recorder
+        self.publisher = Publisher(fleet, recorder)
+        self.pool = ThreadPoolExecutor(16)
+        self.background: list[Future[None]] = []
+
+    def run(self, faults: Sequence[Fault]) -> None:
+        """Carry out the schedule and return when every fault has ended."""
+        steps: list[tuple[float, Callable[[Fault], None], Fault]] = []
+        for fault in faults:
+            steps.append((fault.at, self.begin, fault))
+            steps.append((fault.at + fault.lasts, self.end, fault))
+        start = time.monotonic()
+        for at, step, fault in sorted(steps, key=lambda row: row[0]):
+            time.sleep(max(0.0, start + at - time.monotonic()))
+            self.background.append(self.pool.submit(step, fault))
+        for future in self.background:
+            future.result()
+
+    def begin(self, fault: Fault) -> None:
+        """Begin a fault."""
+        node = self.fleet.nodes[fault.node]
+        now = time.time()
+        match fault.kind:
+            case FaultKind.KILL_DAEMON:
+                _running(node.daemon).kill()
+            case FaultKind.KILL_UPSTREAM:
+                _running(node.upstream).kill()
+            case FaultKind.PAUSE_DAEMON:
+                _running(node.daemon).send_signal(signal.SIGSTOP)
+            case FaultKind.REPLACE_DAEMON:
+                self.recorder.events.append(ShutdownBegun(now, node.name))
+                _running(node.daemon).send_signal(signal.SIGTERM)
+            case FaultKind.DRAIN_UPSTREAM:
+                self.fleet.switch_upstream(node, draining=True)
+                self.recorder.events.append(Leaving(now, str(node.upstream_port)))
+            case FaultKind.LOG_OUTAGE:
+                self.fleet.switch_log(outage=True)
+            case FaultKind.LOG_SLOW:
+                self.fleet.switch_log(delay_ms=700)
+            case FaultKind.LOSE_ANSWERS:
+                self.fleet.switch_log(lose_answers=3)
+            case FaultKind.PUBLISH:
+                self.publisher.publish()
+            case FaultKind.PUBLISH_RACE:
+                for _ in range(3):
+                    self.publisher.publish()
+            case FaultKind.PUBLISH_INVALID:
+                self.publisher.publish(valid=False)
+
+    def end(self, fault: Fault) -> None:
+        """End a fault."""
+        node = self.fleet.nodes[fault.node]
+        match fault.kind:
+            case FaultKind.KILL_DAEMON:
+                _running(node.daemon).wait()
+                self.fleet.start_daemon(node)
+            case FaultKind.KILL_UPSTREAM:
+                _running(node.upstream).wait()
+                self.recorder.events.append(Returned(time.time(), str(node.upstream_port)))
+                self.fleet.start_upstream(node)
+            case FaultKind.PAUSE_DAEMON:
+                _running(node.daemon).send_signal(signal.SIGCONT)
+            case FaultKind.REPLACE_DAEMON:
+                _running(node.daemon).wait(RECOVERY_SECONDS)
+                self.recorder.events.append(ShutdownEnded(time.time(), node.name))
+                self.fleet.start_daemon(node)
+            case FaultKind.DRAIN_UPSTREAM:
+                self.recorder.events.append(Returned(time.time(), str(node.upstream_port)))
+                self.fleet.switch_upstream(node, draining=False)
+            case FaultKind.LOG_OUTAGE:
+                self.fleet.switch_log(outage=False)
+            case FaultKind.LOG_SLOW:
+                self.fleet.switch_log(delay_ms=0)
+            case FaultKind.LOSE_ANSWERS:
+                self.fleet.switch_log(lose_answers=0)
+            case _:
+                pass
+
+
+def _running(process: subprocess.Popen[bytes] | None) -> subprocess.Popen[bytes]:
+    assert process is not None
+    return process
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/faults/recorder.py
@@ -0,0 +1,16 @@
+"""Events of a run."""
+
+from dataclasses import dataclass, field
+
+from ..history import (
+    Event,
+)
+
+
+@dataclass(slots=True)
+class Recorder:
+    """Events of the run; appending to a list is atomic."""
+
+    events: list[Event] = field(default_factory=list)
+    publishes: dict[str, float] = field(default_factory=dict)
+    newest: int = 0
