Trace only sampled calls and count calls outside the SDK

Change: the sampling decision is made before any span and travels in traceparent; calls are counted in a plain counter that is read at collection.

--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -4,13 +4,15 @@
 the `traceparent` header of the request itself, because a call changes tasks inside the daemon.
 """
 
+import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from opentelemetry.context import Context
 from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
-from opentelemetry.metrics import CallbackOptions, Meter, Observation
+from opentelemetry.metrics import CallbackOptions, Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
     InMemoryMetricReader,
@@ -25,7 +27,7 @@
     SpanExporter,
     SpanExportResult,
 )
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON
 from opentelemetry.trace import Span, SpanKind, Tracer
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
@@ -41,6 +43,9 @@
 TRACE_HEADERS = ("traceparent", "tracestate")
 NANOS_PER_MILLI = 1_000_000
 
+CallCounts = Counter[tuple[str, str]]
+"""Calls by listener and outcome."""
+
 
 @dataclass(frozen=True, slots=True)
 class TelemetrySettings:
@@ -90,6 +95,7 @@
                 "agatecross.data_centre": data_centre,
             }
         )
+        self.sampling = Sampling(settings.sample_ratio, random.Random())
         self.metrics = InMemoryMetricReader()
         self.tracers = _tracer_provider(settings, resource)
         readers: list[MetricReader] = [self.metrics]
@@ -99,10 +105,18 @@
         self.meters = MeterProvider(metric_readers=readers, resource=resource)
         self.tracer = self.tracers.get_tracer("agatecross")
         self.meter = self.meters.get_meter("agatecross")
+        # Counted here and only read at collection: a synchronous counter costs more for each call.
+        self.counts: CallCounts = Counter()
+        self.meter.create_observable_counter(
+            "agatecross.calls", [self._observe_calls], "{call}", "Calls by listener and outcome."
+        )
+        self.duration = self.meter.create_histogram(
+            "agatecross.call.duration", unit="ms", description="Time from request to response."
+        )
 
     def listener(self, inner: HttpListener, name: str) -> "TracedListener":
         """Wrap a listener."""
-        return TracedListener(inner, name, self.tracer, self.meter)
+        return TracedListener(inner, name, self.sampling, self.tracer, self.counts, self.duration)
 
     def client(self, inner: HttpClient, name: str) -> "TracedClient":
         """Wrap a client."""
@@ -117,6 +131,11 @@
 
         self.meter.create_observable_counter(name, [observed], unit, description)
 
+    def _observe_calls(self, options: CallbackOptions) -> Iterable[Observation]:
+        del options
+        for (listener, outcome), count in self.counts.items():
+            yield Observation(count, {"listener": listener, "outcome": outcome})
+
     def collect(self) -> bytes:
         """Return the current metrics as OpenTelemetry JSON."""
         data = self.metrics.get_metrics_data()
@@ -129,8 +148,7 @@
 
 
 def _tracer_provider(settings: TelemetrySettings, resource: Resource) -> TracerProvider:
-    sampler = ParentBased(TraceIdRatioBased(settings.sample_ratio))
-    provider = TracerProvider(sampler=sampler, resource=resource)
+    provider = TracerProvider(sampler=ALWAYS_ON, resource=resource)
     if settings.spans_to_log:
         provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
     if settings.otlp_endpoint:
@@ -156,19 +174,51 @@
     return replace(request, headers=(*kept, ("traceparent", value)))
 
 
+class Sampling:
+    """Decides which calls are traced, before any span exists.
+
+    A span that is not sampled still costs tens of microseconds, so such calls only carry the
+    decision: a `traceparent` without the sampled flag, which every later hop follows.
+    """
+
+    def __init__(self, ratio: float, rng: random.Random) -> None:
+        self.ratio = ratio
+        self.rng = rng
+
+    def decide(self, request: Request) -> Request:
+        """Return the request with a sampling decision; one that it brings is kept."""
+        if request.header("traceparent") is not None:
+            return request
+        flags = int(self.rng.random() < self.ratio)
+        trace, span = self.rng.getrandbits(128) or 1, self.rng.getrandbits(64) or 1
+        value = f"00-{trace:032x}-{span:016x}-{flags:02x}"
+        return replace(request, headers=(*request.headers, ("traceparent", value)))
+
+
+def is_sampled(request: Request) -> bool:
+    """Return whether the request is to be traced: the lowest bit of the trace flags."""
+    flags = (request.header("traceparent") or "").rpartition("-")[2]
+    return bool(flags) and flags[-1] in "13579bdf"
+
+
 class TracedListener:
     """Adds a server span and the call metrics to each request of a listener."""
 
-    def __init__(self, inner: HttpListener, name: str, tracer: Tracer, meter: Meter) -> None:
+    def __init__(
+        self,
+        inner: HttpListener,
+        name: str,
+        sampling: Sampling,
+        tracer: Tracer,
+        counts: CallCounts,
+        duration: Histogram,
+    ) -> None:
         self.inner = inner
+        self.sampling = sampling
         self.name = name
         self.tracer = tracer
-        self.calls = meter.create_counter(
-            "agatecross.calls", unit="{call}", description="Calls by listener and outcome."
-        )
-        self.duration = meter.create_histogram(
-            "agatecross.call.duration", unit="ms", description="Time from request to response."
-        )
+        self.counts = counts
+        self.duration = duration
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start to serve and return the bound address."""
@@ -180,21 +230,29 @@
 
     async def _serve(self, request: Request, handler: RequestHandler) -> Response:
         started = monotonic()
-        span = self.tracer.start_span(
-            f"serve {self.name}", parent_context(request.headers), SpanKind.SERVER
-        )
         outcome = "cancelled"
         try:
-            response = await handler(with_span(request, span))
+            response = await self._trace(request, handler)
             outcome = response.header(OUTCOME) or "none"
-            _describe(span, request, response)
             return response
         finally:
-            span.end()
             attributes = {"listener": self.name, "outcome": outcome}
-            self.calls.add(1, attributes)
+            self.counts[self.name, outcome] += 1
             self.duration.record(monotonic() - started, attributes)
 
+    async def _trace(self, request: Request, handler: RequestHandler) -> Response:
+        request = self.sampling.decide(request)
+        if not is_sampled(request):
+            return await handler(request)
+        parent = parent_context(request.headers)
+        span = self.tracer.start_span(f"serve {self.name}", parent, SpanKind.SERVER)
+        try:
+            response = await handler(with_span(request, span))
+            _describe(span, request, response)
+            return response
+        finally:
+            span.end()
+
     def close_idle(self) -> None:
         """Accept no new connection; connections close after their current response."""
         self.inner.close_idle()
@@ -205,8 +263,6 @@
 
 
 def _describe(span: Span, request: Request, response: Response) -> None:
-    if not span.is_recording():
-        return
     span.set_attribute("http.request.method", request.method)
     span.set_attribute("url.path", request.path.split("?", 1)[0])
     span.set_attribute("http.response.status_code", response.status)
@@ -229,14 +285,14 @@
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
         """Return the whole response; raises a subclass of `ExchangeError`."""
-        span = self.tracer.start_span(
-            f"send to {self.name}", parent_context(request.headers), SpanKind.CLIENT
-        )
+        if not is_sampled(request):
+            return await self.inner.send(address, request, timeout)
+        parent = parent_context(request.headers)
+        span = self.tracer.start_span(f"send to {self.name}", parent, SpanKind.CLIENT)
         try:
             response = await self.inner.send(address, with_span(request, span), timeout)
-            if span.is_recording():
-                span.set_attribute("server.address", address)
-                span.set_attribute("http.response.status_code", response.status)
+            span.set_attribute("server.address", address)
+            span.set_attribute("http.response.status_code", response.status)
             return response
         except ExchangeError as error:
             span.record_exception(error)
