--- a/features/admission.feature
+++ b/features/admission.feature
@@ -25,7 +25,7 @@
       | deadline | late refusal in a full house | adaptive | slots 1; learn /x 50; call a /x 900; call b /x 40        | start a; refuse b deadline          |
       | deadline | refusing a feasible call     | adaptive | slots 1; learn /x 50; call a /x 60                       | start a                             |
       | deadline | starting after the wait      | adaptive | slots 1; learn /x 50; call a /x 900; call b /x 80; +40; done a | start a; refuse b deadline    |
-      | deadline | hopeless calls in the queue  | adaptive | slots 1; call a /x 900; call b /x 20; +25; tick          | start a; refuse b deadline          |
+      | deadline | infeasible calls in the queue| adaptive | slots 1; call a /x 900; call b /x 20; +25; tick          | start a; refuse b deadline          |
       | deadline | refusing for ever by cost    | adaptive | slots 1; learn /x 800; call a /x 700; +3000; call b /x 700 | refuse a deadline; start b        |
 
     Examples: class
--- a/packages/agatecross-core/agatecross_core/admission/pipeline.py
+++ b/packages/agatecross-core/agatecross_core/admission/pipeline.py
@@ -152,7 +152,7 @@
             return
         if now >= self.next_sweep:
             self.next_sweep = Millis(now + SWEEP_PERIOD)
-            yield from self.queue.drop_hopeless(self.costs, now)
+            yield from self.queue.drop_infeasible(self.costs, now)
         while self.waiting and self.running < self.limit.value:
             long_running = sum(1 for row in self.started.values() if self._is_long(row, now))
             entry = self.queue.take(long_running, self._long_limit(), now)
--- a/packages/agatecross-core/agatecross_core/admission/queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/queue.py
@@ -44,11 +44,11 @@
             return pop_next(long, now)
         return pop_next(short, now) if short else None
 
-    def drop_hopeless(self, costs: CostTable, now: Millis) -> Iterator[RefuseCall]:
+    def drop_infeasible(self, costs: CostTable, now: Millis) -> Iterator[RefuseCall]:
         """Remove the entries that could not end in time if they started now."""
         for lane in self.lanes.values():
-            hopeless = [entry for entry in lane if not can_finish(entry, costs, now)]
-            for entry in hopeless:
+            infeasible = [entry for entry in lane if not can_finish(entry, costs, now)]
+            for entry in infeasible:
                 lane.remove(entry)
                 yield RefuseCall(entry.call.call_id, Reason.DEADLINE)
 
