Hash each request once in the entry daemon

Cause: the call task hashed service, method, path and body of a request two or three times, once for each place that needs the fingerprint. Change: the fingerprint is computed once and passed on. Measured: 35 scenarios of path, quarantine and idempotency_fleet pass; the time saved was not measured.

--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -20,6 +20,7 @@
     Address,
     CallId,
     DataCentreName,
+    Fingerprint,
     IdempotencyKey,
     Millis,
     ServiceName,
@@ -117,22 +118,22 @@
             return not_run(Reason.NO_ROUTE)
         policy = site.services[route.service]
         call = _new_call(request, policy, monotonic())
-        if self.quarantine.quarantined(fingerprint_of(call.service, call.request)):
+        fingerprint = fingerprint_of(call.service, call.request)
+        if self.quarantine.quarantined(fingerprint):
             return not_run(Reason.QUARANTINED)
         if call.key is None or call.idempotent:
-            return await self._drive(call, policy)
+            return await self._drive(call, policy, fingerprint)
         if len(call.key) > MAX_KEY_LENGTH:
             return not_run(Reason.BAD_REQUEST)
         # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
-        task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key))
+        task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key, fingerprint))
         self.keyed.add(task)
         task.add_done_callback(self.keyed.discard)
         return await asyncio.shield(task)
 
     async def _claim_and_drive(
-        self, call: Call, policy: ServicePolicy, key: IdempotencyKey
+        self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
-        fingerprint = fingerprint_of(call.service, call.request)
         scoped = IdempotencyKey(f"{call.service}/{key}")
         ask: ClaimAsk = new_ask(Submit(call.call_id, scoped, fingerprint, call.deadline))
         self.claims.put(ask)
@@ -141,14 +142,15 @@
             return granted
         result = unknown(Reason.CONNECTION_LOST)
         try:
-            result = await self._drive(call, policy)
+            result = await self._drive(call, policy, fingerprint)
             return result
         finally:
             self.claims.put(CallFinished(granted.claim_id, result))
 
-    async def _drive(self, call: Call, policy: ServicePolicy) -> CallResult:
+    async def _drive(
+        self, call: Call, policy: ServicePolicy, fingerprint: Fingerprint
+    ) -> CallResult:
         budget = self.budgets.setdefault(policy.name, RetryBudget(policy.retry_ratio))
-        fingerprint = fingerprint_of(call.service, call.request)
         chooser = self.quarantine.restrict(fingerprint, call.request.path, self._choose)
         result = await self.driver.drive(run_call(call, policy, chooser, budget))
         if result.outcome is Outcome.RAN:
