Map failed exchanges to results in one place

Cause: the call driver and the upstream task each translated the three exchange errors into not-run and unknown results. Change: exchange_failed in calls/model does it for both; what it returns for each error is unchanged.

--- a/packages/agatecross-core/agatecross_core/calls/model.py
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..errors import ConnectFailedError, ExchangeError, ExchangeTimeoutError
 from ..ids import CallId, IdempotencyKey, Millis, ServiceName
 from ..states import Outcome, Reason
 
@@ -72,6 +73,15 @@
     return CallResult(Outcome.UNKNOWN, None, reason)
 
 
+def exchange_failed(error: ExchangeError) -> CallResult:
+    """Return the result of a call whose exchange failed; only an unsent one surely did not run."""
+    if isinstance(error, ConnectFailedError):
+        return not_run(Reason.CONNECT_FAILED)
+    if isinstance(error, ExchangeTimeoutError):
+        return unknown(Reason.TIMEOUT)
+    return unknown(Reason.CONNECTION_LOST)
+
+
 def ran(response: Response) -> CallResult:
     """Return the result of a call that ran and whose response is whole."""
     return CallResult(Outcome.RAN, response, None)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -12,8 +12,8 @@
     HedgedAttempt,
     Progress,
 )
-from agatecross_core.calls.model import Call, CallResult, not_run, unknown
-from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
+from agatecross_core.calls.model import Call, CallResult, exchange_failed, unknown
+from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, DaemonId, Millis
 from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.routing.router import AttemptEnded, Balancer
@@ -103,12 +103,8 @@
         left = Millis(max(1.0, call.deadline - now))
         try:
             response = await self.client.send(peer, encode_call(call, now), left)
-        except ConnectFailedError:
-            return not_run(Reason.CONNECT_FAILED), None
-        except ConnectionLostError:
-            return unknown(Reason.CONNECTION_LOST), None
-        except ExchangeTimeoutError:
-            return unknown(Reason.TIMEOUT), None
+        except ExchangeError as error:
+            return exchange_failed(error), None
         return decode_result(response), decode_load(response)
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -30,10 +30,19 @@
     TimePassed,
 )
 from agatecross_core.admission.policies import AdmissionPolicy
-from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, ran, unknown
+from agatecross_core.calls.model import (
+    Call,
+    CallResult,
+    Request,
+    Response,
+    exchange_failed,
+    not_run,
+    ran,
+    unknown,
+)
 from agatecross_core.config.model import MeshSnapshot
 from agatecross_core.constants import CONNECT_TIMEOUT, UPSTREAM_LEASE
-from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
+from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, CallId, DataCentreName, Millis
 from agatecross_core.members.records import UpstreamInfo
 from agatecross_core.quarantine.gate import TrialGate
@@ -293,12 +302,8 @@
     async def _exchange(self, address: Address, request: Request, left: Millis) -> CallResult:
         try:
             response = await self.client.send(address, request, left)
-        except ConnectFailedError:
-            return not_run(Reason.CONNECT_FAILED)
-        except ConnectionLostError:
-            return unknown(Reason.CONNECTION_LOST)
-        except ExchangeTimeoutError:
-            return unknown(Reason.TIMEOUT)
+        except ExchangeError as error:
+            return exchange_failed(error)
         if response.header(SHED_HEADER) == "not-run":
             return not_run(Reason.SHED)
         return ran(response)
