--- a/Makefile
+++ b/Makefile
@@ -2,18 +2,20 @@
 PYTHON ?= python3
 VENV ?= .venv
 PACKAGES := core adapters daemon cli standins
-SOURCES := packages features
-export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agatecross-$(p)))
+SOURCES := packages platform features
+FOLDERS := $(foreach p,$(PACKAGES),packages/agatecross-$(p)) platform
+MODULES := $(foreach p,$(PACKAGES),agatecross_$(p)) agatecross_platform
+export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(FOLDERS),$(CURDIR)/$(p)))
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 
 .PHONY: setup test demo format lint types
 
 setup: $(VENV)/installed
 
-$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/python -m pip install -q -c constraints.txt -r requirements-dev.txt \
-		$(foreach p,$(PACKAGES),-e packages/agatecross-$(p))
+		$(foreach p,$(FOLDERS),-e $(p))
 	touch $@
 
 test: setup
@@ -31,4 +33,4 @@
 	$(VENV)/bin/ruff check -q $(SOURCES)
 
 types: setup
-	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),-p agatecross_$(p))
+	$(VENV)/bin/mypy $(foreach p,$(MODULES),-p $(p))
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -0,0 +1,74 @@
+"""Length-prefixed frames over TCP, for many concurrent messages on one connection."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+LENGTH_BYTES = 4
+# The largest body a caller may send is 64 MiB; heads and fields need little beside it.
+MAX_FRAME = 80 * 1024 * 1024
+# The kernel closes a connection whose bytes were not acknowledged for this long.
+USER_TIMEOUT_MS = 5_000
+
+
+class FrameConnection(asyncio.Protocol):
+    """Splits what is read into frames."""
+
+    transport: asyncio.Transport
+
+    def __init__(
+        self,
+        on_open: "Callable[[FrameConnection], None]",
+        on_frame: "Callable[[FrameConnection, bytes], None]",
+        on_close: "Callable[[FrameConnection], None]",
+    ) -> None:
+        """Report events to the callbacks."""
+        self.on_open = on_open
+        self.on_frame = on_frame
+        self.on_close = on_close
+        self.buffer = bytearray()
+        self.received = 0
+        self.open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Report the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        self.open = True
+        self.on_open(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end."""
+        self.open = False
+        self.on_close(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Report each whole frame."""
+        self.received += len(data)
+        buffer = self.buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= LENGTH_BYTES:
+            length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+            if length > MAX_FRAME:
+                self.transport.abort()
+                return
+            end = start + LENGTH_BYTES + length
+            if len(buffer) < end:
+                break
+            frame = bytes(buffer[start + LENGTH_BYTES : end])
+            start = end
+            self.on_frame(self, frame)
+        del buffer[:start]
+
+    def send(self, frame: bytes) -> None:
+        """Write one frame."""
+        if self.open and not self.transport.is_closing():
+            self.transport.write(len(frame).to_bytes(LENGTH_BYTES, "big") + frame)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.transport.abort()
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -0,0 +1,319 @@
+"""Messages between daemons on a hop connection, encoded with msgpack.
+
+Each message is a tuple of its tag and its fields in order.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+import msgspec
+
+from agatecross_core.errors import MessageDecodeError
+from agatecross_core.ids import (
+    Address,
+    CallId,
+    DaemonId,
+    DataCentreName,
+    Fingerprint,
+    HandoverId,
+    Incarnation,
+    InstanceId,
+    Millis,
+    RegionName,
+    RouteName,
+    ServiceName,
+    Version,
+)
+from agatecross_core.members.directory import Endpoint
+from agatecross_core.members.records import Strike
+from agatecross_core.relay.model import (
+    Handover,
+    RelayRequest,
+    RelayResponse,
+    RelayResult,
+    Repeat,
+)
+from agatecross_core.states import Outcome, Reason, UpstreamState
+
+
+class Tag(IntEnum):
+    """The first field of each message."""
+
+    HELLO = 1
+    HANDOVER = 2
+    CANCEL = 3
+    RESUME = 4
+    PING = 5
+    RESULT = 6
+    ENDPOINTS = 7
+    CONFIG = 8
+    PULL = 9
+    STRIKES = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First message each way: who speaks, and everything it knows."""
+
+    daemon_id: DaemonId
+    incarnation: Incarnation
+    version: Version
+    endpoints: tuple[Endpoint, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The caller no longer waits for this handover."""
+
+    handover_id: HandoverId
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Asks for the result of a handover after its connection was lost; fences it if unseen."""
+
+    handover_id: HandoverId
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Shows that the connection works; answered by a ping with `answer` set."""
+
+    answer: bool
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """The result of a handover."""
+
+    handover_id: HandoverId
+    result: RelayResult
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoints:
+    """Descriptions that changed."""
+
+    endpoints: tuple[Endpoint, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigBlob:
+    """A whole configuration, compressed."""
+
+    version: Version
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Asks for the configuration in force if it is newer than `version`."""
+
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class Strikes:
+    """Requests that were running when an upstream died."""
+
+    strikes: tuple[Strike, ...]
+
+
+HopMessage = (
+    Hello | Handover | Cancel | Resume | Ping | Result | Endpoints | ConfigBlob | Pull | Strikes
+)
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder()
+REPEATS = (Repeat.SAFE, Repeat.ONCE)
+OUTCOMES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
+REASONS = {reason.value: reason for reason in Reason}
+
+
+def encode_hop(message: HopMessage) -> bytes:
+    """Encode a message."""
+    return ENCODER.encode(_fields(message))
+
+
+def decode_hop(frame: bytes) -> HopMessage:
+    """Decode a message; raises `MessageDecodeError`."""
+    try:
+        tag, *fields = DECODER.decode(frame)
+        return _message(tag, fields)
+    except (msgspec.MsgspecError, ValueError, TypeError, KeyError, IndexError) as error:
+        raise MessageDecodeError(f"hop message: {error}") from error
+
+
+def encode_endpoint(row: Endpoint) -> bytes:
+    """Encode a description as it is kept on the log."""
+    return ENCODER.encode(_endpoint_fields(row))
+
+
+def decode_endpoint(data: bytes) -> Endpoint:
+    """Decode a description from the log; raises `MessageDecodeError`."""
+    try:
+        return _endpoint(DECODER.decode(data))
+    except (msgspec.MsgspecError, ValueError, TypeError, KeyError, IndexError) as error:
+        raise MessageDecodeError(f"endpoint: {error}") from error
+
+
+def _fields(message: HopMessage) -> tuple[Any, ...]:
+    match message:
+        case Handover():
+            request = message.request
+            return (
+                Tag.HANDOVER,
+                message.handover_id,
+                message.call_id,
+                message.route,
+                message.service,
+                message.instance,
+                REPEATS.index(message.repeat),
+                message.rank,
+                int(message.left),
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+            )
+        case Result(handover_id, result):
+            return (Tag.RESULT, handover_id, *_result_fields(result))
+        case Hello():
+            rows = [_endpoint_fields(row) for row in message.endpoints]
+            return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
+        case Cancel(handover_id):
+            return (Tag.CANCEL, handover_id)
+        case Resume(handover_id):
+            return (Tag.RESUME, handover_id)
+        case Ping(answer, version):
+            return (Tag.PING, answer, version)
+        case Endpoints(endpoints):
+            return (Tag.ENDPOINTS, [_endpoint_fields(row) for row in endpoints])
+        case ConfigBlob(version, data):
+            return (Tag.CONFIG, version, data)
+        case Pull(version):
+            return (Tag.PULL, version)
+        case Strikes(strikes):
+            rows = [(row.fingerprint, row.daemon_id, row.incarnation) for row in strikes]
+            return (Tag.STRIKES, rows)
+
+
+def _result_fields(result: RelayResult) -> tuple[Any, ...]:
+    reason = result.reason.value if result.reason else None
+    head = (OUTCOMES.index(result.outcome), reason, result.arrived, result.load, result.slots)
+    response = result.response
+    if response is None:
+        return head
+    return (*head, response.status, response.headers, response.body)
+
+
+def _message(tag: int, fields: list[Any]) -> HopMessage:
+    match tag:
+        case Tag.HANDOVER:
+            return _handover(fields)
+        case Tag.RESULT:
+            return Result(HandoverId(fields[0]), _result(fields[1:]))
+        case Tag.HELLO:
+            daemon_id, incarnation, version, rows = fields
+            return Hello(
+                DaemonId(daemon_id),
+                Incarnation(incarnation),
+                Version(version),
+                tuple(map(_endpoint, rows)),
+            )
+        case Tag.CANCEL:
+            return Cancel(HandoverId(fields[0]))
+        case Tag.RESUME:
+            return Resume(HandoverId(fields[0]))
+        case Tag.PING:
+            return Ping(bool(fields[0]), Version(fields[1]))
+        case Tag.ENDPOINTS:
+            return Endpoints(tuple(map(_endpoint, fields[0])))
+        case Tag.CONFIG:
+            return ConfigBlob(Version(fields[0]), fields[1])
+        case Tag.PULL:
+            return Pull(Version(fields[0]))
+        case Tag.STRIKES:
+            return Strikes(tuple(_strike(row) for row in fields[0]))
+        case _:
+            raise MessageDecodeError(f"unknown hop message tag {tag}")
+
+
+def _handover(fields: list[Any]) -> Handover:
+    number, call_id, route, service, instance, repeat, rank, left, method, target, rows, body = (
+        fields
+    )
+    return Handover(
+        HandoverId(number),
+        CallId(call_id),
+        RouteName(route),
+        ServiceName(service),
+        InstanceId(instance),
+        REPEATS[repeat],
+        rank,
+        Millis(left),
+        RelayRequest(method, target, tuple((name, value) for name, value in rows), body),
+    )
+
+
+def _result(fields: list[Any]) -> RelayResult:
+    outcome, reason, arrived, load, slots, *rest = fields
+    response = None
+    if rest:
+        status, rows, body = rest
+        response = RelayResponse(status, tuple((name, value) for name, value in rows), body)
+    return RelayResult(
+        OUTCOMES[outcome], REASONS[reason] if reason else None, response, arrived, load, slots
+    )
+
+
+def _strike(row: list[Any]) -> Strike:
+    return Strike(Fingerprint(row[0]), DaemonId(row[1]), Incarnation(row[2]))
+
+
+def _endpoint_fields(row: Endpoint) -> tuple[Any, ...]:
+    return (
+        row.daemon_id,
+        row.incarnation,
+        row.sequence,
+        row.address,
+        row.region,
+        row.data_centre,
+        row.service,
+        row.instance,
+        row.born,
+        row.state.value,
+        row.slots,
+        int(row.cold),
+        row.leaving,
+        row.reads_log,
+    )
+
+
+def _endpoint(fields: list[Any]) -> Endpoint:
+    daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
+    state, slots, cold, leaving, reads_log = fields[9:14]
+    for text in (daemon, address, region, centre, service):
+        if not isinstance(text, str):
+            raise TypeError(f"{text!r} is not a string")
+    for number in (incarnation, sequence, born, slots, cold):
+        if not isinstance(number, int):
+            raise TypeError(f"{number!r} is not a whole number")
+    return Endpoint(
+        DaemonId(daemon),
+        Incarnation(incarnation),
+        sequence,
+        Address(address),
+        RegionName(region),
+        DataCentreName(centre),
+        ServiceName(service),
+        InstanceId(instance) if instance is not None else None,
+        born,
+        UpstreamState(state),
+        slots,
+        Millis(cold),
+        bool(leaving),
+        bool(reads_log),
+    )
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from agatecross_core.calls.model import Request, Response
-from agatecross_core.ids import Address, Millis, Offset, StreamName
+from agatecross_core.ids import Address, DaemonId, Millis, Offset, StreamName
 
 from .codec import ControlMessage
 
@@ -86,3 +86,30 @@
     async def close(self) -> None:
         """Close the listener and every connection."""
         ...
+
+
+class FleetStore(Protocol):
+    """What the platform keeps for a fleet: the configuration and the daemons' descriptions.
+
+    Every method raises `StoreError` when the platform did not answer as asked.
+    """
+
+    async def newest_config(self) -> tuple[bytes | None, Offset]:
+        """Return the newest configuration, if there is one, and the offset to follow from."""
+        ...
+
+    async def next_config(self, start: Offset, wait: Millis) -> tuple[bytes | None, Offset]:
+        """Wait for a configuration from `start`; raises `HistoryLostError` if it is gone."""
+        ...
+
+    async def announce(self, daemon_id: DaemonId, data: bytes) -> None:
+        """Keep the description of a daemon."""
+        ...
+
+    async def announced(self) -> tuple[bytes, ...]:
+        """Return the kept descriptions."""
+        ...
+
+    async def withdraw(self, daemon_id: DaemonId) -> None:
+        """Drop the description of a daemon that is gone."""
+        ...
--- a/packages/agatecross-core/agatecross_core/errors.py
+++ b/packages/agatecross-core/agatecross_core/errors.py
@@ -70,3 +70,11 @@
 
 class SettingsError(AgatecrossError):
     """The settings of a process have findings."""
+
+
+class StoreError(AgatecrossError):
+    """The platform's store did not do what it was asked, or did not say so."""
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the records that were asked for."""
--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -28,5 +28,13 @@
 ClaimId = NewType("ClaimId", str)
 Fingerprint = NewType("Fingerprint", str)
 
+InstanceId = NewType("InstanceId", str)
+"""One lifetime of an upstream."""
+
+HandoverId = NewType("HandoverId", int)
+"""One transfer of a call from the entry daemon to the daemon next to an upstream."""
+
 Millis = NewType("Millis", float)
 """Milliseconds: a duration, or a reading of a monotonic clock."""
+
+ZERO_MS = Millis(0.0)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/members/announcement.py
@@ -0,0 +1,70 @@
+"""Which heartbeats of the upstream next to this daemon are believed."""
+
+from dataclasses import dataclass
+
+from ..ids import InstanceId, Millis, ServiceName
+from ..states import UpstreamState
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What an upstream says of itself.
+
+    `born` is its start in Unix milliseconds; `sequence` grows with each heartbeat of one start;
+    `cold` is how long it is still slow, in milliseconds.
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    address: str
+    state: UpstreamState
+    slots: int
+    cold: Millis
+    born: int
+    sequence: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the order of heartbeats at one address."""
+        return (self.born, self.sequence)
+
+
+class Announcements:
+    """Holds the newest heartbeat of the one upstream that this daemon stands next to."""
+
+    def __init__(self, service: ServiceName, address: str) -> None:
+        """Expect the upstream of `service` at `address`."""
+        self.service = service
+        self.address = address
+        self.current: Heartbeat | None = None
+        self.heard_at = Millis(0)
+        self.left: set[tuple[InstanceId, int]] = set()
+
+    def heartbeat(self, beat: Heartbeat, now: Millis) -> bool:
+        """Return whether the heartbeat is believed: of this upstream, and newer than the last."""
+        if beat.service != self.service or beat.address != self.address:
+            return False
+        if self.current is not None and beat.order <= self.current.order:
+            return False
+        if beat.state is UpstreamState.READY and (beat.instance, beat.born) in self.left:
+            return False
+        if beat.state is UpstreamState.DRAINING:
+            self.left.add((beat.instance, beat.born))
+        self.current = beat
+        self.heard_at = now
+        return True
+
+    def leave(self, instance: InstanceId, born: int | None) -> bool:
+        """Note that an instance leaves; return whether it is the current one.
+
+        Without a start time, the leave belongs to the current start of that instance.
+        """
+        current = self.current
+        if current is None or current.instance != instance:
+            if born is not None:
+                self.left.add((instance, born))
+            return current is None
+        if born is not None and born < current.born:
+            return False
+        self.left.add((instance, current.born if born is None else born))
+        return True
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -0,0 +1,77 @@
+"""The flow of one relayed call: which upstream next, whether to repeat, and the final result."""
+
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+
+from ..ids import DaemonId, Millis
+from ..members.directory import Endpoint
+from ..states import Outcome, Reason
+from .model import Attempt, RelayResult, Repeat, refused
+
+# Refusals that no upstream saw cost no budget, but each takes a round trip between daemons.
+MAX_HANDOVERS = 4
+# A repeat that starts with less time left than this cannot end in time.
+MIN_LEFT = Millis(10)
+SERVER_ERROR = 500
+
+Choose = Callable[[tuple[DaemonId, ...]], Endpoint | None]
+"""Returns the endpoint for the next attempt, given those tried before."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPolicy:
+    """How often a call may be repeated; `attempts` is the number of upstreams that may run it."""
+
+    repeat: Repeat
+    attempts: int
+
+
+def relay(
+    policy: RelayPolicy,
+    choose: Choose,
+    left: Callable[[], Millis],
+    may_repeat: Callable[[], bool],
+) -> Generator[Attempt, RelayResult, RelayResult]:
+    """Yield attempts, take their results, and return the final result."""
+    tried: tuple[DaemonId, ...] = ()
+    arrivals = 0
+    last: RelayResult | None = None
+    for number in range(MAX_HANDOVERS):
+        if last is not None and left() < MIN_LEFT:
+            return last
+        endpoint = choose(tried)
+        if endpoint is None or endpoint.instance is None:
+            return last or refused(Reason.NO_UPSTREAM)
+        if arrivals and not may_repeat():
+            return last or refused(Reason.RETRY_BUDGET)
+        result = yield Attempt(endpoint.daemon_id, endpoint.instance, number)
+        tried = (*tried, endpoint.daemon_id)
+        arrivals += result.arrived
+        last = worse_kept(last, result)
+        if not repeatable(result, policy, arrivals):
+            return last
+    return last or refused(Reason.NO_UPSTREAM)
+
+
+def repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
+    """Return whether another attempt is allowed after this result."""
+    if result.reason in (Reason.TIMEOUT, Reason.CANCELLED, Reason.DEADLINE):
+        return False
+    if result.outcome is Outcome.NOT_RUN:
+        return arrivals <= policy.attempts
+    if policy.repeat is Repeat.ONCE or arrivals >= policy.attempts:
+        return False
+    response = result.response
+    return response is None or response.status >= SERVER_ERROR
+
+
+def worse_kept(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
+    """Return the result that the caller gets: after a possible run, no refusal may say "not run".
+
+    An upstream's own failure is kept when a repeat of it brought no answer.
+    """
+    if earlier is None or latest.outcome is Outcome.RAN:
+        return latest
+    if earlier.outcome is Outcome.NOT_RUN:
+        return latest
+    return earlier
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/relay/ledger.py
@@ -0,0 +1,94 @@
+"""Remembers handovers next to an upstream, so that each of them runs at most once."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import HandoverId, Millis
+from ..states import Reason
+from .model import RelayResult, refused
+
+# An entry daemon asks again within the longest timeout of a route; 10 s covers reconnects too.
+RETENTION = Millis(10_000)
+MAX_ROWS = 20_000
+# Results are kept for answers that were lost on the way; 8 MiB is a twentieth of a small daemon.
+MAX_RESULT_BYTES = 8 * 1024 * 1024
+
+
+class HandoverState(Enum):
+    """What the daemon next to the upstream knows of a handover."""
+
+    PENDING = "pending"
+    DONE = "done"
+    FENCED = "fenced"
+
+
+@dataclass(slots=True)
+class Row:
+    """One handover."""
+
+    state: HandoverState
+    at: Millis
+    result: RelayResult | None = None
+
+
+class Ledger:
+    """Bounded table of handovers in order of arrival."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.rows: OrderedDict[HandoverId, Row] = OrderedDict()
+        self.result_bytes = 0
+
+    def accept(self, handover_id: HandoverId, now: Millis) -> bool:
+        """Register a handover; return False when it was seen or fenced before."""
+        self._expire(now)
+        if handover_id in self.rows:
+            return False
+        self.rows[handover_id] = Row(HandoverState.PENDING, now)
+        return True
+
+    def finish(self, handover_id: HandoverId, result: RelayResult) -> None:
+        """Keep the result of a handover."""
+        row = self.rows.get(handover_id)
+        if row is not None and row.state is HandoverState.PENDING:
+            row.state = HandoverState.DONE
+            row.result = result
+            self.result_bytes += _size(result)
+            self._shrink()
+
+    def resume(self, handover_id: HandoverId, now: Millis) -> RelayResult | None:
+        """Return the result of a handover, or None while it is pending.
+
+        A handover that never arrived is fenced: it is refused now and whenever it arrives later.
+        """
+        self._expire(now)
+        row = self.rows.get(handover_id)
+        if row is None:
+            self.rows[handover_id] = Row(HandoverState.FENCED, now)
+            return refused(Reason.FENCED)
+        if row.state is HandoverState.FENCED:
+            return refused(Reason.FENCED)
+        return row.result
+
+    def _expire(self, now: Millis) -> None:
+        while self.rows:
+            handover_id, row = next(iter(self.rows.items()))
+            expired = now - row.at > RETENTION or len(self.rows) > MAX_ROWS
+            if not expired or row.state is HandoverState.PENDING:
+                return
+            del self.rows[handover_id]
+            if row.result is not None:
+                self.result_bytes -= _size(row.result)
+
+    def _shrink(self) -> None:
+        for row in self.rows.values():
+            if self.result_bytes <= MAX_RESULT_BYTES:
+                return
+            if row.result is not None and row.result.response is not None:
+                self.result_bytes -= _size(row.result)
+                row.result = RelayResult(row.result.outcome, Reason.RESPONSE_EVICTED, None, True)
+
+
+def _size(result: RelayResult) -> int:
+    return len(result.response.body) if result.response else 0
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -0,0 +1,85 @@
+"""A relayed request, its handover to the daemon next to an upstream, and its result."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import CallId, DaemonId, HandoverId, InstanceId, Millis, RouteName, ServiceName
+from ..states import Outcome, Reason
+
+HeaderRows = tuple[tuple[bytes, bytes], ...]
+
+
+class Repeat(Enum):
+    """Whether a request may run more than once."""
+
+    SAFE = "safe"
+    ONCE = "once"
+
+
+@dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """A whole request; header names in lower case, without those of one connection."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderRows
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RelayResponse:
+    """A whole response of an upstream, without the header fields of one connection."""
+
+    status: int
+    headers: HeaderRows
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """One attempt at one upstream; times are milliseconds left when it was sent."""
+
+    handover_id: HandoverId
+    call_id: CallId
+    route: RouteName
+    service: ServiceName
+    instance: InstanceId
+    repeat: Repeat
+    rank: int
+    left: Millis
+    request: RelayRequest
+
+
+@dataclass(frozen=True, slots=True)
+class RelayResult:
+    """What became of a handover or of the whole call.
+
+    `arrived` tells whether the upstream was sent the request; `load` is the number of calls that
+    ran and waited next to it, `slots` its capacity; both are 0 when unknown.
+    """
+
+    outcome: Outcome
+    reason: Reason | None = None
+    response: RelayResponse | None = None
+    arrived: bool = False
+    load: int = 0
+    slots: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Action of the flow: hand the call over to this upstream."""
+
+    daemon_id: DaemonId
+    instance: InstanceId
+    number: int
+
+
+def refused(reason: Reason, load: int = 0, slots: int = 0, arrived: bool = False) -> RelayResult:
+    """Return the result of a call that did not run and will not run."""
+    return RelayResult(Outcome.NOT_RUN, reason, None, arrived, load, slots)
+
+
+def lost(reason: Reason) -> RelayResult:
+    """Return the result of a call that may have run."""
+    return RelayResult(Outcome.UNKNOWN, reason, None, True)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/routing/nearest.py
@@ -0,0 +1,152 @@
+"""Choice of an upstream by load, observed speed and distance."""
+
+import math
+import random
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from ..ids import ZERO_MS, DaemonId, DataCentreName, InstanceId, Millis, RegionName
+from ..members.directory import Endpoint
+from ..relay.model import RelayResult
+from ..states import Outcome, Reason
+
+# A reported load loses half of its weight in this time: calls last some tens of milliseconds.
+LOAD_HALF_LIFE = Millis(250)
+# Extra share of busy slots that a nearer upstream may have before a farther one is chosen; bytes
+# between regions are the dearest, so the other region is the last choice.
+DATA_CENTRE_PENALTY = 0.0
+REGION_PENALTY = 0.3
+REMOTE_PENALTY = 0.75
+LATENCY_WEIGHT = 0.1
+FAILURE_WEIGHT = 0.15
+# An upstream that fails one call in five costs as much as one with twice the load.
+FAILURE_COST = 5.0
+FAILURE_HALF_LIFE = Millis(1_500)
+# Bounds how far observed speed can move traffic, as latency also holds the caller's own queueing.
+MAX_SLOWNESS = 6.0
+EJECTION = Millis(400)
+COLD_COST = 2.0
+SERVER_ERROR = 500
+UNREACHABLE = frozenset(
+    (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM, Reason.LEAVING, Reason.WRONG_INSTANCE)
+)
+CROWDED = frozenset((Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.SHED, Reason.DEADLINE))
+
+
+@dataclass(slots=True)
+class Stats:
+    """What this daemon saw of one instance of an upstream."""
+
+    instance: InstanceId
+    outstanding: int = 0
+    others: float = 0.0
+    load_at: Millis = ZERO_MS
+    slots: int = 0
+    slowness: float = 1.0
+    failures: float = 0.0
+    failed_at: Millis = ZERO_MS
+    ejected_until: Millis = ZERO_MS
+
+
+class NearestBalancer:
+    """Chooses endpoints for attempts and learns from their results."""
+
+    def __init__(self, region: RegionName, data_centre: DataCentreName, rng: random.Random) -> None:
+        """Start without observations."""
+        self.region = region
+        self.data_centre = data_centre
+        self.rng = rng
+        self.stats: dict[DaemonId, Stats] = {}
+        self.expected: dict[str, float] = {}
+
+    def choose(
+        self, rows: Iterable[Endpoint], tried: Collection[DaemonId], now: Millis
+    ) -> Endpoint | None:
+        """Return the cheapest endpoint that was not tried, or None."""
+        best: Endpoint | None = None
+        best_cost = math.inf
+        for row in rows:
+            if row.daemon_id in tried:
+                continue
+            cost = self.cost(row, now)
+            if cost < best_cost:
+                best, best_cost = row, cost
+        return best
+
+    def cost(self, row: Endpoint, now: Millis) -> float:
+        """Return the share of busy slots, scaled by slowness and failures, plus the distance."""
+        stats = self.of(row)
+        slots = max(1.0, stats.slots or row.slots)
+        if row.cold > 0:
+            slots = max(1.0, slots / COLD_COST)
+        busy = (stats.outstanding + self._others(stats, now) + 1.0) / slots
+        failures = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
+        cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failures)
+        if now < stats.ejected_until:
+            cost += 100.0
+        return cost + self._penalty(row) + self.rng.random() * 0.02
+
+    def of(self, row: Endpoint) -> Stats:
+        """Return the observations of the current instance of an endpoint."""
+        stats = self.stats.get(row.daemon_id)
+        assert row.instance is not None
+        if stats is None or stats.instance != row.instance:
+            outstanding = stats.outstanding if stats else 0
+            stats = Stats(row.instance, outstanding)
+            self.stats[row.daemon_id] = stats
+        return stats
+
+    def started(self, row: Endpoint) -> None:
+        """Count an attempt."""
+        self.of(row).outstanding += 1
+
+    def ended(
+        self, daemon_id: DaemonId, result: RelayResult, took: Millis, route: str, now: Millis
+    ) -> None:
+        """Learn from the result of an attempt that took `took` milliseconds."""
+        stats = self.stats.get(daemon_id)
+        if stats is None:
+            return
+        stats.outstanding = max(0, stats.outstanding - 1)
+        if result.slots:
+            stats.slots = result.slots
+            stats.others = max(0.0, result.load - stats.outstanding)
+            stats.load_at = now
+        if result.reason in UNREACHABLE:
+            stats.ejected_until = Millis(now + EJECTION)
+        elif result.reason in CROWDED:
+            stats.ejected_until = Millis(now + EJECTION / 8)
+        failed = result.outcome is Outcome.UNKNOWN or (
+            result.response is not None and result.response.status >= SERVER_ERROR
+        )
+        if result.reason is Reason.CANCELLED:
+            return
+        self._learn_failure(stats, failed, now)
+        if result.outcome is Outcome.RAN and not failed:
+            self._learn_latency(stats, took, route)
+
+    def retain(self, daemon_ids: Collection[DaemonId]) -> None:
+        """Forget daemons that are gone."""
+        self.stats = {i: row for i, row in self.stats.items() if i in daemon_ids}
+
+    def _learn_failure(self, stats: Stats, failed: bool, now: Millis) -> None:
+        held = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
+        stats.failures = held + FAILURE_WEIGHT * (failed - held)
+        stats.failed_at = now
+
+    def _learn_latency(self, stats: Stats, took: Millis, route: str) -> None:
+        expected = self.expected.get(route)
+        if expected is None:
+            self.expected[route] = took
+            return
+        ratio = min(MAX_SLOWNESS, took / max(1.0, expected))
+        self.expected[route] = expected + 0.02 * (min(took, 4 * expected) - expected)
+        stats.slowness += LATENCY_WEIGHT * (max(0.3, ratio) - stats.slowness)
+
+    def _others(self, stats: Stats, now: Millis) -> float:
+        return stats.others * math.exp2(-(now - stats.load_at) / LOAD_HALF_LIFE)
+
+    def _penalty(self, row: Endpoint) -> float:
+        if row.data_centre == self.data_centre:
+            return DATA_CENTRE_PENALTY
+        return REGION_PENALTY if row.region == self.region else REMOTE_PENALTY
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -61,6 +61,11 @@
     CONNECTION_LOST = "connection-lost"
     TIMEOUT = "timeout"
     BAD_REQUEST = "bad-request"
+    OVERLOADED = "overloaded"
+    WRONG_INSTANCE = "wrong-instance"
+    BAD_ANSWER = "bad-answer"
+    CANCELLED = "cancelled"
+    FENCED = "fenced"
 
 
 class WorkClass(Enum):
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -0,0 +1,96 @@
+"""Messages between the tasks that relay calls."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from agatecross_core.ids import DaemonId, HandoverId, InstanceId, ServiceName
+from agatecross_core.members.announcement import Heartbeat
+from agatecross_core.members.directory import Endpoint
+from agatecross_core.relay.model import Handover, RelayResult
+from agatecross_core.routing.host_table import HostTable
+
+ResultReceiver = Callable[[HandoverId, RelayResult], None]
+
+
+@dataclass(frozen=True, slots=True)
+class TableInForce:
+    """A configuration came into force."""
+
+    table: HostTable
+
+
+@dataclass(frozen=True, slots=True)
+class FleetChanged:
+    """The endpoints that take calls changed; `daemons` counts the known daemons."""
+
+    by_service: Mapping[ServiceName, tuple[Endpoint, ...]]
+    daemons: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Run this call next to the upstream; `reply` gets the result once."""
+
+    handover: Handover
+    reply: ResultReceiver
+
+
+@dataclass(frozen=True, slots=True)
+class SendTo:
+    """Hand a call over to the daemon next to the chosen upstream."""
+
+    daemon_id: DaemonId
+    handover: Handover
+    reply: ResultReceiver
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAt:
+    """The caller no longer waits for a handover to this daemon."""
+
+    daemon_id: DaemonId
+    handover_id: HandoverId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelHandover:
+    """The entry daemon no longer waits for this handover."""
+
+    handover_id: HandoverId
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeHandover:
+    """The entry daemon lost its connection and asks again."""
+
+    handover_id: HandoverId
+    reply: ResultReceiver
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReceived:
+    """The upstream next to this daemon described itself."""
+
+    beat: Heartbeat
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveReceived:
+    """The upstream next to this daemon takes no more new calls."""
+
+    instance: InstanceId
+    born: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamDescribed:
+    """What the daemon tells its peers of the upstream next to it."""
+
+    changes: Mapping[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class LogReached:
+    """Whether the platform's log answered lately."""
+
+    reached: bool
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -0,0 +1,64 @@
+"""Counters and latency histograms of relayed calls, in the common exposition format."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from agatecross_core.ids import ServiceName
+from agatecross_core.relay.model import RelayResult
+from agatecross_core.states import Reason
+
+# From the added latency of a hop up to the longest timeouts of today's routes, in seconds.
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+MILLIS_PER_SECOND = 1000.0
+
+
+class RelayMetrics:
+    """Metrics of one daemon; label values are services of the configuration and enum values."""
+
+    def __init__(self) -> None:
+        """Register the metrics."""
+        self.registry = CollectorRegistry()
+        self.calls = Counter(
+            "agatecross_calls_total",
+            "Calls by service, outcome and reason.",
+            ("service", "outcome", "reason"),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "agatecross_refusals_total",
+            "Requests without a route or before a configuration.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "agatecross_call_seconds",
+            "Time from the first byte of a request to its answer.",
+            ("service",),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.version = Gauge(
+            "agatecross_config_version", "Configuration in force.", registry=self.registry
+        )
+        self.store_calls = Counter(
+            "agatecross_store_calls_total",
+            "Calls to the platform's store by operation and result.",
+            ("operation", "result"),
+            registry=self.registry,
+        )
+        self.peers = Gauge(
+            "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
+        )
+
+    def call_ended(self, service: ServiceName, result: RelayResult, took: float) -> None:
+        """Count a call that took `took` milliseconds."""
+        reason = result.reason.value if result.reason else ""
+        self.calls.labels(service, result.outcome.value, reason).inc()
+        self.seconds.labels(service).observe(took / MILLIS_PER_SECOND)
+
+    def refused(self, reason: Reason) -> None:
+        """Count a request that was refused before it had a service."""
+        self.refusals.labels(reason.value).inc()
+
+    def text(self) -> bytes:
+        """Return the metrics as text."""
+        return generate_latest(self.registry)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -5,18 +5,18 @@
 from pathlib import Path
 from typing import Any
 
-from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.policies import POLICIES
 from agatecross_core.config.check import check_table
 from agatecross_core.config.forms import check_address, check_ip, check_name
-from agatecross_core.config.model import DecodedDocument, Document
+from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
 from agatecross_core.distribution.baselines import FOLLOWERS
-from agatecross_core.errors import DocumentSyntaxError, SettingsError
+from agatecross_core.errors import SettingsError
 from agatecross_core.findings import Finding, sort_findings
-from agatecross_core.ids import Address, DaemonId, DataCentreName, DocumentName, RegionName
+from agatecross_core.ids import Address, DaemonId, DataCentreName, RegionName
 from agatecross_core.routing.balancers import BALANCERS
 
+from .settings_file import read_settings
 from .telemetry import TelemetrySettings
 
 TOP_KEYS: Mapping[str, Key] = {
@@ -82,14 +82,11 @@
 
 def load_settings(path: Path) -> Settings:
     """Read the settings; raises `SettingsError` with every finding."""
-    try:
-        document = Document(DocumentName(str(path)), path.read_text(encoding="utf-8"))
-    except UnicodeDecodeError as error:
-        raise SettingsError(f"{path}: not UTF-8") from error
-    try:
-        decoded = decode_toml(document)
-    except DocumentSyntaxError as error:
-        raise SettingsError(str(error)) from error
+    return fleet_settings(read_settings(path))
+
+
+def fleet_settings(decoded: DecodedDocument) -> Settings:
+    """Return the settings; raises `SettingsError` with every finding."""
     findings = list(sort_findings(_check(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -0,0 +1,188 @@
+"""A daemon that relays calls on the users' platform: its tasks, its life cycle."""
+
+import asyncio
+import random
+import signal
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+from agatecross_adapters.header_names import HeaderNames
+from agatecross_adapters.http_server import TornadoHttpListener
+from agatecross_adapters.protocols import FleetStore, RequestHandler
+from agatecross_core.calls.model import Request, Response
+from agatecross_core.ids import Incarnation, Millis
+from agatecross_core.members.announcement import Announcements
+from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.routing.host_table import HostTable
+from agatecross_core.routing.nearest import NearestBalancer
+
+from .decision_log import DecisionLog
+from .direct_mailbox import DirectMailbox
+from .mailbox import Sender, monotonic
+from .relay_messages import HeartbeatReceived, LeaveReceived
+from .relay_metrics import RelayMetrics
+from .sidecar_settings import SidecarSettings
+from .tasks.entry_task import EntryMessage, EntryTask
+from .tasks.exit_task import ExitMessage, ExitTask
+from .tasks.peers_task import PeersMessage, PeersTask
+from .tasks.source_task import SourceMessage, SourceTask
+
+# Callers are moved to other daemons after two missed readiness checks, one a second.
+MOVE_AWAY = Millis(2_600)
+# Connections that still wait for an answer are closed this long before SIGKILL.
+EXIT_MARGIN = Millis(400)
+DRAIN_POLL_SECONDS = 0.02
+
+
+class FrontEnd(Protocol):
+    """What a platform brings: its store, header names, and its decoders."""
+
+    names: HeaderNames
+    store: FleetStore
+
+    def decode_config(self, data: bytes, /) -> HostTable:
+        """Return the compiled configuration; raises `MessageDecodeError`."""
+        ...
+
+    def heartbeats(self, sender: "Sender[HeartbeatReceived | LeaveReceived]") -> RequestHandler:
+        """Return the handler of what an upstream says to the daemon next to it."""
+        ...
+
+    def is_ready_check(self, request: Request) -> bool:
+        """Return whether a request asks if the daemon is ready."""
+        ...
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """The tasks of one daemon."""
+
+    settings: SidecarSettings
+    front_end: FrontEnd
+    entry: EntryTask
+    exit: ExitTask
+    peers: PeersTask
+    source: SourceTask
+    log: DecisionLog
+    metrics: RelayMetrics
+    exit_box: DirectMailbox[ExitMessage]
+    leaving: bool = False
+
+    async def start(self) -> None:
+        """Open every listener."""
+        settings = self.settings
+        await self.peers.start()
+        await self.entry.start()
+        heartbeats = self.front_end.heartbeats(self.exit_box)
+        TornadoHttpListener().listen(settings.heartbeats, heartbeats)
+        TornadoHttpListener().listen(settings.ready, self._ready)
+        TornadoHttpListener().listen(settings.metrics, self._metrics)
+
+    async def drain(self) -> None:
+        """Move callers away, finish every call, then close."""
+        begun = monotonic()
+        self.leaving = True
+        self.exit.leave()
+        self.peers.leave()
+        await asyncio.sleep(min(MOVE_AWAY, self.settings.grace / 2) / 1000)
+        self.entry.listener.close_idle()
+        last = begun + self.settings.grace - EXIT_MARGIN
+        while monotonic() < last and (self.entry.listener.pending or self.exit.pending):
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self.entry.listener.close()
+
+    async def _ready(self, request: Request) -> Response:
+        if not self.front_end.is_ready_check(request):
+            return Response(404, (), b"")
+        ready = self.entry.table is not None and not self.leaving
+        return Response(200 if ready else 503, (), b"")
+
+    async def _metrics(self, request: Request) -> Response:
+        del request
+        return Response(200, (("Content-Type", "text/plain; version=0.0.4"),), self.metrics.text())
+
+
+def build(settings: SidecarSettings, front_end: FrontEnd) -> Sidecar:
+    """Create the tasks and join their mailboxes."""
+    rng = random.Random(settings.seed)
+    log, metrics = DecisionLog(), RelayMetrics()
+    me = Endpoint(
+        settings.daemon_id,
+        Incarnation(int(time.time() * 1000)),
+        0,
+        settings.peers,
+        settings.region,
+        settings.data_centre,
+        settings.service,
+    )
+    directory = Directory(me)
+    entry_box: DirectMailbox[EntryMessage] = DirectMailbox()
+    exit_box: DirectMailbox[ExitMessage] = DirectMailbox()
+    peers_box: DirectMailbox[PeersMessage] = DirectMailbox()
+    source_box: DirectMailbox[SourceMessage] = DirectMailbox()
+    retries = settings.retries
+    entry = EntryTask(
+        entry_box,
+        settings.service,
+        settings.callers,
+        front_end.names,
+        NearestBalancer(settings.region, settings.data_centre, rng),
+        lambda: FleetBudget(retries.ratio, retries.slack, retries.window),
+        peers_box,
+        rng,
+        log,
+        metrics,
+    )
+    exit_task = ExitTask(
+        exit_box,
+        Announcements(settings.service, settings.upstream),
+        settings.heartbeat_period,
+        front_end.names,
+        peers_box,
+        log,
+    )
+    peers = PeersTask(peers_box, directory, exit_box, entry_box, source_box, rng, log, metrics)
+    source = SourceTask(
+        source_box,
+        front_end.store,
+        front_end.decode_config,
+        directory,
+        entry_box,
+        peers_box,
+        rng,
+        log,
+        metrics,
+    )
+    return Sidecar(settings, front_end, entry, exit_task, peers, source, log, metrics, exit_box)
+
+
+async def serve(settings: SidecarSettings, front_end: FrontEnd) -> None:
+    """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
+    sidecar = build(settings, front_end)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    # Nothing of the settings can change while the daemon runs, so a reload is only noted.
+    loop.add_signal_handler(signal.SIGHUP, lambda: sidecar.log.change("settings_unchanged"))
+    await sidecar.start()
+    sidecar.log.change(
+        "daemon_started", daemon=settings.daemon_id, service=settings.service, peers=settings.peers
+    )
+    tasks = (sidecar.exit, sidecar.peers, sidecar.source)
+    running = [asyncio.ensure_future(task.run()) for task in tasks]
+    stopping = asyncio.ensure_future(stop.wait())
+    done, _ = await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
+    if stopping in done:
+        sidecar.log.change("daemon_leaving", pending=sidecar.entry.listener.pending)
+        await sidecar.drain()
+    for task in running:
+        task.cancel()
+    results = await asyncio.gather(*running, return_exceptions=True)
+    sidecar.log.change("daemon_stopped", daemon=settings.daemon_id)
+    sidecar.log.flush()
+    for result in results:
+        if isinstance(result, Exception):
+            raise result
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -0,0 +1,133 @@
+"""Settings of a daemon that relays calls on the users' platform, read from TOML, checked whole."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from agatecross_core.config.check import check_table
+from agatecross_core.config.forms import check_address, check_name
+from agatecross_core.config.model import DecodedDocument
+from agatecross_core.config.schema import Key
+from agatecross_core.durations import check_duration, parse_duration
+from agatecross_core.errors import SettingsError
+from agatecross_core.findings import Finding, sort_findings
+from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName, ServiceName
+
+TOP_KEYS: Mapping[str, Key] = {
+    "sidecar": Key(dict, required=True),
+    "listen": Key(dict, required=True),
+    "upstream": Key(dict, required=True),
+    "store": Key(dict, required=True),
+    "retries": Key(dict, required=True),
+    "shutdown": Key(dict, required=True),
+}
+NAME = Key(str, required=True, form=check_name)
+DURATION = Key(str, required=True, form=check_duration)
+ADDRESS = Key(str, required=True, form=check_address)
+TABLES: Mapping[str, Mapping[str, Key]] = {
+    "sidecar": {"id": NAME, "region": NAME, "data_centre": NAME, "seed": Key(int)},
+    "listen": {
+        "callers": ADDRESS,
+        "peers": ADDRESS,
+        "ready": ADDRESS,
+        "heartbeats": ADDRESS,
+        "metrics": ADDRESS,
+    },
+    "upstream": {
+        "service": NAME,
+        "address": ADDRESS,
+        "heartbeat": DURATION,
+    },
+    "store": {"address": ADDRESS},
+    "retries": {
+        "ratio": Key(float, required=True, low=0.0, high=1.0),
+        "slack": Key(float, required=True, low=0.0, high=100_000),
+        "window": DURATION,
+    },
+    "shutdown": {"grace": DURATION},
+}
+
+
+@dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """Repeats that the whole fleet may send to one service in a window, in milliseconds."""
+
+    ratio: float
+    slack: float
+    window: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class SidecarSettings:
+    """Settings of one daemon; `grace` is the time from SIGTERM to SIGKILL, in milliseconds."""
+
+    daemon_id: DaemonId
+    region: RegionName
+    data_centre: DataCentreName
+    callers: Address
+    peers: Address
+    ready: Address
+    heartbeats: Address
+    metrics: Address
+    service: ServiceName
+    upstream: Address
+    heartbeat_period: Millis
+    store: Address
+    retries: RetrySettings
+    grace: Millis
+    seed: int | None = None
+
+
+def is_sidecar(decoded: DecodedDocument) -> bool:
+    """Return whether the settings are those of a daemon on the users' platform."""
+    return "sidecar" in decoded.values
+
+
+def sidecar_settings(decoded: DecodedDocument) -> SidecarSettings:
+    """Return the settings; raises `SettingsError` with every finding."""
+    findings = list(sort_findings(_check(decoded)))
+    if findings:
+        raise SettingsError("\n".join(str(finding) for finding in findings))
+    return _build(decoded.values)
+
+
+def _check(decoded: DecodedDocument) -> Iterator[Finding]:
+    yield from check_table(decoded.place, decoded.values, TOP_KEYS, ())
+    for name, keys in TABLES.items():
+        table = decoded.values.get(name)
+        if isinstance(table, Mapping):
+            yield from check_table(decoded.place, table, keys, (name,))
+    listen = decoded.values.get("listen")
+    if isinstance(listen, Mapping):
+        yield from _check_distinct(decoded, listen)
+
+
+def _check_distinct(decoded: DecodedDocument, listen: Mapping[str, object]) -> Iterator[Finding]:
+    taken: dict[object, str] = {}
+    for name, address in listen.items():
+        if address in taken:
+            message = f"{taken[address]!r} has the same address"
+            yield Finding(decoded.place(("listen", name)), "same-address", message)
+        taken.setdefault(address, name)
+
+
+def _build(values: Mapping[str, Any]) -> SidecarSettings:
+    me, listen, upstream = values["sidecar"], values["listen"], values["upstream"]
+    retries = values["retries"]
+    return SidecarSettings(
+        DaemonId(me["id"]),
+        RegionName(me["region"]),
+        DataCentreName(me["data_centre"]),
+        Address(listen["callers"]),
+        Address(listen["peers"]),
+        Address(listen["ready"]),
+        Address(listen["heartbeats"]),
+        Address(listen["metrics"]),
+        ServiceName(upstream["service"]),
+        Address(upstream["address"]),
+        parse_duration(upstream["heartbeat"]),
+        Address(values["store"]["address"]),
+        RetrySettings(retries["ratio"], retries["slack"], parse_duration(retries["window"])),
+        parse_duration(values["shutdown"]["grace"]),
+        me.get("seed"),
+    )
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -0,0 +1,285 @@
+"""Owns the connections to the upstream next to this daemon and starts calls on it."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from agatecross_adapters.header_names import HeaderNames
+from agatecross_adapters.upstream_http import Failure, Sending, UpstreamPool
+from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
+from agatecross_core.ids import Address, HandoverId, InstanceId, Millis
+from agatecross_core.members.announcement import Announcements, Heartbeat
+from agatecross_core.relay.answers import judge
+from agatecross_core.relay.ledger import Ledger
+from agatecross_core.relay.model import (
+    Handover,
+    RelayResponse,
+    RelayResult,
+    Repeat,
+    lost,
+    refused,
+)
+from agatecross_core.states import Reason, UpstreamState
+
+from ..decision_log import DecisionLog
+from ..direct_mailbox import DirectMailbox
+from ..mailbox import Sender, monotonic
+from ..relay_messages import (
+    CancelHandover,
+    HandOver,
+    HeartbeatReceived,
+    LeaveReceived,
+    ResultReceiver,
+    ResumeHandover,
+    UpstreamDescribed,
+)
+
+ExitMessage = HandOver | CancelHandover | ResumeHandover | HeartbeatReceived | LeaveReceived
+TICK_SECONDS = 0.1
+# An upstream that missed this many heartbeats no longer gets calls.
+MISSED_HEARTBEATS = 4
+# A refused connection is tried again after this time, if no heartbeat comes before.
+DOWN_TIME = Millis(1_000)
+
+
+@dataclass(slots=True)
+class ExitCall:
+    """A call that waits or runs; `reply` is None after it was answered."""
+
+    handover: Handover
+    deadline: Millis
+    reply: ResultReceiver | None
+    sending: Sending | None = None
+    timer: asyncio.TimerHandle | None = None
+
+
+class ExitTask:
+    """Admits calls to the upstream, in order of importance, each at most once."""
+
+    def __init__(
+        self,
+        mailbox: DirectMailbox[ExitMessage],
+        announcements: Announcements,
+        heartbeat_period: Millis,
+        names: HeaderNames,
+        peers: Sender[UpstreamDescribed],
+        log: DecisionLog,
+    ) -> None:
+        self.mailbox = mailbox
+        mailbox.own(self._handle)
+        self.announcements = announcements
+        self.lease = Millis(heartbeat_period * MISSED_HEARTBEATS)
+        self.names = names
+        self.peers = peers
+        self.log = log
+        self.queue = SlotQueue()
+        self.ledger = Ledger()
+        self.calls: dict[HandoverId, ExitCall] = {}
+        self.pool = UpstreamPool(Address(announcements.address), names, self._unreachable)
+        self.instance: InstanceId | None = None
+        self.state = UpstreamState.STARTING
+        self.down_until = Millis(0)
+        self.leaving = False
+
+    async def run(self) -> None:
+        """Expire the lease of a silent upstream until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(TICK_SECONDS)
+                self._tick(monotonic())
+        finally:
+            self.pool.close()
+
+    @property
+    def pending(self) -> int:
+        """Return the number of calls that wait or run."""
+        return len(self.calls)
+
+    def leave(self) -> None:
+        """Refuse new calls, as the daemon is stopping."""
+        self.leaving = True
+
+    def _handle(self, message: ExitMessage) -> None:
+        match message:
+            case HandOver(handover, reply):
+                self._hand_over(handover, reply)
+            case CancelHandover(handover_id):
+                self._cancel(handover_id)
+            case ResumeHandover(handover_id, reply):
+                self._resume(handover_id, reply)
+            case HeartbeatReceived(beat):
+                self._heartbeat(beat)
+            case LeaveReceived(instance, born):
+                self._leave(instance, born)
+
+    def _hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
+        now = monotonic()
+        if not self.ledger.accept(handover.handover_id, now):
+            self._resume(handover.handover_id, reply)
+            return
+        reason = self._gate(handover, now)
+        if reason is not None:
+            result = refused(reason, self.queue.load, self.queue.slots)
+            self.ledger.finish(handover.handover_id, result)
+            reply(handover.handover_id, result)
+            return
+        deadline = Millis(now + handover.left)
+        call = ExitCall(handover, deadline, reply)
+        self.calls[handover.handover_id] = call
+        loop = asyncio.get_running_loop()
+        call.timer = loop.call_later(handover.left / 1000, self._timed_out, handover.handover_id)
+        waiting = Waiting(handover.handover_id, handover.route, handover.rank, now, deadline)
+        self._act(self.queue.arrived(waiting, now))
+
+    def _gate(self, handover: Handover, now: Millis) -> Reason | None:
+        if self.leaving or self.state is UpstreamState.DRAINING:
+            return Reason.LEAVING
+        if self.instance is None or self.state is not UpstreamState.READY or now < self.down_until:
+            return Reason.NO_UPSTREAM
+        if handover.instance != self.instance:
+            return Reason.WRONG_INSTANCE
+        return None
+
+    def _act(self, actions: Iterable[Start | Refuse]) -> None:
+        for action in list(actions):
+            call = self.calls.get(action.handover_id)
+            if call is None:
+                continue
+            if isinstance(action, Refuse):
+                self._answer(call, refused(action.reason))
+                self._forget(call)
+            else:
+                self._start(call)
+
+    def _start(self, call: ExitCall) -> None:
+        left = Millis(call.deadline - monotonic())
+        call.sending = self.pool.send(call.handover, left, lambda done: self._done(call, done))
+
+    def _done(self, call: ExitCall, done: RelayResponse | Failure) -> None:
+        now = monotonic()
+        result = self._result(call, done)
+        learn = result.response is not None and call.reply is not None
+        self.queue.finished(call.handover.handover_id, now, learn)
+        self._answer(call, result)
+        self._forget(call)
+        self._act(self.queue.next(now))
+
+    def _result(self, call: ExitCall, done: RelayResponse | Failure) -> RelayResult:
+        if isinstance(done, RelayResponse):
+            return judge(done, self.names.stamp, self.names.not_run)
+        if done is Failure.NOT_CONNECTED:
+            return refused(Reason.CONNECT_FAILED)
+        reason = Reason.BAD_ANSWER if done is Failure.MALFORMED else Reason.CONNECTION_LOST
+        return lost(reason)
+
+    def _answer(self, call: ExitCall, result: RelayResult) -> None:
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
+        whole = RelayResult(
+            result.outcome,
+            result.reason,
+            result.response,
+            result.arrived,
+            self.queue.load,
+            self.queue.slots,
+        )
+        self.ledger.finish(call.handover.handover_id, whole)
+        if result.reason is not None:
+            self.log.call_failed(
+                "handover_failed",
+                call_id=call.handover.call_id,
+                service=call.handover.service,
+                instance=call.handover.instance,
+                outcome=result.outcome.value,
+                reason=result.reason.value,
+                load=self.queue.load,
+                left_ms=int(call.deadline - monotonic()),
+            )
+        reply, call.reply = call.reply, None
+        if reply is not None:
+            reply(call.handover.handover_id, whole)
+
+    def _forget(self, call: ExitCall) -> None:
+        self.calls.pop(call.handover.handover_id, None)
+
+    def _timed_out(self, handover_id: HandoverId) -> None:
+        call = self.calls.get(handover_id)
+        if call is None:
+            return
+        if call.sending is None:
+            self.queue.cancel(handover_id)
+            self._answer(call, refused(Reason.DEADLINE))
+            self._forget(call)
+            return
+        self._answer(call, lost(Reason.TIMEOUT))
+        self._stop(call)
+
+    def _cancel(self, handover_id: HandoverId) -> None:
+        call = self.calls.get(handover_id)
+        if call is None:
+            return
+        call.reply = None
+        if call.sending is None:
+            self.queue.cancel(handover_id)
+            self._answer(call, refused(Reason.CANCELLED))
+            self._forget(call)
+        else:
+            self._stop(call)
+
+    def _stop(self, call: ExitCall) -> None:
+        # A call that must not run twice goes on: its result may still be asked for.
+        if call.sending is not None and call.handover.repeat is Repeat.SAFE:
+            call.sending.stop()
+
+    def _resume(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
+        result = self.ledger.resume(handover_id, monotonic())
+        if result is not None:
+            reply(handover_id, result)
+            return
+        call = self.calls.get(handover_id)
+        if call is not None:
+            call.reply = reply
+
+    def _heartbeat(self, beat: Heartbeat) -> None:
+        now = monotonic()
+        if not self.announcements.heartbeat(beat, now):
+            self.log.change("heartbeat_ignored", instance=beat.instance, sequence=beat.sequence)
+            return
+        left = (beat.instance, beat.born) in self.announcements.left
+        state = UpstreamState.DRAINING if left else beat.state
+        self.down_until = Millis(0)
+        self.queue.slots = beat.slots
+        self.queue.cold_until = Millis(now + beat.cold)
+        self._describe(beat.instance, state, beat)
+
+    def _leave(self, instance: InstanceId, born: int | None) -> None:
+        if self.announcements.leave(instance, born) and self.instance in (instance, None):
+            self._describe(instance, UpstreamState.DRAINING, self.announcements.current)
+
+    def _describe(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat | None) -> None:
+        if instance == self.instance and state is self.state:
+            return
+        self.log.change(
+            "upstream_changed", instance=instance, state=state.value, was=self.state.value
+        )
+        self.instance, self.state = instance, state
+        changes: dict[str, object] = {"instance": instance, "state": state}
+        if beat is not None:
+            changes |= {"born": beat.born, "slots": beat.slots, "cold": beat.cold}
+        if state is UpstreamState.DRAINING:
+            self._act(self.queue.clear(Reason.LEAVING))
+        self.peers.put(UpstreamDescribed(changes))
+
+    def _unreachable(self) -> None:
+        now = monotonic()
+        if now >= self.down_until:
+            self.log.change("upstream_unreachable", instance=self.instance or "")
+        self.down_until = Millis(now + DOWN_TIME)
+        self._act(self.queue.clear(Reason.NO_UPSTREAM))
+
+    def _tick(self, now: Millis) -> None:
+        silent = now - self.announcements.heard_at > self.lease
+        if silent and self.instance is not None and self.state is UpstreamState.READY:
+            self._describe(self.instance, UpstreamState.STARTING, self.announcements.current)
+        self._act(self.queue.next(now))
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -0,0 +1,347 @@
+"""Owns the connections between daemons and the directory of the fleet."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from agatecross_adapters.frames import FrameConnection
+from agatecross_adapters.hop_codec import (
+    Cancel,
+    ConfigBlob,
+    Endpoints,
+    Hello,
+    HopMessage,
+    Ping,
+    Pull,
+    Result,
+    Resume,
+    decode_hop,
+    encode_hop,
+)
+from agatecross_core.errors import MessageDecodeError
+from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
+from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.relay.model import Handover, RelayResult, refused
+from agatecross_core.states import Reason, UpstreamState
+
+from ..decision_log import DecisionLog
+from ..direct_mailbox import DirectMailbox
+from ..mailbox import Sender, monotonic
+from ..relay_messages import (
+    CancelAt,
+    CancelHandover,
+    FleetChanged,
+    HandOver,
+    LeaveReceived,
+    LogReached,
+    ResumeHandover,
+    SendTo,
+    UpstreamDescribed,
+)
+from ..relay_metrics import RelayMetrics
+from ..source_messages import ConfigChanged, ConfigReceived, EndpointsRead, PeerForgotten
+from .exit_task import ExitMessage
+from .peer_link import PeerLink
+
+PeersMessage = SendTo | CancelAt | UpstreamDescribed | LogReached | ConfigChanged | EndpointsRead
+TICK_SECONDS = 0.1
+BACKLOG = 1024
+# Handovers whose connection is gone are given up when their entry daemon does not ask for them.
+ORPHAN_TIME = Millis(1_500)
+PULL_PERIOD = Millis(300)
+# A daemon that was unreachable for this long is forgotten; it announces itself when it is back.
+FORGET_TIME = Millis(20_000)
+
+
+class Inbound:
+    """A connection that another daemon dialed."""
+
+    def __init__(self, connection: FrameConnection) -> None:
+        self.connection = connection
+        self.daemon_id: DaemonId | None = None
+        self.handovers: set[HandoverId] = set()
+
+    def send(self, message: HopMessage) -> None:
+        """Send a message."""
+        self.connection.send(encode_hop(message))
+
+
+class PeersTask:
+    """Dials every known daemon; carries handovers, descriptions and configurations."""
+
+    def __init__(
+        self,
+        mailbox: DirectMailbox[PeersMessage],
+        directory: Directory,
+        exit_box: Sender[ExitMessage],
+        entry: Sender[FleetChanged],
+        source: Sender[ConfigReceived | PeerForgotten],
+        rng: random.Random,
+        log: DecisionLog,
+        metrics: RelayMetrics,
+    ) -> None:
+        mailbox.own(self._handle)
+        self.directory = directory
+        self.exit = exit_box
+        self.entry = entry
+        self.source = source
+        self.rng = rng
+        self.log = log
+        self.metrics = metrics
+        self.links: dict[DaemonId, PeerLink] = {}
+        self.inbound: dict[FrameConnection, Inbound] = {}
+        self.orphans: list[tuple[Millis, HandoverId]] = []
+        self.server: asyncio.Server | None = None
+        self.version = Version(0)
+        self.blob = b""
+        self.pulled_at = Millis(0)
+        self.open_links: frozenset[DaemonId] = frozenset()
+
+    async def start(self) -> None:
+        """Start to accept other daemons."""
+        loop = asyncio.get_running_loop()
+        host, _, port = self.directory.me.address.rpartition(":")
+        self.server = await loop.create_server(
+            lambda: FrameConnection(self._accepted, self._frame, self._closed),
+            host,
+            int(port),
+            backlog=BACKLOG,
+        )
+        self._publish()
+
+    async def run(self) -> None:
+        """Watch the connections until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(TICK_SECONDS)
+                self._tick(monotonic())
+        finally:
+            for link in self.links.values():
+                link.close()
+            if self.server is not None:
+                self.server.close()
+
+    def leave(self) -> None:
+        """Tell every peer that this daemon takes no more calls."""
+        self._announce(self.directory.update(leaving=True))
+
+    def _handle(self, message: PeersMessage) -> None:
+        match message:
+            case SendTo(daemon_id, handover, reply):
+                self._send_to(daemon_id, handover, reply)
+            case CancelAt(daemon_id, handover_id):
+                self._cancel_at(daemon_id, handover_id)
+            case UpstreamDescribed(changes):
+                self._announce(self.directory.update(**changes))
+            case LogReached(reached):
+                if reached is not self.directory.me.reads_log:
+                    self._announce(self.directory.update(reads_log=reached))
+            case ConfigChanged():
+                self._config_changed(message)
+            case EndpointsRead(endpoints):
+                self._merge(endpoints)
+
+    def _send_to(
+        self,
+        daemon_id: DaemonId,
+        handover: Handover,
+        reply: Callable[[HandoverId, RelayResult], None],
+    ) -> None:
+        if daemon_id == self.directory.me.daemon_id:
+            self.exit.put(HandOver(handover, reply))
+            return
+        link = self.links.get(daemon_id)
+        if link is None:
+            reply(handover.handover_id, refused(Reason.CONNECT_FAILED))
+        else:
+            link.hand_over(handover, reply)
+
+    def _cancel_at(self, daemon_id: DaemonId, handover_id: HandoverId) -> None:
+        if daemon_id == self.directory.me.daemon_id:
+            self.exit.put(CancelHandover(handover_id))
+        elif daemon_id in self.links:
+            self.links[daemon_id].cancel(handover_id)
+
+    def _config_changed(self, message: ConfigChanged) -> None:
+        self.version, self.blob = message.version, message.blob
+        if message.push:
+            me = self.directory.me
+            blob = encode_hop(ConfigBlob(self.version, self.blob))
+            for row in self.directory.others():
+                link = self.links.get(row.daemon_id)
+                if row.region == me.region and link is not None and link.connection is not None:
+                    link.connection.send(blob)
+
+    def _announce(self, me: Endpoint) -> None:
+        frame = encode_hop(Endpoints((me,)))
+        reached: set[DaemonId] = set()
+        for link in self.links.values():
+            if link.is_open and link.connection is not None:
+                link.connection.send(frame)
+                reached.add(link.daemon_id)
+        for row in self.inbound.values():
+            if row.daemon_id is not None and row.daemon_id not in reached:
+                row.connection.send(frame)
+        self._publish()
+
+    def _merge(self, endpoints: tuple[Endpoint, ...]) -> None:
+        before = self.directory.me
+        self._learn_own(endpoints)
+        news = self.directory.merge(endpoints)
+        if self.directory.me.order != before.order:
+            self._announce(self.directory.me)
+        for row in news:
+            self._dial(row)
+            self.log.change(
+                "endpoint_learnt",
+                daemon=row.daemon_id,
+                incarnation=row.incarnation,
+                sequence=row.sequence,
+                service=row.service,
+                instance=row.instance or "",
+                state=row.state.value,
+                leaving=row.leaving,
+            )
+        if news:
+            self._drop_unknown()
+            self._publish()
+
+    def _learn_own(self, endpoints: tuple[Endpoint, ...]) -> None:
+        # A drain that was confirmed before a restart binds this daemon too.
+        for row in endpoints:
+            own = row.daemon_id == self.directory.me.daemon_id
+            if own and row.state is UpstreamState.DRAINING and row.instance is not None:
+                self.exit.put(LeaveReceived(row.instance, row.born))
+
+    def _dial(self, row: Endpoint) -> None:
+        link = self.links.get(row.daemon_id)
+        if link is not None and link.address == row.address:
+            return
+        if link is not None:
+            link.close()
+        self.links[row.daemon_id] = PeerLink(
+            row.daemon_id, row.address, self._hello, lambda: self.version, self._heard, self.rng
+        )
+
+    def _drop_unknown(self) -> None:
+        for daemon_id in [i for i in self.links if i not in self.directory.rows]:
+            self.links.pop(daemon_id).close()
+
+    def _hello(self) -> Hello:
+        me = self.directory.me
+        return Hello(
+            me.daemon_id, me.incarnation, self.version, tuple(self.directory.rows.values())
+        )
+
+    def _publish(self) -> None:
+        """Tell the entry task which endpoints take calls: those with an open link."""
+        me = self.directory.me.daemon_id
+        rows = {
+            service: tuple(row for row in endpoints if self._reachable(row.daemon_id, me))
+            for service, endpoints in self.directory.by_service.items()
+        }
+        self.entry.put(FleetChanged(rows, len(self.directory.rows)))
+
+    def _reachable(self, daemon_id: DaemonId, me: DaemonId) -> bool:
+        if daemon_id == me:
+            return True
+        link = self.links.get(daemon_id)
+        return link is not None and link.is_open
+
+    def _heard(self, link: PeerLink, message: HopMessage) -> None:
+        self._common(message, link.send)
+        if isinstance(message, Hello):
+            self._publish()
+
+    def _accepted(self, connection: FrameConnection) -> None:
+        self.inbound[connection] = Inbound(connection)
+
+    def _closed(self, connection: FrameConnection) -> None:
+        row = self.inbound.pop(connection, None)
+        if row is not None:
+            now = monotonic()
+            self.orphans += [(now, handover_id) for handover_id in row.handovers]
+
+    def _frame(self, connection: FrameConnection, frame: bytes) -> None:
+        row = self.inbound[connection]
+        try:
+            message = decode_hop(frame)
+        except MessageDecodeError as error:
+            self.log.change("peer_message_malformed", peer=row.daemon_id or "", reason=str(error))
+            connection.abort()
+            return
+        match message:
+            case Handover():
+                row.handovers.add(message.handover_id)
+                self.exit.put(HandOver(message, self._replier(row)))
+            case Cancel(handover_id):
+                row.handovers.discard(handover_id)
+                self.exit.put(CancelHandover(handover_id))
+            case Resume(handover_id):
+                row.handovers.add(handover_id)
+                self.orphans = [pair for pair in self.orphans if pair[1] != handover_id]
+                self.exit.put(ResumeHandover(handover_id, self._replier(row)))
+            case Hello():
+                row.daemon_id = message.daemon_id
+                row.send(self._hello())
+                self._common(message, row.send)
+            case Ping(False, _):
+                row.send(Ping(True, self.version))
+                self._common(message, row.send)
+            case _:
+                self._common(message, row.send)
+
+    def _replier(self, row: Inbound) -> Callable[[HandoverId, RelayResult], None]:
+        def reply(handover_id: HandoverId, result: RelayResult) -> None:
+            row.handovers.discard(handover_id)
+            row.send(Result(handover_id, result))
+
+        return reply
+
+    def _common(self, message: HopMessage, answer: Callable[[HopMessage], None]) -> None:
+        match message:
+            case Hello(_, _, version, endpoints):
+                self._merge(endpoints)
+                self._pull_if_newer(version, answer)
+            case Endpoints(endpoints):
+                self._merge(endpoints)
+            case Ping(_, version):
+                self._pull_if_newer(version, answer)
+            case ConfigBlob(version, data):
+                if version > self.version:
+                    self.source.put(ConfigReceived(version, data))
+            case Pull(version):
+                if self.version > version:
+                    answer(ConfigBlob(self.version, self.blob))
+            case _:
+                self.log.change("peer_message_unexpected", kind=type(message).__name__)
+
+    def _pull_if_newer(self, version: Version, answer: Callable[[HopMessage], None]) -> None:
+        now = monotonic()
+        if version > self.version and now - self.pulled_at > PULL_PERIOD:
+            self.pulled_at = now
+            answer(Pull(self.version))
+
+    def _tick(self, now: Millis) -> None:
+        for link in list(self.links.values()):
+            link.check(now)
+            if link.down_since is not None and now - link.down_since > FORGET_TIME:
+                self._forget(link)
+        open_links = frozenset(i for i, link in self.links.items() if link.is_open)
+        if open_links != self.open_links:
+            self.log.change(
+                "peers_changed",
+                lost=",".join(sorted(self.open_links - open_links)),
+                gained=",".join(sorted(open_links - self.open_links)),
+            )
+            self.open_links = open_links
+            self.metrics.peers.set(len(open_links))
+            self._publish()
+        while self.orphans and now - self.orphans[0][0] > ORPHAN_TIME:
+            self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
+
+    def _forget(self, link: PeerLink) -> None:
+        self.log.change("peer_forgotten", daemon=link.daemon_id, address=link.address)
+        self.links.pop(link.daemon_id).close()
+        self.directory.forget(link.daemon_id)
+        self.source.put(PeerForgotten(link.daemon_id))
