Test the decisions of the relay path in tables

A description that arrives late from the earlier owner of an address no longer replaces the daemon that has the address now (directory table, failed first).

--- /dev/null
+++ b/features/relay.feature
@@ -0,0 +1,130 @@
+Feature: Decisions about relayed calls
+  Guards against requests that run twice, refusals that are not true, and repeats that overload.
+
+  # Results: ran STATUS | refused REASON [arrived] | lost REASON; "-" ends the script of upstreams.
+  Scenario Outline: flow: <guards against>
+    Given a relayed call that is "<repeat>" with <attempts> attempts, <endpoints> upstreams and budget <budget>
+    When the upstreams answer "<results>"
+    Then the call ends as "<end>" after <sent> handovers
+
+    Examples:
+      | guards against                          | repeat | attempts | endpoints | budget | results                                    | end                   | sent |
+      | a repeat after an answer                | safe   | 2        | 3         | 9      | ran 200                                    | ran 200               | 1    |
+      | a failure that another upstream mends   | safe   | 2        | 3         | 9      | ran 500; ran 200                           | ran 200               | 2    |
+      | a lost answer of a safe call            | safe   | 2        | 3         | 9      | lost connection-lost; ran 200              | ran 200               | 2    |
+      | a second run of an unsafe call          | once   | 2        | 3         | 9      | lost connection-lost                       | lost connection-lost  | 1    |
+      | a second run after the upstream failed  | once   | 2        | 3         | 9      | ran 500                                    | ran 500               | 1    |
+      | giving up an unsafe call that was shed  | once   | 2        | 3         | 9      | refused shed arrived; ran 200              | ran 200               | 2    |
+      | more runs than the route allows         | safe   | 1        | 3         | 9      | ran 500                                    | ran 500               | 1    |
+      | more repeats than the budget            | safe   | 2        | 3         | 0      | ran 500                                    | ran 500               | 1    |
+      | a free refusal that costs budget        | safe   | 2        | 3         | 0      | refused overloaded; ran 200                | ran 200               | 2    |
+      | a refusal after a possible run          | safe   | 2        | 3         | 9      | lost connection-lost; refused overloaded; refused overloaded | lost connection-lost | 3 |
+      | a failure hidden by a refusal           | safe   | 2        | 2         | 9      | ran 500; refused overloaded                | ran 500               | 2    |
+      | an answer where nobody can serve        | safe   | 2        | 0         | 9      | -                                          | refused no-upstream   | 0    |
+      | endless handovers                       | once   | 2        | 9         | 9      | refused overloaded; refused overloaded; refused overloaded; refused overloaded | refused overloaded | 4 |
+      | work for a caller whose time is up      | safe   | 2        | 3         | 9      | lost timeout                               | lost timeout          | 1    |
+
+  # Events: accept N, finish N, resume N, +MS; each gives new, seen, done, pending or fenced.
+  Scenario Outline: ledger: <guards against>
+    When the ledger sees "<events>"
+    Then its answers are "<answers>"
+
+    Examples:
+      | guards against                       | events                                | answers                  |
+      | a handover that runs twice           | accept 1; accept 1                    | new; seen                |
+      | a late arrival after "not run"       | resume 1; accept 1                    | fenced; seen             |
+      | a lost answer                        | accept 1; finish 1; resume 1          | new; -; done             |
+      | a refusal of running work            | accept 1; resume 1                    | new; pending             |
+      | a running call that is forgotten     | accept 1; +20000; accept 2; resume 1  | new; -; new; pending     |
+      | a fence that is lifted too early     | resume 1; +9000; accept 1             | fenced; -; seen          |
+
+  # Events: beat ID BORN SEQ STATE, leave ID [BORN]; each gives yes or no.
+  Scenario Outline: announcements: <guards against>
+    When an upstream announces "<events>"
+    Then the announcements are believed "<believed>"
+
+    Examples:
+      | guards against                              | events                                                  | believed     |
+      | ignoring a heartbeat                        | beat a 10 1 ready; beat a 10 2 draining                 | yes; yes     |
+      | a heartbeat out of order                    | beat a 10 2 ready; beat a 10 1 ready                    | yes; no      |
+      | a late heartbeat of an earlier start        | beat b 20 1 ready; beat a 10 9 ready                    | yes; no      |
+      | counts that start anew                      | beat a 10 9 ready; beat a 20 1 ready                    | yes; yes     |
+      | a drain that is taken back                  | beat a 10 1 draining; beat a 10 2 ready                 | yes; no      |
+      | a leave that is taken back                  | beat a 10 1 ready; leave a; beat a 10 2 ready           | yes; yes; no |
+      | a late leave of an earlier start            | beat a 20 1 ready; leave a 10; beat a 20 2 ready        | yes; no; yes |
+      | a leave confirmed before a restart          | leave a 10; beat a 10 7 ready                           | yes; no      |
+      | a leave of another instance                 | beat b 20 1 ready; leave a 10                           | yes; no      |
+      | another service at the address              | other a 10 1 ready                                      | no           |
+      | another address                             | elsewhere a 10 1 ready                                  | no           |
+
+  # Events: call ID RANK LEFT, done ID, cancel ID, learn ROUTE MS, cold MS, clear, +MS. Slots: 2.
+  Scenario Outline: slots: <guards against>
+    When the slot queue sees "<events>"
+    Then the queue does "<actions>"
+
+    Examples:
+      | guards against                        | events                                                                   | actions                                   |
+      | more calls than slots                 | call a 1 900; call b 1 900; call c 1 900                                 | start a; start b                          |
+      | idle slots                            | call a 1 900; call b 1 900; call c 1 900; done a                         | start a; start b; start c                 |
+      | minor work before major               | call a 1 900; call b 1 900; call c 2 900; call d 0 900; done a           | start a; start b; start d                 |
+      | a wait without hope                   | learn r 100; call a 1 900; call b 1 900; call c 1 90                     | start a; start b; refuse c overloaded     |
+      | a start that cannot end in time       | call a 1 900; call b 1 900; call c 1 300; learn r 600; done a            | start a; start b; refuse c deadline       |
+      | a full load on a cold upstream        | cold 500; call a 1 900; call b 1 900; +600; call c 1 900; done a         | start a; start b; start c                 |
+      | work for an upstream that leaves      | call a 1 900; call b 1 900; call c 1 900; clear                          | start a; start b; refuse c leaving        |
+      | a caller that left                    | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
+
+  Scenario Outline: routes: <guards against>
+    Given routes "a.example /x/", "a.example /x/y/", "b.example /" and "split.example /s/ 9:1"
+    Then the route of "<host>" "<path>" is "<route>"
+
+    Examples:
+      | guards against                 | host           | path      | route          |
+      | a miss                         | a.example      | /x/1      | a.example/x/   |
+      | a shorter prefix               | a.example      | /x/y/1    | a.example/x/y/ |
+      | a prefix cut within a segment  | a.example      | /xy/1     | none           |
+      | another host's route           | b.example      | /x/1      | b.example/     |
+      | an unknown host                | c.example      | /x/1      | none           |
+      | slashes of the query           | a.example      | /x?q=/x/  | none           |
+      | the port of the host           | a.example:8080 | /x/1      | a.example/x/   |
+      | the case of the host           | A.Example      | /x/1      | a.example/x/   |
+
+  Scenario: a split keeps its weights over any 10 requests in a row
+    Given routes "a.example /x/", "a.example /x/y/", "b.example /" and "split.example /s/ 9:1"
+    Then of 1000 requests on "split.example" "/s/1" each 10 in a row give service "s1" 1
+
+  # Rows: ID INCARNATION SEQUENCE STATE [ADDRESS]; this daemon is "me 100 0".
+  Scenario Outline: directory: <guards against>
+    When the directory merges "<rows>"
+    Then it routes to "<ready>" and its own incarnation is <incarnation>
+
+    Examples:
+      | guards against                       | rows                                             | ready | incarnation |
+      | an unknown daemon                    | a 5 1 ready                                      | a     | 100         |
+      | an older description                 | a 5 2 draining; a 5 1 ready                      | none  | 100         |
+      | a restart that is ignored            | a 5 9 draining; a 6 0 ready                      | a     | 100         |
+      | a clock that was set back            | me 200 3 ready                                   | none  | 201         |
+      | two daemons at one address           | a 5 1 ready 10.0.0.9:1; b 6 0 ready 10.0.0.9:1   | b     | 100         |
+      | a late row of an address's old owner | b 6 0 ready 10.0.0.9:1; a 5 1 ready 10.0.0.9:1   | b     | 100         |
+
+  Scenario Outline: budget: <guards against>
+    Given a budget of ratio 0.2 and slack 60 in 10000 ms for <daemons> daemons
+    When <firsts> first arrivals come and <ms> ms pass
+    Then at least <low> and at most <high> repeats are allowed
+
+    Examples:
+      | guards against                      | daemons | firsts | ms    | low | high |
+      | a full allowance after each restart | 16      | 0      | 0     | 1   | 1    |
+      | more than the fleet's ratio         | 16      | 100    | 0     | 1   | 20   |
+      | more than a share of the slack      | 16      | 0      | 10000 | 2   | 4    |
+
+  Scenario Outline: answers: <guards against>
+    Then a response <status> with fields "<fields>" means "<result>"
+
+    Examples:
+      | guards against                        | status | fields                       | result                |
+      | an answer that is dropped             | 200    | stamp                        | ran 200               |
+      | an upstream's failure that is changed | 500    | stamp                        | ran 500               |
+      | a success that nobody made            | 200    | server                       | lost bad-answer       |
+      | bytes that were encoded on the way    | 200    | stamp; content-encoding      | lost bad-answer       |
+      | a shed call taken as run              | 503    | not-run                      | refused shed          |
+      | another instance's refusal            | 421    | instance                     | refused wrong-instance |
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,261 @@
+import itertools
+from dataclasses import replace
+
+from behave import given, then, when
+
+from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
+from agatecross_core.ids import Millis
+from agatecross_core.members.announcement import Announcements, Heartbeat
+from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.relay.answers import judge
+from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.relay.flow import RelayPolicy, relay
+from agatecross_core.relay.ledger import Ledger
+from agatecross_core.relay.model import RelayResponse, RelayResult, Repeat, lost, refused
+from agatecross_core.routing.host_table import CallerLimits, HostRoute, HostTable, WeightedSplit
+from agatecross_core.states import Outcome, Reason, UpstreamState
+
+LIMITS = CallerLimits(16_384, 65_536, Millis(3_000), Millis(15_000))
+
+
+def endpoint(daemon_id, incarnation=1, sequence=0, state=UpstreamState.READY, address=None):
+    address = address or f"10.0.0.{abs(hash(daemon_id)) % 200}:{len(daemon_id)}"
+    return Endpoint(
+        daemon_id,
+        incarnation,
+        sequence,
+        address,
+        "north",
+        "north-a",
+        "shop",
+        f"i-{daemon_id}",
+        1,
+        state,
+        8,
+    )
+
+
+def parse_result(text):
+    kind, value, *arrived = text.split()
+    if kind == "ran":
+        return RelayResult(Outcome.RAN, None, RelayResponse(int(value), (), b""), True)
+    if kind == "lost":
+        return lost(Reason(value))
+    return refused(Reason(value), arrived=bool(arrived))
+
+
+def describe(result):
+    if result.response is not None:
+        return f"ran {result.response.status}"
+    kind = "refused" if result.outcome is Outcome.NOT_RUN else "lost"
+    return f"{kind} {result.reason.value}"
+
+
+def events(text):
+    return [part.split() for part in text.split("; ") if part != "-"]
+
+
+@given(
+    'a relayed call that is "{repeat}" with {attempts:d} attempts, {count:d} upstreams '
+    "and budget {budget:d}"
+)
+def step_call(context, repeat, attempts, count, budget):
+    rows = [endpoint(f"d{number}") for number in range(count)]
+    tokens = iter(range(budget))
+
+    def choose(tried):
+        return next((row for row in rows if row.daemon_id not in tried), None)
+
+    policy = RelayPolicy(Repeat(repeat), attempts)
+    context.flow = relay(
+        policy, choose, lambda: Millis(500), lambda: next(tokens, None) is not None
+    )
+
+
+@when('the upstreams answer "{results}"')
+def step_answer(context, results):
+    script = [parse_result(text) for text in results.split("; ") if text != "-"]
+    context.sent = 0
+    try:
+        next(context.flow)
+        for result in script:
+            context.sent += 1
+            context.flow.send(result)
+    except StopIteration as stop:
+        context.end = stop.value
+    else:
+        raise AssertionError("the flow wants another handover")
+    assert context.sent == len(script), "the flow ended before the script"
+
+
+@then('the call ends as "{end}" after {sent:d} handovers')
+def step_end(context, end, sent):
+    assert describe(context.end) == end, context.end
+    assert context.sent == sent, context.sent
+
+
+@when('the ledger sees "{script}"')
+def step_ledger(context, script):
+    ledger, now, answers = Ledger(), 0.0, []
+    for word, *rest in events(script):
+        if word.startswith("+"):
+            now += float(word)
+            answers.append("-")
+        elif word == "accept":
+            answers.append("new" if ledger.accept(int(rest[0]), now) else "seen")
+        elif word == "finish":
+            ledger.finish(int(rest[0]), parse_result("ran 200"))
+            answers.append("-")
+        else:
+            result = ledger.resume(int(rest[0]), now)
+            answers.append(
+                "pending"
+                if result is None
+                else "fenced" if result.reason is Reason.FENCED else "done"
+            )
+    context.answers = answers
+
+
+@then('its answers are "{answers}"')
+def step_ledger_answers(context, answers):
+    assert context.answers == answers.split("; "), context.answers
+
+
+@when('an upstream announces "{script}"')
+def step_announce(context, script):
+    table, context.believed = Announcements("shop", "10.0.0.1:80"), []
+    for word, instance, *rest in events(script):
+        if word == "leave":
+            born = int(rest[0]) if rest else None
+            context.believed.append(table.leave(instance, born))
+            continue
+        born, sequence, state = int(rest[0]), int(rest[1]), UpstreamState(rest[2])
+        service = "other" if word == "other" else "shop"
+        address = "10.0.0.2:80" if word == "elsewhere" else "10.0.0.1:80"
+        beat = Heartbeat(instance, service, address, state, 4, Millis(0), born, sequence)
+        context.believed.append(table.heartbeat(beat, Millis(0)))
+
+
+@then('the announcements are believed "{believed}"')
+def step_believed(context, believed):
+    found = ["yes" if row else "no" for row in context.believed]
+    assert found == believed.split("; "), found
+
+
+@when('the slot queue sees "{script}"')
+def step_slots(context, script):
+    queue, now, actions = SlotQueue(), Millis(0), []
+    queue.slots = 2
+    for word, *rest in events(script):
+        if word.startswith("+"):
+            now = Millis(now + float(word))
+        elif word == "call":
+            call = Waiting(rest[0], "r", int(rest[1]), now, Millis(now + float(rest[2])))
+            actions += queue.arrived(call, now)
+        elif word == "done":
+            queue.finished(rest[0], now, False)
+        elif word == "cancel":
+            assert queue.cancel(rest[0])
+        elif word == "learn":
+            queue.costs[rest[0]] = float(rest[1])
+        elif word == "cold":
+            queue.cold_until = Millis(now + float(rest[0]))
+        elif word == "clear":
+            actions += queue.clear(Reason.LEAVING)
+        actions += queue.next(now)
+    context.actions = actions
+
+
+@then('the queue does "{actions}"')
+def step_slot_actions(context, actions):
+    found = [
+        (
+            f"start {row.handover_id}"
+            if isinstance(row, Start)
+            else f"refuse {row.handover_id} {row.reason.value}"
+        )
+        for row in context.actions
+        if isinstance(row, Start | Refuse)
+    ]
+    assert found == actions.split("; "), found
+
+
+@given('routes "{a}", "{b}", "{c}" and "{d}"')
+def step_routes(context, a, b, c, d):
+    def route(text):
+        host, prefix, *weights = text.split()
+        shares = map(float, weights[0].split(":")) if weights else (1.0,)
+        backends = tuple((f"s{number}", share) for number, share in enumerate(shares))
+        return HostRoute(
+            host + prefix, host, prefix, Repeat.SAFE, Millis(500), Millis(100), 1, 2, backends
+        )
+
+    context.host_table = HostTable(1, map(route, (a, b, c, d)), LIMITS, frozenset())
+
+
+@then('the route of "{host}" "{path}" is "{name}"')
+def step_route(context, host, path, name):
+    route = context.host_table.find(host, path)
+    assert (route.name if route else "none") == name, route
+
+
+@then(
+    'of {total:d} requests on "{host}" "{path}" each {span:d} in a row '
+    'give service "{service}" {count:d}'
+)
+def step_split(context, total, host, path, span, service, count):
+    split, route = WeightedSplit(), context.host_table.find(host, path)
+    picks = [split.pick(route) for _ in range(total)]
+    for start in range(total - span + 1):
+        assert picks[start : start + span].count(service) == count, start
+
+
+@when('the directory merges "{rows}"')
+def step_merge(context, rows):
+    me = replace(endpoint("me", 100), state=UpstreamState.STARTING)
+    context.directory = Directory(me)
+    for daemon_id, incarnation, sequence, state, *address in events(rows):
+        row = endpoint(
+            daemon_id,
+            int(incarnation),
+            int(sequence),
+            UpstreamState(state),
+            address[0] if address else None,
+        )
+        context.directory.merge((row,))
+
+
+@then('it routes to "{ready}" and its own incarnation is {incarnation:d}')
+def step_directory(context, ready, incarnation):
+    rows = context.directory.by_service.get("shop", ())
+    found = ",".join(row.daemon_id for row in rows) or "none"
+    assert found == ready, found
+    assert context.directory.me.incarnation == incarnation
+
+
+@given("a budget of ratio {ratio:g} and slack {slack:g} in {window:g} ms for {daemons:d} daemons")
+def step_budget(context, ratio, slack, window, daemons):
+    context.budget, context.daemons = FleetBudget(ratio, slack, Millis(window)), daemons
+    context.spent = int(context.budget.take(daemons, Millis(0)))
+
+
+@when("{firsts:d} first arrivals come and {ms:g} ms pass")
+def step_arrivals(context, firsts, ms):
+    for _ in range(firsts):
+        context.budget.first_arrival()
+    takes = itertools.takewhile(
+        bool, (context.budget.take(context.daemons, Millis(ms)) for _ in range(10_000))
+    )
+    context.spent += sum(takes)
+
+
+@then("at least {low:d} and at most {high:d} repeats are allowed")
+def step_allowed(context, low, high):
+    assert low <= context.spent <= high, context.spent
+
+
+@then('a response {status:d} with fields "{fields}" means "{result}"')
+def step_judge(context, status, fields, result):
+    rows = tuple((name.encode(), b"1") for name in fields.split("; "))
+    found = judge(RelayResponse(status, rows, b""), b"stamp", b"not-run")
+    assert describe(found) == result, found
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -98,7 +98,12 @@
                 self.update(incarnation=Incarnation(row.incarnation + 1))
             return False
         held = self.rows.get(row.daemon_id)
-        return held is None or row.order > held.order
+        if held is not None:
+            return row.order > held.order
+        return all(
+            other.address != row.address or other.incarnation < row.incarnation
+            for other in self.others()
+        )
 
     def _forget_address(self, row: Endpoint) -> None:
         # A machine that took over an address replaces whoever had it before.
