--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,110 @@
+Feature: Calls on the users' platform, between real sockets
+  Daemons, the store and the upstreams' stand-ins run in one process, joined by loopback
+  connections. Zone north-a has daemon d0 (service s0) and d1 (s1), south-a has d2 (s0).
+  Route "/safe/" and "/once/" lead to s0 with 2 attempts, "/peer/" to s1; the timeout is 2 s.
+
+  Scenario Outline: answers: <guards against>
+    Given a platform fleet
+    When upstreams "u0,u2" answer "<script>"
+    And a caller of d1 sends "<method> <path>"
+    Then the answer is <status> and all upstreams ran it <runs> times
+
+    Examples:
+      | guards against                              | script    | method | path    | status | runs |
+      | a request that nobody carries               | whole     | GET    | /safe/1 | 200    | 1    |
+      | a lost body                                 | whole     | POST   | /once/1 | 200    | 1    |
+      | a failure passed on where a repeat is safe  | error     | GET    | /safe/1 | 200    | 2    |
+      | a repeat of an unsafe failure               | error     | POST   | /once/1 | 500    | 1    |
+      | a repeat of an unsafe lost answer           | reset     | POST   | /once/1 | 502    | 1    |
+      | a lost answer of a safe call                | reset     | GET    | /safe/1 | 200    | 2    |
+      | giving up when one upstream sheds           | shed      | POST   | /once/1 | 200    | 1    |
+      | bytes that are no response                  | garbled   | GET    | /safe/1 | 200    | 2    |
+      | a body that ends early                      | truncated | GET    | /safe/1 | 200    | 2    |
+      | a body that ends early, sent on as whole    | truncated | POST   | /once/1 | 502    | 1    |
+      | a body without a length that is dropped     | unframed  | GET    | /safe/1 | 200    | 1    |
+      | a success without proof                     | unstamped | POST   | /once/1 | 502    | 1    |
+      | an encoded body                             | encoded   | POST   | /once/1 | 502    | 1    |
+      | an extra response taken for the next answer | extra     | GET    | /safe/1 | 200    | 1    |
+      | a method that decides on repeats            | reset     | DELETE | /once/1 | 502    | 1    |
+      | a missing route                             | whole     | GET    | /none/1 | 404    | 0    |
+
+  Scenario: what an upstream gets is what the caller sent, with the fields of the system
+    Given a platform fleet
+    When a caller of d1 sends "POST /peer/a?b=%20c"
+    Then upstream "u1" saw target "/peer/a?b=%20c", body "body", caller "s1" and at most 900 ms
+
+  Scenario Outline: callers' bytes: <guards against>
+    Given a platform fleet
+    When a caller of d1 writes "<bytes>"
+    Then it reads statuses "<statuses>"
+
+    Examples:
+      | guards against                     | bytes                                                                                   | statuses |
+      | answers out of order               | GET /safe/a \|GET /safe/b \|GET /none/c                                                 | 200 200 404 |
+      | two lengths                        | POST /safe/a content-length: 1\ncontent-length: 2                                       | 400      |
+      | a length beside chunks             | POST /safe/a content-length: 3\ntransfer-encoding: chunked                              | 400      |
+      | a head beyond the limit            | GET /safe/a x-long: LONG                                                                | 431      |
+      | an absolute target without a route | GET http://a.example/safe/a                                                             | 200      |
+      | a malformed request                | \x01\x02                                                                                | 400      |
+
+  Scenario Outline: leaving: <guards against>
+    Given a platform fleet
+    When upstream "u0" tells its daemon "<news>"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" ran "<runs>"
+
+    Examples:
+      | guards against                       | news                      | runs  |
+      | an idle upstream                     | ready                     | some  |
+      | work after a confirmed drain         | draining                  | none  |
+      | work after a confirmed leave         | leave                     | none  |
+      | a drain that a late heartbeat undoes | draining; ready           | none  |
+      | a forged service                     | draining service=s1       | some  |
+      | a type that is wrong                 | draining sequence="9"     | some  |
+      | a state that is not known            | gone                      | some  |
+
+  Scenario: a daemon that restarts beside a leaving upstream hands over no work
+    Given a platform fleet
+    When upstream "u0" tells its daemon "draining"
+    And daemon d0 is killed and started again
+    And upstream "u0" tells its daemon "late ready"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" ran "none"
+
+  Scenario: an upstream that crashes is left out until it is back
+    Given a platform fleet
+    When upstream "u0" crashes
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then every answer was 200
+
+  Scenario: a call that a hop connection lost is asked for again and runs once
+    Given a platform fleet
+    When upstreams "u0,u2" answer "hold"
+    And a caller of d1 sends "POST /once/1" while the hop connections are cut
+    Then the answer is 200 and all upstreams ran it 1 times
+
+  Scenario Outline: configuration: <guards against>
+    Given a platform fleet
+    When the store "<trouble>"
+    And the operator writes version <version> with route "/new/"
+    Then every daemon has version <in_force> in force
+
+    Examples:
+      | guards against                        | trouble | version | in_force |
+      | a change that is not followed         | works   | 8       | 8        |
+      | an older version                      | works   | 3       | 7        |
+      | history that is gone                  | forgets | 8       | 8        |
+      | a record that cannot be read          | garbles | 8       | 8        |
+
+  Scenario: a daemon without a configuration answers 503 and is not ready
+    Given a platform fleet whose store is refusing
+    When a caller of d1 sends "GET /safe/1"
+    Then the answer is 503 and all upstreams ran it 0 times
+    And daemon d1 is not ready
+
+  Scenario: a stopping daemon finishes its calls and takes no new ones from peers
+    Given a platform fleet
+    When upstreams "u0,u2" answer "hold"
+    And a caller of d1 sends "POST /once/1" while d1 is stopped
+    Then the answer is 200 and all upstreams ran it 1 times
+    And daemon d1 is not ready
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,384 @@
+import asyncio
+import itertools
+import json
+import os
+import re
+
+from behave import given, then, when
+
+from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_core.calls.model import Request
+from agatecross_core.ids import Address, Millis
+from agatecross_daemon.decision_log import DecisionLog
+from agatecross_daemon.sidecar import build
+from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings
+from agatecross_platform.front_end import PlatformFrontEnd
+from agatecross_standins.platform_store import PlatformStoreStandIn
+from agatecross_standins.platform_upstream import Answer, PlatformUpstream
+from agatecross_standins.ports import PortPool
+
+PLACES = (("north", "north-a", "s0"), ("north", "north-a", "s1"), ("south", "south-a", "s0"))
+WAIT_SECONDS = 15.0
+ROUTES = (("/safe/", "safe", "s0"), ("/once/", "unsafe", "s0"), ("/peer/", "unsafe", "s1"))
+
+
+def config(version, extra=()):
+    rows = [
+        {
+            "name": f"r{prefix}",
+            "host": "a.example",
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeout": "2s",
+            "targetLatency": "500ms",
+            "priority": 1,
+            "service": service,
+            "attempts": 2,
+        }
+        for prefix, kind, service in (*ROUTES, *extra)
+    ]
+    limits = {
+        "maxHeaderBytes": 4096,
+        "maxBodyBytes": 65536,
+        "headerTimeout": "3s",
+        "idleTimeout": "15s",
+    }
+    services = [{"name": name} for name in ("s0", "s1")]
+    return json.dumps(
+        {"version": f"r{version}", "routes": rows, "services": services, "limits": limits}
+    ).encode()
+
+
+async def until(condition, what):
+    for _ in range(int(WAIT_SECONDS / 0.01)):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"not in {WAIT_SECONDS} s: {what}")
+
+
+class MiniFleet:
+    """Three sidecars, their upstreams and the store in one event loop."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.store = PlatformStoreStandIn()
+        self.ports = PortPool()
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        self.sidecars, self.tasks, self.upstreams = [], [], []
+        self.statuses, self.ids = [], itertools.count()
+
+    def run(self, work):
+        return self.loop.run_until_complete(asyncio.wait_for(work, 60))
+
+    async def start(self, refusing):
+        self.store_address = self.store.listen()
+        self.store.put("keyed.op", "config", config(7))
+        self.store.switches.refuse = refusing
+        for number, (_, _, service) in enumerate(PLACES):
+            upstream = PlatformUpstream(f"u{number}", service, 1_000)
+            await upstream.listen()
+            self.upstreams.append(upstream)
+            await self.start_daemon(number)
+        if refusing:
+            return
+        await until(lambda: all(s.entry.table for s in self.sidecars), "a configuration")
+        for number in range(len(PLACES)):
+            await self.beat(number)
+        await until(lambda: all(self.sees_all(s) for s in self.sidecars), "every upstream")
+
+    def sees_all(self, sidecar):
+        return sum(map(len, sidecar.entry.fleet.values())) == len(PLACES)
+
+    async def start_daemon(self, number, same=None):
+        region, data_centre, service = PLACES[number]
+        if same is None:
+            addresses = [f"127.0.0.1:{port}" for port in self.ports.reserve(5)]
+        else:
+            s = same
+            addresses = [s.callers, s.peers, s.ready, s.heartbeats, s.metrics]
+        settings = SidecarSettings(
+            f"d{number}",
+            region,
+            data_centre,
+            *map(Address, addresses),
+            service,
+            self.upstreams[number].address,
+            Millis(60_000),
+            self.store_address,
+            RetrySettings(0.2, 600, Millis(10_000)),
+            Millis(3_000),
+            number,
+        )
+        sidecar = build(settings, PlatformFrontEnd(settings), DecisionLog(self.sink))
+        await sidecar.start()
+        tasks = [
+            asyncio.ensure_future(task.run())
+            for task in (sidecar.exit, sidecar.peers, sidecar.source)
+        ]
+        if same is None:
+            self.sidecars.append(sidecar)
+            self.tasks.append(tasks)
+        else:
+            self.sidecars[number], self.tasks[number] = sidecar, tasks
+        return sidecar
+
+    async def beat(self, number, state="ready", **changes):
+        daemon = self.sidecars[number].settings.heartbeats
+        return await self.upstreams[number].heartbeat(daemon, state, **changes)
+
+    async def kill(self, number):
+        sidecar = self.sidecars[number]
+        for task in self.tasks[number]:
+            task.cancel()
+        await asyncio.gather(*self.tasks[number], return_exceptions=True)
+        await sidecar.close()
+        for row in list(sidecar.peers.inbound.values()):
+            row.connection.abort()
+        await asyncio.sleep(0.05)
+
+    async def send(self, number, line):
+        method, path = line.split()
+        body = b"body" if method == "POST" else b""
+        call_id = f"c{next(self.ids)}"
+        headers = (
+            ("Host", "a.example"),
+            ("X-Request-Id", call_id),
+            ("X-Deadline-Ms", "900"),
+            ("X-Caller-Service", "forged"),
+        )
+        http = TornadoHttpClient()
+        address = self.sidecars[number].settings.callers
+        request = Request(method, path, headers, body)
+        response = await http.send(address, request, Millis(5_000))
+        http.close()
+        return response
+
+    async def write(self, number, data):
+        host, _, port = self.sidecars[number].settings.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        got = b""
+        while len(re.findall(rb"HTTP/1.1 \d+", got)) < data.count(b"\r\n\r\n"):
+            chunk = await asyncio.wait_for(reader.read(65536), 10)
+            if not chunk:
+                break
+            got += chunk
+        writer.close()
+        return re.findall(rb"HTTP/1.1 (\d+)", got)
+
+    def close(self):
+        async def stop():
+            for number in range(len(self.sidecars)):
+                await self.kill(number)
+            for upstream in self.upstreams:
+                await upstream.crash()
+            await self.store.close()
+
+        self.run(stop())
+        self.loop.close()
+        self.ports.close()
+        os.close(self.sink)
+
+
+def begin(context, refusing):
+    context.mini = MiniFleet()
+    context.add_cleanup(context.mini.close)
+    context.mini.run(context.mini.start(refusing))
+
+
+@given("a platform fleet")
+def step_fleet(context):
+    begin(context, False)
+
+
+@given("a platform fleet whose store is refusing")
+def step_fleet_refusing(context):
+    begin(context, True)
+
+
+@when('upstreams "{names}" answer "{script}"')
+def step_script(context, names, script):
+    # One fault in the fleet: whichever upstream is asked first shows it, the other does not.
+    shared = iter([Answer(word) for word in script.split(",")])
+
+    class Shared:
+        def __bool__(self):
+            return True
+
+        def popleft(self):
+            return next(shared, Answer.WHOLE)
+
+    for name in names.split(","):
+        context.mini.upstreams[int(name[1:])].script = Shared()
+
+
+@when('a caller of d{number:d} sends "{line}"')
+def step_send(context, number, line):
+    context.answer = context.mini.run(context.mini.send(number, line))
+
+
+@when('a caller of d{number:d} sends "{line}" {count:d} times')
+def step_send_many(context, number, line, count):
+    async def work():
+        return [await context.mini.send(number, line) for _ in range(count)]
+
+    context.answers = context.mini.run(work())
+
+
+@then("every answer was {status:d}")
+def step_every(context, status):
+    assert {row.status for row in context.answers} == {status}, context.answers
+
+
+@then("the answer is {status:d} and all upstreams ran it {runs:d} times")
+def step_answer_status(context, status, runs):
+    assert context.answer.status == status, context.answer
+    found = sum(sum(upstream.runs.values()) for upstream in context.mini.upstreams)
+    assert found == runs, found
+
+
+@then(
+    'upstream "{name}" saw target "{target}", body "{body}", caller "{caller}" '
+    "and at most {left:d} ms"
+)
+def step_saw(context, name, target, body, caller, left):
+    fields = context.mini.upstreams[int(name[1:])].seen[-1]
+    assert fields[":target"] == target, fields
+    assert fields[":body"] == body, fields
+    assert fields["x-caller-service"] == caller, fields
+    assert 0 < int(fields["x-deadline-ms"]) <= left, fields
+    assert fields["x-expect-instance"] == name, fields
+
+
+@when('a caller of d{number:d} writes "{text}"')
+def step_write(context, number, text):
+    requests = []
+    for part in text.split("|"):
+        if part.startswith("\\x"):
+            requests.append(b"\x01\x02 / HTTP/1.1\r\n\r\n")
+            continue
+        method, target, *rest = part.strip().split(" ", 2)
+        fields = rest[0].replace("\\n", "\r\n").replace("LONG", "x" * 5000) if rest else "x-a: 1"
+        head = f"{method} {target} HTTP/1.1\r\nhost: a.example\r\n{fields}\r\n\r\n"
+        requests.append(head.encode())
+    context.statuses = context.mini.run(context.mini.write(number, b"".join(requests)))
+
+
+@then('it reads statuses "{statuses}"')
+def step_statuses(context, statuses):
+    assert [row.decode() for row in context.statuses] == statuses.split(), context.statuses
+
+
+@when('upstream "{name}" tells its daemon "{news}"')
+def step_tell(context, name, news):
+    number = int(name[1:])
+    upstream = context.mini.upstreams[number]
+
+    async def work():
+        for item in news.split("; "):
+            state, *changes = item.split()
+            if state == "leave":
+                daemon = context.mini.sidecars[number].settings.heartbeats
+                body = json.dumps({"born": upstream.born}).encode()
+                await upstream.tell(daemon, "leave", body)
+            elif state == "late":
+                await context.mini.beat(number, "ready", sequence=50)
+            else:
+                fields = dict(part.split("=") for part in changes)
+                await context.mini.beat(number, state, **fields)
+        await asyncio.sleep(0.2)
+
+    context.mini.run(work())
+
+
+@then('upstream "{name}" ran "{runs}"')
+def step_ran(context, name, runs):
+    found = sum(context.mini.upstreams[int(name[1:])].runs.values())
+    assert bool(found) == (runs == "some"), found
+    assert {row.status for row in context.answers} == {200}
+
+
+@when("daemon d{number:d} is killed and started again")
+def step_restart(context, number):
+    mini = context.mini
+
+    async def work():
+        settings = mini.sidecars[number].settings
+        await mini.kill(number)
+        sidecar = await mini.start_daemon(number, settings)
+        await until(lambda: len(sidecar.peers.open_links) == 2, "the links of the new daemon")
+
+    mini.run(work())
+
+
+@when('upstream "{name}" crashes')
+def step_crash(context, name):
+    context.mini.run(context.mini.upstreams[int(name[1:])].crash())
+
+
+async def held(mini, number, line, meanwhile):
+    """Send a request, act while an upstream holds it, then let the upstream answer."""
+    sending = asyncio.ensure_future(mini.send(number, line))
+    await until(lambda: any(sum(u.runs.values()) for u in mini.upstreams), "the call to run")
+    acting = asyncio.ensure_future(meanwhile())
+    await asyncio.sleep(0.1)
+    for upstream in mini.upstreams:
+        upstream.released.set()
+    response = await sending
+    await acting
+    return response
+
+
+@when('a caller of d{number:d} sends "{line}" while the hop connections are cut')
+def step_cut(context, number, line):
+    mini = context.mini
+
+    async def cut():
+        for link in mini.sidecars[number].peers.links.values():
+            link.connection.abort()
+
+    context.answer = mini.run(held(mini, number, line, cut))
+
+
+@when('a caller of d{number:d} sends "{line}" while d{stopped:d} is stopped')
+def step_stopped(context, number, line, stopped):
+    mini = context.mini
+    context.answer = mini.run(held(mini, number, line, mini.sidecars[stopped].drain))
+
+
+@then("daemon d{number:d} is not ready")
+def step_not_ready(context, number):
+    async def ask():
+        http = TornadoHttpClient()
+        address = context.mini.sidecars[number].settings.ready
+        response = await http.send(address, Request("GET", "/-/ready", (), b""), Millis(2_000))
+        http.close()
+        return response.status
+
+    assert context.mini.run(ask()) == 503
+
+
+@when('the store "{trouble}"')
+def step_trouble(context, trouble):
+    if trouble == "forgets":
+        context.mini.store.compact("keyed.op")
+    elif trouble == "garbles":
+        context.mini.store.put("keyed.op", "config", b'{"version": 5}')
+
+
+@when('the operator writes version {version:d} with route "{prefix}"')
+def step_publish(context, version, prefix):
+    data = config(version, ((prefix, "safe", "s0"),))
+    context.mini.store.put("keyed.op", "config", data)
+
+
+@then("every daemon has version {version:d} in force")
+def step_version(context, version):
+    async def check():
+        sidecars = context.mini.sidecars
+        await until(lambda: all(s.entry.table.version == version for s in sidecars), "the version")
+        await asyncio.sleep(0.3)
+        assert {s.entry.table.version for s in sidecars} == {version}
+
+    context.mini.run(check())
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from agatecross_adapters.header_names import HeaderNames
@@ -68,6 +68,7 @@
     log: DecisionLog
     metrics: RelayMetrics
     exit_box: DirectMailbox[ExitMessage]
+    listeners: list[TornadoHttpListener] = field(default_factory=list)
     leaving: bool = False
 
     async def start(self) -> None:
@@ -76,9 +77,21 @@
         await self.peers.start()
         await self.entry.start()
         heartbeats = self.front_end.heartbeats(self.exit_box)
-        TornadoHttpListener().listen(settings.heartbeats, heartbeats)
-        TornadoHttpListener().listen(settings.ready, self._ready)
-        TornadoHttpListener().listen(settings.metrics, self._metrics)
+        handlers = {
+            settings.heartbeats: heartbeats,
+            settings.ready: self._ready,
+            settings.metrics: self._metrics,
+        }
+        for address, handler in handlers.items():
+            listener = TornadoHttpListener()
+            listener.listen(address, handler)
+            self.listeners.append(listener)
+
+    async def close(self) -> None:
+        """Close every listener."""
+        self.entry.listener.close()
+        for listener in self.listeners:
+            await listener.close()
 
     async def drain(self) -> None:
         """Move callers away, finish every call, then close."""
@@ -104,10 +117,10 @@
         return Response(200, (("Content-Type", "text/plain; version=0.0.4"),), self.metrics.text())
 
 
-def build(settings: SidecarSettings, front_end: FrontEnd) -> Sidecar:
+def build(settings: SidecarSettings, front_end: FrontEnd, log: DecisionLog) -> Sidecar:
     """Create the tasks and join their mailboxes."""
     rng = random.Random(settings.seed)
-    log, metrics = DecisionLog(), RelayMetrics()
+    metrics = RelayMetrics()
     me = Endpoint(
         settings.daemon_id,
         Incarnation(int(time.time() * 1000)),
@@ -160,7 +173,7 @@
 
 async def serve(settings: SidecarSettings, front_end: FrontEnd) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
-    sidecar = build(settings, front_end)
+    sidecar = build(settings, front_end, DecisionLog())
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -181,6 +194,7 @@
     for task in running:
         task.cancel()
     results = await asyncio.gather(*running, return_exceptions=True)
+    await sidecar.close()
     sidecar.log.change("daemon_stopped", daemon=settings.daemon_id)
     sidecar.log.flush()
     for result in results:
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -0,0 +1,124 @@
+"""Stand-in for the platform's keyed log, with switches for its failures."""
+
+import asyncio
+import base64
+import contextlib
+import json
+from dataclasses import dataclass, field
+
+from agatecross_adapters.http_server import TornadoHttpListener
+from agatecross_core.calls.model import Request, Response
+from agatecross_core.ids import Address
+
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+JSON = (("Content-Type", "application/json"),)
+
+
+@dataclass(slots=True)
+class Topic:
+    """Records of one keyed topic from `first` on, and the newest value of each key."""
+
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    appended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        """Return the next offset."""
+        return self.first + len(self.records)
+
+
+@dataclass(slots=True)
+class StoreSwitches:
+    """Failures to show; `refuse` answers 503, `silent` does not answer."""
+
+    refuse: bool = False
+    silent: bool = False
+
+
+class PlatformStoreStandIn:
+    """Serves `log-append`, `log-read` and `log-newest` on one address."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.switches = StoreSwitches()
+        self.listener = TornadoHttpListener()
+        self.calls = 0
+
+    def listen(self) -> Address:
+        """Start to serve and return the address."""
+        return self.listener.listen(Address("127.0.0.1:0"), self._handle)
+
+    async def close(self) -> None:
+        """Stop."""
+        for topic in self.topics.values():
+            topic.appended.set()
+        await self.listener.close()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append one record as the operator does."""
+        name = key.encode()
+        self._append(self._topic(topic), bytes((len(name),)) + name + value)
+
+    def compact(self, topic: str) -> None:
+        """Forget the history of a topic; the newest record of each key stays."""
+        held = self._topic(topic)
+        held.first, held.records = held.end, []
+
+    def _topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def _append(self, topic: Topic, record: bytes) -> None:
+        size = record[0]
+        key, value = record[1 : 1 + size].decode(), record[1 + size :]
+        if value:
+            topic.newest[key] = (topic.end, value)
+        else:
+            topic.newest.pop(key, None)
+        topic.records.append(record)
+        topic.appended.set()
+        topic.appended = asyncio.Event()
+
+    async def _handle(self, request: Request) -> Response:
+        self.calls += 1
+        if self.switches.silent:
+            await asyncio.sleep(60)
+        if self.switches.refuse:
+            return Response(503, JSON, b"{}")
+        path, _, query = request.path.partition("?")
+        fields = dict(part.split("=", 1) for part in query.split("&"))
+        topic = self._topic(fields["topic"])
+        if path == "/-/log-append":
+            return self._appended(topic, request.body)
+        if path == "/-/log-newest":
+            return self._newest(topic)
+        return await self._read(topic, int(fields["from"]), int(fields.get("waitMs", 0)))
+
+    def _appended(self, topic: Topic, body: bytes) -> Response:
+        offset = topic.end
+        while body:
+            end = LENGTH_BYTES + int.from_bytes(body[:LENGTH_BYTES], "big")
+            self._append(topic, body[LENGTH_BYTES:end])
+            body = body[end:]
+        return Response(200, JSON, json.dumps({"offset": offset, "end": topic.end}).encode())
+
+    def _newest(self, topic: Topic) -> Response:
+        items = [
+            {"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
+            for key, (offset, value) in sorted(topic.newest.items())
+        ]
+        body = json.dumps({"items": items, "more": False, "end": topic.end}).encode()
+        return Response(200, JSON, body)
+
+    async def _read(self, topic: Topic, start: int, wait_ms: int) -> Response:
+        if start < topic.first:
+            return Response(410, JSON, json.dumps({"firstOffset": topic.first}).encode())
+        if start >= topic.end and wait_ms:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(topic.appended.wait(), wait_ms / 1000)
+        head = topic.end.to_bytes(OFFSET_BYTES, "big") + topic.first.to_bytes(OFFSET_BYTES, "big")
+        rows = topic.records[max(0, start - topic.first) :]
+        body = b"".join(len(row).to_bytes(LENGTH_BYTES, "big") + row for row in rows)
+        return Response(200, (), head + body)
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -0,0 +1,195 @@
+"""Stand-in for an upstream on the users' platform, with a script of faults for its answers."""
+
+import asyncio
+import json
+from collections import Counter, deque
+from collections.abc import Iterable
+from enum import Enum
+
+import httptools
+
+from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_core.calls.model import Request
+from agatecross_core.ids import Address, Millis
+
+HEARTBEAT_TIMEOUT = Millis(2_000)
+
+
+class Answer(Enum):
+    """How one request is answered; `HOLD` waits until the upstream is released."""
+
+    WHOLE = "whole"
+    ERROR = "error"
+    SHED = "shed"
+    RESET = "reset"
+    LOST = "lost"
+    EXTRA = "extra"
+    GARBLED = "garbled"
+    TRUNCATED = "truncated"
+    UNFRAMED = "unframed"
+    UNSTAMPED = "unstamped"
+    ENCODED = "encoded"
+    HOLD = "hold"
+
+
+class PlatformUpstream:
+    """Serves requests, counts the runs of each id, and describes itself to its daemon."""
+
+    def __init__(self, name: str, service: str, born: int = 1) -> None:
+        self.name = name
+        self.service = service
+        self.born = born
+        self.sequence = 0
+        self.script: deque[Answer] = deque()
+        self.runs: Counter[str] = Counter()
+        self.seen: list[dict[str, str]] = []
+        self.released = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.connections: set[UpstreamSide] = set()
+        self.address = Address("")
+
+    async def listen(self) -> Address:
+        """Start to serve and return the address."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: UpstreamSide(self), "127.0.0.1", 0)
+        self.address = Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
+        return self.address
+
+    async def crash(self) -> None:
+        """Stop to serve and reset every connection."""
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+        await asyncio.sleep(0)
+
+    def plan(self, answers: Iterable[Answer]) -> None:
+        """Answer the next requests like this, later ones whole."""
+        self.script.extend(answers)
+
+    async def heartbeat(self, daemon: Address, state: str = "ready", **changes: object) -> int:
+        """Describe itself to its daemon and return the status of the answer."""
+        self.sequence += 1
+        fields: dict[str, object] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "north-a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldRemaining": "0ms",
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        return await self.tell(daemon, "heartbeat", json.dumps({**fields, **changes}).encode())
+
+    async def tell(self, daemon: Address, action: str, body: bytes) -> int:
+        """Send one announcement and return the status of the answer."""
+        path = f"/-/instances/{self.name}/{action}"
+        http = TornadoHttpClient()
+        response = await http.send(daemon, Request("POST", path, (), body), HEARTBEAT_TIMEOUT)
+        http.close()
+        return response.status
+
+
+class UpstreamSide(asyncio.Protocol):
+    """One accepted connection."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, owner: PlatformUpstream) -> None:
+        self.owner = owner
+        self.parser = httptools.HttpRequestParser(self)
+        self.fields: dict[str, str] = {}
+        self.target = b""
+        self.body = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.owner.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self.owner.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse requests."""
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.fields, self.target, self.body = {}, b"", b""
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a field."""
+        self.fields[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body."""
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        """Run the request, or do not run it, as the script says."""
+        owner = self.owner
+        fields = {**self.fields, ":target": self.target.decode(), ":body": self.body.decode()}
+        owner.seen.append(fields)
+        expected = self.fields.get("x-expect-instance", owner.name)
+        if expected != owner.name:
+            self._write(421, b"", extra=b"x-instance-id: " + owner.name.encode() + b"\r\n")
+            return
+        answer = owner.script.popleft() if owner.script else Answer.WHOLE
+        call_id = self.fields.get("x-request-id", "")
+        if answer is Answer.SHED:
+            self._write(503, b"", extra=b"x-not-run: 1\r\n")
+            return
+        owner.runs[call_id] += 1
+        self._run(answer, f"{owner.name} {call_id}".encode())
+
+    def _run(self, answer: Answer, body: bytes) -> None:
+        stamp = b"x-response-stamp: s\r\n"
+        match answer:
+            case Answer.WHOLE:
+                self._write(200, body, stamp)
+            case Answer.ERROR:
+                self._write(500, body, stamp)
+            case Answer.RESET | Answer.LOST:
+                self.transport.abort()
+            case Answer.EXTRA:
+                self._write(200, body, stamp)
+                self._write(200, b"extra", stamp)
+            case Answer.GARBLED:
+                self.transport.write(b"\x00\x01 these bytes are no response\r\n\r\n")
+            case Answer.TRUNCATED:
+                self.transport.write(
+                    b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n" + stamp + b"\r\nx"
+                )
+                self.transport.close()
+            case Answer.UNFRAMED:
+                self.transport.write(b"HTTP/1.1 200 OK\r\n" + stamp + b"\r\n" + body)
+                self.transport.close()
+            case Answer.UNSTAMPED:
+                self._write(200, body, b"")
+            case Answer.ENCODED:
+                self._write(200, body, stamp + b"content-encoding: gzip\r\n")
+            case _:
+                task = asyncio.ensure_future(self._hold(body, stamp))
+                task.add_done_callback(lambda _: None)
+
+    async def _hold(self, body: bytes, stamp: bytes) -> None:
+        call_id = self.fields.get("x-request-id", "").encode()
+        await self.owner.released.wait()
+        if not self.transport.is_closing():
+            self._write(200, body, stamp, call_id)
+
+    def _write(self, status: int, body: bytes, extra: bytes, call_id: bytes | None = None) -> None:
+        echoed = self.fields.get("x-request-id", "").encode() if call_id is None else call_id
+        self.transport.write(
+            b"HTTP/1.1 %d X\r\nx-request-id: %s\r\ncontent-length: %d\r\n%s\r\n%s"
+            % (status, echoed, len(body), extra, body)
+        )
