--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -167,6 +167,7 @@
                 attempts=call.attempts,
                 outcome=result.outcome.value,
                 reason=result.reason.value if result.reason else "",
+                target=call.facts.request.target.decode("latin-1"),
                 status=response.status,
                 took_ms=int(took),
             )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -42,6 +42,7 @@
     DIALING = "dialing"
     OPEN = "open"
     DOWN = "down"
+    CLOSED = "closed"
 
 
 @dataclass(slots=True)
@@ -124,6 +125,7 @@
 
     def close(self) -> None:
         """Stop dialing and close the connection."""
+        self.state = LinkState.CLOSED
         self.dialer.cancel()
         if self.connection is not None:
             self.connection.abort()
@@ -162,7 +164,7 @@
         self.send(self.hello())
 
     def _closed(self, connection: FrameConnection) -> None:
-        if self.connection is not connection:
+        if self.connection is not connection or self.state is LinkState.CLOSED:
             return
         self.connection = None
         self.state = LinkState.DIALING
