Stop requests that crash upstreams; serve peers until callers have moved on SIGTERM

Change: strikes from confirmed deaths spread to all daemons; the exit side leaves after the callers.

--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 import httptools
 
@@ -33,6 +34,13 @@
     MALFORMED = "malformed"
 
 
+class Unreachable(Enum):
+    """How a connection attempt failed: nobody listens, or no answer came."""
+
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 UpstreamDone = Callable[[RelayResponse | Failure], None]
 
 
@@ -49,9 +57,12 @@
     """Keeps connections to one address and sends one request at a time on each."""
 
     def __init__(
-        self, address: Address, names: HeaderNames, on_unreachable: Callable[[], None]
+        self,
+        address: Address,
+        names: HeaderNames,
+        on_unreachable: Callable[[Unreachable], None],
     ) -> None:
-        """Call `on_unreachable` when the upstream refuses a connection."""
+        """Call `on_unreachable` when a connection attempt fails."""
         self.address = address
         self.names = names
         self.on_unreachable = on_unreachable
@@ -70,11 +81,13 @@
                 sending.begin(connection)
                 return sending
             connection.close()
-        task = asyncio.ensure_future(self._dial(sending))
-        self.dialing.add(task)
-        task.add_done_callback(self.dialing.discard)
+        self._start(self._dial_for(sending))
         return sending
 
+    def probe(self) -> None:
+        """Open a connection for the next request, to learn whether the upstream still listens."""
+        self._start(self._dial_spare())
+
     def release(self, connection: "UpstreamConnection") -> None:
         """Keep a connection for the next request."""
         if len(self.idle) < MAX_IDLE:
@@ -88,7 +101,28 @@
             connection.close()
         self.idle.clear()
 
-    async def _dial(self, sending: "Sending") -> None:
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self.dialing.add(task)
+        task.add_done_callback(self.dialing.discard)
+
+    async def _dial_for(self, sending: "Sending") -> None:
+        connection = await self._dial()
+        if connection is None:
+            sending.failed(Failure.NOT_CONNECTED)
+        elif sending.stopped:
+            self.release(connection)
+            sending.failed(Failure.NOT_CONNECTED)
+        else:
+            sending.begin(connection)
+
+    async def _dial_spare(self) -> None:
+        connection = await self._dial()
+        if connection is not None:
+            connection.idle_since = Millis(time.monotonic() * 1000)
+            self.release(connection)
+
+    async def _dial(self) -> "UpstreamConnection | None":
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -96,16 +130,14 @@
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(self), host, int(port)
                 )
+        except ConnectionRefusedError:
+            self.on_unreachable(Unreachable.REFUSED)
+            return None
         except (OSError, TimeoutError):
-            self.on_unreachable()
-            sending.failed(Failure.NOT_CONNECTED)
-            return
+            self.on_unreachable(Unreachable.SILENT)
+            return None
         self.opened += 1
-        if sending.stopped:
-            self.release(connection)
-            sending.failed(Failure.NOT_CONNECTED)
-        else:
-            sending.begin(connection)
+        return connection
 
 
 class Sending:
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -6,6 +6,7 @@
 from ..calls.model import Request
 from ..ids import DaemonId, Fingerprint, Millis, ServiceName
 from ..members.records import Clearance, Member, Strike
+from ..relay.model import RelayRequest
 
 
 def fingerprint_of(service: ServiceName, request: Request) -> Fingerprint:
@@ -17,6 +18,12 @@
     return Fingerprint(digest.hexdigest())
 
 
+def relay_fingerprint(service: ServiceName, request: RelayRequest) -> Fingerprint:
+    """Return the fingerprint of a relayed request."""
+    method, target = request.method.decode("latin-1"), request.target.decode("latin-1")
+    return fingerprint_of(service, Request(method, target, (), request.body))
+
+
 @dataclass(frozen=True, slots=True)
 class InFlight:
     """A call that was running at an upstream."""
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -6,6 +6,7 @@
 from agatecross_core.ids import DaemonId, HandoverId, InstanceId, ServiceName
 from agatecross_core.members.announcement import Heartbeat
 from agatecross_core.members.directory import Endpoint
+from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult
 from agatecross_core.routing.host_table import HostTable
 
@@ -94,3 +95,10 @@
     """Whether the platform's log answered lately."""
 
     reached: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StrikesLearnt:
+    """Requests that ran when an upstream died, here or at a peer."""
+
+    strikes: tuple[Strike, ...]
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -97,10 +97,11 @@
         """Move callers away, finish every call, then close."""
         begun = monotonic()
         self.leaving = True
-        self.exit.leave()
-        self.peers.leave()
         await asyncio.sleep(min(MOVE_AWAY, self.settings.grace / 2) / 1000)
         self.entry.listener.close_idle()
+        # Until now the upstream still served calls of other daemons.
+        self.peers.leave()
+        self.exit.leave()
         last = begun + self.settings.grace - EXIT_MARGIN
         while monotonic() < last and (self.entry.listener.pending or self.exit.pending):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
@@ -149,6 +150,7 @@
         metrics,
     )
     exit_task = ExitTask(
+        settings.daemon_id,
         exit_box,
         Announcements(settings.service, settings.upstream),
         settings.heartbeat_period,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -8,6 +8,8 @@
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_core.ids import Address, CallId, DaemonId, HandoverId, Millis, ServiceName
 from agatecross_core.members.directory import Endpoint
+from agatecross_core.quarantine.model import relay_fingerprint
+from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.relay.budget import FleetBudget
 from agatecross_core.relay.flow import RelayPolicy, relay
 from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult
@@ -18,11 +20,11 @@
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender, monotonic
-from ..relay_messages import CancelAt, FleetChanged, SendTo, TableInForce
+from ..relay_messages import CancelAt, FleetChanged, SendTo, StrikesLearnt, TableInForce
 from ..relay_metrics import RelayMetrics
 from .relayed_call import CallFacts, RelayedCall
 
-EntryMessage = TableInForce | FleetChanged
+EntryMessage = TableInForce | FleetChanged | StrikesLearnt
 HANDOVER_COUNTER_BITS = 40
 # Used when a caller states no time.
 LONGEST_WAIT = Millis(60_000)
@@ -67,6 +69,7 @@
         self.fleet: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
         self.daemons = 1
         self.budgets: dict[ServiceName, FleetBudget] = {}
+        self.strikes = StrikeTable()
         self.own_fields = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
         )
@@ -86,6 +89,9 @@
                 self.listener.limits = table.limits
             case FleetChanged(by_service, daemons):
                 self.fleet, self.daemons = by_service, daemons
+            case StrikesLearnt(strikes):
+                if self.strikes.strike(strikes, monotonic()):
+                    self.log.change("strikes_learnt", fingerprints=len(strikes))
 
     def _received(self, exchange: Exchange) -> None:
         table = self.table
@@ -99,6 +105,9 @@
             return
         facts = self._facts(exchange, route, table.version)
         service = facts.service
+        if self.strikes.records and self._quarantined(facts):
+            self._refuse(exchange, UNAVAILABLE, Reason.QUARANTINED, table.version)
+            return
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = self.budget_of()
@@ -145,6 +154,10 @@
             version,
         )
 
+    def _quarantined(self, facts: CallFacts) -> bool:
+        fingerprint = relay_fingerprint(facts.service, facts.request)
+        return self.strikes.quarantined(fingerprint, monotonic())
+
     def _new_id(self) -> HandoverId:
         return HandoverId(next(self.ids))
 
@@ -160,6 +173,7 @@
                 "call",
                 call_id=call.facts.call_id,
                 route=route.name,
+                rank=route.rank,
                 service=call.facts.service,
                 version=call.facts.version,
                 upstream=call.target or "",
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.header_names import HeaderNames
-from agatecross_adapters.upstream_http import Failure, Sending, UpstreamPool
+from agatecross_adapters.upstream_http import Failure, Sending, Unreachable, UpstreamPool
 from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
-from agatecross_core.ids import Address, HandoverId, InstanceId, Millis
+from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, InstanceId, Millis
 from agatecross_core.members.announcement import Announcements, Heartbeat
+from agatecross_core.members.records import Strike
+from agatecross_core.quarantine.model import relay_fingerprint
 from agatecross_core.relay.answers import judge
 from agatecross_core.relay.ledger import Ledger
 from agatecross_core.relay.model import (
@@ -31,6 +33,7 @@
     LeaveReceived,
     ResultReceiver,
     ResumeHandover,
+    StrikesLearnt,
     UpstreamDescribed,
 )
 
@@ -40,6 +43,8 @@
 MISSED_HEARTBEATS = 4
 # A refused connection is tried again after this time, if no heartbeat comes before.
 DOWN_TIME = Millis(1_000)
+# A crash resets every connection at once; a refused connection within this time confirms it.
+DEATH_WINDOW = Millis(1_500)
 
 
 @dataclass(slots=True)
@@ -58,13 +63,15 @@
 
     def __init__(
         self,
+        daemon_id: DaemonId,
         mailbox: DirectMailbox[ExitMessage],
         announcements: Announcements,
         heartbeat_period: Millis,
         names: HeaderNames,
-        peers: Sender[UpstreamDescribed],
+        peers: Sender[UpstreamDescribed | StrikesLearnt],
         log: DecisionLog,
     ) -> None:
+        self.daemon_id = daemon_id
         self.mailbox = mailbox
         mailbox.own(self._handle)
         self.announcements = announcements
@@ -79,6 +86,7 @@
         self.instance: InstanceId | None = None
         self.state = UpstreamState.STARTING
         self.down_until = Millis(0)
+        self.cut_off: list[tuple[Millis, Handover]] = []
         self.leaving = False
 
     async def run(self) -> None:
@@ -157,6 +165,8 @@
 
     def _done(self, call: ExitCall, done: RelayResponse | Failure) -> None:
         now = monotonic()
+        if done is Failure.CONNECTION_LOST and call.reply is not None:
+            self._note_cut_off(call, now)
         result = self._result(call, done)
         learn = result.response is not None and call.reply is not None
         self.queue.finished(call.handover.handover_id, now, learn)
@@ -164,6 +174,13 @@
         self._forget(call)
         self._act(self.queue.next(now))
 
+    def _note_cut_off(self, call: ExitCall, now: Millis) -> None:
+        """Remember a call whose connection was lost, and look whether the upstream is alive."""
+        self.cut_off = [row for row in self.cut_off if now - row[0] < DEATH_WINDOW]
+        self.cut_off.append((now, call.handover))
+        if not self.pool.connections and not self.pool.dialing:
+            self.pool.probe()
+
     def _result(self, call: ExitCall, done: RelayResponse | Failure) -> RelayResult:
         if isinstance(done, RelayResponse):
             return judge(done, self.names.stamp, self.names.not_run)
@@ -271,13 +288,30 @@
             self._act(self.queue.clear(Reason.LEAVING))
         self.peers.put(UpstreamDescribed(changes))
 
-    def _unreachable(self) -> None:
+    def _unreachable(self, how: Unreachable) -> None:
         now = monotonic()
+        if how is Unreachable.REFUSED:
+            self._died(now)
         if now >= self.down_until:
-            self.log.change("upstream_unreachable", instance=self.instance or "")
+            self.log.change("upstream_unreachable", instance=self.instance or "", how=how.value)
         self.down_until = Millis(now + DOWN_TIME)
         self._act(self.queue.clear(Reason.NO_UPSTREAM))
 
+    def _died(self, now: Millis) -> None:
+        """Report the calls that were running when the upstream crashed."""
+        rows = [handover for at, handover in self.cut_off if now - at < DEATH_WINDOW]
+        self.cut_off.clear()
+        current = self.announcements.current
+        if not rows or current is None:
+            return
+        died = Incarnation(current.born)
+        strikes = tuple(
+            Strike(relay_fingerprint(row.service, row.request), self.daemon_id, died)
+            for row in rows
+        )
+        self.log.change("upstream_died", instance=self.instance or "", running=len(rows))
+        self.peers.put(StrikesLearnt(strikes))
+
     def _tick(self, now: Millis) -> None:
         silent = now - self.announcements.heard_at > self.lease
         if silent and self.instance is not None and self.state is UpstreamState.READY:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 
 from agatecross_adapters.frames import FrameConnection
@@ -15,12 +16,14 @@
     Pull,
     Result,
     Resume,
+    Strikes,
     decode_hop,
     encode_hop,
 )
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
 from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult, refused
 from agatecross_core.states import Reason, UpstreamState
 
@@ -36,6 +39,7 @@
     LogReached,
     ResumeHandover,
     SendTo,
+    StrikesLearnt,
     UpstreamDescribed,
 )
 from ..relay_metrics import RelayMetrics
@@ -43,12 +47,22 @@
 from .exit_task import ExitMessage
 from .peer_link import PeerLink
 
-PeersMessage = SendTo | CancelAt | UpstreamDescribed | LogReached | ConfigChanged | EndpointsRead
+PeersMessage = (
+    StrikesLearnt
+    | SendTo
+    | CancelAt
+    | UpstreamDescribed
+    | LogReached
+    | ConfigChanged
+    | EndpointsRead
+)
 TICK_SECONDS = 0.1
 BACKLOG = 1024
 # Handovers whose connection is gone are given up when their entry daemon does not ask for them.
 ORPHAN_TIME = Millis(1_500)
 PULL_PERIOD = Millis(300)
+# Told to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
+KEPT_STRIKES = 512
 # A daemon that was unreachable for this long is forgotten; it announces itself when it is back.
 FORGET_TIME = Millis(20_000)
 
@@ -74,7 +88,7 @@
         mailbox: DirectMailbox[PeersMessage],
         directory: Directory,
         exit_box: Sender[ExitMessage],
-        entry: Sender[FleetChanged],
+        entry: Sender[FleetChanged | StrikesLearnt],
         source: Sender[ConfigReceived | PeerForgotten],
         rng: random.Random,
         log: DecisionLog,
@@ -96,6 +110,7 @@
         self.blob = b""
         self.pulled_at = Millis(0)
         self.open_links: frozenset[DaemonId] = frozenset()
+        self.strikes: deque[Strike] = deque(maxlen=KEPT_STRIKES)
 
     async def start(self) -> None:
         """Start to accept other daemons."""
@@ -140,6 +155,10 @@
                 self._config_changed(message)
             case EndpointsRead(endpoints):
                 self._merge(endpoints)
+            case StrikesLearnt(strikes):
+                self._strikes_learnt(strikes)
+                for link in self.links.values():
+                    link.send(Strikes(strikes))
 
     def _send_to(
         self,
@@ -252,6 +271,12 @@
         self._common(message, link.send)
         if isinstance(message, Hello):
             self._publish()
+            if self.strikes:
+                link.send(Strikes(tuple(self.strikes)))
+
+    def _strikes_learnt(self, strikes: tuple[Strike, ...]) -> None:
+        self.strikes.extend(row for row in strikes if row not in self.strikes)
+        self.entry.put(StrikesLearnt(strikes))
 
     def _accepted(self, connection: FrameConnection) -> None:
         self.inbound[connection] = Inbound(connection)
@@ -310,6 +335,8 @@
             case ConfigBlob(version, data):
                 if version > self.version:
                     self.source.put(ConfigReceived(version, data))
+            case Strikes(strikes):
+                self._strikes_learnt(strikes)
             case Pull(version):
                 if self.version > version:
                     answer(ConfigBlob(self.version, self.blob))
