--- a/features/platform.feature
+++ b/features/platform.feature
@@ -108,3 +108,26 @@
     And a caller of d1 sends "POST /once/1" while d1 is stopped
     Then the answer is 200 and all upstreams ran it 1 times
     And daemon d1 is not ready
+
+  Scenario: a request that crashes upstreams is refused after the second death
+    Given a platform fleet
+    When upstreams "u0,u2" answer "crash,crash"
+    And a caller of d1 sends "GET /safe/poison"
+    Then the answer is 502 and all upstreams ran it 2 times
+    When upstreams "u0,u2" restart
+    And a caller of d2 sends "GET /safe/poison"
+    Then the answer is 503 and all upstreams ran it 2 times
+    When a caller of d2 sends "GET /safe/other"
+    Then the answer is 200 and all upstreams ran it 3 times
+
+  Scenario: a caller that leaves cancels its safe call at the upstream
+    Given a platform fleet
+    When upstreams "u0,u2" answer "hold"
+    And a caller of d1 sends "GET /safe/1" and leaves
+    Then no upstream still works on it within the deadline of a call
+
+  Scenario: a call whose time is up is answered although the upstream is silent
+    Given a platform fleet
+    When upstreams "u0,u2" answer "hold"
+    And a caller of d1 sends "GET /safe/1"
+    Then the answer is 504 and all upstreams ran it 1 times
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -172,7 +172,7 @@
             for number in range(len(self.sidecars)):
                 await self.kill(number)
             for upstream in self.upstreams:
-                await upstream.crash()
+                upstream.crash()
             await self.store.close()
 
         self.run(stop())
@@ -314,7 +314,7 @@
 
 @when('upstream "{name}" crashes')
 def step_crash(context, name):
-    context.mini.run(context.mini.upstreams[int(name[1:])].crash())
+    context.mini.upstreams[int(name[1:])].crash()
 
 
 async def held(mini, number, line, meanwhile):
@@ -382,3 +382,39 @@
         assert {s.entry.table.version for s in sidecars} == {version}
 
     context.mini.run(check())
+
+
+@when('upstreams "{names}" restart')
+def step_upstreams_restart(context, names):
+    mini = context.mini
+
+    async def work():
+        for name in names.split(","):
+            number = int(name[1:])
+            await mini.upstreams[number].restart()
+            await mini.beat(number)
+        await asyncio.sleep(0.1)
+
+    mini.run(work())
+
+
+@when('a caller of d{number:d} sends "{line}" and leaves')
+def step_leaves(context, number, line):
+    mini = context.mini
+
+    async def work():
+        host, _, port = mini.sidecars[number].settings.callers.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = f"{line} HTTP/1.1\r\nhost: a.example\r\nx-request-id: left\r\n\r\n"
+        writer.write(head.encode())
+        await until(lambda: any(u.runs["left"] for u in mini.upstreams), "the call to run")
+        writer.close()
+
+    mini.run(work())
+
+
+@then("no upstream still works on it within the deadline of a call")
+def step_dropped(context):
+    mini = context.mini
+    running = [u for u in mini.upstreams if u.runs["left"]]
+    mini.run(until(lambda: not any(u.connections for u in running), "the connection to close"))
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -22,7 +22,6 @@
     ERROR = "error"
     SHED = "shed"
     RESET = "reset"
-    LOST = "lost"
     EXTRA = "extra"
     GARBLED = "garbled"
     TRUNCATED = "truncated"
@@ -30,6 +29,7 @@
     UNSTAMPED = "unstamped"
     ENCODED = "encoded"
     HOLD = "hold"
+    CRASH = "crash"
 
 
 class PlatformUpstream:
@@ -49,19 +49,25 @@
         self.address = Address("")
 
     async def listen(self) -> Address:
-        """Start to serve and return the address."""
+        """Start to serve, again at the same address after a crash, and return the address."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: UpstreamSide(self), "127.0.0.1", 0)
+        port = int(self.address.rpartition(":")[2] or 0)
+        self.server = await loop.create_server(lambda: UpstreamSide(self), "127.0.0.1", port)
         self.address = Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
         return self.address
 
-    async def crash(self) -> None:
+    def crash(self) -> None:
         """Stop to serve and reset every connection."""
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
             connection.transport.abort()
-        await asyncio.sleep(0)
+
+    async def restart(self) -> None:
+        """Start again under the same id, with nothing known of before."""
+        self.born += 1
+        self.sequence = 0
+        await self.listen()
 
     def plan(self, answers: Iterable[Answer]) -> None:
         """Answer the next requests like this, later ones whole."""
@@ -158,8 +164,10 @@
                 self._write(200, body, stamp)
             case Answer.ERROR:
                 self._write(500, body, stamp)
-            case Answer.RESET | Answer.LOST:
+            case Answer.RESET:
                 self.transport.abort()
+            case Answer.CRASH:
+                self.owner.crash()
             case Answer.EXTRA:
                 self._write(200, body, stamp)
                 self._write(200, b"extra", stamp)
