--- a/features/relay.feature
+++ b/features/relay.feature
@@ -71,6 +71,7 @@
       | answers that all come too late        | learn r 100; call a 1 900 200; call b 1 900 200; call c 1 900 200; call d 1 900 200; call e 1 900 200 | start a; start b; refuse d overloaded; refuse e overloaded |
       | a start that cannot end in time       | call a 1 900; call b 1 900; call c 1 300; learn r 600; done a            | start a; start b; refuse c deadline       |
       | a full load on a cold upstream        | cold 500; call a 1 900; call b 1 900; +600; call c 1 900; done a         | start a; start b; start c                 |
+      | calls of running work that wait last  | call a 1 900; call b 1 900; call c 1 900 300; call d 1 200 60; done a; done b | start a; start b; start d; start c   |
       | work for an upstream that leaves      | call a 1 900; call b 1 900; call c 1 900; clear                          | start a; start b; refuse c leaving        |
       | a caller that left                    | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
 
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -1,6 +1,6 @@
-"""The queue in front of one upstream's slots: important calls first, hopeless ones refused."""
+"""The queue in front of one upstream's slots: important and urgent calls first."""
 
-from collections import deque
+from bisect import bisect_right, insort
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -13,6 +13,8 @@
 MIN_WAIT_SHARE = 0.1
 # Runs of one route differ; this many mean costs must fit between the start and the objective.
 COST_MARGIN = 1.2
+# A call is started although it may be late, if a run that is this much faster than usual is in time.
+FEASIBLE_COST = 0.6
 # While it is cold, an upstream works at about half of its speed.
 COLD_SHARE = 0.6
 
@@ -55,15 +57,16 @@
         self.slots = 0
         self.cold_until = Millis(0)
         self.running: dict[HandoverId, tuple[RouteName, Millis]] = {}
-        self.lanes: dict[int, deque[Waiting]] = {}
+        # In the order of starts. Within a rank the earliest objective goes first: calls that
+        # running upstreams make have short ones, and without them their callers' work is lost.
+        self.waiting: list[Waiting] = []
         self.costs: dict[RouteName, float] = {}
         self.mean_cost = 0.0
-        self.waiting = 0
 
     @property
     def load(self) -> int:
         """Return the number of calls that run or wait."""
-        return len(self.running) + self.waiting
+        return len(self.running) + len(self.waiting)
 
     def limit(self, now: Millis) -> int:
         """Return how many calls may run now."""
@@ -78,8 +81,7 @@
         if self._wait_of(call, now) > self._longest_wait(call, now):
             yield Refuse(call.handover_id, Reason.OVERLOADED)
             return
-        self.lanes.setdefault(call.rank, deque()).append(call)
-        self.waiting += 1
+        insort(self.waiting, call, key=start_order)
 
     def finished(self, handover_id: HandoverId, now: Millis, learn: bool) -> None:
         """Free the slot of a call; `learn` tells whether its time is typical of its route."""
@@ -93,39 +95,38 @@
 
     def cancel(self, handover_id: HandoverId) -> bool:
         """Remove a waiting call; return whether it waited."""
-        for lane in self.lanes.values():
-            for call in lane:
-                if call.handover_id == handover_id:
-                    lane.remove(call)
-                    self.waiting -= 1
-                    return True
+        for position, call in enumerate(self.waiting):
+            if call.handover_id == handover_id:
+                del self.waiting[position]
+                return True
         return False
 
     def next(self, now: Millis) -> Iterator[Start | Refuse]:
         """Start waiting calls while there are free slots; refuse those that cannot end in time."""
         limit = self.limit(now)
-        for rank in sorted(self.lanes):
-            lane = self.lanes[rank]
-            while lane and len(self.running) < limit:
-                call = lane.popleft()
-                self.waiting -= 1
-                if now + 0.6 * self.costs.get(call.route, 0.0) >= call.deadline:
-                    yield Refuse(call.handover_id, Reason.DEADLINE)
-                    continue
-                self.running[call.handover_id] = (call.route, now)
-                yield Start(call.handover_id)
+        while self.waiting and len(self.running) < limit:
+            call = self.waiting.pop(0)
+            if now + FEASIBLE_COST * self.costs.get(call.route, 0.0) >= call.deadline:
+                yield Refuse(call.handover_id, Reason.DEADLINE)
+                continue
+            self.running[call.handover_id] = (call.route, now)
+            yield Start(call.handover_id)
 
     def clear(self, reason: Reason) -> Iterator[Refuse]:
         """Refuse everything that waits."""
-        for lane in self.lanes.values():
-            while lane:
-                yield Refuse(lane.popleft().handover_id, reason)
-        self.waiting = 0
+        waiting, self.waiting = self.waiting, []
+        for call in waiting:
+            yield Refuse(call.handover_id, reason)
 
     def _wait_of(self, call: Waiting, now: Millis) -> float:
-        ahead = sum(len(lane) for rank, lane in self.lanes.items() if rank <= call.rank)
+        ahead = bisect_right(self.waiting, start_order(call), key=start_order)
         return (ahead + 1) * self.mean_cost / max(1, self.limit(now))
 
     def _longest_wait(self, call: Waiting, now: Millis) -> float:
         in_time = call.objective - now - COST_MARGIN * self.costs.get(call.route, 0.0)
         return max(in_time, MIN_WAIT_SHARE * (call.deadline - now))
+
+
+def start_order(call: Waiting) -> tuple[int, Millis]:
+    """Return the key by which waiting calls are started."""
+    return (call.rank, call.objective)
