--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -13,7 +13,7 @@
 MIN_WAIT_SHARE = 0.1
 # Runs of one route differ; this many mean costs must fit between the start and the objective.
 COST_MARGIN = 1.2
-# A call is started although it may be late, if a run that is this much faster than usual is in time.
+# A call that may be late is started if a run of this share of the usual cost would be in time.
 FEASIBLE_COST = 0.6
 # While it is cold, an upstream works at about half of its speed.
 COLD_SHARE = 0.6
