--- a/features/platform.feature
+++ b/features/platform.feature
@@ -131,3 +131,27 @@
     When upstreams "u0,u2" answer "hold"
     And a caller of d1 sends "GET /safe/1"
     Then the answer is 504 and all upstreams ran it 1 times
+
+  Scenario Outline: settings: <guards against>
+    Given a platform fleet
+    When the settings of d1 are read again with "<change>"
+    Then d1 logs "<event>" and goes on serving
+
+    Examples:
+      | guards against                       | change             | event                                              |
+      | a reload that changes nothing        | nothing            | settings_reloaded changed="" restart_needed=""     |
+      | a store that moved                   | store              | settings_reloaded changed=store restart_needed=""  |
+      | an address that changes under calls  | callers            | settings_reloaded changed=callers restart_needed=callers |
+      | settings with findings               | findings           | settings_rejected                                  |
+
+  Scenario Outline: settings file: <guards against>
+    Then the settings file with "<old>" replaced by "<new>" gives "<finding>"
+
+    Examples:
+      | guards against               | old                    | new                     | finding          |
+      | a misspelt key               | callers =              | caller =                | did you mean 'callers' |
+      | a missing key                | id = "d1"              |                         | key 'id' is missing |
+      | a duration without a unit    | "6s"                   | "6"                     | is not a duration |
+      | a wrong type                 | ratio = 0.2            | ratio = "0.2"           | must be a number |
+      | two listeners at one address | 10.1.0.8:8302          | 10.1.0.8:8304           | has the same address |
+      | an address without a port    | 10.200.1.7:8309        | 10.200.1.7              | not an address   |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,15 +3,20 @@
 import json
 import os
 import re
+from dataclasses import replace
 
 from behave import given, then, when
 
 from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.calls.model import Request
+from agatecross_core.config.model import Document
+from agatecross_core.errors import SettingsError
 from agatecross_core.ids import Address, Millis
 from agatecross_daemon.decision_log import DecisionLog
+from agatecross_daemon.events import format_event
 from agatecross_daemon.sidecar import build
-from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings
+from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings, sidecar_settings
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_store import PlatformStoreStandIn
 from agatecross_standins.platform_upstream import Answer, PlatformUpstream
@@ -19,6 +24,30 @@
 
 PLACES = (("north", "north-a", "s0"), ("north", "north-a", "s1"), ("south", "south-a", "s0"))
 WAIT_SECONDS = 15.0
+SETTINGS_FILE = """
+[sidecar]
+id = "d1"
+region = "jylland"
+data_centre = "aarhus-a"
+[listen]
+callers = "10.1.0.8:8304"
+peers = "10.1.0.8:8300"
+ready = "10.1.0.8:8302"
+heartbeats = "10.1.0.8:8306"
+metrics = "10.1.0.8:7620"
+[upstream]
+service = "s1"
+address = "10.1.0.8:8301"
+heartbeat = "1500ms"
+[store]
+address = "10.200.1.7:8309"
+[retries]
+ratio = 0.2
+slack = 60
+window = "10s"
+[shutdown]
+grace = "6s"
+"""
 ROUTES = (("/safe/", "safe", "s0"), ("/once/", "unsafe", "s0"), ("/peer/", "unsafe", "s1"))
 
 
@@ -418,3 +447,42 @@
     mini = context.mini
     running = [u for u in mini.upstreams if u.runs["left"]]
     mini.run(until(lambda: not any(u.connections for u in running), "the connection to close"))
+
+
+@when('the settings of d{number:d} are read again with "{change}"')
+def step_reload(context, number, change):
+    sidecar = context.mini.sidecars[number]
+    context.lines = []
+    sidecar.log.change = lambda event, **rows: context.lines.append(format_event(event, rows))
+
+    def read():
+        if change == "findings":
+            raise SettingsError("a finding")
+        if change == "nothing":
+            return sidecar.settings
+        value = Address("127.0.0.1:1") if change == "callers" else context.mini.store_address
+        other = {"store": Address(f"{value} "), "callers": value}[change]
+        return replace(sidecar.settings, **{change: other})
+
+    sidecar.reload(read)
+
+
+@then('d{number:d} logs "{event}" and goes on serving')
+def step_logged(context, number, event):
+    assert any(f"event={event}" in line for line in context.lines), context.lines
+    assert context.mini.run(context.mini.send(number, "GET /safe/1")).status == 200
+
+
+@then('the settings file with "{old}" replaced by "{new}" gives "{finding}"')
+@then('the settings file with "{old}" replaced by "" gives "{finding}"')
+def step_settings_file(context, old, finding, new=""):
+    text = SETTINGS_FILE.replace(old, new)
+    assert text != SETTINGS_FILE
+    sidecar_settings(decode_toml(Document("node.toml", SETTINGS_FILE)))
+    try:
+        sidecar_settings(decode_toml(Document("node.toml", text)))
+    except SettingsError as error:
+        assert finding in str(error), error
+        assert "node.toml:" in str(error), error
+    else:
+        raise AssertionError("no finding")
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -12,7 +12,7 @@
 from agatecross_core.errors import SettingsError
 
 from .settings_file import read_settings
-from .sidecar_settings import is_sidecar, sidecar_settings
+from .sidecar_settings import SidecarSettings, is_sidecar, sidecar_settings
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file (TOML).", required=True)
 
@@ -30,13 +30,18 @@
         from .sidecar import serve as serve_sidecar
 
         settings = sidecar_settings(decoded)
-        return serve_sidecar(settings, PlatformFrontEnd(settings))
+        return serve_sidecar(settings, PlatformFrontEnd(settings), read_sidecar_settings)
     from .fleet_daemon import serve
     from .settings import fleet_settings
 
     return serve(fleet_settings(decoded))
 
 
+def read_sidecar_settings() -> SidecarSettings:
+    """Read the file of the command line again; raises `SettingsError` or `OSError`."""
+    return sidecar_settings(read_settings(Path(SETTINGS.value)))
+
+
 def main(argv: Sequence[str]) -> None:
     """Load the settings and serve."""
     if len(argv) > 1:
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -4,14 +4,16 @@
 import random
 import signal
 import time
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields, replace
 from typing import Protocol
 
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.protocols import FleetStore, RequestHandler
 from agatecross_core.calls.model import Request, Response
-from agatecross_core.ids import Incarnation, Millis
+from agatecross_core.errors import SettingsError
+from agatecross_core.ids import Address, Incarnation, Millis
 from agatecross_core.members.announcement import Announcements
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.relay.budget import FleetBudget
@@ -34,18 +36,27 @@
 # Connections that still wait for an answer are closed this long before SIGKILL.
 EXIT_MARGIN = Millis(800)
 DRAIN_POLL_SECONDS = 0.02
+RELOADABLE = frozenset(("store", "retries", "grace"))
 
 
 class FrontEnd(Protocol):
     """What a platform brings: its store, header names, and its decoders."""
 
     names: HeaderNames
-    store: FleetStore
+
+    @property
+    def store(self) -> FleetStore:
+        """Return the platform's store."""
+        ...
 
     def decode_config(self, data: bytes, /) -> HostTable:
         """Return the compiled configuration; raises `MessageDecodeError`."""
         ...
 
+    def store_moved(self, address: Address) -> None:
+        """Use the store at another address from the next call on."""
+        ...
+
     def heartbeats(self, sender: "Sender[HeartbeatReceived | LeaveReceived]") -> RequestHandler:
         """Return the handler of what an upstream says to the daemon next to it."""
         ...
@@ -87,6 +98,27 @@
             listener.listen(address, handler)
             self.listeners.append(listener)
 
+    def reload(self, read: Callable[[], SidecarSettings]) -> None:
+        """Take the settings that can change while calls run; name those that need a restart."""
+        try:
+            settings = read()
+        except (SettingsError, OSError) as error:
+            self.log.change("settings_rejected", reason=str(error))
+            return
+        rows = [field.name for field in fields(settings)]
+        changed = {name for name in rows if getattr(settings, name) != getattr(self.settings, name)}
+        if "store" in changed:
+            self.front_end.store_moved(settings.store)
+        if "retries" in changed:
+            self.entry.budgets_changed(budget_factory(settings))
+        taken = {name: getattr(settings, name) for name in RELOADABLE}
+        self.settings = replace(self.settings, **taken)
+        self.log.change(
+            "settings_reloaded",
+            changed=",".join(sorted(changed)),
+            restart_needed=",".join(sorted(changed - RELOADABLE)),
+        )
+
     async def close(self) -> None:
         """Close every listener."""
         self.entry.listener.close()
@@ -136,14 +168,13 @@
     exit_box: DirectMailbox[ExitMessage] = DirectMailbox()
     peers_box: DirectMailbox[PeersMessage] = DirectMailbox()
     source_box: DirectMailbox[SourceMessage] = DirectMailbox()
-    retries = settings.retries
     entry = EntryTask(
         entry_box,
         settings.service,
         settings.callers,
         front_end.names,
         NearestBalancer(settings.region, settings.data_centre, rng),
-        lambda: FleetBudget(retries.ratio, retries.slack, retries.window),
+        budget_factory(settings),
         peers_box,
         rng,
         log,
@@ -173,15 +204,25 @@
     return Sidecar(settings, front_end, entry, exit_task, peers, source, log, metrics, exit_box)
 
 
-async def serve(settings: SidecarSettings, front_end: FrontEnd) -> None:
-    """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
+def budget_factory(settings: SidecarSettings) -> Callable[[], FleetBudget]:
+    """Return what makes the budget of one service."""
+    retries = settings.retries
+    return lambda: FleetBudget(retries.ratio, retries.slack, retries.window)
+
+
+async def serve(
+    settings: SidecarSettings, front_end: FrontEnd, read: Callable[[], SidecarSettings]
+) -> None:
+    """Run the daemon until SIGTERM or SIGINT, then shut down gracefully.
+
+    SIGHUP takes the settings that `read` returns, which may raise `SettingsError` or `OSError`.
+    """
     sidecar = build(settings, front_end, DecisionLog())
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    # Nothing of the settings can change while the daemon runs, so a reload is only noted.
-    loop.add_signal_handler(signal.SIGHUP, lambda: sidecar.log.change("settings_unchanged"))
+    loop.add_signal_handler(signal.SIGHUP, sidecar.reload, read)
     await sidecar.start()
     sidecar.log.change(
         "daemon_started", daemon=settings.daemon_id, service=settings.service, peers=settings.peers
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -81,6 +81,11 @@
         """Start to accept callers."""
         self.address = await self.listener.listen(self.address)
 
+    def budgets_changed(self, budget_of: Callable[[], FleetBudget]) -> None:
+        """Start every service's budget again with other settings."""
+        self.budget_of = budget_of
+        self.budgets.clear()
+
     def _handle(self, message: EntryMessage) -> None:
         match message:
             case TableInForce(table):
