--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,9 +1,10 @@
 import asyncio
 import itertools
 import json
-import os
 import re
+import tempfile
 from dataclasses import replace
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -93,7 +94,8 @@
         self.loop = asyncio.new_event_loop()
         self.store = PlatformStoreStandIn()
         self.ports = PortPool()
-        self.sink = os.open(os.devnull, os.O_WRONLY)
+        self.folder = tempfile.TemporaryDirectory()
+        self.files = []
         self.sidecars, self.tasks, self.upstreams = [], [], []
         self.statuses, self.ids = [], itertools.count()
 
@@ -139,7 +141,10 @@
             Millis(3_000),
             number,
         )
-        sidecar = build(settings, PlatformFrontEnd(settings), DecisionLog(self.sink))
+        path = Path(self.folder.name) / f"d{number}-{len(self.files)}.log"
+        self.files.append(path.open("wb"))
+        log = DecisionLog(self.files[-1].fileno())
+        sidecar = build(settings, PlatformFrontEnd(settings), log)
         await sidecar.start()
         tasks = [
             asyncio.ensure_future(task.run())
@@ -207,7 +212,14 @@
         self.run(stop())
         self.loop.close()
         self.ports.close()
-        os.close(self.sink)
+        for file in self.files:
+            file.close()
+        self.folder.cleanup()
+
+    def logs(self):
+        for sidecar in self.sidecars:
+            sidecar.log.flush()
+        return [file.name for file in self.files]
 
 
 def begin(context, refusing):
--- /dev/null
+++ b/features/steps/trace_steps.py
@@ -0,0 +1,47 @@
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+
+def client(*arguments):
+    command = [sys.executable, "-m", "agatecross_cli", *map(str, arguments)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+
+@then('the answer\'s status is {status:d} and the trace of its id ends with "{cause}"')
+def step_traced(context, status, cause):
+    assert context.answer.status == status, context.answer
+    logs = context.mini.logs()
+    result = client("trace", f"c{next(context.mini.ids) - 1}", *logs)
+    assert result.returncode == 0, result
+    assert result.stdout.splitlines()[-1].startswith(f"cause: {cause}:"), result.stdout
+
+
+@then('the causes of the logs count it as "{cause}"')
+def step_causes(context, cause):
+    result = client("causes", *context.mini.logs())
+    rows = [line.split() for line in result.stdout.splitlines()]
+    assert any(row[0] == "1" and row[-1] == cause for row in rows), result.stdout
+
+
+@given("a log with")
+def step_log(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.log_file = Path(folder.name) / "d0.log"
+    context.log_file.write_text(context.text + "\n")
+
+
+@when('the client runs "{arguments}" on it')
+def step_client(context, arguments):
+    context.client_result = client(*arguments.split(), context.log_file)
+
+
+@then('it ends with code {code:d} and shows "{text}"')
+def step_shows(context, code, text):
+    result = context.client_result
+    assert result.returncode == code, result
+    assert text in result.stdout, result.stdout
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -14,7 +14,7 @@
 from agatecross_core.ids import Address
 
 from .command import Command, CommandError, Context, Result
-from .commands import check, diff, explain, log, publish, status
+from .commands import causes, check, diff, explain, log, publish, status, trace
 from .exit_codes import ExitCode
 from .output import FORMATTERS
 
@@ -25,6 +25,8 @@
     "status": status.COMMAND,
     "log": log.COMMAND,
     "explain": explain.COMMAND,
+    "trace": trace.COMMAND,
+    "causes": causes.COMMAND,
 }
 
 LOG = flags.DEFINE_string("log", "127.0.0.1:9000", "Address of the log service.")
