--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -24,6 +24,7 @@
     Reason.NO_CONFIGURATION.value: "the daemon had no configuration yet",
     Reason.QUARANTINED.value: "earlier runs of the same request crashed upstreams",
     Reason.CONNECT_FAILED.value: "no connection to the upstreams that were asked",
+    "upstream-failed": "the upstream answered with a failure",
 }
 
 
