--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -29,7 +29,7 @@
 Fingerprint = NewType("Fingerprint", str)
 
 InstanceId = NewType("InstanceId", str)
-"""One lifetime of an upstream."""
+"""One incarnation of an upstream."""
 
 HandoverId = NewType("HandoverId", int)
 """One transfer of a call from the entry daemon to the daemon next to an upstream."""
