--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -89,7 +89,6 @@
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.closing = False
-        self.accepted = 0
 
     async def listen(self, address: Address) -> Address:
         """Start to serve and return the bound address; port 0 lets the kernel choose."""
@@ -152,7 +151,6 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.listener.connections.add(self)
-        self.listener.accepted += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what the caller no longer waits for."""
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -27,7 +27,6 @@
         self.on_frame = on_frame
         self.on_close = on_close
         self.buffer = bytearray()
-        self.received = 0
         self.open = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -47,7 +46,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Report each whole frame."""
-        self.received += len(data)
         buffer = self.buffer
         buffer += data
         start = 0
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
@@ -69,7 +69,6 @@
         self.idle: list[UpstreamConnection] = []
         self.connections: set[UpstreamConnection] = set()
         self.dialing: set[asyncio.Task[None]] = set()
-        self.opened = 0
 
     def send(self, handover: Handover, left: Millis, done: UpstreamDone) -> "Sending":
         """Send the request on the connection that was used last, or on a new one."""
@@ -136,7 +135,6 @@
         except (OSError, TimeoutError):
             self.on_unreachable(Unreachable.SILENT)
             return None
-        self.opened += 1
         return connection
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from agatecross_core.admission.policies import POLICIES
-from agatecross_core.config.check import check_table
 from agatecross_core.config.forms import check_address, check_ip, check_name
 from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
@@ -16,7 +15,7 @@
 from agatecross_core.ids import Address, DaemonId, DataCentreName, RegionName
 from agatecross_core.routing.balancers import BALANCERS
 
-from .settings_file import read_settings
+from .settings_file import check_tables, read_settings
 from .telemetry import TelemetrySettings
 
 TOP_KEYS: Mapping[str, Key] = {
@@ -94,11 +93,7 @@
 
 
 def _check(decoded: DecodedDocument) -> Iterator[Finding]:
-    yield from check_table(decoded.place, decoded.values, TOP_KEYS, ())
-    for name, keys in TABLES.items():
-        table = decoded.values.get(name)
-        if isinstance(table, Mapping):
-            yield from check_table(decoded.place, table, keys, (name,))
+    yield from check_tables(decoded, TOP_KEYS, TABLES)
     yield from _check_ports(decoded)
     yield from _check_address_map(decoded)
 
--- a/packages/agatecross-daemon/agatecross_daemon/settings_file.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings_file.py
@@ -1,10 +1,14 @@
-"""Reads a settings file."""
+"""Reads a settings file and checks its tables."""
 
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.config.check import check_table
 from agatecross_core.config.model import DecodedDocument, Document
+from agatecross_core.config.schema import Key
 from agatecross_core.errors import DocumentSyntaxError, SettingsError
+from agatecross_core.findings import Finding
 from agatecross_core.ids import DocumentName
 
 
@@ -18,3 +22,14 @@
         return decode_toml(document)
     except DocumentSyntaxError as error:
         raise SettingsError(str(error)) from error
+
+
+def check_tables(
+    decoded: DecodedDocument, top: Mapping[str, Key], tables: Mapping[str, Mapping[str, Key]]
+) -> Iterator[Finding]:
+    """Yield the findings of the top level and of each table that is there."""
+    yield from check_table(decoded.place, decoded.values, top, ())
+    for name, keys in tables.items():
+        table = decoded.values.get(name)
+        if isinstance(table, Mapping):
+            yield from check_table(decoded.place, table, keys, (name,))
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from agatecross_core.config.check import check_table
 from agatecross_core.config.forms import check_address, check_name
 from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
@@ -13,6 +12,8 @@
 from agatecross_core.findings import Finding, sort_findings
 from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName, ServiceName
 
+from .settings_file import check_tables
+
 TOP_KEYS: Mapping[str, Key] = {
     "sidecar": Key(dict, required=True),
     "listen": Key(dict, required=True),
@@ -92,11 +93,7 @@
 
 
 def _check(decoded: DecodedDocument) -> Iterator[Finding]:
-    yield from check_table(decoded.place, decoded.values, TOP_KEYS, ())
-    for name, keys in TABLES.items():
-        table = decoded.values.get(name)
-        if isinstance(table, Mapping):
-            yield from check_table(decoded.place, table, keys, (name,))
+    yield from check_tables(decoded, TOP_KEYS, TABLES)
     listen = decoded.values.get("listen")
     if isinstance(listen, Mapping):
         yield from _check_distinct(decoded, listen)
