--- /dev/null
+++ b/features/steps/feeding_steps.py
@@ -0,0 +1,84 @@
+import random
+from dataclasses import replace
+
+from behave import given, then, when
+
+from agatecross_core.distribution.delta import apply_delta, make_delta
+from agatecross_core.distribution.feeding import push_targets, reads_store
+from agatecross_core.errors import DeltaError
+from agatecross_core.ids import Millis
+from agatecross_core.members.directory import Endpoint
+
+
+def document(letters):
+    rows = "" if letters == "-" else ",".join(f'{{"name":"{c}","x":"{c * 20}"}}' for c in letters)
+    return f'{{"routes":[{rows}]}}'.encode()
+
+
+def fresh_bytes(steps):
+    return sum(len(step) for step in steps if isinstance(step, bytes))
+
+
+@when('the document "{old}" becomes "{new}"')
+def step_document(context, old, new):
+    context.old, context.new = document(old), document(new)
+    context.steps = make_delta(context.old, context.new)
+
+
+@then(
+    "the delta has {steps:d} steps, at most {fresh:d} bytes of its own, and gives the new document"
+)
+def step_delta(context, steps, fresh):
+    assert len(context.steps) == steps, context.steps
+    assert fresh_bytes(context.steps) <= fresh, context.steps
+    assert apply_delta(context.old, context.steps) == context.new
+
+
+@then("{count:d} random pairs of documents with seed {seed:d} agree with their deltas")
+def step_random(context, count, seed):
+    rng = random.Random(seed)
+    for _ in range(count):
+        old, new = (bytes(rng.choices(b"ab{}\n", k=rng.randrange(60))) for _ in range(2))
+        assert apply_delta(old, make_delta(old, new)) == new, (old, new)
+
+
+@when('a delta with steps "{steps}" is applied to the document "abc"')
+def step_unfit(context, steps):
+    first, count = map(int, steps.split())
+    try:
+        context.refused = not apply_delta(document("abc"), ((first, count),))
+    except DeltaError:
+        context.refused = True
+
+
+@then("it is refused")
+def step_refused(context):
+    assert context.refused
+
+
+@given('the daemons "{daemons}" of which "{reachable}" are reachable')
+def step_daemons(context, daemons, reachable):
+    context.rows = []
+    for text in daemons.split("; "):
+        name, region, latency, *flags = text.split()
+        row = Endpoint(name, 1, 0, f"10.0.0.1:{len(context.rows)}", region, f"{region}-a", "shop")
+        context.rows.append(
+            replace(
+                row,
+                log_latency=Millis(float(latency)),
+                reads_log="deaf" not in flags,
+                leaving="leaving" in flags,
+            )
+        )
+    context.reachable = frozenset(reachable.split()) - {"-"}
+
+
+@then('n1 reads the store "{reads}" and pushes a change of the store to "{pushed}"')
+def step_reads(context, reads, pushed):
+    me = context.rows[0]
+    assert reads_store(me, context.rows, context.reachable) is (reads == "yes")
+    targets = set(push_targets(me, context.rows, context.reachable, True))
+    if pushed == "2 of south":
+        assert len(targets) == 2 and all(name.startswith("s") for name in targets), targets
+    else:
+        assert targets == set(pushed.split()) - {"-"}, targets
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -3,12 +3,14 @@
 Each message is a tuple of its tag and its fields in order.
 """
 
+import zlib
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
 
 import msgspec
 
+from agatecross_core.distribution.delta import Step
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import (
     Address,
@@ -50,11 +52,15 @@
     CONFIG = 8
     PULL = 9
     STRIKES = 10
+    CONFIG_DELTA = 11
 
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First message each way: who speaks, and everything it knows."""
+    """First message each way: who speaks, and the descriptions that the other side lacks.
+
+    The first description is the speaker's own.
+    """
 
     daemon_id: DaemonId
     incarnation: Incarnation
@@ -107,6 +113,16 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigDelta:
+    """The difference of a configuration to the version before; `crc` is that of the result."""
+
+    base: Version
+    version: Version
+    crc: int
+    steps: tuple[Step, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Pull:
     """Asks for the configuration in force if it is newer than `version`."""
@@ -122,13 +138,31 @@
 
 
 HopMessage = (
-    Hello | Handover | Cancel | Resume | Ping | Result | Endpoints | ConfigBlob | Pull | Strikes
+    Hello
+    | Handover
+    | Cancel
+    | Resume
+    | Ping
+    | Result
+    | Endpoints
+    | ConfigBlob
+    | ConfigDelta
+    | Pull
+    | Strikes
 )
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 REPEATS = (Repeat.SAFE, Repeat.ONCE)
 OUTCOMES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
+DECODE_ERRORS = (
+    msgspec.MsgspecError,
+    zlib.error,
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+)
 REASONS = {reason.value: reason for reason in Reason}
 
 
@@ -142,7 +176,7 @@
     try:
         tag, *fields = DECODER.decode(frame)
         return _message(tag, fields)
-    except (msgspec.MsgspecError, ValueError, TypeError, KeyError, IndexError) as error:
+    except DECODE_ERRORS as error:
         raise MessageDecodeError(f"hop message: {error}") from error
 
 
@@ -155,7 +189,7 @@
     """Decode a description from the log; raises `MessageDecodeError`."""
     try:
         return _endpoint(DECODER.decode(data))
-    except (msgspec.MsgspecError, ValueError, TypeError, KeyError, IndexError) as error:
+    except DECODE_ERRORS as error:
         raise MessageDecodeError(f"endpoint: {error}") from error
 
 
@@ -194,6 +228,8 @@
             return (Tag.ENDPOINTS, [_endpoint_fields(row) for row in endpoints])
         case ConfigBlob(version, data):
             return (Tag.CONFIG, version, data)
+        case ConfigDelta(base, version, crc, steps):
+            return (Tag.CONFIG_DELTA, base, version, crc, zlib.compress(ENCODER.encode(steps)))
         case Pull(version):
             return (Tag.PULL, version)
         case Strikes(strikes):
@@ -203,7 +239,14 @@
 
 def _result_fields(result: RelayResult) -> tuple[Any, ...]:
     reason = result.reason.value if result.reason else None
-    head = (OUTCOMES.index(result.outcome), reason, result.arrived, result.load, result.slots)
+    head = (
+        OUTCOMES.index(result.outcome),
+        reason,
+        result.arrived,
+        result.load,
+        result.slots,
+        int(result.cost),
+    )
     response = result.response
     if response is None:
         return head
@@ -234,6 +277,8 @@
             return Endpoints(tuple(map(_endpoint, fields[0])))
         case Tag.CONFIG:
             return ConfigBlob(Version(fields[0]), fields[1])
+        case Tag.CONFIG_DELTA:
+            return _config_delta(fields)
         case Tag.PULL:
             return Pull(Version(fields[0]))
         case Tag.STRIKES:
@@ -260,16 +305,29 @@
 
 
 def _result(fields: list[Any]) -> RelayResult:
-    outcome, reason, arrived, load, slots, *rest = fields
+    outcome, reason, arrived, load, slots, cost, *rest = fields
     response = None
     if rest:
         status, rows, body = rest
         response = RelayResponse(status, tuple((name, value) for name, value in rows), body)
     return RelayResult(
-        OUTCOMES[outcome], REASONS[reason] if reason else None, response, arrived, load, slots
+        OUTCOMES[outcome],
+        REASONS[reason] if reason else None,
+        response,
+        arrived,
+        load,
+        slots,
+        Millis(cost),
     )
 
 
+def _config_delta(fields: list[Any]) -> ConfigDelta:
+    base, version, crc, packed = fields
+    rows = DECODER.decode(zlib.decompress(packed))
+    steps = tuple(row if isinstance(row, bytes) else (int(row[0]), int(row[1])) for row in rows)
+    return ConfigDelta(Version(base), Version(version), crc, steps)
+
+
 def _strike(row: list[Any]) -> Strike:
     return Strike(Fingerprint(row[0]), DaemonId(row[1]), Incarnation(row[2]))
 
@@ -290,16 +348,17 @@
         int(row.cold),
         row.leaving,
         row.reads_log,
+        int(row.log_latency),
     )
 
 
 def _endpoint(fields: list[Any]) -> Endpoint:
     daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
-    state, slots, cold, leaving, reads_log = fields[9:14]
+    state, slots, cold, leaving, reads_log, log_latency = fields[9:15]
     for text in (daemon, address, region, centre, service):
         if not isinstance(text, str):
             raise TypeError(f"{text!r} is not a string")
-    for number in (incarnation, sequence, born, slots, cold):
+    for number in (incarnation, sequence, born, slots, cold, log_latency):
         if not isinstance(number, int):
             raise TypeError(f"{number!r} is not a whole number")
     return Endpoint(
@@ -317,4 +376,5 @@
         Millis(cold),
         bool(leaving),
         bool(reads_log),
+        Millis(log_latency),
     )
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -24,6 +24,8 @@
 
 # Distribution.
 READERS_PER_REGION: Final = 2
+# Daemons of a data centre that give a newcomer there their whole table; one may be down.
+TABLE_DONORS: Final = 2
 NOTICE_FANOUT: Final = 4
 PEER_SILENCE: Final = Millis(5_000)
 LOG_POLL_WAIT: Final = Millis(2_000)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/distribution/feeding.py
@@ -0,0 +1,54 @@
+"""Which daemons read the configuration from the store, and whom they feed.
+
+Only the region nearest to the store reads; it pushes to relays in the other regions, so that a
+change crosses the link between regions a few times, whatever the size of the fleet.
+"""
+
+from collections.abc import Collection, Iterable, Iterator
+
+from ..constants import READERS_PER_REGION
+from ..ids import DaemonId, RegionName
+from ..members.directory import Endpoint
+from .readers import select_readers
+
+
+def reads_store(me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId]) -> bool:
+    """Return whether this daemon follows the store.
+
+    Daemons that this one cannot reach cannot feed it, so they do not count: a daemon that is cut
+    off from the readers takes their place.
+    """
+    able = [row for row in _present(me, rows, reachable) if row.reads_log and not row.leaving]
+    home = _home(able)
+    if home is None:
+        return me.daemon_id in _chosen(_present(me, rows, reachable), me.region)
+    return me.region == home and me.daemon_id in _chosen(able, home)
+
+
+def push_targets(
+    me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId], from_store: bool
+) -> Iterator[DaemonId]:
+    """Yield the daemons to push a change to that came from the store or from another region."""
+    present = [row for row in _present(me, rows, reachable) if row.daemon_id != me.daemon_id]
+    yield from (row.daemon_id for row in present if row.region == me.region)
+    if from_store:
+        for region in {row.region for row in present} - {me.region}:
+            yield from _chosen(present, region)
+
+
+def _present(
+    me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId]
+) -> list[Endpoint]:
+    others = (row for row in rows if row.daemon_id in reachable and row.daemon_id != me.daemon_id)
+    return [me, *others]
+
+
+def _home(rows: Iterable[Endpoint]) -> RegionName | None:
+    """Return the region with the fastest answers of the store; None while no answer was timed."""
+    known = [(row.log_latency, row.region) for row in rows if row.log_latency > 0]
+    return min(known)[1] if known else None
+
+
+def _chosen(rows: Iterable[Endpoint], region: RegionName) -> tuple[DaemonId, ...]:
+    ids = (row.daemon_id for row in rows if row.region == region)
+    return select_readers(ids, READERS_PER_REGION)
--- a/packages/agatecross-core/agatecross_core/errors.py
+++ b/packages/agatecross-core/agatecross_core/errors.py
@@ -17,6 +17,10 @@
         self.reason = reason
 
 
+class DeltaError(AgatecrossError):
+    """A difference does not fit the document that it is applied to."""
+
+
 class MessageDecodeError(AgatecrossError):
     """A control message or log record cannot be decoded."""
 
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -23,7 +23,8 @@
 
     `sequence` grows with each change within an incarnation. `instance` is None while the upstream
     is not known; `born` is its start in Unix milliseconds; `cold` is how long it is still slow.
-    `reads_log` tells whether the daemon reached the platform's log lately.
+    `reads_log` tells whether the daemon reached the platform's log lately; `log_latency` is the
+    shortest time an answer took it, 0 while none came.
     """
 
     daemon_id: DaemonId
@@ -40,6 +41,7 @@
     cold: Millis = ZERO_MS
     leaving: bool = False
     reads_log: bool = True
+    log_latency: Millis = ZERO_MS
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/agatecross-core/agatecross_core/relay/model.py
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..ids import CallId, DaemonId, HandoverId, InstanceId, Millis, RouteName, ServiceName
+from ..ids import ZERO_MS, CallId, DaemonId, HandoverId, InstanceId, Millis, RouteName, ServiceName
 from ..states import Outcome, Reason
 
 HeaderRows = tuple[tuple[bytes, bytes], ...]
@@ -56,7 +56,8 @@
     """What became of a handover or of the whole call.
 
     `arrived` tells whether the upstream was sent the request; `load` is the number of calls that
-    ran and waited next to it, `slots` its capacity; both are 0 when unknown.
+    ran and waited next to it, `slots` its capacity, `cost` the mean time that runs of the route
+    take there; each is 0 when unknown.
     """
 
     outcome: Outcome
@@ -65,6 +66,7 @@
     arrived: bool = False
     load: int = 0
     slots: int = 0
+    cost: Millis = ZERO_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from agatecross_core.ids import DaemonId, HandoverId, InstanceId, ServiceName
+from agatecross_core.ids import DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.members.announcement import Heartbeat
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.records import Strike
@@ -92,9 +92,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogReached:
-    """Whether the platform's log answered lately."""
+    """Whether the platform's log answered lately; `latency` is its shortest answer, 0 if none."""
 
     reached: bool
+    latency: Millis
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -201,6 +201,7 @@
             result.arrived,
             self.queue.load,
             self.queue.slots,
+            Millis(self.queue.costs.get(call.handover.route, 0.0)),
         )
         self.ledger.finish(call.handover.handover_id, whole)
         if result.reason is not None:
@@ -268,7 +269,6 @@
         state = UpstreamState.DRAINING if left else beat.state
         self.down_until = Millis(0)
         self.queue.slots = beat.slots
-        self.queue.cold_until = Millis(now + beat.cold)
         self._describe(beat.instance, state, beat)
 
     def _leave(self, instance: InstanceId, born: int | None) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -9,6 +9,7 @@
 from agatecross_adapters.hop_codec import (
     Cancel,
     ConfigBlob,
+    ConfigDelta,
     Endpoints,
     Hello,
     HopMessage,
@@ -20,8 +21,11 @@
     decode_hop,
     encode_hop,
 )
+from agatecross_core.constants import TABLE_DONORS
+from agatecross_core.distribution.feeding import push_targets
+from agatecross_core.distribution.readers import select_readers
 from agatecross_core.errors import MessageDecodeError
-from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
+from agatecross_core.ids import DaemonId, DataCentreName, HandoverId, Millis, Version
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult, refused
@@ -43,7 +47,16 @@
     UpstreamDescribed,
 )
 from ..relay_metrics import RelayMetrics
-from ..source_messages import ConfigChanged, ConfigReceived, EndpointsRead, PeerForgotten
+from ..source_messages import (
+    ConfigChanged,
+    ConfigOrigin,
+    ConfigReceived,
+    DeltaReceived,
+    EndpointsRead,
+    LinksChanged,
+    PeerForgotten,
+    PullNeeded,
+)
 from .exit_task import ExitMessage
 from .peer_link import PING_PERIOD, REMOTE_PING_PERIOD, PeerLink
 
@@ -54,6 +67,7 @@
     | UpstreamDescribed
     | LogReached
     | ConfigChanged
+    | PullNeeded
     | EndpointsRead
 )
 TICK_SECONDS = 0.1
@@ -61,6 +75,9 @@
 # Handovers whose connection is gone are given up when their entry daemon does not ask for them.
 ORPHAN_TIME = Millis(1_500)
 PULL_PERIOD = Millis(300)
+# The own region learns a change within this time, or its readers are gone; then a whole
+# configuration crosses the link between regions.
+REMOTE_PULL_DELAY = Millis(700)
 # Told to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
 KEPT_STRIKES = 512
 # A daemon that was unreachable for this long is forgotten; it announces itself when it is back.
@@ -89,7 +106,7 @@
         directory: Directory,
         exit_box: Sender[ExitMessage],
         entry: Sender[FleetChanged | StrikesLearnt],
-        source: Sender[ConfigReceived | PeerForgotten],
+        source: Sender[ConfigReceived | DeltaReceived | LinksChanged | PeerForgotten],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -108,7 +125,9 @@
         self.server: asyncio.Server | None = None
         self.version = Version(0)
         self.blob = b""
+        self.delta: ConfigDelta | None = None
         self.pulled_at = Millis(0)
+        self.behind_since: Millis | None = None
         self.open_links: frozenset[DaemonId] = frozenset()
         self.strikes: deque[Strike] = deque(maxlen=KEPT_STRIKES)
 
@@ -148,11 +167,14 @@
                 self._cancel_at(daemon_id, handover_id)
             case UpstreamDescribed(changes):
                 self._announce(self.directory.update(**changes))
-            case LogReached(reached):
-                if reached is not self.directory.me.reads_log:
-                    self._announce(self.directory.update(reads_log=reached))
+            case LogReached(reached, latency):
+                me = self.directory.me
+                if (reached, latency) != (me.reads_log, me.log_latency):
+                    self._announce(self.directory.update(reads_log=reached, log_latency=latency))
             case ConfigChanged():
                 self._config_changed(message)
+            case PullNeeded(version):
+                self._pull_from_region(version)
             case EndpointsRead(endpoints):
                 self._merge(endpoints)
             case StrikesLearnt(strikes):
@@ -182,14 +204,27 @@
             self.links[daemon_id].cancel(handover_id)
 
     def _config_changed(self, message: ConfigChanged) -> None:
-        self.version, self.blob = message.version, message.blob
-        if message.push:
-            me = self.directory.me
-            blob = encode_hop(ConfigBlob(self.version, self.blob))
-            for row in self.directory.others():
-                link = self.links.get(row.daemon_id)
-                if row.region == me.region and link is not None and link.connection is not None:
-                    link.connection.send(blob)
+        self.version, self.blob, self.delta = message.version, message.blob, message.delta
+        self.behind_since = None
+        if message.origin is ConfigOrigin.REGION:
+            return
+        frame = encode_hop(self.delta or ConfigBlob(self.version, self.blob))
+        rows = self.directory.rows.values()
+        from_store = message.origin is ConfigOrigin.STORE
+        for daemon_id in push_targets(self.directory.me, rows, self.open_links, from_store):
+            link = self.links.get(daemon_id)
+            if link is not None and link.connection is not None:
+                link.connection.send(frame)
+
+    def _pull_from_region(self, version: Version) -> None:
+        """Ask the first reachable daemon of the region for a whole configuration."""
+        me = self.directory.me
+        for row in self.directory.others():
+            link = self.links.get(row.daemon_id)
+            if row.region == me.region and link is not None and link.is_open:
+                link.send(Pull(self.version))
+                return
+        self.log.change("config_not_pulled", version=version, reason="no open link in the region")
 
     def _announce(self, me: Endpoint) -> None:
         frame = encode_hop(Endpoints((me,)))
@@ -242,7 +277,7 @@
         self.links[row.daemon_id] = PeerLink(
             row.daemon_id,
             row.address,
-            self._hello,
+            lambda: self._hello(row.daemon_id, row.data_centre),
             lambda: self.version,
             self._heard,
             self.rng,
@@ -253,11 +288,22 @@
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
             self.links.pop(daemon_id).close()
 
-    def _hello(self) -> Hello:
+    def _hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
+        """Return the greeting for a peer: the own row, its row if it drains, or the table.
+
+        Each daemon greets every other one, so whole tables would grow with the square of the
+        fleet; they go only from a few daemons of a data centre to their neighbours.
+        """
         me = self.directory.me
-        return Hello(
-            me.daemon_id, me.incarnation, self.version, tuple(self.directory.rows.values())
-        )
+        rows = [row for row in self.directory.rows.values() if row.daemon_id != me.daemon_id]
+        neighbours = [row.daemon_id for row in rows if row.data_centre == me.data_centre]
+        donors = select_readers((me.daemon_id, *neighbours), TABLE_DONORS)
+        if data_centre != me.data_centre or me.daemon_id not in donors:
+            # A drain that the peer confirmed before it restarted still binds it.
+            rows = [
+                row for row in rows if row.daemon_id == peer and row.state is UpstreamState.DRAINING
+            ]
+        return Hello(me.daemon_id, me.incarnation, self.version, (me, *rows))
 
     def _publish(self) -> None:
         """Tell the entry task which endpoints take calls: those with an open link."""
@@ -275,9 +321,9 @@
         return link is not None and link.is_open
 
     def _heard(self, link: PeerLink, message: HopMessage) -> None:
-        self._common(message, link.send)
+        self._common(message, link.send, link.daemon_id)
         if isinstance(message, Hello):
-            self._publish()
+            self._links_changed()
             if self.strikes:
                 link.send(Strikes(tuple(self.strikes)))
 
@@ -315,13 +361,14 @@
                 self.exit.put(ResumeHandover(handover_id, self._replier(row)))
             case Hello():
                 row.daemon_id = message.daemon_id
-                row.send(self._hello())
-                self._common(message, row.send)
+                data_centre = message.endpoints[0].data_centre if message.endpoints else ""
+                row.send(self._hello(message.daemon_id, DataCentreName(data_centre)))
+                self._common(message, row.send, row.daemon_id)
             case Ping(False, _):
                 row.send(Ping(True, self.version))
-                self._common(message, row.send)
+                self._common(message, row.send, row.daemon_id)
             case _:
-                self._common(message, row.send)
+                self._common(message, row.send, row.daemon_id)
 
     def _replier(self, row: Inbound) -> Callable[[HandoverId, RelayResult], None]:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
@@ -330,50 +377,74 @@
 
         return reply
 
-    def _common(self, message: HopMessage, answer: Callable[[HopMessage], None]) -> None:
+    def _common(
+        self, message: HopMessage, answer: Callable[[HopMessage], None], peer: DaemonId | None
+    ) -> None:
         match message:
             case Hello(_, _, version, endpoints):
                 self._merge(endpoints)
-                self._pull_if_newer(version, answer)
+                self._pull_if_newer(version, answer, peer)
             case Endpoints(endpoints):
                 self._merge(endpoints)
             case Ping(_, version):
-                self._pull_if_newer(version, answer)
+                self._pull_if_newer(version, answer, peer)
             case ConfigBlob(version, data):
                 if version > self.version:
-                    self.source.put(ConfigReceived(version, data))
+                    self.source.put(ConfigReceived(version, data, self._origin(peer)))
+            case ConfigDelta():
+                if message.version > self.version:
+                    self.source.put(DeltaReceived(message, self._origin(peer)))
             case Strikes(strikes):
                 self._strikes_learnt(strikes)
             case Pull(version):
-                if self.version > version:
+                if self.delta is not None and self.delta.base == version:
+                    answer(self.delta)
+                elif self.version > version:
                     answer(ConfigBlob(self.version, self.blob))
             case _:
                 self.log.change("peer_message_unexpected", kind=type(message).__name__)
 
-    def _pull_if_newer(self, version: Version, answer: Callable[[HopMessage], None]) -> None:
+    def _pull_if_newer(
+        self, version: Version, answer: Callable[[HopMessage], None], peer: DaemonId | None
+    ) -> None:
         now = monotonic()
-        if version > self.version and now - self.pulled_at > PULL_PERIOD:
+        if version <= self.version or now - self.pulled_at < PULL_PERIOD:
+            return
+        if self.behind_since is None:
+            self.behind_since = now
+        near = self._origin(peer) is ConfigOrigin.REGION
+        if near or now - self.behind_since > REMOTE_PULL_DELAY:
             self.pulled_at = now
             answer(Pull(self.version))
 
+    def _origin(self, peer: DaemonId | None) -> ConfigOrigin:
+        row = self.directory.rows.get(peer) if peer is not None else None
+        near = row is not None and row.region == self.directory.me.region
+        return ConfigOrigin.REGION if near else ConfigOrigin.OTHER_REGION
+
     def _tick(self, now: Millis) -> None:
         for link in list(self.links.values()):
             link.check(now)
             if link.down_since is not None and now - link.down_since > FORGET_TIME:
                 self._forget(link)
-        open_links = frozenset(i for i, link in self.links.items() if link.is_open)
-        if open_links != self.open_links:
-            self.log.change(
-                "peers_changed",
-                lost=",".join(sorted(self.open_links - open_links)),
-                gained=",".join(sorted(open_links - self.open_links)),
-            )
-            self.open_links = open_links
-            self.metrics.peers.set(len(open_links))
-            self._publish()
+        self._links_changed()
         while self.orphans and now - self.orphans[0][0] > ORPHAN_TIME:
             self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
 
+    def _links_changed(self) -> None:
+        open_links = frozenset(i for i, link in self.links.items() if link.is_open)
+        if open_links == self.open_links:
+            return
+        self.log.change(
+            "peers_changed",
+            lost=",".join(sorted(self.open_links - open_links)),
+            gained=",".join(sorted(open_links - self.open_links)),
+        )
+        self.open_links = open_links
+        self.metrics.peers.set(len(open_links))
+        self.source.put(LinksChanged(open_links))
+        self._publish()
+
     def _forget(self, link: PeerLink) -> None:
         self.log.change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
