--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -61,16 +61,21 @@
         return arrivals <= policy.attempts
     if policy.repeat is Repeat.ONCE or arrivals >= policy.attempts:
         return False
-    response = result.response
-    return response is None or response.status >= SERVER_ERROR
+    return not served(result)
+
+
+def served(result: RelayResult) -> bool:
+    """Return whether a result is an upstream's response that no repeat can better."""
+    return result.response is not None and result.response.status < SERVER_ERROR
 
 
 def worse_kept(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
     """Return the result that the caller gets: after a possible run, no refusal may say "not run".
 
-    An upstream's own failure is kept when a repeat of it brought no answer.
+    An upstream's own failure is kept when a repeat of it brought no answer, and an answer when a
+    second attempt failed.
     """
-    if earlier is None or latest.outcome is Outcome.RAN:
+    if earlier is None or (latest.outcome is Outcome.RAN and not served(earlier)):
         return latest
     if earlier.outcome is Outcome.NOT_RUN:
         return latest
--- a/packages/agatecross-core/agatecross_core/routing/nearest.py
+++ b/packages/agatecross-core/agatecross_core/routing/nearest.py
@@ -21,13 +21,20 @@
 REMOTE_PENALTY_PER_KIB = 0.35
 SIZE_WEIGHT = 0.05
 KIB = 1024
-LATENCY_WEIGHT = 0.1
+MEAN_WEIGHT = 0.02
+# A single call counts as at most this many usual times.
+MAX_OUTLIER = 4.0
+# What a daemon reports is a mean over many calls already.
+SLOWNESS_WEIGHT = 0.5
 FAILURE_WEIGHT = 0.15
 # An upstream that fails one call in five costs as much as one with twice the load.
 FAILURE_COST = 5.0
 FAILURE_HALF_LIFE = Millis(1_500)
-# Bounds how far observed speed can move traffic, as latency also holds the caller's own queueing.
+# Bounds how far the speed of the last calls can move traffic.
 MAX_SLOWNESS = 6.0
+MIN_SLOWNESS = 0.3
+# A second attempt of a slow call goes only where at least half of the slots are free.
+SPARE_BUSY = 0.5
 EJECTION = Millis(400)
 COLD_COST = 2.0
 SERVER_ERROR = 500
@@ -61,7 +68,8 @@
         self.data_centre = data_centre
         self.rng = rng
         self.stats: dict[DaemonId, Stats] = {}
-        self.expected: dict[str, float] = {}
+        self.usual: dict[str, float] = {}
+        self.costs: dict[str, float] = {}
         self.sizes: dict[str, float] = {}
 
     def choose(
@@ -92,6 +100,18 @@
             cost += 100.0
         return cost + self.rng.random() * 0.02
 
+    def usual_time(self, route: str) -> Millis | None:
+        """Return the mean time of the served calls of a route."""
+        usual = self.usual.get(route)
+        return None if usual is None else Millis(usual)
+
+    def has_spare(self, row: Endpoint, now: Millis) -> bool:
+        """Return whether an endpoint has room for a second attempt."""
+        stats = self.of(row)
+        busy = stats.outstanding + self._others(stats, now) + 1.0
+        spare = busy < SPARE_BUSY * max(1, stats.slots or row.slots)
+        return spare and now >= stats.ejected_until
+
     def of(self, row: Endpoint) -> Stats:
         """Return the observations of the current instance of an endpoint."""
         stats = self.stats.get(row.daemon_id)
@@ -135,7 +155,9 @@
             return
         self._learn_failure(stats, failed, now)
         if result.outcome is Outcome.RAN and not failed:
-            self._learn_latency(stats, took, route)
+            self._learn_usual(took, route)
+        if result.cost > 0:
+            self._learn_slowness(stats, result.cost, route)
         if result.response is not None:
             size = (sent + len(result.response.body)) / KIB
             held_size = self.sizes.get(route, size)
@@ -150,14 +172,16 @@
         stats.failures = held + FAILURE_WEIGHT * (failed - held)
         stats.failed_at = now
 
-    def _learn_latency(self, stats: Stats, took: Millis, route: str) -> None:
-        expected = self.expected.get(route)
-        if expected is None:
-            self.expected[route] = took
-            return
-        ratio = min(MAX_SLOWNESS, took / max(1.0, expected))
-        self.expected[route] = expected + 0.02 * (min(took, 4 * expected) - expected)
-        stats.slowness += LATENCY_WEIGHT * (max(0.3, ratio) - stats.slowness)
+    def _learn_usual(self, took: Millis, route: str) -> None:
+        usual = self.usual.get(route, took)
+        self.usual[route] = usual + MEAN_WEIGHT * (min(took, MAX_OUTLIER * usual) - usual)
+
+    def _learn_slowness(self, stats: Stats, cost: Millis, route: str) -> None:
+        """Compare the cost that a daemon measured next to its upstream with those of the others."""
+        mean = self.costs.get(route, cost)
+        self.costs[route] = mean + MEAN_WEIGHT * (cost - mean)
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
+        stats.slowness += SLOWNESS_WEIGHT * (ratio - stats.slowness)
 
     def _others(self, stats: Stats, now: Millis) -> float:
         return stats.others * math.exp2(-(now - stats.load_at) / LOAD_HALF_LIFE)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -12,7 +12,7 @@
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.relay.budget import FleetBudget
 from agatecross_core.relay.flow import RelayPolicy, relay
-from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult
+from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult, Repeat
 from agatecross_core.routing.host_table import HostRoute, HostTable, WeightedSplit
 from agatecross_core.routing.nearest import NearestBalancer
 from agatecross_core.states import Outcome, Reason
@@ -131,8 +131,28 @@
             lambda: Millis(facts.deadline - monotonic()),
             lambda: budget.take(self.daemons, monotonic()),
         )
+
+        def hedge(tried: DaemonId) -> Endpoint | None:
+            rows = self.fleet.get(service, ())
+            now = monotonic()
+            endpoint = self.balancer.choose(rows, (tried,), route.name, now)
+            if endpoint is None or not self.balancer.has_spare(endpoint, now):
+                return None
+            if not budget.take(self.daemons, now):
+                return None
+            self.balancer.started(endpoint)
+            return endpoint
+
+        hedged = route.repeat is Repeat.SAFE and route.attempts > 1
         call = RelayedCall(
-            facts, exchange, flow, self.balancer, self.links, self._new_id, self._ended
+            facts,
+            exchange,
+            flow,
+            hedge if hedged else None,
+            self.balancer,
+            self.links,
+            self._new_id,
+            self._ended,
         )
         call.begin()
 
@@ -181,9 +201,10 @@
                 rank=route.rank,
                 service=call.facts.service,
                 version=call.facts.version,
-                upstream=call.target or "",
-                instance=call.instance,
+                upstream=call.last.daemon_id if call.last else "",
+                instance=call.last.instance if call.last else "",
                 attempts=call.attempts,
+                hedged=call.hedged,
                 outcome=result.outcome.value,
                 reason=result.reason.value if result.reason else "",
                 target=call.facts.request.target.decode("latin-1"),
