--- a/features/http.feature
+++ b/features/http.feature
@@ -92,3 +92,8 @@
       | are reset after the check          | 200 200                  | 2        | 2           |
       | close on the second request        | 200 ConnectionLostError  | 2        | 1           |
       | answer late                        | ExchangeTimeoutError 200 | 2        | 2           |
+
+  Scenario: a client call that is cancelled at any step ends cancelled
+    Guards against a cancellation that gets lost while a connection opens: the call then goes on and
+    its daemon does not stop.
+    Then a call that is cancelled after each of 60 steps of the loop ends cancelled
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -343,3 +343,29 @@
             await arrived.wait()
         finally:
             loop.remove_reader(watched)
+
+
+@then("a call that is cancelled after each of {count:d} steps of the loop ends cancelled")
+def check_cancelled_calls(context, count):
+    async def answer(request):
+        return Response(200, (), b"a")
+
+    async def work():
+        listener = TornadoHttpListener()
+        address = listener.listen(LOCAL, answer)
+        for steps in range(count):
+            client = TornadoHttpClient()
+            call = asyncio.ensure_future(
+                client.send(address, Request("GET", "/", (), b""), Millis(5_000))
+            )
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            if call.done():
+                break
+            call.cancel()
+            await asyncio.wait([call], timeout=STEP_SECONDS)
+            assert call.cancelled(), f"after {steps} steps: {call}"
+            client.close()
+        await listener.close()
+
+    asyncio.run(work())
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -133,7 +133,9 @@
         stream: ClientStream | None = None
         try:
             stream = ClientStream(socket.socket(_family(host)))
-            await asyncio.wait_for(stream.connect((host.strip("[]"), int(port))), limit)
+            # `wait_for` loses a cancellation that comes as the connection opens.
+            async with asyncio.timeout(limit):
+                await stream.connect((host.strip("[]"), int(port)))
         except (OSError, TimeoutError, StreamClosedError) as error:
             if stream is not None:
                 stream.close()
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -148,7 +148,8 @@
         written = connection.write_headers(start, headers, body)
         connection.finish()
         if not written.done():
-            await asyncio.wait_for(written, self.write_timeout / 1000)
+            async with asyncio.timeout(self.write_timeout / 1000):
+                await written
 
     def _response_headers(self, request: Request, response: Response) -> tuple[HTTPHeaders, bool]:
         headers = HTTPHeaders()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -84,7 +84,8 @@
     async def _next(self) -> ClaimsMessage:
         seconds = ACTIVE_SECONDS if self.decider.active() else IDLE_SECONDS
         try:
-            return await asyncio.wait_for(self.mailbox.get(), seconds)
+            async with asyncio.timeout(seconds):
+                return await self.mailbox.get()
         except TimeoutError:
             return TimePassed()
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -323,16 +323,17 @@
 async def refuses_connections(address: Address) -> bool:
     """Return whether the address refuses new connections, as that of a dead process does."""
     host, _, port = address.rpartition(":")
-    connecting = asyncio.open_connection(host, int(port))
     try:
-        reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT / 1000)
+        async with asyncio.timeout(CONNECT_TIMEOUT / 1000):
+            reader, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
         return False
     try:
         # A process that is ending may still accept, but then closes; a live one waits for a call.
-        return await asyncio.wait_for(reader.read(1), ENDING_SECONDS) == b""
+        async with asyncio.timeout(ENDING_SECONDS):
+            return await reader.read(1) == b""
     except TimeoutError:
         return False
     except OSError:
