Clear the strikes that are named, also when a copy of them arrives later

Cause: a clearance named only the fingerprint. Change: a clearance names the deaths that no longer count, and they are remembered as long as a quarantine lasts; a cleared strike is passed on no more. Tables of the crossed and the repeated strike failed first. A clearance whose every copy is lost is still not repeated.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -35,7 +35,11 @@
         if name == "wait":
             context.now += int(value) * MINUTE
         elif name == "clear":
-            context.strikes.clear([Clearance(value)])
+            context.strikes.clear([Clearance(value)], context.now)
+        elif name == "lift":
+            fingerprint, *deaths = value.split("/")
+            clearance = Clearance(fingerprint, tuple((row, 0) for row in deaths))
+            context.strikes.clear([clearance], context.now)
         else:
             strike = Strike(name, value.rstrip("+"), value.count("+"))
             context.strikes.strike([strike], context.now)
--- a/packages/agatecross-core/agatecross_core/members/dissemination.py
+++ b/packages/agatecross-core/agatecross_core/members/dissemination.py
@@ -64,7 +64,11 @@
         for strike in new_strikes:
             # The call ran again since it was cleared, so its next clearance is news.
             self._forget(Clearance(strike.fingerprint))
-        return new_strikes, tuple(c for c in clearances if self._learn(c, now))
+        new_clearances = tuple(c for c in clearances if self._learn(c, now))
+        for clearance in new_clearances:
+            for daemon_id, incarnation in clearance.deaths:
+                self.queue.discard(Strike(clearance.fingerprint, daemon_id, incarnation))
+        return new_strikes, new_clearances
 
     def take(self, limit: int) -> tuple[tuple[Strike, ...], tuple[Clearance, ...]]:
         """Return the reports to put on the next message, each at most `limit` times."""
--- a/packages/agatecross-core/agatecross_core/members/records.py
+++ b/packages/agatecross-core/agatecross_core/members/records.py
@@ -54,9 +54,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Clearance:
-    """A call of this fingerprint completed."""
+    """A call of this fingerprint completed, or its quarantine was lifted.
+
+    `deaths` are the strikes that no longer count, each as daemon and incarnation; strikes and
+    clearances overtake each other on the way. Without them every strike known so far is meant.
+    """
 
     fingerprint: Fingerprint
+    deaths: tuple[tuple[DaemonId, Incarnation], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -28,14 +28,18 @@
         """Start without strikes."""
         self.limit = limit
         self.records: OrderedDict[Fingerprint, Record] = OrderedDict()
+        self.cleared: OrderedDict[tuple[Fingerprint, Death], Millis] = OrderedDict()
 
     def strike(self, strikes: Iterable[Strike], now: Millis) -> bool:
         """Count strikes; return whether any of them is new."""
         self._expire(now)
+        self._expire_cleared(now)
         changed = False
         for strike in strikes:
-            record = self.records.setdefault(strike.fingerprint, Record(now))
             death = (strike.daemon_id, strike.incarnation)
+            if (strike.fingerprint, death) in self.cleared:
+                continue
+            record = self.records.setdefault(strike.fingerprint, Record(now))
             # A quarantine ends 10 minutes after it began, whatever is reported late.
             if death in record.deaths or len(record.deaths) >= QUARANTINE_DEATHS:
                 continue
@@ -47,10 +51,30 @@
             self.records.popitem(last=False)
         return changed
 
-    def clear(self, clearances: Iterable[Clearance]) -> bool:
-        """Forget the strikes of requests that completed; return whether there were any."""
-        gone = [self.records.pop(row.fingerprint, None) for row in clearances]
-        return any(record is not None for record in gone)
+    def clear(self, clearances: Iterable[Clearance], now: Millis) -> bool:
+        """Forget the strikes of requests that completed; return whether there were any.
+
+        Their deaths are remembered, because a copy of a strike may arrive after its clearance.
+        """
+        changed = False
+        for row in clearances:
+            record = self.records.get(row.fingerprint)
+            deaths = set(row.deaths) or (set(record.deaths) if record else set())
+            for death in deaths:
+                self.cleared[row.fingerprint, death] = now
+            if record is not None and record.deaths & deaths:
+                changed = True
+                record.deaths -= deaths
+                if not record.deaths:
+                    del self.records[row.fingerprint]
+        while len(self.cleared) > self.limit * QUARANTINE_DEATHS:
+            self.cleared.popitem(last=False)
+        return changed
+
+    def deaths(self, fingerprint: Fingerprint) -> tuple[Death, ...]:
+        """Return the deaths that count against a fingerprint."""
+        record = self.records.get(fingerprint)
+        return tuple(sorted(record.deaths)) if record else ()
 
     def suspected(self, fingerprint: Fingerprint, now: Millis) -> bool:
         """Return whether the fingerprint has a strike."""
@@ -88,3 +112,10 @@
             if now - record.at < QUARANTINE_TIME:
                 return
             del self.records[fingerprint]
+
+    def _expire_cleared(self, now: Millis) -> None:
+        while self.cleared:
+            row, at = next(iter(self.cleared.items()))
+            if now - at < QUARANTINE_TIME:
+                return
+            del self.cleared[row]
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -89,7 +89,7 @@
 
     def completed(self, fingerprint: Fingerprint) -> bool:
         """Clear a fingerprint everywhere; return whether it had strikes."""
-        clearances = (Clearance(fingerprint),)
+        clearances = (Clearance(fingerprint, self.table.deaths(fingerprint)),)
         if not self._merge((), clearances):
             return False
         self.members.put(SpreadStrikes((), clearances))
@@ -151,7 +151,7 @@
 
     def _merge(self, strikes: Iterable[Strike], clearances: Iterable[Clearance]) -> bool:
         now = monotonic()
-        changed = self.table.clear(clearances)
+        changed = self.table.clear(clearances, now)
         if self.table.strike(strikes, now):
             changed = True
             for row in self.table.rows(now):
