Add a fault soak of daemons on the users' platform

Six daemons as processes, upstreams, store and callers around them; loopback proxies that delay, reset, cut one way or go silent; signals in series. A daemon may announce another address than it listens at (peers_announced), which also serves fleets behind translated addresses.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -139,6 +139,7 @@
             self.store_address,
             RetrySettings(0.2, 600, Millis(10_000)),
             Millis(3_000),
+            Address(addresses[1]),
             number,
         )
         path = Path(self.folder.name) / f"d{number}-{len(self.files)}.log"
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -158,7 +158,7 @@
         settings.daemon_id,
         Incarnation(int(time.time() * 1000)),
         0,
-        settings.peers,
+        settings.announced,
         settings.region,
         settings.data_centre,
         settings.service,
@@ -176,6 +176,7 @@
         NearestBalancer(settings.region, settings.data_centre, rng),
         budget_factory(settings),
         peers_box,
+        exit_box,
         rng,
         log,
         metrics,
@@ -187,9 +188,20 @@
         settings.heartbeat_period,
         front_end.names,
         peers_box,
+        rng,
         log,
     )
-    peers = PeersTask(peers_box, directory, exit_box, entry_box, source_box, rng, log, metrics)
+    peers = PeersTask(
+        peers_box,
+        settings.peers,
+        directory,
+        exit_box,
+        entry_box,
+        source_box,
+        rng,
+        log,
+        metrics,
+    )
     source = SourceTask(
         source_box,
         front_end.store,
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -30,6 +30,7 @@
     "listen": {
         "callers": ADDRESS,
         "peers": ADDRESS,
+        "peers_announced": Key(str, form=check_address),
         "ready": ADDRESS,
         "heartbeats": ADDRESS,
         "metrics": ADDRESS,
@@ -60,7 +61,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SidecarSettings:
-    """Settings of one daemon; `grace` is the time from SIGTERM to SIGKILL, in milliseconds."""
+    """Settings of one daemon; `grace` is the time from SIGTERM to SIGKILL, in milliseconds.
+
+    `announced` is the address at which other daemons reach the listener `peers`.
+    """
 
     daemon_id: DaemonId
     region: RegionName
@@ -76,6 +80,7 @@
     store: Address
     retries: RetrySettings
     grace: Millis
+    announced: Address
     seed: int | None = None
 
 
@@ -126,5 +131,6 @@
         Address(values["store"]["address"]),
         RetrySettings(retries["ratio"], retries["slack"], parse_duration(retries["window"])),
         parse_duration(values["shutdown"]["grace"]),
+        Address(listen.get("peers_announced", listen["peers"])),
         me.get("seed"),
     )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -25,7 +25,7 @@
 from agatecross_core.distribution.feeding import push_targets
 from agatecross_core.distribution.readers import select_readers
 from agatecross_core.errors import MessageDecodeError
-from agatecross_core.ids import DaemonId, DataCentreName, HandoverId, Millis, Version
+from agatecross_core.ids import Address, DaemonId, DataCentreName, HandoverId, Millis, Version
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult, refused
@@ -103,6 +103,7 @@
     def __init__(
         self,
         mailbox: DirectMailbox[PeersMessage],
+        address: Address,
         directory: Directory,
         exit_box: Sender[ExitMessage],
         entry: Sender[FleetChanged | StrikesLearnt],
@@ -112,6 +113,7 @@
         metrics: RelayMetrics,
     ) -> None:
         mailbox.own(self._handle)
+        self.address = address
         self.directory = directory
         self.exit = exit_box
         self.entry = entry
@@ -134,7 +136,7 @@
     async def start(self) -> None:
         """Start to accept other daemons."""
         loop = asyncio.get_running_loop()
-        host, _, port = self.directory.me.address.rpartition(":")
+        host, _, port = self.address.rpartition(":")
         self.server = await loop.create_server(
             lambda: FrameConnection(self._accepted, self._frame, self._closed),
             host,
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -12,6 +12,7 @@
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
+SILENT_POLL_SECONDS = 0.02
 JSON = (("Content-Type", "application/json"),)
 
 
@@ -83,8 +84,8 @@
 
     async def _handle(self, request: Request) -> Response:
         self.calls += 1
-        if self.switches.silent:
-            await asyncio.sleep(60)
+        while self.switches.silent:
+            await asyncio.sleep(SILENT_POLL_SECONDS)
         if self.switches.refuse:
             return Response(503, JSON, b"{}")
         path, _, query = request.path.partition("?")
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter, deque
 from collections.abc import Iterable
 from enum import Enum
@@ -41,7 +42,9 @@
         self.born = born
         self.sequence = 0
         self.script: deque[Answer] = deque()
+        self.work_seconds = 0.0
         self.runs: Counter[str] = Counter()
+        self.run_times: list[float] = []
         self.seen: list[dict[str, str]] = []
         self.released = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -155,11 +158,17 @@
             self._write(503, b"", extra=b"x-not-run: 1\r\n")
             return
         owner.runs[call_id] += 1
+        owner.run_times.append(time.monotonic())
         self._run(answer, f"{owner.name} {call_id}".encode())
 
     def _run(self, answer: Answer, body: bytes) -> None:
         stamp = b"x-response-stamp: s\r\n"
         match answer:
+            case Answer.WHOLE if self.owner.work_seconds:
+                call_id = self.fields.get("x-request-id", "").encode()
+                asyncio.get_running_loop().call_later(
+                    self.owner.work_seconds, self._write, 200, body, stamp, call_id
+                )
             case Answer.WHOLE:
                 self._write(200, body, stamp)
             case Answer.ERROR:
@@ -192,10 +201,11 @@
     async def _hold(self, body: bytes, stamp: bytes) -> None:
         call_id = self.fields.get("x-request-id", "").encode()
         await self.owner.released.wait()
-        if not self.transport.is_closing():
-            self._write(200, body, stamp, call_id)
+        self._write(200, body, stamp, call_id)
 
     def _write(self, status: int, body: bytes, extra: bytes, call_id: bytes | None = None) -> None:
+        if self.transport.is_closing():
+            return
         echoed = self.fields.get("x-request-id", "").encode() if call_id is None else call_id
         self.transport.write(
             b"HTTP/1.1 %d X\r\nx-request-id: %s\r\ncontent-length: %d\r\n%s\r\n%s"
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -0,0 +1,41 @@
+"""Soaks a fleet under seeded faults and checks what callers and upstreams saw.
+
+`python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=12` prints a line for each seed and
+its violations, and exits with code 1 when there are any. The seed fixes the schedule and the calls;
+timing differs from run to run.
+"""
+
+import asyncio
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+
+from absl import app, flags
+
+from .run import soak
+
+SEED = flags.DEFINE_integer("seed", 1, "First seed.")
+SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds, one after the other.")
+SECONDS = flags.DEFINE_float("seconds", 12.0, "Time in which faults begin and end.")
+LOGS = flags.DEFINE_string("logs", None, "Folder for the daemons' logs; kept.")
+
+
+def main(argv: Sequence[str]) -> None:
+    """Run the seeds and exit with code 1 on any violation."""
+    del argv
+    failed = 0
+    for seed in range(SEED.value, SEED.value + SEEDS.value):
+        folder = Path(LOGS.value or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        result = asyncio.run(soak(seed, SECONDS.value, folder))
+        print(f"seed {seed}: {result.summary}; logs in {folder}", flush=True)
+        for text in result.violations:
+            print(f"  {text}", flush=True)
+        failed += bool(result.violations)
+    print(f"{SEEDS.value - failed} seeds passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -0,0 +1,130 @@
+"""One run of the soak: start, callers and faults side by side, settle, check."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_core.calls.model import Request
+from agatecross_core.errors import ExchangeError
+from agatecross_core.ids import Address, Millis
+
+from .callers import Caller
+from .checks import violations
+from .events import History, Seen, VersionSeen
+from .fleet import Node, SoakFleet
+from .injector import Injector
+from .schedule import schedule
+
+CALLERS = 12
+START_SECONDS = 30.0
+# The platform's bound on serving again after the last fault.
+RECOVER_SECONDS = 15.0
+SETTLED_CALLS = 5
+POLL_SECONDS = 0.25
+METRICS_TIMEOUT = Millis(500)
+VERSION_METRIC = b"agatecross_config_version "
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """Counts of what happened, and the violations."""
+
+    summary: str
+    violations: tuple[str, ...]
+
+
+async def soak(seed: int, seconds: float, folder: Path) -> SoakResult:
+    """Run one seed; the daemons' logs stay in the folder."""
+    history = History()
+    fleet = SoakFleet(folder)
+    faults = list(schedule(seed, seconds, 6))
+    await fleet.start()
+    try:
+        if not await _serves(fleet, START_SECONDS):
+            return SoakResult("did not start", ("the fleet did not serve within 30 s",))
+        rng = random.Random(seed)
+        callers = [
+            Caller(f"c{n}", fleet.nodes, history, random.Random(rng.random()))
+            for n in range(CALLERS)
+        ]
+        work = [asyncio.ensure_future(caller.run()) for caller in callers]
+        work.append(asyncio.ensure_future(_watch_versions(fleet, history)))
+        await Injector(fleet, history).run(faults)
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        await _serves(fleet, RECOVER_SECONDS)
+        await _ask_each(fleet, history)
+        _collect(fleet, history)
+    finally:
+        await fleet.close()
+    seen = Counter(row.seen.value for row in history.asked)
+    counts = " ".join(f"{name}={count}" for name, count in sorted(seen.items()))
+    return SoakResult(f"{len(faults)} faults, {counts}", tuple(violations(history)))
+
+
+async def _serves(fleet: SoakFleet, seconds: float) -> bool:
+    """Wait until every daemon answers the newest route; return whether it did in time."""
+    last = time.monotonic() + seconds
+    probe = History()
+    waiting = list(fleet.nodes)
+    while waiting and time.monotonic() < last:
+        caller = Caller(f"p{time.monotonic_ns()}", waiting[:1], probe, random.Random(1))
+        row = await caller.ask("GET", f"/v{fleet.version}/", False)
+        caller.drop()
+        if row is not None and row.seen is Seen.ANSWERED:
+            waiting.pop(0)
+        else:
+            await asyncio.sleep(POLL_SECONDS)
+    return not waiting
+
+
+async def _ask_each(fleet: SoakFleet, history: History) -> None:
+    for node in fleet.nodes:
+        caller = Caller(f"e{node.number}", [node], history, random.Random(1))
+        for _ in range(SETTLED_CALLS):
+            for prefix in ("/safe/", f"/v{fleet.version}/"):
+                row = await caller.ask("GET", prefix, False)
+                if row is not None:
+                    history.settled.append(row)
+        caller.drop()
+
+
+async def _watch_versions(fleet: SoakFleet, history: History) -> None:
+    http = TornadoHttpClient()
+    while True:
+        for node in fleet.nodes:
+            start = len(node.ended)
+            version = await _version(http, node)
+            if version is not None and start == len(node.ended):
+                history.versions.append(VersionSeen(node.number, start, version))
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def _version(http: TornadoHttpClient, node: Node) -> int | None:
+    request = Request("GET", "/metrics", (), b"")
+    try:
+        response = await http.send(Address(node.addresses["metrics"]), request, METRICS_TIMEOUT)
+    except ExchangeError:
+        # Down or paused: nothing is known of its version.
+        return None
+    for line in response.body.splitlines():
+        if line.startswith(VERSION_METRIC):
+            return int(float(line.split()[1]))
+    return None
+
+
+def _collect(fleet: SoakFleet, history: History) -> None:
+    runs: Counter[str] = Counter()
+    for upstream in [*fleet.retired, *(node.upstream for node in fleet.nodes)]:
+        runs.update(upstream.runs)
+    history.runs = dict(runs)
+    for node in fleet.nodes:
+        history.exits += [(node.number, code) for code in node.ended]
+        for line in node.log.read_text(encoding="utf-8", errors="replace").splitlines():
+            if line.startswith("Traceback"):
+                history.tracebacks.append(f"{node.log}: {line}")
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -0,0 +1,64 @@
+"""Seeded schedule of faults; they come in series and overlap."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+FAULT_GAP_SECONDS = 0.7
+SHORTEST_SECONDS = 0.3
+LONGEST_SECONDS = 4.0
+SERIES_SHARE = 0.25
+
+
+class FaultKind(Enum):
+    """What is done, and to what."""
+
+    KILL = "kill"
+    HERD_KILL = "herd-kill"
+    TERM = "term"
+    PAUSE = "pause"
+    HANG_UP = "hang-up"
+    LINK_DELAY = "link-delay"
+    LINK_RESET = "link-reset"
+    LINK_ONE_WAY = "link-one-way"
+    LINK_SILENT = "link-silent"
+    UPSTREAM_LINK_RESET = "upstream-link-reset"
+    UPSTREAM_SLOW = "upstream-slow"
+    UPSTREAM_FAULTY = "upstream-faulty"
+    UPSTREAM_CRASH = "upstream-crash"
+    UPSTREAM_LEAVE = "upstream-leave"
+    STORE_REFUSES = "store-refuses"
+    STORE_SILENT = "store-silent"
+    STORE_FORGETS = "store-forgets"
+    STORE_LINK_RESET = "store-link-reset"
+    PUBLISH = "publish"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault on a node from `at` for `lasts` seconds after the start of the run."""
+
+    at: float
+    lasts: float
+    kind: FaultKind
+    node: int
+
+
+def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
+    """Yield faults in order of time; a quarter of them come as a series on several nodes."""
+    rng = random.Random(seed)
+    at = 0.0
+    while True:
+        at += rng.expovariate(1 / FAULT_GAP_SECONDS)
+        kind = rng.choice(list(FaultKind))
+        lasts = rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
+        count = rng.randint(2, nodes) if rng.random() < SERIES_SHARE else 1
+        first = rng.randrange(nodes)
+        gap = rng.uniform(0.0, 0.5)
+        if at > seconds:
+            return
+        if at + lasts + count * gap > seconds:
+            continue
+        for step in range(count):
+            yield Fault(at + step * gap, lasts, kind, (first + step) % nodes)
