Ping near peers every 2 s; end the proxies of the soak with their connections

Cause: pings were most of the bytes between zones of an idle fleet by calculation (two links for each pair of 34 daemons of a region, two messages each 1.5 s). Change: 2 s, which still finds a silent link within the 3 s after a fault.

--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -29,8 +29,9 @@
 # A restarted daemon is back within a second or two; its peers must find it at once.
 REDIAL_BASE = Millis(40)
 REDIAL_CAP = Millis(1_000)
-# Carries the version in force, which repairs a lost push within the bound of a change.
-PING_PERIOD = Millis(1_500)
+# With the timeout below, a silent connection is found and a lost push repaired within the 3 s in
+# which the platform counts a machine as disturbed after a fault.
+PING_PERIOD = Millis(2_000)
 # Bytes between regions are paid for, and a change reaches each region through its relays.
 REMOTE_PING_PERIOD = Millis(10_000)
 # With calls waiting, a silent connection must be found well within their deadlines.
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -111,7 +111,7 @@
                 node.process.kill()
                 await node.process.wait()
             for link in (node.peers_link, node.upstream_link, node.store_link):
-                link.close()
+                await link.close()
             node.upstream.crash()
         await self.store.close()
         self.ports.close()
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -53,11 +53,13 @@
         for pair in self.pairs:
             pair.silent = True
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Stop."""
         if self.server is not None:
             self.server.close()
         self.reset()
+        # The pumps see that their connections are gone, and end.
+        await asyncio.sleep(2 * POLL_SECONDS)
 
     async def _accepted(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
         host, _, port = self.target.rpartition(":")
@@ -85,8 +87,10 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                while pair.silent or self.mode in blocked:
-                    await asyncio.sleep(POLL_SECONDS)
+                held = True
+                while held and not writer.is_closing():
+                    held = pair.silent or self.mode in blocked
+                    await asyncio.sleep(POLL_SECONDS if held else 0)
                 writer.write(data)
                 await writer.drain()
             writer.close()
