--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -176,7 +176,6 @@
         NearestBalancer(settings.region, settings.data_centre, rng),
         budget_factory(settings),
         peers_box,
-        exit_box,
         rng,
         log,
         metrics,
@@ -188,7 +187,6 @@
         settings.heartbeat_period,
         front_end.names,
         peers_box,
-        rng,
         log,
     )
     peers = PeersTask(
