--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,27 @@
+Feature: Checks of the fault soak
+  Guards against a soak that passes although a promise was broken, and against seeds that do not
+  repeat.
+
+  Scenario Outline: a history with <what> breaks "<promise>"
+    Given a sound history of a soak
+    When it also holds <what>
+    Then exactly "<promise>" is reported
+
+    Examples:
+      | what                                 | promise              |
+      | nothing else                         | -                    |
+      | a booking that ran twice             | runs_once            |
+      | a refused booking that ran           | refusals_are_true    |
+      | a foreign answer                     | answers_are_own      |
+      | an answer without a run              | answers_are_own      |
+      | a run after a confirmed leave        | leaves_bind          |
+      | a version that went down             | versions_rise        |
+      | a version that is lower after a kill | -                    |
+      | a daemon that ended by itself        | daemons_live         |
+      | a traceback                          | daemons_live         |
+      | a request cut by a graceful stop     | stops_are_graceful   |
+      | a request cut while a link was reset | -                    |
+      | requests that fail at the end        | recovers             |
+
+  Scenario: a seed gives the same schedule every time
+    Then the schedules of seeds 1 to 40 repeat, overlap and hold every kind of fault
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,87 @@
+from behave import given, then, when
+
+from agatecross_standins.soak.checks import violations
+from agatecross_standins.soak.events import Asked, History, Left, Seen, VersionSeen
+from agatecross_standins.soak.schedule import FaultKind, schedule
+
+NODES = 6
+
+
+def asked(call_id, seen, once=True, status=200, node=0, ended=2.0):
+    return Asked(call_id, node, once, 1.0, ended, seen, status)
+
+
+def add_twice(history):
+    history.asked.append(asked("x", Seen.ANSWERED))
+    history.runs["x"] = 2
+
+
+def add_refused(history):
+    history.asked.append(asked("x", Seen.REFUSED, status=503))
+    history.runs["x"] = 1
+
+
+def add_cut(history):
+    history.asked.append(asked("x", Seen.BROKEN, ended=5.0))
+    history.terms.append((0, 4.0, 6.0))
+
+
+def add_cut_beside_fault(history):
+    add_cut(history)
+    history.disturbed.append((-1, 4.5, 5.5))
+
+
+CHANGES = {
+    "nothing else": lambda history: None,
+    "a booking that ran twice": add_twice,
+    "a refused booking that ran": add_refused,
+    "a foreign answer": lambda h: h.asked.append(asked("x", Seen.FOREIGN)),
+    "an answer without a run": lambda h: h.asked.append(asked("x", Seen.ANSWERED)),
+    "a run after a confirmed leave": lambda h: h.left.append(Left("u", 10.0, (11.0, 12.5))),
+    "a version that went down": lambda h: h.versions.append(VersionSeen(0, 0, 4)),
+    "a version that is lower after a kill": lambda h: h.versions.append(VersionSeen(0, 1, 4)),
+    "a daemon that ended by itself": lambda h: h.exits.append((0, 1)),
+    "a traceback": lambda h: h.tracebacks.append("d0.log: Traceback"),
+    "a request cut by a graceful stop": add_cut,
+    "a request cut while a link was reset": add_cut_beside_fault,
+    "requests that fail at the end": lambda h: h.settled.extend(
+        asked(f"f{n}", Seen.FAILED) for n in range(2)
+    ),
+}
+
+
+@given("a sound history of a soak")
+def step_sound(context):
+    history = History()
+    history.asked += [asked("a", Seen.ANSWERED), asked("b", Seen.FAILED, status=502)]
+    history.asked.append(asked("c", Seen.REFUSED, status=503))
+    history.runs = {"a": 1, "b": 1}
+    history.left.append(Left("u0", 10.0, (9.0, 11.9)))
+    history.versions += [VersionSeen(0, 0, 3), VersionSeen(0, 0, 5)]
+    history.exits += [(0, 0), (1, -9)]
+    history.settled += [asked(f"s{n}", Seen.ANSWERED) for n in range(10)]
+    context.history = history
+
+
+@when("it also holds {what}")
+def step_change(context, what):
+    CHANGES[what](context.history)
+
+
+@then('exactly "{promise}" is reported')
+def step_reported(context, promise):
+    found = {text.partition(":")[0] for text in violations(context.history)}
+    assert found == {promise} - {"-"}, found
+
+
+@then("the schedules of seeds {first:d} to {last:d} repeat, overlap and hold every kind of fault")
+def step_schedules(context, first, last):
+    kinds, overlaps = set(), 0
+    for seed in range(first, last + 1):
+        faults = list(schedule(seed, 10.0, NODES))
+        assert faults == list(schedule(seed, 10.0, NODES))
+        assert all(fault.at + fault.lasts <= 14.0 for fault in faults), faults
+        kinds |= {fault.kind for fault in faults}
+        overlaps += any(a.at < b.at < a.at + a.lasts for a in faults for b in faults)
+    assert kinds == set(FaultKind)
+    assert overlaps > (last - first) / 2
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/soak/regressions.py
@@ -0,0 +1,6 @@
+"""Seeds that failed once; they are run again with every change."""
+
+REGRESSIONS: dict[int, str] = {
+    2: "hung at its end: asyncio.wait_for lost a cancellation as a connection opened",
+}
+"""Cause by seed; each ran for 10 s."""
