--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -168,8 +168,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks[number], return_exceptions=True)
         await sidecar.close()
-        for row in list(sidecar.peers.inbound.values()):
-            row.connection.abort()
+        sidecar.peers.inbound.abort()
         await asyncio.sleep(0.05)
 
     async def send(self, number, line):
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -1,16 +1,14 @@
-"""Messages between daemons on a hop connection, encoded with msgpack.
+"""Encodes messages between daemons on a hop connection with msgpack.
 
 Each message is a tuple of its tag and its fields in order.
 """
 
 import zlib
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
 
 import msgspec
 
-from agatecross_core.distribution.delta import Step
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import (
     Address,
@@ -38,6 +36,20 @@
 )
 from agatecross_core.states import Outcome, Reason, UpstreamState
 
+from .hop_messages import (
+    Cancel,
+    ConfigBlob,
+    ConfigDelta,
+    Endpoints,
+    Hello,
+    HopMessage,
+    Ping,
+    Pull,
+    Result,
+    Resume,
+    Strikes,
+)
+
 
 class Tag(IntEnum):
     """The first field of each message."""
@@ -55,102 +67,6 @@
     CONFIG_DELTA = 11
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
-    """First message each way: who speaks, and the descriptions that the other side lacks.
-
-    The first description is the speaker's own.
-    """
-
-    daemon_id: DaemonId
-    incarnation: Incarnation
-    version: Version
-    endpoints: tuple[Endpoint, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """The caller no longer waits for this handover."""
-
-    handover_id: HandoverId
-
-
-@dataclass(frozen=True, slots=True)
-class Resume:
-    """Asks for the result of a handover after its connection was lost; fences it if unseen."""
-
-    handover_id: HandoverId
-
-
-@dataclass(frozen=True, slots=True)
-class Ping:
-    """Shows that the connection works; answered by a ping with `answer` set."""
-
-    answer: bool
-    version: Version
-
-
-@dataclass(frozen=True, slots=True)
-class Result:
-    """The result of a handover."""
-
-    handover_id: HandoverId
-    result: RelayResult
-
-
-@dataclass(frozen=True, slots=True)
-class Endpoints:
-    """Descriptions that changed."""
-
-    endpoints: tuple[Endpoint, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigBlob:
-    """A whole configuration, compressed."""
-
-    version: Version
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigDelta:
-    """The difference of a configuration to the version before; `crc` is that of the result."""
-
-    base: Version
-    version: Version
-    crc: int
-    steps: tuple[Step, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Pull:
-    """Asks for the configuration in force if it is newer than `version`."""
-
-    version: Version
-
-
-@dataclass(frozen=True, slots=True)
-class Strikes:
-    """Requests that were running when an upstream died."""
-
-    strikes: tuple[Strike, ...]
-
-
-HopMessage = (
-    Hello
-    | Handover
-    | Cancel
-    | Resume
-    | Ping
-    | Result
-    | Endpoints
-    | ConfigBlob
-    | ConfigDelta
-    | Pull
-    | Strikes
-)
-
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 REPEATS = (Repeat.SAFE, Repeat.ONCE)
--- a/packages/agatecross-daemon/agatecross_daemon/source_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/source_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from agatecross_adapters.hop_codec import ConfigDelta
+from agatecross_adapters.hop_messages import ConfigDelta
 from agatecross_core.ids import DaemonId, Version
 from agatecross_core.members.directory import Endpoint
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -7,16 +7,8 @@
 from enum import Enum
 
 from agatecross_adapters.frames import FrameConnection
-from agatecross_adapters.hop_codec import (
-    Cancel,
-    Hello,
-    HopMessage,
-    Ping,
-    Result,
-    Resume,
-    decode_hop,
-    encode_hop,
-)
+from agatecross_adapters.hop_codec import decode_hop, encode_hop
+from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, Millis, Version
 from agatecross_core.relay.model import Handover, RelayResult, Repeat, lost, refused
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from agatecross_adapters.hop_codec import ConfigDelta, decode_endpoint, encode_endpoint
+from agatecross_adapters.hop_codec import decode_endpoint, encode_endpoint
+from agatecross_adapters.hop_messages import ConfigDelta
 from agatecross_adapters.protocols import FleetStore
 from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.feeding import reads_store
