--- a/features/platform.feature
+++ b/features/platform.feature
@@ -71,6 +71,21 @@
     And a caller of d1 sends "GET /safe/1" 6 times
     Then upstream "u0" ran "none"
 
+  Scenario Outline: a fleet that is killed whole keeps a confirmed <what>
+    Given a platform fleet
+    When upstream "u0" tells its daemon "<news>"
+    And every daemon is killed and started again
+    And upstream "u0" tells its daemon "late ready"
+    And upstream "u2" tells its daemon "ready"
+    And every daemon sees the upstreams "u2"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" ran "none"
+
+    Examples:
+      | what  | news     |
+      | drain | draining |
+      | leave | leave    |
+
   Scenario: a safe call that hangs is answered by a second upstream
     Given a platform fleet
     When a caller of d1 sends "GET /safe/1" 6 times
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -363,6 +363,31 @@
     mini.run(work())
 
 
+@when("every daemon is killed and started again")
+def step_restart_all(context):
+    mini = context.mini
+
+    async def work():
+        await asyncio.sleep(0.2)
+        settings = [sidecar.settings for sidecar in mini.sidecars]
+        for number in range(len(settings)):
+            await mini.kill(number)
+        for number, same in enumerate(settings):
+            await mini.start_daemon(number, same)
+        await until(lambda: all(s.entry.table for s in mini.sidecars), "a configuration")
+
+    mini.run(work())
+
+
+@when('every daemon sees the upstreams "{names}"')
+def step_sees(context, names):
+    def seen(sidecar):
+        rows = sidecar.entry.fleet.values()
+        return {row.instance for endpoints in rows for row in endpoints} >= set(names.split(","))
+
+    context.mini.run(until(lambda: all(seen(s) for s in context.mini.sidecars), names))
+
+
 @when('upstream "{name}" crashes')
 def step_crash(context, name):
     context.mini.upstreams[int(name[1:])].crash()
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -110,6 +110,10 @@
         """Return the kept descriptions."""
         ...
 
+    async def keep_drain(self, daemon_id: DaemonId, data: bytes) -> None:
+        """Keep the description of a daemon whose upstream leaves, beside its newest one."""
+        ...
+
     async def withdraw(self, daemon_id: DaemonId) -> None:
-        """Drop the description of a daemon that is gone."""
+        """Drop what is kept of a daemon that is gone."""
         ...
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -83,6 +83,11 @@
     born: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class DrainsLearnt:
+    """What the store keeps of drains that this daemon confirmed before it restarted is known."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamDescribed:
     """What the daemon tells its peers of the upstream next to it."""
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -207,6 +207,7 @@
         directory,
         entry_box,
         peers_box,
+        exit_box,
         rng,
         log,
         metrics,
--- a/packages/agatecross-daemon/agatecross_daemon/source_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/source_messages.py
@@ -57,6 +57,13 @@
     open_links: frozenset[DaemonId]
 
 
+@dataclass(frozen=True, slots=True)
+class DrainConfirmed:
+    """The upstream next to this daemon was confirmed as leaving; `me` says so."""
+
+    me: Endpoint
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointsRead:
     """Descriptions of daemons that were read from the store."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -28,6 +28,7 @@
 from ..mailbox import Sender, monotonic
 from ..relay_messages import (
     CancelHandover,
+    DrainsLearnt,
     HandOver,
     HeartbeatReceived,
     LeaveReceived,
@@ -37,7 +38,13 @@
     UpstreamDescribed,
 )
 
-ExitMessage = HandOver | CancelHandover | ResumeHandover | HeartbeatReceived | LeaveReceived
+ExitMessage = (
+    HandOver | CancelHandover | ResumeHandover | DrainsLearnt | HeartbeatReceived | LeaveReceived
+)
+# A starting daemon believes no heartbeat before it knows the drains that it confirmed earlier, or
+# this time passed. The store answers in a few ms; without it, an earlier confirmation of a daemon
+# whose peers are all gone is lost.
+DRAINS_PATIENCE = Millis(1_000)
 TICK_SECONDS = 0.1
 # An upstream that missed this many heartbeats no longer gets calls.
 MISSED_HEARTBEATS = 4
@@ -87,6 +94,9 @@
         self.state = UpstreamState.STARTING
         self.down_until = Millis(0)
         self.cut_off: list[tuple[Millis, Handover]] = []
+        self.started_at = monotonic()
+        self.believing = False
+        self.early: list[Heartbeat] = []
         self.leaving = False
 
     async def run(self) -> None:
@@ -115,8 +125,13 @@
                 self._cancel(handover_id)
             case ResumeHandover(handover_id, reply):
                 self._resume(handover_id, reply)
+            case DrainsLearnt():
+                self._believe()
             case HeartbeatReceived(beat):
-                self._heartbeat(beat)
+                if self.believing:
+                    self._heartbeat(beat)
+                else:
+                    self.early.append(beat)
             case LeaveReceived(instance, born):
                 self._leave(instance, born)
 
@@ -260,6 +275,13 @@
         if call is not None:
             call.reply = reply
 
+    def _believe(self) -> None:
+        """Take the heartbeats that came before the drains of earlier were known."""
+        self.believing = True
+        early, self.early = self.early, []
+        for beat in early:
+            self._heartbeat(beat)
+
     def _heartbeat(self, beat: Heartbeat) -> None:
         now = monotonic()
         if not self.announcements.heartbeat(beat, now):
@@ -314,6 +336,9 @@
         self.peers.put(StrikesLearnt(strikes))
 
     def _tick(self, now: Millis) -> None:
+        if not self.believing and now - self.started_at > DRAINS_PATIENCE:
+            self.log.change("drains_unknown", waited_ms=int(now - self.started_at))
+            self._believe()
         silent = now - self.announcements.heard_at > self.lease
         if silent and self.instance is not None and self.state is UpstreamState.READY:
             self._describe(self.instance, UpstreamState.STARTING, self.announcements.current)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -43,6 +43,7 @@
     ConfigChanged,
     ConfigReceived,
     DeltaReceived,
+    DrainConfirmed,
     EndpointsRead,
     LinksChanged,
     PeerForgotten,
@@ -81,7 +82,9 @@
         directory: Directory,
         exit_box: Sender[ExitMessage],
         entry: Sender[FleetChanged | StrikesLearnt],
-        source: Sender[ConfigReceived | DeltaReceived | LinksChanged | PeerForgotten],
+        source: Sender[
+            ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
+        ],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -140,6 +143,8 @@
                 self._cancel_at(daemon_id, handover_id)
             case UpstreamDescribed(changes):
                 self._announce(self.directory.update(**changes))
+                if self.directory.me.state is UpstreamState.DRAINING:
+                    pass
             case LogReached(reached, latency):
                 me = self.directory.me
                 if (reached, latency) != (me.reads_log, me.log_latency):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from agatecross_adapters.hop_codec import decode_endpoint, encode_endpoint
 from agatecross_adapters.hop_messages import ConfigDelta
@@ -20,13 +20,14 @@
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender, monotonic
-from ..relay_messages import LogReached, TableInForce
+from ..relay_messages import DrainsLearnt, LogReached, TableInForce
 from ..relay_metrics import RelayMetrics
 from ..source_messages import (
     ConfigChanged,
     ConfigOrigin,
     ConfigReceived,
     DeltaReceived,
+    DrainConfirmed,
     EndpointsRead,
     LinksChanged,
     PeerForgotten,
@@ -35,7 +36,7 @@
 
 T = TypeVar("T")
 
-SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | PeerForgotten
+SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
 # A reader finds out within this time, and a margin, that the store went silent.
 FOLLOW_WAIT = Millis(2_500)
 RETRY_BASE = Millis(150)
@@ -54,6 +55,8 @@
 # A daemon that forgot a peer looks this often whether it is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION = 6
+# A drain is kept while it can matter: the upstream ends some seconds after it.
+DRAIN_TRIES = 8
 # A measured latency is told to the peers when it is this much lower than the one they know.
 LATENCY_NEWS = 0.5
 
@@ -72,6 +75,7 @@
         directory: Directory,
         entry: Sender[TableInForce],
         peers: Sender[ConfigChanged | PullNeeded | LogReached | EndpointsRead],
+        exit_box: Sender[DrainsLearnt],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -82,6 +86,7 @@
         self.directory = directory
         self.entry = entry
         self.peers = peers
+        self.exit = exit_box
         self.rng = rng
         self.log = log
         self.metrics = metrics
@@ -131,12 +136,17 @@
                 self._take_delta(delta, origin)
             case LinksChanged(open_links):
                 self.open_links = open_links
+            case DrainConfirmed(me):
+                self._start(self._keep_drain(me))
             case PeerForgotten(daemon_id):
                 self.forgot_peer = True
                 if self._is_reader():
-                    task = asyncio.ensure_future(self._withdraw(daemon_id))
-                    self.background.add(task)
-                    task.add_done_callback(self.background.discard)
+                    self._start(self._withdraw(daemon_id))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
 
     def _is_reader(self) -> bool:
         return reads_store(self.directory.me, self.directory.rows.values(), self.open_links)
@@ -270,8 +280,9 @@
             await self._pause()
         endpoints = tuple(self._decoded(rows))
         self.peers.put(EndpointsRead(endpoints))
-        me = self.directory.me.daemon_id
-        if me not in {row.daemon_id for row in endpoints}:
+        self.exit.put(DrainsLearnt())
+        me = self.directory.me
+        if (me.daemon_id, me.incarnation) not in {(r.daemon_id, r.incarnation) for r in endpoints}:
             # A peer that could not reach this daemon withdrew its announcement.
             await self._announced_me()
 
@@ -289,6 +300,15 @@
                 self.log.change("announcement_malformed", reason=str(error))
         return found
 
+    async def _keep_drain(self, me: Endpoint) -> None:
+        """Keep a confirmed drain for the time after a restart; it binds then too."""
+        for _ in range(DRAIN_TRIES):
+            call = self.store.keep_drain(me.daemon_id, encode_endpoint(me))
+            if await self._ask("keep_drain", _true(call)) is not None:
+                return
+            await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
+        self.log.change("drain_not_kept", instance=me.instance or "", tries=DRAIN_TRIES)
+
     async def _withdraw(self, daemon_id: DaemonId) -> None:
         await self._ask("withdraw", _true(self.store.withdraw(daemon_id)))
 
--- a/packages/agatecross-standins/agatecross_standins/soak/regressions.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/regressions.py
@@ -2,5 +2,6 @@
 
 REGRESSIONS: dict[int, str] = {
     2: "hung at its end: asyncio.wait_for lost a cancellation as a connection opened",
+    102: "all daemons were killed after a leave was confirmed, and a heartbeat undid the drain",
 }
 """Cause by seed; each ran for 10 s."""
