--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -19,6 +19,7 @@
 from agatecross_daemon.sidecar import build
 from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings, sidecar_settings
 from agatecross_platform.front_end import PlatformFrontEnd
+from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn
 from agatecross_standins.platform_upstream import Answer, PlatformUpstream
 from agatecross_standins.ports import PortPool
@@ -49,34 +50,6 @@
 [shutdown]
 grace = "6s"
 """
-ROUTES = (("/safe/", "safe", "s0"), ("/once/", "unsafe", "s0"), ("/peer/", "unsafe", "s1"))
-
-
-def config(version, extra=()):
-    rows = [
-        {
-            "name": f"r{prefix}",
-            "host": "a.example",
-            "pathPrefix": prefix,
-            "kind": kind,
-            "timeout": "2s",
-            "targetLatency": "500ms",
-            "priority": 1,
-            "service": service,
-            "attempts": 2,
-        }
-        for prefix, kind, service in (*ROUTES, *extra)
-    ]
-    limits = {
-        "maxHeaderBytes": 4096,
-        "maxBodyBytes": 65536,
-        "headerTimeout": "3s",
-        "idleTimeout": "15s",
-    }
-    services = [{"name": name} for name in ("s0", "s1")]
-    return json.dumps(
-        {"version": f"r{version}", "routes": rows, "services": services, "limits": limits}
-    ).encode()
 
 
 async def until(condition, what):
@@ -104,7 +77,7 @@
 
     async def start(self, refusing):
         self.store_address = self.store.listen()
-        self.store.put("keyed.op", "config", config(7))
+        self.store.put("keyed.op", "config", config_record(7))
         self.store.switches.refuse = refusing
         for number, (_, _, service) in enumerate(PLACES):
             upstream = PlatformUpstream(f"u{number}", service, 1_000)
@@ -445,7 +418,7 @@
 
 @when('the operator writes version {version:d} with route "{prefix}"')
 def step_publish(context, version, prefix):
-    data = config(version, ((prefix, "safe", "s0"),))
+    data = config_record(version, ((prefix, "safe", "s0"),))
     context.mini.store.put("keyed.op", "config", data)
 
 
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/platform_config.py
@@ -0,0 +1,40 @@
+"""The operator's configuration record on the users' platform, for tests and the soak."""
+
+import json
+from collections.abc import Iterable
+
+Route = tuple[str, str, str]
+"""Path prefix, kind and service."""
+
+ROUTES: tuple[Route, ...] = (
+    ("/safe/", "safe", "s0"),
+    ("/once/", "unsafe", "s0"),
+    ("/peer/", "unsafe", "s1"),
+)
+LIMITS = {
+    "maxHeaderBytes": 4096,
+    "maxBodyBytes": 65536,
+    "headerTimeout": "3s",
+    "idleTimeout": "15s",
+}
+
+
+def config_record(version: int, extra: Iterable[Route] = ()) -> bytes:
+    """Return the record of a version with the usual routes and extra ones, all on one host."""
+    rows = [
+        {
+            "name": f"r{prefix}",
+            "host": "a.example",
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeout": "2s",
+            "targetLatency": "500ms",
+            "priority": 1,
+            "service": service,
+            "attempts": 2,
+        }
+        for prefix, kind, service in (*ROUTES, *extra)
+    ]
+    services = [{"name": name} for name in ("s0", "s1")]
+    record = {"version": f"r{version}", "routes": rows, "services": services, "limits": LIMITS}
+    return json.dumps(record).encode()
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -1,7 +1,6 @@
 """The fleet of a soak: daemons as processes, and stand-ins of the store and the upstreams."""
 
 import asyncio
-import json
 import signal
 import sys
 from dataclasses import dataclass, field
@@ -10,6 +9,7 @@
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, Version
 
+from ..platform_config import config_record
 from ..platform_store import PlatformStoreStandIn
 from ..platform_upstream import PlatformUpstream
 from ..ports import PortPool
@@ -23,7 +23,6 @@
     ("south", "south-a", "s0"),
     ("south", "south-b", "s1"),
 )
-ROUTES = (("/safe/", "safe", "s0"), ("/once/", "unsafe", "s0"), ("/peer/", "unsafe", "s1"))
 HEARTBEAT_SECONDS = 0.5
 GRACE_SECONDS = 4.0
 WORK_SECONDS = 0.02
@@ -120,29 +119,7 @@
         """Write the next version; it has a route of its own."""
         self.version = Version(self.version + 1)
         marker = (f"/v{self.version}/", "safe", "s1")
-        rows = [
-            {
-                "name": f"r{prefix}",
-                "host": "a.example",
-                "pathPrefix": prefix,
-                "kind": kind,
-                "timeout": "2s",
-                "targetLatency": "500ms",
-                "priority": 1,
-                "service": service,
-                "attempts": 2,
-            }
-            for prefix, kind, service in (*ROUTES, marker)
-        ]
-        limits = {
-            "maxHeaderBytes": 4096,
-            "maxBodyBytes": 65536,
-            "headerTimeout": "3s",
-            "idleTimeout": "15s",
-        }
-        services = [{"name": name} for name in ("s0", "s1")]
-        record = {"version": f"r{self.version}", "routes": rows, "services": services}
-        self.store.put("keyed.op", "config", json.dumps({**record, "limits": limits}).encode())
+        self.store.put("keyed.op", "config", config_record(self.version, (marker,)))
 
     def signal(self, node: Node, number: signal.Signals) -> None:
         """Send a signal to the running process of a node."""
