--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -144,7 +144,7 @@
             case UpstreamDescribed(changes):
                 self._announce(self.directory.update(**changes))
                 if self.directory.me.state is UpstreamState.DRAINING:
-                    pass
+                    self.source.put(DrainConfirmed(self.directory.me))
             case LogReached(reached, latency):
                 me = self.directory.me
                 if (reached, latency) != (me.reads_log, me.log_latency):
