Keep a received difference in place of computing it again; one alias of the answer callback

Each daemon that a difference reached computed the same difference once more. Behaviour is unchanged.

--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -12,12 +12,12 @@
 from ..decision_log import DecisionLog
 from ..mailbox import Sender, monotonic
 from ..relay_messages import CancelHandover, HandOver, ResultReceiver, ResumeHandover
+from .config_spread import Answer
 from .exit_task import ExitMessage
 
 # Handovers whose connection is gone are given up when their entry daemon does not ask for them.
 ORPHAN_TIME = Millis(1_500)
 
-Answer = Callable[[HopMessage], None]
 MessageHandler = Callable[[HopMessage, Answer, DaemonId | None], None]
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -231,9 +231,9 @@
             self.log.change("config_delta_unfit", version=delta.version, reason=str(error))
             self.peers.put(PullNeeded(delta.version))
             return
-        self._take(data, origin)
+        self._take(data, origin, delta)
 
-    def _take(self, data: bytes, origin: ConfigOrigin) -> None:
+    def _take(self, data: bytes, origin: ConfigOrigin, received: ConfigDelta | None = None) -> None:
         try:
             table = self.decode(data)
         except MessageDecodeError as error:
@@ -248,7 +248,7 @@
             source=origin.value,
             routes=sum(map(len, table.hosts.values())),
         )
-        delta = self._delta(table.version, data)
+        delta = received or self._delta(table.version, data)
         self.version, self.data = table.version, data
         self.metrics.version.set(table.version)
         self.entry.put(TableInForce(table))
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -15,7 +15,7 @@
 from .callers import Caller
 from .checks import violations
 from .events import History, Seen, VersionSeen
-from .fleet import Node, SoakFleet
+from .fleet import PLACES, Node, SoakFleet
 from .injector import Injector
 from .schedule import schedule
 
@@ -40,7 +40,7 @@
     """Run one seed; the fleet has `recover` seconds after the last fault, the logs stay."""
     history = History()
     fleet = SoakFleet(folder)
-    faults = list(schedule(seed, seconds, 6))
+    faults = list(schedule(seed, seconds, len(PLACES)))
     await fleet.start()
     try:
         if not await _serves(fleet, START_SECONDS):
