--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import os
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -44,6 +46,13 @@
 DEFAULT_LIMITS = CallerLimits(16_384, 1_048_576, Millis(5_000), Millis(15_000))
 
 
+class ClosedBy(Enum):
+    """Who ended a connection."""
+
+    CALLER = "caller"
+    DAEMON = "daemon"
+
+
 class ParseState(Enum):
     """What a connection waits for."""
 
@@ -52,6 +61,21 @@
     BODY = "body"
 
 
+@dataclass(frozen=True, slots=True)
+class Unfinished:
+    """What the callers' connections still hold.
+
+    `waiting` counts requests without an answer, `reading` requests that are not whole, `unread`
+    connections with bytes that were not read; `unsent` is bytes of answers not yet given to the
+    kernel.
+    """
+
+    waiting: int
+    reading: int
+    unread: int
+    unsent: int
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a caller and its place in the order of answers.
@@ -65,7 +89,7 @@
     host: str
     keep_alive: bool
     response: RelayResponse | None = None
-    on_gone: Callable[[], None] | None = None
+    on_gone: Callable[[ClosedBy], None] | None = None
 
     def respond(self, response: RelayResponse) -> None:
         """Answer, now or when the earlier requests of the connection are answered."""
@@ -113,6 +137,7 @@
         if self.sweeper is not None:
             self.sweeper.cancel()
         for connection in list(self.connections):
+            connection.closed_by = ClosedBy.DAEMON
             connection.transport.close()
 
     @property
@@ -120,6 +145,16 @@
         """Return the number of requests that wait for an answer."""
         return sum(len(row.exchanges) for row in self.connections)
 
+    def unfinished(self) -> Unfinished:
+        """Return what a close would cut or drop now."""
+        rows = self.connections
+        return Unfinished(
+            self.pending,
+            sum(row.state is not ParseState.IDLE for row in rows),
+            sum(row.has_unread() for row in rows),
+            sum(row.transport.get_write_buffer_size() for row in rows),
+        )
+
     def _sweep(self) -> None:
         now = time.monotonic() * 1000
         for connection in list(self.connections):
@@ -145,6 +180,7 @@
         self.framing = 0
         self.broken = False
         self.paused = False
+        self.closed_by = ClosedBy.CALLER
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -157,7 +193,7 @@
         self.listener.connections.discard(self)
         for exchange in self.exchanges:
             if exchange.on_gone is not None:
-                exchange.on_gone()
+                exchange.on_gone(self.closed_by)
         self.exchanges.clear()
 
     def data_received(self, data: bytes) -> None:
@@ -275,6 +311,18 @@
         if not self.exchanges and self.state is ParseState.IDLE:
             self.transport.close()
 
+    def has_unread(self) -> bool:
+        """Return whether the kernel holds bytes of this caller that were not read."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or self.transport.is_closing():
+            return False
+        # asyncio hides `recv` of its sockets; the duplicate shares the connection.
+        with socket.socket(fileno=os.dup(sock.fileno())) as peek:
+            try:
+                return bool(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            except OSError:
+                return False
+
     def check_times(self, now: float) -> None:
         """Close a connection that is idle, or whose request takes too long to arrive."""
         limits = self.listener.limits
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -67,6 +67,11 @@
         if self.open and not self.transport.is_closing():
             self.transport.write(len(frame).to_bytes(LENGTH_BYTES, "big") + frame)
 
+    @property
+    def unsent(self) -> int:
+        """Return the bytes that were not yet given to the kernel."""
+        return self.transport.get_write_buffer_size() if self.open else 0
+
     def abort(self) -> None:
         """Close at once."""
         self.transport.abort()
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -14,6 +14,7 @@
     Reason.DEADLINE.value: "it waited for a slot until its time was up",
     Reason.TIMEOUT.value: "the upstream did not answer within the route's or the caller's time",
     Reason.CANCELLED.value: "the caller closed its connection",
+    Reason.CUT.value: "the daemon closed the connection of the caller at the end of its drain",
     Reason.CONNECTION_LOST.value: "the upstream or its daemon was lost while it ran",
     Reason.BAD_ANSWER.value: "the upstream's answer was cut off or spoilt",
     Reason.SHED.value: "the upstream refused it as not run",
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -65,6 +65,7 @@
     WRONG_INSTANCE = "wrong-instance"
     BAD_ANSWER = "bad-answer"
     CANCELLED = "cancelled"
+    CUT = "cut"
     FENCED = "fenced"
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -4,9 +4,11 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, fields, replace
-from typing import Protocol
+from pathlib import Path
+from typing import Any, Protocol
 
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.http_server import TornadoHttpListener
@@ -135,10 +137,29 @@
         self.peers.leave()
         self.exit.leave()
         last = begun + self.settings.grace - EXIT_MARGIN
+        late = 0.0
         while monotonic() < last and (self.entry.listener.pending or self.exit.pending):
+            slept = monotonic()
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            late = max(late, monotonic() - slept - DRAIN_POLL_SECONDS * 1000)
+        self._log_unfinished(begun, late)
         self.entry.listener.close()
 
+    def _log_unfinished(self, begun: Millis, late: float) -> None:
+        """Log what the end of the drain cuts; `late` is the longest delay of the loop in ms."""
+        callers = self.entry.listener.unfinished()
+        self.log.change(
+            "drain_ended",
+            waited_ms=int(monotonic() - begun),
+            waiting=callers.waiting,
+            reading=callers.reading,
+            unread=callers.unread,
+            unsent=callers.unsent,
+            handovers=self.exit.pending,
+            links_unsent=self.peers.inbound.unsent,
+            loop_late_ms=int(late),
+        )
+
     async def _ready(self, request: Request) -> Response:
         if not self.front_end.is_ready_check(request):
             return Response(404, (), b"")
@@ -221,6 +242,14 @@
     return lambda: FleetBudget(retries.ratio, retries.slack, retries.window)
 
 
+def log_loop_error(log: DecisionLog, context: Mapping[str, Any]) -> None:
+    """Log an exception that reached the event loop, which closes the connection it came from."""
+    error = context.get("exception")
+    trace = traceback.extract_tb(error.__traceback__)[-1:] if error is not None else ()
+    place = ",".join(f"{Path(row.filename).name}:{row.lineno}" for row in trace)
+    log.change("loop_error", message=context.get("message"), error=repr(error), place=place)
+
+
 async def serve(
     settings: SidecarSettings, front_end: FrontEnd, read: Callable[[], SidecarSettings]
 ) -> None:
@@ -231,6 +260,7 @@
     sidecar = build(settings, front_end, DecisionLog())
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: log_loop_error(sidecar.log, context))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, sidecar.reload, read)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -68,6 +68,11 @@
         while self.orphans and now - self.orphans[0][0] > ORPHAN_TIME:
             self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
 
+    @property
+    def unsent(self) -> int:
+        """Return the bytes of results and answers not yet given to the kernel."""
+        return sum(connection.unsent for connection in self.rows)
+
     def abort(self) -> None:
         """Close every connection at once."""
         for connection in list(self.rows):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
 
-from agatecross_adapters.caller_http import Exchange
+from agatecross_adapters.caller_http import ClosedBy, Exchange
 from agatecross_core.ids import CallId, DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.relay.flow import served, worse_kept
@@ -149,8 +149,9 @@
     def _expire(self) -> None:
         self._end(lost(Reason.TIMEOUT))
 
-    def _gone(self) -> None:
-        self._end(lost(Reason.CANCELLED))
+    def _gone(self, closed_by: ClosedBy) -> None:
+        cut = closed_by is ClosedBy.DAEMON
+        self._end(lost(Reason.CUT if cut else Reason.CANCELLED))
 
     def _end(self, result: RelayResult) -> None:
         if self.ended:
