--- /dev/null
+++ b/features/drain.feature
@@ -0,0 +1,31 @@
+Feature: A stopping daemon loses no request
+  The fleet is that of platform.feature; the grace time is 3 s. Callers go on sending to the daemon
+  that stops until its listener is gone, as callers do that nobody moves away.
+
+  Scenario Outline: a stopping daemon that callers keep sending to cuts no request: <guards against>
+    Given a platform fleet
+    When upstreams work 150 ms on each call
+    And callers of d1 keep sending "<line>" on <connections> connections while d1 stops
+    Then no request that d1 took ended without an answer
+    And no request that was refused as not run has run
+
+    Examples:
+      | guards against                                | line         | connections |
+      | a safe call taken too late to finish          | GET /safe/1  | new         |
+      | a safe call cut on a kept connection          | GET /safe/1  | kept        |
+      | pipelined calls cut behind one another        | GET /safe/1  | pipelined   |
+      | an unsafe call taken too late to finish       | POST /once/1 | new         |
+      | an unsafe call cut on a kept connection       | POST /once/1 | kept        |
+
+  Scenario: a handover on its way to a stopping daemon is refused there, not lost
+    Given a platform fleet
+    When upstreams work 20 ms on each call
+    And d1 hears from d0 100 ms late
+    And callers of d1 keep sending "POST /once/1" on new connections while d0 stops
+    Then every answer was 200 and none was missing
+
+  Scenario: an answer that a slow caller has not read when the drain ends still arrives whole
+    Given a platform fleet
+    When upstreams answer with 16000000 bytes
+    And a caller of d1 reads the answer to "GET /safe/1" only after d1 took leave
+    Then the answer is whole
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -43,6 +43,7 @@
         self.sequence = 0
         self.script: deque[Answer] = deque()
         self.work_seconds = 0.0
+        self.body_bytes = 0
         self.runs: Counter[str] = Counter()
         self.run_times: list[float] = []
         self.seen: list[dict[str, str]] = []
@@ -159,7 +160,7 @@
             return
         owner.runs[call_id] += 1
         owner.run_times.append(time.monotonic())
-        self._run(answer, f"{owner.name} {call_id}".encode())
+        self._run(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
 
     def _run(self, answer: Answer, body: bytes) -> None:
         stamp = b"x-response-stamp: s\r\n"
