Refuse handovers that cross the leave of a daemon, in place of losing them

What callers saw: unsafe calls ended 502 when the daemon next to their upstream stopped.

Cause: a daemon without open calls ended at once after it told its peers that it leaves. Handovers that they had sent before they heard of it met a closed listener, and the entry daemon could only say that they may have run.

The daemon now stays for 500 ms after it took leave and answers such handovers as not run, so the entry daemon sends them elsewhere.

--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -37,6 +37,9 @@
 MOVE_AWAY = Millis(2_600)
 # Connections that still wait for an answer are closed this long before SIGKILL.
 EXIT_MARGIN = Millis(800)
+# Handovers that peers sent before they heard of the leave still arrive: a round trip between
+# regions, one retransmission, and the delay of a busy loop.
+SETTLE_TIME = Millis(500)
 # For callers and peers to read their last answers and close; a part of EXIT_MARGIN.
 FINISH_TIME = Millis(300)
 DRAIN_POLL_SECONDS = 0.02
@@ -140,7 +143,7 @@
         self.peers.leave()
         self.exit.leave()
         last = Millis(begun + self.settings.grace - EXIT_MARGIN)
-        late = await self._until_finished(begun, last)
+        late = await self._until_finished(Millis(monotonic() + SETTLE_TIME), last)
         self._log_unfinished(begun, late)
         await asyncio.gather(listener.finish(FINISH_TIME), self.peers.finish(FINISH_TIME))
 
