Take no call that a stopping daemon cannot finish

Cause: after callers had been asked to move away the listener went on accepting and relaying every request. Callers are not moved away while fewer than half of a zone's daemons are ready, so some daemons never ran out of calls; 5.2 s after SIGTERM everything open was cut. The class of fault is work that is accepted although it cannot be finished before a known end. asyncio.Server.close also loses connections that it accepted in the same turn of the loop.

DrainPlan, a decision without I/O, says what is still taken: after the leave only calls that are over before the calls that are open anyway, so no call is cut and the drain takes no longer for new ones. Others are refused at once as not run. The listener accepts what the kernel holds before it closes.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -29,3 +29,16 @@
     When upstreams answer with 16000000 bytes
     And a caller of d1 reads the answer to "GET /safe/1" only after it took leave
     Then the answer is whole
+
+  Scenario Outline: the plan of a stop with a grace time of 6 s: <guards against>
+    Given a stop whose open calls are over <open> ms after SIGTERM
+    Then a call that arrives after <at> ms with <left> ms left is <taken>
+
+    Examples:
+      | guards against                               | open | at   | left | taken   |
+      | a refusal before callers could move          | 0    | 2599 | 9000 | taken   |
+      | a call that outlasts the open ones           | 3000 | 2700 | 600  | refused |
+      | a refusal of calls that open calls make      | 3800 | 2700 | 200  | taken   |
+      | a drain that new calls prolong               | 3800 | 3700 | 200  | refused |
+      | a call that cannot be answered before SIGKILL | 9000 | 4900 | 200  | refused |
+      | a refusal while one long call is open        | 9000 | 4000 | 600  | taken   |
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -3,9 +3,12 @@
 import socket
 from collections import Counter
 
-from behave import then, when
+from behave import given, then, when
 from platform_steps import until
 
+from agatecross_core.ids import Millis
+from agatecross_core.relay.drain import plan_drain
+
 CALLERS = 6
 PIPELINED = 3
 HEAD = re.compile(rb"HTTP/1\.1 (\d+) [^\r]*\r\n(.*?)\r\n\r\n", re.DOTALL)
@@ -219,3 +222,13 @@
     assert not context.ended_early
     assert context.answer is not None
     assert context.answer[0] == 200
+
+
+@given("a stop whose open calls are over {open_until:d} ms after SIGTERM")
+def step_plan(context, open_until):
+    context.plan = plan_drain(Millis(0), Millis(6_000)).with_open_calls(Millis(open_until))
+
+
+@then("a call that arrives after {at:d} ms with {left:d} ms left is {taken}")
+def step_admits(context, at, left, taken):
+    assert context.plan.admits(Millis(at), Millis(at + left)) == (taken == "taken"), context.plan
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -9,14 +9,14 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 
 import httptools
 
-from agatecross_core.ids import Address, Millis
+from agatecross_core.ids import ZERO_MS, Address, Millis
 from agatecross_core.relay.model import RelayRequest, RelayResponse
 from agatecross_core.routing.host_table import CallerLimits
 
@@ -83,7 +83,8 @@
 class Exchange:
     """One request of a caller and its place in the order of answers.
 
-    `arrived` is when its first byte was read, on the monotonic clock in milliseconds.
+    `arrived` is when its first byte was read and `deadline` when its caller stops to wait, both on
+    the monotonic clock in milliseconds.
     """
 
     connection: "CallerConnection"
@@ -93,6 +94,7 @@
     keep_alive: bool
     response: RelayResponse | None = None
     on_gone: Callable[[ClosedBy], None] | None = None
+    deadline: Millis = ZERO_MS
 
     def respond(self, response: RelayResponse) -> None:
         """Answer, now or when the earlier requests of the connection are answered."""
@@ -127,11 +129,29 @@
         self._sweep()
         return Address(f"{host}:{self.server.sockets[0].getsockname()[1]}")
 
-    def close_idle(self) -> None:
-        """Close connections as soon as they wait for no answer."""
+    def close_after_answers(self) -> None:
+        """End each connection with its next answer that no request waits behind."""
         self.closing = True
-        for connection in list(self.connections):
-            connection.close_if_idle()
+
+    async def stop_accepting(self) -> None:
+        """Accept the connections that the kernel holds, and listen no more.
+
+        `asyncio.Server.close` loses connections that it accepted in the same turn of the loop, and
+        the kernel resets those that nobody accepted.
+        """
+        if self.server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for listening in self.server.sockets:
+            loop.remove_reader(listening.fileno())
+        await asyncio.sleep(0)
+        accepted: list[socket.socket] = []
+        for listening in self.server.sockets:
+            with socket.socket(fileno=os.dup(listening.fileno())) as queue:
+                accepted += _accept_all(queue)
+        self.server.close()
+        for sock in accepted:
+            await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
 
     async def finish(self, limit: Millis) -> None:
         """End every connection so that its caller gets all answers; wait `limit` at most."""
@@ -157,6 +177,12 @@
         """Return the number of requests that wait for an answer."""
         return sum(len(row.exchanges) for row in self.connections)
 
+    @property
+    def latest_deadline(self) -> Millis:
+        """Return when the last request that waits for an answer is over."""
+        deadlines = (exchange.deadline for row in self.connections for exchange in row.exchanges)
+        return max(deadlines, default=ZERO_MS)
+
     @property
     def unsent(self) -> int:
         """Return the bytes of answers not yet given to the kernel."""
@@ -380,6 +406,18 @@
             self.reject(431)
 
 
+def _accept_all(queue: socket.socket) -> Iterator[socket.socket]:
+    """Yield the connections that wait at a listening socket."""
+    while True:
+        try:
+            sock, _ = queue.accept()
+        except OSError:
+            # Nothing waits, or the connection that did is gone already.
+            return
+        sock.setblocking(False)
+        yield sock
+
+
 def _absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
     """Split `http://host/path`; the host of the target replaces the header's."""
     scheme, mark, rest = target.partition(b"://")
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -7,6 +7,7 @@
 from agatecross_core.members.announcement import Heartbeat
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.records import Strike
+from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.model import Handover, RelayResult
 from agatecross_core.routing.host_table import HostTable
 
@@ -28,6 +29,13 @@
     daemons: int
 
 
+@dataclass(frozen=True, slots=True)
+class DrainPlanned:
+    """The daemon is stopping; the plan tells which calls it still takes."""
+
+    plan: DrainPlan
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """Run this call next to the upstream; `reply` gets the result once."""
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -19,13 +19,14 @@
 from agatecross_core.members.announcement import Announcements
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.relay.drain import LAST_REQUEST_TIME, plan_drain
 from agatecross_core.routing.host_table import HostTable
 from agatecross_core.routing.nearest import NearestBalancer
 
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
 from .mailbox import Sender, monotonic
-from .relay_messages import HeartbeatReceived, LeaveReceived
+from .relay_messages import DrainPlanned, HeartbeatReceived, LeaveReceived
 from .relay_metrics import RelayMetrics
 from .sidecar_settings import SidecarSettings
 from .tasks.entry_task import EntryMessage, EntryTask
@@ -33,14 +34,7 @@
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.source_task import SourceMessage, SourceTask
 
-# Callers are moved to other daemons after two missed readiness checks, one a second.
-MOVE_AWAY = Millis(2_600)
-# Connections that still wait for an answer are closed this long before SIGKILL.
-EXIT_MARGIN = Millis(800)
-# Handovers that peers sent before they heard of the leave still arrive: a round trip between
-# regions, one retransmission, and the delay of a busy loop.
-SETTLE_TIME = Millis(500)
-# For callers and peers to read their last answers and close; a part of EXIT_MARGIN.
+# For callers and peers to read their last answers and close; a part of the drain's EXIT_MARGIN.
 FINISH_TIME = Millis(300)
 DRAIN_POLL_SECONDS = 0.02
 RELOADABLE = frozenset(("store", "retries", "grace"))
@@ -85,6 +79,7 @@
     source: SourceTask
     log: DecisionLog
     metrics: RelayMetrics
+    entry_box: DirectMailbox[EntryMessage]
     exit_box: DirectMailbox[ExitMessage]
     listeners: list[TornadoHttpListener] = field(default_factory=list)
     leaving: bool = False
@@ -135,15 +130,20 @@
     async def drain(self) -> None:
         """Move callers away, finish every call, and see its answer off."""
         begun = monotonic()
+        plan = plan_drain(begun, self.settings.grace)
         self.leaving = True
-        await asyncio.sleep(min(MOVE_AWAY, self.settings.grace / 2) / 1000)
-        listener = self.entry.listener
-        listener.close_idle()
+        await asyncio.sleep((plan.leave_at - begun) / 1000)
         # Until now the upstream still served calls of other daemons.
+        listener = self.entry.listener
+        plan = plan.with_open_calls(max(listener.latest_deadline, self.exit.latest_deadline))
+        self.entry_box.put(DrainPlanned(plan))
+        listener.close_after_answers()
         self.peers.leave()
         self.exit.leave()
-        last = Millis(begun + self.settings.grace - EXIT_MARGIN)
-        late = await self._until_finished(Millis(monotonic() + SETTLE_TIME), last)
+        late = await self._until_finished(plan.settled_at, plan.last_accept)
+        await listener.stop_accepting()
+        earliest = Millis(monotonic() + LAST_REQUEST_TIME)
+        late = max(late, await self._until_finished(earliest, plan.end))
         self._log_unfinished(begun, late)
         await asyncio.gather(listener.finish(FINISH_TIME), self.peers.finish(FINISH_TIME))
 
@@ -248,7 +248,9 @@
         log,
         metrics,
     )
-    return Sidecar(settings, front_end, entry, exit_task, peers, source, log, metrics, exit_box)
+    return Sidecar(
+        settings, front_end, entry, exit_task, peers, source, log, metrics, entry_box, exit_box
+    )
 
 
 def budget_factory(settings: SidecarSettings) -> Callable[[], FleetBudget]:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -11,6 +11,7 @@
 from agatecross_core.quarantine.model import relay_fingerprint
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.flow import RelayPolicy, relay
 from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult, Repeat
 from agatecross_core.routing.host_table import HostRoute, HostTable, WeightedSplit
@@ -20,11 +21,18 @@
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender, monotonic
-from ..relay_messages import CancelAt, FleetChanged, SendTo, StrikesLearnt, TableInForce
+from ..relay_messages import (
+    CancelAt,
+    DrainPlanned,
+    FleetChanged,
+    SendTo,
+    StrikesLearnt,
+    TableInForce,
+)
 from ..relay_metrics import RelayMetrics
 from .relayed_call import CallFacts, RelayedCall
 
-EntryMessage = TableInForce | FleetChanged | StrikesLearnt
+EntryMessage = TableInForce | FleetChanged | StrikesLearnt | DrainPlanned
 HANDOVER_COUNTER_BITS = 40
 # Used when a caller states no time.
 LONGEST_WAIT = Millis(60_000)
@@ -70,6 +78,7 @@
         self.daemons = 1
         self.budgets: dict[ServiceName, FleetBudget] = {}
         self.strikes = StrikeTable()
+        self.drain: DrainPlan | None = None
         self.own_fields = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
         )
@@ -92,6 +101,8 @@
                 self.table = table
                 self.split.retain(table)
                 self.listener.limits = table.limits
+            case DrainPlanned(plan):
+                self.drain = plan
             case FleetChanged(by_service, daemons):
                 self.fleet, self.daemons = by_service, daemons
             case StrikesLearnt(strikes):
@@ -109,6 +120,10 @@
             self._refuse(exchange, NOT_FOUND, Reason.NO_ROUTE, table.version)
             return
         facts = self._facts(exchange, route, table.version)
+        if self.drain is not None and not self.drain.admits(monotonic(), facts.deadline):
+            self._refuse(exchange, UNAVAILABLE, Reason.LEAVING, table.version)
+            return
+        exchange.deadline = facts.deadline
         service = facts.service
         if self.strikes.records and self._quarantined(facts):
             self._refuse(exchange, UNAVAILABLE, Reason.QUARANTINED, table.version)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -7,7 +7,15 @@
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.upstream_http import Failure, Sending, Unreachable, UpstreamPool
 from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
-from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, InstanceId, Millis
+from agatecross_core.ids import (
+    ZERO_MS,
+    Address,
+    DaemonId,
+    HandoverId,
+    Incarnation,
+    InstanceId,
+    Millis,
+)
 from agatecross_core.members.announcement import Announcements, Heartbeat
 from agatecross_core.members.records import Strike
 from agatecross_core.quarantine.model import relay_fingerprint
@@ -113,6 +121,11 @@
         """Return the number of calls that wait or run."""
         return len(self.calls)
 
+    @property
+    def latest_deadline(self) -> Millis:
+        """Return when the last call that waits or runs is over."""
+        return max((call.deadline for call in self.calls.values()), default=ZERO_MS)
+
     def leave(self) -> None:
         """Refuse new calls, as the daemon is stopping."""
         self.leaving = True
