Count the time of a slow body against the deadline of its call

What callers saw: a call whose body came slowly was kept past the time that its caller had stated.

Cause: the arrival of an exchange was taken from the clock of the idle check, which each part of the body moves, and the deadline is counted from the arrival.

Evidence: platform.feature, "the time that a slow body takes", failed before: the upstream was given more than 500 of 900 ms after 400 ms had passed.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -33,6 +33,11 @@
     When a caller of d1 sends "POST /peer/a?b=%20c"
     Then upstream "u1" saw target "/peer/a?b=%20c", body "body", caller "s1" and at most 900 ms
 
+  Scenario: the time that a slow body takes is not given to the upstream again
+    Given a platform fleet
+    When a caller of d1 sends "POST /peer/a" with its body 400 ms later
+    Then upstream "u1" saw target "/peer/a", body "body", caller "s1" and at most 500 ms
+
   Scenario Outline: callers' bytes: <guards against>
     Given a platform fleet
     When a caller of d1 writes "<bytes>"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -293,6 +293,23 @@
     assert [row.decode() for row in context.statuses] == statuses.split(), context.statuses
 
 
+@when('a caller of d{number:d} sends "{line}" with its body {ms:d} ms later')
+def step_slow_body(context, number, line, ms):
+    method, path = line.split()
+
+    async def work():
+        host, _, port = context.mini.sidecars[number].settings.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: slow\r\n"
+        writer.write(f"{head}x-deadline-ms: 900\r\ncontent-length: 4\r\n\r\n".encode())
+        await asyncio.sleep(ms / 1000)
+        writer.write(b"body")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    context.mini.run(work())
+
+
 @when('upstream "{name}" tells its daemon "{news}"')
 def step_tell(context, name, news):
     number = int(name[1:])
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -215,7 +215,9 @@
         self.parser = httptools.HttpRequestParser(self)
         self.exchanges: deque[Exchange] = deque()
         self.state = ParseState.IDLE
+        # When the connection began to wait for what it waits for, and when its request began.
         self.since = Millis(time.monotonic() * 1000)
+        self.begun = self.since
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
@@ -252,7 +254,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self.state = ParseState.HEAD
-        self.since = Millis(time.monotonic() * 1000)
+        self.since = self.begun = Millis(time.monotonic() * 1000)
         self.target = b""
         self.headers = []
         self.chunks = []
@@ -294,7 +296,7 @@
         """Pass the whole request on."""
         if self.broken:
             return
-        arrived, self.state = self.since, ParseState.IDLE
+        self.state = ParseState.IDLE
         hosts = [value for name, value in self.headers if name == b"host"]
         target = self.target
         if not target.startswith(b"/"):
@@ -304,7 +306,7 @@
             return
         exchange = Exchange(
             self,
-            arrived,
+            self.begun,
             RelayRequest(
                 self.parser.get_method(), target, _end_to_end(self.headers), b"".join(self.chunks)
             ),
