Answer a call whose handling failed inside the daemon

What callers saw: nothing, for ever. An exception in the handler of a request went through the parser, which reported a malformed request: the daemon wrote a 400 behind the requests that waited, and the one that failed was never answered, so the connection hung and a drain could not run empty. No line was logged.

Evidence: platform.feature, "a failure inside the daemon", hung before.

The listener catches the exception, reports it to the loop's exception handler, which logs it, and answers 502: the request may have run.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -52,6 +52,13 @@
       | an absolute target without a route | GET http://a.example/safe/a                                                             | 200      |
       | a malformed request                | \x01\x02                                                                                | 400      |
 
+  Scenario: a failure inside the daemon ends one call, not those beside it on its connection
+    Given a platform fleet
+    When the choice of a service fails inside d1 for "/safe/boom"
+    And a caller of d1 writes "GET /safe/a |GET /safe/boom |GET /safe/c"
+    Then it reads statuses "200 502 200"
+    And d1 has logged "loop_error"
+
   Scenario Outline: leaving: <guards against>
     Given a platform fleet
     When upstream "u0" tells its daemon "<news>"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -16,7 +16,7 @@
 from agatecross_core.ids import Address, Millis
 from agatecross_daemon.decision_log import DecisionLog
 from agatecross_daemon.events import format_event
-from agatecross_daemon.sidecar import build
+from agatecross_daemon.sidecar import build, log_loop_error
 from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings, sidecar_settings
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
@@ -288,6 +288,28 @@
     context.statuses = context.mini.run(context.mini.write(number, b"".join(requests)))
 
 
+@when('the choice of a service fails inside d{number:d} for "{path}"')
+def step_choice_fails(context, number, path):
+    sidecar = context.mini.sidecars[number]
+    table = sidecar.entry.table
+    find = table.find
+
+    def failing(host, target):
+        if target == path:
+            raise ValueError("a fault of the daemon")
+        return find(host, target)
+
+    table.find = failing
+    loop = context.mini.loop
+    loop.set_exception_handler(lambda _, context: log_loop_error(sidecar.log, context))
+
+
+@then('d{number:d} has logged "{event}"')
+def step_has_logged(context, number, event):
+    log = Path(context.mini.logs()[number]).read_text()
+    assert f"event={event}" in log, log
+
+
 @then('it reads statuses "{statuses}"')
 def step_statuses(context, statuses):
     assert [row.decode() for row in context.statuses] == statuses.split(), context.statuses
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -317,7 +317,14 @@
         if len(self.exchanges) > MAX_PIPELINED and not self.paused:
             self.paused = True
             self.transport.pause_reading()
-        self.listener.handler(exchange)
+        try:
+            self.listener.handler(exchange)
+        except Exception as error:
+            # The parser would take it for a malformed request and leave this one unanswered.
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "a request could not be handled", "exception": error}
+            )
+            exchange.respond(RelayResponse(HTTPStatus.BAD_GATEWAY, (), b""))
 
     def flush(self) -> None:
         """Write the answers that are due, in the order of their requests."""
