Drain also when a task of the daemon fails

What callers saw: a task that failed ended the process at once, with every open call cut.

Cause: serve skipped the drain unless a signal had come.

Evidence: drain.feature, "a task that fails ends the daemon", failed before with no answer for the call that was open.

The daemon logs task_failed, drains as for SIGTERM, and then ends with the task's error.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -30,6 +30,13 @@
     And a caller of d1 reads the answer to "GET /safe/1" only after it took leave
     Then the answer is whole
 
+  Scenario: a task that fails ends the daemon only after its open calls were answered
+    Given a platform fleet
+    When upstreams "u0,u2" answer "hold"
+    And a caller of d1 sends "POST /once/1" while the source task of d1 fails
+    Then the answer is 200 and all upstreams ran it 1 times
+    And d1 has logged "task_failed"
+
   Scenario Outline: the plan of a stop with a grace time of 6 s: <guards against>
     Given a stop whose open calls are over <open> ms after SIGTERM
     Then a call that arrives after <at> ms with <left> ms left is <taken>
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -2,12 +2,14 @@
 import re
 import socket
 from collections import Counter
+from contextlib import suppress
 
 from behave import given, then, when
-from platform_steps import until
+from platform_steps import held, until
 
 from agatecross_core.ids import Millis
 from agatecross_core.relay.drain import plan_drain
+from agatecross_daemon.sidecar import run_tasks
 
 CALLERS = 6
 PIPELINED = 3
@@ -224,6 +226,26 @@
     assert context.answer[0] == 200
 
 
+@when('a caller of d{number:d} sends "{line}" while the source task of d{failing:d} fails')
+def step_task_fails(context, number, line, failing):
+    mini = context.mini
+
+    async def ended():
+        sidecar = mini.sidecars[failing]
+        # The tasks of the fleet go on; those of the daemon's own run fail at once.
+        sidecar.source.run = fail
+        for task in (sidecar.exit, sidecar.peers):
+            task.run = asyncio.Event().wait
+        with suppress(ValueError):
+            await run_tasks(sidecar, asyncio.Event())
+
+    context.answer = mini.run(held(mini, number, line, ended))
+
+
+async def fail():
+    raise ValueError("a fault of the daemon")
+
+
 @given("a stop whose open calls are over {open_until:d} ms after SIGTERM")
 def step_plan(context, open_until):
     context.plan = plan_drain(Millis(0), Millis(6_000)).with_open_calls(Millis(open_until))
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -120,10 +120,7 @@
         log = DecisionLog(self.files[-1].fileno())
         sidecar = build(settings, PlatformFrontEnd(settings), log)
         await sidecar.start()
-        tasks = [
-            asyncio.ensure_future(task.run())
-            for task in (sidecar.exit, sidecar.peers, sidecar.source)
-        ]
+        tasks = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
         if same is None:
             self.sidecars.append(sidecar)
             self.tasks.append(tasks)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -84,6 +84,11 @@
     listeners: list[TornadoHttpListener] = field(default_factory=list)
     leaving: bool = False
 
+    @property
+    def tasks(self) -> tuple[ExitTask, PeersTask, SourceTask]:
+        """Return the tasks that run until they are cancelled."""
+        return (self.exit, self.peers, self.source)
+
     async def start(self) -> None:
         """Open every listener."""
         settings = self.settings
@@ -285,18 +290,25 @@
     sidecar.log.change(
         "daemon_started", daemon=settings.daemon_id, service=settings.service, peers=settings.peers
     )
-    tasks = (sidecar.exit, sidecar.peers, sidecar.source)
-    running = [asyncio.ensure_future(task.run()) for task in tasks]
+    await run_tasks(sidecar, stop)
+
+
+async def run_tasks(sidecar: Sidecar, stop: asyncio.Event) -> None:
+    """Run the tasks until `stop` is set or one fails, drain, and raise what a task raised."""
+    running = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
     stopping = asyncio.ensure_future(stop.wait())
     done, _ = await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
-    if stopping in done:
-        sidecar.log.change("daemon_leaving", pending=sidecar.entry.listener.pending)
-        await sidecar.drain()
+    if stopping not in done:
+        errors = [repr(task.exception()) for task in running if task in done]
+        sidecar.log.change("task_failed", error=",".join(errors))
+    # The calls that are open need no task that failed: mailboxes run their owners' handlers.
+    sidecar.log.change("daemon_leaving", pending=sidecar.entry.listener.pending)
+    await sidecar.drain()
     for task in running:
         task.cancel()
     results = await asyncio.gather(*running, return_exceptions=True)
     await sidecar.close()
-    sidecar.log.change("daemon_stopped", daemon=settings.daemon_id)
+    sidecar.log.change("daemon_stopped", daemon=sidecar.settings.daemon_id)
     sidecar.log.flush()
     for result in results:
         if isinstance(result, Exception):
