Take the signals over before the daemon loads its libraries

A caller saw nothing, because the daemon did not serve yet, but a supervisor saw a crash in place of a stop or a reload.

Cause: the handlers were set by `serve` on the running loop. Until then, through all imports and the reading of the settings, SIGTERM and SIGHUP had their default action. The loop also sets the default actions again when it is closed, so that a second signal while the interpreter ends gave the same codes. Both daemons did this; the one with the project's own interface also died from any SIGHUP.

Change: `main` takes the signals over as its first step and loads the rest (`startup`) after it. `ProcessSignals` keeps what comes early, passes signals to the loop once `serve` attaches it, and ignores them after the loop was closed. SIGTERM before that point ends the daemon with 0 before it opens a listener; an early SIGHUP reads the settings once more.

--- /dev/null
+++ b/features/steps/signals_steps.py
@@ -0,0 +1,114 @@
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from agatecross_standins.ports import PortPool
+from agatecross_standins.soak.fleet import SETTINGS
+
+WAIT_SECONDS = 30.0
+# Runs the daemon as `python -m` does; the process sends itself a signal at one import or at exit.
+PROGRAM = """
+import atexit, os, runpy, sys
+number, point = int(sys.argv.pop(1)), sys.argv.pop(1)
+
+def send():
+    os.kill(os.getpid(), number)
+
+class AtImport:
+    sent = False
+    @classmethod
+    def find_spec(cls, name, path=None, target=None):
+        if name == point and not cls.sent:
+            cls.sent = True
+            send()
+
+if point == "exit":
+    atexit.register(send)
+sys.meta_path.insert(0, AtImport)
+runpy.run_module("agatecross_daemon", run_name="__main__", alter_sys=True)
+"""
+FLEET_SETTINGS = """
+[daemon]
+id = "d1"
+region = "north"
+data_centre = "north-a"
+host = "127.0.0.1"
+call_port = {callers}
+peer_port = {peers}
+control_port = {ready}
+admin_port = {heartbeats}
+[log]
+address = "127.0.0.1:{store}"
+"""
+NAMES = ("callers", "peers", "ready", "heartbeats", "metrics", "upstream", "store", "announced")
+
+
+@given("a daemon process with the settings of a {kind} daemon")
+def step_settings(context, kind):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    pool = PortPool()
+    context.add_cleanup(pool.close)
+    ports = dict(zip(NAMES, pool.reserve(len(NAMES)), strict=True))
+    if kind == "relaying":
+        addresses = {name: f"127.0.0.1:{port}" for name, port in ports.items()}
+        place = {"number": 1, "region": "north", "data_centre": "north-a", "service": "s0"}
+        text = SETTINGS.format(**place, **addresses)
+    else:
+        text = FLEET_SETTINGS.format(**ports)
+    context.settings = Path(folder.name) / "node.toml"
+    context.settings.write_text(text, encoding="utf-8")
+    context.output = Path(folder.name) / "output"
+
+
+def start(context, number, point):
+    command = [sys.executable, "-c", PROGRAM, str(int(number)), point]
+    with context.output.open("wb") as output:
+        context.process = subprocess.Popen(
+            [*command, f"--settings={context.settings}"], stdout=output, stderr=output
+        )
+    context.add_cleanup(end, context.process)
+
+
+def end(process):
+    if process.poll() is None:
+        process.kill()
+    process.wait()
+
+
+def logged(context):
+    return context.output.read_text(encoding="utf-8").count("event=daemon_started")
+
+
+@when("{name} comes at the import of {module}")
+def step_at_import(context, name, module):
+    start(context, signal.Signals[name], module)
+
+
+@when("{name} comes after its event loop was closed")
+def step_at_exit(context, name):
+    start(context, signal.Signals[name], "exit")
+
+
+@when("SIGTERM comes after it started")
+def step_after_start(context):
+    last = time.monotonic() + WAIT_SECONDS
+    while not logged(context):
+        running = context.process.poll() is None
+        assert running, (context.process.returncode, context.output.read_text())
+        assert time.monotonic() < last, context.output.read_text()
+        time.sleep(0.05)
+    context.process.send_signal(signal.SIGTERM)
+
+
+@then('it ends with code {code:d} and logs "daemon_started" {count}')
+def step_ended(context, code, count):
+    found = context.process.wait(WAIT_SECONDS)
+    text = context.output.read_text(encoding="utf-8")
+    assert found == code, (found, text)
+    assert logged(context) == {"never": 0, "once": 1}[count], text
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -31,6 +31,7 @@
 from .events import log_event
 from .mailbox import Mailbox, Sender
 from .messages import Leaving
+from .process_signals import Action, ProcessSignals
 from .settings import Settings
 from .tasks.admin_task import AdminMessage, AdminTask
 from .tasks.call_driver import CallDriver
@@ -205,14 +206,16 @@
     return ClaimId(uuid.uuid4().hex)
 
 
-async def serve(settings: Settings) -> None:
+async def serve(settings: Settings, signals: ProcessSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
+    stop = asyncio.Event()
+    actions: dict[signal.Signals, Action] = {signal.SIGTERM: stop.set, signal.SIGINT: stop.set}
+    signals.attach(asyncio.get_running_loop(), actions)
+    if stop.is_set():
+        log_event("daemon_not_started", daemon=settings.daemon_id, reason="signal")
+        return
     telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
     tasks = build_tasks(settings, telemetry)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     running = [asyncio.ensure_future(task.run()) for task in tasks.all()]
     log_event("daemon_started", daemon=settings.daemon_id, call=settings.call_address)
     stopping = asyncio.ensure_future(stop.wait())
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -1,60 +1,13 @@
-"""Entry point of `agatecrossd`; the settings decide which daemon runs."""
+"""Entry point of `agatecrossd`: takes the signals over, then loads the daemon."""
 
-import asyncio
-import sys
-from collections.abc import Coroutine, Sequence
-from pathlib import Path
-from typing import Any
-
-from absl import app, flags, logging
-
-from agatecross_core.config.model import DecodedDocument
-from agatecross_core.errors import SettingsError
-
-from .settings_file import read_settings
-from .sidecar_settings import SidecarSettings, is_sidecar, sidecar_settings
-
-SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file (TOML).", required=True)
-
-EXIT_SETTINGS = 2
-
-
-def daemon_of(decoded: DecodedDocument) -> Coroutine[Any, Any, None]:
-    """Return the daemon to run; raises `SettingsError`.
-
-    Each kind is imported only when it runs, because the libraries of the other cost memory.
-    """
-    if is_sidecar(decoded):
-        from agatecross_platform.front_end import PlatformFrontEnd
-
-        from .sidecar import serve as serve_sidecar
-
-        settings = sidecar_settings(decoded)
-        return serve_sidecar(settings, PlatformFrontEnd(settings), read_sidecar_settings)
-    from .fleet_daemon import serve
-    from .settings import fleet_settings
-
-    return serve(fleet_settings(decoded))
-
-
-def read_sidecar_settings() -> SidecarSettings:
-    """Read the file of the command line again; raises `SettingsError` or `OSError`."""
-    return sidecar_settings(read_settings(Path(SETTINGS.value)))
-
-
-def main(argv: Sequence[str]) -> None:
-    """Load the settings and serve."""
-    if len(argv) > 1:
-        raise app.UsageError("agatecrossd takes no arguments")
-    logging.set_verbosity(logging.INFO)
-    try:
-        daemon = daemon_of(read_settings(Path(SETTINGS.value)))
-    except (SettingsError, OSError) as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    asyncio.run(daemon)
+from .process_signals import ProcessSignals
 
 
 def run() -> None:
     """Run the binary."""
-    app.run(main)
+    signals = ProcessSignals()
+    signals.take_over()
+    # Loading the libraries is most of the start; a signal then must find its handler already.
+    from .startup import start
+
+    start(signals)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, fields, replace
+from functools import partial
 from typing import Protocol
 
 from agatecross_adapters.header_names import HeaderNames
@@ -23,6 +24,7 @@
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
 from .mailbox import Sender, monotonic
+from .process_signals import Action, ProcessSignals
 from .relay_messages import HeartbeatReceived, LeaveReceived
 from .relay_metrics import RelayMetrics
 from .sidecar_settings import SidecarSettings
@@ -222,7 +224,10 @@
 
 
 async def serve(
-    settings: SidecarSettings, front_end: FrontEnd, read: Callable[[], SidecarSettings]
+    settings: SidecarSettings,
+    front_end: FrontEnd,
+    read: Callable[[], SidecarSettings],
+    signals: ProcessSignals,
 ) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully.
 
@@ -230,10 +235,16 @@
     """
     sidecar = build(settings, front_end, DecisionLog())
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, sidecar.reload, read)
+    actions: dict[signal.Signals, Action] = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+        signal.SIGHUP: partial(sidecar.reload, read),
+    }
+    signals.attach(asyncio.get_running_loop(), actions)
+    if stop.is_set():
+        sidecar.log.change("daemon_not_started", daemon=settings.daemon_id, reason="signal")
+        sidecar.log.flush()
+        return
     await sidecar.start()
     sidecar.log.change(
         "daemon_started", daemon=settings.daemon_id, service=settings.service, peers=settings.peers
--- /dev/null
+++ b/packages/agatecross-daemon/agatecross_daemon/startup.py
@@ -0,0 +1,66 @@
+"""Reads the settings and runs the daemon that they describe."""
+
+import asyncio
+import sys
+from collections.abc import Coroutine, Sequence
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from absl import app, flags, logging
+
+from agatecross_core.config.model import DecodedDocument
+from agatecross_core.errors import SettingsError
+
+from .process_signals import ProcessSignals
+from .settings_file import read_settings
+from .sidecar_settings import SidecarSettings, is_sidecar, sidecar_settings
+
+SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file (TOML).", required=True)
+
+EXIT_SETTINGS = 2
+
+
+def daemon_of(decoded: DecodedDocument, signals: ProcessSignals) -> Coroutine[Any, Any, None]:
+    """Return the daemon to run; raises `SettingsError`.
+
+    Each kind is imported only when it runs, because the libraries of the other cost memory.
+    """
+    if is_sidecar(decoded):
+        from agatecross_platform.front_end import PlatformFrontEnd
+
+        from .sidecar import serve as serve_sidecar
+
+        settings = sidecar_settings(decoded)
+        front_end = PlatformFrontEnd(settings)
+        return serve_sidecar(settings, front_end, read_sidecar_settings, signals)
+    from .fleet_daemon import serve
+    from .settings import fleet_settings
+
+    return serve(fleet_settings(decoded), signals)
+
+
+def read_sidecar_settings() -> SidecarSettings:
+    """Read the file of the command line again; raises `SettingsError` or `OSError`."""
+    return sidecar_settings(read_settings(Path(SETTINGS.value)))
+
+
+def main(argv: Sequence[str], signals: ProcessSignals) -> None:
+    """Load the settings and serve."""
+    if len(argv) > 1:
+        raise app.UsageError("agatecrossd takes no arguments")
+    logging.set_verbosity(logging.INFO)
+    try:
+        daemon = daemon_of(read_settings(Path(SETTINGS.value)), signals)
+    except (SettingsError, OSError) as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    try:
+        asyncio.run(daemon)
+    finally:
+        signals.ignore()
+
+
+def start(signals: ProcessSignals) -> None:
+    """Parse the command line and run the daemon."""
+    app.run(partial(main, signals=signals))
