Confirm a leave only once it is kept, also before the first heartbeat

Found by reading on the way: a drain that a restarted daemon learnt was kept again without the start time of its upstream, so that a second kill of the whole fleet undid it; and a retry for an earlier drain could replace a newer one in the store.

Change: a leave with a later start than the last heartbeat describes the upstream at the address, as a heartbeat would. Every drain is kept with its start; a newer drain ends the attempts for an older one. The answer to a leave waits until the store keeps it, at most 0.75 s and a tick of 0.1 s; then it is 503, the drain is obeyed all the same, and a repeated leave tries again. A leave that names no start and nobody known is not confirmed, as nothing would bind. A heartbeat that says `draining` is answered as before: the upstream itself repeats it after a restart of the daemon. In an outage of the store a leave thus goes without confirmation, which the platform prices, in place of one that may not bind.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -82,9 +82,45 @@
     Then upstream "u0" ran "none"
 
     Examples:
-      | what  | news     |
-      | drain | draining |
-      | leave | leave    |
+      | what                                          | news                     |
+      | drain                                         | draining                 |
+      | leave                                         | leave                    |
+      | leave of an upstream that sent no heartbeat   | replaced; leave          |
+      | leave of the upstream after one that left     | leave; replaced; leave   |
+
+  Scenario: a fleet that is killed whole twice keeps a confirmed leave
+    Given a platform fleet
+    When upstream "u0" tells its daemon "leave"
+    And every daemon is killed and started again
+    And every daemon is killed and started again
+    And upstream "u0" tells its daemon "late ready"
+    And upstream "u2" tells its daemon "ready"
+    And every daemon sees the upstreams "u2"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" ran "none"
+
+  Scenario Outline: a leave while the store <store> is answered <status> and obeyed
+    Given a platform fleet
+    When the store "<store>"
+    And upstream "u0" tells its daemon "<news>"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" was answered <status> and ran "none"
+
+    Examples: guards against a confirmation that the fleet forgets when it is killed
+      | store    | news         | status |
+      | works    | leave        | 200    |
+      | works    | leave; leave | 200    |
+      | refuses  | leave        | 503    |
+      | is silent | leave       | 503    |
+
+  Scenario: a leave that was not confirmed is confirmed once the store answers
+    Given a platform fleet
+    When the store "refuses"
+    And upstream "u0" tells its daemon "leave"
+    And the store "answers"
+    And upstream "u0" tells its daemon "leave"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" was answered 200 and ran "none"
 
   Scenario: a safe call that hangs is answered by a second upstream
     Given a platform fleet
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -54,6 +54,8 @@
       | a late leave of an earlier start            | beat a 20 1 ready; leave a 10; beat a 20 2 ready        | yes; no; yes |
       | a leave confirmed before a restart          | leave a 10; beat a 10 7 ready                           | yes; no      |
       | a leave of another instance                 | beat b 20 1 ready; leave a 10                           | yes; no      |
+      | a leave before the first heartbeat          | beat a 10 1 ready; leave b 20; beat b 20 1 ready        | yes; yes; no |
+      | a leave of nobody known without a start     | leave a                                                 | no           |
       | another service at the address              | other a 10 1 ready                                      | no           |
       | another address                             | elsewhere a 10 1 ready                                  | no           |
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -304,7 +304,9 @@
             if state == "leave":
                 daemon = context.mini.sidecars[number].settings.heartbeats
                 body = json.dumps({"born": upstream.born}).encode()
-                await upstream.tell(daemon, "leave", body)
+                context.told = await upstream.tell(daemon, "leave", body)
+            elif state == "replaced":
+                upstream.name, upstream.born = f"{upstream.name}x", upstream.born + 1
             elif state == "late":
                 await context.mini.beat(number, "ready", sequence=50)
             else:
@@ -323,6 +325,12 @@
     assert {row.status for row in context.answers} == {200}
 
 
+@then('upstream "{name}" was answered {status:d} and ran "{runs}"')
+def step_told(context, name, status, runs):
+    assert context.told == status, context.told
+    step_ran(context, name, runs)
+
+
 @when("daemon d{number:d} is killed and started again")
 def step_restart(context, number):
     mini = context.mini
@@ -412,6 +420,10 @@
 def step_trouble(context, trouble):
     if trouble == "forgets":
         context.mini.store.compact("keyed.op")
+    elif trouble in ("refuses", "answers"):
+        context.mini.store.switches.refuse = trouble == "refuses"
+    elif trouble == "is silent":
+        context.mini.store.switches.silent = True
     elif trouble == "garbles":
         context.mini.store.put("keyed.op", "config", b'{"version": 5}')
 
--- a/packages/agatecross-core/agatecross_core/members/announcement.py
+++ b/packages/agatecross-core/agatecross_core/members/announcement.py
@@ -54,17 +54,19 @@
         self.heard_at = now
         return True
 
-    def leave(self, instance: InstanceId, born: int | None) -> bool:
-        """Note that an instance leaves; return whether it is the current one.
+    def leave(self, instance: InstanceId, born: int | None) -> tuple[InstanceId, int] | None:
+        """Note that an instance leaves; return its start if it is what stands at the address now.
 
-        Without a start time, the leave belongs to the current start of that instance.
+        Without a start time, the leave belongs to the current start of that instance. An upstream
+        may leave before its first heartbeat came; its start tells that it is the newer one.
         """
         current = self.current
-        if current is None or current.instance != instance:
-            if born is not None:
-                self.left.add((instance, born))
-            return current is None
-        if born is not None and born < current.born:
-            return False
-        self.left.add((instance, current.born if born is None else born))
-        return True
+        if born is None:
+            if current is None or current.instance != instance:
+                return None
+            born = current.born
+        newest = max((row for _, row in self.left), default=born)
+        self.left.add((instance, born))
+        if born < (newest if current is None else current.born):
+            return None
+        return (instance, born)
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -6,6 +6,7 @@
 from agatecross_core.ids import DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.members.announcement import Heartbeat
 from agatecross_core.members.directory import Endpoint
+from agatecross_core.members.leave_replies import Reply
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult
 from agatecross_core.routing.host_table import HostTable
@@ -77,10 +78,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaveReceived:
-    """The upstream next to this daemon takes no more new calls."""
+    """The upstream next to this daemon takes no more new calls.
+
+    `reply` gets whether the leave is confirmed; without it, the leave was confirmed earlier.
+    """
 
     instance: InstanceId
     born: int | None
+    reply: Reply | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +93,14 @@
     """What the store keeps of drains that this daemon confirmed before it restarted is known."""
 
 
+@dataclass(frozen=True, slots=True)
+class DrainKept:
+    """The store keeps the drain of this start of an upstream."""
+
+    instance: InstanceId
+    born: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamDescribed:
     """What the daemon tells its peers of the upstream next to it."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -9,6 +9,7 @@
 from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
 from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, InstanceId, Millis
 from agatecross_core.members.announcement import Announcements, Heartbeat
+from agatecross_core.members.leave_replies import LeaveReplies
 from agatecross_core.members.records import Strike
 from agatecross_core.quarantine.model import relay_fingerprint
 from agatecross_core.relay.answers import judge
@@ -28,6 +29,7 @@
 from ..mailbox import Sender, monotonic
 from ..relay_messages import (
     CancelHandover,
+    DrainKept,
     DrainsLearnt,
     HandOver,
     HeartbeatReceived,
@@ -39,7 +41,13 @@
 )
 
 ExitMessage = (
-    HandOver | CancelHandover | ResumeHandover | DrainsLearnt | HeartbeatReceived | LeaveReceived
+    HandOver
+    | CancelHandover
+    | ResumeHandover
+    | DrainsLearnt
+    | DrainKept
+    | HeartbeatReceived
+    | LeaveReceived
 )
 # A starting daemon believes no heartbeat before it knows the drains that it confirmed earlier, or
 # this time passed. The store answers in a few ms; without it, an earlier confirmation of a daemon
@@ -97,6 +105,7 @@
         self.started_at = monotonic()
         self.believing = False
         self.early: list[Heartbeat] = []
+        self.leave_replies = LeaveReplies()
         self.leaving = False
 
     async def run(self) -> None:
@@ -132,8 +141,10 @@
                     self._heartbeat(beat)
                 else:
                     self.early.append(beat)
-            case LeaveReceived(instance, born):
-                self._leave(instance, born)
+            case DrainKept(instance, born):
+                self.leave_replies.drain_kept((instance, born))
+            case LeaveReceived():
+                self._leave(message)
 
     def _hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
         now = monotonic()
@@ -293,23 +304,38 @@
         self.queue.slots = beat.slots
         self._describe(beat.instance, state, beat)
 
-    def _leave(self, instance: InstanceId, born: int | None) -> None:
-        if self.announcements.leave(instance, born) and self.instance in (instance, None):
-            self._describe(instance, UpstreamState.DRAINING, self.announcements.current)
-
-    def _describe(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat | None) -> None:
-        if instance == self.instance and state is self.state:
+    def _leave(self, leave: LeaveReceived) -> None:
+        start = self.announcements.leave(leave.instance, leave.born)
+        if start is None:
+            # Of an upstream that another one replaced, which gets no work; without a start time, of
+            # nobody that is known, and nothing would bind.
+            if leave.reply is not None:
+                leave.reply(leave.born is not None)
+            return
+        if leave.reply is not None:
+            self.leave_replies.wait(start, leave.reply, monotonic())
+        elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
+            # Every peer tells it.
             return
+        if start not in self.leave_replies.kept:
+            # A repeated leave is described again: that starts a new attempt to keep the drain.
+            self._change(start[0], UpstreamState.DRAINING, {"born": start[1]})
+
+    def _describe(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat) -> None:
+        if instance != self.instance or state is not self.state:
+            changes: dict[str, object] = {"born": beat.born, "slots": beat.slots, "cold": beat.cold}
+            self._change(instance, state, changes)
+
+    def _change(
+        self, instance: InstanceId, state: UpstreamState, changes: dict[str, object]
+    ) -> None:
         self.log.change(
             "upstream_changed", instance=instance, state=state.value, was=self.state.value
         )
         self.instance, self.state = instance, state
-        changes: dict[str, object] = {"instance": instance, "state": state}
-        if beat is not None:
-            changes |= {"born": beat.born, "slots": beat.slots, "cold": beat.cold}
         if state is UpstreamState.DRAINING:
             self._act(self.queue.clear(Reason.LEAVING))
-        self.peers.put(UpstreamDescribed(changes))
+        self.peers.put(UpstreamDescribed({"instance": instance, "state": state, **changes}))
 
     def _unreachable(self, how: Unreachable) -> None:
         now = monotonic()
@@ -340,6 +366,8 @@
             self.log.change("drains_unknown", waited_ms=int(now - self.started_at))
             self._believe()
         silent = now - self.announcements.heard_at > self.lease
-        if silent and self.instance is not None and self.state is UpstreamState.READY:
-            self._describe(self.instance, UpstreamState.STARTING, self.announcements.current)
+        current = self.announcements.current
+        if silent and current is not None and self.state is UpstreamState.READY:
+            self._describe(current.instance, UpstreamState.STARTING, current)
+        self.leave_replies.expire(now)
         self._act(self.queue.next(now))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -20,7 +20,7 @@
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender, monotonic
-from ..relay_messages import DrainsLearnt, LogReached, TableInForce
+from ..relay_messages import DrainKept, DrainsLearnt, LogReached, TableInForce
 from ..relay_metrics import RelayMetrics
 from ..source_messages import (
     ConfigChanged,
@@ -75,7 +75,7 @@
         directory: Directory,
         entry: Sender[TableInForce],
         peers: Sender[ConfigChanged | PullNeeded | LogReached | EndpointsRead],
-        exit_box: Sender[DrainsLearnt],
+        exit_box: Sender[DrainsLearnt | DrainKept],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -98,6 +98,7 @@
         self.offset: Offset | None = None
         self.failures = 0
         self.background: set[asyncio.Task[None]] = set()
+        self.draining: Endpoint | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -111,6 +112,8 @@
                     await self._check()
         finally:
             announcing.cancel()
+            for task in self.background:
+                task.cancel()
 
     async def _ask_peers_first(self) -> None:
         """Wait for the configuration of a peer, unless this daemon is one of the readers."""
@@ -137,6 +140,7 @@
             case LinksChanged(open_links):
                 self.open_links = open_links
             case DrainConfirmed(me):
+                self.draining = me
                 self._start(self._keep_drain(me))
             case PeerForgotten(daemon_id):
                 self.forgot_peer = True
@@ -303,8 +307,12 @@
     async def _keep_drain(self, me: Endpoint) -> None:
         """Keep a confirmed drain for the time after a restart; it binds then too."""
         for _ in range(DRAIN_TRIES):
+            if self.draining is not me or me.instance is None:
+                # A later attempt took over; an earlier drain must not replace a newer one.
+                return
             call = self.store.keep_drain(me.daemon_id, encode_endpoint(me))
             if await self._ask("keep_drain", _true(call)) is not None:
+                self.exit.put(DrainKept(me.instance, me.born))
                 return
             await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
         self.log.change("drain_not_kept", instance=me.instance or "", tries=DRAIN_TRIES)
