Pick the readers of the store by the latency that peers are told

Cause: each daemon picks the region that reads the store, by the least latency in its table. It used its own latency with fractions of a millisecond, while its peers are told whole ones.

Change: the latency is measured in whole milliseconds, as it travels.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -168,6 +168,11 @@
       | history that is gone                  | forgets | 8       | 8        |
       | a record that cannot be read          | garbles | 8       | 8        |
 
+  # Each daemon picks the readers of the store itself: with other figures, each may name another one.
+  Scenario: daemons that see a row of their own differently than their peers leave the store unread
+    Given a platform fleet
+    Then each daemon knows of itself what its peers know of it, with the latency of the store
+
   Scenario: a daemon without a configuration answers 503 and is not ready
     Given a platform fleet whose store is refusing
     When a caller of d1 sends "GET /safe/1"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -404,6 +404,19 @@
     context.answer = mini.run(held(mini, number, line, mini.sidecars[stopped].drain))
 
 
+@then("each daemon knows of itself what its peers know of it, with the latency of the store")
+def step_same_rows(context):
+    def same():
+        rows = [sidecar.peers.directory for sidecar in context.mini.sidecars]
+        return all(
+            table.rows.get(owner.me.daemon_id) == owner.me and owner.me.log_latency
+            for owner in rows
+            for table in rows
+        )
+
+    context.mini.run(until(same, "the same rows"))
+
+
 @then("daemon d{number:d} is not ready")
 def step_not_ready(context, number):
     async def ask():
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -24,7 +24,8 @@
     `sequence` grows with each change within an incarnation. `instance` is None while the upstream
     is not known; `born` is its start in Unix milliseconds; `cold` is how long it is still slow.
     `reads_log` tells whether the daemon reached the platform's log lately; `log_latency` is the
-    shortest time an answer took it, 0 while none came.
+    shortest time an answer took it in whole milliseconds, 0 while none came. Durations travel in
+    whole milliseconds, and a daemon must know of itself what its peers know.
     """
 
     daemon_id: DaemonId
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -209,7 +209,9 @@
         if self.failures:
             self.log.change("store_regained", failures=self.failures)
         self.failures = 0
-        took = Millis(max(1.0, monotonic() - asked_at))
+        # Peers are told whole milliseconds. The readers are picked by latency on every daemon, and
+        # with other figures of itself a daemon may leave to others what they leave to it.
+        took = Millis(max(1, int(monotonic() - asked_at)))
         if not self.latency or took < LATENCY_NEWS * self.latency:
             self.latency = took
         self.peers.put(LogReached(True, self.latency))
