Count the death of an upstream when the call in flight is cancelled meanwhile

Seen: found by reading, while looking for the cause of the red quarantine scenario. A request that crashes upstreams could crash one more than two when a hedge or a caller's disconnect cancelled the attempt that had crashed one.

Cause: whether the upstream died is found out by a probe within the exchange of the call. Cancelling the call cancelled the probe too, and no strike was counted. With several calls in flight, a cancelled one was missing from the report of another.

Change: the probe is a subtask of its own, which a cancellation does not end. Its call stays in the set of those that were running, so that one death is reported once and with every call.

Evidence: `quarantine.feature` "a death with": 3 of 4 rows failed before, 4 of 4 pass. quarantine, admission_process, path and idempotency_fleet pass. This is not shown to be the cause of the red scenario: its fleet has carried too few calls to hedge.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -62,6 +62,18 @@
       | resets connections       | dead  |
       | waits for a call         | alive |
 
+  Scenario Outline: a death with <running> in flight is reported as <deaths>
+    Given an upstream that dies with calls "<running>" in flight
+    When calls "<cancelled>" are cancelled before the death is certain
+    Then the deaths "<deaths>" are reported
+
+    Examples: guards against a death that is not counted, as of a hedge that lost, or counted twice
+      | running | cancelled | deaths |
+      | a       | -         | a      |
+      | a       | a         | a      |
+      | a b     | a         | a+b    |
+      | a b     | a b       | a+b    |
+
   Scenario Outline: a <method> request that crashes upstreams stops after two of them
     Given a fleet of "van-booking" at "aarhus-a,aalborg-b,koebenhavn-a,roskilde-b" that records executions in a file
     And the example configuration "lysknude" is in force
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -6,15 +6,25 @@
 
 from behave import given, then, when
 
+from agatecross_core.admission.model import CallCancelled
+from agatecross_core.admission.policies import new_admission
+from agatecross_core.calls.model import Call, Request
+from agatecross_core.errors import ConnectionLostError
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import build_view
 from agatecross_core.quarantine.gate import TrialGate
 from agatecross_core.quarantine.model import InFlight, Suspect
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.states import MemberState, UpstreamState
+from agatecross_daemon.mailbox import Mailbox, monotonic, new_ask
 from agatecross_daemon.messages import GossipReceived
+from agatecross_daemon.tasks import upstream_task
 from agatecross_daemon.tasks.quarantine_driver import QuarantineDriver
-from agatecross_daemon.tasks.upstream_task import refuses_connections
+from agatecross_daemon.tasks.upstream_task import (
+    UpstreamAnnounced,
+    UpstreamTask,
+    refuses_connections,
+)
 from agatecross_standins.fleet import Fleet, Site, fetch, wait_until
 from agatecross_standins.ports import PortPool
 
@@ -212,6 +222,72 @@
     assert row is None or row.trial not in ("", None), row
 
 
+class DyingUpstream:
+    """Loses every connection; what a probe of its address says is held back."""
+
+    def __init__(self):
+        self.lost, self.probed = asyncio.Event(), asyncio.Event()
+
+    async def send(self, address, request, timeout):
+        await self.lost.wait()
+        raise ConnectionLostError(address, "connection closed")
+
+    async def probe(self, address):
+        await self.probed.wait()
+        return True
+
+    def listen(self, address, handler):
+        return address
+
+
+async def settle():
+    """Let every task run until it waits; nothing here waits for time or sockets."""
+    for _ in range(100):
+        await asyncio.sleep(0)
+
+
+async def die(names, cancelled):
+    """Return the calls of each death that is reported."""
+    upstream, deaths, box = DyingUpstream(), Outbox(), Mailbox()
+    admission, gate = new_admission("adaptive"), TrialGate("me")
+    task = UpstreamTask(
+        box, "me:1", "aarhus-a", upstream, upstream, Outbox(), admission, gate, deaths
+    )
+    upstream_task.refuses_connections = upstream.probe
+    running = asyncio.ensure_future(task.run())
+    box.put(UpstreamAnnounced(UpstreamInfo("vans", "vans:9", 9, 9, UpstreamState.READY)))
+    for name in names:
+        request = Request("GET", f"/{name}", (), b"")
+        box.put(new_ask(Call(name, "vans", request, monotonic() + MINUTE, True)))
+    await settle()
+    upstream.lost.set()
+    await settle()
+    for name in cancelled:
+        box.put(CallCancelled(name))
+    await settle()
+    upstream.probed.set()
+    await settle()
+    running.cancel()
+    return ["+".join(sorted(row.path[1:] for row in ask.question.calls)) for ask in deaths]
+
+
+@given('an upstream that dies with calls "{running}" in flight')
+def step_dying(context, running):
+    context.running = running.split()
+
+
+@when('calls "{cancelled}" are cancelled before the death is certain')
+def step_cancelled(context, cancelled):
+    names = [] if cancelled == "-" else cancelled.split()
+    context.add_cleanup(setattr, upstream_task, "refuses_connections", refuses_connections)
+    context.deaths = asyncio.run(die(context.running, names))
+
+
+@then('the deaths "{deaths}" are reported')
+def step_deaths(context, deaths):
+    assert context.deaths == deaths.split(), context.deaths
+
+
 async def probe(behaviour):
     """Return whether an address with this behaviour counts as that of a dead process."""
     pool = PortPool()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -121,6 +121,8 @@
         self.gate = gate
         self.deaths = deaths
         self.deaths_of: dict[CallId, DeathAsk] = {}
+        # Calls that lost their connection, until it is certain whether the upstream died.
+        self.probing: dict[CallId, InFlight] = {}
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
         self.snapshot: MeshSnapshot | None = None
@@ -170,7 +172,7 @@
             case CallEnded(call_id, result):
                 self.exchanges.pop(call_id, None)
                 self.gate.ended(call_id)
-                self.deaths_of.pop(call_id, None)
+                self._forget_death(call_id)
                 self._answer(call_id, result)
                 self._decide(CallFinished(call_id, _ending(result)), now)
             case CallCancelled(call_id):
@@ -198,7 +200,7 @@
             ask.answer(not_run(Reason.LEAVING))
         elif self.info is None or self.info.service != call.service:
             ask.answer(not_run(Reason.NO_UPSTREAM))
-        elif call.call_id in self.asks or call.call_id in self.exchanges:
+        elif any(call.call_id in rows for rows in (self.asks, self.exchanges, self.probing)):
             # An earlier attempt of the same call is still here; its answer must stay its own.
             ask.answer(not_run(Reason.TOO_MANY_CALLS))
         else:
@@ -256,8 +258,9 @@
             self.mailbox.put(CallEnded(call.call_id, not_run(refusal)))
             return
         assert self.info is not None
-        self.gate.started(call.call_id, InFlight(fingerprint, call.request.path))
-        exchange = self.subtasks.start(self._run(call, self.info.address))
+        flight = InFlight(fingerprint, call.request.path)
+        self.gate.started(call.call_id, flight)
+        exchange = self.subtasks.start(self._run(call, flight, self.info.address))
         self.exchanges[call.call_id] = exchange
         # A callback and not the exchange reports the end: a cancelled exchange must free its slot.
         exchange.add_done_callback(lambda ended: self._exchange_done(call.call_id, ended))
@@ -275,7 +278,7 @@
         if ask is not None:
             ask.answer(result)
 
-    async def _run(self, call: Call, address: Address) -> CallResult:
+    async def _run(self, call: Call, flight: InFlight, address: Address) -> CallResult:
         left = Millis(max(1.0, call.deadline - monotonic()))
         headers = (
             *call.request.headers,
@@ -284,14 +287,30 @@
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
         result = await self._exchange(address, request, left)
-        if result.reason is Reason.CONNECTION_LOST and await refuses_connections(address):
-            await self._report_death(call.call_id)
+        if result.reason is Reason.CONNECTION_LOST:
+            self.probing[call.call_id] = flight
+            # Goes on when the call is cancelled, as a hedge is whose other attempt ended: a death
+            # that is not counted lets the request crash one more upstream.
+            await asyncio.shield(self.subtasks.start(self._probe(call.call_id, address)))
         return result
 
+    async def _probe(self, call_id: CallId, address: Address) -> None:
+        """Report the upstream's death, if it died, before the call is answered."""
+        try:
+            if await refuses_connections(address):
+                await self._report_death(call_id)
+        finally:
+            del self.probing[call_id]
+            self._forget_death(call_id)
+
+    def _forget_death(self, call_id: CallId) -> None:
+        if call_id not in self.gate.running and call_id not in self.probing:
+            self.deaths_of.pop(call_id, None)
+
     async def _report_death(self, call_id: CallId) -> None:
         """Report each death once, with every call that was running, and wait until it is known."""
         if call_id not in self.deaths_of:
-            running = self.gate.running
+            running = {**self.gate.running, **self.probing}
             lost = {i: row for i, row in running.items() if i not in self.deaths_of}
             ask: DeathAsk = new_ask(UpstreamDied(tuple(lost.values())))
             log_event("upstream_died", calls=len(lost))
