--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -340,7 +340,9 @@
             if state == "leave":
                 daemon = context.mini.sidecars[number].settings.heartbeats
                 body = json.dumps({"born": upstream.born}).encode()
-                await upstream.tell(daemon, "leave", body)
+                context.told = await upstream.tell(daemon, "leave", body)
+            elif state == "replaced":
+                upstream.name, upstream.born = f"{upstream.name}x", upstream.born + 1
             elif state == "late":
                 await context.mini.beat(number, "ready", sequence=50)
             else:
@@ -359,6 +361,12 @@
     assert {row.status for row in context.answers} == {200}
 
 
+@then('upstream "{name}" was answered {status:d} and ran "{runs}"')
+def step_told(context, name, status, runs):
+    assert context.told == status, context.told
+    step_ran(context, name, runs)
+
+
 @when("daemon d{number:d} is killed and started again")
 def step_restart(context, number):
     mini = context.mini
@@ -432,6 +440,19 @@
     context.answer = mini.run(held(mini, number, line, mini.sidecars[stopped].drain))
 
 
+@then("each daemon knows of itself what its peers know of it, with the latency of the store")
+def step_same_rows(context):
+    def same():
+        rows = [sidecar.peers.directory for sidecar in context.mini.sidecars]
+        return all(
+            table.rows.get(owner.me.daemon_id) == owner.me and owner.me.log_latency
+            for owner in rows
+            for table in rows
+        )
+
+    context.mini.run(until(same, "the same rows"))
+
+
 @then("daemon d{number:d} is not ready")
 def step_not_ready(context, number):
     async def ask():
@@ -448,6 +469,10 @@
 def step_trouble(context, trouble):
     if trouble == "forgets":
         context.mini.store.compact("keyed.op")
+    elif trouble in ("refuses", "answers"):
+        context.mini.store.switches.refuse = trouble == "refuses"
+    elif trouble == "is silent":
+        context.mini.store.switches.silent = True
     elif trouble == "garbles":
         context.mini.store.put("keyed.op", "config", b'{"version": 5}')
 
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -7,6 +7,7 @@
 import traceback
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, fields, replace
+from functools import partial
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -26,6 +27,7 @@
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
 from .mailbox import Sender, monotonic
+from .process_signals import Action, ProcessSignals
 from .relay_messages import DrainPlanned, HeartbeatReceived, LeaveReceived
 from .relay_metrics import RelayMetrics
 from .sidecar_settings import SidecarSettings
@@ -273,7 +275,10 @@
 
 
 async def serve(
-    settings: SidecarSettings, front_end: FrontEnd, read: Callable[[], SidecarSettings]
+    settings: SidecarSettings,
+    front_end: FrontEnd,
+    read: Callable[[], SidecarSettings],
+    signals: ProcessSignals,
 ) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully.
 
@@ -283,9 +288,16 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: log_loop_error(sidecar.log, context))
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, sidecar.reload, read)
+    actions: dict[signal.Signals, Action] = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+        signal.SIGHUP: partial(sidecar.reload, read),
+    }
+    signals.attach(loop, actions)
+    if stop.is_set():
+        sidecar.log.change("daemon_not_started", daemon=settings.daemon_id, reason="signal")
+        sidecar.log.flush()
+        return
     await sidecar.start()
     sidecar.log.change(
         "daemon_started", daemon=settings.daemon_id, service=settings.service, peers=settings.peers
