End a call whose upstream answers without end

Callers saw 504 at the end of their time, for unsafe and safe calls, when an upstream wrote a head or a body without end; the connection stayed open and, for unsafe calls, its slot taken.

The parts of a body were kept in a list, and an idle connection kept the body of its last response.

`ResponseSize` counts everything that one response brings: 64 KiB for the head, interim responses, chunk lines beyond the body's bytes and trailers, 8 MiB for the body, 32 MiB for all unfinished responses of the upstream, of which the largest fails. A stated length beyond the limit fails at once. Such a response closes its connection, frees its slot, is logged with the bytes read, and counts as "may have run".

--- /dev/null
+++ b/features/steps/upstream_bytes_steps.py
@@ -0,0 +1,181 @@
+import asyncio
+from collections import Counter
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+from platform_steps import begin, until
+
+from agatecross_adapters.upstream_http import UpstreamConnection
+from agatecross_standins.endless import Endless
+from agatecross_standins.platform_upstream import Answer
+
+KIB = 1024
+OTHERS = 5
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+END = b"0\r\n\r\n"
+
+
+class ReadCounter:
+    """Counts what the daemons read from each connection to an upstream."""
+
+    def __init__(self):
+        self.read = Counter()
+        self.peak = Counter()
+        self.original = UpstreamConnection.data_received
+
+    def data_received(self, connection, data):
+        self.read[connection] += len(data)
+        pool = connection.pool
+        running = [row for row in pool.connections if row.running is not None]
+        self.peak[pool] = max(self.peak[pool], sum(self.read[row] for row in running))
+        self.original(connection, data)
+
+
+def exit_of(mini, name):
+    return mini.sidecars[int(name[1:])].exit
+
+
+def script(mini, names, items):
+    """Let whichever upstream is asked first answer with the next item, and whole afterwards."""
+    shared = iter(items)
+
+    class Shared:
+        def __bool__(self):
+            return True
+
+        def popleft(self):
+            return next(shared, Answer.WHOLE)
+
+    for name in names.split(","):
+        mini.upstreams[int(name[1:])].script = Shared()
+
+
+@given("a platform fleet that counts what its upstreams send")
+def step_counting_fleet(context):
+    counter = context.counter = ReadCounter()
+    patch = mock.patch.object(
+        UpstreamConnection,
+        "data_received",
+        lambda connection, data: counter.data_received(connection, data),
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+    begin(context, False)
+
+
+@when('upstreams "{names}" answer with endless "{parts}"')
+def step_endless(context, names, parts):
+    script(context.mini, names, [Endless(part) for part in parts.split(", ")])
+
+
+@when('upstreams "{names}" trickle endless "{part}"')
+def step_trickle(context, names, part):
+    script(context.mini, names, [Endless(part)])
+    for name in names.split(","):
+        context.mini.upstreams[int(name[1:])].trickles = True
+
+
+@when('upstreams "{names}" answer with {count:d} {what}')
+def step_large(context, names, count, what):
+    script(context.mini, names, [large_answer(count, what)])
+
+
+def large_answer(count, what):
+    start = b"HTTP/1.1 200 OK\r\nx-response-stamp: s\r\n"
+    match what:
+        case "bytes of fields":
+            fields = b"".join(b"x-%03d: %s\r\n" % (row, b"v" * 91) for row in range(count // 100))
+            return start + fields + b"content-length: 1\r\n\r\nb"
+        case "bytes of body":
+            return start + b"content-length: %d\r\n\r\n" % count + b"b" * count
+        case "bytes in chunks of 1,000":
+            return start + CHUNKED + (b"3e8\r\n" + b"b" * 1000 + b"\r\n") * (count // 1000) + END
+        case "bytes in chunks of 1":
+            return start + CHUNKED + b"1\r\nb\r\n" * count + END
+        case "interim responses":
+            hints = b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n" * count
+            return hints + start + b"content-length: 1\r\n\r\nb"
+
+
+@when('beside calls of "{other}" a caller of d{number:d} sends "{line}"')
+def step_beside(context, other, number, line):
+    async def work():
+        sending = asyncio.ensure_future(context.mini.send(number, line))
+        await until(lambda: any(u.runs for u in context.mini.upstreams), "the call to run")
+        answers = await asyncio.gather(*(context.mini.send(2, other) for _ in range(OTHERS)))
+        return await sending, answers
+
+    context.answer, context.answers = context.mini.run(work())
+
+
+@then("the answer is {status:d} and it was read at most {most:d} KiB, all others got 200")
+def step_bounded(context, status, most):
+    read = max(context.counter.read.values())
+    print(f"read {read / KIB:.0f} KiB of the endless answer")
+    assert context.answer.status == status, context.answer.status
+    assert [row.status for row in context.answers] == [200] * OTHERS, context.answers
+    assert read <= most * KIB, read
+
+
+@then("the answer's status is {status:d}")
+def step_status(context, status):
+    assert context.answer.status == status, context.answer.status
+
+
+@then('"{name}" has no open exchange, its connection is closed and it keeps no bytes')
+def step_freed(context, name):
+    exit_task, upstream = exit_of(context.mini, name), context.mini.upstreams[int(name[1:])]
+
+    def freed():
+        return not exit_task.calls and not exit_task.queue.running and not upstream.connections
+
+    context.mini.run(until(freed, "the slot and the connection to be free"))
+    assert not exit_task.pool.connections
+    assert exit_task.pool.unfinished == 0, exit_task.pool.unfinished
+
+
+@then('the answer is {status:d} and upstream "{name}" ran {runs:d} calls')
+def step_next_call(context, status, name, runs):
+    assert context.answer.status == status, context.answer.status
+    found = sum(context.mini.upstreams[int(name[1:])].runs.values())
+    assert found == runs, found
+
+
+@then("all upstreams ran it {runs:d} times")
+def step_runs(context, runs):
+    found = Counter()
+    for upstream in context.mini.upstreams:
+        found += upstream.runs
+    assert found["c0"] == runs, found
+
+
+@then('the unfinished answers of "{name}" took at most {most:d} KiB together')
+def step_together(context, name, most):
+    peak = context.counter.peak[exit_of(context.mini, name).pool]
+    print(f"unfinished answers took {peak / KIB:.0f} KiB")
+    assert peak <= most * KIB, peak
+
+
+@then('"{name}" still works on it; once it answers, its connection is kept for the next call')
+def step_late_answer(context, name):
+    mini, number = context.mini, int(name[1:])
+    exit_task, upstream = exit_of(mini, name), mini.upstreams[number]
+
+    async def work():
+        # Longer than a begun answer may take after the deadline.
+        await asyncio.sleep(1.5)
+        assert len(exit_task.calls) == len(upstream.connections) == 1
+        upstream.released.set()
+        await until(lambda: not exit_task.calls, "the run to end")
+        assert len(exit_task.pool.idle) == len(upstream.connections) == 1
+
+    mini.run(work())
+
+
+@then('"{name}"\'s daemon logs "{pair}" with the bytes that it read')
+def step_logged_bytes(context, name, pair):
+    path = Path(context.mini.logs()[int(name[1:])])
+    lines = [row for row in path.read_text().splitlines() if "event=handover_failed" in row]
+    read = max(context.counter.read.values())
+    assert [pair in row and f"read={read}" in row for row in lines] == [True], lines
--- /dev/null
+++ b/features/upstream_bytes.feature
@@ -0,0 +1,78 @@
+Feature: An upstream that writes bytes without end
+  The stand-in upstream writes until its connection is closed. Zone north-a has daemon d0 (service
+  s0) and d1 (s1), south-a has d2 (s0). "/safe/" and "/peer/" lead to s0 and s1, "/peer/" is unsafe;
+  upstream u1 has one slot, so its next call runs only when the slot of the endless one is free.
+
+  Scenario Outline: an unsafe call: <part> without end
+    Given a platform fleet that counts what its upstreams send
+    When upstream "u1" tells its daemon "ready sequence=90 slots=1"
+    And upstreams "u1" answer with endless "<part>"
+    And beside calls of "GET /safe/1" a caller of d0 sends "POST /peer/1"
+    Then the answer is <status> and it was read at most <most> KiB, all others got 200
+    And "u1" has no open exchange, its connection is closed and it keeps no bytes
+    When a caller of d0 sends "POST /peer/2"
+    Then the answer is 200 and upstream "u1" ran 2 calls
+
+    Examples: one read may bring 256 KiB beyond the limits
+      | part              | status | most |
+      | blank lines       | 502    | 320  |
+      | reason phrase     | 502    | 320  |
+      | fields            | 502    | 320  |
+      | field name        | 502    | 320  |
+      | field value       | 502    | 320  |
+      | interim responses | 502    | 320  |
+      | body              | 502    | 8448 |
+      | stated body       | 502    | 320  |
+      | chunks            | 502    | 8512 |
+      | small chunks      | 502    | 512  |
+      | chunk size        | 502    | 320  |
+      | chunk extension   | 502    | 320  |
+      | trailers          | 502    | 320  |
+      | trailer value     | 502    | 320  |
+      | after the answer  | 200    | 512  |
+
+  Scenario Outline: a safe call is answered by another upstream: <part> without end
+    Given a platform fleet that counts what its upstreams send
+    When upstreams "u0,u2" answer with endless "<part>"
+    And beside calls of "POST /peer/1" a caller of d1 sends "GET /safe/1"
+    Then the answer is 200 and it was read at most <most> KiB, all others got 200
+    And all upstreams ran it 2 times
+
+    Examples:
+      | part              | most |
+      | fields            | 320  |
+      | interim responses | 320  |
+      | body              | 8448 |
+      | chunks            | 8512 |
+
+  Scenario: several bodies without end share the memory for answers
+    Given a platform fleet that counts what its upstreams send
+    When upstream "u1" tells its daemon "ready sequence=90 slots=8"
+    And upstreams "u1" answer with endless "body, body, body, body, body, body"
+    And callers of d0 send "POST /peer/1" 6 times at once
+    Then every answer was 502
+    And the unfinished answers of "u1" took at most 34304 KiB together
+    And "u1" has no open exchange, its connection is closed and it keeps no bytes
+
+  Scenario: the log says why the call failed and how much came
+    Given a platform fleet that counts what its upstreams send
+    When upstreams "u1" answer with endless "fields"
+    And a caller of d0 sends "POST /peer/1"
+    Then the answer's status is 502
+    And "u1"'s daemon logs "reason=answer-too-large" with the bytes that it read
+
+  Scenario Outline: an answer <size> <what> is passed on
+    Given a platform fleet that counts what its upstreams send
+    When upstreams "u1" answer with <count> <what>
+    And a caller of d0 writes "POST /peer/1 content-length: 0"
+    Then it reads statuses "<status>"
+
+    Examples: guards against limits that cut off what an answer may be
+      | size     | count    | what                     | status |
+      | of much  | 60000    | bytes of fields          | 200    |
+      | too much | 66000    | bytes of fields          | 502    |
+      | of much  | 8388608  | bytes of body            | 200    |
+      | too much | 8388609  | bytes of body            | 502    |
+      | of much  | 8000000  | bytes in chunks of 1,000 | 200    |
+      | of much  | 12000    | bytes in chunks of 1     | 200    |
+      | of much  | 1000     | interim responses        | 200    |
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
@@ -3,14 +3,16 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 import httptools
 
+from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.ids import Address, Millis
 from agatecross_core.relay.model import Handover, RelayResponse
+from agatecross_core.relay.response_size import MAX_UNFINISHED, ResponseSize
 
 from .caller_http import CONNECTION_FIELDS
 from .header_names import HeaderNames
@@ -24,6 +26,8 @@
 WITH_LENGTH = frozenset((b"POST", b"PUT", b"PATCH"))
 BODILESS = frozenset((204, 304))
 CONTINUE_MAX = 199
+# The colon, the space and the line end of a field.
+FIELD_EXTRA = 4
 
 
 class Failure(Enum):
@@ -32,6 +36,7 @@
     NOT_CONNECTED = "not-connected"
     CONNECTION_LOST = "connection-lost"
     MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
 
 
 class Unreachable(Enum):
@@ -51,6 +56,7 @@
     call_id: bytes
     method: bytes
     done: UpstreamDone
+    size: ResponseSize = field(default_factory=ResponseSize)
 
 
 class UpstreamPool:
@@ -69,6 +75,8 @@
         self.idle: list[UpstreamConnection] = []
         self.connections: set[UpstreamConnection] = set()
         self.dialing: set[asyncio.Task[None]] = set()
+        # Bytes read of responses that are not whole yet.
+        self.unfinished = 0
 
     def send(self, handover: Handover, left: Millis, done: UpstreamDone) -> "Sending":
         """Send the request on the connection that was used last, or on a new one."""
@@ -94,6 +102,12 @@
         else:
             connection.close()
 
+    def add_unfinished(self, count: int) -> None:
+        """Count what was read of a response; the largest one fails when all are too large."""
+        self.unfinished += count
+        if self.unfinished > MAX_UNFINISHED:
+            max(self.connections, key=UpstreamConnection.bytes_read).fail(Failure.TOO_LARGE)
+
     def close(self) -> None:
         """Close every connection."""
         for connection in list(self.connections):
@@ -149,6 +163,7 @@
         self.left = left
         self.done = done
         self.connection: UpstreamConnection | None = None
+        self.size: ResponseSize | None = None
         self.stopped = False
 
     def begin(self, connection: "UpstreamConnection") -> None:
@@ -156,6 +171,7 @@
         self.connection = connection
         request = self.handover.request
         running = Running(self.handover.call_id.encode("latin-1"), request.method, self.done)
+        self.size = running.size
         connection.carry(running, encode_request(self.handover, self.left, self.pool.names))
 
     def stop(self) -> None:
@@ -164,6 +180,11 @@
         if self.connection is not None:
             self.connection.close()
 
+    @property
+    def bytes_read(self) -> int:
+        """Return how many bytes the upstream sent for the request."""
+        return self.size.read if self.size is not None else 0
+
     def failed(self, failure: Failure) -> None:
         """Report that the request was not written."""
         self.done(failure)
@@ -179,7 +200,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.running: Running | None = None
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
+        # A list of parts would take many times the bytes of a body in small chunks.
+        self.body = bytearray()
         self.in_message = False
         self.until_eof = False
         self.reusable = True
@@ -198,7 +220,7 @@
         self.pool.connections.discard(self)
         if self in self.pool.idle:
             self.pool.idle.remove(self)
-        self._fail(Failure.CONNECTION_LOST)
+        self._end(Failure.CONNECTION_LOST)
 
     def eof_received(self) -> bool:
         """End a response without a length; only an orderly close makes it whole."""
@@ -223,35 +245,55 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read; bytes that belong to no request end the connection."""
-        if self.running is None:
+        running = self.running
+        if running is None:
             self.close()
             return
+        running.size.read += len(data)
+        self.pool.add_unfinished(len(data))
+        if self.running is None:
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reusable = False
-            self._fail(Failure.MALFORMED)
-            self.close()
+            self.fail(Failure.MALFORMED)
+            return
+        if self.running is not None and running.size.exceeded:
+            self.fail(Failure.TOO_LARGE)
+
+    def bytes_read(self) -> int:
+        """Return how much was read of the response that is not whole yet."""
+        return self.running.size.read if self.running is not None else 0
+
+    def fail(self, failure: Failure) -> None:
+        """Close at once and fail the running request."""
+        self.close()
+        self._end(failure)
 
     def on_message_begin(self) -> None:
         """Start a response; a second one for the same request is never used."""
         self.headers = []
-        self.chunks = []
+        self.body = bytearray()
         self.in_message = True
         self.until_eof = False
         if self.running is None:
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header field."""
-        self.headers.append((name.lower(), value))
+        """Collect one header field, or a trailer."""
+        if self.running is not None:
+            self.running.size.fields += len(name) + len(value) + FIELD_EXTRA
+            if not self.running.size.content_exceeded:
+                self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decide how the body ends and for how long the connection may be kept."""
         framed = False
+        stated = 0
         for name, value in self.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 framed = True
+                stated = int(value) if name == b"content-length" else stated
             elif name == b"connection" and value.lower() == b"close":
                 self.reusable = False
             elif name == b"keep-alive":
@@ -263,10 +305,15 @@
         if self.running is not None and self.running.method == b"HEAD":
             self.reusable = False
             self._complete()
+        elif stated > MAX_RESPONSE_BYTES and status > CONTINUE_MAX and status not in BODILESS:
+            self.fail(Failure.TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self.chunks.append(body)
+        if self.running is not None:
+            self.running.size.body += len(body)
+            if not self.running.size.content_exceeded:
+                self.body += body
 
     def on_message_complete(self) -> None:
         """Hand over a whole response."""
@@ -284,9 +331,14 @@
             # A late extra response to an earlier request: the one that is due still follows.
             self.reusable = False
             return
-        self.running = None
+        if running.size.content_exceeded:
+            self.fail(Failure.TOO_LARGE)
+            return
+        self._release_running()
         rows = tuple(row for row in self.headers if row[0] not in CONNECTION_FIELDS)
-        response = RelayResponse(self.parser.get_status_code(), rows, b"".join(self.chunks))
+        response = RelayResponse(self.parser.get_status_code(), rows, bytes(self.body))
+        # An idle connection keeps nothing of its last response.
+        self.headers, self.body = [], bytearray()
         # Bytes that follow the response in the same read decide whether the connection is kept.
         asyncio.get_running_loop().call_soon(self._settle, running, response)
 
@@ -298,11 +350,18 @@
             self.transport.close()
         running.done(response)
 
-    def _fail(self, failure: Failure) -> None:
-        running, self.running = self.running, None
+    def _end(self, failure: Failure) -> None:
+        running = self._release_running()
+        self.headers, self.body = [], bytearray()
         if running is not None:
             running.done(failure)
 
+    def _release_running(self) -> Running | None:
+        running, self.running = self.running, None
+        if running is not None:
+            self.pool.unfinished -= running.size.read
+        return running
+
     def _learn_idle_limit(self, value: bytes) -> None:
         for part in value.split(b","):
             key, _, number = part.strip().partition(b"=")
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -16,6 +16,7 @@
     Reason.CANCELLED.value: "the caller closed its connection",
     Reason.CONNECTION_LOST.value: "the upstream or its daemon was lost while it ran",
     Reason.BAD_ANSWER.value: "the upstream's answer was cut off or spoilt",
+    Reason.ANSWER_TOO_LARGE.value: "the upstream's answer did not end within the limits",
     Reason.SHED.value: "the upstream refused it as not run",
     Reason.WRONG_INSTANCE.value: "another instance had the upstream's address",
     Reason.LEAVING.value: "the upstreams that were asked are leaving",
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -64,6 +64,7 @@
     OVERLOADED = "overloaded"
     WRONG_INSTANCE = "wrong-instance"
     BAD_ANSWER = "bad-answer"
+    ANSWER_TOO_LARGE = "answer-too-large"
     CANCELLED = "cancelled"
     FENCED = "fenced"
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -53,6 +53,13 @@
 # A crash resets every connection at once; a refused connection within this time confirms it.
 DEATH_WINDOW = Millis(1_500)
 
+# What a failure after the request was written tells the caller.
+FAILURE_REASONS = {
+    Failure.CONNECTION_LOST: Reason.CONNECTION_LOST,
+    Failure.MALFORMED: Reason.BAD_ANSWER,
+    Failure.TOO_LARGE: Reason.ANSWER_TOO_LARGE,
+}
+
 
 @dataclass(slots=True)
 class ExitCall:
@@ -202,8 +209,7 @@
             return judge(done, self.names.stamp, self.names.not_run)
         if done is Failure.NOT_CONNECTED:
             return refused(Reason.CONNECT_FAILED)
-        reason = Reason.BAD_ANSWER if done is Failure.MALFORMED else Reason.CONNECTION_LOST
-        return lost(reason)
+        return lost(FAILURE_REASONS[done])
 
     def _answer(self, call: ExitCall, result: RelayResult) -> None:
         if call.timer is not None:
@@ -229,6 +235,7 @@
                 reason=result.reason.value,
                 load=self.queue.load,
                 left_ms=int(call.deadline - monotonic()),
+                read=call.sending.bytes_read if call.sending is not None else 0,
             )
         reply, call.reply = call.reply, None
         if reply is not None:
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/endless.py
@@ -0,0 +1,96 @@
+"""Answers of an upstream in trouble: bytes without end, until the connection is closed."""
+
+import asyncio
+from enum import Enum
+
+KIB = 1024
+# What is passed to the transport at once.
+BLOCK_BYTES = 16 * KIB
+# A daemon that does not close the connection must not fill the memory of the machine.
+MAX_BYTES = 64 * KIB * KIB
+TRICKLE_SECONDS = 0.02
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS_LINE + b"x-response-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+class Endless(Enum):
+    """The part of an answer that does not end."""
+
+    BLANK_LINES = "blank lines"
+    REASON_PHRASE = "reason phrase"
+    FIELDS = "fields"
+    FIELD_NAME = "field name"
+    FIELD_VALUE = "field value"
+    INTERIM = "interim responses"
+    BODY = "body"
+    STATED_BODY = "stated body"
+    CHUNKS = "chunks"
+    SMALL_CHUNKS = "small chunks"
+    CHUNK_SIZE = "chunk size"
+    CHUNK_EXTENSION = "chunk extension"
+    TRAILERS = "trailers"
+    TRAILER_VALUE = "trailer value"
+    AFTER_ANSWER = "after the answer"
+
+
+# What comes first, and what is repeated without end.
+PARTS: dict[Endless, tuple[bytes, bytes]] = {
+    Endless.BLANK_LINES: (b"", b"\r\n"),
+    Endless.REASON_PHRASE: (b"HTTP/1.1 200 ", b"O"),
+    Endless.FIELDS: (STATUS_LINE, b"a: b\r\n"),
+    Endless.FIELD_NAME: (STATUS_LINE, b"a"),
+    Endless.FIELD_VALUE: (STATUS_LINE + b"a: ", b"b"),
+    Endless.INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"),
+    Endless.BODY: (STATUS_LINE + b"x-response-stamp: s\r\n\r\n", b"b"),
+    Endless.STATED_BODY: (
+        STATUS_LINE + b"x-response-stamp: s\r\ncontent-length: 99999999999\r\n\r\n",
+        b"b",
+    ),
+    Endless.CHUNKS: (CHUNKED, b"400\r\n" + b"b" * KIB + b"\r\n"),
+    Endless.SMALL_CHUNKS: (CHUNKED, b"2\r\nbb\r\n"),
+    Endless.CHUNK_SIZE: (CHUNKED, b"0"),
+    Endless.CHUNK_EXTENSION: (CHUNKED + b"1;", b"a"),
+    Endless.TRAILERS: (CHUNKED + b"0\r\n", b"a: b\r\n"),
+    Endless.TRAILER_VALUE: (CHUNKED + b"0\r\na: ", b"b"),
+    Endless.AFTER_ANSWER: (
+        STATUS_LINE + b"x-response-stamp: s\r\ncontent-length: 1\r\n\r\nb",
+        b"b",
+    ),
+}
+
+
+class EndlessWriter:
+    """Writes one of the parts to a connection, as fast as it is read or a few bytes at a time."""
+
+    def __init__(self, transport: asyncio.Transport, part: Endless, trickles: bool) -> None:
+        self.transport = transport
+        self.first, self.unit = PARTS[part]
+        self.trickles = trickles
+        self.block = self.unit if trickles else self.unit * (BLOCK_BYTES // len(self.unit) + 1)
+        self.written = 0
+        self.paused = False
+
+    def start(self) -> None:
+        """Write the start of the answer and go on."""
+        self._write(self.first)
+        self._go_on()
+
+    def pause(self) -> None:
+        """Wait for the reader."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Go on after the reader took what was written."""
+        self.paused = False
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self.paused or self.transport.is_closing() or self.written >= MAX_BYTES:
+            return
+        self._write(self.block)
+        loop = asyncio.get_running_loop()
+        loop.call_later(TRICKLE_SECONDS if self.trickles else 0, self._go_on)
+
+    def _write(self, data: bytes) -> None:
+        self.written += len(data)
+        self.transport.write(data)
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -13,6 +13,8 @@
 from agatecross_core.calls.model import Request
 from agatecross_core.ids import Address, Millis
 
+from .endless import Endless, EndlessWriter
+
 HEARTBEAT_TIMEOUT = Millis(2_000)
 
 
@@ -33,6 +35,10 @@
     CRASH = "crash"
 
 
+Script = Answer | Endless | bytes
+"""How one request is answered; bytes are written as they are."""
+
+
 class PlatformUpstream:
     """Serves requests, counts the runs of each id, and describes itself to its daemon."""
 
@@ -41,7 +47,8 @@
         self.service = service
         self.born = born
         self.sequence = 0
-        self.script: deque[Answer] = deque()
+        self.script: deque[Script] = deque()
+        self.trickles = False
         self.work_seconds = 0.0
         self.runs: Counter[str] = Counter()
         self.run_times: list[float] = []
@@ -72,7 +79,7 @@
         self.sequence = 0
         await self.listen()
 
-    def plan(self, answers: Iterable[Answer]) -> None:
+    def plan(self, answers: Iterable[Script]) -> None:
         """Answer the next requests like this, later ones whole."""
         self.script.extend(answers)
 
@@ -112,6 +119,7 @@
         self.fields: dict[str, str] = {}
         self.target = b""
         self.body = b""
+        self.endless: EndlessWriter | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -123,6 +131,16 @@
         """Forget the connection."""
         self.owner.connections.discard(self)
 
+    def pause_writing(self) -> None:
+        """Stop an endless answer while it is not read."""
+        if self.endless is not None:
+            self.endless.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with an endless answer."""
+        if self.endless is not None:
+            self.endless.resume()
+
     def data_received(self, data: bytes) -> None:
         """Parse requests."""
         self.parser.feed_data(data)
@@ -161,7 +179,7 @@
         owner.run_times.append(time.monotonic())
         self._run(answer, f"{owner.name} {call_id}".encode())
 
-    def _run(self, answer: Answer, body: bytes) -> None:
+    def _run(self, answer: Script, body: bytes) -> None:
         stamp = b"x-response-stamp: s\r\n"
         match answer:
             case Answer.WHOLE if self.owner.work_seconds:
@@ -194,6 +212,11 @@
                 self._write(200, body, b"")
             case Answer.ENCODED:
                 self._write(200, body, stamp + b"content-encoding: gzip\r\n")
+            case Endless():
+                self.endless = EndlessWriter(self.transport, answer, self.owner.trickles)
+                self.endless.start()
+            case bytes():
+                self.transport.write(answer)
             case _:
                 task = asyncio.ensure_future(self._hold(body, stamp))
                 task.add_done_callback(lambda _: None)
