Free the slot of an unsafe call whose answer goes on after its deadline

Callers got their 504 in time, but an upstream that went on a few bytes at a time kept the connection and the slot of the unsafe call for ever: the next call there waited in vain, and a stopping daemon waited out its grace.

Cause: `ExitTask` lets an unsafe run go on after its deadline, so that a slow run can end, and nothing told that apart from an answer that does not end.

From the deadline on, an answer has 1 s after the deadline or after its first later byte; then its connection is closed with reason `timeout`. A silent run keeps its slot until it ends, as before (scenario "an unsafe run that answers after its deadline is not cut off"). A request whose connection is still being opened at its deadline is not written any more.

--- a/features/upstream_bytes.feature
+++ b/features/upstream_bytes.feature
@@ -76,3 +76,44 @@
       | of much  | 8000000  | bytes in chunks of 1,000 | 200    |
       | of much  | 12000    | bytes in chunks of 1     | 200    |
       | of much  | 1000     | interim responses        | 200    |
+
+  Scenario Outline: an unsafe call until its deadline: <part> a few bytes at a time
+    Given a platform fleet that counts what its upstreams send
+    When upstream "u1" tells its daemon "ready sequence=90 slots=1"
+    And upstreams "u1" trickle endless "<part>"
+    And a caller of d0 sends "POST /peer/1"
+    Then the answer's status is <status>
+    And "u1" has no open exchange, its connection is closed and it keeps no bytes
+    When a caller of d0 sends "POST /peer/2"
+    Then the answer is 200 and upstream "u1" ran 2 calls
+
+    Examples:
+      | part              | status |
+      | blank lines       | 504    |
+      | fields            | 504    |
+      | field value       | 504    |
+      | interim responses | 504    |
+      | body              | 504    |
+      | stated body       | 502    |
+      | chunks            | 504    |
+      | trailers          | 504    |
+
+  Scenario: a safe call until its deadline: a body a few bytes at a time
+    Given a platform fleet that counts what its upstreams send
+    When upstreams "u0" trickle endless "body"
+    And a caller of d0 sends "GET /safe/1"
+    Then the answer's status is 504
+    And "u0" has no open exchange, its connection is closed and it keeps no bytes
+
+  Scenario: a caller that leaves an unsafe call: a body a few bytes at a time
+    Given a platform fleet that counts what its upstreams send
+    When upstreams "u1" trickle endless "body"
+    And a caller of d0 sends "POST /peer/1" and leaves
+    Then "u1" has no open exchange, its connection is closed and it keeps no bytes
+
+  Scenario: an unsafe run that answers after its deadline is not cut off
+    Given a platform fleet that counts what its upstreams send
+    When upstreams "u1" answer "hold"
+    And a caller of d0 sends "POST /peer/1"
+    Then the answer's status is 504
+    And "u1" still works on it; once it answers, its connection is kept for the next call
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
@@ -26,6 +26,9 @@
 WITH_LENGTH = frozenset((b"POST", b"PUT", b"PATCH"))
 BODILESS = frozenset((204, 304))
 CONTINUE_MAX = 199
+# A response that begins or goes on after its call's deadline ends within this time or is cut off.
+# The largest one needs 64 Mbit/s for that, and the upstream is on the same machine.
+LATE_SECONDS = 1.0
 # The colon, the space and the line end of a field.
 FIELD_EXTRA = 4
 
@@ -37,6 +40,7 @@
     CONNECTION_LOST = "connection-lost"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    TOO_LATE = "too-late"
 
 
 class Unreachable(Enum):
@@ -180,6 +184,16 @@
         if self.connection is not None:
             self.connection.close()
 
+    def give_up(self) -> None:
+        """Let the upstream end the run, but do not wait for a response that does not end.
+
+        A request that was not written by now is never written.
+        """
+        if self.connection is None:
+            self.stopped = True
+        else:
+            self.connection.give_up()
+
     @property
     def bytes_read(self) -> int:
         """Return how many bytes the upstream sent for the request."""
@@ -205,6 +219,8 @@
         self.in_message = False
         self.until_eof = False
         self.reusable = True
+        self.given_up = False
+        self.cut_off: asyncio.TimerHandle | None = None
         self.idle_since = Millis(0)
         self.idle_limit = DEFAULT_IDLE
 
@@ -238,6 +254,12 @@
         self.reusable = False
         self.transport.abort()
 
+    def give_up(self) -> None:
+        """Cut off the response if it does not end soon after its first byte."""
+        self.given_up = True
+        if self.bytes_read():
+            self._cut_off_later()
+
     def carry(self, running: Running, data: bytes) -> None:
         """Send one request."""
         self.running = running
@@ -251,6 +273,8 @@
             return
         running.size.read += len(data)
         self.pool.add_unfinished(len(data))
+        if self.given_up:
+            self._cut_off_later()
         if self.running is None:
             return
         try:
@@ -356,7 +380,16 @@
         if running is not None:
             running.done(failure)
 
+    def _cut_off_later(self) -> None:
+        if self.cut_off is None and self.running is not None:
+            loop = asyncio.get_running_loop()
+            self.cut_off = loop.call_later(LATE_SECONDS, self.fail, Failure.TOO_LATE)
+
     def _release_running(self) -> Running | None:
+        self.given_up = False
+        if self.cut_off is not None:
+            self.cut_off.cancel()
+            self.cut_off = None
         running, self.running = self.running, None
         if running is not None:
             self.pool.unfinished -= running.size.read
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -58,6 +58,7 @@
     Failure.CONNECTION_LOST: Reason.CONNECTION_LOST,
     Failure.MALFORMED: Reason.BAD_ANSWER,
     Failure.TOO_LARGE: Reason.ANSWER_TOO_LARGE,
+    Failure.TOO_LATE: Reason.TIMEOUT,
 }
 
 
@@ -255,6 +256,8 @@
             return
         self._answer(call, lost(Reason.TIMEOUT))
         self._stop(call)
+        if call.handover.repeat is Repeat.ONCE:
+            call.sending.give_up()
 
     def _cancel(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
