--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -6,9 +6,15 @@
 from behave import given, then, when
 from platform_steps import begin, until
 
+from agatecross_adapters.http_client import ClientStream, TornadoHttpClient
 from agatecross_adapters.upstream_http import UpstreamConnection
+from agatecross_core.calls.model import Request
+from agatecross_core.errors import ConnectionLostError, ExchangeError, StoreError
+from agatecross_core.ids import Millis
+from agatecross_platform.store import PlatformStore
 from agatecross_standins.endless import Endless
-from agatecross_standins.platform_upstream import Answer
+from agatecross_standins.platform_store import PlatformStoreStandIn
+from agatecross_standins.platform_upstream import Answer, PlatformUpstream
 
 KIB = 1024
 OTHERS = 5
@@ -179,3 +185,61 @@
     lines = [row for row in path.read_text().splitlines() if "event=handover_failed" in row]
     read = max(context.counter.read.values())
     assert [pair in row and f"read={read}" in row for row in lines] == [True], lines
+
+
+@when("a daemon reads what is announced from a store with endless pages of {size:d} bytes")
+def step_endless_pages(context, size):
+    async def work():
+        stand_in = PlatformStoreStandIn()
+        stand_in.switches.endless = size
+        http = TornadoHttpClient()
+        store = PlatformStore(stand_in.listen(), http)
+        try:
+            await asyncio.wait_for(store.announced(), 30)
+        except (StoreError, TimeoutError) as error:
+            context.error = error
+        http.close()
+        await stand_in.close()
+        context.pages = stand_in.calls
+
+    asyncio.run(work())
+
+
+@then("the store fails after at most {pages:d} pages")
+def step_pages(context, pages):
+    assert isinstance(context.error, StoreError), (context.error, context.pages)
+    assert context.pages <= pages, context.pages
+
+
+@when('a client asks a server that answers with endless "{part}"')
+def step_client(context, part):
+    context.read = 0
+    original = ClientStream.read_from_fd
+
+    def counted(stream, buffer):
+        count = original(stream, buffer)
+        context.read += count or 0
+        return count
+
+    async def work():
+        server = PlatformUpstream("u0", "s0")
+        await server.listen()
+        server.plan([Endless(part)])
+        http = TornadoHttpClient()
+        try:
+            await http.send(server.address, Request("GET", "/", (), b""), Millis(10_000))
+        except ExchangeError as error:
+            context.error = error
+        await until(lambda: not server.connections, "the connection to close")
+        http.close()
+        server.crash()
+
+    with mock.patch.object(ClientStream, "read_from_fd", counted):
+        asyncio.run(work())
+
+
+@then("it fails and read at most {most:d} KiB")
+def step_client_read(context, most):
+    print(f"{type(context.error).__name__} after {context.read / KIB:.0f} KiB")
+    assert isinstance(context.error, ConnectionLostError), context.error
+    assert context.read <= most * KIB, context.read
--- a/features/upstream_bytes.feature
+++ b/features/upstream_bytes.feature
@@ -117,3 +117,29 @@
     And a caller of d0 sends "POST /peer/1"
     Then the answer's status is 504
     And "u1" still works on it; once it answers, its connection is kept for the next call
+
+  Scenario Outline: a store that gives page after page: <guards against>
+    When a daemon reads what is announced from a store with endless pages of <size> bytes
+    Then the store fails after at most <pages> pages
+
+    Examples:
+      | guards against                 | size    | pages |
+      | a loop that does not end       | 10      | 256   |
+      | memory that fills with records | 1000000 | 9     |
+
+  Scenario Outline: the store's client: <part> without end
+    When a client asks a server that answers with endless "<part>"
+    Then it fails and read at most <most> KiB
+
+    Examples:
+      | part              | most |
+      | blank lines       | 288  |
+      | fields            | 288  |
+      | field value       | 288  |
+      | interim responses | 288  |
+      | body              | 288  |
+      | stated body       | 288  |
+      | chunks            | 8512 |
+      | chunk size        | 288  |
+      | chunk extension   | 288  |
+      | trailers          | 288  |
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -33,10 +33,14 @@
 
 @dataclass(slots=True)
 class StoreSwitches:
-    """Failures to show; `refuse` answers 503, `silent` does not answer."""
+    """Failures to show; `refuse` answers 503, `silent` does not answer.
+
+    `endless` gives one page of newest records after another, with values of so many bytes.
+    """
 
     refuse: bool = False
     silent: bool = False
+    endless: int = 0
 
 
 class PlatformStoreStandIn:
@@ -94,7 +98,7 @@
         if path == "/-/log-append":
             return self._appended(topic, request.body)
         if path == "/-/log-newest":
-            return self._newest(topic)
+            return self._next_page() if self.switches.endless else self._newest(topic)
         return await self._read(topic, int(fields["from"]), int(fields.get("waitMs", 0)))
 
     def _appended(self, topic: Topic, body: bytes) -> Response:
@@ -113,6 +117,12 @@
         body = json.dumps({"items": items, "more": False, "end": topic.end}).encode()
         return Response(200, JSON, body)
 
+    def _next_page(self) -> Response:
+        value = base64.b64encode(bytes(self.switches.endless)).decode()
+        row = {"key": f"d{self.calls}", "offset": self.calls, "value": value}
+        body = json.dumps({"items": [row], "more": True, "end": self.calls}).encode()
+        return Response(200, JSON, body)
+
     async def _read(self, topic: Topic, start: int, wait_ms: int) -> Response:
         if start < topic.first:
             return Response(410, JSON, json.dumps({"firstOffset": topic.first}).encode())
