Run no request after the last answer of a connection

Callers and peers that pipelined saw a request run, with its effects at the upstream, and then the connection end without an answer: while a slow reader took an answer with "Connection: close", the server went on to the next request on the connection and handed it to the handler; the close after the answer then cancelled it.

A stream now notes that its last answer is on the way, and a request that is whole after that closes the connection before it reaches the handler.

--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -16,7 +16,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from agatecross_core.calls.model import Request, Response
@@ -43,6 +43,27 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+class ServerStream(IOStream):
+    """Connection of a requester."""
+
+    # Set once an answer told the requester that the connection ends.
+    ending = False
+
+
+def stream_of(connection: HTTP1Connection) -> ServerStream:
+    """Return the stream of a connection that a `StreamServer` serves."""
+    assert isinstance(connection.stream, ServerStream)
+    return connection.stream
+
+
+class StreamServer(HTTPServer):
+    """Serves each connection through a `ServerStream`."""
+
+    def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
+        """Start to serve a connection."""
+        super().handle_stream(ServerStream(stream.socket), address)
+
+
 class TornadoHttpListener(HTTPServerConnectionDelegate):
     """Serves whole requests with whole responses; bounds the time to send each of them."""
 
@@ -55,7 +76,7 @@
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
         self.write_timeout = write_timeout
-        self.server: HTTPServer | None = None
+        self.server: StreamServer | None = None
         self.handler: RequestHandler | None = None
         self.running: set[asyncio.Task[None]] = set()
         self.collecting: set[RequestCollector] = set()
@@ -67,7 +88,7 @@
         host, _, port = address.rpartition(":")
         sockets = bind_sockets(int(port), host, backlog=1024)
         self.handler = handler
-        self.server = HTTPServer(
+        self.server = StreamServer(
             self,
             max_header_size=MAX_HEAD_BYTES,
             max_body_size=MAX_REQUEST_BYTES,
@@ -113,6 +134,10 @@
 
     def received(self, connection: HTTP1Connection, request: Request) -> None:
         """Answer a whole request in a task that ends with its connection."""
+        if stream_of(connection).ending:
+            # The close that follows the last answer would cut a further request.
+            connection.close()
+            return
         task = asyncio.ensure_future(self._answer(connection, request))
         self.running.add(task)
         task.add_done_callback(self.running.discard)
@@ -132,6 +157,7 @@
             response = HANDLER_FAILED
             headers, close = self._response_headers(request, response)
         connection.set_close_callback(None)
+        stream_of(connection).ending = close
         bodiless = request.method == "HEAD" or response.status in BODILESS_STATUSES
         try:
             await self._write(connection, response, headers, b"" if bodiless else response.body)
