Keep reading after the last answer until the requester has closed

Requesters with more bytes on the wire (a pipelined request, the next request on a kept connection) lost the end of the last answer: a socket that closes with unread bytes sends a reset, and the kernel discards what it has not delivered.

A connection now closes its sending side first, discards what still comes, and closes when the requester has closed or after 1 s; `close()` waits for these connections, so that the end of the process does not reset them either.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -7,3 +7,14 @@
     Given a listener that is about to close
     When a slow reader gets the last answer of a connection after it sent another request
     Then one request was handled
+
+  Scenario Outline: the last answer of a connection arrives whole though <bytes> followed its request
+    Guards against a reset that discards the part of the answer that was not delivered yet.
+    Given a listener that is about to close
+    When a slow reader gets the last answer of a connection after it sent <bytes>
+    Then the whole answer arrives
+
+    Examples:
+      | bytes                   |
+      | another request         |
+      | part of a large request |
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -11,7 +11,11 @@
 STEP_SECONDS = 20.0
 WHOLE = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd"
 LARGE = b"x" * 3_000_000
-FOLLOWING = {"another request": WHOLE}
+FOLLOWING = {
+    "another request": WHOLE,
+    # More than a listener reads ahead while a request runs.
+    "part of a large request": WHOLE.replace(b": 4", b": 900000") + b"x" * 100_000,
+}
 
 
 class Closing:
@@ -102,6 +106,12 @@
     context.received, context.handled = run(read_last_answer(following))
 
 
+@then("the whole answer arrives")
+def check_whole(context):
+    _, _, body = context.received.partition(b"\r\n\r\n")
+    assert body == LARGE, (len(body), context.received[-20:])
+
+
 @then("one request was handled")
 def check_handled(context):
     assert context.handled == 1, context.handled
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server on tornado's `HTTPServer`."""
 
 import asyncio
+import socket
 import time
+from collections.abc import Callable
 from http.client import responses
 
 from absl import logging
@@ -25,6 +27,7 @@
     MAX_REQUEST_BYTES,
     SERVER_BODY_TIMEOUT,
     SERVER_HEAD_TIMEOUT,
+    SERVER_LINGER_TIMEOUT,
     SERVER_WRITE_TIMEOUT,
 )
 from agatecross_core.ids import Address, Millis
@@ -40,15 +43,66 @@
     b"unknown: internal error\n",
 )
 SWEEPS_PER_TIMEOUT = 4
+DISCARD_BYTES = 65_536
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+class LingeringClose:
+    """Closes sockets so that the last answer arrives.
+
+    A socket that closes with unread bytes, or gets some afterwards, sends a reset, and its peer may
+    lose what it has not read yet. So only the sending side closes at first, and the rest once the
+    peer has closed or `timeout` passed.
+    """
+
+    def __init__(self, timeout: Millis) -> None:
+        self.timeout = timeout
+        self.open: set[asyncio.Task[None]] = set()
+
+    def close(self, sock: socket.socket) -> None:
+        """Close the sending side, and the socket when its peer has closed."""
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The peer reset the connection, or its own end came first.
+            sock.close()
+            return
+        task = asyncio.ensure_future(self._discard(sock))
+        self.open.add(task)
+        task.add_done_callback(self.open.discard)
+
+    async def closed(self) -> None:
+        """Return when every socket is closed."""
+        while self.open:
+            await asyncio.wait(self.open)
+
+    async def _discard(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with sock:
+            try:
+                async with asyncio.timeout(self.timeout / 1000):
+                    while await loop.sock_recv(sock, DISCARD_BYTES):
+                        pass
+            except (OSError, TimeoutError):
+                # The peer reset the connection or keeps it open; neither waits for this answer.
+                return
+
+
 class ServerStream(IOStream):
     """Connection of a requester."""
 
     # Set once an answer told the requester that the connection ends.
     ending = False
 
+    def __init__(self, sock: socket.socket, close_socket: Callable[[socket.socket], None]) -> None:
+        super().__init__(sock)
+        self.close_socket = close_socket
+
+    def close_fd(self) -> None:
+        """Give up the socket; called once, when the stream closes."""
+        sock, self.socket = self.socket, None  # type: ignore[assignment]
+        self.close_socket(sock)
+
 
 def stream_of(connection: HTTP1Connection) -> ServerStream:
     """Return the stream of a connection that a `StreamServer` serves."""
@@ -59,9 +113,11 @@
 class StreamServer(HTTPServer):
     """Serves each connection through a `ServerStream`."""
 
+    connected: Callable[[socket.socket], ServerStream]
+
     def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
         """Start to serve a connection."""
-        super().handle_stream(ServerStream(stream.socket), address)
+        super().handle_stream(self.connected(stream.socket), address)
 
 
 class TornadoHttpListener(HTTPServerConnectionDelegate):
@@ -78,6 +134,7 @@
         self.write_timeout = write_timeout
         self.server: StreamServer | None = None
         self.handler: RequestHandler | None = None
+        self.lingering = LingeringClose(SERVER_LINGER_TIMEOUT)
         self.running: set[asyncio.Task[None]] = set()
         self.collecting: set[RequestCollector] = set()
         self.sweeping: asyncio.Future[None] | None = None
@@ -93,6 +150,7 @@
             max_header_size=MAX_HEAD_BYTES,
             max_body_size=MAX_REQUEST_BYTES,
         )
+        self.server.connected = self._connected
         # One sweep replaces a timer and its callbacks for each head and each body.
         self.server.conn_params.header_timeout = None
         self.sweeping = asyncio.ensure_future(self._sweep())
@@ -112,9 +170,13 @@
             await asyncio.wait(self.running)
         if self.server is not None:
             await self.server.close_all_connections()
+        await self.lingering.closed()
         if self.sweeping is not None:
             self.sweeping.cancel()
 
+    def _connected(self, sock: socket.socket) -> ServerStream:
+        return ServerStream(sock, self.lingering.close)
+
     async def _sweep(self) -> None:
         period = min(self.head_timeout, self.body_timeout) / 1000 / SWEEPS_PER_TIMEOUT
         while True:
