Answer requests that have begun to arrive when their listener closes

Callers and peers of a stopping daemon saw their connection end without an answer, often with a reset: `close()` waited for requests that were handled, and closed every other connection at once, also those with half a head or half a body read, or with a whole request in the kernel that the loop had not read yet.

`close()` now closes the connections that carry nothing and serves the rest until they end. A request that is not whole within 1 s is refused as not run, so that the drain stays bounded by the calls that run. A connection between requests closes without lingering once its last answer is acknowledged, so that idle pools do not hold up a stop.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -18,3 +18,30 @@
       | bytes                   |
       | another request         |
       | part of a large request |
+
+  Scenario Outline: a request that is <state> when its listener closes is answered
+    Given a listener that is about to close
+    When a request is <state> as the listener closes
+    Then the request is answered with "200" and the connection ends
+
+    Examples:
+      | state                 |
+      | sent half of its head |
+      | sent half of its body |
+      | not read yet          |
+
+  Scenario Outline: a request that stays <state> after its listener closed is refused as not run
+    Given a listener that is about to close
+    When a request stays <state> as the listener closes
+    Then the request is answered with "503" and the connection ends
+    And the answer says "not-run" because of "leaving"
+
+    Examples:
+      | state                 |
+      | sent half of its head |
+      | sent half of its body |
+
+  Scenario: a connection without a request does not hold up the close of its listener
+    Given a listener that is about to close
+    When a connection is idle as the listener closes
+    Then the connection ends without an answer
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -1,20 +1,29 @@
 import asyncio
+import contextlib
+import re
 import socket
 
 from behave import given, then, when
 
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Response
-from agatecross_core.ids import Address
+from agatecross_core.ids import Address, Millis
 
 LOCAL = Address("127.0.0.1:0")
 STEP_SECONDS = 20.0
-WHOLE = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd"
+READ_TIMEOUT = Millis(300)
+HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+WHOLE = HEAD + b"abcd"
+FIRST_PARTS = {
+    "sent half of its head": HEAD[:20],
+    "sent half of its body": HEAD + b"ab",
+    "not read yet": WHOLE,
+}
 LARGE = b"x" * 3_000_000
 FOLLOWING = {
     "another request": WHOLE,
     # More than a listener reads ahead while a request runs.
-    "part of a large request": WHOLE.replace(b": 4", b": 900000") + b"x" * 100_000,
+    "part of a large request": HEAD.replace(b": 4", b": 900000") + b"x" * 100_000,
 }
 
 
@@ -25,7 +34,7 @@
     """
 
     def __init__(self):
-        self.listener = TornadoHttpListener()
+        self.listener = TornadoHttpListener(last_read_timeout=READ_TIMEOUT)
         self.bodies = []
         self.answer = b"ok"
         self.answering = True
@@ -51,6 +60,13 @@
         sock.setblocking(False)
         return sock
 
+    async def use_once(self, sock):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, WHOLE)
+        received = b""
+        while not received.endswith(b"ok"):
+            received += await loop.sock_recv(sock, 65536)
+
 
 async def until(condition):
     while not condition():
@@ -75,6 +91,38 @@
     return asyncio.run(asyncio.wait_for(work, STEP_SECONDS))
 
 
+def send_rest(sock, data):
+    # A listener that cut the request shows in the missing answer.
+    with contextlib.suppress(ConnectionError):
+        sock.send(data)
+
+
+async def close_during(state, stays):
+    async with Closing() as closing:
+        sock = closing.connect()
+        with sock:
+            await closing.use_once(sock)
+            sock.send(FIRST_PARTS[state])
+            if state == "sent half of its body":
+                await until(lambda: any(row.chunks for row in closing.listener.collecting))
+            ending = asyncio.ensure_future(closing.listener.close())
+            await until(lambda: closing.listener.closing)
+            if not stays:
+                send_rest(sock, WHOLE[len(FIRST_PARTS[state]) :])
+            received = await read_to_end(sock)
+            await ending
+            return received
+
+
+async def close_idle_connection():
+    async with Closing() as closing:
+        sock = closing.connect()
+        with sock:
+            await closing.use_once(sock)
+            await closing.listener.close()
+            return await read_to_end(sock)
+
+
 async def read_last_answer(following):
     async with Closing() as closing:
         closing.answer = LARGE
@@ -101,11 +149,44 @@
     context.received = b""
 
 
+@when("a request is {state} as the listener closes")
+def close_with_request(context, state):
+    context.received = run(close_during(state, stays=False))
+
+
+@when("a request stays {state} as the listener closes")
+def close_with_part(context, state):
+    context.received = run(close_during(state, stays=True))
+
+
+@when("a connection is idle as the listener closes")
+def close_with_idle(context):
+    context.received = run(close_idle_connection())
+
+
 @when("a slow reader gets the last answer of a connection after it sent {following}")
 def read_slowly(context, following):
     context.received, context.handled = run(read_last_answer(following))
 
 
+@then('the request is answered with "{status}" and the connection ends')
+def check_answered(context, status):
+    found = re.findall(rb"HTTP/1\.1 (\d{3})", context.received)
+    assert found == [status.encode()], context.received
+    assert b"Connection: close" in context.received, context.received
+
+
+@then('the answer says "{outcome}" because of "{reason}"')
+def check_outcome(context, outcome, reason):
+    for field in (f"Agatecross-Outcome: {outcome}", f"Agatecross-Reason: {reason}"):
+        assert field.encode() in context.received, context.received
+
+
+@then("the connection ends without an answer")
+def check_no_answer(context):
+    assert context.received == b"", context.received
+
+
 @then("the whole answer arrives")
 def check_whole(context):
     _, _, body = context.received.partition(b"\r\n\r\n")
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server on tornado's `HTTPServer`."""
 
 import asyncio
+import fcntl
 import socket
+import termios
 import time
 from collections.abc import Callable
 from http.client import responses
@@ -27,13 +29,14 @@
     MAX_REQUEST_BYTES,
     SERVER_BODY_TIMEOUT,
     SERVER_HEAD_TIMEOUT,
+    SERVER_LAST_READ_TIMEOUT,
     SERVER_LINGER_TIMEOUT,
     SERVER_WRITE_TIMEOUT,
 )
 from agatecross_core.ids import Address, Millis
-from agatecross_core.states import Outcome
+from agatecross_core.states import Outcome, Reason
 
-from .call_headers import OUTCOME
+from .call_headers import OUTCOME, REASON
 from .http_fields import HOP_FIELDS, end_to_end
 from .protocols import RequestHandler
 
@@ -42,6 +45,11 @@
     (("Content-Type", "text/plain"), (OUTCOME, Outcome.UNKNOWN.value)),
     b"unknown: internal error\n",
 )
+REFUSAL = (
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    f"{OUTCOME}: {Outcome.NOT_RUN.value}\r\n{REASON}: {Reason.LEAVING.value}\r\n"
+    "Connection: close\r\nContent-Length: 0\r\n\r\n"
+).encode()
 SWEEPS_PER_TIMEOUT = 4
 DISCARD_BYTES = 65_536
 BODILESS_STATUSES = frozenset((204, 304))
@@ -93,15 +101,43 @@
 
     # Set once an answer told the requester that the connection ends.
     ending = False
+    # Set when the connection closes between requests.
+    idle = False
 
-    def __init__(self, sock: socket.socket, close_socket: Callable[[socket.socket], None]) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        close_socket: Callable[[socket.socket], None],
+        closed: Callable[["ServerStream"], None],
+    ) -> None:
         super().__init__(sock)
         self.close_socket = close_socket
+        self.notify_closed = closed
 
     def close_fd(self) -> None:
         """Give up the socket; called once, when the stream closes."""
         sock, self.socket = self.socket, None  # type: ignore[assignment]
-        self.close_socket(sock)
+        if self.idle and delivered(sock):
+            sock.close()
+        else:
+            self.close_socket(sock)
+        self.notify_closed(self)
+
+    def unread(self) -> bool:
+        """Return whether bytes arrived that belong to no whole request."""
+        if self.closed():
+            return False
+        if self._read_buffer_size:
+            return True
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
+
+
+def delivered(sock: socket.socket) -> bool:
+    """Return whether the peer has acknowledged every byte."""
+    return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
 
 
 def stream_of(connection: HTTP1Connection) -> ServerStream:
@@ -128,10 +164,12 @@
         head_timeout: Millis = SERVER_HEAD_TIMEOUT,
         body_timeout: Millis = SERVER_BODY_TIMEOUT,
         write_timeout: Millis = SERVER_WRITE_TIMEOUT,
+        last_read_timeout: Millis = SERVER_LAST_READ_TIMEOUT,
     ) -> None:
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
         self.write_timeout = write_timeout
+        self.last_read_timeout = last_read_timeout
         self.server: StreamServer | None = None
         self.handler: RequestHandler | None = None
         self.lingering = LingeringClose(SERVER_LINGER_TIMEOUT)
@@ -139,6 +177,8 @@
         self.collecting: set[RequestCollector] = set()
         self.sweeping: asyncio.Future[None] | None = None
         self.closing = False
+        self.streams: set[ServerStream] = set()
+        self.changed = asyncio.Event()
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start to serve and return the bound address."""
@@ -159,13 +199,23 @@
 
     def close_idle(self) -> None:
         """Accept no new connection; connections close after their current response."""
-        self.closing = True
         if self.server is not None:
             self.server.stop()
+        self.closing = True
 
     async def close(self) -> None:
-        """Wait for running handlers, then close every connection."""
+        """Answer every request that has begun to arrive, and close every connection.
+
+        A request that is not whole within `last_read_timeout` is refused as not run.
+        """
         self.close_idle()
+        self._shorten_reads()
+        while self.streams:
+            self.changed.clear()
+            for collector in [row for row in self.collecting if not row.begun()]:
+                collector.close_idle()
+            if self.streams:
+                await self.changed.wait()
         while self.running:
             await asyncio.wait(self.running)
         if self.server is not None:
@@ -174,8 +224,24 @@
         if self.sweeping is not None:
             self.sweeping.cancel()
 
+    def _shorten_reads(self) -> None:
+        self.head_timeout = min(self.head_timeout, self.last_read_timeout)
+        self.body_timeout = min(self.body_timeout, self.last_read_timeout)
+        limit = time.monotonic() + self.last_read_timeout / 1000
+        for collector in self.collecting:
+            collector.deadline = min(collector.deadline, limit)
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+            self.sweeping = asyncio.ensure_future(self._sweep())
+
     def _connected(self, sock: socket.socket) -> ServerStream:
-        return ServerStream(sock, self.lingering.close)
+        stream = ServerStream(sock, self.lingering.close, self._disconnected)
+        self.streams.add(stream)
+        return stream
+
+    def _disconnected(self, stream: ServerStream) -> None:
+        self.streams.discard(stream)
+        self.changed.set()
 
     async def _sweep(self) -> None:
         period = min(self.head_timeout, self.body_timeout) / 1000 / SWEEPS_PER_TIMEOUT
@@ -184,7 +250,10 @@
             now = time.monotonic()
             for collector in [row for row in self.collecting if row.expired(now)]:
                 self.collecting.discard(collector)
-                collector.connection.close()
+                if self.closing:
+                    collector.refuse()
+                else:
+                    collector.connection.close()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -192,6 +261,7 @@
         """Return the collector of the next request of a connection."""
         del server_conn
         assert isinstance(request_conn, HTTP1Connection)
+        self.changed.set()
         return RequestCollector(self, request_conn)
 
     def received(self, connection: HTTP1Connection, request: Request) -> None:
@@ -202,9 +272,15 @@
             return
         task = asyncio.ensure_future(self._answer(connection, request))
         self.running.add(task)
-        task.add_done_callback(self.running.discard)
+        task.add_done_callback(lambda ended: self._answered(connection, ended))
         connection.set_close_callback(lambda: _cancel(task))
 
+    def _answered(self, connection: HTTP1Connection, task: asyncio.Task[None]) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logging.error("event=answer_failed reason=%r", repr(error))
+            connection.close()
+
     async def _answer(self, connection: HTTP1Connection, request: Request) -> None:
         assert self.handler is not None
         try:
@@ -275,6 +351,22 @@
         """Return whether the sender took too long, or left before the head was whole."""
         return now > self.deadline or self.connection.stream.closed()
 
+    def begun(self) -> bool:
+        """Return whether a part of the request arrived."""
+        return self.start is not None or stream_of(self.connection).unread()
+
+    def close_idle(self) -> None:
+        """Close a connection without a request."""
+        stream_of(self.connection).idle = True
+        self.connection.close()
+
+    def refuse(self) -> None:
+        """Close the connection with an answer that the request did not run."""
+        if not self.connection.stream.closed():
+            # The stream and not the connection writes, as the head may not be whole.
+            self.connection.stream.write(REFUSAL)
+            self.connection.close()
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -111,6 +111,8 @@
 SERVER_HEAD_TIMEOUT: Final = Millis(60_000)
 SERVER_BODY_TIMEOUT: Final = Millis(10_000)
 SERVER_WRITE_TIMEOUT: Final = Millis(10_000)
+# Time for the rest of a request that has begun to arrive when its listener closes.
+SERVER_LAST_READ_TIMEOUT: Final = Millis(1_000)
 # A requester that knows of the end closes within some round trips.
 SERVER_LINGER_TIMEOUT: Final = Millis(1_000)
 
