Serve connections that wait to be accepted when a listener closes

Callers whose connection was established and whose request was sent, while the daemon had not accepted it yet, got a reset at the stop of the daemon: the kernel resets the queue of a listening socket that closes, and that queue is not empty when the loop runs late.

The scenario failed before the fix with no byte received. `close_idle()` now accepts what waits before it closes the listening socket; these requests are then answered like those that were being read.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -25,10 +25,11 @@
     Then the request is answered with "200" and the connection ends
 
     Examples:
-      | state                 |
-      | sent half of its head |
-      | sent half of its body |
-      | not read yet          |
+      | state                        |
+      | sent half of its head        |
+      | sent half of its body        |
+      | not read yet                 |
+      | on a connection not accepted |
 
   Scenario Outline: a request that stays <state> after its listener closed is refused as not run
     Given a listener that is about to close
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -18,6 +18,7 @@
     "sent half of its head": HEAD[:20],
     "sent half of its body": HEAD + b"ab",
     "not read yet": WHOLE,
+    "on a connection not accepted": WHOLE,
 }
 LARGE = b"x" * 3_000_000
 FOLLOWING = {
@@ -101,7 +102,8 @@
     async with Closing() as closing:
         sock = closing.connect()
         with sock:
-            await closing.use_once(sock)
+            if state != "on a connection not accepted":
+                await closing.use_once(sock)
             sock.send(FIRST_PARTS[state])
             if state == "sent half of its body":
                 await until(lambda: any(row.chunks for row in closing.listener.collecting))
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -170,6 +170,7 @@
         self.body_timeout = body_timeout
         self.write_timeout = write_timeout
         self.last_read_timeout = last_read_timeout
+        self.sockets: list[socket.socket] = []
         self.server: StreamServer | None = None
         self.handler: RequestHandler | None = None
         self.lingering = LingeringClose(SERVER_LINGER_TIMEOUT)
@@ -183,7 +184,7 @@
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start to serve and return the bound address."""
         host, _, port = address.rpartition(":")
-        sockets = bind_sockets(int(port), host, backlog=1024)
+        self.sockets = bind_sockets(int(port), host, backlog=1024)
         self.handler = handler
         self.server = StreamServer(
             self,
@@ -194,12 +195,13 @@
         # One sweep replaces a timer and its callbacks for each head and each body.
         self.server.conn_params.header_timeout = None
         self.sweeping = asyncio.ensure_future(self._sweep())
-        self.server.add_sockets(sockets)
-        return Address(f"{host}:{sockets[0].getsockname()[1]}")
+        self.server.add_sockets(self.sockets)
+        return Address(f"{host}:{self.sockets[0].getsockname()[1]}")
 
     def close_idle(self) -> None:
         """Accept no new connection; connections close after their current response."""
-        if self.server is not None:
+        if self.server is not None and not self.closing:
+            self._accept_waiting()
             self.server.stop()
         self.closing = True
 
@@ -234,6 +236,19 @@
             self.sweeping.cancel()
             self.sweeping = asyncio.ensure_future(self._sweep())
 
+    def _accept_waiting(self) -> None:
+        # The kernel resets what is in the queue of a listening socket that closes.
+        assert self.server is not None
+        for listening in self.sockets:
+            try:
+                while True:
+                    sock, address = listening.accept()
+                    self.server.handle_stream(IOStream(sock), address)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                logging.warning("event=accept_failed reason=%r", str(error))
+
     def _connected(self, sock: socket.socket) -> ServerStream:
         stream = ServerStream(sock, self.lingering.close, self._disconnected)
         self.streams.add(stream)
