Tell callers to move before a daemon closes its listener

Callers with kept connections were served without a word for the two seconds in which the peers learn of the stop, and then every connection closed at one moment: a request that crossed with the close ended without an answer.

Callers' connections now close with their next response from the start of the stop, and new ones are still accepted until the two seconds have passed, so that only connections without traffic are left when the listener closes. `announce_close` replaces `close_idle`, which stopped accepting at the same moment.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -46,3 +46,15 @@
     Given a listener that is about to close
     When a connection is idle as the listener closes
     Then the connection ends without an answer
+
+  Scenario Outline: a caller on a <connection> connection is told to move before a daemon closes
+    Guards against requests on kept connections that cross with the close of the listener.
+    Given the tasks of a daemon
+    When a caller sends a request on a <connection> connection while the daemon leaves
+    Then the request is answered with "503" and the connection ends
+    And the answer says "not-run" because of "no-configuration"
+
+    Examples:
+      | connection |
+      | kept       |
+      | new        |
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -2,12 +2,18 @@
 import contextlib
 import re
 import socket
+from dataclasses import replace
 
 from behave import given, then, when
 
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Response
-from agatecross_core.ids import Address, Millis
+from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName
+from agatecross_core.states import DaemonState
+from agatecross_daemon import fleet_daemon
+from agatecross_daemon.mailbox import Mailbox
+from agatecross_daemon.settings import Settings
+from agatecross_daemon.telemetry import Telemetry
 
 LOCAL = Address("127.0.0.1:0")
 STEP_SECONDS = 20.0
@@ -198,3 +204,71 @@
 @then("one request was handled")
 def check_handled(context):
     assert context.handled == 1, context.handled
+
+
+class Idle:
+    """Stands for a task that the scenario does not need."""
+
+    def __init__(self):
+        self.mailbox = Mailbox()
+
+    async def run(self):
+        await asyncio.Event().wait()
+
+
+class Daemon:
+    """The tasks of a daemon that serve HTTP; the others are idle or as the scenario says."""
+
+    def __init__(self, **others):
+        settings = Settings(
+            DaemonId("d"), RegionName("r"), DataCentreName("c"), LOCAL, LOCAL, LOCAL, LOCAL, LOCAL
+        )
+        names = ("control", "members", "config", "claims")
+        idle = {name: others.get(name) or Idle() for name in names}
+        telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
+        self.tasks = replace(fleet_daemon.build_tasks(settings, telemetry), **idle)
+
+    def connect(self, task):
+        listener = getattr(task.listener, "inner", task.listener)
+        sock = socket.create_connection(listener.sockets[0].getsockname())
+        sock.setblocking(False)
+        return sock
+
+    async def listening(self):
+        tasks = (self.tasks.call, self.tasks.upstream, self.tasks.admin)
+        await until(lambda: all(getattr(t.listener, "inner", t.listener).sockets for t in tasks))
+
+
+async def exchange(sock):
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, WHOLE)
+    return await loop.sock_recv(sock, 65536)
+
+
+async def call_while_leaving(connection):
+    daemon = Daemon()
+    running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
+    await daemon.listening()
+    kept = daemon.connect(daemon.tasks.call)
+    assert b"Connection: close" not in await exchange(kept)
+    leaving = asyncio.ensure_future(fleet_daemon.shut_down(daemon.tasks))
+    await until(lambda: daemon.tasks.admin.state is DaemonState.LEAVING)
+    sock = kept if connection == "kept" else daemon.connect(daemon.tasks.call)
+    await asyncio.get_running_loop().sock_sendall(sock, WHOLE)
+    received = await read_to_end(sock)
+    kept.close()
+    sock.close()
+    await leaving
+    for task in running:
+        task.cancel()
+    return received
+
+
+@given("the tasks of a daemon")
+def start_tasks(context):
+    context.received = b""
+
+
+@when("a caller sends a request on a {connection} connection while the daemon leaves")
+def send_while_leaving(context, connection):
+    context.received = run(call_while_leaving(connection))
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -198,11 +198,8 @@
         self.server.add_sockets(self.sockets)
         return Address(f"{host}:{self.sockets[0].getsockname()[1]}")
 
-    def close_idle(self) -> None:
-        """Accept no new connection; connections close after their current response."""
-        if self.server is not None and not self.closing:
-            self._accept_waiting()
-            self.server.stop()
+    def announce_close(self) -> None:
+        """Close each connection with its next response; new connections are still accepted."""
         self.closing = True
 
     async def close(self) -> None:
@@ -210,7 +207,8 @@
 
         A request that is not whole within `last_read_timeout` is refused as not run.
         """
-        self.close_idle()
+        self.closing = True
+        self._stop_accepting()
         self._shorten_reads()
         while self.streams:
             self.changed.clear()
@@ -236,9 +234,10 @@
             self.sweeping.cancel()
             self.sweeping = asyncio.ensure_future(self._sweep())
 
-    def _accept_waiting(self) -> None:
+    def _stop_accepting(self) -> None:
+        if self.server is None:
+            return
         # The kernel resets what is in the queue of a listening socket that closes.
-        assert self.server is not None
         for listening in self.sockets:
             try:
                 while True:
@@ -248,6 +247,8 @@
                 continue
             except OSError as error:
                 logging.warning("event=accept_failed reason=%r", str(error))
+        self.sockets = []
+        self.server.stop()
 
     def _connected(self, sock: socket.socket) -> ServerStream:
         stream = ServerStream(sock, self.lingering.close, self._disconnected)
@@ -265,7 +266,7 @@
             now = time.monotonic()
             for collector in [row for row in self.collecting if row.expired(now)]:
                 self.collecting.discard(collector)
-                if self.closing:
+                if self.closing and collector.begun():
                     collector.refuse()
                 else:
                     collector.connection.close()
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -58,12 +58,12 @@
         """Start to serve and return the bound address; port 0 lets the kernel choose."""
         ...
 
-    def close_idle(self) -> None:
-        """Accept no new connection; connections close after their current response."""
+    def announce_close(self) -> None:
+        """Close each connection with its next response; new connections are still accepted."""
         ...
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Answer every request that has begun to arrive, and close every connection."""
         ...
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -230,13 +230,13 @@
 
 
 async def shut_down(tasks: Tasks) -> None:
-    """Tell the peers, then wait until no call is in flight."""
+    """Tell the peers and the callers, then wait until no call is in flight."""
     log_event("daemon_leaving")
     leaving = Leaving()
     tasks.members.mailbox.put(leaving)
     tasks.admin.mailbox.put(leaving)
-    await asyncio.sleep(LEAVE_GRACE_SECONDS)
     tasks.call.mailbox.put(leaving)
+    await asyncio.sleep(LEAVE_GRACE_SECONDS)
     tasks.upstream.mailbox.put(leaving)
     await tasks.call.drained()
     await tasks.upstream.drained()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -88,7 +88,7 @@
                 self.balancer.view_changed(view)
                 self.quarantine.view_changed(view, me)
             case Leaving():
-                self.listener.close_idle()
+                self.listener.announce_close()
             case _:
                 self.quarantine.handle(message)
 
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -253,12 +253,12 @@
         finally:
             span.end()
 
-    def close_idle(self) -> None:
-        """Accept no new connection; connections close after their current response."""
-        self.inner.close_idle()
+    def announce_close(self) -> None:
+        """Close each connection with its next response; new connections are still accepted."""
+        self.inner.announce_close()
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Answer every request that has begun to arrive, and close every connection."""
         await self.inner.close()
 
 
