Close the admin listener of a daemon that stops

Upstreams and operators whose request reached the admin address in the last moments of a daemon saw the connection cut by the end of the process: nothing closed that listener, so requests were accepted until the process was gone.

The scenario failed before the fix: the admin address still accepted connections after the shutdown. It now closes last, like the listeners of callers and peers: what has begun to arrive is answered, what comes later is not accepted.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -58,3 +58,9 @@
       | connection |
       | kept       |
       | new        |
+
+  Scenario: a daemon that has shut down accepts no request that nobody answers
+    Guards against requests of the upstream and of operators that the end of the process cuts.
+    Given the tasks of a daemon
+    When the daemon has shut down
+    Then no listener of the daemon accepts a connection
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -228,15 +228,20 @@
         telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
         self.tasks = replace(fleet_daemon.build_tasks(settings, telemetry), **idle)
 
-    def connect(self, task):
-        listener = getattr(task.listener, "inner", task.listener)
-        sock = socket.create_connection(listener.sockets[0].getsockname())
+    def sockets(self):
+        serving = (self.tasks.call, self.tasks.upstream, self.tasks.admin)
+        return [getattr(task.listener, "inner", task.listener).sockets for task in serving]
+
+    def addresses(self):
+        return [sockets[0].getsockname() for sockets in self.sockets()]
+
+    def connect(self, address):
+        sock = socket.create_connection(address)
         sock.setblocking(False)
         return sock
 
     async def listening(self):
-        tasks = (self.tasks.call, self.tasks.upstream, self.tasks.admin)
-        await until(lambda: all(getattr(t.listener, "inner", t.listener).sockets for t in tasks))
+        await until(lambda: all(self.sockets()))
 
 
 async def exchange(sock):
@@ -249,11 +254,12 @@
     daemon = Daemon()
     running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
     await daemon.listening()
-    kept = daemon.connect(daemon.tasks.call)
+    callers, _, _ = daemon.addresses()
+    kept = daemon.connect(callers)
     assert b"Connection: close" not in await exchange(kept)
     leaving = asyncio.ensure_future(fleet_daemon.shut_down(daemon.tasks))
     await until(lambda: daemon.tasks.admin.state is DaemonState.LEAVING)
-    sock = kept if connection == "kept" else daemon.connect(daemon.tasks.call)
+    sock = kept if connection == "kept" else daemon.connect(callers)
     await asyncio.get_running_loop().sock_sendall(sock, WHOLE)
     received = await read_to_end(sock)
     kept.close()
@@ -272,3 +278,33 @@
 @when("a caller sends a request on a {connection} connection while the daemon leaves")
 def send_while_leaving(context, connection):
     context.received = run(call_while_leaving(connection))
+
+
+async def open_after_shut_down():
+    daemon = Daemon()
+    running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
+    await daemon.listening()
+    addresses = daemon.addresses()
+    await fleet_daemon.shut_down(daemon.tasks)
+    found = [address for address in addresses if accepts(address)]
+    for task in running:
+        task.cancel()
+    return found
+
+
+def accepts(address):
+    try:
+        socket.create_connection(address).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
+@when("the daemon has shut down")
+def shut_down(context):
+    context.accepting = run(open_after_shut_down())
+
+
+@then("no listener of the daemon accepts a connection")
+def check_closed(context):
+    assert not context.accepting, context.accepting
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -240,3 +240,4 @@
     tasks.upstream.mailbox.put(leaving)
     await tasks.call.drained()
     await tasks.upstream.drained()
+    await tasks.admin.drained()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -86,6 +86,10 @@
                 case Leaving():
                     self.state = DaemonState.LEAVING
 
+    async def drained(self) -> None:
+        """Return when every request that has begun to arrive is answered."""
+        await self.listener.close()
+
     async def _request(self, request: Request) -> Response:
         path = request.path.split("?", 1)[0]
         if request.method == "GET" and path == QUARANTINE:
