--- /dev/null
+++ b/features/fleet_drain.feature
@@ -0,0 +1,66 @@
+Feature: Listeners and daemons that stop
+  Guards against requests that were accepted and end without an answer because a listener or its
+  daemon stops.
+
+  Scenario: no request runs after the last answer of a connection
+    Guards against a request that runs and then ends with the connection, without an answer.
+    Given a listener that is about to close
+    When a slow reader gets the last answer of a connection after it sent another request
+    Then one request was handled
+
+  Scenario Outline: the last answer of a connection arrives whole though <bytes> followed its request
+    Guards against a reset that discards the part of the answer that was not delivered yet.
+    Given a listener that is about to close
+    When a slow reader gets the last answer of a connection after it sent <bytes>
+    Then the whole answer arrives
+
+    Examples:
+      | bytes                   |
+      | another request         |
+      | part of a large request |
+
+  Scenario Outline: a request that is <state> when its listener closes is answered
+    Given a listener that is about to close
+    When a request is <state> as the listener closes
+    Then the request is answered with "200" and the connection ends
+
+    Examples:
+      | state                        |
+      | sent half of its head        |
+      | sent half of its body        |
+      | not read yet                 |
+      | on a connection not accepted |
+
+  Scenario Outline: a request that stays <state> after its listener closed is refused as not run
+    Given a listener that is about to close
+    When a request stays <state> as the listener closes
+    Then the request is answered with "503" and the connection ends
+    And the answer says "not-run" because of "leaving"
+
+    Examples:
+      | state                 |
+      | sent half of its head |
+      | sent half of its body |
+
+  Scenario: a connection without a request does not hold up the close of its listener
+    Given a listener that is about to close
+    When a connection is idle as the listener closes
+    Then the connection ends without an answer
+
+  Scenario Outline: a caller on a <connection> connection is told to move before a daemon closes
+    Guards against requests on kept connections that cross with the close of the listener.
+    Given the tasks of a daemon
+    When a caller sends a request on a <connection> connection while the daemon leaves
+    Then the request is answered with "503" and the connection ends
+    And the answer says "not-run" because of "no-configuration"
+
+    Examples:
+      | connection |
+      | kept       |
+      | new        |
+
+  Scenario: a daemon that has shut down accepts no request that nobody answers
+    Guards against requests of the upstream and of operators that the end of the process cuts.
+    Given the tasks of a daemon
+    When the daemon has shut down
+    Then no listener of the daemon accepts a connection
--- /dev/null
+++ b/features/steps/fleet_drain_steps.py
@@ -0,0 +1,310 @@
+import asyncio
+import contextlib
+import re
+import socket
+from dataclasses import replace
+
+from behave import given, then, when
+
+from agatecross_adapters.http_server import TornadoHttpListener
+from agatecross_core.calls.model import Response
+from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName
+from agatecross_core.states import DaemonState
+from agatecross_daemon import fleet_daemon
+from agatecross_daemon.mailbox import Mailbox
+from agatecross_daemon.settings import Settings
+from agatecross_daemon.telemetry import Telemetry
+
+LOCAL = Address("127.0.0.1:0")
+STEP_SECONDS = 20.0
+READ_TIMEOUT = Millis(300)
+HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+WHOLE = HEAD + b"abcd"
+FIRST_PARTS = {
+    "sent half of its head": HEAD[:20],
+    "sent half of its body": HEAD + b"ab",
+    "not read yet": WHOLE,
+    "on a connection not accepted": WHOLE,
+}
+LARGE = b"x" * 3_000_000
+FOLLOWING = {
+    "another request": WHOLE,
+    # More than a listener reads ahead while a request runs.
+    "part of a large request": HEAD.replace(b": 4", b": 900000") + b"x" * 100_000,
+}
+
+
+class Closing:
+    """A listener in the test process and one raw connection to it.
+
+    Blocking calls on the connection keep the loop, and so the listener, from running meanwhile.
+    """
+
+    def __init__(self):
+        self.listener = TornadoHttpListener(last_read_timeout=READ_TIMEOUT)
+        self.bodies = []
+        self.answer = b"ok"
+        self.answering = True
+
+    async def __aenter__(self):
+        host, _, port = self.listener.listen(LOCAL, self.handle).rpartition(":")
+        self.address = (host, int(port))
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.listener.close()
+
+    async def handle(self, request):
+        self.bodies.append(request.body)
+        await until(lambda: self.answering)
+        return Response(200, (), self.answer)
+
+    def connect(self, receive_buffer=0):
+        sock = socket.socket()
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.connect(self.address)
+        sock.setblocking(False)
+        return sock
+
+    async def use_once(self, sock):
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, WHOLE)
+        received = b""
+        while not received.endswith(b"ok"):
+            received += await loop.sock_recv(sock, 65536)
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.001)
+
+
+async def read_part(sock):
+    try:
+        return await asyncio.get_running_loop().sock_recv(sock, 65536)
+    except ConnectionError:
+        return b""
+
+
+async def read_to_end(sock):
+    received = b""
+    while chunk := await read_part(sock):
+        received += chunk
+    return received
+
+
+def run(work):
+    return asyncio.run(asyncio.wait_for(work, STEP_SECONDS))
+
+
+def send_rest(sock, data):
+    # A listener that cut the request shows in the missing answer.
+    with contextlib.suppress(ConnectionError):
+        sock.send(data)
+
+
+async def close_during(state, stays):
+    async with Closing() as closing:
+        sock = closing.connect()
+        with sock:
+            if state != "on a connection not accepted":
+                await closing.use_once(sock)
+            sock.send(FIRST_PARTS[state])
+            if state == "sent half of its body":
+                await until(lambda: any(row.chunks for row in closing.listener.collecting))
+            ending = asyncio.ensure_future(closing.listener.close())
+            await until(lambda: closing.listener.closing)
+            if not stays:
+                send_rest(sock, WHOLE[len(FIRST_PARTS[state]) :])
+            received = await read_to_end(sock)
+            await ending
+            return received
+
+
+async def close_idle_connection():
+    async with Closing() as closing:
+        sock = closing.connect()
+        with sock:
+            await closing.use_once(sock)
+            await closing.listener.close()
+            return await read_to_end(sock)
+
+
+async def read_last_answer(following):
+    async with Closing() as closing:
+        closing.answer = LARGE
+        closing.answering = False
+        sock = closing.connect(receive_buffer=4096)
+        with sock:
+            sock.send(WHOLE + FOLLOWING[following])
+            await until(lambda: closing.bodies)
+            ending = asyncio.ensure_future(closing.listener.close())
+            await until(lambda: closing.listener.closing)
+            closing.answering = True
+            received = b""
+            # Reads only what lets the listener write the answer to its end, and then the rest.
+            while closing.listener.running and len(received) < len(LARGE):
+                await asyncio.sleep(0.001)
+                received += await read_part(sock)
+            received += await read_to_end(sock)
+            await ending
+            return received, len(closing.bodies)
+
+
+@given("a listener that is about to close")
+def start_closing(context):
+    context.received = b""
+
+
+@when("a request is {state} as the listener closes")
+def close_with_request(context, state):
+    context.received = run(close_during(state, stays=False))
+
+
+@when("a request stays {state} as the listener closes")
+def close_with_part(context, state):
+    context.received = run(close_during(state, stays=True))
+
+
+@when("a connection is idle as the listener closes")
+def close_with_idle(context):
+    context.received = run(close_idle_connection())
+
+
+@when("a slow reader gets the last answer of a connection after it sent {following}")
+def read_slowly(context, following):
+    context.received, context.handled = run(read_last_answer(following))
+
+
+@then('the request is answered with "{status}" and the connection ends')
+def check_answered(context, status):
+    found = re.findall(rb"HTTP/1\.1 (\d{3})", context.received)
+    assert found == [status.encode()], context.received
+    assert b"Connection: close" in context.received, context.received
+
+
+@then('the answer says "{outcome}" because of "{reason}"')
+def check_outcome(context, outcome, reason):
+    for field in (f"Agatecross-Outcome: {outcome}", f"Agatecross-Reason: {reason}"):
+        assert field.encode() in context.received, context.received
+
+
+@then("the connection ends without an answer")
+def check_no_answer(context):
+    assert context.received == b"", context.received
+
+
+@then("the whole answer arrives")
+def check_whole(context):
+    _, _, body = context.received.partition(b"\r\n\r\n")
+    assert body == LARGE, (len(body), context.received[-20:])
+
+
+@then("one request was handled")
+def check_handled(context):
+    assert context.handled == 1, context.handled
+
+
+class Idle:
+    """Stands for a task that the scenario does not need."""
+
+    def __init__(self):
+        self.mailbox = Mailbox()
+
+    async def run(self):
+        await asyncio.Event().wait()
+
+
+class Daemon:
+    """The tasks of a daemon that serve HTTP; the others are idle or as the scenario says."""
+
+    def __init__(self, **others):
+        settings = Settings(
+            DaemonId("d"), RegionName("r"), DataCentreName("c"), LOCAL, LOCAL, LOCAL, LOCAL, LOCAL
+        )
+        names = ("control", "members", "config", "claims")
+        idle = {name: others.get(name) or Idle() for name in names}
+        telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
+        self.tasks = replace(fleet_daemon.build_tasks(settings, telemetry), **idle)
+
+    def sockets(self):
+        serving = (self.tasks.call, self.tasks.upstream, self.tasks.admin)
+        return [getattr(task.listener, "inner", task.listener).sockets for task in serving]
+
+    def addresses(self):
+        return [sockets[0].getsockname() for sockets in self.sockets()]
+
+    def connect(self, address):
+        sock = socket.create_connection(address)
+        sock.setblocking(False)
+        return sock
+
+    async def listening(self):
+        await until(lambda: all(self.sockets()))
+
+
+async def exchange(sock):
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, WHOLE)
+    return await loop.sock_recv(sock, 65536)
+
+
+async def call_while_leaving(connection):
+    daemon = Daemon()
+    running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
+    await daemon.listening()
+    callers, _, _ = daemon.addresses()
+    kept = daemon.connect(callers)
+    assert b"Connection: close" not in await exchange(kept)
+    leaving = asyncio.ensure_future(fleet_daemon.shut_down(daemon.tasks))
+    await until(lambda: daemon.tasks.admin.state is DaemonState.LEAVING)
+    sock = kept if connection == "kept" else daemon.connect(callers)
+    await asyncio.get_running_loop().sock_sendall(sock, WHOLE)
+    received = await read_to_end(sock)
+    kept.close()
+    sock.close()
+    await leaving
+    for task in running:
+        task.cancel()
+    return received
+
+
+@given("the tasks of a daemon")
+def start_tasks(context):
+    context.received = b""
+
+
+@when("a caller sends a request on a {connection} connection while the daemon leaves")
+def send_while_leaving(context, connection):
+    context.received = run(call_while_leaving(connection))
+
+
+async def open_after_shut_down():
+    daemon = Daemon()
+    running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
+    await daemon.listening()
+    addresses = daemon.addresses()
+    await fleet_daemon.shut_down(daemon.tasks)
+    found = [address for address in addresses if accepts(address)]
+    for task in running:
+        task.cancel()
+    return found
+
+
+def accepts(address):
+    try:
+        socket.create_connection(address).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
+@when("the daemon has shut down")
+def shut_down(context):
+    context.accepting = run(open_after_shut_down())
+
+
+@then("no listener of the daemon accepts a connection")
+def check_closed(context):
+    assert not context.accepting, context.accepting
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 server on tornado's `HTTPServer`."""
 
 import asyncio
+import fcntl
+import socket
+import termios
 import time
+from collections.abc import Callable
 from http.client import responses
 
 from absl import logging
@@ -16,7 +20,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from agatecross_core.calls.model import Request, Response
@@ -25,12 +29,14 @@
     MAX_REQUEST_BYTES,
     SERVER_BODY_TIMEOUT,
     SERVER_HEAD_TIMEOUT,
+    SERVER_LAST_READ_TIMEOUT,
+    SERVER_LINGER_TIMEOUT,
     SERVER_WRITE_TIMEOUT,
 )
 from agatecross_core.ids import Address, Millis
-from agatecross_core.states import Outcome
+from agatecross_core.states import Outcome, Reason
 
-from .call_headers import OUTCOME
+from .call_headers import OUTCOME, REASON
 from .http_fields import HOP_FIELDS, end_to_end
 from .protocols import RequestHandler
 
@@ -39,10 +45,117 @@
     (("Content-Type", "text/plain"), (OUTCOME, Outcome.UNKNOWN.value)),
     b"unknown: internal error\n",
 )
+REFUSAL = (
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    f"{OUTCOME}: {Outcome.NOT_RUN.value}\r\n{REASON}: {Reason.LEAVING.value}\r\n"
+    "Connection: close\r\nContent-Length: 0\r\n\r\n"
+).encode()
 SWEEPS_PER_TIMEOUT = 4
+DISCARD_BYTES = 65_536
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+class LingeringClose:
+    """Closes sockets so that the last answer arrives.
+
+    A socket that closes with unread bytes, or gets some afterwards, sends a reset, and its peer may
+    lose what it has not read yet. So only the sending side closes at first, and the rest once the
+    peer has closed or `timeout` passed.
+    """
+
+    def __init__(self, timeout: Millis) -> None:
+        self.timeout = timeout
+        self.open: set[asyncio.Task[None]] = set()
+
+    def close(self, sock: socket.socket) -> None:
+        """Close the sending side, and the socket when its peer has closed."""
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The peer reset the connection, or its own end came first.
+            sock.close()
+            return
+        task = asyncio.ensure_future(self._discard(sock))
+        self.open.add(task)
+        task.add_done_callback(self.open.discard)
+
+    async def closed(self) -> None:
+        """Return when every socket is closed."""
+        while self.open:
+            await asyncio.wait(self.open)
+
+    async def _discard(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with sock:
+            try:
+                async with asyncio.timeout(self.timeout / 1000):
+                    while await loop.sock_recv(sock, DISCARD_BYTES):
+                        pass
+            except (OSError, TimeoutError):
+                # The peer reset the connection or keeps it open; neither waits for this answer.
+                return
+
+
+class ServerStream(IOStream):
+    """Connection of a requester."""
+
+    # Set once an answer told the requester that the connection ends.
+    ending = False
+    # Set when the connection closes between requests.
+    idle = False
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        close_socket: Callable[[socket.socket], None],
+        closed: Callable[["ServerStream"], None],
+    ) -> None:
+        super().__init__(sock)
+        self.close_socket = close_socket
+        self.notify_closed = closed
+
+    def close_fd(self) -> None:
+        """Give up the socket; called once, when the stream closes."""
+        sock, self.socket = self.socket, None  # type: ignore[assignment]
+        if self.idle and delivered(sock):
+            sock.close()
+        else:
+            self.close_socket(sock)
+        self.notify_closed(self)
+
+    def unread(self) -> bool:
+        """Return whether bytes arrived that belong to no whole request."""
+        if self.closed():
+            return False
+        if self._read_buffer_size:
+            return True
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
+
+
+def delivered(sock: socket.socket) -> bool:
+    """Return whether the peer has acknowledged every byte."""
+    return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+
+
+def stream_of(connection: HTTP1Connection) -> ServerStream:
+    """Return the stream of a connection that a `StreamServer` serves."""
+    assert isinstance(connection.stream, ServerStream)
+    return connection.stream
+
+
+class StreamServer(HTTPServer):
+    """Serves each connection through a `ServerStream`."""
+
+    connected: Callable[[socket.socket], ServerStream]
+
+    def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
+        """Start to serve a connection."""
+        super().handle_stream(self.connected(stream.socket), address)
+
+
 class TornadoHttpListener(HTTPServerConnectionDelegate):
     """Serves whole requests with whole responses; bounds the time to send each of them."""
 
@@ -51,48 +164,100 @@
         head_timeout: Millis = SERVER_HEAD_TIMEOUT,
         body_timeout: Millis = SERVER_BODY_TIMEOUT,
         write_timeout: Millis = SERVER_WRITE_TIMEOUT,
+        last_read_timeout: Millis = SERVER_LAST_READ_TIMEOUT,
     ) -> None:
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
         self.write_timeout = write_timeout
-        self.server: HTTPServer | None = None
+        self.last_read_timeout = last_read_timeout
+        self.sockets: list[socket.socket] = []
+        self.server: StreamServer | None = None
         self.handler: RequestHandler | None = None
+        self.lingering = LingeringClose(SERVER_LINGER_TIMEOUT)
         self.running: set[asyncio.Task[None]] = set()
         self.collecting: set[RequestCollector] = set()
         self.sweeping: asyncio.Future[None] | None = None
         self.closing = False
+        self.streams: set[ServerStream] = set()
+        self.changed = asyncio.Event()
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start to serve and return the bound address."""
         host, _, port = address.rpartition(":")
-        sockets = bind_sockets(int(port), host, backlog=1024)
+        self.sockets = bind_sockets(int(port), host, backlog=1024)
         self.handler = handler
-        self.server = HTTPServer(
+        self.server = StreamServer(
             self,
             max_header_size=MAX_HEAD_BYTES,
             max_body_size=MAX_REQUEST_BYTES,
         )
+        self.server.connected = self._connected
         # One sweep replaces a timer and its callbacks for each head and each body.
         self.server.conn_params.header_timeout = None
         self.sweeping = asyncio.ensure_future(self._sweep())
-        self.server.add_sockets(sockets)
-        return Address(f"{host}:{sockets[0].getsockname()[1]}")
+        self.server.add_sockets(self.sockets)
+        return Address(f"{host}:{self.sockets[0].getsockname()[1]}")
 
-    def close_idle(self) -> None:
-        """Accept no new connection; connections close after their current response."""
+    def announce_close(self) -> None:
+        """Close each connection with its next response; new connections are still accepted."""
         self.closing = True
-        if self.server is not None:
-            self.server.stop()
 
     async def close(self) -> None:
-        """Wait for running handlers, then close every connection."""
-        self.close_idle()
+        """Answer every request that has begun to arrive, and close every connection.
+
+        A request that is not whole within `last_read_timeout` is refused as not run.
+        """
+        self.closing = True
+        self._stop_accepting()
+        self._shorten_reads()
+        while self.streams:
+            self.changed.clear()
+            for collector in [row for row in self.collecting if not row.begun()]:
+                collector.close_idle()
+            if self.streams:
+                await self.changed.wait()
         while self.running:
             await asyncio.wait(self.running)
         if self.server is not None:
             await self.server.close_all_connections()
+        await self.lingering.closed()
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+
+    def _shorten_reads(self) -> None:
+        self.head_timeout = min(self.head_timeout, self.last_read_timeout)
+        self.body_timeout = min(self.body_timeout, self.last_read_timeout)
+        limit = time.monotonic() + self.last_read_timeout / 1000
+        for collector in self.collecting:
+            collector.deadline = min(collector.deadline, limit)
         if self.sweeping is not None:
             self.sweeping.cancel()
+            self.sweeping = asyncio.ensure_future(self._sweep())
+
+    def _stop_accepting(self) -> None:
+        if self.server is None:
+            return
+        # The kernel resets what is in the queue of a listening socket that closes.
+        for listening in self.sockets:
+            try:
+                while True:
+                    sock, address = listening.accept()
+                    self.server.handle_stream(IOStream(sock), address)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                logging.warning("event=accept_failed reason=%r", str(error))
+        self.sockets = []
+        self.server.stop()
+
+    def _connected(self, sock: socket.socket) -> ServerStream:
+        stream = ServerStream(sock, self.lingering.close, self._disconnected)
+        self.streams.add(stream)
+        return stream
+
+    def _disconnected(self, stream: ServerStream) -> None:
+        self.streams.discard(stream)
+        self.changed.set()
 
     async def _sweep(self) -> None:
         period = min(self.head_timeout, self.body_timeout) / 1000 / SWEEPS_PER_TIMEOUT
@@ -101,7 +266,10 @@
             now = time.monotonic()
             for collector in [row for row in self.collecting if row.expired(now)]:
                 self.collecting.discard(collector)
-                collector.connection.close()
+                if self.closing and collector.begun():
+                    collector.refuse()
+                else:
+                    collector.connection.close()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -109,15 +277,26 @@
         """Return the collector of the next request of a connection."""
         del server_conn
         assert isinstance(request_conn, HTTP1Connection)
+        self.changed.set()
         return RequestCollector(self, request_conn)
 
     def received(self, connection: HTTP1Connection, request: Request) -> None:
         """Answer a whole request in a task that ends with its connection."""
+        if stream_of(connection).ending:
+            # The close that follows the last answer would cut a further request.
+            connection.close()
+            return
         task = asyncio.ensure_future(self._answer(connection, request))
         self.running.add(task)
-        task.add_done_callback(self.running.discard)
+        task.add_done_callback(lambda ended: self._answered(connection, ended))
         connection.set_close_callback(lambda: _cancel(task))
 
+    def _answered(self, connection: HTTP1Connection, task: asyncio.Task[None]) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logging.error("event=answer_failed reason=%r", repr(error))
+            connection.close()
+
     async def _answer(self, connection: HTTP1Connection, request: Request) -> None:
         assert self.handler is not None
         try:
@@ -132,6 +311,7 @@
             response = HANDLER_FAILED
             headers, close = self._response_headers(request, response)
         connection.set_close_callback(None)
+        stream_of(connection).ending = close
         bodiless = request.method == "HEAD" or response.status in BODILESS_STATUSES
         try:
             await self._write(connection, response, headers, b"" if bodiless else response.body)
@@ -187,6 +367,22 @@
         """Return whether the sender took too long, or left before the head was whole."""
         return now > self.deadline or self.connection.stream.closed()
 
+    def begun(self) -> bool:
+        """Return whether a part of the request arrived."""
+        return self.start is not None or stream_of(self.connection).unread()
+
+    def close_idle(self) -> None:
+        """Close a connection without a request."""
+        stream_of(self.connection).idle = True
+        self.connection.close()
+
+    def refuse(self) -> None:
+        """Close the connection with an answer that the request did not run."""
+        if not self.connection.stream.closed():
+            # The stream and not the connection writes, as the head may not be whole.
+            self.connection.stream.write(REFUSAL)
+            self.connection.close()
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
