Pass on no request behind the last answer of a connection

What callers saw: while a daemon was stopping, a request that stood behind a refused one in the same write could be run by an upstream, although the refusal had closed the connection. Its caller counted it as unread and sent it again, whatever its kind; its answer was dropped.

Cause: a request that is refused at once is answered from inside the parser. The answer ends the connection (finish), and the parser goes on with the rest of what was read; only data that came later was ignored.

A request that is complete after the connection was ended is ignored, as later bytes are: its caller knows from the close that it was not read.

--- /dev/null
+++ b/features/drain_review.feature
@@ -0,0 +1,9 @@
+Feature: The end of a daemon or of a connection leaves no accepted request without an answer
+  The fleet is that of platform.feature; the grace time is 3 s unless a scenario states another.
+
+  Scenario: a request behind the last answer of a stopping daemon is not run unseen
+    Given a platform fleet
+    When d1 takes leave while a call of its caller is open
+    And its caller sends "/nowhere/1" and, in the same write, "/safe/1" behind it
+    Then the caller got 404 and the end of the connection
+    And no upstream ran the request behind it
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -293,8 +293,8 @@
             self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Pass the whole request on."""
-        if self.broken:
+        """Pass the whole request on, unless the connection ended with an earlier one."""
+        if self.broken or self.finishing:
             return
         self.state = ParseState.IDLE
         hosts = [value for name, value in self.headers if name == b"host"]
