End the other connections when a caller resets its own

What callers saw: with a caller that reset its connection in the moment in which a stopping daemon ended all connections, the drain broke off with OSError ENOTCONN and the process ended with an error; the other callers and peers got no orderly end. In the idle check, the same error stopped the check for the rest of the daemon's life, so that slow and idle connections were never closed again (read from the code, not played).

Cause: asyncio's write_eof shuts the socket at once and lets the kernel's refusal through, when the reset is known to the kernel but not yet to the loop. The links between daemons did the same.

Evidence: drain_review.feature, "callers that reset their connections", failed before with "Transport endpoint is not connected".

The refusal now closes that one connection, which nobody reads any more.

--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -7,3 +7,8 @@
     And its caller sends "/nowhere/1" and, in the same write, "/safe/1" behind it
     Then the caller got 404 and the end of the connection
     And no upstream ran the request behind it
+
+  Scenario: callers that reset their connections do not break off the end of a drain
+    Given a platform fleet
+    When 3 of 6 idle callers of d1 reset as it ends all connections
+    Then the other 3 callers saw an orderly end
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -1,11 +1,17 @@
 import asyncio
+import socket
+import struct
 
 from behave import then, when
 from drain_steps import connect
 from platform_steps import until
 
+from agatecross_core.ids import Millis
 from agatecross_standins.platform_upstream import Answer
 
+# A close with this option drops what is unsent and resets the connection.
+RESET = struct.pack("ii", 1, 0)
+
 
 def head(path, call_id, left):
     return (
@@ -54,3 +60,34 @@
 def step_not_passed_on(context):
     # Its caller takes it as unread and sends it again, whatever its kind.
     assert not sum(upstream.runs["second"] for upstream in context.mini.upstreams)
+
+
+@when("{resets:d} of {count:d} idle callers of d{number:d} reset as it ends all connections")
+def step_reset_at_end(context, resets, count, number):
+    listener = context.mini.sidecars[number].entry.listener
+    host, _, port = context.mini.sidecars[number].settings.callers.rpartition(":")
+
+    async def work():
+        socks = []
+        for _ in range(count):
+            sock = socket.create_connection((host, int(port)))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            socks.append(sock)
+        await until(lambda: len(listener.connections) == count, "every connection")
+        # The daemon's loop gets no turn between the resets and the end of the connections.
+        for sock in socks[:resets]:
+            sock.close()
+        finishing = asyncio.ensure_future(listener.finish(Millis(300)))
+        context.ends = []
+        for sock in socks[resets:]:
+            sock.setblocking(False)
+            context.ends.append(await asyncio.get_running_loop().sock_recv(sock, 1))
+            sock.close()
+        await finishing
+
+    context.mini.run(work())
+
+
+@then("the other {count:d} callers saw an orderly end")
+def step_orderly(context, count):
+    assert context.ends == [b""] * count, context.ends
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -20,6 +20,8 @@
 from agatecross_core.relay.model import RelayRequest, RelayResponse
 from agatecross_core.routing.host_table import CallerLimits
 
+from .half_close import end_writing
+
 SWEEP_SECONDS = 0.25
 # A caller that pipelines more than this waits for answers before more is read.
 MAX_PIPELINED = 64
@@ -375,7 +377,7 @@
         self._drop_exchanges()
         if self.paused:
             self.transport.resume_reading()
-        self.transport.write_eof()
+        end_writing(self.transport)
 
     def has_unread(self) -> bool:
         """Return whether the kernel holds bytes of this caller that were not read."""
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -4,6 +4,8 @@
 import socket
 from collections.abc import Callable
 
+from .half_close import end_writing
+
 LENGTH_BYTES = 4
 # The largest body a caller may send is 64 MiB; heads and fields need little beside it.
 MAX_FRAME = 80 * 1024 * 1024
@@ -77,7 +79,7 @@
         """Send what was written, then end; the other side closes when it has read everything."""
         if self.open and not self.ended and not self.transport.is_closing():
             self.ended = True
-            self.transport.write_eof()
+            end_writing(self.transport)
 
     def abort(self) -> None:
         """Close at once."""
