Refuse calls that still wait for a slot when their daemon ends

What callers saw: a call that waited for a slot of a stopping daemon got 502, or, as a call of that daemon's own caller, the end of the connection without an answer, although no upstream had run it. An unsafe call could then not be sent again.

Cause: the queue of the daemon was dropped with the process. The drain cuts what runs at its end; calls that never started need no cut.

Evidence: drain_review.feature, "a call that waits for a slot of a daemon that ends", failed before: 502 from another daemon, no answer from its own.

The waiting calls are refused as not run at the end of the drain, before links and callers' connections are ended, so other daemons can try another upstream. The ending daemon starts no further attempt itself.

--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -12,3 +12,15 @@
     Given a platform fleet
     When 3 of 6 idle callers of d1 reset as it ends all connections
     Then the other 3 callers saw an orderly end
+
+  Scenario Outline: a call that waits for a slot of a daemon that ends: <guards against>
+    Given a platform fleet
+    When upstream "u1" holds the one call that it has a slot for
+    And d1 stops with 1000 ms of grace while a call of <entry> waits for the slot
+    Then the waiting call got 503
+    And no upstream ran the waiting call
+
+    Examples:
+      | guards against                                       | entry |
+      | a handover reported as lost that has not run         | d0    |
+      | a caller cut without an answer whose call did not run | d1    |
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -2,6 +2,8 @@
 import socket
 import struct
 
+from dataclasses import replace
+
 from behave import then, when
 from drain_steps import connect
 from platform_steps import until
@@ -91,3 +93,48 @@
 @then("the other {count:d} callers saw an orderly end")
 def step_orderly(context, count):
     assert context.ends == [b""] * count, context.ends
+
+
+@when('upstream "{name}" holds the one call that it has a slot for')
+def step_hold_slot(context, name):
+    mini, number = context.mini, int(name[1:])
+    sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
+
+    async def work():
+        await mini.beat(number, slots=1)
+        await until(lambda: sidecar.exit.queue.slots == 1, "one slot")
+        upstream.plan([Answer.HOLD])
+        context.holder = await connect(mini.sidecars[0].settings.callers)
+        context.holder.writer.write(head("/peer/1", "held", 5_000))
+        await until(lambda: upstream.runs["held"], "the call that runs")
+
+    mini.run(work())
+
+
+@when("d{number:d} stops with {ms:d} ms of grace while a call of d{entry:d} waits for the slot")
+def step_stop_while_waiting(context, number, ms, entry):
+    mini = context.mini
+    sidecar = mini.sidecars[number]
+
+    async def work():
+        sidecar.settings = replace(sidecar.settings, grace=Millis(ms))
+        caller = await connect(mini.sidecars[entry].settings.callers)
+        caller.writer.write(head("/peer/1", "waiting", 5_000))
+        await until(lambda: sidecar.exit.pending > 1, "the call that waits")
+        await sidecar.drain()
+        await mini.kill(number)
+        context.waiting = await caller.answer()
+        mini.upstreams[number].released.set()
+
+    mini.run(work())
+
+
+@then("the waiting call got {status:d}")
+def step_waiting_status(context, status):
+    assert context.waiting is not None
+    assert context.waiting[0] == status, context.waiting
+
+
+@then("no upstream ran the waiting call")
+def step_waiting_not_run(context):
+    assert not sum(upstream.runs["waiting"] for upstream in context.mini.upstreams)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -157,6 +157,7 @@
         earliest = Millis(monotonic() + LAST_REQUEST_TIME)
         late = max(late, await self._until_finished(earliest, plan.end))
         self._log_unfinished(begun, late)
+        self.exit.refuse_waiting()
         await asyncio.gather(listener.finish(FINISH_TIME), self.peers.finish(FINISH_TIME))
 
     @property
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -143,7 +143,7 @@
         flow = relay(
             RelayPolicy(route.repeat, route.attempts),
             choose,
-            lambda: Millis(facts.deadline - monotonic()),
+            lambda: Millis(self._last_attempt(facts) - monotonic()),
             lambda: budget.take(self.daemons, monotonic()),
         )
 
@@ -194,6 +194,10 @@
             version,
         )
 
+    def _last_attempt(self, facts: CallFacts) -> Millis:
+        """Return until when an attempt may start; what starts at the end of a drain is cut."""
+        return facts.deadline if self.drain is None else min(facts.deadline, self.drain.end)
+
     def _quarantined(self, facts: CallFacts) -> bool:
         fingerprint = relay_fingerprint(facts.service, facts.request)
         return self.strikes.quarantined(fingerprint, monotonic())
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -147,6 +147,10 @@
         """Refuse new calls, as the daemon is stopping."""
         self.leaving = True
 
+    def refuse_waiting(self) -> None:
+        """Refuse the calls that no longer get a slot, as the drain is over."""
+        self._act(self.queue.clear(Reason.LEAVING))
+
     def _handle(self, message: ExitMessage) -> None:
         match message:
             case HandOver(handover, reply):
