Answer the calls that are open when a stopping daemon ends

What callers saw: a call that was still open at the end of the drain ended with its connection and without an answer, also when it only waited for a slot of another daemon and no upstream worked on it.

Cause: the end of the drain dropped the requests of each connection before their handlers were told, so the answer that the entry task gives to a call that it gives up (502, which promises nothing) had nowhere to go.

Evidence: drain_review.feature, "a call that is open when the daemon of its caller ends", failed before: no answer.

Handlers are told first, and the connection is ended after what they answer. The handovers are cancelled as before.

--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -24,3 +24,14 @@
       | guards against                                       | entry |
       | a handover reported as lost that has not run         | d0    |
       | a caller cut without an answer whose call did not run | d1    |
+
+  Scenario Outline: a call that is open when the daemon of its caller ends: <guards against>
+    Given a platform fleet
+    When upstream "u1" holds the one call that it has a slot for
+    And d0 stops with 1000 ms of grace while a call of d0 waits for the slot
+    Then the <call> call got 502
+
+    Examples:
+      | guards against                                          | call    |
+      | a caller without an answer whose call waited elsewhere  | waiting |
+      | a caller without an answer whose call ran elsewhere     | running |
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -1,7 +1,6 @@
 import asyncio
 import socket
 import struct
-
 from dataclasses import replace
 
 from behave import then, when
@@ -99,6 +98,7 @@
 def step_hold_slot(context, name):
     mini, number = context.mini, int(name[1:])
     sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
+    context.busy, context.upstream = sidecar, upstream
 
     async def work():
         await mini.beat(number, slots=1)
@@ -114,25 +114,27 @@
 @when("d{number:d} stops with {ms:d} ms of grace while a call of d{entry:d} waits for the slot")
 def step_stop_while_waiting(context, number, ms, entry):
     mini = context.mini
-    sidecar = mini.sidecars[number]
+    sidecar, busy = mini.sidecars[number], context.busy
 
     async def work():
         sidecar.settings = replace(sidecar.settings, grace=Millis(ms))
         caller = await connect(mini.sidecars[entry].settings.callers)
         caller.writer.write(head("/peer/1", "waiting", 5_000))
-        await until(lambda: sidecar.exit.pending > 1, "the call that waits")
+        await until(lambda: busy.exit.pending > 1, "the call that waits")
         await sidecar.drain()
         await mini.kill(number)
         context.waiting = await caller.answer()
-        mini.upstreams[number].released.set()
+        context.upstream.released.set()
+        context.running = await context.holder.answer()
 
     mini.run(work())
 
 
-@then("the waiting call got {status:d}")
-def step_waiting_status(context, status):
-    assert context.waiting is not None
-    assert context.waiting[0] == status, context.waiting
+@then("the {call} call got {status:d}")
+def step_call_status(context, call, status):
+    answer = context.waiting if call == "waiting" else context.running
+    assert answer is not None
+    assert answer[0] == status, answer
 
 
 @then("no upstream ran the waiting call")
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -156,8 +156,13 @@
             await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
 
     async def finish(self, limit: Millis) -> None:
-        """End every connection so that its caller gets all answers; wait `limit` at most."""
+        """End every connection so that its caller gets all answers; wait `limit` at most.
+
+        Whoever handles a request that still waits is told first, and may answer it.
+        """
+        self.closing = True
         for connection in list(self.connections):
+            connection.give_up()
             connection.finish()
         last = time.monotonic() + limit / 1000
         while self.connections and time.monotonic() < last:
@@ -363,6 +368,13 @@
         if not self.exchanges and self.state is ParseState.IDLE:
             self.finish()
 
+    def give_up(self) -> None:
+        """Tell the handlers of the requests that wait that no later answer can be sent."""
+        self.closed_by = ClosedBy.DAEMON
+        for exchange in list(self.exchanges):
+            if exchange.on_gone is not None:
+                exchange.on_gone(self.closed_by)
+
     def finish(self) -> None:
         """End the connection after what was written; requests that wait are cut.
 
