Signal the soak's processes without taking their exit codes

Cause: the schedule kills the whole fleet four times within 0.7 s. `Process.send_signal` polls the process first. When it has just ended, the poll reaps it, and the watcher thread that waits for it finds no child and reports 255. The true code is lost, so a crash of the daemon could hide there too.

Change: each process is signalled by its descriptor (`pidfd_send_signal`), which reaps nothing and cannot meet another process under the same id. The check of exit codes is as strict as before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,5 +23,15 @@
       | a request cut while a link was reset | -                    |
       | requests that fail at the end        | recovers             |
 
+  Scenario Outline: a signal to an ended process that is <state> leaves its exit code to the watcher
+    Given a process of a soak that has ended with code 3 and is <state>
+    When the soak sends it a signal
+    Then its exit code is <code>
+
+    Examples:
+      | state      | code |
+      | not reaped | 3    |
+      | reaped     | lost |
+
   Scenario: a seed gives the same schedule every time
     Then the schedules of seeds 1 to 40 repeat, overlap and hold every kind of fault
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,7 +1,15 @@
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
 from behave import given, then, when
 
+from agatecross_standins.platform_upstream import PlatformUpstream
 from agatecross_standins.soak.checks import violations
 from agatecross_standins.soak.events import Asked, History, Left, Seen, VersionSeen
+from agatecross_standins.soak.fleet import Node
 from agatecross_standins.soak.schedule import FaultKind, schedule
 
 NODES = 6
@@ -85,3 +93,30 @@
         overlaps += any(a.at < b.at < a.at + a.lasts for a in faults for b in faults)
     assert kinds == set(FaultKind)
     assert overlaps > (last - first) / 2
+
+
+@given("a process of a soak that has ended with code {code:d} and is {state}")
+def step_ended(context, code, state):
+    process = subprocess.Popen([sys.executable, "-c", f"import os; os._exit({code})"])
+    context.node = Node(0, PlatformUpstream("u0", "s0"), {}, Path(), Path())
+    context.node.started(process)
+    context.add_cleanup(context.node.ended_with, 0)
+    os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
+    if state == "reaped":
+        os.waitpid(process.pid, 0)
+
+
+@when("the soak sends it a signal")
+def step_signal(context):
+    context.node.signal(signal.SIGTERM)
+
+
+@then("its exit code is {code}")
+def step_exit_code(context, code):
+    try:
+        _, status = os.waitpid(context.node.process.pid, os.WNOHANG)
+        found = str(os.waitstatus_to_exitcode(status))
+    except ChildProcessError:
+        found = "lost"
+    context.node.process.returncode = 0
+    assert found == code, found
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -1,6 +1,8 @@
 """The fleet of a soak: daemons as processes, and stand-ins of the store and the upstreams."""
 
 import asyncio
+import contextlib
+import os
 import signal
 import sys
 from dataclasses import dataclass, field
@@ -66,6 +68,7 @@
     upstream_link: FaultyLink = field(default_factory=FaultyLink)
     store_link: FaultyLink = field(default_factory=FaultyLink)
     process: asyncio.subprocess.Process | None = None
+    process_descriptor: int = -1
     stopping: bool = False
     ended: list[int] = field(default_factory=list)
 
@@ -74,6 +77,38 @@
         """Return the address for callers."""
         return Address(self.addresses["callers"])
 
+    @property
+    def runs(self) -> bool:
+        """Return whether the process was not seen to end."""
+        return self.process is not None and self.process.returncode is None
+
+    def started(self, process: asyncio.subprocess.Process) -> None:
+        """Take a new process."""
+        self.process = process
+        self.stopping = False
+        try:
+            self.process_descriptor = os.pidfd_open(process.pid)
+        except ProcessLookupError:
+            # It has ended already; the pid may be that of another process by now.
+            self.process_descriptor = -1
+
+    def ended_with(self, code: int) -> None:
+        """Note the exit code of the process."""
+        self.ended.append(code)
+        if self.process_descriptor >= 0:
+            os.close(self.process_descriptor)
+            self.process_descriptor = -1
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the running process.
+
+        `Process.send_signal` first looks whether the process has ended, and with that takes the
+        exit code away from the watcher that waits for it; the code is then reported as 255.
+        """
+        if self.runs and self.process_descriptor >= 0:
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self.process_descriptor, number)
+
 
 class SoakFleet:
     """Starts, watches and ends the processes; only those that it started."""
@@ -106,8 +141,8 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for node in self.nodes:
             if node.process is not None and node.process.returncode is None:
-                node.process.send_signal(signal.SIGCONT)
-                node.process.kill()
+                node.signal(signal.SIGCONT)
+                node.signal(signal.SIGKILL)
                 await node.process.wait()
             for link in (node.peers_link, node.upstream_link, node.store_link):
                 await link.close()
@@ -121,11 +156,6 @@
         marker = (f"/v{self.version}/", "safe", "s1")
         self.store.put("keyed.op", "config", config_record(self.version, (marker,)))
 
-    def signal(self, node: Node, number: signal.Signals) -> None:
-        """Send a signal to the running process of a node."""
-        if node.process is not None and node.process.returncode is None:
-            node.process.send_signal(number)
-
     async def replace_upstream(self, node: Node) -> None:
         """Put a new upstream, under a new name, behind the same daemon."""
         old = node.upstream
@@ -170,7 +200,7 @@
         """Start the daemon of a node again whenever it has ended, and note its exit code."""
         while not self.closing:
             with node.log.open("ab") as log:
-                node.process = await asyncio.create_subprocess_exec(
+                process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
                     "agatecross_daemon",
@@ -178,8 +208,8 @@
                     stdout=log,
                     stderr=log,
                 )
-            node.stopping = False
-            node.ended.append(await node.process.wait())
+            node.started(process)
+            node.ended_with(await process.wait())
 
     async def _announce(self, node: Node) -> None:
         while True:
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -55,18 +55,18 @@
     async def _inject(self, fault: Fault, node: Node) -> None:
         match fault.kind:
             case FaultKind.KILL:
-                self.fleet.signal(node, signal.SIGKILL)
+                node.signal(signal.SIGKILL)
             case FaultKind.HERD_KILL:
                 for row in self.fleet.nodes:
-                    self.fleet.signal(row, signal.SIGKILL)
+                    row.signal(signal.SIGKILL)
             case FaultKind.TERM:
                 await self._stop(node)
             case FaultKind.PAUSE:
-                self.fleet.signal(node, signal.SIGSTOP)
+                node.signal(signal.SIGSTOP)
                 await asyncio.sleep(fault.lasts)
-                self.fleet.signal(node, signal.SIGCONT)
+                node.signal(signal.SIGCONT)
             case FaultKind.HANG_UP:
-                self.fleet.signal(node, signal.SIGHUP)
+                node.signal(signal.SIGHUP)
             case FaultKind.LINK_DELAY:
                 node.peers_link.delay = LINK_DELAY_SECONDS
                 await asyncio.sleep(fault.lasts)
@@ -116,16 +116,16 @@
 
     async def _stop(self, node: Node) -> None:
         """Send SIGTERM, and SIGKILL after the grace time."""
-        process = node.process
-        if process is None or process.returncode is not None or node.stopping:
+        if not node.runs or node.stopping:
             return
         node.stopping = True
         begun = time.monotonic()
-        process.send_signal(signal.SIGTERM)
-        while process.returncode is None and time.monotonic() < begun + GRACE_SECONDS:
+        process = node.process
+        node.signal(signal.SIGTERM)
+        while node.process is process and node.runs and time.monotonic() < begun + GRACE_SECONDS:
             await asyncio.sleep(SIGTERM_CHECK_SECONDS)
-        if process.returncode is None:
-            process.kill()
+        if node.process is process:
+            node.signal(signal.SIGKILL)
         self.history.terms.append((node.number, begun, time.monotonic()))
 
     async def _leave(self, node: Node) -> None:
