Carry out the steps of a fault run in order for each node

The schedule keeps a node's faults apart, but the end of a fault lasts until the old process has exited and the new one runs, and the injector did not wait for that. In the same way a signal could reach the daemon that was about to be replaced.

The steps of a place now run one after the other, and a switch waits until the upstream answers. A leave is recorded when the upstream has taken the switch and not before it was asked.

--- a/features/steps/history_faults_steps.py
+++ b/features/steps/history_faults_steps.py
@@ -1,7 +1,19 @@
+import signal
 import subprocess
 import sys
+import time
+from urllib.error import URLError
 
-from behave import then, when
+from behave import given, then, when
+
+from agatecross_standins.faults.injector import Injector
+from agatecross_standins.faults.recorder import Recorder
+from agatecross_standins.faults.schedule import Fault, FaultKind
+from agatecross_standins.fleet import Node, Site, wait_until
+
+GAP_SECONDS = 0.02
+# Longer than a schedule of the table, so that steps that do not wait for an exit come before it.
+EXIT_SECONDS = 0.3
 
 
 @when("faults with seed {seed:d} run for {seconds:d} seconds")
@@ -21,3 +33,78 @@
     result = context.result
     assert result.returncode == 0, (result.stdout[-8_000:], result.stderr[-4_000:])
     assert "0 violations" in result.stdout, result.stdout[-2_000:]
+
+
+class StandInProcess:
+    """A process that exits after the steps of the other nodes."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.number = number
+
+    def kill(self):
+        self.fleet.saw(self.number, "kill")
+
+    def send_signal(self, number):
+        self.fleet.saw(self.number, signal.Signals(number).name)
+
+    def wait(self, timeout=None):
+        time.sleep(EXIT_SECONDS)
+        wait_until(lambda: self.fleet.others_done(self.number), "the steps of the other nodes")
+        self.fleet.saw(self.number, "exited")
+
+
+class StandInFleet:
+    """Records what is done to its nodes."""
+
+    def __init__(self, count, refusals):
+        self.refusals = refusals
+        self.seen = []
+        self.planned = []
+        self.left = dict.fromkeys(range(count), 0)
+        self.nodes = [Node(str(n), Site("r", "a"), "s", *[0] * 5) for n in range(count)]
+        for number, node in enumerate(self.nodes):
+            node.daemon = StandInProcess(self, number)
+            node.upstream = StandInProcess(self, number)
+
+    def saw(self, number, what):
+        self.seen.append(f"{number} {what}")
+
+    def others_done(self, number):
+        """Return whether each fault of the other nodes has begun and ended."""
+        planned = sum(fault.node != number for fault in self.planned)
+        return sum(not row.startswith(f"{number} ") for row in self.seen) >= 2 * planned
+
+    def start_daemon(self, node):
+        self.saw(int(node.name), "start daemon")
+
+    def start_upstream(self, node):
+        self.left[int(node.name)] = self.refusals
+        self.saw(int(node.name), "start upstream")
+
+    def switch_upstream(self, node, draining):
+        number = int(node.name)
+        if self.left[number]:
+            self.left[number] -= 1
+            raise URLError(ConnectionRefusedError())
+        self.saw(number, "drain" if draining else "undrain")
+
+
+@given("a fleet of {count:d} nodes whose upstreams refuse {refusals:d} connections after a start")
+def start_fleet(context, count, refusals):
+    context.stand_in = StandInFleet(count, refusals)
+
+
+@when('the faults "{faults}" are injected')
+def inject(context, faults):
+    rows = [row.split() for row in faults.split(", ")]
+    context.stand_in.planned = [
+        Fault(index * GAP_SECONDS, GAP_SECONDS / 2, FaultKind(kind), int(node))
+        for index, (node, kind) in enumerate(rows)
+    ]
+    Injector(context.stand_in, Recorder()).run(context.stand_in.planned)
+
+
+@then('the fleet saw "{seen}"')
+def check_seen(context, seen):
+    assert context.stand_in.seen == seen.split(", "), context.stand_in.seen
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import time
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from http.client import HTTPException
@@ -17,7 +18,7 @@
 from agatecross_core.constants import RULE_SET
 from agatecross_core.ids import PublishId, Version
 
-from ..fleet import Fleet, fetch
+from ..fleet import Fleet, Node, fetch, wait_until
 from ..history import (
     Leaving,
     Returned,
@@ -25,7 +26,7 @@
     ShutdownEnded,
 )
 from .recorder import Recorder
-from .schedule import Fault, FaultKind
+from .schedule import Fault, FaultKind, Place, place_of
 
 RECOVERY_SECONDS = 60.0
 EXAMPLE = Path(__file__).resolve().parents[4] / "examples" / "lysknude"
@@ -62,13 +63,20 @@
 
 
 class Injector:
-    """Begins and ends the faults of a schedule."""
+    """Begins and ends the faults of a schedule, in order for each place.
+
+    The end of a fault takes as long as a process needs to exit and to start. The next fault of the
+    place begins after it, so that no signal or switch meets the process that is being replaced.
+    """
 
     def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
         self.fleet = fleet
         self.recorder = recorder
         self.publisher = Publisher(fleet, recorder)
-        self.pool = ThreadPoolExecutor(16)
+        # One thread for each place keeps its steps in order.
+        self.pools: defaultdict[Place, ThreadPoolExecutor] = defaultdict(
+            lambda: ThreadPoolExecutor(1)
+        )
         self.background: list[Future[None]] = []
 
     def run(self, faults: Sequence[Fault]) -> None:
@@ -80,14 +88,13 @@
         start = time.monotonic()
         for at, step, fault in sorted(steps, key=lambda row: row[0]):
             time.sleep(max(0.0, start + at - time.monotonic()))
-            self.background.append(self.pool.submit(step, fault))
+            self.background.append(self.pools[place_of(fault)].submit(step, fault))
         for future in self.background:
             future.result()
 
     def begin(self, fault: Fault) -> None:
         """Begin a fault."""
         node = self.fleet.nodes[fault.node]
-        now = time.time()
         match fault.kind:
             case FaultKind.KILL_DAEMON:
                 _running(node.daemon).kill()
@@ -96,11 +103,11 @@
             case FaultKind.PAUSE_DAEMON:
                 _running(node.daemon).send_signal(signal.SIGSTOP)
             case FaultKind.REPLACE_DAEMON:
-                self.recorder.events.append(ShutdownBegun(now, node.name))
+                self.recorder.events.append(ShutdownBegun(time.time(), node.name))
                 _running(node.daemon).send_signal(signal.SIGTERM)
             case FaultKind.DRAIN_UPSTREAM:
-                self.fleet.switch_upstream(node, draining=True)
-                self.recorder.events.append(Leaving(now, str(node.upstream_port)))
+                self._switch_when_up(node, draining=True)
+                self.recorder.events.append(Leaving(time.time(), str(node.upstream_port)))
             case FaultKind.LOG_OUTAGE:
                 self.fleet.switch_log(outage=True)
             case FaultKind.LOG_SLOW:
@@ -134,7 +141,7 @@
                 self.fleet.start_daemon(node)
             case FaultKind.DRAIN_UPSTREAM:
                 self.recorder.events.append(Returned(time.time(), str(node.upstream_port)))
-                self.fleet.switch_upstream(node, draining=False)
+                self._switch_when_up(node, draining=False)
             case FaultKind.LOG_OUTAGE:
                 self.fleet.switch_log(outage=False)
             case FaultKind.LOG_SLOW:
@@ -144,6 +151,15 @@
             case _:
                 pass
 
+    def _switch_when_up(self, node: Node, **switches: object) -> None:
+        """Set switches of an upstream, which may still be starting after an earlier fault."""
+
+        def switched() -> bool:
+            self.fleet.switch_upstream(node, **switches)
+            return True
+
+        wait_until(switched, f"the upstream of {node.name} to answer")
+
 
 def _running(process: subprocess.Popen[bytes] | None) -> subprocess.Popen[bytes]:
     assert process is not None
--- a/packages/agatecross-standins/agatecross_standins/faults/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/schedule.py
@@ -26,6 +26,8 @@
 
 NODE_KINDS = frozenset(list(FaultKind)[:5])
 LOG_KINDS = frozenset(list(FaultKind)[5:8])
+# The index of a node, or the name of what all nodes share.
+Place = int | str
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,10 +40,17 @@
     node: int
 
 
+def place_of(fault: Fault) -> Place:
+    """Return where a fault acts."""
+    if fault.kind in NODE_KINDS:
+        return fault.node
+    return "log" if fault.kind in LOG_KINDS else "publish"
+
+
 def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
     """Yield faults in order of time; a node and the log have at most one fault at a time."""
     rng = random.Random(seed)
-    busy_until: dict[int | str, float] = {}
+    busy_until: dict[Place, float] = {}
     at = 0.0
     while True:
         at += rng.expovariate(1 / FAULT_GAP_SECONDS)
@@ -50,7 +59,8 @@
         lasts = rng.uniform(0.5, 6.0)
         if at + lasts > seconds:
             return
-        place = node if kind in NODE_KINDS else "log" if kind in LOG_KINDS else "publish"
+        fault = Fault(at, lasts, kind, node)
+        place = place_of(fault)
         if busy_until.get(place, 0.0) <= at:
             busy_until[place] = at + lasts
-            yield Fault(at, lasts, kind, node)
+            yield fault
