Name the missing daemons while a publish waits

`publish` with a paused daemon ended after 33 s without a word before. It now reports on standard error, after 1 s, when the list changes and every 5 s, which daemons lack the version and what they have. Standard output keeps only the result, in both formats.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -23,6 +23,31 @@
       | the daemons are ahead of the log  | 5    | 0       | the log was replaced                       |
       | the folder did not change         | 0    | 0       | version 1 already holds these documents    |
 
+  Scenario Outline: progress of a publish: <guards against>
+    Given a publish of version 2 whose daemons are asked at "<asked>"
+    Then it reports at "<reported>" on standard error "<text>"
+
+    Examples:
+      | guards against                          | asked                                    | reported | text                                                |
+      | a report of every short wait            | 0.2 d1; 0.4 d1; 0.6                      |          |                                                     |
+      | a wait of many seconds without a word   | 2.0 d1                                   | 2.0      | version 2 accepted, waiting 2 s for: d1 (version 1) |
+      | a daemon shown without its state        | 1.0 !d1                                  | 1.0      | version 2 accepted, waiting 1 s for: d1 (no answer) |
+      | the same line at each question          | 1.0 d1; 1.2 d1; 3.0 d1                   | 1.0      | version 2 accepted, waiting 1 s for: d1 (version 1) |
+      | a word that does not come again         | 1.0 d1; 6.1 d1                           | 1.0 6.1  | version 2 accepted, waiting 6 s for: d1 (version 1) |
+      | a daemon that is no longer missing      | 1.0 d1 !d2; 1.4 !d2                      | 1.0 1.4  | version 2 accepted, waiting 1 s for: d2 (no answer) |
+      | a line as long as the fleet             | 1.0 a b c d e f g h i j k l              | 1.0      | i (version 1), j (version 1) and 2 more             |
+      | a daemon in the way that is not named   | 1.0 ?                                    | 1.0      | version 2 accepted, waiting 1 s: daemon 127.0.0.1:4 |
+
+  Scenario Outline: output of a publish that waits as <format>
+    Given a log that holds the example configuration "lysknude" as version 1 by "alice"
+    When an operator publishes a changed folder in <format> while a daemon stays behind
+    Then standard error names "d2 (version 1)" and standard output has only the result in <format>
+
+    Examples:
+      | format |
+      | text   |
+      | json   |
+
   Scenario Outline: <arguments> ends with code <code>
     When the client runs with "<arguments>"
     Then it ends with code <code> and its output has "<text>"
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import io
 import json
 import shutil
 import signal
@@ -6,20 +7,26 @@
 import sys
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import redirect_stderr, redirect_stdout
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
 
 import agatecross_cli.append as append_module
+import agatecross_cli.in_force as in_force
 from agatecross_adapters.codec import encode_record
 from agatecross_adapters.protocols import LogEntry, LogPage
 from agatecross_cli.command import Context
 from agatecross_cli.commands.publish import COMMAND as PUBLISH
 from agatecross_cli.commands.publish import new_record
 from agatecross_cli.documents import read_documents
+from agatecross_cli.fleet import DaemonStatus
 from agatecross_cli.history import read_history
+from agatecross_cli.in_force import WaitReports
 from agatecross_cli.main import execute
+from agatecross_cli.output import FORMATTERS
 from agatecross_core.calls.model import Response
 from agatecross_core.config.model import BASE, ConfigState, Document, PublishRecord
 from agatecross_core.errors import (
@@ -157,6 +164,55 @@
     assert text in shown, shown
 
 
+def status_of(word):
+    if word.startswith("!"):
+        return DaemonStatus(word[1:], "a", "unreachable", None, "")
+    return DaemonStatus(word, "a", "ready", 1, "")
+
+
+@given('a publish of version {version:d} whose daemons are asked at "{asked}"')
+def ask_daemons(context, version, asked):
+    reports = WaitReports(version, 0.0)
+    context.reports = []
+    for row in asked.split("; "):
+        at, *words = row.split()
+        reason = "daemon 127.0.0.1:4: refused" if words == ["?"] else ""
+        behind = () if reason else tuple(map(status_of, words))
+        context.reports += ((at, line) for line in reports.asked(behind, reason, float(at)))
+
+
+@then('it reports at "{reported}" on standard error "{text}"')
+def check_reports(context, reported, text):
+    assert [at for at, _ in context.reports] == reported.split(), context.reports
+    assert text in context.reports[-1][1], context.reports
+
+
+@then('it reports at "" on standard error ""')
+def check_no_reports(context):
+    assert context.reports == [], context.reports
+
+
+@when("an operator publishes a changed folder in {shown} while a daemon stays behind")
+def publish_behind(context, shown):
+    error, output = io.StringIO(), io.StringIO()
+    first = mock.patch.object(in_force, "FIRST_REPORT_SECONDS", 0.0)
+    with first, redirect_stderr(error), redirect_stdout(output):
+        publish_while(context, "a daemon stays behind")
+        print(FORMATTERS[shown](context.run))
+    context.shown = (output.getvalue(), error.getvalue())
+
+
+@then('standard error names "{text}" and standard output has only the result in {shown}')
+def check_streams(context, text, shown):
+    output, error = context.shown
+    assert text in error, error
+    (line,) = output.splitlines()
+    if shown == "json":
+        assert json.loads(line)["exit_code"] == 4, output
+    else:
+        assert line == "version 2 accepted, but not in force on: d2", output
+
+
 @given('a copy of the example configuration "{name}" with five faults')
 def write_faults(context, name):
     copy_example(context, name)
--- a/packages/agatecross-cli/agatecross_cli/in_force.py
+++ b/packages/agatecross-cli/agatecross_cli/in_force.py
@@ -1,7 +1,9 @@
 """Waits until a version is in force on every live daemon."""
 
 import asyncio
+import sys
 import time
+from collections.abc import Iterator, Sequence
 
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Digest, PublishId, Version
@@ -11,6 +13,42 @@
 from .fleet import DaemonStatus, ask_all, list_members
 
 POLL_SECONDS = 0.2
+# Most publishes are in force everywhere before this, and then need no word.
+FIRST_REPORT_SECONDS = 1.0
+REPORT_EVERY_SECONDS = 5.0
+# A line stays readable when a whole data centre is behind.
+MOST_NAMES = 10
+
+
+class WaitReports:
+    """Decides when the wait for a version is reported, and names the daemons still missing."""
+
+    def __init__(self, version: Version, started: float) -> None:
+        self.version = version
+        self.started = started
+        self.reported_at = started
+        self.reported: str | None = None
+
+    def asked(self, behind: Sequence[DaemonStatus], reason: str, now: float) -> Iterator[str]:
+        """Yield a line when it is due; `reason` tells why the daemons could not be asked."""
+        missing = f": {reason}" if reason else f" for: {_names(behind)}"
+        waited = now - self.started
+        if not (behind or reason) or waited < FIRST_REPORT_SECONDS:
+            return
+        if missing != self.reported or now - self.reported_at >= REPORT_EVERY_SECONDS:
+            self.reported, self.reported_at = missing, now
+            yield f"version {self.version} accepted, waiting {waited:.0f} s{missing}"
+
+
+def _names(behind: Sequence[DaemonStatus]) -> str:
+    rows = sorted(behind, key=lambda row: row.daemon_id)
+    shown = ", ".join(f"{row.daemon_id} ({_held(row)})" for row in rows[:MOST_NAMES])
+    more = len(rows) - MOST_NAMES
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+def _held(row: DaemonStatus) -> str:
+    return "no answer" if row.version is None else f"version {row.version}"
 
 
 async def wait_in_force(
@@ -18,22 +56,28 @@
 ) -> Result:
     """Ask the daemons until each has the version, or a later one, in force."""
     started = time.monotonic()
+    reports = WaitReports(version, started)
     reason = f"version {version} accepted, but the wait for the daemons is over"
     behind: tuple[DaemonStatus, ...] = ()
     while True:
+        unasked = ""
         try:
             # Members are listed anew: a daemon that died meanwhile does not have to follow.
             members = await list_members(context.http, context.daemon)
             rows = await ask_all(context.http, members)
         except ExchangeError as error:
-            reason = f"version {version} accepted, but daemon {error}"
+            unasked = f"daemon {error}"
+            reason = f"version {version} accepted, but {unasked}"
         else:
             behind = tuple(row for row in rows if not has_version(row, version, digest))
             if not behind:
                 return _done(version, publish_id, len(rows), time.monotonic() - started)
             names = ", ".join(sorted(row.daemon_id for row in behind))
             reason = f"version {version} accepted, but not in force on: {names}"
-        if time.monotonic() - started >= context.timeout:
+        now = time.monotonic()
+        for line in reports.asked(() if unasked else behind, unasked, now):
+            print(f"agatecross: {line}", file=sys.stderr, flush=True)
+        if now - started >= context.timeout:
             break
         await asyncio.sleep(POLL_SECONDS)
     body = {"version": version, "publish_id": publish_id, "in_force": False, "behind": behind}
