Name the line that decided the end of a call

`agatecross trace` named the call's own end as the cause of every failure. It now looks up what the reason hangs on: the refusal beside the upstream, the version in force, the start of the daemon, the loss of the upstream. A run that failed after a refusal of one of its calls, whose end the daemon left out, is traced to that refusal, and the text says that the end is missing.

Each event now begins with its time, the last value of a cut one is left out, and a cut end without status or reason is none. The name in front of the time tells the process; without one the file stands for it, by its path, since daemons may write to files of the same name.

--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -27,6 +27,7 @@
     assert any(row[0] == "1" and row[-1] == cause for row in rows), result.stdout
 
 
+@given("the logs of several daemons in one file")
 @given("a log with")
 def step_log(context):
     folder = tempfile.TemporaryDirectory()
@@ -35,6 +36,23 @@
     context.log_file.write_text(context.text + "\n")
 
 
+@given('a log "{name}" with')
+def step_named_log(context, name):
+    if not hasattr(context, "log_files"):
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        context.log_folder, context.log_files = Path(folder.name), []
+    path = context.log_folder / name
+    path.parent.mkdir()
+    path.write_text(context.text + "\n")
+    context.log_files.append(path)
+
+
+@when('the client runs "{arguments}" on them')
+def step_client_on_all(context, arguments):
+    context.client_result = client(*arguments.split(), *context.log_files)
+
+
 @when('the client runs "{arguments}" on it')
 def step_client(context, arguments):
     context.client_result = client(*arguments.split(), context.log_file)
@@ -44,4 +62,7 @@
 def step_shows(context, code, text):
     result = context.client_result
     assert result.returncode == code, result
-    assert text in result.stdout, result.stdout
+    wanted = text.replace("\\n", "\n")
+    if "LOG" in wanted:
+        wanted = wanted.replace("LOG", str(context.log_file))
+    assert wanted in result.stdout, result.stdout
--- a/packages/agatecross-cli/agatecross_cli/commands/causes.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/causes.py
@@ -1,38 +1,37 @@
 """The command `causes`: how many calls failed or were refused, by service and cause."""
 
-import sys
 from collections import Counter, defaultdict
 from collections.abc import Sequence
 from pathlib import Path
 
-from ..call_causes import CALL_EVENTS, cause_of, failed
+from ..call_causes import REFUSAL, cause_of, failed, is_end
 from ..command import Command, CommandError, Context, Result
-from ..event_lines import EventLine, read_events
+from ..event_lines import EventLine, left_out_before, read_events, with_progress
 from ..exit_codes import ExitCode
+from ..process_facts import ProcessFacts
 from .trace import MOST_ARGUMENTS
 
-# A line on standard error shows that a long input is being read.
-PROGRESS_EVENTS = 200_000
-
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
     """Count the causes in log files; events that daemons left out are counted apart."""
     del context
     calls: defaultdict[str, list[EventLine]] = defaultdict(list)
+    facts = ProcessFacts()
     left_out = 0
     try:
-        for number, row in enumerate(read_events(map(Path, arguments)), 1):
-            left_out += int(row.pairs.get("left_out", "0") or 0)
-            if row.event in CALL_EVENTS and "call_id" in row.pairs:
-                calls[row.pairs["call_id"].partition(".")[0]].append(row)
-            if number % PROGRESS_EVENTS == 0:
-                print(f"agatecross: {number} events read", file=sys.stderr)
+        for row in with_progress(read_events(map(Path, arguments))):
+            left_out += left_out_before(row)
+            facts.add(row)
+            call_id, _, inner = row.pairs.get("call_id", "").partition(".")
+            # Refusals of a run's calls explain its failure when the ends of those were left out.
+            if call_id and (is_end(row) or (inner and row.event == REFUSAL)):
+                calls[call_id].append(row)
     except OSError as error:
         raise CommandError(ExitCode.USAGE, str(error)) from error
     counts: Counter[tuple[str, str, str]] = Counter()
     for call_id, rows in calls.items():
         ends = [row for row in rows if row.pairs["call_id"] == call_id]
-        cause = cause_of(call_id, rows)
+        cause = cause_of(call_id, rows, facts)
         if cause is not None and failed(ends[-1]):
             counts[(ends[-1].pairs.get("service", ""), cause.outcome, cause.cause)] += 1
     lines = [
--- a/packages/agatecross-cli/agatecross_cli/commands/trace.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/trace.py
@@ -4,10 +4,11 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from ..call_causes import belongs, cause_of
+from ..call_causes import Cause, belongs, cause_of
 from ..command import Command, CommandError, Context, Result
-from ..event_lines import EventLine, read_events
+from ..event_lines import EventLine, left_out_before, read_events, with_progress
 from ..exit_codes import ExitCode
+from ..process_facts import ProcessFacts
 
 # All logs of a large fleet.
 MOST_ARGUMENTS = 10_000
@@ -17,25 +18,41 @@
     """Follow an id through log files."""
     del context
     call_id, *files = arguments
+    found: list[EventLine] = []
+    facts = ProcessFacts()
+    left_out = 0
     try:
-        found = [row for row in read_events(map(Path, files)) if belongs(row, call_id)]
+        for row in with_progress(read_events(map(Path, files))):
+            left_out += left_out_before(row)
+            facts.add(row)
+            if belongs(row, call_id):
+                found.append(row)
     except OSError as error:
         raise CommandError(ExitCode.USAGE, str(error)) from error
     if not found:
         message = f"no event of call {call_id!r} in {len(files)} files"
-        return Result(ExitCode.FINDINGS, (message,), {"call_id": call_id, "events": ()})
-    found.sort(key=lambda row: row.time)
-    cause = cause_of(call_id, found)
-    lines = [event_line(row) for row in found]
+        lines = (message, f"the daemons left out {left_out} events")
+        body = {"call_id": call_id, "events": (), "left_out": left_out}
+        return Result(ExitCode.FINDINGS, lines, body)
+    return traced(call_id, found, cause_of(call_id, found, facts), left_out)
+
+
+def traced(call_id: str, found: Sequence[EventLine], cause: Cause | None, left_out: int) -> Result:
+    """Return the events of a call with those that explain its cause, in order of time."""
+    added = (cause.deciding, *cause.background) if cause else ()
+    rows = sorted([*found, *(row for row in added if row not in found)], key=lambda row: row.time)
+    lines = [event_line(row) for row in rows]
     if cause is None:
         lines.append("cause: unknown, the end of the call was not logged")
+        lines.append(f"the daemons left out {left_out} events")
     else:
         place = f"{cause.deciding.file}:{cause.deciding.line}"
         lines.append(f"cause: {cause.cause}: {cause.meaning} ({place})")
     body = {
         "call_id": call_id,
-        "events": [asdict(row) for row in found],
+        "events": [asdict(row) for row in rows],
         "cause": asdict(cause) if cause else None,
+        "left_out": left_out,
     }
     return Result(ExitCode.SUCCESS if cause else ExitCode.UNKNOWN, tuple(lines), body)
 
@@ -43,7 +60,8 @@
 def event_line(row: EventLine) -> str:
     """Return an event for a reader."""
     shown = " ".join(f"{key}={value}" for key, value in row.pairs.items() if key != "time")
-    return f"{row.time:.3f} {row.file}:{row.line}: {shown}"
+    writer = f"{row.process}: " if row.process != row.file else ""
+    return f"{row.time:.3f} {row.file}:{row.line}: {writer}{shown}"
 
 
 COMMAND = Command("trace CALL_ID FILE...", 2, MOST_ARGUMENTS, run)
--- a/packages/agatecross-cli/agatecross_cli/event_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/event_lines.py
@@ -2,20 +2,28 @@
 
 import json
 import re
+import sys
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
-# A value is plain, or a JSON string when it holds other characters.
-PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+# A value is plain, or a JSON string when it holds other characters. A quote that does not end the
+# value belongs to a later line, and the JSON string was cut off.
+PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"(?=\s|$)|\S*)')
+
+PROGRESS_EVENTS = 200_000
 
 
 @dataclass(frozen=True, slots=True)
 class EventLine:
-    """One event: where it was written, its Unix time in seconds, and its pairs."""
+    """One event: its file and line, the process that wrote it, its Unix time in seconds, its pairs.
+
+    The process is the name in front of the event, or the file when there is none.
+    """
 
     file: str
     line: int
+    process: str
     time: float
     pairs: Mapping[str, str]
 
@@ -31,18 +39,64 @@
         with path.open(encoding="utf-8", errors="replace") as lines:
             for number, text in enumerate(lines, 1):
                 if "event=" in text:
-                    yield from parse_event(path.name, number, text)
+                    yield from parse_event(str(path), number, text)
+
+
+def with_progress(events: Iterable[EventLine]) -> Iterator[EventLine]:
+    """Pass events on; a line on standard error shows that a long input is being read."""
+    for number, row in enumerate(events, 1):
+        yield row
+        if number % PROGRESS_EVENTS == 0:
+            print(f"agatecross: {number} events read", file=sys.stderr)
+
+
+def left_out_before(row: EventLine) -> int:
+    """Return how many events the process left out before this one."""
+    count = row.pairs.get("left_out", "")
+    return int(count) if count.isdigit() else 0
 
 
 def parse_event(file: str, number: int, text: str) -> Iterator[EventLine]:
-    """Yield the event of a line, unless the line was cut off before its end."""
-    pairs = {key: _value(value) for key, value in PAIR.findall(text)}
-    try:
-        time = float(pairs.get("time", "0"))
-    except ValueError:
-        return
-    if pairs.get("event"):
-        yield EventLine(file, number, time, pairs)
+    """Yield the events of a line.
+
+    A log that several processes write to may hold the beginning of one's line and then another's.
+    Each event begins with its time, behind the name of its process. The last value of an event that
+    was cut off is left out.
+    """
+    part = PartOfLine(file)
+    for match in PAIR.finditer(text):
+        if match[1] == "time":
+            yield from part.event(file, number, cut=True)
+            name = text[part.end : match.start()].split()[-1:]
+            part = PartOfLine(name[0] if name else file)
+        part.add(match)
+    yield from part.event(file, number, cut=False)
+
+
+class PartOfLine:
+    """The pairs of one event of a line."""
+
+    def __init__(self, process: str) -> None:
+        self.process = process
+        self.pairs: dict[str, str] = {}
+        self.last = ""
+        self.end = 0
+
+    def add(self, match: re.Match[str]) -> None:
+        """Keep the next pair."""
+        self.last, self.end = match[1], match.end()
+        self.pairs[match[1]] = _value(match[2])
+
+    def event(self, file: str, number: int, cut: bool) -> Iterator[EventLine]:
+        """Yield the event, if there is one."""
+        if cut:
+            self.pairs.pop(self.last, None)
+        try:
+            time = float(self.pairs.get("time", "0"))
+        except ValueError:
+            return
+        if self.pairs.get("event"):
+            yield EventLine(file, number, self.process, time, self.pairs)
 
 
 def _value(text: str) -> str:
--- /dev/null
+++ b/packages/agatecross-cli/agatecross_cli/process_facts.py
@@ -0,0 +1,65 @@
+"""What each process believed and when, from the events that are not about one call."""
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator
+
+from .event_lines import EventLine
+
+FACT_EVENTS = frozenset(
+    (
+        "config_in_force",
+        "daemon_leaving",
+        "daemon_started",
+        "daemon_stopped",
+        "endpoint_learnt",
+        "peers_changed",
+        "strikes_learnt",
+        "upstream_changed",
+        "upstream_died",
+        "upstream_unreachable",
+    )
+)
+
+
+class ProcessFacts:
+    """Collects changes of belief and of life by process, to be looked up by time."""
+
+    def __init__(self) -> None:
+        self.rows: defaultdict[tuple[str, str], list[EventLine]] = defaultdict(list)
+        self.processes: dict[str, str] = {}
+        self.sorted = True
+
+    def add(self, row: EventLine) -> None:
+        """Keep an event of `FACT_EVENTS`; others are passed over."""
+        if row.event not in FACT_EVENTS:
+            return
+        self.rows[(row.process, row.event)].append(row)
+        self.sorted = False
+        if row.event == "daemon_started" and "daemon" in row.pairs:
+            self.processes[row.pairs["daemon"]] = row.process
+
+    def process_of(self, daemon: str) -> str:
+        """Return the process of a daemon's id."""
+        return self.processes.get(daemon, daemon)
+
+    def before(self, process: str, event: str, time: float) -> Iterator[EventLine]:
+        """Yield the events of a kind up to a time, newest first."""
+        rows = self._rows(process, event)
+        yield from reversed(rows[: bisect_right(rows, time, key=lambda row: row.time)])
+
+    def after(self, process: str, event: str, time: float) -> Iterator[EventLine]:
+        """Yield the events of a kind after a time, oldest first."""
+        rows = self._rows(process, event)
+        yield from rows[bisect_right(rows, time, key=lambda row: row.time) :]
+
+    def between(self, process: str, event: str, start: float, end: float) -> Iterator[EventLine]:
+        """Yield the events of a kind after `start` and up to `end`, oldest first."""
+        yield from (row for row in self.after(process, event, start) if row.time <= end)
+
+    def _rows(self, process: str, event: str) -> list[EventLine]:
+        if not self.sorted:
+            for rows in self.rows.values():
+                rows.sort(key=lambda row: row.time)
+            self.sorted = True
+        return self.rows.get((process, event), [])
