--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -66,3 +66,30 @@
     if "LOG" in wanted:
         wanted = wanted.replace("LOG", str(context.log_file))
     assert wanted in result.stdout, result.stdout
+
+
+def draw(context, count, seed):
+    command = [sys.executable, "-m", "agatecross_standins.trace_sample", context.log_file]
+    flags = [f"--count={count}", f"--seed={seed}"]
+    return subprocess.run([*command, *flags], capture_output=True, text=True, timeout=60)
+
+
+@when("{count:d} failed calls are drawn with seed {seed:d}")
+def step_draw(context, count, seed):
+    context.draws = [draw(context, count, seed) for _ in range(2)]
+
+
+@then('{drawn:d} of {failed:d} are drawn, the same again, and the table has "{rows}"')
+def step_drawn(context, drawn, failed, rows):
+    first, second = context.draws
+    assert first.stdout == second.stdout and first.returncode == 0, context.draws
+    assert f"{drawn} of {failed} failed calls" in first.stdout, first.stdout
+    found = [line.split(" | ")[:3] for line in first.stdout.splitlines() if line.startswith("| ")]
+    shown = {" ".join(row).removeprefix("| ") for row in found[2:]}
+    assert len(shown) == drawn, first.stdout
+    assert shown >= set(filter(None, rows.split(", "))), first.stdout
+
+
+@then('{drawn:d} of {failed:d} are drawn, the same again, and the table has ""')
+def step_drawn_any(context, drawn, failed):
+    step_drawn(context, drawn, failed, "")
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -90,6 +90,23 @@
     When the client runs "trace a" on them
     Then it ends with code 0 and shows "cause: cancelled"
 
+  Scenario Outline: failed calls drawn by seed: <guards against>
+    Given a log with
+      """
+      time=2.1 event=call call_id=a service=s0 outcome=not-run reason=overloaded status=503
+      time=2.2 event=call call_id=b.1 service=s1 outcome=unknown reason=timeout status=504
+      time=2.3 event=call call_id=b service=s0 outcome=ran reason="" status=500
+      time=2.4 event=call call_id=c service=s0 outcome=ran reason="" status=200
+      time=2.5 event=call call_id=e service=s0 outcome=unknown reason=timeout status=504
+      """
+    When <count> failed calls are drawn with seed <seed>
+    Then <drawn> of <failed> are drawn, the same again, and the table has "<rows>"
+
+    Examples:
+      | guards against                     | count | seed | drawn | failed | rows                                                     |
+      | a served call or a run's call drawn | 20  | 1    | 3     | 3      | a 503 overloaded, b 500 inner:timeout, e 504 timeout     |
+      | a draw that differs each time      | 2     | 1    | 2     | 3      |                                                          |
+
   Scenario Outline: lines: <guards against>
     Given a log with
       """
--- /dev/null
+++ b/packages/agatecross-standins/agatecross_standins/trace_sample.py
@@ -0,0 +1,77 @@
+"""Traces failed calls drawn by seed, to compare the causes found with a bench's report.
+
+`python -m agatecross_standins.trace_sample --seed=7 --count=20 LOG...` reads the logs of all
+daemons of a day and prints a table with the id, the status, the cause and the deciding line of each
+call drawn, then how many failed calls ended with each status and cause. Only calls of callers are
+drawn, not those that a run made.
+"""
+
+import random
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from absl import app, flags
+
+from agatecross_cli.call_causes import Cause, cause_of, failed, is_end
+from agatecross_cli.event_lines import EventLine, read_events
+from agatecross_cli.process_facts import ProcessFacts
+
+SEED = flags.DEFINE_integer("seed", 1, "Seed of the draw.")
+COUNT = flags.DEFINE_integer("count", 20, "Calls to draw.", lower_bound=1)
+
+
+@dataclass(frozen=True, slots=True)
+class FailedCall:
+    """A call that was not served: the status that its caller was given, and the cause."""
+
+    status: str
+    cause: Cause
+
+
+def failed_calls(events: Iterable[EventLine]) -> Iterator[FailedCall]:
+    """Yield the failed calls in order of their ids."""
+    facts = ProcessFacts()
+    calls: defaultdict[str, list[EventLine]] = defaultdict(list)
+    for row in events:
+        facts.add(row)
+        if "call_id" in row.pairs:
+            calls[row.pairs["call_id"].partition(".")[0]].append(row)
+    for call_id, rows in sorted(calls.items()):
+        cause = cause_of(call_id, rows, facts)
+        ends = [r for r in rows if is_end(r) and r.pairs["call_id"] == call_id]
+        if cause is not None and failed(ends[-1]):
+            yield FailedCall(ends[-1].pairs.get("status", ""), cause)
+
+
+def table(calls: Iterable[FailedCall]) -> Iterator[str]:
+    """Yield the rows of a table in Markdown."""
+    yield "| id | status | cause | deciding line |"
+    yield "| --- | --- | --- | --- |"
+    for call in calls:
+        deciding = call.cause.deciding
+        shown = f"{deciding.line}: {deciding.process}: {brief(deciding.pairs)}"
+        yield f"| {call.cause.call_id} | {call.status} | {call.cause.cause} | {shown} |"
+
+
+def brief(pairs: Mapping[str, str]) -> str:
+    """Return the pairs of a deciding line that a reader looks at first."""
+    names = ("event", "instance", "reason", "load", "version", "daemon", "status", "took_ms")
+    return " ".join(f"{name}={pairs[name]}" for name in names if pairs.get(name))
+
+
+def main(argv: Sequence[str]) -> None:
+    """Print the table and the counts."""
+    calls = list(failed_calls(read_events(map(Path, argv[1:]))))
+    drawn = random.Random(SEED.value).sample(calls, min(COUNT.value, len(calls)))
+    print(f"seed {SEED.value}: {len(drawn)} of {len(calls)} failed calls")
+    print("\n".join(table(drawn)))
+    for (status, cause), count in Counter((c.status, c.cause.cause) for c in calls).most_common():
+        print(f"{count:8d} {status} {cause}")
+    sys.exit(0 if drawn else 1)
+
+
+if __name__ == "__main__":
+    app.run(main)
