Take path and host out of a request target in absolute form

The product's own listener passes the target of `GET http://host/path` on as it came, so it finds no route (the relaying daemon's listener splits it). `origin_form` splits it; its table passes.

--- a/features/http.feature
+++ b/features/http.feature
@@ -49,6 +49,25 @@
     When a client sends "POST / HTTP/1.1~Host: x~X-Kept: 1~X-Hop: 2~Connection: close, x-hop~Transfer-Encoding: chunked~~1~a~0~~"
     Then the handler saw the fields "Host,X-Kept" and the body "a"
 
+  Scenario Outline: a target in <form> becomes "<path>" at "<host>"
+    Then the target "<target>" with the field "Host: x" becomes "<path>" at "<host>"
+
+    Examples:
+      | form                      | target                  | path      | host     |
+      | origin form               | /a/b?c=http://d/e       | /a/b?c=http://d/e | x |
+      | absolute form             | http://y.example/a/b?c  | /a/b?c    | y.example |
+      | absolute form with a port | HTTP://y.example:80/a   | /a        | y.example:80 |
+      | absolute form of a root   | https://y.example       | /         | y.example |
+      | absolute form of a query  | http://y.example?c=/d   | /?c=/d    | y.example |
+      | absolute form, no host    | http:///a               | http:///a | x         |
+      | another scheme            | ftp://y.example/a       | ftp://y.example/a | x |
+      | asterisk form             | *                       | *         | x         |
+
+  Scenario: a request line in absolute form reaches the handler with its path and host
+    Given a listener
+    When a client sends "GET http://y.example/a?b HTTP/1.1~Host: x~Connection: close~~"
+    Then the handler saw the path "/a?b" and the host "y.example"
+
   Scenario: a client that disconnects cancels its handler
     Given a listener
     When a client sends a request that waits and closes its connection
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from agatecross_adapters.http_client import ClientStream, TornadoHttpClient
+from agatecross_adapters.http_fields import origin_form
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.errors import ExchangeError
@@ -137,6 +138,18 @@
     assert request.body == body.encode(), request
 
 
+@then('the target "{target}" with the field "Host: {host}" becomes "{path}" at "{found}"')
+def check_target(context, target, host, path, found):
+    shown = origin_form(target, (("Accept", "*/*"), ("Host", host)))
+    assert shown == (path, (("Accept", "*/*"), ("Host", found))), shown
+
+
+@then('the handler saw the path "{path}" and the host "{host}"')
+def check_path(context, path, host):
+    (request,) = context.handled
+    assert (request.path, request.header("Host")) == (path, host), request
+
+
 @when("a client sends a request that waits and closes its connection")
 def disconnect(context):
     async def run():
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -1,5 +1,7 @@
 """Which header fields belong to one connection only."""
 
+import re
+
 from tornado.httputil import HTTPHeaders
 
 from agatecross_core.calls.model import Headers
@@ -19,6 +21,8 @@
     )
 )
 
+ABSOLUTE_FORM = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
+
 
 def end_to_end(headers: HTTPHeaders) -> Headers:
     """Return the fields without those of the connection and those that `Connection` names."""
@@ -28,3 +32,18 @@
     extra = {name.strip() for name in named.split(",")}
     rows = headers.get_all()
     return tuple(row for row in rows if row[0] not in HOP_FIELDS and row[0].lower() not in extra)
+
+
+def origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
+    """Return path and headers of a request whose target may be `http://host/path`.
+
+    The host of such a target replaces the one of the header, as RFC 9112, section 3.2.2, demands.
+    """
+    if target.startswith("/"):
+        return target, headers
+    match = ABSOLUTE_FORM.fullmatch(target)
+    if match is None:
+        return target, headers
+    host, path = match.groups()
+    named = tuple((n, host if n.lower() == "host" else value) for n, value in headers)
+    return path if path.startswith("/") else f"/{path}", named
