--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
@@ -12,7 +12,7 @@
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.ids import Address, Millis
 from agatecross_core.relay.model import Handover, RelayResponse
-from agatecross_core.relay.response_size import MAX_UNFINISHED, ResponseSize
+from agatecross_core.relay.response_size import MAX_RESPONSE_HEAD, MAX_UNFINISHED, ResponseSize
 
 from .caller_http import CONNECTION_FIELDS
 from .header_names import HeaderNames
@@ -296,8 +296,10 @@
 
     def on_message_begin(self) -> None:
         """Start a response; a second one for the same request is never used."""
-        self.headers = []
-        self.body = bytearray()
+        if self.headers:
+            self.headers = []
+        if self.body:
+            self.body = bytearray()
         self.in_message = True
         self.until_eof = False
         if self.running is None:
@@ -305,9 +307,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header field, or a trailer."""
-        if self.running is not None:
-            self.running.size.fields += len(name) + len(value) + FIELD_EXTRA
-            if not self.running.size.content_exceeded:
+        running = self.running
+        if running is not None:
+            size = running.size
+            size.fields += len(name) + len(value) + FIELD_EXTRA
+            if size.fields <= MAX_RESPONSE_HEAD:
                 self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -334,9 +338,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        if self.running is not None:
-            self.running.size.body += len(body)
-            if not self.running.size.content_exceeded:
+        running = self.running
+        if running is not None:
+            size = running.size
+            size.body += len(body)
+            if size.body <= MAX_RESPONSE_BYTES:
                 self.body += body
 
     def on_message_complete(self) -> None:
