Let calls end when a task of the daemon fails

When one task of a daemon failed, callers and peers with calls in flight saw their connections cut at once, although the tasks that carried these calls still ran; and when a task failed during the shutdown, calls that waited for it kept the process from ending, so that it was killed with everything open.

The daemon now shuts down in the usual way after a failure, within 10 s from the failure, logs `task_failed`, and ends with the exception as before.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -64,3 +64,26 @@
     Given the tasks of a daemon
     When the daemon has shut down
     Then no listener of the daemon accepts a connection
+
+  Scenario Outline: calls end with their answers when another task fails <moment>
+    Guards against calls that are cut because one task of their daemon failed.
+    Given the tasks of a daemon
+    When the configuration task fails <moment> while a peer's call runs
+    Then the request is answered with "200" and the connection ends
+    And the failure ends the daemon
+
+    Examples:
+      | moment                   |
+      | before the daemon leaves |
+      | while the daemon leaves  |
+
+  Scenario Outline: a call that never ends does not hold up a daemon whose task fails <moment>
+    Guards against a daemon that hangs in its shutdown because a task that calls wait for has ended.
+    Given the tasks of a daemon
+    When the configuration task fails <moment> and a call waits that never ends
+    Then the failure ends the daemon
+
+    Examples:
+      | moment                   |
+      | before the daemon leaves |
+      | while the daemon leaves  |
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -3,16 +3,19 @@
 import re
 import socket
 from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
 
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Response
-from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName
-from agatecross_core.states import DaemonState
+from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName, ServiceName
+from agatecross_core.members.records import UpstreamInfo
+from agatecross_core.states import DaemonState, UpstreamState
 from agatecross_daemon import fleet_daemon
 from agatecross_daemon.mailbox import Mailbox
 from agatecross_daemon.settings import Settings
+from agatecross_daemon.tasks.upstream_task import UpstreamAnnounced
 from agatecross_daemon.telemetry import Telemetry
 
 LOCAL = Address("127.0.0.1:0")
@@ -26,6 +29,11 @@
     "not read yet": WHOLE,
     "on a connection not accepted": WHOLE,
 }
+PEER_CALL = WHOLE.replace(
+    b"Host: x\r\n",
+    b"Host: x\r\nAgatecross-Call-Id: 1\r\nAgatecross-Service: s\r\n"
+    b"Agatecross-Deadline-Ms: 60000\r\n",
+)
 LARGE = b"x" * 3_000_000
 FOLLOWING = {
     "another request": WHOLE,
@@ -308,3 +316,70 @@
 @then("no listener of the daemon accepts a connection")
 def check_closed(context):
     assert not context.accepting, context.accepting
+
+
+class Failing(Idle):
+    """Fails when it is told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.fails = asyncio.Event()
+
+    async def run(self):
+        await self.fails.wait()
+        raise RuntimeError("task failed")
+
+
+class SlowUpstream:
+    """Stands for the client of the upstream; answers when it is told to."""
+
+    def __init__(self):
+        self.called = asyncio.Event()
+        self.answers = asyncio.Event()
+
+    async def send(self, address, request, timeout):
+        self.called.set()
+        await self.answers.wait()
+        return Response(200, (), b"ok")
+
+
+async def fail_during_call(moment, answers=True):
+    failing, upstream, stop = Failing(), SlowUpstream(), asyncio.Event()
+    daemon = Daemon(config=failing)
+    daemon.tasks.upstream.client = upstream
+    ending = asyncio.ensure_future(fleet_daemon.run_tasks(daemon.tasks, stop))
+    await daemon.listening()
+    info = UpstreamInfo(ServiceName("s"), LOCAL, 4, 4, UpstreamState.READY)
+    daemon.tasks.upstream.mailbox.put(UpstreamAnnounced(info))
+    _, peers, _ = daemon.addresses()
+    with daemon.connect(peers) as sock:
+        await asyncio.get_running_loop().sock_sendall(sock, PEER_CALL)
+        await upstream.called.wait()
+        if moment == "while the daemon leaves":
+            stop.set()
+            await until(lambda: daemon.tasks.admin.state is DaemonState.LEAVING)
+        failing.fails.set()
+        if answers:
+            await until(lambda: daemon.tasks.upstream.leaving or ending.done())
+            upstream.answers.set()
+            received = await read_to_end(sock)
+        else:
+            received = b""
+        await asyncio.wait([ending])
+        return received, ending.exception()
+
+
+@when("the configuration task fails {moment} while a peer's call runs")
+def fail_task(context, moment):
+    context.received, context.failure = run(fail_during_call(moment))
+
+
+@when("the configuration task fails {moment} and a call waits that never ends")
+def fail_with_waiting_call(context, moment):
+    with mock.patch.object(fleet_daemon, "FAILED_DRAIN_SECONDS", 0.1):
+        _, context.failure = run(fail_during_call(moment, answers=False))
+
+
+@then("the failure ends the daemon")
+def check_failure(context):
+    assert isinstance(context.failure, RuntimeError), context.failure
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -28,7 +28,7 @@
 from agatecross_core.routing.model import Position
 from agatecross_core.states import MemberState
 
-from .events import log_event
+from .events import log_event, log_warning
 from .mailbox import Mailbox, Sender
 from .messages import Leaving
 from .process_signals import Action, ProcessSignals
@@ -46,6 +46,8 @@
 
 # Peers stop sending within this time after the leaving state was pushed to them.
 LEAVE_GRACE_SECONDS = 2.0
+# Calls that wait for a task that failed never end; the others have this time.
+FAILED_DRAIN_SECONDS = 10.0
 
 
 class Task(Protocol):
@@ -216,20 +218,29 @@
         return
     telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
     tasks = build_tasks(settings, telemetry)
-    running = [asyncio.ensure_future(task.run()) for task in tasks.all()]
     log_event("daemon_started", daemon=settings.daemon_id, call=settings.call_address)
+    await run_tasks(tasks, stop)
+    telemetry.shut_down()
+    log_event("daemon_stopped", daemon=settings.daemon_id)
+
+
+async def run_tasks(tasks: Tasks, stop: asyncio.Event) -> None:
+    """Run the tasks until `stop` is set or one fails, then shut down; raises what a task raised."""
+    running = [asyncio.ensure_future(task.run()) for task in tasks.all()]
     stopping = asyncio.ensure_future(stop.wait())
-    done, _ = await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
-    if stopping in done:
-        await shut_down(tasks)
-    for task in running:
+    await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
+    draining = asyncio.ensure_future(shut_down(tasks))
+    done, _ = await asyncio.wait([draining, *running], return_when=asyncio.FIRST_COMPLETED)
+    if draining not in done:
+        log_warning("task_failed", reason=",".join(repr(task.exception()) for task in done))
+        await asyncio.wait([draining], timeout=FAILED_DRAIN_SECONDS)
+    ending = [stopping, draining, *running]
+    for task in ending:
         task.cancel()
-    results = await asyncio.gather(*running, return_exceptions=True)
+    results = await asyncio.gather(*ending, return_exceptions=True)
     for result in results:
         if isinstance(result, Exception):
             raise result
-    telemetry.shut_down()
-    log_event("daemon_stopped", daemon=settings.daemon_id)
 
 
 async def shut_down(tasks: Tasks) -> None:
