Read no more from a caller that does not read its answers

What was seen: a caller that sent request after request and read no answer made the daemon hold all answers: 75 MB for 400 requests with answers of 200 kB. A daemon that runs out of memory is killed with every call it has accepted.

Cause: reading stopped only for requests without an answer (pipelining), not for answers that the caller's socket did not take.

Evidence: drain_review.feature, "a caller that sends on and reads no answer", failed before with 74,612,302 bytes held.

The transport's write limit now pauses reading; all answers still arrive when the caller reads on.

--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -35,3 +35,10 @@
       | guards against                                          | call    |
       | a caller without an answer whose call waited elsewhere  | waiting |
       | a caller without an answer whose call ran elsewhere     | running |
+
+  Scenario: a caller that sends on and reads no answer is read no further
+    Given a platform fleet
+    When upstreams answer with 200000 bytes
+    And a caller of d1 sends "GET /safe/1" 400 times and reads nothing
+    Then d1 stopped reading before it held 40000000 bytes for the caller
+    And the caller got every answer when it read on
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from behave import then, when
-from drain_steps import connect
+from drain_steps import connect, connect_narrow
 from platform_steps import until
 
 from agatecross_core.ids import Millis
@@ -140,3 +140,46 @@
 @then("no upstream ran the waiting call")
 def step_waiting_not_run(context):
     assert not sum(upstream.runs["waiting"] for upstream in context.mini.upstreams)
+
+
+@when('a caller of d{number:d} sends "GET {path}" {count:d} times and reads nothing')
+def step_send_unread(context, number, path, count):
+    mini = context.mini
+    listener = mini.sidecars[number].entry.listener
+    # Each read of the daemon holds a few requests only.
+    padding = "x" * 3_000
+
+    async def work():
+        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        for row in range(count):
+            request = head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
+            caller.writer.write(request + padding.encode() + b"\r\n\r\n")
+        await until(lambda: listener.unsent, "answers that wait")
+        (connection,) = listener.connections
+        context.held = 0
+
+        def settled():
+            context.held = max(context.held, listener.unsent)
+            return not connection.exchanges and not connection.transport.is_reading()
+
+        try:
+            await until(lambda: settled() or sum_runs(mini) >= count, "the end of reading")
+        finally:
+            context.answers = [await caller.answer() for _ in range(count)]
+        caller.writer.close()
+
+    mini.run(work())
+
+
+def sum_runs(mini):
+    return sum(sum(upstream.runs.values()) for upstream in mini.upstreams)
+
+
+@then("d{number:d} stopped reading before it held {size:d} bytes for the caller")
+def step_held(context, number, size):
+    assert context.held < size, context.held
+
+
+@then("the caller got every answer when it read on")
+def step_every_answer(context):
+    assert all(row is not None for row in context.answers)
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -25,6 +25,8 @@
 SWEEP_SECONDS = 0.25
 # A caller that pipelines more than this waits for answers before more is read.
 MAX_PIPELINED = 64
+# Nothing more is read from a caller that leaves this many bytes of answers unread.
+MAX_UNSENT = 1_048_576
 BACKLOG = 1024
 # A caller closes its side within a round trip; one that does not is cut off after this time.
 LINGER_TIME = Millis(1_000)
@@ -232,6 +234,7 @@
         self.framing = 0
         self.broken = False
         self.paused = False
+        self.clogged = False
         self.finishing = False
         self.closed_by = ClosedBy.CALLER
 
@@ -239,6 +242,7 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=MAX_UNSENT)
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -246,6 +250,18 @@
         self.listener.connections.discard(self)
         self._drop_exchanges()
 
+    def pause_writing(self) -> None:
+        """Read no more requests while the caller does not read their answers."""
+        self.clogged = True
+        if not self.finishing:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read on."""
+        self.clogged = False
+        if not self.paused:
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parse what was read; what follows a malformed request or the last answer is ignored."""
         if self.broken or self.finishing:
@@ -353,7 +369,8 @@
             self.finish()
         elif self.paused and len(self.exchanges) < MAX_PIPELINED:
             self.paused = False
-            self.transport.resume_reading()
+            if not self.clogged:
+                self.transport.resume_reading()
 
     def reject(self, status: int) -> None:
         """Answer a request that is not passed on, after the earlier ones, and close."""
@@ -387,8 +404,7 @@
         self.closed_by = ClosedBy.DAEMON
         self.since = Millis(time.monotonic() * 1000)
         self._drop_exchanges()
-        if self.paused:
-            self.transport.resume_reading()
+        self.transport.resume_reading()
         end_writing(self.transport)
 
     def has_unread(self) -> bool:
