Close an ended connection whose caller stopped reading

What was seen: a connection that the daemon had ended, with an answer that its caller never read, was kept with that answer until the daemon stopped, and each drain then waited for it until its end.

Cause: the time to linger applied only once everything was sent.

An ended connection is closed when its caller took no byte for the idle time; the time to linger counts from the last byte that the kernel took.

--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -42,3 +42,9 @@
     And a caller of d1 sends "GET /safe/1" 400 times and reads nothing
     Then d1 stopped reading before it held 40000000 bytes for the caller
     And the caller got every answer when it read on
+
+  Scenario: a caller that never reads its last answer is closed in the end
+    Given a platform fleet
+    When upstreams answer with 8000000 bytes
+    And a caller of d1 asks for the end of its connection and reads nothing
+    Then d1 closed the connection after the idle time
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -183,3 +183,27 @@
 @then("the caller got every answer when it read on")
 def step_every_answer(context):
     assert all(row is not None for row in context.answers)
+
+
+@when("a caller of d{number:d} asks for the end of its connection and reads nothing")
+def step_last_unread(context, number):
+    mini = context.mini
+    listener = mini.sidecars[number].entry.listener
+
+    async def work():
+        listener.limits = replace(listener.limits, idle_time=Millis(300))
+        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        request = head("/safe/1", "last", 900).replace(
+            b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
+        )
+        caller.writer.write(request)
+        await until(lambda: listener.unsent, "an answer that waits")
+        await until(lambda: not listener.connections, "the end of the connection")
+        caller.writer.close()
+
+    mini.run(work())
+
+
+@then("d{number:d} closed the connection after the idle time")
+def step_closed(context, number):
+    assert not context.mini.sidecars[number].entry.listener.connections
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -235,6 +235,7 @@
         self.broken = False
         self.paused = False
         self.clogged = False
+        self.unsent = 0
         self.finishing = False
         self.closed_by = ClosedBy.CALLER
 
@@ -424,7 +425,10 @@
         limits = self.listener.limits
         waited = now - self.since
         if self.finishing:
-            if waited > LINGER_TIME and not self.transport.get_write_buffer_size():
+            unsent = self.transport.get_write_buffer_size()
+            if unsent != self.unsent:
+                self.unsent, self.since = unsent, Millis(now)
+            elif waited > (limits.idle_time if unsent else LINGER_TIME):
                 self.transport.abort()
             return
         if self.state is ParseState.IDLE:
