Finish a drain for which no descriptor is free

What callers saw: a daemon that had used up its descriptors broke off its drain and ended with an error; its connections got no orderly end and its open calls no answer.

Cause: the check for unread bytes, which only feeds a log line, and the last accept duplicate a descriptor and let EMFILE through.

Evidence: drain_review.feature, "a daemon without free descriptors", failed before with "Too many open files".

Both now take that as "nothing there". Connections that still wait in the listen queue are then reset, as none could be accepted.

--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -48,3 +48,8 @@
     When upstreams answer with 8000000 bytes
     And a caller of d1 asks for the end of its connection and reads nothing
     Then d1 closed the connection after the idle time
+
+  Scenario: a daemon without free descriptors drains to its end
+    Given a platform fleet
+    When d1 stops without free descriptors while a caller of it is connected
+    Then the caller saw the orderly end of its connection
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -1,7 +1,9 @@
 import asyncio
+import errno
 import socket
 import struct
 from dataclasses import replace
+from unittest.mock import patch
 
 from behave import then, when
 from drain_steps import connect, connect_narrow
@@ -207,3 +209,27 @@
 @then("d{number:d} closed the connection after the idle time")
 def step_closed(context, number):
     assert not context.mini.sidecars[number].entry.listener.connections
+
+
+@when("d{number:d} stops without free descriptors while a caller of it is connected")
+def step_no_descriptors(context, number):
+    mini = context.mini
+    sidecar = mini.sidecars[number]
+
+    async def work():
+        caller = await connect(sidecar.settings.callers)
+        await until(lambda: sidecar.entry.listener.connections, "the connection")
+        with patch("os.dup", side_effect=OSError(errno.EMFILE, "Too many open files")):
+            draining = asyncio.ensure_future(sidecar.drain())
+            reading = asyncio.ensure_future(caller.reader.read(1))
+            await asyncio.wait((draining, reading), return_when=asyncio.FIRST_COMPLETED)
+            caller.writer.close()
+            await draining
+            context.end = await reading
+
+    mini.run(work())
+
+
+@then("the caller saw the orderly end of its connection")
+def step_caller_end(context):
+    assert context.end == b"", context.end
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -151,8 +151,7 @@
         await asyncio.sleep(0)
         accepted: list[socket.socket] = []
         for listening in self.server.sockets:
-            with socket.socket(fileno=os.dup(listening.fileno())) as queue:
-                accepted += _accept_all(queue)
+            accepted += _accept_all(listening.fileno())
         self.server.close()
         for sock in accepted:
             await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
@@ -414,11 +413,12 @@
         if sock is None or self.transport.is_closing():
             return False
         # asyncio hides `recv` of its sockets; the duplicate shares the connection.
-        with socket.socket(fileno=os.dup(sock.fileno())) as peek:
-            try:
+        try:
+            with socket.socket(fileno=os.dup(sock.fileno())) as peek:
                 return bool(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-            except OSError:
-                return False
+        except OSError:
+            # Nothing waits, the caller has reset the connection, or no descriptor is free.
+            return False
 
     def check_times(self, now: float) -> None:
         """Close a connection that is idle, or whose request takes too long to arrive."""
@@ -449,16 +449,17 @@
             self.reject(431)
 
 
-def _accept_all(queue: socket.socket) -> Iterator[socket.socket]:
-    """Yield the connections that wait at a listening socket."""
-    while True:
-        try:
-            sock, _ = queue.accept()
-        except OSError:
-            # Nothing waits, or the connection that did is gone already.
-            return
-        sock.setblocking(False)
-        yield sock
+def _accept_all(listening: int) -> Iterator[socket.socket]:
+    """Yield the connections that wait at a listening socket, given by its descriptor."""
+    try:
+        with socket.socket(fileno=os.dup(listening)) as queue:
+            while True:
+                sock, _ = queue.accept()
+                sock.setblocking(False)
+                yield sock
+    except OSError:
+        # Nothing waits, the connection that did is gone already, or no descriptor is free.
+        return
 
 
 def _absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
