--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -35,3 +35,21 @@
       | guards against                                          | call    |
       | a caller without an answer whose call waited elsewhere  | waiting |
       | a caller without an answer whose call ran elsewhere     | running |
+
+  Scenario: a caller that sends on and reads no answer is read no further
+    Given a platform fleet
+    When upstreams answer with 200000 bytes
+    And a caller of d1 sends "GET /safe/1" 400 times and reads nothing
+    Then d1 stopped reading before it held 40000000 bytes for the caller
+    And the caller got every answer when it read on
+
+  Scenario: a caller that never reads its last answer is closed in the end
+    Given a platform fleet
+    When upstreams answer with 8000000 bytes
+    And a caller of d1 asks for the end of its connection and reads nothing
+    Then d1 closed the connection after the idle time
+
+  Scenario: a daemon without free descriptors drains to its end
+    Given a platform fleet
+    When d1 stops without free descriptors while a caller of it is connected
+    Then the caller saw the orderly end of its connection
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -1,10 +1,12 @@
 import asyncio
+import errno
 import socket
 import struct
 from dataclasses import replace
+from unittest.mock import patch
 
 from behave import then, when
-from drain_steps import connect
+from drain_steps import connect, connect_narrow
 from platform_steps import until
 
 from agatecross_core.ids import Millis
@@ -140,3 +142,94 @@
 @then("no upstream ran the waiting call")
 def step_waiting_not_run(context):
     assert not sum(upstream.runs["waiting"] for upstream in context.mini.upstreams)
+
+
+@when('a caller of d{number:d} sends "GET {path}" {count:d} times and reads nothing')
+def step_send_unread(context, number, path, count):
+    mini = context.mini
+    listener = mini.sidecars[number].entry.listener
+    # Each read of the daemon holds a few requests only.
+    padding = "x" * 3_000
+
+    async def work():
+        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        for row in range(count):
+            request = head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
+            caller.writer.write(request + padding.encode() + b"\r\n\r\n")
+        await until(lambda: listener.unsent, "answers that wait")
+        (connection,) = listener.connections
+        context.held = 0
+
+        def settled():
+            context.held = max(context.held, listener.unsent)
+            return not connection.exchanges and not connection.transport.is_reading()
+
+        try:
+            await until(lambda: settled() or sum_runs(mini) >= count, "the end of reading")
+        finally:
+            context.answers = [await caller.answer() for _ in range(count)]
+        caller.writer.close()
+
+    mini.run(work())
+
+
+def sum_runs(mini):
+    return sum(sum(upstream.runs.values()) for upstream in mini.upstreams)
+
+
+@then("d{number:d} stopped reading before it held {size:d} bytes for the caller")
+def step_held(context, number, size):
+    assert context.held < size, context.held
+
+
+@then("the caller got every answer when it read on")
+def step_every_answer(context):
+    assert all(row is not None for row in context.answers)
+
+
+@when("a caller of d{number:d} asks for the end of its connection and reads nothing")
+def step_last_unread(context, number):
+    mini = context.mini
+    listener = mini.sidecars[number].entry.listener
+
+    async def work():
+        listener.limits = replace(listener.limits, idle_time=Millis(300))
+        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        request = head("/safe/1", "last", 900).replace(
+            b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
+        )
+        caller.writer.write(request)
+        await until(lambda: listener.unsent, "an answer that waits")
+        await until(lambda: not listener.connections, "the end of the connection")
+        caller.writer.close()
+
+    mini.run(work())
+
+
+@then("d{number:d} closed the connection after the idle time")
+def step_closed(context, number):
+    assert not context.mini.sidecars[number].entry.listener.connections
+
+
+@when("d{number:d} stops without free descriptors while a caller of it is connected")
+def step_no_descriptors(context, number):
+    mini = context.mini
+    sidecar = mini.sidecars[number]
+
+    async def work():
+        caller = await connect(sidecar.settings.callers)
+        await until(lambda: sidecar.entry.listener.connections, "the connection")
+        with patch("os.dup", side_effect=OSError(errno.EMFILE, "Too many open files")):
+            draining = asyncio.ensure_future(sidecar.drain())
+            reading = asyncio.ensure_future(caller.reader.read(1))
+            await asyncio.wait((draining, reading), return_when=asyncio.FIRST_COMPLETED)
+            caller.writer.close()
+            await draining
+            context.end = await reading
+
+    mini.run(work())
+
+
+@then("the caller saw the orderly end of its connection")
+def step_caller_end(context):
+    assert context.end == b"", context.end
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -25,6 +25,8 @@
 SWEEP_SECONDS = 0.25
 # A caller that pipelines more than this waits for answers before more is read.
 MAX_PIPELINED = 64
+# Nothing more is read from a caller that leaves this many bytes of answers unread.
+MAX_UNSENT = 1_048_576
 BACKLOG = 1024
 # A caller closes its side within a round trip; one that does not is cut off after this time.
 LINGER_TIME = Millis(1_000)
@@ -149,8 +151,7 @@
         await asyncio.sleep(0)
         accepted: list[socket.socket] = []
         for listening in self.server.sockets:
-            with socket.socket(fileno=os.dup(listening.fileno())) as queue:
-                accepted += _accept_all(queue)
+            accepted += _accept_all(listening.fileno())
         self.server.close()
         for sock in accepted:
             await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
@@ -232,6 +233,8 @@
         self.framing = 0
         self.broken = False
         self.paused = False
+        self.clogged = False
+        self.unsent = 0
         self.finishing = False
         self.closed_by = ClosedBy.CALLER
 
@@ -239,6 +242,7 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=MAX_UNSENT)
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -246,6 +250,18 @@
         self.listener.connections.discard(self)
         self._drop_exchanges()
 
+    def pause_writing(self) -> None:
+        """Read no more requests while the caller does not read their answers."""
+        self.clogged = True
+        if not self.finishing:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read on."""
+        self.clogged = False
+        if not self.paused:
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parse what was read; what follows a malformed request or the last answer is ignored."""
         if self.broken or self.finishing:
@@ -353,7 +369,8 @@
             self.finish()
         elif self.paused and len(self.exchanges) < MAX_PIPELINED:
             self.paused = False
-            self.transport.resume_reading()
+            if not self.clogged:
+                self.transport.resume_reading()
 
     def reject(self, status: int) -> None:
         """Answer a request that is not passed on, after the earlier ones, and close."""
@@ -387,8 +404,7 @@
         self.closed_by = ClosedBy.DAEMON
         self.since = Millis(time.monotonic() * 1000)
         self._drop_exchanges()
-        if self.paused:
-            self.transport.resume_reading()
+        self.transport.resume_reading()
         end_writing(self.transport)
 
     def has_unread(self) -> bool:
@@ -397,18 +413,22 @@
         if sock is None or self.transport.is_closing():
             return False
         # asyncio hides `recv` of its sockets; the duplicate shares the connection.
-        with socket.socket(fileno=os.dup(sock.fileno())) as peek:
-            try:
+        try:
+            with socket.socket(fileno=os.dup(sock.fileno())) as peek:
                 return bool(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-            except OSError:
-                return False
+        except OSError:
+            # Nothing waits, the caller has reset the connection, or no descriptor is free.
+            return False
 
     def check_times(self, now: float) -> None:
         """Close a connection that is idle, or whose request takes too long to arrive."""
         limits = self.listener.limits
         waited = now - self.since
         if self.finishing:
-            if waited > LINGER_TIME and not self.transport.get_write_buffer_size():
+            unsent = self.transport.get_write_buffer_size()
+            if unsent != self.unsent:
+                self.unsent, self.since = unsent, Millis(now)
+            elif waited > (limits.idle_time if unsent else LINGER_TIME):
                 self.transport.abort()
             return
         if self.state is ParseState.IDLE:
@@ -429,16 +449,17 @@
             self.reject(431)
 
 
-def _accept_all(queue: socket.socket) -> Iterator[socket.socket]:
-    """Yield the connections that wait at a listening socket."""
-    while True:
-        try:
-            sock, _ = queue.accept()
-        except OSError:
-            # Nothing waits, or the connection that did is gone already.
-            return
-        sock.setblocking(False)
-        yield sock
+def _accept_all(listening: int) -> Iterator[socket.socket]:
+    """Yield the connections that wait at a listening socket, given by its descriptor."""
+    try:
+        with socket.socket(fileno=os.dup(listening)) as queue:
+            while True:
+                sock, _ = queue.accept()
+                sock.setblocking(False)
+                yield sock
+    except OSError:
+        # Nothing waits, the connection that did is gone already, or no descriptor is free.
+        return
 
 
 def _absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
