Serve request lines in absolute form through the product's own listener

What callers saw: GET http://host/path was answered 404 although its path has a route.

Cause: the listener took the whole target for the path.

Evidence: http.feature, "a request line in absolute form", stood in KNOWN-RED.txt and passes.

--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -37,7 +37,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from .call_headers import OUTCOME, REASON
-from .http_fields import HOP_FIELDS, end_to_end
+from .http_fields import HOP_FIELDS, end_to_end, origin_form
 from .protocols import RequestHandler
 
 HANDLER_FAILED = Response(
@@ -402,8 +402,8 @@
         """Pass the whole request on."""
         self.listener.collecting.discard(self)
         assert self.start is not None
-        fields, body = end_to_end(self.headers), b"".join(self.chunks)
-        request = Request(self.start.method, self.start.path, fields, body)
+        path, fields = origin_form(self.start.path, end_to_end(self.headers))
+        request = Request(self.start.method, path, fields, b"".join(self.chunks))
         self.listener.received(self.connection, request)
 
     def on_connection_close(self) -> None:
