Stop one daemon under load and without other faults in each soak run

The soak did not find LOST: its callers chose a daemon at random and paused, so drains ran empty, and nearly every stop was excused by another fault. Six callers now stay with one daemon and ask without a pause, and after the faults that daemon is stopped while nothing else happens.

--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -17,7 +17,7 @@
     Reason.DEADLINE.value: "it waited for a slot until its time was up",
     Reason.TIMEOUT.value: "the upstream did not answer within the route's or the caller's time",
     Reason.CANCELLED.value: "the caller closed its connection",
-    Reason.CUT.value: "the daemon closed the connection of the caller at the end of its drain",
+    Reason.CUT.value: "it was still open when the daemon of its caller ended, and may have run",
     Reason.CONNECTION_LOST.value: "the upstream or its daemon was lost while it ran",
     Reason.BAD_ANSWER.value: "the upstream's answer was cut off or spoilt",
     Reason.ANSWER_TOO_LARGE.value: "the upstream's answer did not end within the limits",
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -319,7 +319,8 @@
     if stopping not in done:
         errors = [repr(task.exception()) for task in running if task in done]
         sidecar.log.change("task_failed", error=",".join(errors))
-    # The calls that are open need no task that failed: mailboxes run their owners' handlers.
+    # Mailboxes run their owners' handlers, so open calls end as long as the task that failed owns
+    # none of their connections.
     sidecar.log.change("daemon_leaving", pending=sidecar.entry.listener.pending)
     await sidecar.drain()
     for task in running:
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -22,11 +22,20 @@
 class Caller:
     """Sends requests one after the other on its own connection."""
 
-    def __init__(self, name: str, nodes: list[Node], history: History, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        nodes: list[Node],
+        history: History,
+        rng: random.Random,
+        gap: float = GAP_SECONDS,
+    ) -> None:
+        """Ask the daemons of `nodes`, on average `gap` seconds after each answer."""
         self.name = name
         self.nodes = nodes
         self.history = history
         self.rng = rng
+        self.gap = gap
         self.numbers = itertools.count()
         self.node = nodes[0]
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -34,7 +43,7 @@
     async def run(self) -> None:
         """Send until cancelled."""
         while True:
-            await asyncio.sleep(self.rng.expovariate(1 / GAP_SECONDS))
+            await asyncio.sleep(self.rng.expovariate(1 / self.gap))
             method, prefix, once = self.rng.choice(PATHS)
             row = await self.ask(method, prefix, once)
             if row is not None:
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -40,6 +40,11 @@
             running.append(asyncio.ensure_future(self._carry_out(fault)))
         await asyncio.gather(*running)
 
+    async def stop_undisturbed(self, node: Node) -> None:
+        """Stop a daemon while nothing else happens, so that no fault excuses a cut."""
+        await asyncio.sleep(AFTER_SECONDS)
+        await self._stop(node)
+
     async def _carry_out(self, fault: Fault) -> None:
         node = self.fleet.nodes[fault.node]
         begun = time.monotonic()
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -20,6 +20,9 @@
 from .schedule import schedule
 
 CALLERS = 12
+# Callers that stay with one daemon and ask without a pause, so that its drains never run empty.
+BUSY_CALLERS = 6
+BUSY_GAP_SECONDS = 0.005
 # Six interpreters start on whatever the machine has left; this is no promise of the product.
 START_SECONDS = 120.0
 SETTLED_CALLS = 5
@@ -50,9 +53,16 @@
             Caller(f"c{n}", fleet.nodes, history, random.Random(rng.random()))
             for n in range(CALLERS)
         ]
+        busy = [rng.choice(fleet.nodes)]
+        callers += [
+            Caller(f"b{n}", busy, history, random.Random(rng.random()), BUSY_GAP_SECONDS)
+            for n in range(BUSY_CALLERS)
+        ]
         work = [asyncio.ensure_future(caller.run()) for caller in callers]
         work.append(asyncio.ensure_future(_watch_versions(fleet, history)))
-        await Injector(fleet, history).run(faults)
+        injector = Injector(fleet, history)
+        await injector.run(faults)
+        await injector.stop_undisturbed(busy[0])
         for task in work:
             task.cancel()
         await asyncio.gather(*work, return_exceptions=True)
