Wait for the first request of a new connection when a listener closes

A caller that had just connected saw its request end with a broken pipe: the close took a connection without bytes for one between requests, and closed it under the request that was about to come.

The new row failed before the fix, with no byte received. A connection that has carried no request yet now has the same second as a request that is being read.

--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -30,6 +30,7 @@
       | sent half of its body        |
       | not read yet                 |
       | on a connection not accepted |
+      | not sent on a new connection |
 
   Scenario Outline: a request that stays <state> after its listener closed is refused as not run
     Given a listener that is about to close
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -28,6 +28,7 @@
     "sent half of its body": HEAD + b"ab",
     "not read yet": WHOLE,
     "on a connection not accepted": WHOLE,
+    "not sent on a new connection": b"",
 }
 PEER_CALL = WHOLE.replace(
     b"Host: x\r\n",
@@ -116,9 +117,11 @@
     async with Closing() as closing:
         sock = closing.connect()
         with sock:
-            if state != "on a connection not accepted":
+            if "connection" not in state:
                 await closing.use_once(sock)
             sock.send(FIRST_PARTS[state])
+            if state == "not sent on a new connection":
+                await until(lambda: closing.listener.collecting)
             if state == "sent half of its body":
                 await until(lambda: any(row.chunks for row in closing.listener.collecting))
             ending = asyncio.ensure_future(closing.listener.close())
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -103,6 +103,8 @@
     ending = False
     # Set when the connection closes between requests.
     idle = False
+    # Set once a request came; who has just connected is about to send one.
+    used = False
 
     def __init__(
         self,
@@ -212,7 +214,7 @@
         self._shorten_reads()
         while self.streams:
             self.changed.clear()
-            for collector in [row for row in self.collecting if not row.begun()]:
+            for collector in [row for row in self.collecting if not row.expected()]:
                 collector.close_idle()
             if self.streams:
                 await self.changed.wait()
@@ -286,6 +288,7 @@
             # The close that follows the last answer would cut a further request.
             connection.close()
             return
+        stream_of(connection).used = True
         task = asyncio.ensure_future(self._answer(connection, request))
         self.running.add(task)
         task.add_done_callback(lambda ended: self._answered(connection, ended))
@@ -371,6 +374,10 @@
         """Return whether a part of the request arrived."""
         return self.start is not None or stream_of(self.connection).unread()
 
+    def expected(self) -> bool:
+        """Return whether a request arrives, or the first one of the connection still has to."""
+        return self.begun() or not stream_of(self.connection).used
+
     def close_idle(self) -> None:
         """Close a connection without a request."""
         stream_of(self.connection).idle = True
