End the control answerers of a daemon that stops

A daemon that leaves is asked much at that moment.

An answerer now ends by itself once the transport closes.

--- /dev/null
+++ b/features/steps/control_steps.py
@@ -0,0 +1,75 @@
+import asyncio
+
+from behave import given, then, when
+
+from agatecross_adapters.control_nng import NngTransport
+from agatecross_core.distribution.sync import VersionNotice
+from agatecross_core.errors import PeerError
+from agatecross_core.ids import Address, Digest, Millis, Version
+from agatecross_core.members.records import Member
+from agatecross_core.states import MemberState
+
+STEP_SECONDS = 30.0
+ASKED_SECONDS = 0.2
+MEMBER = Member("d1", 1, MemberState.ALIVE, "r", "a", *(f"127.0.0.1:{n}" for n in (1, 2, 3, 4)))
+NOTICE = VersionNotice(MEMBER, Version(1), Digest("x"))
+
+
+async def echo(message):
+    return message
+
+
+async def no_answer(message):
+    await asyncio.Event().wait()
+
+
+class Asking:
+    """Repeats requests to a listener until it stops to answer."""
+
+    def __init__(self, address):
+        self.address = address
+        self.transport = NngTransport()
+        self.answers = []
+
+    async def ask(self):
+        try:
+            while True:
+                answer = await self.transport.request(self.address, NOTICE, Millis(2_000))
+                self.answers.append(answer)
+        except PeerError:
+            return
+
+
+async def close_while_asked(handler, count):
+    listener = NngTransport()
+    address = await listener.listen(Address("127.0.0.1:0"), handler)
+    asking = Asking(address)
+    tasks = [asyncio.ensure_future(asking.ask()) for _ in range(count)]
+    await asyncio.sleep(ASKED_SECONDS)
+    closing = asyncio.ensure_future(listener.close())
+    await asyncio.wait([closing], timeout=STEP_SECONDS)
+    closed = closing.done()
+    left = [task for task in listener.answerers if not task.done()]
+    while left:
+        for task in left:
+            task.cancel()
+        _, left = await asyncio.wait(left, timeout=0.1)
+    await asyncio.gather(*tasks, closing)
+    await asking.transport.close()
+    return closed, asking.answers
+
+
+@given("a control listener whose handler {handler}")
+def control_listener(context, handler):
+    context.handler = {"answers": echo, "does not answer": no_answer}[handler]
+
+
+@when('{count:d} requests at once are repeated while "{peers}" and it closes')
+def close_listener(context, count, peers):
+    context.closed, context.answers = asyncio.run(close_while_asked(context.handler, count))
+
+
+@then("it has closed and every answer was whole")
+def check_closed(context):
+    assert context.closed, "the listener waits for an answerer that went on"
+    assert all(answer == NOTICE for answer in context.answers), context.answers[:3]
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -71,6 +71,7 @@
         limit_threads()
         self.listener: pynng.Rep0 | None = None
         self.answerers: list[asyncio.Task[None]] = []
+        self.closing = False
         self.contexts: list[pynng.Context] = []
         self.peers: OrderedDict[Address, Peer] = OrderedDict()
         self.slots = asyncio.Semaphore(MAX_OPEN_PEERS)
@@ -87,7 +88,8 @@
         return Address(str(bound.local_address))
 
     async def _answer(self, context: pynng.Context, handler: ControlHandler) -> None:
-        while True:
+        # pynng loses a cancellation that comes as a message does, and the answerer goes on.
+        while not self.closing:
             try:
                 await self._answer_one(context, handler)
             except pynng.Closed:
@@ -99,6 +101,9 @@
     async def _answer_one(self, context: pynng.Context, handler: ControlHandler) -> None:
         data = await context.arecv()
         self.traffic.received_bytes += len(data)
+        if self.closing:
+            # What would answer may have ended; the peer sees a timeout.
+            return
         async with asyncio.timeout(ANSWER_TIMEOUT / 1000):
             reply = encode_control(await handler(decode_control(data)))
         await context.asend(reply)
@@ -168,6 +173,7 @@
 
     async def close(self) -> None:
         """Close the listener and every connection."""
+        self.closing = True
         for task in self.answerers:
             task.cancel()
         await asyncio.gather(*self.answerers, return_exceptions=True)
