Split the callers' listener, the upstream's connections and the server's streams from their files

No change of behaviour: caller_http keeps the connection of a caller, caller_listener has the listener; upstream_connection is apart from the pool; server_stream has the streams of http_server; http1_bytes has the forms of requests and responses that both sides use.

--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -7,7 +7,7 @@
 from platform_steps import begin, until
 
 from agatecross_adapters.http_client import ClientStream, TornadoHttpClient
-from agatecross_adapters.upstream_http import UpstreamConnection
+from agatecross_adapters.upstream_connection import UpstreamConnection
 from agatecross_core.calls.model import Request
 from agatecross_core.errors import ConnectionLostError, ExchangeError, StoreError
 from agatecross_core.ids import Millis
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -1,56 +1,31 @@
-"""HTTP/1.1 server for callers: pipelined requests are served at once and answered in order.
-
-`tornado` reads the next request of a connection only after it answered the last one, so this
-listener runs httptools' parser on the event loop that tornado uses.
-"""
+"""One connection of a caller: pipelined requests are served at once and answered in order."""
 
 import asyncio
 import os
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
+from typing import Protocol
 
 import httptools
 
-from agatecross_core.ids import ZERO_MS, Address, Millis
+from agatecross_core.ids import ZERO_MS, Millis
 from agatecross_core.relay.model import RelayRequest, RelayResponse
 from agatecross_core.routing.host_table import CallerLimits
 
 from .half_close import end_writing
+from .http1_bytes import absolute_form, encode_response, end_to_end_rows
 
-SWEEP_SECONDS = 0.25
 # A caller that pipelines more than this waits for answers before more is read.
 MAX_PIPELINED = 64
 # Nothing more is read from a caller that leaves this many bytes of answers unread.
 MAX_UNSENT = 1_048_576
-BACKLOG = 1024
 # A caller closes its side within a round trip; one that does not is cut off after this time.
 LINGER_TIME = Millis(1_000)
-FINISH_POLL_SECONDS = 0.01
-BODILESS = frozenset((204, 304))
-CONNECTION_FIELDS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
-STATUS_LINES: dict[int, bytes] = {
-    int(code): b"HTTP/1.1 %d %s\r\n" % (code, HTTPStatus(code).phrase.encode())
-    for code in HTTPStatus
-}
-# Before a configuration is in force.
-DEFAULT_LIMITS = CallerLimits(16_384, 1_048_576, Millis(5_000), Millis(15_000))
 
 
 class ClosedBy(Enum):
@@ -68,21 +43,6 @@
     BODY = "body"
 
 
-@dataclass(frozen=True, slots=True)
-class Unfinished:
-    """What the callers' connections still hold.
-
-    `waiting` counts requests without an answer, `reading` requests that are not whole, `unread`
-    connections with bytes that were not read; `unsent` is bytes of answers not yet given to the
-    kernel.
-    """
-
-    waiting: int
-    reading: int
-    unread: int
-    unsent: int
-
-
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a caller and its place in the order of answers.
@@ -111,106 +71,13 @@
 ExchangeHandler = Callable[[Exchange], None]
 
 
-class CallerListener:
-    """Accepts callers' connections on one address."""
-
-    def __init__(self, handler: ExchangeHandler) -> None:
-        """Pass each whole request to `handler`."""
-        self.handler = handler
-        self.limits = DEFAULT_LIMITS
-        self.connections: set[CallerConnection] = set()
-        self.server: asyncio.Server | None = None
-        self.sweeper: asyncio.TimerHandle | None = None
-        self.closing = False
-
-    async def listen(self, address: Address) -> Address:
-        """Start to serve and return the bound address; port 0 lets the kernel choose."""
-        loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
-        self.server = await loop.create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=BACKLOG
-        )
-        self._sweep()
-        return Address(f"{host}:{self.server.sockets[0].getsockname()[1]}")
-
-    def close_after_answers(self) -> None:
-        """End each connection with its next answer that no request waits behind."""
-        self.closing = True
-
-    async def stop_accepting(self) -> None:
-        """Accept the connections that the kernel holds, and listen no more.
-
-        `asyncio.Server.close` loses connections that it accepted in the same turn of the loop, and
-        the kernel resets those that nobody accepted.
-        """
-        if self.server is None:
-            return
-        loop = asyncio.get_running_loop()
-        for listening in self.server.sockets:
-            loop.remove_reader(listening.fileno())
-        await asyncio.sleep(0)
-        accepted: list[socket.socket] = []
-        for listening in self.server.sockets:
-            accepted += _accept_all(listening.fileno())
-        self.server.close()
-        for sock in accepted:
-            await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
-
-    async def finish(self, limit: Millis) -> None:
-        """End every connection so that its caller gets all answers; wait `limit` at most.
-
-        Whoever handles a request that still waits is told first, and may answer it.
-        """
-        self.closing = True
-        for connection in list(self.connections):
-            connection.give_up()
-            connection.finish()
-        last = time.monotonic() + limit / 1000
-        while self.connections and time.monotonic() < last:
-            await asyncio.sleep(FINISH_POLL_SECONDS)
-        self.close()
-
-    def close(self) -> None:
-        """Stop accepting and close every connection."""
-        if self.server is not None:
-            self.server.close()
-        if self.sweeper is not None:
-            self.sweeper.cancel()
-        for connection in list(self.connections):
-            connection.closed_by = ClosedBy.DAEMON
-            connection.transport.close()
-
-    @property
-    def pending(self) -> int:
-        """Return the number of requests that wait for an answer."""
-        return sum(len(row.exchanges) for row in self.connections)
-
-    @property
-    def latest_deadline(self) -> Millis:
-        """Return when the last request that waits for an answer is over."""
-        deadlines = (exchange.deadline for row in self.connections for exchange in row.exchanges)
-        return max(deadlines, default=ZERO_MS)
-
-    @property
-    def unsent(self) -> int:
-        """Return the bytes of answers not yet given to the kernel."""
-        return sum(row.transport.get_write_buffer_size() for row in self.connections)
-
-    def unfinished(self) -> Unfinished:
-        """Return what a close would cut or drop now."""
-        rows = self.connections
-        return Unfinished(
-            self.pending,
-            sum(row.state is not ParseState.IDLE for row in rows),
-            sum(row.has_unread() for row in rows),
-            self.unsent,
-        )
+class ConnectionOwner(Protocol):
+    """What a connection asks of the listener that accepted it."""
 
-    def _sweep(self) -> None:
-        now = time.monotonic() * 1000
-        for connection in list(self.connections):
-            connection.check_times(now)
-        self.sweeper = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
+    handler: ExchangeHandler
+    limits: CallerLimits
+    connections: "set[CallerConnection]"
+    closing: bool
 
 
 class CallerConnection(asyncio.Protocol):
@@ -218,7 +85,7 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, listener: CallerListener) -> None:
+    def __init__(self, listener: ConnectionOwner) -> None:
         self.listener = listener
         self.parser = httptools.HttpRequestParser(self)
         self.exchanges: deque[Exchange] = deque()
@@ -323,7 +190,7 @@
         hosts = [value for name, value in self.headers if name == b"host"]
         target = self.target
         if not target.startswith(b"/"):
-            hosts, target = _absolute_form(target, hosts)
+            hosts, target = absolute_form(target, hosts)
         if len(hosts) != 1 or not target.startswith(b"/"):
             self.reject(400)
             return
@@ -331,7 +198,10 @@
             self,
             self.begun,
             RelayRequest(
-                self.parser.get_method(), target, _end_to_end(self.headers), b"".join(self.chunks)
+                self.parser.get_method(),
+                target,
+                end_to_end_rows(self.headers),
+                b"".join(self.chunks),
             ),
             hosts[0].decode("latin-1"),
             self.parser.should_keep_alive(),
@@ -360,7 +230,7 @@
             assert exchange.response is not None
             last = not self.exchanges and self.state is ParseState.IDLE
             close = not exchange.keep_alive or (self.listener.closing and last)
-            out += _encode(exchange.request.method, exchange.response, close)
+            out += encode_response(exchange.request.method, exchange.response, close)
         if out:
             self.transport.write(b"".join(out))
             if self.state is ParseState.IDLE:
@@ -447,49 +317,3 @@
         self.size += size
         if self.size > self.listener.limits.head_bytes and not self.broken:
             self.reject(431)
-
-
-def _accept_all(listening: int) -> Iterator[socket.socket]:
-    """Yield the connections that wait at a listening socket, given by its descriptor."""
-    try:
-        with socket.socket(fileno=os.dup(listening)) as queue:
-            while True:
-                sock, _ = queue.accept()
-                sock.setblocking(False)
-                yield sock
-    except OSError:
-        # Nothing waits, the connection that did is gone already, or no descriptor is free.
-        return
-
-
-def _absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
-    """Split `http://host/path`; the host of the target replaces the header's."""
-    scheme, mark, rest = target.partition(b"://")
-    if not mark or scheme.lower() not in (b"http", b"https"):
-        return hosts, target
-    host, slash, path = rest.partition(b"/")
-    return [host], slash + path if slash else b"/"
-
-
-def _end_to_end(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
-    rows = [row for row in headers if row[0] not in CONNECTION_FIELDS]
-    if len(rows) == len(headers):
-        return tuple(rows)
-    named = b",".join(value for name, value in headers if name == b"connection").lower()
-    if named in (b"", b"close", b"keep-alive"):
-        return tuple(rows)
-    extra = {name.strip() for name in named.split(b",")}
-    return tuple(row for row in rows if row[0] not in extra)
-
-
-def _encode(method: bytes, response: RelayResponse, close: bool) -> list[bytes]:
-    line = STATUS_LINES.get(response.status) or b"HTTP/1.1 %d Unknown\r\n" % response.status
-    out = [line]
-    for name, value in response.headers:
-        out += (name, b": ", value, b"\r\n")
-    if response.status not in BODILESS:
-        out.append(b"content-length: %d\r\n" % len(response.body))
-    out.append(b"connection: close\r\n\r\n" if close else b"\r\n")
-    if method != b"HEAD" and response.status not in BODILESS:
-        out.append(response.body)
-    return out
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
@@ -0,0 +1,77 @@
+"""Requests and responses of HTTP/1.1 as bytes."""
+
+from http import HTTPStatus
+
+from agatecross_core.ids import Millis
+from agatecross_core.relay.model import Handover, RelayResponse
+
+from .header_names import HeaderNames
+
+WITH_LENGTH = frozenset((b"POST", b"PUT", b"PATCH"))
+BODILESS = frozenset((204, 304))
+CONNECTION_FIELDS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+STATUS_LINES: dict[int, bytes] = {
+    int(code): b"HTTP/1.1 %d %s\r\n" % (code, HTTPStatus(code).phrase.encode())
+    for code in HTTPStatus
+}
+
+
+def absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
+    """Split `http://host/path`; the host of the target replaces the header's."""
+    scheme, mark, rest = target.partition(b"://")
+    if not mark or scheme.lower() not in (b"http", b"https"):
+        return hosts, target
+    host, slash, path = rest.partition(b"/")
+    return [host], slash + path if slash else b"/"
+
+
+def end_to_end_rows(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the fields that are not about one connection."""
+    rows = [row for row in headers if row[0] not in CONNECTION_FIELDS]
+    if len(rows) == len(headers):
+        return tuple(rows)
+    named = b",".join(value for name, value in headers if name == b"connection").lower()
+    if named in (b"", b"close", b"keep-alive"):
+        return tuple(rows)
+    extra = {name.strip() for name in named.split(b",")}
+    return tuple(row for row in rows if row[0] not in extra)
+
+
+def encode_response(method: bytes, response: RelayResponse, close: bool) -> list[bytes]:
+    """Return the parts of a response; `close` tells that the connection ends with it."""
+    line = STATUS_LINES.get(response.status) or b"HTTP/1.1 %d Unknown\r\n" % response.status
+    out = [line]
+    for name, value in response.headers:
+        out += (name, b": ", value, b"\r\n")
+    if response.status not in BODILESS:
+        out.append(b"content-length: %d\r\n" % len(response.body))
+    out.append(b"connection: close\r\n\r\n" if close else b"\r\n")
+    if method != b"HEAD" and response.status not in BODILESS:
+        out.append(response.body)
+    return out
+
+
+def encode_request(handover: Handover, left: Millis, names: HeaderNames) -> bytes:
+    """Return the request as it goes to the upstream, with the time left and the instance."""
+    request = handover.request
+    out = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
+    for name, value in request.headers:
+        out += (name, b": ", value, b"\r\n")
+    out.append(b"%s: %d\r\n" % (names.time_left, max(1, int(left))))
+    out.append(b"%s: %s\r\n" % (names.expected_instance, handover.instance.encode("latin-1")))
+    if request.body or request.method in WITH_LENGTH:
+        out.append(b"content-length: %d\r\n" % len(request.body))
+    out += (b"\r\n", request.body)
+    return b"".join(out)
--- /dev/null
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -0,0 +1,118 @@
+"""Connections of requesters on tornado's streams, closed so that the last answer arrives."""
+
+import asyncio
+import fcntl
+import socket
+import termios
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+
+from agatecross_core.ids import Millis
+
+DISCARD_BYTES = 65_536
+
+
+class LingeringClose:
+    """Closes sockets so that the last answer arrives.
+
+    A socket that closes with unread bytes, or gets some afterwards, sends a reset, and its peer may
+    lose what it has not read yet. So only the sending side closes at first, and the rest once the
+    peer has closed or `timeout` passed.
+    """
+
+    def __init__(self, timeout: Millis) -> None:
+        self.timeout = timeout
+        self.open: set[asyncio.Task[None]] = set()
+
+    def close(self, sock: socket.socket) -> None:
+        """Close the sending side, and the socket when its peer has closed."""
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The peer reset the connection, or its own end came first.
+            sock.close()
+            return
+        task = asyncio.ensure_future(self._discard(sock))
+        self.open.add(task)
+        task.add_done_callback(self.open.discard)
+
+    async def closed(self) -> None:
+        """Return when every socket is closed."""
+        while self.open:
+            await asyncio.wait(self.open)
+
+    async def _discard(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with sock:
+            try:
+                async with asyncio.timeout(self.timeout / 1000):
+                    while await loop.sock_recv(sock, DISCARD_BYTES):
+                        pass
+            except (OSError, TimeoutError):
+                # The peer reset the connection or keeps it open; neither waits for this answer.
+                return
+
+
+class ServerStream(IOStream):
+    """Connection of a requester."""
+
+    # Set once an answer told the requester that the connection ends.
+    ending = False
+    # Set when the connection closes between requests.
+    idle = False
+    # Set once a request came; who has just connected is about to send one.
+    used = False
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        close_socket: Callable[[socket.socket], None],
+        closed: Callable[["ServerStream"], None],
+    ) -> None:
+        super().__init__(sock)
+        self.close_socket = close_socket
+        self.notify_closed = closed
+
+    def close_fd(self) -> None:
+        """Give up the socket; called once, when the stream closes."""
+        sock, self.socket = self.socket, None  # type: ignore[assignment]
+        if self.idle and delivered(sock):
+            sock.close()
+        else:
+            self.close_socket(sock)
+        self.notify_closed(self)
+
+    def unread(self) -> bool:
+        """Return whether bytes arrived that belong to no whole request."""
+        if self.closed():
+            return False
+        if self._read_buffer_size:
+            return True
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
+
+
+def delivered(sock: socket.socket) -> bool:
+    """Return whether the peer has acknowledged every byte."""
+    return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+
+
+def stream_of(connection: HTTP1Connection) -> ServerStream:
+    """Return the stream of a connection that a `StreamServer` serves."""
+    assert isinstance(connection.stream, ServerStream)
+    return connection.stream
+
+
+class StreamServer(HTTPServer):
+    """Serves each connection through a `ServerStream`."""
+
+    connected: Callable[[socket.socket], ServerStream]
+
+    def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
+        """Start to serve a connection."""
+        super().handle_stream(self.connected(stream.socket), address)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.header_names import HeaderNames
-from agatecross_adapters.upstream_http import Failure, Sending, Unreachable, UpstreamPool
+from agatecross_adapters.upstream_connection import Failure
+from agatecross_adapters.upstream_http import Sending, Unreachable, UpstreamPool
 from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
 from agatecross_core.ids import (
     ZERO_MS,
