Log a call that its upstream failed as a failed call

What an engineer saw: no line for many calls that ended with the upstream's own 5xx; they were sampled like served calls, 20 a second.

Evidence: platform.feature, "an upstream's failure is logged", failed before, with 51 calls in a burst.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -28,6 +28,14 @@
       | a method that decides on repeats            | reset     | DELETE | /once/1 | 502    | 1    |
       | a missing route                             | whole     | GET    | /none/1 | 404    | 0    |
 
+  Scenario: an upstream's failure is logged also while served calls are left out
+    Given a platform fleet
+    When a caller of d1 sends "GET /safe/1" 50 times
+    And upstreams "u0,u2" answer "error"
+    And a caller of d1 sends "POST /once/boom"
+    Then the answer is 500 and all upstreams ran it 51 times
+    And d1 has logged "call" with "target=/once/boom"
+
   Scenario: what an upstream gets is what the caller sent, with the fields of the system
     Given a platform fleet
     When a caller of d1 sends "POST /peer/a?b=%20c"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -302,9 +302,10 @@
 
 
 @then('d{number:d} has logged "{event}"')
-def step_has_logged(context, number, event):
-    log = Path(context.mini.logs()[number]).read_text()
-    assert f"event={event}" in log, log
+@then('d{number:d} has logged "{event}" with "{field}"')
+def step_has_logged(context, number, event, field=""):
+    lines = Path(context.mini.logs()[number]).read_text().splitlines()
+    assert any(f"event={event}" in line and field in line for line in lines), lines
 
 
 @then('it reads statuses "{statuses}"')
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -13,7 +13,7 @@
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.relay.budget import FleetBudget
 from agatecross_core.relay.drain import DrainPlan
-from agatecross_core.relay.flow import RelayPolicy, relay
+from agatecross_core.relay.flow import SERVER_ERROR, RelayPolicy, relay
 from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult, Repeat
 from agatecross_core.routing.host_table import HostRoute, HostTable, WeightedSplit
 from agatecross_core.routing.nearest import NearestBalancer
@@ -211,7 +211,11 @@
         took = monotonic() - call.exchange.arrived
         route = call.facts.route
         self.metrics.call_ended(call.facts.service, result, took)
-        failed = result.outcome is not Outcome.RAN or call.attempts > 1
+        failed = (
+            result.outcome is not Outcome.RAN
+            or call.attempts > 1
+            or response.status >= SERVER_ERROR
+        )
         if failed or self.log.wants_served():
             write = self.log.call_failed if failed else self.log.call_served
             write(
