--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -45,7 +45,9 @@
     "a refused booking that ran": add_refused,
     "a foreign answer": lambda h: h.asked.append(asked("x", Seen.FOREIGN)),
     "an answer without a run": lambda h: h.asked.append(asked("x", Seen.ANSWERED)),
-    "a run after a confirmed leave": lambda h: h.left.append(Left("u", 10.0, (11.0, 12.5))),
+    "a run after a confirmed leave": lambda h: h.left.append(
+        Left("u", 10.0, ((11.0, "a"), (12.5, "b")))
+    ),
     "a version that went down": lambda h: h.versions.append(VersionSeen(0, 0, 4)),
     "a version that is lower after a kill": lambda h: h.versions.append(VersionSeen(0, 1, 4)),
     "a daemon that ended by itself": lambda h: h.exits.append((0, 1)),
@@ -64,7 +66,7 @@
     history.asked += [asked("a", Seen.ANSWERED), asked("b", Seen.FAILED, status=502)]
     history.asked.append(asked("c", Seen.REFUSED, status=503))
     history.runs = {"a": 1, "b": 1}
-    history.left.append(Left("u0", 10.0, (9.0, 11.9)))
+    history.left.append(Left("u0", 10.0, ((9.0, "a"), (11.9, "b"))))
     history.versions += [VersionSeen(0, 0, 3), VersionSeen(0, 0, 5)]
     history.exits += [(0, 0), (1, -9)]
     history.settled += [asked(f"s{n}", Seen.ANSWERED) for n in range(10)]
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -52,7 +52,7 @@
         self.work_seconds = 0.0
         self.body_bytes = 0
         self.runs: Counter[str] = Counter()
-        self.run_times: list[float] = []
+        self.run_times: list[tuple[float, str]] = []
         self.seen: list[dict[str, str]] = []
         self.released = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -177,7 +177,7 @@
             self._write(503, b"", extra=b"x-not-run: 1\r\n")
             return
         owner.runs[call_id] += 1
-        owner.run_times.append(time.monotonic())
+        owner.run_times.append((time.monotonic(), call_id))
         self._run(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
 
     def _run(self, answer: Script, body: bytes) -> None:
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -39,9 +39,13 @@
 def leaves_bind(history: History) -> Iterator[str]:
     """No new work reaches an upstream after its leaving was confirmed."""
     for row in history.left:
-        late = [at - row.at for at in row.run_times if at > row.at + DRAIN_SECONDS]
+        rows = [(at - row.at, call_id) for at, call_id in row.run_times]
+        late = [found for found in rows if found[0] > DRAIN_SECONDS]
         if late:
-            yield f"{row.name} began {len(late)} runs up to {max(late):.2f} s after its leave"
+            # An id that no caller of this soak used is a request from outside it.
+            ids = " ".join(call_id or "-" for _, call_id in late[:4])
+            last = max(late)[0]
+            yield f"{row.name} began {len(late)} runs up to {last:.2f} s after its leave: {ids}"
 
 
 def versions_rise(history: History) -> Iterator[str]:
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -35,7 +35,7 @@
 
     name: str
     at: float
-    run_times: tuple[float, ...]
+    run_times: tuple[tuple[float, str], ...]
 
 
 @dataclass(frozen=True, slots=True)
