--- a/features/soak.feature
+++ b/features/soak.feature
@@ -35,3 +35,14 @@
 
   Scenario: a seed gives the same schedule every time
     Then the schedules of seeds 1 to 40 repeat, overlap and hold every kind of fault
+
+  Scenario Outline: a listing of known failures: <guards against>
+    When a listing holds "<line>"
+    Then the soak seeds "<seeds>" are known to fail
+
+    Examples:
+      | guards against                    | line                        | seeds   |
+      | a listed seed that is counted     | test: soak seed 102         | 102     |
+      | the second of two listed seeds    | test: soak seeds 304 and 403 | 304 403 |
+      | a seed that a scenario's name has | test: a call of seed 12     |         |
+      | a seed that is only described     | seen: soak seed 7 passed    |         |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from agatecross_standins.soak.checks import violations
 from agatecross_standins.soak.events import Asked, History, Left, Seen, VersionSeen
 from agatecross_standins.soak.fleet import Node
+from agatecross_standins.soak.known_red import known_red_seeds
 from agatecross_standins.soak.schedule import FaultKind, schedule
 
 NODES = 6
@@ -121,3 +122,14 @@
     except ChildProcessError:
         found = "lost"
     assert found == code, found
+
+
+@when('a listing holds "{line}"')
+def step_listing(context, line):
+    context.known_red = known_red_seeds(f"{line}\ncommand: none\n")
+
+
+@then('the soak seeds "{seeds}" are known to fail')
+@then('the soak seeds "" are known to fail')
+def step_known_red(context, seeds=""):
+    assert context.known_red == {int(seed) for seed in seeds.split()}, context.known_red
