--- a/packages/agatecross-standins/agatecross_standins/soak/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -2,7 +2,8 @@
 
 `python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=10` prints a line for each seed and
 its violations, and exits with code 1 when there are any; `--regressions` adds the seeds that failed
-once, `--known_red` names a listing of seeds that may fail. The seed fixes the schedule and the calls; timing differs from run to run.
+once, `--known_red` names a listing of seeds that may fail. The seed fixes the schedule and the
+calls; timing differs from run to run.
 """
 
 import asyncio
