--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -121,6 +121,7 @@
         self.target = b""
         self.body = b""
         self.endless: EndlessWriter | None = None
+        self.holding: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -129,8 +130,10 @@
         self.owner.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the connection."""
+        """Forget the connection and what it held."""
         self.owner.connections.discard(self)
+        for holding in self.holding:
+            holding.cancel()
 
     def pause_writing(self) -> None:
         """Stop an endless answer while it is not read."""
@@ -219,8 +222,9 @@
             case bytes():
                 self.transport.write(answer)
             case _:
-                task = asyncio.ensure_future(self._hold(body, stamp))
-                task.add_done_callback(lambda _: None)
+                holding = asyncio.ensure_future(self._hold(body, stamp))
+                self.holding.add(holding)
+                holding.add_done_callback(self.holding.discard)
 
     async def _hold(self, body: bytes, stamp: bytes) -> None:
         call_id = self.fields.get("x-request-id", "").encode()
