--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -45,3 +45,6 @@
       | a reader that is leaving                    | n1 north 4 leaving; n2 north 5; n3 north 5       | n2 n3     | no    | n2 n3    |
       | a fleet without any answer of the store     | n1 north 0 deaf; n2 north 0 deaf                 | n2        | yes   | n2       |
       | more relays than a region needs             | n1 north 4; s1 south 9; s2 south 9; s3 south 9   | s1 s2 s3  | yes   | 2 of south |
+
+  Scenario: readers that the store stops answering give way before a change is overdue
+    Then a reader knows within 1500 ms that the store is silent
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -8,6 +8,8 @@
 from agatecross_core.errors import DeltaError
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Endpoint
+from agatecross_daemon.tasks.source_task import FOLLOW_WAIT
+from agatecross_platform.store import READ_MARGIN
 
 
 def document(letters):
@@ -82,3 +84,9 @@
         assert len(targets) == 2 and all(name.startswith("s") for name in targets), targets
     else:
         assert targets == set(pushed.split()) - {"-"}, targets
+
+
+@then("a reader knows within {limit:d} ms that the store is silent")
+def step_silent_store(context, limit):
+    # A change is due everywhere 2 s after the store took it; the next reader needs 0.5 s of them.
+    assert FOLLOW_WAIT + READ_MARGIN <= limit, (FOLLOW_WAIT, READ_MARGIN)
