--- a/packages/agatecross-core/agatecross_core/relay/drain.py
+++ b/packages/agatecross-core/agatecross_core/relay/drain.py
@@ -1,4 +1,4 @@
-"""When a stopping daemon takes leave, which calls it still takes, and when it ends."""
+"""When a stopping daemon tells that it leaves, which calls it still takes, and when it ends."""
 
 from dataclasses import dataclass, replace
 
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -140,7 +140,7 @@
         await asyncio.gather(*closing, return_exceptions=True)
 
     async def drain(self) -> None:
-        """Move callers away, finish every call, and see its answer off."""
+        """Move callers away, finish every call, and deliver its answer."""
         begun = monotonic()
         plan = plan_drain(begun, self.settings.grace)
         self.leaving = True
