--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -8,11 +8,11 @@
 from agatecross_core.admission.model import (
     CallArrived,
     CallCancelled,
+    CallEnding,
     CallFinished,
     CapacityAnnounced,
     ClassPolicy,
-    Drain,
-    Ending,
+    DaemonLeaving,
     Entry,
     LeaseExpired,
     RefuseCall,
@@ -55,7 +55,7 @@
             call = new_call("learnt", rest[0], 1e9, self.now)
             self.send(CallArrived(call))
             self.now += float(rest[1])
-            self.send(CallFinished("learnt", Ending.COMPLETED))
+            self.send(CallFinished("learnt", CallEnding.COMPLETED))
         else:
             self.actions += map(describe, self.send(self.message(word, *rest)))
 
@@ -70,10 +70,12 @@
         if word in ("call", "post"):
             return CallArrived(new_call(rest[0], rest[1], float(rest[2]), self.now, word == "call"))
         if word in ("done", "shed"):
-            return CallFinished(rest[0], Ending.COMPLETED if word == "done" else Ending.SHED)
+            return CallFinished(
+                rest[0], CallEnding.COMPLETED if word == "done" else CallEnding.SHED
+            )
         if word == "cancel":
             return CallCancelled(rest[0])
-        return {"lease": LeaseExpired, "drain": Drain, "tick": TimePassed}[word]()
+        return {"lease": LeaseExpired, "drain": DaemonLeaving, "tick": TimePassed}[word]()
 
 
 def describe(action):
@@ -106,7 +108,7 @@
 @given("a concurrency limit of {slots:d} slots at {before:d}")
 def start_limit(context, slots, before):
     context.limit = ConcurrencyLimit()
-    context.limit.announced(slots)
+    context.limit.set_ceiling(slots)
     context.limit.level = float(before)
 
 
@@ -114,8 +116,8 @@
 def run_limit(context, times, windows):
     for window in range(1, windows + 1):
         for _ in range(3):
-            context.limit.completed(times, window * LIMIT_WINDOW - 1)
-        context.limit.completed(times, window * LIMIT_WINDOW)
+            context.limit.record_completion(times, window * LIMIT_WINDOW - 1)
+        context.limit.record_completion(times, window * LIMIT_WINDOW)
 
 
 @then("the limit is {after:d}")
@@ -220,7 +222,7 @@
         self.waiting[call.call_id] = call
         self.send(CallArrived(call))
 
-    @rule(data=st.data(), ending=st.sampled_from(Ending))
+    @rule(data=st.data(), ending=st.sampled_from(CallEnding))
     def finish(self, data, ending):
         if self.running:
             call_id = data.draw(st.sampled_from(sorted(self.running)))
@@ -250,7 +252,7 @@
     @rule()
     def drain(self):
         self.drained = True
-        self.send(Drain())
+        self.send(DaemonLeaving())
 
     @invariant()
     def consistent(self):
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -35,7 +35,7 @@
 from agatecross_core.distribution.sync import answer_pull, judge_pull, new_request
 from agatecross_core.members.records import Member
 from agatecross_core.pacing import full_jitter
-from agatecross_core.states import MemberState, Verdict
+from agatecross_core.states import MemberState, PublishVerdict
 
 BASE_TEXT = """[mesh]
 name = "m"
@@ -337,17 +337,17 @@
             entry = OffsetRecord(offset, record, str(offset))
             step = fold_entry(state, entry, decode_toml)
             assert fold_entry(state, entry, decode_toml) == step
-            if step.verdict is Verdict.UNKNOWN_RULES:
+            if step.verdict is PublishVerdict.UNKNOWN_RULES:
                 assert step.state == state
                 return
-            accepted = step.verdict is Verdict.ACCEPTED
+            accepted = step.verdict is PublishVerdict.ACCEPTED
             assert step.state.version == state.version + accepted
             assert accepted or step.state.documents == state.documents
             assert accepted == (step.snapshot is not None)
-            if step.verdict not in (Verdict.DUPLICATE, Verdict.UNDECODABLE):
-                assert (step.verdict is Verdict.CONFLICT) == (record.parent != state.version)
+            if step.verdict not in (PublishVerdict.DUPLICATE, PublishVerdict.UNDECODABLE):
+                assert (step.verdict is PublishVerdict.CONFLICT) == (record.parent != state.version)
             again = fold_entry(step.state, replace(entry, offset=offset + 1), decode_toml)
-            assert record is None or again.verdict is Verdict.DUPLICATE
+            assert record is None or again.verdict is PublishVerdict.DUPLICATE
             state = step.state
             if state.version:
                 snapshot, findings = compile_documents(state.documents, decode_toml, state.version)
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -193,7 +193,7 @@
     listener = mini.sidecars[number].entry.listener
 
     async def work():
-        listener.limits = replace(listener.limits, idle_time=Millis(300))
+        listener.limits = replace(listener.limits, idle_timeout=Millis(300))
         caller = await connect_narrow(mini.sidecars[number].settings.callers)
         request = head("/safe/1", "last", 900).replace(
             b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from agatecross_core.calls.model import Response, not_run, ran, unknown
-from agatecross_core.constants import MAX_KEYS
+from agatecross_core.constants import MAX_IDEMPOTENCY_KEYS
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import (
     Answer,
@@ -27,7 +27,7 @@
     TimePassed,
 )
 from agatecross_core.idempotency.outcomes import OutcomeStore
-from agatecross_core.states import AppendState, HeldState, Reason
+from agatecross_core.states import AppendState, ClaimedCallState, Reason
 
 RESULTS = {
     "ran": ran(Response(200, (), b"done")),
@@ -206,7 +206,7 @@
 
 @when('the script "{text}" runs')
 def run_script(context, text):
-    context.script.run(text.replace("MAX_KEYS", str(MAX_KEYS)))
+    context.script.run(text.replace("MAX_KEYS", str(MAX_IDEMPOTENCY_KEYS)))
 
 
 @then('the calls end as "{expected}"')
@@ -312,7 +312,7 @@
     for call in calls.split():
         name = call[0]
         if call.endswith("?"):
-            context.store.put(name, HeldState.RUNNING, 0.0)
+            context.store.put(name, ClaimedCallState.RUNNING, 0.0)
         else:
             result = RESULTS["not-run" if call.endswith("!") else "ran"]
             context.store.finish(name, result, 0.0)
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -4,16 +4,27 @@
 
 from behave import given, then, when
 
-from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
+from agatecross_core.admission.slot_queue import (
+    RefuseHandover,
+    SlotQueue,
+    StartHandover,
+    WaitingCall,
+)
 from agatecross_core.ids import Millis
 from agatecross_core.members.announcement import Announcements, Heartbeat
 from agatecross_core.members.directory import Directory, Endpoint
-from agatecross_core.relay.answers import judge
-from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.flow import RelayPolicy, relay
 from agatecross_core.relay.hedge import hedge_delay
 from agatecross_core.relay.ledger import Ledger
-from agatecross_core.relay.model import RelayResponse, RelayResult, Repeat, lost, refused
+from agatecross_core.relay.model import (
+    RelayResponse,
+    RelayResult,
+    Repeat,
+    not_run_result,
+    unknown_result,
+)
+from agatecross_core.relay.response_outcome import classify_response
 from agatecross_core.routing.host_table import CallerLimits, HostRoute, HostTable, WeightedSplit
 from agatecross_core.states import Outcome, Reason, UpstreamState
 
@@ -38,12 +49,12 @@
 
 
 def parse_result(text):
-    kind, value, *arrived = text.split()
+    kind, value, *reached_upstream = text.split()
     if kind == "ran":
         return RelayResult(Outcome.RAN, None, RelayResponse(int(value), (), b""), True)
     if kind == "lost":
-        return lost(Reason(value))
-    return refused(Reason(value), arrived=bool(arrived))
+        return unknown_result(Reason(value))
+    return not_run_result(Reason(value), reached_upstream=bool(reached_upstream))
 
 
 def describe(result):
@@ -153,17 +164,17 @@
             now = Millis(now + float(word))
         elif word == "call":
             objective, deadline = Millis(now + float(rest[-1])), Millis(now + float(rest[2]))
-            call = Waiting(rest[0], "r", int(rest[1]), objective, deadline)
-            actions += queue.arrived(call, now)
+            call = WaitingCall(rest[0], "r", int(rest[1]), objective, deadline)
+            actions += queue.admit(call, now)
         elif word == "done":
-            queue.finished(rest[0], now, False)
+            queue.finish(rest[0], now, False)
         elif word == "cancel":
             assert queue.cancel(rest[0])
         elif word == "learn":
             queue.costs[rest[0]] = queue.mean_cost = float(rest[1])
         elif word == "clear":
-            actions += queue.clear(Reason.LEAVING)
-        actions += queue.next(now)
+            actions += queue.refuse_all(Reason.LEAVING)
+        actions += queue.start_waiting(now)
     context.actions = actions
 
 
@@ -172,11 +183,11 @@
     found = [
         (
             f"start {row.handover_id}"
-            if isinstance(row, Start)
+            if isinstance(row, StartHandover)
             else f"refuse {row.handover_id} {row.reason.value}"
         )
         for row in context.actions
-        if isinstance(row, Start | Refuse)
+        if isinstance(row, StartHandover | RefuseHandover)
     ]
     assert found == actions.split("; "), found
 
@@ -236,14 +247,14 @@
 
 @given("a budget of ratio {ratio:g} and slack {slack:g} in {window:g} ms for {daemons:d} daemons")
 def step_budget(context, ratio, slack, window, daemons):
-    context.budget, context.daemons = FleetBudget(ratio, slack, Millis(window)), daemons
+    context.budget, context.daemons = FleetRetryBudget(ratio, slack, Millis(window)), daemons
     context.spent = int(context.budget.take(daemons, Millis(0)))
 
 
 @when("{firsts:d} first arrivals come and {ms:g} ms pass")
 def step_arrivals(context, firsts, ms):
     for _ in range(firsts):
-        context.budget.first_arrival()
+        context.budget.add_first_arrival()
     takes = itertools.takewhile(
         bool, (context.budget.take(context.daemons, Millis(ms)) for _ in range(10_000))
     )
@@ -258,15 +269,15 @@
 @then('a response {status:d} with fields "{fields}" means "{result}"')
 def step_judge(context, status, fields, result):
     rows = tuple((name.encode(), b"1") for name in fields.split("; "))
-    found = judge(RelayResponse(status, rows, b""), b"stamp", b"not-run")
+    found = classify_response(RelayResponse(status, rows, b""), b"stamp", b"not-run")
     assert describe(found) == result, found
 
 
 @given("{daemons:d} daemons whose requests come {rate:d} a second for {seconds:d} s, all failing")
 def step_chain(context, daemons, rate, seconds):
     window = Millis(10_000)
-    parents = [FleetBudget(0.2, 60, window) for _ in range(daemons)]
-    children = [FleetBudget(0.2, 60, window) for _ in range(daemons)]
+    parents = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
+    children = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
     rng = random.Random(5)
     context.requests, context.repeats = [], []
 
@@ -274,13 +285,13 @@
         for _ in range(2 if rng.random() < 0.7 else 0):
             context.requests.append(now)
             context.repeats += [now] * repeated
-            children[daemon].first_arrival()
+            children[daemon].add_first_arrival()
             if children[daemon].take(daemons, now):
                 context.repeats.append(now)
 
     for number in range(rate * seconds):
         now, daemon = Millis(number * 1000 / rate), number % daemons
-        parents[daemon].first_arrival()
+        parents[daemon].add_first_arrival()
         calls(daemon, now, False)
         if parents[daemon].take(daemons, now):
             calls(rng.randrange(daemons), now, True)
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
-from agatecross_core.admission.retry import MAX_TOKENS, RetryBudget
+from agatecross_core.admission.retry import MAX_RETRY_TOKENS, RetryBudget
 from agatecross_core.calls.flow import (
     Attempt,
     AwaitResult,
@@ -264,7 +264,7 @@
             rows = self.world.balancer.load.rows
             assert all(rows[name].outstanding == n for name, n in self.outstanding.items())
         assert not +self.outstanding
-        assert self.extra <= MAX_TOKENS + 0.1 * len(self.script)
+        assert self.extra <= MAX_RETRY_TOKENS + 0.1 * len(self.script)
 
 
 class Carried:
@@ -382,7 +382,7 @@
         context.now += rng.expovariate(0.12)
         upstream = rng.randrange(12)
         slow = slowed(data, upstream, context.now, own) or rng.random() < 0.12
-        context.detector.observed(str(upstream), f"s{upstream % 2}", slow, context.now)
+        context.detector.observe(str(upstream), f"s{upstream % 2}", slow, context.now)
 
 
 @then('its groups are "{groups:Text}"')
@@ -396,7 +396,7 @@
     rng = random.Random(1)
     context.detector = GroupDetector()
     for number in range(12_000):
-        context.detector.observed(str(rng.randrange(2000)), "s", rng.random() < 0.3, number * 10.0)
+        context.detector.observe(str(rng.randrange(2000)), "s", rng.random() < 0.3, number * 10.0)
 
 
 @then("it keeps at most 512 tracks of at most 601 buckets")
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_http.py
@@ -298,13 +298,15 @@
             unsent = self.transport.get_write_buffer_size()
             if unsent != self.unsent:
                 self.unsent, self.since = unsent, Millis(now)
-            elif waited > (limits.idle_time if unsent else LINGER_TIME):
+            elif waited > (limits.idle_timeout if unsent else LINGER_TIME):
                 self.transport.abort()
             return
         if self.state is ParseState.IDLE:
-            if waited > limits.idle_time:
+            if waited > limits.idle_timeout:
                 self.close_if_idle()
-        elif waited > (limits.head_time if self.state is ParseState.HEAD else limits.idle_time):
+        elif waited > (
+            limits.head_timeout if self.state is ParseState.HEAD else limits.idle_timeout
+        ):
             self.reject(408)
 
     def _drop_exchanges(self) -> None:
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -122,8 +122,8 @@
                 message.instance,
                 REPEATS.index(message.repeat),
                 message.rank,
-                int(message.objective_left),
-                int(message.left),
+                int(message.objective_time_left),
+                int(message.time_left),
                 request.method,
                 request.target,
                 request.headers,
@@ -158,7 +158,7 @@
     head = (
         OUTCOMES.index(result.outcome),
         reason,
-        result.arrived,
+        result.reached_upstream,
         result.load,
         result.slots,
         int(result.cost),
@@ -221,7 +221,7 @@
 
 
 def _result(fields: list[Any]) -> RelayResult:
-    outcome, reason, arrived, load, slots, cost, *rest = fields
+    outcome, reason, reached_upstream, load, slots, cost, *rest = fields
     response = None
     if rest:
         status, rows, body = rest
@@ -230,7 +230,7 @@
         OUTCOMES[outcome],
         REASONS[reason] if reason else None,
         response,
-        arrived,
+        reached_upstream,
         load,
         slots,
         Millis(cost),
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -17,7 +17,7 @@
 
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.constants import (
-    CLIENT_IDLE_LIMIT,
+    CLIENT_IDLE_TIMEOUT,
     CONNECT_TIMEOUT,
     MAX_HEAD_BYTES,
     MAX_IDLE_CONNECTIONS_PER_PEER,
@@ -54,7 +54,7 @@
 
     def usable(self, now: float) -> bool:
         """Return whether an idle connection is recent, open and without unexpected data."""
-        if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_LIMIT:
+        if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
             return False
         try:
             self.socket.recv(1, socket.MSG_PEEK)
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -12,7 +12,7 @@
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.ids import Millis
 from agatecross_core.relay.model import RelayResponse
-from agatecross_core.relay.response_size import MAX_RESPONSE_HEAD, ResponseSize
+from agatecross_core.relay.response_size import MAX_RESPONSE_HEAD_BYTES, ResponseSize
 
 from .header_names import HeaderNames
 from .http1_bytes import BODILESS, CONNECTION_FIELDS
@@ -176,7 +176,7 @@
         if running is not None:
             size = running.size
             size.fields += len(name) + len(value) + FIELD_EXTRA
-            if size.fields <= MAX_RESPONSE_HEAD:
+            if size.fields <= MAX_RESPONSE_HEAD_BYTES:
                 self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
@@ -8,7 +8,7 @@
 
 from agatecross_core.ids import Address, Millis
 from agatecross_core.relay.model import Handover
-from agatecross_core.relay.response_size import MAX_UNFINISHED, ResponseSize
+from agatecross_core.relay.response_size import MAX_UNFINISHED_RESPONSE_BYTES, ResponseSize
 
 from .header_names import HeaderNames
 from .http1_bytes import encode_request
@@ -71,7 +71,7 @@
     def add_unfinished(self, count: int) -> None:
         """Count what was read of a response; the largest one fails when all are too large."""
         self.unfinished += count
-        if self.unfinished > MAX_UNFINISHED:
+        if self.unfinished > MAX_UNFINISHED_RESPONSE_BYTES:
             max(self.connections, key=UpstreamConnection.bytes_read).fail(Failure.TOO_LARGE)
 
     def close(self) -> None:
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -9,7 +9,7 @@
 from agatecross_core.config.model import ConfigState, Document, PublishRecord
 from agatecross_core.constants import RULE_SET
 from agatecross_core.ids import PublishId, Version
-from agatecross_core.states import Verdict
+from agatecross_core.states import PublishVerdict
 
 from ..append import append_once
 from ..command import Command, CommandError, Context, Result
@@ -39,10 +39,10 @@
         return Result(ExitCode.SUCCESS, (line,), {"version": state.version, "changed": False})
     history, folded = await append_once(context, record)
     match folded.verdict:
-        case Verdict.ACCEPTED:
+        case PublishVerdict.ACCEPTED:
             version, digest = folded.state.version, folded.state.digest
             return await wait_in_force(context, version, digest, record.publish_id)
-        case Verdict.CONFLICT:
+        case PublishVerdict.CONFLICT:
             return conflict(history, record.publish_id, record.parent)
         case _:
             return findings_result(folded.findings)
@@ -103,7 +103,7 @@
 def find_winner(history: History, version: Version) -> PublishRecord | None:
     """Return the publish that became a version, if the log still holds it."""
     for row in history.rows:
-        accepted = row.verdict is Verdict.ACCEPTED and row.state.version == version
+        accepted = row.verdict is PublishVerdict.ACCEPTED and row.state.version == version
         if accepted and isinstance(row.record, PublishRecord):
             return row.record
     return None
--- a/packages/agatecross-cli/agatecross_cli/history.py
+++ b/packages/agatecross-cli/agatecross_cli/history.py
@@ -12,7 +12,7 @@
 from agatecross_core.distribution.log_fold import LogFold, RecordFolded, UnknownRules
 from agatecross_core.findings import Finding
 from agatecross_core.ids import Millis, Offset, PublishId
-from agatecross_core.states import Verdict
+from agatecross_core.states import PublishVerdict
 
 from .command import CommandError
 from .exit_codes import ExitCode
@@ -24,7 +24,7 @@
 
     offset: Offset
     record: ConfigRecord | None
-    verdict: Verdict
+    verdict: PublishVerdict
     findings: tuple[Finding, ...]
     state: ConfigState
 
--- a/packages/agatecross-core/agatecross_core/admission/classes.py
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -7,36 +7,36 @@
 
 from ..calls.model import Call
 from ..constants import (
-    BASELINE_FALL,
-    BASELINE_RISE_TIME,
-    EXPECTED_HALF_LIFE,
+    COST_BASELINE_FALL_WEIGHT,
+    COST_BASELINE_RISE_TIME,
+    EXPECTED_COST_HALF_LIFE,
     MAX_COST_SHAPES,
-    MIN_BASELINE,
-    RECENT_WEIGHT,
+    MIN_COST_BASELINE,
+    RECENT_COST_WEIGHT,
 )
 from ..ids import Millis
 from ..states import WorkClass
-from .model import ClassPolicy, Entry, Shape, Step
+from .model import ClassPolicy, Entry, FilterItem, Shape
 
-MAX_SEGMENTS = 6
+MAX_SHAPE_SEGMENTS = 6
 MAX_SAMPLE_GAP = Millis(1_000)
 
 
 def shape_of(call: Call) -> Shape:
     """Return the shape: the path without its query, segments with a digit replaced by `*`."""
     path = call.request.path.partition("?")[0]
-    segments = path.split("/")[: MAX_SEGMENTS + 1]
+    segments = path.split("/")[: MAX_SHAPE_SEGMENTS + 1]
     plain = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
     return Shape(call.service, call.request.method, plain)
 
 
 @dataclass(slots=True)
-class Cost:
+class ShapeCost:
     """Costs of one shape in milliseconds; `baseline` is the cost without a slowdown."""
 
     baseline: float
     recent: float
-    seen_at: Millis
+    updated_at: Millis
 
 
 class CostTable:
@@ -44,26 +44,28 @@
 
     def __init__(self, size: int = MAX_COST_SHAPES) -> None:
         self.size = size
-        self.costs: OrderedDict[Shape, Cost] = OrderedDict()
+        self.costs: OrderedDict[Shape, ShapeCost] = OrderedDict()
 
-    def observe(self, shape: Shape, took: Millis, now: Millis) -> float:
+    def observe(self, shape: Shape, elapsed: Millis, now: Millis) -> float:
         """Learn one sample and return its ratio to the baseline before it."""
         cost = self.costs.get(shape)
         if cost is None:
-            self.costs[shape] = Cost(took, took, now)
+            self.costs[shape] = ShapeCost(elapsed, elapsed, now)
             if len(self.costs) > self.size:
                 self.costs.popitem(last=False)
             return 1.0
         self.costs.move_to_end(shape)
-        ratio = took / max(cost.baseline, MIN_BASELINE)
-        gap = min(now - cost.seen_at, MAX_SAMPLE_GAP)
-        rise = 1 - math.exp(-gap / BASELINE_RISE_TIME)
-        cost.baseline += (took - cost.baseline) * (BASELINE_FALL if took < cost.baseline else rise)
-        cost.recent += (took - cost.recent) * RECENT_WEIGHT
-        cost.seen_at = now
+        ratio = elapsed / max(cost.baseline, MIN_COST_BASELINE)
+        gap = min(now - cost.updated_at, MAX_SAMPLE_GAP)
+        rise = 1 - math.exp(-gap / COST_BASELINE_RISE_TIME)
+        cost.baseline += (elapsed - cost.baseline) * (
+            COST_BASELINE_FALL_WEIGHT if elapsed < cost.baseline else rise
+        )
+        cost.recent += (elapsed - cost.recent) * RECENT_COST_WEIGHT
+        cost.updated_at = now
         return ratio
 
-    def still_running(self, shape: Shape, elapsed: Millis, now: Millis) -> None:
+    def observe_running(self, shape: Shape, elapsed: Millis, now: Millis) -> None:
         """Learn the cost of a shape of which no call has ended yet."""
         if shape not in self.costs:
             self.observe(shape, elapsed, now)
@@ -78,10 +80,12 @@
         cost = self.costs.get(shape)
         if cost is None:
             return 0.0
-        return cost.recent * float(0.5 ** ((now - cost.seen_at) / EXPECTED_HALF_LIFE))
+        return cost.recent * float(0.5 ** ((now - cost.updated_at) / EXPECTED_COST_HALF_LIFE))
 
 
-def classify(steps: Iterable[Step], costs: CostTable, policy: ClassPolicy) -> Iterator[Step]:
+def classify(
+    steps: Iterable[FilterItem], costs: CostTable, policy: ClassPolicy
+) -> Iterator[FilterItem]:
     """Mark entries whose shape costs at least `long_ms` as long."""
     for step in steps:
         if isinstance(step, Entry) and costs.baseline(step.shape) >= policy.long_ms:
--- a/packages/agatecross-core/agatecross_core/admission/deadline.py
+++ b/packages/agatecross-core/agatecross_core/admission/deadline.py
@@ -5,10 +5,12 @@
 from ..ids import Millis
 from ..states import Reason
 from .classes import CostTable
-from .model import Entry, RefuseCall, Step
+from .model import Entry, FilterItem, RefuseCall
 
 
-def within_deadline(steps: Iterable[Step], costs: CostTable, now: Millis) -> Iterator[Step]:
+def refuse_infeasible(
+    steps: Iterable[FilterItem], costs: CostTable, now: Millis
+) -> Iterator[FilterItem]:
     """Refuse entries whose time left is shorter than the observed cost of their shape."""
     for step in steps:
         if isinstance(step, Entry) and not can_finish(step, costs, now):
--- a/packages/agatecross-core/agatecross_core/admission/limit.py
+++ b/packages/agatecross-core/agatecross_core/admission/limit.py
@@ -9,12 +9,12 @@
 import math
 
 from ..constants import (
-    LIMIT_GROWTH,
+    LIMIT_GROWTH_SHARE,
     LIMIT_MIN_GRADIENT,
     LIMIT_MIN_SAMPLES,
     LIMIT_SHED_FACTOR,
-    LIMIT_SLOW_FLOOR,
-    LIMIT_TOLERANCE,
+    LIMIT_SLOWDOWN_FLOOR_SHARE,
+    LIMIT_TOLERATED_SLOWDOWN,
     LIMIT_WINDOW,
 )
 from ..ids import Millis
@@ -27,52 +27,54 @@
         self.ceiling = 0
         self.level = 0.0
         self.window_end = Millis(0)
-        self.ratios = 0.0
-        self.samples = 0
+        self.ratio_sum = 0.0
+        self.sample_count = 0
 
     @property
     def value(self) -> int:
         """Return the limit in calls."""
         return min(self.ceiling, max(1, math.floor(self.level)))
 
-    def announced(self, ceiling: int) -> None:
+    def set_ceiling(self, ceiling: int) -> None:
         """Take over the announced capacity; a new ceiling starts without a reduction."""
         if ceiling != self.ceiling:
             self.ceiling = ceiling
             self.level = float(ceiling)
 
-    def completed(self, ratio: float, now: Millis) -> None:
+    def record_completion(self, ratio: float, now: Millis) -> None:
         """Count a completed call that took `ratio` times its baseline."""
-        self.ratios += ratio
-        self.samples += 1
-        if now >= self.window_end and self.samples >= LIMIT_MIN_SAMPLES:
-            self._adjust(self.ratios / self.samples)
-            self._next_window(now)
+        self.ratio_sum += ratio
+        self.sample_count += 1
+        if now >= self.window_end and self.sample_count >= LIMIT_MIN_SAMPLES:
+            self._apply_gradient(self.ratio_sum / self.sample_count)
+            self._start_window(now)
 
-    def shed(self, running: int, now: Millis) -> None:
+    def record_shed(self, running: int, now: Millis) -> None:
         """Lower the limit below the concurrency at which the upstream shed, once in a window."""
         if now >= self.window_end:
             self.level = max(1.0, min(self.level, running) * LIMIT_SHED_FACTOR)
-            self._next_window(now)
+            self._start_window(now)
 
-    def idle(self, now: Millis) -> None:
+    def record_idle(self, now: Millis) -> None:
         """Grow while nothing runs, because no completed call can show that the upstream is well."""
         if now >= self.window_end:
             self._grow()
-            self._next_window(now)
+            self._start_window(now)
 
-    def _adjust(self, ratio: float) -> None:
-        gradient = max(LIMIT_MIN_GRADIENT, LIMIT_TOLERANCE / ratio) if ratio else 1.0
+    def _apply_gradient(self, ratio: float) -> None:
+        gradient = max(LIMIT_MIN_GRADIENT, LIMIT_TOLERATED_SLOWDOWN / ratio) if ratio else 1.0
         if gradient >= 1.0:
             self._grow()
         else:
-            floor = min(self.level, max(1.0, self.ceiling * LIMIT_SLOW_FLOOR))
+            floor = min(self.level, max(1.0, self.ceiling * LIMIT_SLOWDOWN_FLOOR_SHARE))
             self.level = max(floor, self.level * gradient)
 
     def _grow(self) -> None:
-        self.level = min(float(self.ceiling), self.level + max(1.0, self.level * LIMIT_GROWTH))
+        self.level = min(
+            float(self.ceiling), self.level + max(1.0, self.level * LIMIT_GROWTH_SHARE)
+        )
 
-    def _next_window(self, now: Millis) -> None:
+    def _start_window(self, now: Millis) -> None:
         self.window_end = Millis(now + LIMIT_WINDOW)
-        self.ratios = 0.0
-        self.samples = 0
+        self.ratio_sum = 0.0
+        self.sample_count = 0
--- a/packages/agatecross-core/agatecross_core/admission/model.py
+++ b/packages/agatecross-core/agatecross_core/admission/model.py
@@ -8,7 +8,7 @@
 from ..states import Reason, UpstreamState, WorkClass
 
 
-class Ending(Enum):
+class CallEnding(Enum):
     """How a started call ended on the upstream."""
 
     COMPLETED = "completed"
@@ -28,7 +28,7 @@
     """A started call ended."""
 
     call_id: CallId
-    ending: Ending
+    ending: CallEnding
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Drain:
+class DaemonLeaving:
     """The daemon leaves: nothing that waits or arrives will start."""
 
 
@@ -80,7 +80,7 @@
     | CapacityAnnounced
     | LeaseExpired
     | ClassPolicy
-    | Drain
+    | DaemonLeaving
     | TimePassed
 )
 
@@ -129,5 +129,5 @@
     work_class: WorkClass = WorkClass.SHORT
 
 
-Step = Entry | RefuseCall
+FilterItem = Entry | RefuseCall
 """What a filter takes and yields: an entry that goes on, or the refusal of an earlier filter."""
--- a/packages/agatecross-core/agatecross_core/admission/pipeline.py
+++ b/packages/agatecross-core/agatecross_core/admission/pipeline.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 
 from ..calls.model import Call
-from ..constants import QUEUE_SLOTS_FACTOR, SWEEP_PERIOD
+from ..constants import QUEUE_SWEEP_PERIOD, QUEUED_CALLS_PER_SLOT
 from ..ids import CallId, Millis
 from ..states import Reason, UpstreamState, WorkClass
 from .classes import CostTable, classify, shape_of
-from .deadline import can_finish, within_deadline
+from .deadline import can_finish, refuse_infeasible
 from .limit import ConcurrencyLimit
 from .model import (
     DEFAULT_CLASS_POLICY,
@@ -16,16 +16,16 @@
     AdmissionMessage,
     CallArrived,
     CallCancelled,
+    CallEnding,
     CallFinished,
     CapacityAnnounced,
     ClassPolicy,
-    Drain,
-    Ending,
+    DaemonLeaving,
     Entry,
+    FilterItem,
     LeaseExpired,
     RefuseCall,
     StartCall,
-    Step,
     StopCall,
     TimePassed,
 )
@@ -45,7 +45,7 @@
             return Reason.LEAVING
         return None if self.state is UpstreamState.READY else Reason.NO_UPSTREAM
 
-    def passed(self, steps: Iterable[Step]) -> Iterator[Step]:
+    def refuse_while_closed(self, steps: Iterable[FilterItem]) -> Iterator[FilterItem]:
         """Refuse entries while the upstream takes none."""
         for step in steps:
             reason = self.reason()
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Running:
+class StartedCall:
     """A started call."""
 
     entry: Entry
@@ -73,7 +73,7 @@
         self.costs = CostTable()
         self.limit = ConcurrencyLimit()
         self.queue = WaitingQueue()
-        self.started: dict[CallId, Running] = {}
+        self.started: dict[CallId, StartedCall] = {}
 
     @property
     def running(self) -> int:
@@ -94,43 +94,43 @@
         """Take one message and yield the actions that follow from it."""
         match message:
             case CallArrived(call):
-                yield from self._arrived(call, now)
+                yield from self._admit(call, now)
             case CallFinished(call_id, ending):
-                self._finished(call_id, ending, now)
+                self._record_finish(call_id, ending, now)
             case CallCancelled(call_id):
-                yield from self._cancelled(call_id)
+                yield from self._cancel(call_id)
             case CapacityAnnounced(slots, connections, state):
                 self.gate.state = state
-                self.limit.announced(min(slots, connections))
+                self.limit.set_ceiling(min(slots, connections))
             case LeaseExpired():
                 self.gate.state = None
             case ClassPolicy():
                 self.policy = message
-            case Drain():
+            case DaemonLeaving():
                 self.gate.leaving = True
             case TimePassed():
-                self._time_passed(now)
-        yield from self._start(now)
+                self._tick(now)
+        yield from self._start_waiting(now)
 
-    def _arrived(self, call: Call, now: Millis) -> Iterator[AdmissionAction]:
-        steps: Iterable[Step] = (Entry(call, shape_of(call), now),)
-        steps = self.gate.passed(steps)
-        steps = within_deadline(steps, self.costs, now)
+    def _admit(self, call: Call, now: Millis) -> Iterator[AdmissionAction]:
+        steps: Iterable[FilterItem] = (Entry(call, shape_of(call), now),)
+        steps = self.gate.refuse_while_closed(steps)
+        steps = refuse_infeasible(steps, self.costs, now)
         steps = classify(steps, self.costs, self.policy)
         free = max(0, self.limit.value - self.running)
-        yield from self.queue.offer(steps, self.limit.value * QUEUE_SLOTS_FACTOR + free, now)
+        yield from self.queue.offer(steps, self.limit.value * QUEUED_CALLS_PER_SLOT + free, now)
 
-    def _finished(self, call_id: CallId, ending: Ending, now: Millis) -> None:
+    def _record_finish(self, call_id: CallId, ending: CallEnding, now: Millis) -> None:
         ended = self.started.pop(call_id, None)
         if ended is None:
             return
-        if ending is Ending.SHED:
-            self.limit.shed(self.running + 1, now)
-        elif ending is Ending.COMPLETED:
-            took = Millis(now - ended.started)
-            self.limit.completed(self.costs.observe(ended.entry.shape, took, now), now)
+        if ending is CallEnding.SHED:
+            self.limit.record_shed(self.running + 1, now)
+        elif ending is CallEnding.COMPLETED:
+            elapsed = Millis(now - ended.started)
+            self.limit.record_completion(self.costs.observe(ended.entry.shape, elapsed, now), now)
 
-    def _cancelled(self, call_id: CallId) -> Iterator[AdmissionAction]:
+    def _cancel(self, call_id: CallId) -> Iterator[AdmissionAction]:
         running = self.started.get(call_id)
         if running is None:
             self.queue.remove(call_id)
@@ -138,20 +138,20 @@
             # The slot is freed when the closed connection is reported.
             yield StopCall(call_id)
 
-    def _time_passed(self, now: Millis) -> None:
+    def _tick(self, now: Millis) -> None:
         for row in self.started.values():
             if self._is_long(row, now):
-                self.costs.still_running(row.entry.shape, Millis(now - row.started), now)
+                self.costs.observe_running(row.entry.shape, Millis(now - row.started), now)
         if not self.started:
-            self.limit.idle(now)
+            self.limit.record_idle(now)
 
-    def _start(self, now: Millis) -> Iterator[AdmissionAction]:
+    def _start_waiting(self, now: Millis) -> Iterator[AdmissionAction]:
         reason = self.gate.reason()
         if reason is not None:
-            yield from self.queue.clear(reason)
+            yield from self.queue.refuse_all(reason)
             return
         if now >= self.next_sweep:
-            self.next_sweep = Millis(now + SWEEP_PERIOD)
+            self.next_sweep = Millis(now + QUEUE_SWEEP_PERIOD)
             yield from self.queue.drop_infeasible(self.costs, now)
         while self.waiting and self.running < self.limit.value:
             long_running = sum(1 for row in self.started.values() if self._is_long(row, now))
@@ -161,12 +161,12 @@
             if not can_finish(entry, self.costs, now):
                 yield RefuseCall(entry.call.call_id, Reason.DEADLINE)
                 continue
-            self.started[entry.call.call_id] = Running(entry, now)
+            self.started[entry.call.call_id] = StartedCall(entry, now)
             yield StartCall(entry.call)
 
     def _long_limit(self) -> int:
         return max(1, int(self.limit.value * self.policy.long_share))
 
-    def _is_long(self, row: Running, now: Millis) -> bool:
+    def _is_long(self, row: StartedCall, now: Millis) -> bool:
         late = now - row.started >= self.policy.long_ms
         return late or row.entry.work_class is WorkClass.LONG
--- a/packages/agatecross-core/agatecross_core/admission/policies.py
+++ b/packages/agatecross-core/agatecross_core/admission/policies.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ..calls.model import Call
-from ..constants import QUEUE_SLOTS_FACTOR
+from ..constants import QUEUED_CALLS_PER_SLOT
 from ..ids import CallId, Millis
 from ..states import Reason
 from .model import (
@@ -15,7 +15,7 @@
     CallCancelled,
     CallFinished,
     CapacityAnnounced,
-    Drain,
+    DaemonLeaving,
     LeaseExpired,
     RefuseCall,
     StartCall,
@@ -71,34 +71,34 @@
         """Take one message and yield the actions that follow from it."""
         match message:
             case CallArrived(call):
-                yield from self._arrived(call)
+                yield from self._admit(call)
             case CallFinished(call_id):
                 self.started.pop(call_id, None)
             case CallCancelled(call_id):
-                yield from self._cancelled(call_id)
+                yield from self._cancel(call_id)
             case CapacityAnnounced(slots, connections, state):
                 self.gate.state = state
                 self.slots = min(slots, connections)
             case LeaseExpired():
                 self.gate.state = None
-            case Drain():
+            case DaemonLeaving():
                 self.gate.leaving = True
-        yield from self._start(now)
+        yield from self._start_waiting(now)
 
-    def _arrived(self, call: Call) -> Iterator[AdmissionAction]:
+    def _admit(self, call: Call) -> Iterator[AdmissionAction]:
         free = max(0, self.slots - self.running)
-        if self.bounded and self.waiting >= self.slots * QUEUE_SLOTS_FACTOR + free:
+        if self.bounded and self.waiting >= self.slots * QUEUED_CALLS_PER_SLOT + free:
             yield RefuseCall(call.call_id, Reason.QUEUE_FULL)
         else:
             self.queue.append(call)
 
-    def _cancelled(self, call_id: CallId) -> Iterator[AdmissionAction]:
+    def _cancel(self, call_id: CallId) -> Iterator[AdmissionAction]:
         if call_id not in self.started:
             self.queue = deque(call for call in self.queue if call.call_id != call_id)
         elif self.started[call_id].idempotent:
             yield StopCall(call_id)
 
-    def _start(self, now: Millis) -> Iterator[AdmissionAction]:
+    def _start_waiting(self, now: Millis) -> Iterator[AdmissionAction]:
         while self.queue:
             reason = self.gate.reason()
             if reason is None and self.bounded and self.running >= self.slots:
--- a/packages/agatecross-core/agatecross_core/admission/queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/queue.py
@@ -3,12 +3,12 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from ..constants import QUEUE_TARGET
+from ..constants import QUEUE_DELAY_TARGET
 from ..ids import CallId, Millis
 from ..states import Reason, WorkClass
 from .classes import CostTable
 from .deadline import can_finish
-from .model import Entry, RefuseCall, Step
+from .model import Entry, FilterItem, RefuseCall
 
 Lane = deque[Entry]
 
@@ -22,14 +22,16 @@
     def __len__(self) -> int:
         return sum(map(len, self.lanes.values()))
 
-    def offer(self, steps: Iterable[Step], bound: int, now: Millis) -> Iterator[RefuseCall]:
+    def offer(
+        self, steps: Iterable[FilterItem], capacity: int, now: Millis
+    ) -> Iterator[RefuseCall]:
         """Queue entries; at the bound yield the refusal of the entry that is worth least."""
         for step in steps:
             if isinstance(step, RefuseCall):
                 yield step
                 continue
             self.lanes[step.work_class].append(step)
-            if len(self) > bound:
+            if len(self) > capacity:
                 yield RefuseCall(self._evict(now).call.call_id, Reason.QUEUE_FULL)
 
     def take(self, long_running: int, long_limit: int, now: Millis) -> Entry | None:
@@ -40,7 +42,7 @@
         """
         short, long = self.lanes[WorkClass.SHORT], self.lanes[WorkClass.LONG]
         long_allowed = bool(long) and long_running < long_limit
-        if long_allowed and (not short or (not long_running and is_late(long, now))):
+        if long_allowed and (not short or (not long_running and exceeds_delay_target(long, now))):
             return pop_next(long, now)
         return pop_next(short, now) if short else None
 
@@ -61,7 +63,7 @@
                     return True
         return False
 
-    def clear(self, reason: Reason) -> Iterator[RefuseCall]:
+    def refuse_all(self, reason: Reason) -> Iterator[RefuseCall]:
         """Remove and refuse everything."""
         for lane in self.lanes.values():
             while lane:
@@ -69,14 +71,14 @@
 
     def _evict(self, now: Millis) -> Entry:
         lane = self.lanes[WorkClass.LONG] or self.lanes[WorkClass.SHORT]
-        return lane.popleft() if is_late(lane, now) else lane.pop()
+        return lane.popleft() if exceeds_delay_target(lane, now) else lane.pop()
 
 
-def is_late(lane: Lane, now: Millis) -> bool:
+def exceeds_delay_target(lane: Lane, now: Millis) -> bool:
     """Return whether the oldest entry has waited longer than the target."""
-    return now - lane[0].arrived > QUEUE_TARGET
+    return now - lane[0].arrived > QUEUE_DELAY_TARGET
 
 
 def pop_next(lane: Lane, now: Millis) -> Entry:
     """Remove the newest entry of a late lane, which has the most time left, else the oldest."""
-    return lane.pop() if is_late(lane, now) else lane.popleft()
+    return lane.pop() if exceeds_delay_target(lane, now) else lane.popleft()
--- a/packages/agatecross-core/agatecross_core/admission/retry.py
+++ b/packages/agatecross-core/agatecross_core/admission/retry.py
@@ -1,6 +1,6 @@
 """Retry budget: retries as a share of first attempts."""
 
-MAX_TOKENS = 10.0
+MAX_RETRY_TOKENS = 10.0
 
 
 class RetryBudget:
@@ -9,11 +9,11 @@
     def __init__(self, ratio: float) -> None:
         """Start full, so that a service with few calls can retry."""
         self.ratio = ratio
-        self.tokens = MAX_TOKENS
+        self.tokens = MAX_RETRY_TOKENS
 
-    def first_attempt(self) -> None:
+    def add_first_attempt(self) -> None:
         """Add the share of one first attempt."""
-        self.tokens = min(MAX_TOKENS, self.tokens + self.ratio)
+        self.tokens = min(MAX_RETRY_TOKENS, self.tokens + self.ratio)
 
     def take(self) -> bool:
         """Take the token of one retry, if there is one."""
--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -57,7 +57,7 @@
     """
     tried: list[DaemonId] = []
     result = not_run(Reason.NO_UPSTREAM)
-    budget.first_attempt()
+    budget.add_first_attempt()
     while len(tried) < policy.attempts:
         purpose = Purpose.RETRY if tried else Purpose.FIRST
         target = chooser(_request(call, policy, tried, purpose))
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -4,7 +4,7 @@
 
 from ..constants import MAX_SEEN_PUBLISH_IDS, NO_OFFSET, RULE_SET
 from ..ids import Version
-from ..states import Verdict
+from ..states import PublishVerdict
 from .compile import compile_documents, digest_of
 from .model import (
     ConfigRecord,
@@ -21,10 +21,10 @@
 def fold_entry(state: ConfigState, entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
     """Fold the record after `state.through`; an unknown rule set leaves the position unchanged."""
     if entry.record is None:
-        step = FoldStep(state, Verdict.UNDECODABLE)
+        step = FoldStep(state, PublishVerdict.UNDECODABLE)
     else:
         step = fold(state, entry.record, decoder)
-    if step.verdict is Verdict.UNKNOWN_RULES:
+    if step.verdict is PublishVerdict.UNKNOWN_RULES:
         return step
     return replace(step, state=replace(step.state, through=entry.offset, mark=entry.mark))
 
@@ -32,7 +32,7 @@
 def fold(state: ConfigState, record: ConfigRecord, decoder: DocumentDecoder) -> FoldStep:
     """Fold one record into the state; the result depends on nothing else."""
     if record.rules > RULE_SET:
-        return FoldStep(state, Verdict.UNKNOWN_RULES)
+        return FoldStep(state, PublishVerdict.UNKNOWN_RULES)
     if isinstance(record, SnapshotRecord):
         return _fold_snapshot(state, record, decoder)
     return _fold_publish(state, record, decoder)
@@ -42,11 +42,11 @@
     """Return the state that a snapshot holds, for a reader that lacks the records before it."""
     record = entry.record
     if not isinstance(record, SnapshotRecord):
-        return FoldStep(ConfigState(), Verdict.DUPLICATE)
+        return FoldStep(ConfigState(), PublishVerdict.DUPLICATE)
     if record.through == NO_OFFSET:
         return fold_entry(ConfigState(), entry, decoder)
     if record.rules > RULE_SET:
-        return FoldStep(ConfigState(), Verdict.UNKNOWN_RULES)
+        return FoldStep(ConfigState(), PublishVerdict.UNKNOWN_RULES)
     step = _take_snapshot(ConfigState(), record, decoder)
     return replace(step, state=replace(step.state, through=record.through, mark=record.mark))
 
@@ -62,15 +62,15 @@
 
 def _fold_publish(state: ConfigState, record: PublishRecord, decoder: DocumentDecoder) -> FoldStep:
     if record.publish_id in state.seen:
-        return FoldStep(state, Verdict.DUPLICATE)
+        return FoldStep(state, PublishVerdict.DUPLICATE)
     seen = (*state.seen, record.publish_id)[-MAX_SEEN_PUBLISH_IDS:]
     refused = replace(state, seen=seen)
     if record.parent != state.version:
-        return FoldStep(refused, Verdict.CONFLICT)
+        return FoldStep(refused, PublishVerdict.CONFLICT)
     documents = merge_documents(state.documents, record)
     snapshot, findings = compile_documents(documents, decoder, Version(state.version + 1))
     if snapshot is None:
-        return FoldStep(refused, Verdict.REJECTED, findings)
+        return FoldStep(refused, PublishVerdict.REJECTED, findings)
     accepted = replace(
         refused,
         version=snapshot.version,
@@ -78,14 +78,14 @@
         documents=documents,
         rules=record.rules,
     )
-    return FoldStep(accepted, Verdict.ACCEPTED, (), snapshot)
+    return FoldStep(accepted, PublishVerdict.ACCEPTED, (), snapshot)
 
 
 def _fold_snapshot(
     state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
 ) -> FoldStep:
     if record.through != NO_OFFSET:
-        return FoldStep(state, Verdict.DUPLICATE)
+        return FoldStep(state, PublishVerdict.DUPLICATE)
     # Readers that lack the records before a restart start from it, so that readers that have them
     # must come to the same state, even when that is older than what they folded.
     return _take_snapshot(state, record, decoder)
@@ -95,11 +95,11 @@
     state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
 ) -> FoldStep:
     if not record.version:
-        return FoldStep(ConfigState(seen=record.seen), Verdict.ACCEPTED)
+        return FoldStep(ConfigState(seen=record.seen), PublishVerdict.ACCEPTED)
     if digest_of(record.documents) != record.digest:
-        return FoldStep(state, Verdict.REJECTED)
+        return FoldStep(state, PublishVerdict.REJECTED)
     snapshot, findings = compile_documents(record.documents, decoder, record.version)
     if snapshot is None:
-        return FoldStep(state, Verdict.REJECTED, findings)
+        return FoldStep(state, PublishVerdict.REJECTED, findings)
     taken = ConfigState(record.version, record.digest, record.documents, record.seen, record.rules)
-    return FoldStep(taken, Verdict.ACCEPTED, (), snapshot)
+    return FoldStep(taken, PublishVerdict.ACCEPTED, (), snapshot)
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -18,7 +18,7 @@
     ServiceName,
     Version,
 )
-from ..states import Verdict
+from ..states import PublishVerdict
 
 BASE = DocumentName("base")
 
@@ -187,6 +187,6 @@
     """The state after one record, with the verdict, the findings and the new snapshot if any."""
 
     state: ConfigState
-    verdict: Verdict
+    verdict: PublishVerdict
     findings: tuple[Finding, ...] = ()
     snapshot: MeshSnapshot | None = field(default=None)
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -25,16 +25,16 @@
 # Distribution.
 READERS_PER_REGION: Final = 2
 # Daemons of a data centre that give a newcomer there their whole table; one may be down.
-TABLE_DONORS: Final = 2
+FULL_TABLE_SENDERS: Final = 2
 NOTICE_FANOUT: Final = 4
-PEER_SILENCE: Final = Millis(5_000)
+PEER_SILENCE_TIMEOUT: Final = Millis(5_000)
 LOG_POLL_WAIT: Final = Millis(2_000)
 # With this wait, 1,300 daemons that start without a peer cause 130 reads per second.
-LONE_POLL_WAIT: Final = Millis(10_000)
+NO_PEERS_POLL_WAIT: Final = Millis(10_000)
 LOG_PAGE_RECORDS: Final = 512
 LOG_RETRY_BASE: Final = Millis(500)
 LOG_RETRY_CAP: Final = Millis(10_000)
-BLOCKED_RETRY: Final = Millis(30_000)
+UNKNOWN_RULES_RETRY_DELAY: Final = Millis(30_000)
 # 64 documents of 256 KiB need 4.5 s on a link of 30 Mbit/s.
 PULL_TIMEOUT: Final = Millis(5_000)
 # Longer than the time-out of the transport, so that it only ends pulls without any answer.
@@ -48,12 +48,12 @@
 SNAPSHOT_MAX_AGE: Final = Millis(LOG_RETENTION / 4)
 # Without a known snapshot its age is unknown; waiting longer could outlast the retention time when
 # readers are replaced often.
-SNAPSHOT_FIRST_AGE: Final = Millis(60_000)
+FIRST_SNAPSHOT_DELAY: Final = Millis(60_000)
 # Longer than a snapshot needs to reach the other readers, so that normally only one writes it.
 SNAPSHOT_RANK_DELAY: Final = Millis(2_000)
-SNAPSHOT_RETRY: Final = Millis(10_000)
-APPENDS_BURST: Final = 2
-APPEND_REFILL: Final = Millis(60_000)
+SNAPSHOT_RETRY_DELAY: Final = Millis(10_000)
+SNAPSHOT_APPEND_BURST: Final = 2
+SNAPSHOT_APPEND_REFILL: Final = Millis(60_000)
 
 # Membership.
 PROBE_PERIOD: Final = Millis(1_000)
@@ -80,34 +80,34 @@
 
 # Upstream.
 UPSTREAM_LEASE: Final = Millis(3_000)
-QUEUE_SLOTS_FACTOR: Final = 4
+QUEUED_CALLS_PER_SLOT: Final = 4
 
 # Admission.
 # A queue whose oldest entry has waited longer is overloaded and serves the newest entry first.
-QUEUE_TARGET: Final = Millis(100)
+QUEUE_DELAY_TARGET: Final = Millis(100)
 # Checking every entry of a full queue on each message would cost more than carrying the call.
-SWEEP_PERIOD: Final = Millis(10)
+QUEUE_SWEEP_PERIOD: Final = Millis(10)
 MAX_COST_SHAPES: Final = 1024
 # Weight of one sample in the recent cost, and of one faster sample in the baseline.
-RECENT_WEIGHT: Final = 0.2
-BASELINE_FALL: Final = 0.1
+RECENT_COST_WEIGHT: Final = 0.2
+COST_BASELINE_FALL_WEIGHT: Final = 0.1
 # A slowdown of a few seconds must not become the baseline that it is compared with.
-BASELINE_RISE_TIME: Final = Millis(10_000)
+COST_BASELINE_RISE_TIME: Final = Millis(10_000)
 # An expected cost loses half its value in this time, so that refusals by cost end by themselves.
-EXPECTED_HALF_LIFE: Final = Millis(1_000)
+EXPECTED_COST_HALF_LIFE: Final = Millis(1_000)
 # Scheduling noise of a busy host is a few milliseconds and says nothing about the upstream.
-MIN_BASELINE: Final = Millis(5)
+MIN_COST_BASELINE: Final = Millis(5)
 LIMIT_WINDOW: Final = Millis(100)
 LIMIT_MIN_SAMPLES: Final = 4
-LIMIT_TOLERANCE: Final = 2.0
+LIMIT_TOLERATED_SLOWDOWN: Final = 2.0
 LIMIT_MIN_GRADIENT: Final = 0.5
-LIMIT_SLOW_FLOOR: Final = 0.25
+LIMIT_SLOWDOWN_FLOOR_SHARE: Final = 0.25
 LIMIT_SHED_FACTOR: Final = 0.7
-LIMIT_GROWTH: Final = 0.5
+LIMIT_GROWTH_SHARE: Final = 0.5
 
 # HTTP.
 # An idle connection is discarded before the server's own limit closes it.
-CLIENT_IDLE_LIMIT: Final = Millis(15_000)
+CLIENT_IDLE_TIMEOUT: Final = Millis(15_000)
 SERVER_HEAD_TIMEOUT: Final = Millis(60_000)
 SERVER_BODY_TIMEOUT: Final = Millis(10_000)
 SERVER_WRITE_TIMEOUT: Final = Millis(10_000)
@@ -118,11 +118,11 @@
 
 # Idempotency.
 CLAIM_BATCH_WAIT: Final = Millis(10)
-KEY_RETENTION: Final = Millis(15 * 60_000)
-MAX_KEYS: Final = 200_000
+IDEMPOTENCY_KEY_RETENTION: Final = Millis(15 * 60_000)
+MAX_IDEMPOTENCY_KEYS: Final = 200_000
 MAX_RETAINED_RESPONSE_BYTES: Final = 32 * MIB
 
-MAX_KEY_LENGTH: Final = 256
+MAX_IDEMPOTENCY_KEY_LENGTH: Final = 256
 # A page of full batches stays below the limit on response bodies.
 MAX_BATCH_CLAIMS: Final = 128
 CLAIMS_PAGE_RECORDS: Final = 64
@@ -130,17 +130,17 @@
 CLAIM_APPEND_REFILL: Final = Millis(50)
 CLAIM_APPEND_BURST: Final = 10.0
 CLAIM_RETRY_WAIT: Final = Millis(50)
-CLAIM_RETRY_LIMIT: Final = Millis(1_000)
+MAX_CLAIM_RETRY_WAIT: Final = Millis(1_000)
 # Bounds the time in which a daemon without keyed calls misses that the stream was lost.
-CLAIMS_IDLE_READ: Final = Millis(30_000)
-OUTCOME_POLL: Final = Millis(50)
+CLAIMS_IDLE_READ_PERIOD: Final = Millis(30_000)
+OUTCOME_POLL_PERIOD: Final = Millis(50)
 OUTCOME_TIMEOUT: Final = Millis(400)
-OUTCOME_TRIES: Final = 2
+MAX_OUTCOME_REQUESTS: Final = 2
 # Tolerated difference between the wall clocks of two instances.
-CLOCK_MARGIN: Final = Millis(5 * 60_000)
+MAX_CLOCK_SKEW: Final = Millis(5 * 60_000)
 
 # Quarantine.
-QUARANTINE_DEATHS: Final = 2
+QUARANTINE_CRASH_COUNT: Final = 2
 QUARANTINE_TIME: Final = Millis(10 * 60_000)
 MAX_FINGERPRINTS: Final = 1024
 # Failed calls are answered after the peers took the strikes, or after this time.
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -13,27 +13,27 @@
     SnapshotRecord,
 )
 from ..constants import (
-    APPEND_REFILL,
-    APPENDS_BURST,
-    BLOCKED_RETRY,
     LOG_POLL_WAIT,
     LOG_RETRY_BASE,
     LOG_RETRY_CAP,
-    LONE_POLL_WAIT,
     NO_DIGEST,
     NO_OFFSET,
+    NO_PEERS_POLL_WAIT,
     NOTICE_FANOUT,
-    PEER_SILENCE,
+    PEER_SILENCE_TIMEOUT,
     POSITION_PULL_PERIOD,
     POSITION_TIMEOUT,
     PULL_DEADLINE,
     SNAPSHOT_AFTER_RECORDS,
+    SNAPSHOT_APPEND_BURST,
+    SNAPSHOT_APPEND_REFILL,
+    UNKNOWN_RULES_RETRY_DELAY,
 )
 from ..findings import Finding
 from ..ids import DaemonId, Digest, Millis, Offset, PublishId, Version
 from ..members.records import Member
 from ..pacing import TokenBucket, full_jitter
-from ..states import Verdict
+from ..states import PublishVerdict
 from .log_fold import (
     LogFold,
     LogReplaced,
@@ -111,7 +111,7 @@
     """Action: report the verdict on a publish record."""
 
     publish_id: PublishId
-    verdict: Verdict
+    verdict: PublishVerdict
     findings: tuple[Finding, ...]
 
 
@@ -173,7 +173,7 @@
         self.log = LogFold(decoder)
         self.offers = Offers(me, rng)
         self.schedule = SnapshotSchedule(rng, snapshot_after)
-        self.appends = TokenBucket(APPENDS_BURST, APPEND_REFILL)
+        self.appends = TokenBucket(SNAPSHOT_APPEND_BURST, SNAPSHOT_APPEND_REFILL)
         self.members: tuple[Member, ...] = (me,)
         self.readers: tuple[DaemonId, ...] = (me.daemon_id,)
         self.reading = False
@@ -231,7 +231,7 @@
                 case UnknownRules(offset, rules):
                     # No read is in flight meanwhile that would fail if the log were replaced.
                     self.log.interrupt()
-                    self.read_after = Millis(now + BLOCKED_RETRY)
+                    self.read_after = Millis(now + UNKNOWN_RULES_RETRY_DELAY)
                     yield from self._report_once(
                         Condition.UNKNOWN_RULES, offset=offset, rules=rules
                     )
@@ -368,14 +368,14 @@
     def _read(self, now: Millis) -> Iterator[FollowerAction]:
         if self.reading or now < self.read_after:
             return
-        silent = self.heard_at is not None and now - self.heard_at > PEER_SILENCE
+        silent = self.heard_at is not None and now - self.heard_at > PEER_SILENCE_TIMEOUT
         alone = silent or len(self.members) <= 1
         if not alone and self.me.daemon_id not in self.readers:
             self.log.interrupt()
             self.lost_at = None
             return
         self.reading = True
-        yield ReadLog(self.log.start(), LONE_POLL_WAIT if alone else LOG_POLL_WAIT)
+        yield ReadLog(self.log.start(), NO_PEERS_POLL_WAIT if alone else LOG_POLL_WAIT)
 
     def _snapshot(self, now: Millis) -> Iterator[FollowerAction]:
         replaced = self.log.caught_up and self.state.version > self.log.state.version
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -13,7 +13,7 @@
 )
 from ..constants import NO_OFFSET
 from ..ids import Offset
-from ..states import Verdict
+from ..states import PublishVerdict
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +138,7 @@
             if entry.offset != self.state.through + 1:
                 continue
             step = fold_entry(self.state, entry, self.decoder)
-            if step.verdict is Verdict.UNKNOWN_RULES and entry.record is not None:
+            if step.verdict is PublishVerdict.UNKNOWN_RULES and entry.record is not None:
                 self.blocked = True
                 yield UnknownRules(entry.offset, entry.record.rules)
                 return
@@ -153,7 +153,7 @@
             if not _is_start(entry, page.first):
                 continue
             step = start_from(entry, self.decoder)
-            if step.verdict is not Verdict.ACCEPTED:
+            if step.verdict is not PublishVerdict.ACCEPTED:
                 continue
             self.state = step.state
             self.search_from = None
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -3,11 +3,11 @@
 import random
 
 from ..constants import (
+    FIRST_SNAPSHOT_DELAY,
     SNAPSHOT_AFTER_RECORDS,
-    SNAPSHOT_FIRST_AGE,
     SNAPSHOT_MAX_AGE,
     SNAPSHOT_RANK_DELAY,
-    SNAPSHOT_RETRY,
+    SNAPSHOT_RETRY_DELAY,
 )
 from ..ids import Millis
 
@@ -42,7 +42,7 @@
     def due(self, now: Millis, rank: int, required: bool) -> bool:
         """Return whether to write now; the delay grows with the rank among the readers."""
         if self.written_at is None:
-            self.written_at = Millis(now - SNAPSHOT_MAX_AGE + SNAPSHOT_FIRST_AGE)
+            self.written_at = Millis(now - SNAPSHOT_MAX_AGE + FIRST_SNAPSHOT_DELAY)
         old = now - self.written_at >= SNAPSHOT_MAX_AGE
         if not (required or old or self.records >= self.after_records):
             self.write_at = None
@@ -54,4 +54,4 @@
 
     def started(self, now: Millis) -> None:
         """Wait for the snapshot to appear in the stream before another one is written."""
-        self.write_at = Millis(now + SNAPSHOT_RETRY * (1 + self.rng.random()))
+        self.write_at = Millis(now + SNAPSHOT_RETRY_DELAY * (1 + self.rng.random()))
--- a/packages/agatecross-core/agatecross_core/idempotency/claims.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/claims.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
-from ..constants import KEY_RETENTION
+from ..constants import IDEMPOTENCY_KEY_RETENTION
 from ..ids import IdempotencyKey, Millis
 from .model import Claim, ClaimsBatch, Release
 
@@ -42,7 +42,7 @@
         """Drop the keys about which nothing was read during the retention time."""
         while self.held:
             key, row = next(iter(self.held.items()))
-            if now - row.read_at <= KEY_RETENTION:
+            if now - row.read_at <= IDEMPOTENCY_KEY_RETENTION:
                 return
             del self.held[key]
 
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -10,20 +10,20 @@
     CLAIM_APPEND_BURST,
     CLAIM_APPEND_REFILL,
     CLAIM_BATCH_WAIT,
-    CLAIM_RETRY_LIMIT,
     CLAIM_RETRY_WAIT,
-    CLAIMS_IDLE_READ,
-    CLOCK_MARGIN,
-    KEY_RETENTION,
+    CLAIMS_IDLE_READ_PERIOD,
+    IDEMPOTENCY_KEY_RETENTION,
     MAX_BATCH_CLAIMS,
-    MAX_KEYS,
-    OUTCOME_POLL,
+    MAX_CLAIM_RETRY_WAIT,
+    MAX_CLOCK_SKEW,
+    MAX_IDEMPOTENCY_KEYS,
+    MAX_OUTCOME_REQUESTS,
+    OUTCOME_POLL_PERIOD,
     OUTCOME_TIMEOUT,
-    OUTCOME_TRIES,
 )
 from ..ids import Address, CallId, ClaimId, DaemonId, IdempotencyKey, Millis, Offset
 from ..pacing import TokenBucket
-from ..states import AppendState, HeldState, Outcome, Reason
+from ..states import AppendState, ClaimedCallState, Outcome, Reason
 from .claims import ClaimsFold
 from .model import (
     Answer,
@@ -75,7 +75,7 @@
     claim_id: ClaimId | None = None
     landed: Offset | None = None
     tries: int = 0
-    poll: Millis = OUTCOME_POLL
+    poll: Millis = OUTCOME_POLL_PERIOD
 
 
 class ClaimDecider:
@@ -137,7 +137,7 @@
     def reply(self, request: OutcomeRequest) -> OutcomeReply:
         """Answer a peer that has a resubmission of a call whose claim names this daemon."""
         reply = self.store.reply(request.claim_id)
-        if reply.state is HeldState.NOT_STARTED:
+        if reply.state is ClaimedCallState.NOT_STARTED:
             # The peer has read this claim as the holder of the key, which this daemon may not have.
             self._release(request.key, request.claim_id)
         return reply
@@ -157,7 +157,7 @@
             yield from self._contend(waiting, now)
         elif now < self.blocked_until:
             yield Answer(submit.call_id, not_run(Reason.CLAIMS_INCOMPLETE))
-        elif len(self.fold) + len(self.waiting) >= MAX_KEYS:
+        elif len(self.fold) + len(self.waiting) >= MAX_IDEMPOTENCY_KEYS:
             yield Answer(submit.call_id, not_run(Reason.CLAIMS_FULL))
         else:
             self.waiting[submit.call_id] = waiting
@@ -179,9 +179,9 @@
 
     def _contend_here(self, waiting: Waiting, claim: Claim, now: Millis) -> Iterator[ClaimsAction]:
         reply = self.store.reply(claim.claim_id)
-        if reply.state is HeldState.RUNNING:
+        if reply.state is ClaimedCallState.RUNNING:
             waiting.phase = Phase.LOCAL
-        elif reply.state is HeldState.NOT_STARTED:
+        elif reply.state is ClaimedCallState.NOT_STARTED:
             self._release_if_unused(claim)
             waiting.phase, waiting.due = Phase.READ_LATER, Millis(now + CLAIM_RETRY_WAIT)
         else:
@@ -203,16 +203,16 @@
         reply = message.reply
         if reply is None:
             waiting.tries += 1
-            if waiting.tries >= OUTCOME_TRIES:
+            if waiting.tries >= MAX_OUTCOME_REQUESTS:
                 yield from self._answer(waiting, unknown(Reason.KEY_HOLDER_GONE))
             else:
                 yield self._ask(waiting, claim)
             return
         waiting.tries = 0
-        if reply.state is HeldState.RUNNING:
+        if reply.state is ClaimedCallState.RUNNING:
             waiting.phase, waiting.due = Phase.ASK_LATER, Millis(now + waiting.poll)
             waiting.poll = min(Millis(2 * waiting.poll), OUTCOME_TIMEOUT)
-        elif reply.state is HeldState.NOT_STARTED:
+        elif reply.state is ClaimedCallState.NOT_STARTED:
             waiting.phase, waiting.due = Phase.READ_LATER, Millis(now + CLAIM_RETRY_WAIT)
         else:
             yield from self._answer(waiting, result_of(reply))
@@ -264,12 +264,12 @@
             self.backoff, self.retry_at = CLAIM_RETRY_WAIT, now
             return
         self.retry_at = Millis(now + self.rng.uniform(CLAIM_BATCH_WAIT, self.backoff))
-        self.backoff = min(Millis(2 * self.backoff), CLAIM_RETRY_LIMIT)
+        self.backoff = min(Millis(2 * self.backoff), MAX_CLAIM_RETRY_WAIT)
 
     def _read(self, page: ClaimsRead, now: Millis) -> Iterator[ClaimsAction]:
         self.reading = False
         self._log_answered(True, now)
-        self.idle_read_at = Millis(now + CLAIMS_IDLE_READ)
+        self.idle_read_at = Millis(now + CLAIMS_IDLE_READ_PERIOD)
         self.fold.expire(now)
         continuity = self.stream.check(page)
         if continuity is not Continuity.WHOLE:
@@ -297,13 +297,13 @@
         for claim in batch.claims:
             if claim.holder == self.me:
                 self._release_if_unused(claim)
-        if batch.lost and wall_ms - batch.at_ms < KEY_RETENTION + CLOCK_MARGIN:
+        if batch.lost and wall_ms - batch.at_ms < IDEMPOTENCY_KEY_RETENTION + MAX_CLOCK_SKEW:
             self.mark_lost = False
             yield from self._block(now)
 
     def _block(self, now: Millis) -> Iterator[ClaimsAction]:
         """Refuse calls with a key until every claim that may be missing is out of retention."""
-        self.blocked_until = Millis(now + KEY_RETENTION)
+        self.blocked_until = Millis(now + IDEMPOTENCY_KEY_RETENTION)
         for phase in OWN_CLAIM_PHASES:
             for waiting in self._in_phase(phase):
                 yield from self._answer(waiting, not_run(Reason.CLAIMS_INCOMPLETE))
@@ -326,7 +326,7 @@
             yield from self._give_up(waiting)
             return
         del self.waiting[waiting.submit.call_id]
-        self.store.put(claim.claim_id, HeldState.RUNNING, now)
+        self.store.put(claim.claim_id, ClaimedCallState.RUNNING, now)
         self.running[claim.claim_id] = claim.key
         yield Grant(waiting.submit.call_id, claim.claim_id)
 
@@ -335,7 +335,7 @@
         holder = self.fold.holder(claim.key)
         if holder is None or holder.claim_id != claim.claim_id:
             return
-        if self.store.reply(claim.claim_id).state is not HeldState.NOT_STARTED:
+        if self.store.reply(claim.claim_id).state is not ClaimedCallState.NOT_STARTED:
             return
         self._release(claim.key, claim.claim_id)
 
@@ -387,7 +387,7 @@
         waiting.phase, waiting.landed = Phase.APPENDING, None
         claim_id = waiting.claim_id or self.new_claim_id()
         waiting.claim_id = claim_id
-        self.store.put(claim_id, HeldState.NOT_STARTED, now)
+        self.store.put(claim_id, ClaimedCallState.NOT_STARTED, now)
         submit = waiting.submit
         return Claim(submit.key, claim_id, self.me, self.control_address, submit.fingerprint)
 
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -4,7 +4,7 @@
 
 from ..calls.model import CallResult, Headers
 from ..ids import Address, CallId, ClaimId, DaemonId, Fingerprint, IdempotencyKey, Millis, Offset
-from ..states import AppendState, HeldState
+from ..states import AppendState, ClaimedCallState
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
 class OutcomeReply:
     """Control message: state behind a claim; status 0 when the response is no longer there."""
 
-    state: HeldState
+    state: ClaimedCallState
     status: int = 0
     headers: Headers = ()
     body: bytes = b""
--- a/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass
 
 from ..calls.model import CallResult, Response, ran, unknown
-from ..constants import KEY_RETENTION, MAX_KEYS, MAX_RETAINED_RESPONSE_BYTES
+from ..constants import IDEMPOTENCY_KEY_RETENTION, MAX_IDEMPOTENCY_KEYS, MAX_RETAINED_RESPONSE_BYTES
 from ..ids import ClaimId, Millis
-from ..states import HeldState, Outcome, Reason
+from ..states import ClaimedCallState, Outcome, Reason
 from .model import OutcomeReply
 
 STATE_OF = {
-    Outcome.RAN: HeldState.RAN,
-    Outcome.UNKNOWN: HeldState.UNKNOWN,
-    Outcome.NOT_RUN: HeldState.NOT_STARTED,
+    Outcome.RAN: ClaimedCallState.RAN,
+    Outcome.UNKNOWN: ClaimedCallState.UNKNOWN,
+    Outcome.NOT_RUN: ClaimedCallState.NOT_STARTED,
 }
 
 
@@ -20,7 +20,7 @@
 class OwnClaim:
     """A claim of this daemon; the response is there while it is retained."""
 
-    state: HeldState
+    state: ClaimedCallState
     at: Millis
     response: Response | None = None
 
@@ -34,11 +34,11 @@
         self.bytes = 0
         self.claims: OrderedDict[ClaimId, OwnClaim] = OrderedDict()
 
-    def put(self, claim_id: ClaimId, state: HeldState, now: Millis) -> None:
+    def put(self, claim_id: ClaimId, state: ClaimedCallState, now: Millis) -> None:
         """Set the state of a claim without a response."""
         self._forget(claim_id)
         self.claims[claim_id] = OwnClaim(state, now)
-        while len(self.claims) > MAX_KEYS:
+        while len(self.claims) > MAX_IDEMPOTENCY_KEYS:
             self._forget(next(iter(self.claims)))
 
     def finish(self, claim_id: ClaimId, result: CallResult, now: Millis) -> None:
@@ -48,7 +48,7 @@
         size = _size(response)
         if result.outcome is not Outcome.RAN or response is None or size > self.max_bytes:
             return
-        self.claims[claim_id] = OwnClaim(HeldState.RAN, now, response)
+        self.claims[claim_id] = OwnClaim(ClaimedCallState.RAN, now, response)
         self.bytes += size
         self._evict()
 
@@ -56,7 +56,7 @@
         """Return what is known; a claim that is not known here may have run."""
         row = self.claims.get(claim_id)
         if row is None:
-            return OutcomeReply(HeldState.UNKNOWN)
+            return OutcomeReply(ClaimedCallState.UNKNOWN)
         if row.response is None:
             return OutcomeReply(row.state)
         return OutcomeReply(row.state, row.response.status, row.response.headers, row.response.body)
@@ -65,9 +65,9 @@
         """Drop the claims older than the retention time, except those that still run."""
         old = []
         for claim_id, row in self.claims.items():
-            if now - row.at <= KEY_RETENTION:
+            if now - row.at <= IDEMPOTENCY_KEY_RETENTION:
                 break
-            if row.state is not HeldState.RUNNING:
+            if row.state is not ClaimedCallState.RUNNING:
                 old.append(claim_id)
         for claim_id in old:
             self._forget(claim_id)
@@ -87,9 +87,9 @@
 
 def result_of(reply: OutcomeReply) -> CallResult:
     """Return the result of a call that its holder ran or may have run."""
-    if reply.state is HeldState.RAN and reply.status:
+    if reply.state is ClaimedCallState.RAN and reply.status:
         return ran(Response(reply.status, reply.headers, reply.body))
-    if reply.state is HeldState.RAN:
+    if reply.state is ClaimedCallState.RAN:
         return CallResult(Outcome.RAN, None, Reason.RESPONSE_EVICTED)
     return unknown(Reason.KEY_HOLDER_GONE)
 
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from enum import Enum
 
-from ..constants import CLOCK_MARGIN, KEY_RETENTION
+from ..constants import IDEMPOTENCY_KEY_RETENTION, MAX_CLOCK_SKEW
 from ..ids import Offset
 from .model import ClaimsRead, OffsetBatch
 
@@ -58,4 +58,4 @@
     # Everything before the first record that is left is older than that record.
     if not page.records or page.records[0].batch is None:
         return False
-    return page.wall_ms - page.records[0].batch.at_ms > KEY_RETENTION + CLOCK_MARGIN
+    return page.wall_ms - page.records[0].batch.at_ms > IDEMPOTENCY_KEY_RETENTION + MAX_CLOCK_SKEW
--- a/packages/agatecross-core/agatecross_core/pacing.py
+++ b/packages/agatecross-core/agatecross_core/pacing.py
@@ -8,17 +8,17 @@
 class TokenBucket:
     """Holds up to `burst` tokens and gains one in each `refill` period."""
 
-    def __init__(self, burst: float, refill: Millis) -> None:
+    def __init__(self, burst: float, refill_period: Millis) -> None:
         """Start full."""
         self.burst = burst
-        self.refill = refill
+        self.refill_period = refill_period
         self.tokens = burst
         self.filled_at: Millis | None = None
 
     def take(self, now: Millis) -> bool:
         """Take a token if there is one."""
         if self.filled_at is not None:
-            gained = (now - self.filled_at) / self.refill
+            gained = (now - self.filled_at) / self.refill_period
             self.tokens = min(self.burst, self.tokens + gained)
         self.filled_at = now
         if self.tokens < 1.0:
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from ..constants import MAX_FINGERPRINTS, QUARANTINE_DEATHS, QUARANTINE_TIME
+from ..constants import MAX_FINGERPRINTS, QUARANTINE_CRASH_COUNT, QUARANTINE_TIME
 from ..ids import DaemonId, Fingerprint, Incarnation, Millis
 from ..members.records import Clearance, Strike
 from .model import QuarantineRow
@@ -41,7 +41,7 @@
                 continue
             record = self.records.setdefault(strike.fingerprint, Record(now))
             # A quarantine ends 10 minutes after it began, whatever is reported late.
-            if death in record.deaths or len(record.deaths) >= QUARANTINE_DEATHS:
+            if death in record.deaths or len(record.deaths) >= QUARANTINE_CRASH_COUNT:
                 continue
             record.deaths.add(death)
             record.at = now
@@ -67,7 +67,7 @@
                 record.deaths -= deaths
                 if not record.deaths:
                     del self.records[row.fingerprint]
-        while len(self.cleared) > self.limit * QUARANTINE_DEATHS:
+        while len(self.cleared) > self.limit * QUARANTINE_CRASH_COUNT:
             self.cleared.popitem(last=False)
         return changed
 
@@ -90,7 +90,7 @@
         """Return whether requests with this fingerprint are refused."""
         self._expire(now)
         record = self.records.get(fingerprint)
-        return record is not None and len(record.deaths) >= QUARANTINE_DEATHS
+        return record is not None and len(record.deaths) >= QUARANTINE_CRASH_COUNT
 
     def seen(self, fingerprint: Fingerprint, path: str) -> None:
         """Note the path of a fingerprint for operators."""
@@ -104,7 +104,9 @@
         for fingerprint, record in self.records.items():
             left = Millis(record.at + QUARANTINE_TIME - now)
             count = len(record.deaths)
-            yield QuarantineRow(fingerprint, record.path, count, count >= QUARANTINE_DEATHS, left)
+            yield QuarantineRow(
+                fingerprint, record.path, count, count >= QUARANTINE_CRASH_COUNT, left
+            )
 
     def _expire(self, now: Millis) -> None:
         while self.records:
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -6,12 +6,12 @@
 from ..ids import DaemonId, Millis
 from ..members.directory import Endpoint
 from ..states import Outcome, Reason
-from .model import Attempt, RelayResult, Repeat, refused
+from .model import Attempt, RelayResult, Repeat, not_run_result
 
 # Refusals that no upstream saw cost no budget, but each takes a round trip between daemons.
 MAX_HANDOVERS = 3
 # A repeat that starts with less time left than this cannot end in time.
-MIN_LEFT = Millis(10)
+MIN_TIME_LEFT = Millis(10)
 SERVER_ERROR = 500
 
 Choose = Callable[[tuple[DaemonId, ...]], Endpoint | None]
@@ -29,7 +29,7 @@
 def relay(
     policy: RelayPolicy,
     choose: Choose,
-    left: Callable[[], Millis],
+    time_left: Callable[[], Millis],
     may_repeat: Callable[[], bool],
 ) -> Generator[Attempt, RelayResult, RelayResult]:
     """Yield attempts, take their results, and return the final result."""
@@ -37,23 +37,23 @@
     arrivals = 0
     last: RelayResult | None = None
     for number in range(MAX_HANDOVERS):
-        if last is not None and left() < MIN_LEFT:
+        if last is not None and time_left() < MIN_TIME_LEFT:
             return last
         endpoint = choose(tried)
         if endpoint is None or endpoint.instance is None:
-            return last or refused(Reason.NO_UPSTREAM)
+            return last or not_run_result(Reason.NO_UPSTREAM)
         if arrivals and not may_repeat():
-            return last or refused(Reason.RETRY_BUDGET)
+            return last or not_run_result(Reason.RETRY_BUDGET)
         result = yield Attempt(endpoint.daemon_id, endpoint.instance, number)
         tried = (*tried, endpoint.daemon_id)
-        arrivals += result.arrived
-        last = worse_kept(last, result)
-        if not repeatable(result, policy, arrivals):
+        arrivals += result.reached_upstream
+        last = reported_result(last, result)
+        if not is_repeatable(result, policy, arrivals):
             return last
-    return last or refused(Reason.NO_UPSTREAM)
+    return last or not_run_result(Reason.NO_UPSTREAM)
 
 
-def repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
+def is_repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
     """Return whether another attempt is allowed after this result."""
     if result.reason in (Reason.TIMEOUT, Reason.CANCELLED, Reason.DEADLINE):
         return False
@@ -61,21 +61,21 @@
         return arrivals <= policy.attempts
     if policy.repeat is Repeat.ONCE or arrivals >= policy.attempts:
         return False
-    return not served(result)
+    return not is_served(result)
 
 
-def served(result: RelayResult) -> bool:
+def is_served(result: RelayResult) -> bool:
     """Return whether a result is an upstream's response that no repeat can better."""
     return result.response is not None and result.response.status < SERVER_ERROR
 
 
-def worse_kept(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
+def reported_result(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
     """Return the result that the caller gets: after a possible run, no refusal may say "not run".
 
     An upstream's own failure is kept when a repeat of it brought no answer, and an answer when a
     second attempt failed.
     """
-    if earlier is None or (latest.outcome is Outcome.RAN and not served(earlier)):
+    if earlier is None or (latest.outcome is Outcome.RAN and not is_served(earlier)):
         return latest
     if earlier.outcome is Outcome.NOT_RUN:
         return latest
--- a/packages/agatecross-core/agatecross_core/relay/ledger.py
+++ b/packages/agatecross-core/agatecross_core/relay/ledger.py
@@ -6,11 +6,11 @@
 
 from ..ids import HandoverId, Millis
 from ..states import Reason
-from .model import RelayResult, refused
+from .model import RelayResult, not_run_result
 
 # An entry daemon asks again within the longest timeout of a route; 10 s covers reconnects too.
-RETENTION = Millis(10_000)
-MAX_ROWS = 20_000
+HANDOVER_RETENTION = Millis(10_000)
+MAX_LEDGER_ROWS = 20_000
 # Results are kept for answers that were lost on the way; 8 MiB is a twentieth of a small daemon.
 MAX_RESULT_BYTES = 8 * 1024 * 1024
 
@@ -24,11 +24,11 @@
 
 
 @dataclass(slots=True)
-class Row:
+class HandoverRecord:
     """One handover."""
 
     state: HandoverState
-    at: Millis
+    recorded_at: Millis
     result: RelayResult | None = None
 
 
@@ -37,7 +37,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self.rows: OrderedDict[HandoverId, Row] = OrderedDict()
+        self.rows: OrderedDict[HandoverId, HandoverRecord] = OrderedDict()
         self.result_bytes = 0
 
     def accept(self, handover_id: HandoverId, now: Millis) -> bool:
@@ -45,7 +45,7 @@
         self._expire(now)
         if handover_id in self.rows:
             return False
-        self.rows[handover_id] = Row(HandoverState.PENDING, now)
+        self.rows[handover_id] = HandoverRecord(HandoverState.PENDING, now)
         return True
 
     def finish(self, handover_id: HandoverId, result: RelayResult) -> None:
@@ -54,8 +54,8 @@
         if row is not None and row.state is HandoverState.PENDING:
             row.state = HandoverState.DONE
             row.result = result
-            self.result_bytes += _size(result)
-            self._shrink()
+            self.result_bytes += _body_bytes(result)
+            self._evict_responses()
 
     def resume(self, handover_id: HandoverId, now: Millis) -> RelayResult | None:
         """Return the result of a handover, or None while it is pending.
@@ -65,30 +65,30 @@
         self._expire(now)
         row = self.rows.get(handover_id)
         if row is None:
-            self.rows[handover_id] = Row(HandoverState.FENCED, now)
-            return refused(Reason.FENCED)
+            self.rows[handover_id] = HandoverRecord(HandoverState.FENCED, now)
+            return not_run_result(Reason.FENCED)
         if row.state is HandoverState.FENCED:
-            return refused(Reason.FENCED)
+            return not_run_result(Reason.FENCED)
         return row.result
 
     def _expire(self, now: Millis) -> None:
         while self.rows:
             handover_id, row = next(iter(self.rows.items()))
-            expired = now - row.at > RETENTION or len(self.rows) > MAX_ROWS
+            expired = now - row.recorded_at > HANDOVER_RETENTION or len(self.rows) > MAX_LEDGER_ROWS
             if not expired or row.state is HandoverState.PENDING:
                 return
             del self.rows[handover_id]
             if row.result is not None:
-                self.result_bytes -= _size(row.result)
+                self.result_bytes -= _body_bytes(row.result)
 
-    def _shrink(self) -> None:
+    def _evict_responses(self) -> None:
         for row in self.rows.values():
             if self.result_bytes <= MAX_RESULT_BYTES:
                 return
             if row.result is not None and row.result.response is not None:
-                self.result_bytes -= _size(row.result)
+                self.result_bytes -= _body_bytes(row.result)
                 row.result = RelayResult(row.result.outcome, Reason.RESPONSE_EVICTED, None, True)
 
 
-def _size(result: RelayResult) -> int:
+def _body_bytes(result: RelayResult) -> int:
     return len(result.response.body) if result.response else 0
--- a/packages/agatecross-core/agatecross_core/relay/model.py
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -46,8 +46,8 @@
     instance: InstanceId
     repeat: Repeat
     rank: int
-    objective_left: Millis
-    left: Millis
+    objective_time_left: Millis
+    time_left: Millis
     request: RelayRequest
 
 
@@ -63,7 +63,7 @@
     outcome: Outcome
     reason: Reason | None = None
     response: RelayResponse | None = None
-    arrived: bool = False
+    reached_upstream: bool = False
     load: int = 0
     slots: int = 0
     cost: Millis = ZERO_MS
@@ -78,11 +78,13 @@
     number: int
 
 
-def refused(reason: Reason, load: int = 0, slots: int = 0, arrived: bool = False) -> RelayResult:
+def not_run_result(
+    reason: Reason, load: int = 0, slots: int = 0, reached_upstream: bool = False
+) -> RelayResult:
     """Return the result of a call that did not run and will not run."""
-    return RelayResult(Outcome.NOT_RUN, reason, None, arrived, load, slots)
+    return RelayResult(Outcome.NOT_RUN, reason, None, reached_upstream, load, slots)
 
 
-def lost(reason: Reason) -> RelayResult:
+def unknown_result(reason: Reason) -> RelayResult:
     """Return the result of a call that may have run."""
     return RelayResult(Outcome.UNKNOWN, reason, None, True)
--- a/packages/agatecross-core/agatecross_core/relay/answers.py
+++ b/packages/agatecross-core/agatecross_core/relay/response_outcome.py
@@ -1,24 +1,24 @@
 """What a response of an upstream proves about the request."""
 
 from ..states import Outcome, Reason
-from .model import RelayResponse, RelayResult, lost
+from .model import RelayResponse, RelayResult, unknown_result
 
-MISDIRECTED = 421
+MISDIRECTED_REQUEST = 421
 SUCCESS = range(200, 300)
 CONTENT_ENCODING = b"content-encoding"
 
 
-def judge(response: RelayResponse, stamp: bytes, not_run: bytes) -> RelayResult:
+def classify_response(response: RelayResponse, stamp: bytes, not_run: bytes) -> RelayResult:
     """Return the result of a handover whose upstream gave a whole response.
 
     `stamp` and `not_run` are lower-case header names: the proof that an upstream made the response,
     and its mark of a request that it did not run.
     """
     names = {name for name, _ in response.headers}
-    if not_run in names or response.status == MISDIRECTED:
-        misdirected = response.status == MISDIRECTED
+    if not_run in names or response.status == MISDIRECTED_REQUEST:
+        misdirected = response.status == MISDIRECTED_REQUEST
         reason = Reason.WRONG_INSTANCE if misdirected else Reason.SHED
         return RelayResult(Outcome.NOT_RUN, reason, None, True)
     if stamp not in names or CONTENT_ENCODING in names:
-        return lost(Reason.BAD_ANSWER)
+        return unknown_result(Reason.BAD_ANSWER)
     return RelayResult(Outcome.RAN, None, response, True)
--- a/packages/agatecross-core/agatecross_core/relay/response_size.py
+++ b/packages/agatecross-core/agatecross_core/relay/response_size.py
@@ -6,13 +6,13 @@
 
 # Bytes of a head, with interim responses and blank lines before it, and of trailers. Common
 # HTTP servers limit heads to 8 to 32 KiB.
-MAX_RESPONSE_HEAD: Final = 64 * KIB
+MAX_RESPONSE_HEAD_BYTES: Final = 64 * KIB
 # Bytes of chunk lines for each byte of the body, beyond what a head may be. Each chunk costs the
 # parser a call: chunks of five bytes or more always fit, smaller ones in bodies of up to 16 KiB.
-CHUNK_LINES_SHARE: Final = 1
+MAX_FRAMING_BYTES_PER_BODY_BYTE: Final = 1
 # Bytes that the unfinished responses of one upstream may take together: four of the largest. With
 # their copies on the way to the caller they fit beside 44 MB at a crest on a machine of 150 MB.
-MAX_UNFINISHED: Final = 32 * MIB
+MAX_UNFINISHED_RESPONSE_BYTES: Final = 32 * MIB
 
 
 class ResponseSize:
@@ -33,11 +33,11 @@
     @property
     def content_exceeded(self) -> bool:
         """Return whether the body or the fields are too large, however they came."""
-        return self.body > MAX_RESPONSE_BYTES or self.fields > MAX_RESPONSE_HEAD
+        return self.body > MAX_RESPONSE_BYTES or self.fields > MAX_RESPONSE_HEAD_BYTES
 
     @property
     def exceeded(self) -> bool:
         """Return whether more was read than an unfinished response may take."""
         framing = self.read - self.body
-        allowed = MAX_RESPONSE_HEAD + CHUNK_LINES_SHARE * self.body
+        allowed = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * self.body
         return self.content_exceeded or framing > allowed
--- a/packages/agatecross-core/agatecross_core/routing/baselines.py
+++ b/packages/agatecross-core/agatecross_core/routing/baselines.py
@@ -4,7 +4,7 @@
 
 from ..ids import DaemonId, Millis, ServiceName
 from ..members.view import FleetView
-from .candidates import candidates, untried
+from .candidates import candidates, prefer_untried
 from .health import healthy
 from .load import LoadTable
 from .model import Candidate, ChoiceRequest, Position
@@ -40,7 +40,7 @@
         """Return the ready upstreams, those of earlier attempts only when there is no other."""
         members = self.view.by_service.get(request.service, ())
         rows = healthy(candidates(request, members, self.load, self.here, now))
-        return list(untried(request, rows))
+        return list(prefer_untried(request, rows))
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
         """Count an attempt that was sent."""
@@ -48,7 +48,7 @@
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
         """Count an attempt that ended."""
-        self.load.released(attempt.daemon_id, Millis(now - attempt.took))
+        self.load.released(attempt.daemon_id, Millis(now - attempt.elapsed))
 
 
 class TwoRandomBalancer(RoundRobinBalancer):
--- a/packages/agatecross-core/agatecross_core/routing/candidates.py
+++ b/packages/agatecross-core/agatecross_core/routing/candidates.py
@@ -23,7 +23,7 @@
     for member in members:
         if member.upstream is None:
             continue
-        row = load.of(member.daemon_id)
+        row = load.lookup(member.daemon_id)
         yield Candidate(
             member,
             member.upstream,
@@ -32,11 +32,11 @@
             row.expected_ms(now),
             row.load(now),
             row.failures(now),
-            row.slow(now),
+            row.is_slow(now),
         )
 
 
-def untried(request: ChoiceRequest, rows: Iterator[Candidate]) -> Iterator[Candidate]:
+def prefer_untried(request: ChoiceRequest, rows: Iterator[Candidate]) -> Iterator[Candidate]:
     """Prefer upstreams of no earlier attempt; a hedge requires one."""
     if request.purpose is Purpose.HEDGE:
         return (row for row in rows if row.member.daemon_id not in request.tried)
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..ids import Millis
-from .candidates import untried
+from .candidates import prefer_untried
 from .ejection import Ejections
 from .groups import GroupDetector
 from .load import LoadTable
@@ -33,15 +33,15 @@
     now: Millis,
 ) -> Candidate | None:
     """Return the candidate for one attempt, or None when no upstream can serve it."""
-    rows = untried(request, iter(ready))
-    rows = filters.groups.outside(request, rows)
+    rows = prefer_untried(request, iter(ready))
+    rows = filters.groups.outside_tried_groups(request, rows)
     rows = filters.ejections.filter(rows, now)
-    rows = filters.groups.not_slow(rows, filters.load, now)
+    rows = filters.groups.outside_slow_groups(rows, filters.load, now)
     rows = filters.ramp.filter(rows, now)
-    return less_loaded(nearest(rows), rng)
+    return pick_less_loaded(nearest(rows), rng)
 
 
-def less_loaded(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
+def pick_less_loaded(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
     """Return the less loaded of two random candidates."""
     rows = list(candidates)
     if len(rows) <= 1:
--- a/packages/agatecross-core/agatecross_core/routing/ejection.py
+++ b/packages/agatecross-core/agatecross_core/routing/ejection.py
@@ -6,10 +6,10 @@
 from ..states import Reason
 from .model import Candidate
 from .prefer import prefer
-from .tuning import EJECTION, EJECTION_MAX
+from .tuning import EJECTION_TIME, MAX_EJECTION_TIME
 
 # NO_UPSTREAM and LEAVING come from a target that knows better than this daemon's view.
-EJECTING = frozenset(
+EJECTING_REASONS = frozenset(
     (Reason.CONNECT_FAILED, Reason.CONNECTION_LOST, Reason.NO_UPSTREAM, Reason.LEAVING)
 )
 
@@ -21,16 +21,16 @@
         """Start without ejections."""
         self.rows: dict[DaemonId, tuple[Millis, Millis]] = {}
 
-    def failed(self, daemon_id: DaemonId, now: Millis) -> None:
+    def record_failure(self, daemon_id: DaemonId, now: Millis) -> None:
         """Eject an upstream; failures while it is ejected do not prolong the time."""
-        until, period = self.rows.get(daemon_id, (now, EJECTION))
+        until, period = self.rows.get(daemon_id, (now, EJECTION_TIME))
         if now >= until:
             self.rows[daemon_id] = (
                 Millis(now + period),
-                Millis(min(EJECTION_MAX, period * 2)),
+                Millis(min(MAX_EJECTION_TIME, period * 2)),
             )
 
-    def succeeded(self, daemon_id: DaemonId) -> None:
+    def record_success(self, daemon_id: DaemonId) -> None:
         """Forget the failures of an upstream that answered."""
         self.rows.pop(daemon_id, None)
 
@@ -40,9 +40,9 @@
 
     def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
         """Yield candidates that are not ejected, or all."""
-        return prefer(candidates, lambda row: not self.ejected(row.member.daemon_id, now))
+        return prefer(candidates, lambda row: not self.is_ejected(row.member.daemon_id, now))
 
-    def ejected(self, daemon_id: DaemonId, now: Millis) -> bool:
+    def is_ejected(self, daemon_id: DaemonId, now: Millis) -> bool:
         """Return whether an upstream is ejected."""
         row = self.rows.get(daemon_id)
         return row is not None and now < row[0]
--- a/packages/agatecross-core/agatecross_core/routing/groups.py
+++ b/packages/agatecross-core/agatecross_core/routing/groups.py
@@ -14,28 +14,28 @@
 from .model import Candidate, ChoiceRequest, Purpose
 from .prefer import prefer
 from .tuning import (
-    BUCKET,
-    BUCKETS,
-    GROUP_CORRELATION,
-    GROUP_DEVIATION,
-    GROUP_LIFETIME,
-    GROUP_MIN_MOMENTS,
-    GROUP_PERIOD,
-    MAX_CORRELATED,
-    MAX_TRACKED,
-    PEAK_MIN_OBSERVED,
-    PEAK_SHARE,
-    SERVICE_PEAK_SHARE,
+    BUCKET_WIDTH,
+    FLEET_PEAK_SLOW_SHARE,
+    GROUP_LINK_LIFETIME,
+    GROUP_MIN_COMMON_PERIODS,
+    GROUP_MIN_CORRELATION,
+    GROUP_MIN_DEVIATION,
+    GROUP_SEARCH_PERIOD,
+    HISTORY_BUCKETS,
+    MAX_CORRELATED_UPSTREAMS,
+    MAX_TRACKED_UPSTREAMS,
+    PEAK_MIN_OBSERVATIONS,
+    SERVICE_PEAK_SLOW_SHARE,
 )
 
 Pair = tuple[DaemonId, DaemonId]
 # A slow moment covers several adjacent buckets, so about a third of them are independent.
-DEPENDENT_BUCKETS = 3
-MAX_LINKS = MAX_CORRELATED * (MAX_CORRELATED - 1) // 2
+BUCKETS_PER_SLOW_PERIOD = 3
+MAX_LINKS = MAX_CORRELATED_UPSTREAMS * (MAX_CORRELATED_UPSTREAMS - 1) // 2
 
 
 @dataclass(slots=True)
-class Track:
+class BucketHistory:
     """Observations of one upstream as bit sets of buckets, counted from the detector's first."""
 
     service: ServiceName
@@ -47,7 +47,7 @@
 
 
 @dataclass(slots=True)
-class Counts:
+class BucketCounts:
     """Observed and slow upstreams in each bucket."""
 
     seen: dict[int, int] = field(default_factory=dict)
@@ -64,7 +64,7 @@
         self.seen = {b: n for b, n in self.seen.items() if b >= before}
         self.slow = {b: n for b, n in self.slow.items() if b >= before}
 
-    def peaks(self, first: int, share: float) -> int:
+    def peak_bits(self, first_bucket: int, share: float) -> int:
         """Return the bit set of buckets in which more than this share is slow.
 
         Sums over five buckets, because a daemon does not observe every upstream in each bucket.
@@ -74,8 +74,8 @@
             near = range(bucket - 2, bucket + 3)
             seen = sum(self.seen.get(b, 0) for b in near)
             slow = sum(self.slow.get(b, 0) for b in near)
-            if bucket >= first and seen >= PEAK_MIN_OBSERVED and slow > share * seen:
-                bits |= 1 << (bucket - first)
+            if bucket >= first_bucket and seen >= PEAK_MIN_OBSERVATIONS and slow > share * seen:
+                bits |= 1 << (bucket - first_bucket)
         return bits
 
 
@@ -84,61 +84,61 @@
 
     def __init__(self) -> None:
         """Start without observations."""
-        self.first = 0
-        self.tracks: dict[DaemonId, Track] = {}
-        self.fleet = Counts()
-        self.services: dict[ServiceName, Counts] = {}
+        self.first_bucket = 0
+        self.tracks: dict[DaemonId, BucketHistory] = {}
+        self.fleet = BucketCounts()
+        self.services: dict[ServiceName, BucketCounts] = {}
         self.links: dict[Pair, Millis] = {}
         self.groups: tuple[frozenset[DaemonId], ...] = ()
         self.group_of: dict[DaemonId, frozenset[DaemonId]] = {}
         self.next_search = Millis(0)
 
-    def observed(self, daemon_id: DaemonId, service: ServiceName, slow: bool, now: Millis) -> None:
+    def observe(self, daemon_id: DaemonId, service: ServiceName, slow: bool, now: Millis) -> None:
         """Count one observation of an upstream."""
-        bucket = int(now // BUCKET)
+        bucket = int(now // BUCKET_WIDTH)
         if not self.tracks:
-            self.first = bucket
+            self.first_bucket = bucket
         track = self.tracks.get(daemon_id)
         if track is None or track.service != service:
-            self._make_room()
-            track = self.tracks[daemon_id] = Track(service, bucket)
+            self._evict_least_recent()
+            track = self.tracks[daemon_id] = BucketHistory(service, bucket)
         if track.bucket != bucket:
-            self._close(track)
+            self._close_bucket(track)
             track.bucket = bucket
         track.calls += 1
         track.slow_calls += slow
         if now >= self.next_search:
-            self.next_search = Millis(now + GROUP_PERIOD)
-            self._search(bucket, now)
+            self.next_search = Millis(now + GROUP_SEARCH_PERIOD)
+            self._rebuild_groups(bucket, now)
 
-    def _make_room(self) -> None:
-        if len(self.tracks) >= MAX_TRACKED:
+    def _evict_least_recent(self) -> None:
+        if len(self.tracks) >= MAX_TRACKED_UPSTREAMS:
             del self.tracks[min(self.tracks, key=lambda i: self.tracks[i].bucket)]
 
-    def _close(self, track: Track) -> None:
-        place = track.bucket - self.first
+    def _close_bucket(self, track: BucketHistory) -> None:
+        place = track.bucket - self.first_bucket
         if track.calls and place >= 0:
             slow = 2 * track.slow_calls >= track.calls and track.slow_calls > 0
             track.seen |= 1 << place
             track.slow |= int(slow) << place
             self.fleet.add(track.bucket, slow)
-            self.services.setdefault(track.service, Counts()).add(track.bucket, slow)
+            self.services.setdefault(track.service, BucketCounts()).add(track.bucket, slow)
         track.calls = track.slow_calls = 0
 
-    def _search(self, bucket: int, now: Millis) -> None:
+    def _rebuild_groups(self, bucket: int, now: Millis) -> None:
         for track in self.tracks.values():
             if track.bucket < bucket:
-                self._close(track)
-        self._forget(bucket - BUCKETS)
-        self._link(now)
+                self._close_bucket(track)
+        self._forget(bucket - HISTORY_BUCKETS)
+        self._update_links(now)
         self.groups = tuple(form_groups(self.links))
         self.group_of = {i: group for group in self.groups for i in group}
 
     def _forget(self, before: int) -> None:
-        shift = before - self.first
+        shift = before - self.first_bucket
         if shift <= 0:
             return
-        self.first = before
+        self.first_bucket = before
         for track in self.tracks.values():
             track.seen >>= shift
             track.slow >>= shift
@@ -148,72 +148,76 @@
             counts.forget(before)
         self.services = {s: counts for s, counts in self.services.items() if counts.seen}
 
-    def _link(self, now: Millis) -> None:
+    def _update_links(self, now: Millis) -> None:
         self.links = {pair: until for pair, until in self.links.items() if now < until}
-        fleet_peak = self.fleet.peaks(self.first, PEAK_SHARE)
+        fleet_peak = self.fleet.peak_bits(self.first_bucket, FLEET_PEAK_SLOW_SHARE)
         peaks = {
-            s: fleet_peak | counts.peaks(self.first, SERVICE_PEAK_SHARE)
+            s: fleet_peak | counts.peak_bits(self.first_bucket, SERVICE_PEAK_SLOW_SHARE)
             for s, counts in self.services.items()
         }
-        rows = list(self._eligible(peaks))
+        rows = list(self._correlation_candidates(peaks))
         for i, (one, first) in enumerate(rows):
             for other, second in rows[i + 1 :]:
                 ignored = peaks.get(first.service, 0) | peaks.get(second.service, 0)
                 pair = (one, other) if one < other else (other, one)
-                if coincide(first, second, ignored):
-                    self.links[pair] = Millis(now + GROUP_LIFETIME)
+                if slow_together(first, second, ignored):
+                    self.links[pair] = Millis(now + GROUP_LINK_LIFETIME)
         if len(self.links) > MAX_LINKS:
             newest = sorted(self.links.items(), key=lambda row: row[1])[-MAX_LINKS:]
             self.links = dict(newest)
 
-    def _eligible(self, peaks: Mapping[ServiceName, int]) -> list[tuple[DaemonId, Track]]:
+    def _correlation_candidates(
+        self, peaks: Mapping[ServiceName, int]
+    ) -> list[tuple[DaemonId, BucketHistory]]:
         rows = [
-            (moments(track.slow & ~peaks.get(track.service, 0)), daemon_id, track)
+            (count_runs(track.slow & ~peaks.get(track.service, 0)), daemon_id, track)
             for daemon_id, track in self.tracks.items()
         ]
-        rows = [row for row in rows if row[0] >= GROUP_MIN_MOMENTS]
+        rows = [row for row in rows if row[0] >= GROUP_MIN_COMMON_PERIODS]
         rows.sort(key=lambda row: -row[0])
-        return [(daemon_id, track) for _, daemon_id, track in rows[:MAX_CORRELATED]]
+        return [(daemon_id, track) for _, daemon_id, track in rows[:MAX_CORRELATED_UPSTREAMS]]
 
-    def outside(self, request: ChoiceRequest, rows: Iterable[Candidate]) -> Iterator[Candidate]:
+    def outside_tried_groups(
+        self, request: ChoiceRequest, rows: Iterable[Candidate]
+    ) -> Iterator[Candidate]:
         """Yield candidates outside the groups of earlier attempts; a hedge requires one."""
-        mates = {i for tried in request.tried for i in self.group_of.get(tried, ())}
+        grouped_with_tried = {i for tried in request.tried for i in self.group_of.get(tried, ())}
         if request.purpose is Purpose.HEDGE:
-            return (row for row in rows if row.member.daemon_id not in mates)
-        return prefer(rows, lambda row: row.member.daemon_id not in mates)
+            return (row for row in rows if row.member.daemon_id not in grouped_with_tried)
+        return prefer(rows, lambda row: row.member.daemon_id not in grouped_with_tried)
 
-    def not_slow(
+    def outside_slow_groups(
         self, rows: Iterable[Candidate], load: LoadTable, now: Millis
     ) -> Iterator[Candidate]:
         """Yield candidates that are in no group that is slow now, or all."""
-        slow = {i for group in self.groups if slow_now(group, load, now) for i in group}
+        slow = {i for group in self.groups if is_group_slow(group, load, now) for i in group}
         return prefer(rows, lambda row: row.member.daemon_id not in slow)
 
 
-def slow_now(group: frozenset[DaemonId], load: LoadTable, now: Millis) -> bool:
+def is_group_slow(group: frozenset[DaemonId], load: LoadTable, now: Millis) -> bool:
     """Return whether a member is slow and no member worked normally since that was seen."""
-    members = [load.of(daemon_id) for daemon_id in group]
-    evidence = max((row.evidence_at for row in members if row.slow(now)), default=None)
+    members = [load.lookup(daemon_id) for daemon_id in group]
+    evidence = max((row.evidence_at for row in members if row.is_slow(now)), default=None)
     return evidence is not None and evidence >= max(row.normal_at for row in members)
 
 
-def coincide(one: Track, other: Track, ignored: int) -> bool:
+def slow_together(one: BucketHistory, other: BucketHistory, ignored: int) -> bool:
     """Return whether the slow buckets of two upstreams coincide far more often than chance."""
     common = one.seen & other.seen & ~ignored
     total = common.bit_count()
     both = one.slow & other.slow & common
-    if moments(both) < GROUP_MIN_MOMENTS:
+    if count_runs(both) < GROUP_MIN_COMMON_PERIODS:
         return False
     a, b = (one.slow & common).bit_count(), (other.slow & common).bit_count()
     spread = a * (total - a) * b * (total - b)
     if not spread:
         return False
     correlation = (both.bit_count() * total - a * b) / math.sqrt(spread)
-    deviation = correlation * math.sqrt(total / DEPENDENT_BUCKETS)
-    return correlation >= GROUP_CORRELATION and deviation >= GROUP_DEVIATION
+    deviation = correlation * math.sqrt(total / BUCKETS_PER_SLOW_PERIOD)
+    return correlation >= GROUP_MIN_CORRELATION and deviation >= GROUP_MIN_DEVIATION
 
 
-def moments(bits: int) -> int:
+def count_runs(bits: int) -> int:
     """Return the number of runs of adjacent buckets."""
     return (bits & ~(bits << 1)).bit_count()
 
--- a/packages/agatecross-core/agatecross_core/routing/hedging.py
+++ b/packages/agatecross-core/agatecross_core/routing/hedging.py
@@ -7,15 +7,15 @@
 from ..states import Reason
 from .model import Candidate
 from .tuning import (
-    HEDGE_MAX_REFUSALS,
+    HEDGE_MAX_REFUSAL_SHARE,
     HEDGE_MAX_UTILISATION,
     HEDGE_MIN_SAMPLES,
-    LATENCY_SAMPLES,
-    QUANTILE_REFRESH,
+    MAX_LATENCY_SAMPLES,
+    QUANTILE_REFRESH_SAMPLES,
     REFUSAL_WEIGHT,
 )
 
-REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.SHED))
+OVERLOAD_REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.SHED))
 
 
 class ServiceLatency:
@@ -23,31 +23,31 @@
 
     def __init__(self) -> None:
         """Start without attempts."""
-        self.samples: deque[float] = deque(maxlen=LATENCY_SAMPLES)
+        self.samples: deque[float] = deque(maxlen=MAX_LATENCY_SAMPLES)
         self.refusals = 0.0
         self.until_refresh = 0
         self.delays: dict[float, Millis] = {}
 
-    def ended(self, took: Millis, reason: Reason | None) -> None:
+    def record(self, elapsed: Millis, reason: Reason | None) -> None:
         """Count an attempt; a refusal has no latency.
 
         The time of a cancelled attempt counts too: without it, each hedge would lower the quantile.
         """
-        refused = reason in REFUSALS
+        refused = reason in OVERLOAD_REFUSALS
         self.refusals += REFUSAL_WEIGHT * (refused - self.refusals)
         if refused:
             return
-        self.samples.append(took)
+        self.samples.append(elapsed)
         self.until_refresh -= 1
         if self.until_refresh <= 0:
-            self.until_refresh = QUANTILE_REFRESH
+            self.until_refresh = QUANTILE_REFRESH_SAMPLES
             self.delays.clear()
 
     def hedge_after(self, quantile: float, rows: Iterable[Candidate]) -> Millis | None:
         """Return the delay of a hedge; None when off, unknown, or at an overload peak."""
         if not quantile or len(self.samples) < HEDGE_MIN_SAMPLES:
             return None
-        if self.refusals > HEDGE_MAX_REFUSALS or utilisation(rows) > HEDGE_MAX_UTILISATION:
+        if self.refusals > HEDGE_MAX_REFUSAL_SHARE or utilisation(rows) > HEDGE_MAX_UTILISATION:
             return None
         if quantile not in self.delays:
             ordered = sorted(self.samples)
--- a/packages/agatecross-core/agatecross_core/routing/host_table.py
+++ b/packages/agatecross-core/agatecross_core/routing/host_table.py
@@ -32,8 +32,8 @@
 
     head_bytes: int
     body_bytes: int
-    head_time: Millis
-    idle_time: Millis
+    head_timeout: Millis
+    idle_timeout: Millis
 
 
 class HostTable:
--- a/packages/agatecross-core/agatecross_core/routing/load.py
+++ b/packages/agatecross-core/agatecross_core/routing/load.py
@@ -9,24 +9,24 @@
 from .tuning import (
     FAILURE_HALF_LIFE,
     FAILURE_WEIGHT,
-    RECENT_HALF_LIFE,
-    RECENT_WEIGHT,
+    MAX_SLOW_HOLD_TIME,
+    MEDIAN_MIN_SAMPLES,
+    MEDIAN_STEP_SHARE,
+    RECENT_LATENCY_HALF_LIFE,
+    RECENT_LATENCY_WEIGHT,
     REPORT_LIFETIME,
     SLOW_DEVIATIONS,
-    SLOW_HOLD,
-    SLOW_HOLD_MAX,
-    SLOW_MIN_SHARE,
-    SLOW_SLACK,
-    USUAL_MIN_SAMPLES,
-    USUAL_STEP,
+    SLOW_HOLD_TIME,
+    SLOW_MARGIN,
+    SLOW_MIN_SPREAD_SHARE,
 )
 
-SHORTEST_MS = 0.01
+MIN_LATENCY_MS = 0.01
 NEVER = Millis(float("-inf"))
 
 
 @dataclass(slots=True)
-class Observed:
+class MemberObservations:
     """Observations of one member; latencies in milliseconds.
 
     `starts` holds the sorted start times of outstanding calls. `usual_ms` follows the median by
@@ -44,10 +44,10 @@
     normal_at: Millis = NEVER
     evidence_at: Millis = NEVER
     slow_until: Millis = NEVER
-    hold: Millis = SLOW_HOLD
+    hold: Millis = SLOW_HOLD_TIME
     failure: float = 0.0
     failure_at: Millis = NEVER
-    others: float = 0.0
+    others_load: float = 0.0
     reported_at: Millis = NEVER
 
     @property
@@ -55,96 +55,98 @@
         """Return the number of own calls without a result."""
         return len(self.starts)
 
-    def limit(self) -> float:
+    def slow_threshold(self) -> float:
         """Return the latency above which a call is slow; infinite until the usual one is known."""
-        if self.samples < USUAL_MIN_SAMPLES:
+        if self.samples < MEDIAN_MIN_SAMPLES:
             return float("inf")
-        spread = max(SLOW_DEVIATIONS * self.deviation_ms, SLOW_MIN_SHARE * self.usual_ms)
-        return self.usual_ms + spread + SLOW_SLACK
+        spread = max(SLOW_DEVIATIONS * self.deviation_ms, SLOW_MIN_SPREAD_SHARE * self.usual_ms)
+        return self.usual_ms + spread + SLOW_MARGIN
 
     def overdue_since(self, now: Millis) -> Millis | None:
         """Return the start of the newest call that should have ended, or None.
 
         A call that started before one that ended normally is a long call, not a sign of slowness.
         """
-        end = bisect_left(self.starts, now - self.limit())
+        end = bisect_left(self.starts, now - self.slow_threshold())
         newest = self.starts[end - 1] if end else NEVER
         return newest if newest > self.normal_start else None
 
-    def refresh(self, now: Millis) -> bool:
+    def record_overdue(self, now: Millis) -> bool:
         """Take outstanding calls that are overdue as evidence; return whether there is any."""
         start = self.overdue_since(now)
         if start is None:
             return False
-        self._slow_evidence(start, now)
+        self._record_slowness(start, now)
         return True
 
-    def slow(self, now: Millis) -> bool:
+    def is_slow(self, now: Millis) -> bool:
         """Return whether the upstream is taken to be slow."""
         return now < self.slow_until
 
     def expected_ms(self, now: Millis) -> float:
         """Return the expected latency; what was seen in the last moments counts most."""
-        weight = math.exp2((self.recent_at - now) / RECENT_HALF_LIFE)
+        weight = math.exp2((self.recent_at - now) / RECENT_LATENCY_HALF_LIFE)
         expected = self.usual_ms + (self.recent_ms - self.usual_ms) * weight
         start = self.overdue_since(now)
         return expected if start is None else max(expected, now - start)
 
-    def completed(self, took: Millis, now: Millis) -> bool:
+    def record_completion(self, elapsed: Millis, now: Millis) -> bool:
         """Learn from a call that ran; return whether it shows that the upstream was slow."""
-        start = Millis(now - took)
-        late = took > self.limit()
+        start = Millis(now - elapsed)
+        late = elapsed > self.slow_threshold()
         slow = late and start >= self.normal_start
-        self._learn(took, now)
+        self._learn_latency(elapsed, now)
         if slow:
-            self._slow_evidence(start, now)
+            self._record_slowness(start, now)
         elif not late and start >= self.normal_start:
             self.normal_start, self.normal_at = start, now
             if start >= self.evidence_at:
-                self.slow_until, self.hold = NEVER, SLOW_HOLD
-        self._failure(0.0, now)
+                self.slow_until, self.hold = NEVER, SLOW_HOLD_TIME
+        self._learn_failure(0.0, now)
         return slow
 
-    def failed(self, now: Millis) -> None:
+    def record_failure(self, now: Millis) -> None:
         """Count a failure or refusal; its duration says nothing about the speed of work."""
-        self._failure(1.0, now)
+        self._learn_failure(1.0, now)
 
     def failures(self, now: Millis) -> float:
         """Return the recent share of failures, from 0 to 1."""
         return self.failure * math.exp2((self.failure_at - now) / FAILURE_HALF_LIFE)
 
-    def reported(self, load: ReportedLoad, now: Millis) -> None:
+    def record_report(self, load: ReportedLoad, now: Millis) -> None:
         """Keep the part of a reported load that this daemon does not see itself."""
-        self.others = max(0.0, load.running + load.queued - self.outstanding)
+        self.others_load = max(0.0, load.running + load.queued - self.outstanding)
         self.reported_at = now
 
     def load(self, now: Millis) -> float:
         """Return own outstanding calls and, while the report is fresh, those of others."""
         fresh = max(0.0, 1.0 - (now - self.reported_at) / REPORT_LIFETIME)
-        return self.outstanding + self.others * fresh
+        return self.outstanding + self.others_load * fresh
 
-    def _learn(self, took: Millis, now: Millis) -> None:
+    def _learn_latency(self, elapsed: Millis, now: Millis) -> None:
         self.samples += 1
         if self.samples == 1:
-            self.usual_ms = self.recent_ms = max(took, SHORTEST_MS)
-        step = max(USUAL_STEP, 1.0 / (self.samples + 1))
-        distance = min(abs(took - self.usual_ms), self.usual_ms)
+            self.usual_ms = self.recent_ms = max(elapsed, MIN_LATENCY_MS)
+        step = max(MEDIAN_STEP_SHARE, 1.0 / (self.samples + 1))
+        distance = min(abs(elapsed - self.usual_ms), self.usual_ms)
         self.deviation_ms += step * (distance - self.deviation_ms)
-        self.usual_ms += max(-step, min(step, took / self.usual_ms - 1.0)) * self.usual_ms
-        weight = (1.0 - RECENT_WEIGHT) * math.exp2((self.recent_at - now) / RECENT_HALF_LIFE)
-        self.recent_ms = took + (self.recent_ms - took) * weight
+        self.usual_ms += max(-step, min(step, elapsed / self.usual_ms - 1.0)) * self.usual_ms
+        weight = (1.0 - RECENT_LATENCY_WEIGHT) * math.exp2(
+            (self.recent_at - now) / RECENT_LATENCY_HALF_LIFE
+        )
+        self.recent_ms = elapsed + (self.recent_ms - elapsed) * weight
         self.recent_at = now
 
-    def _slow_evidence(self, start: Millis, now: Millis) -> None:
+    def _record_slowness(self, start: Millis, now: Millis) -> None:
         if start < self.evidence_at:
             return
         if start > self.slow_until > NEVER:
-            self.hold = Millis(min(SLOW_HOLD_MAX, self.hold * 2))
-        if not self.slow(now):
+            self.hold = Millis(min(MAX_SLOW_HOLD_TIME, self.hold * 2))
+        if not self.is_slow(now):
             self.slow_until = Millis(now + self.hold)
         self.evidence_at = now
 
-    def _failure(self, value: float, now: Millis) -> None:
+    def _learn_failure(self, value: float, now: Millis) -> None:
         before = self.failures(now)
         self.failure = before + FAILURE_WEIGHT * (value - before)
         self.failure_at = now
@@ -155,15 +157,15 @@
 
     def __init__(self) -> None:
         """Start without observations."""
-        self.rows: dict[DaemonId, Observed] = {}
+        self.rows: dict[DaemonId, MemberObservations] = {}
 
-    def of(self, daemon_id: DaemonId) -> Observed:
+    def lookup(self, daemon_id: DaemonId) -> MemberObservations:
         """Return the observations of a member."""
-        return self.rows.get(daemon_id) or Observed()
+        return self.rows.get(daemon_id) or MemberObservations()
 
-    def row(self, daemon_id: DaemonId) -> Observed:
+    def row(self, daemon_id: DaemonId) -> MemberObservations:
         """Return the observations of a member, kept from now on."""
-        return self.rows.setdefault(daemon_id, Observed())
+        return self.rows.setdefault(daemon_id, MemberObservations())
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
         """Count a call that was sent."""
--- a/packages/agatecross-core/agatecross_core/routing/locality.py
+++ b/packages/agatecross-core/agatecross_core/routing/locality.py
@@ -4,7 +4,7 @@
 
 from ..states import Locality
 from .model import Candidate
-from .tuning import FAILING
+from .tuning import FAILING_SHARE
 
 
 def nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
@@ -23,6 +23,6 @@
 
     A slowed upstream costs more than the distance to the next locality.
     """
-    if candidate.slow or candidate.failures > FAILING:
+    if candidate.slow or candidate.failures > FAILING_SHARE:
         return False
     return candidate.load < candidate.upstream.slots
--- a/packages/agatecross-core/agatecross_core/routing/nearest.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -11,7 +11,7 @@
 from ..states import Outcome, Reason
 
 # A reported load loses half of its weight in this time: calls last some tens of milliseconds.
-LOAD_HALF_LIFE = Millis(250)
+REPORTED_LOAD_HALF_LIFE = Millis(250)
 # Extra share of busy slots that a nearer upstream may have before a farther one is chosen: a part
 # for the latency, and a part for each KiB of a call, because bytes on these links are paid for. On
 # the dearer of today's links, 6 KiB between regions cost as much as a served call is worth.
@@ -19,13 +19,13 @@
 REGION_PENALTY_PER_KIB = 0.06
 REMOTE_PENALTY = 0.5
 REMOTE_PENALTY_PER_KIB = 0.35
-SIZE_WEIGHT = 0.05
+SIZE_SAMPLE_WEIGHT = 0.05
 KIB = 1024
-MEAN_WEIGHT = 0.02
+MEAN_SAMPLE_WEIGHT = 0.02
 # A single call counts as at most this many usual times.
-MAX_OUTLIER = 4.0
+MAX_OUTLIER_FACTOR = 4.0
 # What a daemon reports is a mean over many calls already.
-SLOWNESS_WEIGHT = 0.5
+SLOWNESS_SAMPLE_WEIGHT = 0.5
 FAILURE_WEIGHT = 0.15
 # An upstream that fails one call in five costs as much as one with twice the load.
 FAILURE_COST = 5.0
@@ -34,23 +34,23 @@
 MAX_SLOWNESS = 6.0
 MIN_SLOWNESS = 0.3
 # A second attempt of a slow call goes only where at least half of the slots are free.
-SPARE_BUSY = 0.5
-EJECTION = Millis(400)
-COLD_COST = 2.0
+SECOND_ATTEMPT_MAX_BUSY_SHARE = 0.5
+EJECTION_TIME = Millis(400)
+COLD_SLOTS_DIVISOR = 2.0
 SERVER_ERROR = 500
-UNREACHABLE = frozenset(
+UNREACHABLE_REASONS = frozenset(
     (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM, Reason.LEAVING, Reason.WRONG_INSTANCE)
 )
-CROWDED = frozenset((Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.SHED, Reason.DEADLINE))
+OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.SHED, Reason.DEADLINE))
 
 
 @dataclass(slots=True)
-class Stats:
+class InstanceStats:
     """What this daemon saw of one instance of an upstream."""
 
     instance: InstanceId
     outstanding: int = 0
-    others: float = 0.0
+    others_load: float = 0.0
     load_at: Millis = ZERO_MS
     slots: int = 0
     slowness: float = 1.0
@@ -59,7 +59,7 @@
     ejected_until: Millis = ZERO_MS
 
 
-class NearestBalancer:
+class LowestCostBalancer:
     """Chooses endpoints for attempts and learns from their results."""
 
     def __init__(self, region: RegionName, data_centre: DataCentreName, rng: random.Random) -> None:
@@ -67,7 +67,7 @@
         self.region = region
         self.data_centre = data_centre
         self.rng = rng
-        self.stats: dict[DaemonId, Stats] = {}
+        self.stats: dict[DaemonId, InstanceStats] = {}
         self.usual: dict[str, float] = {}
         self.costs: dict[str, float] = {}
         self.sizes: dict[str, float] = {}
@@ -82,55 +82,55 @@
         for row in rows:
             if row.daemon_id in tried:
                 continue
-            cost = self.cost(row, now) + self._penalty(row, size)
+            cost = self.cost(row, now) + self._distance_penalty(row, size)
             if cost < best_cost:
                 best, best_cost = row, cost
         return best
 
     def cost(self, row: Endpoint, now: Millis) -> float:
         """Return the share of busy slots, scaled by slowness and failures."""
-        stats = self.of(row)
+        stats = self.stats_of(row)
         slots = max(1.0, stats.slots or row.slots)
         if row.cold > 0:
-            slots = max(1.0, slots / COLD_COST)
-        busy = (stats.outstanding + self._others(stats, now) + 1.0) / slots
+            slots = max(1.0, slots / COLD_SLOTS_DIVISOR)
+        busy = (stats.outstanding + self._others_load(stats, now) + 1.0) / slots
         failures = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
         cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failures)
         if now < stats.ejected_until:
             cost += 100.0
         return cost + self.rng.random() * 0.02
 
-    def usual_time(self, route: str) -> Millis | None:
+    def mean_time_of(self, route: str) -> Millis | None:
         """Return the mean time of the served calls of a route."""
         usual = self.usual.get(route)
         return None if usual is None else Millis(usual)
 
-    def has_spare(self, row: Endpoint, now: Millis) -> bool:
+    def has_spare_capacity(self, row: Endpoint, now: Millis) -> bool:
         """Return whether an endpoint has room for a second attempt."""
-        stats = self.of(row)
-        busy = stats.outstanding + self._others(stats, now) + 1.0
-        spare = busy < SPARE_BUSY * max(1, stats.slots or row.slots)
+        stats = self.stats_of(row)
+        busy = stats.outstanding + self._others_load(stats, now) + 1.0
+        spare = busy < SECOND_ATTEMPT_MAX_BUSY_SHARE * max(1, stats.slots or row.slots)
         return spare and now >= stats.ejected_until
 
-    def of(self, row: Endpoint) -> Stats:
+    def stats_of(self, row: Endpoint) -> InstanceStats:
         """Return the observations of the current instance of an endpoint."""
         stats = self.stats.get(row.daemon_id)
         assert row.instance is not None
         if stats is None or stats.instance != row.instance:
             outstanding = stats.outstanding if stats else 0
-            stats = Stats(row.instance, outstanding)
+            stats = InstanceStats(row.instance, outstanding)
             self.stats[row.daemon_id] = stats
         return stats
 
     def started(self, row: Endpoint) -> None:
         """Count an attempt."""
-        self.of(row).outstanding += 1
+        self.stats_of(row).outstanding += 1
 
     def ended(
         self,
         daemon_id: DaemonId,
         result: RelayResult,
-        took: Millis,
+        elapsed: Millis,
         route: str,
         sent: int,
         now: Millis,
@@ -142,12 +142,12 @@
         stats.outstanding = max(0, stats.outstanding - 1)
         if result.slots:
             stats.slots = result.slots
-            stats.others = max(0.0, result.load - stats.outstanding)
+            stats.others_load = max(0.0, result.load - stats.outstanding)
             stats.load_at = now
-        if result.reason in UNREACHABLE:
-            stats.ejected_until = Millis(now + EJECTION)
-        elif result.reason in CROWDED:
-            stats.ejected_until = Millis(now + EJECTION / 8)
+        if result.reason in UNREACHABLE_REASONS:
+            stats.ejected_until = Millis(now + EJECTION_TIME)
+        elif result.reason in OVERLOAD_REASONS:
+            stats.ejected_until = Millis(now + EJECTION_TIME / 8)
         failed = result.outcome is Outcome.UNKNOWN or (
             result.response is not None and result.response.status >= SERVER_ERROR
         )
@@ -155,38 +155,40 @@
             return
         self._learn_failure(stats, failed, now)
         if result.outcome is Outcome.RAN and not failed:
-            self._learn_usual(took, route)
+            self._learn_usual(elapsed, route)
         if result.cost > 0:
             self._learn_slowness(stats, result.cost, route)
         if result.response is not None:
             size = (sent + len(result.response.body)) / KIB
             held_size = self.sizes.get(route, size)
-            self.sizes[route] = held_size + SIZE_WEIGHT * (size - held_size)
+            self.sizes[route] = held_size + SIZE_SAMPLE_WEIGHT * (size - held_size)
 
     def retain(self, daemon_ids: Collection[DaemonId]) -> None:
         """Forget daemons that are gone."""
         self.stats = {i: row for i, row in self.stats.items() if i in daemon_ids}
 
-    def _learn_failure(self, stats: Stats, failed: bool, now: Millis) -> None:
+    def _learn_failure(self, stats: InstanceStats, failed: bool, now: Millis) -> None:
         held = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
         stats.failures = held + FAILURE_WEIGHT * (failed - held)
         stats.failed_at = now
 
-    def _learn_usual(self, took: Millis, route: str) -> None:
-        usual = self.usual.get(route, took)
-        self.usual[route] = usual + MEAN_WEIGHT * (min(took, MAX_OUTLIER * usual) - usual)
+    def _learn_usual(self, elapsed: Millis, route: str) -> None:
+        usual = self.usual.get(route, elapsed)
+        self.usual[route] = usual + MEAN_SAMPLE_WEIGHT * (
+            min(elapsed, MAX_OUTLIER_FACTOR * usual) - usual
+        )
 
-    def _learn_slowness(self, stats: Stats, cost: Millis, route: str) -> None:
+    def _learn_slowness(self, stats: InstanceStats, cost: Millis, route: str) -> None:
         """Compare the cost that a daemon measured next to its upstream with those of the others."""
         mean = self.costs.get(route, cost)
-        self.costs[route] = mean + MEAN_WEIGHT * (cost - mean)
+        self.costs[route] = mean + MEAN_SAMPLE_WEIGHT * (cost - mean)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
-        stats.slowness += SLOWNESS_WEIGHT * (ratio - stats.slowness)
+        stats.slowness += SLOWNESS_SAMPLE_WEIGHT * (ratio - stats.slowness)
 
-    def _others(self, stats: Stats, now: Millis) -> float:
-        return stats.others * math.exp2(-(now - stats.load_at) / LOAD_HALF_LIFE)
+    def _others_load(self, stats: InstanceStats, now: Millis) -> float:
+        return stats.others_load * math.exp2(-(now - stats.load_at) / REPORTED_LOAD_HALF_LIFE)
 
-    def _penalty(self, row: Endpoint, size: float) -> float:
+    def _distance_penalty(self, row: Endpoint, size: float) -> float:
         if row.data_centre == self.data_centre:
             return 0.0
         if row.region == self.region:
--- a/packages/agatecross-core/agatecross_core/routing/ramp.py
+++ b/packages/agatecross-core/agatecross_core/routing/ramp.py
@@ -18,8 +18,8 @@
         """Start without upstreams; those of the first view with any are taken to be warm."""
         self.rng = rng
         self.ready: dict[DaemonId, Incarnation] = {}
-        self.unstamped: set[DaemonId] = set()
-        self.since: dict[DaemonId, Millis] = {}
+        self.newly_ready: set[DaemonId] = set()
+        self.ready_since: dict[DaemonId, Millis] = {}
 
     def view_changed(self, view: FleetView) -> None:
         """Note which upstreams became ready, also by a restart of their daemon."""
@@ -29,24 +29,24 @@
             if m.upstream is not None and m.upstream.state is UpstreamState.READY
         }
         if self.ready:
-            self.unstamped |= {i for i, number in ready.items() if self.ready.get(i) != number}
+            self.newly_ready |= {i for i, number in ready.items() if self.ready.get(i) != number}
         self.ready = ready
-        self.unstamped &= ready.keys()
-        self.since = {i: at for i, at in self.since.items() if i in ready}
+        self.newly_ready &= ready.keys()
+        self.ready_since = {i: at for i, at in self.ready_since.items() if i in ready}
 
     def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
         """Yield a just-ready candidate with a probability that grows to 1 within the ramp."""
-        for daemon_id in self.unstamped:
-            self.since[daemon_id] = now
-        self.unstamped.clear()
-        return prefer(candidates, lambda row: self._takes(row.member.daemon_id, now))
-
-    def _takes(self, daemon_id: DaemonId, now: Millis) -> bool:
-        since = self.since.get(daemon_id)
-        if since is None:
+        for daemon_id in self.newly_ready:
+            self.ready_since[daemon_id] = now
+        self.newly_ready.clear()
+        return prefer(candidates, lambda row: self._accepts(row.member.daemon_id, now))
+
+    def _accepts(self, daemon_id: DaemonId, now: Millis) -> bool:
+        ready_since = self.ready_since.get(daemon_id)
+        if ready_since is None:
             return True
-        share = max(RAMP_START, (now - since) / RAMP_TIME)
+        share = max(RAMP_START, (now - ready_since) / RAMP_TIME)
         if share >= 1.0:
-            del self.since[daemon_id]
+            del self.ready_since[daemon_id]
             return True
         return self.rng.random() < share
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -10,10 +10,10 @@
 from ..states import Outcome, Reason
 from .candidates import candidates
 from .choice import Filters, choose
-from .ejection import EJECTING, Ejections
+from .ejection import EJECTING_REASONS, Ejections
 from .groups import GroupDetector
 from .health import healthy
-from .hedging import REFUSALS, ServiceLatency
+from .hedging import OVERLOAD_REFUSALS, ServiceLatency
 from .load import LoadTable
 from .model import Candidate, ChoiceRequest, Position, Purpose, ReportedLoad
 from .ramp import Ramp
@@ -29,7 +29,7 @@
     """
 
     daemon_id: DaemonId
-    took: Millis
+    elapsed: Millis
     outcome: Outcome
     reason: Reason | None = None
     failed: bool = False
@@ -84,7 +84,7 @@
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
         """Return the candidate for one attempt, or None when no upstream can serve it."""
-        self._refresh(request.service, now)
+        self._record_overdue(request.service, now)
         chosen = self._choose_from(self.sampler.draw(request.service), request, now)
         if chosen is None:
             # The members that were drawn may all be gone while others are ready.
@@ -111,34 +111,36 @@
         """Learn from an attempt that ended."""
         daemon_id = attempt.daemon_id
         row = self.load.row(daemon_id)
-        overdue = row.refresh(now)
-        self.load.released(daemon_id, Millis(now - attempt.took))
+        overdue = row.record_overdue(now)
+        self.load.released(daemon_id, Millis(now - attempt.elapsed))
         if attempt.load is not None:
-            row.reported(attempt.load, now)
-        worked = attempt.outcome is Outcome.RAN and not attempt.failed
-        if worked:
-            overdue = row.completed(attempt.took, now)
-            self.ejections.succeeded(daemon_id)
+            row.record_report(attempt.load, now)
+        succeeded = attempt.outcome is Outcome.RAN and not attempt.failed
+        if succeeded:
+            overdue = row.record_completion(attempt.elapsed, now)
+            self.ejections.record_success(daemon_id)
         elif not attempt.cancelled:
-            row.failed(now)
-        if attempt.reason in EJECTING:
-            self.ejections.failed(daemon_id, now)
-        self._count(attempt, worked, overdue, now)
-
-    def _count(self, attempt: AttemptEnded, worked: bool, slow: bool, now: Millis) -> None:
+            row.record_failure(now)
+        if attempt.reason in EJECTING_REASONS:
+            self.ejections.record_failure(daemon_id, now)
+        self._record_for_service(attempt, succeeded, overdue, now)
+
+    def _record_for_service(
+        self, attempt: AttemptEnded, succeeded: bool, slow: bool, now: Millis
+    ) -> None:
         member = self.view.members.get(attempt.daemon_id)
         if member is None or member.upstream is None:
             return
         service = member.upstream.service
         latency = self.latencies.setdefault(service, ServiceLatency())
-        if worked or attempt.cancelled or attempt.reason in REFUSALS:
-            latency.ended(attempt.took, attempt.reason)
-        if worked or slow:
-            self.groups.observed(attempt.daemon_id, service, slow, now)
+        if succeeded or attempt.cancelled or attempt.reason in OVERLOAD_REFUSALS:
+            latency.record(attempt.elapsed, attempt.reason)
+        if succeeded or slow:
+            self.groups.observe(attempt.daemon_id, service, slow, now)
 
-    def _refresh(self, service: ServiceName, now: Millis) -> None:
+    def _record_overdue(self, service: ServiceName, now: Millis) -> None:
         # A frozen upstream gives no answers; its overdue calls are all there is to judge by.
         for member in self.view.by_service.get(service, ()):
             row = self.load.rows.get(member.daemon_id)
-            if row is not None and row.starts and row.refresh(now):
-                self.groups.observed(member.daemon_id, service, True, now)
+            if row is not None and row.starts and row.record_overdue(now):
+                self.groups.observe(member.daemon_id, service, True, now)
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -85,7 +85,7 @@
     REMOTE = 2
 
 
-class Verdict(Enum):
+class PublishVerdict(Enum):
     """Result of folding one publish record."""
 
     ACCEPTED = "accepted"
@@ -96,7 +96,7 @@
     UNDECODABLE = "undecodable"
 
 
-class HeldState(Enum):
+class ClaimedCallState(Enum):
     """State of the call behind a claim, as its holder knows it."""
 
     RUNNING = "running"
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -19,10 +19,10 @@
 from agatecross_core.ids import Address, Incarnation, Millis
 from agatecross_core.members.announcement import Announcements
 from agatecross_core.members.directory import Directory, Endpoint
-from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.drain import LAST_REQUEST_TIME, plan_drain
 from agatecross_core.routing.host_table import HostTable
-from agatecross_core.routing.nearest import NearestBalancer
+from agatecross_core.routing.lowest_cost import LowestCostBalancer
 
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
@@ -152,7 +152,7 @@
         listener.close_after_answers()
         self.peers.leave()
         self.exit.leave()
-        late = await self._until_finished(plan.settled_at, plan.last_accept)
+        late = await self._until_finished(plan.leave_known_at, plan.last_accept_at)
         await listener.stop_accepting()
         earliest = Millis(monotonic() + LAST_REQUEST_TIME)
         late = max(late, await self._until_finished(earliest, plan.end))
@@ -222,7 +222,7 @@
         settings.service,
         settings.callers,
         front_end.names,
-        NearestBalancer(settings.region, settings.data_centre, rng),
+        LowestCostBalancer(settings.region, settings.data_centre, rng),
         budget_factory(settings),
         peers_box,
         rng,
@@ -266,10 +266,10 @@
     )
 
 
-def budget_factory(settings: SidecarSettings) -> Callable[[], FleetBudget]:
+def budget_factory(settings: SidecarSettings) -> Callable[[], FleetRetryBudget]:
     """Return what makes the budget of one service."""
     retries = settings.retries
-    return lambda: FleetBudget(retries.ratio, retries.slack, retries.window)
+    return lambda: FleetRetryBudget(retries.ratio, retries.slack, retries.window)
 
 
 def log_loop_error(log: DecisionLog, context: Mapping[str, Any]) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -14,7 +14,7 @@
 from agatecross_core.calls.flow import run_call
 from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, unknown
 from agatecross_core.config.model import MeshSnapshot, ServicePolicy
-from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_KEY_LENGTH
+from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_IDEMPOTENCY_KEY_LENGTH
 from agatecross_core.idempotency.model import CallFinished, Grant, Submit
 from agatecross_core.ids import (
     Address,
@@ -123,7 +123,7 @@
             return not_run(Reason.QUARANTINED)
         if call.key is None or call.idempotent:
             return await self._drive(call, policy, fingerprint)
-        if len(call.key) > MAX_KEY_LENGTH:
+        if len(call.key) > MAX_IDEMPOTENCY_KEY_LENGTH:
             return not_run(Reason.BAD_REQUEST)
         # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
         task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key, fingerprint))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -11,12 +11,12 @@
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.quarantine.model import relay_fingerprint
 from agatecross_core.quarantine.strikes import StrikeTable
-from agatecross_core.relay.budget import FleetBudget
+from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.flow import SERVER_ERROR, RelayPolicy, relay
 from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult, Repeat
 from agatecross_core.routing.host_table import HostRoute, HostTable, WeightedSplit
-from agatecross_core.routing.nearest import NearestBalancer
+from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Outcome, Reason
 
 from ..decision_log import DecisionLog
@@ -55,8 +55,8 @@
         service: ServiceName,
         address: Address,
         names: HeaderNames,
-        balancer: NearestBalancer,
-        budget_of: Callable[[], FleetBudget],
+        balancer: LowestCostBalancer,
+        budget_of: Callable[[], FleetRetryBudget],
         links: Sender[SendTo | CancelAt],
         rng: random.Random,
         log: DecisionLog,
@@ -77,7 +77,7 @@
         self.split = WeightedSplit()
         self.fleet: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
         self.daemons = 1
-        self.budgets: dict[ServiceName, FleetBudget] = {}
+        self.budgets: dict[ServiceName, FleetRetryBudget] = {}
         self.strikes = StrikeTable()
         self.drain: DrainPlan | None = None
         self.own_fields = frozenset(
@@ -91,7 +91,7 @@
         """Start to accept callers."""
         self.address = await self.listener.listen(self.address)
 
-    def budgets_changed(self, budget_of: Callable[[], FleetBudget]) -> None:
+    def budgets_changed(self, budget_of: Callable[[], FleetRetryBudget]) -> None:
         """Start every service's budget again with other settings."""
         self.budget_of = budget_of
         self.budgets.clear()
@@ -132,7 +132,7 @@
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = self.budget_of()
-        budget.first_arrival()
+        budget.add_first_arrival()
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
             rows = self.fleet.get(service, ())
@@ -152,7 +152,7 @@
             rows = self.fleet.get(service, ())
             now = monotonic()
             endpoint = self.balancer.choose(rows, (tried,), route.name, now)
-            if endpoint is None or not self.balancer.has_spare(endpoint, now):
+            if endpoint is None or not self.balancer.has_spare_capacity(endpoint, now):
                 return None
             if not budget.take(self.daemons, now):
                 return None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -7,7 +7,12 @@
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.upstream_connection import Failure
 from agatecross_adapters.upstream_http import Sending, Unreachable, UpstreamPool
-from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
+from agatecross_core.admission.slot_queue import (
+    RefuseHandover,
+    SlotQueue,
+    StartHandover,
+    WaitingCall,
+)
 from agatecross_core.ids import (
     ZERO_MS,
     Address,
@@ -21,16 +26,16 @@
 from agatecross_core.members.leave_replies import LeaveReplies
 from agatecross_core.members.records import Strike
 from agatecross_core.quarantine.model import relay_fingerprint
-from agatecross_core.relay.answers import judge
 from agatecross_core.relay.ledger import Ledger
 from agatecross_core.relay.model import (
     Handover,
     RelayResponse,
     RelayResult,
     Repeat,
-    lost,
-    refused,
+    not_run_result,
+    unknown_result,
 )
+from agatecross_core.relay.response_outcome import classify_response
 from agatecross_core.states import Reason, UpstreamState
 
 from ..decision_log import DecisionLog
@@ -150,7 +155,7 @@
 
     def refuse_waiting(self) -> None:
         """Refuse the calls that no longer get a slot, as the drain is over."""
-        self._act(self.queue.clear(Reason.LEAVING))
+        self._act(self.queue.refuse_all(Reason.LEAVING))
 
     def _handle(self, message: ExitMessage) -> None:
         match message:
@@ -179,18 +184,22 @@
             return
         reason = self._gate(handover, now)
         if reason is not None:
-            result = refused(reason, self.queue.load, self.queue.slots)
+            result = not_run_result(reason, self.queue.load, self.queue.slots)
             self.ledger.finish(handover.handover_id, result)
             reply(handover.handover_id, result)
             return
-        deadline = Millis(now + handover.left)
+        deadline = Millis(now + handover.time_left)
         call = ExitCall(handover, deadline, reply)
         self.calls[handover.handover_id] = call
         loop = asyncio.get_running_loop()
-        call.timer = loop.call_later(handover.left / 1000, self._timed_out, handover.handover_id)
-        objective = Millis(now + handover.objective_left)
-        waiting = Waiting(handover.handover_id, handover.route, handover.rank, objective, deadline)
-        self._act(self.queue.arrived(waiting, now))
+        call.timer = loop.call_later(
+            handover.time_left / 1000, self._timed_out, handover.handover_id
+        )
+        objective = Millis(now + handover.objective_time_left)
+        waiting = WaitingCall(
+            handover.handover_id, handover.route, handover.rank, objective, deadline
+        )
+        self._act(self.queue.admit(waiting, now))
 
     def _gate(self, handover: Handover, now: Millis) -> Reason | None:
         if self.leaving or self.state is UpstreamState.DRAINING:
@@ -201,13 +210,13 @@
             return Reason.WRONG_INSTANCE
         return None
 
-    def _act(self, actions: Iterable[Start | Refuse]) -> None:
+    def _act(self, actions: Iterable[StartHandover | RefuseHandover]) -> None:
         for action in list(actions):
             call = self.calls.get(action.handover_id)
             if call is None:
                 continue
-            if isinstance(action, Refuse):
-                self._answer(call, refused(action.reason))
+            if isinstance(action, RefuseHandover):
+                self._answer(call, not_run_result(action.reason))
                 self._forget(call)
             else:
                 self._start(call)
@@ -222,10 +231,10 @@
             self._note_cut_off(call, now)
         result = self._result(call, done)
         learn = result.response is not None and call.reply is not None
-        self.queue.finished(call.handover.handover_id, now, learn)
+        self.queue.finish(call.handover.handover_id, now, learn)
         self._answer(call, result)
         self._forget(call)
-        self._act(self.queue.next(now))
+        self._act(self.queue.start_waiting(now))
 
     def _note_cut_off(self, call: ExitCall, now: Millis) -> None:
         """Remember a call whose connection was lost, and look whether the upstream is alive."""
@@ -236,10 +245,10 @@
 
     def _result(self, call: ExitCall, done: RelayResponse | Failure) -> RelayResult:
         if isinstance(done, RelayResponse):
-            return judge(done, self.names.stamp, self.names.not_run)
+            return classify_response(done, self.names.stamp, self.names.not_run)
         if done is Failure.NOT_CONNECTED:
-            return refused(Reason.CONNECT_FAILED)
-        return lost(FAILURE_REASONS[done])
+            return not_run_result(Reason.CONNECT_FAILED)
+        return unknown_result(FAILURE_REASONS[done])
 
     def _answer(self, call: ExitCall, result: RelayResult) -> None:
         if call.timer is not None:
@@ -249,7 +258,7 @@
             result.outcome,
             result.reason,
             result.response,
-            result.arrived,
+            result.reached_upstream,
             self.queue.load,
             self.queue.slots,
             Millis(self.queue.costs.get(call.handover.route, 0.0)),
@@ -280,10 +289,10 @@
             return
         if call.sending is None:
             self.queue.cancel(handover_id)
-            self._answer(call, refused(Reason.DEADLINE))
+            self._answer(call, not_run_result(Reason.DEADLINE))
             self._forget(call)
             return
-        self._answer(call, lost(Reason.TIMEOUT))
+        self._answer(call, unknown_result(Reason.TIMEOUT))
         self._stop(call)
         if call.handover.repeat is Repeat.ONCE:
             call.sending.give_up()
@@ -295,7 +304,7 @@
         call.reply = None
         if call.sending is None:
             self.queue.cancel(handover_id)
-            self._answer(call, refused(Reason.CANCELLED))
+            self._answer(call, not_run_result(Reason.CANCELLED))
             self._forget(call)
         else:
             self._stop(call)
@@ -362,7 +371,7 @@
         )
         self.instance, self.state = instance, state
         if state is UpstreamState.DRAINING:
-            self._act(self.queue.clear(Reason.LEAVING))
+            self._act(self.queue.refuse_all(Reason.LEAVING))
         self.peers.put(UpstreamDescribed({"instance": instance, "state": state, **changes}))
 
     def _unreachable(self, how: Unreachable) -> None:
@@ -372,7 +381,7 @@
         if now >= self.down_until:
             self.log.change("upstream_unreachable", instance=self.instance or "", how=how.value)
         self.down_until = Millis(now + DOWN_TIME)
-        self._act(self.queue.clear(Reason.NO_UPSTREAM))
+        self._act(self.queue.refuse_all(Reason.NO_UPSTREAM))
 
     def _died(self, now: Millis) -> None:
         """Report the calls that were running when the upstream crashed."""
@@ -398,4 +407,4 @@
         if silent and current is not None and self.state is UpstreamState.READY:
             self._describe(current.instance, UpstreamState.STARTING, current)
         self.leave_replies.expire(now)
-        self._act(self.queue.next(now))
+        self._act(self.queue.start_waiting(now))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -11,7 +11,13 @@
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, Millis, Version
-from agatecross_core.relay.model import Handover, RelayResult, Repeat, lost, refused
+from agatecross_core.relay.model import (
+    Handover,
+    RelayResult,
+    Repeat,
+    not_run_result,
+    unknown_result,
+)
 from agatecross_core.states import Reason
 
 from ..mailbox import monotonic
@@ -94,9 +100,9 @@
     def hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
         """Send a handover; without an open connection it surely does not run."""
         if self.state is not LinkState.OPEN:
-            reply(handover.handover_id, refused(Reason.CONNECT_FAILED))
+            reply(handover.handover_id, not_run_result(Reason.CONNECT_FAILED))
             return
-        deadline = Millis(monotonic() + handover.left)
+        deadline = Millis(monotonic() + handover.time_left)
         self.pending[handover.handover_id] = Pending(handover, reply, deadline)
         self.send(handover)
 
@@ -212,4 +218,4 @@
     def _fail_pending(self, which: Callable[[Pending], bool]) -> None:
         for handover_id, row in list(self.pending.items()):
             if which(row):
-                self._result(handover_id, lost(Reason.CONNECTION_LOST))
+                self._result(handover_id, unknown_result(Reason.CONNECTION_LOST))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -16,12 +16,12 @@
     Pull,
     Strikes,
 )
-from agatecross_core.constants import TABLE_DONORS
+from agatecross_core.constants import FULL_TABLE_SENDERS
 from agatecross_core.distribution.readers import select_readers
 from agatecross_core.ids import Address, DaemonId, DataCentreName, HandoverId, Millis
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.records import Strike
-from agatecross_core.relay.model import Handover, RelayResult, refused
+from agatecross_core.relay.model import Handover, RelayResult, not_run_result
 from agatecross_core.states import Reason, UpstreamState
 
 from ..decision_log import DecisionLog
@@ -181,7 +181,7 @@
             return
         link = self.links.get(daemon_id)
         if link is None:
-            reply(handover.handover_id, refused(Reason.CONNECT_FAILED))
+            reply(handover.handover_id, not_run_result(Reason.CONNECT_FAILED))
         else:
             link.hand_over(handover, reply)
 
@@ -260,7 +260,7 @@
         me = self.directory.me
         rows = [row for row in self.directory.rows.values() if row.daemon_id != me.daemon_id]
         neighbours = [row.daemon_id for row in rows if row.data_centre == me.data_centre]
-        donors = select_readers((me.daemon_id, *neighbours), TABLE_DONORS)
+        donors = select_readers((me.daemon_id, *neighbours), FULL_TABLE_SENDERS)
         if data_centre != me.data_centre or me.daemon_id not in donors:
             # A drain that the peer confirmed before it restarted still binds it.
             rows = [
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -7,11 +7,11 @@
 from agatecross_adapters.caller_http import ClosedBy, Exchange
 from agatecross_core.ids import CallId, DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.members.directory import Endpoint
-from agatecross_core.relay.flow import served, worse_kept
+from agatecross_core.relay.flow import is_served, reported_result
 from agatecross_core.relay.hedge import hedge_delay
-from agatecross_core.relay.model import Attempt, Handover, RelayRequest, RelayResult, lost
+from agatecross_core.relay.model import Attempt, Handover, RelayRequest, RelayResult, unknown_result
 from agatecross_core.routing.host_table import HostRoute
-from agatecross_core.routing.nearest import NearestBalancer
+from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Reason
 
 from ..mailbox import Sender, monotonic
@@ -52,7 +52,7 @@
         exchange: Exchange,
         flow: Flow,
         hedge: Hedge | None,
-        balancer: NearestBalancer,
+        balancer: LowestCostBalancer,
         links: Sender[SendTo | CancelAt],
         new_id: Callable[[], HandoverId],
         on_end: "Callable[[RelayedCall, RelayResult], None]",
@@ -84,7 +84,7 @@
         if self.hedge is not None:
             route = self.facts.route
             objective = Millis(self.exchange.arrived + route.objective - now)
-            delay = hedge_delay(self.balancer.usual_time(route.name), objective, left)
+            delay = hedge_delay(self.balancer.mean_time_of(route.name), objective, left)
             if delay is not None:
                 self.hedge_timer = loop.call_later(delay / 1000, self._try_second)
         self._advance(None)
@@ -136,8 +136,8 @@
             self._advance(result)
             return
         # The flow allowed one attempt; with the second one, the attempts of the route are used up.
-        self.held = worse_kept(self.held, result)
-        if served(result) or not self.open:
+        self.held = reported_result(self.held, result)
+        if is_served(result) or not self.open:
             self._end(self.held)
 
     def _learn(self, sent: Sent, result: RelayResult) -> None:
@@ -147,11 +147,11 @@
         self.balancer.ended(sent.daemon_id, result, took, self.facts.route.name, size, now)
 
     def _expire(self) -> None:
-        self._end(lost(Reason.TIMEOUT))
+        self._end(unknown_result(Reason.TIMEOUT))
 
     def _gone(self, closed_by: ClosedBy) -> None:
         cut = closed_by is ClosedBy.DAEMON
-        self._end(lost(Reason.CUT if cut else Reason.CANCELLED))
+        self._end(unknown_result(Reason.CUT if cut else Reason.CANCELLED))
 
     def _end(self, result: RelayResult) -> None:
         if self.ended:
@@ -165,7 +165,7 @@
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
         for handover_id, sent in self.open.items():
             self.links.put(CancelAt(sent.daemon_id, handover_id))
-            self._learn(sent, lost(reason))
+            self._learn(sent, unknown_result(reason))
         self.open.clear()
         self.flow.close()
         self.on_end(self, result)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -18,11 +18,11 @@
     AdmissionMessage,
     CallArrived,
     CallCancelled,
+    CallEnding,
     CallFinished,
     CapacityAnnounced,
     ClassPolicy,
-    Drain,
-    Ending,
+    DaemonLeaving,
     LeaseExpired,
     RefuseCall,
     StartCall,
@@ -185,7 +185,7 @@
                 self.gate.suspects_changed(suspects)
             case Leaving():
                 self.leaving = True
-                self._decide(Drain(), now)
+                self._decide(DaemonLeaving(), now)
             case Tick():
                 self._check_lease(now)
                 self._decide(TimePassed(), now)
@@ -333,10 +333,10 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-def _ending(result: CallResult) -> Ending:
+def _ending(result: CallResult) -> CallEnding:
     if result.outcome is Outcome.RAN or result.reason is Reason.TIMEOUT:
-        return Ending.COMPLETED
-    return Ending.SHED if result.reason is Reason.SHED else Ending.FAILED
+        return CallEnding.COMPLETED
+    return CallEnding.SHED if result.reason is Reason.SHED else CallEnding.FAILED
 
 
 async def refuses_connections(address: Address) -> bool:
