--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -401,9 +401,9 @@
 
 @then("it keeps at most 512 tracks of at most 601 buckets")
 def check_limits(context):
-    tracks = context.detector.tracks
-    assert len(tracks) <= 512, len(tracks)
-    assert all(track.seen.bit_length() <= 601 for track in tracks.values())
+    histories = context.detector.histories
+    assert len(histories) <= 512, len(histories)
+    assert all(track.seen.bit_length() <= 601 for track in histories.values())
     assert len(context.detector.fleet.seen) <= 601
 
 
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -35,22 +35,22 @@
     """Yield attempts, take their results, and return the final result."""
     tried: tuple[DaemonId, ...] = ()
     arrivals = 0
-    last: RelayResult | None = None
+    reported: RelayResult | None = None
     for number in range(MAX_HANDOVERS):
-        if last is not None and time_left() < MIN_TIME_LEFT:
-            return last
+        if reported is not None and time_left() < MIN_TIME_LEFT:
+            return reported
         endpoint = choose(tried)
         if endpoint is None or endpoint.instance is None:
-            return last or not_run_result(Reason.NO_UPSTREAM)
+            return reported or not_run_result(Reason.NO_UPSTREAM)
         if arrivals and not may_repeat():
-            return last or not_run_result(Reason.RETRY_BUDGET)
+            return reported or not_run_result(Reason.RETRY_BUDGET)
         result = yield Attempt(endpoint.daemon_id, endpoint.instance, number)
         tried = (*tried, endpoint.daemon_id)
         arrivals += result.reached_upstream
-        last = reported_result(last, result)
+        reported = reported_result(reported, result)
         if not is_repeatable(result, policy, arrivals):
-            return last
-    return last or not_run_result(Reason.NO_UPSTREAM)
+            return reported
+    return reported or not_run_result(Reason.NO_UPSTREAM)
 
 
 def is_repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
--- a/packages/agatecross-core/agatecross_core/routing/baselines.py
+++ b/packages/agatecross-core/agatecross_core/routing/baselines.py
@@ -34,7 +34,7 @@
         # A random first turn keeps daemons that start together from moving in step.
         turn = self.turns.get(request.service, self.rng.randrange(len(rows)))
         self.turns[request.service] = turn + 1
-        return sorted(rows, key=lambda row: row.member.daemon_id)[turn % len(rows)]
+        return sorted(rows, key=lambda candidate: candidate.member.daemon_id)[turn % len(rows)]
 
     def ready(self, request: ChoiceRequest, now: Millis) -> list[Candidate]:
         """Return the ready upstreams, those of earlier attempts only when there is no other."""
@@ -59,4 +59,6 @@
         rows = self.ready(request, now)
         if not rows:
             return None
-        return min(self.rng.sample(rows, min(2, len(rows))), key=lambda row: row.outstanding)
+        return min(
+            self.rng.sample(rows, min(2, len(rows))), key=lambda candidate: candidate.outstanding
+        )
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -9,7 +9,7 @@
 from .ejection import Ejections
 from .groups import GroupDetector
 from .load import LoadTable
-from .locality import nearest
+from .locality import prefer_nearest
 from .model import Candidate, ChoiceRequest
 from .ramp import Ramp
 from .tuning import FAILURE_COST
@@ -38,7 +38,7 @@
     rows = filters.ejections.filter(rows, now)
     rows = filters.groups.outside_slow_groups(rows, filters.load, now)
     rows = filters.ramp.filter(rows, now)
-    return pick_less_loaded(nearest(rows), rng)
+    return pick_less_loaded(prefer_nearest(rows), rng)
 
 
 def pick_less_loaded(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
@@ -46,10 +46,10 @@
     rows = list(candidates)
     if len(rows) <= 1:
         return rows[0] if rows else None
-    return min(rng.sample(rows, 2), key=cost)
+    return min(rng.sample(rows, 2), key=candidate_cost)
 
 
-def cost(candidate: Candidate) -> float:
+def candidate_cost(candidate: Candidate) -> float:
     """Return the expected wait: load for each slot, scaled by expected latency and failures.
 
     Failures raise the cost because a failing upstream answers fastest and has no load.
--- a/packages/agatecross-core/agatecross_core/routing/groups.py
+++ b/packages/agatecross-core/agatecross_core/routing/groups.py
@@ -85,7 +85,7 @@
     def __init__(self) -> None:
         """Start without observations."""
         self.first_bucket = 0
-        self.tracks: dict[DaemonId, BucketHistory] = {}
+        self.histories: dict[DaemonId, BucketHistory] = {}
         self.fleet = BucketCounts()
         self.services: dict[ServiceName, BucketCounts] = {}
         self.links: dict[Pair, Millis] = {}
@@ -96,39 +96,39 @@
     def observe(self, daemon_id: DaemonId, service: ServiceName, slow: bool, now: Millis) -> None:
         """Count one observation of an upstream."""
         bucket = int(now // BUCKET_WIDTH)
-        if not self.tracks:
+        if not self.histories:
             self.first_bucket = bucket
-        track = self.tracks.get(daemon_id)
-        if track is None or track.service != service:
+        history = self.histories.get(daemon_id)
+        if history is None or history.service != service:
             self._evict_least_recent()
-            track = self.tracks[daemon_id] = BucketHistory(service, bucket)
-        if track.bucket != bucket:
-            self._close_bucket(track)
-            track.bucket = bucket
-        track.calls += 1
-        track.slow_calls += slow
+            history = self.histories[daemon_id] = BucketHistory(service, bucket)
+        if history.bucket != bucket:
+            self._close_bucket(history)
+            history.bucket = bucket
+        history.calls += 1
+        history.slow_calls += slow
         if now >= self.next_search:
             self.next_search = Millis(now + GROUP_SEARCH_PERIOD)
             self._rebuild_groups(bucket, now)
 
     def _evict_least_recent(self) -> None:
-        if len(self.tracks) >= MAX_TRACKED_UPSTREAMS:
-            del self.tracks[min(self.tracks, key=lambda i: self.tracks[i].bucket)]
-
-    def _close_bucket(self, track: BucketHistory) -> None:
-        place = track.bucket - self.first_bucket
-        if track.calls and place >= 0:
-            slow = 2 * track.slow_calls >= track.calls and track.slow_calls > 0
-            track.seen |= 1 << place
-            track.slow |= int(slow) << place
-            self.fleet.add(track.bucket, slow)
-            self.services.setdefault(track.service, BucketCounts()).add(track.bucket, slow)
-        track.calls = track.slow_calls = 0
+        if len(self.histories) >= MAX_TRACKED_UPSTREAMS:
+            del self.histories[min(self.histories, key=lambda i: self.histories[i].bucket)]
+
+    def _close_bucket(self, history: BucketHistory) -> None:
+        position = history.bucket - self.first_bucket
+        if history.calls and position >= 0:
+            slow = 2 * history.slow_calls >= history.calls and history.slow_calls > 0
+            history.seen |= 1 << position
+            history.slow |= int(slow) << position
+            self.fleet.add(history.bucket, slow)
+            self.services.setdefault(history.service, BucketCounts()).add(history.bucket, slow)
+        history.calls = history.slow_calls = 0
 
     def _rebuild_groups(self, bucket: int, now: Millis) -> None:
-        for track in self.tracks.values():
-            if track.bucket < bucket:
-                self._close_bucket(track)
+        for history in self.histories.values():
+            if history.bucket < bucket:
+                self._close_bucket(history)
         self._forget(bucket - HISTORY_BUCKETS)
         self._update_links(now)
         self.groups = tuple(form_groups(self.links))
@@ -139,10 +139,10 @@
         if shift <= 0:
             return
         self.first_bucket = before
-        for track in self.tracks.values():
-            track.seen >>= shift
-            track.slow >>= shift
-        self.tracks = {i: t for i, t in self.tracks.items() if t.seen or t.bucket >= before}
+        for history in self.histories.values():
+            history.seen >>= shift
+            history.slow >>= shift
+        self.histories = {i: t for i, t in self.histories.items() if t.seen or t.bucket >= before}
         self.fleet.forget(before)
         for counts in self.services.values():
             counts.forget(before)
@@ -170,12 +170,12 @@
         self, peaks: Mapping[ServiceName, int]
     ) -> list[tuple[DaemonId, BucketHistory]]:
         rows = [
-            (count_runs(track.slow & ~peaks.get(track.service, 0)), daemon_id, track)
-            for daemon_id, track in self.tracks.items()
+            (count_runs(history.slow & ~peaks.get(history.service, 0)), daemon_id, history)
+            for daemon_id, history in self.histories.items()
         ]
         rows = [row for row in rows if row[0] >= GROUP_MIN_COMMON_PERIODS]
         rows.sort(key=lambda row: -row[0])
-        return [(daemon_id, track) for _, daemon_id, track in rows[:MAX_CORRELATED_UPSTREAMS]]
+        return [(daemon_id, history) for _, daemon_id, history in rows[:MAX_CORRELATED_UPSTREAMS]]
 
     def outside_tried_groups(
         self, request: ChoiceRequest, rows: Iterable[Candidate]
--- a/packages/agatecross-core/agatecross_core/routing/hedging.py
+++ b/packages/agatecross-core/agatecross_core/routing/hedging.py
@@ -57,5 +57,5 @@
 
 def utilisation(rows: Iterable[Candidate]) -> float:
     """Return the share of the slots of these upstreams that is in use."""
-    pairs = [(row.load, row.upstream.slots) for row in rows]
+    pairs = [(candidate.load, candidate.upstream.slots) for candidate in rows]
     return sum(load for load, _ in pairs) / max(1, sum(slots for _, slots in pairs))
--- a/packages/agatecross-core/agatecross_core/routing/load.py
+++ b/packages/agatecross-core/agatecross_core/routing/load.py
@@ -36,7 +36,7 @@
 
     starts: list[Millis] = field(default_factory=list)
     samples: int = 0
-    usual_ms: float = 0.0
+    median_ms: float = 0.0
     deviation_ms: float = 0.0
     recent_ms: float = 0.0
     recent_at: Millis = NEVER
@@ -44,9 +44,9 @@
     normal_at: Millis = NEVER
     evidence_at: Millis = NEVER
     slow_until: Millis = NEVER
-    hold: Millis = SLOW_HOLD_TIME
-    failure: float = 0.0
-    failure_at: Millis = NEVER
+    slow_hold: Millis = SLOW_HOLD_TIME
+    failure_share: float = 0.0
+    failure_updated_at: Millis = NEVER
     others_load: float = 0.0
     reported_at: Millis = NEVER
 
@@ -59,8 +59,8 @@
         """Return the latency above which a call is slow; infinite until the usual one is known."""
         if self.samples < MEDIAN_MIN_SAMPLES:
             return float("inf")
-        spread = max(SLOW_DEVIATIONS * self.deviation_ms, SLOW_MIN_SPREAD_SHARE * self.usual_ms)
-        return self.usual_ms + spread + SLOW_MARGIN
+        spread = max(SLOW_DEVIATIONS * self.deviation_ms, SLOW_MIN_SPREAD_SHARE * self.median_ms)
+        return self.median_ms + spread + SLOW_MARGIN
 
     def overdue_since(self, now: Millis) -> Millis | None:
         """Return the start of the newest call that should have ended, or None.
@@ -86,7 +86,7 @@
     def expected_ms(self, now: Millis) -> float:
         """Return the expected latency; what was seen in the last moments counts most."""
         weight = math.exp2((self.recent_at - now) / RECENT_LATENCY_HALF_LIFE)
-        expected = self.usual_ms + (self.recent_ms - self.usual_ms) * weight
+        expected = self.median_ms + (self.recent_ms - self.median_ms) * weight
         start = self.overdue_since(now)
         return expected if start is None else max(expected, now - start)
 
@@ -101,7 +101,7 @@
         elif not late and start >= self.normal_start:
             self.normal_start, self.normal_at = start, now
             if start >= self.evidence_at:
-                self.slow_until, self.hold = NEVER, SLOW_HOLD_TIME
+                self.slow_until, self.slow_hold = NEVER, SLOW_HOLD_TIME
         self._learn_failure(0.0, now)
         return slow
 
@@ -111,7 +111,7 @@
 
     def failures(self, now: Millis) -> float:
         """Return the recent share of failures, from 0 to 1."""
-        return self.failure * math.exp2((self.failure_at - now) / FAILURE_HALF_LIFE)
+        return self.failure_share * math.exp2((self.failure_updated_at - now) / FAILURE_HALF_LIFE)
 
     def record_report(self, load: ReportedLoad, now: Millis) -> None:
         """Keep the part of a reported load that this daemon does not see itself."""
@@ -126,11 +126,11 @@
     def _learn_latency(self, elapsed: Millis, now: Millis) -> None:
         self.samples += 1
         if self.samples == 1:
-            self.usual_ms = self.recent_ms = max(elapsed, MIN_LATENCY_MS)
+            self.median_ms = self.recent_ms = max(elapsed, MIN_LATENCY_MS)
         step = max(MEDIAN_STEP_SHARE, 1.0 / (self.samples + 1))
-        distance = min(abs(elapsed - self.usual_ms), self.usual_ms)
+        distance = min(abs(elapsed - self.median_ms), self.median_ms)
         self.deviation_ms += step * (distance - self.deviation_ms)
-        self.usual_ms += max(-step, min(step, elapsed / self.usual_ms - 1.0)) * self.usual_ms
+        self.median_ms += max(-step, min(step, elapsed / self.median_ms - 1.0)) * self.median_ms
         weight = (1.0 - RECENT_LATENCY_WEIGHT) * math.exp2(
             (self.recent_at - now) / RECENT_LATENCY_HALF_LIFE
         )
@@ -141,15 +141,15 @@
         if start < self.evidence_at:
             return
         if start > self.slow_until > NEVER:
-            self.hold = Millis(min(MAX_SLOW_HOLD_TIME, self.hold * 2))
+            self.slow_hold = Millis(min(MAX_SLOW_HOLD_TIME, self.slow_hold * 2))
         if not self.is_slow(now):
-            self.slow_until = Millis(now + self.hold)
+            self.slow_until = Millis(now + self.slow_hold)
         self.evidence_at = now
 
     def _learn_failure(self, value: float, now: Millis) -> None:
         before = self.failures(now)
-        self.failure = before + FAILURE_WEIGHT * (value - before)
-        self.failure_at = now
+        self.failure_share = before + FAILURE_WEIGHT * (value - before)
+        self.failure_updated_at = now
 
 
 class LoadTable:
--- a/packages/agatecross-core/agatecross_core/routing/locality.py
+++ b/packages/agatecross-core/agatecross_core/routing/locality.py
@@ -7,11 +7,15 @@
 from .tuning import FAILING_SHARE
 
 
-def nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
+def prefer_nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
     """Yield the candidates of the nearest locality that has room, or all when none has."""
     rows = list(candidates)
     for locality in Locality:
-        near = [row for row in rows if row.locality is locality and has_room(row)]
+        near = [
+            candidate
+            for candidate in rows
+            if candidate.locality is locality and has_room(candidate)
+        ]
         if near:
             yield from near
             return
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -68,30 +68,30 @@
         self.data_centre = data_centre
         self.rng = rng
         self.stats: dict[DaemonId, InstanceStats] = {}
-        self.usual: dict[str, float] = {}
-        self.costs: dict[str, float] = {}
-        self.sizes: dict[str, float] = {}
+        self.mean_times: dict[str, float] = {}
+        self.mean_costs: dict[str, float] = {}
+        self.mean_sizes: dict[str, float] = {}
 
     def choose(
-        self, rows: Iterable[Endpoint], tried: Collection[DaemonId], route: str, now: Millis
+        self, endpoints: Iterable[Endpoint], tried: Collection[DaemonId], route: str, now: Millis
     ) -> Endpoint | None:
         """Return the cheapest endpoint that was not tried, or None."""
-        size = self.sizes.get(route, 1.0)
+        size = self.mean_sizes.get(route, 1.0)
         best: Endpoint | None = None
         best_cost = math.inf
-        for row in rows:
-            if row.daemon_id in tried:
+        for endpoint in endpoints:
+            if endpoint.daemon_id in tried:
                 continue
-            cost = self.cost(row, now) + self._distance_penalty(row, size)
+            cost = self.cost(endpoint, now) + self._distance_penalty(endpoint, size)
             if cost < best_cost:
-                best, best_cost = row, cost
+                best, best_cost = endpoint, cost
         return best
 
-    def cost(self, row: Endpoint, now: Millis) -> float:
+    def cost(self, endpoint: Endpoint, now: Millis) -> float:
         """Return the share of busy slots, scaled by slowness and failures."""
-        stats = self.stats_of(row)
-        slots = max(1.0, stats.slots or row.slots)
-        if row.cold > 0:
+        stats = self.stats_of(endpoint)
+        slots = max(1.0, stats.slots or endpoint.slots)
+        if endpoint.cold > 0:
             slots = max(1.0, slots / COLD_SLOTS_DIVISOR)
         busy = (stats.outstanding + self._others_load(stats, now) + 1.0) / slots
         failures = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
@@ -102,29 +102,29 @@
 
     def mean_time_of(self, route: str) -> Millis | None:
         """Return the mean time of the served calls of a route."""
-        usual = self.usual.get(route)
-        return None if usual is None else Millis(usual)
+        mean = self.mean_times.get(route)
+        return None if mean is None else Millis(mean)
 
-    def has_spare_capacity(self, row: Endpoint, now: Millis) -> bool:
+    def has_spare_capacity(self, endpoint: Endpoint, now: Millis) -> bool:
         """Return whether an endpoint has room for a second attempt."""
-        stats = self.stats_of(row)
+        stats = self.stats_of(endpoint)
         busy = stats.outstanding + self._others_load(stats, now) + 1.0
-        spare = busy < SECOND_ATTEMPT_MAX_BUSY_SHARE * max(1, stats.slots or row.slots)
+        spare = busy < SECOND_ATTEMPT_MAX_BUSY_SHARE * max(1, stats.slots or endpoint.slots)
         return spare and now >= stats.ejected_until
 
-    def stats_of(self, row: Endpoint) -> InstanceStats:
+    def stats_of(self, endpoint: Endpoint) -> InstanceStats:
         """Return the observations of the current instance of an endpoint."""
-        stats = self.stats.get(row.daemon_id)
-        assert row.instance is not None
-        if stats is None or stats.instance != row.instance:
+        stats = self.stats.get(endpoint.daemon_id)
+        assert endpoint.instance is not None
+        if stats is None or stats.instance != endpoint.instance:
             outstanding = stats.outstanding if stats else 0
-            stats = InstanceStats(row.instance, outstanding)
-            self.stats[row.daemon_id] = stats
+            stats = InstanceStats(endpoint.instance, outstanding)
+            self.stats[endpoint.daemon_id] = stats
         return stats
 
-    def started(self, row: Endpoint) -> None:
+    def started(self, endpoint: Endpoint) -> None:
         """Count an attempt."""
-        self.stats_of(row).outstanding += 1
+        self.stats_of(endpoint).outstanding += 1
 
     def ended(
         self,
@@ -155,42 +155,42 @@
             return
         self._learn_failure(stats, failed, now)
         if result.outcome is Outcome.RAN and not failed:
-            self._learn_usual(elapsed, route)
+            self._learn_mean_time(elapsed, route)
         if result.cost > 0:
             self._learn_slowness(stats, result.cost, route)
         if result.response is not None:
             size = (sent + len(result.response.body)) / KIB
-            held_size = self.sizes.get(route, size)
-            self.sizes[route] = held_size + SIZE_SAMPLE_WEIGHT * (size - held_size)
+            mean_size = self.mean_sizes.get(route, size)
+            self.mean_sizes[route] = mean_size + SIZE_SAMPLE_WEIGHT * (size - mean_size)
 
     def retain(self, daemon_ids: Collection[DaemonId]) -> None:
         """Forget daemons that are gone."""
-        self.stats = {i: row for i, row in self.stats.items() if i in daemon_ids}
+        self.stats = {i: stats for i, stats in self.stats.items() if i in daemon_ids}
 
     def _learn_failure(self, stats: InstanceStats, failed: bool, now: Millis) -> None:
-        held = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
-        stats.failures = held + FAILURE_WEIGHT * (failed - held)
+        decayed = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
+        stats.failures = decayed + FAILURE_WEIGHT * (failed - decayed)
         stats.failed_at = now
 
-    def _learn_usual(self, elapsed: Millis, route: str) -> None:
-        usual = self.usual.get(route, elapsed)
-        self.usual[route] = usual + MEAN_SAMPLE_WEIGHT * (
-            min(elapsed, MAX_OUTLIER_FACTOR * usual) - usual
+    def _learn_mean_time(self, elapsed: Millis, route: str) -> None:
+        mean = self.mean_times.get(route, elapsed)
+        self.mean_times[route] = mean + MEAN_SAMPLE_WEIGHT * (
+            min(elapsed, MAX_OUTLIER_FACTOR * mean) - mean
         )
 
     def _learn_slowness(self, stats: InstanceStats, cost: Millis, route: str) -> None:
         """Compare the cost that a daemon measured next to its upstream with those of the others."""
-        mean = self.costs.get(route, cost)
-        self.costs[route] = mean + MEAN_SAMPLE_WEIGHT * (cost - mean)
+        mean = self.mean_costs.get(route, cost)
+        self.mean_costs[route] = mean + MEAN_SAMPLE_WEIGHT * (cost - mean)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
         stats.slowness += SLOWNESS_SAMPLE_WEIGHT * (ratio - stats.slowness)
 
     def _others_load(self, stats: InstanceStats, now: Millis) -> float:
         return stats.others_load * math.exp2(-(now - stats.load_at) / REPORTED_LOAD_HALF_LIFE)
 
-    def _distance_penalty(self, row: Endpoint, size: float) -> float:
-        if row.data_centre == self.data_centre:
+    def _distance_penalty(self, endpoint: Endpoint, size: float) -> float:
+        if endpoint.data_centre == self.data_centre:
             return 0.0
-        if row.region == self.region:
+        if endpoint.region == self.region:
             return REGION_PENALTY + REGION_PENALTY_PER_KIB * size
         return REMOTE_PENALTY + REMOTE_PENALTY_PER_KIB * size
--- a/packages/agatecross-core/agatecross_core/routing/prefer.py
+++ b/packages/agatecross-core/agatecross_core/routing/prefer.py
@@ -10,4 +10,4 @@
 ) -> Iterator[Candidate]:
     """Yield the wanted candidates, or all when none is wanted."""
     rows = list(candidates)
-    yield from [row for row in rows if wanted(row)] or rows
+    yield from [candidate for candidate in rows if wanted(candidate)] or rows
--- a/packages/agatecross-core/agatecross_core/routing/ramp.py
+++ b/packages/agatecross-core/agatecross_core/routing/ramp.py
@@ -39,7 +39,7 @@
         for daemon_id in self.newly_ready:
             self.ready_since[daemon_id] = now
         self.newly_ready.clear()
-        return prefer(candidates, lambda row: self._accepts(row.member.daemon_id, now))
+        return prefer(candidates, lambda candidate: self._accepts(candidate.member.daemon_id, now))
 
     def _accepts(self, daemon_id: DaemonId, now: Millis) -> bool:
         ready_since = self.ready_since.get(daemon_id)
