--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -97,7 +97,7 @@
             case AppendBatch(batch) if fate == "refused" or down:
                 self.handle(name, BatchAppended(AppendState.REFUSED))
             case AppendBatch(batch) if fate == "landed":
-                self.handle(name, BatchAppended(AppendState.LANDED, self.append(batch)))
+                self.handle(name, BatchAppended(AppendState.WRITTEN, self.append(batch)))
             case AppendBatch(batch):
                 if fate == "lost":
                     self.append(batch)
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -234,8 +234,8 @@
         batch, self.in_flight = self.in_flight, None
         if batch is None:
             return
-        self._log_answered(message.state is AppendState.LANDED, now)
-        if message.state is AppendState.LANDED and message.offset is not None:
+        self._log_answered(message.state is AppendState.WRITTEN, now)
+        if message.state is AppendState.WRITTEN and message.offset is not None:
             self.mark_lost = self.mark_lost and not batch.lost
             self.caught_up = bool(self.stream.last_digest)
             for release in batch.releases:
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -1,10 +1,10 @@
-"""States and outcomes that cross module boundaries."""
+"""States and outcomes that several modules share."""
 
 from enum import Enum
 
 
 class MemberState(Enum):
-    """State of a daemon as its peers see it."""
+    """State of a daemon as seen by its peers."""
 
     ALIVE = "alive"
     SUSPECT = "suspect"
@@ -97,7 +97,7 @@
 
 
 class ClaimedCallState(Enum):
-    """State of the call behind a claim, as its holder knows it."""
+    """State of the call that made a claim, as known to the holder of the claim."""
 
     RUNNING = "running"
     RAN = "ran"
@@ -106,8 +106,8 @@
 
 
 class AppendState(Enum):
-    """What is known about an append: it landed, it surely did not, or its answer was lost."""
+    """What is known about an append: written, certainly not written, or its answer was lost."""
 
-    LANDED = "landed"
+    WRITTEN = "landed"
     REFUSED = "refused"
     LOST = "lost"
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -126,7 +126,7 @@
             log_warning("claims_append_unknown", reason=error)
             self.mailbox.put(BatchAppended(AppendState.LOST))
         else:
-            self.mailbox.put(BatchAppended(AppendState.LANDED, offset))
+            self.mailbox.put(BatchAppended(AppendState.WRITTEN, offset))
 
     async def _read(self, start: Offset) -> None:
         try:
