--- a/packages/agatecross-core/agatecross_core/admission/classes.py
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -1,4 +1,4 @@
-"""Filter: class of a call by the observed cost of calls of the same shape."""
+"""Filter that classifies calls as short or long by the observed cost of similar calls."""
 
 import math
 from collections import OrderedDict
@@ -23,7 +23,7 @@
 
 
 def shape_of(call: Call) -> Shape:
-    """Return the shape: the path without its query, segments with a digit replaced by `*`."""
+    """Return the shape of a call: its path has no query and `*` for segments with a digit."""
     path = call.request.path.partition("?")[0]
     segments = path.split("/")[: MAX_SHAPE_SEGMENTS + 1]
     plain = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
@@ -32,7 +32,10 @@
 
 @dataclass(slots=True)
 class ShapeCost:
-    """Costs of one shape in milliseconds; `baseline` is the cost without a slowdown."""
+    """Observed cost of the calls of one shape, in milliseconds.
+
+    `baseline` is the cost without a slowdown, `recent` a moving average of the last calls.
+    """
 
     baseline: float
     recent: float
@@ -40,14 +43,14 @@
 
 
 class CostTable:
-    """Bounded table of observed costs; the shape that was unused longest is evicted."""
+    """Bounded table of observed costs that evicts the least recently observed shape."""
 
     def __init__(self, size: int = MAX_COST_SHAPES) -> None:
         self.size = size
         self.costs: OrderedDict[Shape, ShapeCost] = OrderedDict()
 
     def observe(self, shape: Shape, elapsed: Millis, now: Millis) -> float:
-        """Learn one sample and return its ratio to the baseline before it."""
+        """Record one sample and return its ratio to the previous baseline."""
         cost = self.costs.get(shape)
         if cost is None:
             self.costs[shape] = ShapeCost(elapsed, elapsed, now)
@@ -66,17 +69,17 @@
         return ratio
 
     def observe_running(self, shape: Shape, elapsed: Millis, now: Millis) -> None:
-        """Learn the cost of a shape of which no call has ended yet."""
+        """Record the time of a running call if no call of its shape has ended yet."""
         if shape not in self.costs:
             self.observe(shape, elapsed, now)
 
     def baseline(self, shape: Shape) -> float:
-        """Return the cost without a slowdown; 0 for an unknown shape."""
+        """Return the cost of a shape without a slowdown, or 0 if the shape is unknown."""
         cost = self.costs.get(shape)
         return cost.baseline if cost else 0.0
 
     def expected(self, shape: Shape, now: Millis) -> float:
-        """Return the recent cost, which decays while no call of the shape ends."""
+        """Return the recent cost of a shape, which decays while no call of the shape ends."""
         cost = self.costs.get(shape)
         if cost is None:
             return 0.0
@@ -86,7 +89,7 @@
 def classify(
     steps: Iterable[FilterItem], costs: CostTable, policy: ClassPolicy
 ) -> Iterator[FilterItem]:
-    """Mark entries whose shape costs at least `long_ms` as long."""
+    """Mark the entries whose shape has a baseline of at least `long_ms` as long."""
     for step in steps:
         if isinstance(step, Entry) and costs.baseline(step.shape) >= policy.long_ms:
             yield replace(step, work_class=WorkClass.LONG)
--- a/packages/agatecross-core/agatecross_core/admission/deadline.py
+++ b/packages/agatecross-core/agatecross_core/admission/deadline.py
@@ -1,4 +1,4 @@
-"""Filter: refuses calls that cannot end before their deadline."""
+"""Filter that refuses calls that cannot end before their deadline."""
 
 from collections.abc import Iterable, Iterator
 
@@ -11,7 +11,7 @@
 def refuse_infeasible(
     steps: Iterable[FilterItem], costs: CostTable, now: Millis
 ) -> Iterator[FilterItem]:
-    """Refuse entries whose time left is shorter than the observed cost of their shape."""
+    """Refuse the entries whose remaining time is at most the expected cost of their shape."""
     for step in steps:
         if isinstance(step, Entry) and not can_finish(step, costs, now):
             yield RefuseCall(step.call.call_id, Reason.DEADLINE)
@@ -20,5 +20,5 @@
 
 
 def can_finish(entry: Entry, costs: CostTable, now: Millis) -> bool:
-    """Return whether an entry that starts now is expected to end in time."""
+    """Return whether a call that starts now is expected to end before its deadline."""
     return entry.call.deadline - now > costs.expected(entry.shape, now)
--- a/packages/agatecross-core/agatecross_core/admission/limit.py
+++ b/packages/agatecross-core/agatecross_core/admission/limit.py
@@ -1,9 +1,10 @@
-"""Concurrency limit below the announced slots.
+"""Concurrency limit of an upstream, which is at most its announced slots.
 
-A gradient on the service time lowers the limit when calls take longer than their baseline, down to
-a quarter of the slots: a slowdown from outside does not end at a lower concurrency, and the
-upstream must stay observed. Shed calls lower it by a constant factor, down to one. It grows by half
-in each window without either, so that it is restored within a second.
+When calls take longer than their baseline, a gradient on the service time lowers the limit, down to
+a quarter of the slots: a lower concurrency does not end a slowdown with an outside cause, and the
+upstream must stay under observation. Calls that the upstream sheds lower the limit by a constant
+factor, down to one. In each window without either, the limit grows by half, so that it is restored
+within a second.
 """
 
 import math
@@ -21,7 +22,7 @@
 
 
 class ConcurrencyLimit:
-    """Adapts the number of calls that may run at once to what the upstream can run."""
+    """Adapts the number of concurrent calls to the capacity of the upstream."""
 
     def __init__(self) -> None:
         self.ceiling = 0
@@ -32,17 +33,17 @@
 
     @property
     def value(self) -> int:
-        """Return the limit in calls."""
+        """Return the number of calls that may run at once."""
         return min(self.ceiling, max(1, math.floor(self.level)))
 
     def set_ceiling(self, ceiling: int) -> None:
-        """Take over the announced capacity; a new ceiling starts without a reduction."""
+        """Set the announced capacity; after a change, the limit starts at the new capacity."""
         if ceiling != self.ceiling:
             self.ceiling = ceiling
             self.level = float(ceiling)
 
     def record_completion(self, ratio: float, now: Millis) -> None:
-        """Count a completed call that took `ratio` times its baseline."""
+        """Record a completed call that took `ratio` times its baseline."""
         self.ratio_sum += ratio
         self.sample_count += 1
         if now >= self.window_end and self.sample_count >= LIMIT_MIN_SAMPLES:
@@ -50,13 +51,13 @@
             self._start_window(now)
 
     def record_shed(self, running: int, now: Millis) -> None:
-        """Lower the limit below the concurrency at which the upstream shed, once in a window."""
+        """Lower the limit below the concurrency at which a call was shed, once per window."""
         if now >= self.window_end:
             self.level = max(1.0, min(self.level, running) * LIMIT_SHED_FACTOR)
             self._start_window(now)
 
     def record_idle(self, now: Millis) -> None:
-        """Grow while nothing runs, because no completed call can show that the upstream is well."""
+        """Raise the limit while nothing runs: no completion can show that the upstream is well."""
         if now >= self.window_end:
             self._grow()
             self._start_window(now)
--- a/packages/agatecross-core/agatecross_core/admission/model.py
+++ b/packages/agatecross-core/agatecross_core/admission/model.py
@@ -1,4 +1,4 @@
-"""Messages of admission control next to the upstream."""
+"""Messages and actions of admission control next to the upstream."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallArrived:
-    """A call asks to be started."""
+    """A call arrived and has to be started, queued or refused."""
 
     call: Call
 
@@ -49,12 +49,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseExpired:
-    """The upstream no longer announces itself."""
+    """The upstream has not announced itself within its lease."""
 
 
 @dataclass(frozen=True, slots=True)
 class ClassPolicy:
-    """Calls of at least `long_ms` are long and hold at most `long_share` of the limit."""
+    """Calls of at least `long_ms` are long and use at most `long_share` of the limit."""
 
     long_ms: Millis
     long_share: float
@@ -65,12 +65,12 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonLeaving:
-    """The daemon leaves: nothing that waits or arrives will start."""
+    """The daemon is leaving: no waiting or arriving call will be started."""
 
 
 @dataclass(frozen=True, slots=True)
 class TimePassed:
-    """A period passed."""
+    """Periodic tick."""
 
 
 AdmissionMessage = (
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
-    """Action: answer the call as not run."""
+    """Action: report the call as not run."""
 
     call_id: CallId
     reason: Reason
@@ -112,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """Calls that are expected to cost about the same."""
+    """Key of calls that are expected to cost about the same."""
 
     service: str
     method: str
@@ -121,7 +121,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A call on its way through the filters; `arrived` is a reading of the monotonic clock."""
+    """A call that passes through the filters; `arrived` is a time on the monotonic clock."""
 
     call: Call
     shape: Shape
@@ -130,4 +130,4 @@
 
 
 FilterItem = Entry | RefuseCall
-"""What a filter takes and yields: an entry that goes on, or the refusal of an earlier filter."""
+"""What a filter consumes and yields: an entry that goes on, or a refusal by an earlier filter."""
--- a/packages/agatecross-core/agatecross_core/admission/pipeline.py
+++ b/packages/agatecross-core/agatecross_core/admission/pipeline.py
@@ -33,20 +33,20 @@
 
 
 class Gate:
-    """First filter: whether the upstream takes calls at all."""
+    """First filter: refuses every call while the upstream accepts none."""
 
     def __init__(self) -> None:
         self.state: UpstreamState | None = None
         self.leaving = False
 
     def reason(self) -> Reason | None:
-        """Return why every call is refused, or None."""
+        """Return the reason to refuse every call, or None while calls are accepted."""
         if self.leaving or self.state is UpstreamState.DRAINING:
             return Reason.LEAVING
         return None if self.state is UpstreamState.READY else Reason.NO_UPSTREAM
 
     def refuse_while_closed(self, steps: Iterable[FilterItem]) -> Iterator[FilterItem]:
-        """Refuse entries while the upstream takes none."""
+        """Refuse the entries while the upstream accepts no calls."""
         for step in steps:
             reason = self.reason()
             if isinstance(step, Entry) and reason is not None:
@@ -64,7 +64,7 @@
 
 
 class AdaptiveAdmission:
-    """Decides which calls start, wait or are refused; never runs more than the limit."""
+    """Decides which calls start, wait or are refused; never runs more calls than the limit."""
 
     def __init__(self) -> None:
         self.gate = Gate()
@@ -91,7 +91,7 @@
         return self.limit.value
 
     def handle(self, message: AdmissionMessage, now: Millis) -> Iterator[AdmissionAction]:
-        """Take one message and yield the actions that follow from it."""
+        """Handle one message and yield the resulting actions."""
         match message:
             case CallArrived(call):
                 yield from self._admit(call, now)
@@ -135,7 +135,7 @@
         if running is None:
             self.queue.remove(call_id)
         elif running.entry.call.idempotent:
-            # The slot is freed when the closed connection is reported.
+            # The slot is freed when the close of the connection is reported.
             yield StopCall(call_id)
 
     def _tick(self, now: Millis) -> None:
--- a/packages/agatecross-core/agatecross_core/admission/policies.py
+++ b/packages/agatecross-core/agatecross_core/admission/policies.py
@@ -1,4 +1,4 @@
-"""Admission policies and their selection."""
+"""Admission policies and their selection by name."""
 
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
@@ -43,12 +43,12 @@
         ...
 
     def handle(self, message: AdmissionMessage, now: Millis) -> Iterator[AdmissionAction]:
-        """Take one message and yield the actions that follow from it."""
+        """Handle one message and yield the resulting actions."""
         ...
 
 
 class FifoAdmission:
-    """One queue in order of arrival; without `bounded` it starts every call at once."""
+    """Starts calls in order of arrival; if not `bounded`, starts every call at once."""
 
     def __init__(self, bounded: bool) -> None:
         self.bounded = bounded
@@ -68,7 +68,7 @@
         return len(self.queue)
 
     def handle(self, message: AdmissionMessage, now: Millis) -> Iterator[AdmissionAction]:
-        """Take one message and yield the actions that follow from it."""
+        """Handle one message and yield the resulting actions."""
         match message:
             case CallArrived(call):
                 yield from self._admit(call)
@@ -121,5 +121,5 @@
 
 
 def new_admission(name: str) -> AdmissionPolicy:
-    """Return a new policy; raises `KeyError` for an unknown name."""
+    """Create the policy with this name; raises `KeyError` for an unknown name."""
     return POLICIES[name]()
--- a/packages/agatecross-core/agatecross_core/admission/queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/queue.py
@@ -1,4 +1,7 @@
-"""The bounded queue in front of the upstream's slots: short before long, newest first when late."""
+"""Bounded queue in front of the slots of an upstream.
+
+Short calls go before long ones; an overloaded lane serves its newest entry first.
+"""
 
 from collections import deque
 from collections.abc import Iterable, Iterator
@@ -25,7 +28,7 @@
     def offer(
         self, steps: Iterable[FilterItem], capacity: int, now: Millis
     ) -> Iterator[RefuseCall]:
-        """Queue entries; at the bound yield the refusal of the entry that is worth least."""
+        """Queue the entries and yield refusals; above `capacity`, refuse the least useful entry."""
         for step in steps:
             if isinstance(step, RefuseCall):
                 yield step
@@ -37,8 +40,8 @@
     def take(self, long_running: int, long_limit: int, now: Millis) -> Entry | None:
         """Remove and return the entry to start next.
 
-        Short work goes first, except that one long call may run at any load: without it, steady
-        short work would starve the long work.
+        Short calls go first, but one long call may run at any load: otherwise a steady flow of
+        short calls would starve the long ones.
         """
         short, long = self.lanes[WorkClass.SHORT], self.lanes[WorkClass.LONG]
         long_allowed = bool(long) and long_running < long_limit
@@ -47,7 +50,7 @@
         return pop_next(short, now) if short else None
 
     def drop_infeasible(self, costs: CostTable, now: Millis) -> Iterator[RefuseCall]:
-        """Remove the entries that could not end in time if they started now."""
+        """Refuse the entries that could not end in time if they started now."""
         for lane in self.lanes.values():
             infeasible = [entry for entry in lane if not can_finish(entry, costs, now)]
             for entry in infeasible:
@@ -55,7 +58,7 @@
                 yield RefuseCall(entry.call.call_id, Reason.DEADLINE)
 
     def remove(self, call_id: CallId) -> bool:
-        """Remove a call; return whether it waited."""
+        """Remove a call; return whether it was waiting."""
         for lane in self.lanes.values():
             for entry in lane:
                 if entry.call.call_id == call_id:
@@ -64,7 +67,7 @@
         return False
 
     def refuse_all(self, reason: Reason) -> Iterator[RefuseCall]:
-        """Remove and refuse everything."""
+        """Remove and refuse all entries."""
         for lane in self.lanes.values():
             while lane:
                 yield RefuseCall(lane.popleft().call.call_id, reason)
@@ -80,5 +83,5 @@
 
 
 def pop_next(lane: Lane, now: Millis) -> Entry:
-    """Remove the newest entry of a late lane, which has the most time left, else the oldest."""
+    """Remove the oldest entry, or of an overloaded lane the newest, which has most time left."""
     return lane.pop() if exceeds_delay_target(lane, now) else lane.popleft()
--- a/packages/agatecross-core/agatecross_core/admission/retry.py
+++ b/packages/agatecross-core/agatecross_core/admission/retry.py
@@ -1,4 +1,4 @@
-"""Retry budget: retries as a share of first attempts."""
+"""Retry budget that limits retries to a share of first attempts."""
 
 MAX_RETRY_TOKENS = 10.0
 
@@ -12,11 +12,11 @@
         self.tokens = MAX_RETRY_TOKENS
 
     def add_first_attempt(self) -> None:
-        """Add the share of one first attempt."""
+        """Add the tokens of one first attempt."""
         self.tokens = min(MAX_RETRY_TOKENS, self.tokens + self.ratio)
 
     def take(self) -> bool:
-        """Take the token of one retry, if there is one."""
+        """Take the token of one retry; return False if there is none."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -1,4 +1,4 @@
-"""The queue in front of one upstream's slots: important and urgent calls first."""
+"""Queue in front of the slots of one upstream: important and urgent calls first."""
 
 from bisect import bisect_right, insort
 from collections.abc import Iterator
@@ -7,22 +7,23 @@
 from ..ids import HandoverId, Millis, RouteName
 from ..states import Reason
 
+# Weight of one call in the mean costs.
 COST_SAMPLE_WEIGHT = 0.1
-# A call that waits longer than its latency objective allows is worth little, but every call may
-# wait this share of the time it has left.
+# A call that waits longer than its latency objective allows has little value, but every call may
+# wait for this share of its remaining time.
 MIN_WAIT_SHARE = 0.1
-# Runs of one route differ; this many mean costs must fit between the start and the objective.
+# Calls of one route differ in cost; this multiple of the mean must fit between start and objective.
 COST_MARGIN_FACTOR = 1.2
-# A call that may be late is started if a run of this share of the usual cost would be in time.
+# A call that may be late is started if it would be in time at this share of the mean cost.
 FEASIBLE_COST_SHARE = 0.6
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingCall:
-    """A call that waits; `rank` 0 is the most important.
+    """A waiting call; `rank` 0 is the most important.
 
-    `objective` is when its answer loses value, `deadline` when it is useless, both on the monotonic
-    clock.
+    After `objective` its answer loses value, after `deadline` it is useless; both are times on the
+    monotonic clock.
     """
 
     handover_id: HandoverId
@@ -41,21 +42,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseHandover:
-    """Action: answer the call as not run."""
+    """Action: report the call as not run."""
 
     handover_id: HandoverId
     reason: Reason
 
 
 class SlotQueue:
-    """Starts at most `slots` calls at once."""
+    """Runs at most `slots` calls at once; queues or refuses the others."""
 
     def __init__(self) -> None:
         """Start without slots."""
         self.slots = 0
         self.running: dict[HandoverId, tuple[RouteName, Millis]] = {}
-        # In the order of starts. Within a rank the earliest objective goes first: calls that
-        # running upstreams make have short ones, and without them their callers' work is lost.
+        # Sorted by start order. Within a rank, the earliest objective goes first: calls made by
+        # running upstreams have short objectives, and without them the work so far is lost.
         self.waiting: list[WaitingCall] = []
         self.costs: dict[RouteName, float] = {}
         self.mean_cost = 0.0
@@ -77,7 +78,7 @@
         insort(self.waiting, call, key=start_order)
 
     def finish(self, handover_id: HandoverId, now: Millis, typical: bool) -> None:
-        """Free the slot of a call; `learn` tells whether its time is typical of its route."""
+        """Free the slot of a call; `typical` tells whether its time counts for the mean cost."""
         row = self.running.pop(handover_id, None)
         if row is not None and typical:
             route, started = row
@@ -87,7 +88,7 @@
             self.mean_cost += COST_SAMPLE_WEIGHT * (elapsed - self.mean_cost)
 
     def cancel(self, handover_id: HandoverId) -> bool:
-        """Remove a waiting call; return whether it waited."""
+        """Remove a call; return whether it was waiting."""
         for position, call in enumerate(self.waiting):
             if call.handover_id == handover_id:
                 del self.waiting[position]
@@ -95,7 +96,7 @@
         return False
 
     def start_waiting(self, now: Millis) -> Iterator[StartHandover | RefuseHandover]:
-        """Start waiting calls while there are free slots; refuse those that cannot end in time."""
+        """Start waiting calls while slots are free; refuse those that cannot end in time."""
         while self.waiting and len(self.running) < self.slots:
             call = self.waiting.pop(0)
             if now + FEASIBLE_COST_SHARE * self.costs.get(call.route, 0.0) >= call.deadline:
@@ -105,7 +106,7 @@
             yield StartHandover(call.handover_id)
 
     def refuse_all(self, reason: Reason) -> Iterator[RefuseHandover]:
-        """Refuse everything that waits."""
+        """Refuse all waiting calls."""
         waiting, self.waiting = self.waiting, []
         for call in waiting:
             yield RefuseHandover(call.handover_id, reason)
@@ -120,5 +121,5 @@
 
 
 def start_order(call: WaitingCall) -> tuple[int, Millis]:
-    """Return the key by which waiting calls are started."""
+    """Return the sort key of waiting calls."""
     return (call.rank, call.objective)
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -24,12 +24,12 @@
 
 # Distribution.
 READERS_PER_REGION: Final = 2
-# Daemons of a data centre that give a newcomer there their whole table; one may be down.
+# Daemons of a data centre that send their whole table to a new daemon there; one may be down.
 FULL_TABLE_SENDERS: Final = 2
 NOTICE_FANOUT: Final = 4
 PEER_SILENCE_TIMEOUT: Final = Millis(5_000)
 LOG_POLL_WAIT: Final = Millis(2_000)
-# With this wait, 1,300 daemons that start without a peer cause 130 reads per second.
+# With this wait, 1,300 daemons that start without peers cause 130 reads per second.
 NO_PEERS_POLL_WAIT: Final = Millis(10_000)
 LOG_PAGE_RECORDS: Final = 512
 LOG_RETRY_BASE: Final = Millis(500)
@@ -37,19 +37,19 @@
 UNKNOWN_RULES_RETRY_DELAY: Final = Millis(30_000)
 # 64 documents of 256 KiB need 4.5 s on a link of 30 Mbit/s.
 PULL_TIMEOUT: Final = Millis(5_000)
-# Longer than the time-out of the transport, so that it only ends pulls without any answer.
+# Longer than the timeout of the transport, so that it only ends pulls without any answer.
 PULL_DEADLINE: Final = Millis(6_000)
 POSITION_PULL_PERIOD: Final = Millis(2_000)
-# Ten pulls of a position, each from another peer, find a reader that still has one.
+# Time for ten pulls of a position, each from another peer, to find a reader that still has one.
 POSITION_TIMEOUT: Final = Millis(20_000)
 
 # Snapshots.
 LOG_RETENTION: Final = Millis(24 * 3_600_000)
 SNAPSHOT_MAX_AGE: Final = Millis(LOG_RETENTION / 4)
-# Without a known snapshot its age is unknown; waiting longer could outlast the retention time when
+# While no snapshot is known, its age is unknown; a longer wait could exceed the retention time when
 # readers are replaced often.
 FIRST_SNAPSHOT_DELAY: Final = Millis(60_000)
-# Longer than a snapshot needs to reach the other readers, so that normally only one writes it.
+# Longer than a snapshot takes to reach the other readers, so that normally only one writes it.
 SNAPSHOT_RANK_DELAY: Final = Millis(2_000)
 SNAPSHOT_RETRY_DELAY: Final = Millis(10_000)
 SNAPSHOT_APPEND_BURST: Final = 2
@@ -67,7 +67,7 @@
 MAX_UPDATES_PER_MESSAGE: Final = 12
 MAX_MEMBERS: Final = 4096
 BOOTSTRAP_ANNOUNCEMENTS: Final = 16
-# A pause longer than this may hide a whole suspicion timeout of its peers.
+# A longer pause of a daemon may hide a whole suspicion timeout of its peers.
 MAX_TICK_GAP: Final = Millis(2_000)
 
 # Calls.
@@ -85,7 +85,7 @@
 # Admission.
 # A queue whose oldest entry has waited longer is overloaded and serves the newest entry first.
 QUEUE_DELAY_TARGET: Final = Millis(100)
-# Checking every entry of a full queue on each message would cost more than carrying the call.
+# Checking every entry of a full queue on each message would cost more than relaying the call.
 QUEUE_SWEEP_PERIOD: Final = Millis(10)
 MAX_COST_SHAPES: Final = 1024
 # Weight of one sample in the recent cost, and of one faster sample in the baseline.
@@ -93,7 +93,7 @@
 COST_BASELINE_FALL_WEIGHT: Final = 0.1
 # A slowdown of a few seconds must not become the baseline that it is compared with.
 COST_BASELINE_RISE_TIME: Final = Millis(10_000)
-# An expected cost loses half its value in this time, so that refusals by cost end by themselves.
+# An expected cost loses half its value in this time, so that refusals due to cost end on their own.
 EXPECTED_COST_HALF_LIFE: Final = Millis(1_000)
 # Scheduling noise of a busy host is a few milliseconds and says nothing about the upstream.
 MIN_COST_BASELINE: Final = Millis(5)
@@ -111,9 +111,9 @@
 SERVER_HEAD_TIMEOUT: Final = Millis(60_000)
 SERVER_BODY_TIMEOUT: Final = Millis(10_000)
 SERVER_WRITE_TIMEOUT: Final = Millis(10_000)
-# Time for the rest of a request that has begun to arrive when its listener closes.
+# Time for the rest of a request that is partly received when its listener closes.
 SERVER_LAST_READ_TIMEOUT: Final = Millis(1_000)
-# A requester that knows of the end closes within some round trips.
+# A client that has learnt of the close closes its end within a few round trips.
 SERVER_LINGER_TIMEOUT: Final = Millis(1_000)
 
 # Idempotency.
@@ -126,12 +126,12 @@
 # A page of full batches stays below the limit on response bodies.
 MAX_BATCH_CLAIMS: Final = 128
 CLAIMS_PAGE_RECORDS: Final = 64
-# The log takes several hundred appends per second from the whole fleet.
+# The log accepts several hundred appends per second from the whole fleet.
 CLAIM_APPEND_REFILL: Final = Millis(50)
 CLAIM_APPEND_BURST: Final = 10.0
 CLAIM_RETRY_WAIT: Final = Millis(50)
 MAX_CLAIM_RETRY_WAIT: Final = Millis(1_000)
-# Bounds the time in which a daemon without keyed calls misses that the stream was lost.
+# Bounds how long a daemon without keyed calls does not notice that the stream was lost.
 CLAIMS_IDLE_READ_PERIOD: Final = Millis(30_000)
 OUTCOME_POLL_PERIOD: Final = Millis(50)
 OUTCOME_TIMEOUT: Final = Millis(400)
@@ -143,6 +143,6 @@
 QUARANTINE_CRASH_COUNT: Final = 2
 QUARANTINE_TIME: Final = Millis(10 * 60_000)
 MAX_FINGERPRINTS: Final = 1024
-# Failed calls are answered after the peers took the strikes, or after this time.
 MAX_STRIKE_NOTICES: Final = 64
+# A failed call is answered once the peers have taken its strike, or after this time.
 STRIKE_NOTICE_TIMEOUT: Final = Millis(400)
--- a/packages/agatecross-core/agatecross_core/durations.py
+++ b/packages/agatecross-core/agatecross_core/durations.py
@@ -1,4 +1,4 @@
-"""Durations written as a number and its unit in one string, `1500ms` or `2.5s`."""
+"""Durations written as a number with its unit, such as `1500ms` or `2.5s`."""
 
 from .errors import MessageDecodeError
 from .ids import Millis
@@ -7,7 +7,7 @@
 
 
 def parse_duration(text: object) -> Millis:
-    """Return `1500ms` or `2.5s` in milliseconds; raises `MessageDecodeError`."""
+    """Parse `1500ms` or `2.5s` into milliseconds; raises `MessageDecodeError` if invalid."""
     if not isinstance(text, str):
         raise MessageDecodeError(f"{text!r} is not a duration")
     number, factor = (text[:-2], 1) if text.endswith("ms") else (text[:-1], MILLIS_PER_SECOND)
@@ -21,7 +21,7 @@
 
 
 def check_duration(text: str) -> str | None:
-    """Check the form of a duration; return a message, or None when it is valid."""
+    """Return an error message for an invalid duration, or None if it is valid."""
     try:
         parse_duration(text)
     except MessageDecodeError as error:
--- a/packages/agatecross-core/agatecross_core/errors.py
+++ b/packages/agatecross-core/agatecross_core/errors.py
@@ -18,7 +18,7 @@
 
 
 class DeltaError(AgatecrossError):
-    """A difference does not fit the document that it is applied to."""
+    """A delta does not fit the document that it is applied to."""
 
 
 class MessageDecodeError(AgatecrossError):
@@ -35,7 +35,7 @@
 
 
 class LogUnavailableError(LogError):
-    """The log service refused the operation, which surely had no effect."""
+    """The log service refused the operation, which certainly had no effect."""
 
 
 class LogOutcomeUnknownError(LogError):
@@ -77,8 +77,8 @@
 
 
 class StoreError(AgatecrossError):
-    """The platform's store did not do what it was asked, or did not say so."""
+    """The platform's store failed an operation, or did not confirm it."""
 
 
 class HistoryLostError(StoreError):
-    """The store no longer has the records that were asked for."""
+    """The store no longer has the requested records."""
--- a/packages/agatecross-core/agatecross_core/findings.py
+++ b/packages/agatecross-core/agatecross_core/findings.py
@@ -1,4 +1,4 @@
-"""Findings about documents and settings, collected with their place."""
+"""Findings in documents and settings, each with its place."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Where a finding is: document, line (from 1; 0 when unknown) and dotted key."""
+    """Place of a finding: document, line (from 1; 0 if unknown) and dotted key."""
 
     document: DocumentName
     line: int
@@ -31,7 +31,7 @@
     message: str
 
     def __str__(self) -> str:
-        """Return the line that is shown to the author."""
+        """Return the line shown to the author."""
         return f"{self.place}: {self.message} [{self.code}]"
 
 
@@ -48,5 +48,5 @@
 
 
 def sort_findings(findings: Iterable[Finding]) -> Iterator[Finding]:
-    """Yield findings in the order of their place."""
+    """Yield the findings ordered by place."""
     yield from sorted(findings, key=lambda f: (f.place.document, f.place.line, f.place.key, f.code))
--- a/packages/agatecross-core/agatecross_core/pacing.py
+++ b/packages/agatecross-core/agatecross_core/pacing.py
@@ -1,4 +1,4 @@
-"""Limits and delays of repeated operations."""
+"""Rate limits and retry delays of repeated operations."""
 
 import random
 
@@ -6,7 +6,7 @@
 
 
 class TokenBucket:
-    """Holds up to `burst` tokens and gains one in each `refill` period."""
+    """Holds up to `burst` tokens and gains one in each `refill_period`."""
 
     def __init__(self, burst: float, refill_period: Millis) -> None:
         """Start full."""
@@ -16,7 +16,7 @@
         self.filled_at: Millis | None = None
 
     def take(self, now: Millis) -> bool:
-        """Take a token if there is one."""
+        """Take a token; return False if there is none."""
         if self.filled_at is not None:
             gained = (now - self.filled_at) / self.refill_period
             self.tokens = min(self.burst, self.tokens + gained)
@@ -28,6 +28,6 @@
 
 
 def full_jitter(attempt: int, base: Millis, cap: Millis, rng: random.Random) -> Millis:
-    """Return a delay drawn from zero to `base` doubled for each earlier attempt, at most `cap`."""
-    # The exponent is bounded because a long outage reaches attempts whose power overflows a float.
+    """Return a random delay of up to `base` doubled for each earlier attempt, at most `cap`."""
+    # The exponent is bounded because in a long outage the power would overflow a float.
     return Millis(rng.uniform(0, min(cap, base * 2 ** min(attempt, 16))))
--- a/packages/agatecross-core/agatecross_core/relay/__init__.py
+++ b/packages/agatecross-core/agatecross_core/relay/__init__.py
@@ -1,1 +1,1 @@
-"""Carries whole requests between daemons: the retry flow, the ledger of handovers, the budget."""
+"""Relays complete requests between daemons: retry flow, handover ledger and retry budget."""
--- a/packages/agatecross-core/agatecross_core/relay/budget.py
+++ b/packages/agatecross-core/agatecross_core/relay/budget.py
@@ -1,19 +1,19 @@
-"""Each daemon's share of a fleet-wide budget of repeated arrivals at a service."""
+"""Share of one daemon in a fleet-wide budget of repeated requests to a service."""
 
 from ..ids import Millis
 
-# Calls that a repeated run makes count as repeats at the service it calls, and only the daemon that
-# repeated the run knows. Runs of two services in a row may each spend this share; a fifth is left.
+# Calls made by a repeated run count as repeats at the service that they go to, but only the daemon
+# that repeated the run knows it. Two services in a row may each spend this share, a fifth is left.
 SHARE_PER_SERVICE = 0.4
-# A restarted daemon must not start with a full allowance each time it dies.
+# A daemon that crashes again and again must not get a full allowance at each restart.
 INITIAL_TOKENS = 1.0
 
 
 class FleetRetryBudget:
-    """Token bucket filled by a ratio of first arrivals and by a share of a fixed allowance.
+    """Token bucket filled by first arrivals and by a share of a fixed allowance.
 
-    `ratio` is repeats for each first arrival, `slack` the extra repeats of the whole fleet in each
-    `window`; the share of one daemon is `slack / daemons`.
+    `ratio` is the number of repeats per first arrival, `slack` the number of extra repeats of the
+    whole fleet per `window`; the share of one daemon is `slack / daemons`.
     """
 
     def __init__(self, ratio: float, slack: float, window: Millis) -> None:
@@ -26,13 +26,13 @@
         self.filled_at: Millis | None = None
 
     def add_first_arrival(self) -> None:
-        """Add the share of one first arrival."""
+        """Add the tokens of a request that reached the service for the first time."""
         self.tokens = min(self.capacity, self.tokens + self.ratio)
 
     def take(self, daemons: int, now: Millis) -> bool:
-        """Take the token of one repeat in a fleet of `daemons`, if there is one."""
+        """Take the token of one repeat in a fleet of `daemons`; return False if there is none."""
         share = self.slack / max(1, daemons)
-        # What all daemons can save up together is part of the fixed allowance.
+        # The tokens that all daemons together can accumulate are part of the fixed allowance.
         self.capacity = INITIAL_TOKENS + share / 2
         if self.filled_at is not None:
             gained = (now - self.filled_at) / self.window * share / 2
--- a/packages/agatecross-core/agatecross_core/relay/drain.py
+++ b/packages/agatecross-core/agatecross_core/relay/drain.py
@@ -1,30 +1,30 @@
-"""When a stopping daemon tells that it leaves, which calls it still takes, and when it ends."""
+"""Plan of a stop: when the daemon announces its leave, which calls it accepts, when it ends."""
 
 from dataclasses import dataclass, replace
 
 from ..ids import Millis
 
-# Callers are moved to other daemons after two missed readiness checks, one a second.
+# Callers are moved to other daemons after two missed readiness checks, which run once a second.
 CALLER_MOVE_TIME = Millis(2_600)
-# Between the end of the drain and SIGKILL, for the close of connections and the end of the process.
+# Time between the end of the drain and SIGKILL to close connections and end the process.
 EXIT_MARGIN = Millis(800)
-# Handovers that peers sent before they heard of the leave still arrive: a round trip between
-# regions, one retransmission, and the delay of a busy loop.
+# Handovers that peers sent before they learnt of the leave still arrive within this time: a round
+# trip between regions, one retransmission, and the delay of a busy event loop.
 LEAVE_PROPAGATION_TIME = Millis(500)
-# Callers whose connection was accepted last send their request within a round trip to them.
+# A caller whose connection was accepted last sends its request within one round trip.
 LAST_REQUEST_TIME = Millis(100)
-# From the deadline of a call to the end of the drain, for a late timer and for its answer.
+# Time between the deadline of a call and the end of the drain, for a late timer and the answer.
 ANSWER_MARGIN = Millis(250)
 
 
 @dataclass(frozen=True, slots=True)
 class DrainPlan:
-    """Times of one stop, on the monotonic clock in milliseconds.
+    """Times of one stop, in milliseconds on the monotonic clock.
 
-    Until `leave_at` callers and peers are served as before. Then a call is taken only if it is over
-    by `work_until`, so the drain neither cuts it nor takes longer for it. Peers have heard of the
-    leave at `settled_at`; connections are accepted until `last_accept` at the latest, and what is
-    open at `end` is cut.
+    Until `leave_at`, callers and peers are served as before. From then on, a call is accepted only
+    if it ends by `calls_end_by`, so that the drain neither cuts it nor lasts longer because of it.
+    The peers know of the leave by `leave_known_at`; connections are accepted until `last_accept_at`
+    at the latest, and connections that are still open at `end` are cut.
     """
 
     leave_at: Millis
@@ -34,17 +34,17 @@
     end: Millis
 
     def admits(self, now: Millis, deadline: Millis) -> bool:
-        """Return whether a call that arrives now is taken."""
+        """Return whether a call that arrives now is accepted."""
         return now < self.leave_at or deadline + ANSWER_MARGIN <= self.calls_end_by
 
     def with_open_calls(self, latest_deadline: Millis) -> "DrainPlan":
-        """Return the plan of a daemon whose calls are all over at `latest_deadline`."""
+        """Return the plan of a daemon whose open calls all end by `latest_deadline`."""
         calls_over_at = max(latest_deadline + ANSWER_MARGIN, self.leave_known_at)
         return replace(self, calls_end_by=Millis(min(calls_over_at, self.last_accept_at)))
 
 
 def plan_drain(stop_began_at: Millis, grace: Millis) -> DrainPlan:
-    """Return the times of a stop that began at `begun` and is killed after `grace` milliseconds."""
+    """Return the plan of a stop that is followed by SIGKILL after `grace` milliseconds."""
     leave_at = Millis(stop_began_at + min(CALLER_MOVE_TIME, grace / 2))
     end = Millis(stop_began_at + max(grace - EXIT_MARGIN, grace / 2))
     last_accept_at = Millis(max(leave_at, end - LAST_REQUEST_TIME))
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -1,4 +1,4 @@
-"""The flow of one relayed call: which upstream next, whether to repeat, and the final result."""
+"""Flow of one relayed call: the next upstream, whether to repeat the call, and the final result."""
 
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
@@ -8,7 +8,7 @@
 from ..states import Outcome, Reason
 from .model import Attempt, RelayResult, Repeat, not_run_result
 
-# Refusals that no upstream saw cost no budget, but each takes a round trip between daemons.
+# A refusal that did not reach an upstream costs no budget, but takes a round trip between daemons.
 MAX_HANDOVERS = 3
 # A repeat that starts with less time left than this cannot end in time.
 MIN_TIME_LEFT = Millis(10)
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayPolicy:
-    """How often a call may be repeated; `attempts` is the number of upstreams that may run it."""
+    """Limits of repeats of a call; `attempts` is the number of upstreams that may run it."""
 
     repeat: Repeat
     attempts: int
@@ -32,7 +32,7 @@
     time_left: Callable[[], Millis],
     may_repeat: Callable[[], bool],
 ) -> Generator[Attempt, RelayResult, RelayResult]:
-    """Yield attempts, take their results, and return the final result."""
+    """Yield attempts, receive their results, and return the final result."""
     tried: tuple[DaemonId, ...] = ()
     arrivals = 0
     reported: RelayResult | None = None
@@ -65,15 +65,15 @@
 
 
 def is_served(result: RelayResult) -> bool:
-    """Return whether a result is an upstream's response that no repeat can better."""
+    """Return whether a result is a response without a server error, which no repeat improves."""
     return result.response is not None and result.response.status < SERVER_ERROR
 
 
 def reported_result(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
-    """Return the result that the caller gets: after a possible run, no refusal may say "not run".
+    """Return the result for the caller: after a possible run, no refusal may say "not run".
 
-    An upstream's own failure is kept when a repeat of it brought no answer, and an answer when a
-    second attempt failed.
+    A server error of an upstream is kept when its repeat brought no answer, and an answer is kept
+    when a second attempt failed.
     """
     if earlier is None or (latest.outcome is Outcome.RAN and not is_served(earlier)):
         return latest
--- a/packages/agatecross-core/agatecross_core/relay/hedge.py
+++ b/packages/agatecross-core/agatecross_core/relay/hedge.py
@@ -1,18 +1,19 @@
-"""When a safe call that takes long is also tried at a second upstream."""
+"""Delay after which a slow safe call is also tried at a second upstream."""
 
 from ..ids import Millis
 
-# Most runs end within twice the usual time, so a second attempt before that is mostly wasted.
+# Most calls end within twice the mean time, so an earlier second attempt is mostly wasted.
 MIN_DELAY_FACTOR = 2.0
-# A second attempt helps most when it can still end within the latency objective.
+# A second attempt helps most when it can still end within the latency objective, so it is sent when
+# this multiple of the mean time is left.
 SECOND_ATTEMPT_TIME_FACTOR = 1.5
 
 
 def hedge_delay(mean_time: Millis | None, objective: Millis, time_left: Millis) -> Millis | None:
-    """Return after how long a call is tried a second time; None when that cannot help.
+    """Return the delay of the second attempt, or None if it cannot help.
 
-    `usual` is the mean time of the route's calls, `objective` and `left` are what remains of the
-    latency objective and of the deadline, all in milliseconds.
+    `mean_time` is the mean time of the calls of the route; `objective` and `time_left` are the
+    times left to the latency objective and to the deadline. All are in milliseconds.
     """
     if mean_time is None:
         return None
--- a/packages/agatecross-core/agatecross_core/relay/ledger.py
+++ b/packages/agatecross-core/agatecross_core/relay/ledger.py
@@ -1,4 +1,4 @@
-"""Remembers handovers next to an upstream, so that each of them runs at most once."""
+"""Records the handovers to an upstream, so that each of them runs at most once."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -8,15 +8,15 @@
 from ..states import Reason
 from .model import RelayResult, not_run_result
 
-# An entry daemon asks again within the longest timeout of a route; 10 s covers reconnects too.
+# An entry daemon asks again within the longest timeout of a route; 10 s also covers reconnects.
 HANDOVER_RETENTION = Millis(10_000)
 MAX_LEDGER_ROWS = 20_000
-# Results are kept for answers that were lost on the way; 8 MiB is a twentieth of a small daemon.
+# Results are kept because an answer may be lost on the way; 8 MiB is a twentieth of a small daemon.
 MAX_RESULT_BYTES = 8 * 1024 * 1024
 
 
 class HandoverState(Enum):
-    """What the daemon next to the upstream knows of a handover."""
+    """State of a handover as the daemon next to the upstream knows it."""
 
     PENDING = "pending"
     DONE = "done"
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True)
 class HandoverRecord:
-    """One handover."""
+    """What is known of one handover."""
 
     state: HandoverState
     recorded_at: Millis
@@ -41,7 +41,7 @@
         self.result_bytes = 0
 
     def accept(self, handover_id: HandoverId, now: Millis) -> bool:
-        """Register a handover; return False when it was seen or fenced before."""
+        """Record a new handover; return False if it was seen or fenced before."""
         self._expire(now)
         if handover_id in self.rows:
             return False
@@ -49,7 +49,7 @@
         return True
 
     def finish(self, handover_id: HandoverId, result: RelayResult) -> None:
-        """Keep the result of a handover."""
+        """Store the result of a pending handover."""
         row = self.rows.get(handover_id)
         if row is not None and row.state is HandoverState.PENDING:
             row.state = HandoverState.DONE
@@ -60,7 +60,7 @@
     def resume(self, handover_id: HandoverId, now: Millis) -> RelayResult | None:
         """Return the result of a handover, or None while it is pending.
 
-        A handover that never arrived is fenced: it is refused now and whenever it arrives later.
+        A handover that has not arrived is fenced: it is refused now, and also if it arrives later.
         """
         self._expire(now)
         row = self.rows.get(handover_id)
--- a/packages/agatecross-core/agatecross_core/relay/model.py
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayRequest:
-    """A whole request; header names in lower case, without those of one connection."""
+    """A complete request; header names are in lower case, hop-by-hop headers are removed."""
 
     method: bytes
     target: bytes
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayResponse:
-    """A whole response of an upstream, without the header fields of one connection."""
+    """A complete response of an upstream without hop-by-hop headers."""
 
     status: int
     headers: HeaderRows
@@ -37,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Handover:
-    """One attempt at one upstream; times are milliseconds left when it was sent."""
+    """One attempt at one upstream.
+
+    `objective_time_left` and `time_left` are the milliseconds that were left to the latency
+    objective and to the deadline when it was sent.
+    """
 
     handover_id: HandoverId
     call_id: CallId
@@ -53,11 +57,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayResult:
-    """What became of a handover or of the whole call.
+    """Result of a handover or of the whole call.
 
-    `arrived` tells whether the upstream was sent the request; `load` is the number of calls that
-    ran and waited next to it, `slots` its capacity, `cost` the mean time that runs of the route
-    take there; each is 0 when unknown.
+    `reached_upstream` tells whether the request was sent to the upstream; `load` is the number of
+    calls that run at it or wait for it, `slots` its capacity, `cost` the mean time of the calls of
+    the route there; each is 0 when unknown.
     """
 
     outcome: Outcome
@@ -71,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Action of the flow: hand the call over to this upstream."""
+    """Action of the flow: hand over the call to this upstream."""
 
     daemon_id: DaemonId
     instance: InstanceId
--- a/packages/agatecross-core/agatecross_core/relay/response_outcome.py
+++ b/packages/agatecross-core/agatecross_core/relay/response_outcome.py
@@ -1,4 +1,4 @@
-"""What a response of an upstream proves about the request."""
+"""Classification of responses: what a response of an upstream proves about the request."""
 
 from ..states import Outcome, Reason
 from .model import RelayResponse, RelayResult, unknown_result
@@ -9,10 +9,10 @@
 
 
 def classify_response(response: RelayResponse, stamp: bytes, not_run: bytes) -> RelayResult:
-    """Return the result of a handover whose upstream gave a whole response.
+    """Return the result of a handover for which the upstream sent a complete response.
 
-    `stamp` and `not_run` are lower-case header names: the proof that an upstream made the response,
-    and its mark of a request that it did not run.
+    `stamp` and `not_run` are lower-case header names: the first proves that an upstream made the
+    response, the second marks a request that the upstream did not run.
     """
     names = {name for name, _ in response.headers}
     if not_run in names or response.status == MISDIRECTED_REQUEST:
--- a/packages/agatecross-core/agatecross_core/relay/response_size.py
+++ b/packages/agatecross-core/agatecross_core/relay/response_size.py
@@ -1,25 +1,25 @@
-"""How much one response of an upstream may be, counted while it is read."""
+"""Limits on the size of a response of an upstream, checked while it is read."""
 
 from typing import Final
 
 from ..constants import KIB, MAX_RESPONSE_BYTES, MIB
 
-# Bytes of a head, with interim responses and blank lines before it, and of trailers. Common
-# HTTP servers limit heads to 8 to 32 KiB.
+# Limit on a head with the interim responses and blank lines before it, and on trailers. Common HTTP
+# servers limit heads to 8 to 32 KiB.
 MAX_RESPONSE_HEAD_BYTES: Final = 64 * KIB
-# Bytes of chunk lines for each byte of the body, beyond what a head may be. Each chunk costs the
-# parser a call: chunks of five bytes or more always fit, smaller ones in bodies of up to 16 KiB.
+# Limit on chunk lines per byte of the body, in addition to the limit on a head. Each chunk costs a
+# parser call: chunks of five bytes or more always fit, smaller ones in bodies of up to 16 KiB.
 MAX_FRAMING_BYTES_PER_BODY_BYTE: Final = 1
-# Bytes that the unfinished responses of one upstream may take together: four of the largest. With
-# their copies on the way to the caller they fit beside 44 MB at a crest on a machine of 150 MB.
+# Limit on all unfinished responses of one upstream together: four of the largest. With their copies
+# on the way to the caller, they fit beside 44 MB at a load peak on a machine with 150 MB.
 MAX_UNFINISHED_RESPONSE_BYTES: Final = 32 * MIB
 
 
 class ResponseSize:
-    """Counts everything that an upstream sent since it was sent a request.
+    """Counts the bytes that an upstream has sent since it was sent a request.
 
-    `read` is all of it, `body` the part that belongs to a body, `fields` that of header fields and
-    trailers, all in bytes.
+    `read` is the total, `body` the part that belongs to a body, and `fields` the part that belongs
+    to header fields and trailers.
     """
 
     __slots__ = ("body", "fields", "read")
@@ -32,12 +32,12 @@
 
     @property
     def content_exceeded(self) -> bool:
-        """Return whether the body or the fields are too large, however they came."""
+        """Return whether the body or the fields are too large, regardless of the framing."""
         return self.body > MAX_RESPONSE_BYTES or self.fields > MAX_RESPONSE_HEAD_BYTES
 
     @property
     def exceeded(self) -> bool:
-        """Return whether more was read than an unfinished response may take."""
+        """Return whether more was read than an unfinished response may contain."""
         framing = self.read - self.body
         allowed = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * self.body
         return self.content_exceeded or framing > allowed
--- a/packages/agatecross-core/agatecross_core/routing/__init__.py
+++ b/packages/agatecross-core/agatecross_core/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Pipeline of filters from a service to the upstream that gets the call."""
+"""Pipeline of filters that chooses the upstream for a call to a service."""
--- a/packages/agatecross-core/agatecross_core/routing/balancers.py
+++ b/packages/agatecross-core/agatecross_core/routing/balancers.py
@@ -1,4 +1,4 @@
-"""Creates the balancer that the settings name."""
+"""Creation of the balancer that is named in the settings."""
 
 import random
 from collections.abc import Callable, Mapping
@@ -15,5 +15,5 @@
 
 
 def new_balancer(name: str, here: Position, rng: random.Random) -> Balancer:
-    """Return a new balancer; the settings were checked to name one of them."""
+    """Create the balancer with this name, which was validated with the settings."""
     return BALANCERS[name](here, rng)
--- a/packages/agatecross-core/agatecross_core/routing/baselines.py
+++ b/packages/agatecross-core/agatecross_core/routing/baselines.py
@@ -12,7 +12,7 @@
 
 
 class RoundRobinBalancer:
-    """Takes the ready upstreams of a service in turn."""
+    """Chooses the ready upstreams of a service in turn."""
 
     def __init__(self, here: Position, rng: random.Random) -> None:
         self.here = here
@@ -22,7 +22,7 @@
         self.turns: dict[ServiceName, int] = {}
 
     def view_changed(self, view: FleetView) -> None:
-        """Take a new view of the fleet."""
+        """Apply a new view of the fleet."""
         self.view = view
         self.load.retain(set(view.members))
 
@@ -31,31 +31,31 @@
         rows = self.ready(request, now)
         if not rows:
             return None
-        # A random first turn keeps daemons that start together from moving in step.
+        # A random first turn keeps daemons that start together from choosing in the same order.
         turn = self.turns.get(request.service, self.rng.randrange(len(rows)))
         self.turns[request.service] = turn + 1
         return sorted(rows, key=lambda candidate: candidate.member.daemon_id)[turn % len(rows)]
 
     def ready(self, request: ChoiceRequest, now: Millis) -> list[Candidate]:
-        """Return the ready upstreams, those of earlier attempts only when there is no other."""
+        """Return the ready upstreams; those of earlier attempts only if there are no others."""
         members = self.view.by_service.get(request.service, ())
         rows = healthy(candidates(request, members, self.load, self.here, now))
         return list(prefer_untried(request, rows))
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Count an attempt that was sent."""
+        """Record an attempt that was sent."""
         self.load.started(daemon_id, now)
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
-        """Count an attempt that ended."""
+        """Record an attempt that ended."""
         self.load.released(attempt.daemon_id, Millis(now - attempt.elapsed))
 
 
 class TwoRandomBalancer(RoundRobinBalancer):
-    """Takes the one with fewer own outstanding calls of two random ready upstreams."""
+    """Chooses of two random ready upstreams the one with fewer calls of this daemon."""
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
-        """Return the less busy of two, or None."""
+        """Return the less busy of two random ready upstreams, or None."""
         rows = self.ready(request, now)
         if not rows:
             return None
--- a/packages/agatecross-core/agatecross_core/routing/candidates.py
+++ b/packages/agatecross-core/agatecross_core/routing/candidates.py
@@ -1,4 +1,4 @@
-"""First filter: members to candidates."""
+"""First filter: turns members into candidates."""
 
 from collections.abc import Iterable, Iterator
 
@@ -17,7 +17,7 @@
     here: Position,
     now: Millis,
 ) -> Iterator[Candidate]:
-    """Yield the members with what is known of them; none when the deadline has passed."""
+    """Yield a candidate for each member with an upstream; none after the deadline."""
     if request.deadline is not None and now >= request.deadline:
         return
     for member in members:
@@ -37,7 +37,7 @@
 
 
 def prefer_untried(request: ChoiceRequest, rows: Iterator[Candidate]) -> Iterator[Candidate]:
-    """Prefer upstreams of no earlier attempt; a hedge requires one."""
+    """Prefer upstreams without an earlier attempt; a hedge accepts no others."""
     if request.purpose is Purpose.HEDGE:
         return (row for row in rows if row.member.daemon_id not in request.tried)
     return prefer(rows, lambda row: row.member.daemon_id not in request.tried)
--- a/packages/agatecross-core/agatecross_core/routing/ejection.py
+++ b/packages/agatecross-core/agatecross_core/routing/ejection.py
@@ -1,4 +1,4 @@
-"""Preference filter: upstreams whose connections did not fail a moment ago."""
+"""Preference filter: avoids upstreams whose connections failed recently."""
 
 from collections.abc import Iterable, Iterator
 
@@ -8,21 +8,21 @@
 from .prefer import prefer
 from .tuning import EJECTION_TIME, MAX_EJECTION_TIME
 
-# NO_UPSTREAM and LEAVING come from a target that knows better than this daemon's view.
+# NO_UPSTREAM and LEAVING come from the target, which knows its state better than this daemon.
 EJECTING_REASONS = frozenset(
     (Reason.CONNECT_FAILED, Reason.CONNECTION_LOST, Reason.NO_UPSTREAM, Reason.LEAVING)
 )
 
 
 class Ejections:
-    """Until when each upstream is ejected, and the time of its next ejection."""
+    """Tracks until when each upstream is ejected and how long its next ejection lasts."""
 
     def __init__(self) -> None:
         """Start without ejections."""
         self.rows: dict[DaemonId, tuple[Millis, Millis]] = {}
 
     def record_failure(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Eject an upstream; failures while it is ejected do not prolong the time."""
+        """Eject an upstream; failures during the ejection do not prolong it."""
         until, period = self.rows.get(daemon_id, (now, EJECTION_TIME))
         if now >= until:
             self.rows[daemon_id] = (
@@ -39,7 +39,7 @@
         self.rows = {i: row for i, row in self.rows.items() if i in daemon_ids}
 
     def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
-        """Yield candidates that are not ejected, or all."""
+        """Yield the candidates that are not ejected, or all if all are."""
         return prefer(candidates, lambda row: not self.is_ejected(row.member.daemon_id, now))
 
     def is_ejected(self, daemon_id: DaemonId, now: Millis) -> bool:
--- a/packages/agatecross-core/agatecross_core/routing/groups.py
+++ b/packages/agatecross-core/agatecross_core/routing/groups.py
@@ -1,8 +1,8 @@
 """Finds upstreams that slow down together and keeps calls away from them while they do.
 
-Time is cut into buckets. An upstream is slow in a bucket when most of its observations there were
-slower than its own baseline. Two upstreams are linked when their slow buckets coincide far more
-often than chance; linked upstreams form a group.
+Time is divided into buckets. An upstream is slow in a bucket when at least half of its observations
+there were slow compared with its own baseline. Two upstreams are linked when their slow buckets
+coincide far more often than by chance; linked upstreams form a group.
 """
 
 import math
@@ -29,14 +29,18 @@
 )
 
 Pair = tuple[DaemonId, DaemonId]
-# A slow moment covers several adjacent buckets, so about a third of them are independent.
+# A slow period covers several adjacent buckets, so only about a third of them are independent.
 BUCKETS_PER_SLOW_PERIOD = 3
 MAX_LINKS = MAX_CORRELATED_UPSTREAMS * (MAX_CORRELATED_UPSTREAMS - 1) // 2
 
 
 @dataclass(slots=True)
 class BucketHistory:
-    """Observations of one upstream as bit sets of buckets, counted from the detector's first."""
+    """Observations of one upstream.
+
+    `seen` and `slow` are bit sets of the buckets with observations and of the slow buckets, counted
+    from the first bucket of the detector; `calls` and `slow_calls` belong to the current `bucket`.
+    """
 
     service: ServiceName
     bucket: int
@@ -48,7 +52,7 @@
 
 @dataclass(slots=True)
 class BucketCounts:
-    """Observed and slow upstreams in each bucket."""
+    """Number of observed and of slow upstreams in each bucket."""
 
     seen: dict[int, int] = field(default_factory=dict)
     slow: dict[int, int] = field(default_factory=dict)
@@ -60,12 +64,12 @@
             self.slow[bucket] = self.slow.get(bucket, 0) + 1
 
     def forget(self, before: int) -> None:
-        """Drop buckets before this one."""
+        """Drop the buckets before this one."""
         self.seen = {b: n for b, n in self.seen.items() if b >= before}
         self.slow = {b: n for b, n in self.slow.items() if b >= before}
 
     def peak_bits(self, first_bucket: int, share: float) -> int:
-        """Return the bit set of buckets in which more than this share is slow.
+        """Return the bit set of the buckets in which more than this share of upstreams is slow.
 
         Sums over five buckets, because a daemon does not observe every upstream in each bucket.
         """
@@ -80,7 +84,7 @@
 
 
 class GroupDetector:
-    """Groups of upstreams that slow down together, from bounded recent observations."""
+    """Detects groups of upstreams that slow down together, from a bounded recent history."""
 
     def __init__(self) -> None:
         """Start without observations."""
@@ -94,7 +98,7 @@
         self.next_search = Millis(0)
 
     def observe(self, daemon_id: DaemonId, service: ServiceName, slow: bool, now: Millis) -> None:
-        """Count one observation of an upstream."""
+        """Record one observation of an upstream."""
         bucket = int(now // BUCKET_WIDTH)
         if not self.histories:
             self.first_bucket = bucket
@@ -180,7 +184,7 @@
     def outside_tried_groups(
         self, request: ChoiceRequest, rows: Iterable[Candidate]
     ) -> Iterator[Candidate]:
-        """Yield candidates outside the groups of earlier attempts; a hedge requires one."""
+        """Prefer candidates outside the groups of earlier attempts; a hedge accepts no others."""
         grouped_with_tried = {i for tried in request.tried for i in self.group_of.get(tried, ())}
         if request.purpose is Purpose.HEDGE:
             return (row for row in rows if row.member.daemon_id not in grouped_with_tried)
@@ -189,20 +193,20 @@
     def outside_slow_groups(
         self, rows: Iterable[Candidate], load: LoadTable, now: Millis
     ) -> Iterator[Candidate]:
-        """Yield candidates that are in no group that is slow now, or all."""
+        """Yield the candidates that are in no group that is slow now, or all if there are none."""
         slow = {i for group in self.groups if is_group_slow(group, load, now) for i in group}
         return prefer(rows, lambda row: row.member.daemon_id not in slow)
 
 
 def is_group_slow(group: frozenset[DaemonId], load: LoadTable, now: Millis) -> bool:
-    """Return whether a member is slow and no member worked normally since that was seen."""
+    """Return whether a member is slow and no member has worked normally since the evidence."""
     members = [load.lookup(daemon_id) for daemon_id in group]
     evidence = max((row.evidence_at for row in members if row.is_slow(now)), default=None)
     return evidence is not None and evidence >= max(row.normal_at for row in members)
 
 
 def slow_together(one: BucketHistory, other: BucketHistory, ignored: int) -> bool:
-    """Return whether the slow buckets of two upstreams coincide far more often than chance."""
+    """Return whether the slow buckets of two upstreams coincide far more often than by chance."""
     common = one.seen & other.seen & ~ignored
     total = common.bit_count()
     both = one.slow & other.slow & common
@@ -218,7 +222,7 @@
 
 
 def count_runs(bits: int) -> int:
-    """Return the number of runs of adjacent buckets."""
+    """Return the number of runs of adjacent set bits."""
     return (bits & ~(bits << 1)).bit_count()
 
 
--- a/packages/agatecross-core/agatecross_core/routing/health.py
+++ b/packages/agatecross-core/agatecross_core/routing/health.py
@@ -1,4 +1,4 @@
-"""Required filter: members that take new work."""
+"""Required filter: members that accept new calls."""
 
 from collections.abc import Iterable, Iterator
 
--- a/packages/agatecross-core/agatecross_core/routing/hedging.py
+++ b/packages/agatecross-core/agatecross_core/routing/hedging.py
@@ -1,4 +1,4 @@
-"""When a call to a service may be hedged, and after how long."""
+"""Whether a call to a service may be hedged, and after which delay."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -29,9 +29,9 @@
         self.delays: dict[float, Millis] = {}
 
     def record(self, elapsed: Millis, reason: Reason | None) -> None:
-        """Count an attempt; a refusal has no latency.
+        """Record an attempt; a refusal has no latency.
 
-        The time of a cancelled attempt counts too: without it, each hedge would lower the quantile.
+        The time of a cancelled attempt counts too: otherwise each hedge would lower the quantile.
         """
         refused = reason in OVERLOAD_REFUSALS
         self.refusals += REFUSAL_WEIGHT * (refused - self.refusals)
@@ -44,7 +44,7 @@
             self.delays.clear()
 
     def hedge_after(self, quantile: float, rows: Iterable[Candidate]) -> Millis | None:
-        """Return the delay of a hedge; None when off, unknown, or at an overload peak."""
+        """Return the delay of a hedge; None if hedging is off, latency unknown or load too high."""
         if not quantile or len(self.samples) < HEDGE_MIN_SAMPLES:
             return None
         if self.refusals > HEDGE_MAX_REFUSAL_SHARE or utilisation(rows) > HEDGE_MAX_UTILISATION:
@@ -56,6 +56,6 @@
 
 
 def utilisation(rows: Iterable[Candidate]) -> float:
-    """Return the share of the slots of these upstreams that is in use."""
+    """Return the share of the slots of these upstreams that are in use."""
     pairs = [(candidate.load, candidate.upstream.slots) for candidate in rows]
     return sum(load for load, _ in pairs) / max(1, sum(slots for _, slots in pairs))
--- a/packages/agatecross-core/agatecross_core/routing/host_table.py
+++ b/packages/agatecross-core/agatecross_core/routing/host_table.py
@@ -1,4 +1,4 @@
-"""Routes by host and longest path prefix, with weighted backends."""
+"""Table of routes by host and longest path prefix, with weighted backends."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,10 +9,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRoute:
-    """One route; `objective` is the time within which an answer has its full value.
+    """One route.
 
-    `rank` orders routes by importance, 0 first; `attempts` is the number of upstreams that may run
-    one request; `backends` are services with their weights.
+    `objective` is the time within which an answer has its full value; `rank` orders routes by
+    importance, 0 first; `attempts` is the number of upstreams that may run one request; `backends`
+    are services with their weights.
     """
 
     name: RouteName
@@ -28,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send, in bytes, and how long it may take or stay idle."""
+    """Limits on what a caller may send, in bytes, and on how long it may take or stay idle."""
 
     head_bytes: int
     body_bytes: int
@@ -37,7 +38,7 @@
 
 
 class HostTable:
-    """One whole configuration, compiled for look-ups."""
+    """One complete configuration, compiled for look-ups."""
 
     def __init__(
         self,
@@ -46,7 +47,7 @@
         limits: CallerLimits,
         services: frozenset[ServiceName],
     ) -> None:
-        """Order the routes of each host by the length of their prefix."""
+        """Index the routes by host and prefix."""
         self.version = version
         self.limits = limits
         self.services = services
@@ -55,7 +56,7 @@
             self.hosts.setdefault(route.host.lower(), {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> HostRoute | None:
-        """Return the route with the longest prefix; prefixes begin and end with a slash."""
+        """Return the route with the longest matching prefix; prefixes start and end with `/`."""
         prefixes = self.hosts.get(host)
         if prefixes is None:
             prefixes = self.hosts.get(host.lower().partition(":")[0])
@@ -92,7 +93,7 @@
         return best
 
     def retain(self, table: HostTable) -> None:
-        """Forget the routes that a new configuration dropped or split otherwise."""
+        """Forget the routes that a new configuration removed or split differently."""
         splits = {
             route.name: {service for service, _ in route.backends}
             for prefixes in table.hosts.values()
--- a/packages/agatecross-core/agatecross_core/routing/load.py
+++ b/packages/agatecross-core/agatecross_core/routing/load.py
@@ -27,11 +27,12 @@
 
 @dataclass(slots=True)
 class MemberObservations:
-    """Observations of one member; latencies in milliseconds.
+    """Observations of one member; latencies are in milliseconds.
 
-    `starts` holds the sorted start times of outstanding calls. `usual_ms` follows the median by
-    small steps, so that slow moments hardly move it, and `deviation_ms` the mean distance from it;
-    `recent_ms` follows the last few calls.
+    `starts` holds the sorted start times of outstanding calls. `median_ms` follows the median in
+    small steps, so that slow periods hardly move it, `deviation_ms` follows the mean distance from
+    it, and `recent_ms` the last few calls. `normal_start` and `normal_at` are the start and the end
+    of the last call with a normal latency, `evidence_at` is the time of the last sign of slowness.
     """
 
     starts: list[Millis] = field(default_factory=list)
@@ -52,18 +53,18 @@
 
     @property
     def outstanding(self) -> int:
-        """Return the number of own calls without a result."""
+        """Return the number of calls of this daemon without a result."""
         return len(self.starts)
 
     def slow_threshold(self) -> float:
-        """Return the latency above which a call is slow; infinite until the usual one is known."""
+        """Return the latency above which a call is slow; infinite until the median is known."""
         if self.samples < MEDIAN_MIN_SAMPLES:
             return float("inf")
         spread = max(SLOW_DEVIATIONS * self.deviation_ms, SLOW_MIN_SPREAD_SHARE * self.median_ms)
         return self.median_ms + spread + SLOW_MARGIN
 
     def overdue_since(self, now: Millis) -> Millis | None:
-        """Return the start of the newest call that should have ended, or None.
+        """Return the start of the newest overdue call, or None.
 
         A call that started before one that ended normally is a long call, not a sign of slowness.
         """
@@ -72,7 +73,7 @@
         return newest if newest > self.normal_start else None
 
     def record_overdue(self, now: Millis) -> bool:
-        """Take outstanding calls that are overdue as evidence; return whether there is any."""
+        """Record overdue calls as evidence of slowness; return whether there are any."""
         start = self.overdue_since(now)
         if start is None:
             return False
@@ -80,18 +81,18 @@
         return True
 
     def is_slow(self, now: Millis) -> bool:
-        """Return whether the upstream is taken to be slow."""
+        """Return whether the upstream is considered slow."""
         return now < self.slow_until
 
     def expected_ms(self, now: Millis) -> float:
-        """Return the expected latency; what was seen in the last moments counts most."""
+        """Return the expected latency, in which the most recent calls count most."""
         weight = math.exp2((self.recent_at - now) / RECENT_LATENCY_HALF_LIFE)
         expected = self.median_ms + (self.recent_ms - self.median_ms) * weight
         start = self.overdue_since(now)
         return expected if start is None else max(expected, now - start)
 
     def record_completion(self, elapsed: Millis, now: Millis) -> bool:
-        """Learn from a call that ran; return whether it shows that the upstream was slow."""
+        """Record a call that ran; return whether it shows that the upstream was slow."""
         start = Millis(now - elapsed)
         late = elapsed > self.slow_threshold()
         slow = late and start >= self.normal_start
@@ -106,7 +107,7 @@
         return slow
 
     def record_failure(self, now: Millis) -> None:
-        """Count a failure or refusal; its duration says nothing about the speed of work."""
+        """Record a failure or refusal; its duration says nothing about the upstream's speed."""
         self._learn_failure(1.0, now)
 
     def failures(self, now: Millis) -> float:
@@ -114,12 +115,12 @@
         return self.failure_share * math.exp2((self.failure_updated_at - now) / FAILURE_HALF_LIFE)
 
     def record_report(self, load: ReportedLoad, now: Millis) -> None:
-        """Keep the part of a reported load that this daemon does not see itself."""
+        """Keep the part of a reported load that does not come from this daemon."""
         self.others_load = max(0.0, load.running + load.queued - self.outstanding)
         self.reported_at = now
 
     def load(self, now: Millis) -> float:
-        """Return own outstanding calls and, while the report is fresh, those of others."""
+        """Return the outstanding calls of this daemon and, while the report is fresh, of others."""
         fresh = max(0.0, 1.0 - (now - self.reported_at) / REPORT_LIFETIME)
         return self.outstanding + self.others_load * fresh
 
@@ -153,26 +154,26 @@
 
 
 class LoadTable:
-    """Observed load by member."""
+    """Observations by member."""
 
     def __init__(self) -> None:
         """Start without observations."""
         self.rows: dict[DaemonId, MemberObservations] = {}
 
     def lookup(self, daemon_id: DaemonId) -> MemberObservations:
-        """Return the observations of a member."""
+        """Return the observations of a member without storing an empty entry."""
         return self.rows.get(daemon_id) or MemberObservations()
 
     def row(self, daemon_id: DaemonId) -> MemberObservations:
-        """Return the observations of a member, kept from now on."""
+        """Return the observations of a member, which are stored from now on."""
         return self.rows.setdefault(daemon_id, MemberObservations())
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Count a call that was sent."""
+        """Record a call that was sent."""
         insort(self.row(daemon_id).starts, now)
 
     def released(self, daemon_id: DaemonId, start: Millis) -> None:
-        """Count the end of the call that started at `start`, up to rounding."""
+        """Record the end of the call that started at `start`, up to rounding."""
         starts = self.row(daemon_id).starts
         if not starts:
             return
--- a/packages/agatecross-core/agatecross_core/routing/locality.py
+++ b/packages/agatecross-core/agatecross_core/routing/locality.py
@@ -8,7 +8,7 @@
 
 
 def prefer_nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
-    """Yield the candidates of the nearest locality that has room, or all when none has."""
+    """Yield the candidates with room in the nearest locality that has any, or all if none has."""
     rows = list(candidates)
     for locality in Locality:
         near = [
@@ -23,9 +23,9 @@
 
 
 def has_room(candidate: Candidate) -> bool:
-    """Return whether the upstream has a free slot and neither is slow nor fails now.
+    """Return whether the upstream has a free slot and is neither slow nor failing now.
 
-    A slowed upstream costs more than the distance to the next locality.
+    A slow upstream costs more than the distance to the next locality.
     """
     if candidate.slow or candidate.failures > FAILING_SHARE:
         return False
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -13,8 +13,8 @@
 # A reported load loses half of its weight in this time: calls last some tens of milliseconds.
 REPORTED_LOAD_HALF_LIFE = Millis(250)
 # Extra share of busy slots that a nearer upstream may have before a farther one is chosen: a part
-# for the latency, and a part for each KiB of a call, because bytes on these links are paid for. On
-# the dearer of today's links, 6 KiB between regions cost as much as a served call is worth.
+# for the latency, and a part per KiB of a call, because traffic on these links is paid for. On the
+# more expensive of the current links, 6 KiB between regions cost as much as a served call is worth.
 REGION_PENALTY = 0.2
 REGION_PENALTY_PER_KIB = 0.06
 REMOTE_PENALTY = 0.5
@@ -22,18 +22,18 @@
 SIZE_SAMPLE_WEIGHT = 0.05
 KIB = 1024
 MEAN_SAMPLE_WEIGHT = 0.02
-# A single call counts as at most this many usual times.
+# A single call counts as at most this multiple of the mean time.
 MAX_OUTLIER_FACTOR = 4.0
-# What a daemon reports is a mean over many calls already.
+# High, because a reported cost is already a mean over many calls.
 SLOWNESS_SAMPLE_WEIGHT = 0.5
 FAILURE_WEIGHT = 0.15
 # An upstream that fails one call in five costs as much as one with twice the load.
 FAILURE_COST = 5.0
 FAILURE_HALF_LIFE = Millis(1_500)
-# Bounds how far the speed of the last calls can move traffic.
+# Limits how far the speed of the last calls can shift traffic.
 MAX_SLOWNESS = 6.0
 MIN_SLOWNESS = 0.3
-# A second attempt of a slow call goes only where at least half of the slots are free.
+# A second attempt of a slow call is made only where at least half of the slots are free.
 SECOND_ATTEMPT_MAX_BUSY_SHARE = 0.5
 EJECTION_TIME = Millis(400)
 COLD_SLOTS_DIVISOR = 2.0
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True)
 class InstanceStats:
-    """What this daemon saw of one instance of an upstream."""
+    """Observations of one instance of an upstream."""
 
     instance: InstanceId
     outstanding: int = 0
@@ -75,7 +75,7 @@
     def choose(
         self, endpoints: Iterable[Endpoint], tried: Collection[DaemonId], route: str, now: Millis
     ) -> Endpoint | None:
-        """Return the cheapest endpoint that was not tried, or None."""
+        """Return the endpoint with the lowest cost that was not tried, or None."""
         size = self.mean_sizes.get(route, 1.0)
         best: Endpoint | None = None
         best_cost = math.inf
@@ -88,7 +88,7 @@
         return best
 
     def cost(self, endpoint: Endpoint, now: Millis) -> float:
-        """Return the share of busy slots, scaled by slowness and failures."""
+        """Return the share of busy slots, scaled by slowness and failures; high while ejected."""
         stats = self.stats_of(endpoint)
         slots = max(1.0, stats.slots or endpoint.slots)
         if endpoint.cold > 0:
@@ -123,7 +123,7 @@
         return stats
 
     def started(self, endpoint: Endpoint) -> None:
-        """Count an attempt."""
+        """Record an attempt that was sent."""
         self.stats_of(endpoint).outstanding += 1
 
     def ended(
@@ -135,7 +135,7 @@
         sent: int,
         now: Millis,
     ) -> None:
-        """Learn from the result of an attempt that took `took` ms and sent `sent` bytes."""
+        """Learn from the result of an attempt that took `elapsed` ms and sent `sent` bytes."""
         stats = self.stats.get(daemon_id)
         if stats is None:
             return
@@ -179,7 +179,7 @@
         )
 
     def _learn_slowness(self, stats: InstanceStats, cost: Millis, route: str) -> None:
-        """Compare the cost that a daemon measured next to its upstream with those of the others."""
+        """Compare the cost that a daemon measured next to its upstream with the mean of all."""
         mean = self.mean_costs.get(route, cost)
         self.mean_costs[route] = mean + MEAN_SAMPLE_WEIGHT * (cost - mean)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
--- a/packages/agatecross-core/agatecross_core/routing/model.py
+++ b/packages/agatecross-core/agatecross_core/routing/model.py
@@ -21,7 +21,7 @@
     """A member with its upstream and what this daemon knows of it.
 
     `outstanding` counts this daemon's own calls, `load` also those of others; `latency_ms` is the
-    expected latency now; `hedge_after` is the delay of a hedge, None when there must be none.
+    expected latency now; `hedge_after` is the delay of a hedge, None if no hedge is allowed.
     """
 
     member: Member
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChoiceRequest:
-    """One attempt that needs an upstream; `tried` holds those of earlier attempts."""
+    """One attempt that needs an upstream; `tried` holds the daemons of earlier attempts."""
 
     service: ServiceName
     tried: tuple[DaemonId, ...] = ()
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Position:
-    """Where this daemon is."""
+    """Location of this daemon."""
 
     daemon_id: DaemonId
     region: RegionName
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Calls that run and wait at an upstream, and its slots, as its daemon reported them."""
+    """Running and queued calls of an upstream and its slots, as reported by its daemon."""
 
     running: int
     queued: int
--- a/packages/agatecross-core/agatecross_core/routing/prefer.py
+++ b/packages/agatecross-core/agatecross_core/routing/prefer.py
@@ -1,4 +1,4 @@
-"""The rule of preference filters."""
+"""Rule of the preference filters."""
 
 from collections.abc import Callable, Iterable, Iterator
 
@@ -8,6 +8,6 @@
 def prefer(
     candidates: Iterable[Candidate], wanted: Callable[[Candidate], bool]
 ) -> Iterator[Candidate]:
-    """Yield the wanted candidates, or all when none is wanted."""
+    """Yield the wanted candidates, or all if none is wanted."""
     rows = list(candidates)
     yield from [candidate for candidate in rows if wanted(candidate)] or rows
--- a/packages/agatecross-core/agatecross_core/routing/ramp.py
+++ b/packages/agatecross-core/agatecross_core/routing/ramp.py
@@ -1,4 +1,4 @@
-"""Preference filter: a growing share of the calls for upstreams that just became ready."""
+"""Preference filter: gives upstreams that just became ready a growing share of the calls."""
 
 import random
 from collections.abc import Iterable, Iterator
@@ -12,17 +12,17 @@
 
 
 class Ramp:
-    """When each upstream became ready, as far as this daemon saw it."""
+    """Tracks when each upstream became ready, as seen by this daemon."""
 
     def __init__(self, rng: random.Random) -> None:
-        """Start without upstreams; those of the first view with any are taken to be warm."""
+        """Start without upstreams; those in the first non-empty view are assumed to be warm."""
         self.rng = rng
         self.ready: dict[DaemonId, Incarnation] = {}
         self.newly_ready: set[DaemonId] = set()
         self.ready_since: dict[DaemonId, Millis] = {}
 
     def view_changed(self, view: FleetView) -> None:
-        """Note which upstreams became ready, also by a restart of their daemon."""
+        """Record which upstreams became ready, including by a restart of their daemon."""
         ready = {
             m.daemon_id: m.incarnation
             for m in view.members.values()
@@ -35,7 +35,7 @@
         self.ready_since = {i: at for i, at in self.ready_since.items() if i in ready}
 
     def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
-        """Yield a just-ready candidate with a probability that grows to 1 within the ramp."""
+        """Yield a newly ready candidate with a probability that grows to 1 during the ramp."""
         for daemon_id in self.newly_ready:
             self.ready_since[daemon_id] = now
         self.newly_ready.clear()
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -1,4 +1,4 @@
-"""The routing decision of one daemon: what it knows of the fleet and whom it chooses."""
+"""Routing of one daemon: what it knows of the fleet and which upstream it chooses."""
 
 import random
 from dataclasses import dataclass, replace
@@ -22,10 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt ended after `took` milliseconds.
+    """An attempt ended after `elapsed` milliseconds.
 
     `failed` marks a response with a status of 500 or above, `cancelled` an attempt that another one
-    made needless; `load` is what the target reported with its answer.
+    made unnecessary; `load` is the load that the target reported with its answer.
     """
 
     daemon_id: DaemonId
@@ -41,7 +41,7 @@
     """Chooses the upstream of each attempt and learns from how attempts end."""
 
     def view_changed(self, view: FleetView) -> None:
-        """Take a new view of the fleet."""
+        """Apply a new view of the fleet."""
         ...
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
@@ -49,16 +49,16 @@
         ...
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Count an attempt that was sent."""
+        """Record an attempt that was sent."""
         ...
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
-        """Count an attempt that ended."""
+        """Record an attempt that ended."""
         ...
 
 
 class AdaptiveBalancer:
-    """Avoids what is slow or failing now, prefers what is near, and takes the better of two."""
+    """Avoids slow and failing upstreams, prefers near ones, and takes the better of two."""
 
     def __init__(self, here: Position, rng: random.Random) -> None:
         self.here = here
@@ -73,7 +73,7 @@
         self.latencies: dict[ServiceName, ServiceLatency] = {}
 
     def view_changed(self, view: FleetView) -> None:
-        """Take a new view of the fleet."""
+        """Apply a new view of the fleet."""
         self.view = view
         members = set(view.members)
         self.load.retain(members)
@@ -87,7 +87,7 @@
         self._record_overdue(request.service, now)
         chosen = self._choose_from(self.sampler.draw(request.service), request, now)
         if chosen is None:
-            # The members that were drawn may all be gone while others are ready.
+            # All members of the sample may be unavailable while others are ready.
             everyone = self.view.by_service.get(request.service, ())
             chosen = self._choose_from(everyone, request, now)
         return chosen
@@ -104,7 +104,7 @@
         return replace(chosen, hedge_after=delay) if chosen and delay is not None else chosen
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Count an attempt that was sent."""
+        """Record an attempt that was sent."""
         self.load.started(daemon_id, now)
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
@@ -139,7 +139,7 @@
             self.groups.observe(attempt.daemon_id, service, slow, now)
 
     def _record_overdue(self, service: ServiceName, now: Millis) -> None:
-        # A frozen upstream gives no answers; its overdue calls are all there is to judge by.
+        # A frozen upstream sends no answers; its overdue calls are the only evidence.
         for member in self.view.by_service.get(service, ()):
             row = self.load.rows.get(member.daemon_id)
             if row is not None and row.starts and row.record_overdue(now):
--- a/packages/agatecross-core/agatecross_core/routing/routes.py
+++ b/packages/agatecross-core/agatecross_core/routing/routes.py
@@ -14,7 +14,7 @@
 
 
 def matches_prefix(path: str, prefix: str) -> bool:
-    """Return whether a path lies under a prefix, by whole segments."""
+    """Return whether a path is under a prefix, compared by whole segments."""
     path = path.split("?", 1)[0]
     if prefix.endswith("/"):
         return path.startswith(prefix)
--- a/packages/agatecross-core/agatecross_core/routing/sample.py
+++ b/packages/agatecross-core/agatecross_core/routing/sample.py
@@ -1,4 +1,4 @@
-"""Bounds the members that one choice looks at, so that its cost does not grow with the fleet."""
+"""Bounds the members that one choice considers, so that its cost does not grow with the fleet."""
 
 import random
 from collections.abc import Mapping
@@ -15,7 +15,7 @@
 
 
 class MemberSampler:
-    """Draws members of a service, some from each locality."""
+    """Draws random members of a service from each locality."""
 
     def __init__(self, here: Position, rng: random.Random) -> None:
         """Start without members."""
--- a/packages/agatecross-core/agatecross_core/routing/tuning.py
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -4,7 +4,7 @@
 
 from ..ids import Millis
 
-# Members of each locality that one choice looks at; the power of two choices needs two of them to
+# Members of each locality that one choice considers; the power of two choices needs two of them to
 # pass the filters.
 SAMPLE_PER_LOCALITY: Final = 4
 
@@ -12,14 +12,14 @@
 MEDIAN_STEP_SHARE: Final = 0.05
 RECENT_LATENCY_WEIGHT: Final = 0.5
 RECENT_LATENCY_HALF_LIFE: Final = Millis(300)
-# Four mean deviations: 0.5 % of calls with gamma-distributed work (shape 4) exceed this, 3.5 % with
-# exponential work. Services with even work need a least distance.
+# In mean deviations: 0.5 % of calls with gamma-distributed work (shape 4) exceed four of them, and
+# 3.5 % with exponential work. A service with even work needs a minimum distance.
 SLOW_DEVIATIONS: Final = 4.0
 SLOW_MIN_SPREAD_SHARE: Final = 1.0
 SLOW_MARGIN: Final = Millis(2)
 MEDIAN_MIN_SAMPLES: Final = 5
-# After this time without new evidence one more call finds out whether the upstream is still slow.
-# About as long as a moment on a shared power feed; 200 ms sent more calls into each of them.
+# After this time without new evidence, one more call checks whether the upstream is still slow.
+# About as long as a slow period on a shared power feed; 200 ms sent more calls into each period.
 SLOW_HOLD_TIME: Final = Millis(400)
 MAX_SLOW_HOLD_TIME: Final = Millis(5_000)
 FAILURE_WEIGHT: Final = 0.2
@@ -28,14 +28,14 @@
 # Two failures in a row reach this share.
 FAILING_SHARE: Final = 0.3
 
-# Load that a target reported loses its weight within this time.
+# The load that a target reported loses its weight within this time.
 REPORT_LIFETIME: Final = Millis(1_000)
 
 # Ejection after failed connections, doubled for each further failure.
 EJECTION_TIME: Final = Millis(500)
 MAX_EJECTION_TIME: Final = Millis(10_000)
 
-# Cold start: share of its calls at first, and time until it gets all of them.
+# Cold start of an upstream: initial share of its calls, and time until it gets all of them.
 RAMP_START: Final = 0.1
 RAMP_TIME: Final = Millis(5_000)
 
@@ -47,12 +47,12 @@
 GROUP_SEARCH_PERIOD: Final = Millis(1_000)
 GROUP_LINK_LIFETIME: Final = Millis(60_000)
 FLEET_PEAK_SLOW_SHARE: Final = 0.5
-# Higher than the fleet's: a group may hold half of the upstreams of one service.
+# Higher than for the fleet: a group may contain half of the upstreams of one service.
 SERVICE_PEAK_SLOW_SHARE: Final = 0.75
 PEAK_MIN_OBSERVATIONS: Final = 3
-# Slow moments last several buckets, so buckets are not independent: a pair needs this many
-# separate coincidences, a strong correlation, and a deviation that noise does not reach in the
-# 2,016 pairs of 64 upstreams.
+# Slow periods last several buckets, so buckets are not independent: a pair needs this many separate
+# common periods, a strong correlation, and a deviation that noise does not reach in the 2,016 pairs
+# of 64 upstreams.
 GROUP_MIN_COMMON_PERIODS: Final = 3
 GROUP_MIN_CORRELATION: Final = 0.35
 GROUP_MIN_DEVIATION: Final = 4.5
