--- a/packages/agatecross-core/agatecross_core/admission/classes.py
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -26,8 +26,8 @@
     """Return the shape of a call: its path has no query and `*` for segments with a digit."""
     path = call.request.path.partition("?")[0]
     segments = path.split("/")[: MAX_SHAPE_SEGMENTS + 1]
-    plain = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
-    return Shape(call.service, call.request.method, plain)
+    normalised = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
+    return Shape(call.service, call.request.method, normalised)
 
 
 @dataclass(slots=True)
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from ..constants import MAX_SEEN_PUBLISH_IDS, NO_OFFSET, RULE_SET
+from ..constants import MAX_SEEN_PUBLISH_IDS, NO_OFFSET, RULE_SET_VERSION
 from ..ids import Version
 from ..states import PublishVerdict
 from .compile import compile_documents, digest_of
@@ -31,7 +31,7 @@
 
 def fold(state: ConfigState, record: ConfigRecord, decoder: DocumentDecoder) -> FoldStep:
     """Fold one record into the state; the result depends on nothing else."""
-    if record.rules > RULE_SET:
+    if record.rules > RULE_SET_VERSION:
         return FoldStep(state, PublishVerdict.UNKNOWN_RULES)
     if isinstance(record, SnapshotRecord):
         return _fold_snapshot(state, record, decoder)
@@ -45,7 +45,7 @@
         return FoldStep(ConfigState(), PublishVerdict.DUPLICATE)
     if record.through == NO_OFFSET:
         return fold_entry(ConfigState(), entry, decoder)
-    if record.rules > RULE_SET:
+    if record.rules > RULE_SET_VERSION:
         return FoldStep(ConfigState(), PublishVerdict.UNKNOWN_RULES)
     step = _take_snapshot(ConfigState(), record, decoder)
     return replace(step, state=replace(step.state, through=record.through, mark=record.mark))
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..constants import NO_DIGEST, NO_OFFSET, NO_VERSION, RULE_SET
+from ..constants import NO_DIGEST, NO_OFFSET, NO_VERSION, RULE_SET_VERSION
 from ..findings import Finding, Place
 from ..ids import (
     DataCentreName,
@@ -177,7 +177,7 @@
     digest: Digest = NO_DIGEST
     documents: tuple[Document, ...] = ()
     seen: tuple[PublishId, ...] = ()
-    rules: int = RULE_SET
+    rules: int = RULE_SET_VERSION
     through: Offset = NO_OFFSET
     mark: Digest = NO_DIGEST
 
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -16,7 +16,7 @@
 NO_VERSION: Final = Version(0)
 NO_DIGEST: Final = Digest("")
 NO_OFFSET: Final = Offset(-1)
-RULE_SET: Final = 1
+RULE_SET_VERSION: Final = 1
 MAX_OVERLAYS: Final = 64
 MAX_DOCUMENT_BYTES: Final = 256 * KIB
 MAX_SEEN_PUBLISH_IDS: Final = 4096
@@ -38,10 +38,10 @@
 # 64 documents of 256 KiB need 4.5 s on a link of 30 Mbit/s.
 PULL_TIMEOUT: Final = Millis(5_000)
 # Longer than the timeout of the transport, so that it only ends pulls without any answer.
-PULL_DEADLINE: Final = Millis(6_000)
+MAX_PULL_TIME: Final = Millis(6_000)
 POSITION_PULL_PERIOD: Final = Millis(2_000)
 # Time for ten pulls of a position, each from another peer, to find a reader that still has one.
-POSITION_TIMEOUT: Final = Millis(20_000)
+POSITION_PULL_TIMEOUT: Final = Millis(20_000)
 
 # Snapshots.
 LOG_RETENTION: Final = Millis(24 * 3_600_000)
@@ -59,8 +59,8 @@
 PROBE_PERIOD: Final = Millis(1_000)
 PROBE_TIMEOUT: Final = Millis(400)
 INDIRECT_PROBES: Final = 3
-SUSPICION_BASE: Final = Millis(4_000)
-SUSPICION_PER_DOUBLING: Final = Millis(200)
+SUSPICION_BASE_TIMEOUT: Final = Millis(4_000)
+SUSPICION_TIMEOUT_PER_DOUBLING: Final = Millis(200)
 DEAD_PROBE_PERIOD: Final = Millis(10_000)
 DEAD_RETENTION: Final = Millis(600_000)
 LEAVE_FANOUT: Final = 4
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -16,14 +16,14 @@
     LOG_POLL_WAIT,
     LOG_RETRY_BASE,
     LOG_RETRY_CAP,
+    MAX_PULL_TIME,
     NO_DIGEST,
     NO_OFFSET,
     NO_PEERS_POLL_WAIT,
     NOTICE_FANOUT,
     PEER_SILENCE_TIMEOUT,
     POSITION_PULL_PERIOD,
-    POSITION_TIMEOUT,
-    PULL_DEADLINE,
+    POSITION_PULL_TIMEOUT,
     SNAPSHOT_AFTER_RECORDS,
     SNAPSHOT_APPEND_BURST,
     SNAPSHOT_APPEND_REFILL,
@@ -192,7 +192,7 @@
         """Start what is due: a pull, a read of the log, a snapshot."""
         if self.heard_at is None:
             self.heard_at = now
-        if self.pull is not None and now - self.pull.started >= PULL_DEADLINE:
+        if self.pull is not None and now - self.pull.started >= MAX_PULL_TIME:
             self.offers.failed(self.pull.peer)
             self.pull = None
         yield from self._pull(now)
@@ -403,7 +403,7 @@
         )
 
     def _is_lost_long(self, now: Millis) -> bool:
-        return self.lost_at is not None and now - self.lost_at >= POSITION_TIMEOUT
+        return self.lost_at is not None and now - self.lost_at >= POSITION_PULL_TIMEOUT
 
     def _rank(self) -> int:
         if self.me.daemon_id in self.readers:
--- a/packages/agatecross-core/agatecross_core/distribution/sync.py
+++ b/packages/agatecross-core/agatecross_core/distribution/sync.py
@@ -7,7 +7,7 @@
 
 from ..config.compile import compile_documents, digest_of
 from ..config.model import ConfigState, Document, DocumentDecoder, MeshSnapshot
-from ..constants import NO_DIGEST, NO_OFFSET, RULE_SET
+from ..constants import NO_DIGEST, NO_OFFSET, RULE_SET_VERSION
 from ..findings import Finding
 from ..ids import Digest, DocumentName, Offset, PublishId, Version
 from ..members.records import Member
@@ -62,7 +62,7 @@
     seen: tuple[PublishId, ...]
     kept: int
     seen_digest: Digest
-    rules: int = RULE_SET
+    rules: int = RULE_SET_VERSION
     through: Offset = NO_OFFSET
     mark: Digest = NO_DIGEST
 
@@ -128,7 +128,7 @@
             return PullResult(PullVerdict.OTHER_SEEN)
         moved = replace(state, seen=seen, through=reply.through, mark=reply.mark)
         return PullResult(PullVerdict.SAME, moved)
-    if reply.rules > RULE_SET:
+    if reply.rules > RULE_SET_VERSION:
         return PullResult(PullVerdict.UNKNOWN_RULES)
     if seen is None:
         return PullResult(PullVerdict.OTHER_SEEN)
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -15,8 +15,8 @@
     MAX_UPDATES_PER_MESSAGE,
     PROBE_PERIOD,
     PROBE_TIMEOUT,
-    SUSPICION_BASE,
-    SUSPICION_PER_DOUBLING,
+    SUSPICION_BASE_TIMEOUT,
+    SUSPICION_TIMEOUT_PER_DOUBLING,
 )
 from ..ids import Address, DaemonId, Incarnation, Millis
 from ..states import MemberState
@@ -276,7 +276,7 @@
     def suspicion_timeout(self) -> Millis:
         """Return how long a suspect has to refute, which grows with the size of the fleet."""
         doublings = math.log2(max(2, len(self.table)))
-        return Millis(SUSPICION_BASE + SUSPICION_PER_DOUBLING * doublings)
+        return Millis(SUSPICION_BASE_TIMEOUT + SUSPICION_TIMEOUT_PER_DOUBLING * doublings)
 
     def _resync(self, now: Millis) -> Iterator[SwimAction]:
         peers = self.live_peers()
--- a/packages/agatecross-core/agatecross_core/routing/load.py
+++ b/packages/agatecross-core/agatecross_core/routing/load.py
@@ -164,17 +164,17 @@
         """Return the observations of a member without storing an empty entry."""
         return self.rows.get(daemon_id) or MemberObservations()
 
-    def row(self, daemon_id: DaemonId) -> MemberObservations:
+    def observations(self, daemon_id: DaemonId) -> MemberObservations:
         """Return the observations of a member, which are stored from now on."""
         return self.rows.setdefault(daemon_id, MemberObservations())
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
         """Record a call that was sent."""
-        insort(self.row(daemon_id).starts, now)
+        insort(self.observations(daemon_id).starts, now)
 
     def released(self, daemon_id: DaemonId, start: Millis) -> None:
         """Record the end of the call that started at `start`, up to rounding."""
-        starts = self.row(daemon_id).starts
+        starts = self.observations(daemon_id).starts
         if not starts:
             return
         after = bisect_right(starts, start)
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -122,11 +122,11 @@
             self.stats[endpoint.daemon_id] = stats
         return stats
 
-    def started(self, endpoint: Endpoint) -> None:
+    def record_start(self, endpoint: Endpoint) -> None:
         """Record an attempt that was sent."""
         self.stats_of(endpoint).outstanding += 1
 
-    def ended(
+    def record_result(
         self,
         daemon_id: DaemonId,
         result: RelayResult,
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -110,17 +110,17 @@
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
         """Learn from an attempt that ended."""
         daemon_id = attempt.daemon_id
-        row = self.load.row(daemon_id)
-        overdue = row.record_overdue(now)
+        observations = self.load.observations(daemon_id)
+        overdue = observations.record_overdue(now)
         self.load.released(daemon_id, Millis(now - attempt.elapsed))
         if attempt.load is not None:
-            row.record_report(attempt.load, now)
+            observations.record_report(attempt.load, now)
         succeeded = attempt.outcome is Outcome.RAN and not attempt.failed
         if succeeded:
-            overdue = row.record_completion(attempt.elapsed, now)
+            overdue = observations.record_completion(attempt.elapsed, now)
             self.ejections.record_success(daemon_id)
         elif not attempt.cancelled:
-            row.record_failure(now)
+            observations.record_failure(now)
         if attempt.reason in EJECTING_REASONS:
             self.ejections.record_failure(daemon_id, now)
         self._record_for_service(attempt, succeeded, overdue, now)
@@ -141,6 +141,10 @@
     def _record_overdue(self, service: ServiceName, now: Millis) -> None:
         # A frozen upstream sends no answers; its overdue calls are the only evidence.
         for member in self.view.by_service.get(service, ()):
-            row = self.load.rows.get(member.daemon_id)
-            if row is not None and row.starts and row.record_overdue(now):
+            observations = self.load.rows.get(member.daemon_id)
+            if (
+                observations is not None
+                and observations.starts
+                and observations.record_overdue(now)
+            ):
                 self.groups.observe(member.daemon_id, service, True, now)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -138,7 +138,7 @@
             rows = self.fleet.get(service, ())
             endpoint = self.balancer.choose(rows, tried, route.name, monotonic())
             if endpoint is not None:
-                self.balancer.started(endpoint)
+                self.balancer.record_start(endpoint)
             return endpoint
 
         flow = relay(
@@ -156,7 +156,7 @@
                 return None
             if not budget.take(self.daemons, now):
                 return None
-            self.balancer.started(endpoint)
+            self.balancer.record_start(endpoint)
             return endpoint
 
         hedged = route.repeat is Repeat.SAFE and route.attempts > 1
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -144,7 +144,7 @@
         now = monotonic()
         took = Millis(now - sent.at)
         size = len(self.facts.request.body)
-        self.balancer.ended(sent.daemon_id, result, took, self.facts.route.name, size, now)
+        self.balancer.record_result(sent.daemon_id, result, took, self.facts.route.name, size, now)
 
     def _expire(self) -> None:
         self._end(unknown_result(Reason.TIMEOUT))
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -19,7 +19,7 @@
 from agatecross_adapters.codec import encode_record
 from agatecross_cli.documents import read_documents
 from agatecross_core.config.model import Document, PublishRecord
-from agatecross_core.constants import CONFIG_STREAM, RULE_SET
+from agatecross_core.constants import CONFIG_STREAM, RULE_SET_VERSION
 from agatecross_core.ids import PublishId, Version
 
 from ..fleet import Fleet, Node, fetch
@@ -55,7 +55,7 @@
 def publish(fleet: Fleet, documents: Sequence[Document], parent: int) -> None:
     """Append a publish record to the log."""
     record = PublishRecord(
-        PublishId(uuid.uuid4().hex), Version(parent), RULE_SET, tuple(documents), ()
+        PublishId(uuid.uuid4().hex), Version(parent), RULE_SET_VERSION, tuple(documents), ()
     )
     url = f"http://{fleet.log}/streams/{CONFIG_STREAM}/records"
     status, _, body = fetch(url, "POST", encode_record(record))
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -15,7 +15,7 @@
     Document,
     PublishRecord,
 )
-from agatecross_core.constants import RULE_SET
+from agatecross_core.constants import RULE_SET_VERSION
 from agatecross_core.ids import PublishId, Version
 
 from ..fleet import Fleet, Node, fetch, wait_until
@@ -51,7 +51,7 @@
         publish_id = f"publish-{self.count}"
         document = Document(self.base.name, text)
         parent = Version(self.recorder.newest)
-        record = PublishRecord(PublishId(publish_id), parent, RULE_SET, (document,))
+        record = PublishRecord(PublishId(publish_id), parent, RULE_SET_VERSION, (document,))
         self.recorder.publishes[publish_id] = time.time()
         url = f"http://{self.fleet.log}/streams/config/records"
         for _ in range(2):
