--- a/packages/agatecross-core/agatecross_core/admission/classes.py
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -87,11 +87,11 @@
 
 
 def classify(
-    steps: Iterable[FilterItem], costs: CostTable, policy: ClassPolicy
+    items: Iterable[FilterItem], costs: CostTable, policy: ClassPolicy
 ) -> Iterator[FilterItem]:
     """Mark the entries whose shape has a baseline of at least `long_ms` as long."""
-    for step in steps:
-        if isinstance(step, Entry) and costs.baseline(step.shape) >= policy.long_ms:
-            yield replace(step, work_class=WorkClass.LONG)
+    for item in items:
+        if isinstance(item, Entry) and costs.baseline(item.shape) >= policy.long_ms:
+            yield replace(item, work_class=WorkClass.LONG)
         else:
-            yield step
+            yield item
--- a/packages/agatecross-core/agatecross_core/admission/deadline.py
+++ b/packages/agatecross-core/agatecross_core/admission/deadline.py
@@ -9,14 +9,14 @@
 
 
 def refuse_infeasible(
-    steps: Iterable[FilterItem], costs: CostTable, now: Millis
+    items: Iterable[FilterItem], costs: CostTable, now: Millis
 ) -> Iterator[FilterItem]:
     """Refuse the entries whose remaining time is at most the expected cost of their shape."""
-    for step in steps:
-        if isinstance(step, Entry) and not can_finish(step, costs, now):
-            yield RefuseCall(step.call.call_id, Reason.DEADLINE)
+    for item in items:
+        if isinstance(item, Entry) and not can_finish(item, costs, now):
+            yield RefuseCall(item.call.call_id, Reason.DEADLINE)
         else:
-            yield step
+            yield item
 
 
 def can_finish(entry: Entry, costs: CostTable, now: Millis) -> bool:
--- a/packages/agatecross-core/agatecross_core/admission/pipeline.py
+++ b/packages/agatecross-core/agatecross_core/admission/pipeline.py
@@ -45,14 +45,14 @@
             return Reason.LEAVING
         return None if self.state is UpstreamState.READY else Reason.NO_UPSTREAM
 
-    def refuse_while_closed(self, steps: Iterable[FilterItem]) -> Iterator[FilterItem]:
+    def refuse_while_closed(self, items: Iterable[FilterItem]) -> Iterator[FilterItem]:
         """Refuse the entries while the upstream accepts no calls."""
-        for step in steps:
+        for item in items:
             reason = self.reason()
-            if isinstance(step, Entry) and reason is not None:
-                yield RefuseCall(step.call.call_id, reason)
+            if isinstance(item, Entry) and reason is not None:
+                yield RefuseCall(item.call.call_id, reason)
             else:
-                yield step
+                yield item
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
     """A started call."""
 
     entry: Entry
-    started: Millis
+    started_at: Millis
 
 
 class AdaptiveAdmission:
@@ -113,12 +113,12 @@
         yield from self._start_waiting(now)
 
     def _admit(self, call: Call, now: Millis) -> Iterator[AdmissionAction]:
-        steps: Iterable[FilterItem] = (Entry(call, shape_of(call), now),)
-        steps = self.gate.refuse_while_closed(steps)
-        steps = refuse_infeasible(steps, self.costs, now)
-        steps = classify(steps, self.costs, self.policy)
+        items: Iterable[FilterItem] = (Entry(call, shape_of(call), now),)
+        items = self.gate.refuse_while_closed(items)
+        items = refuse_infeasible(items, self.costs, now)
+        items = classify(items, self.costs, self.policy)
         free = max(0, self.limit.value - self.running)
-        yield from self.queue.offer(steps, self.limit.value * QUEUED_CALLS_PER_SLOT + free, now)
+        yield from self.queue.offer(items, self.limit.value * QUEUED_CALLS_PER_SLOT + free, now)
 
     def _record_finish(self, call_id: CallId, ending: CallEnding, now: Millis) -> None:
         ended = self.started.pop(call_id, None)
@@ -127,7 +127,7 @@
         if ending is CallEnding.SHED:
             self.limit.record_shed(self.running + 1, now)
         elif ending is CallEnding.COMPLETED:
-            elapsed = Millis(now - ended.started)
+            elapsed = Millis(now - ended.started_at)
             self.limit.record_completion(self.costs.observe(ended.entry.shape, elapsed, now), now)
 
     def _cancel(self, call_id: CallId) -> Iterator[AdmissionAction]:
@@ -141,7 +141,7 @@
     def _tick(self, now: Millis) -> None:
         for row in self.started.values():
             if self._is_long(row, now):
-                self.costs.observe_running(row.entry.shape, Millis(now - row.started), now)
+                self.costs.observe_running(row.entry.shape, Millis(now - row.started_at), now)
         if not self.started:
             self.limit.record_idle(now)
 
@@ -168,5 +168,5 @@
         return max(1, int(self.limit.value * self.policy.long_share))
 
     def _is_long(self, row: StartedCall, now: Millis) -> bool:
-        late = now - row.started >= self.policy.long_ms
+        late = now - row.started_at >= self.policy.long_ms
         return late or row.entry.work_class is WorkClass.LONG
--- a/packages/agatecross-core/agatecross_core/admission/queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/queue.py
@@ -26,14 +26,14 @@
         return sum(map(len, self.lanes.values()))
 
     def offer(
-        self, steps: Iterable[FilterItem], capacity: int, now: Millis
+        self, items: Iterable[FilterItem], capacity: int, now: Millis
     ) -> Iterator[RefuseCall]:
         """Queue the entries and yield refusals; above `capacity`, refuse the least useful entry."""
-        for step in steps:
-            if isinstance(step, RefuseCall):
-                yield step
+        for item in items:
+            if isinstance(item, RefuseCall):
+                yield item
                 continue
-            self.lanes[step.work_class].append(step)
+            self.lanes[item.work_class].append(item)
             if len(self) > capacity:
                 yield RefuseCall(self._evict(now).call.call_id, Reason.QUEUE_FULL)
 
@@ -78,7 +78,7 @@
 
 
 def exceeds_delay_target(lane: Lane, now: Millis) -> bool:
-    """Return whether the oldest entry has waited longer than the target."""
+    """Return whether the oldest entry has waited longer than the delay target."""
     return now - lane[0].arrived > QUEUE_DELAY_TARGET
 
 
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -14,7 +14,7 @@
 MIN_WAIT_SHARE = 0.1
 # Calls of one route differ in cost; this multiple of the mean must fit between start and objective.
 COST_MARGIN_FACTOR = 1.2
-# A call that may be late is started if it would be in time at this share of the mean cost.
+# A call that may miss its deadline is started if it would meet it at this share of the mean cost.
 FEASIBLE_COST_SHARE = 0.6
 
 
--- a/packages/agatecross-core/agatecross_core/relay/budget.py
+++ b/packages/agatecross-core/agatecross_core/relay/budget.py
@@ -3,7 +3,8 @@
 from ..ids import Millis
 
 # Calls made by a repeated run count as repeats at the service that they go to, but only the daemon
-# that repeated the run knows it. Two services in a row may each spend this share, a fifth is left.
+# that repeated the run knows this. Two services in a row may each spend this share; a fifth is
+# left.
 SHARE_PER_SERVICE = 0.4
 # A daemon that crashes again and again must not get a full allowance at each restart.
 INITIAL_TOKENS = 1.0
--- a/packages/agatecross-core/agatecross_core/routing/candidates.py
+++ b/packages/agatecross-core/agatecross_core/routing/candidates.py
@@ -23,16 +23,16 @@
     for member in members:
         if member.upstream is None:
             continue
-        row = load.lookup(member.daemon_id)
+        observed = load.lookup(member.daemon_id)
         yield Candidate(
             member,
             member.upstream,
             locality_of(member, here),
-            row.outstanding,
-            row.expected_ms(now),
-            row.load(now),
-            row.failures(now),
-            row.is_slow(now),
+            observed.outstanding,
+            observed.expected_ms(now),
+            observed.load(now),
+            observed.failures(now),
+            observed.is_slow(now),
         )
 
 
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -52,7 +52,7 @@
 def candidate_cost(candidate: Candidate) -> float:
     """Return the expected wait: load per slot, scaled by expected latency and failures.
 
-    Failures raise the cost because a failing upstream answers fast and therefore has no load.
+    Failures raise the cost because a failing upstream answers fastest and has no load.
     """
     waiting = (candidate.load + 1) / max(1, candidate.upstream.slots)
     return waiting * max(candidate.latency_ms, 0.1) * (1 + FAILURE_COST * candidate.failures)
