--- a/packages/agatecross-core/agatecross_core/admission/deadline.py
+++ b/packages/agatecross-core/agatecross_core/admission/deadline.py
@@ -1,22 +1,24 @@
-"""Filter: refuses calls that cannot end before their deadline."""
+"""Filter that refuses calls that cannot end before their deadline."""
 
 from collections.abc import Iterable, Iterator
 
 from ..ids import Millis
 from ..states import Reason
 from .classes import CostTable
-from .model import Entry, RefuseCall, Step
+from .model import Entry, FilterItem, RefuseCall
 
 
-def within_deadline(steps: Iterable[Step], costs: CostTable, now: Millis) -> Iterator[Step]:
-    """Refuse entries whose time left is shorter than the observed cost of their shape."""
-    for step in steps:
-        if isinstance(step, Entry) and not can_finish(step, costs, now):
-            yield RefuseCall(step.call.call_id, Reason.DEADLINE)
+def refuse_infeasible(
+    items: Iterable[FilterItem], costs: CostTable, now: Millis
+) -> Iterator[FilterItem]:
+    """Refuse the entries whose remaining time is at most the expected cost of their shape."""
+    for item in items:
+        if isinstance(item, Entry) and not can_finish(item, costs, now):
+            yield RefuseCall(item.call.call_id, Reason.DEADLINE)
         else:
-            yield step
+            yield item
 
 
 def can_finish(entry: Entry, costs: CostTable, now: Millis) -> bool:
-    """Return whether an entry that starts now is expected to end in time."""
+    """Return whether a call that starts now is expected to end before its deadline."""
     return entry.call.deadline - now > costs.expected(entry.shape, now)
--- a/packages/agatecross-core/agatecross_core/admission/retry.py
+++ b/packages/agatecross-core/agatecross_core/admission/retry.py
@@ -1,6 +1,6 @@
-"""Retry budget: retries as a share of first attempts."""
+"""Retry budget that limits retries to a share of first attempts."""
 
-MAX_TOKENS = 10.0
+MAX_RETRY_TOKENS = 10.0
 
 
 class RetryBudget:
@@ -9,14 +9,14 @@
     def __init__(self, ratio: float) -> None:
         """Start full, so that a service with few calls can retry."""
         self.ratio = ratio
-        self.tokens = MAX_TOKENS
+        self.tokens = MAX_RETRY_TOKENS
 
-    def first_attempt(self) -> None:
-        """Add the share of one first attempt."""
-        self.tokens = min(MAX_TOKENS, self.tokens + self.ratio)
+    def add_first_attempt(self) -> None:
+        """Add the tokens of one first attempt."""
+        self.tokens = min(MAX_RETRY_TOKENS, self.tokens + self.ratio)
 
     def take(self) -> bool:
-        """Take the token of one retry, if there is one."""
+        """Take the token of one retry; return False if there is none."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -1,4 +1,4 @@
-"""The queue in front of one upstream's slots: important and urgent calls first."""
+"""Queue in front of the slots of one upstream: important and urgent calls first."""
 
 from bisect import bisect_right, insort
 from collections.abc import Iterator
@@ -7,22 +7,23 @@
 from ..ids import HandoverId, Millis, RouteName
 from ..states import Reason
 
-COST_WEIGHT = 0.1
-# A call that waits longer than its latency objective allows is worth little, but every call may
-# wait this share of the time it has left.
+# Weight of one call in the mean costs.
+COST_SAMPLE_WEIGHT = 0.1
+# A call that waits longer than its latency objective allows has little value, but every call may
+# wait for this share of its remaining time.
 MIN_WAIT_SHARE = 0.1
-# Runs of one route differ; this many mean costs must fit between the start and the objective.
-COST_MARGIN = 1.2
-# A call that may be late is started if a run of this share of the usual cost would be in time.
-FEASIBLE_COST = 0.6
+# Calls of one route differ in cost; this multiple of the mean must fit between start and objective.
+COST_MARGIN_FACTOR = 1.2
+# A call that may miss its deadline is started if it would meet it at this share of the mean cost.
+FEASIBLE_COST_SHARE = 0.6
 
 
 @dataclass(frozen=True, slots=True)
-class Waiting:
-    """A call that waits; `rank` 0 is the most important.
+class WaitingCall:
+    """A waiting call; `rank` 0 is the most important.
 
-    `objective` is when its answer loses value, `deadline` when it is useless, both on the monotonic
-    clock.
+    After `objective` its answer loses value, after `deadline` it is useless; both are times on the
+    monotonic clock.
     """
 
     handover_id: HandoverId
@@ -33,30 +34,30 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Start:
+class StartHandover:
     """Action: send the call to the upstream now."""
 
     handover_id: HandoverId
 
 
 @dataclass(frozen=True, slots=True)
-class Refuse:
-    """Action: answer the call as not run."""
+class RefuseHandover:
+    """Action: report the call as not run."""
 
     handover_id: HandoverId
     reason: Reason
 
 
 class SlotQueue:
-    """Starts at most `slots` calls at once."""
+    """Runs at most `slots` calls at once; queues or refuses the others."""
 
     def __init__(self) -> None:
         """Start without slots."""
         self.slots = 0
         self.running: dict[HandoverId, tuple[RouteName, Millis]] = {}
-        # In the order of starts. Within a rank the earliest objective goes first: calls that
-        # running upstreams make have short ones, and without them their callers' work is lost.
-        self.waiting: list[Waiting] = []
+        # Sorted by start order. Within a rank, the earliest objective goes first: calls made by
+        # running upstreams have short objectives, and without them the work so far is lost.
+        self.waiting: list[WaitingCall] = []
         self.costs: dict[RouteName, float] = {}
         self.mean_cost = 0.0
 
@@ -65,60 +66,60 @@
         """Return the number of calls that run or wait."""
         return len(self.running) + len(self.waiting)
 
-    def arrived(self, call: Waiting, now: Millis) -> Iterator[Start | Refuse]:
+    def admit(self, call: WaitingCall, now: Millis) -> Iterator[StartHandover | RefuseHandover]:
         """Start, queue or refuse a call."""
         if len(self.running) < self.slots and not self.waiting:
             self.running[call.handover_id] = (call.route, now)
-            yield Start(call.handover_id)
+            yield StartHandover(call.handover_id)
             return
-        if self._wait_of(call, now) > self._longest_wait(call, now):
-            yield Refuse(call.handover_id, Reason.OVERLOADED)
+        if self._expected_wait(call, now) > self._max_wait(call, now):
+            yield RefuseHandover(call.handover_id, Reason.OVERLOADED)
             return
         insort(self.waiting, call, key=start_order)
 
-    def finished(self, handover_id: HandoverId, now: Millis, learn: bool) -> None:
-        """Free the slot of a call; `learn` tells whether its time is typical of its route."""
+    def finish(self, handover_id: HandoverId, now: Millis, typical: bool) -> None:
+        """Free the slot of a call; `typical` tells whether its time counts for the mean cost."""
         row = self.running.pop(handover_id, None)
-        if row is not None and learn:
+        if row is not None and typical:
             route, started = row
-            took = now - started
-            held = self.costs.get(route, took)
-            self.costs[route] = held + COST_WEIGHT * (took - held)
-            self.mean_cost += COST_WEIGHT * (took - self.mean_cost)
+            elapsed = now - started
+            mean = self.costs.get(route, elapsed)
+            self.costs[route] = mean + COST_SAMPLE_WEIGHT * (elapsed - mean)
+            self.mean_cost += COST_SAMPLE_WEIGHT * (elapsed - self.mean_cost)
 
     def cancel(self, handover_id: HandoverId) -> bool:
-        """Remove a waiting call; return whether it waited."""
+        """Remove a call; return whether it was waiting."""
         for position, call in enumerate(self.waiting):
             if call.handover_id == handover_id:
                 del self.waiting[position]
                 return True
         return False
 
-    def next(self, now: Millis) -> Iterator[Start | Refuse]:
-        """Start waiting calls while there are free slots; refuse those that cannot end in time."""
+    def start_waiting(self, now: Millis) -> Iterator[StartHandover | RefuseHandover]:
+        """Start waiting calls while slots are free; refuse those that cannot end in time."""
         while self.waiting and len(self.running) < self.slots:
             call = self.waiting.pop(0)
-            if now + FEASIBLE_COST * self.costs.get(call.route, 0.0) >= call.deadline:
-                yield Refuse(call.handover_id, Reason.DEADLINE)
+            if now + FEASIBLE_COST_SHARE * self.costs.get(call.route, 0.0) >= call.deadline:
+                yield RefuseHandover(call.handover_id, Reason.DEADLINE)
                 continue
             self.running[call.handover_id] = (call.route, now)
-            yield Start(call.handover_id)
+            yield StartHandover(call.handover_id)
 
-    def clear(self, reason: Reason) -> Iterator[Refuse]:
-        """Refuse everything that waits."""
+    def refuse_all(self, reason: Reason) -> Iterator[RefuseHandover]:
+        """Refuse all waiting calls."""
         waiting, self.waiting = self.waiting, []
         for call in waiting:
-            yield Refuse(call.handover_id, reason)
+            yield RefuseHandover(call.handover_id, reason)
 
-    def _wait_of(self, call: Waiting, now: Millis) -> float:
+    def _expected_wait(self, call: WaitingCall, now: Millis) -> float:
         ahead = bisect_right(self.waiting, start_order(call), key=start_order)
         return (ahead + 1) * self.mean_cost / max(1, self.slots)
 
-    def _longest_wait(self, call: Waiting, now: Millis) -> float:
-        in_time = call.objective - now - COST_MARGIN * self.costs.get(call.route, 0.0)
+    def _max_wait(self, call: WaitingCall, now: Millis) -> float:
+        in_time = call.objective - now - COST_MARGIN_FACTOR * self.costs.get(call.route, 0.0)
         return max(in_time, MIN_WAIT_SHARE * (call.deadline - now))
 
 
-def start_order(call: Waiting) -> tuple[int, Millis]:
-    """Return the key by which waiting calls are started."""
+def start_order(call: WaitingCall) -> tuple[int, Millis]:
+    """Return the sort key of waiting calls."""
     return (call.rank, call.objective)
--- a/packages/agatecross-core/agatecross_core/relay/budget.py
+++ b/packages/agatecross-core/agatecross_core/relay/budget.py
@@ -1,39 +1,40 @@
-"""Each daemon's share of a fleet-wide budget of repeated arrivals at a service."""
+"""Share of one daemon in a fleet-wide budget of repeated requests to a service."""
 
 from ..ids import Millis
 
-# Calls that a repeated run makes count as repeats at the service it calls, and only the daemon that
-# repeated the run knows. Runs of two services in a row may each spend this share; a fifth is left.
-SPENT_SHARE = 0.4
-# A restarted daemon must not start with a full allowance each time it dies.
-START_TOKENS = 1.0
+# Calls made by a repeated run count as repeats at the service that they go to, but only the daemon
+# that repeated the run knows this. Two services in a row may each spend this share; a fifth is
+# left.
+SHARE_PER_SERVICE = 0.4
+# A daemon that crashes again and again must not get a full allowance at each restart.
+INITIAL_TOKENS = 1.0
 
 
-class FleetBudget:
-    """Token bucket filled by a ratio of first arrivals and by a share of a fixed allowance.
+class FleetRetryBudget:
+    """Token bucket filled by first arrivals and by a share of a fixed allowance.
 
-    `ratio` is repeats for each first arrival, `slack` the extra repeats of the whole fleet in each
-    `window`; the share of one daemon is `slack / daemons`.
+    `ratio` is the number of repeats per first arrival, `slack` the number of extra repeats of the
+    whole fleet per `window`; the share of one daemon is `slack / daemons`.
     """
 
     def __init__(self, ratio: float, slack: float, window: Millis) -> None:
         """Start with one token."""
-        self.ratio = ratio * SPENT_SHARE
-        self.slack = slack * SPENT_SHARE
+        self.ratio = ratio * SHARE_PER_SERVICE
+        self.slack = slack * SHARE_PER_SERVICE
         self.window = window
-        self.tokens = START_TOKENS
-        self.capacity = START_TOKENS
+        self.tokens = INITIAL_TOKENS
+        self.capacity = INITIAL_TOKENS
         self.filled_at: Millis | None = None
 
-    def first_arrival(self) -> None:
-        """Add the share of one first arrival."""
+    def add_first_arrival(self) -> None:
+        """Add the tokens of a request that reached the service for the first time."""
         self.tokens = min(self.capacity, self.tokens + self.ratio)
 
     def take(self, daemons: int, now: Millis) -> bool:
-        """Take the token of one repeat in a fleet of `daemons`, if there is one."""
+        """Take the token of one repeat in a fleet of `daemons`; return False if there is none."""
         share = self.slack / max(1, daemons)
-        # What all daemons can save up together is part of the fixed allowance.
-        self.capacity = START_TOKENS + share / 2
+        # The tokens that all daemons together can accumulate are part of the fixed allowance.
+        self.capacity = INITIAL_TOKENS + share / 2
         if self.filled_at is not None:
             gained = (now - self.filled_at) / self.window * share / 2
             self.tokens = min(self.capacity, self.tokens + gained)
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -1,4 +1,4 @@
-"""The flow of one relayed call: which upstream next, whether to repeat, and the final result."""
+"""Flow of one relayed call: the next upstream, whether to repeat the call, and the final result."""
 
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
@@ -6,12 +6,13 @@
 from ..ids import DaemonId, Millis
 from ..members.directory import Endpoint
 from ..states import Outcome, Reason
-from .model import Attempt, RelayResult, Repeat, refused
+from .model import Attempt, RelayResult, Repeat, not_run_result
 
-# Refusals that no upstream saw cost no budget, but each takes a round trip between daemons.
+# Refusals of calls that did not reach an upstream cost no budget, but each takes a round trip
+# between daemons.
 MAX_HANDOVERS = 3
 # A repeat that starts with less time left than this cannot end in time.
-MIN_LEFT = Millis(10)
+MIN_TIME_LEFT = Millis(10)
 SERVER_ERROR = 500
 
 Choose = Callable[[tuple[DaemonId, ...]], Endpoint | None]
@@ -20,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayPolicy:
-    """How often a call may be repeated; `attempts` is the number of upstreams that may run it."""
+    """Limits of repeats of a call; `attempts` is the number of upstreams that may run it."""
 
     repeat: Repeat
     attempts: int
@@ -29,31 +30,31 @@
 def relay(
     policy: RelayPolicy,
     choose: Choose,
-    left: Callable[[], Millis],
+    time_left: Callable[[], Millis],
     may_repeat: Callable[[], bool],
 ) -> Generator[Attempt, RelayResult, RelayResult]:
-    """Yield attempts, take their results, and return the final result."""
+    """Yield attempts, receive their results, and return the final result."""
     tried: tuple[DaemonId, ...] = ()
     arrivals = 0
-    last: RelayResult | None = None
+    reported: RelayResult | None = None
     for number in range(MAX_HANDOVERS):
-        if last is not None and left() < MIN_LEFT:
-            return last
+        if reported is not None and time_left() < MIN_TIME_LEFT:
+            return reported
         endpoint = choose(tried)
         if endpoint is None or endpoint.instance is None:
-            return last or refused(Reason.NO_UPSTREAM)
+            return reported or not_run_result(Reason.NO_UPSTREAM)
         if arrivals and not may_repeat():
-            return last or refused(Reason.RETRY_BUDGET)
+            return reported or not_run_result(Reason.RETRY_BUDGET)
         result = yield Attempt(endpoint.daemon_id, endpoint.instance, number)
         tried = (*tried, endpoint.daemon_id)
-        arrivals += result.arrived
-        last = worse_kept(last, result)
-        if not repeatable(result, policy, arrivals):
-            return last
-    return last or refused(Reason.NO_UPSTREAM)
+        arrivals += result.reached_upstream
+        reported = reported_result(reported, result)
+        if not is_repeatable(result, policy, arrivals):
+            return reported
+    return reported or not_run_result(Reason.NO_UPSTREAM)
 
 
-def repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
+def is_repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
     """Return whether another attempt is allowed after this result."""
     if result.reason in (Reason.TIMEOUT, Reason.CANCELLED, Reason.DEADLINE):
         return False
@@ -61,21 +62,21 @@
         return arrivals <= policy.attempts
     if policy.repeat is Repeat.ONCE or arrivals >= policy.attempts:
         return False
-    return not served(result)
+    return not is_served(result)
 
 
-def served(result: RelayResult) -> bool:
-    """Return whether a result is an upstream's response that no repeat can better."""
+def is_served(result: RelayResult) -> bool:
+    """Return whether a result is a response without a server error, which no repeat improves."""
     return result.response is not None and result.response.status < SERVER_ERROR
 
 
-def worse_kept(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
-    """Return the result that the caller gets: after a possible run, no refusal may say "not run".
+def reported_result(earlier: RelayResult | None, latest: RelayResult) -> RelayResult:
+    """Return the result for the caller: after a possible run, no refusal may say "not run".
 
-    An upstream's own failure is kept when a repeat of it brought no answer, and an answer when a
-    second attempt failed.
+    A server error of an upstream is kept when its repeat brought no answer, and an answer is kept
+    when a second attempt failed.
     """
-    if earlier is None or (latest.outcome is Outcome.RAN and not served(earlier)):
+    if earlier is None or (latest.outcome is Outcome.RAN and not is_served(earlier)):
         return latest
     if earlier.outcome is Outcome.NOT_RUN:
         return latest
--- a/packages/agatecross-core/agatecross_core/relay/model.py
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayRequest:
-    """A whole request; header names in lower case, without those of one connection."""
+    """A complete request; header names are in lower case, hop-by-hop headers are removed."""
 
     method: bytes
     target: bytes
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayResponse:
-    """A whole response of an upstream, without the header fields of one connection."""
+    """A complete response of an upstream without hop-by-hop headers."""
 
     status: int
     headers: HeaderRows
@@ -37,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Handover:
-    """One attempt at one upstream; times are milliseconds left when it was sent."""
+    """One attempt at one upstream.
+
+    `objective_time_left` and `time_left` are the milliseconds that were left to the latency
+    objective and to the deadline when it was sent.
+    """
 
     handover_id: HandoverId
     call_id: CallId
@@ -46,24 +50,24 @@
     instance: InstanceId
     repeat: Repeat
     rank: int
-    objective_left: Millis
-    left: Millis
+    objective_time_left: Millis
+    time_left: Millis
     request: RelayRequest
 
 
 @dataclass(frozen=True, slots=True)
 class RelayResult:
-    """What became of a handover or of the whole call.
+    """Result of a handover or of the whole call.
 
-    `arrived` tells whether the upstream was sent the request; `load` is the number of calls that
-    ran and waited next to it, `slots` its capacity, `cost` the mean time that runs of the route
-    take there; each is 0 when unknown.
+    `reached_upstream` tells whether the request was sent to the upstream; `load` is the number of
+    calls that run at it or wait for it, `slots` its capacity, `cost` the mean time of the calls of
+    the route there; each is 0 when unknown.
     """
 
     outcome: Outcome
     reason: Reason | None = None
     response: RelayResponse | None = None
-    arrived: bool = False
+    reached_upstream: bool = False
     load: int = 0
     slots: int = 0
     cost: Millis = ZERO_MS
@@ -71,18 +75,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Action of the flow: hand the call over to this upstream."""
+    """Action of the flow: hand over the call to this upstream."""
 
     daemon_id: DaemonId
     instance: InstanceId
     number: int
 
 
-def refused(reason: Reason, load: int = 0, slots: int = 0, arrived: bool = False) -> RelayResult:
+def not_run_result(
+    reason: Reason, load: int = 0, slots: int = 0, reached_upstream: bool = False
+) -> RelayResult:
     """Return the result of a call that did not run and will not run."""
-    return RelayResult(Outcome.NOT_RUN, reason, None, arrived, load, slots)
+    return RelayResult(Outcome.NOT_RUN, reason, None, reached_upstream, load, slots)
 
 
-def lost(reason: Reason) -> RelayResult:
+def unknown_result(reason: Reason) -> RelayResult:
     """Return the result of a call that may have run."""
     return RelayResult(Outcome.UNKNOWN, reason, None, True)
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -1,15 +1,15 @@
-"""The pipeline from a request to one candidate, closed by the power of two choices."""
+"""Pipeline from a request to one candidate; its last step is the power of two choices."""
 
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..ids import Millis
-from .candidates import untried
+from .candidates import prefer_untried
 from .ejection import Ejections
 from .groups import GroupDetector
 from .load import LoadTable
-from .locality import nearest
+from .locality import prefer_nearest
 from .model import Candidate, ChoiceRequest
 from .ramp import Ramp
 from .tuning import FAILURE_COST
@@ -33,24 +33,24 @@
     now: Millis,
 ) -> Candidate | None:
     """Return the candidate for one attempt, or None when no upstream can serve it."""
-    rows = untried(request, iter(ready))
-    rows = filters.groups.outside(request, rows)
+    rows = prefer_untried(request, iter(ready))
+    rows = filters.groups.outside_tried_groups(request, rows)
     rows = filters.ejections.filter(rows, now)
-    rows = filters.groups.not_slow(rows, filters.load, now)
+    rows = filters.groups.outside_slow_groups(rows, filters.load, now)
     rows = filters.ramp.filter(rows, now)
-    return less_loaded(nearest(rows), rng)
+    return pick_less_loaded(prefer_nearest(rows), rng)
 
 
-def less_loaded(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
+def pick_less_loaded(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
     """Return the less loaded of two random candidates."""
     rows = list(candidates)
     if len(rows) <= 1:
         return rows[0] if rows else None
-    return min(rng.sample(rows, 2), key=cost)
+    return min(rng.sample(rows, 2), key=candidate_cost)
 
 
-def cost(candidate: Candidate) -> float:
-    """Return the expected wait: load for each slot, scaled by expected latency and failures.
+def candidate_cost(candidate: Candidate) -> float:
+    """Return the expected wait: load per slot, scaled by expected latency and failures.
 
     Failures raise the cost because a failing upstream answers fastest and has no load.
     """
--- a/packages/agatecross-core/agatecross_core/routing/hedging.py
+++ b/packages/agatecross-core/agatecross_core/routing/hedging.py
@@ -1,4 +1,4 @@
-"""When a call to a service may be hedged, and after how long."""
+"""Whether a call to a service may be hedged, and after which delay."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -7,15 +7,15 @@
 from ..states import Reason
 from .model import Candidate
 from .tuning import (
-    HEDGE_MAX_REFUSALS,
+    HEDGE_MAX_REFUSAL_SHARE,
     HEDGE_MAX_UTILISATION,
     HEDGE_MIN_SAMPLES,
-    LATENCY_SAMPLES,
-    QUANTILE_REFRESH,
+    MAX_LATENCY_SAMPLES,
+    QUANTILE_REFRESH_SAMPLES,
     REFUSAL_WEIGHT,
 )
 
-REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.SHED))
+OVERLOAD_REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.SHED))
 
 
 class ServiceLatency:
@@ -23,31 +23,31 @@
 
     def __init__(self) -> None:
         """Start without attempts."""
-        self.samples: deque[float] = deque(maxlen=LATENCY_SAMPLES)
+        self.samples: deque[float] = deque(maxlen=MAX_LATENCY_SAMPLES)
         self.refusals = 0.0
         self.until_refresh = 0
         self.delays: dict[float, Millis] = {}
 
-    def ended(self, took: Millis, reason: Reason | None) -> None:
-        """Count an attempt; a refusal has no latency.
+    def record(self, elapsed: Millis, reason: Reason | None) -> None:
+        """Record an attempt; a refusal has no latency.
 
-        The time of a cancelled attempt counts too: without it, each hedge would lower the quantile.
+        The time of a cancelled attempt counts too: otherwise each hedge would lower the quantile.
         """
-        refused = reason in REFUSALS
+        refused = reason in OVERLOAD_REFUSALS
         self.refusals += REFUSAL_WEIGHT * (refused - self.refusals)
         if refused:
             return
-        self.samples.append(took)
+        self.samples.append(elapsed)
         self.until_refresh -= 1
         if self.until_refresh <= 0:
-            self.until_refresh = QUANTILE_REFRESH
+            self.until_refresh = QUANTILE_REFRESH_SAMPLES
             self.delays.clear()
 
     def hedge_after(self, quantile: float, rows: Iterable[Candidate]) -> Millis | None:
-        """Return the delay of a hedge; None when off, unknown, or at an overload peak."""
+        """Return the delay of a hedge; None if hedging is off, latency unknown or load too high."""
         if not quantile or len(self.samples) < HEDGE_MIN_SAMPLES:
             return None
-        if self.refusals > HEDGE_MAX_REFUSALS or utilisation(rows) > HEDGE_MAX_UTILISATION:
+        if self.refusals > HEDGE_MAX_REFUSAL_SHARE or utilisation(rows) > HEDGE_MAX_UTILISATION:
             return None
         if quantile not in self.delays:
             ordered = sorted(self.samples)
@@ -56,6 +56,6 @@
 
 
 def utilisation(rows: Iterable[Candidate]) -> float:
-    """Return the share of the slots of these upstreams that is in use."""
-    pairs = [(row.load, row.upstream.slots) for row in rows]
+    """Return the share of the slots of these upstreams that are in use."""
+    pairs = [(candidate.load, candidate.upstream.slots) for candidate in rows]
     return sum(load for load, _ in pairs) / max(1, sum(slots for _, slots in pairs))
--- a/packages/agatecross-core/agatecross_core/routing/locality.py
+++ b/packages/agatecross-core/agatecross_core/routing/locality.py
@@ -4,14 +4,18 @@
 
 from ..states import Locality
 from .model import Candidate
-from .tuning import FAILING
+from .tuning import FAILING_SHARE
 
 
-def nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
-    """Yield the candidates of the nearest locality that has room, or all when none has."""
+def prefer_nearest(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
+    """Yield the candidates with room in the nearest locality that has any, or all if none has."""
     rows = list(candidates)
     for locality in Locality:
-        near = [row for row in rows if row.locality is locality and has_room(row)]
+        near = [
+            candidate
+            for candidate in rows
+            if candidate.locality is locality and has_room(candidate)
+        ]
         if near:
             yield from near
             return
@@ -19,10 +23,10 @@
 
 
 def has_room(candidate: Candidate) -> bool:
-    """Return whether the upstream has a free slot and neither is slow nor fails now.
+    """Return whether the upstream has a free slot and is neither slow nor failing now.
 
-    A slowed upstream costs more than the distance to the next locality.
+    A slow upstream costs more than the distance to the next locality.
     """
-    if candidate.slow or candidate.failures > FAILING:
+    if candidate.slow or candidate.failures > FAILING_SHARE:
         return False
     return candidate.load < candidate.upstream.slots
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -1,4 +1,4 @@
-"""The routing decision of one daemon: what it knows of the fleet and whom it chooses."""
+"""Routing of one daemon: what it knows of the fleet and which upstream it chooses."""
 
 import random
 from dataclasses import dataclass, replace
@@ -10,10 +10,10 @@
 from ..states import Outcome, Reason
 from .candidates import candidates
 from .choice import Filters, choose
-from .ejection import EJECTING, Ejections
+from .ejection import EJECTING_REASONS, Ejections
 from .groups import GroupDetector
 from .health import healthy
-from .hedging import REFUSALS, ServiceLatency
+from .hedging import OVERLOAD_REFUSALS, ServiceLatency
 from .load import LoadTable
 from .model import Candidate, ChoiceRequest, Position, Purpose, ReportedLoad
 from .ramp import Ramp
@@ -22,14 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt ended after `took` milliseconds.
+    """An attempt ended after `elapsed` milliseconds.
 
     `failed` marks a response with a status of 500 or above, `cancelled` an attempt that another one
-    made needless; `load` is what the target reported with its answer.
+    made unnecessary; `load` is the load that the target reported with its answer.
     """
 
     daemon_id: DaemonId
-    took: Millis
+    elapsed: Millis
     outcome: Outcome
     reason: Reason | None = None
     failed: bool = False
@@ -41,7 +41,7 @@
     """Chooses the upstream of each attempt and learns from how attempts end."""
 
     def view_changed(self, view: FleetView) -> None:
-        """Take a new view of the fleet."""
+        """Apply a new view of the fleet."""
         ...
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
@@ -49,16 +49,16 @@
         ...
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Count an attempt that was sent."""
+        """Record an attempt that was sent."""
         ...
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
-        """Count an attempt that ended."""
+        """Record an attempt that ended."""
         ...
 
 
 class AdaptiveBalancer:
-    """Avoids what is slow or failing now, prefers what is near, and takes the better of two."""
+    """Avoids slow and failing upstreams, prefers near ones, and takes the better of two."""
 
     def __init__(self, here: Position, rng: random.Random) -> None:
         self.here = here
@@ -73,7 +73,7 @@
         self.latencies: dict[ServiceName, ServiceLatency] = {}
 
     def view_changed(self, view: FleetView) -> None:
-        """Take a new view of the fleet."""
+        """Apply a new view of the fleet."""
         self.view = view
         members = set(view.members)
         self.load.retain(members)
@@ -84,10 +84,10 @@
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
         """Return the candidate for one attempt, or None when no upstream can serve it."""
-        self._refresh(request.service, now)
+        self._record_overdue(request.service, now)
         chosen = self._choose_from(self.sampler.draw(request.service), request, now)
         if chosen is None:
-            # The members that were drawn may all be gone while others are ready.
+            # All members of the sample may be unavailable while others are ready.
             everyone = self.view.by_service.get(request.service, ())
             chosen = self._choose_from(everyone, request, now)
         return chosen
@@ -104,41 +104,47 @@
         return replace(chosen, hedge_after=delay) if chosen and delay is not None else chosen
 
     def started(self, daemon_id: DaemonId, now: Millis) -> None:
-        """Count an attempt that was sent."""
+        """Record an attempt that was sent."""
         self.load.started(daemon_id, now)
 
     def ended(self, attempt: AttemptEnded, now: Millis) -> None:
         """Learn from an attempt that ended."""
         daemon_id = attempt.daemon_id
-        row = self.load.row(daemon_id)
-        overdue = row.refresh(now)
-        self.load.released(daemon_id, Millis(now - attempt.took))
+        observations = self.load.observations(daemon_id)
+        overdue = observations.record_overdue(now)
+        self.load.released(daemon_id, Millis(now - attempt.elapsed))
         if attempt.load is not None:
-            row.reported(attempt.load, now)
-        worked = attempt.outcome is Outcome.RAN and not attempt.failed
-        if worked:
-            overdue = row.completed(attempt.took, now)
-            self.ejections.succeeded(daemon_id)
+            observations.record_report(attempt.load, now)
+        succeeded = attempt.outcome is Outcome.RAN and not attempt.failed
+        if succeeded:
+            overdue = observations.record_completion(attempt.elapsed, now)
+            self.ejections.record_success(daemon_id)
         elif not attempt.cancelled:
-            row.failed(now)
-        if attempt.reason in EJECTING:
-            self.ejections.failed(daemon_id, now)
-        self._count(attempt, worked, overdue, now)
-
-    def _count(self, attempt: AttemptEnded, worked: bool, slow: bool, now: Millis) -> None:
+            observations.record_failure(now)
+        if attempt.reason in EJECTING_REASONS:
+            self.ejections.record_failure(daemon_id, now)
+        self._record_for_service(attempt, succeeded, overdue, now)
+
+    def _record_for_service(
+        self, attempt: AttemptEnded, succeeded: bool, slow: bool, now: Millis
+    ) -> None:
         member = self.view.members.get(attempt.daemon_id)
         if member is None or member.upstream is None:
             return
         service = member.upstream.service
         latency = self.latencies.setdefault(service, ServiceLatency())
-        if worked or attempt.cancelled or attempt.reason in REFUSALS:
-            latency.ended(attempt.took, attempt.reason)
-        if worked or slow:
-            self.groups.observed(attempt.daemon_id, service, slow, now)
+        if succeeded or attempt.cancelled or attempt.reason in OVERLOAD_REFUSALS:
+            latency.record(attempt.elapsed, attempt.reason)
+        if succeeded or slow:
+            self.groups.observe(attempt.daemon_id, service, slow, now)
 
-    def _refresh(self, service: ServiceName, now: Millis) -> None:
-        # A frozen upstream gives no answers; its overdue calls are all there is to judge by.
+    def _record_overdue(self, service: ServiceName, now: Millis) -> None:
+        # A frozen upstream sends no answers; its overdue calls are the only evidence.
         for member in self.view.by_service.get(service, ()):
-            row = self.load.rows.get(member.daemon_id)
-            if row is not None and row.starts and row.refresh(now):
-                self.groups.observed(member.daemon_id, service, True, now)
+            observations = self.load.rows.get(member.daemon_id)
+            if (
+                observations is not None
+                and observations.starts
+                and observations.record_overdue(now)
+            ):
+                self.groups.observe(member.daemon_id, service, True, now)
