--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -29,7 +29,7 @@
     UpstreamInfo,
     identity_of,
 )
-from agatecross_core.members.swim import ProbeThrough, Swim, SyncWith, TableFull
+from agatecross_core.members.swim import ProbeIndirectly, Swim, SyncWith, TableFull
 from agatecross_core.states import MemberState, UpstreamState
 
 QUICK = hypothesis.settings(
@@ -53,7 +53,7 @@
 
 def new_swim(peers=0):
     swim = Swim(make_member(0, 5), random.Random(1))
-    list(swim.observe(1.0))
+    list(swim.detect_pause(1.0))
     list(swim.merge([make_member(n) for n in range(1, peers + 1)], 1.0))
     return swim
 
@@ -93,8 +93,8 @@
 @when('it gets a table with "{text}" {when}')
 def get_table(context, text, when):
     now = 60_000.0 if when == "after a pause" else 2.0
-    list(context.swim.observe(now))
-    list(context.swim.synced(SyncReply((parse_record(1, text),), None, True), now))
+    list(context.swim.detect_pause(now))
+    list(context.swim.merge_sync_reply(SyncReply((parse_record(1, text),), None, True), now))
 
 
 @then('its answer to a probe of incarnation {sent:d} holds "{text}"')
@@ -102,7 +102,7 @@
     for _ in range(40):
         context.swim.updates()
     expected = parse_record(1, text)
-    rows = context.swim.news_for(identity_of(make_member(1, sent)))
+    rows = context.swim.updates_for_reply(identity_of(make_member(1, sent)))
     assert rows == ((expected,) if expected else ()), rows
 
 
@@ -137,8 +137,8 @@
 @when("member {number:d} leaves")
 def leave_member(context, number):
     swim = context.driver.nodes[number]
-    context.driver.act(swim, swim.update_me(replace(swim.me, state=MemberState.LEAVING)))
-    for peer in swim.push_targets():
+    context.driver.act(swim, swim.update_own_record(replace(swim.me, state=MemberState.LEAVING)))
+    for peer in swim.urgent_update_targets():
         context.driver.probe(swim, peer.daemon_id, peer.control_address, introduce=True)
 
 
@@ -268,9 +268,9 @@
 
 @then("its view is current after a complete table but not after a sample")
 def check_synced(context):
-    list(context.swim.synced(SyncReply((), None, False), context.now))
+    list(context.swim.merge_sync_reply(SyncReply((), None, False), context.now))
     assert context.swim.stale
-    list(context.swim.synced(SyncReply((), None, True), context.now))
+    list(context.swim.merge_sync_reply(SyncReply((), None, True), context.now))
     assert not context.swim.stale
 
 
@@ -278,7 +278,7 @@
 def check_old_probe(context):
     target = context.swim.table["d1"]
     assert not list(context.swim.probe_failed(target, 2.0))
-    assert not list(context.swim.unreachable(target, 2.0, context.now))
+    assert not list(context.swim.indirect_probe_failed(target, 2.0, context.now))
 
 
 @then("the time of the pause does not count against a suspect")
@@ -303,7 +303,7 @@
 
 @then("helpers are asked: {asked}")
 def check_helpers(context, asked):
-    assert any(isinstance(a, ProbeThrough) for a in context.sent) == (asked == "yes")
+    assert any(isinstance(a, ProbeIndirectly) for a in context.sent) == (asked == "yes")
 
 
 @given("a daemon whose table is full")
@@ -349,7 +349,7 @@
             context.under_way[index] -= 1
             rows = tuple(enumerate(stream))[action.start :]
             page = AnnouncementsRead(rows, 0, len(stream))
-            for answer in nodes[index].read(page, live[index].values(), float(now)):
+            for answer in nodes[index].announcements_read(page, live[index].values(), float(now)):
                 if isinstance(answer, bootstrap.ContactPeer):
                     answered = answer.address in addresses
                     nodes[index].contact_answered(answer.address, answered)
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -6,8 +6,8 @@
 
 from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
 from agatecross_core.ids import Millis
-from agatecross_core.members.announcement import Announcements, Heartbeat
 from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.members.heartbeat_filter import Heartbeat, HeartbeatFilter
 from agatecross_core.relay.answers import judge
 from agatecross_core.relay.budget import FleetBudget
 from agatecross_core.relay.flow import RelayPolicy, relay
@@ -125,7 +125,7 @@
 
 @when('an upstream announces "{script}"')
 def step_announce(context, script):
-    table, context.believed = Announcements("shop", "10.0.0.1:80"), []
+    table, context.believed = HeartbeatFilter("shop", "10.0.0.1:80"), []
     for word, instance, *rest in events(script):
         if word == "leave":
             born = int(rest[0]) if rest else None
@@ -135,7 +135,7 @@
         service = "other" if word == "other" else "shop"
         address = "10.0.0.2:80" if word == "elsewhere" else "10.0.0.1:80"
         beat = Heartbeat(instance, service, address, state, 4, Millis(0), born, sequence)
-        context.believed.append(table.heartbeat(beat, Millis(0)))
+        context.believed.append(table.accept(beat, Millis(0)))
 
 
 @then('the announcements are believed "{believed}"')
--- a/features/steps/swim_driver.py
+++ b/features/steps/swim_driver.py
@@ -6,7 +6,7 @@
 
 from agatecross_core.ids import Address, DaemonId, DataCentreName, Incarnation, Millis, RegionName
 from agatecross_core.members.records import Member, SyncReply, identity_of
-from agatecross_core.members.swim import ProbeMember, ProbeThrough, Swim, SyncWith
+from agatecross_core.members.swim import ProbeIndirectly, ProbeMember, Swim, SyncWith
 from agatecross_core.states import MemberState
 
 TICK = 250.0
@@ -89,7 +89,7 @@
         for action in actions:
             if isinstance(action, ProbeMember):
                 self.probe_member(swim, action.target)
-            elif isinstance(action, ProbeThrough):
+            elif isinstance(action, ProbeIndirectly):
                 self.probe_through(swim, action)
             elif isinstance(action, SyncWith):
                 self.sync(swim, action.address)
@@ -104,10 +104,10 @@
         other = self.receiver(swim, address)
         if other is None:
             return False
-        self.act(other, other.observe(self.now))
+        self.act(other, other.detect_pause(self.now))
         self.act(other, other.merge((*news, swim.me) if introduce else news, self.now))
         me = identity_of(swim.me)
-        answer, unknown = other.news_for(me), not other.knows(me)
+        answer, unknown = other.updates_for_reply(me), not other.knows_incarnation(me)
         if self.receiver(other, swim.me.control_address) is not swim:
             return False
         self.act(swim, swim.merge(answer, self.now))
@@ -122,7 +122,7 @@
 
     def failed(self, swim, target, sent_at):
         if self.running(swim):
-            self.act(swim, swim.observe(self.now))
+            self.act(swim, swim.detect_pause(self.now))
             self.act(swim, swim.probe_failed(target, sent_at))
 
     def probe_through(self, swim, action):
@@ -133,15 +133,15 @@
 
     def unreachable(self, swim, target, sent_at):
         if self.running(swim):
-            self.act(swim, swim.observe(self.now))
-            self.act(swim, swim.unreachable(target, sent_at, self.now))
+            self.act(swim, swim.detect_pause(self.now))
+            self.act(swim, swim.indirect_probe_failed(target, sent_at, self.now))
 
     def sync(self, swim, address):
         other = self.receiver(swim, address)
         if other is not None:
             self.act(other, other.merge([swim.me], self.now))
-            rows, complete = other.sync_rows(swim.sync_request(), self.now)
-            self.act(swim, swim.synced(SyncReply(rows, None, complete), self.now))
+            rows, complete = other.answer_sync(swim.sync_request(), self.now)
+            self.act(swim, swim.merge_sync_reply(SyncReply(rows, None, complete), self.now))
 
     def states(self, daemon_id):
         """Return how each running instance sees the member, other than itself."""
--- a/packages/agatecross-core/agatecross_core/members/bootstrap.py
+++ b/packages/agatecross-core/agatecross_core/members/bootstrap.py
@@ -13,10 +13,10 @@
 RETRY_BASE = Millis(1_000)
 RETRY_LIMIT = Millis(30_000)
 # 1,300 daemons then read the stream about four times per second in all.
-CHECK_PERIOD = Millis(600_000)
+ANNOUNCEMENT_CHECK_PERIOD = Millis(600_000)
 CONTACTS_PER_READ = 3
-ANNOUNCE_WINDOW = Millis(1_000)
-ANNOUNCE_WINDOW_LIMIT = Millis(60_000)
+MIN_ANNOUNCE_WINDOW = Millis(1_000)
+MAX_ANNOUNCE_WINDOW = Millis(60_000)
 # With a window of 60 log round trips, the number of announcements grows by at most a third during
 # the two round trips that an announcement takes to become visible.
 ANNOUNCE_WINDOW_ROUND_TRIPS = 60
@@ -71,10 +71,10 @@
         self.state = BootstrapState.JOINING
         self.announced: dict[DaemonId, Member] = {}
         self.offsets: dict[DaemonId, Offset] = {}
-        self.silent: set[DaemonId] = set()
+        self.unreachable: set[DaemonId] = set()
         self.position = Offset(0)
         self.next_read_at: Millis | None = None
-        self.read_at = Millis(0)
+        self.read_started_at = Millis(0)
         self.reading = False
         self.failures = 0
 
@@ -83,47 +83,49 @@
         if self.reading or (self.next_read_at is not None and now < self.next_read_at):
             return
         self.reading = True
-        self.read_at = now
+        self.read_started_at = now
         yield ReadAnnouncements(self.position)
 
     def read_failed(self, now: Millis) -> None:
         """Try again after a delay with full jitter that grows with each failure."""
         self.reading = False
-        self._retry(now)
+        self._schedule_retry(now)
 
-    def read(
+    def announcements_read(
         self, page: AnnouncementsRead, live: Iterable[Member], now: Millis
     ) -> Iterator[BootstrapAction]:
         """Contact announced daemons that are not known here, and announce this one if due."""
         self.reading = False
-        self._take(page)
+        self._record_page(page)
         alive = {member.daemon_id: member.control_address for member in live}
-        strangers = [
+        unknown_members = [
             m for i, m in self.announced.items() if i not in alive and i != self.me.daemon_id
         ]
         # An announced stranger is also how regions find each other after a partition that lasted
         # longer than dead members are retained.
-        wanted = [m for m in strangers if m.daemon_id not in self.silent] or strangers
-        for member in self.rng.sample(wanted, min(CONTACTS_PER_READ, len(wanted))):
+        candidates = [
+            m for m in unknown_members if m.daemon_id not in self.unreachable
+        ] or unknown_members
+        for member in self.rng.sample(candidates, min(CONTACTS_PER_READ, len(candidates))):
             yield ContactPeer(member.control_address)
-        yield from self._consider(alive, now)
+        yield from self._decide_announcement(alive, now)
 
     def contact_answered(self, address: Address, answered: bool) -> None:
         """Note whether an announced daemon answered."""
         ids = {i for i, m in self.announced.items() if m.control_address == address}
-        self.silent = self.silent - ids if answered else self.silent | ids
+        self.unreachable = self.unreachable - ids if answered else self.unreachable | ids
 
     def announce_failed(self, now: Millis) -> None:
         """Try again later; the append may have taken effect, which the next read shows."""
         self.state = BootstrapState.JOINING
-        self._retry(now)
+        self._schedule_retry(now)
 
-    def _take(self, page: AnnouncementsRead) -> None:
+    def _record_page(self, page: AnnouncementsRead) -> None:
         # A log that came back with lower offsets holds none of the earlier announcements.
         reset = page.end < self.position
         for offset, record in page.records:
             daemon_id = record.member.daemon_id
-            self.silent.discard(daemon_id)
+            self.unreachable.discard(daemon_id)
             self.announced[daemon_id] = record.member
             self.offsets[daemon_id] = offset
         # New daemons cannot read announcements that the log no longer retains.
@@ -136,41 +138,46 @@
     def _drop(self, daemon_id: DaemonId) -> None:
         del self.announced[daemon_id]
         del self.offsets[daemon_id]
-        self.silent.discard(daemon_id)
+        self.unreachable.discard(daemon_id)
 
-    def _consider(self, alive: dict[DaemonId, Address], now: Millis) -> Iterator[BootstrapAction]:
-        if self._enough(alive):
+    def _decide_announcement(
+        self, alive: dict[DaemonId, Address], now: Millis
+    ) -> Iterator[BootstrapAction]:
+        if self._enough_announced(alive):
             self.state = BootstrapState.SETTLED
             if alive:
                 self.failures = 0
-                self.next_read_at = Millis(now + CHECK_PERIOD * (0.5 + self.rng.random()))
+                self.next_read_at = Millis(
+                    now + ANNOUNCEMENT_CHECK_PERIOD * (0.5 + self.rng.random())
+                )
             else:
-                self._retry(now)
+                self._schedule_retry(now)
         elif self.state is BootstrapState.ANNOUNCING:
             self.state = BootstrapState.SETTLED
             yield Announce()
-            self._retry(now)
+            self._schedule_retry(now)
         else:
             self.state = BootstrapState.ANNOUNCING
             self.next_read_at = Millis(now + self._announce_delay(now))
 
-    def _enough(self, alive: dict[DaemonId, Address]) -> bool:
+    def _enough_announced(self, alive: dict[DaemonId, Address]) -> bool:
         """Return whether this daemon or enough others are announced.
 
         Strangers count until they fail to answer, so a mass start does not announce a second set.
         """
-        mine = self.announced.get(self.me.daemon_id)
-        if mine is not None and mine.control_address == self.me.control_address:
+        own = self.announced.get(self.me.daemon_id)
+        if own is not None and own.control_address == self.me.control_address:
             return True
-        fresh = sum(
+        usable = sum(
             1
             for i, member in self.announced.items()
             if i != self.me.daemon_id
             and (
-                alive.get(i) == member.control_address or (i not in alive and i not in self.silent)
+                alive.get(i) == member.control_address
+                or (i not in alive and i not in self.unreachable)
             )
         )
-        return fresh >= BOOTSTRAP_ANNOUNCEMENTS
+        return usable >= BOOTSTRAP_ANNOUNCEMENTS
 
     def _announce_delay(self, now: Millis) -> Millis:
         """Draw an exponentially distributed delay, early for only a few daemons of any fleet.
@@ -178,12 +185,12 @@
         Of up to `MAX_MEMBERS` daemons that start together, the share whose delay has passed grows
         from 1/MAX_MEMBERS to 1 over the window, so that few act before they see each other.
         """
-        round_trips = ANNOUNCE_WINDOW_ROUND_TRIPS * (now - self.read_at)
-        window = min(ANNOUNCE_WINDOW_LIMIT, max(ANNOUNCE_WINDOW, round_trips))
+        round_trips = ANNOUNCE_WINDOW_ROUND_TRIPS * (now - self.read_started_at)
+        window = min(MAX_ANNOUNCE_WINDOW, max(MIN_ANNOUNCE_WINDOW, round_trips))
         share = max(self.rng.random(), 1 / MAX_MEMBERS)
         return Millis(window * (1 + math.log(share) / math.log(MAX_MEMBERS)))
 
-    def _retry(self, now: Millis) -> None:
+    def _schedule_retry(self, now: Millis) -> None:
         limit = min(RETRY_LIMIT, RETRY_BASE * 2**self.failures)
         self.failures = min(self.failures + 1, 16)
         self.next_read_at = Millis(now + limit * self.rng.random())
--- a/packages/agatecross-core/agatecross_core/members/buckets.py
+++ b/packages/agatecross-core/agatecross_core/members/buckets.py
@@ -9,12 +9,12 @@
 from .records import Member
 
 # One changed member then costs the records of 41 of 1,300 members, about 7 KB.
-BUCKETS: Final = 32
+BUCKET_COUNT: Final = 32
 
 
 def bucket_of(daemon_id: DaemonId) -> int:
     """Return the bucket of a member."""
-    return zlib.crc32(daemon_id.encode()) % BUCKETS
+    return zlib.crc32(daemon_id.encode()) % BUCKET_COUNT
 
 
 def hash_buckets(members: Iterable[Member]) -> tuple[int, ...]:
@@ -22,7 +22,7 @@
 
     Suspicion is left out because it is short-lived and is spread by gossip.
     """
-    hashes = [0] * BUCKETS
+    hashes = [0] * BUCKET_COUNT
     for member in members:
         if member.state is not MemberState.DEAD:
             leaving = member.state is MemberState.LEAVING
@@ -31,10 +31,12 @@
     return tuple(hashes)
 
 
-def differing(members: Iterable[Member], theirs: Sequence[int]) -> tuple[Member, ...]:
+def members_in_differing_buckets(
+    members: Iterable[Member], peer_hashes: Sequence[int]
+) -> tuple[Member, ...]:
     """Return the members in buckets whose hash differs; all when the hashes do not compare."""
     rows = tuple(members)
-    mine = hash_buckets(rows)
-    if len(theirs) != len(mine):
+    own_hashes = hash_buckets(rows)
+    if len(peer_hashes) != len(own_hashes):
         return rows
-    return tuple(m for m in rows if mine[b := bucket_of(m.daemon_id)] != theirs[b])
+    return tuple(m for m in rows if own_hashes[b := bucket_of(m.daemon_id)] != peer_hashes[b])
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -71,13 +71,13 @@
         A description of this daemon from an incarnation that is not older (a restart with a clock
         that was set back) makes it take a higher incarnation.
         """
-        news = [row for row in endpoints if self._newer(row)]
-        for row in news:
-            self._forget_address(row)
+        newer = [row for row in endpoints if self._accepts(row)]
+        for row in newer:
+            self._remove_replaced(row)
             self.rows[row.daemon_id] = row
-        if news:
+        if newer:
             self._index()
-        return news
+        return newer
 
     def update(self, **changes: object) -> Endpoint:
         """Change this daemon's own description and return it."""
@@ -86,7 +86,7 @@
         self._index()
         return self.me
 
-    def forget(self, daemon_id: DaemonId) -> None:
+    def remove(self, daemon_id: DaemonId) -> None:
         """Remove a daemon that is gone."""
         if self.rows.pop(daemon_id, None) is not None:
             self._index()
@@ -95,27 +95,27 @@
         """Yield the other daemons."""
         return (row for row in self.rows.values() if row.daemon_id != self.me.daemon_id)
 
-    def _newer(self, row: Endpoint) -> bool:
+    def _accepts(self, row: Endpoint) -> bool:
         if row.daemon_id == self.me.daemon_id:
             if row.incarnation > self.me.incarnation:
                 self.update(incarnation=Incarnation(row.incarnation + 1))
             return False
-        held = self.rows.get(row.daemon_id)
-        if held is not None:
-            return row.order > held.order
+        known = self.rows.get(row.daemon_id)
+        if known is not None:
+            return row.order > known.order
         return all(
             other.address != row.address or other.incarnation < row.incarnation
             for other in self.others()
         )
 
-    def _forget_address(self, row: Endpoint) -> None:
+    def _remove_replaced(self, row: Endpoint) -> None:
         # A machine that took over an address replaces whoever had it before.
         gone = [
-            held.daemon_id
-            for held in self.others()
-            if held.address == row.address
-            and held.daemon_id != row.daemon_id
-            and held.incarnation < row.incarnation
+            known.daemon_id
+            for known in self.others()
+            if known.address == row.address
+            and known.daemon_id != row.daemon_id
+            and known.incarnation < row.incarnation
         ]
         for daemon_id in gone:
             del self.rows[daemon_id]
--- a/packages/agatecross-core/agatecross_core/members/announcement.py
+++ b/packages/agatecross-core/agatecross_core/members/heartbeat_filter.py
@@ -29,7 +29,7 @@
         return (self.born, self.sequence)
 
 
-class Announcements:
+class HeartbeatFilter:
     """Holds the newest heartbeat of the one upstream that this daemon stands next to."""
 
     def __init__(self, service: ServiceName, address: str) -> None:
@@ -37,21 +37,21 @@
         self.service = service
         self.address = address
         self.current: Heartbeat | None = None
-        self.heard_at = Millis(0)
-        self.left: set[tuple[InstanceId, int]] = set()
+        self.received_at = Millis(0)
+        self.leaving_starts: set[tuple[InstanceId, int]] = set()
 
-    def heartbeat(self, beat: Heartbeat, now: Millis) -> bool:
+    def accept(self, beat: Heartbeat, now: Millis) -> bool:
         """Return whether the heartbeat is believed: of this upstream, and newer than the last."""
         if beat.service != self.service or beat.address != self.address:
             return False
         if self.current is not None and beat.order <= self.current.order:
             return False
-        if beat.state is UpstreamState.READY and (beat.instance, beat.born) in self.left:
+        if beat.state is UpstreamState.READY and (beat.instance, beat.born) in self.leaving_starts:
             return False
         if beat.state is UpstreamState.DRAINING:
-            self.left.add((beat.instance, beat.born))
+            self.leaving_starts.add((beat.instance, beat.born))
         self.current = beat
-        self.heard_at = now
+        self.received_at = now
         return True
 
     def leave(self, instance: InstanceId, born: int | None) -> tuple[InstanceId, int] | None:
@@ -65,8 +65,8 @@
             if current is None or current.instance != instance:
                 return None
             born = current.born
-        newest = max((row for _, row in self.left), default=born)
-        self.left.add((instance, born))
+        newest = max((row for _, row in self.leaving_starts), default=born)
+        self.leaving_starts.add((instance, born))
         if born < (newest if current is None else current.born):
             return None
         return (instance, born)
--- a/packages/agatecross-core/agatecross_core/members/leave_replies.py
+++ b/packages/agatecross-core/agatecross_core/members/leave_replies.py
@@ -5,13 +5,13 @@
 
 from ..ids import InstanceId, Millis
 
-Start = tuple[InstanceId, int]
+UpstreamStart = tuple[InstanceId, int]
 """An instance and the Unix milliseconds of its start."""
-Reply = Callable[[bool], None]
+LeaveReply = Callable[[bool], None]
 """Takes whether the leave is confirmed."""
 
 # An answer that takes a second is no confirmation; a tick of the daemon and the way back fit too.
-KEEP_PATIENCE = Millis(750)
+DRAIN_STORE_TIMEOUT = Millis(750)
 
 
 @dataclass(slots=True)
@@ -22,26 +22,28 @@
     obeyed, but not confirmed; the upstream may send it again.
     """
 
-    kept: set[Start] = field(default_factory=set)
-    waiting: list[tuple[Start, Millis, Reply]] = field(default_factory=list)
+    stored: set[UpstreamStart] = field(default_factory=set)
+    waiting: list[tuple[UpstreamStart, Millis, LeaveReply]] = field(default_factory=list)
 
-    def wait(self, start: Start, reply: Reply, now: Millis) -> None:
+    def wait(self, start: UpstreamStart, reply: LeaveReply, now: Millis) -> None:
         """Reply once the drain is kept, or after the patience."""
-        if start in self.kept:
+        if start in self.stored:
             reply(True)
         else:
-            self.waiting.append((start, Millis(now + KEEP_PATIENCE), reply))
+            self.waiting.append((start, Millis(now + DRAIN_STORE_TIMEOUT), reply))
 
-    def drain_kept(self, start: Start) -> None:
+    def drain_stored(self, start: UpstreamStart) -> None:
         """Confirm every leave of this start."""
-        self.kept.add(start)
+        self.stored.add(start)
         self._answer(lambda row: row[0] == start, True)
 
     def expire(self, now: Millis) -> None:
         """Refuse to confirm what was not kept in time."""
         self._answer(lambda row: row[1] <= now, False)
 
-    def _answer(self, due: Callable[[tuple[Start, Millis, Reply]], bool], confirmed: bool) -> None:
+    def _answer(
+        self, due: Callable[[tuple[UpstreamStart, Millis, LeaveReply]], bool], confirmed: bool
+    ) -> None:
         rows = [row for row in self.waiting if due(row)]
         self.waiting = [row for row in self.waiting if not due(row)]
         for _, _, reply in rows:
--- a/packages/agatecross-core/agatecross_core/members/records.py
+++ b/packages/agatecross-core/agatecross_core/members/records.py
@@ -145,7 +145,7 @@
     return Identity(member.daemon_id, member.incarnation)
 
 
-def record_bytes(member: Member) -> int:
+def estimate_record_bytes(member: Member) -> int:
     """Return an upper estimate of the encoded size in bytes for ASCII names."""
     texts = [
         member.daemon_id,
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -20,9 +20,9 @@
 )
 from ..ids import Address, DaemonId, Incarnation, Millis
 from ..states import MemberState
-from .buckets import differing, hash_buckets
+from .buckets import hash_buckets, members_in_differing_buckets
 from .dissemination import UpdateQueue
-from .records import Identity, Member, SyncReply, SyncRequest, record_bytes
+from .records import Identity, Member, SyncReply, SyncRequest, estimate_record_bytes
 
 STATE_RANK = {
     MemberState.ALIVE: 0,
@@ -33,9 +33,9 @@
 # A full table takes longer than a probe: at 1,300 members it has about 200 KB.
 SYNC_TIMEOUT = Millis(5 * PROBE_TIMEOUT)
 # A full table of 200 KB each second would exceed the budget of 9 KB/s, so only bursts are served.
-MAX_FULL_REPLIES = 8
-FULL_REPLY_PERIOD = Millis(2_000)
-MAX_FREE_ROWS = 48
+FULL_REPLY_BURST = 8
+FULL_REPLY_REFILL_PERIOD = Millis(2_000)
+MAX_UNLIMITED_REPLY_ROWS = 48
 # Two daemons that joined at the same time may miss each other's updates, which are sent a limited
 # number of times, so tables are compared: soon after a change of the fleet, then ever more rarely.
 MIN_SYNC_PERIOD = Millis(1_000)
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ProbeThrough:
+class ProbeIndirectly:
     """Action: ask `helpers` to probe the member."""
 
     target: Member
@@ -76,7 +76,7 @@
     ignored: DaemonId
 
 
-SwimAction = ProbeMember | ProbeThrough | SyncWith | MembersChanged | TableFull
+SwimAction = ProbeMember | ProbeIndirectly | SyncWith | MembersChanged | TableFull
 
 
 class Swim:
@@ -89,28 +89,28 @@
         self.table: dict[DaemonId, Member] = {me.daemon_id: me}
         self.suspected_at: dict[DaemonId, Millis] = {}
         self.dead_at: dict[DaemonId, Millis] = {}
-        self.pending: UpdateQueue[DaemonId] = UpdateQueue()
+        self.pending_updates: UpdateQueue[DaemonId] = UpdateQueue()
         self.probe_order: list[DaemonId] = []
         self.next_probe_at = Millis(0)
         self.next_dead_probe_at = Millis(0)
         self.next_sync_at = Millis(0)
         self.sync_period = MIN_SYNC_PERIOD
-        self.awake_at: Millis | None = None
-        self.attentive_since = Millis(0)
+        self.last_active_at: Millis | None = None
+        self.responsive_since = Millis(0)
         self.stale = False
         self.needs_sync = False
-        self.full_replies = MAX_FULL_REPLIES
-        self.full_replies_at = Millis(0)
-        self.ignored: DaemonId | None = None
-        self.full_reported = False
+        self.full_reply_tokens = FULL_REPLY_BURST
+        self.full_reply_refilled_at = Millis(0)
+        self.ignored_member: DaemonId | None = None
+        self.table_full_reported = False
 
-    def observe(self, now: Millis) -> Iterator[SwimAction]:
+    def detect_pause(self, now: Millis) -> Iterator[SwimAction]:
         """Detect a late or paused process; call before any message is handled."""
-        gap = 0.0 if self.awake_at is None else now - self.awake_at
-        self.awake_at = now
+        gap = 0.0 if self.last_active_at is None else now - self.last_active_at
+        self.last_active_at = now
         if gap > PROBE_TIMEOUT:
             # Answers may have waited unread, so the probes in flight say nothing of their targets.
-            self.attentive_since = now
+            self.responsive_since = now
         if gap <= MAX_TICK_GAP:
             return
         # The refutations of suspects may have been missed, so their timers start again.
@@ -124,12 +124,12 @@
 
     def tick(self, now: Millis) -> Iterator[SwimAction]:
         """Advance time; call at least every quarter of the probe period."""
-        yield from self.observe(now)
-        yield from self._resync(now)
+        yield from self.detect_pause(now)
+        yield from self._start_sync(now)
         yield from self._expire(now)
         if now >= self.next_probe_at:
             self.next_probe_at = Millis(now + PROBE_PERIOD)
-            target = self._next_target()
+            target = self._next_probe_target()
             if target is not None:
                 yield ProbeMember(target)
         if now >= self.next_dead_probe_at:
@@ -140,19 +140,21 @@
     def probe_failed(self, target: Member, sent_at: Millis) -> Iterator[SwimAction]:
         """Handle a direct probe, sent at `sent_at`, without answer."""
         known = self.table.get(target.daemon_id)
-        if known is None or known.state is MemberState.DEAD or sent_at < self.attentive_since:
+        if known is None or known.state is MemberState.DEAD or sent_at < self.responsive_since:
             return
         others = [m for m in self.live_peers() if m.daemon_id != target.daemon_id]
         helpers = tuple(self.rng.sample(others, min(INDIRECT_PROBES, len(others))))
-        yield ProbeThrough(target, helpers)
+        yield ProbeIndirectly(target, helpers)
 
-    def unreachable(self, target: Member, sent_at: Millis, now: Millis) -> Iterator[SwimAction]:
+    def indirect_probe_failed(
+        self, target: Member, sent_at: Millis, now: Millis
+    ) -> Iterator[SwimAction]:
         """Suspect a member that neither answered directly nor through helpers."""
         known = self.table.get(target.daemon_id)
         if (
             known is None
             or known.incarnation != target.incarnation
-            or sent_at < self.attentive_since
+            or sent_at < self.responsive_since
         ):
             return
         # A leaving member is expected to go and gets no work, so there is nothing to refute.
@@ -167,23 +169,25 @@
             changed = self._merge_one(member, now) or changed
         if changed:
             yield MembersChanged()
-        if self.ignored is not None and not self.full_reported:
-            self.full_reported = True
-            yield TableFull(self.ignored)
+        if self.ignored_member is not None and not self.table_full_reported:
+            self.table_full_reported = True
+            yield TableFull(self.ignored_member)
 
-    def update_me(self, me: Member) -> Iterator[SwimAction]:
+    def update_own_record(self, me: Member) -> Iterator[SwimAction]:
         """Replace this daemon's own record under a new incarnation."""
-        self._set_me(replace(me, incarnation=Incarnation(self.me.incarnation + 1)))
+        self._set_own_record(replace(me, incarnation=Incarnation(self.me.incarnation + 1)))
         yield MembersChanged()
 
     def sync_request(self) -> SyncRequest:
         """Return the request for what this table lacks."""
         return SyncRequest(self.me, hash_buckets(self.table.values()))
 
-    def synced(self, reply: SyncReply, now: Millis) -> Iterator[SwimAction]:
+    def merge_sync_reply(self, reply: SyncReply, now: Millis) -> Iterator[SwimAction]:
         """Merge what a peer sent; a complete reply makes the view current."""
         before = len(self.table)
-        rows = reply.members if self.needs_sync else self._without_rumours(reply.members)
+        rows = (
+            reply.members if self.needs_sync else self._without_unconfirmed_failures(reply.members)
+        )
         self.needs_sync = not reply.complete
         if reply.complete:
             self.stale = False
@@ -192,31 +196,31 @@
             self.sync_period = MIN_SYNC_PERIOD
         yield MembersChanged()
 
-    def sync_rows(self, request: SyncRequest, now: Millis) -> tuple[tuple[Member, ...], bool]:
+    def answer_sync(self, request: SyncRequest, now: Millis) -> tuple[tuple[Member, ...], bool]:
         """Return the members that the sender lacks and True, or a sample and False.
 
         Large replies are limited, so that in a mass restart the few announced daemons refer most
         of the joiners to others.
         """
-        rows = differing(self.table.values(), request.hashes)
-        if len(rows) <= MAX_FREE_ROWS or self._take_full_reply(now):
+        rows = members_in_differing_buckets(self.table.values(), request.hashes)
+        if len(rows) <= MAX_UNLIMITED_REPLY_ROWS or self._take_full_reply_token(now):
             return rows, True
         peers = self.live_peers()
         sample = self.rng.sample(peers, min(MAX_UPDATES_PER_MESSAGE, len(peers)))
         return (self.me, *sample), False
 
-    def _take_full_reply(self, now: Millis) -> bool:
-        gained = int((now - self.full_replies_at) / FULL_REPLY_PERIOD)
+    def _take_full_reply_token(self, now: Millis) -> bool:
+        gained = int((now - self.full_reply_refilled_at) / FULL_REPLY_REFILL_PERIOD)
         if gained > 0:
-            self.full_replies = min(MAX_FULL_REPLIES, self.full_replies + gained)
-            self.full_replies_at = now
-        self.full_replies -= 1
-        if self.full_replies >= 0:
+            self.full_reply_tokens = min(FULL_REPLY_BURST, self.full_reply_tokens + gained)
+            self.full_reply_refilled_at = now
+        self.full_reply_tokens -= 1
+        if self.full_reply_tokens >= 0:
             return True
-        self.full_replies = 0
+        self.full_reply_tokens = 0
         return False
 
-    def _without_rumours(self, members: Iterable[Member]) -> tuple[Member, ...]:
+    def _without_unconfirmed_failures(self, members: Iterable[Member]) -> tuple[Member, ...]:
         """Drop suspicion and death of members that are alive here.
 
         After a partition the other side believes all of this side dead; accepting that from its
@@ -235,14 +239,16 @@
 
         What is believed of `target` comes first when it is not alive, so that it can refute.
         """
-        keys = self.pending.take(MAX_UPDATES_PER_MESSAGE, self.transmissions(), self._size)
+        keys = self.pending_updates.take(
+            MAX_UPDATES_PER_MESSAGE, self.max_transmissions(), self._update_bytes
+        )
         rows = [self.table[key] for key in keys if key in self.table and key != target]
         known = self.table.get(target) if target is not None else None
         if known is not None and known.state is not MemberState.ALIVE:
             rows.insert(0, known)
         return tuple(rows)
 
-    def news_for(self, sender: Identity) -> tuple[Member, ...]:
+    def updates_for_reply(self, sender: Identity) -> tuple[Member, ...]:
         """Return the updates for the answer to `sender`."""
         known = self.table.get(sender.daemon_id)
         rows = self.updates(sender.daemon_id)
@@ -251,12 +257,12 @@
             return rows
         return (known, *rows)
 
-    def knows(self, sender: Identity) -> bool:
+    def knows_incarnation(self, sender: Identity) -> bool:
         """Return whether the sender's record of this incarnation or a later one is here."""
         known = self.table.get(sender.daemon_id)
         return known is not None and known.incarnation >= sender.incarnation
 
-    def transmissions(self) -> int:
+    def max_transmissions(self) -> int:
         """Return how often an update is sent, which grows with the logarithm of the fleet."""
         return 3 * math.ceil(math.log2(len(self.table) + 1))
 
@@ -268,7 +274,7 @@
             if member.daemon_id != self.me.daemon_id and member.state is not MemberState.DEAD
         ]
 
-    def push_targets(self) -> tuple[Member, ...]:
+    def urgent_update_targets(self) -> tuple[Member, ...]:
         """Return random peers that get an urgent update at once."""
         peers = self.live_peers()
         return tuple(self.rng.sample(peers, min(LEAVE_FANOUT, len(peers))))
@@ -278,7 +284,7 @@
         doublings = math.log2(max(2, len(self.table)))
         return Millis(SUSPICION_BASE + SUSPICION_PER_DOUBLING * doublings)
 
-    def _resync(self, now: Millis) -> Iterator[SwimAction]:
+    def _start_sync(self, now: Millis) -> Iterator[SwimAction]:
         peers = self.live_peers()
         if not peers:
             if self.stale:
@@ -300,35 +306,35 @@
         for daemon_id in [i for i, since in self.dead_at.items() if now - since > DEAD_RETENTION]:
             del self.dead_at[daemon_id]
             del self.table[daemon_id]
-            self.pending.discard(daemon_id)
-            self.ignored, self.full_reported = None, False
+            self.pending_updates.discard(daemon_id)
+            self.ignored_member, self.table_full_reported = None, False
 
     def _merge_one(self, member: Member, now: Millis) -> bool:
         if member.daemon_id == self.me.daemon_id:
             return self._refute(member)
         known = self.table.get(member.daemon_id)
         if known is None and len(self.table) >= MAX_MEMBERS:
-            self.ignored = member.daemon_id
+            self.ignored_member = member.daemon_id
             return False
         if known is not None and not _supersedes(member, known):
             return False
         self.table[member.daemon_id] = member
-        self._track_state(member, now)
-        self.pending.add(member.daemon_id)
+        self._track_state_change(member, now)
+        self.pending_updates.add(member.daemon_id)
         return True
 
     def _refute(self, member: Member) -> bool:
         if member == self.me or member.incarnation < self.me.incarnation:
             return False
-        self._set_me(replace(self.me, incarnation=Incarnation(member.incarnation + 1)))
+        self._set_own_record(replace(self.me, incarnation=Incarnation(member.incarnation + 1)))
         return True
 
-    def _set_me(self, me: Member) -> None:
+    def _set_own_record(self, me: Member) -> None:
         self.me = me
         self.table[me.daemon_id] = me
-        self.pending.add(me.daemon_id)
+        self.pending_updates.add(me.daemon_id)
 
-    def _track_state(self, member: Member, now: Millis) -> None:
+    def _track_state_change(self, member: Member, now: Millis) -> None:
         self.suspected_at.pop(member.daemon_id, None)
         self.dead_at.pop(member.daemon_id, None)
         if member.state is MemberState.SUSPECT:
@@ -336,11 +342,11 @@
         if member.state is MemberState.DEAD:
             self.dead_at[member.daemon_id] = now
 
-    def _size(self, daemon_id: DaemonId) -> int:
+    def _update_bytes(self, daemon_id: DaemonId) -> int:
         member = self.table.get(daemon_id)
-        return record_bytes(member) if member is not None else 0
+        return estimate_record_bytes(member) if member is not None else 0
 
-    def _next_target(self) -> Member | None:
+    def _next_probe_target(self) -> Member | None:
         while True:
             if not self.probe_order:
                 self.probe_order = [m.daemon_id for m in self.live_peers()]
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from agatecross_core.ids import DaemonId, HandoverId, InstanceId, Millis, ServiceName
-from agatecross_core.members.announcement import Heartbeat
 from agatecross_core.members.directory import Endpoint
-from agatecross_core.members.leave_replies import Reply
+from agatecross_core.members.heartbeat_filter import Heartbeat
+from agatecross_core.members.leave_replies import LeaveReply
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.model import Handover, RelayResult
@@ -93,7 +93,7 @@
 
     instance: InstanceId
     born: int | None
-    reply: Reply | None = None
+    reply: LeaveReply | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -17,8 +17,8 @@
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.errors import SettingsError
 from agatecross_core.ids import Address, Incarnation, Millis
-from agatecross_core.members.announcement import Announcements
 from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.members.heartbeat_filter import HeartbeatFilter
 from agatecross_core.relay.budget import FleetBudget
 from agatecross_core.relay.drain import LAST_REQUEST_TIME, plan_drain
 from agatecross_core.routing.host_table import HostTable
@@ -232,7 +232,7 @@
     exit_task = ExitTask(
         settings.daemon_id,
         exit_box,
-        Announcements(settings.service, settings.upstream),
+        HeartbeatFilter(settings.service, settings.upstream),
         settings.heartbeat_period,
         front_end.names,
         peers_box,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -17,7 +17,7 @@
     InstanceId,
     Millis,
 )
-from agatecross_core.members.announcement import Announcements, Heartbeat
+from agatecross_core.members.heartbeat_filter import Heartbeat, HeartbeatFilter
 from agatecross_core.members.leave_replies import LeaveReplies
 from agatecross_core.members.records import Strike
 from agatecross_core.quarantine.model import relay_fingerprint
@@ -97,7 +97,7 @@
         self,
         daemon_id: DaemonId,
         mailbox: DirectMailbox[ExitMessage],
-        announcements: Announcements,
+        announcements: HeartbeatFilter,
         heartbeat_period: Millis,
         names: HeaderNames,
         peers: Sender[UpstreamDescribed | StrikesLearnt],
@@ -168,7 +168,7 @@
                 else:
                     self.early.append(beat)
             case DrainKept(instance, born):
-                self.leave_replies.drain_kept((instance, born))
+                self.leave_replies.drain_stored((instance, born))
             case LeaveReceived():
                 self._leave(message)
 
@@ -323,10 +323,10 @@
 
     def _heartbeat(self, beat: Heartbeat) -> None:
         now = monotonic()
-        if not self.announcements.heartbeat(beat, now):
+        if not self.announcements.accept(beat, now):
             self.log.change("heartbeat_ignored", instance=beat.instance, sequence=beat.sequence)
             return
-        left = (beat.instance, beat.born) in self.announcements.left
+        left = (beat.instance, beat.born) in self.announcements.leaving_starts
         state = UpstreamState.DRAINING if left else beat.state
         self.down_until = Millis(0)
         self.queue.slots = beat.slots
@@ -345,7 +345,7 @@
         elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
             # Every peer tells it.
             return
-        if start not in self.leave_replies.kept:
+        if start not in self.leave_replies.stored:
             # A repeated leave is described again: that starts a new attempt to keep the drain.
             self._change(start[0], UpstreamState.DRAINING, {"born": start[1]})
 
@@ -393,7 +393,7 @@
         if not self.believing and now - self.started_at > DRAINS_PATIENCE:
             self.log.change("drains_unknown", waited_ms=int(now - self.started_at))
             self._believe()
-        silent = now - self.announcements.heard_at > self.lease
+        silent = now - self.announcements.received_at > self.lease
         current = self.announcements.current
         if silent and current is not None and self.state is UpstreamState.READY:
             self._describe(current.instance, UpstreamState.STARTING, current)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -41,8 +41,8 @@
 from agatecross_core.members.swim import (
     SYNC_TIMEOUT,
     MembersChanged,
+    ProbeIndirectly,
     ProbeMember,
-    ProbeThrough,
     Swim,
     SwimAction,
     SyncWith,
@@ -169,7 +169,7 @@
 
     def _handle(self, message: MembersMessage) -> None:
         now = monotonic()
-        self._act(self.swim.observe(now))
+        self._act(self.swim.detect_pause(now))
         match message:
             case Tick():
                 self._act(self.swim.tick(now))
@@ -210,15 +210,15 @@
                 self._probe_for(ask, target, address)
             case SyncRequest(sender) as request:
                 self._act(self.swim.merge([sender], now))
-                rows, complete = self.swim.sync_rows(request, now)
+                rows, complete = self.swim.answer_sync(request, now)
                 ask.answer(SyncReply(rows, Gossip(self.version, self.digest), complete))
             case _:
                 pass
 
     def _ack(self, sender: Identity, target: DaemonId) -> ProbeAck:
-        gossip = self._gossip_of(self.swim.news_for(sender))
+        gossip = self._gossip_of(self.swim.updates_for_reply(sender))
         alive = target == self.swim.me.daemon_id
-        return ProbeAck(gossip, alive, unknown=not self.swim.knows(sender))
+        return ProbeAck(gossip, alive, unknown=not self.swim.knows_incarnation(sender))
 
     def _heard(self, sender: Identity, gossip: Gossip, now: Millis) -> None:
         self._merge_gossip(gossip, now)
@@ -258,13 +258,13 @@
 
     def _confirm_unreachable(self, target: Member, sent_at: Millis) -> None:
         log_event("member_unreachable", peer=target.daemon_id)
-        self._act(self.swim.unreachable(target, sent_at, monotonic()))
+        self._act(self.swim.indirect_probe_failed(target, sent_at, monotonic()))
 
     def _sync_answered(self, message: SyncAnswered, now: Millis) -> None:
         reply = message.reply
         self.bootstrap.contact_answered(message.address, isinstance(reply, SyncReply))
         if isinstance(reply, SyncReply):
-            self._act(self.swim.synced(reply, now))
+            self._act(self.swim.merge_sync_reply(reply, now))
             if reply.members:
                 self._log_sync(message.address, reply)
 
@@ -273,7 +273,7 @@
         log_event("synced", peer=peer, rows=rows, members=members, complete=reply.complete)
 
     def _announcements_read(self, page: AnnouncementsRead, now: Millis) -> None:
-        self._act_bootstrap(self.bootstrap.read(page, self.swim.live_peers(), now))
+        self._act_bootstrap(self.bootstrap.announcements_read(page, self.swim.live_peers(), now))
 
     def _announce_failed(self, appending: bool, now: Millis) -> None:
         if appending:
@@ -288,7 +288,7 @@
                     self._publish_view()
                 case ProbeMember(target):
                     self._probe_member(target)
-                case ProbeThrough(target, helpers):
+                case ProbeIndirectly(target, helpers):
                     self._probe_through(target, helpers)
                 case SyncWith(address):
                     self._sync(address)
@@ -312,8 +312,8 @@
             mailbox.put(ViewChanged(view, self.swim.me))
 
     def _change_me(self, me: Member) -> None:
-        self._act(self.swim.update_me(me))
-        for peer in self.swim.push_targets():
+        self._act(self.swim.update_own_record(me))
+        for peer in self.swim.urgent_update_targets():
             self._probe_member(peer, introduce=True)
 
     def _gossip(self, target: DaemonId | None = None, introduce: bool = False) -> Gossip:
@@ -321,7 +321,7 @@
         return self._gossip_of((self.swim.me, *rows) if introduce else rows)
 
     def _gossip_of(self, rows: tuple[Member, ...]) -> Gossip:
-        strikes, clearances = self.reports.take(self.swim.transmissions())
+        strikes, clearances = self.reports.take(self.swim.max_transmissions())
         return Gossip(self.version, self.digest, rows, strikes, clearances)
 
     def _probe_member(self, target: Member, introduce: bool = False) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -343,5 +343,5 @@
     def _forget(self, link: PeerLink) -> None:
         self.log.change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
-        self.directory.forget(link.daemon_id)
+        self.directory.remove(link.daemon_id)
         self.source.put(PeerForgotten(link.daemon_id))
