--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -31,8 +31,8 @@
     ReportCondition,
     WriteSnapshot,
 )
-from agatecross_core.distribution.readers import weight
-from agatecross_core.distribution.sync import answer_pull, judge_pull, new_request
+from agatecross_core.distribution.pulls import answer_pull, check_pull_reply, new_request
+from agatecross_core.distribution.readers import reader_weight
 from agatecross_core.members.records import Member
 from agatecross_core.pacing import full_jitter
 from agatecross_core.states import MemberState, Verdict
@@ -179,7 +179,7 @@
             reply = None
             if answered:
                 peer = next(i for i in self.instances if i.me.daemon_id == pull.peer.daemon_id)
-                reply = peer.follower.answer(pull.request)
+                reply = peer.follower.answer_request(pull.request)
             one.act(one.follower.pull_answered(PullAnswered(pull.pull_id, reply), self.now))
 
         @rule(sender=st.integers(0, 5), receiver=st.integers(0, 5))
@@ -267,8 +267,8 @@
 
         def agreed(self):
             wanted = (self.log.current.version, self.log.current.digest)
-            lost = any(i.follower.log.lost for i in self.instances)
-            return {i.versions[-1] for i in self.instances} == {wanted} and not lost
+            position_lost = any(i.follower.log.position_lost for i in self.instances)
+            return {i.versions[-1] for i in self.instances} == {wanted} and not position_lost
 
         def settle(self):
             for _ in range(90):
@@ -364,7 +364,7 @@
     theirs = ConfigState(2, digest_of(base(2)), base(2), ids[1:], through=common, mark="b")
     reply = answer_pull(theirs, new_request(mine, False))
     assert len(reply.seen) == count, len(reply.seen)
-    assert judge_pull(mine, reply, decode_toml).state == theirs
+    assert check_pull_reply(mine, reply, decode_toml).state == theirs
 
 
 def follower_at(versions, members, me=None, snapshot_after=256):
@@ -402,7 +402,7 @@
     pull, one.pull = one.pull, None
     source = SimpleNamespace(follower=ConfigFollower(one.me, decode_toml, random.Random(1)))
     source.follower.state = newest
-    reply = source.follower.answer(pull.request)
+    reply = source.follower.answer_request(pull.request)
     broken = (Document(BASE, "[mesh]\n"),)
     replies = {
         "answers newer": reply,
@@ -513,7 +513,7 @@
     source.state = replaced.current
     context.late_read = one.read
     one.act(one.follower.peer_version(PeerVersion(peer, 4, source.state.digest), 0.0))
-    reply = source.answer(one.pull.request)
+    reply = source.answer_request(one.pull.request)
     one.act(one.follower.pull_answered(PullAnswered(one.pull.pull_id, reply), 0.0))
 
 
@@ -528,7 +528,7 @@
 
 def ranked_members(count, rank, region="r0"):
     """Return members of one region, the one of this rank first."""
-    names = sorted((f"d{i}" for i in range(count)), key=weight)
+    names = sorted((f"d{i}" for i in range(count)), key=reader_weight)
     mine = names.pop(rank)
     return tuple(member(name, region) for name in (mine, *names))
 
@@ -594,7 +594,7 @@
 @when("its peers have been silent for {seconds:d} seconds")
 def be_silent(context, seconds):
     follower = context.one.follower
-    follower.heard_at = 0.0
+    follower.peer_heard_at = 0.0
     context.one.act(follower.tick(seconds * 1000.0))
 
 
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from agatecross_adapters.control_nng import NngTransport
-from agatecross_core.distribution.sync import VersionNotice
+from agatecross_core.distribution.pulls import VersionNotice
 from agatecross_core.errors import PeerError
 from agatecross_core.ids import Address, Digest, Millis, Version
 from agatecross_core.members.records import Member
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from agatecross_core.distribution.delta import apply_delta, make_delta
-from agatecross_core.distribution.feeding import push_targets, reads_store
+from agatecross_core.distribution.propagation import push_targets, reads_store
 from agatecross_core.errors import DeltaError
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Endpoint
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -10,7 +10,7 @@
 
 from agatecross_adapters.codec import decode_control, encode_control
 from agatecross_core.constants import BOOTSTRAP_ANNOUNCEMENTS, MAX_MEMBERS
-from agatecross_core.distribution.sync import VersionNotice
+from agatecross_core.distribution.pulls import VersionNotice
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import Address, Incarnation, Version
 from agatecross_core.members import bootstrap
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from agatecross_core.config.model import ConfigRecord, PublishRecord, SnapshotRecord
-from agatecross_core.distribution.sync import NoticeAck, PullReply, PullRequest, VersionNotice
+from agatecross_core.distribution.pulls import NoticeAck, PullReply, PullRequest, VersionNotice
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.idempotency.model import ClaimsBatch, OutcomeReply, OutcomeRequest
 from agatecross_core.members.records import (
--- a/packages/agatecross-cli/agatecross_cli/history.py
+++ b/packages/agatecross-cli/agatecross_cli/history.py
@@ -64,6 +64,6 @@
                 case UnknownRules(offset, rules):
                     message = f"record {offset} needs rule set {rules}; this client is too old"
                     raise CommandError(ExitCode.UNKNOWN, message)
-        if fold.lost and fold.start() >= page.end:
+        if fold.position_lost and fold.start() >= page.end:
             message = "the log holds neither the first records nor a snapshot of them"
             raise CommandError(ExitCode.LOG_UNREACHABLE, message)
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -8,7 +8,7 @@
 from .model import KeyPath, MergedSite
 from .schema import MESH_KEYS, REGION_KEYS, ROUTE_KEYS, SERVICE_KEYS, TOP_KEYS, Key
 
-PlaceOf = Callable[[KeyPath], Place]
+PlaceLookup = Callable[[KeyPath], Place]
 
 
 def check(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
@@ -48,28 +48,28 @@
 
 
 def check_table(
-    place: PlaceOf, values: Mapping[str, object], keys: Mapping[str, Key], path: KeyPath
+    place: PlaceLookup, values: Mapping[str, object], keys: Mapping[str, Key], path: KeyPath
 ) -> Iterator[Finding]:
     """Yield a finding for each missing, unknown, mistyped or out-of-range key of one table."""
     for name, key in keys.items():
         if key.required and name not in values:
             yield Finding(place((*path, name)), "missing", f"key {name!r} is missing")
     for name, value in values.items():
-        here = (*path, name)
+        key_path = (*path, name)
         if name not in keys:
-            yield Finding(place(here), "unknown-key", unknown_key(name, keys))
+            yield Finding(place(key_path), "unknown-key", unknown_key_message(name, keys))
         else:
-            yield from _check_value(place, value, keys[name], here)
+            yield from _check_value(place, value, keys[name], key_path)
 
 
-def unknown_key(name: str, keys: Iterable[str]) -> str:
+def unknown_key_message(name: str, keys: Iterable[str]) -> str:
     """Return the message for an unknown key, with the nearest known one if any is near."""
     near = difflib.get_close_matches(name, list(keys), n=1)
     hint = f"; did you mean {near[0]!r}?" if near else ""
     return f"unknown key {name!r}{hint}"
 
 
-def _check_value(place: PlaceOf, value: object, key: Key, path: KeyPath) -> Iterator[Finding]:
+def _check_value(place: PlaceLookup, value: object, key: Key, path: KeyPath) -> Iterator[Finding]:
     if not has_kind(value, key.kind):
         wanted = {dict: "a table", list: "a list", str: "a string", bool: "true or false"}
         yield Finding(place(path), "type", f"must be {wanted.get(key.kind, 'a number')}")
@@ -77,7 +77,7 @@
     if isinstance(value, list):
         yield from _check_list(place, value, key, path)
     if isinstance(value, str) and key.choices and value not in key.choices:
-        yield Finding(place(path), "choice", unknown_choice(value, key.choices))
+        yield Finding(place(path), "choice", unknown_choice_message(value, key.choices))
     if isinstance(value, str) and key.form is not None:
         message = key.form(value)
         if message is not None:
@@ -91,15 +91,17 @@
             yield Finding(place(path), "range", f"must be at most {key.high:g}")
 
 
-def _check_list(place: PlaceOf, values: list[object], key: Key, path: KeyPath) -> Iterator[Finding]:
+def _check_list(
+    place: PlaceLookup, values: list[object], key: Key, path: KeyPath
+) -> Iterator[Finding]:
     for value in values:
         if not isinstance(value, str):
             yield Finding(place(path), "type", "must be a list of strings")
         elif key.choices and value not in key.choices:
-            yield Finding(place(path), "choice", unknown_choice(value, key.choices))
+            yield Finding(place(path), "choice", unknown_choice_message(value, key.choices))
 
 
-def unknown_choice(value: str, choices: Iterable[str]) -> str:
+def unknown_choice_message(value: str, choices: Iterable[str]) -> str:
     """Return the message for a value that is none of the choices, with the nearest one."""
     near = difflib.get_close_matches(value, list(choices), n=1)
     hint = f"; did you mean {near[0]!r}?" if near else ""
@@ -117,7 +119,7 @@
 
 def _check_routes(site: MergedSite) -> Iterator[Finding]:
     services = _table(site.values, "services")
-    taken: dict[tuple[object, object], str] = {}
+    route_by_match: dict[tuple[object, object], str] = {}
     for name, route in _table(site.values, "routes").items():
         if not isinstance(route, Mapping) or route.get("enabled") is False:
             continue
@@ -131,7 +133,7 @@
         if isinstance(prefix, str) and not prefix.startswith("/"):
             yield Finding(site.place((*path, "prefix")), "prefix", "must start with '/'")
         match = (route.get("host", ""), prefix)
-        if match in taken:
-            message = f"route {taken[match]!r} has the same host and prefix"
+        if match in route_by_match:
+            message = f"route {route_by_match[match]!r} has the same host and prefix"
             yield Finding(site.place((*path, "prefix")), "same-match", message)
-        taken.setdefault(match, name)
+        route_by_match.setdefault(match, name)
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -42,23 +42,23 @@
 
 
 def _compile_site(site: MergedSite) -> SiteSnapshot:
-    services = _rows(site, "services")
+    services = _table_of(site, "services")
     policies = {ServiceName(name): _compile_service(name, row) for name, row in services.items()}
-    rows = _rows(site, "routes").items()
+    rows = _table_of(site, "routes").items()
     routes = [_compile_route(name, row) for name, row in rows if row.get("enabled", True)]
     routes.sort(key=lambda route: (not route.host, -len(route.prefix), route.name))
     region = _region_of(site, site.data_centre)
     return SiteSnapshot(site.data_centre, region, policies, tuple(routes))
 
 
-def _rows(site: MergedSite, table: str) -> Mapping[str, dict[str, object]]:
+def _table_of(site: MergedSite, table: str) -> Mapping[str, dict[str, object]]:
     rows = site.values[table]
     assert isinstance(rows, dict)
     return rows
 
 
 def _region_of(site: MergedSite, data_centre: DataCentreName) -> RegionName:
-    for name, region in _rows(site, "regions").items():
+    for name, region in _table_of(site, "regions").items():
         names = region["data_centres"]
         if isinstance(names, list) and data_centre in names:
             return RegionName(name)
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -38,7 +38,7 @@
     return _fold_publish(state, record, decoder)
 
 
-def start_from(entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
+def start_from_snapshot(entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
     """Return the state that a snapshot holds, for a reader that lacks the records before it."""
     record = entry.record
     if not isinstance(record, SnapshotRecord):
@@ -47,7 +47,7 @@
         return fold_entry(ConfigState(), entry, decoder)
     if record.rules > RULE_SET:
         return FoldStep(ConfigState(), Verdict.UNKNOWN_RULES)
-    step = _take_snapshot(ConfigState(), record, decoder)
+    step = _adopt_snapshot(ConfigState(), record, decoder)
     return replace(step, state=replace(step.state, through=record.through, mark=record.mark))
 
 
@@ -88,10 +88,10 @@
         return FoldStep(state, Verdict.DUPLICATE)
     # Readers that lack the records before a restart start from it, so that readers that have them
     # must come to the same state, even when that is older than what they folded.
-    return _take_snapshot(state, record, decoder)
+    return _adopt_snapshot(state, record, decoder)
 
 
-def _take_snapshot(
+def _adopt_snapshot(
     state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
 ) -> FoldStep:
     if not record.version:
--- a/packages/agatecross-core/agatecross_core/config/forms.py
+++ b/packages/agatecross-core/agatecross_core/config/forms.py
@@ -3,7 +3,7 @@
 import ipaddress
 from collections.abc import Callable
 
-Form = Callable[[str], str | None]
+FormCheck = Callable[[str], str | None]
 
 MAX_PORT = 65_535
 
--- a/packages/agatecross-core/agatecross_core/config/merge.py
+++ b/packages/agatecross-core/agatecross_core/config/merge.py
@@ -89,14 +89,14 @@
 ) -> MergedSite:
     values: dict[str, object] = {}
     places: dict[KeyPath, Place] = {}
-    _apply(values, places, base, base.values, ())
+    _apply_values(values, places, base, base.values, ())
     if overlay is not None:
         changes = {key: overlay.values[key] for key in OVERLAY_TABLES if key in overlay.values}
-        _apply(values, places, overlay, changes, ())
+        _apply_values(values, places, overlay, changes, ())
     return MergedSite(name, values, places)
 
 
-def _apply(
+def _apply_values(
     target: dict[str, object],
     places: dict[KeyPath, Place],
     document: DecodedDocument,
@@ -104,13 +104,13 @@
     path: KeyPath,
 ) -> None:
     for key, value in changes.items():
-        here = (*path, key)
-        if not isinstance(value, Mapping) or len(here) > MAX_TABLE_DEPTH:
+        key_path = (*path, key)
+        if not isinstance(value, Mapping) or len(key_path) > MAX_TABLE_DEPTH:
             target[key] = value
-            places[here] = document.place(here)
+            places[key_path] = document.place(key_path)
             continue
         old = target.get(key)
         table = old if isinstance(old, dict) else {}
         target[key] = table
-        places.setdefault(here, document.place(here))
-        _apply(table, places, document, value, here)
+        places.setdefault(key_path, document.place(key_path))
+        _apply_values(table, places, document, value, key_path)
--- a/packages/agatecross-core/agatecross_core/distribution/baselines.py
+++ b/packages/agatecross-core/agatecross_core/distribution/baselines.py
@@ -37,8 +37,8 @@
 class FullCopyFollower(ConfigFollower):
     """Gets all documents from the peer on each change, not only those that differ."""
 
-    def _pull(self, now: Millis) -> Iterator[FollowerAction]:
-        for action in super()._pull(now):
+    def _start_pull(self, now: Millis) -> Iterator[FollowerAction]:
+        for action in super()._start_pull(now):
             if isinstance(action, PullFrom):
                 yield replace(action, request=replace(action.request, known={}))
             else:
--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -15,7 +15,7 @@
 
 def make_delta(base: bytes, target: bytes) -> tuple[Step, ...]:
     """Return the steps that build `target` from the pieces of `base`."""
-    return tuple(_joined(PIECE.findall(base), PIECE.findall(target)))
+    return tuple(_make_steps(PIECE.findall(base), PIECE.findall(target)))
 
 
 def apply_delta(base: bytes, steps: tuple[Step, ...]) -> bytes:
@@ -33,10 +33,10 @@
     return b"".join(out)
 
 
-def _joined(old: list[bytes], new: list[bytes]) -> Iterator[Step]:
-    places = {piece: place for place, piece in reversed(list(enumerate(old)))}
+def _make_steps(old: list[bytes], new: list[bytes]) -> Iterator[Step]:
+    first_positions = {piece: position for position, piece in reversed(list(enumerate(old)))}
     first, count = 0, 0
-    fresh: list[bytes] = []
+    new_bytes: list[bytes] = []
     for piece in new:
         if count and first + count < len(old) and old[first + count] == piece:
             count += 1
@@ -44,15 +44,15 @@
         if count:
             yield (first, count)
             count = 0
-        place = places.get(piece)
-        if place is None:
-            fresh.append(piece)
+        position = first_positions.get(piece)
+        if position is None:
+            new_bytes.append(piece)
             continue
-        if fresh:
-            yield b"".join(fresh)
-            fresh = []
-        first, count = place, 1
+        if new_bytes:
+            yield b"".join(new_bytes)
+            new_bytes = []
+        first, count = position, 1
     if count:
         yield (first, count)
-    if fresh:
-        yield b"".join(fresh)
+    if new_bytes:
+        yield b"".join(new_bytes)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -42,18 +42,18 @@
     RecordsRead,
     UnknownRules,
 )
-from .offers import Offers, PeerVersion
-from .readers import readers
-from .snapshots import SnapshotSchedule
-from .sync import (
+from .offers import PeerVersion, VersionOffers
+from .pulls import (
     PullReply,
     PullRequest,
     PullResult,
     PullVerdict,
     answer_pull,
-    judge_pull,
+    check_pull_reply,
     new_request,
 )
+from .readers import readers
+from .snapshots import SnapshotSchedule
 
 __all__ = ["ConfigFollower", "PeerVersion", "RecordsRead"]
 
@@ -171,9 +171,9 @@
         self.rng = rng
         self.state = ConfigState()
         self.log = LogFold(decoder)
-        self.offers = Offers(me, rng)
+        self.offers = VersionOffers(me, rng)
         self.schedule = SnapshotSchedule(rng, snapshot_after)
-        self.appends = TokenBucket(APPENDS_BURST, APPEND_REFILL)
+        self.append_tokens = TokenBucket(APPENDS_BURST, APPEND_REFILL)
         self.members: tuple[Member, ...] = (me,)
         self.readers: tuple[DaemonId, ...] = (me.daemon_id,)
         self.reading = False
@@ -181,29 +181,29 @@
         self.read_failures = 0
         self.read_after = Millis(0)
         self.pull: Pull | None = None
-        self.pulls = 0
-        self.pull_all_seen = False
+        self.last_pull_id = 0
+        self.request_all_seen = False
         self.position_pull_at = Millis(0)
-        self.lost_at: Millis | None = None
-        self.heard_at: Millis | None = None
-        self.reported: set[tuple[object, ...]] = set()
+        self.position_lost_at: Millis | None = None
+        self.peer_heard_at: Millis | None = None
+        self.reported_conditions: set[tuple[object, ...]] = set()
 
     def tick(self, now: Millis) -> Iterator[FollowerAction]:
         """Start what is due: a pull, a read of the log, a snapshot."""
-        if self.heard_at is None:
-            self.heard_at = now
+        if self.peer_heard_at is None:
+            self.peer_heard_at = now
         if self.pull is not None and now - self.pull.started >= PULL_DEADLINE:
-            self.offers.failed(self.pull.peer)
+            self.offers.record_failure(self.pull.peer)
             self.pull = None
-        yield from self._pull(now)
-        yield from self._read(now)
-        yield from self._snapshot(now)
+        yield from self._start_pull(now)
+        yield from self._start_read(now)
+        yield from self._write_snapshot(now)
 
     def view_changed(self, members: tuple[Member, ...]) -> None:
         """Take the members that are not dead."""
         self.members = members
         self.readers = readers(self.me, members)
-        self.offers.retain(members)
+        self.offers.retain_members(members)
 
     def records_read(self, page: RecordsRead, now: Millis) -> Iterator[FollowerAction]:
         """Fold a page of the stream."""
@@ -218,45 +218,49 @@
             match event:
                 case RecordFolded(_, step):
                     compiled = step.snapshot or compiled
-                    yield from self._folded(event, now)
+                    yield from self._handle_folded_record(event, now)
                 case LogReplaced(through, end):
                     self.state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
                     self.schedule.log_replaced()
                     yield from self._report_once(Condition.LOG_REPLACED, through=through, end=end)
                 case RecordsExpired(through, first):
-                    self.lost_at = now if self.lost_at is None else self.lost_at
+                    self.position_lost_at = (
+                        now if self.position_lost_at is None else self.position_lost_at
+                    )
                     yield from self._report_once(
                         Condition.RECORDS_EXPIRED, through=through, first=first
                     )
                 case UnknownRules(offset, rules):
                     # No read is in flight meanwhile that would fail if the log were replaced.
-                    self.log.interrupt()
+                    self.log.require_verification()
                     self.read_after = Millis(now + BLOCKED_RETRY)
                     yield from self._report_once(
                         Condition.UNKNOWN_RULES, offset=offset, rules=rules
                     )
         if self.log.caught_up:
-            self.lost_at = None
-            self.reported = {row for row in self.reported if row[0] not in LOG_CONDITIONS}
-        yield from self._adopt_folded(compiled)
+            self.position_lost_at = None
+            self.reported_conditions = {
+                row for row in self.reported_conditions if row[0] not in LOG_CONDITIONS
+            }
+        yield from self._adopt_folded_state(compiled)
         if self.log.start() != before:
-            yield from self._read(now)
+            yield from self._start_read(now)
 
     def read_failed(self, now: Millis) -> None:
         """Note that the read in flight ended without a page, and delay the next one."""
         self.reading = False
         self.discard_page = False
-        self.log.interrupt()
+        self.log.require_verification()
         delay = full_jitter(self.read_failures, LOG_RETRY_BASE, LOG_RETRY_CAP, self.rng)
         self.read_failures += 1
         self.read_after = Millis(now + delay)
 
     def peer_version(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
         """Pull from a peer that has a newer version."""
-        self.heard_at = now
+        self.peer_heard_at = now
         if message.version > self.state.version:
             self.offers.add(message)
-            yield from self._pull(now)
+            yield from self._start_pull(now)
         elif message.version == self.state.version and message.digest != self.state.digest:
             yield from self._report_other_digest(message.digest, message.peer.daemon_id)
 
@@ -267,41 +271,41 @@
         peer = self.pull.peer
         self.pull = None
         if answer.reply is None:
-            self.offers.failed(peer)
+            self.offers.record_failure(peer)
         else:
-            self.heard_at = now
-            result = judge_pull(self.state, answer.reply, self.decoder)
-            yield from self._pulled(peer, answer.reply, result)
-        yield from self._pull(now)
+            self.peer_heard_at = now
+            result = check_pull_reply(self.state, answer.reply, self.decoder)
+            yield from self._handle_pull_result(peer, answer.reply, result)
+        yield from self._start_pull(now)
 
-    def answer(self, request: PullRequest) -> PullReply:
+    def answer_request(self, request: PullRequest) -> PullReply:
         """Answer a peer's pull."""
         return answer_pull(self.state, request)
 
-    def _pulled(
+    def _handle_pull_result(
         self, peer: DaemonId, reply: PullReply, result: PullResult
     ) -> Iterator[FollowerAction]:
         # The ids that both know may differ after a restart of the fold; then all are asked for.
-        asked_for_all, self.pull_all_seen = self.pull_all_seen, False
+        asked_for_all, self.request_all_seen = self.request_all_seen, False
         if result.verdict is PullVerdict.OTHER_SEEN and not asked_for_all:
-            self.pull_all_seen = True
+            self.request_all_seen = True
             return
         if result.snapshot is not None and result.state is not None:
             self.state = result.state
-            self.offers.taken(peer, result.state.version)
+            self.offers.drop_outdated(peer, result.state.version)
             if result.state.through != NO_OFFSET:
-                self._move(result.state)
+                self._move_log_position(result.state)
             yield PutInForce(result.snapshot)
             yield from self._notify()
             return
-        if result.verdict is PullVerdict.SAME and not self.log.lost:
-            self.offers.taken(peer, self.state.version)
+        if result.verdict is PullVerdict.SAME and not self.log.position_lost:
+            self.offers.drop_outdated(peer, self.state.version)
             return
         if result.state is not None and reply.through > self.log.state.through:
             self.state = result.state
-            self._move(result.state)
+            self._move_log_position(result.state)
             return
-        self.offers.failed(peer)
+        self.offers.record_failure(peer)
         if result.verdict in (PullVerdict.UNKNOWN_RULES, PullVerdict.FINDINGS):
             self.offers.refuse(reply.version, reply.digest)
         if result.verdict is PullVerdict.OTHER_DIGEST:
@@ -315,13 +319,13 @@
                 findings=len(result.findings),
             )
 
-    def _move(self, state: ConfigState) -> None:
+    def _move_log_position(self, state: ConfigState) -> None:
         # A page in flight was asked for at the old position, maybe from a log replaced since.
         self.discard_page = self.reading
         self.read_after = Millis(0)
-        self.log.take(state)
+        self.log.adopt_state(state)
 
-    def _folded(self, event: RecordFolded, now: Millis) -> Iterator[FollowerAction]:
+    def _handle_folded_record(self, event: RecordFolded, now: Millis) -> Iterator[FollowerAction]:
         entry, step = event.entry, event.step
         record = entry.record
         if isinstance(record, SnapshotRecord):
@@ -335,12 +339,12 @@
         else:
             yield _report(Condition.UNDECODABLE, offset=entry.offset)
 
-    def _adopt_folded(self, compiled: MeshSnapshot | None) -> Iterator[FollowerAction]:
+    def _adopt_folded_state(self, compiled: MeshSnapshot | None) -> Iterator[FollowerAction]:
         folded = self.log.state
         if folded.version > self.state.version:
             assert compiled is not None and compiled.version == folded.version
             self.state = folded
-            self.offers.taken(self.me.daemon_id, folded.version)
+            self.offers.drop_outdated(self.me.daemon_id, folded.version)
             yield PutInForce(compiled)
             yield from self._notify()
         elif (folded.version, folded.digest) == (self.state.version, self.state.digest):
@@ -348,45 +352,49 @@
         elif folded.version == self.state.version:
             yield from self._report_other_digest(folded.digest, None)
 
-    def _pull(self, now: Millis) -> Iterator[FollowerAction]:
+    def _start_pull(self, now: Millis) -> Iterator[FollowerAction]:
         if self.pull is not None:
             return
-        offer = self.offers.best(self.state.version)
+        offer = self.offers.best_offer(self.state.version)
         peer = offer.peer if offer is not None else self._position_peer(now)
         if peer is None:
             return
-        self.pulls += 1
-        self.pull = Pull(self.pulls, peer.daemon_id, now)
-        yield PullFrom(self.pulls, peer, new_request(self.state, self.pull_all_seen))
+        self.last_pull_id += 1
+        self.pull = Pull(self.last_pull_id, peer.daemon_id, now)
+        yield PullFrom(self.last_pull_id, peer, new_request(self.state, self.request_all_seen))
 
     def _position_peer(self, now: Millis) -> Member | None:
-        if not self.log.lost or now < self.position_pull_at:
+        if not self.log.position_lost or now < self.position_pull_at:
             return None
         self.position_pull_at = Millis(now + POSITION_PULL_PERIOD * self.rng.uniform(0.5, 1.5))
-        return self.offers.position_peer(self.members)
+        return self.offers.choose_position_peer(self.members)
 
-    def _read(self, now: Millis) -> Iterator[FollowerAction]:
+    def _start_read(self, now: Millis) -> Iterator[FollowerAction]:
         if self.reading or now < self.read_after:
             return
-        silent = self.heard_at is not None and now - self.heard_at > PEER_SILENCE
+        silent = self.peer_heard_at is not None and now - self.peer_heard_at > PEER_SILENCE
         alone = silent or len(self.members) <= 1
         if not alone and self.me.daemon_id not in self.readers:
-            self.log.interrupt()
-            self.lost_at = None
+            self.log.require_verification()
+            self.position_lost_at = None
             return
         self.reading = True
         yield ReadLog(self.log.start(), LONE_POLL_WAIT if alone else LOG_POLL_WAIT)
 
-    def _snapshot(self, now: Millis) -> Iterator[FollowerAction]:
+    def _write_snapshot(self, now: Millis) -> Iterator[FollowerAction]:
         replaced = self.log.caught_up and self.state.version > self.log.state.version
         # Readers that all lost their position would never fold again, so one restarts the fold.
-        lost = self.log.lost and self.log.searched and self._is_lost_long(now)
-        if not lost and not (self.log.caught_up and self.state.version):
+        position_lost = (
+            self.log.position_lost
+            and self.log.search_finished
+            and self._position_search_timed_out(now)
+        )
+        if not position_lost and not (self.log.caught_up and self.state.version):
             return
-        restart = replaced or lost
-        if not self.schedule.due(now, self._rank(), restart) or not self.appends.take(now):
+        restart = replaced or position_lost
+        if not self.schedule.is_due(now, self._rank(), restart) or not self.append_tokens.take(now):
             return
-        self.schedule.started(now)
+        self.schedule.write_started(now)
         state = self.log.state
         if restart:
             state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
@@ -402,8 +410,8 @@
             )
         )
 
-    def _is_lost_long(self, now: Millis) -> bool:
-        return self.lost_at is not None and now - self.lost_at >= POSITION_TIMEOUT
+    def _position_search_timed_out(self, now: Millis) -> bool:
+        return self.position_lost_at is not None and now - self.position_lost_at >= POSITION_TIMEOUT
 
     def _rank(self) -> int:
         if self.me.daemon_id in self.readers:
@@ -434,11 +442,11 @@
         # Peers repeat their version with every probe; one report for each peer and version is
         # enough, and the limit keeps a faulty peer from filling the memory.
         key = (condition, *values.values())
-        if key in self.reported:
+        if key in self.reported_conditions:
             return
-        if len(self.reported) >= 1024:
-            self.reported.clear()
-        self.reported.add(key)
+        if len(self.reported_conditions) >= 1024:
+            self.reported_conditions.clear()
+        self.reported_conditions.add(key)
         yield _report(condition, **values)
 
 
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..config.fold import fold_entry, start_from
+from ..config.fold import fold_entry, start_from_snapshot
 from ..config.model import (
     ConfigState,
     DocumentDecoder,
@@ -67,14 +67,14 @@
         """Start before the first record."""
         self.decoder = decoder
         self.state = ConfigState()
-        self.verify = False
+        self.must_verify = False
         self.search_from: Offset | None = None
         self.blocked = False
         self.caught_up = False
-        self.searched = False
+        self.search_finished = False
 
     @property
-    def lost(self) -> bool:
+    def position_lost(self) -> bool:
         """Return whether records are missing and no snapshot that was read bridges them."""
         return self.search_from is not None
 
@@ -82,25 +82,25 @@
         """Return the offset at which the next read starts."""
         if self.search_from is not None:
             return self.search_from
-        if self.verify and self.state.through != NO_OFFSET:
+        if self.must_verify and self.state.through != NO_OFFSET:
             return self.state.through
         return Offset(self.state.through + 1)
 
-    def take(self, state: ConfigState) -> None:
+    def adopt_state(self, state: ConfigState) -> None:
         """Continue from a peer's state and position."""
         self.state = state
         # The peer's position may belong to a log that was replaced since.
-        self.verify = True
+        self.must_verify = True
         self.search_from = None
         self.blocked = False
         self.caught_up = False
 
-    def interrupt(self) -> None:
+    def require_verification(self) -> None:
         """Check at the next read that the log is still the same; a search starts again."""
-        self.verify = True
+        self.must_verify = True
         self.search_from = None
         self.caught_up = False
-        self.searched = False
+        self.search_finished = False
 
     def page(self, page: RecordsRead) -> Iterator[FoldEvent]:
         """Fold a page that starts at `start()`."""
@@ -110,11 +110,11 @@
             yield LogReplaced(self.state.through, page.end)
             self.state = ConfigState()
             self.search_from = None
-            self.verify = False
+            self.must_verify = False
             return
         # Without the last folded record nothing shows that the log is still the same.
         expired = self.search_from is None and page.first > self.start()
-        self.verify = False
+        self.must_verify = False
         if expired:
             yield RecordsExpired(self.state.through, page.first)
             self.search_from = page.first
@@ -126,7 +126,7 @@
     def _replaced(self, page: RecordsRead) -> bool:
         if page.end < self.start() or page.end <= self.state.through:
             return True
-        if not self.verify or self.state.through == NO_OFFSET:
+        if not self.must_verify or self.state.through == NO_OFFSET:
             return False
         for entry in page.records:
             if entry.offset == self.state.through:
@@ -147,22 +147,22 @@
         self.caught_up = self.state.through + 1 >= page.end
 
     def _search(self, page: RecordsRead) -> Iterator[FoldEvent]:
-        self.searched = False
+        self.search_finished = False
         for entry in page.records:
             self.search_from = Offset(entry.offset + 1)
-            if not _is_start(entry, page.first):
+            if not _is_usable_start(entry, page.first):
                 continue
-            step = start_from(entry, self.decoder)
+            step = start_from_snapshot(entry, self.decoder)
             if step.verdict is not Verdict.ACCEPTED:
                 continue
             self.state = step.state
             self.search_from = None
             yield RecordFolded(entry, step)
             return
-        self.searched = self.start() >= page.end
+        self.search_finished = self.start() >= page.end
 
 
-def _is_start(entry: OffsetRecord, first: Offset) -> bool:
+def _is_usable_start(entry: OffsetRecord, first: Offset) -> bool:
     record = entry.record
     if not isinstance(record, SnapshotRecord):
         return False
--- a/packages/agatecross-core/agatecross_core/distribution/offers.py
+++ b/packages/agatecross-core/agatecross_core/distribution/offers.py
@@ -17,7 +17,7 @@
     digest: Digest
 
 
-class Offers:
+class VersionOffers:
     """The newer versions that peers offer; at most one for each live member."""
 
     def __init__(self, me: Member, rng: random.Random) -> None:
@@ -32,7 +32,7 @@
         """Keep the newest offer of a peer."""
         self.offers[offer.peer.daemon_id] = offer
 
-    def failed(self, peer: DaemonId) -> None:
+    def record_failure(self, peer: DaemonId) -> None:
         """Drop the offer of a peer whose answer was of no use, and prefer the others from now."""
         self.offers.pop(peer, None)
         self.failures[peer] = self.failures.get(peer, 0) + 1
@@ -41,19 +41,19 @@
         """Never pull this version again: whoever has it, its documents stay the same."""
         self.refused.add((version, digest))
 
-    def taken(self, peer: DaemonId, version: Version) -> None:
+    def drop_outdated(self, peer: DaemonId, version: Version) -> None:
         """Drop the offers that are no longer newer, and forget the failures of the peer."""
         self.failures.pop(peer, None)
         self.offers = {name: o for name, o in self.offers.items() if o.version > version}
         self.refused = {row for row in self.refused if row[0] > version}
 
-    def retain(self, members: Iterable[Member]) -> None:
+    def retain_members(self, members: Iterable[Member]) -> None:
         """Forget peers that are gone."""
         live = {member.daemon_id for member in members}
         self.offers = {name: o for name, o in self.offers.items() if name in live}
         self.failures = {name: n for name, n in self.failures.items() if name in live}
 
-    def best(self, version: Version) -> PeerVersion | None:
+    def best_offer(self, version: Version) -> PeerVersion | None:
         """Return the newest offer above `version` from the nearest peer with fewest failures."""
         newer = [
             offer
@@ -62,7 +62,7 @@
         ]
         return min(newer, key=self._order, default=None)
 
-    def position_peer(self, members: Iterable[Member]) -> Member | None:
+    def choose_position_peer(self, members: Iterable[Member]) -> Member | None:
         """Return a random peer among those with the fewest failures."""
         peers = [m for m in members if m.daemon_id != self.me.daemon_id]
         fewest = min((self.failures.get(m.daemon_id, 0) for m in peers), default=0)
--- a/packages/agatecross-core/agatecross_core/distribution/feeding.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -18,37 +18,45 @@
     Daemons that this one cannot reach cannot feed it, so they do not count: a daemon that is cut
     off from the readers takes their place.
     """
-    able = [row for row in _present(me, rows, reachable) if row.reads_log and not row.leaving]
-    home = _home(able)
-    if home is None:
-        return me.daemon_id in _chosen(_present(me, rows, reachable), me.region)
-    return me.region == home and me.daemon_id in _chosen(able, home)
+    eligible = [
+        row
+        for row in _reachable_endpoints(me, rows, reachable)
+        if row.reads_log and not row.leaving
+    ]
+    nearest = _nearest_region(eligible)
+    if nearest is None:
+        return me.daemon_id in _select_readers_in(
+            _reachable_endpoints(me, rows, reachable), me.region
+        )
+    return me.region == nearest and me.daemon_id in _select_readers_in(eligible, nearest)
 
 
 def push_targets(
     me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId], from_store: bool
 ) -> Iterator[DaemonId]:
     """Yield the daemons to push a change to that came from the store or from another region."""
-    present = [row for row in _present(me, rows, reachable) if row.daemon_id != me.daemon_id]
-    yield from (row.daemon_id for row in present if row.region == me.region)
+    endpoints = [
+        row for row in _reachable_endpoints(me, rows, reachable) if row.daemon_id != me.daemon_id
+    ]
+    yield from (row.daemon_id for row in endpoints if row.region == me.region)
     if from_store:
-        for region in {row.region for row in present} - {me.region}:
-            yield from _chosen(present, region)
+        for region in {row.region for row in endpoints} - {me.region}:
+            yield from _select_readers_in(endpoints, region)
 
 
-def _present(
+def _reachable_endpoints(
     me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId]
 ) -> list[Endpoint]:
     others = (row for row in rows if row.daemon_id in reachable and row.daemon_id != me.daemon_id)
     return [me, *others]
 
 
-def _home(rows: Iterable[Endpoint]) -> RegionName | None:
+def _nearest_region(rows: Iterable[Endpoint]) -> RegionName | None:
     """Return the region with the fastest answers of the store; None while no answer was timed."""
-    known = [(row.log_latency, row.region) for row in rows if row.log_latency > 0]
-    return min(known)[1] if known else None
+    timed = [(row.log_latency, row.region) for row in rows if row.log_latency > 0]
+    return min(timed)[1] if timed else None
 
 
-def _chosen(rows: Iterable[Endpoint], region: RegionName) -> tuple[DaemonId, ...]:
+def _select_readers_in(rows: Iterable[Endpoint], region: RegionName) -> tuple[DaemonId, ...]:
     ids = (row.daemon_id for row in rows if row.region == region)
     return select_readers(ids, READERS_PER_REGION)
--- a/packages/agatecross-core/agatecross_core/distribution/sync.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -116,7 +116,7 @@
     )
 
 
-def judge_pull(state: ConfigState, reply: PullReply, decoder: DocumentDecoder) -> PullResult:
+def check_pull_reply(state: ConfigState, reply: PullReply, decoder: DocumentDecoder) -> PullResult:
     """Check a reply against the state in force; a version is only taken whole and checked."""
     seen = _assemble_seen(state.seen, reply)
     if reply.version < state.version:
@@ -132,7 +132,7 @@
         return PullResult(PullVerdict.UNKNOWN_RULES)
     if seen is None:
         return PullResult(PullVerdict.OTHER_SEEN)
-    documents = _assemble(state.documents, reply)
+    documents = _assemble_documents(state.documents, reply)
     if digest_of(documents) != reply.digest:
         return PullResult(PullVerdict.BROKEN)
     snapshot, findings = compile_documents(documents, decoder, reply.version)
@@ -166,7 +166,7 @@
     return seen if digest_of_ids(seen) == reply.seen_digest else None
 
 
-def _assemble(documents: Iterable[Document], reply: PullReply) -> tuple[Document, ...]:
+def _assemble_documents(documents: Iterable[Document], reply: PullReply) -> tuple[Document, ...]:
     by_name = {document.name: document for document in documents}
     by_name.update({document.name: document for document in reply.changed})
     return tuple(by_name[name] for name in reply.names if name in by_name)
--- a/packages/agatecross-core/agatecross_core/distribution/readers.py
+++ b/packages/agatecross-core/agatecross_core/distribution/readers.py
@@ -17,16 +17,16 @@
         if member.state is MemberState.ALIVE:
             by_region.setdefault(member.region, set()).add(member.daemon_id)
     chosen = (select_readers(ids, READERS_PER_REGION) for ids in by_region.values())
-    return tuple(sorted((name for names in chosen for name in names), key=weight))
+    return tuple(sorted((name for names in chosen for name in names), key=reader_weight))
 
 
 def select_readers(daemon_ids: Iterable[DaemonId], count: int) -> tuple[DaemonId, ...]:
     """Return the `count` daemons with the lowest weights, lowest first."""
-    return tuple(sorted(daemon_ids, key=weight)[:count])
+    return tuple(sorted(daemon_ids, key=reader_weight)[:count])
 
 
 # A view change asks for the weight of every member, and the weight of an id never changes.
 @lru_cache(maxsize=2 * MAX_MEMBERS)
-def weight(daemon_id: DaemonId) -> bytes:
+def reader_weight(daemon_id: DaemonId) -> bytes:
     """Return the rendezvous weight of a daemon; the lowest weights read the log."""
     return hashlib.blake2b(daemon_id.encode(), digest_size=8).digest()
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -16,7 +16,7 @@
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.policies import new_admission
 from agatecross_core.distribution.baselines import FOLLOWERS
-from agatecross_core.distribution.sync import PullRequest, VersionNotice
+from agatecross_core.distribution.pulls import PullRequest, VersionNotice
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import OutcomeRequest
 from agatecross_core.ids import ClaimId, Incarnation
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
@@ -4,7 +4,7 @@
 
 from agatecross_adapters.hop_codec import encode_hop
 from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta, HopMessage, Pull
-from agatecross_core.distribution.feeding import push_targets
+from agatecross_core.distribution.propagation import push_targets
 from agatecross_core.ids import DaemonId, Millis, Version
 from agatecross_core.members.directory import Directory
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -29,7 +29,7 @@
 )
 from agatecross_core.distribution.log_fold import RecordsRead
 from agatecross_core.distribution.offers import PeerVersion
-from agatecross_core.distribution.sync import NoticeAck, PullReply, PullRequest, VersionNotice
+from agatecross_core.distribution.pulls import NoticeAck, PullReply, PullRequest, VersionNotice
 from agatecross_core.errors import LogError
 from agatecross_core.ids import Millis
 from agatecross_core.members.records import Member
@@ -106,7 +106,7 @@
         message = ask.question.message
         state = self.follower.state
         if isinstance(message, PullRequest):
-            ask.answer(self.follower.answer(message))
+            ask.answer(self.follower.answer_request(message))
         elif isinstance(message, VersionNotice):
             ask.answer(NoticeAck(state.version, state.digest))
             heard = PeerVersion(message.sender, message.version, message.digest)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -10,7 +10,7 @@
 from agatecross_adapters.hop_messages import ConfigDelta
 from agatecross_adapters.protocols import FleetStore
 from agatecross_core.distribution.delta import apply_delta, make_delta
-from agatecross_core.distribution.feeding import reads_store
+from agatecross_core.distribution.propagation import reads_store
 from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError, StoreError
 from agatecross_core.ids import DaemonId, Millis, Offset, Version
 from agatecross_core.members.directory import Directory, Endpoint
