--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from agatecross_core.calls.model import Response, not_run, ran, unknown
+from agatecross_core.calls.model import Response, not_run_result, ran_result, unknown_result
 from agatecross_core.constants import MAX_KEYS
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import (
@@ -30,9 +30,9 @@
 from agatecross_core.states import AppendState, HeldState, Reason
 
 RESULTS = {
-    "ran": ran(Response(200, (), b"done")),
-    "not-run": not_run(Reason.SHED),
-    "unknown": unknown(Reason.TIMEOUT),
+    "ran": ran_result(Response(200, (), b"done")),
+    "not-run": not_run_result(Reason.SHED),
+    "unknown": unknown_result(Reason.TIMEOUT),
 }
 MINUTE = 60_000
 
@@ -312,7 +312,7 @@
     for call in calls.split():
         name = call[0]
         if call.endswith("?"):
-            context.store.put(name, HeldState.RUNNING, 0.0)
+            context.store.set_state(name, HeldState.RUNNING, 0.0)
         else:
             result = RESULTS["not-run" if call.endswith("!") else "ran"]
             context.store.finish(name, result, 0.0)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -13,7 +13,7 @@
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import build_view
 from agatecross_core.quarantine.gate import TrialGate
-from agatecross_core.quarantine.model import InFlight, Suspect
+from agatecross_core.quarantine.model import InFlightCall, Suspect
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.states import MemberState, UpstreamState
 from agatecross_daemon.mailbox import Mailbox, monotonic, new_ask
@@ -45,14 +45,14 @@
         if name == "wait":
             context.now += int(value) * MINUTE
         elif name == "clear":
-            context.strikes.clear([Clearance(value)], context.now)
+            context.strikes.apply_clearances([Clearance(value)], context.now)
         elif name == "lift":
             fingerprint, *deaths = value.split("/")
             clearance = Clearance(fingerprint, tuple((row, 0) for row in deaths))
-            context.strikes.clear([clearance], context.now)
+            context.strikes.apply_clearances([clearance], context.now)
         else:
             strike = Strike(name, value.rstrip("+"), value.count("+"))
-            context.strikes.strike([strike], context.now)
+            context.strikes.add_strikes([strike], context.now)
 
 
 @then('fingerprint "{fingerprint}" is {state}')
@@ -66,7 +66,7 @@
 @given('an upstream next to daemon "{me}" where "{row}" runs and "{name}" has {count:d} strikes')
 def start_gate(context, me, row, name, count):
     context.gate = TrialGate(me)
-    context.gate.started("c1", InFlight(row, "/"))
+    context.gate.started("c1", InFlightCall(row, "/"))
     context.struck = (name, count)
 
 
@@ -74,8 +74,8 @@
 def check_gate(context, row, decision, trial):
     name, count = context.struck
     context.gate.suspects_changed({name: Suspect(count >= 2, trial)} if count else {})
-    refusal = context.gate.refusal(row)
-    found = f"refused {refusal.value}" if refusal else "admitted"
+    refusal_reason = context.gate.refusal_reason(row)
+    found = f"refused {refusal_reason.value}" if refusal_reason else "admitted"
     assert found == decision, found
 
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -19,7 +19,14 @@
     Progress,
     run_call,
 )
-from agatecross_core.calls.model import Call, Request, Response, not_run, ran, unknown
+from agatecross_core.calls.model import (
+    Call,
+    Request,
+    Response,
+    not_run_result,
+    ran_result,
+    unknown_result,
+)
 from agatecross_core.config.model import ServicePolicy
 from agatecross_core.errors import ConnectionLostError
 from agatecross_core.members.records import Member, UpstreamInfo
@@ -44,12 +51,12 @@
 START = 1_000.0
 DEADLINE = 1_000_000.0
 RESULTS = {
-    "ran": ran(Response(200, (), b"")),
-    "lost": unknown(Reason.CONNECTION_LOST),
-    "timeout": unknown(Reason.TIMEOUT),
-    "shed": not_run(Reason.SHED),
-    "refused": not_run(Reason.CONNECT_FAILED),
-    "expired": not_run(Reason.DEADLINE),
+    "ran": ran_result(Response(200, (), b"")),
+    "lost": unknown_result(Reason.CONNECTION_LOST),
+    "timeout": unknown_result(Reason.TIMEOUT),
+    "shed": not_run_result(Reason.SHED),
+    "refused": not_run_result(Reason.CONNECT_FAILED),
+    "expired": not_run_result(Reason.DEADLINE),
     "elapsed": Progress.ELAPSED,
 }
 
@@ -324,7 +331,7 @@
 
     def finish(self, result):
         for number in list(self.running):
-            self.end(number, unknown(Reason.CONNECTION_LOST), cancelled=True)
+            self.end(number, unknown_result(Reason.CONNECTION_LOST), cancelled=True)
         if result.outcome is Outcome.NOT_RUN:
             assert all(row.outcome is Outcome.NOT_RUN for row in self.results)
 
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -9,8 +9,8 @@
     Request,
     Response,
     find_header,
-    not_run,
-    unknown,
+    not_run_result,
+    unknown_result,
 )
 from agatecross_core.ids import CallId, Millis, ServiceName
 from agatecross_core.routing.model import ReportedLoad
@@ -98,8 +98,8 @@
         return CallResult(Outcome.RAN, response)
     reason = _reason(find_header(response.headers, REASON))
     if outcome == Outcome.NOT_RUN.value:
-        return not_run(reason)
-    return unknown(reason)
+        return not_run_result(reason)
+    return unknown_result(reason)
 
 
 def _reason(text: str | None) -> Reason:
--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -9,7 +9,7 @@
 from ..ids import DaemonId, Millis
 from ..routing.model import Candidate, ChoiceRequest, Purpose
 from ..states import Outcome, Reason
-from .model import Call, CallResult, not_run
+from .model import Call, CallResult, not_run_result
 
 Chooser = Callable[[ChoiceRequest], Candidate | None]
 
@@ -56,17 +56,17 @@
     Attempts that are outstanding when the flow ends are to be cancelled.
     """
     tried: list[DaemonId] = []
-    result = not_run(Reason.NO_UPSTREAM)
+    result = not_run_result(Reason.NO_UPSTREAM)
     budget.first_attempt()
     while len(tried) < policy.attempts:
         purpose = Purpose.RETRY if tried else Purpose.FIRST
-        target = chooser(_request(call, policy, tried, purpose))
+        target = chooser(_choice_request(call, policy, tried, purpose))
         if target is None or (tried and not budget.take()):
             break
         tried.append(target.member.daemon_id)
         latest = yield from _attempt(call, policy, target, chooser, budget, tried)
-        result = _combine(result, latest)
-        if not _may_repeat(call, latest):
+        result = _combine_results(result, latest)
+        if not _may_retry(call, latest):
             break
     return result
 
@@ -83,37 +83,37 @@
     event = yield Attempt(call, target, target.hedge_after if hedges else None)
     if isinstance(event, CallResult):
         return event
-    second = chooser(_request(call, policy, tried, Purpose.HEDGE))
+    second = chooser(_choice_request(call, policy, tried, Purpose.HEDGE))
     if second is None or not budget.take():
-        return (yield from _result())
+        return (yield from _next_result())
     tried.append(second.member.daemon_id)
     first_result = yield HedgedAttempt(call, second)
     assert isinstance(first_result, CallResult)
     if first_result.outcome is Outcome.RAN:
         return first_result
-    return _combine(first_result, (yield from _result()))
+    return _combine_results(first_result, (yield from _next_result()))
 
 
-def _result() -> CallFlow:
+def _next_result() -> CallFlow:
     event = yield AwaitResult()
     assert isinstance(event, CallResult)
     return event
 
 
-def _request(
+def _choice_request(
     call: Call, policy: ServicePolicy, tried: list[DaemonId], purpose: Purpose
 ) -> ChoiceRequest:
     quantile = policy.hedge_quantile if call.idempotent else 0.0
     return ChoiceRequest(call.service, tuple(tried), purpose, call.deadline, quantile)
 
 
-def _may_repeat(call: Call, result: CallResult) -> bool:
+def _may_retry(call: Call, result: CallResult) -> bool:
     if result.outcome is Outcome.RAN or result.reason is Reason.DEADLINE:
         return False
     return result.outcome is Outcome.NOT_RUN or call.idempotent
 
 
-def _combine(before: CallResult, latest: CallResult) -> CallResult:
+def _combine_results(before: CallResult, latest: CallResult) -> CallResult:
     # A later refusal does not undo that an earlier attempt may have run.
     if before.outcome is Outcome.UNKNOWN and latest.outcome is Outcome.NOT_RUN:
         return before
--- a/packages/agatecross-core/agatecross_core/calls/model.py
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -63,25 +63,25 @@
     reason: Reason | None = None
 
 
-def not_run(reason: Reason) -> CallResult:
+def not_run_result(reason: Reason) -> CallResult:
     """Return the result of a call that surely did not run."""
     return CallResult(Outcome.NOT_RUN, None, reason)
 
 
-def unknown(reason: Reason) -> CallResult:
+def unknown_result(reason: Reason) -> CallResult:
     """Return the result of a call that may have run."""
     return CallResult(Outcome.UNKNOWN, None, reason)
 
 
-def exchange_failed(error: ExchangeError) -> CallResult:
+def failed_exchange_result(error: ExchangeError) -> CallResult:
     """Return the result of a call whose exchange failed; only an unsent one surely did not run."""
     if isinstance(error, ConnectFailedError):
-        return not_run(Reason.CONNECT_FAILED)
+        return not_run_result(Reason.CONNECT_FAILED)
     if isinstance(error, ExchangeTimeoutError):
-        return unknown(Reason.TIMEOUT)
-    return unknown(Reason.CONNECTION_LOST)
+        return unknown_result(Reason.TIMEOUT)
+    return unknown_result(Reason.CONNECTION_LOST)
 
 
-def ran(response: Response) -> CallResult:
+def ran_result(response: Response) -> CallResult:
     """Return the result of a call that ran and whose response is whole."""
     return CallResult(Outcome.RAN, response, None)
--- a/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
@@ -3,13 +3,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from ..calls.model import CallResult, Response, ran, unknown
+from ..calls.model import CallResult, Response, ran_result, unknown_result
 from ..constants import KEY_RETENTION, MAX_KEYS, MAX_RETAINED_RESPONSE_BYTES
 from ..ids import ClaimId, Millis
 from ..states import HeldState, Outcome, Reason
 from .model import OutcomeReply
 
-STATE_OF = {
+HELD_STATE_BY_OUTCOME = {
     Outcome.RAN: HeldState.RAN,
     Outcome.UNKNOWN: HeldState.UNKNOWN,
     Outcome.NOT_RUN: HeldState.NOT_STARTED,
@@ -21,20 +21,20 @@
     """A claim of this daemon; the response is there while it is retained."""
 
     state: HeldState
-    at: Millis
+    changed_at: Millis
     response: Response | None = None
 
 
 class OutcomeStore:
     """Own claims with the oldest first, bounded in time, count and response bytes."""
 
-    def __init__(self, max_bytes: int = MAX_RETAINED_RESPONSE_BYTES) -> None:
+    def __init__(self, max_response_bytes: int = MAX_RETAINED_RESPONSE_BYTES) -> None:
         """Start empty; `max_bytes` bounds the retained responses."""
-        self.max_bytes = max_bytes
-        self.bytes = 0
+        self.max_response_bytes = max_response_bytes
+        self.response_bytes = 0
         self.claims: OrderedDict[ClaimId, OwnClaim] = OrderedDict()
 
-    def put(self, claim_id: ClaimId, state: HeldState, now: Millis) -> None:
+    def set_state(self, claim_id: ClaimId, state: HeldState, now: Millis) -> None:
         """Set the state of a claim without a response."""
         self._forget(claim_id)
         self.claims[claim_id] = OwnClaim(state, now)
@@ -43,14 +43,14 @@
 
     def finish(self, claim_id: ClaimId, result: CallResult, now: Millis) -> None:
         """Retain the result of a call that was started."""
-        self.put(claim_id, STATE_OF[result.outcome], now)
+        self.set_state(claim_id, HELD_STATE_BY_OUTCOME[result.outcome], now)
         response = result.response
-        size = _size(response)
-        if result.outcome is not Outcome.RAN or response is None or size > self.max_bytes:
+        size = _response_size(response)
+        if result.outcome is not Outcome.RAN or response is None or size > self.max_response_bytes:
             return
         self.claims[claim_id] = OwnClaim(HeldState.RAN, now, response)
-        self.bytes += size
-        self._evict()
+        self.response_bytes += size
+        self._evict_responses()
 
     def reply(self, claim_id: ClaimId) -> OutcomeReply:
         """Return what is known; a claim that is not known here may have run."""
@@ -65,36 +65,36 @@
         """Drop the claims older than the retention time, except those that still run."""
         old = []
         for claim_id, row in self.claims.items():
-            if now - row.at <= KEY_RETENTION:
+            if now - row.changed_at <= KEY_RETENTION:
                 break
             if row.state is not HeldState.RUNNING:
                 old.append(claim_id)
         for claim_id in old:
             self._forget(claim_id)
 
-    def _evict(self) -> None:
+    def _evict_responses(self) -> None:
         for claim_id in list(self.claims):
-            if self.bytes <= self.max_bytes:
+            if self.response_bytes <= self.max_response_bytes:
                 return
             row = self.claims[claim_id]
-            self.bytes -= _size(row.response)
-            self.claims[claim_id] = OwnClaim(row.state, row.at)
+            self.response_bytes -= _response_size(row.response)
+            self.claims[claim_id] = OwnClaim(row.state, row.changed_at)
 
     def _forget(self, claim_id: ClaimId) -> None:
         row = self.claims.pop(claim_id, None)
-        self.bytes -= _size(row.response) if row else 0
+        self.response_bytes -= _response_size(row.response) if row else 0
 
 
-def result_of(reply: OutcomeReply) -> CallResult:
+def holder_result(reply: OutcomeReply) -> CallResult:
     """Return the result of a call that its holder ran or may have run."""
     if reply.state is HeldState.RAN and reply.status:
-        return ran(Response(reply.status, reply.headers, reply.body))
+        return ran_result(Response(reply.status, reply.headers, reply.body))
     if reply.state is HeldState.RAN:
         return CallResult(Outcome.RAN, None, Reason.RESPONSE_EVICTED)
-    return unknown(Reason.KEY_HOLDER_GONE)
+    return unknown_result(Reason.KEY_HOLDER_GONE)
 
 
-def _size(response: Response | None) -> int:
+def _response_size(response: Response | None) -> int:
     if response is None:
         return 0
     return len(response.body) + sum(len(name) + len(value) for name, value in response.headers)
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -11,7 +11,7 @@
 class Continuity(Enum):
     """How a page continues what was read before."""
 
-    WHOLE = "whole"
+    CONTINUOUS = "whole"
     EXPIRED = "expired"
     REPLACED = "replaced"
 
@@ -22,11 +22,11 @@
     def __init__(self) -> None:
         """Start before the first record."""
         self.next = Offset(0)
-        self.last_digest = ""
+        self.last_record_digest = ""
 
     def start(self) -> Offset:
         """Return the offset from which to read."""
-        return Offset(self.next - 1) if self.last_digest else self.next
+        return Offset(self.next - 1) if self.last_record_digest else self.next
 
     def check(self, page: ClaimsRead) -> Continuity:
         """Compare a page, read from `start()`, with what was read before."""
@@ -34,27 +34,31 @@
             return Continuity.REPLACED
         if page.first > self.start():
             nothing_new = page.end == self.next
-            return Continuity.WHOLE if nothing_new or _old(page) else Continuity.EXPIRED
-        if not self.last_digest:
-            return Continuity.WHOLE
-        same = page.records and page.records[0].digest == self.last_digest
-        return Continuity.WHOLE if same else Continuity.REPLACED
+            return (
+                Continuity.CONTINUOUS
+                if nothing_new or _missing_records_expired(page)
+                else Continuity.EXPIRED
+            )
+        if not self.last_record_digest:
+            return Continuity.CONTINUOUS
+        same = page.records and page.records[0].digest == self.last_record_digest
+        return Continuity.CONTINUOUS if same else Continuity.REPLACED
 
     def restart(self, page: ClaimsRead) -> None:
         """Continue at the oldest record that is left."""
         self.next = page.first
-        self.last_digest = ""
+        self.last_record_digest = ""
 
     def advance(self, page: ClaimsRead) -> Iterator[OffsetBatch]:
         """Yield the records that were not read before."""
         for row in page.records:
             if row.offset >= self.next:
                 self.next = Offset(row.offset + 1)
-                self.last_digest = row.digest
+                self.last_record_digest = row.digest
                 yield row
 
 
-def _old(page: ClaimsRead) -> bool:
+def _missing_records_expired(page: ClaimsRead) -> bool:
     # Everything before the first record that is left is older than that record.
     if not page.records or page.records[0].batch is None:
         return False
--- a/packages/agatecross-core/agatecross_core/quarantine/gate.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/gate.py
@@ -4,7 +4,7 @@
 
 from ..ids import CallId, DaemonId, Fingerprint
 from ..states import Reason
-from .model import InFlight, Suspect
+from .model import InFlightCall, Suspect
 
 
 class TrialGate:
@@ -14,13 +14,13 @@
         """Start without suspects."""
         self.me = me
         self.suspects: Mapping[Fingerprint, Suspect] = {}
-        self.running: dict[CallId, InFlight] = {}
+        self.running: dict[CallId, InFlightCall] = {}
 
     def suspects_changed(self, suspects: Mapping[Fingerprint, Suspect]) -> None:
         """Take the fingerprints with strikes."""
         self.suspects = suspects
 
-    def refusal(self, fingerprint: Fingerprint) -> Reason | None:
+    def refusal_reason(self, fingerprint: Fingerprint) -> Reason | None:
         """Return why a call must not start here now, or None."""
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
@@ -30,7 +30,7 @@
         busy = any(row.fingerprint == fingerprint for row in self.running.values())
         return Reason.SUSPECTED if busy or suspect.trial != self.me else None
 
-    def started(self, call_id: CallId, call: InFlight) -> None:
+    def started(self, call_id: CallId, call: InFlightCall) -> None:
         """Count a call that starts."""
         self.running[call_id] = call
 
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InFlight:
+class InFlightCall:
     """A call that was running at an upstream."""
 
     fingerprint: Fingerprint
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -13,10 +13,10 @@
 
 
 @dataclass(slots=True)
-class Record:
+class StrikeRecord:
     """Deaths with this fingerprint in flight, and when the latest one was counted."""
 
-    at: Millis
+    struck_at: Millis
     deaths: set[Death] = field(default_factory=set)
     path: str = ""
 
@@ -27,10 +27,10 @@
     def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
         """Start without strikes."""
         self.limit = limit
-        self.records: OrderedDict[Fingerprint, Record] = OrderedDict()
+        self.records: OrderedDict[Fingerprint, StrikeRecord] = OrderedDict()
         self.cleared: OrderedDict[tuple[Fingerprint, Death], Millis] = OrderedDict()
 
-    def strike(self, strikes: Iterable[Strike], now: Millis) -> bool:
+    def add_strikes(self, strikes: Iterable[Strike], now: Millis) -> bool:
         """Count strikes; return whether any of them is new."""
         self._expire(now)
         self._expire_cleared(now)
@@ -39,19 +39,19 @@
             death = (strike.daemon_id, strike.incarnation)
             if (strike.fingerprint, death) in self.cleared:
                 continue
-            record = self.records.setdefault(strike.fingerprint, Record(now))
+            record = self.records.setdefault(strike.fingerprint, StrikeRecord(now))
             # A quarantine ends 10 minutes after it began, whatever is reported late.
             if death in record.deaths or len(record.deaths) >= QUARANTINE_DEATHS:
                 continue
             record.deaths.add(death)
-            record.at = now
+            record.struck_at = now
             self.records.move_to_end(strike.fingerprint)
             changed = True
         while len(self.records) > self.limit:
             self.records.popitem(last=False)
         return changed
 
-    def clear(self, clearances: Iterable[Clearance], now: Millis) -> bool:
+    def apply_clearances(self, clearances: Iterable[Clearance], now: Millis) -> bool:
         """Forget the strikes of requests that completed; return whether there were any.
 
         Their deaths are remembered, because a copy of a strike may arrive after its clearance.
@@ -92,7 +92,7 @@
         record = self.records.get(fingerprint)
         return record is not None and len(record.deaths) >= QUARANTINE_DEATHS
 
-    def seen(self, fingerprint: Fingerprint, path: str) -> None:
+    def record_path(self, fingerprint: Fingerprint, path: str) -> None:
         """Note the path of a fingerprint for operators."""
         record = self.records.get(fingerprint)
         if record is not None:
@@ -102,14 +102,14 @@
         """Yield the table with the oldest first."""
         self._expire(now)
         for fingerprint, record in self.records.items():
-            left = Millis(record.at + QUARANTINE_TIME - now)
+            left = Millis(record.struck_at + QUARANTINE_TIME - now)
             count = len(record.deaths)
             yield QuarantineRow(fingerprint, record.path, count, count >= QUARANTINE_DEATHS, left)
 
     def _expire(self, now: Millis) -> None:
         while self.records:
             fingerprint, record = next(iter(self.records.items()))
-            if now - record.at < QUARANTINE_TIME:
+            if now - record.struck_at < QUARANTINE_TIME:
                 return
             del self.records[fingerprint]
 
--- a/packages/agatecross-core/agatecross_core/quarantine/trial.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/trial.py
@@ -8,7 +8,7 @@
 from ..states import MemberState, UpstreamState
 
 
-def trial_member(
+def select_trial_daemon(
     fingerprint: Fingerprint, members: Iterable[Member], struck: Set[DaemonId]
 ) -> DaemonId | None:
     """Return the one member that tries the request, the same on every daemon with this view.
@@ -25,8 +25,8 @@
         and m.upstream.state is UpstreamState.READY
     ]
     unstruck = [daemon_id for daemon_id in ready if daemon_id not in struck]
-    choice = unstruck or ready
-    return max(choice, key=lambda daemon_id: _weight(fingerprint, daemon_id), default=None)
+    candidates = unstruck or ready
+    return max(candidates, key=lambda daemon_id: _weight(fingerprint, daemon_id), default=None)
 
 
 def _weight(fingerprint: Fingerprint, daemon_id: DaemonId) -> bytes:
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -8,7 +8,7 @@
 from agatecross_core.ids import Address, Fingerprint, Millis
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import FleetView
-from agatecross_core.quarantine.model import InFlight, Suspect
+from agatecross_core.quarantine.model import InFlightCall, Suspect
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +79,7 @@
 class UpstreamDied:
     """Ask by the upstream task: these calls were running; answered when peers know the strikes."""
 
-    calls: tuple[InFlight, ...]
+    calls: tuple[InFlightCall, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -12,7 +12,7 @@
     HedgedAttempt,
     Progress,
 )
-from agatecross_core.calls.model import Call, CallResult, exchange_failed, unknown
+from agatecross_core.calls.model import Call, CallResult, failed_exchange_result, unknown_result
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, DaemonId, Millis
 from agatecross_core.routing.model import ReportedLoad
@@ -60,7 +60,7 @@
         target = attempt.target.member
         started = monotonic()
         self.balancer.started(target.daemon_id, started)
-        result, load = unknown(Reason.CONNECTION_LOST), None
+        result, load = unknown_result(Reason.CONNECTION_LOST), None
         cancelled = True
         try:
             if target.daemon_id == self.daemon_id:
@@ -104,7 +104,7 @@
         try:
             response = await self.client.send(peer, encode_call(call, now), left)
         except ExchangeError as error:
-            return exchange_failed(error), None
+            return failed_exchange_result(error), None
         return decode_result(response), decode_load(response)
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -12,7 +12,14 @@
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.admission.retry import RetryBudget
 from agatecross_core.calls.flow import run_call
-from agatecross_core.calls.model import Call, CallResult, Request, Response, not_run, unknown
+from agatecross_core.calls.model import (
+    Call,
+    CallResult,
+    Request,
+    Response,
+    not_run_result,
+    unknown_result,
+)
 from agatecross_core.config.model import MeshSnapshot, ServicePolicy
 from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_KEY_LENGTH
 from agatecross_core.idempotency.model import CallFinished, Grant, Submit
@@ -100,7 +107,7 @@
 
     async def _caller_request(self, request: Request) -> Response:
         if self.in_flight >= MAX_CALLS_IN_FLIGHT:
-            return encode_result(not_run(Reason.TOO_MANY_CALLS))
+            return encode_result(not_run_result(Reason.TOO_MANY_CALLS))
         self.in_flight += 1
         try:
             return encode_result(await self._carry(request))
@@ -110,21 +117,21 @@
     async def _carry(self, request: Request) -> CallResult:
         site = self.snapshot.sites.get(self.data_centre) if self.snapshot else None
         if site is None:
-            return not_run(Reason.NO_CONFIGURATION)
+            return not_run_result(Reason.NO_CONFIGURATION)
         if self.view.stale:
-            return not_run(Reason.STALE_VIEW)
+            return not_run_result(Reason.STALE_VIEW)
         route = find_route(site, request.header("Host") or "", request.path)
         if route is None:
-            return not_run(Reason.NO_ROUTE)
+            return not_run_result(Reason.NO_ROUTE)
         policy = site.services[route.service]
         call = _new_call(request, policy, monotonic())
         fingerprint = fingerprint_of(call.service, call.request)
         if self.quarantine.quarantined(fingerprint):
-            return not_run(Reason.QUARANTINED)
+            return not_run_result(Reason.QUARANTINED)
         if call.key is None or call.idempotent:
             return await self._drive(call, policy, fingerprint)
         if len(call.key) > MAX_KEY_LENGTH:
-            return not_run(Reason.BAD_REQUEST)
+            return not_run_result(Reason.BAD_REQUEST)
         # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
         task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key, fingerprint))
         self.keyed.add(task)
@@ -140,7 +147,7 @@
         granted = await ask.reply
         if not isinstance(granted, Grant):
             return granted
-        result = unknown(Reason.CONNECTION_LOST)
+        result = unknown_result(Reason.CONNECTION_LOST)
         try:
             result = await self._drive(call, policy, fingerprint)
             return result
@@ -156,7 +163,7 @@
         if result.outcome is Outcome.RAN:
             self.quarantine.completed(fingerprint)
         elif result.outcome is Outcome.NOT_RUN and self.quarantine.quarantined(fingerprint):
-            result = not_run(Reason.QUARANTINED)
+            result = not_run_result(Reason.QUARANTINED)
         self._log_failure(call, result)
         return result
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -82,7 +82,7 @@
             self.subtasks.cancel()
 
     async def _next(self) -> ClaimsMessage:
-        seconds = ACTIVE_SECONDS if self.decider.active() else IDLE_SECONDS
+        seconds = ACTIVE_SECONDS if self.decider.has_pending_work() else IDLE_SECONDS
         try:
             async with asyncio.timeout(seconds):
                 return await self.mailbox.get()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -107,7 +107,7 @@
             case FleetChanged(by_service, daemons):
                 self.fleet, self.daemons = by_service, daemons
             case StrikesLearnt(strikes):
-                if self.strikes.strike(strikes, monotonic()):
+                if self.strikes.add_strikes(strikes, monotonic()):
                     self.log.change("strikes_learnt", fingerprints=len(strikes))
 
     def _received(self, exchange: Exchange) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -11,14 +11,14 @@
 from agatecross_core.members.records import Clearance, Member, Strike
 from agatecross_core.members.view import FleetView
 from agatecross_core.quarantine.model import (
-    InFlight,
+    InFlightCall,
     QuarantineRow,
     StrikeAck,
     StrikeNotice,
     Suspect,
 )
 from agatecross_core.quarantine.strikes import StrikeTable
-from agatecross_core.quarantine.trial import trial_member
+from agatecross_core.quarantine.trial import select_trial_daemon
 from agatecross_core.routing.model import Candidate, ChoiceRequest
 
 from ..events import log_warning
@@ -105,7 +105,7 @@
                 return None
             if not self.table.suspected(fingerprint, now):
                 return chooser(request)
-            self.table.seen(fingerprint, path)
+            self.table.record_path(fingerprint, path)
             trial = self._trial(fingerprint, request.service)
             if trial is None or trial in request.tried:
                 return None
@@ -120,7 +120,7 @@
         """Cancel what still runs."""
         self.subtasks.cancel()
 
-    async def _died(self, ask: DeathAsk, calls: tuple[InFlight, ...]) -> None:
+    async def _died(self, ask: DeathAsk, calls: tuple[InFlightCall, ...]) -> None:
         # The wall clock tells deaths before and after a restart of this daemon apart.
         self.last_death = max(self.last_death + 1, int(time.time() * 1000))
         death = Incarnation(self.last_death)
@@ -128,7 +128,7 @@
         strikes = tuple(Strike(row, self.me.daemon_id, death) for row in prints)
         self._merge(strikes, ())
         for fingerprint, path in prints.items():
-            self.table.seen(fingerprint, path)
+            self.table.record_path(fingerprint, path)
         self.members.put(SpreadStrikes(strikes, ()))
         await self._notify(StrikeNotice(self.me, strikes))
         ask.answer(None)
@@ -151,8 +151,8 @@
 
     def _merge(self, strikes: Iterable[Strike], clearances: Iterable[Clearance]) -> bool:
         now = monotonic()
-        changed = self.table.clear(clearances, now)
-        if self.table.strike(strikes, now):
+        changed = self.table.apply_clearances(clearances, now)
+        if self.table.add_strikes(strikes, now):
             changed = True
             for row in self.table.rows(now):
                 if row.quarantined:
@@ -173,7 +173,7 @@
 
     def _trial(self, fingerprint: Fingerprint, service: ServiceName) -> DaemonId | None:
         struck = self.table.struck_daemons(fingerprint)
-        return trial_member(fingerprint, self._serving(service), struck)
+        return select_trial_daemon(fingerprint, self._serving(service), struck)
 
     def _serving(self, service: ServiceName) -> tuple[Member, ...]:
         return self.view.by_service.get(service, ())
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -35,10 +35,10 @@
     CallResult,
     Request,
     Response,
-    exchange_failed,
-    not_run,
-    ran,
-    unknown,
+    failed_exchange_result,
+    not_run_result,
+    ran_result,
+    unknown_result,
 )
 from agatecross_core.config.model import MeshSnapshot
 from agatecross_core.constants import CONNECT_TIMEOUT, UPSTREAM_LEASE
@@ -46,7 +46,7 @@
 from agatecross_core.ids import Address, CallId, DataCentreName, Millis
 from agatecross_core.members.records import UpstreamInfo
 from agatecross_core.quarantine.gate import TrialGate
-from agatecross_core.quarantine.model import InFlight, fingerprint_of
+from agatecross_core.quarantine.model import InFlightCall, fingerprint_of
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event, log_warning
@@ -122,7 +122,7 @@
         self.deaths = deaths
         self.deaths_of: dict[CallId, DeathAsk] = {}
         # Calls that lost their connection, until it is certain whether the upstream died.
-        self.probing: dict[CallId, InFlight] = {}
+        self.probing: dict[CallId, InFlightCall] = {}
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
         self.snapshot: MeshSnapshot | None = None
@@ -153,7 +153,7 @@
     async def _peer_request(self, request: Request) -> Response:
         call = decode_call(request, monotonic())
         if call is None:
-            return encode_result(not_run(Reason.BAD_REQUEST))
+            return encode_result(not_run_result(Reason.BAD_REQUEST))
         ask: CallAsk = new_ask(call)
         self.mailbox.put(ask)
         result = await ask.reply
@@ -197,12 +197,12 @@
         if ask.reply.cancelled():
             return
         if self.leaving:
-            ask.answer(not_run(Reason.LEAVING))
+            ask.answer(not_run_result(Reason.LEAVING))
         elif self.info is None or self.info.service != call.service:
-            ask.answer(not_run(Reason.NO_UPSTREAM))
+            ask.answer(not_run_result(Reason.NO_UPSTREAM))
         elif any(call.call_id in rows for rows in (self.asks, self.exchanges, self.probing)):
             # An earlier attempt of the same call is still here; its answer must stay its own.
-            ask.answer(not_run(Reason.TOO_MANY_CALLS))
+            ask.answer(not_run_result(Reason.TOO_MANY_CALLS))
         else:
             self.asks[call.call_id] = ask
             ask.reply.add_done_callback(lambda reply: self._reply_done(call.call_id, reply))
@@ -245,7 +245,7 @@
                 case StartCall(call):
                     self._start(call)
                 case RefuseCall(call_id, reason):
-                    self._answer(call_id, not_run(reason))
+                    self._answer(call_id, not_run_result(reason))
                 case StopCall(call_id):
                     # A call that the gate refused has no exchange.
                     if call_id in self.exchanges:
@@ -253,12 +253,12 @@
 
     def _start(self, call: Call) -> None:
         fingerprint = fingerprint_of(call.service, call.request)
-        refusal = self.gate.refusal(fingerprint)
-        if refusal is not None:
-            self.mailbox.put(CallEnded(call.call_id, not_run(refusal)))
+        refusal_reason = self.gate.refusal_reason(fingerprint)
+        if refusal_reason is not None:
+            self.mailbox.put(CallEnded(call.call_id, not_run_result(refusal_reason)))
             return
         assert self.info is not None
-        flight = InFlight(fingerprint, call.request.path)
+        flight = InFlightCall(fingerprint, call.request.path)
         self.gate.started(call.call_id, flight)
         exchange = self.subtasks.start(self._run(call, flight, self.info.address))
         self.exchanges[call.call_id] = exchange
@@ -266,7 +266,7 @@
         exchange.add_done_callback(lambda ended: self._exchange_done(call.call_id, ended))
 
     def _exchange_done(self, call_id: CallId, exchange: asyncio.Task[CallResult]) -> None:
-        result = unknown(Reason.CONNECTION_LOST)
+        result = unknown_result(Reason.CONNECTION_LOST)
         if not exchange.cancelled() and (error := exchange.exception()) is None:
             result = exchange.result()
         elif not exchange.cancelled():
@@ -278,7 +278,7 @@
         if ask is not None:
             ask.answer(result)
 
-    async def _run(self, call: Call, flight: InFlight, address: Address) -> CallResult:
+    async def _run(self, call: Call, flight: InFlightCall, address: Address) -> CallResult:
         left = Millis(max(1.0, call.deadline - monotonic()))
         headers = (
             *call.request.headers,
@@ -322,10 +322,10 @@
         try:
             response = await self.client.send(address, request, left)
         except ExchangeError as error:
-            return exchange_failed(error)
+            return failed_exchange_result(error)
         if response.header(SHED_HEADER) == "not-run":
-            return not_run(Reason.SHED)
-        return ran(response)
+            return not_run_result(Reason.SHED)
+        return ran_result(response)
 
     async def _ticks(self) -> None:
         while True:
