--- a/packages/agatecross-core/agatecross_core/members/__init__.py
+++ b/packages/agatecross-core/agatecross_core/members/__init__.py
@@ -1,1 +1,1 @@
-"""Membership of the fleet: SWIM probes, suspicion, leaving and gossip."""
+"""SWIM membership of the daemons, and the state of the upstreams next to them."""
--- a/packages/agatecross-core/agatecross_core/members/bootstrap.py
+++ b/packages/agatecross-core/agatecross_core/members/bootstrap.py
@@ -1,4 +1,4 @@
-"""Decides when to read and write announcements on the log, and whom to contact first."""
+"""Decides when to read and write announcements on the log, and which daemons to contact first."""
 
 import math
 import random
@@ -12,7 +12,7 @@
 
 RETRY_BASE = Millis(1_000)
 RETRY_LIMIT = Millis(30_000)
-# 1,300 daemons then read the stream about four times per second in all.
+# With this period, 1,300 daemons together read the stream about four times per second.
 ANNOUNCEMENT_CHECK_PERIOD = Millis(600_000)
 CONTACTS_PER_READ = 3
 MIN_ANNOUNCE_WINDOW = Millis(1_000)
@@ -23,7 +23,7 @@
 
 
 class BootstrapState(Enum):
-    """What this daemon waits for."""
+    """What this daemon is waiting for."""
 
     JOINING = "joining"
     ANNOUNCING = "announcing"
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnouncementsRead:
-    """Records with their offsets up to `end`; `first` is the oldest retained offset."""
+    """Records of the members stream before offset `end`; `first` is the oldest retained offset."""
 
     records: tuple[tuple[Offset, AnnounceRecord], ...]
     first: Offset
@@ -62,10 +62,10 @@
 
 
 class Bootstrap:
-    """Finds a first peer and keeps a few live daemons announced on the log."""
+    """Finds the first peers and keeps enough live daemons announced on the log."""
 
     def __init__(self, me: Member, rng: random.Random) -> None:
-        """Start without any announcement."""
+        """Start without known announcements."""
         self.me = me
         self.rng = rng
         self.state = BootstrapState.JOINING
@@ -87,22 +87,22 @@
         yield ReadAnnouncements(self.position)
 
     def read_failed(self, now: Millis) -> None:
-        """Try again after a delay with full jitter that grows with each failure."""
+        """Schedule another read after a full-jitter delay whose limit doubles with each failure."""
         self.reading = False
         self._schedule_retry(now)
 
     def announcements_read(
         self, page: AnnouncementsRead, live: Iterable[Member], now: Millis
     ) -> Iterator[BootstrapAction]:
-        """Contact announced daemons that are not known here, and announce this one if due."""
+        """Contact announced daemons that are unknown here, and announce this daemon if due."""
         self.reading = False
         self._record_page(page)
         alive = {member.daemon_id: member.control_address for member in live}
         unknown_members = [
             m for i, m in self.announced.items() if i not in alive and i != self.me.daemon_id
         ]
-        # An announced stranger is also how regions find each other after a partition that lasted
-        # longer than dead members are retained.
+        # Contacting announced daemons that are unknown here also reconnects regions after a
+        # partition that lasted longer than dead members are retained.
         candidates = [
             m for m in unknown_members if m.daemon_id not in self.unreachable
         ] or unknown_members
@@ -111,17 +111,17 @@
         yield from self._decide_announcement(alive, now)
 
     def contact_answered(self, address: Address, answered: bool) -> None:
-        """Note whether an announced daemon answered."""
+        """Record whether the daemon announced at this address answered."""
         ids = {i for i, m in self.announced.items() if m.control_address == address}
         self.unreachable = self.unreachable - ids if answered else self.unreachable | ids
 
     def announce_failed(self, now: Millis) -> None:
-        """Try again later; the append may have taken effect, which the next read shows."""
+        """Schedule another read, which shows whether the append took effect despite the failure."""
         self.state = BootstrapState.JOINING
         self._schedule_retry(now)
 
     def _record_page(self, page: AnnouncementsRead) -> None:
-        # A log that came back with lower offsets holds none of the earlier announcements.
+        # A log that is back with lower offsets has lost the earlier announcements.
         reset = page.end < self.position
         for offset, record in page.records:
             daemon_id = record.member.daemon_id
@@ -163,7 +163,8 @@
     def _enough_announced(self, alive: dict[DaemonId, Address]) -> bool:
         """Return whether this daemon or enough others are announced.
 
-        Strangers count until they fail to answer, so a mass start does not announce a second set.
+        Unknown daemons count until they fail to answer. Otherwise daemons that start together
+        would announce a second set.
         """
         own = self.announced.get(self.me.daemon_id)
         if own is not None and own.control_address == self.me.control_address:
@@ -180,10 +181,11 @@
         return usable >= BOOTSTRAP_ANNOUNCEMENTS
 
     def _announce_delay(self, now: Millis) -> Millis:
-        """Draw an exponentially distributed delay, early for only a few daemons of any fleet.
+        """Draw a random delay that is short for only a few daemons, whatever the size of the fleet.
 
         Of up to `MAX_MEMBERS` daemons that start together, the share whose delay has passed grows
-        from 1/MAX_MEMBERS to 1 over the window, so that few act before they see each other.
+        exponentially from 1/MAX_MEMBERS to 1 over the window, so that only a few announce
+        themselves before they read each other's announcements.
         """
         round_trips = ANNOUNCE_WINDOW_ROUND_TRIPS * (now - self.read_started_at)
         window = min(MAX_ANNOUNCE_WINDOW, max(MIN_ANNOUNCE_WINDOW, round_trips))
--- a/packages/agatecross-core/agatecross_core/members/buckets.py
+++ b/packages/agatecross-core/agatecross_core/members/buckets.py
@@ -1,4 +1,4 @@
-"""Hashes over parts of the member table, by which two daemons find where they differ."""
+"""Hashes over buckets of the member table, which show two daemons where their tables differ."""
 
 import zlib
 from collections.abc import Iterable, Sequence
@@ -8,7 +8,7 @@
 from ..states import MemberState
 from .records import Member
 
-# One changed member then costs the records of 41 of 1,300 members, about 7 KB.
+# One changed member of 1,300 then costs the transfer of one bucket: 41 records, about 7 KB.
 BUCKET_COUNT: Final = 32
 
 
@@ -20,7 +20,7 @@
 def hash_buckets(members: Iterable[Member]) -> tuple[int, ...]:
     """Return one hash for each bucket, over the members that are not dead.
 
-    Suspicion is left out because it is short-lived and is spread by gossip.
+    Suspicion is not hashed because it is short-lived and spreads by gossip.
     """
     hashes = [0] * BUCKET_COUNT
     for member in members:
@@ -34,7 +34,7 @@
 def members_in_differing_buckets(
     members: Iterable[Member], peer_hashes: Sequence[int]
 ) -> tuple[Member, ...]:
-    """Return the members in buckets whose hash differs; all when the hashes do not compare."""
+    """Return the members in buckets whose hashes differ, or all if the bucket counts differ."""
     rows = tuple(members)
     own_hashes = hash_buckets(rows)
     if len(peer_hashes) != len(own_hashes):
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -1,4 +1,4 @@
-"""The upstreams of the fleet, as the daemons next to them describe themselves."""
+"""Descriptions of all daemons and of the upstreams next to them."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
@@ -22,10 +22,11 @@
     """One daemon and the upstream next to it.
 
     `sequence` grows with each change within an incarnation. `instance` is None while the upstream
-    is not known; `born` is its start in Unix milliseconds; `cold` is how long it is still slow.
-    `reads_log` tells whether the daemon reached the platform's log lately; `log_latency` is the
-    shortest time an answer took it in whole milliseconds, 0 while none came. Durations travel in
-    whole milliseconds, and a daemon must know of itself what its peers know.
+    is unknown; `born` is its start time in Unix milliseconds; `cold` is its remaining warm-up time.
+    `reads_log` tells whether the daemon recently reached the platform's log; `log_latency` is its
+    shortest response time in whole milliseconds, or 0 while it has not answered. Durations are
+    encoded in whole milliseconds and must be whole here too, so that a daemon and its peers hold
+    the same description of it.
     """
 
     daemon_id: DaemonId
@@ -46,7 +47,7 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Return the order of descriptions of the same daemon."""
+        """Return the sort key of the descriptions of one daemon; the highest is the newest."""
         return (self.incarnation, self.sequence)
 
     @property
@@ -56,20 +57,20 @@
 
 
 class Directory:
-    """The newest description of each daemon; this daemon's own one is changed by `update`."""
+    """Holds the newest description of each daemon, and of the ready upstreams by service."""
 
     def __init__(self, me: Endpoint) -> None:
-        """Start with this daemon alone."""
+        """Start with the description of this daemon only."""
         self.me = me
         self.rows: dict[DaemonId, Endpoint] = {me.daemon_id: me}
         self.by_service: dict[ServiceName, tuple[Endpoint, ...]] = {}
         self._index()
 
     def merge(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
-        """Take newer descriptions and return those that were news.
+        """Store the descriptions that are newer than the known ones, and return them.
 
-        A description of this daemon from an incarnation that is not older (a restart with a clock
-        that was set back) makes it take a higher incarnation.
+        A description of this daemon with a higher incarnation, as after a restart with a clock that
+        was set back, makes it take an incarnation above that one.
         """
         newer = [row for row in endpoints if self._accepts(row)]
         for row in newer:
@@ -80,19 +81,19 @@
         return newer
 
     def update(self, **changes: object) -> Endpoint:
-        """Change this daemon's own description and return it."""
+        """Change fields of this daemon's own description and return the new one."""
         self.me = replace(self.me, sequence=self.me.sequence + 1, **changes)  # type: ignore[arg-type]
         self.rows[self.me.daemon_id] = self.me
         self._index()
         return self.me
 
     def remove(self, daemon_id: DaemonId) -> None:
-        """Remove a daemon that is gone."""
+        """Remove a daemon that has gone."""
         if self.rows.pop(daemon_id, None) is not None:
             self._index()
 
     def others(self) -> Iterator[Endpoint]:
-        """Yield the other daemons."""
+        """Return an iterator over the descriptions of the other daemons."""
         return (row for row in self.rows.values() if row.daemon_id != self.me.daemon_id)
 
     def _accepts(self, row: Endpoint) -> bool:
@@ -109,7 +110,7 @@
         )
 
     def _remove_replaced(self, row: Endpoint) -> None:
-        # A machine that took over an address replaces whoever had it before.
+        # A daemon that takes over an address replaces the daemon that used it before.
         gone = [
             known.daemon_id
             for known in self.others()
--- a/packages/agatecross-core/agatecross_core/members/dissemination.py
+++ b/packages/agatecross-core/agatecross_core/members/dissemination.py
@@ -1,4 +1,4 @@
-"""Queues of updates that travel on control messages a limited number of times."""
+"""Queues of updates that are sent with control messages a limited number of times each."""
 
 import heapq
 from collections.abc import Callable, Iterable
@@ -11,32 +11,33 @@
 
 K = TypeVar("K")
 
-# At two messages sent and two received each second this is 4.8 KB/s, half of the control budget.
+# With two messages sent and two received per second this is 4.8 KB/s, half the control budget.
 MAX_UPDATE_BYTES_PER_MESSAGE = 1_200
 MAX_REPORTS_PER_MESSAGE = 8
-# Longer than the 33 protocol periods in which 1,300 daemons stop sending an update, so a late
-# copy does not start another round.
+# Longer than the 33 protocol periods after which 1,300 daemons no longer send an update, so that a
+# late copy does not start another round.
 REPORT_RETENTION = Millis(120_000)
 
 
 class UpdateQueue(Generic[K]):
-    """Keys of updates with the number of times that each was sent."""
+    """Keys of updates, each with the number of times that it was sent."""
 
     def __init__(self) -> None:
         self.send_counts: dict[K, int] = {}
 
     def add(self, key: K) -> None:
-        """Send the update under this key from the start again."""
+        """Queue the update with this key and reset its send count."""
         self.send_counts[key] = 0
 
     def discard(self, key: K) -> None:
-        """Send the update no more."""
+        """Stop sending the update with this key."""
         self.send_counts.pop(key, None)
 
     def take(self, count: int, max_sends: int, size: Callable[[K], int] = lambda key: 0) -> list[K]:
-        """Return up to `count` keys, least often sent first, and drop those sent `limit` times.
+        """Return up to `count` keys, least often sent first, and drop those sent `max_sends` times.
 
-        Beyond the first key, the sizes in bytes add up to at most `MAX_UPDATE_BYTES`.
+        The first key is always returned; otherwise the sizes in bytes add up to at most
+        `MAX_UPDATE_BYTES_PER_MESSAGE`.
         """
         order = heapq.nsmallest(count, self.send_counts, key=self.send_counts.__getitem__)
         sizes = accumulate(size(key) for key in order)
@@ -50,7 +51,7 @@
 
 
 class ReportQueue:
-    """Strikes and clearances: each is passed on and reported once within `REPORT_MEMORY`."""
+    """Queues strikes and clearances; repeats within `REPORT_RETENTION` are ignored."""
 
     def __init__(self) -> None:
         self.queue: UpdateQueue[Strike | Clearance] = UpdateQueue()
@@ -59,10 +60,10 @@
     def add(
         self, strikes: Iterable[Strike], clearances: Iterable[Clearance], now: Millis
     ) -> tuple[tuple[Strike, ...], tuple[Clearance, ...]]:
-        """Enqueue the reports that are new and return them."""
+        """Queue the reports that are new and return them."""
         new_strikes = tuple(strike for strike in strikes if self._enqueue_if_new(strike, now))
         for strike in new_strikes:
-            # The call ran again since it was cleared, so its next clearance is news.
+            # The request ran again after it was cleared, so its next clearance is a new report.
             self._forget(Clearance(strike.fingerprint))
         new_clearances = tuple(c for c in clearances if self._enqueue_if_new(c, now))
         for clearance in new_clearances:
@@ -71,7 +72,7 @@
         return new_strikes, new_clearances
 
     def take(self, max_sends: int) -> tuple[tuple[Strike, ...], tuple[Clearance, ...]]:
-        """Return the reports to put on the next message, each at most `limit` times."""
+        """Return the reports for the next message; each is sent at most `max_sends` times."""
         reports = self.queue.take(MAX_REPORTS_PER_MESSAGE, max_sends)
         return (
             tuple(report for report in reports if isinstance(report, Strike)),
--- a/packages/agatecross-core/agatecross_core/members/heartbeat_filter.py
+++ b/packages/agatecross-core/agatecross_core/members/heartbeat_filter.py
@@ -1,4 +1,4 @@
-"""Which heartbeats of the upstream next to this daemon are believed."""
+"""Filter for the heartbeats of the upstream next to this daemon."""
 
 from dataclasses import dataclass
 
@@ -8,10 +8,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """What an upstream says of itself.
+    """The state that an upstream reports about itself.
 
-    `born` is its start in Unix milliseconds; `sequence` grows with each heartbeat of one start;
-    `cold` is how long it is still slow, in milliseconds.
+    `born` is the start time of the upstream in Unix milliseconds, and `sequence` grows with each
+    heartbeat after that start. `cold` is the remaining warm-up time in milliseconds, during which
+    the upstream is slow.
     """
 
     instance: InstanceId
@@ -25,15 +26,18 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Return the order of heartbeats at one address."""
+        """Return the sort key of the heartbeats that arrive from one address."""
         return (self.born, self.sequence)
 
 
 class HeartbeatFilter:
-    """Holds the newest heartbeat of the one upstream that this daemon stands next to."""
+    """Keeps the newest heartbeat of the upstream at one address and rejects outdated ones.
+
+    `leaving_starts` holds instances that drain or leave, each with its start time.
+    """
 
     def __init__(self, service: ServiceName, address: str) -> None:
-        """Expect the upstream of `service` at `address`."""
+        """Expect heartbeats from the upstream of `service` at `address`."""
         self.service = service
         self.address = address
         self.current: Heartbeat | None = None
@@ -41,7 +45,10 @@
         self.leaving_starts: set[tuple[InstanceId, int]] = set()
 
     def accept(self, beat: Heartbeat, now: Millis) -> bool:
-        """Return whether the heartbeat is believed: of this upstream, and newer than the last."""
+        """Store the heartbeat and return True if it is from this upstream and newer than the last.
+
+        Ready heartbeats of a start that is leaving are rejected.
+        """
         if beat.service != self.service or beat.address != self.address:
             return False
         if self.current is not None and beat.order <= self.current.order:
@@ -55,10 +62,11 @@
         return True
 
     def leave(self, instance: InstanceId, born: int | None) -> tuple[InstanceId, int] | None:
-        """Note that an instance leaves; return its start if it is what stands at the address now.
+        """Record that an instance leaves; return its start if it is the newest at the address.
 
-        Without a start time, the leave belongs to the current start of that instance. An upstream
-        may leave before its first heartbeat came; its start tells that it is the newer one.
+        Without a start time, the leave applies to the current start of that instance. An upstream
+        may leave before its first heartbeat arrives; its start time then shows that it is newer
+        than the current one.
         """
         current = self.current
         if born is None:
--- a/packages/agatecross-core/agatecross_core/members/leave_replies.py
+++ b/packages/agatecross-core/agatecross_core/members/leave_replies.py
@@ -1,4 +1,4 @@
-"""When a leave is confirmed to the upstream that sent it."""
+"""Decides when to confirm a leave to the upstream that sent it."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -6,39 +6,41 @@
 from ..ids import InstanceId, Millis
 
 UpstreamStart = tuple[InstanceId, int]
-"""An instance and the Unix milliseconds of its start."""
+"""An instance and its start time in Unix milliseconds."""
+
 LeaveReply = Callable[[bool], None]
-"""Takes whether the leave is confirmed."""
+"""Callback that receives whether the leave is confirmed."""
 
-# An answer that takes a second is no confirmation; a tick of the daemon and the way back fit too.
+# An answer after a second or more is no confirmation; the rest of that second is for a tick of the
+# daemon and for the way back.
 DRAIN_STORE_TIMEOUT = Millis(750)
 
 
 @dataclass(slots=True)
 class LeaveReplies:
-    """Confirms a leave once its drain is kept where it outlives the daemon.
+    """Confirms a leave once its drain is stored outside the daemon.
 
-    A confirmation binds after a restart of the whole fleet too. A leave that is not kept in time is
-    obeyed, but not confirmed; the upstream may send it again.
+    A confirmed leave also applies after a restart of the whole fleet. A leave whose drain is not
+    stored in time still takes effect, but is not confirmed; the upstream may send it again.
     """
 
     stored: set[UpstreamStart] = field(default_factory=set)
     waiting: list[tuple[UpstreamStart, Millis, LeaveReply]] = field(default_factory=list)
 
     def wait(self, start: UpstreamStart, reply: LeaveReply, now: Millis) -> None:
-        """Reply once the drain is kept, or after the patience."""
+        """Reply once the drain is stored, or after `DRAIN_STORE_TIMEOUT`."""
         if start in self.stored:
             reply(True)
         else:
             self.waiting.append((start, Millis(now + DRAIN_STORE_TIMEOUT), reply))
 
     def drain_stored(self, start: UpstreamStart) -> None:
-        """Confirm every leave of this start."""
+        """Confirm all waiting leaves of this start, and later ones at once."""
         self.stored.add(start)
         self._answer(lambda row: row[0] == start, True)
 
     def expire(self, now: Millis) -> None:
-        """Refuse to confirm what was not kept in time."""
+        """Answer the leaves whose drain was not stored in time without a confirmation."""
         self._answer(lambda row: row[1] <= now, False)
 
     def _answer(
--- a/packages/agatecross-core/agatecross_core/members/records.py
+++ b/packages/agatecross-core/agatecross_core/members/records.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamInfo:
-    """What an upstream announced to the daemon next to it; slots and connections are counts."""
+    """State announced by an upstream to the daemon next to it; `slots` and `connections` are counts."""
 
     service: ServiceName
     address: Address
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One daemon and the upstream next to it, if one has announced itself."""
+    """One daemon, and the upstream next to it once that has announced itself."""
 
     daemon_id: DaemonId
     incarnation: Incarnation
@@ -56,8 +56,8 @@
 class Clearance:
     """A call of this fingerprint completed, or its quarantine was lifted.
 
-    `deaths` are the strikes that no longer count, each as daemon and incarnation; strikes and
-    clearances overtake each other on the way. Without them every strike known so far is meant.
+    `deaths` names the strikes that no longer count, each by daemon and incarnation, because strikes
+    and clearances may arrive in any order. If it is empty, all strikes known so far are cleared.
     """
 
     fingerprint: Fingerprint
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Names the sender of a message to receivers that hold its record."""
+    """Identifies the sender of a message to receivers that already hold its record."""
 
     daemon_id: DaemonId
     incarnation: Incarnation
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """Updates that travel on every control message, with the sender's version in force."""
+    """Updates sent with every control message, and the version in force at the sender."""
 
     version: Version
     digest: Digest
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Direct probe; `target` detects that another daemon has taken over the address."""
+    """Direct probe; `target` shows a daemon that took over the address that it is not meant."""
 
     sender: Identity
     target: DaemonId
@@ -96,8 +96,8 @@
 class ProbeAck:
     """Answer to a probe.
 
-    `alive` is False when the probed daemon is not the target or an indirect probe failed.
-    `unknown` asks the sender to introduce itself with its full record.
+    `alive` is False if the receiver is not the target or its indirect probe of the target failed.
+    `unknown` asks the sender of the probe to send its full record.
     """
 
     gossip: Gossip
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
-    """Asks for the members in the buckets whose hashes differ, or for all without hashes."""
+    """Asks for the members in buckets whose hashes differ, or for all if there are no hashes."""
 
     sender: Member
     hashes: tuple[int, ...] = ()
@@ -125,7 +125,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """Members that the receiver holds, itself included; a sample when not `complete`."""
+    """Members known to the daemon that answers, itself included; a sample if not `complete`."""
 
     members: tuple[Member, ...]
     gossip: Gossip
@@ -134,19 +134,19 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnounceRecord:
-    """Record on the members stream for bootstrap; `at_ms` is wall-clock milliseconds."""
+    """Announcement of a daemon on the members stream; `at_ms` is wall-clock milliseconds."""
 
     member: Member
     at_ms: int
 
 
 def identity_of(member: Member) -> Identity:
-    """Return the short form of a member record."""
+    """Return the identity of a member."""
     return Identity(member.daemon_id, member.incarnation)
 
 
 def estimate_record_bytes(member: Member) -> int:
-    """Return an upper estimate of the encoded size in bytes for ASCII names."""
+    """Return an upper bound of the encoded size in bytes, valid for ASCII names."""
     texts = [
         member.daemon_id,
         member.region,
@@ -158,5 +158,5 @@
     ]
     if member.upstream is not None:
         texts += [member.upstream.service, member.upstream.address]
-    # 42 bytes hold the counts, the states and one length byte for each text.
+    # 42 bytes are enough for the counts, the states and a length byte for each text.
     return sum(len(text) for text in texts) + 42
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -30,14 +30,16 @@
     MemberState.LEAVING: 2,
     MemberState.DEAD: 3,
 }
-# A full table takes longer than a probe: at 1,300 members it has about 200 KB.
+# A full table takes longer to transfer than a probe: with 1,300 members it has about 200 KB.
 SYNC_TIMEOUT = Millis(5 * PROBE_TIMEOUT)
-# A full table of 200 KB each second would exceed the budget of 9 KB/s, so only bursts are served.
+# Sending a full table of 200 KB every second would exceed the budget of 9 KB/s, so that full
+# replies are limited to short bursts.
 FULL_REPLY_BURST = 8
 FULL_REPLY_REFILL_PERIOD = Millis(2_000)
 MAX_UNLIMITED_REPLY_ROWS = 48
-# Two daemons that joined at the same time may miss each other's updates, which are sent a limited
-# number of times, so tables are compared: soon after a change of the fleet, then ever more rarely.
+# Each update is sent a limited number of times, so that two daemons that join at the same time may
+# miss each other. Therefore daemons compare their tables, soon after the fleet changed and then
+# at growing intervals.
 MIN_SYNC_PERIOD = Millis(1_000)
 MAX_SYNC_PERIOD = Millis(32_000)
 
@@ -51,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeIndirectly:
-    """Action: ask `helpers` to probe the member."""
+    """Action: ask the helpers to probe the member."""
 
     target: Member
     helpers: tuple[Member, ...]
@@ -66,12 +68,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersChanged:
-    """Action: the table changed; subscribers get a new view."""
+    """Action: send subscribers a view of the changed table."""
 
 
 @dataclass(frozen=True, slots=True)
 class TableFull:
-    """Action: report that a new member was ignored; given once until there is room again."""
+    """Action: report that a new member was ignored; yielded once until there is room again."""
 
     ignored: DaemonId
 
@@ -80,7 +82,7 @@
 
 
 class Swim:
-    """Decides whom to probe and what to believe about each member."""
+    """Decides which members to probe and merges the reported states of each member."""
 
     def __init__(self, me: Member, rng: random.Random) -> None:
         """Start with a table that holds only this daemon."""
@@ -105,15 +107,15 @@
         self.table_full_reported = False
 
     def detect_pause(self, now: Millis) -> Iterator[SwimAction]:
-        """Detect a late or paused process; call before any message is handled."""
+        """Detect a late or paused process; call before each message is handled."""
         gap = 0.0 if self.last_active_at is None else now - self.last_active_at
         self.last_active_at = now
         if gap > PROBE_TIMEOUT:
-            # Answers may have waited unread, so the probes in flight say nothing of their targets.
+            # Answers may have arrived unread, so that probes in flight say nothing about their targets.
             self.responsive_since = now
         if gap <= MAX_TICK_GAP:
             return
-        # The refutations of suspects may have been missed, so their timers start again.
+        # Refutations may have been missed, so that the timers of all suspects start again.
         self.suspected_at = dict.fromkeys(self.suspected_at, now)
         self.next_probe_at = Millis(now + PROBE_PERIOD)
         self.next_sync_at = now
@@ -123,7 +125,7 @@
             yield MembersChanged()
 
     def tick(self, now: Millis) -> Iterator[SwimAction]:
-        """Advance time; call at least every quarter of the probe period."""
+        """Start what is due; call at least every quarter of the probe period."""
         yield from self.detect_pause(now)
         yield from self._start_sync(now)
         yield from self._expire(now)
@@ -138,7 +140,7 @@
                 yield ProbeMember(self.table[self.rng.choice(list(self.dead_at))])
 
     def probe_failed(self, target: Member, sent_at: Millis) -> Iterator[SwimAction]:
-        """Handle a direct probe, sent at `sent_at`, without answer."""
+        """Probe indirectly after a direct probe, sent at `sent_at`, got no answer."""
         known = self.table.get(target.daemon_id)
         if known is None or known.state is MemberState.DEAD or sent_at < self.responsive_since:
             return
@@ -149,7 +151,7 @@
     def indirect_probe_failed(
         self, target: Member, sent_at: Millis, now: Millis
     ) -> Iterator[SwimAction]:
-        """Suspect a member that neither answered directly nor through helpers."""
+        """Suspect a member that answered neither directly nor through helpers."""
         known = self.table.get(target.daemon_id)
         if (
             known is None
@@ -157,13 +159,13 @@
             or sent_at < self.responsive_since
         ):
             return
-        # A leaving member is expected to go and gets no work, so there is nothing to refute.
+        # A leaving member is expected to stop and gets no work, so that it need not refute.
         gone = known.state is MemberState.LEAVING
         state = MemberState.DEAD if gone else MemberState.SUSPECT
         yield from self.merge([replace(known, state=state)], now)
 
     def merge(self, members: Iterable[Member], now: Millis) -> Iterator[SwimAction]:
-        """Merge records from a peer; the newer incarnation wins, then the worse state."""
+        """Merge records of a peer; the higher incarnation wins, then the higher `STATE_RANK`."""
         changed = False
         for member in members:
             changed = self._merge_one(member, now) or changed
@@ -179,11 +181,11 @@
         yield MembersChanged()
 
     def sync_request(self) -> SyncRequest:
-        """Return the request for what this table lacks."""
+        """Return a request for the records that this table lacks."""
         return SyncRequest(self.me, hash_buckets(self.table.values()))
 
     def merge_sync_reply(self, reply: SyncReply, now: Millis) -> Iterator[SwimAction]:
-        """Merge what a peer sent; a complete reply makes the view current."""
+        """Merge the records of a sync reply; a complete reply makes the view current."""
         before = len(self.table)
         rows = (
             reply.members if self.needs_sync else self._without_unconfirmed_failures(reply.members)
@@ -200,7 +202,7 @@
         """Return the members that the sender lacks and True, or a sample and False.
 
         Large replies are limited, so that in a mass restart the few announced daemons refer most
-        of the joiners to others.
+        joining daemons to other members.
         """
         rows = members_in_differing_buckets(self.table.values(), request.hashes)
         if len(rows) <= MAX_UNLIMITED_REPLY_ROWS or self._take_full_reply_token(now):
@@ -221,10 +223,10 @@
         return False
 
     def _without_unconfirmed_failures(self, members: Iterable[Member]) -> tuple[Member, ...]:
-        """Drop suspicion and death of members that are alive here.
+        """Leave out reports that a member known here is suspect or dead.
 
-        After a partition the other side believes all of this side dead; accepting that from its
-        table would stop the routing to healthy members until each of them has refuted.
+        After a partition the other side holds all members of this side for dead. Accepting that
+        would stop routing to healthy members until each of them has refuted it.
         """
         bad = (MemberState.SUSPECT, MemberState.DEAD)
         mine = self.me.daemon_id
@@ -235,9 +237,9 @@
         )
 
     def updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
-        """Return the records to put on the next message, least often sent first.
+        """Return the records for the next message, least often sent first.
 
-        What is believed of `target` comes first when it is not alive, so that it can refute.
+        The record of `target` comes first if it is not alive, so that the target can refute it.
         """
         keys = self.pending_updates.take(
             MAX_UPDATES_PER_MESSAGE, self.max_transmissions(), self._update_bytes
@@ -249,25 +251,25 @@
         return tuple(rows)
 
     def updates_for_reply(self, sender: Identity) -> tuple[Member, ...]:
-        """Return the updates for the answer to `sender`."""
+        """Return the records for the answer to `sender`."""
         known = self.table.get(sender.daemon_id)
         rows = self.updates(sender.daemon_id)
-        # A daemon that restarted with a lower clock must learn the incarnation to exceed.
+        # A daemon that restarted with its clock set back must learn which incarnation to exceed.
         if known is None or known.incarnation <= sender.incarnation or known in rows:
             return rows
         return (known, *rows)
 
     def knows_incarnation(self, sender: Identity) -> bool:
-        """Return whether the sender's record of this incarnation or a later one is here."""
+        """Return whether the table has the sender with this incarnation or a higher one."""
         known = self.table.get(sender.daemon_id)
         return known is not None and known.incarnation >= sender.incarnation
 
     def max_transmissions(self) -> int:
-        """Return how often an update is sent, which grows with the logarithm of the fleet."""
+        """Return how often each update is sent, which grows with the logarithm of the fleet size."""
         return 3 * math.ceil(math.log2(len(self.table) + 1))
 
     def live_peers(self) -> list[Member]:
-        """Return the members other than this daemon that may answer."""
+        """Return the other members that are not dead."""
         return [
             member
             for member in self.table.values()
@@ -275,12 +277,12 @@
         ]
 
     def urgent_update_targets(self) -> tuple[Member, ...]:
-        """Return random peers that get an urgent update at once."""
+        """Return random peers to which an urgent update is sent at once."""
         peers = self.live_peers()
         return tuple(self.rng.sample(peers, min(LEAVE_FANOUT, len(peers))))
 
     def suspicion_timeout(self) -> Millis:
-        """Return how long a suspect has to refute, which grows with the size of the fleet."""
+        """Return the time that a suspect has to refute, which grows with the fleet size."""
         doublings = math.log2(max(2, len(self.table)))
         return Millis(SUSPICION_BASE + SUSPICION_PER_DOUBLING * doublings)
 
@@ -293,7 +295,7 @@
             return
         if now < self.next_sync_at:
             return
-        # The next peer is tried when this one, perhaps suspended itself, gives no answer.
+        # This peer may be suspended too, so that another one is tried after the time-out.
         period = SYNC_TIMEOUT if self.needs_sync else self.sync_period
         self.next_sync_at = Millis(now + period * (0.5 + self.rng.random()))
         self.sync_period = min(MAX_SYNC_PERIOD, Millis(2 * self.sync_period))
--- a/packages/agatecross-core/agatecross_core/members/view.py
+++ b/packages/agatecross-core/agatecross_core/members/view.py
@@ -10,7 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetView:
-    """Members by id and by the service of their upstream; `stale` after a pause of the process."""
+    """Members by id and by service of their upstream.
+
+    `stale` is set after a pause of this process until a peer's whole table is merged or no peer is left.
+    """
 
     members: Mapping[DaemonId, Member] = field(default_factory=dict)
     by_service: Mapping[ServiceName, tuple[Member, ...]] = field(default_factory=dict)
@@ -18,7 +21,7 @@
 
 
 def build_view(members: Iterable[Member], stale: bool) -> FleetView:
-    """Index the members that are not dead."""
+    """Return a view of the members that are not dead."""
     live = {m.daemon_id: m for m in members if m.state is not MemberState.DEAD}
     by_service: dict[ServiceName, list[Member]] = {}
     for member in live.values():
