--- a/packages/agatecross-core/agatecross_core/members/records.py
+++ b/packages/agatecross-core/agatecross_core/members/records.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamInfo:
-    """State announced by an upstream to the daemon next to it; `slots` and `connections` are counts."""
+    """State that an upstream announced to the daemon next to it.
+
+    `slots` and `connections` are counts.
+    """
 
     service: ServiceName
     address: Address
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -111,7 +111,7 @@
         gap = 0.0 if self.last_active_at is None else now - self.last_active_at
         self.last_active_at = now
         if gap > PROBE_TIMEOUT:
-            # Answers may have arrived unread, so that probes in flight say nothing about their targets.
+            # Answers may have arrived unread, so probes in flight say nothing about their targets.
             self.responsive_since = now
         if gap <= MAX_TICK_GAP:
             return
@@ -265,7 +265,7 @@
         return known is not None and known.incarnation >= sender.incarnation
 
     def max_transmissions(self) -> int:
-        """Return how often each update is sent, which grows with the logarithm of the fleet size."""
+        """Return how often each update is sent; it grows with the logarithm of the fleet size."""
         return 3 * math.ceil(math.log2(len(self.table) + 1))
 
     def live_peers(self) -> list[Member]:
--- a/packages/agatecross-core/agatecross_core/members/view.py
+++ b/packages/agatecross-core/agatecross_core/members/view.py
@@ -12,7 +12,8 @@
 class FleetView:
     """Members by id and by service of their upstream.
 
-    `stale` is set after a pause of this process until a peer's whole table is merged or no peer is left.
+    `stale` is set after a pause of this process until a peer's whole table was merged or no peer
+    is left.
     """
 
     members: Mapping[DaemonId, Member] = field(default_factory=dict)
