--- a/packages/agatecross-core/agatecross_core/config/__init__.py
+++ b/packages/agatecross-core/agatecross_core/config/__init__.py
@@ -1,1 +1,1 @@
-"""Pipeline from configuration documents to one compiled snapshot, and the fold over the log."""
+"""The pipeline that compiles configuration documents, and the fold over the config stream."""
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -1,4 +1,4 @@
-"""Third filter: checks every merged site; sites and findings both pass on."""
+"""Third filter of the pipeline: checks merged sites; passes sites and findings on."""
 
 import difflib
 import math
@@ -12,7 +12,7 @@
 
 
 def check(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
-    """Yield each item, and after each site its findings; equal findings only once."""
+    """Yield each item, and after each site its new findings; equal findings appear once."""
     seen: set[Finding] = set()
     for item in items:
         yield item
@@ -50,7 +50,7 @@
 def check_table(
     place: PlaceLookup, values: Mapping[str, object], keys: Mapping[str, Key], path: KeyPath
 ) -> Iterator[Finding]:
-    """Yield a finding for each missing, unknown, mistyped or out-of-range key of one table."""
+    """Yield a finding for each missing, unknown or invalid key of one table."""
     for name, key in keys.items():
         if key.required and name not in values:
             yield Finding(place((*path, name)), "missing", f"key {name!r} is missing")
@@ -63,7 +63,7 @@
 
 
 def unknown_key_message(name: str, keys: Iterable[str]) -> str:
-    """Return the message for an unknown key, with the nearest known one if any is near."""
+    """Return the message for an unknown key, which suggests a similar known key if there is one."""
     near = difflib.get_close_matches(name, list(keys), n=1)
     hint = f"; did you mean {near[0]!r}?" if near else ""
     return f"unknown key {name!r}{hint}"
@@ -102,14 +102,14 @@
 
 
 def unknown_choice_message(value: str, choices: Iterable[str]) -> str:
-    """Return the message for a value that is none of the choices, with the nearest one."""
+    """Return the message for a value that is not allowed, which suggests a similar choice."""
     near = difflib.get_close_matches(value, list(choices), n=1)
     hint = f"; did you mean {near[0]!r}?" if near else ""
     return f"{value!r} is none of {', '.join(choices)}{hint}"
 
 
 def has_kind(value: object, kind: type) -> bool:
-    """Return whether a decoded value has the type of a key; an integer is a valid float."""
+    """Return whether a decoded value is of a type; integers count as floats, Booleans do not."""
     if kind in (int, float) and isinstance(value, bool):
         return False
     if kind is float:
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -1,4 +1,4 @@
-"""Last filter: checked sites to one compiled snapshot, and the pipeline as a whole."""
+"""Last filter of the pipeline: compiles checked sites; also runs the whole pipeline."""
 
 import hashlib
 from collections.abc import Iterable, Mapping
@@ -22,7 +22,7 @@
 def compile_documents(
     documents: Iterable[Document], decoder: DocumentDecoder, version: Version
 ) -> tuple[MeshSnapshot | None, tuple[Finding, ...]]:
-    """Run the whole pipeline; the snapshot is None when there is any finding."""
+    """Run the whole pipeline; the snapshot is None if there are findings."""
     documents = tuple(documents)
     sites, findings = split_findings(check(merge(parse(documents, decoder))))
     if findings:
--- a/packages/agatecross-core/agatecross_core/config/explain.py
+++ b/packages/agatecross-core/agatecross_core/config/explain.py
@@ -1,4 +1,4 @@
-"""Tells where the values that apply to one route come from."""
+"""Finds the documents and lines that set the values of a route."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, fields
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplainedValue:
-    """A value in force; `place` is None when it is the default."""
+    """A value in force; `place` is None if it is the default."""
 
     key: str
     value: object
@@ -22,7 +22,7 @@
 def merged_site(
     documents: Iterable[Document], decoder: DocumentDecoder, data_centre: DataCentreName
 ) -> MergedSite | None:
-    """Return the merged documents of one data centre, if the base lists it."""
+    """Return the merged documents of a data centre, or None if the base does not list it."""
     for item in merge(parse(documents, decoder)):
         if not isinstance(item, Finding) and item.data_centre == data_centre:
             return item
@@ -32,7 +32,7 @@
 def explain_route(
     site: MergedSite, route: Route, policy: ServicePolicy
 ) -> Iterator[ExplainedValue]:
-    """Yield the values of a route and of its service with their places."""
+    """Yield the values of a route and of its service, each with its place."""
     for key in ("prefix", "host", "service"):
         yield _explain(site, "routes", route.name, key, getattr(route, key))
     for field in fields(policy):
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -1,4 +1,4 @@
-"""The deterministic fold over the config stream."""
+"""The deterministic fold of config stream records into a state."""
 
 from dataclasses import replace
 
@@ -19,7 +19,7 @@
 
 
 def fold_entry(state: ConfigState, entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Fold the record after `state.through`; an unknown rule set leaves the position unchanged."""
+    """Fold the record after `state.through`; stay before a record with an unknown rule set."""
     if entry.record is None:
         step = FoldStep(state, Verdict.UNDECODABLE)
     else:
@@ -30,7 +30,7 @@
 
 
 def fold(state: ConfigState, record: ConfigRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Fold one record into the state; the result depends on nothing else."""
+    """Fold one record into the state; the result depends only on the arguments."""
     if record.rules > RULE_SET:
         return FoldStep(state, Verdict.UNKNOWN_RULES)
     if isinstance(record, SnapshotRecord):
@@ -39,7 +39,7 @@
 
 
 def start_from_snapshot(entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Return the state that a snapshot holds, for a reader that lacks the records before it."""
+    """Return the state in a snapshot record, for a reader that lacks the records before it."""
     record = entry.record
     if not isinstance(record, SnapshotRecord):
         return FoldStep(ConfigState(), Verdict.DUPLICATE)
@@ -52,7 +52,7 @@
 
 
 def merge_documents(documents: tuple[Document, ...], record: PublishRecord) -> tuple[Document, ...]:
-    """Return the documents after a publish, ordered by name."""
+    """Return the documents after a publish, sorted by name."""
     by_name = {document.name: document for document in documents}
     by_name.update({document.name: document for document in record.documents})
     for name in record.removed:
@@ -86,8 +86,8 @@
 ) -> FoldStep:
     if record.through != NO_OFFSET:
         return FoldStep(state, Verdict.DUPLICATE)
-    # Readers that lack the records before a restart start from it, so that readers that have them
-    # must come to the same state, even when that is older than what they folded.
+    # Readers that lack the records before a restart start from it. Readers that have those records
+    # must reach the same state, even if it is older than the state that they folded.
     return _adopt_snapshot(state, record, decoder)
 
 
--- a/packages/agatecross-core/agatecross_core/config/forms.py
+++ b/packages/agatecross-core/agatecross_core/config/forms.py
@@ -1,4 +1,4 @@
-"""Checks of the form of strings; each returns a message, or None when the string is valid."""
+"""Checks of the format of strings; each returns a message, or None if the string is valid."""
 
 import ipaddress
 from collections.abc import Callable
@@ -18,18 +18,18 @@
 
 
 def check_address(text: str) -> str | None:
-    """Check an address written `ip:port`."""
+    """Check an address of the form `ip:port`; IPv6 addresses may stand in brackets."""
     host, _, port = text.rpartition(":")
     if check_ip(host.removeprefix("[").removesuffix("]")) is not None:
         return f"{text!r} is not an address of the form ip:port"
-    # `isdecimal` alone admits digits of other scripts, which no peer would understand.
+    # `isdecimal` alone also accepts digits of other scripts, which peers do not parse.
     if not (port.isascii() and port.isdecimal() and 1 <= int(port[:6]) <= MAX_PORT):
         return f"{text!r} has no port from 1 to {MAX_PORT}"
     return None
 
 
 def check_name(text: str) -> str | None:
-    """Check a name that must not be empty or contain white space."""
+    """Check that a name is not empty and contains no white space."""
     if not text or any(character.isspace() for character in text):
         return f"{text!r} is empty or contains white space"
     return None
--- a/packages/agatecross-core/agatecross_core/config/merge.py
+++ b/packages/agatecross-core/agatecross_core/config/merge.py
@@ -1,4 +1,4 @@
-"""Second filter: the base and the overlays to one merged site for each data centre."""
+"""Second filter of the pipeline: merges base and overlays into a site per data centre."""
 
 from collections.abc import Iterable, Iterator, Mapping
 
@@ -8,16 +8,16 @@
 from .model import BASE, DecodedDocument, KeyPath, MergedSite
 
 OVERLAY_TABLES = ("services", "routes")
-"""Tables that an overlay may change; the list of regions is the same for every site."""
+"""Tables that an overlay may change; all sites share the list of regions."""
 
 MAX_TABLE_DEPTH = 4
-"""Deeper tables hold only unknown keys; following them could exhaust the stack."""
+"""Deeper tables hold only unknown keys, and recursion into them could overflow the stack."""
 
 
 def merge(
     items: Iterable[DecodedDocument | Finding],
 ) -> Iterator[MergedSite | Finding]:
-    """Apply each overlay to the base; findings pass through."""
+    """Apply each overlay to the base; pass findings on."""
     documents: dict[str, DecodedDocument] = {}
     for item in items:
         if isinstance(item, Finding):
@@ -35,7 +35,7 @@
     yield from _check_overlay_names(base, documents)
     names = list(data_centres(base.values))
     yield from _check_data_centres(base, names)
-    # Without a data centre there is no site, and the rest of the base would stay unchecked.
+    # Without data centres there would be no site, and the rest of the base would go unchecked.
     for name in dict.fromkeys(names or [""]):
         yield _merge_site(DataCentreName(name), base, documents.get(name))
 
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -1,4 +1,4 @@
-"""Documents, compiled snapshots and the records of the config stream."""
+"""Configuration documents, compiled snapshots and records of the config stream."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DecodedDocument:
-    """The values of a document and the line of each key."""
+    """Values of a document, and the line number of each key."""
 
     name: DocumentName
     values: Mapping[str, object]
@@ -52,7 +52,7 @@
 
 
 class DocumentDecoder(Protocol):
-    """Decodes the text of a document; raises `DocumentSyntaxError`."""
+    """Decodes documents; raises `DocumentSyntaxError` if the text is malformed."""
 
     def __call__(self, document: Document) -> DecodedDocument:
         """Decode one document."""
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MergedSite:
-    """The base with the overlay of one data centre applied, and the origin of each key."""
+    """The base with the overlay of one data centre applied, and the place of each key."""
 
     data_centre: DataCentreName
     values: Mapping[str, object]
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServicePolicy:
-    """How calls to one service are carried; times in milliseconds, ratios from 0 to 1."""
+    """Settings for calls to one service; times in milliseconds, ratios from 0 to 1."""
 
     name: ServiceName
     timeout_ms: int = 2_000
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Path prefix, optionally on one host, and the service that gets its calls."""
+    """Maps a path prefix, on one host if `host` is set, to a service."""
 
     name: RouteName
     prefix: str
@@ -102,7 +102,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteSnapshot:
-    """Everything that a proxy of one data centre needs, routes with the longest prefix first."""
+    """Compiled configuration for daemons of one data centre.
+
+    Routes with a host come before those without, and longer prefixes before shorter ones.
+    """
 
     data_centre: DataCentreName
     region: RegionName
@@ -112,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MeshSnapshot:
-    """One whole compiled configuration."""
+    """A complete compiled configuration."""
 
     version: Version
     digest: Digest
@@ -121,7 +124,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishRecord:
-    """A publish on the config stream: whole documents, and names of removed overlays."""
+    """A publish on the config stream: whole documents, and the names of removed overlays."""
 
     publish_id: PublishId
     parent: Version
@@ -133,11 +136,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRecord:
-    """The folded state through offset `through`, written before retention drops its records.
+    """The folded state up to and including offset `through`.
+
+    Snapshots are written before the retention of the log drops the folded records. `mark` is the
+    digest of the record at `through`. `at_ms` is wall-clock milliseconds and only serves to decide
+    when the next snapshot is due.
 
-    `mark` is the digest of the record at `through`; `at_ms` is wall-clock milliseconds and only
-    tells when the next snapshot is due. With `through` `NO_OFFSET` it is a restart: written after
-    the log was replaced or lost its history, it sets the folded state whatever came before.
+    A snapshot whose `through` is `NO_OFFSET` restarts the fold: it is written after the log was
+    replaced or lost its history, and sets the folded state whatever records came before.
     """
 
     version: Version
@@ -155,9 +161,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OffsetRecord:
-    """A record of the config stream; `record` is None when it cannot be decoded.
+    """A record of the config stream; `record` is None if it cannot be decoded.
 
-    `mark` is the digest of the encoded record, `age` the time since a snapshot was written.
+    `mark` is the digest of the encoded record; for a snapshot, `age` is the time since it was
+    written.
     """
 
     offset: Offset
@@ -168,9 +175,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigState:
-    """What a reader of the config stream knows after folding its records through `through`.
+    """State of a reader after it folded the config stream up to and including `through`.
 
-    `rules` is the rule set of the version, `mark` the digest of the record at `through`.
+    `rules` is the rule set of the version; `mark` is the digest of the record at `through`; `seen`
+    holds the newest publish ids, oldest first.
     """
 
     version: Version = NO_VERSION
@@ -184,7 +192,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FoldStep:
-    """The state after one record, with the verdict, the findings and the new snapshot if any."""
+    """State after one record, with the verdict, any findings and any new snapshot."""
 
     state: ConfigState
     verdict: Verdict
--- a/packages/agatecross-core/agatecross_core/config/parse.py
+++ b/packages/agatecross-core/agatecross_core/config/parse.py
@@ -1,4 +1,4 @@
-"""First filter: documents to decoded documents, or a finding for each that cannot be decoded."""
+"""First filter of the pipeline: decodes documents, or yields findings for invalid ones."""
 
 from collections.abc import Iterable, Iterator
 
@@ -8,13 +8,13 @@
 from .model import DecodedDocument, Document, DocumentDecoder
 
 MAX_NESTING = 64
-"""The decoder recurses for each level; every reader must refuse the same documents."""
+"""The decoder recurses at each level, and all readers must reject the same documents."""
 
 
 def parse(
     documents: Iterable[Document], decoder: DocumentDecoder
 ) -> Iterator[DecodedDocument | Finding]:
-    """Decode each document."""
+    """Yield each document decoded, or a finding if it is too long, too deep or malformed."""
     for document in documents:
         if len(document.text.encode()) > MAX_DOCUMENT_BYTES:
             message = f"document is longer than {MAX_DOCUMENT_BYTES} bytes"
@@ -31,7 +31,7 @@
 
 
 def _nesting(text: str) -> int:
-    """Return the most brackets open at once; brackets inside strings and comments count too."""
+    """Return the highest number of open brackets, including those in strings and comments."""
     deepest = depth = 0
     for character in text:
         if character in "[{":
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -1,4 +1,4 @@
-"""The keys of the documents, with their types and bounds."""
+"""Keys of configuration documents, with the types and limits of their values."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it must be there, bounds, strings."""
+    """One key: the type of its value, whether it is required, and the values allowed."""
 
     kind: type
     required: bool = False
