--- a/features/config_settings.feature
+++ b/features/config_settings.feature
@@ -17,7 +17,7 @@
       | address, no port    | address = "127.0.0.1:9000" | address = "127.0.0.1"     | 13: log.address: '127.0.0.1' is not an address of the form ip:port [form] |
       | address, bad port   | address = "127.0.0.1:9000" | address = "127.0.0.1:0"   | 13: log.address: '127.0.0.1:0' has no port from 1 to 65535 [form] |
       | empty id            | id = "d"                   | id = ""                   | 2: daemon.id: '' is empty or contains white space [form]       |
-      | unknown policy      | balancing = "adaptive"     | balancing = "adaptiv"     | 16: policy.balancing: 'adaptiv' is none of adaptive, round-robin, two-random; did you mean 'adaptive'? [choice] |
+      | unknown policy      | balancing = "adaptive"     | balancing = "adaptiv"     | 16: policy.balancing: 'adaptiv' is not one of adaptive, round-robin, two-random; did you mean 'adaptive'? [choice] |
 
   Scenario: every finding of the settings is shown and the daemon exits with code 2
     Given valid settings in which "peer_port = 7002" is replaced by "peer_prt = 7002"
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -105,7 +105,7 @@
     """Return the message for a value that is not allowed, which suggests a similar choice."""
     near = difflib.get_close_matches(value, list(choices), n=1)
     hint = f"; did you mean {near[0]!r}?" if near else ""
-    return f"{value!r} is none of {', '.join(choices)}{hint}"
+    return f"{value!r} is not one of {', '.join(choices)}{hint}"
 
 
 def has_kind(value: object, kind: type) -> bool:
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -62,7 +62,7 @@
         names = region["data_centres"]
         if isinstance(names, list) and data_centre in names:
             return RegionName(name)
-    raise AssertionError(f"data centre {data_centre!r} was checked to be in a region")
+    raise AssertionError(f"no region lists data centre {data_centre!r}")
 
 
 def _compile_service(name: str, row: Mapping[str, object]) -> ServicePolicy:
--- a/packages/agatecross-core/agatecross_core/config/merge.py
+++ b/packages/agatecross-core/agatecross_core/config/merge.py
@@ -26,7 +26,9 @@
             documents[item.name] = item
     base = documents.pop(BASE, None)
     if base is None:
-        yield Finding(Place(BASE, 0, ""), "no-base", "there is no readable base document")
+        yield Finding(
+            Place(BASE, 0, ""), "no-base", "the base document is missing or cannot be decoded"
+        )
         return
     if len(documents) > MAX_OVERLAYS:
         message = f"there are more than {MAX_OVERLAYS} overlays"
--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -28,7 +28,9 @@
             continue
         first, count = step
         if first < 0 or count < 1 or first + count > len(pieces):
-            raise DeltaError(f"pieces {first} to {first + count} of {len(pieces)}")
+            raise DeltaError(
+                f"copy of pieces {first} to {first + count} (exclusive) from a base of {len(pieces)} pieces"
+            )
         out += pieces[first : first + count]
     return b"".join(out)
 
