--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -62,7 +62,7 @@
         names = region["data_centres"]
         if isinstance(names, list) and data_centre in names:
             return RegionName(name)
-    raise AssertionError(f"no region lists data centre {data_centre!r}")
+    raise AssertionError(f"data centre {data_centre!r} is not listed in any region")
 
 
 def _compile_service(name: str, row: Mapping[str, object]) -> ServicePolicy:
--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -29,7 +29,7 @@
         first, count = step
         if first < 0 or count < 1 or first + count > len(pieces):
             raise DeltaError(
-                f"copy of pieces {first} to {first + count} (exclusive) from a base of {len(pieces)} pieces"
+                f"copies pieces {first} up to {first + count} (exclusive), pieces in base: {len(pieces)}"
             )
         out += pieces[first : first + count]
     return b"".join(out)
