--- a/packages/agatecross-core/agatecross_core/distribution/__init__.py
+++ b/packages/agatecross-core/agatecross_core/distribution/__init__.py
@@ -1,1 +1,1 @@
-"""Decides who reads the log and what to pull from which peer."""
+"""Decides which daemons read the log, and what to pull from which peer."""
--- a/packages/agatecross-core/agatecross_core/distribution/baselines.py
+++ b/packages/agatecross-core/agatecross_core/distribution/baselines.py
@@ -1,4 +1,4 @@
-"""Followers by name; the rejected alternatives serve as baselines of benchmarks."""
+"""Follower classes by name, with the rejected designs that benchmarks use as baselines."""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import replace
@@ -16,10 +16,10 @@
 
 
 class LogOnlyFollower(ConfigFollower):
-    """Reads the log on every daemon and takes nothing from peers."""
+    """Reads the log on every daemon and pulls nothing from peers."""
 
     def view_changed(self, members: tuple[Member, ...]) -> None:
-        """Take the members and stay a reader."""
+        """Update the members, but keep this daemon a reader."""
         super().view_changed(members)
         self.readers = (self.me.daemon_id,)
 
@@ -29,13 +29,13 @@
         yield from ()
 
     def records_read(self, page: RecordsRead, now: Millis) -> Iterator[FollowerAction]:
-        """Fold a page without telling the peers."""
+        """Fold a page without notifying peers."""
         actions = super().records_read(page, now)
         yield from (action for action in actions if not isinstance(action, NotifyPeers))
 
 
 class FullCopyFollower(ConfigFollower):
-    """Gets all documents from the peer on each change, not only those that differ."""
+    """Pulls all documents from the peer on each change, not only the changed ones."""
 
     def _start_pull(self, now: Millis) -> Iterator[FollowerAction]:
         for action in super()._start_pull(now):
--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -1,16 +1,16 @@
-"""Differences between two versions of a document, so that a change is small on a link."""
+"""Deltas between two versions of a document, so that little is sent for a small change."""
 
 import re
 from collections.abc import Iterator
 
 from ..errors import DeltaError
 
-# Objects of JSON and similar notations end with a brace, so an unchanged object is one piece.
+# Pieces end at a closing brace, so that an unchanged JSON object without nested ones is one piece.
 PIECE = re.compile(rb"[^}]*\}|[^}]+")
 
 Copy = tuple[int, int]
 Step = Copy | bytes
-"""A run of pieces of the base (first piece, number of pieces), or new bytes."""
+"""Pieces to copy from the base (index of the first piece, number of pieces), or new bytes."""
 
 
 def make_delta(base: bytes, target: bytes) -> tuple[Step, ...]:
@@ -19,7 +19,7 @@
 
 
 def apply_delta(base: bytes, steps: tuple[Step, ...]) -> bytes:
-    """Return the target; raises `DeltaError` when a step does not fit the base."""
+    """Return the target; raises `DeltaError` if a step copies pieces that the base lacks."""
     pieces = PIECE.findall(base)
     out: list[bytes] = []
     for step in steps:
@@ -29,7 +29,7 @@
         first, count = step
         if first < 0 or count < 1 or first + count > len(pieces):
             raise DeltaError(
-                f"copies pieces {first} up to {first + count} (exclusive), pieces in base: {len(pieces)}"
+                f"copies pieces {first} up to {first + count} from a base of {len(pieces)}"
             )
         out += pieces[first : first + count]
     return b"".join(out)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -1,4 +1,4 @@
-"""Follows the config stream and the peers, and decides what is in force here."""
+"""Follows the config stream and the peers, and decides which version is in force here."""
 
 import random
 from collections.abc import Iterator
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PullAnswered:
-    """A pull ended; `reply` is None when the peer did not answer."""
+    """A pull ended; `reply` is None if the peer did not answer."""
 
     pull_id: int
     reply: PullReply | None
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PullFrom:
-    """Action: send the request to the peer."""
+    """Action: send the pull request to the peer."""
 
     pull_id: int
     peer: Member
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotifyPeers:
-    """Action: tell these peers which version is in force here."""
+    """Action: notify these peers of the version in force here."""
 
     peers: tuple[Member, ...]
     version: Version
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PutInForce:
-    """Action: swap the compiled snapshot."""
+    """Action: replace the compiled snapshot in force by this one."""
 
     snapshot: MeshSnapshot
 
@@ -116,7 +116,7 @@
 
 
 class Condition(Enum):
-    """A condition of the log or of a peer that operators should know."""
+    """A condition of the log or of a peer that operators should know about."""
 
     LOG_REPLACED = "log_replaced"
     RECORDS_EXPIRED = "log_records_expired"
@@ -152,10 +152,10 @@
 
 
 class ConfigFollower:
-    """Decides what to read, pull, put in force and pass on.
+    """Decides what to read, pull and put in force, and when to notify peers.
 
-    `state` is the newest version ever taken and never goes back. `log.state` is the fold of the
-    log that exists now; it is older than `state` only after the log was replaced.
+    `state` has the newest version seen so far, which never goes back. `log.state` is the fold of
+    the current log; it is older than `state` only after the log was replaced.
     """
 
     def __init__(
@@ -189,7 +189,7 @@
         self.reported_conditions: set[tuple[object, ...]] = set()
 
     def tick(self, now: Millis) -> Iterator[FollowerAction]:
-        """Start what is due: a pull, a read of the log, a snapshot."""
+        """Start the actions that are due: a pull, a read of the log, a snapshot."""
         if self.peer_heard_at is None:
             self.peer_heard_at = now
         if self.pull is not None and now - self.pull.started >= PULL_DEADLINE:
@@ -200,7 +200,7 @@
         yield from self._write_snapshot(now)
 
     def view_changed(self, members: tuple[Member, ...]) -> None:
-        """Take the members that are not dead."""
+        """Update the members that are not dead, and the readers among them."""
         self.members = members
         self.readers = readers(self.me, members)
         self.offers.retain_members(members)
@@ -231,7 +231,7 @@
                         Condition.RECORDS_EXPIRED, through=through, first=first
                     )
                 case UnknownRules(offset, rules):
-                    # No read is in flight meanwhile that would fail if the log were replaced.
+                    # During the wait, no read is in flight that would fail if the log were replaced.
                     self.log.require_verification()
                     self.read_after = Millis(now + BLOCKED_RETRY)
                     yield from self._report_once(
@@ -247,7 +247,7 @@
             yield from self._start_read(now)
 
     def read_failed(self, now: Millis) -> None:
-        """Note that the read in flight ended without a page, and delay the next one."""
+        """Handle a read that ended without a page: delay the next one."""
         self.reading = False
         self.discard_page = False
         self.log.require_verification()
@@ -256,7 +256,7 @@
         self.read_after = Millis(now + delay)
 
     def peer_version(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
-        """Pull from a peer that has a newer version."""
+        """Pull from the peer if it has a newer version; report a different digest."""
         self.peer_heard_at = now
         if message.version > self.state.version:
             self.offers.add(message)
@@ -265,7 +265,7 @@
             yield from self._report_other_digest(message.digest, message.peer.daemon_id)
 
     def pull_answered(self, answer: PullAnswered, now: Millis) -> Iterator[FollowerAction]:
-        """Put a pulled version in force when it is newer, whole and free of findings."""
+        """Put a pulled version in force if it is newer, complete and free of findings."""
         if self.pull is None or answer.pull_id != self.pull.pull_id:
             return
         peer = self.pull.peer
@@ -279,13 +279,13 @@
         yield from self._start_pull(now)
 
     def answer_request(self, request: PullRequest) -> PullReply:
-        """Answer a peer's pull."""
+        """Return the answer to a pull request of a peer."""
         return answer_pull(self.state, request)
 
     def _handle_pull_result(
         self, peer: DaemonId, reply: PullReply, result: PullResult
     ) -> Iterator[FollowerAction]:
-        # The ids that both know may differ after a restart of the fold; then all are asked for.
+        # After a restart of the fold the ids that both know may differ; then request all ids.
         asked_for_all, self.request_all_seen = self.request_all_seen, False
         if result.verdict is PullVerdict.OTHER_SEEN and not asked_for_all:
             self.request_all_seen = True
@@ -320,7 +320,7 @@
             )
 
     def _move_log_position(self, state: ConfigState) -> None:
-        # A page in flight was asked for at the old position, maybe from a log replaced since.
+        # A read in flight started at the old position, perhaps in a log that was replaced since.
         self.discard_page = self.reading
         self.read_after = Millis(0)
         self.log.adopt_state(state)
@@ -383,7 +383,7 @@
 
     def _write_snapshot(self, now: Millis) -> Iterator[FollowerAction]:
         replaced = self.log.caught_up and self.state.version > self.log.state.version
-        # Readers that all lost their position would never fold again, so one restarts the fold.
+        # If all readers lost their position, none could fold again, so that one restarts the fold.
         position_lost = (
             self.log.position_lost
             and self.log.search_finished
@@ -439,8 +439,8 @@
         )
 
     def _report_once(self, condition: Condition, **values: object) -> Iterator[FollowerAction]:
-        # Peers repeat their version with every probe; one report for each peer and version is
-        # enough, and the limit keeps a faulty peer from filling the memory.
+        # Peers repeat their version with every probe, but one report for each peer and version is
+        # enough. The limit keeps a faulty peer from filling the memory.
         key = (condition, *values.values())
         if key in self.reported_conditions:
             return
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -1,4 +1,4 @@
-"""Folds the config stream from the position that the state names, or from a snapshot."""
+"""Folds the config stream from the position of the current state, or from a snapshot."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsRead:
-    """A page of the config stream: records, oldest retained offset, next offset."""
+    """A page of the config stream.
+
+    `first` is the oldest retained offset, `end` the offset after the newest record.
+    """
 
     records: tuple[OffsetRecord, ...]
     first: Offset
@@ -27,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordFolded:
-    """A record was folded, or a snapshot was taken as the start."""
+    """A record was folded, or a snapshot was adopted as the start of the fold."""
 
     entry: OffsetRecord
     step: FoldStep
@@ -35,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogReplaced:
-    """The log is not the one that was read before: it came back empty or with lower offsets."""
+    """The log is not the one read before: its end is too low, or its last folded record differs."""
 
     through: Offset
     end: Offset
@@ -43,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsExpired:
-    """The log no longer holds the records after `through`."""
+    """The log no longer has the records after `through`; `first` is its oldest offset."""
 
     through: Offset
     first: Offset
@@ -51,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownRules:
-    """The record needs a rule set that this daemon does not know; folding stops before it."""
+    """The record needs a rule set that this daemon lacks; folding stops before the record."""
 
     offset: Offset
     rules: int
@@ -61,7 +64,11 @@
 
 
 class LogFold:
-    """The fold state of this reader; equal for all readers at the same offset of one log."""
+    """Folds the pages of the config stream into a state.
+
+    The state is equal for all readers at the same offset of one log. After records were lost, the
+    fold searches from `search_from` for a snapshot that covers them.
+    """
 
     def __init__(self, decoder: DocumentDecoder) -> None:
         """Start before the first record."""
@@ -75,11 +82,11 @@
 
     @property
     def position_lost(self) -> bool:
-        """Return whether records are missing and no snapshot that was read bridges them."""
+        """Return whether records are missing that no snapshot read so far covers."""
         return self.search_from is not None
 
     def start(self) -> Offset:
-        """Return the offset at which the next read starts."""
+        """Return the offset at which the next read must start."""
         if self.search_from is not None:
             return self.search_from
         if self.must_verify and self.state.through != NO_OFFSET:
@@ -87,23 +94,23 @@
         return Offset(self.state.through + 1)
 
     def adopt_state(self, state: ConfigState) -> None:
-        """Continue from a peer's state and position."""
+        """Continue from the state and position of a peer."""
         self.state = state
-        # The peer's position may belong to a log that was replaced since.
+        # The position may belong to a log that has been replaced since.
         self.must_verify = True
         self.search_from = None
         self.blocked = False
         self.caught_up = False
 
     def require_verification(self) -> None:
-        """Check at the next read that the log is still the same; a search starts again."""
+        """Check with the next page that the log is still the same, and restart any search."""
         self.must_verify = True
         self.search_from = None
         self.caught_up = False
         self.search_finished = False
 
     def page(self, page: RecordsRead) -> Iterator[FoldEvent]:
-        """Fold a page that starts at `start()`."""
+        """Fold a page that was read from `start()`."""
         self.caught_up = False
         self.blocked = False
         if self._replaced(page):
@@ -112,7 +119,7 @@
             self.search_from = None
             self.must_verify = False
             return
-        # Without the last folded record nothing shows that the log is still the same.
+        # Without the last folded record in the page, nothing shows that the log is still the same.
         expired = self.search_from is None and page.first > self.start()
         self.must_verify = False
         if expired:
@@ -166,6 +173,6 @@
     record = entry.record
     if not isinstance(record, SnapshotRecord):
         return False
-    # A snapshot at or before its own `through` was made for a log that was replaced.
+    # A snapshot that stands at or before its own `through` was made for a log since replaced.
     restart = record.through == NO_OFFSET
     return restart or first - 1 <= record.through < entry.offset
--- a/packages/agatecross-core/agatecross_core/distribution/offers.py
+++ b/packages/agatecross-core/agatecross_core/distribution/offers.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerVersion:
-    """A peer has this version in force."""
+    """The version in force at a peer."""
 
     peer: Member
     version: Version
@@ -18,7 +18,7 @@
 
 
 class VersionOffers:
-    """The newer versions that peers offer; at most one for each live member."""
+    """Newer versions that peers offer, at most one for each live member."""
 
     def __init__(self, me: Member, rng: random.Random) -> None:
         """Start without offers."""
@@ -29,32 +29,32 @@
         self.refused: set[tuple[Version, Digest]] = set()
 
     def add(self, offer: PeerVersion) -> None:
-        """Keep the newest offer of a peer."""
+        """Store the newest offer of a peer."""
         self.offers[offer.peer.daemon_id] = offer
 
     def record_failure(self, peer: DaemonId) -> None:
-        """Drop the offer of a peer whose answer was of no use, and prefer the others from now."""
+        """Drop the offer of a peer whose pull failed, and prefer other peers from now on."""
         self.offers.pop(peer, None)
         self.failures[peer] = self.failures.get(peer, 0) + 1
 
     def refuse(self, version: Version, digest: Digest) -> None:
-        """Never pull this version again: whoever has it, its documents stay the same."""
+        """Do not pull this version again; its documents are the same at every peer."""
         self.refused.add((version, digest))
 
     def drop_outdated(self, peer: DaemonId, version: Version) -> None:
-        """Drop the offers that are no longer newer, and forget the failures of the peer."""
+        """Drop offers that are not newer than `version`, and reset the failures of the peer."""
         self.failures.pop(peer, None)
         self.offers = {name: o for name, o in self.offers.items() if o.version > version}
         self.refused = {row for row in self.refused if row[0] > version}
 
     def retain_members(self, members: Iterable[Member]) -> None:
-        """Forget peers that are gone."""
+        """Forget peers that are no longer members."""
         live = {member.daemon_id for member in members}
         self.offers = {name: o for name, o in self.offers.items() if name in live}
         self.failures = {name: n for name, n in self.failures.items() if name in live}
 
     def best_offer(self, version: Version) -> PeerVersion | None:
-        """Return the newest offer above `version` from the nearest peer with fewest failures."""
+        """Return an offer above `version`: fewest failures, then newest, then nearest peer."""
         newer = [
             offer
             for offer in self.offers.values()
@@ -63,7 +63,7 @@
         return min(newer, key=self._order, default=None)
 
     def choose_position_peer(self, members: Iterable[Member]) -> Member | None:
-        """Return a random peer among those with the fewest failures."""
+        """Return a peer to ask for its log position, at random among those with fewest failures."""
         peers = [m for m in members if m.daemon_id != self.me.daemon_id]
         fewest = min((self.failures.get(m.daemon_id, 0) for m in peers), default=0)
         best = [m for m in peers if self.failures.get(m.daemon_id, 0) == fewest]
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -1,7 +1,8 @@
-"""Which daemons read the configuration from the store, and whom they feed.
+"""Selects the daemons that read the configuration from the store, and those they push it to.
 
-Only the region nearest to the store reads; it pushes to relays in the other regions, so that a
-change crosses the link between regions a few times, whatever the size of the fleet.
+Only daemons of the region nearest to the store read. They push changes to relays in the other
+regions, so that a change crosses the link between two regions only a few times, whatever the size
+of the fleet.
 """
 
 from collections.abc import Collection, Iterable, Iterator
@@ -13,10 +14,10 @@
 
 
 def reads_store(me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId]) -> bool:
-    """Return whether this daemon follows the store.
+    """Return whether this daemon reads from the store.
 
-    Daemons that this one cannot reach cannot feed it, so they do not count: a daemon that is cut
-    off from the readers takes their place.
+    Daemons that this one cannot reach cannot push changes to it, so they do not count: a daemon
+    that is cut off from the readers becomes a reader itself.
     """
     eligible = [
         row
@@ -34,7 +35,7 @@
 def push_targets(
     me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId], from_store: bool
 ) -> Iterator[DaemonId]:
-    """Yield the daemons to push a change to that came from the store or from another region."""
+    """Yield the daemons to push a change to that came from the store or another region."""
     endpoints = [
         row for row in _reachable_endpoints(me, rows, reachable) if row.daemon_id != me.daemon_id
     ]
@@ -52,7 +53,7 @@
 
 
 def _nearest_region(rows: Iterable[Endpoint]) -> RegionName | None:
-    """Return the region with the fastest answers of the store; None while no answer was timed."""
+    """Return the region where the store answers fastest, or None while no answer was timed."""
     timed = [(row.log_latency, row.region) for row in rows if row.log_latency > 0]
     return min(timed)[1] if timed else None
 
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionNotice:
-    """Tells a peer the version in force at the sender."""
+    """Notifies a peer of the version in force at the sender."""
 
     sender: Member
     version: Version
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NoticeAck:
-    """Answer to a notice, with the version in force at the receiver."""
+    """Answer to a version notice, with the version in force at the receiver."""
 
     version: Version
     digest: Digest
@@ -35,9 +35,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PullRequest:
-    """Asks for the documents that differ from those whose digests are given.
+    """Asks for the documents that differ from those with the digests in `known`.
 
-    `last_seen` is the newest publish id that the sender knows; empty asks for all ids.
+    `last_seen` is the newest publish id known to the sender; an empty one asks for all ids.
     """
 
     version: Version
@@ -47,12 +47,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PullReply:
-    """The changed documents and the names of all documents of `version`.
+    """The changed documents, and the names of all documents of `version`.
 
-    `through` and `mark` tell the position of the log to which the state belongs, so that the
-    receiver folds exactly the records after it. `seen` follows the last `kept` ids of the
-    receiver, because all 4,096 ids would often be larger than a changed document; `seen_digest`
-    covers both parts.
+    `through` and `mark` give the log position of the state, so that the receiver folds exactly the
+    records after it. The ids in `seen` come after the last `kept` ids of the receiver, because all
+    4,096 ids would often be larger than a changed document. `seen_digest` covers both
+    parts.
     """
 
     version: Version
@@ -68,7 +68,7 @@
 
 
 class PullVerdict(Enum):
-    """What the receiver makes of a pull reply."""
+    """Result of checking a pull reply."""
 
     NEWER = "newer"
     SAME = "same"
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PullResult:
-    """The verdict, and for `NEWER` and `SAME` the peer's state; `NEWER` is compiled."""
+    """The verdict, the peer's state for `NEWER` and `SAME`, and the snapshot for `NEWER`."""
 
     verdict: PullVerdict
     state: ConfigState | None = None
@@ -91,12 +91,12 @@
 
 
 def known_digests(state: ConfigState) -> dict[DocumentName, Digest]:
-    """Return the digest of each document that this daemon has."""
+    """Return the digest of each document of this state."""
     return {document.name: digest_of([document]) for document in state.documents}
 
 
 def answer_pull(state: ConfigState, request: PullRequest) -> PullReply:
-    """Return what the requester lacks."""
+    """Return the documents and publish ids that the requester lacks."""
     mine = known_digests(state)
     changed = tuple(d for d in state.documents if request.known.get(d.name) != mine[d.name])
     names = tuple(document.name for document in state.documents)
@@ -117,7 +117,7 @@
 
 
 def check_pull_reply(state: ConfigState, reply: PullReply, decoder: DocumentDecoder) -> PullResult:
-    """Check a reply against the state in force; a version is only taken whole and checked."""
+    """Check a reply against the current state; only complete and valid versions are accepted."""
     seen = _assemble_seen(state.seen, reply)
     if reply.version < state.version:
         return PullResult(PullVerdict.OLDER)
@@ -151,12 +151,12 @@
 
 
 def digest_of_ids(ids: Iterable[PublishId]) -> Digest:
-    """Return the digest of publish ids in their order."""
+    """Return the digest of publish ids; it depends on their order."""
     return Digest(hashlib.blake2b("\n".join(ids).encode(), digest_size=16).hexdigest())
 
 
 def new_request(state: ConfigState, all_seen: bool) -> PullRequest:
-    """Return the request for what this state lacks."""
+    """Return a request for what this state lacks; `all_seen` asks for all publish ids."""
     last = state.seen[-1] if state.seen and not all_seen else NO_PUBLISH
     return PullRequest(state.version, known_digests(state), last)
 
--- a/packages/agatecross-core/agatecross_core/distribution/readers.py
+++ b/packages/agatecross-core/agatecross_core/distribution/readers.py
@@ -11,7 +11,7 @@
 
 
 def readers(me: Member, members: Iterable[Member]) -> tuple[DaemonId, ...]:
-    """Return the log readers of all regions, lowest weight first; this daemon counts as alive."""
+    """Return the log readers of all regions, lowest weight first; `me` counts as alive."""
     by_region: dict[RegionName, set[DaemonId]] = {me.region: {me.daemon_id}}
     for member in members:
         if member.state is MemberState.ALIVE:
@@ -25,8 +25,8 @@
     return tuple(sorted(daemon_ids, key=reader_weight)[:count])
 
 
-# A view change asks for the weight of every member, and the weight of an id never changes.
+# Each change of the view needs the weights of all members, and the weight of an id never changes.
 @lru_cache(maxsize=2 * MAX_MEMBERS)
 def reader_weight(daemon_id: DaemonId) -> bytes:
-    """Return the rendezvous weight of a daemon; the lowest weights read the log."""
+    """Return the rendezvous weight of a daemon; those with the lowest weights read the log."""
     return hashlib.blake2b(daemon_id.encode(), digest_size=8).digest()
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -13,10 +13,10 @@
 
 
 class SnapshotSchedule:
-    """Tracks the newest snapshot of the stream by age and by the records after it."""
+    """Tracks the age of the newest snapshot of the stream and the number of records after it."""
 
     def __init__(self, rng: random.Random, after_records: int = SNAPSHOT_AFTER_RECORDS) -> None:
-        """Start without knowledge of a snapshot."""
+        """Start without a known snapshot."""
         self.rng = rng
         self.after_records = after_records
         self.records_since_snapshot = 0
@@ -24,23 +24,26 @@
         self.write_at: Millis | None = None
 
     def record_read(self) -> None:
-        """Count a record that is no snapshot."""
+        """Count a record that is not a snapshot."""
         self.records_since_snapshot += 1
 
     def snapshot_read(self, now: Millis, age: Millis, records_since_snapshot: int) -> None:
-        """Take a snapshot of the stream into account; `records` lie between it and its state."""
+        """Record that a snapshot was read.
+
+        `records_since_snapshot` is the number of records between its state and itself.
+        """
         self.records_since_snapshot = records_since_snapshot
         self.written_at = Millis(now - age)
         self.write_at = None
 
     def log_replaced(self) -> None:
-        """Forget the snapshots of the log that is gone."""
+        """Forget the snapshots of the previous log."""
         self.records_since_snapshot = 0
         self.written_at = None
         self.write_at = None
 
     def is_due(self, now: Millis, rank: int, required: bool) -> bool:
-        """Return whether to write now; the delay grows with the rank among the readers."""
+        """Return whether to write a snapshot now; higher-ranked readers wait longer."""
         if self.written_at is None:
             self.written_at = Millis(now - SNAPSHOT_MAX_AGE + SNAPSHOT_FIRST_AGE)
         old = now - self.written_at >= SNAPSHOT_MAX_AGE
