--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -231,7 +231,7 @@
                         Condition.RECORDS_EXPIRED, through=through, first=first
                     )
                 case UnknownRules(offset, rules):
-                    # During the wait, no read is in flight that would fail if the log were replaced.
+                    # During the wait no read is in flight that would fail if the log were replaced.
                     self.log.require_verification()
                     self.read_after = Millis(now + BLOCKED_RETRY)
                     yield from self._report_once(
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -103,7 +103,7 @@
         self.batch_in_flight: ClaimsBatch | None = None
         self.reading = False
         self.caught_up = False
-        self.append_unknown = False
+        self.append_outcome_unknown = False
         self.append_search_started = False
         self.report_loss = False
         self.log_failing = False
@@ -111,7 +111,7 @@
         self.log_retry_at = Millis(0)
         self.log_retry_limit = CLAIM_RETRY_WAIT
         self.idle_read_at = Millis(0)
-        self.next_sweep_at = Millis(0)
+        self.next_due_check_at = Millis(0)
 
     def handle(self, message: ClaimsInput, now: Millis) -> Iterator[ClaimsAction]:
         """Take one input and yield what is to be done."""
@@ -130,7 +130,7 @@
                 yield from self._call_finished(claim_id, result, now)
             case TimePassed():
                 pass
-        yield from self._check_deadlines(now)
+        yield from self._handle_due_calls(now)
         yield from self._start_append(now)
         yield from self._start_read(now)
 
@@ -236,7 +236,7 @@
         batch, self.batch_in_flight = self.batch_in_flight, None
         if batch is None:
             return
-        self._note_log_result(message.state is AppendState.LANDED, now)
+        self._record_log_result(message.state is AppendState.LANDED, now)
         if message.state is AppendState.LANDED and message.offset is not None:
             self.report_loss = self.report_loss and not batch.lost
             self.caught_up = bool(self.stream.last_record_digest)
@@ -246,7 +246,7 @@
                 waiting.phase, waiting.landed_offset = Phase.LANDED, message.offset
             return
         if message.state is AppendState.LOST:
-            self.append_unknown, self.append_search_started = True, False
+            self.append_outcome_unknown, self.append_search_started = True, False
             return
         refused = (Phase.APPENDING,) if self.stream.last_record_digest else OWN_CLAIM_PHASES
         for phase in refused:
@@ -255,11 +255,11 @@
 
     def _read_failed(self, now: Millis) -> Iterator[ClaimsAction]:
         self.reading = False
-        self._note_log_result(False, now)
+        self._record_log_result(False, now)
         for waiting in self._in_phase(Phase.QUEUED):
             yield from self._answer(waiting, not_run_result(Reason.LOG_UNAVAILABLE))
 
-    def _note_log_result(self, success: bool, now: Millis) -> None:
+    def _record_log_result(self, success: bool, now: Millis) -> None:
         """Retry reads and releases after a failure with full jitter and growing waits."""
         self.log_failing = not success
         if success:
@@ -270,7 +270,7 @@
 
     def _page_read(self, page: ClaimsRead, now: Millis) -> Iterator[ClaimsAction]:
         self.reading = False
-        self._note_log_result(True, now)
+        self._record_log_result(True, now)
         self.idle_read_at = Millis(now + CLAIMS_IDLE_READ)
         self.fold.expire(now)
         continuity = self.stream.check(page)
@@ -288,8 +288,8 @@
                 yield from self._fold_batch(row.batch, page.wall_ms, now)
         self.caught_up = self.stream.next >= page.end
         yield from self._decide_read_claims(now)
-        if self.caught_up and self.append_unknown and self.append_search_started:
-            self.append_unknown = False
+        if self.caught_up and self.append_outcome_unknown and self.append_search_started:
+            self.append_outcome_unknown = False
             # The lost append did not land so far; the same claim ids make a late copy harmless.
             for waiting in self._in_phase(Phase.APPENDING):
                 waiting.phase, waiting.due = Phase.QUEUED, now
@@ -359,10 +359,10 @@
             self._release_if_unused(claim)
         yield Answer(waiting.submit.call_id, result)
 
-    def _check_deadlines(self, now: Millis) -> Iterator[ClaimsAction]:
-        if now < self.next_sweep_at:
+    def _handle_due_calls(self, now: Millis) -> Iterator[ClaimsAction]:
+        if now < self.next_due_check_at:
             return
-        self.next_sweep_at = Millis(now + CLAIM_BATCH_WAIT)
+        self.next_due_check_at = Millis(now + CLAIM_BATCH_WAIT)
         for waiting in list(self.waiting.values()):
             if waiting.submit.deadline <= now:
                 yield from self._end_at_deadline(waiting)
@@ -370,13 +370,15 @@
                 yield from self._decide_without_claim(waiting, now)
 
     def _start_append(self, now: Millis) -> Iterator[ClaimsAction]:
-        busy = self.batch_in_flight is not None or self.append_unknown
+        busy = self.batch_in_flight is not None or self.append_outcome_unknown
         if busy or not self.caught_up:
             return
         # A daemon that has read no record could not tell that the stream was lost.
-        first_record = not self.stream.last_record_digest
-        queued = [] if first_record else list(self._in_phase(Phase.QUEUED))
-        own_work = now >= self.log_retry_at and (first_record or self.releases or self.report_loss)
+        no_record_read = not self.stream.last_record_digest
+        queued = [] if no_record_read else list(self._in_phase(Phase.QUEUED))
+        own_work = now >= self.log_retry_at and (
+            no_record_read or self.releases or self.report_loss
+        )
         due = own_work or any(w.due <= now for w in queued)
         if not due or not self.tokens.take(now):
             return
@@ -397,11 +399,11 @@
         if self.reading or now < self.log_retry_at or not self._wants_read(now):
             return
         self.reading = True
-        self.append_search_started = self.append_unknown
+        self.append_search_started = self.append_outcome_unknown
         yield ReadClaims(self.stream.start())
 
     def _wants_read(self, now: Millis) -> bool:
-        if not self.caught_up or self.append_unknown or now >= self.idle_read_at:
+        if not self.caught_up or self.append_outcome_unknown or now >= self.idle_read_at:
             return True
         return any(
             w.phase is Phase.LANDED or (w.phase is Phase.READ_LATER and w.due <= now)
