--- a/packages/agatecross-core/agatecross_core/calls/__init__.py
+++ b/packages/agatecross-core/agatecross_core/calls/__init__.py
@@ -1,1 +1,1 @@
-"""One call from its arrival to its outcome."""
+"""The model of a call, and the flow of its attempts."""
--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -1,4 +1,4 @@
-"""One call from its arrival to its outcome, as a generator of actions."""
+"""The attempts of one call until its outcome, as a generator of actions."""
 
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
@@ -16,9 +16,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Action: send the call to this candidate and send back the result.
+    """Action: send the call to this candidate, and return the result to the flow.
 
-    If there is no result after `hedge_after`, send back `Progress.ELAPSED` and keep the attempt.
+    If there is no result after `hedge_after`, return `Progress.ELAPSED` and continue the attempt.
     """
 
     call: Call
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HedgedAttempt:
-    """Action: send the call here too and send back the first result of the two attempts."""
+    """Action: send the call to a second candidate, and return the first of the two results."""
 
     call: Call
     target: Candidate
@@ -36,11 +36,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AwaitResult:
-    """Action: send back the next result of the attempts that are outstanding."""
+    """Action: return the next result of the attempts that are outstanding."""
 
 
 class Progress(Enum):
-    """What is sent back to a flow other than a result."""
+    """Events that are returned to a flow besides results."""
 
     ELAPSED = "elapsed"
 
@@ -51,9 +51,9 @@
 
 
 def run_call(call: Call, policy: ServicePolicy, chooser: Chooser, budget: RetryBudget) -> CallFlow:
-    """Yield actions until the call has an outcome that must or may not be improved.
+    """Yield actions until the call has an outcome after which no retry is useful or allowed.
 
-    Attempts that are outstanding when the flow ends are to be cancelled.
+    The driver of the flow must cancel the attempts that are outstanding when the flow ends.
     """
     tried: list[DaemonId] = []
     result = not_run_result(Reason.NO_UPSTREAM)
@@ -114,7 +114,7 @@
 
 
 def _combine_results(before: CallResult, latest: CallResult) -> CallResult:
-    # A later refusal does not undo that an earlier attempt may have run.
+    # A later refusal does not rule out that an earlier attempt ran.
     if before.outcome is Outcome.UNKNOWN and latest.outcome is Outcome.NOT_RUN:
         return before
     return latest
--- a/packages/agatecross-core/agatecross_core/calls/model.py
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A request as the caller sent it, with its whole body."""
+    """A request as the caller sent it, with its complete body."""
 
     method: str
     path: str
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A whole response."""
+    """A complete response."""
 
     status: int
     headers: Headers
@@ -37,7 +37,7 @@
 
 
 def find_header(headers: Headers, name: str) -> str | None:
-    """Return the first value of a header, compared without case, or None."""
+    """Return the first value of a header, or None; names are compared without case."""
     name = name.lower()
     return next((value for key, value in headers if key.lower() == name), None)
 
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallResult:
-    """Result of a call or of one attempt; `response` is there when it ran to its end."""
+    """Result of a call or of one attempt; `response` is None unless a complete one is available."""
 
     outcome: Outcome
     response: Response | None = None
@@ -64,7 +64,7 @@
 
 
 def not_run_result(reason: Reason) -> CallResult:
-    """Return the result of a call that surely did not run."""
+    """Return the result of a call that certainly did not run."""
     return CallResult(Outcome.NOT_RUN, None, reason)
 
 
@@ -74,7 +74,7 @@
 
 
 def failed_exchange_result(error: ExchangeError) -> CallResult:
-    """Return the result of a call whose exchange failed; only an unsent one surely did not run."""
+    """Return the result of a failed exchange; only an unsent call certainly did not run."""
     if isinstance(error, ConnectFailedError):
         return not_run_result(Reason.CONNECT_FAILED)
     if isinstance(error, ExchangeTimeoutError):
@@ -83,5 +83,5 @@
 
 
 def ran_result(response: Response) -> CallResult:
-    """Return the result of a call that ran and whose response is whole."""
+    """Return the result of a call that ran and has a complete response."""
     return CallResult(Outcome.RAN, response, None)
--- a/packages/agatecross-core/agatecross_core/idempotency/__init__.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/__init__.py
@@ -1,1 +1,1 @@
-"""At-most-once execution by claims on the log."""
+"""At-most-once execution of calls with an idempotency key, by claims on the log."""
--- a/packages/agatecross-core/agatecross_core/idempotency/claims.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/claims.py
@@ -10,14 +10,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldKey:
-    """The claim that holds a key, and when a record about the key was last read here."""
+    """The claim that holds a key, and when this daemon last read a claim of the key."""
 
     claim: Claim
     read_at: Millis
 
 
 class ClaimsFold:
-    """Holders of keys after a prefix of the stream."""
+    """The claims that hold keys, after folding a prefix of the claims stream."""
 
     def __init__(self) -> None:
         """Start before the first record."""
@@ -27,19 +27,19 @@
         return len(self.held)
 
     def holder(self, key: IdempotencyKey) -> Claim | None:
-        """Return the claim that holds the key."""
+        """Return the claim that holds the key, or None."""
         row = self.held.get(key)
         return row.claim if row else None
 
     def fold(self, batch: ClaimsBatch, now: Millis) -> None:
-        """Fold one record; `now` is the time of reading."""
+        """Fold one record that was read at `now`: first its releases, then its claims."""
         for release in batch.releases:
             self._release(release)
         for claim in batch.claims:
             self._claim(claim, now)
 
     def expire(self, now: Millis) -> None:
-        """Drop the keys about which nothing was read during the retention time."""
+        """Drop the keys of which no claim was read during the retention time."""
         while self.held:
             key, row = next(iter(self.held.items()))
             if now - row.read_at <= KEY_RETENTION:
@@ -48,8 +48,8 @@
 
     def _claim(self, claim: Claim, now: Millis) -> None:
         row = self.held.get(claim.key)
-        # A refused claim extends the retention too: another daemon, which expired the key
-        # earlier, may have started this claim.
+        # A claim that does not get the key extends its retention too: another daemon that expired
+        # the key earlier may have started the call of this claim.
         self.held[claim.key] = replace(row, read_at=now) if row else HeldKey(claim, now)
         self.held.move_to_end(claim.key)
 
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -1,4 +1,4 @@
-"""The decision of one daemon about its calls with an idempotency key."""
+"""Decides for one daemon whether its calls with an idempotency key may start."""
 
 import random
 from collections.abc import Callable, Iterator
@@ -51,7 +51,16 @@
 
 
 class Phase(Enum):
-    """What a submitted call waits for."""
+    """What a submitted call waits for.
+
+    - `QUEUED`: the next batch of claims.
+    - `APPENDING`: the end of the append of its claim.
+    - `LANDED`: the read of its appended claim.
+    - `ASKING`: the answer of the daemon whose claim holds the key.
+    - `ASK_LATER`: the time to ask that daemon again.
+    - `READ_LATER`: the next read of the stream, after which the call is decided again.
+    - `LOCAL`: the end of a call with the same key on this daemon.
+    """
 
     QUEUED = "queued"
     APPENDING = "appending"
@@ -67,7 +76,10 @@
 
 @dataclass(slots=True)
 class WaitingCall:
-    """A submitted call; `due` is when it is batched or polled again."""
+    """A submitted call; `due` is when its claim is appended or its holder is asked again.
+
+    `unanswered_requests` counts the requests in a row that the holder did not answer.
+    """
 
     submit: Submit
     phase: Phase
@@ -79,7 +91,7 @@
 
 
 class ClaimDecider:
-    """Claims keys on the log, grants calls their start and answers resubmissions."""
+    """Claims keys on the log, permits calls to start and answers resubmitted calls."""
 
     def __init__(
         self,
@@ -88,7 +100,7 @@
         new_claim_id: Callable[[], ClaimId],
         rng: random.Random,
     ) -> None:
-        """Start with an unread stream; claim ids must differ between restarts of the process."""
+        """Start before the first record; claim ids must be unique across process restarts."""
         self.me = me
         self.control_address = control_address
         self.new_claim_id = new_claim_id
@@ -114,7 +126,7 @@
         self.next_due_check_at = Millis(0)
 
     def handle(self, message: ClaimsInput, now: Millis) -> Iterator[ClaimsAction]:
-        """Take one input and yield what is to be done."""
+        """Handle one input and yield the resulting actions."""
         match message:
             case Submit():
                 yield from self._submit(message, now)
@@ -135,15 +147,15 @@
         yield from self._start_read(now)
 
     def reply(self, request: OutcomeRequest) -> OutcomeReply:
-        """Answer a peer that has a resubmission of a call whose claim names this daemon."""
+        """Answer a peer that got a call whose key is held by a claim of this daemon."""
         reply = self.outcomes.reply(request.claim_id)
         if reply.state is HeldState.NOT_STARTED:
-            # The peer has read this claim as the holder of the key, which this daemon may not have.
+            # The peer has read that this claim holds the key; this daemon may not have read it yet.
             self._release(request.key, request.claim_id)
         return reply
 
     def has_pending_work(self) -> bool:
-        """Return whether something waits for time to pass."""
+        """Return whether `TimePassed` is needed soon, for calls, releases or unread records."""
         return bool(self.waiting or self.releases or not self.caught_up)
 
     def _submit(self, submit: Submit, now: Millis) -> Iterator[ClaimsAction]:
@@ -163,7 +175,7 @@
             self.waiting[submit.call_id] = waiting
 
     def _decide_without_claim(self, waiting: WaitingCall, now: Millis) -> Iterator[ClaimsAction]:
-        """Decide about a call whose own claim does not hold its key."""
+        """Decide about a call whose claim does not hold its key."""
         waiting.claim_id, waiting.landed_offset = None, None
         claim = self.fold.holder(waiting.submit.key)
         if claim is None and now < self.claims_incomplete_until:
@@ -260,7 +272,7 @@
             yield from self._answer(waiting, not_run_result(Reason.LOG_UNAVAILABLE))
 
     def _record_log_result(self, success: bool, now: Millis) -> None:
-        """Retry reads and releases after a failure with full jitter and growing waits."""
+        """Set when to use the log again: after a failure, a random wait whose limit doubles."""
         self.log_failing = not success
         if success:
             self.log_retry_limit, self.log_retry_at = CLAIM_RETRY_WAIT, now
@@ -282,7 +294,7 @@
             return
         for row in self.stream.advance(page):
             if row.batch is None:
-                # The record may hold claims that this release cannot read.
+                # The record may contain claims that this release cannot decode.
                 yield from self._refuse_until_complete(now)
             else:
                 yield from self._fold_batch(row.batch, page.wall_ms, now)
@@ -290,7 +302,8 @@
         yield from self._decide_read_claims(now)
         if self.caught_up and self.append_outcome_unknown and self.append_search_started:
             self.append_outcome_unknown = False
-            # The lost append did not land so far; the same claim ids make a late copy harmless.
+            # The append has not landed so far. A late copy is harmless, because the claims are
+            # appended again with the same ids.
             for waiting in self._in_phase(Phase.APPENDING):
                 waiting.phase, waiting.due = Phase.QUEUED, now
 
@@ -304,14 +317,14 @@
             yield from self._refuse_until_complete(now)
 
     def _refuse_until_complete(self, now: Millis) -> Iterator[ClaimsAction]:
-        """Refuse calls with a key until every claim that may be missing is out of retention."""
+        """Refuse keyed calls until every claim that may be missing is past its retention time."""
         self.claims_incomplete_until = Millis(now + KEY_RETENTION)
         for phase in OWN_CLAIM_PHASES:
             for waiting in self._in_phase(phase):
                 yield from self._answer(waiting, not_run_result(Reason.CLAIMS_INCOMPLETE))
 
     def _decide_read_claims(self, now: Millis) -> Iterator[ClaimsAction]:
-        """Decide about the calls whose claims were read or should have been."""
+        """Decide about the calls whose claims were read, or are missing where they landed."""
         for waiting in list(self.waiting.values()):
             claim = self.fold.holder(waiting.submit.key)
             if waiting.phase is Phase.READ_LATER and waiting.due <= now:
@@ -333,7 +346,7 @@
         yield Grant(waiting.submit.call_id, claim.claim_id)
 
     def _release_if_unused(self, claim: Claim) -> None:
-        """Release an own claim that holds its key for a call that was given up or lost it."""
+        """Release a claim of this daemon that holds its key although its call will not start."""
         holder = self.fold.holder(claim.key)
         if holder is None or holder.claim_id != claim.claim_id:
             return
@@ -373,7 +386,7 @@
         busy = self.batch_in_flight is not None or self.append_outcome_unknown
         if busy or not self.caught_up:
             return
-        # A daemon that has read no record could not tell that the stream was lost.
+        # The stream needs a first record, without which a daemon cannot detect its loss.
         no_record_read = not self.stream.last_record_digest
         queued = [] if no_record_read else list(self._in_phase(Phase.QUEUED))
         own_work = now >= self.log_retry_at and (
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -1,4 +1,4 @@
-"""Records, messages and actions of the claims on idempotency keys."""
+"""Records, control messages, inputs and actions of claims on idempotency keys."""
 
 from dataclasses import dataclass
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Record: `holder` wants to run the call with this key; answers at `control_address`."""
+    """Record: `holder`, reached at `control_address`, wants to run the call with this key."""
 
     key: IdempotencyKey
     claim_id: ClaimId
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Record: the claim was not and will not be used to run the call."""
+    """Record: the claim has not been used to run the call and never will be."""
 
     key: IdempotencyKey
     claim_id: ClaimId
@@ -28,9 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsBatch:
-    """Record of the claims stream: its releases are folded before its claims.
+    """Record of the claims stream; its releases are folded before its claims.
 
-    `at_ms` is the writer's wall clock; `lost` says that earlier records of the stream are missing.
+    `at_ms` is the wall clock of the writer in milliseconds. `lost` tells readers that earlier
+    records of the stream are missing.
     """
 
     claims: tuple[Claim, ...] = ()
@@ -41,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OffsetBatch:
-    """A record of the claims stream with the digest of its data; None when it is unreadable."""
+    """A claims stream record and the digest of its data; `batch` is None if undecodable."""
 
     offset: Offset
     digest: str
@@ -50,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeRequest:
-    """Control message: asks the holder for the outcome behind a claim."""
+    """Control message: asks the holder for the outcome of the call of a claim."""
 
     key: IdempotencyKey
     claim_id: ClaimId
@@ -58,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeReply:
-    """Control message: state behind a claim; status 0 when the response is no longer there."""
+    """Control message: state of the call of a claim; status 0 if there is no response."""
 
     state: HeldState
     status: int = 0
@@ -68,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """Input: a call with a key arrived."""
+    """Input: a call with an idempotency key arrived."""
 
     call_id: CallId
     key: IdempotencyKey
@@ -78,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchAppended:
-    """Input: the append in flight ended; `offset` is there when it landed."""
+    """Input: the append in flight ended; `offset` is set if it landed."""
 
     state: AppendState
     offset: Offset | None = None
@@ -86,7 +87,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsRead:
-    """Input: a page of the stream; `wall_ms` is this instance's wall clock."""
+    """Input: a page of the claims stream.
+
+    `first` is the oldest retained offset, `end` the offset after the newest record, and `wall_ms`
+    the wall clock of this instance in milliseconds.
+    """
 
     records: tuple[OffsetBatch, ...]
     first: Offset
@@ -96,12 +101,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadFailed:
-    """Input: the read in flight gave no page."""
+    """Input: the read in flight failed."""
 
 
 @dataclass(frozen=True, slots=True)
 class HolderAnswered:
-    """Input: the holder's answer for a waiting call; None when it gave none."""
+    """Input: the holder's answer for a waiting call; `reply` is None if it did not answer."""
 
     call_id: CallId
     claim_id: ClaimId
@@ -110,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFinished:
-    """Input: a call that was granted its claim has a result."""
+    """Input: a call that was granted ended with this result."""
 
     claim_id: ClaimId
     result: CallResult
@@ -118,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TimePassed:
-    """Input: time went on."""
+    """Input: time passed, so that calls, appends or reads may be due."""
 
 
 ClaimsInput = (
@@ -128,21 +133,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendBatch:
-    """Action: append the record."""
+    """Action: append the record to the claims stream."""
 
     batch: ClaimsBatch
 
 
 @dataclass(frozen=True, slots=True)
 class ReadClaims:
-    """Action: read the stream from `start` to its end."""
+    """Action: read the claims stream from `start` to its end."""
 
     start: Offset
 
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Action: start the call; its result must come back as `CallFinished`."""
+    """Action: start the call; its result must be handed back as `CallFinished`."""
 
     call_id: CallId
     claim_id: ClaimId
@@ -150,7 +155,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Action: answer the call with this result; it is not to be started."""
+    """Action: answer the call with this result instead of starting it."""
 
     call_id: CallId
     result: CallResult
--- a/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
@@ -1,4 +1,4 @@
-"""Retained outcomes of the claims that this daemon made."""
+"""Retained outcomes of the calls that this daemon claimed."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnClaim:
-    """A claim of this daemon; the response is there while it is retained."""
+    """A claim of this daemon, and the response of its call while that is retained."""
 
     state: HeldState
     changed_at: Millis
@@ -26,16 +26,16 @@
 
 
 class OutcomeStore:
-    """Own claims with the oldest first, bounded in time, count and response bytes."""
+    """Claims of this daemon, oldest first, limited in age, number and response bytes."""
 
     def __init__(self, max_response_bytes: int = MAX_RETAINED_RESPONSE_BYTES) -> None:
-        """Start empty; `max_bytes` bounds the retained responses."""
+        """Start empty; `max_response_bytes` limits the total size of the retained responses."""
         self.max_response_bytes = max_response_bytes
         self.response_bytes = 0
         self.claims: OrderedDict[ClaimId, OwnClaim] = OrderedDict()
 
     def set_state(self, claim_id: ClaimId, state: HeldState, now: Millis) -> None:
-        """Set the state of a claim without a response."""
+        """Set the state of a claim, which has no response yet."""
         self._forget(claim_id)
         self.claims[claim_id] = OwnClaim(state, now)
         while len(self.claims) > MAX_KEYS:
@@ -53,7 +53,7 @@
         self._evict_responses()
 
     def reply(self, claim_id: ClaimId) -> OutcomeReply:
-        """Return what is known; a claim that is not known here may have run."""
+        """Return the state and response of a claim; the call of an unknown claim may have run."""
         row = self.claims.get(claim_id)
         if row is None:
             return OutcomeReply(HeldState.UNKNOWN)
@@ -62,7 +62,7 @@
         return OutcomeReply(row.state, row.response.status, row.response.headers, row.response.body)
 
     def expire(self, now: Millis) -> None:
-        """Drop the claims older than the retention time, except those that still run."""
+        """Drop the claims past the retention time, except those whose calls are running."""
         old = []
         for claim_id, row in self.claims.items():
             if now - row.changed_at <= KEY_RETENTION:
@@ -86,7 +86,7 @@
 
 
 def holder_result(reply: OutcomeReply) -> CallResult:
-    """Return the result of a call that its holder ran or may have run."""
+    """Return the result of a call that its holder has run or may have run."""
     if reply.state is HeldState.RAN and reply.status:
         return ran_result(Response(reply.status, reply.headers, reply.body))
     if reply.state is HeldState.RAN:
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -1,4 +1,4 @@
-"""Position in the claims stream, and whether records before it may have been missed."""
+"""Position of a reader in the claims stream, and detection of missed records."""
 
 from collections.abc import Iterator
 from enum import Enum
@@ -9,7 +9,7 @@
 
 
 class Continuity(Enum):
-    """How a page continues what was read before."""
+    """Whether a page follows the records read before, without missing records that matter."""
 
     CONTINUOUS = "whole"
     EXPIRED = "expired"
@@ -17,7 +17,7 @@
 
 
 class StreamPosition:
-    """Reads overlap by one record, which shows whether the stream is still the same one."""
+    """Position of the next read; reads overlap by one record, to detect a replaced stream."""
 
     def __init__(self) -> None:
         """Start before the first record."""
@@ -29,7 +29,7 @@
         return Offset(self.next - 1) if self.last_record_digest else self.next
 
     def check(self, page: ClaimsRead) -> Continuity:
-        """Compare a page, read from `start()`, with what was read before."""
+        """Compare a page that was read from `start()` with the records read before."""
         if page.end < self.next:
             return Continuity.REPLACED
         if page.first > self.start():
@@ -45,12 +45,12 @@
         return Continuity.CONTINUOUS if same else Continuity.REPLACED
 
     def restart(self, page: ClaimsRead) -> None:
-        """Continue at the oldest record that is left."""
+        """Continue at the oldest record that is retained."""
         self.next = page.first
         self.last_record_digest = ""
 
     def advance(self, page: ClaimsRead) -> Iterator[OffsetBatch]:
-        """Yield the records that were not read before."""
+        """Yield the records of the page that are new, and move the position past them."""
         for row in page.records:
             if row.offset >= self.next:
                 self.next = Offset(row.offset + 1)
@@ -59,7 +59,7 @@
 
 
 def _missing_records_expired(page: ClaimsRead) -> bool:
-    # Everything before the first record that is left is older than that record.
+    # All missing records are older than the first retained record.
     if not page.records or page.records[0].batch is None:
         return False
     return page.wall_ms - page.records[0].batch.at_ms > KEY_RETENTION + CLOCK_MARGIN
--- a/packages/agatecross-core/agatecross_core/quarantine/__init__.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Detection of requests that crash upstreams."""
+"""Detection and quarantine of requests that crash upstreams."""
--- a/packages/agatecross-core/agatecross_core/quarantine/gate.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/gate.py
@@ -1,4 +1,4 @@
-"""Admission of requests with strikes at the daemon next to the upstream."""
+"""Decides whether the daemon next to an upstream may start a request that has strikes."""
 
 from collections.abc import Mapping
 
@@ -8,7 +8,7 @@
 
 
 class TrialGate:
-    """Tracks what runs at the upstream; a suspected request runs alone and only on its trial."""
+    """Tracks running calls; a suspected request runs one at a time, only at its trial daemon."""
 
     def __init__(self, me: DaemonId) -> None:
         """Start without suspects."""
@@ -17,11 +17,11 @@
         self.running: dict[CallId, InFlightCall] = {}
 
     def suspects_changed(self, suspects: Mapping[Fingerprint, Suspect]) -> None:
-        """Take the fingerprints with strikes."""
+        """Replace the fingerprints with strikes."""
         self.suspects = suspects
 
     def refusal_reason(self, fingerprint: Fingerprint) -> Reason | None:
-        """Return why a call must not start here now, or None."""
+        """Return why a call must not start here now, or None if it may."""
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
             return None
@@ -31,9 +31,9 @@
         return Reason.SUSPECTED if busy or suspect.trial != self.me else None
 
     def started(self, call_id: CallId, call: InFlightCall) -> None:
-        """Count a call that starts."""
+        """Record that a call starts."""
         self.running[call_id] = call
 
     def ended(self, call_id: CallId) -> None:
-        """Count a call that ended."""
+        """Record that a call ended."""
         self.running.pop(call_id, None)
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -1,4 +1,4 @@
-"""Fingerprints of requests, and the messages about upstream deaths."""
+"""Fingerprints of requests, and messages about requests that crash upstreams."""
 
 import hashlib
 from dataclasses import dataclass
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StrikeNotice:
-    """Control message: strikes that the receiver takes before the failed calls are answered."""
+    """Control message: strikes that peers must know before the failed calls are answered."""
 
     sender: Member
     strikes: tuple[Strike, ...]
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
-    """A fingerprint with a strike: refused when quarantined, else run by `trial` alone."""
+    """A fingerprint with strikes: refused if quarantined, else run only by daemon `trial`."""
 
     quarantined: bool
     trial: DaemonId | None
@@ -58,7 +58,10 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineRow:
-    """A fingerprint with strikes; path as far as it is known here, time left in milliseconds."""
+    """A fingerprint with strikes, for operators.
+
+    `path` is empty if it is unknown here; `left_ms` is the time until the strikes expire.
+    """
 
     fingerprint: Fingerprint
     path: str
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -1,4 +1,4 @@
-"""Strikes of fingerprints and the decision which requests may run."""
+"""Strikes against fingerprints, and which fingerprints are quarantined."""
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True)
 class StrikeRecord:
-    """Deaths with this fingerprint in flight, and when the latest one was counted."""
+    """Upstream deaths with this fingerprint in flight, and when the last one was counted."""
 
     struck_at: Millis
     deaths: set[Death] = field(default_factory=set)
@@ -22,7 +22,7 @@
 
 
 class StrikeTable:
-    """Fingerprints with strikes, bounded; the oldest is evicted."""
+    """A limited number of fingerprints with strikes; the oldest ones are evicted."""
 
     def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
         """Start without strikes."""
@@ -31,7 +31,7 @@
         self.cleared: OrderedDict[tuple[Fingerprint, Death], Millis] = OrderedDict()
 
     def add_strikes(self, strikes: Iterable[Strike], now: Millis) -> bool:
-        """Count strikes; return whether any of them is new."""
+        """Count strikes, and return whether any of them is new."""
         self._expire(now)
         self._expire_cleared(now)
         changed = False
@@ -40,7 +40,7 @@
             if (strike.fingerprint, death) in self.cleared:
                 continue
             record = self.records.setdefault(strike.fingerprint, StrikeRecord(now))
-            # A quarantine ends 10 minutes after it began, whatever is reported late.
+            # A quarantine ends 10 minutes after it began, even if more deaths are reported later.
             if death in record.deaths or len(record.deaths) >= QUARANTINE_DEATHS:
                 continue
             record.deaths.add(death)
@@ -52,9 +52,9 @@
         return changed
 
     def apply_clearances(self, clearances: Iterable[Clearance], now: Millis) -> bool:
-        """Forget the strikes of requests that completed; return whether there were any.
+        """Remove the cleared strikes, and return whether there were any.
 
-        Their deaths are remembered, because a copy of a strike may arrive after its clearance.
+        The cleared deaths are retained, because a copy of a strike may arrive after its clearance.
         """
         changed = False
         for row in clearances:
@@ -72,17 +72,17 @@
         return changed
 
     def deaths(self, fingerprint: Fingerprint) -> tuple[Death, ...]:
-        """Return the deaths that count against a fingerprint."""
+        """Return the upstream deaths that count against a fingerprint."""
         record = self.records.get(fingerprint)
         return tuple(sorted(record.deaths)) if record else ()
 
     def suspected(self, fingerprint: Fingerprint, now: Millis) -> bool:
-        """Return whether the fingerprint has a strike."""
+        """Return whether the fingerprint has strikes."""
         self._expire(now)
         return fingerprint in self.records
 
     def struck_daemons(self, fingerprint: Fingerprint) -> frozenset[DaemonId]:
-        """Return the daemons next to whose upstreams the request was in flight at a death."""
+        """Return the daemons whose upstream died with the request in flight."""
         record = self.records.get(fingerprint)
         return frozenset(daemon_id for daemon_id, _ in record.deaths) if record else frozenset()
 
@@ -93,13 +93,13 @@
         return record is not None and len(record.deaths) >= QUARANTINE_DEATHS
 
     def record_path(self, fingerprint: Fingerprint, path: str) -> None:
-        """Note the path of a fingerprint for operators."""
+        """Record the path of a fingerprint, to show it to operators."""
         record = self.records.get(fingerprint)
         if record is not None:
             record.path = path
 
     def rows(self, now: Millis) -> Iterator[QuarantineRow]:
-        """Yield the table with the oldest first."""
+        """Yield the rows of the table, oldest first."""
         self._expire(now)
         for fingerprint, record in self.records.items():
             left = Millis(record.struck_at + QUARANTINE_TIME - now)
--- a/packages/agatecross-core/agatecross_core/quarantine/trial.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/trial.py
@@ -1,4 +1,4 @@
-"""Which upstream may try a request that was in flight at an upstream's death."""
+"""Selects the daemon that may try a request which was in flight when an upstream died."""
 
 import hashlib
 from collections.abc import Iterable, Set
@@ -11,11 +11,11 @@
 def select_trial_daemon(
     fingerprint: Fingerprint, members: Iterable[Member], struck: Set[DaemonId]
 ) -> DaemonId | None:
-    """Return the one member that tries the request, the same on every daemon with this view.
+    """Return the one daemon that tries the request; it is the same on all daemons with this view.
 
-    Resubmissions through several daemons at once would otherwise crash several upstreams before
-    the second strike is known. Members without a strike are preferred: the upstream of a struck one
-    may not be back yet.
+    Otherwise, requests that are resubmitted through several daemons at once could crash several
+    upstreams before the second strike is known. Members without a strike are preferred, because an
+    upstream that crashed may not be back yet.
     """
     ready = [
         m.daemon_id
