--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -13,7 +13,7 @@
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import build_view
 from agatecross_core.quarantine.gate import TrialGate
-from agatecross_core.quarantine.model import InFlightCall, Suspect
+from agatecross_core.quarantine.model import InFlightCall, SuspectedRequest
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.states import MemberState, UpstreamState
 from agatecross_daemon.mailbox import Mailbox, monotonic, new_ask
@@ -73,7 +73,7 @@
 @then('a call with fingerprint "{row}" is {decision} when its trial member is "{trial}"')
 def check_gate(context, row, decision, trial):
     name, count = context.struck
-    context.gate.suspects_changed({name: Suspect(count >= 2, trial)} if count else {})
+    context.gate.suspects_changed({name: SuspectedRequest(count >= 2, trial)} if count else {})
     refusal_reason = context.gate.refusal_reason(row)
     found = f"refused {refusal_reason.value}" if refusal_reason else "admitted"
     assert found == decision, found
--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -79,19 +79,19 @@
     budget: RetryBudget,
     tried: list[DaemonId],
 ) -> CallFlow:
-    hedges = call.idempotent and len(tried) < policy.attempts
-    event = yield Attempt(call, target, target.hedge_after if hedges else None)
+    may_hedge = call.idempotent and len(tried) < policy.attempts
+    event = yield Attempt(call, target, target.hedge_after if may_hedge else None)
     if isinstance(event, CallResult):
         return event
-    second = chooser(_choice_request(call, policy, tried, Purpose.HEDGE))
-    if second is None or not budget.take():
+    second_target = chooser(_choice_request(call, policy, tried, Purpose.HEDGE))
+    if second_target is None or not budget.take():
         return (yield from _next_result())
-    tried.append(second.member.daemon_id)
-    first_result = yield HedgedAttempt(call, second)
-    assert isinstance(first_result, CallResult)
-    if first_result.outcome is Outcome.RAN:
-        return first_result
-    return _combine_results(first_result, (yield from _next_result()))
+    tried.append(second_target.member.daemon_id)
+    earlier_result = yield HedgedAttempt(call, second_target)
+    assert isinstance(earlier_result, CallResult)
+    if earlier_result.outcome is Outcome.RAN:
+        return earlier_result
+    return _combine_results(earlier_result, (yield from _next_result()))
 
 
 def _next_result() -> CallFlow:
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check.py
@@ -64,8 +64,8 @@
 
 def unknown_key_message(name: str, keys: Iterable[str]) -> str:
     """Return the message for an unknown key, which suggests a similar known key if there is one."""
-    near = difflib.get_close_matches(name, list(keys), n=1)
-    hint = f"; did you mean {near[0]!r}?" if near else ""
+    similar = difflib.get_close_matches(name, list(keys), n=1)
+    hint = f"; did you mean {similar[0]!r}?" if similar else ""
     return f"unknown key {name!r}{hint}"
 
 
@@ -103,8 +103,8 @@
 
 def unknown_choice_message(value: str, choices: Iterable[str]) -> str:
     """Return the message for a value that is not allowed, which suggests a similar choice."""
-    near = difflib.get_close_matches(value, list(choices), n=1)
-    hint = f"; did you mean {near[0]!r}?" if near else ""
+    similar = difflib.get_close_matches(value, list(choices), n=1)
+    hint = f"; did you mean {similar[0]!r}?" if similar else ""
     return f"{value!r} is not one of {', '.join(choices)}{hint}"
 
 
@@ -126,8 +126,8 @@
         path = ("routes", name)
         service, prefix = route.get("service"), route.get("prefix")
         if isinstance(service, str) and service not in services:
-            near = difflib.get_close_matches(service, list(services), n=1)
-            hint = f"; did you mean {near[0]!r}?" if near else ""
+            similar = difflib.get_close_matches(service, list(services), n=1)
+            hint = f"; did you mean {similar[0]!r}?" if similar else ""
             message = f"service {service!r} does not exist{hint}"
             yield Finding(site.place((*path, "service")), "no-such-service", message)
         if isinstance(prefix, str) and not prefix.startswith("/"):
--- a/packages/agatecross-core/agatecross_core/distribution/baselines.py
+++ b/packages/agatecross-core/agatecross_core/distribution/baselines.py
@@ -45,7 +45,7 @@
                 yield action
 
 
-FOLLOWERS: Mapping[str, type[ConfigFollower]] = {
+FOLLOWERS_BY_NAME: Mapping[str, type[ConfigFollower]] = {
     "peers": ConfigFollower,
     "log": LogOnlyFollower,
     "full": FullCopyFollower,
--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -21,18 +21,18 @@
 def apply_delta(base: bytes, steps: tuple[Step, ...]) -> bytes:
     """Return the target; raises `DeltaError` if a step copies pieces that the base lacks."""
     pieces = PIECE.findall(base)
-    out: list[bytes] = []
+    pieces_of_target: list[bytes] = []
     for step in steps:
         if isinstance(step, bytes):
-            out.append(step)
+            pieces_of_target.append(step)
             continue
         first, count = step
         if first < 0 or count < 1 or first + count > len(pieces):
             raise DeltaError(
                 f"copies pieces {first} up to {first + count} from a base of {len(pieces)}"
             )
-        out += pieces[first : first + count]
-    return b"".join(out)
+        pieces_of_target += pieces[first : first + count]
+    return b"".join(pieces_of_target)
 
 
 def _make_steps(old: list[bytes], new: list[bytes]) -> Iterator[Step]:
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -148,7 +148,7 @@
 
     pull_id: int
     peer: DaemonId
-    started: Millis
+    started_at: Millis
 
 
 class ConfigFollower:
@@ -192,7 +192,7 @@
         """Start the actions that are due: a pull, a read of the log, a snapshot."""
         if self.peer_heard_at is None:
             self.peer_heard_at = now
-        if self.pull is not None and now - self.pull.started >= PULL_DEADLINE:
+        if self.pull is not None and now - self.pull.started_at >= PULL_DEADLINE:
             self.offers.record_failure(self.pull.peer)
             self.pull = None
         yield from self._start_pull(now)
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -50,7 +50,7 @@
     """The changed documents, and the names of all documents of `version`.
 
     `through` and `mark` give the log position of the state, so that the receiver folds exactly the
-    records after it. The ids in `seen` come after the last `kept` ids of the receiver, because all
+    records after it. The ids in `seen` come after the last `kept_count` ids of the receiver, because all
     4,096 ids would often be larger than a changed document. `seen_digest` covers both
     parts.
     """
@@ -60,7 +60,7 @@
     names: tuple[DocumentName, ...]
     changed: tuple[Document, ...]
     seen: tuple[PublishId, ...]
-    kept: int
+    kept_count: int
     seen_digest: Digest
     rules: int = RULE_SET
     through: Offset = NO_OFFSET
@@ -101,14 +101,14 @@
     changed = tuple(d for d in state.documents if request.known.get(d.name) != mine[d.name])
     names = tuple(document.name for document in state.documents)
     known = request.last_seen in state.seen
-    kept = state.seen.index(request.last_seen) + 1 if known else 0
+    kept_count = state.seen.index(request.last_seen) + 1 if known else 0
     return PullReply(
         state.version,
         state.digest,
         names,
         changed,
-        state.seen[kept:],
-        kept,
+        state.seen[kept_count:],
+        kept_count,
         digest_of_ids(state.seen),
         state.rules,
         state.through,
@@ -162,7 +162,7 @@
 
 
 def _assemble_seen(own: tuple[PublishId, ...], reply: PullReply) -> tuple[PublishId, ...] | None:
-    seen = (*own[len(own) - reply.kept :], *reply.seen) if reply.kept else reply.seen
+    seen = (*own[len(own) - reply.kept_count :], *reply.seen) if reply.kept_count else reply.seen
     return seen if digest_of_ids(seen) == reply.seen_digest else None
 
 
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -20,8 +20,8 @@
         self.rng = rng
         self.after_records = after_records
         self.records_since_snapshot = 0
-        self.written_at: Millis | None = None
-        self.write_at: Millis | None = None
+        self.last_written_at: Millis | None = None
+        self.next_write_at: Millis | None = None
 
     def record_read(self) -> None:
         """Count a record that is not a snapshot."""
@@ -33,28 +33,28 @@
         `records_since_snapshot` is the number of records between its state and itself.
         """
         self.records_since_snapshot = records_since_snapshot
-        self.written_at = Millis(now - age)
-        self.write_at = None
+        self.last_written_at = Millis(now - age)
+        self.next_write_at = None
 
     def log_replaced(self) -> None:
         """Forget the snapshots of the previous log."""
         self.records_since_snapshot = 0
-        self.written_at = None
-        self.write_at = None
+        self.last_written_at = None
+        self.next_write_at = None
 
     def is_due(self, now: Millis, rank: int, required: bool) -> bool:
         """Return whether to write a snapshot now; higher-ranked readers wait longer."""
-        if self.written_at is None:
-            self.written_at = Millis(now - SNAPSHOT_MAX_AGE + SNAPSHOT_FIRST_AGE)
-        old = now - self.written_at >= SNAPSHOT_MAX_AGE
+        if self.last_written_at is None:
+            self.last_written_at = Millis(now - SNAPSHOT_MAX_AGE + SNAPSHOT_FIRST_AGE)
+        old = now - self.last_written_at >= SNAPSHOT_MAX_AGE
         if not (required or old or self.records_since_snapshot >= self.after_records):
-            self.write_at = None
+            self.next_write_at = None
             return False
-        if self.write_at is None:
+        if self.next_write_at is None:
             delay = SNAPSHOT_RANK_DELAY * (rank + 0.5 * self.rng.random())
-            self.write_at = Millis(now + delay)
-        return now >= self.write_at
+            self.next_write_at = Millis(now + delay)
+        return now >= self.next_write_at
 
     def write_started(self, now: Millis) -> None:
         """Wait for the snapshot to appear in the stream before another one is written."""
-        self.write_at = Millis(now + SNAPSHOT_RETRY * (1 + self.rng.random()))
+        self.next_write_at = Millis(now + SNAPSHOT_RETRY * (1 + self.rng.random()))
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -229,11 +229,11 @@
         would stop routing to healthy members until each of them has refuted it.
         """
         bad = (MemberState.SUSPECT, MemberState.DEAD)
-        mine = self.me.daemon_id
+        own_id = self.me.daemon_id
         return tuple(
             m
             for m in members
-            if m.state not in bad or m.daemon_id == mine or m.daemon_id not in self.table
+            if m.state not in bad or m.daemon_id == own_id or m.daemon_id not in self.table
         )
 
     def updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
--- a/packages/agatecross-core/agatecross_core/quarantine/gate.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/gate.py
@@ -4,7 +4,7 @@
 
 from ..ids import CallId, DaemonId, Fingerprint
 from ..states import Reason
-from .model import InFlightCall, Suspect
+from .model import InFlightCall, SuspectedRequest
 
 
 class TrialGate:
@@ -13,10 +13,10 @@
     def __init__(self, me: DaemonId) -> None:
         """Start without suspects."""
         self.me = me
-        self.suspects: Mapping[Fingerprint, Suspect] = {}
+        self.suspects: Mapping[Fingerprint, SuspectedRequest] = {}
         self.running: dict[CallId, InFlightCall] = {}
 
-    def suspects_changed(self, suspects: Mapping[Fingerprint, Suspect]) -> None:
+    def suspects_changed(self, suspects: Mapping[Fingerprint, SuspectedRequest]) -> None:
         """Replace the fingerprints with strikes."""
         self.suspects = suspects
 
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -49,7 +49,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Suspect:
+class SuspectedRequest:
     """A fingerprint with strikes: refused if quarantined, else run only by daemon `trial`."""
 
     quarantined: bool
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -102,9 +102,11 @@
         """Yield the rows of the table, oldest first."""
         self._expire(now)
         for fingerprint, record in self.records.items():
-            left = Millis(record.struck_at + QUARANTINE_TIME - now)
+            left_ms = Millis(record.struck_at + QUARANTINE_TIME - now)
             count = len(record.deaths)
-            yield QuarantineRow(fingerprint, record.path, count, count >= QUARANTINE_DEATHS, left)
+            yield QuarantineRow(
+                fingerprint, record.path, count, count >= QUARANTINE_DEATHS, left_ms
+            )
 
     def _expire(self, now: Millis) -> None:
         while self.records:
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -15,7 +15,7 @@
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.policies import new_admission
-from agatecross_core.distribution.baselines import FOLLOWERS
+from agatecross_core.distribution.baselines import FOLLOWERS_BY_NAME
 from agatecross_core.distribution.pulls import PullRequest, VersionNotice
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import OutcomeRequest
@@ -139,7 +139,7 @@
         ),
         ConfigTask(
             boxes.config,
-            FOLLOWERS[settings.distribution](me, decode_toml, rng),
+            FOLLOWERS_BY_NAME[settings.distribution](me, decode_toml, rng),
             boxes.control,
             log,
             (boxes.members, boxes.call, boxes.admin, boxes.upstream),
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -8,7 +8,7 @@
 from agatecross_core.ids import Address, Fingerprint, Millis
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import FleetView
-from agatecross_core.quarantine.model import InFlightCall, Suspect
+from agatecross_core.quarantine.model import InFlightCall, SuspectedRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +86,7 @@
 class SuspectsChanged:
     """The fingerprints with strikes changed, or who may try them."""
 
-    suspects: Mapping[Fingerprint, Suspect]
+    suspects: Mapping[Fingerprint, SuspectedRequest]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -9,7 +9,7 @@
 from agatecross_core.config.forms import check_address, check_ip, check_name
 from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
-from agatecross_core.distribution.baselines import FOLLOWERS
+from agatecross_core.distribution.baselines import FOLLOWERS_BY_NAME
 from agatecross_core.errors import SettingsError
 from agatecross_core.findings import Finding, sort_findings
 from agatecross_core.ids import Address, DaemonId, DataCentreName, RegionName
@@ -40,7 +40,7 @@
 POLICY_KEYS: Mapping[str, Key] = {
     "balancing": Key(str, choices=tuple(sorted(BALANCERS))),
     "admission": Key(str, choices=tuple(sorted(POLICIES))),
-    "distribution": Key(str, choices=tuple(sorted(FOLLOWERS))),
+    "distribution": Key(str, choices=tuple(sorted(FOLLOWERS_BY_NAME))),
 }
 TELEMETRY_KEYS: Mapping[str, Key] = {
     "sample_ratio": Key(float, low=0.0, high=1.0),
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -15,7 +15,7 @@
     QuarantineRow,
     StrikeAck,
     StrikeNotice,
-    Suspect,
+    SuspectedRequest,
 )
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.quarantine.trial import select_trial_daemon
@@ -164,7 +164,7 @@
     def _tell_upstream(self) -> None:
         service = self.me.upstream.service if self.me.upstream else None
         suspects = {
-            row.fingerprint: Suspect(
+            row.fingerprint: SuspectedRequest(
                 row.quarantined, self._trial(row.fingerprint, service) if service else None
             )
             for row in self.table.rows(monotonic())
