--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -5,7 +5,7 @@
 
 from ..errors import DeltaError
 
-# Pieces end at a closing brace, so that an unchanged JSON object without nested ones is one piece.
+# Pieces end at a closing brace, so an unchanged JSON object without nested ones is one piece.
 PIECE = re.compile(rb"[^}]*\}|[^}]+")
 
 Copy = tuple[int, int]
@@ -29,7 +29,7 @@
         first, count = step
         if first < 0 or count < 1 or first + count > len(pieces):
             raise DeltaError(
-                f"copies pieces {first} up to {first + count} from a base of {len(pieces)}"
+                f"step copies pieces {first} up to {first + count}, base has {len(pieces)}"
             )
         pieces_of_target += pieces[first : first + count]
     return b"".join(pieces_of_target)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -383,7 +383,7 @@
 
     def _write_snapshot(self, now: Millis) -> Iterator[FollowerAction]:
         replaced = self.log.caught_up and self.state.version > self.log.state.version
-        # If all readers lost their position, none could fold again, so that one restarts the fold.
+        # If all readers lost their position, none could fold again, so one restarts the fold.
         position_lost = (
             self.log.position_lost
             and self.log.search_finished
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -1,7 +1,7 @@
 """Selects the daemons that read the configuration from the store, and those they push it to.
 
 Only daemons of the region nearest to the store read. They push changes to relays in the other
-regions, so that a change crosses the link between two regions only a few times, whatever the size
+regions, so a change crosses the link between two regions only a few times, whatever the size
 of the fleet.
 """
 
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -50,8 +50,8 @@
     """The changed documents, and the names of all documents of `version`.
 
     `through` and `mark` give the log position of the state, so that the receiver folds exactly the
-    records after it. The ids in `seen` come after the last `kept_count` ids of the receiver, because all
-    4,096 ids would often be larger than a changed document. `seen_digest` covers both
+    records after it. The ids in `seen` come after the last `kept_count` ids of the receiver,
+    because all 4,096 ids would often be larger than a changed document. `seen_digest` covers both
     parts.
     """
 
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -32,14 +32,14 @@
 }
 # A full table takes longer to transfer than a probe: with 1,300 members it has about 200 KB.
 SYNC_TIMEOUT = Millis(5 * PROBE_TIMEOUT)
-# Sending a full table of 200 KB every second would exceed the budget of 9 KB/s, so that full
-# replies are limited to short bursts.
+# Sending a full table of 200 KB every second would exceed the budget of 9 KB/s, so full replies
+# are limited to short bursts.
 FULL_REPLY_BURST = 8
 FULL_REPLY_REFILL_PERIOD = Millis(2_000)
 MAX_UNLIMITED_REPLY_ROWS = 48
-# Each update is sent a limited number of times, so that two daemons that join at the same time may
-# miss each other. Therefore daemons compare their tables, soon after the fleet changed and then
-# at growing intervals.
+# Each update is sent a limited number of times, so two daemons that join at the same time may miss
+# each other. Daemons therefore compare their tables, soon after the fleet changed and then at
+# growing intervals.
 MIN_SYNC_PERIOD = Millis(1_000)
 MAX_SYNC_PERIOD = Millis(32_000)
 
@@ -115,7 +115,7 @@
             self.responsive_since = now
         if gap <= MAX_TICK_GAP:
             return
-        # Refutations may have been missed, so that the timers of all suspects start again.
+        # Refutations may have been missed, so the timers of all suspects start again.
         self.suspected_at = dict.fromkeys(self.suspected_at, now)
         self.next_probe_at = Millis(now + PROBE_PERIOD)
         self.next_sync_at = now
@@ -159,7 +159,7 @@
             or sent_at < self.responsive_since
         ):
             return
-        # A leaving member is expected to stop and gets no work, so that it need not refute.
+        # A leaving member is expected to stop and gets no work, so it need not refute.
         gone = known.state is MemberState.LEAVING
         state = MemberState.DEAD if gone else MemberState.SUSPECT
         yield from self.merge([replace(known, state=state)], now)
@@ -295,7 +295,7 @@
             return
         if now < self.next_sync_at:
             return
-        # This peer may be suspended too, so that another one is tried after the time-out.
+        # This peer may be suspended too, so another one is tried after the time-out.
         period = SYNC_TIMEOUT if self.needs_sync else self.sync_period
         self.next_sync_at = Millis(now + period * (0.5 + self.rng.random()))
         self.sync_period = min(MAX_SYNC_PERIOD, Millis(2 * self.sync_period))
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -10,6 +10,7 @@
 from .model import QuarantineRow
 
 Death = tuple[DaemonId, Incarnation]
+"""Daemon and incarnation of a `Strike`."""
 
 
 @dataclass(slots=True)
