--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -101,5 +101,7 @@
     snapshot, findings = compile_documents(record.documents, decoder, record.version)
     if snapshot is None:
         return FoldStep(state, Verdict.REJECTED, findings)
-    taken = ConfigState(record.version, record.digest, record.documents, record.seen, record.rules)
-    return FoldStep(taken, Verdict.ACCEPTED, (), snapshot)
+    adopted = ConfigState(
+        record.version, record.digest, record.documents, record.seen, record.rules
+    )
+    return FoldStep(adopted, Verdict.ACCEPTED, (), snapshot)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -287,7 +287,7 @@
     ) -> Iterator[FollowerAction]:
         # After a restart of the fold the ids that both know may differ; then request all ids.
         asked_for_all, self.request_all_seen = self.request_all_seen, False
-        if result.verdict is PullVerdict.OTHER_SEEN and not asked_for_all:
+        if result.verdict is PullVerdict.SEEN_MISMATCH and not asked_for_all:
             self.request_all_seen = True
             return
         if result.snapshot is not None and result.state is not None:
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -74,8 +74,8 @@
     SAME = "same"
     OLDER = "older"
     OTHER_DIGEST = "other-digest"
-    BROKEN = "broken"
-    OTHER_SEEN = "other-seen"
+    CORRUPT = "broken"
+    SEEN_MISMATCH = "other-seen"
     UNKNOWN_RULES = "unknown-rules"
     FINDINGS = "findings"
 
@@ -97,8 +97,8 @@
 
 def answer_pull(state: ConfigState, request: PullRequest) -> PullReply:
     """Return the documents and publish ids that the requester lacks."""
-    mine = known_digests(state)
-    changed = tuple(d for d in state.documents if request.known.get(d.name) != mine[d.name])
+    own_digests = known_digests(state)
+    changed = tuple(d for d in state.documents if request.known.get(d.name) != own_digests[d.name])
     names = tuple(document.name for document in state.documents)
     known = request.last_seen in state.seen
     kept_count = state.seen.index(request.last_seen) + 1 if known else 0
@@ -125,20 +125,20 @@
         if reply.digest != state.digest:
             return PullResult(PullVerdict.OTHER_DIGEST)
         if seen is None:
-            return PullResult(PullVerdict.OTHER_SEEN)
+            return PullResult(PullVerdict.SEEN_MISMATCH)
         moved = replace(state, seen=seen, through=reply.through, mark=reply.mark)
         return PullResult(PullVerdict.SAME, moved)
     if reply.rules > RULE_SET:
         return PullResult(PullVerdict.UNKNOWN_RULES)
     if seen is None:
-        return PullResult(PullVerdict.OTHER_SEEN)
+        return PullResult(PullVerdict.SEEN_MISMATCH)
     documents = _assemble_documents(state.documents, reply)
     if digest_of(documents) != reply.digest:
-        return PullResult(PullVerdict.BROKEN)
+        return PullResult(PullVerdict.CORRUPT)
     snapshot, findings = compile_documents(documents, decoder, reply.version)
     if snapshot is None:
         return PullResult(PullVerdict.FINDINGS, findings=findings)
-    taken = ConfigState(
+    adopted = ConfigState(
         reply.version,
         reply.digest,
         documents,
@@ -147,7 +147,7 @@
         reply.through,
         reply.mark,
     )
-    return PullResult(PullVerdict.NEWER, taken, snapshot)
+    return PullResult(PullVerdict.NEWER, adopted, snapshot)
 
 
 def digest_of_ids(ids: Iterable[PublishId]) -> Digest:
