--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -68,7 +68,11 @@
 
 
 class PullVerdict(Enum):
-    """Result of checking a pull reply."""
+    """Result of checking a pull reply.
+
+    `CORRUPT` means that the documents do not match the digest of the reply, `SEEN_MISMATCH` that
+    the publish ids do not match its `seen_digest`.
+    """
 
     NEWER = "newer"
     SAME = "same"
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -43,7 +43,7 @@
         self.next_write_at = None
 
     def is_due(self, now: Millis, rank: int, required: bool) -> bool:
-        """Return whether to write a snapshot now; higher-ranked readers wait longer."""
+        """Return whether to write a snapshot now; the delay grows with the rank of this reader."""
         if self.last_written_at is None:
             self.last_written_at = Millis(now - SNAPSHOT_MAX_AGE + SNAPSHOT_FIRST_AGE)
         old = now - self.last_written_at >= SNAPSHOT_MAX_AGE
--- a/packages/agatecross-core/agatecross_core/members/leave_replies.py
+++ b/packages/agatecross-core/agatecross_core/members/leave_replies.py
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class LeaveReplies:
-    """Confirms a leave once its drain is stored outside the daemon.
+    """Confirms a leave once its drain is stored where it outlives the daemon.
 
     A confirmed leave also applies after a restart of the whole fleet. A leave whose drain is not
     stored in time still takes effect, but is not confirmed; the upstream may send it again.
--- a/packages/agatecross-core/agatecross_core/quarantine/gate.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/gate.py
@@ -8,7 +8,7 @@
 
 
 class TrialGate:
-    """Tracks running calls; a suspected request runs one at a time, only at its trial daemon."""
+    """Tracks running calls; admits a suspected request only at its trial daemon, one at a time."""
 
     def __init__(self, me: DaemonId) -> None:
         """Start without suspects."""
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StrikeNotice:
-    """Control message: strikes that peers must know before the failed calls are answered."""
+    """Control message: strikes that the receiver records before failed calls are answered."""
 
     sender: Member
     strikes: tuple[Strike, ...]
