--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -1,4 +1,4 @@
-"""One call from its arrival to its outcome, as a generator of actions."""
+"""The attempts of one call until its outcome, as a generator of actions."""
 
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
@@ -9,16 +9,16 @@
 from ..ids import DaemonId, Millis
 from ..routing.model import Candidate, ChoiceRequest, Purpose
 from ..states import Outcome, Reason
-from .model import Call, CallResult, not_run
+from .model import Call, CallResult, not_run_result
 
 Chooser = Callable[[ChoiceRequest], Candidate | None]
 
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Action: send the call to this candidate and send back the result.
+    """Action: send the call to this candidate, and return the result to the flow.
 
-    If there is no result after `hedge_after`, send back `Progress.ELAPSED` and keep the attempt.
+    If there is no result after `hedge_after`, return `Progress.ELAPSED` and continue the attempt.
     """
 
     call: Call
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HedgedAttempt:
-    """Action: send the call here too and send back the first result of the two attempts."""
+    """Action: send the call to a second candidate, and return the first of the two results."""
 
     call: Call
     target: Candidate
@@ -36,11 +36,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AwaitResult:
-    """Action: send back the next result of the attempts that are outstanding."""
+    """Action: return the next result of the attempts that are outstanding."""
 
 
 class Progress(Enum):
-    """What is sent back to a flow other than a result."""
+    """Events that are returned to a flow besides results."""
 
     ELAPSED = "elapsed"
 
@@ -51,22 +51,22 @@
 
 
 def run_call(call: Call, policy: ServicePolicy, chooser: Chooser, budget: RetryBudget) -> CallFlow:
-    """Yield actions until the call has an outcome that must or may not be improved.
+    """Yield actions until the call has an outcome after which no retry is useful or allowed.
 
-    Attempts that are outstanding when the flow ends are to be cancelled.
+    The driver of the flow must cancel the attempts that are outstanding when the flow ends.
     """
     tried: list[DaemonId] = []
-    result = not_run(Reason.NO_UPSTREAM)
+    result = not_run_result(Reason.NO_UPSTREAM)
     budget.add_first_attempt()
     while len(tried) < policy.attempts:
         purpose = Purpose.RETRY if tried else Purpose.FIRST
-        target = chooser(_request(call, policy, tried, purpose))
+        target = chooser(_choice_request(call, policy, tried, purpose))
         if target is None or (tried and not budget.take()):
             break
         tried.append(target.member.daemon_id)
         latest = yield from _attempt(call, policy, target, chooser, budget, tried)
-        result = _combine(result, latest)
-        if not _may_repeat(call, latest):
+        result = _combine_results(result, latest)
+        if not _may_retry(call, latest):
             break
     return result
 
@@ -79,42 +79,42 @@
     budget: RetryBudget,
     tried: list[DaemonId],
 ) -> CallFlow:
-    hedges = call.idempotent and len(tried) < policy.attempts
-    event = yield Attempt(call, target, target.hedge_after if hedges else None)
+    may_hedge = call.idempotent and len(tried) < policy.attempts
+    event = yield Attempt(call, target, target.hedge_after if may_hedge else None)
     if isinstance(event, CallResult):
         return event
-    second = chooser(_request(call, policy, tried, Purpose.HEDGE))
-    if second is None or not budget.take():
-        return (yield from _result())
-    tried.append(second.member.daemon_id)
-    first_result = yield HedgedAttempt(call, second)
-    assert isinstance(first_result, CallResult)
-    if first_result.outcome is Outcome.RAN:
-        return first_result
-    return _combine(first_result, (yield from _result()))
-
-
-def _result() -> CallFlow:
+    second_target = chooser(_choice_request(call, policy, tried, Purpose.HEDGE))
+    if second_target is None or not budget.take():
+        return (yield from _next_result())
+    tried.append(second_target.member.daemon_id)
+    earlier_result = yield HedgedAttempt(call, second_target)
+    assert isinstance(earlier_result, CallResult)
+    if earlier_result.outcome is Outcome.RAN:
+        return earlier_result
+    return _combine_results(earlier_result, (yield from _next_result()))
+
+
+def _next_result() -> CallFlow:
     event = yield AwaitResult()
     assert isinstance(event, CallResult)
     return event
 
 
-def _request(
+def _choice_request(
     call: Call, policy: ServicePolicy, tried: list[DaemonId], purpose: Purpose
 ) -> ChoiceRequest:
     quantile = policy.hedge_quantile if call.idempotent else 0.0
     return ChoiceRequest(call.service, tuple(tried), purpose, call.deadline, quantile)
 
 
-def _may_repeat(call: Call, result: CallResult) -> bool:
+def _may_retry(call: Call, result: CallResult) -> bool:
     if result.outcome is Outcome.RAN or result.reason is Reason.DEADLINE:
         return False
     return result.outcome is Outcome.NOT_RUN or call.idempotent
 
 
-def _combine(before: CallResult, latest: CallResult) -> CallResult:
-    # A later refusal does not undo that an earlier attempt may have run.
+def _combine_results(before: CallResult, latest: CallResult) -> CallResult:
+    # A later refusal does not rule out that an earlier attempt ran.
     if before.outcome is Outcome.UNKNOWN and latest.outcome is Outcome.NOT_RUN:
         return before
     return latest
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -1,4 +1,4 @@
-"""The deterministic fold over the config stream."""
+"""The deterministic fold of config stream records into a state."""
 
 from dataclasses import replace
 
@@ -19,7 +19,7 @@
 
 
 def fold_entry(state: ConfigState, entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Fold the record after `state.through`; an unknown rule set leaves the position unchanged."""
+    """Fold the record after `state.through`; stay before a record with an unknown rule set."""
     if entry.record is None:
         step = FoldStep(state, PublishVerdict.UNDECODABLE)
     else:
@@ -30,7 +30,7 @@
 
 
 def fold(state: ConfigState, record: ConfigRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Fold one record into the state; the result depends on nothing else."""
+    """Fold one record into the state; the result depends only on the arguments."""
     if record.rules > RULE_SET_VERSION:
         return FoldStep(state, PublishVerdict.UNKNOWN_RULES)
     if isinstance(record, SnapshotRecord):
@@ -38,8 +38,8 @@
     return _fold_publish(state, record, decoder)
 
 
-def start_from(entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Return the state that a snapshot holds, for a reader that lacks the records before it."""
+def start_from_snapshot(entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
+    """Return the state in a snapshot record, for a reader that lacks the records before it."""
     record = entry.record
     if not isinstance(record, SnapshotRecord):
         return FoldStep(ConfigState(), PublishVerdict.DUPLICATE)
@@ -47,12 +47,12 @@
         return fold_entry(ConfigState(), entry, decoder)
     if record.rules > RULE_SET_VERSION:
         return FoldStep(ConfigState(), PublishVerdict.UNKNOWN_RULES)
-    step = _take_snapshot(ConfigState(), record, decoder)
+    step = _adopt_snapshot(ConfigState(), record, decoder)
     return replace(step, state=replace(step.state, through=record.through, mark=record.mark))
 
 
 def merge_documents(documents: tuple[Document, ...], record: PublishRecord) -> tuple[Document, ...]:
-    """Return the documents after a publish, ordered by name."""
+    """Return the documents after a publish, sorted by name."""
     by_name = {document.name: document for document in documents}
     by_name.update({document.name: document for document in record.documents})
     for name in record.removed:
@@ -86,12 +86,12 @@
 ) -> FoldStep:
     if record.through != NO_OFFSET:
         return FoldStep(state, PublishVerdict.DUPLICATE)
-    # Readers that lack the records before a restart start from it, so that readers that have them
-    # must come to the same state, even when that is older than what they folded.
-    return _take_snapshot(state, record, decoder)
+    # Readers that lack the records before a restart start from it. Readers that have those records
+    # must reach the same state, even if it is older than the state that they folded.
+    return _adopt_snapshot(state, record, decoder)
 
 
-def _take_snapshot(
+def _adopt_snapshot(
     state: ConfigState, record: SnapshotRecord, decoder: DocumentDecoder
 ) -> FoldStep:
     if not record.version:
@@ -101,5 +101,7 @@
     snapshot, findings = compile_documents(record.documents, decoder, record.version)
     if snapshot is None:
         return FoldStep(state, PublishVerdict.REJECTED, findings)
-    taken = ConfigState(record.version, record.digest, record.documents, record.seen, record.rules)
-    return FoldStep(taken, PublishVerdict.ACCEPTED, (), snapshot)
+    adopted = ConfigState(
+        record.version, record.digest, record.documents, record.seen, record.rules
+    )
+    return FoldStep(adopted, PublishVerdict.ACCEPTED, (), snapshot)
--- a/packages/agatecross-core/agatecross_core/config/merge.py
+++ b/packages/agatecross-core/agatecross_core/config/merge.py
@@ -1,4 +1,4 @@
-"""Second filter: the base and the overlays to one merged site for each data centre."""
+"""Second filter of the pipeline: merges base and overlays into a site per data centre."""
 
 from collections.abc import Iterable, Iterator, Mapping
 
@@ -8,16 +8,16 @@
 from .model import BASE, DecodedDocument, KeyPath, MergedSite
 
 OVERLAY_TABLES = ("services", "routes")
-"""Tables that an overlay may change; the list of regions is the same for every site."""
+"""Tables that an overlay may change; all sites share the list of regions."""
 
 MAX_TABLE_DEPTH = 4
-"""Deeper tables hold only unknown keys; following them could exhaust the stack."""
+"""Deeper tables hold only unknown keys, and recursion into them could overflow the stack."""
 
 
 def merge(
     items: Iterable[DecodedDocument | Finding],
 ) -> Iterator[MergedSite | Finding]:
-    """Apply each overlay to the base; findings pass through."""
+    """Apply each overlay to the base; pass findings on."""
     documents: dict[str, DecodedDocument] = {}
     for item in items:
         if isinstance(item, Finding):
@@ -26,7 +26,9 @@
             documents[item.name] = item
     base = documents.pop(BASE, None)
     if base is None:
-        yield Finding(Place(BASE, 0, ""), "no-base", "there is no readable base document")
+        yield Finding(
+            Place(BASE, 0, ""), "no-base", "the base document is missing or cannot be decoded"
+        )
         return
     if len(documents) > MAX_OVERLAYS:
         message = f"there are more than {MAX_OVERLAYS} overlays"
@@ -35,7 +37,7 @@
     yield from _check_overlay_names(base, documents)
     names = list(data_centres(base.values))
     yield from _check_data_centres(base, names)
-    # Without a data centre there is no site, and the rest of the base would stay unchecked.
+    # Without data centres there would be no site, and the rest of the base would go unchecked.
     for name in dict.fromkeys(names or [""]):
         yield _merge_site(DataCentreName(name), base, documents.get(name))
 
@@ -89,14 +91,14 @@
 ) -> MergedSite:
     values: dict[str, object] = {}
     places: dict[KeyPath, Place] = {}
-    _apply(values, places, base, base.values, ())
+    _apply_values(values, places, base, base.values, ())
     if overlay is not None:
         changes = {key: overlay.values[key] for key in OVERLAY_TABLES if key in overlay.values}
-        _apply(values, places, overlay, changes, ())
+        _apply_values(values, places, overlay, changes, ())
     return MergedSite(name, values, places)
 
 
-def _apply(
+def _apply_values(
     target: dict[str, object],
     places: dict[KeyPath, Place],
     document: DecodedDocument,
@@ -104,13 +106,13 @@
     path: KeyPath,
 ) -> None:
     for key, value in changes.items():
-        here = (*path, key)
-        if not isinstance(value, Mapping) or len(here) > MAX_TABLE_DEPTH:
+        key_path = (*path, key)
+        if not isinstance(value, Mapping) or len(key_path) > MAX_TABLE_DEPTH:
             target[key] = value
-            places[here] = document.place(here)
+            places[key_path] = document.place(key_path)
             continue
         old = target.get(key)
         table = old if isinstance(old, dict) else {}
         target[key] = table
-        places.setdefault(here, document.place(here))
-        _apply(table, places, document, value, here)
+        places.setdefault(key_path, document.place(key_path))
+        _apply_values(table, places, document, value, key_path)
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -1,21 +1,21 @@
-"""The keys of the documents, with their types and bounds."""
+"""Keys of configuration documents, with the types and limits of their values."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .forms import Form
+from .forms import FormCheck
 
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it must be there, bounds, strings."""
+    """One key: the type of its value, whether it is required, and the values allowed."""
 
     kind: type
     required: bool = False
     low: float | None = None
     high: float | None = None
     choices: tuple[str, ...] = ()
-    form: Form | None = None
+    form: FormCheck | None = None
 
 
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -13,45 +13,48 @@
 
 
 class SnapshotSchedule:
-    """Tracks the newest snapshot of the stream by age and by the records after it."""
+    """Tracks the age of the newest snapshot of the stream and the number of records after it."""
 
     def __init__(self, rng: random.Random, after_records: int = SNAPSHOT_AFTER_RECORDS) -> None:
-        """Start without knowledge of a snapshot."""
+        """Start without a known snapshot."""
         self.rng = rng
         self.after_records = after_records
-        self.records = 0
-        self.written_at: Millis | None = None
-        self.write_at: Millis | None = None
+        self.records_since_snapshot = 0
+        self.last_written_at: Millis | None = None
+        self.next_write_at: Millis | None = None
 
     def record_read(self) -> None:
-        """Count a record that is no snapshot."""
-        self.records += 1
+        """Count a record that is not a snapshot."""
+        self.records_since_snapshot += 1
 
-    def snapshot_read(self, now: Millis, age: Millis, records: int) -> None:
-        """Take a snapshot of the stream into account; `records` lie between it and its state."""
-        self.records = records
-        self.written_at = Millis(now - age)
-        self.write_at = None
+    def snapshot_read(self, now: Millis, age: Millis, records_since_snapshot: int) -> None:
+        """Record that a snapshot was read.
+
+        `records_since_snapshot` is the number of records between its state and itself.
+        """
+        self.records_since_snapshot = records_since_snapshot
+        self.last_written_at = Millis(now - age)
+        self.next_write_at = None
 
     def log_replaced(self) -> None:
-        """Forget the snapshots of the log that is gone."""
-        self.records = 0
-        self.written_at = None
-        self.write_at = None
-
-    def due(self, now: Millis, rank: int, required: bool) -> bool:
-        """Return whether to write now; the delay grows with the rank among the readers."""
-        if self.written_at is None:
-            self.written_at = Millis(now - SNAPSHOT_MAX_AGE + FIRST_SNAPSHOT_DELAY)
-        old = now - self.written_at >= SNAPSHOT_MAX_AGE
-        if not (required or old or self.records >= self.after_records):
-            self.write_at = None
+        """Forget the snapshots of the previous log."""
+        self.records_since_snapshot = 0
+        self.last_written_at = None
+        self.next_write_at = None
+
+    def is_due(self, now: Millis, rank: int, required: bool) -> bool:
+        """Return whether to write a snapshot now; the delay grows with the rank of this reader."""
+        if self.last_written_at is None:
+            self.last_written_at = Millis(now - SNAPSHOT_MAX_AGE + FIRST_SNAPSHOT_DELAY)
+        old = now - self.last_written_at >= SNAPSHOT_MAX_AGE
+        if not (required or old or self.records_since_snapshot >= self.after_records):
+            self.next_write_at = None
             return False
-        if self.write_at is None:
+        if self.next_write_at is None:
             delay = SNAPSHOT_RANK_DELAY * (rank + 0.5 * self.rng.random())
-            self.write_at = Millis(now + delay)
-        return now >= self.write_at
+            self.next_write_at = Millis(now + delay)
+        return now >= self.next_write_at
 
-    def started(self, now: Millis) -> None:
+    def write_started(self, now: Millis) -> None:
         """Wait for the snapshot to appear in the stream before another one is written."""
-        self.write_at = Millis(now + SNAPSHOT_RETRY_DELAY * (1 + self.rng.random()))
+        self.next_write_at = Millis(now + SNAPSHOT_RETRY_DELAY * (1 + self.rng.random()))
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -20,9 +20,9 @@
 )
 from ..ids import Address, DaemonId, Incarnation, Millis
 from ..states import MemberState
-from .buckets import differing, hash_buckets
+from .buckets import hash_buckets, members_in_differing_buckets
 from .dissemination import UpdateQueue
-from .records import Identity, Member, SyncReply, SyncRequest, record_bytes
+from .records import Identity, Member, SyncReply, SyncRequest, estimate_record_bytes
 
 STATE_RANK = {
     MemberState.ALIVE: 0,
@@ -30,14 +30,16 @@
     MemberState.LEAVING: 2,
     MemberState.DEAD: 3,
 }
-# A full table takes longer than a probe: at 1,300 members it has about 200 KB.
+# A full table takes longer to transfer than a probe: with 1,300 members it has about 200 KB.
 SYNC_TIMEOUT = Millis(5 * PROBE_TIMEOUT)
-# A full table of 200 KB each second would exceed the budget of 9 KB/s, so only bursts are served.
-MAX_FULL_REPLIES = 8
-FULL_REPLY_PERIOD = Millis(2_000)
-MAX_FREE_ROWS = 48
-# Two daemons that joined at the same time may miss each other's updates, which are sent a limited
-# number of times, so tables are compared: soon after a change of the fleet, then ever more rarely.
+# Sending a full table of 200 KB every second would exceed the budget of 9 KB/s, so full replies
+# are limited to short bursts.
+FULL_REPLY_BURST = 8
+FULL_REPLY_REFILL_PERIOD = Millis(2_000)
+MAX_UNLIMITED_REPLY_ROWS = 48
+# Each update is sent a limited number of times, so two daemons that join at the same time may miss
+# each other. Daemons therefore compare their tables, soon after the fleet changed and then at
+# growing intervals.
 MIN_SYNC_PERIOD = Millis(1_000)
 MAX_SYNC_PERIOD = Millis(32_000)
 
@@ -50,8 +52,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ProbeThrough:
-    """Action: ask `helpers` to probe the member."""
+class ProbeIndirectly:
+    """Action: ask the helpers to probe the member."""
 
     target: Member
     helpers: tuple[Member, ...]
@@ -66,21 +68,21 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersChanged:
-    """Action: the table changed; subscribers get a new view."""
+    """Action: send subscribers a view of the changed table."""
 
 
 @dataclass(frozen=True, slots=True)
 class TableFull:
-    """Action: report that a new member was ignored; given once until there is room again."""
+    """Action: report that a new member was ignored; yielded once until there is room again."""
 
     ignored: DaemonId
 
 
-SwimAction = ProbeMember | ProbeThrough | SyncWith | MembersChanged | TableFull
+SwimAction = ProbeMember | ProbeIndirectly | SyncWith | MembersChanged | TableFull
 
 
 class Swim:
-    """Decides whom to probe and what to believe about each member."""
+    """Decides which members to probe and merges the reported states of each member."""
 
     def __init__(self, me: Member, rng: random.Random) -> None:
         """Start with a table that holds only this daemon."""
@@ -89,31 +91,31 @@
         self.table: dict[DaemonId, Member] = {me.daemon_id: me}
         self.suspected_at: dict[DaemonId, Millis] = {}
         self.dead_at: dict[DaemonId, Millis] = {}
-        self.pending: UpdateQueue[DaemonId] = UpdateQueue()
+        self.pending_updates: UpdateQueue[DaemonId] = UpdateQueue()
         self.probe_order: list[DaemonId] = []
         self.next_probe_at = Millis(0)
         self.next_dead_probe_at = Millis(0)
         self.next_sync_at = Millis(0)
         self.sync_period = MIN_SYNC_PERIOD
-        self.awake_at: Millis | None = None
-        self.attentive_since = Millis(0)
+        self.last_active_at: Millis | None = None
+        self.responsive_since = Millis(0)
         self.stale = False
         self.needs_sync = False
-        self.full_replies = MAX_FULL_REPLIES
-        self.full_replies_at = Millis(0)
-        self.ignored: DaemonId | None = None
-        self.full_reported = False
-
-    def observe(self, now: Millis) -> Iterator[SwimAction]:
-        """Detect a late or paused process; call before any message is handled."""
-        gap = 0.0 if self.awake_at is None else now - self.awake_at
-        self.awake_at = now
+        self.full_reply_tokens = FULL_REPLY_BURST
+        self.full_reply_refilled_at = Millis(0)
+        self.ignored_member: DaemonId | None = None
+        self.table_full_reported = False
+
+    def detect_pause(self, now: Millis) -> Iterator[SwimAction]:
+        """Detect a late or paused process; call before each message is handled."""
+        gap = 0.0 if self.last_active_at is None else now - self.last_active_at
+        self.last_active_at = now
         if gap > PROBE_TIMEOUT:
-            # Answers may have waited unread, so the probes in flight say nothing of their targets.
-            self.attentive_since = now
+            # Answers may have arrived unread, so probes in flight say nothing about their targets.
+            self.responsive_since = now
         if gap <= MAX_TICK_GAP:
             return
-        # The refutations of suspects may have been missed, so their timers start again.
+        # Refutations may have been missed, so the timers of all suspects start again.
         self.suspected_at = dict.fromkeys(self.suspected_at, now)
         self.next_probe_at = Millis(now + PROBE_PERIOD)
         self.next_sync_at = now
@@ -123,13 +125,13 @@
             yield MembersChanged()
 
     def tick(self, now: Millis) -> Iterator[SwimAction]:
-        """Advance time; call at least every quarter of the probe period."""
-        yield from self.observe(now)
-        yield from self._resync(now)
+        """Start what is due; call at least every quarter of the probe period."""
+        yield from self.detect_pause(now)
+        yield from self._start_sync(now)
         yield from self._expire(now)
         if now >= self.next_probe_at:
             self.next_probe_at = Millis(now + PROBE_PERIOD)
-            target = self._next_target()
+            target = self._next_probe_target()
             if target is not None:
                 yield ProbeMember(target)
         if now >= self.next_dead_probe_at:
@@ -138,52 +140,56 @@
                 yield ProbeMember(self.table[self.rng.choice(list(self.dead_at))])
 
     def probe_failed(self, target: Member, sent_at: Millis) -> Iterator[SwimAction]:
-        """Handle a direct probe, sent at `sent_at`, without answer."""
+        """Probe indirectly after a direct probe, sent at `sent_at`, got no answer."""
         known = self.table.get(target.daemon_id)
-        if known is None or known.state is MemberState.DEAD or sent_at < self.attentive_since:
+        if known is None or known.state is MemberState.DEAD or sent_at < self.responsive_since:
             return
         others = [m for m in self.live_peers() if m.daemon_id != target.daemon_id]
         helpers = tuple(self.rng.sample(others, min(INDIRECT_PROBES, len(others))))
-        yield ProbeThrough(target, helpers)
+        yield ProbeIndirectly(target, helpers)
 
-    def unreachable(self, target: Member, sent_at: Millis, now: Millis) -> Iterator[SwimAction]:
-        """Suspect a member that neither answered directly nor through helpers."""
+    def indirect_probe_failed(
+        self, target: Member, sent_at: Millis, now: Millis
+    ) -> Iterator[SwimAction]:
+        """Suspect a member that answered neither directly nor through helpers."""
         known = self.table.get(target.daemon_id)
         if (
             known is None
             or known.incarnation != target.incarnation
-            or sent_at < self.attentive_since
+            or sent_at < self.responsive_since
         ):
             return
-        # A leaving member is expected to go and gets no work, so there is nothing to refute.
+        # A leaving member is expected to stop and gets no work, so it need not refute.
         gone = known.state is MemberState.LEAVING
         state = MemberState.DEAD if gone else MemberState.SUSPECT
         yield from self.merge([replace(known, state=state)], now)
 
     def merge(self, members: Iterable[Member], now: Millis) -> Iterator[SwimAction]:
-        """Merge records from a peer; the newer incarnation wins, then the worse state."""
+        """Merge records of a peer; the higher incarnation wins, then the higher `STATE_RANK`."""
         changed = False
         for member in members:
             changed = self._merge_one(member, now) or changed
         if changed:
             yield MembersChanged()
-        if self.ignored is not None and not self.full_reported:
-            self.full_reported = True
-            yield TableFull(self.ignored)
+        if self.ignored_member is not None and not self.table_full_reported:
+            self.table_full_reported = True
+            yield TableFull(self.ignored_member)
 
-    def update_me(self, me: Member) -> Iterator[SwimAction]:
+    def update_own_record(self, me: Member) -> Iterator[SwimAction]:
         """Replace this daemon's own record under a new incarnation."""
-        self._set_me(replace(me, incarnation=Incarnation(self.me.incarnation + 1)))
+        self._set_own_record(replace(me, incarnation=Incarnation(self.me.incarnation + 1)))
         yield MembersChanged()
 
     def sync_request(self) -> SyncRequest:
-        """Return the request for what this table lacks."""
+        """Return a request for the records that this table lacks."""
         return SyncRequest(self.me, hash_buckets(self.table.values()))
 
-    def synced(self, reply: SyncReply, now: Millis) -> Iterator[SwimAction]:
-        """Merge what a peer sent; a complete reply makes the view current."""
+    def merge_sync_reply(self, reply: SyncReply, now: Millis) -> Iterator[SwimAction]:
+        """Merge the records of a sync reply; a complete reply makes the view current."""
         before = len(self.table)
-        rows = reply.members if self.needs_sync else self._without_rumours(reply.members)
+        rows = (
+            reply.members if self.needs_sync else self._without_unconfirmed_failures(reply.members)
+        )
         self.needs_sync = not reply.complete
         if reply.complete:
             self.stale = False
@@ -192,93 +198,95 @@
             self.sync_period = MIN_SYNC_PERIOD
         yield MembersChanged()
 
-    def sync_rows(self, request: SyncRequest, now: Millis) -> tuple[tuple[Member, ...], bool]:
+    def answer_sync(self, request: SyncRequest, now: Millis) -> tuple[tuple[Member, ...], bool]:
         """Return the members that the sender lacks and True, or a sample and False.
 
         Large replies are limited, so that in a mass restart the few announced daemons refer most
-        of the joiners to others.
+        joining daemons to other members.
         """
-        rows = differing(self.table.values(), request.hashes)
-        if len(rows) <= MAX_FREE_ROWS or self._take_full_reply(now):
+        rows = members_in_differing_buckets(self.table.values(), request.hashes)
+        if len(rows) <= MAX_UNLIMITED_REPLY_ROWS or self._take_full_reply_token(now):
             return rows, True
         peers = self.live_peers()
         sample = self.rng.sample(peers, min(MAX_UPDATES_PER_MESSAGE, len(peers)))
         return (self.me, *sample), False
 
-    def _take_full_reply(self, now: Millis) -> bool:
-        gained = int((now - self.full_replies_at) / FULL_REPLY_PERIOD)
+    def _take_full_reply_token(self, now: Millis) -> bool:
+        gained = int((now - self.full_reply_refilled_at) / FULL_REPLY_REFILL_PERIOD)
         if gained > 0:
-            self.full_replies = min(MAX_FULL_REPLIES, self.full_replies + gained)
-            self.full_replies_at = now
-        self.full_replies -= 1
-        if self.full_replies >= 0:
+            self.full_reply_tokens = min(FULL_REPLY_BURST, self.full_reply_tokens + gained)
+            self.full_reply_refilled_at = now
+        self.full_reply_tokens -= 1
+        if self.full_reply_tokens >= 0:
             return True
-        self.full_replies = 0
+        self.full_reply_tokens = 0
         return False
 
-    def _without_rumours(self, members: Iterable[Member]) -> tuple[Member, ...]:
-        """Drop suspicion and death of members that are alive here.
+    def _without_unconfirmed_failures(self, members: Iterable[Member]) -> tuple[Member, ...]:
+        """Leave out reports that a member known here is suspect or dead.
 
-        After a partition the other side believes all of this side dead; accepting that from its
-        table would stop the routing to healthy members until each of them has refuted.
+        After a partition the other side holds all members of this side for dead. Accepting that
+        would stop routing to healthy members until each of them has refuted it.
         """
         bad = (MemberState.SUSPECT, MemberState.DEAD)
-        mine = self.me.daemon_id
+        own_id = self.me.daemon_id
         return tuple(
             m
             for m in members
-            if m.state not in bad or m.daemon_id == mine or m.daemon_id not in self.table
+            if m.state not in bad or m.daemon_id == own_id or m.daemon_id not in self.table
         )
 
     def updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
-        """Return the records to put on the next message, least often sent first.
+        """Return the records for the next message, least often sent first.
 
-        What is believed of `target` comes first when it is not alive, so that it can refute.
+        The record of `target` comes first if it is not alive, so that the target can refute it.
         """
-        keys = self.pending.take(MAX_UPDATES_PER_MESSAGE, self.transmissions(), self._size)
+        keys = self.pending_updates.take(
+            MAX_UPDATES_PER_MESSAGE, self.max_transmissions(), self._update_bytes
+        )
         rows = [self.table[key] for key in keys if key in self.table and key != target]
         known = self.table.get(target) if target is not None else None
         if known is not None and known.state is not MemberState.ALIVE:
             rows.insert(0, known)
         return tuple(rows)
 
-    def news_for(self, sender: Identity) -> tuple[Member, ...]:
-        """Return the updates for the answer to `sender`."""
+    def updates_for_reply(self, sender: Identity) -> tuple[Member, ...]:
+        """Return the records for the answer to `sender`."""
         known = self.table.get(sender.daemon_id)
         rows = self.updates(sender.daemon_id)
-        # A daemon that restarted with a lower clock must learn the incarnation to exceed.
+        # A daemon that restarted with its clock set back must learn which incarnation to exceed.
         if known is None or known.incarnation <= sender.incarnation or known in rows:
             return rows
         return (known, *rows)
 
-    def knows(self, sender: Identity) -> bool:
-        """Return whether the sender's record of this incarnation or a later one is here."""
+    def knows_incarnation(self, sender: Identity) -> bool:
+        """Return whether the table has the sender with this incarnation or a higher one."""
         known = self.table.get(sender.daemon_id)
         return known is not None and known.incarnation >= sender.incarnation
 
-    def transmissions(self) -> int:
-        """Return how often an update is sent, which grows with the logarithm of the fleet."""
+    def max_transmissions(self) -> int:
+        """Return how often each update is sent; it grows with the logarithm of the fleet size."""
         return 3 * math.ceil(math.log2(len(self.table) + 1))
 
     def live_peers(self) -> list[Member]:
-        """Return the members other than this daemon that may answer."""
+        """Return the other members that are not dead."""
         return [
             member
             for member in self.table.values()
             if member.daemon_id != self.me.daemon_id and member.state is not MemberState.DEAD
         ]
 
-    def push_targets(self) -> tuple[Member, ...]:
-        """Return random peers that get an urgent update at once."""
+    def urgent_update_targets(self) -> tuple[Member, ...]:
+        """Return random peers to which an urgent update is sent at once."""
         peers = self.live_peers()
         return tuple(self.rng.sample(peers, min(LEAVE_FANOUT, len(peers))))
 
     def suspicion_timeout(self) -> Millis:
-        """Return how long a suspect has to refute, which grows with the size of the fleet."""
+        """Return the time that a suspect has to refute, which grows with the fleet size."""
         doublings = math.log2(max(2, len(self.table)))
         return Millis(SUSPICION_BASE_TIMEOUT + SUSPICION_TIMEOUT_PER_DOUBLING * doublings)
 
-    def _resync(self, now: Millis) -> Iterator[SwimAction]:
+    def _start_sync(self, now: Millis) -> Iterator[SwimAction]:
         peers = self.live_peers()
         if not peers:
             if self.stale:
@@ -287,7 +295,7 @@
             return
         if now < self.next_sync_at:
             return
-        # The next peer is tried when this one, perhaps suspended itself, gives no answer.
+        # This peer may be suspended too, so another one is tried after the time-out.
         period = SYNC_TIMEOUT if self.needs_sync else self.sync_period
         self.next_sync_at = Millis(now + period * (0.5 + self.rng.random()))
         self.sync_period = min(MAX_SYNC_PERIOD, Millis(2 * self.sync_period))
@@ -300,35 +308,35 @@
         for daemon_id in [i for i, since in self.dead_at.items() if now - since > DEAD_RETENTION]:
             del self.dead_at[daemon_id]
             del self.table[daemon_id]
-            self.pending.discard(daemon_id)
-            self.ignored, self.full_reported = None, False
+            self.pending_updates.discard(daemon_id)
+            self.ignored_member, self.table_full_reported = None, False
 
     def _merge_one(self, member: Member, now: Millis) -> bool:
         if member.daemon_id == self.me.daemon_id:
             return self._refute(member)
         known = self.table.get(member.daemon_id)
         if known is None and len(self.table) >= MAX_MEMBERS:
-            self.ignored = member.daemon_id
+            self.ignored_member = member.daemon_id
             return False
         if known is not None and not _supersedes(member, known):
             return False
         self.table[member.daemon_id] = member
-        self._track_state(member, now)
-        self.pending.add(member.daemon_id)
+        self._track_state_change(member, now)
+        self.pending_updates.add(member.daemon_id)
         return True
 
     def _refute(self, member: Member) -> bool:
         if member == self.me or member.incarnation < self.me.incarnation:
             return False
-        self._set_me(replace(self.me, incarnation=Incarnation(member.incarnation + 1)))
+        self._set_own_record(replace(self.me, incarnation=Incarnation(member.incarnation + 1)))
         return True
 
-    def _set_me(self, me: Member) -> None:
+    def _set_own_record(self, me: Member) -> None:
         self.me = me
         self.table[me.daemon_id] = me
-        self.pending.add(me.daemon_id)
+        self.pending_updates.add(me.daemon_id)
 
-    def _track_state(self, member: Member, now: Millis) -> None:
+    def _track_state_change(self, member: Member, now: Millis) -> None:
         self.suspected_at.pop(member.daemon_id, None)
         self.dead_at.pop(member.daemon_id, None)
         if member.state is MemberState.SUSPECT:
@@ -336,11 +344,11 @@
         if member.state is MemberState.DEAD:
             self.dead_at[member.daemon_id] = now
 
-    def _size(self, daemon_id: DaemonId) -> int:
+    def _update_bytes(self, daemon_id: DaemonId) -> int:
         member = self.table.get(daemon_id)
-        return record_bytes(member) if member is not None else 0
+        return estimate_record_bytes(member) if member is not None else 0
 
-    def _next_target(self) -> Member | None:
+    def _next_probe_target(self) -> Member | None:
         while True:
             if not self.probe_order:
                 self.probe_order = [m.daemon_id for m in self.live_peers()]
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -1,4 +1,4 @@
-"""Strikes of fingerprints and the decision which requests may run."""
+"""Strikes against fingerprints, and which fingerprints are quarantined."""
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
@@ -10,28 +10,29 @@
 from .model import QuarantineRow
 
 Death = tuple[DaemonId, Incarnation]
+"""Daemon and incarnation of a `Strike`."""
 
 
 @dataclass(slots=True)
-class Record:
-    """Deaths with this fingerprint in flight, and when the latest one was counted."""
+class StrikeRecord:
+    """Upstream deaths with this fingerprint in flight, and when the last one was counted."""
 
-    at: Millis
+    struck_at: Millis
     deaths: set[Death] = field(default_factory=set)
     path: str = ""
 
 
 class StrikeTable:
-    """Fingerprints with strikes, bounded; the oldest is evicted."""
+    """A limited number of fingerprints with strikes; the oldest ones are evicted."""
 
     def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
         """Start without strikes."""
         self.limit = limit
-        self.records: OrderedDict[Fingerprint, Record] = OrderedDict()
+        self.records: OrderedDict[Fingerprint, StrikeRecord] = OrderedDict()
         self.cleared: OrderedDict[tuple[Fingerprint, Death], Millis] = OrderedDict()
 
-    def strike(self, strikes: Iterable[Strike], now: Millis) -> bool:
-        """Count strikes; return whether any of them is new."""
+    def add_strikes(self, strikes: Iterable[Strike], now: Millis) -> bool:
+        """Count strikes, and return whether any of them is new."""
         self._expire(now)
         self._expire_cleared(now)
         changed = False
@@ -39,22 +40,22 @@
             death = (strike.daemon_id, strike.incarnation)
             if (strike.fingerprint, death) in self.cleared:
                 continue
-            record = self.records.setdefault(strike.fingerprint, Record(now))
-            # A quarantine ends 10 minutes after it began, whatever is reported late.
+            record = self.records.setdefault(strike.fingerprint, StrikeRecord(now))
+            # A quarantine ends 10 minutes after it began, even if more deaths are reported later.
             if death in record.deaths or len(record.deaths) >= QUARANTINE_CRASH_COUNT:
                 continue
             record.deaths.add(death)
-            record.at = now
+            record.struck_at = now
             self.records.move_to_end(strike.fingerprint)
             changed = True
         while len(self.records) > self.limit:
             self.records.popitem(last=False)
         return changed
 
-    def clear(self, clearances: Iterable[Clearance], now: Millis) -> bool:
-        """Forget the strikes of requests that completed; return whether there were any.
+    def apply_clearances(self, clearances: Iterable[Clearance], now: Millis) -> bool:
+        """Remove the cleared strikes, and return whether there were any.
 
-        Their deaths are remembered, because a copy of a strike may arrive after its clearance.
+        The cleared deaths are retained, because a copy of a strike may arrive after its clearance.
         """
         changed = False
         for row in clearances:
@@ -72,17 +73,17 @@
         return changed
 
     def deaths(self, fingerprint: Fingerprint) -> tuple[Death, ...]:
-        """Return the deaths that count against a fingerprint."""
+        """Return the upstream deaths that count against a fingerprint."""
         record = self.records.get(fingerprint)
         return tuple(sorted(record.deaths)) if record else ()
 
     def suspected(self, fingerprint: Fingerprint, now: Millis) -> bool:
-        """Return whether the fingerprint has a strike."""
+        """Return whether the fingerprint has strikes."""
         self._expire(now)
         return fingerprint in self.records
 
     def struck_daemons(self, fingerprint: Fingerprint) -> frozenset[DaemonId]:
-        """Return the daemons next to whose upstreams the request was in flight at a death."""
+        """Return the daemons whose upstream died with the request in flight."""
         record = self.records.get(fingerprint)
         return frozenset(daemon_id for daemon_id, _ in record.deaths) if record else frozenset()
 
@@ -92,26 +93,26 @@
         record = self.records.get(fingerprint)
         return record is not None and len(record.deaths) >= QUARANTINE_CRASH_COUNT
 
-    def seen(self, fingerprint: Fingerprint, path: str) -> None:
-        """Note the path of a fingerprint for operators."""
+    def record_path(self, fingerprint: Fingerprint, path: str) -> None:
+        """Record the path of a fingerprint, to show it to operators."""
         record = self.records.get(fingerprint)
         if record is not None:
             record.path = path
 
     def rows(self, now: Millis) -> Iterator[QuarantineRow]:
-        """Yield the table with the oldest first."""
+        """Yield the rows of the table, oldest first."""
         self._expire(now)
         for fingerprint, record in self.records.items():
-            left = Millis(record.at + QUARANTINE_TIME - now)
+            left_ms = Millis(record.struck_at + QUARANTINE_TIME - now)
             count = len(record.deaths)
             yield QuarantineRow(
-                fingerprint, record.path, count, count >= QUARANTINE_CRASH_COUNT, left
+                fingerprint, record.path, count, count >= QUARANTINE_CRASH_COUNT, left_ms
             )
 
     def _expire(self, now: Millis) -> None:
         while self.records:
             fingerprint, record = next(iter(self.records.items()))
-            if now - record.at < QUARANTINE_TIME:
+            if now - record.struck_at < QUARANTINE_TIME:
                 return
             del self.records[fingerprint]
 
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -8,7 +8,7 @@
 from agatecross_core.ids import Address, Fingerprint, Millis
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import FleetView
-from agatecross_core.quarantine.model import InFlight, Suspect
+from agatecross_core.quarantine.model import InFlightCall, SuspectedRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,14 +79,14 @@
 class UpstreamDied:
     """Ask by the upstream task: these calls were running; answered when peers know the strikes."""
 
-    calls: tuple[InFlight, ...]
+    calls: tuple[InFlightCall, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class SuspectsChanged:
     """The fingerprints with strikes changed, or who may try them."""
 
-    suspects: Mapping[Fingerprint, Suspect]
+    suspects: Mapping[Fingerprint, SuspectedRequest]
 
 
 @dataclass(frozen=True, slots=True)
