--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -49,7 +49,7 @@
     closing = asyncio.ensure_future(listener.close())
     await asyncio.wait([closing], timeout=STEP_SECONDS)
     closed = closing.done()
-    left = [task for task in listener.answerers if not task.done()]
+    left = [task for task in listener.responders if not task.done()]
     while left:
         for task in left:
             task.cancel()
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -121,9 +121,9 @@
                 await closing.use_once(sock)
             sock.send(FIRST_PARTS[state])
             if state == "not sent on a new connection":
-                await until(lambda: closing.listener.collecting)
+                await until(lambda: closing.listener.collectors)
             if state == "sent half of its body":
-                await until(lambda: any(row.chunks for row in closing.listener.collecting))
+                await until(lambda: any(row.chunks for row in closing.listener.collectors))
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
             if not stays:
@@ -155,7 +155,7 @@
             closing.answering = True
             received = b""
             # Reads only what lets the listener write the answer to its end, and then the rest.
-            while closing.listener.running and len(received) < len(LARGE):
+            while closing.listener.handler_tasks and len(received) < len(LARGE):
                 await asyncio.sleep(0.001)
                 received += await read_part(sock)
             received += await read_to_end(sock)
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from agatecross_adapters.http_client import ClientStream, TornadoHttpClient
-from agatecross_adapters.http_fields import origin_form
+from agatecross_adapters.http_fields import to_origin_form
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.errors import ExchangeError
@@ -140,7 +140,7 @@
 
 @then('the target "{target}" with the field "Host: {host}" becomes "{path}" at "{found}"')
 def check_target(context, target, host, path, found):
-    shown = origin_form(target, (("Accept", "*/*"), ("Host", host)))
+    shown = to_origin_form(target, (("Accept", "*/*"), ("Host", host)))
     assert shown == (path, (("Accept", "*/*"), ("Host", found))), shown
 
 
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -138,7 +138,7 @@
 
     context.mini.run(until(freed, "the slot and the connection to be free"))
     assert not exit_task.pool.connections
-    assert exit_task.pool.unfinished == 0, exit_task.pool.unfinished
+    assert exit_task.pool.unfinished_bytes == 0, exit_task.pool.unfinished_bytes
 
 
 @then('the answer is {status:d} and upstream "{name}" ran {runs:d} calls')
@@ -195,7 +195,7 @@
         http = TornadoHttpClient()
         store = PlatformStore(stand_in.listen(), http)
         try:
-            await asyncio.wait_for(store.announced(), 30)
+            await asyncio.wait_for(store.read_announcements(), 30)
         except (StoreError, TimeoutError) as error:
             context.error = error
         http.close()
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -16,18 +16,18 @@
 from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.states import Outcome, Reason
 
-CALL_ID = "Agatecross-Call-Id"
-SERVICE = "Agatecross-Service"
-DEADLINE = "Agatecross-Deadline-Ms"
-OUTCOME = "Agatecross-Outcome"
-REASON = "Agatecross-Reason"
-LOAD = "Agatecross-Load"
-IDEMPOTENCY_KEY = "Idempotency-Key"
-IDEMPOTENT = "Agatecross-Idempotent"
-
-PRIVATE_PREFIX = "agatecross-"
-
-STATUS_OF = {
+CALL_ID_HEADER = "Agatecross-Call-Id"
+SERVICE_HEADER = "Agatecross-Service"
+DEADLINE_HEADER = "Agatecross-Deadline-Ms"
+OUTCOME_HEADER = "Agatecross-Outcome"
+REASON_HEADER = "Agatecross-Reason"
+LOAD_HEADER = "Agatecross-Load"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+IDEMPOTENT_HEADER = "Agatecross-Idempotent"
+
+PRIVATE_HEADER_PREFIX = "agatecross-"
+
+STATUS_BY_REASON = {
     Reason.NO_ROUTE: 404,
     Reason.BAD_REQUEST: 400,
     Reason.QUARANTINED: 422,
@@ -43,12 +43,12 @@
 
 def public_headers(headers: Headers) -> Headers:
     """Drop the headers that only daemons may set."""
-    return tuple(row for row in headers if not row[0].lower().startswith(PRIVATE_PREFIX))
+    return tuple(row for row in headers if not row[0].lower().startswith(PRIVATE_HEADER_PREFIX))
 
 
 def remaining_ms(request: Request) -> float | None:
     """Return the time left that a request states; None when it states none or a bad one."""
-    text = request.header(DEADLINE)
+    text = request.header(DEADLINE_HEADER)
     try:
         return float(text) if text is not None else None
     except ValueError:
@@ -59,50 +59,50 @@
     """Return the request that carries a call to the daemon next to its upstream."""
     headers = (
         *public_headers(call.request.headers),
-        (CALL_ID, call.call_id),
-        (SERVICE, call.service),
-        (DEADLINE, f"{max(0.0, call.deadline - now):.1f}"),
-        (IDEMPOTENT, "1" if call.idempotent else "0"),
+        (CALL_ID_HEADER, call.call_id),
+        (SERVICE_HEADER, call.service),
+        (DEADLINE_HEADER, f"{max(0.0, call.deadline - now):.1f}"),
+        (IDEMPOTENT_HEADER, "1" if call.idempotent else "0"),
     )
     return replace(call.request, headers=headers)
 
 
 def decode_call(request: Request, now: Millis) -> Call | None:
     """Return the call that a peer sent, or None when its headers are not those of a call."""
-    call_id, service = request.header(CALL_ID), request.header(SERVICE)
+    call_id, service = request.header(CALL_ID_HEADER), request.header(SERVICE_HEADER)
     left = remaining_ms(request)
     if not call_id or not service or left is None:
         return None
-    idempotent = request.header(IDEMPOTENT) == "1"
+    idempotent = request.header(IDEMPOTENT_HEADER) == "1"
     plain = replace(request, headers=public_headers(request.headers))
     return Call(CallId(call_id), ServiceName(service), plain, Millis(now + left), idempotent)
 
 
 def encode_result(result: CallResult, *extra: tuple[str, str]) -> Response:
     """Return the response that carries a result."""
-    outcome = (OUTCOME, result.outcome.value)
+    outcome = (OUTCOME_HEADER, result.outcome.value)
     if result.response is not None:
         headers = (*public_headers(result.response.headers), outcome, *extra)
         return replace(result.response, headers=headers)
     reason = result.reason or Reason.BAD_REQUEST
     body = f"{result.outcome.value}: {reason.value}\n".encode()
-    status = STATUS_OF.get(reason, DEFAULT_STATUS)
-    headers = (("Content-Type", "text/plain"), outcome, (REASON, reason.value), *extra)
+    status = STATUS_BY_REASON.get(reason, DEFAULT_STATUS)
+    headers = (("Content-Type", "text/plain"), outcome, (REASON_HEADER, reason.value), *extra)
     return Response(status, headers, body)
 
 
 def decode_result(response: Response) -> CallResult:
     """Return the result that a daemon's response carries; without its headers it is unknown."""
-    outcome = find_header(response.headers, OUTCOME)
+    outcome = find_header(response.headers, OUTCOME_HEADER)
     if outcome == Outcome.RAN.value:
         return CallResult(Outcome.RAN, response)
-    reason = _reason(find_header(response.headers, REASON))
+    reason = _parse_reason(find_header(response.headers, REASON_HEADER))
     if outcome == Outcome.NOT_RUN.value:
         return not_run(reason)
     return unknown(reason)
 
 
-def _reason(text: str | None) -> Reason:
+def _parse_reason(text: str | None) -> Reason:
     try:
         return Reason(text)
     except ValueError:
@@ -112,7 +112,7 @@
 def decode_load(response: Response) -> ReportedLoad | None:
     """Return the load that a daemon reported with a response, or None."""
     try:
-        running, queued, slots = map(int, (response.header(LOAD) or "").split())
+        running, queued, slots = map(int, (response.header(LOAD_HEADER) or "").split())
     except ValueError:
         return None
     return ReportedLoad(running, queued, slots)
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -17,15 +17,15 @@
 from agatecross_core.relay.model import RelayRequest, RelayResponse
 from agatecross_core.routing.host_table import CallerLimits
 
-from .half_close import end_writing
-from .http1_bytes import absolute_form, encode_response, end_to_end_rows
+from .half_close import half_close
+from .http1_bytes import encode_response, end_to_end_fields, split_absolute_form
 
 # A caller that pipelines more than this waits for answers before more is read.
-MAX_PIPELINED = 64
+MAX_PIPELINED_REQUESTS = 64
 # Nothing more is read from a caller that leaves this many bytes of answers unread.
-MAX_UNSENT = 1_048_576
+MAX_UNSENT_BYTES = 1_048_576
 # A caller closes its side within a round trip; one that does not is cut off after this time.
-LINGER_TIME = Millis(1_000)
+LINGER_TIMEOUT = Millis(1_000)
 
 
 class ClosedBy(Enum):
@@ -57,14 +57,14 @@
     host: str
     keep_alive: bool
     response: RelayResponse | None = None
-    on_gone: Callable[[ClosedBy], None] | None = None
+    on_abandoned: Callable[[ClosedBy], None] | None = None
     deadline: Millis = ZERO_MS
 
     def respond(self, response: RelayResponse) -> None:
         """Answer, now or when the earlier requests of the connection are answered."""
         if self.response is None:
             self.response = response
-            self.on_gone = None
+            self.on_abandoned = None
             self.connection.flush()
 
 
@@ -91,25 +91,25 @@
         self.exchanges: deque[Exchange] = deque()
         self.state = ParseState.IDLE
         # When the connection began to wait for what it waits for, and when its request began.
-        self.since = Millis(time.monotonic() * 1000)
-        self.begun = self.since
+        self.waiting_since = Millis(time.monotonic() * 1000)
+        self.request_started = self.waiting_since
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
         self.size = 0
-        self.framing = 0
-        self.broken = False
-        self.paused = False
-        self.clogged = False
+        self.framing_fields = 0
+        self.rejected = False
+        self.pipeline_full = False
+        self.write_blocked = False
         self.unsent = 0
-        self.finishing = False
+        self.half_closed = False
         self.closed_by = ClosedBy.CALLER
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(high=MAX_UNSENT)
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -119,37 +119,37 @@
 
     def pause_writing(self) -> None:
         """Read no more requests while the caller does not read their answers."""
-        self.clogged = True
-        if not self.finishing:
+        self.write_blocked = True
+        if not self.half_closed:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Read on."""
-        self.clogged = False
-        if not self.paused:
+        self.write_blocked = False
+        if not self.pipeline_full:
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read; what follows a malformed request or the last answer is ignored."""
-        if self.broken or self.finishing:
+        if self.rejected or self.half_closed:
             return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(400)
         except httptools.HttpParserError:
-            if not self.broken:
+            if not self.rejected:
                 self.reject(400)
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self.state = ParseState.HEAD
-        self.since = self.begun = Millis(time.monotonic() * 1000)
+        self.waiting_since = self.request_started = Millis(time.monotonic() * 1000)
         self.target = b""
         self.headers = []
         self.chunks = []
         self.size = 0
-        self.framing = 0
+        self.framing_fields = 0
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -162,7 +162,7 @@
         self._count_head(len(name) + len(value) + 4)
         self.headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
-            self.framing += 1
+            self.framing_fields += 1
         elif name == b"expect" and value.lower() == b"100-continue" and not self.exchanges:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -170,13 +170,13 @@
         """Refuse ambiguous framing, which is how requests are smuggled."""
         self.state = ParseState.BODY
         self.size = 0
-        if self.framing > 1:
+        if self.framing_fields > 1:
             self.reject(400)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
         self.size += len(body)
-        self.since = Millis(time.monotonic() * 1000)
+        self.waiting_since = Millis(time.monotonic() * 1000)
         if self.size > self.listener.limits.body_bytes:
             self.reject(413)
         else:
@@ -184,31 +184,31 @@
 
     def on_message_complete(self) -> None:
         """Pass the whole request on, unless the connection ended with an earlier one."""
-        if self.broken or self.finishing:
+        if self.rejected or self.half_closed:
             return
         self.state = ParseState.IDLE
         hosts = [value for name, value in self.headers if name == b"host"]
         target = self.target
         if not target.startswith(b"/"):
-            hosts, target = absolute_form(target, hosts)
+            hosts, target = split_absolute_form(target, hosts)
         if len(hosts) != 1 or not target.startswith(b"/"):
             self.reject(400)
             return
         exchange = Exchange(
             self,
-            self.begun,
+            self.request_started,
             RelayRequest(
                 self.parser.get_method(),
                 target,
-                end_to_end_rows(self.headers),
+                end_to_end_fields(self.headers),
                 b"".join(self.chunks),
             ),
             hosts[0].decode("latin-1"),
             self.parser.should_keep_alive(),
         )
         self.exchanges.append(exchange)
-        if len(self.exchanges) > MAX_PIPELINED and not self.paused:
-            self.paused = True
+        if len(self.exchanges) > MAX_PIPELINED_REQUESTS and not self.pipeline_full:
+            self.pipeline_full = True
             self.transport.pause_reading()
         try:
             self.listener.handler(exchange)
@@ -221,7 +221,7 @@
 
     def flush(self) -> None:
         """Write the answers that are due, in the order of their requests."""
-        if self.finishing or self.transport.is_closing():
+        if self.half_closed or self.transport.is_closing():
             return
         out: list[bytes] = []
         close = False
@@ -234,48 +234,48 @@
         if out:
             self.transport.write(b"".join(out))
             if self.state is ParseState.IDLE:
-                self.since = Millis(time.monotonic() * 1000)
-        if close or (self.broken and not self.exchanges):
-            self.finish()
-        elif self.paused and len(self.exchanges) < MAX_PIPELINED:
-            self.paused = False
-            if not self.clogged:
+                self.waiting_since = Millis(time.monotonic() * 1000)
+        if close or (self.rejected and not self.exchanges):
+            self.close_gracefully()
+        elif self.pipeline_full and len(self.exchanges) < MAX_PIPELINED_REQUESTS:
+            self.pipeline_full = False
+            if not self.write_blocked:
                 self.transport.resume_reading()
 
     def reject(self, status: int) -> None:
         """Answer a request that is not passed on, after the earlier ones, and close."""
-        self.broken = True
+        self.rejected = True
         empty = RelayRequest(b"GET", b"/", (), b"")
-        exchange = Exchange(self, self.since, empty, "", False)
+        exchange = Exchange(self, self.waiting_since, empty, "", False)
         self.exchanges.append(exchange)
         exchange.respond(RelayResponse(status, (), b""))
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
         if not self.exchanges and self.state is ParseState.IDLE:
-            self.finish()
+            self.close_gracefully()
 
-    def give_up(self) -> None:
+    def abandon_exchanges(self) -> None:
         """Tell the handlers of the requests that wait that no later answer can be sent."""
         self.closed_by = ClosedBy.DAEMON
         for exchange in list(self.exchanges):
-            if exchange.on_gone is not None:
-                exchange.on_gone(self.closed_by)
+            if exchange.on_abandoned is not None:
+                exchange.on_abandoned(self.closed_by)
 
-    def finish(self) -> None:
+    def close_gracefully(self) -> None:
         """End the connection after what was written; requests that wait are cut.
 
         A close with unread bytes would reset the connection and could take the last answer with
         it, so only this side is shut, and what the caller still sends is read and ignored.
         """
-        if self.finishing or self.transport.is_closing():
+        if self.half_closed or self.transport.is_closing():
             return
-        self.finishing = True
+        self.half_closed = True
         self.closed_by = ClosedBy.DAEMON
-        self.since = Millis(time.monotonic() * 1000)
+        self.waiting_since = Millis(time.monotonic() * 1000)
         self._drop_exchanges()
         self.transport.resume_reading()
-        end_writing(self.transport)
+        half_close(self.transport)
 
     def has_unread(self) -> bool:
         """Return whether the kernel holds bytes of this caller that were not read."""
@@ -290,15 +290,15 @@
             # Nothing waits, the caller has reset the connection, or no descriptor is free.
             return False
 
-    def check_times(self, now: float) -> None:
+    def check_timeouts(self, now: float) -> None:
         """Close a connection that is idle, or whose request takes too long to arrive."""
         limits = self.listener.limits
-        waited = now - self.since
-        if self.finishing:
+        waited = now - self.waiting_since
+        if self.half_closed:
             unsent = self.transport.get_write_buffer_size()
             if unsent != self.unsent:
-                self.unsent, self.since = unsent, Millis(now)
-            elif waited > (limits.idle_time if unsent else LINGER_TIME):
+                self.unsent, self.waiting_since = unsent, Millis(now)
+            elif waited > (limits.idle_time if unsent else LINGER_TIMEOUT):
                 self.transport.abort()
             return
         if self.state is ParseState.IDLE:
@@ -310,10 +310,10 @@
     def _drop_exchanges(self) -> None:
         dropped, self.exchanges = self.exchanges, deque()
         for exchange in dropped:
-            if exchange.on_gone is not None:
-                exchange.on_gone(self.closed_by)
+            if exchange.on_abandoned is not None:
+                exchange.on_abandoned(self.closed_by)
 
     def _count_head(self, size: int) -> None:
         self.size += size
-        if self.size > self.listener.limits.head_bytes and not self.broken:
+        if self.size > self.listener.limits.head_bytes and not self.rejected:
             self.reject(431)
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -14,17 +14,17 @@
 from agatecross_core.ids import ZERO_MS, Address, Millis
 from agatecross_core.routing.host_table import CallerLimits
 
-from .caller_http import CallerConnection, ClosedBy, ExchangeHandler, ParseState
+from .caller_connection import CallerConnection, ClosedBy, ExchangeHandler, ParseState
 
-SWEEP_SECONDS = 0.25
-BACKLOG = 1024
-FINISH_POLL_SECONDS = 0.01
+SWEEP_INTERVAL_SECONDS = 0.25
+ACCEPT_BACKLOG = 1024
+CLOSE_POLL_SECONDS = 0.01
 # Before a configuration is in force.
 DEFAULT_LIMITS = CallerLimits(16_384, 1_048_576, Millis(5_000), Millis(15_000))
 
 
 @dataclass(frozen=True, slots=True)
-class Unfinished:
+class UnfinishedWork:
     """What the callers' connections still hold.
 
     `waiting` counts requests without an answer, `reading` requests that are not whole, `unread`
@@ -47,7 +47,7 @@
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
-        self.sweeper: asyncio.TimerHandle | None = None
+        self.sweep_timer: asyncio.TimerHandle | None = None
         self.closing = False
 
     async def listen(self, address: Address) -> Address:
@@ -55,12 +55,12 @@
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         self.server = await loop.create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=BACKLOG
+            lambda: CallerConnection(self), host, int(port), backlog=ACCEPT_BACKLOG
         )
         self._sweep()
         return Address(f"{host}:{self.server.sockets[0].getsockname()[1]}")
 
-    def close_after_answers(self) -> None:
+    def close_after_responses(self) -> None:
         """End each connection with its next answer that no request waits behind."""
         self.closing = True
 
@@ -90,19 +90,19 @@
         """
         self.closing = True
         for connection in list(self.connections):
-            connection.give_up()
-            connection.finish()
+            connection.abandon_exchanges()
+            connection.close_gracefully()
         last = time.monotonic() + limit / 1000
         while self.connections and time.monotonic() < last:
-            await asyncio.sleep(FINISH_POLL_SECONDS)
+            await asyncio.sleep(CLOSE_POLL_SECONDS)
         self.close()
 
     def close(self) -> None:
         """Stop accepting and close every connection."""
         if self.server is not None:
             self.server.close()
-        if self.sweeper is not None:
-            self.sweeper.cancel()
+        if self.sweep_timer is not None:
+            self.sweep_timer.cancel()
         for connection in list(self.connections):
             connection.closed_by = ClosedBy.DAEMON
             connection.transport.close()
@@ -123,10 +123,10 @@
         """Return the bytes of answers not yet given to the kernel."""
         return sum(row.transport.get_write_buffer_size() for row in self.connections)
 
-    def unfinished(self) -> Unfinished:
+    def unfinished(self) -> UnfinishedWork:
         """Return what a close would cut or drop now."""
         rows = self.connections
-        return Unfinished(
+        return UnfinishedWork(
             self.pending,
             sum(row.state is not ParseState.IDLE for row in rows),
             sum(row.has_unread() for row in rows),
@@ -136,8 +136,10 @@
     def _sweep(self) -> None:
         now = time.monotonic() * 1000
         for connection in list(self.connections):
-            connection.check_times(now)
-        self.sweeper = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
+            connection.check_timeouts(now)
+        self.sweep_timer = asyncio.get_running_loop().call_later(
+            SWEEP_INTERVAL_SECONDS, self._sweep
+        )
 
 
 def _accept_all(listening: int) -> Iterator[socket.socket]:
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -40,7 +40,7 @@
 )
 LogRecord = ConfigRecord | AnnounceRecord | ClaimsBatch
 
-CONTROL_TAGS: Final[Mapping[int, type]] = {
+CONTROL_TYPE_BY_TAG: Final[Mapping[int, type]] = {
     1: Probe,
     2: ProbeAck,
     3: IndirectProbe,
@@ -55,14 +55,14 @@
     22: StrikeNotice,
     23: StrikeAck,
 }
-TAG_OF: Final = {kind: tag for tag, kind in CONTROL_TAGS.items()}
-RECORD_KINDS: Final[Mapping[str, type]] = {
+TAG_BY_CONTROL_TYPE: Final = {kind: tag for tag, kind in CONTROL_TYPE_BY_TAG.items()}
+RECORD_TYPE_BY_KIND: Final[Mapping[str, type]] = {
     "publish": PublishRecord,
     "snapshot": SnapshotRecord,
     "announce": AnnounceRecord,
     "claims": ClaimsBatch,
 }
-KIND_OF: Final = {kind: name for name, kind in RECORD_KINDS.items()}
+KIND_BY_RECORD_TYPE: Final = {kind: name for name, kind in RECORD_TYPE_BY_KIND.items()}
 
 
 def encode_control(message: ControlMessage) -> bytes:
@@ -72,7 +72,7 @@
     2**53 that an upstream announced.
     """
     try:
-        return msgspec.msgpack.encode((TAG_OF[type(message)], to_wire(message)))
+        return msgspec.msgpack.encode((TAG_BY_CONTROL_TYPE[type(message)], to_wire(message)))
     except (msgspec.MsgspecError, UnicodeEncodeError) as error:
         raise MessageDecodeError(f"control message: {error}") from error
 
@@ -81,9 +81,9 @@
     """Decode a control message; raises `MessageDecodeError`."""
     try:
         tag, body = msgspec.msgpack.decode(data, type=tuple[int, msgspec.Raw])
-        if tag not in CONTROL_TAGS:
+        if tag not in CONTROL_TYPE_BY_TAG:
             raise MessageDecodeError(f"unknown control message tag {tag}")
-        message: ControlMessage = from_wire(body, CONTROL_TAGS[tag])
+        message: ControlMessage = from_wire(body, CONTROL_TYPE_BY_TAG[tag])
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise MessageDecodeError(f"control message: {error}") from error
     return message
@@ -91,7 +91,7 @@
 
 def encode_record(record: LogRecord) -> bytes:
     """Encode a log record as an object with its kind and body."""
-    return msgspec.json.encode({"kind": KIND_OF[type(record)], "body": record})
+    return msgspec.json.encode({"kind": KIND_BY_RECORD_TYPE[type(record)], "body": record})
 
 
 def decode_record(data: bytes, kind: type[T]) -> T:
@@ -99,10 +99,10 @@
     try:
         envelope = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
         name = msgspec.json.decode(envelope.get("kind", msgspec.Raw(b'""')), type=str)
-        if name not in RECORD_KINDS:
+        if name not in RECORD_TYPE_BY_KIND:
             raise MessageDecodeError(f"unknown record kind {name!r}")
         record: object = msgspec.json.decode(
-            envelope.get("body", msgspec.Raw(b"null")), type=RECORD_KINDS[name]
+            envelope.get("body", msgspec.Raw(b"null")), type=RECORD_TYPE_BY_KIND[name]
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise MessageDecodeError(f"log record: {error}") from error
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -20,8 +20,8 @@
 MAX_OPEN_PEERS: Final = 16
 # An answer to an indirect probe holds a context for up to a probe timeout; direct probes must
 # still find a free one.
-ANSWERERS: Final = 32
-ANSWER_TIMEOUT: Final = Millis(5_000)
+RESPONDER_COUNT: Final = 32
+HANDLER_TIMEOUT: Final = Millis(5_000)
 REDIAL_MIN_MS: Final = 100
 REDIAL_MAX_MS: Final = 1_000
 # NNG starts threads for each core, 30 on ten cores; the control traffic needs one of each kind
@@ -37,14 +37,14 @@
 }
 
 
-def limit_threads() -> None:
+def limit_nng_threads() -> None:
     """Bound the threads of NNG in this process; has no effect after its first socket."""
     for parameter, value in NNG_THREADS.items():
         _nng.lib.nng_init_set_parameter(parameter, value)
 
 
 @dataclass(slots=True)
-class TrafficCount:
+class TrafficCounters:
     """Payload bytes, messages and dials of control traffic, both directions."""
 
     sent_bytes: int = 0
@@ -54,11 +54,11 @@
 
 
 @dataclass(slots=True)
-class Peer:
+class PeerSocket:
     """The socket to one peer and the number of requests that use it."""
 
     socket: pynng.Req0
-    users: int = 0
+    active_requests: int = 0
 
 
 class NngTransport:
@@ -68,43 +68,43 @@
     """
 
     def __init__(self) -> None:
-        limit_threads()
+        limit_nng_threads()
         self.listener: pynng.Rep0 | None = None
-        self.answerers: list[asyncio.Task[None]] = []
+        self.responders: list[asyncio.Task[None]] = []
         self.closing = False
         self.contexts: list[pynng.Context] = []
-        self.peers: OrderedDict[Address, Peer] = OrderedDict()
-        self.slots = asyncio.Semaphore(MAX_OPEN_PEERS)
-        self.traffic = TrafficCount()
+        self.peers: OrderedDict[Address, PeerSocket] = OrderedDict()
+        self.request_slots = asyncio.Semaphore(MAX_OPEN_PEERS)
+        self.traffic = TrafficCounters()
 
     async def listen(self, address: Address, handler: ControlHandler) -> Address:
         """Start to answer control requests and return the bound address."""
         self.listener = pynng.Rep0(recv_max_size=MAX_CONTROL_BYTES)
         bound = self.listener.listen(f"tcp://{address}")
-        for _ in range(ANSWERERS):
+        for _ in range(RESPONDER_COUNT):
             context = self.listener.new_context()
             self.contexts.append(context)
-            self.answerers.append(asyncio.ensure_future(self._answer(context, handler)))
+            self.responders.append(asyncio.ensure_future(self._serve_requests(context, handler)))
         return Address(str(bound.local_address))
 
-    async def _answer(self, context: pynng.Context, handler: ControlHandler) -> None:
+    async def _serve_requests(self, context: pynng.Context, handler: ControlHandler) -> None:
         # pynng loses a cancellation that comes as a message does, and the answerer goes on.
         while not self.closing:
             try:
-                await self._answer_one(context, handler)
+                await self._serve_one_request(context, handler)
             except pynng.Closed:
                 return
             except (MessageDecodeError, PeerError, TimeoutError, pynng.NNGException):
                 # The request stays without an answer, which the peer sees as a timeout.
                 continue
 
-    async def _answer_one(self, context: pynng.Context, handler: ControlHandler) -> None:
+    async def _serve_one_request(self, context: pynng.Context, handler: ControlHandler) -> None:
         data = await context.arecv()
         self.traffic.received_bytes += len(data)
         if self.closing:
             # What would answer may have ended; the peer sees a timeout.
             return
-        async with asyncio.timeout(ANSWER_TIMEOUT / 1000):
+        async with asyncio.timeout(HANDLER_TIMEOUT / 1000):
             reply = encode_control(await handler(decode_control(data)))
         await context.asend(reply)
         self.traffic.sent_bytes += len(reply)
@@ -116,7 +116,7 @@
         """Return the peer's answer; raises `PeerError`."""
         try:
             data = encode_control(message)
-            async with asyncio.timeout(timeout / 1000), self._socket(peer) as socket:
+            async with asyncio.timeout(timeout / 1000), self._lend_socket(peer) as socket:
                 with socket.new_context() as context:
                     await context.asend(data)
                     self.traffic.sent_bytes += len(data)
@@ -128,11 +128,11 @@
             raise PeerError(peer, str(error) or type(error).__name__) from error
 
     @asynccontextmanager
-    async def _socket(self, address: Address) -> AsyncIterator[pynng.Req0]:
+    async def _lend_socket(self, address: Address) -> AsyncIterator[pynng.Req0]:
         """Lend the socket to a peer, which is closed if the exchange fails."""
-        async with self.slots:
-            peer = self._open(address)
-            peer.users += 1
+        async with self.request_slots:
+            peer = self._get_or_dial(address)
+            peer.active_requests += 1
             try:
                 yield peer.socket
             except BaseException:
@@ -140,15 +140,15 @@
                     del self.peers[address]
                 raise
             finally:
-                peer.users -= 1
-                if peer.users == 0 and self.peers.get(address) is not peer:
+                peer.active_requests -= 1
+                if peer.active_requests == 0 and self.peers.get(address) is not peer:
                     peer.socket.close()
 
-    def _open(self, address: Address) -> Peer:
+    def _get_or_dial(self, address: Address) -> PeerSocket:
         peer = self.peers.pop(address, None)
         if peer is None:
-            self._evict()
-            peer = Peer(self._dial(address))
+            self._evict_idle()
+            peer = PeerSocket(self._dial(address))
         self.peers[address] = peer
         return peer
 
@@ -166,17 +166,17 @@
             raise
         return socket
 
-    def _evict(self) -> None:
-        idle = [address for address, peer in self.peers.items() if peer.users == 0]
+    def _evict_idle(self) -> None:
+        idle = [address for address, peer in self.peers.items() if peer.active_requests == 0]
         for address in idle[: max(0, len(self.peers) + 1 - MAX_OPEN_PEERS)]:
             self.peers.pop(address).socket.close()
 
     async def close(self) -> None:
         """Close the listener and every connection."""
         self.closing = True
-        for task in self.answerers:
+        for task in self.responders:
             task.cancel()
-        await asyncio.gather(*self.answerers, return_exceptions=True)
+        await asyncio.gather(*self.responders, return_exceptions=True)
         # A context that outlives its socket reports an error when it is collected.
         for context in self.contexts:
             context.close()
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -4,11 +4,11 @@
 import socket
 from collections.abc import Callable
 
-from .half_close import end_writing
+from .half_close import half_close
 
-LENGTH_BYTES = 4
+LENGTH_PREFIX_BYTES = 4
 # The largest body a caller may send is 64 MiB; heads and fields need little beside it.
-MAX_FRAME = 80 * 1024 * 1024
+MAX_FRAME_BYTES = 80 * 1024 * 1024
 # The kernel closes a connection whose bytes were not acknowledged for this long.
 USER_TIMEOUT_MS = 5_000
 
@@ -30,7 +30,7 @@
         self.on_close = on_close
         self.buffer = bytearray()
         self.open = False
-        self.ended = False
+        self.half_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Report the connection."""
@@ -52,34 +52,34 @@
         buffer = self.buffer
         buffer += data
         start = 0
-        while len(buffer) - start >= LENGTH_BYTES:
-            length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
-            if length > MAX_FRAME:
+        while len(buffer) - start >= LENGTH_PREFIX_BYTES:
+            length = int.from_bytes(buffer[start : start + LENGTH_PREFIX_BYTES], "big")
+            if length > MAX_FRAME_BYTES:
                 self.transport.abort()
                 return
-            end = start + LENGTH_BYTES + length
+            end = start + LENGTH_PREFIX_BYTES + length
             if len(buffer) < end:
                 break
-            frame = bytes(buffer[start + LENGTH_BYTES : end])
+            frame = bytes(buffer[start + LENGTH_PREFIX_BYTES : end])
             start = end
             self.on_frame(self, frame)
         del buffer[:start]
 
     def send(self, frame: bytes) -> None:
         """Write one frame."""
-        if self.open and not self.ended and not self.transport.is_closing():
-            self.transport.write(len(frame).to_bytes(LENGTH_BYTES, "big") + frame)
+        if self.open and not self.half_closed and not self.transport.is_closing():
+            self.transport.write(len(frame).to_bytes(LENGTH_PREFIX_BYTES, "big") + frame)
 
     @property
     def unsent(self) -> int:
         """Return the bytes that were not yet given to the kernel."""
         return self.transport.get_write_buffer_size() if self.open else 0
 
-    def finish(self) -> None:
+    def close_gracefully(self) -> None:
         """Send what was written, then end; the other side closes when it has read everything."""
-        if self.open and not self.ended and not self.transport.is_closing():
-            self.ended = True
-            end_writing(self.transport)
+        if self.open and not self.half_closed and not self.transport.is_closing():
+            self.half_closed = True
+            half_close(self.transport)
 
     def abort(self) -> None:
         """Close at once."""
--- a/packages/agatecross-adapters/agatecross_adapters/half_close.py
+++ b/packages/agatecross-adapters/agatecross_adapters/half_close.py
@@ -3,7 +3,7 @@
 import asyncio
 
 
-def end_writing(transport: asyncio.Transport) -> None:
+def half_close(transport: asyncio.Transport) -> None:
     """Shut the sending side after what was written; close a connection that the peer reset.
 
     The reset may not have reached the event loop yet, and the kernel then refuses the shutdown.
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -69,8 +69,8 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
-REPEATS = (Repeat.SAFE, Repeat.ONCE)
-OUTCOMES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
+REPEAT_CODES = (Repeat.SAFE, Repeat.ONCE)
+OUTCOME_CODES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
 DECODE_ERRORS = (
     msgspec.MsgspecError,
     zlib.error,
@@ -79,19 +79,19 @@
     KeyError,
     IndexError,
 )
-REASONS = {reason.value: reason for reason in Reason}
+REASON_BY_VALUE = {reason.value: reason for reason in Reason}
 
 
 def encode_hop(message: HopMessage) -> bytes:
     """Encode a message."""
-    return ENCODER.encode(_fields(message))
+    return ENCODER.encode(_message_fields(message))
 
 
 def decode_hop(frame: bytes) -> HopMessage:
     """Decode a message; raises `MessageDecodeError`."""
     try:
         tag, *fields = DECODER.decode(frame)
-        return _message(tag, fields)
+        return _message_from_fields(tag, fields)
     except DECODE_ERRORS as error:
         raise MessageDecodeError(f"hop message: {error}") from error
 
@@ -104,12 +104,12 @@
 def decode_endpoint(data: bytes) -> Endpoint:
     """Decode a description from the log; raises `MessageDecodeError`."""
     try:
-        return _endpoint(DECODER.decode(data))
+        return _endpoint_from_fields(DECODER.decode(data))
     except DECODE_ERRORS as error:
         raise MessageDecodeError(f"endpoint: {error}") from error
 
 
-def _fields(message: HopMessage) -> tuple[Any, ...]:
+def _message_fields(message: HopMessage) -> tuple[Any, ...]:
     match message:
         case Handover():
             request = message.request
@@ -120,7 +120,7 @@
                 message.route,
                 message.service,
                 message.instance,
-                REPEATS.index(message.repeat),
+                REPEAT_CODES.index(message.repeat),
                 message.rank,
                 int(message.objective_left),
                 int(message.left),
@@ -138,8 +138,8 @@
             return (Tag.CANCEL, handover_id)
         case Resume(handover_id):
             return (Tag.RESUME, handover_id)
-        case Ping(answer, version):
-            return (Tag.PING, answer, version)
+        case Ping(is_reply, version):
+            return (Tag.PING, is_reply, version)
         case Endpoints(endpoints):
             return (Tag.ENDPOINTS, [_endpoint_fields(row) for row in endpoints])
         case ConfigBlob(version, data):
@@ -156,7 +156,7 @@
 def _result_fields(result: RelayResult) -> tuple[Any, ...]:
     reason = result.reason.value if result.reason else None
     head = (
-        OUTCOMES.index(result.outcome),
+        OUTCOME_CODES.index(result.outcome),
         reason,
         result.arrived,
         result.load,
@@ -169,19 +169,19 @@
     return (*head, response.status, response.headers, response.body)
 
 
-def _message(tag: int, fields: list[Any]) -> HopMessage:
+def _message_from_fields(tag: int, fields: list[Any]) -> HopMessage:
     match tag:
         case Tag.HANDOVER:
-            return _handover(fields)
+            return _handover_from_fields(fields)
         case Tag.RESULT:
-            return Result(HandoverId(fields[0]), _result(fields[1:]))
+            return Result(HandoverId(fields[0]), _result_from_fields(fields[1:]))
         case Tag.HELLO:
             daemon_id, incarnation, version, rows = fields
             return Hello(
                 DaemonId(daemon_id),
                 Incarnation(incarnation),
                 Version(version),
-                tuple(map(_endpoint, rows)),
+                tuple(map(_endpoint_from_fields, rows)),
             )
         case Tag.CANCEL:
             return Cancel(HandoverId(fields[0]))
@@ -190,20 +190,20 @@
         case Tag.PING:
             return Ping(bool(fields[0]), Version(fields[1]))
         case Tag.ENDPOINTS:
-            return Endpoints(tuple(map(_endpoint, fields[0])))
+            return Endpoints(tuple(map(_endpoint_from_fields, fields[0])))
         case Tag.CONFIG:
             return ConfigBlob(Version(fields[0]), fields[1])
         case Tag.CONFIG_DELTA:
-            return _config_delta(fields)
+            return _config_delta_from_fields(fields)
         case Tag.PULL:
             return Pull(Version(fields[0]))
         case Tag.STRIKES:
-            return Strikes(tuple(_strike(row) for row in fields[0]))
+            return Strikes(tuple(_strike_from_fields(row) for row in fields[0]))
         case _:
             raise MessageDecodeError(f"unknown hop message tag {tag}")
 
 
-def _handover(fields: list[Any]) -> Handover:
+def _handover_from_fields(fields: list[Any]) -> Handover:
     number, call_id, route, service, instance, repeat, rank, objective, left = fields[:9]
     method, target, rows, body = fields[9:]
     return Handover(
@@ -212,7 +212,7 @@
         RouteName(route),
         ServiceName(service),
         InstanceId(instance),
-        REPEATS[repeat],
+        REPEAT_CODES[repeat],
         rank,
         Millis(objective),
         Millis(left),
@@ -220,15 +220,15 @@
     )
 
 
-def _result(fields: list[Any]) -> RelayResult:
+def _result_from_fields(fields: list[Any]) -> RelayResult:
     outcome, reason, arrived, load, slots, cost, *rest = fields
     response = None
     if rest:
         status, rows, body = rest
         response = RelayResponse(status, tuple((name, value) for name, value in rows), body)
     return RelayResult(
-        OUTCOMES[outcome],
-        REASONS[reason] if reason else None,
+        OUTCOME_CODES[outcome],
+        REASON_BY_VALUE[reason] if reason else None,
         response,
         arrived,
         load,
@@ -237,14 +237,14 @@
     )
 
 
-def _config_delta(fields: list[Any]) -> ConfigDelta:
+def _config_delta_from_fields(fields: list[Any]) -> ConfigDelta:
     base, version, crc, packed = fields
     rows = DECODER.decode(zlib.decompress(packed))
     steps = tuple(row if isinstance(row, bytes) else (int(row[0]), int(row[1])) for row in rows)
     return ConfigDelta(Version(base), Version(version), crc, steps)
 
 
-def _strike(row: list[Any]) -> Strike:
+def _strike_from_fields(row: list[Any]) -> Strike:
     return Strike(Fingerprint(row[0]), DaemonId(row[1]), Incarnation(row[2]))
 
 
@@ -268,7 +268,7 @@
     )
 
 
-def _endpoint(fields: list[Any]) -> Endpoint:
+def _endpoint_from_fields(fields: list[Any]) -> Endpoint:
     daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
     state, slots, cold, leaving, reads_log, log_latency = fields[9:15]
     for text in (daemon, address, region, centre, service):
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -40,7 +40,7 @@
 class Ping:
     """Shows that the connection works; answered by a ping with `answer` set."""
 
-    answer: bool
+    is_reply: bool
     version: Version
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
@@ -7,9 +7,9 @@
 
 from .header_names import HeaderNames
 
-WITH_LENGTH = frozenset((b"POST", b"PUT", b"PATCH"))
-BODILESS = frozenset((204, 304))
-CONNECTION_FIELDS = frozenset(
+METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+BODILESS_STATUSES = frozenset((204, 304))
+HOP_BY_HOP_FIELDS = frozenset(
     (
         b"connection",
         b"keep-alive",
@@ -28,7 +28,7 @@
 }
 
 
-def absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
+def split_absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
     """Split `http://host/path`; the host of the target replaces the header's."""
     scheme, mark, rest = target.partition(b"://")
     if not mark or scheme.lower() not in (b"http", b"https"):
@@ -37,9 +37,9 @@
     return [host], slash + path if slash else b"/"
 
 
-def end_to_end_rows(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
+def end_to_end_fields(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
     """Return the fields that are not about one connection."""
-    rows = [row for row in headers if row[0] not in CONNECTION_FIELDS]
+    rows = [row for row in headers if row[0] not in HOP_BY_HOP_FIELDS]
     if len(rows) == len(headers):
         return tuple(rows)
     named = b",".join(value for name, value in headers if name == b"connection").lower()
@@ -55,10 +55,10 @@
     out = [line]
     for name, value in response.headers:
         out += (name, b": ", value, b"\r\n")
-    if response.status not in BODILESS:
+    if response.status not in BODILESS_STATUSES:
         out.append(b"content-length: %d\r\n" % len(response.body))
     out.append(b"connection: close\r\n\r\n" if close else b"\r\n")
-    if method != b"HEAD" and response.status not in BODILESS:
+    if method != b"HEAD" and response.status not in BODILESS_STATUSES:
         out.append(response.body)
     return out
 
@@ -71,7 +71,7 @@
         out += (name, b": ", value, b"\r\n")
     out.append(b"%s: %d\r\n" % (names.time_left, max(1, int(left))))
     out.append(b"%s: %s\r\n" % (names.expected_instance, handover.instance.encode("latin-1")))
-    if request.body or request.method in WITH_LENGTH:
+    if request.body or request.method in METHODS_WITH_BODY:
         out.append(b"content-length: %d\r\n" % len(request.body))
     out += (b"\r\n", request.body)
     return b"".join(out)
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -26,9 +26,9 @@
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
 from agatecross_core.ids import Address, Millis
 
-from .http_fields import end_to_end
+from .http_fields import end_to_end_fields
 
-PARAMETERS = HTTP1ConnectionParameters(
+CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
     no_keep_alive=False,
     max_header_size=MAX_HEAD_BYTES,
     max_body_size=MAX_RESPONSE_BYTES,
@@ -43,13 +43,13 @@
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
-        self.sent = 0
+        self.sent_bytes = 0
         self.idle_since = 0.0
 
     def write_to_fd(self, data: memoryview) -> int:
         """Send and count."""
         count = super().write_to_fd(data)
-        self.sent += count
+        self.sent_bytes += count
         return count
 
     def usable(self, now: float) -> bool:
@@ -74,7 +74,7 @@
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
-        self.whole = False
+        self.complete = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -95,7 +95,7 @@
 
     def finish(self) -> None:
         """Note that the response is whole."""
-        self.whole = True
+        self.complete = True
 
 
 class TornadoHttpClient:
@@ -110,12 +110,12 @@
         deadline = time.monotonic() + timeout / 1000
         while stream := self._take_idle(address):
             try:
-                return await self._carry(address, stream, request, deadline)
+                return await self._send_on(address, stream, request, deadline)
             except ConnectFailedError:
                 # The server closed the pooled connection before the first byte was sent.
                 continue
         stream = await self._connect(address, timeout)
-        return await self._carry(address, stream, request, deadline)
+        return await self._send_on(address, stream, request, deadline)
 
     def _take_idle(self, address: Address) -> ClientStream | None:
         idle = self.idle.get(address)
@@ -132,7 +132,7 @@
         limit = min(timeout, CONNECT_TIMEOUT) / 1000
         stream: ClientStream | None = None
         try:
-            stream = ClientStream(socket.socket(_family(host)))
+            stream = ClientStream(socket.socket(_address_family(host)))
             # `wait_for` loses a cancellation that comes as the connection opens.
             async with asyncio.timeout(limit):
                 await stream.connect((host.strip("[]"), int(port)))
@@ -143,10 +143,10 @@
         stream.set_nodelay(True)
         return stream
 
-    async def _carry(
+    async def _send_on(
         self, address: Address, stream: ClientStream, request: Request, deadline: float
     ) -> Response:
-        stream.sent = 0
+        stream.sent_bytes = 0
         keep = False
         try:
             async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
@@ -155,7 +155,7 @@
         except TimeoutError as error:
             raise ExchangeTimeoutError(address, "no complete response in time") from error
         except ConnectionLostError as error:
-            if not stream.sent:
+            if not stream.sent_bytes:
                 raise ConnectFailedError(address, "closed before a byte was sent") from error
             raise
         finally:
@@ -165,7 +165,7 @@
     async def _exchange(
         self, address: Address, stream: ClientStream, request: Request
     ) -> tuple[Response, bool]:
-        connection = HTTP1Connection(stream, True, PARAMETERS)
+        connection = HTTP1Connection(stream, True, CONNECTION_PARAMETERS)
         headers = HTTPHeaders()
         for name, value in request.headers:
             headers.add(name, value)
@@ -181,10 +181,10 @@
             await connection.read_response(collector)
         except StreamClosedError as error:
             raise ConnectionLostError(address, "connection closed") from error
-        if not collector.whole:
+        if not collector.complete:
             raise ConnectionLostError(address, "response is not complete")
         keep = collector.headers.get("Connection", "").lower() != "close"
-        fields = end_to_end(collector.headers)
+        fields = end_to_end_fields(collector.headers)
         return Response(collector.status, fields, b"".join(collector.chunks)), keep
 
     def _release(self, address: Address, stream: ClientStream, keep: bool) -> None:
@@ -203,5 +203,5 @@
         self.idle.clear()
 
 
-def _family(host: str) -> socket.AddressFamily:
+def _address_family(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -7,7 +7,7 @@
 from agatecross_core.calls.model import Headers
 
 # In the normal form of tornado's `HTTPHeaders`.
-HOP_FIELDS = frozenset(
+HOP_BY_HOP_FIELDS = frozenset(
     (
         "Connection",
         "Keep-Alive",
@@ -21,27 +21,29 @@
     )
 )
 
-ABSOLUTE_FORM = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
+ABSOLUTE_FORM_PATTERN = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
 
 
-def end_to_end(headers: HTTPHeaders) -> Headers:
+def end_to_end_fields(headers: HTTPHeaders) -> Headers:
     """Return the fields without those of the connection and those that `Connection` names."""
     named = headers.get("Connection", "").lower()
     if named in ("", "close", "keep-alive"):
-        return tuple(row for row in headers.get_all() if row[0] not in HOP_FIELDS)
+        return tuple(row for row in headers.get_all() if row[0] not in HOP_BY_HOP_FIELDS)
     extra = {name.strip() for name in named.split(",")}
     rows = headers.get_all()
-    return tuple(row for row in rows if row[0] not in HOP_FIELDS and row[0].lower() not in extra)
+    return tuple(
+        row for row in rows if row[0] not in HOP_BY_HOP_FIELDS and row[0].lower() not in extra
+    )
 
 
-def origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
+def to_origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
     """Return path and headers of a request whose target may be `http://host/path`.
 
     The host of such a target replaces the one of the header, as RFC 9112, section 3.2.2, demands.
     """
     if target.startswith("/"):
         return target, headers
-    match = ABSOLUTE_FORM.fullmatch(target)
+    match = ABSOLUTE_FORM_PATTERN.fullmatch(target)
     if match is None:
         return target, headers
     host, path = match.groups()
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -32,19 +32,19 @@
 from agatecross_core.ids import Address, Millis
 from agatecross_core.states import Outcome, Reason
 
-from .call_headers import OUTCOME, REASON
-from .http_fields import HOP_FIELDS, end_to_end, origin_form
+from .call_headers import OUTCOME_HEADER, REASON_HEADER
+from .http_fields import HOP_BY_HOP_FIELDS, end_to_end_fields, to_origin_form
 from .protocols import RequestHandler
 from .server_stream import LingeringClose, ServerStream, StreamServer, stream_of
 
-HANDLER_FAILED = Response(
+HANDLER_FAILED_RESPONSE = Response(
     500,
-    (("Content-Type", "text/plain"), (OUTCOME, Outcome.UNKNOWN.value)),
+    (("Content-Type", "text/plain"), (OUTCOME_HEADER, Outcome.UNKNOWN.value)),
     b"unknown: internal error\n",
 )
-REFUSAL = (
+LEAVING_RESPONSE = (
     "HTTP/1.1 503 Service Unavailable\r\n"
-    f"{OUTCOME}: {Outcome.NOT_RUN.value}\r\n{REASON}: {Reason.LEAVING.value}\r\n"
+    f"{OUTCOME_HEADER}: {Outcome.NOT_RUN.value}\r\n{REASON_HEADER}: {Reason.LEAVING.value}\r\n"
     "Connection: close\r\nContent-Length: 0\r\n\r\n"
 ).encode()
 SWEEPS_PER_TIMEOUT = 4
@@ -69,12 +69,12 @@
         self.server: StreamServer | None = None
         self.handler: RequestHandler | None = None
         self.lingering = LingeringClose(SERVER_LINGER_TIMEOUT)
-        self.running: set[asyncio.Task[None]] = set()
-        self.collecting: set[RequestCollector] = set()
-        self.sweeping: asyncio.Future[None] | None = None
+        self.handler_tasks: set[asyncio.Task[None]] = set()
+        self.collectors: set[RequestCollector] = set()
+        self.sweep_task: asyncio.Future[None] | None = None
         self.closing = False
         self.streams: set[ServerStream] = set()
-        self.changed = asyncio.Event()
+        self.streams_changed = asyncio.Event()
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start to serve and return the bound address."""
@@ -86,14 +86,14 @@
             max_header_size=MAX_HEAD_BYTES,
             max_body_size=MAX_REQUEST_BYTES,
         )
-        self.server.connected = self._connected
+        self.server.open_stream = self._open_stream
         # One sweep replaces a timer and its callbacks for each head and each body.
         self.server.conn_params.header_timeout = None
-        self.sweeping = asyncio.ensure_future(self._sweep())
+        self.sweep_task = asyncio.ensure_future(self._sweep_expired())
         self.server.add_sockets(self.sockets)
         return Address(f"{host}:{self.sockets[0].getsockname()[1]}")
 
-    def announce_close(self) -> None:
+    def close_after_responses(self) -> None:
         """Close each connection with its next response; new connections are still accepted."""
         self.closing = True
 
@@ -104,30 +104,30 @@
         """
         self.closing = True
         self._stop_accepting()
-        self._shorten_reads()
+        self._shorten_deadlines()
         while self.streams:
-            self.changed.clear()
-            for collector in [row for row in self.collecting if not row.expected()]:
+            self.streams_changed.clear()
+            for collector in [row for row in self.collectors if not row.awaits_request()]:
                 collector.close_idle()
             if self.streams:
-                await self.changed.wait()
-        while self.running:
-            await asyncio.wait(self.running)
+                await self.streams_changed.wait()
+        while self.handler_tasks:
+            await asyncio.wait(self.handler_tasks)
         if self.server is not None:
             await self.server.close_all_connections()
-        await self.lingering.closed()
-        if self.sweeping is not None:
-            self.sweeping.cancel()
+        await self.lingering.wait_closed()
+        if self.sweep_task is not None:
+            self.sweep_task.cancel()
 
-    def _shorten_reads(self) -> None:
+    def _shorten_deadlines(self) -> None:
         self.head_timeout = min(self.head_timeout, self.last_read_timeout)
         self.body_timeout = min(self.body_timeout, self.last_read_timeout)
         limit = time.monotonic() + self.last_read_timeout / 1000
-        for collector in self.collecting:
+        for collector in self.collectors:
             collector.deadline = min(collector.deadline, limit)
-        if self.sweeping is not None:
-            self.sweeping.cancel()
-            self.sweeping = asyncio.ensure_future(self._sweep())
+        if self.sweep_task is not None:
+            self.sweep_task.cancel()
+            self.sweep_task = asyncio.ensure_future(self._sweep_expired())
 
     def _stop_accepting(self) -> None:
         if self.server is None:
@@ -145,23 +145,23 @@
         self.sockets = []
         self.server.stop()
 
-    def _connected(self, sock: socket.socket) -> ServerStream:
-        stream = ServerStream(sock, self.lingering.close, self._disconnected)
+    def _open_stream(self, sock: socket.socket) -> ServerStream:
+        stream = ServerStream(sock, self.lingering.close, self._remove_stream)
         self.streams.add(stream)
         return stream
 
-    def _disconnected(self, stream: ServerStream) -> None:
+    def _remove_stream(self, stream: ServerStream) -> None:
         self.streams.discard(stream)
-        self.changed.set()
+        self.streams_changed.set()
 
-    async def _sweep(self) -> None:
+    async def _sweep_expired(self) -> None:
         period = min(self.head_timeout, self.body_timeout) / 1000 / SWEEPS_PER_TIMEOUT
         while True:
             await asyncio.sleep(period)
             now = time.monotonic()
-            for collector in [row for row in self.collecting if row.expired(now)]:
-                self.collecting.discard(collector)
-                if self.closing and collector.begun():
+            for collector in [row for row in self.collectors if row.is_expired(now)]:
+                self.collectors.discard(collector)
+                if self.closing and collector.has_begun():
                     collector.refuse()
                 else:
                     collector.connection.close()
@@ -172,28 +172,28 @@
         """Return the collector of the next request of a connection."""
         del server_conn
         assert isinstance(request_conn, HTTP1Connection)
-        self.changed.set()
+        self.streams_changed.set()
         return RequestCollector(self, request_conn)
 
-    def received(self, connection: HTTP1Connection, request: Request) -> None:
+    def handle_request(self, connection: HTTP1Connection, request: Request) -> None:
         """Answer a whole request in a task that ends with its connection."""
-        if stream_of(connection).ending:
+        if stream_of(connection).close_announced:
             # The close that follows the last answer would cut a further request.
             connection.close()
             return
-        stream_of(connection).used = True
-        task = asyncio.ensure_future(self._answer(connection, request))
-        self.running.add(task)
-        task.add_done_callback(lambda ended: self._answered(connection, ended))
+        stream_of(connection).had_request = True
+        task = asyncio.ensure_future(self._respond(connection, request))
+        self.handler_tasks.add(task)
+        task.add_done_callback(lambda ended: self._response_done(connection, ended))
         connection.set_close_callback(lambda: _cancel(task))
 
-    def _answered(self, connection: HTTP1Connection, task: asyncio.Task[None]) -> None:
-        self.running.discard(task)
+    def _response_done(self, connection: HTTP1Connection, task: asyncio.Task[None]) -> None:
+        self.handler_tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             logging.error("event=answer_failed reason=%r", repr(error))
             connection.close()
 
-    async def _answer(self, connection: HTTP1Connection, request: Request) -> None:
+    async def _respond(self, connection: HTTP1Connection, request: Request) -> None:
         assert self.handler is not None
         try:
             response = await self.handler(request)
@@ -204,10 +204,10 @@
         except Exception as error:
             # The handler may be anything; its failure must end neither the daemon nor the caller.
             logging.error("event=handler_failed reason=%r", repr(error), exc_info=True)
-            response = HANDLER_FAILED
+            response = HANDLER_FAILED_RESPONSE
             headers, close = self._response_headers(request, response)
         connection.set_close_callback(None)
-        stream_of(connection).ending = close
+        stream_of(connection).close_announced = close
         bodiless = request.method == "HEAD" or response.status in BODILESS_STATUSES
         try:
             await self._write(connection, response, headers, b"" if bodiless else response.body)
@@ -233,7 +233,7 @@
         length = str(len(response.body))
         for name, value in response.headers:
             normal = name.title()
-            if normal not in HOP_FIELDS:
+            if normal not in HOP_BY_HOP_FIELDS:
                 headers.add(name, value)
             elif normal == "Connection" and value == "close":
                 close = True
@@ -257,30 +257,30 @@
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
         self.deadline = time.monotonic() + listener.head_timeout / 1000
-        listener.collecting.add(self)
+        listener.collectors.add(self)
 
-    def expired(self, now: float) -> bool:
+    def is_expired(self, now: float) -> bool:
         """Return whether the sender took too long, or left before the head was whole."""
         return now > self.deadline or self.connection.stream.closed()
 
-    def begun(self) -> bool:
+    def has_begun(self) -> bool:
         """Return whether a part of the request arrived."""
-        return self.start is not None or stream_of(self.connection).unread()
+        return self.start is not None or stream_of(self.connection).has_unread()
 
-    def expected(self) -> bool:
+    def awaits_request(self) -> bool:
         """Return whether a request arrives, or the first one of the connection still has to."""
-        return self.begun() or not stream_of(self.connection).used
+        return self.has_begun() or not stream_of(self.connection).had_request
 
     def close_idle(self) -> None:
         """Close a connection without a request."""
-        stream_of(self.connection).idle = True
+        stream_of(self.connection).closed_while_idle = True
         self.connection.close()
 
     def refuse(self) -> None:
         """Close the connection with an answer that the request did not run."""
         if not self.connection.stream.closed():
             # The stream and not the connection writes, as the head may not be whole.
-            self.connection.stream.write(REFUSAL)
+            self.connection.stream.write(LEAVING_RESPONSE)
             self.connection.close()
 
     def headers_received(
@@ -300,15 +300,15 @@
 
     def finish(self) -> None:
         """Pass the whole request on."""
-        self.listener.collecting.discard(self)
+        self.listener.collectors.discard(self)
         assert self.start is not None
-        path, fields = origin_form(self.start.path, end_to_end(self.headers))
+        path, fields = to_origin_form(self.start.path, end_to_end_fields(self.headers))
         request = Request(self.start.method, path, fields, b"".join(self.chunks))
-        self.listener.received(self.connection, request)
+        self.listener.handle_request(self.connection, request)
 
     def on_connection_close(self) -> None:
         """Forget a request whose connection closed."""
-        self.listener.collecting.discard(self)
+        self.listener.collectors.discard(self)
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
--- a/packages/agatecross-adapters/agatecross_adapters/log_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/log_http.py
@@ -20,11 +20,11 @@
 T = TypeVar("T")
 
 APPEND_TIMEOUT = Millis(2_000)
-READ_MARGIN = Millis(2_000)
+READ_TIMEOUT_MARGIN = Millis(2_000)
 
 
 @dataclass(frozen=True, slots=True)
-class Appended:
+class AppendReply:
     """Body of the answer to an append."""
 
     offset: int
@@ -65,26 +65,28 @@
             raise LogOutcomeUnknownError(stream, error.reason) from error
         if response.status != 200:
             raise LogUnavailableError(stream, f"append refused with status {response.status}")
-        return Offset(_decode(stream, response, Appended).offset)
+        return Offset(_decode_body(stream, response, AppendReply).offset)
 
     async def read(self, stream: StreamName, start: Offset, limit: int, wait: Millis) -> LogPage:
         """Return records from `start`, waiting up to `wait` for one; raises `LogError`."""
         query = f"start={start}&limit={limit}&wait_ms={int(wait)}"
         request = Request("GET", f"/streams/{stream}/records?{query}", (), b"")
         try:
-            response = await self.http.send(self.address, request, Millis(wait + READ_MARGIN))
+            response = await self.http.send(
+                self.address, request, Millis(wait + READ_TIMEOUT_MARGIN)
+            )
         except ExchangeError as error:
             raise LogUnavailableError(stream, error.reason) from error
         if response.status != 200:
             raise LogUnavailableError(stream, f"read refused with status {response.status}")
-        page = _decode(stream, response, PageBody)
+        page = _decode_body(stream, response, PageBody)
         entries = tuple(
             LogEntry(Offset(row.offset), base64.b64decode(row.data)) for row in page.entries
         )
         return LogPage(entries, Offset(page.first), Offset(page.end))
 
 
-def _decode(stream: StreamName, response: Response, kind: type[T]) -> T:
+def _decode_body(stream: StreamName, response: Response, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -58,7 +58,7 @@
         """Start to serve and return the bound address; port 0 lets the kernel choose."""
         ...
 
-    def announce_close(self) -> None:
+    def close_after_responses(self) -> None:
         """Close each connection with its next response; new connections are still accepted."""
         ...
 
@@ -106,11 +106,11 @@
         """Keep the description of a daemon."""
         ...
 
-    async def announced(self) -> tuple[bytes, ...]:
+    async def read_announcements(self) -> tuple[bytes, ...]:
         """Return the kept descriptions."""
         ...
 
-    async def keep_drain(self, daemon_id: DaemonId, data: bytes) -> None:
+    async def announce_drain(self, daemon_id: DaemonId, data: bytes) -> None:
         """Keep the description of a daemon whose upstream leaves, beside its newest one."""
         ...
 
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -12,7 +12,7 @@
 
 from agatecross_core.ids import Millis
 
-DISCARD_BYTES = 65_536
+DISCARD_CHUNK_BYTES = 65_536
 
 
 class LingeringClose:
@@ -25,7 +25,7 @@
 
     def __init__(self, timeout: Millis) -> None:
         self.timeout = timeout
-        self.open: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def close(self, sock: socket.socket) -> None:
         """Close the sending side, and the socket when its peer has closed."""
@@ -35,21 +35,21 @@
             # The peer reset the connection, or its own end came first.
             sock.close()
             return
-        task = asyncio.ensure_future(self._discard(sock))
-        self.open.add(task)
-        task.add_done_callback(self.open.discard)
+        task = asyncio.ensure_future(self._discard_until_closed(sock))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    async def closed(self) -> None:
+    async def wait_closed(self) -> None:
         """Return when every socket is closed."""
-        while self.open:
-            await asyncio.wait(self.open)
+        while self.tasks:
+            await asyncio.wait(self.tasks)
 
-    async def _discard(self, sock: socket.socket) -> None:
+    async def _discard_until_closed(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         with sock:
             try:
                 async with asyncio.timeout(self.timeout / 1000):
-                    while await loop.sock_recv(sock, DISCARD_BYTES):
+                    while await loop.sock_recv(sock, DISCARD_CHUNK_BYTES):
                         pass
             except (OSError, TimeoutError):
                 # The peer reset the connection or keeps it open; neither waits for this answer.
@@ -60,11 +60,11 @@
     """Connection of a requester."""
 
     # Set once an answer told the requester that the connection ends.
-    ending = False
+    close_announced = False
     # Set when the connection closes between requests.
-    idle = False
+    closed_while_idle = False
     # Set once a request came; who has just connected is about to send one.
-    used = False
+    had_request = False
 
     def __init__(
         self,
@@ -79,13 +79,13 @@
     def close_fd(self) -> None:
         """Give up the socket; called once, when the stream closes."""
         sock, self.socket = self.socket, None  # type: ignore[assignment]
-        if self.idle and delivered(sock):
+        if self.closed_while_idle and all_acknowledged(sock):
             sock.close()
         else:
             self.close_socket(sock)
         self.notify_closed(self)
 
-    def unread(self) -> bool:
+    def has_unread(self) -> bool:
         """Return whether bytes arrived that belong to no whole request."""
         if self.closed():
             return False
@@ -97,7 +97,7 @@
             return False
 
 
-def delivered(sock: socket.socket) -> bool:
+def all_acknowledged(sock: socket.socket) -> bool:
     """Return whether the peer has acknowledged every byte."""
     return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
 
@@ -111,8 +111,8 @@
 class StreamServer(HTTPServer):
     """Serves each connection through a `ServerStream`."""
 
-    connected: Callable[[socket.socket], ServerStream]
+    open_stream: Callable[[socket.socket], ServerStream]
 
     def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
         """Start to serve a connection."""
-        super().handle_stream(self.connected(stream.socket), address)
+        super().handle_stream(self.open_stream(stream.socket), address)
--- a/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
+++ b/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
@@ -7,9 +7,11 @@
 from agatecross_core.config.model import DecodedDocument, Document, KeyPath
 from agatecross_core.errors import DocumentSyntaxError
 
-TABLE = re.compile(r"^\s*\[+\s*(?P<key>[^\]]+?)\s*\]+")
-PAIR = re.compile(r"""^\s*(?P<key>(?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*')(?:\s*\.\s*[^=\s]+)*)\s*=""")
-PART = re.compile(r"""[A-Za-z0-9_-]+|"[^"]*"|'[^']*'""")
+TABLE_HEADER = re.compile(r"^\s*\[+\s*(?P<key>[^\]]+?)\s*\]+")
+KEY_ASSIGNMENT = re.compile(
+    r"""^\s*(?P<key>(?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*')(?:\s*\.\s*[^=\s]+)*)\s*="""
+)
+KEY_PART = re.compile(r"""[A-Za-z0-9_-]+|"[^"]*"|'[^']*'""")
 LINE_NUMBER = re.compile(r"at line (\d+)")
 
 
@@ -27,15 +29,15 @@
 def _key_lines(text: str) -> Iterator[tuple[KeyPath, int]]:
     table: KeyPath = ()
     for number, line in enumerate(text.splitlines(), start=1):
-        header = TABLE.match(line)
+        header = TABLE_HEADER.match(line)
         if header:
-            table = _split(header.group("key"))
+            table = _split_key(header.group("key"))
             yield table, number
             continue
-        pair = PAIR.match(line)
+        pair = KEY_ASSIGNMENT.match(line)
         if pair:
-            yield (*table, *_split(pair.group("key"))), number
+            yield (*table, *_split_key(pair.group("key"))), number
 
 
-def _split(key: str) -> KeyPath:
-    return tuple(part.strip("\"'") for part in PART.findall(key))
+def _split_key(key: str) -> KeyPath:
+    return tuple(part.strip("\"'") for part in KEY_PART.findall(key))
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -15,21 +15,21 @@
 from agatecross_core.relay.response_size import MAX_RESPONSE_HEAD, ResponseSize
 
 from .header_names import HeaderNames
-from .http1_bytes import BODILESS, CONNECTION_FIELDS
+from .http1_bytes import BODILESS_STATUSES, HOP_BY_HOP_FIELDS
 
 # An idle connection is used for at most this share of the time the upstream keeps it.
-IDLE_SHARE = 0.6
+IDLE_REUSE_FRACTION = 0.6
 # The upstream's idle timeout when it states none.
-DEFAULT_IDLE = Millis(3_000)
-CONTINUE_MAX = 199
+DEFAULT_IDLE_TIMEOUT = Millis(3_000)
+MAX_INTERIM_STATUS = 199
 # A response that begins or goes on after its call's deadline ends within this time or is cut off.
 # The largest one needs 64 Mbit/s for that, and the upstream is on the same machine.
-LATE_SECONDS = 1.0
+LATE_RESPONSE_SECONDS = 1.0
 # The colon, the space and the line end of a field.
-FIELD_EXTRA = 4
+FIELD_OVERHEAD_BYTES = 4
 
 
-class Failure(Enum):
+class UpstreamFailure(Enum):
     """Why an exchange with the upstream brought no whole response."""
 
     NOT_CONNECTED = "not-connected"
@@ -39,16 +39,16 @@
     TOO_LATE = "too-late"
 
 
-UpstreamDone = Callable[[RelayResponse | Failure], None]
+UpstreamCallback = Callable[[RelayResponse | UpstreamFailure], None]
 
 
 @dataclass(slots=True)
-class Running:
+class RunningRequest:
     """The request that a connection carries."""
 
     call_id: bytes
     method: bytes
-    done: UpstreamDone
+    done: UpstreamCallback
     size: ResponseSize = field(default_factory=ResponseSize)
 
 
@@ -58,13 +58,13 @@
     names: HeaderNames
     idle: "list[UpstreamConnection]"
     connections: "set[UpstreamConnection]"
-    unfinished: int
+    unfinished_bytes: int
 
     def release(self, connection: "UpstreamConnection") -> None:
         """Keep a connection for the next request."""
         ...
 
-    def add_unfinished(self, count: int) -> None:
+    def add_unfinished_bytes(self, count: int) -> None:
         """Count what was read of a response; the largest one fails when all are too large."""
         ...
 
@@ -77,17 +77,17 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
         self.parser = httptools.HttpResponseParser(self)
-        self.running: Running | None = None
+        self.running: RunningRequest | None = None
         self.headers: list[tuple[bytes, bytes]] = []
         # A list of parts would take many times the bytes of a body in small chunks.
         self.body = bytearray()
         self.in_message = False
-        self.until_eof = False
+        self.body_until_eof = False
         self.reusable = True
-        self.given_up = False
-        self.cut_off: asyncio.TimerHandle | None = None
+        self.late = False
+        self.cut_off_timer: asyncio.TimerHandle | None = None
         self.idle_since = Millis(0)
-        self.idle_limit = DEFAULT_IDLE
+        self.idle_limit = DEFAULT_IDLE_TIMEOUT
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -101,12 +101,12 @@
         self.pool.connections.discard(self)
         if self in self.pool.idle:
             self.pool.idle.remove(self)
-        self._end(Failure.CONNECTION_LOST)
+        self._fail_running(UpstreamFailure.CONNECTION_LOST)
 
     def eof_received(self) -> bool:
         """End a response without a length; only an orderly close makes it whole."""
-        if self.in_message and self.until_eof and self.running is not None:
-            self._complete()
+        if self.in_message and self.body_until_eof and self.running is not None:
+            self._complete_response()
         return False
 
     def usable(self, now: float) -> bool:
@@ -119,13 +119,13 @@
         self.reusable = False
         self.transport.abort()
 
-    def give_up(self) -> None:
+    def mark_late(self) -> None:
         """Cut off the response if it does not end soon after its first byte."""
-        self.given_up = True
+        self.late = True
         if self.bytes_read():
-            self._cut_off_later()
+            self._schedule_cut_off()
 
-    def carry(self, running: Running, data: bytes) -> None:
+    def send_request(self, running: RunningRequest, data: bytes) -> None:
         """Send one request."""
         self.running = running
         self.transport.write(data)
@@ -137,27 +137,27 @@
             self.close()
             return
         running.size.read += len(data)
-        self.pool.add_unfinished(len(data))
-        if self.given_up:
-            self._cut_off_later()
+        self.pool.add_unfinished_bytes(len(data))
+        if self.late:
+            self._schedule_cut_off()
         if self.running is None:
             return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.fail(Failure.MALFORMED)
+            self.fail(UpstreamFailure.MALFORMED)
             return
         if self.running is not None and running.size.exceeded:
-            self.fail(Failure.TOO_LARGE)
+            self.fail(UpstreamFailure.TOO_LARGE)
 
     def bytes_read(self) -> int:
         """Return how much was read of the response that is not whole yet."""
         return self.running.size.read if self.running is not None else 0
 
-    def fail(self, failure: Failure) -> None:
+    def fail(self, failure: UpstreamFailure) -> None:
         """Close at once and fail the running request."""
         self.close()
-        self._end(failure)
+        self._fail_running(failure)
 
     def on_message_begin(self) -> None:
         """Start a response; a second one for the same request is never used."""
@@ -166,7 +166,7 @@
         if self.body:
             self.body = bytearray()
         self.in_message = True
-        self.until_eof = False
+        self.body_until_eof = False
         if self.running is None:
             self.reusable = False
 
@@ -175,7 +175,7 @@
         running = self.running
         if running is not None:
             size = running.size
-            size.fields += len(name) + len(value) + FIELD_EXTRA
+            size.fields += len(name) + len(value) + FIELD_OVERHEAD_BYTES
             if size.fields <= MAX_RESPONSE_HEAD:
                 self.headers.append((name.lower(), value))
 
@@ -190,16 +190,22 @@
             elif name == b"connection" and value.lower() == b"close":
                 self.reusable = False
             elif name == b"keep-alive":
-                self._learn_idle_limit(value)
+                self._update_idle_limit(value)
         status = self.parser.get_status_code()
-        self.until_eof = not framed and status > CONTINUE_MAX and status not in BODILESS
-        if self.until_eof:
+        self.body_until_eof = (
+            not framed and status > MAX_INTERIM_STATUS and status not in BODILESS_STATUSES
+        )
+        if self.body_until_eof:
             self.reusable = False
         if self.running is not None and self.running.method == b"HEAD":
             self.reusable = False
-            self._complete()
-        elif stated > MAX_RESPONSE_BYTES and status > CONTINUE_MAX and status not in BODILESS:
-            self.fail(Failure.TOO_LARGE)
+            self._complete_response()
+        elif (
+            stated > MAX_RESPONSE_BYTES
+            and status > MAX_INTERIM_STATUS
+            and status not in BODILESS_STATUSES
+        ):
+            self.fail(UpstreamFailure.TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -212,11 +218,11 @@
 
     def on_message_complete(self) -> None:
         """Hand over a whole response."""
-        if self.parser.get_status_code() > CONTINUE_MAX:
-            self._complete()
+        if self.parser.get_status_code() > MAX_INTERIM_STATUS:
+            self._complete_response()
         self.in_message = False
 
-    def _complete(self) -> None:
+    def _complete_response(self) -> None:
         running = self.running
         if running is None:
             self.reusable = False
@@ -227,17 +233,17 @@
             self.reusable = False
             return
         if running.size.content_exceeded:
-            self.fail(Failure.TOO_LARGE)
+            self.fail(UpstreamFailure.TOO_LARGE)
             return
-        self._release_running()
-        rows = tuple(row for row in self.headers if row[0] not in CONNECTION_FIELDS)
+        self._detach_running()
+        rows = tuple(row for row in self.headers if row[0] not in HOP_BY_HOP_FIELDS)
         response = RelayResponse(self.parser.get_status_code(), rows, bytes(self.body))
         # An idle connection keeps nothing of its last response.
         self.headers, self.body = [], bytearray()
         # Bytes that follow the response in the same read decide whether the connection is kept.
-        asyncio.get_running_loop().call_soon(self._settle, running, response)
+        asyncio.get_running_loop().call_soon(self._deliver, running, response)
 
-    def _settle(self, running: Running, response: RelayResponse) -> None:
+    def _deliver(self, running: RunningRequest, response: RelayResponse) -> None:
         if self.reusable and not self.transport.is_closing():
             self.idle_since = Millis(time.monotonic() * 1000)
             self.pool.release(self)
@@ -245,29 +251,31 @@
             self.transport.close()
         running.done(response)
 
-    def _end(self, failure: Failure) -> None:
-        running = self._release_running()
+    def _fail_running(self, failure: UpstreamFailure) -> None:
+        running = self._detach_running()
         self.headers, self.body = [], bytearray()
         if running is not None:
             running.done(failure)
 
-    def _cut_off_later(self) -> None:
-        if self.cut_off is None and self.running is not None:
+    def _schedule_cut_off(self) -> None:
+        if self.cut_off_timer is None and self.running is not None:
             loop = asyncio.get_running_loop()
-            self.cut_off = loop.call_later(LATE_SECONDS, self.fail, Failure.TOO_LATE)
-
-    def _release_running(self) -> Running | None:
-        self.given_up = False
-        if self.cut_off is not None:
-            self.cut_off.cancel()
-            self.cut_off = None
+            self.cut_off_timer = loop.call_later(
+                LATE_RESPONSE_SECONDS, self.fail, UpstreamFailure.TOO_LATE
+            )
+
+    def _detach_running(self) -> RunningRequest | None:
+        self.late = False
+        if self.cut_off_timer is not None:
+            self.cut_off_timer.cancel()
+            self.cut_off_timer = None
         running, self.running = self.running, None
         if running is not None:
-            self.pool.unfinished -= running.size.read
+            self.pool.unfinished_bytes -= running.size.read
         return running
 
-    def _learn_idle_limit(self, value: bytes) -> None:
+    def _update_idle_limit(self, value: bytes) -> None:
         for part in value.split(b","):
             key, _, number = part.strip().partition(b"=")
             if key == b"timeout" and number.isdigit():
-                self.idle_limit = Millis(int(number) * 1000 * IDLE_SHARE)
+                self.idle_limit = Millis(int(number) * 1000 * IDLE_REUSE_FRACTION)
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -12,10 +12,15 @@
 
 from .header_names import HeaderNames
 from .http1_bytes import encode_request
-from .upstream_connection import Failure, Running, UpstreamConnection, UpstreamDone
+from .upstream_connection import (
+    RunningRequest,
+    UpstreamCallback,
+    UpstreamConnection,
+    UpstreamFailure,
+)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-MAX_IDLE = 64
+MAX_IDLE_CONNECTIONS = 64
 
 
 class Unreachable(Enum):
@@ -42,37 +47,37 @@
         self.connections: set[UpstreamConnection] = set()
         self.dialing: set[asyncio.Task[None]] = set()
         # Bytes read of responses that are not whole yet.
-        self.unfinished = 0
+        self.unfinished_bytes = 0
 
-    def send(self, handover: Handover, left: Millis, done: UpstreamDone) -> "Sending":
+    def send(self, handover: Handover, left: Millis, done: UpstreamCallback) -> "UpstreamExchange":
         """Send the request on the connection that was used last, or on a new one."""
-        sending = Sending(self, handover, left, done)
+        exchange = UpstreamExchange(self, handover, left, done)
         now = time.monotonic() * 1000
         while self.idle:
             connection = self.idle.pop()
             if connection.usable(now):
-                sending.begin(connection)
-                return sending
+                exchange.start(connection)
+                return exchange
             connection.close()
-        self._start(self._dial_for(sending))
-        return sending
+        self._start_dial(self._dial_for(exchange))
+        return exchange
 
     def probe(self) -> None:
         """Open a connection for the next request, to learn whether the upstream still listens."""
-        self._start(self._dial_spare())
+        self._start_dial(self._dial_spare())
 
     def release(self, connection: "UpstreamConnection") -> None:
         """Keep a connection for the next request."""
-        if len(self.idle) < MAX_IDLE:
+        if len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
         else:
             connection.close()
 
-    def add_unfinished(self, count: int) -> None:
+    def add_unfinished_bytes(self, count: int) -> None:
         """Count what was read of a response; the largest one fails when all are too large."""
-        self.unfinished += count
-        if self.unfinished > MAX_UNFINISHED:
-            max(self.connections, key=UpstreamConnection.bytes_read).fail(Failure.TOO_LARGE)
+        self.unfinished_bytes += count
+        if self.unfinished_bytes > MAX_UNFINISHED:
+            max(self.connections, key=UpstreamConnection.bytes_read).fail(UpstreamFailure.TOO_LARGE)
 
     def close(self) -> None:
         """Close every connection."""
@@ -80,20 +85,20 @@
             connection.close()
         self.idle.clear()
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start_dial(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self.dialing.add(task)
         task.add_done_callback(self.dialing.discard)
 
-    async def _dial_for(self, sending: "Sending") -> None:
+    async def _dial_for(self, exchange: "UpstreamExchange") -> None:
         connection = await self._dial()
         if connection is None:
-            sending.failed(Failure.NOT_CONNECTED)
-        elif sending.stopped:
+            exchange.fail(UpstreamFailure.NOT_CONNECTED)
+        elif exchange.cancelled:
             self.release(connection)
-            sending.failed(Failure.NOT_CONNECTED)
+            exchange.fail(UpstreamFailure.NOT_CONNECTED)
         else:
-            sending.begin(connection)
+            exchange.start(connection)
 
     async def _dial_spare(self) -> None:
         connection = await self._dial()
@@ -118,11 +123,11 @@
         return connection
 
 
-class Sending:
+class UpstreamExchange:
     """One request on its way to the upstream."""
 
     def __init__(
-        self, pool: UpstreamPool, handover: Handover, left: Millis, done: UpstreamDone
+        self, pool: UpstreamPool, handover: Handover, left: Millis, done: UpstreamCallback
     ) -> None:
         self.pool = pool
         self.handover = handover
@@ -130,37 +135,37 @@
         self.done = done
         self.connection: UpstreamConnection | None = None
         self.size: ResponseSize | None = None
-        self.stopped = False
+        self.cancelled = False
 
-    def begin(self, connection: "UpstreamConnection") -> None:
+    def start(self, connection: "UpstreamConnection") -> None:
         """Write the request."""
         self.connection = connection
         request = self.handover.request
-        running = Running(self.handover.call_id.encode("latin-1"), request.method, self.done)
+        running = RunningRequest(self.handover.call_id.encode("latin-1"), request.method, self.done)
         self.size = running.size
-        connection.carry(running, encode_request(self.handover, self.left, self.pool.names))
+        connection.send_request(running, encode_request(self.handover, self.left, self.pool.names))
 
-    def stop(self) -> None:
+    def cancel(self) -> None:
         """Close the connection, which makes the upstream drop the request."""
-        self.stopped = True
+        self.cancelled = True
         if self.connection is not None:
             self.connection.close()
 
-    def give_up(self) -> None:
+    def mark_late(self) -> None:
         """Let the upstream end the run, but do not wait for a response that does not end.
 
         A request that was not written by now is never written.
         """
         if self.connection is None:
-            self.stopped = True
+            self.cancelled = True
         else:
-            self.connection.give_up()
+            self.connection.mark_late()
 
     @property
     def bytes_read(self) -> int:
         """Return how many bytes the upstream sent for the request."""
         return self.size.read if self.size is not None else 0
 
-    def failed(self, failure: Failure) -> None:
+    def fail(self, failure: UpstreamFailure) -> None:
         """Report that the request was not written."""
         self.done(failure)
--- a/packages/agatecross-adapters/agatecross_adapters/wire.py
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -14,12 +14,12 @@
 
 # Peers increase incarnations and versions, so a larger one could not be encoded any more.
 MAX_COUNTER: Final = 2**53
-COUNTER: Final = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
-CHECKED: Final[Mapping[Any, Any]] = {
+COUNTER_TYPE: Final = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+WIRE_TYPES: Final[Mapping[Any, Any]] = {
     Address: Annotated[str, msgspec.Meta(pattern=r"^[^\s/]+:[0-9]{1,5}$")],
-    Incarnation: COUNTER,
-    Version: COUNTER,
-    Offset: COUNTER,
+    Incarnation: COUNTER_TYPE,
+    Version: COUNTER_TYPE,
+    Offset: COUNTER_TYPE,
     Millis: float,
     int: Annotated[int, msgspec.Meta(ge=-MAX_COUNTER, le=MAX_COUNTER)],
 }
@@ -41,8 +41,8 @@
 
 def wire_type(hint: Any) -> Any:
     """Return the type by which a field of this type is encoded."""
-    if hint in CHECKED:
-        return CHECKED[hint]
+    if hint in WIRE_TYPES:
+        return WIRE_TYPES[hint]
     if isinstance(hint, type) and dataclasses.is_dataclass(hint):
         return wire_struct(hint)
     if get_origin(hint) in (Union, types.UnionType):
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from agatecross_adapters.address_map import MappedHttpClient, MappedTransport
-from agatecross_adapters.control_nng import NngTransport, TrafficCount
+from agatecross_adapters.control_nng import NngTransport, TrafficCounters
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
@@ -184,7 +184,7 @@
     )
 
 
-def _observe_traffic(telemetry: Telemetry, traffic: TrafficCount) -> None:
+def _observe_traffic(telemetry: Telemetry, traffic: TrafficCounters) -> None:
     name, what = "agatecross.control", "Payload of control messages"
     telemetry.observe(f"{name}.sent", "By", f"{what} sent.", lambda: traffic.sent_bytes)
     telemetry.observe(f"{name}.received", "By", f"{what} received.", lambda: traffic.received_bytes)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -149,7 +149,7 @@
         listener = self.entry.listener
         plan = plan.with_open_calls(max(listener.latest_deadline, self.exit.latest_deadline))
         self.entry_box.put(DrainPlanned(plan))
-        listener.close_after_answers()
+        listener.close_after_responses()
         self.peers.leave()
         self.exit.leave()
         late = await self._until_finished(plan.settled_at, plan.last_accept)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from agatecross_adapters.control_nng import TrafficCount
+from agatecross_adapters.control_nng import TrafficCounters
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.constants import NO_DIGEST, NO_VERSION
@@ -48,7 +48,7 @@
         me: Member,
         listener: HttpListener,
         upstream: Sender[UpstreamAnnounced],
-        traffic: TrafficCount,
+        traffic: TrafficCounters,
         quarantine: Sender[ListAsk | LiftAsk],
         collect: Callable[[], bytes],
     ) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -4,7 +4,7 @@
 import uuid
 
 from agatecross_adapters.call_headers import (
-    IDEMPOTENCY_KEY,
+    IDEMPOTENCY_KEY_HEADER,
     encode_result,
     public_headers,
     remaining_ms,
@@ -88,7 +88,7 @@
                 self.balancer.view_changed(view)
                 self.quarantine.view_changed(view, me)
             case Leaving():
-                self.listener.announce_close()
+                self.listener.close_after_responses()
             case _:
                 self.quarantine.handle(message)
 
@@ -177,7 +177,7 @@
 def _new_call(request: Request, policy: ServicePolicy, now: Millis) -> Call:
     stated = remaining_ms(request)
     left = policy.timeout_ms if stated is None else min(stated, policy.timeout_ms)
-    key = request.header(IDEMPOTENCY_KEY)
+    key = request.header(IDEMPOTENCY_KEY_HEADER)
     plain = Request(request.method, request.path, public_headers(request.headers), request.body)
     return Call(
         CallId(uuid.uuid4().hex),
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Mapping
 
-from agatecross_adapters.caller_http import Exchange
+from agatecross_adapters.caller_connection import Exchange
 from agatecross_adapters.caller_listener import CallerListener
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_core.ids import Address, CallId, DaemonId, HandoverId, Millis, ServiceName
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.header_names import HeaderNames
-from agatecross_adapters.upstream_connection import Failure
-from agatecross_adapters.upstream_http import Sending, Unreachable, UpstreamPool
+from agatecross_adapters.upstream_connection import UpstreamFailure
+from agatecross_adapters.upstream_pool import Unreachable, UpstreamExchange, UpstreamPool
 from agatecross_core.admission.slot_queue import Refuse, SlotQueue, Start, Waiting
 from agatecross_core.ids import (
     ZERO_MS,
@@ -72,10 +72,10 @@
 
 # What a failure after the request was written tells the caller.
 FAILURE_REASONS = {
-    Failure.CONNECTION_LOST: Reason.CONNECTION_LOST,
-    Failure.MALFORMED: Reason.BAD_ANSWER,
-    Failure.TOO_LARGE: Reason.ANSWER_TOO_LARGE,
-    Failure.TOO_LATE: Reason.TIMEOUT,
+    UpstreamFailure.CONNECTION_LOST: Reason.CONNECTION_LOST,
+    UpstreamFailure.MALFORMED: Reason.BAD_ANSWER,
+    UpstreamFailure.TOO_LARGE: Reason.ANSWER_TOO_LARGE,
+    UpstreamFailure.TOO_LATE: Reason.TIMEOUT,
 }
 
 
@@ -86,7 +86,7 @@
     handover: Handover
     deadline: Millis
     reply: ResultReceiver | None
-    sending: Sending | None = None
+    sending: UpstreamExchange | None = None
     timer: asyncio.TimerHandle | None = None
 
 
@@ -216,9 +216,9 @@
         left = Millis(call.deadline - monotonic())
         call.sending = self.pool.send(call.handover, left, lambda done: self._done(call, done))
 
-    def _done(self, call: ExitCall, done: RelayResponse | Failure) -> None:
+    def _done(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> None:
         now = monotonic()
-        if done is Failure.CONNECTION_LOST and call.reply is not None:
+        if done is UpstreamFailure.CONNECTION_LOST and call.reply is not None:
             self._note_cut_off(call, now)
         result = self._result(call, done)
         learn = result.response is not None and call.reply is not None
@@ -234,10 +234,10 @@
         if not self.pool.connections and not self.pool.dialing:
             self.pool.probe()
 
-    def _result(self, call: ExitCall, done: RelayResponse | Failure) -> RelayResult:
+    def _result(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> RelayResult:
         if isinstance(done, RelayResponse):
             return judge(done, self.names.stamp, self.names.not_run)
-        if done is Failure.NOT_CONNECTED:
+        if done is UpstreamFailure.NOT_CONNECTED:
             return refused(Reason.CONNECT_FAILED)
         return lost(FAILURE_REASONS[done])
 
@@ -286,7 +286,7 @@
         self._answer(call, lost(Reason.TIMEOUT))
         self._stop(call)
         if call.handover.repeat is Repeat.ONCE:
-            call.sending.give_up()
+            call.sending.mark_late()
 
     def _cancel(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
@@ -303,7 +303,7 @@
     def _stop(self, call: ExitCall) -> None:
         # A call that must not run twice goes on: its result may still be asked for.
         if call.sending is not None and call.handover.repeat is Repeat.SAFE:
-            call.sending.stop()
+            call.sending.cancel()
 
     def _resume(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
         result = self.ledger.resume(handover_id, monotonic())
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -76,7 +76,7 @@
     def finish(self) -> None:
         """End every connection after the results that were written."""
         for connection in self.rows:
-            connection.finish()
+            connection.close_gracefully()
 
     def abort(self) -> None:
         """Close every connection at once."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
 
-from agatecross_adapters.caller_http import ClosedBy, Exchange
+from agatecross_adapters.caller_connection import ClosedBy, Exchange
 from agatecross_core.ids import CallId, DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.relay.flow import served, worse_kept
@@ -80,7 +80,7 @@
         now = monotonic()
         left = Millis(self.facts.deadline - now)
         self.timer = loop.call_later(max(0.0, left) / 1000, self._expire)
-        self.exchange.on_gone = self._gone
+        self.exchange.on_abandoned = self._gone
         if self.hedge is not None:
             route = self.facts.route
             objective = Millis(self.exchange.arrived + route.objective - now)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -282,7 +282,7 @@
                 await self._read_announcements()
 
     async def _read_announcements(self) -> None:
-        while (rows := await self._ask("announced", self.store.announced())) is None:
+        while (rows := await self._ask("announced", self.store.read_announcements())) is None:
             await self._pause()
         endpoints = tuple(self._decoded(rows))
         self.peers.put(EndpointsRead(endpoints))
@@ -312,7 +312,7 @@
             if self.draining is not me or me.instance is None:
                 # A later attempt took over; an earlier drain must not replace a newer one.
                 return
-            call = self.store.keep_drain(me.daemon_id, encode_endpoint(me))
+            call = self.store.announce_drain(me.daemon_id, encode_endpoint(me))
             if await self._ask("keep_drain", _true(call)) is not None:
                 self.exit.put(DrainKept(me.instance, me.born))
                 return
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.call_headers import (
-    CALL_ID,
-    DEADLINE,
-    LOAD,
+    CALL_ID_HEADER,
+    DEADLINE_HEADER,
+    LOAD_HEADER,
     decode_call,
     encode_result,
 )
@@ -159,7 +159,7 @@
         result = await ask.reply
         # Peers drop their idle connections to a daemon that leaves before it closes them.
         extra = (CLOSE_CONNECTION,) if self.leaving else ()
-        return encode_result(result, (LOAD, self._load()), *extra)
+        return encode_result(result, (LOAD_HEADER, self._load()), *extra)
 
     def _load(self) -> str:
         return f"{self.admission.running} {self.admission.waiting} {self.admission.slots}"
@@ -282,8 +282,8 @@
         left = Millis(max(1.0, call.deadline - monotonic()))
         headers = (
             *call.request.headers,
-            (CALL_ID, call.call_id),
-            (DEADLINE, f"{left:.1f}"),
+            (CALL_ID_HEADER, call.call_id),
+            (DEADLINE_HEADER, f"{left:.1f}"),
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
         result = await self._exchange(address, request, left)
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -31,7 +31,7 @@
 from opentelemetry.trace import Span, SpanKind, Tracer
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
-from agatecross_adapters.call_headers import OUTCOME, REASON, SERVICE
+from agatecross_adapters.call_headers import OUTCOME_HEADER, REASON_HEADER, SERVICE_HEADER
 from agatecross_adapters.protocols import HttpClient, HttpListener, RequestHandler
 from agatecross_core.calls.model import Headers, Request, Response
 from agatecross_core.errors import ExchangeError
@@ -233,7 +233,7 @@
         outcome = "cancelled"
         try:
             response = await self._trace(request, handler)
-            outcome = response.header(OUTCOME) or "none"
+            outcome = response.header(OUTCOME_HEADER) or "none"
             return response
         finally:
             attributes = {"listener": self.name, "outcome": outcome}
@@ -253,9 +253,9 @@
         finally:
             span.end()
 
-    def announce_close(self) -> None:
+    def close_after_responses(self) -> None:
         """Close each connection with its next response; new connections are still accepted."""
-        self.inner.announce_close()
+        self.inner.close_after_responses()
 
     async def close(self) -> None:
         """Answer every request that has begun to arrive, and close every connection."""
@@ -266,11 +266,11 @@
     span.set_attribute("http.request.method", request.method)
     span.set_attribute("url.path", request.path.split("?", 1)[0])
     span.set_attribute("http.response.status_code", response.status)
-    for key, name in (("outcome", OUTCOME), ("reason", REASON)):
+    for key, name in (("outcome", OUTCOME_HEADER), ("reason", REASON_HEADER)):
         value = response.header(name)
         if value:
             span.set_attribute(f"agatecross.{key}", value)
-    service = request.header(SERVICE)
+    service = request.header(SERVICE_HEADER)
     if service:
         span.set_attribute("agatecross.service", service)
 
