--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -96,12 +96,12 @@
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
-        self.size = 0
+        self.part_bytes = 0
         self.framing_fields = 0
         self.rejected = False
         self.pipeline_full = False
         self.write_blocked = False
-        self.unsent = 0
+        self.unsent_at_last_check = 0
         self.half_closed = False
         self.closed_by = ClosedBy.CALLER
 
@@ -148,18 +148,18 @@
         self.target = b""
         self.headers = []
         self.chunks = []
-        self.size = 0
+        self.part_bytes = 0
         self.framing_fields = 0
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
         self.target += url
-        self._count_head(len(url))
+        self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header field."""
         name = name.lower()
-        self._count_head(len(name) + len(value) + 4)
+        self._count_head_bytes(len(name) + len(value) + 4)
         self.headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
             self.framing_fields += 1
@@ -169,15 +169,15 @@
     def on_headers_complete(self) -> None:
         """Refuse ambiguous framing, which is how requests are smuggled."""
         self.state = ParseState.BODY
-        self.size = 0
+        self.part_bytes = 0
         if self.framing_fields > 1:
             self.reject(400)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self.size += len(body)
+        self.part_bytes += len(body)
         self.waiting_since = Millis(time.monotonic() * 1000)
-        if self.size > self.listener.limits.body_bytes:
+        if self.part_bytes > self.listener.limits.body_bytes:
             self.reject(413)
         else:
             self.chunks.append(body)
@@ -295,10 +295,10 @@
         limits = self.listener.limits
         waited = now - self.waiting_since
         if self.half_closed:
-            unsent = self.transport.get_write_buffer_size()
-            if unsent != self.unsent:
-                self.unsent, self.waiting_since = unsent, Millis(now)
-            elif waited > (limits.idle_time if unsent else LINGER_TIMEOUT):
+            buffered = self.transport.get_write_buffer_size()
+            if buffered != self.unsent_at_last_check:
+                self.unsent_at_last_check, self.waiting_since = buffered, Millis(now)
+            elif waited > (limits.idle_time if buffered else LINGER_TIMEOUT):
                 self.transport.abort()
             return
         if self.state is ParseState.IDLE:
@@ -313,7 +313,7 @@
             if exchange.on_abandoned is not None:
                 exchange.on_abandoned(self.closed_by)
 
-    def _count_head(self, size: int) -> None:
-        self.size += size
-        if self.size > self.listener.limits.head_bytes and not self.rejected:
+    def _count_head_bytes(self, count: int) -> None:
+        self.part_bytes += count
+        if self.part_bytes > self.listener.limits.head_bytes and not self.rejected:
             self.reject(431)
--- a/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
@@ -63,13 +63,13 @@
     return out
 
 
-def encode_request(handover: Handover, left: Millis, names: HeaderNames) -> bytes:
+def encode_request(handover: Handover, time_left: Millis, names: HeaderNames) -> bytes:
     """Return the request as it goes to the upstream, with the time left and the instance."""
     request = handover.request
     out = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
     for name, value in request.headers:
         out += (name, b": ", value, b"\r\n")
-    out.append(b"%s: %d\r\n" % (names.time_left, max(1, int(left))))
+    out.append(b"%s: %d\r\n" % (names.time_left, max(1, int(time_left))))
     out.append(b"%s: %s\r\n" % (names.expected_instance, handover.instance.encode("latin-1")))
     if request.body or request.method in METHODS_WITH_BODY:
         out.append(b"content-length: %d\r\n" % len(request.body))
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -70,11 +70,11 @@
         self,
         sock: socket.socket,
         close_socket: Callable[[socket.socket], None],
-        closed: Callable[["ServerStream"], None],
+        notify_closed: Callable[["ServerStream"], None],
     ) -> None:
         super().__init__(sock)
         self.close_socket = close_socket
-        self.notify_closed = closed
+        self.notify_closed = notify_closed
 
     def close_fd(self) -> None:
         """Give up the socket; called once, when the stream closes."""
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -20,7 +20,7 @@
 # An idle connection is used for at most this share of the time the upstream keeps it.
 IDLE_REUSE_FRACTION = 0.6
 # The upstream's idle timeout when it states none.
-DEFAULT_IDLE_TIMEOUT = Millis(3_000)
+DEFAULT_IDLE_LIMIT = Millis(3_000)
 MAX_INTERIM_STATUS = 199
 # A response that begins or goes on after its call's deadline ends within this time or is cut off.
 # The largest one needs 64 Mbit/s for that, and the upstream is on the same machine.
@@ -48,7 +48,7 @@
 
     call_id: bytes
     method: bytes
-    done: UpstreamCallback
+    on_done: UpstreamCallback
     size: ResponseSize = field(default_factory=ResponseSize)
 
 
@@ -87,7 +87,7 @@
         self.late = False
         self.cut_off_timer: asyncio.TimerHandle | None = None
         self.idle_since = Millis(0)
-        self.idle_limit = DEFAULT_IDLE_TIMEOUT
+        self.idle_limit = DEFAULT_IDLE_LIMIT
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -249,13 +249,13 @@
             self.pool.release(self)
         else:
             self.transport.close()
-        running.done(response)
+        running.on_done(response)
 
     def _fail_running(self, failure: UpstreamFailure) -> None:
         running = self._detach_running()
         self.headers, self.body = [], bytearray()
         if running is not None:
-            running.done(failure)
+            running.on_done(failure)
 
     def _schedule_cut_off(self) -> None:
         if self.cut_off_timer is None and self.running is not None:
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -49,9 +49,11 @@
         # Bytes read of responses that are not whole yet.
         self.unfinished_bytes = 0
 
-    def send(self, handover: Handover, left: Millis, done: UpstreamCallback) -> "UpstreamExchange":
+    def send(
+        self, handover: Handover, time_left: Millis, on_done: UpstreamCallback
+    ) -> "UpstreamExchange":
         """Send the request on the connection that was used last, or on a new one."""
-        exchange = UpstreamExchange(self, handover, left, done)
+        exchange = UpstreamExchange(self, handover, time_left, on_done)
         now = time.monotonic() * 1000
         while self.idle:
             connection = self.idle.pop()
@@ -127,12 +129,12 @@
     """One request on its way to the upstream."""
 
     def __init__(
-        self, pool: UpstreamPool, handover: Handover, left: Millis, done: UpstreamCallback
+        self, pool: UpstreamPool, handover: Handover, time_left: Millis, on_done: UpstreamCallback
     ) -> None:
         self.pool = pool
         self.handover = handover
-        self.left = left
-        self.done = done
+        self.time_left = time_left
+        self.on_done = on_done
         self.connection: UpstreamConnection | None = None
         self.size: ResponseSize | None = None
         self.cancelled = False
@@ -141,9 +143,13 @@
         """Write the request."""
         self.connection = connection
         request = self.handover.request
-        running = RunningRequest(self.handover.call_id.encode("latin-1"), request.method, self.done)
+        running = RunningRequest(
+            self.handover.call_id.encode("latin-1"), request.method, self.on_done
+        )
         self.size = running.size
-        connection.send_request(running, encode_request(self.handover, self.left, self.pool.names))
+        connection.send_request(
+            running, encode_request(self.handover, self.time_left, self.pool.names)
+        )
 
     def cancel(self) -> None:
         """Close the connection, which makes the upstream drop the request."""
@@ -168,4 +174,4 @@
 
     def fail(self, failure: UpstreamFailure) -> None:
         """Report that the request was not written."""
-        self.done(failure)
+        self.on_done(failure)
