--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -215,7 +215,7 @@
         except Exception as error:
             # The parser would take it for a malformed request and leave this one unanswered.
             asyncio.get_running_loop().call_exception_handler(
-                {"message": "a request could not be handled", "exception": error}
+                {"message": "unhandled exception in the request handler", "exception": error}
             )
             exchange.respond(RelayResponse(HTTPStatus.BAD_GATEWAY, (), b""))
 
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -276,7 +276,7 @@
             raise TypeError(f"{text!r} is not a string")
     for number in (incarnation, sequence, born, slots, cold, log_latency):
         if not isinstance(number, int):
-            raise TypeError(f"{number!r} is not a whole number")
+            raise TypeError(f"{number!r} is not an integer")
     return Endpoint(
         DaemonId(daemon),
         Incarnation(incarnation),
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -87,7 +87,7 @@
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         if not framed and not bodiless:
             # Such a body ends with the connection, so a truncated one would look whole.
-            raise HTTPInputError("response states no length")
+            raise HTTPInputError("response without Content-Length or Transfer-Encoding")
 
     def data_received(self, chunk: bytes) -> None:
         """Keep one part of the body."""
@@ -156,7 +156,9 @@
             raise ExchangeTimeoutError(address, "no complete response in time") from error
         except ConnectionLostError as error:
             if not stream.sent_bytes:
-                raise ConnectFailedError(address, "closed before a byte was sent") from error
+                raise ConnectFailedError(
+                    address, "connection closed before a byte was sent"
+                ) from error
             raise
         finally:
             # A connection whose response was not read to its end could deliver it to a later call.
@@ -182,7 +184,7 @@
         except StreamClosedError as error:
             raise ConnectionLostError(address, "connection closed") from error
         if not collector.complete:
-            raise ConnectionLostError(address, "response is not complete")
+            raise ConnectionLostError(address, "incomplete response")
         keep = collector.headers.get("Connection", "").lower() != "close"
         fields = end_to_end_fields(collector.headers)
         return Response(collector.status, fields, b"".join(collector.chunks)), keep
--- a/packages/agatecross-adapters/agatecross_adapters/log_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/log_http.py
@@ -90,4 +90,4 @@
     try:
         return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
-        raise LogUnavailableError(stream, f"unreadable answer: {error}") from error
+        raise LogUnavailableError(stream, f"undecodable response: {error}") from error
