--- a/packages/agatecross-adapters/agatecross_adapters/__init__.py
+++ b/packages/agatecross-adapters/agatecross_adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to outside systems and to other daemons, each behind a `Protocol`."""
+"""Adapters for external systems and other daemons, each behind a `Protocol`."""
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -1,4 +1,4 @@
-"""Headers that carry a call and its outcome between callers, daemons and upstreams."""
+"""Headers that carry a call's metadata and outcome between callers, daemons and upstreams."""
 
 from dataclasses import replace
 
@@ -18,6 +18,7 @@
 
 CALL_ID_HEADER = "Agatecross-Call-Id"
 SERVICE_HEADER = "Agatecross-Service"
+# Holds the time left in milliseconds, not a point in time.
 DEADLINE_HEADER = "Agatecross-Deadline-Ms"
 OUTCOME_HEADER = "Agatecross-Outcome"
 REASON_HEADER = "Agatecross-Reason"
@@ -47,7 +48,7 @@
 
 
 def remaining_ms(request: Request) -> float | None:
-    """Return the time left that a request states; None when it states none or a bad one."""
+    """Return the time left that a request states, or None if that is missing or malformed."""
     text = request.header(DEADLINE_HEADER)
     try:
         return float(text) if text is not None else None
@@ -56,7 +57,7 @@
 
 
 def encode_call(call: Call, now: Millis) -> Request:
-    """Return the request that carries a call to the daemon next to its upstream."""
+    """Return the request that carries a call to the daemon beside the chosen upstream."""
     headers = (
         *public_headers(call.request.headers),
         (CALL_ID_HEADER, call.call_id),
@@ -68,7 +69,7 @@
 
 
 def decode_call(request: Request, now: Millis) -> Call | None:
-    """Return the call that a peer sent, or None when its headers are not those of a call."""
+    """Return the call in a peer's request, or None if its headers do not describe a call."""
     call_id, service = request.header(CALL_ID_HEADER), request.header(SERVICE_HEADER)
     left = remaining_ms(request)
     if not call_id or not service or left is None:
@@ -79,7 +80,7 @@
 
 
 def encode_result(result: CallResult, *extra: tuple[str, str]) -> Response:
-    """Return the response that carries a result."""
+    """Return the response that carries a result to the caller or the peer daemon."""
     outcome = (OUTCOME_HEADER, result.outcome.value)
     if result.response is not None:
         headers = (*public_headers(result.response.headers), outcome, *extra)
@@ -92,7 +93,7 @@
 
 
 def decode_result(response: Response) -> CallResult:
-    """Return the result that a daemon's response carries; without its headers it is unknown."""
+    """Return the result in a daemon's response; without its headers the outcome is unknown."""
     outcome = find_header(response.headers, OUTCOME_HEADER)
     if outcome == Outcome.RAN.value:
         return CallResult(Outcome.RAN, response)
@@ -110,7 +111,7 @@
 
 
 def decode_load(response: Response) -> ReportedLoad | None:
-    """Return the load that a daemon reported with a response, or None."""
+    """Return the load reported with a daemon's response, or None if it is missing or malformed."""
     try:
         running, queued, slots = map(int, (response.header(LOAD_HEADER) or "").split())
     except ValueError:
--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -1,4 +1,4 @@
-"""One connection of a caller: pipelined requests are served at once and answered in order."""
+"""Connection of a caller; serves pipelined requests concurrently and answers them in order."""
 
 import asyncio
 import os
@@ -20,23 +20,24 @@
 from .half_close import half_close
 from .http1_bytes import encode_response, end_to_end_fields, split_absolute_form
 
-# A caller that pipelines more than this waits for answers before more is read.
+# Reading pauses while more pipelined requests than this wait for responses.
 MAX_PIPELINED_REQUESTS = 64
-# Nothing more is read from a caller that leaves this many bytes of answers unread.
+# Reading pauses while this many bytes of responses wait for the caller to read them.
 MAX_UNSENT_BYTES = 1_048_576
-# A caller closes its side within a round trip; one that does not is cut off after this time.
+# A caller normally closes its side within a round trip; otherwise the connection is aborted
+# after this time.
 LINGER_TIMEOUT = Millis(1_000)
 
 
 class ClosedBy(Enum):
-    """Who ended a connection."""
+    """Which side closed a connection."""
 
     CALLER = "caller"
     DAEMON = "daemon"
 
 
 class ParseState(Enum):
-    """What a connection waits for."""
+    """Which part of a request a connection waits for; idle between requests."""
 
     IDLE = "idle"
     HEAD = "head"
@@ -45,10 +46,11 @@
 
 @dataclass(slots=True, eq=False)
 class Exchange:
-    """One request of a caller and its place in the order of answers.
+    """One request of a caller, and its place in the order of responses.
 
-    `arrived` is when its first byte was read and `deadline` when its caller stops to wait, both on
-    the monotonic clock in milliseconds.
+    `arrived` is when the first byte of the request was read and `deadline` when the caller stops
+    waiting, both in milliseconds of the monotonic clock. `on_abandoned` is called if no response
+    can be sent any more.
     """
 
     connection: "CallerConnection"
@@ -61,7 +63,7 @@
     deadline: Millis = ZERO_MS
 
     def respond(self, response: RelayResponse) -> None:
-        """Answer, now or when the earlier requests of the connection are answered."""
+        """Send the response once the earlier requests on the connection are answered."""
         if self.response is None:
             self.response = response
             self.on_abandoned = None
@@ -72,7 +74,7 @@
 
 
 class ConnectionOwner(Protocol):
-    """What a connection asks of the listener that accepted it."""
+    """Interface of the listener that accepted a connection."""
 
     handler: ExchangeHandler
     limits: CallerLimits
@@ -81,7 +83,7 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller; parses its requests and writes their responses."""
 
     transport: asyncio.Transport
 
@@ -90,12 +92,13 @@
         self.parser = httptools.HttpRequestParser(self)
         self.exchanges: deque[Exchange] = deque()
         self.state = ParseState.IDLE
-        # When the connection began to wait for what it waits for, and when its request began.
+        # When the current wait for data or for a request began, and when the request began.
         self.waiting_since = Millis(time.monotonic() * 1000)
         self.request_started = self.waiting_since
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
+        # Bytes of the head or of the body that is being read.
         self.part_bytes = 0
         self.framing_fields = 0
         self.rejected = False
@@ -113,24 +116,24 @@
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel what the caller no longer waits for."""
+        """Abandon the requests whose caller is gone."""
         self.listener.connections.discard(self)
         self._drop_exchanges()
 
     def pause_writing(self) -> None:
-        """Read no more requests while the caller does not read their answers."""
+        """Stop reading requests while the caller does not read responses."""
         self.write_blocked = True
         if not self.half_closed:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """Read on."""
+        """Resume reading, unless too many requests wait for responses."""
         self.write_blocked = False
         if not self.pipeline_full:
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was read; what follows a malformed request or the last answer is ignored."""
+        """Parse received data; data after a rejected request or after the half-close is ignored."""
         if self.rejected or self.half_closed:
             return
         try:
@@ -142,7 +145,7 @@
                 self.reject(400)
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start collecting a request."""
         self.state = ParseState.HEAD
         self.waiting_since = self.request_started = Millis(time.monotonic() * 1000)
         self.target = b""
@@ -167,7 +170,7 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_headers_complete(self) -> None:
-        """Refuse ambiguous framing, which is how requests are smuggled."""
+        """Reject ambiguous framing, which allows request smuggling."""
         self.state = ParseState.BODY
         self.part_bytes = 0
         if self.framing_fields > 1:
@@ -183,7 +186,7 @@
             self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Pass the whole request on, unless the connection ended with an earlier one."""
+        """Pass the complete request to the handler, unless an earlier one ended the connection."""
         if self.rejected or self.half_closed:
             return
         self.state = ParseState.IDLE
@@ -213,14 +216,15 @@
         try:
             self.listener.handler(exchange)
         except Exception as error:
-            # The parser would take it for a malformed request and leave this one unanswered.
+            # An exception that reached the parser would look like a malformed request and leave
+            # this one unanswered.
             asyncio.get_running_loop().call_exception_handler(
                 {"message": "unhandled exception in the request handler", "exception": error}
             )
             exchange.respond(RelayResponse(HTTPStatus.BAD_GATEWAY, (), b""))
 
     def flush(self) -> None:
-        """Write the answers that are due, in the order of their requests."""
+        """Write the responses that are due, in the order of their requests."""
         if self.half_closed or self.transport.is_closing():
             return
         out: list[bytes] = []
@@ -243,7 +247,7 @@
                 self.transport.resume_reading()
 
     def reject(self, status: int) -> None:
-        """Answer a request that is not passed on, after the earlier ones, and close."""
+        """Answer a request with an error status, after the earlier ones, and close."""
         self.rejected = True
         empty = RelayRequest(b"GET", b"/", (), b"")
         exchange = Exchange(self, self.waiting_since, empty, "", False)
@@ -256,17 +260,18 @@
             self.close_gracefully()
 
     def abandon_exchanges(self) -> None:
-        """Tell the handlers of the requests that wait that no later answer can be sent."""
+        """Tell the handlers of waiting requests that no later response can be sent."""
         self.closed_by = ClosedBy.DAEMON
         for exchange in list(self.exchanges):
             if exchange.on_abandoned is not None:
                 exchange.on_abandoned(self.closed_by)
 
     def close_gracefully(self) -> None:
-        """End the connection after what was written; requests that wait are cut.
+        """Flush written responses and half-close the connection; waiting requests are abandoned.
 
-        A close with unread bytes would reset the connection and could take the last answer with
-        it, so only this side is shut, and what the caller still sends is read and ignored.
+        Closing a socket with unread data would reset the connection and could lose the last
+        response, so only the sending side is shut down, and data that the caller still sends is
+        read and ignored.
         """
         if self.half_closed or self.transport.is_closing():
             return
@@ -278,20 +283,20 @@
         half_close(self.transport)
 
     def has_unread(self) -> bool:
-        """Return whether the kernel holds bytes of this caller that were not read."""
+        """Return whether the kernel holds data from this caller that was not read."""
         sock = self.transport.get_extra_info("socket")
         if sock is None or self.transport.is_closing():
             return False
-        # asyncio hides `recv` of its sockets; the duplicate shares the connection.
+        # asyncio does not expose `recv` of its sockets; a duplicate shares the connection.
         try:
             with socket.socket(fileno=os.dup(sock.fileno())) as peek:
                 return bool(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
-            # Nothing waits, the caller has reset the connection, or no descriptor is free.
+            # No data waits, the caller has reset the connection, or no file descriptor is free.
             return False
 
     def check_timeouts(self, now: float) -> None:
-        """Close a connection that is idle, or whose request takes too long to arrive."""
+        """Close the connection if it is idle too long; reject a request that arrives too slowly."""
         limits = self.listener.limits
         waited = now - self.waiting_since
         if self.half_closed:
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server for callers.
 
-`tornado` reads the next request of a connection only after it answered the last one, so this
+`tornado` reads the next request of a connection only after it has answered the last one, so this
 listener runs httptools' parser on the event loop that tornado uses.
 """
 
@@ -19,17 +19,17 @@
 SWEEP_INTERVAL_SECONDS = 0.25
 ACCEPT_BACKLOG = 1024
 CLOSE_POLL_SECONDS = 0.01
-# Before a configuration is in force.
+# Apply until a configuration is in force.
 DEFAULT_LIMITS = CallerLimits(16_384, 1_048_576, Millis(5_000), Millis(15_000))
 
 
 @dataclass(frozen=True, slots=True)
 class UnfinishedWork:
-    """What the callers' connections still hold.
+    """Work that is still pending on the callers' connections.
 
-    `waiting` counts requests without an answer, `reading` requests that are not whole, `unread`
-    connections with bytes that were not read; `unsent` is bytes of answers not yet given to the
-    kernel.
+    `waiting` counts requests without a response, `reading` requests that have arrived only in
+    part, and `unread` connections with data that was not read; `unsent` is the number of bytes of
+    responses not yet handed to the kernel.
     """
 
     waiting: int
@@ -42,7 +42,7 @@
     """Accepts callers' connections on one address."""
 
     def __init__(self, handler: ExchangeHandler) -> None:
-        """Pass each whole request to `handler`."""
+        """Pass each complete request to `handler`."""
         self.handler = handler
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
@@ -51,7 +51,7 @@
         self.closing = False
 
     async def listen(self, address: Address) -> Address:
-        """Start to serve and return the bound address; port 0 lets the kernel choose."""
+        """Start serving and return the bound address; port 0 lets the kernel choose a port."""
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         self.server = await loop.create_server(
@@ -61,14 +61,14 @@
         return Address(f"{host}:{self.server.sockets[0].getsockname()[1]}")
 
     def close_after_responses(self) -> None:
-        """End each connection with its next answer that no request waits behind."""
+        """Close each connection after its next response that no further request waits behind."""
         self.closing = True
 
     async def stop_accepting(self) -> None:
-        """Accept the connections that the kernel holds, and listen no more.
+        """Accept the connections in the kernel's accept queue, then stop listening.
 
-        `asyncio.Server.close` loses connections that it accepted in the same turn of the loop, and
-        the kernel resets those that nobody accepted.
+        `asyncio.Server.close` loses connections accepted in the same iteration of the event loop,
+        and the kernel resets those that were not accepted.
         """
         if self.server is None:
             return
@@ -84,9 +84,9 @@
             await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
 
     async def finish(self, limit: Millis) -> None:
-        """End every connection so that its caller gets all answers; wait `limit` at most.
+        """Close every connection after its pending responses; wait for at most `limit`.
 
-        Whoever handles a request that still waits is told first, and may answer it.
+        The handlers of requests that still wait are told first, and may still respond.
         """
         self.closing = True
         for connection in list(self.connections):
@@ -109,22 +109,22 @@
 
     @property
     def pending(self) -> int:
-        """Return the number of requests that wait for an answer."""
+        """Return the number of requests that wait for a response."""
         return sum(len(row.exchanges) for row in self.connections)
 
     @property
     def latest_deadline(self) -> Millis:
-        """Return when the last request that waits for an answer is over."""
+        """Return the latest deadline among the requests that wait for a response."""
         deadlines = (exchange.deadline for row in self.connections for exchange in row.exchanges)
         return max(deadlines, default=ZERO_MS)
 
     @property
     def unsent(self) -> int:
-        """Return the bytes of answers not yet given to the kernel."""
+        """Return the number of bytes of responses not yet handed to the kernel."""
         return sum(row.transport.get_write_buffer_size() for row in self.connections)
 
     def unfinished(self) -> UnfinishedWork:
-        """Return what a close would cut or drop now."""
+        """Return the work that closing now would cut off or drop."""
         rows = self.connections
         return UnfinishedWork(
             self.pending,
@@ -143,7 +143,7 @@
 
 
 def _accept_all(listening: int) -> Iterator[socket.socket]:
-    """Yield the connections that wait at a listening socket, given by its descriptor."""
+    """Yield the connections in the accept queue of a listening socket, given its descriptor."""
     try:
         with socket.socket(fileno=os.dup(listening)) as queue:
             while True:
@@ -151,5 +151,5 @@
                 sock.setblocking(False)
                 yield sock
     except OSError:
-        # Nothing waits, the connection that did is gone already, or no descriptor is free.
+        # The queue is empty, its connection is already gone, or no file descriptor is free.
         return
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -68,8 +68,8 @@
 def encode_control(message: ControlMessage) -> bytes:
     """Encode a control message as a pair of its tag and its positional fields.
 
-    Raises `MessageDecodeError` when a peer could not decode it, for example for a count beyond
-    2**53 that an upstream announced.
+    Raises `MessageDecodeError` if a peer could not decode the message, for example because an
+    upstream announced a count beyond 2**53.
     """
     try:
         return msgspec.msgpack.encode((TAG_BY_CONTROL_TYPE[type(message)], to_wire(message)))
@@ -90,12 +90,12 @@
 
 
 def encode_record(record: LogRecord) -> bytes:
-    """Encode a log record as an object with its kind and body."""
+    """Encode a log record as a JSON object with `kind` and `body`."""
     return msgspec.json.encode({"kind": KIND_BY_RECORD_TYPE[type(record)], "body": record})
 
 
 def decode_record(data: bytes, kind: type[T]) -> T:
-    """Decode a log record of an expected type or union; raises `MessageDecodeError`."""
+    """Decode a log record of the expected type or union; raises `MessageDecodeError`."""
     try:
         envelope = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
         name = msgspec.json.decode(envelope.get("kind", msgspec.Raw(b'""')), type=str)
--- a/packages/agatecross-adapters/agatecross_adapters/config_records.py
+++ b/packages/agatecross-adapters/agatecross_adapters/config_records.py
@@ -1,4 +1,4 @@
-"""Decoding of pages of the config stream."""
+"""Decoding of pages of the configuration stream."""
 
 import hashlib
 from collections.abc import Iterator
@@ -13,7 +13,7 @@
 
 
 def decode_page(page: LogPage, wall_ms: float) -> RecordsRead:
-    """Decode a page; `wall_ms` is the wall clock in milliseconds, for the age of snapshots."""
+    """Decode a page; `wall_ms` is the wall-clock time from which the age of snapshots counts."""
     return RecordsRead(tuple(_decode_entries(page, wall_ms)), page.first, page.end)
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -1,4 +1,4 @@
-"""Control requests between daemons over NNG request/reply sockets."""
+"""Control requests between daemons, over NNG request/reply sockets."""
 
 import asyncio
 from collections import OrderedDict
@@ -18,14 +18,14 @@
 
 MAX_CONTROL_BYTES: Final = 32 * 1024 * 1024
 MAX_OPEN_PEERS: Final = 16
-# An answer to an indirect probe holds a context for up to a probe timeout; direct probes must
+# Answering an indirect probe occupies a context for up to a probe timeout; direct probes must
 # still find a free one.
 RESPONDER_COUNT: Final = 32
 HANDLER_TIMEOUT: Final = Millis(5_000)
 REDIAL_MIN_MS: Final = 100
 REDIAL_MAX_MS: Final = 1_000
-# NNG starts threads for each core, 30 on ten cores; the control traffic needs one of each kind
-# (the library raises the task threads to two).
+# By default NNG starts threads for each core, 30 on ten cores. Control traffic needs only one of
+# each kind, but NNG raises the number of task threads to two.
 NNG_THREADS: Final = {
     _nng.lib.NNG_INIT_NUM_TASK_THREADS: 2,
     _nng.lib.NNG_INIT_MAX_TASK_THREADS: 2,
@@ -38,14 +38,14 @@
 
 
 def limit_nng_threads() -> None:
-    """Bound the threads of NNG in this process; has no effect after its first socket."""
+    """Bound NNG's threads in this process; has no effect once a socket was opened."""
     for parameter, value in NNG_THREADS.items():
         _nng.lib.nng_init_set_parameter(parameter, value)
 
 
 @dataclass(slots=True)
 class TrafficCounters:
-    """Payload bytes, messages and dials of control traffic, both directions."""
+    """Payload bytes, messages and dials of control traffic, as client and as server."""
 
     sent_bytes: int = 0
     received_bytes: int = 0
@@ -55,16 +55,16 @@
 
 @dataclass(slots=True)
 class PeerSocket:
-    """The socket to one peer and the number of requests that use it."""
+    """The socket to one peer, and the number of requests that use it."""
 
     socket: pynng.Req0
     active_requests: int = 0
 
 
 class NngTransport:
-    """Answers and sends control requests; keeps connections to the peers used last.
+    """Answers and sends control requests; keeps connections to the most recently used peers.
 
-    At most `MAX_OPEN_PEERS` requests, and so dials, are under way; further ones wait.
+    At most `MAX_OPEN_PEERS` requests, and therefore dials, are in flight; further ones wait.
     """
 
     def __init__(self) -> None:
@@ -78,7 +78,7 @@
         self.traffic = TrafficCounters()
 
     async def listen(self, address: Address, handler: ControlHandler) -> Address:
-        """Start to answer control requests and return the bound address."""
+        """Start answering control requests and return the bound address."""
         self.listener = pynng.Rep0(recv_max_size=MAX_CONTROL_BYTES)
         bound = self.listener.listen(f"tcp://{address}")
         for _ in range(RESPONDER_COUNT):
@@ -88,21 +88,22 @@
         return Address(str(bound.local_address))
 
     async def _serve_requests(self, context: pynng.Context, handler: ControlHandler) -> None:
-        # pynng loses a cancellation that comes as a message does, and the answerer goes on.
+        # pynng loses a cancellation that arrives together with a message, so the loop checks
+        # `closing` too.
         while not self.closing:
             try:
                 await self._serve_one_request(context, handler)
             except pynng.Closed:
                 return
             except (MessageDecodeError, PeerError, TimeoutError, pynng.NNGException):
-                # The request stays without an answer, which the peer sees as a timeout.
+                # The request gets no reply, which the peer sees as a timeout.
                 continue
 
     async def _serve_one_request(self, context: pynng.Context, handler: ControlHandler) -> None:
         data = await context.arecv()
         self.traffic.received_bytes += len(data)
         if self.closing:
-            # What would answer may have ended; the peer sees a timeout.
+            # The handler's task may have ended; the peer sees a timeout.
             return
         async with asyncio.timeout(HANDLER_TIMEOUT / 1000):
             reply = encode_control(await handler(decode_control(data)))
@@ -113,7 +114,7 @@
     async def request(
         self, peer: Address, message: ControlMessage, timeout: Millis
     ) -> ControlMessage:
-        """Return the peer's answer; raises `PeerError`."""
+        """Return the peer's reply; raises `PeerError`."""
         try:
             data = encode_control(message)
             async with asyncio.timeout(timeout / 1000), self._lend_socket(peer) as socket:
@@ -129,7 +130,7 @@
 
     @asynccontextmanager
     async def _lend_socket(self, address: Address) -> AsyncIterator[pynng.Req0]:
-        """Lend the socket to a peer, which is closed if the exchange fails."""
+        """Lend the socket to a peer; a failed exchange closes it once no request uses it."""
         async with self.request_slots:
             peer = self._get_or_dial(address)
             peer.active_requests += 1
@@ -177,7 +178,7 @@
         for task in self.responders:
             task.cancel()
         await asyncio.gather(*self.responders, return_exceptions=True)
-        # A context that outlives its socket reports an error when it is collected.
+        # A context that outlives its socket reports an error when it is garbage-collected.
         for context in self.contexts:
             context.close()
         if self.listener is not None:
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -1,4 +1,4 @@
-"""Length-prefixed frames over TCP, for many concurrent messages on one connection."""
+"""Length-prefixed frames over TCP, so that one connection carries many concurrent messages."""
 
 import asyncio
 import socket
@@ -7,14 +7,14 @@
 from .half_close import half_close
 
 LENGTH_PREFIX_BYTES = 4
-# The largest body a caller may send is 64 MiB; heads and fields need little beside it.
+# A caller may send a body of up to 64 MiB; the head and the other fields add little to it.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
-# The kernel closes a connection whose bytes were not acknowledged for this long.
+# The kernel closes a connection if sent data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 5_000
 
 
 class FrameConnection(asyncio.Protocol):
-    """Splits what is read into frames."""
+    """Connection that sends frames and splits received data into frames."""
 
     transport: asyncio.Transport
 
@@ -24,7 +24,7 @@
         on_frame: "Callable[[FrameConnection, bytes], None]",
         on_close: "Callable[[FrameConnection], None]",
     ) -> None:
-        """Report events to the callbacks."""
+        """Report the connection's events to the callbacks."""
         self.on_open = on_open
         self.on_frame = on_frame
         self.on_close = on_close
@@ -33,7 +33,7 @@
         self.half_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Report the connection."""
+        """Bound the time without acknowledgement and report the connection as open."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         sock = transport.get_extra_info("socket")
@@ -43,12 +43,12 @@
         self.on_open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report the end."""
+        """Report the connection as closed."""
         self.open = False
         self.on_close(self)
 
     def data_received(self, data: bytes) -> None:
-        """Report each whole frame."""
+        """Report each complete frame; a frame above the size limit closes the connection."""
         buffer = self.buffer
         buffer += data
         start = 0
@@ -66,21 +66,21 @@
         del buffer[:start]
 
     def send(self, frame: bytes) -> None:
-        """Write one frame."""
+        """Write one frame, unless the connection is closed or closing."""
         if self.open and not self.half_closed and not self.transport.is_closing():
             self.transport.write(len(frame).to_bytes(LENGTH_PREFIX_BYTES, "big") + frame)
 
     @property
     def unsent(self) -> int:
-        """Return the bytes that were not yet given to the kernel."""
+        """Return the number of bytes not yet handed to the kernel."""
         return self.transport.get_write_buffer_size() if self.open else 0
 
     def close_gracefully(self) -> None:
-        """Send what was written, then end; the other side closes when it has read everything."""
+        """Flush pending data and half-close; the peer closes once it has read everything."""
         if self.open and not self.half_closed and not self.transport.is_closing():
             self.half_closed = True
             half_close(self.transport)
 
     def abort(self) -> None:
-        """Close at once."""
+        """Close at once, dropping unsent data."""
         self.transport.abort()
--- a/packages/agatecross-adapters/agatecross_adapters/half_close.py
+++ b/packages/agatecross-adapters/agatecross_adapters/half_close.py
@@ -1,12 +1,13 @@
-"""The end of the sending side of a connection."""
+"""Half-closing of connections."""
 
 import asyncio
 
 
 def half_close(transport: asyncio.Transport) -> None:
-    """Shut the sending side after what was written; close a connection that the peer reset.
+    """Shut down the sending side once pending data is flushed.
 
-    The reset may not have reached the event loop yet, and the kernel then refuses the shutdown.
+    Aborts a connection that the peer has reset: the kernel refuses the shutdown even if the event
+    loop has not seen the reset yet.
     """
     try:
         transport.write_eof()
--- a/packages/agatecross-adapters/agatecross_adapters/header_names.py
+++ b/packages/agatecross-adapters/agatecross_adapters/header_names.py
@@ -1,14 +1,14 @@
-"""Names of the header fields that carry a call's metadata, chosen by the front end."""
+"""Names of the header fields that carry a call's metadata; the front end chooses them."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
-    """Lower-case names of the fields.
+    """Lower-case names of the header fields.
 
-    `stamp` proves that a response comes from an upstream; `not_run` marks a refusal by an upstream;
-    `time_left` is in milliseconds.
+    The `stamp` field proves that a response comes from an upstream, the `not_run` field marks a
+    refusal by an upstream, and the `time_left` field holds milliseconds.
     """
 
     call_id: bytes
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -1,6 +1,6 @@
-"""Encodes messages between daemons on a hop connection with msgpack.
+"""Encodes the messages of hop connections with msgpack.
 
-Each message is a tuple of its tag and its fields in order.
+Each message is an array of its tag and its fields in order.
 """
 
 import zlib
@@ -52,7 +52,7 @@
 
 
 class Tag(IntEnum):
-    """The first field of each message."""
+    """Message type, the first field of each message."""
 
     HELLO = 1
     HANDOVER = 2
@@ -69,6 +69,7 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
+# The index of a value is its code on the wire.
 REPEAT_CODES = (Repeat.SAFE, Repeat.ONCE)
 OUTCOME_CODES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
 DECODE_ERRORS = (
@@ -97,12 +98,12 @@
 
 
 def encode_endpoint(row: Endpoint) -> bytes:
-    """Encode a description as it is kept on the log."""
+    """Encode an endpoint record for the log."""
     return ENCODER.encode(_endpoint_fields(row))
 
 
 def decode_endpoint(data: bytes) -> Endpoint:
-    """Decode a description from the log; raises `MessageDecodeError`."""
+    """Decode an endpoint record from the log; raises `MessageDecodeError`."""
     try:
         return _endpoint_from_fields(DECODER.decode(data))
     except DECODE_ERRORS as error:
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -1,4 +1,4 @@
-"""Messages between daemons on a hop connection."""
+"""Messages on a hop connection, which links two daemons."""
 
 from dataclasses import dataclass
 
@@ -11,9 +11,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First message each way: who speaks, and the descriptions that the other side lacks.
+    """First message in each direction: the sender and the endpoint records its peer lacks.
 
-    The first description is the speaker's own.
+    The first endpoint record is the sender's own.
     """
 
     daemon_id: DaemonId
@@ -24,21 +24,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """The caller no longer waits for this handover."""
+    """Tells that the caller no longer waits for the result of a handover."""
 
     handover_id: HandoverId
 
 
 @dataclass(frozen=True, slots=True)
 class Resume:
-    """Asks for the result of a handover after its connection was lost; fences it if unseen."""
+    """Asks for the result of a handover whose connection was lost.
+
+    A receiver that has not seen the handover fences it, so that it cannot run later.
+    """
 
     handover_id: HandoverId
 
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Shows that the connection works; answered by a ping with `answer` set."""
+    """Checks that the connection works; answered by a ping with `is_reply` set."""
 
     is_reply: bool
     version: Version
@@ -46,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """The result of a handover."""
+    """Carries the result of a handover."""
 
     handover_id: HandoverId
     result: RelayResult
@@ -54,14 +57,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoints:
-    """Descriptions that changed."""
+    """Carries endpoint records that changed."""
 
     endpoints: tuple[Endpoint, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigBlob:
-    """A whole configuration, compressed."""
+    """Carries a complete configuration, compressed."""
 
     version: Version
     data: bytes
@@ -69,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigDelta:
-    """The difference of a configuration to the version before; `crc` is that of the result."""
+    """Carries the steps from version `base` to `version`; `crc` is the checksum of the result."""
 
     base: Version
     version: Version
@@ -79,14 +82,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Pull:
-    """Asks for the configuration in force if it is newer than `version`."""
+    """Asks for the peer's configuration in force if it is newer than `version`."""
 
     version: Version
 
 
 @dataclass(frozen=True, slots=True)
 class Strikes:
-    """Requests that were running when an upstream died."""
+    """Reports requests that were running when an upstream died."""
 
     strikes: tuple[Strike, ...]
 
--- a/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
@@ -1,4 +1,4 @@
-"""Requests and responses of HTTP/1.1 as bytes."""
+"""Encoding of HTTP/1.1 requests and responses as bytes."""
 
 from http import HTTPStatus
 
@@ -29,7 +29,7 @@
 
 
 def split_absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
-    """Split `http://host/path`; the host of the target replaces the header's."""
+    """Return hosts and path of a target; an absolute form's host replaces the `Host` headers."""
     scheme, mark, rest = target.partition(b"://")
     if not mark or scheme.lower() not in (b"http", b"https"):
         return hosts, target
@@ -38,7 +38,7 @@
 
 
 def end_to_end_fields(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
-    """Return the fields that are not about one connection."""
+    """Drop the hop-by-hop fields, including those that `connection` lists."""
     rows = [row for row in headers if row[0] not in HOP_BY_HOP_FIELDS]
     if len(rows) == len(headers):
         return tuple(rows)
@@ -50,7 +50,7 @@
 
 
 def encode_response(method: bytes, response: RelayResponse, close: bool) -> list[bytes]:
-    """Return the parts of a response; `close` tells that the connection ends with it."""
+    """Return the parts of a response; `close` announces that the connection closes after it."""
     line = STATUS_LINES.get(response.status) or b"HTTP/1.1 %d Unknown\r\n" % response.status
     out = [line]
     for name, value in response.headers:
@@ -64,7 +64,7 @@
 
 
 def encode_request(handover: Handover, time_left: Millis, names: HeaderNames) -> bytes:
-    """Return the request as it goes to the upstream, with the time left and the instance."""
+    """Encode a request to the upstream, adding the time left and the expected instance."""
     request = handover.request
     out = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
     for name, value in request.headers:
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client on tornado's connections, with a pool for each address."""
+"""HTTP/1.1 client on tornado's connections, with a connection pool for each address."""
 
 import asyncio
 import socket
@@ -34,12 +34,12 @@
     max_body_size=MAX_RESPONSE_BYTES,
 )
 BODILESS_STATUSES = frozenset((204, 304))
-# Without a stated length the server skips the reading of a body and its timer.
+# Without a `Content-Length`, the server skips reading a body and the timer for it.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "DELETE"))
 
 
 class ClientStream(IOStream):
-    """Connection to a server that knows whether a byte of the current request was sent."""
+    """Connection to a server; counts the bytes sent of the current request."""
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
@@ -47,13 +47,13 @@
         self.idle_since = 0.0
 
     def write_to_fd(self, data: memoryview) -> int:
-        """Send and count."""
+        """Send data and count the bytes."""
         count = super().write_to_fd(data)
         self.sent_bytes += count
         return count
 
     def usable(self, now: float) -> bool:
-        """Return whether an idle connection is recent, open and without unexpected data."""
+        """Return whether an idle connection is recent, open and free of unexpected data."""
         if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_LIMIT:
             return False
         try:
@@ -62,12 +62,12 @@
             return True
         except OSError:
             return False
-        # Either the server closed the connection or it sent data that belongs to no request.
+        # The server closed the connection or sent data that belongs to no request.
         return False
 
 
 class ResponseCollector(HTTPMessageDelegate):
-    """Collects one response until it is whole."""
+    """Collects one response until it is complete."""
 
     def __init__(self, method: str) -> None:
         self.method = method
@@ -79,22 +79,22 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Keep the head; an interim response is replaced by the final one."""
+        """Store the head; that of an interim response is replaced by the final one."""
         assert isinstance(start_line, ResponseStartLine)
         self.status = start_line.code
         self.headers = headers
         bodiless = self.method == "HEAD" or self.status in BODILESS_STATUSES or self.status < 200
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         if not framed and not bodiless:
-            # Such a body ends with the connection, so a truncated one would look whole.
+            # Such a body ends when the connection closes, so a truncated one would look complete.
             raise HTTPInputError("response without Content-Length or Transfer-Encoding")
 
     def data_received(self, chunk: bytes) -> None:
-        """Keep one part of the body."""
+        """Store one part of the body."""
         self.chunks.append(chunk)
 
     def finish(self) -> None:
-        """Note that the response is whole."""
+        """Mark the response as complete."""
         self.complete = True
 
 
@@ -106,7 +106,7 @@
         self.idle: dict[Address, deque[ClientStream]] = {}
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
-        """Return the whole response; raises a subclass of `ExchangeError`."""
+        """Return the complete response; raises a subclass of `ExchangeError`."""
         deadline = time.monotonic() + timeout / 1000
         while stream := self._take_idle(address):
             try:
@@ -133,7 +133,7 @@
         stream: ClientStream | None = None
         try:
             stream = ClientStream(socket.socket(_address_family(host)))
-            # `wait_for` loses a cancellation that comes as the connection opens.
+            # `wait_for` would lose a cancellation that arrives as the connection opens.
             async with asyncio.timeout(limit):
                 await stream.connect((host.strip("[]"), int(port)))
         except (OSError, TimeoutError, StreamClosedError) as error:
@@ -161,7 +161,7 @@
                 ) from error
             raise
         finally:
-            # A connection whose response was not read to its end could deliver it to a later call.
+            # If the response was not read completely, its rest could reach a later request.
             self._release(address, stream, keep)
 
     async def _exchange(
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -1,4 +1,4 @@
-"""Which header fields belong to one connection only."""
+"""Separates hop-by-hop header fields, and normalizes request targets."""
 
 import re
 
@@ -6,7 +6,7 @@
 
 from agatecross_core.calls.model import Headers
 
-# In the normal form of tornado's `HTTPHeaders`.
+# Normalized as by tornado's `HTTPHeaders`.
 HOP_BY_HOP_FIELDS = frozenset(
     (
         "Connection",
@@ -25,7 +25,7 @@
 
 
 def end_to_end_fields(headers: HTTPHeaders) -> Headers:
-    """Return the fields without those of the connection and those that `Connection` names."""
+    """Drop the hop-by-hop fields, including those that `Connection` lists."""
     named = headers.get("Connection", "").lower()
     if named in ("", "close", "keep-alive"):
         return tuple(row for row in headers.get_all() if row[0] not in HOP_BY_HOP_FIELDS)
@@ -37,9 +37,10 @@
 
 
 def to_origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
-    """Return path and headers of a request whose target may be `http://host/path`.
+    """Return path and headers of a request whose target may be in absolute form.
 
-    The host of such a target replaces the one of the header, as RFC 9112, section 3.2.2, demands.
+    The host of an absolute form, `http://host/path`, replaces the one in the `Host` header, as
+    RFC 9112, section 3.2.2, requires.
     """
     if target.startswith("/"):
         return target, headers
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -52,7 +52,10 @@
 
 
 class TornadoHttpListener(HTTPServerConnectionDelegate):
-    """Serves whole requests with whole responses; bounds the time to send each of them."""
+    """Passes complete requests to a handler and sends its complete responses.
+
+    Bounds the time to receive each request and to send each response.
+    """
 
     def __init__(
         self,
@@ -77,7 +80,7 @@
         self.streams_changed = asyncio.Event()
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
-        """Start to serve and return the bound address."""
+        """Start serving and return the bound address."""
         host, _, port = address.rpartition(":")
         self.sockets = bind_sockets(int(port), host, backlog=1024)
         self.handler = handler
@@ -87,20 +90,20 @@
             max_body_size=MAX_REQUEST_BYTES,
         )
         self.server.open_stream = self._open_stream
-        # One sweep replaces a timer and its callbacks for each head and each body.
+        # One periodic sweep replaces a timer and its callbacks for each head and each body.
         self.server.conn_params.header_timeout = None
         self.sweep_task = asyncio.ensure_future(self._sweep_expired())
         self.server.add_sockets(self.sockets)
         return Address(f"{host}:{self.sockets[0].getsockname()[1]}")
 
     def close_after_responses(self) -> None:
-        """Close each connection with its next response; new connections are still accepted."""
+        """Close each connection after its next response; new connections are still accepted."""
         self.closing = True
 
     async def close(self) -> None:
-        """Answer every request that has begun to arrive, and close every connection.
+        """Answer every request that has begun to arrive, then close every connection.
 
-        A request that is not whole within `last_read_timeout` is refused as not run.
+        A request that is not complete within `last_read_timeout` is refused as not run.
         """
         self.closing = True
         self._stop_accepting()
@@ -132,7 +135,7 @@
     def _stop_accepting(self) -> None:
         if self.server is None:
             return
-        # The kernel resets what is in the queue of a listening socket that closes.
+        # When a listening socket closes, the kernel resets the connections in its accept queue.
         for listening in self.sockets:
             try:
                 while True:
@@ -169,16 +172,16 @@
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        """Return the collector of the next request of a connection."""
+        """Return the collector of the next request on a connection."""
         del server_conn
         assert isinstance(request_conn, HTTP1Connection)
         self.streams_changed.set()
         return RequestCollector(self, request_conn)
 
     def handle_request(self, connection: HTTP1Connection, request: Request) -> None:
-        """Answer a whole request in a task that ends with its connection."""
+        """Answer a complete request in a task that is cancelled if its connection closes."""
         if stream_of(connection).close_announced:
-            # The close that follows the last answer would cut a further request.
+            # The connection closes after the last response, which would cut off a further request.
             connection.close()
             return
         stream_of(connection).had_request = True
@@ -202,7 +205,8 @@
             connection.close()
             raise
         except Exception as error:
-            # The handler may be anything; its failure must end neither the daemon nor the caller.
+            # A handler may raise any exception; it must neither stop the daemon nor leave the
+            # client without a response.
             logging.error("event=handler_failed reason=%r", repr(error), exc_info=True)
             response = HANDLER_FAILED_RESPONSE
             headers, close = self._response_headers(request, response)
@@ -238,7 +242,7 @@
             elif normal == "Connection" and value == "close":
                 close = True
             elif normal == "Content-Length" and request.method == "HEAD" and not response.body:
-                # The length that a GET would have had.
+                # The length that the response to a GET would have.
                 length = value
         if response.status not in BODILESS_STATUSES:
             headers["Content-Length"] = length
@@ -248,7 +252,7 @@
 
 
 class RequestCollector(HTTPMessageDelegate):
-    """Collects one request until it is whole."""
+    """Collects one request until it is complete."""
 
     def __init__(self, listener: TornadoHttpListener, connection: HTTP1Connection) -> None:
         self.listener = listener
@@ -260,33 +264,33 @@
         listener.collectors.add(self)
 
     def is_expired(self, now: float) -> bool:
-        """Return whether the sender took too long, or left before the head was whole."""
+        """Return whether the request took too long, or its connection closed."""
         return now > self.deadline or self.connection.stream.closed()
 
     def has_begun(self) -> bool:
-        """Return whether a part of the request arrived."""
+        """Return whether a part of the request has arrived."""
         return self.start is not None or stream_of(self.connection).has_unread()
 
     def awaits_request(self) -> bool:
-        """Return whether a request arrives, or the first one of the connection still has to."""
+        """Return whether a request is arriving, or the connection has not had its first one yet."""
         return self.has_begun() or not stream_of(self.connection).had_request
 
     def close_idle(self) -> None:
-        """Close a connection without a request."""
+        """Close a connection on which no request is arriving."""
         stream_of(self.connection).closed_while_idle = True
         self.connection.close()
 
     def refuse(self) -> None:
-        """Close the connection with an answer that the request did not run."""
+        """Respond that the request did not run, and close the connection."""
         if not self.connection.stream.closed():
-            # The stream and not the connection writes, as the head may not be whole.
+            # Written to the stream, as the connection cannot respond before the head is complete.
             self.connection.stream.write(LEAVING_RESPONSE)
             self.connection.close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Keep the head; HTTP/1.1 demands exactly one host."""
+        """Store the head; HTTP/1.1 requires exactly one `Host` header."""
         assert isinstance(start_line, RequestStartLine)
         if start_line.version == "HTTP/1.1" and len(headers.get_list("Host")) != 1:
             raise HTTPInputError("exactly one Host header is required")
@@ -295,11 +299,11 @@
         self.deadline = time.monotonic() + self.listener.body_timeout / 1000
 
     def data_received(self, chunk: bytes) -> None:
-        """Keep one part of the body."""
+        """Store one part of the body."""
         self.chunks.append(chunk)
 
     def finish(self) -> None:
-        """Pass the whole request on."""
+        """Pass the complete request to the listener."""
         self.listener.collectors.discard(self)
         assert self.start is not None
         path, fields = to_origin_form(self.start.path, end_to_end_fields(self.headers))
@@ -307,7 +311,7 @@
         self.listener.handle_request(self.connection, request)
 
     def on_connection_close(self) -> None:
-        """Forget a request whose connection closed."""
+        """Discard a request whose connection closed."""
         self.listener.collectors.discard(self)
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/log_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/log_http.py
@@ -1,4 +1,4 @@
-"""The platform's log service over HTTP."""
+"""Client of the log service over HTTP."""
 
 import base64
 from dataclasses import dataclass
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendReply:
-    """Body of the answer to an append."""
+    """Body of the response to an append."""
 
     offset: int
 
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PageBody:
-    """Body of the answer to a read."""
+    """Body of the response to a read."""
 
     entries: tuple[EntryBody, ...]
     first: int
@@ -48,7 +48,7 @@
 
 
 class HttpLogService:
-    """Client of a log service with `/streams/{name}/records`."""
+    """Client of a log service that serves `/streams/{name}/records`."""
 
     def __init__(self, address: Address, http: HttpClient) -> None:
         self.address = address
@@ -68,7 +68,7 @@
         return Offset(_decode_body(stream, response, AppendReply).offset)
 
     async def read(self, stream: StreamName, start: Offset, limit: int, wait: Millis) -> LogPage:
-        """Return records from `start`, waiting up to `wait` for one; raises `LogError`."""
+        """Read records from `start` on, waiting up to `wait` for one; raises `LogError`."""
         query = f"start={start}&limit={limit}&wait_ms={int(wait)}"
         request = Request("GET", f"/streams/{stream}/records?{query}", (), b"")
         try:
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -1,4 +1,4 @@
-"""The interfaces between the tasks and the outside systems."""
+"""Interfaces through which tasks reach external systems and other daemons."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -20,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogPage:
-    """Records from a stream; `first` is the oldest retained offset, `end` the next to be given."""
+    """Records read from a stream.
+
+    `first` is the oldest retained offset of the stream, `end` the offset of its next record.
+    """
 
     entries: tuple[LogEntry, ...]
     first: Offset
@@ -35,35 +38,35 @@
         ...
 
     async def read(self, stream: StreamName, start: Offset, limit: int, wait: Millis) -> LogPage:
-        """Return records from `start`, waiting up to `wait` for one; raises `LogError`."""
+        """Read records from `start` on, waiting up to `wait` for one; raises `LogError`."""
         ...
 
 
 class HttpClient(Protocol):
-    """Carries one request to an HTTP server over a pooled connection."""
+    """Sends requests to HTTP servers over pooled connections."""
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
-        """Return the whole response; raises a subclass of `ExchangeError`."""
+        """Return the complete response; raises a subclass of `ExchangeError`."""
         ...
 
 
 RequestHandler = Callable[[Request], Awaitable[Response]]
-"""Answers one request; cancelled when the requester closes its connection."""
+"""Handles one request; cancelled when the client closes its connection."""
 
 
 class HttpListener(Protocol):
     """Serves HTTP requests on one address."""
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
-        """Start to serve and return the bound address; port 0 lets the kernel choose."""
+        """Start serving and return the bound address; port 0 lets the kernel choose a port."""
         ...
 
     def close_after_responses(self) -> None:
-        """Close each connection with its next response; new connections are still accepted."""
+        """Close each connection after its next response; new connections are still accepted."""
         ...
 
     async def close(self) -> None:
-        """Answer every request that has begun to arrive, and close every connection."""
+        """Answer every request that has begun to arrive, then close every connection."""
         ...
 
 
@@ -71,16 +74,16 @@
 
 
 class PeerTransport(Protocol):
-    """Control requests between daemons."""
+    """Sends and answers control requests between daemons."""
 
     async def listen(self, address: Address, handler: ControlHandler) -> Address:
-        """Start to answer control requests and return the bound address."""
+        """Start answering control requests and return the bound address."""
         ...
 
     async def request(
         self, peer: Address, message: ControlMessage, timeout: Millis
     ) -> ControlMessage:
-        """Return the peer's answer; raises `PeerError`."""
+        """Return the peer's reply; raises `PeerError`."""
         ...
 
     async def close(self) -> None:
@@ -89,31 +92,35 @@
 
 
 class FleetStore(Protocol):
-    """What the platform keeps for a fleet: the configuration and the daemons' descriptions.
+    """The platform's store of the configuration and of the daemons' endpoint records.
 
-    Every method raises `StoreError` when the platform did not answer as asked.
+    Every method raises `StoreError` when the store fails or sends an unusable response.
     """
 
     async def newest_config(self) -> tuple[bytes | None, Offset]:
-        """Return the newest configuration, if there is one, and the offset to follow from."""
+        """Return the newest configuration, if any, and the offset from which to follow the log."""
         ...
 
     async def next_config(self, start: Offset, wait: Millis) -> tuple[bytes | None, Offset]:
-        """Wait for a configuration from `start`; raises `HistoryLostError` if it is gone."""
+        """Wait up to `wait` for records from `start` on.
+
+        Returns the newest configuration among them, if any, and the offset after them. Raises
+        `HistoryLostError` if the records at `start` are no longer retained.
+        """
         ...
 
     async def announce(self, daemon_id: DaemonId, data: bytes) -> None:
-        """Keep the description of a daemon."""
+        """Store the endpoint record of a daemon."""
         ...
 
     async def read_announcements(self) -> tuple[bytes, ...]:
-        """Return the kept descriptions."""
+        """Return the stored endpoint records."""
         ...
 
     async def announce_drain(self, daemon_id: DaemonId, data: bytes) -> None:
-        """Keep the description of a daemon whose upstream leaves, beside its newest one."""
+        """Store a second endpoint record of a daemon, for its upstream that is leaving."""
         ...
 
     async def withdraw(self, daemon_id: DaemonId) -> None:
-        """Drop what is kept of a daemon that is gone."""
+        """Delete the stored records of a daemon that is gone."""
         ...
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -1,4 +1,4 @@
-"""Connections of requesters on tornado's streams, closed so that the last answer arrives."""
+"""Server connections on tornado's streams, closed so that the last response is delivered."""
 
 import asyncio
 import fcntl
@@ -16,11 +16,11 @@
 
 
 class LingeringClose:
-    """Closes sockets so that the last answer arrives.
+    """Closes sockets so that the last response is delivered.
 
-    A socket that closes with unread bytes, or gets some afterwards, sends a reset, and its peer may
-    lose what it has not read yet. So only the sending side closes at first, and the rest once the
-    peer has closed or `timeout` passed.
+    A socket that is closed with unread data, or that receives data afterwards, sends a reset, and
+    its peer may lose what it has not read yet. So only the sending side is shut down at first, and
+    the socket is closed once the peer has closed or `timeout` has passed.
     """
 
     def __init__(self, timeout: Millis) -> None:
@@ -28,11 +28,11 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     def close(self, sock: socket.socket) -> None:
-        """Close the sending side, and the socket when its peer has closed."""
+        """Shut down the sending side, and close the socket once its peer has closed."""
         try:
             sock.shutdown(socket.SHUT_WR)
         except OSError:
-            # The peer reset the connection, or its own end came first.
+            # The peer reset or closed the connection first.
             sock.close()
             return
         task = asyncio.ensure_future(self._discard_until_closed(sock))
@@ -40,7 +40,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def wait_closed(self) -> None:
-        """Return when every socket is closed."""
+        """Wait until every socket is closed."""
         while self.tasks:
             await asyncio.wait(self.tasks)
 
@@ -52,18 +52,18 @@
                     while await loop.sock_recv(sock, DISCARD_CHUNK_BYTES):
                         pass
             except (OSError, TimeoutError):
-                # The peer reset the connection or keeps it open; neither waits for this answer.
+                # The peer reset the connection or keeps it open; it does not wait for the response.
                 return
 
 
 class ServerStream(IOStream):
-    """Connection of a requester."""
+    """Connection of a client to this server."""
 
-    # Set once an answer told the requester that the connection ends.
+    # Set once a response has announced that the connection closes after it.
     close_announced = False
-    # Set when the connection closes between requests.
+    # Set when the connection is closed between requests.
     closed_while_idle = False
-    # Set once a request came; who has just connected is about to send one.
+    # Set once a request has arrived; a client that has just connected is about to send one.
     had_request = False
 
     def __init__(
@@ -77,7 +77,7 @@
         self.notify_closed = notify_closed
 
     def close_fd(self) -> None:
-        """Give up the socket; called once, when the stream closes."""
+        """Hand over the socket to be closed; called once, when the stream closes."""
         sock, self.socket = self.socket, None  # type: ignore[assignment]
         if self.closed_while_idle and all_acknowledged(sock):
             sock.close()
@@ -86,7 +86,7 @@
         self.notify_closed(self)
 
     def has_unread(self) -> bool:
-        """Return whether bytes arrived that belong to no whole request."""
+        """Return whether data has arrived that does not belong to a complete request."""
         if self.closed():
             return False
         if self._read_buffer_size:
@@ -98,7 +98,7 @@
 
 
 def all_acknowledged(sock: socket.socket) -> bool:
-    """Return whether the peer has acknowledged every byte."""
+    """Return whether the peer has acknowledged all sent data."""
     return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
 
 
@@ -114,5 +114,5 @@
     open_stream: Callable[[socket.socket], ServerStream]
 
     def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
-        """Start to serve a connection."""
+        """Start serving a connection."""
         super().handle_stream(self.open_stream(stream.socket), address)
--- a/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
+++ b/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
@@ -1,4 +1,4 @@
-"""Decoding of TOML documents with the line of each key."""
+"""Decoding of TOML documents, with the line number of each key."""
 
 import re
 import tomllib
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -1,4 +1,4 @@
-"""One HTTP/1.1 connection to the upstream next to this daemon."""
+"""One HTTP/1.1 connection to the local upstream."""
 
 import asyncio
 import time
@@ -17,20 +17,20 @@
 from .header_names import HeaderNames
 from .http1_bytes import BODILESS_STATUSES, HOP_BY_HOP_FIELDS
 
-# An idle connection is used for at most this share of the time the upstream keeps it.
+# An idle connection is reused only within this fraction of the upstream's idle timeout.
 IDLE_REUSE_FRACTION = 0.6
-# The upstream's idle timeout when it states none.
+# Limit for the reuse of an idle connection when the upstream states no idle timeout.
 DEFAULT_IDLE_LIMIT = Millis(3_000)
 MAX_INTERIM_STATUS = 199
-# A response that begins or goes on after its call's deadline ends within this time or is cut off.
-# The largest one needs 64 Mbit/s for that, and the upstream is on the same machine.
+# A response that begins or continues after its call's deadline must end within this time, or it is
+# cut off. The largest one needs 64 Mbit/s for that, and the upstream runs on the same machine.
 LATE_RESPONSE_SECONDS = 1.0
-# The colon, the space and the line end of a field.
+# The colon, the space and the line end of a header field.
 FIELD_OVERHEAD_BYTES = 4
 
 
 class UpstreamFailure(Enum):
-    """Why an exchange with the upstream brought no whole response."""
+    """Why an exchange with the upstream gave no complete response."""
 
     NOT_CONNECTED = "not-connected"
     CONNECTION_LOST = "connection-lost"
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class RunningRequest:
-    """The request that a connection carries."""
+    """The request that a connection currently carries."""
 
     call_id: bytes
     method: bytes
@@ -53,7 +53,7 @@
 
 
 class ConnectionPool(Protocol):
-    """What a connection asks of the pool that opened it."""
+    """Interface of the pool that opened a connection."""
 
     names: HeaderNames
     idle: "list[UpstreamConnection]"
@@ -61,11 +61,11 @@
     unfinished_bytes: int
 
     def release(self, connection: "UpstreamConnection") -> None:
-        """Keep a connection for the next request."""
+        """Return an idle connection to the pool."""
         ...
 
     def add_unfinished_bytes(self, count: int) -> None:
-        """Count what was read of a response; the largest one fails when all are too large."""
+        """Count bytes read of incomplete responses; over the limit, the largest response fails."""
         ...
 
 
@@ -79,7 +79,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.running: RunningRequest | None = None
         self.headers: list[tuple[bytes, bytes]] = []
-        # A list of parts would take many times the bytes of a body in small chunks.
+        # A list of parts would take many times the memory of a body that arrives in small chunks.
         self.body = bytearray()
         self.in_message = False
         self.body_until_eof = False
@@ -96,7 +96,7 @@
         self.pool.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the request whose response is not whole."""
+        """Fail the request whose response is incomplete."""
         self.reusable = False
         self.pool.connections.discard(self)
         if self in self.pool.idle:
@@ -104,7 +104,7 @@
         self._fail_running(UpstreamFailure.CONNECTION_LOST)
 
     def eof_received(self) -> bool:
-        """End a response without a length; only an orderly close makes it whole."""
+        """Complete a response without a stated length; only an orderly close does so."""
         if self.in_message and self.body_until_eof and self.running is not None:
             self._complete_response()
         return False
@@ -115,12 +115,15 @@
         return fresh and self.reusable and not self.transport.is_closing()
 
     def close(self) -> None:
-        """Close at once; the response of a running request is dropped."""
+        """Close at once, dropping the response to the running request."""
         self.reusable = False
         self.transport.abort()
 
     def mark_late(self) -> None:
-        """Cut off the response if it does not end soon after its first byte."""
+        """Cut off the response unless it ends soon.
+
+        It gets `LATE_RESPONSE_SECONDS` from now, or from its first byte if that arrives later.
+        """
         self.late = True
         if self.bytes_read():
             self._schedule_cut_off()
@@ -131,7 +134,7 @@
         self.transport.write(data)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was read; bytes that belong to no request end the connection."""
+        """Parse received data; data that belongs to no request closes the connection."""
         running = self.running
         if running is None:
             self.close()
@@ -151,7 +154,7 @@
             self.fail(UpstreamFailure.TOO_LARGE)
 
     def bytes_read(self) -> int:
-        """Return how much was read of the response that is not whole yet."""
+        """Return the number of bytes read of the incomplete response."""
         return self.running.size.read if self.running is not None else 0
 
     def fail(self, failure: UpstreamFailure) -> None:
@@ -160,7 +163,7 @@
         self._fail_running(failure)
 
     def on_message_begin(self) -> None:
-        """Start a response; a second one for the same request is never used."""
+        """Start collecting a response; a second one to the same request is never used."""
         if self.headers:
             self.headers = []
         if self.body:
@@ -180,7 +183,7 @@
                 self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Decide how the body ends and for how long the connection may be kept."""
+        """Determine how the body ends and how long the connection may be reused."""
         framed = False
         stated = 0
         for name, value in self.headers:
@@ -217,7 +220,7 @@
                 self.body += body
 
     def on_message_complete(self) -> None:
-        """Hand over a whole response."""
+        """Hand over a complete response."""
         if self.parser.get_status_code() > MAX_INTERIM_STATUS:
             self._complete_response()
         self.in_message = False
@@ -229,7 +232,7 @@
             return
         echoed = [value for name, value in self.headers if name == self.pool.names.call_id]
         if echoed and echoed[0] != running.call_id:
-            # A late extra response to an earlier request: the one that is due still follows.
+            # A late extra response to an earlier request; the expected response still follows.
             self.reusable = False
             return
         if running.size.content_exceeded:
@@ -238,9 +241,9 @@
         self._detach_running()
         rows = tuple(row for row in self.headers if row[0] not in HOP_BY_HOP_FIELDS)
         response = RelayResponse(self.parser.get_status_code(), rows, bytes(self.body))
-        # An idle connection keeps nothing of its last response.
+        # Frees the memory of the last response while the connection is idle.
         self.headers, self.body = [], bytearray()
-        # Bytes that follow the response in the same read decide whether the connection is kept.
+        # Whether data follows the response in the same read decides if the connection is reused.
         asyncio.get_running_loop().call_soon(self._deliver, running, response)
 
     def _deliver(self, running: RunningRequest, response: RelayResponse) -> None:
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connections to the one upstream next to this daemon."""
+"""Pool of HTTP/1.1 connections to the local upstream."""
 
 import asyncio
 import time
@@ -24,14 +24,14 @@
 
 
 class Unreachable(Enum):
-    """How a connection attempt failed: nobody listens, or no answer came."""
+    """Why a connection attempt failed: refused by the upstream, or not answered in time."""
 
     REFUSED = "refused"
     SILENT = "silent"
 
 
 class UpstreamPool:
-    """Keeps connections to one address and sends one request at a time on each."""
+    """Keeps connections to one address; each carries one request at a time."""
 
     def __init__(
         self,
@@ -46,13 +46,13 @@
         self.idle: list[UpstreamConnection] = []
         self.connections: set[UpstreamConnection] = set()
         self.dialing: set[asyncio.Task[None]] = set()
-        # Bytes read of responses that are not whole yet.
+        # Bytes read of incomplete responses, over all connections.
         self.unfinished_bytes = 0
 
     def send(
         self, handover: Handover, time_left: Millis, on_done: UpstreamCallback
     ) -> "UpstreamExchange":
-        """Send the request on the connection that was used last, or on a new one."""
+        """Send the request on the most recently used idle connection, or on a new one."""
         exchange = UpstreamExchange(self, handover, time_left, on_done)
         now = time.monotonic() * 1000
         while self.idle:
@@ -65,18 +65,18 @@
         return exchange
 
     def probe(self) -> None:
-        """Open a connection for the next request, to learn whether the upstream still listens."""
+        """Open a spare connection, to learn whether the upstream still listens."""
         self._start_dial(self._dial_spare())
 
     def release(self, connection: "UpstreamConnection") -> None:
-        """Keep a connection for the next request."""
+        """Return an idle connection to the pool, or close it if the pool is full."""
         if len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
         else:
             connection.close()
 
     def add_unfinished_bytes(self, count: int) -> None:
-        """Count what was read of a response; the largest one fails when all are too large."""
+        """Count bytes read of incomplete responses; over the limit, the largest response fails."""
         self.unfinished_bytes += count
         if self.unfinished_bytes > MAX_UNFINISHED:
             max(self.connections, key=UpstreamConnection.bytes_read).fail(UpstreamFailure.TOO_LARGE)
@@ -126,7 +126,7 @@
 
 
 class UpstreamExchange:
-    """One request on its way to the upstream."""
+    """One request to the upstream and its response."""
 
     def __init__(
         self, pool: UpstreamPool, handover: Handover, time_left: Millis, on_done: UpstreamCallback
@@ -140,7 +140,7 @@
         self.cancelled = False
 
     def start(self, connection: "UpstreamConnection") -> None:
-        """Write the request."""
+        """Write the request to a connection."""
         self.connection = connection
         request = self.handover.request
         running = RunningRequest(
@@ -158,9 +158,9 @@
             self.connection.close()
 
     def mark_late(self) -> None:
-        """Let the upstream end the run, but do not wait for a response that does not end.
+        """Let the upstream finish, but bound the time for the response.
 
-        A request that was not written by now is never written.
+        A request that is not written yet never will be.
         """
         if self.connection is None:
             self.cancelled = True
@@ -169,7 +169,7 @@
 
     @property
     def bytes_read(self) -> int:
-        """Return how many bytes the upstream sent for the request."""
+        """Return the number of bytes that the upstream has sent in response."""
         return self.size.read if self.size is not None else 0
 
     def fail(self, failure: UpstreamFailure) -> None:
--- a/packages/agatecross-adapters/agatecross_adapters/wire.py
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -1,4 +1,4 @@
-"""Positional forms of the core's dataclasses, so that messages carry no field names."""
+"""Positional encoding of the core's dataclasses, so that messages carry no field names."""
 
 import dataclasses
 import functools
@@ -12,7 +12,7 @@
 
 from agatecross_core.ids import Address, Incarnation, Millis, Offset, Version
 
-# Peers increase incarnations and versions, so a larger one could not be encoded any more.
+# Peers increment incarnations and versions; an unbounded one could grow too large to encode.
 MAX_COUNTER: Final = 2**53
 COUNTER_TYPE: Final = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
 WIRE_TYPES: Final[Mapping[Any, Any]] = {
@@ -27,7 +27,7 @@
 
 @functools.cache
 def wire_struct(kind: type) -> type[msgspec.Struct]:
-    """Return the positional form of a dataclass."""
+    """Return the positional struct type of a dataclass."""
     hints = get_type_hints(kind)
     fields = [_field(field, hints[field.name]) for field in dataclasses.fields(kind)]
     return msgspec.defstruct(kind.__name__, fields, array_like=True, frozen=True)
@@ -40,7 +40,7 @@
 
 
 def wire_type(hint: Any) -> Any:
-    """Return the type by which a field of this type is encoded."""
+    """Return the type as which a field with this type hint is encoded."""
     if hint in WIRE_TYPES:
         return WIRE_TYPES[hint]
     if isinstance(hint, type) and dataclasses.is_dataclass(hint):
@@ -54,7 +54,7 @@
 
 
 def to_wire(message: Any) -> msgspec.Struct:
-    """Return the positional form of a message."""
+    """Convert a message to its positional struct."""
     kind: Any = type(message)
     return msgspec.convert(message, wire_struct(kind), from_attributes=True)
 
