--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -44,7 +44,9 @@
 
 def public_headers(headers: Headers) -> Headers:
     """Drop the headers that only daemons may set."""
-    return tuple(row for row in headers if not row[0].lower().startswith(PRIVATE_HEADER_PREFIX))
+    return tuple(
+        field for field in headers if not field[0].lower().startswith(PRIVATE_HEADER_PREFIX)
+    )
 
 
 def remaining_ms(request: Request) -> float | None:
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -110,26 +110,30 @@
     @property
     def pending(self) -> int:
         """Return the number of requests that wait for a response."""
-        return sum(len(row.exchanges) for row in self.connections)
+        return sum(len(connection.exchanges) for connection in self.connections)
 
     @property
     def latest_deadline(self) -> Millis:
         """Return the latest deadline among the requests that wait for a response."""
-        deadlines = (exchange.deadline for row in self.connections for exchange in row.exchanges)
+        deadlines = (
+            exchange.deadline
+            for connection in self.connections
+            for exchange in connection.exchanges
+        )
         return max(deadlines, default=ZERO_MS)
 
     @property
     def unsent(self) -> int:
         """Return the number of bytes of responses not yet handed to the kernel."""
-        return sum(row.transport.get_write_buffer_size() for row in self.connections)
+        return sum(connection.transport.get_write_buffer_size() for connection in self.connections)
 
     def unfinished(self) -> UnfinishedWork:
         """Return the work that closing now would cut off or drop."""
-        rows = self.connections
+        connections = self.connections
         return UnfinishedWork(
             self.pending,
-            sum(row.state is not ParseState.IDLE for row in rows),
-            sum(row.has_unread() for row in rows),
+            sum(connection.state is not ParseState.IDLE for connection in connections),
+            sum(connection.has_unread() for connection in connections),
             self.unsent,
         )
 
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -94,7 +94,7 @@
     return msgspec.json.encode({"kind": KIND_BY_RECORD_TYPE[type(record)], "body": record})
 
 
-def decode_record(data: bytes, kind: type[T]) -> T:
+def decode_record(data: bytes, record_type: type[T]) -> T:
     """Decode a log record of the expected type or union; raises `MessageDecodeError`."""
     try:
         envelope = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
@@ -106,6 +106,6 @@
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise MessageDecodeError(f"log record: {error}") from error
-    if not isinstance(record, kind):
+    if not isinstance(record, record_type):
         raise MessageDecodeError(f"record of kind {name!r} does not belong to this stream")
     return record
--- a/packages/agatecross-adapters/agatecross_adapters/config_records.py
+++ b/packages/agatecross-adapters/agatecross_adapters/config_records.py
@@ -25,5 +25,5 @@
         except MessageDecodeError:
             yield OffsetRecord(entry.offset, None, mark)
             continue
-        written = record.at_ms if isinstance(record, SnapshotRecord) else wall_ms
-        yield OffsetRecord(entry.offset, record, mark, Millis(max(0.0, wall_ms - written)))
+        written_ms = record.at_ms if isinstance(record, SnapshotRecord) else wall_ms
+        yield OffsetRecord(entry.offset, record, mark, Millis(max(0.0, wall_ms - written_ms)))
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -97,9 +97,9 @@
         raise MessageDecodeError(f"hop message: {error}") from error
 
 
-def encode_endpoint(row: Endpoint) -> bytes:
+def encode_endpoint(endpoint: Endpoint) -> bytes:
     """Encode an endpoint record for the log."""
-    return ENCODER.encode(_endpoint_fields(row))
+    return ENCODER.encode(_endpoint_fields(endpoint))
 
 
 def decode_endpoint(data: bytes) -> Endpoint:
@@ -133,7 +133,7 @@
         case Result(handover_id, result):
             return (Tag.RESULT, handover_id, *_result_fields(result))
         case Hello():
-            rows = [_endpoint_fields(row) for row in message.endpoints]
+            rows = [_endpoint_fields(endpoint) for endpoint in message.endpoints]
             return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
         case Cancel(handover_id):
             return (Tag.CANCEL, handover_id)
@@ -142,7 +142,7 @@
         case Ping(is_reply, version):
             return (Tag.PING, is_reply, version)
         case Endpoints(endpoints):
-            return (Tag.ENDPOINTS, [_endpoint_fields(row) for row in endpoints])
+            return (Tag.ENDPOINTS, [_endpoint_fields(endpoint) for endpoint in endpoints])
         case ConfigBlob(version, data):
             return (Tag.CONFIG, version, data)
         case ConfigDelta(base, version, crc, steps):
@@ -150,7 +150,9 @@
         case Pull(version):
             return (Tag.PULL, version)
         case Strikes(strikes):
-            rows = [(row.fingerprint, row.daemon_id, row.incarnation) for row in strikes]
+            rows = [
+                (strike.fingerprint, strike.daemon_id, strike.incarnation) for strike in strikes
+            ]
             return (Tag.STRIKES, rows)
 
 
@@ -199,25 +201,25 @@
         case Tag.PULL:
             return Pull(Version(fields[0]))
         case Tag.STRIKES:
-            return Strikes(tuple(_strike_from_fields(row) for row in fields[0]))
+            return Strikes(tuple(_strike_from_fields(strike) for strike in fields[0]))
         case _:
             raise MessageDecodeError(f"unknown hop message tag {tag}")
 
 
 def _handover_from_fields(fields: list[Any]) -> Handover:
-    number, call_id, route, service, instance, repeat, rank, objective, left = fields[:9]
-    method, target, rows, body = fields[9:]
+    handover_id, call_id, route, service, instance, repeat, rank, objective_left, left = fields[:9]
+    method, target, headers, body = fields[9:]
     return Handover(
-        HandoverId(number),
+        HandoverId(handover_id),
         CallId(call_id),
         RouteName(route),
         ServiceName(service),
         InstanceId(instance),
         REPEAT_CODES[repeat],
         rank,
-        Millis(objective),
+        Millis(objective_left),
         Millis(left),
-        RelayRequest(method, target, tuple((name, value) for name, value in rows), body),
+        RelayRequest(method, target, tuple((name, value) for name, value in headers), body),
     )
 
 
@@ -225,8 +227,8 @@
     outcome, reason, arrived, load, slots, cost, *rest = fields
     response = None
     if rest:
-        status, rows, body = rest
-        response = RelayResponse(status, tuple((name, value) for name, value in rows), body)
+        status, headers, body = rest
+        response = RelayResponse(status, tuple((name, value) for name, value in headers), body)
     return RelayResult(
         OUTCOME_CODES[outcome],
         REASON_BY_VALUE[reason] if reason else None,
@@ -240,32 +242,34 @@
 
 def _config_delta_from_fields(fields: list[Any]) -> ConfigDelta:
     base, version, crc, packed = fields
-    rows = DECODER.decode(zlib.decompress(packed))
-    steps = tuple(row if isinstance(row, bytes) else (int(row[0]), int(row[1])) for row in rows)
+    encoded_steps = DECODER.decode(zlib.decompress(packed))
+    steps = tuple(
+        step if isinstance(step, bytes) else (int(step[0]), int(step[1])) for step in encoded_steps
+    )
     return ConfigDelta(Version(base), Version(version), crc, steps)
 
 
-def _strike_from_fields(row: list[Any]) -> Strike:
-    return Strike(Fingerprint(row[0]), DaemonId(row[1]), Incarnation(row[2]))
+def _strike_from_fields(fields: list[Any]) -> Strike:
+    return Strike(Fingerprint(fields[0]), DaemonId(fields[1]), Incarnation(fields[2]))
 
 
-def _endpoint_fields(row: Endpoint) -> tuple[Any, ...]:
+def _endpoint_fields(endpoint: Endpoint) -> tuple[Any, ...]:
     return (
-        row.daemon_id,
-        row.incarnation,
-        row.sequence,
-        row.address,
-        row.region,
-        row.data_centre,
-        row.service,
-        row.instance,
-        row.born,
-        row.state.value,
-        row.slots,
-        int(row.cold),
-        row.leaving,
-        row.reads_log,
-        int(row.log_latency),
+        endpoint.daemon_id,
+        endpoint.incarnation,
+        endpoint.sequence,
+        endpoint.address,
+        endpoint.region,
+        endpoint.data_centre,
+        endpoint.service,
+        endpoint.instance,
+        endpoint.born,
+        endpoint.state.value,
+        endpoint.slots,
+        int(endpoint.cold),
+        endpoint.leaving,
+        endpoint.reads_log,
+        int(endpoint.log_latency),
     )
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
@@ -39,14 +39,14 @@
 
 def end_to_end_fields(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
     """Drop the hop-by-hop fields, including those that `connection` lists."""
-    rows = [row for row in headers if row[0] not in HOP_BY_HOP_FIELDS]
-    if len(rows) == len(headers):
-        return tuple(rows)
+    fields = [field for field in headers if field[0] not in HOP_BY_HOP_FIELDS]
+    if len(fields) == len(headers):
+        return tuple(fields)
     named = b",".join(value for name, value in headers if name == b"connection").lower()
     if named in (b"", b"close", b"keep-alive"):
-        return tuple(rows)
+        return tuple(fields)
     extra = {name.strip() for name in named.split(b",")}
-    return tuple(row for row in rows if row[0] not in extra)
+    return tuple(field for field in fields if field[0] not in extra)
 
 
 def encode_response(method: bytes, response: RelayResponse, close: bool) -> list[bytes]:
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -28,11 +28,13 @@
     """Drop the hop-by-hop fields, including those that `Connection` lists."""
     named = headers.get("Connection", "").lower()
     if named in ("", "close", "keep-alive"):
-        return tuple(row for row in headers.get_all() if row[0] not in HOP_BY_HOP_FIELDS)
+        return tuple(field for field in headers.get_all() if field[0] not in HOP_BY_HOP_FIELDS)
     extra = {name.strip() for name in named.split(",")}
-    rows = headers.get_all()
+    fields = headers.get_all()
     return tuple(
-        row for row in rows if row[0] not in HOP_BY_HOP_FIELDS and row[0].lower() not in extra
+        field
+        for field in fields
+        if field[0] not in HOP_BY_HOP_FIELDS and field[0].lower() not in extra
     )
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -110,7 +110,9 @@
         self._shorten_deadlines()
         while self.streams:
             self.streams_changed.clear()
-            for collector in [row for row in self.collectors if not row.awaits_request()]:
+            for collector in [
+                candidate for candidate in self.collectors if not candidate.awaits_request()
+            ]:
                 collector.close_idle()
             if self.streams:
                 await self.streams_changed.wait()
@@ -162,7 +164,9 @@
         while True:
             await asyncio.sleep(period)
             now = time.monotonic()
-            for collector in [row for row in self.collectors if row.is_expired(now)]:
+            for collector in [
+                candidate for candidate in self.collectors if candidate.is_expired(now)
+            ]:
                 self.collectors.discard(collector)
                 if self.closing and collector.has_begun():
                     collector.refuse()
--- a/packages/agatecross-adapters/agatecross_adapters/log_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/log_http.py
@@ -81,13 +81,13 @@
             raise LogUnavailableError(stream, f"read refused with status {response.status}")
         page = _decode_body(stream, response, PageBody)
         entries = tuple(
-            LogEntry(Offset(row.offset), base64.b64decode(row.data)) for row in page.entries
+            LogEntry(Offset(entry.offset), base64.b64decode(entry.data)) for entry in page.entries
         )
         return LogPage(entries, Offset(page.first), Offset(page.end))
 
 
-def _decode_body(stream: StreamName, response: Response, kind: type[T]) -> T:
+def _decode_body(stream: StreamName, response: Response, body_type: type[T]) -> T:
     try:
-        return msgspec.json.decode(response.body, type=kind)
+        return msgspec.json.decode(response.body, type=body_type)
     except msgspec.MsgspecError as error:
         raise LogUnavailableError(stream, f"undecodable response: {error}") from error
--- a/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
+++ b/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
@@ -20,8 +20,8 @@
     try:
         values = tomllib.loads(document.text)
     except tomllib.TOMLDecodeError as error:
-        found = LINE_NUMBER.search(str(error))
-        line = int(found.group(1)) if found else document.text.count("\n") + 1
+        position = LINE_NUMBER.search(str(error))
+        line = int(position.group(1)) if position else document.text.count("\n") + 1
         raise DocumentSyntaxError(document.name, line, str(error)) from error
     return DecodedDocument(document.name, values, dict(_key_lines(document.text)))
 
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -239,8 +239,8 @@
             self.fail(UpstreamFailure.TOO_LARGE)
             return
         self._detach_running()
-        rows = tuple(row for row in self.headers if row[0] not in HOP_BY_HOP_FIELDS)
-        response = RelayResponse(self.parser.get_status_code(), rows, bytes(self.body))
+        headers = tuple(header for header in self.headers if header[0] not in HOP_BY_HOP_FIELDS)
+        response = RelayResponse(self.parser.get_status_code(), headers, bytes(self.body))
         # Frees the memory of the last response while the connection is idle.
         self.headers, self.body = [], bytearray()
         # Whether data follows the response in the same read decides if the connection is reused.
--- a/packages/agatecross-adapters/agatecross_adapters/wire.py
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -26,11 +26,11 @@
 
 
 @functools.cache
-def wire_struct(kind: type) -> type[msgspec.Struct]:
+def wire_struct(message_type: type) -> type[msgspec.Struct]:
     """Return the positional struct type of a dataclass."""
-    hints = get_type_hints(kind)
-    fields = [_field(field, hints[field.name]) for field in dataclasses.fields(kind)]
-    return msgspec.defstruct(kind.__name__, fields, array_like=True, frozen=True)
+    hints = get_type_hints(message_type)
+    fields = [_field(field, hints[field.name]) for field in dataclasses.fields(message_type)]
+    return msgspec.defstruct(message_type.__name__, fields, array_like=True, frozen=True)
 
 
 def _field(field: "dataclasses.Field[object]", hint: object) -> Any:
@@ -55,11 +55,11 @@
 
 def to_wire(message: Any) -> msgspec.Struct:
     """Convert a message to its positional struct."""
-    kind: Any = type(message)
-    return msgspec.convert(message, wire_struct(kind), from_attributes=True)
+    message_type: Any = type(message)
+    return msgspec.convert(message, wire_struct(message_type), from_attributes=True)
 
 
-def from_wire(data: bytes | msgspec.Raw, kind: type) -> Any:
+def from_wire(data: bytes | msgspec.Raw, message_type: type) -> Any:
     """Decode a positional message into its dataclass; raises `msgspec.MsgspecError`."""
-    struct = msgspec.msgpack.decode(data, type=wire_struct(kind))
-    return msgspec.convert(struct, kind, from_attributes=True)
+    struct = msgspec.msgpack.decode(data, type=wire_struct(message_type))
+    return msgspec.convert(struct, message_type, from_attributes=True)
