--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -116,7 +116,7 @@
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Abandon the requests whose caller is gone."""
+        """Abandon the requests that can no longer be answered."""
         self.listener.connections.discard(self)
         self._drop_exchanges()
 
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -103,7 +103,7 @@
         data = await context.arecv()
         self.traffic.received_bytes += len(data)
         if self.closing:
-            # The handler's task may have ended; the peer sees a timeout.
+            # The task that handles requests may have ended; the peer sees a timeout.
             return
         async with asyncio.timeout(HANDLER_TIMEOUT / 1000):
             reply = encode_control(await handler(decode_control(data)))
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -52,7 +52,7 @@
 
 
 class TornadoHttpListener(HTTPServerConnectionDelegate):
-    """Passes complete requests to a handler and sends its complete responses.
+    """Passes complete requests to a handler and sends its responses.
 
     Bounds the time to receive each request and to send each response.
     """
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -24,7 +24,7 @@
 
 
 class Unreachable(Enum):
-    """Why a connection attempt failed: refused by the upstream, or not answered in time."""
+    """Why a connection attempt failed: nothing listens, or no answer came."""
 
     REFUSED = "refused"
     SILENT = "silent"
