--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -83,12 +83,12 @@
 REASON_BY_VALUE = {reason.value: reason for reason in Reason}
 
 
-def encode_hop(message: HopMessage) -> bytes:
+def encode_hop_message(message: HopMessage) -> bytes:
     """Encode a message."""
     return ENCODER.encode(_message_fields(message))
 
 
-def decode_hop(frame: bytes) -> HopMessage:
+def decode_hop_message(frame: bytes) -> HopMessage:
     """Decode a message; raises `MessageDecodeError`."""
     try:
         tag, *fields = DECODER.decode(frame)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Collection, Mapping
 
-from agatecross_adapters.hop_codec import encode_hop
+from agatecross_adapters.hop_codec import encode_hop_message
 from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta, HopMessage, Pull
 from agatecross_core.distribution.feeding import push_targets
 from agatecross_core.ids import DaemonId, Millis, Version
@@ -47,7 +47,7 @@
         self.behind_since = None
         if message.origin is ConfigOrigin.REGION:
             return
-        frame = encode_hop(self.delta or ConfigBlob(self.version, self.blob))
+        frame = encode_hop_message(self.delta or ConfigBlob(self.version, self.blob))
         rows = self.directory.rows.values()
         from_store = message.origin is ConfigOrigin.STORE
         for daemon_id in push_targets(self.directory.me, rows, open_links, from_store):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection
 
 from agatecross_adapters.frames import FrameConnection
-from agatecross_adapters.hop_codec import decode_hop, encode_hop
+from agatecross_adapters.hop_codec import decode_hop_message, encode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
@@ -31,7 +31,7 @@
 
     def send(self, message: HopMessage) -> None:
         """Send a message."""
-        self.connection.send(encode_hop(message))
+        self.connection.send(encode_hop_message(message))
 
 
 class InboundLinks:
@@ -95,7 +95,7 @@
     def _frame(self, connection: FrameConnection, frame: bytes) -> None:
         row = self.rows[connection]
         try:
-            message = decode_hop(frame)
+            message = decode_hop_message(frame)
         except MessageDecodeError as error:
             self.log.change("peer_message_malformed", peer=row.daemon_id or "", reason=str(error))
             connection.abort()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -7,7 +7,7 @@
 from enum import Enum
 
 from agatecross_adapters.frames import FrameConnection
-from agatecross_adapters.hop_codec import decode_hop, encode_hop
+from agatecross_adapters.hop_codec import decode_hop_message, encode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, Millis, Version
@@ -89,7 +89,7 @@
     def send(self, message: HopMessage) -> None:
         """Send a message if the connection is open."""
         if self.connection is not None:
-            self.connection.send(encode_hop(message))
+            self.connection.send(encode_hop_message(message))
 
     def hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
         """Send a handover; without an open connection it surely does not run."""
@@ -172,7 +172,7 @@
     def _frame(self, connection: FrameConnection, frame: bytes) -> None:
         self.heard_at = monotonic()
         try:
-            message = decode_hop(frame)
+            message = decode_hop_message(frame)
         except MessageDecodeError:
             connection.abort()
             return
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from agatecross_adapters.hop_codec import encode_hop
+from agatecross_adapters.hop_codec import encode_hop_message
 from agatecross_adapters.hop_messages import (
     ConfigBlob,
     ConfigDelta,
@@ -192,7 +192,7 @@
             self.links[daemon_id].cancel(handover_id)
 
     def _announce(self, me: Endpoint) -> None:
-        frame = encode_hop(Endpoints((me,)))
+        frame = encode_hop_message(Endpoints((me,)))
         reached: set[DaemonId] = set()
         for link in self.links.values():
             if link.is_open and link.connection is not None:
