--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -1,4 +1,4 @@
-"""Headers that carry a call and its outcome between callers, daemons and upstreams."""
+"""Headers that carry a call's metadata and outcome between callers, daemons and upstreams."""
 
 from dataclasses import replace
 
@@ -16,18 +16,19 @@
 from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.states import Outcome, Reason
 
-CALL_ID = "Agatecross-Call-Id"
-SERVICE = "Agatecross-Service"
-DEADLINE = "Agatecross-Deadline-Ms"
-OUTCOME = "Agatecross-Outcome"
-REASON = "Agatecross-Reason"
-LOAD = "Agatecross-Load"
-IDEMPOTENCY_KEY = "Idempotency-Key"
-IDEMPOTENT = "Agatecross-Idempotent"
+CALL_ID_HEADER = "Agatecross-Call-Id"
+SERVICE_HEADER = "Agatecross-Service"
+# Holds the time left in milliseconds, not a point in time.
+DEADLINE_HEADER = "Agatecross-Deadline-Ms"
+OUTCOME_HEADER = "Agatecross-Outcome"
+REASON_HEADER = "Agatecross-Reason"
+LOAD_HEADER = "Agatecross-Load"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+IDEMPOTENT_HEADER = "Agatecross-Idempotent"
 
-PRIVATE_PREFIX = "agatecross-"
+PRIVATE_HEADER_PREFIX = "agatecross-"
 
-STATUS_OF = {
+STATUS_BY_REASON = {
     Reason.NO_ROUTE: 404,
     Reason.BAD_REQUEST: 400,
     Reason.QUARANTINED: 422,
@@ -43,12 +44,14 @@
 
 def public_headers(headers: Headers) -> Headers:
     """Drop the headers that only daemons may set."""
-    return tuple(row for row in headers if not row[0].lower().startswith(PRIVATE_PREFIX))
+    return tuple(
+        field for field in headers if not field[0].lower().startswith(PRIVATE_HEADER_PREFIX)
+    )
 
 
 def remaining_ms(request: Request) -> float | None:
-    """Return the time left that a request states; None when it states none or a bad one."""
-    text = request.header(DEADLINE)
+    """Return the time left that a request states, or None if that is missing or malformed."""
+    text = request.header(DEADLINE_HEADER)
     try:
         return float(text) if text is not None else None
     except ValueError:
@@ -56,53 +59,53 @@
 
 
 def encode_call(call: Call, now: Millis) -> Request:
-    """Return the request that carries a call to the daemon next to its upstream."""
+    """Return the request that carries a call to the daemon beside the chosen upstream."""
     headers = (
         *public_headers(call.request.headers),
-        (CALL_ID, call.call_id),
-        (SERVICE, call.service),
-        (DEADLINE, f"{max(0.0, call.deadline - now):.1f}"),
-        (IDEMPOTENT, "1" if call.idempotent else "0"),
+        (CALL_ID_HEADER, call.call_id),
+        (SERVICE_HEADER, call.service),
+        (DEADLINE_HEADER, f"{max(0.0, call.deadline - now):.1f}"),
+        (IDEMPOTENT_HEADER, "1" if call.idempotent else "0"),
     )
     return replace(call.request, headers=headers)
 
 
 def decode_call(request: Request, now: Millis) -> Call | None:
-    """Return the call that a peer sent, or None when its headers are not those of a call."""
-    call_id, service = request.header(CALL_ID), request.header(SERVICE)
+    """Return the call in a peer's request, or None if its headers do not describe a call."""
+    call_id, service = request.header(CALL_ID_HEADER), request.header(SERVICE_HEADER)
     left = remaining_ms(request)
     if not call_id or not service or left is None:
         return None
-    idempotent = request.header(IDEMPOTENT) == "1"
+    idempotent = request.header(IDEMPOTENT_HEADER) == "1"
     plain = replace(request, headers=public_headers(request.headers))
     return Call(CallId(call_id), ServiceName(service), plain, Millis(now + left), idempotent)
 
 
 def encode_result(result: CallResult, *extra: tuple[str, str]) -> Response:
-    """Return the response that carries a result."""
-    outcome = (OUTCOME, result.outcome.value)
+    """Return the response that carries a result to the caller or the peer daemon."""
+    outcome = (OUTCOME_HEADER, result.outcome.value)
     if result.response is not None:
         headers = (*public_headers(result.response.headers), outcome, *extra)
         return replace(result.response, headers=headers)
     reason = result.reason or Reason.BAD_REQUEST
     body = f"{result.outcome.value}: {reason.value}\n".encode()
-    status = STATUS_OF.get(reason, DEFAULT_STATUS)
-    headers = (("Content-Type", "text/plain"), outcome, (REASON, reason.value), *extra)
+    status = STATUS_BY_REASON.get(reason, DEFAULT_STATUS)
+    headers = (("Content-Type", "text/plain"), outcome, (REASON_HEADER, reason.value), *extra)
     return Response(status, headers, body)
 
 
 def decode_result(response: Response) -> CallResult:
-    """Return the result that a daemon's response carries; without its headers it is unknown."""
-    outcome = find_header(response.headers, OUTCOME)
+    """Return the result in a daemon's response; without its headers the outcome is unknown."""
+    outcome = find_header(response.headers, OUTCOME_HEADER)
     if outcome == Outcome.RAN.value:
         return CallResult(Outcome.RAN, response)
-    reason = _reason(find_header(response.headers, REASON))
+    reason = _parse_reason(find_header(response.headers, REASON_HEADER))
     if outcome == Outcome.NOT_RUN.value:
         return not_run_result(reason)
     return unknown_result(reason)
 
 
-def _reason(text: str | None) -> Reason:
+def _parse_reason(text: str | None) -> Reason:
     try:
         return Reason(text)
     except ValueError:
@@ -110,9 +113,9 @@
 
 
 def decode_load(response: Response) -> ReportedLoad | None:
-    """Return the load that a daemon reported with a response, or None."""
+    """Return the load reported with a daemon's response, or None if it is missing or malformed."""
     try:
-        running, queued, slots = map(int, (response.header(LOAD) or "").split())
+        running, queued, slots = map(int, (response.header(LOAD_HEADER) or "").split())
     except ValueError:
         return None
     return ReportedLoad(running, queued, slots)
--- a/packages/agatecross-adapters/agatecross_adapters/caller_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -1,4 +1,4 @@
-"""One connection of a caller: pipelined requests are served at once and answered in order."""
+"""Connection of a caller; serves pipelined requests concurrently and answers them in order."""
 
 import asyncio
 import os
@@ -17,26 +17,27 @@
 from agatecross_core.relay.model import RelayRequest, RelayResponse
 from agatecross_core.routing.host_table import CallerLimits
 
-from .half_close import end_writing
-from .http1_bytes import absolute_form, encode_response, end_to_end_rows
+from .half_close import half_close
+from .http1_bytes import encode_response, end_to_end_fields, split_absolute_form
 
-# A caller that pipelines more than this waits for answers before more is read.
-MAX_PIPELINED = 64
-# Nothing more is read from a caller that leaves this many bytes of answers unread.
-MAX_UNSENT = 1_048_576
-# A caller closes its side within a round trip; one that does not is cut off after this time.
-LINGER_TIME = Millis(1_000)
+# Reading pauses while more pipelined requests than this wait for responses.
+MAX_PIPELINED_REQUESTS = 64
+# Reading pauses while this many bytes of responses wait for the caller to read them.
+MAX_UNSENT_BYTES = 1_048_576
+# A caller normally closes its side within a round trip; otherwise the connection is aborted
+# after this time.
+LINGER_TIMEOUT = Millis(1_000)
 
 
 class ClosedBy(Enum):
-    """Who ended a connection."""
+    """Which side closed a connection."""
 
     CALLER = "caller"
     DAEMON = "daemon"
 
 
 class ParseState(Enum):
-    """What a connection waits for."""
+    """Which part of a request a connection waits for; idle between requests."""
 
     IDLE = "idle"
     HEAD = "head"
@@ -45,10 +46,11 @@
 
 @dataclass(slots=True, eq=False)
 class Exchange:
-    """One request of a caller and its place in the order of answers.
+    """One request of a caller, and its place in the order of responses.
 
-    `arrived` is when its first byte was read and `deadline` when its caller stops to wait, both on
-    the monotonic clock in milliseconds.
+    `arrived` is when the first byte of the request was read and `deadline` when the caller stops
+    waiting, both in milliseconds of the monotonic clock. `on_abandoned` is called if no response
+    can be sent any more.
     """
 
     connection: "CallerConnection"
@@ -57,14 +59,14 @@
     host: str
     keep_alive: bool
     response: RelayResponse | None = None
-    on_gone: Callable[[ClosedBy], None] | None = None
+    on_abandoned: Callable[[ClosedBy], None] | None = None
     deadline: Millis = ZERO_MS
 
     def respond(self, response: RelayResponse) -> None:
-        """Answer, now or when the earlier requests of the connection are answered."""
+        """Send the response once the earlier requests on the connection are answered."""
         if self.response is None:
             self.response = response
-            self.on_gone = None
+            self.on_abandoned = None
             self.connection.flush()
 
 
@@ -72,7 +74,7 @@
 
 
 class ConnectionOwner(Protocol):
-    """What a connection asks of the listener that accepted it."""
+    """Interface of the listener that accepted a connection."""
 
     handler: ExchangeHandler
     limits: CallerLimits
@@ -81,7 +83,7 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller; parses its requests and writes their responses."""
 
     transport: asyncio.Transport
 
@@ -90,138 +92,140 @@
         self.parser = httptools.HttpRequestParser(self)
         self.exchanges: deque[Exchange] = deque()
         self.state = ParseState.IDLE
-        # When the connection began to wait for what it waits for, and when its request began.
-        self.since = Millis(time.monotonic() * 1000)
-        self.begun = self.since
+        # When the current wait for data or for a request began, and when the request began.
+        self.waiting_since = Millis(time.monotonic() * 1000)
+        self.request_started = self.waiting_since
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
-        self.size = 0
-        self.framing = 0
-        self.broken = False
-        self.paused = False
-        self.clogged = False
-        self.unsent = 0
-        self.finishing = False
+        # Bytes of the head or of the body that is being read.
+        self.part_bytes = 0
+        self.framing_fields = 0
+        self.rejected = False
+        self.pipeline_full = False
+        self.write_blocked = False
+        self.unsent_at_last_check = 0
+        self.half_closed = False
         self.closed_by = ClosedBy.CALLER
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(high=MAX_UNSENT)
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel what the caller no longer waits for."""
+        """Abandon the requests that can no longer be answered."""
         self.listener.connections.discard(self)
         self._drop_exchanges()
 
     def pause_writing(self) -> None:
-        """Read no more requests while the caller does not read their answers."""
-        self.clogged = True
-        if not self.finishing:
+        """Stop reading requests while the caller does not read responses."""
+        self.write_blocked = True
+        if not self.half_closed:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """Read on."""
-        self.clogged = False
-        if not self.paused:
+        """Resume reading, unless too many requests wait for responses."""
+        self.write_blocked = False
+        if not self.pipeline_full:
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was read; what follows a malformed request or the last answer is ignored."""
-        if self.broken or self.finishing:
+        """Parse received data; data after a rejected request or after the half-close is ignored."""
+        if self.rejected or self.half_closed:
             return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(400)
         except httptools.HttpParserError:
-            if not self.broken:
+            if not self.rejected:
                 self.reject(400)
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start collecting a request."""
         self.state = ParseState.HEAD
-        self.since = self.begun = Millis(time.monotonic() * 1000)
+        self.waiting_since = self.request_started = Millis(time.monotonic() * 1000)
         self.target = b""
         self.headers = []
         self.chunks = []
-        self.size = 0
-        self.framing = 0
+        self.part_bytes = 0
+        self.framing_fields = 0
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
         self.target += url
-        self._count_head(len(url))
+        self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header field."""
         name = name.lower()
-        self._count_head(len(name) + len(value) + 4)
+        self._count_head_bytes(len(name) + len(value) + 4)
         self.headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
-            self.framing += 1
+            self.framing_fields += 1
         elif name == b"expect" and value.lower() == b"100-continue" and not self.exchanges:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_headers_complete(self) -> None:
-        """Refuse ambiguous framing, which is how requests are smuggled."""
+        """Reject ambiguous framing, which allows request smuggling."""
         self.state = ParseState.BODY
-        self.size = 0
-        if self.framing > 1:
+        self.part_bytes = 0
+        if self.framing_fields > 1:
             self.reject(400)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self.size += len(body)
-        self.since = Millis(time.monotonic() * 1000)
-        if self.size > self.listener.limits.body_bytes:
+        self.part_bytes += len(body)
+        self.waiting_since = Millis(time.monotonic() * 1000)
+        if self.part_bytes > self.listener.limits.body_bytes:
             self.reject(413)
         else:
             self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Pass the whole request on, unless the connection ended with an earlier one."""
-        if self.broken or self.finishing:
+        """Pass the complete request to the handler, unless an earlier one ended the connection."""
+        if self.rejected or self.half_closed:
             return
         self.state = ParseState.IDLE
         hosts = [value for name, value in self.headers if name == b"host"]
         target = self.target
         if not target.startswith(b"/"):
-            hosts, target = absolute_form(target, hosts)
+            hosts, target = split_absolute_form(target, hosts)
         if len(hosts) != 1 or not target.startswith(b"/"):
             self.reject(400)
             return
         exchange = Exchange(
             self,
-            self.begun,
+            self.request_started,
             RelayRequest(
                 self.parser.get_method(),
                 target,
-                end_to_end_rows(self.headers),
+                end_to_end_fields(self.headers),
                 b"".join(self.chunks),
             ),
             hosts[0].decode("latin-1"),
             self.parser.should_keep_alive(),
         )
         self.exchanges.append(exchange)
-        if len(self.exchanges) > MAX_PIPELINED and not self.paused:
-            self.paused = True
+        if len(self.exchanges) > MAX_PIPELINED_REQUESTS and not self.pipeline_full:
+            self.pipeline_full = True
             self.transport.pause_reading()
         try:
             self.listener.handler(exchange)
         except Exception as error:
-            # The parser would take it for a malformed request and leave this one unanswered.
+            # An exception that reached the parser would look like a malformed request and leave
+            # this one unanswered.
             asyncio.get_running_loop().call_exception_handler(
-                {"message": "a request could not be handled", "exception": error}
+                {"message": "unhandled exception in the request handler", "exception": error}
             )
             exchange.respond(RelayResponse(HTTPStatus.BAD_GATEWAY, (), b""))
 
     def flush(self) -> None:
-        """Write the answers that are due, in the order of their requests."""
-        if self.finishing or self.transport.is_closing():
+        """Write the responses that are due, in the order of their requests."""
+        if self.half_closed or self.transport.is_closing():
             return
         out: list[bytes] = []
         close = False
@@ -234,71 +238,72 @@
         if out:
             self.transport.write(b"".join(out))
             if self.state is ParseState.IDLE:
-                self.since = Millis(time.monotonic() * 1000)
-        if close or (self.broken and not self.exchanges):
-            self.finish()
-        elif self.paused and len(self.exchanges) < MAX_PIPELINED:
-            self.paused = False
-            if not self.clogged:
+                self.waiting_since = Millis(time.monotonic() * 1000)
+        if close or (self.rejected and not self.exchanges):
+            self.close_gracefully()
+        elif self.pipeline_full and len(self.exchanges) < MAX_PIPELINED_REQUESTS:
+            self.pipeline_full = False
+            if not self.write_blocked:
                 self.transport.resume_reading()
 
     def reject(self, status: int) -> None:
-        """Answer a request that is not passed on, after the earlier ones, and close."""
-        self.broken = True
+        """Answer a request with an error status, after the earlier ones, and close."""
+        self.rejected = True
         empty = RelayRequest(b"GET", b"/", (), b"")
-        exchange = Exchange(self, self.since, empty, "", False)
+        exchange = Exchange(self, self.waiting_since, empty, "", False)
         self.exchanges.append(exchange)
         exchange.respond(RelayResponse(status, (), b""))
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
         if not self.exchanges and self.state is ParseState.IDLE:
-            self.finish()
+            self.close_gracefully()
 
-    def give_up(self) -> None:
-        """Tell the handlers of the requests that wait that no later answer can be sent."""
+    def abandon_exchanges(self) -> None:
+        """Tell the handlers of waiting requests that no later response can be sent."""
         self.closed_by = ClosedBy.DAEMON
         for exchange in list(self.exchanges):
-            if exchange.on_gone is not None:
-                exchange.on_gone(self.closed_by)
+            if exchange.on_abandoned is not None:
+                exchange.on_abandoned(self.closed_by)
 
-    def finish(self) -> None:
-        """End the connection after what was written; requests that wait are cut.
+    def close_gracefully(self) -> None:
+        """Flush written responses and half-close the connection; waiting requests are abandoned.
 
-        A close with unread bytes would reset the connection and could take the last answer with
-        it, so only this side is shut, and what the caller still sends is read and ignored.
+        Closing a socket with unread data would reset the connection and could lose the last
+        response, so only the sending side is shut down, and data that the caller still sends is
+        read and ignored.
         """
-        if self.finishing or self.transport.is_closing():
+        if self.half_closed or self.transport.is_closing():
             return
-        self.finishing = True
+        self.half_closed = True
         self.closed_by = ClosedBy.DAEMON
-        self.since = Millis(time.monotonic() * 1000)
+        self.waiting_since = Millis(time.monotonic() * 1000)
         self._drop_exchanges()
         self.transport.resume_reading()
-        end_writing(self.transport)
+        half_close(self.transport)
 
     def has_unread(self) -> bool:
-        """Return whether the kernel holds bytes of this caller that were not read."""
+        """Return whether the kernel holds data from this caller that was not read."""
         sock = self.transport.get_extra_info("socket")
         if sock is None or self.transport.is_closing():
             return False
-        # asyncio hides `recv` of its sockets; the duplicate shares the connection.
+        # asyncio does not expose `recv` of its sockets; a duplicate shares the connection.
         try:
             with socket.socket(fileno=os.dup(sock.fileno())) as peek:
                 return bool(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
-            # Nothing waits, the caller has reset the connection, or no descriptor is free.
+            # No data waits, the caller has reset the connection, or no file descriptor is free.
             return False
 
-    def check_times(self, now: float) -> None:
-        """Close a connection that is idle, or whose request takes too long to arrive."""
+    def check_timeouts(self, now: float) -> None:
+        """Close the connection if it is idle too long; reject a request that arrives too slowly."""
         limits = self.listener.limits
-        waited = now - self.since
-        if self.finishing:
-            unsent = self.transport.get_write_buffer_size()
-            if unsent != self.unsent:
-                self.unsent, self.since = unsent, Millis(now)
-            elif waited > (limits.idle_timeout if unsent else LINGER_TIME):
+        waited = now - self.waiting_since
+        if self.half_closed:
+            buffered = self.transport.get_write_buffer_size()
+            if buffered != self.unsent_at_last_check:
+                self.unsent_at_last_check, self.waiting_since = buffered, Millis(now)
+            elif waited > (limits.idle_timeout if buffered else LINGER_TIMEOUT):
                 self.transport.abort()
             return
         if self.state is ParseState.IDLE:
@@ -312,10 +317,10 @@
     def _drop_exchanges(self) -> None:
         dropped, self.exchanges = self.exchanges, deque()
         for exchange in dropped:
-            if exchange.on_gone is not None:
-                exchange.on_gone(self.closed_by)
+            if exchange.on_abandoned is not None:
+                exchange.on_abandoned(self.closed_by)
 
-    def _count_head(self, size: int) -> None:
-        self.size += size
-        if self.size > self.listener.limits.head_bytes and not self.broken:
+    def _count_head_bytes(self, count: int) -> None:
+        self.part_bytes += count
+        if self.part_bytes > self.listener.limits.head_bytes and not self.rejected:
             self.reject(431)
--- a/packages/agatecross-adapters/agatecross_adapters/config_records.py
+++ b/packages/agatecross-adapters/agatecross_adapters/config_records.py
@@ -1,4 +1,4 @@
-"""Decoding of pages of the config stream."""
+"""Decoding of pages of the configuration stream."""
 
 import hashlib
 from collections.abc import Iterator
@@ -13,7 +13,7 @@
 
 
 def decode_page(page: LogPage, wall_ms: float) -> RecordsRead:
-    """Decode a page; `wall_ms` is the wall clock in milliseconds, for the age of snapshots."""
+    """Decode a page; `wall_ms` is the wall-clock time from which the age of snapshots counts."""
     return RecordsRead(tuple(_decode_entries(page, wall_ms)), page.first, page.end)
 
 
@@ -25,5 +25,5 @@
         except MessageDecodeError:
             yield OffsetRecord(entry.offset, None, mark)
             continue
-        written = record.at_ms if isinstance(record, SnapshotRecord) else wall_ms
-        yield OffsetRecord(entry.offset, record, mark, Millis(max(0.0, wall_ms - written)))
+        written_ms = record.at_ms if isinstance(record, SnapshotRecord) else wall_ms
+        yield OffsetRecord(entry.offset, record, mark, Millis(max(0.0, wall_ms - written_ms)))
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -1,6 +1,6 @@
-"""Encodes messages between daemons on a hop connection with msgpack.
+"""Encodes the messages of hop connections with msgpack.
 
-Each message is a tuple of its tag and its fields in order.
+Each message is an array of its tag and its fields in order.
 """
 
 import zlib
@@ -52,7 +52,7 @@
 
 
 class Tag(IntEnum):
-    """The first field of each message."""
+    """Message type, the first field of each message."""
 
     HELLO = 1
     HANDOVER = 2
@@ -69,8 +69,9 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
-REPEATS = (Repeat.SAFE, Repeat.ONCE)
-OUTCOMES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
+# The index of a value is its code on the wire.
+REPEAT_CODES = (Repeat.SAFE, Repeat.ONCE)
+OUTCOME_CODES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
 DECODE_ERRORS = (
     msgspec.MsgspecError,
     zlib.error,
@@ -79,37 +80,37 @@
     KeyError,
     IndexError,
 )
-REASONS = {reason.value: reason for reason in Reason}
+REASON_BY_VALUE = {reason.value: reason for reason in Reason}
 
 
-def encode_hop(message: HopMessage) -> bytes:
+def encode_hop_message(message: HopMessage) -> bytes:
     """Encode a message."""
-    return ENCODER.encode(_fields(message))
+    return ENCODER.encode(_message_fields(message))
 
 
-def decode_hop(frame: bytes) -> HopMessage:
+def decode_hop_message(frame: bytes) -> HopMessage:
     """Decode a message; raises `MessageDecodeError`."""
     try:
         tag, *fields = DECODER.decode(frame)
-        return _message(tag, fields)
+        return _message_from_fields(tag, fields)
     except DECODE_ERRORS as error:
         raise MessageDecodeError(f"hop message: {error}") from error
 
 
-def encode_endpoint(row: Endpoint) -> bytes:
-    """Encode a description as it is kept on the log."""
-    return ENCODER.encode(_endpoint_fields(row))
+def encode_endpoint(endpoint: Endpoint) -> bytes:
+    """Encode an endpoint record for the log."""
+    return ENCODER.encode(_endpoint_fields(endpoint))
 
 
 def decode_endpoint(data: bytes) -> Endpoint:
-    """Decode a description from the log; raises `MessageDecodeError`."""
+    """Decode an endpoint record from the log; raises `MessageDecodeError`."""
     try:
-        return _endpoint(DECODER.decode(data))
+        return _endpoint_from_fields(DECODER.decode(data))
     except DECODE_ERRORS as error:
         raise MessageDecodeError(f"endpoint: {error}") from error
 
 
-def _fields(message: HopMessage) -> tuple[Any, ...]:
+def _message_fields(message: HopMessage) -> tuple[Any, ...]:
     match message:
         case Handover():
             request = message.request
@@ -120,7 +121,7 @@
                 message.route,
                 message.service,
                 message.instance,
-                REPEATS.index(message.repeat),
+                REPEAT_CODES.index(message.repeat),
                 message.rank,
                 int(message.objective_time_left),
                 int(message.time_left),
@@ -132,16 +133,16 @@
         case Result(handover_id, result):
             return (Tag.RESULT, handover_id, *_result_fields(result))
         case Hello():
-            rows = [_endpoint_fields(row) for row in message.endpoints]
+            rows = [_endpoint_fields(endpoint) for endpoint in message.endpoints]
             return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
         case Cancel(handover_id):
             return (Tag.CANCEL, handover_id)
         case Resume(handover_id):
             return (Tag.RESUME, handover_id)
-        case Ping(answer, version):
-            return (Tag.PING, answer, version)
+        case Ping(is_reply, version):
+            return (Tag.PING, is_reply, version)
         case Endpoints(endpoints):
-            return (Tag.ENDPOINTS, [_endpoint_fields(row) for row in endpoints])
+            return (Tag.ENDPOINTS, [_endpoint_fields(endpoint) for endpoint in endpoints])
         case ConfigBlob(version, data):
             return (Tag.CONFIG, version, data)
         case ConfigDelta(base, version, crc, steps):
@@ -149,14 +150,16 @@
         case Pull(version):
             return (Tag.PULL, version)
         case Strikes(strikes):
-            rows = [(row.fingerprint, row.daemon_id, row.incarnation) for row in strikes]
+            rows = [
+                (strike.fingerprint, strike.daemon_id, strike.incarnation) for strike in strikes
+            ]
             return (Tag.STRIKES, rows)
 
 
 def _result_fields(result: RelayResult) -> tuple[Any, ...]:
     reason = result.reason.value if result.reason else None
     head = (
-        OUTCOMES.index(result.outcome),
+        OUTCOME_CODES.index(result.outcome),
         reason,
         result.reached_upstream,
         result.load,
@@ -169,19 +172,19 @@
     return (*head, response.status, response.headers, response.body)
 
 
-def _message(tag: int, fields: list[Any]) -> HopMessage:
+def _message_from_fields(tag: int, fields: list[Any]) -> HopMessage:
     match tag:
         case Tag.HANDOVER:
-            return _handover(fields)
+            return _handover_from_fields(fields)
         case Tag.RESULT:
-            return Result(HandoverId(fields[0]), _result(fields[1:]))
+            return Result(HandoverId(fields[0]), _result_from_fields(fields[1:]))
         case Tag.HELLO:
             daemon_id, incarnation, version, rows = fields
             return Hello(
                 DaemonId(daemon_id),
                 Incarnation(incarnation),
                 Version(version),
-                tuple(map(_endpoint, rows)),
+                tuple(map(_endpoint_from_fields, rows)),
             )
         case Tag.CANCEL:
             return Cancel(HandoverId(fields[0]))
@@ -190,45 +193,47 @@
         case Tag.PING:
             return Ping(bool(fields[0]), Version(fields[1]))
         case Tag.ENDPOINTS:
-            return Endpoints(tuple(map(_endpoint, fields[0])))
+            return Endpoints(tuple(map(_endpoint_from_fields, fields[0])))
         case Tag.CONFIG:
             return ConfigBlob(Version(fields[0]), fields[1])
         case Tag.CONFIG_DELTA:
-            return _config_delta(fields)
+            return _config_delta_from_fields(fields)
         case Tag.PULL:
             return Pull(Version(fields[0]))
         case Tag.STRIKES:
-            return Strikes(tuple(_strike(row) for row in fields[0]))
+            return Strikes(tuple(_strike_from_fields(strike) for strike in fields[0]))
         case _:
             raise MessageDecodeError(f"unknown hop message tag {tag}")
 
 
-def _handover(fields: list[Any]) -> Handover:
-    number, call_id, route, service, instance, repeat, rank, objective, left = fields[:9]
-    method, target, rows, body = fields[9:]
+def _handover_from_fields(fields: list[Any]) -> Handover:
+    handover_id, call_id, route, service, instance, repeat, rank, objective_time_left, left = (
+        fields[:9]
+    )
+    method, target, headers, body = fields[9:]
     return Handover(
-        HandoverId(number),
+        HandoverId(handover_id),
         CallId(call_id),
         RouteName(route),
         ServiceName(service),
         InstanceId(instance),
-        REPEATS[repeat],
+        REPEAT_CODES[repeat],
         rank,
-        Millis(objective),
+        Millis(objective_time_left),
         Millis(left),
-        RelayRequest(method, target, tuple((name, value) for name, value in rows), body),
+        RelayRequest(method, target, tuple((name, value) for name, value in headers), body),
     )
 
 
-def _result(fields: list[Any]) -> RelayResult:
+def _result_from_fields(fields: list[Any]) -> RelayResult:
     outcome, reason, reached_upstream, load, slots, cost, *rest = fields
     response = None
     if rest:
-        status, rows, body = rest
-        response = RelayResponse(status, tuple((name, value) for name, value in rows), body)
+        status, headers, body = rest
+        response = RelayResponse(status, tuple((name, value) for name, value in headers), body)
     return RelayResult(
-        OUTCOMES[outcome],
-        REASONS[reason] if reason else None,
+        OUTCOME_CODES[outcome],
+        REASON_BY_VALUE[reason] if reason else None,
         response,
         reached_upstream,
         load,
@@ -237,38 +242,40 @@
     )
 
 
-def _config_delta(fields: list[Any]) -> ConfigDelta:
+def _config_delta_from_fields(fields: list[Any]) -> ConfigDelta:
     base, version, crc, packed = fields
-    rows = DECODER.decode(zlib.decompress(packed))
-    steps = tuple(row if isinstance(row, bytes) else (int(row[0]), int(row[1])) for row in rows)
+    encoded_steps = DECODER.decode(zlib.decompress(packed))
+    steps = tuple(
+        step if isinstance(step, bytes) else (int(step[0]), int(step[1])) for step in encoded_steps
+    )
     return ConfigDelta(Version(base), Version(version), crc, steps)
 
 
-def _strike(row: list[Any]) -> Strike:
-    return Strike(Fingerprint(row[0]), DaemonId(row[1]), Incarnation(row[2]))
+def _strike_from_fields(fields: list[Any]) -> Strike:
+    return Strike(Fingerprint(fields[0]), DaemonId(fields[1]), Incarnation(fields[2]))
 
 
-def _endpoint_fields(row: Endpoint) -> tuple[Any, ...]:
+def _endpoint_fields(endpoint: Endpoint) -> tuple[Any, ...]:
     return (
-        row.daemon_id,
-        row.incarnation,
-        row.sequence,
-        row.address,
-        row.region,
-        row.data_centre,
-        row.service,
-        row.instance,
-        row.born,
-        row.state.value,
-        row.slots,
-        int(row.cold),
-        row.leaving,
-        row.reads_log,
-        int(row.log_latency),
+        endpoint.daemon_id,
+        endpoint.incarnation,
+        endpoint.sequence,
+        endpoint.address,
+        endpoint.region,
+        endpoint.data_centre,
+        endpoint.service,
+        endpoint.instance,
+        endpoint.born,
+        endpoint.state.value,
+        endpoint.slots,
+        int(endpoint.cold),
+        endpoint.leaving,
+        endpoint.reads_log,
+        int(endpoint.log_latency),
     )
 
 
-def _endpoint(fields: list[Any]) -> Endpoint:
+def _endpoint_from_fields(fields: list[Any]) -> Endpoint:
     daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
     state, slots, cold, leaving, reads_log, log_latency = fields[9:15]
     for text in (daemon, address, region, centre, service):
@@ -276,7 +283,7 @@
             raise TypeError(f"{text!r} is not a string")
     for number in (incarnation, sequence, born, slots, cold, log_latency):
         if not isinstance(number, int):
-            raise TypeError(f"{number!r} is not a whole number")
+            raise TypeError(f"{number!r} is not an integer")
     return Endpoint(
         DaemonId(daemon),
         Incarnation(incarnation),
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client on tornado's connections, with a pool for each address."""
+"""HTTP/1.1 client on tornado's connections, with a connection pool for each address."""
 
 import asyncio
 import socket
@@ -26,34 +26,34 @@
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
 from agatecross_core.ids import Address, Millis
 
-from .http_fields import end_to_end
+from .http_fields import end_to_end_fields
 
-PARAMETERS = HTTP1ConnectionParameters(
+CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
     no_keep_alive=False,
     max_header_size=MAX_HEAD_BYTES,
     max_body_size=MAX_RESPONSE_BYTES,
 )
 BODILESS_STATUSES = frozenset((204, 304))
-# Without a stated length the server skips the reading of a body and its timer.
+# Without a `Content-Length`, the server skips reading a body and the timer for it.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "DELETE"))
 
 
 class ClientStream(IOStream):
-    """Connection to a server that knows whether a byte of the current request was sent."""
+    """Connection to a server; counts the bytes sent of the current request."""
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
-        self.sent = 0
+        self.sent_bytes = 0
         self.idle_since = 0.0
 
     def write_to_fd(self, data: memoryview) -> int:
-        """Send and count."""
+        """Send data and count the bytes."""
         count = super().write_to_fd(data)
-        self.sent += count
+        self.sent_bytes += count
         return count
 
     def usable(self, now: float) -> bool:
-        """Return whether an idle connection is recent, open and without unexpected data."""
+        """Return whether an idle connection is recent, open and free of unexpected data."""
         if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
             return False
         try:
@@ -62,40 +62,40 @@
             return True
         except OSError:
             return False
-        # Either the server closed the connection or it sent data that belongs to no request.
+        # The server closed the connection or sent data that belongs to no request.
         return False
 
 
 class ResponseCollector(HTTPMessageDelegate):
-    """Collects one response until it is whole."""
+    """Collects one response until it is complete."""
 
     def __init__(self, method: str) -> None:
         self.method = method
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
-        self.whole = False
+        self.complete = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Keep the head; an interim response is replaced by the final one."""
+        """Store the head; that of an interim response is replaced by the final one."""
         assert isinstance(start_line, ResponseStartLine)
         self.status = start_line.code
         self.headers = headers
         bodiless = self.method == "HEAD" or self.status in BODILESS_STATUSES or self.status < 200
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         if not framed and not bodiless:
-            # Such a body ends with the connection, so a truncated one would look whole.
-            raise HTTPInputError("response states no length")
+            # Such a body ends when the connection closes, so a truncated one would look complete.
+            raise HTTPInputError("response without Content-Length or Transfer-Encoding")
 
     def data_received(self, chunk: bytes) -> None:
-        """Keep one part of the body."""
+        """Store one part of the body."""
         self.chunks.append(chunk)
 
     def finish(self) -> None:
-        """Note that the response is whole."""
-        self.whole = True
+        """Mark the response as complete."""
+        self.complete = True
 
 
 class TornadoHttpClient:
@@ -106,16 +106,16 @@
         self.idle: dict[Address, deque[ClientStream]] = {}
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
-        """Return the whole response; raises a subclass of `ExchangeError`."""
+        """Return the complete response; raises a subclass of `ExchangeError`."""
         deadline = time.monotonic() + timeout / 1000
         while stream := self._take_idle(address):
             try:
-                return await self._carry(address, stream, request, deadline)
+                return await self._send_on(address, stream, request, deadline)
             except ConnectFailedError:
                 # The server closed the pooled connection before the first byte was sent.
                 continue
         stream = await self._connect(address, timeout)
-        return await self._carry(address, stream, request, deadline)
+        return await self._send_on(address, stream, request, deadline)
 
     def _take_idle(self, address: Address) -> ClientStream | None:
         idle = self.idle.get(address)
@@ -132,8 +132,8 @@
         limit = min(timeout, CONNECT_TIMEOUT) / 1000
         stream: ClientStream | None = None
         try:
-            stream = ClientStream(socket.socket(_family(host)))
-            # `wait_for` loses a cancellation that comes as the connection opens.
+            stream = ClientStream(socket.socket(_address_family(host)))
+            # `wait_for` would lose a cancellation that arrives as the connection opens.
             async with asyncio.timeout(limit):
                 await stream.connect((host.strip("[]"), int(port)))
         except (OSError, TimeoutError, StreamClosedError) as error:
@@ -143,10 +143,10 @@
         stream.set_nodelay(True)
         return stream
 
-    async def _carry(
+    async def _send_on(
         self, address: Address, stream: ClientStream, request: Request, deadline: float
     ) -> Response:
-        stream.sent = 0
+        stream.sent_bytes = 0
         keep = False
         try:
             async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
@@ -155,17 +155,19 @@
         except TimeoutError as error:
             raise ExchangeTimeoutError(address, "no complete response in time") from error
         except ConnectionLostError as error:
-            if not stream.sent:
-                raise ConnectFailedError(address, "closed before a byte was sent") from error
+            if not stream.sent_bytes:
+                raise ConnectFailedError(
+                    address, "connection closed before a byte was sent"
+                ) from error
             raise
         finally:
-            # A connection whose response was not read to its end could deliver it to a later call.
+            # If the response was not read completely, its rest could reach a later request.
             self._release(address, stream, keep)
 
     async def _exchange(
         self, address: Address, stream: ClientStream, request: Request
     ) -> tuple[Response, bool]:
-        connection = HTTP1Connection(stream, True, PARAMETERS)
+        connection = HTTP1Connection(stream, True, CONNECTION_PARAMETERS)
         headers = HTTPHeaders()
         for name, value in request.headers:
             headers.add(name, value)
@@ -181,10 +183,10 @@
             await connection.read_response(collector)
         except StreamClosedError as error:
             raise ConnectionLostError(address, "connection closed") from error
-        if not collector.whole:
-            raise ConnectionLostError(address, "response is not complete")
+        if not collector.complete:
+            raise ConnectionLostError(address, "incomplete response")
         keep = collector.headers.get("Connection", "").lower() != "close"
-        fields = end_to_end(collector.headers)
+        fields = end_to_end_fields(collector.headers)
         return Response(collector.status, fields, b"".join(collector.chunks)), keep
 
     def _release(self, address: Address, stream: ClientStream, keep: bool) -> None:
@@ -203,5 +205,5 @@
         self.idle.clear()
 
 
-def _family(host: str) -> socket.AddressFamily:
+def _address_family(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -1,4 +1,4 @@
-"""Which header fields belong to one connection only."""
+"""Separates hop-by-hop header fields, and normalizes request targets."""
 
 import re
 
@@ -6,8 +6,8 @@
 
 from agatecross_core.calls.model import Headers
 
-# In the normal form of tornado's `HTTPHeaders`.
-HOP_FIELDS = frozenset(
+# Normalized as by tornado's `HTTPHeaders`.
+HOP_BY_HOP_FIELDS = frozenset(
     (
         "Connection",
         "Keep-Alive",
@@ -21,27 +21,32 @@
     )
 )
 
-ABSOLUTE_FORM = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
+ABSOLUTE_FORM_PATTERN = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
 
 
-def end_to_end(headers: HTTPHeaders) -> Headers:
-    """Return the fields without those of the connection and those that `Connection` names."""
+def end_to_end_fields(headers: HTTPHeaders) -> Headers:
+    """Drop the hop-by-hop fields, including those that `Connection` lists."""
     named = headers.get("Connection", "").lower()
     if named in ("", "close", "keep-alive"):
-        return tuple(row for row in headers.get_all() if row[0] not in HOP_FIELDS)
+        return tuple(field for field in headers.get_all() if field[0] not in HOP_BY_HOP_FIELDS)
     extra = {name.strip() for name in named.split(",")}
-    rows = headers.get_all()
-    return tuple(row for row in rows if row[0] not in HOP_FIELDS and row[0].lower() not in extra)
+    fields = headers.get_all()
+    return tuple(
+        field
+        for field in fields
+        if field[0] not in HOP_BY_HOP_FIELDS and field[0].lower() not in extra
+    )
 
 
-def origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
-    """Return path and headers of a request whose target may be `http://host/path`.
+def to_origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
+    """Return path and headers of a request whose target may be in absolute form.
 
-    The host of such a target replaces the one of the header, as RFC 9112, section 3.2.2, demands.
+    The host of an absolute form, `http://host/path`, replaces the one in the `Host` header, as
+    RFC 9112, section 3.2.2, requires.
     """
     if target.startswith("/"):
         return target, headers
-    match = ABSOLUTE_FORM.fullmatch(target)
+    match = ABSOLUTE_FORM_PATTERN.fullmatch(target)
     if match is None:
         return target, headers
     host, path = match.groups()
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -1,4 +1,4 @@
-"""Connections of requesters on tornado's streams, closed so that the last answer arrives."""
+"""Server connections on tornado's streams, closed so that the last response is delivered."""
 
 import asyncio
 import fcntl
@@ -12,81 +12,81 @@
 
 from agatecross_core.ids import Millis
 
-DISCARD_BYTES = 65_536
+DISCARD_CHUNK_BYTES = 65_536
 
 
 class LingeringClose:
-    """Closes sockets so that the last answer arrives.
+    """Closes sockets so that the last response is delivered.
 
-    A socket that closes with unread bytes, or gets some afterwards, sends a reset, and its peer may
-    lose what it has not read yet. So only the sending side closes at first, and the rest once the
-    peer has closed or `timeout` passed.
+    A socket that is closed with unread data, or that receives data afterwards, sends a reset, and
+    its peer may lose what it has not read yet. So only the sending side is shut down at first, and
+    the socket is closed once the peer has closed or `timeout` has passed.
     """
 
     def __init__(self, timeout: Millis) -> None:
         self.timeout = timeout
-        self.open: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def close(self, sock: socket.socket) -> None:
-        """Close the sending side, and the socket when its peer has closed."""
+        """Shut down the sending side, and close the socket once its peer has closed."""
         try:
             sock.shutdown(socket.SHUT_WR)
         except OSError:
-            # The peer reset the connection, or its own end came first.
+            # The peer reset or closed the connection first.
             sock.close()
             return
-        task = asyncio.ensure_future(self._discard(sock))
-        self.open.add(task)
-        task.add_done_callback(self.open.discard)
+        task = asyncio.ensure_future(self._discard_until_closed(sock))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    async def closed(self) -> None:
-        """Return when every socket is closed."""
-        while self.open:
-            await asyncio.wait(self.open)
+    async def wait_closed(self) -> None:
+        """Wait until every socket is closed."""
+        while self.tasks:
+            await asyncio.wait(self.tasks)
 
-    async def _discard(self, sock: socket.socket) -> None:
+    async def _discard_until_closed(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         with sock:
             try:
                 async with asyncio.timeout(self.timeout / 1000):
-                    while await loop.sock_recv(sock, DISCARD_BYTES):
+                    while await loop.sock_recv(sock, DISCARD_CHUNK_BYTES):
                         pass
             except (OSError, TimeoutError):
-                # The peer reset the connection or keeps it open; neither waits for this answer.
+                # The peer reset the connection or keeps it open; it does not wait for the response.
                 return
 
 
 class ServerStream(IOStream):
-    """Connection of a requester."""
+    """Connection of a client to this server."""
 
-    # Set once an answer told the requester that the connection ends.
-    ending = False
-    # Set when the connection closes between requests.
-    idle = False
-    # Set once a request came; who has just connected is about to send one.
-    used = False
+    # Set once a response has announced that the connection closes after it.
+    close_announced = False
+    # Set when the connection is closed between requests.
+    closed_while_idle = False
+    # Set once a request has arrived; a client that has just connected is about to send one.
+    had_request = False
 
     def __init__(
         self,
         sock: socket.socket,
         close_socket: Callable[[socket.socket], None],
-        closed: Callable[["ServerStream"], None],
+        notify_closed: Callable[["ServerStream"], None],
     ) -> None:
         super().__init__(sock)
         self.close_socket = close_socket
-        self.notify_closed = closed
+        self.notify_closed = notify_closed
 
     def close_fd(self) -> None:
-        """Give up the socket; called once, when the stream closes."""
+        """Hand over the socket to be closed; called once, when the stream closes."""
         sock, self.socket = self.socket, None  # type: ignore[assignment]
-        if self.idle and delivered(sock):
+        if self.closed_while_idle and all_acknowledged(sock):
             sock.close()
         else:
             self.close_socket(sock)
         self.notify_closed(self)
 
-    def unread(self) -> bool:
-        """Return whether bytes arrived that belong to no whole request."""
+    def has_unread(self) -> bool:
+        """Return whether data has arrived that does not belong to a complete request."""
         if self.closed():
             return False
         if self._read_buffer_size:
@@ -97,8 +97,8 @@
             return False
 
 
-def delivered(sock: socket.socket) -> bool:
-    """Return whether the peer has acknowledged every byte."""
+def all_acknowledged(sock: socket.socket) -> bool:
+    """Return whether the peer has acknowledged all sent data."""
     return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
 
 
@@ -111,8 +111,8 @@
 class StreamServer(HTTPServer):
     """Serves each connection through a `ServerStream`."""
 
-    connected: Callable[[socket.socket], ServerStream]
+    open_stream: Callable[[socket.socket], ServerStream]
 
     def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
-        """Start to serve a connection."""
-        super().handle_stream(self.connected(stream.socket), address)
+        """Start serving a connection."""
+        super().handle_stream(self.open_stream(stream.socket), address)
--- a/packages/agatecross-adapters/agatecross_adapters/wire.py
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -1,4 +1,4 @@
-"""Positional forms of the core's dataclasses, so that messages carry no field names."""
+"""Positional encoding of the core's dataclasses, so that messages carry no field names."""
 
 import dataclasses
 import functools
@@ -12,25 +12,25 @@
 
 from agatecross_core.ids import Address, Incarnation, Millis, Offset, Version
 
-# Peers increase incarnations and versions, so a larger one could not be encoded any more.
+# Peers increment incarnations and versions; an unbounded one could grow too large to encode.
 MAX_COUNTER: Final = 2**53
-COUNTER: Final = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
-CHECKED: Final[Mapping[Any, Any]] = {
+COUNTER_TYPE: Final = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+WIRE_TYPES: Final[Mapping[Any, Any]] = {
     Address: Annotated[str, msgspec.Meta(pattern=r"^[^\s/]+:[0-9]{1,5}$")],
-    Incarnation: COUNTER,
-    Version: COUNTER,
-    Offset: COUNTER,
+    Incarnation: COUNTER_TYPE,
+    Version: COUNTER_TYPE,
+    Offset: COUNTER_TYPE,
     Millis: float,
     int: Annotated[int, msgspec.Meta(ge=-MAX_COUNTER, le=MAX_COUNTER)],
 }
 
 
 @functools.cache
-def wire_struct(kind: type) -> type[msgspec.Struct]:
-    """Return the positional form of a dataclass."""
-    hints = get_type_hints(kind)
-    fields = [_field(field, hints[field.name]) for field in dataclasses.fields(kind)]
-    return msgspec.defstruct(kind.__name__, fields, array_like=True, frozen=True)
+def wire_struct(message_type: type) -> type[msgspec.Struct]:
+    """Return the positional struct type of a dataclass."""
+    hints = get_type_hints(message_type)
+    fields = [_field(field, hints[field.name]) for field in dataclasses.fields(message_type)]
+    return msgspec.defstruct(message_type.__name__, fields, array_like=True, frozen=True)
 
 
 def _field(field: "dataclasses.Field[object]", hint: object) -> Any:
@@ -40,9 +40,9 @@
 
 
 def wire_type(hint: Any) -> Any:
-    """Return the type by which a field of this type is encoded."""
-    if hint in CHECKED:
-        return CHECKED[hint]
+    """Return the type as which a field with this type hint is encoded."""
+    if hint in WIRE_TYPES:
+        return WIRE_TYPES[hint]
     if isinstance(hint, type) and dataclasses.is_dataclass(hint):
         return wire_struct(hint)
     if get_origin(hint) in (Union, types.UnionType):
@@ -54,12 +54,12 @@
 
 
 def to_wire(message: Any) -> msgspec.Struct:
-    """Return the positional form of a message."""
-    kind: Any = type(message)
-    return msgspec.convert(message, wire_struct(kind), from_attributes=True)
+    """Convert a message to its positional struct."""
+    message_type: Any = type(message)
+    return msgspec.convert(message, wire_struct(message_type), from_attributes=True)
 
 
-def from_wire(data: bytes | msgspec.Raw, kind: type) -> Any:
+def from_wire(data: bytes | msgspec.Raw, message_type: type) -> Any:
     """Decode a positional message into its dataclass; raises `msgspec.MsgspecError`."""
-    struct = msgspec.msgpack.decode(data, type=wire_struct(kind))
-    return msgspec.convert(struct, kind, from_attributes=True)
+    struct = msgspec.msgpack.decode(data, type=wire_struct(message_type))
+    return msgspec.convert(struct, message_type, from_attributes=True)
