--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -140,7 +140,7 @@
     async def work():
         peers = mini.sidecars[listener].peers
         delay(peers.links[f"d{speaker}"].connection)
-        for connection, row in peers.inbound.rows.items():
+        for connection, row in peers.inbound.connections.items():
             if row.daemon_id == f"d{speaker}":
                 delay(connection)
 
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -120,7 +120,7 @@
         if "store" in changed:
             self.front_end.store_moved(settings.store)
         if "retries" in changed:
-            self.entry.budgets_changed(budget_factory(settings))
+            self.entry.reset_budgets(budget_factory(settings))
         taken = {name: getattr(settings, name) for name in RELOADABLE}
         self.settings = replace(self.settings, **taken)
         self.log.change(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -19,8 +19,8 @@
 from .quarantine_driver import LiftAsk, ListAsk
 from .upstream_task import UpstreamAnnounced
 
-PREFIX = "/agatecross/v1"
-QUARANTINE = f"{PREFIX}/quarantine"
+PATH_PREFIX = "/agatecross/v1"
+QUARANTINE_PATH = f"{PATH_PREFIX}/quarantine"
 
 AdminMessage = ConfigInForce | ViewChanged | Leaving
 
@@ -50,7 +50,7 @@
         upstream: Sender[UpstreamAnnounced],
         traffic: TrafficCount,
         quarantine: Sender[ListAsk | LiftAsk],
-        collect: Callable[[], bytes],
+        collect_metrics: Callable[[], bytes],
     ) -> None:
         self.address = address
         self.me = me
@@ -58,23 +58,23 @@
         self.upstream = upstream
         self.traffic = traffic
         self.quarantine = quarantine
-        self.collect = collect
+        self.collect_metrics = collect_metrics
         self.mailbox = mailbox
         self.state = DaemonState.STARTING
         self.version = NO_VERSION
         self.digest = NO_DIGEST
         self.view = FleetView()
-        self.answers: dict[tuple[str, str], Callable[[Request], Response]] = {
-            ("GET", f"{PREFIX}/status"): self._status,
-            ("GET", f"{PREFIX}/members"): self._members,
-            ("GET", f"{PREFIX}/ready"): self._ready,
-            ("GET", f"{PREFIX}/metrics"): self._metrics,
-            ("PUT", f"{PREFIX}/upstream"): self._announce,
+        self.handlers: dict[tuple[str, str], Callable[[Request], Response]] = {
+            ("GET", f"{PATH_PREFIX}/status"): self._status,
+            ("GET", f"{PATH_PREFIX}/members"): self._members,
+            ("GET", f"{PATH_PREFIX}/ready"): self._ready,
+            ("GET", f"{PATH_PREFIX}/metrics"): self._metrics,
+            ("PUT", f"{PATH_PREFIX}/upstream"): self._handle_announcement,
         }
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.listener.listen(self.address, self._request)
+        self.listener.listen(self.address, self._handle_request)
         while True:
             match await self.mailbox.get():
                 case ConfigInForce(snapshot):
@@ -90,26 +90,26 @@
         """Return when every request that has begun to arrive is answered."""
         await self.listener.close()
 
-    async def _request(self, request: Request) -> Response:
+    async def _handle_request(self, request: Request) -> Response:
         path = request.path.split("?", 1)[0]
-        if request.method == "GET" and path == QUARANTINE:
+        if request.method == "GET" and path == QUARANTINE_PATH:
             return await self._list_quarantine()
-        if request.method == "DELETE" and path.startswith(f"{QUARANTINE}/"):
-            return await self._lift(Fingerprint(path.removeprefix(f"{QUARANTINE}/")))
-        answer = self.answers.get((request.method, path))
-        return answer(request) if answer else _json(404, {"error": "no such page"})
+        if request.method == "DELETE" and path.startswith(f"{QUARANTINE_PATH}/"):
+            return await self._lift(Fingerprint(path.removeprefix(f"{QUARANTINE_PATH}/")))
+        answer = self.handlers.get((request.method, path))
+        return answer(request) if answer else _json_response(404, {"error": "no such page"})
 
     async def _list_quarantine(self) -> Response:
         ask: ListAsk = new_ask(ListQuarantine())
         self.quarantine.put(ask)
-        return _json(200, await ask.reply)
+        return _json_response(200, await ask.reply)
 
     async def _lift(self, fingerprint: Fingerprint) -> Response:
         ask: LiftAsk = new_ask(LiftQuarantine(fingerprint))
         self.quarantine.put(ask)
         if await ask.reply:
-            return _json(200, {"lifted": fingerprint})
-        return _json(404, {"error": "no such fingerprint"})
+            return _json_response(200, {"lifted": fingerprint})
+        return _json_response(404, {"error": "no such fingerprint"})
 
     def _status(self, request: Request) -> Response:
         del request
@@ -122,29 +122,29 @@
             self.traffic.sent_bytes,
             self.traffic.received_bytes,
         )
-        return _json(200, status)
+        return _json_response(200, status)
 
     def _members(self, request: Request) -> Response:
         del request
-        return _json(200, tuple(self.view.members.values()))
+        return _json_response(200, tuple(self.view.members.values()))
 
     def _ready(self, request: Request) -> Response:
         del request
         ready = self.state is DaemonState.READY and not self.view.stale
-        return _json(200 if ready else 503, {"state": self.state.value})
+        return _json_response(200 if ready else 503, {"state": self.state.value})
 
     def _metrics(self, request: Request) -> Response:
         del request
-        return Response(200, (("Content-Type", "application/json"),), self.collect())
+        return Response(200, (("Content-Type", "application/json"),), self.collect_metrics())
 
-    def _announce(self, request: Request) -> Response:
+    def _handle_announcement(self, request: Request) -> Response:
         try:
             info = msgspec.json.decode(request.body, type=UpstreamInfo)
         except msgspec.MsgspecError as error:
-            return _json(400, {"error": str(error)})
+            return _json_response(400, {"error": str(error)})
         self.upstream.put(UpstreamAnnounced(info))
-        return _json(200, {"daemon_id": self.me.daemon_id})
+        return _json_response(200, {"daemon_id": self.me.daemon_id})
 
 
-def _json(status: int, body: object) -> Response:
+def _json_response(status: int, body: object) -> Response:
     return Response(status, (("Content-Type", "application/json"),), msgspec.json.encode(body))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -64,15 +64,17 @@
         cancelled = True
         try:
             if target.daemon_id == self.daemon_id:
-                result = await self._run_here(attempt.call)
+                result = await self._run_locally(attempt.call)
             else:
-                result, load = await self._send(target.peer_address, attempt.call)
+                result, load = await self._send_to_peer(target.peer_address, attempt.call)
             cancelled = False
             return result
         finally:
             now = monotonic()
             took = Millis(now - started)
-            self.balancer.ended(_ended(target.daemon_id, took, result, load, cancelled), now)
+            self.balancer.ended(
+                _attempt_ended(target.daemon_id, took, result, load, cancelled), now
+            )
 
     async def _perform(
         self, action: FlowAction, running: set[asyncio.Task[CallResult]]
@@ -93,12 +95,14 @@
         running.discard(task)
         return task.result()
 
-    async def _run_here(self, call: Call) -> CallResult:
+    async def _run_locally(self, call: Call) -> CallResult:
         ask: CallAsk = new_ask(call)
         self.upstream.put(ask)
         return await ask.reply
 
-    async def _send(self, peer: Address, call: Call) -> tuple[CallResult, ReportedLoad | None]:
+    async def _send_to_peer(
+        self, peer: Address, call: Call
+    ) -> tuple[CallResult, ReportedLoad | None]:
         now = monotonic()
         left = Millis(max(1.0, call.deadline - now))
         try:
@@ -108,7 +112,7 @@
         return decode_result(response), decode_load(response)
 
 
-def _ended(
+def _attempt_ended(
     daemon_id: DaemonId,
     took: Millis,
     result: CallResult,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -68,11 +68,11 @@
         self.view = FleetView()
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.in_flight = 0
-        self.keyed: set[asyncio.Task[CallResult]] = set()
+        self.keyed_calls: set[asyncio.Task[CallResult]] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.listener.listen(self.address, self._caller_request)
+        self.listener.listen(self.address, self._handle_caller_request)
         try:
             while True:
                 self._handle(await self.mailbox.get())
@@ -95,19 +95,19 @@
     async def drained(self) -> None:
         """Return when no call is in flight and every response was written."""
         await self.listener.close()
-        while self.keyed:
-            await asyncio.wait(self.keyed)
+        while self.keyed_calls:
+            await asyncio.wait(self.keyed_calls)
 
-    async def _caller_request(self, request: Request) -> Response:
+    async def _handle_caller_request(self, request: Request) -> Response:
         if self.in_flight >= MAX_CALLS_IN_FLIGHT:
             return encode_result(not_run(Reason.TOO_MANY_CALLS))
         self.in_flight += 1
         try:
-            return encode_result(await self._carry(request))
+            return encode_result(await self._route_call(request))
         finally:
             self.in_flight -= 1
 
-    async def _carry(self, request: Request) -> CallResult:
+    async def _route_call(self, request: Request) -> CallResult:
         site = self.snapshot.sites.get(self.data_centre) if self.snapshot else None
         if site is None:
             return not_run(Reason.NO_CONFIGURATION)
@@ -122,16 +122,16 @@
         if self.quarantine.quarantined(fingerprint):
             return not_run(Reason.QUARANTINED)
         if call.key is None or call.idempotent:
-            return await self._drive(call, policy, fingerprint)
+            return await self._run_attempts(call, policy, fingerprint)
         if len(call.key) > MAX_KEY_LENGTH:
             return not_run(Reason.BAD_REQUEST)
         # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
-        task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key, fingerprint))
-        self.keyed.add(task)
-        task.add_done_callback(self.keyed.discard)
+        task = asyncio.ensure_future(self._claim_and_run(call, policy, call.key, fingerprint))
+        self.keyed_calls.add(task)
+        task.add_done_callback(self.keyed_calls.discard)
         return await asyncio.shield(task)
 
-    async def _claim_and_drive(
+    async def _claim_and_run(
         self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
         scoped = IdempotencyKey(f"{call.service}/{key}")
@@ -142,19 +142,19 @@
             return granted
         result = unknown(Reason.CONNECTION_LOST)
         try:
-            result = await self._drive(call, policy, fingerprint)
+            result = await self._run_attempts(call, policy, fingerprint)
             return result
         finally:
             self.claims.put(CallFinished(granted.claim_id, result))
 
-    async def _drive(
+    async def _run_attempts(
         self, call: Call, policy: ServicePolicy, fingerprint: Fingerprint
     ) -> CallResult:
         budget = self.budgets.setdefault(policy.name, RetryBudget(policy.retry_ratio))
-        chooser = self.quarantine.restrict(fingerprint, call.request.path, self._choose)
+        chooser = self.quarantine.restrict_chooser(fingerprint, call.request.path, self._choose)
         result = await self.driver.drive(run_call(call, policy, chooser, budget))
         if result.outcome is Outcome.RAN:
-            self.quarantine.completed(fingerprint)
+            self.quarantine.clear_fingerprint(fingerprint)
         elif result.outcome is Outcome.NOT_RUN and self.quarantine.quarantined(fingerprint):
             result = not_run(Reason.QUARANTINED)
         self._log_failure(call, result)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -49,8 +49,8 @@
 from .control_task import ControlAsk, ReceivedAsk, send_control
 from .subtasks import Subtasks
 
-ACTIVE_SECONDS = CLAIM_BATCH_WAIT / 1000
-IDLE_SECONDS = 1.0
+ACTIVE_WAIT_SECONDS = CLAIM_BATCH_WAIT / 1000
+IDLE_WAIT_SECONDS = 1.0
 
 ClaimAsk = Ask[Submit, Grant | CallResult]
 ClaimsMessage = ClaimAsk | ReceivedAsk | ClaimsInput
@@ -77,12 +77,12 @@
         """Serve until cancelled."""
         try:
             while True:
-                self._handle(await self._next())
+                self._handle(await self._next_message())
         finally:
             self.subtasks.cancel()
 
-    async def _next(self) -> ClaimsMessage:
-        seconds = ACTIVE_SECONDS if self.decider.active() else IDLE_SECONDS
+    async def _next_message(self) -> ClaimsMessage:
+        seconds = ACTIVE_WAIT_SECONDS if self.decider.active() else IDLE_WAIT_SECONDS
         try:
             async with asyncio.timeout(seconds):
                 return await self.mailbox.get()
@@ -91,32 +91,32 @@
 
     def _handle(self, message: ClaimsMessage) -> None:
         if not isinstance(message, Ask):
-            self._act(self.decider.handle(message, monotonic()))
+            self._execute_actions(self.decider.handle(message, monotonic()))
         elif isinstance(message.question, Submit):
             submit = message.question
             self.asks[submit.call_id] = message
-            self._act(self.decider.handle(submit, monotonic()))
+            self._execute_actions(self.decider.handle(submit, monotonic()))
         else:
             request = message.question.message
             assert isinstance(request, OutcomeRequest)
             message.answer(self.decider.reply(request))
 
-    def _act(self, actions: Iterable[ClaimsAction]) -> None:
+    def _execute_actions(self, actions: Iterable[ClaimsAction]) -> None:
         for action in actions:
             match action:
                 case AppendBatch(batch):
-                    self.subtasks.start(self._append(batch))
+                    self.subtasks.start(self._append_batch(batch))
                 case ReadClaims(start):
-                    self.subtasks.start(self._read(start))
+                    self.subtasks.start(self._read_claims(start))
                 case Grant(call_id):
                     self.asks.pop(call_id).answer(action)
                 case Answer(call_id, result):
                     self.asks.pop(call_id).answer(result)
                 case AskHolder():
-                    self.subtasks.start(self._ask(action))
+                    self.subtasks.start(self._ask_holder(action))
 
-    async def _append(self, batch: ClaimsBatch) -> None:
-        record = replace(batch, at_ms=_wall_ms())
+    async def _append_batch(self, batch: ClaimsBatch) -> None:
+        record = replace(batch, at_ms=_wall_clock_ms())
         try:
             offset = await self.log.append(CLAIMS_STREAM, encode_record(record))
         except LogUnavailableError as error:
@@ -128,7 +128,7 @@
         else:
             self.mailbox.put(BatchAppended(AppendState.LANDED, offset))
 
-    async def _read(self, start: Offset) -> None:
+    async def _read_claims(self, start: Offset) -> None:
         try:
             page = await self.log.read(CLAIMS_STREAM, start, CLAIMS_PAGE_RECORDS, Millis(0))
         except LogError as error:
@@ -136,15 +136,15 @@
             self.mailbox.put(ReadFailed())
             return
         records = tuple(_decode_page(page))
-        self.mailbox.put(ClaimsRead(records, page.first, page.end, _wall_ms()))
+        self.mailbox.put(ClaimsRead(records, page.first, page.end, _wall_clock_ms()))
 
-    async def _ask(self, action: AskHolder) -> None:
+    async def _ask_holder(self, action: AskHolder) -> None:
         answer = await send_control(self.control, action.holder, action.request, OUTCOME_TIMEOUT)
         reply = answer if isinstance(answer, OutcomeReply) else None
         self.mailbox.put(HolderAnswered(action.call_id, action.request.claim_id, reply))
 
 
-def _wall_ms() -> int:
+def _wall_clock_ms() -> int:
     return int(time.time() * 1000)
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -18,10 +18,10 @@
 # configuration crosses the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
 
-Answer = Callable[[HopMessage], None]
+ReplySender = Callable[[HopMessage], None]
 
 
-class ConfigSpread:
+class ConfigDistributor:
     """Pushes what came into force, and pulls what peers have and this daemon lacks."""
 
     def __init__(
@@ -41,7 +41,7 @@
         self.pulled_at = Millis(0)
         self.behind_since: Millis | None = None
 
-    def changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
+    def config_changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
         """Take a configuration that came into force, and push it to the daemons fed from here."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         self.behind_since = None
@@ -55,35 +55,35 @@
             if link is not None and link.connection is not None:
                 link.connection.send(frame)
 
-    def received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
+    def config_received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
         """Pass on what a peer sent, if it is newer."""
         if message.version <= self.version:
             return
-        origin = self._origin(peer)
+        origin = self._origin_of(peer)
         if isinstance(message, ConfigDelta):
             self.source.put(DeltaReceived(message, origin))
         else:
             self.source.put(ConfigReceived(message.version, message.data, origin))
 
-    def pulled(self, version: Version, answer: Answer) -> None:
+    def answer_pull(self, version: Version, send_reply: ReplySender) -> None:
         """Answer a peer that has `version`, with a difference where it fits."""
         if self.delta is not None and self.delta.base == version:
-            answer(self.delta)
+            send_reply(self.delta)
         elif self.version > version:
-            answer(ConfigBlob(self.version, self.blob))
+            send_reply(ConfigBlob(self.version, self.blob))
 
-    def peer_has(
-        self, version: Version, answer: Answer, peer: DaemonId | None, now: Millis
+    def pull_if_newer(
+        self, version: Version, send_reply: ReplySender, peer: DaemonId | None, now: Millis
     ) -> None:
         """Pull a newer version from a peer; from another region only when no push came."""
         if version <= self.version or now - self.pulled_at < PULL_PERIOD:
             return
         if self.behind_since is None:
             self.behind_since = now
-        near = self._origin(peer) is ConfigOrigin.REGION
+        near = self._origin_of(peer) is ConfigOrigin.REGION
         if near or now - self.behind_since > REMOTE_PULL_DELAY:
             self.pulled_at = now
-            answer(Pull(self.version))
+            send_reply(Pull(self.version))
 
     def pull_from_region(self, version: Version) -> None:
         """Ask the first reachable daemon of the region for a whole configuration."""
@@ -95,7 +95,7 @@
                 return
         self.log.change("config_not_pulled", version=version, reason="no open link in the region")
 
-    def _origin(self, peer: DaemonId | None) -> ConfigOrigin:
+    def _origin_of(self, peer: DaemonId | None) -> ConfigOrigin:
         row = self.directory.rows.get(peer) if peer is not None else None
         near = row is not None and row.region == self.directory.me.region
         return ConfigOrigin.REGION if near else ConfigOrigin.OTHER_REGION
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -88,21 +88,21 @@
         now = monotonic()
         match message:
             case Tick():
-                self._act(self.follower.tick(now))
+                self._execute_actions(self.follower.tick(now))
             case ViewChanged(view):
                 self.follower.view_changed(tuple(view.members.values()))
             case PeerVersion():
-                self._act(self.follower.peer_version(message, now))
+                self._execute_actions(self.follower.peer_version(message, now))
             case RecordsRead():
-                self._act(self.follower.records_read(message, now))
+                self._execute_actions(self.follower.records_read(message, now))
             case ReadFailed():
                 self.follower.read_failed(now)
             case PullAnswered():
-                self._act(self.follower.pull_answered(message, now))
+                self._execute_actions(self.follower.pull_answered(message, now))
             case _:
-                self._received(message, now)
+                self._handle_request(message, now)
 
-    def _received(self, ask: ReceivedAsk, now: Millis) -> None:
+    def _handle_request(self, ask: ReceivedAsk, now: Millis) -> None:
         message = ask.question.message
         state = self.follower.state
         if isinstance(message, PullRequest):
@@ -110,9 +110,9 @@
         elif isinstance(message, VersionNotice):
             ask.answer(NoticeAck(state.version, state.digest))
             heard = PeerVersion(message.sender, message.version, message.digest)
-            self._act(self.follower.peer_version(heard, now))
+            self._execute_actions(self.follower.peer_version(heard, now))
 
-    def _act(self, actions: Iterable[FollowerAction]) -> None:
+    def _execute_actions(self, actions: Iterable[FollowerAction]) -> None:
         for action in actions:
             match action:
                 case PutInForce(snapshot):
@@ -124,17 +124,17 @@
                 case ReportCondition(condition, values):
                     log_warning(condition.value, **dict(values))
                 case ReadLog():
-                    self.subtasks.start(self._read(action))
+                    self.subtasks.start(self._read_log(action))
                 case PullFrom():
-                    self.subtasks.start(self._pull(action))
+                    self.subtasks.start(self._pull_from_peer(action))
                 case NotifyPeers(peers, version, digest):
                     notice = VersionNotice(self.follower.me, version, digest)
                     for peer in peers:
-                        self.subtasks.start(self._notify(peer, notice))
+                        self.subtasks.start(self._notify_peer(peer, notice))
                 case WriteSnapshot(record):
                     self.subtasks.start(self._write_snapshot(record))
 
-    async def _read(self, action: ReadLog) -> None:
+    async def _read_log(self, action: ReadLog) -> None:
         try:
             page = await self.log.read(CONFIG_STREAM, action.start, LOG_PAGE_RECORDS, action.wait)
         except LogError as error:
@@ -143,13 +143,13 @@
             return
         self.mailbox.put(decode_page(page, time.time() * 1000))
 
-    async def _pull(self, action: PullFrom) -> None:
+    async def _pull_from_peer(self, action: PullFrom) -> None:
         peer = action.peer.control_address
         reply = await send_control(self.control, peer, action.request, PULL_TIMEOUT)
         pulled = reply if isinstance(reply, PullReply) else None
         self.mailbox.put(PullAnswered(action.pull_id, pulled))
 
-    async def _notify(self, peer: Member, notice: VersionNotice) -> None:
+    async def _notify_peer(self, peer: Member, notice: VersionNotice) -> None:
         reply = await send_control(self.control, peer.control_address, notice, PROBE_TIMEOUT)
         if isinstance(reply, NoticeAck):
             self.mailbox.put(PeerVersion(peer, reply.version, reply.digest))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -33,7 +33,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        await self.transport.listen(self.address, self._received)
+        await self.transport.listen(self.address, self._handle_request)
         try:
             while True:
                 ask = await self.mailbox.get()
@@ -44,13 +44,15 @@
             await self.transport.close()
 
     async def _send(self, ask: ControlAsk) -> None:
-        wanted = ask.question
+        outgoing = ask.question
         try:
-            ask.answer(await self.transport.request(wanted.peer, wanted.message, wanted.timeout))
+            ask.answer(
+                await self.transport.request(outgoing.peer, outgoing.message, outgoing.timeout)
+            )
         except PeerError:
             ask.answer(None)
 
-    async def _received(self, message: ControlMessage) -> ControlMessage:
+    async def _handle_request(self, message: ControlMessage) -> ControlMessage:
         receiver = self.receivers.get(type(message))
         if receiver is None:
             raise PeerError(self.address, f"{type(message).__name__} is not a request")
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -31,15 +31,15 @@
     TableInForce,
 )
 from ..relay_metrics import RelayMetrics
-from .relayed_call import CallFacts, RelayedCall
+from .relayed_call import CallContext, RelayedCall
 
 EntryMessage = TableInForce | FleetChanged | StrikesLearnt | DrainPlanned
 HANDOVER_COUNTER_BITS = 40
 # Used when a caller states no time.
-LONGEST_WAIT = Millis(60_000)
+DEFAULT_CALL_TIMEOUT = Millis(60_000)
 # A refused caller returns after a random time, so that a crest does not come back as one.
-RETRY_AFTER_MIN = 0.03
-RETRY_AFTER_MAX = 0.12
+RETRY_AFTER_MIN_SECONDS = 0.03
+RETRY_AFTER_MAX_SECONDS = 0.12
 NOT_FOUND = 404
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -56,7 +56,7 @@
         address: Address,
         names: HeaderNames,
         balancer: NearestBalancer,
-        budget_of: Callable[[], FleetBudget],
+        new_budget: Callable[[], FleetBudget],
         links: Sender[SendTo | CancelAt],
         rng: random.Random,
         log: DecisionLog,
@@ -67,12 +67,12 @@
         self.address = address
         self.names = names
         self.balancer = balancer
-        self.budget_of = budget_of
+        self.new_budget = new_budget
         self.links = links
         self.rng = rng
         self.log = log
         self.metrics = metrics
-        self.listener = CallerListener(self._received)
+        self.listener = CallerListener(self._handle_request)
         self.table: HostTable | None = None
         self.split = WeightedSplit()
         self.fleet: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
@@ -80,20 +80,20 @@
         self.budgets: dict[ServiceName, FleetBudget] = {}
         self.strikes = StrikeTable()
         self.drain: DrainPlan | None = None
-        self.own_fields = frozenset(
+        self.stripped_headers = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
         )
         # Random high bits keep the ids of restarted daemons and of other daemons apart.
         prefix = rng.getrandbits(62 - HANDOVER_COUNTER_BITS) << HANDOVER_COUNTER_BITS
-        self.ids = itertools.count(prefix)
+        self.handover_ids = itertools.count(prefix)
 
     async def start(self) -> None:
         """Start to accept callers."""
         self.address = await self.listener.listen(self.address)
 
-    def budgets_changed(self, budget_of: Callable[[], FleetBudget]) -> None:
+    def reset_budgets(self, new_budget: Callable[[], FleetBudget]) -> None:
         """Start every service's budget again with other settings."""
-        self.budget_of = budget_of
+        self.new_budget = new_budget
         self.budgets.clear()
 
     def _handle(self, message: EntryMessage) -> None:
@@ -110,7 +110,7 @@
                 if self.strikes.strike(strikes, monotonic()):
                     self.log.change("strikes_learnt", fingerprints=len(strikes))
 
-    def _received(self, exchange: Exchange) -> None:
+    def _handle_request(self, exchange: Exchange) -> None:
         table = self.table
         if table is None:
             self._refuse(exchange, UNAVAILABLE, Reason.NO_CONFIGURATION, 0)
@@ -120,18 +120,18 @@
         if route is None:
             self._refuse(exchange, NOT_FOUND, Reason.NO_ROUTE, table.version)
             return
-        facts = self._facts(exchange, route, table.version)
-        if self.drain is not None and not self.drain.admits(monotonic(), facts.deadline):
+        context = self._call_context(exchange, route, table.version)
+        if self.drain is not None and not self.drain.admits(monotonic(), context.deadline):
             self._refuse(exchange, UNAVAILABLE, Reason.LEAVING, table.version)
             return
-        exchange.deadline = facts.deadline
-        service = facts.service
-        if self.strikes.records and self._quarantined(facts):
+        exchange.deadline = context.deadline
+        service = context.service
+        if self.strikes.records and self._is_quarantined(context):
             self._refuse(exchange, UNAVAILABLE, Reason.QUARANTINED, table.version)
             return
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = self.budget_of()
+            budget = self.budgets[service] = self.new_budget()
         budget.first_arrival()
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
@@ -144,11 +144,11 @@
         flow = relay(
             RelayPolicy(route.repeat, route.attempts),
             choose,
-            lambda: Millis(self._last_attempt(facts) - monotonic()),
+            lambda: Millis(self._latest_attempt_start(context) - monotonic()),
             lambda: budget.take(self.daemons, monotonic()),
         )
 
-        def hedge(tried: DaemonId) -> Endpoint | None:
+        def choose_hedge(tried: DaemonId) -> Endpoint | None:
             rows = self.fleet.get(service, ())
             now = monotonic()
             endpoint = self.balancer.choose(rows, (tried,), route.name, now)
@@ -161,19 +161,19 @@
 
         hedged = route.repeat is Repeat.SAFE and route.attempts > 1
         call = RelayedCall(
-            facts,
+            context,
             exchange,
             flow,
-            hedge if hedged else None,
+            choose_hedge if hedged else None,
             self.balancer,
             self.links,
-            self._new_id,
-            self._ended,
+            self._new_handover_id,
+            self._call_ended,
         )
         call.begin()
 
-    def _facts(self, exchange: Exchange, route: HostRoute, version: int) -> CallFacts:
-        stated, call_id = LONGEST_WAIT, b""
+    def _call_context(self, exchange: Exchange, route: HostRoute, version: int) -> CallContext:
+        stated, call_id = DEFAULT_CALL_TIMEOUT, b""
         rows: list[tuple[bytes, bytes]] = []
         names = self.names
         for row in exchange.request.headers:
@@ -182,11 +182,11 @@
                 stated = Millis(int(value))
             if name == names.call_id:
                 call_id = value
-            if name not in self.own_fields:
+            if name not in self.stripped_headers:
                 rows.append(row)
         rows.append((names.caller_service, self.caller_service))
         request = exchange.request
-        return CallFacts(
+        return CallContext(
             CallId(call_id.decode("latin-1")),
             route,
             self.split.pick(route),
@@ -195,22 +195,22 @@
             version,
         )
 
-    def _last_attempt(self, facts: CallFacts) -> Millis:
+    def _latest_attempt_start(self, context: CallContext) -> Millis:
         """Return until when an attempt may start; what starts at the end of a drain is cut."""
-        return facts.deadline if self.drain is None else min(facts.deadline, self.drain.end)
+        return context.deadline if self.drain is None else min(context.deadline, self.drain.end)
 
-    def _quarantined(self, facts: CallFacts) -> bool:
-        fingerprint = relay_fingerprint(facts.service, facts.request)
+    def _is_quarantined(self, context: CallContext) -> bool:
+        fingerprint = relay_fingerprint(context.service, context.request)
         return self.strikes.quarantined(fingerprint, monotonic())
 
-    def _new_id(self) -> HandoverId:
-        return HandoverId(next(self.ids))
+    def _new_handover_id(self) -> HandoverId:
+        return HandoverId(next(self.handover_ids))
 
-    def _ended(self, call: RelayedCall, result: RelayResult) -> None:
-        response = self._response(result)
+    def _call_ended(self, call: RelayedCall, result: RelayResult) -> None:
+        response = self._response_for(result)
         took = monotonic() - call.exchange.arrived
-        route = call.facts.route
-        self.metrics.call_ended(call.facts.service, result, took)
+        route = call.context.route
+        self.metrics.call_ended(call.context.service, result, took)
         failed = (
             result.outcome is not Outcome.RAN
             or call.attempts > 1
@@ -220,18 +220,18 @@
             write = self.log.call_failed if failed else self.log.call_served
             write(
                 "call",
-                call_id=call.facts.call_id,
+                call_id=call.context.call_id,
                 route=route.name,
                 rank=route.rank,
-                service=call.facts.service,
-                version=call.facts.version,
-                upstream=call.last.daemon_id if call.last else "",
-                instance=call.last.instance if call.last else "",
+                service=call.context.service,
+                version=call.context.version,
+                upstream=call.last_sent.daemon_id if call.last_sent else "",
+                instance=call.last_sent.instance if call.last_sent else "",
                 attempts=call.attempts,
                 hedged=call.hedged,
                 outcome=result.outcome.value,
                 reason=result.reason.value if result.reason else "",
-                target=call.facts.request.target.decode("latin-1"),
+                target=call.context.request.target.decode("latin-1"),
                 status=response.status,
                 took_ms=int(took),
             )
@@ -251,7 +251,7 @@
         headers = self._retry_after() if status == UNAVAILABLE else ()
         exchange.respond(RelayResponse(status, headers, b""))
 
-    def _response(self, result: RelayResult) -> RelayResponse:
+    def _response_for(self, result: RelayResult) -> RelayResponse:
         if result.response is not None:
             return result.response
         if result.outcome is Outcome.NOT_RUN:
@@ -261,5 +261,5 @@
         return RelayResponse(BAD_GATEWAY, (), b"")
 
     def _retry_after(self) -> tuple[tuple[bytes, bytes], ...]:
-        seconds = self.rng.uniform(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+        seconds = self.rng.uniform(RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_MAX_SECONDS)
         return ((b"retry-after", b"%.3f" % seconds),)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -61,14 +61,14 @@
 # A starting daemon believes no heartbeat before it knows the drains that it confirmed earlier, or
 # this time passed. The store answers in a few ms; without it, an earlier confirmation of a daemon
 # whose peers are all gone is lost.
-DRAINS_PATIENCE = Millis(1_000)
+DRAINS_READ_TIMEOUT = Millis(1_000)
 TICK_SECONDS = 0.1
 # An upstream that missed this many heartbeats no longer gets calls.
-MISSED_HEARTBEATS = 4
+MISSED_HEARTBEATS_LIMIT = 4
 # A refused connection is tried again after this time, if no heartbeat comes before.
-DOWN_TIME = Millis(1_000)
+UNREACHABLE_BACKOFF = Millis(1_000)
 # A crash resets every connection at once; a refused connection within this time confirms it.
-DEATH_WINDOW = Millis(1_500)
+CRASH_WINDOW = Millis(1_500)
 
 # What a failure after the request was written tells the caller.
 FAILURE_REASONS = {
@@ -107,21 +107,21 @@
         self.mailbox = mailbox
         mailbox.own(self._handle)
         self.announcements = announcements
-        self.lease = Millis(heartbeat_period * MISSED_HEARTBEATS)
+        self.lease = Millis(heartbeat_period * MISSED_HEARTBEATS_LIMIT)
         self.names = names
         self.peers = peers
         self.log = log
         self.queue = SlotQueue()
         self.ledger = Ledger()
         self.calls: dict[HandoverId, ExitCall] = {}
-        self.pool = UpstreamPool(Address(announcements.address), names, self._unreachable)
+        self.pool = UpstreamPool(Address(announcements.address), names, self._on_unreachable)
         self.instance: InstanceId | None = None
         self.state = UpstreamState.STARTING
-        self.down_until = Millis(0)
-        self.cut_off: list[tuple[Millis, Handover]] = []
+        self.unreachable_until = Millis(0)
+        self.lost_calls: list[tuple[Millis, Handover]] = []
         self.started_at = monotonic()
-        self.believing = False
-        self.early: list[Heartbeat] = []
+        self.heartbeats_enabled = False
+        self.early_heartbeats: list[Heartbeat] = []
         self.leave_replies = LeaveReplies()
         self.leaving = False
 
@@ -150,34 +150,34 @@
 
     def refuse_waiting(self) -> None:
         """Refuse the calls that no longer get a slot, as the drain is over."""
-        self._act(self.queue.clear(Reason.LEAVING))
+        self._execute_actions(self.queue.clear(Reason.LEAVING))
 
     def _handle(self, message: ExitMessage) -> None:
         match message:
             case HandOver(handover, reply):
-                self._hand_over(handover, reply)
+                self._handle_handover(handover, reply)
             case CancelHandover(handover_id):
-                self._cancel(handover_id)
+                self._cancel_call(handover_id)
             case ResumeHandover(handover_id, reply):
-                self._resume(handover_id, reply)
+                self._resume_call(handover_id, reply)
             case DrainsLearnt():
-                self._believe()
+                self._enable_heartbeats()
             case HeartbeatReceived(beat):
-                if self.believing:
-                    self._heartbeat(beat)
+                if self.heartbeats_enabled:
+                    self._handle_heartbeat(beat)
                 else:
-                    self.early.append(beat)
+                    self.early_heartbeats.append(beat)
             case DrainKept(instance, born):
                 self.leave_replies.drain_kept((instance, born))
             case LeaveReceived():
-                self._leave(message)
+                self._handle_leave(message)
 
-    def _hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
+    def _handle_handover(self, handover: Handover, reply: ResultReceiver) -> None:
         now = monotonic()
         if not self.ledger.accept(handover.handover_id, now):
-            self._resume(handover.handover_id, reply)
+            self._resume_call(handover.handover_id, reply)
             return
-        reason = self._gate(handover, now)
+        reason = self._refusal_reason(handover, now)
         if reason is not None:
             result = refused(reason, self.queue.load, self.queue.slots)
             self.ledger.finish(handover.handover_id, result)
@@ -187,54 +187,60 @@
         call = ExitCall(handover, deadline, reply)
         self.calls[handover.handover_id] = call
         loop = asyncio.get_running_loop()
-        call.timer = loop.call_later(handover.left / 1000, self._timed_out, handover.handover_id)
+        call.timer = loop.call_later(handover.left / 1000, self._on_deadline, handover.handover_id)
         objective = Millis(now + handover.objective_left)
         waiting = Waiting(handover.handover_id, handover.route, handover.rank, objective, deadline)
-        self._act(self.queue.arrived(waiting, now))
+        self._execute_actions(self.queue.arrived(waiting, now))
 
-    def _gate(self, handover: Handover, now: Millis) -> Reason | None:
+    def _refusal_reason(self, handover: Handover, now: Millis) -> Reason | None:
         if self.leaving or self.state is UpstreamState.DRAINING:
             return Reason.LEAVING
-        if self.instance is None or self.state is not UpstreamState.READY or now < self.down_until:
+        if (
+            self.instance is None
+            or self.state is not UpstreamState.READY
+            or now < self.unreachable_until
+        ):
             return Reason.NO_UPSTREAM
         if handover.instance != self.instance:
             return Reason.WRONG_INSTANCE
         return None
 
-    def _act(self, actions: Iterable[Start | Refuse]) -> None:
+    def _execute_actions(self, actions: Iterable[Start | Refuse]) -> None:
         for action in list(actions):
             call = self.calls.get(action.handover_id)
             if call is None:
                 continue
             if isinstance(action, Refuse):
                 self._answer(call, refused(action.reason))
-                self._forget(call)
+                self._remove_call(call)
             else:
                 self._start(call)
 
     def _start(self, call: ExitCall) -> None:
         left = Millis(call.deadline - monotonic())
-        call.sending = self.pool.send(call.handover, left, lambda done: self._done(call, done))
+        call.sending = self.pool.send(
+            call.handover, left, lambda done: self._on_upstream_result(call, done)
+        )
 
-    def _done(self, call: ExitCall, done: RelayResponse | Failure) -> None:
+    def _on_upstream_result(self, call: ExitCall, done: RelayResponse | Failure) -> None:
         now = monotonic()
         if done is Failure.CONNECTION_LOST and call.reply is not None:
-            self._note_cut_off(call, now)
-        result = self._result(call, done)
+            self._record_lost_call(call, now)
+        result = self._relay_result(call, done)
         learn = result.response is not None and call.reply is not None
         self.queue.finished(call.handover.handover_id, now, learn)
         self._answer(call, result)
-        self._forget(call)
-        self._act(self.queue.next(now))
+        self._remove_call(call)
+        self._execute_actions(self.queue.next(now))
 
-    def _note_cut_off(self, call: ExitCall, now: Millis) -> None:
+    def _record_lost_call(self, call: ExitCall, now: Millis) -> None:
         """Remember a call whose connection was lost, and look whether the upstream is alive."""
-        self.cut_off = [row for row in self.cut_off if now - row[0] < DEATH_WINDOW]
-        self.cut_off.append((now, call.handover))
+        self.lost_calls = [row for row in self.lost_calls if now - row[0] < CRASH_WINDOW]
+        self.lost_calls.append((now, call.handover))
         if not self.pool.connections and not self.pool.dialing:
             self.pool.probe()
 
-    def _result(self, call: ExitCall, done: RelayResponse | Failure) -> RelayResult:
+    def _relay_result(self, call: ExitCall, done: RelayResponse | Failure) -> RelayResult:
         if isinstance(done, RelayResponse):
             return judge(done, self.names.stamp, self.names.not_run)
         if done is Failure.NOT_CONNECTED:
@@ -271,24 +277,24 @@
         if reply is not None:
             reply(call.handover.handover_id, whole)
 
-    def _forget(self, call: ExitCall) -> None:
+    def _remove_call(self, call: ExitCall) -> None:
         self.calls.pop(call.handover.handover_id, None)
 
-    def _timed_out(self, handover_id: HandoverId) -> None:
+    def _on_deadline(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
         if call is None:
             return
         if call.sending is None:
             self.queue.cancel(handover_id)
             self._answer(call, refused(Reason.DEADLINE))
-            self._forget(call)
+            self._remove_call(call)
             return
         self._answer(call, lost(Reason.TIMEOUT))
-        self._stop(call)
+        self._stop_if_safe(call)
         if call.handover.repeat is Repeat.ONCE:
             call.sending.give_up()
 
-    def _cancel(self, handover_id: HandoverId) -> None:
+    def _cancel_call(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
         if call is None:
             return
@@ -296,16 +302,16 @@
         if call.sending is None:
             self.queue.cancel(handover_id)
             self._answer(call, refused(Reason.CANCELLED))
-            self._forget(call)
+            self._remove_call(call)
         else:
-            self._stop(call)
+            self._stop_if_safe(call)
 
-    def _stop(self, call: ExitCall) -> None:
+    def _stop_if_safe(self, call: ExitCall) -> None:
         # A call that must not run twice goes on: its result may still be asked for.
         if call.sending is not None and call.handover.repeat is Repeat.SAFE:
             call.sending.stop()
 
-    def _resume(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
+    def _resume_call(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
         result = self.ledger.resume(handover_id, monotonic())
         if result is not None:
             reply(handover_id, result)
@@ -314,25 +320,25 @@
         if call is not None:
             call.reply = reply
 
-    def _believe(self) -> None:
+    def _enable_heartbeats(self) -> None:
         """Take the heartbeats that came before the drains of earlier were known."""
-        self.believing = True
-        early, self.early = self.early, []
-        for beat in early:
-            self._heartbeat(beat)
+        self.heartbeats_enabled = True
+        early_heartbeats, self.early_heartbeats = self.early_heartbeats, []
+        for beat in early_heartbeats:
+            self._handle_heartbeat(beat)
 
-    def _heartbeat(self, beat: Heartbeat) -> None:
+    def _handle_heartbeat(self, beat: Heartbeat) -> None:
         now = monotonic()
         if not self.announcements.heartbeat(beat, now):
             self.log.change("heartbeat_ignored", instance=beat.instance, sequence=beat.sequence)
             return
         left = (beat.instance, beat.born) in self.announcements.left
         state = UpstreamState.DRAINING if left else beat.state
-        self.down_until = Millis(0)
+        self.unreachable_until = Millis(0)
         self.queue.slots = beat.slots
-        self._describe(beat.instance, state, beat)
+        self._update_upstream(beat.instance, state, beat)
 
-    def _leave(self, leave: LeaveReceived) -> None:
+    def _handle_leave(self, leave: LeaveReceived) -> None:
         start = self.announcements.leave(leave.instance, leave.born)
         if start is None:
             # Of an upstream that another one replaced, which gets no work; without a start time, of
@@ -347,14 +353,14 @@
             return
         if start not in self.leave_replies.kept:
             # A repeated leave is described again: that starts a new attempt to keep the drain.
-            self._change(start[0], UpstreamState.DRAINING, {"born": start[1]})
+            self._set_upstream_state(start[0], UpstreamState.DRAINING, {"born": start[1]})
 
-    def _describe(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat) -> None:
+    def _update_upstream(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat) -> None:
         if instance != self.instance or state is not self.state:
             changes: dict[str, object] = {"born": beat.born, "slots": beat.slots, "cold": beat.cold}
-            self._change(instance, state, changes)
+            self._set_upstream_state(instance, state, changes)
 
-    def _change(
+    def _set_upstream_state(
         self, instance: InstanceId, state: UpstreamState, changes: dict[str, object]
     ) -> None:
         self.log.change(
@@ -362,22 +368,22 @@
         )
         self.instance, self.state = instance, state
         if state is UpstreamState.DRAINING:
-            self._act(self.queue.clear(Reason.LEAVING))
+            self._execute_actions(self.queue.clear(Reason.LEAVING))
         self.peers.put(UpstreamDescribed({"instance": instance, "state": state, **changes}))
 
-    def _unreachable(self, how: Unreachable) -> None:
+    def _on_unreachable(self, how: Unreachable) -> None:
         now = monotonic()
         if how is Unreachable.REFUSED:
-            self._died(now)
-        if now >= self.down_until:
+            self._report_death(now)
+        if now >= self.unreachable_until:
             self.log.change("upstream_unreachable", instance=self.instance or "", how=how.value)
-        self.down_until = Millis(now + DOWN_TIME)
-        self._act(self.queue.clear(Reason.NO_UPSTREAM))
+        self.unreachable_until = Millis(now + UNREACHABLE_BACKOFF)
+        self._execute_actions(self.queue.clear(Reason.NO_UPSTREAM))
 
-    def _died(self, now: Millis) -> None:
+    def _report_death(self, now: Millis) -> None:
         """Report the calls that were running when the upstream crashed."""
-        rows = [handover for at, handover in self.cut_off if now - at < DEATH_WINDOW]
-        self.cut_off.clear()
+        rows = [handover for at, handover in self.lost_calls if now - at < CRASH_WINDOW]
+        self.lost_calls.clear()
         current = self.announcements.current
         if not rows or current is None:
             return
@@ -390,12 +396,12 @@
         self.peers.put(StrikesLearnt(strikes))
 
     def _tick(self, now: Millis) -> None:
-        if not self.believing and now - self.started_at > DRAINS_PATIENCE:
+        if not self.heartbeats_enabled and now - self.started_at > DRAINS_READ_TIMEOUT:
             self.log.change("drains_unknown", waited_ms=int(now - self.started_at))
-            self._believe()
+            self._enable_heartbeats()
         silent = now - self.announcements.heard_at > self.lease
         current = self.announcements.current
         if silent and current is not None and self.state is UpstreamState.READY:
-            self._describe(current.instance, UpstreamState.STARTING, current)
+            self._update_upstream(current.instance, UpstreamState.STARTING, current)
         self.leave_replies.expire(now)
-        self._act(self.queue.next(now))
+        self._execute_actions(self.queue.next(now))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -12,16 +12,16 @@
 from ..decision_log import DecisionLog
 from ..mailbox import Sender, monotonic
 from ..relay_messages import CancelHandover, HandOver, ResultReceiver, ResumeHandover
-from .config_spread import Answer
+from .config_distributor import ReplySender
 from .exit_task import ExitMessage
 
 # Handovers whose connection is gone are given up when their entry daemon does not ask for them.
-ORPHAN_TIME = Millis(1_500)
+ORPHAN_TIMEOUT = Millis(1_500)
 
-MessageHandler = Callable[[HopMessage, Answer, DaemonId | None], None]
+MessageHandler = Callable[[HopMessage, ReplySender, DaemonId | None], None]
 
 
-class Inbound:
+class InboundConnection:
     """A connection that another daemon dialed."""
 
     def __init__(self, connection: FrameConnection) -> None:
@@ -40,90 +40,92 @@
     def __init__(
         self,
         exit_box: Sender[ExitMessage],
-        greeting: Callable[[Hello], Hello],
+        hello_reply: Callable[[Hello], Hello],
         version: Callable[[], Version],
         on_message: MessageHandler,
         log: DecisionLog,
     ) -> None:
         self.exit = exit_box
-        self.greeting = greeting
+        self.hello_reply = hello_reply
         self.version = version
         self.on_message = on_message
         self.log = log
-        self.rows: dict[FrameConnection, Inbound] = {}
+        self.connections: dict[FrameConnection, InboundConnection] = {}
         self.orphans: list[tuple[Millis, HandoverId]] = []
 
     def connection(self) -> FrameConnection:
         """Return the protocol of a new connection."""
-        return FrameConnection(self._accepted, self._frame, self._closed)
+        return FrameConnection(self._on_open, self._on_frame, self._on_close)
 
     def send_to_others(self, frame: bytes, reached: Collection[DaemonId]) -> None:
         """Send a frame to the daemons that are not in `reached`."""
-        for row in self.rows.values():
-            if row.daemon_id is not None and row.daemon_id not in reached:
-                row.connection.send(frame)
+        for inbound in self.connections.values():
+            if inbound.daemon_id is not None and inbound.daemon_id not in reached:
+                inbound.connection.send(frame)
 
-    def give_up_orphans(self, now: Millis) -> None:
+    def cancel_orphans(self, now: Millis) -> None:
         """Cancel handovers that nobody asked for after their connection was lost."""
-        while self.orphans and now - self.orphans[0][0] > ORPHAN_TIME:
+        while self.orphans and now - self.orphans[0][0] > ORPHAN_TIMEOUT:
             self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
 
     @property
     def unsent(self) -> int:
         """Return the bytes of results and answers not yet given to the kernel."""
-        return sum(connection.unsent for connection in self.rows)
+        return sum(connection.unsent for connection in self.connections)
 
     def finish(self) -> None:
         """End every connection after the results that were written."""
-        for connection in self.rows:
+        for connection in self.connections:
             connection.finish()
 
     def abort(self) -> None:
         """Close every connection at once."""
-        for connection in list(self.rows):
+        for connection in list(self.connections):
             connection.abort()
 
-    def _accepted(self, connection: FrameConnection) -> None:
-        self.rows[connection] = Inbound(connection)
+    def _on_open(self, connection: FrameConnection) -> None:
+        self.connections[connection] = InboundConnection(connection)
 
-    def _closed(self, connection: FrameConnection) -> None:
-        row = self.rows.pop(connection, None)
-        if row is not None:
+    def _on_close(self, connection: FrameConnection) -> None:
+        inbound = self.connections.pop(connection, None)
+        if inbound is not None:
             now = monotonic()
-            self.orphans += [(now, handover_id) for handover_id in row.handovers]
+            self.orphans += [(now, handover_id) for handover_id in inbound.handovers]
 
-    def _frame(self, connection: FrameConnection, frame: bytes) -> None:
-        row = self.rows[connection]
+    def _on_frame(self, connection: FrameConnection, frame: bytes) -> None:
+        inbound = self.connections[connection]
         try:
             message = decode_hop(frame)
         except MessageDecodeError as error:
-            self.log.change("peer_message_malformed", peer=row.daemon_id or "", reason=str(error))
+            self.log.change(
+                "peer_message_malformed", peer=inbound.daemon_id or "", reason=str(error)
+            )
             connection.abort()
             return
         match message:
             case Handover():
-                row.handovers.add(message.handover_id)
-                self.exit.put(HandOver(message, self._replier(row)))
+                inbound.handovers.add(message.handover_id)
+                self.exit.put(HandOver(message, self._result_sender(inbound)))
             case Cancel(handover_id):
-                row.handovers.discard(handover_id)
+                inbound.handovers.discard(handover_id)
                 self.exit.put(CancelHandover(handover_id))
             case Resume(handover_id):
-                row.handovers.add(handover_id)
+                inbound.handovers.add(handover_id)
                 self.orphans = [pair for pair in self.orphans if pair[1] != handover_id]
-                self.exit.put(ResumeHandover(handover_id, self._replier(row)))
+                self.exit.put(ResumeHandover(handover_id, self._result_sender(inbound)))
             case Hello():
-                row.daemon_id = message.daemon_id
-                row.send(self.greeting(message))
-                self.on_message(message, row.send, row.daemon_id)
+                inbound.daemon_id = message.daemon_id
+                inbound.send(self.hello_reply(message))
+                self.on_message(message, inbound.send, inbound.daemon_id)
             case Ping(False, _):
-                row.send(Ping(True, self.version()))
-                self.on_message(message, row.send, row.daemon_id)
+                inbound.send(Ping(True, self.version()))
+                self.on_message(message, inbound.send, inbound.daemon_id)
             case _:
-                self.on_message(message, row.send, row.daemon_id)
+                self.on_message(message, inbound.send, inbound.daemon_id)
 
-    def _replier(self, row: Inbound) -> ResultReceiver:
+    def _result_sender(self, inbound: InboundConnection) -> ResultReceiver:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
-            row.handovers.discard(handover_id)
-            row.send(Result(handover_id, result))
+            inbound.handovers.discard(handover_id)
+            inbound.send(Result(handover_id, result))
 
         return reply
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -139,22 +139,22 @@
         swim: Swim,
         control: Sender[ControlAsk],
         log: LogService,
-        views: Iterable[Sender[ViewChanged]],
+        view_subscribers: Iterable[Sender[ViewChanged]],
         versions: Sender[PeerVersion],
-        strikes: Iterable[Sender[GossipReceived]] = (),
+        strike_subscribers: Iterable[Sender[GossipReceived]] = (),
     ) -> None:
         self.swim = swim
         self.bootstrap = Bootstrap(swim.me, swim.rng)
         self.reports = ReportQueue()
         self.control = control
         self.log = log
-        self.views = tuple(views)
+        self.view_subscribers = tuple(view_subscribers)
         self.versions = versions
-        self.strikes = tuple(strikes)
+        self.strike_subscribers = tuple(strike_subscribers)
         self.mailbox = mailbox
         self.version = NO_VERSION
         self.digest = NO_DIGEST
-        self.waiting: dict[tuple[DaemonId, Millis], int] = {}
+        self.pending_helpers: dict[tuple[DaemonId, Millis], int] = {}
         self.subtasks = Subtasks()
 
     async def run(self) -> None:
@@ -169,17 +169,17 @@
 
     def _handle(self, message: MembersMessage) -> None:
         now = monotonic()
-        self._act(self.swim.observe(now))
+        self._execute_actions(self.swim.observe(now))
         match message:
             case Tick():
-                self._act(self.swim.tick(now))
-                self._act_bootstrap(self.bootstrap.tick(now))
+                self._execute_actions(self.swim.tick(now))
+                self._execute_bootstrap_actions(self.bootstrap.tick(now))
             case ConfigInForce(snapshot):
                 self.version, self.digest = snapshot.version, snapshot.digest
             case UpstreamChanged(upstream):
-                self._change_me(replace(self.swim.me, upstream=upstream))
+                self._update_self(replace(self.swim.me, upstream=upstream))
             case Leaving():
-                self._change_me(replace(self.swim.me, state=MemberState.LEAVING))
+                self._update_self(replace(self.swim.me, state=MemberState.LEAVING))
             case SpreadStrikes(strikes, clearances):
                 self.reports.add(strikes, clearances, now)
             case AnnouncementsRead():
@@ -194,77 +194,77 @@
                 if isinstance(reply, ProbeAck):
                     self._merge_gossip(reply.gossip, now)
                 alive = isinstance(reply, ProbeAck) and reply.alive
-                ask.answer(ProbeAck(self._gossip(), alive=alive))
+                ask.answer(ProbeAck(self._next_gossip(), alive=alive))
             case SyncAnswered():
                 self._sync_answered(message, now)
             case _:
-                self._received(message, now)
+                self._handle_request(message, now)
 
-    def _received(self, ask: ReceivedAsk, now: Millis) -> None:
+    def _handle_request(self, ask: ReceivedAsk, now: Millis) -> None:
         match ask.question.message:
             case Probe(sender, target, gossip):
-                self._heard(sender, gossip, now)
-                ask.answer(self._ack(sender, target))
+                self._handle_gossip(sender, gossip, now)
+                ask.answer(self._probe_ack(sender, target))
             case IndirectProbe(sender, target, address, gossip):
-                self._heard(sender, gossip, now)
+                self._handle_gossip(sender, gossip, now)
                 self._probe_for(ask, target, address)
             case SyncRequest(sender) as request:
-                self._act(self.swim.merge([sender], now))
+                self._execute_actions(self.swim.merge([sender], now))
                 rows, complete = self.swim.sync_rows(request, now)
                 ask.answer(SyncReply(rows, Gossip(self.version, self.digest), complete))
             case _:
                 pass
 
-    def _ack(self, sender: Identity, target: DaemonId) -> ProbeAck:
-        gossip = self._gossip_of(self.swim.news_for(sender))
+    def _probe_ack(self, sender: Identity, target: DaemonId) -> ProbeAck:
+        gossip = self._gossip_with(self.swim.news_for(sender))
         alive = target == self.swim.me.daemon_id
         return ProbeAck(gossip, alive, unknown=not self.swim.knows(sender))
 
-    def _heard(self, sender: Identity, gossip: Gossip, now: Millis) -> None:
+    def _handle_gossip(self, sender: Identity, gossip: Gossip, now: Millis) -> None:
         self._merge_gossip(gossip, now)
         member = self.swim.table.get(sender.daemon_id)
         if member is not None:
             self.versions.put(PeerVersion(member, gossip.version, gossip.digest))
 
     def _merge_gossip(self, gossip: Gossip, now: Millis) -> None:
-        self._act(self.swim.merge(gossip.members, now))
+        self._execute_actions(self.swim.merge(gossip.members, now))
         strikes, clearances = self.reports.add(gossip.strikes, gossip.clearances, now)
         if strikes or clearances:
-            for mailbox in self.strikes:
+            for mailbox in self.strike_subscribers:
                 mailbox.put(GossipReceived(strikes, clearances))
 
     def _probe_answered(self, message: ProbeAnswered, now: Millis) -> None:
         target, reply = message.target, message.reply
         if not isinstance(reply, ProbeAck):
-            self._act(self.swim.probe_failed(target, message.sent_at))
+            self._execute_actions(self.swim.probe_failed(target, message.sent_at))
             return
-        self._heard(identity_of(target), reply.gossip, now)
+        self._handle_gossip(identity_of(target), reply.gossip, now)
         if not reply.alive:
-            self._act(self.swim.probe_failed(target, message.sent_at))
+            self._execute_actions(self.swim.probe_failed(target, message.sent_at))
         elif reply.unknown:
             self._probe_member(target, introduce=True)
 
     def _helper_answered(self, message: HelperAnswered, now: Millis) -> None:
         target, reply = message.target, message.reply
-        left = self.waiting.pop((target.daemon_id, message.sent_at), None)
+        left = self.pending_helpers.pop((target.daemon_id, message.sent_at), None)
         if isinstance(reply, ProbeAck):
             self._merge_gossip(reply.gossip, now)
             if reply.alive:
                 return
         if left is not None and left > 1:
-            self.waiting[target.daemon_id, message.sent_at] = left - 1
+            self.pending_helpers[target.daemon_id, message.sent_at] = left - 1
         elif left is not None:
             self._confirm_unreachable(target, message.sent_at)
 
     def _confirm_unreachable(self, target: Member, sent_at: Millis) -> None:
         log_event("member_unreachable", peer=target.daemon_id)
-        self._act(self.swim.unreachable(target, sent_at, monotonic()))
+        self._execute_actions(self.swim.unreachable(target, sent_at, monotonic()))
 
     def _sync_answered(self, message: SyncAnswered, now: Millis) -> None:
         reply = message.reply
         self.bootstrap.contact_answered(message.address, isinstance(reply, SyncReply))
         if isinstance(reply, SyncReply):
-            self._act(self.swim.synced(reply, now))
+            self._execute_actions(self.swim.synced(reply, now))
             if reply.members:
                 self._log_sync(message.address, reply)
 
@@ -273,7 +273,7 @@
         log_event("synced", peer=peer, rows=rows, members=members, complete=reply.complete)
 
     def _announcements_read(self, page: AnnouncementsRead, now: Millis) -> None:
-        self._act_bootstrap(self.bootstrap.read(page, self.swim.live_peers(), now))
+        self._execute_bootstrap_actions(self.bootstrap.read(page, self.swim.live_peers(), now))
 
     def _announce_failed(self, appending: bool, now: Millis) -> None:
         if appending:
@@ -281,7 +281,7 @@
         else:
             self.bootstrap.read_failed(now)
 
-    def _act(self, actions: Iterable[SwimAction]) -> None:
+    def _execute_actions(self, actions: Iterable[SwimAction]) -> None:
         for action in actions:
             match action:
                 case MembersChanged():
@@ -291,43 +291,43 @@
                 case ProbeThrough(target, helpers):
                     self._probe_through(target, helpers)
                 case SyncWith(address):
-                    self._sync(address)
+                    self._request_sync(address)
                 case TableFull(ignored):
                     log_warning("member_table_full", ignored=ignored)
 
-    def _act_bootstrap(self, actions: Iterable[BootstrapAction]) -> None:
+    def _execute_bootstrap_actions(self, actions: Iterable[BootstrapAction]) -> None:
         for action in actions:
             match action:
                 case ReadAnnouncements(start):
                     self.subtasks.start(self._read_announcements(start))
                 case ContactPeer(address):
-                    self._sync(address)
+                    self._request_sync(address)
                 case Announce():
                     log_event("announcing")
                     self.subtasks.start(self._announce(self.swim.me))
 
     def _publish_view(self) -> None:
         view = build_view(self.swim.table.values(), self.swim.stale)
-        for mailbox in self.views:
+        for mailbox in self.view_subscribers:
             mailbox.put(ViewChanged(view, self.swim.me))
 
-    def _change_me(self, me: Member) -> None:
-        self._act(self.swim.update_me(me))
+    def _update_self(self, me: Member) -> None:
+        self._execute_actions(self.swim.update_me(me))
         for peer in self.swim.push_targets():
             self._probe_member(peer, introduce=True)
 
-    def _gossip(self, target: DaemonId | None = None, introduce: bool = False) -> Gossip:
+    def _next_gossip(self, target: DaemonId | None = None, introduce: bool = False) -> Gossip:
         rows = self.swim.updates(target)
-        return self._gossip_of((self.swim.me, *rows) if introduce else rows)
+        return self._gossip_with((self.swim.me, *rows) if introduce else rows)
 
-    def _gossip_of(self, rows: tuple[Member, ...]) -> Gossip:
+    def _gossip_with(self, rows: tuple[Member, ...]) -> Gossip:
         strikes, clearances = self.reports.take(self.swim.transmissions())
         return Gossip(self.version, self.digest, rows, strikes, clearances)
 
     def _probe_member(self, target: Member, introduce: bool = False) -> None:
-        probe = self._probe(target.daemon_id, introduce)
+        probe = self._new_probe(target.daemon_id, introduce)
         sent_at = monotonic()
-        self._ask(
+        self._start_exchange(
             target.control_address,
             probe,
             PROBE_TIMEOUT,
@@ -335,18 +335,22 @@
         )
 
     def _probe_for(self, ask: ReceivedAsk, target: DaemonId, address: Address) -> None:
-        probe = self._probe(target)
-        self._ask(address, probe, PROBE_TIMEOUT, lambda reply: IndirectAnswered(ask, reply))
+        probe = self._new_probe(target)
+        self._start_exchange(
+            address, probe, PROBE_TIMEOUT, lambda reply: IndirectAnswered(ask, reply)
+        )
 
-    def _probe(self, target: DaemonId, introduce: bool = False) -> Probe:
-        return Probe(identity_of(self.swim.me), target, self._gossip(target, introduce))
+    def _new_probe(self, target: DaemonId, introduce: bool = False) -> Probe:
+        return Probe(identity_of(self.swim.me), target, self._next_gossip(target, introduce))
 
     def _probe_through(self, target: Member, helpers: tuple[Member, ...]) -> None:
         sender, sent_at = identity_of(self.swim.me), monotonic()
-        message = IndirectProbe(sender, target.daemon_id, target.control_address, self._gossip())
-        self.waiting[target.daemon_id, sent_at] = len(helpers)
+        message = IndirectProbe(
+            sender, target.daemon_id, target.control_address, self._next_gossip()
+        )
+        self.pending_helpers[target.daemon_id, sent_at] = len(helpers)
         for helper in helpers:
-            self._ask(
+            self._start_exchange(
                 helper.control_address,
                 message,
                 INDIRECT_TIMEOUT,
@@ -355,27 +359,29 @@
         if not helpers:
             self._confirm_unreachable(target, sent_at)
 
-    def _sync(self, address: Address) -> None:
+    def _request_sync(self, address: Address) -> None:
         request = self.swim.sync_request()
-        self._ask(address, request, SYNC_TIMEOUT, lambda reply: SyncAnswered(address, reply))
+        self._start_exchange(
+            address, request, SYNC_TIMEOUT, lambda reply: SyncAnswered(address, reply)
+        )
 
-    def _ask(
+    def _start_exchange(
         self,
         peer: Address,
         message: ControlMessage,
         timeout: Millis,
-        wrap: Callable[[ControlMessage | None], MembersMessage],
+        to_message: Callable[[ControlMessage | None], MembersMessage],
     ) -> None:
-        self.subtasks.start(self._exchange(peer, message, timeout, wrap))
+        self.subtasks.start(self._exchange(peer, message, timeout, to_message))
 
     async def _exchange(
         self,
         peer: Address,
         message: ControlMessage,
         timeout: Millis,
-        wrap: Callable[[ControlMessage | None], MembersMessage],
+        to_message: Callable[[ControlMessage | None], MembersMessage],
     ) -> None:
-        self.mailbox.put(wrap(await send_control(self.control, peer, message, timeout)))
+        self.mailbox.put(to_message(await send_control(self.control, peer, message, timeout)))
 
     async def _read_announcements(self, start: Offset) -> None:
         records: list[tuple[Offset, AnnounceRecord]] = []
@@ -395,7 +401,9 @@
 
     async def _announce(self, me: Member) -> None:
         try:
-            await self.log.append(MEMBERS_STREAM, encode_record(AnnounceRecord(me, wall_clock())))
+            await self.log.append(
+                MEMBERS_STREAM, encode_record(AnnounceRecord(me, wall_clock_ms()))
+            )
         except LogError as error:
             log_warning("announce_failed", reason=error)
             self.mailbox.put(AnnounceFailed(appending=True))
@@ -406,7 +414,7 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-def wall_clock() -> int:
+def wall_clock_ms() -> int:
     """Return the wall-clock time in milliseconds."""
     return int(time.time() * 1000)
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class Pending:
+class PendingHandover:
     """A handover without a result."""
 
     handover: Handover
@@ -73,11 +73,11 @@
         self.state = LinkState.DIALING
         self.connection: FrameConnection | None = None
         self.incarnation: Incarnation | None = None
-        self.pending: dict[HandoverId, Pending] = {}
-        self.heard_at = monotonic()
-        self.pinged_at = Millis(0)
-        self.waits_for_pong = False
-        self.failures = 0
+        self.pending: dict[HandoverId, PendingHandover] = {}
+        self.last_received_at = monotonic()
+        self.last_ping_at = Millis(0)
+        self.awaiting_pong = False
+        self.failed_dials = 0
         self.down_since: Millis | None = monotonic()
         self.dialer = asyncio.ensure_future(self._dial())
 
@@ -97,7 +97,7 @@
             reply(handover.handover_id, refused(Reason.CONNECT_FAILED))
             return
         deadline = Millis(monotonic() + handover.left)
-        self.pending[handover.handover_id] = Pending(handover, reply, deadline)
+        self.pending[handover.handover_id] = PendingHandover(handover, reply, deadline)
         self.send(handover)
 
     def cancel(self, handover_id: HandoverId) -> None:
@@ -105,20 +105,20 @@
         if self.pending.pop(handover_id, None) is not None:
             self.send(Cancel(handover_id))
 
-    def check(self, now: Millis) -> None:
+    def check_liveness(self, now: Millis) -> None:
         """Ping a quiet connection and drop a silent one; called several times a second."""
         if self.connection is None:
             return
-        if self.waits_for_pong and now - self.pinged_at > PONG_TIMEOUT:
-            if self.heard_at < self.pinged_at:
+        if self.awaiting_pong and now - self.last_ping_at > PONG_TIMEOUT:
+            if self.last_received_at < self.last_ping_at:
                 self.connection.abort()
                 return
-            self.waits_for_pong = False
+            self.awaiting_pong = False
         period = BUSY_PING_PERIOD if self.pending else self.ping_period
-        quiet = now - self.heard_at > period or not self.pending
-        if not self.waits_for_pong and quiet and now - self.pinged_at > period:
-            self.pinged_at = now
-            self.waits_for_pong = True
+        quiet = now - self.last_received_at > period or not self.pending
+        if not self.awaiting_pong and quiet and now - self.last_ping_at > period:
+            self.last_ping_at = now
+            self.awaiting_pong = True
             self.send(Ping(False, self.version()))
 
     def close(self) -> None:
@@ -136,7 +136,7 @@
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
                     await loop.create_connection(
-                        lambda: FrameConnection(self._opened, self._frame, self._closed),
+                        lambda: FrameConnection(self._on_open, self._on_frame, self._on_close),
                         host,
                         int(port),
                     )
@@ -148,20 +148,20 @@
                 self._fail_pending(lambda row: row.handover.repeat is Repeat.SAFE)
             if self.connection is None:
                 self.state = LinkState.DOWN
-                self.failures += 1
-                await asyncio.sleep(self._delay() / 1000)
+                self.failed_dials += 1
+                await asyncio.sleep(self._redial_delay() / 1000)
 
-    def _delay(self) -> Millis:
-        cap = min(REDIAL_CAP, REDIAL_BASE * 2 ** min(self.failures, 8))
+    def _redial_delay(self) -> Millis:
+        cap = min(REDIAL_CAP, REDIAL_BASE * 2 ** min(self.failed_dials, 8))
         return Millis(self.rng.uniform(cap / 2, cap))
 
-    def _opened(self, connection: FrameConnection) -> None:
+    def _on_open(self, connection: FrameConnection) -> None:
         self.connection = connection
-        self.heard_at = monotonic()
-        self.waits_for_pong = False
+        self.last_received_at = monotonic()
+        self.awaiting_pong = False
         self.send(self.hello())
 
-    def _closed(self, connection: FrameConnection) -> None:
+    def _on_close(self, connection: FrameConnection) -> None:
         if self.connection is not connection or self.state is LinkState.CLOSED:
             return
         self.connection = None
@@ -169,8 +169,8 @@
         self.down_since = monotonic()
         self.dialer = asyncio.ensure_future(self._dial())
 
-    def _frame(self, connection: FrameConnection, frame: bytes) -> None:
-        self.heard_at = monotonic()
+    def _on_frame(self, connection: FrameConnection, frame: bytes) -> None:
+        self.last_received_at = monotonic()
         try:
             message = decode_hop(frame)
         except MessageDecodeError:
@@ -178,20 +178,20 @@
             return
         match message:
             case Result(handover_id, result):
-                self._result(handover_id, result)
+                self._deliver_result(handover_id, result)
             case Ping(answer, _):
                 if answer:
-                    self.waits_for_pong = False
+                    self.awaiting_pong = False
                 else:
                     self.send(Ping(True, self.version()))
                 self.on_message(self, message)
             case Hello():
-                self._greeted(message)
+                self._handle_hello(message)
                 self.on_message(self, message)
             case _:
                 self.on_message(self, message)
 
-    def _greeted(self, hello: Hello) -> None:
+    def _handle_hello(self, hello: Hello) -> None:
         if hello.daemon_id != self.daemon_id:
             # Another machine took over the address.
             self._fail_pending(lambda row: True)
@@ -199,17 +199,17 @@
             self._fail_pending(lambda row: True)
         self.incarnation = hello.incarnation
         self.state = LinkState.OPEN
-        self.failures = 0
+        self.failed_dials = 0
         self.down_since = None
         for handover_id in list(self.pending):
             self.send(Resume(handover_id))
 
-    def _result(self, handover_id: HandoverId, result: RelayResult) -> None:
+    def _deliver_result(self, handover_id: HandoverId, result: RelayResult) -> None:
         row = self.pending.pop(handover_id, None)
         if row is not None:
             row.reply(handover_id, result)
 
-    def _fail_pending(self, which: Callable[[Pending], bool]) -> None:
+    def _fail_pending(self, matches: Callable[[PendingHandover], bool]) -> None:
         for handover_id, row in list(self.pending.items()):
-            if which(row):
-                self._result(handover_id, lost(Reason.CONNECTION_LOST))
+            if matches(row):
+                self._deliver_result(handover_id, lost(Reason.CONNECTION_LOST))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -49,7 +49,7 @@
     PeerForgotten,
     PullNeeded,
 )
-from .config_spread import ConfigSpread
+from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
 from .inbound_links import InboundLinks
 from .peer_link import PING_PERIOD, REMOTE_PING_PERIOD, PeerLink
@@ -68,9 +68,9 @@
 FINISH_POLL_SECONDS = 0.01
 BACKLOG = 1024
 # Told to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
-KEPT_STRIKES = 512
+MAX_KEPT_STRIKES = 512
 # A daemon that was unreachable for this long is forgotten; it announces itself when it is back.
-FORGET_TIME = Millis(20_000)
+FORGET_PEER_AFTER = Millis(20_000)
 
 
 class PeersTask:
@@ -101,12 +101,16 @@
         self.metrics = metrics
         self.links: dict[DaemonId, PeerLink] = {}
         self.inbound = InboundLinks(
-            exit_box, self._greeting, lambda: self.configs.version, self._common, log
+            exit_box,
+            self._hello_reply,
+            lambda: self.config_distributor.version,
+            self._handle_peer_message,
+            log,
         )
         self.server: asyncio.Server | None = None
-        self.configs = ConfigSpread(directory, self.links, source, log)
+        self.config_distributor = ConfigDistributor(directory, self.links, source, log)
         self.open_links: frozenset[DaemonId] = frozenset()
-        self.strikes: deque[Strike] = deque(maxlen=KEPT_STRIKES)
+        self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
 
     async def start(self) -> None:
         """Start to accept other daemons."""
@@ -118,7 +122,7 @@
             int(port),
             backlog=BACKLOG,
         )
-        self._publish()
+        self._publish_endpoints()
 
     async def run(self) -> None:
         """Watch the connections until cancelled."""
@@ -134,7 +138,7 @@
 
     def leave(self) -> None:
         """Tell every peer that this daemon takes no more calls."""
-        self._announce(self.directory.update(leaving=True))
+        self._announce_self(self.directory.update(leaving=True))
 
     async def finish(self, limit: Millis) -> None:
         """Listen no more; let peers read every result, and wait `limit` at most for them."""
@@ -142,7 +146,7 @@
             self.server.close()
         self.inbound.finish()
         last = monotonic() + limit
-        while self.inbound.rows and monotonic() < last:
+        while self.inbound.connections and monotonic() < last:
             await asyncio.sleep(FINISH_POLL_SECONDS)
 
     def _handle(self, message: PeersMessage) -> None:
@@ -152,21 +156,23 @@
             case CancelAt(daemon_id, handover_id):
                 self._cancel_at(daemon_id, handover_id)
             case UpstreamDescribed(changes):
-                self._announce(self.directory.update(**changes))
+                self._announce_self(self.directory.update(**changes))
                 if self.directory.me.state is UpstreamState.DRAINING:
                     self.source.put(DrainConfirmed(self.directory.me))
             case LogReached(reached, latency):
                 me = self.directory.me
                 if (reached, latency) != (me.reads_log, me.log_latency):
-                    self._announce(self.directory.update(reads_log=reached, log_latency=latency))
+                    self._announce_self(
+                        self.directory.update(reads_log=reached, log_latency=latency)
+                    )
             case ConfigChanged():
-                self.configs.changed(message, self.open_links)
+                self.config_distributor.config_changed(message, self.open_links)
             case PullNeeded(version):
-                self.configs.pull_from_region(version)
+                self.config_distributor.pull_from_region(version)
             case EndpointsRead(endpoints):
-                self._merge(endpoints)
+                self._merge_endpoints(endpoints)
             case StrikesLearnt(strikes):
-                self._strikes_learnt(strikes)
+                self._record_strikes(strikes)
                 for link in self.links.values():
                     link.send(Strikes(strikes))
 
@@ -191,7 +197,7 @@
         elif daemon_id in self.links:
             self.links[daemon_id].cancel(handover_id)
 
-    def _announce(self, me: Endpoint) -> None:
+    def _announce_self(self, me: Endpoint) -> None:
         frame = encode_hop(Endpoints((me,)))
         reached: set[DaemonId] = set()
         for link in self.links.values():
@@ -199,15 +205,15 @@
                 link.connection.send(frame)
                 reached.add(link.daemon_id)
         self.inbound.send_to_others(frame, reached)
-        self._publish()
+        self._publish_endpoints()
 
-    def _merge(self, endpoints: tuple[Endpoint, ...]) -> None:
+    def _merge_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         before = self.directory.me
-        self._learn_own(endpoints)
-        news = self.directory.merge(endpoints)
+        self._apply_own_drain(endpoints)
+        updated = self.directory.merge(endpoints)
         if self.directory.me.order != before.order:
-            self._announce(self.directory.me)
-        for row in news:
+            self._announce_self(self.directory.me)
+        for row in updated:
             self._dial(row)
             self.log.change(
                 "endpoint_learnt",
@@ -219,11 +225,11 @@
                 state=row.state.value,
                 leaving=row.leaving,
             )
-        if news:
-            self._drop_unknown()
-            self._publish()
+        if updated:
+            self._close_unknown_links()
+            self._publish_endpoints()
 
-    def _learn_own(self, endpoints: tuple[Endpoint, ...]) -> None:
+    def _apply_own_drain(self, endpoints: tuple[Endpoint, ...]) -> None:
         # A drain that was confirmed before a restart binds this daemon too.
         for row in endpoints:
             own = row.daemon_id == self.directory.me.daemon_id
@@ -241,13 +247,13 @@
             row.daemon_id,
             row.address,
             lambda: self._hello(row.daemon_id, row.data_centre),
-            lambda: self.configs.version,
-            self._heard,
+            lambda: self.config_distributor.version,
+            self._on_link_message,
             self.rng,
             PING_PERIOD if near else REMOTE_PING_PERIOD,
         )
 
-    def _drop_unknown(self) -> None:
+    def _close_unknown_links(self) -> None:
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
             self.links.pop(daemon_id).close()
 
@@ -266,67 +272,67 @@
             rows = [
                 row for row in rows if row.daemon_id == peer and row.state is UpstreamState.DRAINING
             ]
-        return Hello(me.daemon_id, me.incarnation, self.configs.version, (me, *rows))
+        return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *rows))
 
-    def _greeting(self, hello: Hello) -> Hello:
+    def _hello_reply(self, hello: Hello) -> Hello:
         data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
         return self._hello(hello.daemon_id, data_centre)
 
-    def _publish(self) -> None:
+    def _publish_endpoints(self) -> None:
         """Tell the entry task which endpoints take calls: those with an open link."""
         me = self.directory.me.daemon_id
         rows = {
-            service: tuple(row for row in endpoints if self._reachable(row.daemon_id, me))
+            service: tuple(row for row in endpoints if self._is_reachable(row.daemon_id, me))
             for service, endpoints in self.directory.by_service.items()
         }
         self.entry.put(FleetChanged(rows, len(self.directory.rows)))
 
-    def _reachable(self, daemon_id: DaemonId, me: DaemonId) -> bool:
+    def _is_reachable(self, daemon_id: DaemonId, me: DaemonId) -> bool:
         if daemon_id == me:
             return True
         link = self.links.get(daemon_id)
         return link is not None and link.is_open
 
-    def _heard(self, link: PeerLink, message: HopMessage) -> None:
-        self._common(message, link.send, link.daemon_id)
+    def _on_link_message(self, link: PeerLink, message: HopMessage) -> None:
+        self._handle_peer_message(message, link.send, link.daemon_id)
         if isinstance(message, Hello):
-            self._links_changed()
+            self._check_open_links()
             if self.strikes:
                 link.send(Strikes(tuple(self.strikes)))
 
-    def _strikes_learnt(self, strikes: tuple[Strike, ...]) -> None:
+    def _record_strikes(self, strikes: tuple[Strike, ...]) -> None:
         self.strikes.extend(row for row in strikes if row not in self.strikes)
         self.entry.put(StrikesLearnt(strikes))
 
-    def _common(
-        self, message: HopMessage, answer: Callable[[HopMessage], None], peer: DaemonId | None
+    def _handle_peer_message(
+        self, message: HopMessage, send_reply: Callable[[HopMessage], None], peer: DaemonId | None
     ) -> None:
         match message:
             case Hello(_, _, version, endpoints):
-                self._merge(endpoints)
-                self.configs.peer_has(version, answer, peer, monotonic())
+                self._merge_endpoints(endpoints)
+                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic())
             case Endpoints(endpoints):
-                self._merge(endpoints)
+                self._merge_endpoints(endpoints)
             case Ping(_, version):
-                self.configs.peer_has(version, answer, peer, monotonic())
+                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic())
             case ConfigBlob() | ConfigDelta():
-                self.configs.received(message, peer)
+                self.config_distributor.config_received(message, peer)
             case Strikes(strikes):
-                self._strikes_learnt(strikes)
+                self._record_strikes(strikes)
             case Pull(version):
-                self.configs.pulled(version, answer)
+                self.config_distributor.answer_pull(version, send_reply)
             case _:
                 self.log.change("peer_message_unexpected", kind=type(message).__name__)
 
     def _tick(self, now: Millis) -> None:
         for link in list(self.links.values()):
-            link.check(now)
-            if link.down_since is not None and now - link.down_since > FORGET_TIME:
-                self._forget(link)
-        self._links_changed()
-        self.inbound.give_up_orphans(now)
+            link.check_liveness(now)
+            if link.down_since is not None and now - link.down_since > FORGET_PEER_AFTER:
+                self._forget_peer(link)
+        self._check_open_links()
+        self.inbound.cancel_orphans(now)
 
-    def _links_changed(self) -> None:
+    def _check_open_links(self) -> None:
         open_links = frozenset(i for i, link in self.links.items() if link.is_open)
         if open_links == self.open_links:
             return
@@ -338,9 +344,9 @@
         self.open_links = open_links
         self.metrics.peers.set(len(open_links))
         self.source.put(LinksChanged(open_links))
-        self._publish()
+        self._publish_endpoints()
 
-    def _forget(self, link: PeerLink) -> None:
+    def _forget_peer(self, link: PeerLink) -> None:
         self.log.change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
         self.directory.forget(link.daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -56,47 +56,47 @@
         self.upstream = upstream
         self.table = StrikeTable()
         self.view = FleetView()
-        self.last_death = 0
+        self.last_death_ms = 0
         self.subtasks = Subtasks()
 
     def handle(self, message: QuarantineMessage) -> None:
         """Take a message about strikes."""
         if isinstance(message, GossipReceived):
-            self._merge(message.strikes, message.clearances)
+            self._merge_reports(message.strikes, message.clearances)
             return
         match message.question:
             case UpstreamDied(calls):
-                self.subtasks.start(self._died(message, calls))
+                self.subtasks.start(self._handle_death(message, calls))
             case ListQuarantine():
                 message.answer(tuple(self.table.rows(monotonic())))
             case LiftQuarantine(fingerprint):
-                message.answer(self.completed(fingerprint))
+                message.answer(self.clear_fingerprint(fingerprint))
             case received:
                 notice = received.message
                 assert isinstance(notice, StrikeNotice)
-                self._merge(notice.strikes, notice.clearances)
+                self._merge_reports(notice.strikes, notice.clearances)
                 message.answer(StrikeAck(len(notice.strikes)))
 
     def view_changed(self, view: FleetView, me: Member) -> None:
         """Take the members, which decide who tries a suspected request."""
         self.view, self.me = view, me
         if self.table.records:
-            self._tell_upstream()
+            self._notify_upstream_task()
 
     def quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether calls with this fingerprint are refused."""
         return self.table.quarantined(fingerprint, monotonic())
 
-    def completed(self, fingerprint: Fingerprint) -> bool:
+    def clear_fingerprint(self, fingerprint: Fingerprint) -> bool:
         """Clear a fingerprint everywhere; return whether it had strikes."""
         clearances = (Clearance(fingerprint, self.table.deaths(fingerprint)),)
-        if not self._merge((), clearances):
+        if not self._merge_reports((), clearances):
             return False
         self.members.put(SpreadStrikes((), clearances))
-        self.subtasks.start(self._notify(StrikeNotice(self.me, (), clearances)))
+        self.subtasks.start(self._notify_peers(StrikeNotice(self.me, (), clearances)))
         return True
 
-    def restrict(self, fingerprint: Fingerprint, path: str, chooser: Chooser) -> Chooser:
+    def restrict_chooser(self, fingerprint: Fingerprint, path: str, chooser: Chooser) -> Chooser:
         """Return a chooser that sends a suspected request to its trial member only."""
 
         def choose(request: ChoiceRequest) -> Candidate | None:
@@ -106,10 +106,12 @@
             if not self.table.suspected(fingerprint, now):
                 return chooser(request)
             self.table.seen(fingerprint, path)
-            trial = self._trial(fingerprint, request.service)
+            trial = self._trial_member(fingerprint, request.service)
             if trial is None or trial in request.tried:
                 return None
-            others = [m.daemon_id for m in self._serving(request.service) if m.daemon_id != trial]
+            others = [
+                m.daemon_id for m in self._serving_members(request.service) if m.daemon_id != trial
+            ]
             chosen = chooser(replace(request, tried=tuple(others)))
             # Earlier upstreams are only avoided where another choice exists.
             return chosen if chosen and chosen.member.daemon_id == trial else None
@@ -120,23 +122,23 @@
         """Cancel what still runs."""
         self.subtasks.cancel()
 
-    async def _died(self, ask: DeathAsk, calls: tuple[InFlight, ...]) -> None:
+    async def _handle_death(self, ask: DeathAsk, calls: tuple[InFlight, ...]) -> None:
         # The wall clock tells deaths before and after a restart of this daemon apart.
-        self.last_death = max(self.last_death + 1, int(time.time() * 1000))
-        death = Incarnation(self.last_death)
-        prints = {call.fingerprint: call.path for call in calls}
-        strikes = tuple(Strike(row, self.me.daemon_id, death) for row in prints)
-        self._merge(strikes, ())
-        for fingerprint, path in prints.items():
+        self.last_death_ms = max(self.last_death_ms + 1, int(time.time() * 1000))
+        death = Incarnation(self.last_death_ms)
+        paths = {call.fingerprint: call.path for call in calls}
+        strikes = tuple(Strike(row, self.me.daemon_id, death) for row in paths)
+        self._merge_reports(strikes, ())
+        for fingerprint, path in paths.items():
             self.table.seen(fingerprint, path)
         self.members.put(SpreadStrikes(strikes, ()))
-        await self._notify(StrikeNotice(self.me, strikes))
+        await self._notify_peers(StrikeNotice(self.me, strikes))
         ask.answer(None)
 
-    async def _notify(self, notice: StrikeNotice) -> None:
+    async def _notify_peers(self, notice: StrikeNotice) -> None:
         """Tell the peers that could run the calls next, and others up to a limit."""
         upstream = self.me.upstream
-        same = self._serving(upstream.service) if upstream else ()
+        same = self._serving_members(upstream.service) if upstream else ()
         peers: dict[DaemonId, Member] = {m.daemon_id: m for m in same}
         for member in self.view.members.values():
             if len(peers) >= MAX_STRIKE_NOTICES:
@@ -149,7 +151,7 @@
         ]
         await asyncio.gather(*asks)
 
-    def _merge(self, strikes: Iterable[Strike], clearances: Iterable[Clearance]) -> bool:
+    def _merge_reports(self, strikes: Iterable[Strike], clearances: Iterable[Clearance]) -> bool:
         now = monotonic()
         changed = self.table.clear(clearances, now)
         if self.table.strike(strikes, now):
@@ -158,22 +160,22 @@
                 if row.quarantined:
                     log_warning("request_quarantined", fingerprint=row.fingerprint)
         if changed:
-            self._tell_upstream()
+            self._notify_upstream_task()
         return changed
 
-    def _tell_upstream(self) -> None:
+    def _notify_upstream_task(self) -> None:
         service = self.me.upstream.service if self.me.upstream else None
         suspects = {
             row.fingerprint: Suspect(
-                row.quarantined, self._trial(row.fingerprint, service) if service else None
+                row.quarantined, self._trial_member(row.fingerprint, service) if service else None
             )
             for row in self.table.rows(monotonic())
         }
         self.upstream.put(SuspectsChanged(suspects))
 
-    def _trial(self, fingerprint: Fingerprint, service: ServiceName) -> DaemonId | None:
+    def _trial_member(self, fingerprint: Fingerprint, service: ServiceName) -> DaemonId | None:
         struck = self.table.struck_daemons(fingerprint)
-        return trial_member(fingerprint, self._serving(service), struck)
+        return trial_member(fingerprint, self._serving_members(service), struck)
 
-    def _serving(self, service: ServiceName) -> tuple[Member, ...]:
+    def _serving_members(self, service: ServiceName) -> tuple[Member, ...]:
         return self.view.by_service.get(service, ())
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -18,12 +18,12 @@
 from ..relay_messages import CancelAt, SendTo
 
 Flow = Generator[Attempt, RelayResult, RelayResult]
-Hedge = Callable[[DaemonId], Endpoint | None]
+HedgeChooser = Callable[[DaemonId], Endpoint | None]
 """Returns the upstream of a second attempt beside the daemon tried first, if it is allowed."""
 
 
 @dataclass(frozen=True, slots=True)
-class CallFacts:
+class CallContext:
     """What is fixed when a call is accepted; `deadline` is on the monotonic clock."""
 
     call_id: CallId
@@ -48,29 +48,29 @@
 
     def __init__(
         self,
-        facts: CallFacts,
+        context: CallContext,
         exchange: Exchange,
         flow: Flow,
-        hedge: Hedge | None,
+        choose_hedge: HedgeChooser | None,
         balancer: NearestBalancer,
         links: Sender[SendTo | CancelAt],
-        new_id: Callable[[], HandoverId],
+        new_handover_id: Callable[[], HandoverId],
         on_end: "Callable[[RelayedCall, RelayResult], None]",
     ) -> None:
-        self.facts = facts
+        self.context = context
         self.exchange = exchange
         self.flow = flow
-        self.hedge = hedge
+        self.choose_hedge = choose_hedge
         self.balancer = balancer
         self.links = links
-        self.new_id = new_id
+        self.new_handover_id = new_handover_id
         self.on_end = on_end
-        self.open: dict[HandoverId, Sent] = {}
-        self.last: Sent | None = None
+        self.in_flight: dict[HandoverId, Sent] = {}
+        self.last_sent: Sent | None = None
         self.hedged = False
-        self.held: RelayResult | None = None
+        self.kept_result: RelayResult | None = None
         self.attempts = 0
-        self.timer: asyncio.TimerHandle | None = None
+        self.deadline_timer: asyncio.TimerHandle | None = None
         self.hedge_timer: asyncio.TimerHandle | None = None
         self.ended = False
 
@@ -78,78 +78,78 @@
         """Start the first attempt, the timer of the deadline and that of a second attempt."""
         loop = asyncio.get_running_loop()
         now = monotonic()
-        left = Millis(self.facts.deadline - now)
-        self.timer = loop.call_later(max(0.0, left) / 1000, self._expire)
-        self.exchange.on_gone = self._gone
-        if self.hedge is not None:
-            route = self.facts.route
+        left = Millis(self.context.deadline - now)
+        self.deadline_timer = loop.call_later(max(0.0, left) / 1000, self._on_deadline)
+        self.exchange.on_gone = self._on_connection_closed
+        if self.choose_hedge is not None:
+            route = self.context.route
             objective = Millis(self.exchange.arrived + route.objective - now)
             delay = hedge_delay(self.balancer.usual_time(route.name), objective, left)
             if delay is not None:
-                self.hedge_timer = loop.call_later(delay / 1000, self._try_second)
-        self._advance(None)
+                self.hedge_timer = loop.call_later(delay / 1000, self._send_hedge)
+        self._advance_flow(None)
 
-    def _advance(self, result: RelayResult | None) -> None:
+    def _advance_flow(self, result: RelayResult | None) -> None:
         try:
             attempt = next(self.flow) if result is None else self.flow.send(result)
         except StopIteration as stop:
             self._end(stop.value)
             return
-        self._send(attempt.daemon_id, attempt.instance)
+        self._send_attempt(attempt.daemon_id, attempt.instance)
 
-    def _try_second(self) -> None:
+    def _send_hedge(self) -> None:
         """Send a slow first attempt a second time, to another upstream."""
-        first = self.last
-        if self.hedge is None or first is None or self.attempts > 1 or not self.open:
+        first = self.last_sent
+        if self.choose_hedge is None or first is None or self.attempts > 1 or not self.in_flight:
             return
-        endpoint = self.hedge(first.daemon_id)
+        endpoint = self.choose_hedge(first.daemon_id)
         if endpoint is not None and endpoint.instance is not None:
             self.hedged = True
-            self._send(endpoint.daemon_id, endpoint.instance)
+            self._send_attempt(endpoint.daemon_id, endpoint.instance)
 
-    def _send(self, daemon_id: DaemonId, instance: InstanceId) -> None:
+    def _send_attempt(self, daemon_id: DaemonId, instance: InstanceId) -> None:
         self.attempts += 1
         now = monotonic()
-        handover_id = self.new_id()
-        self.last = self.open[handover_id] = Sent(daemon_id, instance, now)
-        facts = self.facts
+        handover_id = self.new_handover_id()
+        self.last_sent = self.in_flight[handover_id] = Sent(daemon_id, instance, now)
+        context = self.context
         handover = Handover(
             handover_id,
-            facts.call_id,
-            facts.route.name,
-            facts.service,
+            context.call_id,
+            context.route.name,
+            context.service,
             instance,
-            facts.route.repeat,
-            facts.route.rank,
-            Millis(self.exchange.arrived + facts.route.objective - now),
-            Millis(facts.deadline - now),
-            facts.request,
+            context.route.repeat,
+            context.route.rank,
+            Millis(self.exchange.arrived + context.route.objective - now),
+            Millis(context.deadline - now),
+            context.request,
         )
-        self.links.put(SendTo(daemon_id, handover, self._result))
+        self.links.put(SendTo(daemon_id, handover, self._handle_result))
 
-    def _result(self, handover_id: HandoverId, result: RelayResult) -> None:
-        sent = self.open.pop(handover_id, None)
+    def _handle_result(self, handover_id: HandoverId, result: RelayResult) -> None:
+        sent = self.in_flight.pop(handover_id, None)
         if sent is None:
             return
-        self._learn(sent, result)
+        self._report_to_balancer(sent, result)
         if not self.hedged:
-            self._advance(result)
+            self._advance_flow(result)
             return
         # The flow allowed one attempt; with the second one, the attempts of the route are used up.
-        self.held = worse_kept(self.held, result)
-        if served(result) or not self.open:
-            self._end(self.held)
+        self.kept_result = worse_kept(self.kept_result, result)
+        if served(result) or not self.in_flight:
+            self._end(self.kept_result)
 
-    def _learn(self, sent: Sent, result: RelayResult) -> None:
+    def _report_to_balancer(self, sent: Sent, result: RelayResult) -> None:
         now = monotonic()
         took = Millis(now - sent.at)
-        size = len(self.facts.request.body)
-        self.balancer.ended(sent.daemon_id, result, took, self.facts.route.name, size, now)
+        size = len(self.context.request.body)
+        self.balancer.ended(sent.daemon_id, result, took, self.context.route.name, size, now)
 
-    def _expire(self) -> None:
+    def _on_deadline(self) -> None:
         self._end(lost(Reason.TIMEOUT))
 
-    def _gone(self, closed_by: ClosedBy) -> None:
+    def _on_connection_closed(self, closed_by: ClosedBy) -> None:
         cut = closed_by is ClosedBy.DAEMON
         self._end(lost(Reason.CUT if cut else Reason.CANCELLED))
 
@@ -157,15 +157,15 @@
         if self.ended:
             return
         self.ended = True
-        for timer in (self.timer, self.hedge_timer):
+        for timer in (self.deadline_timer, self.hedge_timer):
             if timer is not None:
                 timer.cancel()
         # What is still out is no longer waited for: the time is up, the caller left, or another
         # attempt was served.
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
-        for handover_id, sent in self.open.items():
+        for handover_id, sent in self.in_flight.items():
             self.links.put(CancelAt(sent.daemon_id, handover_id))
-            self._learn(sent, lost(reason))
-        self.open.clear()
+            self._report_to_balancer(sent, lost(reason))
+        self.in_flight.clear()
         self.flow.close()
         self.on_end(self, result)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -43,22 +43,22 @@
 RETRY_CAP = Millis(1_500)
 # Daemons that do not follow look this often whether they missed something; pings from the daemons
 # of their region tell them sooner.
-CHECK_SECONDS = 30.0
-UNREACHED_CHECK_SECONDS = 4.0
+POLL_SECONDS = 30.0
+UNREACHABLE_RETRY_SECONDS = 4.0
 ROLE_CHECK_SECONDS = 0.25
 # Reads may come from a state some seconds old, so the announcements are read more than once.
-ANNOUNCEMENT_READS = (0.0, 4.0)
+ANNOUNCEMENT_READ_DELAYS_SECONDS = (0.0, 4.0)
 # A starting daemon reads the store itself when no peer gave it the configuration by then. Links
 # are open within 200 ms of the start; a caller's shortest time limit is a few times longer.
-PEERS_FIRST_SECONDS = 0.5
+PEER_CONFIG_WAIT_SECONDS = 0.5
 START_POLL_SECONDS = 0.05
 # A daemon that forgot a peer looks this often whether it is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
-COMPRESSION = 6
+COMPRESSION_LEVEL = 6
 # A drain is kept while it can matter: the upstream ends some seconds after it.
-DRAIN_TRIES = 8
+KEEP_DRAIN_ATTEMPTS = 8
 # A measured latency is told to the peers when it is this much lower than the one they know.
-LATENCY_NEWS = 0.5
+LATENCY_UPDATE_RATIO = 0.5
 
 ConfigDecoder = Callable[[bytes], HostTable]
 """Returns the compiled configuration; raises `MessageDecodeError`."""
@@ -98,26 +98,26 @@
         self.offset: Offset | None = None
         self.failures = 0
         self.background: set[asyncio.Task[None]] = set()
-        self.draining: Endpoint | None = None
+        self.latest_drain: Endpoint | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        announcing = asyncio.ensure_future(self._announce())
+        announcing = asyncio.ensure_future(self._run_announcements())
         try:
-            await self._ask_peers_first()
+            await self._wait_for_peer_config()
             while True:
                 if self.offset is not None and self._is_reader():
-                    await self._follow(self.offset)
+                    await self._read_next(self.offset)
                 else:
-                    await self._check()
+                    await self._read_newest()
         finally:
             announcing.cancel()
             for task in self.background:
                 task.cancel()
 
-    async def _ask_peers_first(self) -> None:
+    async def _wait_for_peer_config(self) -> None:
         """Wait for the configuration of a peer, unless this daemon is one of the readers."""
-        left = PEERS_FIRST_SECONDS
+        left = PEER_CONFIG_WAIT_SECONDS
         while left > 0 and not self.version:
             await asyncio.sleep(START_POLL_SECONDS)
             left -= START_POLL_SECONDS
@@ -134,20 +134,20 @@
                 except zlib.error as error:
                     self.log.change("config_malformed", source=origin.value, reason=str(error))
                     return
-                self._take(data, origin)
+                self._apply_config(data, origin)
             case DeltaReceived(delta, origin):
-                self._take_delta(delta, origin)
+                self._apply_config_delta(delta, origin)
             case LinksChanged(open_links):
                 self.open_links = open_links
             case DrainConfirmed(me):
-                self.draining = me
-                self._start(self._keep_drain(me))
+                self.latest_drain = me
+                self._start_background(self._keep_drain(me))
             case PeerForgotten(daemon_id):
                 self.forgot_peer = True
                 if self._is_reader():
-                    self._start(self._withdraw(daemon_id))
+                    self._start_background(self._withdraw(daemon_id))
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self.background.add(task)
         task.add_done_callback(self.background.discard)
@@ -155,43 +155,45 @@
     def _is_reader(self) -> bool:
         return reads_store(self.directory.me, self.directory.rows.values(), self.open_links)
 
-    async def _check(self) -> None:
+    async def _read_newest(self) -> None:
         """Wait until it is time to look, then read the newest configuration."""
-        await self._wait_for_role()
-        answer = await self._ask("newest_config", self.store.newest_config())
+        await self._wait_until_read_due()
+        answer = await self._call_store("newest_config", self.store.newest_config())
         if answer is None:
-            await self._pause()
+            await self._wait_before_retry()
             return
         data, self.offset = answer
         if data is not None:
-            self._take(data, ConfigOrigin.STORE)
+            self._apply_config(data, ConfigOrigin.STORE)
         if not self.version:
             await asyncio.sleep(ROLE_CHECK_SECONDS)
 
-    async def _wait_for_role(self) -> None:
+    async def _wait_until_read_due(self) -> None:
         if not self.version:
             return
         self.offset = None
-        left = CHECK_SECONDS * self.rng.uniform(0.8, 1.2)
+        left = POLL_SECONDS * self.rng.uniform(0.8, 1.2)
         while left > 0 and not self._is_reader():
             await asyncio.sleep(ROLE_CHECK_SECONDS)
             left -= ROLE_CHECK_SECONDS
 
-    async def _follow(self, offset: Offset) -> None:
+    async def _read_next(self, offset: Offset) -> None:
         try:
-            answer = await self._ask("next_config", self.store.next_config(offset, FOLLOW_WAIT))
+            answer = await self._call_store(
+                "next_config", self.store.next_config(offset, FOLLOW_WAIT)
+            )
         except HistoryLostError:
             self.log.change("history_lost", offset=offset)
             self.offset = None
             return
         if answer is None:
-            await self._pause()
+            await self._wait_before_retry()
             return
         data, self.offset = answer
         if data is not None:
-            self._take(data, ConfigOrigin.STORE)
+            self._apply_config(data, ConfigOrigin.STORE)
 
-    async def _ask(self, operation: str, call: Awaitable[T]) -> T | None:
+    async def _call_store(self, operation: str, call: Awaitable[T]) -> T | None:
         """Return the answer, or None after a failure, which is logged when it is the first."""
         asked_at = monotonic()
         try:
@@ -212,19 +214,19 @@
         # Peers are told whole milliseconds. The readers are picked by latency on every daemon, and
         # with other figures of itself a daemon may leave to others what they leave to it.
         took = Millis(max(1, int(monotonic() - asked_at)))
-        if not self.latency or took < LATENCY_NEWS * self.latency:
+        if not self.latency or took < LATENCY_UPDATE_RATIO * self.latency:
             self.latency = took
         self.peers.put(LogReached(True, self.latency))
         return answer
 
-    async def _pause(self) -> None:
+    async def _wait_before_retry(self) -> None:
         if self.version and not self._is_reader():
-            await asyncio.sleep(UNREACHED_CHECK_SECONDS * self.rng.uniform(0.8, 1.2))
+            await asyncio.sleep(UNREACHABLE_RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
         else:
             delay = full_jitter(self.failures, RETRY_BASE, RETRY_CAP, self.rng)
             await asyncio.sleep((RETRY_BASE + delay) / 1000)
 
-    def _take_delta(self, delta: ConfigDelta, origin: ConfigOrigin) -> None:
+    def _apply_config_delta(self, delta: ConfigDelta, origin: ConfigOrigin) -> None:
         if delta.version <= self.version:
             return
         try:
@@ -237,9 +239,11 @@
             self.log.change("config_delta_unfit", version=delta.version, reason=str(error))
             self.peers.put(PullNeeded(delta.version))
             return
-        self._take(data, origin, delta)
+        self._apply_config(data, origin, delta)
 
-    def _take(self, data: bytes, origin: ConfigOrigin, received: ConfigDelta | None = None) -> None:
+    def _apply_config(
+        self, data: bytes, origin: ConfigOrigin, received: ConfigDelta | None = None
+    ) -> None:
         try:
             table = self.decode(data)
         except MessageDecodeError as error:
@@ -254,24 +258,24 @@
             source=origin.value,
             routes=sum(map(len, table.hosts.values())),
         )
-        delta = received or self._delta(table.version, data)
+        delta = received or self._delta_to(table.version, data)
         self.version, self.data = table.version, data
         self.metrics.version.set(table.version)
         self.entry.put(TableInForce(table))
-        blob = zlib.compress(data, COMPRESSION)
+        blob = zlib.compress(data, COMPRESSION_LEVEL)
         self.peers.put(ConfigChanged(table.version, blob, delta, origin))
 
-    def _delta(self, version: Version, data: bytes) -> ConfigDelta | None:
+    def _delta_to(self, version: Version, data: bytes) -> ConfigDelta | None:
         if not self.version:
             return None
         return ConfigDelta(self.version, version, zlib.crc32(data), make_delta(self.data, data))
 
-    async def _announce(self) -> None:
+    async def _run_announcements(self) -> None:
         """Announce this daemon, then read who else is there, again after a peer was forgotten."""
-        while not await self._announced_me():
-            await self._pause()
+        while not await self._announce_self():
+            await self._wait_before_retry()
         begun = asyncio.get_running_loop().time()
-        for at in ANNOUNCEMENT_READS:
+        for at in ANNOUNCEMENT_READ_DELAYS_SECONDS:
             spread = self.rng.uniform(0, 0.3) if at else 0.0
             await asyncio.sleep(max(0.0, begun + at + spread - asyncio.get_running_loop().time()))
             await self._read_announcements()
@@ -282,22 +286,22 @@
                 await self._read_announcements()
 
     async def _read_announcements(self) -> None:
-        while (rows := await self._ask("announced", self.store.announced())) is None:
-            await self._pause()
-        endpoints = tuple(self._decoded(rows))
+        while (rows := await self._call_store("announced", self.store.announced())) is None:
+            await self._wait_before_retry()
+        endpoints = tuple(self._decode_endpoints(rows))
         self.peers.put(EndpointsRead(endpoints))
         self.exit.put(DrainsLearnt())
         me = self.directory.me
         if (me.daemon_id, me.incarnation) not in {(r.daemon_id, r.incarnation) for r in endpoints}:
             # A peer that could not reach this daemon withdrew its announcement.
-            await self._announced_me()
+            await self._announce_self()
 
-    async def _announced_me(self) -> bool:
+    async def _announce_self(self) -> bool:
         me = self.directory.me
         call = self.store.announce(me.daemon_id, encode_endpoint(me))
-        return await self._ask("announce", _true(call)) is not None
+        return await self._call_store("announce", _true_after(call)) is not None
 
-    def _decoded(self, rows: tuple[bytes, ...]) -> list[Endpoint]:
+    def _decode_endpoints(self, rows: tuple[bytes, ...]) -> list[Endpoint]:
         found: list[Endpoint] = []
         for data in rows:
             try:
@@ -308,21 +312,21 @@
 
     async def _keep_drain(self, me: Endpoint) -> None:
         """Keep a confirmed drain for the time after a restart; it binds then too."""
-        for _ in range(DRAIN_TRIES):
-            if self.draining is not me or me.instance is None:
+        for _ in range(KEEP_DRAIN_ATTEMPTS):
+            if self.latest_drain is not me or me.instance is None:
                 # A later attempt took over; an earlier drain must not replace a newer one.
                 return
             call = self.store.keep_drain(me.daemon_id, encode_endpoint(me))
-            if await self._ask("keep_drain", _true(call)) is not None:
+            if await self._call_store("keep_drain", _true_after(call)) is not None:
                 self.exit.put(DrainKept(me.instance, me.born))
                 return
             await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
-        self.log.change("drain_not_kept", instance=me.instance or "", tries=DRAIN_TRIES)
+        self.log.change("drain_not_kept", instance=me.instance or "", tries=KEEP_DRAIN_ATTEMPTS)
 
     async def _withdraw(self, daemon_id: DaemonId) -> None:
-        await self._ask("withdraw", _true(self.store.withdraw(daemon_id)))
+        await self._call_store("withdraw", _true_after(self.store.withdraw(daemon_id)))
 
 
-async def _true(call: Awaitable[None]) -> bool:
+async def _true_after(call: Awaitable[None]) -> bool:
     await call
     return True
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -62,7 +62,7 @@
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.25
-ENDING_SECONDS = 0.1
+CLOSE_PROBE_SECONDS = 0.1
 SHED_HEADER = "Agatecross-Outcome"
 CLOSE_CONNECTION = ("Connection", "close")
 
@@ -120,7 +120,7 @@
         self.admission = admission
         self.gate = gate
         self.deaths = deaths
-        self.deaths_of: dict[CallId, DeathAsk] = {}
+        self.death_reports: dict[CallId, DeathAsk] = {}
         # Calls that lost their connection, until it is certain whether the upstream died.
         self.probing: dict[CallId, InFlight] = {}
         self.mailbox = mailbox
@@ -134,7 +134,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.listener.listen(self.address, self._peer_request)
+        self.listener.listen(self.address, self._handle_peer_request)
         ticks = asyncio.ensure_future(self._ticks())
         try:
             while True:
@@ -150,7 +150,7 @@
         # A call that arrived just before the queue closed may have outlived its sender.
         await self.subtasks.wait()
 
-    async def _peer_request(self, request: Request) -> Response:
+    async def _handle_peer_request(self, request: Request) -> Response:
         call = decode_call(request, monotonic())
         if call is None:
             return encode_result(not_run(Reason.BAD_REQUEST))
@@ -159,40 +159,40 @@
         result = await ask.reply
         # Peers drop their idle connections to a daemon that leaves before it closes them.
         extra = (CLOSE_CONNECTION,) if self.leaving else ()
-        return encode_result(result, (LOAD, self._load()), *extra)
+        return encode_result(result, (LOAD, self._load_header()), *extra)
 
-    def _load(self) -> str:
+    def _load_header(self) -> str:
         return f"{self.admission.running} {self.admission.waiting} {self.admission.slots}"
 
     def _handle(self, message: UpstreamMessage) -> None:
         now = monotonic()
         match message:
             case UpstreamAnnounced(info):
-                self._announced(info, now)
+                self._handle_announcement(info, now)
             case CallEnded(call_id, result):
                 self.exchanges.pop(call_id, None)
                 self.gate.ended(call_id)
-                self._forget_death(call_id)
+                self._discard_death_report(call_id)
                 self._answer(call_id, result)
-                self._decide(CallFinished(call_id, _ending(result)), now)
+                self._run_admission(CallFinished(call_id, _ending_of(result)), now)
             case CallCancelled(call_id):
                 self.asks.pop(call_id, None)
-                self._decide(message, now)
+                self._run_admission(message, now)
             case ConfigInForce(snapshot):
                 self.snapshot = snapshot
-                self._decide(self._class_policy(), now)
+                self._run_admission(self._class_policy(), now)
             case SuspectsChanged(suspects):
                 self.gate.suspects_changed(suspects)
             case Leaving():
                 self.leaving = True
-                self._decide(Drain(), now)
+                self._run_admission(Drain(), now)
             case Tick():
                 self._check_lease(now)
-                self._decide(TimePassed(), now)
+                self._run_admission(TimePassed(), now)
             case _:
-                self._arrived(message, now)
+                self._handle_call(message, now)
 
-    def _arrived(self, ask: CallAsk, now: Millis) -> None:
+    def _handle_call(self, ask: CallAsk, now: Millis) -> None:
         call = ask.question
         if ask.reply.cancelled():
             return
@@ -205,21 +205,21 @@
             ask.answer(not_run(Reason.TOO_MANY_CALLS))
         else:
             self.asks[call.call_id] = ask
-            ask.reply.add_done_callback(lambda reply: self._reply_done(call.call_id, reply))
-            self._decide(CallArrived(call), now)
+            ask.reply.add_done_callback(lambda reply: self._on_reply_done(call.call_id, reply))
+            self._run_admission(CallArrived(call), now)
 
-    def _reply_done(self, call_id: CallId, reply: asyncio.Future[CallResult]) -> None:
+    def _on_reply_done(self, call_id: CallId, reply: asyncio.Future[CallResult]) -> None:
         if reply.cancelled():
             self.mailbox.put(CallCancelled(call_id))
 
-    def _announced(self, info: UpstreamInfo, now: Millis) -> None:
+    def _handle_announcement(self, info: UpstreamInfo, now: Millis) -> None:
         self.lease_until = Millis(now + UPSTREAM_LEASE)
         if info == self.info:
             return
         log_event("upstream_changed", service=info.service, state=info.state.value)
         self.info = info
-        self._decide(self._class_policy(), now)
-        self._decide(CapacityAnnounced(info.slots, info.connections, info.state), now)
+        self._run_admission(self._class_policy(), now)
+        self._run_admission(CapacityAnnounced(info.slots, info.connections, info.state), now)
         self.members.put(UpstreamChanged(info))
 
     def _class_policy(self) -> ClassPolicy:
@@ -233,17 +233,17 @@
         if self.info is not None and now > self.lease_until:
             log_event("upstream_lease_expired", service=self.info.service)
             self.info = None
-            self._decide(LeaseExpired(), now)
+            self._run_admission(LeaseExpired(), now)
             self.members.put(UpstreamChanged(None))
 
-    def _decide(self, message: AdmissionMessage, now: Millis) -> None:
-        self._act(self.admission.handle(message, now))
+    def _run_admission(self, message: AdmissionMessage, now: Millis) -> None:
+        self._execute_actions(self.admission.handle(message, now))
 
-    def _act(self, actions: Iterable[AdmissionAction]) -> None:
+    def _execute_actions(self, actions: Iterable[AdmissionAction]) -> None:
         for action in actions:
             match action:
                 case StartCall(call):
-                    self._start(call)
+                    self._start_call(call)
                 case RefuseCall(call_id, reason):
                     self._answer(call_id, not_run(reason))
                 case StopCall(call_id):
@@ -251,21 +251,21 @@
                     if call_id in self.exchanges:
                         self.exchanges[call_id].cancel()
 
-    def _start(self, call: Call) -> None:
+    def _start_call(self, call: Call) -> None:
         fingerprint = fingerprint_of(call.service, call.request)
         refusal = self.gate.refusal(fingerprint)
         if refusal is not None:
             self.mailbox.put(CallEnded(call.call_id, not_run(refusal)))
             return
         assert self.info is not None
-        flight = InFlight(fingerprint, call.request.path)
-        self.gate.started(call.call_id, flight)
-        exchange = self.subtasks.start(self._run(call, flight, self.info.address))
+        in_flight = InFlight(fingerprint, call.request.path)
+        self.gate.started(call.call_id, in_flight)
+        exchange = self.subtasks.start(self._run_call(call, in_flight, self.info.address))
         self.exchanges[call.call_id] = exchange
         # A callback and not the exchange reports the end: a cancelled exchange must free its slot.
-        exchange.add_done_callback(lambda ended: self._exchange_done(call.call_id, ended))
+        exchange.add_done_callback(lambda ended: self._on_exchange_done(call.call_id, ended))
 
-    def _exchange_done(self, call_id: CallId, exchange: asyncio.Task[CallResult]) -> None:
+    def _on_exchange_done(self, call_id: CallId, exchange: asyncio.Task[CallResult]) -> None:
         result = unknown(Reason.CONNECTION_LOST)
         if not exchange.cancelled() and (error := exchange.exception()) is None:
             result = exchange.result()
@@ -278,7 +278,7 @@
         if ask is not None:
             ask.answer(result)
 
-    async def _run(self, call: Call, flight: InFlight, address: Address) -> CallResult:
+    async def _run_call(self, call: Call, in_flight: InFlight, address: Address) -> CallResult:
         left = Millis(max(1.0, call.deadline - monotonic()))
         headers = (
             *call.request.headers,
@@ -286,39 +286,41 @@
             (DEADLINE, f"{left:.1f}"),
         )
         request = Request(call.request.method, call.request.path, headers, call.request.body)
-        result = await self._exchange(address, request, left)
+        result = await self._send_to_upstream(address, request, left)
         if result.reason is Reason.CONNECTION_LOST:
-            self.probing[call.call_id] = flight
+            self.probing[call.call_id] = in_flight
             # Goes on when the call is cancelled, as a hedge is whose other attempt ended: a death
             # that is not counted lets the request crash one more upstream.
-            await asyncio.shield(self.subtasks.start(self._probe(call.call_id, address)))
+            await asyncio.shield(self.subtasks.start(self._check_for_death(call.call_id, address)))
         return result
 
-    async def _probe(self, call_id: CallId, address: Address) -> None:
+    async def _check_for_death(self, call_id: CallId, address: Address) -> None:
         """Report the upstream's death, if it died, before the call is answered."""
         try:
             if await refuses_connections(address):
                 await self._report_death(call_id)
         finally:
             del self.probing[call_id]
-            self._forget_death(call_id)
+            self._discard_death_report(call_id)
 
-    def _forget_death(self, call_id: CallId) -> None:
+    def _discard_death_report(self, call_id: CallId) -> None:
         if call_id not in self.gate.running and call_id not in self.probing:
-            self.deaths_of.pop(call_id, None)
+            self.death_reports.pop(call_id, None)
 
     async def _report_death(self, call_id: CallId) -> None:
         """Report each death once, with every call that was running, and wait until it is known."""
-        if call_id not in self.deaths_of:
+        if call_id not in self.death_reports:
             running = {**self.gate.running, **self.probing}
-            lost = {i: row for i, row in running.items() if i not in self.deaths_of}
+            lost = {i: row for i, row in running.items() if i not in self.death_reports}
             ask: DeathAsk = new_ask(UpstreamDied(tuple(lost.values())))
             log_event("upstream_died", calls=len(lost))
-            self.deaths_of.update(dict.fromkeys(lost, ask))
+            self.death_reports.update(dict.fromkeys(lost, ask))
             self.deaths.put(ask)
-        await self.deaths_of[call_id].reply
+        await self.death_reports[call_id].reply
 
-    async def _exchange(self, address: Address, request: Request, left: Millis) -> CallResult:
+    async def _send_to_upstream(
+        self, address: Address, request: Request, left: Millis
+    ) -> CallResult:
         try:
             response = await self.client.send(address, request, left)
         except ExchangeError as error:
@@ -333,7 +335,7 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
-def _ending(result: CallResult) -> Ending:
+def _ending_of(result: CallResult) -> Ending:
     if result.outcome is Outcome.RAN or result.reason is Reason.TIMEOUT:
         return Ending.COMPLETED
     return Ending.SHED if result.reason is Reason.SHED else Ending.FAILED
@@ -351,7 +353,7 @@
         return False
     try:
         # A process that is ending may still accept, but then closes; a live one waits for a call.
-        async with asyncio.timeout(ENDING_SECONDS):
+        async with asyncio.timeout(CLOSE_PROBE_SECONDS):
             return await reader.read(1) == b""
     except TimeoutError:
         return False
