--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -96,8 +96,8 @@
             return await self._list_quarantine()
         if request.method == "DELETE" and path.startswith(f"{QUARANTINE_PATH}/"):
             return await self._lift(Fingerprint(path.removeprefix(f"{QUARANTINE_PATH}/")))
-        answer = self.handlers.get((request.method, path))
-        return answer(request) if answer else _json_response(404, {"error": "no such page"})
+        handler = self.handlers.get((request.method, path))
+        return handler(request) if handler else _json_response(404, {"error": "no such page"})
 
     async def _list_quarantine(self) -> Response:
         ask: ListAsk = new_ask(ListQuarantine())
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -175,15 +175,17 @@
 
 
 def _new_call(request: Request, policy: ServicePolicy, now: Millis) -> Call:
-    stated = remaining_ms(request)
-    left = policy.timeout_ms if stated is None else min(stated, policy.timeout_ms)
+    remaining = remaining_ms(request)
+    time_left = policy.timeout_ms if remaining is None else min(remaining, policy.timeout_ms)
     key = request.header(IDEMPOTENCY_KEY)
-    plain = Request(request.method, request.path, public_headers(request.headers), request.body)
+    public_request = Request(
+        request.method, request.path, public_headers(request.headers), request.body
+    )
     return Call(
         CallId(uuid.uuid4().hex),
         policy.name,
-        plain,
-        Millis(now + left),
+        public_request,
+        Millis(now + time_left),
         request.method in policy.idempotent_methods,
         IdempotencyKey(key) if key else None,
     )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -80,8 +80,8 @@
             return
         if self.behind_since is None:
             self.behind_since = now
-        near = self._origin_of(peer) is ConfigOrigin.REGION
-        if near or now - self.behind_since > REMOTE_PULL_DELAY:
+        same_region = self._origin_of(peer) is ConfigOrigin.REGION
+        if same_region or now - self.behind_since > REMOTE_PULL_DELAY:
             self.pulled_at = now
             send_reply(Pull(self.version))
 
@@ -97,5 +97,5 @@
 
     def _origin_of(self, peer: DaemonId | None) -> ConfigOrigin:
         row = self.directory.rows.get(peer) if peer is not None else None
-        near = row is not None and row.region == self.directory.me.region
-        return ConfigOrigin.REGION if near else ConfigOrigin.OTHER_REGION
+        same_region = row is not None and row.region == self.directory.me.region
+        return ConfigOrigin.REGION if same_region else ConfigOrigin.OTHER_REGION
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -109,8 +109,8 @@
             ask.answer(self.follower.answer(message))
         elif isinstance(message, VersionNotice):
             ask.answer(NoticeAck(state.version, state.digest))
-            heard = PeerVersion(message.sender, message.version, message.digest)
-            self._execute_actions(self.follower.peer_version(heard, now))
+            sender_version = PeerVersion(message.sender, message.version, message.digest)
+            self._execute_actions(self.follower.peer_version(sender_version, now))
 
     def _execute_actions(self, actions: Iterable[FollowerAction]) -> None:
         for action in actions:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -76,10 +76,10 @@
         self.table: HostTable | None = None
         self.split = WeightedSplit()
         self.fleet: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
-        self.daemons = 1
+        self.daemon_count = 1
         self.budgets: dict[ServiceName, FleetBudget] = {}
         self.strikes = StrikeTable()
-        self.drain: DrainPlan | None = None
+        self.drain_plan: DrainPlan | None = None
         self.stripped_headers = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
         )
@@ -103,9 +103,9 @@
                 self.split.retain(table)
                 self.listener.limits = table.limits
             case DrainPlanned(plan):
-                self.drain = plan
+                self.drain_plan = plan
             case FleetChanged(by_service, daemons):
-                self.fleet, self.daemons = by_service, daemons
+                self.fleet, self.daemon_count = by_service, daemons
             case StrikesLearnt(strikes):
                 if self.strikes.strike(strikes, monotonic()):
                     self.log.change("strikes_learnt", fingerprints=len(strikes))
@@ -121,7 +121,9 @@
             self._refuse(exchange, NOT_FOUND, Reason.NO_ROUTE, table.version)
             return
         context = self._call_context(exchange, route, table.version)
-        if self.drain is not None and not self.drain.admits(monotonic(), context.deadline):
+        if self.drain_plan is not None and not self.drain_plan.admits(
+            monotonic(), context.deadline
+        ):
             self._refuse(exchange, UNAVAILABLE, Reason.LEAVING, table.version)
             return
         exchange.deadline = context.deadline
@@ -135,8 +137,8 @@
         budget.first_arrival()
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
-            rows = self.fleet.get(service, ())
-            endpoint = self.balancer.choose(rows, tried, route.name, monotonic())
+            endpoints = self.fleet.get(service, ())
+            endpoint = self.balancer.choose(endpoints, tried, route.name, monotonic())
             if endpoint is not None:
                 self.balancer.started(endpoint)
             return endpoint
@@ -145,16 +147,16 @@
             RelayPolicy(route.repeat, route.attempts),
             choose,
             lambda: Millis(self._latest_attempt_start(context) - monotonic()),
-            lambda: budget.take(self.daemons, monotonic()),
+            lambda: budget.take(self.daemon_count, monotonic()),
         )
 
         def choose_hedge(tried: DaemonId) -> Endpoint | None:
-            rows = self.fleet.get(service, ())
+            endpoints = self.fleet.get(service, ())
             now = monotonic()
-            endpoint = self.balancer.choose(rows, (tried,), route.name, now)
+            endpoint = self.balancer.choose(endpoints, (tried,), route.name, now)
             if endpoint is None or not self.balancer.has_spare(endpoint, now):
                 return None
-            if not budget.take(self.daemons, now):
+            if not budget.take(self.daemon_count, now):
                 return None
             self.balancer.started(endpoint)
             return endpoint
@@ -173,31 +175,35 @@
         call.begin()
 
     def _call_context(self, exchange: Exchange, route: HostRoute, version: int) -> CallContext:
-        stated, call_id = DEFAULT_CALL_TIMEOUT, b""
-        rows: list[tuple[bytes, bytes]] = []
+        time_left, call_id = DEFAULT_CALL_TIMEOUT, b""
+        headers: list[tuple[bytes, bytes]] = []
         names = self.names
-        for row in exchange.request.headers:
-            name, value = row
+        for header in exchange.request.headers:
+            name, value = header
             if name == names.time_left and value.isdigit():
-                stated = Millis(int(value))
+                time_left = Millis(int(value))
             if name == names.call_id:
                 call_id = value
             if name not in self.stripped_headers:
-                rows.append(row)
-        rows.append((names.caller_service, self.caller_service))
+                headers.append(header)
+        headers.append((names.caller_service, self.caller_service))
         request = exchange.request
         return CallContext(
             CallId(call_id.decode("latin-1")),
             route,
             self.split.pick(route),
-            RelayRequest(request.method, request.target, tuple(rows), request.body),
-            Millis(exchange.arrived + min(stated, route.timeout)),
+            RelayRequest(request.method, request.target, tuple(headers), request.body),
+            Millis(exchange.arrived + min(time_left, route.timeout)),
             version,
         )
 
     def _latest_attempt_start(self, context: CallContext) -> Millis:
         """Return until when an attempt may start; what starts at the end of a drain is cut."""
-        return context.deadline if self.drain is None else min(context.deadline, self.drain.end)
+        return (
+            context.deadline
+            if self.drain_plan is None
+            else min(context.deadline, self.drain_plan.end)
+        )
 
     def _is_quarantined(self, context: CallContext) -> bool:
         fingerprint = relay_fingerprint(context.service, context.request)
@@ -217,8 +223,8 @@
             or response.status >= SERVER_ERROR
         )
         if failed or self.log.wants_served():
-            write = self.log.call_failed if failed else self.log.call_served
-            write(
+            write_line = self.log.call_failed if failed else self.log.call_served
+            write_line(
                 "call",
                 call_id=call.context.call_id,
                 route=route.name,
@@ -238,11 +244,11 @@
         call.exchange.respond(response)
 
     def _refuse(self, exchange: Exchange, status: int, reason: Reason, version: int) -> None:
-        ids = [value for name, value in exchange.request.headers if name == self.names.call_id]
+        call_ids = [value for name, value in exchange.request.headers if name == self.names.call_id]
         self.metrics.refused(reason)
         self.log.call_failed(
             "call_refused",
-            call_id=ids[0].decode("latin-1") if ids else "",
+            call_id=call_ids[0].decode("latin-1") if call_ids else "",
             host=exchange.host,
             reason=reason.value,
             version=version,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -227,8 +227,8 @@
         if done is Failure.CONNECTION_LOST and call.reply is not None:
             self._record_lost_call(call, now)
         result = self._relay_result(call, done)
-        learn = result.response is not None and call.reply is not None
-        self.queue.finished(call.handover.handover_id, now, learn)
+        is_typical = result.response is not None and call.reply is not None
+        self.queue.finished(call.handover.handover_id, now, is_typical)
         self._answer(call, result)
         self._remove_call(call)
         self._execute_actions(self.queue.next(now))
@@ -251,7 +251,7 @@
         if call.timer is not None:
             call.timer.cancel()
             call.timer = None
-        whole = RelayResult(
+        full_result = RelayResult(
             result.outcome,
             result.reason,
             result.response,
@@ -260,7 +260,7 @@
             self.queue.slots,
             Millis(self.queue.costs.get(call.handover.route, 0.0)),
         )
-        self.ledger.finish(call.handover.handover_id, whole)
+        self.ledger.finish(call.handover.handover_id, full_result)
         if result.reason is not None:
             self.log.call_failed(
                 "handover_failed",
@@ -275,7 +275,7 @@
             )
         reply, call.reply = call.reply, None
         if reply is not None:
-            reply(call.handover.handover_id, whole)
+            reply(call.handover.handover_id, full_result)
 
     def _remove_call(self, call: ExitCall) -> None:
         self.calls.pop(call.handover.handover_id, None)
@@ -323,8 +323,8 @@
     def _enable_heartbeats(self) -> None:
         """Take the heartbeats that came before the drains of earlier were known."""
         self.heartbeats_enabled = True
-        early_heartbeats, self.early_heartbeats = self.early_heartbeats, []
-        for beat in early_heartbeats:
+        early, self.early_heartbeats = self.early_heartbeats, []
+        for beat in early:
             self._handle_heartbeat(beat)
 
     def _handle_heartbeat(self, beat: Heartbeat) -> None:
@@ -382,17 +382,17 @@
 
     def _report_death(self, now: Millis) -> None:
         """Report the calls that were running when the upstream crashed."""
-        rows = [handover for at, handover in self.lost_calls if now - at < CRASH_WINDOW]
+        handovers = [handover for at, handover in self.lost_calls if now - at < CRASH_WINDOW]
         self.lost_calls.clear()
         current = self.announcements.current
-        if not rows or current is None:
+        if not handovers or current is None:
             return
         died = Incarnation(current.born)
         strikes = tuple(
-            Strike(relay_fingerprint(row.service, row.request), self.daemon_id, died)
-            for row in rows
+            Strike(relay_fingerprint(handover.service, handover.request), self.daemon_id, died)
+            for handover in handovers
         )
-        self.log.change("upstream_died", instance=self.instance or "", running=len(rows))
+        self.log.change("upstream_died", instance=self.instance or "", running=len(handovers))
         self.peers.put(StrikesLearnt(strikes))
 
     def _tick(self, now: Millis) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -246,14 +246,14 @@
 
     def _helper_answered(self, message: HelperAnswered, now: Millis) -> None:
         target, reply = message.target, message.reply
-        left = self.pending_helpers.pop((target.daemon_id, message.sent_at), None)
+        remaining = self.pending_helpers.pop((target.daemon_id, message.sent_at), None)
         if isinstance(reply, ProbeAck):
             self._merge_gossip(reply.gossip, now)
             if reply.alive:
                 return
-        if left is not None and left > 1:
-            self.pending_helpers[target.daemon_id, message.sent_at] = left - 1
-        elif left is not None:
+        if remaining is not None and remaining > 1:
+            self.pending_helpers[target.daemon_id, message.sent_at] = remaining - 1
+        elif remaining is not None:
             self._confirm_unreachable(target, message.sent_at)
 
     def _confirm_unreachable(self, target: Member, sent_at: Millis) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -127,7 +127,7 @@
         self.dialer.cancel()
         if self.connection is not None:
             self.connection.abort()
-        self._fail_pending(lambda row: True)
+        self._fail_pending(lambda pending: True)
 
     async def _dial(self) -> None:
         loop = asyncio.get_running_loop()
@@ -142,10 +142,10 @@
                     )
             except ConnectionRefusedError:
                 # Nothing listens: the daemon that had the handovers is gone.
-                self._fail_pending(lambda row: True)
+                self._fail_pending(lambda pending: True)
             except (OSError, TimeoutError):
                 # The daemon may still run what it has, so only safe calls may go elsewhere.
-                self._fail_pending(lambda row: row.handover.repeat is Repeat.SAFE)
+                self._fail_pending(lambda pending: pending.handover.repeat is Repeat.SAFE)
             if self.connection is None:
                 self.state = LinkState.DOWN
                 self.failed_dials += 1
@@ -194,9 +194,9 @@
     def _handle_hello(self, hello: Hello) -> None:
         if hello.daemon_id != self.daemon_id:
             # Another machine took over the address.
-            self._fail_pending(lambda row: True)
+            self._fail_pending(lambda pending: True)
         elif self.incarnation not in (None, hello.incarnation):
-            self._fail_pending(lambda row: True)
+            self._fail_pending(lambda pending: True)
         self.incarnation = hello.incarnation
         self.state = LinkState.OPEN
         self.failed_dials = 0
@@ -205,11 +205,11 @@
             self.send(Resume(handover_id))
 
     def _deliver_result(self, handover_id: HandoverId, result: RelayResult) -> None:
-        row = self.pending.pop(handover_id, None)
-        if row is not None:
-            row.reply(handover_id, result)
+        pending = self.pending.pop(handover_id, None)
+        if pending is not None:
+            pending.reply(handover_id, result)
 
     def _fail_pending(self, matches: Callable[[PendingHandover], bool]) -> None:
-        for handover_id, row in list(self.pending.items()):
-            if matches(row):
+        for handover_id, pending in list(self.pending.items()):
+            if matches(pending):
                 self._deliver_result(handover_id, lost(Reason.CONNECTION_LOST))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -145,8 +145,8 @@
         if self.server is not None:
             self.server.close()
         self.inbound.finish()
-        last = monotonic() + limit
-        while self.inbound.connections and monotonic() < last:
+        deadline = monotonic() + limit
+        while self.inbound.connections and monotonic() < deadline:
             await asyncio.sleep(FINISH_POLL_SECONDS)
 
     def _handle(self, message: PeersMessage) -> None:
@@ -208,22 +208,22 @@
         self._publish_endpoints()
 
     def _merge_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
-        before = self.directory.me
+        previous = self.directory.me
         self._apply_own_drain(endpoints)
         updated = self.directory.merge(endpoints)
-        if self.directory.me.order != before.order:
+        if self.directory.me.order != previous.order:
             self._announce_self(self.directory.me)
-        for row in updated:
-            self._dial(row)
+        for endpoint in updated:
+            self._dial(endpoint)
             self.log.change(
                 "endpoint_learnt",
-                daemon=row.daemon_id,
-                incarnation=row.incarnation,
-                sequence=row.sequence,
-                service=row.service,
-                instance=row.instance or "",
-                state=row.state.value,
-                leaving=row.leaving,
+                daemon=endpoint.daemon_id,
+                incarnation=endpoint.incarnation,
+                sequence=endpoint.sequence,
+                service=endpoint.service,
+                instance=endpoint.instance or "",
+                state=endpoint.state.value,
+                leaving=endpoint.leaving,
             )
         if updated:
             self._close_unknown_links()
@@ -231,26 +231,26 @@
 
     def _apply_own_drain(self, endpoints: tuple[Endpoint, ...]) -> None:
         # A drain that was confirmed before a restart binds this daemon too.
-        for row in endpoints:
-            own = row.daemon_id == self.directory.me.daemon_id
-            if own and row.state is UpstreamState.DRAINING and row.instance is not None:
-                self.exit.put(LeaveReceived(row.instance, row.born))
+        for endpoint in endpoints:
+            own = endpoint.daemon_id == self.directory.me.daemon_id
+            if own and endpoint.state is UpstreamState.DRAINING and endpoint.instance is not None:
+                self.exit.put(LeaveReceived(endpoint.instance, endpoint.born))
 
-    def _dial(self, row: Endpoint) -> None:
-        link = self.links.get(row.daemon_id)
-        if link is not None and link.address == row.address:
+    def _dial(self, endpoint: Endpoint) -> None:
+        link = self.links.get(endpoint.daemon_id)
+        if link is not None and link.address == endpoint.address:
             return
         if link is not None:
             link.close()
-        near = row.region == self.directory.me.region
-        self.links[row.daemon_id] = PeerLink(
-            row.daemon_id,
-            row.address,
-            lambda: self._hello(row.daemon_id, row.data_centre),
+        same_region = endpoint.region == self.directory.me.region
+        self.links[endpoint.daemon_id] = PeerLink(
+            endpoint.daemon_id,
+            endpoint.address,
+            lambda: self._hello(endpoint.daemon_id, endpoint.data_centre),
             lambda: self.config_distributor.version,
             self._on_link_message,
             self.rng,
-            PING_PERIOD if near else REMOTE_PING_PERIOD,
+            PING_PERIOD if same_region else REMOTE_PING_PERIOD,
         )
 
     def _close_unknown_links(self) -> None:
@@ -264,15 +264,23 @@
         fleet; they go only from a few daemons of a data centre to their neighbours.
         """
         me = self.directory.me
-        rows = [row for row in self.directory.rows.values() if row.daemon_id != me.daemon_id]
-        neighbours = [row.daemon_id for row in rows if row.data_centre == me.data_centre]
+        others = [
+            endpoint
+            for endpoint in self.directory.rows.values()
+            if endpoint.daemon_id != me.daemon_id
+        ]
+        neighbours = [
+            endpoint.daemon_id for endpoint in others if endpoint.data_centre == me.data_centre
+        ]
         donors = select_readers((me.daemon_id, *neighbours), TABLE_DONORS)
         if data_centre != me.data_centre or me.daemon_id not in donors:
             # A drain that the peer confirmed before it restarted still binds it.
-            rows = [
-                row for row in rows if row.daemon_id == peer and row.state is UpstreamState.DRAINING
+            others = [
+                endpoint
+                for endpoint in others
+                if endpoint.daemon_id == peer and endpoint.state is UpstreamState.DRAINING
             ]
-        return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *rows))
+        return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *others))
 
     def _hello_reply(self, hello: Hello) -> Hello:
         data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
@@ -282,7 +290,9 @@
         """Tell the entry task which endpoints take calls: those with an open link."""
         me = self.directory.me.daemon_id
         rows = {
-            service: tuple(row for row in endpoints if self._is_reachable(row.daemon_id, me))
+            service: tuple(
+                endpoint for endpoint in endpoints if self._is_reachable(endpoint.daemon_id, me)
+            )
             for service, endpoints in self.directory.by_service.items()
         }
         self.entry.put(FleetChanged(rows, len(self.directory.rows)))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -127,7 +127,7 @@
         self.last_death_ms = max(self.last_death_ms + 1, int(time.time() * 1000))
         death = Incarnation(self.last_death_ms)
         paths = {call.fingerprint: call.path for call in calls}
-        strikes = tuple(Strike(row, self.me.daemon_id, death) for row in paths)
+        strikes = tuple(Strike(fingerprint, self.me.daemon_id, death) for fingerprint in paths)
         self._merge_reports(strikes, ())
         for fingerprint, path in paths.items():
             self.table.seen(fingerprint, path)
@@ -138,8 +138,8 @@
     async def _notify_peers(self, notice: StrikeNotice) -> None:
         """Tell the peers that could run the calls next, and others up to a limit."""
         upstream = self.me.upstream
-        same = self._serving_members(upstream.service) if upstream else ()
-        peers: dict[DaemonId, Member] = {m.daemon_id: m for m in same}
+        same_service = self._serving_members(upstream.service) if upstream else ()
+        peers: dict[DaemonId, Member] = {m.daemon_id: m for m in same_service}
         for member in self.view.members.values():
             if len(peers) >= MAX_STRIKE_NOTICES:
                 break
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -121,9 +121,9 @@
         while left > 0 and not self.version:
             await asyncio.sleep(START_POLL_SECONDS)
             left -= START_POLL_SECONDS
-            known = len(self.directory.rows) - 1
+            known_peers = len(self.directory.rows) - 1
             # With few links open, each daemon would take itself for a reader.
-            if 0 < known <= 2 * len(self.open_links) and self._is_reader():
+            if 0 < known_peers <= 2 * len(self.open_links) and self._is_reader():
                 return
 
     def _handle(self, message: SourceMessage) -> None:
@@ -274,10 +274,12 @@
         """Announce this daemon, then read who else is there, again after a peer was forgotten."""
         while not await self._announce_self():
             await self._wait_before_retry()
-        begun = asyncio.get_running_loop().time()
-        for at in ANNOUNCEMENT_READ_DELAYS_SECONDS:
-            spread = self.rng.uniform(0, 0.3) if at else 0.0
-            await asyncio.sleep(max(0.0, begun + at + spread - asyncio.get_running_loop().time()))
+        started_at = asyncio.get_running_loop().time()
+        for delay in ANNOUNCEMENT_READ_DELAYS_SECONDS:
+            jitter = self.rng.uniform(0, 0.3) if delay else 0.0
+            await asyncio.sleep(
+                max(0.0, started_at + delay + jitter - asyncio.get_running_loop().time())
+            )
             await self._read_announcements()
         while True:
             await asyncio.sleep(ANNOUNCEMENT_REREAD_SECONDS * self.rng.uniform(0.8, 1.2))
