--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Status:
-    """Body of the status answer; control traffic in payload bytes since the start."""
+    """Body of the status response; control traffic in payload bytes since the start."""
 
     daemon_id: DaemonId
     state: DaemonState
@@ -39,7 +39,7 @@
 
 
 class AdminTask:
-    """Answers status requests and takes the upstream's announcements."""
+    """Answers requests of operators and accepts the announcements of the upstream."""
 
     def __init__(
         self,
@@ -87,7 +87,7 @@
                     self.state = DaemonState.LEAVING
 
     async def drained(self) -> None:
-        """Return when every request that has begun to arrive is answered."""
+        """Wait until every request that has begun to arrive is answered."""
         await self.listener.close()
 
     async def _handle_request(self, request: Request) -> Response:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -1,4 +1,4 @@
-"""Drives the attempts of a call; belongs to the call task."""
+"""Runs the attempts of a call; belongs to the call task."""
 
 import asyncio
 
@@ -51,7 +51,7 @@
             result: CallResult = stop.value
             return result
         finally:
-            # Cancelling an attempt closes its connection, so its target stops to work on it.
+            # Cancelling an attempt closes its connection, so its target stops working on it.
             for task in running:
                 task.cancel()
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -1,4 +1,4 @@
-"""Owns the callers' listener and carries each call to an outcome."""
+"""Owns the listener for callers and runs each call until it has an outcome."""
 
 import asyncio
 import uuid
@@ -43,7 +43,7 @@
 
 
 class CallTask:
-    """Routes calls of callers; keeps the snapshot and view that new calls begin with."""
+    """Routes the calls of callers; holds the snapshot and the view that new calls use."""
 
     def __init__(
         self,
@@ -93,7 +93,7 @@
                 self.quarantine.handle(message)
 
     async def drained(self) -> None:
-        """Return when no call is in flight and every response was written."""
+        """Wait until no call is in flight and every response has been written."""
         await self.listener.close()
         while self.keyed_calls:
             await asyncio.wait(self.keyed_calls)
@@ -125,7 +125,7 @@
             return await self._run_attempts(call, policy, fingerprint)
         if len(call.key) > MAX_KEY_LENGTH:
             return not_run(Reason.BAD_REQUEST)
-        # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
+        # The call continues when its caller disconnects, so that a resubmission finds its outcome.
         task = asyncio.ensure_future(self._claim_and_run(call, policy, call.key, fingerprint))
         self.keyed_calls.add(task)
         task.add_done_callback(self.keyed_calls.discard)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -57,7 +57,7 @@
 
 
 class ClaimsTask:
-    """Carries out the claim decisions: appends, reads, and questions to holders."""
+    """Executes the claim decisions: appends, reads, and outcome requests to holders."""
 
     def __init__(
         self,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -1,4 +1,4 @@
-"""Spreads configurations over the links between daemons; belongs to the peers task."""
+"""Distributes configurations over the links between daemons; belongs to the peers task."""
 
 from collections.abc import Callable, Collection, Mapping
 
@@ -14,15 +14,15 @@
 from .peer_link import PeerLink
 
 PULL_PERIOD = Millis(300)
-# The own region learns a change within this time, or its readers are gone; then a whole
-# configuration crosses the link between regions.
+# The region of this daemon delivers a change within this time unless its readers are gone; then a
+# whole configuration is pulled over the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
 
 ReplySender = Callable[[HopMessage], None]
 
 
 class ConfigDistributor:
-    """Pushes what came into force, and pulls what peers have and this daemon lacks."""
+    """Pushes configurations that came into force, and pulls newer ones from peers."""
 
     def __init__(
         self,
@@ -42,7 +42,7 @@
         self.behind_since: Millis | None = None
 
     def config_changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
-        """Take a configuration that came into force, and push it to the daemons fed from here."""
+        """Store a configuration that came into force and push it to the daemons fed by this one."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         self.behind_since = None
         if message.origin is ConfigOrigin.REGION:
@@ -56,7 +56,7 @@
                 link.connection.send(frame)
 
     def config_received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
-        """Pass on what a peer sent, if it is newer."""
+        """Pass a configuration from a peer to the source task if it is newer."""
         if message.version <= self.version:
             return
         origin = self._origin_of(peer)
@@ -66,7 +66,7 @@
             self.source.put(ConfigReceived(message.version, message.data, origin))
 
     def answer_pull(self, version: Version, send_reply: ReplySender) -> None:
-        """Answer a peer that has `version`, with a difference where it fits."""
+        """Answer a pull from a peer that has `version`, with the delta if that is its base."""
         if self.delta is not None and self.delta.base == version:
             send_reply(self.delta)
         elif self.version > version:
@@ -75,7 +75,7 @@
     def pull_if_newer(
         self, version: Version, send_reply: ReplySender, peer: DaemonId | None, now: Millis
     ) -> None:
-        """Pull a newer version from a peer; from another region only when no push came."""
+        """Pull a newer version from a peer; from another region only if no push arrived in time."""
         if version <= self.version or now - self.pulled_at < PULL_PERIOD:
             return
         if self.behind_since is None:
@@ -86,7 +86,7 @@
             send_reply(Pull(self.version))
 
     def pull_from_region(self, version: Version) -> None:
-        """Ask the first reachable daemon of the region for a whole configuration."""
+        """Request the whole configuration from the first reachable daemon of the region."""
         me = self.directory.me
         for row in self.directory.others():
             link = self.links.get(row.daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadFailed:
-    """The read of the log in flight ended without a page."""
+    """The pending read of the log failed."""
 
 
 ConfigMessage = (
@@ -54,10 +54,10 @@
 
 
 class ConfigTask:
-    """Puts the newest accepted configuration in force and passes it on.
+    """Puts the newest accepted configuration in force and notifies the subscribers and peers.
 
-    Subtasks do the waiting; their results come back through the mailbox, so that only `run` uses
-    the follower.
+    Subtasks wait for the log and the peers and put their results into the mailbox, so that only
+    `run` uses the follower.
     """
 
     def __init__(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -1,4 +1,4 @@
-"""Owns the control transport; passes requests from peers on and sends requests to peers."""
+"""Owns the control transport; forwards requests from peers to tasks, and sends theirs to peers."""
 
 import asyncio
 from collections.abc import Mapping
@@ -64,7 +64,7 @@
 async def send_control(
     control: Sender[ControlAsk], peer: Address, message: ControlMessage, timeout: Millis
 ) -> ControlMessage | None:
-    """Send a control request through the control task; None when the peer does not answer."""
+    """Send a request through the control task; return the answer, or None if there is none."""
     ask: ControlAsk = new_ask(SendControl(peer, message, timeout))
     control.put(ask)
     return await ask.reply
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -1,4 +1,4 @@
-"""Owns the callers' listener: finds the route of each request and relays it."""
+"""Owns the listener for callers: finds the route of each request and relays it."""
 
 import itertools
 import random
@@ -35,9 +35,9 @@
 
 EntryMessage = TableInForce | FleetChanged | StrikesLearnt | DrainPlanned
 HANDOVER_COUNTER_BITS = 40
-# Used when a caller states no time.
+# Applies to requests that do not state the time left until their deadline.
 DEFAULT_CALL_TIMEOUT = Millis(60_000)
-# A refused caller returns after a random time, so that a crest does not come back as one.
+# Refused callers retry after a random time, so that a load peak does not come back as one.
 RETRY_AFTER_MIN_SECONDS = 0.03
 RETRY_AFTER_MAX_SECONDS = 0.12
 NOT_FOUND = 404
@@ -47,7 +47,7 @@
 
 
 class EntryTask:
-    """Answers each request of a caller with the answer of an upstream, or says why not."""
+    """Answers each request of a caller with the response of an upstream or with an error status."""
 
     def __init__(
         self,
@@ -83,16 +83,16 @@
         self.stripped_headers = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
         )
-        # Random high bits keep the ids of restarted daemons and of other daemons apart.
+        # Random high bits keep the ids distinct from those of other daemons and of earlier runs.
         prefix = rng.getrandbits(62 - HANDOVER_COUNTER_BITS) << HANDOVER_COUNTER_BITS
         self.handover_ids = itertools.count(prefix)
 
     async def start(self) -> None:
-        """Start to accept callers."""
+        """Start accepting callers."""
         self.address = await self.listener.listen(self.address)
 
     def reset_budgets(self, new_budget: Callable[[], FleetBudget]) -> None:
-        """Start every service's budget again with other settings."""
+        """Replace the retry budget of every service by one that `new_budget` creates."""
         self.new_budget = new_budget
         self.budgets.clear()
 
@@ -198,7 +198,7 @@
         )
 
     def _latest_attempt_start(self, context: CallContext) -> Millis:
-        """Return until when an attempt may start; what starts at the end of a drain is cut."""
+        """Return the latest start of an attempt; the end of a drain cuts what is still open."""
         return (
             context.deadline
             if self.drain_plan is None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -58,19 +58,19 @@
     | HeartbeatReceived
     | LeaveReceived
 )
-# A starting daemon believes no heartbeat before it knows the drains that it confirmed earlier, or
-# this time passed. The store answers in a few ms; without it, an earlier confirmation of a daemon
-# whose peers are all gone is lost.
+# A starting daemon defers heartbeats until it has read the drains that it confirmed earlier, or
+# until this time has passed. The store answers within a few ms; without its answer, the earlier
+# confirmation of a daemon whose peers are all gone is lost.
 DRAINS_READ_TIMEOUT = Millis(1_000)
 TICK_SECONDS = 0.1
-# An upstream that missed this many heartbeats no longer gets calls.
+# An upstream that misses this many heartbeats gets no more calls.
 MISSED_HEARTBEATS_LIMIT = 4
-# A refused connection is tried again after this time, if no heartbeat comes before.
+# Calls are refused for this time after a failed connection, unless a heartbeat arrives earlier.
 UNREACHABLE_BACKOFF = Millis(1_000)
-# A crash resets every connection at once; a refused connection within this time confirms it.
+# A crash resets all connections at once; a connection refused within this time confirms it.
 CRASH_WINDOW = Millis(1_500)
 
-# What a failure after the request was written tells the caller.
+# The reason reported for each failure that occurs after the request was written.
 FAILURE_REASONS = {
     Failure.CONNECTION_LOST: Reason.CONNECTION_LOST,
     Failure.MALFORMED: Reason.BAD_ANSWER,
@@ -81,7 +81,7 @@
 
 @dataclass(slots=True)
 class ExitCall:
-    """A call that waits or runs; `reply` is None after it was answered."""
+    """A waiting or running call; `reply` is None once it has been answered or cancelled."""
 
     handover: Handover
     deadline: Millis
@@ -126,7 +126,7 @@
         self.leaving = False
 
     async def run(self) -> None:
-        """Expire the lease of a silent upstream until cancelled."""
+        """Expire the lease of a silent upstream and start waiting calls, until cancelled."""
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
@@ -136,20 +136,20 @@
 
     @property
     def pending(self) -> int:
-        """Return the number of calls that wait or run."""
+        """Return the number of waiting and running calls."""
         return len(self.calls)
 
     @property
     def latest_deadline(self) -> Millis:
-        """Return when the last call that waits or runs is over."""
+        """Return the latest deadline of the waiting and running calls, or 0 without any."""
         return max((call.deadline for call in self.calls.values()), default=ZERO_MS)
 
     def leave(self) -> None:
-        """Refuse new calls, as the daemon is stopping."""
+        """Refuse new calls, because the daemon is stopping."""
         self.leaving = True
 
     def refuse_waiting(self) -> None:
-        """Refuse the calls that no longer get a slot, as the drain is over."""
+        """Refuse the calls that still wait for a slot, because the drain is over."""
         self._execute_actions(self.queue.clear(Reason.LEAVING))
 
     def _handle(self, message: ExitMessage) -> None:
@@ -234,7 +234,7 @@
         self._execute_actions(self.queue.next(now))
 
     def _record_lost_call(self, call: ExitCall, now: Millis) -> None:
-        """Remember a call whose connection was lost, and look whether the upstream is alive."""
+        """Record a call whose connection was lost; probe the upstream if none is left open."""
         self.lost_calls = [row for row in self.lost_calls if now - row[0] < CRASH_WINDOW]
         self.lost_calls.append((now, call.handover))
         if not self.pool.connections and not self.pool.dialing:
@@ -307,7 +307,7 @@
             self._stop_if_safe(call)
 
     def _stop_if_safe(self, call: ExitCall) -> None:
-        # A call that must not run twice goes on: its result may still be asked for.
+        # A call that must not run twice continues, because its result may still be requested.
         if call.sending is not None and call.handover.repeat is Repeat.SAFE:
             call.sending.stop()
 
@@ -321,7 +321,7 @@
             call.reply = reply
 
     def _enable_heartbeats(self) -> None:
-        """Take the heartbeats that came before the drains of earlier were known."""
+        """Start accepting heartbeats, beginning with those that were deferred."""
         self.heartbeats_enabled = True
         early, self.early_heartbeats = self.early_heartbeats, []
         for beat in early:
@@ -341,18 +341,18 @@
     def _handle_leave(self, leave: LeaveReceived) -> None:
         start = self.announcements.leave(leave.instance, leave.born)
         if start is None:
-            # Of an upstream that another one replaced, which gets no work; without a start time, of
-            # nobody that is known, and nothing would bind.
+            # Confirm the leave of an upstream that was replaced, since it gets no calls. A leave
+            # without a start time matches no known upstream and has no effect, so don't confirm it.
             if leave.reply is not None:
                 leave.reply(leave.born is not None)
             return
         if leave.reply is not None:
             self.leave_replies.wait(start, leave.reply, monotonic())
         elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
-            # Every peer tells it.
+            # Every peer reports the same earlier drain.
             return
         if start not in self.leave_replies.kept:
-            # A repeated leave is described again: that starts a new attempt to keep the drain.
+            # A repeated leave is published again, which starts a new attempt to store the drain.
             self._set_upstream_state(start[0], UpstreamState.DRAINING, {"born": start[1]})
 
     def _update_upstream(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat) -> None:
@@ -381,7 +381,7 @@
         self._execute_actions(self.queue.clear(Reason.NO_UPSTREAM))
 
     def _report_death(self, now: Millis) -> None:
-        """Report the calls that were running when the upstream crashed."""
+        """Report a strike for each call that was running when the upstream crashed."""
         handovers = [handover for at, handover in self.lost_calls if now - at < CRASH_WINDOW]
         self.lost_calls.clear()
         current = self.announcements.current
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -1,4 +1,4 @@
-"""Connections that other daemons dialed: handovers come in on them, and results go out."""
+"""Connections dialed by other daemons: they receive handovers and send the results back."""
 
 from collections.abc import Callable, Collection
 
@@ -15,14 +15,14 @@
 from .config_distributor import ReplySender
 from .exit_task import ExitMessage
 
-# Handovers whose connection is gone are given up when their entry daemon does not ask for them.
+# A handover whose connection was lost is cancelled unless it is resumed within this time.
 ORPHAN_TIMEOUT = Millis(1_500)
 
 MessageHandler = Callable[[HopMessage, ReplySender, DaemonId | None], None]
 
 
 class InboundConnection:
-    """A connection that another daemon dialed."""
+    """A connection dialed by another daemon."""
 
     def __init__(self, connection: FrameConnection) -> None:
         self.connection = connection
@@ -54,7 +54,7 @@
         self.orphans: list[tuple[Millis, HandoverId]] = []
 
     def connection(self) -> FrameConnection:
-        """Return the protocol of a new connection."""
+        """Create the protocol object of a new connection."""
         return FrameConnection(self._on_open, self._on_frame, self._on_close)
 
     def send_to_others(self, frame: bytes, reached: Collection[DaemonId]) -> None:
@@ -64,17 +64,17 @@
                 inbound.connection.send(frame)
 
     def cancel_orphans(self, now: Millis) -> None:
-        """Cancel handovers that nobody asked for after their connection was lost."""
+        """Cancel handovers that were not resumed in time after their connection was lost."""
         while self.orphans and now - self.orphans[0][0] > ORPHAN_TIMEOUT:
             self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
 
     @property
     def unsent(self) -> int:
-        """Return the bytes of results and answers not yet given to the kernel."""
+        """Return the number of bytes of results and answers not yet passed to the kernel."""
         return sum(connection.unsent for connection in self.connections)
 
     def finish(self) -> None:
-        """End every connection after the results that were written."""
+        """Finish every connection after the results that were written; peers then close it."""
         for connection in self.connections:
             connection.finish()
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -127,10 +127,10 @@
 
 
 class MembersTask:
-    """Runs the probes and tells the other tasks how the fleet looks.
+    """Runs the probes and publishes the view of the fleet to the other tasks.
 
-    Subtasks only carry one exchange and put its result into the mailbox, so that every decision
-    is taken in `_handle`, one message at a time.
+    Each subtask performs one exchange and puts its result into the mailbox, so that every decision
+    is made in `_handle`, one message at a time.
     """
 
     def __init__(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -1,4 +1,4 @@
-"""One dialed connection to another daemon, and the handovers that wait for a result on it."""
+"""A connection dialed to another daemon, and the handovers that await a result over it."""
 
 import asyncio
 import random
@@ -18,15 +18,15 @@
 from ..relay_messages import ResultReceiver
 
 CONNECT_TIMEOUT = 0.5
-# A restarted daemon is back within a second or two; its peers must find it at once.
+# A restarted daemon is back within a second or two; its peers must reconnect at once.
 REDIAL_BASE = Millis(40)
 REDIAL_CAP = Millis(1_000)
-# With the timeout below, a silent connection is found and a lost push repaired within the 3 s in
-# which the platform counts a machine as disturbed after a fault.
+# Together with `PONG_TIMEOUT`, detects a silent connection and repairs a lost push within the 3 s
+# in which the platform counts a machine as disturbed after a fault.
 PING_PERIOD = Millis(2_000)
-# Bytes between regions are paid for, and a change reaches each region through its relays.
+# Traffic between regions costs money, and a change reaches each region through its relays.
 REMOTE_PING_PERIOD = Millis(10_000)
-# With calls waiting, a silent connection must be found well within their deadlines.
+# While handovers are pending, a silent connection must be detected well within their deadlines.
 BUSY_PING_PERIOD = Millis(250)
 # Two retransmissions of a lost packet between regions take about 600 ms.
 PONG_TIMEOUT = Millis(700)
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class PendingHandover:
-    """A handover without a result."""
+    """A handover whose result has not arrived yet."""
 
     handover: Handover
     reply: ResultReceiver
@@ -51,7 +51,7 @@
 
 
 class PeerLink:
-    """Dials one daemon again and again; asks for results that a lost connection left open."""
+    """Keeps a connection to one daemon; after a reconnect, requests the results still pending."""
 
     def __init__(
         self,
@@ -92,7 +92,7 @@
             self.connection.send(encode_hop(message))
 
     def hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
-        """Send a handover; without an open connection it surely does not run."""
+        """Send a handover, or refuse it as not run if the connection is not open."""
         if self.state is not LinkState.OPEN:
             reply(handover.handover_id, refused(Reason.CONNECT_FAILED))
             return
@@ -101,12 +101,12 @@
         self.send(handover)
 
     def cancel(self, handover_id: HandoverId) -> None:
-        """Stop to wait for a result."""
+        """Stop waiting for the result of a handover."""
         if self.pending.pop(handover_id, None) is not None:
             self.send(Cancel(handover_id))
 
     def check_liveness(self, now: Millis) -> None:
-        """Ping a quiet connection and drop a silent one; called several times a second."""
+        """Ping a quiet connection; close one that sends nothing. Called several times a second."""
         if self.connection is None:
             return
         if self.awaiting_pong and now - self.last_ping_at > PONG_TIMEOUT:
@@ -141,10 +141,10 @@
                         int(port),
                     )
             except ConnectionRefusedError:
-                # Nothing listens: the daemon that had the handovers is gone.
+                # Nothing listens at the address: the daemon that had the handovers is gone.
                 self._fail_pending(lambda pending: True)
             except (OSError, TimeoutError):
-                # The daemon may still run what it has, so only safe calls may go elsewhere.
+                # The daemon may still run its handovers, so only safe calls may be repeated.
                 self._fail_pending(lambda pending: pending.handover.repeat is Repeat.SAFE)
             if self.connection is None:
                 self.state = LinkState.DOWN
@@ -193,7 +193,7 @@
 
     def _handle_hello(self, hello: Hello) -> None:
         if hello.daemon_id != self.daemon_id:
-            # Another machine took over the address.
+            # Another daemon has taken over the address.
             self._fail_pending(lambda pending: True)
         elif self.incarnation not in (None, hello.incarnation):
             self._fail_pending(lambda pending: True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -67,14 +67,14 @@
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
 BACKLOG = 1024
-# Told to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
+# Sent to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
 MAX_KEPT_STRIKES = 512
-# A daemon that was unreachable for this long is forgotten; it announces itself when it is back.
+# A daemon unreachable for this long is forgotten; it announces itself again when it is back.
 FORGET_PEER_AFTER = Millis(20_000)
 
 
 class PeersTask:
-    """Dials every known daemon; carries handovers, descriptions and configurations."""
+    """Connects to every known daemon; exchanges handovers, endpoints and configurations with it."""
 
     def __init__(
         self,
@@ -113,7 +113,7 @@
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
 
     async def start(self) -> None:
-        """Start to accept other daemons."""
+        """Start accepting connections from other daemons."""
         loop = asyncio.get_running_loop()
         host, _, port = self.address.rpartition(":")
         self.server = await loop.create_server(
@@ -125,7 +125,7 @@
         self._publish_endpoints()
 
     async def run(self) -> None:
-        """Watch the connections until cancelled."""
+        """Check the connections periodically until cancelled."""
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
@@ -137,11 +137,11 @@
                 self.server.close()
 
     def leave(self) -> None:
-        """Tell every peer that this daemon takes no more calls."""
+        """Announce to every peer that this daemon takes no more calls."""
         self._announce_self(self.directory.update(leaving=True))
 
     async def finish(self, limit: Millis) -> None:
-        """Listen no more; let peers read every result, and wait `limit` at most for them."""
+        """Stop listening and wait, for at most `limit`, until peers have read every result."""
         if self.server is not None:
             self.server.close()
         self.inbound.finish()
@@ -230,7 +230,7 @@
             self._publish_endpoints()
 
     def _apply_own_drain(self, endpoints: tuple[Endpoint, ...]) -> None:
-        # A drain that was confirmed before a restart binds this daemon too.
+        # A drain that was confirmed before a restart still applies to this daemon.
         for endpoint in endpoints:
             own = endpoint.daemon_id == self.directory.me.daemon_id
             if own and endpoint.state is UpstreamState.DRAINING and endpoint.instance is not None:
@@ -258,10 +258,10 @@
             self.links.pop(daemon_id).close()
 
     def _hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
-        """Return the greeting for a peer: the own row, its row if it drains, or the table.
+        """Return the hello for a peer: this daemon's row and the table, or else the peer's drain.
 
-        Each daemon greets every other one, so whole tables would grow with the square of the
-        fleet; they go only from a few daemons of a data centre to their neighbours.
+        Each daemon greets every other one, so the cost of whole tables would grow with the square
+        of the fleet. Only a few daemons of each data centre send theirs, to their neighbours.
         """
         me = self.directory.me
         others = [
@@ -274,7 +274,7 @@
         ]
         donors = select_readers((me.daemon_id, *neighbours), TABLE_DONORS)
         if data_centre != me.data_centre or me.daemon_id not in donors:
-            # A drain that the peer confirmed before it restarted still binds it.
+            # A drain that the peer confirmed before it restarted still applies to it.
             others = [
                 endpoint
                 for endpoint in others
@@ -287,7 +287,7 @@
         return self._hello(hello.daemon_id, data_centre)
 
     def _publish_endpoints(self) -> None:
-        """Tell the entry task which endpoints take calls: those with an open link."""
+        """Send the entry task the reachable endpoints: its own and those with an open link."""
         me = self.directory.me.daemon_id
         rows = {
             service: tuple(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -1,4 +1,4 @@
-"""Spreads strikes and clearances; belongs to the call task."""
+"""Distributes strikes and clearances; belongs to the call task."""
 
 import asyncio
 import time
@@ -41,7 +41,7 @@
 
 
 class QuarantineDriver:
-    """Feeds the strike table and tells peers and the upstream task of changes."""
+    """Updates the strike table and notifies peers and the upstream task of changes."""
 
     def __init__(
         self,
@@ -60,7 +60,7 @@
         self.subtasks = Subtasks()
 
     def handle(self, message: QuarantineMessage) -> None:
-        """Take a message about strikes."""
+        """Handle a message about strikes or the quarantine."""
         if isinstance(message, GossipReceived):
             self._merge_reports(message.strikes, message.clearances)
             return
@@ -78,7 +78,7 @@
                 message.answer(StrikeAck(len(notice.strikes)))
 
     def view_changed(self, view: FleetView, me: Member) -> None:
-        """Take the members, which decide who tries a suspected request."""
+        """Update the members, from which the trial member of a suspected request is selected."""
         self.view, self.me = view, me
         if self.table.records:
             self._notify_upstream_task()
@@ -113,17 +113,17 @@
                 m.daemon_id for m in self._serving_members(request.service) if m.daemon_id != trial
             ]
             chosen = chooser(replace(request, tried=tuple(others)))
-            # Earlier upstreams are only avoided where another choice exists.
+            # The chooser avoids the members in `tried` only if another choice exists.
             return chosen if chosen and chosen.member.daemon_id == trial else None
 
         return choose
 
     def close(self) -> None:
-        """Cancel what still runs."""
+        """Cancel the running subtasks."""
         self.subtasks.cancel()
 
     async def _handle_death(self, ask: DeathAsk, calls: tuple[InFlight, ...]) -> None:
-        # The wall clock tells deaths before and after a restart of this daemon apart.
+        # The wall clock distinguishes deaths before a restart of this daemon from those after it.
         self.last_death_ms = max(self.last_death_ms + 1, int(time.time() * 1000))
         death = Incarnation(self.last_death_ms)
         paths = {call.fingerprint: call.path for call in calls}
@@ -136,7 +136,7 @@
         ask.answer(None)
 
     async def _notify_peers(self, notice: StrikeNotice) -> None:
-        """Tell the peers that could run the calls next, and others up to a limit."""
+        """Notify the peers that could run the calls next, and others up to `MAX_STRIKE_NOTICES`."""
         upstream = self.me.upstream
         same_service = self._serving_members(upstream.service) if upstream else ()
         peers: dict[DaemonId, Member] = {m.daemon_id: m for m in same_service}
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -1,4 +1,4 @@
-"""One call of a caller on its way through the flow: attempts out, results in, one answer."""
+"""A call of a caller in progress: sends its attempts, takes their results and gives one answer."""
 
 import asyncio
 from collections.abc import Callable, Generator
@@ -19,12 +19,12 @@
 
 Flow = Generator[Attempt, RelayResult, RelayResult]
 HedgeChooser = Callable[[DaemonId], Endpoint | None]
-"""Returns the upstream of a second attempt beside the daemon tried first, if it is allowed."""
+"""Returns the endpoint for a hedged attempt besides the daemon tried first, or None."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallContext:
-    """What is fixed when a call is accepted; `deadline` is on the monotonic clock."""
+    """Properties of a call that are fixed when it is accepted; `deadline` is on the monotonic clock."""
 
     call_id: CallId
     route: HostRoute
@@ -44,7 +44,7 @@
 
 
 class RelayedCall:
-    """Drives the flow of one call; every result is learnt by the balancer."""
+    """Drives the flow of one call and reports every result to the balancer."""
 
     def __init__(
         self,
@@ -75,7 +75,7 @@
         self.ended = False
 
     def begin(self) -> None:
-        """Start the first attempt, the timer of the deadline and that of a second attempt."""
+        """Send the first attempt; start the timers of the deadline and of the hedged attempt."""
         loop = asyncio.get_running_loop()
         now = monotonic()
         left = Millis(self.context.deadline - now)
@@ -98,7 +98,7 @@
         self._send_attempt(attempt.daemon_id, attempt.instance)
 
     def _send_hedge(self) -> None:
-        """Send a slow first attempt a second time, to another upstream."""
+        """Send a second attempt to another upstream if the first one is still in flight."""
         first = self.last_sent
         if self.choose_hedge is None or first is None or self.attempts > 1 or not self.in_flight:
             return
@@ -135,7 +135,7 @@
         if not self.hedged:
             self._advance_flow(result)
             return
-        # The flow allowed one attempt; with the second one, the attempts of the route are used up.
+        # The flow allowed the first attempt; the hedged one uses up the attempts of the route.
         self.kept_result = worse_kept(self.kept_result, result)
         if served(result) or not self.in_flight:
             self._end(self.kept_result)
@@ -160,8 +160,8 @@
         for timer in (self.deadline_timer, self.hedge_timer):
             if timer is not None:
                 timer.cancel()
-        # What is still out is no longer waited for: the time is up, the caller left, or another
-        # attempt was served.
+        # Cancels the attempts still in flight: the deadline passed, the caller's connection closed,
+        # or another attempt was served.
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
         for handover_id, sent in self.in_flight.items():
             self.links.put(CancelAt(sent.daemon_id, handover_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -1,4 +1,4 @@
-"""Follows the configuration on the platform's store, and the announcements of daemons."""
+"""Follows the configuration and the announcements of daemons in the platform's store."""
 
 import asyncio
 import random
@@ -37,27 +37,27 @@
 T = TypeVar("T")
 
 SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
-# A reader finds out within this time, and a margin, that the store went silent.
+# A reader detects within this time, plus a margin, that the store no longer answers.
 FOLLOW_WAIT = Millis(2_500)
 RETRY_BASE = Millis(150)
 RETRY_CAP = Millis(1_500)
-# Daemons that do not follow look this often whether they missed something; pings from the daemons
-# of their region tell them sooner.
+# Daemons that do not follow the store check it this often for a change that they missed; pings
+# from the daemons of their region report one sooner.
 POLL_SECONDS = 30.0
 UNREACHABLE_RETRY_SECONDS = 4.0
 ROLE_CHECK_SECONDS = 0.25
-# Reads may come from a state some seconds old, so the announcements are read more than once.
+# The store may answer from a state some seconds old, so announcements are read more than once.
 ANNOUNCEMENT_READ_DELAYS_SECONDS = (0.0, 4.0)
-# A starting daemon reads the store itself when no peer gave it the configuration by then. Links
+# A starting daemon reads the store itself if no peer sent the configuration within this time. Links
 # are open within 200 ms of the start; a caller's shortest time limit is a few times longer.
 PEER_CONFIG_WAIT_SECONDS = 0.5
 START_POLL_SECONDS = 0.05
-# A daemon that forgot a peer looks this often whether it is announced again.
+# How often a daemon that forgot a peer checks whether the peer is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
-# A drain is kept while it can matter: the upstream ends some seconds after it.
+# Storing a drain is retried only while it matters: the upstream exits some seconds after it.
 KEEP_DRAIN_ATTEMPTS = 8
-# A measured latency is told to the peers when it is this much lower than the one they know.
+# A measured latency is reported to peers if it is below this share of the one they know.
 LATENCY_UPDATE_RATIO = 0.5
 
 ConfigDecoder = Callable[[bytes], HostTable]
@@ -65,7 +65,7 @@
 
 
 class SourceTask:
-    """Takes the newest configuration from the store or from peers; versions never go down."""
+    """Puts the newest configuration of the store or the peers in force; versions never decrease."""
 
     def __init__(
         self,
@@ -101,7 +101,7 @@
         self.latest_drain: Endpoint | None = None
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow the configuration until cancelled."""
         announcing = asyncio.ensure_future(self._run_announcements())
         try:
             await self._wait_for_peer_config()
@@ -116,13 +116,13 @@
                 task.cancel()
 
     async def _wait_for_peer_config(self) -> None:
-        """Wait for the configuration of a peer, unless this daemon is one of the readers."""
+        """Wait for a peer to send the configuration, unless this daemon is one of the readers."""
         left = PEER_CONFIG_WAIT_SECONDS
         while left > 0 and not self.version:
             await asyncio.sleep(START_POLL_SECONDS)
             left -= START_POLL_SECONDS
             known_peers = len(self.directory.rows) - 1
-            # With few links open, each daemon would take itself for a reader.
+            # With few links open, each daemon would select itself as a reader.
             if 0 < known_peers <= 2 * len(self.open_links) and self._is_reader():
                 return
 
@@ -156,7 +156,7 @@
         return reads_store(self.directory.me, self.directory.rows.values(), self.open_links)
 
     async def _read_newest(self) -> None:
-        """Wait until it is time to look, then read the newest configuration."""
+        """Wait until a read is due, then read the newest configuration."""
         await self._wait_until_read_due()
         answer = await self._call_store("newest_config", self.store.newest_config())
         if answer is None:
@@ -194,7 +194,7 @@
             self._apply_config(data, ConfigOrigin.STORE)
 
     async def _call_store(self, operation: str, call: Awaitable[T]) -> T | None:
-        """Return the answer, or None after a failure, which is logged when it is the first."""
+        """Return the answer, or None on failure; logs only the first of consecutive failures."""
         asked_at = monotonic()
         try:
             answer = await call
@@ -211,8 +211,9 @@
         if self.failures:
             self.log.change("store_regained", failures=self.failures)
         self.failures = 0
-        # Peers are told whole milliseconds. The readers are picked by latency on every daemon, and
-        # with other figures of itself a daemon may leave to others what they leave to it.
+        # Whole milliseconds, as peers receive them. Every daemon selects the readers by latency; if
+        # it used a different latency for itself than its peers do, each could expect the other to
+        # read.
         took = Millis(max(1, int(monotonic() - asked_at)))
         if not self.latency or took < LATENCY_UPDATE_RATIO * self.latency:
             self.latency = took
@@ -271,7 +272,7 @@
         return ConfigDelta(self.version, version, zlib.crc32(data), make_delta(self.data, data))
 
     async def _run_announcements(self) -> None:
-        """Announce this daemon, then read who else is there, again after a peer was forgotten."""
+        """Announce this daemon and read all announcements, again after a peer was forgotten."""
         while not await self._announce_self():
             await self._wait_before_retry()
         started_at = asyncio.get_running_loop().time()
@@ -295,7 +296,7 @@
         self.exit.put(DrainsLearnt())
         me = self.directory.me
         if (me.daemon_id, me.incarnation) not in {(r.daemon_id, r.incarnation) for r in endpoints}:
-            # A peer that could not reach this daemon withdrew its announcement.
+            # A peer that could not reach this daemon has withdrawn its announcement.
             await self._announce_self()
 
     async def _announce_self(self) -> bool:
@@ -313,10 +314,10 @@
         return found
 
     async def _keep_drain(self, me: Endpoint) -> None:
-        """Keep a confirmed drain for the time after a restart; it binds then too."""
+        """Store a confirmed drain, so that it still applies after a restart."""
         for _ in range(KEEP_DRAIN_ATTEMPTS):
             if self.latest_drain is not me or me.instance is None:
-                # A later attempt took over; an earlier drain must not replace a newer one.
+                # A later attempt has taken over; an earlier drain must not replace a newer one.
                 return
             call = self.store.keep_drain(me.daemon_id, encode_endpoint(me))
             if await self._call_store("keep_drain", _true_after(call)) is not None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/subtasks.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/subtasks.py
@@ -21,11 +21,11 @@
         return task
 
     def cancel(self) -> None:
-        """Cancel everything that still runs."""
+        """Cancel every running coroutine."""
         for task in self.running:
             task.cancel()
 
     async def wait(self) -> None:
-        """Wait until nothing runs any more."""
+        """Wait until every coroutine has ended."""
         while self.running:
             await asyncio.wait(self.running)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """A call that was started has a result."""
+    """A started call ended with this result."""
 
     call_id: CallId
     result: CallResult
@@ -98,7 +98,7 @@
 
 
 class UpstreamTask:
-    """Runs calls on the upstream as its admission policy decides; refuses the others as not run."""
+    """Runs the calls that the admission policy admits; refuses the others as not run."""
 
     def __init__(
         self,
@@ -121,7 +121,7 @@
         self.gate = gate
         self.deaths = deaths
         self.death_reports: dict[CallId, DeathAsk] = {}
-        # Calls that lost their connection, until it is certain whether the upstream died.
+        # Calls whose connection was lost, until it is certain whether the upstream died.
         self.probing: dict[CallId, InFlight] = {}
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
@@ -144,10 +144,10 @@
             self.subtasks.cancel()
 
     async def drained(self) -> None:
-        """Return when no call runs on the upstream and every response was written."""
+        """Wait until no call runs on the upstream and every response has been written."""
         await self.subtasks.wait()
         await self.listener.close()
-        # A call that arrived just before the queue closed may have outlived its sender.
+        # A call that arrived just before the queue closed may run longer than its sender waits.
         await self.subtasks.wait()
 
     async def _handle_peer_request(self, request: Request) -> Response:
@@ -157,7 +157,7 @@
         ask: CallAsk = new_ask(call)
         self.mailbox.put(ask)
         result = await ask.reply
-        # Peers drop their idle connections to a daemon that leaves before it closes them.
+        # Peers then drop their idle connections to a leaving daemon before it closes them.
         extra = (CLOSE_CONNECTION,) if self.leaving else ()
         return encode_result(result, (LOAD, self._load_header()), *extra)
 
@@ -201,7 +201,7 @@
         elif self.info is None or self.info.service != call.service:
             ask.answer(not_run(Reason.NO_UPSTREAM))
         elif any(call.call_id in rows for rows in (self.asks, self.exchanges, self.probing)):
-            # An earlier attempt of the same call is still here; its answer must stay its own.
+            # An earlier attempt of the same call is still here; their answers must not be mixed up.
             ask.answer(not_run(Reason.TOO_MANY_CALLS))
         else:
             self.asks[call.call_id] = ask
@@ -262,7 +262,7 @@
         self.gate.started(call.call_id, in_flight)
         exchange = self.subtasks.start(self._run_call(call, in_flight, self.info.address))
         self.exchanges[call.call_id] = exchange
-        # A callback and not the exchange reports the end: a cancelled exchange must free its slot.
+        # A callback reports the end, because a cancelled exchange must free its slot too.
         exchange.add_done_callback(lambda ended: self._on_exchange_done(call.call_id, ended))
 
     def _on_exchange_done(self, call_id: CallId, exchange: asyncio.Task[CallResult]) -> None:
@@ -289,8 +289,8 @@
         result = await self._send_to_upstream(address, request, left)
         if result.reason is Reason.CONNECTION_LOST:
             self.probing[call.call_id] = in_flight
-            # Goes on when the call is cancelled, as a hedge is whose other attempt ended: a death
-            # that is not counted lets the request crash one more upstream.
+            # Continues when the call is cancelled, as a hedge is when the other attempt ended: a
+            # death that is not counted lets the request crash one more upstream.
             await asyncio.shield(self.subtasks.start(self._check_for_death(call.call_id, address)))
         return result
 
@@ -308,7 +308,7 @@
             self.death_reports.pop(call_id, None)
 
     async def _report_death(self, call_id: CallId) -> None:
-        """Report each death once, with every call that was running, and wait until it is known."""
+        """Report each death once, with all calls that were running; wait until peers know."""
         if call_id not in self.death_reports:
             running = {**self.gate.running, **self.probing}
             lost = {i: row for i, row in running.items() if i not in self.death_reports}
@@ -342,7 +342,7 @@
 
 
 async def refuses_connections(address: Address) -> bool:
-    """Return whether the address refuses new connections, as that of a dead process does."""
+    """Return whether the address refuses connections, as it does after its process has died."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT / 1000):
@@ -352,7 +352,8 @@
     except (OSError, TimeoutError):
         return False
     try:
-        # A process that is ending may still accept, but then closes; a live one waits for a call.
+        # A process that is exiting may still accept a connection but then closes it, while a live
+        # one waits for a request.
         async with asyncio.timeout(CLOSE_PROBE_SECONDS):
             return await reader.read(1) == b""
     except TimeoutError:
