--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -74,7 +74,7 @@
         self.metrics = metrics
         self.listener = CallerListener(self._handle_request)
         self.table: HostTable | None = None
-        self.split = WeightedSplit()
+        self.traffic_split = WeightedSplit()
         self.fleet: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
         self.daemon_count = 1
         self.budgets: dict[ServiceName, FleetBudget] = {}
@@ -100,7 +100,7 @@
         match message:
             case TableInForce(table):
                 self.table = table
-                self.split.retain(table)
+                self.traffic_split.retain(table)
                 self.listener.limits = table.limits
             case DrainPlanned(plan):
                 self.drain_plan = plan
@@ -191,7 +191,7 @@
         return CallContext(
             CallId(call_id.decode("latin-1")),
             route,
-            self.split.pick(route),
+            self.traffic_split.pick(route),
             RelayRequest(request.method, request.target, tuple(headers), request.body),
             Millis(exchange.arrived + min(time_left, route.timeout)),
             version,
