--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallContext:
-    """Properties of a call that are fixed when it is accepted; `deadline` is on the monotonic clock."""
+    """Fixed properties of an accepted call; `deadline` is on the monotonic clock."""
 
     call_id: CallId
     route: HostRoute
