--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -397,7 +397,7 @@
 
     def _tick(self, now: Millis) -> None:
         if not self.heartbeats_enabled and now - self.started_at > DRAINS_READ_TIMEOUT:
-            self.log.change("drains_unknown", waited_ms=int(now - self.started_at))
+            self.log.change("drains_not_read", waited_ms=int(now - self.started_at))
             self._enable_heartbeats()
         silent = now - self.announcements.heard_at > self.lease
         current = self.announcements.current
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -232,10 +232,12 @@
             return
         try:
             if delta.base != self.version:
-                raise DeltaError(f"is to version {delta.base}, in force is {self.version}")
+                raise DeltaError(
+                    f"delta is based on version {delta.base}, in force is version {self.version}"
+                )
             data = apply_delta(self.data, delta.steps)
             if zlib.crc32(data) != delta.crc:
-                raise DeltaError("the checksum of the result differs")
+                raise DeltaError("delta result does not match its checksum")
         except DeltaError as error:
             self.log.change("config_delta_unfit", version=delta.version, reason=str(error))
             self.peers.put(PullNeeded(delta.version))
@@ -324,7 +326,7 @@
                 self.exit.put(DrainKept(me.instance, me.born))
                 return
             await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
-        self.log.change("drain_not_kept", instance=me.instance or "", tries=KEEP_DRAIN_ATTEMPTS)
+        self.log.change("drain_not_stored", instance=me.instance or "", tries=KEEP_DRAIN_ATTEMPTS)
 
     async def _withdraw(self, daemon_id: DaemonId) -> None:
         await self._call_store("withdraw", _true_after(self.store.withdraw(daemon_id)))
