--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -289,13 +289,13 @@
     def _publish_endpoints(self) -> None:
         """Send the entry task the reachable endpoints: its own and those with an open link."""
         me = self.directory.me.daemon_id
-        rows = {
+        reachable = {
             service: tuple(
                 endpoint for endpoint in endpoints if self._is_reachable(endpoint.daemon_id, me)
             )
             for service, endpoints in self.directory.by_service.items()
         }
-        self.entry.put(FleetChanged(rows, len(self.directory.rows)))
+        self.entry.put(FleetChanged(reachable, len(self.directory.rows)))
 
     def _is_reachable(self, daemon_id: DaemonId, me: DaemonId) -> bool:
         if daemon_id == me:
@@ -311,7 +311,7 @@
                 link.send(Strikes(tuple(self.strikes)))
 
     def _record_strikes(self, strikes: tuple[Strike, ...]) -> None:
-        self.strikes.extend(row for row in strikes if row not in self.strikes)
+        self.strikes.extend(strike for strike in strikes if strike not in self.strikes)
         self.entry.put(StrikesLearnt(strikes))
 
     def _handle_peer_message(
