--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -1,4 +1,4 @@
-"""Owns the control transport; forwards requests from peers to tasks, and sends theirs to peers."""
+"""Owns the control transport; passes requests from peers to tasks, and from tasks to peers."""
 
 import asyncio
 from collections.abc import Mapping
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeAnswered:
-    """A direct probe, sent at `sent_at`, ended; `reply` is None without an answer."""
+    """A direct probe, sent at `sent_at`, ended; `reply` is None if no answer came."""
 
     target: Member
     reply: ControlMessage | None
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IndirectAnswered:
-    """The probe on behalf of a peer ended; `ask` waits for the result."""
+    """A probe on behalf of a peer ended; `ask` waits for the result."""
 
     ask: ReceivedAsk
     reply: ControlMessage | None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -287,7 +287,7 @@
         return self._hello(hello.daemon_id, data_centre)
 
     def _publish_endpoints(self) -> None:
-        """Send the entry task the reachable endpoints: its own and those with an open link."""
+        """Send the entry task the reachable endpoints: this daemon and those with an open link."""
         me = self.directory.me.daemon_id
         reachable = {
             service: tuple(
