--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -1,4 +1,4 @@
-"""Owns the callers' listener and carries each call to an outcome."""
+"""Owns the listener for callers and runs each call until it has an outcome."""
 
 import asyncio
 import uuid
@@ -50,7 +50,7 @@
 
 
 class CallTask:
-    """Routes calls of callers; keeps the snapshot and view that new calls begin with."""
+    """Routes the calls of callers; holds the snapshot and the view that new calls use."""
 
     def __init__(
         self,
@@ -75,11 +75,11 @@
         self.view = FleetView()
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.in_flight = 0
-        self.keyed: set[asyncio.Task[CallResult]] = set()
+        self.keyed_calls: set[asyncio.Task[CallResult]] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.listener.listen(self.address, self._caller_request)
+        self.listener.listen(self.address, self._handle_caller_request)
         try:
             while True:
                 self._handle(await self.mailbox.get())
@@ -100,21 +100,21 @@
                 self.quarantine.handle(message)
 
     async def drained(self) -> None:
-        """Return when no call is in flight and every response was written."""
+        """Wait until no call is in flight and every response has been written."""
         await self.listener.close()
-        while self.keyed:
-            await asyncio.wait(self.keyed)
+        while self.keyed_calls:
+            await asyncio.wait(self.keyed_calls)
 
-    async def _caller_request(self, request: Request) -> Response:
+    async def _handle_caller_request(self, request: Request) -> Response:
         if self.in_flight >= MAX_CALLS_IN_FLIGHT:
             return encode_result(not_run_result(Reason.TOO_MANY_CALLS))
         self.in_flight += 1
         try:
-            return encode_result(await self._carry(request))
+            return encode_result(await self._route_call(request))
         finally:
             self.in_flight -= 1
 
-    async def _carry(self, request: Request) -> CallResult:
+    async def _route_call(self, request: Request) -> CallResult:
         site = self.snapshot.sites.get(self.data_centre) if self.snapshot else None
         if site is None:
             return not_run_result(Reason.NO_CONFIGURATION)
@@ -129,16 +129,16 @@
         if self.quarantine.quarantined(fingerprint):
             return not_run_result(Reason.QUARANTINED)
         if call.key is None or call.idempotent:
-            return await self._drive(call, policy, fingerprint)
+            return await self._run_attempts(call, policy, fingerprint)
         if len(call.key) > MAX_IDEMPOTENCY_KEY_LENGTH:
             return not_run_result(Reason.BAD_REQUEST)
-        # The call goes on when its caller disconnects, so that a resubmission finds its outcome.
-        task = asyncio.ensure_future(self._claim_and_drive(call, policy, call.key, fingerprint))
-        self.keyed.add(task)
-        task.add_done_callback(self.keyed.discard)
+        # The call continues when its caller disconnects, so that a resubmission finds its outcome.
+        task = asyncio.ensure_future(self._claim_and_run(call, policy, call.key, fingerprint))
+        self.keyed_calls.add(task)
+        task.add_done_callback(self.keyed_calls.discard)
         return await asyncio.shield(task)
 
-    async def _claim_and_drive(
+    async def _claim_and_run(
         self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
         scoped = IdempotencyKey(f"{call.service}/{key}")
@@ -149,19 +149,19 @@
             return granted
         result = unknown_result(Reason.CONNECTION_LOST)
         try:
-            result = await self._drive(call, policy, fingerprint)
+            result = await self._run_attempts(call, policy, fingerprint)
             return result
         finally:
             self.claims.put(CallFinished(granted.claim_id, result))
 
-    async def _drive(
+    async def _run_attempts(
         self, call: Call, policy: ServicePolicy, fingerprint: Fingerprint
     ) -> CallResult:
         budget = self.budgets.setdefault(policy.name, RetryBudget(policy.retry_ratio))
-        chooser = self.quarantine.restrict(fingerprint, call.request.path, self._choose)
+        chooser = self.quarantine.restrict_chooser(fingerprint, call.request.path, self._choose)
         result = await self.driver.drive(run_call(call, policy, chooser, budget))
         if result.outcome is Outcome.RAN:
-            self.quarantine.completed(fingerprint)
+            self.quarantine.clear_fingerprint(fingerprint)
         elif result.outcome is Outcome.NOT_RUN and self.quarantine.quarantined(fingerprint):
             result = not_run_result(Reason.QUARANTINED)
         self._log_failure(call, result)
@@ -182,15 +182,17 @@
 
 
 def _new_call(request: Request, policy: ServicePolicy, now: Millis) -> Call:
-    stated = remaining_ms(request)
-    left = policy.timeout_ms if stated is None else min(stated, policy.timeout_ms)
+    remaining = remaining_ms(request)
+    time_left = policy.timeout_ms if remaining is None else min(remaining, policy.timeout_ms)
     key = request.header(IDEMPOTENCY_KEY_HEADER)
-    plain = Request(request.method, request.path, public_headers(request.headers), request.body)
+    public_request = Request(
+        request.method, request.path, public_headers(request.headers), request.body
+    )
     return Call(
         CallId(uuid.uuid4().hex),
         policy.name,
-        plain,
-        Millis(now + left),
+        public_request,
+        Millis(now + time_left),
         request.method in policy.idempotent_methods,
         IdempotencyKey(key) if key else None,
     )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -1,4 +1,4 @@
-"""Spreads configurations over the links between daemons; belongs to the peers task."""
+"""Distributes configurations over the links between daemons; belongs to the peers task."""
 
 from collections.abc import Callable, Collection, Mapping
 
@@ -14,15 +14,15 @@
 from .peer_link import PeerLink
 
 PULL_PERIOD = Millis(300)
-# The own region learns a change within this time, or its readers are gone; then a whole
-# configuration crosses the link between regions.
+# The region of this daemon delivers a change within this time unless its readers are gone; then a
+# whole configuration is pulled over the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
 
-Answer = Callable[[HopMessage], None]
+ReplySender = Callable[[HopMessage], None]
 
 
-class ConfigSpread:
-    """Pushes what came into force, and pulls what peers have and this daemon lacks."""
+class ConfigDistributor:
+    """Pushes configurations that came into force, and pulls newer ones from peers."""
 
     def __init__(
         self,
@@ -41,8 +41,8 @@
         self.pulled_at = Millis(0)
         self.behind_since: Millis | None = None
 
-    def changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
-        """Take a configuration that came into force, and push it to the daemons fed from here."""
+    def config_changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
+        """Store a configuration that came into force and push it to the daemons fed by this one."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         self.behind_since = None
         if message.origin is ConfigOrigin.REGION:
@@ -55,38 +55,38 @@
             if link is not None and link.connection is not None:
                 link.connection.send(frame)
 
-    def received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
-        """Pass on what a peer sent, if it is newer."""
+    def config_received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
+        """Pass a configuration from a peer to the source task if it is newer."""
         if message.version <= self.version:
             return
-        origin = self._origin(peer)
+        origin = self._origin_of(peer)
         if isinstance(message, ConfigDelta):
             self.source.put(DeltaReceived(message, origin))
         else:
             self.source.put(ConfigReceived(message.version, message.data, origin))
 
-    def pulled(self, version: Version, answer: Answer) -> None:
-        """Answer a peer that has `version`, with a difference where it fits."""
+    def answer_pull(self, version: Version, send_reply: ReplySender) -> None:
+        """Answer a pull from a peer that has `version`, with the delta if that is its base."""
         if self.delta is not None and self.delta.base == version:
-            answer(self.delta)
+            send_reply(self.delta)
         elif self.version > version:
-            answer(ConfigBlob(self.version, self.blob))
+            send_reply(ConfigBlob(self.version, self.blob))
 
-    def peer_has(
-        self, version: Version, answer: Answer, peer: DaemonId | None, now: Millis
+    def pull_if_newer(
+        self, version: Version, send_reply: ReplySender, peer: DaemonId | None, now: Millis
     ) -> None:
-        """Pull a newer version from a peer; from another region only when no push came."""
+        """Pull a newer version from a peer; from another region only if no push arrived in time."""
         if version <= self.version or now - self.pulled_at < PULL_PERIOD:
             return
         if self.behind_since is None:
             self.behind_since = now
-        near = self._origin(peer) is ConfigOrigin.REGION
-        if near or now - self.behind_since > REMOTE_PULL_DELAY:
+        same_region = self._origin_of(peer) is ConfigOrigin.REGION
+        if same_region or now - self.behind_since > REMOTE_PULL_DELAY:
             self.pulled_at = now
-            answer(Pull(self.version))
+            send_reply(Pull(self.version))
 
     def pull_from_region(self, version: Version) -> None:
-        """Ask the first reachable daemon of the region for a whole configuration."""
+        """Request the whole configuration from the first reachable daemon of the region."""
         me = self.directory.me
         for row in self.directory.others():
             link = self.links.get(row.daemon_id)
@@ -95,7 +95,7 @@
                 return
         self.log.change("config_not_pulled", version=version, reason="no open link in the region")
 
-    def _origin(self, peer: DaemonId | None) -> ConfigOrigin:
+    def _origin_of(self, peer: DaemonId | None) -> ConfigOrigin:
         row = self.directory.rows.get(peer) if peer is not None else None
-        near = row is not None and row.region == self.directory.me.region
-        return ConfigOrigin.REGION if near else ConfigOrigin.OTHER_REGION
+        same_region = row is not None and row.region == self.directory.me.region
+        return ConfigOrigin.REGION if same_region else ConfigOrigin.OTHER_REGION
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -1,4 +1,4 @@
-"""One dialed connection to another daemon, and the handovers that wait for a result on it."""
+"""A connection dialed to another daemon, and the handovers that await a result over it."""
 
 import asyncio
 import random
@@ -24,15 +24,15 @@
 from ..relay_messages import ResultReceiver
 
 CONNECT_TIMEOUT = 0.5
-# A restarted daemon is back within a second or two; its peers must find it at once.
+# A restarted daemon is back within a second or two; its peers must reconnect at once.
 REDIAL_BASE = Millis(40)
 REDIAL_CAP = Millis(1_000)
-# With the timeout below, a silent connection is found and a lost push repaired within the 3 s in
-# which the platform counts a machine as disturbed after a fault.
+# Together with `PONG_TIMEOUT`, detects a silent connection and repairs a lost push within the 3 s
+# in which the platform counts a machine as disturbed after a fault.
 PING_PERIOD = Millis(2_000)
-# Bytes between regions are paid for, and a change reaches each region through its relays.
+# Traffic between regions costs money, and a change reaches each region through its relays.
 REMOTE_PING_PERIOD = Millis(10_000)
-# With calls waiting, a silent connection must be found well within their deadlines.
+# While handovers are pending, a silent connection must be detected well within their deadlines.
 BUSY_PING_PERIOD = Millis(250)
 # Two retransmissions of a lost packet between regions take about 600 ms.
 PONG_TIMEOUT = Millis(700)
@@ -48,8 +48,8 @@
 
 
 @dataclass(slots=True)
-class Pending:
-    """A handover without a result."""
+class PendingHandover:
+    """A handover whose result has not arrived yet."""
 
     handover: Handover
     reply: ResultReceiver
@@ -57,7 +57,7 @@
 
 
 class PeerLink:
-    """Dials one daemon again and again; asks for results that a lost connection left open."""
+    """Keeps a connection to one daemon; after a reconnect, requests the results still pending."""
 
     def __init__(
         self,
@@ -79,11 +79,11 @@
         self.state = LinkState.DIALING
         self.connection: FrameConnection | None = None
         self.incarnation: Incarnation | None = None
-        self.pending: dict[HandoverId, Pending] = {}
-        self.heard_at = monotonic()
-        self.pinged_at = Millis(0)
-        self.waits_for_pong = False
-        self.failures = 0
+        self.pending: dict[HandoverId, PendingHandover] = {}
+        self.last_received_at = monotonic()
+        self.last_ping_at = Millis(0)
+        self.awaiting_pong = False
+        self.failed_dials = 0
         self.down_since: Millis | None = monotonic()
         self.dialer = asyncio.ensure_future(self._dial())
 
@@ -98,33 +98,33 @@
             self.connection.send(encode_hop_message(message))
 
     def hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
-        """Send a handover; without an open connection it surely does not run."""
+        """Send a handover, or refuse it as not run if the connection is not open."""
         if self.state is not LinkState.OPEN:
             reply(handover.handover_id, not_run_result(Reason.CONNECT_FAILED))
             return
         deadline = Millis(monotonic() + handover.time_left)
-        self.pending[handover.handover_id] = Pending(handover, reply, deadline)
+        self.pending[handover.handover_id] = PendingHandover(handover, reply, deadline)
         self.send(handover)
 
     def cancel(self, handover_id: HandoverId) -> None:
-        """Stop to wait for a result."""
+        """Stop waiting for the result of a handover."""
         if self.pending.pop(handover_id, None) is not None:
             self.send(Cancel(handover_id))
 
-    def check(self, now: Millis) -> None:
-        """Ping a quiet connection and drop a silent one; called several times a second."""
+    def check_liveness(self, now: Millis) -> None:
+        """Ping a quiet connection; close one that sends nothing. Called several times a second."""
         if self.connection is None:
             return
-        if self.waits_for_pong and now - self.pinged_at > PONG_TIMEOUT:
-            if self.heard_at < self.pinged_at:
+        if self.awaiting_pong and now - self.last_ping_at > PONG_TIMEOUT:
+            if self.last_received_at < self.last_ping_at:
                 self.connection.abort()
                 return
-            self.waits_for_pong = False
+            self.awaiting_pong = False
         period = BUSY_PING_PERIOD if self.pending else self.ping_period
-        quiet = now - self.heard_at > period or not self.pending
-        if not self.waits_for_pong and quiet and now - self.pinged_at > period:
-            self.pinged_at = now
-            self.waits_for_pong = True
+        quiet = now - self.last_received_at > period or not self.pending
+        if not self.awaiting_pong and quiet and now - self.last_ping_at > period:
+            self.last_ping_at = now
+            self.awaiting_pong = True
             self.send(Ping(False, self.version()))
 
     def close(self) -> None:
@@ -133,7 +133,7 @@
         self.dialer.cancel()
         if self.connection is not None:
             self.connection.abort()
-        self._fail_pending(lambda row: True)
+        self._fail_pending(lambda pending: True)
 
     async def _dial(self) -> None:
         loop = asyncio.get_running_loop()
@@ -142,32 +142,32 @@
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
                     await loop.create_connection(
-                        lambda: FrameConnection(self._opened, self._frame, self._closed),
+                        lambda: FrameConnection(self._on_open, self._on_frame, self._on_close),
                         host,
                         int(port),
                     )
             except ConnectionRefusedError:
-                # Nothing listens: the daemon that had the handovers is gone.
-                self._fail_pending(lambda row: True)
+                # Nothing listens at the address: the daemon that had the handovers is gone.
+                self._fail_pending(lambda pending: True)
             except (OSError, TimeoutError):
-                # The daemon may still run what it has, so only safe calls may go elsewhere.
-                self._fail_pending(lambda row: row.handover.repeat is Repeat.SAFE)
+                # The daemon may still run its handovers, so only safe calls may be repeated.
+                self._fail_pending(lambda pending: pending.handover.repeat is Repeat.SAFE)
             if self.connection is None:
                 self.state = LinkState.DOWN
-                self.failures += 1
-                await asyncio.sleep(self._delay() / 1000)
+                self.failed_dials += 1
+                await asyncio.sleep(self._redial_delay() / 1000)
 
-    def _delay(self) -> Millis:
-        cap = min(REDIAL_CAP, REDIAL_BASE * 2 ** min(self.failures, 8))
+    def _redial_delay(self) -> Millis:
+        cap = min(REDIAL_CAP, REDIAL_BASE * 2 ** min(self.failed_dials, 8))
         return Millis(self.rng.uniform(cap / 2, cap))
 
-    def _opened(self, connection: FrameConnection) -> None:
+    def _on_open(self, connection: FrameConnection) -> None:
         self.connection = connection
-        self.heard_at = monotonic()
-        self.waits_for_pong = False
+        self.last_received_at = monotonic()
+        self.awaiting_pong = False
         self.send(self.hello())
 
-    def _closed(self, connection: FrameConnection) -> None:
+    def _on_close(self, connection: FrameConnection) -> None:
         if self.connection is not connection or self.state is LinkState.CLOSED:
             return
         self.connection = None
@@ -175,8 +175,8 @@
         self.down_since = monotonic()
         self.dialer = asyncio.ensure_future(self._dial())
 
-    def _frame(self, connection: FrameConnection, frame: bytes) -> None:
-        self.heard_at = monotonic()
+    def _on_frame(self, connection: FrameConnection, frame: bytes) -> None:
+        self.last_received_at = monotonic()
         try:
             message = decode_hop_message(frame)
         except MessageDecodeError:
@@ -184,38 +184,38 @@
             return
         match message:
             case Result(handover_id, result):
-                self._result(handover_id, result)
+                self._deliver_result(handover_id, result)
             case Ping(answer, _):
                 if answer:
-                    self.waits_for_pong = False
+                    self.awaiting_pong = False
                 else:
                     self.send(Ping(True, self.version()))
                 self.on_message(self, message)
             case Hello():
-                self._greeted(message)
+                self._handle_hello(message)
                 self.on_message(self, message)
             case _:
                 self.on_message(self, message)
 
-    def _greeted(self, hello: Hello) -> None:
+    def _handle_hello(self, hello: Hello) -> None:
         if hello.daemon_id != self.daemon_id:
-            # Another machine took over the address.
-            self._fail_pending(lambda row: True)
+            # Another daemon has taken over the address.
+            self._fail_pending(lambda pending: True)
         elif self.incarnation not in (None, hello.incarnation):
-            self._fail_pending(lambda row: True)
+            self._fail_pending(lambda pending: True)
         self.incarnation = hello.incarnation
         self.state = LinkState.OPEN
-        self.failures = 0
+        self.failed_dials = 0
         self.down_since = None
         for handover_id in list(self.pending):
             self.send(Resume(handover_id))
 
-    def _result(self, handover_id: HandoverId, result: RelayResult) -> None:
-        row = self.pending.pop(handover_id, None)
-        if row is not None:
-            row.reply(handover_id, result)
+    def _deliver_result(self, handover_id: HandoverId, result: RelayResult) -> None:
+        pending = self.pending.pop(handover_id, None)
+        if pending is not None:
+            pending.reply(handover_id, result)
 
-    def _fail_pending(self, which: Callable[[Pending], bool]) -> None:
-        for handover_id, row in list(self.pending.items()):
-            if which(row):
-                self._result(handover_id, unknown_result(Reason.CONNECTION_LOST))
+    def _fail_pending(self, matches: Callable[[PendingHandover], bool]) -> None:
+        for handover_id, pending in list(self.pending.items()):
+            if matches(pending):
+                self._deliver_result(handover_id, unknown_result(Reason.CONNECTION_LOST))
