--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -24,7 +24,7 @@
 from agatecross_cli.documents import read_documents
 from agatecross_cli.fleet import DaemonStatus
 from agatecross_cli.history import read_history
-from agatecross_cli.in_force import WaitReports
+from agatecross_cli.in_force import WaitReporter
 from agatecross_cli.main import execute
 from agatecross_cli.output import FORMATTERS
 from agatecross_core.calls.model import Response
@@ -148,12 +148,12 @@
     log.reads_left = {"reads fail": 0, "reads fail after the append": 1}.get(case)
     parent = 0 if case == "another parent is required" else None
     context_of_run = Context(log, daemons, "127.0.0.1:4", 0.1, "carol", "", parent)
-    base, append_module.RETRY_BASE = append_module.RETRY_BASE, 0.1
+    base, append_module.RETRY_BASE_DELAY_MS = append_module.RETRY_BASE_DELAY_MS, 0.1
     try:
         run = execute(PUBLISH, context_of_run, [str(context.folder)])
         context.run = asyncio.run(run)
     finally:
-        append_module.RETRY_BASE = base
+        append_module.RETRY_BASE_DELAY_MS = base
 
 
 @then('the result has code {code:d} and {records:d} new records and its text has "{text}"')
@@ -172,13 +172,13 @@
 
 @given('a publish of version {version:d} whose daemons are asked at "{asked}"')
 def ask_daemons(context, version, asked):
-    reports = WaitReports(version, 0.0)
+    reports = WaitReporter(version, 0.0)
     context.reports = []
     for row in asked.split("; "):
         at, *words = row.split()
         reason = "daemon 127.0.0.1:4: refused" if words == ["?"] else ""
         behind = () if reason else tuple(map(status_of, words))
-        context.reports += ((at, line) for line in reports.asked(behind, reason, float(at)))
+        context.reports += ((at, line) for line in reports.report(behind, reason, float(at)))
 
 
 @then('it reports at "{reported}" on standard error "{text}"')
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -16,7 +16,7 @@
 from agatecross_core.ids import Address, Millis
 from agatecross_daemon.decision_log import DecisionLog
 from agatecross_daemon.events import format_event
-from agatecross_daemon.sidecar import build, log_loop_error
+from agatecross_daemon.sidecar import build_sidecar, log_loop_error
 from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings, sidecar_settings
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
@@ -118,7 +118,7 @@
         path = Path(self.folder.name) / f"d{number}-{len(self.files)}.log"
         self.files.append(path.open("wb"))
         log = DecisionLog(self.files[-1].fileno())
-        sidecar = build(settings, PlatformFrontEnd(settings), log)
+        sidecar = build_sidecar(settings, PlatformFrontEnd(settings), log)
         await sidecar.start()
         tasks = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
         if same is None:
@@ -535,7 +535,7 @@
 def step_reload(context, number, change):
     sidecar = context.mini.sidecars[number]
     context.lines = []
-    sidecar.log.change = lambda event, **rows: context.lines.append(format_event(event, rows))
+    sidecar.log.write_change = lambda event, **rows: context.lines.append(format_event(event, rows))
 
     def read():
         if change == "findings":
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -35,7 +35,7 @@
 )
 from agatecross_core.routing.router import AttemptEnded
 from agatecross_core.states import Locality, MemberState, Outcome, Reason, UpstreamState
-from agatecross_daemon.mailbox import monotonic
+from agatecross_daemon.mailbox import monotonic_ms
 from agatecross_daemon.tasks.call_driver import CallDriver
 
 REGIONS = {"aarhus-a": "jylland", "aalborg-b": "jylland", "roskilde-b": "sjaelland"}
@@ -471,7 +471,7 @@
         row = replace(member(name), peer_address=name)
         return Candidate(row, row.upstream, Locality.REGION, 0, 1.0, hedge_after=float(delay))
 
-    call = new_call("idempotent", monotonic() + 5_000)
+    call = new_call("idempotent", monotonic_ms() + 5_000)
     policy = ServicePolicy(SERVICE, attempts=2, hedge_quantile=0.9)
     flow = run_call(call, policy, chooser, RetryBudget(0.1))
     context.result = asyncio.run(carry())
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from agatecross_daemon.process_signals import HANDLED
+from agatecross_daemon.process_signals import HANDLED_SIGNALS
 from agatecross_standins.ports import PortPool
 from agatecross_standins.soak.fleet import SETTINGS
 
@@ -88,7 +88,7 @@
 
 @when("SIGHUP and SIGTERM come before its interpreter runs, and are blocked")
 def step_blocked(context):
-    before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     try:
         start(context, signal.SIGCONT, "none")
     finally:
--- a/packages/agatecross-cli/agatecross_cli/append.py
+++ b/packages/agatecross-cli/agatecross_cli/append.py
@@ -13,52 +13,52 @@
 
 from .command import CommandError, Context
 from .exit_codes import ExitCode
-from .history import Folded, History, read_history
+from .history import FoldedRecord, History, read_history
 
-RETRY_BASE = Millis(100)
-RETRY_CAP = Millis(2_000)
-APPEND_TRIES = 4
-READ_TRIES = 6
+RETRY_BASE_DELAY_MS = Millis(100)
+RETRY_MAX_DELAY_MS = Millis(2_000)
+MAX_APPEND_ATTEMPTS = 4
+MAX_READ_ATTEMPTS = 6
 
 
-async def append_once(context: Context, record: PublishRecord) -> tuple[History, Folded]:
+async def append_once(context: Context, record: PublishRecord) -> tuple[History, FoldedRecord]:
     """Return the history and the folded record; raises `CommandError` with what is known."""
-    maybe_applied = False
+    may_be_applied = False
     reason = ""
-    for attempt in range(APPEND_TRIES):
+    for attempt in range(MAX_APPEND_ATTEMPTS):
         try:
             await context.log.append(CONFIG_STREAM, encode_record(record))
-            maybe_applied = True
+            may_be_applied = True
         except LogOutcomeUnknownError as error:
-            maybe_applied, reason = True, error.reason
+            may_be_applied, reason = True, error.reason
         except LogError as error:
             reason = error.reason
-        if not maybe_applied:
-            await _pause(attempt)
+        if not may_be_applied:
+            await _wait_before_retry(attempt)
             continue
-        history = await _read(context.log, record)
-        folded = history.find(record.publish_id)
+        history = await _read_with_retries(context.log, record)
+        folded = history.find_publish(record.publish_id)
         if folded is not None:
             return history, folded
-    if maybe_applied:
-        raise _unknown(record, reason)
+    if may_be_applied:
+        raise _unknown_outcome_error(record, reason)
     raise CommandError(
         ExitCode.LOG_UNREACHABLE, f"log service unreachable, nothing was published: {reason}"
     )
 
 
-async def _read(log: LogService, record: PublishRecord) -> History:
+async def _read_with_retries(log: LogService, record: PublishRecord) -> History:
     reason = ""
-    for attempt in range(READ_TRIES):
+    for attempt in range(MAX_READ_ATTEMPTS):
         try:
             return await read_history(log)
         except LogError as error:
             reason = error.reason
-            await _pause(attempt)
-    raise _unknown(record, reason)
+            await _wait_before_retry(attempt)
+    raise _unknown_outcome_error(record, reason)
 
 
-def _unknown(record: PublishRecord, reason: str) -> CommandError:
+def _unknown_outcome_error(record: PublishRecord, reason: str) -> CommandError:
     message = (
         f"outcome of publish {record.publish_id} is unknown: {reason}; "
         "`agatecross log` shows it once the log service answers"
@@ -66,6 +66,6 @@
     return CommandError(ExitCode.UNKNOWN, message)
 
 
-async def _pause(attempt: int) -> None:
-    delay = full_jitter(attempt, RETRY_BASE, RETRY_CAP, random.Random())
+async def _wait_before_retry(attempt: int) -> None:
+    delay = full_jitter(attempt, RETRY_BASE_DELAY_MS, RETRY_MAX_DELAY_MS, random.Random())
     await asyncio.sleep(delay / 1000)
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -5,14 +5,14 @@
 
 from agatecross_core.states import Outcome, Reason
 
-from .deciding_lines import deciding_lines, reason_of
+from .deciding_lines import end_reason, find_deciding_lines
 from .event_lines import EventLine
-from .process_facts import ProcessFacts
+from .process_events import ProcessEvents
 
-REFUSAL = "handover_failed"
-CALL_EVENTS = ("call", "call_refused")
-SERVER_ERROR = 500
-MEANINGS: Mapping[str, str] = {
+REFUSAL_EVENT = "handover_failed"
+CALL_END_EVENTS = ("call", "call_refused")
+SERVER_ERROR_STATUS = 500
+REASON_MEANINGS: Mapping[str, str] = {
     Reason.OVERLOADED.value: "every upstream that was asked had a queue longer than the objective",
     Reason.DEADLINE.value: "it waited for a slot until its time was up",
     Reason.TIMEOUT.value: "the upstream did not answer within the route's or the caller's time",
@@ -45,59 +45,67 @@
     background: tuple[EventLine, ...] = ()
 
 
-def belongs(event: EventLine, call_id: str) -> bool:
+def is_event_of_call(event: EventLine, call_id: str) -> bool:
     """Return whether an event is about the call or about a call that its run made."""
-    found = event.pairs.get("call_id", "")
-    return found == call_id or found.startswith(f"{call_id}.")
+    call_id_found = event.pairs.get("call_id", "")
+    return call_id_found == call_id or call_id_found.startswith(f"{call_id}.")
 
 
-def cause_of(call_id: str, events: Iterable[EventLine], facts: ProcessFacts) -> Cause | None:
+def find_cause(
+    call_id: str, events: Iterable[EventLine], process_events: ProcessEvents
+) -> Cause | None:
     """Return the cause from the call's events, or None when its end was not logged.
 
     When an upstream answered with a failure, a failed call that its run made is the deeper cause.
     """
     rows = sorted(events, key=lambda row: row.time)
-    ends = [row for row in rows if is_end(row)]
-    own = [row for row in ends if row.pairs["call_id"] == call_id]
-    if not own:
+    ends = [row for row in rows if is_call_end(row)]
+    own_ends = [row for row in ends if row.pairs["call_id"] == call_id]
+    if not own_ends:
         return None
-    end = own[-1]
-    if end.pairs.get("outcome") == Outcome.RAN.value and failed(end):
-        inner = [row for row in ends if row.pairs["call_id"] != call_id and failed(row)]
+    end = own_ends[-1]
+    if end.pairs.get("outcome") == Outcome.RAN.value and is_failed_call(end):
+        inner = [row for row in ends if row.pairs["call_id"] != call_id and is_failed_call(row)]
         if inner:
-            return _inner_cause(end, inner[-1], "a call it made", rows, facts)
+            return _inner_cause(end, inner[-1], "a call it made", rows, process_events)
         ended = {row.pairs["call_id"] for row in ends}
         refused = [
-            row for row in rows if row.event == REFUSAL and row.pairs["call_id"] not in ended
+            row for row in rows if row.event == REFUSAL_EVENT and row.pairs["call_id"] not in ended
         ]
         if refused:
             # A later try may have been served; the end that would say so was left out.
-            made = "a call it made, whose end was not logged"
-            return _inner_cause(end, refused[-1], made, rows, facts)
-    reason = reason_of(end, facts) or ("upstream-failed" if failed(end) else "served")
-    meaning = MEANINGS.get(reason, "the upstream answered")
-    return _cause(end, end, reason, meaning, rows, facts)
+            prefix = "a call it made, whose end was not logged"
+            return _inner_cause(end, refused[-1], prefix, rows, process_events)
+    reason = end_reason(end, process_events) or (
+        "upstream-failed" if is_failed_call(end) else "served"
+    )
+    meaning = REASON_MEANINGS.get(reason, "the upstream answered")
+    return _cause(end, end, reason, meaning, rows, process_events)
 
 
-def is_end(row: EventLine) -> bool:
+def is_call_end(row: EventLine) -> bool:
     """Return whether an event is the end of a call; a line that was cut too early is not."""
     ran = row.pairs.get("outcome") == Outcome.RAN.value
-    return row.event in CALL_EVENTS and ("status" if ran else "reason") in row.pairs
+    return row.event in CALL_END_EVENTS and ("status" if ran else "reason") in row.pairs
 
 
-def failed(end: EventLine) -> bool:
+def is_failed_call(end: EventLine) -> bool:
     """Return whether a call did not end with an answer below 500."""
     status = end.pairs.get("status", "")
     ran = end.pairs.get("outcome") == Outcome.RAN.value
-    return not ran or not status.isdigit() or int(status) >= SERVER_ERROR
+    return not ran or not status.isdigit() or int(status) >= SERVER_ERROR_STATUS
 
 
 def _inner_cause(
-    end: EventLine, inner: EventLine, made: str, rows: Sequence[EventLine], facts: ProcessFacts
+    end: EventLine,
+    inner: EventLine,
+    prefix: str,
+    rows: Sequence[EventLine],
+    process_events: ProcessEvents,
 ) -> Cause:
-    reason = reason_of(inner, facts) or "upstream-failed"
-    meaning = MEANINGS.get(reason, "the upstream answered with a failure")
-    found = _cause(end, inner, reason, f"{made}: {meaning}", rows, facts)
+    reason = end_reason(inner, process_events) or "upstream-failed"
+    meaning = REASON_MEANINGS.get(reason, "the upstream answered with a failure")
+    found = _cause(end, inner, reason, f"{prefix}: {meaning}", rows, process_events)
     return replace(found, cause=f"inner:{reason}")
 
 
@@ -107,9 +115,9 @@
     reason: str,
     meaning: str,
     rows: Sequence[EventLine],
-    facts: ProcessFacts,
+    process_events: ProcessEvents,
 ) -> Cause:
     outcome = end.pairs.get("outcome", Outcome.NOT_RUN.value)
-    deciding, *background = deciding_lines(failure, reason, rows, facts)
+    deciding, *background = find_deciding_lines(failure, reason, rows, process_events)
     call_id = end.pairs["call_id"]
     return Cause(call_id, outcome, reason, meaning, deciding, tuple(background))
--- a/packages/agatecross-cli/agatecross_cli/command.py
+++ b/packages/agatecross-cli/agatecross_cli/command.py
@@ -37,8 +37,8 @@
     """A command with its usage line and its least and most positional arguments."""
 
     usage: str
-    least: int
-    most: int
+    min_arguments: int
+    max_arguments: int
     run: Callable[[Context, Sequence[str]], Awaitable[Result]]
 
 
--- a/packages/agatecross-cli/agatecross_cli/commands/causes.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/causes.py
@@ -4,35 +4,35 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from ..call_causes import REFUSAL, cause_of, failed, is_end
+from ..call_causes import REFUSAL_EVENT, find_cause, is_call_end, is_failed_call
 from ..command import Command, CommandError, Context, Result
-from ..event_lines import EventLine, left_out_before, read_events, with_progress
+from ..event_lines import EventLine, count_left_out, read_events, report_progress
 from ..exit_codes import ExitCode
-from ..process_facts import ProcessFacts
-from .trace import MOST_ARGUMENTS
+from ..process_events import ProcessEvents
+from .trace import MAX_ARGUMENTS
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
     """Count the causes in log files; events that daemons left out are counted apart."""
     del context
     calls: defaultdict[str, list[EventLine]] = defaultdict(list)
-    facts = ProcessFacts()
+    process_events = ProcessEvents()
     left_out = 0
     try:
-        for row in with_progress(read_events(map(Path, arguments))):
-            left_out += left_out_before(row)
-            facts.add(row)
+        for row in report_progress(read_events(map(Path, arguments))):
+            left_out += count_left_out(row)
+            process_events.add(row)
             call_id, _, inner = row.pairs.get("call_id", "").partition(".")
             # Refusals of a run's calls explain its failure when the ends of those were left out.
-            if call_id and (is_end(row) or (inner and row.event == REFUSAL)):
+            if call_id and (is_call_end(row) or (inner and row.event == REFUSAL_EVENT)):
                 calls[call_id].append(row)
     except OSError as error:
         raise CommandError(ExitCode.USAGE, str(error)) from error
     counts: Counter[tuple[str, str, str]] = Counter()
     for call_id, rows in calls.items():
         ends = [row for row in rows if row.pairs["call_id"] == call_id]
-        cause = cause_of(call_id, rows, facts)
-        if cause is not None and failed(ends[-1]):
+        cause = find_cause(call_id, rows, process_events)
+        if cause is not None and is_failed_call(ends[-1]):
             counts[(ends[-1].pairs.get("service", ""), cause.outcome, cause.cause)] += 1
     lines = [
         f"{count:8d} {service or '-'} {outcome} {cause}"
@@ -49,4 +49,4 @@
     return Result(ExitCode.SUCCESS, tuple(lines), body)
 
 
-COMMAND = Command("causes FILE...", 1, MOST_ARGUMENTS, run)
+COMMAND = Command("causes FILE...", 1, MAX_ARGUMENTS, run)
--- a/packages/agatecross-cli/agatecross_cli/commands/diff.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/diff.py
@@ -10,7 +10,7 @@
 from ..command import Command, Context, Result
 from ..documents import read_documents
 from ..exit_codes import ExitCode
-from ..findings_output import file_of
+from ..findings_output import document_path
 from ..history import read_history
 
 
@@ -44,7 +44,7 @@
         change = "changed"
         if name not in before or name not in after:
             change = "removed" if name in before else "added"
-        file = file_of(name)
+        file = document_path(name)
         rows = difflib.unified_diff(
             before.get(name, "").splitlines(),
             after.get(name, "").splitlines(),
--- a/packages/agatecross-cli/agatecross_cli/commands/explain.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/explain.py
@@ -14,7 +14,7 @@
 from ..command import Command, CommandError, Context, Result
 from ..documents import read_documents
 from ..exit_codes import ExitCode
-from ..findings_output import file_of, findings_result
+from ..findings_output import document_path, findings_result
 from ..history import read_history
 
 
@@ -31,7 +31,7 @@
 async def run(context: Context, arguments: Sequence[str]) -> Result:
     """Explain a path at a data centre, from the log or from a folder."""
     data_centre, path = DataCentreName(arguments[0]), arguments[1]
-    version, documents = await _source(context, arguments[2:])
+    version, documents = await _load_documents(context, arguments[2:])
     snapshot, findings = compile_documents(documents, decode_toml, version)
     if snapshot is None:
         return findings_result(findings)
@@ -48,10 +48,12 @@
     rows = tuple(value_row(value) for value in explain_route(merged, route, policy))
     body = {"version": version, "route": route.name, "service": route.service, "values": rows}
     title = f"version {version} route {route.name} service {route.service}"
-    return Result(ExitCode.SUCCESS, (title, *(_line(row) for row in rows)), body)
+    return Result(ExitCode.SUCCESS, (title, *(_format_row(row) for row in rows)), body)
 
 
-async def _source(context: Context, folder: Sequence[str]) -> tuple[Version, tuple[Document, ...]]:
+async def _load_documents(
+    context: Context, folder: Sequence[str]
+) -> tuple[Version, tuple[Document, ...]]:
     state = (await read_history(context.log)).state if not folder else None
     if state is None:
         return Version(0), tuple(read_documents(Path(folder[0])))
@@ -64,10 +66,10 @@
     """Return what is shown of a value."""
     if value.place is None:
         return ValueRow(value.key, value.value, "", 0)
-    return ValueRow(value.key, value.value, file_of(value.place.document), value.place.line)
+    return ValueRow(value.key, value.value, document_path(value.place.document), value.place.line)
 
 
-def _line(row: ValueRow) -> str:
+def _format_row(row: ValueRow) -> str:
     place = f"{row.file}:{row.line}" if row.file else "default"
     shown = ",".join(row.value) if isinstance(row.value, tuple) else row.value
     return f"{row.key} = {shown} ({place})"
--- a/packages/agatecross-cli/agatecross_cli/commands/log.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/log.py
@@ -8,7 +8,7 @@
 from ..command import Command, Context, Result
 from ..exit_codes import ExitCode
 from ..findings_output import FindingRow, finding_lines, finding_rows
-from ..history import Folded, read_history
+from ..history import FoldedRecord, read_history
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +31,11 @@
     """Show the records that the log still holds, oldest first."""
     del arguments
     rows = tuple(log_row(row) for row in (await read_history(context.log)).rows)
-    lines = [line for row in rows for line in (_line(row), *finding_lines(row.findings))]
+    lines = [line for row in rows for line in (_format_row(row), *finding_lines(row.findings))]
     return Result(ExitCode.SUCCESS, tuple(lines), {"records": rows})
 
 
-def log_row(row: Folded) -> LogRow:
+def log_row(row: FoldedRecord) -> LogRow:
     """Return what is shown of a folded record."""
     record, version = row.record, row.state.version
     if isinstance(record, SnapshotRecord):
@@ -56,7 +56,7 @@
     )
 
 
-def _line(row: LogRow) -> str:
+def _format_row(row: LogRow) -> str:
     if row.kind != "publish":
         return f"{row.offset} {row.kind} version {row.version}"
     removed = f" removed {','.join(row.removed)}" if row.removed else ""
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -16,20 +16,20 @@
 from ..documents import read_documents
 from ..exit_codes import ExitCode
 from ..findings_output import findings_result
-from ..fleet import ask_version
+from ..fleet import fetch_version
 from ..history import History, read_history
 from ..in_force import wait_in_force
 
-STATE_READS = 3
+MAX_STATE_READS = 3
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
     """Publish a folder and wait until its version is in force everywhere."""
     documents = tuple(read_documents(Path(arguments[0])))
-    history = await read_parent(context)
+    history = await read_parent_history(context)
     state = history.state
     if context.parent not in (None, state.version):
-        return conflict(history, "", Version(context.parent or 0))
+        return conflict_result(history, "", Version(context.parent or 0))
     _, findings = compile_documents(documents, decode_toml, Version(state.version + 1))
     if findings:
         return findings_result(findings)
@@ -43,24 +43,24 @@
             version, digest = folded.state.version, folded.state.digest
             return await wait_in_force(context, version, digest, record.publish_id)
         case Verdict.CONFLICT:
-            return conflict(history, record.publish_id, record.parent)
+            return conflict_result(history, record.publish_id, record.parent)
         case _:
             return findings_result(folded.findings)
 
 
-async def read_parent(context: Context) -> History:
+async def read_parent_history(context: Context) -> History:
     """Return the history on the log; raises when a daemon has a newer one in force."""
-    ahead = None
-    for _ in range(STATE_READS):
+    daemon_version = None
+    for _ in range(MAX_STATE_READS):
         history = await read_history(context.log)
         state = history.state
-        ahead = await ask_version(context.http, context.daemon)
-        if ahead is None or ahead <= state.version:
+        daemon_version = await fetch_version(context.http, context.daemon)
+        if daemon_version is None or daemon_version <= state.version:
             return history
     # Publishing now would be accepted by the log but never be put in force.
     message = (
-        f"the log holds version {state.version}, but version {ahead} is in force: the log was "
-        "replaced; the daemons write a snapshot, try again in a few seconds"
+        f"the log holds version {state.version}, but version {daemon_version} is in force: "
+        "the log was replaced; the daemons write a snapshot, try again in a few seconds"
     )
     raise CommandError(ExitCode.LOG_UNREACHABLE, message)
 
@@ -81,16 +81,16 @@
     )
 
 
-def conflict(history: History, publish_id: str, parent: Version) -> Result:
+def conflict_result(history: History, publish_id: str, parent: Version) -> Result:
     """Return the result of a publish whose parent is not the newest version."""
     next_version = Version(parent + 1)
-    winner = find_winner(history, next_version)
+    winner = find_accepted_publish(history, next_version)
     author, winner_id = (winner.author, winner.publish_id) if winner else ("", "")
     version = history.state.version
-    what = f"version {next_version} by {author or 'unknown'} was accepted first"
+    reason = f"version {next_version} by {author or 'unknown'} was accepted first"
     if version < next_version:
-        what = f"version {parent} does not exist"
-    line = f"conflict: {what}; the newest version is {version}; nothing was applied"
+        reason = f"version {parent} does not exist"
+    line = f"conflict: {reason}; the newest version is {version}; nothing was applied"
     body = {
         "publish_id": publish_id,
         "parent": parent,
@@ -100,7 +100,7 @@
     return Result(ExitCode.CONFLICT, (line,), body)
 
 
-def find_winner(history: History, version: Version) -> PublishRecord | None:
+def find_accepted_publish(history: History, version: Version) -> PublishRecord | None:
     """Return the publish that became a version, if the log still holds it."""
     for row in history.rows:
         accepted = row.verdict is Verdict.ACCEPTED and row.state.version == version
--- a/packages/agatecross-cli/agatecross_cli/commands/status.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/status.py
@@ -6,7 +6,7 @@
 
 from ..command import Command, CommandError, Context, Result
 from ..exit_codes import ExitCode
-from ..fleet import DaemonStatus, ask_all, list_members
+from ..fleet import DaemonStatus, fetch_statuses, list_members
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
@@ -16,7 +16,7 @@
         members = await list_members(context.http, context.daemon)
     except ExchangeError as error:
         raise CommandError(ExitCode.UNKNOWN, f"daemon {error}") from error
-    rows = sorted(await ask_all(context.http, members), key=lambda row: row.daemon_id)
+    rows = sorted(await fetch_statuses(context.http, members), key=lambda row: row.daemon_id)
     alike = len({(row.version, row.digest) for row in rows}) == 1
     answered = all(row.version is not None for row in rows)
     code = ExitCode.SUCCESS if alike and answered else ExitCode.NOT_IN_FORCE
--- a/packages/agatecross-cli/agatecross_cli/commands/trace.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/trace.py
@@ -4,14 +4,14 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from ..call_causes import Cause, belongs, cause_of
+from ..call_causes import Cause, find_cause, is_event_of_call
 from ..command import Command, CommandError, Context, Result
-from ..event_lines import EventLine, left_out_before, read_events, with_progress
+from ..event_lines import EventLine, count_left_out, read_events, report_progress
 from ..exit_codes import ExitCode
-from ..process_facts import ProcessFacts
+from ..process_events import ProcessEvents
 
 # All logs of a large fleet.
-MOST_ARGUMENTS = 10_000
+MAX_ARGUMENTS = 10_000
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
@@ -19,13 +19,13 @@
     del context
     call_id, *files = arguments
     found: list[EventLine] = []
-    facts = ProcessFacts()
+    process_events = ProcessEvents()
     left_out = 0
     try:
-        for row in with_progress(read_events(map(Path, files))):
-            left_out += left_out_before(row)
-            facts.add(row)
-            if belongs(row, call_id):
+        for row in report_progress(read_events(map(Path, files))):
+            left_out += count_left_out(row)
+            process_events.add(row)
+            if is_event_of_call(row, call_id):
                 found.append(row)
     except OSError as error:
         raise CommandError(ExitCode.USAGE, str(error)) from error
@@ -34,14 +34,18 @@
         lines = (message, f"the daemons left out {left_out} events")
         body = {"call_id": call_id, "events": (), "left_out": left_out}
         return Result(ExitCode.FINDINGS, lines, body)
-    return traced(call_id, found, cause_of(call_id, found, facts), left_out)
+    return trace_result(call_id, found, find_cause(call_id, found, process_events), left_out)
 
 
-def traced(call_id: str, found: Sequence[EventLine], cause: Cause | None, left_out: int) -> Result:
+def trace_result(
+    call_id: str, found: Sequence[EventLine], cause: Cause | None, left_out: int
+) -> Result:
     """Return the events of a call with those that explain its cause, in order of time."""
-    added = (cause.deciding, *cause.background) if cause else ()
-    rows = sorted([*found, *(row for row in added if row not in found)], key=lambda row: row.time)
-    lines = [event_line(row) for row in rows]
+    explaining = (cause.deciding, *cause.background) if cause else ()
+    rows = sorted(
+        [*found, *(row for row in explaining if row not in found)], key=lambda row: row.time
+    )
+    lines = [format_event_line(row) for row in rows]
     if cause is None:
         lines.append("cause: unknown, the end of the call was not logged")
         lines.append(f"the daemons left out {left_out} events")
@@ -57,11 +61,11 @@
     return Result(ExitCode.SUCCESS if cause else ExitCode.UNKNOWN, tuple(lines), body)
 
 
-def event_line(row: EventLine) -> str:
+def format_event_line(row: EventLine) -> str:
     """Return an event for a reader."""
     shown = " ".join(f"{key}={value}" for key, value in row.pairs.items() if key != "time")
-    writer = f"{row.process}: " if row.process != row.file else ""
-    return f"{row.time:.3f} {row.file}:{row.line}: {writer}{shown}"
+    process_prefix = f"{row.process}: " if row.process != row.file else ""
+    return f"{row.time:.3f} {row.file}:{row.line}: {process_prefix}{shown}"
 
 
-COMMAND = Command("trace CALL_ID FILE...", 2, MOST_ARGUMENTS, run)
+COMMAND = Command("trace CALL_ID FILE...", 2, MAX_ARGUMENTS, run)
--- a/packages/agatecross-cli/agatecross_cli/event_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/event_lines.py
@@ -9,9 +9,9 @@
 
 # A value is plain, or a JSON string when it holds other characters. A quote that does not end the
 # value belongs to a later line, and the JSON string was cut off.
-PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"(?=\s|$)|\S*)')
+PAIR_PATTERN = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"(?=\s|$)|\S*)')
 
-PROGRESS_EVENTS = 200_000
+EVENTS_PER_PROGRESS_LINE = 200_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,15 +42,15 @@
                     yield from parse_event(str(path), number, text)
 
 
-def with_progress(events: Iterable[EventLine]) -> Iterator[EventLine]:
+def report_progress(events: Iterable[EventLine]) -> Iterator[EventLine]:
     """Pass events on; a line on standard error shows that a long input is being read."""
     for number, row in enumerate(events, 1):
         yield row
-        if number % PROGRESS_EVENTS == 0:
+        if number % EVENTS_PER_PROGRESS_LINE == 0:
             print(f"agatecross: {number} events read", file=sys.stderr)
 
 
-def left_out_before(row: EventLine) -> int:
+def count_left_out(row: EventLine) -> int:
     """Return how many events the process left out before this one."""
     count = row.pairs.get("left_out", "")
     return int(count) if count.isdigit() else 0
@@ -63,34 +63,34 @@
     Each event begins with its time, behind the name of its process. The last value of an event that
     was cut off is left out.
     """
-    part = PartOfLine(file)
-    for match in PAIR.finditer(text):
+    builder = EventBuilder(file)
+    for match in PAIR_PATTERN.finditer(text):
         if match[1] == "time":
-            yield from part.event(file, number, cut=True)
-            name = text[part.end : match.start()].split()[-1:]
-            part = PartOfLine(name[0] if name else file)
-        part.add(match)
-    yield from part.event(file, number, cut=False)
+            yield from builder.build(file, number, truncated=True)
+            name = text[builder.end : match.start()].split()[-1:]
+            builder = EventBuilder(name[0] if name else file)
+        builder.add(match)
+    yield from builder.build(file, number, truncated=False)
 
 
-class PartOfLine:
+class EventBuilder:
     """The pairs of one event of a line."""
 
     def __init__(self, process: str) -> None:
         self.process = process
         self.pairs: dict[str, str] = {}
-        self.last = ""
+        self.last_key = ""
         self.end = 0
 
     def add(self, match: re.Match[str]) -> None:
         """Keep the next pair."""
-        self.last, self.end = match[1], match.end()
-        self.pairs[match[1]] = _value(match[2])
+        self.last_key, self.end = match[1], match.end()
+        self.pairs[match[1]] = _decode_value(match[2])
 
-    def event(self, file: str, number: int, cut: bool) -> Iterator[EventLine]:
+    def build(self, file: str, number: int, truncated: bool) -> Iterator[EventLine]:
         """Yield the event, if there is one."""
-        if cut:
-            self.pairs.pop(self.last, None)
+        if truncated:
+            self.pairs.pop(self.last_key, None)
         try:
             time = float(self.pairs.get("time", "0"))
         except ValueError:
@@ -99,7 +99,7 @@
             yield EventLine(file, number, self.process, time, self.pairs)
 
 
-def _value(text: str) -> str:
+def _decode_value(text: str) -> str:
     if not text.startswith('"'):
         return text
     try:
--- a/packages/agatecross-cli/agatecross_cli/findings_output.py
+++ b/packages/agatecross-cli/agatecross_cli/findings_output.py
@@ -24,12 +24,12 @@
 def finding_rows(findings: Iterable[Finding]) -> tuple[FindingRow, ...]:
     """Return the rows of findings in documents of a configuration folder."""
     return tuple(
-        FindingRow(file_of(f.place.document), f.place.line, f.place.key, f.code, f.message)
+        FindingRow(document_path(f.place.document), f.place.line, f.place.key, f.code, f.message)
         for f in findings
     )
 
 
-def file_of(document: str) -> str:
+def document_path(document: str) -> str:
     """Return the path of a document in its folder."""
     return "base.toml" if document == BASE else f"overlays/{document}.toml"
 
--- a/packages/agatecross-cli/agatecross_cli/fleet.py
+++ b/packages/agatecross-cli/agatecross_cli/fleet.py
@@ -12,8 +12,8 @@
 from agatecross_core.ids import Address, DaemonId, Digest, Millis, Version
 from agatecross_core.members.records import Member
 
-ASK_TIMEOUT = Millis(2_000)
-CONCURRENT_ASKS = 64
+REQUEST_TIMEOUT_MS = Millis(2_000)
+MAX_CONCURRENT_REQUESTS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,39 +40,39 @@
 async def list_members(http: HttpClient, daemon: Address) -> tuple[Member, ...]:
     """Return the members that a daemon knows; raises `ExchangeError`."""
     request = Request("GET", "/agatecross/v1/members", (), b"")
-    response = await http.send(daemon, request, ASK_TIMEOUT)
+    response = await http.send(daemon, request, REQUEST_TIMEOUT_MS)
     try:
         return msgspec.json.decode(response.body, type=tuple[Member, ...])
     except msgspec.MsgspecError as error:
         raise ExchangeError(daemon, f"unreadable list of members: {error}") from error
 
 
-async def ask_version(http: HttpClient, daemon: Address) -> Version | None:
+async def fetch_version(http: HttpClient, daemon: Address) -> Version | None:
     """Return the version in force on one daemon, None when it does not answer."""
     request = Request("GET", "/agatecross/v1/status", (), b"")
     try:
-        response = await http.send(daemon, request, ASK_TIMEOUT)
+        response = await http.send(daemon, request, REQUEST_TIMEOUT_MS)
         return msgspec.json.decode(response.body, type=StatusBody).version
     except (ExchangeError, msgspec.MsgspecError):
         return None
 
 
-async def ask_all(http: HttpClient, members: Iterable[Member]) -> list[DaemonStatus]:
+async def fetch_statuses(http: HttpClient, members: Iterable[Member]) -> list[DaemonStatus]:
     """Return the status of each member, asking a bounded number at once."""
-    limit = asyncio.Semaphore(CONCURRENT_ASKS)
+    semaphore = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
-    async def ask(member: Member) -> DaemonStatus:
-        async with limit:
-            return await ask_one(http, member)
+    async def fetch_limited(member: Member) -> DaemonStatus:
+        async with semaphore:
+            return await fetch_status(http, member)
 
-    return list(await asyncio.gather(*(ask(member) for member in members)))
+    return list(await asyncio.gather(*(fetch_limited(member) for member in members)))
 
 
-async def ask_one(http: HttpClient, member: Member) -> DaemonStatus:
+async def fetch_status(http: HttpClient, member: Member) -> DaemonStatus:
     """Return the status of one member."""
     request = Request("GET", "/agatecross/v1/status", (), b"")
     try:
-        response = await http.send(member.admin_address, request, ASK_TIMEOUT)
+        response = await http.send(member.admin_address, request, REQUEST_TIMEOUT_MS)
         body = msgspec.json.decode(response.body, type=StatusBody)
     except (ExchangeError, msgspec.MsgspecError):
         return DaemonStatus(member.daemon_id, member.data_centre, "unreachable", None, Digest(""))
--- a/packages/agatecross-cli/agatecross_cli/history.py
+++ b/packages/agatecross-cli/agatecross_cli/history.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Folded:
+class FoldedRecord:
     """A record with its offset, its verdict, its findings and the state after it."""
 
     offset: Offset
@@ -33,10 +33,10 @@
 class History:
     """The records that the log holds, oldest first, and the state after the newest."""
 
-    rows: tuple[Folded, ...]
+    rows: tuple[FoldedRecord, ...]
     state: ConfigState
 
-    def find(self, publish_id: PublishId) -> Folded | None:
+    def find_publish(self, publish_id: PublishId) -> FoldedRecord | None:
         """Return the first record with this publish id."""
         for row in self.rows:
             if isinstance(row.record, PublishRecord) and row.record.publish_id == publish_id:
@@ -50,7 +50,7 @@
     return History(tuple(rows), rows[-1].state if rows else ConfigState())
 
 
-async def fold_stream(log: LogService) -> AsyncIterator[Folded]:
+async def fold_stream(log: LogService) -> AsyncIterator[FoldedRecord]:
     """Yield each record after folding it; raises `LogError` and `CommandError`."""
     fold = LogFold(decode_toml)
     while not fold.caught_up:
@@ -60,7 +60,9 @@
             match event:
                 case RecordFolded(entry, step):
                     state = step.state
-                    yield Folded(entry.offset, entry.record, step.verdict, step.findings, state)
+                    yield FoldedRecord(
+                        entry.offset, entry.record, step.verdict, step.findings, state
+                    )
                 case UnknownRules(offset, rules):
                     message = f"record {offset} needs rule set {rules}; this client is too old"
                     raise CommandError(ExitCode.UNKNOWN, message)
--- a/packages/agatecross-cli/agatecross_cli/in_force.py
+++ b/packages/agatecross-cli/agatecross_cli/in_force.py
@@ -10,44 +10,44 @@
 
 from .command import Context, Result
 from .exit_codes import ExitCode
-from .fleet import DaemonStatus, ask_all, list_members
+from .fleet import DaemonStatus, fetch_statuses, list_members
 
 POLL_SECONDS = 0.2
 # Most publishes are in force everywhere before this, and then need no word.
 FIRST_REPORT_SECONDS = 1.0
-REPORT_EVERY_SECONDS = 5.0
+REPORT_INTERVAL_SECONDS = 5.0
 # A line stays readable when a whole data centre is behind.
-MOST_NAMES = 10
+MAX_NAMES_SHOWN = 10
 
 
-class WaitReports:
+class WaitReporter:
     """Decides when the wait for a version is reported, and names the daemons still missing."""
 
     def __init__(self, version: Version, started: float) -> None:
         self.version = version
         self.started = started
-        self.reported_at = started
-        self.reported: str | None = None
+        self.last_report_at = started
+        self.last_reported: str | None = None
 
-    def asked(self, behind: Sequence[DaemonStatus], reason: str, now: float) -> Iterator[str]:
+    def report(self, behind: Sequence[DaemonStatus], reason: str, now: float) -> Iterator[str]:
         """Yield a line when it is due; `reason` tells why the daemons could not be asked."""
-        missing = f": {reason}" if reason else f" for: {_names(behind)}"
+        missing = f": {reason}" if reason else f" for: {_format_names(behind)}"
         waited = now - self.started
         if not (behind or reason) or waited < FIRST_REPORT_SECONDS:
             return
-        if missing != self.reported or now - self.reported_at >= REPORT_EVERY_SECONDS:
-            self.reported, self.reported_at = missing, now
+        if missing != self.last_reported or now - self.last_report_at >= REPORT_INTERVAL_SECONDS:
+            self.last_reported, self.last_report_at = missing, now
             yield f"version {self.version} accepted, waiting {waited:.0f} s{missing}"
 
 
-def _names(behind: Sequence[DaemonStatus]) -> str:
+def _format_names(behind: Sequence[DaemonStatus]) -> str:
     rows = sorted(behind, key=lambda row: row.daemon_id)
-    shown = ", ".join(f"{row.daemon_id} ({_held(row)})" for row in rows[:MOST_NAMES])
-    more = len(rows) - MOST_NAMES
+    shown = ", ".join(f"{row.daemon_id} ({_format_version(row)})" for row in rows[:MAX_NAMES_SHOWN])
+    more = len(rows) - MAX_NAMES_SHOWN
     return f"{shown} and {more} more" if more > 0 else shown
 
 
-def _held(row: DaemonStatus) -> str:
+def _format_version(row: DaemonStatus) -> str:
     return "no answer" if row.version is None else f"version {row.version}"
 
 
@@ -56,26 +56,26 @@
 ) -> Result:
     """Ask the daemons until each has the version, or a later one, in force."""
     started = time.monotonic()
-    reports = WaitReports(version, started)
+    reporter = WaitReporter(version, started)
     reason = f"version {version} accepted, but the wait for the daemons is over"
     behind: tuple[DaemonStatus, ...] = ()
     while True:
-        unasked = ""
+        query_error = ""
         try:
             # Members are listed anew: a daemon that died meanwhile does not have to follow.
             members = await list_members(context.http, context.daemon)
-            rows = await ask_all(context.http, members)
+            rows = await fetch_statuses(context.http, members)
         except ExchangeError as error:
-            unasked = f"daemon {error}"
-            reason = f"version {version} accepted, but {unasked}"
+            query_error = f"daemon {error}"
+            reason = f"version {version} accepted, but {query_error}"
         else:
-            behind = tuple(row for row in rows if not has_version(row, version, digest))
+            behind = tuple(row for row in rows if not has_version_in_force(row, version, digest))
             if not behind:
-                return _done(version, publish_id, len(rows), time.monotonic() - started)
+                return _success_result(version, publish_id, len(rows), time.monotonic() - started)
             names = ", ".join(sorted(row.daemon_id for row in behind))
             reason = f"version {version} accepted, but not in force on: {names}"
         now = time.monotonic()
-        for line in reports.asked(() if unasked else behind, unasked, now):
+        for line in reporter.report(() if query_error else behind, query_error, now):
             print(f"agatecross: {line}", file=sys.stderr, flush=True)
         if now - started >= context.timeout:
             break
@@ -84,14 +84,16 @@
     return Result(ExitCode.NOT_IN_FORCE, (reason,), body)
 
 
-def has_version(row: DaemonStatus, version: Version, digest: Digest) -> bool:
+def has_version_in_force(row: DaemonStatus, version: Version, digest: Digest) -> bool:
     """Return whether a daemon has this version or a later one."""
     if row.version is None or row.version < version:
         return False
     return row.version > version or row.digest == digest
 
 
-def _done(version: Version, publish_id: PublishId, daemons: int, seconds: float) -> Result:
+def _success_result(
+    version: Version, publish_id: PublishId, daemons: int, seconds: float
+) -> Result:
     line = f"version {version} in force on {daemons} daemons after {seconds:.2f} s"
     body = {
         "version": version,
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -43,11 +43,11 @@
     try:
         return list(flags.FLAGS(argv))
     except flags.Error as error:
-        print(f"agatecross: {error}\n{usage()}", file=sys.stderr)
+        print(f"agatecross: {error}\n{usage_text()}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
 
 
-def usage() -> str:
+def usage_text() -> str:
     """Return the usage of every command."""
     rows = [f"  agatecross {command.usage}" for command in COMMANDS.values()]
     flag_names = (
@@ -60,15 +60,15 @@
     """Run one command and exit with its code."""
     command = COMMANDS.get(argv[1]) if len(argv) > 1 else None
     if command is None:
-        what = f"unknown command {argv[1]!r}" if len(argv) > 1 else "no command"
-        print(f"agatecross: {what}\n{usage()}", file=sys.stderr)
+        problem = f"unknown command {argv[1]!r}" if len(argv) > 1 else "no command"
+        print(f"agatecross: {problem}\n{usage_text()}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
-    if not command.least <= len(argv) - 2 <= command.most:
+    if not command.min_arguments <= len(argv) - 2 <= command.max_arguments:
         print(f"usage: agatecross {command.usage}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
-    wrong = [check_address(flag.value) for flag in (LOG, DAEMON)]
-    if any(wrong):
-        print(f"agatecross: {'; '.join(filter(None, wrong))}", file=sys.stderr)
+    address_errors = [check_address(flag.value) for flag in (LOG, DAEMON)]
+    if any(address_errors):
+        print(f"agatecross: {'; '.join(filter(None, address_errors))}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
     result = asyncio.run(run_command(command, argv[2:]))
     print(FORMATTERS[FORMAT.value](result))
@@ -96,12 +96,12 @@
         return await command.run(context, arguments)
     except LogError as error:
         message = f"log service unreachable: {error}"
-        return failure(ExitCode.LOG_UNREACHABLE, message)
+        return failure_result(ExitCode.LOG_UNREACHABLE, message)
     except CommandError as error:
-        return failure(error.code, str(error))
+        return failure_result(error.code, str(error))
 
 
-def failure(code: ExitCode, message: str) -> Result:
+def failure_result(code: ExitCode, message: str) -> Result:
     """Report a failure on standard error and return its result."""
     print(f"agatecross: {message}", file=sys.stderr)
     return Result(code, (), {"error": message})
--- a/packages/agatecross-cli/agatecross_cli/process_facts.py
+++ b/packages/agatecross-cli/agatecross_cli/process_events.py
@@ -6,7 +6,7 @@
 
 from .event_lines import EventLine
 
-FACT_EVENTS = frozenset(
+PROCESS_EVENT_NAMES = frozenset(
     (
         "config_in_force",
         "daemon_leaving",
@@ -22,26 +22,26 @@
 )
 
 
-class ProcessFacts:
+class ProcessEvents:
     """Collects changes of belief and of life by process, to be looked up by time."""
 
     def __init__(self) -> None:
         self.rows: defaultdict[tuple[str, str], list[EventLine]] = defaultdict(list)
-        self.processes: dict[str, str] = {}
-        self.sorted = True
+        self.process_by_daemon: dict[str, str] = {}
+        self.is_sorted = True
 
     def add(self, row: EventLine) -> None:
         """Keep an event of `FACT_EVENTS`; others are passed over."""
-        if row.event not in FACT_EVENTS:
+        if row.event not in PROCESS_EVENT_NAMES:
             return
         self.rows[(row.process, row.event)].append(row)
-        self.sorted = False
+        self.is_sorted = False
         if row.event == "daemon_started" and "daemon" in row.pairs:
-            self.processes[row.pairs["daemon"]] = row.process
+            self.process_by_daemon[row.pairs["daemon"]] = row.process
 
     def process_of(self, daemon: str) -> str:
         """Return the process of a daemon's id."""
-        return self.processes.get(daemon, daemon)
+        return self.process_by_daemon.get(daemon, daemon)
 
     def before(self, process: str, event: str, time: float) -> Iterator[EventLine]:
         """Yield the events of a kind up to a time, newest first."""
@@ -58,8 +58,8 @@
         yield from (row for row in self.after(process, event, start) if row.time <= end)
 
     def _rows(self, process: str, event: str) -> list[EventLine]:
-        if not self.sorted:
+        if not self.is_sorted:
             for rows in self.rows.values():
                 rows.sort(key=lambda row: row.time)
-            self.sorted = True
+            self.is_sorted = True
         return self.rows.get((process, event), [])
--- a/packages/agatecross-daemon/agatecross_daemon/direct_mailbox.py
+++ b/packages/agatecross-daemon/agatecross_daemon/direct_mailbox.py
@@ -13,7 +13,7 @@
         """Start without an owner."""
         self.handler: Callable[[M], None] | None = None
 
-    def own(self, handler: Callable[[M], None]) -> None:
+    def set_handler(self, handler: Callable[[M], None]) -> None:
         """Set the owner's handler."""
         self.handler = handler
 
--- a/packages/agatecross-daemon/agatecross_daemon/events.py
+++ b/packages/agatecross-daemon/agatecross_daemon/events.py
@@ -4,7 +4,9 @@
 
 from absl import logging
 
-PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-,@")
+UNQUOTED_CHARACTERS = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-,@"
+)
 
 
 def log_event(event: str, **fields: object) -> None:
@@ -20,9 +22,11 @@
 def format_event(event: str, fields: dict[str, object]) -> str:
     """Return the pairs in order; values with other than plain characters are quoted."""
     pairs = {"event": event, **fields}
-    return " ".join(f"{key}={_value(value)}" for key, value in pairs.items())
+    return " ".join(f"{key}={_format_value(value)}" for key, value in pairs.items())
 
 
-def _value(value: object) -> str:
+def _format_value(value: object) -> str:
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
-    return text if text and set(text) <= PLAIN else json.dumps(text, ensure_ascii=False)
+    return (
+        text if text and set(text) <= UNQUOTED_CHARACTERS else json.dumps(text, ensure_ascii=False)
+    )
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -31,7 +31,7 @@
 from .events import log_event, log_warning
 from .mailbox import Mailbox, Sender
 from .messages import Leaving
-from .process_signals import Action, ProcessSignals
+from .process_signals import ProcessSignals, SignalAction
 from .settings import Settings
 from .tasks.admin_task import AdminMessage, AdminTask
 from .tasks.call_driver import CallDriver
@@ -45,7 +45,7 @@
 from .telemetry import Telemetry
 
 # Peers stop sending within this time after the leaving state was pushed to them.
-LEAVE_GRACE_SECONDS = 2.0
+PEER_UPDATE_SECONDS = 2.0
 # Calls that wait for a task that failed never end; the others have this time.
 FAILED_DRAIN_SECONDS = 10.0
 
@@ -96,7 +96,7 @@
         )
 
 
-def own_record(settings: Settings) -> Member:
+def new_own_member(settings: Settings) -> Member:
     """Return this daemon's member record; the wall clock orders its restarts."""
     return Member(
         settings.daemon_id,
@@ -113,93 +113,97 @@
 
 def build_tasks(settings: Settings, telemetry: Telemetry) -> Tasks:
     """Create the tasks and join their mailboxes."""
-    me = own_record(settings)
+    own_member = new_own_member(settings)
     rng = random.Random(settings.seed)
     transport = NngTransport()
-    _observe_traffic(telemetry, transport.traffic)
+    _observe_control_traffic(telemetry, transport.traffic)
     control = MappedTransport(transport, settings.address_map)
     log = HttpLogService(settings.log_address, TornadoHttpClient())
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
-    boxes = Mailboxes()
+    mailboxes = Mailboxes()
     position = Position(settings.daemon_id, settings.region, settings.data_centre)
     balancer = new_balancer(settings.balancing, position, rng)
     driver = CallDriver(
-        settings.daemon_id, balancer, telemetry.client(peers, "peer"), boxes.upstream
+        settings.daemon_id, balancer, telemetry.client(peers, "peer"), mailboxes.upstream
     )
     return Tasks(
-        ControlTask(boxes.control, settings.control_address, control, _receivers(boxes)),
+        ControlTask(
+            mailboxes.control, settings.control_address, control, _receivers_by_type(mailboxes)
+        ),
         MembersTask(
-            boxes.members,
-            Swim(me, rng),
-            boxes.control,
+            mailboxes.members,
+            Swim(own_member, rng),
+            mailboxes.control,
             log,
-            (boxes.config, boxes.call, boxes.admin),
-            boxes.config,
-            (boxes.call,),
+            (mailboxes.config, mailboxes.call, mailboxes.admin),
+            mailboxes.config,
+            (mailboxes.call,),
         ),
         ConfigTask(
-            boxes.config,
-            FOLLOWERS[settings.distribution](me, decode_toml, rng),
-            boxes.control,
+            mailboxes.config,
+            FOLLOWERS[settings.distribution](own_member, decode_toml, rng),
+            mailboxes.control,
             log,
-            (boxes.members, boxes.call, boxes.admin, boxes.upstream),
+            (mailboxes.members, mailboxes.call, mailboxes.admin, mailboxes.upstream),
         ),
         UpstreamTask(
-            boxes.upstream,
+            mailboxes.upstream,
             settings.peer_address,
             settings.data_centre,
             telemetry.listener(TornadoHttpListener(), "peers"),
             telemetry.client(TornadoHttpClient(), "upstream"),
-            boxes.members,
+            mailboxes.members,
             new_admission(settings.admission),
             TrialGate(settings.daemon_id),
-            boxes.call,
+            mailboxes.call,
         ),
         CallTask(
-            boxes.call,
+            mailboxes.call,
             settings.call_address,
             settings.data_centre,
             telemetry.listener(TornadoHttpListener(), "callers"),
             balancer,
             driver,
-            boxes.claims,
-            QuarantineDriver(me, boxes.members, boxes.control, boxes.upstream),
+            mailboxes.claims,
+            QuarantineDriver(own_member, mailboxes.members, mailboxes.control, mailboxes.upstream),
         ),
         ClaimsTask(
-            boxes.claims,
+            mailboxes.claims,
             ClaimDecider(settings.daemon_id, settings.control_address, _new_claim_id, rng),
-            boxes.control,
+            mailboxes.control,
             log,
         ),
         AdminTask(
-            boxes.admin,
+            mailboxes.admin,
             settings.admin_address,
-            me,
+            own_member,
             TornadoHttpListener(),
-            boxes.upstream,
+            mailboxes.upstream,
             transport.traffic,
-            boxes.call,
+            mailboxes.call,
             telemetry.collect,
         ),
     )
 
 
-def _observe_traffic(telemetry: Telemetry, traffic: TrafficCount) -> None:
+def _observe_control_traffic(telemetry: Telemetry, traffic: TrafficCount) -> None:
     name, what = "agatecross.control", "Payload of control messages"
-    telemetry.observe(f"{name}.sent", "By", f"{what} sent.", lambda: traffic.sent_bytes)
-    telemetry.observe(f"{name}.received", "By", f"{what} received.", lambda: traffic.received_bytes)
-    telemetry.observe(f"{name}.dials", "{dial}", "Control connections.", lambda: traffic.dials)
+    telemetry.add_counter(f"{name}.sent", "By", f"{what} sent.", lambda: traffic.sent_bytes)
+    telemetry.add_counter(
+        f"{name}.received", "By", f"{what} received.", lambda: traffic.received_bytes
+    )
+    telemetry.add_counter(f"{name}.dials", "{dial}", "Control connections.", lambda: traffic.dials)
 
 
-def _receivers(boxes: Mailboxes) -> dict[type, Sender[ReceivedAsk]]:
+def _receivers_by_type(mailboxes: Mailboxes) -> dict[type, Sender[ReceivedAsk]]:
     return {
-        Probe: boxes.members,
-        IndirectProbe: boxes.members,
-        SyncRequest: boxes.members,
-        VersionNotice: boxes.config,
-        PullRequest: boxes.config,
-        OutcomeRequest: boxes.claims,
-        StrikeNotice: boxes.call,
+        Probe: mailboxes.members,
+        IndirectProbe: mailboxes.members,
+        SyncRequest: mailboxes.members,
+        VersionNotice: mailboxes.config,
+        PullRequest: mailboxes.config,
+        OutcomeRequest: mailboxes.claims,
+        StrikeNotice: mailboxes.call,
     }
 
 
@@ -211,7 +215,10 @@
 async def serve(settings: Settings, signals: ProcessSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully."""
     stop = asyncio.Event()
-    actions: dict[signal.Signals, Action] = {signal.SIGTERM: stop.set, signal.SIGINT: stop.set}
+    actions: dict[signal.Signals, SignalAction] = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+    }
     signals.attach(asyncio.get_running_loop(), actions)
     if stop.is_set():
         log_event("daemon_not_started", daemon=settings.daemon_id, reason="signal")
@@ -250,7 +257,7 @@
     tasks.members.mailbox.put(leaving)
     tasks.admin.mailbox.put(leaving)
     tasks.call.mailbox.put(leaving)
-    await asyncio.sleep(LEAVE_GRACE_SECONDS)
+    await asyncio.sleep(PEER_UPDATE_SECONDS)
     tasks.upstream.mailbox.put(leaving)
     await tasks.call.drained()
     await tasks.upstream.drained()
--- a/packages/agatecross-daemon/agatecross_daemon/mailbox.py
+++ b/packages/agatecross-daemon/agatecross_daemon/mailbox.py
@@ -37,10 +37,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask(Generic[Q, A]):
+class TaskRequest(Generic[Q, A]):
     """A message whose sender waits for an answer."""
 
-    question: Q
+    payload: Q
     reply: asyncio.Future[A]
 
     def answer(self, answer: A) -> None:
@@ -49,11 +49,11 @@
             self.reply.set_result(answer)
 
 
-def new_ask(question: Q) -> "Ask[Q, A]":
+def new_task_request(payload: Q) -> "TaskRequest[Q, A]":
     """Return an ask with a fresh reply."""
-    return Ask(question, asyncio.get_running_loop().create_future())
+    return TaskRequest(payload, asyncio.get_running_loop().create_future())
 
 
-def monotonic() -> Millis:
+def monotonic_ms() -> Millis:
     """Return the reading of the monotonic clock in milliseconds."""
     return Millis(time.monotonic() * 1000)
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -6,7 +6,7 @@
 def run() -> None:
     """Run the binary."""
     signals = ProcessSignals()
-    signals.take_over()
+    signals.install_handlers()
     # Loading the libraries is most of the start; a signal then must find its handler already.
     from .startup import start
 
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -23,7 +23,7 @@
     """The members changed."""
 
     view: FleetView
-    me: Member
+    own_member: Member
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SpreadStrikes:
+class BroadcastStrikes:
     """Ask of the members task: pass these reports on to every daemon."""
 
     strikes: tuple[Strike, ...] = ()
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HandOver:
+class RunHandover:
     """Run this call next to the upstream; `reply` gets the result once."""
 
     handover: Handover
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendTo:
+class SendHandover:
     """Hand a call over to the daemon next to the chosen upstream."""
 
     daemon_id: DaemonId
@@ -55,7 +55,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CancelAt:
+class CancelRemoteHandover:
     """The caller no longer waits for a handover to this daemon."""
 
     daemon_id: DaemonId
@@ -81,7 +81,7 @@
 class HeartbeatReceived:
     """The upstream next to this daemon described itself."""
 
-    beat: Heartbeat
+    heartbeat: Heartbeat
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,12 +97,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainsLearnt:
+class DrainsLoaded:
     """What the store keeps of drains that this daemon confirmed before it restarted is known."""
 
 
 @dataclass(frozen=True, slots=True)
-class DrainKept:
+class DrainStored:
     """The store keeps the drain of this start of an upstream."""
 
     instance: InstanceId
@@ -110,22 +110,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamDescribed:
+class OwnEndpointChanged:
     """What the daemon tells its peers of the upstream next to it."""
 
     changes: Mapping[str, object]
 
 
 @dataclass(frozen=True, slots=True)
-class LogReached:
+class StoreReachability:
     """Whether the platform's log answered lately; `latency` is its shortest answer, 0 if none."""
 
-    reached: bool
+    reachable: bool
     latency: Millis
 
 
 @dataclass(frozen=True, slots=True)
-class StrikesLearnt:
+class StrikesReported:
     """Requests that ran when an upstream died, here or at a peer."""
 
     strikes: tuple[Strike, ...]
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -7,8 +7,8 @@
 from agatecross_core.states import Reason
 
 # From the added latency of a hop up to the longest timeouts of today's routes, in seconds.
-BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
-MILLIS_PER_SECOND = 1000.0
+LATENCY_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+MILLISECONDS_PER_SECOND = 1000.0
 
 
 class RelayMetrics:
@@ -29,11 +29,11 @@
             ("reason",),
             registry=self.registry,
         )
-        self.seconds = Histogram(
+        self.call_seconds = Histogram(
             "agatecross_call_seconds",
             "Time from the first byte of a request to its answer.",
             ("service",),
-            buckets=BUCKETS,
+            buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
         self.version = Gauge(
@@ -49,16 +49,16 @@
             "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
         )
 
-    def call_ended(self, service: ServiceName, result: RelayResult, took: float) -> None:
+    def count_call(self, service: ServiceName, result: RelayResult, duration_ms: float) -> None:
         """Count a call that took `took` milliseconds."""
         reason = result.reason.value if result.reason else ""
         self.calls.labels(service, result.outcome.value, reason).inc()
-        self.seconds.labels(service).observe(took / MILLIS_PER_SECOND)
+        self.call_seconds.labels(service).observe(duration_ms / MILLISECONDS_PER_SECOND)
 
-    def refused(self, reason: Reason) -> None:
+    def count_refusal(self, reason: Reason) -> None:
         """Count a request that was refused before it had a service."""
         self.refusals.labels(reason.value).inc()
 
-    def text(self) -> bytes:
+    def render(self) -> bytes:
         """Return the metrics as text."""
         return generate_latest(self.registry)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -18,7 +18,7 @@
 from .settings_file import check_tables, read_settings
 from .telemetry import TelemetrySettings
 
-TOP_KEYS: Mapping[str, Key] = {
+TOP_LEVEL_KEYS: Mapping[str, Key] = {
     "daemon": Key(dict, required=True),
     "log": Key(dict, required=True),
     "policy": Key(dict),
@@ -51,7 +51,7 @@
 
 
 DEFAULT_TELEMETRY = TelemetrySettings()
-TABLES: Mapping[str, Mapping[str, Key]] = {
+TABLE_KEYS: Mapping[str, Mapping[str, Key]] = {
     "daemon": DAEMON_KEYS,
     "log": LOG_KEYS,
     "policy": POLICY_KEYS,
@@ -86,14 +86,14 @@
 
 def fleet_settings(decoded: DecodedDocument) -> Settings:
     """Return the settings; raises `SettingsError` with every finding."""
-    findings = list(sort_findings(_check(decoded)))
+    findings = list(sort_findings(_check_settings(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
-    return _build(decoded.values)
+    return _build_settings(decoded.values)
 
 
-def _check(decoded: DecodedDocument) -> Iterator[Finding]:
-    yield from check_tables(decoded, TOP_KEYS, TABLES)
+def _check_settings(decoded: DecodedDocument) -> Iterator[Finding]:
+    yield from check_tables(decoded, TOP_LEVEL_KEYS, TABLE_KEYS)
     yield from _check_ports(decoded)
     yield from _check_address_map(decoded)
 
@@ -112,18 +112,18 @@
     daemon = decoded.values.get("daemon")
     if not isinstance(daemon, Mapping):
         return
-    taken: dict[object, str] = {}
+    first_uses: dict[object, str] = {}
     for name in PORT_KEYS:
         port = daemon.get(name)
         if not isinstance(port, int):
             continue
-        if port in taken:
-            message = f"{taken[port]!r} has the same port"
+        if port in first_uses:
+            message = f"{first_uses[port]!r} has the same port"
             yield Finding(decoded.place(("daemon", name)), "same-port", message)
-        taken.setdefault(port, name)
+        first_uses.setdefault(port, name)
 
 
-def _build(values: Mapping[str, object]) -> Settings:
+def _build_settings(values: Mapping[str, object]) -> Settings:
     daemon, log, policy = _table(values, "daemon"), _table(values, "log"), _table(values, "policy")
     host = daemon["host"]
     addresses = _table(values, "address_map").items()
--- a/packages/agatecross-daemon/agatecross_daemon/settings_file.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings_file.py
@@ -25,10 +25,12 @@
 
 
 def check_tables(
-    decoded: DecodedDocument, top: Mapping[str, Key], tables: Mapping[str, Mapping[str, Key]]
+    decoded: DecodedDocument,
+    top_level_keys: Mapping[str, Key],
+    tables: Mapping[str, Mapping[str, Key]],
 ) -> Iterator[Finding]:
     """Yield the findings of the top level and of each table that is there."""
-    yield from check_table(decoded.place, decoded.values, top, ())
+    yield from check_table(decoded.place, decoded.values, top_level_keys, ())
     for name, keys in tables.items():
         table = decoded.values.get(name)
         if isinstance(table, Mapping):
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -26,8 +26,8 @@
 
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
-from .mailbox import Sender, monotonic
-from .process_signals import Action, ProcessSignals
+from .mailbox import Sender, monotonic_ms
+from .process_signals import ProcessSignals, SignalAction
 from .relay_messages import DrainPlanned, HeartbeatReceived, LeaveReceived
 from .relay_metrics import RelayMetrics
 from .sidecar_settings import SidecarSettings
@@ -38,9 +38,9 @@
 
 # For callers and peers to read their last answers and close. It passes twice after the drain, for
 # callers and for the other listeners, within the drain's EXIT_MARGIN.
-FINISH_TIME = Millis(300)
+CLOSE_TIMEOUT_MS = Millis(300)
 DRAIN_POLL_SECONDS = 0.02
-RELOADABLE = frozenset(("store", "retries", "grace"))
+RELOADABLE_SETTINGS = frozenset(("store", "retries", "grace"))
 
 
 class FrontEnd(Protocol):
@@ -57,15 +57,17 @@
         """Return the compiled configuration; raises `MessageDecodeError`."""
         ...
 
-    def store_moved(self, address: Address) -> None:
+    def set_store_address(self, address: Address) -> None:
         """Use the store at another address from the next call on."""
         ...
 
-    def heartbeats(self, sender: "Sender[HeartbeatReceived | LeaveReceived]") -> RequestHandler:
+    def create_heartbeat_handler(
+        self, sender: "Sender[HeartbeatReceived | LeaveReceived]"
+    ) -> RequestHandler:
         """Return the handler of what an upstream says to the daemon next to it."""
         ...
 
-    def is_ready_check(self, request: Request) -> bool:
+    def is_readiness_check(self, request: Request) -> bool:
         """Return whether a request asks if the daemon is ready."""
         ...
 
@@ -82,8 +84,8 @@
     source: SourceTask
     log: DecisionLog
     metrics: RelayMetrics
-    entry_box: DirectMailbox[EntryMessage]
-    exit_box: DirectMailbox[ExitMessage]
+    entry_mailbox: DirectMailbox[EntryMessage]
+    exit_mailbox: DirectMailbox[ExitMessage]
     listeners: list[TornadoHttpListener] = field(default_factory=list)
     leaving: bool = False
 
@@ -97,11 +99,11 @@
         settings = self.settings
         await self.peers.start()
         await self.entry.start()
-        heartbeats = self.front_end.heartbeats(self.exit_box)
+        heartbeat_handler = self.front_end.create_heartbeat_handler(self.exit_mailbox)
         handlers = {
-            settings.heartbeats: heartbeats,
-            settings.ready: self._ready,
-            settings.metrics: self._metrics,
+            settings.heartbeats: heartbeat_handler,
+            settings.ready: self._handle_ready,
+            settings.metrics: self._handle_metrics,
         }
         for address, handler in handlers.items():
             listener = TornadoHttpListener()
@@ -113,97 +115,99 @@
         try:
             settings = read()
         except (SettingsError, OSError) as error:
-            self.log.change("settings_rejected", reason=str(error))
+            self.log.write_change("settings_rejected", reason=str(error))
             return
         rows = [field.name for field in fields(settings)]
         changed = {name for name in rows if getattr(settings, name) != getattr(self.settings, name)}
         if "store" in changed:
-            self.front_end.store_moved(settings.store)
+            self.front_end.set_store_address(settings.store)
         if "retries" in changed:
             self.entry.budgets_changed(budget_factory(settings))
-        taken = {name: getattr(settings, name) for name in RELOADABLE}
-        self.settings = replace(self.settings, **taken)
-        self.log.change(
+        new_values = {name: getattr(settings, name) for name in RELOADABLE_SETTINGS}
+        self.settings = replace(self.settings, **new_values)
+        self.log.write_change(
             "settings_reloaded",
             changed=",".join(sorted(changed)),
-            restart_needed=",".join(sorted(changed - RELOADABLE)),
+            restart_needed=",".join(sorted(changed - RELOADABLE_SETTINGS)),
         )
 
     async def close(self) -> None:
         """Close every listener; wait `FINISH_TIME` at most for the answers that are due."""
         self.entry.listener.close()
-        closing = {asyncio.ensure_future(listener.close()) for listener in self.listeners}
-        if closing:
-            await asyncio.wait(closing, timeout=FINISH_TIME / 1000)
-        for task in closing:
+        close_tasks = {asyncio.ensure_future(listener.close()) for listener in self.listeners}
+        if close_tasks:
+            await asyncio.wait(close_tasks, timeout=CLOSE_TIMEOUT_MS / 1000)
+        for task in close_tasks:
             task.cancel()
-        await asyncio.gather(*closing, return_exceptions=True)
+        await asyncio.gather(*close_tasks, return_exceptions=True)
 
     async def drain(self) -> None:
         """Move callers away, finish every call, and deliver its answer."""
-        begun = monotonic()
-        plan = plan_drain(begun, self.settings.grace)
+        started_at = monotonic_ms()
+        plan = plan_drain(started_at, self.settings.grace)
         self.leaving = True
-        await asyncio.sleep((plan.leave_at - begun) / 1000)
+        await asyncio.sleep((plan.leave_at - started_at) / 1000)
         # Until now the upstream still served calls of other daemons.
         listener = self.entry.listener
         plan = plan.with_open_calls(max(listener.latest_deadline, self.exit.latest_deadline))
-        self.entry_box.put(DrainPlanned(plan))
+        self.entry_mailbox.put(DrainPlanned(plan))
         listener.close_after_answers()
         self.peers.leave()
         self.exit.leave()
-        late = await self._until_finished(plan.settled_at, plan.last_accept)
+        max_loop_delay = await self._wait_until_finished(plan.settled_at, plan.last_accept)
         await listener.stop_accepting()
-        earliest = Millis(monotonic() + LAST_REQUEST_TIME)
-        late = max(late, await self._until_finished(earliest, plan.end))
-        self._log_unfinished(begun, late)
+        earliest = Millis(monotonic_ms() + LAST_REQUEST_TIME)
+        max_loop_delay = max(max_loop_delay, await self._wait_until_finished(earliest, plan.end))
+        self._log_drain_end(started_at, max_loop_delay)
         self.exit.refuse_waiting()
-        await asyncio.gather(listener.finish(FINISH_TIME), self.peers.finish(FINISH_TIME))
+        await asyncio.gather(listener.finish(CLOSE_TIMEOUT_MS), self.peers.finish(CLOSE_TIMEOUT_MS))
 
     @property
-    def _unfinished(self) -> bool:
+    def _has_unfinished_work(self) -> bool:
         callers, links = self.entry.listener, self.peers.inbound
         return bool(callers.pending or self.exit.pending or callers.unsent or links.unsent)
 
-    async def _until_finished(self, earliest: Millis, latest: Millis) -> float:
+    async def _wait_until_finished(self, earliest: Millis, latest: Millis) -> float:
         """Wait until nothing is left to do; return the longest delay of the loop in ms."""
-        late = 0.0
-        while (now := monotonic()) < latest and (now < earliest or self._unfinished):
+        max_loop_delay = 0.0
+        while (now := monotonic_ms()) < latest and (now < earliest or self._has_unfinished_work):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-            late = max(late, monotonic() - now - DRAIN_POLL_SECONDS * 1000)
-        return late
+            max_loop_delay = max(max_loop_delay, monotonic_ms() - now - DRAIN_POLL_SECONDS * 1000)
+        return max_loop_delay
 
-    def _log_unfinished(self, begun: Millis, late: float) -> None:
+    def _log_drain_end(self, started_at: Millis, max_loop_delay: float) -> None:
         """Log what the end of the drain cuts; `late` is the longest delay of the loop in ms."""
         callers = self.entry.listener.unfinished()
-        self.log.change(
+        self.log.write_change(
             "drain_ended",
-            waited_ms=int(monotonic() - begun),
+            drain_ms=int(monotonic_ms() - started_at),
             waiting=callers.waiting,
             reading=callers.reading,
             unread=callers.unread,
             unsent=callers.unsent,
             handovers=self.exit.pending,
-            links_unsent=self.peers.inbound.unsent,
-            loop_late_ms=int(late),
+            link_bytes_unsent=self.peers.inbound.unsent,
+            max_loop_delay_ms=int(max_loop_delay),
         )
 
-    async def _ready(self, request: Request) -> Response:
-        if not self.front_end.is_ready_check(request):
+    async def _handle_ready(self, request: Request) -> Response:
+        if not self.front_end.is_readiness_check(request):
             return Response(404, (), b"")
         ready = self.entry.table is not None and not self.leaving
         return Response(200 if ready else 503, (), b"")
 
-    async def _metrics(self, request: Request) -> Response:
+    async def _handle_metrics(self, request: Request) -> Response:
         del request
-        return Response(200, (("Content-Type", "text/plain; version=0.0.4"),), self.metrics.text())
+        return Response(
+            200, (("Content-Type", "text/plain; version=0.0.4"),), self.metrics.render()
+        )
 
 
-def build(settings: SidecarSettings, front_end: FrontEnd, log: DecisionLog) -> Sidecar:
+def build_sidecar(settings: SidecarSettings, front_end: FrontEnd, log: DecisionLog) -> Sidecar:
     """Create the tasks and join their mailboxes."""
     rng = random.Random(settings.seed)
     metrics = RelayMetrics()
-    me = Endpoint(
+    own_endpoint = Endpoint(
         settings.daemon_id,
         Incarnation(int(time.time() * 1000)),
         0,
@@ -212,57 +216,66 @@
         settings.data_centre,
         settings.service,
     )
-    directory = Directory(me)
-    entry_box: DirectMailbox[EntryMessage] = DirectMailbox()
-    exit_box: DirectMailbox[ExitMessage] = DirectMailbox()
-    peers_box: DirectMailbox[PeersMessage] = DirectMailbox()
-    source_box: DirectMailbox[SourceMessage] = DirectMailbox()
+    directory = Directory(own_endpoint)
+    entry_mailbox: DirectMailbox[EntryMessage] = DirectMailbox()
+    exit_mailbox: DirectMailbox[ExitMessage] = DirectMailbox()
+    peers_mailbox: DirectMailbox[PeersMessage] = DirectMailbox()
+    source_mailbox: DirectMailbox[SourceMessage] = DirectMailbox()
     entry = EntryTask(
-        entry_box,
+        entry_mailbox,
         settings.service,
         settings.callers,
         front_end.names,
         NearestBalancer(settings.region, settings.data_centre, rng),
         budget_factory(settings),
-        peers_box,
+        peers_mailbox,
         rng,
         log,
         metrics,
     )
     exit_task = ExitTask(
         settings.daemon_id,
-        exit_box,
+        exit_mailbox,
         Announcements(settings.service, settings.upstream),
         settings.heartbeat_period,
         front_end.names,
-        peers_box,
+        peers_mailbox,
         log,
     )
     peers = PeersTask(
-        peers_box,
+        peers_mailbox,
         settings.peers,
         directory,
-        exit_box,
-        entry_box,
-        source_box,
+        exit_mailbox,
+        entry_mailbox,
+        source_mailbox,
         rng,
         log,
         metrics,
     )
     source = SourceTask(
-        source_box,
+        source_mailbox,
         front_end.store,
         front_end.decode_config,
         directory,
-        entry_box,
-        peers_box,
-        exit_box,
+        entry_mailbox,
+        peers_mailbox,
+        exit_mailbox,
         rng,
         log,
         metrics,
     )
     return Sidecar(
-        settings, front_end, entry, exit_task, peers, source, log, metrics, entry_box, exit_box
+        settings,
+        front_end,
+        entry,
+        exit_task,
+        peers,
+        source,
+        log,
+        metrics,
+        entry_mailbox,
+        exit_mailbox,
     )
 
 
@@ -277,7 +290,7 @@
     error = context.get("exception")
     trace = traceback.extract_tb(error.__traceback__)[-1:] if error is not None else ()
     place = ",".join(f"{Path(row.filename).name}:{row.lineno}" for row in trace)
-    log.change("loop_error", message=context.get("message"), error=repr(error), place=place)
+    log.write_change("loop_error", message=context.get("message"), error=repr(error), place=place)
 
 
 async def serve(
@@ -290,22 +303,22 @@
 
     SIGHUP takes the settings that `read` returns, which may raise `SettingsError` or `OSError`.
     """
-    sidecar = build(settings, front_end, DecisionLog())
+    sidecar = build_sidecar(settings, front_end, DecisionLog())
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: log_loop_error(sidecar.log, context))
-    actions: dict[signal.Signals, Action] = {
+    actions: dict[signal.Signals, SignalAction] = {
         signal.SIGTERM: stop.set,
         signal.SIGINT: stop.set,
         signal.SIGHUP: partial(sidecar.reload, read),
     }
     signals.attach(loop, actions)
     if stop.is_set():
-        sidecar.log.change("daemon_not_started", daemon=settings.daemon_id, reason="signal")
+        sidecar.log.write_change("daemon_not_started", daemon=settings.daemon_id, reason="signal")
         sidecar.log.flush()
         return
     await sidecar.start()
-    sidecar.log.change(
+    sidecar.log.write_change(
         "daemon_started", daemon=settings.daemon_id, service=settings.service, peers=settings.peers
     )
     await run_tasks(sidecar, stop)
@@ -318,16 +331,16 @@
     done, _ = await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
     if stopping not in done:
         errors = [repr(task.exception()) for task in running if task in done]
-        sidecar.log.change("task_failed", error=",".join(errors))
+        sidecar.log.write_change("task_failed", error=",".join(errors))
     # Mailboxes run their owners' handlers, so open calls end as long as the task that failed owns
     # none of their connections.
-    sidecar.log.change("daemon_leaving", pending=sidecar.entry.listener.pending)
+    sidecar.log.write_change("daemon_leaving", pending=sidecar.entry.listener.pending)
     await sidecar.drain()
     for task in running:
         task.cancel()
     results = await asyncio.gather(*running, return_exceptions=True)
     await sidecar.close()
-    sidecar.log.change("daemon_stopped", daemon=sidecar.settings.daemon_id)
+    sidecar.log.write_change("daemon_stopped", daemon=sidecar.settings.daemon_id)
     sidecar.log.flush()
     for result in results:
         if isinstance(result, Exception):
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -14,7 +14,7 @@
 
 from .settings_file import check_tables
 
-TOP_KEYS: Mapping[str, Key] = {
+TOP_LEVEL_KEYS: Mapping[str, Key] = {
     "sidecar": Key(dict, required=True),
     "listen": Key(dict, required=True),
     "upstream": Key(dict, required=True),
@@ -22,31 +22,31 @@
     "retries": Key(dict, required=True),
     "shutdown": Key(dict, required=True),
 }
-NAME = Key(str, required=True, form=check_name)
-DURATION = Key(str, required=True, form=check_duration)
-ADDRESS = Key(str, required=True, form=check_address)
-TABLES: Mapping[str, Mapping[str, Key]] = {
-    "sidecar": {"id": NAME, "region": NAME, "data_centre": NAME, "seed": Key(int)},
+NAME_KEY = Key(str, required=True, form=check_name)
+DURATION_KEY = Key(str, required=True, form=check_duration)
+ADDRESS_KEY = Key(str, required=True, form=check_address)
+TABLE_KEYS: Mapping[str, Mapping[str, Key]] = {
+    "sidecar": {"id": NAME_KEY, "region": NAME_KEY, "data_centre": NAME_KEY, "seed": Key(int)},
     "listen": {
-        "callers": ADDRESS,
-        "peers": ADDRESS,
+        "callers": ADDRESS_KEY,
+        "peers": ADDRESS_KEY,
         "peers_announced": Key(str, form=check_address),
-        "ready": ADDRESS,
-        "heartbeats": ADDRESS,
-        "metrics": ADDRESS,
+        "ready": ADDRESS_KEY,
+        "heartbeats": ADDRESS_KEY,
+        "metrics": ADDRESS_KEY,
     },
     "upstream": {
-        "service": NAME,
-        "address": ADDRESS,
-        "heartbeat": DURATION,
+        "service": NAME_KEY,
+        "address": ADDRESS_KEY,
+        "heartbeat": DURATION_KEY,
     },
-    "store": {"address": ADDRESS},
+    "store": {"address": ADDRESS_KEY},
     "retries": {
         "ratio": Key(float, required=True, low=0.0, high=1.0),
         "slack": Key(float, required=True, low=0.0, high=100_000),
-        "window": DURATION,
+        "window": DURATION_KEY,
     },
-    "shutdown": {"grace": DURATION},
+    "shutdown": {"grace": DURATION_KEY},
 }
 
 
@@ -84,42 +84,44 @@
     seed: int | None = None
 
 
-def is_sidecar(decoded: DecodedDocument) -> bool:
+def is_sidecar_settings(decoded: DecodedDocument) -> bool:
     """Return whether the settings are those of a daemon on the users' platform."""
     return "sidecar" in decoded.values
 
 
 def sidecar_settings(decoded: DecodedDocument) -> SidecarSettings:
     """Return the settings; raises `SettingsError` with every finding."""
-    findings = list(sort_findings(_check(decoded)))
+    findings = list(sort_findings(_check_settings(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
-    return _build(decoded.values)
+    return _build_settings(decoded.values)
 
 
-def _check(decoded: DecodedDocument) -> Iterator[Finding]:
-    yield from check_tables(decoded, TOP_KEYS, TABLES)
+def _check_settings(decoded: DecodedDocument) -> Iterator[Finding]:
+    yield from check_tables(decoded, TOP_LEVEL_KEYS, TABLE_KEYS)
     listen = decoded.values.get("listen")
     if isinstance(listen, Mapping):
-        yield from _check_distinct(decoded, listen)
+        yield from _check_distinct_addresses(decoded, listen)
 
 
-def _check_distinct(decoded: DecodedDocument, listen: Mapping[str, object]) -> Iterator[Finding]:
-    taken: dict[object, str] = {}
+def _check_distinct_addresses(
+    decoded: DecodedDocument, listen: Mapping[str, object]
+) -> Iterator[Finding]:
+    first_uses: dict[object, str] = {}
     for name, address in listen.items():
-        if address in taken:
-            message = f"{taken[address]!r} has the same address"
+        if address in first_uses:
+            message = f"{first_uses[address]!r} has the same address"
             yield Finding(decoded.place(("listen", name)), "same-address", message)
-        taken.setdefault(address, name)
+        first_uses.setdefault(address, name)
 
 
-def _build(values: Mapping[str, Any]) -> SidecarSettings:
-    me, listen, upstream = values["sidecar"], values["listen"], values["upstream"]
+def _build_settings(values: Mapping[str, Any]) -> SidecarSettings:
+    sidecar, listen, upstream = values["sidecar"], values["listen"], values["upstream"]
     retries = values["retries"]
     return SidecarSettings(
-        DaemonId(me["id"]),
-        RegionName(me["region"]),
-        DataCentreName(me["data_centre"]),
+        DaemonId(sidecar["id"]),
+        RegionName(sidecar["region"]),
+        DataCentreName(sidecar["data_centre"]),
         Address(listen["callers"]),
         Address(listen["peers"]),
         Address(listen["ready"]),
@@ -132,5 +134,5 @@
         RetrySettings(retries["ratio"], retries["slack"], parse_duration(retries["window"])),
         parse_duration(values["shutdown"]["grace"]),
         Address(listen.get("peers_announced", listen["peers"])),
-        me.get("seed"),
+        sidecar.get("seed"),
     )
--- a/packages/agatecross-daemon/agatecross_daemon/source_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/source_messages.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PullNeeded:
+class FullConfigNeeded:
     """A difference did not fit the configuration in force: the whole one is needed."""
 
     version: Version
@@ -61,7 +61,7 @@
 class DrainConfirmed:
     """The upstream next to this daemon was confirmed as leaving; `me` says so."""
 
-    me: Endpoint
+    own_endpoint: Endpoint
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerForgotten:
+class PeerRemoved:
     """A daemon could not be reached for so long that it is taken as gone."""
 
     daemon_id: DaemonId
--- a/packages/agatecross-daemon/agatecross_daemon/startup.py
+++ b/packages/agatecross-daemon/agatecross_daemon/startup.py
@@ -14,19 +14,19 @@
 
 from .process_signals import ProcessSignals
 from .settings_file import read_settings
-from .sidecar_settings import SidecarSettings, is_sidecar, sidecar_settings
+from .sidecar_settings import SidecarSettings, is_sidecar_settings, sidecar_settings
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file (TOML).", required=True)
 
-EXIT_SETTINGS = 2
+EXIT_INVALID_SETTINGS = 2
 
 
-def daemon_of(decoded: DecodedDocument, signals: ProcessSignals) -> Coroutine[Any, Any, None]:
+def new_daemon(decoded: DecodedDocument, signals: ProcessSignals) -> Coroutine[Any, Any, None]:
     """Return the daemon to run; raises `SettingsError`.
 
     Each kind is imported only when it runs, because the libraries of the other cost memory.
     """
-    if is_sidecar(decoded):
+    if is_sidecar_settings(decoded):
         from agatecross_platform.front_end import PlatformFrontEnd
 
         from .sidecar import serve as serve_sidecar
@@ -51,14 +51,14 @@
         raise app.UsageError("agatecrossd takes no arguments")
     logging.set_verbosity(logging.INFO)
     try:
-        daemon = daemon_of(read_settings(Path(SETTINGS.value)), signals)
+        daemon = new_daemon(read_settings(Path(SETTINGS.value)), signals)
     except (SettingsError, OSError) as error:
         print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(EXIT_INVALID_SETTINGS)
     try:
         asyncio.run(daemon)
     finally:
-        signals.ignore()
+        signals.ignore_all()
 
 
 def start(signals: ProcessSignals) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -19,7 +19,7 @@
 from agatecross_core.routing.router import AttemptEnded, Balancer
 from agatecross_core.states import Reason
 
-from ..mailbox import Sender, monotonic, new_ask
+from ..mailbox import Sender, monotonic_ms, new_task_request
 from .upstream_task import CallAsk
 
 SERVER_ERROR = 500
@@ -58,7 +58,7 @@
     async def attempt(self, attempt: Attempt | HedgedAttempt) -> CallResult:
         """Carry out one attempt and report its end to the balancer."""
         target = attempt.target.member
-        started = monotonic()
+        started = monotonic_ms()
         self.balancer.started(target.daemon_id, started)
         result, load = unknown(Reason.CONNECTION_LOST), None
         cancelled = True
@@ -70,7 +70,7 @@
             cancelled = False
             return result
         finally:
-            now = monotonic()
+            now = monotonic_ms()
             took = Millis(now - started)
             self.balancer.ended(_ended(target.daemon_id, took, result, load, cancelled), now)
 
@@ -94,12 +94,12 @@
         return task.result()
 
     async def _run_here(self, call: Call) -> CallResult:
-        ask: CallAsk = new_ask(call)
+        ask: CallAsk = new_task_request(call)
         self.upstream.put(ask)
         return await ask.reply
 
     async def _send(self, peer: Address, call: Call) -> tuple[CallResult, ReportedLoad | None]:
-        now = monotonic()
+        now = monotonic_ms()
         left = Millis(max(1.0, call.deadline - now))
         try:
             response = await self.client.send(peer, encode_call(call, now), left)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -33,7 +33,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event
-from ..mailbox import Mailbox, Sender, monotonic, new_ask
+from ..mailbox import Mailbox, Sender, monotonic_ms, new_task_request
 from ..messages import ConfigInForce, Leaving, ViewChanged
 from .call_driver import CallDriver
 from .claims_task import ClaimAsk
@@ -117,7 +117,7 @@
         if route is None:
             return not_run(Reason.NO_ROUTE)
         policy = site.services[route.service]
-        call = _new_call(request, policy, monotonic())
+        call = _new_call(request, policy, monotonic_ms())
         fingerprint = fingerprint_of(call.service, call.request)
         if self.quarantine.quarantined(fingerprint):
             return not_run(Reason.QUARANTINED)
@@ -135,7 +135,7 @@
         self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
         scoped = IdempotencyKey(f"{call.service}/{key}")
-        ask: ClaimAsk = new_ask(Submit(call.call_id, scoped, fingerprint, call.deadline))
+        ask: ClaimAsk = new_task_request(Submit(call.call_id, scoped, fingerprint, call.deadline))
         self.claims.put(ask)
         granted = await ask.reply
         if not isinstance(granted, Grant):
@@ -171,7 +171,7 @@
             )
 
     def _choose(self, request: ChoiceRequest) -> Candidate | None:
-        return self.balancer.choose(request, monotonic())
+        return self.balancer.choose(request, monotonic_ms())
 
 
 def _new_call(request: Request, policy: ServicePolicy, now: Millis) -> Call:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_spread.py
@@ -93,7 +93,9 @@
             if row.region == me.region and link is not None and link.is_open:
                 link.send(Pull(self.version))
                 return
-        self.log.change("config_not_pulled", version=version, reason="no open link in the region")
+        self.log.write_change(
+            "config_not_pulled", version=version, reason="no open link in the region"
+        )
 
     def _origin(self, peer: DaemonId | None) -> ConfigOrigin:
         row = self.directory.rows.get(peer) if peer is not None else None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -35,7 +35,7 @@
 from agatecross_core.members.records import Member
 
 from ..events import log_event, log_warning
-from ..mailbox import Mailbox, Sender, monotonic
+from ..mailbox import Mailbox, Sender, monotonic_ms
 from ..messages import ConfigInForce, Tick, ViewChanged
 from .control_task import ControlAsk, ReceivedAsk, send_control
 from .subtasks import Subtasks
@@ -85,7 +85,7 @@
             self.subtasks.cancel()
 
     def _handle(self, message: ConfigMessage) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         match message:
             case Tick():
                 self._act(self.follower.tick(now))
@@ -103,7 +103,7 @@
                 self._received(message, now)
 
     def _received(self, ask: ReceivedAsk, now: Millis) -> None:
-        message = ask.question.message
+        message = ask.payload.message
         state = self.follower.state
         if isinstance(message, PullRequest):
             ask.answer(self.follower.answer(message))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -21,19 +21,19 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
+from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import (
-    CancelAt,
+    CancelRemoteHandover,
     DrainPlanned,
     FleetChanged,
-    SendTo,
-    StrikesLearnt,
+    SendHandover,
+    StrikesReported,
     TableInForce,
 )
 from ..relay_metrics import RelayMetrics
 from .relayed_call import CallFacts, RelayedCall
 
-EntryMessage = TableInForce | FleetChanged | StrikesLearnt | DrainPlanned
+EntryMessage = TableInForce | FleetChanged | StrikesReported | DrainPlanned
 HANDOVER_COUNTER_BITS = 40
 # Used when a caller states no time.
 LONGEST_WAIT = Millis(60_000)
@@ -57,12 +57,12 @@
         names: HeaderNames,
         balancer: NearestBalancer,
         budget_of: Callable[[], FleetBudget],
-        links: Sender[SendTo | CancelAt],
+        links: Sender[SendHandover | CancelRemoteHandover],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.caller_service = service.encode("latin-1")
         self.address = address
         self.names = names
@@ -106,9 +106,9 @@
                 self.drain = plan
             case FleetChanged(by_service, daemons):
                 self.fleet, self.daemons = by_service, daemons
-            case StrikesLearnt(strikes):
-                if self.strikes.strike(strikes, monotonic()):
-                    self.log.change("strikes_learnt", fingerprints=len(strikes))
+            case StrikesReported(strikes):
+                if self.strikes.strike(strikes, monotonic_ms()):
+                    self.log.write_change("strikes_learnt", fingerprints=len(strikes))
 
     def _received(self, exchange: Exchange) -> None:
         table = self.table
@@ -121,7 +121,7 @@
             self._refuse(exchange, NOT_FOUND, Reason.NO_ROUTE, table.version)
             return
         facts = self._facts(exchange, route, table.version)
-        if self.drain is not None and not self.drain.admits(monotonic(), facts.deadline):
+        if self.drain is not None and not self.drain.admits(monotonic_ms(), facts.deadline):
             self._refuse(exchange, UNAVAILABLE, Reason.LEAVING, table.version)
             return
         exchange.deadline = facts.deadline
@@ -136,7 +136,7 @@
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
             rows = self.fleet.get(service, ())
-            endpoint = self.balancer.choose(rows, tried, route.name, monotonic())
+            endpoint = self.balancer.choose(rows, tried, route.name, monotonic_ms())
             if endpoint is not None:
                 self.balancer.started(endpoint)
             return endpoint
@@ -144,13 +144,13 @@
         flow = relay(
             RelayPolicy(route.repeat, route.attempts),
             choose,
-            lambda: Millis(self._last_attempt(facts) - monotonic()),
-            lambda: budget.take(self.daemons, monotonic()),
+            lambda: Millis(self._last_attempt(facts) - monotonic_ms()),
+            lambda: budget.take(self.daemons, monotonic_ms()),
         )
 
         def hedge(tried: DaemonId) -> Endpoint | None:
             rows = self.fleet.get(service, ())
-            now = monotonic()
+            now = monotonic_ms()
             endpoint = self.balancer.choose(rows, (tried,), route.name, now)
             if endpoint is None or not self.balancer.has_spare(endpoint, now):
                 return None
@@ -201,23 +201,23 @@
 
     def _quarantined(self, facts: CallFacts) -> bool:
         fingerprint = relay_fingerprint(facts.service, facts.request)
-        return self.strikes.quarantined(fingerprint, monotonic())
+        return self.strikes.quarantined(fingerprint, monotonic_ms())
 
     def _new_id(self) -> HandoverId:
         return HandoverId(next(self.ids))
 
     def _ended(self, call: RelayedCall, result: RelayResult) -> None:
         response = self._response(result)
-        took = monotonic() - call.exchange.arrived
+        took = monotonic_ms() - call.exchange.arrived
         route = call.facts.route
-        self.metrics.call_ended(call.facts.service, result, took)
+        self.metrics.count_call(call.facts.service, result, took)
         failed = (
             result.outcome is not Outcome.RAN
             or call.attempts > 1
             or response.status >= SERVER_ERROR
         )
-        if failed or self.log.wants_served():
-            write = self.log.call_failed if failed else self.log.call_served
+        if failed or self.log.should_write_served_call():
+            write = self.log.write_failed_call if failed else self.log.write_served_call
             write(
                 "call",
                 call_id=call.facts.call_id,
@@ -239,8 +239,8 @@
 
     def _refuse(self, exchange: Exchange, status: int, reason: Reason, version: int) -> None:
         ids = [value for name, value in exchange.request.headers if name == self.names.call_id]
-        self.metrics.refused(reason)
-        self.log.call_failed(
+        self.metrics.count_refusal(reason)
+        self.log.write_failed_call(
             "call_refused",
             call_id=ids[0].decode("latin-1") if ids else "",
             host=exchange.host,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -35,26 +35,26 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
+from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import (
     CancelHandover,
-    DrainKept,
-    DrainsLearnt,
-    HandOver,
+    DrainsLoaded,
+    DrainStored,
     HeartbeatReceived,
     LeaveReceived,
+    OwnEndpointChanged,
     ResultReceiver,
     ResumeHandover,
-    StrikesLearnt,
-    UpstreamDescribed,
+    RunHandover,
+    StrikesReported,
 )
 
 ExitMessage = (
-    HandOver
+    RunHandover
     | CancelHandover
     | ResumeHandover
-    | DrainsLearnt
-    | DrainKept
+    | DrainsLoaded
+    | DrainStored
     | HeartbeatReceived
     | LeaveReceived
 )
@@ -100,12 +100,12 @@
         announcements: Announcements,
         heartbeat_period: Millis,
         names: HeaderNames,
-        peers: Sender[UpstreamDescribed | StrikesLearnt],
+        peers: Sender[OwnEndpointChanged | StrikesReported],
         log: DecisionLog,
     ) -> None:
         self.daemon_id = daemon_id
         self.mailbox = mailbox
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.announcements = announcements
         self.lease = Millis(heartbeat_period * MISSED_HEARTBEATS)
         self.names = names
@@ -119,7 +119,7 @@
         self.state = UpstreamState.STARTING
         self.down_until = Millis(0)
         self.cut_off: list[tuple[Millis, Handover]] = []
-        self.started_at = monotonic()
+        self.started_at = monotonic_ms()
         self.believing = False
         self.early: list[Heartbeat] = []
         self.leave_replies = LeaveReplies()
@@ -130,7 +130,7 @@
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
-                self._tick(monotonic())
+                self._tick(monotonic_ms())
         finally:
             self.pool.close()
 
@@ -154,26 +154,26 @@
 
     def _handle(self, message: ExitMessage) -> None:
         match message:
-            case HandOver(handover, reply):
+            case RunHandover(handover, reply):
                 self._hand_over(handover, reply)
             case CancelHandover(handover_id):
                 self._cancel(handover_id)
             case ResumeHandover(handover_id, reply):
                 self._resume(handover_id, reply)
-            case DrainsLearnt():
+            case DrainsLoaded():
                 self._believe()
             case HeartbeatReceived(beat):
                 if self.believing:
                     self._heartbeat(beat)
                 else:
                     self.early.append(beat)
-            case DrainKept(instance, born):
+            case DrainStored(instance, born):
                 self.leave_replies.drain_kept((instance, born))
             case LeaveReceived():
                 self._leave(message)
 
     def _hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if not self.ledger.accept(handover.handover_id, now):
             self._resume(handover.handover_id, reply)
             return
@@ -213,11 +213,11 @@
                 self._start(call)
 
     def _start(self, call: ExitCall) -> None:
-        left = Millis(call.deadline - monotonic())
+        left = Millis(call.deadline - monotonic_ms())
         call.sending = self.pool.send(call.handover, left, lambda done: self._done(call, done))
 
     def _done(self, call: ExitCall, done: RelayResponse | Failure) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if done is Failure.CONNECTION_LOST and call.reply is not None:
             self._note_cut_off(call, now)
         result = self._result(call, done)
@@ -256,7 +256,7 @@
         )
         self.ledger.finish(call.handover.handover_id, whole)
         if result.reason is not None:
-            self.log.call_failed(
+            self.log.write_failed_call(
                 "handover_failed",
                 call_id=call.handover.call_id,
                 service=call.handover.service,
@@ -264,7 +264,7 @@
                 outcome=result.outcome.value,
                 reason=result.reason.value,
                 load=self.queue.load,
-                left_ms=int(call.deadline - monotonic()),
+                left_ms=int(call.deadline - monotonic_ms()),
                 read=call.sending.bytes_read if call.sending is not None else 0,
             )
         reply, call.reply = call.reply, None
@@ -306,7 +306,7 @@
             call.sending.stop()
 
     def _resume(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
-        result = self.ledger.resume(handover_id, monotonic())
+        result = self.ledger.resume(handover_id, monotonic_ms())
         if result is not None:
             reply(handover_id, result)
             return
@@ -322,9 +322,11 @@
             self._heartbeat(beat)
 
     def _heartbeat(self, beat: Heartbeat) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if not self.announcements.heartbeat(beat, now):
-            self.log.change("heartbeat_ignored", instance=beat.instance, sequence=beat.sequence)
+            self.log.write_change(
+                "heartbeat_ignored", instance=beat.instance, sequence=beat.sequence
+            )
             return
         left = (beat.instance, beat.born) in self.announcements.left
         state = UpstreamState.DRAINING if left else beat.state
@@ -341,7 +343,7 @@
                 leave.reply(leave.born is not None)
             return
         if leave.reply is not None:
-            self.leave_replies.wait(start, leave.reply, monotonic())
+            self.leave_replies.wait(start, leave.reply, monotonic_ms())
         elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
             # Every peer tells it.
             return
@@ -357,20 +359,22 @@
     def _change(
         self, instance: InstanceId, state: UpstreamState, changes: dict[str, object]
     ) -> None:
-        self.log.change(
+        self.log.write_change(
             "upstream_changed", instance=instance, state=state.value, was=self.state.value
         )
         self.instance, self.state = instance, state
         if state is UpstreamState.DRAINING:
             self._act(self.queue.clear(Reason.LEAVING))
-        self.peers.put(UpstreamDescribed({"instance": instance, "state": state, **changes}))
+        self.peers.put(OwnEndpointChanged({"instance": instance, "state": state, **changes}))
 
     def _unreachable(self, how: Unreachable) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if how is Unreachable.REFUSED:
             self._died(now)
         if now >= self.down_until:
-            self.log.change("upstream_unreachable", instance=self.instance or "", how=how.value)
+            self.log.write_change(
+                "upstream_unreachable", instance=self.instance or "", how=how.value
+            )
         self.down_until = Millis(now + DOWN_TIME)
         self._act(self.queue.clear(Reason.NO_UPSTREAM))
 
@@ -386,12 +390,12 @@
             Strike(relay_fingerprint(row.service, row.request), self.daemon_id, died)
             for row in rows
         )
-        self.log.change("upstream_died", instance=self.instance or "", running=len(rows))
-        self.peers.put(StrikesLearnt(strikes))
+        self.log.write_change("upstream_died", instance=self.instance or "", running=len(rows))
+        self.peers.put(StrikesReported(strikes))
 
     def _tick(self, now: Millis) -> None:
         if not self.believing and now - self.started_at > DRAINS_PATIENCE:
-            self.log.change("drains_unknown", waited_ms=int(now - self.started_at))
+            self.log.write_change("drains_unknown", drain_ms=int(now - self.started_at))
             self._believe()
         silent = now - self.announcements.heard_at > self.lease
         current = self.announcements.current
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -10,8 +10,8 @@
 from agatecross_core.relay.model import Handover, RelayResult
 
 from ..decision_log import DecisionLog
-from ..mailbox import Sender, monotonic
-from ..relay_messages import CancelHandover, HandOver, ResultReceiver, ResumeHandover
+from ..mailbox import Sender, monotonic_ms
+from ..relay_messages import CancelHandover, ResultReceiver, ResumeHandover, RunHandover
 from .config_spread import Answer
 from .exit_task import ExitMessage
 
@@ -89,7 +89,7 @@
     def _closed(self, connection: FrameConnection) -> None:
         row = self.rows.pop(connection, None)
         if row is not None:
-            now = monotonic()
+            now = monotonic_ms()
             self.orphans += [(now, handover_id) for handover_id in row.handovers]
 
     def _frame(self, connection: FrameConnection, frame: bytes) -> None:
@@ -97,13 +97,15 @@
         try:
             message = decode_hop(frame)
         except MessageDecodeError as error:
-            self.log.change("peer_message_malformed", peer=row.daemon_id or "", reason=str(error))
+            self.log.write_change(
+                "peer_message_malformed", peer=row.daemon_id or "", reason=str(error)
+            )
             connection.abort()
             return
         match message:
             case Handover():
                 row.handovers.add(message.handover_id)
-                self.exit.put(HandOver(message, self._replier(row)))
+                self.exit.put(RunHandover(message, self._replier(row)))
             case Cancel(handover_id):
                 row.handovers.discard(handover_id)
                 self.exit.put(CancelHandover(handover_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -52,12 +52,12 @@
 from agatecross_core.states import MemberState
 
 from ..events import log_event, log_warning
-from ..mailbox import Mailbox, Sender, monotonic
+from ..mailbox import Mailbox, Sender, monotonic_ms
 from ..messages import (
+    BroadcastStrikes,
     ConfigInForce,
     GossipReceived,
     Leaving,
-    SpreadStrikes,
     Tick,
     UpstreamChanged,
     ViewChanged,
@@ -116,7 +116,7 @@
     | UpstreamChanged
     | Leaving
     | Tick
-    | SpreadStrikes
+    | BroadcastStrikes
     | ProbeAnswered
     | HelperAnswered
     | IndirectAnswered
@@ -168,7 +168,7 @@
             self.subtasks.cancel()
 
     def _handle(self, message: MembersMessage) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         self._act(self.swim.observe(now))
         match message:
             case Tick():
@@ -180,7 +180,7 @@
                 self._change_me(replace(self.swim.me, upstream=upstream))
             case Leaving():
                 self._change_me(replace(self.swim.me, state=MemberState.LEAVING))
-            case SpreadStrikes(strikes, clearances):
+            case BroadcastStrikes(strikes, clearances):
                 self.reports.add(strikes, clearances, now)
             case AnnouncementsRead():
                 self._announcements_read(message, now)
@@ -201,7 +201,7 @@
                 self._received(message, now)
 
     def _received(self, ask: ReceivedAsk, now: Millis) -> None:
-        match ask.question.message:
+        match ask.payload.message:
             case Probe(sender, target, gossip):
                 self._heard(sender, gossip, now)
                 ask.answer(self._ack(sender, target))
@@ -258,7 +258,7 @@
 
     def _confirm_unreachable(self, target: Member, sent_at: Millis) -> None:
         log_event("member_unreachable", peer=target.daemon_id)
-        self._act(self.swim.unreachable(target, sent_at, monotonic()))
+        self._act(self.swim.unreachable(target, sent_at, monotonic_ms()))
 
     def _sync_answered(self, message: SyncAnswered, now: Millis) -> None:
         reply = message.reply
@@ -326,7 +326,7 @@
 
     def _probe_member(self, target: Member, introduce: bool = False) -> None:
         probe = self._probe(target.daemon_id, introduce)
-        sent_at = monotonic()
+        sent_at = monotonic_ms()
         self._ask(
             target.control_address,
             probe,
@@ -342,7 +342,7 @@
         return Probe(identity_of(self.swim.me), target, self._gossip(target, introduce))
 
     def _probe_through(self, target: Member, helpers: tuple[Member, ...]) -> None:
-        sender, sent_at = identity_of(self.swim.me), monotonic()
+        sender, sent_at = identity_of(self.swim.me), monotonic_ms()
         message = IndirectProbe(sender, target.daemon_id, target.control_address, self._gossip())
         self.waiting[target.daemon_id, sent_at] = len(helpers)
         for helper in helpers:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -14,7 +14,7 @@
 from agatecross_core.relay.model import Handover, RelayResult, Repeat, lost, refused
 from agatecross_core.states import Reason
 
-from ..mailbox import monotonic
+from ..mailbox import monotonic_ms
 from ..relay_messages import ResultReceiver
 
 CONNECT_TIMEOUT = 0.5
@@ -74,11 +74,11 @@
         self.connection: FrameConnection | None = None
         self.incarnation: Incarnation | None = None
         self.pending: dict[HandoverId, Pending] = {}
-        self.heard_at = monotonic()
+        self.heard_at = monotonic_ms()
         self.pinged_at = Millis(0)
         self.waits_for_pong = False
         self.failures = 0
-        self.down_since: Millis | None = monotonic()
+        self.down_since: Millis | None = monotonic_ms()
         self.dialer = asyncio.ensure_future(self._dial())
 
     @property
@@ -96,7 +96,7 @@
         if self.state is not LinkState.OPEN:
             reply(handover.handover_id, refused(Reason.CONNECT_FAILED))
             return
-        deadline = Millis(monotonic() + handover.left)
+        deadline = Millis(monotonic_ms() + handover.left)
         self.pending[handover.handover_id] = Pending(handover, reply, deadline)
         self.send(handover)
 
@@ -157,7 +157,7 @@
 
     def _opened(self, connection: FrameConnection) -> None:
         self.connection = connection
-        self.heard_at = monotonic()
+        self.heard_at = monotonic_ms()
         self.waits_for_pong = False
         self.send(self.hello())
 
@@ -166,11 +166,11 @@
             return
         self.connection = None
         self.state = LinkState.DIALING
-        self.down_since = monotonic()
+        self.down_since = monotonic_ms()
         self.dialer = asyncio.ensure_future(self._dial())
 
     def _frame(self, connection: FrameConnection, frame: bytes) -> None:
-        self.heard_at = monotonic()
+        self.heard_at = monotonic_ms()
         try:
             message = decode_hop(frame)
         except MessageDecodeError:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -26,17 +26,17 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
+from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import (
-    CancelAt,
     CancelHandover,
+    CancelRemoteHandover,
     FleetChanged,
-    HandOver,
     LeaveReceived,
-    LogReached,
-    SendTo,
-    StrikesLearnt,
-    UpstreamDescribed,
+    OwnEndpointChanged,
+    RunHandover,
+    SendHandover,
+    StoreReachability,
+    StrikesReported,
 )
 from ..relay_metrics import RelayMetrics
 from ..source_messages import (
@@ -45,9 +45,9 @@
     DeltaReceived,
     DrainConfirmed,
     EndpointsRead,
+    FullConfigNeeded,
     LinksChanged,
-    PeerForgotten,
-    PullNeeded,
+    PeerRemoved,
 )
 from .config_spread import ConfigSpread
 from .exit_task import ExitMessage
@@ -55,13 +55,13 @@
 from .peer_link import PING_PERIOD, REMOTE_PING_PERIOD, PeerLink
 
 PeersMessage = (
-    StrikesLearnt
-    | SendTo
-    | CancelAt
-    | UpstreamDescribed
-    | LogReached
+    StrikesReported
+    | SendHandover
+    | CancelRemoteHandover
+    | OwnEndpointChanged
+    | StoreReachability
     | ConfigChanged
-    | PullNeeded
+    | FullConfigNeeded
     | EndpointsRead
 )
 TICK_SECONDS = 0.1
@@ -82,15 +82,15 @@
         address: Address,
         directory: Directory,
         exit_box: Sender[ExitMessage],
-        entry: Sender[FleetChanged | StrikesLearnt],
+        entry: Sender[FleetChanged | StrikesReported],
         source: Sender[
-            ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
+            ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerRemoved
         ],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.address = address
         self.directory = directory
         self.exit = exit_box
@@ -125,7 +125,7 @@
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
-                self._tick(monotonic())
+                self._tick(monotonic_ms())
         finally:
             for link in self.links.values():
                 link.close()
@@ -141,31 +141,31 @@
         if self.server is not None:
             self.server.close()
         self.inbound.finish()
-        last = monotonic() + limit
-        while self.inbound.rows and monotonic() < last:
+        last = monotonic_ms() + limit
+        while self.inbound.rows and monotonic_ms() < last:
             await asyncio.sleep(FINISH_POLL_SECONDS)
 
     def _handle(self, message: PeersMessage) -> None:
         match message:
-            case SendTo(daemon_id, handover, reply):
+            case SendHandover(daemon_id, handover, reply):
                 self._send_to(daemon_id, handover, reply)
-            case CancelAt(daemon_id, handover_id):
+            case CancelRemoteHandover(daemon_id, handover_id):
                 self._cancel_at(daemon_id, handover_id)
-            case UpstreamDescribed(changes):
+            case OwnEndpointChanged(changes):
                 self._announce(self.directory.update(**changes))
                 if self.directory.me.state is UpstreamState.DRAINING:
                     self.source.put(DrainConfirmed(self.directory.me))
-            case LogReached(reached, latency):
+            case StoreReachability(reached, latency):
                 me = self.directory.me
                 if (reached, latency) != (me.reads_log, me.log_latency):
                     self._announce(self.directory.update(reads_log=reached, log_latency=latency))
             case ConfigChanged():
                 self.configs.changed(message, self.open_links)
-            case PullNeeded(version):
+            case FullConfigNeeded(version):
                 self.configs.pull_from_region(version)
             case EndpointsRead(endpoints):
                 self._merge(endpoints)
-            case StrikesLearnt(strikes):
+            case StrikesReported(strikes):
                 self._strikes_learnt(strikes)
                 for link in self.links.values():
                     link.send(Strikes(strikes))
@@ -177,7 +177,7 @@
         reply: Callable[[HandoverId, RelayResult], None],
     ) -> None:
         if daemon_id == self.directory.me.daemon_id:
-            self.exit.put(HandOver(handover, reply))
+            self.exit.put(RunHandover(handover, reply))
             return
         link = self.links.get(daemon_id)
         if link is None:
@@ -209,7 +209,7 @@
             self._announce(self.directory.me)
         for row in news:
             self._dial(row)
-            self.log.change(
+            self.log.write_change(
                 "endpoint_learnt",
                 daemon=row.daemon_id,
                 incarnation=row.incarnation,
@@ -296,7 +296,7 @@
 
     def _strikes_learnt(self, strikes: tuple[Strike, ...]) -> None:
         self.strikes.extend(row for row in strikes if row not in self.strikes)
-        self.entry.put(StrikesLearnt(strikes))
+        self.entry.put(StrikesReported(strikes))
 
     def _common(
         self, message: HopMessage, answer: Callable[[HopMessage], None], peer: DaemonId | None
@@ -304,11 +304,11 @@
         match message:
             case Hello(_, _, version, endpoints):
                 self._merge(endpoints)
-                self.configs.peer_has(version, answer, peer, monotonic())
+                self.configs.peer_has(version, answer, peer, monotonic_ms())
             case Endpoints(endpoints):
                 self._merge(endpoints)
             case Ping(_, version):
-                self.configs.peer_has(version, answer, peer, monotonic())
+                self.configs.peer_has(version, answer, peer, monotonic_ms())
             case ConfigBlob() | ConfigDelta():
                 self.configs.received(message, peer)
             case Strikes(strikes):
@@ -316,7 +316,7 @@
             case Pull(version):
                 self.configs.pulled(version, answer)
             case _:
-                self.log.change("peer_message_unexpected", kind=type(message).__name__)
+                self.log.write_change("peer_message_unexpected", kind=type(message).__name__)
 
     def _tick(self, now: Millis) -> None:
         for link in list(self.links.values()):
@@ -330,7 +330,7 @@
         open_links = frozenset(i for i, link in self.links.items() if link.is_open)
         if open_links == self.open_links:
             return
-        self.log.change(
+        self.log.write_change(
             "peers_changed",
             lost=",".join(sorted(self.open_links - open_links)),
             gained=",".join(sorted(open_links - self.open_links)),
@@ -341,7 +341,7 @@
         self._publish()
 
     def _forget(self, link: PeerLink) -> None:
-        self.log.change("peer_forgotten", daemon=link.daemon_id, address=link.address)
+        self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
         self.directory.forget(link.daemon_id)
-        self.source.put(PeerForgotten(link.daemon_id))
+        self.source.put(PeerRemoved(link.daemon_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -22,12 +22,12 @@
 from agatecross_core.routing.model import Candidate, ChoiceRequest
 
 from ..events import log_warning
-from ..mailbox import Ask, Sender, monotonic
+from ..mailbox import Sender, TaskRequest, monotonic_ms
 from ..messages import (
+    BroadcastStrikes,
     GossipReceived,
     LiftQuarantine,
     ListQuarantine,
-    SpreadStrikes,
     SuspectsChanged,
     UpstreamDied,
 )
@@ -35,8 +35,8 @@
 from .subtasks import Subtasks
 from .upstream_task import DeathAsk
 
-ListAsk = Ask[ListQuarantine, tuple[QuarantineRow, ...]]
-LiftAsk = Ask[LiftQuarantine, bool]
+ListAsk = TaskRequest[ListQuarantine, tuple[QuarantineRow, ...]]
+LiftAsk = TaskRequest[LiftQuarantine, bool]
 QuarantineMessage = GossipReceived | DeathAsk | ReceivedAsk | ListAsk | LiftAsk
 
 
@@ -46,7 +46,7 @@
     def __init__(
         self,
         me: Member,
-        members: Sender[SpreadStrikes],
+        members: Sender[BroadcastStrikes],
         control: Sender[ControlAsk],
         upstream: Sender[SuspectsChanged],
     ) -> None:
@@ -64,11 +64,11 @@
         if isinstance(message, GossipReceived):
             self._merge(message.strikes, message.clearances)
             return
-        match message.question:
+        match message.payload:
             case UpstreamDied(calls):
                 self.subtasks.start(self._died(message, calls))
             case ListQuarantine():
-                message.answer(tuple(self.table.rows(monotonic())))
+                message.answer(tuple(self.table.rows(monotonic_ms())))
             case LiftQuarantine(fingerprint):
                 message.answer(self.completed(fingerprint))
             case received:
@@ -85,14 +85,14 @@
 
     def quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether calls with this fingerprint are refused."""
-        return self.table.quarantined(fingerprint, monotonic())
+        return self.table.quarantined(fingerprint, monotonic_ms())
 
     def completed(self, fingerprint: Fingerprint) -> bool:
         """Clear a fingerprint everywhere; return whether it had strikes."""
         clearances = (Clearance(fingerprint, self.table.deaths(fingerprint)),)
         if not self._merge((), clearances):
             return False
-        self.members.put(SpreadStrikes((), clearances))
+        self.members.put(BroadcastStrikes((), clearances))
         self.subtasks.start(self._notify(StrikeNotice(self.me, (), clearances)))
         return True
 
@@ -100,7 +100,7 @@
         """Return a chooser that sends a suspected request to its trial member only."""
 
         def choose(request: ChoiceRequest) -> Candidate | None:
-            now = monotonic()
+            now = monotonic_ms()
             if self.table.quarantined(fingerprint, now):
                 return None
             if not self.table.suspected(fingerprint, now):
@@ -129,7 +129,7 @@
         self._merge(strikes, ())
         for fingerprint, path in prints.items():
             self.table.seen(fingerprint, path)
-        self.members.put(SpreadStrikes(strikes, ()))
+        self.members.put(BroadcastStrikes(strikes, ()))
         await self._notify(StrikeNotice(self.me, strikes))
         ask.answer(None)
 
@@ -150,7 +150,7 @@
         await asyncio.gather(*asks)
 
     def _merge(self, strikes: Iterable[Strike], clearances: Iterable[Clearance]) -> bool:
-        now = monotonic()
+        now = monotonic_ms()
         changed = self.table.clear(clearances, now)
         if self.table.strike(strikes, now):
             changed = True
@@ -167,7 +167,7 @@
             row.fingerprint: Suspect(
                 row.quarantined, self._trial(row.fingerprint, service) if service else None
             )
-            for row in self.table.rows(monotonic())
+            for row in self.table.rows(monotonic_ms())
         }
         self.upstream.put(SuspectsChanged(suspects))
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -14,8 +14,8 @@
 from agatecross_core.routing.nearest import NearestBalancer
 from agatecross_core.states import Reason
 
-from ..mailbox import Sender, monotonic
-from ..relay_messages import CancelAt, SendTo
+from ..mailbox import Sender, monotonic_ms
+from ..relay_messages import CancelRemoteHandover, SendHandover
 
 Flow = Generator[Attempt, RelayResult, RelayResult]
 Hedge = Callable[[DaemonId], Endpoint | None]
@@ -53,7 +53,7 @@
         flow: Flow,
         hedge: Hedge | None,
         balancer: NearestBalancer,
-        links: Sender[SendTo | CancelAt],
+        links: Sender[SendHandover | CancelRemoteHandover],
         new_id: Callable[[], HandoverId],
         on_end: "Callable[[RelayedCall, RelayResult], None]",
     ) -> None:
@@ -77,7 +77,7 @@
     def begin(self) -> None:
         """Start the first attempt, the timer of the deadline and that of a second attempt."""
         loop = asyncio.get_running_loop()
-        now = monotonic()
+        now = monotonic_ms()
         left = Millis(self.facts.deadline - now)
         self.timer = loop.call_later(max(0.0, left) / 1000, self._expire)
         self.exchange.on_gone = self._gone
@@ -109,7 +109,7 @@
 
     def _send(self, daemon_id: DaemonId, instance: InstanceId) -> None:
         self.attempts += 1
-        now = monotonic()
+        now = monotonic_ms()
         handover_id = self.new_id()
         self.last = self.open[handover_id] = Sent(daemon_id, instance, now)
         facts = self.facts
@@ -125,7 +125,7 @@
             Millis(facts.deadline - now),
             facts.request,
         )
-        self.links.put(SendTo(daemon_id, handover, self._result))
+        self.links.put(SendHandover(daemon_id, handover, self._result))
 
     def _result(self, handover_id: HandoverId, result: RelayResult) -> None:
         sent = self.open.pop(handover_id, None)
@@ -141,7 +141,7 @@
             self._end(self.held)
 
     def _learn(self, sent: Sent, result: RelayResult) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         took = Millis(now - sent.at)
         size = len(self.facts.request.body)
         self.balancer.ended(sent.daemon_id, result, took, self.facts.route.name, size, now)
@@ -164,7 +164,7 @@
         # attempt was served.
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
         for handover_id, sent in self.open.items():
-            self.links.put(CancelAt(sent.daemon_id, handover_id))
+            self.links.put(CancelRemoteHandover(sent.daemon_id, handover_id))
             self._learn(sent, lost(reason))
         self.open.clear()
         self.flow.close()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -19,8 +19,8 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
-from ..relay_messages import DrainKept, DrainsLearnt, LogReached, TableInForce
+from ..mailbox import Sender, monotonic_ms
+from ..relay_messages import DrainsLoaded, DrainStored, StoreReachability, TableInForce
 from ..relay_metrics import RelayMetrics
 from ..source_messages import (
     ConfigChanged,
@@ -29,14 +29,14 @@
     DeltaReceived,
     DrainConfirmed,
     EndpointsRead,
+    FullConfigNeeded,
     LinksChanged,
-    PeerForgotten,
-    PullNeeded,
+    PeerRemoved,
 )
 
 T = TypeVar("T")
 
-SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
+SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerRemoved
 # A reader finds out within this time, and a margin, that the store went silent.
 FOLLOW_WAIT = Millis(2_500)
 RETRY_BASE = Millis(150)
@@ -74,13 +74,13 @@
         decode: ConfigDecoder,
         directory: Directory,
         entry: Sender[TableInForce],
-        peers: Sender[ConfigChanged | PullNeeded | LogReached | EndpointsRead],
-        exit_box: Sender[DrainsLearnt | DrainKept],
+        peers: Sender[ConfigChanged | FullConfigNeeded | StoreReachability | EndpointsRead],
+        exit_box: Sender[DrainsLoaded | DrainStored],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.store = store
         self.decode = decode
         self.directory = directory
@@ -132,7 +132,9 @@
                 try:
                     data = zlib.decompress(blob)
                 except zlib.error as error:
-                    self.log.change("config_malformed", source=origin.value, reason=str(error))
+                    self.log.write_change(
+                        "config_malformed", source=origin.value, reason=str(error)
+                    )
                     return
                 self._take(data, origin)
             case DeltaReceived(delta, origin):
@@ -142,7 +144,7 @@
             case DrainConfirmed(me):
                 self.draining = me
                 self._start(self._keep_drain(me))
-            case PeerForgotten(daemon_id):
+            case PeerRemoved(daemon_id):
                 self.forgot_peer = True
                 if self._is_reader():
                     self._start(self._withdraw(daemon_id))
@@ -181,7 +183,7 @@
         try:
             answer = await self._ask("next_config", self.store.next_config(offset, FOLLOW_WAIT))
         except HistoryLostError:
-            self.log.change("history_lost", offset=offset)
+            self.log.write_change("history_lost", offset=offset)
             self.offset = None
             return
         if answer is None:
@@ -193,7 +195,7 @@
 
     async def _ask(self, operation: str, call: Awaitable[T]) -> T | None:
         """Return the answer, or None after a failure, which is logged when it is the first."""
-        asked_at = monotonic()
+        asked_at = monotonic_ms()
         try:
             answer = await call
         except HistoryLostError:
@@ -201,20 +203,20 @@
         except StoreError as error:
             self.metrics.store_calls.labels(operation, "failed").inc()
             if not self.failures:
-                self.log.change("store_lost", operation=operation, reason=str(error))
+                self.log.write_change("store_lost", operation=operation, reason=str(error))
             self.failures += 1
-            self.peers.put(LogReached(False, self.latency))
+            self.peers.put(StoreReachability(False, self.latency))
             return None
         self.metrics.store_calls.labels(operation, "done").inc()
         if self.failures:
-            self.log.change("store_regained", failures=self.failures)
+            self.log.write_change("store_regained", failures=self.failures)
         self.failures = 0
         # Peers are told whole milliseconds. The readers are picked by latency on every daemon, and
         # with other figures of itself a daemon may leave to others what they leave to it.
-        took = Millis(max(1, int(monotonic() - asked_at)))
+        took = Millis(max(1, int(monotonic_ms() - asked_at)))
         if not self.latency or took < LATENCY_NEWS * self.latency:
             self.latency = took
-        self.peers.put(LogReached(True, self.latency))
+        self.peers.put(StoreReachability(True, self.latency))
         return answer
 
     async def _pause(self) -> None:
@@ -234,8 +236,8 @@
             if zlib.crc32(data) != delta.crc:
                 raise DeltaError("the checksum of the result differs")
         except DeltaError as error:
-            self.log.change("config_delta_unfit", version=delta.version, reason=str(error))
-            self.peers.put(PullNeeded(delta.version))
+            self.log.write_change("config_delta_unfit", version=delta.version, reason=str(error))
+            self.peers.put(FullConfigNeeded(delta.version))
             return
         self._take(data, origin, delta)
 
@@ -243,11 +245,11 @@
         try:
             table = self.decode(data)
         except MessageDecodeError as error:
-            self.log.change("config_malformed", source=origin.value, reason=str(error))
+            self.log.write_change("config_malformed", source=origin.value, reason=str(error))
             return
         if table.version <= self.version:
             return
-        self.log.change(
+        self.log.write_change(
             "config_in_force",
             version=table.version,
             was=self.version,
@@ -286,7 +288,7 @@
             await self._pause()
         endpoints = tuple(self._decoded(rows))
         self.peers.put(EndpointsRead(endpoints))
-        self.exit.put(DrainsLearnt())
+        self.exit.put(DrainsLoaded())
         me = self.directory.me
         if (me.daemon_id, me.incarnation) not in {(r.daemon_id, r.incarnation) for r in endpoints}:
             # A peer that could not reach this daemon withdrew its announcement.
@@ -303,7 +305,7 @@
             try:
                 found.append(decode_endpoint(data))
             except MessageDecodeError as error:
-                self.log.change("announcement_malformed", reason=str(error))
+                self.log.write_change("announcement_malformed", reason=str(error))
         return found
 
     async def _keep_drain(self, me: Endpoint) -> None:
@@ -314,10 +316,10 @@
                 return
             call = self.store.keep_drain(me.daemon_id, encode_endpoint(me))
             if await self._ask("keep_drain", _true(call)) is not None:
-                self.exit.put(DrainKept(me.instance, me.born))
+                self.exit.put(DrainStored(me.instance, me.born))
                 return
             await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
-        self.log.change("drain_not_kept", instance=me.instance or "", tries=DRAIN_TRIES)
+        self.log.write_change("drain_not_kept", instance=me.instance or "", tries=DRAIN_TRIES)
 
     async def _withdraw(self, daemon_id: DaemonId) -> None:
         await self._ask("withdraw", _true(self.store.withdraw(daemon_id)))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -50,7 +50,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event, log_warning
-from ..mailbox import Ask, Mailbox, Sender, monotonic, new_ask
+from ..mailbox import Mailbox, Sender, TaskRequest, monotonic_ms, new_task_request
 from ..messages import (
     ConfigInForce,
     Leaving,
@@ -66,8 +66,8 @@
 SHED_HEADER = "Agatecross-Outcome"
 CLOSE_CONNECTION = ("Connection", "close")
 
-CallAsk = Ask[Call, CallResult]
-DeathAsk = Ask[UpstreamDied, None]
+CallAsk = TaskRequest[Call, CallResult]
+DeathAsk = TaskRequest[UpstreamDied, None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +151,10 @@
         await self.subtasks.wait()
 
     async def _peer_request(self, request: Request) -> Response:
-        call = decode_call(request, monotonic())
+        call = decode_call(request, monotonic_ms())
         if call is None:
             return encode_result(not_run(Reason.BAD_REQUEST))
-        ask: CallAsk = new_ask(call)
+        ask: CallAsk = new_task_request(call)
         self.mailbox.put(ask)
         result = await ask.reply
         # Peers drop their idle connections to a daemon that leaves before it closes them.
@@ -165,7 +165,7 @@
         return f"{self.admission.running} {self.admission.waiting} {self.admission.slots}"
 
     def _handle(self, message: UpstreamMessage) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         match message:
             case UpstreamAnnounced(info):
                 self._announced(info, now)
@@ -193,7 +193,7 @@
                 self._arrived(message, now)
 
     def _arrived(self, ask: CallAsk, now: Millis) -> None:
-        call = ask.question
+        call = ask.payload
         if ask.reply.cancelled():
             return
         if self.leaving:
@@ -279,7 +279,7 @@
             ask.answer(result)
 
     async def _run(self, call: Call, flight: InFlight, address: Address) -> CallResult:
-        left = Millis(max(1.0, call.deadline - monotonic()))
+        left = Millis(max(1.0, call.deadline - monotonic_ms()))
         headers = (
             *call.request.headers,
             (CALL_ID, call.call_id),
@@ -312,7 +312,7 @@
         if call_id not in self.deaths_of:
             running = {**self.gate.running, **self.probing}
             lost = {i: row for i, row in running.items() if i not in self.deaths_of}
-            ask: DeathAsk = new_ask(UpstreamDied(tuple(lost.values())))
+            ask: DeathAsk = new_task_request(UpstreamDied(tuple(lost.values())))
             log_event("upstream_died", calls=len(lost))
             self.deaths_of.update(dict.fromkeys(lost, ask))
             self.deaths.put(ask)
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -38,10 +38,10 @@
 from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis
 
 from .events import log_event
-from .mailbox import monotonic
+from .mailbox import monotonic_ms
 
 TRACE_HEADERS = ("traceparent", "tracestate")
-NANOS_PER_MILLI = 1_000_000
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 CallCounts = Counter[tuple[str, str]]
 """Calls by listener and outcome."""
@@ -69,14 +69,16 @@
             context = span.get_span_context()
             if context is None:
                 continue
-            took = ((span.end_time or 0) - (span.start_time or 0)) / NANOS_PER_MILLI
+            duration_ms = (
+                (span.end_time or 0) - (span.start_time or 0)
+            ) / NANOSECONDS_PER_MILLISECOND
             log_event(
                 "span",
                 name=span.name,
                 trace=f"{context.trace_id:032x}",
                 span=f"{context.span_id:016x}",
                 parent=f"{span.parent.span_id:016x}" if span.parent else "none",
-                took_ms=took,
+                took_ms=duration_ms,
                 **{key.replace(".", "_"): value for key, value in (span.attributes or {}).items()},
             )
         return SpanExportResult.SUCCESS
@@ -95,59 +97,61 @@
                 "agatecross.data_centre": data_centre,
             }
         )
-        self.sampling = Sampling(settings.sample_ratio, random.Random())
-        self.metrics = InMemoryMetricReader()
-        self.tracers = _tracer_provider(settings, resource)
-        readers: list[MetricReader] = [self.metrics]
+        self.head_sampler = HeadSampler(settings.sample_ratio, random.Random())
+        self.metric_reader = InMemoryMetricReader()
+        self.tracer_provider = _new_tracer_provider(settings, resource)
+        readers: list[MetricReader] = [self.metric_reader]
         if settings.otlp_endpoint:
             exporter = OTLPMetricExporter(endpoint=f"{settings.otlp_endpoint}/v1/metrics")
             readers.append(PeriodicExportingMetricReader(exporter))
-        self.meters = MeterProvider(metric_readers=readers, resource=resource)
-        self.tracer = self.tracers.get_tracer("agatecross")
-        self.meter = self.meters.get_meter("agatecross")
+        self.meter_provider = MeterProvider(metric_readers=readers, resource=resource)
+        self.tracer = self.tracer_provider.get_tracer("agatecross")
+        self.meter = self.meter_provider.get_meter("agatecross")
         # Counted here and only read at collection: a synchronous counter costs more for each call.
-        self.counts: CallCounts = Counter()
+        self.call_counts: CallCounts = Counter()
         self.meter.create_observable_counter(
             "agatecross.calls", [self._observe_calls], "{call}", "Calls by listener and outcome."
         )
-        self.duration = self.meter.create_histogram(
+        self.call_duration = self.meter.create_histogram(
             "agatecross.call.duration", unit="ms", description="Time from request to response."
         )
 
     def listener(self, inner: HttpListener, name: str) -> "TracedListener":
         """Wrap a listener."""
-        return TracedListener(inner, name, self.sampling, self.tracer, self.counts, self.duration)
+        return TracedListener(
+            inner, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
+        )
 
     def client(self, inner: HttpClient, name: str) -> "TracedClient":
         """Wrap a client."""
         return TracedClient(inner, name, self.tracer)
 
-    def observe(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
+    def add_counter(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
         """Add a counter that is read when metrics are collected."""
 
-        def observed(options: CallbackOptions) -> Iterable[Observation]:
+        def read_counter(options: CallbackOptions) -> Iterable[Observation]:
             del options
             yield Observation(read())
 
-        self.meter.create_observable_counter(name, [observed], unit, description)
+        self.meter.create_observable_counter(name, [read_counter], unit, description)
 
     def _observe_calls(self, options: CallbackOptions) -> Iterable[Observation]:
         del options
-        for (listener, outcome), count in self.counts.items():
+        for (listener, outcome), count in self.call_counts.items():
             yield Observation(count, {"listener": listener, "outcome": outcome})
 
     def collect(self) -> bytes:
         """Return the current metrics as OpenTelemetry JSON."""
-        data = self.metrics.get_metrics_data()
+        data = self.metric_reader.get_metrics_data()
         return data.to_json().encode() if data else b"{}"
 
     def shut_down(self) -> None:
         """Flush what is not exported yet."""
-        self.tracers.shutdown()
-        self.meters.shutdown()
+        self.tracer_provider.shutdown()
+        self.meter_provider.shutdown()
 
 
-def _tracer_provider(settings: TelemetrySettings, resource: Resource) -> TracerProvider:
+def _new_tracer_provider(settings: TelemetrySettings, resource: Resource) -> TracerProvider:
     provider = TracerProvider(sampler=ALWAYS_ON, resource=resource)
     if settings.spans_to_log:
         provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
@@ -166,7 +170,7 @@
     return PROPAGATOR.extract(carrier)
 
 
-def with_span(request: Request, span: Span) -> Request:
+def with_trace_context(request: Request, span: Span) -> Request:
     """Return the request with the span as its trace context."""
     context = span.get_span_context()
     kept = tuple(row for row in request.headers if row[0].lower() != "traceparent")
@@ -174,7 +178,7 @@
     return replace(request, headers=(*kept, ("traceparent", value)))
 
 
-class Sampling:
+class HeadSampler:
     """Decides which calls are traced, before any span exists.
 
     A span that is not sampled still costs tens of microseconds, so such calls only carry the
@@ -185,7 +189,7 @@
         self.ratio = ratio
         self.rng = rng
 
-    def decide(self, request: Request) -> Request:
+    def with_sampling_decision(self, request: Request) -> Request:
         """Return the request with a sampling decision; one that it brings is kept."""
         if request.header("traceparent") is not None:
             return request
@@ -208,17 +212,17 @@
         self,
         inner: HttpListener,
         name: str,
-        sampling: Sampling,
+        head_sampler: HeadSampler,
         tracer: Tracer,
-        counts: CallCounts,
-        duration: Histogram,
+        call_counts: CallCounts,
+        call_duration: Histogram,
     ) -> None:
         self.inner = inner
-        self.sampling = sampling
+        self.head_sampler = head_sampler
         self.name = name
         self.tracer = tracer
-        self.counts = counts
-        self.duration = duration
+        self.call_counts = call_counts
+        self.call_duration = call_duration
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start to serve and return the bound address."""
@@ -229,7 +233,7 @@
         return self.inner.listen(address, traced)
 
     async def _serve(self, request: Request, handler: RequestHandler) -> Response:
-        started = monotonic()
+        started = monotonic_ms()
         outcome = "cancelled"
         try:
             response = await self._trace(request, handler)
@@ -237,18 +241,18 @@
             return response
         finally:
             attributes = {"listener": self.name, "outcome": outcome}
-            self.counts[self.name, outcome] += 1
-            self.duration.record(monotonic() - started, attributes)
+            self.call_counts[self.name, outcome] += 1
+            self.call_duration.record(monotonic_ms() - started, attributes)
 
     async def _trace(self, request: Request, handler: RequestHandler) -> Response:
-        request = self.sampling.decide(request)
+        request = self.head_sampler.with_sampling_decision(request)
         if not is_sampled(request):
             return await handler(request)
         parent = parent_context(request.headers)
         span = self.tracer.start_span(f"serve {self.name}", parent, SpanKind.SERVER)
         try:
-            response = await handler(with_span(request, span))
-            _describe(span, request, response)
+            response = await handler(with_trace_context(request, span))
+            _set_call_attributes(span, request, response)
             return response
         finally:
             span.end()
@@ -262,7 +266,7 @@
         await self.inner.close()
 
 
-def _describe(span: Span, request: Request, response: Response) -> None:
+def _set_call_attributes(span: Span, request: Request, response: Response) -> None:
     span.set_attribute("http.request.method", request.method)
     span.set_attribute("url.path", request.path.split("?", 1)[0])
     span.set_attribute("http.response.status_code", response.status)
@@ -290,7 +294,7 @@
         parent = parent_context(request.headers)
         span = self.tracer.start_span(f"send to {self.name}", parent, SpanKind.CLIENT)
         try:
-            response = await self.inner.send(address, with_span(request, span), timeout)
+            response = await self.inner.send(address, with_trace_context(request, span), timeout)
             span.set_attribute("server.address", address)
             span.set_attribute("http.response.status_code", response.status)
             return response
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -11,7 +11,7 @@
 
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, Version
-from agatecross_daemon.process_signals import HANDLED
+from agatecross_daemon.process_signals import HANDLED_SIGNALS
 
 from ..platform_config import config_record
 from ..platform_store import PlatformStoreStandIn
@@ -223,7 +223,7 @@
     beside other work that took up to a second.
     """
     command = [sys.executable, "-m", "agatecross_daemon", f"--settings={node.settings}"]
-    before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     try:
         with node.log.open("ab") as log:
             return subprocess.Popen(command, stdout=log, stderr=log)
--- a/packages/agatecross-standins/agatecross_standins/trace_sample.py
+++ b/packages/agatecross-standins/agatecross_standins/trace_sample.py
@@ -15,9 +15,9 @@
 
 from absl import app, flags
 
-from agatecross_cli.call_causes import Cause, cause_of, failed, is_end
+from agatecross_cli.call_causes import Cause, find_cause, is_call_end, is_failed_call
 from agatecross_cli.event_lines import EventLine, read_events
-from agatecross_cli.process_facts import ProcessFacts
+from agatecross_cli.process_events import ProcessEvents
 
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the draw.")
 COUNT = flags.DEFINE_integer("count", 20, "Calls to draw.", lower_bound=1)
@@ -33,16 +33,16 @@
 
 def failed_calls(events: Iterable[EventLine]) -> Iterator[FailedCall]:
     """Yield the failed calls in order of their ids."""
-    facts = ProcessFacts()
+    facts = ProcessEvents()
     calls: defaultdict[str, list[EventLine]] = defaultdict(list)
     for row in events:
         facts.add(row)
         if "call_id" in row.pairs:
             calls[row.pairs["call_id"].partition(".")[0]].append(row)
     for call_id, rows in sorted(calls.items()):
-        cause = cause_of(call_id, rows, facts)
-        ends = [r for r in rows if is_end(r) and r.pairs["call_id"] == call_id]
-        if cause is not None and failed(ends[-1]):
+        cause = find_cause(call_id, rows, facts)
+        ends = [r for r in rows if is_call_end(r) and r.pairs["call_id"] == call_id]
+        if cause is not None and is_failed_call(ends[-1]):
             yield FailedCall(ends[-1].pairs.get("status", ""), cause)
 
 
