--- a/packages/agatecross-cli/agatecross_cli/__init__.py
+++ b/packages/agatecross-cli/agatecross_cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' client `agatecross`."""
+"""The operators' command-line client `agatecross`."""
--- a/packages/agatecross-cli/agatecross_cli/append.py
+++ b/packages/agatecross-cli/agatecross_cli/append.py
@@ -1,4 +1,4 @@
-"""Appends a publish record so that a lost answer does not publish it twice."""
+"""Appends a publish record in such a way that a lost answer cannot publish it twice."""
 
 import asyncio
 import random
@@ -22,7 +22,12 @@
 
 
 async def append_once(context: Context, record: PublishRecord) -> tuple[History, FoldedRecord]:
-    """Return the history and the folded record; raises `CommandError` with what is known."""
+    """Append the record and return the history with the folded record.
+
+    After an append that may have been applied, the log is searched for the publish id before the
+    next attempt. Raises `CommandError` that tells whether nothing was published or the outcome is
+    unknown.
+    """
     may_be_applied = False
     reason = ""
     for attempt in range(MAX_APPEND_ATTEMPTS):
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -1,4 +1,4 @@
-"""Which event decided the fate of a call, and what it means for a reader."""
+"""Determines the event that caused the end of a call, and describes it for operators."""
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Cause:
-    """The cause of one call's end; `deciding` decided it, `background` explains that event."""
+    """Why a call ended as it did: the `deciding` event, and `background` events that explain it."""
 
     call_id: str
     outcome: str
@@ -46,7 +46,7 @@
 
 
 def is_event_of_call(event: EventLine, call_id: str) -> bool:
-    """Return whether an event is about the call or about a call that its run made."""
+    """Return whether an event belongs to the call or to a call made while it ran."""
     call_id_found = event.pairs.get("call_id", "")
     return call_id_found == call_id or call_id_found.startswith(f"{call_id}.")
 
@@ -54,9 +54,9 @@
 def find_cause(
     call_id: str, events: Iterable[EventLine], process_events: ProcessEvents
 ) -> Cause | None:
-    """Return the cause from the call's events, or None when its end was not logged.
+    """Return the cause from the call's events, or `None` when its end was not logged.
 
-    When an upstream answered with a failure, a failed call that its run made is the deeper cause.
+    When the upstream answered with a failure, a failed call made while it ran is the root cause.
     """
     rows = sorted(events, key=lambda row: row.time)
     ends = [row for row in rows if is_call_end(row)]
@@ -73,7 +73,7 @@
             row for row in rows if row.event == REFUSAL_EVENT and row.pairs["call_id"] not in ended
         ]
         if refused:
-            # A later try may have been served; the end that would say so was left out.
+            # A later attempt may have been served, but the daemon left its end out of the log.
             prefix = "a call it made, whose end was not logged"
             return _inner_cause(end, refused[-1], prefix, rows, process_events)
     reason = end_reason(end, process_events) or (
@@ -84,13 +84,13 @@
 
 
 def is_call_end(row: EventLine) -> bool:
-    """Return whether an event is the end of a call; a line that was cut too early is not."""
+    """Return whether an event is the end of a call; a line truncated too early is not."""
     ran = row.pairs.get("outcome") == Outcome.RAN.value
     return row.event in CALL_END_EVENTS and ("status" if ran else "reason") in row.pairs
 
 
 def is_failed_call(end: EventLine) -> bool:
-    """Return whether a call did not end with an answer below 500."""
+    """Return whether a call did not end with a response whose status is below 500."""
     status = end.pairs.get("status", "")
     ran = end.pairs.get("outcome") == Outcome.RAN.value
     return not ran or not status.isdigit() or int(status) >= SERVER_ERROR_STATUS
--- a/packages/agatecross-cli/agatecross_cli/command.py
+++ b/packages/agatecross-cli/agatecross_cli/command.py
@@ -1,4 +1,4 @@
-"""What a command gets and gives."""
+"""Definition of a command: its context, its result and its errors."""
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Context:
-    """Outside systems and flags of one run; `timeout` in seconds."""
+    """External services and flags of one run; `timeout` is in seconds."""
 
     log: LogService
     http: HttpClient
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """Exit code, the lines for a reader, and the same content for a program."""
+    """Exit code, output lines for people, and the same content as `body` for programs."""
 
     code: ExitCode
     lines: tuple[str, ...]
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """A command with its usage line and its least and most positional arguments."""
+    """A command with its usage line and the limits on its number of positional arguments."""
 
     usage: str
     min_arguments: int
@@ -43,7 +43,7 @@
 
 
 class CommandError(AgatecrossError):
-    """A command cannot go on; the exit code tells what is known."""
+    """A command cannot continue; `code` is the exit code."""
 
     def __init__(self, code: ExitCode, message: str) -> None:
         super().__init__(message)
--- a/packages/agatecross-cli/agatecross_cli/commands/causes.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/causes.py
@@ -13,7 +13,7 @@
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
-    """Count the causes in log files; events that daemons left out are counted apart."""
+    """Count the causes in log files; events that daemons left out are counted separately."""
     del context
     calls: defaultdict[str, list[EventLine]] = defaultdict(list)
     process_events = ProcessEvents()
@@ -23,7 +23,7 @@
             left_out += count_left_out(row)
             process_events.add(row)
             call_id, _, inner = row.pairs.get("call_id", "").partition(".")
-            # Refusals of a run's calls explain its failure when the ends of those were left out.
+            # Refusals of inner calls explain a failure when the ends of those were left out.
             if call_id and (is_call_end(row) or (inner and row.event == REFUSAL_EVENT)):
                 calls[call_id].append(row)
     except OSError as error:
--- a/packages/agatecross-cli/agatecross_cli/commands/check.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/check.py
@@ -1,4 +1,4 @@
-"""The command `check`: every finding of a configuration folder."""
+"""The command `check`: validates a configuration folder."""
 
 from collections.abc import Sequence
 from pathlib import Path
@@ -14,7 +14,7 @@
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
-    """Check a folder without the log or a daemon."""
+    """Validate a folder without access to the log or a daemon."""
     del context
     documents = tuple(read_documents(Path(arguments[0])))
     _, findings = compile_documents(documents, decode_toml, NO_VERSION)
--- a/packages/agatecross-cli/agatecross_cli/commands/diff.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/diff.py
@@ -1,4 +1,4 @@
-"""The command `diff`: a configuration folder against the version in force."""
+"""The command `diff`: compares a configuration folder with the newest accepted version."""
 
 import difflib
 from collections.abc import Iterable, Iterator, Sequence
--- a/packages/agatecross-cli/agatecross_cli/commands/explain.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/explain.py
@@ -1,4 +1,4 @@
-"""The command `explain`: which route and policy a path gets, and where each value comes from."""
+"""The command `explain`: shows the route and policy of a path and the source of each value."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ValueRow:
-    """A value with its file and line; both are empty for a default."""
+    """A value with its file and line; for a default, `file` is empty and `line` is 0."""
 
     key: str
     value: object
@@ -63,7 +63,7 @@
 
 
 def value_row(value: ExplainedValue) -> ValueRow:
-    """Return what is shown of a value."""
+    """Return the output row of a value."""
     if value.place is None:
         return ValueRow(value.key, value.value, "", 0)
     return ValueRow(value.key, value.value, document_path(value.place.document), value.place.line)
--- a/packages/agatecross-cli/agatecross_cli/commands/log.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/log.py
@@ -1,4 +1,4 @@
-"""The command `log`: the publishes on the log with their verdicts."""
+"""The command `log`: shows the records on the log with their verdicts."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogRow:
-    """One record; `version` is the one after it, `parent` the one a publish was made for."""
+    """One record; `version` is the version after it, `parent` the one that a publish changes."""
 
     offset: int
     kind: str
@@ -36,7 +36,7 @@
 
 
 def log_row(row: FoldedRecord) -> LogRow:
-    """Return what is shown of a folded record."""
+    """Return the output row of a folded record."""
     record, version = row.record, row.state.version
     if isinstance(record, SnapshotRecord):
         return LogRow(row.offset, "snapshot", row.verdict.value, record.version)
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -1,4 +1,4 @@
-"""The command `publish`: appends a publish once and waits until it is in force."""
+"""The command `publish`: appends a publish once and waits until it is in force everywhere."""
 
 import uuid
 from collections.abc import Sequence
@@ -49,7 +49,10 @@
 
 
 async def read_parent_history(context: Context) -> History:
-    """Return the history on the log; raises when a daemon has a newer one in force."""
+    """Return the history on the log.
+
+    Raises `CommandError` when a daemon has a newer version in force than the log holds.
+    """
     daemon_version = None
     for _ in range(MAX_STATE_READS):
         history = await read_history(context.log)
@@ -57,7 +60,7 @@
         daemon_version = await fetch_version(context.http, context.daemon)
         if daemon_version is None or daemon_version <= state.version:
             return history
-    # Publishing now would be accepted by the log but never be put in force.
+    # The log would accept a publish now, but no daemon would put it in force.
     message = (
         f"the log holds version {state.version}, but version {daemon_version} is in force: "
         "the log was replaced; the daemons write a snapshot, try again in a few seconds"
@@ -68,7 +71,7 @@
 def new_record(
     state: ConfigState, documents: tuple[Document, ...], author: str = ""
 ) -> PublishRecord:
-    """Return the record that turns the current documents into these."""
+    """Return the record that changes the documents of `state` to these."""
     before = {document.name: document.text for document in state.documents}
     names = {document.name for document in documents}
     return PublishRecord(
@@ -82,7 +85,10 @@
 
 
 def conflict_result(history: History, publish_id: str, parent: Version) -> Result:
-    """Return the result of a publish whose parent is not the newest version."""
+    """Return the result of a publish whose parent is not the newest version.
+
+    It names the publish that became the next version after the parent.
+    """
     next_version = Version(parent + 1)
     winner = find_accepted_publish(history, next_version)
     author, winner_id = (winner.author, winner.publish_id) if winner else ("", "")
@@ -101,7 +107,7 @@
 
 
 def find_accepted_publish(history: History, version: Version) -> PublishRecord | None:
-    """Return the publish that became a version, if the log still holds it."""
+    """Return the publish that created a version, if the log still holds it."""
     for row in history.rows:
         accepted = row.verdict is Verdict.ACCEPTED and row.state.version == version
         if accepted and isinstance(row.record, PublishRecord):
--- a/packages/agatecross-cli/agatecross_cli/commands/status.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/status.py
@@ -1,4 +1,4 @@
-"""The command `status`: the version in force on each daemon."""
+"""The command `status`: shows the version in force on each daemon."""
 
 from collections.abc import Sequence
 
@@ -10,7 +10,7 @@
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
-    """Ask every daemon that the given daemon knows."""
+    """Query every daemon that the daemon of `--daemon` knows."""
     del arguments
     try:
         members = await list_members(context.http, context.daemon)
@@ -24,7 +24,7 @@
 
 
 def status_line(row: DaemonStatus) -> str:
-    """Return the line of one daemon."""
+    """Return the output line of one daemon."""
     version = "-" if row.version is None else row.version
     return f"{row.daemon_id} {row.data_centre} {row.state} {version} {row.digest or '-'}"
 
--- a/packages/agatecross-cli/agatecross_cli/commands/trace.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/trace.py
@@ -1,4 +1,4 @@
-"""The command `trace`: the events of one call in every daemon's log, and its cause."""
+"""The command `trace`: shows the events of one call in all daemons' logs, and its cause."""
 
 from collections.abc import Sequence
 from dataclasses import asdict
@@ -10,12 +10,12 @@
 from ..exit_codes import ExitCode
 from ..process_events import ProcessEvents
 
-# All logs of a large fleet.
+# Enough for all log files of a large fleet.
 MAX_ARGUMENTS = 10_000
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
-    """Follow an id through log files."""
+    """Find the events of a call id in log files."""
     del context
     call_id, *files = arguments
     found: list[EventLine] = []
@@ -40,7 +40,7 @@
 def trace_result(
     call_id: str, found: Sequence[EventLine], cause: Cause | None, left_out: int
 ) -> Result:
-    """Return the events of a call with those that explain its cause, in order of time."""
+    """Return the events of a call and those that explain its cause, sorted by time."""
     explaining = (cause.deciding, *cause.background) if cause else ()
     rows = sorted(
         [*found, *(row for row in explaining if row not in found)], key=lambda row: row.time
@@ -62,7 +62,7 @@
 
 
 def format_event_line(row: EventLine) -> str:
-    """Return an event for a reader."""
+    """Return the output line of an event."""
     shown = " ".join(f"{key}={value}" for key, value in row.pairs.items() if key != "time")
     process_prefix = f"{row.process}: " if row.process != row.file else ""
     return f"{row.time:.3f} {row.file}:{row.line}: {process_prefix}{shown}"
--- a/packages/agatecross-cli/agatecross_cli/deciding_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/deciding_lines.py
@@ -1,4 +1,4 @@
-"""Finds the line that decided the end of a call, for each reason that has one."""
+"""Finds the log line that decided the end of a call, for each reason that has one."""
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from itertools import chain, islice
@@ -9,29 +9,29 @@
 from .event_lines import EventLine
 from .process_events import ProcessEvents
 
-# The end of a call and the loss that caused it are written by two processes, whose clocks may
-# differ a little, and a loss is noticed late.
+# The end of a call and the loss that caused it are logged by two processes, whose clocks may differ
+# slightly, and a loss is detected with a delay.
 CLOCK_MARGIN_SECONDS = 0.5
-# A killed daemon writes nothing; its next start shows that it was killed.
+# A killed daemon logs nothing; its next start within this time shows that it was killed.
 MAX_RESTART_SECONDS = 30.0
-# A stopping daemon ends the calls that it cuts at most 30 ms before its last line.
+# A stopping daemon ends the calls that it cuts off at most 30 ms before its last line.
 MAX_STOP_SECONDS = 0.05
 
 
 class LineFinder(Protocol):
-    """Finds the deciding line of a call's end."""
+    """Finds the line that decided the end of a call."""
 
     def __call__(
         self, end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
     ) -> Iterator[EventLine]:
-        """Yield the deciding line first, then lines that explain it; nothing when none is known."""
+        """Yield the deciding line first, then lines that explain it; nothing if there is none."""
         ...
 
 
 def find_refusal(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield the last refusal of the call by the daemon beside an upstream, for the same reason."""
+    """Yield the last refusal of the call by an upstream's daemon, for the same reason."""
     del process_events
     wanted = ("handover_failed", end.pairs.get("call_id"), end.pairs.get("reason"))
     found = (
@@ -45,7 +45,7 @@
 def find_config_events(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield when the daemon took up the version that decided, and when the next one."""
+    """Yield the events that put the deciding version and the next one in force."""
     del rows
     version = end.pairs.get("version")
     config_events = process_events.before(end.process, "config_in_force", end.time)
@@ -56,7 +56,7 @@
 def find_daemon_start(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield the start of the daemon, and when it took up its first configuration."""
+    """Yield the start of the daemon and the event that put its first version in force."""
     del rows
     yield from islice(process_events.before(end.process, "daemon_started", end.time), 1)
     yield from islice(process_events.after(end.process, "config_in_force", end.time), 1)
@@ -65,7 +65,7 @@
 def find_upstream_loss(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield the end of the upstream or of the daemon beside it, or how the link was lost."""
+    """Yield the end of the upstream or of its daemon, or the loss of the link to it."""
     del rows
     upstream = end.pairs.get("upstream", "")
     upstream_process = process_events.process_of(upstream)
@@ -90,7 +90,7 @@
 def find_endpoint_events(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield what the daemon learnt last of an upstream of the service."""
+    """Yield the last events that told the daemon about an upstream of the service."""
     del rows
     service = end.pairs.get("service", "")
     endpoint_events = list(process_events.before(end.process, "endpoint_learnt", end.time))
@@ -109,7 +109,7 @@
 def find_crash_report(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield the last crash of an upstream that the daemon learnt of."""
+    """Yield the last crash of an upstream that was reported to the daemon."""
     del rows
     yield from islice(process_events.before(end.process, "strikes_learnt", end.time), 1)
 
@@ -117,10 +117,10 @@
 def find_daemon_stop(
     end: EventLine, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> Iterator[EventLine]:
-    """Yield the stop of the daemon that cut the call."""
+    """Yield the stop of the daemon that cut the call off."""
     del rows
     until = end.time + MAX_STOP_SECONDS
-    # Both lines may have the same time.
+    # Both lines may have the same time, and `between` excludes its start.
     yield from islice(
         process_events.between(end.process, "daemon_stopped", end.time - 0.001, until), 1
     )
@@ -145,7 +145,10 @@
 
 
 def end_reason(end: EventLine, process_events: ProcessEvents) -> str:
-    """Return the reason of a call's end; a call that its daemon's stop cut was not cancelled."""
+    """Return the reason of a call's end.
+
+    A call that was cut off by the stop of its daemon is logged as cancelled; its reason is `cut`.
+    """
     reason = end.pairs.get("reason", "")
     if reason == Reason.CANCELLED.value and any(find_daemon_stop(end, (), process_events)):
         return Reason.CUT.value
@@ -155,7 +158,7 @@
 def find_deciding_lines(
     end: EventLine, reason: str, rows: Sequence[EventLine], process_events: ProcessEvents
 ) -> tuple[EventLine, ...]:
-    """Return the deciding line first, then lines that explain it; the end itself at the least."""
+    """Return the deciding line first, then lines that explain it; by default the end itself."""
     find = LINE_FINDERS.get(reason)
     found: Iterable[EventLine] = find(end, rows, process_events) if find else ()
     return tuple(found) or (end,)
--- a/packages/agatecross-cli/agatecross_cli/documents.py
+++ b/packages/agatecross-cli/agatecross_cli/documents.py
@@ -11,7 +11,7 @@
 
 
 def read_documents(folder: Path) -> Iterator[Document]:
-    """Yield the base and the overlays in the order of their names; raises `CommandError`."""
+    """Yield the base, then the overlays sorted by name; raises `CommandError`."""
     yield Document(BASE, _read(folder / "base.toml"))
     for path in sorted((folder / "overlays").glob("*.toml")):
         if path.stem == BASE:
--- a/packages/agatecross-cli/agatecross_cli/event_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/event_lines.py
@@ -1,4 +1,4 @@
-"""Reads the event lines that daemons write: one line of key=value pairs for each event."""
+"""Parses the event lines of daemon logs: one line of key=value pairs for each event."""
 
 import json
 import re
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-# A value is plain, or a JSON string when it holds other characters. A quote that does not end the
-# value belongs to a later line, and the JSON string was cut off.
+# A value is plain, or a JSON string if it contains other characters. A closing quote that does not
+# end the value belongs to a later line: the JSON string was truncated.
 PAIR_PATTERN = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"(?=\s|$)|\S*)')
 
 EVENTS_PER_PROGRESS_LINE = 200_000
@@ -16,9 +16,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EventLine:
-    """One event: its file and line, the process that wrote it, its Unix time in seconds, its pairs.
+    """One event: its file and line, its process, its Unix time in seconds, and its pairs.
 
-    The process is the name in front of the event, or the file when there is none.
+    `process` is the name before the event, or the file if the line has none.
     """
 
     file: str
@@ -29,12 +29,12 @@
 
     @property
     def event(self) -> str:
-        """Return the kind of event."""
+        """Return the name of the event."""
         return self.pairs["event"]
 
 
 def read_events(paths: Iterable[Path]) -> Iterator[EventLine]:
-    """Yield the events of the files; raises `OSError`. Other lines are passed over."""
+    """Yield the events of the files and skip other lines; raises `OSError`."""
     for path in paths:
         with path.open(encoding="utf-8", errors="replace") as lines:
             for number, text in enumerate(lines, 1):
@@ -43,7 +43,7 @@
 
 
 def report_progress(events: Iterable[EventLine]) -> Iterator[EventLine]:
-    """Pass events on; a line on standard error shows that a long input is being read."""
+    """Yield the events and regularly report their number on standard error."""
     for number, row in enumerate(events, 1):
         yield row
         if number % EVENTS_PER_PROGRESS_LINE == 0:
@@ -51,7 +51,7 @@
 
 
 def count_left_out(row: EventLine) -> int:
-    """Return how many events the process left out before this one."""
+    """Return how many events the daemon left out of the log before this one."""
     count = row.pairs.get("left_out", "")
     return int(count) if count.isdigit() else 0
 
@@ -59,9 +59,9 @@
 def parse_event(file: str, number: int, text: str) -> Iterator[EventLine]:
     """Yield the events of a line.
 
-    A log that several processes write to may hold the beginning of one's line and then another's.
-    Each event begins with its time, behind the name of its process. The last value of an event that
-    was cut off is left out.
+    In a log that several processes write to, a line may contain the beginning of one process's line
+    followed by another's. Each event begins with its time, after the name of its process. The last
+    value of a truncated event is dropped, because it may be incomplete.
     """
     builder = EventBuilder(file)
     for match in PAIR_PATTERN.finditer(text):
@@ -74,7 +74,7 @@
 
 
 class EventBuilder:
-    """The pairs of one event of a line."""
+    """Collects the pairs of one event of a line."""
 
     def __init__(self, process: str) -> None:
         self.process = process
@@ -83,12 +83,12 @@
         self.end = 0
 
     def add(self, match: re.Match[str]) -> None:
-        """Keep the next pair."""
+        """Add the next pair."""
         self.last_key, self.end = match[1], match.end()
         self.pairs[match[1]] = _decode_value(match[2])
 
     def build(self, file: str, number: int, truncated: bool) -> Iterator[EventLine]:
-        """Yield the event, if there is one."""
+        """Yield the event, if the pairs form one."""
         if truncated:
             self.pairs.pop(self.last_key, None)
         try:
--- a/packages/agatecross-cli/agatecross_cli/findings_output.py
+++ b/packages/agatecross-cli/agatecross_cli/findings_output.py
@@ -1,4 +1,4 @@
-"""Findings with the file of each document."""
+"""Output of findings, with the file of each document."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FindingRow:
-    """A finding for an operator; `line` is 0 and `key` empty when the whole file is meant."""
+    """A finding for output; `line` is 0 and `key` empty if it concerns the whole file."""
 
     file: str
     line: int
@@ -22,7 +22,7 @@
 
 
 def finding_rows(findings: Iterable[Finding]) -> tuple[FindingRow, ...]:
-    """Return the rows of findings in documents of a configuration folder."""
+    """Return the findings as output rows."""
     return tuple(
         FindingRow(document_path(f.place.document), f.place.line, f.place.key, f.code, f.message)
         for f in findings
@@ -30,7 +30,7 @@
 
 
 def document_path(document: str) -> str:
-    """Return the path of a document in its folder."""
+    """Return the path of a document relative to its configuration folder."""
     return "base.toml" if document == BASE else f"overlays/{document}.toml"
 
 
@@ -40,6 +40,6 @@
 
 
 def findings_result(findings: Iterable[Finding]) -> Result:
-    """Return the result of a command that was refused because of findings."""
+    """Return the result of a command that failed because of findings."""
     rows = finding_rows(findings)
     return Result(ExitCode.FINDINGS, finding_lines(rows), {"findings": rows})
--- a/packages/agatecross-cli/agatecross_cli/fleet.py
+++ b/packages/agatecross-cli/agatecross_cli/fleet.py
@@ -1,4 +1,4 @@
-"""Asks the daemons which version they have in force."""
+"""Queries the daemons for the version that they have in force."""
 
 import asyncio
 from collections.abc import Iterable
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonStatus:
-    """What one daemon reports; `version` is None when it does not answer."""
+    """Status of one daemon; `version` is `None` when it does not answer."""
 
     daemon_id: DaemonId
     data_centre: str
@@ -48,7 +48,7 @@
 
 
 async def fetch_version(http: HttpClient, daemon: Address) -> Version | None:
-    """Return the version in force on one daemon, None when it does not answer."""
+    """Return the version in force on one daemon, or `None` when it does not answer."""
     request = Request("GET", "/agatecross/v1/status", (), b"")
     try:
         response = await http.send(daemon, request, REQUEST_TIMEOUT_MS)
@@ -58,7 +58,7 @@
 
 
 async def fetch_statuses(http: HttpClient, members: Iterable[Member]) -> list[DaemonStatus]:
-    """Return the status of each member, asking a bounded number at once."""
+    """Return the status of each member, with a bounded number of concurrent requests."""
     semaphore = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
     async def fetch_limited(member: Member) -> DaemonStatus:
@@ -69,7 +69,7 @@
 
 
 async def fetch_status(http: HttpClient, member: Member) -> DaemonStatus:
-    """Return the status of one member."""
+    """Return the status of one member; it is `unreachable` when it does not answer."""
     request = Request("GET", "/agatecross/v1/status", (), b"")
     try:
         response = await http.send(member.admin_address, request, REQUEST_TIMEOUT_MS)
--- a/packages/agatecross-cli/agatecross_cli/history.py
+++ b/packages/agatecross-cli/agatecross_cli/history.py
@@ -1,4 +1,4 @@
-"""Folds the config stream as far as it is on the log, like a daemon that reads it."""
+"""Folds the config stream from the log into versions, as daemons do."""
 
 import time
 from collections.abc import AsyncIterator
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FoldedRecord:
-    """A record with its offset, its verdict, its findings and the state after it."""
+    """A record with its offset, its verdict, its findings and the resulting state."""
 
     offset: Offset
     record: ConfigRecord | None
@@ -31,13 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """The records that the log holds, oldest first, and the state after the newest."""
+    """The records that the log still holds, oldest first, and the state after the newest."""
 
     rows: tuple[FoldedRecord, ...]
     state: ConfigState
 
     def find_publish(self, publish_id: PublishId) -> FoldedRecord | None:
-        """Return the first record with this publish id."""
+        """Return the first publish with this id."""
         for row in self.rows:
             if isinstance(row.record, PublishRecord) and row.record.publish_id == publish_id:
                 return row
--- a/packages/agatecross-cli/agatecross_cli/in_force.py
+++ b/packages/agatecross-cli/agatecross_cli/in_force.py
@@ -13,15 +13,15 @@
 from .fleet import DaemonStatus, fetch_statuses, list_members
 
 POLL_SECONDS = 0.2
-# Most publishes are in force everywhere before this, and then need no word.
+# Most publishes are in force everywhere before this and need no progress report.
 FIRST_REPORT_SECONDS = 1.0
 REPORT_INTERVAL_SECONDS = 5.0
-# A line stays readable when a whole data centre is behind.
+# Keeps a line readable when a whole data centre is behind.
 MAX_NAMES_SHOWN = 10
 
 
 class WaitReporter:
-    """Decides when the wait for a version is reported, and names the daemons still missing."""
+    """Decides when progress is reported, and names the daemons that do not have the version yet."""
 
     def __init__(self, version: Version, started: float) -> None:
         self.version = version
@@ -30,7 +30,7 @@
         self.last_reported: str | None = None
 
     def report(self, behind: Sequence[DaemonStatus], reason: str, now: float) -> Iterator[str]:
-        """Yield a line when it is due; `reason` tells why the daemons could not be asked."""
+        """Yield a line when one is due; `reason` tells why the daemons could not be queried."""
         missing = f": {reason}" if reason else f" for: {_format_names(behind)}"
         waited = now - self.started
         if not (behind or reason) or waited < FIRST_REPORT_SECONDS:
@@ -54,7 +54,7 @@
 async def wait_in_force(
     context: Context, version: Version, digest: Digest, publish_id: PublishId
 ) -> Result:
-    """Ask the daemons until each has the version, or a later one, in force."""
+    """Poll the daemons until each has the version, or a later one, in force."""
     started = time.monotonic()
     reporter = WaitReporter(version, started)
     reason = f"version {version} accepted, but the wait for the daemons is over"
@@ -62,7 +62,7 @@
     while True:
         query_error = ""
         try:
-            # Members are listed anew: a daemon that died meanwhile does not have to follow.
+            # List the members each time: a daemon that died meanwhile need not have the version.
             members = await list_members(context.http, context.daemon)
             rows = await fetch_statuses(context.http, members)
         except ExchangeError as error:
@@ -85,7 +85,7 @@
 
 
 def has_version_in_force(row: DaemonStatus, version: Version, digest: Digest) -> bool:
-    """Return whether a daemon has this version or a later one."""
+    """Return whether a daemon has this version or a later one in force."""
     if row.version is None or row.version < version:
         return False
     return row.version > version or row.digest == digest
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -39,7 +39,7 @@
 
 
 def parse_flags(argv: Sequence[str]) -> list[str]:
-    """Return the arguments without flags; exits with the code of a usage error."""
+    """Return the arguments without flags; exits with `ExitCode.USAGE` on errors."""
     try:
         return list(flags.FLAGS(argv))
     except flags.Error as error:
@@ -76,7 +76,7 @@
 
 
 async def run_command(command: Command, arguments: Sequence[str]) -> Result:
-    """Run a command with the outside systems that the flags name."""
+    """Run a command with the log service and the daemon that the flags name."""
     http = TornadoHttpClient()
     context = Context(
         HttpLogService(Address(LOG.value), http),
@@ -91,7 +91,7 @@
 
 
 async def execute(command: Command, context: Context, arguments: Sequence[str]) -> Result:
-    """Run a command; failures that it does not handle become results."""
+    """Run a command and turn its errors into results."""
     try:
         return await command.run(context, arguments)
     except LogError as error:
@@ -108,5 +108,5 @@
 
 
 def run() -> None:
-    """Run the binary."""
+    """Run `agatecross`."""
     app.run(main, flags_parser=parse_flags)
--- a/packages/agatecross-cli/agatecross_cli/output.py
+++ b/packages/agatecross-cli/agatecross_cli/output.py
@@ -1,4 +1,4 @@
-"""Formats of the output, chosen by `--format`."""
+"""Output formats, selected by `--format`."""
 
 from collections.abc import Mapping
 from typing import Protocol
@@ -9,20 +9,20 @@
 
 
 class Formatter(Protocol):
-    """Turns a result into the text on standard output."""
+    """Formats a result for standard output."""
 
     def __call__(self, result: Result) -> str:
-        """Return the text without its last line end."""
+        """Return the text without the final newline."""
         ...
 
 
 def format_text(result: Result) -> str:
-    """Return lines for a reader."""
+    """Return the lines for people."""
     return "\n".join(result.lines)
 
 
 def format_json(result: Result) -> str:
-    """Return one JSON object with `exit_code` and `result`."""
+    """Return a JSON object with `exit_code` and `result`."""
     content = {"exit_code": int(result.code), "result": result.body}
     return msgspec.json.encode(content).decode()
 
--- a/packages/agatecross-cli/agatecross_cli/process_events.py
+++ b/packages/agatecross-cli/agatecross_cli/process_events.py
@@ -1,4 +1,4 @@
-"""What each process believed and when, from the events that are not about one call."""
+"""Events of each process that do not belong to one call, indexed by time."""
 
 from bisect import bisect_right
 from collections import defaultdict
@@ -23,7 +23,7 @@
 
 
 class ProcessEvents:
-    """Collects changes of belief and of life by process, to be looked up by time."""
+    """Events about the state of each process and what it knew of others, for lookup by time."""
 
     def __init__(self) -> None:
         self.rows: defaultdict[tuple[str, str], list[EventLine]] = defaultdict(list)
@@ -31,7 +31,7 @@
         self.is_sorted = True
 
     def add(self, row: EventLine) -> None:
-        """Keep an event of `FACT_EVENTS`; others are passed over."""
+        """Add an event if it is one of `PROCESS_EVENT_NAMES`."""
         if row.event not in PROCESS_EVENT_NAMES:
             return
         self.rows[(row.process, row.event)].append(row)
@@ -40,21 +40,21 @@
             self.process_by_daemon[row.pairs["daemon"]] = row.process
 
     def process_of(self, daemon: str) -> str:
-        """Return the process of a daemon's id."""
+        """Return the process of a daemon, or the daemon's id when its start was not logged."""
         return self.process_by_daemon.get(daemon, daemon)
 
     def before(self, process: str, event: str, time: float) -> Iterator[EventLine]:
-        """Yield the events of a kind up to a time, newest first."""
+        """Yield the events with a name up to and including a time, newest first."""
         rows = self._rows(process, event)
         yield from reversed(rows[: bisect_right(rows, time, key=lambda row: row.time)])
 
     def after(self, process: str, event: str, time: float) -> Iterator[EventLine]:
-        """Yield the events of a kind after a time, oldest first."""
+        """Yield the events with a name after a time, oldest first."""
         rows = self._rows(process, event)
         yield from rows[bisect_right(rows, time, key=lambda row: row.time) :]
 
     def between(self, process: str, event: str, start: float, end: float) -> Iterator[EventLine]:
-        """Yield the events of a kind after `start` and up to `end`, oldest first."""
+        """Yield the events with a name after `start` and up to `end`, oldest first."""
         yield from (row for row in self.after(process, event, start) if row.time <= end)
 
     def _rows(self, process: str, event: str) -> list[EventLine]:
--- a/packages/agatecross-daemon/agatecross_daemon/__init__.py
+++ b/packages/agatecross-daemon/agatecross_daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon `agatecrossd`: tasks that own sockets and state, joined by mailboxes."""
+"""The daemon `agatecrossd`: tasks that own sockets and state, connected by mailboxes."""
--- a/packages/agatecross-daemon/agatecross_daemon/decision_log.py
+++ b/packages/agatecross-daemon/agatecross_daemon/decision_log.py
@@ -1,4 +1,4 @@
-"""Bounded, non-blocking log of decisions on standard output, one line of key=value pairs each."""
+"""Bounded, non-blocking log of decisions on standard output, one key=value line for each."""
 
 import asyncio
 import os
@@ -12,21 +12,21 @@
 from .events import format_event
 
 FLUSH_DELAY_SECONDS: Final = 0.1
-# Lines wait here while the pipe is full; failures and changes push out the lines of served calls.
+# Bounds the lines that wait while the pipe is full; further lines are dropped and counted.
 MAX_BUFFERED_LINES: Final = 2_000
-# Lines of served calls: 20 a second let a reader see the usual case and cost under 0.1 % of a core.
+# Lines of served calls: 20 a second show the usual case and cost less than 0.1 % of a core.
 SERVED_BURST_LINES: Final = 40
 SERVED_REFILL_INTERVAL_MS: Final = Millis(50)
-# Lines of failed calls: an outage of one upstream at the peak of today's deployments fits.
+# Lines of failed calls: enough for the outage of one upstream at a deployment's peak load.
 FAILED_BURST_LINES: Final = 400
 FAILED_REFILL_INTERVAL_MS: Final = Millis(5)
 
 
 class DecisionLog:
-    """Collects lines and writes them when the loop is idle; never waits for the reader."""
+    """Buffers lines and writes them from a timer; never waits for the reader of the output."""
 
     def __init__(self, descriptor: int = 1) -> None:
-        """Write to the descriptor, which becomes non-blocking."""
+        """Write to the file descriptor, which is set to non-blocking mode."""
         self.descriptor = descriptor
         os.set_blocking(descriptor, False)
         self.lines: deque[bytes] = deque()
@@ -37,11 +37,11 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def write_change(self, event: str, **fields: object) -> None:
-        """Log a change of what the process believes, or of its life cycle."""
+        """Log a change of the daemon's state or of what it knows about others; not rate-limited."""
         self._put(event, fields)
 
     def write_failed_call(self, event: str, **fields: object) -> None:
-        """Log a decision about a call that was refused, repeated or failed."""
+        """Log a decision about a refused, repeated or failed call, within the rate limit."""
         if self.failed_limiter.take(_monotonic_ms()):
             self._put(event, fields)
         else:
@@ -55,11 +55,11 @@
         return False
 
     def write_served_call(self, event: str, **fields: object) -> None:
-        """Log a served call for which `wants_served` returned true."""
+        """Log a served call for which `should_write_served_call` returned true."""
         self._put(event, fields)
 
     def flush(self) -> None:
-        """Write what the reader takes now."""
+        """Write as much as the reader accepts now."""
         self.timer = None
         data = self.unwritten + b"".join(self.lines)
         self.lines.clear()
@@ -69,7 +69,7 @@
             except BlockingIOError:
                 break
             except OSError:
-                # Nobody reads any more; there is no other place to say so.
+                # The reader is gone, and there is no other place to report it.
                 data = b""
         self.unwritten = data
         if data:
--- a/packages/agatecross-daemon/agatecross_daemon/direct_mailbox.py
+++ b/packages/agatecross-daemon/agatecross_daemon/direct_mailbox.py
@@ -1,4 +1,4 @@
-"""A mailbox for the path of calls: the owner handles each message before `put` returns."""
+"""A synchronous mailbox: the owner handles each message before `put` returns."""
 
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -7,17 +7,20 @@
 
 
 class DirectMailbox(Generic[M]):
-    """Calls the owner's handler; a queue would cost each call several turns of the loop."""
+    """Calls the owner's handler directly.
+
+    A queue would cost each relayed call several iterations of the event loop.
+    """
 
     def __init__(self) -> None:
-        """Start without an owner."""
+        """Create a mailbox without a handler."""
         self.handler: Callable[[M], None] | None = None
 
     def set_handler(self, handler: Callable[[M], None]) -> None:
-        """Set the owner's handler."""
+        """Set the handler of the owning task."""
         self.handler = handler
 
     def put(self, message: M) -> None:
-        """Deliver a message."""
+        """Deliver a message and return when it is handled."""
         assert self.handler is not None, "a mailbox must have an owner before it gets messages"
         self.handler(message)
--- a/packages/agatecross-daemon/agatecross_daemon/events.py
+++ b/packages/agatecross-daemon/agatecross_daemon/events.py
@@ -1,4 +1,4 @@
-"""One log line of key=value pairs for each event."""
+"""Structured log events, one line of key=value pairs each."""
 
 import json
 
@@ -20,7 +20,7 @@
 
 
 def format_event(event: str, fields: dict[str, object]) -> str:
-    """Return the pairs in order; values with other than plain characters are quoted."""
+    """Return the pairs in order; values with characters that need quoting are JSON strings."""
     pairs = {"event": event, **fields}
     return " ".join(f"{key}={_format_value(value)}" for key, value in pairs.items())
 
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -1,4 +1,4 @@
-"""A daemon with the project's own interface: its tasks, its life cycle."""
+"""The daemon with the project's own interface: its tasks and life cycle."""
 
 import asyncio
 import random
@@ -44,9 +44,9 @@
 from .tasks.upstream_task import UpstreamMessage, UpstreamTask
 from .telemetry import Telemetry
 
-# Peers stop sending within this time after the leaving state was pushed to them.
-PEER_UPDATE_SECONDS = 2.0
-# Calls that wait for a task that failed never end; the others have this time.
+# Peers stop sending calls within this time after the leaving state was pushed to them.
+LEAVE_PROPAGATION_SECONDS = 2.0
+# After a task failed: calls that wait for it never end, the others have this time to end.
 FAILED_DRAIN_SECONDS = 10.0
 
 
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tasks:
-    """The tasks of one daemon, joined by their mailboxes."""
+    """The tasks of one daemon, connected by their mailboxes."""
 
     control: ControlTask
     members: MembersTask
@@ -97,7 +97,10 @@
 
 
 def new_own_member(settings: Settings) -> Member:
-    """Return this daemon's member record; the wall clock orders its restarts."""
+    """Return this daemon's member record.
+
+    The incarnation is the wall clock, so that a restart has a higher one.
+    """
     return Member(
         settings.daemon_id,
         Incarnation(int(time.time() * 1000)),
@@ -112,11 +115,11 @@
 
 
 def build_tasks(settings: Settings, telemetry: Telemetry) -> Tasks:
-    """Create the tasks and join their mailboxes."""
+    """Create the tasks and connect their mailboxes."""
     own_member = new_own_member(settings)
     rng = random.Random(settings.seed)
     transport = NngTransport()
-    _observe_control_traffic(telemetry, transport.traffic)
+    _add_traffic_counters(telemetry, transport.traffic)
     control = MappedTransport(transport, settings.address_map)
     log = HttpLogService(settings.log_address, TornadoHttpClient())
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
@@ -186,11 +189,11 @@
     )
 
 
-def _observe_control_traffic(telemetry: Telemetry, traffic: TrafficCount) -> None:
-    name, what = "agatecross.control", "Payload of control messages"
-    telemetry.add_counter(f"{name}.sent", "By", f"{what} sent.", lambda: traffic.sent_bytes)
+def _add_traffic_counters(telemetry: Telemetry, traffic: TrafficCount) -> None:
+    name, description = "agatecross.control", "Payload of control messages"
+    telemetry.add_counter(f"{name}.sent", "By", f"{description} sent.", lambda: traffic.sent_bytes)
     telemetry.add_counter(
-        f"{name}.received", "By", f"{what} received.", lambda: traffic.received_bytes
+        f"{name}.received", "By", f"{description} received.", lambda: traffic.received_bytes
     )
     telemetry.add_counter(f"{name}.dials", "{dial}", "Control connections.", lambda: traffic.dials)
 
@@ -208,7 +211,7 @@
 
 
 def _new_claim_id() -> ClaimId:
-    # Not from the seeded generator: a restarted daemon must not repeat the ids of its claims.
+    # The seeded generator would repeat the ids of earlier claims after a restart.
     return ClaimId(uuid.uuid4().hex)
 
 
@@ -232,7 +235,7 @@
 
 
 async def run_tasks(tasks: Tasks, stop: asyncio.Event) -> None:
-    """Run the tasks until `stop` is set or one fails, then shut down; raises what a task raised."""
+    """Run the tasks until `stop` is set or one fails, then shut down; re-raises its exception."""
     running = [asyncio.ensure_future(task.run()) for task in tasks.all()]
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
@@ -251,13 +254,13 @@
 
 
 async def shut_down(tasks: Tasks) -> None:
-    """Tell the peers and the callers, then wait until no call is in flight."""
+    """Announce the shutdown to peers and callers, then wait until no call is in flight."""
     log_event("daemon_leaving")
     leaving = Leaving()
     tasks.members.mailbox.put(leaving)
     tasks.admin.mailbox.put(leaving)
     tasks.call.mailbox.put(leaving)
-    await asyncio.sleep(PEER_UPDATE_SECONDS)
+    await asyncio.sleep(LEAVE_PROPAGATION_SECONDS)
     tasks.upstream.mailbox.put(leaving)
     await tasks.call.drained()
     await tasks.upstream.drained()
--- a/packages/agatecross-daemon/agatecross_daemon/mailbox.py
+++ b/packages/agatecross-daemon/agatecross_daemon/mailbox.py
@@ -1,4 +1,4 @@
-"""Mailboxes, the only way in which tasks reach each other."""
+"""Mailboxes, through which tasks exchange messages."""
 
 import asyncio
 import time
@@ -14,7 +14,7 @@
 
 
 class Sender(Protocol[M_contra]):
-    """The end of a mailbox that other tasks hold."""
+    """The sending end of a mailbox."""
 
     def put(self, message: M_contra) -> None:
         """Deliver a message without waiting."""
@@ -22,7 +22,7 @@
 
 
 class Mailbox(Generic[M]):
-    """Queue of messages to one task."""
+    """Message queue of one task."""
 
     def __init__(self) -> None:
         self.queue: asyncio.Queue[M] = asyncio.Queue()
@@ -38,22 +38,22 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskRequest(Generic[Q, A]):
-    """A message whose sender waits for an answer."""
+    """A message whose sender waits for a reply."""
 
     payload: Q
     reply: asyncio.Future[A]
 
     def answer(self, answer: A) -> None:
-        """Give the answer, unless the sender no longer waits."""
+        """Set the reply, unless the sender no longer waits."""
         if not self.reply.done():
             self.reply.set_result(answer)
 
 
 def new_task_request(payload: Q) -> "TaskRequest[Q, A]":
-    """Return an ask with a fresh reply."""
+    """Return a request with a new reply future."""
     return TaskRequest(payload, asyncio.get_running_loop().create_future())
 
 
 def monotonic_ms() -> Millis:
-    """Return the reading of the monotonic clock in milliseconds."""
+    """Return the time of the monotonic clock in milliseconds."""
     return Millis(time.monotonic() * 1000)
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -1,13 +1,13 @@
-"""Entry point of `agatecrossd`: takes the signals over, then loads the daemon."""
+"""Entry point of `agatecrossd`: installs the signal handlers, then loads the daemon."""
 
 from .process_signals import ProcessSignals
 
 
 def run() -> None:
-    """Run the binary."""
+    """Run `agatecrossd`."""
     signals = ProcessSignals()
     signals.install_handlers()
-    # Loading the libraries is most of the start; a signal then must find its handler already.
+    # Importing the libraries takes most of the start, and signals may arrive during it.
     from .startup import start
 
     start(signals)
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewChanged:
-    """The members changed."""
+    """The view of the members changed."""
 
     view: FleetView
     own_member: Member
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamChanged:
-    """The upstream next to this daemon announced a change, or its lease expired (None)."""
+    """The local upstream announced a change, or its lease expired (`None`)."""
 
     upstream: UpstreamInfo | None
 
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendControl:
-    """Ask of the control task: send the message and return the answer, or None."""
+    """Request to the control task: send the message to a peer.
+
+    The reply is the peer's answer, or `None` if there was none.
+    """
 
     peer: Address
     message: ControlMessage
@@ -49,19 +52,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlReceived:
-    """Ask by the control task: answer a request from a peer."""
+    """Request from the control task: answer a message from a peer."""
 
     message: ControlMessage
 
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Time went on."""
+    """Periodic timer message that a task sends to itself."""
 
 
 @dataclass(frozen=True, slots=True)
 class GossipReceived:
-    """Strikes and clearances that a peer reported and that are new here."""
+    """Strikes and clearances reported by a peer that this daemon did not know yet."""
 
     strikes: tuple[Strike, ...]
     clearances: tuple[Clearance, ...]
@@ -69,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BroadcastStrikes:
-    """Ask of the members task: pass these reports on to every daemon."""
+    """Request to the members task: gossip these reports to every daemon."""
 
     strikes: tuple[Strike, ...] = ()
     clearances: tuple[Clearance, ...] = ()
@@ -77,25 +80,31 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDied:
-    """Ask by the upstream task: these calls were running; answered when peers know the strikes."""
+    """Request from the upstream task: the upstream died while these calls were running.
+
+    The reply follows when peers know the strikes.
+    """
 
     calls: tuple[InFlight, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class SuspectsChanged:
-    """The fingerprints with strikes changed, or who may try them."""
+    """The fingerprints with strikes changed, or the daemons that may try them."""
 
     suspects: Mapping[Fingerprint, Suspect]
 
 
 @dataclass(frozen=True, slots=True)
 class ListQuarantine:
-    """Ask by the admin task: the rows of the quarantine table."""
+    """Request from the admin task: return the rows of the quarantine table."""
 
 
 @dataclass(frozen=True, slots=True)
 class LiftQuarantine:
-    """Ask by the admin task: forget the strikes of a fingerprint; answers whether it had any."""
+    """Request from the admin task: delete the strikes of a fingerprint.
+
+    The reply tells whether there were any.
+    """
 
     fingerprint: Fingerprint
--- a/packages/agatecross-daemon/agatecross_daemon/process_signals.py
+++ b/packages/agatecross-daemon/agatecross_daemon/process_signals.py
@@ -1,11 +1,11 @@
-"""Signals to the process, from its first line to its end."""
+"""Signal handling from the start of the process to its end."""
 
 import signal
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    # Loading asyncio takes a good part of the start, and signals are taken over before it.
+    # Importing asyncio takes a large part of the start, and handlers are installed before it.
     from asyncio import AbstractEventLoop
 
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -14,10 +14,10 @@
 
 
 class ProcessSignals:
-    """Keeps the signals that come before the event loop runs, and passes later ones to it.
+    """Queues signals that arrive before the event loop runs, and passes later ones to it.
 
-    The default action of a signal ends the process with the signal's code: before the handlers of
-    an event loop are set, and after the loop was closed, which sets the default actions again.
+    Without it, a signal would end the process with the signal's exit code before the handlers of
+    the event loop are set, and after the loop is closed, which restores the default actions.
     """
 
     def __init__(self) -> None:
@@ -26,10 +26,10 @@
         self.loop: AbstractEventLoop | None = None
 
     def install_handlers(self) -> None:
-        """Replace the default actions.
+        """Replace the default actions and unblock the signals.
 
-        The interpreter itself takes some 60 ms before this. A supervisor that sends signals so
-        early can start the process with them blocked; they are delivered now.
+        The interpreter takes about 60 ms to get here. A supervisor that may send signals earlier
+        can start the process with them blocked; they are delivered now.
         """
         for number in HANDLED_SIGNALS:
             signal.signal(number, self._handle_signal)
@@ -38,7 +38,7 @@
     def attach(
         self, loop: "AbstractEventLoop", actions: Mapping[signal.Signals, SignalAction]
     ) -> None:
-        """Run the actions of the signals that came so far, and of later ones on the loop.
+        """Run the actions of the signals received so far, and run those of later ones on the loop.
 
         A signal without an action is ignored.
         """
@@ -48,7 +48,7 @@
             self._run_action(number)
 
     def ignore_all(self) -> None:
-        """Ignore signals from now on; the process is ending by itself."""
+        """Ignore further signals; the process is already exiting."""
         for number in HANDLED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
 
@@ -57,7 +57,7 @@
         if self.loop is None:
             self.pending.append(signal.Signals(number))
         elif not self.loop.is_closed():
-            # The handler runs between any two lines of the loop's own code.
+            # This handler may interrupt the loop anywhere, so the action is scheduled instead.
             self.loop.call_soon_threadsafe(self._run_action, signal.Signals(number))
 
     def _run_action(self, number: signal.Signals) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetChanged:
-    """The endpoints that take calls changed; `daemons` counts the known daemons."""
+    """The endpoints that accept calls changed; `daemons` is the number of known daemons."""
 
     by_service: Mapping[ServiceName, tuple[Endpoint, ...]]
     daemons: int
@@ -32,14 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainPlanned:
-    """The daemon is stopping; the plan tells which calls it still takes."""
+    """The daemon is stopping; the plan tells which calls it still accepts."""
 
     plan: DrainPlan
 
 
 @dataclass(frozen=True, slots=True)
 class RunHandover:
-    """Run this call next to the upstream; `reply` gets the result once."""
+    """Run this call on the local upstream; `reply` is called once with the result."""
 
     handover: Handover
     reply: ResultReceiver
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendHandover:
-    """Hand a call over to the daemon next to the chosen upstream."""
+    """Hand a call over to the daemon of the chosen upstream."""
 
     daemon_id: DaemonId
     handover: Handover
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelRemoteHandover:
-    """The caller no longer waits for a handover to this daemon."""
+    """Cancel a handover at the daemon with this id: the caller no longer waits for it."""
 
     daemon_id: DaemonId
     handover_id: HandoverId
@@ -64,14 +64,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelHandover:
-    """The entry daemon no longer waits for this handover."""
+    """Cancel a handover here: the entry daemon no longer waits for it."""
 
     handover_id: HandoverId
 
 
 @dataclass(frozen=True, slots=True)
 class ResumeHandover:
-    """The entry daemon lost its connection and asks again."""
+    """The entry daemon lost its connection and asks for the result again."""
 
     handover_id: HandoverId
     reply: ResultReceiver
@@ -79,16 +79,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReceived:
-    """The upstream next to this daemon described itself."""
+    """The local upstream sent a heartbeat."""
 
     heartbeat: Heartbeat
 
 
 @dataclass(frozen=True, slots=True)
 class LeaveReceived:
-    """The upstream next to this daemon takes no more new calls.
+    """The local upstream is leaving and accepts no new calls.
 
-    `reply` gets whether the leave is confirmed; without it, the leave was confirmed earlier.
+    `reply` is told whether the leave is confirmed; without it, the leave was confirmed earlier.
     """
 
     instance: InstanceId
@@ -98,12 +98,12 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainsLoaded:
-    """What the store keeps of drains that this daemon confirmed before it restarted is known."""
+    """The drains that this daemon confirmed before a restart were loaded from the store."""
 
 
 @dataclass(frozen=True, slots=True)
 class DrainStored:
-    """The store keeps the drain of this start of an upstream."""
+    """The drain of this upstream process is saved in the store."""
 
     instance: InstanceId
     born: int
@@ -111,14 +111,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnEndpointChanged:
-    """What the daemon tells its peers of the upstream next to it."""
+    """Changed fields of the endpoint that this daemon announces for its local upstream."""
 
     changes: Mapping[str, object]
 
 
 @dataclass(frozen=True, slots=True)
 class StoreReachability:
-    """Whether the platform's log answered lately; `latency` is its shortest answer, 0 if none."""
+    """Whether the platform's store answered recently.
+
+    `latency` is the shortest time that it took to answer, 0 if it did not.
+    """
 
     reachable: bool
     latency: Millis
@@ -126,6 +129,6 @@
 
 @dataclass(frozen=True, slots=True)
 class StrikesReported:
-    """Requests that ran when an upstream died, here or at a peer."""
+    """Requests that were running when an upstream died, here or at a peer."""
 
     strikes: tuple[Strike, ...]
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of relayed calls, in the common exposition format."""
+"""Prometheus metrics of relayed calls: counters, gauges and a latency histogram."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
@@ -6,16 +6,19 @@
 from agatecross_core.relay.model import RelayResult
 from agatecross_core.states import Reason
 
-# From the added latency of a hop up to the longest timeouts of today's routes, in seconds.
+# From the latency added by one hop to the longest route timeouts.
 LATENCY_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 MILLISECONDS_PER_SECOND = 1000.0
 
 
 class RelayMetrics:
-    """Metrics of one daemon; label values are services of the configuration and enum values."""
+    """Metrics of one daemon.
+
+    Label values are names of configured services and enum values only.
+    """
 
     def __init__(self) -> None:
-        """Register the metrics."""
+        """Create and register the metrics."""
         self.registry = CollectorRegistry()
         self.calls = Counter(
             "agatecross_calls_total",
@@ -50,15 +53,15 @@
         )
 
     def count_call(self, service: ServiceName, result: RelayResult, duration_ms: float) -> None:
-        """Count a call that took `took` milliseconds."""
+        """Count a call and record its duration."""
         reason = result.reason.value if result.reason else ""
         self.calls.labels(service, result.outcome.value, reason).inc()
         self.call_seconds.labels(service).observe(duration_ms / MILLISECONDS_PER_SECOND)
 
     def count_refusal(self, reason: Reason) -> None:
-        """Count a request that was refused before it had a service."""
+        """Count a request that was refused before it was routed to a service."""
         self.refusals.labels(reason.value).inc()
 
     def render(self) -> bytes:
-        """Return the metrics as text."""
+        """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the daemon, read from TOML and checked whole."""
+"""Settings of the daemon with the project's own interface: TOML schema and validation."""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Settings of one daemon; `seed` makes its random choices repeatable."""
+    """Settings of one daemon; `seed` makes its random choices reproducible."""
 
     daemon_id: DaemonId
     region: RegionName
@@ -80,12 +80,12 @@
 
 
 def load_settings(path: Path) -> Settings:
-    """Read the settings; raises `SettingsError` with every finding."""
+    """Read the settings file; raises `SettingsError` with every finding."""
     return fleet_settings(read_settings(path))
 
 
 def fleet_settings(decoded: DecodedDocument) -> Settings:
-    """Return the settings; raises `SettingsError` with every finding."""
+    """Validate and return the settings; raises `SettingsError` with every finding."""
     findings = list(sort_findings(_check_settings(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
--- a/packages/agatecross-daemon/agatecross_daemon/settings_file.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings_file.py
@@ -1,4 +1,4 @@
-"""Reads a settings file and checks its tables."""
+"""Reads a settings file and validates its tables."""
 
 from collections.abc import Iterator, Mapping
 from pathlib import Path
@@ -13,7 +13,7 @@
 
 
 def read_settings(path: Path) -> DecodedDocument:
-    """Return the decoded file; raises `SettingsError` or `OSError`."""
+    """Read and decode the file; raises `SettingsError` or `OSError`."""
     try:
         document = Document(DocumentName(str(path)), path.read_text(encoding="utf-8"))
     except UnicodeDecodeError as error:
@@ -29,7 +29,7 @@
     top_level_keys: Mapping[str, Key],
     tables: Mapping[str, Mapping[str, Key]],
 ) -> Iterator[Finding]:
-    """Yield the findings of the top level and of each table that is there."""
+    """Yield the findings of the top level and of each table that is present."""
     yield from check_table(decoded.place, decoded.values, top_level_keys, ())
     for name, keys in tables.items():
         table = decoded.values.get(name)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -1,4 +1,4 @@
-"""A daemon that relays calls on the users' platform: its tasks, its life cycle."""
+"""The daemon that relays calls on the users' platform: its tasks and life cycle."""
 
 import asyncio
 import random
@@ -36,15 +36,15 @@
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.source_task import SourceMessage, SourceTask
 
-# For callers and peers to read their last answers and close. It passes twice after the drain, for
-# callers and for the other listeners, within the drain's EXIT_MARGIN.
+# Time for callers and peers to read their last responses and close. It is spent at most twice after
+# the drain, once for callers and once for the other listeners, within the drain's EXIT_MARGIN.
 CLOSE_TIMEOUT_MS = Millis(300)
 DRAIN_POLL_SECONDS = 0.02
 RELOADABLE_SETTINGS = frozenset(("store", "retries", "grace"))
 
 
 class FrontEnd(Protocol):
-    """What a platform brings: its store, header names, and its decoders."""
+    """What a platform provides: its store, its header names and its decoders."""
 
     names: HeaderNames
 
@@ -58,17 +58,17 @@
         ...
 
     def set_store_address(self, address: Address) -> None:
-        """Use the store at another address from the next call on."""
+        """Use the store at this address from the next call on."""
         ...
 
     def create_heartbeat_handler(
         self, sender: "Sender[HeartbeatReceived | LeaveReceived]"
     ) -> RequestHandler:
-        """Return the handler of what an upstream says to the daemon next to it."""
+        """Return the handler of the requests that an upstream sends to its local daemon."""
         ...
 
     def is_readiness_check(self, request: Request) -> bool:
-        """Return whether a request asks if the daemon is ready."""
+        """Return whether a request is a readiness check."""
         ...
 
 
@@ -91,7 +91,7 @@
 
     @property
     def tasks(self) -> tuple[ExitTask, PeersTask, SourceTask]:
-        """Return the tasks that run until they are cancelled."""
+        """Return the tasks that run until cancelled."""
         return (self.exit, self.peers, self.source)
 
     async def start(self) -> None:
@@ -111,14 +111,16 @@
             self.listeners.append(listener)
 
     def reload(self, read: Callable[[], SidecarSettings]) -> None:
-        """Take the settings that can change while calls run; name those that need a restart."""
+        """Apply the settings that can change at run time; log those that need a restart."""
         try:
             settings = read()
         except (SettingsError, OSError) as error:
             self.log.write_change("settings_rejected", reason=str(error))
             return
-        rows = [field.name for field in fields(settings)]
-        changed = {name for name in rows if getattr(settings, name) != getattr(self.settings, name)}
+        names = [field.name for field in fields(settings)]
+        changed = {
+            name for name in names if getattr(settings, name) != getattr(self.settings, name)
+        }
         if "store" in changed:
             self.front_end.set_store_address(settings.store)
         if "retries" in changed:
@@ -132,7 +134,7 @@
         )
 
     async def close(self) -> None:
-        """Close every listener; wait `FINISH_TIME` at most for the answers that are due."""
+        """Close every listener; wait at most `CLOSE_TIMEOUT_MS` for outstanding responses."""
         self.entry.listener.close()
         close_tasks = {asyncio.ensure_future(listener.close()) for listener in self.listeners}
         if close_tasks:
@@ -142,12 +144,12 @@
         await asyncio.gather(*close_tasks, return_exceptions=True)
 
     async def drain(self) -> None:
-        """Move callers away, finish every call, and deliver its answer."""
+        """Let callers move to other daemons, then finish every call and deliver its response."""
         started_at = monotonic_ms()
         plan = plan_drain(started_at, self.settings.grace)
         self.leaving = True
         await asyncio.sleep((plan.leave_at - started_at) / 1000)
-        # Until now the upstream still served calls of other daemons.
+        # The upstream served calls of peers until now: only now are the latest deadlines known.
         listener = self.entry.listener
         plan = plan.with_open_calls(max(listener.latest_deadline, self.exit.latest_deadline))
         self.entry_mailbox.put(DrainPlanned(plan))
@@ -168,7 +170,10 @@
         return bool(callers.pending or self.exit.pending or callers.unsent or links.unsent)
 
     async def _wait_until_finished(self, earliest: Millis, latest: Millis) -> float:
-        """Wait until nothing is left to do; return the longest delay of the loop in ms."""
+        """Wait until no work is left; return the longest event loop delay in milliseconds.
+
+        Waits at least until `earliest` and at most until `latest`.
+        """
         max_loop_delay = 0.0
         while (now := monotonic_ms()) < latest and (now < earliest or self._has_unfinished_work):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
@@ -176,7 +181,7 @@
         return max_loop_delay
 
     def _log_drain_end(self, started_at: Millis, max_loop_delay: float) -> None:
-        """Log what the end of the drain cuts; `late` is the longest delay of the loop in ms."""
+        """Log the work that the end of the drain cuts off; `max_loop_delay` is in milliseconds."""
         callers = self.entry.listener.unfinished()
         self.log.write_change(
             "drain_ended",
@@ -204,7 +209,7 @@
 
 
 def build_sidecar(settings: SidecarSettings, front_end: FrontEnd, log: DecisionLog) -> Sidecar:
-    """Create the tasks and join their mailboxes."""
+    """Create the tasks and connect their mailboxes."""
     rng = random.Random(settings.seed)
     metrics = RelayMetrics()
     own_endpoint = Endpoint(
@@ -280,16 +285,16 @@
 
 
 def budget_factory(settings: SidecarSettings) -> Callable[[], FleetBudget]:
-    """Return what makes the budget of one service."""
+    """Return a factory for the retry budget of one service."""
     retries = settings.retries
     return lambda: FleetBudget(retries.ratio, retries.slack, retries.window)
 
 
 def log_loop_error(log: DecisionLog, context: Mapping[str, Any]) -> None:
-    """Log an exception that reached the event loop, which closes the connection it came from."""
+    """Log an exception that reached the event loop, which closes the affected connection."""
     error = context.get("exception")
-    trace = traceback.extract_tb(error.__traceback__)[-1:] if error is not None else ()
-    place = ",".join(f"{Path(row.filename).name}:{row.lineno}" for row in trace)
+    frames = traceback.extract_tb(error.__traceback__)[-1:] if error is not None else ()
+    place = ",".join(f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames)
     log.write_change("loop_error", message=context.get("message"), error=repr(error), place=place)
 
 
@@ -301,7 +306,7 @@
 ) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully.
 
-    SIGHUP takes the settings that `read` returns, which may raise `SettingsError` or `OSError`.
+    SIGHUP reloads the settings through `read`, which may raise `SettingsError` or `OSError`.
     """
     sidecar = build_sidecar(settings, front_end, DecisionLog())
     stop = asyncio.Event()
@@ -325,15 +330,15 @@
 
 
 async def run_tasks(sidecar: Sidecar, stop: asyncio.Event) -> None:
-    """Run the tasks until `stop` is set or one fails, drain, and raise what a task raised."""
+    """Run the tasks until `stop` is set or one fails, then drain; re-raises a task's exception."""
     running = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
     stopping = asyncio.ensure_future(stop.wait())
     done, _ = await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
     if stopping not in done:
         errors = [repr(task.exception()) for task in running if task in done]
         sidecar.log.write_change("task_failed", error=",".join(errors))
-    # Mailboxes run their owners' handlers, so open calls end as long as the task that failed owns
-    # none of their connections.
+    # A direct mailbox calls its owner's handler in the sender's task, so open calls still end as
+    # long as the failed task owns none of their connections.
     sidecar.log.write_change("daemon_leaving", pending=sidecar.entry.listener.pending)
     await sidecar.drain()
     for task in running:
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -1,4 +1,4 @@
-"""Settings of a daemon that relays calls on the users' platform, read from TOML, checked whole."""
+"""Settings of a daemon that relays calls on the users' platform: TOML schema and validation."""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
-    """Repeats that the whole fleet may send to one service in a window, in milliseconds."""
+    """Retries that the whole fleet may send to one service per `window`, in milliseconds."""
 
     ratio: float
     slack: float
@@ -63,7 +63,7 @@
 class SidecarSettings:
     """Settings of one daemon; `grace` is the time from SIGTERM to SIGKILL, in milliseconds.
 
-    `announced` is the address at which other daemons reach the listener `peers`.
+    `announced` is the address at which peers reach the listener at `peers`.
     """
 
     daemon_id: DaemonId
@@ -85,12 +85,12 @@
 
 
 def is_sidecar_settings(decoded: DecodedDocument) -> bool:
-    """Return whether the settings are those of a daemon on the users' platform."""
+    """Return whether the settings are for a daemon on the users' platform."""
     return "sidecar" in decoded.values
 
 
 def sidecar_settings(decoded: DecodedDocument) -> SidecarSettings:
-    """Return the settings; raises `SettingsError` with every finding."""
+    """Validate and return the settings; raises `SettingsError` with every finding."""
     findings = list(sort_findings(_check_settings(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
--- a/packages/agatecross-daemon/agatecross_daemon/source_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/source_messages.py
@@ -1,4 +1,4 @@
-"""Messages of the task that follows the configuration on the platform's store."""
+"""Messages of the task that follows the configuration in the platform's store."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DeltaReceived:
-    """A peer sent the difference of a configuration to the one before."""
+    """A peer sent the delta from one configuration to the next."""
 
     delta: ConfigDelta
     origin: ConfigOrigin
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigChanged:
-    """A configuration came into force; `delta` is the difference to the one before, if any."""
+    """A configuration came into force; `delta` is the change from the previous one, if any."""
 
     version: Version
     blob: bytes
@@ -45,34 +45,34 @@
 
 @dataclass(frozen=True, slots=True)
 class FullConfigNeeded:
-    """A difference did not fit the configuration in force: the whole one is needed."""
+    """A delta did not apply to the configuration in force: the full one is needed."""
 
     version: Version
 
 
 @dataclass(frozen=True, slots=True)
 class LinksChanged:
-    """The daemons to which a link is open."""
+    """The set of daemons with an open link changed."""
 
     open_links: frozenset[DaemonId]
 
 
 @dataclass(frozen=True, slots=True)
 class DrainConfirmed:
-    """The upstream next to this daemon was confirmed as leaving; `me` says so."""
+    """The local upstream is confirmed as leaving, as `own_endpoint` states."""
 
     own_endpoint: Endpoint
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointsRead:
-    """Descriptions of daemons that were read from the store."""
+    """Announcements of daemons were read from the store."""
 
     endpoints: tuple[Endpoint, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class PeerRemoved:
-    """A daemon could not be reached for so long that it is taken as gone."""
+    """A daemon was unreachable for so long that it is considered gone."""
 
     daemon_id: DaemonId
--- a/packages/agatecross-daemon/agatecross_daemon/startup.py
+++ b/packages/agatecross-daemon/agatecross_daemon/startup.py
@@ -22,9 +22,9 @@
 
 
 def new_daemon(decoded: DecodedDocument, signals: ProcessSignals) -> Coroutine[Any, Any, None]:
-    """Return the daemon to run; raises `SettingsError`.
+    """Return the main coroutine of the daemon; raises `SettingsError`.
 
-    Each kind is imported only when it runs, because the libraries of the other cost memory.
+    Only the module of the kind that runs is imported: the libraries of the other cost memory.
     """
     if is_sidecar_settings(decoded):
         from agatecross_platform.front_end import PlatformFrontEnd
@@ -41,12 +41,12 @@
 
 
 def read_sidecar_settings() -> SidecarSettings:
-    """Read the file of the command line again; raises `SettingsError` or `OSError`."""
+    """Read the settings file of `--settings`; raises `SettingsError` or `OSError`."""
     return sidecar_settings(read_settings(Path(SETTINGS.value)))
 
 
 def main(argv: Sequence[str], signals: ProcessSignals) -> None:
-    """Load the settings and serve."""
+    """Read the settings and run the daemon."""
     if len(argv) > 1:
         raise app.UsageError("agatecrossd takes no arguments")
     logging.set_verbosity(logging.INFO)
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -1,7 +1,7 @@
-"""OpenTelemetry metrics and traces, put around the listeners and clients of the daemon.
+"""OpenTelemetry metrics and traces, added by wrapping the daemon's listeners and clients.
 
-Every hop has a server span at the listener and a client span at the client. The context travels in
-the `traceparent` header of the request itself, because a call changes tasks inside the daemon.
+Every hop has a server span at the listener and a client span at the client. The trace context is
+kept in the `traceparent` header of the request, because a call changes tasks inside the daemon.
 """
 
 import random
@@ -49,10 +49,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TelemetrySettings:
-    """Where telemetry goes; `sample_ratio` from 0 to 1 for calls that bring no sampling decision.
+    """Where telemetry is sent, and the share of calls that are traced.
 
-    Spans go to the log when `spans_to_log` is set. With an OTLP endpoint (base URL), spans and
-    metrics also go there.
+    `sample_ratio` (0 to 1) applies to calls that arrive without a sampling decision. Spans are
+    logged when `spans_to_log` is set. With an OTLP endpoint (base URL), spans and metrics are also
+    exported there.
     """
 
     sample_ratio: float = 0.01
@@ -61,7 +62,7 @@
 
 
 class LogSpanExporter(SpanExporter):
-    """Writes one log line for each span."""
+    """Logs one line for each span."""
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Log the spans."""
@@ -85,7 +86,7 @@
 
 
 class Telemetry:
-    """Providers of one daemon, and the wrappers that use them."""
+    """Trace and metric providers of one daemon, and wrappers that use them."""
 
     def __init__(
         self, settings: TelemetrySettings, daemon: DaemonId, data_centre: DataCentreName
@@ -107,7 +108,7 @@
         self.meter_provider = MeterProvider(metric_readers=readers, resource=resource)
         self.tracer = self.tracer_provider.get_tracer("agatecross")
         self.meter = self.meter_provider.get_meter("agatecross")
-        # Counted here and only read at collection: a synchronous counter costs more for each call.
+        # Read only when metrics are collected: a synchronous counter would cost more per call.
         self.call_counts: CallCounts = Counter()
         self.meter.create_observable_counter(
             "agatecross.calls", [self._observe_calls], "{call}", "Calls by listener and outcome."
@@ -117,17 +118,17 @@
         )
 
     def listener(self, inner: HttpListener, name: str) -> "TracedListener":
-        """Wrap a listener."""
+        """Return the listener with spans and call metrics."""
         return TracedListener(
             inner, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
         )
 
     def client(self, inner: HttpClient, name: str) -> "TracedClient":
-        """Wrap a client."""
+        """Return the client with spans."""
         return TracedClient(inner, name, self.tracer)
 
     def add_counter(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
-        """Add a counter that is read when metrics are collected."""
+        """Add a counter whose value is read when metrics are collected."""
 
         def read_counter(options: CallbackOptions) -> Iterable[Observation]:
             del options
@@ -146,7 +147,7 @@
         return data.to_json().encode() if data else b"{}"
 
     def shut_down(self) -> None:
-        """Flush what is not exported yet."""
+        """Export what is still buffered and shut the providers down."""
         self.tracer_provider.shutdown()
         self.meter_provider.shutdown()
 
@@ -171,17 +172,17 @@
 
 
 def with_trace_context(request: Request, span: Span) -> Request:
-    """Return the request with the span as its trace context."""
+    """Return the request with the span as its trace context, replacing any other."""
     context = span.get_span_context()
-    kept = tuple(row for row in request.headers if row[0].lower() != "traceparent")
+    other_headers = tuple(row for row in request.headers if row[0].lower() != "traceparent")
     value = f"00-{context.trace_id:032x}-{context.span_id:016x}-{int(context.trace_flags):02x}"
-    return replace(request, headers=(*kept, ("traceparent", value)))
+    return replace(request, headers=(*other_headers, ("traceparent", value)))
 
 
 class HeadSampler:
     """Decides which calls are traced, before any span exists.
 
-    A span that is not sampled still costs tens of microseconds, so such calls only carry the
+    A span that is not sampled still costs tens of microseconds, so such calls carry only the
     decision: a `traceparent` without the sampled flag, which every later hop follows.
     """
 
@@ -190,7 +191,7 @@
         self.rng = rng
 
     def with_sampling_decision(self, request: Request) -> Request:
-        """Return the request with a sampling decision; one that it brings is kept."""
+        """Return the request with a sampling decision; an existing one is kept."""
         if request.header("traceparent") is not None:
             return request
         flags = int(self.rng.random() < self.ratio)
@@ -200,7 +201,7 @@
 
 
 def is_sampled(request: Request) -> bool:
-    """Return whether the request is to be traced: the lowest bit of the trace flags."""
+    """Return whether the request is to be traced, by the lowest bit of the trace flags."""
     flags = (request.header("traceparent") or "").rpartition("-")[2]
     return bool(flags) and flags[-1] in "13579bdf"
 
@@ -225,7 +226,7 @@
         self.call_duration = call_duration
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
-        """Start to serve and return the bound address."""
+        """Start serving and return the bound address."""
 
         async def traced(request: Request) -> Response:
             return await self._serve(request, handler)
@@ -262,7 +263,7 @@
         self.inner.announce_close()
 
     async def close(self) -> None:
-        """Answer every request that has begun to arrive, and close every connection."""
+        """Answer every request that has started to arrive, and close every connection."""
         await self.inner.close()
 
 
@@ -288,7 +289,7 @@
         self.tracer = tracer
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
-        """Return the whole response; raises a subclass of `ExchangeError`."""
+        """Send a request and return the whole response; raises a subclass of `ExchangeError`."""
         if not is_sampled(request):
             return await self.inner.send(address, request, timeout)
         parent = parent_context(request.headers)
