--- a/features/trace.feature
+++ b/features/trace.feature
@@ -12,7 +12,7 @@
       | guards against              | script    | line         | status | cause           |
       | an unexplained refusal      | shed,shed | POST /once/1 | 503    | shed            |
       | an unexplained unknown end  | reset     | POST /once/1 | 502    | connection-lost |
-      | an unexplained spoilt answer | garbled  | POST /once/1 | 502    | bad-answer      |
+      | an unexplained bad answer    | garbled  | POST /once/1 | 502    | bad-answer      |
       | an unexplained timeout      | hold      | GET /safe/1  | 504    | timeout         |
       | an upstream's own failure   | error     | POST /once/1 | 500    | upstream-failed |
       | an unexplained missing route | whole    | GET /none/1  | 404    | no-route        |
@@ -64,7 +64,7 @@
       | a lost upstream that is not named           | died    | 0    | (LOG:11) |
       | a killed daemon that is not named           | killed  | 0    | (LOG:15) |
       | a start that is not named                   | fresh   | 0    | (LOG:15) |
-      | a caller blamed for a daemon's stop         | cut     | 0    | cause: cut: the daemon that the caller reached stopped before it had ended (LOG:20) |
+      | a caller blamed for a daemon's stop         | cut     | 0    | cause: cut: the caller's daemon stopped before the call ended (LOG:20) |
       | a stop blamed for a caller that left        | left    | 0    | cause: cancelled: the caller closed its connection (LOG:18) |
       | a cut line read with another line's values  | half    | 0    | cause: timeout                                               |
       | a value that was cut off taken for whole    | half    | 0    | reason=timeout\ncause                                        |
--- a/packages/agatecross-cli/agatecross_cli/documents.py
+++ b/packages/agatecross-cli/agatecross_cli/documents.py
@@ -24,6 +24,6 @@
         return path.read_text(encoding="utf-8")
     except UnicodeDecodeError as error:
         line = path.read_bytes()[: error.start].count(b"\n") + 1
-        raise CommandError(ExitCode.FINDINGS, f"{path}:{line}: not UTF-8") from error
+        raise CommandError(ExitCode.FINDINGS, f"{path}:{line}: not valid UTF-8") from error
     except OSError as error:
         raise CommandError(ExitCode.USAGE, f"{path}: {error.strerror}") from error
--- a/packages/agatecross-cli/agatecross_cli/fleet.py
+++ b/packages/agatecross-cli/agatecross_cli/fleet.py
@@ -44,7 +44,7 @@
     try:
         return msgspec.json.decode(response.body, type=tuple[Member, ...])
     except msgspec.MsgspecError as error:
-        raise ExchangeError(daemon, f"unreadable list of members: {error}") from error
+        raise ExchangeError(daemon, f"cannot decode the list of members: {error}") from error
 
 
 async def fetch_version(http: HttpClient, daemon: Address) -> Version | None:
--- a/packages/agatecross-cli/agatecross_cli/in_force.py
+++ b/packages/agatecross-cli/agatecross_cli/in_force.py
@@ -57,7 +57,7 @@
     """Poll the daemons until each has the version, or a later one, in force."""
     started = time.monotonic()
     reporter = WaitReporter(version, started)
-    reason = f"version {version} accepted, but the wait for the daemons is over"
+    reason = f"version {version} accepted, but the wait for the daemons timed out"
     behind: tuple[DaemonStatus, ...] = ()
     while True:
         query_error = ""
--- a/packages/agatecross-daemon/agatecross_daemon/settings_file.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings_file.py
@@ -17,7 +17,7 @@
     try:
         document = Document(DocumentName(str(path)), path.read_text(encoding="utf-8"))
     except UnicodeDecodeError as error:
-        raise SettingsError(f"{path}: not UTF-8") from error
+        raise SettingsError(f"{path}: not valid UTF-8") from error
     try:
         return decode_toml(document)
     except DocumentSyntaxError as error:
