--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -16,7 +16,7 @@
 from agatecross_core.quarantine.model import InFlight, Suspect
 from agatecross_core.quarantine.strikes import StrikeTable
 from agatecross_core.states import MemberState, UpstreamState
-from agatecross_daemon.mailbox import Mailbox, monotonic_ms, new_task_request
+from agatecross_daemon.mailbox import Mailbox, monotonic_ms, new_ask
 from agatecross_daemon.messages import GossipReceived
 from agatecross_daemon.tasks import upstream_task
 from agatecross_daemon.tasks.quarantine_driver import QuarantineDriver
@@ -258,7 +258,7 @@
     box.put(UpstreamAnnounced(UpstreamInfo("vans", "vans:9", 9, 9, UpstreamState.READY)))
     for name in names:
         request = Request("GET", f"/{name}", (), b"")
-        box.put(new_task_request(Call(name, "vans", request, monotonic_ms() + MINUTE, True)))
+        box.put(new_ask(Call(name, "vans", request, monotonic_ms() + MINUTE, True)))
     await settle()
     upstream.lost.set()
     await settle()
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -80,7 +80,7 @@
         "upstream-failed" if is_failed_call(end) else "served"
     )
     meaning = REASON_MEANINGS.get(reason, "the upstream answered")
-    return _cause(end, end, reason, meaning, rows, process_events)
+    return _new_cause(end, end, reason, meaning, rows, process_events)
 
 
 def is_call_end(row: EventLine) -> bool:
@@ -105,11 +105,11 @@
 ) -> Cause:
     reason = end_reason(inner, process_events) or "upstream-failed"
     meaning = REASON_MEANINGS.get(reason, "the upstream answered with a failure")
-    found = _cause(end, inner, reason, f"{prefix}: {meaning}", rows, process_events)
+    found = _new_cause(end, inner, reason, f"{prefix}: {meaning}", rows, process_events)
     return replace(found, cause=f"inner:{reason}")
 
 
-def _cause(
+def _new_cause(
     end: EventLine,
     failure: EventLine,
     reason: str,
--- a/packages/agatecross-cli/agatecross_cli/documents.py
+++ b/packages/agatecross-cli/agatecross_cli/documents.py
@@ -12,14 +12,14 @@
 
 def read_documents(folder: Path) -> Iterator[Document]:
     """Yield the base, then the overlays sorted by name; raises `CommandError`."""
-    yield Document(BASE, _read(folder / "base.toml"))
+    yield Document(BASE, _read_text(folder / "base.toml"))
     for path in sorted((folder / "overlays").glob("*.toml")):
         if path.stem == BASE:
             raise CommandError(ExitCode.FINDINGS, f"{path}:0: an overlay cannot be named {BASE!r}")
-        yield Document(DocumentName(path.stem), _read(path))
+        yield Document(DocumentName(path.stem), _read_text(path))
 
 
-def _read(path: Path) -> str:
+def _read_text(path: Path) -> str:
     try:
         return path.read_text(encoding="utf-8")
     except UnicodeDecodeError as error:
--- a/packages/agatecross-cli/agatecross_cli/in_force.py
+++ b/packages/agatecross-cli/agatecross_cli/in_force.py
@@ -23,16 +23,16 @@
 class WaitReporter:
     """Decides when progress is reported, and names the daemons that do not have the version yet."""
 
-    def __init__(self, version: Version, started: float) -> None:
+    def __init__(self, version: Version, started_at: float) -> None:
         self.version = version
-        self.started = started
-        self.last_report_at = started
+        self.started_at = started_at
+        self.last_report_at = started_at
         self.last_reported: str | None = None
 
     def report(self, behind: Sequence[DaemonStatus], reason: str, now: float) -> Iterator[str]:
         """Yield a line when one is due; `reason` tells why the daemons could not be queried."""
         missing = f": {reason}" if reason else f" for: {_format_names(behind)}"
-        waited = now - self.started
+        waited = now - self.started_at
         if not (behind or reason) or waited < FIRST_REPORT_SECONDS:
             return
         if missing != self.last_reported or now - self.last_report_at >= REPORT_INTERVAL_SECONDS:
@@ -55,8 +55,8 @@
     context: Context, version: Version, digest: Digest, publish_id: PublishId
 ) -> Result:
     """Poll the daemons until each has the version, or a later one, in force."""
-    started = time.monotonic()
-    reporter = WaitReporter(version, started)
+    started_at = time.monotonic()
+    reporter = WaitReporter(version, started_at)
     reason = f"version {version} accepted, but the wait for the daemons timed out"
     behind: tuple[DaemonStatus, ...] = ()
     while True:
@@ -71,13 +71,15 @@
         else:
             behind = tuple(row for row in rows if not has_version_in_force(row, version, digest))
             if not behind:
-                return _success_result(version, publish_id, len(rows), time.monotonic() - started)
+                return _success_result(
+                    version, publish_id, len(rows), time.monotonic() - started_at
+                )
             names = ", ".join(sorted(row.daemon_id for row in behind))
             reason = f"version {version} accepted, but not in force on: {names}"
         now = time.monotonic()
         for line in reporter.report(() if query_error else behind, query_error, now):
             print(f"agatecross: {line}", file=sys.stderr, flush=True)
-        if now - started >= context.timeout:
+        if now - started_at >= context.timeout:
             break
         await asyncio.sleep(POLL_SECONDS)
     body = {"version": version, "publish_id": publish_id, "in_force": False, "behind": behind}
--- a/packages/agatecross-daemon/agatecross_daemon/decision_log.py
+++ b/packages/agatecross-daemon/agatecross_daemon/decision_log.py
@@ -29,7 +29,7 @@
         """Write to the file descriptor, which is set to non-blocking mode."""
         self.descriptor = descriptor
         os.set_blocking(descriptor, False)
-        self.lines: deque[bytes] = deque()
+        self.buffered_lines: deque[bytes] = deque()
         self.unwritten = b""
         self.served_limiter = TokenBucket(SERVED_BURST_LINES, SERVED_REFILL_INTERVAL_MS)
         self.failed_limiter = TokenBucket(FAILED_BURST_LINES, FAILED_REFILL_INTERVAL_MS)
@@ -38,12 +38,12 @@
 
     def write_change(self, event: str, **fields: object) -> None:
         """Log a change of the daemon's state or of what it knows about others; not rate-limited."""
-        self._put(event, fields)
+        self._append_line(event, fields)
 
     def write_failed_call(self, event: str, **fields: object) -> None:
         """Log a decision about a refused, repeated or failed call, within the rate limit."""
         if self.failed_limiter.take(_monotonic_ms()):
-            self._put(event, fields)
+            self._append_line(event, fields)
         else:
             self.dropped += 1
 
@@ -56,13 +56,13 @@
 
     def write_served_call(self, event: str, **fields: object) -> None:
         """Log a served call for which `should_write_served_call` returned true."""
-        self._put(event, fields)
+        self._append_line(event, fields)
 
     def flush(self) -> None:
         """Write as much as the reader accepts now."""
         self.timer = None
-        data = self.unwritten + b"".join(self.lines)
-        self.lines.clear()
+        data = self.unwritten + b"".join(self.buffered_lines)
+        self.buffered_lines.clear()
         while data:
             try:
                 data = data[os.write(self.descriptor, data) :]
@@ -73,19 +73,19 @@
                 data = b""
         self.unwritten = data
         if data:
-            self._schedule()
+            self._schedule_flush()
 
-    def _put(self, event: str, fields: dict[str, object]) -> None:
-        if len(self.lines) >= MAX_BUFFERED_LINES:
+    def _append_line(self, event: str, fields: dict[str, object]) -> None:
+        if len(self.buffered_lines) >= MAX_BUFFERED_LINES:
             self.dropped += 1
             return
         if self.dropped:
             fields["left_out"], self.dropped = self.dropped, 0
         prefix = f"time={time.time():.3f} "
-        self.lines.append((prefix + format_event(event, fields) + "\n").encode())
-        self._schedule()
+        self.buffered_lines.append((prefix + format_event(event, fields) + "\n").encode())
+        self._schedule_flush()
 
-    def _schedule(self) -> None:
+    def _schedule_flush(self) -> None:
         if self.timer is None:
             try:
                 self.timer = asyncio.get_running_loop().call_later(FLUSH_DELAY_SECONDS, self.flush)
--- a/packages/agatecross-daemon/agatecross_daemon/mailbox.py
+++ b/packages/agatecross-daemon/agatecross_daemon/mailbox.py
@@ -37,8 +37,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TaskRequest(Generic[Q, A]):
-    """A message whose sender waits for a reply."""
+class Ask(Generic[Q, A]):
+    """A message of the ask pattern: its sender waits for the reply."""
 
     payload: Q
     reply: asyncio.Future[A]
@@ -49,9 +49,9 @@
             self.reply.set_result(answer)
 
 
-def new_task_request(payload: Q) -> "TaskRequest[Q, A]":
-    """Return a request with a new reply future."""
-    return TaskRequest(payload, asyncio.get_running_loop().create_future())
+def new_ask(payload: Q) -> "Ask[Q, A]":
+    """Return a message whose reply is a new future."""
+    return Ask(payload, asyncio.get_running_loop().create_future())
 
 
 def monotonic_ms() -> Millis:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -14,7 +14,7 @@
 from agatecross_core.members.view import FleetView
 from agatecross_core.states import DaemonState
 
-from ..mailbox import Mailbox, Sender, new_task_request
+from ..mailbox import Mailbox, Sender, new_ask
 from ..messages import ConfigInForce, Leaving, LiftQuarantine, ListQuarantine, ViewChanged
 from .quarantine_driver import LiftAsk, ListAsk
 from .upstream_task import UpstreamAnnounced
@@ -100,12 +100,12 @@
         return answer(request) if answer else _json(404, {"error": "no such page"})
 
     async def _list_quarantine(self) -> Response:
-        ask: ListAsk = new_task_request(ListQuarantine())
+        ask: ListAsk = new_ask(ListQuarantine())
         self.quarantine.put(ask)
         return _json(200, await ask.reply)
 
     async def _lift(self, fingerprint: Fingerprint) -> Response:
-        ask: LiftAsk = new_task_request(LiftQuarantine(fingerprint))
+        ask: LiftAsk = new_ask(LiftQuarantine(fingerprint))
         self.quarantine.put(ask)
         if await ask.reply:
             return _json(200, {"lifted": fingerprint})
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -19,7 +19,7 @@
 from agatecross_core.routing.router import AttemptEnded, Balancer
 from agatecross_core.states import Reason
 
-from ..mailbox import Sender, monotonic_ms, new_task_request
+from ..mailbox import Sender, monotonic_ms, new_ask
 from .upstream_task import CallAsk
 
 SERVER_ERROR = 500
@@ -94,7 +94,7 @@
         return task.result()
 
     async def _run_here(self, call: Call) -> CallResult:
-        ask: CallAsk = new_task_request(call)
+        ask: CallAsk = new_ask(call)
         self.upstream.put(ask)
         return await ask.reply
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -33,7 +33,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event
-from ..mailbox import Mailbox, Sender, monotonic_ms, new_task_request
+from ..mailbox import Mailbox, Sender, monotonic_ms, new_ask
 from ..messages import ConfigInForce, Leaving, ViewChanged
 from .call_driver import CallDriver
 from .claims_task import ClaimAsk
@@ -135,7 +135,7 @@
         self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
         scoped = IdempotencyKey(f"{call.service}/{key}")
-        ask: ClaimAsk = new_task_request(Submit(call.call_id, scoped, fingerprint, call.deadline))
+        ask: ClaimAsk = new_ask(Submit(call.call_id, scoped, fingerprint, call.deadline))
         self.claims.put(ask)
         granted = await ask.reply
         if not isinstance(granted, Grant):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -45,14 +45,14 @@
 from agatecross_core.states import AppendState
 
 from ..events import log_warning
-from ..mailbox import Mailbox, Sender, TaskRequest, monotonic_ms
+from ..mailbox import Ask, Mailbox, Sender, monotonic_ms
 from .control_task import ControlAsk, ReceivedAsk, send_control
 from .subtasks import Subtasks
 
 ACTIVE_SECONDS = CLAIM_BATCH_WAIT / 1000
 IDLE_SECONDS = 1.0
 
-ClaimAsk = TaskRequest[Submit, Grant | CallResult]
+ClaimAsk = Ask[Submit, Grant | CallResult]
 ClaimsMessage = ClaimAsk | ReceivedAsk | ClaimsInput
 
 
@@ -90,7 +90,7 @@
             return TimePassed()
 
     def _handle(self, message: ClaimsMessage) -> None:
-        if not isinstance(message, TaskRequest):
+        if not isinstance(message, Ask):
             self._act(self.decider.handle(message, monotonic_ms()))
         elif isinstance(message.payload, Submit):
             submit = message.payload
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -8,11 +8,11 @@
 from agatecross_core.errors import PeerError
 from agatecross_core.ids import Address, Millis
 
-from ..mailbox import Mailbox, Sender, TaskRequest, new_task_request
+from ..mailbox import Ask, Mailbox, Sender, new_ask
 from ..messages import ControlReceived, SendControl
 
-ControlAsk = TaskRequest[SendControl, ControlMessage | None]
-ReceivedAsk = TaskRequest[ControlReceived, ControlMessage]
+ControlAsk = Ask[SendControl, ControlMessage | None]
+ReceivedAsk = Ask[ControlReceived, ControlMessage]
 
 
 class ControlTask:
@@ -54,7 +54,7 @@
         receiver = self.receivers.get(type(message))
         if receiver is None:
             raise PeerError(self.address, f"{type(message).__name__} is not a request")
-        ask: ReceivedAsk = new_task_request(ControlReceived(message))
+        ask: ReceivedAsk = new_ask(ControlReceived(message))
         receiver.put(ask)
         return await ask.reply
 
@@ -63,6 +63,6 @@
     control: Sender[ControlAsk], peer: Address, message: ControlMessage, timeout: Millis
 ) -> ControlMessage | None:
     """Send a control request through the control task; None when the peer does not answer."""
-    ask: ControlAsk = new_task_request(SendControl(peer, message, timeout))
+    ask: ControlAsk = new_ask(SendControl(peer, message, timeout))
     control.put(ask)
     return await ask.reply
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -22,7 +22,7 @@
 from agatecross_core.routing.model import Candidate, ChoiceRequest
 
 from ..events import log_warning
-from ..mailbox import Sender, TaskRequest, monotonic_ms
+from ..mailbox import Ask, Sender, monotonic_ms
 from ..messages import (
     BroadcastStrikes,
     GossipReceived,
@@ -35,8 +35,8 @@
 from .subtasks import Subtasks
 from .upstream_task import DeathAsk
 
-ListAsk = TaskRequest[ListQuarantine, tuple[QuarantineRow, ...]]
-LiftAsk = TaskRequest[LiftQuarantine, bool]
+ListAsk = Ask[ListQuarantine, tuple[QuarantineRow, ...]]
+LiftAsk = Ask[LiftQuarantine, bool]
 QuarantineMessage = GossipReceived | DeathAsk | ReceivedAsk | ListAsk | LiftAsk
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -50,7 +50,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event, log_warning
-from ..mailbox import Mailbox, Sender, TaskRequest, monotonic_ms, new_task_request
+from ..mailbox import Ask, Mailbox, Sender, monotonic_ms, new_ask
 from ..messages import (
     ConfigInForce,
     Leaving,
@@ -66,8 +66,8 @@
 SHED_HEADER = "Agatecross-Outcome"
 CLOSE_CONNECTION = ("Connection", "close")
 
-CallAsk = TaskRequest[Call, CallResult]
-DeathAsk = TaskRequest[UpstreamDied, None]
+CallAsk = Ask[Call, CallResult]
+DeathAsk = Ask[UpstreamDied, None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +154,7 @@
         call = decode_call(request, monotonic_ms())
         if call is None:
             return encode_result(not_run(Reason.BAD_REQUEST))
-        ask: CallAsk = new_task_request(call)
+        ask: CallAsk = new_ask(call)
         self.mailbox.put(ask)
         result = await ask.reply
         # Peers drop their idle connections to a daemon that leaves before it closes them.
@@ -312,7 +312,7 @@
         if call_id not in self.deaths_of:
             running = {**self.gate.running, **self.probing}
             lost = {i: row for i, row in running.items() if i not in self.deaths_of}
-            ask: DeathAsk = new_task_request(UpstreamDied(tuple(lost.values())))
+            ask: DeathAsk = new_ask(UpstreamDied(tuple(lost.values())))
             log_event("upstream_died", calls=len(lost))
             self.deaths_of.update(dict.fromkeys(lost, ask))
             self.deaths.put(ask)
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -117,15 +117,15 @@
             "agatecross.call.duration", unit="ms", description="Time from request to response."
         )
 
-    def listener(self, inner: HttpListener, name: str) -> "TracedListener":
+    def listener(self, wrapped: HttpListener, name: str) -> "TracedListener":
         """Return the listener with spans and call metrics."""
         return TracedListener(
-            inner, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
+            wrapped, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
         )
 
-    def client(self, inner: HttpClient, name: str) -> "TracedClient":
+    def client(self, wrapped: HttpClient, name: str) -> "TracedClient":
         """Return the client with spans."""
-        return TracedClient(inner, name, self.tracer)
+        return TracedClient(wrapped, name, self.tracer)
 
     def add_counter(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
         """Add a counter whose value is read when metrics are collected."""
@@ -211,14 +211,14 @@
 
     def __init__(
         self,
-        inner: HttpListener,
+        wrapped: HttpListener,
         name: str,
         head_sampler: HeadSampler,
         tracer: Tracer,
         call_counts: CallCounts,
         call_duration: Histogram,
     ) -> None:
-        self.inner = inner
+        self.wrapped = wrapped
         self.head_sampler = head_sampler
         self.name = name
         self.tracer = tracer
@@ -228,24 +228,24 @@
     def listen(self, address: Address, handler: RequestHandler) -> Address:
         """Start serving and return the bound address."""
 
-        async def traced(request: Request) -> Response:
-            return await self._serve(request, handler)
+        async def traced_handler(request: Request) -> Response:
+            return await self._handle_with_metrics(request, handler)
 
-        return self.inner.listen(address, traced)
+        return self.wrapped.listen(address, traced_handler)
 
-    async def _serve(self, request: Request, handler: RequestHandler) -> Response:
-        started = monotonic_ms()
+    async def _handle_with_metrics(self, request: Request, handler: RequestHandler) -> Response:
+        started_at = monotonic_ms()
         outcome = "cancelled"
         try:
-            response = await self._trace(request, handler)
+            response = await self._handle_with_span(request, handler)
             outcome = response.header(OUTCOME) or "none"
             return response
         finally:
             attributes = {"listener": self.name, "outcome": outcome}
             self.call_counts[self.name, outcome] += 1
-            self.call_duration.record(monotonic_ms() - started, attributes)
+            self.call_duration.record(monotonic_ms() - started_at, attributes)
 
-    async def _trace(self, request: Request, handler: RequestHandler) -> Response:
+    async def _handle_with_span(self, request: Request, handler: RequestHandler) -> Response:
         request = self.head_sampler.with_sampling_decision(request)
         if not is_sampled(request):
             return await handler(request)
@@ -260,11 +260,11 @@
 
     def announce_close(self) -> None:
         """Close each connection with its next response; new connections are still accepted."""
-        self.inner.announce_close()
+        self.wrapped.announce_close()
 
     async def close(self) -> None:
         """Answer every request that has started to arrive, and close every connection."""
-        await self.inner.close()
+        await self.wrapped.close()
 
 
 def _set_call_attributes(span: Span, request: Request, response: Response) -> None:
@@ -283,19 +283,19 @@
 class TracedClient:
     """Adds a client span to each request of a client."""
 
-    def __init__(self, inner: HttpClient, name: str, tracer: Tracer) -> None:
-        self.inner = inner
+    def __init__(self, wrapped: HttpClient, name: str, tracer: Tracer) -> None:
+        self.wrapped = wrapped
         self.name = name
         self.tracer = tracer
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
         """Send a request and return the whole response; raises a subclass of `ExchangeError`."""
         if not is_sampled(request):
-            return await self.inner.send(address, request, timeout)
+            return await self.wrapped.send(address, request, timeout)
         parent = parent_context(request.headers)
         span = self.tracer.start_span(f"send to {self.name}", parent, SpanKind.CLIENT)
         try:
-            response = await self.inner.send(address, with_trace_context(request, span), timeout)
+            response = await self.wrapped.send(address, with_trace_context(request, span), timeout)
             span.set_attribute("server.address", address)
             span.set_attribute("http.response.status_code", response.status)
             return response
