--- a/packages/agatecross-cli/agatecross_cli/commands/explain.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/explain.py
@@ -1,4 +1,4 @@
-"""The command `explain`: which route and policy a path gets, and where each value comes from."""
+"""The command `explain`: shows the route and policy of a path and the source of each value."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -14,13 +14,13 @@
 from ..command import Command, CommandError, Context, Result
 from ..documents import read_documents
 from ..exit_codes import ExitCode
-from ..findings_output import file_of, findings_result
+from ..findings_output import document_path, findings_result
 from ..history import read_history
 
 
 @dataclass(frozen=True, slots=True)
 class ValueRow:
-    """A value with its file and line; both are empty for a default."""
+    """A value with its file and line; for a default, `file` is empty and `line` is 0."""
 
     key: str
     value: object
@@ -31,7 +31,7 @@
 async def run(context: Context, arguments: Sequence[str]) -> Result:
     """Explain a path at a data centre, from the log or from a folder."""
     data_centre, path = DataCentreName(arguments[0]), arguments[1]
-    version, documents = await _source(context, arguments[2:])
+    version, documents = await _load_documents(context, arguments[2:])
     snapshot, findings = compile_documents(documents, decode_toml, version)
     if snapshot is None:
         return findings_result(findings)
@@ -48,10 +48,12 @@
     rows = tuple(value_row(value) for value in explain_route(merged, route, policy))
     body = {"version": version, "route": route.name, "service": route.service, "values": rows}
     title = f"version {version} route {route.name} service {route.service}"
-    return Result(ExitCode.SUCCESS, (title, *(_line(row) for row in rows)), body)
+    return Result(ExitCode.SUCCESS, (title, *(_format_row(row) for row in rows)), body)
 
 
-async def _source(context: Context, folder: Sequence[str]) -> tuple[Version, tuple[Document, ...]]:
+async def _load_documents(
+    context: Context, folder: Sequence[str]
+) -> tuple[Version, tuple[Document, ...]]:
     state = (await read_history(context.log)).state if not folder else None
     if state is None:
         return Version(0), tuple(read_documents(Path(folder[0])))
@@ -61,13 +63,13 @@
 
 
 def value_row(value: ExplainedValue) -> ValueRow:
-    """Return what is shown of a value."""
+    """Return the output row of a value."""
     if value.place is None:
         return ValueRow(value.key, value.value, "", 0)
-    return ValueRow(value.key, value.value, file_of(value.place.document), value.place.line)
+    return ValueRow(value.key, value.value, document_path(value.place.document), value.place.line)
 
 
-def _line(row: ValueRow) -> str:
+def _format_row(row: ValueRow) -> str:
     place = f"{row.file}:{row.line}" if row.file else "default"
     shown = ",".join(row.value) if isinstance(row.value, tuple) else row.value
     return f"{row.key} = {shown} ({place})"
--- a/packages/agatecross-cli/agatecross_cli/documents.py
+++ b/packages/agatecross-cli/agatecross_cli/documents.py
@@ -11,19 +11,19 @@
 
 
 def read_documents(folder: Path) -> Iterator[Document]:
-    """Yield the base and the overlays in the order of their names; raises `CommandError`."""
-    yield Document(BASE, _read(folder / "base.toml"))
+    """Yield the base, then the overlays sorted by name; raises `CommandError`."""
+    yield Document(BASE, _read_text(folder / "base.toml"))
     for path in sorted((folder / "overlays").glob("*.toml")):
         if path.stem == BASE:
             raise CommandError(ExitCode.FINDINGS, f"{path}:0: an overlay cannot be named {BASE!r}")
-        yield Document(DocumentName(path.stem), _read(path))
+        yield Document(DocumentName(path.stem), _read_text(path))
 
 
-def _read(path: Path) -> str:
+def _read_text(path: Path) -> str:
     try:
         return path.read_text(encoding="utf-8")
     except UnicodeDecodeError as error:
         line = path.read_bytes()[: error.start].count(b"\n") + 1
-        raise CommandError(ExitCode.FINDINGS, f"{path}:{line}: not UTF-8") from error
+        raise CommandError(ExitCode.FINDINGS, f"{path}:{line}: not valid UTF-8") from error
     except OSError as error:
         raise CommandError(ExitCode.USAGE, f"{path}: {error.strerror}") from error
--- a/packages/agatecross-cli/agatecross_cli/event_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/event_lines.py
@@ -1,4 +1,4 @@
-"""Reads the event lines that daemons write: one line of key=value pairs for each event."""
+"""Parses the event lines of daemon logs: one line of key=value pairs for each event."""
 
 import json
 import re
@@ -7,18 +7,18 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-# A value is plain, or a JSON string when it holds other characters. A quote that does not end the
-# value belongs to a later line, and the JSON string was cut off.
-PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"(?=\s|$)|\S*)')
+# A value is plain, or a JSON string if it contains other characters. A closing quote that does not
+# end the value belongs to a later line: the JSON string was truncated.
+PAIR_PATTERN = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"(?=\s|$)|\S*)')
 
-PROGRESS_EVENTS = 200_000
+EVENTS_PER_PROGRESS_LINE = 200_000
 
 
 @dataclass(frozen=True, slots=True)
 class EventLine:
-    """One event: its file and line, the process that wrote it, its Unix time in seconds, its pairs.
+    """One event: its file and line, its process, its Unix time in seconds, and its pairs.
 
-    The process is the name in front of the event, or the file when there is none.
+    `process` is the name before the event, or the file if the line has none.
     """
 
     file: str
@@ -29,12 +29,12 @@
 
     @property
     def event(self) -> str:
-        """Return the kind of event."""
+        """Return the name of the event."""
         return self.pairs["event"]
 
 
 def read_events(paths: Iterable[Path]) -> Iterator[EventLine]:
-    """Yield the events of the files; raises `OSError`. Other lines are passed over."""
+    """Yield the events of the files and skip other lines; raises `OSError`."""
     for path in paths:
         with path.open(encoding="utf-8", errors="replace") as lines:
             for number, text in enumerate(lines, 1):
@@ -42,16 +42,16 @@
                     yield from parse_event(str(path), number, text)
 
 
-def with_progress(events: Iterable[EventLine]) -> Iterator[EventLine]:
-    """Pass events on; a line on standard error shows that a long input is being read."""
+def report_progress(events: Iterable[EventLine]) -> Iterator[EventLine]:
+    """Yield the events and regularly report their number on standard error."""
     for number, row in enumerate(events, 1):
         yield row
-        if number % PROGRESS_EVENTS == 0:
+        if number % EVENTS_PER_PROGRESS_LINE == 0:
             print(f"agatecross: {number} events read", file=sys.stderr)
 
 
-def left_out_before(row: EventLine) -> int:
-    """Return how many events the process left out before this one."""
+def count_left_out(row: EventLine) -> int:
+    """Return how many events the daemon left out of the log before this one."""
     count = row.pairs.get("left_out", "")
     return int(count) if count.isdigit() else 0
 
@@ -59,38 +59,38 @@
 def parse_event(file: str, number: int, text: str) -> Iterator[EventLine]:
     """Yield the events of a line.
 
-    A log that several processes write to may hold the beginning of one's line and then another's.
-    Each event begins with its time, behind the name of its process. The last value of an event that
-    was cut off is left out.
+    In a log that several processes write to, a line may contain the beginning of one process's line
+    followed by another's. Each event begins with its time, after the name of its process. The last
+    value of a truncated event is dropped, because it may be incomplete.
     """
-    part = PartOfLine(file)
-    for match in PAIR.finditer(text):
+    builder = EventBuilder(file)
+    for match in PAIR_PATTERN.finditer(text):
         if match[1] == "time":
-            yield from part.event(file, number, cut=True)
-            name = text[part.end : match.start()].split()[-1:]
-            part = PartOfLine(name[0] if name else file)
-        part.add(match)
-    yield from part.event(file, number, cut=False)
+            yield from builder.build(file, number, truncated=True)
+            name = text[builder.end : match.start()].split()[-1:]
+            builder = EventBuilder(name[0] if name else file)
+        builder.add(match)
+    yield from builder.build(file, number, truncated=False)
 
 
-class PartOfLine:
-    """The pairs of one event of a line."""
+class EventBuilder:
+    """Collects the pairs of one event of a line."""
 
     def __init__(self, process: str) -> None:
         self.process = process
         self.pairs: dict[str, str] = {}
-        self.last = ""
+        self.last_key = ""
         self.end = 0
 
     def add(self, match: re.Match[str]) -> None:
-        """Keep the next pair."""
-        self.last, self.end = match[1], match.end()
-        self.pairs[match[1]] = _value(match[2])
-
-    def event(self, file: str, number: int, cut: bool) -> Iterator[EventLine]:
-        """Yield the event, if there is one."""
-        if cut:
-            self.pairs.pop(self.last, None)
+        """Add the next pair."""
+        self.last_key, self.end = match[1], match.end()
+        self.pairs[match[1]] = _decode_value(match[2])
+
+    def build(self, file: str, number: int, truncated: bool) -> Iterator[EventLine]:
+        """Yield the event, if the pairs form one."""
+        if truncated:
+            self.pairs.pop(self.last_key, None)
         try:
             time = float(self.pairs.get("time", "0"))
         except ValueError:
@@ -99,7 +99,7 @@
             yield EventLine(file, number, self.process, time, self.pairs)
 
 
-def _value(text: str) -> str:
+def _decode_value(text: str) -> str:
     if not text.startswith('"'):
         return text
     try:
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -39,15 +39,15 @@
 
 
 def parse_flags(argv: Sequence[str]) -> list[str]:
-    """Return the arguments without flags; exits with the code of a usage error."""
+    """Return the arguments without flags; exits with `ExitCode.USAGE` on errors."""
     try:
         return list(flags.FLAGS(argv))
     except flags.Error as error:
-        print(f"agatecross: {error}\n{usage()}", file=sys.stderr)
+        print(f"agatecross: {error}\n{usage_text()}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
 
 
-def usage() -> str:
+def usage_text() -> str:
     """Return the usage of every command."""
     rows = [f"  agatecross {command.usage}" for command in COMMANDS.values()]
     flag_names = (
@@ -60,15 +60,15 @@
     """Run one command and exit with its code."""
     command = COMMANDS.get(argv[1]) if len(argv) > 1 else None
     if command is None:
-        what = f"unknown command {argv[1]!r}" if len(argv) > 1 else "no command"
-        print(f"agatecross: {what}\n{usage()}", file=sys.stderr)
+        problem = f"unknown command {argv[1]!r}" if len(argv) > 1 else "no command"
+        print(f"agatecross: {problem}\n{usage_text()}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
-    if not command.least <= len(argv) - 2 <= command.most:
+    if not command.min_arguments <= len(argv) - 2 <= command.max_arguments:
         print(f"usage: agatecross {command.usage}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
-    wrong = [check_address(flag.value) for flag in (LOG, DAEMON)]
-    if any(wrong):
-        print(f"agatecross: {'; '.join(filter(None, wrong))}", file=sys.stderr)
+    address_errors = [check_address(flag.value) for flag in (LOG, DAEMON)]
+    if any(address_errors):
+        print(f"agatecross: {'; '.join(filter(None, address_errors))}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
     result = asyncio.run(run_command(command, argv[2:]))
     print(FORMATTERS[FORMAT.value](result))
@@ -76,7 +76,7 @@
 
 
 async def run_command(command: Command, arguments: Sequence[str]) -> Result:
-    """Run a command with the outside systems that the flags name."""
+    """Run a command with the log service and the daemon that the flags name."""
     http = TornadoHttpClient()
     context = Context(
         HttpLogService(Address(LOG.value), http),
@@ -91,22 +91,22 @@
 
 
 async def execute(command: Command, context: Context, arguments: Sequence[str]) -> Result:
-    """Run a command; failures that it does not handle become results."""
+    """Run a command and turn its errors into results."""
     try:
         return await command.run(context, arguments)
     except LogError as error:
         message = f"log service unreachable: {error}"
-        return failure(ExitCode.LOG_UNREACHABLE, message)
+        return failure_result(ExitCode.LOG_UNREACHABLE, message)
     except CommandError as error:
-        return failure(error.code, str(error))
+        return failure_result(error.code, str(error))
 
 
-def failure(code: ExitCode, message: str) -> Result:
+def failure_result(code: ExitCode, message: str) -> Result:
     """Report a failure on standard error and return its result."""
     print(f"agatecross: {message}", file=sys.stderr)
     return Result(code, (), {"error": message})
 
 
 def run() -> None:
-    """Run the binary."""
+    """Run `agatecross`."""
     app.run(main, flags_parser=parse_flags)
--- a/packages/agatecross-daemon/agatecross_daemon/events.py
+++ b/packages/agatecross-daemon/agatecross_daemon/events.py
@@ -1,10 +1,12 @@
-"""One log line of key=value pairs for each event."""
+"""Structured log events, one line of key=value pairs each."""
 
 import json
 
 from absl import logging
 
-PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-,@")
+UNQUOTED_CHARACTERS = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/+-,@"
+)
 
 
 def log_event(event: str, **fields: object) -> None:
@@ -18,11 +20,13 @@
 
 
 def format_event(event: str, fields: dict[str, object]) -> str:
-    """Return the pairs in order; values with other than plain characters are quoted."""
+    """Return the pairs in order; values with characters that need quoting are JSON strings."""
     pairs = {"event": event, **fields}
-    return " ".join(f"{key}={_value(value)}" for key, value in pairs.items())
+    return " ".join(f"{key}={_format_value(value)}" for key, value in pairs.items())
 
 
-def _value(value: object) -> str:
+def _format_value(value: object) -> str:
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
-    return text if text and set(text) <= PLAIN else json.dumps(text, ensure_ascii=False)
+    return (
+        text if text and set(text) <= UNQUOTED_CHARACTERS else json.dumps(text, ensure_ascii=False)
+    )
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetChanged:
-    """The endpoints that take calls changed; `daemons` counts the known daemons."""
+    """The endpoints that accept calls changed; `daemons` is the number of known daemons."""
 
     by_service: Mapping[ServiceName, tuple[Endpoint, ...]]
     daemons: int
@@ -32,22 +32,22 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainPlanned:
-    """The daemon is stopping; the plan tells which calls it still takes."""
+    """The daemon is stopping; the plan tells which calls it still accepts."""
 
     plan: DrainPlan
 
 
 @dataclass(frozen=True, slots=True)
-class HandOver:
-    """Run this call next to the upstream; `reply` gets the result once."""
+class RunHandover:
+    """Run this call on the local upstream; `reply` is called once with the result."""
 
     handover: Handover
     reply: ResultReceiver
 
 
 @dataclass(frozen=True, slots=True)
-class SendTo:
-    """Hand a call over to the daemon next to the chosen upstream."""
+class SendHandover:
+    """Hand a call over to the daemon of the chosen upstream."""
 
     daemon_id: DaemonId
     handover: Handover
@@ -55,8 +55,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CancelAt:
-    """The caller no longer waits for a handover to this daemon."""
+class CancelRemoteHandover:
+    """Cancel a handover at the daemon with this id: the caller no longer waits for it."""
 
     daemon_id: DaemonId
     handover_id: HandoverId
@@ -64,14 +64,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelHandover:
-    """The entry daemon no longer waits for this handover."""
+    """Cancel a handover here: the entry daemon no longer waits for it."""
 
     handover_id: HandoverId
 
 
 @dataclass(frozen=True, slots=True)
 class ResumeHandover:
-    """The entry daemon lost its connection and asks again."""
+    """The entry daemon lost its connection and asks for the result again."""
 
     handover_id: HandoverId
     reply: ResultReceiver
@@ -79,16 +79,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReceived:
-    """The upstream next to this daemon described itself."""
+    """The local upstream sent a heartbeat."""
 
-    beat: Heartbeat
+    heartbeat: Heartbeat
 
 
 @dataclass(frozen=True, slots=True)
 class LeaveReceived:
-    """The upstream next to this daemon takes no more new calls.
+    """The local upstream is leaving and accepts no new calls.
 
-    `reply` gets whether the leave is confirmed; without it, the leave was confirmed earlier.
+    `reply` is told whether the leave is confirmed; without it, the leave was confirmed earlier.
     """
 
     instance: InstanceId
@@ -97,35 +97,38 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainsLearnt:
-    """What the store keeps of drains that this daemon confirmed before it restarted is known."""
+class DrainsLoaded:
+    """The drains that this daemon confirmed before a restart were loaded from the store."""
 
 
 @dataclass(frozen=True, slots=True)
-class DrainKept:
-    """The store keeps the drain of this start of an upstream."""
+class DrainStored:
+    """The drain of this upstream process is saved in the store."""
 
     instance: InstanceId
     born: int
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamDescribed:
-    """What the daemon tells its peers of the upstream next to it."""
+class OwnEndpointChanged:
+    """Changed fields of the endpoint that this daemon announces for its local upstream."""
 
     changes: Mapping[str, object]
 
 
 @dataclass(frozen=True, slots=True)
-class LogReached:
-    """Whether the platform's log answered lately; `latency` is its shortest answer, 0 if none."""
+class StoreReachability:
+    """Whether the platform's store answered recently.
 
-    reached: bool
+    `latency` is the shortest time that it took to answer, 0 if it did not.
+    """
+
+    reachable: bool
     latency: Millis
 
 
 @dataclass(frozen=True, slots=True)
-class StrikesLearnt:
-    """Requests that ran when an upstream died, here or at a peer."""
+class StrikesReported:
+    """Requests that were running when an upstream died, here or at a peer."""
 
     strikes: tuple[Strike, ...]
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the daemon, read from TOML and checked whole."""
+"""Settings of the daemon with the project's own interface: TOML schema and validation."""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
@@ -18,7 +18,7 @@
 from .settings_file import check_tables, read_settings
 from .telemetry import TelemetrySettings
 
-TOP_KEYS: Mapping[str, Key] = {
+TOP_LEVEL_KEYS: Mapping[str, Key] = {
     "daemon": Key(dict, required=True),
     "log": Key(dict, required=True),
     "policy": Key(dict),
@@ -51,7 +51,7 @@
 
 
 DEFAULT_TELEMETRY = TelemetrySettings()
-TABLES: Mapping[str, Mapping[str, Key]] = {
+TABLE_KEYS: Mapping[str, Mapping[str, Key]] = {
     "daemon": DAEMON_KEYS,
     "log": LOG_KEYS,
     "policy": POLICY_KEYS,
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Settings of one daemon; `seed` makes its random choices repeatable."""
+    """Settings of one daemon; `seed` makes its random choices reproducible."""
 
     daemon_id: DaemonId
     region: RegionName
@@ -80,20 +80,20 @@
 
 
 def load_settings(path: Path) -> Settings:
-    """Read the settings; raises `SettingsError` with every finding."""
+    """Read the settings file; raises `SettingsError` with every finding."""
     return fleet_settings(read_settings(path))
 
 
 def fleet_settings(decoded: DecodedDocument) -> Settings:
-    """Return the settings; raises `SettingsError` with every finding."""
-    findings = list(sort_findings(_check(decoded)))
+    """Validate and return the settings; raises `SettingsError` with every finding."""
+    findings = list(sort_findings(_check_settings(decoded)))
     if findings:
         raise SettingsError("\n".join(str(finding) for finding in findings))
-    return _build(decoded.values)
+    return _build_settings(decoded.values)
 
 
-def _check(decoded: DecodedDocument) -> Iterator[Finding]:
-    yield from check_tables(decoded, TOP_KEYS, TABLES)
+def _check_settings(decoded: DecodedDocument) -> Iterator[Finding]:
+    yield from check_tables(decoded, TOP_LEVEL_KEYS, TABLE_KEYS)
     yield from _check_ports(decoded)
     yield from _check_address_map(decoded)
 
@@ -112,18 +112,18 @@
     daemon = decoded.values.get("daemon")
     if not isinstance(daemon, Mapping):
         return
-    taken: dict[object, str] = {}
+    first_uses: dict[object, str] = {}
     for name in PORT_KEYS:
         port = daemon.get(name)
         if not isinstance(port, int):
             continue
-        if port in taken:
-            message = f"{taken[port]!r} has the same port"
+        if port in first_uses:
+            message = f"{first_uses[port]!r} has the same port"
             yield Finding(decoded.place(("daemon", name)), "same-port", message)
-        taken.setdefault(port, name)
+        first_uses.setdefault(port, name)
 
 
-def _build(values: Mapping[str, object]) -> Settings:
+def _build_settings(values: Mapping[str, object]) -> Settings:
     daemon, log, policy = _table(values, "daemon"), _table(values, "log"), _table(values, "policy")
     host = daemon["host"]
     addresses = _table(values, "address_map").items()
--- a/packages/agatecross-daemon/agatecross_daemon/settings_file.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings_file.py
@@ -1,4 +1,4 @@
-"""Reads a settings file and checks its tables."""
+"""Reads a settings file and validates its tables."""
 
 from collections.abc import Iterator, Mapping
 from pathlib import Path
@@ -13,11 +13,11 @@
 
 
 def read_settings(path: Path) -> DecodedDocument:
-    """Return the decoded file; raises `SettingsError` or `OSError`."""
+    """Read and decode the file; raises `SettingsError` or `OSError`."""
     try:
         document = Document(DocumentName(str(path)), path.read_text(encoding="utf-8"))
     except UnicodeDecodeError as error:
-        raise SettingsError(f"{path}: not UTF-8") from error
+        raise SettingsError(f"{path}: not valid UTF-8") from error
     try:
         return decode_toml(document)
     except DocumentSyntaxError as error:
@@ -25,10 +25,12 @@
 
 
 def check_tables(
-    decoded: DecodedDocument, top: Mapping[str, Key], tables: Mapping[str, Mapping[str, Key]]
+    decoded: DecodedDocument,
+    top_level_keys: Mapping[str, Key],
+    tables: Mapping[str, Mapping[str, Key]],
 ) -> Iterator[Finding]:
-    """Yield the findings of the top level and of each table that is there."""
-    yield from check_table(decoded.place, decoded.values, top, ())
+    """Yield the findings of the top level and of each table that is present."""
+    yield from check_table(decoded.place, decoded.values, top_level_keys, ())
     for name, keys in tables.items():
         table = decoded.values.get(name)
         if isinstance(table, Mapping):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -40,7 +40,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event
-from ..mailbox import Mailbox, Sender, monotonic, new_ask
+from ..mailbox import Mailbox, Sender, monotonic_ms, new_ask
 from ..messages import ConfigInForce, Leaving, ViewChanged
 from .call_driver import CallDriver
 from .claims_task import ClaimAsk
@@ -124,7 +124,7 @@
         if route is None:
             return not_run_result(Reason.NO_ROUTE)
         policy = site.services[route.service]
-        call = _new_call(request, policy, monotonic())
+        call = _new_call(request, policy, monotonic_ms())
         fingerprint = fingerprint_of(call.service, call.request)
         if self.quarantine.quarantined(fingerprint):
             return not_run_result(Reason.QUARANTINED)
@@ -178,7 +178,7 @@
             )
 
     def _choose(self, request: ChoiceRequest) -> Candidate | None:
-        return self.balancer.choose(request, monotonic())
+        return self.balancer.choose(request, monotonic_ms())
 
 
 def _new_call(request: Request, policy: ServicePolicy, now: Millis) -> Call:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -45,7 +45,7 @@
 from agatecross_core.states import AppendState
 
 from ..events import log_warning
-from ..mailbox import Ask, Mailbox, Sender, monotonic
+from ..mailbox import Ask, Mailbox, Sender, monotonic_ms
 from .control_task import ControlAsk, ReceivedAsk, send_control
 from .subtasks import Subtasks
 
@@ -91,13 +91,13 @@
 
     def _handle(self, message: ClaimsMessage) -> None:
         if not isinstance(message, Ask):
-            self._execute_actions(self.decider.handle(message, monotonic()))
-        elif isinstance(message.question, Submit):
-            submit = message.question
+            self._execute_actions(self.decider.handle(message, monotonic_ms()))
+        elif isinstance(message.payload, Submit):
+            submit = message.payload
             self.asks[submit.call_id] = message
-            self._execute_actions(self.decider.handle(submit, monotonic()))
+            self._execute_actions(self.decider.handle(submit, monotonic_ms()))
         else:
-            request = message.question.message
+            request = message.payload.message
             assert isinstance(request, OutcomeRequest)
             message.answer(self.decider.reply(request))
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -44,7 +44,7 @@
             await self.transport.close()
 
     async def _send(self, ask: ControlAsk) -> None:
-        outgoing = ask.question
+        outgoing = ask.payload
         try:
             ask.answer(
                 await self.transport.request(outgoing.peer, outgoing.message, outgoing.timeout)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -21,19 +21,19 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
+from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import (
-    CancelAt,
+    CancelRemoteHandover,
     DrainPlanned,
     FleetChanged,
-    SendTo,
-    StrikesLearnt,
+    SendHandover,
+    StrikesReported,
     TableInForce,
 )
 from ..relay_metrics import RelayMetrics
 from .relayed_call import CallContext, RelayedCall
 
-EntryMessage = TableInForce | FleetChanged | StrikesLearnt | DrainPlanned
+EntryMessage = TableInForce | FleetChanged | StrikesReported | DrainPlanned
 HANDOVER_COUNTER_BITS = 40
 # Applies to requests that do not state the time left until their deadline.
 DEFAULT_CALL_TIMEOUT = Millis(60_000)
@@ -57,12 +57,12 @@
         names: HeaderNames,
         balancer: LowestCostBalancer,
         new_budget: Callable[[], FleetRetryBudget],
-        links: Sender[SendTo | CancelAt],
+        links: Sender[SendHandover | CancelRemoteHandover],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.caller_service = service.encode("latin-1")
         self.address = address
         self.names = names
@@ -106,9 +106,9 @@
                 self.drain_plan = plan
             case FleetChanged(by_service, daemons):
                 self.fleet, self.daemon_count = by_service, daemons
-            case StrikesLearnt(strikes):
-                if self.strikes.add_strikes(strikes, monotonic()):
-                    self.log.change("strikes_learnt", fingerprints=len(strikes))
+            case StrikesReported(strikes):
+                if self.strikes.add_strikes(strikes, monotonic_ms()):
+                    self.log.write_change("strikes_learnt", fingerprints=len(strikes))
 
     def _handle_request(self, exchange: Exchange) -> None:
         table = self.table
@@ -122,7 +122,7 @@
             return
         context = self._call_context(exchange, route, table.version)
         if self.drain_plan is not None and not self.drain_plan.admits(
-            monotonic(), context.deadline
+            monotonic_ms(), context.deadline
         ):
             self._refuse(exchange, UNAVAILABLE, Reason.LEAVING, table.version)
             return
@@ -138,7 +138,7 @@
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
             endpoints = self.fleet.get(service, ())
-            endpoint = self.balancer.choose(endpoints, tried, route.name, monotonic())
+            endpoint = self.balancer.choose(endpoints, tried, route.name, monotonic_ms())
             if endpoint is not None:
                 self.balancer.record_start(endpoint)
             return endpoint
@@ -146,13 +146,13 @@
         flow = relay(
             RelayPolicy(route.repeat, route.attempts),
             choose,
-            lambda: Millis(self._latest_attempt_start(context) - monotonic()),
-            lambda: budget.take(self.daemon_count, monotonic()),
+            lambda: Millis(self._latest_attempt_start(context) - monotonic_ms()),
+            lambda: budget.take(self.daemon_count, monotonic_ms()),
         )
 
         def choose_hedge(tried: DaemonId) -> Endpoint | None:
             endpoints = self.fleet.get(service, ())
-            now = monotonic()
+            now = monotonic_ms()
             endpoint = self.balancer.choose(endpoints, (tried,), route.name, now)
             if endpoint is None or not self.balancer.has_spare_capacity(endpoint, now):
                 return None
@@ -207,23 +207,23 @@
 
     def _is_quarantined(self, context: CallContext) -> bool:
         fingerprint = relay_fingerprint(context.service, context.request)
-        return self.strikes.quarantined(fingerprint, monotonic())
+        return self.strikes.quarantined(fingerprint, monotonic_ms())
 
     def _new_handover_id(self) -> HandoverId:
         return HandoverId(next(self.handover_ids))
 
     def _call_ended(self, call: RelayedCall, result: RelayResult) -> None:
         response = self._response_for(result)
-        took = monotonic() - call.exchange.arrived
+        took = monotonic_ms() - call.exchange.arrived
         route = call.context.route
-        self.metrics.call_ended(call.context.service, result, took)
+        self.metrics.count_call(call.context.service, result, took)
         failed = (
             result.outcome is not Outcome.RAN
             or call.attempts > 1
             or response.status >= SERVER_ERROR
         )
-        if failed or self.log.wants_served():
-            write_line = self.log.call_failed if failed else self.log.call_served
+        if failed or self.log.should_write_served_call():
+            write_line = self.log.write_failed_call if failed else self.log.write_served_call
             write_line(
                 "call",
                 call_id=call.context.call_id,
@@ -245,8 +245,8 @@
 
     def _refuse(self, exchange: Exchange, status: int, reason: Reason, version: int) -> None:
         call_ids = [value for name, value in exchange.request.headers if name == self.names.call_id]
-        self.metrics.refused(reason)
-        self.log.call_failed(
+        self.metrics.count_refusal(reason)
+        self.log.write_failed_call(
             "call_refused",
             call_id=call_ids[0].decode("latin-1") if call_ids else "",
             host=exchange.host,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -40,26 +40,26 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
+from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import (
     CancelHandover,
-    DrainKept,
-    DrainsLearnt,
-    HandOver,
+    DrainsLoaded,
+    DrainStored,
     HeartbeatReceived,
     LeaveReceived,
+    OwnEndpointChanged,
     ResultReceiver,
     ResumeHandover,
-    StrikesLearnt,
-    UpstreamDescribed,
+    RunHandover,
+    StrikesReported,
 )
 
 ExitMessage = (
-    HandOver
+    RunHandover
     | CancelHandover
     | ResumeHandover
-    | DrainsLearnt
-    | DrainKept
+    | DrainsLoaded
+    | DrainStored
     | HeartbeatReceived
     | LeaveReceived
 )
@@ -105,12 +105,12 @@
         announcements: HeartbeatFilter,
         heartbeat_period: Millis,
         names: HeaderNames,
-        peers: Sender[UpstreamDescribed | StrikesLearnt],
+        peers: Sender[OwnEndpointChanged | StrikesReported],
         log: DecisionLog,
     ) -> None:
         self.daemon_id = daemon_id
         self.mailbox = mailbox
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.announcements = announcements
         self.lease = Millis(heartbeat_period * MISSED_HEARTBEATS_LIMIT)
         self.names = names
@@ -124,7 +124,7 @@
         self.state = UpstreamState.STARTING
         self.unreachable_until = Millis(0)
         self.lost_calls: list[tuple[Millis, Handover]] = []
-        self.started_at = monotonic()
+        self.started_at = monotonic_ms()
         self.heartbeats_enabled = False
         self.early_heartbeats: list[Heartbeat] = []
         self.leave_replies = LeaveReplies()
@@ -135,7 +135,7 @@
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
-                self._tick(monotonic())
+                self._tick(monotonic_ms())
         finally:
             self.pool.close()
 
@@ -159,26 +159,26 @@
 
     def _handle(self, message: ExitMessage) -> None:
         match message:
-            case HandOver(handover, reply):
+            case RunHandover(handover, reply):
                 self._handle_handover(handover, reply)
             case CancelHandover(handover_id):
                 self._cancel_call(handover_id)
             case ResumeHandover(handover_id, reply):
                 self._resume_call(handover_id, reply)
-            case DrainsLearnt():
+            case DrainsLoaded():
                 self._enable_heartbeats()
             case HeartbeatReceived(beat):
                 if self.heartbeats_enabled:
                     self._handle_heartbeat(beat)
                 else:
                     self.early_heartbeats.append(beat)
-            case DrainKept(instance, born):
+            case DrainStored(instance, born):
                 self.leave_replies.drain_stored((instance, born))
             case LeaveReceived():
                 self._handle_leave(message)
 
     def _handle_handover(self, handover: Handover, reply: ResultReceiver) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if not self.ledger.accept(handover.handover_id, now):
             self._resume_call(handover.handover_id, reply)
             return
@@ -226,13 +226,13 @@
                 self._start(call)
 
     def _start(self, call: ExitCall) -> None:
-        left = Millis(call.deadline - monotonic())
+        left = Millis(call.deadline - monotonic_ms())
         call.sending = self.pool.send(
             call.handover, left, lambda done: self._on_upstream_result(call, done)
         )
 
     def _on_upstream_result(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if done is UpstreamFailure.CONNECTION_LOST and call.reply is not None:
             self._record_lost_call(call, now)
         result = self._relay_result(call, done)
@@ -271,7 +271,7 @@
         )
         self.ledger.finish(call.handover.handover_id, full_result)
         if result.reason is not None:
-            self.log.call_failed(
+            self.log.write_failed_call(
                 "handover_failed",
                 call_id=call.handover.call_id,
                 service=call.handover.service,
@@ -279,7 +279,7 @@
                 outcome=result.outcome.value,
                 reason=result.reason.value,
                 load=self.queue.load,
-                left_ms=int(call.deadline - monotonic()),
+                left_ms=int(call.deadline - monotonic_ms()),
                 read=call.sending.bytes_read if call.sending is not None else 0,
             )
         reply, call.reply = call.reply, None
@@ -321,7 +321,7 @@
             call.sending.cancel()
 
     def _resume_call(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
-        result = self.ledger.resume(handover_id, monotonic())
+        result = self.ledger.resume(handover_id, monotonic_ms())
         if result is not None:
             reply(handover_id, result)
             return
@@ -337,9 +337,11 @@
             self._handle_heartbeat(beat)
 
     def _handle_heartbeat(self, beat: Heartbeat) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if not self.announcements.accept(beat, now):
-            self.log.change("heartbeat_ignored", instance=beat.instance, sequence=beat.sequence)
+            self.log.write_change(
+                "heartbeat_ignored", instance=beat.instance, sequence=beat.sequence
+            )
             return
         left = (beat.instance, beat.born) in self.announcements.leaving_starts
         state = UpstreamState.DRAINING if left else beat.state
@@ -356,7 +358,7 @@
                 leave.reply(leave.born is not None)
             return
         if leave.reply is not None:
-            self.leave_replies.wait(start, leave.reply, monotonic())
+            self.leave_replies.wait(start, leave.reply, monotonic_ms())
         elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
             # Every peer reports the same earlier drain.
             return
@@ -372,20 +374,22 @@
     def _set_upstream_state(
         self, instance: InstanceId, state: UpstreamState, changes: dict[str, object]
     ) -> None:
-        self.log.change(
+        self.log.write_change(
             "upstream_changed", instance=instance, state=state.value, was=self.state.value
         )
         self.instance, self.state = instance, state
         if state is UpstreamState.DRAINING:
             self._execute_actions(self.queue.refuse_all(Reason.LEAVING))
-        self.peers.put(UpstreamDescribed({"instance": instance, "state": state, **changes}))
+        self.peers.put(OwnEndpointChanged({"instance": instance, "state": state, **changes}))
 
     def _on_unreachable(self, how: Unreachable) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         if how is Unreachable.REFUSED:
             self._report_death(now)
         if now >= self.unreachable_until:
-            self.log.change("upstream_unreachable", instance=self.instance or "", how=how.value)
+            self.log.write_change(
+                "upstream_unreachable", instance=self.instance or "", how=how.value
+            )
         self.unreachable_until = Millis(now + UNREACHABLE_BACKOFF)
         self._execute_actions(self.queue.refuse_all(Reason.NO_UPSTREAM))
 
@@ -401,12 +405,12 @@
             Strike(relay_fingerprint(handover.service, handover.request), self.daemon_id, died)
             for handover in handovers
         )
-        self.log.change("upstream_died", instance=self.instance or "", running=len(handovers))
-        self.peers.put(StrikesLearnt(strikes))
+        self.log.write_change("upstream_died", instance=self.instance or "", running=len(handovers))
+        self.peers.put(StrikesReported(strikes))
 
     def _tick(self, now: Millis) -> None:
         if not self.heartbeats_enabled and now - self.started_at > DRAINS_READ_TIMEOUT:
-            self.log.change("drains_not_read", waited_ms=int(now - self.started_at))
+            self.log.write_change("drains_not_read", drain_ms=int(now - self.started_at))
             self._enable_heartbeats()
         silent = now - self.announcements.received_at > self.lease
         current = self.announcements.current
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -10,8 +10,8 @@
 from agatecross_core.relay.model import Handover, RelayResult
 
 from ..decision_log import DecisionLog
-from ..mailbox import Sender, monotonic
-from ..relay_messages import CancelHandover, HandOver, ResultReceiver, ResumeHandover
+from ..mailbox import Sender, monotonic_ms
+from ..relay_messages import CancelHandover, ResultReceiver, ResumeHandover, RunHandover
 from .config_distributor import ReplySender
 from .exit_task import ExitMessage
 
@@ -89,7 +89,7 @@
     def _on_close(self, connection: FrameConnection) -> None:
         inbound = self.connections.pop(connection, None)
         if inbound is not None:
-            now = monotonic()
+            now = monotonic_ms()
             self.orphans += [(now, handover_id) for handover_id in inbound.handovers]
 
     def _on_frame(self, connection: FrameConnection, frame: bytes) -> None:
@@ -97,7 +97,7 @@
         try:
             message = decode_hop_message(frame)
         except MessageDecodeError as error:
-            self.log.change(
+            self.log.write_change(
                 "peer_message_malformed", peer=inbound.daemon_id or "", reason=str(error)
             )
             connection.abort()
@@ -105,7 +105,7 @@
         match message:
             case Handover():
                 inbound.handovers.add(message.handover_id)
-                self.exit.put(HandOver(message, self._result_sender(inbound)))
+                self.exit.put(RunHandover(message, self._result_sender(inbound)))
             case Cancel(handover_id):
                 inbound.handovers.discard(handover_id)
                 self.exit.put(CancelHandover(handover_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -52,12 +52,12 @@
 from agatecross_core.states import MemberState
 
 from ..events import log_event, log_warning
-from ..mailbox import Mailbox, Sender, monotonic
+from ..mailbox import Mailbox, Sender, monotonic_ms
 from ..messages import (
+    BroadcastStrikes,
     ConfigInForce,
     GossipReceived,
     Leaving,
-    SpreadStrikes,
     Tick,
     UpstreamChanged,
     ViewChanged,
@@ -116,7 +116,7 @@
     | UpstreamChanged
     | Leaving
     | Tick
-    | SpreadStrikes
+    | BroadcastStrikes
     | ProbeAnswered
     | HelperAnswered
     | IndirectAnswered
@@ -168,7 +168,7 @@
             self.subtasks.cancel()
 
     def _handle(self, message: MembersMessage) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         self._execute_actions(self.swim.detect_pause(now))
         match message:
             case Tick():
@@ -180,7 +180,7 @@
                 self._update_self(replace(self.swim.me, upstream=upstream))
             case Leaving():
                 self._update_self(replace(self.swim.me, state=MemberState.LEAVING))
-            case SpreadStrikes(strikes, clearances):
+            case BroadcastStrikes(strikes, clearances):
                 self.reports.add(strikes, clearances, now)
             case AnnouncementsRead():
                 self._announcements_read(message, now)
@@ -201,7 +201,7 @@
                 self._handle_request(message, now)
 
     def _handle_request(self, ask: ReceivedAsk, now: Millis) -> None:
-        match ask.question.message:
+        match ask.payload.message:
             case Probe(sender, target, gossip):
                 self._handle_gossip(sender, gossip, now)
                 ask.answer(self._probe_ack(sender, target))
@@ -258,7 +258,7 @@
 
     def _confirm_unreachable(self, target: Member, sent_at: Millis) -> None:
         log_event("member_unreachable", peer=target.daemon_id)
-        self._execute_actions(self.swim.indirect_probe_failed(target, sent_at, monotonic()))
+        self._execute_actions(self.swim.indirect_probe_failed(target, sent_at, monotonic_ms()))
 
     def _sync_answered(self, message: SyncAnswered, now: Millis) -> None:
         reply = message.reply
@@ -328,7 +328,7 @@
 
     def _probe_member(self, target: Member, introduce: bool = False) -> None:
         probe = self._new_probe(target.daemon_id, introduce)
-        sent_at = monotonic()
+        sent_at = monotonic_ms()
         self._start_exchange(
             target.control_address,
             probe,
@@ -346,7 +346,7 @@
         return Probe(identity_of(self.swim.me), target, self._next_gossip(target, introduce))
 
     def _probe_through(self, target: Member, helpers: tuple[Member, ...]) -> None:
-        sender, sent_at = identity_of(self.swim.me), monotonic()
+        sender, sent_at = identity_of(self.swim.me), monotonic_ms()
         message = IndirectProbe(
             sender, target.daemon_id, target.control_address, self._next_gossip()
         )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -20,7 +20,7 @@
 )
 from agatecross_core.states import Reason
 
-from ..mailbox import monotonic
+from ..mailbox import monotonic_ms
 from ..relay_messages import ResultReceiver
 
 CONNECT_TIMEOUT = 0.5
@@ -80,11 +80,11 @@
         self.connection: FrameConnection | None = None
         self.incarnation: Incarnation | None = None
         self.pending: dict[HandoverId, PendingHandover] = {}
-        self.last_received_at = monotonic()
+        self.last_received_at = monotonic_ms()
         self.last_ping_at = Millis(0)
         self.awaiting_pong = False
         self.failed_dials = 0
-        self.down_since: Millis | None = monotonic()
+        self.down_since: Millis | None = monotonic_ms()
         self.dialer = asyncio.ensure_future(self._dial())
 
     @property
@@ -102,7 +102,7 @@
         if self.state is not LinkState.OPEN:
             reply(handover.handover_id, not_run_result(Reason.CONNECT_FAILED))
             return
-        deadline = Millis(monotonic() + handover.time_left)
+        deadline = Millis(monotonic_ms() + handover.time_left)
         self.pending[handover.handover_id] = PendingHandover(handover, reply, deadline)
         self.send(handover)
 
@@ -163,7 +163,7 @@
 
     def _on_open(self, connection: FrameConnection) -> None:
         self.connection = connection
-        self.last_received_at = monotonic()
+        self.last_received_at = monotonic_ms()
         self.awaiting_pong = False
         self.send(self.hello())
 
@@ -172,11 +172,11 @@
             return
         self.connection = None
         self.state = LinkState.DIALING
-        self.down_since = monotonic()
+        self.down_since = monotonic_ms()
         self.dialer = asyncio.ensure_future(self._dial())
 
     def _on_frame(self, connection: FrameConnection, frame: bytes) -> None:
-        self.last_received_at = monotonic()
+        self.last_received_at = monotonic_ms()
         try:
             message = decode_hop_message(frame)
         except MessageDecodeError:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -26,17 +26,17 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
+from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import (
-    CancelAt,
     CancelHandover,
+    CancelRemoteHandover,
     FleetChanged,
-    HandOver,
     LeaveReceived,
-    LogReached,
-    SendTo,
-    StrikesLearnt,
-    UpstreamDescribed,
+    OwnEndpointChanged,
+    RunHandover,
+    SendHandover,
+    StoreReachability,
+    StrikesReported,
 )
 from ..relay_metrics import RelayMetrics
 from ..source_messages import (
@@ -45,9 +45,9 @@
     DeltaReceived,
     DrainConfirmed,
     EndpointsRead,
+    FullConfigNeeded,
     LinksChanged,
-    PeerForgotten,
-    PullNeeded,
+    PeerRemoved,
 )
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
@@ -55,13 +55,13 @@
 from .peer_link import PING_PERIOD, REMOTE_PING_PERIOD, PeerLink
 
 PeersMessage = (
-    StrikesLearnt
-    | SendTo
-    | CancelAt
-    | UpstreamDescribed
-    | LogReached
+    StrikesReported
+    | SendHandover
+    | CancelRemoteHandover
+    | OwnEndpointChanged
+    | StoreReachability
     | ConfigChanged
-    | PullNeeded
+    | FullConfigNeeded
     | EndpointsRead
 )
 TICK_SECONDS = 0.1
@@ -82,15 +82,15 @@
         address: Address,
         directory: Directory,
         exit_box: Sender[ExitMessage],
-        entry: Sender[FleetChanged | StrikesLearnt],
+        entry: Sender[FleetChanged | StrikesReported],
         source: Sender[
-            ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
+            ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerRemoved
         ],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.address = address
         self.directory = directory
         self.exit = exit_box
@@ -129,7 +129,7 @@
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
-                self._tick(monotonic())
+                self._tick(monotonic_ms())
         finally:
             for link in self.links.values():
                 link.close()
@@ -145,21 +145,21 @@
         if self.server is not None:
             self.server.close()
         self.inbound.finish()
-        deadline = monotonic() + limit
-        while self.inbound.connections and monotonic() < deadline:
+        deadline = monotonic_ms() + limit
+        while self.inbound.connections and monotonic_ms() < deadline:
             await asyncio.sleep(FINISH_POLL_SECONDS)
 
     def _handle(self, message: PeersMessage) -> None:
         match message:
-            case SendTo(daemon_id, handover, reply):
+            case SendHandover(daemon_id, handover, reply):
                 self._send_to(daemon_id, handover, reply)
-            case CancelAt(daemon_id, handover_id):
+            case CancelRemoteHandover(daemon_id, handover_id):
                 self._cancel_at(daemon_id, handover_id)
-            case UpstreamDescribed(changes):
+            case OwnEndpointChanged(changes):
                 self._announce_self(self.directory.update(**changes))
                 if self.directory.me.state is UpstreamState.DRAINING:
                     self.source.put(DrainConfirmed(self.directory.me))
-            case LogReached(reached, latency):
+            case StoreReachability(reached, latency):
                 me = self.directory.me
                 if (reached, latency) != (me.reads_log, me.log_latency):
                     self._announce_self(
@@ -167,11 +167,11 @@
                     )
             case ConfigChanged():
                 self.config_distributor.config_changed(message, self.open_links)
-            case PullNeeded(version):
+            case FullConfigNeeded(version):
                 self.config_distributor.pull_from_region(version)
             case EndpointsRead(endpoints):
                 self._merge_endpoints(endpoints)
-            case StrikesLearnt(strikes):
+            case StrikesReported(strikes):
                 self._record_strikes(strikes)
                 for link in self.links.values():
                     link.send(Strikes(strikes))
@@ -183,7 +183,7 @@
         reply: Callable[[HandoverId, RelayResult], None],
     ) -> None:
         if daemon_id == self.directory.me.daemon_id:
-            self.exit.put(HandOver(handover, reply))
+            self.exit.put(RunHandover(handover, reply))
             return
         link = self.links.get(daemon_id)
         if link is None:
@@ -215,7 +215,7 @@
             self._announce_self(self.directory.me)
         for endpoint in updated:
             self._dial(endpoint)
-            self.log.change(
+            self.log.write_change(
                 "endpoint_learnt",
                 daemon=endpoint.daemon_id,
                 incarnation=endpoint.incarnation,
@@ -312,7 +312,7 @@
 
     def _record_strikes(self, strikes: tuple[Strike, ...]) -> None:
         self.strikes.extend(strike for strike in strikes if strike not in self.strikes)
-        self.entry.put(StrikesLearnt(strikes))
+        self.entry.put(StrikesReported(strikes))
 
     def _handle_peer_message(
         self, message: HopMessage, send_reply: Callable[[HopMessage], None], peer: DaemonId | None
@@ -320,11 +320,11 @@
         match message:
             case Hello(_, _, version, endpoints):
                 self._merge_endpoints(endpoints)
-                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic())
+                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic_ms())
             case Endpoints(endpoints):
                 self._merge_endpoints(endpoints)
             case Ping(_, version):
-                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic())
+                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic_ms())
             case ConfigBlob() | ConfigDelta():
                 self.config_distributor.config_received(message, peer)
             case Strikes(strikes):
@@ -332,7 +332,7 @@
             case Pull(version):
                 self.config_distributor.answer_pull(version, send_reply)
             case _:
-                self.log.change("peer_message_unexpected", kind=type(message).__name__)
+                self.log.write_change("peer_message_unexpected", kind=type(message).__name__)
 
     def _tick(self, now: Millis) -> None:
         for link in list(self.links.values()):
@@ -346,7 +346,7 @@
         open_links = frozenset(i for i, link in self.links.items() if link.is_open)
         if open_links == self.open_links:
             return
-        self.log.change(
+        self.log.write_change(
             "peers_changed",
             lost=",".join(sorted(self.open_links - open_links)),
             gained=",".join(sorted(open_links - self.open_links)),
@@ -357,7 +357,7 @@
         self._publish_endpoints()
 
     def _forget_peer(self, link: PeerLink) -> None:
-        self.log.change("peer_forgotten", daemon=link.daemon_id, address=link.address)
+        self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
         self.directory.remove(link.daemon_id)
-        self.source.put(PeerForgotten(link.daemon_id))
+        self.source.put(PeerRemoved(link.daemon_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -22,12 +22,12 @@
 from agatecross_core.routing.model import Candidate, ChoiceRequest
 
 from ..events import log_warning
-from ..mailbox import Ask, Sender, monotonic
+from ..mailbox import Ask, Sender, monotonic_ms
 from ..messages import (
+    BroadcastStrikes,
     GossipReceived,
     LiftQuarantine,
     ListQuarantine,
-    SpreadStrikes,
     SuspectsChanged,
     UpstreamDied,
 )
@@ -46,7 +46,7 @@
     def __init__(
         self,
         me: Member,
-        members: Sender[SpreadStrikes],
+        members: Sender[BroadcastStrikes],
         control: Sender[ControlAsk],
         upstream: Sender[SuspectsChanged],
     ) -> None:
@@ -64,11 +64,11 @@
         if isinstance(message, GossipReceived):
             self._merge_reports(message.strikes, message.clearances)
             return
-        match message.question:
+        match message.payload:
             case UpstreamDied(calls):
                 self.subtasks.start(self._handle_death(message, calls))
             case ListQuarantine():
-                message.answer(tuple(self.table.rows(monotonic())))
+                message.answer(tuple(self.table.rows(monotonic_ms())))
             case LiftQuarantine(fingerprint):
                 message.answer(self.clear_fingerprint(fingerprint))
             case received:
@@ -85,14 +85,14 @@
 
     def quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether calls with this fingerprint are refused."""
-        return self.table.quarantined(fingerprint, monotonic())
+        return self.table.quarantined(fingerprint, monotonic_ms())
 
     def clear_fingerprint(self, fingerprint: Fingerprint) -> bool:
         """Clear a fingerprint everywhere; return whether it had strikes."""
         clearances = (Clearance(fingerprint, self.table.deaths(fingerprint)),)
         if not self._merge_reports((), clearances):
             return False
-        self.members.put(SpreadStrikes((), clearances))
+        self.members.put(BroadcastStrikes((), clearances))
         self.subtasks.start(self._notify_peers(StrikeNotice(self.me, (), clearances)))
         return True
 
@@ -100,7 +100,7 @@
         """Return a chooser that sends a suspected request to its trial member only."""
 
         def choose(request: ChoiceRequest) -> Candidate | None:
-            now = monotonic()
+            now = monotonic_ms()
             if self.table.quarantined(fingerprint, now):
                 return None
             if not self.table.suspected(fingerprint, now):
@@ -131,7 +131,7 @@
         self._merge_reports(strikes, ())
         for fingerprint, path in paths.items():
             self.table.record_path(fingerprint, path)
-        self.members.put(SpreadStrikes(strikes, ()))
+        self.members.put(BroadcastStrikes(strikes, ()))
         await self._notify_peers(StrikeNotice(self.me, strikes))
         ask.answer(None)
 
@@ -152,7 +152,7 @@
         await asyncio.gather(*asks)
 
     def _merge_reports(self, strikes: Iterable[Strike], clearances: Iterable[Clearance]) -> bool:
-        now = monotonic()
+        now = monotonic_ms()
         changed = self.table.apply_clearances(clearances, now)
         if self.table.add_strikes(strikes, now):
             changed = True
@@ -169,7 +169,7 @@
             row.fingerprint: SuspectedRequest(
                 row.quarantined, self._trial_member(row.fingerprint, service) if service else None
             )
-            for row in self.table.rows(monotonic())
+            for row in self.table.rows(monotonic_ms())
         }
         self.upstream.put(SuspectsChanged(suspects))
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -14,8 +14,8 @@
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Reason
 
-from ..mailbox import Sender, monotonic
-from ..relay_messages import CancelAt, SendTo
+from ..mailbox import Sender, monotonic_ms
+from ..relay_messages import CancelRemoteHandover, SendHandover
 
 Flow = Generator[Attempt, RelayResult, RelayResult]
 HedgeChooser = Callable[[DaemonId], Endpoint | None]
@@ -53,7 +53,7 @@
         flow: Flow,
         choose_hedge: HedgeChooser | None,
         balancer: LowestCostBalancer,
-        links: Sender[SendTo | CancelAt],
+        links: Sender[SendHandover | CancelRemoteHandover],
         new_handover_id: Callable[[], HandoverId],
         on_end: "Callable[[RelayedCall, RelayResult], None]",
     ) -> None:
@@ -77,7 +77,7 @@
     def begin(self) -> None:
         """Send the first attempt; start the timers of the deadline and of the hedged attempt."""
         loop = asyncio.get_running_loop()
-        now = monotonic()
+        now = monotonic_ms()
         left = Millis(self.context.deadline - now)
         self.deadline_timer = loop.call_later(max(0.0, left) / 1000, self._on_deadline)
         self.exchange.on_abandoned = self._on_connection_closed
@@ -109,7 +109,7 @@
 
     def _send_attempt(self, daemon_id: DaemonId, instance: InstanceId) -> None:
         self.attempts += 1
-        now = monotonic()
+        now = monotonic_ms()
         handover_id = self.new_handover_id()
         self.last_sent = self.in_flight[handover_id] = Sent(daemon_id, instance, now)
         context = self.context
@@ -125,7 +125,7 @@
             Millis(context.deadline - now),
             context.request,
         )
-        self.links.put(SendTo(daemon_id, handover, self._handle_result))
+        self.links.put(SendHandover(daemon_id, handover, self._handle_result))
 
     def _handle_result(self, handover_id: HandoverId, result: RelayResult) -> None:
         sent = self.in_flight.pop(handover_id, None)
@@ -141,7 +141,7 @@
             self._end(self.kept_result)
 
     def _report_to_balancer(self, sent: Sent, result: RelayResult) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         took = Millis(now - sent.at)
         size = len(self.context.request.body)
         self.balancer.record_result(
@@ -166,7 +166,7 @@
         # or another attempt was served.
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
         for handover_id, sent in self.in_flight.items():
-            self.links.put(CancelAt(sent.daemon_id, handover_id))
+            self.links.put(CancelRemoteHandover(sent.daemon_id, handover_id))
             self._report_to_balancer(sent, unknown_result(reason))
         self.in_flight.clear()
         self.flow.close()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
@@ -19,8 +19,8 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic
-from ..relay_messages import DrainKept, DrainsLearnt, LogReached, TableInForce
+from ..mailbox import Sender, monotonic_ms
+from ..relay_messages import DrainsLoaded, DrainStored, StoreReachability, TableInForce
 from ..relay_metrics import RelayMetrics
 from ..source_messages import (
     ConfigChanged,
@@ -29,14 +29,14 @@
     DeltaReceived,
     DrainConfirmed,
     EndpointsRead,
+    FullConfigNeeded,
     LinksChanged,
-    PeerForgotten,
-    PullNeeded,
+    PeerRemoved,
 )
 
 T = TypeVar("T")
 
-SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerForgotten
+SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerRemoved
 # A reader detects within this time, plus a margin, that the store no longer answers.
 FOLLOW_WAIT = Millis(2_500)
 RETRY_BASE = Millis(150)
@@ -74,13 +74,13 @@
         decode: ConfigDecoder,
         directory: Directory,
         entry: Sender[TableInForce],
-        peers: Sender[ConfigChanged | PullNeeded | LogReached | EndpointsRead],
-        exit_box: Sender[DrainsLearnt | DrainKept],
+        peers: Sender[ConfigChanged | FullConfigNeeded | StoreReachability | EndpointsRead],
+        exit_box: Sender[DrainsLoaded | DrainStored],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
-        mailbox.own(self._handle)
+        mailbox.set_handler(self._handle)
         self.store = store
         self.decode = decode
         self.directory = directory
@@ -132,7 +132,9 @@
                 try:
                     data = zlib.decompress(blob)
                 except zlib.error as error:
-                    self.log.change("config_malformed", source=origin.value, reason=str(error))
+                    self.log.write_change(
+                        "config_malformed", source=origin.value, reason=str(error)
+                    )
                     return
                 self._apply_config(data, origin)
             case DeltaReceived(delta, origin):
@@ -142,7 +144,7 @@
             case DrainConfirmed(me):
                 self.latest_drain = me
                 self._start_background(self._keep_drain(me))
-            case PeerForgotten(daemon_id):
+            case PeerRemoved(daemon_id):
                 self.forgot_peer = True
                 if self._is_reader():
                     self._start_background(self._withdraw(daemon_id))
@@ -183,7 +185,7 @@
                 "next_config", self.store.next_config(offset, FOLLOW_WAIT)
             )
         except HistoryLostError:
-            self.log.change("history_lost", offset=offset)
+            self.log.write_change("history_lost", offset=offset)
             self.offset = None
             return
         if answer is None:
@@ -195,7 +197,7 @@
 
     async def _call_store(self, operation: str, call: Awaitable[T]) -> T | None:
         """Return the answer, or None on failure; logs only the first of consecutive failures."""
-        asked_at = monotonic()
+        asked_at = monotonic_ms()
         try:
             answer = await call
         except HistoryLostError:
@@ -203,21 +205,21 @@
         except StoreError as error:
             self.metrics.store_calls.labels(operation, "failed").inc()
             if not self.failures:
-                self.log.change("store_lost", operation=operation, reason=str(error))
+                self.log.write_change("store_lost", operation=operation, reason=str(error))
             self.failures += 1
-            self.peers.put(LogReached(False, self.latency))
+            self.peers.put(StoreReachability(False, self.latency))
             return None
         self.metrics.store_calls.labels(operation, "done").inc()
         if self.failures:
-            self.log.change("store_regained", failures=self.failures)
+            self.log.write_change("store_regained", failures=self.failures)
         self.failures = 0
         # Whole milliseconds, as peers receive them. Every daemon selects the readers by latency; if
         # it used a different latency for itself than its peers do, each could expect the other to
         # read.
-        took = Millis(max(1, int(monotonic() - asked_at)))
+        took = Millis(max(1, int(monotonic_ms() - asked_at)))
         if not self.latency or took < LATENCY_UPDATE_RATIO * self.latency:
             self.latency = took
-        self.peers.put(LogReached(True, self.latency))
+        self.peers.put(StoreReachability(True, self.latency))
         return answer
 
     async def _wait_before_retry(self) -> None:
@@ -239,8 +241,8 @@
             if zlib.crc32(data) != delta.crc:
                 raise DeltaError("delta result does not match its checksum")
         except DeltaError as error:
-            self.log.change("config_delta_unfit", version=delta.version, reason=str(error))
-            self.peers.put(PullNeeded(delta.version))
+            self.log.write_change("config_delta_unfit", version=delta.version, reason=str(error))
+            self.peers.put(FullConfigNeeded(delta.version))
             return
         self._apply_config(data, origin, delta)
 
@@ -250,11 +252,11 @@
         try:
             table = self.decode(data)
         except MessageDecodeError as error:
-            self.log.change("config_malformed", source=origin.value, reason=str(error))
+            self.log.write_change("config_malformed", source=origin.value, reason=str(error))
             return
         if table.version <= self.version:
             return
-        self.log.change(
+        self.log.write_change(
             "config_in_force",
             version=table.version,
             was=self.version,
@@ -297,7 +299,7 @@
             await self._wait_before_retry()
         endpoints = tuple(self._decode_endpoints(rows))
         self.peers.put(EndpointsRead(endpoints))
-        self.exit.put(DrainsLearnt())
+        self.exit.put(DrainsLoaded())
         me = self.directory.me
         if (me.daemon_id, me.incarnation) not in {(r.daemon_id, r.incarnation) for r in endpoints}:
             # A peer that could not reach this daemon has withdrawn its announcement.
@@ -314,7 +316,7 @@
             try:
                 found.append(decode_endpoint(data))
             except MessageDecodeError as error:
-                self.log.change("announcement_malformed", reason=str(error))
+                self.log.write_change("announcement_malformed", reason=str(error))
         return found
 
     async def _keep_drain(self, me: Endpoint) -> None:
@@ -325,10 +327,12 @@
                 return
             call = self.store.announce_drain(me.daemon_id, encode_endpoint(me))
             if await self._call_store("keep_drain", _true_after(call)) is not None:
-                self.exit.put(DrainKept(me.instance, me.born))
+                self.exit.put(DrainStored(me.instance, me.born))
                 return
             await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
-        self.log.change("drain_not_stored", instance=me.instance or "", tries=KEEP_DRAIN_ATTEMPTS)
+        self.log.write_change(
+            "drain_not_stored", instance=me.instance or "", tries=KEEP_DRAIN_ATTEMPTS
+        )
 
     async def _withdraw(self, daemon_id: DaemonId) -> None:
         await self._call_store("withdraw", _true_after(self.store.withdraw(daemon_id)))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -50,7 +50,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from ..events import log_event, log_warning
-from ..mailbox import Ask, Mailbox, Sender, monotonic, new_ask
+from ..mailbox import Ask, Mailbox, Sender, monotonic_ms, new_ask
 from ..messages import (
     ConfigInForce,
     Leaving,
@@ -151,7 +151,7 @@
         await self.subtasks.wait()
 
     async def _handle_peer_request(self, request: Request) -> Response:
-        call = decode_call(request, monotonic())
+        call = decode_call(request, monotonic_ms())
         if call is None:
             return encode_result(not_run_result(Reason.BAD_REQUEST))
         ask: CallAsk = new_ask(call)
@@ -165,7 +165,7 @@
         return f"{self.admission.running} {self.admission.waiting} {self.admission.slots}"
 
     def _handle(self, message: UpstreamMessage) -> None:
-        now = monotonic()
+        now = monotonic_ms()
         match message:
             case UpstreamAnnounced(info):
                 self._handle_announcement(info, now)
@@ -193,7 +193,7 @@
                 self._handle_call(message, now)
 
     def _handle_call(self, ask: CallAsk, now: Millis) -> None:
-        call = ask.question
+        call = ask.payload
         if ask.reply.cancelled():
             return
         if self.leaving:
@@ -279,7 +279,7 @@
             ask.answer(result)
 
     async def _run_call(self, call: Call, in_flight: InFlightCall, address: Address) -> CallResult:
-        left = Millis(max(1.0, call.deadline - monotonic()))
+        left = Millis(max(1.0, call.deadline - monotonic_ms()))
         headers = (
             *call.request.headers,
             (CALL_ID_HEADER, call.call_id),
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -1,7 +1,7 @@
-"""OpenTelemetry metrics and traces, put around the listeners and clients of the daemon.
+"""OpenTelemetry metrics and traces, added by wrapping the daemon's listeners and clients.
 
-Every hop has a server span at the listener and a client span at the client. The context travels in
-the `traceparent` header of the request itself, because a call changes tasks inside the daemon.
+Every hop has a server span at the listener and a client span at the client. The trace context is
+kept in the `traceparent` header of the request, because a call changes tasks inside the daemon.
 """
 
 import random
@@ -38,10 +38,10 @@
 from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis
 
 from .events import log_event
-from .mailbox import monotonic
+from .mailbox import monotonic_ms
 
 TRACE_HEADERS = ("traceparent", "tracestate")
-NANOS_PER_MILLI = 1_000_000
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 CallCounts = Counter[tuple[str, str]]
 """Calls by listener and outcome."""
@@ -49,10 +49,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TelemetrySettings:
-    """Where telemetry goes; `sample_ratio` from 0 to 1 for calls that bring no sampling decision.
+    """Where telemetry is sent, and the share of calls that are traced.
 
-    Spans go to the log when `spans_to_log` is set. With an OTLP endpoint (base URL), spans and
-    metrics also go there.
+    `sample_ratio` (0 to 1) applies to calls that arrive without a sampling decision. Spans are
+    logged when `spans_to_log` is set. With an OTLP endpoint (base URL), spans and metrics are also
+    exported there.
     """
 
     sample_ratio: float = 0.01
@@ -61,7 +62,7 @@
 
 
 class LogSpanExporter(SpanExporter):
-    """Writes one log line for each span."""
+    """Logs one line for each span."""
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Log the spans."""
@@ -69,21 +70,23 @@
             context = span.get_span_context()
             if context is None:
                 continue
-            took = ((span.end_time or 0) - (span.start_time or 0)) / NANOS_PER_MILLI
+            duration_ms = (
+                (span.end_time or 0) - (span.start_time or 0)
+            ) / NANOSECONDS_PER_MILLISECOND
             log_event(
                 "span",
                 name=span.name,
                 trace=f"{context.trace_id:032x}",
                 span=f"{context.span_id:016x}",
                 parent=f"{span.parent.span_id:016x}" if span.parent else "none",
-                took_ms=took,
+                took_ms=duration_ms,
                 **{key.replace(".", "_"): value for key, value in (span.attributes or {}).items()},
             )
         return SpanExportResult.SUCCESS
 
 
 class Telemetry:
-    """Providers of one daemon, and the wrappers that use them."""
+    """Trace and metric providers of one daemon, and wrappers that use them."""
 
     def __init__(
         self, settings: TelemetrySettings, daemon: DaemonId, data_centre: DataCentreName
@@ -95,59 +98,61 @@
                 "agatecross.data_centre": data_centre,
             }
         )
-        self.sampling = Sampling(settings.sample_ratio, random.Random())
-        self.metrics = InMemoryMetricReader()
-        self.tracers = _tracer_provider(settings, resource)
-        readers: list[MetricReader] = [self.metrics]
+        self.head_sampler = HeadSampler(settings.sample_ratio, random.Random())
+        self.metric_reader = InMemoryMetricReader()
+        self.tracer_provider = _new_tracer_provider(settings, resource)
+        readers: list[MetricReader] = [self.metric_reader]
         if settings.otlp_endpoint:
             exporter = OTLPMetricExporter(endpoint=f"{settings.otlp_endpoint}/v1/metrics")
             readers.append(PeriodicExportingMetricReader(exporter))
-        self.meters = MeterProvider(metric_readers=readers, resource=resource)
-        self.tracer = self.tracers.get_tracer("agatecross")
-        self.meter = self.meters.get_meter("agatecross")
-        # Counted here and only read at collection: a synchronous counter costs more for each call.
-        self.counts: CallCounts = Counter()
+        self.meter_provider = MeterProvider(metric_readers=readers, resource=resource)
+        self.tracer = self.tracer_provider.get_tracer("agatecross")
+        self.meter = self.meter_provider.get_meter("agatecross")
+        # Read only when metrics are collected: a synchronous counter would cost more per call.
+        self.call_counts: CallCounts = Counter()
         self.meter.create_observable_counter(
             "agatecross.calls", [self._observe_calls], "{call}", "Calls by listener and outcome."
         )
-        self.duration = self.meter.create_histogram(
+        self.call_duration = self.meter.create_histogram(
             "agatecross.call.duration", unit="ms", description="Time from request to response."
         )
 
-    def listener(self, inner: HttpListener, name: str) -> "TracedListener":
-        """Wrap a listener."""
-        return TracedListener(inner, name, self.sampling, self.tracer, self.counts, self.duration)
+    def listener(self, wrapped: HttpListener, name: str) -> "TracedListener":
+        """Return the listener with spans and call metrics."""
+        return TracedListener(
+            wrapped, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
+        )
 
-    def client(self, inner: HttpClient, name: str) -> "TracedClient":
-        """Wrap a client."""
-        return TracedClient(inner, name, self.tracer)
+    def client(self, wrapped: HttpClient, name: str) -> "TracedClient":
+        """Return the client with spans."""
+        return TracedClient(wrapped, name, self.tracer)
 
-    def observe(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
-        """Add a counter that is read when metrics are collected."""
+    def add_counter(self, name: str, unit: str, description: str, read: Callable[[], int]) -> None:
+        """Add a counter whose value is read when metrics are collected."""
 
-        def observed(options: CallbackOptions) -> Iterable[Observation]:
+        def read_counter(options: CallbackOptions) -> Iterable[Observation]:
             del options
             yield Observation(read())
 
-        self.meter.create_observable_counter(name, [observed], unit, description)
+        self.meter.create_observable_counter(name, [read_counter], unit, description)
 
     def _observe_calls(self, options: CallbackOptions) -> Iterable[Observation]:
         del options
-        for (listener, outcome), count in self.counts.items():
+        for (listener, outcome), count in self.call_counts.items():
             yield Observation(count, {"listener": listener, "outcome": outcome})
 
     def collect(self) -> bytes:
         """Return the current metrics as OpenTelemetry JSON."""
-        data = self.metrics.get_metrics_data()
+        data = self.metric_reader.get_metrics_data()
         return data.to_json().encode() if data else b"{}"
 
     def shut_down(self) -> None:
-        """Flush what is not exported yet."""
-        self.tracers.shutdown()
-        self.meters.shutdown()
+        """Export what is still buffered and shut the providers down."""
+        self.tracer_provider.shutdown()
+        self.meter_provider.shutdown()
 
 
-def _tracer_provider(settings: TelemetrySettings, resource: Resource) -> TracerProvider:
+def _new_tracer_provider(settings: TelemetrySettings, resource: Resource) -> TracerProvider:
     provider = TracerProvider(sampler=ALWAYS_ON, resource=resource)
     if settings.spans_to_log:
         provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
@@ -166,18 +171,18 @@
     return PROPAGATOR.extract(carrier)
 
 
-def with_span(request: Request, span: Span) -> Request:
-    """Return the request with the span as its trace context."""
+def with_trace_context(request: Request, span: Span) -> Request:
+    """Return the request with the span as its trace context, replacing any other."""
     context = span.get_span_context()
-    kept = tuple(row for row in request.headers if row[0].lower() != "traceparent")
+    other_headers = tuple(row for row in request.headers if row[0].lower() != "traceparent")
     value = f"00-{context.trace_id:032x}-{context.span_id:016x}-{int(context.trace_flags):02x}"
-    return replace(request, headers=(*kept, ("traceparent", value)))
+    return replace(request, headers=(*other_headers, ("traceparent", value)))
 
 
-class Sampling:
+class HeadSampler:
     """Decides which calls are traced, before any span exists.
 
-    A span that is not sampled still costs tens of microseconds, so such calls only carry the
+    A span that is not sampled still costs tens of microseconds, so such calls carry only the
     decision: a `traceparent` without the sampled flag, which every later hop follows.
     """
 
@@ -185,8 +190,8 @@
         self.ratio = ratio
         self.rng = rng
 
-    def decide(self, request: Request) -> Request:
-        """Return the request with a sampling decision; one that it brings is kept."""
+    def with_sampling_decision(self, request: Request) -> Request:
+        """Return the request with a sampling decision; an existing one is kept."""
         if request.header("traceparent") is not None:
             return request
         flags = int(self.rng.random() < self.ratio)
@@ -196,7 +201,7 @@
 
 
 def is_sampled(request: Request) -> bool:
-    """Return whether the request is to be traced: the lowest bit of the trace flags."""
+    """Return whether the request is to be traced, by the lowest bit of the trace flags."""
     flags = (request.header("traceparent") or "").rpartition("-")[2]
     return bool(flags) and flags[-1] in "13579bdf"
 
@@ -206,63 +211,63 @@
 
     def __init__(
         self,
-        inner: HttpListener,
+        wrapped: HttpListener,
         name: str,
-        sampling: Sampling,
+        head_sampler: HeadSampler,
         tracer: Tracer,
-        counts: CallCounts,
-        duration: Histogram,
+        call_counts: CallCounts,
+        call_duration: Histogram,
     ) -> None:
-        self.inner = inner
-        self.sampling = sampling
+        self.wrapped = wrapped
+        self.head_sampler = head_sampler
         self.name = name
         self.tracer = tracer
-        self.counts = counts
-        self.duration = duration
+        self.call_counts = call_counts
+        self.call_duration = call_duration
 
     def listen(self, address: Address, handler: RequestHandler) -> Address:
-        """Start to serve and return the bound address."""
+        """Start serving and return the bound address."""
 
-        async def traced(request: Request) -> Response:
-            return await self._serve(request, handler)
+        async def traced_handler(request: Request) -> Response:
+            return await self._handle_with_metrics(request, handler)
 
-        return self.inner.listen(address, traced)
+        return self.wrapped.listen(address, traced_handler)
 
-    async def _serve(self, request: Request, handler: RequestHandler) -> Response:
-        started = monotonic()
+    async def _handle_with_metrics(self, request: Request, handler: RequestHandler) -> Response:
+        started_at = monotonic_ms()
         outcome = "cancelled"
         try:
-            response = await self._trace(request, handler)
+            response = await self._handle_with_span(request, handler)
             outcome = response.header(OUTCOME_HEADER) or "none"
             return response
         finally:
             attributes = {"listener": self.name, "outcome": outcome}
-            self.counts[self.name, outcome] += 1
-            self.duration.record(monotonic() - started, attributes)
+            self.call_counts[self.name, outcome] += 1
+            self.call_duration.record(monotonic_ms() - started_at, attributes)
 
-    async def _trace(self, request: Request, handler: RequestHandler) -> Response:
-        request = self.sampling.decide(request)
+    async def _handle_with_span(self, request: Request, handler: RequestHandler) -> Response:
+        request = self.head_sampler.with_sampling_decision(request)
         if not is_sampled(request):
             return await handler(request)
         parent = parent_context(request.headers)
         span = self.tracer.start_span(f"serve {self.name}", parent, SpanKind.SERVER)
         try:
-            response = await handler(with_span(request, span))
-            _describe(span, request, response)
+            response = await handler(with_trace_context(request, span))
+            _set_call_attributes(span, request, response)
             return response
         finally:
             span.end()
 
     def close_after_responses(self) -> None:
         """Close each connection with its next response; new connections are still accepted."""
-        self.inner.close_after_responses()
+        self.wrapped.close_after_responses()
 
     async def close(self) -> None:
-        """Answer every request that has begun to arrive, and close every connection."""
-        await self.inner.close()
+        """Answer every request that has started to arrive, and close every connection."""
+        await self.wrapped.close()
 
 
-def _describe(span: Span, request: Request, response: Response) -> None:
+def _set_call_attributes(span: Span, request: Request, response: Response) -> None:
     span.set_attribute("http.request.method", request.method)
     span.set_attribute("url.path", request.path.split("?", 1)[0])
     span.set_attribute("http.response.status_code", response.status)
@@ -278,19 +283,19 @@
 class TracedClient:
     """Adds a client span to each request of a client."""
 
-    def __init__(self, inner: HttpClient, name: str, tracer: Tracer) -> None:
-        self.inner = inner
+    def __init__(self, wrapped: HttpClient, name: str, tracer: Tracer) -> None:
+        self.wrapped = wrapped
         self.name = name
         self.tracer = tracer
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
-        """Return the whole response; raises a subclass of `ExchangeError`."""
+        """Send a request and return the whole response; raises a subclass of `ExchangeError`."""
         if not is_sampled(request):
-            return await self.inner.send(address, request, timeout)
+            return await self.wrapped.send(address, request, timeout)
         parent = parent_context(request.headers)
         span = self.tracer.start_span(f"send to {self.name}", parent, SpanKind.CLIENT)
         try:
-            response = await self.inner.send(address, with_span(request, span), timeout)
+            response = await self.wrapped.send(address, with_trace_context(request, span), timeout)
             span.set_attribute("server.address", address)
             span.set_attribute("http.response.status_code", response.status)
             return response
