--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -10,13 +10,13 @@
     CallCancelled,
     CallEnding,
     CallFinished,
+    CallShape,
     CapacityAnnounced,
     ClassPolicy,
     DaemonLeaving,
     Entry,
     LeaseExpired,
     RefuseCall,
-    Shape,
     StartCall,
     StopCall,
     TimePassed,
@@ -27,7 +27,7 @@
 from agatecross_core.states import UpstreamState
 
 READY = UpstreamState.READY
-SHAPE = Shape("catalogue", "GET", "/x")
+SHAPE = CallShape("catalogue", "GET", "/x")
 
 
 def new_call(call_id, path, left, now, idempotent=True):
@@ -108,8 +108,8 @@
 @given("a concurrency limit of {slots:d} slots at {before:d}")
 def start_limit(context, slots, before):
     context.limit = ConcurrencyLimit()
-    context.limit.set_ceiling(slots)
-    context.limit.level = float(before)
+    context.limit.set_capacity(slots)
+    context.limit.fractional_limit = float(before)
 
 
 @when("calls take {times:f} times their baseline during {windows:d} windows")
@@ -122,7 +122,7 @@
 
 @then("the limit is {after:d}")
 def check_limit(context, after):
-    assert context.limit.value == after, context.limit.level
+    assert context.limit.value == after, context.limit.fractional_limit
 
 
 @given("an empty cost table")
@@ -142,7 +142,7 @@
 
 @then('the baseline is about {baseline:d} and the class at 250 ms is "{name}"')
 def check_baseline(context, baseline, name):
-    found = context.costs.baseline(SHAPE)
+    found = context.costs.baseline_cost(SHAPE)
     assert abs(found - baseline) <= 1, found
     entry = Entry(new_call("a", "/x", 1.0, 0.0), SHAPE, 0.0)
     (classified,) = classify([entry], context.costs, ClassPolicy(250.0, 0.25))
@@ -152,7 +152,7 @@
 @when("{count:d} shapes are observed")
 def observe_shapes(context, count):
     for number in range(count):
-        context.costs.observe(Shape("catalogue", "GET", f"/{number}"), 1.0, 0.0)
+        context.costs.observe(CallShape("catalogue", "GET", f"/{number}"), 1.0, 0.0)
 
 
 @then("the table holds {count:d} shapes")
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -19,7 +19,7 @@
     PublishRecord,
     SnapshotRecord,
 )
-from agatecross_core.constants import LOG_RETRY_BASE, LOG_RETRY_CAP, NO_OFFSET
+from agatecross_core.constants import LOG_RETRY_BASE_DELAY, LOG_RETRY_MAX_DELAY, NO_OFFSET
 from agatecross_core.distribution.follower import (
     ConfigFollower,
     PeerVersion,
@@ -580,7 +580,9 @@
 @then("200 delays of attempt {attempt:d} are within {limit:d} ms and reach both halves")
 def check_delays(context, attempt, limit):
     rng = random.Random(7)
-    delays = [full_jitter(attempt, LOG_RETRY_BASE, LOG_RETRY_CAP, rng) for _ in range(200)]
+    delays = [
+        full_jitter(attempt, LOG_RETRY_BASE_DELAY, LOG_RETRY_MAX_DELAY, rng) for _ in range(200)
+    ]
     assert all(0 <= delay <= limit for delay in delays)
     assert min(delays) < limit / 2 < max(delays)
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -36,7 +36,7 @@
 from agatecross_core.routing.model import (
     Candidate,
     ChoiceRequest,
-    Position,
+    DaemonLocation,
     Purpose,
     ReportedLoad,
 )
@@ -81,22 +81,22 @@
 
     def __init__(self, name, fleet):
         self.now = START
-        here = Position("me", "jylland", "aarhus-a")
+        here = DaemonLocation("me", "jylland", "aarhus-a")
         self.balancer = new_balancer(name, here, random.Random(1))
         self.members = {m.daemon_id: m for m in (member(*p.split("@")) for p in fleet.split())}
         self.publish()
 
     def publish(self):
-        self.balancer.view_changed(build_view(self.members.values(), False))
+        self.balancer.apply_view(build_view(self.members.values(), False))
 
     def choose(self, purpose=Purpose.FIRST, tried=(), quantile=0.95):
         request = ChoiceRequest(SERVICE, tried, purpose, DEADLINE, quantile)
         return self.balancer.choose(request, self.now)
 
     def call(self, name, took, outcome=Outcome.RAN, **facts):
-        self.balancer.started(name, self.now)
+        self.balancer.record_start(name, self.now)
         self.now += took
-        self.balancer.ended(AttemptEnded(name, took, outcome, **facts), self.now)
+        self.balancer.record_end(AttemptEnded(name, took, outcome, **facts), self.now)
 
     def event(self, name, what, *numbers):
         number = float(numbers[0]) if numbers and numbers[0].isdigit() else 0.0
@@ -112,14 +112,14 @@
             load = ReportedLoad(*map(int, numbers))
             self.call(name, 10, load=load)
         elif what == "starts":
-            self.balancer.started(name, self.now)
+            self.balancer.record_start(name, self.now)
         elif what == "overlaps":
             # A long call during which a shorter one starts and ends normally.
-            self.balancer.started(name, self.now)
+            self.balancer.record_start(name, self.now)
             self.call(name, 10)
             self.call(name, 10)
             self.now += number - 20
-            self.balancer.ended(AttemptEnded(name, number, Outcome.RAN), self.now)
+            self.balancer.record_end(AttemptEnded(name, number, Outcome.RAN), self.now)
         else:
             assert what == "becomes", what
             row = self.members[name]
@@ -268,7 +268,7 @@
         while self.queue:
             self.world.now, _, act = heapq.heappop(self.queue)
             act()
-            rows = self.world.balancer.load.rows
+            rows = self.world.balancer.observations.rows
             assert all(rows[name].outstanding == n for name, n in self.outstanding.items())
         assert not +self.outstanding
         assert self.extra <= MAX_RETRY_TOKENS + 0.1 * len(self.script)
@@ -311,7 +311,7 @@
         assert self.kind == "idempotent" or not may_have_run
         self.driver.extra += number > 0
         name = action.target.member.daemon_id
-        world.balancer.started(name, world.now)
+        world.balancer.record_start(name, world.now)
         self.driver.outstanding[name] += 1
         self.running[number] = (name, world.now)
         took, word = self.ends[number]
@@ -324,7 +324,7 @@
         now = self.driver.world.now
         self.driver.outstanding[name] -= 1
         ended = AttemptEnded(name, now - start, result.outcome, result.reason, False, cancelled)
-        self.driver.world.balancer.ended(ended, now)
+        self.driver.world.balancer.record_end(ended, now)
         self.results.append(result)
         if not cancelled:
             self.advance(result)
@@ -436,10 +436,10 @@
         headers = (("Agatecross-Outcome", "ran"), ("Agatecross-Load", "1 1 4"))
         return Response(status, headers, b"")
 
-    def started(self, daemon_id, now):
+    def record_start(self, daemon_id, now):
         del daemon_id, now
 
-    def ended(self, attempt, now):
+    def record_end(self, attempt, now):
         del now
         reason = attempt.reason.value if attempt.reason else attempt.outcome.value
         words = [attempt.daemon_id, "cancelled" if attempt.cancelled else reason]
--- a/packages/agatecross-core/agatecross_core/admission/classes.py
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -16,18 +16,18 @@
 )
 from ..ids import Millis
 from ..states import WorkClass
-from .model import ClassPolicy, Entry, FilterItem, Shape
+from .model import CallShape, ClassPolicy, Entry, FilterItem
 
 MAX_SHAPE_SEGMENTS = 6
 MAX_SAMPLE_GAP = Millis(1_000)
 
 
-def shape_of(call: Call) -> Shape:
+def shape_of(call: Call) -> CallShape:
     """Return the shape of a call: its path has no query and `*` for segments with a digit."""
     path = call.request.path.partition("?")[0]
     segments = path.split("/")[: MAX_SHAPE_SEGMENTS + 1]
     normalised = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
-    return Shape(call.service, call.request.method, normalised)
+    return CallShape(call.service, call.request.method, normalised)
 
 
 @dataclass(slots=True)
@@ -45,16 +45,16 @@
 class CostTable:
     """Bounded table of observed costs that evicts the least recently observed shape."""
 
-    def __init__(self, size: int = MAX_COST_SHAPES) -> None:
-        self.size = size
-        self.costs: OrderedDict[Shape, ShapeCost] = OrderedDict()
+    def __init__(self, max_shapes: int = MAX_COST_SHAPES) -> None:
+        self.max_shapes = max_shapes
+        self.costs: OrderedDict[CallShape, ShapeCost] = OrderedDict()
 
-    def observe(self, shape: Shape, elapsed: Millis, now: Millis) -> float:
+    def observe(self, shape: CallShape, elapsed: Millis, now: Millis) -> float:
         """Record one sample and return its ratio to the previous baseline."""
         cost = self.costs.get(shape)
         if cost is None:
             self.costs[shape] = ShapeCost(elapsed, elapsed, now)
-            if len(self.costs) > self.size:
+            if len(self.costs) > self.max_shapes:
                 self.costs.popitem(last=False)
             return 1.0
         self.costs.move_to_end(shape)
@@ -68,17 +68,17 @@
         cost.updated_at = now
         return ratio
 
-    def observe_running(self, shape: Shape, elapsed: Millis, now: Millis) -> None:
+    def observe_running(self, shape: CallShape, elapsed: Millis, now: Millis) -> None:
         """Record the time of a running call if no call of its shape has ended yet."""
         if shape not in self.costs:
             self.observe(shape, elapsed, now)
 
-    def baseline(self, shape: Shape) -> float:
+    def baseline_cost(self, shape: CallShape) -> float:
         """Return the cost of a shape without a slowdown, or 0 if the shape is unknown."""
         cost = self.costs.get(shape)
         return cost.baseline if cost else 0.0
 
-    def expected(self, shape: Shape, now: Millis) -> float:
+    def expected_cost(self, shape: CallShape, now: Millis) -> float:
         """Return the recent cost of a shape, which decays while no call of the shape ends."""
         cost = self.costs.get(shape)
         if cost is None:
@@ -91,7 +91,7 @@
 ) -> Iterator[FilterItem]:
     """Mark the entries whose shape has a baseline of at least `long_ms` as long."""
     for item in items:
-        if isinstance(item, Entry) and costs.baseline(item.shape) >= policy.long_ms:
+        if isinstance(item, Entry) and costs.baseline_cost(item.shape) >= policy.long_ms:
             yield replace(item, work_class=WorkClass.LONG)
         else:
             yield item
--- a/packages/agatecross-core/agatecross_core/admission/deadline.py
+++ b/packages/agatecross-core/agatecross_core/admission/deadline.py
@@ -21,4 +21,4 @@
 
 def can_finish(entry: Entry, costs: CostTable, now: Millis) -> bool:
     """Return whether a call that starts now is expected to end before its deadline."""
-    return entry.call.deadline - now > costs.expected(entry.shape, now)
+    return entry.call.deadline - now > costs.expected_cost(entry.shape, now)
--- a/packages/agatecross-core/agatecross_core/admission/limit.py
+++ b/packages/agatecross-core/agatecross_core/admission/limit.py
@@ -25,8 +25,8 @@
     """Adapts the number of concurrent calls to the capacity of the upstream."""
 
     def __init__(self) -> None:
-        self.ceiling = 0
-        self.level = 0.0
+        self.capacity = 0
+        self.fractional_limit = 0.0
         self.window_end = Millis(0)
         self.ratio_sum = 0.0
         self.sample_count = 0
@@ -34,13 +34,13 @@
     @property
     def value(self) -> int:
         """Return the number of calls that may run at once."""
-        return min(self.ceiling, max(1, math.floor(self.level)))
+        return min(self.capacity, max(1, math.floor(self.fractional_limit)))
 
-    def set_ceiling(self, ceiling: int) -> None:
+    def set_capacity(self, capacity: int) -> None:
         """Set the announced capacity; after a change, the limit starts at the new capacity."""
-        if ceiling != self.ceiling:
-            self.ceiling = ceiling
-            self.level = float(ceiling)
+        if capacity != self.capacity:
+            self.capacity = capacity
+            self.fractional_limit = float(capacity)
 
     def record_completion(self, ratio: float, now: Millis) -> None:
         """Record a completed call that took `ratio` times its baseline."""
@@ -53,7 +53,9 @@
     def record_shed(self, running: int, now: Millis) -> None:
         """Lower the limit below the concurrency at which a call was shed, once per window."""
         if now >= self.window_end:
-            self.level = max(1.0, min(self.level, running) * LIMIT_SHED_FACTOR)
+            self.fractional_limit = max(
+                1.0, min(self.fractional_limit, running) * LIMIT_SHED_FACTOR
+            )
             self._start_window(now)
 
     def record_idle(self, now: Millis) -> None:
@@ -67,12 +69,13 @@
         if gradient >= 1.0:
             self._grow()
         else:
-            floor = min(self.level, max(1.0, self.ceiling * LIMIT_SLOWDOWN_FLOOR_SHARE))
-            self.level = max(floor, self.level * gradient)
+            floor = min(self.fractional_limit, max(1.0, self.capacity * LIMIT_SLOWDOWN_FLOOR_SHARE))
+            self.fractional_limit = max(floor, self.fractional_limit * gradient)
 
     def _grow(self) -> None:
-        self.level = min(
-            float(self.ceiling), self.level + max(1.0, self.level * LIMIT_GROWTH_SHARE)
+        self.fractional_limit = min(
+            float(self.capacity),
+            self.fractional_limit + max(1.0, self.fractional_limit * LIMIT_GROWTH_SHARE),
         )
 
     def _start_window(self, now: Millis) -> None:
--- a/packages/agatecross-core/agatecross_core/admission/model.py
+++ b/packages/agatecross-core/agatecross_core/admission/model.py
@@ -111,7 +111,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Shape:
+class CallShape:
     """Key of calls that are expected to cost about the same."""
 
     service: str
@@ -124,7 +124,7 @@
     """A call that passes through the filters; `arrived` is a time on the monotonic clock."""
 
     call: Call
-    shape: Shape
+    shape: CallShape
     arrived: Millis
     work_class: WorkClass = WorkClass.SHORT
 
--- a/packages/agatecross-core/agatecross_core/admission/pipeline.py
+++ b/packages/agatecross-core/agatecross_core/admission/pipeline.py
@@ -101,7 +101,7 @@
                 yield from self._cancel(call_id)
             case CapacityAnnounced(slots, connections, state):
                 self.gate.state = state
-                self.limit.set_ceiling(min(slots, connections))
+                self.limit.set_capacity(min(slots, connections))
             case LeaseExpired():
                 self.gate.state = None
             case ClassPolicy():
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -29,7 +29,7 @@
     handover_id: HandoverId
     route: RouteName
     rank: int
-    objective: Millis
+    objective_at: Millis
     deadline: Millis
 
 
@@ -77,10 +77,10 @@
             return
         insort(self.waiting, call, key=start_order)
 
-    def finish(self, handover_id: HandoverId, now: Millis, typical: bool) -> None:
+    def finish(self, handover_id: HandoverId, now: Millis, counts_for_mean: bool) -> None:
         """Free the slot of a call; `typical` tells whether its time counts for the mean cost."""
         row = self.running.pop(handover_id, None)
-        if row is not None and typical:
+        if row is not None and counts_for_mean:
             route, started = row
             elapsed = now - started
             mean = self.costs.get(route, elapsed)
@@ -116,10 +116,12 @@
         return (ahead + 1) * self.mean_cost / max(1, self.slots)
 
     def _max_wait(self, call: WaitingCall, now: Millis) -> float:
-        in_time = call.objective - now - COST_MARGIN_FACTOR * self.costs.get(call.route, 0.0)
-        return max(in_time, MIN_WAIT_SHARE * (call.deadline - now))
+        wait_within_objective = (
+            call.objective_at - now - COST_MARGIN_FACTOR * self.costs.get(call.route, 0.0)
+        )
+        return max(wait_within_objective, MIN_WAIT_SHARE * (call.deadline - now))
 
 
 def start_order(call: WaitingCall) -> tuple[int, Millis]:
     """Return the sort key of waiting calls."""
-    return (call.rank, call.objective)
+    return (call.rank, call.objective_at)
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -32,8 +32,8 @@
 # With this wait, 1,300 daemons that start without peers cause 130 reads per second.
 NO_PEERS_POLL_WAIT: Final = Millis(10_000)
 LOG_PAGE_RECORDS: Final = 512
-LOG_RETRY_BASE: Final = Millis(500)
-LOG_RETRY_CAP: Final = Millis(10_000)
+LOG_RETRY_BASE_DELAY: Final = Millis(500)
+LOG_RETRY_MAX_DELAY: Final = Millis(10_000)
 UNKNOWN_RULES_RETRY_DELAY: Final = Millis(30_000)
 # 64 documents of 256 KiB need 4.5 s on a link of 30 Mbit/s.
 PULL_TIMEOUT: Final = Millis(5_000)
@@ -53,7 +53,7 @@
 SNAPSHOT_RANK_DELAY: Final = Millis(2_000)
 SNAPSHOT_RETRY_DELAY: Final = Millis(10_000)
 SNAPSHOT_APPEND_BURST: Final = 2
-SNAPSHOT_APPEND_REFILL: Final = Millis(60_000)
+SNAPSHOT_APPEND_REFILL_PERIOD: Final = Millis(60_000)
 
 # Membership.
 PROBE_PERIOD: Final = Millis(1_000)
@@ -127,7 +127,7 @@
 MAX_BATCH_CLAIMS: Final = 128
 CLAIMS_PAGE_RECORDS: Final = 64
 # The log accepts several hundred appends per second from the whole fleet.
-CLAIM_APPEND_REFILL: Final = Millis(50)
+CLAIM_APPEND_REFILL_PERIOD: Final = Millis(50)
 CLAIM_APPEND_BURST: Final = 10.0
 CLAIM_RETRY_WAIT: Final = Millis(50)
 MAX_CLAIM_RETRY_WAIT: Final = Millis(1_000)
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -14,8 +14,8 @@
 )
 from ..constants import (
     LOG_POLL_WAIT,
-    LOG_RETRY_BASE,
-    LOG_RETRY_CAP,
+    LOG_RETRY_BASE_DELAY,
+    LOG_RETRY_MAX_DELAY,
     MAX_PULL_TIME,
     NO_DIGEST,
     NO_OFFSET,
@@ -26,7 +26,7 @@
     POSITION_PULL_TIMEOUT,
     SNAPSHOT_AFTER_RECORDS,
     SNAPSHOT_APPEND_BURST,
-    SNAPSHOT_APPEND_REFILL,
+    SNAPSHOT_APPEND_REFILL_PERIOD,
     UNKNOWN_RULES_RETRY_DELAY,
 )
 from ..findings import Finding
@@ -173,7 +173,7 @@
         self.log = LogFold(decoder)
         self.offers = VersionOffers(me, rng)
         self.schedule = SnapshotSchedule(rng, snapshot_after)
-        self.append_tokens = TokenBucket(SNAPSHOT_APPEND_BURST, SNAPSHOT_APPEND_REFILL)
+        self.append_tokens = TokenBucket(SNAPSHOT_APPEND_BURST, SNAPSHOT_APPEND_REFILL_PERIOD)
         self.members: tuple[Member, ...] = (me,)
         self.readers: tuple[DaemonId, ...] = (me.daemon_id,)
         self.reading = False
@@ -251,7 +251,7 @@
         self.reading = False
         self.discard_page = False
         self.log.require_verification()
-        delay = full_jitter(self.read_failures, LOG_RETRY_BASE, LOG_RETRY_CAP, self.rng)
+        delay = full_jitter(self.read_failures, LOG_RETRY_BASE_DELAY, LOG_RETRY_MAX_DELAY, self.rng)
         self.read_failures += 1
         self.read_after = Millis(now + delay)
 
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -8,7 +8,7 @@
 from ..calls.model import CallResult, not_run_result, unknown_result
 from ..constants import (
     CLAIM_APPEND_BURST,
-    CLAIM_APPEND_REFILL,
+    CLAIM_APPEND_REFILL_PERIOD,
     CLAIM_BATCH_WAIT,
     CLAIM_RETRY_WAIT,
     CLAIMS_IDLE_READ_PERIOD,
@@ -108,7 +108,7 @@
         self.fold = ClaimsFold()
         self.outcomes = OutcomeStore()
         self.stream = StreamPosition()
-        self.tokens = TokenBucket(CLAIM_APPEND_BURST, CLAIM_APPEND_REFILL)
+        self.tokens = TokenBucket(CLAIM_APPEND_BURST, CLAIM_APPEND_REFILL_PERIOD)
         self.waiting: dict[CallId, WaitingCall] = {}
         self.running: dict[ClaimId, IdempotencyKey] = {}
         self.releases: dict[ClaimId, Release] = {}
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -15,7 +15,7 @@
 MIN_TIME_LEFT = Millis(10)
 SERVER_ERROR = 500
 
-Choose = Callable[[tuple[DaemonId, ...]], Endpoint | None]
+ChooseEndpoint = Callable[[tuple[DaemonId, ...]], Endpoint | None]
 """Returns the endpoint for the next attempt, given those tried before."""
 
 
@@ -29,7 +29,7 @@
 
 def relay(
     policy: RelayPolicy,
-    choose: Choose,
+    choose: ChooseEndpoint,
     time_left: Callable[[], Millis],
     may_repeat: Callable[[], bool],
 ) -> Generator[Attempt, RelayResult, RelayResult]:
--- a/packages/agatecross-core/agatecross_core/relay/hedge.py
+++ b/packages/agatecross-core/agatecross_core/relay/hedge.py
@@ -9,7 +9,9 @@
 SECOND_ATTEMPT_TIME_FACTOR = 1.5
 
 
-def hedge_delay(mean_time: Millis | None, objective: Millis, time_left: Millis) -> Millis | None:
+def hedge_delay(
+    mean_time: Millis | None, objective_time_left: Millis, time_left: Millis
+) -> Millis | None:
     """Return the delay of the second attempt, or None if it cannot help.
 
     `mean_time` is the mean time of the calls of the route; `objective` and `time_left` are the
@@ -17,5 +19,7 @@
     """
     if mean_time is None:
         return None
-    delay = max(MIN_DELAY_FACTOR * mean_time, objective - SECOND_ATTEMPT_TIME_FACTOR * mean_time)
+    delay = max(
+        MIN_DELAY_FACTOR * mean_time, objective_time_left - SECOND_ATTEMPT_TIME_FACTOR * mean_time
+    )
     return Millis(delay) if delay + mean_time < time_left else None
--- a/packages/agatecross-core/agatecross_core/relay/ledger.py
+++ b/packages/agatecross-core/agatecross_core/relay/ledger.py
@@ -12,7 +12,7 @@
 HANDOVER_RETENTION = Millis(10_000)
 MAX_LEDGER_ROWS = 20_000
 # Results are kept because an answer may be lost on the way; 8 MiB is a twentieth of a small daemon.
-MAX_RESULT_BYTES = 8 * 1024 * 1024
+MAX_STORED_RESULT_BYTES = 8 * 1024 * 1024
 
 
 class HandoverState(Enum):
@@ -83,7 +83,7 @@
 
     def _evict_responses(self) -> None:
         for row in self.rows.values():
-            if self.result_bytes <= MAX_RESULT_BYTES:
+            if self.result_bytes <= MAX_STORED_RESULT_BYTES:
                 return
             if row.result is not None and row.result.response is not None:
                 self.result_bytes -= _body_bytes(row.result)
--- a/packages/agatecross-core/agatecross_core/routing/baselines.py
+++ b/packages/agatecross-core/agatecross_core/routing/baselines.py
@@ -4,27 +4,27 @@
 
 from ..ids import DaemonId, Millis, ServiceName
 from ..members.view import FleetView
-from .candidates import candidates, prefer_untried
-from .health import healthy
-from .load import LoadTable
-from .model import Candidate, ChoiceRequest, Position
+from .candidates import build_candidates, prefer_untried
+from .health import keep_healthy
+from .model import Candidate, ChoiceRequest, DaemonLocation
+from .observations import ObservationTable
 from .router import AttemptEnded
 
 
 class RoundRobinBalancer:
     """Chooses the ready upstreams of a service in turn."""
 
-    def __init__(self, here: Position, rng: random.Random) -> None:
+    def __init__(self, here: DaemonLocation, rng: random.Random) -> None:
         self.here = here
         self.rng = rng
         self.view = FleetView()
-        self.load = LoadTable()
+        self.observations = ObservationTable()
         self.turns: dict[ServiceName, int] = {}
 
-    def view_changed(self, view: FleetView) -> None:
+    def apply_view(self, view: FleetView) -> None:
         """Apply a new view of the fleet."""
         self.view = view
-        self.load.retain(set(view.members))
+        self.observations.retain(set(view.members))
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
         """Return the next ready upstream in the order of the ids, or None."""
@@ -39,16 +39,16 @@
     def ready(self, request: ChoiceRequest, now: Millis) -> list[Candidate]:
         """Return the ready upstreams; those of earlier attempts only if there are no others."""
         members = self.view.by_service.get(request.service, ())
-        rows = healthy(candidates(request, members, self.load, self.here, now))
+        rows = keep_healthy(build_candidates(request, members, self.observations, self.here, now))
         return list(prefer_untried(request, rows))
 
-    def started(self, daemon_id: DaemonId, now: Millis) -> None:
+    def record_start(self, daemon_id: DaemonId, now: Millis) -> None:
         """Record an attempt that was sent."""
-        self.load.started(daemon_id, now)
+        self.observations.record_start(daemon_id, now)
 
-    def ended(self, attempt: AttemptEnded, now: Millis) -> None:
+    def record_end(self, attempt: AttemptEnded, now: Millis) -> None:
         """Record an attempt that ended."""
-        self.load.released(attempt.daemon_id, Millis(now - attempt.elapsed))
+        self.observations.record_end(attempt.daemon_id, Millis(now - attempt.elapsed))
 
 
 class TwoRandomBalancer(RoundRobinBalancer):
--- a/packages/agatecross-core/agatecross_core/routing/candidates.py
+++ b/packages/agatecross-core/agatecross_core/routing/candidates.py
@@ -5,16 +5,16 @@
 from ..ids import Millis
 from ..members.records import Member
 from ..states import Locality
-from .load import LoadTable
-from .model import Candidate, ChoiceRequest, Position, Purpose
+from .model import Candidate, ChoiceRequest, DaemonLocation, Purpose
+from .observations import ObservationTable
 from .prefer import prefer
 
 
-def candidates(
+def build_candidates(
     request: ChoiceRequest,
     members: Iterable[Member],
-    load: LoadTable,
-    here: Position,
+    observations: ObservationTable,
+    here: DaemonLocation,
     now: Millis,
 ) -> Iterator[Candidate]:
     """Yield a candidate for each member with an upstream; none after the deadline."""
@@ -23,7 +23,7 @@
     for member in members:
         if member.upstream is None:
             continue
-        observed = load.lookup(member.daemon_id)
+        observed = observations.lookup(member.daemon_id)
         yield Candidate(
             member,
             member.upstream,
@@ -43,7 +43,7 @@
     return prefer(rows, lambda row: row.member.daemon_id not in request.tried)
 
 
-def locality_of(member: Member, here: Position) -> Locality:
+def locality_of(member: Member, here: DaemonLocation) -> Locality:
     """Return the distance of a member from this daemon."""
     if member.data_centre == here.data_centre:
         return Locality.DATA_CENTRE
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -8,9 +8,9 @@
 from .candidates import prefer_untried
 from .ejection import Ejections
 from .groups import GroupDetector
-from .load import LoadTable
 from .locality import prefer_nearest
 from .model import Candidate, ChoiceRequest
+from .observations import ObservationTable
 from .ramp import Ramp
 from .tuning import FAILURE_COST
 
@@ -19,7 +19,7 @@
 class Filters:
     """The filters that keep state between choices."""
 
-    load: LoadTable
+    observations: ObservationTable
     ejections: Ejections
     groups: GroupDetector
     ramp: Ramp
@@ -34,9 +34,9 @@
 ) -> Candidate | None:
     """Return the candidate for one attempt, or None when no upstream can serve it."""
     rows = prefer_untried(request, iter(ready))
-    rows = filters.groups.outside_tried_groups(request, rows)
+    rows = filters.groups.prefer_outside_tried_groups(request, rows)
     rows = filters.ejections.filter(rows, now)
-    rows = filters.groups.outside_slow_groups(rows, filters.load, now)
+    rows = filters.groups.prefer_outside_slow_groups(rows, filters.observations, now)
     rows = filters.ramp.filter(rows, now)
     return pick_less_loaded(prefer_nearest(rows), rng)
 
--- a/packages/agatecross-core/agatecross_core/routing/groups.py
+++ b/packages/agatecross-core/agatecross_core/routing/groups.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 
 from ..ids import DaemonId, Millis, ServiceName
-from .load import LoadTable
 from .model import Candidate, ChoiceRequest, Purpose
+from .observations import ObservationTable
 from .prefer import prefer
 from .tuning import (
     BUCKET_WIDTH,
@@ -19,7 +19,7 @@
     GROUP_LINK_LIFETIME,
     GROUP_MIN_COMMON_PERIODS,
     GROUP_MIN_CORRELATION,
-    GROUP_MIN_DEVIATION,
+    GROUP_MIN_Z_SCORE,
     GROUP_SEARCH_PERIOD,
     HISTORY_BUCKETS,
     MAX_CORRELATED_UPSTREAMS,
@@ -146,7 +146,11 @@
         for history in self.histories.values():
             history.seen >>= shift
             history.slow >>= shift
-        self.histories = {i: t for i, t in self.histories.items() if t.seen or t.bucket >= before}
+        self.histories = {
+            i: history
+            for i, history in self.histories.items()
+            if history.seen or history.bucket >= before
+        }
         self.fleet.forget(before)
         for counts in self.services.values():
             counts.forget(before)
@@ -164,7 +168,7 @@
             for other, second in rows[i + 1 :]:
                 ignored = peaks.get(first.service, 0) | peaks.get(second.service, 0)
                 pair = (one, other) if one < other else (other, one)
-                if slow_together(first, second, ignored):
+                if slowdowns_correlate(first, second, ignored):
                     self.links[pair] = Millis(now + GROUP_LINK_LIFETIME)
         if len(self.links) > MAX_LINKS:
             newest = sorted(self.links.items(), key=lambda row: row[1])[-MAX_LINKS:]
@@ -181,7 +185,7 @@
         rows.sort(key=lambda row: -row[0])
         return [(daemon_id, history) for _, daemon_id, history in rows[:MAX_CORRELATED_UPSTREAMS]]
 
-    def outside_tried_groups(
+    def prefer_outside_tried_groups(
         self, request: ChoiceRequest, rows: Iterable[Candidate]
     ) -> Iterator[Candidate]:
         """Prefer candidates outside the groups of earlier attempts; a hedge accepts no others."""
@@ -190,22 +194,24 @@
             return (row for row in rows if row.member.daemon_id not in grouped_with_tried)
         return prefer(rows, lambda row: row.member.daemon_id not in grouped_with_tried)
 
-    def outside_slow_groups(
-        self, rows: Iterable[Candidate], load: LoadTable, now: Millis
+    def prefer_outside_slow_groups(
+        self, rows: Iterable[Candidate], observations: ObservationTable, now: Millis
     ) -> Iterator[Candidate]:
         """Yield the candidates that are in no group that is slow now, or all if there are none."""
-        slow = {i for group in self.groups if is_group_slow(group, load, now) for i in group}
+        slow = {
+            i for group in self.groups if is_group_slow(group, observations, now) for i in group
+        }
         return prefer(rows, lambda row: row.member.daemon_id not in slow)
 
 
-def is_group_slow(group: frozenset[DaemonId], load: LoadTable, now: Millis) -> bool:
+def is_group_slow(group: frozenset[DaemonId], observations: ObservationTable, now: Millis) -> bool:
     """Return whether a member is slow and no member has worked normally since the evidence."""
-    members = [load.lookup(daemon_id) for daemon_id in group]
-    evidence = max((row.evidence_at for row in members if row.is_slow(now)), default=None)
-    return evidence is not None and evidence >= max(row.normal_at for row in members)
+    members = [observations.lookup(daemon_id) for daemon_id in group]
+    evidence = max((row.slow_evidence_at for row in members if row.is_slow(now)), default=None)
+    return evidence is not None and evidence >= max(row.last_normal_end for row in members)
 
 
-def slow_together(one: BucketHistory, other: BucketHistory, ignored: int) -> bool:
+def slowdowns_correlate(one: BucketHistory, other: BucketHistory, ignored: int) -> bool:
     """Return whether the slow buckets of two upstreams coincide far more often than by chance."""
     common = one.seen & other.seen & ~ignored
     total = common.bit_count()
@@ -213,12 +219,12 @@
     if count_runs(both) < GROUP_MIN_COMMON_PERIODS:
         return False
     a, b = (one.slow & common).bit_count(), (other.slow & common).bit_count()
-    spread = a * (total - a) * b * (total - b)
-    if not spread:
+    variance_product = a * (total - a) * b * (total - b)
+    if not variance_product:
         return False
-    correlation = (both.bit_count() * total - a * b) / math.sqrt(spread)
-    deviation = correlation * math.sqrt(total / BUCKETS_PER_SLOW_PERIOD)
-    return correlation >= GROUP_MIN_CORRELATION and deviation >= GROUP_MIN_DEVIATION
+    correlation = (both.bit_count() * total - a * b) / math.sqrt(variance_product)
+    z_score = correlation * math.sqrt(total / BUCKETS_PER_SLOW_PERIOD)
+    return correlation >= GROUP_MIN_CORRELATION and z_score >= GROUP_MIN_Z_SCORE
 
 
 def count_runs(bits: int) -> int:
--- a/packages/agatecross-core/agatecross_core/routing/health.py
+++ b/packages/agatecross-core/agatecross_core/routing/health.py
@@ -6,7 +6,7 @@
 from .model import Candidate
 
 
-def healthy(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
+def keep_healthy(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
     """Yield candidates that are alive and whose upstream is ready."""
     for candidate in candidates:
         if candidate.member.state is not MemberState.ALIVE:
--- a/packages/agatecross-core/agatecross_core/routing/hedging.py
+++ b/packages/agatecross-core/agatecross_core/routing/hedging.py
@@ -24,9 +24,9 @@
     def __init__(self) -> None:
         """Start without attempts."""
         self.samples: deque[float] = deque(maxlen=MAX_LATENCY_SAMPLES)
-        self.refusals = 0.0
-        self.until_refresh = 0
-        self.delays: dict[float, Millis] = {}
+        self.refusal_share = 0.0
+        self.samples_until_refresh = 0
+        self.delay_by_quantile: dict[float, Millis] = {}
 
     def record(self, elapsed: Millis, reason: Reason | None) -> None:
         """Record an attempt; a refusal has no latency.
@@ -34,25 +34,28 @@
         The time of a cancelled attempt counts too: otherwise each hedge would lower the quantile.
         """
         refused = reason in OVERLOAD_REFUSALS
-        self.refusals += REFUSAL_WEIGHT * (refused - self.refusals)
+        self.refusal_share += REFUSAL_WEIGHT * (refused - self.refusal_share)
         if refused:
             return
         self.samples.append(elapsed)
-        self.until_refresh -= 1
-        if self.until_refresh <= 0:
-            self.until_refresh = QUANTILE_REFRESH_SAMPLES
-            self.delays.clear()
+        self.samples_until_refresh -= 1
+        if self.samples_until_refresh <= 0:
+            self.samples_until_refresh = QUANTILE_REFRESH_SAMPLES
+            self.delay_by_quantile.clear()
 
     def hedge_after(self, quantile: float, rows: Iterable[Candidate]) -> Millis | None:
         """Return the delay of a hedge; None if hedging is off, latency unknown or load too high."""
         if not quantile or len(self.samples) < HEDGE_MIN_SAMPLES:
             return None
-        if self.refusals > HEDGE_MAX_REFUSAL_SHARE or utilisation(rows) > HEDGE_MAX_UTILISATION:
+        if (
+            self.refusal_share > HEDGE_MAX_REFUSAL_SHARE
+            or utilisation(rows) > HEDGE_MAX_UTILISATION
+        ):
             return None
-        if quantile not in self.delays:
+        if quantile not in self.delay_by_quantile:
             ordered = sorted(self.samples)
-            self.delays[quantile] = Millis(ordered[int(quantile * len(ordered))])
-        return self.delays[quantile]
+            self.delay_by_quantile[quantile] = Millis(ordered[int(quantile * len(ordered))])
+        return self.delay_by_quantile[quantile]
 
 
 def utilisation(rows: Iterable[Candidate]) -> float:
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -51,11 +51,11 @@
     instance: InstanceId
     outstanding: int = 0
     others_load: float = 0.0
-    load_at: Millis = ZERO_MS
+    load_reported_at: Millis = ZERO_MS
     slots: int = 0
     slowness: float = 1.0
-    failures: float = 0.0
-    failed_at: Millis = ZERO_MS
+    failure_share: float = 0.0
+    failures_updated_at: Millis = ZERO_MS
     ejected_until: Millis = ZERO_MS
 
 
@@ -94,8 +94,10 @@
         if endpoint.cold > 0:
             slots = max(1.0, slots / COLD_SLOTS_DIVISOR)
         busy = (stats.outstanding + self._others_load(stats, now) + 1.0) / slots
-        failures = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
-        cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failures)
+        failure_share = stats.failure_share * math.exp2(
+            -(now - stats.failures_updated_at) / FAILURE_HALF_LIFE
+        )
+        cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failure_share)
         if now < stats.ejected_until:
             cost += 100.0
         return cost + self.rng.random() * 0.02
@@ -143,7 +145,7 @@
         if result.slots:
             stats.slots = result.slots
             stats.others_load = max(0.0, result.load - stats.outstanding)
-            stats.load_at = now
+            stats.load_reported_at = now
         if result.reason in UNREACHABLE_REASONS:
             stats.ejected_until = Millis(now + EJECTION_TIME)
         elif result.reason in OVERLOAD_REASONS:
@@ -168,9 +170,11 @@
         self.stats = {i: stats for i, stats in self.stats.items() if i in daemon_ids}
 
     def _learn_failure(self, stats: InstanceStats, failed: bool, now: Millis) -> None:
-        decayed = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
-        stats.failures = decayed + FAILURE_WEIGHT * (failed - decayed)
-        stats.failed_at = now
+        decayed = stats.failure_share * math.exp2(
+            -(now - stats.failures_updated_at) / FAILURE_HALF_LIFE
+        )
+        stats.failure_share = decayed + FAILURE_WEIGHT * (failed - decayed)
+        stats.failures_updated_at = now
 
     def _learn_mean_time(self, elapsed: Millis, route: str) -> None:
         mean = self.mean_times.get(route, elapsed)
@@ -186,7 +190,9 @@
         stats.slowness += SLOWNESS_SAMPLE_WEIGHT * (ratio - stats.slowness)
 
     def _others_load(self, stats: InstanceStats, now: Millis) -> float:
-        return stats.others_load * math.exp2(-(now - stats.load_at) / REPORTED_LOAD_HALF_LIFE)
+        return stats.others_load * math.exp2(
+            -(now - stats.load_reported_at) / REPORTED_LOAD_HALF_LIFE
+        )
 
     def _distance_penalty(self, endpoint: Endpoint, size: float) -> float:
         if endpoint.data_centre == self.data_centre:
--- a/packages/agatecross-core/agatecross_core/routing/model.py
+++ b/packages/agatecross-core/agatecross_core/routing/model.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Position:
+class DaemonLocation:
     """Location of this daemon."""
 
     daemon_id: DaemonId
--- a/packages/agatecross-core/agatecross_core/routing/load.py
+++ b/packages/agatecross-core/agatecross_core/routing/observations.py
@@ -36,14 +36,14 @@
     """
 
     starts: list[Millis] = field(default_factory=list)
-    samples: int = 0
+    sample_count: int = 0
     median_ms: float = 0.0
     deviation_ms: float = 0.0
     recent_ms: float = 0.0
     recent_at: Millis = NEVER
-    normal_start: Millis = NEVER
-    normal_at: Millis = NEVER
-    evidence_at: Millis = NEVER
+    last_normal_start: Millis = NEVER
+    last_normal_end: Millis = NEVER
+    slow_evidence_at: Millis = NEVER
     slow_until: Millis = NEVER
     slow_hold: Millis = SLOW_HOLD_TIME
     failure_share: float = 0.0
@@ -58,7 +58,7 @@
 
     def slow_threshold(self) -> float:
         """Return the latency above which a call is slow; infinite until the median is known."""
-        if self.samples < MEDIAN_MIN_SAMPLES:
+        if self.sample_count < MEDIAN_MIN_SAMPLES:
             return float("inf")
         spread = max(SLOW_DEVIATIONS * self.deviation_ms, SLOW_MIN_SPREAD_SHARE * self.median_ms)
         return self.median_ms + spread + SLOW_MARGIN
@@ -70,7 +70,7 @@
         """
         end = bisect_left(self.starts, now - self.slow_threshold())
         newest = self.starts[end - 1] if end else NEVER
-        return newest if newest > self.normal_start else None
+        return newest if newest > self.last_normal_start else None
 
     def record_overdue(self, now: Millis) -> bool:
         """Record overdue calls as evidence of slowness; return whether there are any."""
@@ -95,13 +95,13 @@
         """Record a call that ran; return whether it shows that the upstream was slow."""
         start = Millis(now - elapsed)
         late = elapsed > self.slow_threshold()
-        slow = late and start >= self.normal_start
+        slow = late and start >= self.last_normal_start
         self._learn_latency(elapsed, now)
         if slow:
             self._record_slowness(start, now)
-        elif not late and start >= self.normal_start:
-            self.normal_start, self.normal_at = start, now
-            if start >= self.evidence_at:
+        elif not late and start >= self.last_normal_start:
+            self.last_normal_start, self.last_normal_end = start, now
+            if start >= self.slow_evidence_at:
                 self.slow_until, self.slow_hold = NEVER, SLOW_HOLD_TIME
         self._learn_failure(0.0, now)
         return slow
@@ -125,10 +125,10 @@
         return self.outstanding + self.others_load * fresh
 
     def _learn_latency(self, elapsed: Millis, now: Millis) -> None:
-        self.samples += 1
-        if self.samples == 1:
+        self.sample_count += 1
+        if self.sample_count == 1:
             self.median_ms = self.recent_ms = max(elapsed, MIN_LATENCY_MS)
-        step = max(MEDIAN_STEP_SHARE, 1.0 / (self.samples + 1))
+        step = max(MEDIAN_STEP_SHARE, 1.0 / (self.sample_count + 1))
         distance = min(abs(elapsed - self.median_ms), self.median_ms)
         self.deviation_ms += step * (distance - self.deviation_ms)
         self.median_ms += max(-step, min(step, elapsed / self.median_ms - 1.0)) * self.median_ms
@@ -139,13 +139,13 @@
         self.recent_at = now
 
     def _record_slowness(self, start: Millis, now: Millis) -> None:
-        if start < self.evidence_at:
+        if start < self.slow_evidence_at:
             return
         if start > self.slow_until > NEVER:
             self.slow_hold = Millis(min(MAX_SLOW_HOLD_TIME, self.slow_hold * 2))
         if not self.is_slow(now):
             self.slow_until = Millis(now + self.slow_hold)
-        self.evidence_at = now
+        self.slow_evidence_at = now
 
     def _learn_failure(self, value: float, now: Millis) -> None:
         before = self.failures(now)
@@ -153,7 +153,7 @@
         self.failure_updated_at = now
 
 
-class LoadTable:
+class ObservationTable:
     """Observations by member."""
 
     def __init__(self) -> None:
@@ -164,17 +164,17 @@
         """Return the observations of a member without storing an empty entry."""
         return self.rows.get(daemon_id) or MemberObservations()
 
-    def observations(self, daemon_id: DaemonId) -> MemberObservations:
+    def get_or_create(self, daemon_id: DaemonId) -> MemberObservations:
         """Return the observations of a member, which are stored from now on."""
         return self.rows.setdefault(daemon_id, MemberObservations())
 
-    def started(self, daemon_id: DaemonId, now: Millis) -> None:
+    def record_start(self, daemon_id: DaemonId, now: Millis) -> None:
         """Record a call that was sent."""
-        insort(self.observations(daemon_id).starts, now)
+        insort(self.get_or_create(daemon_id).starts, now)
 
-    def released(self, daemon_id: DaemonId, start: Millis) -> None:
+    def record_end(self, daemon_id: DaemonId, start: Millis) -> None:
         """Record the end of the call that started at `start`, up to rounding."""
-        starts = self.observations(daemon_id).starts
+        starts = self.get_or_create(daemon_id).starts
         if not starts:
             return
         after = bisect_right(starts, start)
--- a/packages/agatecross-core/agatecross_core/routing/ramp.py
+++ b/packages/agatecross-core/agatecross_core/routing/ramp.py
@@ -8,7 +8,7 @@
 from ..states import UpstreamState
 from .model import Candidate
 from .prefer import prefer
-from .tuning import RAMP_START, RAMP_TIME
+from .tuning import RAMP_INITIAL_SHARE, RAMP_TIME
 
 
 class Ramp:
@@ -21,7 +21,7 @@
         self.newly_ready: set[DaemonId] = set()
         self.ready_since: dict[DaemonId, Millis] = {}
 
-    def view_changed(self, view: FleetView) -> None:
+    def apply_view(self, view: FleetView) -> None:
         """Record which upstreams became ready, including by a restart of their daemon."""
         ready = {
             m.daemon_id: m.incarnation
@@ -45,7 +45,7 @@
         ready_since = self.ready_since.get(daemon_id)
         if ready_since is None:
             return True
-        share = max(RAMP_START, (now - ready_since) / RAMP_TIME)
+        share = max(RAMP_INITIAL_SHARE, (now - ready_since) / RAMP_TIME)
         if share >= 1.0:
             del self.ready_since[daemon_id]
             return True
--- a/packages/agatecross-core/agatecross_core/routing/router.py
+++ b/packages/agatecross-core/agatecross_core/routing/router.py
@@ -8,14 +8,14 @@
 from ..members.records import Member
 from ..members.view import FleetView
 from ..states import Outcome, Reason
-from .candidates import candidates
+from .candidates import build_candidates
 from .choice import Filters, choose
 from .ejection import EJECTING_REASONS, Ejections
 from .groups import GroupDetector
-from .health import healthy
+from .health import keep_healthy
 from .hedging import OVERLOAD_REFUSALS, ServiceLatency
-from .load import LoadTable
-from .model import Candidate, ChoiceRequest, Position, Purpose, ReportedLoad
+from .model import Candidate, ChoiceRequest, DaemonLocation, Purpose, ReportedLoad
+from .observations import ObservationTable
 from .ramp import Ramp
 from .sample import MemberSampler
 
@@ -40,7 +40,7 @@
 class Balancer(Protocol):
     """Chooses the upstream of each attempt and learns from how attempts end."""
 
-    def view_changed(self, view: FleetView) -> None:
+    def apply_view(self, view: FleetView) -> None:
         """Apply a new view of the fleet."""
         ...
 
@@ -48,11 +48,11 @@
         """Return the candidate for one attempt, or None when no upstream can serve it."""
         ...
 
-    def started(self, daemon_id: DaemonId, now: Millis) -> None:
+    def record_start(self, daemon_id: DaemonId, now: Millis) -> None:
         """Record an attempt that was sent."""
         ...
 
-    def ended(self, attempt: AttemptEnded, now: Millis) -> None:
+    def record_end(self, attempt: AttemptEnded, now: Millis) -> None:
         """Record an attempt that ended."""
         ...
 
@@ -60,26 +60,26 @@
 class AdaptiveBalancer:
     """Avoids slow and failing upstreams, prefers near ones, and takes the better of two."""
 
-    def __init__(self, here: Position, rng: random.Random) -> None:
+    def __init__(self, here: DaemonLocation, rng: random.Random) -> None:
         self.here = here
         self.rng = rng
         self.view = FleetView()
-        self.load = LoadTable()
+        self.observations = ObservationTable()
         self.ejections = Ejections()
         self.groups = GroupDetector()
         self.ramp = Ramp(rng)
         self.sampler = MemberSampler(here, rng)
-        self.filters = Filters(self.load, self.ejections, self.groups, self.ramp)
+        self.filters = Filters(self.observations, self.ejections, self.groups, self.ramp)
         self.latencies: dict[ServiceName, ServiceLatency] = {}
 
-    def view_changed(self, view: FleetView) -> None:
+    def apply_view(self, view: FleetView) -> None:
         """Apply a new view of the fleet."""
         self.view = view
         members = set(view.members)
-        self.load.retain(members)
+        self.observations.retain(members)
         self.ejections.retain(members)
-        self.ramp.view_changed(view)
-        self.sampler.view_changed(view)
+        self.ramp.apply_view(view)
+        self.sampler.apply_view(view)
         self.latencies = {s: row for s, row in self.latencies.items() if s in view.by_service}
 
     def choose(self, request: ChoiceRequest, now: Millis) -> Candidate | None:
@@ -95,7 +95,9 @@
     def _choose_from(
         self, members: tuple[Member, ...], request: ChoiceRequest, now: Millis
     ) -> Candidate | None:
-        ready = list(healthy(candidates(request, members, self.load, self.here, now)))
+        ready = list(
+            keep_healthy(build_candidates(request, members, self.observations, self.here, now))
+        )
         latency = self.latencies.get(request.service)
         delay = latency.hedge_after(request.hedge_quantile, ready) if latency else None
         if request.purpose is Purpose.HEDGE and delay is None:
@@ -103,16 +105,16 @@
         chosen = choose(request, ready, self.filters, self.rng, now)
         return replace(chosen, hedge_after=delay) if chosen and delay is not None else chosen
 
-    def started(self, daemon_id: DaemonId, now: Millis) -> None:
+    def record_start(self, daemon_id: DaemonId, now: Millis) -> None:
         """Record an attempt that was sent."""
-        self.load.started(daemon_id, now)
+        self.observations.record_start(daemon_id, now)
 
-    def ended(self, attempt: AttemptEnded, now: Millis) -> None:
+    def record_end(self, attempt: AttemptEnded, now: Millis) -> None:
         """Learn from an attempt that ended."""
         daemon_id = attempt.daemon_id
-        observations = self.load.observations(daemon_id)
+        observations = self.observations.get_or_create(daemon_id)
         overdue = observations.record_overdue(now)
-        self.load.released(daemon_id, Millis(now - attempt.elapsed))
+        self.observations.record_end(daemon_id, Millis(now - attempt.elapsed))
         if attempt.load is not None:
             observations.record_report(attempt.load, now)
         succeeded = attempt.outcome is Outcome.RAN and not attempt.failed
@@ -141,7 +143,7 @@
     def _record_overdue(self, service: ServiceName, now: Millis) -> None:
         # A frozen upstream sends no answers; its overdue calls are the only evidence.
         for member in self.view.by_service.get(service, ()):
-            observations = self.load.rows.get(member.daemon_id)
+            observations = self.observations.rows.get(member.daemon_id)
             if (
                 observations is not None
                 and observations.starts
--- a/packages/agatecross-core/agatecross_core/routing/sample.py
+++ b/packages/agatecross-core/agatecross_core/routing/sample.py
@@ -8,7 +8,7 @@
 from ..members.view import FleetView
 from ..states import Locality
 from .candidates import locality_of
-from .model import Position
+from .model import DaemonLocation
 from .tuning import SAMPLE_PER_LOCALITY
 
 Pools = tuple[tuple[Member, ...], ...]
@@ -17,13 +17,13 @@
 class MemberSampler:
     """Draws random members of a service from each locality."""
 
-    def __init__(self, here: Position, rng: random.Random) -> None:
+    def __init__(self, here: DaemonLocation, rng: random.Random) -> None:
         """Start without members."""
         self.here = here
         self.rng = rng
         self.pools: Mapping[ServiceName, Pools] = {}
 
-    def view_changed(self, view: FleetView) -> None:
+    def apply_view(self, view: FleetView) -> None:
         """Group the members of each service by their locality."""
         self.pools = {service: self._pools(rows) for service, rows in view.by_service.items()}
 
@@ -39,7 +39,8 @@
         return tuple(self.rng.sample(pool, SAMPLE_PER_LOCALITY))
 
     def _pools(self, members: tuple[Member, ...]) -> Pools:
-        near = [(locality_of(member, self.here), member) for member in members]
+        located = [(locality_of(member, self.here), member) for member in members]
         return tuple(
-            tuple(member for place, member in near if place is locality) for locality in Locality
+            tuple(member for member_locality, member in located if member_locality is locality)
+            for locality in Locality
         )
--- a/packages/agatecross-core/agatecross_core/routing/tuning.py
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -36,7 +36,7 @@
 MAX_EJECTION_TIME: Final = Millis(10_000)
 
 # Cold start of an upstream: initial share of its calls, and time until it gets all of them.
-RAMP_START: Final = 0.1
+RAMP_INITIAL_SHARE: Final = 0.1
 RAMP_TIME: Final = Millis(5_000)
 
 # Groups of upstreams that slow down together.
@@ -55,7 +55,7 @@
 # of 64 upstreams.
 GROUP_MIN_COMMON_PERIODS: Final = 3
 GROUP_MIN_CORRELATION: Final = 0.35
-GROUP_MIN_DEVIATION: Final = 4.5
+GROUP_MIN_Z_SCORE: Final = 4.5
 
 # Hedging.
 MAX_LATENCY_SAMPLES: Final = 512
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -25,7 +25,7 @@
 from agatecross_core.quarantine.gate import TrialGate
 from agatecross_core.quarantine.model import StrikeNotice
 from agatecross_core.routing.balancers import new_balancer
-from agatecross_core.routing.model import Position
+from agatecross_core.routing.model import DaemonLocation
 from agatecross_core.states import MemberState
 
 from .events import log_event, log_warning
@@ -121,7 +121,7 @@
     log = HttpLogService(settings.log_address, TornadoHttpClient())
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
     boxes = Mailboxes()
-    position = Position(settings.daemon_id, settings.region, settings.data_centre)
+    position = DaemonLocation(settings.daemon_id, settings.region, settings.data_centre)
     balancer = new_balancer(settings.balancing, position, rng)
     driver = CallDriver(
         settings.daemon_id, balancer, telemetry.client(peers, "peer"), boxes.upstream
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -59,7 +59,7 @@
         """Carry out one attempt and report its end to the balancer."""
         target = attempt.target.member
         started = monotonic()
-        self.balancer.started(target.daemon_id, started)
+        self.balancer.record_start(target.daemon_id, started)
         result, load = unknown_result(Reason.CONNECTION_LOST), None
         cancelled = True
         try:
@@ -72,7 +72,7 @@
         finally:
             now = monotonic()
             took = Millis(now - started)
-            self.balancer.ended(_ended(target.daemon_id, took, result, load, cancelled), now)
+            self.balancer.record_end(_ended(target.daemon_id, took, result, load, cancelled), now)
 
     async def _perform(
         self, action: FlowAction, running: set[asyncio.Task[CallResult]]
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -92,7 +92,7 @@
                 self.snapshot = snapshot
             case ViewChanged(view, me):
                 self.view = view
-                self.balancer.view_changed(view)
+                self.balancer.apply_view(view)
                 self.quarantine.view_changed(view, me)
             case Leaving():
                 self.listener.announce_close()
--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -36,7 +36,7 @@
 from agatecross_core.members.records import Gossip, Member, SyncReply, UpstreamInfo
 from agatecross_core.members.swim import Swim
 from agatecross_core.members.view import build_view
-from agatecross_core.routing.model import ChoiceRequest, Position
+from agatecross_core.routing.model import ChoiceRequest, DaemonLocation
 from agatecross_core.routing.router import AdaptiveBalancer
 from agatecross_core.states import MemberState, UpstreamState
 
@@ -133,9 +133,9 @@
     swim = Swim(members[0], rng)
     list(swim.merge(members, Millis(0)))
     view = build_view(members, False)
-    here = Position(members[0].daemon_id, members[0].region, members[0].data_centre)
+    here = DaemonLocation(members[0].daemon_id, members[0].region, members[0].data_centre)
     balancer = AdaptiveBalancer(here, rng)
-    balancer.view_changed(view)
+    balancer.apply_view(view)
     request = ChoiceRequest(ServiceName("service-1"))
     now = Millis(0)
 
