--- a/packages/agatecross-core/agatecross_core/admission/classes.py
+++ b/packages/agatecross-core/agatecross_core/admission/classes.py
@@ -19,11 +19,12 @@
 from .model import CallShape, ClassPolicy, Entry, FilterItem
 
 MAX_SHAPE_SEGMENTS = 6
+# The baseline rises with the time since the previous sample, of which at most this much counts.
 MAX_SAMPLE_GAP = Millis(1_000)
 
 
 def shape_of(call: Call) -> CallShape:
-    """Return the shape of a call: its path has no query and `*` for segments with a digit."""
+    """Return the shape of a call; path segments with a digit become `*`, the query is dropped."""
     path = call.request.path.partition("?")[0]
     segments = path.split("/")[: MAX_SHAPE_SEGMENTS + 1]
     normalised = "/".join("*" if any(map(str.isdigit, part)) else part for part in segments)
@@ -43,7 +44,7 @@
 
 
 class CostTable:
-    """Bounded table of observed costs that evicts the least recently observed shape."""
+    """Observed costs of at most `max_shapes` shapes; evicts the least recently observed shape."""
 
     def __init__(self, max_shapes: int = MAX_COST_SHAPES) -> None:
         self.max_shapes = max_shapes
@@ -69,7 +70,7 @@
         return ratio
 
     def observe_running(self, shape: CallShape, elapsed: Millis, now: Millis) -> None:
-        """Record the time of a running call if no call of its shape has ended yet."""
+        """Record the time of a running call if the table has no sample of its shape."""
         if shape not in self.costs:
             self.observe(shape, elapsed, now)
 
--- a/packages/agatecross-core/agatecross_core/admission/limit.py
+++ b/packages/agatecross-core/agatecross_core/admission/limit.py
@@ -1,10 +1,10 @@
 """Concurrency limit of an upstream, which is at most its announced slots.
 
-When calls take longer than their baseline, a gradient on the service time lowers the limit, down to
-a quarter of the slots: a lower concurrency does not end a slowdown with an outside cause, and the
-upstream must stay under observation. Calls that the upstream sheds lower the limit by a constant
-factor, down to one. In each window without either, the limit grows by half, so that it is restored
-within a second.
+When calls take longer than their baseline, a gradient on the service time lowers the limit, but not
+below a quarter of the slots: a lower concurrency does not end a slowdown whose cause lies outside
+the upstream, and enough calls must run to observe the upstream. When the upstream sheds a call, the
+limit is lowered by a constant factor, down to one. In each window without either, the limit grows
+by half, so that it is restored within a second.
 """
 
 import math
@@ -22,7 +22,10 @@
 
 
 class ConcurrencyLimit:
-    """Adapts the number of concurrent calls to the capacity of the upstream."""
+    """Adapts the number of concurrent calls to the capacity of the upstream.
+
+    `capacity` is the announced capacity, `fractional_limit` the limit before it is rounded down.
+    """
 
     def __init__(self) -> None:
         self.capacity = 0
@@ -59,7 +62,7 @@
             self._start_window(now)
 
     def record_idle(self, now: Millis) -> None:
-        """Raise the limit while nothing runs: no completion can show that the upstream is well."""
+        """Raise the limit while nothing runs: no completion can show a recovery."""
         if now >= self.window_end:
             self._grow()
             self._start_window(now)
--- a/packages/agatecross-core/agatecross_core/admission/model.py
+++ b/packages/agatecross-core/agatecross_core/admission/model.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallCancelled:
-    """The side that sent the call closed its connection."""
+    """The sender of the call closed its connection."""
 
     call_id: CallId
 
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
-    """Action: report the call as not run."""
+    """Action: refuse the call with the outcome not-run."""
 
     call_id: CallId
     reason: Reason
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -9,10 +9,11 @@
 
 # Weight of one call in the mean costs.
 COST_SAMPLE_WEIGHT = 0.1
-# A call that waits longer than its latency objective allows has little value, but every call may
-# wait for this share of its remaining time.
+# A call that would miss its latency objective is not queued, because its answer has little value.
+# But every call may wait for this share of the time to its deadline.
 MIN_WAIT_SHARE = 0.1
-# Calls of one route differ in cost; this multiple of the mean must fit between start and objective.
+# Calls of one route differ in cost: this multiple of the mean cost must fit between the expected
+# start and the objective.
 COST_MARGIN_FACTOR = 1.2
 # A call that may miss its deadline is started if it would meet it at this share of the mean cost.
 FEASIBLE_COST_SHARE = 0.6
@@ -22,8 +23,8 @@
 class WaitingCall:
     """A waiting call; `rank` 0 is the most important.
 
-    After `objective` its answer loses value, after `deadline` it is useless; both are times on the
-    monotonic clock.
+    After `objective_at` its answer loses value, after `deadline` it is useless; both are times on
+    the monotonic clock.
     """
 
     handover_id: HandoverId
@@ -42,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseHandover:
-    """Action: report the call as not run."""
+    """Action: refuse the call with the outcome not-run."""
 
     handover_id: HandoverId
     reason: Reason
@@ -55,8 +56,9 @@
         """Start without slots."""
         self.slots = 0
         self.running: dict[HandoverId, tuple[RouteName, Millis]] = {}
-        # Sorted by start order. Within a rank, the earliest objective goes first: calls made by
-        # running upstreams have short objectives, and without them the work so far is lost.
+        # Sorted by start order. Within a rank, the earliest objective goes first: calls that
+        # upstreams make while they run a call have early objectives, and if they fail, the work
+        # done for the outer call is lost.
         self.waiting: list[WaitingCall] = []
         self.costs: dict[RouteName, float] = {}
         self.mean_cost = 0.0
@@ -78,7 +80,7 @@
         insort(self.waiting, call, key=start_order)
 
     def finish(self, handover_id: HandoverId, now: Millis, counts_for_mean: bool) -> None:
-        """Free the slot of a call; `typical` tells whether its time counts for the mean cost."""
+        """Free the slot of a call; its time updates the mean costs if `counts_for_mean`."""
         row = self.running.pop(handover_id, None)
         if row is not None and counts_for_mean:
             route, started = row
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -37,7 +37,8 @@
 UNKNOWN_RULES_RETRY_DELAY: Final = Millis(30_000)
 # 64 documents of 256 KiB need 4.5 s on a link of 30 Mbit/s.
 PULL_TIMEOUT: Final = Millis(5_000)
-# Longer than the timeout of the transport, so that it only ends pulls without any answer.
+# Longer than PULL_TIMEOUT, after which the transport reports that no answer came: this time ends
+# only a pull without any report.
 MAX_PULL_TIME: Final = Millis(6_000)
 POSITION_PULL_PERIOD: Final = Millis(2_000)
 # Time for ten pulls of a position, each from another peer, to find a reader that still has one.
@@ -67,7 +68,7 @@
 MAX_UPDATES_PER_MESSAGE: Final = 12
 MAX_MEMBERS: Final = 4096
 BOOTSTRAP_ANNOUNCEMENTS: Final = 16
-# A longer pause of a daemon may hide a whole suspicion timeout of its peers.
+# During a longer pause of a daemon, a whole suspicion timeout of a peer may pass unnoticed.
 MAX_TICK_GAP: Final = Millis(2_000)
 
 # Calls.
@@ -85,10 +86,11 @@
 # Admission.
 # A queue whose oldest entry has waited longer is overloaded and serves the newest entry first.
 QUEUE_DELAY_TARGET: Final = Millis(100)
-# Checking every entry of a full queue on each message would cost more than relaying the call.
+# Checking all entries of a full queue on each message would cost more than relaying a call.
 QUEUE_SWEEP_PERIOD: Final = Millis(10)
 MAX_COST_SHAPES: Final = 1024
-# Weight of one sample in the recent cost, and of one faster sample in the baseline.
+# Weight of a new sample in the moving average of the recent cost, and in the baseline if the sample
+# is below it.
 RECENT_COST_WEIGHT: Final = 0.2
 COST_BASELINE_FALL_WEIGHT: Final = 0.1
 # A slowdown of a few seconds must not become the baseline that it is compared with.
@@ -131,7 +133,7 @@
 CLAIM_APPEND_BURST: Final = 10.0
 CLAIM_RETRY_WAIT: Final = Millis(50)
 MAX_CLAIM_RETRY_WAIT: Final = Millis(1_000)
-# Bounds how long a daemon without keyed calls does not notice that the stream was lost.
+# A daemon without keyed calls notices within this time that the stream was lost.
 CLAIMS_IDLE_READ_PERIOD: Final = Millis(30_000)
 OUTCOME_POLL_PERIOD: Final = Millis(50)
 OUTCOME_TIMEOUT: Final = Millis(400)
@@ -144,5 +146,5 @@
 QUARANTINE_TIME: Final = Millis(10 * 60_000)
 MAX_FINGERPRINTS: Final = 1024
 MAX_STRIKE_NOTICES: Final = 64
-# A failed call is answered once the peers have taken its strike, or after this time.
+# A failed call is answered once the peers have acknowledged its strike, or after this time.
 STRIKE_NOTICE_TIMEOUT: Final = Millis(400)
--- a/packages/agatecross-core/agatecross_core/errors.py
+++ b/packages/agatecross-core/agatecross_core/errors.py
@@ -73,7 +73,7 @@
 
 
 class SettingsError(AgatecrossError):
-    """The settings of a process have findings."""
+    """The settings of a process are invalid."""
 
 
 class StoreError(AgatecrossError):
--- a/packages/agatecross-core/agatecross_core/pacing.py
+++ b/packages/agatecross-core/agatecross_core/pacing.py
@@ -28,6 +28,6 @@
 
 
 def full_jitter(attempt: int, base: Millis, cap: Millis, rng: random.Random) -> Millis:
-    """Return a random delay of up to `base` doubled for each earlier attempt, at most `cap`."""
+    """Return a random delay from 0 to `base * 2**attempt`, but at most `cap`."""
     # The exponent is bounded because in a long outage the power would overflow a float.
     return Millis(rng.uniform(0, min(cap, base * 2 ** min(attempt, 16))))
--- a/packages/agatecross-core/agatecross_core/relay/budget.py
+++ b/packages/agatecross-core/agatecross_core/relay/budget.py
@@ -2,9 +2,9 @@
 
 from ..ids import Millis
 
-# Calls made by a repeated run count as repeats at the service that they go to, but only the daemon
-# that repeated the run knows this. Two services in a row may each spend this share; a fifth is
-# left.
+# A repeated run makes its own calls to the next service again. They count as repeats there, but
+# only the daemon that repeated the run knows this. Two services in a chain may each spend this
+# share; a fifth of the budget is left.
 SHARE_PER_SERVICE = 0.4
 # A daemon that crashes again and again must not get a full allowance at each restart.
 INITIAL_TOKENS = 1.0
@@ -33,7 +33,8 @@
     def take(self, daemons: int, now: Millis) -> bool:
         """Take the token of one repeat in a fleet of `daemons`; return False if there is none."""
         share = self.slack / max(1, daemons)
-        # The tokens that all daemons together can accumulate are part of the fixed allowance.
+        # One half of the share is the refill per window, the other half bounds the accumulated
+        # tokens, because these also count against the fixed allowance.
         self.capacity = INITIAL_TOKENS + share / 2
         if self.filled_at is not None:
             gained = (now - self.filled_at) / self.window * share / 2
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -8,8 +8,8 @@
 from ..states import Outcome, Reason
 from .model import Attempt, RelayResult, Repeat, not_run_result
 
-# Refusals of calls that did not reach an upstream cost no budget, but each takes a round trip
-# between daemons.
+# Until a handover has reached an upstream, further attempts take no token of the retry budget, but
+# each costs a round trip between daemons.
 MAX_HANDOVERS = 3
 # A repeat that starts with less time left than this cannot end in time.
 MIN_TIME_LEFT = Millis(10)
--- a/packages/agatecross-core/agatecross_core/relay/ledger.py
+++ b/packages/agatecross-core/agatecross_core/relay/ledger.py
@@ -11,7 +11,8 @@
 # An entry daemon asks again within the longest timeout of a route; 10 s also covers reconnects.
 HANDOVER_RETENTION = Millis(10_000)
 MAX_LEDGER_ROWS = 20_000
-# Results are kept because an answer may be lost on the way; 8 MiB is a twentieth of a small daemon.
+# Results are kept because an answer may be lost on the way. 8 MiB is a twentieth of the memory of a
+# small daemon.
 MAX_STORED_RESULT_BYTES = 8 * 1024 * 1024
 
 
--- a/packages/agatecross-core/agatecross_core/relay/response_size.py
+++ b/packages/agatecross-core/agatecross_core/relay/response_size.py
@@ -10,8 +10,8 @@
 # Limit on chunk lines per byte of the body, in addition to the limit on a head. Each chunk costs a
 # parser call: chunks of five bytes or more always fit, smaller ones in bodies of up to 16 KiB.
 MAX_FRAMING_BYTES_PER_BODY_BYTE: Final = 1
-# Limit on all unfinished responses of one upstream together: four of the largest. With their copies
-# on the way to the caller, they fit beside 44 MB at a load peak on a machine with 150 MB.
+# Limit on all unfinished responses of one upstream together: four of the largest. On a machine with
+# 150 MB, they and their copies on the way to the caller fit beside the 44 MB in use at a load peak.
 MAX_UNFINISHED_RESPONSE_BYTES: Final = 32 * MIB
 
 
--- a/packages/agatecross-core/agatecross_core/routing/groups.py
+++ b/packages/agatecross-core/agatecross_core/routing/groups.py
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class BucketHistory:
-    """Observations of one upstream.
+    """Observations of one upstream by bucket.
 
     `seen` and `slow` are bit sets of the buckets with observations and of the slow buckets, counted
     from the first bucket of the detector; `calls` and `slow_calls` belong to the current `bucket`.
@@ -197,7 +197,7 @@
     def prefer_outside_slow_groups(
         self, rows: Iterable[Candidate], observations: ObservationTable, now: Millis
     ) -> Iterator[Candidate]:
-        """Yield the candidates that are in no group that is slow now, or all if there are none."""
+        """Yield the candidates outside the groups that are slow now, or all if there are none."""
         slow = {
             i for group in self.groups if is_group_slow(group, observations, now) for i in group
         }
@@ -205,7 +205,7 @@
 
 
 def is_group_slow(group: frozenset[DaemonId], observations: ObservationTable, now: Millis) -> bool:
-    """Return whether a member is slow and no member has worked normally since the evidence."""
+    """Return whether a member is slow and no member has ended a normal call since the evidence."""
     members = [observations.lookup(daemon_id) for daemon_id in group]
     evidence = max((row.slow_evidence_at for row in members if row.is_slow(now)), default=None)
     return evidence is not None and evidence >= max(row.last_normal_end for row in members)
--- a/packages/agatecross-core/agatecross_core/routing/hedging.py
+++ b/packages/agatecross-core/agatecross_core/routing/hedging.py
@@ -19,7 +19,7 @@
 
 
 class ServiceLatency:
-    """Recent latencies and refusals of the attempts of one service."""
+    """Recent latencies and share of overload refusals of the attempts at one service."""
 
     def __init__(self) -> None:
         """Start without attempts."""
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -33,7 +33,8 @@
 # Limits how far the speed of the last calls can shift traffic.
 MAX_SLOWNESS = 6.0
 MIN_SLOWNESS = 0.3
-# A second attempt of a slow call is made only where at least half of the slots are free.
+# A second attempt of a slow call is sent only to an upstream of which more than half of the
+# slots stay free with it.
 SECOND_ATTEMPT_MAX_BUSY_SHARE = 0.5
 EJECTION_TIME = Millis(400)
 COLD_SLOTS_DIVISOR = 2.0
@@ -46,7 +47,11 @@
 
 @dataclass(slots=True)
 class InstanceStats:
-    """Observations of one instance of an upstream."""
+    """Observations of one instance of an upstream.
+
+    `slowness` is a moving average of the cost that it reports for a route, divided by the mean cost
+    of that route; `failure_share` is the recent share of failed attempts, from 0 to 1.
+    """
 
     instance: InstanceId
     outstanding: int = 0
@@ -183,7 +188,7 @@
         )
 
     def _learn_slowness(self, stats: InstanceStats, cost: Millis, route: str) -> None:
-        """Compare the cost that a daemon measured next to its upstream with the mean of all."""
+        """Compare the cost that the daemon next to the upstream measured with the mean of all."""
         mean = self.mean_costs.get(route, cost)
         self.mean_costs[route] = mean + MEAN_SAMPLE_WEIGHT * (cost - mean)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
--- a/packages/agatecross-core/agatecross_core/routing/observations.py
+++ b/packages/agatecross-core/agatecross_core/routing/observations.py
@@ -31,8 +31,9 @@
 
     `starts` holds the sorted start times of outstanding calls. `median_ms` follows the median in
     small steps, so that slow periods hardly move it, `deviation_ms` follows the mean distance from
-    it, and `recent_ms` the last few calls. `normal_start` and `normal_at` are the start and the end
-    of the last call with a normal latency, `evidence_at` is the time of the last sign of slowness.
+    it, and `recent_ms` the last few calls. `last_normal_start` and `last_normal_end` are the start
+    and the end of the last call with a normal latency; `slow_evidence_at` is the time of the last
+    evidence of slowness.
     """
 
     starts: list[Millis] = field(default_factory=list)
@@ -53,7 +54,7 @@
 
     @property
     def outstanding(self) -> int:
-        """Return the number of calls of this daemon without a result."""
+        """Return the number of calls from this daemon that have not ended."""
         return len(self.starts)
 
     def slow_threshold(self) -> float:
@@ -154,7 +155,7 @@
 
 
 class ObservationTable:
-    """Observations by member."""
+    """Table of the observations of each member."""
 
     def __init__(self) -> None:
         """Start without observations."""
--- a/packages/agatecross-core/agatecross_core/routing/prefer.py
+++ b/packages/agatecross-core/agatecross_core/routing/prefer.py
@@ -1,4 +1,4 @@
-"""Rule of the preference filters."""
+"""Common rule of the preference filters: if no candidate passes, all do."""
 
 from collections.abc import Callable, Iterable, Iterator
 
--- a/packages/agatecross-core/agatecross_core/routing/tuning.py
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -12,8 +12,9 @@
 MEDIAN_STEP_SHARE: Final = 0.05
 RECENT_LATENCY_WEIGHT: Final = 0.5
 RECENT_LATENCY_HALF_LIFE: Final = Millis(300)
-# In mean deviations: 0.5 % of calls with gamma-distributed work (shape 4) exceed four of them, and
-# 3.5 % with exponential work. A service with even work needs a minimum distance.
+# Distance of the slow threshold from the median, in mean deviations: 0.5 % of calls with
+# gamma-distributed work (shape 4) exceed four of them, and 3.5 % with exponential work. A service
+# whose calls all take about the same time needs a minimum distance.
 SLOW_DEVIATIONS: Final = 4.0
 SLOW_MIN_SPREAD_SHARE: Final = 1.0
 SLOW_MARGIN: Final = Millis(2)
@@ -51,7 +52,7 @@
 SERVICE_PEAK_SLOW_SHARE: Final = 0.75
 PEAK_MIN_OBSERVATIONS: Final = 3
 # Slow periods last several buckets, so buckets are not independent: a pair needs this many separate
-# common periods, a strong correlation, and a deviation that noise does not reach in the 2,016 pairs
+# common periods, a strong correlation, and a z-score that noise does not reach in the 2,016 pairs
 # of 64 upstreams.
 GROUP_MIN_COMMON_PERIODS: Final = 3
 GROUP_MIN_CORRELATION: Final = 0.35
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -86,7 +86,7 @@
 
 
 class PublishVerdict(Enum):
-    """Result of folding one publish record."""
+    """Result of applying one publish record to the configuration state."""
 
     ACCEPTED = "accepted"
     REJECTED = "rejected"
