--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -410,8 +410,8 @@
 def check_limits(context):
     histories = context.detector.histories
     assert len(histories) <= 512, len(histories)
-    assert all(track.seen.bit_length() <= 601 for track in histories.values())
-    assert len(context.detector.fleet.seen) <= 601
+    assert all(track.observed_buckets.bit_length() <= 601 for track in histories.values())
+    assert len(context.detector.fleet.observed_counts) <= 601
 
 
 class StubPeers:
--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -35,9 +35,9 @@
     """Return the candidate for one attempt, or None when no upstream can serve it."""
     rows = prefer_untried(request, iter(ready))
     rows = filters.groups.prefer_outside_tried_groups(request, rows)
-    rows = filters.ejections.filter(rows, now)
+    rows = filters.ejections.prefer_not_ejected(rows, now)
     rows = filters.groups.prefer_outside_slow_groups(rows, filters.observations, now)
-    rows = filters.ramp.filter(rows, now)
+    rows = filters.ramp.limit_newly_ready(rows, now)
     return pick_less_loaded(prefer_nearest(rows), rng)
 
 
--- a/packages/agatecross-core/agatecross_core/routing/ejection.py
+++ b/packages/agatecross-core/agatecross_core/routing/ejection.py
@@ -38,7 +38,9 @@
         """Forget members that are gone."""
         self.rows = {i: row for i, row in self.rows.items() if i in daemon_ids}
 
-    def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
+    def prefer_not_ejected(
+        self, candidates: Iterable[Candidate], now: Millis
+    ) -> Iterator[Candidate]:
         """Yield the candidates that are not ejected, or all if all are."""
         return prefer(candidates, lambda row: not self.is_ejected(row.member.daemon_id, now))
 
--- a/packages/agatecross-core/agatecross_core/routing/groups.py
+++ b/packages/agatecross-core/agatecross_core/routing/groups.py
@@ -38,35 +38,36 @@
 class BucketHistory:
     """Observations of one upstream by bucket.
 
-    `seen` and `slow` are bit sets of the buckets with observations and of the slow buckets, counted
-    from the first bucket of the detector; `calls` and `slow_calls` belong to the current `bucket`.
+    `observed_buckets` and `slow_buckets` are bit sets of the buckets with observations and of the
+    slow buckets, counted from the first bucket of the detector; `calls` and `slow_calls` belong to
+    the current `bucket`.
     """
 
     service: ServiceName
     bucket: int
     slow_calls: int = 0
     calls: int = 0
-    seen: int = 0
-    slow: int = 0
+    observed_buckets: int = 0
+    slow_buckets: int = 0
 
 
 @dataclass(slots=True)
 class BucketCounts:
     """Number of observed and of slow upstreams in each bucket."""
 
-    seen: dict[int, int] = field(default_factory=dict)
-    slow: dict[int, int] = field(default_factory=dict)
+    observed_counts: dict[int, int] = field(default_factory=dict)
+    slow_counts: dict[int, int] = field(default_factory=dict)
 
     def add(self, bucket: int, slow: bool) -> None:
         """Count one upstream in a bucket."""
-        self.seen[bucket] = self.seen.get(bucket, 0) + 1
+        self.observed_counts[bucket] = self.observed_counts.get(bucket, 0) + 1
         if slow:
-            self.slow[bucket] = self.slow.get(bucket, 0) + 1
+            self.slow_counts[bucket] = self.slow_counts.get(bucket, 0) + 1
 
-    def forget(self, before: int) -> None:
+    def drop_before(self, before: int) -> None:
         """Drop the buckets before this one."""
-        self.seen = {b: n for b, n in self.seen.items() if b >= before}
-        self.slow = {b: n for b, n in self.slow.items() if b >= before}
+        self.observed_counts = {b: n for b, n in self.observed_counts.items() if b >= before}
+        self.slow_counts = {b: n for b, n in self.slow_counts.items() if b >= before}
 
     def peak_bits(self, first_bucket: int, share: float) -> int:
         """Return the bit set of the buckets in which more than this share of upstreams is slow.
@@ -74,10 +75,10 @@
         Sums over five buckets, because a daemon does not observe every upstream in each bucket.
         """
         bits = 0
-        for bucket in {b + d for b in self.slow for d in (-2, -1, 0, 1, 2)}:
+        for bucket in {b + d for b in self.slow_counts for d in (-2, -1, 0, 1, 2)}:
             near = range(bucket - 2, bucket + 3)
-            seen = sum(self.seen.get(b, 0) for b in near)
-            slow = sum(self.slow.get(b, 0) for b in near)
+            seen = sum(self.observed_counts.get(b, 0) for b in near)
+            slow = sum(self.slow_counts.get(b, 0) for b in near)
             if bucket >= first_bucket and seen >= PEAK_MIN_OBSERVATIONS and slow > share * seen:
                 bits |= 1 << (bucket - first_bucket)
         return bits
@@ -123,8 +124,8 @@
         position = history.bucket - self.first_bucket
         if history.calls and position >= 0:
             slow = 2 * history.slow_calls >= history.calls and history.slow_calls > 0
-            history.seen |= 1 << position
-            history.slow |= int(slow) << position
+            history.observed_buckets |= 1 << position
+            history.slow_buckets |= int(slow) << position
             self.fleet.add(history.bucket, slow)
             self.services.setdefault(history.service, BucketCounts()).add(history.bucket, slow)
         history.calls = history.slow_calls = 0
@@ -133,28 +134,28 @@
         for history in self.histories.values():
             if history.bucket < bucket:
                 self._close_bucket(history)
-        self._forget(bucket - HISTORY_BUCKETS)
+        self._drop_old_buckets(bucket - HISTORY_BUCKETS)
         self._update_links(now)
         self.groups = tuple(form_groups(self.links))
         self.group_of = {i: group for group in self.groups for i in group}
 
-    def _forget(self, before: int) -> None:
+    def _drop_old_buckets(self, before: int) -> None:
         shift = before - self.first_bucket
         if shift <= 0:
             return
         self.first_bucket = before
         for history in self.histories.values():
-            history.seen >>= shift
-            history.slow >>= shift
+            history.observed_buckets >>= shift
+            history.slow_buckets >>= shift
         self.histories = {
             i: history
             for i, history in self.histories.items()
-            if history.seen or history.bucket >= before
+            if history.observed_buckets or history.bucket >= before
         }
-        self.fleet.forget(before)
+        self.fleet.drop_before(before)
         for counts in self.services.values():
-            counts.forget(before)
-        self.services = {s: counts for s, counts in self.services.items() if counts.seen}
+            counts.drop_before(before)
+        self.services = {s: counts for s, counts in self.services.items() if counts.observed_counts}
 
     def _update_links(self, now: Millis) -> None:
         self.links = {pair: until for pair, until in self.links.items() if now < until}
@@ -178,7 +179,7 @@
         self, peaks: Mapping[ServiceName, int]
     ) -> list[tuple[DaemonId, BucketHistory]]:
         rows = [
-            (count_runs(history.slow & ~peaks.get(history.service, 0)), daemon_id, history)
+            (count_runs(history.slow_buckets & ~peaks.get(history.service, 0)), daemon_id, history)
             for daemon_id, history in self.histories.items()
         ]
         rows = [row for row in rows if row[0] >= GROUP_MIN_COMMON_PERIODS]
@@ -213,12 +214,12 @@
 
 def slowdowns_correlate(one: BucketHistory, other: BucketHistory, ignored: int) -> bool:
     """Return whether the slow buckets of two upstreams coincide far more often than by chance."""
-    common = one.seen & other.seen & ~ignored
+    common = one.observed_buckets & other.observed_buckets & ~ignored
     total = common.bit_count()
-    both = one.slow & other.slow & common
+    both = one.slow_buckets & other.slow_buckets & common
     if count_runs(both) < GROUP_MIN_COMMON_PERIODS:
         return False
-    a, b = (one.slow & common).bit_count(), (other.slow & common).bit_count()
+    a, b = (one.slow_buckets & common).bit_count(), (other.slow_buckets & common).bit_count()
     variance_product = a * (total - a) * b * (total - b)
     if not variance_product:
         return False
--- a/packages/agatecross-core/agatecross_core/routing/ramp.py
+++ b/packages/agatecross-core/agatecross_core/routing/ramp.py
@@ -34,7 +34,9 @@
         self.newly_ready &= ready.keys()
         self.ready_since = {i: at for i, at in self.ready_since.items() if i in ready}
 
-    def filter(self, candidates: Iterable[Candidate], now: Millis) -> Iterator[Candidate]:
+    def limit_newly_ready(
+        self, candidates: Iterable[Candidate], now: Millis
+    ) -> Iterator[Candidate]:
         """Yield a newly ready candidate with a probability that grows to 1 during the ramp."""
         for daemon_id in self.newly_ready:
             self.ready_since[daemon_id] = now
