--- a/packages/agatecross-core/agatecross_core/admission/limit.py
+++ b/packages/agatecross-core/agatecross_core/admission/limit.py
@@ -1,10 +1,10 @@
 """Concurrency limit of an upstream, which is at most its announced slots.
 
-When calls take longer than their baseline, a gradient on the service time lowers the limit, down to
-a quarter of the slots: a lower concurrency does not end a slowdown with an outside cause, and the
-upstream must stay under observation. Calls that the upstream sheds lower the limit by a constant
-factor, down to one. In each window without either, the limit grows by half, so that it is restored
-within a second.
+When calls take longer than their baseline, a gradient on the service time lowers the limit, but not
+below a quarter of the slots: a lower concurrency does not end a slowdown whose cause lies outside
+the upstream, and enough calls must run to observe the upstream. When the upstream sheds a call, the
+limit is lowered by a constant factor, down to one. In each window without either, the limit grows
+by half, so that it is restored within a second.
 """
 
 import math
@@ -22,11 +22,14 @@
 
 
 class ConcurrencyLimit:
-    """Adapts the number of concurrent calls to the capacity of the upstream."""
+    """Adapts the number of concurrent calls to the capacity of the upstream.
+
+    `capacity` is the announced capacity, `fractional_limit` the limit before it is rounded down.
+    """
 
     def __init__(self) -> None:
-        self.ceiling = 0
-        self.level = 0.0
+        self.capacity = 0
+        self.fractional_limit = 0.0
         self.window_end = Millis(0)
         self.ratio_sum = 0.0
         self.sample_count = 0
@@ -34,13 +37,13 @@
     @property
     def value(self) -> int:
         """Return the number of calls that may run at once."""
-        return min(self.ceiling, max(1, math.floor(self.level)))
+        return min(self.capacity, max(1, math.floor(self.fractional_limit)))
 
-    def set_ceiling(self, ceiling: int) -> None:
+    def set_capacity(self, capacity: int) -> None:
         """Set the announced capacity; after a change, the limit starts at the new capacity."""
-        if ceiling != self.ceiling:
-            self.ceiling = ceiling
-            self.level = float(ceiling)
+        if capacity != self.capacity:
+            self.capacity = capacity
+            self.fractional_limit = float(capacity)
 
     def record_completion(self, ratio: float, now: Millis) -> None:
         """Record a completed call that took `ratio` times its baseline."""
@@ -53,11 +56,13 @@
     def record_shed(self, running: int, now: Millis) -> None:
         """Lower the limit below the concurrency at which a call was shed, once per window."""
         if now >= self.window_end:
-            self.level = max(1.0, min(self.level, running) * LIMIT_SHED_FACTOR)
+            self.fractional_limit = max(
+                1.0, min(self.fractional_limit, running) * LIMIT_SHED_FACTOR
+            )
             self._start_window(now)
 
     def record_idle(self, now: Millis) -> None:
-        """Raise the limit while nothing runs: no completion can show that the upstream is well."""
+        """Raise the limit while nothing runs: no completion can show a recovery."""
         if now >= self.window_end:
             self._grow()
             self._start_window(now)
@@ -67,12 +72,13 @@
         if gradient >= 1.0:
             self._grow()
         else:
-            floor = min(self.level, max(1.0, self.ceiling * LIMIT_SLOWDOWN_FLOOR_SHARE))
-            self.level = max(floor, self.level * gradient)
+            floor = min(self.fractional_limit, max(1.0, self.capacity * LIMIT_SLOWDOWN_FLOOR_SHARE))
+            self.fractional_limit = max(floor, self.fractional_limit * gradient)
 
     def _grow(self) -> None:
-        self.level = min(
-            float(self.ceiling), self.level + max(1.0, self.level * LIMIT_GROWTH_SHARE)
+        self.fractional_limit = min(
+            float(self.capacity),
+            self.fractional_limit + max(1.0, self.fractional_limit * LIMIT_GROWTH_SHARE),
         )
 
     def _start_window(self, now: Millis) -> None:
--- a/packages/agatecross-core/agatecross_core/admission/model.py
+++ b/packages/agatecross-core/agatecross_core/admission/model.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallCancelled:
-    """The side that sent the call closed its connection."""
+    """The sender of the call closed its connection."""
 
     call_id: CallId
 
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
-    """Action: report the call as not run."""
+    """Action: refuse the call with the outcome not-run."""
 
     call_id: CallId
     reason: Reason
@@ -111,7 +111,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Shape:
+class CallShape:
     """Key of calls that are expected to cost about the same."""
 
     service: str
@@ -124,7 +124,7 @@
     """A call that passes through the filters; `arrived` is a time on the monotonic clock."""
 
     call: Call
-    shape: Shape
+    shape: CallShape
     arrived: Millis
     work_class: WorkClass = WorkClass.SHORT
 
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -33,7 +33,8 @@
 # Limits how far the speed of the last calls can shift traffic.
 MAX_SLOWNESS = 6.0
 MIN_SLOWNESS = 0.3
-# A second attempt of a slow call is made only where at least half of the slots are free.
+# A second attempt of a slow call is sent only to an upstream of which more than half of the
+# slots stay free with it.
 SECOND_ATTEMPT_MAX_BUSY_SHARE = 0.5
 EJECTION_TIME = Millis(400)
 COLD_SLOTS_DIVISOR = 2.0
@@ -46,16 +47,20 @@
 
 @dataclass(slots=True)
 class InstanceStats:
-    """Observations of one instance of an upstream."""
+    """Observations of one instance of an upstream.
+
+    `slowness` is a moving average of the cost that it reports for a route, divided by the mean cost
+    of that route; `failure_share` is the recent share of failed attempts, from 0 to 1.
+    """
 
     instance: InstanceId
     outstanding: int = 0
     others_load: float = 0.0
-    load_at: Millis = ZERO_MS
+    load_reported_at: Millis = ZERO_MS
     slots: int = 0
     slowness: float = 1.0
-    failures: float = 0.0
-    failed_at: Millis = ZERO_MS
+    failure_share: float = 0.0
+    failures_updated_at: Millis = ZERO_MS
     ejected_until: Millis = ZERO_MS
 
 
@@ -94,8 +99,10 @@
         if endpoint.cold > 0:
             slots = max(1.0, slots / COLD_SLOTS_DIVISOR)
         busy = (stats.outstanding + self._others_load(stats, now) + 1.0) / slots
-        failures = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
-        cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failures)
+        failure_share = stats.failure_share * math.exp2(
+            -(now - stats.failures_updated_at) / FAILURE_HALF_LIFE
+        )
+        cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failure_share)
         if now < stats.ejected_until:
             cost += 100.0
         return cost + self.rng.random() * 0.02
@@ -143,7 +150,7 @@
         if result.slots:
             stats.slots = result.slots
             stats.others_load = max(0.0, result.load - stats.outstanding)
-            stats.load_at = now
+            stats.load_reported_at = now
         if result.reason in UNREACHABLE_REASONS:
             stats.ejected_until = Millis(now + EJECTION_TIME)
         elif result.reason in OVERLOAD_REASONS:
@@ -168,9 +175,11 @@
         self.stats = {i: stats for i, stats in self.stats.items() if i in daemon_ids}
 
     def _learn_failure(self, stats: InstanceStats, failed: bool, now: Millis) -> None:
-        decayed = stats.failures * math.exp2(-(now - stats.failed_at) / FAILURE_HALF_LIFE)
-        stats.failures = decayed + FAILURE_WEIGHT * (failed - decayed)
-        stats.failed_at = now
+        decayed = stats.failure_share * math.exp2(
+            -(now - stats.failures_updated_at) / FAILURE_HALF_LIFE
+        )
+        stats.failure_share = decayed + FAILURE_WEIGHT * (failed - decayed)
+        stats.failures_updated_at = now
 
     def _learn_mean_time(self, elapsed: Millis, route: str) -> None:
         mean = self.mean_times.get(route, elapsed)
@@ -179,14 +188,16 @@
         )
 
     def _learn_slowness(self, stats: InstanceStats, cost: Millis, route: str) -> None:
-        """Compare the cost that a daemon measured next to its upstream with the mean of all."""
+        """Compare the cost that the daemon next to the upstream measured with the mean of all."""
         mean = self.mean_costs.get(route, cost)
         self.mean_costs[route] = mean + MEAN_SAMPLE_WEIGHT * (cost - mean)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
         stats.slowness += SLOWNESS_SAMPLE_WEIGHT * (ratio - stats.slowness)
 
     def _others_load(self, stats: InstanceStats, now: Millis) -> float:
-        return stats.others_load * math.exp2(-(now - stats.load_at) / REPORTED_LOAD_HALF_LIFE)
+        return stats.others_load * math.exp2(
+            -(now - stats.load_reported_at) / REPORTED_LOAD_HALF_LIFE
+        )
 
     def _distance_penalty(self, endpoint: Endpoint, size: float) -> float:
         if endpoint.data_centre == self.data_centre:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -59,7 +59,7 @@
         """Carry out one attempt and report its end to the balancer."""
         target = attempt.target.member
         started = monotonic_ms()
-        self.balancer.started(target.daemon_id, started)
+        self.balancer.record_start(target.daemon_id, started)
         result, load = unknown_result(Reason.CONNECTION_LOST), None
         cancelled = True
         try:
@@ -72,7 +72,7 @@
         finally:
             now = monotonic_ms()
             took = Millis(now - started)
-            self.balancer.ended(
+            self.balancer.record_end(
                 _attempt_ended(target.daemon_id, took, result, load, cancelled), now
             )
 
