--- a/features/steps/admission_process_steps.py
+++ b/features/steps/admission_process_steps.py
@@ -30,7 +30,7 @@
     for overlay in (documents / "overlays").iterdir():
         overlay.write_text(overlay.read_text().replace("timeout_ms = 4000", LONG_TIMEOUT))
     context.fleet.wait_joined()
-    result = context.fleet.cli("publish", str(documents))
+    result = context.fleet.run_cli("publish", str(documents))
     assert result.returncode == 0, (result.stdout, result.stderr)
     context.pool = ThreadPoolExecutor(4)
     context.add_cleanup(context.pool.shutdown)
@@ -39,7 +39,7 @@
 
 def send(context, method, path):
     body = b"" if method == "POST" else None
-    url = context.node.call + path
+    url = context.node.call_url + path
     return context.pool.submit(fetch, url, method, body, None, WAIT_SECONDS)
 
 
@@ -76,12 +76,12 @@
 
 @when('the upstream holds calls to "{path}"')
 def hold(context, path):
-    context.fleet.switch_upstream(context.node, hold_on=path)
+    context.fleet.set_upstream_switches(context.node, hold_on=path)
 
 
 @when("the upstream releases its calls")
 def release(context):
-    context.fleet.switch_upstream(context.node, hold_on="")
+    context.fleet.set_upstream_switches(context.node, hold_on="")
 
 
 @when('the upstream releases its calls if the method is "{method}"')
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -270,7 +270,7 @@
         number = 3001 + ["anna", "bent", "carl"].index(author)
         overlay.write_text(f"[services.van-booking]\ntimeout_ms = {number}\n")
         flags = (f"--author={author}", f"--parent={version}", "--format=json")
-        return context.fleet.cli("publish", str(folder), *flags)
+        return context.fleet.run_cli("publish", str(folder), *flags)
 
     authors = ("anna", "bent", "carl")
     with ThreadPoolExecutor(3) as pool:
@@ -302,13 +302,13 @@
     copy_example(context, "lysknude")
     change_timeout(context, 3200)
     # Announcements of daemons may use up some of the lost answers; a publish needs one.
-    context.fleet.switch_log(lose_answers=3)
-    context.result = context.fleet.cli("publish", str(context.folder), "--author=dora")
-    context.fleet.switch_log(lose_answers=0)
+    context.fleet.set_log_switches(lose_answers=3)
+    context.result = context.fleet.run_cli("publish", str(context.folder), "--author=dora")
+    context.fleet.set_log_switches(lose_answers=0)
 
 
 def log_rows(context):
-    result = context.fleet.cli("log", "--format=json")
+    result = context.fleet.run_cli("log", "--format=json")
     assert result.returncode == 0, result
     return json.loads(result.stdout)["result"]["records"]
 
@@ -327,7 +327,7 @@
         Document("aarhus-a", "[services.van-booking]\ntimeout_ms = 9999\n"),
     )
     record = PublishRecord("bad", 3, 1, documents, (), "eve")
-    url = f"http://{context.fleet.log}/streams/config/records"
+    url = f"http://{context.fleet.log_address}/streams/config/records"
     status, _, _ = fetch(url, "POST", encode_record(record))
     assert status == 200
 
@@ -349,7 +349,7 @@
 @when("the log fails and half of the daemons are replaced")
 def replace_half(context):
     fleet = context.fleet
-    fleet.switch_log(outage=True)
+    fleet.set_log_switches(outage=True)
     for node in fleet.nodes[::2]:
         fleet.stop_daemon(node, signal.SIGKILL)
         fleet.start_daemon(node)
@@ -360,14 +360,14 @@
 @then('the client\'s "{command}" ends with code {code:d} and shows "{text}"')
 def check_command(context, command, code, text):
     folders = {"FOLDER": str(context.folder), "EXAMPLE": str(EXAMPLES / "lysknude")}
-    result = context.fleet.cli(*(folders.get(word, word) for word in command.split()))
+    result = context.fleet.run_cli(*(folders.get(word, word) for word in command.split()))
     assert result.returncode == code, result
     assert text in result.stdout + result.stderr, result
 
 
 @when("the log works again and is empty")
 def empty_log(context):
-    context.fleet.switch_log(outage=False, reset=True)
+    context.fleet.set_log_switches(outage=False, reset=True)
 
 
 @when("an operator publishes until the log holds the version in force")
@@ -376,7 +376,7 @@
     codes = []
 
     def accepted():
-        result = context.fleet.cli("publish", str(context.folder))
+        result = context.fleet.run_cli("publish", str(context.folder))
         codes.append(result.returncode)
         return result.returncode != 5
 
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -29,7 +29,7 @@
     sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
 
     async def work():
-        upstream.plan([Answer.HOLD])
+        upstream.queue_answers([Answer.HOLD])
         holder = await connect(sidecar.settings.callers)
         context.caller = await connect(sidecar.settings.callers)
         context.draining = asyncio.ensure_future(sidecar.drain())
@@ -105,7 +105,7 @@
     async def work():
         await mini.beat(number, slots=1)
         await until(lambda: sidecar.exit.queue.slots == 1, "one slot")
-        upstream.plan([Answer.HOLD])
+        upstream.queue_answers([Answer.HOLD])
         context.holder = await connect(mini.sidecars[0].settings.callers)
         context.holder.writer.write(head("/peer/1", "held", 5_000))
         await until(lambda: upstream.runs["held"], "the call that runs")
--- a/features/steps/fleet_change_steps.py
+++ b/features/steps/fleet_change_steps.py
@@ -23,18 +23,18 @@
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
     context.fleet.start_link([(site, service) for site in PLACES])
-    context.fleet.start_planned()
+    context.fleet.start_planned_nodes()
     context.fleet.wait_joined()
 
 
 @when("the link is cut")
 def cut_link(context):
-    context.fleet.switch_link(cut=True)
+    context.fleet.set_link_switches(cut=True)
 
 
 @when("the link is restored")
 def restore_link(context):
-    context.fleet.switch_link(cut=False)
+    context.fleet.set_link_switches(cut=False)
 
 
 @when("a changed configuration is published with a wait of {seconds:d} seconds")
@@ -43,7 +43,7 @@
     shutil.copytree(EXAMPLES / "lysknude", folder)
     base = folder / "base.toml"
     base.write_text(base.read_text().replace("timeout_ms = 2000", "timeout_ms = 2500", 1))
-    context.result = context.fleet.cli("publish", str(folder), f"--timeout={seconds}")
+    context.result = context.fleet.run_cli("publish", str(folder), f"--timeout={seconds}")
 
 
 @then('the client names every daemon of region "{region}" as behind')
@@ -72,7 +72,7 @@
     caller_side = next(node for node in fleet.nodes if node.service == service)
     if condition == "paused":
         caller_side.daemon.send_signal(signal.SIGSTOP)
-    fleet.switch_upstream(context.first, draining=True)
+    fleet.set_upstream_switches(context.first, draining=True)
     wait_until(lambda: state_at(fleet, context.first, context.first) == "draining", "drain")
     if condition == "paused":
         # The promise is "after a few seconds", so the resumed daemon gets calls at once.
@@ -95,7 +95,7 @@
     context.answers = []
     deadline = time.monotonic() + 30
     while len(context.answers) < count and time.monotonic() < deadline:
-        status, headers, body = fetch(node.call + path)
+        status, headers, body = fetch(node.call_url + path)
         # A daemon that was paused refuses calls as "not run" until its view is current again.
         if headers.get("Agatecross-Reason") != "stale-view":
             context.answers.append((status, headers, body))
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -27,7 +27,7 @@
 
 @when('the example configuration "{name}" is published')
 def publish_example(context, name):
-    context.result = context.fleet.cli("publish", str(EXAMPLES / name))
+    context.result = context.fleet.run_cli("publish", str(EXAMPLES / name))
 
 
 @then("the client ends with code {code:d}")
@@ -38,7 +38,7 @@
 @then('every daemon answers a call to "{path}" by service "{service}"')
 def check_calls(context, path, service):
     for node in context.fleet.nodes:
-        status, headers, body = fetch(node.call + path)
+        status, headers, body = fetch(node.call_url + path)
         assert status == 200, (node.name, status, body)
         assert headers["Agatecross-Outcome"] == "ran", headers
         assert json.loads(body)["service"] == service, body
--- a/features/steps/history_faults_steps.py
+++ b/features/steps/history_faults_steps.py
@@ -82,7 +82,7 @@
         self.left[int(node.name)] = self.refusals
         self.saw(int(node.name), "start upstream")
 
-    def switch_upstream(self, node, draining):
+    def set_upstream_switches(self, node, draining):
         number = int(node.name)
         if self.left[number]:
             self.left[number] -= 1
--- a/features/steps/idempotency_fleet_steps.py
+++ b/features/steps/idempotency_fleet_steps.py
@@ -41,13 +41,13 @@
 
 @when('the log is down and bookings are sent through daemons "{indexes}" at once')
 def send_without_log(context, indexes):
-    context.fleet.switch_log(outage=True)
+    context.fleet.set_log_switches(outage=True)
     book_at_once(context, indexes)
 
 
 @when('the log loses {count:d} answers and bookings are sent through daemons "{indexes}" at once')
 def send_with_lost_answers(context, count, indexes):
-    context.fleet.switch_log(lose_answers=count)
+    context.fleet.set_log_switches(lose_answers=count)
     book_at_once(context, indexes)
 
 
--- a/features/steps/members_fleet_steps.py
+++ b/features/steps/members_fleet_steps.py
@@ -21,7 +21,7 @@
     context.fleet, context.stopped = Fleet(), []
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
-    context.fleet.switch_log(outage=True)
+    context.fleet.set_log_switches(outage=True)
 
 
 @given("{count:d} daemons that have started")
@@ -44,7 +44,7 @@
 
 @when("the outage ends")
 def end_outage(context):
-    context.fleet.switch_log(outage=False)
+    context.fleet.set_log_switches(outage=False)
 
 
 @when("daemon {index:d} gets {name}")
@@ -119,5 +119,5 @@
 
 @then("the log holds at most {count:d} announcements")
 def check_announcements(context, count):
-    page = fetch(f"http://{context.fleet.log}/streams/members/records?limit=1000")[2]
+    page = fetch(f"http://{context.fleet.log_address}/streams/members/records?limit=1000")[2]
     assert 1 <= json.loads(page)["end"] <= count, page
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -77,7 +77,7 @@
 
     async def start(self, refusing):
         self.store_address = self.store.listen()
-        self.store.put("keyed.op", "config", config_record(7))
+        self.store.append_record("keyed.op", "config", config_record(7))
         self.store.switches.refuse = refusing
         for number, (_, _, service) in enumerate(PLACES):
             upstream = PlatformUpstream(f"u{number}", service, 1_000)
@@ -263,7 +263,7 @@
     "and at most {left:d} ms"
 )
 def step_saw(context, name, target, body, caller, left):
-    fields = context.mini.upstreams[int(name[1:])].seen[-1]
+    fields = context.mini.upstreams[int(name[1:])].received_requests[-1]
     assert fields[":target"] == target, fields
     assert fields[":body"] == body, fields
     assert fields["x-caller-service"] == caller, fields
@@ -341,7 +341,7 @@
             if state == "leave":
                 daemon = context.mini.sidecars[number].settings.heartbeats
                 body = json.dumps({"born": upstream.born}).encode()
-                context.told = await upstream.tell(daemon, "leave", body)
+                context.told = await upstream.send_announcement(daemon, "leave", body)
             elif state == "replaced":
                 upstream.name, upstream.born = f"{upstream.name}x", upstream.born + 1
             elif state == "late":
@@ -475,13 +475,13 @@
     elif trouble == "is silent":
         context.mini.store.switches.silent = True
     elif trouble == "garbles":
-        context.mini.store.put("keyed.op", "config", b'{"version": 5}')
+        context.mini.store.append_record("keyed.op", "config", b'{"version": 5}')
 
 
 @when('the operator writes version {version:d} with route "{prefix}"')
 def step_publish(context, version, prefix):
     data = config_record(version, ((prefix, "safe", "s0"),))
-    context.mini.store.put("keyed.op", "config", data)
+    context.mini.store.append_record("keyed.op", "config", data)
 
 
 @then("every daemon has version {version:d} in force")
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -95,7 +95,7 @@
 def supervise(context, text):
     fleet = context.fleet
     for node in fleet.nodes:
-        fleet.switch_upstream(node, crash_on=text)
+        fleet.set_upstream_switches(node, crash_on=text)
     stop = threading.Event()
 
     def watch():
@@ -115,7 +115,7 @@
 
 def send(node, method, path):
     with contextlib.suppress(OSError):
-        status, headers, _ = fetch(node.call + path, method, None if method == "GET" else b"{}")
+        status, headers, _ = fetch(node.call_url + path, method, None if method == "GET" else b"{}")
         return status, headers.get("Agatecross-Outcome"), headers.get("Agatecross-Reason")
     return 0, "", ""
 
@@ -146,7 +146,7 @@
 
 
 def quarantine(node):
-    return json.loads(fetch(f"http://{node.admin}/agatecross/v1/quarantine")[2])
+    return json.loads(fetch(f"http://{node.admin_address}/agatecross/v1/quarantine")[2])
 
 
 @then('every daemon lists "{path}" as quarantined')
@@ -172,7 +172,7 @@
 
 @when("the quarantine is lifted at one daemon")
 def lift(context):
-    url = f"http://{context.fleet.nodes[0].admin}/agatecross/v1/quarantine/{context.fingerprint}"
+    url = f"http://{context.fleet.nodes[0].admin_address}/agatecross/v1/quarantine/{context.fingerprint}"
     assert fetch(url, "DELETE")[0] == 200
     assert fetch(url, "DELETE")[0] == 404
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,7 +8,13 @@
 
 from agatecross_standins.platform_upstream import PlatformUpstream
 from agatecross_standins.soak.checks import violations
-from agatecross_standins.soak.events import Asked, History, Left, Seen, VersionSeen
+from agatecross_standins.soak.events import (
+    ConfirmedLeave,
+    History,
+    RequestOutcome,
+    RequestRecord,
+    VersionObservation,
+)
 from agatecross_standins.soak.fleet import Node
 from agatecross_standins.soak.known_red import known_red_seeds
 from agatecross_standins.soak.schedule import FaultKind, schedule
@@ -17,46 +23,48 @@
 
 
 def asked(call_id, seen, once=True, status=200, node=0, ended=2.0):
-    return Asked(call_id, node, once, 1.0, ended, seen, status)
+    return RequestRecord(call_id, node, once, 1.0, ended, seen, status)
 
 
 def add_twice(history):
-    history.asked.append(asked("x", Seen.ANSWERED))
+    history.requests.append(asked("x", RequestOutcome.ANSWERED))
     history.runs["x"] = 2
 
 
 def add_refused(history):
-    history.asked.append(asked("x", Seen.REFUSED, status=503))
+    history.requests.append(asked("x", RequestOutcome.REFUSED, status=503))
     history.runs["x"] = 1
 
 
 def add_cut(history):
-    history.asked.append(asked("x", Seen.BROKEN, ended=5.0))
-    history.terms.append((0, 4.0, 6.0))
+    history.requests.append(asked("x", RequestOutcome.BROKEN, ended=5.0))
+    history.graceful_stops.append((0, 4.0, 6.0))
 
 
 def add_cut_beside_fault(history):
     add_cut(history)
-    history.disturbed.append((-1, 4.5, 5.5))
+    history.disturbances.append((-1, 4.5, 5.5))
 
 
 CHANGES = {
     "nothing else": lambda history: None,
     "a booking that ran twice": add_twice,
     "a refused booking that ran": add_refused,
-    "a foreign answer": lambda h: h.asked.append(asked("x", Seen.FOREIGN)),
-    "an answer without a run": lambda h: h.asked.append(asked("x", Seen.ANSWERED)),
-    "a run after a confirmed leave": lambda h: h.left.append(
-        Left("u", 10.0, ((11.0, "a"), (12.5, "b")))
+    "a foreign answer": lambda h: h.requests.append(asked("x", RequestOutcome.FOREIGN)),
+    "an answer without a run": lambda h: h.requests.append(asked("x", RequestOutcome.ANSWERED)),
+    "a run after a confirmed leave": lambda h: h.leaves.append(
+        ConfirmedLeave("u", 10.0, ((11.0, "a"), (12.5, "b")))
+    ),
+    "a version that went down": lambda h: h.versions.append(VersionObservation(0, 0, 4)),
+    "a version that is lower after a kill": lambda h: h.versions.append(
+        VersionObservation(0, 1, 4)
     ),
-    "a version that went down": lambda h: h.versions.append(VersionSeen(0, 0, 4)),
-    "a version that is lower after a kill": lambda h: h.versions.append(VersionSeen(0, 1, 4)),
     "a daemon that ended by itself": lambda h: h.exits.append((0, 1)),
     "a traceback": lambda h: h.tracebacks.append("d0.log: Traceback"),
     "a request cut by a graceful stop": add_cut,
     "a request cut while a link was reset": add_cut_beside_fault,
-    "requests that fail at the end": lambda h: h.settled.extend(
-        asked(f"f{n}", Seen.FAILED) for n in range(2)
+    "requests that fail at the end": lambda h: h.final_requests.extend(
+        asked(f"f{n}", RequestOutcome.FAILED) for n in range(2)
     ),
 }
 
@@ -64,13 +72,16 @@
 @given("a sound history of a soak")
 def step_sound(context):
     history = History()
-    history.asked += [asked("a", Seen.ANSWERED), asked("b", Seen.FAILED, status=502)]
-    history.asked.append(asked("c", Seen.REFUSED, status=503))
+    history.requests += [
+        asked("a", RequestOutcome.ANSWERED),
+        asked("b", RequestOutcome.FAILED, status=502),
+    ]
+    history.requests.append(asked("c", RequestOutcome.REFUSED, status=503))
     history.runs = {"a": 1, "b": 1}
-    history.left.append(Left("u0", 10.0, ((9.0, "a"), (11.9, "b"))))
-    history.versions += [VersionSeen(0, 0, 3), VersionSeen(0, 0, 5)]
+    history.leaves.append(ConfirmedLeave("u0", 10.0, ((9.0, "a"), (11.9, "b"))))
+    history.versions += [VersionObservation(0, 0, 3), VersionObservation(0, 0, 5)]
     history.exits += [(0, 0), (1, -9)]
-    history.settled += [asked(f"s{n}", Seen.ANSWERED) for n in range(10)]
+    history.final_requests += [asked(f"s{n}", RequestOutcome.ANSWERED) for n in range(10)]
     context.history = history
 
 
@@ -91,9 +102,9 @@
     for seed in range(first, last + 1):
         faults = list(schedule(seed, 10.0, NODES))
         assert faults == list(schedule(seed, 10.0, NODES))
-        assert all(fault.at + fault.lasts <= 14.0 for fault in faults), faults
+        assert all(fault.at + fault.duration_seconds <= 14.0 for fault in faults), faults
         kinds |= {fault.kind for fault in faults}
-        overlaps += any(a.at < b.at < a.at + a.lasts for a in faults for b in faults)
+        overlaps += any(a.at < b.at < a.at + a.duration_seconds for a in faults for b in faults)
     assert kinds == set(FaultKind)
     assert overlaps > (last - first) / 2
 
@@ -102,7 +113,7 @@
 def step_ended(context, code, state):
     process = subprocess.Popen([sys.executable, "-c", f"import os; os._exit({code})"])
     context.node = Node(0, PlatformUpstream("u0", "s0"), {}, Path(), Path())
-    context.node.started(process)
+    context.node.attach_process(process)
     context.add_cleanup(context.node.reap)
     os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
     if state == "reaped":
--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -19,7 +19,7 @@
 def send_traced(context, path, service):
     node = node_of(context, service)
     headers = {"traceparent": f"00-{TRACE}-{CALLER_SPAN}-01"}
-    status, _, body = fetch(node.call + path, headers=headers)
+    status, _, body = fetch(node.call_url + path, headers=headers)
     assert status == 200, body
 
 
@@ -37,7 +37,7 @@
 @then('the daemon next to "{service}" reports these metrics')
 def check_metrics(context, service):
     node = node_of(context, service)
-    body = json.loads(fetch(f"http://{node.admin}/agatecross/v1/metrics")[2])
+    body = json.loads(fetch(f"http://{node.admin_address}/agatecross/v1/metrics")[2])
     scopes = [scope for row in body["resource_metrics"] for scope in row["scope_metrics"]]
     units = {metric["name"]: metric["unit"] for scope in scopes for metric in scope["metrics"]}
     for row in context.table:
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -12,7 +12,7 @@
 from agatecross_core.errors import ConnectionLostError, ExchangeError, StoreError
 from agatecross_core.ids import Millis
 from agatecross_platform.store import PlatformStore
-from agatecross_standins.endless import Endless
+from agatecross_standins.endless import EndlessPart
 from agatecross_standins.platform_store import PlatformStoreStandIn
 from agatecross_standins.platform_upstream import Answer, PlatformUpstream
 
@@ -72,12 +72,12 @@
 
 @when('upstreams "{names}" answer with endless "{parts}"')
 def step_endless(context, names, parts):
-    script(context.mini, names, [Endless(part) for part in parts.split(", ")])
+    script(context.mini, names, [EndlessPart(part) for part in parts.split(", ")])
 
 
 @when('upstreams "{names}" trickle endless "{part}"')
 def step_trickle(context, names, part):
-    script(context.mini, names, [Endless(part)])
+    script(context.mini, names, [EndlessPart(part)])
     for name in names.split(","):
         context.mini.upstreams[int(name[1:])].trickles = True
 
@@ -191,7 +191,7 @@
 def step_endless_pages(context, size):
     async def work():
         stand_in = PlatformStoreStandIn()
-        stand_in.switches.endless = size
+        stand_in.switches.endless_value_bytes = size
         http = TornadoHttpClient()
         store = PlatformStore(stand_in.listen(), http)
         try:
@@ -224,7 +224,7 @@
     async def work():
         server = PlatformUpstream("u0", "s0")
         await server.listen()
-        server.plan([Endless(part)])
+        server.queue_answers([EndlessPart(part)])
         http = TornadoHttpClient()
         try:
             await http.send(server.address, Request("GET", "/", (), b""), Millis(10_000))
--- a/packages/agatecross-standins/agatecross_standins/bench/admission_runs.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/admission_runs.py
@@ -12,9 +12,9 @@
 from agatecross_core.ids import Address, Millis
 
 from ..fleet import Fleet, Node, Site
-from ..load import Planned, Sample
+from ..load import PlannedCall, Sample
 
-ROOT = Path(__file__).resolve().parents[4]
+REPOSITORY_ROOT = Path(__file__).resolve().parents[4]
 ANSWER_TIMEOUT = Millis(10_000)
 
 
@@ -87,7 +87,7 @@
 def publish(fleet: Fleet, deployment: Deployment) -> None:
     """Put the example configuration of a deployment in force."""
     fleet.wait_joined()
-    result = fleet.cli("publish", str(ROOT / "examples" / deployment.documents))
+    result = fleet.run_cli("publish", str(REPOSITORY_ROOT / "examples" / deployment.documents))
     if result.returncode:
         raise RuntimeError(f"publish failed: {result.stdout}{result.stderr}")
     fleet.wait_version(1)
@@ -106,7 +106,7 @@
 
 def plan_calls(
     deployment: Deployment, node: Node, times: Iterable[float], rng: random.Random
-) -> list[Planned]:
+) -> list[PlannedCall]:
     """Return short calls, and long ones at the share of the deployment."""
     return [
         _planned(deployment, node, at, number, rng.random() < deployment.long_share)
@@ -114,7 +114,7 @@
     ]
 
 
-def _planned(deployment: Deployment, node: Node, at: float, number: int, long: bool) -> Planned:
+def _planned(deployment: Deployment, node: Node, at: float, number: int, long: bool) -> PlannedCall:
     path = f"{deployment.path}/{number}"
     deadline = deployment.deadline_ms
     if long:
@@ -123,7 +123,7 @@
     headers = (("Agatecross-Deadline-Ms", str(deadline)),)
     request = Request("GET", path, headers, b"")
     address = Address(f"127.0.0.1:{node.call_port}")
-    return Planned(at, address, request, ANSWER_TIMEOUT, "long" if long else "short")
+    return PlannedCall(at, address, request, ANSWER_TIMEOUT, "long" if long else "short")
 
 
 def is_useful(sample: Sample) -> bool:
@@ -138,14 +138,14 @@
     return rows[min(len(rows) - 1, int(q * len(rows)))] if rows else 0.0
 
 
-def spread(values: Sequence[float]) -> str:
+def median_range(values: Sequence[float]) -> str:
     """Return the median with the lowest and highest value."""
     return f"{statistics.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
 
 
 def write_report(name: str, report: object) -> None:
     """Write the figures as JSON under build/."""
-    path = ROOT / "build" / f"{name}.json"
+    path = REPOSITORY_ROOT / "build" / f"{name}.json"
     path.parent.mkdir(exist_ok=True)
     path.write_text(json.dumps(report, indent=2) + "\n", encoding="utf-8")
     print(f"written to {path}")
--- a/packages/agatecross-standins/agatecross_standins/bench/blocking.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/blocking.py
@@ -17,9 +17,9 @@
     KAFESKOOP,
     arrivals,
     is_useful,
+    median_range,
     plan_calls,
     quantile,
-    spread,
     start_fleets,
     write_report,
 )
@@ -31,9 +31,9 @@
 DEPLOYMENT = replace(
     KAFESKOOP, slots=12, scale="slots unscaled, 1 of 4 upstreams of 1 of 4 services"
 )
-LOW_LOAD = 0.25
-HIGH_LOAD = 0.95
-PERIOD = 4.0
+LOW_LOAD_SHARE = 0.25
+HIGH_LOAD_SHARE = 0.95
+PERIOD_SECONDS = 4.0
 HIGH_SECONDS = 1.0
 RUN_SECONDS = 16.0
 
@@ -54,8 +54,8 @@
 
 def rate_at(at: float) -> float:
     """Return calls per second at a time."""
-    high = at % PERIOD >= PERIOD - HIGH_SECONDS
-    return DEPLOYMENT.capacity * (HIGH_LOAD if high else LOW_LOAD)
+    high = at % PERIOD_SECONDS >= PERIOD_SECONDS - HIGH_SECONDS
+    return DEPLOYMENT.capacity * (HIGH_LOAD_SHARE if high else LOW_LOAD_SHARE)
 
 
 def measure(policy: str, samples: Sequence[Sample]) -> Blocking:
@@ -86,7 +86,7 @@
             results = {}
             for policy in POLICIES if number % 2 == 0 else POLICIES[::-1]:
                 rng = random.Random(SEED.value + number)
-                highest = DEPLOYMENT.capacity * HIGH_LOAD
+                highest = DEPLOYMENT.capacity * HIGH_LOAD_SHARE
                 times = list(arrivals(rate_at, highest, RUN_SECONDS, rng))
                 plan = plan_calls(DEPLOYMENT, fleets[policy].nodes[0], times, rng)
                 results[policy] = measure(policy, asyncio.run(run_load(plan)))
@@ -95,10 +95,12 @@
     print(f"\n{DEPLOYMENT.scale}; capacity {DEPLOYMENT.capacity:.0f}/s")
     for policy in POLICIES:
         for name in Blocking.__slots__[1:]:
-            print(f"  {policy:9} {name:12} {spread([getattr(r[policy], name) for r in rounds])}")
+            print(
+                f"  {policy:9} {name:12} {median_range([getattr(r[policy], name) for r in rounds])}"
+            )
     for name in Blocking.__slots__[1:]:
         pairs = [(getattr(r["fixed"], name), getattr(r["adaptive"], name)) for r in rounds]
-        print(f"  {name}, fixed / adaptive: {spread([a / max(b, 0.001) for a, b in pairs])}")
+        print(f"  {name}, fixed / adaptive: {median_range([a / max(b, 0.001) for a, b in pairs])}")
     report = [{policy: asdict(row) for policy, row in results.items()} for results in rounds]
     write_report("bench-blocking", {"seed": SEED.value, "rounds": report})
 
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -34,9 +34,9 @@
 OUTPUT = flags.DEFINE_string("output", "build/bench-convergence.json", "Path of the JSON results.")
 
 IDLE_SECONDS = 4.0
-AFTER_SECONDS = 2.0
-POLL_SECONDS = 0.02
-LIMIT_SECONDS = 60.0
+AFTER_PUBLISH_SECONDS = 2.0
+POLL_INTERVAL_SECONDS = 0.02
+IN_FORCE_TIMEOUT_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,15 +57,15 @@
     record = PublishRecord(
         PublishId(uuid.uuid4().hex), Version(parent), RULE_SET_VERSION, tuple(documents), ()
     )
-    url = f"http://{fleet.log}/streams/{CONFIG_STREAM}/records"
+    url = f"http://{fleet.log_address}/streams/{CONFIG_STREAM}/records"
     status, _, body = fetch(url, "POST", encode_record(record))
     if status != 200:
         raise RuntimeError(f"append failed: {status} {body!r}")
 
 
-def padded(document: Document, mark: int) -> Document:
+def pad_document(document: Document, revision: int) -> Document:
     """Return the document with a comment that differs for each mark."""
-    line = f"# revision {mark:06d} {'.' * 60}\n"
+    line = f"# revision {revision:06d} {'.' * 60}\n"
     missing = max(0, DOCUMENT_BYTES.value - len(document.text))
     return Document(document.name, document.text + "\n" + line * (1 + missing // len(line)))
 
@@ -73,7 +73,7 @@
 def wait_in_force(fleet: Fleet, version: int) -> None:
     """Return when every daemon has the version; asks only those that had an older one."""
     waiting = list(fleet.nodes)
-    deadline = time.monotonic() + LIMIT_SECONDS
+    deadline = time.monotonic() + IN_FORCE_TIMEOUT_SECONDS
 
     def behind(node: Node) -> bool:
         return int(str(fleet.status(node)["version"])) < version
@@ -84,20 +84,20 @@
                 raise TimeoutError(f"version {version} is not in force on {len(waiting)} daemons")
             rows = pool.map(behind, waiting)
             waiting = [node for node, late in zip(waiting, rows, strict=True) if late]
-            time.sleep(POLL_SECONDS)
+            time.sleep(POLL_INTERVAL_SECONDS)
 
 
 def log_reads(fleet: Fleet) -> int:
     """Return the reads that the log service has served."""
-    return int(json.loads(fetch(f"http://{fleet.log}/switches")[2])["reads"])
+    return int(json.loads(fetch(f"http://{fleet.log_address}/switches")[2])["reads"])
 
 
 def measure(fleet: Fleet, mode: str) -> Convergence:
     """Publish one changed overlay at a time and return the medians."""
     documents = list(read_documents(Path(EXAMPLE)))
-    publish(fleet, [padded(document, 0) for document in documents], 1)
+    publish(fleet, [pad_document(document, 0) for document in documents], 1)
     wait_in_force(fleet, 2)
-    time.sleep(AFTER_SECONDS)
+    time.sleep(AFTER_PUBLISH_SECONDS)
     idle_from, started = sum(control_bytes(fleet)), time.monotonic()
     time.sleep(IDLE_SECONDS)
     idle_rate = (sum(control_bytes(fleet)) - idle_from) / (time.monotonic() - started)
@@ -108,10 +108,10 @@
             log_reads(fleet),
             time.monotonic(),
         )
-        publish(fleet, [padded(documents[-1], turn + 1)], turn + 2)
+        publish(fleet, [pad_document(documents[-1], turn + 1)], turn + 2)
         wait_in_force(fleet, turn + 3)
         seconds.append(time.monotonic() - started)
-        time.sleep(AFTER_SECONDS)
+        time.sleep(AFTER_PUBLISH_SECONDS)
         reads.append(log_reads(fleet) - reads_before)
         idle = idle_rate * (time.monotonic() - started)
         traffic.append(sum(control_bytes(fleet)) - before - idle)
--- a/packages/agatecross-standins/agatecross_standins/bench/experiment.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/experiment.py
@@ -31,7 +31,7 @@
     high: float
 
 
-def alternate(
+def alternate_variants(
     variants: Sequence[str], rounds: int, measure: Callable[[str, int], Summary]
 ) -> Iterator[Round]:
     """Yield one result of each variant in each round; the order rotates between rounds."""
@@ -54,7 +54,7 @@
             yield Ratio(baseline, quantile, statistics.median(values), min(values), max(values))
 
 
-def report(name: str, facts: dict[str, object], rounds: Sequence[Round], variant: str) -> None:
+def report(name: str, parameters: dict[str, object], rounds: Sequence[Round], variant: str) -> None:
     """Print the figures and ratios and write them under build/."""
     baselines = sorted({row.variant for row in rounds} - {variant})
     for row in rounds:
@@ -72,5 +72,9 @@
         )
     path = Path("build") / f"{name}.json"
     path.parent.mkdir(exist_ok=True)
-    data = {**facts, "rounds": [asdict(r) for r in rounds], "ratios": [asdict(r) for r in found]}
+    data = {
+        **parameters,
+        "rounds": [asdict(r) for r in rounds],
+        "ratios": [asdict(r) for r in found],
+    }
     path.write_text(json.dumps(data, indent=1), encoding="utf-8")
--- a/packages/agatecross-standins/agatecross_standins/bench/hop.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -23,8 +23,8 @@
 from agatecross_core.ids import Address, Millis
 
 from ..fleet import Fleet, Node, Site, wait_until
-from ..load import Planned, poisson_times, run_load, summarise
-from .admission_runs import KAFESKOOP, publish, quantile, spread, write_report
+from ..load import PlannedCall, poisson_times, run_load, summarise
+from .admission_runs import KAFESKOOP, median_range, publish, quantile, write_report
 
 SEED = flags.DEFINE_integer("seed", 7, "Seed of the order of paths and of the arrivals.")
 ROUNDS = flags.DEFINE_integer("rounds", 5, "Rounds of sequential calls.")
@@ -32,12 +32,12 @@
 EXCHANGE = flags.DEFINE_bool("exchange", False, "Measure one HTTP exchange in this process.")
 PROFILE = flags.DEFINE_bool("profile", False, "Profile the daemon instead.")
 
-TARGET_MS = 0.36
+TARGET_ADDED_MS = 0.36
 ANSWER_BYTES = 256
-RATES = (100, 200, 400, 800)
+CALL_RATES = (100, 200, 400, 800)
 RATE_SECONDS = 4.0
 PROFILE_LINES = 25
-TIMEOUT = Millis(5_000)
+CALL_TIMEOUT = Millis(5_000)
 PATHS = ("direct", "one hop", "two hops")
 
 
@@ -56,22 +56,26 @@
     return {path: Address(f"127.0.0.1:{p}") for path, p in zip(PATHS, ports, strict=True)}
 
 
-async def padding(client: TornadoHttpClient, address: Address) -> int:
+async def answer_padding(client: TornadoHttpClient, address: Address) -> int:
     """Return the padding that makes an answer 256 bytes long."""
-    response = await client.send(address, Request("GET", "/catalogue/1?size=1", (), b""), TIMEOUT)
+    response = await client.send(
+        address, Request("GET", "/catalogue/1?size=1", (), b""), CALL_TIMEOUT
+    )
     return ANSWER_BYTES - len(response.body) + 1
 
 
-async def sequential(targets: dict[str, Address], calls: int, rng: random.Random) -> list[float]:
+async def measure_sequential(
+    targets: dict[str, Address], calls: int, rng: random.Random
+) -> list[float]:
     """Return p50 and p99 of each path, in milliseconds."""
     client = TornadoHttpClient()
-    size = await padding(client, targets["one hop"])
+    size = await answer_padding(client, targets["one hop"])
     request = Request("GET", f"/catalogue/1?size={size}", (), b"")
     took: dict[str, list[float]] = {path: [] for path in PATHS}
     for _ in range(calls):
         for path in rng.sample(PATHS, len(PATHS)):
             started = time.perf_counter()
-            response = await client.send(targets[path], request, TIMEOUT)
+            response = await client.send(targets[path], request, CALL_TIMEOUT)
             took[path].append((time.perf_counter() - started) * 1000)
             assert response.status == 200, response
     client.close()
@@ -85,12 +89,12 @@
     return float(used.user + used.system) * 1000
 
 
-def at_rate(fleet: Fleet, rate: int, rng: random.Random) -> dict[str, float]:
+def measure_at_rate(fleet: Fleet, rate: int, rng: random.Random) -> dict[str, float]:
     """Return processor time per call of both daemons at a rate, and the latency."""
     request = Request("GET", "/catalogue/1", (), b"")
     entry = addresses(fleet)["two hops"]
     times = poisson_times(rate, RATE_SECONDS, rng)
-    plan = [Planned(at, entry, request, TIMEOUT) for at in times]
+    plan = [PlannedCall(at, entry, request, CALL_TIMEOUT) for at in times]
     before = [processor_ms(node) for node in fleet.nodes]
     summary = summarise(asyncio.run(run_load(plan)))
     next_to, entry_ms = (
@@ -107,7 +111,7 @@
     }
 
 
-def profile(fleet: Fleet) -> None:
+def profile_daemon(fleet: Fleet) -> None:
     """Print where the daemon next to the upstream spends its time."""
     node = fleet.nodes[0]
     fleet.stop_daemon(node)
@@ -120,7 +124,7 @@
     rng = random.Random(SEED.value)
     request = Request("GET", "/catalogue/1", (), b"")
     target = addresses(fleet)["one hop"]
-    plan = [Planned(at, target, request, TIMEOUT) for at in poisson_times(300, 6.0, rng)]
+    plan = [PlannedCall(at, target, request, CALL_TIMEOUT) for at in poisson_times(300, 6.0, rng)]
     print(summarise(asyncio.run(run_load(plan))))
     node.daemon.send_signal(signal.SIGTERM)
     node.daemon.wait(60)
@@ -128,7 +132,7 @@
     pstats.Stats(str(output)).sort_stats("tottime").print_stats(PROFILE_LINES)
 
 
-async def exchange(rounds: int, calls: int) -> list[float]:
+async def measure_exchange(rounds: int, calls: int) -> list[float]:
     """Return microseconds of processor time per exchange for each round."""
     answer = Response(200, (("Content-Type", "text/plain"), ("X-Field", "v")), b"x" * ANSWER_BYTES)
 
@@ -143,7 +147,7 @@
     for _ in range(rounds + 1):
         started = time.process_time()
         for _ in range(calls):
-            await client.send(address, request, TIMEOUT)
+            await client.send(address, request, CALL_TIMEOUT)
         took.append((time.process_time() - started) / calls * 1e6)
     client.close()
     await listener.close()
@@ -154,29 +158,31 @@
     """Measure or profile, and print a table."""
     del argv
     if EXCHANGE.value:
-        took = asyncio.run(exchange(ROUNDS.value, CALLS.value))
-        print(f"processor time per exchange, microseconds: {spread(took)}")
+        took = asyncio.run(measure_exchange(ROUNDS.value, CALLS.value))
+        print(f"processor time per exchange, microseconds: {median_range(took)}")
         return
     rng = random.Random(SEED.value)
     with ExitStack() as stack:
         fleet = start_fleet(stack)
         if PROFILE.value:
-            profile(fleet)
+            profile_daemon(fleet)
             return
         targets = addresses(fleet)
-        asyncio.run(sequential(targets, 200, rng))
-        rounds = [asyncio.run(sequential(targets, CALLS.value, rng)) for _ in range(ROUNDS.value)]
-        rates = [at_rate(fleet, rate, rng) for rate in RATES]
+        asyncio.run(measure_sequential(targets, 200, rng))
+        rounds = [
+            asyncio.run(measure_sequential(targets, CALLS.value, rng)) for _ in range(ROUNDS.value)
+        ]
+        rates = [measure_at_rate(fleet, rate, rng) for rate in CALL_RATES]
     added = {
         f"{path} {name}": [row[column] - row[column % 2] for row in rounds]
         for column, (path, name) in enumerate([(p, n) for p in PATHS for n in ("p50", "p99")])
         if path != "direct"
     }
     for column, name in enumerate(("direct p50", "direct p99")):
-        print(f"{name} ms: {spread([row[column] for row in rounds])}")
+        print(f"{name} ms: {median_range([row[column] for row in rounds])}")
     for name, values in added.items():
-        print(f"added, {name} ms: {spread(values)}")
-    print(f"target {TARGET_MS} ms added at p99 over both hops")
+        print(f"added, {name} ms: {median_range(values)}")
+    print(f"target {TARGET_ADDED_MS} ms added at p99 over both hops")
     for row in rates:
         print(" ".join(f"{key}={value:.3f}" for key, value in row.items()))
     write_report("bench-hop", {"seed": SEED.value, "added_ms": added, "rates": rates})
--- a/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
@@ -15,7 +15,7 @@
     Site("sjaelland", "roskilde-b"),
 )
 EXAMPLE = "examples/lysknude"
-ANNOUNCE_SECONDS = 1.0
+ANNOUNCE_INTERVAL_SECONDS = 1.0
 SERVICE = "case-portal"
 
 
@@ -28,7 +28,7 @@
 
     def run(self) -> None:
         """Announce until stopped."""
-        while not self.stopped.wait(ANNOUNCE_SECONDS):
+        while not self.stopped.wait(ANNOUNCE_INTERVAL_SECONDS):
             for node in self.nodes:
                 self._announce(node)
 
@@ -41,7 +41,11 @@
             "state": "ready",
         }
         try:
-            fetch(f"http://{node.admin}/agatecross/v1/upstream", "PUT", json.dumps(body).encode())
+            fetch(
+                f"http://{node.admin_address}/agatecross/v1/upstream",
+                "PUT",
+                json.dumps(body).encode(),
+            )
         except OSError:
             return
 
@@ -56,7 +60,7 @@
         threading.Thread(target=announcer.run, daemon=True).start()
         try:
             fleet.wait_joined(120)
-            result = fleet.cli("publish", EXAMPLE)
+            result = fleet.run_cli("publish", EXAMPLE)
             if result.returncode:
                 raise RuntimeError(f"publish failed: {result.stdout}{result.stderr}")
             fleet.wait_version(1)
--- a/packages/agatecross-standins/agatecross_standins/bench/peak.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/peak.py
@@ -19,9 +19,9 @@
     Deployment,
     arrivals,
     is_useful,
+    median_range,
     plan_calls,
     quantile,
-    spread,
     start_fleets,
     write_report,
 )
@@ -30,14 +30,14 @@
 ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds for each deployment.")
 
 POLICIES = ("adaptive", "fixed", "none")
-BASE_LOAD = 0.25
-SWING = 10.0
-SWING_START = 2.0
+BASE_LOAD_SHARE = 0.25
+SWING_FACTOR = 10.0
+SWING_START_SECONDS = 2.0
 RAMP_SECONDS = 2.0
-SWING_END = 7.0
+SWING_END_SECONDS = 7.0
 RUN_SECONDS = 11.0
-NORMAL_WINDOW = 0.5
-STEP = 0.1
+NORMAL_WINDOW_SECONDS = 0.5
+WINDOW_STEP_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,15 +58,15 @@
 
 def rate_at(deployment: Deployment, at: float) -> float:
     """Return calls per second at a time: base, ramp, peak and base again."""
-    base = BASE_LOAD * deployment.capacity
-    if not SWING_START <= at < SWING_END:
+    base = BASE_LOAD_SHARE * deployment.capacity
+    if not SWING_START_SECONDS <= at < SWING_END_SECONDS:
         return base
-    return base * (1 + (SWING - 1) * min(1.0, (at - SWING_START) / RAMP_SECONDS))
+    return base * (1 + (SWING_FACTOR - 1) * min(1.0, (at - SWING_START_SECONDS) / RAMP_SECONDS))
 
 
 def measure(policy: str, samples: Sequence[Sample]) -> Peak:
     """Return the figures of one run."""
-    swing = [s for s in samples if SWING_START <= s.planned.at < SWING_END]
+    swing = [s for s in samples if SWING_START_SECONDS <= s.planned.at < SWING_END_SECONDS]
     short = [s for s in swing if s.planned.kind == "short"]
     refused = [s for s in swing if s.outcome == "not-run"]
     useful = sum(map(is_useful, swing))
@@ -80,19 +80,19 @@
         quantile((s.latency_ms for s in refused), 0.5),
         quantile((s.latency_ms for s in refused), 0.99),
         quantile((s.latency_ms for s in short if s.outcome == "ran"), 0.99),
-        back_to_normal(samples),
+        recovery_ms(samples),
     )
 
 
-def back_to_normal(samples: Sequence[Sample]) -> float:
+def recovery_ms(samples: Sequence[Sample]) -> float:
     """Return milliseconds from the end of the swing until all calls of a window are useful."""
-    at = SWING_END
-    while at + NORMAL_WINDOW <= RUN_SECONDS:
-        window = [s for s in samples if at <= s.planned.at < at + NORMAL_WINDOW]
+    at = SWING_END_SECONDS
+    while at + NORMAL_WINDOW_SECONDS <= RUN_SECONDS:
+        window = [s for s in samples if at <= s.planned.at < at + NORMAL_WINDOW_SECONDS]
         if all(map(is_useful, window)):
-            return (at - SWING_END) * 1000
-        at += STEP
-    return (RUN_SECONDS - SWING_END) * 1000
+            return (at - SWING_END_SECONDS) * 1000
+        at += WINDOW_STEP_SECONDS
+    return (RUN_SECONDS - SWING_END_SECONDS) * 1000
 
 
 def run_deployment(deployment: Deployment) -> list[list[Peak]]:
@@ -105,7 +105,7 @@
             peaks = {}
             for policy in order:
                 rng = random.Random(SEED.value + number)
-                highest = BASE_LOAD * deployment.capacity * SWING
+                highest = BASE_LOAD_SHARE * deployment.capacity * SWING_FACTOR
                 times = list(
                     arrivals(lambda at: rate_at(deployment, at), highest, RUN_SECONDS, rng)
                 )
@@ -127,10 +127,10 @@
         for index, policy in enumerate(POLICIES):
             peaks = [row[index] for row in rounds]
             for name in Peak.__slots__[2:]:
-                print(f"  {policy:9} {name:16} {spread([getattr(p, name) for p in peaks])}")
+                print(f"  {policy:9} {name:16} {median_range([getattr(p, name) for p in peaks])}")
         for index, policy in enumerate(POLICIES[1:], 1):
             ratios = [row[0].useful / max(row[index].useful, 0.001) for row in rounds]
-            print(f"  useful, adaptive / {policy}: {spread(ratios)}")
+            print(f"  useful, adaptive / {policy}: {median_range(ratios)}")
     write_report("bench-peak", {"seed": SEED.value, "deployments": report})
 
 
--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -60,7 +60,7 @@
     unit: str
 
 
-def member(number: int) -> Member:
+def make_member(number: int) -> Member:
     """Return a made-up member; services and data centres take turns."""
     centre = number % DATA_CENTRES
     host = f"10.{centre}.{number // 250}.{number % 250}"
@@ -85,7 +85,7 @@
     )
 
 
-def micros(operation: Callable[[], object]) -> float:
+def measure_micros(operation: Callable[[], object]) -> float:
     """Return the best mean time of an operation in microseconds."""
     best = float("inf")
     for _ in range(REPEATS):
@@ -97,7 +97,7 @@
     return best * 1e6
 
 
-def kibibytes(build: Callable[[], object]) -> float:
+def measure_kib(build: Callable[[], object]) -> float:
     """Return the memory that a state keeps, in KiB."""
     gc.collect()
     tracemalloc.start()
@@ -109,7 +109,7 @@
     return size / 1024
 
 
-def documents(services: int) -> tuple[Document, ...]:
+def make_documents(services: int) -> tuple[Document, ...]:
     """Return a base with this many services and an overlay for each data centre."""
     lines = ['[mesh]\nname = "bench"']
     for region in range(REGIONS):
@@ -129,7 +129,7 @@
 def member_rows(size: int) -> Iterator[Row]:
     """Measure what grows with the fleet."""
     rng = random.Random(1)
-    members = tuple(member(number) for number in range(size))
+    members = tuple(make_member(number) for number in range(size))
     swim = Swim(members[0], rng)
     list(swim.merge(members, Millis(0)))
     view = build_view(members, False)
@@ -146,32 +146,32 @@
 
     def table() -> object:
         fresh = Swim(members[0], rng)
-        list(fresh.merge((member(number) for number in range(size)), Millis(0)))
+        list(fresh.merge((make_member(number) for number in range(size)), Millis(0)))
         return fresh
 
-    yield Row("membership tick", size, micros(tick), "us")
-    yield Row("view build", size, micros(lambda: build_view(members, False)), "us")
-    yield Row("reader choice", size, micros(lambda: readers(members[0], members)), "us")
-    yield Row("upstream choice", size, micros(lambda: balancer.choose(request, now)), "us")
-    yield Row("member table", size, kibibytes(table), "KiB")
+    yield Row("membership tick", size, measure_micros(tick), "us")
+    yield Row("view build", size, measure_micros(lambda: build_view(members, False)), "us")
+    yield Row("reader choice", size, measure_micros(lambda: readers(members[0], members)), "us")
+    yield Row("upstream choice", size, measure_micros(lambda: balancer.choose(request, now)), "us")
+    yield Row("member table", size, measure_kib(table), "KiB")
     gossip = Gossip(Version(1), Digest("0" * 32))
     sync = SyncReply(members, gossip)
     data = encode_control(sync)
     yield Row("full table message", size, len(data) / 1024, "KiB")
-    yield Row("full table encode", size, micros(lambda: encode_control(sync)), "us")
-    yield Row("full table decode", size, micros(lambda: decode_control(data)), "us")
+    yield Row("full table encode", size, measure_micros(lambda: encode_control(sync)), "us")
+    yield Row("full table decode", size, measure_micros(lambda: decode_control(data)), "us")
     updates = SyncReply(members[:MAX_UPDATES_PER_MESSAGE], gossip)
     yield Row("full update message", size, len(encode_control(updates)) / 1024, "KiB")
 
 
 def config_rows(services: int) -> Iterator[Row]:
     """Measure what grows with the configuration."""
-    texts = documents(services)
+    texts = make_documents(services)
     size = sum(len(document.text) for document in texts) / 1024
     yield Row("documents", services, size, "KiB")
-    compiling = micros(lambda: compile_documents(texts, decode_toml, Version(1)))
+    compiling = measure_micros(lambda: compile_documents(texts, decode_toml, Version(1)))
     yield Row("compile", services, compiling, "us")
-    snapshot = kibibytes(lambda: compile_documents(texts, decode_toml, Version(1)))
+    snapshot = measure_kib(lambda: compile_documents(texts, decode_toml, Version(1)))
     yield Row("compiled snapshot", services, snapshot, "KiB")
 
 
--- a/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
@@ -17,7 +17,7 @@
 from agatecross_core.ids import Address, Millis
 
 from ..fleet import Fleet, Node, wait_until
-from ..load import Planned, Summary, poisson_times, run_load, summarise
+from ..load import PlannedCall, Summary, poisson_times, run_load, summarise
 from .idle_fleet import EXAMPLE, SITES
 from .report import print_table, write_json
 
@@ -44,23 +44,23 @@
     detection_seconds: float
 
 
-def load(addresses: Sequence[str], rate: float, seconds: float, seed: int) -> Summary:
+def send_load(addresses: Sequence[str], rate: float, seconds: float, seed: int) -> Summary:
     """Send calls to random daemons; runs in a process of its own."""
     rng = random.Random(seed)
     plan = [
-        Planned(at, Address(rng.choice(addresses)), Request("GET", PATH, (), b""), CALL_TIMEOUT)
+        PlannedCall(at, Address(rng.choice(addresses)), Request("GET", PATH, (), b""), CALL_TIMEOUT)
         for at in poisson_times(rate, seconds, rng)
     ]
     return summarise(asyncio.run(run_load(plan)))
 
 
-def unreachable_events(fleet: Fleet) -> int:
+def count_unreachable_events(fleet: Fleet) -> int:
     """Return how often a daemon found another one unreachable."""
     logs = fleet.directory.glob("*-daemon.out")
     return sum(path.read_text().count("event=member_unreachable") for path in logs)
 
 
-def detect(fleet: Fleet, victim: Node) -> float:
+def measure_detection_seconds(fleet: Fleet, victim: Node) -> float:
     """Kill a daemon and return the seconds until no other daemon lists it."""
     fleet.stop_daemon(victim, 9)
     started = time.monotonic()
@@ -81,16 +81,17 @@
         for index in range(DAEMONS.value):
             fleet.add_node(SITES[index % len(SITES)], "case-portal")
         fleet.wait_joined()
-        fleet.cli("publish", EXAMPLE)
+        fleet.run_cli("publish", EXAMPLE)
         fleet.wait_version(1)
-        addresses = [node.call.removeprefix("http://") for node in fleet.nodes[:-1]]
+        addresses = [node.call_url.removeprefix("http://") for node in fleet.nodes[:-1]]
         share, seconds = rate / CLIENTS.value, SECONDS.value
         futures = [
-            pool.submit(load, addresses, share, 2 * seconds, seed) for seed in range(CLIENTS.value)
+            pool.submit(send_load, addresses, share, 2 * seconds, seed)
+            for seed in range(CLIENTS.value)
         ]
         time.sleep(seconds)
-        unreachable = unreachable_events(fleet)
-        detection = detect(fleet, fleet.nodes[-1])
+        unreachable = count_unreachable_events(fleet)
+        detection = measure_detection_seconds(fleet, fleet.nodes[-1])
         rows = [future.result() for future in futures]
     return Suspicion(
         sum(row.calls for row in rows) / (2 * seconds),
--- a/packages/agatecross-standins/agatecross_standins/bench/tail.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -18,10 +18,10 @@
 from agatecross_core.ids import Address, Millis
 
 from ..fleet import Fleet, Node, Site
-from ..load import Planned, Sample, Summary, poisson_times, run_load, summarise
-from .experiment import alternate, report
+from ..load import PlannedCall, Sample, Summary, poisson_times, run_load, summarise
+from .experiment import alternate_variants, report
 
-STARTS = 3
+MAX_START_ATTEMPTS = 3
 VARIANTS = ("adaptive", "round-robin", "two-random")
 SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals, work and slow moments.")
 ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds of each variant.", lower_bound=1, upper_bound=20)
@@ -31,8 +31,8 @@
 SLOW_FACTOR = flags.DEFINE_float("slow_factor", 5.0, "Slow-down on the feed.")
 SLOW_SECONDS = flags.DEFINE_float("slow_seconds", 0.4, "Length of a slow moment.")
 PERIOD_SECONDS = flags.DEFINE_float("period_seconds", 1.5, "Mean time between slow moments.")
-ONLY = flags.DEFINE_enum("workload", "all", ["all", "lyskaede", "kafeskoop"], "Workload.")
-CHOSEN = flags.DEFINE_list("variants", list(VARIANTS), "Balancers; the first is compared.")
+WORKLOAD_NAME = flags.DEFINE_enum("workload", "all", ["all", "lyskaede", "kafeskoop"], "Workload.")
+CHOSEN_VARIANTS = flags.DEFINE_list("variants", list(VARIANTS), "Balancers; the first is compared.")
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +81,7 @@
 )
 
 
-def plan(workload: Workload, nodes: Sequence[Node], seed: int) -> Iterator[Planned]:
+def plan_calls(workload: Workload, nodes: Sequence[Node], seed: int) -> Iterator[PlannedCall]:
     """Yield the arrivals; equal for every variant up to the port numbers."""
     rng = random.Random(f"{workload.name} arrivals {seed}")
     for at in poisson_times(RATE.value, WARM_SECONDS.value + SECONDS.value, rng):
@@ -93,10 +93,12 @@
             work *= workload.long_factor
         kind = "warm" if at < WARM_SECONDS.value else "measured"
         request = Request("GET", f"{prefix}/1?work_ms={work:.2f}", (), b"")
-        yield Planned(at, Address(node.call.removeprefix("http://")), request, Millis(10_000), kind)
+        yield PlannedCall(
+            at, Address(node.call_url.removeprefix("http://")), request, Millis(10_000), kind
+        )
 
 
-def slow_moments(seed: int) -> Iterator[tuple[float, float]]:
+def slow_intervals(seed: int) -> Iterator[tuple[float, float]]:
     """Yield start and end of each slow moment of the feed, in seconds."""
     rng = random.Random(f"feed {seed}")
     at = 0.5
@@ -105,31 +107,32 @@
         at += PERIOD_SECONDS.value * rng.uniform(0.8, 1.2)
 
 
-def feed_of(workload: Workload, nodes: Sequence[Node], seed: int) -> list[Node]:
+def select_feed(workload: Workload, nodes: Sequence[Node], seed: int) -> list[Node]:
     """Return one upstream of each service, in different data centres."""
     places = random.Random(f"places {seed}").sample(workload.regions, len(workload.services))
     wanted = {(place, s) for (_, place), (s, _) in zip(places, workload.services, strict=True)}
     return [node for node in nodes if (node.site.data_centre, node.service) in wanted]
 
 
-async def switch_feed(fleet: Fleet, feed: Sequence[Node], seed: int) -> None:
+async def slow_feed(fleet: Fleet, feed: Sequence[Node], seed: int) -> None:
     """Slow the upstreams of the feed at its moments; their announced health does not change."""
     loop = asyncio.get_running_loop()
     start = loop.time()
-    for begin, end in slow_moments(seed):
+    for begin, end in slow_intervals(seed):
         for at, factor in ((begin, SLOW_FACTOR.value), (end, 1.0)):
             await asyncio.sleep(max(0.0, start + at - loop.time()))
             calls = (
-                asyncio.to_thread(fleet.switch_upstream, node, slow_factor=factor) for node in feed
+                asyncio.to_thread(fleet.set_upstream_switches, node, slow_factor=factor)
+                for node in feed
             )
             await asyncio.gather(*calls)
 
 
-async def carry(fleet: Fleet, workload: Workload, seed: int) -> list[Sample]:
+async def run_round(fleet: Fleet, workload: Workload, seed: int) -> list[Sample]:
     """Run the load and the slow moments together."""
-    feed = feed_of(workload, fleet.nodes, seed)
-    switching = asyncio.ensure_future(switch_feed(fleet, feed, seed))
-    samples = await run_load(plan(workload, fleet.nodes, seed))
+    feed = select_feed(workload, fleet.nodes, seed)
+    switching = asyncio.ensure_future(slow_feed(fleet, feed, seed))
+    samples = await run_load(plan_calls(workload, fleet.nodes, seed))
     switching.cancel()
     return [sample for sample in samples if sample.planned.kind == "measured"]
 
@@ -140,25 +143,25 @@
     Another process may take a port between its choice and its use, so the start is repeated.
     """
     settings = f'\n[policy]\nbalancing = "{variant}"\n'
-    for _ in range(STARTS):
+    for _ in range(MAX_START_ATTEMPTS):
         with (
             tempfile.TemporaryDirectory(prefix="agatecross-tail-") as place,
             Fleet(directory=Path(place), extra_settings=settings) as fleet,
         ):
-            if start(fleet, workload):
-                samples = asyncio.run(carry(fleet, workload, SEED.value * 1000 + number))
+            if start_fleet(fleet, workload):
+                samples = asyncio.run(run_round(fleet, workload, SEED.value * 1000 + number))
                 return summarise(samples)
-    raise RuntimeError(f"the fleet did not start in {STARTS} attempts")
+    raise RuntimeError(f"the fleet did not start in {MAX_START_ATTEMPTS} attempts")
 
 
-def start(fleet: Fleet, workload: Workload) -> bool:
+def start_fleet(fleet: Fleet, workload: Workload) -> bool:
     """Start the nodes and publish; return whether all joined, else print what they said last."""
     for region, data_centre in workload.regions:
         for service, _ in workload.services:
             fleet.add_node(Site(region, data_centre), service, f"--slots={workload.slots}")
     try:
         fleet.wait_joined()
-        result = fleet.cli("publish", f"examples/{workload.example}")
+        result = fleet.run_cli("publish", f"examples/{workload.example}")
         if result.returncode:
             raise RuntimeError(f"publish failed: {result.stdout}{result.stderr}")
         fleet.wait_version(1)
@@ -174,18 +177,22 @@
     """Measure the chosen workloads."""
     del argv
     for workload in WORKLOADS:
-        if ONLY.value not in ("all", workload.name):
+        if WORKLOAD_NAME.value not in ("all", workload.name):
             continue
         rounds = list(
-            alternate(CHOSEN.value, ROUNDS.value, lambda v, n, w=workload: measure(w, v, n))  # type: ignore[misc]
+            alternate_variants(
+                CHOSEN_VARIANTS.value,
+                ROUNDS.value,
+                lambda v, n, w=workload: measure(w, v, n),  # type: ignore[misc]
+            )
         )
-        facts: dict[str, object] = {
+        parameters: dict[str, object] = {
             "seed": SEED.value,
             "rate": RATE.value,
             "seconds": SECONDS.value,
             "slow_factor": SLOW_FACTOR.value,
         }
-        report(f"tail-{workload.name}", facts, rounds, CHOSEN.value[0])
+        report(f"tail-{workload.name}", parameters, rounds, CHOSEN_VARIANTS.value[0])
 
 
 if __name__ == "__main__":
--- a/packages/agatecross-standins/agatecross_standins/demo.py
+++ b/packages/agatecross-standins/agatecross_standins/demo.py
@@ -19,14 +19,14 @@
 from agatecross_core.ids import Address, Millis
 
 from .fleet import Fleet, LinkShape, Node, Site, fetch, wait_until
-from .load import Planned, Sample, poisson_times, run_load, summarise
+from .load import PlannedCall, Sample, poisson_times, run_load, summarise
 
 SECONDS = flags.DEFINE_float("seconds", 12.0, "Length of the load.")
 RATE = flags.DEFINE_float("rate", 120.0, "Calls per second in all.")
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
-PLACES = (
+NODE_SITES = (
     (Site("jylland", "aarhus-a"), "case-portal"),
     (Site("jylland", "aarhus-a"), "van-booking"),
     (Site("jylland", "aalborg-b"), "untangling-queue"),
@@ -36,14 +36,14 @@
     (Site("sjaelland", "roskilde-b"), "untangling-queue"),
     (Site("sjaelland", "roskilde-b"), "crew-completion"),
 )
-READS = ("/cases/{}", "/queue/{}")
-WRITES = ("/vans/{}", "/strands/{}")
+READ_PATHS = ("/cases/{}", "/queue/{}")
+WRITE_PATHS = ("/vans/{}", "/strands/{}")
 WRITE_SHARE = 0.2
 CALL_TIMEOUT = Millis(10_000)
 
 
 @dataclass(frozen=True, slots=True)
-class Figures:
+class DemoFigures:
     """What the closing table shows."""
 
     samples: tuple[Sample, ...]
@@ -53,28 +53,30 @@
     link_bytes: int
 
 
-def plan_calls(nodes: Sequence[Node], seconds: float, rate: float, seed: int) -> Iterator[Planned]:
+def plan_calls(
+    nodes: Sequence[Node], seconds: float, rate: float, seed: int
+) -> Iterator[PlannedCall]:
     """Yield reads, and writes that each have a path and an idempotency key of their own."""
     rng = random.Random(seed)
     for number, at in enumerate(poisson_times(rate, seconds, rng)):
         address = Address(f"127.0.0.1:{rng.choice(nodes).call_port}")
         if rng.random() < WRITE_SHARE:
-            path = rng.choice(WRITES).format(number)
+            path = rng.choice(WRITE_PATHS).format(number)
             headers = (("Idempotency-Key", f"demo-{seed}-{number}"),)
             request = Request("POST", path, headers, b"{}")
         else:
-            request = Request("GET", rng.choice(READS).format(number), (), b"")
-        yield Planned(at, address, request, CALL_TIMEOUT, request.method)
+            request = Request("GET", rng.choice(READ_PATHS).format(number), (), b"")
+        yield PlannedCall(at, address, request, CALL_TIMEOUT, request.method)
 
 
-def run_demo(seconds: float, rate: float, seed: int) -> Figures:
+def run_demo(seconds: float, rate: float, seed: int) -> DemoFigures:
     """Start the fleet, publish, call, publish again, replace a daemon, and collect the figures."""
     folder = Path(tempfile.mkdtemp(prefix="agatecross-demo-")) / "lysknude"
     shutil.copytree(EXAMPLES / "lysknude", folder)
     with Fleet(link=LinkShape("jylland")) as fleet:
-        print(f"starting {len(PLACES)} daemons and upstreams in 2 regions")
-        fleet.start_link(PLACES)
-        fleet.start_planned()
+        print(f"starting {len(NODE_SITES)} daemons and upstreams in 2 regions")
+        fleet.start_link(NODE_SITES)
+        fleet.start_planned_nodes()
         fleet.wait_joined()
         took = [publish(fleet, folder)]
         replaced, callable_nodes = fleet.nodes[2], [*fleet.nodes[:2], *fleet.nodes[3:]]
@@ -85,13 +87,13 @@
         before = control_bytes(fleet)
         load.start()
         time.sleep(seconds / 4)
-        edit(folder)
+        change_timeout(folder)
         took.append(publish(fleet, folder))
         print(f"replacing daemon {replaced.name}")
         exit_code = fleet.stop_daemon(replaced)
         print(f"it left with exit code {exit_code}")
         fleet.start_daemon(replaced)
-        wait_until(lambda: ready(replaced), f"{replaced.name} to be ready")
+        wait_until(lambda: is_ready(replaced), f"{replaced.name} to be ready")
         load.join()
         elapsed = time.monotonic() - started
         rates = [
@@ -99,19 +101,19 @@
             for node, after, old in zip(fleet.nodes, control_bytes(fleet), before, strict=True)
             if node is not replaced
         ]
-        figures = Figures(
+        figures = DemoFigures(
             tuple(samples),
             count_duplicates(fleet),
             tuple(took),
             tuple(rates),
-            sum(fleet.link_bytes()),
+            sum(fleet.link_payload_bytes()),
         )
     if exit_code:
         raise RuntimeError(f"the replaced daemon left with exit code {exit_code}")
     return figures
 
 
-def edit(folder: Path) -> None:
+def change_timeout(folder: Path) -> None:
     """Change the base so that there is a second version to publish."""
     base = folder / "base.toml"
     text = base.read_text(encoding="utf-8")
@@ -121,16 +123,16 @@
 def publish(fleet: Fleet, folder: Path) -> float:
     """Publish and return the seconds until the version was in force everywhere."""
     started = time.monotonic()
-    result = fleet.cli("publish", str(folder))
+    result = fleet.run_cli("publish", str(folder))
     print(result.stdout.strip())
     if result.returncode:
         raise RuntimeError(f"publish ended with code {result.returncode}: {result.stderr}")
     return time.monotonic() - started
 
 
-def ready(node: Node) -> bool:
+def is_ready(node: Node) -> bool:
     """Return whether a daemon takes calls."""
-    return fetch(f"http://{node.admin}/agatecross/v1/ready")[0] == 200
+    return fetch(f"http://{node.admin_address}/agatecross/v1/ready")[0] == 200
 
 
 def control_bytes(fleet: Fleet) -> list[int]:
@@ -150,7 +152,7 @@
     return sum(1 for count in runs.values() if count > 1)
 
 
-def table(figures: Figures) -> Iterator[str]:
+def format_table(figures: DemoFigures) -> Iterator[str]:
     """Yield the lines of the closing table."""
     summary = summarise(figures.samples)
     yield f"calls sent                     {summary.calls}"
@@ -170,7 +172,7 @@
     """Run the demo; exit 1 when a call was lost or duplicated."""
     del argv
     figures = run_demo(SECONDS.value, RATE.value, SEED.value)
-    print("\n".join(table(figures)))
+    print("\n".join(format_table(figures)))
     failed = [sample for sample in figures.samples if sample.outcome not in ("ran", "not-run")]
     for sample in failed[:10]:
         shown = replace(sample.planned.request, headers=(), body=b"")
--- a/packages/agatecross-standins/agatecross_standins/endless.py
+++ b/packages/agatecross-standins/agatecross_standins/endless.py
@@ -7,13 +7,13 @@
 # What is passed to the transport at once.
 BLOCK_BYTES = 16 * KIB
 # A daemon that does not close the connection must not fill the memory of the machine.
-MAX_BYTES = 64 * KIB * KIB
+MAX_WRITTEN_BYTES = 64 * KIB * KIB
 TRICKLE_SECONDS = 0.02
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = STATUS_LINE + b"x-response-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
-class Endless(Enum):
+class EndlessPart(Enum):
     """The part of an answer that does not end."""
 
     BLANK_LINES = "blank lines"
@@ -34,25 +34,25 @@
 
 
 # What comes first, and what is repeated without end.
-PARTS: dict[Endless, tuple[bytes, bytes]] = {
-    Endless.BLANK_LINES: (b"", b"\r\n"),
-    Endless.REASON_PHRASE: (b"HTTP/1.1 200 ", b"O"),
-    Endless.FIELDS: (STATUS_LINE, b"a: b\r\n"),
-    Endless.FIELD_NAME: (STATUS_LINE, b"a"),
-    Endless.FIELD_VALUE: (STATUS_LINE + b"a: ", b"b"),
-    Endless.INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"),
-    Endless.BODY: (STATUS_LINE + b"x-response-stamp: s\r\n\r\n", b"b"),
-    Endless.STATED_BODY: (
+ENDLESS_PARTS: dict[EndlessPart, tuple[bytes, bytes]] = {
+    EndlessPart.BLANK_LINES: (b"", b"\r\n"),
+    EndlessPart.REASON_PHRASE: (b"HTTP/1.1 200 ", b"O"),
+    EndlessPart.FIELDS: (STATUS_LINE, b"a: b\r\n"),
+    EndlessPart.FIELD_NAME: (STATUS_LINE, b"a"),
+    EndlessPart.FIELD_VALUE: (STATUS_LINE + b"a: ", b"b"),
+    EndlessPart.INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"),
+    EndlessPart.BODY: (STATUS_LINE + b"x-response-stamp: s\r\n\r\n", b"b"),
+    EndlessPart.STATED_BODY: (
         STATUS_LINE + b"x-response-stamp: s\r\ncontent-length: 99999999999\r\n\r\n",
         b"b",
     ),
-    Endless.CHUNKS: (CHUNKED, b"400\r\n" + b"b" * KIB + b"\r\n"),
-    Endless.SMALL_CHUNKS: (CHUNKED, b"2\r\nbb\r\n"),
-    Endless.CHUNK_SIZE: (CHUNKED, b"0"),
-    Endless.CHUNK_EXTENSION: (CHUNKED + b"1;", b"a"),
-    Endless.TRAILERS: (CHUNKED + b"0\r\n", b"a: b\r\n"),
-    Endless.TRAILER_VALUE: (CHUNKED + b"0\r\na: ", b"b"),
-    Endless.AFTER_ANSWER: (
+    EndlessPart.CHUNKS: (CHUNKED, b"400\r\n" + b"b" * KIB + b"\r\n"),
+    EndlessPart.SMALL_CHUNKS: (CHUNKED, b"2\r\nbb\r\n"),
+    EndlessPart.CHUNK_SIZE: (CHUNKED, b"0"),
+    EndlessPart.CHUNK_EXTENSION: (CHUNKED + b"1;", b"a"),
+    EndlessPart.TRAILERS: (CHUNKED + b"0\r\n", b"a: b\r\n"),
+    EndlessPart.TRAILER_VALUE: (CHUNKED + b"0\r\na: ", b"b"),
+    EndlessPart.AFTER_ANSWER: (
         STATUS_LINE + b"x-response-stamp: s\r\ncontent-length: 1\r\n\r\nb",
         b"b",
     ),
@@ -62,18 +62,20 @@
 class EndlessWriter:
     """Writes one of the parts to a connection, as fast as it is read or a few bytes at a time."""
 
-    def __init__(self, transport: asyncio.Transport, part: Endless, trickles: bool) -> None:
+    def __init__(self, transport: asyncio.Transport, part: EndlessPart, trickles: bool) -> None:
         self.transport = transport
-        self.first, self.unit = PARTS[part]
+        self.prefix, self.repeated = ENDLESS_PARTS[part]
         self.trickles = trickles
-        self.block = self.unit if trickles else self.unit * (BLOCK_BYTES // len(self.unit) + 1)
+        self.block = (
+            self.repeated if trickles else self.repeated * (BLOCK_BYTES // len(self.repeated) + 1)
+        )
         self.written = 0
         self.paused = False
 
     def start(self) -> None:
         """Write the start of the answer and go on."""
-        self._write(self.first)
-        self._go_on()
+        self._write(self.prefix)
+        self._write_blocks()
 
     def pause(self) -> None:
         """Wait for the reader."""
@@ -82,14 +84,14 @@
     def resume(self) -> None:
         """Go on after the reader took what was written."""
         self.paused = False
-        self._go_on()
+        self._write_blocks()
 
-    def _go_on(self) -> None:
-        if self.paused or self.transport.is_closing() or self.written >= MAX_BYTES:
+    def _write_blocks(self) -> None:
+        if self.paused or self.transport.is_closing() or self.written >= MAX_WRITTEN_BYTES:
             return
         self._write(self.block)
         loop = asyncio.get_running_loop()
-        loop.call_later(TRICKLE_SECONDS if self.trickles else 0, self._go_on)
+        loop.call_later(TRICKLE_SECONDS if self.trickles else 0, self._write_blocks)
 
     def _write(self, data: bytes) -> None:
         self.written += len(data)
--- a/packages/agatecross-standins/agatecross_standins/faults/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -20,11 +20,11 @@
 )
 from .recorder import Recorder
 
-SERVICES = {"van-booking": "/vans", "case-portal": "/cases"}
-CALLERS = 8
-CALL_GAP_SECONDS = 0.04
+SERVICE_PATHS = {"van-booking": "/vans", "case-portal": "/cases"}
+CALLER_COUNT = 8
+MEAN_CALL_GAP_SECONDS = 0.04
 CALL_TIMEOUT_SECONDS = 8.0
-POLL_SECONDS = 0.1
+POLL_INTERVAL_SECONDS = 0.1
 
 
 class Callers:
@@ -35,15 +35,15 @@
         self.recorder = recorder
         self.seed = seed
         self.stop = threading.Event()
-        self.pool = ThreadPoolExecutor(4 * CALLERS)
+        self.pool = ThreadPoolExecutor(4 * CALLER_COUNT)
 
     def run(self, number: int) -> None:
         """Send requests one after the other until stopped."""
         rng = random.Random(f"{self.seed}/{number}")
         count = 0
-        while not self.stop.wait(rng.expovariate(1 / CALL_GAP_SECONDS)):
+        while not self.stop.wait(rng.expovariate(1 / MEAN_CALL_GAP_SECONDS)):
             count += 1
-            request = f"{rng.choice(list(SERVICES.values()))}/{number}-{count}"
+            request = f"{rng.choice(list(SERVICE_PATHS.values()))}/{number}-{count}"
             times = 1
             method, key = "GET", ""
             if rng.random() < 0.6:
@@ -68,7 +68,9 @@
         body = None if method == "GET" else b"{}"
         add(Sent(time.time(), call, request, node.name, method == "GET", key))
         try:
-            _, found, data = fetch(node.call + request, method, body, headers, CALL_TIMEOUT_SECONDS)
+            _, found, data = fetch(
+                node.call_url + request, method, body, headers, CALL_TIMEOUT_SECONDS
+            )
         except (ConnectionError, HTTPException):
             add(Broken(time.time(), call))
             return False
@@ -95,10 +97,10 @@
 def watch_versions(fleet: Fleet, recorder: Recorder, stop: threading.Event) -> None:
     """Record each change of the version in force at a daemon."""
     last: dict[str, tuple[int, str]] = {}
-    while not stop.wait(POLL_SECONDS):
+    while not stop.wait(POLL_INTERVAL_SECONDS):
         for node in fleet.nodes:
             try:
-                url = f"http://{node.admin}/agatecross/v1/status"
+                url = f"http://{node.admin_address}/agatecross/v1/status"
                 row = json.loads(fetch(url, timeout=0.5)[2])
             except (OSError, HTTPException, ValueError):
                 continue
@@ -107,4 +109,4 @@
             if found[0] and last.get(node.name) != found:
                 last[node.name] = found
                 recorder.events.append(InForce(time.time(), node.name, *found))
-                recorder.newest = max(recorder.newest, found[0])
+                recorder.newest_version = max(recorder.newest_version, found[0])
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -26,9 +26,9 @@
     ShutdownEnded,
 )
 from .recorder import Recorder
-from .schedule import Fault, FaultKind, Place, place_of
+from .schedule import Fault, FaultKind, FaultTarget, fault_target
 
-RECOVERY_SECONDS = 60.0
+RECOVERY_TIMEOUT_SECONDS = 60.0
 EXAMPLE = Path(__file__).resolve().parents[4] / "examples" / "lysknude"
 
 
@@ -50,10 +50,10 @@
             text = text.replace('service = "van-booking"', 'service = "no-such-service"', 1)
         publish_id = f"publish-{self.count}"
         document = Document(self.base.name, text)
-        parent = Version(self.recorder.newest)
+        parent = Version(self.recorder.newest_version)
         record = PublishRecord(PublishId(publish_id), parent, RULE_SET_VERSION, (document,))
         self.recorder.publishes[publish_id] = time.time()
-        url = f"http://{self.fleet.log}/streams/config/records"
+        url = f"http://{self.fleet.log_address}/streams/config/records"
         for _ in range(2):
             try:
                 fetch(url, "POST", encode_record(record), timeout=2.0)
@@ -74,22 +74,22 @@
         self.recorder = recorder
         self.publisher = Publisher(fleet, recorder)
         # One thread for each place keeps its steps in order.
-        self.pools: defaultdict[Place, ThreadPoolExecutor] = defaultdict(
+        self.executors: defaultdict[FaultTarget, ThreadPoolExecutor] = defaultdict(
             lambda: ThreadPoolExecutor(1)
         )
-        self.background: list[Future[None]] = []
+        self.step_futures: list[Future[None]] = []
 
     def run(self, faults: Sequence[Fault]) -> None:
         """Carry out the schedule and return when every fault has ended."""
         steps: list[tuple[float, Callable[[Fault], None], Fault]] = []
         for fault in faults:
             steps.append((fault.at, self.begin, fault))
-            steps.append((fault.at + fault.lasts, self.end, fault))
+            steps.append((fault.at + fault.duration_seconds, self.end, fault))
         start = time.monotonic()
         for at, step, fault in sorted(steps, key=lambda row: row[0]):
             time.sleep(max(0.0, start + at - time.monotonic()))
-            self.background.append(self.pools[place_of(fault)].submit(step, fault))
-        for future in self.background:
+            self.step_futures.append(self.executors[fault_target(fault)].submit(step, fault))
+        for future in self.step_futures:
             future.result()
 
     def begin(self, fault: Fault) -> None:
@@ -106,14 +106,14 @@
                 self.recorder.events.append(ShutdownBegun(time.time(), node.name))
                 _running(node.daemon).send_signal(signal.SIGTERM)
             case FaultKind.DRAIN_UPSTREAM:
-                self._switch_when_up(node, draining=True)
+                self._set_upstream_switches_when_up(node, draining=True)
                 self.recorder.events.append(Leaving(time.time(), str(node.upstream_port)))
             case FaultKind.LOG_OUTAGE:
-                self.fleet.switch_log(outage=True)
+                self.fleet.set_log_switches(outage=True)
             case FaultKind.LOG_SLOW:
-                self.fleet.switch_log(delay_ms=700)
+                self.fleet.set_log_switches(delay_ms=700)
             case FaultKind.LOSE_ANSWERS:
-                self.fleet.switch_log(lose_answers=3)
+                self.fleet.set_log_switches(lose_answers=3)
             case FaultKind.PUBLISH:
                 self.publisher.publish()
             case FaultKind.PUBLISH_RACE:
@@ -136,26 +136,26 @@
             case FaultKind.PAUSE_DAEMON:
                 _running(node.daemon).send_signal(signal.SIGCONT)
             case FaultKind.REPLACE_DAEMON:
-                _running(node.daemon).wait(RECOVERY_SECONDS)
+                _running(node.daemon).wait(RECOVERY_TIMEOUT_SECONDS)
                 self.recorder.events.append(ShutdownEnded(time.time(), node.name))
                 self.fleet.start_daemon(node)
             case FaultKind.DRAIN_UPSTREAM:
                 self.recorder.events.append(Returned(time.time(), str(node.upstream_port)))
-                self._switch_when_up(node, draining=False)
+                self._set_upstream_switches_when_up(node, draining=False)
             case FaultKind.LOG_OUTAGE:
-                self.fleet.switch_log(outage=False)
+                self.fleet.set_log_switches(outage=False)
             case FaultKind.LOG_SLOW:
-                self.fleet.switch_log(delay_ms=0)
+                self.fleet.set_log_switches(delay_ms=0)
             case FaultKind.LOSE_ANSWERS:
-                self.fleet.switch_log(lose_answers=0)
+                self.fleet.set_log_switches(lose_answers=0)
             case _:
                 pass
 
-    def _switch_when_up(self, node: Node, **switches: object) -> None:
+    def _set_upstream_switches_when_up(self, node: Node, **switches: object) -> None:
         """Set switches of an upstream, which may still be starting after an earlier fault."""
 
         def switched() -> bool:
-            self.fleet.switch_upstream(node, **switches)
+            self.fleet.set_upstream_switches(node, **switches)
             return True
 
         wait_until(switched, f"the upstream of {node.name} to answer")
--- a/packages/agatecross-standins/agatecross_standins/faults/recorder.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/recorder.py
@@ -13,4 +13,4 @@
 
     events: list[Event] = field(default_factory=list)
     publishes: dict[str, float] = field(default_factory=dict)
-    newest: int = 0
+    newest_version: int = 0
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -22,14 +22,14 @@
 
 from ..fleet import Fleet, Site, fetch
 from ..history import (
-    IN_FORCE_SECONDS,
+    MAX_IN_FORCE_DELAY_SECONDS,
     Event,
     InForce,
     Published,
     Started,
     Undisturbed,
 )
-from .callers import SERVICES, Callers, watch_versions
+from .callers import SERVICE_PATHS, Callers, watch_versions
 from .injector import EXAMPLE, Injector
 from .recorder import Recorder
 from .schedule import schedule
@@ -40,9 +40,9 @@
     Site("sjaelland", "koebenhavn-a"),
     Site("sjaelland", "roskilde-b"),
 )
-CALLERS = 8
-POLL_SECONDS = 0.1
-RECOVERY_SECONDS = 60.0
+CALLER_COUNT = 8
+POLL_INTERVAL_SECONDS = 0.1
+RECOVERY_TIMEOUT_SECONDS = 60.0
 
 
 def run_faults(seed: int, seconds: float) -> tuple[list[Event], Counter[str]]:
@@ -51,7 +51,7 @@
     with Fleet() as fleet:
         executions = fleet.directory / "executions.jsonl"
         for site in SITES:
-            for service in SERVICES:
+            for service in SERVICE_PATHS:
                 fleet.add_node(site, service, f"--executions_file={executions}")
         fleet.wait_joined()
         recorder.publishes.update(_first_publish(fleet))
@@ -59,9 +59,9 @@
         print(f"files of the run: {fleet.directory}")
         faults = list(schedule(seed, seconds, len(fleet.nodes)))
         callers = Callers(fleet, recorder, seed)
-        watching = threading.Event()
-        watcher = threading.Thread(target=watch_versions, args=(fleet, recorder, watching))
-        threads = [threading.Thread(target=callers.run, args=(n,)) for n in range(CALLERS)]
+        stop_watching = threading.Event()
+        watcher = threading.Thread(target=watch_versions, args=(fleet, recorder, stop_watching))
+        threads = [threading.Thread(target=callers.run, args=(n,)) for n in range(CALLER_COUNT)]
         for thread in (watcher, *threads):
             thread.start()
         try:
@@ -69,40 +69,44 @@
             callers.stop.set()
             for thread in threads:
                 thread.join()
-            _settle(fleet, recorder)
+            _wait_until_settled(fleet, recorder)
         finally:
             callers.stop.set()
-            watching.set()
+            stop_watching.set()
             watcher.join()
-        events = [*recorder.events, *_executions(executions)]
-        return list(_with_publishes(fleet, recorder, events)), Counter(f.kind.value for f in faults)
+        events = [*recorder.events, *_read_executions(executions)]
+        return list(_complete_events(fleet, recorder, events)), Counter(
+            f.kind.value for f in faults
+        )
 
 
 def _first_publish(fleet: Fleet) -> dict[str, float]:
     now = time.time()
-    result = fleet.cli("publish", str(EXAMPLE))
+    result = fleet.run_cli("publish", str(EXAMPLE))
     if result.returncode:
         raise RuntimeError(f"the first publish failed: {result.stdout}{result.stderr}")
     return {"": now}
 
 
-def _settle(fleet: Fleet, recorder: Recorder) -> None:
+def _wait_until_settled(fleet: Fleet, recorder: Recorder) -> None:
     """Wait until the fleet is whole, then for the time in which versions must be in force."""
-    fleet.wait_joined(RECOVERY_SECONDS)
+    fleet.wait_joined(RECOVERY_TIMEOUT_SECONDS)
     last = max(recorder.publishes.values())
-    time.sleep(max(0.0, last + IN_FORCE_SECONDS - time.time()) + 10 * POLL_SECONDS)
+    time.sleep(
+        max(0.0, last + MAX_IN_FORCE_DELAY_SECONDS - time.time()) + 10 * POLL_INTERVAL_SECONDS
+    )
     names = frozenset(node.name for node in fleet.nodes)
-    newest = _newest_version(fleet)
+    newest_version = _newest_version(fleet)
     try:
-        fleet.wait_version(newest, seconds=IN_FORCE_SECONDS)
+        fleet.wait_version(newest_version, seconds=MAX_IN_FORCE_DELAY_SECONDS)
     except TimeoutError as error:
         print(f"not settled: {error}")
-    time.sleep(10 * POLL_SECONDS)
+    time.sleep(10 * POLL_INTERVAL_SECONDS)
     recorder.events.append(Undisturbed(time.time(), names))
 
 
-def _records(fleet: Fleet) -> Iterator[PublishRecord | SnapshotRecord]:
-    url = f"http://{fleet.log}/streams/config/records?start=0&limit=100000"
+def _read_records(fleet: Fleet) -> Iterator[PublishRecord | SnapshotRecord]:
+    url = f"http://{fleet.log_address}/streams/config/records?start=0&limit=100000"
     for row in json.loads(fetch(url)[2])["entries"]:
         try:
             yield decode_record(base64.b64decode(row["data"]), PublishRecord | SnapshotRecord)  # type: ignore[arg-type]
@@ -110,9 +114,9 @@
             continue
 
 
-def _accepted(fleet: Fleet) -> Iterator[tuple[PublishRecord, MeshSnapshot]]:
+def _accepted_publishes(fleet: Fleet) -> Iterator[tuple[PublishRecord, MeshSnapshot]]:
     state = ConfigState()
-    for record in _records(fleet):
+    for record in _read_records(fleet):
         step = fold(state, record, decode_toml)
         state = step.state
         if step.snapshot is not None and isinstance(record, PublishRecord):
@@ -120,14 +124,14 @@
 
 
 def _newest_version(fleet: Fleet) -> int:
-    return max(snapshot.version for _, snapshot in _accepted(fleet))
+    return max(snapshot.version for _, snapshot in _accepted_publishes(fleet))
 
 
-def _with_publishes(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
+def _complete_events(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
     """Yield the events, the accepted versions, and what each version in force routes."""
     snapshots: dict[int, MeshSnapshot] = {}
     first = recorder.publishes[""]
-    for record, snapshot in _accepted(fleet):
+    for record, snapshot in _accepted_publishes(fleet):
         snapshots[snapshot.version] = snapshot
         at = recorder.publishes.get(record.publish_id, first)
         yield Published(at, snapshot.version, snapshot.digest)
@@ -142,7 +146,7 @@
         yield InForce(event.at, event.daemon, event.version, event.digest, routed, known)
 
 
-def _executions(file: Path) -> Iterator[Started]:
+def _read_executions(file: Path) -> Iterator[Started]:
     for line in file.read_text(encoding="utf-8").splitlines():
         row = json.loads(line)
         yield Started(row["started_at"], row["path"], str(row["port"]))
--- a/packages/agatecross-standins/agatecross_standins/faults/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/schedule.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-FAULT_GAP_SECONDS = 0.6
+MEAN_FAULT_GAP_SECONDS = 0.6
 
 
 class FaultKind(Enum):
@@ -24,10 +24,10 @@
     PUBLISH_INVALID = "publish-invalid"
 
 
-NODE_KINDS = frozenset(list(FaultKind)[:5])
-LOG_KINDS = frozenset(list(FaultKind)[5:8])
+NODE_FAULT_KINDS = frozenset(list(FaultKind)[:5])
+LOG_FAULT_KINDS = frozenset(list(FaultKind)[5:8])
 # The index of a node, or the name of what all nodes share.
-Place = int | str
+FaultTarget = int | str
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,32 +35,32 @@
     """One fault from `at` for `lasts` seconds after the start of the run."""
 
     at: float
-    lasts: float
+    duration_seconds: float
     kind: FaultKind
     node: int
 
 
-def place_of(fault: Fault) -> Place:
+def fault_target(fault: Fault) -> FaultTarget:
     """Return where a fault acts."""
-    if fault.kind in NODE_KINDS:
+    if fault.kind in NODE_FAULT_KINDS:
         return fault.node
-    return "log" if fault.kind in LOG_KINDS else "publish"
+    return "log" if fault.kind in LOG_FAULT_KINDS else "publish"
 
 
 def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
     """Yield faults in order of time; a node and the log have at most one fault at a time."""
     rng = random.Random(seed)
-    busy_until: dict[Place, float] = {}
+    busy_until: dict[FaultTarget, float] = {}
     at = 0.0
     while True:
-        at += rng.expovariate(1 / FAULT_GAP_SECONDS)
+        at += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
         kind = rng.choice(list(FaultKind))
         node = rng.randrange(nodes)
-        lasts = rng.uniform(0.5, 6.0)
-        if at + lasts > seconds:
+        duration_seconds = rng.uniform(0.5, 6.0)
+        if at + duration_seconds > seconds:
             return
-        fault = Fault(at, lasts, kind, node)
-        place = place_of(fault)
-        if busy_until.get(place, 0.0) <= at:
-            busy_until[place] = at + lasts
+        fault = Fault(at, duration_seconds, kind, node)
+        target = fault_target(fault)
+        if busy_until.get(target, 0.0) <= at:
+            busy_until[target] = at + duration_seconds
             yield fault
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -15,8 +15,8 @@
 
 from .ports import PortPool
 
-START_SECONDS = 30.0
-POLL_SECONDS = 0.05
+START_TIMEOUT_SECONDS = 30.0
+POLL_INTERVAL_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +54,12 @@
     remote_ports: dict[int, int] = field(default_factory=dict)
 
     @property
-    def call(self) -> str:
+    def call_url(self) -> str:
         """Return the base URL for callers."""
         return f"http://127.0.0.1:{self.call_port}"
 
     @property
-    def admin(self) -> str:
+    def admin_address(self) -> str:
         """Return the address for operators."""
         return f"127.0.0.1:{self.admin_port}"
 
@@ -80,7 +80,9 @@
         return error.code, dict(error.headers), error.read()
 
 
-def wait_until(condition: Callable[[], bool], what: str, seconds: float = START_SECONDS) -> None:
+def wait_until(
+    condition: Callable[[], bool], what: str, seconds: float = START_TIMEOUT_SECONDS
+) -> None:
     """Wait for a condition; raises `TimeoutError` that names it."""
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
@@ -89,7 +91,7 @@
                 return
         except OSError:
             pass
-        time.sleep(POLL_SECONDS)
+        time.sleep(POLL_INTERVAL_SECONDS)
     raise TimeoutError(f"timed out waiting for {what}")
 
 
@@ -107,7 +109,7 @@
     link: LinkShape | None = None
     link_port: int = 0
     remote_log_port: int = 0
-    extra: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    other_processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
     def __enter__(self) -> "Fleet":
         """Start the log service."""
@@ -127,12 +129,12 @@
 
     def processes(self) -> Iterator[subprocess.Popen[bytes]]:
         """Yield every process that was started and not replaced."""
-        rows = [self.log_process, *self.extra]
+        rows = [self.log_process, *self.other_processes]
         rows += [p for node in self.nodes for p in (node.daemon, node.upstream)]
         yield from (process for process in rows if process is not None)
 
     @property
-    def log(self) -> str:
+    def log_address(self) -> str:
         """Return the address of the log service."""
         return f"127.0.0.1:{self.log_port}"
 
@@ -151,11 +153,13 @@
         self.log_process = self.spawn(
             "log", "agatecross_standins.log_service", f"--port={self.log_port}", *self.log_flags
         )
-        wait_until(lambda: fetch(f"http://{self.log}/switches")[0] == 200, "the log service")
+        wait_until(
+            lambda: fetch(f"http://{self.log_address}/switches")[0] == 200, "the log service"
+        )
 
-    def switch_log(self, **switches: object) -> None:
+    def set_log_switches(self, **switches: object) -> None:
         """Set switches of the log service."""
-        fetch(f"http://{self.log}/switches", "PUT", json.dumps(switches).encode())
+        fetch(f"http://{self.log_address}/switches", "PUT", json.dumps(switches).encode())
 
     def add_node(self, site: Site, service: str, *upstream_flags: str) -> Node:
         """Start a daemon and its upstream."""
@@ -189,7 +193,7 @@
             )
             pairs += [f"--pair={there}={here}" for here, there in node.remote_ports.items()]
         flags = (f"--delay_ms={self.link.delay_ms}", f"--mbit={self.link.mbit}")
-        self.extra.append(
+        self.other_processes.append(
             self.spawn(
                 "link",
                 "agatecross_standins.link_proxy",
@@ -201,17 +205,17 @@
         url = f"http://127.0.0.1:{self.link_port}/switches"
         wait_until(lambda: fetch(url)[0] == 200, "the link proxy")
 
-    def switch_link(self, **switches: object) -> None:
+    def set_link_switches(self, **switches: object) -> None:
         """Set switches of the link."""
         url = f"http://127.0.0.1:{self.link_port}/switches"
         fetch(url, "PUT", json.dumps(switches).encode())
 
-    def link_bytes(self) -> tuple[int, int]:
+    def link_payload_bytes(self) -> tuple[int, int]:
         """Return the payload bytes that the link carried, by direction of the connections."""
         carried = json.loads(fetch(f"http://127.0.0.1:{self.link_port}/switches")[2])
         return int(carried["forward"]), int(carried["backward"])
 
-    def start_planned(self, *upstream_flags: str) -> None:
+    def start_planned_nodes(self, *upstream_flags: str) -> None:
         """Start every planned node."""
         for node in self.nodes:
             node.upstream_flags = upstream_flags
@@ -233,11 +237,11 @@
             f'data_centre = "{node.site.data_centre}"\nhost = "127.0.0.1"\n'
             f"call_port = {node.call_port}\npeer_port = {node.peer_port}\n"
             f"control_port = {node.control_port}\nadmin_port = {node.admin_port}\n"
-            f'\n[log]\naddress = "{self._log_seen_by(node)}"\n{self.extra_settings}'
+            f'\n[log]\naddress = "{self._log_address_for(node)}"\n{self.extra_settings}'
             f"{self._address_map(node)}"
         )
 
-    def _log_seen_by(self, node: Node) -> str:
+    def _log_address_for(self, node: Node) -> str:
         remote = self.link is not None and node.site.region != self.link.home
         return f"127.0.0.1:{self.remote_log_port if remote else self.log_port}"
 
@@ -256,12 +260,12 @@
             f"{node.name}-upstream",
             "agatecross_standins.upstream",
             f"--port={node.upstream_port}",
-            f"--admin={node.admin}",
+            f"--admin={node.admin_address}",
             f"--service={node.service}",
             *node.upstream_flags,
         )
 
-    def switch_upstream(self, node: Node, **switches: object) -> None:
+    def set_upstream_switches(self, node: Node, **switches: object) -> None:
         """Set switches of an upstream."""
         url = f"http://127.0.0.1:{node.upstream_port}/switches"
         fetch(url, "PUT", json.dumps(switches).encode())
@@ -275,18 +279,18 @@
     def status(self, node: Node) -> dict[str, object]:
         """Return the status of a daemon."""
         status: dict[str, object] = json.loads(
-            fetch(f"http://{node.admin}/agatecross/v1/status")[2]
+            fetch(f"http://{node.admin_address}/agatecross/v1/status")[2]
         )
         return status
 
     def members(self, node: Node) -> list[dict[str, object]]:
         """Return the members that a daemon knows."""
         rows: list[dict[str, object]] = json.loads(
-            fetch(f"http://{node.admin}/agatecross/v1/members")[2]
+            fetch(f"http://{node.admin_address}/agatecross/v1/members")[2]
         )
         return rows
 
-    def wait_joined(self, seconds: float = START_SECONDS) -> None:
+    def wait_joined(self, seconds: float = START_TIMEOUT_SECONDS) -> None:
         """Wait until every daemon sees every upstream as ready."""
         wanted = {node.name for node in self.nodes}
 
@@ -302,7 +306,10 @@
             wait_until(lambda node=node: joined(node), f"{node.name} to join", seconds)  # type: ignore[misc]
 
     def wait_version(
-        self, version: int, nodes: Sequence[Node] | None = None, seconds: float = START_SECONDS
+        self,
+        version: int,
+        nodes: Sequence[Node] | None = None,
+        seconds: float = START_TIMEOUT_SECONDS,
     ) -> None:
         """Wait until daemons have this version or a later one in force."""
         for node in self.nodes if nodes is None else nodes:
@@ -312,9 +319,12 @@
                 seconds,
             )
 
-    def cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+    def run_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run the operator's client against this fleet."""
-        target = (f"--log={self.log}", f"--daemon={self.nodes[0].admin if self.nodes else ''}")
+        target = (
+            f"--log={self.log_address}",
+            f"--daemon={self.nodes[0].admin_address if self.nodes else ''}",
+        )
         return subprocess.run(
             [sys.executable, "-m", "agatecross_cli", *arguments, *target],
             capture_output=True,
--- a/packages/agatecross-standins/agatecross_standins/history.py
+++ b/packages/agatecross-standins/agatecross_standins/history.py
@@ -10,8 +10,8 @@
 from enum import Enum
 from functools import reduce
 
-LEAVE_SECONDS = 5.0
-IN_FORCE_SECONDS = 6.0
+MAX_START_AFTER_LEAVE_SECONDS = 5.0
+MAX_IN_FORCE_DELAY_SECONDS = 6.0
 
 
 class Invariant(Enum):
@@ -284,7 +284,7 @@
             leaving.pop(item.upstream, None)
         elif isinstance(item, Started):
             since = leaving.get(item.upstream)
-            if since is not None and item.at > since.at + LEAVE_SECONDS:
+            if since is not None and item.at > since.at + MAX_START_AFTER_LEAVE_SECONDS:
                 yield Violation(Invariant.NO_WORK_WHEN_LEAVING, (since, item))
 
 
@@ -318,12 +318,12 @@
         elif isinstance(item, InForce):
             last[item.daemon] = item
         elif isinstance(item, Undisturbed):
-            due = [row for row in published if row.at <= item.at - IN_FORCE_SECONDS]
+            due = [row for row in published if row.at <= item.at - MAX_IN_FORCE_DELAY_SECONDS]
             newest = max(due, key=lambda row: row.version, default=None)
             for daemon in sorted(item.daemons) if newest else ():
-                have = last.get(daemon)
-                if newest and (have is None or have.version < newest.version):
-                    rows = (newest, have, item) if have else (newest, item)
+                current = last.get(daemon)
+                if newest and (current is None or current.version < newest.version):
+                    rows = (newest, current, item) if current else (newest, item)
                     yield Violation(Invariant.IN_FORCE_EVERYWHERE, rows)
 
 
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -20,7 +20,7 @@
 MBIT = flags.DEFINE_float("mbit", 30.0, "Rate of each direction in Mbit/s.")
 
 CHUNK_BYTES = 16 * 1024
-QUEUE_CHUNKS = 256
+MAX_QUEUED_CHUNKS = 256
 
 
 @dataclass(slots=True)
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class Carried:
+class CarriedBytes:
     """Payload bytes carried since the start."""
 
     forward: int = 0
@@ -46,7 +46,7 @@
         self.delay = delay
         self.free_at = 0.0
 
-    def arrival(self, size: int, now: float) -> float:
+    def arrival_time(self, size: int, now: float) -> float:
         """Return when a chunk that is sent now arrives at the other end."""
         self.free_at = max(now, self.free_at) + size / self.rate
         return self.free_at + self.delay
@@ -60,11 +60,11 @@
         self.forward = Direction(rate, delay)
         self.backward = Direction(rate, delay)
         self.switches = Switches()
-        self.carried = Carried()
+        self.carried = CarriedBytes()
         self.restored = asyncio.Event()
         self.restored.set()
 
-    def switch(self, changes: dict[str, object]) -> None:
+    def set_switches(self, changes: dict[str, object]) -> None:
         """Set switches."""
         self.switches.cut = bool(changes.get("cut", self.switches.cut))
         if self.switches.cut:
@@ -76,44 +76,44 @@
         """Forward connections to one port."""
 
         async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._connect(target, reader, writer)
+            await self._forward_connection(target, reader, writer)
 
         await asyncio.start_server(accepted, "127.0.0.1", listen, backlog=512)
 
-    async def _connect(
+    async def _forward_connection(
         self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
             await self.restored.wait()
-            there_reader, there_writer = await asyncio.open_connection("127.0.0.1", target)
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", target)
         except OSError:
             writer.close()
             return
         await asyncio.gather(
-            self._pump(reader, there_writer, self.forward, "forward"),
-            self._pump(there_reader, writer, self.backward, "backward"),
+            self._forward_direction(reader, target_writer, self.forward, "forward"),
+            self._forward_direction(target_reader, writer, self.backward, "backward"),
         )
 
-    async def _pump(
+    async def _forward_direction(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
         name: str,
     ) -> None:
-        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_CHUNKS)
-        writing = asyncio.ensure_future(self._write(queue, writer))
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MAX_QUEUED_CHUNKS)
+        writing = asyncio.ensure_future(self._write_delayed(queue, writer))
         loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
                 setattr(self.carried, name, getattr(self.carried, name) + len(data))
-                await queue.put((direction.arrival(len(data), loop.time()), data))
+                await queue.put((direction.arrival_time(len(data), loop.time()), data))
         except OSError:
             pass
         await queue.put((loop.time() + direction.delay, b""))
         await writing
 
-    async def _write(
+    async def _write_delayed(
         self, queue: "asyncio.Queue[tuple[float, bytes]]", writer: asyncio.StreamWriter
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -136,7 +136,7 @@
 
     def put(self) -> None:
         """Set the given switches."""
-        self.link.switch(json.loads(self.request.body))
+        self.link.set_switches(json.loads(self.request.body))
         self.finish({})
 
     def get(self) -> None:
--- a/packages/agatecross-standins/agatecross_standins/load.py
+++ b/packages/agatecross-standins/agatecross_standins/load.py
@@ -13,11 +13,11 @@
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, Millis
 
-HIGHEST_MICROS = 120_000_000
+MAX_LATENCY_MICROS = 120_000_000
 
 
 @dataclass(frozen=True, slots=True)
-class Planned:
+class PlannedCall:
     """A call to send `at` seconds after the start of the run."""
 
     at: float
@@ -31,7 +31,7 @@
 class Sample:
     """What became of a planned call; latency from its intended start."""
 
-    planned: Planned
+    planned: PlannedCall
     latency_ms: float
     status: int
     outcome: str
@@ -59,7 +59,7 @@
         at += rng.expovariate(rate)
 
 
-async def run_load(plan: Iterable[Planned]) -> list[Sample]:
+async def run_load(plan: Iterable[PlannedCall]) -> list[Sample]:
     """Send each call at its time, whatever became of the others."""
     client = TornadoHttpClient(max_idle=1024)
     start = time.monotonic()
@@ -74,7 +74,7 @@
     return list(samples)
 
 
-async def _send(client: TornadoHttpClient, planned: Planned, start: float) -> Sample:
+async def _send(client: TornadoHttpClient, planned: PlannedCall, start: float) -> Sample:
     status, outcome, body = 0, "no-answer", b""
     try:
         response = await client.send(planned.address, planned.request, planned.timeout)
@@ -88,7 +88,7 @@
 
 def summarise(samples: Sequence[Sample]) -> Summary:
     """Count outcomes and take the quantiles of the calls that ran."""
-    histogram = HdrHistogram(1, HIGHEST_MICROS, 3)
+    histogram = HdrHistogram(1, MAX_LATENCY_MICROS, 3)
     ran = [sample for sample in samples if sample.outcome == "ran"]
     for sample in ran:
         histogram.record_value(max(1, int(sample.latency_ms * 1000)))
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -57,7 +57,7 @@
         self.switches = switches
         self.rate = appends_per_second
         self.tokens = appends_per_second * BURST_SECONDS
-        self.filled_at = time.monotonic()
+        self.refilled_at = time.monotonic()
         self.counts = {"appends": 0, "reads": 0, "limited": 0}
 
     def stream(self, name: str) -> Stream:
@@ -68,8 +68,8 @@
         """Take one append from the rate limit."""
         now = time.monotonic()
         limit = self.rate * BURST_SECONDS
-        self.tokens = min(limit, self.tokens + (now - self.filled_at) * self.rate)
-        self.filled_at = now
+        self.tokens = min(limit, self.tokens + (now - self.refilled_at) * self.rate)
+        self.refilled_at = now
         if self.tokens < 1:
             self.counts["limited"] += 1
             return False
--- a/packages/agatecross-standins/agatecross_standins/platform_config.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_config.py
@@ -6,7 +6,7 @@
 Route = tuple[str, str, str]
 """Path prefix, kind and service."""
 
-ROUTES: tuple[Route, ...] = (
+DEFAULT_ROUTES: tuple[Route, ...] = (
     ("/safe/", "safe", "s0"),
     ("/once/", "unsafe", "s0"),
     ("/peer/", "unsafe", "s1"),
@@ -33,7 +33,7 @@
             "service": service,
             "attempts": 2,
         }
-        for prefix, kind, service in (*ROUTES, *extra)
+        for prefix, kind, service in (*DEFAULT_ROUTES, *extra)
     ]
     services = [{"name": name} for name in ("s0", "s1")]
     record = {"version": f"r{version}", "routes": rows, "services": services, "limits": LIMITS}
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -12,7 +12,7 @@
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
-SILENT_POLL_SECONDS = 0.02
+SILENT_POLL_INTERVAL_SECONDS = 0.02
 JSON = (("Content-Type", "application/json"),)
 
 
@@ -40,7 +40,7 @@
 
     refuse: bool = False
     silent: bool = False
-    endless: int = 0
+    endless_value_bytes: int = 0
 
 
 class PlatformStoreStandIn:
@@ -62,15 +62,15 @@
             topic.appended.set()
         await self.listener.close()
 
-    def put(self, topic: str, key: str, value: bytes) -> None:
+    def append_record(self, topic: str, key: str, value: bytes) -> None:
         """Append one record as the operator does."""
         name = key.encode()
         self._append(self._topic(topic), bytes((len(name),)) + name + value)
 
     def compact(self, topic: str) -> None:
         """Forget the history of a topic; the newest record of each key stays."""
-        held = self._topic(topic)
-        held.first, held.records = held.end, []
+        log = self._topic(topic)
+        log.first, log.records = log.end, []
 
     def _topic(self, name: str) -> Topic:
         return self.topics.setdefault(name, Topic())
@@ -89,19 +89,23 @@
     async def _handle(self, request: Request) -> Response:
         self.calls += 1
         while self.switches.silent:
-            await asyncio.sleep(SILENT_POLL_SECONDS)
+            await asyncio.sleep(SILENT_POLL_INTERVAL_SECONDS)
         if self.switches.refuse:
             return Response(503, JSON, b"{}")
         path, _, query = request.path.partition("?")
         fields = dict(part.split("=", 1) for part in query.split("&"))
         topic = self._topic(fields["topic"])
         if path == "/-/log-append":
-            return self._appended(topic, request.body)
+            return self._append_response(topic, request.body)
         if path == "/-/log-newest":
-            return self._next_page() if self.switches.endless else self._newest(topic)
-        return await self._read(topic, int(fields["from"]), int(fields.get("waitMs", 0)))
-
-    def _appended(self, topic: Topic, body: bytes) -> Response:
+            return (
+                self._endless_page()
+                if self.switches.endless_value_bytes
+                else self._newest_response(topic)
+            )
+        return await self._read_response(topic, int(fields["from"]), int(fields.get("waitMs", 0)))
+
+    def _append_response(self, topic: Topic, body: bytes) -> Response:
         offset = topic.end
         while body:
             end = LENGTH_BYTES + int.from_bytes(body[:LENGTH_BYTES], "big")
@@ -109,7 +113,7 @@
             body = body[end:]
         return Response(200, JSON, json.dumps({"offset": offset, "end": topic.end}).encode())
 
-    def _newest(self, topic: Topic) -> Response:
+    def _newest_response(self, topic: Topic) -> Response:
         items = [
             {"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
             for key, (offset, value) in sorted(topic.newest.items())
@@ -117,13 +121,13 @@
         body = json.dumps({"items": items, "more": False, "end": topic.end}).encode()
         return Response(200, JSON, body)
 
-    def _next_page(self) -> Response:
-        value = base64.b64encode(bytes(self.switches.endless)).decode()
+    def _endless_page(self) -> Response:
+        value = base64.b64encode(bytes(self.switches.endless_value_bytes)).decode()
         row = {"key": f"d{self.calls}", "offset": self.calls, "value": value}
         body = json.dumps({"items": [row], "more": True, "end": self.calls}).encode()
         return Response(200, JSON, body)
 
-    async def _read(self, topic: Topic, start: int, wait_ms: int) -> Response:
+    async def _read_response(self, topic: Topic, start: int, wait_ms: int) -> Response:
         if start < topic.first:
             return Response(410, JSON, json.dumps({"firstOffset": topic.first}).encode())
         if start >= topic.end and wait_ms:
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -13,7 +13,7 @@
 from agatecross_core.calls.model import Request
 from agatecross_core.ids import Address, Millis
 
-from .endless import Endless, EndlessWriter
+from .endless import EndlessPart, EndlessWriter
 
 HEARTBEAT_TIMEOUT = Millis(2_000)
 
@@ -35,7 +35,7 @@
     CRASH = "crash"
 
 
-Script = Answer | Endless | bytes
+ScriptedAnswer = Answer | EndlessPart | bytes
 """How one request is answered; bytes are written as they are."""
 
 
@@ -47,23 +47,25 @@
         self.service = service
         self.born = born
         self.sequence = 0
-        self.script: deque[Script] = deque()
+        self.script: deque[ScriptedAnswer] = deque()
         self.trickles = False
         self.work_seconds = 0.0
         self.body_bytes = 0
         self.runs: Counter[str] = Counter()
         self.run_times: list[tuple[float, str]] = []
-        self.seen: list[dict[str, str]] = []
+        self.received_requests: list[dict[str, str]] = []
         self.released = asyncio.Event()
         self.server: asyncio.Server | None = None
-        self.connections: set[UpstreamSide] = set()
+        self.connections: set[PlatformUpstreamConnection] = set()
         self.address = Address("")
 
     async def listen(self) -> Address:
         """Start to serve, again at the same address after a crash, and return the address."""
         loop = asyncio.get_running_loop()
         port = int(self.address.rpartition(":")[2] or 0)
-        self.server = await loop.create_server(lambda: UpstreamSide(self), "127.0.0.1", port)
+        self.server = await loop.create_server(
+            lambda: PlatformUpstreamConnection(self), "127.0.0.1", port
+        )
         self.address = Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
         return self.address
 
@@ -80,7 +82,7 @@
         self.sequence = 0
         await self.listen()
 
-    def plan(self, answers: Iterable[Script]) -> None:
+    def queue_answers(self, answers: Iterable[ScriptedAnswer]) -> None:
         """Answer the next requests like this, later ones whole."""
         self.script.extend(answers)
 
@@ -98,9 +100,11 @@
             "sequence": self.sequence,
             "born": self.born,
         }
-        return await self.tell(daemon, "heartbeat", json.dumps({**fields, **changes}).encode())
+        return await self.send_announcement(
+            daemon, "heartbeat", json.dumps({**fields, **changes}).encode()
+        )
 
-    async def tell(self, daemon: Address, action: str, body: bytes) -> int:
+    async def send_announcement(self, daemon: Address, action: str, body: bytes) -> int:
         """Send one announcement and return the status of the answer."""
         path = f"/-/instances/{self.name}/{action}"
         http = TornadoHttpClient()
@@ -109,7 +113,7 @@
         return response.status
 
 
-class UpstreamSide(asyncio.Protocol):
+class PlatformUpstreamConnection(asyncio.Protocol):
     """One accepted connection."""
 
     transport: asyncio.Transport
@@ -121,7 +125,7 @@
         self.target = b""
         self.body = b""
         self.endless: EndlessWriter | None = None
-        self.holding: set[asyncio.Task[None]] = set()
+        self.held_answers: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -132,8 +136,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection and what it held."""
         self.owner.connections.discard(self)
-        for holding in self.holding:
-            holding.cancel()
+        for held_answer in self.held_answers:
+            held_answer.cancel()
 
     def pause_writing(self) -> None:
         """Stop an endless answer while it is not read."""
@@ -169,39 +173,39 @@
         """Run the request, or do not run it, as the script says."""
         owner = self.owner
         fields = {**self.fields, ":target": self.target.decode(), ":body": self.body.decode()}
-        owner.seen.append(fields)
+        owner.received_requests.append(fields)
         expected = self.fields.get("x-expect-instance", owner.name)
         if expected != owner.name:
-            self._write(421, b"", extra=b"x-instance-id: " + owner.name.encode() + b"\r\n")
+            self._write_response(421, b"", extra=b"x-instance-id: " + owner.name.encode() + b"\r\n")
             return
         answer = owner.script.popleft() if owner.script else Answer.WHOLE
         call_id = self.fields.get("x-request-id", "")
         if answer is Answer.SHED:
-            self._write(503, b"", extra=b"x-not-run: 1\r\n")
+            self._write_response(503, b"", extra=b"x-not-run: 1\r\n")
             return
         owner.runs[call_id] += 1
         owner.run_times.append((time.monotonic(), call_id))
-        self._run(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
+        self._respond(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
 
-    def _run(self, answer: Script, body: bytes) -> None:
+    def _respond(self, answer: ScriptedAnswer, body: bytes) -> None:
         stamp = b"x-response-stamp: s\r\n"
         match answer:
             case Answer.WHOLE if self.owner.work_seconds:
                 call_id = self.fields.get("x-request-id", "").encode()
                 asyncio.get_running_loop().call_later(
-                    self.owner.work_seconds, self._write, 200, body, stamp, call_id
+                    self.owner.work_seconds, self._write_response, 200, body, stamp, call_id
                 )
             case Answer.WHOLE:
-                self._write(200, body, stamp)
+                self._write_response(200, body, stamp)
             case Answer.ERROR:
-                self._write(500, body, stamp)
+                self._write_response(500, body, stamp)
             case Answer.RESET:
                 self.transport.abort()
             case Answer.CRASH:
                 self.owner.crash()
             case Answer.EXTRA:
-                self._write(200, body, stamp)
-                self._write(200, b"extra", stamp)
+                self._write_response(200, body, stamp)
+                self._write_response(200, b"extra", stamp)
             case Answer.GARBLED:
                 self.transport.write(b"\x00\x01 these bytes are no response\r\n\r\n")
             case Answer.TRUNCATED:
@@ -213,25 +217,27 @@
                 self.transport.write(b"HTTP/1.1 200 OK\r\n" + stamp + b"\r\n" + body)
                 self.transport.close()
             case Answer.UNSTAMPED:
-                self._write(200, body, b"")
+                self._write_response(200, body, b"")
             case Answer.ENCODED:
-                self._write(200, body, stamp + b"content-encoding: gzip\r\n")
-            case Endless():
+                self._write_response(200, body, stamp + b"content-encoding: gzip\r\n")
+            case EndlessPart():
                 self.endless = EndlessWriter(self.transport, answer, self.owner.trickles)
                 self.endless.start()
             case bytes():
                 self.transport.write(answer)
             case _:
-                holding = asyncio.ensure_future(self._hold(body, stamp))
-                self.holding.add(holding)
-                holding.add_done_callback(self.holding.discard)
+                held_answer = asyncio.ensure_future(self._respond_when_released(body, stamp))
+                self.held_answers.add(held_answer)
+                held_answer.add_done_callback(self.held_answers.discard)
 
-    async def _hold(self, body: bytes, stamp: bytes) -> None:
+    async def _respond_when_released(self, body: bytes, stamp: bytes) -> None:
         call_id = self.fields.get("x-request-id", "").encode()
         await self.owner.released.wait()
-        self._write(200, body, stamp, call_id)
+        self._write_response(200, body, stamp, call_id)
 
-    def _write(self, status: int, body: bytes, extra: bytes, call_id: bytes | None = None) -> None:
+    def _write_response(
+        self, status: int, body: bytes, extra: bytes, call_id: bytes | None = None
+    ) -> None:
         if self.transport.is_closing():
             return
         echoed = self.fields.get("x-request-id", "").encode() if call_id is None else call_id
--- a/packages/agatecross-standins/agatecross_standins/soak/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -15,8 +15,8 @@
 from absl import app, flags
 
 from .known_red import known_red_seeds
-from .regressions import REGRESSIONS
-from .run import soak
+from .regressions import REGRESSION_SEEDS
+from .run import run_soak
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
 SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds, one after the other.")
@@ -37,13 +37,13 @@
     failed = 0
     seeds = list(range(SEED.value, SEED.value + SEEDS.value))
     if REGRESSION_RUNS.value:
-        seeds += [seed for seed in REGRESSIONS if seed not in seeds]
+        seeds += [seed for seed in REGRESSION_SEEDS if seed not in seeds]
     listing = Path(KNOWN_RED.value).read_text(encoding="utf-8") if KNOWN_RED.value else ""
     known_red = known_red_seeds(listing)
     for seed in seeds:
         folder = Path(LOGS.value or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(soak(seed, SECONDS.value, RECOVER.value, folder))
+        result = asyncio.run(run_soak(seed, SECONDS.value, RECOVER.value, folder))
         print(f"seed {seed}: {result.summary}; logs in {folder}", flush=True)
         for text in result.violations:
             print(f"  {text}", flush=True)
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -6,7 +6,7 @@
 from agatecross_core.ids import CallId
 
 
-class Seen(Enum):
+class RequestOutcome(Enum):
     """How a request ended for its caller."""
 
     ANSWERED = "answered"
@@ -17,20 +17,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class RequestRecord:
     """One request; times on the monotonic clock in seconds."""
 
     call_id: CallId
     node: int
-    once: bool
-    begun: float
-    ended: float
-    seen: Seen
+    at_most_once: bool
+    started_at: float
+    ended_at: float
+    outcome: RequestOutcome
     status: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Left:
+class ConfirmedLeave:
     """An upstream whose leaving was confirmed at `at`, and when it began runs."""
 
     name: str
@@ -39,11 +39,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class VersionSeen:
+class VersionObservation:
     """A version in force on a daemon; `start` counts the starts of its process."""
 
     node: int
-    start: int
+    restarts: int
     version: int
 
 
@@ -51,12 +51,12 @@
 class History:
     """Everything that was seen in a run."""
 
-    asked: list[Asked] = field(default_factory=list)
-    left: list[Left] = field(default_factory=list)
-    versions: list[VersionSeen] = field(default_factory=list)
+    requests: list[RequestRecord] = field(default_factory=list)
+    leaves: list[ConfirmedLeave] = field(default_factory=list)
+    versions: list[VersionObservation] = field(default_factory=list)
     runs: dict[str, int] = field(default_factory=dict)
     exits: list[tuple[int, int]] = field(default_factory=list)
-    terms: list[tuple[int, float, float]] = field(default_factory=list)
-    disturbed: list[tuple[int, float, float]] = field(default_factory=list)
-    settled: list[Asked] = field(default_factory=list)
+    graceful_stops: list[tuple[int, float, float]] = field(default_factory=list)
+    disturbances: list[tuple[int, float, float]] = field(default_factory=list)
+    final_requests: list[RequestRecord] = field(default_factory=list)
     tracebacks: list[str] = field(default_factory=list)
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -19,7 +19,7 @@
 from ..ports import PortPool
 from .proxy import FaultyLink
 
-PLACES = (
+DAEMON_SITES = (
     ("north", "north-a", "s0"),
     ("north", "north-a", "s1"),
     ("north", "north-b", "s0"),
@@ -27,8 +27,8 @@
     ("south", "south-a", "s0"),
     ("south", "south-b", "s1"),
 )
-HEARTBEAT_SECONDS = 0.5
-GRACE_SECONDS = 4.0
+HEARTBEAT_INTERVAL_SECONDS = 0.5
+SHUTDOWN_GRACE_SECONDS = 4.0
 WORK_SECONDS = 0.02
 SETTINGS = """
 [sidecar]
@@ -72,25 +72,25 @@
     process: "subprocess.Popen[bytes] | None" = None
     process_descriptor: int = -1
     stopping: bool = False
-    ended: list[int] = field(default_factory=list)
+    exit_codes: list[int] = field(default_factory=list)
 
     @property
-    def callers(self) -> Address:
+    def caller_address(self) -> Address:
         """Return the address for callers."""
         return Address(self.addresses["callers"])
 
     @property
-    def runs(self) -> bool:
+    def is_running(self) -> bool:
         """Return whether the process was not seen to end."""
         return self.process_descriptor >= 0
 
-    def started(self, process: "subprocess.Popen[bytes]") -> None:
+    def attach_process(self, process: "subprocess.Popen[bytes]") -> None:
         """Take a new process."""
         self.process = process
         self.process_descriptor = os.pidfd_open(process.pid)
         self.stopping = False
 
-    async def wait(self) -> None:
+    async def wait_for_exit(self) -> None:
         """Wait until the process has ended, and note its exit code."""
         loop, descriptor = asyncio.get_running_loop(), self.process_descriptor
         ended = asyncio.Event()
@@ -106,7 +106,7 @@
         if self.process is not None and self.process_descriptor >= 0:
             os.close(self.process_descriptor)
             self.process_descriptor = -1
-            self.ended.append(self.process.wait())
+            self.exit_codes.append(self.process.wait())
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the running process, which leaves its exit code to `wait`."""
@@ -124,7 +124,7 @@
         self.ports = PortPool()
         self.nodes: list[Node] = []
         self.version = Version(0)
-        self.retired: list[PlatformUpstream] = []
+        self.replaced_upstreams: list[PlatformUpstream] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.closing = False
 
@@ -132,11 +132,11 @@
         """Start everything and wait until each daemon answers calls."""
         store = self.store.listen()
         self.publish()
-        for number in range(len(PLACES)):
-            await self._add(number, store)
+        for number in range(len(DAEMON_SITES)):
+            await self._add_node(number, store)
         for node in self.nodes:
-            self.tasks.append(asyncio.ensure_future(self._keep_running(node)))
-            self.tasks.append(asyncio.ensure_future(self._announce(node)))
+            self.tasks.append(asyncio.ensure_future(self._restart_on_exit(node)))
+            self.tasks.append(asyncio.ensure_future(self._send_heartbeats(node)))
 
     async def close(self) -> None:
         """End everything."""
@@ -158,30 +158,30 @@
         """Write the next version; it has a route of its own."""
         self.version = Version(self.version + 1)
         marker = (f"/v{self.version}/", "safe", "s1")
-        self.store.put("keyed.op", "config", config_record(self.version, (marker,)))
+        self.store.append_record("keyed.op", "config", config_record(self.version, (marker,)))
 
     async def replace_upstream(self, node: Node) -> None:
         """Put a new upstream, under a new name, behind the same daemon."""
         old = node.upstream
-        self.retired.append(old)
+        self.replaced_upstreams.append(old)
         old.crash()
-        node.upstream = self._upstream(f"{old.name}x", old.service)
+        node.upstream = self._new_upstream(f"{old.name}x", old.service)
         node.upstream.born = old.born + 1
         node.upstream_link.target = await node.upstream.listen()
         node.upstream.address = Address(node.addresses["upstream"])
 
-    def _upstream(self, name: str, service: str) -> PlatformUpstream:
+    def _new_upstream(self, name: str, service: str) -> PlatformUpstream:
         upstream = PlatformUpstream(name, service, 1_000)
         upstream.work_seconds = WORK_SECONDS
         return upstream
 
-    async def _add(self, number: int, store: Address) -> None:
-        region, data_centre, service = PLACES[number]
+    async def _add_node(self, number: int, store: Address) -> None:
+        region, data_centre, service = DAEMON_SITES[number]
         names = ("callers", "peers", "ready", "heartbeats", "metrics")
         ports = self.ports.reserve(len(names))
         addresses = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
         settings = self.folder / f"d{number}.toml"
-        upstream = self._upstream(f"u{number}", service)
+        upstream = self._new_upstream(f"u{number}", service)
         node = Node(number, upstream, addresses, settings, self.folder / f"d{number}.log")
         node.upstream_link.target = await upstream.listen()
         node.peers_link.target = Address(addresses["peers"])
@@ -200,23 +200,23 @@
         settings.write_text(text, encoding="utf-8")
         self.nodes.append(node)
 
-    async def _keep_running(self, node: Node) -> None:
+    async def _restart_on_exit(self, node: Node) -> None:
         """Start the daemon of a node again whenever it has ended, and note its exit code."""
         while not self.closing:
-            node.started(_spawn(node))
-            await node.wait()
+            node.attach_process(_spawn_daemon(node))
+            await node.wait_for_exit()
 
-    async def _announce(self, node: Node) -> None:
+    async def _send_heartbeats(self, node: Node) -> None:
         while True:
             try:
                 await node.upstream.heartbeat(Address(node.addresses["heartbeats"]))
             except ExchangeError:
                 # The daemon is down or paused; the next heartbeat tells it the same.
                 await asyncio.sleep(0)
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
 
-def _spawn(node: Node) -> "subprocess.Popen[bytes]":
+def _spawn_daemon(node: Node) -> "subprocess.Popen[bytes]":
     """Start the daemon of a node, with its signals blocked until it takes them over.
 
     Before, in the start of the interpreter, each would end the process, whatever the daemon does;
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -7,7 +7,7 @@
 from agatecross_core.ids import Address
 
 CHUNK_BYTES = 64 * 1024
-POLL_SECONDS = 0.02
+POLL_INTERVAL_SECONDS = 0.02
 
 
 class LinkMode(Enum):
@@ -19,11 +19,11 @@
 
 
 @dataclass(slots=True)
-class Pair:
+class ProxiedConnection:
     """One proxied connection; a silent one stays silent for good."""
 
-    near: asyncio.StreamWriter
-    far: asyncio.StreamWriter
+    client_writer: asyncio.StreamWriter
+    server_writer: asyncio.StreamWriter
     silent: bool = False
 
 
@@ -34,24 +34,26 @@
         self.target = Address("")
         self.mode = LinkMode.OPEN
         self.delay = 0.0
-        self.pairs: list[Pair] = []
+        self.connections: list[ProxiedConnection] = []
         self.server: asyncio.Server | None = None
 
     async def listen(self) -> Address:
         """Start to forward and return the address."""
-        self.server = await asyncio.start_server(self._accepted, "127.0.0.1", 0, backlog=512)
+        self.server = await asyncio.start_server(
+            self._handle_connection, "127.0.0.1", 0, backlog=512
+        )
         return Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
 
     def reset(self) -> None:
         """Reset every connection."""
-        for pair in self.pairs:
-            pair.near.transport.abort()
-            pair.far.transport.abort()
+        for connection in self.connections:
+            connection.client_writer.transport.abort()
+            connection.server_writer.transport.abort()
 
-    def silence(self) -> None:
+    def silence_connections(self) -> None:
         """Let every open connection go silent for good; new ones work."""
-        for pair in self.pairs:
-            pair.silent = True
+        for connection in self.connections:
+            connection.silent = True
 
     async def close(self) -> None:
         """Stop."""
@@ -59,26 +61,30 @@
             self.server.close()
         self.reset()
         # The pumps see that their connections are gone, and end.
-        await asyncio.sleep(2 * POLL_SECONDS)
+        await asyncio.sleep(2 * POLL_INTERVAL_SECONDS)
 
-    async def _accepted(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
+    async def _handle_connection(
+        self, client_reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
+    ) -> None:
         host, _, port = self.target.rpartition(":")
         try:
-            there, far = await asyncio.open_connection(host, int(port))
+            server_reader, server_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            near.transport.abort()
+            client_writer.transport.abort()
             return
-        pair = Pair(near, far)
-        self.pairs.append(pair)
+        connection = ProxiedConnection(client_writer, server_writer)
+        self.connections.append(connection)
         await asyncio.gather(
-            self._pump(pair, reader, far, (LinkMode.SILENT,)),
-            self._pump(pair, there, near, (LinkMode.SILENT, LinkMode.ONE_WAY)),
+            self._forward(connection, client_reader, server_writer, (LinkMode.SILENT,)),
+            self._forward(
+                connection, server_reader, client_writer, (LinkMode.SILENT, LinkMode.ONE_WAY)
+            ),
         )
-        self.pairs.remove(pair)
+        self.connections.remove(connection)
 
-    async def _pump(
+    async def _forward(
         self,
-        pair: Pair,
+        connection: ProxiedConnection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         blocked: tuple[LinkMode, ...],
@@ -89,8 +95,8 @@
                     await asyncio.sleep(self.delay)
                 held = True
                 while held and not writer.is_closing():
-                    held = pair.silent or self.mode in blocked
-                    await asyncio.sleep(POLL_SECONDS if held else 0)
+                    held = connection.silent or self.mode in blocked
+                    await asyncio.sleep(POLL_INTERVAL_SECONDS if held else 0)
                 writer.write(data)
                 await writer.drain()
             writer.close()
--- a/packages/agatecross-standins/agatecross_standins/soak/regressions.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/regressions.py
@@ -1,6 +1,6 @@
 """Seeds that failed once; they are run again with every change."""
 
-REGRESSIONS: dict[int, str] = {
+REGRESSION_SEEDS: dict[int, str] = {
     2: "hung at its end: asyncio.wait_for lost a cancellation as a connection opened",
     102: "all daemons were killed after a leave was confirmed, and a heartbeat undid the drain",
     304: "SIGTERM came before the daemon had its handlers, and ended it with code -15",
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -14,19 +14,19 @@
 
 from .callers import Caller
 from .checks import violations
-from .events import History, Seen, VersionSeen
-from .fleet import PLACES, Node, SoakFleet
+from .events import History, RequestOutcome, VersionObservation
+from .fleet import DAEMON_SITES, Node, SoakFleet
 from .injector import Injector
 from .schedule import schedule
 
-CALLERS = 12
+CALLER_COUNT = 12
 # Callers that stay with one daemon and ask without a pause, so that its drains never run empty.
-BUSY_CALLERS = 6
-BUSY_GAP_SECONDS = 0.005
+BUSY_CALLER_COUNT = 6
+BUSY_REQUEST_GAP_SECONDS = 0.005
 # Six interpreters start on whatever the machine has left; this is no promise of the product.
-START_SECONDS = 120.0
-SETTLED_CALLS = 5
-POLL_SECONDS = 0.25
+START_TIMEOUT_SECONDS = 120.0
+FINAL_ROUNDS = 5
+POLL_INTERVAL_SECONDS = 0.25
 METRICS_TIMEOUT = Millis(500)
 VERSION_METRIC = b"agatecross_config_version "
 
@@ -39,82 +39,82 @@
     violations: tuple[str, ...]
 
 
-async def soak(seed: int, seconds: float, recover: float, folder: Path) -> SoakResult:
+async def run_soak(seed: int, seconds: float, recover: float, folder: Path) -> SoakResult:
     """Run one seed; the fleet has `recover` seconds after the last fault, the logs stay."""
     history = History()
     fleet = SoakFleet(folder)
-    faults = list(schedule(seed, seconds, len(PLACES)))
+    faults = list(schedule(seed, seconds, len(DAEMON_SITES)))
     await fleet.start()
     try:
-        if not await _serves(fleet, START_SECONDS):
+        if not await _wait_until_serving(fleet, START_TIMEOUT_SECONDS):
             return SoakResult("did not start", ("the fleet did not serve in time",))
         rng = random.Random(seed)
         callers = [
             Caller(f"c{n}", fleet.nodes, history, random.Random(rng.random()))
-            for n in range(CALLERS)
+            for n in range(CALLER_COUNT)
         ]
         busy = [rng.choice(fleet.nodes)]
         callers += [
-            Caller(f"b{n}", busy, history, random.Random(rng.random()), BUSY_GAP_SECONDS)
-            for n in range(BUSY_CALLERS)
+            Caller(f"b{n}", busy, history, random.Random(rng.random()), BUSY_REQUEST_GAP_SECONDS)
+            for n in range(BUSY_CALLER_COUNT)
         ]
         work = [asyncio.ensure_future(caller.run()) for caller in callers]
-        work.append(asyncio.ensure_future(_watch_versions(fleet, history)))
+        work.append(asyncio.ensure_future(_record_versions(fleet, history)))
         injector = Injector(fleet, history)
         await injector.run(faults)
-        await injector.stop_undisturbed(busy[0])
+        await injector.stop_without_faults(busy[0])
         for task in work:
             task.cancel()
         await asyncio.gather(*work, return_exceptions=True)
-        await _serves(fleet, recover)
-        await _ask_each(fleet, history)
-        _collect(fleet, history)
+        await _wait_until_serving(fleet, recover)
+        await _send_final_requests(fleet, history)
+        _collect_results(fleet, history)
     finally:
         await fleet.close()
-    seen = Counter(row.seen.value for row in history.asked)
-    counts = " ".join(f"{name}={count}" for name, count in sorted(seen.items()))
+    outcome = Counter(row.outcome.value for row in history.requests)
+    counts = " ".join(f"{name}={count}" for name, count in sorted(outcome.items()))
     return SoakResult(f"{len(faults)} faults, {counts}", tuple(violations(history)))
 
 
-async def _serves(fleet: SoakFleet, seconds: float) -> bool:
+async def _wait_until_serving(fleet: SoakFleet, seconds: float) -> bool:
     """Wait until every daemon answers the newest route; return whether it did in time."""
     last = time.monotonic() + seconds
     probe = History()
     waiting = list(fleet.nodes)
     while waiting and time.monotonic() < last:
         caller = Caller(f"p{time.monotonic_ns()}", waiting[:1], probe, random.Random(1))
-        row = await caller.ask("GET", f"/v{fleet.version}/", False)
-        caller.drop()
-        if row is not None and row.seen is Seen.ANSWERED:
+        row = await caller.send("GET", f"/v{fleet.version}/", False)
+        caller.disconnect()
+        if row is not None and row.outcome is RequestOutcome.ANSWERED:
             waiting.pop(0)
         else:
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
     return not waiting
 
 
-async def _ask_each(fleet: SoakFleet, history: History) -> None:
+async def _send_final_requests(fleet: SoakFleet, history: History) -> None:
     for node in fleet.nodes:
         caller = Caller(f"e{node.number}", [node], history, random.Random(1))
-        for _ in range(SETTLED_CALLS):
+        for _ in range(FINAL_ROUNDS):
             for prefix in ("/safe/", f"/v{fleet.version}/"):
-                row = await caller.ask("GET", prefix, False)
+                row = await caller.send("GET", prefix, False)
                 if row is not None:
-                    history.settled.append(row)
-        caller.drop()
+                    history.final_requests.append(row)
+        caller.disconnect()
 
 
-async def _watch_versions(fleet: SoakFleet, history: History) -> None:
+async def _record_versions(fleet: SoakFleet, history: History) -> None:
     http = TornadoHttpClient()
     while True:
         for node in fleet.nodes:
-            start = len(node.ended)
-            version = await _version(http, node)
-            if version is not None and start == len(node.ended):
-                history.versions.append(VersionSeen(node.number, start, version))
-        await asyncio.sleep(POLL_SECONDS)
+            restarts = len(node.exit_codes)
+            version = await _fetch_version(http, node)
+            if version is not None and restarts == len(node.exit_codes):
+                history.versions.append(VersionObservation(node.number, restarts, version))
+        await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
 
-async def _version(http: TornadoHttpClient, node: Node) -> int | None:
+async def _fetch_version(http: TornadoHttpClient, node: Node) -> int | None:
     request = Request("GET", "/metrics", (), b"")
     try:
         response = await http.send(Address(node.addresses["metrics"]), request, METRICS_TIMEOUT)
@@ -127,13 +127,13 @@
     return None
 
 
-def _collect(fleet: SoakFleet, history: History) -> None:
+def _collect_results(fleet: SoakFleet, history: History) -> None:
     runs: Counter[str] = Counter()
-    for upstream in [*fleet.retired, *(node.upstream for node in fleet.nodes)]:
+    for upstream in [*fleet.replaced_upstreams, *(node.upstream for node in fleet.nodes)]:
         runs.update(upstream.runs)
     history.runs = dict(runs)
     for node in fleet.nodes:
-        history.exits += [(node.number, code) for code in node.ended]
+        history.exits += [(node.number, code) for code in node.exit_codes]
         for line in node.log.read_text(encoding="utf-8", errors="replace").splitlines():
             if line.startswith("Traceback"):
                 history.tracebacks.append(f"{node.log}: {line}")
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-FAULT_GAP_SECONDS = 0.7
-SHORTEST_SECONDS = 0.3
-LONGEST_SECONDS = 4.0
-SERIES_SHARE = 0.25
+MEAN_FAULT_GAP_SECONDS = 0.7
+MIN_FAULT_SECONDS = 0.3
+MAX_FAULT_SECONDS = 4.0
+SERIES_PROBABILITY = 0.25
 
 
 class FaultKind(Enum):
@@ -40,7 +40,7 @@
     """One fault on a node from `at` for `lasts` seconds after the start of the run."""
 
     at: float
-    lasts: float
+    duration_seconds: float
     kind: FaultKind
     node: int
 
@@ -50,15 +50,15 @@
     rng = random.Random(seed)
     at = 0.0
     while True:
-        at += rng.expovariate(1 / FAULT_GAP_SECONDS)
+        at += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
         kind = rng.choice(list(FaultKind))
-        lasts = rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
-        count = rng.randint(2, nodes) if rng.random() < SERIES_SHARE else 1
+        duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        count = rng.randint(2, nodes) if rng.random() < SERIES_PROBABILITY else 1
         first = rng.randrange(nodes)
         gap = rng.uniform(0.0, 0.5)
         if at > seconds:
             return
-        if at + lasts + count * gap > seconds:
+        if at + duration_seconds + count * gap > seconds:
             continue
         for step in range(count):
-            yield Fault(at + step * gap, lasts, kind, (first + step) % nodes)
+            yield Fault(at + step * gap, duration_seconds, kind, (first + step) % nodes)
--- a/packages/agatecross-standins/agatecross_standins/trace_sample.py
+++ b/packages/agatecross-standins/agatecross_standins/trace_sample.py
@@ -46,17 +46,17 @@
             yield FailedCall(ends[-1].pairs.get("status", ""), cause)
 
 
-def table(calls: Iterable[FailedCall]) -> Iterator[str]:
+def format_table(calls: Iterable[FailedCall]) -> Iterator[str]:
     """Yield the rows of a table in Markdown."""
     yield "| id | status | cause | deciding line |"
     yield "| --- | --- | --- | --- |"
     for call in calls:
         deciding = call.cause.deciding
-        shown = f"{deciding.line}: {deciding.process}: {brief(deciding.pairs)}"
+        shown = f"{deciding.line}: {deciding.process}: {format_pairs(deciding.pairs)}"
         yield f"| {call.cause.call_id} | {call.status} | {call.cause.cause} | {shown} |"
 
 
-def brief(pairs: Mapping[str, str]) -> str:
+def format_pairs(pairs: Mapping[str, str]) -> str:
     """Return the pairs of a deciding line that a reader looks at first."""
     names = ("event", "instance", "reason", "load", "version", "daemon", "status", "took_ms")
     return " ".join(f"{name}={pairs[name]}" for name in names if pairs.get(name))
@@ -67,7 +67,7 @@
     calls = list(failed_calls(read_events(map(Path, argv[1:]))))
     drawn = random.Random(SEED.value).sample(calls, min(COUNT.value, len(calls)))
     print(f"seed {SEED.value}: {len(drawn)} of {len(calls)} failed calls")
-    print("\n".join(table(drawn)))
+    print("\n".join(format_table(drawn)))
     for (status, cause), count in Counter((c.status, c.cause.cause) for c in calls).most_common():
         print(f"{count:8d} {status} {cause}")
     sys.exit(0 if drawn else 1)
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -32,8 +32,8 @@
     "executions_file", "", "File that gets a JSON line for each execution, kept when killed."
 )
 
-ANNOUNCE_SECONDS = 1.0
-CRASH_EXIT = 70
+ANNOUNCE_INTERVAL_SECONDS = 1.0
+CRASH_EXIT_CODE = 70
 
 
 @dataclass(slots=True)
@@ -59,7 +59,7 @@
     deadline_ms: str
 
 
-class UpstreamState:
+class UpstreamProcessState:
     """Switches, running count and recorded executions."""
 
     def __init__(self) -> None:
@@ -71,7 +71,7 @@
         self.cancelled: list[str] = []
         self.started_at = time.monotonic()
 
-    def announced(self) -> dict[str, object]:
+    def announcement(self) -> dict[str, object]:
         """Return the body of the announcement."""
         cold = time.monotonic() - self.started_at < COLD_START_MS.value / 1000
         state = "draining" if self.switches.draining else "starting" if cold else "ready"
@@ -87,7 +87,7 @@
 class WorkHandler(RequestHandler):
     """Runs a call."""
 
-    def initialize(self, state: UpstreamState) -> None:
+    def initialize(self, state: UpstreamProcessState) -> None:
         """Take the shared state."""
         self.state = state
         self.running: asyncio.Future[None] | None = None
@@ -128,7 +128,7 @@
             state.executions.append(execution)
             append_execution(execution)
             if state.switches.crash_on and state.switches.crash_on in path:
-                os._exit(CRASH_EXIT)
+                os._exit(CRASH_EXIT_CODE)
             if state.switches.silent:
                 await asyncio.Event().wait()
             async with state.released:
@@ -163,7 +163,7 @@
 class SwitchesHandler(RequestHandler):
     """Sets the switches and returns the recorded executions."""
 
-    def initialize(self, state: UpstreamState) -> None:
+    def initialize(self, state: UpstreamProcessState) -> None:
         """Take the shared state."""
         self.state = state
 
@@ -183,18 +183,18 @@
         self.finish({"executions": rows, **ends})
 
 
-async def announce(state: UpstreamState) -> None:
+async def announce(state: UpstreamProcessState) -> None:
     """Announce the upstream to its daemon each second."""
     client = AsyncHTTPClient()
     url = f"http://{ADMIN.value}/agatecross/v1/upstream"
     while True:
-        body = json.dumps(state.announced())
+        body = json.dumps(state.announcement())
         with contextlib.suppress(HTTPClientError, OSError):
             await client.fetch(HTTPRequest(url, method="PUT", body=body, request_timeout=1.0))
-        await asyncio.sleep(ANNOUNCE_SECONDS)
+        await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
 
 
-async def serve(state: UpstreamState, port: int) -> None:
+async def serve(state: UpstreamProcessState, port: int) -> None:
     """Serve until SIGTERM."""
     shared = {"state": state}
     routes = [
@@ -213,7 +213,7 @@
 def main(argv: Sequence[str]) -> None:
     """Start the upstream."""
     del argv
-    asyncio.run(serve(UpstreamState(), PORT.value))
+    asyncio.run(serve(UpstreamProcessState(), PORT.value))
 
 
 if __name__ == "__main__":
