--- a/packages/agatecross-standins/agatecross_standins/bench/__init__.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks over real processes; each module is one command."""
+"""Benchmarks, mostly with real processes; each module with a `main` function is one command."""
--- a/packages/agatecross-standins/agatecross_standins/bench/blocking.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/blocking.py
@@ -1,7 +1,7 @@
-"""Latency of short work with 2 % of jobs fifty times longer, against one shared FIFO queue.
+"""Latency of short calls when 2 % of the calls take fifty times longer, by admission policy.
 
-The load alternates between three seconds of low and one second of high demand, because demand
-swings within seconds.
+The `adaptive` policy is compared with `fixed`, which has one shared FIFO queue. The load alternates
+between three seconds of low and one second of high demand, because demand swings within seconds.
 """
 
 import asyncio
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Blocking:
-    """Figures of one run; latencies in milliseconds of calls that ran."""
+    """Results of one run; latencies of the calls that ran, in milliseconds."""
 
     policy: str
     short_p50: float
@@ -53,13 +53,13 @@
 
 
 def rate_at(at: float) -> float:
-    """Return calls per second at a time."""
+    """Return the calls per second at a time of the run."""
     high = at % PERIOD_SECONDS >= PERIOD_SECONDS - HIGH_SECONDS
     return DEPLOYMENT.capacity * (HIGH_LOAD_SHARE if high else LOW_LOAD_SHARE)
 
 
 def measure(policy: str, samples: Sequence[Sample]) -> Blocking:
-    """Return the figures of one run, without its first second."""
+    """Return the results of one run, leaving out its first second."""
     rows = [s for s in samples if s.planned.at >= 1.0]
     kinds = {kind: [s for s in rows if s.planned.kind == kind] for kind in ("short", "long")}
     ran = {k: [s.latency_ms for s in v if s.outcome == "ran"] for k, v in kinds.items()}
--- a/packages/agatecross-standins/agatecross_standins/bench/control.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/control.py
@@ -1,7 +1,7 @@
-"""Measures the control traffic, processor time, memory and threads of idle daemons by fleet size.
+"""Measures control traffic, CPU time, memory and threads of idle daemons by fleet size.
 
-Run with `python -m agatecross_standins.bench.control --sizes=4,8,16,32,64`. Bytes are payload of
-control messages, both directions; NNG, TCP and IP headers are not counted.
+Run with `python -m agatecross_standins.bench.control --sizes=4,8,16,32,64`. Bytes are the payload
+of control messages in both directions, without NNG, TCP and IP headers.
 """
 
 import math
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Means over the daemons of one fleet; `worst_bytes` is the highest daemon."""
+    """Means over the daemons of one fleet; `worst_bytes_per_second` is the highest single rate."""
 
     daemons: int
     bytes_per_second: float
@@ -39,7 +39,7 @@
 
 
 def measure(fleet: Fleet, seconds: float) -> Usage:
-    """Return what the daemons use while idle."""
+    """Return the resources that the daemons use while idle."""
     processes = [psutil.Process(process.pid) for process in _daemons(fleet)]
     before, cpu_before, started = control_bytes(fleet), _cpu_seconds(processes), time.monotonic()
     time.sleep(seconds)
@@ -65,7 +65,7 @@
 
 
 def extrapolate(rows: Sequence[Usage], name: str) -> dict[str, float]:
-    """Fit a column against the size and its binary logarithm, each with the value at the target."""
+    """Fit a column linearly to the size and to its binary logarithm, and extrapolate each fit."""
     values = [float(getattr(row, name)) for row in rows]
     scales: dict[str, Callable[[float], float]] = {"linear": float, "logarithmic": math.log2}
     fits: dict[str, float] = {}
@@ -77,7 +77,7 @@
 
 
 def main(argv: Sequence[str]) -> None:
-    """Measure each size and print the table and the fits."""
+    """Measure each size, print the table and the fits, and write them as JSON."""
     del argv
     rows: list[Usage] = []
     for size in SIZES.value:
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -1,8 +1,8 @@
-"""Measures the time from publish to in force everywhere, and its control traffic.
+"""Measures the time from a publish until it is in force everywhere, and its control traffic.
 
-Run with `python -m agatecross_standins.bench.convergence --sizes=4,8,16,32`. The modes take turns
-in one run: `peers` is the product, `log` has every daemon read the log, `full` sends all documents
-on each change. Bytes are payload of control messages, both directions, over all daemons.
+Run with `python -m agatecross_standins.bench.convergence --sizes=4,8,16,32`. One run measures each
+mode: `peers` is the product, in `log` every daemon reads the log, and `full` sends all documents on
+each change. Bytes are the payload of control messages in both directions, over all daemons.
 """
 
 import json
@@ -41,7 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Convergence:
-    """Medians over the publishes of one fleet; `log_reads` counts reads until 2 s after."""
+    """Medians over the publishes of one fleet; `worst_seconds` is the maximum.
+
+    `log_reads` counts the reads from a publish until 2 s after it was in force everywhere.
+    """
 
     daemons: int
     mode: str
@@ -64,14 +67,14 @@
 
 
 def pad_document(document: Document, revision: int) -> Document:
-    """Return the document with a comment that differs for each mark."""
+    """Return the document padded with a comment that names the revision."""
     line = f"# revision {revision:06d} {'.' * 60}\n"
     missing = max(0, DOCUMENT_BYTES.value - len(document.text))
     return Document(document.name, document.text + "\n" + line * (1 + missing // len(line)))
 
 
 def wait_in_force(fleet: Fleet, version: int) -> None:
-    """Return when every daemon has the version; asks only those that had an older one."""
+    """Wait until every daemon has the version, polling only the daemons that are behind."""
     waiting = list(fleet.nodes)
     deadline = time.monotonic() + IN_FORCE_TIMEOUT_SECONDS
 
@@ -88,7 +91,7 @@
 
 
 def log_reads(fleet: Fleet) -> int:
-    """Return the reads that the log service has served."""
+    """Return the number of reads that the log service has served."""
     return int(json.loads(fetch(f"http://{fleet.log_address}/switches")[2])["reads"])
 
 
@@ -122,7 +125,7 @@
 
 
 def main(argv: Sequence[str]) -> None:
-    """Measure each size and mode and print the table."""
+    """Measure each size and mode, print the table and write it as JSON."""
     del argv
     rows: list[dict[str, object]] = []
     for size in SIZES.value:
--- a/packages/agatecross-standins/agatecross_standins/bench/experiment.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/experiment.py
@@ -1,4 +1,4 @@
-"""Alternating rounds of variants, their ratios and the spread of the ratios."""
+"""Alternates rounds of variants and reports the ratios of their results with the spread."""
 
 import json
 import statistics
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Round:
-    """Figures of one variant in one round."""
+    """Results of one variant in one round."""
 
     variant: str
     number: int
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ratio:
-    """Quantile of the first variant divided by that of a baseline, over the rounds."""
+    """Quantile of one variant divided by that of a baseline, summarised over the rounds."""
 
     baseline: str
     quantile: str
@@ -55,7 +55,7 @@
 
 
 def report(name: str, parameters: dict[str, object], rounds: Sequence[Round], variant: str) -> None:
-    """Print the figures and ratios and write them under build/."""
+    """Print the results and ratios and write them as JSON to the build/ directory."""
     baselines = sorted({row.variant for row in rounds} - {variant})
     for row in rounds:
         s = row.summary
--- a/packages/agatecross-standins/agatecross_standins/bench/hop.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -1,9 +1,9 @@
-"""Time and processor time that one and two daemon hops add to a call.
+"""Measures the latency and CPU time that one and two daemon hops add to a call.
 
-Sequential keep-alive calls go directly to an upstream, through the daemon next to it and through
-another daemon, in rotating order. `--profile` runs the daemon next to the upstream under cProfile
-instead and prints where its time goes. `--exchange` measures the processor time of one exchange
-between the HTTP client and listener in this process, which other load on the host disturbs less.
+Sequential keep-alive calls go directly to an upstream, through its own daemon and through another
+daemon, in random order. `--profile` instead runs the upstream's daemon under cProfile and prints
+where it spends its time. `--exchange` measures the CPU time of one exchange between the HTTP client
+and listener in this process, which is less affected by other load on the host.
 """
 
 import asyncio
@@ -42,7 +42,7 @@
 
 
 def start_fleet(stack: ExitStack) -> Fleet:
-    """Start the upstream's node and another node whose daemon is the entry for two hops."""
+    """Start the node of the upstream, and a second node that calls with two hops enter."""
     fleet = stack.enter_context(Fleet())
     fleet.add_node(KAFESKOOP.site, KAFESKOOP.service, "--work_ms=0", "--slots=64")
     fleet.add_node(Site("marmara", "bursa-b"), "member-accounts")
@@ -51,13 +51,13 @@
 
 
 def addresses(fleet: Fleet) -> dict[str, Address]:
-    """Return where each path begins."""
+    """Return the address that the calls of each path are sent to."""
     ports = (fleet.nodes[0].upstream_port, fleet.nodes[0].call_port, fleet.nodes[1].call_port)
     return {path: Address(f"127.0.0.1:{p}") for path, p in zip(PATHS, ports, strict=True)}
 
 
 async def answer_padding(client: TornadoHttpClient, address: Address) -> int:
-    """Return the padding that makes an answer 256 bytes long."""
+    """Return the padding that makes a response body 256 bytes long."""
     response = await client.send(
         address, Request("GET", "/catalogue/1?size=1", (), b""), CALL_TIMEOUT
     )
@@ -67,7 +67,7 @@
 async def measure_sequential(
     targets: dict[str, Address], calls: int, rng: random.Random
 ) -> list[float]:
-    """Return p50 and p99 of each path, in milliseconds."""
+    """Return the p50 and p99 latency of each path, in milliseconds."""
     client = TornadoHttpClient()
     size = await answer_padding(client, targets["one hop"])
     request = Request("GET", f"/catalogue/1?size={size}", (), b"")
@@ -83,14 +83,14 @@
 
 
 def processor_ms(node: Node) -> float:
-    """Return the processor time that a node's daemon has used, in milliseconds."""
+    """Return the CPU time that the daemon of a node has used, in milliseconds."""
     assert node.daemon is not None
     used = psutil.Process(node.daemon.pid).cpu_times()
     return float(used.user + used.system) * 1000
 
 
 def measure_at_rate(fleet: Fleet, rate: int, rng: random.Random) -> dict[str, float]:
-    """Return processor time per call of both daemons at a rate, and the latency."""
+    """Return the CPU time per call of both daemons at a rate, and the latency."""
     request = Request("GET", "/catalogue/1", (), b"")
     entry = addresses(fleet)["two hops"]
     times = poisson_times(rate, RATE_SECONDS, rng)
@@ -112,7 +112,7 @@
 
 
 def profile_daemon(fleet: Fleet) -> None:
-    """Print where the daemon next to the upstream spends its time."""
+    """Print a profile of the upstream's daemon under load."""
     node = fleet.nodes[0]
     fleet.stop_daemon(node)
     output = fleet.directory / "daemon.prof"
@@ -133,7 +133,7 @@
 
 
 async def measure_exchange(rounds: int, calls: int) -> list[float]:
-    """Return microseconds of processor time per exchange for each round."""
+    """Return the CPU time per exchange in microseconds, for each round."""
     answer = Response(200, (("Content-Type", "text/plain"), ("X-Field", "v")), b"x" * ANSWER_BYTES)
 
     async def handle(request: Request) -> Response:
--- a/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
@@ -1,4 +1,4 @@
-"""Starts daemons without upstream processes; a thread announces upstreams in their place."""
+"""Starts daemons without upstream processes; a thread announces an upstream to each of them."""
 
 import json
 import threading
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class Announcer:
-    """Announces an upstream to each daemon every second, in place of upstream processes."""
+    """Announces an upstream to each daemon every second, instead of upstream processes."""
 
     nodes: Sequence[Node]
     stopped: threading.Event = field(default_factory=threading.Event)
@@ -52,7 +52,7 @@
 
 @contextmanager
 def running_fleet(size: int, extra_settings: str = "") -> Iterator[Fleet]:
-    """Start `size` daemons that know each other and have the example configuration in force."""
+    """Start `size` daemons that know each other and put the example configuration in force."""
     with Fleet(extra_settings=extra_settings) as fleet:
         for index in range(size):
             fleet.add_daemon(SITES[index % len(SITES)], SERVICE)
@@ -70,7 +70,7 @@
 
 
 def control_bytes(fleet: Fleet) -> list[int]:
-    """Return the control bytes of each daemon since its start, both directions."""
+    """Return the control bytes that each daemon has sent and received since its start."""
     rows = [fleet.status(node) for node in fleet.nodes]
     return [
         int(str(row["control_sent_bytes"])) + int(str(row["control_received_bytes"]))
--- a/packages/agatecross-standins/agatecross_standins/bench/peak.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/peak.py
@@ -1,6 +1,6 @@
-"""Service during a demand swing to ten times within two seconds, for each admission policy.
+"""Measures each admission policy while demand grows to ten times the base within two seconds.
 
-One daemon and one upstream for each policy run at the same time; the load goes to one of them at a
+One daemon and one upstream for each policy run at the same time. The load goes to one of them at a
 time, in rotating order, with the same arrivals for each policy of a round.
 """
 
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Peak:
-    """Figures of one run; shares of the calls that arrived during the swing, times in ms."""
+    """Results of one run: shares of the calls that arrived during the swing, and times in ms."""
 
     policy: str
     offered: int
@@ -57,7 +57,7 @@
 
 
 def rate_at(deployment: Deployment, at: float) -> float:
-    """Return calls per second at a time: base, ramp, peak and base again."""
+    """Return the calls per second at a time of the run: base, ramp, peak and base again."""
     base = BASE_LOAD_SHARE * deployment.capacity
     if not SWING_START_SECONDS <= at < SWING_END_SECONDS:
         return base
@@ -65,7 +65,7 @@
 
 
 def measure(policy: str, samples: Sequence[Sample]) -> Peak:
-    """Return the figures of one run."""
+    """Return the results of one run."""
     swing = [s for s in samples if SWING_START_SECONDS <= s.planned.at < SWING_END_SECONDS]
     short = [s for s in swing if s.planned.kind == "short"]
     refused = [s for s in swing if s.outcome == "not-run"]
@@ -85,7 +85,7 @@
 
 
 def recovery_ms(samples: Sequence[Sample]) -> float:
-    """Return milliseconds from the end of the swing until all calls of a window are useful."""
+    """Return the ms from the end of the swing to the first window whose calls are all useful."""
     at = SWING_END_SECONDS
     while at + NORMAL_WINDOW_SECONDS <= RUN_SECONDS:
         window = [s for s in samples if at <= s.planned.at < at + NORMAL_WINDOW_SECONDS]
@@ -96,7 +96,7 @@
 
 
 def run_deployment(deployment: Deployment) -> list[list[Peak]]:
-    """Return the figures of each policy for each round."""
+    """Return the results of each policy in each round."""
     rounds: list[list[Peak]] = []
     with ExitStack() as stack:
         fleets = dict(zip(POLICIES, start_fleets(stack, deployment, POLICIES), strict=True))
--- a/packages/agatecross-standins/agatecross_standins/bench/report.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/report.py
@@ -1,4 +1,4 @@
-"""Writes the results of benchmarks as a table and as JSON."""
+"""Writes benchmark results as a table and as JSON."""
 
 import json
 from collections.abc import Sequence
@@ -6,7 +6,7 @@
 
 
 def print_table(rows: Sequence[dict[str, object]]) -> None:
-    """Print rows with equal keys as an aligned table."""
+    """Print rows that have the same keys as an aligned table."""
     names = list(rows[0])
     cells = [[_cell(row[name]) for name in names] for row in rows]
     widths = [max(len(name), *(len(c[i]) for c in cells)) for i, name in enumerate(names)]
@@ -19,7 +19,7 @@
 
 
 def write_json(path: str, results: object) -> None:
-    """Write the results, creating the directory."""
+    """Write the results as JSON, creating the directory if needed."""
     target = Path(path)
     target.parent.mkdir(parents=True, exist_ok=True)
     target.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -1,7 +1,7 @@
-"""Time and memory of the decisions at growing sizes, in one process and without I/O.
+"""Measures time and memory of decisions at growing sizes, in one process and without I/O.
 
-Prints one row for each size: microseconds of one operation, or KiB of one state. The figures feed
-docs/CAPACITY.md.
+Prints one row for each figure and size: microseconds of one operation, or KiB of one state. The
+figures are used in docs/CAPACITY.md.
 """
 
 import gc
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One figure: what, at which size, how much, in which unit."""
+    """One measured figure: what was measured, at which size, the value and its unit."""
 
     what: str
     size: int
@@ -61,7 +61,7 @@
 
 
 def make_member(number: int) -> Member:
-    """Return a made-up member; services and data centres take turns."""
+    """Return a synthetic member; services and data centres are assigned in rotation."""
     centre = number % DATA_CENTRES
     host = f"10.{centre}.{number // 250}.{number % 250}"
     upstream = UpstreamInfo(
@@ -86,7 +86,7 @@
 
 
 def measure_micros(operation: Callable[[], object]) -> float:
-    """Return the best mean time of an operation in microseconds."""
+    """Return the mean time of an operation in microseconds, the best of several repeats."""
     best = float("inf")
     for _ in range(REPEATS):
         count, started = 0, time.perf_counter()
@@ -98,7 +98,7 @@
 
 
 def measure_kib(build: Callable[[], object]) -> float:
-    """Return the memory that a state keeps, in KiB."""
+    """Return the memory that a state occupies, in KiB."""
     gc.collect()
     tracemalloc.start()
     kept = build()
@@ -110,7 +110,7 @@
 
 
 def make_documents(services: int) -> tuple[Document, ...]:
-    """Return a base with this many services and an overlay for each data centre."""
+    """Return a base document with this many services and an overlay for each data centre."""
     lines = ['[mesh]\nname = "bench"']
     for region in range(REGIONS):
         names = [f'"dc{c}"' for c in range(DATA_CENTRES) if c % REGIONS == region]
@@ -127,7 +127,7 @@
 
 
 def member_rows(size: int) -> Iterator[Row]:
-    """Measure what grows with the fleet."""
+    """Measure the operations and states that grow with the fleet."""
     rng = random.Random(1)
     members = tuple(make_member(number) for number in range(size))
     swim = Swim(members[0], rng)
@@ -165,7 +165,7 @@
 
 
 def config_rows(services: int) -> Iterator[Row]:
-    """Measure what grows with the configuration."""
+    """Measure the operations and states that grow with the configuration."""
     texts = make_documents(services)
     size = sum(len(document.text) for document in texts) / 1024
     yield Row("documents", services, size, "KiB")
--- a/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
@@ -1,7 +1,7 @@
-"""Measures false suspicion and detection time while calls overload the daemons.
+"""Measures false suspicions and the detection time while calls overload the daemons.
 
-Run with `python -m agatecross_standins.bench.suspicion --rate=4000`. The load comes from other
-processes, so that the clients do not limit it.
+Run with `python -m agatecross_standins.bench.suspicion --rate=4000`. Several processes send the
+load, so that the clients do not limit it.
 """
 
 import asyncio
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """Result of one load; `unreachable` counts probe rounds that failed, all of them false."""
+    """Results at one rate; `unreachable` counts failed probe rounds, all of them false alarms."""
 
     calls_per_second: float
     ran: int
@@ -45,7 +45,7 @@
 
 
 def send_load(addresses: Sequence[str], rate: float, seconds: float, seed: int) -> Summary:
-    """Send calls to random daemons; runs in a process of its own."""
+    """Send calls to random daemons; runs in a separate process."""
     rng = random.Random(seed)
     plan = [
         PlannedCall(at, Address(rng.choice(addresses)), Request("GET", PATH, (), b""), CALL_TIMEOUT)
@@ -55,7 +55,7 @@
 
 
 def count_unreachable_events(fleet: Fleet) -> int:
-    """Return how often a daemon found another one unreachable."""
+    """Return how often daemons logged that another daemon was unreachable."""
     logs = fleet.directory.glob("*-daemon.out")
     return sum(path.read_text().count("event=member_unreachable") for path in logs)
 
@@ -76,7 +76,7 @@
 
 
 def measure(rate: float) -> Suspicion:
-    """Load a fresh fleet, count false suspicions, then kill a daemon under the same load."""
+    """Load a new fleet, count false suspicions, then kill a daemon under the same load."""
     with Fleet() as fleet, ProcessPoolExecutor(CLIENTS.value) as pool:
         for index in range(DAEMONS.value):
             fleet.add_node(SITES[index % len(SITES)], "case-portal")
@@ -105,7 +105,7 @@
 
 
 def main(argv: Sequence[str]) -> None:
-    """Measure with little load and with the given one."""
+    """Measure at a low rate and at the given one."""
     del argv
     rows: list[dict[str, object]] = [asdict(measure(rate)) for rate in (40.0, RATE.value)]
     print_table(rows)
--- a/packages/agatecross-standins/agatecross_standins/bench/tail.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -1,7 +1,7 @@
-"""Tail latency while upstreams on one undeclared power feed are slowed for moments.
+"""Tail latency while upstreams on one undeclared power feed are slowed down for short intervals.
 
-Two workloads shaped like the deployments of the design page, scaled to one machine: 4 data
-centres as there, 2 of the 4 services, 1 upstream of each service in a data centre. A quarter of the
+Two workloads modelled on the deployments of the design page, scaled to one machine: 4 data centres
+as there, 2 of the 4 services, 1 upstream of each service in a data centre. A quarter of the
 upstreams, one of each service, shares the feed. No link delays are emulated.
 """
 
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """Shape of the load; work in milliseconds, `long_share` of the calls take `long_factor`."""
+    """Shape of the load; a share `long_share` of the calls takes `long_factor` times longer."""
 
     name: str
     example: str
@@ -82,12 +82,12 @@
 
 
 def plan_calls(workload: Workload, nodes: Sequence[Node], seed: int) -> Iterator[PlannedCall]:
-    """Yield the arrivals; equal for every variant up to the port numbers."""
+    """Yield the arrivals, which are the same for every variant except for the port numbers."""
     rng = random.Random(f"{workload.name} arrivals {seed}")
     for at in poisson_times(RATE.value, WARM_SECONDS.value + SECONDS.value, rng):
         node = nodes[rng.randrange(len(nodes))]
         _, prefix = workload.services[rng.randrange(len(workload.services))]
-        # Gamma with shape 4: spread by a factor of about two around the mean.
+        # The gamma distribution with shape 4 spreads by a factor of about two around the mean.
         work = rng.gammavariate(4.0, workload.mean_work_ms / 4.0)
         if rng.random() < workload.long_share:
             work *= workload.long_factor
@@ -99,7 +99,7 @@
 
 
 def slow_intervals(seed: int) -> Iterator[tuple[float, float]]:
-    """Yield start and end of each slow moment of the feed, in seconds."""
+    """Yield the start and the end of each slow interval of the feed, in seconds."""
     rng = random.Random(f"feed {seed}")
     at = 0.5
     while at < WARM_SECONDS.value + SECONDS.value:
@@ -108,14 +108,14 @@
 
 
 def select_feed(workload: Workload, nodes: Sequence[Node], seed: int) -> list[Node]:
-    """Return one upstream of each service, in different data centres."""
+    """Return the nodes on the feed: one of each service, in different data centres."""
     places = random.Random(f"places {seed}").sample(workload.regions, len(workload.services))
     wanted = {(place, s) for (_, place), (s, _) in zip(places, workload.services, strict=True)}
     return [node for node in nodes if (node.site.data_centre, node.service) in wanted]
 
 
 async def slow_feed(fleet: Fleet, feed: Sequence[Node], seed: int) -> None:
-    """Slow the upstreams of the feed at its moments; their announced health does not change."""
+    """Slow down the upstreams on the feed in its intervals; their announced state is unchanged."""
     loop = asyncio.get_running_loop()
     start = loop.time()
     for begin, end in slow_intervals(seed):
@@ -129,7 +129,7 @@
 
 
 async def run_round(fleet: Fleet, workload: Workload, seed: int) -> list[Sample]:
-    """Run the load and the slow moments together."""
+    """Run the load together with the slow intervals and return the measured samples."""
     feed = select_feed(workload, fleet.nodes, seed)
     switching = asyncio.ensure_future(slow_feed(fleet, feed, seed))
     samples = await run_load(plan_calls(workload, fleet.nodes, seed))
@@ -140,7 +140,7 @@
 def measure(workload: Workload, variant: str, number: int) -> Summary:
     """Start a fleet with one balancer and measure one round.
 
-    Another process may take a port between its choice and its use, so the start is repeated.
+    The start is retried, as another process may take a port between its choice and its use.
     """
     settings = f'\n[policy]\nbalancing = "{variant}"\n'
     for _ in range(MAX_START_ATTEMPTS):
@@ -155,7 +155,10 @@
 
 
 def start_fleet(fleet: Fleet, workload: Workload) -> bool:
-    """Start the nodes and publish; return whether all joined, else print what they said last."""
+    """Start the nodes and publish; return whether the fleet is ready.
+
+    If not, print the last line of the output of each process.
+    """
     for region, data_centre in workload.regions:
         for service, _ in workload.services:
             fleet.add_node(Site(region, data_centre), service, f"--slots={workload.slots}")
--- a/packages/agatecross-standins/agatecross_standins/demo.py
+++ b/packages/agatecross-standins/agatecross_standins/demo.py
@@ -1,4 +1,4 @@
-"""Runs a small fleet end to end and closes with a table of what became of the calls."""
+"""Runs a small fleet end to end and prints a table of the outcomes of the calls."""
 
 import asyncio
 import json
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DemoFigures:
-    """What the closing table shows."""
+    """Results shown in the closing table."""
 
     samples: tuple[Sample, ...]
     duplicated: int
@@ -56,7 +56,7 @@
 def plan_calls(
     nodes: Sequence[Node], seconds: float, rate: float, seed: int
 ) -> Iterator[PlannedCall]:
-    """Yield reads, and writes that each have a path and an idempotency key of their own."""
+    """Yield reads and writes; each write has a unique path and idempotency key."""
     rng = random.Random(seed)
     for number, at in enumerate(poisson_times(rate, seconds, rng)):
         address = Address(f"127.0.0.1:{rng.choice(nodes).call_port}")
@@ -70,7 +70,7 @@
 
 
 def run_demo(seconds: float, rate: float, seed: int) -> DemoFigures:
-    """Start the fleet, publish, call, publish again, replace a daemon, and collect the figures."""
+    """Run the fleet under load, publish twice, replace a daemon and return the figures."""
     folder = Path(tempfile.mkdtemp(prefix="agatecross-demo-")) / "lysknude"
     shutil.copytree(EXAMPLES / "lysknude", folder)
     with Fleet(link=LinkShape("jylland")) as fleet:
@@ -114,14 +114,14 @@
 
 
 def change_timeout(folder: Path) -> None:
-    """Change the base so that there is a second version to publish."""
+    """Change a timeout in the base document, so that there is a second version to publish."""
     base = folder / "base.toml"
     text = base.read_text(encoding="utf-8")
     base.write_text(text.replace("timeout_ms = 2000", "timeout_ms = 2500", 1), encoding="utf-8")
 
 
 def publish(fleet: Fleet, folder: Path) -> float:
-    """Publish and return the seconds until the version was in force everywhere."""
+    """Publish and return the seconds until the command found the version in force everywhere."""
     started = time.monotonic()
     result = fleet.run_cli("publish", str(folder))
     print(result.stdout.strip())
@@ -131,18 +131,18 @@
 
 
 def is_ready(node: Node) -> bool:
-    """Return whether a daemon takes calls."""
+    """Return whether a daemon is ready for calls."""
     return fetch(f"http://{node.admin_address}/agatecross/v1/ready")[0] == 200
 
 
 def control_bytes(fleet: Fleet) -> list[int]:
-    """Return the control payload bytes of each daemon, both directions."""
+    """Return the control payload bytes of each daemon, sent and received."""
     rows = [fleet.status(node) for node in fleet.nodes]
     return [int(str(r["control_sent_bytes"])) + int(str(r["control_received_bytes"])) for r in rows]
 
 
 def count_duplicates(fleet: Fleet) -> int:
-    """Return how many writes ran more than once."""
+    """Return the number of writes that ran more than once."""
     runs = Counter(
         str(row["path"])
         for node in fleet.nodes
@@ -169,7 +169,7 @@
 
 
 def main(argv: Sequence[str]) -> None:
-    """Run the demo; exit 1 when a call was lost or duplicated."""
+    """Run the demo; exit with code 1 if a call was lost or duplicated."""
     del argv
     figures = run_demo(SECONDS.value, RATE.value, SEED.value)
     print("\n".join(format_table(figures)))
--- a/packages/agatecross-standins/agatecross_standins/endless.py
+++ b/packages/agatecross-standins/agatecross_standins/endless.py
@@ -1,12 +1,12 @@
-"""Answers of an upstream in trouble: bytes without end, until the connection is closed."""
+"""Responses of a faulty upstream that never end, until the connection is closed."""
 
 import asyncio
 from enum import Enum
 
 KIB = 1024
-# What is passed to the transport at once.
+# Approximate size of one write to the transport.
 BLOCK_BYTES = 16 * KIB
-# A daemon that does not close the connection must not fill the memory of the machine.
+# Limits the memory that is used if a daemon does not close the connection.
 MAX_WRITTEN_BYTES = 64 * KIB * KIB
 TRICKLE_SECONDS = 0.02
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -14,7 +14,7 @@
 
 
 class EndlessPart(Enum):
-    """The part of an answer that does not end."""
+    """The part of a response that does not end."""
 
     BLANK_LINES = "blank lines"
     REASON_PHRASE = "reason phrase"
@@ -33,7 +33,7 @@
     AFTER_ANSWER = "after the answer"
 
 
-# What comes first, and what is repeated without end.
+# For each part, the bytes that are written first and the bytes that are repeated without end.
 ENDLESS_PARTS: dict[EndlessPart, tuple[bytes, bytes]] = {
     EndlessPart.BLANK_LINES: (b"", b"\r\n"),
     EndlessPart.REASON_PHRASE: (b"HTTP/1.1 200 ", b"O"),
@@ -60,7 +60,7 @@
 
 
 class EndlessWriter:
-    """Writes one of the parts to a connection, as fast as it is read or a few bytes at a time."""
+    """Writes an endless response, as fast as it is read or a few bytes at a time."""
 
     def __init__(self, transport: asyncio.Transport, part: EndlessPart, trickles: bool) -> None:
         self.transport = transport
@@ -73,16 +73,16 @@
         self.paused = False
 
     def start(self) -> None:
-        """Write the start of the answer and go on."""
+        """Write the start of the response and begin to repeat."""
         self._write(self.prefix)
         self._write_blocks()
 
     def pause(self) -> None:
-        """Wait for the reader."""
+        """Stop writing until the transport can take more."""
         self.paused = True
 
     def resume(self) -> None:
-        """Go on after the reader took what was written."""
+        """Continue writing after the peer has read what was buffered."""
         self.paused = False
         self._write_blocks()
 
--- a/packages/agatecross-standins/agatecross_standins/faults/__init__.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/__init__.py
@@ -1,1 +1,1 @@
-"""Fault runs: a fleet under a seeded schedule of faults, whose history is checked."""
+"""Fault runs: run a fleet under a seeded schedule of faults and check its history."""
--- a/packages/agatecross-standins/agatecross_standins/faults/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/__main__.py
@@ -1,8 +1,8 @@
 """Runs a fleet under a seeded schedule of faults and checks its history.
 
 `python -m agatecross_standins.faults --seed=1 --seconds=30` prints counts and violations and exits
-with code 1 when there are any. The seed fixes the schedule and the calls; timing differs from run
-to run.
+with code 1 if there are any violations. The seed determines the schedule and the calls; timing
+differs from run to run.
 """
 
 import sys
--- a/packages/agatecross-standins/agatecross_standins/faults/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -1,4 +1,4 @@
-"""Callers that send reads and bookings, and the watcher of versions."""
+"""Callers that send reads and bookings, and the thread that records versions in force."""
 
 import json
 import random
@@ -28,7 +28,7 @@
 
 
 class Callers:
-    """Sends reads, bookings with a key through several daemons, and bookings without one."""
+    """Sends reads and bookings; bookings with an idempotency key may go to several daemons."""
 
     def __init__(self, fleet: Fleet, recorder: Recorder, seed: int) -> None:
         self.fleet = fleet
@@ -38,7 +38,7 @@
         self.pool = ThreadPoolExecutor(4 * CALLER_COUNT)
 
     def run(self, number: int) -> None:
-        """Send requests one after the other until stopped."""
+        """Send requests sequentially until stopped."""
         rng = random.Random(f"{self.seed}/{number}")
         count = 0
         while not self.stop.wait(rng.expovariate(1 / MEAN_CALL_GAP_SECONDS)):
@@ -61,7 +61,7 @@
                 future.result()
 
     def send(self, node: Node, method: str, request: str, key: str) -> bool:
-        """Send one request and record what becomes of it; return whether it ran."""
+        """Send one request and record its outcome; return whether it ran."""
         call = uuid.uuid4().hex
         add = self.recorder.events.append
         headers = {"X-Echo": request, **({"Idempotency-Key": key} if key else {})}
@@ -104,7 +104,7 @@
                 row = json.loads(fetch(url, timeout=0.5)[2])
             except (OSError, HTTPException, ValueError):
                 continue
-            # A daemon that has just started has no version and refuses every call.
+            # A daemon that has just started has version 0, none in force, and refuses every call.
             found = (int(row["version"]), str(row["digest"]))
             if found[0] and last.get(node.name) != found:
                 last[node.name] = found
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -33,7 +33,7 @@
 
 
 class Publisher:
-    """Appends publish records, without waiting for what becomes of them."""
+    """Appends publish records without waiting for their result."""
 
     def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
         self.fleet = fleet
@@ -42,7 +42,7 @@
         self.count = 0
 
     def publish(self, valid: bool = True) -> None:
-        """Append one record that follows the newest version seen; twice when the answer is lost."""
+        """Append a record whose parent is the newest version seen; resend once without a reply."""
         self.count += 1
         changed = f"timeout_ms = {2_000 + self.count}"
         text = self.base.text.replace("timeout_ms = 2000", changed, 1)
@@ -63,24 +63,24 @@
 
 
 class Injector:
-    """Begins and ends the faults of a schedule, in order for each place.
+    """Begins and ends the faults of a schedule, in order for each target.
 
-    The end of a fault takes as long as a process needs to exit and to start. The next fault of the
-    place begins after it, so that no signal or switch meets the process that is being replaced.
+    Ending a fault can take as long as a process needs to exit and start. The next fault of the same
+    target begins after that, so that no signal or switch reaches a process that is being replaced.
     """
 
     def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
         self.fleet = fleet
         self.recorder = recorder
         self.publisher = Publisher(fleet, recorder)
-        # One thread for each place keeps its steps in order.
+        # One thread for each target keeps its steps in order.
         self.executors: defaultdict[FaultTarget, ThreadPoolExecutor] = defaultdict(
             lambda: ThreadPoolExecutor(1)
         )
         self.step_futures: list[Future[None]] = []
 
     def run(self, faults: Sequence[Fault]) -> None:
-        """Carry out the schedule and return when every fault has ended."""
+        """Inject the faults of the schedule and return when all of them have ended."""
         steps: list[tuple[float, Callable[[Fault], None], Fault]] = []
         for fault in faults:
             steps.append((fault.at, self.begin, fault))
--- a/packages/agatecross-standins/agatecross_standins/faults/recorder.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/recorder.py
@@ -1,4 +1,4 @@
-"""Events of a run."""
+"""Recorded events of a fault run."""
 
 from dataclasses import dataclass, field
 
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True)
 class Recorder:
-    """Events of the run; appending to a list is atomic."""
+    """Events of the run, shared by threads without a lock, as appending to a list is atomic."""
 
     events: list[Event] = field(default_factory=list)
     publishes: dict[str, float] = field(default_factory=dict)
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -46,7 +46,7 @@
 
 
 def run_faults(seed: int, seconds: float) -> tuple[list[Event], Counter[str]]:
-    """Run a fleet under the schedule of a seed and return its history and the fault counts."""
+    """Run a fleet under the schedule of a seed; return its history and the number of each fault."""
     recorder = Recorder()
     with Fleet() as fleet:
         executions = fleet.directory / "executions.jsonl"
@@ -89,7 +89,7 @@
 
 
 def _wait_until_settled(fleet: Fleet, recorder: Recorder) -> None:
-    """Wait until the fleet is whole, then for the time in which versions must be in force."""
+    """Wait until all nodes have joined and the newest version is due to be in force everywhere."""
     fleet.wait_joined(RECOVERY_TIMEOUT_SECONDS)
     last = max(recorder.publishes.values())
     time.sleep(
@@ -128,7 +128,7 @@
 
 
 def _complete_events(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
-    """Yield the events, the accepted versions, and what each version in force routes."""
+    """Yield the accepted publishes and the events, completing versions in force with services."""
     snapshots: dict[int, MeshSnapshot] = {}
     first = recorder.publishes[""]
     for record, snapshot in _accepted_publishes(fleet):
--- a/packages/agatecross-standins/agatecross_standins/faults/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/schedule.py
@@ -9,7 +9,7 @@
 
 
 class FaultKind(Enum):
-    """What is done to the fleet."""
+    """Kind of fault."""
 
     KILL_DAEMON = "kill-daemon"
     KILL_UPSTREAM = "kill-upstream"
@@ -26,13 +26,13 @@
 
 NODE_FAULT_KINDS = frozenset(list(FaultKind)[:5])
 LOG_FAULT_KINDS = frozenset(list(FaultKind)[5:8])
-# The index of a node, or the name of what all nodes share.
+# The index of a node, or the name of a target that all nodes share.
 FaultTarget = int | str
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """One fault from `at` for `lasts` seconds after the start of the run."""
+    """One fault, which begins `at` seconds after the start of the run."""
 
     at: float
     duration_seconds: float
@@ -41,14 +41,14 @@
 
 
 def fault_target(fault: Fault) -> FaultTarget:
-    """Return where a fault acts."""
+    """Return the target that a fault affects."""
     if fault.kind in NODE_FAULT_KINDS:
         return fault.node
     return "log" if fault.kind in LOG_FAULT_KINDS else "publish"
 
 
 def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
-    """Yield faults in order of time; a node and the log have at most one fault at a time."""
+    """Yield faults in order of time; each target has at most one fault at a time."""
     rng = random.Random(seed)
     busy_until: dict[FaultTarget, float] = {}
     at = 0.0
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -1,4 +1,4 @@
-"""Starts a log service, upstreams and daemons as processes, for the demo, tests and benchmarks."""
+"""Starts a log service, upstreams and daemons as processes for the demo, tests and benchmarks."""
 
 import json
 import os
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkShape:
-    """The link between two regions; the log service is in `home`, the other region is remote."""
+    """The link between two regions; the log service runs in `home`, the other region is remote."""
 
     home: str
     delay_ms: float = 8.0
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True)
 class Node:
-    """One daemon with the upstream next to it."""
+    """One daemon and the upstream that it serves."""
 
     name: str
     site: Site
@@ -60,7 +60,7 @@
 
     @property
     def admin_address(self) -> str:
-        """Return the address for operators."""
+        """Return the address of the admin endpoint."""
         return f"127.0.0.1:{self.admin_port}"
 
 
@@ -71,7 +71,7 @@
     headers: dict[str, str] | None = None,
     timeout: float = 10.0,
 ) -> tuple[int, dict[str, str], bytes]:
-    """Return status, headers and body of one request, whatever the status."""
+    """Send one request and return status, headers and body, also of an error response."""
     request = urllib.request.Request(url, data=body, method=method, headers=headers or {})
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
@@ -83,7 +83,10 @@
 def wait_until(
     condition: Callable[[], bool], what: str, seconds: float = START_TIMEOUT_SECONDS
 ) -> None:
-    """Wait for a condition; raises `TimeoutError` that names it."""
+    """Wait for a condition, treating `OSError` as not yet true.
+
+    Raises `TimeoutError`, with the name of the condition, after the given seconds.
+    """
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         try:
@@ -119,7 +122,7 @@
         return self
 
     def __exit__(self, *exc: object) -> None:
-        """Kill every process."""
+        """Kill every running process and release the ports."""
         for process in self.processes():
             if process.poll() is None:
                 process.kill()
@@ -128,7 +131,7 @@
         self.ports.close()
 
     def processes(self) -> Iterator[subprocess.Popen[bytes]]:
-        """Yield every process that was started and not replaced."""
+        """Yield every process that was started, except those that were replaced."""
         rows = [self.log_process, *self.other_processes]
         rows += [p for node in self.nodes for p in (node.daemon, node.upstream)]
         yield from (process for process in rows if process is not None)
@@ -139,7 +142,7 @@
         return f"127.0.0.1:{self.log_port}"
 
     def spawn(self, name: str, *command: str) -> subprocess.Popen[bytes]:
-        """Start a module of ours, its output in a file of the fleet's directory."""
+        """Start a Python module as a process; its output goes to a file in the directory."""
         with (self.directory / f"{name}.out").open("ab") as output:
             return subprocess.Popen(
                 [sys.executable, "-m", *command],
@@ -149,7 +152,7 @@
             )
 
     def start_log(self) -> None:
-        """Start the log service and wait until it answers."""
+        """Start the log service and wait until it responds."""
         self.log_process = self.spawn(
             "log", "agatecross_standins.log_service", f"--port={self.log_port}", *self.log_flags
         )
@@ -182,7 +185,7 @@
         return node
 
     def start_link(self, sites: Sequence[tuple[Site, str]]) -> None:
-        """Plan the nodes and start the link proxy; `add_node` then takes the planned ports."""
+        """Plan the nodes and start the link proxy; `start_planned_nodes` then starts the nodes."""
         assert self.link is not None
         self.link_port, self.remote_log_port = self.ports.reserve(2)
         pairs = [f"--pair={self.remote_log_port}={self.log_port}"]
@@ -206,17 +209,17 @@
         wait_until(lambda: fetch(url)[0] == 200, "the link proxy")
 
     def set_link_switches(self, **switches: object) -> None:
-        """Set switches of the link."""
+        """Set switches of the link proxy."""
         url = f"http://127.0.0.1:{self.link_port}/switches"
         fetch(url, "PUT", json.dumps(switches).encode())
 
     def link_payload_bytes(self) -> tuple[int, int]:
-        """Return the payload bytes that the link carried, by direction of the connections."""
+        """Return the payload bytes carried by the link, from and towards the connecting side."""
         carried = json.loads(fetch(f"http://127.0.0.1:{self.link_port}/switches")[2])
         return int(carried["forward"]), int(carried["backward"])
 
     def start_planned_nodes(self, *upstream_flags: str) -> None:
-        """Start every planned node."""
+        """Start the daemon and the upstream of every planned node."""
         for node in self.nodes:
             node.upstream_flags = upstream_flags
             self.start_daemon(node)
@@ -271,7 +274,7 @@
         fetch(url, "PUT", json.dumps(switches).encode())
 
     def executions(self, node: Node) -> list[dict[str, object]]:
-        """Return the executions that an upstream recorded since its start."""
+        """Return the executions that an upstream has recorded since its start."""
         url = f"http://127.0.0.1:{node.upstream_port}/executions"
         rows: list[dict[str, object]] = json.loads(fetch(url)[2])["executions"]
         return rows
@@ -291,7 +294,7 @@
         return rows
 
     def wait_joined(self, seconds: float = START_TIMEOUT_SECONDS) -> None:
-        """Wait until every daemon sees every upstream as ready."""
+        """Wait until every daemon lists every upstream as ready."""
         wanted = {node.name for node in self.nodes}
 
         def joined(node: Node) -> bool:
@@ -320,7 +323,7 @@
             )
 
     def run_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run the operator's client against this fleet."""
+        """Run the command-line client against this fleet."""
         target = (
             f"--log={self.log_address}",
             f"--daemon={self.nodes[0].admin_address if self.nodes else ''}",
--- a/packages/agatecross-standins/agatecross_standins/history.py
+++ b/packages/agatecross-standins/agatecross_standins/history.py
@@ -1,7 +1,7 @@
 """Checks a recorded history against the invariants I1 to I9 of the design page.
 
-Each invariant is a generator filter that passes every item on and yields its violations after the
-history ended. Times are wall-clock seconds of one machine.
+Each invariant is a generator filter that passes every item on and adds the violations that it
+finds. Times are wall-clock seconds of one machine.
 """
 
 from collections import defaultdict
@@ -15,7 +15,7 @@
 
 
 class Invariant(Enum):
-    """Invariants of section 1.2 of the design page."""
+    """Invariants from section 1.2 of the design page."""
 
     NO_REVERT = "I1"
     NO_DANGLING_ROUTE = "I2"
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Published:
-    """The fold accepted a publish as this version; `at` is when it was sent."""
+    """The fold accepted a publish as this version; `at` is when the publish was sent."""
 
     at: float
     version: int
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InForce:
-    """A daemon has a version in force; services that its routes name and that it knows."""
+    """A daemon has a version in force, with the services that its routes name and that it knows."""
 
     at: float
     daemon: str
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Undisturbed:
-    """These daemons ran without a fault for the seconds before `at`."""
+    """These daemons ran without a fault in the seconds before `at`."""
 
     at: float
     daemons: frozenset[str]
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sent:
-    """A caller sent a request to a daemon; resubmissions carry the same request and key."""
+    """A caller sent a request to a daemon; resubmissions have the same request and key."""
 
     at: float
     call: str
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """A call ran and its caller has the response; `echo` is the request that it belongs to."""
+    """A call ran and its caller got the response; `echo` is the request that it belongs to."""
 
     at: float
     call: str
@@ -90,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """A call was answered as not run."""
+    """A call was refused with the outcome not-run."""
 
     at: float
     call: str
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownOutcome:
-    """A call was answered with an unknown outcome, or its caller gave up."""
+    """A call was answered with an unknown outcome, or its caller gave up waiting."""
 
     at: float
     call: str
@@ -122,7 +122,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Returned:
-    """An upstream that was leaving is back, or a new process took its place."""
+    """An upstream that was leaving accepts work again, or a new process replaced it."""
 
     at: float
     upstream: str
@@ -138,7 +138,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShutdownEnded:
-    """The process of the daemon ended."""
+    """The process of the daemon exited."""
 
     at: float
     daemon: str
@@ -163,7 +163,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """An invariant that the history breaks, with the events that show it."""
+    """A violated invariant, with the events that show the violation."""
 
     invariant: Invariant
     events: tuple[Event, ...]
@@ -186,7 +186,7 @@
 
 
 def no_revert(items: Items) -> Items:
-    """I1: the version of a daemon never goes down, across its restarts too."""
+    """I1: the version in force on a daemon never decreases, not even across its restarts."""
     last: dict[str, InForce] = {}
     for item in items:
         yield item
@@ -225,7 +225,7 @@
 
 
 def own_complete_response(items: Items) -> Items:
-    """I4: a response is whole and belongs to the request of its call."""
+    """I4: a response is complete and belongs to the request of its call."""
     sent: dict[str, Sent] = {}
     for item in items:
         yield item
@@ -289,7 +289,7 @@
 
 
 def graceful_shutdown(items: Items) -> Items:
-    """I8: a call that was sent before a graceful shutdown began is not cut off by it."""
+    """I8: a graceful shutdown breaks no call that was sent before it began."""
     open_calls: dict[str, Sent] = {}
     begun: dict[str, ShutdownBegun] = {}
     for item in items:
@@ -308,7 +308,7 @@
 
 
 def in_force_everywhere(items: Items) -> Items:
-    """I9: undisturbed daemons have every version that was accepted some seconds before."""
+    """I9: undisturbed daemons have at least the newest version that was published in time."""
     published: list[Published] = []
     last: dict[str, InForce] = {}
     for item in items:
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -1,4 +1,4 @@
-"""Stand-in for the link between regions: delays, limits and cuts TCP connections.
+"""Stand-in for the link between regions: delays, rate-limits and interrupts TCP connections.
 
 Each `--pair=LISTEN=TARGET` forwards one port of 127.0.0.1 to another; all pairs share one rate for
 each direction. `PUT /switches` sets the switches, for example `{"cut": true}`; `GET /switches`
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True)
 class Switches:
-    """While `cut` is set, nothing is carried and connections stay open without an answer."""
+    """While `cut` is set, nothing is forwarded, but connections are accepted and stay open."""
 
     cut: bool = False
 
@@ -39,7 +39,7 @@
 
 
 class Direction:
-    """One direction of the link: a shared rate and a fixed delay."""
+    """One direction of the link, with a rate shared by its connections and a fixed delay."""
 
     def __init__(self, bytes_per_second: float, delay: float) -> None:
         self.rate = bytes_per_second
@@ -47,13 +47,13 @@
         self.free_at = 0.0
 
     def arrival_time(self, size: int, now: float) -> float:
-        """Return when a chunk that is sent now arrives at the other end."""
+        """Return the time at which a chunk that is sent now arrives at the other end."""
         self.free_at = max(now, self.free_at) + size / self.rate
         return self.free_at + self.delay
 
 
 class Link:
-    """Forwards connections over two directions."""
+    """Forwards connections with a rate and a delay in each direction."""
 
     def __init__(self, mbit: float, delay_ms: float) -> None:
         rate, delay = mbit * 1e6 / 8, delay_ms / 1000
@@ -65,7 +65,7 @@
         self.restored.set()
 
     def set_switches(self, changes: dict[str, object]) -> None:
-        """Set switches."""
+        """Set the given switches."""
         self.switches.cut = bool(changes.get("cut", self.switches.cut))
         if self.switches.cut:
             self.restored.clear()
@@ -73,7 +73,7 @@
             self.restored.set()
 
     async def serve(self, listen: int, target: int) -> None:
-        """Forward connections to one port."""
+        """Forward connections from one port to another."""
 
         async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._forward_connection(target, reader, writer)
@@ -131,7 +131,7 @@
     """Sets the switches and returns the bytes carried."""
 
     def initialize(self, link: Link) -> None:
-        """Take the link."""
+        """Store the link."""
         self.link = link
 
     def put(self) -> None:
@@ -158,7 +158,7 @@
 
 
 def main(argv: Sequence[str]) -> None:
-    """Start the link."""
+    """Start the link proxy."""
     del argv
     asyncio.run(serve(PORT.value, PAIRS.value, MBIT.value, DELAY_MS.value))
 
--- a/packages/agatecross-standins/agatecross_standins/load.py
+++ b/packages/agatecross-standins/agatecross_standins/load.py
@@ -1,4 +1,4 @@
-"""Open-loop load: calls start on a schedule, and waiting counts from the intended start."""
+"""Open-loop load: calls start on a schedule, and latency counts from the intended start."""
 
 import asyncio
 import random
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """What became of a planned call; latency from its intended start."""
+    """Result of a planned call; the latency counts from its intended start."""
 
     planned: PlannedCall
     latency_ms: float
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """Figures of a set of samples; latencies in milliseconds of the calls that ran."""
+    """Statistics of a set of samples; latencies of the calls that ran, in milliseconds."""
 
     calls: int
     ran: int
@@ -52,7 +52,7 @@
 
 
 def poisson_times(rate: float, seconds: float, rng: random.Random) -> Iterator[float]:
-    """Yield start times with exponential gaps; `rate` in calls per second."""
+    """Yield the start times of a Poisson process; `rate` in calls per second."""
     at = rng.expovariate(rate)
     while at < seconds:
         yield at
@@ -60,7 +60,7 @@
 
 
 async def run_load(plan: Iterable[PlannedCall]) -> list[Sample]:
-    """Send each call at its time, whatever became of the others."""
+    """Send each call at its time, independently of the other calls."""
     client = TornadoHttpClient(max_idle=1024)
     start = time.monotonic()
     tasks: list[asyncio.Task[Sample]] = []
@@ -87,7 +87,7 @@
 
 
 def summarise(samples: Sequence[Sample]) -> Summary:
-    """Count outcomes and take the quantiles of the calls that ran."""
+    """Count the outcomes and compute the latency quantiles of the calls that ran."""
     histogram = HdrHistogram(1, MAX_LATENCY_MICROS, 3)
     ran = [sample for sample in samples if sample.outcome == "ran"]
     for sample in ran:
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -1,7 +1,7 @@
-"""Stand-in for the platform's log service, with switches for its failures.
+"""Stand-in for the platform's log service, with switches that simulate its failures.
 
-HTTP interface: `POST /streams/{name}/records` appends the body and answers `{"offset": n}`;
-`GET /streams/{name}/records?start=&limit=&wait_ms=` answers a page; `PUT /switches` sets the
+HTTP interface: `POST /streams/{name}/records` appends the body and returns `{"offset": n}`;
+`GET /streams/{name}/records?start=&limit=&wait_ms=` returns a page; `PUT /switches` sets the
 switches, for example `{"outage": true}`.
 """
 
@@ -41,7 +41,11 @@
 
 @dataclass(slots=True)
 class Switches:
-    """Failures to show: all requests fail; the next appends are applied but not answered."""
+    """Failures to simulate.
+
+    During an `outage` all requests fail; the next `lose_answers` appends are applied, but their
+    connection is closed without a response.
+    """
 
     outage: bool = False
     lose_answers: int = 0
@@ -65,7 +69,7 @@
         return self.streams.setdefault(name, Stream())
 
     def take_token(self) -> bool:
-        """Take one append from the rate limit."""
+        """Take a token for one append from the rate limit; return whether there was one."""
         now = time.monotonic()
         limit = self.rate * BURST_SECONDS
         self.tokens = min(limit, self.tokens + (now - self.refilled_at) * self.rate)
@@ -93,7 +97,7 @@
     """Base of the handlers that fail during an outage."""
 
     def initialize(self, state: LogState) -> None:
-        """Take the shared state."""
+        """Store the shared state."""
         self.state = state
 
     async def prepare(self) -> None:
@@ -105,10 +109,10 @@
 
 
 class RecordsHandler(LogHandler):
-    """Appends and reads."""
+    """Appends records to a stream and reads them."""
 
     def post(self, name: str) -> None:
-        """Append the body."""
+        """Append the body as one record."""
         if not self.state.take_token():
             self.send_error(429)
             return
@@ -120,7 +124,7 @@
         self.finish({"offset": offset})
 
     async def get(self, name: str) -> None:
-        """Return a page, waiting for a first record when there is none."""
+        """Return a page; if it would be empty, wait for a record up to `wait_ms`."""
         start = int(self.get_query_argument("start", "0"))
         limit = int(self.get_query_argument("limit", "100"))
         wait = int(self.get_query_argument("wait_ms", "0"))
@@ -145,7 +149,7 @@
     """Sets the switches; works during an outage."""
 
     def initialize(self, state: LogState) -> None:
-        """Take the shared state."""
+        """Store the shared state."""
         self.state = state
 
     def put(self) -> None:
--- a/packages/agatecross-standins/agatecross_standins/platform_config.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_config.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 Route = tuple[str, str, str]
-"""Path prefix, kind and service."""
+"""Path prefix, kind (safe or unsafe) and service."""
 
 DEFAULT_ROUTES: tuple[Route, ...] = (
     ("/safe/", "safe", "s0"),
@@ -20,7 +20,7 @@
 
 
 def config_record(version: int, extra: Iterable[Route] = ()) -> bytes:
-    """Return the record of a version with the usual routes and extra ones, all on one host."""
+    """Return the record of a version with the default and the extra routes, all on one host."""
     rows = [
         {
             "name": f"r{prefix}",
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's keyed log, with switches for its failures."""
+"""Stand-in for the platform's keyed log, with switches that simulate its failures."""
 
 import asyncio
 import base64
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class Topic:
-    """Records of one keyed topic from `first` on, and the newest value of each key."""
+    """Records of one keyed topic from offset `first` on, and the newest value of each key."""
 
     records: list[bytes] = field(default_factory=list)
     first: int = 0
@@ -27,15 +27,16 @@
 
     @property
     def end(self) -> int:
-        """Return the next offset."""
+        """Return the offset of the next record."""
         return self.first + len(self.records)
 
 
 @dataclass(slots=True)
 class StoreSwitches:
-    """Failures to show; `refuse` answers 503, `silent` does not answer.
+    """Failures to simulate: `refuse` answers with 503, `silent` delays every response.
 
-    `endless` gives one page of newest records after another, with values of so many bytes.
+    If `endless_value_bytes` is set, `log-newest` always announces a further page, and each page
+    holds one value of this size.
     """
 
     refuse: bool = False
@@ -53,22 +54,22 @@
         self.calls = 0
 
     def listen(self) -> Address:
-        """Start to serve and return the address."""
+        """Start serving and return the address."""
         return self.listener.listen(Address("127.0.0.1:0"), self._handle)
 
     async def close(self) -> None:
-        """Stop."""
+        """Stop serving, ending reads that wait for a record."""
         for topic in self.topics.values():
             topic.appended.set()
         await self.listener.close()
 
     def append_record(self, topic: str, key: str, value: bytes) -> None:
-        """Append one record as the operator does."""
+        """Append one record, as the operator does."""
         name = key.encode()
         self._append(self._topic(topic), bytes((len(name),)) + name + value)
 
     def compact(self, topic: str) -> None:
-        """Forget the history of a topic; the newest record of each key stays."""
+        """Drop all records of a topic; the newest value of each key stays available."""
         log = self._topic(topic)
         log.first, log.records = log.end, []
 
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -1,4 +1,4 @@
-"""Stand-in for an upstream on the users' platform, with a script of faults for its answers."""
+"""Stand-in for an upstream on the users' platform, whose responses can be scripted to be faulty."""
 
 import asyncio
 import json
@@ -19,7 +19,7 @@
 
 
 class Answer(Enum):
-    """How one request is answered; `HOLD` waits until the upstream is released."""
+    """How one request is answered; `HOLD` waits until `released` is set on the upstream."""
 
     WHOLE = "whole"
     ERROR = "error"
@@ -36,11 +36,11 @@
 
 
 ScriptedAnswer = Answer | EndlessPart | bytes
-"""How one request is answered; bytes are written as they are."""
+"""How one request is answered; bytes are written unchanged."""
 
 
 class PlatformUpstream:
-    """Serves requests, counts the runs of each id, and describes itself to its daemon."""
+    """Serves requests, counts the runs of each request id, and sends heartbeats to its daemon."""
 
     def __init__(self, name: str, service: str, born: int = 1) -> None:
         self.name = name
@@ -60,7 +60,7 @@
         self.address = Address("")
 
     async def listen(self) -> Address:
-        """Start to serve, again at the same address after a crash, and return the address."""
+        """Start serving and return the address; after a crash it is the same as before."""
         loop = asyncio.get_running_loop()
         port = int(self.address.rpartition(":")[2] or 0)
         self.server = await loop.create_server(
@@ -70,24 +70,24 @@
         return self.address
 
     def crash(self) -> None:
-        """Stop to serve and reset every connection."""
+        """Stop serving and reset every connection."""
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
             connection.transport.abort()
 
     async def restart(self) -> None:
-        """Start again under the same id, with nothing known of before."""
+        """Start again under the same id as a new incarnation, with the sequence starting over."""
         self.born += 1
         self.sequence = 0
         await self.listen()
 
     def queue_answers(self, answers: Iterable[ScriptedAnswer]) -> None:
-        """Answer the next requests like this, later ones whole."""
+        """Queue answers for the next requests; requests after them get a complete response."""
         self.script.extend(answers)
 
     async def heartbeat(self, daemon: Address, state: str = "ready", **changes: object) -> int:
-        """Describe itself to its daemon and return the status of the answer."""
+        """Send a heartbeat to the daemon and return the status of its response."""
         self.sequence += 1
         fields: dict[str, object] = {
             "service": self.service,
@@ -105,7 +105,7 @@
         )
 
     async def send_announcement(self, daemon: Address, action: str, body: bytes) -> int:
-        """Send one announcement and return the status of the answer."""
+        """Send one announcement to the daemon and return the status of its response."""
         path = f"/-/instances/{self.name}/{action}"
         http = TornadoHttpClient()
         response = await http.send(daemon, Request("POST", path, (), body), HEARTBEAT_TIMEOUT)
@@ -114,7 +114,7 @@
 
 
 class PlatformUpstreamConnection(asyncio.Protocol):
-    """One accepted connection."""
+    """One accepted connection; parses requests and writes the scripted responses."""
 
     transport: asyncio.Transport
 
@@ -134,18 +134,18 @@
         self.owner.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the connection and what it held."""
+        """Unregister the connection and cancel its held answers."""
         self.owner.connections.discard(self)
         for held_answer in self.held_answers:
             held_answer.cancel()
 
     def pause_writing(self) -> None:
-        """Stop an endless answer while it is not read."""
+        """Pause an endless response while the peer does not read it."""
         if self.endless is not None:
             self.endless.pause()
 
     def resume_writing(self) -> None:
-        """Go on with an endless answer."""
+        """Continue an endless response."""
         if self.endless is not None:
             self.endless.resume()
 
@@ -158,11 +158,11 @@
         self.fields, self.target, self.body = {}, b"", b""
 
     def on_url(self, url: bytes) -> None:
-        """Collect the target."""
+        """Collect the request target."""
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a field."""
+        """Collect a header field."""
         self.fields[name.decode().lower()] = value.decode()
 
     def on_body(self, body: bytes) -> None:
@@ -170,7 +170,7 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Run the request, or do not run it, as the script says."""
+        """Run or refuse the request, as the expected instance and the script demand."""
         owner = self.owner
         fields = {**self.fields, ":target": self.target.decode(), ":body": self.body.decode()}
         owner.received_requests.append(fields)
--- a/packages/agatecross-standins/agatecross_standins/ports.py
+++ b/packages/agatecross-standins/agatecross_standins/ports.py
@@ -1,4 +1,4 @@
-"""Ports of 127.0.0.1 that stay reserved until a process of ours binds them."""
+"""Reserves ports of 127.0.0.1 until the process that they are meant for binds them."""
 
 import socket
 from dataclasses import dataclass, field
@@ -6,11 +6,11 @@
 
 @dataclass(slots=True)
 class PortPool:
-    """Reserves ports by sockets that are bound but do not listen.
+    """Reserves ports with sockets that are bound but do not listen.
 
-    A port that is only known to be free can become the local port of any outgoing connection before
-    its server starts. The kernel gives no bound port to a connection, and lets a server bind it
-    when both sockets allow reuse.
+    A port that is free but not bound can become the local port of an outgoing connection before its
+    server starts. The kernel does not assign a bound port to a connection, but still lets a server
+    bind it if both sockets set SO_REUSEADDR.
     """
 
     sockets: list[socket.socket] = field(default_factory=list)
@@ -21,7 +21,7 @@
         for _ in range(count):
             sock = socket.socket()
             sock.bind(("127.0.0.1", 0))
-            # Set after the bind, so that the kernel picks a port that nobody else has reserved.
+            # Set after the bind, so that the kernel picks a port that is not reserved elsewhere.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.sockets.append(sock)
             ports.append(int(sock.getsockname()[1]))
--- a/packages/agatecross-standins/agatecross_standins/soak/__init__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Soak of daemons on the users' platform: real processes under faults from outside them."""
+"""Fault soak of daemons on the users' platform: real processes under externally injected faults."""
--- a/packages/agatecross-standins/agatecross_standins/soak/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -1,9 +1,9 @@
-"""Soaks a fleet under seeded faults and checks what callers and upstreams saw.
+"""Runs a fleet under seeded faults and checks what callers and upstreams observed.
 
-`python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=10` prints a line for each seed and
-its violations, and exits with code 1 when there are any; `--regressions` adds the seeds that failed
-once, `--known_red` names a listing of seeds that may fail. The seed fixes the schedule and the
-calls; timing differs from run to run.
+`python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=10` prints one line per seed and
+its violations, and exits with code 1 if there are any. `--regressions` adds the seeds that have
+failed before, and `--known_red` names a file that lists seeds whose failure is known. The seed
+determines the schedule and the calls; timing differs from run to run.
 """
 
 import asyncio
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep their connections open until a daemon closes them."""
+"""Callers that reuse a keep-alive connection until a daemon closes it."""
 
 import asyncio
 import itertools
@@ -13,14 +13,14 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MEAN_REQUEST_GAP_SECONDS = 0.03
 DEADLINE_MS = 1_500
-# The daemon answers at the route's timeout of 2 s at the latest; a paused one answers later.
+# A daemon answers within the route's timeout of 2 s; a paused daemon answers later.
 ANSWER_TIMEOUT_SECONDS = 8.0
 REQUEST_TYPES = (("GET", "/safe/", False), ("POST", "/once/", True), ("POST", "/peer/", True))
 CONNECT_TIMEOUT_SECONDS = 1.0
 
 
 class Caller:
-    """Sends requests one after the other on its own connection."""
+    """Sends requests sequentially on its own connection."""
 
     def __init__(
         self,
@@ -30,7 +30,7 @@
         rng: random.Random,
         mean_gap: float = MEAN_REQUEST_GAP_SECONDS,
     ) -> None:
-        """Ask the daemons of `nodes`, on average `gap` seconds after each answer."""
+        """Send to the daemons of `nodes`, on average `mean_gap` seconds after each answer."""
         self.name = name
         self.nodes = nodes
         self.history = history
@@ -41,7 +41,7 @@
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def run(self) -> None:
-        """Send until cancelled."""
+        """Send requests until cancelled."""
         while True:
             await asyncio.sleep(self.rng.expovariate(1 / self.mean_gap))
             method, prefix, at_most_once = self.rng.choice(REQUEST_TYPES)
@@ -50,7 +50,7 @@
                 self.history.requests.append(row)
 
     async def send(self, method: str, prefix: str, at_most_once: bool) -> RequestRecord | None:
-        """Send one request; None when no connection could be opened."""
+        """Send one request; return None if no connection could be opened."""
         if self.streams is None and not await self._connect():
             return None
         assert self.streams is not None
@@ -84,7 +84,7 @@
         )
 
     def disconnect(self) -> None:
-        """Close the connection; the next request opens another, perhaps elsewhere."""
+        """Close the connection; the next request opens one to a randomly chosen daemon."""
         if self.streams is not None:
             self.streams[1].close()
         self.streams = None
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -1,27 +1,28 @@
-"""Filters over the history of a soak; each yields the violations of one promise."""
+"""Checks of a soak history; each yields the violations of one promise."""
 
 from collections.abc import Callable, Iterator
 
 from .events import History, RequestOutcome
 
 Check = Callable[[History], Iterator[str]]
-# The platform's bound on new work after a leave was confirmed.
+# Limit of the platform on how long an upstream may be given new work after its confirmed leave.
 MAX_START_AFTER_LEAVE_SECONDS = 2.0
-# SIGKILL and the exit codes of a graceful stop; any other code is a crash of the daemon itself.
+# Graceful stop (0) and SIGKILL (-9); any other code means that the daemon itself crashed.
 EXPECTED_EXIT_CODES = frozenset((0, -9))
-# Of the requests after the last fault, this share must be served; one daemon of six may still wait.
+# Share of the requests after the last fault that must be served; one daemon of six may still be
+# waiting.
 MIN_SERVED_SHARE = 0.95
 
 
 def runs_once(history: History) -> Iterator[str]:
-    """No request that may not be repeated runs twice."""
+    """A request that must run at most once does not run twice."""
     for row in history.requests:
         if row.at_most_once and history.runs.get(row.call_id, 0) > 1:
             yield f"{row.call_id} ran {history.runs[row.call_id]} times"
 
 
 def refusals_are_true(history: History) -> Iterator[str]:
-    """No request that was refused as not run has run."""
+    """A request that must run at most once and was refused as not run has not run."""
     for row in history.requests:
         if (
             row.outcome is RequestOutcome.REFUSED
@@ -32,7 +33,7 @@
 
 
 def answers_are_own(history: History) -> Iterator[str]:
-    """Each answer with success belongs to the request and is whole."""
+    """Each successful response belongs to its request, is complete and comes from an upstream."""
     for row in history.requests:
         if row.outcome is RequestOutcome.FOREIGN:
             yield f"{row.call_id} got a foreign or cut answer, status {row.status}"
@@ -41,19 +42,19 @@
 
 
 def leaves_bind(history: History) -> Iterator[str]:
-    """No new work reaches an upstream after its leaving was confirmed."""
+    """An upstream gets no new work once the limit after its confirmed leave has passed."""
     for row in history.leaves:
         rows = [(at - row.at, call_id) for at, call_id in row.run_times]
         late = [found for found in rows if found[0] > MAX_START_AFTER_LEAVE_SECONDS]
         if late:
-            # An id that no caller of this soak used is a request from outside it.
+            # The ids show whether a request came from outside: no caller of the soak used its id.
             ids = " ".join(call_id or "-" for _, call_id in late[:4])
             last = max(late)[0]
             yield f"{row.name} began {len(late)} runs up to {last:.2f} s after its leave: {ids}"
 
 
 def versions_rise(history: History) -> Iterator[str]:
-    """The version in force never goes down within a process."""
+    """The version in force never decreases during the lifetime of a daemon process."""
     newest: dict[tuple[int, int], int] = {}
     for row in history.versions:
         key = (row.node, row.restarts)
@@ -63,7 +64,7 @@
 
 
 def daemons_live(history: History) -> Iterator[str]:
-    """No daemon ends by itself or logs a traceback."""
+    """No daemon exits on its own or logs a traceback."""
     for node, code in history.exits:
         if code not in EXPECTED_EXIT_CODES:
             yield f"d{node} ended with code {code}"
@@ -71,7 +72,7 @@
 
 
 def stops_are_graceful(history: History) -> Iterator[str]:
-    """A stopping daemon cuts no request that it read, unless a fault hit it meanwhile."""
+    """A graceful stop breaks no request that is in progress, unless a fault hit the daemon then."""
     for node, started_at, ended_at in history.graceful_stops:
         hit = any(
             n in (node, -1) and a < ended_at and started_at < b for n, a, b in history.disturbances
@@ -89,7 +90,7 @@
 
 
 def recovers(history: History) -> Iterator[str]:
-    """After the last fault nearly every request is served, also on the newest route."""
+    """After the last fault nearly every request is served, including on the newest route."""
     served = sum(row.outcome is RequestOutcome.ANSWERED for row in history.final_requests)
     if served < MIN_SERVED_SHARE * len(history.final_requests):
         lost = [
@@ -113,7 +114,7 @@
 
 
 def violations(history: History) -> Iterator[str]:
-    """Yield every violation, with the name of its promise."""
+    """Yield every violation, prefixed with the name of its check."""
     for check in CHECKS:
         for text in check(history):
             yield f"{check.__name__}: {text}"
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -1,4 +1,4 @@
-"""What callers saw of their requests."""
+"""Records of what callers, upstreams and daemons did during a soak."""
 
 from dataclasses import dataclass, field
 from enum import Enum
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestRecord:
-    """One request; times on the monotonic clock in seconds."""
+    """One request and its outcome; times on the monotonic clock in seconds."""
 
     call_id: CallId
     node: int
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmedLeave:
-    """An upstream whose leaving was confirmed at `at`, and when it began runs."""
+    """An upstream whose leave was confirmed at `at`, with the start times of its runs."""
 
     name: str
     at: float
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionObservation:
-    """A version in force on a daemon; `start` counts the starts of its process."""
+    """A version in force on a daemon whose process had been restarted `restarts` times."""
 
     node: int
     restarts: int
@@ -49,7 +49,11 @@
 
 @dataclass(slots=True)
 class History:
-    """Everything that was seen in a run."""
+    """Everything recorded in one run.
+
+    `graceful_stops` and `disturbances` hold the node number with the start and the end of the
+    interval; the number -1 in a disturbance stands for every node.
+    """
 
     requests: list[RequestRecord] = field(default_factory=list)
     leaves: list[ConfirmedLeave] = field(default_factory=list)
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -1,4 +1,4 @@
-"""The fleet of a soak: daemons as processes, and stand-ins of the store and the upstreams."""
+"""The fleet of a soak: daemon processes, and stand-ins for the store and the upstreams."""
 
 import asyncio
 import contextlib
@@ -81,17 +81,17 @@
 
     @property
     def is_running(self) -> bool:
-        """Return whether the process was not seen to end."""
+        """Return whether a process was started and its exit was not observed yet."""
         return self.process_descriptor >= 0
 
     def attach_process(self, process: "subprocess.Popen[bytes]") -> None:
-        """Take a new process."""
+        """Take over a newly started process."""
         self.process = process
         self.process_descriptor = os.pidfd_open(process.pid)
         self.stopping = False
 
     async def wait_for_exit(self) -> None:
-        """Wait until the process has ended, and note its exit code."""
+        """Wait until the process has exited and record its exit code."""
         loop, descriptor = asyncio.get_running_loop(), self.process_descriptor
         ended = asyncio.Event()
         loop.add_reader(descriptor, ended.set)
@@ -102,21 +102,24 @@
         self.reap()
 
     def reap(self) -> None:
-        """Take the exit code of the process, which has ended."""
+        """Record the exit code of the process, waiting for its exit."""
         if self.process is not None and self.process_descriptor >= 0:
             os.close(self.process_descriptor)
             self.process_descriptor = -1
             self.exit_codes.append(self.process.wait())
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the running process, which leaves its exit code to `wait`."""
+        """Send a signal to the running process without reaping it.
+
+        The exit code is left to `wait_for_exit`.
+        """
         if self.process_descriptor >= 0:
             with contextlib.suppress(ProcessLookupError):
                 signal.pidfd_send_signal(self.process_descriptor, number)
 
 
 class SoakFleet:
-    """Starts, watches and ends the processes; only those that it started."""
+    """Starts, monitors and ends the processes of the fleet, and no others."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -129,7 +132,7 @@
         self.closing = False
 
     async def start(self) -> None:
-        """Start everything and wait until each daemon answers calls."""
+        """Start the store, the upstreams and the tasks that run the daemons."""
         store = self.store.listen()
         self.publish()
         for number in range(len(DAEMON_SITES)):
@@ -139,7 +142,7 @@
             self.tasks.append(asyncio.ensure_future(self._send_heartbeats(node)))
 
     async def close(self) -> None:
-        """End everything."""
+        """End every process and stop the stand-ins."""
         self.closing = True
         for task in self.tasks:
             task.cancel()
@@ -155,13 +158,13 @@
         self.ports.close()
 
     def publish(self) -> None:
-        """Write the next version; it has a route of its own."""
+        """Write the next configuration version, which adds a route named after it."""
         self.version = Version(self.version + 1)
         marker = (f"/v{self.version}/", "safe", "s1")
         self.store.append_record("keyed.op", "config", config_record(self.version, (marker,)))
 
     async def replace_upstream(self, node: Node) -> None:
-        """Put a new upstream, under a new name, behind the same daemon."""
+        """Replace the upstream of a daemon by a new one with another name."""
         old = node.upstream
         self.replaced_upstreams.append(old)
         old.crash()
@@ -187,7 +190,7 @@
         node.peers_link.target = Address(addresses["peers"])
         node.store_link.target = store
         addresses["announced"] = await node.peers_link.listen()
-        # The daemon and the upstream know the upstream by the address of its proxy.
+        # The daemon is configured with, and the upstream announces, the address of the proxy.
         addresses["upstream"] = upstream.address = await node.upstream_link.listen()
         text = SETTINGS.format(
             number=number,
@@ -201,7 +204,7 @@
         self.nodes.append(node)
 
     async def _restart_on_exit(self, node: Node) -> None:
-        """Start the daemon of a node again whenever it has ended, and note its exit code."""
+        """Start the daemon of a node, restart it after each exit and record the exit codes."""
         while not self.closing:
             node.attach_process(_spawn_daemon(node))
             await node.wait_for_exit()
@@ -211,16 +214,16 @@
             try:
                 await node.upstream.heartbeat(Address(node.addresses["heartbeats"]))
             except ExchangeError:
-                # The daemon is down or paused; the next heartbeat tells it the same.
+                # The daemon is down or paused; the next heartbeat repeats the announcement.
                 await asyncio.sleep(0)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
 
 def _spawn_daemon(node: Node) -> "subprocess.Popen[bytes]":
-    """Start the daemon of a node, with its signals blocked until it takes them over.
+    """Start the daemon of a node with signals blocked until the daemon handles them.
 
-    Before, in the start of the interpreter, each would end the process, whatever the daemon does;
-    beside other work that took up to a second.
+    Without the block, a signal during the start of the interpreter would end the process before
+    the daemon can install its handlers. On a busy machine this start took up to a second.
     """
     command = [sys.executable, "-m", "agatecross_daemon", f"--settings={node.settings}"]
     before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -1,4 +1,4 @@
-"""Begins and ends the faults of a schedule, and keeps what they disturb."""
+"""Injects the faults of a schedule and records which nodes they disturb and when."""
 
 import asyncio
 import signal
@@ -16,9 +16,9 @@
 
 SLOW_WORK_SECONDS = 0.8
 LINK_DELAY_SECONDS = 0.15
-# A fault of the whole fleet or of its store.
+# Node number in a disturbance that affects the whole fleet.
 ALL_NODES = -1
-# A daemon that was killed needs this long until its peers and callers work with it again.
+# Time after a fault, such as a kill, until peers and callers work with the daemon again.
 RECOVERY_SECONDS = 3.0
 STOP_POLL_SECONDS = 0.05
 FAULTY_ANSWERS = (
@@ -32,14 +32,14 @@
 
 
 class Injector:
-    """Carries out faults; each runs as a task, so that they overlap."""
+    """Injects faults, each in its own task, so that faults can overlap."""
 
     def __init__(self, fleet: SoakFleet, history: History) -> None:
         self.fleet = fleet
         self.history = history
 
     async def run(self, faults: Iterable[Fault]) -> None:
-        """Carry out a schedule and return when every fault has ended."""
+        """Inject the faults of a schedule and return when all of them have ended."""
         started_at = time.monotonic()
         running = []
         for fault in faults:
@@ -48,7 +48,7 @@
         await asyncio.gather(*running)
 
     async def stop_without_faults(self, node: Node) -> None:
-        """Stop a daemon while nothing else happens, so that no fault excuses a cut."""
+        """Stop a daemon gracefully while no fault is active that could excuse a broken request."""
         await asyncio.sleep(RECOVERY_SECONDS)
         await self._stop_gracefully(node)
 
@@ -97,7 +97,7 @@
                 await self._inject_outside(fault, node)
 
     async def _inject_outside(self, fault: Fault, node: Node) -> None:
-        """Disturb the upstream or the store."""
+        """Inject a fault of the upstream or the store."""
         switches = self.fleet.store.switches
         match fault.kind:
             case FaultKind.UPSTREAM_LINK_RESET:
@@ -127,7 +127,7 @@
                 node.store_link.reset()
 
     async def _stop_gracefully(self, node: Node) -> None:
-        """Send SIGTERM, and SIGKILL after the grace time."""
+        """Send SIGTERM, and SIGKILL if the process still runs after the grace period."""
         if not node.is_running or node.stopping:
             return
         node.stopping = True
@@ -145,7 +145,7 @@
         self.history.graceful_stops.append((node.number, started_at, time.monotonic()))
 
     async def _leave_and_replace(self, node: Node) -> None:
-        """Let the upstream leave as it announces; a new one follows."""
+        """Announce the leave of the upstream and replace it after the recovery time."""
         upstream = node.upstream
         body = b'{"born":%d}' % upstream.born
         try:
@@ -153,7 +153,7 @@
                 Address(node.addresses["heartbeats"]), "leave", body
             )
         except ExchangeError:
-            # Without a confirmation nothing is promised.
+            # The platform makes no promise about a leave that was not confirmed.
             return
         confirmed = time.monotonic()
         await asyncio.sleep(RECOVERY_SECONDS)
--- a/packages/agatecross-standins/agatecross_standins/soak/known_red.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/known_red.py
@@ -1,4 +1,4 @@
-"""Seeds that are listed as failing for a fault that is not mended yet."""
+"""Seeds that are listed as known failures of faults that are not fixed yet."""
 
 import re
 
@@ -6,7 +6,7 @@
 
 
 def known_red_seeds(listing: str) -> frozenset[int]:
-    """Return the seeds that a listing names in lines `test: soak seed N`."""
+    """Return the seeds in the lines `test: soak seed N` or `test: soak seeds N and M`."""
     return frozenset(
         int(number)
         for entry in ENTRY.finditer(listing)
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy in front of one address that delays, resets, cuts one way or goes silent."""
+"""TCP proxy for one loopback address that can delay, reset or block the bytes it forwards."""
 
 import asyncio
 from dataclasses import dataclass
@@ -11,7 +11,10 @@
 
 
 class LinkMode(Enum):
-    """How bytes are carried; those that are held up arrive when the mode ends."""
+    """Which directions are forwarded; bytes that are held back arrive when the mode ends.
+
+    `ONE_WAY` blocks the direction towards the client, and `SILENT` blocks both.
+    """
 
     OPEN = "open"
     ONE_WAY = "one-way"
@@ -20,7 +23,7 @@
 
 @dataclass(slots=True)
 class ProxiedConnection:
-    """One proxied connection; a silent one stays silent for good."""
+    """One proxied connection; once silent, it never forwards again."""
 
     client_writer: asyncio.StreamWriter
     server_writer: asyncio.StreamWriter
@@ -28,7 +31,7 @@
 
 
 class FaultyLink:
-    """Forwards connections to one address."""
+    """Forwards connections to one address, with faults that can be switched on."""
 
     def __init__(self) -> None:
         self.target = Address("")
@@ -38,7 +41,7 @@
         self.server: asyncio.Server | None = None
 
     async def listen(self) -> Address:
-        """Start to forward and return the address."""
+        """Start the proxy and return the address that it listens on."""
         self.server = await asyncio.start_server(
             self._handle_connection, "127.0.0.1", 0, backlog=512
         )
@@ -51,16 +54,16 @@
             connection.server_writer.transport.abort()
 
     def silence_connections(self) -> None:
-        """Let every open connection go silent for good; new ones work."""
+        """Stop forwarding on every open connection for good; new connections work."""
         for connection in self.connections:
             connection.silent = True
 
     async def close(self) -> None:
-        """Stop."""
+        """Stop listening and reset every connection."""
         if self.server is not None:
             self.server.close()
         self.reset()
-        # The pumps see that their connections are gone, and end.
+        # Gives the forwarding tasks time to notice the closed connections and end.
         await asyncio.sleep(2 * POLL_INTERVAL_SECONDS)
 
     async def _handle_connection(
@@ -101,5 +104,5 @@
                 await writer.drain()
             writer.close()
         except OSError:
-            # A reset on one side is a reset on the other.
+            # Passes a reset on one side on to the other side.
             writer.transport.abort()
--- a/packages/agatecross-standins/agatecross_standins/soak/regressions.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/regressions.py
@@ -1,4 +1,4 @@
-"""Seeds that failed once; they are run again with every change."""
+"""Seeds that have failed before and are run again with every change."""
 
 REGRESSION_SEEDS: dict[int, str] = {
     2: "hung at its end: asyncio.wait_for lost a cancellation as a connection opened",
@@ -8,4 +8,4 @@
     403: "SIGHUP came before the daemon had its handlers, and ended it with code -1",
     406: "a leave before the first heartbeat of its upstream was confirmed and not kept",
 }
-"""Cause by seed; each ran for 10 s."""
+"""Cause of the failure by seed; each seed ran for 10 s."""
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -1,4 +1,4 @@
-"""One run of the soak: start, callers and faults side by side, settle, check."""
+"""One soak run: starts the fleet, runs callers under faults, waits for recovery and checks."""
 
 import asyncio
 import random
@@ -20,10 +20,11 @@
 from .schedule import schedule
 
 CALLER_COUNT = 12
-# Callers that stay with one daemon and ask without a pause, so that its drains never run empty.
+# Callers that stay with one daemon and send almost without pause, so that it always has requests
+# in progress when it drains.
 BUSY_CALLER_COUNT = 6
 BUSY_REQUEST_GAP_SECONDS = 0.005
-# Six interpreters start on whatever the machine has left; this is no promise of the product.
+# Generous, because six interpreters may start on a busy machine; not a promise of the product.
 START_TIMEOUT_SECONDS = 120.0
 FINAL_ROUNDS = 5
 POLL_INTERVAL_SECONDS = 0.25
@@ -33,14 +34,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
-    """Counts of what happened, and the violations."""
+    """Counts of faults and request outcomes, and the violations."""
 
     summary: str
     violations: tuple[str, ...]
 
 
 async def run_soak(seed: int, seconds: float, recover: float, folder: Path) -> SoakResult:
-    """Run one seed; the fleet has `recover` seconds after the last fault, the logs stay."""
+    """Run one seed; the fleet has `recover` seconds to recover after the last fault.
+
+    The logs of the daemons stay in `folder`.
+    """
     history = History()
     fleet = SoakFleet(folder)
     faults = list(schedule(seed, seconds, len(DAEMON_SITES)))
@@ -77,7 +81,7 @@
 
 
 async def _wait_until_serving(fleet: SoakFleet, seconds: float) -> bool:
-    """Wait until every daemon answers the newest route; return whether it did in time."""
+    """Wait until every daemon answers the newest route; return whether all did in time."""
     last = time.monotonic() + seconds
     probe = History()
     waiting = list(fleet.nodes)
@@ -119,7 +123,7 @@
     try:
         response = await http.send(Address(node.addresses["metrics"]), request, METRICS_TIMEOUT)
     except ExchangeError:
-        # Down or paused: nothing is known of its version.
+        # The daemon is down or paused, so its version is unknown.
         return None
     for line in response.body.splitlines():
         if line.startswith(VERSION_METRIC):
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -1,4 +1,4 @@
-"""Seeded schedule of faults; they come in series and overlap."""
+"""Seeded schedule of faults, which can overlap and come in series on several nodes."""
 
 import random
 from collections.abc import Iterator
@@ -12,7 +12,7 @@
 
 
 class FaultKind(Enum):
-    """What is done, and to what."""
+    """Kind of fault and what it affects."""
 
     KILL = "kill"
     HERD_KILL = "herd-kill"
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """One fault on a node from `at` for `lasts` seconds after the start of the run."""
+    """One fault on a node; it begins `at` seconds after the start of the run."""
 
     at: float
     duration_seconds: float
@@ -46,7 +46,10 @@
 
 
 def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
-    """Yield faults in order of time; a quarter of them come as a series on several nodes."""
+    """Yield faults; about a quarter of the draws become a series on several nodes.
+
+    The draws are in order of time, but the faults of a series may start after those of the next.
+    """
     rng = random.Random(seed)
     at = 0.0
     while True:
--- a/packages/agatecross-standins/agatecross_standins/trace_sample.py
+++ b/packages/agatecross-standins/agatecross_standins/trace_sample.py
@@ -1,9 +1,9 @@
-"""Traces failed calls drawn by seed, to compare the causes found with a bench's report.
+"""Traces a seeded sample of failed calls, to compare their causes with a report of a test bench.
 
 `python -m agatecross_standins.trace_sample --seed=7 --count=20 LOG...` reads the logs of all
-daemons of a day and prints a table with the id, the status, the cause and the deciding line of each
-call drawn, then how many failed calls ended with each status and cause. Only calls of callers are
-drawn, not those that a run made.
+daemons of a day. It prints a table with the id, the status, the cause and the deciding line of each
+sampled call, then the number of failed calls for each status and cause. Only calls of callers are
+sampled, not those that a run made.
 """
 
 import random
@@ -25,14 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FailedCall:
-    """A call that was not served: the status that its caller was given, and the cause."""
+    """A failed call, with the status that its caller got and the cause."""
 
     status: str
     cause: Cause
 
 
 def failed_calls(events: Iterable[EventLine]) -> Iterator[FailedCall]:
-    """Yield the failed calls in order of their ids."""
+    """Yield the failed calls, sorted by id."""
     facts = ProcessFacts()
     calls: defaultdict[str, list[EventLine]] = defaultdict(list)
     for row in events:
@@ -47,7 +47,7 @@
 
 
 def format_table(calls: Iterable[FailedCall]) -> Iterator[str]:
-    """Yield the rows of a table in Markdown."""
+    """Yield the rows of a Markdown table."""
     yield "| id | status | cause | deciding line |"
     yield "| --- | --- | --- | --- |"
     for call in calls:
@@ -57,13 +57,13 @@
 
 
 def format_pairs(pairs: Mapping[str, str]) -> str:
-    """Return the pairs of a deciding line that a reader looks at first."""
+    """Return the most relevant pairs of a deciding line."""
     names = ("event", "instance", "reason", "load", "version", "daemon", "status", "took_ms")
     return " ".join(f"{name}={pairs[name]}" for name in names if pairs.get(name))
 
 
 def main(argv: Sequence[str]) -> None:
-    """Print the table and the counts."""
+    """Print the table of sampled calls and the counts of all failed calls."""
     calls = list(failed_calls(read_events(map(Path, argv[1:]))))
     drawn = random.Random(SEED.value).sample(calls, min(COUNT.value, len(calls)))
     print(f"seed {SEED.value}: {len(drawn)} of {len(calls)} failed calls")
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -1,9 +1,9 @@
-"""Stand-in for an upstream: slots, delays and announced state, with switches for its failures.
+"""Stand-in for an upstream with slots, delays and an announced state, and switches for failures.
 
-It announces itself each second to the daemon next to it (`PUT /agatecross/v1/upstream`), answers
-every call with its own name and the call's id, and records each execution. `PUT /switches` sets
-the switches; `GET /executions` returns the recorded executions and the ids of the calls that
-completed or were cancelled by a closed connection.
+It announces itself to its daemon each second (`PUT /agatecross/v1/upstream`), answers every call
+with its own address and the id of the call, and records each execution. `PUT /switches` sets the
+switches; `GET /executions` returns the recorded executions and the ids of the calls that completed
+or were cancelled because their connection was closed.
 """
 
 import asyncio
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True)
 class Switches:
-    """Behaviour: slow-down factor, draining, crash or hold on a path that contains this text."""
+    """Simulated behaviour; `crash_on` and `hold_on` apply to paths that contain their text."""
 
     slow_factor: float = 1.0
     draining: bool = False
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """One started call; time in wall-clock seconds, deadline in milliseconds as received."""
+    """One started call: start in wall-clock seconds, deadline in milliseconds as received."""
 
     call_id: str
     key: str
@@ -60,7 +60,7 @@
 
 
 class UpstreamProcessState:
-    """Switches, running count and recorded executions."""
+    """Switches, slots and recorded calls, shared by all handlers."""
 
     def __init__(self) -> None:
         self.switches = Switches()
@@ -85,15 +85,15 @@
 
 
 class WorkHandler(RequestHandler):
-    """Runs a call."""
+    """Runs one call."""
 
     def initialize(self, state: UpstreamProcessState) -> None:
-        """Take the shared state."""
+        """Store the shared state."""
         self.state = state
         self.running: asyncio.Future[None] | None = None
 
     async def work(self) -> None:
-        """Hold a slot for the call's time, then answer."""
+        """Occupy a slot for the duration of the call, then respond."""
         if SHED.value and self.state.slots.locked():
             self.set_header("Agatecross-Outcome", "not-run")
             self.send_error(503)
@@ -116,7 +116,7 @@
         self.finish(body | {"padding": "x" * size} if size else body)
 
     def on_connection_close(self) -> None:
-        """Cancel the work: the daemon closes the connection of a cancelled call."""
+        """Cancel the call, because the daemon closes the connection of a cancelled call."""
         if self.running is not None:
             self.running.cancel()
 
@@ -153,7 +153,7 @@
 
 
 def append_execution(execution: Execution) -> None:
-    """Append the execution to the file, if there is one, before the call can kill the process."""
+    """Append the execution to the configured file, before the call can crash the process."""
     if EXECUTIONS_FILE.value:
         line = json.dumps({**asdict(execution), "port": PORT.value}) + "\n"
         with open(EXECUTIONS_FILE.value, "a", encoding="utf-8") as file:
@@ -164,7 +164,7 @@
     """Sets the switches and returns the recorded executions."""
 
     def initialize(self, state: UpstreamProcessState) -> None:
-        """Take the shared state."""
+        """Store the shared state."""
         self.state = state
 
     async def put(self) -> None:
