--- a/features/steps/idempotency_fleet_steps.py
+++ b/features/steps/idempotency_fleet_steps.py
@@ -17,7 +17,7 @@
 
 def book(context, index, work_ms=200, timeout=20.0):
     """Send the booking through a daemon and return its outcome."""
-    url = f"{context.fleet.nodes[index].call}{BOOKING}?work_ms={work_ms}"
+    url = f"{context.fleet.nodes[index].call_url}{BOOKING}?work_ms={work_ms}"
     headers = {"Idempotency-Key": KEY}
     _, found, _ = fetch(url, "POST", b"{}", headers, timeout)
     return found["Agatecross-Outcome"]
