--- a/packages/agatecross-standins/agatecross_standins/bench/admission_runs.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/admission_runs.py
@@ -148,4 +148,4 @@
     path = REPOSITORY_ROOT / "build" / f"{name}.json"
     path.parent.mkdir(exist_ok=True)
     path.write_text(json.dumps(report, indent=2) + "\n", encoding="utf-8")
-    print(f"written to {path}")
+    print(f"report written to {path}")
--- a/packages/agatecross-standins/agatecross_standins/bench/blocking.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/blocking.py
@@ -25,7 +25,7 @@
 )
 
 SEED = flags.DEFINE_integer("seed", 7, "Seed of the arrivals.")
-ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds.")
+ROUNDS = flags.DEFINE_integer("rounds", 3, "Number of rounds.")
 
 POLICIES = ("adaptive", "fixed")
 DEPLOYMENT = replace(
--- a/packages/agatecross-standins/agatecross_standins/bench/control.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/control.py
@@ -18,9 +18,9 @@
 from .idle_fleet import control_bytes, running_fleet
 from .report import print_table, write_json
 
-SIZES = flags.DEFINE_list("sizes", ["4", "8", "16", "32"], "Numbers of daemons.")
-SECONDS = flags.DEFINE_float("seconds", 20.0, "Length of the measurement.")
-SETTLE = flags.DEFINE_float("settle", 25.0, "Wait after the fleet has joined, in seconds.")
+SIZES = flags.DEFINE_list("sizes", ["4", "8", "16", "32"], "Fleet sizes, in daemons.")
+SECONDS = flags.DEFINE_float("seconds", 20.0, "Duration of the measurement, in seconds.")
+SETTLE = flags.DEFINE_float("settle", 25.0, "Seconds to wait after the fleet has joined.")
 OUTPUT = flags.DEFINE_string("output", "build/bench-control.json", "Path of the JSON results.")
 
 TARGET_SIZE = 1_300
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -26,11 +26,11 @@
 from .idle_fleet import EXAMPLE, control_bytes, running_fleet
 from .report import print_table, write_json
 
-SIZES = flags.DEFINE_list("sizes", ["4", "8", "16", "32"], "Numbers of daemons.")
-MODES = flags.DEFINE_list("modes", ["peers", "log", "full"], "Ways of distribution.")
-PUBLISHES = flags.DEFINE_integer("publishes", 6, "Publishes for each size and mode.")
+SIZES = flags.DEFINE_list("sizes", ["4", "8", "16", "32"], "Fleet sizes, in daemons.")
+MODES = flags.DEFINE_list("modes", ["peers", "log", "full"], "Distribution modes.")
+PUBLISHES = flags.DEFINE_integer("publishes", 6, "Number of publishes for each size and mode.")
 DOCUMENT_BYTES = flags.DEFINE_integer("document_bytes", 4096, "Size of each padded document.")
-SETTLE = flags.DEFINE_float("settle", 12.0, "Wait after the fleet has joined, in seconds.")
+SETTLE = flags.DEFINE_float("settle", 12.0, "Seconds to wait after the fleet has joined.")
 OUTPUT = flags.DEFINE_string("output", "build/bench-convergence.json", "Path of the JSON results.")
 
 IDLE_SECONDS = 4.0
--- a/packages/agatecross-standins/agatecross_standins/bench/hop.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -29,8 +29,10 @@
 SEED = flags.DEFINE_integer("seed", 7, "Seed of the order of paths and of the arrivals.")
 ROUNDS = flags.DEFINE_integer("rounds", 5, "Rounds of sequential calls.")
 CALLS = flags.DEFINE_integer("calls", 600, "Sequential calls for each path and round.")
-EXCHANGE = flags.DEFINE_bool("exchange", False, "Measure one HTTP exchange in this process.")
-PROFILE = flags.DEFINE_bool("profile", False, "Profile the daemon instead.")
+EXCHANGE = flags.DEFINE_bool(
+    "exchange", False, "Measure one HTTP exchange in this process instead."
+)
+PROFILE = flags.DEFINE_bool("profile", False, "Profile the daemon of the upstream instead.")
 
 TARGET_ADDED_MS = 0.36
 ANSWER_BYTES = 256
@@ -159,7 +161,7 @@
     del argv
     if EXCHANGE.value:
         took = asyncio.run(measure_exchange(ROUNDS.value, CALLS.value))
-        print(f"processor time per exchange, microseconds: {median_range(took)}")
+        print(f"CPU time per exchange, microseconds: {median_range(took)}")
         return
     rng = random.Random(SEED.value)
     with ExitStack() as stack:
--- a/packages/agatecross-standins/agatecross_standins/bench/peak.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/peak.py
@@ -27,7 +27,7 @@
 )
 
 SEED = flags.DEFINE_integer("seed", 7, "Seed of the arrivals.")
-ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds for each deployment.")
+ROUNDS = flags.DEFINE_integer("rounds", 3, "Number of rounds for each deployment.")
 
 POLICIES = ("adaptive", "fixed", "none")
 BASE_LOAD_SHARE = 0.25
--- a/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
@@ -21,10 +21,14 @@
 from .idle_fleet import EXAMPLE, SITES
 from .report import print_table, write_json
 
-DAEMONS = flags.DEFINE_integer("daemons", 4, "Daemons, each with an upstream.")
+DAEMONS = flags.DEFINE_integer("daemons", 4, "Number of daemons, each with an upstream.")
 RATE = flags.DEFINE_float("rate", 4000.0, "Calls per second over all daemons.")
-CLIENTS = flags.DEFINE_integer("clients", 4, "Processes that send calls.")
-SECONDS = flags.DEFINE_float("seconds", 15.0, "Length of the load.")
+CLIENTS = flags.DEFINE_integer("clients", 4, "Number of processes that send calls.")
+SECONDS = flags.DEFINE_float(
+    "seconds",
+    15.0,
+    "Duration of the load before a daemon is killed, and again after it, in seconds.",
+)
 OUTPUT = flags.DEFINE_string("output", "build/bench-suspicion.json", "Path of the JSON results.")
 
 PATH = "/cases/1"
--- a/packages/agatecross-standins/agatecross_standins/bench/tail.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -23,16 +23,24 @@
 
 MAX_START_ATTEMPTS = 3
 VARIANTS = ("adaptive", "round-robin", "two-random")
-SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals, work and slow moments.")
-ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds of each variant.", lower_bound=1, upper_bound=20)
-SECONDS = flags.DEFINE_float("seconds", 15.0, "Measured time of a round.", upper_bound=120.0)
-WARM_SECONDS = flags.DEFINE_float("warm_seconds", 8.0, "Load before the measured time.")
-RATE = flags.DEFINE_float("rate", 240.0, "Calls per second of the fleet.", upper_bound=1000.0)
-SLOW_FACTOR = flags.DEFINE_float("slow_factor", 5.0, "Slow-down on the feed.")
-SLOW_SECONDS = flags.DEFINE_float("slow_seconds", 0.4, "Length of a slow moment.")
-PERIOD_SECONDS = flags.DEFINE_float("period_seconds", 1.5, "Mean time between slow moments.")
+SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals, work and slow intervals.")
+ROUNDS = flags.DEFINE_integer(
+    "rounds", 3, "Number of rounds of each variant.", lower_bound=1, upper_bound=20
+)
+SECONDS = flags.DEFINE_float("seconds", 15.0, "Measured seconds of a round.", upper_bound=120.0)
+WARM_SECONDS = flags.DEFINE_float("warm_seconds", 8.0, "Seconds of load before the measurement.")
+RATE = flags.DEFINE_float("rate", 240.0, "Calls per second over the fleet.", upper_bound=1000.0)
+SLOW_FACTOR = flags.DEFINE_float(
+    "slow_factor", 5.0, "Slow-down factor of the upstreams on the feed."
+)
+SLOW_SECONDS = flags.DEFINE_float("slow_seconds", 0.4, "Seconds of a slow interval.")
+PERIOD_SECONDS = flags.DEFINE_float(
+    "period_seconds", 1.5, "Mean seconds from the start of one slow interval to the next."
+)
 WORKLOAD_NAME = flags.DEFINE_enum("workload", "all", ["all", "lyskaede", "kafeskoop"], "Workload.")
-CHOSEN_VARIANTS = flags.DEFINE_list("variants", list(VARIANTS), "Balancers; the first is compared.")
+CHOSEN_VARIANTS = flags.DEFINE_list(
+    "variants", list(VARIANTS), "Balancers; the first is compared with the others."
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +177,7 @@
             raise RuntimeError(f"publish failed: {result.stdout}{result.stderr}")
         fleet.wait_version(1)
     except TimeoutError as error:
-        print(f"start failed: {error}")
+        print(f"fleet did not start: {error}")
         for path in sorted(fleet.directory.glob("*.out")):
             print(path.name, path.read_text(encoding="utf-8").splitlines()[-1:])
         return False
--- a/packages/agatecross-standins/agatecross_standins/demo.py
+++ b/packages/agatecross-standins/agatecross_standins/demo.py
@@ -21,8 +21,8 @@
 from .fleet import Fleet, LinkShape, Node, Site, fetch, wait_until
 from .load import PlannedCall, Sample, poisson_times, run_load, summarise
 
-SECONDS = flags.DEFINE_float("seconds", 12.0, "Length of the load.")
-RATE = flags.DEFINE_float("rate", 120.0, "Calls per second in all.")
+SECONDS = flags.DEFINE_float("seconds", 12.0, "Duration of the load, in seconds.")
+RATE = flags.DEFINE_float("rate", 120.0, "Total calls per second.")
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
@@ -91,7 +91,7 @@
         took.append(publish(fleet, folder))
         print(f"replacing daemon {replaced.name}")
         exit_code = fleet.stop_daemon(replaced)
-        print(f"it left with exit code {exit_code}")
+        print(f"the replaced daemon exited with code {exit_code}")
         fleet.start_daemon(replaced)
         wait_until(lambda: is_ready(replaced), f"{replaced.name} to be ready")
         load.join()
@@ -109,7 +109,7 @@
             sum(fleet.link_payload_bytes()),
         )
     if exit_code:
-        raise RuntimeError(f"the replaced daemon left with exit code {exit_code}")
+        raise RuntimeError(f"the replaced daemon exited with code {exit_code}")
     return figures
 
 
@@ -126,7 +126,7 @@
     result = fleet.run_cli("publish", str(folder))
     print(result.stdout.strip())
     if result.returncode:
-        raise RuntimeError(f"publish ended with code {result.returncode}: {result.stderr}")
+        raise RuntimeError(f"publish exited with code {result.returncode}: {result.stderr}")
     return time.monotonic() - started
 
 
--- a/packages/agatecross-standins/agatecross_standins/faults/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/__main__.py
@@ -17,7 +17,7 @@
 from .run import run_faults
 
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the schedule and of the calls.")
-SECONDS = flags.DEFINE_float("seconds", 30.0, "Time in which faults begin and end.")
+SECONDS = flags.DEFINE_float("seconds", 30.0, "Length of the fault schedule, in seconds.")
 
 
 def main(argv: Sequence[str]) -> None:
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -100,7 +100,7 @@
     try:
         fleet.wait_version(newest_version, seconds=MAX_IN_FORCE_DELAY_SECONDS)
     except TimeoutError as error:
-        print(f"not settled: {error}")
+        print(f"fleet did not settle: {error}")
     time.sleep(10 * POLL_INTERVAL_SECONDS)
     recorder.events.append(Undisturbed(time.time(), names))
 
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -19,8 +19,12 @@
 from tornado.web import Application, RequestHandler
 
 PORT = flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
-RETENTION_RECORDS = flags.DEFINE_integer("retention_records", 100_000, "Records kept per stream.")
-APPENDS_PER_SECOND = flags.DEFINE_float("appends_per_second", 500.0, "Limit on appends.")
+RETENTION_RECORDS = flags.DEFINE_integer(
+    "retention_records", 100_000, "Records retained per stream."
+)
+APPENDS_PER_SECOND = flags.DEFINE_float(
+    "appends_per_second", 500.0, "Rate limit of appends over all streams."
+)
 
 BURST_SECONDS = 0.5
 
--- a/packages/agatecross-standins/agatecross_standins/soak/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -19,16 +19,18 @@
 from .run import run_soak
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
-SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds, one after the other.")
-REGRESSION_RUNS = flags.DEFINE_bool("regressions", False, "Also run the seeds that failed once.")
-SECONDS = flags.DEFINE_float("seconds", 10.0, "Time in which faults begin and end.")
+SEEDS = flags.DEFINE_integer("seeds", 1, "Number of consecutive seeds, run in sequence.")
+REGRESSION_RUNS = flags.DEFINE_bool(
+    "regressions", False, "Also run the seeds that have failed before."
+)
+SECONDS = flags.DEFINE_float("seconds", 10.0, "Length of the fault schedule, in seconds.")
 RECOVER = flags.DEFINE_float(
-    "recover", 15.0, "Time to serve again after the last fault; the platform allows 15 s."
+    "recover", 15.0, "Seconds to recover after the last fault; the platform allows 15 s."
 )
 KNOWN_RED = flags.DEFINE_string(
     "known_red", None, "File that lists seeds whose violations are printed but not counted."
 )
-LOGS = flags.DEFINE_string("logs", None, "Folder for the daemons' logs; kept.")
+LOGS = flags.DEFINE_string("logs", None, "Directory for the daemons' logs; not deleted.")
 
 
 def main(argv: Sequence[str]) -> None:
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -36,7 +36,7 @@
     """Each successful response belongs to its request, is complete and comes from an upstream."""
     for row in history.requests:
         if row.outcome is RequestOutcome.FOREIGN:
-            yield f"{row.call_id} got a foreign or cut answer, status {row.status}"
+            yield f"{row.call_id} got a foreign or truncated response, status {row.status}"
         if row.outcome is RequestOutcome.ANSWERED and not history.runs.get(row.call_id, 0):
             yield f"{row.call_id} was answered {row.status} and no upstream ran it"
 
@@ -50,7 +50,7 @@
             # The ids show whether a request came from outside: no caller of the soak used its id.
             ids = " ".join(call_id or "-" for _, call_id in late[:4])
             last = max(late)[0]
-            yield f"{row.name} began {len(late)} runs up to {last:.2f} s after its leave: {ids}"
+            yield f"{row.name} started {len(late)} runs up to {last:.2f} s after its leave: {ids}"
 
 
 def versions_rise(history: History) -> Iterator[str]:
@@ -59,7 +59,7 @@
     for row in history.versions:
         key = (row.node, row.restarts)
         if row.version < newest.get(key, 0):
-            yield f"d{row.node} start {row.restarts} went from {newest[key]} to {row.version}"
+            yield f"d{row.node} restart {row.restarts} went from {newest[key]} to {row.version}"
         newest[key] = max(newest.get(key, 0), row.version)
 
 
@@ -67,7 +67,7 @@
     """No daemon exits on its own or logs a traceback."""
     for node, code in history.exits:
         if code not in EXPECTED_EXIT_CODES:
-            yield f"d{node} ended with code {code}"
+            yield f"d{node} exited with code {code}"
     yield from history.tracebacks
 
 
@@ -84,8 +84,8 @@
                 and started_at < row.ended_at <= ended_at
             ):
                 yield (
-                    f"{row.call_id} was cut {row.ended_at - started_at:.2f} s "
-                    f"after SIGTERM of d{node}"
+                    f"{row.call_id} lost its connection {row.ended_at - started_at:.2f} s "
+                    f"after SIGTERM to d{node}"
                 )
 
 
--- a/packages/agatecross-standins/agatecross_standins/soak/regressions.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/regressions.py
@@ -1,11 +1,11 @@
 """Seeds that have failed before and are run again with every change."""
 
 REGRESSION_SEEDS: dict[int, str] = {
-    2: "hung at its end: asyncio.wait_for lost a cancellation as a connection opened",
-    102: "all daemons were killed after a leave was confirmed, and a heartbeat undid the drain",
-    304: "SIGTERM came before the daemon had its handlers, and ended it with code -15",
-    402: "own latencies with fractions, told without: each daemon left the store to others",
-    403: "SIGHUP came before the daemon had its handlers, and ended it with code -1",
-    406: "a leave before the first heartbeat of its upstream was confirmed and not kept",
+    2: "hung at its end: asyncio.wait_for lost a cancellation while a connection was opened",
+    102: "all daemons were killed after a leave was confirmed and a heartbeat undid the drain",
+    304: "SIGTERM arrived before the daemon had installed its handlers and ended it with code -15",
+    402: "own latencies were sent without fractions, so each daemon left the store to others",
+    403: "SIGHUP arrived before the daemon had installed its handlers and ended it with code -1",
+    406: "a leave before the first heartbeat of its upstream was confirmed but not kept",
 }
 """Cause of the failure by seed; each seed ran for 10 s."""
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -51,7 +51,9 @@
     await fleet.start()
     try:
         if not await _wait_until_serving(fleet, START_TIMEOUT_SECONDS):
-            return SoakResult("did not start", ("the fleet did not serve in time",))
+            return SoakResult(
+                "did not start", ("not every daemon answered the newest route in time",)
+            )
         rng = random.Random(seed)
         callers = [
             Caller(f"c{n}", fleet.nodes, history, random.Random(rng.random()))
--- a/packages/agatecross-standins/agatecross_standins/trace_sample.py
+++ b/packages/agatecross-standins/agatecross_standins/trace_sample.py
@@ -19,8 +19,8 @@
 from agatecross_cli.event_lines import EventLine, read_events
 from agatecross_cli.process_facts import ProcessFacts
 
-SEED = flags.DEFINE_integer("seed", 1, "Seed of the draw.")
-COUNT = flags.DEFINE_integer("count", 20, "Calls to draw.", lower_bound=1)
+SEED = flags.DEFINE_integer("seed", 1, "Seed of the sample.")
+COUNT = flags.DEFINE_integer("count", 20, "Number of calls to sample.", lower_bound=1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -23,13 +23,17 @@
 PORT = flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
 ADMIN = flags.DEFINE_string("admin", None, "Admin address of the daemon.", required=True)
 SERVICE = flags.DEFINE_string("service", None, "Service of this upstream.", required=True)
-SLOTS = flags.DEFINE_integer("slots", 12, "Calls run at once; more are shed.")
-CONNECTIONS = flags.DEFINE_integer("connections", 110, "Connections accepted.")
-SHED = flags.DEFINE_bool("shed", True, "Shed calls above the slots instead of queueing them.")
-WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Time that a call takes.")
-COLD_START_MS = flags.DEFINE_float("cold_start_ms", 0.0, "Time in state starting.")
+SLOTS = flags.DEFINE_integer("slots", 12, "Calls that run concurrently; calls above this are shed.")
+CONNECTIONS = flags.DEFINE_integer("connections", 110, "Number of connections to announce.")
+SHED = flags.DEFINE_bool(
+    "shed", True, "Shed calls above the number of slots instead of queueing them."
+)
+WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Duration of a call.")
+COLD_START_MS = flags.DEFINE_float(
+    "cold_start_ms", 0.0, "Time in the state starting after the process has started."
+)
 EXECUTIONS_FILE = flags.DEFINE_string(
-    "executions_file", "", "File that gets a JSON line for each execution, kept when killed."
+    "executions_file", "", "File for one JSON line per execution, kept if the process is killed."
 )
 
 ANNOUNCE_INTERVAL_SECONDS = 1.0
