--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -86,7 +86,7 @@
             if time.monotonic() > deadline:
                 raise TimeoutError(f"version {version} is not in force on {len(waiting)} daemons")
             rows = pool.map(behind, waiting)
-            waiting = [node for node, late in zip(waiting, rows, strict=True) if late]
+            waiting = [node for node, is_behind in zip(waiting, rows, strict=True) if is_behind]
             time.sleep(POLL_INTERVAL_SECONDS)
 
 
@@ -105,14 +105,14 @@
     time.sleep(IDLE_SECONDS)
     idle_rate = (sum(control_bytes(fleet)) - idle_from) / (time.monotonic() - started)
     seconds, traffic, reads = [], [], []
-    for turn in range(PUBLISHES.value):
+    for number in range(PUBLISHES.value):
         before, reads_before, started = (
             sum(control_bytes(fleet)),
             log_reads(fleet),
             time.monotonic(),
         )
-        publish(fleet, [pad_document(documents[-1], turn + 1)], turn + 2)
-        wait_in_force(fleet, turn + 3)
+        publish(fleet, [pad_document(documents[-1], number + 1)], number + 2)
+        wait_in_force(fleet, number + 3)
         seconds.append(time.monotonic() - started)
         time.sleep(AFTER_PUBLISH_SECONDS)
         reads.append(log_reads(fleet) - reads_before)
@@ -120,8 +120,8 @@
         traffic.append(sum(control_bytes(fleet)) - before - idle)
     kib = statistics.median(traffic) / 1024
     size = len(fleet.nodes)
-    middle, worst = statistics.median(seconds), max(seconds)
-    return Convergence(size, mode, middle, worst, kib, kib / size, statistics.median(reads))
+    median, worst = statistics.median(seconds), max(seconds)
+    return Convergence(size, mode, median, worst, kib, kib / size, statistics.median(reads))
 
 
 def main(argv: Sequence[str]) -> None:
--- a/packages/agatecross-standins/agatecross_standins/bench/experiment.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/experiment.py
@@ -36,8 +36,8 @@
 ) -> Iterator[Round]:
     """Yield one result of each variant in each round; the order rotates between rounds."""
     for number in range(rounds):
-        for place in range(len(variants)):
-            variant = variants[(place + number) % len(variants)]
+        for variant_index in range(len(variants)):
+            variant = variants[(variant_index + number) % len(variants)]
             yield Round(variant, number, measure(variant, number))
 
 
--- a/packages/agatecross-standins/agatecross_standins/bench/hop.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -73,15 +73,15 @@
     client = TornadoHttpClient()
     size = await answer_padding(client, targets["one hop"])
     request = Request("GET", f"/catalogue/1?size={size}", (), b"")
-    took: dict[str, list[float]] = {path: [] for path in PATHS}
+    timings: dict[str, list[float]] = {path: [] for path in PATHS}
     for _ in range(calls):
         for path in rng.sample(PATHS, len(PATHS)):
             started = time.perf_counter()
             response = await client.send(targets[path], request, CALL_TIMEOUT)
-            took[path].append((time.perf_counter() - started) * 1000)
+            timings[path].append((time.perf_counter() - started) * 1000)
             assert response.status == 200, response
     client.close()
-    return [quantile(took[path], q) for path in PATHS for q in (0.5, 0.99)]
+    return [quantile(timings[path], q) for path in PATHS for q in (0.5, 0.99)]
 
 
 def processor_ms(node: Node) -> float:
@@ -145,23 +145,23 @@
     listener, client = TornadoHttpListener(), TornadoHttpClient()
     address = listener.listen(Address("127.0.0.1:0"), handle)
     request = Request("GET", "/catalogue/1", tuple((f"X-Field-{i}", "v") for i in range(4)), b"")
-    took = []
+    timings = []
     for _ in range(rounds + 1):
         started = time.process_time()
         for _ in range(calls):
             await client.send(address, request, CALL_TIMEOUT)
-        took.append((time.process_time() - started) / calls * 1e6)
+        timings.append((time.process_time() - started) / calls * 1e6)
     client.close()
     await listener.close()
-    return took[1:]
+    return timings[1:]
 
 
 def main(argv: Sequence[str]) -> None:
     """Measure or profile, and print a table."""
     del argv
     if EXCHANGE.value:
-        took = asyncio.run(measure_exchange(ROUNDS.value, CALLS.value))
-        print(f"CPU time per exchange, microseconds: {median_range(took)}")
+        timings = asyncio.run(measure_exchange(ROUNDS.value, CALLS.value))
+        print(f"CPU time per exchange, microseconds: {median_range(timings)}")
         return
     rng = random.Random(SEED.value)
     with ExitStack() as stack:
--- a/packages/agatecross-standins/agatecross_standins/demo.py
+++ b/packages/agatecross-standins/agatecross_standins/demo.py
@@ -78,7 +78,7 @@
         fleet.start_link(NODE_SITES)
         fleet.start_planned_nodes()
         fleet.wait_joined()
-        took = [publish(fleet, folder)]
+        publish_seconds = [publish(fleet, folder)]
         replaced, callable_nodes = fleet.nodes[2], [*fleet.nodes[:2], *fleet.nodes[3:]]
         samples: list[Sample] = []
         plan = list(plan_calls(callable_nodes, seconds, rate, seed))
@@ -88,7 +88,7 @@
         load.start()
         time.sleep(seconds / 4)
         change_timeout(folder)
-        took.append(publish(fleet, folder))
+        publish_seconds.append(publish(fleet, folder))
         print(f"replacing daemon {replaced.name}")
         exit_code = fleet.stop_daemon(replaced)
         print(f"the replaced daemon exited with code {exit_code}")
@@ -104,7 +104,7 @@
         figures = DemoFigures(
             tuple(samples),
             count_duplicates(fleet),
-            tuple(took),
+            tuple(publish_seconds),
             tuple(rates),
             sum(fleet.link_payload_bytes()),
         )
--- a/packages/agatecross-standins/agatecross_standins/faults/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -63,27 +63,27 @@
     def send(self, node: Node, method: str, request: str, key: str) -> bool:
         """Send one request and record its outcome; return whether it ran."""
         call = uuid.uuid4().hex
-        add = self.recorder.events.append
+        record = self.recorder.events.append
         headers = {"X-Echo": request, **({"Idempotency-Key": key} if key else {})}
         body = None if method == "GET" else b"{}"
-        add(Sent(time.time(), call, request, node.name, method == "GET", key))
+        record(Sent(time.time(), call, request, node.name, method == "GET", key))
         try:
             _, found, data = fetch(
                 node.call_url + request, method, body, headers, CALL_TIMEOUT_SECONDS
             )
         except (ConnectionError, HTTPException):
-            add(Broken(time.time(), call))
+            record(Broken(time.time(), call))
             return False
         except (urllib.error.URLError, OSError):
-            add(UnknownOutcome(time.time(), call))
+            record(UnknownOutcome(time.time(), call))
             return False
         outcome = found.get("Agatecross-Outcome")
         if outcome == "not-run":
-            add(Refused(time.time(), call))
+            record(Refused(time.time(), call))
         elif outcome == "ran":
-            add(_answered(call, data))
+            record(_answered(call, data))
         else:
-            add(UnknownOutcome(time.time(), call))
+            record(UnknownOutcome(time.time(), call))
         return outcome == "ran"
 
 
@@ -94,7 +94,7 @@
         return Answered(time.time(), call, "", False)
 
 
-def watch_versions(fleet: Fleet, recorder: Recorder, stop: threading.Event) -> None:
+def record_versions(fleet: Fleet, recorder: Recorder, stop: threading.Event) -> None:
     """Record each change of the version in force at a daemon."""
     last: dict[str, tuple[int, str]] = {}
     while not stop.wait(POLL_INTERVAL_SECONDS):
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -97,14 +97,14 @@
         node = self.fleet.nodes[fault.node]
         match fault.kind:
             case FaultKind.KILL_DAEMON:
-                _running(node.daemon).kill()
+                _require_process(node.daemon).kill()
             case FaultKind.KILL_UPSTREAM:
-                _running(node.upstream).kill()
+                _require_process(node.upstream).kill()
             case FaultKind.PAUSE_DAEMON:
-                _running(node.daemon).send_signal(signal.SIGSTOP)
+                _require_process(node.daemon).send_signal(signal.SIGSTOP)
             case FaultKind.REPLACE_DAEMON:
                 self.recorder.events.append(ShutdownBegun(time.time(), node.name))
-                _running(node.daemon).send_signal(signal.SIGTERM)
+                _require_process(node.daemon).send_signal(signal.SIGTERM)
             case FaultKind.DRAIN_UPSTREAM:
                 self._set_upstream_switches_when_up(node, draining=True)
                 self.recorder.events.append(Leaving(time.time(), str(node.upstream_port)))
@@ -127,16 +127,16 @@
         node = self.fleet.nodes[fault.node]
         match fault.kind:
             case FaultKind.KILL_DAEMON:
-                _running(node.daemon).wait()
+                _require_process(node.daemon).wait()
                 self.fleet.start_daemon(node)
             case FaultKind.KILL_UPSTREAM:
-                _running(node.upstream).wait()
+                _require_process(node.upstream).wait()
                 self.recorder.events.append(Returned(time.time(), str(node.upstream_port)))
                 self.fleet.start_upstream(node)
             case FaultKind.PAUSE_DAEMON:
-                _running(node.daemon).send_signal(signal.SIGCONT)
+                _require_process(node.daemon).send_signal(signal.SIGCONT)
             case FaultKind.REPLACE_DAEMON:
-                _running(node.daemon).wait(RECOVERY_TIMEOUT_SECONDS)
+                _require_process(node.daemon).wait(RECOVERY_TIMEOUT_SECONDS)
                 self.recorder.events.append(ShutdownEnded(time.time(), node.name))
                 self.fleet.start_daemon(node)
             case FaultKind.DRAIN_UPSTREAM:
@@ -161,6 +161,6 @@
         wait_until(switched, f"the upstream of {node.name} to answer")
 
 
-def _running(process: subprocess.Popen[bytes] | None) -> subprocess.Popen[bytes]:
+def _require_process(process: subprocess.Popen[bytes] | None) -> subprocess.Popen[bytes]:
     assert process is not None
     return process
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -29,7 +29,7 @@
     Started,
     Undisturbed,
 )
-from .callers import SERVICE_PATHS, Callers, watch_versions
+from .callers import SERVICE_PATHS, Callers, record_versions
 from .injector import EXAMPLE, Injector
 from .recorder import Recorder
 from .schedule import schedule
@@ -60,7 +60,7 @@
         faults = list(schedule(seed, seconds, len(fleet.nodes)))
         callers = Callers(fleet, recorder, seed)
         stop_watching = threading.Event()
-        watcher = threading.Thread(target=watch_versions, args=(fleet, recorder, stop_watching))
+        watcher = threading.Thread(target=record_versions, args=(fleet, recorder, stop_watching))
         threads = [threading.Thread(target=callers.run, args=(n,)) for n in range(CALLER_COUNT)]
         for thread in (watcher, *threads):
             thread.start()
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -81,7 +81,7 @@
 
 
 def wait_until(
-    condition: Callable[[], bool], what: str, seconds: float = START_TIMEOUT_SECONDS
+    condition: Callable[[], bool], description: str, seconds: float = START_TIMEOUT_SECONDS
 ) -> None:
     """Wait for a condition, treating `OSError` as not yet true.
 
@@ -95,7 +95,7 @@
         except OSError:
             pass
         time.sleep(POLL_INTERVAL_SECONDS)
-    raise TimeoutError(f"timed out waiting for {what}")
+    raise TimeoutError(f"timed out waiting for {description}")
 
 
 @dataclass(slots=True)
--- a/packages/agatecross-standins/agatecross_standins/history.py
+++ b/packages/agatecross-standins/agatecross_standins/history.py
@@ -181,8 +181,8 @@
     """Run the events, ordered by time, through every filter and yield the violations."""
     ordered: list[Event | Violation] = [*sorted(events, key=lambda event: event.at)]
     start: Items = iter(ordered)
-    ended = reduce(lambda items, step: step(items), FILTERS, start)
-    yield from (item for item in ended if isinstance(item, Violation))
+    filtered = reduce(lambda items, step: step(items), FILTERS, start)
+    yield from (item for item in filtered if isinstance(item, Violation))
 
 
 def no_revert(items: Items) -> Items:
@@ -254,8 +254,8 @@
     for request, rows in started.items():
         refusals = [refused[call.call] for call in sent[request] if call.call in refused]
         if refusals and len(refusals) == len(sent[request]):
-            shown: tuple[Event, ...] = (*sent[request], *refusals, *rows)
-            yield Violation(Invariant.NOT_RUN_IS_NOT_RUN, shown)
+            evidence: tuple[Event, ...] = (*sent[request], *refusals, *rows)
+            yield Violation(Invariant.NOT_RUN_IS_NOT_RUN, evidence)
 
 
 def at_most_once(items: Items) -> Items:
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -44,7 +44,7 @@
 def leaves_bind(history: History) -> Iterator[str]:
     """An upstream gets no new work once the limit after its confirmed leave has passed."""
     for row in history.leaves:
-        rows = [(at - row.at, call_id) for at, call_id in row.run_times]
+        rows = [(at - row.confirmed_at, call_id) for at, call_id in row.run_times]
         late = [found for found in rows if found[0] > MAX_START_AFTER_LEAVE_SECONDS]
         if late:
             # The ids show whether a request came from outside: no caller of the soak used its id.
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -31,10 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmedLeave:
-    """An upstream whose leave was confirmed at `at`, with the start times of its runs."""
+    """An upstream whose leave was confirmed, with the start times and call ids of its runs."""
 
     name: str
-    at: float
+    confirmed_at: float
     run_times: tuple[tuple[float, str], ...]
 
 
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -64,8 +64,8 @@
     number: int
     upstream: PlatformUpstream
     addresses: dict[str, str]
-    settings: Path
-    log: Path
+    settings_path: Path
+    log_path: Path
     peers_link: FaultyLink = field(default_factory=FaultyLink)
     upstream_link: FaultyLink = field(default_factory=FaultyLink)
     store_link: FaultyLink = field(default_factory=FaultyLink)
@@ -121,8 +121,8 @@
 class SoakFleet:
     """Starts, monitors and ends the processes of the fleet, and no others."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, log_directory: Path) -> None:
+        self.log_directory = log_directory
         self.store = PlatformStoreStandIn()
         self.ports = PortPool()
         self.nodes: list[Node] = []
@@ -183,9 +183,11 @@
         names = ("callers", "peers", "ready", "heartbeats", "metrics")
         ports = self.ports.reserve(len(names))
         addresses = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
-        settings = self.folder / f"d{number}.toml"
+        settings_path = self.log_directory / f"d{number}.toml"
         upstream = self._new_upstream(f"u{number}", service)
-        node = Node(number, upstream, addresses, settings, self.folder / f"d{number}.log")
+        node = Node(
+            number, upstream, addresses, settings_path, self.log_directory / f"d{number}.log"
+        )
         node.upstream_link.target = await upstream.listen()
         node.peers_link.target = Address(addresses["peers"])
         node.store_link.target = store
@@ -200,7 +202,7 @@
             store=await node.store_link.listen(),
             **addresses,
         )
-        settings.write_text(text, encoding="utf-8")
+        settings_path.write_text(text, encoding="utf-8")
         self.nodes.append(node)
 
     async def _restart_on_exit(self, node: Node) -> None:
@@ -225,10 +227,10 @@
     Without the block, a signal during the start of the interpreter would end the process before
     the daemon can install its handlers. On a busy machine this start took up to a second.
     """
-    command = [sys.executable, "-m", "agatecross_daemon", f"--settings={node.settings}"]
+    command = [sys.executable, "-m", "agatecross_daemon", f"--settings={node.settings_path}"]
     before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
     try:
-        with node.log.open("ab") as log:
-            return subprocess.Popen(command, stdout=log, stderr=log)
+        with node.log_path.open("ab") as log_file:
+            return subprocess.Popen(command, stdout=log_file, stderr=log_file)
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, before)
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -59,9 +59,9 @@
         if fault.kind is FaultKind.TERM:
             return
         affects_all = fault.kind.value.startswith(("store", "herd", "link", "upstream"))
-        place = ALL_NODES if affects_all else fault.node
+        node_number = ALL_NODES if affects_all else fault.node
         if fault.kind not in (FaultKind.PUBLISH, FaultKind.HANG_UP):
-            row = (place, started_at, time.monotonic() + RECOVERY_SECONDS)
+            row = (node_number, started_at, time.monotonic() + RECOVERY_SECONDS)
             self.history.disturbances.append(row)
 
     async def _inject(self, fault: Fault, node: Node) -> None:
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -40,13 +40,13 @@
     violations: tuple[str, ...]
 
 
-async def run_soak(seed: int, seconds: float, recover: float, folder: Path) -> SoakResult:
+async def run_soak(seed: int, seconds: float, recover: float, log_directory: Path) -> SoakResult:
     """Run one seed; the fleet has `recover` seconds to recover after the last fault.
 
-    The logs of the daemons stay in `folder`.
+    The logs of the daemons stay in `log_directory`.
     """
     history = History()
-    fleet = SoakFleet(folder)
+    fleet = SoakFleet(log_directory)
     faults = list(schedule(seed, seconds, len(DAEMON_SITES)))
     await fleet.start()
     try:
@@ -59,35 +59,37 @@
             Caller(f"c{n}", fleet.nodes, history, random.Random(rng.random()))
             for n in range(CALLER_COUNT)
         ]
-        busy = [rng.choice(fleet.nodes)]
+        busy_nodes = [rng.choice(fleet.nodes)]
         callers += [
-            Caller(f"b{n}", busy, history, random.Random(rng.random()), BUSY_REQUEST_GAP_SECONDS)
+            Caller(
+                f"b{n}", busy_nodes, history, random.Random(rng.random()), BUSY_REQUEST_GAP_SECONDS
+            )
             for n in range(BUSY_CALLER_COUNT)
         ]
-        work = [asyncio.ensure_future(caller.run()) for caller in callers]
-        work.append(asyncio.ensure_future(_record_versions(fleet, history)))
+        tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+        tasks.append(asyncio.ensure_future(_record_versions(fleet, history)))
         injector = Injector(fleet, history)
         await injector.run(faults)
-        await injector.stop_without_faults(busy[0])
-        for task in work:
+        await injector.stop_without_faults(busy_nodes[0])
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*work, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await _wait_until_serving(fleet, recover)
         await _send_final_requests(fleet, history)
         _collect_results(fleet, history)
     finally:
         await fleet.close()
-    outcome = Counter(row.outcome.value for row in history.requests)
-    counts = " ".join(f"{name}={count}" for name, count in sorted(outcome.items()))
+    outcomes = Counter(row.outcome.value for row in history.requests)
+    counts = " ".join(f"{name}={count}" for name, count in sorted(outcomes.items()))
     return SoakResult(f"{len(faults)} faults, {counts}", tuple(violations(history)))
 
 
 async def _wait_until_serving(fleet: SoakFleet, seconds: float) -> bool:
     """Wait until every daemon answers the newest route; return whether all did in time."""
-    last = time.monotonic() + seconds
+    deadline = time.monotonic() + seconds
     probe = History()
     waiting = list(fleet.nodes)
-    while waiting and time.monotonic() < last:
+    while waiting and time.monotonic() < deadline:
         caller = Caller(f"p{time.monotonic_ns()}", waiting[:1], probe, random.Random(1))
         row = await caller.send("GET", f"/v{fleet.version}/", False)
         caller.disconnect()
@@ -140,6 +142,6 @@
     history.runs = dict(runs)
     for node in fleet.nodes:
         history.exits += [(node.number, code) for code in node.exit_codes]
-        for line in node.log.read_text(encoding="utf-8", errors="replace").splitlines():
+        for line in node.log_path.read_text(encoding="utf-8", errors="replace").splitlines():
             if line.startswith("Traceback"):
-                history.tracebacks.append(f"{node.log}: {line}")
+                history.tracebacks.append(f"{node.log_path}: {line}")
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -69,7 +69,7 @@
     def __init__(self) -> None:
         self.switches = Switches()
         self.slots = asyncio.Semaphore(SLOTS.value)
-        self.released = asyncio.Condition()
+        self.switches_changed = asyncio.Condition()
         self.executions: list[Execution] = []
         self.completed: list[str] = []
         self.cancelled: list[str] = []
@@ -135,8 +135,8 @@
                 os._exit(CRASH_EXIT_CODE)
             if state.switches.silent:
                 await asyncio.Event().wait()
-            async with state.released:
-                await state.released.wait_for(
+            async with state.switches_changed:
+                await state.switches_changed.wait_for(
                     lambda: not state.switches.hold_on or state.switches.hold_on not in path
                 )
             work = float(self.get_query_argument("work_ms", str(WORK_MS.value)))
@@ -175,8 +175,8 @@
         """Set the given switches."""
         for name, value in json.loads(self.request.body).items():
             setattr(self.state.switches, name, value)
-        async with self.state.released:
-            self.state.released.notify_all()
+        async with self.state.switches_changed:
+            self.state.switches_changed.notify_all()
         self.finish({})
 
     def get(self) -> None:
