--- a/packages/agatecross-standins/agatecross_standins/bench/tail.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """Shape of the load; a share `long_share` of the calls takes `long_factor` times longer."""
+    """Shape of the load; a share `long_share` of the calls takes `long_factor` times as long."""
 
     name: str
     example: str
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -128,7 +128,7 @@
 
 
 def _complete_events(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
-    """Yield the accepted publishes and the events, completing versions in force with services."""
+    """Yield the accepted publishes and the events; adds their services to versions in force."""
     snapshots: dict[int, MeshSnapshot] = {}
     first = recorder.publishes[""]
     for record, snapshot in _accepted_publishes(fleet):
