--- a/packages/agatecross-standins/agatecross_standins/bench/blocking.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/blocking.py
@@ -1,7 +1,7 @@
-"""Latency of short work with 2 % of jobs fifty times longer, against one shared FIFO queue.
+"""Latency of short calls when 2 % of the calls take fifty times longer, by admission policy.
 
-The load alternates between three seconds of low and one second of high demand, because demand
-swings within seconds.
+The `adaptive` policy is compared with `fixed`, which has one shared FIFO queue. The load alternates
+between three seconds of low and one second of high demand, because demand swings within seconds.
 """
 
 import asyncio
@@ -17,30 +17,30 @@
     KAFESKOOP,
     arrivals,
     is_useful,
+    median_range,
     plan_calls,
     quantile,
-    spread,
     start_fleets,
     write_report,
 )
 
 SEED = flags.DEFINE_integer("seed", 7, "Seed of the arrivals.")
-ROUNDS = flags.DEFINE_integer("rounds", 3, "Rounds.")
+ROUNDS = flags.DEFINE_integer("rounds", 3, "Number of rounds.")
 
 POLICIES = ("adaptive", "fixed")
 DEPLOYMENT = replace(
     KAFESKOOP, slots=12, scale="slots unscaled, 1 of 4 upstreams of 1 of 4 services"
 )
-LOW_LOAD = 0.25
-HIGH_LOAD = 0.95
-PERIOD = 4.0
+LOW_LOAD_SHARE = 0.25
+HIGH_LOAD_SHARE = 0.95
+PERIOD_SECONDS = 4.0
 HIGH_SECONDS = 1.0
 RUN_SECONDS = 16.0
 
 
 @dataclass(frozen=True, slots=True)
 class Blocking:
-    """Figures of one run; latencies in milliseconds of calls that ran."""
+    """Results of one run; latencies of the calls that ran, in milliseconds."""
 
     policy: str
     short_p50: float
@@ -53,13 +53,13 @@
 
 
 def rate_at(at: float) -> float:
-    """Return calls per second at a time."""
-    high = at % PERIOD >= PERIOD - HIGH_SECONDS
-    return DEPLOYMENT.capacity * (HIGH_LOAD if high else LOW_LOAD)
+    """Return the calls per second at a time of the run."""
+    high = at % PERIOD_SECONDS >= PERIOD_SECONDS - HIGH_SECONDS
+    return DEPLOYMENT.capacity * (HIGH_LOAD_SHARE if high else LOW_LOAD_SHARE)
 
 
 def measure(policy: str, samples: Sequence[Sample]) -> Blocking:
-    """Return the figures of one run, without its first second."""
+    """Return the results of one run, leaving out its first second."""
     rows = [s for s in samples if s.planned.at >= 1.0]
     kinds = {kind: [s for s in rows if s.planned.kind == kind] for kind in ("short", "long")}
     ran = {k: [s.latency_ms for s in v if s.outcome == "ran"] for k, v in kinds.items()}
@@ -86,7 +86,7 @@
             results = {}
             for policy in POLICIES if number % 2 == 0 else POLICIES[::-1]:
                 rng = random.Random(SEED.value + number)
-                highest = DEPLOYMENT.capacity * HIGH_LOAD
+                highest = DEPLOYMENT.capacity * HIGH_LOAD_SHARE
                 times = list(arrivals(rate_at, highest, RUN_SECONDS, rng))
                 plan = plan_calls(DEPLOYMENT, fleets[policy].nodes[0], times, rng)
                 results[policy] = measure(policy, asyncio.run(run_load(plan)))
@@ -95,10 +95,12 @@
     print(f"\n{DEPLOYMENT.scale}; capacity {DEPLOYMENT.capacity:.0f}/s")
     for policy in POLICIES:
         for name in Blocking.__slots__[1:]:
-            print(f"  {policy:9} {name:12} {spread([getattr(r[policy], name) for r in rounds])}")
+            print(
+                f"  {policy:9} {name:12} {median_range([getattr(r[policy], name) for r in rounds])}"
+            )
     for name in Blocking.__slots__[1:]:
         pairs = [(getattr(r["fixed"], name), getattr(r["adaptive"], name)) for r in rounds]
-        print(f"  {name}, fixed / adaptive: {spread([a / max(b, 0.001) for a, b in pairs])}")
+        print(f"  {name}, fixed / adaptive: {median_range([a / max(b, 0.001) for a, b in pairs])}")
     report = [{policy: asdict(row) for policy, row in results.items()} for results in rounds]
     write_report("bench-blocking", {"seed": SEED.value, "rounds": report})
 
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -1,8 +1,8 @@
-"""Measures the time from publish to in force everywhere, and its control traffic.
+"""Measures the time from a publish until it is in force everywhere, and its control traffic.
 
-Run with `python -m agatecross_standins.bench.convergence --sizes=4,8,16,32`. The modes take turns
-in one run: `peers` is the product, `log` has every daemon read the log, `full` sends all documents
-on each change. Bytes are payload of control messages, both directions, over all daemons.
+Run with `python -m agatecross_standins.bench.convergence --sizes=4,8,16,32`. One run measures each
+mode: `peers` is the product, in `log` every daemon reads the log, and `full` sends all documents on
+each change. Bytes are the payload of control messages in both directions, over all daemons.
 """
 
 import json
@@ -26,22 +26,25 @@
 from .idle_fleet import EXAMPLE, control_bytes, running_fleet
 from .report import print_table, write_json
 
-SIZES = flags.DEFINE_list("sizes", ["4", "8", "16", "32"], "Numbers of daemons.")
-MODES = flags.DEFINE_list("modes", ["peers", "log", "full"], "Ways of distribution.")
-PUBLISHES = flags.DEFINE_integer("publishes", 6, "Publishes for each size and mode.")
+SIZES = flags.DEFINE_list("sizes", ["4", "8", "16", "32"], "Fleet sizes, in daemons.")
+MODES = flags.DEFINE_list("modes", ["peers", "log", "full"], "Distribution modes.")
+PUBLISHES = flags.DEFINE_integer("publishes", 6, "Number of publishes for each size and mode.")
 DOCUMENT_BYTES = flags.DEFINE_integer("document_bytes", 4096, "Size of each padded document.")
-SETTLE = flags.DEFINE_float("settle", 12.0, "Wait after the fleet has joined, in seconds.")
+SETTLE = flags.DEFINE_float("settle", 12.0, "Seconds to wait after the fleet has joined.")
 OUTPUT = flags.DEFINE_string("output", "build/bench-convergence.json", "Path of the JSON results.")
 
 IDLE_SECONDS = 4.0
-AFTER_SECONDS = 2.0
-POLL_SECONDS = 0.02
-LIMIT_SECONDS = 60.0
+AFTER_PUBLISH_SECONDS = 2.0
+POLL_INTERVAL_SECONDS = 0.02
+IN_FORCE_TIMEOUT_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class Convergence:
-    """Medians over the publishes of one fleet; `log_reads` counts reads until 2 s after."""
+    """Medians over the publishes of one fleet; `worst_seconds` is the maximum.
+
+    `log_reads` counts the reads from a publish until 2 s after it was in force everywhere.
+    """
 
     daemons: int
     mode: str
@@ -57,23 +60,23 @@
     record = PublishRecord(
         PublishId(uuid.uuid4().hex), Version(parent), RULE_SET_VERSION, tuple(documents), ()
     )
-    url = f"http://{fleet.log}/streams/{CONFIG_STREAM}/records"
+    url = f"http://{fleet.log_address}/streams/{CONFIG_STREAM}/records"
     status, _, body = fetch(url, "POST", encode_record(record))
     if status != 200:
         raise RuntimeError(f"append failed: {status} {body!r}")
 
 
-def padded(document: Document, mark: int) -> Document:
-    """Return the document with a comment that differs for each mark."""
-    line = f"# revision {mark:06d} {'.' * 60}\n"
+def pad_document(document: Document, revision: int) -> Document:
+    """Return the document padded with a comment that names the revision."""
+    line = f"# revision {revision:06d} {'.' * 60}\n"
     missing = max(0, DOCUMENT_BYTES.value - len(document.text))
     return Document(document.name, document.text + "\n" + line * (1 + missing // len(line)))
 
 
 def wait_in_force(fleet: Fleet, version: int) -> None:
-    """Return when every daemon has the version; asks only those that had an older one."""
+    """Wait until every daemon has the version, polling only the daemons that are behind."""
     waiting = list(fleet.nodes)
-    deadline = time.monotonic() + LIMIT_SECONDS
+    deadline = time.monotonic() + IN_FORCE_TIMEOUT_SECONDS
 
     def behind(node: Node) -> bool:
         return int(str(fleet.status(node)["version"])) < version
@@ -83,46 +86,46 @@
             if time.monotonic() > deadline:
                 raise TimeoutError(f"version {version} is not in force on {len(waiting)} daemons")
             rows = pool.map(behind, waiting)
-            waiting = [node for node, late in zip(waiting, rows, strict=True) if late]
-            time.sleep(POLL_SECONDS)
+            waiting = [node for node, is_behind in zip(waiting, rows, strict=True) if is_behind]
+            time.sleep(POLL_INTERVAL_SECONDS)
 
 
 def log_reads(fleet: Fleet) -> int:
-    """Return the reads that the log service has served."""
-    return int(json.loads(fetch(f"http://{fleet.log}/switches")[2])["reads"])
+    """Return the number of reads that the log service has served."""
+    return int(json.loads(fetch(f"http://{fleet.log_address}/switches")[2])["reads"])
 
 
 def measure(fleet: Fleet, mode: str) -> Convergence:
     """Publish one changed overlay at a time and return the medians."""
     documents = list(read_documents(Path(EXAMPLE)))
-    publish(fleet, [padded(document, 0) for document in documents], 1)
+    publish(fleet, [pad_document(document, 0) for document in documents], 1)
     wait_in_force(fleet, 2)
-    time.sleep(AFTER_SECONDS)
+    time.sleep(AFTER_PUBLISH_SECONDS)
     idle_from, started = sum(control_bytes(fleet)), time.monotonic()
     time.sleep(IDLE_SECONDS)
     idle_rate = (sum(control_bytes(fleet)) - idle_from) / (time.monotonic() - started)
     seconds, traffic, reads = [], [], []
-    for turn in range(PUBLISHES.value):
+    for number in range(PUBLISHES.value):
         before, reads_before, started = (
             sum(control_bytes(fleet)),
             log_reads(fleet),
             time.monotonic(),
         )
-        publish(fleet, [padded(documents[-1], turn + 1)], turn + 2)
-        wait_in_force(fleet, turn + 3)
+        publish(fleet, [pad_document(documents[-1], number + 1)], number + 2)
+        wait_in_force(fleet, number + 3)
         seconds.append(time.monotonic() - started)
-        time.sleep(AFTER_SECONDS)
+        time.sleep(AFTER_PUBLISH_SECONDS)
         reads.append(log_reads(fleet) - reads_before)
         idle = idle_rate * (time.monotonic() - started)
         traffic.append(sum(control_bytes(fleet)) - before - idle)
     kib = statistics.median(traffic) / 1024
     size = len(fleet.nodes)
-    middle, worst = statistics.median(seconds), max(seconds)
-    return Convergence(size, mode, middle, worst, kib, kib / size, statistics.median(reads))
+    median, worst = statistics.median(seconds), max(seconds)
+    return Convergence(size, mode, median, worst, kib, kib / size, statistics.median(reads))
 
 
 def main(argv: Sequence[str]) -> None:
-    """Measure each size and mode and print the table."""
+    """Measure each size and mode, print the table and write it as JSON."""
     del argv
     rows: list[dict[str, object]] = []
     for size in SIZES.value:
--- a/packages/agatecross-standins/agatecross_standins/bench/experiment.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/experiment.py
@@ -1,4 +1,4 @@
-"""Alternating rounds of variants, their ratios and the spread of the ratios."""
+"""Alternates rounds of variants and reports the ratios of their results with the spread."""
 
 import json
 import statistics
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Round:
-    """Figures of one variant in one round."""
+    """Results of one variant in one round."""
 
     variant: str
     number: int
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ratio:
-    """Quantile of the first variant divided by that of a baseline, over the rounds."""
+    """Quantile of one variant divided by that of a baseline, summarised over the rounds."""
 
     baseline: str
     quantile: str
@@ -31,13 +31,13 @@
     high: float
 
 
-def alternate(
+def alternate_variants(
     variants: Sequence[str], rounds: int, measure: Callable[[str, int], Summary]
 ) -> Iterator[Round]:
     """Yield one result of each variant in each round; the order rotates between rounds."""
     for number in range(rounds):
-        for place in range(len(variants)):
-            variant = variants[(place + number) % len(variants)]
+        for variant_index in range(len(variants)):
+            variant = variants[(variant_index + number) % len(variants)]
             yield Round(variant, number, measure(variant, number))
 
 
@@ -54,8 +54,8 @@
             yield Ratio(baseline, quantile, statistics.median(values), min(values), max(values))
 
 
-def report(name: str, facts: dict[str, object], rounds: Sequence[Round], variant: str) -> None:
-    """Print the figures and ratios and write them under build/."""
+def report(name: str, parameters: dict[str, object], rounds: Sequence[Round], variant: str) -> None:
+    """Print the results and ratios and write them as JSON to the build/ directory."""
     baselines = sorted({row.variant for row in rounds} - {variant})
     for row in rounds:
         s = row.summary
@@ -72,5 +72,9 @@
         )
     path = Path("build") / f"{name}.json"
     path.parent.mkdir(exist_ok=True)
-    data = {**facts, "rounds": [asdict(r) for r in rounds], "ratios": [asdict(r) for r in found]}
+    data = {
+        **parameters,
+        "rounds": [asdict(r) for r in rounds],
+        "ratios": [asdict(r) for r in found],
+    }
     path.write_text(json.dumps(data, indent=1), encoding="utf-8")
--- a/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/idle_fleet.py
@@ -1,4 +1,4 @@
-"""Starts daemons without upstream processes; a thread announces upstreams in their place."""
+"""Starts daemons without upstream processes; a thread announces an upstream to each of them."""
 
 import json
 import threading
@@ -15,20 +15,20 @@
     Site("sjaelland", "roskilde-b"),
 )
 EXAMPLE = "examples/lysknude"
-ANNOUNCE_SECONDS = 1.0
+ANNOUNCE_INTERVAL_SECONDS = 1.0
 SERVICE = "case-portal"
 
 
 @dataclass(slots=True)
 class Announcer:
-    """Announces an upstream to each daemon every second, in place of upstream processes."""
+    """Announces an upstream to each daemon every second, instead of upstream processes."""
 
     nodes: Sequence[Node]
     stopped: threading.Event = field(default_factory=threading.Event)
 
     def run(self) -> None:
         """Announce until stopped."""
-        while not self.stopped.wait(ANNOUNCE_SECONDS):
+        while not self.stopped.wait(ANNOUNCE_INTERVAL_SECONDS):
             for node in self.nodes:
                 self._announce(node)
 
@@ -41,14 +41,18 @@
             "state": "ready",
         }
         try:
-            fetch(f"http://{node.admin}/agatecross/v1/upstream", "PUT", json.dumps(body).encode())
+            fetch(
+                f"http://{node.admin_address}/agatecross/v1/upstream",
+                "PUT",
+                json.dumps(body).encode(),
+            )
         except OSError:
             return
 
 
 @contextmanager
 def running_fleet(size: int, extra_settings: str = "") -> Iterator[Fleet]:
-    """Start `size` daemons that know each other and have the example configuration in force."""
+    """Start `size` daemons that know each other and put the example configuration in force."""
     with Fleet(extra_settings=extra_settings) as fleet:
         for index in range(size):
             fleet.add_daemon(SITES[index % len(SITES)], SERVICE)
@@ -56,7 +60,7 @@
         threading.Thread(target=announcer.run, daemon=True).start()
         try:
             fleet.wait_joined(120)
-            result = fleet.cli("publish", EXAMPLE)
+            result = fleet.run_cli("publish", EXAMPLE)
             if result.returncode:
                 raise RuntimeError(f"publish failed: {result.stdout}{result.stderr}")
             fleet.wait_version(1)
@@ -66,7 +70,7 @@
 
 
 def control_bytes(fleet: Fleet) -> list[int]:
-    """Return the control bytes of each daemon since its start, both directions."""
+    """Return the control bytes that each daemon has sent and received since its start."""
     rows = [fleet.status(node) for node in fleet.nodes]
     return [
         int(str(row["control_sent_bytes"])) + int(str(row["control_received_bytes"]))
--- a/packages/agatecross-standins/agatecross_standins/faults/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/__main__.py
@@ -1,8 +1,8 @@
 """Runs a fleet under a seeded schedule of faults and checks its history.
 
 `python -m agatecross_standins.faults --seed=1 --seconds=30` prints counts and violations and exits
-with code 1 when there are any. The seed fixes the schedule and the calls; timing differs from run
-to run.
+with code 1 if there are any violations. The seed determines the schedule and the calls; timing
+differs from run to run.
 """
 
 import sys
@@ -17,7 +17,7 @@
 from .run import run_faults
 
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the schedule and of the calls.")
-SECONDS = flags.DEFINE_float("seconds", 30.0, "Time in which faults begin and end.")
+SECONDS = flags.DEFINE_float("seconds", 30.0, "Length of the fault schedule, in seconds.")
 
 
 def main(argv: Sequence[str]) -> None:
--- a/packages/agatecross-standins/agatecross_standins/faults/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -1,4 +1,4 @@
-"""Callers that send reads and bookings, and the watcher of versions."""
+"""Callers that send reads and bookings, and the thread that records versions in force."""
 
 import json
 import random
@@ -20,30 +20,30 @@
 )
 from .recorder import Recorder
 
-SERVICES = {"van-booking": "/vans", "case-portal": "/cases"}
-CALLERS = 8
-CALL_GAP_SECONDS = 0.04
+SERVICE_PATHS = {"van-booking": "/vans", "case-portal": "/cases"}
+CALLER_COUNT = 8
+MEAN_CALL_GAP_SECONDS = 0.04
 CALL_TIMEOUT_SECONDS = 8.0
-POLL_SECONDS = 0.1
+POLL_INTERVAL_SECONDS = 0.1
 
 
 class Callers:
-    """Sends reads, bookings with a key through several daemons, and bookings without one."""
+    """Sends reads and bookings; bookings with an idempotency key may go to several daemons."""
 
     def __init__(self, fleet: Fleet, recorder: Recorder, seed: int) -> None:
         self.fleet = fleet
         self.recorder = recorder
         self.seed = seed
         self.stop = threading.Event()
-        self.pool = ThreadPoolExecutor(4 * CALLERS)
+        self.pool = ThreadPoolExecutor(4 * CALLER_COUNT)
 
     def run(self, number: int) -> None:
-        """Send requests one after the other until stopped."""
+        """Send requests sequentially until stopped."""
         rng = random.Random(f"{self.seed}/{number}")
         count = 0
-        while not self.stop.wait(rng.expovariate(1 / CALL_GAP_SECONDS)):
+        while not self.stop.wait(rng.expovariate(1 / MEAN_CALL_GAP_SECONDS)):
             count += 1
-            request = f"{rng.choice(list(SERVICES.values()))}/{number}-{count}"
+            request = f"{rng.choice(list(SERVICE_PATHS.values()))}/{number}-{count}"
             times = 1
             method, key = "GET", ""
             if rng.random() < 0.6:
@@ -61,27 +61,29 @@
                 future.result()
 
     def send(self, node: Node, method: str, request: str, key: str) -> bool:
-        """Send one request and record what becomes of it; return whether it ran."""
+        """Send one request and record its outcome; return whether it ran."""
         call = uuid.uuid4().hex
-        add = self.recorder.events.append
+        record = self.recorder.events.append
         headers = {"X-Echo": request, **({"Idempotency-Key": key} if key else {})}
         body = None if method == "GET" else b"{}"
-        add(Sent(time.time(), call, request, node.name, method == "GET", key))
+        record(Sent(time.time(), call, request, node.name, method == "GET", key))
         try:
-            _, found, data = fetch(node.call + request, method, body, headers, CALL_TIMEOUT_SECONDS)
+            _, found, data = fetch(
+                node.call_url + request, method, body, headers, CALL_TIMEOUT_SECONDS
+            )
         except (ConnectionError, HTTPException):
-            add(Broken(time.time(), call))
+            record(Broken(time.time(), call))
             return False
         except (urllib.error.URLError, OSError):
-            add(UnknownOutcome(time.time(), call))
+            record(UnknownOutcome(time.time(), call))
             return False
         outcome = found.get("Agatecross-Outcome")
         if outcome == "not-run":
-            add(Refused(time.time(), call))
+            record(Refused(time.time(), call))
         elif outcome == "ran":
-            add(_answered(call, data))
+            record(_answered(call, data))
         else:
-            add(UnknownOutcome(time.time(), call))
+            record(UnknownOutcome(time.time(), call))
         return outcome == "ran"
 
 
@@ -92,19 +94,19 @@
         return Answered(time.time(), call, "", False)
 
 
-def watch_versions(fleet: Fleet, recorder: Recorder, stop: threading.Event) -> None:
+def record_versions(fleet: Fleet, recorder: Recorder, stop: threading.Event) -> None:
     """Record each change of the version in force at a daemon."""
     last: dict[str, tuple[int, str]] = {}
-    while not stop.wait(POLL_SECONDS):
+    while not stop.wait(POLL_INTERVAL_SECONDS):
         for node in fleet.nodes:
             try:
-                url = f"http://{node.admin}/agatecross/v1/status"
+                url = f"http://{node.admin_address}/agatecross/v1/status"
                 row = json.loads(fetch(url, timeout=0.5)[2])
             except (OSError, HTTPException, ValueError):
                 continue
-            # A daemon that has just started has no version and refuses every call.
+            # A daemon that has just started has version 0, none in force, and refuses every call.
             found = (int(row["version"]), str(row["digest"]))
             if found[0] and last.get(node.name) != found:
                 last[node.name] = found
                 recorder.events.append(InForce(time.time(), node.name, *found))
-                recorder.newest = max(recorder.newest, found[0])
+                recorder.newest_version = max(recorder.newest_version, found[0])
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -1,4 +1,4 @@
-"""Stand-in for the link between regions: delays, limits and cuts TCP connections.
+"""Stand-in for the link between regions: delays, rate-limits and interrupts TCP connections.
 
 Each `--pair=LISTEN=TARGET` forwards one port of 127.0.0.1 to another; all pairs share one rate for
 each direction. `PUT /switches` sets the switches, for example `{"cut": true}`; `GET /switches`
@@ -20,18 +20,18 @@
 MBIT = flags.DEFINE_float("mbit", 30.0, "Rate of each direction in Mbit/s.")
 
 CHUNK_BYTES = 16 * 1024
-QUEUE_CHUNKS = 256
+MAX_QUEUED_CHUNKS = 256
 
 
 @dataclass(slots=True)
 class Switches:
-    """While `cut` is set, nothing is carried and connections stay open without an answer."""
+    """While `cut` is set, nothing is forwarded, but connections are accepted and stay open."""
 
     cut: bool = False
 
 
 @dataclass(slots=True)
-class Carried:
+class CarriedBytes:
     """Payload bytes carried since the start."""
 
     forward: int = 0
@@ -39,33 +39,33 @@
 
 
 class Direction:
-    """One direction of the link: a shared rate and a fixed delay."""
+    """One direction of the link, with a rate shared by its connections and a fixed delay."""
 
     def __init__(self, bytes_per_second: float, delay: float) -> None:
         self.rate = bytes_per_second
         self.delay = delay
         self.free_at = 0.0
 
-    def arrival(self, size: int, now: float) -> float:
-        """Return when a chunk that is sent now arrives at the other end."""
+    def arrival_time(self, size: int, now: float) -> float:
+        """Return the time at which a chunk that is sent now arrives at the other end."""
         self.free_at = max(now, self.free_at) + size / self.rate
         return self.free_at + self.delay
 
 
 class Link:
-    """Forwards connections over two directions."""
+    """Forwards connections with a rate and a delay in each direction."""
 
     def __init__(self, mbit: float, delay_ms: float) -> None:
         rate, delay = mbit * 1e6 / 8, delay_ms / 1000
         self.forward = Direction(rate, delay)
         self.backward = Direction(rate, delay)
         self.switches = Switches()
-        self.carried = Carried()
+        self.carried = CarriedBytes()
         self.restored = asyncio.Event()
         self.restored.set()
 
-    def switch(self, changes: dict[str, object]) -> None:
-        """Set switches."""
+    def set_switches(self, changes: dict[str, object]) -> None:
+        """Set the given switches."""
         self.switches.cut = bool(changes.get("cut", self.switches.cut))
         if self.switches.cut:
             self.restored.clear()
@@ -73,47 +73,47 @@
             self.restored.set()
 
     async def serve(self, listen: int, target: int) -> None:
-        """Forward connections to one port."""
+        """Forward connections from one port to another."""
 
         async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._connect(target, reader, writer)
+            await self._forward_connection(target, reader, writer)
 
         await asyncio.start_server(accepted, "127.0.0.1", listen, backlog=512)
 
-    async def _connect(
+    async def _forward_connection(
         self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
             await self.restored.wait()
-            there_reader, there_writer = await asyncio.open_connection("127.0.0.1", target)
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", target)
         except OSError:
             writer.close()
             return
         await asyncio.gather(
-            self._pump(reader, there_writer, self.forward, "forward"),
-            self._pump(there_reader, writer, self.backward, "backward"),
+            self._forward_direction(reader, target_writer, self.forward, "forward"),
+            self._forward_direction(target_reader, writer, self.backward, "backward"),
         )
 
-    async def _pump(
+    async def _forward_direction(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
         name: str,
     ) -> None:
-        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_CHUNKS)
-        writing = asyncio.ensure_future(self._write(queue, writer))
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MAX_QUEUED_CHUNKS)
+        writing = asyncio.ensure_future(self._write_delayed(queue, writer))
         loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
                 setattr(self.carried, name, getattr(self.carried, name) + len(data))
-                await queue.put((direction.arrival(len(data), loop.time()), data))
+                await queue.put((direction.arrival_time(len(data), loop.time()), data))
         except OSError:
             pass
         await queue.put((loop.time() + direction.delay, b""))
         await writing
 
-    async def _write(
+    async def _write_delayed(
         self, queue: "asyncio.Queue[tuple[float, bytes]]", writer: asyncio.StreamWriter
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -131,12 +131,12 @@
     """Sets the switches and returns the bytes carried."""
 
     def initialize(self, link: Link) -> None:
-        """Take the link."""
+        """Store the link."""
         self.link = link
 
     def put(self) -> None:
         """Set the given switches."""
-        self.link.switch(json.loads(self.request.body))
+        self.link.set_switches(json.loads(self.request.body))
         self.finish({})
 
     def get(self) -> None:
@@ -158,7 +158,7 @@
 
 
 def main(argv: Sequence[str]) -> None:
-    """Start the link."""
+    """Start the link proxy."""
     del argv
     asyncio.run(serve(PORT.value, PAIRS.value, MBIT.value, DELAY_MS.value))
 
--- a/packages/agatecross-standins/agatecross_standins/load.py
+++ b/packages/agatecross-standins/agatecross_standins/load.py
@@ -1,4 +1,4 @@
-"""Open-loop load: calls start on a schedule, and waiting counts from the intended start."""
+"""Open-loop load: calls start on a schedule, and latency counts from the intended start."""
 
 import asyncio
 import random
@@ -13,11 +13,11 @@
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, Millis
 
-HIGHEST_MICROS = 120_000_000
+MAX_LATENCY_MICROS = 120_000_000
 
 
 @dataclass(frozen=True, slots=True)
-class Planned:
+class PlannedCall:
     """A call to send `at` seconds after the start of the run."""
 
     at: float
@@ -29,9 +29,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """What became of a planned call; latency from its intended start."""
+    """Result of a planned call; the latency counts from its intended start."""
 
-    planned: Planned
+    planned: PlannedCall
     latency_ms: float
     status: int
     outcome: str
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """Figures of a set of samples; latencies in milliseconds of the calls that ran."""
+    """Statistics of a set of samples; latencies of the calls that ran, in milliseconds."""
 
     calls: int
     ran: int
@@ -52,15 +52,15 @@
 
 
 def poisson_times(rate: float, seconds: float, rng: random.Random) -> Iterator[float]:
-    """Yield start times with exponential gaps; `rate` in calls per second."""
+    """Yield the start times of a Poisson process; `rate` in calls per second."""
     at = rng.expovariate(rate)
     while at < seconds:
         yield at
         at += rng.expovariate(rate)
 
 
-async def run_load(plan: Iterable[Planned]) -> list[Sample]:
-    """Send each call at its time, whatever became of the others."""
+async def run_load(plan: Iterable[PlannedCall]) -> list[Sample]:
+    """Send each call at its time, independently of the other calls."""
     client = TornadoHttpClient(max_idle=1024)
     start = time.monotonic()
     tasks: list[asyncio.Task[Sample]] = []
@@ -74,7 +74,7 @@
     return list(samples)
 
 
-async def _send(client: TornadoHttpClient, planned: Planned, start: float) -> Sample:
+async def _send(client: TornadoHttpClient, planned: PlannedCall, start: float) -> Sample:
     status, outcome, body = 0, "no-answer", b""
     try:
         response = await client.send(planned.address, planned.request, planned.timeout)
@@ -87,8 +87,8 @@
 
 
 def summarise(samples: Sequence[Sample]) -> Summary:
-    """Count outcomes and take the quantiles of the calls that ran."""
-    histogram = HdrHistogram(1, HIGHEST_MICROS, 3)
+    """Count the outcomes and compute the latency quantiles of the calls that ran."""
+    histogram = HdrHistogram(1, MAX_LATENCY_MICROS, 3)
     ran = [sample for sample in samples if sample.outcome == "ran"]
     for sample in ran:
         histogram.record_value(max(1, int(sample.latency_ms * 1000)))
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -1,7 +1,7 @@
-"""Stand-in for the platform's log service, with switches for its failures.
+"""Stand-in for the platform's log service, with switches that simulate its failures.
 
-HTTP interface: `POST /streams/{name}/records` appends the body and answers `{"offset": n}`;
-`GET /streams/{name}/records?start=&limit=&wait_ms=` answers a page; `PUT /switches` sets the
+HTTP interface: `POST /streams/{name}/records` appends the body and returns `{"offset": n}`;
+`GET /streams/{name}/records?start=&limit=&wait_ms=` returns a page; `PUT /switches` sets the
 switches, for example `{"outage": true}`.
 """
 
@@ -19,8 +19,12 @@
 from tornado.web import Application, RequestHandler
 
 PORT = flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
-RETENTION_RECORDS = flags.DEFINE_integer("retention_records", 100_000, "Records kept per stream.")
-APPENDS_PER_SECOND = flags.DEFINE_float("appends_per_second", 500.0, "Limit on appends.")
+RETENTION_RECORDS = flags.DEFINE_integer(
+    "retention_records", 100_000, "Records retained per stream."
+)
+APPENDS_PER_SECOND = flags.DEFINE_float(
+    "appends_per_second", 500.0, "Rate limit of appends over all streams."
+)
 
 BURST_SECONDS = 0.5
 
@@ -41,7 +45,11 @@
 
 @dataclass(slots=True)
 class Switches:
-    """Failures to show: all requests fail; the next appends are applied but not answered."""
+    """Failures to simulate.
+
+    During an `outage` all requests fail; the next `lose_answers` appends are applied, but their
+    connection is closed without a response.
+    """
 
     outage: bool = False
     lose_answers: int = 0
@@ -57,7 +65,7 @@
         self.switches = switches
         self.rate = appends_per_second
         self.tokens = appends_per_second * BURST_SECONDS
-        self.filled_at = time.monotonic()
+        self.refilled_at = time.monotonic()
         self.counts = {"appends": 0, "reads": 0, "limited": 0}
 
     def stream(self, name: str) -> Stream:
@@ -65,11 +73,11 @@
         return self.streams.setdefault(name, Stream())
 
     def take_token(self) -> bool:
-        """Take one append from the rate limit."""
+        """Take a token for one append from the rate limit; return whether there was one."""
         now = time.monotonic()
         limit = self.rate * BURST_SECONDS
-        self.tokens = min(limit, self.tokens + (now - self.filled_at) * self.rate)
-        self.filled_at = now
+        self.tokens = min(limit, self.tokens + (now - self.refilled_at) * self.rate)
+        self.refilled_at = now
         if self.tokens < 1:
             self.counts["limited"] += 1
             return False
@@ -93,7 +101,7 @@
     """Base of the handlers that fail during an outage."""
 
     def initialize(self, state: LogState) -> None:
-        """Take the shared state."""
+        """Store the shared state."""
         self.state = state
 
     async def prepare(self) -> None:
@@ -105,10 +113,10 @@
 
 
 class RecordsHandler(LogHandler):
-    """Appends and reads."""
+    """Appends records to a stream and reads them."""
 
     def post(self, name: str) -> None:
-        """Append the body."""
+        """Append the body as one record."""
         if not self.state.take_token():
             self.send_error(429)
             return
@@ -120,7 +128,7 @@
         self.finish({"offset": offset})
 
     async def get(self, name: str) -> None:
-        """Return a page, waiting for a first record when there is none."""
+        """Return a page; if it would be empty, wait for a record up to `wait_ms`."""
         start = int(self.get_query_argument("start", "0"))
         limit = int(self.get_query_argument("limit", "100"))
         wait = int(self.get_query_argument("wait_ms", "0"))
@@ -145,7 +153,7 @@
     """Sets the switches; works during an outage."""
 
     def initialize(self, state: LogState) -> None:
-        """Take the shared state."""
+        """Store the shared state."""
         self.state = state
 
     def put(self) -> None:
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -1,4 +1,4 @@
-"""Stand-in for an upstream on the users' platform, with a script of faults for its answers."""
+"""Stand-in for an upstream on the users' platform, whose responses can be scripted to be faulty."""
 
 import asyncio
 import json
@@ -13,13 +13,13 @@
 from agatecross_core.calls.model import Request
 from agatecross_core.ids import Address, Millis
 
-from .endless import Endless, EndlessWriter
+from .endless import EndlessPart, EndlessWriter
 
 HEARTBEAT_TIMEOUT = Millis(2_000)
 
 
 class Answer(Enum):
-    """How one request is answered; `HOLD` waits until the upstream is released."""
+    """How one request is answered; `HOLD` waits until `released` is set on the upstream."""
 
     WHOLE = "whole"
     ERROR = "error"
@@ -35,57 +35,59 @@
     CRASH = "crash"
 
 
-Script = Answer | Endless | bytes
-"""How one request is answered; bytes are written as they are."""
+ScriptedAnswer = Answer | EndlessPart | bytes
+"""How one request is answered; bytes are written unchanged."""
 
 
 class PlatformUpstream:
-    """Serves requests, counts the runs of each id, and describes itself to its daemon."""
+    """Serves requests, counts the runs of each request id, and sends heartbeats to its daemon."""
 
     def __init__(self, name: str, service: str, born: int = 1) -> None:
         self.name = name
         self.service = service
         self.born = born
         self.sequence = 0
-        self.script: deque[Script] = deque()
+        self.script: deque[ScriptedAnswer] = deque()
         self.trickles = False
         self.work_seconds = 0.0
         self.body_bytes = 0
         self.runs: Counter[str] = Counter()
         self.run_times: list[tuple[float, str]] = []
-        self.seen: list[dict[str, str]] = []
+        self.received_requests: list[dict[str, str]] = []
         self.released = asyncio.Event()
         self.server: asyncio.Server | None = None
-        self.connections: set[UpstreamSide] = set()
+        self.connections: set[PlatformUpstreamConnection] = set()
         self.address = Address("")
 
     async def listen(self) -> Address:
-        """Start to serve, again at the same address after a crash, and return the address."""
+        """Start serving and return the address; after a crash it is the same as before."""
         loop = asyncio.get_running_loop()
         port = int(self.address.rpartition(":")[2] or 0)
-        self.server = await loop.create_server(lambda: UpstreamSide(self), "127.0.0.1", port)
+        self.server = await loop.create_server(
+            lambda: PlatformUpstreamConnection(self), "127.0.0.1", port
+        )
         self.address = Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
         return self.address
 
     def crash(self) -> None:
-        """Stop to serve and reset every connection."""
+        """Stop serving and reset every connection."""
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
             connection.transport.abort()
 
     async def restart(self) -> None:
-        """Start again under the same id, with nothing known of before."""
+        """Start again under the same id as a new incarnation, with the sequence starting over."""
         self.born += 1
         self.sequence = 0
         await self.listen()
 
-    def plan(self, answers: Iterable[Script]) -> None:
-        """Answer the next requests like this, later ones whole."""
+    def queue_answers(self, answers: Iterable[ScriptedAnswer]) -> None:
+        """Queue answers for the next requests; requests after them get a complete response."""
         self.script.extend(answers)
 
     async def heartbeat(self, daemon: Address, state: str = "ready", **changes: object) -> int:
-        """Describe itself to its daemon and return the status of the answer."""
+        """Send a heartbeat to the daemon and return the status of its response."""
         self.sequence += 1
         fields: dict[str, object] = {
             "service": self.service,
@@ -98,10 +100,12 @@
             "sequence": self.sequence,
             "born": self.born,
         }
-        return await self.tell(daemon, "heartbeat", json.dumps({**fields, **changes}).encode())
+        return await self.send_announcement(
+            daemon, "heartbeat", json.dumps({**fields, **changes}).encode()
+        )
 
-    async def tell(self, daemon: Address, action: str, body: bytes) -> int:
-        """Send one announcement and return the status of the answer."""
+    async def send_announcement(self, daemon: Address, action: str, body: bytes) -> int:
+        """Send one announcement to the daemon and return the status of its response."""
         path = f"/-/instances/{self.name}/{action}"
         http = TornadoHttpClient()
         response = await http.send(daemon, Request("POST", path, (), body), HEARTBEAT_TIMEOUT)
@@ -109,8 +113,8 @@
         return response.status
 
 
-class UpstreamSide(asyncio.Protocol):
-    """One accepted connection."""
+class PlatformUpstreamConnection(asyncio.Protocol):
+    """One accepted connection; parses requests and writes the scripted responses."""
 
     transport: asyncio.Transport
 
@@ -121,7 +125,7 @@
         self.target = b""
         self.body = b""
         self.endless: EndlessWriter | None = None
-        self.holding: set[asyncio.Task[None]] = set()
+        self.held_answers: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -130,18 +134,18 @@
         self.owner.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the connection and what it held."""
+        """Unregister the connection and cancel its held answers."""
         self.owner.connections.discard(self)
-        for holding in self.holding:
-            holding.cancel()
+        for held_answer in self.held_answers:
+            held_answer.cancel()
 
     def pause_writing(self) -> None:
-        """Stop an endless answer while it is not read."""
+        """Pause an endless response while the peer does not read it."""
         if self.endless is not None:
             self.endless.pause()
 
     def resume_writing(self) -> None:
-        """Go on with an endless answer."""
+        """Continue an endless response."""
         if self.endless is not None:
             self.endless.resume()
 
@@ -154,11 +158,11 @@
         self.fields, self.target, self.body = {}, b"", b""
 
     def on_url(self, url: bytes) -> None:
-        """Collect the target."""
+        """Collect the request target."""
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a field."""
+        """Collect a header field."""
         self.fields[name.decode().lower()] = value.decode()
 
     def on_body(self, body: bytes) -> None:
@@ -166,42 +170,42 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Run the request, or do not run it, as the script says."""
+        """Run or refuse the request, as the expected instance and the script demand."""
         owner = self.owner
         fields = {**self.fields, ":target": self.target.decode(), ":body": self.body.decode()}
-        owner.seen.append(fields)
+        owner.received_requests.append(fields)
         expected = self.fields.get("x-expect-instance", owner.name)
         if expected != owner.name:
-            self._write(421, b"", extra=b"x-instance-id: " + owner.name.encode() + b"\r\n")
+            self._write_response(421, b"", extra=b"x-instance-id: " + owner.name.encode() + b"\r\n")
             return
         answer = owner.script.popleft() if owner.script else Answer.WHOLE
         call_id = self.fields.get("x-request-id", "")
         if answer is Answer.SHED:
-            self._write(503, b"", extra=b"x-not-run: 1\r\n")
+            self._write_response(503, b"", extra=b"x-not-run: 1\r\n")
             return
         owner.runs[call_id] += 1
         owner.run_times.append((time.monotonic(), call_id))
-        self._run(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
+        self._respond(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
 
-    def _run(self, answer: Script, body: bytes) -> None:
+    def _respond(self, answer: ScriptedAnswer, body: bytes) -> None:
         stamp = b"x-response-stamp: s\r\n"
         match answer:
             case Answer.WHOLE if self.owner.work_seconds:
                 call_id = self.fields.get("x-request-id", "").encode()
                 asyncio.get_running_loop().call_later(
-                    self.owner.work_seconds, self._write, 200, body, stamp, call_id
+                    self.owner.work_seconds, self._write_response, 200, body, stamp, call_id
                 )
             case Answer.WHOLE:
-                self._write(200, body, stamp)
+                self._write_response(200, body, stamp)
             case Answer.ERROR:
-                self._write(500, body, stamp)
+                self._write_response(500, body, stamp)
             case Answer.RESET:
                 self.transport.abort()
             case Answer.CRASH:
                 self.owner.crash()
             case Answer.EXTRA:
-                self._write(200, body, stamp)
-                self._write(200, b"extra", stamp)
+                self._write_response(200, body, stamp)
+                self._write_response(200, b"extra", stamp)
             case Answer.GARBLED:
                 self.transport.write(b"\x00\x01 these bytes are no response\r\n\r\n")
             case Answer.TRUNCATED:
@@ -213,25 +217,27 @@
                 self.transport.write(b"HTTP/1.1 200 OK\r\n" + stamp + b"\r\n" + body)
                 self.transport.close()
             case Answer.UNSTAMPED:
-                self._write(200, body, b"")
+                self._write_response(200, body, b"")
             case Answer.ENCODED:
-                self._write(200, body, stamp + b"content-encoding: gzip\r\n")
-            case Endless():
+                self._write_response(200, body, stamp + b"content-encoding: gzip\r\n")
+            case EndlessPart():
                 self.endless = EndlessWriter(self.transport, answer, self.owner.trickles)
                 self.endless.start()
             case bytes():
                 self.transport.write(answer)
             case _:
-                holding = asyncio.ensure_future(self._hold(body, stamp))
-                self.holding.add(holding)
-                holding.add_done_callback(self.holding.discard)
+                held_answer = asyncio.ensure_future(self._respond_when_released(body, stamp))
+                self.held_answers.add(held_answer)
+                held_answer.add_done_callback(self.held_answers.discard)
 
-    async def _hold(self, body: bytes, stamp: bytes) -> None:
+    async def _respond_when_released(self, body: bytes, stamp: bytes) -> None:
         call_id = self.fields.get("x-request-id", "").encode()
         await self.owner.released.wait()
-        self._write(200, body, stamp, call_id)
+        self._write_response(200, body, stamp, call_id)
 
-    def _write(self, status: int, body: bytes, extra: bytes, call_id: bytes | None = None) -> None:
+    def _write_response(
+        self, status: int, body: bytes, extra: bytes, call_id: bytes | None = None
+    ) -> None:
         if self.transport.is_closing():
             return
         echoed = self.fields.get("x-request-id", "").encode() if call_id is None else call_id
--- a/packages/agatecross-standins/agatecross_standins/soak/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -1,9 +1,9 @@
-"""Soaks a fleet under seeded faults and checks what callers and upstreams saw.
+"""Runs a fleet under seeded faults and checks what callers and upstreams observed.
 
-`python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=10` prints a line for each seed and
-its violations, and exits with code 1 when there are any; `--regressions` adds the seeds that failed
-once, `--known_red` names a listing of seeds that may fail. The seed fixes the schedule and the
-calls; timing differs from run to run.
+`python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=10` prints one line per seed and
+its violations, and exits with code 1 if there are any. `--regressions` adds the seeds that have
+failed before, and `--known_red` names a file that lists seeds whose failure is known. The seed
+determines the schedule and the calls; timing differs from run to run.
 """
 
 import asyncio
@@ -15,20 +15,22 @@
 from absl import app, flags
 
 from .known_red import known_red_seeds
-from .regressions import REGRESSIONS
-from .run import soak
+from .regressions import REGRESSION_SEEDS
+from .run import run_soak
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
-SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds, one after the other.")
-REGRESSION_RUNS = flags.DEFINE_bool("regressions", False, "Also run the seeds that failed once.")
-SECONDS = flags.DEFINE_float("seconds", 10.0, "Time in which faults begin and end.")
+SEEDS = flags.DEFINE_integer("seeds", 1, "Number of consecutive seeds, run in sequence.")
+REGRESSION_RUNS = flags.DEFINE_bool(
+    "regressions", False, "Also run the seeds that have failed before."
+)
+SECONDS = flags.DEFINE_float("seconds", 10.0, "Length of the fault schedule, in seconds.")
 RECOVER = flags.DEFINE_float(
-    "recover", 15.0, "Time to serve again after the last fault; the platform allows 15 s."
+    "recover", 15.0, "Seconds to recover after the last fault; the platform allows 15 s."
 )
 KNOWN_RED = flags.DEFINE_string(
     "known_red", None, "File that lists seeds whose violations are printed but not counted."
 )
-LOGS = flags.DEFINE_string("logs", None, "Folder for the daemons' logs; kept.")
+LOGS = flags.DEFINE_string("logs", None, "Directory for the daemons' logs; not deleted.")
 
 
 def main(argv: Sequence[str]) -> None:
@@ -37,13 +39,13 @@
     failed = 0
     seeds = list(range(SEED.value, SEED.value + SEEDS.value))
     if REGRESSION_RUNS.value:
-        seeds += [seed for seed in REGRESSIONS if seed not in seeds]
+        seeds += [seed for seed in REGRESSION_SEEDS if seed not in seeds]
     listing = Path(KNOWN_RED.value).read_text(encoding="utf-8") if KNOWN_RED.value else ""
     known_red = known_red_seeds(listing)
     for seed in seeds:
         folder = Path(LOGS.value or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(soak(seed, SECONDS.value, RECOVER.value, folder))
+        result = asyncio.run(run_soak(seed, SECONDS.value, RECOVER.value, folder))
         print(f"seed {seed}: {result.summary}; logs in {folder}", flush=True)
         for text in result.violations:
             print(f"  {text}", flush=True)
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -1,4 +1,4 @@
-"""What callers saw of their requests."""
+"""Records of what callers, upstreams and daemons did during a soak."""
 
 from dataclasses import dataclass, field
 from enum import Enum
@@ -6,7 +6,7 @@
 from agatecross_core.ids import CallId
 
 
-class Seen(Enum):
+class RequestOutcome(Enum):
     """How a request ended for its caller."""
 
     ANSWERED = "answered"
@@ -17,46 +17,50 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
-    """One request; times on the monotonic clock in seconds."""
+class RequestRecord:
+    """One request and its outcome; times on the monotonic clock in seconds."""
 
     call_id: CallId
     node: int
-    once: bool
-    begun: float
-    ended: float
-    seen: Seen
+    at_most_once: bool
+    started_at: float
+    ended_at: float
+    outcome: RequestOutcome
     status: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Left:
-    """An upstream whose leaving was confirmed at `at`, and when it began runs."""
+class ConfirmedLeave:
+    """An upstream whose leave was confirmed, with the start times and call ids of its runs."""
 
     name: str
-    at: float
+    confirmed_at: float
     run_times: tuple[tuple[float, str], ...]
 
 
 @dataclass(frozen=True, slots=True)
-class VersionSeen:
-    """A version in force on a daemon; `start` counts the starts of its process."""
+class VersionObservation:
+    """A version in force on a daemon whose process had been restarted `restarts` times."""
 
     node: int
-    start: int
+    restarts: int
     version: int
 
 
 @dataclass(slots=True)
 class History:
-    """Everything that was seen in a run."""
+    """Everything recorded in one run.
 
-    asked: list[Asked] = field(default_factory=list)
-    left: list[Left] = field(default_factory=list)
-    versions: list[VersionSeen] = field(default_factory=list)
+    `graceful_stops` and `disturbances` hold the node number with the start and the end of the
+    interval; the number -1 in a disturbance stands for every node.
+    """
+
+    requests: list[RequestRecord] = field(default_factory=list)
+    leaves: list[ConfirmedLeave] = field(default_factory=list)
+    versions: list[VersionObservation] = field(default_factory=list)
     runs: dict[str, int] = field(default_factory=dict)
     exits: list[tuple[int, int]] = field(default_factory=list)
-    terms: list[tuple[int, float, float]] = field(default_factory=list)
-    disturbed: list[tuple[int, float, float]] = field(default_factory=list)
-    settled: list[Asked] = field(default_factory=list)
+    graceful_stops: list[tuple[int, float, float]] = field(default_factory=list)
+    disturbances: list[tuple[int, float, float]] = field(default_factory=list)
+    final_requests: list[RequestRecord] = field(default_factory=list)
     tracebacks: list[str] = field(default_factory=list)
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -1,4 +1,4 @@
-"""The fleet of a soak: daemons as processes, and stand-ins of the store and the upstreams."""
+"""The fleet of a soak: daemon processes, and stand-ins for the store and the upstreams."""
 
 import asyncio
 import contextlib
@@ -19,7 +19,7 @@
 from ..ports import PortPool
 from .proxy import FaultyLink
 
-PLACES = (
+DAEMON_SITES = (
     ("north", "north-a", "s0"),
     ("north", "north-a", "s1"),
     ("north", "north-b", "s0"),
@@ -27,8 +27,8 @@
     ("south", "south-a", "s0"),
     ("south", "south-b", "s1"),
 )
-HEARTBEAT_SECONDS = 0.5
-GRACE_SECONDS = 4.0
+HEARTBEAT_INTERVAL_SECONDS = 0.5
+SHUTDOWN_GRACE_SECONDS = 4.0
 WORK_SECONDS = 0.02
 SETTINGS = """
 [sidecar]
@@ -64,34 +64,34 @@
     number: int
     upstream: PlatformUpstream
     addresses: dict[str, str]
-    settings: Path
-    log: Path
+    settings_path: Path
+    log_path: Path
     peers_link: FaultyLink = field(default_factory=FaultyLink)
     upstream_link: FaultyLink = field(default_factory=FaultyLink)
     store_link: FaultyLink = field(default_factory=FaultyLink)
     process: "subprocess.Popen[bytes] | None" = None
     process_descriptor: int = -1
     stopping: bool = False
-    ended: list[int] = field(default_factory=list)
+    exit_codes: list[int] = field(default_factory=list)
 
     @property
-    def callers(self) -> Address:
+    def caller_address(self) -> Address:
         """Return the address for callers."""
         return Address(self.addresses["callers"])
 
     @property
-    def runs(self) -> bool:
-        """Return whether the process was not seen to end."""
+    def is_running(self) -> bool:
+        """Return whether a process was started and its exit was not observed yet."""
         return self.process_descriptor >= 0
 
-    def started(self, process: "subprocess.Popen[bytes]") -> None:
-        """Take a new process."""
+    def attach_process(self, process: "subprocess.Popen[bytes]") -> None:
+        """Take over a newly started process."""
         self.process = process
         self.process_descriptor = os.pidfd_open(process.pid)
         self.stopping = False
 
-    async def wait(self) -> None:
-        """Wait until the process has ended, and note its exit code."""
+    async def wait_for_exit(self) -> None:
+        """Wait until the process has exited and record its exit code."""
         loop, descriptor = asyncio.get_running_loop(), self.process_descriptor
         ended = asyncio.Event()
         loop.add_reader(descriptor, ended.set)
@@ -102,44 +102,47 @@
         self.reap()
 
     def reap(self) -> None:
-        """Take the exit code of the process, which has ended."""
+        """Record the exit code of the process, waiting for its exit."""
         if self.process is not None and self.process_descriptor >= 0:
             os.close(self.process_descriptor)
             self.process_descriptor = -1
-            self.ended.append(self.process.wait())
+            self.exit_codes.append(self.process.wait())
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the running process, which leaves its exit code to `wait`."""
+        """Send a signal to the running process without reaping it.
+
+        The exit code is left to `wait_for_exit`.
+        """
         if self.process_descriptor >= 0:
             with contextlib.suppress(ProcessLookupError):
                 signal.pidfd_send_signal(self.process_descriptor, number)
 
 
 class SoakFleet:
-    """Starts, watches and ends the processes; only those that it started."""
+    """Starts, monitors and ends the processes of the fleet, and no others."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, log_directory: Path) -> None:
+        self.log_directory = log_directory
         self.store = PlatformStoreStandIn()
         self.ports = PortPool()
         self.nodes: list[Node] = []
         self.version = Version(0)
-        self.retired: list[PlatformUpstream] = []
+        self.replaced_upstreams: list[PlatformUpstream] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.closing = False
 
     async def start(self) -> None:
-        """Start everything and wait until each daemon answers calls."""
+        """Start the store, the upstreams and the tasks that run the daemons."""
         store = self.store.listen()
         self.publish()
-        for number in range(len(PLACES)):
-            await self._add(number, store)
+        for number in range(len(DAEMON_SITES)):
+            await self._add_node(number, store)
         for node in self.nodes:
-            self.tasks.append(asyncio.ensure_future(self._keep_running(node)))
-            self.tasks.append(asyncio.ensure_future(self._announce(node)))
+            self.tasks.append(asyncio.ensure_future(self._restart_on_exit(node)))
+            self.tasks.append(asyncio.ensure_future(self._send_heartbeats(node)))
 
     async def close(self) -> None:
-        """End everything."""
+        """End every process and stop the stand-ins."""
         self.closing = True
         for task in self.tasks:
             task.cancel()
@@ -155,39 +158,41 @@
         self.ports.close()
 
     def publish(self) -> None:
-        """Write the next version; it has a route of its own."""
+        """Write the next configuration version, which adds a route named after it."""
         self.version = Version(self.version + 1)
         marker = (f"/v{self.version}/", "safe", "s1")
-        self.store.put("keyed.op", "config", config_record(self.version, (marker,)))
+        self.store.append_record("keyed.op", "config", config_record(self.version, (marker,)))
 
     async def replace_upstream(self, node: Node) -> None:
-        """Put a new upstream, under a new name, behind the same daemon."""
+        """Replace the upstream of a daemon by a new one with another name."""
         old = node.upstream
-        self.retired.append(old)
+        self.replaced_upstreams.append(old)
         old.crash()
-        node.upstream = self._upstream(f"{old.name}x", old.service)
+        node.upstream = self._new_upstream(f"{old.name}x", old.service)
         node.upstream.born = old.born + 1
         node.upstream_link.target = await node.upstream.listen()
         node.upstream.address = Address(node.addresses["upstream"])
 
-    def _upstream(self, name: str, service: str) -> PlatformUpstream:
+    def _new_upstream(self, name: str, service: str) -> PlatformUpstream:
         upstream = PlatformUpstream(name, service, 1_000)
         upstream.work_seconds = WORK_SECONDS
         return upstream
 
-    async def _add(self, number: int, store: Address) -> None:
-        region, data_centre, service = PLACES[number]
+    async def _add_node(self, number: int, store: Address) -> None:
+        region, data_centre, service = DAEMON_SITES[number]
         names = ("callers", "peers", "ready", "heartbeats", "metrics")
         ports = self.ports.reserve(len(names))
         addresses = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
-        settings = self.folder / f"d{number}.toml"
-        upstream = self._upstream(f"u{number}", service)
-        node = Node(number, upstream, addresses, settings, self.folder / f"d{number}.log")
+        settings_path = self.log_directory / f"d{number}.toml"
+        upstream = self._new_upstream(f"u{number}", service)
+        node = Node(
+            number, upstream, addresses, settings_path, self.log_directory / f"d{number}.log"
+        )
         node.upstream_link.target = await upstream.listen()
         node.peers_link.target = Address(addresses["peers"])
         node.store_link.target = store
         addresses["announced"] = await node.peers_link.listen()
-        # The daemon and the upstream know the upstream by the address of its proxy.
+        # The daemon is configured with, and the upstream announces, the address of the proxy.
         addresses["upstream"] = upstream.address = await node.upstream_link.listen()
         text = SETTINGS.format(
             number=number,
@@ -197,35 +202,35 @@
             store=await node.store_link.listen(),
             **addresses,
         )
-        settings.write_text(text, encoding="utf-8")
+        settings_path.write_text(text, encoding="utf-8")
         self.nodes.append(node)
 
-    async def _keep_running(self, node: Node) -> None:
-        """Start the daemon of a node again whenever it has ended, and note its exit code."""
+    async def _restart_on_exit(self, node: Node) -> None:
+        """Start the daemon of a node, restart it after each exit and record the exit codes."""
         while not self.closing:
-            node.started(_spawn(node))
-            await node.wait()
+            node.attach_process(_spawn_daemon(node))
+            await node.wait_for_exit()
 
-    async def _announce(self, node: Node) -> None:
+    async def _send_heartbeats(self, node: Node) -> None:
         while True:
             try:
                 await node.upstream.heartbeat(Address(node.addresses["heartbeats"]))
             except ExchangeError:
-                # The daemon is down or paused; the next heartbeat tells it the same.
+                # The daemon is down or paused; the next heartbeat repeats the announcement.
                 await asyncio.sleep(0)
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
 
-def _spawn(node: Node) -> "subprocess.Popen[bytes]":
-    """Start the daemon of a node, with its signals blocked until it takes them over.
+def _spawn_daemon(node: Node) -> "subprocess.Popen[bytes]":
+    """Start the daemon of a node with signals blocked until the daemon handles them.
 
-    Before, in the start of the interpreter, each would end the process, whatever the daemon does;
-    beside other work that took up to a second.
+    Without the block, a signal during the start of the interpreter would end the process before
+    the daemon can install its handlers. On a busy machine this start took up to a second.
     """
-    command = [sys.executable, "-m", "agatecross_daemon", f"--settings={node.settings}"]
+    command = [sys.executable, "-m", "agatecross_daemon", f"--settings={node.settings_path}"]
     before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     try:
-        with node.log.open("ab") as log:
-            return subprocess.Popen(command, stdout=log, stderr=log)
+        with node.log_path.open("ab") as log_file:
+            return subprocess.Popen(command, stdout=log_file, stderr=log_file)
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, before)
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -1,18 +1,18 @@
-"""Seeded schedule of faults; they come in series and overlap."""
+"""Seeded schedule of faults, which can overlap and come in series on several nodes."""
 
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
-FAULT_GAP_SECONDS = 0.7
-SHORTEST_SECONDS = 0.3
-LONGEST_SECONDS = 4.0
-SERIES_SHARE = 0.25
+MEAN_FAULT_GAP_SECONDS = 0.7
+MIN_FAULT_SECONDS = 0.3
+MAX_FAULT_SECONDS = 4.0
+SERIES_PROBABILITY = 0.25
 
 
 class FaultKind(Enum):
-    """What is done, and to what."""
+    """Kind of fault and what it affects."""
 
     KILL = "kill"
     HERD_KILL = "herd-kill"
@@ -37,28 +37,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """One fault on a node from `at` for `lasts` seconds after the start of the run."""
+    """One fault on a node; it begins `at` seconds after the start of the run."""
 
     at: float
-    lasts: float
+    duration_seconds: float
     kind: FaultKind
     node: int
 
 
 def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
-    """Yield faults in order of time; a quarter of them come as a series on several nodes."""
+    """Yield faults; about a quarter of the draws become a series on several nodes.
+
+    The draws are in order of time, but the faults of a series may start after those of the next.
+    """
     rng = random.Random(seed)
     at = 0.0
     while True:
-        at += rng.expovariate(1 / FAULT_GAP_SECONDS)
+        at += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
         kind = rng.choice(list(FaultKind))
-        lasts = rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
-        count = rng.randint(2, nodes) if rng.random() < SERIES_SHARE else 1
+        duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        count = rng.randint(2, nodes) if rng.random() < SERIES_PROBABILITY else 1
         first = rng.randrange(nodes)
         gap = rng.uniform(0.0, 0.5)
         if at > seconds:
             return
-        if at + lasts + count * gap > seconds:
+        if at + duration_seconds + count * gap > seconds:
             continue
         for step in range(count):
-            yield Fault(at + step * gap, lasts, kind, (first + step) % nodes)
+            yield Fault(at + step * gap, duration_seconds, kind, (first + step) % nodes)
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -1,9 +1,9 @@
-"""Stand-in for an upstream: slots, delays and announced state, with switches for its failures.
+"""Stand-in for an upstream with slots, delays and an announced state, and switches for failures.
 
-It announces itself each second to the daemon next to it (`PUT /agatecross/v1/upstream`), answers
-every call with its own name and the call's id, and records each execution. `PUT /switches` sets
-the switches; `GET /executions` returns the recorded executions and the ids of the calls that
-completed or were cancelled by a closed connection.
+It announces itself to its daemon each second (`PUT /agatecross/v1/upstream`), answers every call
+with its own address and the id of the call, and records each execution. `PUT /switches` sets the
+switches; `GET /executions` returns the recorded executions and the ids of the calls that completed
+or were cancelled because their connection was closed.
 """
 
 import asyncio
@@ -23,22 +23,26 @@
 PORT = flags.DEFINE_integer("port", None, "Port on 127.0.0.1.", required=True)
 ADMIN = flags.DEFINE_string("admin", None, "Admin address of the daemon.", required=True)
 SERVICE = flags.DEFINE_string("service", None, "Service of this upstream.", required=True)
-SLOTS = flags.DEFINE_integer("slots", 12, "Calls run at once; more are shed.")
-CONNECTIONS = flags.DEFINE_integer("connections", 110, "Connections accepted.")
-SHED = flags.DEFINE_bool("shed", True, "Shed calls above the slots instead of queueing them.")
-WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Time that a call takes.")
-COLD_START_MS = flags.DEFINE_float("cold_start_ms", 0.0, "Time in state starting.")
+SLOTS = flags.DEFINE_integer("slots", 12, "Calls that run concurrently; calls above this are shed.")
+CONNECTIONS = flags.DEFINE_integer("connections", 110, "Number of connections to announce.")
+SHED = flags.DEFINE_bool(
+    "shed", True, "Shed calls above the number of slots instead of queueing them."
+)
+WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Duration of a call.")
+COLD_START_MS = flags.DEFINE_float(
+    "cold_start_ms", 0.0, "Time in the state starting after the process has started."
+)
 EXECUTIONS_FILE = flags.DEFINE_string(
-    "executions_file", "", "File that gets a JSON line for each execution, kept when killed."
+    "executions_file", "", "File for one JSON line per execution, kept if the process is killed."
 )
 
-ANNOUNCE_SECONDS = 1.0
-CRASH_EXIT = 70
+ANNOUNCE_INTERVAL_SECONDS = 1.0
+CRASH_EXIT_CODE = 70
 
 
 @dataclass(slots=True)
 class Switches:
-    """Behaviour: slow-down factor, draining, crash or hold on a path that contains this text."""
+    """Simulated behaviour; `crash_on` and `hold_on` apply to paths that contain their text."""
 
     slow_factor: float = 1.0
     draining: bool = False
@@ -49,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """One started call; time in wall-clock seconds, deadline in milliseconds as received."""
+    """One started call: start in wall-clock seconds, deadline in milliseconds as received."""
 
     call_id: str
     key: str
@@ -59,19 +63,19 @@
     deadline_ms: str
 
 
-class UpstreamState:
-    """Switches, running count and recorded executions."""
+class UpstreamProcessState:
+    """Switches, slots and recorded calls, shared by all handlers."""
 
     def __init__(self) -> None:
         self.switches = Switches()
         self.slots = asyncio.Semaphore(SLOTS.value)
-        self.released = asyncio.Condition()
+        self.switches_changed = asyncio.Condition()
         self.executions: list[Execution] = []
         self.completed: list[str] = []
         self.cancelled: list[str] = []
         self.started_at = time.monotonic()
 
-    def announced(self) -> dict[str, object]:
+    def heartbeat_filter(self) -> dict[str, object]:
         """Return the body of the announcement."""
         cold = time.monotonic() - self.started_at < COLD_START_MS.value / 1000
         state = "draining" if self.switches.draining else "starting" if cold else "ready"
@@ -85,15 +89,15 @@
 
 
 class WorkHandler(RequestHandler):
-    """Runs a call."""
+    """Runs one call."""
 
-    def initialize(self, state: UpstreamState) -> None:
-        """Take the shared state."""
+    def initialize(self, state: UpstreamProcessState) -> None:
+        """Store the shared state."""
         self.state = state
         self.running: asyncio.Future[None] | None = None
 
     async def work(self) -> None:
-        """Hold a slot for the call's time, then answer."""
+        """Occupy a slot for the duration of the call, then respond."""
         if SHED.value and self.state.slots.locked():
             self.set_header("Agatecross-Outcome", "not-run")
             self.send_error(503)
@@ -116,7 +120,7 @@
         self.finish(body | {"padding": "x" * size} if size else body)
 
     def on_connection_close(self) -> None:
-        """Cancel the work: the daemon closes the connection of a cancelled call."""
+        """Cancel the call, because the daemon closes the connection of a cancelled call."""
         if self.running is not None:
             self.running.cancel()
 
@@ -128,11 +132,11 @@
             state.executions.append(execution)
             append_execution(execution)
             if state.switches.crash_on and state.switches.crash_on in path:
-                os._exit(CRASH_EXIT)
+                os._exit(CRASH_EXIT_CODE)
             if state.switches.silent:
                 await asyncio.Event().wait()
-            async with state.released:
-                await state.released.wait_for(
+            async with state.switches_changed:
+                await state.switches_changed.wait_for(
                     lambda: not state.switches.hold_on or state.switches.hold_on not in path
                 )
             work = float(self.get_query_argument("work_ms", str(WORK_MS.value)))
@@ -153,7 +157,7 @@
 
 
 def append_execution(execution: Execution) -> None:
-    """Append the execution to the file, if there is one, before the call can kill the process."""
+    """Append the execution to the configured file, before the call can crash the process."""
     if EXECUTIONS_FILE.value:
         line = json.dumps({**asdict(execution), "port": PORT.value}) + "\n"
         with open(EXECUTIONS_FILE.value, "a", encoding="utf-8") as file:
@@ -163,16 +167,16 @@
 class SwitchesHandler(RequestHandler):
     """Sets the switches and returns the recorded executions."""
 
-    def initialize(self, state: UpstreamState) -> None:
-        """Take the shared state."""
+    def initialize(self, state: UpstreamProcessState) -> None:
+        """Store the shared state."""
         self.state = state
 
     async def put(self) -> None:
         """Set the given switches."""
         for name, value in json.loads(self.request.body).items():
             setattr(self.state.switches, name, value)
-        async with self.state.released:
-            self.state.released.notify_all()
+        async with self.state.switches_changed:
+            self.state.switches_changed.notify_all()
         self.finish({})
 
     def get(self) -> None:
@@ -183,18 +187,18 @@
         self.finish({"executions": rows, **ends})
 
 
-async def announce(state: UpstreamState) -> None:
+async def announce(state: UpstreamProcessState) -> None:
     """Announce the upstream to its daemon each second."""
     client = AsyncHTTPClient()
     url = f"http://{ADMIN.value}/agatecross/v1/upstream"
     while True:
-        body = json.dumps(state.announced())
+        body = json.dumps(state.heartbeat_filter())
         with contextlib.suppress(HTTPClientError, OSError):
             await client.fetch(HTTPRequest(url, method="PUT", body=body, request_timeout=1.0))
-        await asyncio.sleep(ANNOUNCE_SECONDS)
+        await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
 
 
-async def serve(state: UpstreamState, port: int) -> None:
+async def serve(state: UpstreamProcessState, port: int) -> None:
     """Serve until SIGTERM."""
     shared = {"state": state}
     routes = [
@@ -213,7 +217,7 @@
 def main(argv: Sequence[str]) -> None:
     """Start the upstream."""
     del argv
-    asyncio.run(serve(UpstreamState(), PORT.value))
+    asyncio.run(serve(UpstreamProcessState(), PORT.value))
 
 
 if __name__ == "__main__":
