--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -194,7 +194,7 @@
             peer, one = self.instances[sender], self.instances[receiver]
             state = peer.follower.state
             heard = PeerVersion(peer.me, state.version, state.digest)
-            one.act(one.follower.peer_version(heard, self.now))
+            one.act(one.follower.peer_version_received(heard, self.now))
 
         @rule(seconds=st.floats(0.1, 40))
         def pass_time(self, seconds):
@@ -343,7 +343,7 @@
             accepted = step.verdict is PublishVerdict.ACCEPTED
             assert step.state.version == state.version + accepted
             assert accepted or step.state.documents == state.documents
-            assert accepted == (step.snapshot is not None)
+            assert accepted == (step.mesh_config is not None)
             if step.verdict not in (PublishVerdict.DUPLICATE, PublishVerdict.UNDECODABLE):
                 assert (step.verdict is PublishVerdict.CONFLICT) == (record.parent != state.version)
             again = fold_entry(step.state, replace(entry, offset=offset + 1), decode_toml)
@@ -394,7 +394,9 @@
     digest = newest.digest if offered == 3 else "other" * (behaviour == "other digest")
     if offered == 3:
         one.follower.offers.add(PeerVersion(context.peers["far"], offered, digest))
-    one.act(one.follower.peer_version(PeerVersion(context.peers["near"], offered, digest), 0.0))
+    one.act(
+        one.follower.peer_version_received(PeerVersion(context.peers["near"], offered, digest), 0.0)
+    )
     if offered != 3:
         assert one.pull is None
         return
@@ -459,7 +461,7 @@
     if case in ("has other records", "expired the last folded record"):
         one.read = None
         one.follower.read_failed(0.0)
-        one.follower.read_after = 0.0
+        one.follower.next_read_at = 0.0
         one.act(one.follower.tick(0.0))
         assert one.read.start == 2, "after a failure the last folded record is read again"
     if case in ("is empty", "has lower offsets", "has other records"):
@@ -512,7 +514,7 @@
     source = ConfigFollower(peer, decode_toml, random.Random(1))
     source.state = replaced.current
     context.late_read = one.read
-    one.act(one.follower.peer_version(PeerVersion(peer, 4, source.state.digest), 0.0))
+    one.act(one.follower.peer_version_received(PeerVersion(peer, 4, source.state.digest), 0.0))
     reply = source.answer_request(one.pull.request)
     one.act(one.follower.pull_answered(PullAnswered(one.pull.pull_id, reply), 0.0))
 
@@ -544,7 +546,7 @@
     one, log = context.one, context.log
     context.written = []
     if case.startswith(("no ", "a snapshot of")):
-        one.follower.schedule.after_records = 256
+        one.follower.snapshot_schedule.snapshot_after_records = 256
     if case.startswith("a snapshot of"):
         log.append(snapshot_of(log.current), age=int(case.split()[3]) * 3_600_000.0)
     if case == "no peer has a position":
@@ -557,7 +559,9 @@
         now = tenth * 100.0
         if case == "a snapshot by another" and tenth == 10:
             log.append(snapshot_of(log.current))
-        one.act(one.follower.peer_version(PeerVersion(one.follower.members[1], 0, ""), now))
+        one.act(
+            one.follower.peer_version_received(PeerVersion(one.follower.members[1], 0, ""), now)
+        )
         one.act(one.follower.tick(now))
         if one.read is not None:
             read, one.read = one.read, None
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -67,8 +67,8 @@
         context.rows.append(
             replace(
                 row,
-                log_latency=Millis(float(latency)),
-                reads_log="deaf" not in flags,
+                store_latency=Millis(float(latency)),
+                reaches_store="deaf" not in flags,
                 leaving="leaving" in flags,
             )
         )
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -10,11 +10,12 @@
 from agatecross_core.constants import MAX_IDEMPOTENCY_KEYS
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import (
-    Answer,
+    AnswerCall,
     AppendBatch,
     AskHolder,
     BatchAppended,
     CallFinished,
+    CallSubmitted,
     Claim,
     ClaimsBatch,
     ClaimsRead,
@@ -23,7 +24,6 @@
     OffsetBatch,
     ReadClaims,
     ReadFailed,
-    Submit,
     TimePassed,
 )
 from agatecross_core.idempotency.outcomes import OutcomeStore
@@ -63,7 +63,7 @@
                     assert call_id not in self.outcomes, f"{call_id} was answered, then started"
                     self.outcomes[call_id] = "granted"
                     self.grants[call_id] = (name, claim_id)
-                case Answer(call_id, result):
+                case AnswerCall(call_id, result):
                     reason = f":{result.reason.value}" if result.reason else ""
                     self.outcomes[call_id] = result.outcome.value + reason
                 case _:
@@ -71,7 +71,7 @@
 
     def submit(self, name, call_id, key, fingerprint="f", left=4_000):
         self.calls[call_id] = key
-        self.handle(name, Submit(call_id, key, fingerprint, self.now + left))
+        self.handle(name, CallSubmitted(call_id, key, fingerprint, self.now + left))
 
     def finish(self, call_id, result):
         name, claim_id = self.grants.pop(call_id)
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -100,9 +100,9 @@
 @then('its answer to a probe of incarnation {sent:d} holds "{text}"')
 def check_answer(context, sent, text):
     for _ in range(40):
-        context.swim.updates()
+        context.swim.take_updates()
     expected = parse_record(1, text)
-    rows = context.swim.updates_for_reply(identity_of(make_member(1, sent)))
+    rows = context.swim.take_updates_for_reply(identity_of(make_member(1, sent)))
     assert rows == ((expected,) if expected else ()), rows
 
 
@@ -455,7 +455,7 @@
     swim = Swim(me, random.Random(1))
     if "updates" in message:
         list(swim.merge([large_member(n) for n in range(3, 103)], 1.0))
-    gossip = Gossip(750, DIGEST, swim.updates())
+    gossip = Gossip(750, DIGEST, swim.take_updates())
     rows = {
         "an idle probe": Probe(identity_of(me), peer.daemon_id, gossip),
         "an idle answer": ProbeAck(gossip),
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -446,7 +446,7 @@
     def same():
         rows = [sidecar.peers.directory for sidecar in context.mini.sidecars]
         return all(
-            table.rows.get(owner.me.daemon_id) == owner.me and owner.me.log_latency
+            table.rows.get(owner.me.daemon_id) == owner.me and owner.me.store_latency
             for owner in rows
             for table in rows
         )
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -66,7 +66,7 @@
 @given('an upstream next to daemon "{me}" where "{row}" runs and "{name}" has {count:d} strikes')
 def start_gate(context, me, row, name, count):
     context.gate = TrialGate(me)
-    context.gate.started("c1", InFlightCall(row, "/"))
+    context.gate.call_started("c1", InFlightCall(row, "/"))
     context.struck = (name, count)
 
 
@@ -219,7 +219,7 @@
     found = "free" if row is None else "quarantined" if row.quarantined else "suspected"
     assert found == state, suspects
     assert context.driver.quarantined(fingerprint) == (state == "quarantined")
-    assert row is None or row.trial not in ("", None), row
+    assert row is None or row.trial_daemon not in ("", None), row
 
 
 class DyingUpstream:
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -57,7 +57,7 @@
     "shed": not_run_result(Reason.SHED),
     "refused": not_run_result(Reason.CONNECT_FAILED),
     "expired": not_run_result(Reason.DEADLINE),
-    "elapsed": Progress.ELAPSED,
+    "elapsed": Progress.HEDGE_DELAY_ELAPSED,
 }
 
 
@@ -301,7 +301,9 @@
         if isinstance(action, Attempt) and action.hedge_after is not None:
             number = max(self.running)
             when = self.driver.world.now + action.hedge_after
-            self.driver.at(when, lambda: number in self.running and self.advance(Progress.ELAPSED))
+            self.driver.at(
+                when, lambda: number in self.running and self.advance(Progress.HEDGE_DELAY_ELAPSED)
+            )
 
     def send(self, action):
         world, number = self.driver.world, next(self.numbers)
--- a/features/steps/swim_driver.py
+++ b/features/steps/swim_driver.py
@@ -100,14 +100,14 @@
 
     def probe(self, swim, target_id, address, introduce=False):
         """Return whether the target answered; both directions may be lost."""
-        news = swim.updates(target_id)
+        news = swim.take_updates(target_id)
         other = self.receiver(swim, address)
         if other is None:
             return False
         self.act(other, other.detect_pause(self.now))
         self.act(other, other.merge((*news, swim.me) if introduce else news, self.now))
         me = identity_of(swim.me)
-        answer, unknown = other.updates_for_reply(me), not other.knows_incarnation(me)
+        answer, unknown = other.take_updates_for_reply(me), not other.knows_incarnation(me)
         if self.receiver(other, swim.me.control_address) is not swim:
             return False
         self.act(swim, swim.merge(answer, self.now))
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -270,18 +270,18 @@
         endpoint.slots,
         int(endpoint.cold),
         endpoint.leaving,
-        endpoint.reads_log,
-        int(endpoint.log_latency),
+        endpoint.reaches_store,
+        int(endpoint.store_latency),
     )
 
 
 def _endpoint_from_fields(fields: list[Any]) -> Endpoint:
     daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
-    state, slots, cold, leaving, reads_log, log_latency = fields[9:15]
+    state, slots, cold, leaving, reaches_store, store_latency = fields[9:15]
     for text in (daemon, address, region, centre, service):
         if not isinstance(text, str):
             raise TypeError(f"{text!r} is not a string")
-    for number in (incarnation, sequence, born, slots, cold, log_latency):
+    for number in (incarnation, sequence, born, slots, cold, store_latency):
         if not isinstance(number, int):
             raise TypeError(f"{number!r} is not an integer")
     return Endpoint(
@@ -298,6 +298,6 @@
         slots,
         Millis(cold),
         bool(leaving),
-        bool(reads_log),
-        Millis(log_latency),
+        bool(reaches_store),
+        Millis(store_latency),
     )
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -9,7 +9,7 @@
 
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.log_http import HttpLogService
-from agatecross_core.config.forms import check_address
+from agatecross_core.config.formats import check_address
 from agatecross_core.errors import LogError
 from agatecross_core.ids import Address
 
--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -42,7 +42,7 @@
 class Progress(Enum):
     """Events that are returned to a flow besides results."""
 
-    ELAPSED = "elapsed"
+    HEDGE_DELAY_ELAPSED = "elapsed"
 
 
 FlowAction = Attempt | HedgedAttempt | AwaitResult
--- a/packages/agatecross-core/agatecross_core/config/check.py
+++ b/packages/agatecross-core/agatecross_core/config/check_sites.py
@@ -11,7 +11,7 @@
 PlaceLookup = Callable[[KeyPath], Place]
 
 
-def check(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
+def check_sites(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
     """Yield each item, and after each site its new findings; equal findings appear once."""
     seen: set[Finding] = set()
     for item in items:
@@ -78,8 +78,8 @@
         yield from _check_list(place, value, key, path)
     if isinstance(value, str) and key.choices and value not in key.choices:
         yield Finding(place(path), "choice", unknown_choice_message(value, key.choices))
-    if isinstance(value, str) and key.form is not None:
-        message = key.form(value)
+    if isinstance(value, str) and key.format_check is not None:
+        message = key.format_check(value)
         if message is not None:
             yield Finding(place(path), "form", message)
     if isinstance(value, int | float) and not isinstance(value, bool):
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -5,30 +5,32 @@
 
 from ..findings import Finding, sort_findings, split_findings
 from ..ids import DataCentreName, Digest, RegionName, RouteName, ServiceName, Version
-from .check import check
-from .merge import merge
+from .check_sites import check_sites
+from .merge_overlays import merge_overlays
 from .model import (
     Document,
     DocumentDecoder,
     MergedSite,
-    MeshSnapshot,
+    MeshConfig,
     Route,
     ServicePolicy,
-    SiteSnapshot,
+    SiteConfig,
 )
-from .parse import parse
+from .parse_documents import parse_documents
 
 
 def compile_documents(
     documents: Iterable[Document], decoder: DocumentDecoder, version: Version
-) -> tuple[MeshSnapshot | None, tuple[Finding, ...]]:
+) -> tuple[MeshConfig | None, tuple[Finding, ...]]:
     """Run the whole pipeline; the snapshot is None if there are findings."""
     documents = tuple(documents)
-    sites, findings = split_findings(check(merge(parse(documents, decoder))))
+    sites, findings = split_findings(
+        check_sites(merge_overlays(parse_documents(documents, decoder)))
+    )
     if findings:
         return None, tuple(sort_findings(findings))
     compiled = {site.data_centre: _compile_site(site) for site in sites}
-    return MeshSnapshot(version, digest_of(documents), compiled), ()
+    return MeshConfig(version, digest_of(documents), compiled), ()
 
 
 def digest_of(documents: Iterable[Document]) -> Digest:
@@ -41,14 +43,14 @@
     return Digest(digest.hexdigest())
 
 
-def _compile_site(site: MergedSite) -> SiteSnapshot:
+def _compile_site(site: MergedSite) -> SiteConfig:
     services = _table_of(site, "services")
     policies = {ServiceName(name): _compile_service(name, row) for name, row in services.items()}
     rows = _table_of(site, "routes").items()
     routes = [_compile_route(name, row) for name, row in rows if row.get("enabled", True)]
     routes.sort(key=lambda route: (not route.host, -len(route.prefix), route.name))
     region = _region_of(site, site.data_centre)
-    return SiteSnapshot(site.data_centre, region, policies, tuple(routes))
+    return SiteConfig(site.data_centre, region, policies, tuple(routes))
 
 
 def _table_of(site: MergedSite, table: str) -> Mapping[str, dict[str, object]]:
--- a/packages/agatecross-core/agatecross_core/config/explain.py
+++ b/packages/agatecross-core/agatecross_core/config/explain.py
@@ -5,9 +5,9 @@
 
 from ..findings import Finding, Place
 from ..ids import DataCentreName
-from .merge import merge
+from .merge_overlays import merge_overlays
 from .model import Document, DocumentDecoder, MergedSite, Route, ServicePolicy
-from .parse import parse
+from .parse_documents import parse_documents
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
     documents: Iterable[Document], decoder: DocumentDecoder, data_centre: DataCentreName
 ) -> MergedSite | None:
     """Return the merged documents of a data centre, or None if the base does not list it."""
-    for item in merge(parse(documents, decoder)):
+    for item in merge_overlays(parse_documents(documents, decoder)):
         if not isinstance(item, Finding) and item.data_centre == data_centre:
             return item
     return None
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -68,17 +68,17 @@
     if record.parent != state.version:
         return FoldStep(refused, PublishVerdict.CONFLICT)
     documents = merge_documents(state.documents, record)
-    snapshot, findings = compile_documents(documents, decoder, Version(state.version + 1))
-    if snapshot is None:
+    mesh_config, findings = compile_documents(documents, decoder, Version(state.version + 1))
+    if mesh_config is None:
         return FoldStep(refused, PublishVerdict.REJECTED, findings)
     accepted = replace(
         refused,
-        version=snapshot.version,
-        digest=snapshot.digest,
+        version=mesh_config.version,
+        digest=mesh_config.digest,
         documents=documents,
         rules=record.rules,
     )
-    return FoldStep(accepted, PublishVerdict.ACCEPTED, (), snapshot)
+    return FoldStep(accepted, PublishVerdict.ACCEPTED, (), mesh_config)
 
 
 def _fold_snapshot(
@@ -98,10 +98,10 @@
         return FoldStep(ConfigState(seen=record.seen), PublishVerdict.ACCEPTED)
     if digest_of(record.documents) != record.digest:
         return FoldStep(state, PublishVerdict.REJECTED)
-    snapshot, findings = compile_documents(record.documents, decoder, record.version)
-    if snapshot is None:
+    mesh_config, findings = compile_documents(record.documents, decoder, record.version)
+    if mesh_config is None:
         return FoldStep(state, PublishVerdict.REJECTED, findings)
     adopted = ConfigState(
         record.version, record.digest, record.documents, record.seen, record.rules
     )
-    return FoldStep(adopted, PublishVerdict.ACCEPTED, (), snapshot)
+    return FoldStep(adopted, PublishVerdict.ACCEPTED, (), mesh_config)
--- a/packages/agatecross-core/agatecross_core/config/forms.py
+++ b/packages/agatecross-core/agatecross_core/config/formats.py
@@ -3,7 +3,7 @@
 import ipaddress
 from collections.abc import Callable
 
-FormCheck = Callable[[str], str | None]
+FormatCheck = Callable[[str], str | None]
 
 MAX_PORT = 65_535
 
--- a/packages/agatecross-core/agatecross_core/config/merge.py
+++ b/packages/agatecross-core/agatecross_core/config/merge_overlays.py
@@ -14,7 +14,7 @@
 """Deeper tables hold only unknown keys, and recursion into them could overflow the stack."""
 
 
-def merge(
+def merge_overlays(
     items: Iterable[DecodedDocument | Finding],
 ) -> Iterator[MergedSite | Finding]:
     """Apply each overlay to the base; pass findings on."""
@@ -44,10 +44,10 @@
 
 def data_centres(values: Mapping[str, object]) -> Iterator[str]:
     """Yield the data centres that a base document lists under its regions."""
-    yield from (name for _, name in region_names(values))
+    yield from (name for _, name in region_data_centre_pairs(values))
 
 
-def region_names(values: Mapping[str, object]) -> Iterator[tuple[str, str]]:
+def region_data_centre_pairs(values: Mapping[str, object]) -> Iterator[tuple[str, str]]:
     """Yield each region with each of its data centres."""
     regions = values.get("regions")
     if not isinstance(regions, Mapping):
@@ -64,7 +64,7 @@
         yield Finding(base.place(("regions",)), "no-data-centre", message)
         return
     listed: set[str] = set()
-    for region, name in region_names(base.values):
+    for region, name in region_data_centre_pairs(base.values):
         if name in listed:
             place = base.place(("regions", region, "data_centres"))
             message = f"data centre {name!r} is listed more than once"
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -101,7 +101,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SiteSnapshot:
+class SiteConfig:
     """Compiled configuration for daemons of one data centre.
 
     Routes with a host come before those without, and longer prefixes before shorter ones.
@@ -114,12 +114,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MeshSnapshot:
+class MeshConfig:
     """A complete compiled configuration."""
 
     version: Version
     digest: Digest
-    sites: Mapping[DataCentreName, SiteSnapshot]
+    sites: Mapping[DataCentreName, SiteConfig]
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,4 +197,4 @@
     state: ConfigState
     verdict: PublishVerdict
     findings: tuple[Finding, ...] = ()
-    snapshot: MeshSnapshot | None = field(default=None)
+    mesh_config: MeshConfig | None = field(default=None)
--- a/packages/agatecross-core/agatecross_core/config/parse.py
+++ b/packages/agatecross-core/agatecross_core/config/parse_documents.py
@@ -11,7 +11,7 @@
 """The decoder recurses at each level, and all readers must reject the same documents."""
 
 
-def parse(
+def parse_documents(
     documents: Iterable[Document], decoder: DocumentDecoder
 ) -> Iterator[DecodedDocument | Finding]:
     """Yield each document decoded, or a finding if it is too long, too deep or malformed."""
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .forms import FormCheck
+from .formats import FormatCheck
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,7 +15,7 @@
     low: float | None = None
     high: float | None = None
     choices: tuple[str, ...] = ()
-    form: FormCheck | None = None
+    format_check: FormatCheck | None = None
 
 
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -8,7 +8,7 @@
 from ..config.model import (
     ConfigState,
     DocumentDecoder,
-    MeshSnapshot,
+    MeshConfig,
     PublishRecord,
     SnapshotRecord,
 )
@@ -96,7 +96,7 @@
 class PutInForce:
     """Action: replace the compiled snapshot in force by this one."""
 
-    snapshot: MeshSnapshot
+    mesh_config: MeshConfig
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,7 +163,7 @@
         me: Member,
         decoder: DocumentDecoder,
         rng: random.Random,
-        snapshot_after: int = SNAPSHOT_AFTER_RECORDS,
+        snapshot_after_records: int = SNAPSHOT_AFTER_RECORDS,
     ) -> None:
         """Start without a configuration."""
         self.me = me
@@ -172,18 +172,18 @@
         self.state = ConfigState()
         self.log = LogFold(decoder)
         self.offers = VersionOffers(me, rng)
-        self.schedule = SnapshotSchedule(rng, snapshot_after)
+        self.snapshot_schedule = SnapshotSchedule(rng, snapshot_after_records)
         self.append_tokens = TokenBucket(SNAPSHOT_APPEND_BURST, SNAPSHOT_APPEND_REFILL)
         self.members: tuple[Member, ...] = (me,)
         self.readers: tuple[DaemonId, ...] = (me.daemon_id,)
         self.reading = False
-        self.discard_page = False
+        self.must_discard_page = False
         self.read_failures = 0
-        self.read_after = Millis(0)
+        self.next_read_at = Millis(0)
         self.pull: Pull | None = None
         self.last_pull_id = 0
-        self.request_all_seen = False
-        self.position_pull_at = Millis(0)
+        self.must_request_all_seen = False
+        self.next_position_pull_at = Millis(0)
         self.position_lost_at: Millis | None = None
         self.peer_heard_at: Millis | None = None
         self.reported_conditions: set[tuple[object, ...]] = set()
@@ -209,19 +209,19 @@
         """Fold a page of the stream."""
         self.reading = False
         self.read_failures = 0
-        if self.discard_page:
-            self.discard_page = False
+        if self.must_discard_page:
+            self.must_discard_page = False
             return
         before = self.log.start()
-        compiled: MeshSnapshot | None = None
+        compiled: MeshConfig | None = None
         for event in self.log.page(page):
             match event:
                 case RecordFolded(_, step):
-                    compiled = step.snapshot or compiled
+                    compiled = step.mesh_config or compiled
                     yield from self._handle_folded_record(event, now)
                 case LogReplaced(through, end):
                     self.state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
-                    self.schedule.log_replaced()
+                    self.snapshot_schedule.log_replaced()
                     yield from self._report_once(Condition.LOG_REPLACED, through=through, end=end)
                 case RecordsExpired(through, first):
                     self.position_lost_at = (
@@ -233,7 +233,7 @@
                 case UnknownRules(offset, rules):
                     # During the wait no read is in flight that would fail if the log were replaced.
                     self.log.require_verification()
-                    self.read_after = Millis(now + UNKNOWN_RULES_RETRY_DELAY)
+                    self.next_read_at = Millis(now + UNKNOWN_RULES_RETRY_DELAY)
                     yield from self._report_once(
                         Condition.UNKNOWN_RULES, offset=offset, rules=rules
                     )
@@ -249,13 +249,13 @@
     def read_failed(self, now: Millis) -> None:
         """Handle a read that ended without a page: delay the next one."""
         self.reading = False
-        self.discard_page = False
+        self.must_discard_page = False
         self.log.require_verification()
         delay = full_jitter(self.read_failures, LOG_RETRY_BASE, LOG_RETRY_CAP, self.rng)
         self.read_failures += 1
-        self.read_after = Millis(now + delay)
+        self.next_read_at = Millis(now + delay)
 
-    def peer_version(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
+    def peer_version_received(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
         """Pull from the peer if it has a newer version; report a different digest."""
         self.peer_heard_at = now
         if message.version > self.state.version:
@@ -286,16 +286,16 @@
         self, peer: DaemonId, reply: PullReply, result: PullResult
     ) -> Iterator[FollowerAction]:
         # After a restart of the fold the ids that both know may differ; then request all ids.
-        asked_for_all, self.request_all_seen = self.request_all_seen, False
+        asked_for_all, self.must_request_all_seen = self.must_request_all_seen, False
         if result.verdict is PullVerdict.SEEN_MISMATCH and not asked_for_all:
-            self.request_all_seen = True
+            self.must_request_all_seen = True
             return
-        if result.snapshot is not None and result.state is not None:
+        if result.mesh_config is not None and result.state is not None:
             self.state = result.state
             self.offers.drop_outdated(peer, result.state.version)
             if result.state.through != NO_OFFSET:
                 self._move_log_position(result.state)
-            yield PutInForce(result.snapshot)
+            yield PutInForce(result.mesh_config)
             yield from self._notify()
             return
         if result.verdict is PullVerdict.SAME and not self.log.position_lost:
@@ -321,8 +321,8 @@
 
     def _move_log_position(self, state: ConfigState) -> None:
         # A read in flight started at the old position, perhaps in a log that was replaced since.
-        self.discard_page = self.reading
-        self.read_after = Millis(0)
+        self.must_discard_page = self.reading
+        self.next_read_at = Millis(0)
         self.log.adopt_state(state)
 
     def _handle_folded_record(self, event: RecordFolded, now: Millis) -> Iterator[FollowerAction]:
@@ -331,15 +331,15 @@
         if isinstance(record, SnapshotRecord):
             restart = record.through == NO_OFFSET
             after = 0 if restart else entry.offset - record.through - 1
-            self.schedule.snapshot_read(now, entry.age, after)
+            self.snapshot_schedule.snapshot_read(now, entry.age, after)
             return
-        self.schedule.record_read()
+        self.snapshot_schedule.count_record()
         if isinstance(record, PublishRecord):
             yield ReportVerdict(record.publish_id, step.verdict, step.findings)
         else:
             yield _report(Condition.UNDECODABLE, offset=entry.offset)
 
-    def _adopt_folded_state(self, compiled: MeshSnapshot | None) -> Iterator[FollowerAction]:
+    def _adopt_folded_state(self, compiled: MeshConfig | None) -> Iterator[FollowerAction]:
         folded = self.log.state
         if folded.version > self.state.version:
             assert compiled is not None and compiled.version == folded.version
@@ -361,16 +361,16 @@
             return
         self.last_pull_id += 1
         self.pull = Pull(self.last_pull_id, peer.daemon_id, now)
-        yield PullFrom(self.last_pull_id, peer, new_request(self.state, self.request_all_seen))
+        yield PullFrom(self.last_pull_id, peer, new_request(self.state, self.must_request_all_seen))
 
     def _position_peer(self, now: Millis) -> Member | None:
-        if not self.log.position_lost or now < self.position_pull_at:
+        if not self.log.position_lost or now < self.next_position_pull_at:
             return None
-        self.position_pull_at = Millis(now + POSITION_PULL_PERIOD * self.rng.uniform(0.5, 1.5))
+        self.next_position_pull_at = Millis(now + POSITION_PULL_PERIOD * self.rng.uniform(0.5, 1.5))
         return self.offers.choose_position_peer(self.members)
 
     def _start_read(self, now: Millis) -> Iterator[FollowerAction]:
-        if self.reading or now < self.read_after:
+        if self.reading or now < self.next_read_at:
             return
         silent = self.peer_heard_at is not None and now - self.peer_heard_at > PEER_SILENCE_TIMEOUT
         alone = silent or len(self.members) <= 1
@@ -392,9 +392,11 @@
         if not position_lost and not (self.log.caught_up and self.state.version):
             return
         restart = replaced or position_lost
-        if not self.schedule.is_due(now, self._rank(), restart) or not self.append_tokens.take(now):
+        if not self.snapshot_schedule.is_due(
+            now, self._rank(), restart
+        ) or not self.append_tokens.take(now):
             return
-        self.schedule.write_started(now)
+        self.snapshot_schedule.write_started(now)
         state = self.log.state
         if restart:
             state = replace(self.state, through=NO_OFFSET, mark=NO_DIGEST)
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -113,7 +113,7 @@
         """Fold a page that was read from `start()`."""
         self.caught_up = False
         self.blocked = False
-        if self._replaced(page):
+        if self._is_replaced_by(page):
             yield LogReplaced(self.state.through, page.end)
             self.state = ConfigState()
             self.search_from = None
@@ -126,11 +126,11 @@
             yield RecordsExpired(self.state.through, page.first)
             self.search_from = page.first
         if self.search_from is None:
-            yield from self._fold(page)
+            yield from self._fold_records(page)
         else:
-            yield from self._search(page)
+            yield from self._search_snapshot(page)
 
-    def _replaced(self, page: RecordsRead) -> bool:
+    def _is_replaced_by(self, page: RecordsRead) -> bool:
         if page.end < self.start() or page.end <= self.state.through:
             return True
         if not self.must_verify or self.state.through == NO_OFFSET:
@@ -140,7 +140,7 @@
                 return entry.mark != self.state.mark
         return False
 
-    def _fold(self, page: RecordsRead) -> Iterator[FoldEvent]:
+    def _fold_records(self, page: RecordsRead) -> Iterator[FoldEvent]:
         for entry in page.records:
             if entry.offset != self.state.through + 1:
                 continue
@@ -153,7 +153,7 @@
             yield RecordFolded(entry, step)
         self.caught_up = self.state.through + 1 >= page.end
 
-    def _search(self, page: RecordsRead) -> Iterator[FoldEvent]:
+    def _search_snapshot(self, page: RecordsRead) -> Iterator[FoldEvent]:
         self.search_finished = False
         for entry in page.records:
             self.search_from = Offset(entry.offset + 1)
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -22,7 +22,7 @@
     eligible = [
         row
         for row in _reachable_endpoints(me, rows, reachable)
-        if row.reads_log and not row.leaving
+        if row.reaches_store and not row.leaving
     ]
     nearest = _nearest_region(eligible)
     if nearest is None:
@@ -54,7 +54,7 @@
 
 def _nearest_region(rows: Iterable[Endpoint]) -> RegionName | None:
     """Return the region where the store answers fastest, or None while no answer was timed."""
-    timed = [(row.log_latency, row.region) for row in rows if row.log_latency > 0]
+    timed = [(row.store_latency, row.region) for row in rows if row.store_latency > 0]
     return min(timed)[1] if timed else None
 
 
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from ..config.compile import compile_documents, digest_of
-from ..config.model import ConfigState, Document, DocumentDecoder, MeshSnapshot
+from ..config.model import ConfigState, Document, DocumentDecoder, MeshConfig
 from ..constants import NO_DIGEST, NO_OFFSET, RULE_SET_VERSION
 from ..findings import Finding
 from ..ids import Digest, DocumentName, Offset, PublishId, Version
@@ -90,7 +90,7 @@
 
     verdict: PullVerdict
     state: ConfigState | None = None
-    snapshot: MeshSnapshot | None = None
+    mesh_config: MeshConfig | None = None
     findings: tuple[Finding, ...] = ()
 
 
@@ -139,8 +139,8 @@
     documents = _assemble_documents(state.documents, reply)
     if digest_of(documents) != reply.digest:
         return PullResult(PullVerdict.CORRUPT)
-    snapshot, findings = compile_documents(documents, decoder, reply.version)
-    if snapshot is None:
+    mesh_config, findings = compile_documents(documents, decoder, reply.version)
+    if mesh_config is None:
         return PullResult(PullVerdict.FINDINGS, findings=findings)
     adopted = ConfigState(
         reply.version,
@@ -151,7 +151,7 @@
         reply.through,
         reply.mark,
     )
-    return PullResult(PullVerdict.NEWER, adopted, snapshot)
+    return PullResult(PullVerdict.NEWER, adopted, mesh_config)
 
 
 def digest_of_ids(ids: Iterable[PublishId]) -> Digest:
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -15,15 +15,17 @@
 class SnapshotSchedule:
     """Tracks the age of the newest snapshot of the stream and the number of records after it."""
 
-    def __init__(self, rng: random.Random, after_records: int = SNAPSHOT_AFTER_RECORDS) -> None:
+    def __init__(
+        self, rng: random.Random, snapshot_after_records: int = SNAPSHOT_AFTER_RECORDS
+    ) -> None:
         """Start without a known snapshot."""
         self.rng = rng
-        self.after_records = after_records
+        self.snapshot_after_records = snapshot_after_records
         self.records_since_snapshot = 0
         self.last_written_at: Millis | None = None
         self.next_write_at: Millis | None = None
 
-    def record_read(self) -> None:
+    def count_record(self) -> None:
         """Count a record that is not a snapshot."""
         self.records_since_snapshot += 1
 
@@ -47,7 +49,7 @@
         if self.last_written_at is None:
             self.last_written_at = Millis(now - SNAPSHOT_MAX_AGE + FIRST_SNAPSHOT_DELAY)
         old = now - self.last_written_at >= SNAPSHOT_MAX_AGE
-        if not (required or old or self.records_since_snapshot >= self.after_records):
+        if not (required or old or self.records_since_snapshot >= self.snapshot_after_records):
             self.next_write_at = None
             return False
         if self.next_write_at is None:
--- a/packages/agatecross-core/agatecross_core/idempotency/claims.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/claims.py
@@ -26,7 +26,7 @@
     def __len__(self) -> int:
         return len(self.held)
 
-    def holder(self, key: IdempotencyKey) -> Claim | None:
+    def claim_for(self, key: IdempotencyKey) -> Claim | None:
         """Return the claim that holds the key, or None."""
         row = self.held.get(key)
         return row.claim if row else None
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -26,11 +26,12 @@
 from ..states import AppendState, ClaimedCallState, Outcome, Reason
 from .claims import ClaimsFold
 from .model import (
-    Answer,
+    AnswerCall,
     AppendBatch,
     AskHolder,
     BatchAppended,
     CallFinished,
+    CallSubmitted,
     Claim,
     ClaimsAction,
     ClaimsBatch,
@@ -43,7 +44,6 @@
     ReadClaims,
     ReadFailed,
     Release,
-    Submit,
     TimePassed,
 )
 from .outcomes import OutcomeStore, holder_result
@@ -64,14 +64,14 @@
 
     QUEUED = "queued"
     APPENDING = "appending"
-    LANDED = "landed"
+    APPENDED = "landed"
     ASKING = "asking"
     ASK_LATER = "ask-later"
     READ_LATER = "read-later"
-    LOCAL = "local"
+    SAME_KEY_RUNNING = "local"
 
 
-OWN_CLAIM_PHASES = frozenset((Phase.QUEUED, Phase.APPENDING, Phase.LANDED))
+CLAIM_PENDING_PHASES = frozenset((Phase.QUEUED, Phase.APPENDING, Phase.APPENDED))
 
 
 @dataclass(slots=True)
@@ -81,11 +81,11 @@
     `unanswered_requests` counts the requests in a row that the holder did not answer.
     """
 
-    submit: Submit
+    submit: CallSubmitted
     phase: Phase
     due: Millis
     claim_id: ClaimId | None = None
-    landed_offset: Offset | None = None
+    appended_offset: Offset | None = None
     unanswered_requests: int = 0
     poll_period: Millis = OUTCOME_POLL_PERIOD
 
@@ -117,18 +117,18 @@
         self.caught_up = False
         self.append_outcome_unknown = False
         self.append_search_started = False
-        self.report_loss = False
+        self.must_report_loss = False
         self.log_failing = False
         self.claims_incomplete_until = Millis(0)
         self.log_retry_at = Millis(0)
-        self.log_retry_limit = CLAIM_RETRY_WAIT
-        self.idle_read_at = Millis(0)
+        self.max_log_retry_wait = CLAIM_RETRY_WAIT
+        self.next_idle_read_at = Millis(0)
         self.next_due_check_at = Millis(0)
 
     def handle(self, message: ClaimsInput, now: Millis) -> Iterator[ClaimsAction]:
         """Handle one input and yield the resulting actions."""
         match message:
-            case Submit():
+            case CallSubmitted():
                 yield from self._submit(message, now)
             case BatchAppended():
                 yield from self._append_finished(message, now)
@@ -158,26 +158,26 @@
         """Return whether `TimePassed` is needed soon, for calls, releases or unread records."""
         return bool(self.waiting or self.releases or not self.caught_up)
 
-    def _submit(self, submit: Submit, now: Millis) -> Iterator[ClaimsAction]:
+    def _submit(self, submit: CallSubmitted, now: Millis) -> Iterator[ClaimsAction]:
         self.fold.expire(now)
         self.outcomes.expire(now)
         waiting = WaitingCall(submit, Phase.QUEUED, Millis(now + CLAIM_BATCH_WAIT))
         if submit.deadline <= now:
-            yield Answer(submit.call_id, not_run_result(Reason.DEADLINE))
-        elif self.fold.holder(submit.key) is not None:
+            yield AnswerCall(submit.call_id, not_run_result(Reason.DEADLINE))
+        elif self.fold.claim_for(submit.key) is not None:
             self.waiting[submit.call_id] = waiting
             yield from self._decide_without_claim(waiting, now)
         elif now < self.claims_incomplete_until:
-            yield Answer(submit.call_id, not_run_result(Reason.CLAIMS_INCOMPLETE))
+            yield AnswerCall(submit.call_id, not_run_result(Reason.CLAIMS_INCOMPLETE))
         elif len(self.fold) + len(self.waiting) >= MAX_IDEMPOTENCY_KEYS:
-            yield Answer(submit.call_id, not_run_result(Reason.CLAIMS_FULL))
+            yield AnswerCall(submit.call_id, not_run_result(Reason.CLAIMS_FULL))
         else:
             self.waiting[submit.call_id] = waiting
 
     def _decide_without_claim(self, waiting: WaitingCall, now: Millis) -> Iterator[ClaimsAction]:
         """Decide about a call whose claim does not hold its key."""
-        waiting.claim_id, waiting.landed_offset = None, None
-        claim = self.fold.holder(waiting.submit.key)
+        waiting.claim_id, waiting.appended_offset = None, None
+        claim = self.fold.claim_for(waiting.submit.key)
         if claim is None and now < self.claims_incomplete_until:
             yield from self._answer(waiting, not_run_result(Reason.CLAIMS_INCOMPLETE))
         elif claim is None:
@@ -194,7 +194,7 @@
     ) -> Iterator[ClaimsAction]:
         reply = self.outcomes.reply(claim.claim_id)
         if reply.state is ClaimedCallState.RUNNING:
-            waiting.phase = Phase.LOCAL
+            waiting.phase = Phase.SAME_KEY_RUNNING
         elif reply.state is ClaimedCallState.NOT_STARTED:
             self._release_if_unused(claim)
             waiting.phase, waiting.due = Phase.READ_LATER, Millis(now + CLAIM_RETRY_WAIT)
@@ -210,7 +210,7 @@
         waiting = self.waiting.get(message.call_id)
         if waiting is None or waiting.phase is not Phase.ASKING:
             return
-        claim = self.fold.holder(waiting.submit.key)
+        claim = self.fold.claim_for(waiting.submit.key)
         if claim is None or claim.claim_id != message.claim_id:
             yield from self._decide_without_claim(waiting, now)
             return
@@ -240,7 +240,11 @@
             return
         if result.outcome is Outcome.NOT_RUN:
             self.releases[claim_id] = Release(key, claim_id)
-        local = [w for w in self.waiting.values() if w.phase is Phase.LOCAL and w.submit.key == key]
+        local = [
+            w
+            for w in self.waiting.values()
+            if w.phase is Phase.SAME_KEY_RUNNING and w.submit.key == key
+        ]
         for waiting in local:
             yield from self._decide_without_claim(waiting, now)
 
@@ -250,17 +254,17 @@
             return
         self._record_log_result(message.state is AppendState.WRITTEN, now)
         if message.state is AppendState.WRITTEN and message.offset is not None:
-            self.report_loss = self.report_loss and not batch.lost
+            self.must_report_loss = self.must_report_loss and not batch.lost
             self.caught_up = bool(self.stream.last_record_digest)
             for release in batch.releases:
                 self.releases.pop(release.claim_id, None)
             for waiting in self._in_phase(Phase.APPENDING):
-                waiting.phase, waiting.landed_offset = Phase.LANDED, message.offset
+                waiting.phase, waiting.appended_offset = Phase.APPENDED, message.offset
             return
         if message.state is AppendState.LOST:
             self.append_outcome_unknown, self.append_search_started = True, False
             return
-        refused = (Phase.APPENDING,) if self.stream.last_record_digest else OWN_CLAIM_PHASES
+        refused = (Phase.APPENDING,) if self.stream.last_record_digest else CLAIM_PENDING_PHASES
         for phase in refused:
             for waiting in self._in_phase(phase):
                 yield from self._answer(waiting, not_run_result(Reason.LOG_UNAVAILABLE))
@@ -275,20 +279,22 @@
         """Set when to use the log again: after a failure, a random wait whose limit doubles."""
         self.log_failing = not success
         if success:
-            self.log_retry_limit, self.log_retry_at = CLAIM_RETRY_WAIT, now
+            self.max_log_retry_wait, self.log_retry_at = CLAIM_RETRY_WAIT, now
             return
-        self.log_retry_at = Millis(now + self.rng.uniform(CLAIM_BATCH_WAIT, self.log_retry_limit))
-        self.log_retry_limit = min(Millis(2 * self.log_retry_limit), MAX_CLAIM_RETRY_WAIT)
+        self.log_retry_at = Millis(
+            now + self.rng.uniform(CLAIM_BATCH_WAIT, self.max_log_retry_wait)
+        )
+        self.max_log_retry_wait = min(Millis(2 * self.max_log_retry_wait), MAX_CLAIM_RETRY_WAIT)
 
     def _page_read(self, page: ClaimsRead, now: Millis) -> Iterator[ClaimsAction]:
         self.reading = False
         self._record_log_result(True, now)
-        self.idle_read_at = Millis(now + CLAIMS_IDLE_READ_PERIOD)
+        self.next_idle_read_at = Millis(now + CLAIMS_IDLE_READ_PERIOD)
         self.fold.expire(now)
         continuity = self.stream.check(page)
         if continuity is not Continuity.CONTINUOUS:
             self.stream.restart(page)
-            self.report_loss = self.report_loss or continuity is Continuity.REPLACED
+            self.must_report_loss = self.must_report_loss or continuity is Continuity.REPLACED
             self.caught_up = False
             yield from self._refuse_until_complete(now)
             return
@@ -298,7 +304,7 @@
                 yield from self._refuse_until_complete(now)
             else:
                 yield from self._fold_batch(row.batch, page.wall_ms, now)
-        self.caught_up = self.stream.next >= page.end
+        self.caught_up = self.stream.next_offset >= page.end
         yield from self._decide_read_claims(now)
         if self.caught_up and self.append_outcome_unknown and self.append_search_started:
             self.append_outcome_unknown = False
@@ -313,27 +319,30 @@
             if claim.holder == self.me:
                 self._release_if_unused(claim)
         if batch.lost and wall_ms - batch.at_ms < IDEMPOTENCY_KEY_RETENTION + MAX_CLOCK_SKEW:
-            self.report_loss = False
+            self.must_report_loss = False
             yield from self._refuse_until_complete(now)
 
     def _refuse_until_complete(self, now: Millis) -> Iterator[ClaimsAction]:
         """Refuse keyed calls until every claim that may be missing is past its retention time."""
         self.claims_incomplete_until = Millis(now + IDEMPOTENCY_KEY_RETENTION)
-        for phase in OWN_CLAIM_PHASES:
+        for phase in CLAIM_PENDING_PHASES:
             for waiting in self._in_phase(phase):
                 yield from self._answer(waiting, not_run_result(Reason.CLAIMS_INCOMPLETE))
 
     def _decide_read_claims(self, now: Millis) -> Iterator[ClaimsAction]:
         """Decide about the calls whose claims were read, or are missing where they landed."""
         for waiting in list(self.waiting.values()):
-            claim = self.fold.holder(waiting.submit.key)
+            claim = self.fold.claim_for(waiting.submit.key)
             if waiting.phase is Phase.READ_LATER and waiting.due <= now:
                 yield from self._decide_without_claim(waiting, now)
-            elif waiting.phase not in OWN_CLAIM_PHASES or waiting.claim_id is None:
+            elif waiting.phase not in CLAIM_PENDING_PHASES or waiting.claim_id is None:
                 continue
             elif claim is not None and claim.claim_id == waiting.claim_id:
                 yield from self._grant(waiting, claim, now)
-            elif waiting.landed_offset is not None and self.stream.next > waiting.landed_offset:
+            elif (
+                waiting.appended_offset is not None
+                and self.stream.next_offset > waiting.appended_offset
+            ):
                 yield from self._decide_without_claim(waiting, now)
 
     def _grant(self, waiting: WaitingCall, claim: Claim, now: Millis) -> Iterator[ClaimsAction]:
@@ -347,8 +356,8 @@
 
     def _release_if_unused(self, claim: Claim) -> None:
         """Release a claim of this daemon that holds its key although its call will not start."""
-        holder = self.fold.holder(claim.key)
-        if holder is None or holder.claim_id != claim.claim_id:
+        holding_claim = self.fold.claim_for(claim.key)
+        if holding_claim is None or holding_claim.claim_id != claim.claim_id:
             return
         if self.outcomes.reply(claim.claim_id).state is not ClaimedCallState.NOT_STARTED:
             return
@@ -359,7 +368,7 @@
             self.releases[claim_id] = Release(key, claim_id)
 
     def _end_at_deadline(self, waiting: WaitingCall) -> Iterator[ClaimsAction]:
-        if waiting.phase in OWN_CLAIM_PHASES:
+        if waiting.phase in CLAIM_PENDING_PHASES:
             reason = Reason.LOG_UNAVAILABLE if self.log_failing else Reason.DEADLINE
             yield from self._answer(waiting, not_run_result(reason))
         else:
@@ -367,10 +376,10 @@
 
     def _answer(self, waiting: WaitingCall, result: CallResult) -> Iterator[ClaimsAction]:
         del self.waiting[waiting.submit.call_id]
-        claim = self.fold.holder(waiting.submit.key)
+        claim = self.fold.claim_for(waiting.submit.key)
         if claim is not None and claim.claim_id == waiting.claim_id:
             self._release_if_unused(claim)
-        yield Answer(waiting.submit.call_id, result)
+        yield AnswerCall(waiting.submit.call_id, result)
 
     def _handle_due_calls(self, now: Millis) -> Iterator[ClaimsAction]:
         if now < self.next_due_check_at:
@@ -389,19 +398,19 @@
         # The stream needs a first record, without which a daemon cannot detect its loss.
         no_record_read = not self.stream.last_record_digest
         queued = [] if no_record_read else list(self._in_phase(Phase.QUEUED))
-        own_work = now >= self.log_retry_at and (
-            no_record_read or self.releases or self.report_loss
+        other_work_due = now >= self.log_retry_at and (
+            no_record_read or self.releases or self.must_report_loss
         )
-        due = own_work or any(w.due <= now for w in queued)
+        due = other_work_due or any(w.due <= now for w in queued)
         if not due or not self.tokens.take(now):
             return
         claims = tuple(self._new_claim(w, now) for w in queued[:MAX_BATCH_CLAIMS])
         releases = tuple(self.releases.values())[:MAX_BATCH_CLAIMS]
-        self.batch_in_flight = ClaimsBatch(claims, releases, 0, self.report_loss)
+        self.batch_in_flight = ClaimsBatch(claims, releases, 0, self.must_report_loss)
         yield AppendBatch(self.batch_in_flight)
 
     def _new_claim(self, waiting: WaitingCall, now: Millis) -> Claim:
-        waiting.phase, waiting.landed_offset = Phase.APPENDING, None
+        waiting.phase, waiting.appended_offset = Phase.APPENDING, None
         claim_id = waiting.claim_id or self.new_claim_id()
         waiting.claim_id = claim_id
         self.outcomes.set_state(claim_id, ClaimedCallState.NOT_STARTED, now)
@@ -413,13 +422,13 @@
             return
         self.reading = True
         self.append_search_started = self.append_outcome_unknown
-        yield ReadClaims(self.stream.start())
+        yield ReadClaims(self.stream.next_read_offset())
 
     def _wants_read(self, now: Millis) -> bool:
-        if not self.caught_up or self.append_outcome_unknown or now >= self.idle_read_at:
+        if not self.caught_up or self.append_outcome_unknown or now >= self.next_idle_read_at:
             return True
         return any(
-            w.phase is Phase.LANDED or (w.phase is Phase.READ_LATER and w.due <= now)
+            w.phase is Phase.APPENDED or (w.phase is Phase.READ_LATER and w.due <= now)
             for w in self.waiting.values()
         )
 
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -68,7 +68,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Submit:
+class CallSubmitted:
     """Input: a call with an idempotency key arrived."""
 
     call_id: CallId
@@ -127,7 +127,13 @@
 
 
 ClaimsInput = (
-    Submit | BatchAppended | ClaimsRead | ReadFailed | HolderAnswered | CallFinished | TimePassed
+    CallSubmitted
+    | BatchAppended
+    | ClaimsRead
+    | ReadFailed
+    | HolderAnswered
+    | CallFinished
+    | TimePassed
 )
 
 
@@ -154,7 +160,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class AnswerCall:
     """Action: answer the call with this result instead of starting it."""
 
     call_id: CallId
@@ -170,4 +176,4 @@
     request: OutcomeRequest
 
 
-ClaimsAction = AppendBatch | ReadClaims | Grant | Answer | AskHolder
+ClaimsAction = AppendBatch | ReadClaims | Grant | AnswerCall | AskHolder
--- a/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
@@ -9,7 +9,7 @@
 from ..states import ClaimedCallState, Outcome, Reason
 from .model import OutcomeReply
 
-HELD_STATE_BY_OUTCOME = {
+CLAIMED_CALL_STATE_BY_OUTCOME = {
     Outcome.RAN: ClaimedCallState.RAN,
     Outcome.UNKNOWN: ClaimedCallState.UNKNOWN,
     Outcome.NOT_RUN: ClaimedCallState.NOT_STARTED,
@@ -43,7 +43,7 @@
 
     def finish(self, claim_id: ClaimId, result: CallResult, now: Millis) -> None:
         """Retain the result of a call that was started."""
-        self.set_state(claim_id, HELD_STATE_BY_OUTCOME[result.outcome], now)
+        self.set_state(claim_id, CLAIMED_CALL_STATE_BY_OUTCOME[result.outcome], now)
         response = result.response
         size = _response_size(response)
         if result.outcome is not Outcome.RAN or response is None or size > self.max_response_bytes:
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -21,22 +21,22 @@
 
     def __init__(self) -> None:
         """Start before the first record."""
-        self.next = Offset(0)
+        self.next_offset = Offset(0)
         self.last_record_digest = ""
 
-    def start(self) -> Offset:
+    def next_read_offset(self) -> Offset:
         """Return the offset from which to read."""
-        return Offset(self.next - 1) if self.last_record_digest else self.next
+        return Offset(self.next_offset - 1) if self.last_record_digest else self.next_offset
 
     def check(self, page: ClaimsRead) -> Continuity:
         """Compare a page that was read from `start()` with the records read before."""
-        if page.end < self.next:
+        if page.end < self.next_offset:
             return Continuity.REPLACED
-        if page.first > self.start():
-            nothing_new = page.end == self.next
+        if page.first > self.next_read_offset():
+            nothing_new = page.end == self.next_offset
             return (
                 Continuity.CONTINUOUS
-                if nothing_new or _missing_records_expired(page)
+                if nothing_new or _missing_claims_past_retention(page)
                 else Continuity.EXPIRED
             )
         if not self.last_record_digest:
@@ -46,19 +46,19 @@
 
     def restart(self, page: ClaimsRead) -> None:
         """Continue at the oldest record that is retained."""
-        self.next = page.first
+        self.next_offset = page.first
         self.last_record_digest = ""
 
     def advance(self, page: ClaimsRead) -> Iterator[OffsetBatch]:
         """Yield the records of the page that are new, and move the position past them."""
         for row in page.records:
-            if row.offset >= self.next:
-                self.next = Offset(row.offset + 1)
+            if row.offset >= self.next_offset:
+                self.next_offset = Offset(row.offset + 1)
                 self.last_record_digest = row.digest
                 yield row
 
 
-def _missing_records_expired(page: ClaimsRead) -> bool:
+def _missing_claims_past_retention(page: ClaimsRead) -> bool:
     # All missing records are older than the first retained record.
     if not page.records or page.records[0].batch is None:
         return False
--- a/packages/agatecross-core/agatecross_core/members/bootstrap.py
+++ b/packages/agatecross-core/agatecross_core/members/bootstrap.py
@@ -10,8 +10,8 @@
 from ..ids import Address, DaemonId, Millis, Offset
 from .records import AnnounceRecord, Member
 
-READ_RETRY_BASE = Millis(1_000)
-READ_RETRY_LIMIT = Millis(30_000)
+READ_RETRY_BASE_DELAY = Millis(1_000)
+MAX_READ_RETRY_DELAY = Millis(30_000)
 # With this period, 1,300 daemons together read the stream about four times per second.
 ANNOUNCEMENT_CHECK_PERIOD = Millis(600_000)
 CONTACTS_PER_READ = 3
@@ -193,6 +193,6 @@
         return Millis(window * (1 + math.log(share) / math.log(MAX_MEMBERS)))
 
     def _schedule_retry(self, now: Millis) -> None:
-        limit = min(READ_RETRY_LIMIT, READ_RETRY_BASE * 2**self.failures)
+        limit = min(MAX_READ_RETRY_DELAY, READ_RETRY_BASE_DELAY * 2**self.failures)
         self.failures = min(self.failures + 1, 16)
         self.next_read_at = Millis(now + limit * self.rng.random())
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -42,8 +42,8 @@
     slots: int = 0
     cold: Millis = ZERO_MS
     leaving: bool = False
-    reads_log: bool = True
-    log_latency: Millis = ZERO_MS
+    reaches_store: bool = True
+    store_latency: Millis = ZERO_MS
 
     @property
     def order(self) -> tuple[int, int]:
@@ -64,7 +64,7 @@
         self.me = me
         self.rows: dict[DaemonId, Endpoint] = {me.daemon_id: me}
         self.by_service: dict[ServiceName, tuple[Endpoint, ...]] = {}
-        self._index()
+        self._rebuild_index()
 
     def merge(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
         """Store the descriptions that are newer than the known ones, and return them.
@@ -77,20 +77,20 @@
             self._remove_replaced(row)
             self.rows[row.daemon_id] = row
         if newer:
-            self._index()
+            self._rebuild_index()
         return newer
 
     def update(self, **changes: object) -> Endpoint:
         """Change fields of this daemon's own description and return the new one."""
         self.me = replace(self.me, sequence=self.me.sequence + 1, **changes)  # type: ignore[arg-type]
         self.rows[self.me.daemon_id] = self.me
-        self._index()
+        self._rebuild_index()
         return self.me
 
     def remove(self, daemon_id: DaemonId) -> None:
         """Remove a daemon that has gone."""
         if self.rows.pop(daemon_id, None) is not None:
-            self._index()
+            self._rebuild_index()
 
     def others(self) -> Iterator[Endpoint]:
         """Return an iterator over the descriptions of the other daemons."""
@@ -121,7 +121,7 @@
         for daemon_id in gone:
             del self.rows[daemon_id]
 
-    def _index(self) -> None:
+    def _rebuild_index(self) -> None:
         table: dict[ServiceName, list[Endpoint]] = {}
         for row in self.rows.values():
             if row.ready:
--- a/packages/agatecross-core/agatecross_core/members/leave_replies.py
+++ b/packages/agatecross-core/agatecross_core/members/leave_replies.py
@@ -27,7 +27,7 @@
     stored: set[UpstreamStart] = field(default_factory=set)
     waiting: list[tuple[UpstreamStart, Millis, LeaveReply]] = field(default_factory=list)
 
-    def wait(self, start: UpstreamStart, reply: LeaveReply, now: Millis) -> None:
+    def reply_when_stored(self, start: UpstreamStart, reply: LeaveReply, now: Millis) -> None:
         """Reply once the drain is stored, or after `DRAIN_STORE_TIMEOUT`."""
         if start in self.stored:
             reply(True)
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -236,7 +236,7 @@
             if m.state not in bad or m.daemon_id == own_id or m.daemon_id not in self.table
         )
 
-    def updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
+    def take_updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
         """Return the records for the next message, least often sent first.
 
         The record of `target` comes first if it is not alive, so that the target can refute it.
@@ -250,10 +250,10 @@
             rows.insert(0, known)
         return tuple(rows)
 
-    def updates_for_reply(self, sender: Identity) -> tuple[Member, ...]:
+    def take_updates_for_reply(self, sender: Identity) -> tuple[Member, ...]:
         """Return the records for the answer to `sender`."""
         known = self.table.get(sender.daemon_id)
-        rows = self.updates(sender.daemon_id)
+        rows = self.take_updates(sender.daemon_id)
         # A daemon that restarted with its clock set back must learn which incarnation to exceed.
         if known is None or known.incarnation <= sender.incarnation or known in rows:
             return rows
--- a/packages/agatecross-core/agatecross_core/quarantine/gate.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/gate.py
@@ -28,12 +28,12 @@
         if suspect.quarantined:
             return Reason.QUARANTINED
         busy = any(row.fingerprint == fingerprint for row in self.running.values())
-        return Reason.SUSPECTED if busy or suspect.trial != self.me else None
+        return Reason.SUSPECTED if busy or suspect.trial_daemon != self.me else None
 
-    def started(self, call_id: CallId, call: InFlightCall) -> None:
+    def call_started(self, call_id: CallId, call: InFlightCall) -> None:
         """Record that a call starts."""
         self.running[call_id] = call
 
-    def ended(self, call_id: CallId) -> None:
+    def call_ended(self, call_id: CallId) -> None:
         """Record that a call ended."""
         self.running.pop(call_id, None)
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -53,7 +53,7 @@
     """A fingerprint with strikes: refused if quarantined, else run only by daemon `trial`."""
 
     quarantined: bool
-    trial: DaemonId | None
+    trial_daemon: DaemonId | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -25,9 +25,9 @@
 class StrikeTable:
     """A limited number of fingerprints with strikes; the oldest ones are evicted."""
 
-    def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
+    def __init__(self, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
         """Start without strikes."""
-        self.limit = limit
+        self.max_fingerprints = max_fingerprints
         self.records: OrderedDict[Fingerprint, StrikeRecord] = OrderedDict()
         self.cleared: OrderedDict[tuple[Fingerprint, Death], Millis] = OrderedDict()
 
@@ -48,7 +48,7 @@
             record.struck_at = now
             self.records.move_to_end(strike.fingerprint)
             changed = True
-        while len(self.records) > self.limit:
+        while len(self.records) > self.max_fingerprints:
             self.records.popitem(last=False)
         return changed
 
@@ -68,7 +68,7 @@
                 record.deaths -= deaths
                 if not record.deaths:
                     del self.records[row.fingerprint]
-        while len(self.cleared) > self.limit * QUARANTINE_CRASH_COUNT:
+        while len(self.cleared) > self.max_fingerprints * QUARANTINE_CRASH_COUNT:
             self.cleared.popitem(last=False)
         return changed
 
--- a/packages/agatecross-core/agatecross_core/routing/routes.py
+++ b/packages/agatecross-core/agatecross_core/routing/routes.py
@@ -1,9 +1,9 @@
 """Finds the route of a call in the configuration in force."""
 
-from ..config.model import Route, SiteSnapshot
+from ..config.model import Route, SiteConfig
 
 
-def find_route(site: SiteSnapshot, host: str, path: str) -> Route | None:
+def find_route(site: SiteConfig, host: str, path: str) -> Route | None:
     """Return the first matching route; routes are ordered by host, then by longest prefix."""
     for route in site.routes:
         if route.host and route.host != host:
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.codec import ControlMessage
-from agatecross_core.config.model import MeshSnapshot
+from agatecross_core.config.model import MeshConfig
 from agatecross_core.ids import Address, Fingerprint, Millis
 from agatecross_core.members.records import Clearance, Member, Strike, UpstreamInfo
 from agatecross_core.members.view import FleetView
@@ -15,7 +15,7 @@
 class ConfigInForce:
     """A new compiled snapshot is in force."""
 
-    snapshot: MeshSnapshot
+    snapshot: MeshConfig
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from agatecross_core.admission.policies import POLICIES
-from agatecross_core.config.forms import check_address, check_ip, check_name
+from agatecross_core.config.formats import check_address, check_ip, check_name
 from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
 from agatecross_core.distribution.baselines import FOLLOWERS_BY_NAME
@@ -26,17 +26,17 @@
     "address_map": Key(dict),
 }
 DAEMON_KEYS: Mapping[str, Key] = {
-    "id": Key(str, required=True, form=check_name),
-    "region": Key(str, required=True, form=check_name),
-    "data_centre": Key(str, required=True, form=check_name),
-    "host": Key(str, required=True, form=check_ip),
+    "id": Key(str, required=True, format_check=check_name),
+    "region": Key(str, required=True, format_check=check_name),
+    "data_centre": Key(str, required=True, format_check=check_name),
+    "host": Key(str, required=True, format_check=check_ip),
     "call_port": Key(int, required=True, low=1, high=65535),
     "peer_port": Key(int, required=True, low=1, high=65535),
     "control_port": Key(int, required=True, low=1, high=65535),
     "admin_port": Key(int, required=True, low=1, high=65535),
     "seed": Key(int),
 }
-LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True, form=check_address)}
+LOG_KEYS: Mapping[str, Key] = {"address": Key(str, required=True, format_check=check_address)}
 POLICY_KEYS: Mapping[str, Key] = {
     "balancing": Key(str, choices=tuple(sorted(BALANCERS))),
     "admission": Key(str, choices=tuple(sorted(POLICIES))),
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from agatecross_core.config.forms import check_address, check_name
+from agatecross_core.config.formats import check_address, check_name
 from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
 from agatecross_core.durations import check_duration, parse_duration
@@ -22,15 +22,15 @@
     "retries": Key(dict, required=True),
     "shutdown": Key(dict, required=True),
 }
-NAME_KEY = Key(str, required=True, form=check_name)
-DURATION_KEY = Key(str, required=True, form=check_duration)
-ADDRESS_KEY = Key(str, required=True, form=check_address)
+NAME_KEY = Key(str, required=True, format_check=check_name)
+DURATION_KEY = Key(str, required=True, format_check=check_duration)
+ADDRESS_KEY = Key(str, required=True, format_check=check_address)
 TABLE_KEYS: Mapping[str, Mapping[str, Key]] = {
     "sidecar": {"id": NAME_KEY, "region": NAME_KEY, "data_centre": NAME_KEY, "seed": Key(int)},
     "listen": {
         "callers": ADDRESS_KEY,
         "peers": ADDRESS_KEY,
-        "peers_announced": Key(str, form=check_address),
+        "peers_announced": Key(str, format_check=check_address),
         "ready": ADDRESS_KEY,
         "heartbeats": ADDRESS_KEY,
         "metrics": ADDRESS_KEY,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -87,7 +87,7 @@
                 assert delay is not None
                 done, _ = await asyncio.wait(running, timeout=delay / 1000)
                 if not done:
-                    return Progress.ELAPSED
+                    return Progress.HEDGE_DELAY_ELAPSED
             case HedgedAttempt():
                 running.add(asyncio.ensure_future(self.attempt(action)))
         done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -20,9 +20,9 @@
     not_run_result,
     unknown_result,
 )
-from agatecross_core.config.model import MeshSnapshot, ServicePolicy
+from agatecross_core.config.model import MeshConfig, ServicePolicy
 from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_IDEMPOTENCY_KEY_LENGTH
-from agatecross_core.idempotency.model import CallFinished, Grant, Submit
+from agatecross_core.idempotency.model import CallFinished, CallSubmitted, Grant
 from agatecross_core.ids import (
     Address,
     CallId,
@@ -71,7 +71,7 @@
         self.claims = claims
         self.quarantine = quarantine
         self.mailbox = mailbox
-        self.snapshot: MeshSnapshot | None = None
+        self.snapshot: MeshConfig | None = None
         self.view = FleetView()
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.in_flight = 0
@@ -142,7 +142,7 @@
         self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
         scoped = IdempotencyKey(f"{call.service}/{key}")
-        ask: ClaimAsk = new_ask(Submit(call.call_id, scoped, fingerprint, call.deadline))
+        ask: ClaimAsk = new_ask(CallSubmitted(call.call_id, scoped, fingerprint, call.deadline))
         self.claims.put(ask)
         granted = await ask.reply
         if not isinstance(granted, Grant):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -23,10 +23,11 @@
 )
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import (
-    Answer,
+    AnswerCall,
     AppendBatch,
     AskHolder,
     BatchAppended,
+    CallSubmitted,
     ClaimsAction,
     ClaimsBatch,
     ClaimsInput,
@@ -38,7 +39,6 @@
     OutcomeRequest,
     ReadClaims,
     ReadFailed,
-    Submit,
     TimePassed,
 )
 from agatecross_core.ids import CallId, Millis, Offset
@@ -52,7 +52,7 @@
 ACTIVE_WAIT_SECONDS = CLAIM_BATCH_WAIT / 1000
 IDLE_WAIT_SECONDS = 1.0
 
-ClaimAsk = Ask[Submit, Grant | CallResult]
+ClaimAsk = Ask[CallSubmitted, Grant | CallResult]
 ClaimsMessage = ClaimAsk | ReceivedAsk | ClaimsInput
 
 
@@ -92,7 +92,7 @@
     def _handle(self, message: ClaimsMessage) -> None:
         if not isinstance(message, Ask):
             self._execute_actions(self.decider.handle(message, monotonic_ms()))
-        elif isinstance(message.payload, Submit):
+        elif isinstance(message.payload, CallSubmitted):
             submit = message.payload
             self.asks[submit.call_id] = message
             self._execute_actions(self.decider.handle(submit, monotonic_ms()))
@@ -110,7 +110,7 @@
                     self.subtasks.start(self._read_claims(start))
                 case Grant(call_id):
                     self.asks.pop(call_id).answer(action)
-                case Answer(call_id, result):
+                case AnswerCall(call_id, result):
                     self.asks.pop(call_id).answer(result)
                 case AskHolder():
                     self.subtasks.start(self._ask_holder(action))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -92,7 +92,7 @@
             case ViewChanged(view):
                 self.follower.view_changed(tuple(view.members.values()))
             case PeerVersion():
-                self._execute_actions(self.follower.peer_version(message, now))
+                self._execute_actions(self.follower.peer_version_received(message, now))
             case RecordsRead():
                 self._execute_actions(self.follower.records_read(message, now))
             case ReadFailed():
@@ -110,7 +110,7 @@
         elif isinstance(message, VersionNotice):
             ask.answer(NoticeAck(state.version, state.digest))
             sender_version = PeerVersion(message.sender, message.version, message.digest)
-            self._execute_actions(self.follower.peer_version(sender_version, now))
+            self._execute_actions(self.follower.peer_version_received(sender_version, now))
 
     def _execute_actions(self, actions: Iterable[FollowerAction]) -> None:
         for action in actions:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -358,7 +358,7 @@
                 leave.reply(leave.born is not None)
             return
         if leave.reply is not None:
-            self.leave_replies.wait(start, leave.reply, monotonic_ms())
+            self.leave_replies.reply_when_stored(start, leave.reply, monotonic_ms())
         elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
             # Every peer reports the same earlier drain.
             return
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -216,7 +216,7 @@
                 pass
 
     def _probe_ack(self, sender: Identity, target: DaemonId) -> ProbeAck:
-        gossip = self._gossip_with(self.swim.updates_for_reply(sender))
+        gossip = self._gossip_with(self.swim.take_updates_for_reply(sender))
         alive = target == self.swim.me.daemon_id
         return ProbeAck(gossip, alive, unknown=not self.swim.knows_incarnation(sender))
 
@@ -319,7 +319,7 @@
             self._probe_member(peer, introduce=True)
 
     def _next_gossip(self, target: DaemonId | None = None, introduce: bool = False) -> Gossip:
-        rows = self.swim.updates(target)
+        rows = self.swim.take_updates(target)
         return self._gossip_with((self.swim.me, *rows) if introduce else rows)
 
     def _gossip_with(self, rows: tuple[Member, ...]) -> Gossip:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -161,9 +161,9 @@
                     self.source.put(DrainConfirmed(self.directory.me))
             case StoreReachability(reached, latency):
                 me = self.directory.me
-                if (reached, latency) != (me.reads_log, me.log_latency):
+                if (reached, latency) != (me.reaches_store, me.store_latency):
                     self._announce_self(
-                        self.directory.update(reads_log=reached, log_latency=latency)
+                        self.directory.update(reaches_store=reached, store_latency=latency)
                     )
             case ConfigChanged():
                 self.config_distributor.config_changed(message, self.open_links)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -40,7 +40,7 @@
     ran_result,
     unknown_result,
 )
-from agatecross_core.config.model import MeshSnapshot
+from agatecross_core.config.model import MeshConfig
 from agatecross_core.constants import CONNECT_TIMEOUT, UPSTREAM_LEASE
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, CallId, DataCentreName, Millis
@@ -125,7 +125,7 @@
         self.probing: dict[CallId, InFlightCall] = {}
         self.mailbox = mailbox
         self.info: UpstreamInfo | None = None
-        self.snapshot: MeshSnapshot | None = None
+        self.snapshot: MeshConfig | None = None
         self.lease_until = Millis(0)
         self.leaving = False
         self.asks: dict[CallId, CallAsk] = {}
@@ -171,7 +171,7 @@
                 self._handle_announcement(info, now)
             case CallEnded(call_id, result):
                 self.exchanges.pop(call_id, None)
-                self.gate.ended(call_id)
+                self.gate.call_ended(call_id)
                 self._discard_death_report(call_id)
                 self._answer(call_id, result)
                 self._run_admission(CallFinished(call_id, _ending_of(result)), now)
@@ -259,7 +259,7 @@
             return
         assert self.info is not None
         in_flight = InFlightCall(fingerprint, call.request.path)
-        self.gate.started(call.call_id, in_flight)
+        self.gate.call_started(call.call_id, in_flight)
         exchange = self.subtasks.start(self._run_call(call, in_flight, self.info.address))
         self.exchanges[call.call_id] = exchange
         # A callback reports the end, because a cancelled exchange must free its slot too.
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -13,7 +13,7 @@
 from agatecross_core.config.fold import fold
 from agatecross_core.config.model import (
     ConfigState,
-    MeshSnapshot,
+    MeshConfig,
     PublishRecord,
     SnapshotRecord,
 )
@@ -110,13 +110,13 @@
             continue
 
 
-def _accepted(fleet: Fleet) -> Iterator[tuple[PublishRecord, MeshSnapshot]]:
+def _accepted(fleet: Fleet) -> Iterator[tuple[PublishRecord, MeshConfig]]:
     state = ConfigState()
     for record in _records(fleet):
         step = fold(state, record, decode_toml)
         state = step.state
-        if step.snapshot is not None and isinstance(record, PublishRecord):
-            yield record, step.snapshot
+        if step.mesh_config is not None and isinstance(record, PublishRecord):
+            yield record, step.mesh_config
 
 
 def _newest_version(fleet: Fleet) -> int:
@@ -125,7 +125,7 @@
 
 def _with_publishes(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
     """Yield the events, the accepted versions, and what each version in force routes."""
-    snapshots: dict[int, MeshSnapshot] = {}
+    snapshots: dict[int, MeshConfig] = {}
     first = recorder.publishes[""]
     for record, snapshot in _accepted(fleet):
         snapshots[snapshot.version] = snapshot
