--- a/packages/agatecross-core/agatecross_core/distribution/delta.py
+++ b/packages/agatecross-core/agatecross_core/distribution/delta.py
@@ -29,7 +29,7 @@
         first, count = step
         if first < 0 or count < 1 or first + count > len(pieces):
             raise DeltaError(
-                f"step copies pieces {first} up to {first + count}, base has {len(pieces)}"
+                f"step copies pieces {first} to {first + count} (exclusive), base has {len(pieces)}"
             )
         pieces_of_target += pieces[first : first + count]
     return b"".join(pieces_of_target)
