--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -373,13 +373,13 @@
         if self.reading or now < self.next_read_at:
             return
         silent = self.peer_heard_at is not None and now - self.peer_heard_at > PEER_SILENCE_TIMEOUT
-        alone = silent or len(self.members) <= 1
-        if not alone and self.me.daemon_id not in self.readers:
+        no_peers = silent or len(self.members) <= 1
+        if not no_peers and self.me.daemon_id not in self.readers:
             self.log.require_verification()
             self.position_lost_at = None
             return
         self.reading = True
-        yield ReadLog(self.log.start(), NO_PEERS_POLL_WAIT if alone else LOG_POLL_WAIT)
+        yield ReadLog(self.log.start(), NO_PEERS_POLL_WAIT if no_peers else LOG_POLL_WAIT)
 
     def _write_snapshot(self, now: Millis) -> Iterator[FollowerAction]:
         replaced = self.log.caught_up and self.state.version > self.log.state.version
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -264,8 +264,10 @@
         if message.state is AppendState.LOST:
             self.append_outcome_unknown, self.append_search_started = True, False
             return
-        refused = (Phase.APPENDING,) if self.stream.last_record_digest else CLAIM_PENDING_PHASES
-        for phase in refused:
+        refused_phases = (
+            (Phase.APPENDING,) if self.stream.last_record_digest else CLAIM_PENDING_PHASES
+        )
+        for phase in refused_phases:
             for waiting in self._in_phase(phase):
                 yield from self._answer(waiting, not_run_result(Reason.LOG_UNAVAILABLE))
 
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -160,8 +160,8 @@
         ):
             return
         # A leaving member is expected to stop and gets no work, so it need not refute.
-        gone = known.state is MemberState.LEAVING
-        state = MemberState.DEAD if gone else MemberState.SUSPECT
+        leaving = known.state is MemberState.LEAVING
+        state = MemberState.DEAD if leaving else MemberState.SUSPECT
         yield from self.merge([replace(known, state=state)], now)
 
     def merge(self, members: Iterable[Member], now: Millis) -> Iterator[SwimAction]:
@@ -228,12 +228,14 @@
         After a partition the other side holds all members of this side for dead. Accepting that
         would stop routing to healthy members until each of them has refuted it.
         """
-        bad = (MemberState.SUSPECT, MemberState.DEAD)
+        failed_states = (MemberState.SUSPECT, MemberState.DEAD)
         own_id = self.me.daemon_id
         return tuple(
             m
             for m in members
-            if m.state not in bad or m.daemon_id == own_id or m.daemon_id not in self.table
+            if m.state not in failed_states
+            or m.daemon_id == own_id
+            or m.daemon_id not in self.table
         )
 
     def take_updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
--- a/packages/agatecross-core/agatecross_core/quarantine/strikes.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/strikes.py
@@ -118,7 +118,7 @@
 
     def _expire_cleared(self, now: Millis) -> None:
         while self.cleared:
-            row, at = next(iter(self.cleared.items()))
-            if now - at < QUARANTINE_TIME:
+            row, cleared_at = next(iter(self.cleared.items()))
+            if now - cleared_at < QUARANTINE_TIME:
                 return
             del self.cleared[row]
