--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -18,7 +18,8 @@
 class Attempt:
     """Action: send the call to this candidate, and return the result to the flow.
 
-    If there is no result after `hedge_after`, return `Progress.ELAPSED` and continue the attempt.
+    If there is no result after `hedge_after`, return `Progress.HEDGE_DELAY_ELAPSED` and continue
+    the attempt.
     """
 
     call: Call
--- a/packages/agatecross-core/agatecross_core/calls/model.py
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -37,7 +37,7 @@
 
 
 def find_header(headers: Headers, name: str) -> str | None:
-    """Return the first value of a header, or None; names are compared without case."""
+    """Return the first value of a header, or None; the case of names is ignored."""
     name = name.lower()
     return next((value for key, value in headers if key.lower() == name), None)
 
@@ -74,7 +74,7 @@
 
 
 def failed_exchange_result(error: ExchangeError) -> CallResult:
-    """Return the result of a failed exchange; only an unsent call certainly did not run."""
+    """Return the result of a failed exchange; the call certainly did not run if it was not sent."""
     if isinstance(error, ConnectFailedError):
         return not_run_result(Reason.CONNECT_FAILED)
     if isinstance(error, ExchangeTimeoutError):
--- a/packages/agatecross-core/agatecross_core/config/check_sites.py
+++ b/packages/agatecross-core/agatecross_core/config/check_sites.py
@@ -1,4 +1,4 @@
-"""Third filter of the pipeline: checks merged sites; passes sites and findings on."""
+"""Third filter of the pipeline: checks merged sites, and passes on sites and findings."""
 
 import difflib
 import math
@@ -12,7 +12,7 @@
 
 
 def check_sites(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
-    """Yield each item, and after each site its new findings; equal findings appear once."""
+    """Yield each item, and after each site its findings, except those already yielded here."""
     seen: set[Finding] = set()
     for item in items:
         yield item
@@ -109,7 +109,7 @@
 
 
 def has_kind(value: object, kind: type) -> bool:
-    """Return whether a decoded value is of a type; integers count as floats, Booleans do not."""
+    """Return whether a decoded value is of a type; integers count as floats, Booleans as neither."""
     if kind in (int, float) and isinstance(value, bool):
         return False
     if kind is float:
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -22,7 +22,7 @@
 def compile_documents(
     documents: Iterable[Document], decoder: DocumentDecoder, version: Version
 ) -> tuple[MeshConfig | None, tuple[Finding, ...]]:
-    """Run the whole pipeline; the snapshot is None if there are findings."""
+    """Run the whole pipeline; the compiled configuration is None if there are findings."""
     documents = tuple(documents)
     sites, findings = split_findings(
         check_sites(merge_overlays(parse_documents(documents, decoder)))
--- a/packages/agatecross-core/agatecross_core/config/explain.py
+++ b/packages/agatecross-core/agatecross_core/config/explain.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplainedValue:
-    """A value in force; `place` is None if it is the default."""
+    """A value in force, and the place that set it, or None if it is the default."""
 
     key: str
     value: object
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -19,7 +19,7 @@
 
 
 def fold_entry(state: ConfigState, entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
-    """Fold the record after `state.through`; stay before a record with an unknown rule set."""
+    """Fold the record after `state.through`; a record with an unknown rule set is not passed."""
     if entry.record is None:
         step = FoldStep(state, PublishVerdict.UNDECODABLE)
     else:
@@ -86,8 +86,8 @@
 ) -> FoldStep:
     if record.through != NO_OFFSET:
         return FoldStep(state, PublishVerdict.DUPLICATE)
-    # Readers that lack the records before a restart start from it. Readers that have those records
-    # must reach the same state, even if it is older than the state that they folded.
+    # This record restarts the fold. Readers that lack the earlier records start from it. Readers
+    # that have them must reach the same state, even if it is older than the state that they folded.
     return _adopt_snapshot(state, record, decoder)
 
 
--- a/packages/agatecross-core/agatecross_core/config/formats.py
+++ b/packages/agatecross-core/agatecross_core/config/formats.py
@@ -18,7 +18,7 @@
 
 
 def check_address(text: str) -> str | None:
-    """Check an address of the form `ip:port`; IPv6 addresses may stand in brackets."""
+    """Check an address of the form `ip:port`; an IPv6 address may be in brackets."""
     host, _, port = text.rpartition(":")
     if check_ip(host.removeprefix("[").removesuffix("]")) is not None:
         return f"{text!r} is not an address of the form ip:port"
--- a/packages/agatecross-core/agatecross_core/config/merge_overlays.py
+++ b/packages/agatecross-core/agatecross_core/config/merge_overlays.py
@@ -17,7 +17,7 @@
 def merge_overlays(
     items: Iterable[DecodedDocument | Finding],
 ) -> Iterator[MergedSite | Finding]:
-    """Apply each overlay to the base; pass findings on."""
+    """Yield one site per data centre, with its overlay applied to the base, and all findings."""
     documents: dict[str, DecodedDocument] = {}
     for item in items:
         if isinstance(item, Finding):
@@ -48,7 +48,7 @@
 
 
 def region_data_centre_pairs(values: Mapping[str, object]) -> Iterator[tuple[str, str]]:
-    """Yield each region with each of its data centres."""
+    """Yield a pair of names for each data centre: its region and itself."""
     regions = values.get("regions")
     if not isinstance(regions, Mapping):
         return
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -1,4 +1,4 @@
-"""Configuration documents, compiled snapshots and records of the config stream."""
+"""Configuration documents, compiled configurations and records of the config stream."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -139,11 +139,11 @@
     """The folded state up to and including offset `through`.
 
     Snapshots are written before the retention of the log drops the folded records. `mark` is the
-    digest of the record at `through`. `at_ms` is wall-clock milliseconds and only serves to decide
-    when the next snapshot is due.
+    digest of the record at `through`. `at_ms` is the time of writing in wall-clock milliseconds,
+    and is only used to decide when the next snapshot is due.
 
     A snapshot whose `through` is `NO_OFFSET` restarts the fold: it is written after the log was
-    replaced or lost its history, and sets the folded state whatever records came before.
+    replaced or lost its history, and replaces the folded state regardless of earlier records.
     """
 
     version: Version
@@ -192,7 +192,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FoldStep:
-    """State after one record, with the verdict, any findings and any new snapshot."""
+    """State after one record, with the verdict, any findings and any new compiled configuration."""
 
     state: ConfigState
     verdict: PublishVerdict
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it is required, and the values allowed."""
+    """Type of the value of one key, whether the key is required, and which values are allowed."""
 
     kind: type
     required: bool = False
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PutInForce:
-    """Action: replace the compiled snapshot in force by this one."""
+    """Action: replace the compiled configuration in force with this one."""
 
     mesh_config: MeshConfig
 
@@ -200,7 +200,7 @@
         yield from self._write_snapshot(now)
 
     def view_changed(self, members: tuple[Member, ...]) -> None:
-        """Update the members that are not dead, and the readers among them."""
+        """Store the members that are not dead, and select the readers among them."""
         self.members = members
         self.readers = readers(self.me, members)
         self.offers.retain_members(members)
@@ -247,7 +247,7 @@
             yield from self._start_read(now)
 
     def read_failed(self, now: Millis) -> None:
-        """Handle a read that ended without a page: delay the next one."""
+        """Delay the next read, because this one ended without a page."""
         self.reading = False
         self.must_discard_page = False
         self.log.require_verification()
@@ -285,7 +285,8 @@
     def _handle_pull_result(
         self, peer: DaemonId, reply: PullReply, result: PullResult
     ) -> Iterator[FollowerAction]:
-        # After a restart of the fold the ids that both know may differ; then request all ids.
+        # After a restart of the fold, the two daemons may hold different ids before the last common
+        # one. Then all ids are requested.
         asked_for_all, self.must_request_all_seen = self.must_request_all_seen, False
         if result.verdict is PullVerdict.SEEN_MISMATCH and not asked_for_all:
             self.must_request_all_seen = True
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -1,4 +1,4 @@
-"""Selects the daemons that read the configuration from the store, and those they push it to.
+"""Selects the daemons that read the configuration from the store, and those that they push it to.
 
 Only daemons of the region nearest to the store read. They push changes to relays in the other
 regions, so a change crosses the link between two regions only a few times, whatever the size
@@ -35,7 +35,10 @@
 def push_targets(
     me: Endpoint, rows: Iterable[Endpoint], reachable: Collection[DaemonId], from_store: bool
 ) -> Iterator[DaemonId]:
-    """Yield the daemons to push a change to that came from the store or another region."""
+    """Yield the daemons to which this daemon pushes a change.
+
+    The change came from the store if `from_store` is set, and otherwise from another region.
+    """
     endpoints = [
         row for row in _reachable_endpoints(me, rows, reachable) if row.daemon_id != me.daemon_id
     ]
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -86,7 +86,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PullResult:
-    """The verdict, the peer's state for `NEWER` and `SAME`, and the snapshot for `NEWER`."""
+    """The verdict, the new state for `NEWER` and `SAME`, and `mesh_config` for `NEWER`."""
 
     verdict: PullVerdict
     state: ConfigState | None = None
--- a/packages/agatecross-core/agatecross_core/distribution/snapshots.py
+++ b/packages/agatecross-core/agatecross_core/distribution/snapshots.py
@@ -39,13 +39,16 @@
         self.next_write_at = None
 
     def log_replaced(self) -> None:
-        """Forget the snapshots of the previous log."""
+        """Forget the newest snapshot of the previous log and the records after it."""
         self.records_since_snapshot = 0
         self.last_written_at = None
         self.next_write_at = None
 
     def is_due(self, now: Millis, rank: int, required: bool) -> bool:
-        """Return whether to write a snapshot now; the delay grows with the rank of this reader."""
+        """Return whether to write a snapshot now, and set or clear the time of the next write.
+
+        The delay grows with the rank of this reader.
+        """
         if self.last_written_at is None:
             self.last_written_at = Millis(now - SNAPSHOT_MAX_AGE + FIRST_SNAPSHOT_DELAY)
         old = now - self.last_written_at >= SNAPSHOT_MAX_AGE
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -55,11 +55,11 @@
 
     - `QUEUED`: the next batch of claims.
     - `APPENDING`: the end of the append of its claim.
-    - `LANDED`: the read of its appended claim.
+    - `APPENDED`: the read of its appended claim.
     - `ASKING`: the answer of the daemon whose claim holds the key.
     - `ASK_LATER`: the time to ask that daemon again.
     - `READ_LATER`: the next read of the stream, after which the call is decided again.
-    - `LOCAL`: the end of a call with the same key on this daemon.
+    - `SAME_KEY_RUNNING`: the end of a call with the same key on this daemon.
     """
 
     QUEUED = "queued"
@@ -147,7 +147,7 @@
         yield from self._start_read(now)
 
     def reply(self, request: OutcomeRequest) -> OutcomeReply:
-        """Answer a peer that got a call whose key is held by a claim of this daemon."""
+        """Answer a peer that received a call whose key is held by a claim of this daemon."""
         reply = self.outcomes.reply(request.claim_id)
         if reply.state is ClaimedCallState.NOT_STARTED:
             # The peer has read that this claim holds the key; this daemon may not have read it yet.
@@ -278,7 +278,7 @@
             yield from self._answer(waiting, not_run_result(Reason.LOG_UNAVAILABLE))
 
     def _record_log_result(self, success: bool, now: Millis) -> None:
-        """Set when to use the log again: after a failure, a random wait whose limit doubles."""
+        """Set when to use the log again: after a failure, a random wait whose maximum doubles."""
         self.log_failing = not success
         if success:
             self.max_log_retry_wait, self.log_retry_at = CLAIM_RETRY_WAIT, now
@@ -310,7 +310,7 @@
         yield from self._decide_read_claims(now)
         if self.caught_up and self.append_outcome_unknown and self.append_search_started:
             self.append_outcome_unknown = False
-            # The append has not landed so far. A late copy is harmless, because the claims are
+            # The batch is not in the stream so far. A late copy is harmless, because the claims are
             # appended again with the same ids.
             for waiting in self._in_phase(Phase.APPENDING):
                 waiting.phase, waiting.due = Phase.QUEUED, now
@@ -332,7 +332,11 @@
                 yield from self._answer(waiting, not_run_result(Reason.CLAIMS_INCOMPLETE))
 
     def _decide_read_claims(self, now: Millis) -> Iterator[ClaimsAction]:
-        """Decide about the calls whose claims were read, or are missing where they landed."""
+        """Decide about the calls that waited for this read.
+
+        The claim of such a call holds its key, or was read without getting the key, or the call
+        waits to be decided again.
+        """
         for waiting in list(self.waiting.values()):
             claim = self.fold.claim_for(waiting.submit.key)
             if waiting.phase is Phase.READ_LATER and waiting.due <= now:
@@ -397,7 +401,8 @@
         busy = self.batch_in_flight is not None or self.append_outcome_unknown
         if busy or not self.caught_up:
             return
-        # The stream needs a first record, without which a daemon cannot detect its loss.
+        # An empty stream first gets a record without claims, because a daemon that has read no
+        # record cannot detect the loss of the stream.
         no_record_read = not self.stream.last_record_digest
         queued = [] if no_record_read else list(self._in_phase(Phase.QUEUED))
         other_work_due = now >= self.log_retry_at and (
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchAppended:
-    """Input: the append in flight ended; `offset` is set if it landed."""
+    """Input: the append in flight ended; `offset` is set if the record was written."""
 
     state: AppendState
     offset: Offset | None = None
@@ -115,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFinished:
-    """Input: a call that was granted ended with this result."""
+    """Input: a call that a `Grant` started ended with this result."""
 
     claim_id: ClaimId
     result: CallResult
@@ -153,7 +153,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Action: start the call; its result must be handed back as `CallFinished`."""
+    """Action: start the call; its result must be reported as `CallFinished`."""
 
     call_id: CallId
     claim_id: ClaimId
--- a/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/outcomes.py
@@ -26,7 +26,7 @@
 
 
 class OutcomeStore:
-    """Claims of this daemon, oldest first, limited in age, number and response bytes."""
+    """Claims of this daemon, oldest change first, limited in age, number and response bytes."""
 
     def __init__(self, max_response_bytes: int = MAX_RETAINED_RESPONSE_BYTES) -> None:
         """Start empty; `max_response_bytes` limits the total size of the retained responses."""
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -9,7 +9,7 @@
 
 
 class Continuity(Enum):
-    """Whether a page follows the records read before, without missing records that matter."""
+    """Whether a page follows the records read before, without a gap that may hide valid claims."""
 
     CONTINUOUS = "whole"
     EXPIRED = "expired"
@@ -59,7 +59,7 @@
 
 
 def _missing_claims_past_retention(page: ClaimsRead) -> bool:
-    # All missing records are older than the first retained record.
+    # All missing records are older than the first retained record, whose age is checked here.
     if not page.records or page.records[0].batch is None:
         return False
     return page.wall_ms - page.records[0].batch.at_ms > IDEMPOTENCY_KEY_RETENTION + MAX_CLOCK_SKEW
--- a/packages/agatecross-core/agatecross_core/members/bootstrap.py
+++ b/packages/agatecross-core/agatecross_core/members/bootstrap.py
@@ -121,7 +121,7 @@
         self._schedule_retry(now)
 
     def _record_page(self, page: AnnouncementsRead) -> None:
-        # A log that is back with lower offsets has lost the earlier announcements.
+        # A log that ends at a lower offset than before has lost the earlier announcements.
         reset = page.end < self.position
         for offset, record in page.records:
             daemon_id = record.member.daemon_id
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -23,10 +23,10 @@
 
     `sequence` grows with each change within an incarnation. `instance` is None while the upstream
     is unknown; `born` is its start time in Unix milliseconds; `cold` is its remaining warm-up time.
-    `reads_log` tells whether the daemon recently reached the platform's log; `log_latency` is its
-    shortest response time in whole milliseconds, or 0 while it has not answered. Durations are
-    encoded in whole milliseconds and must be whole here too, so that a daemon and its peers hold
-    the same description of it.
+    `reaches_store` tells whether the daemon recently reached the platform's store; `store_latency`
+    is the store's shortest response time in whole milliseconds, or 0 while it has not answered.
+    Durations are encoded in whole milliseconds and must be whole here too, so that a daemon and its
+    peers hold the same description of it.
     """
 
     daemon_id: DaemonId
@@ -88,7 +88,7 @@
         return self.me
 
     def remove(self, daemon_id: DaemonId) -> None:
-        """Remove a daemon that has gone."""
+        """Remove the description of a daemon, if it is known."""
         if self.rows.pop(daemon_id, None) is not None:
             self._rebuild_index()
 
--- a/packages/agatecross-core/agatecross_core/members/dissemination.py
+++ b/packages/agatecross-core/agatecross_core/members/dissemination.py
@@ -11,7 +11,7 @@
 
 K = TypeVar("K")
 
-# With two messages sent and two received per second this is 4.8 KB/s, half the control budget.
+# With two messages sent and two received per second, this is 4.8 KB/s, half the control budget.
 MAX_UPDATE_BYTES_PER_MESSAGE = 1_200
 MAX_REPORTS_PER_MESSAGE = 8
 # Longer than the 33 protocol periods after which 1,300 daemons no longer send an update, so that a
--- a/packages/agatecross-core/agatecross_core/members/leave_replies.py
+++ b/packages/agatecross-core/agatecross_core/members/leave_replies.py
@@ -11,8 +11,8 @@
 LeaveReply = Callable[[bool], None]
 """Callback that receives whether the leave is confirmed."""
 
-# An answer after a second or more is no confirmation; the rest of that second is for a tick of the
-# daemon and for the way back.
+# An answer only counts as a confirmation if it takes less than a second. The rest of that second
+# covers a tick of the daemon and the transfer of the answer.
 DRAIN_STORE_TIMEOUT = Millis(750)
 
 
@@ -35,12 +35,12 @@
             self.waiting.append((start, Millis(now + DRAIN_STORE_TIMEOUT), reply))
 
     def drain_stored(self, start: UpstreamStart) -> None:
-        """Confirm all waiting leaves of this start, and later ones at once."""
+        """Confirm all waiting leaves of this start; later ones are confirmed on arrival."""
         self.stored.add(start)
         self._answer(lambda row: row[0] == start, True)
 
     def expire(self, now: Millis) -> None:
-        """Answer the leaves whose drain was not stored in time without a confirmation."""
+        """Reply to the leaves whose drain was not stored in time that they are not confirmed."""
         self._answer(lambda row: row[1] <= now, False)
 
     def _answer(
--- a/packages/agatecross-core/agatecross_core/members/records.py
+++ b/packages/agatecross-core/agatecross_core/members/records.py
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Direct probe; `target` shows a daemon that took over the address that it is not meant."""
+    """Direct probe; a daemon that took over the address sees by `target` that it is not meant."""
 
     sender: Identity
     target: DaemonId
@@ -149,7 +149,7 @@
 
 
 def estimate_record_bytes(member: Member) -> int:
-    """Return an upper bound of the encoded size in bytes, valid for ASCII names."""
+    """Return an upper bound of the encoded size in bytes; it only holds for ASCII names."""
     texts = [
         member.daemon_id,
         member.region,
--- a/packages/agatecross-core/agatecross_core/members/swim.py
+++ b/packages/agatecross-core/agatecross_core/members/swim.py
@@ -225,8 +225,8 @@
     def _without_unconfirmed_failures(self, members: Iterable[Member]) -> tuple[Member, ...]:
         """Leave out reports that a member known here is suspect or dead.
 
-        After a partition the other side holds all members of this side for dead. Accepting that
-        would stop routing to healthy members until each of them has refuted it.
+        After a partition, the tables of the other side list all members of this side as dead.
+        Accepting that would stop routing to healthy members until each of them has refuted it.
         """
         failed_states = (MemberState.SUSPECT, MemberState.DEAD)
         own_id = self.me.daemon_id
@@ -239,7 +239,7 @@
         )
 
     def take_updates(self, target: DaemonId | None = None) -> tuple[Member, ...]:
-        """Return the records for the next message, least often sent first.
+        """Return the records for the next message, least often sent first, and count them as sent.
 
         The record of `target` comes first if it is not alive, so that the target can refute it.
         """
@@ -253,7 +253,7 @@
         return tuple(rows)
 
     def take_updates_for_reply(self, sender: Identity) -> tuple[Member, ...]:
-        """Return the records for the answer to `sender`."""
+        """Return the records for the answer to `sender`, and count them as sent."""
         known = self.table.get(sender.daemon_id)
         rows = self.take_updates(sender.daemon_id)
         # A daemon that restarted with its clock set back must learn which incarnation to exceed.
@@ -267,7 +267,7 @@
         return known is not None and known.incarnation >= sender.incarnation
 
     def max_transmissions(self) -> int:
-        """Return how often each update is sent; it grows with the logarithm of the fleet size."""
+        """Return how many times each update is sent; grows with the logarithm of the fleet size."""
         return 3 * math.ceil(math.log2(len(self.table) + 1))
 
     def live_peers(self) -> list[Member]:
@@ -284,7 +284,7 @@
         return tuple(self.rng.sample(peers, min(LEAVE_FANOUT, len(peers))))
 
     def suspicion_timeout(self) -> Millis:
-        """Return the time that a suspect has to refute, which grows with the fleet size."""
+        """Return the time within which a suspect must refute; it grows with the fleet size."""
         doublings = math.log2(max(2, len(self.table)))
         return Millis(SUSPICION_BASE_TIMEOUT + SUSPICION_TIMEOUT_PER_DOUBLING * doublings)
 
@@ -297,7 +297,7 @@
             return
         if now < self.next_sync_at:
             return
-        # This peer may be suspended too, so another one is tried after the time-out.
+        # The chosen peer may be suspended too, so another one is tried after the timeout.
         period = SYNC_TIMEOUT if self.needs_sync else self.sync_period
         self.next_sync_at = Millis(now + period * (0.5 + self.rng.random()))
         self.sync_period = min(MAX_SYNC_PERIOD, Millis(2 * self.sync_period))
--- a/packages/agatecross-core/agatecross_core/quarantine/model.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/model.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectedRequest:
-    """A fingerprint with strikes: refused if quarantined, else run only by daemon `trial`."""
+    """A fingerprint with strikes: refused if quarantined, else run only by `trial_daemon`."""
 
     quarantined: bool
     trial_daemon: DaemonId | None
--- a/packages/agatecross-core/agatecross_core/quarantine/trial.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/trial.py
@@ -1,4 +1,4 @@
-"""Selects the daemon that may try a request which was in flight when an upstream died."""
+"""Selects the daemon that may try a request that was in flight when an upstream died."""
 
 import hashlib
 from collections.abc import Iterable, Set
