--- a/packages/agatecross-core/agatecross_core/config/check_sites.py
+++ b/packages/agatecross-core/agatecross_core/config/check_sites.py
@@ -109,7 +109,7 @@
 
 
 def has_kind(value: object, kind: type) -> bool:
-    """Return whether a decoded value is of a type; integers count as floats, Booleans as neither."""
+    """Return whether a value is of a type; integers count as floats, Booleans as neither."""
     if kind in (int, float) and isinstance(value, bool):
         return False
     if kind is float:
