--- a/packages/agatecross-core/agatecross_core/calls/flow.py
+++ b/packages/agatecross-core/agatecross_core/calls/flow.py
@@ -18,7 +18,8 @@
 class Attempt:
     """Action: send the call to this candidate, and return the result to the flow.
 
-    If there is no result after `hedge_after`, return `Progress.ELAPSED` and continue the attempt.
+    If there is no result after `hedge_after`, return `Progress.HEDGE_DELAY_ELAPSED` and continue
+    the attempt.
     """
 
     call: Call
@@ -42,7 +43,7 @@
 class Progress(Enum):
     """Events that are returned to a flow besides results."""
 
-    ELAPSED = "elapsed"
+    HEDGE_DELAY_ELAPSED = "elapsed"
 
 
 FlowAction = Attempt | HedgedAttempt | AwaitResult
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -3,19 +3,19 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .forms import FormCheck
+from .formats import FormatCheck
 
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """One key: the type of its value, whether it is required, and the values allowed."""
+    """Type of the value of one key, whether the key is required, and which values are allowed."""
 
     kind: type
     required: bool = False
     low: float | None = None
     high: float | None = None
     choices: tuple[str, ...] = ()
-    form: FormCheck | None = None
+    format_check: FormatCheck | None = None
 
 
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -68,7 +68,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Submit:
+class CallSubmitted:
     """Input: a call with an idempotency key arrived."""
 
     call_id: CallId
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchAppended:
-    """Input: the append in flight ended; `offset` is set if it landed."""
+    """Input: the append in flight ended; `offset` is set if the record was written."""
 
     state: AppendState
     offset: Offset | None = None
@@ -115,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFinished:
-    """Input: a call that was granted ended with this result."""
+    """Input: a call that a `Grant` started ended with this result."""
 
     claim_id: ClaimId
     result: CallResult
@@ -127,7 +127,13 @@
 
 
 ClaimsInput = (
-    Submit | BatchAppended | ClaimsRead | ReadFailed | HolderAnswered | CallFinished | TimePassed
+    CallSubmitted
+    | BatchAppended
+    | ClaimsRead
+    | ReadFailed
+    | HolderAnswered
+    | CallFinished
+    | TimePassed
 )
 
 
@@ -147,14 +153,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Action: start the call; its result must be handed back as `CallFinished`."""
+    """Action: start the call; its result must be reported as `CallFinished`."""
 
     call_id: CallId
     claim_id: ClaimId
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class AnswerCall:
     """Action: answer the call with this result instead of starting it."""
 
     call_id: CallId
@@ -170,4 +176,4 @@
     request: OutcomeRequest
 
 
-ClaimsAction = AppendBatch | ReadClaims | Grant | Answer | AskHolder
+ClaimsAction = AppendBatch | ReadClaims | Grant | AnswerCall | AskHolder
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -13,7 +13,7 @@
 from agatecross_core.config.fold import fold
 from agatecross_core.config.model import (
     ConfigState,
-    MeshSnapshot,
+    MeshConfig,
     PublishRecord,
     SnapshotRecord,
 )
@@ -114,13 +114,13 @@
             continue
 
 
-def _accepted_publishes(fleet: Fleet) -> Iterator[tuple[PublishRecord, MeshSnapshot]]:
+def _accepted_publishes(fleet: Fleet) -> Iterator[tuple[PublishRecord, MeshConfig]]:
     state = ConfigState()
     for record in _read_records(fleet):
         step = fold(state, record, decode_toml)
         state = step.state
-        if step.snapshot is not None and isinstance(record, PublishRecord):
-            yield record, step.snapshot
+        if step.mesh_config is not None and isinstance(record, PublishRecord):
+            yield record, step.mesh_config
 
 
 def _newest_version(fleet: Fleet) -> int:
@@ -129,7 +129,7 @@
 
 def _complete_events(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
     """Yield the accepted publishes and the events; adds their services to versions in force."""
-    snapshots: dict[int, MeshSnapshot] = {}
+    snapshots: dict[int, MeshConfig] = {}
     first = recorder.publishes[""]
     for record, snapshot in _accepted_publishes(fleet):
         snapshots[snapshot.version] = snapshot
