--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -241,7 +241,7 @@
 
     def sockets(self):
         serving = (self.tasks.call, self.tasks.upstream, self.tasks.admin)
-        return [getattr(task.listener, "inner", task.listener).sockets for task in serving]
+        return [getattr(task.listener, "wrapped", task.listener).sockets for task in serving]
 
     def addresses(self):
         return [sockets[0].getsockname() for sockets in self.sockets()]
