--- a/features/steps/admission_process_steps.py
+++ b/features/steps/admission_process_steps.py
@@ -10,8 +10,8 @@
 from agatecross_standins.fleet import Fleet, Site, fetch, wait_until
 
 EXAMPLE = Path(__file__).resolve().parents[2] / "examples" / "kafeskoop"
-LONG_TIMEOUT = "timeout_ms = 60000"
-WAIT_SECONDS = 60.0
+LONG_TIMEOUT_SETTING = "timeout_ms = 60000"
+ANSWER_TIMEOUT_SECONDS = 60.0
 
 
 @given('daemons for "{service}" with {slots:d} slots')
@@ -25,10 +25,10 @@
     documents = context.fleet.directory / "documents"
     shutil.copytree(EXAMPLE, documents)
     base = documents / "base.toml"
-    text = base.read_text().replace("timeout_ms = 2000", LONG_TIMEOUT)
-    base.write_text(text.replace("timeout_ms = 5000", LONG_TIMEOUT))
+    text = base.read_text().replace("timeout_ms = 2000", LONG_TIMEOUT_SETTING)
+    base.write_text(text.replace("timeout_ms = 5000", LONG_TIMEOUT_SETTING))
     for overlay in (documents / "overlays").iterdir():
-        overlay.write_text(overlay.read_text().replace("timeout_ms = 4000", LONG_TIMEOUT))
+        overlay.write_text(overlay.read_text().replace("timeout_ms = 4000", LONG_TIMEOUT_SETTING))
     context.fleet.wait_joined()
     result = context.fleet.cli("publish", str(documents))
     assert result.returncode == 0, (result.stdout, result.stderr)
@@ -37,20 +37,20 @@
     context.calls = []
 
 
-def send(context, method, path):
+def send_call(context, method, path):
     body = b"" if method == "POST" else None
     url = context.node.call + path
-    return context.pool.submit(fetch, url, method, body, None, WAIT_SECONDS)
+    return context.pool.submit(fetch, url, method, body, None, ANSWER_TIMEOUT_SECONDS)
 
 
-def ends(context):
+def fetch_executions(context):
     url = f"http://127.0.0.1:{context.node.upstream_port}/executions"
     return json.loads(fetch(url)[2])
 
 
 def wait_executed(context, path, count):
     def executed():
-        return [row["path"] for row in ends(context)["executions"]].count(path) >= count
+        return [row["path"] for row in fetch_executions(context)["executions"]].count(path) >= count
 
     wait_until(executed, f"{count} executions of {path}")
 
@@ -75,37 +75,37 @@
 
 
 @when('the upstream holds calls to "{path}"')
-def hold(context, path):
+def hold_calls(context, path):
     context.fleet.switch_upstream(context.node, hold_on=path)
 
 
 @when("the upstream releases its calls")
-def release(context):
+def release_calls(context):
     context.fleet.switch_upstream(context.node, hold_on="")
 
 
 @when('the upstream releases its calls if the method is "{method}"')
-def release_for(context, method):
+def release_calls_for_method(context, method):
     if context.method == method:
-        release(context)
+        release_calls(context)
 
 
 @when('a "{method}" to "{path}" runs and a "{other}" to "{waiting}" waits')
 def run_and_wait(context, method, path, other, waiting):
-    context.running = send(context, method, path)
+    context.running = send_call(context, method, path)
     wait_executed(context, path, 1)
-    context.waiting = send(context, other, waiting)
+    context.waiting = send_call(context, other, waiting)
     wait_admitted(context, 2)
 
 
 @when("the daemon gets SIGTERM")
-def terminate(context):
+def send_sigterm(context):
     context.node.daemon.send_signal(signal.SIGTERM)
 
 
 @then('the waiting call is answered "{outcome}" for "{reason}"')
 def check_waiting(context, outcome, reason):
-    _, headers, _ = context.waiting.result(WAIT_SECONDS)
+    _, headers, _ = context.waiting.result(ANSWER_TIMEOUT_SECONDS)
     found = (headers["Agatecross-Outcome"], headers["Agatecross-Reason"])
     assert found == (outcome, reason), found
 
@@ -119,14 +119,14 @@
 
 @then('the running call is answered "{outcome}" and the daemon exits with code {code:d}')
 def check_running(context, outcome, code):
-    _, headers, _ = context.running.result(WAIT_SECONDS)
+    _, headers, _ = context.running.result(ANSWER_TIMEOUT_SECONDS)
     assert headers["Agatecross-Outcome"] == outcome, headers
-    assert context.node.daemon.wait(WAIT_SECONDS) == code
+    assert context.node.daemon.wait(ANSWER_TIMEOUT_SECONDS) == code
 
 
 @then("the upstream executed {count:d} call with a deadline")
 def check_executed(context, count):
-    rows = ends(context)["executions"]
+    rows = fetch_executions(context)["executions"]
     assert len(rows) == count, rows
     assert all(0 < float(row["deadline_ms"]) <= 60_000 for row in rows), rows
 
@@ -142,34 +142,37 @@
 
 @then("the upstream has {completed:d} completed and {cancelled:d} cancelled calls")
 def check_ends(context, completed, cancelled):
-    def ended():
-        rows = ends(context)
+    def call_ended():
+        rows = fetch_executions(context)
         return len(rows["completed"]) + len(rows["cancelled"]) >= completed + cancelled
 
-    wait_until(ended, "the end of the call")
-    found = (len(ends(context)["completed"]), len(ends(context)["cancelled"]))
+    wait_until(call_ended, "the end of the call")
+    found = (
+        len(fetch_executions(context)["completed"]),
+        len(fetch_executions(context)["cancelled"]),
+    )
     assert found == (completed, cancelled), found
 
 
 @then('a "{method}" to "{path}" is answered "{outcome}"')
 def check_answered(context, method, path, outcome):
-    _, headers, body = send(context, method, path).result(WAIT_SECONDS)
+    _, headers, body = send_call(context, method, path).result(ANSWER_TIMEOUT_SECONDS)
     assert headers["Agatecross-Outcome"] == outcome, (headers, body)
 
 
 @when('a "{method}" to "{path}" was answered')
-def learn(context, method, path):
-    send(context, method, path).result(WAIT_SECONDS)
+def send_and_wait(context, method, path):
+    send_call(context, method, path).result(ANSWER_TIMEOUT_SECONDS)
 
 
 @when('{count:d} calls to "{path}" are sent')
-def send_some(context, count, path):
-    context.calls = [send(context, "GET", path) for _ in range(count)]
+def send_several(context, count, path):
+    context.calls = [send_call(context, "GET", path) for _ in range(count)]
     wait_admitted(context, count)
 
 
 @then('the upstream executed "{path}" {count:d} times')
 def check_count(context, path, count):
-    found = [row["path"] for row in ends(context)["executions"]].count(path)
-    release(context)
+    found = [row["path"] for row in fetch_executions(context)["executions"]].count(path)
+    release_calls(context)
     assert found == count, found
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -35,7 +35,7 @@
     return Call(call_id, "catalogue", request, now + left, idempotent)
 
 
-class Script:
+class AdmissionScript:
     """Runs events of the tables against an admission policy and records its actions."""
 
     def __init__(self, policy):
@@ -47,7 +47,7 @@
     def send(self, message):
         return list(self.admission.handle(message, self.now))
 
-    def run(self, event):
+    def run_event(self, event):
         word, *rest = event.split()
         if word.startswith("+"):
             self.now += float(word)
@@ -57,9 +57,9 @@
             self.now += float(rest[1])
             self.send(CallFinished("learnt", CallEnding.COMPLETED))
         else:
-            self.actions += map(describe, self.send(self.message(word, *rest)))
+            self.actions += map(describe_action, self.send(self.parse_message(word, *rest)))
 
-    def message(self, word, *rest):
+    def parse_message(self, word, *rest):
         if word == "slots":
             self.slots = (int(rest[0]), int(rest[2]) if len(rest) > 2 else 100)
             return CapacityAnnounced(*self.slots, READY)
@@ -78,7 +78,7 @@
         return {"lease": LeaseExpired, "drain": DaemonLeaving, "tick": TimePassed}[word]()
 
 
-def describe(action):
+def describe_action(action):
     match action:
         case StartCall(call):
             return f"start {call.call_id}"
@@ -89,14 +89,14 @@
 
 
 @given('admission "{policy}"')
-def start_script(context, policy):
-    context.script = Script(policy)
+def start_admission(context, policy):
+    context.script = AdmissionScript(policy)
 
 
 @when('the events "{events}" happen')
 def run_events(context, events):
     for event in events.split(";"):
-        context.script.run(event.strip())
+        context.script.run_event(event.strip())
 
 
 @then('the actions are "{actions}"')
@@ -113,7 +113,7 @@
 
 
 @when("calls take {times:f} times their baseline during {windows:d} windows")
-def run_limit(context, times, windows):
+def run_windows(context, times, windows):
     for window in range(1, windows + 1):
         for _ in range(3):
             context.limit.record_completion(times, window * LIMIT_WINDOW - 1)
@@ -170,15 +170,15 @@
         super().__init__()
         self.admission = new_admission(self.policy)
         self.now = 0.0
-        self.count = 0
+        self.arrived = 0
         self.capacity = 0
-        self.share = 0.25
-        self.open = False
-        self.drained = False
+        self.long_share = 0.25
+        self.upstream_ready = False
+        self.leaving = False
         self.waiting = {}
         self.running = {}
         self.answered = set()
-        self.send(ClassPolicy(250.0, self.share))
+        self.send(ClassPolicy(250.0, self.long_share))
 
     def send(self, message):
         for action in self.admission.handle(message, self.now):
@@ -194,7 +194,7 @@
                     assert self.running[call_id].idempotent, "a non-idempotent call was stopped"
 
     def check_start(self, call):
-        assert self.open and not self.drained, "a call started on a closed upstream"
+        assert self.upstream_ready and not self.leaving, "a call started on a closed upstream"
         assert call.deadline > self.now, "a call started after its deadline"
         del self.waiting[call.call_id]
         self.running[call.call_id] = call
@@ -204,7 +204,7 @@
         rows = self.admission.started.values()
         longs = [row for row in rows if row.entry.work_class.value == "long"]
         if self.admission.started[call.call_id] in longs:
-            most = max(1, int(self.admission.slots * self.share))
+            most = max(1, int(self.admission.slots * self.long_share))
             assert len(longs) <= most, "long calls exceed their share"
 
     @rule(
@@ -212,13 +212,13 @@
     )
     def announce(self, slots, connections, state):
         self.capacity = min(slots, connections)
-        self.open = state is READY
+        self.upstream_ready = state is READY
         self.send(CapacityAnnounced(slots, connections, state))
 
     @rule(long=st.booleans(), left=st.floats(0, 3000), idempotent=st.booleans())
     def arrive(self, long, left, idempotent):
-        self.count += 1
-        call = new_call(f"c{self.count}", "/long" if long else "/x", left, self.now, idempotent)
+        self.arrived += 1
+        call = new_call(f"c{self.arrived}", "/long" if long else "/x", left, self.now, idempotent)
         self.waiting[call.call_id] = call
         self.send(CallArrived(call))
 
@@ -246,19 +246,19 @@
 
     @rule()
     def expire(self):
-        self.open = False
+        self.upstream_ready = False
         self.send(LeaseExpired())
 
     @rule()
     def drain(self):
-        self.drained = True
+        self.leaving = True
         self.send(DaemonLeaving())
 
     @invariant()
     def consistent(self):
         assert self.admission.running == len(self.running)
         assert self.admission.waiting == len(self.waiting), "a call waits without being queued"
-        if self.drained or not self.open:
+        if self.leaving or not self.upstream_ready:
             assert not self.waiting, "a closed upstream left calls without an answer"
 
 
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -6,20 +6,20 @@
 from unittest.mock import patch
 
 from behave import then, when
-from drain_steps import connect, connect_narrow
+from drain_steps import connect, connect_with_small_buffer
 from platform_steps import until
 
 from agatecross_core.ids import Millis
 from agatecross_standins.platform_upstream import Answer
 
 # A close with this option drops what is unsent and resets the connection.
-RESET = struct.pack("ii", 1, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def head(path, call_id, left):
+def request_head(path, call_id, time_left):
     return (
         f"GET {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: {call_id}\r\n"
-        f"x-deadline-ms: {left}\r\n\r\n"
+        f"x-deadline-ms: {time_left}\r\n\r\n"
     ).encode()
 
 
@@ -33,7 +33,7 @@
         holder = await connect(sidecar.settings.callers)
         context.caller = await connect(sidecar.settings.callers)
         context.draining = asyncio.ensure_future(sidecar.drain())
-        holder.writer.write(head("/peer/1", "held", 1_900))
+        holder.writer.write(request_head("/peer/1", "held", 1_900))
         await until(lambda: upstream.runs["held"], "the open call")
         await until(lambda: sidecar.exit.leaving, "the leave")
 
@@ -46,8 +46,8 @@
     caller = context.caller
 
     async def work():
-        caller.writer.write(head(first, "first", 200) + head(second, "second", 200))
-        context.answers = [await caller.answer(), await caller.answer()]
+        caller.writer.write(request_head(first, "first", 200) + request_head(second, "second", 200))
+        context.answers = [await caller.read_answer(), await caller.read_answer()]
         context.upstream.released.set()
         await context.draining
 
@@ -74,7 +74,7 @@
         socks = []
         for _ in range(count):
             sock = socket.create_connection((host, int(port)))
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             socks.append(sock)
         await until(lambda: len(listener.connections) == count, "every connection")
         # The daemon's loop gets no turn between the resets and the end of the connections.
@@ -100,14 +100,14 @@
 def step_hold_slot(context, name):
     mini, number = context.mini, int(name[1:])
     sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
-    context.busy, context.upstream = sidecar, upstream
+    context.slot_sidecar, context.upstream = sidecar, upstream
 
     async def work():
         await mini.beat(number, slots=1)
         await until(lambda: sidecar.exit.queue.slots == 1, "one slot")
         upstream.plan([Answer.HOLD])
         context.holder = await connect(mini.sidecars[0].settings.callers)
-        context.holder.writer.write(head("/peer/1", "held", 5_000))
+        context.holder.writer.write(request_head("/peer/1", "held", 5_000))
         await until(lambda: upstream.runs["held"], "the call that runs")
 
     mini.run(work())
@@ -116,18 +116,18 @@
 @when("d{number:d} stops with {ms:d} ms of grace while a call of d{entry:d} waits for the slot")
 def step_stop_while_waiting(context, number, ms, entry):
     mini = context.mini
-    sidecar, busy = mini.sidecars[number], context.busy
+    sidecar, slot_sidecar = mini.sidecars[number], context.slot_sidecar
 
     async def work():
         sidecar.settings = replace(sidecar.settings, grace=Millis(ms))
         caller = await connect(mini.sidecars[entry].settings.callers)
-        caller.writer.write(head("/peer/1", "waiting", 5_000))
-        await until(lambda: busy.exit.pending > 1, "the call that waits")
+        caller.writer.write(request_head("/peer/1", "waiting", 5_000))
+        await until(lambda: slot_sidecar.exit.pending > 1, "the call that waits")
         await sidecar.drain()
         await mini.kill(number)
-        context.waiting = await caller.answer()
+        context.waiting = await caller.read_answer()
         context.upstream.released.set()
-        context.running = await context.holder.answer()
+        context.running = await context.holder.read_answer()
 
     mini.run(work())
 
@@ -152,34 +152,34 @@
     padding = "x" * 3_000
 
     async def work():
-        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        caller = await connect_with_small_buffer(mini.sidecars[number].settings.callers)
         for row in range(count):
-            request = head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
+            request = request_head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
             caller.writer.write(request + padding.encode() + b"\r\n\r\n")
         await until(lambda: listener.unsent, "answers that wait")
         (connection,) = listener.connections
-        context.held = 0
+        context.most_unsent = 0
 
         def settled():
-            context.held = max(context.held, listener.unsent)
+            context.most_unsent = max(context.most_unsent, listener.unsent)
             return not connection.exchanges and not connection.transport.is_reading()
 
         try:
-            await until(lambda: settled() or sum_runs(mini) >= count, "the end of reading")
+            await until(lambda: settled() or total_runs(mini) >= count, "the end of reading")
         finally:
-            context.answers = [await caller.answer() for _ in range(count)]
+            context.answers = [await caller.read_answer() for _ in range(count)]
         caller.writer.close()
 
     mini.run(work())
 
 
-def sum_runs(mini):
+def total_runs(mini):
     return sum(sum(upstream.runs.values()) for upstream in mini.upstreams)
 
 
 @then("d{number:d} stopped reading before it held {size:d} bytes for the caller")
 def step_held(context, number, size):
-    assert context.held < size, context.held
+    assert context.most_unsent < size, context.most_unsent
 
 
 @then("the caller got every answer when it read on")
@@ -194,8 +194,8 @@
 
     async def work():
         listener.limits = replace(listener.limits, idle_timeout=Millis(300))
-        caller = await connect_narrow(mini.sidecars[number].settings.callers)
-        request = head("/safe/1", "last", 900).replace(
+        caller = await connect_with_small_buffer(mini.sidecars[number].settings.callers)
+        request = request_head("/safe/1", "last", 900).replace(
             b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
         )
         caller.writer.write(request)
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -11,22 +11,22 @@
 from agatecross_core.relay.drain import plan_drain
 from agatecross_daemon.sidecar import run_tasks
 
-CALLERS = 6
-PIPELINED = 3
-HEAD = re.compile(rb"HTTP/1\.1 (\d+) [^\r]*\r\n(.*?)\r\n\r\n", re.DOTALL)
-LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+CALLER_COUNT = 6
+PIPELINED_REQUESTS = 3
+RESPONSE_HEAD = re.compile(rb"HTTP/1\.1 (\d+) [^\r]*\r\n(.*?)\r\n\r\n", re.DOTALL)
+CONTENT_LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
 
 
-class Tally:
+class CallerResults:
     """What callers saw: the status of each request id, and the ids that got no answer."""
 
     def __init__(self):
         self.answered = {}
         self.unanswered = []
-        self.refused = 0
+        self.refused_connections = 0
 
 
-class Connection:
+class RawConnection:
     """A caller's connection that reads whole answers."""
 
     def __init__(self, reader, writer):
@@ -41,12 +41,12 @@
             f"x-deadline-ms: 900\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
         )
 
-    async def answer(self):
+    async def read_answer(self):
         """Return status and whether the connection stays open; None when it ended before."""
         while True:
-            head = HEAD.match(self.data)
+            head = RESPONSE_HEAD.match(self.data)
             if head is not None:
-                size = int(LENGTH.search(head[2])[1])
+                size = int(CONTENT_LENGTH.search(head[2])[1])
                 if len(self.data) >= head.end() + size:
                     self.data = self.data[head.end() + size :]
                     return int(head[1]), b"connection: close" not in head[2].lower()
@@ -61,33 +61,33 @@
 
 async def connect(address):
     host, _, port = address.rpartition(":")
-    return Connection(*await asyncio.open_connection(host, int(port)))
+    return RawConnection(*await asyncio.open_connection(host, int(port)))
 
 
-async def exchange(connection, line, ids, tally, fresh, runs):
+async def send_and_read(connection, line, ids, results, fresh, count_runs):
     """Send requests behind one another; return whether the connection can be used again."""
     for call_id in ids:
         connection.send(line, call_id)
     keep = True
     for position, call_id in enumerate(ids):
-        answer = await connection.answer() if keep else None
+        answer = await connection.read_answer() if keep else None
         if answer is not None:
-            tally.answered[call_id], keep = answer
+            results.answered[call_id], keep = answer
             continue
         keep = False
         # A request that crosses the end of an idle connection, or stands behind an answer that
         # ends it, is sent again by its caller, unless it was passed on.
         crossed = not fresh or position > 0
-        if not crossed or runs(call_id):
-            tally.unanswered.append(call_id)
+        if not crossed or count_runs(call_id):
+            results.unanswered.append(call_id)
     return keep
 
 
-async def keep_sending(mini, address, line, kind, name, tally, stopped):
+async def keep_sending(mini, address, line, connection_kind, name, results, stopped):
     number, connection = 0, None
-    ids_at_once = PIPELINED if kind == "pipelined" else 1
+    ids_at_once = PIPELINED_REQUESTS if connection_kind == "pipelined" else 1
 
-    def runs(call_id):
+    def count_runs(call_id):
         return sum(upstream.runs[call_id] for upstream in mini.upstreams)
 
     while not stopped.is_set():
@@ -98,11 +98,11 @@
             try:
                 connection = await connect(address)
             except ConnectionError:
-                tally.refused += 1
+                results.refused_connections += 1
                 await asyncio.sleep(0.01)
                 continue
-        keep = await exchange(connection, line, ids, tally, fresh, runs)
-        if kind == "new" or not keep:
+        keep = await send_and_read(connection, line, ids, results, fresh, count_runs)
+        if connection_kind == "new" or not keep:
             connection.writer.close()
             connection = None
     if connection is not None:
@@ -116,13 +116,13 @@
 
 
 @when("upstreams answer with {size:d} bytes")
-def step_size(context, size):
+def step_body_size(context, size):
     for upstream in context.mini.upstreams:
         upstream.body_bytes = size
 
 
 @when("d{listener:d} hears from d{speaker:d} {ms:d} ms late")
-def step_late(context, listener, speaker, ms):
+def step_delay_messages(context, listener, speaker, ms):
     mini = context.mini
 
     def delay(connection):
@@ -147,47 +147,50 @@
     mini.run(work())
 
 
-@when('callers of d{number:d} keep sending "{line}" on {kind} connections while d{leaving:d} stops')
-def step_keep_sending(context, number, line, kind, leaving):
-    mini, tally = context.mini, Tally()
+@when(
+    'callers of d{number:d} keep sending "{line}" on {connection_kind} connections'
+    " while d{leaving:d} stops"
+)
+def step_keep_sending(context, number, line, connection_kind, leaving):
+    mini, results = context.mini, CallerResults()
     address = mini.sidecars[number].settings.callers
 
     async def work():
         stopped = asyncio.Event()
         callers = [
             asyncio.ensure_future(
-                keep_sending(mini, address, line, kind, f"c{row}", tally, stopped)
+                keep_sending(mini, address, line, connection_kind, f"c{row}", results, stopped)
             )
-            for row in range(CALLERS)
+            for row in range(CALLER_COUNT)
         ]
-        await until(lambda: len(tally.answered) > CALLERS, "the first answers")
+        await until(lambda: len(results.answered) > CALLER_COUNT, "the first answers")
         await mini.sidecars[leaving].drain()
         await mini.kill(leaving)
         stopped.set()
         await asyncio.gather(*callers)
 
     mini.run(work())
-    context.tally = tally
-    context.statuses_seen = Counter(tally.answered.values())
+    context.results = results
+    context.statuses_seen = Counter(results.answered.values())
 
 
 @then("no request that d{number:d} took ended without an answer")
 def step_none_cut(context, number):
-    assert context.tally.answered
-    assert not context.tally.unanswered, context.tally.unanswered
+    assert context.results.answered
+    assert not context.results.unanswered, context.results.unanswered
 
 
 @then("no request that was refused as not run has run")
 def step_not_run(context):
-    refused = [call_id for call_id, status in context.tally.answered.items() if status == 503]
+    refused = [call_id for call_id, status in context.results.answered.items() if status == 503]
     ran = [i for i in refused if sum(u.runs[i] for u in context.mini.upstreams)]
     assert not ran, ran
 
 
 @then("every answer was {status:d} and none was missing")
-def step_all(context, status):
+def step_all_answered(context, status):
     assert set(context.statuses_seen) == {status}, context.statuses_seen
-    assert not context.tally.unanswered, context.tally.unanswered
+    assert not context.results.unanswered, context.results.unanswered
 
 
 @when('a caller of d{number:d} reads the answer to "{line}" only after it took leave')
@@ -196,26 +199,26 @@
     sidecar = mini.sidecars[number]
 
     async def work():
-        connection = await connect_narrow(sidecar.settings.callers)
+        connection = await connect_with_small_buffer(sidecar.settings.callers)
         connection.send(line, "slow")
         await until(lambda: sidecar.entry.listener.unfinished().unsent, "bytes that wait")
         draining = asyncio.ensure_future(sidecar.drain())
         await until(lambda: sidecar.exit.leaving or draining.done(), "the end of the moves")
         await asyncio.sleep(0.2)
         context.ended_early = draining.done()
-        context.answer = await connection.answer()
+        context.answer = await connection.read_answer()
         await draining
 
     mini.run(work())
 
 
-async def connect_narrow(address):
+async def connect_with_small_buffer(address):
     host, _, port = address.rpartition(":")
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.setblocking(False)
     await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-    return Connection(*await asyncio.open_connection(sock=sock, limit=4096))
+    return RawConnection(*await asyncio.open_connection(sock=sock, limit=4096))
 
 
 @then("the answer is whole")
@@ -233,7 +236,7 @@
     async def ended():
         sidecar = mini.sidecars[failing]
         # The tasks of the fleet go on; those of the daemon's own run fail at once.
-        sidecar.source.run = fail
+        sidecar.source.run = raise_fault
         for task in (sidecar.exit, sidecar.peers):
             task.run = asyncio.Event().wait
         with suppress(ValueError):
@@ -242,7 +245,7 @@
     context.answer = mini.run(held(mini, number, line, ended))
 
 
-async def fail():
+async def raise_fault():
     raise ValueError("a fault of the daemon")
 
 
@@ -252,5 +255,5 @@
 
 
 @then("a call that arrives after {at:d} ms with {left:d} ms left is {taken}")
-def step_admits(context, at, left, taken):
+def step_check_admission(context, at, left, taken):
     assert context.plan.admits(Millis(at), Millis(at + left)) == (taken == "taken"), context.plan
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -17,22 +17,23 @@
     return f'{{"routes":[{rows}]}}'.encode()
 
 
-def fresh_bytes(steps):
+def literal_bytes(steps):
     return sum(len(step) for step in steps if isinstance(step, bytes))
 
 
 @when('the document "{old}" becomes "{new}"')
-def step_document(context, old, new):
+def step_make_delta(context, old, new):
     context.old, context.new = document(old), document(new)
     context.steps = make_delta(context.old, context.new)
 
 
 @then(
-    "the delta has {steps:d} steps, at most {fresh:d} bytes of its own, and gives the new document"
+    "the delta has {steps:d} steps, at most {literal:d} bytes of its own,"
+    " and gives the new document"
 )
-def step_delta(context, steps, fresh):
+def step_check_delta(context, steps, literal):
     assert len(context.steps) == steps, context.steps
-    assert fresh_bytes(context.steps) <= fresh, context.steps
+    assert literal_bytes(context.steps) <= literal, context.steps
     assert apply_delta(context.old, context.steps) == context.new
 
 
@@ -45,7 +46,7 @@
 
 
 @when('a delta with steps "{steps}" is applied to the document "abc"')
-def step_unfit(context, steps):
+def step_apply_invalid_delta(context, steps):
     first, count = map(int, steps.split())
     try:
         context.refused = not apply_delta(document("abc"), ((first, count),))
--- a/features/steps/fleet_change_steps.py
+++ b/features/steps/fleet_change_steps.py
@@ -9,7 +9,7 @@
 from agatecross_standins.fleet import Fleet, LinkShape, Site, fetch, wait_until
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
-PLACES = [
+SITES = [
     Site("jylland", "aarhus-a"),
     Site("jylland", "aalborg-b"),
     Site("sjaelland", "koebenhavn-a"),
@@ -22,7 +22,7 @@
     context.fleet = Fleet(link=LinkShape("jylland"))
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
-    context.fleet.start_link([(site, service) for site in PLACES])
+    context.fleet.start_link([(site, service) for site in SITES])
     context.fleet.start_planned()
     context.fleet.wait_joined()
 
@@ -61,29 +61,35 @@
 
 
 @then("every daemon sees every upstream as ready")
-def check_joined(context):
+def check_upstreams_ready(context):
     context.fleet.wait_joined(60)
 
 
 @when('the daemon next to "{service}" is {condition} while the first upstream starts to drain')
 def drain_first(context, service, condition):
     fleet = context.fleet
-    context.first = fleet.nodes[0]
+    context.first_node = fleet.nodes[0]
     caller_side = next(node for node in fleet.nodes if node.service == service)
     if condition == "paused":
         caller_side.daemon.send_signal(signal.SIGSTOP)
-    fleet.switch_upstream(context.first, draining=True)
-    wait_until(lambda: state_at(fleet, context.first, context.first) == "draining", "drain")
+    fleet.switch_upstream(context.first_node, draining=True)
+    wait_until(
+        lambda: upstream_state_seen_by(fleet, context.first_node, context.first_node) == "draining",
+        "drain",
+    )
     if condition == "paused":
         # The promise is "after a few seconds", so the resumed daemon gets calls at once.
         time.sleep(3)
         caller_side.daemon.send_signal(signal.SIGCONT)
     else:
-        wait_until(lambda: state_at(fleet, caller_side, context.first) == "draining", "gossip")
-    context.before = len(fleet.executions(context.first))
+        wait_until(
+            lambda: upstream_state_seen_by(fleet, caller_side, context.first_node) == "draining",
+            "gossip",
+        )
+    context.executed_before = len(fleet.executions(context.first_node))
 
 
-def state_at(fleet, observer, subject):
+def upstream_state_seen_by(fleet, observer, subject):
     rows = {row["daemon_id"]: row for row in fleet.members(observer)}
     upstream = rows[subject.name]["upstream"]
     return upstream and upstream["state"]
@@ -111,18 +117,18 @@
 
 @then("the first upstream executed none of them")
 def check_executed(context):
-    assert len(context.fleet.executions(context.first)) == context.before
+    assert len(context.fleet.executions(context.first_node)) == context.executed_before
 
 
 @when('a peer sends a call to "{path}" straight to the first daemon')
 def send_as_peer(context, path):
     headers = {
         "Agatecross-Call-Id": "peer-call",
-        "Agatecross-Service": context.first.service,
+        "Agatecross-Service": context.first_node.service,
         "Agatecross-Deadline-Ms": "2000",
         "Agatecross-Idempotent": "1",
     }
-    url = f"http://127.0.0.1:{context.first.peer_port}{path}"
+    url = f"http://127.0.0.1:{context.first_node.peer_port}{path}"
     context.peer_answer = fetch(url, headers=headers)
 
 
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -19,38 +19,38 @@
 from agatecross_daemon.telemetry import Telemetry
 
 LOCAL = Address("127.0.0.1:0")
-STEP_SECONDS = 20.0
-READ_TIMEOUT = Millis(300)
-HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
-WHOLE = HEAD + b"abcd"
-FIRST_PARTS = {
-    "sent half of its head": HEAD[:20],
-    "sent half of its body": HEAD + b"ab",
-    "not read yet": WHOLE,
-    "on a connection not accepted": WHOLE,
+STEP_TIMEOUT_SECONDS = 20.0
+LAST_READ_TIMEOUT = Millis(300)
+REQUEST_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+WHOLE_REQUEST = REQUEST_HEAD + b"abcd"
+SENT_BEFORE_CLOSE = {
+    "sent half of its head": REQUEST_HEAD[:20],
+    "sent half of its body": REQUEST_HEAD + b"ab",
+    "not read yet": WHOLE_REQUEST,
+    "on a connection not accepted": WHOLE_REQUEST,
     "not sent on a new connection": b"",
 }
-PEER_CALL = WHOLE.replace(
+PEER_CALL = WHOLE_REQUEST.replace(
     b"Host: x\r\n",
     b"Host: x\r\nAgatecross-Call-Id: 1\r\nAgatecross-Service: s\r\n"
     b"Agatecross-Deadline-Ms: 60000\r\n",
 )
-LARGE = b"x" * 3_000_000
-FOLLOWING = {
-    "another request": WHOLE,
+LARGE_BODY = b"x" * 3_000_000
+SENT_AFTER_REQUEST = {
+    "another request": WHOLE_REQUEST,
     # More than a listener reads ahead while a request runs.
-    "part of a large request": HEAD.replace(b": 4", b": 900000") + b"x" * 100_000,
+    "part of a large request": REQUEST_HEAD.replace(b": 4", b": 900000") + b"x" * 100_000,
 }
 
 
-class Closing:
+class ClosingListener:
     """A listener in the test process and one raw connection to it.
 
     Blocking calls on the connection keep the loop, and so the listener, from running meanwhile.
     """
 
     def __init__(self):
-        self.listener = TornadoHttpListener(last_read_timeout=READ_TIMEOUT)
+        self.listener = TornadoHttpListener(last_read_timeout=LAST_READ_TIMEOUT)
         self.bodies = []
         self.answer = b"ok"
         self.answering = True
@@ -78,7 +78,7 @@
 
     async def use_once(self, sock):
         loop = asyncio.get_running_loop()
-        await loop.sock_sendall(sock, WHOLE)
+        await loop.sock_sendall(sock, WHOLE_REQUEST)
         received = b""
         while not received.endswith(b"ok"):
             received += await loop.sock_recv(sock, 65536)
@@ -103,8 +103,8 @@
     return received
 
 
-def run(work):
-    return asyncio.run(asyncio.wait_for(work, STEP_SECONDS))
+def run_step(work):
+    return asyncio.run(asyncio.wait_for(work, STEP_TIMEOUT_SECONDS))
 
 
 def send_rest(sock, data):
@@ -114,12 +114,12 @@
 
 
 async def close_during(state, stays):
-    async with Closing() as closing:
+    async with ClosingListener() as closing:
         sock = closing.connect()
         with sock:
             if "connection" not in state:
                 await closing.use_once(sock)
-            sock.send(FIRST_PARTS[state])
+            sock.send(SENT_BEFORE_CLOSE[state])
             if state == "not sent on a new connection":
                 await until(lambda: closing.listener.collectors)
             if state == "sent half of its body":
@@ -127,14 +127,14 @@
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
             if not stays:
-                send_rest(sock, WHOLE[len(FIRST_PARTS[state]) :])
+                send_rest(sock, WHOLE_REQUEST[len(SENT_BEFORE_CLOSE[state]) :])
             received = await read_to_end(sock)
             await ending
             return received
 
 
 async def close_idle_connection():
-    async with Closing() as closing:
+    async with ClosingListener() as closing:
         sock = closing.connect()
         with sock:
             await closing.use_once(sock)
@@ -143,19 +143,19 @@
 
 
 async def read_last_answer(following):
-    async with Closing() as closing:
-        closing.answer = LARGE
+    async with ClosingListener() as closing:
+        closing.answer = LARGE_BODY
         closing.answering = False
         sock = closing.connect(receive_buffer=4096)
         with sock:
-            sock.send(WHOLE + FOLLOWING[following])
+            sock.send(WHOLE_REQUEST + SENT_AFTER_REQUEST[following])
             await until(lambda: closing.bodies)
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
             closing.answering = True
             received = b""
             # Reads only what lets the listener write the answer to its end, and then the rest.
-            while closing.listener.handler_tasks and len(received) < len(LARGE):
+            while closing.listener.handler_tasks and len(received) < len(LARGE_BODY):
                 await asyncio.sleep(0.001)
                 received += await read_part(sock)
             received += await read_to_end(sock)
@@ -170,22 +170,22 @@
 
 @when("a request is {state} as the listener closes")
 def close_with_request(context, state):
-    context.received = run(close_during(state, stays=False))
+    context.received = run_step(close_during(state, stays=False))
 
 
 @when("a request stays {state} as the listener closes")
 def close_with_part(context, state):
-    context.received = run(close_during(state, stays=True))
+    context.received = run_step(close_during(state, stays=True))
 
 
 @when("a connection is idle as the listener closes")
 def close_with_idle(context):
-    context.received = run(close_idle_connection())
+    context.received = run_step(close_idle_connection())
 
 
 @when("a slow reader gets the last answer of a connection after it sent {following}")
 def read_slowly(context, following):
-    context.received, context.handled = run(read_last_answer(following))
+    context.received, context.handled = run_step(read_last_answer(following))
 
 
 @then('the request is answered with "{status}" and the connection ends')
@@ -209,7 +209,7 @@
 @then("the whole answer arrives")
 def check_whole(context):
     _, _, body = context.received.partition(b"\r\n\r\n")
-    assert body == LARGE, (len(body), context.received[-20:])
+    assert body == LARGE_BODY, (len(body), context.received[-20:])
 
 
 @then("one request was handled")
@@ -217,7 +217,7 @@
     assert context.handled == 1, context.handled
 
 
-class Idle:
+class IdleTask:
     """Stands for a task that the scenario does not need."""
 
     def __init__(self):
@@ -227,17 +227,17 @@
         await asyncio.Event().wait()
 
 
-class Daemon:
+class DaemonTasks:
     """The tasks of a daemon that serve HTTP; the others are idle or as the scenario says."""
 
-    def __init__(self, **others):
+    def __init__(self, **replaced_tasks):
         settings = Settings(
             DaemonId("d"), RegionName("r"), DataCentreName("c"), LOCAL, LOCAL, LOCAL, LOCAL, LOCAL
         )
         names = ("control", "members", "config", "claims")
-        idle = {name: others.get(name) or Idle() for name in names}
+        other_tasks = {name: replaced_tasks.get(name) or IdleTask() for name in names}
         telemetry = Telemetry(settings.telemetry, settings.daemon_id, settings.data_centre)
-        self.tasks = replace(fleet_daemon.build_tasks(settings, telemetry), **idle)
+        self.tasks = replace(fleet_daemon.build_tasks(settings, telemetry), **other_tasks)
 
     def sockets(self):
         serving = (self.tasks.call, self.tasks.upstream, self.tasks.admin)
@@ -257,12 +257,12 @@
 
 async def exchange(sock):
     loop = asyncio.get_running_loop()
-    await loop.sock_sendall(sock, WHOLE)
+    await loop.sock_sendall(sock, WHOLE_REQUEST)
     return await loop.sock_recv(sock, 65536)
 
 
 async def call_while_leaving(connection):
-    daemon = Daemon()
+    daemon = DaemonTasks()
     running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
     await daemon.listening()
     callers, _, _ = daemon.addresses()
@@ -271,7 +271,7 @@
     leaving = asyncio.ensure_future(fleet_daemon.shut_down(daemon.tasks))
     await until(lambda: daemon.tasks.admin.state is DaemonState.LEAVING)
     sock = kept if connection == "kept" else daemon.connect(callers)
-    await asyncio.get_running_loop().sock_sendall(sock, WHOLE)
+    await asyncio.get_running_loop().sock_sendall(sock, WHOLE_REQUEST)
     received = await read_to_end(sock)
     kept.close()
     sock.close()
@@ -288,11 +288,11 @@
 
 @when("a caller sends a request on a {connection} connection while the daemon leaves")
 def send_while_leaving(context, connection):
-    context.received = run(call_while_leaving(connection))
+    context.received = run_step(call_while_leaving(connection))
 
 
-async def open_after_shut_down():
-    daemon = Daemon()
+async def addresses_open_after_shut_down():
+    daemon = DaemonTasks()
     running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
     await daemon.listening()
     addresses = daemon.addresses()
@@ -313,7 +313,7 @@
 
 @when("the daemon has shut down")
 def shut_down(context):
-    context.accepting = run(open_after_shut_down())
+    context.accepting = run_step(addresses_open_after_shut_down())
 
 
 @then("no listener of the daemon accepts a connection")
@@ -321,7 +321,7 @@
     assert not context.accepting, context.accepting
 
 
-class Failing(Idle):
+class FailingTask(IdleTask):
     """Fails when it is told to."""
 
     def __init__(self):
@@ -346,9 +346,9 @@
         return Response(200, (), b"ok")
 
 
-async def fail_during_call(moment, answers=True):
-    failing, upstream, stop = Failing(), SlowUpstream(), asyncio.Event()
-    daemon = Daemon(config=failing)
+async def fail_task_during_call(moment, answers=True):
+    failing, upstream, stop = FailingTask(), SlowUpstream(), asyncio.Event()
+    daemon = DaemonTasks(config=failing)
     daemon.tasks.upstream.client = upstream
     ending = asyncio.ensure_future(fleet_daemon.run_tasks(daemon.tasks, stop))
     await daemon.listening()
@@ -374,13 +374,13 @@
 
 @when("the configuration task fails {moment} while a peer's call runs")
 def fail_task(context, moment):
-    context.received, context.failure = run(fail_during_call(moment))
+    context.received, context.failure = run_step(fail_task_during_call(moment))
 
 
 @when("the configuration task fails {moment} and a call waits that never ends")
 def fail_with_waiting_call(context, moment):
     with mock.patch.object(fleet_daemon, "FAILED_DRAIN_SECONDS", 0.1):
-        _, context.failure = run(fail_during_call(moment, answers=False))
+        _, context.failure = run_step(fail_task_during_call(moment, answers=False))
 
 
 @then("the failure ends the daemon")
--- a/features/steps/history_faults_steps.py
+++ b/features/steps/history_faults_steps.py
@@ -11,9 +11,9 @@
 from agatecross_standins.faults.schedule import Fault, FaultKind
 from agatecross_standins.fleet import Node, Site, wait_until
 
-GAP_SECONDS = 0.02
+FAULT_INTERVAL_SECONDS = 0.02
 # Longer than a schedule of the table, so that steps that do not wait for an exit come before it.
-EXIT_SECONDS = 0.3
+EXIT_DELAY_SECONDS = 0.3
 
 
 @when("faults with seed {seed:d} run for {seconds:d} seconds")
@@ -43,15 +43,15 @@
         self.number = number
 
     def kill(self):
-        self.fleet.saw(self.number, "kill")
+        self.fleet.record(self.number, "kill")
 
     def send_signal(self, number):
-        self.fleet.saw(self.number, signal.Signals(number).name)
+        self.fleet.record(self.number, signal.Signals(number).name)
 
     def wait(self, timeout=None):
-        time.sleep(EXIT_SECONDS)
-        wait_until(lambda: self.fleet.others_done(self.number), "the steps of the other nodes")
-        self.fleet.saw(self.number, "exited")
+        time.sleep(EXIT_DELAY_SECONDS)
+        wait_until(lambda: self.fleet.others_are_done(self.number), "the steps of the other nodes")
+        self.fleet.record(self.number, "exited")
 
 
 class StandInFleet:
@@ -59,35 +59,35 @@
 
     def __init__(self, count, refusals):
         self.refusals = refusals
-        self.seen = []
+        self.actions = []
         self.planned = []
-        self.left = dict.fromkeys(range(count), 0)
+        self.refusals_left = dict.fromkeys(range(count), 0)
         self.nodes = [Node(str(n), Site("r", "a"), "s", *[0] * 5) for n in range(count)]
         for number, node in enumerate(self.nodes):
             node.daemon = StandInProcess(self, number)
             node.upstream = StandInProcess(self, number)
 
-    def saw(self, number, what):
-        self.seen.append(f"{number} {what}")
+    def record(self, number, what):
+        self.actions.append(f"{number} {what}")
 
-    def others_done(self, number):
+    def others_are_done(self, number):
         """Return whether each fault of the other nodes has begun and ended."""
         planned = sum(fault.node != number for fault in self.planned)
-        return sum(not row.startswith(f"{number} ") for row in self.seen) >= 2 * planned
+        return sum(not row.startswith(f"{number} ") for row in self.actions) >= 2 * planned
 
     def start_daemon(self, node):
-        self.saw(int(node.name), "start daemon")
+        self.record(int(node.name), "start daemon")
 
     def start_upstream(self, node):
-        self.left[int(node.name)] = self.refusals
-        self.saw(int(node.name), "start upstream")
+        self.refusals_left[int(node.name)] = self.refusals
+        self.record(int(node.name), "start upstream")
 
     def switch_upstream(self, node, draining):
         number = int(node.name)
-        if self.left[number]:
-            self.left[number] -= 1
+        if self.refusals_left[number]:
+            self.refusals_left[number] -= 1
             raise URLError(ConnectionRefusedError())
-        self.saw(number, "drain" if draining else "undrain")
+        self.record(number, "drain" if draining else "undrain")
 
 
 @given("a fleet of {count:d} nodes whose upstreams refuse {refusals:d} connections after a start")
@@ -96,15 +96,17 @@
 
 
 @when('the faults "{faults}" are injected')
-def inject(context, faults):
+def inject_faults(context, faults):
     rows = [row.split() for row in faults.split(", ")]
     context.stand_in.planned = [
-        Fault(index * GAP_SECONDS, GAP_SECONDS / 2, FaultKind(kind), int(node))
+        Fault(
+            index * FAULT_INTERVAL_SECONDS, FAULT_INTERVAL_SECONDS / 2, FaultKind(kind), int(node)
+        )
         for index, (node, kind) in enumerate(rows)
     ]
     Injector(context.stand_in, Recorder()).run(context.stand_in.planned)
 
 
-@then('the fleet saw "{seen}"')
-def check_seen(context, seen):
-    assert context.stand_in.seen == seen.split(", "), context.stand_in.seen
+@then('the fleet saw "{actions}"')
+def check_actions(context, actions):
+    assert context.stand_in.actions == actions.split(", "), context.stand_in.actions
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -3,14 +3,14 @@
 from agatecross_standins import history
 
 
-def inforce(at, daemon, version, digest, routed="", services=""):
+def in_force_event(at, daemon, version, digest, routed="", services=""):
     names = [frozenset(text.split(",")) if text else frozenset() for text in (routed, services)]
     return history.InForce(at, daemon, int(version), digest, *names)
 
 
-FORGE = {
+EVENT_BUILDERS = {
     "publish": lambda at, version, digest: history.Published(at, int(version), digest),
-    "inforce": inforce,
+    "inforce": in_force_event,
     "undisturbed": lambda at, names: history.Undisturbed(at, frozenset(names.split(","))),
     "sent": lambda at, call, request, daemon, method: history.Sent(
         at, call, request, daemon, method == "get", "" if method == "get" else "key"
@@ -24,7 +24,7 @@
     "shutdown": history.ShutdownBegun,
 }
 
-CLEAN = (
+CLEAN_HISTORY = (
     "publish 1 1 one; inforce 2 d1 1 one vans vans; inforce 2 d2 1 one vans vans; "
     "sent 3 c1 r1 d1 post; started 4 r1 u1; answered 5 c1 r1; sent 6 c2 r1 d2 post; "
     "answered 7 c2 r1; sent 8 c3 r3 d1 get; refused 9 c3; leaving 9 u2; returned 10 u2; "
@@ -33,20 +33,20 @@
 )
 
 
-def forge(text):
+def parse_events(text):
     for line in filter(None, map(str.strip, text.split(";"))):
         kind, at, *fields = line.split()
-        yield FORGE[kind](float(at), *fields)
+        yield EVENT_BUILDERS[kind](float(at), *fields)
 
 
 @given("a clean history")
-def clean_history(context):
-    context.events = list(forge(CLEAN))
+def start_clean_history(context):
+    context.events = list(parse_events(CLEAN_HISTORY))
 
 
 @when('the forged events "{events}" are added')
 def add_events(context, events):
-    context.events += forge(events)
+    context.events += parse_events(events)
 
 
 @when('the forged events "" are added')
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -34,7 +34,7 @@
     "not-run": not_run_result(Reason.SHED),
     "unknown": unknown_result(Reason.TIMEOUT),
 }
-MINUTE = 60_000
+MINUTE_MS = 60_000
 
 
 class ModelFleet:
@@ -43,9 +43,9 @@
     def __init__(self, names="ABC"):
         self.now = 1_000_000.0
         self.ids = 0
-        self.log, self.first, self.generation = [], 0, 0
-        self.down, self.mute = set(), set()
-        self.effects = {name: [] for name in names}
+        self.log, self.first_offset, self.generation = [], 0, 0
+        self.down, self.silent_daemons = set(), set()
+        self.pending_effects = {name: [] for name in names}
         self.deciders = {name: self.new_decider(name) for name in names}
         self.outcomes, self.grants, self.calls = {}, {}, {}
 
@@ -67,7 +67,7 @@
                     reason = f":{result.reason.value}" if result.reason else ""
                     self.outcomes[call_id] = result.outcome.value + reason
                 case _:
-                    self.effects[name].append(action)
+                    self.pending_effects[name].append(action)
 
     def submit(self, name, call_id, key, fingerprint="f", left=4_000):
         self.calls[call_id] = key
@@ -80,7 +80,7 @@
 
     def restart(self, name):
         self.deciders[name] = self.new_decider(name)
-        self.effects[name] = []
+        self.pending_effects[name] = []
         self.grants = {c: row for c, row in self.grants.items() if row[0] != name}
 
     def append(self, batch):
@@ -91,7 +91,7 @@
         return len(self.log) - 1
 
     def deliver(self, name, index=0, fate="landed"):
-        action = self.effects[name].pop(index)
+        action = self.pending_effects[name].pop(index)
         down = "log" in self.down
         match action:
             case AppendBatch(batch) if fate == "refused" or down:
@@ -109,33 +109,33 @@
                     self.handle(name, self.page(start))
             case AskHolder(call_id, holder, request):
                 peer = holder.split(":")[0]
-                silent = peer in self.mute or fate == "refused"
+                silent = peer in self.silent_daemons or fate == "refused"
                 reply = None if silent else self.deciders[peer].reply(request)
                 self.handle(name, HolderAnswered(call_id, request.claim_id, reply))
 
     def page(self, start):
-        begin = max(start, self.first)
+        begin = max(start, self.first_offset)
         rows = tuple(
             OffsetBatch(offset, self.log[offset][1], self.log[offset][0])
             for offset in range(begin, len(self.log))
         )
-        return ClaimsRead(rows, self.first, len(self.log), int(self.now))
+        return ClaimsRead(rows, self.first_offset, len(self.log), int(self.now))
 
     def settle(self, rounds=40, names=None):
         for _ in range(rounds):
             for name in names or self.deciders:
-                while self.effects[name]:
+                while self.pending_effects[name]:
                     self.deliver(name)
                 self.handle(name, TimePassed())
             self.now += 10
 
 
-class Script:
+class ClaimScript:
     """Commands of the tables, one method each."""
 
     def __init__(self):
         self.fleet = ModelFleet()
-        self.held = []
+        self.late_appends = []
 
     def run(self, text):
         for command in text.split(";"):
@@ -155,13 +155,13 @@
         self.fleet.restart(name)
 
     def do_down(self, what):
-        (self.fleet.down if what == "log" else self.fleet.mute).add(what)
+        (self.fleet.down if what == "log" else self.fleet.silent_daemons).add(what)
 
     def do_up(self, what):
-        (self.fleet.down if what == "log" else self.fleet.mute).discard(what)
+        (self.fleet.down if what == "log" else self.fleet.silent_daemons).discard(what)
 
     def do_wait(self, minutes):
-        self.fleet.now += float(minutes) * MINUTE
+        self.fleet.now += float(minutes) * MINUTE_MS
 
     def do_batch(self, name):
         """Let the decider hand out its append without delivering it."""
@@ -170,20 +170,20 @@
 
     def do_append(self, name, fate):
         """Deliver the append of a decider with the given fate."""
-        rows = self.fleet.effects[name]
+        rows = self.fleet.pending_effects[name]
         index = next(i for i, row in enumerate(rows) if isinstance(row, AppendBatch))
         if fate == "late":
-            self.held.append(rows[index].batch)
+            self.late_appends.append(rows[index].batch)
             fate = "vanished"
         self.fleet.deliver(name, index, fate)
 
     def do_land(self):
         """Let the held appends take effect."""
-        for batch in self.held:
+        for batch in self.late_appends:
             self.fleet.append(batch)
 
     def do_empty(self):
-        self.fleet.log, self.fleet.first = [], 0
+        self.fleet.log, self.fleet.first_offset = [], 0
         self.fleet.generation += 1
 
     def do_regrow(self, count):
@@ -191,7 +191,7 @@
             self.fleet.append(ClaimsBatch())
 
     def do_expire(self):
-        self.fleet.first = len(self.fleet.log)
+        self.fleet.first_offset = len(self.fleet.log)
 
     def do_fill(self, name, count):
         claims = [Claim(f"key-{i}", f"other-{i}", "Z", "Z:1", "f") for i in range(int(count))]
@@ -200,7 +200,7 @@
 
 @given("deciders A, B and C that share a model log")
 def start_script(context):
-    context.script = Script()
+    context.script = ClaimScript()
     context.script.fleet.settle()
 
 
@@ -240,7 +240,7 @@
         fate=st.sampled_from(("landed", "landed", "landed", "lost", "refused", "vanished")),
     )
     def deliver(self, name, index, fate):
-        rows = self.fleet.effects[name]
+        rows = self.fleet.pending_effects[name]
         if index >= len(rows):
             return
         if isinstance(rows[index], AppendBatch) and fate in ("vanished", "refused"):
@@ -267,7 +267,9 @@
         for call_id, (holder, _) in list(self.fleet.grants.items()):
             if holder == name:
                 self.started[self.fleet.calls[call_id]] += 1
-        self.late += [row.batch for row in self.fleet.effects[name] if isinstance(row, AppendBatch)]
+        self.late += [
+            row.batch for row in self.fleet.pending_effects[name] if isinstance(row, AppendBatch)
+        ]
         self.fleet.restart(name)
 
     @rule(index=st.integers(0, 3), result=st.sampled_from(tuple(RESULTS)))
@@ -298,7 +300,7 @@
 
 
 @then("no key was started twice")
-def machine_passed(context):
+def check_machine_passed(context):
     """The machine raises at the first key that is started twice."""
 
 
--- a/features/steps/members_fleet_steps.py
+++ b/features/steps/members_fleet_steps.py
@@ -8,17 +8,19 @@
 from agatecross_standins.fleet import Fleet, fetch, wait_until
 
 
-def lists(context, node):
+def listed_states(context, node):
     return {row["daemon_id"]: row["state"] for row in context.fleet.members(node)}
 
 
-def running(context):
-    return [n for n in context.fleet.nodes if n.daemon.poll() is None and n not in context.stopped]
+def running_nodes(context):
+    return [
+        n for n in context.fleet.nodes if n.daemon.poll() is None and n not in context.suspended
+    ]
 
 
 @given("a log service with an outage")
 def start_log_with_outage(context):
-    context.fleet, context.stopped = Fleet(), []
+    context.fleet, context.suspended = Fleet(), []
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
     context.fleet.switch_log(outage=True)
@@ -29,12 +31,14 @@
     for index in range(count):
         context.fleet.add_daemon(SITES[index % len(SITES)], SERVICE)
     for node in context.fleet.nodes:
-        wait_until(lambda node=node: lists(context, node) == {node.name: "alive"}, node.name)
+        wait_until(
+            lambda node=node: listed_states(context, node) == {node.name: "alive"}, node.name
+        )
 
 
 @given("{count:d} daemons that know each other")
 def start_joined(context, count):
-    context.fleet, context.stopped = Fleet(), []
+    context.fleet, context.suspended = Fleet(), []
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
     for index in range(count):
@@ -52,10 +56,12 @@
     node = context.fleet.nodes[index]
     node.daemon.send_signal(signal.Signals[name])
     if name == "SIGSTOP":
-        context.stopped.append(node)
-        context.cut = (context.fleet.directory / f"{node.name}-daemon.out").stat().st_size
+        context.suspended.append(node)
+        context.log_size_at_pause = (
+            (context.fleet.directory / f"{node.name}-daemon.out").stat().st_size
+        )
     elif name == "SIGCONT":
-        context.stopped.remove(node)
+        context.suspended.remove(node)
     elif name == "SIGKILL":
         node.daemon.wait()
 
@@ -83,8 +89,10 @@
 @then("the other daemons no longer list daemon {index:d}")
 def check_dropped(context, index):
     gone = context.fleet.nodes[index]
-    for node in running(context):
-        wait_until(lambda node=node: gone.name not in lists(context, node), f"{node.name} to drop")
+    for node in running_nodes(context):
+        wait_until(
+            lambda node=node: gone.name not in listed_states(context, node), f"{node.name} to drop"
+        )
 
 
 @then("the other daemons list daemon {index:d} as {state}")
@@ -92,7 +100,9 @@
     other = context.fleet.nodes[index].name
     for node in context.fleet.nodes:
         if node.name != other:
-            wait_until(lambda node=node: lists(context, node).get(other) == state, node.name)
+            wait_until(
+                lambda node=node: listed_states(context, node).get(other) == state, node.name
+            )
 
 
 @then("every daemon lists {count:d} daemons as alive")
@@ -100,18 +110,20 @@
     wanted = {node.name: "alive" for node in context.fleet.nodes}
     assert len(wanted) == count
     for node in context.fleet.nodes:
-        wait_until(lambda node=node: lists(context, node) == wanted, f"{node.name} to join", 60)
+        wait_until(
+            lambda node=node: listed_states(context, node) == wanted, f"{node.name} to join", 60
+        )
 
 
 @then("daemon {index:d} has logged that it synced its table after the pause")
 def check_synced_log(context, index):
     path = context.fleet.directory / f"{context.fleet.nodes[index].name}-daemon.out"
-    assert "event=synced" in path.read_bytes()[context.cut :].decode()
+    assert "event=synced" in path.read_bytes()[context.log_size_at_pause :].decode()
 
 
 @then("no daemon has more than {threads:d} threads or {mib:d} MiB of memory")
 def check_process(context, threads, mib):
-    for node in running(context):
+    for node in running_nodes(context):
         process = psutil.Process(node.daemon.pid)
         assert process.num_threads() <= threads, process.num_threads()
         assert process.memory_info().rss <= mib * 2**20, process.memory_info()
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -32,7 +32,7 @@
 from agatecross_core.members.swim import ProbeIndirectly, Swim, SyncWith, TableFull
 from agatecross_core.states import MemberState, UpstreamState
 
-QUICK = hypothesis.settings(
+QUICK_SETTINGS = hypothesis.settings(
     derandomize=True,
     deadline=None,
     database=None,
@@ -91,7 +91,7 @@
 
 
 @when('it gets a table with "{text}" {when}')
-def get_table(context, text, when):
+def receive_table(context, text, when):
     now = 60_000.0 if when == "after a pause" else 2.0
     list(context.swim.detect_pause(now))
     list(context.swim.merge_sync_reply(SyncReply((parse_record(1, text),), None, True), now))
@@ -113,9 +113,9 @@
     hear_record(context, text)
 
 
-def lossy(driver, percent, parted=lambda: False):
+def lossy(driver, percent, partitioned=lambda: False):
     def lose(sender, receiver):
-        apart = parted() and (sender - receiver) % 2
+        apart = partitioned() and (sender - receiver) % 2
         return bool(apart) or driver.rng.random() * 100 < percent
 
     return lose
@@ -137,9 +137,11 @@
 @when("member {number:d} leaves")
 def leave_member(context, number):
     swim = context.driver.nodes[number]
-    context.driver.act(swim, swim.update_own_record(replace(swim.me, state=MemberState.LEAVING)))
+    context.driver.perform(
+        swim, swim.update_own_record(replace(swim.me, state=MemberState.LEAVING))
+    )
     for peer in swim.urgent_update_targets():
-        context.driver.probe(swim, peer.daemon_id, peer.control_address, introduce=True)
+        context.driver.send_probe(swim, peer.daemon_id, peer.control_address, introduce=True)
 
 
 @when("member {number:d} leaves and is killed")
@@ -171,12 +173,12 @@
 
 
 @when("members {one:d} and {two:d} have missed each other")
-def miss_each_other(context, one, two):
+def forget_each_other(context, one, two):
     driver = context.driver
     driver.run(60)
     for here, there in ((one, two), (two, one)):
         del driver.nodes[here].table[f"d{there}"]
-        driver.newest.pop((here, f"d{there}"))
+        driver.newest_incarnations.pop((here, f"d{there}"))
 
 
 @when("member {number:d} is replaced under a new id")
@@ -189,12 +191,12 @@
 @when("the regions are partitioned for {periods:d} periods")
 def partition(context, periods):
     driver = context.driver
-    parted = [True]
-    driver.lose = lossy(driver, context.loss, lambda: parted[0])
+    partitioned = [True]
+    driver.lose = lossy(driver, context.loss, lambda: partitioned[0])
     driver.run(periods)
     apart = {state for n in (0, 2) for state in [driver.nodes[n].table["d1"].state]}
     assert apart == {MemberState.DEAD}, apart
-    parted[0] = False
+    partitioned[0] = False
 
 
 @when("nothing happens for {periods:d} periods")
@@ -241,7 +243,7 @@
     kinds = st.sampled_from(["lose", "pause", "kill"])
     faults = st.lists(st.tuples(kinds, st.integers(0, 7), st.integers(0, 9)), max_size=8)
     check = hypothesis.given(st.integers(0, 1000), st.integers(3, 8), faults)(run_random_faults)
-    QUICK(check)()
+    QUICK_SETTINGS(check)()
 
 
 @given("a daemon with {peers:d} peers that was paused for {seconds:d} s")
@@ -312,7 +314,7 @@
 
 
 @when("it hears of {count:d} more members")
-def hear_more(context, count):
+def hear_of_strangers(context, count):
     strangers = [make_member(MAX_MEMBERS + n) for n in range(count)]
     context.sent = [a for m in strangers for a in context.swim.merge([m], 2.0)]
 
@@ -325,20 +327,20 @@
 
 @when(
     "{count:d} daemons start at once on a log with {stale:d} old announcements"
-    " and a {trip:d} ms round trip"
+    " and a {round_trip:d} ms round trip"
 )
-def start_at_once(context, count, stale, trip):
+def start_at_once(context, count, stale, round_trip):
     """Run the bootstrap decisions in steps of 5 ms; a contacted daemon that runs answers."""
     rng = random.Random(7)
     stream = [AnnounceRecord(make_member(50_000 + n), 0) for n in range(stale)]
     members = [make_member(n) for n in range(count)]
     addresses = {member.control_address for member in members}
     nodes = [Bootstrap(member, random.Random(rng.random())) for member in members]
-    live = [{} for _ in nodes]
+    contacts = [{} for _ in nodes]
     due, order = [], itertools.count()
-    context.reads, context.under_way = 0, [0] * count
+    context.reads, context.reads_in_flight = 0, [0] * count
     for now in range(0, 300_000, 5):
-        if now % 100 == 0 and all(len(rows) > 0 for rows in live):
+        if now % 100 == 0 and all(len(rows) > 0 for rows in contacts):
             break
         results = [row for row in due if row[0] <= now]
         due = [row for row in due if row[0] > now]
@@ -346,41 +348,43 @@
             if isinstance(action, bootstrap.Announce):
                 stream.append(AnnounceRecord(members[index], 0))
                 continue
-            context.under_way[index] -= 1
+            context.reads_in_flight[index] -= 1
             rows = tuple(enumerate(stream))[action.start :]
             page = AnnouncementsRead(rows, 0, len(stream))
-            for answer in nodes[index].announcements_read(page, live[index].values(), float(now)):
+            for answer in nodes[index].announcements_read(
+                page, contacts[index].values(), float(now)
+            ):
                 if isinstance(answer, bootstrap.ContactPeer):
                     answered = answer.address in addresses
                     nodes[index].contact_answered(answer.address, answered)
                     if answered:
                         other = int(answer.address.split(":")[1]) - 10_000
-                        live[index][other] = members[other]
-                        live[other][index] = members[index]
+                        contacts[index][other] = members[other]
+                        contacts[other][index] = members[index]
                 else:
-                    due.append((now + trip, next(order), index, answer))
+                    due.append((now + round_trip, next(order), index, answer))
         for index, node in enumerate(nodes):
             if node.next_read_at is not None and now < node.next_read_at:
                 continue
             for action in node.tick(float(now)):
                 context.reads += 1
-                context.under_way[index] += 1
-                assert context.under_way[index] == 1
-                due.append((now + trip, next(order), index, action))
+                context.reads_in_flight[index] += 1
+                assert context.reads_in_flight[index] == 1
+                due.append((now + round_trip, next(order), index, action))
         if count == 1 and now > 20_000:
             break
-    context.live, context.appended = live, len(stream) - stale
+    context.contacts, context.appended = contacts, len(stream) - stale
 
 
 @then("every daemon has joined")
 def check_joined(context):
-    assert len(context.live) == 1 or all(context.live)
+    assert len(context.contacts) == 1 or all(context.contacts)
 
 
 @then("at most {most:d} announcements were appended")
 def check_appended(context, most):
     assert 1 <= context.appended <= most, context.appended
-    assert len(context.live) < BOOTSTRAP_ANNOUNCEMENTS or context.appended > 1
+    assert len(context.contacts) < BOOTSTRAP_ANNOUNCEMENTS or context.appended > 1
 
 
 @then("no daemon has more than one read under way and all together made at most {reads:d} reads")
@@ -390,7 +394,7 @@
 
 @given("a daemon that fails to read the log {count:d} times")
 def fail_reads(context, count):
-    context.rows = []
+    context.retry_delays = []
     for seed in range(200):
         node = Bootstrap(make_member(1), random.Random(seed))
         now, delays = 0.0, []
@@ -399,12 +403,12 @@
             node.read_failed(now)
             delays.append(node.next_read_at - now)
             now = node.next_read_at
-        context.rows.append(delays)
+        context.retry_delays.append(delays)
 
 
 @then("its delays have full jitter and stay within {seconds:d} s")
 def check_delays(context, seconds):
-    for attempt, delays in enumerate(zip(*context.rows, strict=True)):
+    for attempt, delays in enumerate(zip(*context.retry_delays, strict=True)):
         limit = min(1000.0 * 2**attempt, 1000.0 * seconds)
         assert max(delays) <= limit
         assert min(delays) < 0.1 * limit and max(delays) > 0.9 * limit, (attempt, min(delays))
@@ -415,12 +419,15 @@
     context.reports = ReportQueue()
     context.strike, context.clearance = Strike("f", "d1", 5), Clearance("g")
     batch = ((context.strike,), (context.clearance,))
-    context.news = [context.reports.add(*batch, now) for now in (1.0, 2.0)]
+    context.new_reports = [context.reports.add(*batch, now) for now in (1.0, 2.0)]
 
 
 @then("each is news once and is sent {count:d} times")
 def check_reports(context, count):
-    assert context.news == [((context.strike,), (context.clearance,)), ((), ())], context.news
+    assert context.new_reports == [
+        ((context.strike,), (context.clearance,)),
+        ((), ()),
+    ], context.new_reports
     sent = [context.reports.take(count) for _ in range(count + 3)]
     assert sum(len(strikes) for strikes, _ in sent) == count
     assert sum(len(clearances) for _, clearances in sent) == count
@@ -479,7 +486,7 @@
     st.register_type_strategy(SyncRequest, st.builds(SyncRequest, hashes=hashes))
     for kind in (Probe, ProbeAck, IndirectProbe, SyncRequest, SyncReply):
 
-        @hypothesis.settings(QUICK, max_examples=15)
+        @hypothesis.settings(QUICK_SETTINGS, max_examples=15)
         @hypothesis.given(st.from_type(kind))
         def check(message):
             assert decode_control(encode_control(message)) == message
@@ -506,7 +513,7 @@
         lambda tag, rest: b"\x92" + bytes([tag]) + rest, st.integers(0, 12), st.binary()
     )
 
-    @hypothesis.settings(QUICK, max_examples=500)
+    @hypothesis.settings(QUICK_SETTINGS, max_examples=500)
     @hypothesis.given(st.one_of(st.binary(), near, tagged))
     def check(data):
         try:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -28,9 +28,9 @@
 from agatecross_standins.fleet import Fleet, Site, fetch, wait_until
 from agatecross_standins.ports import PortPool
 
-MINUTE = 60_000
-POISON = "/vans/poison"
-CRASH_EXIT = 70
+MINUTE_MS = 60_000
+CRASHING_PATH = "/vans/poison"
+CRASH_EXIT_CODE = 70
 
 
 @given("an empty strike table of {limit:d} fingerprints")
@@ -43,7 +43,7 @@
     for event in events.split():
         name, value = event.split(":")
         if name == "wait":
-            context.now += int(value) * MINUTE
+            context.now += int(value) * MINUTE_MS
         elif name == "clear":
             context.strikes.apply_clearances([Clearance(value)], context.now)
         elif name == "lift":
@@ -67,12 +67,12 @@
 def start_gate(context, me, row, name, count):
     context.gate = TrialGate(me)
     context.gate.started("c1", InFlightCall(row, "/"))
-    context.struck = (name, count)
+    context.request_strikes = (name, count)
 
 
 @then('a call with fingerprint "{row}" is {decision} when its trial member is "{trial}"')
 def check_gate(context, row, decision, trial):
-    name, count = context.struck
+    name, count = context.request_strikes
     context.gate.suspects_changed({name: SuspectedRequest(count >= 2, trial)} if count else {})
     refusal_reason = context.gate.refusal_reason(row)
     found = f"refused {refusal_reason.value}" if refusal_reason else "admitted"
@@ -92,7 +92,7 @@
 
 
 @given('every upstream crashes on "{text}" and is restarted')
-def supervise(context, text):
+def restart_crashed_upstreams(context, text):
     fleet = context.fleet
     for node in fleet.nodes:
         fleet.switch_upstream(node, crash_on=text)
@@ -101,7 +101,7 @@
     def watch():
         while not stop.wait(0.05):
             for node in fleet.nodes:
-                if node.upstream.poll() == CRASH_EXIT:
+                if node.upstream.poll() == CRASH_EXIT_CODE:
                     fleet.start_upstream(node)
                     url = f"http://127.0.0.1:{node.upstream_port}/switches"
                     body = json.dumps({"crash_on": text}).encode()
@@ -113,7 +113,7 @@
     context.add_cleanup(stop.set)
 
 
-def send(node, method, path):
+def send_request(node, method, path):
     with contextlib.suppress(OSError):
         status, headers, _ = fetch(node.call + path, method, None if method == "GET" else b"{}")
         return status, headers.get("Agatecross-Outcome"), headers.get("Agatecross-Reason")
@@ -124,15 +124,15 @@
 def send_poison(context, method):
     context.method = method
     nodes = context.fleet.nodes
-    send(nodes[0], method, POISON)
+    send_request(nodes[0], method, CRASHING_PATH)
     with ThreadPoolExecutor(len(nodes) * 2) as pool:
-        list(pool.map(lambda node: send(node, method, POISON), nodes * 2))
+        list(pool.map(lambda node: send_request(node, method, CRASHING_PATH), nodes * 2))
 
 
 @when("it is sent through every daemon in turn")
 def send_in_turn(context):
     def quarantined(node):
-        return send(node, context.method, POISON) == (422, "not-run", "quarantined")
+        return send_request(node, context.method, CRASHING_PATH) == (422, "not-run", "quarantined")
 
     for node in context.fleet.nodes:
         wait_until(lambda node=node: quarantined(node), f"the quarantine on {node.name}")
@@ -141,22 +141,22 @@
 @then("upstreams crashed {count:d} times")
 def check_crashes(context, count):
     lines = context.executions_file.read_text(encoding="utf-8").splitlines()
-    rows = [row for row in map(json.loads, lines) if row["path"] == POISON]
+    rows = [row for row in map(json.loads, lines) if row["path"] == CRASHING_PATH]
     assert len(rows) == count, rows
 
 
-def quarantine(node):
+def listed_quarantines(node):
     return json.loads(fetch(f"http://{node.admin}/agatecross/v1/quarantine")[2])
 
 
 @then('every daemon lists "{path}" as quarantined')
 def check_listed(context, path):
     for node in context.fleet.nodes:
-        rows = [row for row in quarantine(node) if row["quarantined"]]
+        rows = [row for row in listed_quarantines(node) if row["quarantined"]]
         assert [row["strikes"] for row in rows] == [2], rows
-        assert 0 < rows[0]["left_ms"] <= 10 * MINUTE, rows
+        assert 0 < rows[0]["left_ms"] <= 10 * MINUTE_MS, rows
         context.fingerprint = rows[0]["fingerprint"]
-    paths = {row["path"] for node in context.fleet.nodes for row in quarantine(node)}
+    paths = {row["path"] for node in context.fleet.nodes for row in listed_quarantines(node)}
     assert path in paths, paths
 
 
@@ -164,14 +164,14 @@
 def check_others(context):
     # Both attempts of a call may go to the upstreams that crashed until these are back.
     def runs(node):
-        return send(node, "POST", "/vans/harmless")[:2] == (200, "ran")
+        return send_request(node, "POST", "/vans/harmless")[:2] == (200, "ran")
 
     for node in context.fleet.nodes:
         wait_until(lambda node=node: runs(node), f"{node.name} to run another request")
 
 
 @when("the quarantine is lifted at one daemon")
-def lift(context):
+def lift_quarantine(context):
     url = f"http://{context.fleet.nodes[0].admin}/agatecross/v1/quarantine/{context.fingerprint}"
     assert fetch(url, "DELETE")[0] == 200
     assert fetch(url, "DELETE")[0] == 404
@@ -180,7 +180,7 @@
 @then("no daemon lists it")
 def check_lifted(context):
     for node in context.fleet.nodes:
-        wait_until(lambda node=node: quarantine(node) == [], f"{node.name} to lift it")
+        wait_until(lambda node=node: listed_quarantines(node) == [], f"{node.name} to lift it")
 
 
 class Outbox(list):
@@ -246,7 +246,7 @@
         await asyncio.sleep(0)
 
 
-async def die(names, cancelled):
+async def reported_deaths(names, cancelled):
     """Return the calls of each death that is reported."""
     upstream, deaths, box = DyingUpstream(), Outbox(), Mailbox()
     admission, gate = new_admission("adaptive"), TrialGate("me")
@@ -258,7 +258,7 @@
     box.put(UpstreamAnnounced(UpstreamInfo("vans", "vans:9", 9, 9, UpstreamState.READY)))
     for name in names:
         request = Request("GET", f"/{name}", (), b"")
-        box.put(new_ask(Call(name, "vans", request, monotonic_ms() + MINUTE, True)))
+        box.put(new_ask(Call(name, "vans", request, monotonic_ms() + MINUTE_MS, True)))
     await settle()
     upstream.lost.set()
     await settle()
@@ -280,7 +280,7 @@
 def step_cancelled(context, cancelled):
     names = [] if cancelled == "-" else cancelled.split()
     context.add_cleanup(setattr, upstream_task, "refuses_connections", refuses_connections)
-    context.deaths = asyncio.run(die(context.running, names))
+    context.deaths = asyncio.run(reported_deaths(context.running, names))
 
 
 @then('the deaths "{deaths}" are reported')
@@ -288,7 +288,7 @@
     assert context.deaths == deaths.split(), context.deaths
 
 
-async def probe(behaviour):
+async def probe_behaviour(behaviour):
     """Return whether an address with this behaviour counts as that of a dead process."""
     pool = PortPool()
     try:
@@ -317,7 +317,7 @@
 
 @when("a lost connection is followed by a probe of an address that {behaviour}")
 def probe_address(context, behaviour):
-    context.dead = asyncio.run(probe(behaviour))
+    context.dead = asyncio.run(probe_behaviour(behaviour))
 
 
 @then("the upstream counts as {state}")
--- a/features/steps/swim_driver.py
+++ b/features/steps/swim_driver.py
@@ -9,9 +9,9 @@
 from agatecross_core.members.swim import ProbeIndirectly, ProbeMember, Swim, SyncWith
 from agatecross_core.states import MemberState
 
-TICK = 250.0
-PROBE_TIMEOUT = 400.0
-INDIRECT_TIMEOUT = 800.0
+TICK_MS = 250.0
+PROBE_TIMEOUT_MS = 400.0
+INDIRECT_TIMEOUT_MS = 800.0
 
 
 def make_member(number, incarnation=1, state=MemberState.ALIVE, daemon_id=None):
@@ -28,11 +28,11 @@
     def __init__(self, count, seed):
         self.rng = random.Random(seed)
         self.now = Millis(1.0)
-        self.events, self.order = [], itertools.count()
+        self.events, self.event_order = [], itertools.count()
         self.nodes = {}
         self.paused = set()
         self.lose = lambda sender, receiver: False
-        self.newest = {}
+        self.newest_incarnations = {}
         for number in range(count):
             self.start(make_member(number))
         for number in range(1, count):
@@ -42,15 +42,17 @@
         number = int(me.control_address.split(":")[1]) - 10_000
         swim = Swim(me, random.Random(self.rng.random()))
         self.nodes[number] = swim
-        self.newest = {k: v for k, v in self.newest.items() if k[0] != number}
-        self.at(self.rng.random() * TICK, lambda: self.tick(number, swim))
+        self.newest_incarnations = {
+            k: v for k, v in self.newest_incarnations.items() if k[0] != number
+        }
+        self.schedule(self.rng.random() * TICK_MS, lambda: self.tick(number, swim))
         return swim
 
     def kill(self, number):
         del self.nodes[number]
 
-    def at(self, delay, work):
-        heapq.heappush(self.events, (self.now + delay, next(self.order), work))
+    def schedule(self, delay, work):
+        heapq.heappush(self.events, (self.now + delay, next(self.event_order), work))
 
     def run(self, periods):
         end = self.now + periods * 1000.0
@@ -70,22 +72,24 @@
         if self.nodes.get(number) is not swim:
             return
         if number not in self.paused:
-            self.act(swim, swim.tick(self.now))
-        self.at(TICK, lambda: self.tick(number, swim))
+            self.perform(swim, swim.tick(self.now))
+        self.schedule(TICK_MS, lambda: self.tick(number, swim))
 
-    def receiver(self, sender, address):
+    def reachable_instance(self, sender, address):
         number = int(address.split(":")[1]) - 10_000
         swim = self.nodes.get(number)
-        lost = swim is None or number in self.paused or self.lose(self.number(sender), number)
+        lost = swim is None or number in self.paused or self.lose(self.number_of(sender), number)
         return None if lost else swim
 
-    def number(self, swim):
+    def number_of(self, swim):
         return int(swim.me.control_address.split(":")[1]) - 10_000
 
-    def running(self, swim):
-        return self.nodes.get(self.number(swim)) is swim and self.number(swim) not in self.paused
+    def is_running(self, swim):
+        return (
+            self.nodes.get(self.number_of(swim)) is swim and self.number_of(swim) not in self.paused
+        )
 
-    def act(self, swim, actions):
+    def perform(self, swim, actions):
         for action in actions:
             if isinstance(action, ProbeMember):
                 self.probe_member(swim, action.target)
@@ -94,54 +98,62 @@
             elif isinstance(action, SyncWith):
                 self.sync(swim, action.address)
         for member in swim.table.values():
-            key = (self.number(swim), member.daemon_id)
-            assert member.incarnation >= self.newest.get(key, 0), (key, member)
-            self.newest[key] = member.incarnation
+            key = (self.number_of(swim), member.daemon_id)
+            assert member.incarnation >= self.newest_incarnations.get(key, 0), (key, member)
+            self.newest_incarnations[key] = member.incarnation
 
-    def probe(self, swim, target_id, address, introduce=False):
+    def send_probe(self, swim, target_id, address, introduce=False):
         """Return whether the target answered; both directions may be lost."""
         news = swim.updates(target_id)
-        other = self.receiver(swim, address)
+        other = self.reachable_instance(swim, address)
         if other is None:
             return False
-        self.act(other, other.detect_pause(self.now))
-        self.act(other, other.merge((*news, swim.me) if introduce else news, self.now))
+        self.perform(other, other.detect_pause(self.now))
+        self.perform(other, other.merge((*news, swim.me) if introduce else news, self.now))
         me = identity_of(swim.me)
         answer, unknown = other.updates_for_reply(me), not other.knows_incarnation(me)
-        if self.receiver(other, swim.me.control_address) is not swim:
+        if self.reachable_instance(other, swim.me.control_address) is not swim:
             return False
-        self.act(swim, swim.merge(answer, self.now))
+        self.perform(swim, swim.merge(answer, self.now))
         if unknown and not introduce:
-            self.probe(swim, target_id, address, introduce=True)
+            self.send_probe(swim, target_id, address, introduce=True)
         return other.me.daemon_id == target_id
 
     def probe_member(self, swim, target):
         sent_at = self.now
-        if not self.probe(swim, target.daemon_id, target.control_address):
-            self.at(PROBE_TIMEOUT, lambda: self.failed(swim, target, sent_at))
+        if not self.send_probe(swim, target.daemon_id, target.control_address):
+            self.schedule(
+                PROBE_TIMEOUT_MS, lambda: self.handle_probe_failure(swim, target, sent_at)
+            )
 
-    def failed(self, swim, target, sent_at):
-        if self.running(swim):
-            self.act(swim, swim.detect_pause(self.now))
-            self.act(swim, swim.probe_failed(target, sent_at))
+    def handle_probe_failure(self, swim, target, sent_at):
+        if self.is_running(swim):
+            self.perform(swim, swim.detect_pause(self.now))
+            self.perform(swim, swim.probe_failed(target, sent_at))
 
     def probe_through(self, swim, action):
         target, sent_at = action.target, self.now
-        helpers = [self.receiver(swim, helper.control_address) for helper in action.helpers]
-        if not any(h and self.probe(h, target.daemon_id, target.control_address) for h in helpers):
-            self.at(INDIRECT_TIMEOUT, lambda: self.unreachable(swim, target, sent_at))
-
-    def unreachable(self, swim, target, sent_at):
-        if self.running(swim):
-            self.act(swim, swim.detect_pause(self.now))
-            self.act(swim, swim.indirect_probe_failed(target, sent_at, self.now))
+        helpers = [
+            self.reachable_instance(swim, helper.control_address) for helper in action.helpers
+        ]
+        if not any(
+            h and self.send_probe(h, target.daemon_id, target.control_address) for h in helpers
+        ):
+            self.schedule(
+                INDIRECT_TIMEOUT_MS, lambda: self.handle_indirect_failure(swim, target, sent_at)
+            )
+
+    def handle_indirect_failure(self, swim, target, sent_at):
+        if self.is_running(swim):
+            self.perform(swim, swim.detect_pause(self.now))
+            self.perform(swim, swim.indirect_probe_failed(target, sent_at, self.now))
 
     def sync(self, swim, address):
-        other = self.receiver(swim, address)
+        other = self.reachable_instance(swim, address)
         if other is not None:
-            self.act(other, other.merge([swim.me], self.now))
+            self.perform(other, other.merge([swim.me], self.now))
             rows, complete = other.answer_sync(swim.sync_request(), self.now)
-            self.act(swim, swim.merge_sync_reply(SyncReply(rows, None, complete), self.now))
+            self.perform(swim, swim.merge_sync_reply(SyncReply(rows, None, complete), self.now))
 
     def states(self, daemon_id):
         """Return how each running instance sees the member, other than itself."""
