--- a/features/steps/admission_process_steps.py
+++ b/features/steps/admission_process_steps.py
@@ -56,7 +56,7 @@
 
 
 def send_as_peer(context):
-    """Send a call that is past its deadline; its answer tells running and waiting calls."""
+    """Send a call that is past its deadline; its answer states the running and waiting calls."""
     headers = {
         "Agatecross-Call-Id": "late",
         "Agatecross-Service": context.service,
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -36,7 +36,7 @@
 
 
 class AdmissionScript:
-    """Runs events of the tables against an admission policy and records its actions."""
+    """Passes the events of the tables to an admission policy and records its actions."""
 
     def __init__(self, policy):
         self.admission = new_admission(policy)
@@ -161,7 +161,7 @@
 
 
 class AdmissionMachine(RuleBasedStateMachine):
-    """Guards the rules: limit kept, long share kept, one answer for each call, drain complete."""
+    """Checks the limit, the share of long calls, one answer for each call and a complete drain."""
 
     policy = "adaptive"
     long_paths = ("/long",)
--- a/features/steps/fleet_change_steps.py
+++ b/features/steps/fleet_change_steps.py
@@ -75,16 +75,16 @@
     fleet.switch_upstream(context.first_node, draining=True)
     wait_until(
         lambda: upstream_state_seen_by(fleet, context.first_node, context.first_node) == "draining",
-        "drain",
+        "the drain",
     )
     if condition == "paused":
-        # The promise is "after a few seconds", so the resumed daemon gets calls at once.
+        # New work must stop "after a few seconds", so the resumed daemon gets calls at once.
         time.sleep(3)
         caller_side.daemon.send_signal(signal.SIGCONT)
     else:
         wait_until(
             lambda: upstream_state_seen_by(fleet, caller_side, context.first_node) == "draining",
-            "gossip",
+            "the drain to be known to the peer",
         )
     context.executed_before = len(fleet.executions(context.first_node))
 
@@ -102,7 +102,7 @@
     deadline = time.monotonic() + 30
     while len(context.answers) < count and time.monotonic() < deadline:
         status, headers, body = fetch(node.call + path)
-        # A daemon that was paused refuses calls as "not run" until its view is current again.
+        # A daemon that was paused refuses calls as not run until its view is current again.
         if headers.get("Agatecross-Reason") != "stale-view":
             context.answers.append((status, headers, body))
 
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -38,7 +38,7 @@
 LARGE_BODY = b"x" * 3_000_000
 SENT_AFTER_REQUEST = {
     "another request": WHOLE_REQUEST,
-    # More than a listener reads ahead while a request runs.
+    # More than a listener reads ahead while it handles a request.
     "part of a large request": REQUEST_HEAD.replace(b": 4", b": 900000") + b"x" * 100_000,
 }
 
@@ -46,7 +46,7 @@
 class ClosingListener:
     """A listener in the test process and one raw connection to it.
 
-    Blocking calls on the connection keep the loop, and so the listener, from running meanwhile.
+    Blocking calls on the connection stop the loop, and with it the listener, while they last.
     """
 
     def __init__(self):
@@ -108,7 +108,7 @@
 
 
 def send_rest(sock, data):
-    # A listener that cut the request shows in the missing answer.
+    # If the listener cut the request, the missing answer fails the scenario.
     with contextlib.suppress(ConnectionError):
         sock.send(data)
 
@@ -154,7 +154,7 @@
             await until(lambda: closing.listener.closing)
             closing.answering = True
             received = b""
-            # Reads only what lets the listener write the answer to its end, and then the rest.
+            # Reads until the listener has written the whole answer, and then reads the rest.
             while closing.listener.handler_tasks and len(received) < len(LARGE_BODY):
                 await asyncio.sleep(0.001)
                 received += await read_part(sock)
@@ -218,7 +218,7 @@
 
 
 class IdleTask:
-    """Stands for a task that the scenario does not need."""
+    """Replaces a task that the scenario does not need."""
 
     def __init__(self):
         self.mailbox = Mailbox()
@@ -228,7 +228,7 @@
 
 
 class DaemonTasks:
-    """The tasks of a daemon that serve HTTP; the others are idle or as the scenario says."""
+    """The tasks of a daemon that serve HTTP; the others are idle or given by the scenario."""
 
     def __init__(self, **replaced_tasks):
         settings = Settings(
@@ -322,7 +322,7 @@
 
 
 class FailingTask(IdleTask):
-    """Fails when it is told to."""
+    """A task that fails when `fails` is set."""
 
     def __init__(self):
         super().__init__()
@@ -334,7 +334,7 @@
 
 
 class SlowUpstream:
-    """Stands for the client of the upstream; answers when it is told to."""
+    """Replaces the client of the upstream; answers when `answers` is set."""
 
     def __init__(self):
         self.called = asyncio.Event()
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -38,7 +38,7 @@
 
 
 class ModelFleet:
-    """Deciders that share a model log; every effect waits until it is delivered."""
+    """Claim deciders that share a model log; each of their effects waits until it is delivered."""
 
     def __init__(self, names="ABC"):
         self.now = 1_000_000.0
@@ -84,7 +84,7 @@
         self.grants = {c: row for c, row in self.grants.items() if row[0] != name}
 
     def append(self, batch):
-        # Record, its digest and the time at which its writer made it.
+        # Each row holds a record, with the time at which its writer made it, and its digest.
         digest = f"{self.generation}/{len(self.log)}"
         at_ms = batch.at_ms or int(self.now)
         self.log.append((ClaimsBatch(batch.claims, batch.releases, at_ms, batch.lost), digest))
@@ -131,7 +131,7 @@
 
 
 class ClaimScript:
-    """Commands of the tables, one method each."""
+    """Runs the commands of the tables, one method for each."""
 
     def __init__(self):
         self.fleet = ModelFleet()
@@ -164,7 +164,7 @@
         self.fleet.now += float(minutes) * MINUTE_MS
 
     def do_batch(self, name):
-        """Let the decider hand out its append without delivering it."""
+        """Let the decider produce its append, without delivering it."""
         self.fleet.now += 11
         self.fleet.handle(name, TimePassed())
 
@@ -178,7 +178,7 @@
         self.fleet.deliver(name, index, fate)
 
     def do_land(self):
-        """Let the held appends take effect."""
+        """Write the appends that were held back as late."""
         for batch in self.late_appends:
             self.fleet.append(batch)
 
@@ -217,7 +217,7 @@
 
 
 class ClaimMachine(RuleBasedStateMachine):
-    """Random interleavings; the model log loses, refuses and delays what it likes."""
+    """Random interleavings, with appends that are lost, refused or written late."""
 
     names = st.sampled_from("ABC")
 
@@ -301,7 +301,7 @@
 
 @then("no key was started twice")
 def check_machine_passed(context):
-    """The machine raises at the first key that is started twice."""
+    """Checks nothing: the machine raises at the first key that is started twice."""
 
 
 @given("a store of outcomes with room for {room:d} response bytes")
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -162,7 +162,7 @@
 
 @then("other requests run on every daemon")
 def check_others(context):
-    # Both attempts of a call may go to the upstreams that crashed until these are back.
+    # Until the crashed upstreams are back, both attempts of a call may go to them.
     def runs(node):
         return send_request(node, "POST", "/vans/harmless")[:2] == (200, "ran")
 
@@ -223,7 +223,7 @@
 
 
 class DyingUpstream:
-    """Loses every connection; what a probe of its address says is held back."""
+    """An upstream client that loses every connection and delays the result of a probe."""
 
     def __init__(self):
         self.lost, self.probed = asyncio.Event(), asyncio.Event()
@@ -241,13 +241,13 @@
 
 
 async def settle():
-    """Let every task run until it waits; nothing here waits for time or sockets."""
+    """Let every task run until it waits; no task here waits for time or sockets."""
     for _ in range(100):
         await asyncio.sleep(0)
 
 
 async def reported_deaths(names, cancelled):
-    """Return the calls of each death that is reported."""
+    """Return the calls in flight that each reported death names."""
     upstream, deaths, box = DyingUpstream(), Outbox(), Mailbox()
     admission, gate = new_admission("adaptive"), TrialGate("me")
     task = UpstreamTask(
@@ -289,7 +289,7 @@
 
 
 async def probe_behaviour(behaviour):
-    """Return whether an address with this behaviour counts as that of a dead process."""
+    """Return whether an upstream whose address behaves like this counts as dead."""
     pool = PortPool()
     try:
         return await probe_port(behaviour, pool.reserve(1)[0])
--- a/features/steps/swim_driver.py
+++ b/features/steps/swim_driver.py
@@ -1,4 +1,4 @@
-"""Runs several Swim instances with virtual time and a network that loses messages."""
+"""Runs several Swim instances in virtual time, on a network that loses messages."""
 
 import heapq
 import itertools
@@ -23,7 +23,7 @@
 
 
 class SwimDriver:
-    """Delivers messages between instances; `lose` decides which are lost."""
+    """Runs the actions of Swim instances; `lose` decides which of their messages are lost."""
 
     def __init__(self, count, seed):
         self.rng = random.Random(seed)
@@ -103,7 +103,7 @@
             self.newest_incarnations[key] = member.incarnation
 
     def send_probe(self, swim, target_id, address, introduce=False):
-        """Return whether the target answered; both directions may be lost."""
+        """Return whether the target answered; the probe or its answer may be lost."""
         news = swim.updates(target_id)
         other = self.reachable_instance(swim, address)
         if other is None:
@@ -156,7 +156,7 @@
             self.perform(swim, swim.merge_sync_reply(SyncReply(rows, None, complete), self.now))
 
     def states(self, daemon_id):
-        """Return how each running instance sees the member, other than itself."""
+        """Return the state of the member in the table of each other instance."""
         others = [s for s in self.nodes.values() if s.me.daemon_id != daemon_id]
         rows = [swim.table.get(daemon_id) for swim in others]
         return [row.state if row else None for row in rows]
