--- a/features/admission_process.feature
+++ b/features/admission_process.feature
@@ -1,8 +1,9 @@
 Feature: Admission in running daemons
-  Guards against calls that are lost or cut off on shutdown, work that goes on for nobody, and a
-  configuration that does not reach admission control.
+  Guards against calls that are lost or cut off on shutdown, work that goes on after its caller has
+  disconnected, and settings of the configuration that do not reach admission control.
 
   Scenario: SIGTERM with a long call in flight and one in the queue
+    Guards against a shutdown that cuts off the running call or leaves the queued one unanswered.
     Given daemons for "delivery-scheduling" with 1 slots
     When the upstream holds calls to "/deliveries/long"
     And a "POST" to "/deliveries/long" runs and a "GET" to "/deliveries/queued" waits
@@ -14,6 +15,7 @@
     And the upstream executed 1 call with a deadline
 
   Scenario Outline: a caller that disconnects during a <method> over <hops> daemons
+    Guards against idempotent work that runs on for nobody, and against a POST stopped half-way.
     Given daemons for "delivery-scheduling" with 1 slots
     When the upstream holds calls to "/deliveries/long"
     And a caller sends a "<method>" to "/deliveries/long" over <hops> daemons and disconnects
@@ -28,6 +30,7 @@
       | POST   | 2    | 1         | 0         |
 
   Scenario: long calls leave slots to short ones as the configuration says
+    Guards against long calls that take every slot because the class policy was not applied.
     Given daemons for "catalogue" with 2 slots
     When a "GET" to "/catalogue/report?work_ms=300" was answered
     And the upstream holds calls to "/catalogue/report"
--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -1,23 +1,24 @@
-Feature: How a configuration spreads between daemons
-  Guards against changes that cross the link between regions whole, and against daemons that nobody
-  feeds.
+Feature: Distribution of a configuration between daemons
+  Guards against changes that are sent over the link between regions as whole documents, and against
+  daemons that no change reaches.
 
-  # Documents are lists of objects, written as letters; the delta is what a push carries.
+  # Documents are lists of objects, written as letters; a push carries the delta between two of them.
   Scenario Outline: delta: <guards against>
     When the document "<old>" becomes "<new>"
-    Then the delta has <steps> steps, at most <fresh> bytes of its own, and gives the new document
+    Then the delta has <steps> steps, at most <literal> literal bytes, and gives the new document
 
     Examples:
-      | guards against                        | old    | new     | steps | fresh |
-      | a change that sends everything        | abcdef | abXdef  | 3     | 40    |
-      | an added route that sends everything  | abcdef | abXcdef | 3     | 40    |
-      | a dropped route that sends everything | abcdef | abdef   | 2     | 0     |
-      | routes in another order               | abcdef | defabc  | 5     | 90    |
-      | the same document                     | abcdef | abcdef  | 1     | 0     |
-      | a first document                      | -      | abc     | 1     | 140   |
-      | a document that lost its routes       | abcdef | -       | 1     | 40    |
+      | guards against                        | old    | new     | steps | literal |
+      | a change that sends everything        | abcdef | abXdef  | 3     | 40      |
+      | an added route that sends everything  | abcdef | abXcdef | 3     | 40      |
+      | a dropped route that sends everything | abcdef | abdef   | 2     | 0       |
+      | routes in another order               | abcdef | defabc  | 5     | 90      |
+      | the same document                     | abcdef | abcdef  | 1     | 0       |
+      | a first document                      | -      | abc     | 1     | 140     |
+      | a document that lost all its routes   | abcdef | -       | 1     | 40      |
 
   Scenario: any document follows from any other by its delta
+    Guards against pairs of documents that the table does not list.
     Then 300 random pairs of documents with seed 7 agree with their deltas
 
   Scenario Outline: a delta that does not fit is refused: <guards against>
@@ -25,26 +26,28 @@
     Then it is refused
 
     Examples:
-      | guards against                      | steps |
-      | pieces behind the end               | 2 9   |
-      | a negative start                    | -1 1  |
-      | an empty run                        | 0 0   |
+      | guards against         | steps |
+      | a piece beyond the end | 2 9   |
+      | a negative start       | -1 1  |
+      | an empty piece         | 0 0   |
 
-  # Daemons: NAME REGION LATENCY [deaf] [leaving]; "me" is n1 of the north. Latency 0 is unknown.
+  # Daemons: NAME REGION LATENCY [unserved] [leaving]. LATENCY is that of the store in ms, 0 while
+  # unknown; an unserved daemon gets no answers from the store. The tested daemon is n1 of the north.
   Scenario Outline: readers: <guards against>
     Given the daemons "<daemons>" of which "<reachable>" are reachable
     Then n1 reads the store "<reads>" and pushes a change of the store to "<pushed>"
 
     Examples:
-      | guards against                              | daemons                                          | reachable | reads | pushed   |
-      | a fleet that nobody feeds at its start      | n1 north 0; n2 north 0; s1 south 0               | -         | yes   | -        |
-      | a lone reader of a region that feeds nobody | n1 north 4; n2 north 4; s1 south 20              | n2 s1     | yes   | n2 s1    |
-      | reads that cross the link between regions   | n1 north 20; s1 south 4; s2 south 4              | s1 s2     | no    | s1 s2    |
-      | a region that is cut off from the readers   | n1 north 20; s1 south 4; s2 south 4              | -         | yes   | -        |
-      | readers that do not reach the store         | n1 north 20; s1 south 4 deaf; s2 south 4 deaf    | s1 s2     | yes   | s1 s2    |
-      | a reader that is leaving                    | n1 north 4 leaving; n2 north 5; n3 north 5       | n2 n3     | no    | n2 n3    |
-      | a fleet without any answer of the store     | n1 north 0 deaf; n2 north 0 deaf                 | n2        | yes   | n2       |
-      | more relays than a region needs             | n1 north 4; s1 south 9; s2 south 9; s3 south 9   | s1 s2 s3  | yes   | 2 of south |
+      | guards against                                 | daemons                                               | reachable | reads | pushed   |
+      | a fleet without a reader at its start          | n1 north 0; n2 north 0; s1 south 0                    | -         | yes   | -        |
+      | a reader that pushes its changes to nobody     | n1 north 4; n2 north 4; s1 south 20                   | n2 s1     | yes   | n2 s1    |
+      | reads that cross the link between regions      | n1 north 20; s1 south 4; s2 south 4                   | s1 s2     | no    | s1 s2    |
+      | a region that is cut off from the readers      | n1 north 20; s1 south 4; s2 south 4                   | -         | yes   | -        |
+      | readers that do not reach the store            | n1 north 20; s1 south 4 unserved; s2 south 4 unserved | s1 s2     | yes   | s1 s2    |
+      | a reader that is leaving                       | n1 north 4 leaving; n2 north 5; n3 north 5            | n2 n3     | no    | n2 n3    |
+      | a fleet without any answer of the store        | n1 north 0 unserved; n2 north 0 unserved              | n2        | yes   | n2       |
+      | pushes to more daemons of a region than needed | n1 north 4; s1 south 9; s2 south 9; s3 south 9        | s1 s2 s3  | yes   | 2 of south |
 
   Scenario: readers that the store stops answering give way before a change is overdue
+    Guards against a change that is late everywhere because its readers wait for a silent store.
     Then a reader knows within 1500 ms that the store is silent
--- a/features/fleet_changes.feature
+++ b/features/fleet_changes.feature
@@ -3,6 +3,7 @@
   changes.
 
   Scenario: regions that are partitioned serve on, and catch up when the link returns
+    Guards against daemons that refuse calls or stay on an old version because of a lost link.
     Given a fleet in two regions joined by a link, with "case-portal" in each data centre
     When the example configuration "lysknude" is published
     And the link is cut
@@ -15,6 +16,7 @@
     And every daemon sees every upstream as ready
 
   Scenario Outline: a draining upstream gets no new work through a daemon that was <condition>
+    Guards against calls that are routed by an outdated view, also right after a pause.
     Given a fleet of 1 upstream for each of "case-portal,case-portal,van-booking" at "aarhus-a"
     When the example configuration "lysknude" is published
     And the daemon next to "van-booking" is <condition> while the first upstream starts to drain
@@ -28,6 +30,7 @@
       | paused    |
 
   Scenario: a peer that missed the draining is refused as not run
+    Guards against a draining upstream that runs calls of a peer with an outdated view.
     Given a fleet of 1 upstream for each of "case-portal,case-portal,van-booking" at "aarhus-a"
     When the example configuration "lysknude" is published
     And the daemon next to "van-booking" is running while the first upstream starts to drain
--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -20,6 +20,7 @@
       | part of a large request |
 
   Scenario Outline: a request that is <state> when its listener closes is answered
+    Guards against a request that is cut or ignored because it arrived during the close.
     Given a listener that is about to close
     When a request is <state> as the listener closes
     Then the request is answered with "200" and the connection ends
@@ -33,6 +34,7 @@
       | not sent on a new connection |
 
   Scenario Outline: a request that stays <state> after its listener closed is refused as not run
+    Guards against an incomplete request that holds up the close, or ends without an answer.
     Given a listener that is about to close
     When a request stays <state> as the listener closes
     Then the request is answered with "503" and the connection ends
@@ -44,12 +46,13 @@
       | sent half of its body |
 
   Scenario: a connection without a request does not hold up the close of its listener
+    Guards against a close that waits for a caller that sends nothing.
     Given a listener that is about to close
     When a connection is idle as the listener closes
     Then the connection ends without an answer
 
   Scenario Outline: a caller on a <connection> connection is told to move before a daemon closes
-    Guards against requests on kept connections that cross with the close of the listener.
+    Guards against requests that callers send on kept connections just as the listener closes.
     Given the tasks of a daemon
     When a caller sends a request on a <connection> connection while the daemon leaves
     Then the request is answered with "503" and the connection ends
@@ -61,7 +64,7 @@
       | new        |
 
   Scenario: a daemon that has shut down accepts no request that nobody answers
-    Guards against requests of the upstream and of operators that the end of the process cuts.
+    Guards against requests of the upstream or of operators that are cut when the process ends.
     Given the tasks of a daemon
     When the daemon has shut down
     Then no listener of the daemon accepts a connection
--- a/features/history.feature
+++ b/features/history.feature
@@ -1,5 +1,6 @@
 Feature: History checker
-  Guards against fault runs that pass because the checker overlooks a violation.
+  Guards against fault runs that pass because the checker overlooks a violation, and against
+  violations reported for permitted events.
 
   Scenario Outline: <case>
     Given a clean history
@@ -23,11 +24,11 @@
       | I9 a daemon stays behind                     | publish 21 3 three; inforce 22 d1 3 three; undisturbed 30 d1,d2 | I9 |
 
     Examples: permitted events next to each violation
-      | case                                         | events                                               | violations |
-      | a retried idempotent request starts twice    | sent 21 c9 r9 d1 get; started 22 r9 u1; started 23 r9 u2; answered 24 c9 r9 |  |
+      | case                                          | events                                               | violations |
+      | a retried idempotent request starts twice     | sent 21 c9 r9 d1 get; started 22 r9 u1; started 23 r9 u2; answered 24 c9 r9 |  |
       | a refused resubmission of an executed booking | sent 21 c9 r1 d2 post; refused 22 c9                |            |
-      | an upstream that came back                   | leaving 21 u1; returned 22 u1; sent 26 c9 r9 d1 get; started 27 r9 u1 |  |
-      | work just after the announcement             | leaving 21 u1; sent 21 c9 r9 d1 get; started 22 r9 u1 |           |
-      | a call after the shutdown began              | shutdown 21 d1; sent 22 c9 r9 d1 get; broken 23 c9   |            |
-      | a killed daemon cuts calls off               | sent 21 c9 r9 d1 get; broken 23 c9                   |            |
-      | a version that is too new to be everywhere   | publish 21 3 three; undisturbed 24 d1,d2             |            |
+      | an upstream that came back                    | leaving 21 u1; returned 22 u1; sent 26 c9 r9 d1 get; started 27 r9 u1 |  |
+      | work just after the announcement              | leaving 21 u1; sent 21 c9 r9 d1 get; started 22 r9 u1 |           |
+      | a call after the shutdown began               | shutdown 21 d1; sent 22 c9 r9 d1 get; broken 23 c9   |            |
+      | a killed daemon cuts calls off                | sent 21 c9 r9 d1 get; broken 23 c9                   |            |
+      | a version too new to be in force everywhere   | publish 21 3 three; undisturbed 24 d1,d2             |            |
--- a/features/idempotency_fleet.feature
+++ b/features/idempotency_fleet.feature
@@ -11,9 +11,9 @@
     And the booking was executed <times>
 
     Examples:
-      | case                                     | events                                                               | answers                                              | times   |
-      | one booking through three daemons        | bookings are sent through daemons "0,1,2,0,1,2" at once               | ran,ran,ran,ran,ran,ran                              | once    |
-      | holder killed, then resent               | the holder 0 of a running booking is killed and it is resent through "1,2" | unknown,unknown                                | once    |
-      | caller disconnects, then resends         | a caller of daemon 0 disconnects and resends through "1,0"            | ran,ran                                              | once    |
-      | log down                                 | the log is down and bookings are sent through daemons "0,1" at once   | not-run,not-run                                      | never   |
-      | lost append answer                       | the log loses 2 answers and bookings are sent through daemons "0,1" at once | ran,ran                                        | once    |
+      | case                              | events                                                               | answers                                              | times   |
+      | one booking through three daemons | bookings are sent through daemons "0,1,2,0,1,2" at once               | ran,ran,ran,ran,ran,ran                              | once    |
+      | holder killed, booking resent     | the holder 0 of a running booking is killed and it is resent through "1,2" | unknown,unknown                                | once    |
+      | caller disconnects and resends    | a caller of daemon 0 disconnects and resends through "1,0"            | ran,ran                                              | once    |
+      | log down                          | the log is down and bookings are sent through daemons "0,1" at once   | not-run,not-run                                      | never   |
+      | lost append answer                | the log loses 2 answers and bookings are sent through daemons "0,1" at once | ran,ran                                        | once    |
--- a/features/members.feature
+++ b/features/members.feature
@@ -1,5 +1,5 @@
 Feature: Membership decisions
-  Guards against wrong beliefs about members, and against control traffic beyond its budget.
+  Guards against wrong states of members, and against control traffic beyond its budget.
 
   Scenario Outline: a record of "<heard>" heard by a daemon that holds "<known>"
     Guards against old records that overwrite newer ones.
@@ -23,7 +23,7 @@
       | none      | alive 1   | alive 1   |
 
   Scenario Outline: a daemon hears of itself as <heard>
-    Guards against daemons that accept their own death or cannot exceed an old incarnation.
+    Guards against daemons that accept that they are dead, or cannot exceed an old incarnation.
     Given a daemon of incarnation 5
     When it hears of itself as "<heard>"
     Then its own record is "<held>"
@@ -60,14 +60,14 @@
       | 16    | 13   | 5    | 120     | the regions are partitioned for 60 periods| every member is alive to all  |
       | 16    | 14   | 20   | 120     | nothing happens for 120 periods           | every member is alive to all  |
       | 9     | 15   | 0    | 60      | every member restarts with a lower clock  | every member is alive to all  |
-      | 8     | 16   | 0    | 120     | members 1 and 2 have missed each other    | every member is alive to all  |
+      | 8     | 16   | 0    | 120     | members 1 and 2 do not know each other    | every member is alive to all  |
 
   Scenario: random losses, pauses and restarts
-    Guards against combinations that no one listed, and against records of older incarnations.
+    Guards against combinations that the table does not list, and records of older incarnations.
     Then under random faults the members agree on who is alive
 
   Scenario: a resumed daemon refuses until a peer has sent its table
-    Guards against routing by the view from before a pause, also when the first peer is suspended.
+    Guards against routing by the view from before a pause, also when the first peer asked is paused.
     Given a daemon with 4 peers that was paused for 60 s
     Then its view is stale
     And it asks another peer for the table when the first gives no answer
@@ -76,7 +76,7 @@
     And the time of the pause does not count against a suspect
 
   Scenario Outline: a tick that is <late> ms late
-    Guards against suspicion of healthy peers by a daemon whose own loop is overloaded.
+    Guards against a daemon with an overloaded loop that suspects healthy peers.
     Given a daemon with 4 peers and a probe in flight
     When the next tick comes after <late> ms and the probe gets no answer
     Then helpers are asked: <asked>
@@ -88,7 +88,7 @@
       | 900  | no    |
 
   Scenario Outline: a table from a peer that says "<heard>" of a member that is alive here, <when>
-    Guards against regions that believe their own members dead after a partition.
+    Guards against regions that hold their own members for dead after a partition.
     Given a daemon that holds the record "alive 5"
     When it gets a table with "<heard>" <when>
     Then it holds the record "<held>"
@@ -102,7 +102,7 @@
       | dead 5    | after a pause | dead 5    |
 
   Scenario Outline: the answer to a probe of incarnation <sent> by a member known as "<known>"
-    Guards against daemons that stay dead to their peers because no one tells them.
+    Guards against daemons that are not told that their peers hold them for dead.
     Given a daemon that holds the record "<known>"
     Then its answer to a probe of incarnation <sent> holds "<told>"
 
@@ -114,23 +114,23 @@
       | alive 5   | 5    | none      |
 
   Scenario: a full member table
-    Guards against growth without limit and against silence about it.
+    Guards against a table that grows without limit, and against members dropped without a report.
     Given a daemon whose table is full
     When it hears of 3 more members
     Then it holds no more members and reports this once
 
   Scenario: dead members are retained
-    Guards against old records that resurrect the dead after a short time.
+    Guards against old records that make a dead member alive again after a short time.
     Given a daemon that holds the record "dead 5"
     When 590 s pass and it hears the record "alive 5"
     Then it holds the record "dead 5"
 
   Scenario Outline: <count> daemons start with <stale> old announcements, log round trip <trip> ms
-    Guards against a storm of announcements on the log, and against daemons that never join.
+    Guards against a burst of announcements on the log, and against daemons that never join.
     When <count> daemons start at once on a log with <stale> old announcements and a <trip> ms round trip
     Then every daemon has joined
     And at most <most> announcements were appended
-    And no daemon has more than one read under way and all together made at most <reads> reads
+    And no daemon has more than one read in flight and all daemons made at most <reads> reads
 
     Examples:
       | count | stale | trip | most | reads |
@@ -142,15 +142,15 @@
       | 1300  | 0     | 500  | 24   | 6500  |
 
   Scenario: a log that is down at start
-    Guards against retries that overload a log that recovers.
+    Guards against simultaneous retries that overload a recovering log.
     Given a daemon that fails to read the log 12 times
-    Then its delays have full jitter and stay within 30 s
+    Then its retry delays have full jitter and stay within 30 s
 
   Scenario: strikes and clearances are sent a limited number of times
-    Guards against reports that are lost or that circulate for ever.
+    Guards against reports that get lost or that are passed on for ever.
     Given a strike and a clearance that are reported twice
-    Then each is news once and is sent 6 times
-    And the clearance is news again after another strike
+    Then each is new once and is sent 6 times
+    And the clearance is new again after another strike
 
   Scenario Outline: the size of <message>
     Guards against control messages that grow beyond the budget of a daemon.
@@ -164,6 +164,6 @@
       | a notice of a new version              | 260   |
 
   Scenario: control messages survive encoding and any bytes are handled
-    Guards against crashes by damaged messages, and against fields lost by the positional form.
+    Guards against crashes on damaged messages, and against fields lost in the positional encoding.
     Then every control message decodes to itself
     And any bytes decode to a message or end in MessageDecodeError
--- a/features/members_fleet.feature
+++ b/features/members_fleet.feature
@@ -2,6 +2,7 @@
   Guards against daemons whose processes die, stop, leave or restart unnoticed.
 
   Scenario: killed, restarted, replaced and leaving daemons are seen by all
+    Guards against peers that keep an outdated state after a daemon's process ended or restarted.
     Given 4 daemons that know each other
     When daemon 3 gets SIGKILL
     Then the other daemons no longer list daemon 3
@@ -14,7 +15,7 @@
     And no daemon has more than 10 threads or 128 MiB of memory
 
   Scenario: a suspended daemon is dropped and comes back
-    Guards against a paused daemon that stays dead to its peers or keeps a stale view.
+    Guards against a paused daemon that its peers hold for dead, or that keeps a stale view.
     Given 4 daemons that know each other
     When daemon 1 gets SIGSTOP
     Then the other daemons no longer list daemon 1
@@ -23,13 +24,14 @@
     And daemon 1 has logged that it synced its table after the pause
 
   Scenario: daemons that start while the log is down join when it is back
+    Guards against daemons that give up joining because their first reads failed.
     Given a log service with an outage
     And 3 daemons that have started
     When the outage ends
     Then every daemon lists 3 daemons as alive
 
   Scenario: a mass restart
-    Guards against a storm of announcements and against daemons that do not find each other again.
+    Guards against a burst of announcements, and daemons that do not find each other again.
     Given 12 daemons that know each other
     When all daemons get SIGKILL and are started again
     Then every daemon lists 12 daemons as alive
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -1,12 +1,12 @@
 Feature: Quarantine of requests that crash upstreams
-  Guards against a request that goes on to crash upstreams, and against harmless ones being refused.
+  Guards against a request that keeps crashing upstreams, and against refusals of harmless requests.
 
   Scenario Outline: <case>
     Given an empty strike table of <limit> fingerprints
     When the quarantine events "<events>" happen
     Then fingerprint "p" is <state>
 
-    Examples: strikes name the fingerprint and the death, clear a completion, wait minutes
+    Examples: FINGERPRINT:DEATH is a strike, clear: a completion, lift: a clearance, wait: minutes
       | case                                     | limit | events                                     | state       |
       | one death                                | 9     | p:d1                                       | suspected   |
       | two deaths                               | 9     | p:d1 p:d2                                  | quarantined |
@@ -31,13 +31,13 @@
     Then a call with fingerprint "<fingerprint>" is <decision> when its trial member is "<trial>"
 
     Examples:
-      | case                                     | running | strikes | fingerprint | trial | decision          |
-      | a request without strikes starts         | p       | 0       | p           | me    | admitted          |
-      | a suspected request starts alone         | q       | 1       | p           | me    | admitted          |
-      | a suspected request waits for the other  | p       | 1       | p           | me    | refused suspected |
-      | a suspected request runs elsewhere       | q       | 1       | p           | other | refused suspected |
-      | a quarantined request is refused         | q       | 2       | p           | me    | refused quarantined |
-      | a neighbour is admitted                  | p       | 2       | q           | me    | admitted          |
+      | case                                           | running | strikes | fingerprint | trial | decision          |
+      | a request without strikes starts               | p       | 0       | p           | me    | admitted          |
+      | a suspected request starts alone               | q       | 1       | p           | me    | admitted          |
+      | a suspected request does not run twice at once | p       | 1       | p           | me    | refused suspected |
+      | a suspected request runs elsewhere             | q       | 1       | p           | other | refused suspected |
+      | a quarantined request is refused               | q       | 2       | p           | me    | refused quarantined |
+      | another request is admitted                    | p       | 2       | q           | me    | admitted          |
 
   Scenario Outline: <case>
     Given a daemon "me" with peers "d1,d2,d3" of one service
@@ -45,17 +45,17 @@
     Then the upstream task holds "p" as <state>
 
     Examples:
-      | case                                     | strikes             | clearances | state       |
-      | gossip of one strike                     | p:d1                | none       | suspected   |
-      | gossip of two strikes                    | p:d1 p:d2           | none       | quarantined |
-      | gossip of a strike that came before      | p:d1 p:d1           | none       | suspected   |
-      | gossip about another request             | q:d1 q:d2           | none       | free        |
+      | case                             | strikes             | clearances | state       |
+      | gossip of one strike             | p:d1                | none       | suspected   |
+      | gossip of two strikes            | p:d1 p:d2           | none       | quarantined |
+      | gossip of a strike already known | p:d1 p:d1           | none       | suspected   |
+      | gossip about another request     | q:d1 q:d2           | none       | free        |
 
   Scenario Outline: an upstream that <behaviour> counts as <state>
     When a lost connection is followed by a probe of an address that <behaviour>
     Then the upstream counts as <state>
 
-    Examples: a process that is ending may accept connections for a moment
+    Examples: a process that is ending may still accept connections for a moment
       | behaviour                | state |
       | refuses connections      | dead  |
       | closes connections       | dead  |
@@ -67,7 +67,7 @@
     When calls "<cancelled>" are cancelled before the death is certain
     Then the deaths "<deaths>" are reported
 
-    Examples: guards against a death that is not counted, as of a hedge that lost, or counted twice
+    Examples: guards against deaths not counted (as of a hedge that lost) or counted twice
       | running | cancelled | deaths |
       | a       | -         | a      |
       | a       | a         | a      |
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -12,7 +12,7 @@
 from agatecross_core.ids import Millis
 from agatecross_standins.platform_upstream import Answer
 
-# A close with this option drops what is unsent and resets the connection.
+# With this linger option, a close drops unsent bytes and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -23,7 +23,7 @@
     ).encode()
 
 
-@when("d{number:d} takes leave while a call of its caller is open")
+@when("d{number:d} leaves while a call of its caller is open")
 def step_leave_with_call(context, number):
     mini = context.mini
     sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
@@ -35,13 +35,13 @@
         context.draining = asyncio.ensure_future(sidecar.drain())
         holder.writer.write(request_head("/peer/1", "held", 1_900))
         await until(lambda: upstream.runs["held"], "the open call")
-        await until(lambda: sidecar.exit.leaving, "the leave")
+        await until(lambda: sidecar.exit.leaving, "the refusal of new calls")
 
     context.upstream = upstream
     mini.run(work())
 
 
-@when('its caller sends "{first}" and, in the same write, "{second}" behind it')
+@when('its caller sends "{first}" and, in the same write, "{second}" after it')
 def step_pipeline(context, first, second):
     caller = context.caller
 
@@ -59,13 +59,16 @@
     assert context.answers == [(status, False), None], context.answers
 
 
-@then("no upstream ran the request behind it")
+@then("no upstream ran the second request")
 def step_not_passed_on(context):
-    # Its caller takes it as unread and sends it again, whatever its kind.
+    # Its caller takes it for unread and sends it again, whatever its method.
     assert not sum(upstream.runs["second"] for upstream in context.mini.upstreams)
 
 
-@when("{resets:d} of {count:d} idle callers of d{number:d} reset as it ends all connections")
+@when(
+    "{resets:d} of {count:d} idle callers of d{number:d} reset their connections"
+    " as the daemon ends all of them"
+)
 def step_reset_at_end(context, resets, count, number):
     listener = context.mini.sidecars[number].entry.listener
     host, _, port = context.mini.sidecars[number].settings.callers.rpartition(":")
@@ -76,8 +79,8 @@
             sock = socket.create_connection((host, int(port)))
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             socks.append(sock)
-        await until(lambda: len(listener.connections) == count, "every connection")
-        # The daemon's loop gets no turn between the resets and the end of the connections.
+        await until(lambda: len(listener.connections) == count, "a connection for every caller")
+        # The daemon's loop does not run between the resets and the end of the connections.
         for sock in socks[:resets]:
             sock.close()
         finishing = asyncio.ensure_future(listener.finish(Millis(300)))
@@ -96,7 +99,7 @@
     assert context.ends == [b""] * count, context.ends
 
 
-@when('upstream "{name}" holds the one call that it has a slot for')
+@when('upstream "{name}" has one slot and holds the call in it')
 def step_hold_slot(context, name):
     mini, number = context.mini, int(name[1:])
     sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
@@ -108,12 +111,14 @@
         upstream.plan([Answer.HOLD])
         context.holder = await connect(mini.sidecars[0].settings.callers)
         context.holder.writer.write(request_head("/peer/1", "held", 5_000))
-        await until(lambda: upstream.runs["held"], "the call that runs")
+        await until(lambda: upstream.runs["held"], "the running call")
 
     mini.run(work())
 
 
-@when("d{number:d} stops with {ms:d} ms of grace while a call of d{entry:d} waits for the slot")
+@when(
+    "d{number:d} stops with a grace time of {ms:d} ms while a call of d{entry:d} waits for the slot"
+)
 def step_stop_while_waiting(context, number, ms, entry):
     mini = context.mini
     sidecar, slot_sidecar = mini.sidecars[number], context.slot_sidecar
@@ -122,7 +127,7 @@
         sidecar.settings = replace(sidecar.settings, grace=Millis(ms))
         caller = await connect(mini.sidecars[entry].settings.callers)
         caller.writer.write(request_head("/peer/1", "waiting", 5_000))
-        await until(lambda: slot_sidecar.exit.pending > 1, "the call that waits")
+        await until(lambda: slot_sidecar.exit.pending > 1, "the waiting call")
         await sidecar.drain()
         await mini.kill(number)
         context.waiting = await caller.read_answer()
@@ -148,7 +153,7 @@
 def step_send_unread(context, number, path, count):
     mini = context.mini
     listener = mini.sidecars[number].entry.listener
-    # Each read of the daemon holds a few requests only.
+    # Padded so that each read of the daemon holds only a few requests.
     padding = "x" * 3_000
 
     async def work():
@@ -156,7 +161,7 @@
         for row in range(count):
             request = request_head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
             caller.writer.write(request + padding.encode() + b"\r\n\r\n")
-        await until(lambda: listener.unsent, "answers that wait")
+        await until(lambda: listener.unsent, "unsent answers")
         (connection,) = listener.connections
         context.most_unsent = 0
 
@@ -165,7 +170,9 @@
             return not connection.exchanges and not connection.transport.is_reading()
 
         try:
-            await until(lambda: settled() or total_runs(mini) >= count, "the end of reading")
+            await until(
+                lambda: settled() or total_runs(mini) >= count, "the daemon to stop reading"
+            )
         finally:
             context.answers = [await caller.read_answer() for _ in range(count)]
         caller.writer.close()
@@ -182,12 +189,12 @@
     assert context.most_unsent < size, context.most_unsent
 
 
-@then("the caller got every answer when it read on")
+@then("the caller got every answer when it read again")
 def step_every_answer(context):
     assert all(row is not None for row in context.answers)
 
 
-@when("a caller of d{number:d} asks for the end of its connection and reads nothing")
+@when('a caller of d{number:d} sends a request with "connection: close" and reads nothing')
 def step_last_unread(context, number):
     mini = context.mini
     listener = mini.sidecars[number].entry.listener
@@ -199,7 +206,7 @@
             b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
         )
         caller.writer.write(request)
-        await until(lambda: listener.unsent, "an answer that waits")
+        await until(lambda: listener.unsent, "an unsent answer")
         await until(lambda: not listener.connections, "the end of the connection")
         caller.writer.close()
 
@@ -211,7 +218,7 @@
     assert not context.mini.sidecars[number].entry.listener.connections
 
 
-@when("d{number:d} stops without free descriptors while a caller of it is connected")
+@when("d{number:d} stops without free file descriptors while a caller of it is connected")
 def step_no_descriptors(context, number):
     mini = context.mini
     sidecar = mini.sidecars[number]
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -18,7 +18,7 @@
 
 
 class CallerResults:
-    """What callers saw: the status of each request id, and the ids that got no answer."""
+    """The status that callers got for each request id, and the ids that got no answer."""
 
     def __init__(self):
         self.answered = {}
@@ -27,7 +27,7 @@
 
 
 class RawConnection:
-    """A caller's connection that reads whole answers."""
+    """A caller's raw connection, which sends requests and reads complete answers."""
 
     def __init__(self, reader, writer):
         self.reader, self.writer = reader, writer
@@ -42,7 +42,7 @@
         )
 
     async def read_answer(self):
-        """Return status and whether the connection stays open; None when it ended before."""
+        """Return the status and whether the connection stays open, or None if it ended first."""
         while True:
             head = RESPONSE_HEAD.match(self.data)
             if head is not None:
@@ -65,7 +65,10 @@
 
 
 async def send_and_read(connection, line, ids, results, fresh, count_runs):
-    """Send requests behind one another; return whether the connection can be used again."""
+    """Send pipelined requests and read their answers.
+
+    Return whether the connection can be used again.
+    """
     for call_id in ids:
         connection.send(line, call_id)
     keep = True
@@ -75,8 +78,8 @@
             results.answered[call_id], keep = answer
             continue
         keep = False
-        # A request that crosses the end of an idle connection, or stands behind an answer that
-        # ends it, is sent again by its caller, unless it was passed on.
+        # If the connection ends while it is idle, or with an earlier answer, its caller sends the
+        # request again, so the request counts as unanswered only if an upstream got it.
         crossed = not fresh or position > 0
         if not crossed or count_runs(call_id):
             results.unanswered.append(call_id)
@@ -121,7 +124,7 @@
         upstream.body_bytes = size
 
 
-@when("d{listener:d} hears from d{speaker:d} {ms:d} ms late")
+@when("messages from d{speaker:d} reach d{listener:d} {ms:d} ms late")
 def step_delay_messages(context, listener, speaker, ms):
     mini = context.mini
 
@@ -174,7 +177,7 @@
     context.statuses_seen = Counter(results.answered.values())
 
 
-@then("no request that d{number:d} took ended without an answer")
+@then("no request that d{number:d} accepted ended without an answer")
 def step_none_cut(context, number):
     assert context.results.answered
     assert not context.results.unanswered, context.results.unanswered
@@ -193,7 +196,9 @@
     assert not context.results.unanswered, context.results.unanswered
 
 
-@when('a caller of d{number:d} reads the answer to "{line}" only after it took leave')
+@when(
+    'a caller of d{number:d} reads the answer to "{line}" only after the daemon refuses new calls'
+)
 def step_slow_reader(context, number, line):
     mini = context.mini
     sidecar = mini.sidecars[number]
@@ -201,9 +206,9 @@
     async def work():
         connection = await connect_with_small_buffer(sidecar.settings.callers)
         connection.send(line, "slow")
-        await until(lambda: sidecar.entry.listener.unfinished().unsent, "bytes that wait")
+        await until(lambda: sidecar.entry.listener.unfinished().unsent, "unsent bytes")
         draining = asyncio.ensure_future(sidecar.drain())
-        await until(lambda: sidecar.exit.leaving or draining.done(), "the end of the moves")
+        await until(lambda: sidecar.exit.leaving or draining.done(), "the refusal of new calls")
         await asyncio.sleep(0.2)
         context.ended_early = draining.done()
         context.answer = await connection.read_answer()
@@ -223,7 +228,7 @@
 
 @then("the answer is whole")
 def step_whole(context):
-    # After the drain the process ends, so bytes that are still unsent then are lost.
+    # The process ends after the drain, so bytes that are unsent by then would be lost.
     assert not context.ended_early
     assert context.answer is not None
     assert context.answer[0] == 200
@@ -235,7 +240,7 @@
 
     async def ended():
         sidecar = mini.sidecars[failing]
-        # The tasks of the fleet go on; those of the daemon's own run fail at once.
+        # The tasks that the fleet started go on; in the run below, the source task fails at once.
         sidecar.source.run = raise_fault
         for task in (sidecar.exit, sidecar.peers):
             task.run = asyncio.Event().wait
@@ -249,7 +254,7 @@
     raise ValueError("a fault of the daemon")
 
 
-@given("a stop whose open calls are over {open_until:d} ms after SIGTERM")
+@given("a stop whose open calls end {open_until:d} ms after SIGTERM")
 def step_plan(context, open_until):
     context.plan = plan_drain(Millis(0), Millis(6_000)).with_open_calls(Millis(open_until))
 
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -28,8 +28,7 @@
 
 
 @then(
-    "the delta has {steps:d} steps, at most {literal:d} bytes of its own,"
-    " and gives the new document"
+    "the delta has {steps:d} steps, at most {literal:d} literal bytes, and gives the new document"
 )
 def step_check_delta(context, steps, literal):
     assert len(context.steps) == steps, context.steps
@@ -69,7 +68,7 @@
             replace(
                 row,
                 log_latency=Millis(float(latency)),
-                reads_log="deaf" not in flags,
+                reads_log="unserved" not in flags,
                 leaving="leaving" in flags,
             )
         )
@@ -89,5 +88,6 @@
 
 @then("a reader knows within {limit:d} ms that the store is silent")
 def step_silent_store(context, limit):
-    # A change is due everywhere 2 s after the store took it; the next reader needs 0.5 s of them.
+    # A change must be in force everywhere 2 s after the store accepted it, of which the next reader
+    # needs 0.5 s.
     assert limit >= FOLLOW_WAIT + READ_TIMEOUT_MARGIN, (FOLLOW_WAIT, READ_TIMEOUT_MARGIN)
--- a/features/steps/history_faults_steps.py
+++ b/features/steps/history_faults_steps.py
@@ -12,7 +12,7 @@
 from agatecross_standins.fleet import Node, Site, wait_until
 
 FAULT_INTERVAL_SECONDS = 0.02
-# Longer than a schedule of the table, so that steps that do not wait for an exit come before it.
+# Longer than any schedule of the table, so that steps that wait for no exit come before the exit.
 EXIT_DELAY_SECONDS = 0.3
 
 
@@ -36,7 +36,7 @@
 
 
 class StandInProcess:
-    """A process that exits after the steps of the other nodes."""
+    """A process that exits only after the steps of the other nodes."""
 
     def __init__(self, fleet, number):
         self.fleet = fleet
@@ -55,7 +55,7 @@
 
 
 class StandInFleet:
-    """Records what is done to its nodes."""
+    """A fleet that records what the injector does to its nodes."""
 
     def __init__(self, count, refusals):
         self.refusals = refusals
@@ -107,6 +107,6 @@
     Injector(context.stand_in, Recorder()).run(context.stand_in.planned)
 
 
-@then('the fleet saw "{actions}"')
+@then('the injector did "{actions}"')
 def check_actions(context, actions):
     assert context.stand_in.actions == actions.split(", "), context.stand_in.actions
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -172,7 +172,7 @@
         driver.sync(driver.nodes[number], make_member((number + 1) % 9).control_address)
 
 
-@when("members {one:d} and {two:d} have missed each other")
+@when("members {one:d} and {two:d} do not know each other")
 def forget_each_other(context, one, two):
     driver = context.driver
     driver.run(60)
@@ -330,7 +330,7 @@
     " and a {round_trip:d} ms round trip"
 )
 def start_at_once(context, count, stale, round_trip):
-    """Run the bootstrap decisions in steps of 5 ms; a contacted daemon that runs answers."""
+    """Run the bootstrap decisions in steps of 5 ms; daemons that run answer every contact."""
     rng = random.Random(7)
     stream = [AnnounceRecord(make_member(50_000 + n), 0) for n in range(stale)]
     members = [make_member(n) for n in range(count)]
@@ -387,7 +387,7 @@
     assert len(context.contacts) < BOOTSTRAP_ANNOUNCEMENTS or context.appended > 1
 
 
-@then("no daemon has more than one read under way and all together made at most {reads:d} reads")
+@then("no daemon has more than one read in flight and all daemons made at most {reads:d} reads")
 def check_reads(context, reads):
     assert context.reads <= reads, context.reads
 
@@ -406,7 +406,7 @@
         context.retry_delays.append(delays)
 
 
-@then("its delays have full jitter and stay within {seconds:d} s")
+@then("its retry delays have full jitter and stay within {seconds:d} s")
 def check_delays(context, seconds):
     for attempt, delays in enumerate(zip(*context.retry_delays, strict=True)):
         limit = min(1000.0 * 2**attempt, 1000.0 * seconds)
@@ -422,7 +422,7 @@
     context.new_reports = [context.reports.add(*batch, now) for now in (1.0, 2.0)]
 
 
-@then("each is news once and is sent {count:d} times")
+@then("each is new once and is sent {count:d} times")
 def check_reports(context, count):
     assert context.new_reports == [
         ((context.strike,), (context.clearance,)),
@@ -433,7 +433,7 @@
     assert sum(len(clearances) for _, clearances in sent) == count
 
 
-@then("the clearance is news again after another strike")
+@then("the clearance is new again after another strike")
 def check_clearance_again(context):
     context.reports.add([Strike("g", "d1", 6)], [], 3.0)
     assert context.reports.add([], [context.clearance], 4.0) == ((), (context.clearance,))
