--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -17,22 +17,22 @@
     return f'{{"routes":[{rows}]}}'.encode()
 
 
-def fresh_bytes(steps):
+def literal_bytes(steps):
     return sum(len(step) for step in steps if isinstance(step, bytes))
 
 
 @when('the document "{old}" becomes "{new}"')
-def step_document(context, old, new):
+def step_make_delta(context, old, new):
     context.old, context.new = document(old), document(new)
     context.steps = make_delta(context.old, context.new)
 
 
 @then(
-    "the delta has {steps:d} steps, at most {fresh:d} bytes of its own, and gives the new document"
+    "the delta has {steps:d} steps, at most {literal:d} literal bytes, and gives the new document"
 )
-def step_delta(context, steps, fresh):
+def step_check_delta(context, steps, literal):
     assert len(context.steps) == steps, context.steps
-    assert fresh_bytes(context.steps) <= fresh, context.steps
+    assert literal_bytes(context.steps) <= literal, context.steps
     assert apply_delta(context.old, context.steps) == context.new
 
 
@@ -45,7 +45,7 @@
 
 
 @when('a delta with steps "{steps}" is applied to the document "abc"')
-def step_unfit(context, steps):
+def step_apply_invalid_delta(context, steps):
     first, count = map(int, steps.split())
     try:
         context.refused = not apply_delta(document("abc"), ((first, count),))
@@ -68,7 +68,7 @@
             replace(
                 row,
                 store_latency=Millis(float(latency)),
-                reaches_store="deaf" not in flags,
+                reaches_store="unserved" not in flags,
                 leaving="leaving" in flags,
             )
         )
@@ -88,5 +88,6 @@
 
 @then("a reader knows within {limit:d} ms that the store is silent")
 def step_silent_store(context, limit):
-    # A change is due everywhere 2 s after the store took it; the next reader needs 0.5 s of them.
+    # A change must be in force everywhere 2 s after the store accepted it, of which the next reader
+    # needs 0.5 s.
     assert limit >= FOLLOW_WAIT + READ_TIMEOUT_MARGIN, (FOLLOW_WAIT, READ_TIMEOUT_MARGIN)
