--- a/features/environment.py
+++ b/features/environment.py
@@ -4,13 +4,13 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-RESULT = ROOT / "build" / "test-result.txt"
-KNOWN_RED = ROOT / "KNOWN-RED.txt"
+RESULT_FILE = ROOT / "build" / "test-result.txt"
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 
 
 def before_all(context):
     context.counts = Counter()
-    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    lines = KNOWN_RED_FILE.read_text(encoding="utf-8").splitlines()
     context.known_red = {line[6:].strip() for line in lines if line.startswith("test: ")}
 
 
@@ -28,5 +28,5 @@
 def after_all(context):
     counts = context.counts
     skipped = f", {counts['skipped']} skipped" if counts["skipped"] else ""
-    RESULT.parent.mkdir(exist_ok=True)
-    RESULT.write_text(f"{counts['passed']} passed, {counts['failed']} failed{skipped}\n")
+    RESULT_FILE.parent.mkdir(exist_ok=True)
+    RESULT_FILE.write_text(f"{counts['passed']} passed, {counts['failed']} failed{skipped}\n")
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -108,7 +108,7 @@
     shutil.copytree(EXAMPLES / name, context.folder)
 
 
-def edit(context, file, old, new):
+def edit_file(context, file, old, new):
     path = context.folder / file
     text = path.read_text(encoding="utf-8")
     assert old in text, (file, old)
@@ -164,7 +164,7 @@
     assert text in shown, shown
 
 
-def status_of(word):
+def parse_status(word):
     if word.startswith("!"):
         return DaemonStatus(word[1:], "a", "unreachable", None, "")
     return DaemonStatus(word, "a", "ready", 1, "")
@@ -177,7 +177,7 @@
     for row in asked.split("; "):
         at, *words = row.split()
         reason = "daemon 127.0.0.1:4: refused" if words == ["?"] else ""
-        behind = () if reason else tuple(map(status_of, words))
+        behind = () if reason else tuple(map(parse_status, words))
         context.reports += ((at, line) for line in reports.report(behind, reason, float(at)))
 
 
@@ -193,7 +193,7 @@
 
 
 @when("an operator publishes a changed folder in {shown} while a daemon stays behind")
-def publish_behind(context, shown):
+def publish_while_daemon_behind(context, shown):
     error, output = io.StringIO(), io.StringIO()
     first = mock.patch.object(in_force, "FIRST_REPORT_SECONDS", 0.0)
     with first, redirect_stderr(error), redirect_stdout(output):
@@ -216,11 +216,11 @@
 @given('a copy of the example configuration "{name}" with five faults')
 def write_faults(context, name):
     copy_example(context, name)
-    edit(context, "base.toml", "hedge_quantile", "hedge_quantle")
-    edit(context, "base.toml", "attempts = 2", "attempts = 20")
-    edit(context, "base.toml", 'service = "van-booking"', 'service = "van-bookin"')
-    edit(context, "overlays/aalborg-b.toml", "timeout_ms = 3000", 'timeout_ms = "3000"')
-    edit(context, "overlays/aarhus-a.toml", "timeout_ms = 3000", "timeout_ms = = 3000")
+    edit_file(context, "base.toml", "hedge_quantile", "hedge_quantle")
+    edit_file(context, "base.toml", "attempts = 2", "attempts = 20")
+    edit_file(context, "base.toml", 'service = "van-booking"', 'service = "van-bookin"')
+    edit_file(context, "overlays/aalborg-b.toml", "timeout_ms = 3000", 'timeout_ms = "3000"')
+    edit_file(context, "overlays/aarhus-a.toml", "timeout_ms = 3000", "timeout_ms = = 3000")
 
 
 @when('the client runs with "{arguments}"')
@@ -278,7 +278,7 @@
 
 
 @then('the exit codes are "{codes}" and the losers name the winner')
-def check_codes_of_all(context, codes):
+def check_exit_codes(context, codes):
     results = context.results
     found = sorted(result.returncode for result in results.values())
     assert ", ".join(map(str, found)) == codes, results
@@ -298,7 +298,7 @@
 
 
 @when("an operator publishes while answers of the log are lost")
-def publish_lost(context):
+def publish_with_lost_answers(context):
     copy_example(context, "lysknude")
     change_timeout(context, 3200)
     # Announcements of daemons may use up some of the lost answers; a publish needs one.
@@ -307,7 +307,7 @@
     context.fleet.switch_log(lose_answers=0)
 
 
-def log_rows(context):
+def read_log_records(context):
     result = context.fleet.cli("log", "--format=json")
     assert result.returncode == 0, result
     return json.loads(result.stdout)["result"]["records"]
@@ -315,12 +315,12 @@
 
 @then('the log holds one publish by "{author}"')
 def check_published_once(context, author):
-    rows = [row for row in log_rows(context) if row["author"] == author]
+    rows = [row for row in read_log_records(context) if row["author"] == author]
     assert [row["verdict"] for row in rows] == ["accepted"], rows
 
 
 @when("a publish with a bad overlay is appended without the client's check")
-def append_bad(context):
+def append_bad_publish(context):
     text = "[services.van-booking]\n\ntimeout_ms = -1\nattemps = 1\n"
     documents = (
         Document("aalborg-b", text),
@@ -334,7 +334,7 @@
 
 @then('the log shows it as rejected with findings at "{places}"')
 def check_rejected(context, places):
-    row = next(row for row in log_rows(context) if row["publish_id"] == "bad")
+    row = next(row for row in read_log_records(context) if row["publish_id"] == "bad")
     assert row["verdict"] == "rejected", row
     found = [f"{f['file']}:{f['line']}" for f in row["findings"]]
     assert found == places.split(", "), row["findings"]
@@ -347,7 +347,7 @@
 
 
 @when("the log fails and half of the daemons are replaced")
-def replace_half(context):
+def replace_half_of_daemons(context):
     fleet = context.fleet
     fleet.switch_log(outage=True)
     for node in fleet.nodes[::2]:
@@ -366,7 +366,7 @@
 
 
 @when("the log works again and is empty")
-def empty_log(context):
+def restore_empty_log(context):
     context.fleet.switch_log(outage=False, reset=True)
 
 
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -58,7 +58,7 @@
     return Member(name, 1, MemberState.ALIVE, region, data_centre, *where)
 
 
-def snapshot_of(state):
+def snapshot_record(state):
     what = (state.version, state.digest, state.rules, state.through)
     return SnapshotRecord(*what, state.documents, state.seen, state.mark)
 
@@ -289,7 +289,7 @@
 
 
 @given('6 followers in 2 regions on a simulated log with "{faults}"')
-def set_faults(context, faults):
+def define_machine(context, faults):
     context.machine = machine_class(faults.split(", "))
 
 
@@ -367,7 +367,7 @@
     assert check_pull_reply(mine, reply, decode_toml).state == theirs
 
 
-def follower_at(versions, members, me=None, snapshot_after=256):
+def follower_with_publishes(versions, members, me=None, snapshot_after=256):
     """Return an instance that folded this many publishes, and its log."""
     log = SimulatedLog(0)
     for number in range(versions):
@@ -383,7 +383,7 @@
 def start_puller(context):
     me = member("me")
     context.peers = {"near": member("near"), "far": member("far", "r1", "b")}
-    context.one, context.log = follower_at(2, (me, *context.peers.values()))
+    context.one, context.log = follower_with_publishes(2, (me, *context.peers.values()))
     context.log.append(PublishRecord("p3", 2, 1, base(9)))
     context.newest = context.log.current
 
@@ -445,7 +445,7 @@
 
 @given("a reader that folded 3 publishes")
 def start_reader(context):
-    context.one, context.log = follower_at(3, (member("me"),))
+    context.one, context.log = follower_with_publishes(3, (member("me"),))
 
 
 @when("it reads a log that {case}")
@@ -479,7 +479,7 @@
             state = log.folded[3 if case.startswith("holds") else 4]
             if case != "expired records":
                 through = NO_OFFSET if "restart" in case else state.through
-                log.append(replace(snapshot_of(state), through=through))
+                log.append(replace(snapshot_record(state), through=through))
     for _ in range(2 if log.epoch else 1):
         start, one.read = one.read.start, None
         one.act(one.follower.records_read(log.page(start), 0.0))
@@ -536,7 +536,7 @@
 @given("a reader of rank {rank:d} that folded 3 publishes and writes after 2 records")
 def start_writer(context, rank):
     members = ranked_members(3, rank)
-    context.one, context.log = follower_at(3, members, snapshot_after=2)
+    context.one, context.log = follower_with_publishes(3, members, snapshot_after=2)
 
 
 @when('{seconds:d} seconds pass after "{case}"')
@@ -546,7 +546,7 @@
     if case.startswith(("no ", "a snapshot of")):
         one.follower.schedule.after_records = 256
     if case.startswith("a snapshot of"):
-        log.append(snapshot_of(log.current), age=int(case.split()[3]) * 3_600_000.0)
+        log.append(snapshot_record(log.current), age=int(case.split()[3]) * 3_600_000.0)
     if case == "no peer has a position":
         for number in range(3):
             log.append(PublishRecord(f"x{number}", 3 + number, 1, base(number + 9)))
@@ -556,7 +556,7 @@
     for tenth in range(seconds * 10):
         now = tenth * 100.0
         if case == "a snapshot by another" and tenth == 10:
-            log.append(snapshot_of(log.current))
+            log.append(snapshot_record(log.current))
         one.act(one.follower.peer_version(PeerVersion(one.follower.members[1], 0, ""), now))
         one.act(one.follower.tick(now))
         if one.read is not None:
@@ -592,7 +592,7 @@
 
 
 @when("its peers have been silent for {seconds:d} seconds")
-def be_silent(context, seconds):
+def silence_peers(context, seconds):
     follower = context.one.follower
     follower.peer_heard_at = 0.0
     context.one.act(follower.tick(seconds * 1000.0))
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -9,8 +9,8 @@
 from agatecross_core.members.records import Member
 from agatecross_core.states import MemberState
 
-STEP_SECONDS = 30.0
-ASKED_SECONDS = 0.2
+STEP_TIMEOUT_SECONDS = 30.0
+REQUEST_SECONDS = 0.2
 MEMBER = Member("d1", 1, MemberState.ALIVE, "r", "a", *(f"127.0.0.1:{n}" for n in (1, 2, 3, 4)))
 NOTICE = VersionNotice(MEMBER, Version(1), Digest("x"))
 
@@ -23,7 +23,7 @@
     await asyncio.Event().wait()
 
 
-class Asking:
+class RequestLoop:
     """Repeats requests to a listener until it stops to answer."""
 
     def __init__(self, address):
@@ -31,7 +31,7 @@
         self.transport = NngTransport()
         self.answers = []
 
-    async def ask(self):
+    async def repeat_requests(self):
         try:
             while True:
                 answer = await self.transport.request(self.address, NOTICE, Millis(2_000))
@@ -40,14 +40,14 @@
             return
 
 
-async def close_while_asked(handler, count):
+async def close_during_requests(handler, count):
     listener = NngTransport()
     address = await listener.listen(Address("127.0.0.1:0"), handler)
-    asking = Asking(address)
-    tasks = [asyncio.ensure_future(asking.ask()) for _ in range(count)]
-    await asyncio.sleep(ASKED_SECONDS)
+    request_loop = RequestLoop(address)
+    tasks = [asyncio.ensure_future(request_loop.repeat_requests()) for _ in range(count)]
+    await asyncio.sleep(REQUEST_SECONDS)
     closing = asyncio.ensure_future(listener.close())
-    await asyncio.wait([closing], timeout=STEP_SECONDS)
+    await asyncio.wait([closing], timeout=STEP_TIMEOUT_SECONDS)
     closed = closing.done()
     left = [task for task in listener.responders if not task.done()]
     while left:
@@ -55,8 +55,8 @@
             task.cancel()
         _, left = await asyncio.wait(left, timeout=0.1)
     await asyncio.gather(*tasks, closing)
-    await asking.transport.close()
-    return closed, asking.answers
+    await request_loop.transport.close()
+    return closed, request_loop.answers
 
 
 @given("a control listener whose handler {handler}")
@@ -66,7 +66,7 @@
 
 @when('{count:d} requests at once are repeated while "{peers}" and it closes')
 def close_listener(context, count, peers):
-    context.closed, context.answers = asyncio.run(close_while_asked(context.handler, count))
+    context.closed, context.answers = asyncio.run(close_during_requests(context.handler, count))
 
 
 @then("it has closed and every answer was whole")
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -7,7 +7,7 @@
 
 from behave import then, when
 from drain_steps import connect, connect_narrow
-from platform_steps import until
+from platform_steps import poll_until
 
 from agatecross_core.ids import Millis
 from agatecross_standins.platform_upstream import Answer
@@ -25,8 +25,8 @@
 
 @when("d{number:d} takes leave while a call of its caller is open")
 def step_leave_with_call(context, number):
-    mini = context.mini
-    sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
+    testbed = context.testbed
+    sidecar, upstream = testbed.sidecars[number], testbed.upstreams[number]
 
     async def work():
         upstream.plan([Answer.HOLD])
@@ -34,11 +34,11 @@
         context.caller = await connect(sidecar.settings.callers)
         context.draining = asyncio.ensure_future(sidecar.drain())
         holder.writer.write(head("/peer/1", "held", 1_900))
-        await until(lambda: upstream.runs["held"], "the open call")
-        await until(lambda: sidecar.exit.leaving, "the leave")
+        await poll_until(lambda: upstream.runs["held"], "the open call")
+        await poll_until(lambda: sidecar.exit.leaving, "the leave")
 
     context.upstream = upstream
-    mini.run(work())
+    testbed.run(work())
 
 
 @when('its caller sends "{first}" and, in the same write, "{second}" behind it')
@@ -51,7 +51,7 @@
         context.upstream.released.set()
         await context.draining
 
-    context.mini.run(work())
+    context.testbed.run(work())
 
 
 @then("the caller got {status:d} and the end of the connection")
@@ -62,13 +62,13 @@
 @then("no upstream ran the request behind it")
 def step_not_passed_on(context):
     # Its caller takes it as unread and sends it again, whatever its kind.
-    assert not sum(upstream.runs["second"] for upstream in context.mini.upstreams)
+    assert not sum(upstream.runs["second"] for upstream in context.testbed.upstreams)
 
 
 @when("{resets:d} of {count:d} idle callers of d{number:d} reset as it ends all connections")
 def step_reset_at_end(context, resets, count, number):
-    listener = context.mini.sidecars[number].entry.listener
-    host, _, port = context.mini.sidecars[number].settings.callers.rpartition(":")
+    listener = context.testbed.sidecars[number].entry.listener
+    host, _, port = context.testbed.sidecars[number].settings.callers.rpartition(":")
 
     async def work():
         socks = []
@@ -76,7 +76,7 @@
             sock = socket.create_connection((host, int(port)))
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             socks.append(sock)
-        await until(lambda: len(listener.connections) == count, "every connection")
+        await poll_until(lambda: len(listener.connections) == count, "every connection")
         # The daemon's loop gets no turn between the resets and the end of the connections.
         for sock in socks[:resets]:
             sock.close()
@@ -88,7 +88,7 @@
             sock.close()
         await finishing
 
-    context.mini.run(work())
+    context.testbed.run(work())
 
 
 @then("the other {count:d} callers saw an orderly end")
@@ -98,38 +98,38 @@
 
 @when('upstream "{name}" holds the one call that it has a slot for')
 def step_hold_slot(context, name):
-    mini, number = context.mini, int(name[1:])
-    sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
+    testbed, number = context.testbed, int(name[1:])
+    sidecar, upstream = testbed.sidecars[number], testbed.upstreams[number]
     context.busy, context.upstream = sidecar, upstream
 
     async def work():
-        await mini.beat(number, slots=1)
-        await until(lambda: sidecar.exit.queue.slots == 1, "one slot")
+        await testbed.send_heartbeat(number, slots=1)
+        await poll_until(lambda: sidecar.exit.queue.slots == 1, "one slot")
         upstream.plan([Answer.HOLD])
-        context.holder = await connect(mini.sidecars[0].settings.callers)
+        context.holder = await connect(testbed.sidecars[0].settings.callers)
         context.holder.writer.write(head("/peer/1", "held", 5_000))
-        await until(lambda: upstream.runs["held"], "the call that runs")
+        await poll_until(lambda: upstream.runs["held"], "the call that runs")
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when("d{number:d} stops with {ms:d} ms of grace while a call of d{entry:d} waits for the slot")
 def step_stop_while_waiting(context, number, ms, entry):
-    mini = context.mini
-    sidecar, busy = mini.sidecars[number], context.busy
+    testbed = context.testbed
+    sidecar, busy = testbed.sidecars[number], context.busy
 
     async def work():
         sidecar.settings = replace(sidecar.settings, grace=Millis(ms))
-        caller = await connect(mini.sidecars[entry].settings.callers)
+        caller = await connect(testbed.sidecars[entry].settings.callers)
         caller.writer.write(head("/peer/1", "waiting", 5_000))
-        await until(lambda: busy.exit.pending > 1, "the call that waits")
+        await poll_until(lambda: busy.exit.pending > 1, "the call that waits")
         await sidecar.drain()
-        await mini.kill(number)
+        await testbed.kill_daemon(number)
         context.waiting = await caller.answer()
         context.upstream.released.set()
         context.running = await context.holder.answer()
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("the {call} call got {status:d}")
@@ -141,22 +141,22 @@
 
 @then("no upstream ran the waiting call")
 def step_waiting_not_run(context):
-    assert not sum(upstream.runs["waiting"] for upstream in context.mini.upstreams)
+    assert not sum(upstream.runs["waiting"] for upstream in context.testbed.upstreams)
 
 
 @when('a caller of d{number:d} sends "GET {path}" {count:d} times and reads nothing')
 def step_send_unread(context, number, path, count):
-    mini = context.mini
-    listener = mini.sidecars[number].entry.listener
+    testbed = context.testbed
+    listener = testbed.sidecars[number].entry.listener
     # Each read of the daemon holds a few requests only.
     padding = "x" * 3_000
 
     async def work():
-        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        caller = await connect_narrow(testbed.sidecars[number].settings.callers)
         for row in range(count):
             request = head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
             caller.writer.write(request + padding.encode() + b"\r\n\r\n")
-        await until(lambda: listener.unsent, "answers that wait")
+        await poll_until(lambda: listener.unsent, "answers that wait")
         (connection,) = listener.connections
         context.held = 0
 
@@ -165,16 +165,16 @@
             return not connection.exchanges and not connection.transport.is_reading()
 
         try:
-            await until(lambda: settled() or sum_runs(mini) >= count, "the end of reading")
+            await poll_until(lambda: settled() or sum_runs(testbed) >= count, "the end of reading")
         finally:
             context.answers = [await caller.answer() for _ in range(count)]
         caller.writer.close()
 
-    mini.run(work())
+    testbed.run(work())
 
 
-def sum_runs(mini):
-    return sum(sum(upstream.runs.values()) for upstream in mini.upstreams)
+def sum_runs(testbed):
+    return sum(sum(upstream.runs.values()) for upstream in testbed.upstreams)
 
 
 @then("d{number:d} stopped reading before it held {size:d} bytes for the caller")
@@ -189,36 +189,36 @@
 
 @when("a caller of d{number:d} asks for the end of its connection and reads nothing")
 def step_last_unread(context, number):
-    mini = context.mini
-    listener = mini.sidecars[number].entry.listener
+    testbed = context.testbed
+    listener = testbed.sidecars[number].entry.listener
 
     async def work():
         listener.limits = replace(listener.limits, idle_timeout=Millis(300))
-        caller = await connect_narrow(mini.sidecars[number].settings.callers)
+        caller = await connect_narrow(testbed.sidecars[number].settings.callers)
         request = head("/safe/1", "last", 900).replace(
             b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
         )
         caller.writer.write(request)
-        await until(lambda: listener.unsent, "an answer that waits")
-        await until(lambda: not listener.connections, "the end of the connection")
+        await poll_until(lambda: listener.unsent, "an answer that waits")
+        await poll_until(lambda: not listener.connections, "the end of the connection")
         caller.writer.close()
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("d{number:d} closed the connection after the idle time")
 def step_closed(context, number):
-    assert not context.mini.sidecars[number].entry.listener.connections
+    assert not context.testbed.sidecars[number].entry.listener.connections
 
 
 @when("d{number:d} stops without free descriptors while a caller of it is connected")
 def step_no_descriptors(context, number):
-    mini = context.mini
-    sidecar = mini.sidecars[number]
+    testbed = context.testbed
+    sidecar = testbed.sidecars[number]
 
     async def work():
         caller = await connect(sidecar.settings.callers)
-        await until(lambda: sidecar.entry.listener.connections, "the connection")
+        await poll_until(lambda: sidecar.entry.listener.connections, "the connection")
         with patch("os.dup", side_effect=OSError(errno.EMFILE, "Too many open files")):
             draining = asyncio.ensure_future(sidecar.drain())
             reading = asyncio.ensure_future(caller.reader.read(1))
@@ -227,7 +227,7 @@
             await draining
             context.end = await reading
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("the caller saw the orderly end of its connection")
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 
 from behave import given, then, when
-from platform_steps import held, until
+from platform_steps import poll_until, send_while_held
 
 from agatecross_core.ids import Millis
 from agatecross_core.relay.drain import plan_drain
@@ -83,12 +83,12 @@
     return keep
 
 
-async def keep_sending(mini, address, line, kind, name, tally, stopped):
+async def keep_sending(testbed, address, line, kind, name, tally, stopped):
     number, connection = 0, None
     ids_at_once = PIPELINED if kind == "pipelined" else 1
 
     def runs(call_id):
-        return sum(upstream.runs[call_id] for upstream in mini.upstreams)
+        return sum(upstream.runs[call_id] for upstream in testbed.upstreams)
 
     while not stopped.is_set():
         ids = [f"{name}-{number + offset}" for offset in range(ids_at_once)]
@@ -111,19 +111,19 @@
 
 @when("upstreams work {ms:d} ms on each call")
 def step_work(context, ms):
-    for upstream in context.mini.upstreams:
+    for upstream in context.testbed.upstreams:
         upstream.work_seconds = ms / 1000
 
 
 @when("upstreams answer with {size:d} bytes")
 def step_size(context, size):
-    for upstream in context.mini.upstreams:
+    for upstream in context.testbed.upstreams:
         upstream.body_bytes = size
 
 
 @when("d{listener:d} hears from d{speaker:d} {ms:d} ms late")
 def step_late(context, listener, speaker, ms):
-    mini = context.mini
+    testbed = context.testbed
 
     def delay(connection):
         deliver = connection.on_frame
@@ -138,35 +138,35 @@
         connection.on_frame = later
 
     async def work():
-        peers = mini.sidecars[listener].peers
+        peers = testbed.sidecars[listener].peers
         delay(peers.links[f"d{speaker}"].connection)
         for connection, row in peers.inbound.connections.items():
             if row.daemon_id == f"d{speaker}":
                 delay(connection)
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when('callers of d{number:d} keep sending "{line}" on {kind} connections while d{leaving:d} stops')
 def step_keep_sending(context, number, line, kind, leaving):
-    mini, tally = context.mini, Tally()
-    address = mini.sidecars[number].settings.callers
+    testbed, tally = context.testbed, Tally()
+    address = testbed.sidecars[number].settings.callers
 
     async def work():
         stopped = asyncio.Event()
         callers = [
             asyncio.ensure_future(
-                keep_sending(mini, address, line, kind, f"c{row}", tally, stopped)
+                keep_sending(testbed, address, line, kind, f"c{row}", tally, stopped)
             )
             for row in range(CALLERS)
         ]
-        await until(lambda: len(tally.answered) > CALLERS, "the first answers")
-        await mini.sidecars[leaving].drain()
-        await mini.kill(leaving)
+        await poll_until(lambda: len(tally.answered) > CALLERS, "the first answers")
+        await testbed.sidecars[leaving].drain()
+        await testbed.kill_daemon(leaving)
         stopped.set()
         await asyncio.gather(*callers)
 
-    mini.run(work())
+    testbed.run(work())
     context.tally = tally
     context.statuses_seen = Counter(tally.answered.values())
 
@@ -180,7 +180,7 @@
 @then("no request that was refused as not run has run")
 def step_not_run(context):
     refused = [call_id for call_id, status in context.tally.answered.items() if status == 503]
-    ran = [i for i in refused if sum(u.runs[i] for u in context.mini.upstreams)]
+    ran = [i for i in refused if sum(u.runs[i] for u in context.testbed.upstreams)]
     assert not ran, ran
 
 
@@ -192,21 +192,21 @@
 
 @when('a caller of d{number:d} reads the answer to "{line}" only after it took leave')
 def step_slow_reader(context, number, line):
-    mini = context.mini
-    sidecar = mini.sidecars[number]
+    testbed = context.testbed
+    sidecar = testbed.sidecars[number]
 
     async def work():
         connection = await connect_narrow(sidecar.settings.callers)
         connection.send(line, "slow")
-        await until(lambda: sidecar.entry.listener.unfinished().unsent, "bytes that wait")
+        await poll_until(lambda: sidecar.entry.listener.unfinished().unsent, "bytes that wait")
         draining = asyncio.ensure_future(sidecar.drain())
-        await until(lambda: sidecar.exit.leaving or draining.done(), "the end of the moves")
+        await poll_until(lambda: sidecar.exit.leaving or draining.done(), "the end of the moves")
         await asyncio.sleep(0.2)
         context.ended_early = draining.done()
         context.answer = await connection.answer()
         await draining
 
-    mini.run(work())
+    testbed.run(work())
 
 
 async def connect_narrow(address):
@@ -228,10 +228,10 @@
 
 @when('a caller of d{number:d} sends "{line}" while the source task of d{failing:d} fails')
 def step_task_fails(context, number, line, failing):
-    mini = context.mini
+    testbed = context.testbed
 
     async def ended():
-        sidecar = mini.sidecars[failing]
+        sidecar = testbed.sidecars[failing]
         # The tasks of the fleet go on; those of the daemon's own run fail at once.
         sidecar.source.run = fail
         for task in (sidecar.exit, sidecar.peers):
@@ -239,7 +239,7 @@
         with suppress(ValueError):
             await run_tasks(sidecar, asyncio.Event())
 
-    context.answer = mini.run(held(mini, number, line, ended))
+    context.answer = testbed.run(send_while_held(testbed, number, line, ended))
 
 
 async def fail():
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 from behave import given, then, when
-from hypothesis import given as generated
+from hypothesis import given as hypothesis_given
 from hypothesis import settings
 from hypothesis import strategies as st
 
@@ -18,8 +18,8 @@
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, Millis
 
-LOCAL = Address("127.0.0.1:0")
-STEP_SECONDS = 20.0
+ANY_LOCAL_PORT = Address("127.0.0.1:0")
+STEP_TIMEOUT_SECONDS = 20.0
 STATUS = re.compile(rb"HTTP/1\.1 (\d{3})")
 PLAIN = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
@@ -30,7 +30,7 @@
     return text.replace("~", "\r\n").encode()
 
 
-class Listening:
+class ListenerFixture:
     """A listener in the test process that records what its handler saw."""
 
     def __init__(self):
@@ -42,10 +42,10 @@
         self.address = self.run(self._listen())
 
     def run(self, work):
-        return self.runner.run(asyncio.wait_for(work, STEP_SECONDS))
+        return self.runner.run(asyncio.wait_for(work, STEP_TIMEOUT_SECONDS))
 
     async def _listen(self):
-        return self.listener.listen(LOCAL, self.handle)
+        return self.listener.listen(ANY_LOCAL_PORT, self.handle)
 
     async def handle(self, request):
         self.seen.append(request)
@@ -87,7 +87,7 @@
 
 @given("a listener")
 def start_listener(context):
-    context.listening = Listening()
+    context.listening = ListenerFixture()
     context.add_cleanup(context.listening.close)
 
 
@@ -191,11 +191,11 @@
 
 @then("a listener answers after each of {count:d} random messages")
 def fuzz_listener(context, count):
-    listening = Listening()
+    listening = ListenerFixture()
     context.add_cleanup(listening.close)
 
     @settings(derandomize=True, deadline=None, max_examples=count, database=None)
-    @generated(MESSAGES)
+    @hypothesis_given(MESSAGES)
     def check(raw):
         received = listening.run(listening.exchange(raw, half_close=True))
         assert received == b"" or received.startswith(b"HTTP/1.1 "), received
@@ -213,7 +213,7 @@
         self.connections = 0
         self.requests = 0
         self.idle = asyncio.Event()
-        self.closing = []
+        self.writers = []
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -222,12 +222,12 @@
 
     async def __aexit__(self, *exc):
         self.server.close()
-        for writer in self.closing:
+        for writer in self.writers:
             writer.close()
 
     async def serve(self, reader, writer):
         self.connections += 1
-        self.closing.append(writer)
+        self.writers.append(writer)
         try:
             while await reader.readuntil(b"\r\n\r\n"):
                 self.requests += 1
@@ -258,7 +258,7 @@
         async with RawServer(answer) as server:
             client = TornadoHttpClient()
             request = Request(method, "/", (), b"")
-            end = await end_of(client, server.address, request, timeout)
+            end = await exchange_outcome(client, server.address, request, timeout)
             assert (
                 context.then != "waits"
                 or not end.startswith("Exch")
@@ -267,7 +267,7 @@
             client.close()
             return end
 
-    context.end = asyncio.run(asyncio.wait_for(run(), STEP_SECONDS))
+    context.end = asyncio.run(asyncio.wait_for(run(), STEP_TIMEOUT_SECONDS))
 
 
 @then('the exchange ends with "{end}"')
@@ -275,7 +275,7 @@
     assert context.end == end, context.end
 
 
-async def end_of(client, address, request, timeout):
+async def exchange_outcome(client, address, request, timeout):
     try:
         return str((await client.send(address, request, Millis(timeout))).status)
     except ExchangeError as error:
@@ -289,7 +289,7 @@
 
 @when("a client sends two POST requests one after the other")
 def send_twice(context):
-    context.found = asyncio.run(asyncio.wait_for(two_requests(context.fault), STEP_SECONDS))
+    context.found = asyncio.run(asyncio.wait_for(two_requests(context.fault), STEP_TIMEOUT_SECONDS))
 
 
 async def two_requests(fault):
@@ -305,11 +305,15 @@
     async with RawServer(answer) as server:
         client = TornadoHttpClient()
         request = Request("POST", "/", (), b"")
-        ends = [await end_of(client, server.address, request, 200 if "late" in fault else 9000)]
+        ends = [
+            await exchange_outcome(
+                client, server.address, request, 200 if "late" in fault else 9000
+            )
+        ]
         await server.idle.wait()
-        await disturb(fault, server.closing[0], client.idle[server.address])
-        with mock.patch.object(ClientStream, "usable", usable_for(fault)):
-            ends.append(await end_of(client, server.address, request, 9000))
+        await disturb_idle_connection(fault, server.writers[0], client.idle[server.address])
+        with mock.patch.object(ClientStream, "usable", usable_check(fault)):
+            ends.append(await exchange_outcome(client, server.address, request, 9000))
         client.close()
         return " ".join(ends), server.requests, server.connections
 
@@ -322,13 +326,13 @@
     assert context.found == (ends, requests, connections), context.found
 
 
-def usable_for(fault):
+def usable_check(fault):
     if fault == "are reset after the check":
         return lambda stream, now: True
     return ClientStream.usable
 
 
-async def disturb(fault, writer, idle):
+async def disturb_idle_connection(fault, writer, idle):
     if fault == "answer late":
         writer.write(ANSWER)
     elif fault == "get data when idle":
@@ -343,10 +347,10 @@
     elif fault == "close when idle":
         writer.close()
     if idle and ("idle" in fault or "reset" in fault) and "long" not in fault:
-        await readable(idle[0].socket)
+        await wait_readable(idle[0].socket)
 
 
-async def readable(sock):
+async def wait_readable(sock):
     loop = asyncio.get_running_loop()
     arrived = asyncio.Event()
     # The stream has registered its own descriptor with the loop, so watch a duplicate.
@@ -365,7 +369,7 @@
 
     async def work():
         listener = TornadoHttpListener()
-        address = listener.listen(LOCAL, answer)
+        address = listener.listen(ANY_LOCAL_PORT, answer)
         for steps in range(count):
             client = TornadoHttpClient()
             call = asyncio.ensure_future(
@@ -376,7 +380,7 @@
             if call.done():
                 break
             call.cancel()
-            await asyncio.wait([call], timeout=STEP_SECONDS)
+            await asyncio.wait([call], timeout=STEP_TIMEOUT_SECONDS)
             assert call.cancelled(), f"after {steps} steps: {call}"
             client.close()
         await listener.close()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -24,7 +24,7 @@
 from agatecross_standins.platform_upstream import Answer, PlatformUpstream
 from agatecross_standins.ports import PortPool
 
-PLACES = (("north", "north-a", "s0"), ("north", "north-a", "s1"), ("south", "south-a", "s0"))
+DAEMON_PLACES = (("north", "north-a", "s0"), ("north", "north-a", "s1"), ("south", "south-a", "s0"))
 WAIT_SECONDS = 15.0
 SETTINGS_FILE = """
 [sidecar]
@@ -52,7 +52,7 @@
 """
 
 
-async def until(condition, what):
+async def poll_until(condition, what):
     for _ in range(int(WAIT_SECONDS / 0.01)):
         if condition():
             return
@@ -60,7 +60,7 @@
     raise AssertionError(f"not in {WAIT_SECONDS} s: {what}")
 
 
-class MiniFleet:
+class Testbed:
     """Three sidecars, their upstreams and the store in one event loop."""
 
     def __init__(self):
@@ -68,9 +68,9 @@
         self.store = PlatformStoreStandIn()
         self.ports = PortPool()
         self.folder = tempfile.TemporaryDirectory()
-        self.files = []
+        self.log_files = []
         self.sidecars, self.tasks, self.upstreams = [], [], []
-        self.statuses, self.ids = [], itertools.count()
+        self.statuses, self.call_numbers = [], itertools.count()
 
     def run(self, work):
         return self.loop.run_until_complete(asyncio.wait_for(work, 60))
@@ -79,27 +79,29 @@
         self.store_address = self.store.listen()
         self.store.put("keyed.op", "config", config_record(7))
         self.store.switches.refuse = refusing
-        for number, (_, _, service) in enumerate(PLACES):
+        for number, (_, _, service) in enumerate(DAEMON_PLACES):
             upstream = PlatformUpstream(f"u{number}", service, 1_000)
             await upstream.listen()
             self.upstreams.append(upstream)
             await self.start_daemon(number)
         if refusing:
             return
-        await until(lambda: all(s.entry.table for s in self.sidecars), "a configuration")
-        for number in range(len(PLACES)):
-            await self.beat(number)
-        await until(lambda: all(self.sees_all(s) for s in self.sidecars), "every upstream")
+        await poll_until(lambda: all(s.entry.table for s in self.sidecars), "a configuration")
+        for number in range(len(DAEMON_PLACES)):
+            await self.send_heartbeat(number)
+        await poll_until(
+            lambda: all(self.sees_all_upstreams(s) for s in self.sidecars), "every upstream"
+        )
 
-    def sees_all(self, sidecar):
-        return sum(map(len, sidecar.entry.fleet.values())) == len(PLACES)
+    def sees_all_upstreams(self, sidecar):
+        return sum(map(len, sidecar.entry.fleet.values())) == len(DAEMON_PLACES)
 
-    async def start_daemon(self, number, same=None):
-        region, data_centre, service = PLACES[number]
-        if same is None:
+    async def start_daemon(self, number, previous=None):
+        region, data_centre, service = DAEMON_PLACES[number]
+        if previous is None:
             addresses = [f"127.0.0.1:{port}" for port in self.ports.reserve(5)]
         else:
-            s = same
+            s = previous
             addresses = [s.callers, s.peers, s.ready, s.heartbeats, s.metrics]
         settings = SidecarSettings(
             f"d{number}",
@@ -115,24 +117,24 @@
             Address(addresses[1]),
             number,
         )
-        path = Path(self.folder.name) / f"d{number}-{len(self.files)}.log"
-        self.files.append(path.open("wb"))
-        log = DecisionLog(self.files[-1].fileno())
+        path = Path(self.folder.name) / f"d{number}-{len(self.log_files)}.log"
+        self.log_files.append(path.open("wb"))
+        log = DecisionLog(self.log_files[-1].fileno())
         sidecar = build_sidecar(settings, PlatformFrontEnd(settings), log)
         await sidecar.start()
         tasks = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
-        if same is None:
+        if previous is None:
             self.sidecars.append(sidecar)
             self.tasks.append(tasks)
         else:
             self.sidecars[number], self.tasks[number] = sidecar, tasks
         return sidecar
 
-    async def beat(self, number, state="ready", **changes):
+    async def send_heartbeat(self, number, state="ready", **changes):
         daemon = self.sidecars[number].settings.heartbeats
         return await self.upstreams[number].heartbeat(daemon, state, **changes)
 
-    async def kill(self, number):
+    async def kill_daemon(self, number):
         sidecar = self.sidecars[number]
         for task in self.tasks[number]:
             task.cancel()
@@ -144,7 +146,7 @@
     async def send(self, number, line):
         method, path = line.split()
         body = b"body" if method == "POST" else b""
-        call_id = f"c{next(self.ids)}"
+        call_id = f"c{next(self.call_numbers)}"
         headers = (
             ("Host", "a.example"),
             ("X-Request-Id", call_id),
@@ -174,7 +176,7 @@
     def close(self):
         async def stop():
             for number in range(len(self.sidecars)):
-                await self.kill(number)
+                await self.kill_daemon(number)
             for upstream in self.upstreams:
                 upstream.crash()
             await self.store.close()
@@ -182,30 +184,30 @@
         self.run(stop())
         self.loop.close()
         self.ports.close()
-        for file in self.files:
+        for file in self.log_files:
             file.close()
         self.folder.cleanup()
 
-    def logs(self):
+    def log_paths(self):
         for sidecar in self.sidecars:
             sidecar.log.flush()
-        return [file.name for file in self.files]
+        return [file.name for file in self.log_files]
 
 
-def begin(context, refusing):
-    context.mini = MiniFleet()
-    context.add_cleanup(context.mini.close)
-    context.mini.run(context.mini.start(refusing))
+def start_testbed(context, refusing):
+    context.testbed = Testbed()
+    context.add_cleanup(context.testbed.close)
+    context.testbed.run(context.testbed.start(refusing))
 
 
 @given("a platform fleet")
 def step_fleet(context):
-    begin(context, False)
+    start_testbed(context, False)
 
 
 @given("a platform fleet whose store is refusing")
 def step_fleet_refusing(context):
-    begin(context, True)
+    start_testbed(context, True)
 
 
 @when('upstreams "{names}" answer "{script}"')
@@ -213,7 +215,7 @@
     # One fault in the fleet: whichever upstream is asked first shows it, the other does not.
     shared = iter([Answer(word) for word in script.split(",")])
 
-    class Shared:
+    class SharedScript:
         def __bool__(self):
             return True
 
@@ -221,40 +223,40 @@
             return next(shared, Answer.WHOLE)
 
     for name in names.split(","):
-        context.mini.upstreams[int(name[1:])].script = Shared()
+        context.testbed.upstreams[int(name[1:])].script = SharedScript()
 
 
 @when('a caller of d{number:d} sends "{line}"')
 def step_send(context, number, line):
-    context.answer = context.mini.run(context.mini.send(number, line))
+    context.answer = context.testbed.run(context.testbed.send(number, line))
 
 
 @when('a caller of d{number:d} sends "{line}" {count:d} times')
 def step_send_many(context, number, line, count):
     async def work():
-        return [await context.mini.send(number, line) for _ in range(count)]
+        return [await context.testbed.send(number, line) for _ in range(count)]
 
-    context.answers = context.mini.run(work())
+    context.answers = context.testbed.run(work())
 
 
 @when('callers of d{number:d} send "{line}" {count:d} times at once')
 def step_send_at_once(context, number, line, count):
     async def work():
-        return await asyncio.gather(*(context.mini.send(number, line) for _ in range(count)))
+        return await asyncio.gather(*(context.testbed.send(number, line) for _ in range(count)))
 
-    context.answers = context.mini.run(work())
+    context.answers = context.testbed.run(work())
     context.answer = context.answers[0]
 
 
 @then("every answer was {status:d}")
-def step_every(context, status):
+def step_every_status(context, status):
     assert {row.status for row in context.answers} == {status}, context.answers
 
 
 @then("the answer is {status:d} and all upstreams ran it {runs:d} times")
 def step_answer_status(context, status, runs):
     assert context.answer.status == status, context.answer
-    found = sum(sum(upstream.runs.values()) for upstream in context.mini.upstreams)
+    found = sum(sum(upstream.runs.values()) for upstream in context.testbed.upstreams)
     assert found == runs, found
 
 
@@ -263,7 +265,7 @@
     "and at most {left:d} ms"
 )
 def step_saw(context, name, target, body, caller, left):
-    fields = context.mini.upstreams[int(name[1:])].seen[-1]
+    fields = context.testbed.upstreams[int(name[1:])].seen[-1]
     assert fields[":target"] == target, fields
     assert fields[":body"] == body, fields
     assert fields["x-caller-service"] == caller, fields
@@ -282,12 +284,12 @@
         fields = rest[0].replace("\\n", "\r\n").replace("LONG", "x" * 5000) if rest else "x-a: 1"
         head = f"{method} {target} HTTP/1.1\r\nhost: a.example\r\n{fields}\r\n\r\n"
         requests.append(head.encode())
-    context.statuses = context.mini.run(context.mini.write(number, b"".join(requests)))
+    context.statuses = context.testbed.run(context.testbed.write(number, b"".join(requests)))
 
 
 @when('the choice of a service fails inside d{number:d} for "{path}"')
-def step_choice_fails(context, number, path):
-    sidecar = context.mini.sidecars[number]
+def step_route_lookup_fails(context, number, path):
+    sidecar = context.testbed.sidecars[number]
     table = sidecar.entry.table
     find = table.find
 
@@ -297,14 +299,14 @@
         return find(host, target)
 
     table.find = failing
-    loop = context.mini.loop
+    loop = context.testbed.loop
     loop.set_exception_handler(lambda _, context: log_loop_error(sidecar.log, context))
 
 
 @then('d{number:d} has logged "{event}"')
 @then('d{number:d} has logged "{event}" with "{field}"')
 def step_has_logged(context, number, event, field=""):
-    lines = Path(context.mini.logs()[number]).read_text().splitlines()
+    lines = Path(context.testbed.log_paths()[number]).read_text().splitlines()
     assert any(f"event={event}" in line and field in line for line in lines), lines
 
 
@@ -318,7 +320,7 @@
     method, path = line.split()
 
     async def work():
-        host, _, port = context.mini.sidecars[number].settings.callers.rpartition(":")
+        host, _, port = context.testbed.sidecars[number].settings.callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = f"{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: slow\r\n"
         writer.write(f"{head}x-deadline-ms: 900\r\ncontent-length: 4\r\n\r\n".encode())
@@ -327,74 +329,74 @@
         assert (await reader.readline()).startswith(b"HTTP/1.1 200")
         writer.close()
 
-    context.mini.run(work())
+    context.testbed.run(work())
 
 
 @when('upstream "{name}" tells its daemon "{news}"')
-def step_tell(context, name, news):
+def step_send_messages(context, name, news):
     number = int(name[1:])
-    upstream = context.mini.upstreams[number]
+    upstream = context.testbed.upstreams[number]
 
     async def work():
         for item in news.split("; "):
             state, *changes = item.split()
             if state == "leave":
-                daemon = context.mini.sidecars[number].settings.heartbeats
+                daemon = context.testbed.sidecars[number].settings.heartbeats
                 body = json.dumps({"born": upstream.born}).encode()
-                context.told = await upstream.tell(daemon, "leave", body)
+                context.leave_status = await upstream.tell(daemon, "leave", body)
             elif state == "replaced":
                 upstream.name, upstream.born = f"{upstream.name}x", upstream.born + 1
             elif state == "late":
-                await context.mini.beat(number, "ready", sequence=50)
+                await context.testbed.send_heartbeat(number, "ready", sequence=50)
             else:
                 pairs = (part.split("=") for part in changes)
                 fields = {key: int(word) if word.isdigit() else word for key, word in pairs}
-                await context.mini.beat(number, state, **fields)
+                await context.testbed.send_heartbeat(number, state, **fields)
         await asyncio.sleep(0.2)
 
-    context.mini.run(work())
+    context.testbed.run(work())
 
 
 @then('upstream "{name}" ran "{runs}"')
 def step_ran(context, name, runs):
-    found = sum(context.mini.upstreams[int(name[1:])].runs.values())
+    found = sum(context.testbed.upstreams[int(name[1:])].runs.values())
     assert bool(found) == (runs == "some"), found
     assert {row.status for row in context.answers} == {200}
 
 
 @then('upstream "{name}" was answered {status:d} and ran "{runs}"')
-def step_told(context, name, status, runs):
-    assert context.told == status, context.told
+def step_leave_answered(context, name, status, runs):
+    assert context.leave_status == status, context.leave_status
     step_ran(context, name, runs)
 
 
 @when("daemon d{number:d} is killed and started again")
 def step_restart(context, number):
-    mini = context.mini
+    testbed = context.testbed
 
     async def work():
-        settings = mini.sidecars[number].settings
-        await mini.kill(number)
-        sidecar = await mini.start_daemon(number, settings)
-        await until(lambda: len(sidecar.peers.open_links) == 2, "the links of the new daemon")
+        settings = testbed.sidecars[number].settings
+        await testbed.kill_daemon(number)
+        sidecar = await testbed.start_daemon(number, settings)
+        await poll_until(lambda: len(sidecar.peers.open_links) == 2, "the links of the new daemon")
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when("every daemon is killed and started again")
 def step_restart_all(context):
-    mini = context.mini
+    testbed = context.testbed
 
     async def work():
         await asyncio.sleep(0.2)
-        settings = [sidecar.settings for sidecar in mini.sidecars]
+        settings = [sidecar.settings for sidecar in testbed.sidecars]
         for number in range(len(settings)):
-            await mini.kill(number)
-        for number, same in enumerate(settings):
-            await mini.start_daemon(number, same)
-        await until(lambda: all(s.entry.table for s in mini.sidecars), "a configuration")
+            await testbed.kill_daemon(number)
+        for number, previous in enumerate(settings):
+            await testbed.start_daemon(number, previous)
+        await poll_until(lambda: all(s.entry.table for s in testbed.sidecars), "a configuration")
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when('every daemon sees the upstreams "{names}"')
@@ -403,21 +405,23 @@
         rows = sidecar.entry.fleet.values()
         return {row.instance for endpoints in rows for row in endpoints} >= set(names.split(","))
 
-    context.mini.run(until(lambda: all(seen(s) for s in context.mini.sidecars), names))
+    context.testbed.run(poll_until(lambda: all(seen(s) for s in context.testbed.sidecars), names))
 
 
 @when('upstream "{name}" crashes')
 def step_crash(context, name):
-    context.mini.upstreams[int(name[1:])].crash()
+    context.testbed.upstreams[int(name[1:])].crash()
 
 
-async def held(mini, number, line, meanwhile):
+async def send_while_held(testbed, number, line, meanwhile):
     """Send a request, act while an upstream holds it, then let the upstream answer."""
-    sending = asyncio.ensure_future(mini.send(number, line))
-    await until(lambda: any(sum(u.runs.values()) for u in mini.upstreams), "the call to run")
+    sending = asyncio.ensure_future(testbed.send(number, line))
+    await poll_until(
+        lambda: any(sum(u.runs.values()) for u in testbed.upstreams), "the call to run"
+    )
     acting = asyncio.ensure_future(meanwhile())
     await asyncio.sleep(0.1)
-    for upstream in mini.upstreams:
+    for upstream in testbed.upstreams:
         upstream.released.set()
     response = await sending
     await acting
@@ -426,114 +430,120 @@
 
 @when('a caller of d{number:d} sends "{line}" while the hop connections are cut')
 def step_cut(context, number, line):
-    mini = context.mini
+    testbed = context.testbed
 
     async def cut():
-        for link in mini.sidecars[number].peers.links.values():
+        for link in testbed.sidecars[number].peers.links.values():
             link.connection.abort()
 
-    context.answer = mini.run(held(mini, number, line, cut))
+    context.answer = testbed.run(send_while_held(testbed, number, line, cut))
 
 
 @when('a caller of d{number:d} sends "{line}" while d{stopped:d} is stopped')
 def step_stopped(context, number, line, stopped):
-    mini = context.mini
-    context.answer = mini.run(held(mini, number, line, mini.sidecars[stopped].drain))
+    testbed = context.testbed
+    context.answer = testbed.run(
+        send_while_held(testbed, number, line, testbed.sidecars[stopped].drain)
+    )
 
 
 @then("each daemon knows of itself what its peers know of it, with the latency of the store")
 def step_same_rows(context):
     def same():
-        rows = [sidecar.peers.directory for sidecar in context.mini.sidecars]
+        rows = [sidecar.peers.directory for sidecar in context.testbed.sidecars]
         return all(
             table.rows.get(owner.me.daemon_id) == owner.me and owner.me.log_latency
             for owner in rows
             for table in rows
         )
 
-    context.mini.run(until(same, "the same rows"))
+    context.testbed.run(poll_until(same, "the same rows"))
 
 
 @then("daemon d{number:d} is not ready")
 def step_not_ready(context, number):
     async def ask():
         http = TornadoHttpClient()
-        address = context.mini.sidecars[number].settings.ready
+        address = context.testbed.sidecars[number].settings.ready
         response = await http.send(address, Request("GET", "/-/ready", (), b""), Millis(2_000))
         http.close()
         return response.status
 
-    assert context.mini.run(ask()) == 503
+    assert context.testbed.run(ask()) == 503
 
 
 @when('the store "{trouble}"')
 def step_trouble(context, trouble):
     if trouble == "forgets":
-        context.mini.store.compact("keyed.op")
+        context.testbed.store.compact("keyed.op")
     elif trouble in ("refuses", "answers"):
-        context.mini.store.switches.refuse = trouble == "refuses"
+        context.testbed.store.switches.refuse = trouble == "refuses"
     elif trouble == "is silent":
-        context.mini.store.switches.silent = True
+        context.testbed.store.switches.silent = True
     elif trouble == "garbles":
-        context.mini.store.put("keyed.op", "config", b'{"version": 5}')
+        context.testbed.store.put("keyed.op", "config", b'{"version": 5}')
 
 
 @when('the operator writes version {version:d} with route "{prefix}"')
 def step_publish(context, version, prefix):
     data = config_record(version, ((prefix, "safe", "s0"),))
-    context.mini.store.put("keyed.op", "config", data)
+    context.testbed.store.put("keyed.op", "config", data)
 
 
 @then("every daemon has version {version:d} in force")
 def step_version(context, version):
     async def check():
-        sidecars = context.mini.sidecars
-        await until(lambda: all(s.entry.table.version == version for s in sidecars), "the version")
+        sidecars = context.testbed.sidecars
+        await poll_until(
+            lambda: all(s.entry.table.version == version for s in sidecars), "the version"
+        )
         await asyncio.sleep(0.3)
         assert {s.entry.table.version for s in sidecars} == {version}
 
-    context.mini.run(check())
+    context.testbed.run(check())
 
 
 @when('upstreams "{names}" restart')
 def step_upstreams_restart(context, names):
-    mini = context.mini
+    testbed = context.testbed
 
     async def work():
         for name in names.split(","):
             number = int(name[1:])
-            await mini.upstreams[number].restart()
-            await mini.beat(number)
+            await testbed.upstreams[number].restart()
+            await testbed.send_heartbeat(number)
         await asyncio.sleep(0.1)
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when('a caller of d{number:d} sends "{line}" and leaves')
 def step_leaves(context, number, line):
-    mini = context.mini
+    testbed = context.testbed
 
     async def work():
-        host, _, port = mini.sidecars[number].settings.callers.rpartition(":")
+        host, _, port = testbed.sidecars[number].settings.callers.rpartition(":")
         _, writer = await asyncio.open_connection(host, int(port))
         head = f"{line} HTTP/1.1\r\nhost: a.example\r\nx-request-id: left\r\n\r\n"
         writer.write(head.encode())
-        await until(lambda: any(u.runs["left"] for u in mini.upstreams), "the call to run")
+        await poll_until(lambda: any(u.runs["left"] for u in testbed.upstreams), "the call to run")
         writer.close()
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("no upstream still works on it within the deadline of a call")
-def step_dropped(context):
-    mini = context.mini
-    running = [u for u in mini.upstreams if u.runs["left"]]
-    mini.run(until(lambda: not any(u.connections for u in running), "the connection to close"))
+def step_connection_closed(context):
+    testbed = context.testbed
+    running = [u for u in testbed.upstreams if u.runs["left"]]
+    testbed.run(
+        poll_until(lambda: not any(u.connections for u in running), "the connection to close")
+    )
 
 
 @when('the settings of d{number:d} are read again with "{change}"')
 def step_reload(context, number, change):
-    sidecar = context.mini.sidecars[number]
+    sidecar = context.testbed.sidecars[number]
     context.lines = []
     sidecar.log.write_change = lambda event, **rows: context.lines.append(format_event(event, rows))
 
@@ -542,7 +552,7 @@
             raise SettingsError("a finding")
         if change == "nothing":
             return sidecar.settings
-        value = Address("127.0.0.1:1") if change == "callers" else context.mini.store_address
+        value = Address("127.0.0.1:1") if change == "callers" else context.testbed.store_address
         other = {"store": Address(f"{value} "), "callers": value}[change]
         return replace(sidecar.settings, **{change: other})
 
@@ -550,9 +560,9 @@
 
 
 @then('d{number:d} logs "{event}" and goes on serving')
-def step_logged(context, number, event):
+def step_reload_logged(context, number, event):
     assert any(f"event={event}" in line for line in context.lines), context.lines
-    assert context.mini.run(context.mini.send(number, "GET /safe/1")).status == 200
+    assert context.testbed.run(context.testbed.send(number, "GET /safe/1")).status == 200
 
 
 @then('the settings file with "{old}" replaced by "{new}" gives "{finding}"')
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -64,7 +64,7 @@
     return f"{kind} {result.reason.value}"
 
 
-def events(text):
+def parse_events(text):
     return [part.split() for part in text.split("; ") if part != "-"]
 
 
@@ -110,7 +110,7 @@
 @when('the ledger sees "{script}"')
 def step_ledger(context, script):
     ledger, now, answers = Ledger(), 0.0, []
-    for word, *rest in events(script):
+    for word, *rest in parse_events(script):
         if word.startswith("+"):
             now += float(word)
             answers.append("-")
@@ -137,7 +137,7 @@
 @when('an upstream announces "{script}"')
 def step_announce(context, script):
     table, context.believed = HeartbeatFilter("shop", "10.0.0.1:80"), []
-    for word, instance, *rest in events(script):
+    for word, instance, *rest in parse_events(script):
         if word == "leave":
             born = int(rest[0]) if rest else None
             context.believed.append(table.leave(instance, born))
@@ -159,7 +159,7 @@
 def step_slots(context, script):
     queue, now, actions = SlotQueue(), Millis(0), []
     queue.slots = 2
-    for word, *rest in events(script):
+    for word, *rest in parse_events(script):
         if word.startswith("+"):
             now = Millis(now + float(word))
         elif word == "call":
@@ -226,7 +226,7 @@
 def step_merge(context, rows):
     me = replace(endpoint("me", 100), state=UpstreamState.STARTING)
     context.directory = Directory(me)
-    for daemon_id, incarnation, sequence, state, *address in events(rows):
+    for daemon_id, incarnation, sequence, state, *address in parse_events(rows):
         row = endpoint(
             daemon_id,
             int(incarnation),
@@ -262,19 +262,19 @@
 
 
 @then("at least {low:d} and at most {high:d} repeats are allowed")
-def step_allowed(context, low, high):
+def step_repeats_allowed(context, low, high):
     assert low <= context.spent <= high, context.spent
 
 
 @then('a response {status:d} with fields "{fields}" means "{result}"')
-def step_judge(context, status, fields, result):
+def step_classify(context, status, fields, result):
     rows = tuple((name.encode(), b"1") for name in fields.split("; "))
     found = classify_response(RelayResponse(status, rows, b""), b"stamp", b"not-run")
     assert describe(found) == result, found
 
 
 @given("{daemons:d} daemons whose requests come {rate:d} a second for {seconds:d} s, all failing")
-def step_chain(context, daemons, rate, seconds):
+def step_failing_requests(context, daemons, rate, seconds):
     window = Millis(10_000)
     parents = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
     children = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
@@ -298,7 +298,7 @@
 
 
 @then("no 10 s bring the called service more repeats than 0.2 of its requests and 60")
-def step_chain_bound(context):
+def step_repeat_bound(context):
     for start in range(0, 20_001, 250):
         end = start + 10_000
         requests = sum(start <= at < end for at in context.requests)
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -46,10 +46,10 @@
 from agatecross_daemon.tasks.call_driver import CallDriver
 
 REGIONS = {"aarhus-a": "jylland", "aalborg-b": "jylland", "roskilde-b": "sjaelland"}
-DRAWS = 300
+CHOICE_COUNT = 300
 SERVICE = "case-portal"
-START = 1_000.0
-DEADLINE = 1_000_000.0
+START_MS = 1_000.0
+DEADLINE_MS = 1_000_000.0
 RESULTS = {
     "ran": ran_result(Response(200, (), b"")),
     "lost": unknown_result(Reason.CONNECTION_LOST),
@@ -76,11 +76,11 @@
 register_type(Text=parse_text)
 
 
-class World:
+class BalancerSimulation:
     """A balancer and its fleet in virtual time."""
 
     def __init__(self, name, fleet):
-        self.now = START
+        self.now = START_MS
         here = Position("me", "jylland", "aarhus-a")
         self.balancer = new_balancer(name, here, random.Random(1))
         self.members = {m.daemon_id: m for m in (member(*p.split("@")) for p in fleet.split())}
@@ -90,34 +90,34 @@
         self.balancer.view_changed(build_view(self.members.values(), False))
 
     def choose(self, purpose=Purpose.FIRST, tried=(), quantile=0.95):
-        request = ChoiceRequest(SERVICE, tried, purpose, DEADLINE, quantile)
+        request = ChoiceRequest(SERVICE, tried, purpose, DEADLINE_MS, quantile)
         return self.balancer.choose(request, self.now)
 
-    def call(self, name, took, outcome=Outcome.RAN, **facts):
+    def run_attempt(self, name, took, outcome=Outcome.RAN, **facts):
         self.balancer.started(name, self.now)
         self.now += took
         self.balancer.ended(AttemptEnded(name, took, outcome, **facts), self.now)
 
-    def event(self, name, what, *numbers):
+    def apply_event(self, name, what, *numbers):
         number = float(numbers[0]) if numbers and numbers[0].isdigit() else 0.0
         if what == "ran":
-            self.call(name, number)
+            self.run_attempt(name, number)
         elif what == "errors":
-            self.call(name, number, failed=True)
+            self.run_attempt(name, number, failed=True)
         elif what == "cancelled":
-            self.call(name, number, Outcome.UNKNOWN, cancelled=True)
+            self.run_attempt(name, number, Outcome.UNKNOWN, cancelled=True)
         elif what == "fails":
-            self.call(name, 0.5, Outcome.NOT_RUN, reason=Reason(numbers[0]))
+            self.run_attempt(name, 0.5, Outcome.NOT_RUN, reason=Reason(numbers[0]))
         elif what == "reports":
             load = ReportedLoad(*map(int, numbers))
-            self.call(name, 10, load=load)
+            self.run_attempt(name, 10, load=load)
         elif what == "starts":
             self.balancer.started(name, self.now)
         elif what == "overlaps":
             # A long call during which a shorter one starts and ends normally.
             self.balancer.started(name, self.now)
-            self.call(name, 10)
-            self.call(name, 10)
+            self.run_attempt(name, 10)
+            self.run_attempt(name, 10)
             self.now += number - 20
             self.balancer.ended(AttemptEnded(name, number, Outcome.RAN), self.now)
         else:
@@ -127,7 +127,7 @@
             self.members[name] = replace(row, upstream=info)
             self.publish()
 
-    def happen(self, text):
+    def apply_events(self, text):
         words = text.split()
         times = int(words.pop()[1:]) if words[-1].startswith("*") else 1
         for _ in range(times):
@@ -142,49 +142,49 @@
                 self.balancer.groups.next_search = float("inf")
             else:
                 for name in self.members if words[0] == "all" else (words[0],):
-                    self.event(name, *words[1:])
+                    self.apply_event(name, *words[1:])
 
-    def draws(self, purpose=Purpose.FIRST, tried=()):
-        rows = (self.choose(purpose, tried) for _ in range(DRAWS))
+    def count_choices(self, purpose=Purpose.FIRST, tried=()):
+        rows = (self.choose(purpose, tried) for _ in range(CHOICE_COUNT))
         return Counter(row.member.daemon_id if row else None for row in rows)
 
 
 @given('the balancer "{name}" over upstreams "{fleet:Text}"')
-def start_named(context, name, fleet):
-    context.world = World(name, fleet)
+def start_balancer(context, name, fleet):
+    context.simulation = BalancerSimulation(name, fleet)
 
 
 @when('"{events:Text}" happens')
 def events_happen(context, events):
     for text in filter(str.strip, events.split(";")):
-        context.world.happen(text.strip())
+        context.simulation.apply_events(text.strip())
 
 
 @then('a "{purpose}" attempt after "{tried:Text}" goes to one of "{chosen:Text}"')
 def check_chosen(context, purpose, tried, chosen):
-    drawn = context.world.draws(Purpose(purpose), tuple(tried.split()))
+    drawn = context.simulation.count_choices(Purpose(purpose), tuple(tried.split()))
     assert set(drawn) == (set(chosen.split()) or {None}), drawn
 
 
 @then('upstream "{name}" gets between {low:d} and {high:d} percent of the first attempts')
 def check_share(context, name, low, high):
-    share = 100 * context.world.draws()[name] / DRAWS
+    share = 100 * context.simulation.count_choices()[name] / CHOICE_COUNT
     assert low <= share <= high, share
 
 
 @then('an attempt with hedge quantile {quantile:g} is hedged after "{delay}"')
 def check_hedge(context, quantile, delay):
-    found = context.world.choose(quantile=quantile).hedge_after
+    found = context.simulation.choose(quantile=quantile).hedge_after
     assert found == (None if delay == "never" else float(delay)), found
 
 
 @then('6 first attempts go to "{chosen:Text}"')
 def check_sequence(context, chosen):
-    drawn = sorted(context.world.choose().member.daemon_id for _ in range(6))
+    drawn = sorted(context.simulation.choose().member.daemon_id for _ in range(6))
     assert drawn == chosen.split(), drawn
 
 
-def new_call(kind, deadline=DEADLINE):
+def new_call(kind, deadline=DEADLINE_MS):
     idempotent = kind != "non-idempotent"
     return Call("c", SERVICE, Request("GET", "/", (), b""), deadline, idempotent)
 
@@ -246,7 +246,9 @@
     """Carries out flows in virtual time as the call driver does, and checks every limit."""
 
     def __init__(self, script):
-        self.world = World("adaptive", "a@aarhus-a b@aarhus-a c@aalborg-b d@roskilde-b")
+        self.simulation = BalancerSimulation(
+            "adaptive", "a@aarhus-a b@aarhus-a c@aalborg-b d@roskilde-b"
+        )
         self.script = script
         self.budget = RetryBudget(0.1)
         self.policy = ServicePolicy(SERVICE, hedge_quantile=0.9)
@@ -255,26 +257,27 @@
         self.extra = 0
         self.outstanding = Counter()
 
-    def at(self, when, act):
+    def schedule(self, when, act):
         heapq.heappush(self.queue, (when, next(self.order), act))
 
     def run(self):
-        when = START
+        when = START_MS
         for gap, kind, left, ends in self.script:
             when += gap
-            self.at(
-                when, lambda k=kind, e=ends, d=when + left: Carried(self, k, d, e).advance(None)
+            self.schedule(
+                when,
+                lambda k=kind, e=ends, d=when + left: SimulatedCall(self, k, d, e).advance(None),
             )
         while self.queue:
-            self.world.now, _, act = heapq.heappop(self.queue)
+            self.simulation.now, _, act = heapq.heappop(self.queue)
             act()
-            rows = self.world.balancer.load.rows
+            rows = self.simulation.balancer.load.rows
             assert all(rows[name].outstanding == n for name, n in self.outstanding.items())
         assert not +self.outstanding
         assert self.extra <= MAX_RETRY_TOKENS + 0.1 * len(self.script)
 
 
-class Carried:
+class SimulatedCall:
     """One call of the driver above."""
 
     def __init__(self, driver, kind, deadline, ends):
@@ -283,9 +286,11 @@
         self.running = {}
         self.results = []
         self.numbers = count()
-        world, call = driver.world, new_call(kind, deadline)
-        choose = world.balancer.choose
-        self.flow = run_call(call, driver.policy, lambda r: choose(r, world.now), driver.budget)
+        simulation, call = driver.simulation, new_call(kind, deadline)
+        choose = simulation.balancer.choose
+        self.flow = run_call(
+            call, driver.policy, lambda r: choose(r, simulation.now), driver.budget
+        )
 
     def go(self):
         self.advance(None)
@@ -297,41 +302,45 @@
             self.finish(stop.value)
             return
         if not isinstance(action, AwaitResult):
-            self.send(action)
+            self.start_attempt(action)
         if isinstance(action, Attempt) and action.hedge_after is not None:
             number = max(self.running)
-            when = self.driver.world.now + action.hedge_after
-            self.driver.at(when, lambda: number in self.running and self.advance(Progress.ELAPSED))
+            when = self.driver.simulation.now + action.hedge_after
+            self.driver.schedule(
+                when, lambda: number in self.running and self.advance(Progress.ELAPSED)
+            )
 
-    def send(self, action):
-        world, number = self.driver.world, next(self.numbers)
-        assert world.now < self.deadline
+    def start_attempt(self, action):
+        simulation, number = self.driver.simulation, next(self.numbers)
+        assert simulation.now < self.deadline
         assert number < self.driver.policy.attempts
         may_have_run = self.running or any(r.outcome is not Outcome.NOT_RUN for r in self.results)
         assert self.kind == "idempotent" or not may_have_run
         self.driver.extra += number > 0
         name = action.target.member.daemon_id
-        world.balancer.started(name, world.now)
+        simulation.balancer.started(name, simulation.now)
         self.driver.outstanding[name] += 1
-        self.running[number] = (name, world.now)
+        self.running[number] = (name, simulation.now)
         took, word = self.ends[number]
-        when = min(world.now + took, self.deadline)
+        when = min(simulation.now + took, self.deadline)
         result = RESULTS["timeout" if when == self.deadline else word]
-        self.driver.at(when, lambda: number in self.running and self.end(number, result))
+        self.driver.schedule(
+            when, lambda: number in self.running and self.end_attempt(number, result)
+        )
 
-    def end(self, number, result, cancelled=False):
+    def end_attempt(self, number, result, cancelled=False):
         name, start = self.running.pop(number)
-        now = self.driver.world.now
+        now = self.driver.simulation.now
         self.driver.outstanding[name] -= 1
         ended = AttemptEnded(name, now - start, result.outcome, result.reason, False, cancelled)
-        self.driver.world.balancer.ended(ended, now)
+        self.driver.simulation.balancer.ended(ended, now)
         self.results.append(result)
         if not cancelled:
             self.advance(result)
 
     def finish(self, result):
         for number in list(self.running):
-            self.end(number, unknown_result(Reason.CONNECTION_LOST), cancelled=True)
+            self.end_attempt(number, unknown_result(Reason.CONNECTION_LOST), cancelled=True)
         if result.outcome is Outcome.NOT_RUN:
             assert all(row.outcome is Outcome.NOT_RUN for row in self.results)
 
@@ -363,11 +372,11 @@
     assert sum(hedges) > 100, "the examples hardly retry or hedge"
 
 
-def slowed(data, upstream, now, own):
+def is_slowed(data, upstream, now, slow_offsets):
     """Return whether an upstream of 12 is slowed at a time in milliseconds."""
     group = upstream < 3 and now % 1_500 < 400
     if data == "independent slow moments":
-        return (now + own[upstream]) % (1_300 + 37 * upstream) < 300
+        return (now + slow_offsets[upstream]) % (1_300 + 37 * upstream) < 300
     if data == "overload peak":
         return now % 6_000 < 1_200
     if data == "service peak":
@@ -382,13 +391,13 @@
     rng = random.Random(seed)
     context.detector = getattr(context, "detector", None) or GroupDetector()
     context.now = getattr(context, "now", 0.0)
-    own = [rng.uniform(0, 3_000) for _ in range(12)]
+    slow_offsets = [rng.uniform(0, 3_000) for _ in range(12)]
     end = context.now + seconds * 1000
     while context.now < end:
         # 120 calls a second over 12 upstreams; one of eight looks slow although nothing is.
         context.now += rng.expovariate(0.12)
         upstream = rng.randrange(12)
-        slow = slowed(data, upstream, context.now, own) or rng.random() < 0.12
+        slow = is_slowed(data, upstream, context.now, slow_offsets) or rng.random() < 0.12
         context.detector.observe(str(upstream), f"s{upstream % 2}", slow, context.now)
 
 
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -46,7 +46,16 @@
 [log]
 address = "127.0.0.1:{store}"
 """
-NAMES = ("callers", "peers", "ready", "heartbeats", "metrics", "upstream", "store", "announced")
+PORT_NAMES = (
+    "callers",
+    "peers",
+    "ready",
+    "heartbeats",
+    "metrics",
+    "upstream",
+    "store",
+    "announced",
+)
 
 
 @given("a daemon process with the settings of a {kind} daemon")
@@ -55,7 +64,7 @@
     context.add_cleanup(folder.cleanup)
     pool = PortPool()
     context.add_cleanup(pool.close)
-    ports = dict(zip(NAMES, pool.reserve(len(NAMES)), strict=True))
+    ports = dict(zip(PORT_NAMES, pool.reserve(len(PORT_NAMES)), strict=True))
     if kind == "relaying":
         addresses = {name: f"127.0.0.1:{port}" for name, port in ports.items()}
         place = {"number": 1, "region": "north", "data_centre": "north-a", "service": "s0"}
@@ -67,22 +76,22 @@
     context.output = Path(folder.name) / "output"
 
 
-def start(context, number, point):
+def start_daemon(context, number, point):
     command = [sys.executable, "-c", PROGRAM, str(int(number)), point]
     with context.output.open("wb") as output:
         context.process = subprocess.Popen(
             [*command, f"--settings={context.settings}"], stdout=output, stderr=output
         )
-    context.add_cleanup(end, context.process)
+    context.add_cleanup(kill_and_wait, context.process)
 
 
-def end(process):
+def kill_and_wait(process):
     if process.poll() is None:
         process.kill()
     process.wait()
 
 
-def logged(context):
+def count_starts(context):
     return context.output.read_text(encoding="utf-8").count("event=daemon_started")
 
 
@@ -90,7 +99,7 @@
 def step_blocked(context):
     before = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     try:
-        start(context, signal.SIGCONT, "none")
+        start_daemon(context, signal.SIGCONT, "none")
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, before)
     context.process.send_signal(signal.SIGHUP)
@@ -99,18 +108,18 @@
 
 @when("{name} comes at the import of {module}")
 def step_at_import(context, name, module):
-    start(context, signal.Signals[name], module)
+    start_daemon(context, signal.Signals[name], module)
 
 
 @when("{name} comes after its event loop was closed")
 def step_at_exit(context, name):
-    start(context, signal.Signals[name], "exit")
+    start_daemon(context, signal.Signals[name], "exit")
 
 
 @when("SIGTERM comes after it started")
 def step_after_start(context):
     last = time.monotonic() + WAIT_SECONDS
-    while not logged(context):
+    while not count_starts(context):
         running = context.process.poll() is None
         assert running, (context.process.returncode, context.output.read_text())
         assert time.monotonic() < last, context.output.read_text()
@@ -123,4 +132,4 @@
     found = context.process.wait(WAIT_SECONDS)
     text = context.output.read_text(encoding="utf-8")
     assert found == code, (found, text)
-    assert logged(context) == {"never": 0, "once": 1}[count], text
+    assert count_starts(context) == {"never": 0, "once": 1}[count], text
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,37 +13,37 @@
 from agatecross_standins.soak.known_red import known_red_seeds
 from agatecross_standins.soak.schedule import FaultKind, schedule
 
-NODES = 6
+NODE_COUNT = 6
 
 
 def asked(call_id, seen, once=True, status=200, node=0, ended=2.0):
     return Asked(call_id, node, once, 1.0, ended, seen, status)
 
 
-def add_twice(history):
+def add_second_run(history):
     history.asked.append(asked("x", Seen.ANSWERED))
     history.runs["x"] = 2
 
 
-def add_refused(history):
+def add_refused_run(history):
     history.asked.append(asked("x", Seen.REFUSED, status=503))
     history.runs["x"] = 1
 
 
-def add_cut(history):
+def add_cut_request(history):
     history.asked.append(asked("x", Seen.BROKEN, ended=5.0))
     history.terms.append((0, 4.0, 6.0))
 
 
-def add_cut_beside_fault(history):
-    add_cut(history)
+def add_cut_request_during_fault(history):
+    add_cut_request(history)
     history.disturbed.append((-1, 4.5, 5.5))
 
 
-CHANGES = {
+HISTORY_CHANGES = {
     "nothing else": lambda history: None,
-    "a booking that ran twice": add_twice,
-    "a refused booking that ran": add_refused,
+    "a booking that ran twice": add_second_run,
+    "a refused booking that ran": add_refused_run,
     "a foreign answer": lambda h: h.asked.append(asked("x", Seen.FOREIGN)),
     "an answer without a run": lambda h: h.asked.append(asked("x", Seen.ANSWERED)),
     "a run after a confirmed leave": lambda h: h.left.append(
@@ -53,8 +53,8 @@
     "a version that is lower after a kill": lambda h: h.versions.append(VersionSeen(0, 1, 4)),
     "a daemon that ended by itself": lambda h: h.exits.append((0, 1)),
     "a traceback": lambda h: h.tracebacks.append("d0.log: Traceback"),
-    "a request cut by a graceful stop": add_cut,
-    "a request cut while a link was reset": add_cut_beside_fault,
+    "a request cut by a graceful stop": add_cut_request,
+    "a request cut while a link was reset": add_cut_request_during_fault,
     "requests that fail at the end": lambda h: h.settled.extend(
         asked(f"f{n}", Seen.FAILED) for n in range(2)
     ),
@@ -76,7 +76,7 @@
 
 @when("it also holds {what}")
 def step_change(context, what):
-    CHANGES[what](context.history)
+    HISTORY_CHANGES[what](context.history)
 
 
 @then('exactly "{promise}" is reported')
@@ -89,8 +89,8 @@
 def step_schedules(context, first, last):
     kinds, overlaps = set(), 0
     for seed in range(first, last + 1):
-        faults = list(schedule(seed, 10.0, NODES))
-        assert faults == list(schedule(seed, 10.0, NODES))
+        faults = list(schedule(seed, 10.0, NODE_COUNT))
+        assert faults == list(schedule(seed, 10.0, NODE_COUNT))
         assert all(fault.at + fault.lasts <= 14.0 for fault in faults), faults
         kinds |= {fault.kind for fault in faults}
         overlaps += any(a.at < b.at < a.at + a.lasts for a in faults for b in faults)
--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -28,8 +28,8 @@
     parent = CALLER_SPAN
     for row in context.table:
         node = node_of(context, row["node"])
-        wait_until(lambda node=node, row=row: find(context, node, row["span"]), row["span"])
-        span, actual_parent = find(context, node, row["span"])[0]
+        wait_until(lambda node=node, row=row: find_spans(context, node, row["span"]), row["span"])
+        span, actual_parent = find_spans(context, node, row["span"])[0]
         assert actual_parent == parent, (row["span"], actual_parent, parent)
         parent = span
 
@@ -48,7 +48,7 @@
     return next(node for node in context.fleet.nodes if node.service == service)
 
 
-def find(context, node, name):
+def find_spans(context, node, name):
     text = (context.fleet.directory / f"{node.name}-daemon.out").read_text(encoding="utf-8")
     rows = [m.groups() for m in SPAN.finditer(text)]
     return [
--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 
-def client(*arguments):
+def run_client(*arguments):
     command = [sys.executable, "-m", "agatecross_cli", *map(str, arguments)]
     return subprocess.run(command, capture_output=True, text=True, timeout=60)
 
@@ -14,15 +14,15 @@
 @then('the answer\'s status is {status:d} and the trace of its id ends with "{cause}"')
 def step_traced(context, status, cause):
     assert context.answer.status == status, context.answer
-    logs = context.mini.logs()
-    result = client("trace", f"c{next(context.mini.ids) - 1}", *logs)
+    log_paths = context.testbed.log_paths()
+    result = run_client("trace", f"c{next(context.testbed.call_numbers) - 1}", *log_paths)
     assert result.returncode == 0, result
     assert result.stdout.splitlines()[-1].startswith(f"cause: {cause}:"), result.stdout
 
 
 @then('the causes of the logs count it as "{cause}"')
 def step_causes(context, cause):
-    result = client("causes", *context.mini.logs())
+    result = run_client("causes", *context.testbed.log_paths())
     rows = [line.split() for line in result.stdout.splitlines()]
     assert any(row[0] == "1" and row[-1] == cause for row in rows), result.stdout
 
@@ -50,12 +50,12 @@
 
 @when('the client runs "{arguments}" on them')
 def step_client_on_all(context, arguments):
-    context.client_result = client(*arguments.split(), *context.log_files)
+    context.client_result = run_client(*arguments.split(), *context.log_files)
 
 
 @when('the client runs "{arguments}" on it')
 def step_client(context, arguments):
-    context.client_result = client(*arguments.split(), context.log_file)
+    context.client_result = run_client(*arguments.split(), context.log_file)
 
 
 @then('it ends with code {code:d} and shows "{text}"')
@@ -68,7 +68,7 @@
     assert wanted in result.stdout, result.stdout
 
 
-def draw(context, count, seed):
+def draw_failed_calls(context, count, seed):
     command = [sys.executable, "-m", "agatecross_standins.trace_sample", context.log_file]
     flags = [f"--count={count}", f"--seed={seed}"]
     return subprocess.run([*command, *flags], capture_output=True, text=True, timeout=60)
@@ -76,7 +76,7 @@
 
 @when("{count:d} failed calls are drawn with seed {seed:d}")
 def step_draw(context, count, seed):
-    context.draws = [draw(context, count, seed) for _ in range(2)]
+    context.draws = [draw_failed_calls(context, count, seed) for _ in range(2)]
 
 
 @then('{drawn:d} of {failed:d} are drawn, the same again, and the table has "{rows}"')
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from behave import given, then, when
-from platform_steps import begin, until
+from platform_steps import poll_until, start_testbed
 
 from agatecross_adapters.http_client import ClientStream, TornadoHttpClient
 from agatecross_adapters.upstream_connection import UpstreamConnection
@@ -17,9 +17,9 @@
 from agatecross_standins.platform_upstream import Answer, PlatformUpstream
 
 KIB = 1024
-OTHERS = 5
+OTHER_CALLS = 5
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
-END = b"0\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 class ReadCounter:
@@ -38,15 +38,15 @@
         self.original(connection, data)
 
 
-def exit_of(mini, name):
-    return mini.sidecars[int(name[1:])].exit
+def exit_task_of(testbed, name):
+    return testbed.sidecars[int(name[1:])].exit
 
 
-def script(mini, names, items):
+def set_script(testbed, names, items):
     """Let whichever upstream is asked first answer with the next item, and whole afterwards."""
     shared = iter(items)
 
-    class Shared:
+    class SharedScript:
         def __bool__(self):
             return True
 
@@ -54,7 +54,7 @@
             return next(shared, Answer.WHOLE)
 
     for name in names.split(","):
-        mini.upstreams[int(name[1:])].script = Shared()
+        testbed.upstreams[int(name[1:])].script = SharedScript()
 
 
 @given("a platform fleet that counts what its upstreams send")
@@ -67,24 +67,24 @@
     )
     patch.start()
     context.add_cleanup(patch.stop)
-    begin(context, False)
+    start_testbed(context, False)
 
 
 @when('upstreams "{names}" answer with endless "{parts}"')
 def step_endless(context, names, parts):
-    script(context.mini, names, [Endless(part) for part in parts.split(", ")])
+    set_script(context.testbed, names, [Endless(part) for part in parts.split(", ")])
 
 
 @when('upstreams "{names}" trickle endless "{part}"')
 def step_trickle(context, names, part):
-    script(context.mini, names, [Endless(part)])
+    set_script(context.testbed, names, [Endless(part)])
     for name in names.split(","):
-        context.mini.upstreams[int(name[1:])].trickles = True
+        context.testbed.upstreams[int(name[1:])].trickles = True
 
 
 @when('upstreams "{names}" answer with {count:d} {what}')
 def step_large(context, names, count, what):
-    script(context.mini, names, [large_answer(count, what)])
+    set_script(context.testbed, names, [large_answer(count, what)])
 
 
 def large_answer(count, what):
@@ -96,23 +96,30 @@
         case "bytes of body":
             return start + b"content-length: %d\r\n\r\n" % count + b"b" * count
         case "bytes in chunks of 1,000":
-            return start + CHUNKED + (b"3e8\r\n" + b"b" * 1000 + b"\r\n") * (count // 1000) + END
+            return (
+                start
+                + CHUNKED
+                + (b"3e8\r\n" + b"b" * 1000 + b"\r\n") * (count // 1000)
+                + LAST_CHUNK
+            )
         case "bytes in chunks of 1":
-            return start + CHUNKED + b"1\r\nb\r\n" * count + END
+            return start + CHUNKED + b"1\r\nb\r\n" * count + LAST_CHUNK
         case "interim responses":
             hints = b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n" * count
             return hints + start + b"content-length: 1\r\n\r\nb"
 
 
 @when('beside calls of "{other}" a caller of d{number:d} sends "{line}"')
-def step_beside(context, other, number, line):
+def step_send_during_calls(context, other, number, line):
     async def work():
-        sending = asyncio.ensure_future(context.mini.send(number, line))
-        await until(lambda: any(u.runs for u in context.mini.upstreams), "the call to run")
-        answers = await asyncio.gather(*(context.mini.send(2, other) for _ in range(OTHERS)))
+        sending = asyncio.ensure_future(context.testbed.send(number, line))
+        await poll_until(lambda: any(u.runs for u in context.testbed.upstreams), "the call to run")
+        answers = await asyncio.gather(
+            *(context.testbed.send(2, other) for _ in range(OTHER_CALLS))
+        )
         return await sending, answers
 
-    context.answer, context.answers = context.mini.run(work())
+    context.answer, context.answers = context.testbed.run(work())
 
 
 @then("the answer is {status:d} and it was read at most {most:d} KiB, all others got 200")
@@ -120,7 +127,7 @@
     read = max(context.counter.read.values())
     print(f"read {read / KIB:.0f} KiB of the endless answer")
     assert context.answer.status == status, context.answer.status
-    assert [row.status for row in context.answers] == [200] * OTHERS, context.answers
+    assert [row.status for row in context.answers] == [200] * OTHER_CALLS, context.answers
     assert read <= most * KIB, read
 
 
@@ -131,12 +138,15 @@
 
 @then('"{name}" has no open exchange, its connection is closed and it keeps no bytes')
 def step_freed(context, name):
-    exit_task, upstream = exit_of(context.mini, name), context.mini.upstreams[int(name[1:])]
+    exit_task, upstream = (
+        exit_task_of(context.testbed, name),
+        context.testbed.upstreams[int(name[1:])],
+    )
 
     def freed():
         return not exit_task.calls and not exit_task.queue.running and not upstream.connections
 
-    context.mini.run(until(freed, "the slot and the connection to be free"))
+    context.testbed.run(poll_until(freed, "the slot and the connection to be free"))
     assert not exit_task.pool.connections
     assert exit_task.pool.unfinished_bytes == 0, exit_task.pool.unfinished_bytes
 
@@ -144,44 +154,44 @@
 @then('the answer is {status:d} and upstream "{name}" ran {runs:d} calls')
 def step_next_call(context, status, name, runs):
     assert context.answer.status == status, context.answer.status
-    found = sum(context.mini.upstreams[int(name[1:])].runs.values())
+    found = sum(context.testbed.upstreams[int(name[1:])].runs.values())
     assert found == runs, found
 
 
 @then("all upstreams ran it {runs:d} times")
 def step_runs(context, runs):
     found = Counter()
-    for upstream in context.mini.upstreams:
+    for upstream in context.testbed.upstreams:
         found += upstream.runs
     assert found["c0"] == runs, found
 
 
 @then('the unfinished answers of "{name}" took at most {most:d} KiB together')
-def step_together(context, name, most):
-    peak = context.counter.peak[exit_of(context.mini, name).pool]
+def step_peak(context, name, most):
+    peak = context.counter.peak[exit_task_of(context.testbed, name).pool]
     print(f"unfinished answers took {peak / KIB:.0f} KiB")
     assert peak <= most * KIB, peak
 
 
 @then('"{name}" still works on it; once it answers, its connection is kept for the next call')
 def step_late_answer(context, name):
-    mini, number = context.mini, int(name[1:])
-    exit_task, upstream = exit_of(mini, name), mini.upstreams[number]
+    testbed, number = context.testbed, int(name[1:])
+    exit_task, upstream = exit_task_of(testbed, name), testbed.upstreams[number]
 
     async def work():
         # Longer than a begun answer may take after the deadline.
         await asyncio.sleep(1.5)
         assert len(exit_task.calls) == len(upstream.connections) == 1
         upstream.released.set()
-        await until(lambda: not exit_task.calls, "the run to end")
+        await poll_until(lambda: not exit_task.calls, "the run to end")
         assert len(exit_task.pool.idle) == len(upstream.connections) == 1
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then('"{name}"\'s daemon logs "{pair}" with the bytes that it read')
 def step_logged_bytes(context, name, pair):
-    path = Path(context.mini.logs()[int(name[1:])])
+    path = Path(context.testbed.log_paths()[int(name[1:])])
     lines = [row for row in path.read_text().splitlines() if "event=handover_failed" in row]
     read = max(context.counter.read.values())
     assert [pair in row and f"read={read}" in row for row in lines] == [True], lines
@@ -230,7 +240,7 @@
             await http.send(server.address, Request("GET", "/", (), b""), Millis(10_000))
         except ExchangeError as error:
             context.error = error
-        await until(lambda: not server.connections, "the connection to close")
+        await poll_until(lambda: not server.connections, "the connection to close")
         http.close()
         server.crash()
 
