--- a/features/cli.feature
+++ b/features/cli.feature
@@ -30,15 +30,16 @@
     Examples:
       | guards against                          | asked                                    | reported | text                                                |
       | a report of every short wait            | 0.2 d1; 0.4 d1; 0.6                      |          |                                                     |
-      | a wait of many seconds without a word   | 2.0 d1                                   | 2.0      | version 2 accepted, waiting 2 s for: d1 (version 1) |
+      | a wait of many seconds without a report | 2.0 d1                                   | 2.0      | version 2 accepted, waiting 2 s for: d1 (version 1) |
       | a daemon shown without its state        | 1.0 !d1                                  | 1.0      | version 2 accepted, waiting 1 s for: d1 (no answer) |
       | the same line at each question          | 1.0 d1; 1.2 d1; 3.0 d1                   | 1.0      | version 2 accepted, waiting 1 s for: d1 (version 1) |
-      | a word that does not come again         | 1.0 d1; 6.1 d1                           | 1.0 6.1  | version 2 accepted, waiting 6 s for: d1 (version 1) |
+      | a report that is not repeated           | 1.0 d1; 6.1 d1                           | 1.0 6.1  | version 2 accepted, waiting 6 s for: d1 (version 1) |
       | a daemon that is no longer missing      | 1.0 d1 !d2; 1.4 !d2                      | 1.0 1.4  | version 2 accepted, waiting 1 s for: d2 (no answer) |
-      | a line as long as the fleet             | 1.0 a b c d e f g h i j k l              | 1.0      | i (version 1), j (version 1) and 2 more             |
-      | a daemon in the way that is not named   | 1.0 ?                                    | 1.0      | version 2 accepted, waiting 1 s: daemon 127.0.0.1:4 |
+      | a line that names the whole fleet       | 1.0 a b c d e f g h i j k l              | 1.0      | i (version 1), j (version 1) and 2 more             |
+      | a failing daemon that is not named      | 1.0 ?                                    | 1.0      | version 2 accepted, waiting 1 s: daemon 127.0.0.1:4 |
 
   Scenario Outline: output of a publish that waits as <format>
+    Guards against progress lines on standard output, which programs read.
     Given a log that holds the example configuration "lysknude" as version 1 by "alice"
     When an operator publishes a changed folder in <format> while a daemon stays behind
     Then standard error names "d2 (version 1)" and standard output has only the result in <format>
@@ -49,6 +50,7 @@
       | json   |
 
   Scenario Outline: <arguments> ends with code <code>
+    Guards against wrong exit codes and tracebacks for mistakes on the command line.
     When the client runs with "<arguments>"
     Then it ends with code <code> and its output has "<text>"
 
@@ -74,6 +76,7 @@
       | explain mars /vans FOLDER                  | 2    | known: aalborg-b, aarhus-a             |
 
   Scenario Outline: five faults are listed at once as <format>
+    Guards against a check that stops at the first fault or names a wrong place.
     Given a copy of the example configuration "lysknude" with five faults
     When the client runs with "check FOLDER --format=<format>"
     Then it ends with code 1 and lists exactly these findings as "<format>"
@@ -90,6 +93,8 @@
       | json   |
 
   Scenario: operators and daemons through faults of the log
+    Guards against publishes that are lost or accepted twice, and daemons that lose their version,
+    while the log loses answers, fails or is replaced by an empty one.
     Given a fleet of 1 upstream for each of "case-portal,van-booking" at "aarhus-a,koebenhavn-a"
     When the example configuration "lysknude" is published
     Then the client ends with code 0
--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -20,6 +20,7 @@
       | list for a number      | bursa-a  | timeout_ms = 4000                 | timeout_ms = [4000]       | type                | 4    | services.materials-ordering.timeout_ms |
 
   Scenario Outline: a configuration with <fault> has the findings "<codes>"
+    Guards against a check that fails on an empty, deeply nested or over-long document.
     Given the example configuration "kafeskoop"
     When document "<document>" is "<text>" repeated <times> times
     Then the codes of the findings are "<codes>"
--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -2,6 +2,7 @@
   Guards against readers that disagree, versions that go back and pulls that get stuck.
 
   Scenario Outline: readers agree under random <faults>
+    Guards against readers that diverge after some order of reads, pulls and restarts.
     Given 6 followers in 2 regions on a simulated log with "<faults>"
     Then in <examples> random histories no version goes back and all readers fold alike
 
@@ -12,12 +13,15 @@
       | retention, replacement         | 60       |
 
   Scenario: the fold of random records is whole, idempotent and never partly applied
+    Guards against a rejected record that changes the state, or a record that is applied twice.
     Then 200 random sequences of records leave only checked versions with their own digest
 
   Scenario: a pull carries only the publish ids that the receiver lacks
+    Guards against pull replies that grow with the length of the history.
     Then a pull after 4096 common publishes carries 1 publish id
 
   Scenario Outline: a follower with version 2 meets a peer that <behaviour>
+    Guards against a bad pull reply that is put in force, or that ends the search for the version.
     Given a follower with version 2 and peers "near, far"
     When peer "near" offers version <offered> and its pull ends as "<behaviour>"
     Then the next pull goes to "<next>" and version <version> is in force
@@ -37,6 +41,7 @@
       | other digest    | 2       | none | 2       | same_version_other_digest |
 
   Scenario Outline: a reader whose position is 3 meets <log>
+    Guards against a reader that skips publishes or stops when its log was cut or replaced.
     Given a reader that folded 3 publishes
     When it reads a log that <log>
     Then version <version> is in force and the next read starts at <start>
@@ -57,18 +62,21 @@
       | holds an undecodable record     | 4       | 5     | record_undecodable  |
 
   Scenario: a search for a snapshot starts again after a failed read, as the log may be another
+    Guards against a search that goes on in a log that replaced the first during the failure.
     Given a reader that folded 3 publishes
     When it reads a log that expired records
     And its read fails
     Then version 3 is in force and the next read starts at 2
 
   Scenario: a page that was asked for before a peer's position was taken is not folded
+    Guards against records of the old log that are folded into a state from the new one.
     Given a reader that folded 3 publishes
     When it takes version 4 and position 4 from a peer that reads a replaced log
     And the page of the log before arrives with a publish on version 4
     Then version 4 is in force and the next read starts at 4
 
   Scenario Outline: snapshots of the newest state are written when <case>
+    Guards against a log without a current snapshot, and several readers that write the same one.
     Given a reader of rank <rank> that folded 3 publishes and writes after 2 records
     When <seconds> seconds pass after "<case>"
     Then <count> snapshots were written, through offset <through>
@@ -90,6 +98,7 @@
       | repeated lost appends      | 0    | 600     | 11    | 2       |
 
   Scenario Outline: delays of read attempt <attempt> are drawn from zero to <limit> ms
+    Guards against readers that all retry at the same moment, and delays that grow without limit.
     Then 200 delays of attempt <attempt> are within <limit> ms and reach both halves
 
     Examples:
@@ -100,6 +109,7 @@
       | 2000    | 10000 |
 
   Scenario Outline: the log is read by the two lowest ranks of each region and by lone daemons
+    Guards against a log that every daemon reads, and against a daemon that learns of no version.
     Given a member with <others> other members in its region, rank <rank>
     When its peers have been silent for <silent> seconds
     Then it reads the log: <reads>
--- a/features/control.feature
+++ b/features/control.feature
@@ -1,10 +1,11 @@
 Feature: Control requests between daemons
-  Guards against a daemon that never stops, since its control listener waits for itself.
+  Guards against a daemon that never stops: its control listener waits for its responders to end,
+  while peers go on sending requests or wait for answers.
 
   Scenario Outline: a control listener closes while <peers>
     Given a control listener whose handler <handler>
-    When <count> requests at once are repeated while "<peers>" and it closes
-    Then it has closed and every answer was whole
+    When "<peers>" with <count> concurrent requests and the listener closes
+    Then it has closed and every answer was complete
 
     Examples:
       | peers                      | handler           | count |
--- a/features/http.feature
+++ b/features/http.feature
@@ -35,21 +35,25 @@
       | a body without an end       | POST / HTTP/1.1~Host: x~Content-Length: 9~~abc                                          |          | 0    |
 
   Scenario: a failing handler is logged once and its outcome is unknown
+    Guards against a response that says the request did not run, so that a caller repeats it.
     Given a listener
     When a client sends "GET /fail HTTP/1.1~Host: x~Connection: close~~"
     Then the response has the field "Agatecross-Outcome: unknown" and one line is logged
 
   Scenario: HEAD states the length of the upstream and has no body
+    Guards against a body that the client takes for the start of the next response.
     Given a listener
     When a client sends "HEAD /length HTTP/1.1~Host: x~Connection: close~~"
     Then the response has the field "Content-Length: 77" and no body
 
   Scenario: fields of the connection do not reach the handler
+    Guards against hop-by-hop fields that are passed on to the upstream.
     Given a listener
     When a client sends "POST / HTTP/1.1~Host: x~X-Kept: 1~X-Hop: 2~Connection: close, x-hop~Transfer-Encoding: chunked~~1~a~0~~"
     Then the handler saw the fields "Host,X-Kept" and the body "a"
 
   Scenario Outline: a target in <form> becomes "<path>" at "<host>"
+    Guards against an absolute target that matches no route, and a host that is taken from a query.
     Then the target "<target>" with the field "Host: x" becomes "<path>" at "<host>"
 
     Examples:
@@ -69,14 +73,17 @@
     Then the handler saw the path "/a?b" and the host "y.example"
 
   Scenario: a client that disconnects cancels its handler
+    Guards against work for a client that has gone, which would keep the listener from closing.
     Given a listener
     When a client sends a request that waits and closes its connection
     Then the handler is cancelled and the listener closes
 
   Scenario: no sequence of bytes stops a listener
+    Guards against a malformed message, of a kind that no row above has, that ends the listener.
     Then a listener answers after each of 300 random messages
 
   Scenario Outline: a client whose server <behaviour> ends with "<end>"
+    Guards against a truncated response taken as complete, and a wait beyond the timeout.
     Given a server that answers "<raw>" and then <then>
     When a client sends <method> within <timeout> ms
     Then the exchange ends with "<end>"
@@ -97,6 +104,8 @@
       | sends an interim response      | HTTP/1.1 102 Processing~~HTTP/1.1 200 OK~Content-Length: 1~~a             | waits  | GET    | 5000    | 200                  |
 
   Scenario Outline: a pooled connection that <fault> gives "<ends>" over <connections> connections
+    Guards against a POST that is sent again after it may have run, a late response taken for the
+    next one, and requests that fail because their idle connection had closed.
     Given a server whose connections <fault>
     When a client sends two POST requests one after the other
     Then the exchanges end with "<ends>", the server got <requests> requests over <connections> connections
--- a/features/path.feature
+++ b/features/path.feature
@@ -1,4 +1,4 @@
-Feature: The whole path
+Feature: From a published configuration to an answered call
   Guards against a fleet that starts but does not take up configuration or carry calls.
 
   Scenario: a published configuration is in force and calls are answered
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -1,6 +1,8 @@
 Feature: Calls on the users' platform, between real sockets
-  Daemons, the store and the upstreams' stand-ins run in one process, joined by loopback
-  connections. Zone north-a has daemon d0 (service s0) and d1 (s1), south-a has d2 (s0).
+  Guards against calls that are lost, run twice or get a wrong answer, and against a confirmed drain
+  or leave that is forgotten. Daemons, the store and the upstreams' stand-ins run in one process,
+  joined by loopback connections. Zone north-a has daemon d0 (service s0) and d1 (s1), south-a has
+  d2 (s0).
   Route "/safe/" and "/once/" lead to s0 with 2 attempts, "/peer/" to s1; the timeout is 2 s.
 
   Scenario Outline: answers: <guards against>
@@ -11,7 +13,7 @@
 
     Examples:
       | guards against                              | script    | method | path    | status | runs |
-      | a request that nobody carries               | whole     | GET    | /safe/1 | 200    | 1    |
+      | a request that no daemon forwards           | whole     | GET    | /safe/1 | 200    | 1    |
       | a lost body                                 | whole     | POST   | /once/1 | 200    | 1    |
       | a failure passed on where a repeat is safe  | error     | GET    | /safe/1 | 200    | 2    |
       | a repeat of an unsafe failure               | error     | POST   | /once/1 | 500    | 1    |
@@ -21,14 +23,15 @@
       | bytes that are no response                  | garbled   | GET    | /safe/1 | 200    | 2    |
       | a body that ends early                      | truncated | GET    | /safe/1 | 200    | 2    |
       | a body that ends early, sent on as whole    | truncated | POST   | /once/1 | 502    | 1    |
-      | a body without a length that is dropped     | unframed  | GET    | /safe/1 | 200    | 1    |
-      | a success without proof                     | unstamped | POST   | /once/1 | 502    | 1    |
-      | an encoded body                             | encoded   | POST   | /once/1 | 502    | 1    |
+      | dropping a body that states no length       | unframed  | GET    | /safe/1 | 200    | 1    |
+      | a success without the upstream's stamp      | unstamped | POST   | /once/1 | 502    | 1    |
+      | an encoded body that is passed on           | encoded   | POST   | /once/1 | 502    | 1    |
       | an extra response taken for the next answer | extra     | GET    | /safe/1 | 200    | 1    |
-      | a method that decides on repeats            | reset     | DELETE | /once/1 | 502    | 1    |
+      | a repeat allowed by the method alone        | reset     | DELETE | /once/1 | 502    | 1    |
       | a missing route                             | whole     | GET    | /none/1 | 404    | 0    |
 
   Scenario: an upstream's failure is logged also while served calls are left out
+    Guards against a log that leaves out a failed call together with the served ones.
     Given a platform fleet
     When a caller of d1 sends "GET /safe/1" 50 times
     And upstreams "u0,u2" answer "error"
@@ -37,11 +40,13 @@
     And d1 has logged "call" with "target=/once/boom"
 
   Scenario: what an upstream gets is what the caller sent, with the fields of the system
+    Guards against a changed target or body, and against a caller that forges its service's name.
     Given a platform fleet
     When a caller of d1 sends "POST /peer/a?b=%20c"
     Then upstream "u1" saw target "/peer/a?b=%20c", body "body", caller "s1" and at most 900 ms
 
   Scenario: the time that a slow body takes is not given to the upstream again
+    Guards against a deadline that is counted only from the end of the caller's body.
     Given a platform fleet
     When a caller of d1 sends "POST /peer/a" with its body 400 ms later
     Then upstream "u1" saw target "/peer/a", body "body", caller "s1" and at most 500 ms
@@ -61,6 +66,7 @@
       | a malformed request                | \x01\x02                                                                                | 400      |
 
   Scenario: a failure inside the daemon ends one call, not those beside it on its connection
+    Guards against an exception while a route is looked up that closes the caller's connection.
     Given a platform fleet
     When the choice of a service fails inside d1 for "/safe/boom"
     And a caller of d1 writes "GET /safe/a |GET /safe/boom |GET /safe/c"
@@ -69,12 +75,12 @@
 
   Scenario Outline: leaving: <guards against>
     Given a platform fleet
-    When upstream "u0" tells its daemon "<news>"
+    When upstream "u0" tells its daemon "<messages>"
     And a caller of d1 sends "GET /safe/1" 6 times
     Then upstream "u0" ran "<runs>"
 
     Examples:
-      | guards against                       | news                      | runs  |
+      | guards against                       | messages                  | runs  |
       | an idle upstream                     | ready                     | some  |
       | work after a confirmed drain         | draining                  | none  |
       | work after a confirmed leave         | leave                     | none  |
@@ -84,6 +90,7 @@
       | a state that is not known            | gone                      | some  |
 
   Scenario: a daemon that restarts beside a leaving upstream hands over no work
+    Guards against a late heartbeat that undoes a drain, as the restarted daemon no longer knows it.
     Given a platform fleet
     When upstream "u0" tells its daemon "draining"
     And daemon d0 is killed and started again
@@ -92,8 +99,10 @@
     Then upstream "u0" ran "none"
 
   Scenario Outline: a fleet that is killed whole keeps a confirmed <what>
+    Guards against a leave or drain that is kept in the daemons' memory only: after a restart of all
+    daemons, a late heartbeat would undo it.
     Given a platform fleet
-    When upstream "u0" tells its daemon "<news>"
+    When upstream "u0" tells its daemon "<messages>"
     And every daemon is killed and started again
     And upstream "u0" tells its daemon "late ready"
     And upstream "u2" tells its daemon "ready"
@@ -102,13 +111,14 @@
     Then upstream "u0" ran "none"
 
     Examples:
-      | what                                          | news                     |
+      | what                                          | messages                 |
       | drain                                         | draining                 |
       | leave                                         | leave                    |
       | leave of an upstream that sent no heartbeat   | replaced; leave          |
       | leave of the upstream after one that left     | leave; replaced; leave   |
 
   Scenario: a fleet that is killed whole twice keeps a confirmed leave
+    Guards against a leave that survives the first restart of all daemons, but not the second.
     Given a platform fleet
     When upstream "u0" tells its daemon "leave"
     And every daemon is killed and started again
@@ -122,18 +132,19 @@
   Scenario Outline: a leave while the store <store> is answered <status> and obeyed
     Given a platform fleet
     When the store "<store>"
-    And upstream "u0" tells its daemon "<news>"
+    And upstream "u0" tells its daemon "<messages>"
     And a caller of d1 sends "GET /safe/1" 6 times
     Then upstream "u0" was answered <status> and ran "none"
 
     Examples: guards against a confirmation that the fleet forgets when it is killed
-      | store    | news         | status |
-      | works    | leave        | 200    |
-      | works    | leave; leave | 200    |
-      | refuses  | leave        | 503    |
-      | is silent | leave       | 503    |
+      | store     | messages     | status |
+      | works     | leave        | 200    |
+      | works     | leave; leave | 200    |
+      | refuses   | leave        | 503    |
+      | is silent | leave        | 503    |
 
   Scenario: a leave that was not confirmed is confirmed once the store answers
+    Guards against an upstream whose leave is refused for good after the store has failed once.
     Given a platform fleet
     When the store "refuses"
     And upstream "u0" tells its daemon "leave"
@@ -143,6 +154,7 @@
     Then upstream "u0" was answered 200 and ran "none"
 
   Scenario: a safe call that hangs is answered by a second upstream
+    Guards against a caller that waits for a silent upstream while another one could answer.
     Given a platform fleet
     When a caller of d1 sends "GET /safe/1" 6 times
     And upstreams "u0,u2" answer "hold"
@@ -150,6 +162,7 @@
     Then the answer is 200 and all upstreams ran it 8 times
 
   Scenario: a call that may not be repeated waits for its only upstream
+    Guards against a second run of an unsafe call whose answer is slow.
     Given a platform fleet
     When a caller of d1 sends "POST /once/1" 6 times
     And upstreams "u0,u2" answer "hold"
@@ -157,6 +170,7 @@
     Then the answer is 504 and all upstreams ran it 7 times
 
   Scenario: a cold upstream uses all of its slots
+    Guards against a warm-up period that keeps slots idle: two calls must run at once on two slots.
     Given a platform fleet
     When upstream "u1" tells its daemon "ready sequence=90 slots=2 coldRemaining=60s"
     And upstreams "u1" answer "hold,hold"
@@ -164,12 +178,14 @@
     Then the answer is 504 and all upstreams ran it 2 times
 
   Scenario: an upstream that crashes is left out until it is back
+    Guards against calls that fail because they are still sent to the crashed upstream.
     Given a platform fleet
     When upstream "u0" crashes
     And a caller of d1 sends "GET /safe/1" 6 times
     Then every answer was 200
 
   Scenario: a call that a hop connection lost is asked for again and runs once
+    Guards against a second run or a lost answer after a connection between daemons broke.
     Given a platform fleet
     When upstreams "u0,u2" answer "hold"
     And a caller of d1 sends "POST /once/1" while the hop connections are cut
@@ -177,29 +193,32 @@
 
   Scenario Outline: configuration: <guards against>
     Given a platform fleet
-    When the store "<trouble>"
+    When the store "<fault>"
     And the operator writes version <version> with route "/new/"
     Then every daemon has version <in_force> in force
 
     Examples:
-      | guards against                        | trouble | version | in_force |
+      | guards against                        | fault   | version | in_force |
       | a change that is not followed         | works   | 8       | 8        |
       | an older version                      | works   | 3       | 7        |
       | history that is gone                  | forgets | 8       | 8        |
       | a record that cannot be read          | garbles | 8       | 8        |
 
-  # Each daemon picks the readers of the store itself: with other figures, each may name another one.
+  # Each daemon selects the readers of the store from its own rows. With different rows, each daemon
+  # may select another one.
   Scenario: daemons that see a row of their own differently than their peers leave the store unread
     Given a platform fleet
     Then each daemon knows of itself what its peers know of it, with the latency of the store
 
   Scenario: a daemon without a configuration answers 503 and is not ready
+    Guards against a daemon that takes calls before it has read a configuration.
     Given a platform fleet whose store is refusing
     When a caller of d1 sends "GET /safe/1"
     Then the answer is 503 and all upstreams ran it 0 times
     And daemon d1 is not ready
 
   Scenario: a stopping daemon finishes its calls and takes no new ones from peers
+    Guards against a graceful stop that cuts off the calls in progress.
     Given a platform fleet
     When upstreams "u0,u2" answer "hold"
     And a caller of d1 sends "POST /once/1" while d1 is stopped
@@ -207,6 +226,7 @@
     And daemon d1 is not ready
 
   Scenario: a request that crashes upstreams is refused after the second death
+    Guards against one request that crashes every upstream of its service in turn.
     Given a platform fleet
     When upstreams "u0,u2" answer "crash,crash"
     And a caller of d1 sends "GET /safe/poison"
@@ -218,12 +238,14 @@
     Then the answer is 200 and all upstreams ran it 3 times
 
   Scenario: a caller that leaves cancels its safe call at the upstream
+    Guards against upstreams that go on working for a caller that closed its connection.
     Given a platform fleet
     When upstreams "u0,u2" answer "hold"
     And a caller of d1 sends "GET /safe/1" and leaves
     Then no upstream still works on it within the deadline of a call
 
   Scenario: a call whose time is up is answered although the upstream is silent
+    Guards against a caller that waits beyond its deadline for an upstream that does not answer.
     Given a platform fleet
     When upstreams "u0,u2" answer "hold"
     And a caller of d1 sends "GET /safe/1"
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -1,5 +1,6 @@
 Feature: Decisions about relayed calls
-  Guards against requests that run twice, refusals that are not true, and repeats that overload.
+  Guards against requests that run twice, requests reported as not run that did run, and repeats
+  that overload the upstreams.
 
   # Results: ran STATUS | refused REASON [arrived] | lost REASON; "-" ends the script of upstreams.
   Scenario Outline: flow: <guards against>
@@ -8,21 +9,21 @@
     Then the call ends as "<end>" after <sent> handovers
 
     Examples:
-      | guards against                          | repeat | attempts | endpoints | budget | results                                    | end                   | sent |
-      | a repeat after an answer                | safe   | 2        | 3         | 9      | ran 200                                    | ran 200               | 1    |
-      | a failure that another upstream mends   | safe   | 2        | 3         | 9      | ran 500; ran 200                           | ran 200               | 2    |
-      | a lost answer of a safe call            | safe   | 2        | 3         | 9      | lost connection-lost; ran 200              | ran 200               | 2    |
-      | a second run of an unsafe call          | once   | 2        | 3         | 9      | lost connection-lost                       | lost connection-lost  | 1    |
-      | a second run after the upstream failed  | once   | 2        | 3         | 9      | ran 500                                    | ran 500               | 1    |
-      | giving up an unsafe call that was shed  | once   | 2        | 3         | 9      | refused shed arrived; ran 200              | ran 200               | 2    |
-      | more runs than the route allows         | safe   | 1        | 3         | 9      | ran 500                                    | ran 500               | 1    |
-      | more repeats than the budget            | safe   | 2        | 3         | 0      | ran 500                                    | ran 500               | 1    |
-      | a free refusal that costs budget        | safe   | 2        | 3         | 0      | refused overloaded; ran 200                | ran 200               | 2    |
-      | a refusal after a possible run          | safe   | 2        | 3         | 9      | lost connection-lost; refused overloaded; refused overloaded | lost connection-lost | 3 |
-      | a failure hidden by a refusal           | safe   | 2        | 2         | 9      | ran 500; refused overloaded                | ran 500               | 2    |
-      | an answer where nobody can serve        | safe   | 2        | 0         | 9      | -                                          | refused no-upstream   | 0    |
-      | endless handovers                       | once   | 2        | 9         | 9      | refused overloaded; refused overloaded; refused overloaded | refused overloaded | 3 |
-      | work for a caller whose time is up      | safe   | 2        | 3         | 9      | lost timeout                               | lost timeout          | 1    |
+      | guards against                               | repeat | attempts | endpoints | budget | results                                    | end                   | sent |
+      | a repeat after an answer                     | safe   | 2        | 3         | 9      | ran 200                                    | ran 200               | 1    |
+      | a failure passed on without a repeat         | safe   | 2        | 3         | 9      | ran 500; ran 200                           | ran 200               | 2    |
+      | a lost answer of a safe call                 | safe   | 2        | 3         | 9      | lost connection-lost; ran 200              | ran 200               | 2    |
+      | a second run of an unsafe call               | once   | 2        | 3         | 9      | lost connection-lost                       | lost connection-lost  | 1    |
+      | a second run after the upstream failed       | once   | 2        | 3         | 9      | ran 500                                    | ran 500               | 1    |
+      | giving up an unsafe call that was shed       | once   | 2        | 3         | 9      | refused shed arrived; ran 200              | ran 200               | 2    |
+      | more runs than the route allows              | safe   | 1        | 3         | 9      | ran 500                                    | ran 500               | 1    |
+      | more repeats than the budget                 | safe   | 2        | 3         | 0      | ran 500                                    | ran 500               | 1    |
+      | budget spent on a call that did not run      | safe   | 2        | 3         | 0      | refused overloaded; ran 200                | ran 200               | 2    |
+      | a refusal after a possible run               | safe   | 2        | 3         | 9      | lost connection-lost; refused overloaded; refused overloaded | lost connection-lost | 3 |
+      | a failure hidden by a refusal                | safe   | 2        | 2         | 9      | ran 500; refused overloaded                | ran 500               | 2    |
+      | a call without upstreams that is not refused | safe   | 2        | 0         | 9      | -                                          | refused no-upstream   | 0    |
+      | endless handovers                            | once   | 2        | 9         | 9      | refused overloaded; refused overloaded; refused overloaded | refused overloaded | 3 |
+      | work for a caller whose time is up           | safe   | 2        | 3         | 9      | lost timeout                               | lost timeout          | 1    |
 
   # Events: accept N, finish N, resume N, +MS; each gives new, seen, done, pending or fenced.
   Scenario Outline: ledger: <guards against>
@@ -35,27 +36,27 @@
       | a late arrival after "not run"       | resume 1; accept 1                    | fenced; seen             |
       | a lost answer                        | accept 1; finish 1; resume 1          | new; -; done             |
       | a refusal of running work            | accept 1; resume 1                    | new; pending             |
-      | a running call that is forgotten     | accept 1; +20000; accept 2; resume 1  | new; -; new; pending     |
-      | a fence that is lifted too early     | resume 1; +9000; accept 1             | fenced; -; seen          |
+      | a running call dropped by its age    | accept 1; +20000; accept 2; resume 1  | new; -; new; pending     |
+      | a fence that expires too early       | resume 1; +9000; accept 1             | fenced; -; seen          |
 
-  # Events: beat ID BORN SEQ STATE, leave ID [BORN]; each gives yes or no.
+  # Events: beat ID BORN SEQ STATE, leave ID [BORN]; each is accepted (yes) or ignored (no).
   Scenario Outline: announcements: <guards against>
     When an upstream announces "<events>"
-    Then the announcements are believed "<believed>"
+    Then the announcements are accepted "<accepted>"
 
     Examples:
-      | guards against                              | events                                                  | believed     |
+      | guards against                              | events                                                  | accepted     |
       | ignoring a heartbeat                        | beat a 10 1 ready; beat a 10 2 draining                 | yes; yes     |
       | a heartbeat out of order                    | beat a 10 2 ready; beat a 10 1 ready                    | yes; no      |
       | a late heartbeat of an earlier start        | beat b 20 1 ready; beat a 10 9 ready                    | yes; no      |
-      | counts that start anew                      | beat a 10 9 ready; beat a 20 1 ready                    | yes; yes     |
+      | sequence numbers that restart at one        | beat a 10 9 ready; beat a 20 1 ready                    | yes; yes     |
       | a drain that is taken back                  | beat a 10 1 draining; beat a 10 2 ready                 | yes; no      |
       | a leave that is taken back                  | beat a 10 1 ready; leave a; beat a 10 2 ready           | yes; yes; no |
       | a late leave of an earlier start            | beat a 20 1 ready; leave a 10; beat a 20 2 ready        | yes; no; yes |
       | a leave confirmed before a restart          | leave a 10; beat a 10 7 ready                           | yes; no      |
       | a leave of another instance                 | beat b 20 1 ready; leave a 10                           | yes; no      |
       | a leave before the first heartbeat          | beat a 10 1 ready; leave b 20; beat b 20 1 ready        | yes; yes; no |
-      | a leave of nobody known without a start     | leave a                                                 | no           |
+      | an unknown instance's leave without a start | leave a                                                 | no           |
       | another service at the address              | other a 10 1 ready                                      | no           |
       | another address                             | elsewhere a 10 1 ready                                  | no           |
 
@@ -68,8 +69,8 @@
       | guards against                        | events                                                                   | actions                                   |
       | more calls than slots                 | call a 1 900; call b 1 900; call c 1 900                                 | start a; start b                          |
       | idle slots                            | call a 1 900; call b 1 900; call c 1 900; done a                         | start a; start b; start c                 |
-      | minor work before major               | call a 1 900; call b 1 900; call c 2 900; call d 0 900; done a           | start a; start b; start d                 |
-      | a wait without hope                   | learn r 100; call a 1 900; call b 1 900; call c 1 90                     | start a; start b; refuse c overloaded     |
+      | low-priority work started first       | call a 1 900; call b 1 900; call c 2 900; call d 0 900; done a           | start a; start b; start d                 |
+      | a wait beyond the deadline            | learn r 100; call a 1 900; call b 1 900; call c 1 90                     | start a; start b; refuse c overloaded     |
       | answers that all come too late        | learn r 100; call a 1 900 200; call b 1 900 200; call c 1 900 200; call d 1 900 200; call e 1 900 200 | start a; start b; refuse d overloaded; refuse e overloaded |
       | a start that cannot end in time       | call a 1 900; call b 1 900; call c 1 300; learn r 600; done a            | start a; start b; refuse c deadline       |
       | calls of running work that wait last  | call a 1 900; call b 1 900; call c 1 900 300; call d 1 200 60; done a; done b | start a; start b; start d; start c   |
@@ -92,8 +93,9 @@
       | the case of the host           | A.Example      | /x/1      | a.example/x/   |
 
   Scenario: a split keeps its weights over any 10 requests in a row
+    Guards against a split that keeps its weights only on average, so that one service gets a burst.
     Given routes "a.example /x/", "a.example /x/y/", "b.example /" and "split.example /s/ 9:1"
-    Then of 1000 requests on "split.example" "/s/1" each 10 in a row give service "s1" 1
+    Then of 1000 requests on "split.example" "/s/1" any 10 in a row give service "s1" exactly 1
 
   # Rows: ID INCARNATION SEQUENCE STATE [ADDRESS]; this daemon is "me 100 0".
   Scenario Outline: directory: <guards against>
@@ -120,31 +122,31 @@
       | more than the fleet's ratio         | 16      | 100    | 0     | 1   | 20   |
       | more than a share of the slack      | 16      | 0      | 20000 | 2   | 4    |
 
-  # A caller's request makes 1.4 calls; every call and every request fails and is repeated when the
-  # budget of its service allows. Calls of a repeated request count as repeats at the service called.
+  # A request makes 1.4 calls on average. Every request and every call fails, and is repeated if the
+  # budget of its service allows. Calls of a repeated request count as repeats at the called service.
   Scenario Outline: budget of a chain: <guards against>
     Given 16 daemons whose requests come <rate> a second for 30 s, all failing
-    Then no 10 s bring the called service more repeats than 0.2 of its requests and 60
+    Then in no 10 s the called service gets more repeats than 0.2 of its requests plus 60
 
     Examples:
       | guards against                     | rate |
       | repeats saved up at a low rate     | 20   |
       | repeats of repeats at a usual rate | 200  |
-      | repeats of repeats at a crest      | 800  |
+      | repeats of repeats at a peak       | 800  |
 
   Scenario Outline: answers: <guards against>
     Then a response <status> with fields "<fields>" means "<result>"
 
     Examples:
-      | guards against                        | status | fields                       | result                |
-      | an answer that is dropped             | 200    | stamp                        | ran 200               |
-      | an upstream's failure that is changed | 500    | stamp                        | ran 500               |
-      | a success that nobody made            | 200    | server                       | lost bad-answer       |
-      | bytes that were encoded on the way    | 200    | stamp; content-encoding      | lost bad-answer       |
-      | a shed call taken as run              | 503    | not-run                      | refused shed          |
-      | another instance's refusal            | 421    | instance                     | refused wrong-instance |
-
-  # Times in milliseconds; "-" is an unknown usual time and a second attempt that is not made.
+      | guards against                         | status | fields                       | result                |
+      | an answer that is dropped              | 200    | stamp                        | ran 200               |
+      | an upstream's failure that is replaced | 500    | stamp                        | ran 500               |
+      | a success that no upstream sent        | 200    | server                       | lost bad-answer       |
+      | bytes that were encoded on the way     | 200    | stamp; content-encoding      | lost bad-answer       |
+      | a shed call taken as run               | 503    | not-run                      | refused shed          |
+      | another instance's refusal             | 421    | instance                     | refused wrong-instance |
+
+  # Times in milliseconds; "-" stands for an unknown usual time, or for no second attempt.
   Scenario Outline: second attempt: <guards against>
     Then a call that usually takes <usual>, with <objective> of its objective and <left> left, is tried again after <delay>
 
@@ -152,5 +154,5 @@
       | guards against                             | usual | objective | left | delay |
       | a slow run that misses its objective       | 50    | 250       | 600  | 175   |
       | a second run of every usual call           | 100   | 150       | 600  | 200   |
-      | a guess about an unknown route             | -     | 250       | 600  | -     |
+      | a second run without a known usual time    | -     | 250       | 600  | -     |
       | a second run that cannot end in time       | 300   | 400       | 800  | -     |
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -43,7 +43,7 @@
       | a slow answer moves calls away            | a@aarhus-a b@aalborg-b          | all ran 10 *10; a ran 60            | first   |       | b      |
       | the slow time ends                        | a@aarhus-a b@aalborg-b          | all ran 10 *10; a ran 60; wait 450  | first   |       | a      |
       | a frozen upstream gives no answers        | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 40   | first   |       | b      |
-      | a second frozen call doubles the time     | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 40; look; wait 450; a starts; wait 40; look; wait 500 | first | | b |
+      | a second frozen call doubles the time     | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 40; choose; wait 450; a starts; wait 40; choose; wait 500 | first | | b |
       | one long call is no slowness              | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 5; a ran 10; wait 100 | first | | a    |
       | a long call that ends is no slowness      | a@aarhus-a b@aalborg-b          | all ran 10 *10; a overlaps 90       | first   |       | a      |
       | fewer calls and lower latency win         | a@aarhus-a b@aarhus-a           | a ran 10 *20; b ran 25 *20          | first   |       | a      |
@@ -60,8 +60,9 @@
       | a failing upstream is tried again         | a@aarhus-a b@aalborg-b          | all ran 10 *10; a errors 1 *5; wait 3000 | first |    | a      |
 
   Scenario Outline: an upstream that became ready <age> ms ago gets between <low> and <high> percent
+    Guards against a full share of the calls for an upstream that has just started.
     Given the balancer "adaptive" over upstreams "a@aarhus-a b@aarhus-a"
-    When "all ran 10 *10; b becomes starting; b becomes ready; look; wait <age>" happens
+    When "all ran 10 *10; b becomes starting; b becomes ready; choose; wait <age>" happens
     Then upstream "b" gets between <low> and <high> percent of the first attempts
 
     Examples:
@@ -71,6 +72,7 @@
       | 5000 | 40  | 60   |
 
   Scenario Outline: a hedge starts <delay>: <case>
+    Guards against hedges of usual calls, and hedges that add to an overload.
     Given the balancer "adaptive" over upstreams "a@aarhus-a b@aarhus-a"
     When "<events>" happens
     Then an attempt with hedge quantile <quantile> is hedged after "<delay>"
@@ -85,6 +87,7 @@
       | losers keep the quantile up | a ran 10 *30; a cancelled 30 *10   | 0.95     | 30    |
 
   Scenario Outline: the balancer "<name>" <what>
+    Guards against a named policy that does not choose as its name says.
     Given the balancer "<name>" over upstreams "a@aarhus-a b@aarhus-a c@roskilde-b"
     When "<events>" happens
     Then 6 first attempts go to "<chosen>"
--- a/features/routing_flow.feature
+++ b/features/routing_flow.feature
@@ -36,9 +36,12 @@
       | hedged         | 2        | 9      | a b c     | lost, ran              | attempt a, attempt b            | ran                     |
 
   Scenario: the deadline, the budget, the attempts and the counts hold for random calls
+    Guards against orders of events that no written case has: attempts past a limit, a second run of
+    a non-idempotent call, and attempts whose end the balancer is not told.
     Then random calls in virtual time keep every limit
 
   Scenario Outline: groups from bucket data, <data>, seed <seed>
+    Guards against a group that is not found, and against upstreams grouped by chance or by a peak.
     When a detector observes 60 seconds of "<data>" with seed <seed>
     Then its groups are "<groups>"
 
@@ -60,15 +63,18 @@
       | hidden group and peak    | 2    | 0 1 2   |
 
   Scenario: a group expires when its members no longer slow down together
+    Guards against upstreams that stay grouped after their common cause has gone.
     When a detector observes 60 seconds of "hidden group" with seed 1
     And a detector observes 130 seconds of "noise" with seed 2
     Then its groups are ""
 
   Scenario: the state of the detector stays within its limits
+    Guards against memory that grows with the number of upstreams and with time.
     When a detector observes 2000 upstreams for 120 seconds
     Then it keeps at most 512 tracks of at most 601 buckets
 
   Scenario Outline: the driver reports how attempts end, <case>
+    Guards against attempts that go on after their call, or whose end the balancer is told wrongly.
     Given a peer "a" that answers "<first>" after <wait> ms and a peer "b" that answers "ran" after 20 ms
     When the driver carries a call that is hedged after 30 ms
     Then the caller gets "<result>" and the balancer learned "<learned>"
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -20,7 +20,7 @@
     When SIGHUP and SIGTERM come before its interpreter runs, and are blocked
     Then it ends with code 0 and logs "daemon_started" never
 
-    Examples: guards against a supervisor that cannot close the gap before the first line
+    Examples: guards against signals lost before the daemon's first line, although they were blocked
       | kind     |
       | relaying |
       | fleet    |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,9 +1,10 @@
 Feature: Checks of the fault soak
-  Guards against a soak that passes although a promise was broken, and against seeds that do not
-  repeat.
+  Guards against a soak that passes although a promise was broken, and against seeds whose schedule
+  of faults differs from run to run.
 
   Scenario Outline: a history with <what> breaks "<promise>"
-    Given a sound history of a soak
+    Guards against a check that misses a broken promise or reports one that was kept.
+    Given a history of a soak without violations
     When it also holds <what>
     Then exactly "<promise>" is reported
 
@@ -24,6 +25,8 @@
       | requests that fail at the end        | recovers             |
 
   Scenario Outline: a signal to an ended process that is <state> leaves its exit code to the watcher
+    Guards against a signal that collects the exit code of an ended process, as Popen.send_signal
+    does: the code that waits for the process would then not get it.
     Given a process of a soak that has ended with code 3 and is <state>
     When the soak sends it a signal
     Then its exit code is <code>
@@ -34,6 +37,7 @@
       | reaped     | lost |
 
   Scenario: a seed gives the same schedule every time
+    Guards against a failed seed that cannot be repeated, and kinds of fault that no seed has.
     Then the schedules of seeds 1 to 40 repeat, overlap and hold every kind of fault
 
   Scenario Outline: a listing of known failures: <guards against>
@@ -42,7 +46,7 @@
 
     Examples:
       | guards against                    | line                        | seeds   |
-      | a listed seed that is counted     | test: soak seed 102         | 102     |
+      | a known failure that is counted   | test: soak seed 102         | 102     |
       | the second of two listed seeds    | test: soak seeds 304 and 403 | 304 403 |
-      | a seed that a scenario's name has | test: a call of seed 12     |         |
-      | a seed that is only described     | seen: soak seed 7 passed    |         |
+      | a seed in a scenario's name       | test: a call of seed 12     |         |
+      | a seed in another line            | seen: soak seed 7 passed    |         |
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -64,12 +64,12 @@
     context.handler = {"answers": echo, "does not answer": no_answer}[handler]
 
 
-@when('{count:d} requests at once are repeated while "{peers}" and it closes')
+@when('"{peers}" with {count:d} concurrent requests and the listener closes')
 def close_listener(context, count, peers):
     context.closed, context.answers = asyncio.run(close_during_requests(context.handler, count))
 
 
-@then("it has closed and every answer was whole")
+@then("it has closed and every answer was complete")
 def check_closed(context):
-    assert context.closed, "the listener waits for an answerer that went on"
+    assert context.closed, "the listener waits for a responder that goes on"
     assert all(answer == NOTICE for answer in context.answers), context.answers[:3]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -332,13 +332,13 @@
     context.testbed.run(work())
 
 
-@when('upstream "{name}" tells its daemon "{news}"')
-def step_send_messages(context, name, news):
+@when('upstream "{name}" tells its daemon "{messages}"')
+def step_send_messages(context, name, messages):
     number = int(name[1:])
     upstream = context.testbed.upstreams[number]
 
     async def work():
-        for item in news.split("; "):
+        for item in messages.split("; "):
             state, *changes = item.split()
             if state == "leave":
                 daemon = context.testbed.sidecars[number].settings.heartbeats
@@ -472,15 +472,15 @@
     assert context.testbed.run(ask()) == 503
 
 
-@when('the store "{trouble}"')
-def step_trouble(context, trouble):
-    if trouble == "forgets":
+@when('the store "{fault}"')
+def step_store_fault(context, fault):
+    if fault == "forgets":
         context.testbed.store.compact("keyed.op")
-    elif trouble in ("refuses", "answers"):
-        context.testbed.store.switches.refuse = trouble == "refuses"
-    elif trouble == "is silent":
+    elif fault in ("refuses", "answers"):
+        context.testbed.store.switches.refuse = fault == "refuses"
+    elif fault == "is silent":
         context.testbed.store.switches.silent = True
-    elif trouble == "garbles":
+    elif fault == "garbles":
         context.testbed.store.put("keyed.op", "config", b'{"version": 5}')
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -136,23 +136,23 @@
 
 @when('an upstream announces "{script}"')
 def step_announce(context, script):
-    table, context.believed = HeartbeatFilter("shop", "10.0.0.1:80"), []
+    table, context.accepted = HeartbeatFilter("shop", "10.0.0.1:80"), []
     for word, instance, *rest in parse_events(script):
         if word == "leave":
             born = int(rest[0]) if rest else None
-            context.believed.append(table.leave(instance, born))
+            context.accepted.append(table.leave(instance, born))
             continue
         born, sequence, state = int(rest[0]), int(rest[1]), UpstreamState(rest[2])
         service = "other" if word == "other" else "shop"
         address = "10.0.0.2:80" if word == "elsewhere" else "10.0.0.1:80"
         beat = Heartbeat(instance, service, address, state, 4, Millis(0), born, sequence)
-        context.believed.append(table.accept(beat, Millis(0)))
+        context.accepted.append(table.accept(beat, Millis(0)))
 
 
-@then('the announcements are believed "{believed}"')
-def step_believed(context, believed):
-    found = ["yes" if row else "no" for row in context.believed]
-    assert found == believed.split("; "), found
+@then('the announcements are accepted "{accepted}"')
+def step_accepted(context, accepted):
+    found = ["yes" if row else "no" for row in context.accepted]
+    assert found == accepted.split("; "), found
 
 
 @when('the slot queue sees "{script}"')
@@ -212,8 +212,8 @@
 
 
 @then(
-    'of {total:d} requests on "{host}" "{path}" each {span:d} in a row '
-    'give service "{service}" {count:d}'
+    'of {total:d} requests on "{host}" "{path}" any {span:d} in a row '
+    'give service "{service}" exactly {count:d}'
 )
 def step_split(context, total, host, path, span, service, count):
     split, route = WeightedSplit(), context.host_table.find(host, path)
@@ -297,7 +297,7 @@
             calls(rng.randrange(daemons), now, True)
 
 
-@then("no 10 s bring the called service more repeats than 0.2 of its requests and 60")
+@then("in no 10 s the called service gets more repeats than 0.2 of its requests plus 60")
 def step_repeat_bound(context):
     for start in range(0, 20_001, 250):
         end = start + 10_000
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -133,7 +133,7 @@
         for _ in range(times):
             if words[0] == "wait":
                 self.now += float(words[1])
-            elif words[0] == "look":
+            elif words[0] == "choose":
                 self.choose()
             elif words[0] == "group":
                 group = frozenset(words[1].split(","))
@@ -354,7 +354,7 @@
     call = st.tuples(st.floats(0, 8), kinds, st.floats(20, 400), st.tuples(end, end, end))
     hedges = []
 
-    # Shrinking a script of a hundred calls takes minutes and would delay a red verdict.
+    # Shrinking a script of a hundred calls takes minutes and would delay the report of a failure.
     @settings(
         derandomize=True,
         max_examples=60,
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -61,8 +61,8 @@
 }
 
 
-@given("a sound history of a soak")
-def step_sound(context):
+@given("a history of a soak without violations")
+def step_history_without_violations(context):
     history = History()
     history.asked += [asked("a", Seen.ANSWERED), asked("b", Seen.FAILED, status=502)]
     history.asked.append(asked("c", Seen.REFUSED, status=503))
--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -79,7 +79,7 @@
     context.draws = [draw_failed_calls(context, count, seed) for _ in range(2)]
 
 
-@then('{drawn:d} of {failed:d} are drawn, the same again, and the table has "{rows}"')
+@then('{drawn:d} of {failed:d} are drawn, the same both times, and the table has "{rows}"')
 def step_drawn(context, drawn, failed, rows):
     first, second = context.draws
     assert first.stdout == second.stdout and first.returncode == 0, context.draws
@@ -90,6 +90,6 @@
     assert shown >= set(filter(None, rows.split(", "))), first.stdout
 
 
-@then('{drawn:d} of {failed:d} are drawn, the same again, and the table has ""')
+@then('{drawn:d} of {failed:d} are drawn, the same both times, and the table has ""')
 def step_drawn_any(context, drawn, failed):
     step_drawn(context, drawn, failed, "")
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -109,7 +109,7 @@
             return hints + start + b"content-length: 1\r\n\r\nb"
 
 
-@when('beside calls of "{other}" a caller of d{number:d} sends "{line}"')
+@when('during calls of "{other}" a caller of d{number:d} sends "{line}"')
 def step_send_during_calls(context, other, number, line):
     async def work():
         sending = asyncio.ensure_future(context.testbed.send(number, line))
@@ -122,7 +122,7 @@
     context.answer, context.answers = context.testbed.run(work())
 
 
-@then("the answer is {status:d} and it was read at most {most:d} KiB, all others got 200")
+@then("the answer is {status:d}, at most {most:d} KiB of it were read and all other calls got 200")
 def step_bounded(context, status, most):
     read = max(context.counter.read.values())
     print(f"read {read / KIB:.0f} KiB of the endless answer")
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -1,5 +1,5 @@
 Feature: Telemetry
-  Guards against hops that are missing from a trace.
+  Guards against hops that are missing from a trace, and metrics that are missing or change units.
 
   Scenario: a call has one span for each hop, all in the caller's trace
     Given daemons write their spans to the log
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -9,13 +9,13 @@
     And the causes of the logs count it as "<cause>"
 
     Examples:
-      | guards against              | script    | line         | status | cause           |
-      | an unexplained refusal      | shed,shed | POST /once/1 | 503    | shed            |
-      | an unexplained unknown end  | reset     | POST /once/1 | 502    | connection-lost |
-      | an unexplained bad answer    | garbled  | POST /once/1 | 502    | bad-answer      |
-      | an unexplained timeout      | hold      | GET /safe/1  | 504    | timeout         |
-      | an upstream's own failure   | error     | POST /once/1 | 500    | upstream-failed |
-      | an unexplained missing route | whole    | GET /none/1  | 404    | no-route        |
+      | guards against                 | script    | line         | status | cause           |
+      | an unexplained refusal         | shed,shed | POST /once/1 | 503    | shed            |
+      | an unexplained unknown outcome | reset     | POST /once/1 | 502    | connection-lost |
+      | an unexplained bad answer      | garbled   | POST /once/1 | 502    | bad-answer      |
+      | an unexplained timeout         | hold      | GET /safe/1  | 504    | timeout         |
+      | an upstream's own failure      | error     | POST /once/1 | 500    | upstream-failed |
+      | an unexplained missing route   | whole     | GET /none/1  | 404    | no-route        |
 
   Scenario Outline: the deciding line: <guards against>
     Given the logs of several daemons in one file
@@ -70,13 +70,14 @@
       | a value that was cut off taken for whole    | half    | 0    | reason=timeout\ncause                                        |
       | a served call whose status was cut off      | short   | 6    | the end of the call was not logged                           |
       | a line lost behind a cut quoted value       | behind  | 0    | cause: served                                                |
-      | a line mixed up behind a cut quoted value   | inside  | 0    | reason=shed\ncause: shed                                     |
+      | a cut quote that takes in the next line     | inside  | 0    | reason=shed\ncause: shed                                     |
       | a run's refused call whose end was left out | outer   | 0    | cause: inner:overloaded: a call it made, whose end was not logged: every upstream that was asked had a queue longer than the objective (LOG:26) |
       | a line lost behind a cut one                | whole   | 0    | cause: shed                                                  |
       | a call that a caller's target invents       | forged  | 1    | no event of call 'forged' in 1 files                         |
       | an end that the daemons may have left out   | gone    | 1    | the daemons left out 7 events                                |
 
   Scenario: events of two processes whose files have the same name are not mixed
+    Guards against a stop of one daemon that is given as the cause of another daemon's call.
     Given a log "d0/daemon.log" with
       """
       time=1.0 event=daemon_started daemon=d0
@@ -100,7 +101,7 @@
       time=2.5 event=call call_id=e service=s0 outcome=unknown reason=timeout status=504
       """
     When <count> failed calls are drawn with seed <seed>
-    Then <drawn> of <failed> are drawn, the same again, and the table has "<rows>"
+    Then <drawn> of <failed> are drawn, the same both times, and the table has "<rows>"
 
     Examples:
       | guards against                     | count | seed | drawn | failed | rows                                                     |
@@ -133,5 +134,5 @@
       | an id that is not there                 | trace nowhere  | 1    | no event of call 'nowhere' in 1 files |
       | lines that cannot be read               | trace e        | 1    | no event of call 'e'                  |
       | refusals that are not counted           | causes         | 0    | 1 s0 not-run overloaded               |
-      | events left out that are not told       | causes         | 0    | 3 events were left out                |
+      | left-out events that are not reported   | causes         | 0    | 3 events were left out                |
       | output that a program cannot read       | causes --format=json | 0 | "left_out":3                        |
--- a/features/upstream_bytes.feature
+++ b/features/upstream_bytes.feature
@@ -1,14 +1,15 @@
 Feature: An upstream that writes bytes without end
-  The stand-in upstream writes until its connection is closed. Zone north-a has daemon d0 (service
-  s0) and d1 (s1), south-a has d2 (s0). "/safe/" and "/peer/" lead to s0 and s1, "/peer/" is unsafe;
-  upstream u1 has one slot, so its next call runs only when the slot of the endless one is free.
+  Guards against an endless response that fills the daemon's memory, delays other calls or keeps its
+  slot. The stand-in upstream writes until its connection is closed. Zone north-a has daemon d0
+  (service s0) and d1 (s1), south-a has d2 (s0). "/safe/" leads to s0, "/peer/" to s1 and is unsafe.
+  Where upstream u1 has one slot, its next call runs only when the endless one has freed it.
 
   Scenario Outline: an unsafe call: <part> without end
     Given a platform fleet that counts what its upstreams send
     When upstream "u1" tells its daemon "ready sequence=90 slots=1"
     And upstreams "u1" answer with endless "<part>"
-    And beside calls of "GET /safe/1" a caller of d0 sends "POST /peer/1"
-    Then the answer is <status> and it was read at most <most> KiB, all others got 200
+    And during calls of "GET /safe/1" a caller of d0 sends "POST /peer/1"
+    Then the answer is <status>, at most <most> KiB of it were read and all other calls got 200
     And "u1" has no open exchange, its connection is closed and it keeps no bytes
     When a caller of d0 sends "POST /peer/2"
     Then the answer is 200 and upstream "u1" ran 2 calls
@@ -32,10 +33,11 @@
       | after the answer  | 200    | 512  |
 
   Scenario Outline: a safe call is answered by another upstream: <part> without end
+    Guards against a safe call that fails with its first upstream, and a read beyond the limits.
     Given a platform fleet that counts what its upstreams send
     When upstreams "u0,u2" answer with endless "<part>"
-    And beside calls of "POST /peer/1" a caller of d1 sends "GET /safe/1"
-    Then the answer is 200 and it was read at most <most> KiB, all others got 200
+    And during calls of "POST /peer/1" a caller of d1 sends "GET /safe/1"
+    Then the answer is 200, at most <most> KiB of it were read and all other calls got 200
     And all upstreams ran it 2 times
 
     Examples:
@@ -46,6 +48,7 @@
       | chunks            | 8512 |
 
   Scenario: several bodies without end share the memory for answers
+    Guards against a limit for each answer that lets several answers at once fill the memory.
     Given a platform fleet that counts what its upstreams send
     When upstream "u1" tells its daemon "ready sequence=90 slots=8"
     And upstreams "u1" answer with endless "body, body, body, body, body, body"
@@ -55,6 +58,7 @@
     And "u1" has no open exchange, its connection is closed and it keeps no bytes
 
   Scenario: the log says why the call failed and how much came
+    Guards against a failure whose cause and size an operator cannot see.
     Given a platform fleet that counts what its upstreams send
     When upstreams "u1" answer with endless "fields"
     And a caller of d0 sends "POST /peer/1"
@@ -78,6 +82,7 @@
       | of much  | 1000     | interim responses        | 200    |
 
   Scenario Outline: an unsafe call until its deadline: <part> a few bytes at a time
+    Guards against a response below the size limits that keeps its slot after the deadline.
     Given a platform fleet that counts what its upstreams send
     When upstream "u1" tells its daemon "ready sequence=90 slots=1"
     And upstreams "u1" trickle endless "<part>"
@@ -99,6 +104,7 @@
       | trailers          | 504    |
 
   Scenario: a safe call until its deadline: a body a few bytes at a time
+    Guards against an endless body of a safe call that keeps its slot after the deadline.
     Given a platform fleet that counts what its upstreams send
     When upstreams "u0" trickle endless "body"
     And a caller of d0 sends "GET /safe/1"
@@ -106,12 +112,14 @@
     And "u0" has no open exchange, its connection is closed and it keeps no bytes
 
   Scenario: a caller that leaves an unsafe call: a body a few bytes at a time
+    Guards against an endless body that keeps its slot after the caller closed its connection.
     Given a platform fleet that counts what its upstreams send
     When upstreams "u1" trickle endless "body"
     And a caller of d0 sends "POST /peer/1" and leaves
     Then "u1" has no open exchange, its connection is closed and it keeps no bytes
 
   Scenario: an unsafe run that answers after its deadline is not cut off
+    Guards against a deadline that closes the connection of a run that has sent nothing yet.
     Given a platform fleet that counts what its upstreams send
     When upstreams "u1" answer "hold"
     And a caller of d0 sends "POST /peer/1"
@@ -128,6 +136,7 @@
       | memory that fills with records | 1000000 | 9     |
 
   Scenario Outline: the store's client: <part> without end
+    Guards against a server whose endless response fills the memory of the daemon that reads it.
     When a client asks a server that answers with endless "<part>"
     Then it fails and read at most <most> KiB
 
