--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,4 @@
-"""Counts scenarios for CI and passes over those listed in KNOWN-RED.txt."""
+"""Counts scenarios for CI and skips those listed in KNOWN-RED.txt."""
 
 from collections import Counter
 from pathlib import Path
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -42,7 +42,7 @@
 
 
 class MemoryLog:
-    """A log whose next operations fail as told."""
+    """A log in memory whose next operations fail as its attributes say."""
 
     def __init__(self):
         self.data = []
@@ -73,7 +73,7 @@
 
 
 class MemoryDaemons:
-    """Two daemons that have the newest version of the log in force, unless told otherwise."""
+    """Two daemons that have the log's newest version in force, unless `case` says otherwise."""
 
     def __init__(self, log):
         self.log = log
@@ -301,7 +301,7 @@
 def publish_with_lost_answers(context):
     copy_example(context, "lysknude")
     change_timeout(context, 3200)
-    # Announcements of daemons may use up some of the lost answers; a publish needs one.
+    # Daemons' announcements may use up some of the lost answers; the publish needs one.
     context.fleet.switch_log(lose_answers=3)
     context.result = context.fleet.cli("publish", str(context.folder), "--author=dora")
     context.fleet.switch_log(lose_answers=0)
@@ -338,7 +338,7 @@
     assert row["verdict"] == "rejected", row
     found = [f"{f['file']}:{f['line']}" for f in row["findings"]]
     assert found == places.split(", "), row["findings"]
-    # The daemons have folded the record when each reader has logged its verdict.
+    # A reader logs the verdict once it has folded the record.
     outputs = list(context.fleet.directory.glob("*-daemon.out"))
     wait_until(
         lambda: any("verdict=rejected findings=2" in path.read_text() for path in outputs),
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -64,7 +64,7 @@
 
 
 class SimulatedLog:
-    """A log with the reference fold over each of its records, from the first one on."""
+    """A log that also folds all of its records, as the reference for what readers should reach."""
 
     def __init__(self, epoch):
         self.epoch = epoch
@@ -89,7 +89,7 @@
 
 
 class Instance:
-    """A follower with its actions that wait for an answer."""
+    """One instance: its follower, and the follower's actions that await an answer."""
 
     def __init__(self, me, members, seed, snapshot_after):
         self.me = me
@@ -368,7 +368,7 @@
 
 
 def follower_with_publishes(versions, members, me=None, snapshot_after=256):
-    """Return an instance that folded this many publishes, and its log."""
+    """Return an instance that folded `versions` publishes, and its log."""
     log = SimulatedLog(0)
     for number in range(versions):
         log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
@@ -398,7 +398,7 @@
     if offered != 3:
         assert one.pull is None
         return
-    assert one.pull.peer.daemon_id == "near", "the nearest peer is asked first"
+    assert one.pull.peer.daemon_id == "near", "the nearest peer is not asked first"
     pull, one.pull = one.pull, None
     source = SimpleNamespace(follower=ConfigFollower(one.me, decode_toml, random.Random(1)))
     source.follower.state = newest
@@ -430,7 +430,7 @@
     follower = context.one.follower
     assert follower.state.version == version
     wanted = 2 if version == 3 else 1
-    assert follower.log.state.through == wanted, "the position comes with the state"
+    assert follower.log.state.through == wanted, "the position was not taken with the state"
 
 
 @then('the reported conditions are "{conditions}"')
@@ -461,7 +461,7 @@
         one.follower.read_failed(0.0)
         one.follower.read_after = 0.0
         one.act(one.follower.tick(0.0))
-        assert one.read.start == 2, "after a failure the last folded record is read again"
+        assert one.read.start == 2, "the last folded record is not read again after a failure"
     if case in ("is empty", "has lower offsets", "has other records"):
         log = SimulatedLog(1) if case == "is empty" else other
     elif case == "needs unknown rules":
@@ -484,7 +484,7 @@
         start, one.read = one.read.start, None
         one.act(one.follower.records_read(log.page(start), 0.0))
     if case in ("has lower offsets", "has other records"):
-        assert one.follower.log.state == log.current, "the new log is folded"
+        assert one.follower.log.state == log.current, "the new log was not folded"
     if case == "has other records":
         assert one.conditions.pop() == "record_undecodable"
         assert one.conditions.pop() == "record_undecodable"
@@ -527,7 +527,7 @@
 
 
 def ranked_members(count, rank, region="r0"):
-    """Return members of one region, the one of this rank first."""
+    """Return the members of one region, the one with rank `rank` first."""
     names = sorted((f"d{i}" for i in range(count)), key=reader_weight)
     mine = names.pop(rank)
     return tuple(member(name, region) for name in (mine, *names))
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -24,7 +24,7 @@
 
 
 class RequestLoop:
-    """Repeats requests to a listener until it stops to answer."""
+    """Repeats requests to a listener until one fails."""
 
     def __init__(self, address):
         self.address = address
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -31,7 +31,7 @@
 
 
 class ListenerFixture:
-    """A listener in the test process that records what its handler saw."""
+    """Runs a listener in the test process and records the requests that its handler got."""
 
     def __init__(self):
         self.runner = asyncio.Runner()
@@ -76,7 +76,7 @@
             while chunk := await reader.read(65536):
                 received += chunk
         except ConnectionError:
-            pass  # The listener closed with part of the message unread.
+            pass  # The listener closed before it had read the whole message.
         writer.close()
         return received
 
@@ -206,7 +206,7 @@
 
 
 class RawServer:
-    """Answers each request of a connection with the bytes that `answer` yields."""
+    """A server that passes each request of a connection to `answer`, which writes the response."""
 
     def __init__(self, answer):
         self.answer = answer
@@ -353,7 +353,7 @@
 async def wait_readable(sock):
     loop = asyncio.get_running_loop()
     arrived = asyncio.Event()
-    # The stream has registered its own descriptor with the loop, so watch a duplicate.
+    # The stream has registered its descriptor with the loop, so a duplicate is watched.
     with sock.dup() as watched:
         loop.add_reader(watched, arrived.set)
         try:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -212,7 +212,7 @@
 
 @when('upstreams "{names}" answer "{script}"')
 def step_script(context, names, script):
-    # One fault in the fleet: whichever upstream is asked first shows it, the other does not.
+    # The upstreams share one script: whichever is asked first answers with its next word.
     shared = iter([Answer(word) for word in script.split(",")])
 
     class SharedScript:
@@ -295,7 +295,7 @@
 
     def failing(host, target):
         if target == path:
-            raise ValueError("a fault of the daemon")
+            raise ValueError("a fault in the daemon")
         return find(host, target)
 
     table.find = failing
@@ -414,7 +414,7 @@
 
 
 async def send_while_held(testbed, number, line, meanwhile):
-    """Send a request, act while an upstream holds it, then let the upstream answer."""
+    """Send a request, run `meanwhile` while an upstream holds it, then let the upstream answer."""
     sending = asyncio.ensure_future(testbed.send(number, line))
     await poll_until(
         lambda: any(sum(u.runs.values()) for u in testbed.upstreams), "the call to run"
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -77,7 +77,7 @@
 
 
 class BalancerSimulation:
-    """A balancer and its fleet in virtual time."""
+    """Runs a balancer over a fleet of upstreams in virtual time."""
 
     def __init__(self, name, fleet):
         self.now = START_MS
@@ -208,7 +208,7 @@
         if not left:
             return None
         row = member(left[0])
-        # A delay is offered to every call, so that the flow alone keeps others from a hedge.
+        # Non-idempotent calls get a delay too, so that only the flow can keep them from a hedge.
         delay = None if kind == "idempotent" else 5.0
         return Candidate(row, row.upstream, Locality.REGION, 0, 1.0, hedge_after=delay)
 
@@ -243,7 +243,7 @@
 
 
 class Driver:
-    """Carries out flows in virtual time as the call driver does, and checks every limit."""
+    """Runs flows in virtual time as the call driver does, and checks every limit."""
 
     def __init__(self, script):
         self.simulation = BalancerSimulation(
@@ -278,7 +278,7 @@
 
 
 class SimulatedCall:
-    """One call of the driver above."""
+    """One call that a `Driver` runs."""
 
     def __init__(self, driver, kind, deadline, ends):
         self.driver, self.kind, self.deadline = driver, kind, deadline
@@ -369,11 +369,11 @@
         hedges.append(driver.extra)
 
     check()
-    assert sum(hedges) > 100, "the examples hardly retry or hedge"
+    assert sum(hedges) > 100, "the examples have too few retries and hedges"
 
 
 def is_slowed(data, upstream, now, slow_offsets):
-    """Return whether an upstream of 12 is slowed at a time in milliseconds."""
+    """Return whether one of 12 upstreams is slow at `now` (milliseconds) in this kind of data."""
     group = upstream < 3 and now % 1_500 < 400
     if data == "independent slow moments":
         return (now + slow_offsets[upstream]) % (1_300 + 37 * upstream) < 300
@@ -394,7 +394,7 @@
     slow_offsets = [rng.uniform(0, 3_000) for _ in range(12)]
     end = context.now + seconds * 1000
     while context.now < end:
-        # 120 calls a second over 12 upstreams; one of eight looks slow although nothing is.
+        # 120 calls a second over 12 upstreams; about one call in eight is slow by chance.
         context.now += rng.expovariate(0.12)
         upstream = rng.randrange(12)
         slow = is_slowed(data, upstream, context.now, slow_offsets) or rng.random() < 0.12
@@ -424,7 +424,7 @@
 
 
 class StubPeers:
-    """HTTP client and balancer of a driver: peers answer after a delay, reports are kept."""
+    """Stands in for a driver's HTTP client and balancer: answers after a delay, records reports."""
 
     def __init__(self, answers):
         self.answers = answers
@@ -477,7 +477,7 @@
             await asyncio.sleep(0.2)
             driving.cancel()
         await asyncio.wait([driving])
-        # One more turn of the loop lets the cancelled attempts end.
+        # Lets the cancelled attempts end.
         await asyncio.sleep(0.01)
         context.learned, context.open = sorted(context.peers.learned), context.peers.open
         return None if driving.cancelled() else driving.result()
@@ -496,6 +496,6 @@
 @then('the caller gets "{result:Text}" and the balancer learned "{learned}"')
 def check_driven(context, result, learned):
     assert (context.result.outcome.value if context.result else "") == result, context.result
-    # Taken before the loop ended, which cancels whatever still runs.
+    # Recorded before the loop ended, since its end cancels whatever still runs.
     assert context.learned == sorted(learned.split(", ")), context.learned
     assert context.open == 0
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -12,7 +12,7 @@
 from agatecross_standins.soak.fleet import SETTINGS
 
 WAIT_SECONDS = 30.0
-# Runs the daemon as `python -m` does; the process sends itself a signal at one import or at exit.
+# Runs the daemon as `python -m` does; the process sends itself a signal at an import or at exit.
 PROGRAM = """
 import atexit, os, runpy, sys
 number, point = int(sys.argv.pop(1)), sys.argv.pop(1)
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -43,7 +43,7 @@
 
 
 def set_script(testbed, names, items):
-    """Let whichever upstream is asked first answer with the next item, and whole afterwards."""
+    """Give the upstreams one common script; after its last item, they answer normally."""
     shared = iter(items)
 
     class SharedScript:
@@ -179,7 +179,7 @@
     exit_task, upstream = exit_task_of(testbed, name), testbed.upstreams[number]
 
     async def work():
-        # Longer than a begun answer may take after the deadline.
+        # Longer than an answer that has begun may go on after the deadline.
         await asyncio.sleep(1.5)
         assert len(exit_task.calls) == len(upstream.connections) == 1
         upstream.released.set()
