--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -58,13 +58,13 @@
     return Member(name, 1, MemberState.ALIVE, region, data_centre, *where)
 
 
-def snapshot_of(state):
+def snapshot_record(state):
     what = (state.version, state.digest, state.rules, state.through)
     return SnapshotRecord(*what, state.documents, state.seen, state.mark)
 
 
 class SimulatedLog:
-    """A log with the reference fold over each of its records, from the first one on."""
+    """A log that also folds all of its records, as the reference for what readers should reach."""
 
     def __init__(self, epoch):
         self.epoch = epoch
@@ -89,7 +89,7 @@
 
 
 class Instance:
-    """A follower with its actions that wait for an answer."""
+    """One instance: its follower, and the follower's actions that await an answer."""
 
     def __init__(self, me, members, seed, snapshot_after):
         self.me = me
@@ -289,7 +289,7 @@
 
 
 @given('6 followers in 2 regions on a simulated log with "{faults}"')
-def set_faults(context, faults):
+def define_machine(context, faults):
     context.machine = machine_class(faults.split(", "))
 
 
@@ -367,8 +367,8 @@
     assert check_pull_reply(mine, reply, decode_toml).state == theirs
 
 
-def follower_at(versions, members, me=None, snapshot_after=256):
-    """Return an instance that folded this many publishes, and its log."""
+def follower_with_publishes(versions, members, me=None, snapshot_after=256):
+    """Return an instance that folded `versions` publishes, and its log."""
     log = SimulatedLog(0)
     for number in range(versions):
         log.append(PublishRecord(f"p{number}", number, 1, base(number + 1)))
@@ -383,7 +383,7 @@
 def start_puller(context):
     me = member("me")
     context.peers = {"near": member("near"), "far": member("far", "r1", "b")}
-    context.one, context.log = follower_at(2, (me, *context.peers.values()))
+    context.one, context.log = follower_with_publishes(2, (me, *context.peers.values()))
     context.log.append(PublishRecord("p3", 2, 1, base(9)))
     context.newest = context.log.current
 
@@ -400,7 +400,7 @@
     if offered != 3:
         assert one.pull is None
         return
-    assert one.pull.peer.daemon_id == "near", "the nearest peer is asked first"
+    assert one.pull.peer.daemon_id == "near", "the nearest peer is not asked first"
     pull, one.pull = one.pull, None
     source = SimpleNamespace(follower=ConfigFollower(one.me, decode_toml, random.Random(1)))
     source.follower.state = newest
@@ -432,7 +432,7 @@
     follower = context.one.follower
     assert follower.state.version == version
     wanted = 2 if version == 3 else 1
-    assert follower.log.state.through == wanted, "the position comes with the state"
+    assert follower.log.state.through == wanted, "the position was not taken with the state"
 
 
 @then('the reported conditions are "{conditions}"')
@@ -447,7 +447,7 @@
 
 @given("a reader that folded 3 publishes")
 def start_reader(context):
-    context.one, context.log = follower_at(3, (member("me"),))
+    context.one, context.log = follower_with_publishes(3, (member("me"),))
 
 
 @when("it reads a log that {case}")
@@ -463,7 +463,7 @@
         one.follower.read_failed(0.0)
         one.follower.next_read_at = 0.0
         one.act(one.follower.tick(0.0))
-        assert one.read.start == 2, "after a failure the last folded record is read again"
+        assert one.read.start == 2, "the last folded record is not read again after a failure"
     if case in ("is empty", "has lower offsets", "has other records"):
         log = SimulatedLog(1) if case == "is empty" else other
     elif case == "needs unknown rules":
@@ -481,12 +481,12 @@
             state = log.folded[3 if case.startswith("holds") else 4]
             if case != "expired records":
                 through = NO_OFFSET if "restart" in case else state.through
-                log.append(replace(snapshot_of(state), through=through))
+                log.append(replace(snapshot_record(state), through=through))
     for _ in range(2 if log.epoch else 1):
         start, one.read = one.read.start, None
         one.act(one.follower.records_read(log.page(start), 0.0))
     if case in ("has lower offsets", "has other records"):
-        assert one.follower.log.state == log.current, "the new log is folded"
+        assert one.follower.log.state == log.current, "the new log was not folded"
     if case == "has other records":
         assert one.conditions.pop() == "record_undecodable"
         assert one.conditions.pop() == "record_undecodable"
@@ -529,7 +529,7 @@
 
 
 def ranked_members(count, rank, region="r0"):
-    """Return members of one region, the one of this rank first."""
+    """Return the members of one region, the one with rank `rank` first."""
     names = sorted((f"d{i}" for i in range(count)), key=reader_weight)
     mine = names.pop(rank)
     return tuple(member(name, region) for name in (mine, *names))
@@ -538,7 +538,7 @@
 @given("a reader of rank {rank:d} that folded 3 publishes and writes after 2 records")
 def start_writer(context, rank):
     members = ranked_members(3, rank)
-    context.one, context.log = follower_at(3, members, snapshot_after=2)
+    context.one, context.log = follower_with_publishes(3, members, snapshot_after=2)
 
 
 @when('{seconds:d} seconds pass after "{case}"')
@@ -548,7 +548,7 @@
     if case.startswith(("no ", "a snapshot of")):
         one.follower.snapshot_schedule.snapshot_after_records = 256
     if case.startswith("a snapshot of"):
-        log.append(snapshot_of(log.current), age=int(case.split()[3]) * 3_600_000.0)
+        log.append(snapshot_record(log.current), age=int(case.split()[3]) * 3_600_000.0)
     if case == "no peer has a position":
         for number in range(3):
             log.append(PublishRecord(f"x{number}", 3 + number, 1, base(number + 9)))
@@ -558,7 +558,7 @@
     for tenth in range(seconds * 10):
         now = tenth * 100.0
         if case == "a snapshot by another" and tenth == 10:
-            log.append(snapshot_of(log.current))
+            log.append(snapshot_record(log.current))
         one.act(
             one.follower.peer_version_received(PeerVersion(one.follower.members[1], 0, ""), now)
         )
@@ -598,7 +598,7 @@
 
 
 @when("its peers have been silent for {seconds:d} seconds")
-def be_silent(context, seconds):
+def silence_peers(context, seconds):
     follower = context.one.follower
     follower.peer_heard_at = 0.0
     context.one.act(follower.tick(seconds * 1000.0))
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -7,7 +7,7 @@
 
 from behave import then, when
 from drain_steps import connect, connect_with_small_buffer
-from platform_steps import until
+from platform_steps import poll_until
 
 from agatecross_core.ids import Millis
 from agatecross_standins.platform_upstream import Answer
@@ -25,8 +25,8 @@
 
 @when("d{number:d} leaves while a call of its caller is open")
 def step_leave_with_call(context, number):
-    mini = context.mini
-    sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
+    testbed = context.testbed
+    sidecar, upstream = testbed.sidecars[number], testbed.upstreams[number]
 
     async def work():
         upstream.queue_answers([Answer.HOLD])
@@ -34,11 +34,11 @@
         context.caller = await connect(sidecar.settings.callers)
         context.draining = asyncio.ensure_future(sidecar.drain())
         holder.writer.write(request_head("/peer/1", "held", 1_900))
-        await until(lambda: upstream.runs["held"], "the open call")
-        await until(lambda: sidecar.exit.leaving, "the refusal of new calls")
+        await poll_until(lambda: upstream.runs["held"], "the open call")
+        await poll_until(lambda: sidecar.exit.leaving, "the refusal of new calls")
 
     context.upstream = upstream
-    mini.run(work())
+    testbed.run(work())
 
 
 @when('its caller sends "{first}" and, in the same write, "{second}" after it')
@@ -51,7 +51,7 @@
         context.upstream.released.set()
         await context.draining
 
-    context.mini.run(work())
+    context.testbed.run(work())
 
 
 @then("the caller got {status:d} and the end of the connection")
@@ -62,7 +62,7 @@
 @then("no upstream ran the second request")
 def step_not_passed_on(context):
     # Its caller takes it for unread and sends it again, whatever its method.
-    assert not sum(upstream.runs["second"] for upstream in context.mini.upstreams)
+    assert not sum(upstream.runs["second"] for upstream in context.testbed.upstreams)
 
 
 @when(
@@ -70,8 +70,8 @@
     " as the daemon ends all of them"
 )
 def step_reset_at_end(context, resets, count, number):
-    listener = context.mini.sidecars[number].entry.listener
-    host, _, port = context.mini.sidecars[number].settings.callers.rpartition(":")
+    listener = context.testbed.sidecars[number].entry.listener
+    host, _, port = context.testbed.sidecars[number].settings.callers.rpartition(":")
 
     async def work():
         socks = []
@@ -79,7 +79,9 @@
             sock = socket.create_connection((host, int(port)))
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             socks.append(sock)
-        await until(lambda: len(listener.connections) == count, "a connection for every caller")
+        await poll_until(
+            lambda: len(listener.connections) == count, "a connection for every caller"
+        )
         # The daemon's loop does not run between the resets and the end of the connections.
         for sock in socks[:resets]:
             sock.close()
@@ -91,7 +93,7 @@
             sock.close()
         await finishing
 
-    context.mini.run(work())
+    context.testbed.run(work())
 
 
 @then("the other {count:d} callers saw an orderly end")
@@ -101,40 +103,40 @@
 
 @when('upstream "{name}" has one slot and holds the call in it')
 def step_hold_slot(context, name):
-    mini, number = context.mini, int(name[1:])
-    sidecar, upstream = mini.sidecars[number], mini.upstreams[number]
+    testbed, number = context.testbed, int(name[1:])
+    sidecar, upstream = testbed.sidecars[number], testbed.upstreams[number]
     context.slot_sidecar, context.upstream = sidecar, upstream
 
     async def work():
-        await mini.beat(number, slots=1)
-        await until(lambda: sidecar.exit.queue.slots == 1, "one slot")
+        await testbed.send_heartbeat(number, slots=1)
+        await poll_until(lambda: sidecar.exit.queue.slots == 1, "one slot")
         upstream.queue_answers([Answer.HOLD])
-        context.holder = await connect(mini.sidecars[0].settings.callers)
+        context.holder = await connect(testbed.sidecars[0].settings.callers)
         context.holder.writer.write(request_head("/peer/1", "held", 5_000))
-        await until(lambda: upstream.runs["held"], "the running call")
+        await poll_until(lambda: upstream.runs["held"], "the running call")
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when(
     "d{number:d} stops with a grace time of {ms:d} ms while a call of d{entry:d} waits for the slot"
 )
 def step_stop_while_waiting(context, number, ms, entry):
-    mini = context.mini
-    sidecar, slot_sidecar = mini.sidecars[number], context.slot_sidecar
+    testbed = context.testbed
+    sidecar, slot_sidecar = testbed.sidecars[number], context.slot_sidecar
 
     async def work():
         sidecar.settings = replace(sidecar.settings, grace=Millis(ms))
-        caller = await connect(mini.sidecars[entry].settings.callers)
+        caller = await connect(testbed.sidecars[entry].settings.callers)
         caller.writer.write(request_head("/peer/1", "waiting", 5_000))
-        await until(lambda: slot_sidecar.exit.pending > 1, "the waiting call")
+        await poll_until(lambda: slot_sidecar.exit.pending > 1, "the waiting call")
         await sidecar.drain()
-        await mini.kill(number)
+        await testbed.kill_daemon(number)
         context.waiting = await caller.read_answer()
         context.upstream.released.set()
         context.running = await context.holder.read_answer()
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("the {call} call got {status:d}")
@@ -146,22 +148,22 @@
 
 @then("no upstream ran the waiting call")
 def step_waiting_not_run(context):
-    assert not sum(upstream.runs["waiting"] for upstream in context.mini.upstreams)
+    assert not sum(upstream.runs["waiting"] for upstream in context.testbed.upstreams)
 
 
 @when('a caller of d{number:d} sends "GET {path}" {count:d} times and reads nothing')
 def step_send_unread(context, number, path, count):
-    mini = context.mini
-    listener = mini.sidecars[number].entry.listener
+    testbed = context.testbed
+    listener = testbed.sidecars[number].entry.listener
     # Padded so that each read of the daemon holds only a few requests.
     padding = "x" * 3_000
 
     async def work():
-        caller = await connect_with_small_buffer(mini.sidecars[number].settings.callers)
+        caller = await connect_with_small_buffer(testbed.sidecars[number].settings.callers)
         for row in range(count):
             request = request_head(path, f"p{row}", 60_000).replace(b"\r\n\r\n", b"\r\nx-pad: ")
             caller.writer.write(request + padding.encode() + b"\r\n\r\n")
-        await until(lambda: listener.unsent, "unsent answers")
+        await poll_until(lambda: listener.unsent, "unsent answers")
         (connection,) = listener.connections
         context.most_unsent = 0
 
@@ -170,18 +172,18 @@
             return not connection.exchanges and not connection.transport.is_reading()
 
         try:
-            await until(
-                lambda: settled() or total_runs(mini) >= count, "the daemon to stop reading"
+            await poll_until(
+                lambda: settled() or total_runs(testbed) >= count, "the daemon to stop reading"
             )
         finally:
             context.answers = [await caller.read_answer() for _ in range(count)]
         caller.writer.close()
 
-    mini.run(work())
+    testbed.run(work())
 
 
-def total_runs(mini):
-    return sum(sum(upstream.runs.values()) for upstream in mini.upstreams)
+def total_runs(testbed):
+    return sum(sum(upstream.runs.values()) for upstream in testbed.upstreams)
 
 
 @then("d{number:d} stopped reading before it held {size:d} bytes for the caller")
@@ -196,36 +198,36 @@
 
 @when('a caller of d{number:d} sends a request with "connection: close" and reads nothing')
 def step_last_unread(context, number):
-    mini = context.mini
-    listener = mini.sidecars[number].entry.listener
+    testbed = context.testbed
+    listener = testbed.sidecars[number].entry.listener
 
     async def work():
         listener.limits = replace(listener.limits, idle_timeout=Millis(300))
-        caller = await connect_with_small_buffer(mini.sidecars[number].settings.callers)
+        caller = await connect_with_small_buffer(testbed.sidecars[number].settings.callers)
         request = request_head("/safe/1", "last", 900).replace(
             b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
         )
         caller.writer.write(request)
-        await until(lambda: listener.unsent, "an unsent answer")
-        await until(lambda: not listener.connections, "the end of the connection")
+        await poll_until(lambda: listener.unsent, "an unsent answer")
+        await poll_until(lambda: not listener.connections, "the end of the connection")
         caller.writer.close()
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("d{number:d} closed the connection after the idle time")
 def step_closed(context, number):
-    assert not context.mini.sidecars[number].entry.listener.connections
+    assert not context.testbed.sidecars[number].entry.listener.connections
 
 
 @when("d{number:d} stops without free file descriptors while a caller of it is connected")
 def step_no_descriptors(context, number):
-    mini = context.mini
-    sidecar = mini.sidecars[number]
+    testbed = context.testbed
+    sidecar = testbed.sidecars[number]
 
     async def work():
         caller = await connect(sidecar.settings.callers)
-        await until(lambda: sidecar.entry.listener.connections, "the connection")
+        await poll_until(lambda: sidecar.entry.listener.connections, "the connection")
         with patch("os.dup", side_effect=OSError(errno.EMFILE, "Too many open files")):
             draining = asyncio.ensure_future(sidecar.drain())
             reading = asyncio.ensure_future(caller.reader.read(1))
@@ -234,7 +236,7 @@
             await draining
             context.end = await reading
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @then("the caller saw the orderly end of its connection")
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 
 from behave import given, then, when
-from platform_steps import held, until
+from platform_steps import poll_until, send_while_held
 
 from agatecross_core.ids import Millis
 from agatecross_core.relay.drain import plan_drain
@@ -86,12 +86,12 @@
     return keep
 
 
-async def keep_sending(mini, address, line, connection_kind, name, results, stopped):
+async def keep_sending(testbed, address, line, connection_kind, name, results, stopped):
     number, connection = 0, None
     ids_at_once = PIPELINED_REQUESTS if connection_kind == "pipelined" else 1
 
     def count_runs(call_id):
-        return sum(upstream.runs[call_id] for upstream in mini.upstreams)
+        return sum(upstream.runs[call_id] for upstream in testbed.upstreams)
 
     while not stopped.is_set():
         ids = [f"{name}-{number + offset}" for offset in range(ids_at_once)]
@@ -114,19 +114,19 @@
 
 @when("upstreams work {ms:d} ms on each call")
 def step_work(context, ms):
-    for upstream in context.mini.upstreams:
+    for upstream in context.testbed.upstreams:
         upstream.work_seconds = ms / 1000
 
 
 @when("upstreams answer with {size:d} bytes")
 def step_body_size(context, size):
-    for upstream in context.mini.upstreams:
+    for upstream in context.testbed.upstreams:
         upstream.body_bytes = size
 
 
 @when("messages from d{speaker:d} reach d{listener:d} {ms:d} ms late")
 def step_delay_messages(context, listener, speaker, ms):
-    mini = context.mini
+    testbed = context.testbed
 
     def delay(connection):
         deliver = connection.on_frame
@@ -141,13 +141,13 @@
         connection.on_frame = later
 
     async def work():
-        peers = mini.sidecars[listener].peers
+        peers = testbed.sidecars[listener].peers
         delay(peers.links[f"d{speaker}"].connection)
         for connection, row in peers.inbound.connections.items():
             if row.daemon_id == f"d{speaker}":
                 delay(connection)
 
-    mini.run(work())
+    testbed.run(work())
 
 
 @when(
@@ -155,24 +155,24 @@
     " while d{leaving:d} stops"
 )
 def step_keep_sending(context, number, line, connection_kind, leaving):
-    mini, results = context.mini, CallerResults()
-    address = mini.sidecars[number].settings.callers
+    testbed, results = context.testbed, CallerResults()
+    address = testbed.sidecars[number].settings.callers
 
     async def work():
         stopped = asyncio.Event()
         callers = [
             asyncio.ensure_future(
-                keep_sending(mini, address, line, connection_kind, f"c{row}", results, stopped)
+                keep_sending(testbed, address, line, connection_kind, f"c{row}", results, stopped)
             )
             for row in range(CALLER_COUNT)
         ]
-        await until(lambda: len(results.answered) > CALLER_COUNT, "the first answers")
-        await mini.sidecars[leaving].drain()
-        await mini.kill(leaving)
+        await poll_until(lambda: len(results.answered) > CALLER_COUNT, "the first answers")
+        await testbed.sidecars[leaving].drain()
+        await testbed.kill_daemon(leaving)
         stopped.set()
         await asyncio.gather(*callers)
 
-    mini.run(work())
+    testbed.run(work())
     context.results = results
     context.statuses_seen = Counter(results.answered.values())
 
@@ -186,7 +186,7 @@
 @then("no request that was refused as not run has run")
 def step_not_run(context):
     refused = [call_id for call_id, status in context.results.answered.items() if status == 503]
-    ran = [i for i in refused if sum(u.runs[i] for u in context.mini.upstreams)]
+    ran = [i for i in refused if sum(u.runs[i] for u in context.testbed.upstreams)]
     assert not ran, ran
 
 
@@ -200,21 +200,23 @@
     'a caller of d{number:d} reads the answer to "{line}" only after the daemon refuses new calls'
 )
 def step_slow_reader(context, number, line):
-    mini = context.mini
-    sidecar = mini.sidecars[number]
+    testbed = context.testbed
+    sidecar = testbed.sidecars[number]
 
     async def work():
         connection = await connect_with_small_buffer(sidecar.settings.callers)
         connection.send(line, "slow")
-        await until(lambda: sidecar.entry.listener.unfinished().unsent, "unsent bytes")
+        await poll_until(lambda: sidecar.entry.listener.unfinished().unsent, "unsent bytes")
         draining = asyncio.ensure_future(sidecar.drain())
-        await until(lambda: sidecar.exit.leaving or draining.done(), "the refusal of new calls")
+        await poll_until(
+            lambda: sidecar.exit.leaving or draining.done(), "the refusal of new calls"
+        )
         await asyncio.sleep(0.2)
         context.ended_early = draining.done()
         context.answer = await connection.read_answer()
         await draining
 
-    mini.run(work())
+    testbed.run(work())
 
 
 async def connect_with_small_buffer(address):
@@ -236,10 +238,10 @@
 
 @when('a caller of d{number:d} sends "{line}" while the source task of d{failing:d} fails')
 def step_task_fails(context, number, line, failing):
-    mini = context.mini
+    testbed = context.testbed
 
     async def ended():
-        sidecar = mini.sidecars[failing]
+        sidecar = testbed.sidecars[failing]
         # The tasks that the fleet started go on; in the run below, the source task fails at once.
         sidecar.source.run = raise_fault
         for task in (sidecar.exit, sidecar.peers):
@@ -247,7 +249,7 @@
         with suppress(ValueError):
             await run_tasks(sidecar, asyncio.Event())
 
-    context.answer = mini.run(held(mini, number, line, ended))
+    context.answer = testbed.run(send_while_held(testbed, number, line, ended))
 
 
 async def raise_fault():
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -64,7 +64,7 @@
     return f"{kind} {result.reason.value}"
 
 
-def events(text):
+def parse_events(text):
     return [part.split() for part in text.split("; ") if part != "-"]
 
 
@@ -110,7 +110,7 @@
 @when('the ledger sees "{script}"')
 def step_ledger(context, script):
     ledger, now, answers = Ledger(), 0.0, []
-    for word, *rest in events(script):
+    for word, *rest in parse_events(script):
         if word.startswith("+"):
             now += float(word)
             answers.append("-")
@@ -136,30 +136,30 @@
 
 @when('an upstream announces "{script}"')
 def step_announce(context, script):
-    table, context.believed = HeartbeatFilter("shop", "10.0.0.1:80"), []
-    for word, instance, *rest in events(script):
+    table, context.accepted = HeartbeatFilter("shop", "10.0.0.1:80"), []
+    for word, instance, *rest in parse_events(script):
         if word == "leave":
             born = int(rest[0]) if rest else None
-            context.believed.append(table.leave(instance, born))
+            context.accepted.append(table.leave(instance, born))
             continue
         born, sequence, state = int(rest[0]), int(rest[1]), UpstreamState(rest[2])
         service = "other" if word == "other" else "shop"
         address = "10.0.0.2:80" if word == "elsewhere" else "10.0.0.1:80"
         beat = Heartbeat(instance, service, address, state, 4, Millis(0), born, sequence)
-        context.believed.append(table.accept(beat, Millis(0)))
+        context.accepted.append(table.accept(beat, Millis(0)))
 
 
-@then('the announcements are believed "{believed}"')
-def step_believed(context, believed):
-    found = ["yes" if row else "no" for row in context.believed]
-    assert found == believed.split("; "), found
+@then('the announcements are accepted "{accepted}"')
+def step_accepted(context, accepted):
+    found = ["yes" if row else "no" for row in context.accepted]
+    assert found == accepted.split("; "), found
 
 
 @when('the slot queue sees "{script}"')
 def step_slots(context, script):
     queue, now, actions = SlotQueue(), Millis(0), []
     queue.slots = 2
-    for word, *rest in events(script):
+    for word, *rest in parse_events(script):
         if word.startswith("+"):
             now = Millis(now + float(word))
         elif word == "call":
@@ -212,8 +212,8 @@
 
 
 @then(
-    'of {total:d} requests on "{host}" "{path}" each {span:d} in a row '
-    'give service "{service}" {count:d}'
+    'of {total:d} requests on "{host}" "{path}" any {span:d} in a row '
+    'give service "{service}" exactly {count:d}'
 )
 def step_split(context, total, host, path, span, service, count):
     split, route = WeightedSplit(), context.host_table.find(host, path)
@@ -226,7 +226,7 @@
 def step_merge(context, rows):
     me = replace(endpoint("me", 100), state=UpstreamState.STARTING)
     context.directory = Directory(me)
-    for daemon_id, incarnation, sequence, state, *address in events(rows):
+    for daemon_id, incarnation, sequence, state, *address in parse_events(rows):
         row = endpoint(
             daemon_id,
             int(incarnation),
@@ -262,19 +262,19 @@
 
 
 @then("at least {low:d} and at most {high:d} repeats are allowed")
-def step_allowed(context, low, high):
+def step_repeats_allowed(context, low, high):
     assert low <= context.spent <= high, context.spent
 
 
 @then('a response {status:d} with fields "{fields}" means "{result}"')
-def step_judge(context, status, fields, result):
+def step_classify(context, status, fields, result):
     rows = tuple((name.encode(), b"1") for name in fields.split("; "))
     found = classify_response(RelayResponse(status, rows, b""), b"stamp", b"not-run")
     assert describe(found) == result, found
 
 
 @given("{daemons:d} daemons whose requests come {rate:d} a second for {seconds:d} s, all failing")
-def step_chain(context, daemons, rate, seconds):
+def step_failing_requests(context, daemons, rate, seconds):
     window = Millis(10_000)
     parents = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
     children = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
@@ -297,8 +297,8 @@
             calls(rng.randrange(daemons), now, True)
 
 
-@then("no 10 s bring the called service more repeats than 0.2 of its requests and 60")
-def step_chain_bound(context):
+@then("in no 10 s the called service gets more repeats than 0.2 of its requests plus 60")
+def step_repeat_bound(context):
     for start in range(0, 20_001, 250):
         end = start + 10_000
         requests = sum(start <= at < end for at in context.requests)
