--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -410,7 +410,7 @@
 
     def _tick(self, now: Millis) -> None:
         if not self.heartbeats_enabled and now - self.started_at > DRAINS_READ_TIMEOUT:
-            self.log.write_change("drains_not_read", drain_ms=int(now - self.started_at))
+            self.log.write_change("drains_not_read", waited_ms=int(now - self.started_at))
             self._enable_heartbeats()
         silent = now - self.announcements.received_at > self.lease
         current = self.announcements.current
