--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -233,7 +233,7 @@
     async def ended():
         sidecar = mini.sidecars[failing]
         # The tasks of the fleet go on; those of the daemon's own run fail at once.
-        sidecar.source.run = fail
+        sidecar.store.run = fail
         for task in (sidecar.exit, sidecar.peers):
             task.run = asyncio.Event().wait
         with suppress(ValueError):
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -8,7 +8,7 @@
 from agatecross_core.errors import DeltaError
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Endpoint
-from agatecross_daemon.tasks.source_task import FOLLOW_WAIT
+from agatecross_daemon.tasks.store_task import LONG_POLL_WAIT
 from agatecross_platform.store import READ_TIMEOUT_MARGIN
 
 
@@ -89,4 +89,4 @@
 @then("a reader knows within {limit:d} ms that the store is silent")
 def step_silent_store(context, limit):
     # A change is due everywhere 2 s after the store took it; the next reader needs 0.5 s of them.
-    assert limit >= FOLLOW_WAIT + READ_TIMEOUT_MARGIN, (FOLLOW_WAIT, READ_TIMEOUT_MARGIN)
+    assert limit >= LONG_POLL_WAIT + READ_TIMEOUT_MARGIN, (LONG_POLL_WAIT, READ_TIMEOUT_MARGIN)
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -379,7 +379,7 @@
 
 @when("the configuration task fails {moment} and a call waits that never ends")
 def fail_with_waiting_call(context, moment):
-    with mock.patch.object(fleet_daemon, "FAILED_DRAIN_SECONDS", 0.1):
+    with mock.patch.object(fleet_daemon, "TASK_FAILURE_DRAIN_SECONDS", 0.1):
         _, context.failure = run(fail_during_call(moment, answers=False))
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -92,7 +92,7 @@
         await until(lambda: all(self.sees_all(s) for s in self.sidecars), "every upstream")
 
     def sees_all(self, sidecar):
-        return sum(map(len, sidecar.entry.fleet.values())) == len(PLACES)
+        return sum(map(len, sidecar.entry.endpoints_by_service.values())) == len(PLACES)
 
     async def start_daemon(self, number, same=None):
         region, data_centre, service = PLACES[number]
@@ -400,7 +400,7 @@
 @when('every daemon sees the upstreams "{names}"')
 def step_sees(context, names):
     def seen(sidecar):
-        rows = sidecar.entry.fleet.values()
+        rows = sidecar.entry.endpoints_by_service.values()
         return {row.instance for endpoints in rows for row in endpoints} >= set(names.split(","))
 
     context.mini.run(until(lambda: all(seen(s) for s in context.mini.sidecars), names))
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -218,7 +218,7 @@
     row = suspects.get(fingerprint)
     found = "free" if row is None else "quarantined" if row.quarantined else "suspected"
     assert found == state, suspects
-    assert context.driver.quarantined(fingerprint) == (state == "quarantined")
+    assert context.driver.is_quarantined(fingerprint) == (state == "quarantined")
     assert row is None or row.trial not in ("", None), row
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -47,7 +47,7 @@
 # Peers stop sending calls within this time after the leaving state was pushed to them.
 LEAVE_PROPAGATION_SECONDS = 2.0
 # After a task failed: calls that wait for it never end, the others have this time to end.
-FAILED_DRAIN_SECONDS = 10.0
+TASK_FAILURE_DRAIN_SECONDS = 10.0
 
 
 class Task(Protocol):
@@ -124,10 +124,10 @@
     log = HttpLogService(settings.log_address, TornadoHttpClient())
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
     mailboxes = Mailboxes()
-    position = DaemonLocation(settings.daemon_id, settings.region, settings.data_centre)
-    balancer = new_balancer(settings.balancing, position, rng)
+    location = DaemonLocation(settings.daemon_id, settings.region, settings.data_centre)
+    balancer = new_balancer(settings.balancing, location, rng)
     driver = CallDriver(
-        settings.daemon_id, balancer, telemetry.client(peers, "peer"), mailboxes.upstream
+        settings.daemon_id, balancer, telemetry.trace_client(peers, "peer"), mailboxes.upstream
     )
     return Tasks(
         ControlTask(
@@ -153,8 +153,8 @@
             mailboxes.upstream,
             settings.peer_address,
             settings.data_centre,
-            telemetry.listener(TornadoHttpListener(), "peers"),
-            telemetry.client(TornadoHttpClient(), "upstream"),
+            telemetry.trace_listener(TornadoHttpListener(), "peers"),
+            telemetry.trace_client(TornadoHttpClient(), "upstream"),
             mailboxes.members,
             new_admission(settings.admission),
             TrialGate(settings.daemon_id),
@@ -164,7 +164,7 @@
             mailboxes.call,
             settings.call_address,
             settings.data_centre,
-            telemetry.listener(TornadoHttpListener(), "callers"),
+            telemetry.trace_listener(TornadoHttpListener(), "callers"),
             balancer,
             driver,
             mailboxes.claims,
@@ -243,7 +243,7 @@
     done, _ = await asyncio.wait([draining, *running], return_when=asyncio.FIRST_COMPLETED)
     if draining not in done:
         log_warning("task_failed", reason=",".join(repr(task.exception()) for task in done))
-        await asyncio.wait([draining], timeout=FAILED_DRAIN_SECONDS)
+        await asyncio.wait([draining], timeout=TASK_FAILURE_DRAIN_SECONDS)
     ending = [stopping, draining, *running]
     for task in ending:
         task.cancel()
@@ -262,6 +262,6 @@
     tasks.call.mailbox.put(leaving)
     await asyncio.sleep(LEAVE_PROPAGATION_SECONDS)
     tasks.upstream.mailbox.put(leaving)
-    await tasks.call.drained()
-    await tasks.upstream.drained()
-    await tasks.admin.drained()
+    await tasks.call.drain()
+    await tasks.upstream.drain()
+    await tasks.admin.drain()
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -27,7 +27,7 @@
     """The endpoints that accept calls changed; `daemons` is the number of known daemons."""
 
     by_service: Mapping[ServiceName, tuple[Endpoint, ...]]
-    daemons: int
+    daemon_count: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -34,7 +34,7 @@
 from .tasks.entry_task import EntryMessage, EntryTask
 from .tasks.exit_task import ExitMessage, ExitTask
 from .tasks.peers_task import PeersMessage, PeersTask
-from .tasks.source_task import SourceMessage, SourceTask
+from .tasks.store_task import StoreMessage, StoreTask
 
 # Time for callers and peers to read their last responses and close. It is spent at most twice after
 # the drain, once for callers and once for the other listeners, within the drain's EXIT_MARGIN.
@@ -81,7 +81,7 @@
     entry: EntryTask
     exit: ExitTask
     peers: PeersTask
-    source: SourceTask
+    store: StoreTask
     log: DecisionLog
     metrics: RelayMetrics
     entry_mailbox: DirectMailbox[EntryMessage]
@@ -90,9 +90,9 @@
     leaving: bool = False
 
     @property
-    def tasks(self) -> tuple[ExitTask, PeersTask, SourceTask]:
+    def tasks(self) -> tuple[ExitTask, PeersTask, StoreTask]:
         """Return the tasks that run until cancelled."""
-        return (self.exit, self.peers, self.source)
+        return (self.exit, self.peers, self.store)
 
     async def start(self) -> None:
         """Open every listener."""
@@ -110,10 +110,10 @@
             listener.listen(address, handler)
             self.listeners.append(listener)
 
-    def reload(self, read: Callable[[], SidecarSettings]) -> None:
+    def reload(self, read_settings: Callable[[], SidecarSettings]) -> None:
         """Apply the settings that can change at run time; log those that need a restart."""
         try:
-            settings = read()
+            settings = read_settings()
         except (SettingsError, OSError) as error:
             self.log.write_change("settings_rejected", reason=str(error))
             return
@@ -161,7 +161,7 @@
         earliest = Millis(monotonic_ms() + LAST_REQUEST_TIME)
         max_loop_delay = max(max_loop_delay, await self._wait_until_finished(earliest, plan.end))
         self._log_drain_end(started_at, max_loop_delay)
-        self.exit.refuse_waiting()
+        self.exit.refuse_waiting_calls()
         await asyncio.gather(listener.finish(CLOSE_TIMEOUT_MS), self.peers.finish(CLOSE_TIMEOUT_MS))
 
     @property
@@ -225,7 +225,7 @@
     entry_mailbox: DirectMailbox[EntryMessage] = DirectMailbox()
     exit_mailbox: DirectMailbox[ExitMessage] = DirectMailbox()
     peers_mailbox: DirectMailbox[PeersMessage] = DirectMailbox()
-    source_mailbox: DirectMailbox[SourceMessage] = DirectMailbox()
+    store_mailbox: DirectMailbox[StoreMessage] = DirectMailbox()
     entry = EntryTask(
         entry_mailbox,
         settings.service,
@@ -253,13 +253,13 @@
         directory,
         exit_mailbox,
         entry_mailbox,
-        source_mailbox,
+        store_mailbox,
         rng,
         log,
         metrics,
     )
-    source = SourceTask(
-        source_mailbox,
+    store = StoreTask(
+        store_mailbox,
         front_end.store,
         front_end.decode_config,
         directory,
@@ -276,7 +276,7 @@
         entry,
         exit_task,
         peers,
-        source,
+        store,
         log,
         metrics,
         entry_mailbox,
@@ -301,7 +301,7 @@
 async def serve(
     settings: SidecarSettings,
     front_end: FrontEnd,
-    read: Callable[[], SidecarSettings],
+    read_settings: Callable[[], SidecarSettings],
     signals: ProcessSignals,
 ) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully.
@@ -315,7 +315,7 @@
     actions: dict[signal.Signals, SignalAction] = {
         signal.SIGTERM: stop.set,
         signal.SIGINT: stop.set,
-        signal.SIGHUP: partial(sidecar.reload, read),
+        signal.SIGHUP: partial(sidecar.reload, read_settings),
     }
     signals.attach(loop, actions)
     if stop.is_set():
--- a/packages/agatecross-daemon/agatecross_daemon/source_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainConfirmed:
+class StoreDrain:
     """The local upstream is confirmed as leaving, as `own_endpoint` states."""
 
     own_endpoint: Endpoint
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -45,7 +45,7 @@
         self,
         mailbox: Mailbox[AdminMessage],
         address: Address,
-        me: Member,
+        own_member: Member,
         listener: HttpListener,
         upstream: Sender[UpstreamAnnounced],
         traffic: TrafficCounters,
@@ -53,7 +53,7 @@
         collect_metrics: Callable[[], bytes],
     ) -> None:
         self.address = address
-        self.me = me
+        self.own_member = own_member
         self.listener = listener
         self.upstream = upstream
         self.traffic = traffic
@@ -65,10 +65,10 @@
         self.digest = NO_DIGEST
         self.view = FleetView()
         self.handlers: dict[tuple[str, str], Callable[[Request], Response]] = {
-            ("GET", f"{PATH_PREFIX}/status"): self._status,
-            ("GET", f"{PATH_PREFIX}/members"): self._members,
-            ("GET", f"{PATH_PREFIX}/ready"): self._ready,
-            ("GET", f"{PATH_PREFIX}/metrics"): self._metrics,
+            ("GET", f"{PATH_PREFIX}/status"): self._handle_status,
+            ("GET", f"{PATH_PREFIX}/members"): self._handle_members,
+            ("GET", f"{PATH_PREFIX}/ready"): self._handle_ready,
+            ("GET", f"{PATH_PREFIX}/metrics"): self._handle_metrics,
             ("PUT", f"{PATH_PREFIX}/upstream"): self._handle_announcement,
         }
 
@@ -86,7 +86,7 @@
                 case Leaving():
                     self.state = DaemonState.LEAVING
 
-    async def drained(self) -> None:
+    async def drain(self) -> None:
         """Wait until every request that has begun to arrive is answered."""
         await self.listener.close()
 
@@ -95,7 +95,9 @@
         if request.method == "GET" and path == QUARANTINE_PATH:
             return await self._list_quarantine()
         if request.method == "DELETE" and path.startswith(f"{QUARANTINE_PATH}/"):
-            return await self._lift(Fingerprint(path.removeprefix(f"{QUARANTINE_PATH}/")))
+            return await self._lift_quarantine(
+                Fingerprint(path.removeprefix(f"{QUARANTINE_PATH}/"))
+            )
         handler = self.handlers.get((request.method, path))
         return handler(request) if handler else _json_response(404, {"error": "no such page"})
 
@@ -104,17 +106,17 @@
         self.quarantine.put(ask)
         return _json_response(200, await ask.reply)
 
-    async def _lift(self, fingerprint: Fingerprint) -> Response:
+    async def _lift_quarantine(self, fingerprint: Fingerprint) -> Response:
         ask: LiftAsk = new_ask(LiftQuarantine(fingerprint))
         self.quarantine.put(ask)
         if await ask.reply:
             return _json_response(200, {"lifted": fingerprint})
         return _json_response(404, {"error": "no such fingerprint"})
 
-    def _status(self, request: Request) -> Response:
+    def _handle_status(self, request: Request) -> Response:
         del request
         status = Status(
-            self.me.daemon_id,
+            self.own_member.daemon_id,
             self.state,
             self.version,
             self.digest,
@@ -124,16 +126,16 @@
         )
         return _json_response(200, status)
 
-    def _members(self, request: Request) -> Response:
+    def _handle_members(self, request: Request) -> Response:
         del request
         return _json_response(200, tuple(self.view.members.values()))
 
-    def _ready(self, request: Request) -> Response:
+    def _handle_ready(self, request: Request) -> Response:
         del request
         ready = self.state is DaemonState.READY and not self.view.stale
         return _json_response(200 if ready else 503, {"state": self.state.value})
 
-    def _metrics(self, request: Request) -> Response:
+    def _handle_metrics(self, request: Request) -> Response:
         del request
         return Response(200, (("Content-Type", "application/json"),), self.collect_metrics())
 
@@ -143,7 +145,7 @@
         except msgspec.MsgspecError as error:
             return _json_response(400, {"error": str(error)})
         self.upstream.put(UpstreamAnnounced(info))
-        return _json_response(200, {"daemon_id": self.me.daemon_id})
+        return _json_response(200, {"daemon_id": self.own_member.daemon_id})
 
 
 def _json_response(status: int, body: object) -> Response:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -46,7 +46,7 @@
         try:
             action = next(flow)
             while True:
-                action = flow.send(await self._perform(action, running))
+                action = flow.send(await self._run_action(action, running))
         except StopIteration as stop:
             result: CallResult = stop.value
             return result
@@ -55,7 +55,7 @@
             for task in running:
                 task.cancel()
 
-    async def attempt(self, attempt: Attempt | HedgedAttempt) -> CallResult:
+    async def run_attempt(self, attempt: Attempt | HedgedAttempt) -> CallResult:
         """Carry out one attempt and report its end to the balancer."""
         target = attempt.target.member
         started = monotonic_ms()
@@ -73,23 +73,23 @@
             now = monotonic_ms()
             took = Millis(now - started)
             self.balancer.record_end(
-                _attempt_ended(target.daemon_id, took, result, load, cancelled), now
+                _new_attempt_ended(target.daemon_id, took, result, load, cancelled), now
             )
 
-    async def _perform(
+    async def _run_action(
         self, action: FlowAction, running: set[asyncio.Task[CallResult]]
     ) -> FlowEvent:
         match action:
             case Attempt(hedge_after=None):
-                return await self.attempt(action)
+                return await self.run_attempt(action)
             case Attempt(hedge_after=delay):
-                running.add(asyncio.ensure_future(self.attempt(action)))
+                running.add(asyncio.ensure_future(self.run_attempt(action)))
                 assert delay is not None
                 done, _ = await asyncio.wait(running, timeout=delay / 1000)
                 if not done:
                     return Progress.ELAPSED
             case HedgedAttempt():
-                running.add(asyncio.ensure_future(self.attempt(action)))
+                running.add(asyncio.ensure_future(self.run_attempt(action)))
         done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
         task = done.pop()
         running.discard(task)
@@ -112,7 +112,7 @@
         return decode_result(response), decode_load(response)
 
 
-def _attempt_ended(
+def _new_attempt_ended(
     daemon_id: DaemonId,
     took: Millis,
     result: CallResult,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -90,16 +90,16 @@
         match message:
             case ConfigInForce(snapshot):
                 self.snapshot = snapshot
-            case ViewChanged(view, me):
+            case ViewChanged(view, own_member):
                 self.view = view
                 self.balancer.apply_view(view)
-                self.quarantine.view_changed(view, me)
+                self.quarantine.view_changed(view, own_member)
             case Leaving():
                 self.listener.close_after_responses()
             case _:
                 self.quarantine.handle(message)
 
-    async def drained(self) -> None:
+    async def drain(self) -> None:
         """Wait until no call is in flight and every response has been written."""
         await self.listener.close()
         while self.keyed_calls:
@@ -126,7 +126,7 @@
         policy = site.services[route.service]
         call = _new_call(request, policy, monotonic_ms())
         fingerprint = fingerprint_of(call.service, call.request)
-        if self.quarantine.quarantined(fingerprint):
+        if self.quarantine.is_quarantined(fingerprint):
             return not_run_result(Reason.QUARANTINED)
         if call.key is None or call.idempotent:
             return await self._run_attempts(call, policy, fingerprint)
@@ -144,15 +144,15 @@
         scoped = IdempotencyKey(f"{call.service}/{key}")
         ask: ClaimAsk = new_ask(Submit(call.call_id, scoped, fingerprint, call.deadline))
         self.claims.put(ask)
-        granted = await ask.reply
-        if not isinstance(granted, Grant):
-            return granted
+        claim_reply = await ask.reply
+        if not isinstance(claim_reply, Grant):
+            return claim_reply
         result = unknown_result(Reason.CONNECTION_LOST)
         try:
             result = await self._run_attempts(call, policy, fingerprint)
             return result
         finally:
-            self.claims.put(CallFinished(granted.claim_id, result))
+            self.claims.put(CallFinished(claim_reply.claim_id, result))
 
     async def _run_attempts(
         self, call: Call, policy: ServicePolicy, fingerprint: Fingerprint
@@ -162,7 +162,7 @@
         result = await self.driver.drive(run_call(call, policy, chooser, budget))
         if result.outcome is Outcome.RAN:
             self.quarantine.clear_fingerprint(fingerprint)
-        elif result.outcome is Outcome.NOT_RUN and self.quarantine.quarantined(fingerprint):
+        elif result.outcome is Outcome.NOT_RUN and self.quarantine.is_quarantined(fingerprint):
             result = not_run_result(Reason.QUARANTINED)
         self._log_failure(call, result)
         return result
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -10,10 +10,10 @@
 
 from ..decision_log import DecisionLog
 from ..mailbox import Sender
-from ..source_messages import ConfigChanged, ConfigOrigin, ConfigReceived, DeltaReceived
+from ..store_messages import ConfigChanged, ConfigOrigin, ConfigReceived, DeltaReceived
 from .peer_link import PeerLink
 
-PULL_PERIOD = Millis(300)
+MIN_PULL_INTERVAL = Millis(300)
 # The region of this daemon delivers a change within this time unless its readers are gone; then a
 # whole configuration is pulled over the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
@@ -28,12 +28,12 @@
         self,
         directory: Directory,
         links: Mapping[DaemonId, PeerLink],
-        source: Sender[ConfigReceived | DeltaReceived],
+        store: Sender[ConfigReceived | DeltaReceived],
         log: DecisionLog,
     ) -> None:
         self.directory = directory
         self.links = links
-        self.source = source
+        self.store = store
         self.log = log
         self.version = Version(0)
         self.blob = b""
@@ -61,9 +61,9 @@
             return
         origin = self._origin_of(peer)
         if isinstance(message, ConfigDelta):
-            self.source.put(DeltaReceived(message, origin))
+            self.store.put(DeltaReceived(message, origin))
         else:
-            self.source.put(ConfigReceived(message.version, message.data, origin))
+            self.store.put(ConfigReceived(message.version, message.data, origin))
 
     def answer_pull(self, version: Version, send_reply: ReplySender) -> None:
         """Answer a pull from a peer that has `version`, with the delta if that is its base."""
@@ -76,7 +76,7 @@
         self, version: Version, send_reply: ReplySender, peer: DaemonId | None, now: Millis
     ) -> None:
         """Pull a newer version from a peer; from another region only if no push arrived in time."""
-        if version <= self.version or now - self.pulled_at < PULL_PERIOD:
+        if version <= self.version or now - self.pulled_at < MIN_PULL_INTERVAL:
             return
         if self.behind_since is None:
             self.behind_since = now
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -44,12 +44,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReadFailed:
+class LogReadFailed:
     """The pending read of the log failed."""
 
 
 ConfigMessage = (
-    ReceivedAsk | ViewChanged | PeerVersion | Tick | RecordsRead | ReadFailed | PullAnswered
+    ReceivedAsk | ViewChanged | PeerVersion | Tick | RecordsRead | LogReadFailed | PullAnswered
 )
 
 
@@ -77,7 +77,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.subtasks.start(self._ticks())
+        self.subtasks.start(self._send_ticks())
         try:
             while True:
                 self._handle(await self.mailbox.get())
@@ -95,7 +95,7 @@
                 self._execute_actions(self.follower.peer_version(message, now))
             case RecordsRead():
                 self._execute_actions(self.follower.records_read(message, now))
-            case ReadFailed():
+            case LogReadFailed():
                 self.follower.read_failed(now)
             case PullAnswered():
                 self._execute_actions(self.follower.pull_answered(message, now))
@@ -139,7 +139,7 @@
             page = await self.log.read(CONFIG_STREAM, action.start, LOG_PAGE_RECORDS, action.wait)
         except LogError as error:
             log_warning("log_read_failed", reason=error)
-            self.mailbox.put(ReadFailed())
+            self.mailbox.put(LogReadFailed())
             return
         self.mailbox.put(decode_page(page, time.time() * 1000))
 
@@ -163,7 +163,7 @@
             return
         log_event("snapshot_written", version=record.version, through=record.through, offset=offset)
 
-    async def _ticks(self) -> None:
+    async def _send_ticks(self) -> None:
         while True:
             self.mailbox.put(Tick())
             await asyncio.sleep(TICK_SECONDS)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -29,7 +29,7 @@
         self.transport = transport
         self.receivers = receivers
         self.mailbox = mailbox
-        self.sending: set[asyncio.Task[None]] = set()
+        self.sends: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -38,8 +38,8 @@
             while True:
                 ask = await self.mailbox.get()
                 task = asyncio.ensure_future(self._send(ask))
-                self.sending.add(task)
-                task.add_done_callback(self.sending.discard)
+                self.sends.add(task)
+                task.add_done_callback(self.sends.discard)
         finally:
             await self.transport.close()
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -57,7 +57,7 @@
         names: HeaderNames,
         balancer: LowestCostBalancer,
         new_budget: Callable[[], FleetRetryBudget],
-        links: Sender[SendHandover | CancelRemoteHandover],
+        peers: Sender[SendHandover | CancelRemoteHandover],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -68,14 +68,14 @@
         self.names = names
         self.balancer = balancer
         self.new_budget = new_budget
-        self.links = links
+        self.peers = peers
         self.rng = rng
         self.log = log
         self.metrics = metrics
         self.listener = CallerListener(self._handle_request)
         self.table: HostTable | None = None
         self.traffic_split = WeightedSplit()
-        self.fleet: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
+        self.endpoints_by_service: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
         self.daemon_count = 1
         self.budgets: dict[ServiceName, FleetRetryBudget] = {}
         self.strikes = StrikeTable()
@@ -104,8 +104,8 @@
                 self.listener.limits = table.limits
             case DrainPlanned(plan):
                 self.drain_plan = plan
-            case FleetChanged(by_service, daemons):
-                self.fleet, self.daemon_count = by_service, daemons
+            case FleetChanged(by_service, daemon_count):
+                self.endpoints_by_service, self.daemon_count = by_service, daemon_count
             case StrikesReported(strikes):
                 if self.strikes.add_strikes(strikes, monotonic_ms()):
                     self.log.write_change("strikes_learnt", fingerprints=len(strikes))
@@ -120,7 +120,7 @@
         if route is None:
             self._refuse(exchange, NOT_FOUND, Reason.NO_ROUTE, table.version)
             return
-        context = self._call_context(exchange, route, table.version)
+        context = self._new_call_context(exchange, route, table.version)
         if self.drain_plan is not None and not self.drain_plan.admits(
             monotonic_ms(), context.deadline
         ):
@@ -137,7 +137,7 @@
         budget.add_first_arrival()
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
-            endpoints = self.fleet.get(service, ())
+            endpoints = self.endpoints_by_service.get(service, ())
             endpoint = self.balancer.choose(endpoints, tried, route.name, monotonic_ms())
             if endpoint is not None:
                 self.balancer.record_start(endpoint)
@@ -151,7 +151,7 @@
         )
 
         def choose_hedge(tried: DaemonId) -> Endpoint | None:
-            endpoints = self.fleet.get(service, ())
+            endpoints = self.endpoints_by_service.get(service, ())
             now = monotonic_ms()
             endpoint = self.balancer.choose(endpoints, (tried,), route.name, now)
             if endpoint is None or not self.balancer.has_spare_capacity(endpoint, now):
@@ -168,13 +168,13 @@
             flow,
             choose_hedge if hedged else None,
             self.balancer,
-            self.links,
+            self.peers,
             self._new_handover_id,
-            self._call_ended,
+            self._on_call_ended,
         )
         call.begin()
 
-    def _call_context(self, exchange: Exchange, route: HostRoute, version: int) -> CallContext:
+    def _new_call_context(self, exchange: Exchange, route: HostRoute, version: int) -> CallContext:
         time_left, call_id = DEFAULT_CALL_TIMEOUT, b""
         headers: list[tuple[bytes, bytes]] = []
         names = self.names
@@ -212,7 +212,7 @@
     def _new_handover_id(self) -> HandoverId:
         return HandoverId(next(self.handover_ids))
 
-    def _call_ended(self, call: RelayedCall, result: RelayResult) -> None:
+    def _on_call_ended(self, call: RelayedCall, result: RelayResult) -> None:
         response = self._response_for(result)
         took = monotonic_ms() - call.exchange.arrived
         route = call.context.route
@@ -254,18 +254,18 @@
             version=version,
             status=status,
         )
-        headers = self._retry_after() if status == UNAVAILABLE else ()
+        headers = self._retry_after_headers() if status == UNAVAILABLE else ()
         exchange.respond(RelayResponse(status, headers, b""))
 
     def _response_for(self, result: RelayResult) -> RelayResponse:
         if result.response is not None:
             return result.response
         if result.outcome is Outcome.NOT_RUN:
-            return RelayResponse(UNAVAILABLE, self._retry_after(), b"")
+            return RelayResponse(UNAVAILABLE, self._retry_after_headers(), b"")
         if result.reason is Reason.TIMEOUT:
             return RelayResponse(GATEWAY_TIMEOUT, (), b"")
         return RelayResponse(BAD_GATEWAY, (), b"")
 
-    def _retry_after(self) -> tuple[tuple[bytes, bytes], ...]:
+    def _retry_after_headers(self) -> tuple[tuple[bytes, bytes], ...]:
         seconds = self.rng.uniform(RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_MAX_SECONDS)
         return ((b"retry-after", b"%.3f" % seconds),)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -91,7 +91,7 @@
     handover: Handover
     deadline: Millis
     reply: ResultReceiver | None
-    sending: UpstreamExchange | None = None
+    exchange: UpstreamExchange | None = None
     timer: asyncio.TimerHandle | None = None
 
 
@@ -102,7 +102,7 @@
         self,
         daemon_id: DaemonId,
         mailbox: DirectMailbox[ExitMessage],
-        announcements: HeartbeatFilter,
+        heartbeat_filter: HeartbeatFilter,
         heartbeat_period: Millis,
         names: HeaderNames,
         peers: Sender[OwnEndpointChanged | StrikesReported],
@@ -111,7 +111,7 @@
         self.daemon_id = daemon_id
         self.mailbox = mailbox
         mailbox.set_handler(self._handle)
-        self.announcements = announcements
+        self.heartbeat_filter = heartbeat_filter
         self.lease = Millis(heartbeat_period * MISSED_HEARTBEATS_LIMIT)
         self.names = names
         self.peers = peers
@@ -119,7 +119,7 @@
         self.queue = SlotQueue()
         self.ledger = Ledger()
         self.calls: dict[HandoverId, ExitCall] = {}
-        self.pool = UpstreamPool(Address(announcements.address), names, self._on_unreachable)
+        self.pool = UpstreamPool(Address(heartbeat_filter.address), names, self._on_unreachable)
         self.instance: InstanceId | None = None
         self.state = UpstreamState.STARTING
         self.unreachable_until = Millis(0)
@@ -153,7 +153,7 @@
         """Refuse new calls, because the daemon is stopping."""
         self.leaving = True
 
-    def refuse_waiting(self) -> None:
+    def refuse_waiting_calls(self) -> None:
         """Refuse the calls that still wait for a slot, because the drain is over."""
         self._execute_actions(self.queue.refuse_all(Reason.LEAVING))
 
@@ -167,11 +167,11 @@
                 self._resume_call(handover_id, reply)
             case DrainsLoaded():
                 self._enable_heartbeats()
-            case HeartbeatReceived(beat):
+            case HeartbeatReceived(heartbeat):
                 if self.heartbeats_enabled:
-                    self._handle_heartbeat(beat)
+                    self._handle_heartbeat(heartbeat)
                 else:
-                    self.early_heartbeats.append(beat)
+                    self.early_heartbeats.append(heartbeat)
             case DrainStored(instance, born):
                 self.leave_replies.drain_stored((instance, born))
             case LeaveReceived():
@@ -227,7 +227,7 @@
 
     def _start(self, call: ExitCall) -> None:
         left = Millis(call.deadline - monotonic_ms())
-        call.sending = self.pool.send(
+        call.exchange = self.pool.send(
             call.handover, left, lambda done: self._on_upstream_result(call, done)
         )
 
@@ -280,7 +280,7 @@
                 reason=result.reason.value,
                 load=self.queue.load,
                 left_ms=int(call.deadline - monotonic_ms()),
-                read=call.sending.bytes_read if call.sending is not None else 0,
+                read=call.exchange.bytes_read if call.exchange is not None else 0,
             )
         reply, call.reply = call.reply, None
         if reply is not None:
@@ -293,7 +293,7 @@
         call = self.calls.get(handover_id)
         if call is None:
             return
-        if call.sending is None:
+        if call.exchange is None:
             self.queue.cancel(handover_id)
             self._answer(call, not_run_result(Reason.DEADLINE))
             self._remove_call(call)
@@ -301,14 +301,14 @@
         self._answer(call, unknown_result(Reason.TIMEOUT))
         self._stop_if_safe(call)
         if call.handover.repeat is Repeat.ONCE:
-            call.sending.mark_late()
+            call.exchange.mark_late()
 
     def _cancel_call(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
         if call is None:
             return
         call.reply = None
-        if call.sending is None:
+        if call.exchange is None:
             self.queue.cancel(handover_id)
             self._answer(call, not_run_result(Reason.CANCELLED))
             self._remove_call(call)
@@ -317,8 +317,8 @@
 
     def _stop_if_safe(self, call: ExitCall) -> None:
         # A call that must not run twice continues, because its result may still be requested.
-        if call.sending is not None and call.handover.repeat is Repeat.SAFE:
-            call.sending.cancel()
+        if call.exchange is not None and call.handover.repeat is Repeat.SAFE:
+            call.exchange.cancel()
 
     def _resume_call(self, handover_id: HandoverId, reply: ResultReceiver) -> None:
         result = self.ledger.resume(handover_id, monotonic_ms())
@@ -333,24 +333,24 @@
         """Start accepting heartbeats, beginning with those that were deferred."""
         self.heartbeats_enabled = True
         early, self.early_heartbeats = self.early_heartbeats, []
-        for beat in early:
-            self._handle_heartbeat(beat)
+        for heartbeat in early:
+            self._handle_heartbeat(heartbeat)
 
-    def _handle_heartbeat(self, beat: Heartbeat) -> None:
+    def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = monotonic_ms()
-        if not self.announcements.accept(beat, now):
+        if not self.heartbeat_filter.accept(heartbeat, now):
             self.log.write_change(
-                "heartbeat_ignored", instance=beat.instance, sequence=beat.sequence
+                "heartbeat_ignored", instance=heartbeat.instance, sequence=heartbeat.sequence
             )
             return
-        left = (beat.instance, beat.born) in self.announcements.leaving_starts
-        state = UpstreamState.DRAINING if left else beat.state
+        is_leaving = (heartbeat.instance, heartbeat.born) in self.heartbeat_filter.leaving_starts
+        state = UpstreamState.DRAINING if is_leaving else heartbeat.state
         self.unreachable_until = Millis(0)
-        self.queue.slots = beat.slots
-        self._update_upstream(beat.instance, state, beat)
+        self.queue.slots = heartbeat.slots
+        self._update_upstream(heartbeat.instance, state, heartbeat)
 
     def _handle_leave(self, leave: LeaveReceived) -> None:
-        start = self.announcements.leave(leave.instance, leave.born)
+        start = self.heartbeat_filter.leave(leave.instance, leave.born)
         if start is None:
             # Confirm the leave of an upstream that was replaced, since it gets no calls. A leave
             # without a start time matches no known upstream and has no effect, so don't confirm it.
@@ -366,9 +366,15 @@
             # A repeated leave is published again, which starts a new attempt to store the drain.
             self._set_upstream_state(start[0], UpstreamState.DRAINING, {"born": start[1]})
 
-    def _update_upstream(self, instance: InstanceId, state: UpstreamState, beat: Heartbeat) -> None:
+    def _update_upstream(
+        self, instance: InstanceId, state: UpstreamState, heartbeat: Heartbeat
+    ) -> None:
         if instance != self.instance or state is not self.state:
-            changes: dict[str, object] = {"born": beat.born, "slots": beat.slots, "cold": beat.cold}
+            changes: dict[str, object] = {
+                "born": heartbeat.born,
+                "slots": heartbeat.slots,
+                "cold": heartbeat.cold,
+            }
             self._set_upstream_state(instance, state, changes)
 
     def _set_upstream_state(
@@ -397,7 +403,7 @@
         """Report a strike for each call that was running when the upstream crashed."""
         handovers = [handover for at, handover in self.lost_calls if now - at < CRASH_WINDOW]
         self.lost_calls.clear()
-        current = self.announcements.current
+        current = self.heartbeat_filter.current
         if not handovers or current is None:
             return
         died = Incarnation(current.born)
@@ -412,8 +418,8 @@
         if not self.heartbeats_enabled and now - self.started_at > DRAINS_READ_TIMEOUT:
             self.log.write_change("drains_not_read", waited_ms=int(now - self.started_at))
             self._enable_heartbeats()
-        silent = now - self.announcements.received_at > self.lease
-        current = self.announcements.current
+        silent = now - self.heartbeat_filter.received_at > self.lease
+        current = self.heartbeat_filter.current
         if silent and current is not None and self.state is UpstreamState.READY:
             self._update_upstream(current.instance, UpstreamState.STARTING, current)
         self.leave_replies.expire(now)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -39,21 +39,21 @@
 
     def __init__(
         self,
-        exit_box: Sender[ExitMessage],
-        hello_reply: Callable[[Hello], Hello],
-        version: Callable[[], Version],
+        exit_mailbox: Sender[ExitMessage],
+        new_hello_reply: Callable[[Hello], Hello],
+        config_version: Callable[[], Version],
         on_message: MessageHandler,
         log: DecisionLog,
     ) -> None:
-        self.exit = exit_box
-        self.hello_reply = hello_reply
-        self.version = version
+        self.exit = exit_mailbox
+        self.new_hello_reply = new_hello_reply
+        self.config_version = config_version
         self.on_message = on_message
         self.log = log
         self.connections: dict[FrameConnection, InboundConnection] = {}
         self.orphans: list[tuple[Millis, HandoverId]] = []
 
-    def connection(self) -> FrameConnection:
+    def new_connection(self) -> FrameConnection:
         """Create the protocol object of a new connection."""
         return FrameConnection(self._on_open, self._on_frame, self._on_close)
 
@@ -115,10 +115,10 @@
                 self.exit.put(ResumeHandover(handover_id, self._result_sender(inbound)))
             case Hello():
                 inbound.daemon_id = message.daemon_id
-                inbound.send(self.hello_reply(message))
+                inbound.send(self.new_hello_reply(message))
                 self.on_message(message, inbound.send, inbound.daemon_id)
             case Ping(False, _):
-                inbound.send(Ping(True, self.version()))
+                inbound.send(Ping(True, self.config_version()))
                 self.on_message(message, inbound.send, inbound.daemon_id)
             case _:
                 self.on_message(message, inbound.send, inbound.daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -66,7 +66,7 @@
 from .subtasks import Subtasks
 
 TICK_SECONDS = 0.25
-INDIRECT_TIMEOUT = Millis(2 * PROBE_TIMEOUT)
+INDIRECT_PROBE_TIMEOUT = Millis(2 * PROBE_TIMEOUT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HelperAnswered:
+class IndirectProbeAnswered:
     """One indirect probe of `target`, sent at `sent_at`, ended."""
 
     target: Member
@@ -88,7 +88,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class IndirectAnswered:
+class ProbeForPeerAnswered:
     """A probe on behalf of a peer ended; `ask` waits for the result."""
 
     ask: ReceivedAsk
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnnounceFailed:
+class MembersStreamFailed:
     """An append or a read of the members stream failed."""
 
     appending: bool
@@ -118,11 +118,11 @@
     | Tick
     | BroadcastStrikes
     | ProbeAnswered
-    | HelperAnswered
-    | IndirectAnswered
+    | IndirectProbeAnswered
+    | ProbeForPeerAnswered
     | SyncAnswered
     | AnnouncementsRead
-    | AnnounceFailed
+    | MembersStreamFailed
 )
 
 
@@ -140,7 +140,7 @@
         control: Sender[ControlAsk],
         log: LogService,
         view_subscribers: Iterable[Sender[ViewChanged]],
-        versions: Sender[PeerVersion],
+        peer_versions: Sender[PeerVersion],
         strike_subscribers: Iterable[Sender[GossipReceived]] = (),
     ) -> None:
         self.swim = swim
@@ -149,7 +149,7 @@
         self.control = control
         self.log = log
         self.view_subscribers = tuple(view_subscribers)
-        self.versions = versions
+        self.peer_versions = peer_versions
         self.strike_subscribers = tuple(strike_subscribers)
         self.mailbox = mailbox
         self.version = NO_VERSION
@@ -159,7 +159,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.subtasks.start(self._ticks())
+        self.subtasks.start(self._send_ticks())
         self._publish_view()
         try:
             while True:
@@ -177,20 +177,20 @@
             case ConfigInForce(snapshot):
                 self.version, self.digest = snapshot.version, snapshot.digest
             case UpstreamChanged(upstream):
-                self._update_self(replace(self.swim.me, upstream=upstream))
+                self._update_own_member(replace(self.swim.me, upstream=upstream))
             case Leaving():
-                self._update_self(replace(self.swim.me, state=MemberState.LEAVING))
+                self._update_own_member(replace(self.swim.me, state=MemberState.LEAVING))
             case BroadcastStrikes(strikes, clearances):
                 self.reports.add(strikes, clearances, now)
             case AnnouncementsRead():
                 self._announcements_read(message, now)
-            case AnnounceFailed(appending):
-                self._announce_failed(appending, now)
+            case MembersStreamFailed(appending):
+                self._members_stream_failed(appending, now)
             case ProbeAnswered():
                 self._probe_answered(message, now)
-            case HelperAnswered():
-                self._helper_answered(message, now)
-            case IndirectAnswered(ask, reply):
+            case IndirectProbeAnswered():
+                self._indirect_probe_answered(message, now)
+            case ProbeForPeerAnswered(ask, reply):
                 if isinstance(reply, ProbeAck):
                     self._merge_gossip(reply.gossip, now)
                 alive = isinstance(reply, ProbeAck) and reply.alive
@@ -207,7 +207,7 @@
                 ask.answer(self._probe_ack(sender, target))
             case IndirectProbe(sender, target, address, gossip):
                 self._handle_gossip(sender, gossip, now)
-                self._probe_for(ask, target, address)
+                self._probe_for_peer(ask, target, address)
             case SyncRequest(sender) as request:
                 self._execute_actions(self.swim.merge([sender], now))
                 rows, complete = self.swim.answer_sync(request, now)
@@ -224,7 +224,7 @@
         self._merge_gossip(gossip, now)
         member = self.swim.table.get(sender.daemon_id)
         if member is not None:
-            self.versions.put(PeerVersion(member, gossip.version, gossip.digest))
+            self.peer_versions.put(PeerVersion(member, gossip.version, gossip.digest))
 
     def _merge_gossip(self, gossip: Gossip, now: Millis) -> None:
         self._execute_actions(self.swim.merge(gossip.members, now))
@@ -242,9 +242,9 @@
         if not reply.alive:
             self._execute_actions(self.swim.probe_failed(target, message.sent_at))
         elif reply.unknown:
-            self._probe_member(target, introduce=True)
+            self._probe_member(target, include_own_member=True)
 
-    def _helper_answered(self, message: HelperAnswered, now: Millis) -> None:
+    def _indirect_probe_answered(self, message: IndirectProbeAnswered, now: Millis) -> None:
         target, reply = message.target, message.reply
         remaining = self.pending_helpers.pop((target.daemon_id, message.sent_at), None)
         if isinstance(reply, ProbeAck):
@@ -277,7 +277,7 @@
             self.bootstrap.announcements_read(page, self.swim.live_peers(), now)
         )
 
-    def _announce_failed(self, appending: bool, now: Millis) -> None:
+    def _members_stream_failed(self, appending: bool, now: Millis) -> None:
         if appending:
             self.bootstrap.announce_failed(now)
         else:
@@ -291,7 +291,7 @@
                 case ProbeMember(target):
                     self._probe_member(target)
                 case ProbeIndirectly(target, helpers):
-                    self._probe_through(target, helpers)
+                    self._probe_indirectly(target, helpers)
                 case SyncWith(address):
                     self._request_sync(address)
                 case TableFull(ignored):
@@ -313,21 +313,23 @@
         for mailbox in self.view_subscribers:
             mailbox.put(ViewChanged(view, self.swim.me))
 
-    def _update_self(self, me: Member) -> None:
+    def _update_own_member(self, me: Member) -> None:
         self._execute_actions(self.swim.update_own_record(me))
         for peer in self.swim.urgent_update_targets():
-            self._probe_member(peer, introduce=True)
+            self._probe_member(peer, include_own_member=True)
 
-    def _next_gossip(self, target: DaemonId | None = None, introduce: bool = False) -> Gossip:
+    def _next_gossip(
+        self, target: DaemonId | None = None, include_own_member: bool = False
+    ) -> Gossip:
         rows = self.swim.updates(target)
-        return self._gossip_with((self.swim.me, *rows) if introduce else rows)
+        return self._gossip_with((self.swim.me, *rows) if include_own_member else rows)
 
     def _gossip_with(self, rows: tuple[Member, ...]) -> Gossip:
         strikes, clearances = self.reports.take(self.swim.max_transmissions())
         return Gossip(self.version, self.digest, rows, strikes, clearances)
 
-    def _probe_member(self, target: Member, introduce: bool = False) -> None:
-        probe = self._new_probe(target.daemon_id, introduce)
+    def _probe_member(self, target: Member, include_own_member: bool = False) -> None:
+        probe = self._new_probe(target.daemon_id, include_own_member)
         sent_at = monotonic_ms()
         self._start_exchange(
             target.control_address,
@@ -336,16 +338,18 @@
             lambda reply: ProbeAnswered(target, reply, sent_at),
         )
 
-    def _probe_for(self, ask: ReceivedAsk, target: DaemonId, address: Address) -> None:
+    def _probe_for_peer(self, ask: ReceivedAsk, target: DaemonId, address: Address) -> None:
         probe = self._new_probe(target)
         self._start_exchange(
-            address, probe, PROBE_TIMEOUT, lambda reply: IndirectAnswered(ask, reply)
+            address, probe, PROBE_TIMEOUT, lambda reply: ProbeForPeerAnswered(ask, reply)
         )
 
-    def _new_probe(self, target: DaemonId, introduce: bool = False) -> Probe:
-        return Probe(identity_of(self.swim.me), target, self._next_gossip(target, introduce))
+    def _new_probe(self, target: DaemonId, include_own_member: bool = False) -> Probe:
+        return Probe(
+            identity_of(self.swim.me), target, self._next_gossip(target, include_own_member)
+        )
 
-    def _probe_through(self, target: Member, helpers: tuple[Member, ...]) -> None:
+    def _probe_indirectly(self, target: Member, helpers: tuple[Member, ...]) -> None:
         sender, sent_at = identity_of(self.swim.me), monotonic_ms()
         message = IndirectProbe(
             sender, target.daemon_id, target.control_address, self._next_gossip()
@@ -355,8 +359,8 @@
             self._start_exchange(
                 helper.control_address,
                 message,
-                INDIRECT_TIMEOUT,
-                lambda reply: HelperAnswered(target, reply, sent_at),
+                INDIRECT_PROBE_TIMEOUT,
+                lambda reply: IndirectProbeAnswered(target, reply, sent_at),
             )
         if not helpers:
             self._confirm_unreachable(target, sent_at)
@@ -393,7 +397,7 @@
                 page = await self.log.read(MEMBERS_STREAM, position, LOG_PAGE_RECORDS, Millis(0))
             except LogError as error:
                 log_warning("announcements_unread", reason=error)
-                self.mailbox.put(AnnounceFailed(appending=False))
+                self.mailbox.put(MembersStreamFailed(appending=False))
                 return
             records += _decode_page(page)
             if not page.entries or page.entries[-1].offset + 1 >= page.end:
@@ -408,9 +412,9 @@
             )
         except LogError as error:
             log_warning("announce_failed", reason=error)
-            self.mailbox.put(AnnounceFailed(appending=True))
+            self.mailbox.put(MembersStreamFailed(appending=True))
 
-    async def _ticks(self) -> None:
+    async def _send_ticks(self) -> None:
         while True:
             self.mailbox.put(Tick())
             await asyncio.sleep(TICK_SECONDS)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -23,10 +23,10 @@
 from ..mailbox import monotonic_ms
 from ..relay_messages import ResultReceiver
 
-CONNECT_TIMEOUT = 0.5
+CONNECT_TIMEOUT_SECONDS = 0.5
 # A restarted daemon is back within a second or two; its peers must reconnect at once.
-REDIAL_BASE = Millis(40)
-REDIAL_CAP = Millis(1_000)
+REDIAL_DELAY_BASE = Millis(40)
+REDIAL_DELAY_CAP = Millis(1_000)
 # Together with `PONG_TIMEOUT`, detects a silent connection and repairs a lost push within the 3 s
 # in which the platform counts a machine as disturbed after a fault.
 PING_PERIOD = Millis(2_000)
@@ -63,16 +63,16 @@
         self,
         daemon_id: DaemonId,
         address: Address,
-        hello: Callable[[], Hello],
-        version: Callable[[], Version],
+        new_hello: Callable[[], Hello],
+        config_version: Callable[[], Version],
         on_message: "Callable[[PeerLink, HopMessage], None]",
         rng: random.Random,
         ping_period: Millis,
     ) -> None:
         self.daemon_id = daemon_id
         self.address = address
-        self.hello = hello
-        self.version = version
+        self.new_hello = new_hello
+        self.config_version = config_version
         self.on_message = on_message
         self.rng = rng
         self.ping_period = ping_period
@@ -125,7 +125,7 @@
         if not self.awaiting_pong and quiet and now - self.last_ping_at > period:
             self.last_ping_at = now
             self.awaiting_pong = True
-            self.send(Ping(False, self.version()))
+            self.send(Ping(False, self.config_version()))
 
     def close(self) -> None:
         """Stop dialing and close the connection."""
@@ -140,7 +140,7 @@
         host, _, port = self.address.rpartition(":")
         while self.connection is None:
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
+                async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                     await loop.create_connection(
                         lambda: FrameConnection(self._on_open, self._on_frame, self._on_close),
                         host,
@@ -158,14 +158,14 @@
                 await asyncio.sleep(self._redial_delay() / 1000)
 
     def _redial_delay(self) -> Millis:
-        cap = min(REDIAL_CAP, REDIAL_BASE * 2 ** min(self.failed_dials, 8))
+        cap = min(REDIAL_DELAY_CAP, REDIAL_DELAY_BASE * 2 ** min(self.failed_dials, 8))
         return Millis(self.rng.uniform(cap / 2, cap))
 
     def _on_open(self, connection: FrameConnection) -> None:
         self.connection = connection
         self.last_received_at = monotonic_ms()
         self.awaiting_pong = False
-        self.send(self.hello())
+        self.send(self.new_hello())
 
     def _on_close(self, connection: FrameConnection) -> None:
         if self.connection is not connection or self.state is LinkState.CLOSED:
@@ -189,7 +189,7 @@
                 if answer:
                     self.awaiting_pong = False
                 else:
-                    self.send(Ping(True, self.version()))
+                    self.send(Ping(True, self.config_version()))
                 self.on_message(self, message)
             case Hello():
                 self._handle_hello(message)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -39,15 +39,15 @@
     StrikesReported,
 )
 from ..relay_metrics import RelayMetrics
-from ..source_messages import (
+from ..store_messages import (
     ConfigChanged,
     ConfigReceived,
     DeltaReceived,
-    DrainConfirmed,
     EndpointsRead,
     FullConfigNeeded,
     LinksChanged,
     PeerRemoved,
+    StoreDrain,
 )
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
@@ -66,7 +66,7 @@
 )
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
-BACKLOG = 1024
+LISTEN_BACKLOG = 1024
 # Sent to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
 MAX_KEPT_STRIKES = 512
 # A daemon unreachable for this long is forgotten; it announces itself again when it is back.
@@ -81,11 +81,9 @@
         mailbox: DirectMailbox[PeersMessage],
         address: Address,
         directory: Directory,
-        exit_box: Sender[ExitMessage],
+        exit_mailbox: Sender[ExitMessage],
         entry: Sender[FleetChanged | StrikesReported],
-        source: Sender[
-            ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerRemoved
-        ],
+        store: Sender[ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -93,22 +91,22 @@
         mailbox.set_handler(self._handle)
         self.address = address
         self.directory = directory
-        self.exit = exit_box
+        self.exit = exit_mailbox
         self.entry = entry
-        self.source = source
+        self.store = store
         self.rng = rng
         self.log = log
         self.metrics = metrics
         self.links: dict[DaemonId, PeerLink] = {}
         self.inbound = InboundLinks(
-            exit_box,
-            self._hello_reply,
+            exit_mailbox,
+            self._new_hello_reply,
             lambda: self.config_distributor.version,
             self._handle_peer_message,
             log,
         )
         self.server: asyncio.Server | None = None
-        self.config_distributor = ConfigDistributor(directory, self.links, source, log)
+        self.config_distributor = ConfigDistributor(directory, self.links, store, log)
         self.open_links: frozenset[DaemonId] = frozenset()
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
 
@@ -117,10 +115,10 @@
         loop = asyncio.get_running_loop()
         host, _, port = self.address.rpartition(":")
         self.server = await loop.create_server(
-            self.inbound.connection,
+            self.inbound.new_connection,
             host,
             int(port),
-            backlog=BACKLOG,
+            backlog=LISTEN_BACKLOG,
         )
         self._publish_endpoints()
 
@@ -140,30 +138,30 @@
         """Announce to every peer that this daemon takes no more calls."""
         self._announce_self(self.directory.update(leaving=True))
 
-    async def finish(self, limit: Millis) -> None:
+    async def finish(self, timeout: Millis) -> None:
         """Stop listening and wait, for at most `limit`, until peers have read every result."""
         if self.server is not None:
             self.server.close()
         self.inbound.finish()
-        deadline = monotonic_ms() + limit
+        deadline = monotonic_ms() + timeout
         while self.inbound.connections and monotonic_ms() < deadline:
             await asyncio.sleep(FINISH_POLL_SECONDS)
 
     def _handle(self, message: PeersMessage) -> None:
         match message:
             case SendHandover(daemon_id, handover, reply):
-                self._send_to(daemon_id, handover, reply)
+                self._send_handover(daemon_id, handover, reply)
             case CancelRemoteHandover(daemon_id, handover_id):
-                self._cancel_at(daemon_id, handover_id)
+                self._cancel_handover(daemon_id, handover_id)
             case OwnEndpointChanged(changes):
                 self._announce_self(self.directory.update(**changes))
                 if self.directory.me.state is UpstreamState.DRAINING:
-                    self.source.put(DrainConfirmed(self.directory.me))
-            case StoreReachability(reached, latency):
+                    self.store.put(StoreDrain(self.directory.me))
+            case StoreReachability(reachable, latency):
                 me = self.directory.me
-                if (reached, latency) != (me.reads_log, me.log_latency):
+                if (reachable, latency) != (me.reads_log, me.log_latency):
                     self._announce_self(
-                        self.directory.update(reads_log=reached, log_latency=latency)
+                        self.directory.update(reads_log=reachable, log_latency=latency)
                     )
             case ConfigChanged():
                 self.config_distributor.config_changed(message, self.open_links)
@@ -176,7 +174,7 @@
                 for link in self.links.values():
                     link.send(Strikes(strikes))
 
-    def _send_to(
+    def _send_handover(
         self,
         daemon_id: DaemonId,
         handover: Handover,
@@ -191,7 +189,7 @@
         else:
             link.hand_over(handover, reply)
 
-    def _cancel_at(self, daemon_id: DaemonId, handover_id: HandoverId) -> None:
+    def _cancel_handover(self, daemon_id: DaemonId, handover_id: HandoverId) -> None:
         if daemon_id == self.directory.me.daemon_id:
             self.exit.put(CancelHandover(handover_id))
         elif daemon_id in self.links:
@@ -246,7 +244,7 @@
         self.links[endpoint.daemon_id] = PeerLink(
             endpoint.daemon_id,
             endpoint.address,
-            lambda: self._hello(endpoint.daemon_id, endpoint.data_centre),
+            lambda: self._new_hello(endpoint.daemon_id, endpoint.data_centre),
             lambda: self.config_distributor.version,
             self._on_link_message,
             self.rng,
@@ -257,7 +255,7 @@
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
             self.links.pop(daemon_id).close()
 
-    def _hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
+    def _new_hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
         """Return the hello for a peer: this daemon's row and the table, or else the peer's drain.
 
         Each daemon greets every other one, so the cost of whole tables would grow with the square
@@ -269,11 +267,11 @@
             for endpoint in self.directory.rows.values()
             if endpoint.daemon_id != me.daemon_id
         ]
-        neighbours = [
+        same_data_centre = [
             endpoint.daemon_id for endpoint in others if endpoint.data_centre == me.data_centre
         ]
-        donors = select_readers((me.daemon_id, *neighbours), FULL_TABLE_SENDERS)
-        if data_centre != me.data_centre or me.daemon_id not in donors:
+        table_senders = select_readers((me.daemon_id, *same_data_centre), FULL_TABLE_SENDERS)
+        if data_centre != me.data_centre or me.daemon_id not in table_senders:
             # A drain that the peer confirmed before it restarted still applies to it.
             others = [
                 endpoint
@@ -282,9 +280,9 @@
             ]
         return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *others))
 
-    def _hello_reply(self, hello: Hello) -> Hello:
+    def _new_hello_reply(self, hello: Hello) -> Hello:
         data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
-        return self._hello(hello.daemon_id, data_centre)
+        return self._new_hello(hello.daemon_id, data_centre)
 
     def _publish_endpoints(self) -> None:
         """Send the entry task the reachable endpoints: this daemon and those with an open link."""
@@ -353,11 +351,11 @@
         )
         self.open_links = open_links
         self.metrics.peers.set(len(open_links))
-        self.source.put(LinksChanged(open_links))
+        self.store.put(LinksChanged(open_links))
         self._publish_endpoints()
 
     def _forget_peer(self, link: PeerLink) -> None:
         self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
         self.directory.remove(link.daemon_id)
-        self.source.put(PeerRemoved(link.daemon_id))
+        self.store.put(PeerRemoved(link.daemon_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -45,12 +45,12 @@
 
     def __init__(
         self,
-        me: Member,
+        own_member: Member,
         members: Sender[BroadcastStrikes],
         control: Sender[ControlAsk],
         upstream: Sender[SuspectsChanged],
     ) -> None:
-        self.me = me
+        self.own_member = own_member
         self.members = members
         self.control = control
         self.upstream = upstream
@@ -77,13 +77,13 @@
                 self._merge_reports(notice.strikes, notice.clearances)
                 message.answer(StrikeAck(len(notice.strikes)))
 
-    def view_changed(self, view: FleetView, me: Member) -> None:
+    def view_changed(self, view: FleetView, own_member: Member) -> None:
         """Update the members, from which the trial member of a suspected request is selected."""
-        self.view, self.me = view, me
+        self.view, self.own_member = view, own_member
         if self.table.records:
             self._notify_upstream_task()
 
-    def quarantined(self, fingerprint: Fingerprint) -> bool:
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether calls with this fingerprint are refused."""
         return self.table.quarantined(fingerprint, monotonic_ms())
 
@@ -93,7 +93,7 @@
         if not self._merge_reports((), clearances):
             return False
         self.members.put(BroadcastStrikes((), clearances))
-        self.subtasks.start(self._notify_peers(StrikeNotice(self.me, (), clearances)))
+        self.subtasks.start(self._notify_peers(StrikeNotice(self.own_member, (), clearances)))
         return True
 
     def restrict_chooser(self, fingerprint: Fingerprint, path: str, chooser: Chooser) -> Chooser:
@@ -127,24 +127,26 @@
         self.last_death_ms = max(self.last_death_ms + 1, int(time.time() * 1000))
         death = Incarnation(self.last_death_ms)
         paths = {call.fingerprint: call.path for call in calls}
-        strikes = tuple(Strike(fingerprint, self.me.daemon_id, death) for fingerprint in paths)
+        strikes = tuple(
+            Strike(fingerprint, self.own_member.daemon_id, death) for fingerprint in paths
+        )
         self._merge_reports(strikes, ())
         for fingerprint, path in paths.items():
             self.table.record_path(fingerprint, path)
         self.members.put(BroadcastStrikes(strikes, ()))
-        await self._notify_peers(StrikeNotice(self.me, strikes))
+        await self._notify_peers(StrikeNotice(self.own_member, strikes))
         ask.answer(None)
 
     async def _notify_peers(self, notice: StrikeNotice) -> None:
         """Notify the peers that could run the calls next, and others up to `MAX_STRIKE_NOTICES`."""
-        upstream = self.me.upstream
+        upstream = self.own_member.upstream
         same_service = self._serving_members(upstream.service) if upstream else ()
         peers: dict[DaemonId, Member] = {m.daemon_id: m for m in same_service}
         for member in self.view.members.values():
             if len(peers) >= MAX_STRIKE_NOTICES:
                 break
             peers.setdefault(member.daemon_id, member)
-        peers.pop(self.me.daemon_id, None)
+        peers.pop(self.own_member.daemon_id, None)
         asks = [
             send_control(self.control, peer.control_address, notice, STRIKE_NOTICE_TIMEOUT)
             for peer in peers.values()
@@ -164,7 +166,7 @@
         return changed
 
     def _notify_upstream_task(self) -> None:
-        service = self.me.upstream.service if self.me.upstream else None
+        service = self.own_member.upstream.service if self.own_member.upstream else None
         suspects = {
             row.fingerprint: SuspectedRequest(
                 row.quarantined, self._trial_member(row.fingerprint, service) if service else None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -53,7 +53,7 @@
         flow: Flow,
         choose_hedge: HedgeChooser | None,
         balancer: LowestCostBalancer,
-        links: Sender[SendHandover | CancelRemoteHandover],
+        peers: Sender[SendHandover | CancelRemoteHandover],
         new_handover_id: Callable[[], HandoverId],
         on_end: "Callable[[RelayedCall, RelayResult], None]",
     ) -> None:
@@ -62,7 +62,7 @@
         self.flow = flow
         self.choose_hedge = choose_hedge
         self.balancer = balancer
-        self.links = links
+        self.peers = peers
         self.new_handover_id = new_handover_id
         self.on_end = on_end
         self.in_flight: dict[HandoverId, Sent] = {}
@@ -125,7 +125,7 @@
             Millis(context.deadline - now),
             context.request,
         )
-        self.links.put(SendHandover(daemon_id, handover, self._handle_result))
+        self.peers.put(SendHandover(daemon_id, handover, self._handle_result))
 
     def _handle_result(self, handover_id: HandoverId, result: RelayResult) -> None:
         sent = self.in_flight.pop(handover_id, None)
@@ -166,7 +166,7 @@
         # or another attempt was served.
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
         for handover_id, sent in self.in_flight.items():
-            self.links.put(CancelRemoteHandover(sent.daemon_id, handover_id))
+            self.peers.put(CancelRemoteHandover(sent.daemon_id, handover_id))
             self._report_to_balancer(sent, unknown_result(reason))
         self.in_flight.clear()
         self.flow.close()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/source_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -22,30 +22,30 @@
 from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import DrainsLoaded, DrainStored, StoreReachability, TableInForce
 from ..relay_metrics import RelayMetrics
-from ..source_messages import (
+from ..store_messages import (
     ConfigChanged,
     ConfigOrigin,
     ConfigReceived,
     DeltaReceived,
-    DrainConfirmed,
     EndpointsRead,
     FullConfigNeeded,
     LinksChanged,
     PeerRemoved,
+    StoreDrain,
 )
 
 T = TypeVar("T")
 
-SourceMessage = ConfigReceived | DeltaReceived | LinksChanged | DrainConfirmed | PeerRemoved
+StoreMessage = ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved
 # A reader detects within this time, plus a margin, that the store no longer answers.
-FOLLOW_WAIT = Millis(2_500)
-RETRY_BASE = Millis(150)
-RETRY_CAP = Millis(1_500)
+LONG_POLL_WAIT = Millis(2_500)
+STORE_RETRY_BASE = Millis(150)
+STORE_RETRY_CAP = Millis(1_500)
 # Daemons that do not follow the store check it this often for a change that they missed; pings
 # from the daemons of their region report one sooner.
-POLL_SECONDS = 30.0
-UNREACHABLE_RETRY_SECONDS = 4.0
-ROLE_CHECK_SECONDS = 0.25
+NON_READER_POLL_SECONDS = 30.0
+NON_READER_RETRY_SECONDS = 4.0
+READER_CHECK_SECONDS = 0.25
 # The store may answer from a state some seconds old, so announcements are read more than once.
 ANNOUNCEMENT_READ_DELAYS_SECONDS = (0.0, 4.0)
 # A starting daemon reads the store itself if no peer sent the configuration within this time. Links
@@ -56,7 +56,7 @@
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
 # Storing a drain is retried only while it matters: the upstream exits some seconds after it.
-KEEP_DRAIN_ATTEMPTS = 8
+STORE_DRAIN_ATTEMPTS = 8
 # A measured latency is reported to peers if it is below this share of the one they know.
 LATENCY_UPDATE_RATIO = 0.5
 
@@ -64,18 +64,18 @@
 """Returns the compiled configuration; raises `MessageDecodeError`."""
 
 
-class SourceTask:
+class StoreTask:
     """Puts the newest configuration of the store or the peers in force; versions never decrease."""
 
     def __init__(
         self,
-        mailbox: DirectMailbox[SourceMessage],
+        mailbox: DirectMailbox[StoreMessage],
         store: FleetStore,
         decode: ConfigDecoder,
         directory: Directory,
         entry: Sender[TableInForce],
         peers: Sender[ConfigChanged | FullConfigNeeded | StoreReachability | EndpointsRead],
-        exit_box: Sender[DrainsLoaded | DrainStored],
+        exit_mailbox: Sender[DrainsLoaded | DrainStored],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -86,7 +86,7 @@
         self.directory = directory
         self.entry = entry
         self.peers = peers
-        self.exit = exit_box
+        self.exit = exit_mailbox
         self.rng = rng
         self.log = log
         self.metrics = metrics
@@ -126,7 +126,7 @@
             if 0 < known_peers <= 2 * len(self.open_links) and self._is_reader():
                 return
 
-    def _handle(self, message: SourceMessage) -> None:
+    def _handle(self, message: StoreMessage) -> None:
         match message:
             case ConfigReceived(_, blob, origin):
                 try:
@@ -141,13 +141,13 @@
                 self._apply_config_delta(delta, origin)
             case LinksChanged(open_links):
                 self.open_links = open_links
-            case DrainConfirmed(me):
+            case StoreDrain(me):
                 self.latest_drain = me
-                self._start_background(self._keep_drain(me))
+                self._start_background(self._store_drain(me))
             case PeerRemoved(daemon_id):
                 self.forgot_peer = True
                 if self._is_reader():
-                    self._start_background(self._withdraw(daemon_id))
+                    self._start_background(self._withdraw_announcement(daemon_id))
 
     def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -168,21 +168,21 @@
         if data is not None:
             self._apply_config(data, ConfigOrigin.STORE)
         if not self.version:
-            await asyncio.sleep(ROLE_CHECK_SECONDS)
+            await asyncio.sleep(READER_CHECK_SECONDS)
 
     async def _wait_until_read_due(self) -> None:
         if not self.version:
             return
         self.offset = None
-        left = POLL_SECONDS * self.rng.uniform(0.8, 1.2)
+        left = NON_READER_POLL_SECONDS * self.rng.uniform(0.8, 1.2)
         while left > 0 and not self._is_reader():
-            await asyncio.sleep(ROLE_CHECK_SECONDS)
-            left -= ROLE_CHECK_SECONDS
+            await asyncio.sleep(READER_CHECK_SECONDS)
+            left -= READER_CHECK_SECONDS
 
     async def _read_next(self, offset: Offset) -> None:
         try:
             answer = await self._call_store(
-                "next_config", self.store.next_config(offset, FOLLOW_WAIT)
+                "next_config", self.store.next_config(offset, LONG_POLL_WAIT)
             )
         except HistoryLostError:
             self.log.write_change("history_lost", offset=offset)
@@ -224,10 +224,10 @@
 
     async def _wait_before_retry(self) -> None:
         if self.version and not self._is_reader():
-            await asyncio.sleep(UNREACHABLE_RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
+            await asyncio.sleep(NON_READER_RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
         else:
-            delay = full_jitter(self.failures, RETRY_BASE, RETRY_CAP, self.rng)
-            await asyncio.sleep((RETRY_BASE + delay) / 1000)
+            delay = full_jitter(self.failures, STORE_RETRY_BASE, STORE_RETRY_CAP, self.rng)
+            await asyncio.sleep((STORE_RETRY_BASE + delay) / 1000)
 
     def _apply_config_delta(self, delta: ConfigDelta, origin: ConfigOrigin) -> None:
         if delta.version <= self.version:
@@ -319,9 +319,9 @@
                 self.log.write_change("announcement_malformed", reason=str(error))
         return found
 
-    async def _keep_drain(self, me: Endpoint) -> None:
+    async def _store_drain(self, me: Endpoint) -> None:
         """Store a confirmed drain, so that it still applies after a restart."""
-        for _ in range(KEEP_DRAIN_ATTEMPTS):
+        for _ in range(STORE_DRAIN_ATTEMPTS):
             if self.latest_drain is not me or me.instance is None:
                 # A later attempt has taken over; an earlier drain must not replace a newer one.
                 return
@@ -329,12 +329,12 @@
             if await self._call_store("keep_drain", _true_after(call)) is not None:
                 self.exit.put(DrainStored(me.instance, me.born))
                 return
-            await asyncio.sleep(self.rng.uniform(RETRY_BASE, RETRY_CAP) / 1000)
+            await asyncio.sleep(self.rng.uniform(STORE_RETRY_BASE, STORE_RETRY_CAP) / 1000)
         self.log.write_change(
-            "drain_not_stored", instance=me.instance or "", tries=KEEP_DRAIN_ATTEMPTS
+            "drain_not_stored", instance=me.instance or "", tries=STORE_DRAIN_ATTEMPTS
         )
 
-    async def _withdraw(self, daemon_id: DaemonId) -> None:
+    async def _withdraw_announcement(self, daemon_id: DaemonId) -> None:
         await self._call_store("withdraw", _true_after(self.store.withdraw(daemon_id)))
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -64,7 +64,7 @@
 TICK_SECONDS = 0.25
 CLOSE_PROBE_SECONDS = 0.1
 SHED_HEADER = "Agatecross-Outcome"
-CLOSE_CONNECTION = ("Connection", "close")
+CONNECTION_CLOSE_HEADER = ("Connection", "close")
 
 CallAsk = Ask[Call, CallResult]
 DeathAsk = Ask[UpstreamDied, None]
@@ -135,7 +135,7 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         self.listener.listen(self.address, self._handle_peer_request)
-        ticks = asyncio.ensure_future(self._ticks())
+        ticks = asyncio.ensure_future(self._send_ticks())
         try:
             while True:
                 self._handle(await self.mailbox.get())
@@ -143,7 +143,7 @@
             ticks.cancel()
             self.subtasks.cancel()
 
-    async def drained(self) -> None:
+    async def drain(self) -> None:
         """Wait until no call runs on the upstream and every response has been written."""
         await self.subtasks.wait()
         await self.listener.close()
@@ -158,7 +158,7 @@
         self.mailbox.put(ask)
         result = await ask.reply
         # Peers then drop their idle connections to a leaving daemon before it closes them.
-        extra = (CLOSE_CONNECTION,) if self.leaving else ()
+        extra = (CONNECTION_CLOSE_HEADER,) if self.leaving else ()
         return encode_result(result, (LOAD_HEADER, self._load_header()), *extra)
 
     def _load_header(self) -> str:
@@ -329,7 +329,7 @@
             return not_run_result(Reason.SHED)
         return ran_result(response)
 
-    async def _ticks(self) -> None:
+    async def _send_ticks(self) -> None:
         while True:
             self.mailbox.put(Tick())
             await asyncio.sleep(TICK_SECONDS)
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -117,13 +117,13 @@
             "agatecross.call.duration", unit="ms", description="Time from request to response."
         )
 
-    def listener(self, wrapped: HttpListener, name: str) -> "TracedListener":
+    def trace_listener(self, wrapped: HttpListener, name: str) -> "TracedListener":
         """Return the listener with spans and call metrics."""
         return TracedListener(
             wrapped, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
         )
 
-    def client(self, wrapped: HttpClient, name: str) -> "TracedClient":
+    def trace_client(self, wrapped: HttpClient, name: str) -> "TracedClient":
         """Return the client with spans."""
         return TracedClient(wrapped, name, self.tracer)
 
