--- a/packages/agatecross-daemon/agatecross_daemon/decision_log.py
+++ b/packages/agatecross-daemon/agatecross_daemon/decision_log.py
@@ -1,4 +1,4 @@
-"""Bounded, non-blocking log of decisions on standard output, one key=value line for each."""
+"""Rate-limited, non-blocking log of decisions on standard output, one key=value line for each."""
 
 import asyncio
 import os
@@ -12,7 +12,7 @@
 from .events import format_event
 
 FLUSH_DELAY_SECONDS: Final = 0.1
-# Bounds the lines that wait while the pipe is full; further lines are dropped and counted.
+# Bounds the lines that wait for the next flush; further lines are dropped and counted.
 MAX_BUFFERED_LINES: Final = 2_000
 # Lines of served calls: 20 a second show the usual case and cost less than 0.1 % of a core.
 SERVED_BURST_LINES: Final = 40
@@ -41,7 +41,7 @@
         self._append_line(event, fields)
 
     def write_failed_call(self, event: str, **fields: object) -> None:
-        """Log a decision about a refused, repeated or failed call, within the rate limit."""
+        """Log a decision about a refused, retried or failed call, within the rate limit."""
         if self.failed_limiter.take(_monotonic_ms()):
             self._append_line(event, fields)
         else:
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -46,7 +46,7 @@
 
 # Peers stop sending calls within this time after the leaving state was pushed to them.
 LEAVE_PROPAGATION_SECONDS = 2.0
-# After a task failed: calls that wait for it never end, the others have this time to end.
+# Time for open calls to end after a task failed; those that wait for the failed task never end.
 TASK_FAILURE_DRAIN_SECONDS = 10.0
 
 
@@ -235,7 +235,7 @@
 
 
 async def run_tasks(tasks: Tasks, stop: asyncio.Event) -> None:
-    """Run the tasks until `stop` is set or one fails, then shut down; re-raises its exception."""
+    """Run the tasks until `stop` is set or one fails, then shut down; re-raises the failure."""
     running = [asyncio.ensure_future(task.run()) for task in tasks.all()]
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait([stopping, *running], return_when=asyncio.FIRST_COMPLETED)
--- a/packages/agatecross-daemon/agatecross_daemon/main.py
+++ b/packages/agatecross-daemon/agatecross_daemon/main.py
@@ -7,7 +7,7 @@
     """Run `agatecrossd`."""
     signals = ProcessSignals()
     signals.install_handlers()
-    # Importing the libraries takes most of the start, and signals may arrive during it.
+    # Importing the libraries takes most of the start-up time, and signals may arrive meanwhile.
     from .startup import start
 
     start(signals)
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GossipReceived:
-    """Strikes and clearances reported by a peer that this daemon did not know yet."""
+    """Strikes and clearances in the gossip of a peer that are new to this daemon."""
 
     strikes: tuple[Strike, ...]
     clearances: tuple[Clearance, ...]
@@ -82,7 +82,7 @@
 class UpstreamDied:
     """Request from the upstream task: the upstream died while these calls were running.
 
-    The reply follows when peers know the strikes.
+    The reply follows once the notified peers have acknowledged the strikes or timed out.
     """
 
     calls: tuple[InFlightCall, ...]
--- a/packages/agatecross-daemon/agatecross_daemon/process_signals.py
+++ b/packages/agatecross-daemon/agatecross_daemon/process_signals.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    # Importing asyncio takes a large part of the start, and handlers are installed before it.
+    # Importing asyncio takes a large part of the start-up time; the handlers are installed first.
     from asyncio import AbstractEventLoop
 
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -16,8 +16,9 @@
 class ProcessSignals:
     """Queues signals that arrive before the event loop runs, and passes later ones to it.
 
-    Without it, a signal would end the process with the signal's exit code before the handlers of
-    the event loop are set, and after the loop is closed, which restores the default actions.
+    Without it, a signal that arrives before the handlers of the event loop are set would end the
+    process with the signal's exit code. So would one that arrives after the loop is closed, because
+    closing it restores the default actions.
     """
 
     def __init__(self) -> None:
@@ -29,7 +30,7 @@
         """Replace the default actions and unblock the signals.
 
         The interpreter takes about 60 ms to get here. A supervisor that may send signals earlier
-        can start the process with them blocked; they are delivered now.
+        can start the process with them blocked; they are delivered here.
         """
         for number in HANDLED_SIGNALS:
             signal.signal(number, self._handle_signal)
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetChanged:
-    """The endpoints that accept calls changed; `daemons` is the number of known daemons."""
+    """The reachable endpoints that accept calls, by service, and the number of known daemons."""
 
     by_service: Mapping[ServiceName, tuple[Endpoint, ...]]
     daemon_count: int
@@ -88,7 +88,8 @@
 class LeaveReceived:
     """The local upstream is leaving and accepts no new calls.
 
-    `reply` is told whether the leave is confirmed; without it, the leave was confirmed earlier.
+    `born` is the start time of the upstream in Unix milliseconds, if it is known. `reply` is called
+    with whether the leave is confirmed; it is None for a leave that was confirmed earlier.
     """
 
     instance: InstanceId
@@ -103,7 +104,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainStored:
-    """The drain of this upstream process is saved in the store."""
+    """The drain of the upstream process that started at `born` is saved in the store."""
 
     instance: InstanceId
     born: int
@@ -118,9 +119,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreReachability:
-    """Whether the platform's store answered recently.
+    """Whether the platform's store answered the last call.
 
-    `latency` is the shortest time that it took to answer, 0 if it did not.
+    `latency` is the time that an answer took, replaced only by a much shorter one; it is 0 until
+    the first answer.
     """
 
     reachable: bool
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -36,8 +36,9 @@
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.store_task import StoreMessage, StoreTask
 
-# Time for callers and peers to read their last responses and close. It is spent at most twice after
-# the drain, once for callers and once for the other listeners, within the drain's EXIT_MARGIN.
+# Time for callers and peers to read their last responses and close. It elapses at most twice after
+# the drain, once for callers and peers together and once for the other listeners; both fit into
+# the drain's EXIT_MARGIN.
 CLOSE_TIMEOUT_MS = Millis(300)
 DRAIN_POLL_SECONDS = 0.02
 RELOADABLE_SETTINGS = frozenset(("store", "retries", "grace"))
@@ -149,7 +150,8 @@
         plan = plan_drain(started_at, self.settings.grace)
         self.leaving = True
         await asyncio.sleep((plan.leave_at - started_at) / 1000)
-        # The upstream served calls of peers until now: only now are the latest deadlines known.
+        # The upstream took new calls of peers until now, so the latest deadlines were not known
+        # earlier.
         listener = self.entry.listener
         plan = plan.with_open_calls(max(listener.latest_deadline, self.exit.latest_deadline))
         self.entry_mailbox.put(DrainPlanned(plan))
--- a/packages/agatecross-daemon/agatecross_daemon/startup.py
+++ b/packages/agatecross-daemon/agatecross_daemon/startup.py
@@ -24,7 +24,8 @@
 def new_daemon(decoded: DecodedDocument, signals: ProcessSignals) -> Coroutine[Any, Any, None]:
     """Return the main coroutine of the daemon; raises `SettingsError`.
 
-    Only the module of the kind that runs is imported: the libraries of the other cost memory.
+    Imports only the modules of the configured kind of daemon; the libraries of the other kind
+    would take up memory.
     """
     if is_sidecar_settings(decoded):
         from agatecross_platform.front_end import PlatformFrontEnd
--- a/packages/agatecross-daemon/agatecross_daemon/store_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -1,4 +1,4 @@
-"""Messages of the task that follows the configuration in the platform's store."""
+"""Messages to and from the task that calls the platform's store."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreDrain:
-    """The local upstream is confirmed as leaving, as `own_endpoint` states."""
+    """Request to the store task: save the drain of the local upstream in `own_endpoint`."""
 
     own_endpoint: Endpoint
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Status:
-    """Body of the status response; control traffic in payload bytes since the start."""
+    """Body of the status response; the control traffic is in payload bytes since the start."""
 
     daemon_id: DaemonId
     state: DaemonState
@@ -87,7 +87,7 @@
                     self.state = DaemonState.LEAVING
 
     async def drain(self) -> None:
-        """Wait until every request that has begun to arrive is answered."""
+        """Close the listener once every request that has begun to arrive is answered."""
         await self.listener.close()
 
     async def _handle_request(self, request: Request) -> Response:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_driver.py
@@ -26,7 +26,7 @@
 
 
 class CallDriver:
-    """Sends attempts to the upstream next to this daemon or to the daemons next to other ones."""
+    """Sends attempts to the upstream next to this daemon or to the daemons of other upstreams."""
 
     def __init__(
         self,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -100,7 +100,7 @@
                 self.quarantine.handle(message)
 
     async def drain(self) -> None:
-        """Wait until no call is in flight and every response has been written."""
+        """Close the listener after the last response; wait until no call is in flight."""
         await self.listener.close()
         while self.keyed_calls:
             await asyncio.wait(self.keyed_calls)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -1,4 +1,4 @@
-"""Owns the claims stream of this daemon and the outcomes behind its claims."""
+"""Reads and appends to the claims stream; exchanges the outcomes of claims with peers."""
 
 import asyncio
 import hashlib
@@ -57,7 +57,7 @@
 
 
 class ClaimsTask:
-    """Executes the claim decisions: appends, reads, and outcome requests to holders."""
+    """Carries out the decisions of its `ClaimDecider`: appends, reads, and requests to holders."""
 
     def __init__(
         self,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -14,8 +14,8 @@
 from .peer_link import PeerLink
 
 MIN_PULL_INTERVAL = Millis(300)
-# The region of this daemon delivers a change within this time unless its readers are gone; then a
-# whole configuration is pulled over the link between regions.
+# Daemons of the same region deliver a change within this time unless the readers of the region are
+# gone; then a whole configuration is pulled over the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
 
 ReplySender = Callable[[HopMessage], None]
@@ -42,7 +42,7 @@
         self.behind_since: Millis | None = None
 
     def config_changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
-        """Store a configuration that came into force and push it to the daemons fed by this one."""
+        """Store a configuration that came into force and push it to the selected peers."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         self.behind_since = None
         if message.origin is ConfigOrigin.REGION:
@@ -56,7 +56,7 @@
                 link.connection.send(frame)
 
     def config_received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
-        """Pass a configuration from a peer to the source task if it is newer."""
+        """Pass a configuration from a peer to the store task if it is newer."""
         if message.version <= self.version:
             return
         origin = self._origin_of(peer)
@@ -86,7 +86,7 @@
             send_reply(Pull(self.version))
 
     def pull_from_region(self, version: Version) -> None:
-        """Request the whole configuration from the first reachable daemon of the region."""
+        """Request the configuration from the first reachable daemon of the region."""
         me = self.directory.me
         for row in self.directory.others():
             link = self.links.get(row.daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -37,7 +37,7 @@
 HANDOVER_COUNTER_BITS = 40
 # Applies to requests that do not state the time left until their deadline.
 DEFAULT_CALL_TIMEOUT = Millis(60_000)
-# Refused callers retry after a random time, so that a load peak does not come back as one.
+# Refused callers retry after a random time, so that their retries do not form another load peak.
 RETRY_AFTER_MIN_SECONDS = 0.03
 RETRY_AFTER_MAX_SECONDS = 0.12
 NOT_FOUND = 404
@@ -198,7 +198,7 @@
         )
 
     def _latest_attempt_start(self, context: CallContext) -> Millis:
-        """Return the latest start of an attempt; the end of a drain cuts what is still open."""
+        """Return the latest time to start an attempt; the end of a drain cuts off open calls."""
         return (
             context.deadline
             if self.drain_plan is None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -64,15 +64,15 @@
     | LeaveReceived
 )
 # A starting daemon defers heartbeats until it has read the drains that it confirmed earlier, or
-# until this time has passed. The store answers within a few ms; without its answer, the earlier
-# confirmation of a daemon whose peers are all gone is lost.
+# until this time has passed. The store answers within a few ms; without its answer, the daemon
+# learns these drains only from peers, and never if all of them are gone.
 DRAINS_READ_TIMEOUT = Millis(1_000)
 TICK_SECONDS = 0.1
 # An upstream that misses this many heartbeats gets no more calls.
 MISSED_HEARTBEATS_LIMIT = 4
 # Calls are refused for this time after a failed connection, unless a heartbeat arrives earlier.
 UNREACHABLE_BACKOFF = Millis(1_000)
-# A crash resets all connections at once; a connection refused within this time confirms it.
+# A crash resets all connections at once; a refused connection within this time confirms the crash.
 CRASH_WINDOW = Millis(1_500)
 
 # The reason reported for each failure that occurs after the request was written.
@@ -86,7 +86,7 @@
 
 @dataclass(slots=True)
 class ExitCall:
-    """A waiting or running call; `reply` is None once it has been answered or cancelled."""
+    """A waiting or running call; `reply` is None once the call has been answered or cancelled."""
 
     handover: Handover
     deadline: Millis
@@ -360,7 +360,7 @@
         if leave.reply is not None:
             self.leave_replies.wait(start, leave.reply, monotonic_ms())
         elif (self.instance, self.state) == (start[0], UpstreamState.DRAINING):
-            # Every peer reports the same earlier drain.
+            # Every peer reports the same earlier drain; only the first report has an effect.
             return
         if start not in self.leave_replies.stored:
             # A repeated leave is published again, which starts a new attempt to store the drain.
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -74,7 +74,7 @@
         return sum(connection.unsent for connection in self.connections)
 
     def finish(self) -> None:
-        """Finish every connection after the results that were written; peers then close it."""
+        """Half-close every connection after its last result; the peer then closes it."""
         for connection in self.connections:
             connection.close_gracefully()
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeForPeerAnswered:
-    """A probe on behalf of a peer ended; `ask` waits for the result."""
+    """A probe that a peer requested ended; `ask` waits for the result."""
 
     ask: ReceivedAsk
     reply: ControlMessage | None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -112,7 +112,7 @@
             self.send(Cancel(handover_id))
 
     def check_liveness(self, now: Millis) -> None:
-        """Ping a quiet connection; close one that sends nothing. Called several times a second."""
+        """Ping a quiet connection; close one that stays silent. Called several times a second."""
         if self.connection is None:
             return
         if self.awaiting_pong and now - self.last_ping_at > PONG_TIMEOUT:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -67,7 +67,8 @@
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
 LISTEN_BACKLOG = 1024
-# Sent to daemons that join later; an upstream has some tens of slots, so ten deaths fit.
+# The newest strikes are kept for daemons that connect later. An upstream has some tens of slots, so
+# the strikes of ten deaths fit.
 MAX_KEPT_STRIKES = 512
 # A daemon unreachable for this long is forgotten; it announces itself again when it is back.
 FORGET_PEER_AFTER = Millis(20_000)
@@ -135,11 +136,11 @@
                 self.server.close()
 
     def leave(self) -> None:
-        """Announce to every peer that this daemon takes no more calls."""
+        """Announce to every peer that this daemon accepts no more calls."""
         self._announce_self(self.directory.update(leaving=True))
 
     async def finish(self, timeout: Millis) -> None:
-        """Stop listening and wait, for at most `limit`, until peers have read every result."""
+        """Stop listening and wait, for at most `timeout`, until peers have read every result."""
         if self.server is not None:
             self.server.close()
         self.inbound.finish()
@@ -256,10 +257,11 @@
             self.links.pop(daemon_id).close()
 
     def _new_hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
-        """Return the hello for a peer: this daemon's row and the table, or else the peer's drain.
+        """Return the hello for a peer: this daemon's endpoint, and the table or the peer's drain.
 
-        Each daemon greets every other one, so the cost of whole tables would grow with the square
-        of the fleet. Only a few daemons of each data centre send theirs, to their neighbours.
+        Every daemon sends a hello to every other one, so the number of whole tables sent would grow
+        with the square of the fleet. Only a few daemons of each data centre send theirs, to the
+        daemons of the same data centre.
         """
         me = self.directory.me
         others = [
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/quarantine_driver.py
@@ -88,7 +88,7 @@
         return self.table.quarantined(fingerprint, monotonic_ms())
 
     def clear_fingerprint(self, fingerprint: Fingerprint) -> bool:
-        """Clear a fingerprint everywhere; return whether it had strikes."""
+        """Clear a fingerprint here and at the peers; return whether it had strikes."""
         clearances = (Clearance(fingerprint, self.table.deaths(fingerprint)),)
         if not self._merge_reports((), clearances):
             return False
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -1,4 +1,4 @@
-"""A call of a caller in progress: sends its attempts, takes their results and gives one answer."""
+"""A call in progress: sends its attempts, collects their results and answers the caller once."""
 
 import asyncio
 from collections.abc import Callable, Generator
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -1,4 +1,4 @@
-"""Follows the configuration and the announcements of daemons in the platform's store."""
+"""Calls the platform's store, and follows the configuration and the daemons announced there."""
 
 import asyncio
 import random
@@ -37,7 +37,8 @@
 T = TypeVar("T")
 
 StoreMessage = ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved
-# A reader detects within this time, plus a margin, that the store no longer answers.
+# The store answers a long poll within this time even without a change, so a reader detects within
+# it, plus a margin, that the store no longer answers.
 LONG_POLL_WAIT = Millis(2_500)
 STORE_RETRY_BASE = Millis(150)
 STORE_RETRY_CAP = Millis(1_500)
@@ -55,7 +56,7 @@
 # How often a daemon that forgot a peer checks whether the peer is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
-# Storing a drain is retried only while it matters: the upstream exits some seconds after it.
+# Storing a drain is retried only while it matters: the upstream exits some seconds after its leave.
 STORE_DRAIN_ATTEMPTS = 8
 # A measured latency is reported to peers if it is below this share of the one they know.
 LATENCY_UPDATE_RATIO = 0.5
@@ -323,7 +324,7 @@
         """Store a confirmed drain, so that it still applies after a restart."""
         for _ in range(STORE_DRAIN_ATTEMPTS):
             if self.latest_drain is not me or me.instance is None:
-                # A later attempt has taken over; an earlier drain must not replace a newer one.
+                # A later request took over; an earlier drain must not replace a newer one.
                 return
             call = self.store.announce_drain(me.daemon_id, encode_endpoint(me))
             if await self._call_store("keep_drain", _true_after(call)) is not None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -144,10 +144,10 @@
             self.subtasks.cancel()
 
     async def drain(self) -> None:
-        """Wait until no call runs on the upstream and every response has been written."""
+        """Wait until no call runs on the upstream; close the listener after the last response."""
         await self.subtasks.wait()
         await self.listener.close()
-        # A call that arrived just before the queue closed may run longer than its sender waits.
+        # A call that arrived just before `Leaving` may run longer than its sender waits.
         await self.subtasks.wait()
 
     async def _handle_peer_request(self, request: Request) -> Response:
@@ -157,7 +157,7 @@
         ask: CallAsk = new_ask(call)
         self.mailbox.put(ask)
         result = await ask.reply
-        # Peers then drop their idle connections to a leaving daemon before it closes them.
+        # Makes peers drop their idle connections to a leaving daemon before it closes them.
         extra = (CONNECTION_CLOSE_HEADER,) if self.leaving else ()
         return encode_result(result, (LOAD_HEADER, self._load_header()), *extra)
 
@@ -289,8 +289,8 @@
         result = await self._send_to_upstream(address, request, left)
         if result.reason is Reason.CONNECTION_LOST:
             self.probing[call.call_id] = in_flight
-            # Continues when the call is cancelled, as a hedge is when the other attempt ended: a
-            # death that is not counted lets the request crash one more upstream.
+            # The check continues if the call is cancelled, as a hedged attempt is when the other
+            # one ends: a death that is not counted lets the request crash one more upstream.
             await asyncio.shield(self.subtasks.start(self._check_for_death(call.call_id, address)))
         return result
 
@@ -308,7 +308,7 @@
             self.death_reports.pop(call_id, None)
 
     async def _report_death(self, call_id: CallId) -> None:
-        """Report each death once, with all calls that were running; wait until peers know."""
+        """Report a death once, with every call that was running; wait until peers are notified."""
         if call_id not in self.death_reports:
             running = {**self.gate.running, **self.probing}
             lost = {i: row for i, row in running.items() if i not in self.death_reports}
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -1,7 +1,7 @@
 """OpenTelemetry metrics and traces, added by wrapping the daemon's listeners and clients.
 
 Every hop has a server span at the listener and a client span at the client. The trace context is
-kept in the `traceparent` header of the request, because a call changes tasks inside the daemon.
+kept in the `traceparent` header of the request, because several tasks of the daemon handle a call.
 """
 
 import random
