--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -99,7 +99,11 @@
                 Fingerprint(path.removeprefix(f"{QUARANTINE_PATH}/"))
             )
         handler = self.handlers.get((request.method, path))
-        return handler(request) if handler else _json_response(404, {"error": "no such page"})
+        return (
+            handler(request)
+            if handler
+            else _json_response(404, {"error": "unknown path or method"})
+        )
 
     async def _list_quarantine(self) -> Response:
         ask: ListAsk = new_ask(ListQuarantine())
@@ -111,7 +115,7 @@
         self.quarantine.put(ask)
         if await ask.reply:
             return _json_response(200, {"lifted": fingerprint})
-        return _json_response(404, {"error": "no such fingerprint"})
+        return _json_response(404, {"error": "fingerprint has no strikes"})
 
     def _handle_status(self, request: Request) -> Response:
         del request
