--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -35,12 +35,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Sent:
+class SentAttempt:
     """A handover whose result is awaited."""
 
     daemon_id: DaemonId
     instance: InstanceId
-    at: Millis
+    sent_at: Millis
 
 
 class RelayedCall:
@@ -65,8 +65,8 @@
         self.peers = peers
         self.new_handover_id = new_handover_id
         self.on_end = on_end
-        self.in_flight: dict[HandoverId, Sent] = {}
-        self.last_sent: Sent | None = None
+        self.in_flight: dict[HandoverId, SentAttempt] = {}
+        self.last_sent: SentAttempt | None = None
         self.hedged = False
         self.kept_result: RelayResult | None = None
         self.attempts = 0
@@ -111,7 +111,7 @@
         self.attempts += 1
         now = monotonic_ms()
         handover_id = self.new_handover_id()
-        self.last_sent = self.in_flight[handover_id] = Sent(daemon_id, instance, now)
+        self.last_sent = self.in_flight[handover_id] = SentAttempt(daemon_id, instance, now)
         context = self.context
         handover = Handover(
             handover_id,
@@ -140,9 +140,9 @@
         if is_served(result) or not self.in_flight:
             self._end(self.kept_result)
 
-    def _report_to_balancer(self, sent: Sent, result: RelayResult) -> None:
+    def _report_to_balancer(self, sent: SentAttempt, result: RelayResult) -> None:
         now = monotonic_ms()
-        took = Millis(now - sent.at)
+        took = Millis(now - sent.sent_at)
         size = len(self.context.request.body)
         self.balancer.record_result(
             sent.daemon_id, result, took, self.context.route.name, size, now
