--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -243,7 +243,7 @@
     async def ended():
         sidecar = testbed.sidecars[failing]
         # The tasks that the fleet started go on; in the run below, the source task fails at once.
-        sidecar.source.run = raise_fault
+        sidecar.store.run = raise_fault
         for task in (sidecar.exit, sidecar.peers):
             task.run = asyncio.Event().wait
         with suppress(ValueError):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -94,7 +94,7 @@
         )
 
     def sees_all_upstreams(self, sidecar):
-        return sum(map(len, sidecar.entry.fleet.values())) == len(DAEMON_PLACES)
+        return sum(map(len, sidecar.entry.endpoints_by_service.values())) == len(DAEMON_PLACES)
 
     async def start_daemon(self, number, previous=None):
         region, data_centre, service = DAEMON_PLACES[number]
@@ -402,7 +402,7 @@
 @when('every daemon sees the upstreams "{names}"')
 def step_sees(context, names):
     def seen(sidecar):
-        rows = sidecar.entry.fleet.values()
+        rows = sidecar.entry.endpoints_by_service.values()
         return {row.instance for endpoints in rows for row in endpoints} >= set(names.split(","))
 
     context.testbed.run(poll_until(lambda: all(seen(s) for s in context.testbed.sidecars), names))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -10,12 +10,12 @@
 
 from ..decision_log import DecisionLog
 from ..mailbox import Sender
-from ..source_messages import ConfigChanged, ConfigOrigin, ConfigReceived, DeltaReceived
+from ..store_messages import ConfigChanged, ConfigOrigin, ConfigReceived, DeltaReceived
 from .peer_link import PeerLink
 
-PULL_PERIOD = Millis(300)
-# The region of this daemon delivers a change within this time unless its readers are gone; then a
-# whole configuration is pulled over the link between regions.
+MIN_PULL_INTERVAL = Millis(300)
+# Daemons of the same region deliver a change within this time unless the readers of the region are
+# gone; then a whole configuration is pulled over the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
 
 ReplySender = Callable[[HopMessage], None]
@@ -28,12 +28,12 @@
         self,
         directory: Directory,
         links: Mapping[DaemonId, PeerLink],
-        source: Sender[ConfigReceived | DeltaReceived],
+        store: Sender[ConfigReceived | DeltaReceived],
         log: DecisionLog,
     ) -> None:
         self.directory = directory
         self.links = links
-        self.source = source
+        self.store = store
         self.log = log
         self.version = Version(0)
         self.blob = b""
@@ -42,7 +42,7 @@
         self.behind_since: Millis | None = None
 
     def config_changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
-        """Store a configuration that came into force and push it to the daemons fed by this one."""
+        """Store a configuration that came into force and push it to the selected peers."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         self.behind_since = None
         if message.origin is ConfigOrigin.REGION:
@@ -56,14 +56,14 @@
                 link.connection.send(frame)
 
     def config_received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
-        """Pass a configuration from a peer to the source task if it is newer."""
+        """Pass a configuration from a peer to the store task if it is newer."""
         if message.version <= self.version:
             return
         origin = self._origin_of(peer)
         if isinstance(message, ConfigDelta):
-            self.source.put(DeltaReceived(message, origin))
+            self.store.put(DeltaReceived(message, origin))
         else:
-            self.source.put(ConfigReceived(message.version, message.data, origin))
+            self.store.put(ConfigReceived(message.version, message.data, origin))
 
     def answer_pull(self, version: Version, send_reply: ReplySender) -> None:
         """Answer a pull from a peer that has `version`, with the delta if that is its base."""
@@ -76,7 +76,7 @@
         self, version: Version, send_reply: ReplySender, peer: DaemonId | None, now: Millis
     ) -> None:
         """Pull a newer version from a peer; from another region only if no push arrived in time."""
-        if version <= self.version or now - self.pulled_at < PULL_PERIOD:
+        if version <= self.version or now - self.pulled_at < MIN_PULL_INTERVAL:
             return
         if self.behind_since is None:
             self.behind_since = now
@@ -86,7 +86,7 @@
             send_reply(Pull(self.version))
 
     def pull_from_region(self, version: Version) -> None:
-        """Request the whole configuration from the first reachable daemon of the region."""
+        """Request the configuration from the first reachable daemon of the region."""
         me = self.directory.me
         for row in self.directory.others():
             link = self.links.get(row.daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -1,4 +1,4 @@
-"""A call of a caller in progress: sends its attempts, takes their results and gives one answer."""
+"""A call in progress: sends its attempts, collects their results and answers the caller once."""
 
 import asyncio
 from collections.abc import Callable, Generator
@@ -35,12 +35,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Sent:
+class SentAttempt:
     """A handover whose result is awaited."""
 
     daemon_id: DaemonId
     instance: InstanceId
-    at: Millis
+    sent_at: Millis
 
 
 class RelayedCall:
@@ -53,7 +53,7 @@
         flow: Flow,
         choose_hedge: HedgeChooser | None,
         balancer: LowestCostBalancer,
-        links: Sender[SendHandover | CancelRemoteHandover],
+        peers: Sender[SendHandover | CancelRemoteHandover],
         new_handover_id: Callable[[], HandoverId],
         on_end: "Callable[[RelayedCall, RelayResult], None]",
     ) -> None:
@@ -62,11 +62,11 @@
         self.flow = flow
         self.choose_hedge = choose_hedge
         self.balancer = balancer
-        self.links = links
+        self.peers = peers
         self.new_handover_id = new_handover_id
         self.on_end = on_end
-        self.in_flight: dict[HandoverId, Sent] = {}
-        self.last_sent: Sent | None = None
+        self.in_flight: dict[HandoverId, SentAttempt] = {}
+        self.last_sent: SentAttempt | None = None
         self.hedged = False
         self.kept_result: RelayResult | None = None
         self.attempts = 0
@@ -111,7 +111,7 @@
         self.attempts += 1
         now = monotonic_ms()
         handover_id = self.new_handover_id()
-        self.last_sent = self.in_flight[handover_id] = Sent(daemon_id, instance, now)
+        self.last_sent = self.in_flight[handover_id] = SentAttempt(daemon_id, instance, now)
         context = self.context
         handover = Handover(
             handover_id,
@@ -125,7 +125,7 @@
             Millis(context.deadline - now),
             context.request,
         )
-        self.links.put(SendHandover(daemon_id, handover, self._handle_result))
+        self.peers.put(SendHandover(daemon_id, handover, self._handle_result))
 
     def _handle_result(self, handover_id: HandoverId, result: RelayResult) -> None:
         sent = self.in_flight.pop(handover_id, None)
@@ -140,9 +140,9 @@
         if is_served(result) or not self.in_flight:
             self._end(self.kept_result)
 
-    def _report_to_balancer(self, sent: Sent, result: RelayResult) -> None:
+    def _report_to_balancer(self, sent: SentAttempt, result: RelayResult) -> None:
         now = monotonic_ms()
-        took = Millis(now - sent.at)
+        took = Millis(now - sent.sent_at)
         size = len(self.context.request.body)
         self.balancer.record_result(
             sent.daemon_id, result, took, self.context.route.name, size, now
@@ -166,7 +166,7 @@
         # or another attempt was served.
         reason = result.reason if result.reason is Reason.TIMEOUT else Reason.CANCELLED
         for handover_id, sent in self.in_flight.items():
-            self.links.put(CancelRemoteHandover(sent.daemon_id, handover_id))
+            self.peers.put(CancelRemoteHandover(sent.daemon_id, handover_id))
             self._report_to_balancer(sent, unknown_result(reason))
         self.in_flight.clear()
         self.flow.close()
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -1,7 +1,7 @@
 """OpenTelemetry metrics and traces, added by wrapping the daemon's listeners and clients.
 
 Every hop has a server span at the listener and a client span at the client. The trace context is
-kept in the `traceparent` header of the request, because a call changes tasks inside the daemon.
+kept in the `traceparent` header of the request, because several tasks of the daemon handle a call.
 """
 
 import random
@@ -117,13 +117,13 @@
             "agatecross.call.duration", unit="ms", description="Time from request to response."
         )
 
-    def listener(self, wrapped: HttpListener, name: str) -> "TracedListener":
+    def trace_listener(self, wrapped: HttpListener, name: str) -> "TracedListener":
         """Return the listener with spans and call metrics."""
         return TracedListener(
             wrapped, name, self.head_sampler, self.tracer, self.call_counts, self.call_duration
         )
 
-    def client(self, wrapped: HttpClient, name: str) -> "TracedClient":
+    def trace_client(self, wrapped: HttpClient, name: str) -> "TracedClient":
         """Return the client with spans."""
         return TracedClient(wrapped, name, self.tracer)
 
