--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -198,7 +198,7 @@
     async def work():
         connection = await connect_narrow(sidecar.settings.callers)
         connection.send(line, "slow")
-        await until(lambda: sidecar.entry.listener.unfinished().unsent, "bytes that wait")
+        await until(lambda: sidecar.entry.listener.unfinished_work().unsent, "bytes that wait")
         draining = asyncio.ensure_future(sidecar.drain())
         await until(lambda: sidecar.exit.leaving or draining.done(), "the end of the moves")
         await asyncio.sleep(0.2)
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -308,7 +308,7 @@
         ends = [await end_of(client, server.address, request, 200 if "late" in fault else 9000)]
         await server.idle.wait()
         await disturb(fault, server.closing[0], client.idle[server.address])
-        with mock.patch.object(ClientStream, "usable", usable_for(fault)):
+        with mock.patch.object(ClientStream, "is_usable", usable_for(fault)):
             ends.append(await end_of(client, server.address, request, 9000))
         client.close()
         return " ".join(ends), server.requests, server.connections
@@ -325,7 +325,7 @@
 def usable_for(fault):
     if fault == "are reset after the check":
         return lambda stream, now: True
-    return ClientStream.usable
+    return ClientStream.is_usable
 
 
 async def disturb(fault, writer, idle):
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -49,7 +49,7 @@
     )
 
 
-def remaining_ms(request: Request) -> float | None:
+def decode_time_left_ms(request: Request) -> float | None:
     """Return the time left that a request states, or None if that is missing or malformed."""
     text = request.header(DEADLINE_HEADER)
     try:
@@ -73,12 +73,14 @@
 def decode_call(request: Request, now: Millis) -> Call | None:
     """Return the call in a peer's request, or None if its headers do not describe a call."""
     call_id, service = request.header(CALL_ID_HEADER), request.header(SERVICE_HEADER)
-    left = remaining_ms(request)
-    if not call_id or not service or left is None:
+    time_left = decode_time_left_ms(request)
+    if not call_id or not service or time_left is None:
         return None
     idempotent = request.header(IDEMPOTENT_HEADER) == "1"
-    plain = replace(request, headers=public_headers(request.headers))
-    return Call(CallId(call_id), ServiceName(service), plain, Millis(now + left), idempotent)
+    public_request = replace(request, headers=public_headers(request.headers))
+    return Call(
+        CallId(call_id), ServiceName(service), public_request, Millis(now + time_left), idempotent
+    )
 
 
 def encode_result(result: CallResult, *extra: tuple[str, str]) -> Response:
--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -67,7 +67,7 @@
         if self.response is None:
             self.response = response
             self.on_abandoned = None
-            self.connection.flush()
+            self.connection.write_due_responses()
 
 
 ExchangeHandler = Callable[[Exchange], None]
@@ -100,7 +100,7 @@
         self.chunks: list[bytes] = []
         # Bytes of the head or of the body that is being read.
         self.part_bytes = 0
-        self.framing_fields = 0
+        self.framing_field_count = 0
         self.rejected = False
         self.pipeline_full = False
         self.write_blocked = False
@@ -152,7 +152,7 @@
         self.headers = []
         self.chunks = []
         self.part_bytes = 0
-        self.framing_fields = 0
+        self.framing_field_count = 0
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -165,7 +165,7 @@
         self._count_head_bytes(len(name) + len(value) + 4)
         self.headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
-            self.framing_fields += 1
+            self.framing_field_count += 1
         elif name == b"expect" and value.lower() == b"100-continue" and not self.exchanges:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -173,7 +173,7 @@
         """Reject ambiguous framing, which allows request smuggling."""
         self.state = ParseState.BODY
         self.part_bytes = 0
-        if self.framing_fields > 1:
+        if self.framing_field_count > 1:
             self.reject(400)
 
     def on_body(self, body: bytes) -> None:
@@ -223,7 +223,7 @@
             )
             exchange.respond(RelayResponse(HTTPStatus.BAD_GATEWAY, (), b""))
 
-    def flush(self) -> None:
+    def write_due_responses(self) -> None:
         """Write the responses that are due, in the order of their requests."""
         if self.half_closed or self.transport.is_closing():
             return
@@ -259,7 +259,7 @@
         if not self.exchanges and self.state is ParseState.IDLE:
             self.close_gracefully()
 
-    def abandon_exchanges(self) -> None:
+    def notify_handlers_of_close(self) -> None:
         """Tell the handlers of waiting requests that no later response can be sent."""
         self.closed_by = ClosedBy.DAEMON
         for exchange in list(self.exchanges):
@@ -282,7 +282,7 @@
         self.transport.resume_reading()
         half_close(self.transport)
 
-    def has_unread(self) -> bool:
+    def has_unread_data(self) -> bool:
         """Return whether the kernel holds data from this caller that was not read."""
         sock = self.transport.get_extra_info("socket")
         if sock is None or self.transport.is_closing():
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -73,12 +73,12 @@
         if self.server is None:
             return
         loop = asyncio.get_running_loop()
-        for listening in self.server.sockets:
-            loop.remove_reader(listening.fileno())
+        for listening_socket in self.server.sockets:
+            loop.remove_reader(listening_socket.fileno())
         await asyncio.sleep(0)
         accepted: list[socket.socket] = []
-        for listening in self.server.sockets:
-            accepted += _accept_all(listening.fileno())
+        for listening_socket in self.server.sockets:
+            accepted += _accept_all(listening_socket.fileno())
         self.server.close()
         for sock in accepted:
             await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
@@ -90,10 +90,10 @@
         """
         self.closing = True
         for connection in list(self.connections):
-            connection.abandon_exchanges()
+            connection.notify_handlers_of_close()
             connection.close_gracefully()
-        last = time.monotonic() + limit / 1000
-        while self.connections and time.monotonic() < last:
+        deadline = time.monotonic() + limit / 1000
+        while self.connections and time.monotonic() < deadline:
             await asyncio.sleep(CLOSE_POLL_SECONDS)
         self.close()
 
@@ -127,13 +127,13 @@
         """Return the number of bytes of responses not yet handed to the kernel."""
         return sum(connection.transport.get_write_buffer_size() for connection in self.connections)
 
-    def unfinished(self) -> UnfinishedWork:
+    def unfinished_work(self) -> UnfinishedWork:
         """Return the work that closing now would cut off or drop."""
         connections = self.connections
         return UnfinishedWork(
             self.pending,
             sum(connection.state is not ParseState.IDLE for connection in connections),
-            sum(connection.has_unread() for connection in connections),
+            sum(connection.has_unread_data() for connection in connections),
             self.unsent,
         )
 
@@ -146,10 +146,10 @@
         )
 
 
-def _accept_all(listening: int) -> Iterator[socket.socket]:
+def _accept_all(listening_fd: int) -> Iterator[socket.socket]:
     """Yield the connections in the accept queue of a listening socket, given its descriptor."""
     try:
-        with socket.socket(fileno=os.dup(listening)) as queue:
+        with socket.socket(fileno=os.dup(listening_fd)) as queue:
             while True:
                 sock, _ = queue.accept()
                 sock.setblocking(False)
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -55,14 +55,18 @@
     22: StrikeNotice,
     23: StrikeAck,
 }
-TAG_BY_CONTROL_TYPE: Final = {kind: tag for tag, kind in CONTROL_TYPE_BY_TAG.items()}
+TAG_BY_CONTROL_TYPE: Final = {
+    message_type: tag for tag, message_type in CONTROL_TYPE_BY_TAG.items()
+}
 RECORD_TYPE_BY_KIND: Final[Mapping[str, type]] = {
     "publish": PublishRecord,
     "snapshot": SnapshotRecord,
     "announce": AnnounceRecord,
     "claims": ClaimsBatch,
 }
-KIND_BY_RECORD_TYPE: Final = {kind: name for name, kind in RECORD_TYPE_BY_KIND.items()}
+KIND_BY_RECORD_TYPE: Final = {
+    record_type: kind for kind, record_type in RECORD_TYPE_BY_KIND.items()
+}
 
 
 def encode_control(message: ControlMessage) -> bytes:
@@ -98,14 +102,14 @@
     """Decode a log record of the expected type or union; raises `MessageDecodeError`."""
     try:
         envelope = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
-        name = msgspec.json.decode(envelope.get("kind", msgspec.Raw(b'""')), type=str)
-        if name not in RECORD_TYPE_BY_KIND:
-            raise MessageDecodeError(f"unknown record kind {name!r}")
+        kind = msgspec.json.decode(envelope.get("kind", msgspec.Raw(b'""')), type=str)
+        if kind not in RECORD_TYPE_BY_KIND:
+            raise MessageDecodeError(f"unknown record kind {kind!r}")
         record: object = msgspec.json.decode(
-            envelope.get("body", msgspec.Raw(b"null")), type=RECORD_TYPE_BY_KIND[name]
+            envelope.get("body", msgspec.Raw(b"null")), type=RECORD_TYPE_BY_KIND[kind]
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise MessageDecodeError(f"log record: {error}") from error
     if not isinstance(record, record_type):
-        raise MessageDecodeError(f"record of kind {name!r} does not belong to this stream")
+        raise MessageDecodeError(f"record of kind {kind!r} does not belong to this stream")
     return record
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -17,7 +17,7 @@
 from .protocols import ControlHandler
 
 MAX_CONTROL_BYTES: Final = 32 * 1024 * 1024
-MAX_OPEN_PEERS: Final = 16
+MAX_PEER_SOCKETS: Final = 16
 # Answering an indirect probe occupies a context for up to a probe timeout; direct probes must
 # still find a free one.
 RESPONDER_COUNT: Final = 32
@@ -74,7 +74,7 @@
         self.closing = False
         self.contexts: list[pynng.Context] = []
         self.peers: OrderedDict[Address, PeerSocket] = OrderedDict()
-        self.request_slots = asyncio.Semaphore(MAX_OPEN_PEERS)
+        self.request_slots = asyncio.Semaphore(MAX_PEER_SOCKETS)
         self.traffic = TrafficCounters()
 
     async def listen(self, address: Address, handler: ControlHandler) -> Address:
@@ -117,7 +117,7 @@
         """Return the peer's reply; raises `PeerError`."""
         try:
             data = encode_control(message)
-            async with asyncio.timeout(timeout / 1000), self._lend_socket(peer) as socket:
+            async with asyncio.timeout(timeout / 1000), self._socket_for_peer(peer) as socket:
                 with socket.new_context() as context:
                     await context.asend(data)
                     self.traffic.sent_bytes += len(data)
@@ -129,7 +129,7 @@
             raise PeerError(peer, str(error) or type(error).__name__) from error
 
     @asynccontextmanager
-    async def _lend_socket(self, address: Address) -> AsyncIterator[pynng.Req0]:
+    async def _socket_for_peer(self, address: Address) -> AsyncIterator[pynng.Req0]:
         """Lend the socket to a peer; a failed exchange closes it once no request uses it."""
         async with self.request_slots:
             peer = self._get_or_dial(address)
@@ -169,7 +169,7 @@
 
     def _evict_idle(self) -> None:
         idle = [address for address, peer in self.peers.items() if peer.active_requests == 0]
-        for address in idle[: max(0, len(self.peers) + 1 - MAX_OPEN_PEERS)]:
+        for address in idle[: max(0, len(self.peers) + 1 - MAX_PEER_SOCKETS)]:
             self.peers.pop(address).socket.close()
 
     async def close(self) -> None:
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -10,7 +10,7 @@
 # A caller may send a body of up to 64 MiB; the head and the other fields add little to it.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 # The kernel closes a connection if sent data stays unacknowledged for this long.
-USER_TIMEOUT_MS = 5_000
+TCP_USER_TIMEOUT_MS = 5_000
 
 
 class FrameConnection(asyncio.Protocol):
@@ -38,7 +38,7 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         self.open = True
         self.on_open(self)
 
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -207,7 +207,7 @@
 
 
 def _handover_from_fields(fields: list[Any]) -> Handover:
-    handover_id, call_id, route, service, instance, repeat, rank, objective_time_left, left = (
+    handover_id, call_id, route, service, instance, repeat, rank, objective_time_left, time_left = (
         fields[:9]
     )
     method, target, headers, body = fields[9:]
@@ -220,7 +220,7 @@
         REPEAT_CODES[repeat],
         rank,
         Millis(objective_time_left),
-        Millis(left),
+        Millis(time_left),
         RelayRequest(method, target, tuple((name, value) for name, value in headers), body),
     )
 
--- a/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http1_bytes.py
@@ -30,8 +30,8 @@
 
 def split_absolute_form(target: bytes, hosts: list[bytes]) -> tuple[list[bytes], bytes]:
     """Return hosts and path of a target; an absolute form's host replaces the `Host` headers."""
-    scheme, mark, rest = target.partition(b"://")
-    if not mark or scheme.lower() not in (b"http", b"https"):
+    scheme, separator, rest = target.partition(b"://")
+    if not separator or scheme.lower() not in (b"http", b"https"):
         return hosts, target
     host, slash, path = rest.partition(b"/")
     return [host], slash + path if slash else b"/"
@@ -42,10 +42,12 @@
     fields = [field for field in headers if field[0] not in HOP_BY_HOP_FIELDS]
     if len(fields) == len(headers):
         return tuple(fields)
-    named = b",".join(value for name, value in headers if name == b"connection").lower()
-    if named in (b"", b"close", b"keep-alive"):
+    connection_options = b",".join(
+        value for name, value in headers if name == b"connection"
+    ).lower()
+    if connection_options in (b"", b"close", b"keep-alive"):
         return tuple(fields)
-    extra = {name.strip() for name in named.split(b",")}
+    extra = {name.strip() for name in connection_options.split(b",")}
     return tuple(field for field in fields if field[0] not in extra)
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -52,7 +52,7 @@
         self.sent_bytes += count
         return count
 
-    def usable(self, now: float) -> bool:
+    def is_usable(self, now: float) -> bool:
         """Return whether an idle connection is recent, open and free of unexpected data."""
         if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
             return False
@@ -122,7 +122,7 @@
         now = time.monotonic()
         while idle:
             stream = idle.pop()
-            if stream.usable(now):
+            if stream.is_usable(now):
                 return stream
             stream.close()
         return None
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -26,10 +26,10 @@
 
 def end_to_end_fields(headers: HTTPHeaders) -> Headers:
     """Drop the hop-by-hop fields, including those that `Connection` lists."""
-    named = headers.get("Connection", "").lower()
-    if named in ("", "close", "keep-alive"):
+    connection_options = headers.get("Connection", "").lower()
+    if connection_options in ("", "close", "keep-alive"):
         return tuple(field for field in headers.get_all() if field[0] not in HOP_BY_HOP_FIELDS)
-    extra = {name.strip() for name in named.split(",")}
+    extra = {name.strip() for name in connection_options.split(",")}
     fields = headers.get_all()
     return tuple(
         field
@@ -50,5 +50,5 @@
     if match is None:
         return target, headers
     host, path = match.groups()
-    named = tuple((n, host if n.lower() == "host" else value) for n, value in headers)
-    return path if path.startswith("/") else f"/{path}", named
+    new_headers = tuple((n, host if n.lower() == "host" else value) for n, value in headers)
+    return path if path.startswith("/") else f"/{path}", new_headers
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -127,9 +127,9 @@
     def _shorten_deadlines(self) -> None:
         self.head_timeout = min(self.head_timeout, self.last_read_timeout)
         self.body_timeout = min(self.body_timeout, self.last_read_timeout)
-        limit = time.monotonic() + self.last_read_timeout / 1000
+        latest = time.monotonic() + self.last_read_timeout / 1000
         for collector in self.collectors:
-            collector.deadline = min(collector.deadline, limit)
+            collector.deadline = min(collector.deadline, latest)
         if self.sweep_task is not None:
             self.sweep_task.cancel()
             self.sweep_task = asyncio.ensure_future(self._sweep_expired())
@@ -138,10 +138,10 @@
         if self.server is None:
             return
         # When a listening socket closes, the kernel resets the connections in its accept queue.
-        for listening in self.sockets:
+        for listening_socket in self.sockets:
             try:
                 while True:
-                    sock, address = listening.accept()
+                    sock, address = listening_socket.accept()
                     self.server.handle_stream(IOStream(sock), address)
             except BlockingIOError:
                 continue
@@ -273,7 +273,7 @@
 
     def has_begun(self) -> bool:
         """Return whether a part of the request has arrived."""
-        return self.start is not None or stream_of(self.connection).has_unread()
+        return self.start is not None or stream_of(self.connection).has_unread_data()
 
     def awaits_request(self) -> bool:
         """Return whether a request is arriving, or the connection has not had its first one yet."""
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -85,7 +85,7 @@
             self.close_socket(sock)
         self.notify_closed(self)
 
-    def has_unread(self) -> bool:
+    def has_unread_data(self) -> bool:
         """Return whether data has arrived that does not belong to a complete request."""
         if self.closed():
             return False
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -109,7 +109,7 @@
             self._complete_response()
         return False
 
-    def usable(self, now: float) -> bool:
+    def is_usable(self, now: float) -> bool:
         """Return whether an idle connection may carry another request."""
         fresh = now - self.idle_since < self.idle_limit
         return fresh and self.reusable and not self.transport.is_closing()
@@ -185,11 +185,11 @@
     def on_headers_complete(self) -> None:
         """Determine how the body ends and how long the connection may be reused."""
         framed = False
-        stated = 0
+        stated_length = 0
         for name, value in self.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 framed = True
-                stated = int(value) if name == b"content-length" else stated
+                stated_length = int(value) if name == b"content-length" else stated_length
             elif name == b"connection" and value.lower() == b"close":
                 self.reusable = False
             elif name == b"keep-alive":
@@ -204,7 +204,7 @@
             self.reusable = False
             self._complete_response()
         elif (
-            stated > MAX_RESPONSE_BYTES
+            stated_length > MAX_RESPONSE_BYTES
             and status > MAX_INTERIM_STATUS
             and status not in BODILESS_STATUSES
         ):
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -23,7 +23,7 @@
 MAX_IDLE_CONNECTIONS = 64
 
 
-class Unreachable(Enum):
+class ConnectFailure(Enum):
     """Why a connection attempt failed: nothing listens, or no answer came."""
 
     REFUSED = "refused"
@@ -37,7 +37,7 @@
         self,
         address: Address,
         names: HeaderNames,
-        on_unreachable: Callable[[Unreachable], None],
+        on_unreachable: Callable[[ConnectFailure], None],
     ) -> None:
         """Call `on_unreachable` when a connection attempt fails."""
         self.address = address
@@ -45,7 +45,7 @@
         self.on_unreachable = on_unreachable
         self.idle: list[UpstreamConnection] = []
         self.connections: set[UpstreamConnection] = set()
-        self.dialing: set[asyncio.Task[None]] = set()
+        self.dial_tasks: set[asyncio.Task[None]] = set()
         # Bytes read of incomplete responses, over all connections.
         self.unfinished_bytes = 0
 
@@ -57,14 +57,14 @@
         now = time.monotonic() * 1000
         while self.idle:
             connection = self.idle.pop()
-            if connection.usable(now):
+            if connection.is_usable(now):
                 exchange.start(connection)
                 return exchange
             connection.close()
         self._start_dial(self._dial_for(exchange))
         return exchange
 
-    def probe(self) -> None:
+    def open_spare_connection(self) -> None:
         """Open a spare connection, to learn whether the upstream still listens."""
         self._start_dial(self._dial_spare())
 
@@ -89,8 +89,8 @@
 
     def _start_dial(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
-        self.dialing.add(task)
-        task.add_done_callback(self.dialing.discard)
+        self.dial_tasks.add(task)
+        task.add_done_callback(self.dial_tasks.discard)
 
     async def _dial_for(self, exchange: "UpstreamExchange") -> None:
         connection = await self._dial()
@@ -117,10 +117,10 @@
                     lambda: UpstreamConnection(self), host, int(port)
                 )
         except ConnectionRefusedError:
-            self.on_unreachable(Unreachable.REFUSED)
+            self.on_unreachable(ConnectFailure.REFUSED)
             return None
         except (OSError, TimeoutError):
-            self.on_unreachable(Unreachable.SILENT)
+            self.on_unreachable(ConnectFailure.SILENT)
             return None
         return connection
 
--- a/packages/agatecross-adapters/agatecross_adapters/wire.py
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -29,11 +29,11 @@
 def wire_struct(message_type: type) -> type[msgspec.Struct]:
     """Return the positional struct type of a dataclass."""
     hints = get_type_hints(message_type)
-    fields = [_field(field, hints[field.name]) for field in dataclasses.fields(message_type)]
+    fields = [_struct_field(field, hints[field.name]) for field in dataclasses.fields(message_type)]
     return msgspec.defstruct(message_type.__name__, fields, array_like=True, frozen=True)
 
 
-def _field(field: "dataclasses.Field[object]", hint: object) -> Any:
+def _struct_field(field: "dataclasses.Field[object]", hint: object) -> Any:
     if field.default is dataclasses.MISSING:
         return (field.name, wire_type(hint))
     return (field.name, wire_type(hint), field.default)
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -47,8 +47,8 @@
 
 def is_event_of_call(event: EventLine, call_id: str) -> bool:
     """Return whether an event belongs to the call or to a call made while it ran."""
-    call_id_found = event.pairs.get("call_id", "")
-    return call_id_found == call_id or call_id_found.startswith(f"{call_id}.")
+    event_call_id = event.pairs.get("call_id", "")
+    return event_call_id == call_id or event_call_id.startswith(f"{call_id}.")
 
 
 def find_cause(
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -20,7 +20,7 @@
 from ..history import History, read_history
 from ..in_force import wait_in_force
 
-MAX_STATE_READS = 3
+MAX_HISTORY_READS = 3
 
 
 async def run(context: Context, arguments: Sequence[str]) -> Result:
@@ -54,7 +54,7 @@
     Raises `CommandError` when a daemon has a newer version in force than the log holds.
     """
     daemon_version = None
-    for _ in range(MAX_STATE_READS):
+    for _ in range(MAX_HISTORY_READS):
         history = await read_history(context.log)
         state = history.state
         daemon_version = await fetch_version(context.http, context.daemon)
--- a/packages/agatecross-cli/agatecross_cli/commands/status.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/status.py
@@ -17,9 +17,9 @@
     except ExchangeError as error:
         raise CommandError(ExitCode.UNKNOWN, f"daemon {error}") from error
     rows = sorted(await fetch_statuses(context.http, members), key=lambda row: row.daemon_id)
-    alike = len({(row.version, row.digest) for row in rows}) == 1
+    all_same = len({(row.version, row.digest) for row in rows}) == 1
     answered = all(row.version is not None for row in rows)
-    code = ExitCode.SUCCESS if alike and answered else ExitCode.NOT_IN_FORCE
+    code = ExitCode.SUCCESS if all_same and answered else ExitCode.NOT_IN_FORCE
     return Result(code, tuple(status_line(row) for row in rows), {"daemons": rows})
 
 
--- a/packages/agatecross-cli/agatecross_cli/deciding_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/deciding_lines.py
@@ -15,7 +15,7 @@
 # A killed daemon logs nothing; its next start within this time shows that it was killed.
 MAX_RESTART_SECONDS = 30.0
 # A stopping daemon ends the calls that it cuts off at most 30 ms before its last line.
-MAX_STOP_SECONDS = 0.05
+MAX_STOP_DELAY_SECONDS = 0.05
 
 
 class LineFinder(Protocol):
@@ -119,7 +119,7 @@
 ) -> Iterator[EventLine]:
     """Yield the stop of the daemon that cut the call off."""
     del rows
-    until = end.time + MAX_STOP_SECONDS
+    until = end.time + MAX_STOP_DELAY_SECONDS
     # Both lines may have the same time, and `between` excludes its start.
     yield from islice(
         process_events.between(end.process, "daemon_stopped", end.time - 0.001, until), 1
--- a/packages/agatecross-cli/agatecross_cli/in_force.py
+++ b/packages/agatecross-cli/agatecross_cli/in_force.py
@@ -31,13 +31,13 @@
 
     def report(self, behind: Sequence[DaemonStatus], reason: str, now: float) -> Iterator[str]:
         """Yield a line when one is due; `reason` tells why the daemons could not be queried."""
-        missing = f": {reason}" if reason else f" for: {_format_names(behind)}"
+        detail = f": {reason}" if reason else f" for: {_format_names(behind)}"
         waited = now - self.started_at
         if not (behind or reason) or waited < FIRST_REPORT_SECONDS:
             return
-        if missing != self.last_reported or now - self.last_report_at >= REPORT_INTERVAL_SECONDS:
-            self.last_reported, self.last_report_at = missing, now
-            yield f"version {self.version} accepted, waiting {waited:.0f} s{missing}"
+        if detail != self.last_reported or now - self.last_report_at >= REPORT_INTERVAL_SECONDS:
+            self.last_reported, self.last_report_at = detail, now
+            yield f"version {self.version} accepted, waiting {waited:.0f} s{detail}"
 
 
 def _format_names(behind: Sequence[DaemonStatus]) -> str:
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -182,7 +182,7 @@
 
     def _log_drain_end(self, started_at: Millis, max_loop_delay: float) -> None:
         """Log the work that the end of the drain cuts off; `max_loop_delay` is in milliseconds."""
-        callers = self.entry.listener.unfinished()
+        callers = self.entry.listener.unfinished_work()
         self.log.write_change(
             "drain_ended",
             drain_ms=int(monotonic_ms() - started_at),
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -5,9 +5,9 @@
 
 from agatecross_adapters.call_headers import (
     IDEMPOTENCY_KEY_HEADER,
+    decode_time_left_ms,
     encode_result,
     public_headers,
-    remaining_ms,
 )
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.admission.retry import RetryBudget
@@ -182,7 +182,7 @@
 
 
 def _new_call(request: Request, policy: ServicePolicy, now: Millis) -> Call:
-    remaining = remaining_ms(request)
+    remaining = decode_time_left_ms(request)
     time_left = policy.timeout_ms if remaining is None else min(remaining, policy.timeout_ms)
     key = request.header(IDEMPOTENCY_KEY_HEADER)
     public_request = Request(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -6,7 +6,7 @@
 
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.upstream_connection import UpstreamFailure
-from agatecross_adapters.upstream_pool import Unreachable, UpstreamExchange, UpstreamPool
+from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamExchange, UpstreamPool
 from agatecross_core.admission.slot_queue import (
     RefuseHandover,
     SlotQueue,
@@ -246,8 +246,8 @@
         """Record a call whose connection was lost; probe the upstream if none is left open."""
         self.lost_calls = [row for row in self.lost_calls if now - row[0] < CRASH_WINDOW]
         self.lost_calls.append((now, call.handover))
-        if not self.pool.connections and not self.pool.dialing:
-            self.pool.probe()
+        if not self.pool.connections and not self.pool.dial_tasks:
+            self.pool.open_spare_connection()
 
     def _relay_result(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> RelayResult:
         if isinstance(done, RelayResponse):
@@ -382,9 +382,9 @@
             self._execute_actions(self.queue.refuse_all(Reason.LEAVING))
         self.peers.put(OwnEndpointChanged({"instance": instance, "state": state, **changes}))
 
-    def _on_unreachable(self, how: Unreachable) -> None:
+    def _on_unreachable(self, how: ConnectFailure) -> None:
         now = monotonic_ms()
-        if how is Unreachable.REFUSED:
+        if how is ConnectFailure.REFUSED:
             self._report_death(now)
         if now >= self.unreachable_until:
             self.log.write_change(
