--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -49,8 +49,8 @@
     """One request of a caller, and its place in the order of responses.
 
     `arrived` is when the first byte of the request was read and `deadline` when the caller stops
-    waiting, both in milliseconds of the monotonic clock. `on_abandoned` is called if no response
-    can be sent any more.
+    waiting, both in milliseconds of the monotonic clock. `on_abandoned` is called when no
+    response can be sent any more, or by `notify_handlers_of_close` just before that.
     """
 
     connection: "CallerConnection"
@@ -260,7 +260,10 @@
             self.close_gracefully()
 
     def notify_handlers_of_close(self) -> None:
-        """Tell the handlers of waiting requests that no later response can be sent."""
+        """Call `on_abandoned` of the waiting requests before the daemon closes the connection.
+
+        A handler may still respond during this call; a later response is not sent.
+        """
         self.closed_by = ClosedBy.DAEMON
         for exchange in list(self.exchanges):
             if exchange.on_abandoned is not None:
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -84,9 +84,9 @@
             await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
 
     async def finish(self, limit: Millis) -> None:
-        """Close every connection after its pending responses; wait for at most `limit`.
+        """Close every connection once its written responses are flushed; wait for at most `limit`.
 
-        The handlers of requests that still wait are told first, and may still respond.
+        The handlers of requests that still wait for a response are notified first, and may respond.
         """
         self.closing = True
         for connection in list(self.connections):
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -64,7 +64,7 @@
 class NngTransport:
     """Answers and sends control requests; keeps connections to the most recently used peers.
 
-    At most `MAX_OPEN_PEERS` requests, and therefore dials, are in flight; further ones wait.
+    At most `MAX_PEER_SOCKETS` requests, and therefore dials, are in flight; further ones wait.
     """
 
     def __init__(self) -> None:
@@ -130,7 +130,7 @@
 
     @asynccontextmanager
     async def _socket_for_peer(self, address: Address) -> AsyncIterator[pynng.Req0]:
-        """Lend the socket to a peer; a failed exchange closes it once no request uses it."""
+        """Yield the socket that connects to a peer; after an error, close it once it is unused."""
         async with self.request_slots:
             peer = self._get_or_dial(address)
             peer.active_requests += 1
--- a/packages/agatecross-adapters/agatecross_adapters/header_names.py
+++ b/packages/agatecross-adapters/agatecross_adapters/header_names.py
@@ -7,8 +7,9 @@
 class HeaderNames:
     """Lower-case names of the header fields.
 
-    The `stamp` field proves that a response comes from an upstream, the `not_run` field marks a
-    refusal by an upstream, and the `time_left` field holds milliseconds.
+    The `stamp` field proves that an upstream made the response, the `not_run` field marks a
+    refusal by an upstream, `expected_instance` names the instance that a request is for, and the
+    `time_left` field holds milliseconds.
     """
 
     call_id: bytes
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -41,7 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Checks that the connection works; answered by a ping with `is_reply` set."""
+    """Checks that the connection works; answered by a ping with `is_reply` set.
+
+    `version` is the version that the sender has in force.
+    """
 
     is_reply: bool
     version: Version
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -34,7 +34,8 @@
     max_body_size=MAX_RESPONSE_BYTES,
 )
 BODILESS_STATUSES = frozenset((204, 304))
-# Without a `Content-Length`, the server skips reading a body and the timer for it.
+# An empty body is sent without `Content-Length` for these methods, so that the server skips reading
+# a body and the timer for it.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "DELETE"))
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/http_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_fields.py
@@ -1,4 +1,4 @@
-"""Separates hop-by-hop header fields, and normalizes request targets."""
+"""Removes hop-by-hop header fields, and normalizes request targets."""
 
 import re
 
@@ -6,7 +6,7 @@
 
 from agatecross_core.calls.model import Headers
 
-# Normalized as by tornado's `HTTPHeaders`.
+# Capitalized as tornado's `HTTPHeaders` normalizes field names.
 HOP_BY_HOP_FIELDS = frozenset(
     (
         "Connection",
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -104,7 +104,7 @@
         self._fail_running(UpstreamFailure.CONNECTION_LOST)
 
     def eof_received(self) -> bool:
-        """Complete a response without a stated length; only an orderly close does so."""
+        """Complete a response whose body ends with the connection; a reset does not complete it."""
         if self.in_message and self.body_until_eof and self.running is not None:
             self._complete_response()
         return False
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -24,7 +24,7 @@
 
 
 class ConnectFailure(Enum):
-    """Why a connection attempt failed: nothing listens, or no answer came."""
+    """Why a connection attempt failed: nothing listens, or another error or a timeout."""
 
     REFUSED = "refused"
     SILENT = "silent"
@@ -160,7 +160,7 @@
     def mark_late(self) -> None:
         """Let the upstream finish, but bound the time for the response.
 
-        A request that is not written yet never will be.
+        A request that has not been written yet is not sent any more.
         """
         if self.connection is None:
             self.cancelled = True
--- a/packages/agatecross-adapters/agatecross_adapters/wire.py
+++ b/packages/agatecross-adapters/agatecross_adapters/wire.py
@@ -40,7 +40,7 @@
 
 
 def wire_type(hint: Any) -> Any:
-    """Return the type as which a field with this type hint is encoded."""
+    """Return the type that encodes a field with this type hint."""
     if hint in WIRE_TYPES:
         return WIRE_TYPES[hint]
     if isinstance(hint, type) and dataclasses.is_dataclass(hint):
--- a/packages/agatecross-cli/agatecross_cli/append.py
+++ b/packages/agatecross-cli/agatecross_cli/append.py
@@ -25,8 +25,8 @@
     """Append the record and return the history with the folded record.
 
     After an append that may have been applied, the log is searched for the publish id before the
-    next attempt. Raises `CommandError` that tells whether nothing was published or the outcome is
-    unknown.
+    next attempt. Raises a `CommandError` whose message tells whether nothing was published or the
+    outcome is unknown.
     """
     may_be_applied = False
     reason = ""
