--- a/features/trace.feature
+++ b/features/trace.feature
@@ -59,7 +59,7 @@
       | a refusal traced to its report only         | refused | 0    | cause: overloaded: every upstream that was asked had a queue longer than the objective (LOG:6) |
       | a missing route without the version's age   | route   | 0    | LOG:2: d0: event=config_in_force version=4                |
       | a missing route without the next version    | route   | 0    | LOG:10: d0: event=config_in_force version=5               |
-      | another daemon's version taken for its own  | route   | 0    | cause: no-route: the configuration in force had no route for it (LOG:2) |
+      | another daemon's version taken for its own  | route   | 0    | cause: no-route: the configuration in force had no route for the call (LOG:2) |
       | an upstream that left and is not named      | none    | 0    | (LOG:5) |
       | a lost upstream that is not named           | died    | 0    | (LOG:11) |
       | a killed daemon that is not named           | killed  | 0    | (LOG:15) |
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -14,7 +14,7 @@
 SERVER_ERROR_STATUS = 500
 REASON_MEANINGS: Mapping[str, str] = {
     Reason.OVERLOADED.value: "every upstream that was asked had a queue longer than the objective",
-    Reason.DEADLINE.value: "it waited for a slot until its deadline passed",
+    Reason.DEADLINE.value: "the call waited for a slot until its deadline passed",
     Reason.TIMEOUT.value: "the upstream did not answer within the route's or the caller's timeout",
     Reason.CANCELLED.value: "the caller closed its connection",
     Reason.CUT.value: "the caller's daemon stopped before the call ended",
@@ -25,7 +25,7 @@
     Reason.WRONG_INSTANCE.value: "another instance had the upstream's address",
     Reason.LEAVING.value: "the upstreams that were asked are leaving",
     Reason.NO_UPSTREAM.value: "no upstream of the service was known and ready",
-    Reason.NO_ROUTE.value: "the configuration in force had no route for it",
+    Reason.NO_ROUTE.value: "the configuration in force had no route for the call",
     Reason.NO_CONFIGURATION.value: "the daemon had no configuration yet",
     Reason.QUARANTINED.value: "earlier runs of the same request crashed upstreams",
     Reason.CONNECT_FAILED.value: "could not connect to the upstreams that were asked",
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -33,7 +33,9 @@
 DAEMON = flags.DEFINE_string("daemon", "127.0.0.1:7004", "Admin address of any daemon.")
 TIMEOUT = flags.DEFINE_float("timeout", 30.0, "Seconds that publish waits for all daemons.")
 AUTHOR = flags.DEFINE_string("author", os.environ.get("USER", ""), "Author of a publish.")
-PARENT = flags.DEFINE_integer("parent", None, "Publish only on this version.", lower_bound=0)
+PARENT = flags.DEFINE_integer(
+    "parent", None, "Publish only if this is the newest version.", lower_bound=0
+)
 HOST = flags.DEFINE_string("host", "", "Host of the path that explain looks up.")
 FORMAT = flags.DEFINE_enum("format", "text", list(FORMATTERS), "Format of the output.")
 
