--- a/features/trace.feature
+++ b/features/trace.feature
@@ -71,7 +71,7 @@
       | a served call whose status was cut off      | short   | 6    | the end of the call was not logged                           |
       | a line lost behind a cut quoted value       | behind  | 0    | cause: served                                                |
       | a line mixed up behind a cut quoted value   | inside  | 0    | reason=shed\ncause: shed                                     |
-      | a run's refused call whose end was left out | outer   | 0    | cause: inner:overloaded: a call it made, whose end was not logged: every upstream that was asked had a queue longer than the objective (LOG:26) |
+      | a run's refused call whose end was left out | outer   | 0    | cause: inner:overloaded: a call made by the upstream, whose end was not logged: every upstream that was asked had a queue longer than the objective (LOG:26) |
       | a line lost behind a cut one                | whole   | 0    | cause: shed                                                  |
       | a call that a caller's target invents       | forged  | 1    | no event of call 'forged' in 1 files                         |
       | an end that the daemons may have left out   | gone    | 1    | the daemons left out 7 events                                |
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -67,14 +67,14 @@
     if end.pairs.get("outcome") == Outcome.RAN.value and is_failed_call(end):
         inner = [row for row in ends if row.pairs["call_id"] != call_id and is_failed_call(row)]
         if inner:
-            return _inner_cause(end, inner[-1], "a call it made", rows, process_events)
+            return _inner_cause(end, inner[-1], "a call made by the upstream", rows, process_events)
         ended = {row.pairs["call_id"] for row in ends}
         refused = [
             row for row in rows if row.event == REFUSAL_EVENT and row.pairs["call_id"] not in ended
         ]
         if refused:
             # A later attempt may have been served, but the daemon left its end out of the log.
-            prefix = "a call it made, whose end was not logged"
+            prefix = "a call made by the upstream, whose end was not logged"
             return _inner_cause(end, refused[-1], prefix, rows, process_events)
     reason = end_reason(end, process_events) or (
         "upstream-failed" if is_failed_call(end) else "served"
