--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -206,7 +206,7 @@
     async def work():
         connection = await connect_with_small_buffer(sidecar.settings.callers)
         connection.send(line, "slow")
-        await poll_until(lambda: sidecar.entry.listener.unfinished().unsent, "unsent bytes")
+        await poll_until(lambda: sidecar.entry.listener.unfinished_work().unsent, "unsent bytes")
         draining = asyncio.ensure_future(sidecar.drain())
         await poll_until(
             lambda: sidecar.exit.leaving or draining.done(), "the refusal of new calls"
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -312,7 +312,7 @@
         ]
         await server.idle.wait()
         await disturb_idle_connection(fault, server.writers[0], client.idle[server.address])
-        with mock.patch.object(ClientStream, "usable", usable_check(fault)):
+        with mock.patch.object(ClientStream, "is_usable", usable_check(fault)):
             ends.append(await exchange_outcome(client, server.address, request, 9000))
         client.close()
         return " ".join(ends), server.requests, server.connections
@@ -329,7 +329,7 @@
 def usable_check(fault):
     if fault == "are reset after the check":
         return lambda stream, now: True
-    return ClientStream.usable
+    return ClientStream.is_usable
 
 
 async def disturb_idle_connection(fault, writer, idle):
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -59,7 +59,7 @@
       | a refusal traced to its report only         | refused | 0    | cause: overloaded: every upstream that was asked had a queue longer than the objective (LOG:6) |
       | a missing route without the version's age   | route   | 0    | LOG:2: d0: event=config_in_force version=4                |
       | a missing route without the next version    | route   | 0    | LOG:10: d0: event=config_in_force version=5               |
-      | another daemon's version taken for its own  | route   | 0    | cause: no-route: the configuration in force had no route for it (LOG:2) |
+      | another daemon's version taken for its own  | route   | 0    | cause: no-route: the configuration in force had no route for the call (LOG:2) |
       | an upstream that left and is not named      | none    | 0    | (LOG:5) |
       | a lost upstream that is not named           | died    | 0    | (LOG:11) |
       | a killed daemon that is not named           | killed  | 0    | (LOG:15) |
@@ -71,7 +71,7 @@
       | a served call whose status was cut off      | short   | 6    | the end of the call was not logged                           |
       | a line lost behind a cut quoted value       | behind  | 0    | cause: served                                                |
       | a cut quote that takes in the next line     | inside  | 0    | reason=shed\ncause: shed                                     |
-      | a run's refused call whose end was left out | outer   | 0    | cause: inner:overloaded: a call it made, whose end was not logged: every upstream that was asked had a queue longer than the objective (LOG:26) |
+      | a run's refused call whose end was left out | outer   | 0    | cause: inner:overloaded: a call made by the upstream, whose end was not logged: every upstream that was asked had a queue longer than the objective (LOG:26) |
       | a line lost behind a cut one                | whole   | 0    | cause: shed                                                  |
       | a call that a caller's target invents       | forged  | 1    | no event of call 'forged' in 1 files                         |
       | an end that the daemons may have left out   | gone    | 1    | the daemons left out 7 events                                |
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -34,7 +34,8 @@
     max_body_size=MAX_RESPONSE_BYTES,
 )
 BODILESS_STATUSES = frozenset((204, 304))
-# Without a `Content-Length`, the server skips reading a body and the timer for it.
+# An empty body is sent without `Content-Length` for these methods, so that the server skips reading
+# a body and the timer for it.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "DELETE"))
 
 
@@ -52,7 +53,7 @@
         self.sent_bytes += count
         return count
 
-    def usable(self, now: float) -> bool:
+    def is_usable(self, now: float) -> bool:
         """Return whether an idle connection is recent, open and free of unexpected data."""
         if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
             return False
@@ -122,7 +123,7 @@
         now = time.monotonic()
         while idle:
             stream = idle.pop()
-            if stream.usable(now):
+            if stream.is_usable(now):
                 return stream
             stream.close()
         return None
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -104,12 +104,12 @@
         self._fail_running(UpstreamFailure.CONNECTION_LOST)
 
     def eof_received(self) -> bool:
-        """Complete a response without a stated length; only an orderly close does so."""
+        """Complete a response whose body ends with the connection; a reset does not complete it."""
         if self.in_message and self.body_until_eof and self.running is not None:
             self._complete_response()
         return False
 
-    def usable(self, now: float) -> bool:
+    def is_usable(self, now: float) -> bool:
         """Return whether an idle connection may carry another request."""
         fresh = now - self.idle_since < self.idle_limit
         return fresh and self.reusable and not self.transport.is_closing()
@@ -185,11 +185,11 @@
     def on_headers_complete(self) -> None:
         """Determine how the body ends and how long the connection may be reused."""
         framed = False
-        stated = 0
+        stated_length = 0
         for name, value in self.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 framed = True
-                stated = int(value) if name == b"content-length" else stated
+                stated_length = int(value) if name == b"content-length" else stated_length
             elif name == b"connection" and value.lower() == b"close":
                 self.reusable = False
             elif name == b"keep-alive":
@@ -204,7 +204,7 @@
             self.reusable = False
             self._complete_response()
         elif (
-            stated > MAX_RESPONSE_BYTES
+            stated_length > MAX_RESPONSE_BYTES
             and status > MAX_INTERIM_STATUS
             and status not in BODILESS_STATUSES
         ):
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -14,7 +14,7 @@
 SERVER_ERROR_STATUS = 500
 REASON_MEANINGS: Mapping[str, str] = {
     Reason.OVERLOADED.value: "every upstream that was asked had a queue longer than the objective",
-    Reason.DEADLINE.value: "it waited for a slot until its deadline passed",
+    Reason.DEADLINE.value: "the call waited for a slot until its deadline passed",
     Reason.TIMEOUT.value: "the upstream did not answer within the route's or the caller's timeout",
     Reason.CANCELLED.value: "the caller closed its connection",
     Reason.CUT.value: "the caller's daemon stopped before the call ended",
@@ -25,7 +25,7 @@
     Reason.WRONG_INSTANCE.value: "another instance had the upstream's address",
     Reason.LEAVING.value: "the upstreams that were asked are leaving",
     Reason.NO_UPSTREAM.value: "no upstream of the service was known and ready",
-    Reason.NO_ROUTE.value: "the configuration in force had no route for it",
+    Reason.NO_ROUTE.value: "the configuration in force had no route for the call",
     Reason.NO_CONFIGURATION.value: "the daemon had no configuration yet",
     Reason.QUARANTINED.value: "earlier runs of the same request crashed upstreams",
     Reason.CONNECT_FAILED.value: "could not connect to the upstreams that were asked",
@@ -47,8 +47,8 @@
 
 def is_event_of_call(event: EventLine, call_id: str) -> bool:
     """Return whether an event belongs to the call or to a call made while it ran."""
-    call_id_found = event.pairs.get("call_id", "")
-    return call_id_found == call_id or call_id_found.startswith(f"{call_id}.")
+    event_call_id = event.pairs.get("call_id", "")
+    return event_call_id == call_id or event_call_id.startswith(f"{call_id}.")
 
 
 def find_cause(
@@ -67,14 +67,14 @@
     if end.pairs.get("outcome") == Outcome.RAN.value and is_failed_call(end):
         inner = [row for row in ends if row.pairs["call_id"] != call_id and is_failed_call(row)]
         if inner:
-            return _inner_cause(end, inner[-1], "a call it made", rows, process_events)
+            return _inner_cause(end, inner[-1], "a call made by the upstream", rows, process_events)
         ended = {row.pairs["call_id"] for row in ends}
         refused = [
             row for row in rows if row.event == REFUSAL_EVENT and row.pairs["call_id"] not in ended
         ]
         if refused:
             # A later attempt may have been served, but the daemon left its end out of the log.
-            prefix = "a call it made, whose end was not logged"
+            prefix = "a call made by the upstream, whose end was not logged"
             return _inner_cause(end, refused[-1], prefix, rows, process_events)
     reason = end_reason(end, process_events) or (
         "upstream-failed" if is_failed_call(end) else "served"
