--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -9,7 +9,7 @@
 
 from agatecross_daemon.process_signals import HANDLED_SIGNALS
 from agatecross_standins.ports import PortPool
-from agatecross_standins.soak.fleet import SETTINGS
+from agatecross_standins.soak.fleet import SETTINGS_TEMPLATE
 
 WAIT_SECONDS = 30.0
 # Runs the daemon as `python -m` does; the process sends itself a signal at one import or at exit.
@@ -59,7 +59,7 @@
     if kind == "relaying":
         addresses = {name: f"127.0.0.1:{port}" for name, port in ports.items()}
         place = {"number": 1, "region": "north", "data_centre": "north-a", "service": "s0"}
-        text = SETTINGS.format(**place, **addresses)
+        text = SETTINGS_TEMPLATE.format(**place, **addresses)
     else:
         text = FLEET_SETTINGS.format(**ports)
     context.settings = Path(folder.name) / "node.toml"
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -122,7 +122,7 @@
 
 @when("the soak sends it a signal")
 def step_signal(context):
-    context.node.signal(signal.SIGTERM)
+    context.node.send_signal(signal.SIGTERM)
 
 
 @then("its exit code is {code}")
--- a/packages/agatecross-standins/agatecross_standins/bench/blocking.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/blocking.py
@@ -15,9 +15,9 @@
 from ..load import Sample, run_load
 from .admission_runs import (
     KAFESKOOP,
-    arrivals,
+    arrival_times,
+    format_range,
     is_useful,
-    median_range,
     plan_calls,
     quantile,
     start_fleets,
@@ -86,8 +86,8 @@
             results = {}
             for policy in POLICIES if number % 2 == 0 else POLICIES[::-1]:
                 rng = random.Random(SEED.value + number)
-                highest = DEPLOYMENT.capacity * HIGH_LOAD_SHARE
-                times = list(arrivals(rate_at, highest, RUN_SECONDS, rng))
+                max_rate = DEPLOYMENT.capacity * HIGH_LOAD_SHARE
+                times = list(arrival_times(rate_at, max_rate, RUN_SECONDS, rng))
                 plan = plan_calls(DEPLOYMENT, fleets[policy].nodes[0], times, rng)
                 results[policy] = measure(policy, asyncio.run(run_load(plan)))
                 print(f"round {number}: {results[policy]}", flush=True)
@@ -96,11 +96,11 @@
     for policy in POLICIES:
         for name in Blocking.__slots__[1:]:
             print(
-                f"  {policy:9} {name:12} {median_range([getattr(r[policy], name) for r in rounds])}"
+                f"  {policy:9} {name:12} {format_range([getattr(r[policy], name) for r in rounds])}"
             )
     for name in Blocking.__slots__[1:]:
         pairs = [(getattr(r["fixed"], name), getattr(r["adaptive"], name)) for r in rounds]
-        print(f"  {name}, fixed / adaptive: {median_range([a / max(b, 0.001) for a, b in pairs])}")
+        print(f"  {name}, fixed / adaptive: {format_range([a / max(b, 0.001) for a, b in pairs])}")
     report = [{policy: asdict(row) for policy, row in results.items()} for results in rounds]
     write_report("bench-blocking", {"seed": SEED.value, "rounds": report})
 
--- a/packages/agatecross-standins/agatecross_standins/bench/control.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/control.py
@@ -23,7 +23,7 @@
 SETTLE = flags.DEFINE_float("settle", 25.0, "Seconds to wait after the fleet has joined.")
 OUTPUT = flags.DEFINE_string("output", "build/bench-control.json", "Path of the JSON results.")
 
-TARGET_SIZE = 1_300
+TARGET_FLEET_SIZE = 1_300
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +72,7 @@
     for label, scale in scales.items():
         slope, offset = statistics.linear_regression([scale(r.daemons) for r in rows], values)
         fits[f"{label}_slope"] = slope
-        fits[f"{label}_at_{TARGET_SIZE}"] = offset + slope * scale(TARGET_SIZE)
+        fits[f"{label}_at_{TARGET_FLEET_SIZE}"] = offset + slope * scale(TARGET_FLEET_SIZE)
     return fits
 
 
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -78,15 +78,15 @@
     waiting = list(fleet.nodes)
     deadline = time.monotonic() + IN_FORCE_TIMEOUT_SECONDS
 
-    def behind(node: Node) -> bool:
+    def is_outdated(node: Node) -> bool:
         return int(str(fleet.status(node)["version"])) < version
 
     with ThreadPoolExecutor(8) as pool:
         while waiting:
             if time.monotonic() > deadline:
                 raise TimeoutError(f"version {version} is not in force on {len(waiting)} daemons")
-            rows = pool.map(behind, waiting)
-            waiting = [node for node, is_behind in zip(waiting, rows, strict=True) if is_behind]
+            rows = pool.map(is_outdated, waiting)
+            waiting = [node for node, outdated in zip(waiting, rows, strict=True) if outdated]
             time.sleep(POLL_INTERVAL_SECONDS)
 
 
@@ -101,9 +101,9 @@
     publish(fleet, [pad_document(document, 0) for document in documents], 1)
     wait_in_force(fleet, 2)
     time.sleep(AFTER_PUBLISH_SECONDS)
-    idle_from, started = sum(control_bytes(fleet)), time.monotonic()
+    idle_start_bytes, started = sum(control_bytes(fleet)), time.monotonic()
     time.sleep(IDLE_SECONDS)
-    idle_rate = (sum(control_bytes(fleet)) - idle_from) / (time.monotonic() - started)
+    idle_rate = (sum(control_bytes(fleet)) - idle_start_bytes) / (time.monotonic() - started)
     seconds, traffic, reads = [], [], []
     for number in range(PUBLISHES.value):
         before, reads_before, started = (
--- a/packages/agatecross-standins/agatecross_standins/bench/experiment.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/experiment.py
@@ -41,7 +41,9 @@
             yield Round(variant, number, measure(variant, number))
 
 
-def ratios(rounds: Sequence[Round], variant: str, baselines: Sequence[str]) -> Iterator[Ratio]:
+def compute_ratios(
+    rounds: Sequence[Round], variant: str, baselines: Sequence[str]
+) -> Iterator[Ratio]:
     """Yield the ratios of a variant to each baseline, paired by round."""
     by_key = {(row.variant, row.number): row.summary for row in rounds}
     numbers = sorted({row.number for row in rounds})
@@ -64,7 +66,7 @@
             f"not_run={s.not_run} unknown={s.unknown} "
             f"p50={s.p50:.1f} p99={s.p99:.1f} p999={s.p999:.1f}"
         )
-    found = list(ratios(rounds, variant, baselines))
+    found = list(compute_ratios(rounds, variant, baselines))
     for ratio in found:
         print(
             f"{name} {variant}/{ratio.baseline} {ratio.quantile} "
--- a/packages/agatecross-standins/agatecross_standins/bench/hop.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -24,7 +24,7 @@
 
 from ..fleet import Fleet, Node, Site, wait_until
 from ..load import PlannedCall, poisson_times, run_load, summarise
-from .admission_runs import KAFESKOOP, median_range, publish, quantile, write_report
+from .admission_runs import KAFESKOOP, format_range, publish, quantile, write_report
 
 SEED = flags.DEFINE_integer("seed", 7, "Seed of the order of paths and of the arrivals.")
 ROUNDS = flags.DEFINE_integer("rounds", 5, "Rounds of sequential calls.")
@@ -34,10 +34,10 @@
 )
 PROFILE = flags.DEFINE_bool("profile", False, "Profile the daemon of the upstream instead.")
 
-TARGET_ADDED_MS = 0.36
+TARGET_ADDED_P99_MS = 0.36
 ANSWER_BYTES = 256
-CALL_RATES = (100, 200, 400, 800)
-RATE_SECONDS = 4.0
+RATES_CALLS_PER_SECOND = (100, 200, 400, 800)
+SECONDS_PER_RATE = 4.0
 PROFILE_LINES = 25
 CALL_TIMEOUT = Millis(5_000)
 PATHS = ("direct", "one hop", "two hops")
@@ -52,7 +52,7 @@
     return fleet
 
 
-def addresses(fleet: Fleet) -> dict[str, Address]:
+def path_addresses(fleet: Fleet) -> dict[str, Address]:
     """Return the address that the calls of each path are sent to."""
     ports = (fleet.nodes[0].upstream_port, fleet.nodes[0].call_port, fleet.nodes[1].call_port)
     return {path: Address(f"127.0.0.1:{p}") for path, p in zip(PATHS, ports, strict=True)}
@@ -84,7 +84,7 @@
     return [quantile(timings[path], q) for path in PATHS for q in (0.5, 0.99)]
 
 
-def processor_ms(node: Node) -> float:
+def cpu_time_ms(node: Node) -> float:
     """Return the CPU time that the daemon of a node has used, in milliseconds."""
     assert node.daemon is not None
     used = psutil.Process(node.daemon.pid).cpu_times()
@@ -94,13 +94,13 @@
 def measure_at_rate(fleet: Fleet, rate: int, rng: random.Random) -> dict[str, float]:
     """Return the CPU time per call of both daemons at a rate, and the latency."""
     request = Request("GET", "/catalogue/1", (), b"")
-    entry = addresses(fleet)["two hops"]
-    times = poisson_times(rate, RATE_SECONDS, rng)
+    entry = path_addresses(fleet)["two hops"]
+    times = poisson_times(rate, SECONDS_PER_RATE, rng)
     plan = [PlannedCall(at, entry, request, CALL_TIMEOUT) for at in times]
-    before = [processor_ms(node) for node in fleet.nodes]
+    before = [cpu_time_ms(node) for node in fleet.nodes]
     summary = summarise(asyncio.run(run_load(plan)))
     next_to, entry_ms = (
-        (processor_ms(node) - used) / len(plan)
+        (cpu_time_ms(node) - used) / len(plan)
         for node, used in zip(fleet.nodes, before, strict=True)
     )
     ran = summary.ran / summary.calls
@@ -125,7 +125,7 @@
     fleet.wait_version(1)
     rng = random.Random(SEED.value)
     request = Request("GET", "/catalogue/1", (), b"")
-    target = addresses(fleet)["one hop"]
+    target = path_addresses(fleet)["one hop"]
     plan = [PlannedCall(at, target, request, CALL_TIMEOUT) for at in poisson_times(300, 6.0, rng)]
     print(summarise(asyncio.run(run_load(plan))))
     node.daemon.send_signal(signal.SIGTERM)
@@ -161,7 +161,7 @@
     del argv
     if EXCHANGE.value:
         timings = asyncio.run(measure_exchange(ROUNDS.value, CALLS.value))
-        print(f"CPU time per exchange, microseconds: {median_range(timings)}")
+        print(f"CPU time per exchange, microseconds: {format_range(timings)}")
         return
     rng = random.Random(SEED.value)
     with ExitStack() as stack:
@@ -169,22 +169,22 @@
         if PROFILE.value:
             profile_daemon(fleet)
             return
-        targets = addresses(fleet)
+        targets = path_addresses(fleet)
         asyncio.run(measure_sequential(targets, 200, rng))
         rounds = [
             asyncio.run(measure_sequential(targets, CALLS.value, rng)) for _ in range(ROUNDS.value)
         ]
-        rates = [measure_at_rate(fleet, rate, rng) for rate in CALL_RATES]
+        rates = [measure_at_rate(fleet, rate, rng) for rate in RATES_CALLS_PER_SECOND]
     added = {
         f"{path} {name}": [row[column] - row[column % 2] for row in rounds]
         for column, (path, name) in enumerate([(p, n) for p in PATHS for n in ("p50", "p99")])
         if path != "direct"
     }
     for column, name in enumerate(("direct p50", "direct p99")):
-        print(f"{name} ms: {median_range([row[column] for row in rounds])}")
+        print(f"{name} ms: {format_range([row[column] for row in rounds])}")
     for name, values in added.items():
-        print(f"added, {name} ms: {median_range(values)}")
-    print(f"target {TARGET_ADDED_MS} ms added at p99 over both hops")
+        print(f"added, {name} ms: {format_range(values)}")
+    print(f"target {TARGET_ADDED_P99_MS} ms added at p99 over both hops")
     for row in rates:
         print(" ".join(f"{key}={value:.3f}" for key, value in row.items()))
     write_report("bench-hop", {"seed": SEED.value, "added_ms": added, "rates": rates})
--- a/packages/agatecross-standins/agatecross_standins/bench/peak.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/peak.py
@@ -17,9 +17,9 @@
     KAFESKOOP,
     LYSKAEDE,
     Deployment,
-    arrivals,
+    arrival_times,
+    format_range,
     is_useful,
-    median_range,
     plan_calls,
     quantile,
     start_fleets,
@@ -105,9 +105,9 @@
             peaks = {}
             for policy in order:
                 rng = random.Random(SEED.value + number)
-                highest = BASE_LOAD_SHARE * deployment.capacity * SWING_FACTOR
+                max_rate = BASE_LOAD_SHARE * deployment.capacity * SWING_FACTOR
                 times = list(
-                    arrivals(lambda at: rate_at(deployment, at), highest, RUN_SECONDS, rng)
+                    arrival_times(lambda at: rate_at(deployment, at), max_rate, RUN_SECONDS, rng)
                 )
                 plan = plan_calls(deployment, fleets[policy].nodes[0], times, rng)
                 peaks[policy] = measure(policy, asyncio.run(run_load(plan)))
@@ -127,10 +127,10 @@
         for index, policy in enumerate(POLICIES):
             peaks = [row[index] for row in rounds]
             for name in Peak.__slots__[2:]:
-                print(f"  {policy:9} {name:16} {median_range([getattr(p, name) for p in peaks])}")
+                print(f"  {policy:9} {name:16} {format_range([getattr(p, name) for p in peaks])}")
         for index, policy in enumerate(POLICIES[1:], 1):
             ratios = [row[0].useful / max(row[index].useful, 0.001) for row in rounds]
-            print(f"  useful, adaptive / {policy}: {median_range(ratios)}")
+            print(f"  useful, adaptive / {policy}: {format_range(ratios)}")
     write_report("bench-peak", {"seed": SEED.value, "deployments": report})
 
 
--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -43,9 +43,9 @@
 SIZES = flags.DEFINE_list("sizes", ["50", "100", "200", "400", "800", "1300"], "Fleet sizes.")
 OUTPUT = flags.DEFINE_string("output", "build/slopes.json", "File for the rows.")
 
-SERVICES = 36
-DATA_CENTRES = 8
-REGIONS = 2
+SERVICE_COUNT = 36
+DATA_CENTRE_COUNT = 8
+REGION_COUNT = 2
 REPEATS = 5
 SECONDS_PER_REPEAT = 0.1
 
@@ -62,10 +62,10 @@
 
 def make_member(number: int) -> Member:
     """Return a synthetic member; services and data centres are assigned in rotation."""
-    centre = number % DATA_CENTRES
+    centre = number % DATA_CENTRE_COUNT
     host = f"10.{centre}.{number // 250}.{number % 250}"
     upstream = UpstreamInfo(
-        ServiceName(f"service-{number % SERVICES}"),
+        ServiceName(f"service-{number % SERVICE_COUNT}"),
         Address(f"{host}:8080"),
         17,
         120,
@@ -75,7 +75,7 @@
         DaemonId(f"dc{centre}-instance-{number}"),
         Incarnation(1_790_000_000_000 + number),
         MemberState.ALIVE,
-        RegionName(f"region-{centre % REGIONS}"),
+        RegionName(f"region-{centre % REGION_COUNT}"),
         DataCentreName(f"dc{centre}"),
         Address(f"{host}:7001"),
         Address(f"{host}:7002"),
@@ -112,8 +112,8 @@
 def make_documents(services: int) -> tuple[Document, ...]:
     """Return a base document with this many services and an overlay for each data centre."""
     lines = ['[mesh]\nname = "bench"']
-    for region in range(REGIONS):
-        names = [f'"dc{c}"' for c in range(DATA_CENTRES) if c % REGIONS == region]
+    for region in range(REGION_COUNT):
+        names = [f'"dc{c}"' for c in range(DATA_CENTRE_COUNT) if c % REGION_COUNT == region]
         lines.append(f"[regions.region-{region}]\ndata_centres = [{', '.join(names)}]")
     for number in range(services):
         lines.append(f"[services.service-{number}]\ntimeout_ms = 2000\nattempts = 3")
@@ -122,7 +122,7 @@
         )
     base = Document(BASE, "\n".join(lines) + "\n")
     overlay = "[services.service-0]\ntimeout_ms = 1500\n"
-    overlays = (DocumentName(f"dc{c}") for c in range(DATA_CENTRES))
+    overlays = (DocumentName(f"dc{c}") for c in range(DATA_CENTRE_COUNT))
     return (base, *(Document(name, overlay) for name in overlays))
 
 
@@ -133,8 +133,8 @@
     swim = Swim(members[0], rng)
     list(swim.merge(members, Millis(0)))
     view = build_view(members, False)
-    here = DaemonLocation(members[0].daemon_id, members[0].region, members[0].data_centre)
-    balancer = AdaptiveBalancer(here, rng)
+    own_location = DaemonLocation(members[0].daemon_id, members[0].region, members[0].data_centre)
+    balancer = AdaptiveBalancer(own_location, rng)
     balancer.apply_view(view)
     request = ChoiceRequest(ServiceName("service-1"))
     now = Millis(0)
@@ -166,20 +166,20 @@
 
 def config_rows(services: int) -> Iterator[Row]:
     """Measure the operations and states that grow with the configuration."""
-    texts = make_documents(services)
-    size = sum(len(document.text) for document in texts) / 1024
+    documents = make_documents(services)
+    size = sum(len(document.text) for document in documents) / 1024
     yield Row("documents", services, size, "KiB")
-    compiling = measure_micros(lambda: compile_documents(texts, decode_toml, Version(1)))
-    yield Row("compile", services, compiling, "us")
-    snapshot = measure_kib(lambda: compile_documents(texts, decode_toml, Version(1)))
-    yield Row("compiled snapshot", services, snapshot, "KiB")
+    compile_micros = measure_micros(lambda: compile_documents(documents, decode_toml, Version(1)))
+    yield Row("compile", services, compile_micros, "us")
+    snapshot_kib = measure_kib(lambda: compile_documents(documents, decode_toml, Version(1)))
+    yield Row("compiled snapshot", services, snapshot_kib, "KiB")
 
 
 def main(argv: Sequence[str]) -> None:
     """Print every row and write them as JSON."""
     del argv
     rows = [row for size in SIZES.value for row in member_rows(int(size))]
-    rows += [row for services in (4, 9, 18, SERVICES) for row in config_rows(services)]
+    rows += [row for services in (4, 9, 18, SERVICE_COUNT) for row in config_rows(services)]
     for row in sorted(rows, key=lambda r: r.what):
         print(f"{row.what:22} {row.size:6} {row.value:12.1f} {row.unit}")
     path = Path(OUTPUT.value)
--- a/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/suspicion.py
@@ -64,17 +64,17 @@
     return sum(path.read_text().count("event=member_unreachable") for path in logs)
 
 
-def measure_detection_seconds(fleet: Fleet, victim: Node) -> float:
+def measure_detection_seconds(fleet: Fleet, killed_node: Node) -> float:
     """Kill a daemon and return the seconds until no other daemon lists it."""
-    fleet.stop_daemon(victim, 9)
+    fleet.stop_daemon(killed_node, 9)
     started = time.monotonic()
     for node in fleet.nodes:
-        if node is not victim:
+        if node is not killed_node:
             wait_until(
                 lambda node=node: all(  # type: ignore[misc]
-                    row["daemon_id"] != victim.name for row in fleet.members(node)
+                    row["daemon_id"] != killed_node.name for row in fleet.members(node)
                 ),
-                f"{node.name} to drop {victim.name}",
+                f"{node.name} to drop {killed_node.name}",
             )
     return time.monotonic() - started
 
@@ -88,9 +88,9 @@
         fleet.run_cli("publish", EXAMPLE)
         fleet.wait_version(1)
         addresses = [node.call_url.removeprefix("http://") for node in fleet.nodes[:-1]]
-        share, seconds = rate / CLIENTS.value, SECONDS.value
+        rate_per_client, seconds = rate / CLIENTS.value, SECONDS.value
         futures = [
-            pool.submit(send_load, addresses, share, 2 * seconds, seed)
+            pool.submit(send_load, addresses, rate_per_client, 2 * seconds, seed)
             for seed in range(CLIENTS.value)
         ]
         time.sleep(seconds)
--- a/packages/agatecross-standins/agatecross_standins/bench/tail.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/tail.py
@@ -115,10 +115,12 @@
         at += PERIOD_SECONDS.value * rng.uniform(0.8, 1.2)
 
 
-def select_feed(workload: Workload, nodes: Sequence[Node], seed: int) -> list[Node]:
+def select_feed_nodes(workload: Workload, nodes: Sequence[Node], seed: int) -> list[Node]:
     """Return the nodes on the feed: one of each service, in different data centres."""
-    places = random.Random(f"places {seed}").sample(workload.regions, len(workload.services))
-    wanted = {(place, s) for (_, place), (s, _) in zip(places, workload.services, strict=True)}
+    data_centres = random.Random(f"places {seed}").sample(workload.regions, len(workload.services))
+    wanted = {
+        (centre, s) for (_, centre), (s, _) in zip(data_centres, workload.services, strict=True)
+    }
     return [node for node in nodes if (node.site.data_centre, node.service) in wanted]
 
 
@@ -138,7 +140,7 @@
 
 async def run_round(fleet: Fleet, workload: Workload, seed: int) -> list[Sample]:
     """Run the load together with the slow intervals and return the measured samples."""
-    feed = select_feed(workload, fleet.nodes, seed)
+    feed = select_feed_nodes(workload, fleet.nodes, seed)
     switching = asyncio.ensure_future(slow_feed(fleet, feed, seed))
     samples = await run_load(plan_calls(workload, fleet.nodes, seed))
     switching.cancel()
@@ -153,8 +155,8 @@
     settings = f'\n[policy]\nbalancing = "{variant}"\n'
     for _ in range(MAX_START_ATTEMPTS):
         with (
-            tempfile.TemporaryDirectory(prefix="agatecross-tail-") as place,
-            Fleet(directory=Path(place), extra_settings=settings) as fleet,
+            tempfile.TemporaryDirectory(prefix="agatecross-tail-") as directory,
+            Fleet(directory=Path(directory), extra_settings=settings) as fleet,
         ):
             if start_fleet(fleet, workload):
                 samples = asyncio.run(run_round(fleet, workload, SEED.value * 1000 + number))
--- a/packages/agatecross-standins/agatecross_standins/demo.py
+++ b/packages/agatecross-standins/agatecross_standins/demo.py
@@ -49,7 +49,7 @@
     samples: tuple[Sample, ...]
     duplicated: int
     in_force_seconds: tuple[float, ...]
-    control_bytes: tuple[float, ...]
+    control_rates: tuple[float, ...]
     link_bytes: int
 
 
@@ -79,9 +79,9 @@
         fleet.start_planned_nodes()
         fleet.wait_joined()
         publish_seconds = [publish(fleet, folder)]
-        replaced, callable_nodes = fleet.nodes[2], [*fleet.nodes[:2], *fleet.nodes[3:]]
+        replaced, called_nodes = fleet.nodes[2], [*fleet.nodes[:2], *fleet.nodes[3:]]
         samples: list[Sample] = []
-        plan = list(plan_calls(callable_nodes, seconds, rate, seed))
+        plan = list(plan_calls(called_nodes, seconds, rate, seed))
         load = threading.Thread(target=lambda: samples.extend(asyncio.run(run_load(plan))))
         started = time.monotonic()
         before = control_bytes(fleet)
@@ -163,8 +163,8 @@
     yield f"latency p50 / p99              {summary.p50:.1f} / {summary.p99:.1f} ms"
     seconds = " / ".join(f"{value:.2f}" for value in figures.in_force_seconds)
     yield f"publish command, start to end  {seconds} s"
-    mean = sum(figures.control_bytes) / len(figures.control_bytes)
-    yield f"control payload per daemon     {mean:.0f} B/s (most {max(figures.control_bytes):.0f})"
+    mean = sum(figures.control_rates) / len(figures.control_rates)
+    yield f"control payload per daemon     {mean:.0f} B/s (most {max(figures.control_rates):.0f})"
     yield f"payload over the region link   {figures.link_bytes / 1024:.0f} KiB"
 
 
--- a/packages/agatecross-standins/agatecross_standins/endless.py
+++ b/packages/agatecross-standins/agatecross_standins/endless.py
@@ -8,9 +8,9 @@
 BLOCK_BYTES = 16 * KIB
 # Limits the memory that is used if a daemon does not close the connection.
 MAX_WRITTEN_BYTES = 64 * KIB * KIB
-TRICKLE_SECONDS = 0.02
+TRICKLE_INTERVAL_SECONDS = 0.02
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = STATUS_LINE + b"x-response-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
+CHUNKED_HEAD = STATUS_LINE + b"x-response-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
 class EndlessPart(Enum):
@@ -46,12 +46,12 @@
         STATUS_LINE + b"x-response-stamp: s\r\ncontent-length: 99999999999\r\n\r\n",
         b"b",
     ),
-    EndlessPart.CHUNKS: (CHUNKED, b"400\r\n" + b"b" * KIB + b"\r\n"),
-    EndlessPart.SMALL_CHUNKS: (CHUNKED, b"2\r\nbb\r\n"),
-    EndlessPart.CHUNK_SIZE: (CHUNKED, b"0"),
-    EndlessPart.CHUNK_EXTENSION: (CHUNKED + b"1;", b"a"),
-    EndlessPart.TRAILERS: (CHUNKED + b"0\r\n", b"a: b\r\n"),
-    EndlessPart.TRAILER_VALUE: (CHUNKED + b"0\r\na: ", b"b"),
+    EndlessPart.CHUNKS: (CHUNKED_HEAD, b"400\r\n" + b"b" * KIB + b"\r\n"),
+    EndlessPart.SMALL_CHUNKS: (CHUNKED_HEAD, b"2\r\nbb\r\n"),
+    EndlessPart.CHUNK_SIZE: (CHUNKED_HEAD, b"0"),
+    EndlessPart.CHUNK_EXTENSION: (CHUNKED_HEAD + b"1;", b"a"),
+    EndlessPart.TRAILERS: (CHUNKED_HEAD + b"0\r\n", b"a: b\r\n"),
+    EndlessPart.TRAILER_VALUE: (CHUNKED_HEAD + b"0\r\na: ", b"b"),
     EndlessPart.AFTER_ANSWER: (
         STATUS_LINE + b"x-response-stamp: s\r\ncontent-length: 1\r\n\r\nb",
         b"b",
@@ -69,7 +69,7 @@
         self.block = (
             self.repeated if trickles else self.repeated * (BLOCK_BYTES // len(self.repeated) + 1)
         )
-        self.written = 0
+        self.written_bytes = 0
         self.paused = False
 
     def start(self) -> None:
@@ -87,12 +87,12 @@
         self._write_blocks()
 
     def _write_blocks(self) -> None:
-        if self.paused or self.transport.is_closing() or self.written >= MAX_WRITTEN_BYTES:
+        if self.paused or self.transport.is_closing() or self.written_bytes >= MAX_WRITTEN_BYTES:
             return
         self._write(self.block)
         loop = asyncio.get_running_loop()
-        loop.call_later(TRICKLE_SECONDS if self.trickles else 0, self._write_blocks)
+        loop.call_later(TRICKLE_INTERVAL_SECONDS if self.trickles else 0, self._write_blocks)
 
     def _write(self, data: bytes) -> None:
-        self.written += len(data)
+        self.written_bytes += len(data)
         self.transport.write(data)
--- a/packages/agatecross-standins/agatecross_standins/faults/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -44,18 +44,18 @@
         while not self.stop.wait(rng.expovariate(1 / MEAN_CALL_GAP_SECONDS)):
             count += 1
             request = f"{rng.choice(list(SERVICE_PATHS.values()))}/{number}-{count}"
-            times = 1
+            submission_count = 1
             method, key = "GET", ""
             if rng.random() < 0.6:
                 method = "POST"
                 key = f"key{request}" if rng.random() < 0.8 else ""
-                times = rng.randint(1, 3) if key else 1
-            nodes = [rng.choice(self.fleet.nodes) for _ in range(times)]
-            at_once = rng.random() < 0.5
+                submission_count = rng.randint(1, 3) if key else 1
+            nodes = [rng.choice(self.fleet.nodes) for _ in range(submission_count)]
+            concurrently = rng.random() < 0.5
             sent: list[Future[bool]] = []
             for node in nodes:
                 sent.append(self.pool.submit(self.send, node, method, request, key))
-                if not at_once and sent[-1].result():
+                if not concurrently and sent[-1].result():
                     break
             for future in sent:
                 future.result()
@@ -68,7 +68,7 @@
         body = None if method == "GET" else b"{}"
         record(Sent(time.time(), call, request, node.name, method == "GET", key))
         try:
-            _, found, data = fetch(
+            _, response_headers, data = fetch(
                 node.call_url + request, method, body, headers, CALL_TIMEOUT_SECONDS
             )
         except (ConnectionError, HTTPException):
@@ -77,17 +77,17 @@
         except (urllib.error.URLError, OSError):
             record(UnknownOutcome(time.time(), call))
             return False
-        outcome = found.get("Agatecross-Outcome")
+        outcome = response_headers.get("Agatecross-Outcome")
         if outcome == "not-run":
             record(Refused(time.time(), call))
         elif outcome == "ran":
-            record(_answered(call, data))
+            record(_make_answered(call, data))
         else:
             record(UnknownOutcome(time.time(), call))
         return outcome == "ran"
 
 
-def _answered(call: str, data: bytes) -> Answered:
+def _make_answered(call: str, data: bytes) -> Answered:
     try:
         return Answered(time.time(), call, json.loads(data)["echo"])
     except (ValueError, KeyError):
@@ -105,8 +105,8 @@
             except (OSError, HTTPException, ValueError):
                 continue
             # A daemon that has just started has version 0, none in force, and refuses every call.
-            found = (int(row["version"]), str(row["digest"]))
-            if found[0] and last.get(node.name) != found:
-                last[node.name] = found
-                recorder.events.append(InForce(time.time(), node.name, *found))
-                recorder.newest_version = max(recorder.newest_version, found[0])
+            current = (int(row["version"]), str(row["digest"]))
+            if current[0] and last.get(node.name) != current:
+                last[node.name] = current
+                recorder.events.append(InForce(time.time(), node.name, *current))
+                recorder.newest_version = max(recorder.newest_version, current[0])
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -29,7 +29,7 @@
 from .schedule import Fault, FaultKind, FaultTarget, fault_target
 
 RECOVERY_TIMEOUT_SECONDS = 60.0
-EXAMPLE = Path(__file__).resolve().parents[4] / "examples" / "lysknude"
+EXAMPLE_DIRECTORY = Path(__file__).resolve().parents[4] / "examples" / "lysknude"
 
 
 class Publisher:
@@ -38,7 +38,7 @@
     def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
         self.fleet = fleet
         self.recorder = recorder
-        self.base = next(iter(read_documents(EXAMPLE)))
+        self.base = next(iter(read_documents(EXAMPLE_DIRECTORY)))
         self.count = 0
 
     def publish(self, valid: bool = True) -> None:
@@ -83,8 +83,8 @@
         """Inject the faults of the schedule and return when all of them have ended."""
         steps: list[tuple[float, Callable[[Fault], None], Fault]] = []
         for fault in faults:
-            steps.append((fault.at, self.begin, fault))
-            steps.append((fault.at + fault.duration_seconds, self.end, fault))
+            steps.append((fault.at, self.begin_fault, fault))
+            steps.append((fault.at + fault.duration_seconds, self.end_fault, fault))
         start = time.monotonic()
         for at, step, fault in sorted(steps, key=lambda row: row[0]):
             time.sleep(max(0.0, start + at - time.monotonic()))
@@ -92,7 +92,7 @@
         for future in self.step_futures:
             future.result()
 
-    def begin(self, fault: Fault) -> None:
+    def begin_fault(self, fault: Fault) -> None:
         """Begin a fault."""
         node = self.fleet.nodes[fault.node]
         match fault.kind:
@@ -122,7 +122,7 @@
             case FaultKind.PUBLISH_INVALID:
                 self.publisher.publish(valid=False)
 
-    def end(self, fault: Fault) -> None:
+    def end_fault(self, fault: Fault) -> None:
         """End a fault."""
         node = self.fleet.nodes[fault.node]
         match fault.kind:
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -30,7 +30,7 @@
     Undisturbed,
 )
 from .callers import SERVICE_PATHS, Callers, record_versions
-from .injector import EXAMPLE, Injector
+from .injector import EXAMPLE_DIRECTORY, Injector
 from .recorder import Recorder
 from .schedule import schedule
 
@@ -82,7 +82,7 @@
 
 def _first_publish(fleet: Fleet) -> dict[str, float]:
     now = time.time()
-    result = fleet.run_cli("publish", str(EXAMPLE))
+    result = fleet.run_cli("publish", str(EXAMPLE_DIRECTORY))
     if result.returncode:
         raise RuntimeError(f"the first publish failed: {result.stdout}{result.stderr}")
     return {"": now}
@@ -124,23 +124,23 @@
 
 
 def _newest_version(fleet: Fleet) -> int:
-    return max(snapshot.version for _, snapshot in _accepted_publishes(fleet))
+    return max(mesh_config.version for _, mesh_config in _accepted_publishes(fleet))
 
 
 def _complete_events(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
     """Yield the accepted publishes and the events; adds their services to versions in force."""
-    snapshots: dict[int, MeshConfig] = {}
+    mesh_configs: dict[int, MeshConfig] = {}
     first = recorder.publishes[""]
-    for record, snapshot in _accepted_publishes(fleet):
-        snapshots[snapshot.version] = snapshot
+    for record, mesh_config in _accepted_publishes(fleet):
+        mesh_configs[mesh_config.version] = mesh_config
         at = recorder.publishes.get(record.publish_id, first)
-        yield Published(at, snapshot.version, snapshot.digest)
-    places = {node.name: DataCentreName(node.site.data_centre) for node in fleet.nodes}
+        yield Published(at, mesh_config.version, mesh_config.digest)
+    data_centres = {node.name: DataCentreName(node.site.data_centre) for node in fleet.nodes}
     for event in events:
-        if not isinstance(event, InForce) or event.version not in snapshots:
+        if not isinstance(event, InForce) or event.version not in mesh_configs:
             yield event
             continue
-        site = snapshots[event.version].sites[places[event.daemon]]
+        site = mesh_configs[event.version].sites[data_centres[event.daemon]]
         routed = frozenset(route.service for route in site.routes)
         known = frozenset(site.services)
         yield InForce(event.at, event.daemon, event.version, event.digest, routed, known)
--- a/packages/agatecross-standins/agatecross_standins/faults/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/schedule.py
@@ -47,7 +47,7 @@
     return "log" if fault.kind in LOG_FAULT_KINDS else "publish"
 
 
-def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
+def schedule(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults in order of time; each target has at most one fault at a time."""
     rng = random.Random(seed)
     busy_until: dict[FaultTarget, float] = {}
@@ -55,7 +55,7 @@
     while True:
         at += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
         kind = rng.choice(list(FaultKind))
-        node = rng.randrange(nodes)
+        node = rng.randrange(node_count)
         duration_seconds = rng.uniform(0.5, 6.0)
         if at + duration_seconds > seconds:
             return
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -31,7 +31,7 @@
 class LinkShape:
     """The link between two regions; the log service runs in `home`, the other region is remote."""
 
-    home: str
+    log_region: str
     delay_ms: float = 8.0
     mbit: float = 30.0
 
@@ -194,7 +194,10 @@
             node.remote_ports = dict(
                 zip((node.peer_port, node.control_port), self.ports.reserve(2), strict=True)
             )
-            pairs += [f"--pair={there}={here}" for here, there in node.remote_ports.items()]
+            pairs += [
+                f"--pair={remote_port}={local_port}"
+                for local_port, remote_port in node.remote_ports.items()
+            ]
         flags = (f"--delay_ms={self.link.delay_ms}", f"--mbit={self.link.mbit}")
         self.other_processes.append(
             self.spawn(
@@ -245,15 +248,15 @@
         )
 
     def _log_address_for(self, node: Node) -> str:
-        remote = self.link is not None and node.site.region != self.link.home
+        remote = self.link is not None and node.site.region != self.link.log_region
         return f"127.0.0.1:{self.remote_log_port if remote else self.log_port}"
 
     def _address_map(self, node: Node) -> str:
         others = (other for other in self.nodes if other.site.region != node.site.region)
         rows = [
-            f'"127.0.0.1:{here}" = "127.0.0.1:{there}"\n'
+            f'"127.0.0.1:{local_port}" = "127.0.0.1:{remote_port}"\n'
             for other in others
-            for here, there in other.remote_ports.items()
+            for local_port, remote_port in other.remote_ports.items()
         ]
         return "\n[address_map]\n" + "".join(rows) if rows else ""
 
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -41,24 +41,24 @@
 class Direction:
     """One direction of the link, with a rate shared by its connections and a fixed delay."""
 
-    def __init__(self, bytes_per_second: float, delay: float) -> None:
-        self.rate = bytes_per_second
-        self.delay = delay
+    def __init__(self, bytes_per_second: float, delay_seconds: float) -> None:
+        self.bytes_per_second = bytes_per_second
+        self.delay_seconds = delay_seconds
         self.free_at = 0.0
 
     def arrival_time(self, size: int, now: float) -> float:
         """Return the time at which a chunk that is sent now arrives at the other end."""
-        self.free_at = max(now, self.free_at) + size / self.rate
-        return self.free_at + self.delay
+        self.free_at = max(now, self.free_at) + size / self.bytes_per_second
+        return self.free_at + self.delay_seconds
 
 
 class Link:
     """Forwards connections with a rate and a delay in each direction."""
 
     def __init__(self, mbit: float, delay_ms: float) -> None:
-        rate, delay = mbit * 1e6 / 8, delay_ms / 1000
-        self.forward = Direction(rate, delay)
-        self.backward = Direction(rate, delay)
+        bytes_per_second, delay_seconds = mbit * 1e6 / 8, delay_ms / 1000
+        self.forward = Direction(bytes_per_second, delay_seconds)
+        self.backward = Direction(bytes_per_second, delay_seconds)
         self.switches = Switches()
         self.carried = CarriedBytes()
         self.restored = asyncio.Event()
@@ -75,10 +75,12 @@
     async def serve(self, listen: int, target: int) -> None:
         """Forward connections from one port to another."""
 
-        async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def handle_connection(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await self._forward_connection(target, reader, writer)
 
-        await asyncio.start_server(accepted, "127.0.0.1", listen, backlog=512)
+        await asyncio.start_server(handle_connection, "127.0.0.1", listen, backlog=512)
 
     async def _forward_connection(
         self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -110,7 +112,7 @@
                 await queue.put((direction.arrival_time(len(data), loop.time()), data))
         except OSError:
             pass
-        await queue.put((loop.time() + direction.delay, b""))
+        await queue.put((loop.time() + direction.delay_seconds, b""))
         await writing
 
     async def _write_delayed(
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -26,7 +26,7 @@
     "appends_per_second", 500.0, "Rate limit of appends over all streams."
 )
 
-BURST_SECONDS = 0.5
+RATE_LIMIT_BURST_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -63,8 +63,8 @@
     def __init__(self, switches: Switches, appends_per_second: float) -> None:
         self.streams: dict[str, Stream] = {}
         self.switches = switches
-        self.rate = appends_per_second
-        self.tokens = appends_per_second * BURST_SECONDS
+        self.appends_per_second = appends_per_second
+        self.tokens = appends_per_second * RATE_LIMIT_BURST_SECONDS
         self.refilled_at = time.monotonic()
         self.counts = {"appends": 0, "reads": 0, "limited": 0}
 
@@ -75,8 +75,8 @@
     def take_token(self) -> bool:
         """Take a token for one append from the rate limit; return whether there was one."""
         now = time.monotonic()
-        limit = self.rate * BURST_SECONDS
-        self.tokens = min(limit, self.tokens + (now - self.refilled_at) * self.rate)
+        limit = self.appends_per_second * RATE_LIMIT_BURST_SECONDS
+        self.tokens = min(limit, self.tokens + (now - self.refilled_at) * self.appends_per_second)
         self.refilled_at = now
         if self.tokens < 1:
             self.counts["limited"] += 1
@@ -131,12 +131,12 @@
         """Return a page; if it would be empty, wait for a record up to `wait_ms`."""
         start = int(self.get_query_argument("start", "0"))
         limit = int(self.get_query_argument("limit", "100"))
-        wait = int(self.get_query_argument("wait_ms", "0"))
+        wait_ms = int(self.get_query_argument("wait_ms", "0"))
         stream = self.state.stream(name)
         self.state.counts["reads"] += 1
-        if start >= stream.end and wait:
+        if start >= stream.end and wait_ms:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(stream.appended.wait(), wait / 1000)
+                await asyncio.wait_for(stream.appended.wait(), wait_ms / 1000)
         if self.state.switches.outage:
             self.send_error(503)
             return
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -13,7 +13,7 @@
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 SILENT_POLL_INTERVAL_SECONDS = 0.02
-JSON = (("Content-Type", "application/json"),)
+JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
 @dataclass(slots=True)
@@ -92,7 +92,7 @@
         while self.switches.silent:
             await asyncio.sleep(SILENT_POLL_INTERVAL_SECONDS)
         if self.switches.refuse:
-            return Response(503, JSON, b"{}")
+            return Response(503, JSON_HEADERS, b"{}")
         path, _, query = request.path.partition("?")
         fields = dict(part.split("=", 1) for part in query.split("&"))
         topic = self._topic(fields["topic"])
@@ -112,7 +112,9 @@
             end = LENGTH_BYTES + int.from_bytes(body[:LENGTH_BYTES], "big")
             self._append(topic, body[LENGTH_BYTES:end])
             body = body[end:]
-        return Response(200, JSON, json.dumps({"offset": offset, "end": topic.end}).encode())
+        return Response(
+            200, JSON_HEADERS, json.dumps({"offset": offset, "end": topic.end}).encode()
+        )
 
     def _newest_response(self, topic: Topic) -> Response:
         items = [
@@ -120,17 +122,17 @@
             for key, (offset, value) in sorted(topic.newest.items())
         ]
         body = json.dumps({"items": items, "more": False, "end": topic.end}).encode()
-        return Response(200, JSON, body)
+        return Response(200, JSON_HEADERS, body)
 
     def _endless_page(self) -> Response:
         value = base64.b64encode(bytes(self.switches.endless_value_bytes)).decode()
         row = {"key": f"d{self.calls}", "offset": self.calls, "value": value}
         body = json.dumps({"items": [row], "more": True, "end": self.calls}).encode()
-        return Response(200, JSON, body)
+        return Response(200, JSON_HEADERS, body)
 
     async def _read_response(self, topic: Topic, start: int, wait_ms: int) -> Response:
         if start < topic.first:
-            return Response(410, JSON, json.dumps({"firstOffset": topic.first}).encode())
+            return Response(410, JSON_HEADERS, json.dumps({"firstOffset": topic.first}).encode())
         if start >= topic.end and wait_ms:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.appended.wait(), wait_ms / 1000)
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -52,7 +52,7 @@
         self.work_seconds = 0.0
         self.body_bytes = 0
         self.runs: Counter[str] = Counter()
-        self.run_times: list[tuple[float, str]] = []
+        self.run_starts: list[tuple[float, str]] = []
         self.received_requests: list[dict[str, str]] = []
         self.released = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -118,8 +118,8 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, owner: PlatformUpstream) -> None:
-        self.owner = owner
+    def __init__(self, upstream: PlatformUpstream) -> None:
+        self.upstream = upstream
         self.parser = httptools.HttpRequestParser(self)
         self.fields: dict[str, str] = {}
         self.target = b""
@@ -131,11 +131,11 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.owner.connections.add(self)
+        self.upstream.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel its held answers."""
-        self.owner.connections.discard(self)
+        self.upstream.connections.discard(self)
         for held_answer in self.held_answers:
             held_answer.cancel()
 
@@ -171,29 +171,31 @@
 
     def on_message_complete(self) -> None:
         """Run or refuse the request, as the expected instance and the script demand."""
-        owner = self.owner
+        upstream = self.upstream
         fields = {**self.fields, ":target": self.target.decode(), ":body": self.body.decode()}
-        owner.received_requests.append(fields)
-        expected = self.fields.get("x-expect-instance", owner.name)
-        if expected != owner.name:
-            self._write_response(421, b"", extra=b"x-instance-id: " + owner.name.encode() + b"\r\n")
+        upstream.received_requests.append(fields)
+        expected = self.fields.get("x-expect-instance", upstream.name)
+        if expected != upstream.name:
+            self._write_response(
+                421, b"", extra=b"x-instance-id: " + upstream.name.encode() + b"\r\n"
+            )
             return
-        answer = owner.script.popleft() if owner.script else Answer.WHOLE
+        answer = upstream.script.popleft() if upstream.script else Answer.WHOLE
         call_id = self.fields.get("x-request-id", "")
         if answer is Answer.SHED:
             self._write_response(503, b"", extra=b"x-not-run: 1\r\n")
             return
-        owner.runs[call_id] += 1
-        owner.run_times.append((time.monotonic(), call_id))
-        self._respond(answer, f"{owner.name} {call_id}".encode().ljust(owner.body_bytes))
+        upstream.runs[call_id] += 1
+        upstream.run_starts.append((time.monotonic(), call_id))
+        self._respond(answer, f"{upstream.name} {call_id}".encode().ljust(upstream.body_bytes))
 
     def _respond(self, answer: ScriptedAnswer, body: bytes) -> None:
         stamp = b"x-response-stamp: s\r\n"
         match answer:
-            case Answer.WHOLE if self.owner.work_seconds:
+            case Answer.WHOLE if self.upstream.work_seconds:
                 call_id = self.fields.get("x-request-id", "").encode()
                 asyncio.get_running_loop().call_later(
-                    self.owner.work_seconds, self._write_response, 200, body, stamp, call_id
+                    self.upstream.work_seconds, self._write_response, 200, body, stamp, call_id
                 )
             case Answer.WHOLE:
                 self._write_response(200, body, stamp)
@@ -202,7 +204,7 @@
             case Answer.RESET:
                 self.transport.abort()
             case Answer.CRASH:
-                self.owner.crash()
+                self.upstream.crash()
             case Answer.EXTRA:
                 self._write_response(200, body, stamp)
                 self._write_response(200, b"extra", stamp)
@@ -221,7 +223,7 @@
             case Answer.ENCODED:
                 self._write_response(200, body, stamp + b"content-encoding: gzip\r\n")
             case EndlessPart():
-                self.endless = EndlessWriter(self.transport, answer, self.owner.trickles)
+                self.endless = EndlessWriter(self.transport, answer, self.upstream.trickles)
                 self.endless.start()
             case bytes():
                 self.transport.write(answer)
@@ -232,7 +234,7 @@
 
     async def _respond_when_released(self, body: bytes, stamp: bytes) -> None:
         call_id = self.fields.get("x-request-id", "").encode()
-        await self.owner.released.wait()
+        await self.upstream.released.wait()
         self._write_response(200, body, stamp, call_id)
 
     def _write_response(
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -28,14 +28,14 @@
         nodes: list[Node],
         history: History,
         rng: random.Random,
-        mean_gap: float = MEAN_REQUEST_GAP_SECONDS,
+        mean_gap_seconds: float = MEAN_REQUEST_GAP_SECONDS,
     ) -> None:
         """Send to the daemons of `nodes`, on average `mean_gap` seconds after each answer."""
         self.name = name
         self.nodes = nodes
         self.history = history
         self.rng = rng
-        self.mean_gap = mean_gap
+        self.mean_gap_seconds = mean_gap_seconds
         self.request_numbers = itertools.count()
         self.node = nodes[0]
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -43,7 +43,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self.rng.expovariate(1 / self.mean_gap))
+            await asyncio.sleep(self.rng.expovariate(1 / self.mean_gap_seconds))
             method, prefix, at_most_once = self.rng.choice(REQUEST_TYPES)
             row = await self.send(method, prefix, at_most_once)
             if row is not None:
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -44,13 +44,13 @@
 def leaves_bind(history: History) -> Iterator[str]:
     """An upstream gets no new work once the limit after its confirmed leave has passed."""
     for row in history.leaves:
-        rows = [(at - row.confirmed_at, call_id) for at, call_id in row.run_times]
-        late = [found for found in rows if found[0] > MAX_START_AFTER_LEAVE_SECONDS]
+        delays = [(at - row.confirmed_at, call_id) for at, call_id in row.run_starts]
+        late = [entry for entry in delays if entry[0] > MAX_START_AFTER_LEAVE_SECONDS]
         if late:
             # The ids show whether a request came from outside: no caller of the soak used its id.
             ids = " ".join(call_id or "-" for _, call_id in late[:4])
-            last = max(late)[0]
-            yield f"{row.name} started {len(late)} runs up to {last:.2f} s after its leave: {ids}"
+            latest = max(late)[0]
+            yield f"{row.name} started {len(late)} runs up to {latest:.2f} s after its leave: {ids}"
 
 
 def versions_rise(history: History) -> Iterator[str]:
@@ -75,7 +75,8 @@
     """A graceful stop breaks no request that is in progress, unless a fault hit the daemon then."""
     for node, started_at, ended_at in history.graceful_stops:
         hit = any(
-            n in (node, -1) and a < ended_at and started_at < b for n, a, b in history.disturbances
+            affected in (node, -1) and begin < ended_at and started_at < end
+            for affected, begin, end in history.disturbances
         )
         for row in history.requests if not hit else ():
             if (
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -35,7 +35,7 @@
 
     name: str
     confirmed_at: float
-    run_times: tuple[tuple[float, str], ...]
+    run_starts: tuple[tuple[float, str], ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -30,7 +30,7 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 SHUTDOWN_GRACE_SECONDS = 4.0
 WORK_SECONDS = 0.02
-SETTINGS = """
+SETTINGS_TEMPLATE = """
 [sidecar]
 id = "d{number}"
 region = "{region}"
@@ -70,7 +70,7 @@
     upstream_link: FaultyLink = field(default_factory=FaultyLink)
     store_link: FaultyLink = field(default_factory=FaultyLink)
     process: "subprocess.Popen[bytes] | None" = None
-    process_descriptor: int = -1
+    pidfd: int = -1
     stopping: bool = False
     exit_codes: list[int] = field(default_factory=list)
 
@@ -82,40 +82,40 @@
     @property
     def is_running(self) -> bool:
         """Return whether a process was started and its exit was not observed yet."""
-        return self.process_descriptor >= 0
+        return self.pidfd >= 0
 
     def attach_process(self, process: "subprocess.Popen[bytes]") -> None:
         """Take over a newly started process."""
         self.process = process
-        self.process_descriptor = os.pidfd_open(process.pid)
+        self.pidfd = os.pidfd_open(process.pid)
         self.stopping = False
 
     async def wait_for_exit(self) -> None:
         """Wait until the process has exited and record its exit code."""
-        loop, descriptor = asyncio.get_running_loop(), self.process_descriptor
+        loop, pidfd = asyncio.get_running_loop(), self.pidfd
         ended = asyncio.Event()
-        loop.add_reader(descriptor, ended.set)
+        loop.add_reader(pidfd, ended.set)
         try:
             await ended.wait()
         finally:
-            loop.remove_reader(descriptor)
+            loop.remove_reader(pidfd)
         self.reap()
 
     def reap(self) -> None:
         """Record the exit code of the process, waiting for its exit."""
-        if self.process is not None and self.process_descriptor >= 0:
-            os.close(self.process_descriptor)
-            self.process_descriptor = -1
+        if self.process is not None and self.pidfd >= 0:
+            os.close(self.pidfd)
+            self.pidfd = -1
             self.exit_codes.append(self.process.wait())
 
-    def signal(self, number: signal.Signals) -> None:
+    def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the running process without reaping it.
 
         The exit code is left to `wait_for_exit`.
         """
-        if self.process_descriptor >= 0:
+        if self.pidfd >= 0:
             with contextlib.suppress(ProcessLookupError):
-                signal.pidfd_send_signal(self.process_descriptor, number)
+                signal.pidfd_send_signal(self.pidfd, number)
 
 
 class SoakFleet:
@@ -148,8 +148,8 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for node in self.nodes:
-            node.signal(signal.SIGCONT)
-            node.signal(signal.SIGKILL)
+            node.send_signal(signal.SIGCONT)
+            node.send_signal(signal.SIGKILL)
             node.reap()
             for link in (node.peers_link, node.upstream_link, node.store_link):
                 await link.close()
@@ -194,7 +194,7 @@
         addresses["announced"] = await node.peers_link.listen()
         # The daemon is configured with, and the upstream announces, the address of the proxy.
         addresses["upstream"] = upstream.address = await node.upstream_link.listen()
-        text = SETTINGS.format(
+        text = SETTINGS_TEMPLATE.format(
             number=number,
             region=region,
             data_centre=data_centre,
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -20,7 +20,7 @@
 ALL_NODES = -1
 # Time after a fault, such as a kill, until peers and callers work with the daemon again.
 RECOVERY_SECONDS = 3.0
-STOP_POLL_SECONDS = 0.05
+STOP_POLL_INTERVAL_SECONDS = 0.05
 FAULTY_ANSWERS = (
     Answer.RESET,
     Answer.EXTRA,
@@ -67,22 +67,22 @@
     async def _inject(self, fault: Fault, node: Node) -> None:
         match fault.kind:
             case FaultKind.KILL:
-                node.signal(signal.SIGKILL)
-            case FaultKind.HERD_KILL:
+                node.send_signal(signal.SIGKILL)
+            case FaultKind.KILL_ALL:
                 for row in self.fleet.nodes:
-                    row.signal(signal.SIGKILL)
+                    row.send_signal(signal.SIGKILL)
             case FaultKind.TERM:
                 await self._stop_gracefully(node)
             case FaultKind.PAUSE:
-                node.signal(signal.SIGSTOP)
+                node.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(fault.duration_seconds)
-                node.signal(signal.SIGCONT)
+                node.send_signal(signal.SIGCONT)
             case FaultKind.HANG_UP:
-                node.signal(signal.SIGHUP)
+                node.send_signal(signal.SIGHUP)
             case FaultKind.LINK_DELAY:
-                node.peers_link.delay = LINK_DELAY_SECONDS
+                node.peers_link.delay_seconds = LINK_DELAY_SECONDS
                 await asyncio.sleep(fault.duration_seconds)
-                node.peers_link.delay = 0.0
+                node.peers_link.delay_seconds = 0.0
             case FaultKind.LINK_RESET:
                 node.peers_link.reset()
             case FaultKind.LINK_ONE_WAY:
@@ -94,19 +94,19 @@
             case FaultKind.PUBLISH:
                 self.fleet.publish()
             case _:
-                await self._inject_outside(fault, node)
+                await self._inject_dependency_fault(fault, node)
 
-    async def _inject_outside(self, fault: Fault, node: Node) -> None:
+    async def _inject_dependency_fault(self, fault: Fault, node: Node) -> None:
         """Inject a fault of the upstream or the store."""
         switches = self.fleet.store.switches
         match fault.kind:
             case FaultKind.UPSTREAM_LINK_RESET:
                 node.upstream_link.reset()
             case FaultKind.UPSTREAM_SLOW:
-                upstream, usual = node.upstream, node.upstream.work_seconds
+                upstream, normal_work_seconds = node.upstream, node.upstream.work_seconds
                 upstream.work_seconds = SLOW_WORK_SECONDS
                 await asyncio.sleep(fault.duration_seconds)
-                upstream.work_seconds = min(usual, SLOW_WORK_SECONDS)
+                upstream.work_seconds = min(normal_work_seconds, SLOW_WORK_SECONDS)
             case FaultKind.UPSTREAM_FAULTY:
                 node.upstream.queue_answers(FAULTY_ANSWERS)
             case FaultKind.UPSTREAM_CRASH:
@@ -121,7 +121,7 @@
                 switches.silent = True
                 await asyncio.sleep(fault.duration_seconds)
                 switches.silent = False
-            case FaultKind.STORE_FORGETS:
+            case FaultKind.STORE_COMPACTION:
                 self.fleet.store.compact("keyed.op")
             case FaultKind.STORE_LINK_RESET:
                 node.store_link.reset()
@@ -133,15 +133,15 @@
         node.stopping = True
         started_at = time.monotonic()
         process = node.process
-        node.signal(signal.SIGTERM)
+        node.send_signal(signal.SIGTERM)
         while (
             node.process is process
             and node.is_running
             and time.monotonic() < started_at + SHUTDOWN_GRACE_SECONDS
         ):
-            await asyncio.sleep(STOP_POLL_SECONDS)
+            await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
         if node.process is process:
-            node.signal(signal.SIGKILL)
+            node.send_signal(signal.SIGKILL)
         self.history.graceful_stops.append((node.number, started_at, time.monotonic()))
 
     async def _leave_and_replace(self, node: Node) -> None:
@@ -160,5 +160,5 @@
         if node.upstream is upstream:
             await self.fleet.replace_upstream(node)
         if status == 200:
-            row = ConfirmedLeave(upstream.name, confirmed, tuple(upstream.run_times))
+            row = ConfirmedLeave(upstream.name, confirmed, tuple(upstream.run_starts))
             self.history.leaves.append(row)
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -36,7 +36,7 @@
     def __init__(self) -> None:
         self.target = Address("")
         self.mode = LinkMode.OPEN
-        self.delay = 0.0
+        self.delay_seconds = 0.0
         self.connections: list[ProxiedConnection] = []
         self.server: asyncio.Server | None = None
 
@@ -94,8 +94,8 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.delay:
-                    await asyncio.sleep(self.delay)
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
                 held = True
                 while held and not writer.is_closing():
                     held = connection.silent or self.mode in blocked
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -40,7 +40,9 @@
     violations: tuple[str, ...]
 
 
-async def run_soak(seed: int, seconds: float, recover: float, log_directory: Path) -> SoakResult:
+async def run_soak(
+    seed: int, seconds: float, recovery_seconds: float, log_directory: Path
+) -> SoakResult:
     """Run one seed; the fleet has `recover` seconds to recover after the last fault.
 
     The logs of the daemons stay in `log_directory`.
@@ -74,7 +76,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await _wait_until_serving(fleet, recover)
+        await _wait_until_serving(fleet, recovery_seconds)
         await _send_final_requests(fleet, history)
         _collect_results(fleet, history)
     finally:
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -15,7 +15,7 @@
     """Kind of fault and what it affects."""
 
     KILL = "kill"
-    HERD_KILL = "herd-kill"
+    KILL_ALL = "herd-kill"
     TERM = "term"
     PAUSE = "pause"
     HANG_UP = "hang-up"
@@ -30,7 +30,7 @@
     UPSTREAM_LEAVE = "upstream-leave"
     STORE_REFUSES = "store-refuses"
     STORE_SILENT = "store-silent"
-    STORE_FORGETS = "store-forgets"
+    STORE_COMPACTION = "store-forgets"
     STORE_LINK_RESET = "store-link-reset"
     PUBLISH = "publish"
 
@@ -45,7 +45,7 @@
     node: int
 
 
-def schedule(seed: int, seconds: float, nodes: int) -> Iterator[Fault]:
+def schedule(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults; about a quarter of the draws become a series on several nodes.
 
     The draws are in order of time, but the faults of a series may start after those of the next.
@@ -56,12 +56,12 @@
         at += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
         kind = rng.choice(list(FaultKind))
         duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
-        count = rng.randint(2, nodes) if rng.random() < SERIES_PROBABILITY else 1
-        first = rng.randrange(nodes)
+        count = rng.randint(2, node_count) if rng.random() < SERIES_PROBABILITY else 1
+        first = rng.randrange(node_count)
         gap = rng.uniform(0.0, 0.5)
         if at > seconds:
             return
         if at + duration_seconds + count * gap > seconds:
             continue
         for step in range(count):
-            yield Fault(at + step * gap, duration_seconds, kind, (first + step) % nodes)
+            yield Fault(at + step * gap, duration_seconds, kind, (first + step) % node_count)
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -75,7 +75,7 @@
         self.cancelled: list[str] = []
         self.started_at = time.monotonic()
 
-    def heartbeat_filter(self) -> dict[str, object]:
+    def announcement_body(self) -> dict[str, object]:
         """Return the body of the announcement."""
         cold = time.monotonic() - self.started_at < COLD_START_MS.value / 1000
         state = "draining" if self.switches.draining else "starting" if cold else "ready"
@@ -128,7 +128,7 @@
         state = self.state
         path = self.request.path
         async with state.slots:
-            execution = self._execution()
+            execution = self._make_execution()
             state.executions.append(execution)
             append_execution(execution)
             if state.switches.crash_on and state.switches.crash_on in path:
@@ -144,7 +144,7 @@
 
     get = post = put = delete = work
 
-    def _execution(self) -> Execution:
+    def _make_execution(self) -> Execution:
         headers = self.request.headers
         return Execution(
             headers.get("Agatecross-Call-Id", ""),
@@ -192,7 +192,7 @@
     client = AsyncHTTPClient()
     url = f"http://{ADMIN.value}/agatecross/v1/upstream"
     while True:
-        body = json.dumps(state.heartbeat_filter())
+        body = json.dumps(state.announcement_body())
         with contextlib.suppress(HTTPClientError, OSError):
             await client.fetch(HTTPRequest(url, method="PUT", body=body, request_timeout=1.0))
         await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
