--- a/packages/agatecross-standins/agatecross_standins/bench/admission_runs.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/admission_runs.py
@@ -20,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """One upstream of a deployment; `scale` describes how its slots are scaled, times in ms."""
+    """One upstream of a deployment, with times in milliseconds.
+
+    `documents` is a folder of `examples/`, and `scale` describes how the slots are scaled.
+    """
 
     name: str
     documents: str
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -1,7 +1,7 @@
 """Measures the time from a publish until it is in force everywhere, and its control traffic.
 
 Run with `python -m agatecross_standins.bench.convergence --sizes=4,8,16,32`. One run measures each
-mode: `peers` is the product, in `log` every daemon reads the log, and `full` sends all documents on
+mode: `peers` is the default, in `log` every daemon reads the log, and `full` sends all documents on
 each change. Bytes are the payload of control messages in both directions, over all daemons.
 """
 
--- a/packages/agatecross-standins/agatecross_standins/bench/hop.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/hop.py
@@ -44,7 +44,7 @@
 
 
 def start_fleet(stack: ExitStack) -> Fleet:
-    """Start the node of the upstream, and a second node that calls with two hops enter."""
+    """Start the node of the upstream, and a second node that receives the calls with two hops."""
     fleet = stack.enter_context(Fleet())
     fleet.add_node(KAFESKOOP.site, KAFESKOOP.service, "--work_ms=0", "--slots=64")
     fleet.add_node(Site("marmara", "bursa-b"), "member-accounts")
@@ -135,7 +135,7 @@
 
 
 async def measure_exchange(rounds: int, calls: int) -> list[float]:
-    """Return the CPU time per exchange in microseconds, for each round."""
+    """Return the CPU time per exchange in microseconds, for each round after a warm-up round."""
     answer = Response(200, (("Content-Type", "text/plain"), ("X-Field", "v")), b"x" * ANSWER_BYTES)
 
     async def handle(request: Request) -> Response:
@@ -170,6 +170,7 @@
             profile_daemon(fleet)
             return
         targets = path_addresses(fleet)
+        # Warm-up.
         asyncio.run(measure_sequential(targets, 200, rng))
         rounds = [
             asyncio.run(measure_sequential(targets, CALLS.value, rng)) for _ in range(ROUNDS.value)
--- a/packages/agatecross-standins/agatecross_standins/demo.py
+++ b/packages/agatecross-standins/agatecross_standins/demo.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DemoFigures:
-    """Results shown in the closing table."""
+    """Results shown in the final table; `control_rates` is in bytes per second."""
 
     samples: tuple[Sample, ...]
     duplicated: int
@@ -153,7 +153,7 @@
 
 
 def format_table(figures: DemoFigures) -> Iterator[str]:
-    """Yield the lines of the closing table."""
+    """Yield the lines of the final table."""
     summary = summarise(figures.samples)
     yield f"calls sent                     {summary.calls}"
     yield f"answered                       {summary.ran}"
--- a/packages/agatecross-standins/agatecross_standins/faults/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/callers.py
@@ -1,4 +1,4 @@
-"""Callers that send reads and bookings, and the thread that records versions in force."""
+"""Callers that send GET and POST requests, and the thread that records versions in force."""
 
 import json
 import random
@@ -28,7 +28,7 @@
 
 
 class Callers:
-    """Sends reads and bookings; bookings with an idempotency key may go to several daemons."""
+    """Sends GET and POST requests; a POST with an idempotency key may go to several daemons."""
 
     def __init__(self, fleet: Fleet, recorder: Recorder, seed: int) -> None:
         self.fleet = fleet
@@ -61,7 +61,7 @@
                 future.result()
 
     def send(self, node: Node, method: str, request: str, key: str) -> bool:
-        """Send one request and record its outcome; return whether it ran."""
+        """Send one request and record its outcome; return whether the response says that it ran."""
         call = uuid.uuid4().hex
         record = self.recorder.events.append
         headers = {"X-Echo": request, **({"Idempotency-Key": key} if key else {})}
--- a/packages/agatecross-standins/agatecross_standins/faults/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/injector.py
@@ -42,7 +42,7 @@
         self.count = 0
 
     def publish(self, valid: bool = True) -> None:
-        """Append a record on the newest version seen, resending it once if there is no reply."""
+        """Append a record whose parent is the newest version seen; resend it once on no reply."""
         self.count += 1
         changed = f"timeout_ms = {2_000 + self.count}"
         text = self.base.text.replace("timeout_ms = 2000", changed, 1)
--- a/packages/agatecross-standins/agatecross_standins/faults/run.py
+++ b/packages/agatecross-standins/agatecross_standins/faults/run.py
@@ -128,7 +128,7 @@
 
 
 def _complete_events(fleet: Fleet, recorder: Recorder, events: list[Event]) -> Iterator[Event]:
-    """Yield the accepted publishes and the events; adds their services to versions in force."""
+    """Yield the accepted publishes and the events, with the services of each version in force."""
     mesh_configs: dict[int, MeshConfig] = {}
     first = recorder.publishes[""]
     for record, mesh_config in _accepted_publishes(fleet):
--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkShape:
-    """The link between two regions; the log service runs in `home`, the other region is remote."""
+    """The link between two regions; the log service runs in `log_region`."""
 
     log_region: str
     delay_ms: float = 8.0
@@ -38,7 +38,11 @@
 
 @dataclass(slots=True)
 class Node:
-    """One daemon and the upstream that it serves."""
+    """One daemon and the upstream that it serves.
+
+    `remote_ports` maps the peer port and the control port of the daemon to the ports on which the
+    link proxy offers them to the other region.
+    """
 
     name: str
     site: Site
@@ -85,7 +89,7 @@
 ) -> None:
     """Wait for a condition, treating `OSError` as not yet true.
 
-    Raises `TimeoutError`, with the name of the condition, after the given seconds.
+    Raises `TimeoutError`, with the description, after `seconds`.
     """
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
--- a/packages/agatecross-standins/agatecross_standins/history.py
+++ b/packages/agatecross-standins/agatecross_standins/history.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from functools import reduce
 
+# Limits of I7 and I9.
 MAX_START_AFTER_LEAVE_SECONDS = 5.0
 MAX_IN_FORCE_DELAY_SECONDS = 6.0
 
@@ -274,7 +275,7 @@
 
 
 def no_work_when_leaving(items: Items) -> Items:
-    """I7: an upstream that announced leaving starts nothing after a few seconds."""
+    """I7: an upstream starts nothing once the limit after it announced leaving has passed."""
     leaving: dict[str, Leaving] = {}
     for item in items:
         yield item
@@ -308,7 +309,10 @@
 
 
 def in_force_everywhere(items: Items) -> Items:
-    """I9: undisturbed daemons have at least the newest version that was published in time."""
+    """I9: undisturbed daemons have in force the newest version that is due, or a later one.
+
+    A version is due `MAX_IN_FORCE_DELAY_SECONDS` after its publish was sent.
+    """
     published: list[Published] = []
     last: dict[str, InForce] = {}
     for item in items:
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -1,4 +1,4 @@
-"""Stand-in for the link between regions: delays, rate-limits and interrupts TCP connections.
+"""Stand-in for the link between regions: delays, rate-limits and blocks TCP traffic.
 
 Each `--pair=LISTEN=TARGET` forwards one port of 127.0.0.1 to another; all pairs share one rate for
 each direction. `PUT /switches` sets the switches, for example `{"cut": true}`; `GET /switches`
@@ -39,7 +39,10 @@
 
 
 class Direction:
-    """One direction of the link, with a rate shared by its connections and a fixed delay."""
+    """One direction of the link, with a rate shared by its connections and a fixed delay.
+
+    `free_at` is the event loop time at which the link has sent all earlier chunks.
+    """
 
     def __init__(self, bytes_per_second: float, delay_seconds: float) -> None:
         self.bytes_per_second = bytes_per_second
--- a/packages/agatecross-standins/agatecross_standins/load.py
+++ b/packages/agatecross-standins/agatecross_standins/load.py
@@ -29,7 +29,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """Result of a planned call; the latency counts from its intended start."""
+    """Result of a planned call; the latency counts from its intended start.
+
+    `outcome` is that of the response, `none` if the response states none, or `no-answer` if there
+    was no response.
+    """
 
     planned: PlannedCall
     latency_ms: float
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -26,6 +26,7 @@
     "appends_per_second", 500.0, "Rate limit of appends over all streams."
 )
 
+# Capacity of the token bucket, as the time in which it refills.
 RATE_LIMIT_BURST_SECONDS = 0.5
 
 
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class StoreSwitches:
-    """Failures to simulate: `refuse` answers with 503, `silent` delays every response.
+    """Failures to simulate: `refuse` answers with 503; `silent` holds responses until it is unset.
 
     If `endless_value_bytes` is set, `log-newest` always announces a further page, and each page
     holds one value of this size.
@@ -64,7 +64,7 @@
         await self.listener.close()
 
     def append_record(self, topic: str, key: str, value: bytes) -> None:
-        """Append one record, as the operator does."""
+        """Append one record, as the platform's operator does."""
         name = key.encode()
         self._append(self._topic(topic), bytes((len(name),)) + name + value)
 
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -19,7 +19,12 @@
 
 
 class Answer(Enum):
-    """How one request is answered; `HOLD` waits until `released` is set on the upstream."""
+    """How one request is answered.
+
+    `WHOLE` is a complete response and `SHED` refuses the request as not run. `EXTRA` writes a
+    second response after the first, `UNFRAMED` has no content length, `UNSTAMPED` has no response
+    stamp, and `HOLD` waits until `released` is set on the upstream.
+    """
 
     WHOLE = "whole"
     ERROR = "error"
@@ -40,7 +45,11 @@
 
 
 class PlatformUpstream:
-    """Serves requests, counts the runs of each request id, and sends heartbeats to its daemon."""
+    """Serves requests, records their runs, and sends heartbeats to its daemon.
+
+    `runs` counts the runs of each request id; `run_starts` has the monotonic start time and the
+    request id of each run.
+    """
 
     def __init__(self, name: str, service: str, born: int = 1) -> None:
         self.name = name
@@ -170,7 +179,7 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Run or refuse the request, as the expected instance and the script demand."""
+        """Answer as scripted, or refuse a request that expects another instance."""
         upstream = self.upstream
         fields = {**self.fields, ":target": self.target.decode(), ":body": self.body.decode()}
         upstream.received_requests.append(fields)
--- a/packages/agatecross-standins/agatecross_standins/soak/__init__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__init__.py
@@ -1,1 +1,4 @@
-"""Fault soak of daemons on the users' platform: real processes under externally injected faults."""
+"""Fault soak of daemons that are configured by the platform's keyed log.
+
+The daemons are real processes; the faults are injected from outside of them.
+"""
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -15,6 +15,7 @@
 DEADLINE_MS = 1_500
 # A daemon answers within the route's timeout of 2 s; a paused daemon answers later.
 ANSWER_TIMEOUT_SECONDS = 8.0
+# Method, path prefix, and whether the request must run at most once.
 REQUEST_TYPES = (("GET", "/safe/", False), ("POST", "/once/", True), ("POST", "/peer/", True))
 CONNECT_TIMEOUT_SECONDS = 1.0
 
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -9,8 +9,7 @@
 MAX_START_AFTER_LEAVE_SECONDS = 2.0
 # Graceful stop (0) and SIGKILL (-9); any other code means that the daemon itself crashed.
 EXPECTED_EXIT_CODES = frozenset((0, -9))
-# Share of the requests after the last fault that must be served; one daemon of six may still be
-# waiting.
+# Share of the final requests that must be served. One of the six daemons may still be waiting.
 MIN_SERVED_SHARE = 0.95
 
 
@@ -47,7 +46,7 @@
         delays = [(at - row.confirmed_at, call_id) for at, call_id in row.run_starts]
         late = [entry for entry in delays if entry[0] > MAX_START_AFTER_LEAVE_SECONDS]
         if late:
-            # The ids show whether a request came from outside: no caller of the soak used its id.
+            # The ids show whether the requests came from callers of the soak or from elsewhere.
             ids = " ".join(call_id or "-" for _, call_id in late[:4])
             latest = max(late)[0]
             yield f"{row.name} started {len(late)} runs up to {latest:.2f} s after its leave: {ids}"
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -7,7 +7,12 @@
 
 
 class RequestOutcome(Enum):
-    """How a request ended for its caller."""
+    """How a request ended for its caller.
+
+    `REFUSED` is a status that means that the request was not run, and `BROKEN` a request without a
+    complete response. `FOREIGN` is a successful response whose body does not end with the id of the
+    request.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -31,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmedLeave:
-    """An upstream whose leave was confirmed, with the start times and call ids of its runs."""
+    """An upstream whose leave was confirmed, with the start time and call id of each run."""
 
     name: str
     confirmed_at: float
@@ -51,6 +56,8 @@
 class History:
     """Everything recorded in one run.
 
+    `runs` counts the runs of each call id, and `exits` holds the node number and the exit code of
+    each exit. `final_requests` are sent after the fleet has had time to recover.
     `graceful_stops` and `disturbances` hold the node number with the start and the end of the
     interval; the number -1 in a disturbance stands for every node.
     """
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -85,7 +85,7 @@
         return self.pidfd >= 0
 
     def attach_process(self, process: "subprocess.Popen[bytes]") -> None:
-        """Take over a newly started process."""
+        """Track a newly started process."""
         self.process = process
         self.pidfd = os.pidfd_open(process.pid)
         self.stopping = False
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -97,7 +97,7 @@
                 await self._inject_dependency_fault(fault, node)
 
     async def _inject_dependency_fault(self, fault: Fault, node: Node) -> None:
-        """Inject a fault of the upstream or the store."""
+        """Inject a fault of an upstream, the store, or the links to them."""
         switches = self.fleet.store.switches
         match fault.kind:
             case FaultKind.UPSTREAM_LINK_RESET:
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -54,7 +54,7 @@
             connection.server_writer.transport.abort()
 
     def silence_connections(self) -> None:
-        """Stop forwarding on every open connection for good; new connections work."""
+        """Stop forwarding on every open connection permanently; new connections still work."""
         for connection in self.connections:
             connection.silent = True
 
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -24,7 +24,7 @@
 # in progress when it drains.
 BUSY_CALLER_COUNT = 6
 BUSY_REQUEST_GAP_SECONDS = 0.005
-# Generous, because six interpreters may start on a busy machine; not a promise of the product.
+# Long enough for six interpreters to start on a busy machine; not a limit of the product.
 START_TIMEOUT_SECONDS = 120.0
 FINAL_ROUNDS = 5
 POLL_INTERVAL_SECONDS = 0.25
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -12,7 +12,11 @@
 
 
 class FaultKind(Enum):
-    """Kind of fault and what it affects."""
+    """Kind of fault and what it affects.
+
+    `KILL_ALL` kills every daemon, `HANG_UP` sends SIGHUP, and `STORE_COMPACTION` drops the records
+    of a topic except for the newest value of each key.
+    """
 
     KILL = "kill"
     KILL_ALL = "herd-kill"
@@ -48,7 +52,7 @@
 def schedule(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults; about a quarter of the draws become a series on several nodes.
 
-    The draws are in order of time, but the faults of a series may start after those of the next.
+    The draws are in order of time, but faults of a series may start after faults of the next draw.
     """
     rng = random.Random(seed)
     at = 0.0
--- a/packages/agatecross-standins/agatecross_standins/trace_sample.py
+++ b/packages/agatecross-standins/agatecross_standins/trace_sample.py
@@ -3,7 +3,7 @@
 `python -m agatecross_standins.trace_sample --seed=7 --count=20 LOG...` reads the logs of all
 daemons of a day. It prints a table with the id, the status, the cause and the deciding line of each
 sampled call, then the number of failed calls for each status and cause. Only calls of callers are
-sampled, not those that a run made.
+sampled, not calls that an upstream made while it ran one.
 """
 
 import random
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -157,7 +157,7 @@
 
 
 def append_execution(execution: Execution) -> None:
-    """Append the execution to the configured file, before the call can crash the process."""
+    """Append the execution to the configured file; called before a crash switch takes effect."""
     if EXECUTIONS_FILE.value:
         line = json.dumps({**asdict(execution), "port": PORT.value}) + "\n"
         with open(EXECUTIONS_FILE.value, "a", encoding="utf-8") as file:
