--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -40,8 +40,10 @@
 from agatecross_core.routing.router import AdaptiveBalancer
 from agatecross_core.states import MemberState, UpstreamState
 
-SIZES = flags.DEFINE_list("sizes", ["50", "100", "200", "400", "800", "1300"], "Fleet sizes.")
-OUTPUT = flags.DEFINE_string("output", "build/slopes.json", "File for the rows.")
+SIZES = flags.DEFINE_list(
+    "sizes", ["50", "100", "200", "400", "800", "1300"], "Fleet sizes, in daemons."
+)
+OUTPUT = flags.DEFINE_string("output", "build/slopes.json", "Path of the JSON results.")
 
 SERVICE_COUNT = 36
 DATA_CENTRE_COUNT = 8
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -16,7 +16,7 @@
 
 PORT = flags.DEFINE_integer("port", None, "Port of the switches.", required=True)
 PAIRS = flags.DEFINE_multi_string("pair", [], "LISTEN=TARGET ports on 127.0.0.1.")
-DELAY_MS = flags.DEFINE_float("delay_ms", 8.0, "One-way latency.")
+DELAY_MS = flags.DEFINE_float("delay_ms", 8.0, "One-way latency, in milliseconds.")
 MBIT = flags.DEFINE_float("mbit", 30.0, "Rate of each direction in Mbit/s.")
 
 CHUNK_BYTES = 16 * 1024
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -58,7 +58,10 @@
     for row in history.versions:
         key = (row.node, row.restarts)
         if row.version < newest.get(key, 0):
-            yield f"d{row.node} restart {row.restarts} went from {newest[key]} to {row.version}"
+            yield (
+                f"d{row.node} restart {row.restarts}: version in force fell "
+                f"from {newest[key]} to {row.version}"
+            )
         newest[key] = max(newest.get(key, 0), row.version)
 
 
@@ -98,7 +101,10 @@
             for row in history.final_requests
             if row.outcome != RequestOutcome.ANSWERED
         ]
-        yield f"{served} of {len(history.final_requests)} served at the end; {' '.join(lost[:8])}"
+        yield (
+            f"{served} of {len(history.final_requests)} final requests served; "
+            f"others as daemon:status: {' '.join(lost[:8])}"
+        )
 
 
 CHECKS: tuple[Check, ...] = (
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -54,7 +54,8 @@
     try:
         if not await _wait_until_serving(fleet, START_TIMEOUT_SECONDS):
             return SoakResult(
-                "did not start", ("not every daemon answered the newest route in time",)
+                "did not start",
+                ("not every daemon served the newest route before the start timeout",),
             )
         rng = random.Random(seed)
         callers = [
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -28,9 +28,9 @@
 SHED = flags.DEFINE_bool(
     "shed", True, "Shed calls above the number of slots instead of queueing them."
 )
-WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Duration of a call.")
+WORK_MS = flags.DEFINE_float("work_ms", 5.0, "Duration of a call, in milliseconds.")
 COLD_START_MS = flags.DEFINE_float(
-    "cold_start_ms", 0.0, "Time in the state starting after the process has started."
+    "cold_start_ms", 0.0, "Milliseconds in the state starting after the process has started."
 )
 EXECUTIONS_FILE = flags.DEFINE_string(
     "executions_file", "", "File for one JSON line per execution, kept if the process is killed."
