--- a/packages/agatecross-standins/agatecross_standins/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/fleet.py
@@ -29,16 +29,20 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkShape:
-    """The link between two regions; the log service runs in `home`, the other region is remote."""
+    """The link between two regions; the log service runs in `log_region`."""
 
-    home: str
+    log_region: str
     delay_ms: float = 8.0
     mbit: float = 30.0
 
 
 @dataclass(slots=True)
 class Node:
-    """One daemon and the upstream that it serves."""
+    """One daemon and the upstream that it serves.
+
+    `remote_ports` maps the peer port and the control port of the daemon to the ports on which the
+    link proxy offers them to the other region.
+    """
 
     name: str
     site: Site
@@ -85,7 +89,7 @@
 ) -> None:
     """Wait for a condition, treating `OSError` as not yet true.
 
-    Raises `TimeoutError`, with the name of the condition, after the given seconds.
+    Raises `TimeoutError`, with the description, after `seconds`.
     """
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
@@ -194,7 +198,10 @@
             node.remote_ports = dict(
                 zip((node.peer_port, node.control_port), self.ports.reserve(2), strict=True)
             )
-            pairs += [f"--pair={there}={here}" for here, there in node.remote_ports.items()]
+            pairs += [
+                f"--pair={remote_port}={local_port}"
+                for local_port, remote_port in node.remote_ports.items()
+            ]
         flags = (f"--delay_ms={self.link.delay_ms}", f"--mbit={self.link.mbit}")
         self.other_processes.append(
             self.spawn(
@@ -245,15 +252,15 @@
         )
 
     def _log_address_for(self, node: Node) -> str:
-        remote = self.link is not None and node.site.region != self.link.home
+        remote = self.link is not None and node.site.region != self.link.log_region
         return f"127.0.0.1:{self.remote_log_port if remote else self.log_port}"
 
     def _address_map(self, node: Node) -> str:
         others = (other for other in self.nodes if other.site.region != node.site.region)
         rows = [
-            f'"127.0.0.1:{here}" = "127.0.0.1:{there}"\n'
+            f'"127.0.0.1:{local_port}" = "127.0.0.1:{remote_port}"\n'
             for other in others
-            for here, there in other.remote_ports.items()
+            for local_port, remote_port in other.remote_ports.items()
         ]
         return "\n[address_map]\n" + "".join(rows) if rows else ""
 
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -1,4 +1,4 @@
-"""Stand-in for the link between regions: delays, rate-limits and interrupts TCP connections.
+"""Stand-in for the link between regions: delays, rate-limits and blocks TCP traffic.
 
 Each `--pair=LISTEN=TARGET` forwards one port of 127.0.0.1 to another; all pairs share one rate for
 each direction. `PUT /switches` sets the switches, for example `{"cut": true}`; `GET /switches`
@@ -16,7 +16,7 @@
 
 PORT = flags.DEFINE_integer("port", None, "Port of the switches.", required=True)
 PAIRS = flags.DEFINE_multi_string("pair", [], "LISTEN=TARGET ports on 127.0.0.1.")
-DELAY_MS = flags.DEFINE_float("delay_ms", 8.0, "One-way latency.")
+DELAY_MS = flags.DEFINE_float("delay_ms", 8.0, "One-way latency, in milliseconds.")
 MBIT = flags.DEFINE_float("mbit", 30.0, "Rate of each direction in Mbit/s.")
 
 CHUNK_BYTES = 16 * 1024
@@ -39,26 +39,29 @@
 
 
 class Direction:
-    """One direction of the link, with a rate shared by its connections and a fixed delay."""
+    """One direction of the link, with a rate shared by its connections and a fixed delay.
 
-    def __init__(self, bytes_per_second: float, delay: float) -> None:
-        self.rate = bytes_per_second
-        self.delay = delay
+    `free_at` is the event loop time at which the link has sent all earlier chunks.
+    """
+
+    def __init__(self, bytes_per_second: float, delay_seconds: float) -> None:
+        self.bytes_per_second = bytes_per_second
+        self.delay_seconds = delay_seconds
         self.free_at = 0.0
 
     def arrival_time(self, size: int, now: float) -> float:
         """Return the time at which a chunk that is sent now arrives at the other end."""
-        self.free_at = max(now, self.free_at) + size / self.rate
-        return self.free_at + self.delay
+        self.free_at = max(now, self.free_at) + size / self.bytes_per_second
+        return self.free_at + self.delay_seconds
 
 
 class Link:
     """Forwards connections with a rate and a delay in each direction."""
 
     def __init__(self, mbit: float, delay_ms: float) -> None:
-        rate, delay = mbit * 1e6 / 8, delay_ms / 1000
-        self.forward = Direction(rate, delay)
-        self.backward = Direction(rate, delay)
+        bytes_per_second, delay_seconds = mbit * 1e6 / 8, delay_ms / 1000
+        self.forward = Direction(bytes_per_second, delay_seconds)
+        self.backward = Direction(bytes_per_second, delay_seconds)
         self.switches = Switches()
         self.carried = CarriedBytes()
         self.restored = asyncio.Event()
@@ -75,10 +78,12 @@
     async def serve(self, listen: int, target: int) -> None:
         """Forward connections from one port to another."""
 
-        async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def handle_connection(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await self._forward_connection(target, reader, writer)
 
-        await asyncio.start_server(accepted, "127.0.0.1", listen, backlog=512)
+        await asyncio.start_server(handle_connection, "127.0.0.1", listen, backlog=512)
 
     async def _forward_connection(
         self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -110,7 +115,7 @@
                 await queue.put((direction.arrival_time(len(data), loop.time()), data))
         except OSError:
             pass
-        await queue.put((loop.time() + direction.delay, b""))
+        await queue.put((loop.time() + direction.delay_seconds, b""))
         await writing
 
     async def _write_delayed(
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -15,6 +15,7 @@
 DEADLINE_MS = 1_500
 # A daemon answers within the route's timeout of 2 s; a paused daemon answers later.
 ANSWER_TIMEOUT_SECONDS = 8.0
+# Method, path prefix, and whether the request must run at most once.
 REQUEST_TYPES = (("GET", "/safe/", False), ("POST", "/once/", True), ("POST", "/peer/", True))
 CONNECT_TIMEOUT_SECONDS = 1.0
 
@@ -28,14 +29,14 @@
         nodes: list[Node],
         history: History,
         rng: random.Random,
-        mean_gap: float = MEAN_REQUEST_GAP_SECONDS,
+        mean_gap_seconds: float = MEAN_REQUEST_GAP_SECONDS,
     ) -> None:
         """Send to the daemons of `nodes`, on average `mean_gap` seconds after each answer."""
         self.name = name
         self.nodes = nodes
         self.history = history
         self.rng = rng
-        self.mean_gap = mean_gap
+        self.mean_gap_seconds = mean_gap_seconds
         self.request_numbers = itertools.count()
         self.node = nodes[0]
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -43,7 +44,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self.rng.expovariate(1 / self.mean_gap))
+            await asyncio.sleep(self.rng.expovariate(1 / self.mean_gap_seconds))
             method, prefix, at_most_once = self.rng.choice(REQUEST_TYPES)
             row = await self.send(method, prefix, at_most_once)
             if row is not None:
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -9,8 +9,7 @@
 MAX_START_AFTER_LEAVE_SECONDS = 2.0
 # Graceful stop (0) and SIGKILL (-9); any other code means that the daemon itself crashed.
 EXPECTED_EXIT_CODES = frozenset((0, -9))
-# Share of the requests after the last fault that must be served; one daemon of six may still be
-# waiting.
+# Share of the final requests that must be served. One of the six daemons may still be waiting.
 MIN_SERVED_SHARE = 0.95
 
 
@@ -44,13 +43,13 @@
 def leaves_bind(history: History) -> Iterator[str]:
     """An upstream gets no new work once the limit after its confirmed leave has passed."""
     for row in history.leaves:
-        rows = [(at - row.confirmed_at, call_id) for at, call_id in row.run_times]
-        late = [found for found in rows if found[0] > MAX_START_AFTER_LEAVE_SECONDS]
+        delays = [(at - row.confirmed_at, call_id) for at, call_id in row.run_starts]
+        late = [entry for entry in delays if entry[0] > MAX_START_AFTER_LEAVE_SECONDS]
         if late:
-            # The ids show whether a request came from outside: no caller of the soak used its id.
+            # The ids show whether the requests came from callers of the soak or from elsewhere.
             ids = " ".join(call_id or "-" for _, call_id in late[:4])
-            last = max(late)[0]
-            yield f"{row.name} started {len(late)} runs up to {last:.2f} s after its leave: {ids}"
+            latest = max(late)[0]
+            yield f"{row.name} started {len(late)} runs up to {latest:.2f} s after its leave: {ids}"
 
 
 def versions_rise(history: History) -> Iterator[str]:
@@ -59,7 +58,10 @@
     for row in history.versions:
         key = (row.node, row.restarts)
         if row.version < newest.get(key, 0):
-            yield f"d{row.node} restart {row.restarts} went from {newest[key]} to {row.version}"
+            yield (
+                f"d{row.node} restart {row.restarts}: version in force fell "
+                f"from {newest[key]} to {row.version}"
+            )
         newest[key] = max(newest.get(key, 0), row.version)
 
 
@@ -75,7 +77,8 @@
     """A graceful stop breaks no request that is in progress, unless a fault hit the daemon then."""
     for node, started_at, ended_at in history.graceful_stops:
         hit = any(
-            n in (node, -1) and a < ended_at and started_at < b for n, a, b in history.disturbances
+            affected in (node, -1) and begin < ended_at and started_at < end
+            for affected, begin, end in history.disturbances
         )
         for row in history.requests if not hit else ():
             if (
@@ -98,7 +101,10 @@
             for row in history.final_requests
             if row.outcome != RequestOutcome.ANSWERED
         ]
-        yield f"{served} of {len(history.final_requests)} served at the end; {' '.join(lost[:8])}"
+        yield (
+            f"{served} of {len(history.final_requests)} final requests served; "
+            f"others as daemon:status: {' '.join(lost[:8])}"
+        )
 
 
 CHECKS: tuple[Check, ...] = (
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -36,7 +36,7 @@
     def __init__(self) -> None:
         self.target = Address("")
         self.mode = LinkMode.OPEN
-        self.delay = 0.0
+        self.delay_seconds = 0.0
         self.connections: list[ProxiedConnection] = []
         self.server: asyncio.Server | None = None
 
@@ -54,7 +54,7 @@
             connection.server_writer.transport.abort()
 
     def silence_connections(self) -> None:
-        """Stop forwarding on every open connection for good; new connections work."""
+        """Stop forwarding on every open connection permanently; new connections still work."""
         for connection in self.connections:
             connection.silent = True
 
@@ -94,8 +94,8 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.delay:
-                    await asyncio.sleep(self.delay)
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
                 held = True
                 while held and not writer.is_closing():
                     held = connection.silent or self.mode in blocked
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -24,7 +24,7 @@
 # in progress when it drains.
 BUSY_CALLER_COUNT = 6
 BUSY_REQUEST_GAP_SECONDS = 0.005
-# Generous, because six interpreters may start on a busy machine; not a promise of the product.
+# Long enough for six interpreters to start on a busy machine; not a limit of the product.
 START_TIMEOUT_SECONDS = 120.0
 FINAL_ROUNDS = 5
 POLL_INTERVAL_SECONDS = 0.25
@@ -40,7 +40,9 @@
     violations: tuple[str, ...]
 
 
-async def run_soak(seed: int, seconds: float, recover: float, log_directory: Path) -> SoakResult:
+async def run_soak(
+    seed: int, seconds: float, recovery_seconds: float, log_directory: Path
+) -> SoakResult:
     """Run one seed; the fleet has `recover` seconds to recover after the last fault.
 
     The logs of the daemons stay in `log_directory`.
@@ -52,7 +54,8 @@
     try:
         if not await _wait_until_serving(fleet, START_TIMEOUT_SECONDS):
             return SoakResult(
-                "did not start", ("not every daemon answered the newest route in time",)
+                "did not start",
+                ("not every daemon served the newest route before the start timeout",),
             )
         rng = random.Random(seed)
         callers = [
@@ -74,7 +77,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await _wait_until_serving(fleet, recover)
+        await _wait_until_serving(fleet, recovery_seconds)
         await _send_final_requests(fleet, history)
         _collect_results(fleet, history)
     finally:
