--- a/features/steps/admission_process_steps.py
+++ b/features/steps/admission_process_steps.py
@@ -48,7 +48,7 @@
     return json.loads(fetch(url)[2])
 
 
-def wait_executed(context, path, count):
+def wait_for_executions(context, path, count):
     def executed():
         return [row["path"] for row in fetch_executions(context)["executions"]].count(path) >= count
 
@@ -66,7 +66,7 @@
     return fetch(url, headers=headers)[1]
 
 
-def wait_admitted(context, count):
+def wait_for_admitted_calls(context, count):
     def admitted():
         running, waiting, _ = send_as_peer(context)["Agatecross-Load"].split()
         return int(running) + int(waiting) == count
@@ -93,9 +93,9 @@
 @when('a "{method}" to "{path}" runs and a "{other}" to "{waiting}" waits')
 def run_and_wait(context, method, path, other, waiting):
     context.running = send_call(context, method, path)
-    wait_executed(context, path, 1)
+    wait_for_executions(context, path, 1)
     context.waiting = send_call(context, other, waiting)
-    wait_admitted(context, 2)
+    wait_for_admitted_calls(context, 2)
 
 
 @when("the daemon gets SIGTERM")
@@ -137,11 +137,11 @@
     port = (context.node if hops == 1 else context.other).call_port
     with socket.create_connection(("127.0.0.1", port)) as sock:
         sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
-        wait_executed(context, path, 1)
+        wait_for_executions(context, path, 1)
 
 
 @then("the upstream has {completed:d} completed and {cancelled:d} cancelled calls")
-def check_ends(context, completed, cancelled):
+def check_call_ends(context, completed, cancelled):
     def call_ended():
         rows = fetch_executions(context)
         return len(rows["completed"]) + len(rows["cancelled"]) >= completed + cancelled
@@ -168,11 +168,11 @@
 @when('{count:d} calls to "{path}" are sent')
 def send_several(context, count, path):
     context.calls = [send_call(context, "GET", path) for _ in range(count)]
-    wait_admitted(context, count)
+    wait_for_admitted_calls(context, count)
 
 
 @then('the upstream executed "{path}" {count:d} times')
-def check_count(context, path, count):
+def check_execution_count(context, path, count):
     found = [row["path"] for row in fetch_executions(context)["executions"]].count(path)
     release_calls(context)
     assert found == count, found
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -80,8 +80,8 @@
         keep = False
         # If the connection ends while it is idle, or with an earlier answer, its caller sends the
         # request again, so the request counts as unanswered only if an upstream got it.
-        crossed = not fresh or position > 0
-        if not crossed or count_runs(call_id):
+        may_cross_close = not fresh or position > 0
+        if not may_cross_close or count_runs(call_id):
             results.unanswered.append(call_id)
     return keep
 
@@ -128,24 +128,24 @@
 def step_delay_messages(context, listener, speaker, ms):
     mini = context.mini
 
-    def delay(connection):
+    def delay_frames(connection):
         deliver = connection.on_frame
 
-        def arrive(connection, frame):
+        def deliver_if_open(connection, frame):
             if connection.open:
                 deliver(connection, frame)
 
-        def later(connection, frame):
-            asyncio.get_running_loop().call_later(ms / 1000, arrive, connection, frame)
+        def schedule_frame(connection, frame):
+            asyncio.get_running_loop().call_later(ms / 1000, deliver_if_open, connection, frame)
 
-        connection.on_frame = later
+        connection.on_frame = schedule_frame
 
     async def work():
         peers = mini.sidecars[listener].peers
-        delay(peers.links[f"d{speaker}"].connection)
+        delay_frames(peers.links[f"d{speaker}"].connection)
         for connection, row in peers.inbound.connections.items():
             if row.daemon_id == f"d{speaker}":
-                delay(connection)
+                delay_frames(connection)
 
     mini.run(work())
 
@@ -178,7 +178,7 @@
 
 
 @then("no request that d{number:d} accepted ended without an answer")
-def step_none_cut(context, number):
+def step_none_unanswered(context, number):
     assert context.results.answered
     assert not context.results.unanswered, context.results.unanswered
 
@@ -238,7 +238,7 @@
 def step_task_fails(context, number, line, failing):
     mini = context.mini
 
-    async def ended():
+    async def run_until_failure():
         sidecar = mini.sidecars[failing]
         # The tasks that the fleet started go on; in the run below, the source task fails at once.
         sidecar.source.run = raise_fault
@@ -247,7 +247,7 @@
         with suppress(ValueError):
             await run_tasks(sidecar, asyncio.Event())
 
-    context.answer = mini.run(held(mini, number, line, ended))
+    context.answer = mini.run(held(mini, number, line, run_until_failure))
 
 
 async def raise_fault():
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -12,18 +12,18 @@
 from agatecross_platform.store import READ_TIMEOUT_MARGIN
 
 
-def document(letters):
+def make_document(letters):
     rows = "" if letters == "-" else ",".join(f'{{"name":"{c}","x":"{c * 20}"}}' for c in letters)
     return f'{{"routes":[{rows}]}}'.encode()
 
 
-def literal_bytes(steps):
+def count_literal_bytes(steps):
     return sum(len(step) for step in steps if isinstance(step, bytes))
 
 
 @when('the document "{old}" becomes "{new}"')
 def step_make_delta(context, old, new):
-    context.old, context.new = document(old), document(new)
+    context.old, context.new = make_document(old), make_document(new)
     context.steps = make_delta(context.old, context.new)
 
 
@@ -32,12 +32,12 @@
 )
 def step_check_delta(context, steps, literal):
     assert len(context.steps) == steps, context.steps
-    assert literal_bytes(context.steps) <= literal, context.steps
+    assert count_literal_bytes(context.steps) <= literal, context.steps
     assert apply_delta(context.old, context.steps) == context.new
 
 
 @then("{count:d} random pairs of documents with seed {seed:d} agree with their deltas")
-def step_random(context, count, seed):
+def step_check_random_deltas(context, count, seed):
     rng = random.Random(seed)
     for _ in range(count):
         old, new = (bytes(rng.choices(b"ab{}\n", k=rng.randrange(60))) for _ in range(2))
@@ -48,7 +48,7 @@
 def step_apply_invalid_delta(context, steps):
     first, count = map(int, steps.split())
     try:
-        context.refused = not apply_delta(document("abc"), ((first, count),))
+        context.refused = not apply_delta(make_document("abc"), ((first, count),))
     except DeltaError:
         context.refused = True
 
@@ -60,13 +60,15 @@
 
 @given('the daemons "{daemons}" of which "{reachable}" are reachable')
 def step_daemons(context, daemons, reachable):
-    context.rows = []
+    context.endpoints = []
     for text in daemons.split("; "):
         name, region, latency, *flags = text.split()
-        row = Endpoint(name, 1, 0, f"10.0.0.1:{len(context.rows)}", region, f"{region}-a", "shop")
-        context.rows.append(
+        endpoint = Endpoint(
+            name, 1, 0, f"10.0.0.1:{len(context.endpoints)}", region, f"{region}-a", "shop"
+        )
+        context.endpoints.append(
             replace(
-                row,
+                endpoint,
                 store_latency=Millis(float(latency)),
                 reaches_store="unserved" not in flags,
                 leaving="leaving" in flags,
@@ -76,10 +78,10 @@
 
 
 @then('n1 reads the store "{reads}" and pushes a change of the store to "{pushed}"')
-def step_reads(context, reads, pushed):
-    me = context.rows[0]
-    assert reads_store(me, context.rows, context.reachable) is (reads == "yes")
-    targets = set(push_targets(me, context.rows, context.reachable, True))
+def step_check_reads_and_pushes(context, reads, pushed):
+    me = context.endpoints[0]
+    assert reads_store(me, context.endpoints, context.reachable) is (reads == "yes")
+    targets = set(push_targets(me, context.endpoints, context.reachable, True))
     if pushed == "2 of south":
         assert len(targets) == 2 and all(name.startswith("s") for name in targets), targets
     else:
--- a/features/steps/fleet_change_steps.py
+++ b/features/steps/fleet_change_steps.py
@@ -66,12 +66,12 @@
 
 
 @when('the daemon next to "{service}" is {condition} while the first upstream starts to drain')
-def drain_first(context, service, condition):
+def drain_first_upstream(context, service, condition):
     fleet = context.fleet
     context.first_node = fleet.nodes[0]
-    caller_side = next(node for node in fleet.nodes if node.service == service)
+    caller_node = next(node for node in fleet.nodes if node.service == service)
     if condition == "paused":
-        caller_side.daemon.send_signal(signal.SIGSTOP)
+        caller_node.daemon.send_signal(signal.SIGSTOP)
     fleet.set_upstream_switches(context.first_node, draining=True)
     wait_until(
         lambda: upstream_state_seen_by(fleet, context.first_node, context.first_node) == "draining",
@@ -80,10 +80,10 @@
     if condition == "paused":
         # New work must stop "after a few seconds", so the resumed daemon gets calls at once.
         time.sleep(3)
-        caller_side.daemon.send_signal(signal.SIGCONT)
+        caller_node.daemon.send_signal(signal.SIGCONT)
     else:
         wait_until(
-            lambda: upstream_state_seen_by(fleet, caller_side, context.first_node) == "draining",
+            lambda: upstream_state_seen_by(fleet, caller_node, context.first_node) == "draining",
             "the drain to be known to the peer",
         )
     context.executed_before = len(fleet.executions(context.first_node))
@@ -116,7 +116,7 @@
 
 
 @then("the first upstream executed none of them")
-def check_executed(context):
+def check_none_executed(context):
     assert len(context.fleet.executions(context.first_node)) == context.executed_before
 
 
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -113,7 +113,7 @@
         sock.send(data)
 
 
-async def close_during(state, stays):
+async def close_during_request(state, stays_incomplete):
     async with ClosingListener() as closing:
         sock = closing.connect()
         with sock:
@@ -126,7 +126,7 @@
                 await until(lambda: any(row.chunks for row in closing.listener.collectors))
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
-            if not stays:
+            if not stays_incomplete:
                 send_rest(sock, WHOLE_REQUEST[len(SENT_BEFORE_CLOSE[state]) :])
             received = await read_to_end(sock)
             await ending
@@ -142,13 +142,13 @@
             return await read_to_end(sock)
 
 
-async def read_last_answer(following):
+async def read_last_answer(more_data):
     async with ClosingListener() as closing:
         closing.answer = LARGE_BODY
         closing.answering = False
         sock = closing.connect(receive_buffer=4096)
         with sock:
-            sock.send(WHOLE_REQUEST + SENT_AFTER_REQUEST[following])
+            sock.send(WHOLE_REQUEST + SENT_AFTER_REQUEST[more_data])
             await until(lambda: closing.bodies)
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
@@ -170,22 +170,22 @@
 
 @when("a request is {state} as the listener closes")
 def close_with_request(context, state):
-    context.received = run_step(close_during(state, stays=False))
+    context.received = run_step(close_during_request(state, stays_incomplete=False))
 
 
 @when("a request stays {state} as the listener closes")
-def close_with_part(context, state):
-    context.received = run_step(close_during(state, stays=True))
+def close_with_incomplete_request(context, state):
+    context.received = run_step(close_during_request(state, stays_incomplete=True))
 
 
 @when("a connection is idle as the listener closes")
-def close_with_idle(context):
+def close_with_idle_connection(context):
     context.received = run_step(close_idle_connection())
 
 
-@when("a slow reader gets the last answer of a connection after it sent {following}")
-def read_slowly(context, following):
-    context.received, context.handled = run_step(read_last_answer(following))
+@when("a slow reader gets the last answer of a connection after it sent {more_data}")
+def read_slowly(context, more_data):
+    context.received, context.handled = run_step(read_last_answer(more_data))
 
 
 @then('the request is answered with "{status}" and the connection ends')
@@ -251,7 +251,7 @@
         sock.setblocking(False)
         return sock
 
-    async def listening(self):
+    async def wait_until_listening(self):
         await until(lambda: all(self.sockets()))
 
 
@@ -264,7 +264,7 @@
 async def call_while_leaving(connection):
     daemon = DaemonTasks()
     running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
-    await daemon.listening()
+    await daemon.wait_until_listening()
     callers, _, _ = daemon.addresses()
     kept = daemon.connect(callers)
     assert b"Connection: close" not in await exchange(kept)
@@ -294,16 +294,16 @@
 async def addresses_open_after_shut_down():
     daemon = DaemonTasks()
     running = [asyncio.ensure_future(task.run()) for task in daemon.tasks.all()]
-    await daemon.listening()
+    await daemon.wait_until_listening()
     addresses = daemon.addresses()
     await fleet_daemon.shut_down(daemon.tasks)
-    found = [address for address in addresses if accepts(address)]
+    found = [address for address in addresses if accepts_connection(address)]
     for task in running:
         task.cancel()
     return found
 
 
-def accepts(address):
+def accepts_connection(address):
     try:
         socket.create_connection(address).close()
     except ConnectionRefusedError:
@@ -338,11 +338,11 @@
 
     def __init__(self):
         self.called = asyncio.Event()
-        self.answers = asyncio.Event()
+        self.released = asyncio.Event()
 
     async def send(self, address, request, timeout):
         self.called.set()
-        await self.answers.wait()
+        await self.released.wait()
         return Response(200, (), b"ok")
 
 
@@ -351,7 +351,7 @@
     daemon = DaemonTasks(config=failing)
     daemon.tasks.upstream.client = upstream
     ending = asyncio.ensure_future(fleet_daemon.run_tasks(daemon.tasks, stop))
-    await daemon.listening()
+    await daemon.wait_until_listening()
     info = UpstreamInfo(ServiceName("s"), LOCAL, 4, 4, UpstreamState.READY)
     daemon.tasks.upstream.mailbox.put(UpstreamAnnounced(info))
     _, peers, _ = daemon.addresses()
@@ -364,7 +364,7 @@
         failing.fails.set()
         if answers:
             await until(lambda: daemon.tasks.upstream.leaving or ending.done())
-            upstream.answers.set()
+            upstream.released.set()
             received = await read_to_end(sock)
         else:
             received = b""
--- a/features/steps/history_faults_steps.py
+++ b/features/steps/history_faults_steps.py
@@ -67,8 +67,8 @@
             node.daemon = StandInProcess(self, number)
             node.upstream = StandInProcess(self, number)
 
-    def record(self, number, what):
-        self.actions.append(f"{number} {what}")
+    def record(self, number, action):
+        self.actions.append(f"{number} {action}")
 
     def others_are_done(self, number):
         """Return whether each fault of the other nodes has begun and ended."""
--- a/features/steps/idempotency_fleet_steps.py
+++ b/features/steps/idempotency_fleet_steps.py
@@ -29,7 +29,7 @@
         context.answers = list(pool.map(lambda index: send_booking(context, index), numbers))
 
 
-def executions(context):
+def booking_executions(context):
     rows = [row for node in context.fleet.nodes for row in context.fleet.executions(node)]
     return [row for row in rows if row["key"] == IDEMPOTENCY_KEY]
 
@@ -55,7 +55,7 @@
 def kill_holder(context, index, indexes):
     with ThreadPoolExecutor(1) as pool:
         running = pool.submit(send_booking, context, index, 3_000)
-        wait_until(lambda: bool(executions(context)), "the booking to start")
+        wait_until(lambda: bool(booking_executions(context)), "the booking to start")
         context.fleet.nodes[index].daemon.kill()
         with contextlib.suppress(OSError):
             running.result()
@@ -66,7 +66,7 @@
 def disconnect_and_resend(context, index, indexes):
     with contextlib.suppress(OSError):
         send_booking(context, index, 1_000, timeout=0.3)
-    wait_until(lambda: bool(executions(context)), "the booking to start")
+    wait_until(lambda: bool(booking_executions(context)), "the booking to start")
     context.answers = [send_booking(context, int(i), 1_000) for i in indexes.split(",")]
 
 
@@ -77,4 +77,6 @@
 
 @then("the booking was executed {times}")
 def check_executions(context, times):
-    assert len(executions(context)) == {"never": 0, "once": 1}[times], executions(context)
+    assert len(booking_executions(context)) == {"never": 0, "once": 1}[times], booking_executions(
+        context
+    )
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -194,8 +194,8 @@
     partitioned = [True]
     driver.lose = lossy(driver, context.loss, lambda: partitioned[0])
     driver.run(periods)
-    apart = {state for n in (0, 2) for state in [driver.nodes[n].table["d1"].state]}
-    assert apart == {MemberState.DEAD}, apart
+    states_in_west = {state for n in (0, 2) for state in [driver.nodes[n].table["d1"].state]}
+    assert states_in_west == {MemberState.DEAD}, states_in_west
     partitioned[0] = False
 
 
@@ -314,9 +314,9 @@
 
 
 @when("it hears of {count:d} more members")
-def hear_of_strangers(context, count):
-    strangers = [make_member(MAX_MEMBERS + n) for n in range(count)]
-    context.sent = [a for m in strangers for a in context.swim.merge([m], 2.0)]
+def hear_of_new_members(context, count):
+    new_members = [make_member(MAX_MEMBERS + n) for n in range(count)]
+    context.sent = [a for m in new_members for a in context.swim.merge([m], 2.0)]
 
 
 @then("it holds no more members and reports this once")
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -34,7 +34,7 @@
 
 
 @given("an empty strike table of {limit:d} fingerprints")
-def empty_table(context, limit):
+def start_strike_table(context, limit):
     context.strikes, context.now = StrikeTable(limit), 0.0
 
 
@@ -63,18 +63,20 @@
     assert found == state, found
 
 
-@given('an upstream next to daemon "{me}" where "{row}" runs and "{name}" has {count:d} strikes')
-def start_gate(context, me, row, name, count):
+@given(
+    'an upstream next to daemon "{me}" where "{running}" runs and "{name}" has {count:d} strikes'
+)
+def start_gate(context, me, running, name, count):
     context.gate = TrialGate(me)
-    context.gate.call_started("c1", InFlightCall(row, "/"))
+    context.gate.call_started("c1", InFlightCall(running, "/"))
     context.request_strikes = (name, count)
 
 
-@then('a call with fingerprint "{row}" is {decision} when its trial member is "{trial}"')
-def check_gate(context, row, decision, trial):
+@then('a call with fingerprint "{fingerprint}" is {decision} when its trial member is "{trial}"')
+def check_gate(context, fingerprint, decision, trial):
     name, count = context.request_strikes
     context.gate.suspects_changed({name: SuspectedRequest(count >= 2, trial)} if count else {})
-    refusal_reason = context.gate.refusal_reason(row)
+    refusal_reason = context.gate.refusal_reason(fingerprint)
     found = f"refused {refusal_reason.value}" if refusal_reason else "admitted"
     assert found == decision, found
 
@@ -121,7 +123,7 @@
 
 
 @when('the request is sent once, then at once through every daemon, with method "{method}"')
-def send_poison(context, method):
+def send_crashing_request(context, method):
     context.method = method
     nodes = context.fleet.nodes
     send_request(nodes[0], method, CRASHING_PATH)
@@ -187,7 +189,7 @@
     put = list.append
 
 
-def member(name):
+def new_member(name):
     info = UpstreamInfo("vans", f"{name}:9", 1, 1, UpstreamState.READY)
     addresses = [f"{name}:{port}" for port in range(1, 5)]
     return Member(name, 1, MemberState.ALIVE, "jylland", "aarhus-a", *addresses, info)
@@ -195,14 +197,14 @@
 
 @given('a daemon "{me}" with peers "{peers}" of one service')
 def start_driver(context, me, peers):
-    context.upstream = Outbox()
-    members = [member(name) for name in (me, *peers.split(","))]
-    context.driver = QuarantineDriver(members[0], Outbox(), Outbox(), context.upstream)
+    context.upstream_outbox = Outbox()
+    members = [new_member(name) for name in (me, *peers.split(","))]
+    context.driver = QuarantineDriver(members[0], Outbox(), Outbox(), context.upstream_outbox)
     context.driver.view_changed(build_view(members, False), members[0])
 
 
 @when('gossip brings "{strikes}" and clearances "{clearances}"')
-def bring_gossip(context, strikes, clearances):
+def receive_gossip(context, strikes, clearances):
     rows = [text.split(":") for text in strikes.split()]
     context.driver.handle(
         GossipReceived(
@@ -214,7 +216,7 @@
 
 @then('the upstream task holds "{fingerprint}" as {state}')
 def check_upstream_task(context, fingerprint, state):
-    suspects = context.upstream[-1].suspects if context.upstream else {}
+    suspects = context.upstream_outbox[-1].suspects if context.upstream_outbox else {}
     row = suspects.get(fingerprint)
     found = "free" if row is None else "quarantined" if row.quarantined else "suspected"
     assert found == state, suspects
@@ -248,22 +250,22 @@
 
 async def reported_deaths(names, cancelled):
     """Return the calls in flight that each reported death names."""
-    upstream, deaths, box = DyingUpstream(), Outbox(), Mailbox()
+    upstream, deaths, mailbox = DyingUpstream(), Outbox(), Mailbox()
     admission, gate = new_admission("adaptive"), TrialGate("me")
     task = UpstreamTask(
-        box, "me:1", "aarhus-a", upstream, upstream, Outbox(), admission, gate, deaths
+        mailbox, "me:1", "aarhus-a", upstream, upstream, Outbox(), admission, gate, deaths
     )
     upstream_task.refuses_connections = upstream.probe
     running = asyncio.ensure_future(task.run())
-    box.put(UpstreamAnnounced(UpstreamInfo("vans", "vans:9", 9, 9, UpstreamState.READY)))
+    mailbox.put(UpstreamAnnounced(UpstreamInfo("vans", "vans:9", 9, 9, UpstreamState.READY)))
     for name in names:
         request = Request("GET", f"/{name}", (), b"")
-        box.put(new_ask(Call(name, "vans", request, monotonic_ms() + MINUTE_MS, True)))
+        mailbox.put(new_ask(Call(name, "vans", request, monotonic_ms() + MINUTE_MS, True)))
     await settle()
     upstream.lost.set()
     await settle()
     for name in cancelled:
-        box.put(CallCancelled(name))
+        mailbox.put(CallCancelled(name))
     await settle()
     upstream.probed.set()
     await settle()
--- a/features/steps/swim_driver.py
+++ b/features/steps/swim_driver.py
@@ -75,7 +75,7 @@
             self.perform(swim, swim.tick(self.now))
         self.schedule(TICK_MS, lambda: self.tick(number, swim))
 
-    def reachable_instance(self, sender, address):
+    def reachable_swim(self, sender, address):
         number = int(address.split(":")[1]) - 10_000
         swim = self.nodes.get(number)
         lost = swim is None or number in self.paused or self.lose(self.number_of(sender), number)
@@ -94,7 +94,7 @@
             if isinstance(action, ProbeMember):
                 self.probe_member(swim, action.target)
             elif isinstance(action, ProbeIndirectly):
-                self.probe_through(swim, action)
+                self.probe_indirectly(swim, action)
             elif isinstance(action, SyncWith):
                 self.sync(swim, action.address)
         for member in swim.table.values():
@@ -104,15 +104,15 @@
 
     def send_probe(self, swim, target_id, address, introduce=False):
         """Return whether the target answered; the probe or its answer may be lost."""
-        news = swim.take_updates(target_id)
-        other = self.reachable_instance(swim, address)
+        updates = swim.take_updates(target_id)
+        other = self.reachable_swim(swim, address)
         if other is None:
             return False
         self.perform(other, other.detect_pause(self.now))
-        self.perform(other, other.merge((*news, swim.me) if introduce else news, self.now))
+        self.perform(other, other.merge((*updates, swim.me) if introduce else updates, self.now))
         me = identity_of(swim.me)
         answer, unknown = other.take_updates_for_reply(me), not other.knows_incarnation(me)
-        if self.reachable_instance(other, swim.me.control_address) is not swim:
+        if self.reachable_swim(other, swim.me.control_address) is not swim:
             return False
         self.perform(swim, swim.merge(answer, self.now))
         if unknown and not introduce:
@@ -131,11 +131,9 @@
             self.perform(swim, swim.detect_pause(self.now))
             self.perform(swim, swim.probe_failed(target, sent_at))
 
-    def probe_through(self, swim, action):
+    def probe_indirectly(self, swim, action):
         target, sent_at = action.target, self.now
-        helpers = [
-            self.reachable_instance(swim, helper.control_address) for helper in action.helpers
-        ]
+        helpers = [self.reachable_swim(swim, helper.control_address) for helper in action.helpers]
         if not any(
             h and self.send_probe(h, target.daemon_id, target.control_address) for h in helpers
         ):
@@ -149,7 +147,7 @@
             self.perform(swim, swim.indirect_probe_failed(target, sent_at, self.now))
 
     def sync(self, swim, address):
-        other = self.reachable_instance(swim, address)
+        other = self.reachable_swim(swim, address)
         if other is not None:
             self.perform(other, other.merge([swim.me], self.now))
             rows, complete = other.answer_sync(swim.sync_request(), self.now)
