--- a/features/steps/members_fleet_steps.py
+++ b/features/steps/members_fleet_steps.py
@@ -91,7 +91,8 @@
     gone = context.fleet.nodes[index]
     for node in running_nodes(context):
         wait_until(
-            lambda node=node: gone.name not in listed_states(context, node), f"{node.name} to drop"
+            lambda node=node: gone.name not in listed_states(context, node),
+            f"{node.name} to drop the daemon that got a signal",
         )
 
 
@@ -111,7 +112,9 @@
     assert len(wanted) == count
     for node in context.fleet.nodes:
         wait_until(
-            lambda node=node: listed_states(context, node) == wanted, f"{node.name} to join", 60
+            lambda node=node: listed_states(context, node) == wanted,
+            f"{node.name} to list every daemon as alive",
+            60,
         )
 
 
