--- a/features/admission.feature
+++ b/features/admission.feature
@@ -35,7 +35,7 @@
       | filter | guards against                   | policy   | events                                                                                        | actions                            |
       | class  | long work in every slot          | adaptive | slots 4; policy 250 0.25; learn /long 300; call a /long 9000; call b /long 9000; call c /x 900 | start a; start c                   |
       | class  | long work that never runs        | adaptive | slots 1; policy 250 0.25; learn /long 300; call a /long 9000                                  | start a                            |
-      | class  | idle slots that the share allows | adaptive | slots 4; policy 250 0.5; learn /long 300; call a /long 9000; call b /long 9000                | start a; start b                   |
+      | class  | idle slots within the long share | adaptive | slots 4; policy 250 0.5; learn /long 300; call a /long 9000; call b /long 9000                | start a; start b                   |
       | class  | ids in paths that hide the shape | adaptive | slots 4; policy 250 0.25; learn /job/17 300; call a /job/18?q=1 9000; call b /job/19 9000     | start a                            |
       | class  | unknown work that turns out long | adaptive | slots 4; policy 250 0.25; call a /new 9000; +300; tick; call b /new 9000; call c /x 900       | start a; start c                   |
 
@@ -59,7 +59,7 @@
     Examples: cancel
       | filter | guards against                   | policy   | events                                                      | actions                         |
       | cancel | work that nobody waits for       | adaptive | slots 1; call a /x 900; call b /x 900; call c /x 900; cancel b; done a | start a; start c     |
-      | cancel | an idempotent call that runs on  | adaptive | slots 1; call a /x 900; cancel a                            | start a; stop a                 |
+      | cancel | an idempotent call not stopped   | adaptive | slots 1; call a /x 900; cancel a                            | start a; stop a                 |
       | cancel | stopping an unsafe call half-way | adaptive | slots 1; post a /x 900; cancel a                            | start a                         |
       | cancel | a call that ends twice           | adaptive | slots 1; call a /x 900; done a; done a; cancel a; call b /x 900 | start a; start b            |
 
--- a/features/admission_process.feature
+++ b/features/admission_process.feature
@@ -15,7 +15,7 @@
     And the upstream executed 1 call with a deadline
 
   Scenario Outline: a caller that disconnects during a <method> over <hops> daemons
-    Guards against idempotent work that runs on for nobody, and against a POST stopped half-way.
+    Guards against idempotent work that nobody waits for, and against a POST stopped half-way.
     Given daemons for "delivery-scheduling" with 1 slots
     When the upstream holds calls to "/deliveries/long"
     And a caller sends a "<method>" to "/deliveries/long" over <hops> daemons and disconnects
--- a/features/drain.feature
+++ b/features/drain.feature
@@ -1,6 +1,6 @@
 Feature: A stopping daemon loses no request
   Guards against requests that a daemon accepts while it stops and then leaves unanswered. Callers
-  keep sending to the stopping daemon until its listener is closed, as callers do that are not moved
+  keep sending to the stopping daemon until its listener is closed, like callers that are not moved
   to another daemon. The fleet is that of platform.feature; the grace time is 3 s.
 
   Scenario Outline: a stopping daemon that callers keep sending to cuts no request: <guards against>
--- a/features/drain_review.feature
+++ b/features/drain_review.feature
@@ -35,8 +35,8 @@
 
     Examples:
       | guards against                                              | call    |
-      | a caller left without an answer whose call waited elsewhere | waiting |
-      | a caller left without an answer whose call ran elsewhere    | running |
+      | no answer to a caller whose call waits at another daemon    | waiting |
+      | no answer to a caller whose call runs at another daemon     | running |
 
   Scenario: a daemon stops reading from a caller that keeps sending and reads no answers
     Guards against memory that grows with the answers that a caller does not read.
@@ -51,7 +51,7 @@
     Given a platform fleet
     When upstreams answer with 8000000 bytes
     And a caller of d1 sends a request with "connection: close" and reads nothing
-    Then d1 closed the connection after the idle time
+    Then d1 closed the connection after the idle timeout
 
   Scenario: a daemon without free file descriptors completes its drain
     Guards against a drain that fails because a socket cannot be duplicated.
--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -19,7 +19,7 @@
 
   Scenario: any document follows from any other by its delta
     Guards against pairs of documents that the table does not list.
-    Then 300 random pairs of documents with seed 7 agree with their deltas
+    Then the deltas of 300 random pairs of documents with seed 7 give the new documents
 
   Scenario Outline: a delta that does not fit is refused: <guards against>
     When a delta with steps "<steps>" is applied to the document "abc"
--- a/features/fleet_changes.feature
+++ b/features/fleet_changes.feature
@@ -2,7 +2,7 @@
   Guards against calls that are lost, and work that reaches an upstream that left, while the fleet
   changes.
 
-  Scenario: regions that are partitioned serve on, and catch up when the link returns
+  Scenario: regions that are partitioned keep serving, and catch up when the link is restored
     Guards against daemons that refuse calls or stay on an old version because of a lost link.
     Given a fleet in two regions joined by a link, with "case-portal" in each data centre
     When the example configuration "lysknude" is published
--- a/features/fleet_drain.feature
+++ b/features/fleet_drain.feature
@@ -8,14 +8,14 @@
     When a slow reader gets the last answer of a connection after it sent another request
     Then one request was handled
 
-  Scenario Outline: the last answer of a connection arrives whole though <bytes> followed its request
+  Scenario Outline: the last answer of a connection arrives whole though <more data> followed its request
     Guards against a reset that discards the part of the answer that was not delivered yet.
     Given a listener that is about to close
-    When a slow reader gets the last answer of a connection after it sent <bytes>
+    When a slow reader gets the last answer of a connection after it sent <more data>
     Then the whole answer arrives
 
     Examples:
-      | bytes                   |
+      | more data               |
       | another request         |
       | part of a large request |
 
@@ -26,12 +26,12 @@
     Then the request is answered with "200" and the connection ends
 
     Examples:
-      | state                        |
-      | sent half of its head        |
-      | sent half of its body        |
-      | not read yet                 |
-      | on a connection not accepted |
-      | not sent on a new connection |
+      | state                              |
+      | incomplete in its head             |
+      | incomplete in its body             |
+      | not read yet                       |
+      | on a connection not accepted yet   |
+      | not sent yet on a new connection   |
 
   Scenario Outline: a request that stays <state> after its listener closed is refused as not run
     Guards against an incomplete request that holds up the close, or ends without an answer.
@@ -41,9 +41,9 @@
     And the answer says "not-run" because of "leaving"
 
     Examples:
-      | state                 |
-      | sent half of its head |
-      | sent half of its body |
+      | state                  |
+      | incomplete in its head |
+      | incomplete in its body |
 
   Scenario: a connection without a request does not hold up the close of its listener
     Guards against a close that waits for a caller that sends nothing.
@@ -51,7 +51,7 @@
     When a connection is idle as the listener closes
     Then the connection ends without an answer
 
-  Scenario Outline: a caller on a <connection> connection is told to move before a daemon closes
+  Scenario Outline: a leaving daemon answers a request on a <connection> connection and ends the connection
     Guards against requests that callers send on kept connections just as the listener closes.
     Given the tasks of a daemon
     When a caller sends a request on a <connection> connection while the daemon leaves
--- a/features/history.feature
+++ b/features/history.feature
@@ -2,6 +2,11 @@
   Guards against fault runs that pass because the checker overlooks a violation, and against
   violations reported for permitted events.
 
+  # Events: KIND SECONDS and the fields of the kind: publish VERSION DIGEST; inforce DAEMON VERSION
+  # DIGEST [ROUTED_SERVICES SERVICES]; undisturbed DAEMONS; sent CALL REQUEST DAEMON get|post, where a
+  # post has an idempotency key; started REQUEST UPSTREAM; answered CALL ECHOED_REQUEST [cut], where cut
+  # is a truncated response; refused CALL; broken CALL; leaving UPSTREAM; returned UPSTREAM; shutdown
+  # DAEMON.
   Scenario Outline: <case>
     Given a clean history
     When the forged events "<events>" are added
--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -3,9 +3,10 @@
 
   # Commands: submit DAEMON CALL [FINGERPRINT [MS_LEFT]] with the same key each time; settle [DAEMON..]
   # delivers all effects; batch DAEMON prepares an append and append DAEMON FATE delivers it: landed,
-  # lost (only the answer is lost), vanished or late (written at "land"); finish CALL RESULT;
-  # down and up switch the log or a daemon's answers; wait MINUTES; empty replaces the log by an empty
-  # one, regrow N appends N empty records, expire drops all records; fill DAEMON N claims N other keys.
+  # lost (written, but the answer is lost), vanished (not written, and no answer) or late (no answer,
+  # written at "land"); finish CALL RESULT; restart DAEMON; down and up switch the log or a daemon's
+  # answers; wait MINUTES; empty replaces the log by an empty one, regrow N appends N empty records,
+  # expire drops all records; fill DAEMON N claims N other keys.
 
   Scenario Outline: <case>
     Given deciders A, B and C that share a model log
--- a/features/members.feature
+++ b/features/members.feature
@@ -39,34 +39,34 @@
 
   Scenario Outline: <count> daemons, <loss> % loss: <fault>
     Guards against failures that the fleet does not notice or does not recover from.
-    Given <count> Swim instances with seed <seed> that lose <loss> % of messages
+    Given <count> members with seed <seed> that lose <loss> % of messages
     When <fault>
     Then within <periods> protocol periods <outcome>
 
     Examples:
       | count | seed | loss | periods | fault                                     | outcome                       |
-      | 2     | 1    | 0    | 12      | member 1 is killed                        | member 1 is dead to all       |
-      | 8     | 2    | 0    | 25      | member 3 is killed                        | member 3 is dead to all       |
-      | 32    | 3    | 5    | 50      | member 3 is killed                        | member 3 is dead to all       |
-      | 32    | 4    | 0    | 15      | member 3 leaves                           | member 3 is leaving to all    |
-      | 32    | 5    | 10   | 20      | member 3 leaves                           | member 3 is leaving to all    |
-      | 16    | 6    | 0    | 40      | member 3 leaves and is killed             | member 3 is dead to all       |
-      | 16    | 7    | 0    | 25      | member 3 is paused for 3 periods          | member 3 is alive to all      |
-      | 16    | 8    | 0    | 40      | member 3 is paused for 30 periods         | member 3 is alive to all      |
-      | 16    | 9    | 0    | 40      | member 3 restarts with a higher clock     | member 3 is alive to all      |
-      | 16    | 10   | 0    | 60      | member 3 restarts with a lower clock      | member 3 is alive to all      |
-      | 16    | 11   | 0    | 40      | member 3 is replaced under a new id       | member 3 is dead to all       |
-      | 16    | 12   | 0    | 90      | the regions are partitioned for 60 periods| every member is alive to all  |
-      | 16    | 13   | 5    | 120     | the regions are partitioned for 60 periods| every member is alive to all  |
-      | 16    | 14   | 20   | 120     | nothing happens for 120 periods           | every member is alive to all  |
-      | 9     | 15   | 0    | 60      | every member restarts with a lower clock  | every member is alive to all  |
-      | 8     | 16   | 0    | 120     | members 1 and 2 do not know each other    | every member is alive to all  |
+      | 2     | 1    | 0    | 12      | member 1 is killed                        | member 1 is dead in all other tables |
+      | 8     | 2    | 0    | 25      | member 3 is killed                        | member 3 is dead in all other tables |
+      | 32    | 3    | 5    | 50      | member 3 is killed                        | member 3 is dead in all other tables |
+      | 32    | 4    | 0    | 15      | member 3 leaves                           | member 3 is leaving in all other tables |
+      | 32    | 5    | 10   | 20      | member 3 leaves                           | member 3 is leaving in all other tables |
+      | 16    | 6    | 0    | 40      | member 3 leaves and is killed             | member 3 is dead in all other tables |
+      | 16    | 7    | 0    | 25      | member 3 is paused for 3 periods          | member 3 is alive in all other tables |
+      | 16    | 8    | 0    | 40      | member 3 is paused for 30 periods         | member 3 is alive in all other tables |
+      | 16    | 9    | 0    | 40      | member 3 restarts with a higher clock     | member 3 is alive in all other tables |
+      | 16    | 10   | 0    | 60      | member 3 restarts with a lower clock      | member 3 is alive in all other tables |
+      | 16    | 11   | 0    | 40      | member 3 is replaced under a new id       | member 3 is dead in all other tables |
+      | 16    | 12   | 0    | 90      | the regions are partitioned for 60 periods| every member is alive in all other tables |
+      | 16    | 13   | 5    | 120     | the regions are partitioned for 60 periods| every member is alive in all other tables |
+      | 16    | 14   | 20   | 120     | nothing happens for 120 periods           | every member is alive in all other tables |
+      | 9     | 15   | 0    | 60      | every member restarts with a lower clock  | every member is alive in all other tables |
+      | 8     | 16   | 0    | 120     | members 1 and 2 do not know each other    | every member is alive in all other tables |
 
   Scenario: random losses, pauses and restarts
     Guards against combinations that the table does not list, and records of older incarnations.
     Then under random faults the members agree on who is alive
 
-  Scenario: a resumed daemon refuses until a peer has sent its table
+  Scenario: the view of a resumed daemon is stale until a peer has sent its table
     Guards against routing by the view from before a pause, also when the first peer asked is paused.
     Given a daemon with 4 peers that was paused for 60 s
     Then its view is stale
@@ -88,7 +88,7 @@
       | 900  | no    |
 
   Scenario Outline: a table from a peer that says "<heard>" of a member that is alive here, <when>
-    Guards against regions that hold their own members for dead after a partition.
+    Guards against regions that consider their own members dead after a partition.
     Given a daemon that holds the record "alive 5"
     When it gets a table with "<heard>" <when>
     Then it holds the record "<held>"
@@ -102,7 +102,7 @@
       | dead 5    | after a pause | dead 5    |
 
   Scenario Outline: the answer to a probe of incarnation <sent> by a member known as "<known>"
-    Guards against daemons that are not told that their peers hold them for dead.
+    Guards against daemons that are not told that their peers consider them dead.
     Given a daemon that holds the record "<known>"
     Then its answer to a probe of incarnation <sent> holds "<told>"
 
--- a/features/members_fleet.feature
+++ b/features/members_fleet.feature
@@ -15,7 +15,7 @@
     And no daemon has more than 10 threads or 128 MiB of memory
 
   Scenario: a suspended daemon is dropped and comes back
-    Guards against a paused daemon that its peers hold for dead, or that keeps a stale view.
+    Guards against a paused daemon that its peers consider dead, or that keeps a stale view.
     Given 4 daemons that know each other
     When daemon 1 gets SIGSTOP
     Then the other daemons no longer list daemon 1
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -1,6 +1,8 @@
 Feature: Quarantine of requests that crash upstreams
   Guards against a request that keeps crashing upstreams, and against refusals of harmless requests.
 
+  # In the events, p:d1 is a death of the upstream of d1 with p in flight, p:d1+ is one in the next
+  # incarnation of d1, and lift:p/d1/d2 is a clearance of p that names the deaths at d1 and d2.
   Scenario Outline: <case>
     Given an empty strike table of <limit> fingerprints
     When the quarantine events "<events>" happen
@@ -28,7 +30,7 @@
 
   Scenario Outline: <case>
     Given an upstream next to daemon "me" where "<running>" runs and "p" has <strikes> strikes
-    Then a call with fingerprint "<fingerprint>" is <decision> when its trial member is "<trial>"
+    Then a call with fingerprint "<fingerprint>" is <decision> when its trial daemon is "<trial>"
 
     Examples:
       | case                                           | running | strikes | fingerprint | trial | decision          |
@@ -41,8 +43,8 @@
 
   Scenario Outline: <case>
     Given a daemon "me" with peers "d1,d2,d3" of one service
-    When gossip brings "<strikes>" and clearances "<clearances>"
-    Then the upstream task holds "p" as <state>
+    When gossip reports strikes "<strikes>" and clearances "<clearances>"
+    Then the upstream task treats "p" as <state>
 
     Examples:
       | case                             | strikes             | clearances | state       |
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -61,7 +61,7 @@
 
 @then("no upstream ran the second request")
 def step_not_passed_on(context):
-    # Its caller takes it for unread and sends it again, whatever its method.
+    # The caller assumes that this request was not read and sends it again, whatever its method.
     assert not sum(upstream.runs["second"] for upstream in context.mini.upstreams)
 
 
@@ -213,7 +213,7 @@
     mini.run(work())
 
 
-@then("d{number:d} closed the connection after the idle time")
+@then("d{number:d} closed the connection after the idle timeout")
 def step_closed(context, number):
     assert not context.mini.sidecars[number].entry.listener.connections
 
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -36,7 +36,7 @@
     assert apply_delta(context.old, context.steps) == context.new
 
 
-@then("{count:d} random pairs of documents with seed {seed:d} agree with their deltas")
+@then("the deltas of {count:d} random pairs of documents with seed {seed:d} give the new documents")
 def step_check_random_deltas(context, count, seed):
     rng = random.Random(seed)
     for _ in range(count):
--- a/features/steps/fleet_change_steps.py
+++ b/features/steps/fleet_change_steps.py
@@ -78,7 +78,8 @@
         "the drain",
     )
     if condition == "paused":
-        # New work must stop "after a few seconds", so the resumed daemon gets calls at once.
+        # New work for a draining upstream must stop "after a few seconds". These pass during the
+        # pause, so the daemon gets calls as soon as it is resumed.
         time.sleep(3)
         caller_node.daemon.send_signal(signal.SIGCONT)
     else:
--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -24,11 +24,11 @@
 REQUEST_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
 WHOLE_REQUEST = REQUEST_HEAD + b"abcd"
 SENT_BEFORE_CLOSE = {
-    "sent half of its head": REQUEST_HEAD[:20],
-    "sent half of its body": REQUEST_HEAD + b"ab",
+    "incomplete in its head": REQUEST_HEAD[:20],
+    "incomplete in its body": REQUEST_HEAD + b"ab",
     "not read yet": WHOLE_REQUEST,
-    "on a connection not accepted": WHOLE_REQUEST,
-    "not sent on a new connection": b"",
+    "on a connection not accepted yet": WHOLE_REQUEST,
+    "not sent yet on a new connection": b"",
 }
 PEER_CALL = WHOLE_REQUEST.replace(
     b"Host: x\r\n",
@@ -120,9 +120,9 @@
             if "connection" not in state:
                 await closing.use_once(sock)
             sock.send(SENT_BEFORE_CLOSE[state])
-            if state == "not sent on a new connection":
+            if state == "not sent yet on a new connection":
                 await until(lambda: closing.listener.collectors)
-            if state == "sent half of its body":
+            if state == "incomplete in its body":
                 await until(lambda: any(row.chunks for row in closing.listener.collectors))
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
@@ -334,7 +334,7 @@
 
 
 class SlowUpstream:
-    """Replaces the client of the upstream; answers when `answers` is set."""
+    """Replaces the client of the upstream; answers when `released` is set."""
 
     def __init__(self):
         self.called = asyncio.Event()
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -121,7 +121,7 @@
     return lose
 
 
-@given("{count:d} Swim instances with seed {seed:d} that lose {loss:d} % of messages")
+@given("{count:d} members with seed {seed:d} that lose {loss:d} % of messages")
 def start_driver(context, count, seed, loss):
     context.driver = SwimDriver(count, seed)
     context.driver.run(5)
@@ -204,7 +204,7 @@
     context.driver.run(periods)
 
 
-@then("within {periods:d} protocol periods {who} is {state} to all")
+@then("within {periods:d} protocol periods {who} is {state} in all other tables")
 def check_states(context, periods, who, state):
     driver = context.driver
     ids = [f"d{who.split()[1]}"] if who != "every member" else [f"d{n}" for n in driver.nodes]
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -72,7 +72,7 @@
     context.request_strikes = (name, count)
 
 
-@then('a call with fingerprint "{fingerprint}" is {decision} when its trial member is "{trial}"')
+@then('a call with fingerprint "{fingerprint}" is {decision} when its trial daemon is "{trial}"')
 def check_gate(context, fingerprint, decision, trial):
     name, count = context.request_strikes
     context.gate.suspects_changed({name: SuspectedRequest(count >= 2, trial)} if count else {})
@@ -203,7 +203,7 @@
     context.driver.view_changed(build_view(members, False), members[0])
 
 
-@when('gossip brings "{strikes}" and clearances "{clearances}"')
+@when('gossip reports strikes "{strikes}" and clearances "{clearances}"')
 def receive_gossip(context, strikes, clearances):
     rows = [text.split(":") for text in strikes.split()]
     context.driver.handle(
@@ -214,7 +214,7 @@
     )
 
 
-@then('the upstream task holds "{fingerprint}" as {state}')
+@then('the upstream task treats "{fingerprint}" as {state}')
 def check_upstream_task(context, fingerprint, state):
     suspects = context.upstream_outbox[-1].suspects if context.upstream_outbox else {}
     row = suspects.get(fingerprint)
--- a/features/steps/swim_driver.py
+++ b/features/steps/swim_driver.py
@@ -1,4 +1,4 @@
-"""Runs several Swim instances in virtual time, on a network that loses messages."""
+"""Runs the `Swim` objects of several members in virtual time, on a network that loses messages."""
 
 import heapq
 import itertools
@@ -23,7 +23,7 @@
 
 
 class SwimDriver:
-    """Runs the actions of Swim instances; `lose` decides which of their messages are lost."""
+    """Runs the actions of `Swim` objects; `lose` decides which of their messages are lost."""
 
     def __init__(self, count, seed):
         self.rng = random.Random(seed)
@@ -154,7 +154,7 @@
             self.perform(swim, swim.merge_sync_reply(SyncReply(rows, None, complete), self.now))
 
     def states(self, daemon_id):
-        """Return the state of the member in the table of each other instance."""
+        """Return the state of the member in the table of each other member."""
         others = [s for s in self.nodes.values() if s.me.daemon_id != daemon_id]
         rows = [swim.table.get(daemon_id) for swim in others]
         return [row.state if row else None for row in rows]
