--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -121,7 +121,7 @@
     return lose
 
 
-@given("{count:d} Swim instances with seed {seed:d} that lose {loss:d} % of messages")
+@given("{count:d} members with seed {seed:d} that lose {loss:d} % of messages")
 def start_driver(context, count, seed, loss):
     context.driver = SwimDriver(count, seed)
     context.driver.run(5)
@@ -194,8 +194,8 @@
     partitioned = [True]
     driver.lose = lossy(driver, context.loss, lambda: partitioned[0])
     driver.run(periods)
-    apart = {state for n in (0, 2) for state in [driver.nodes[n].table["d1"].state]}
-    assert apart == {MemberState.DEAD}, apart
+    states_in_west = {state for n in (0, 2) for state in [driver.nodes[n].table["d1"].state]}
+    assert states_in_west == {MemberState.DEAD}, states_in_west
     partitioned[0] = False
 
 
@@ -204,7 +204,7 @@
     context.driver.run(periods)
 
 
-@then("within {periods:d} protocol periods {who} is {state} to all")
+@then("within {periods:d} protocol periods {who} is {state} in all other tables")
 def check_states(context, periods, who, state):
     driver = context.driver
     ids = [f"d{who.split()[1]}"] if who != "every member" else [f"d{n}" for n in driver.nodes]
@@ -314,9 +314,9 @@
 
 
 @when("it hears of {count:d} more members")
-def hear_of_strangers(context, count):
-    strangers = [make_member(MAX_MEMBERS + n) for n in range(count)]
-    context.sent = [a for m in strangers for a in context.swim.merge([m], 2.0)]
+def hear_of_new_members(context, count):
+    new_members = [make_member(MAX_MEMBERS + n) for n in range(count)]
+    context.sent = [a for m in new_members for a in context.swim.merge([m], 2.0)]
 
 
 @then("it holds no more members and reports this once")
