--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,10 +5,10 @@
 from behave import given, then, when
 
 from agatecross_core.admission.slot_queue import (
+    CallAwaitingSlot,
     RefuseHandover,
     SlotQueue,
     StartHandover,
-    WaitingCall,
 )
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Directory, Endpoint
@@ -164,7 +164,7 @@
             now = Millis(now + float(word))
         elif word == "call":
             objective, deadline = Millis(now + float(rest[-1])), Millis(now + float(rest[2]))
-            call = WaitingCall(rest[0], "r", int(rest[1]), objective, deadline)
+            call = CallAwaitingSlot(rest[0], "r", int(rest[1]), objective, deadline)
             actions += queue.admit(call, now)
         elif word == "done":
             queue.finish(rest[0], now, False)
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -20,8 +20,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WaitingCall:
-    """A waiting call; `rank` 0 is the most important.
+class CallAwaitingSlot:
+    """A call that needs a slot of the upstream; `rank` 0 is the most important.
 
     After `objective_at` its answer loses value, after `deadline` it is useless; both are times on
     the monotonic clock.
@@ -59,7 +59,7 @@
         # Sorted by start order. Within a rank, the earliest objective goes first: calls that
         # upstreams make while they run a call have early objectives, and if they fail, the work
         # done for the outer call is lost.
-        self.waiting: list[WaitingCall] = []
+        self.waiting: list[CallAwaitingSlot] = []
         self.costs: dict[RouteName, float] = {}
         self.mean_cost = 0.0
 
@@ -68,7 +68,9 @@
         """Return the number of calls that run or wait."""
         return len(self.running) + len(self.waiting)
 
-    def admit(self, call: WaitingCall, now: Millis) -> Iterator[StartHandover | RefuseHandover]:
+    def admit(
+        self, call: CallAwaitingSlot, now: Millis
+    ) -> Iterator[StartHandover | RefuseHandover]:
         """Start, queue or refuse a call."""
         if len(self.running) < self.slots and not self.waiting:
             self.running[call.handover_id] = (call.route, now)
@@ -113,17 +115,17 @@
         for call in waiting:
             yield RefuseHandover(call.handover_id, reason)
 
-    def _expected_wait(self, call: WaitingCall, now: Millis) -> float:
+    def _expected_wait(self, call: CallAwaitingSlot, now: Millis) -> float:
         ahead = bisect_right(self.waiting, start_order(call), key=start_order)
         return (ahead + 1) * self.mean_cost / max(1, self.slots)
 
-    def _max_wait(self, call: WaitingCall, now: Millis) -> float:
+    def _max_wait(self, call: CallAwaitingSlot, now: Millis) -> float:
         wait_within_objective = (
             call.objective_at - now - COST_MARGIN_FACTOR * self.costs.get(call.route, 0.0)
         )
         return max(wait_within_objective, MIN_WAIT_SHARE * (call.deadline - now))
 
 
-def start_order(call: WaitingCall) -> tuple[int, Millis]:
+def start_order(call: CallAwaitingSlot) -> tuple[int, Millis]:
     """Return the sort key of waiting calls."""
     return (call.rank, call.objective_at)
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -75,7 +75,7 @@
 
 
 @dataclass(slots=True)
-class WaitingCall:
+class CallAwaitingDecision:
     """A submitted call; `due` is when its claim is appended or its holder is asked again.
 
     `unanswered_requests` counts the requests in a row that the holder did not answer.
@@ -109,7 +109,7 @@
         self.outcomes = OutcomeStore()
         self.stream = StreamPosition()
         self.tokens = TokenBucket(CLAIM_APPEND_BURST, CLAIM_APPEND_REFILL_PERIOD)
-        self.waiting: dict[CallId, WaitingCall] = {}
+        self.waiting: dict[CallId, CallAwaitingDecision] = {}
         self.running: dict[ClaimId, IdempotencyKey] = {}
         self.releases: dict[ClaimId, Release] = {}
         self.batch_in_flight: ClaimsBatch | None = None
@@ -161,7 +161,7 @@
     def _submit(self, submit: CallSubmitted, now: Millis) -> Iterator[ClaimsAction]:
         self.fold.expire(now)
         self.outcomes.expire(now)
-        waiting = WaitingCall(submit, Phase.QUEUED, Millis(now + CLAIM_BATCH_WAIT))
+        waiting = CallAwaitingDecision(submit, Phase.QUEUED, Millis(now + CLAIM_BATCH_WAIT))
         if submit.deadline <= now:
             yield AnswerCall(submit.call_id, not_run_result(Reason.DEADLINE))
         elif self.fold.claim_for(submit.key) is not None:
@@ -174,7 +174,9 @@
         else:
             self.waiting[submit.call_id] = waiting
 
-    def _decide_without_claim(self, waiting: WaitingCall, now: Millis) -> Iterator[ClaimsAction]:
+    def _decide_without_claim(
+        self, waiting: CallAwaitingDecision, now: Millis
+    ) -> Iterator[ClaimsAction]:
         """Decide about a call whose claim does not hold its key."""
         waiting.claim_id, waiting.appended_offset = None, None
         claim = self.fold.claim_for(waiting.submit.key)
@@ -190,7 +192,7 @@
             yield self._ask_holder(waiting, claim)
 
     def _decide_own_claim(
-        self, waiting: WaitingCall, claim: Claim, now: Millis
+        self, waiting: CallAwaitingDecision, claim: Claim, now: Millis
     ) -> Iterator[ClaimsAction]:
         reply = self.outcomes.reply(claim.claim_id)
         if reply.state is ClaimedCallState.RUNNING:
@@ -201,7 +203,7 @@
         else:
             yield from self._answer(waiting, holder_result(reply))
 
-    def _ask_holder(self, waiting: WaitingCall, claim: Claim) -> AskHolder:
+    def _ask_holder(self, waiting: CallAwaitingDecision, claim: Claim) -> AskHolder:
         waiting.phase = Phase.ASKING
         request = OutcomeRequest(claim.key, claim.claim_id)
         return AskHolder(waiting.submit.call_id, claim.control_address, request)
@@ -351,7 +353,9 @@
             ):
                 yield from self._decide_without_claim(waiting, now)
 
-    def _grant(self, waiting: WaitingCall, claim: Claim, now: Millis) -> Iterator[ClaimsAction]:
+    def _grant(
+        self, waiting: CallAwaitingDecision, claim: Claim, now: Millis
+    ) -> Iterator[ClaimsAction]:
         if waiting.submit.deadline <= now:
             yield from self._end_at_deadline(waiting)
             return
@@ -373,14 +377,14 @@
         if not any(waiting.claim_id == claim_id for waiting in self.waiting.values()):
             self.releases[claim_id] = Release(key, claim_id)
 
-    def _end_at_deadline(self, waiting: WaitingCall) -> Iterator[ClaimsAction]:
+    def _end_at_deadline(self, waiting: CallAwaitingDecision) -> Iterator[ClaimsAction]:
         if waiting.phase in CLAIM_PENDING_PHASES:
             reason = Reason.LOG_UNAVAILABLE if self.log_failing else Reason.DEADLINE
             yield from self._answer(waiting, not_run_result(reason))
         else:
             yield from self._answer(waiting, unknown_result(Reason.TIMEOUT))
 
-    def _answer(self, waiting: WaitingCall, result: CallResult) -> Iterator[ClaimsAction]:
+    def _answer(self, waiting: CallAwaitingDecision, result: CallResult) -> Iterator[ClaimsAction]:
         del self.waiting[waiting.submit.call_id]
         claim = self.fold.claim_for(waiting.submit.key)
         if claim is not None and claim.claim_id == waiting.claim_id:
@@ -416,7 +420,7 @@
         self.batch_in_flight = ClaimsBatch(claims, releases, 0, self.must_report_loss)
         yield AppendBatch(self.batch_in_flight)
 
-    def _new_claim(self, waiting: WaitingCall, now: Millis) -> Claim:
+    def _new_claim(self, waiting: CallAwaitingDecision, now: Millis) -> Claim:
         waiting.phase, waiting.appended_offset = Phase.APPENDING, None
         claim_id = waiting.claim_id or self.new_claim_id()
         waiting.claim_id = claim_id
@@ -439,5 +443,5 @@
             for w in self.waiting.values()
         )
 
-    def _in_phase(self, phase: Phase) -> Iterator[WaitingCall]:
+    def _in_phase(self, phase: Phase) -> Iterator[CallAwaitingDecision]:
         yield from [w for w in self.waiting.values() if w.phase is phase]
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -8,10 +8,10 @@
 from agatecross_adapters.upstream_connection import UpstreamFailure
 from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamExchange, UpstreamPool
 from agatecross_core.admission.slot_queue import (
+    CallAwaitingSlot,
     RefuseHandover,
     SlotQueue,
     StartHandover,
-    WaitingCall,
 )
 from agatecross_core.ids import (
     ZERO_MS,
@@ -196,7 +196,7 @@
             handover.time_left / 1000, self._on_deadline, handover.handover_id
         )
         objective = Millis(now + handover.objective_time_left)
-        waiting = WaitingCall(
+        waiting = CallAwaitingSlot(
             handover.handover_id, handover.route, handover.rank, objective, deadline
         )
         self._execute_actions(self.queue.admit(waiting, now))
