--- a/packages/agatecross-core/agatecross_core/routing/choice.py
+++ b/packages/agatecross-core/agatecross_core/routing/choice.py
@@ -12,7 +12,7 @@
 from .model import Candidate, ChoiceRequest
 from .observations import ObservationTable
 from .ramp import Ramp
-from .tuning import FAILURE_COST
+from .tuning import ADAPTIVE_FAILURE_COST
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,4 +55,6 @@
     Failures raise the cost because a failing upstream answers fastest and has no load.
     """
     waiting = (candidate.load + 1) / max(1, candidate.upstream.slots)
-    return waiting * max(candidate.latency_ms, 0.1) * (1 + FAILURE_COST * candidate.failures)
+    return (
+        waiting * max(candidate.latency_ms, 0.1) * (1 + ADAPTIVE_FAILURE_COST * candidate.failures)
+    )
--- a/packages/agatecross-core/agatecross_core/routing/ejection.py
+++ b/packages/agatecross-core/agatecross_core/routing/ejection.py
@@ -6,7 +6,7 @@
 from ..states import Reason
 from .model import Candidate
 from .prefer import prefer
-from .tuning import EJECTION_TIME, MAX_EJECTION_TIME
+from .tuning import ADAPTIVE_INITIAL_EJECTION_TIME, ADAPTIVE_MAX_EJECTION_TIME
 
 # NO_UPSTREAM and LEAVING come from the target, which knows its state better than this daemon.
 EJECTING_REASONS = frozenset(
@@ -23,11 +23,11 @@
 
     def record_failure(self, daemon_id: DaemonId, now: Millis) -> None:
         """Eject an upstream; failures during the ejection do not prolong it."""
-        until, period = self.rows.get(daemon_id, (now, EJECTION_TIME))
+        until, period = self.rows.get(daemon_id, (now, ADAPTIVE_INITIAL_EJECTION_TIME))
         if now >= until:
             self.rows[daemon_id] = (
                 Millis(now + period),
-                Millis(min(MAX_EJECTION_TIME, period * 2)),
+                Millis(min(ADAPTIVE_MAX_EJECTION_TIME, period * 2)),
             )
 
     def record_success(self, daemon_id: DaemonId) -> None:
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -26,17 +26,17 @@
 MAX_OUTLIER_FACTOR = 4.0
 # High, because a reported cost is already a mean over many calls.
 SLOWNESS_SAMPLE_WEIGHT = 0.5
-FAILURE_WEIGHT = 0.15
+LOWEST_COST_FAILURE_WEIGHT = 0.15
 # An upstream that fails one call in five costs as much as one with twice the load.
-FAILURE_COST = 5.0
-FAILURE_HALF_LIFE = Millis(1_500)
+LOWEST_COST_FAILURE_COST = 5.0
+LOWEST_COST_FAILURE_HALF_LIFE = Millis(1_500)
 # Limits how far the speed of the last calls can shift traffic.
 MAX_SLOWNESS = 6.0
 MIN_SLOWNESS = 0.3
 # A second attempt of a slow call is sent only to an upstream of which more than half of the
 # slots stay free with it.
 SECOND_ATTEMPT_MAX_BUSY_SHARE = 0.5
-EJECTION_TIME = Millis(400)
+LOWEST_COST_EJECTION_TIME = Millis(400)
 COLD_SLOTS_DIVISOR = 2.0
 SERVER_ERROR = 500
 UNREACHABLE_REASONS = frozenset(
@@ -100,9 +100,9 @@
             slots = max(1.0, slots / COLD_SLOTS_DIVISOR)
         busy = (stats.outstanding + self._others_load(stats, now) + 1.0) / slots
         failure_share = stats.failure_share * math.exp2(
-            -(now - stats.failures_updated_at) / FAILURE_HALF_LIFE
+            -(now - stats.failures_updated_at) / LOWEST_COST_FAILURE_HALF_LIFE
         )
-        cost = (busy + 0.1) * stats.slowness * (1 + FAILURE_COST * failure_share)
+        cost = (busy + 0.1) * stats.slowness * (1 + LOWEST_COST_FAILURE_COST * failure_share)
         if now < stats.ejected_until:
             cost += 100.0
         return cost + self.rng.random() * 0.02
@@ -152,9 +152,9 @@
             stats.others_load = max(0.0, result.load - stats.outstanding)
             stats.load_reported_at = now
         if result.reason in UNREACHABLE_REASONS:
-            stats.ejected_until = Millis(now + EJECTION_TIME)
+            stats.ejected_until = Millis(now + LOWEST_COST_EJECTION_TIME)
         elif result.reason in OVERLOAD_REASONS:
-            stats.ejected_until = Millis(now + EJECTION_TIME / 8)
+            stats.ejected_until = Millis(now + LOWEST_COST_EJECTION_TIME / 8)
         failed = result.outcome is Outcome.UNKNOWN or (
             result.response is not None and result.response.status >= SERVER_ERROR
         )
@@ -176,9 +176,9 @@
 
     def _learn_failure(self, stats: InstanceStats, failed: bool, now: Millis) -> None:
         decayed = stats.failure_share * math.exp2(
-            -(now - stats.failures_updated_at) / FAILURE_HALF_LIFE
+            -(now - stats.failures_updated_at) / LOWEST_COST_FAILURE_HALF_LIFE
         )
-        stats.failure_share = decayed + FAILURE_WEIGHT * (failed - decayed)
+        stats.failure_share = decayed + LOWEST_COST_FAILURE_WEIGHT * (failed - decayed)
         stats.failures_updated_at = now
 
     def _learn_mean_time(self, elapsed: Millis, route: str) -> None:
--- a/packages/agatecross-core/agatecross_core/routing/observations.py
+++ b/packages/agatecross-core/agatecross_core/routing/observations.py
@@ -7,8 +7,8 @@
 from ..ids import DaemonId, Millis
 from .model import ReportedLoad
 from .tuning import (
-    FAILURE_HALF_LIFE,
-    FAILURE_WEIGHT,
+    ADAPTIVE_FAILURE_HALF_LIFE,
+    ADAPTIVE_FAILURE_WEIGHT,
     MAX_SLOW_HOLD_TIME,
     MEDIAN_MIN_SAMPLES,
     MEDIAN_STEP_SHARE,
@@ -113,7 +113,9 @@
 
     def failures(self, now: Millis) -> float:
         """Return the recent share of failures, from 0 to 1."""
-        return self.failure_share * math.exp2((self.failure_updated_at - now) / FAILURE_HALF_LIFE)
+        return self.failure_share * math.exp2(
+            (self.failure_updated_at - now) / ADAPTIVE_FAILURE_HALF_LIFE
+        )
 
     def record_report(self, load: ReportedLoad, now: Millis) -> None:
         """Keep the part of a reported load that does not come from this daemon."""
@@ -150,7 +152,7 @@
 
     def _learn_failure(self, value: float, now: Millis) -> None:
         before = self.failures(now)
-        self.failure_share = before + FAILURE_WEIGHT * (value - before)
+        self.failure_share = before + ADAPTIVE_FAILURE_WEIGHT * (value - before)
         self.failure_updated_at = now
 
 
--- a/packages/agatecross-core/agatecross_core/routing/tuning.py
+++ b/packages/agatecross-core/agatecross_core/routing/tuning.py
@@ -23,9 +23,9 @@
 # About as long as a slow period on a shared power feed; 200 ms sent more calls into each period.
 SLOW_HOLD_TIME: Final = Millis(400)
 MAX_SLOW_HOLD_TIME: Final = Millis(5_000)
-FAILURE_WEIGHT: Final = 0.2
-FAILURE_HALF_LIFE: Final = Millis(1_000)
-FAILURE_COST: Final = 20.0
+ADAPTIVE_FAILURE_WEIGHT: Final = 0.2
+ADAPTIVE_FAILURE_HALF_LIFE: Final = Millis(1_000)
+ADAPTIVE_FAILURE_COST: Final = 20.0
 # Two failures in a row reach this share.
 FAILING_SHARE: Final = 0.3
 
@@ -33,8 +33,8 @@
 REPORT_LIFETIME: Final = Millis(1_000)
 
 # Ejection after failed connections, doubled for each further failure.
-EJECTION_TIME: Final = Millis(500)
-MAX_EJECTION_TIME: Final = Millis(10_000)
+ADAPTIVE_INITIAL_EJECTION_TIME: Final = Millis(500)
+ADAPTIVE_MAX_EJECTION_TIME: Final = Millis(10_000)
 
 # Cold start of an upstream: initial share of its calls, and time until it gets all of them.
 RAMP_INITIAL_SHARE: Final = 0.1
--- a/packages/agatecross-standins/agatecross_standins/history.py
+++ b/packages/agatecross-standins/agatecross_standins/history.py
@@ -11,7 +11,7 @@
 from functools import reduce
 
 # Limits of I7 and I9.
-MAX_START_AFTER_LEAVE_SECONDS = 5.0
+MAX_START_AFTER_ANNOUNCED_LEAVE_SECONDS = 5.0
 MAX_IN_FORCE_DELAY_SECONDS = 6.0
 
 
@@ -285,7 +285,7 @@
             leaving.pop(item.upstream, None)
         elif isinstance(item, Started):
             since = leaving.get(item.upstream)
-            if since is not None and item.at > since.at + MAX_START_AFTER_LEAVE_SECONDS:
+            if since is not None and item.at > since.at + MAX_START_AFTER_ANNOUNCED_LEAVE_SECONDS:
                 yield Violation(Invariant.NO_WORK_WHEN_LEAVING, (since, item))
 
 
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -6,7 +6,7 @@
 
 Check = Callable[[History], Iterator[str]]
 # Limit of the platform on how long an upstream may be given new work after its confirmed leave.
-MAX_START_AFTER_LEAVE_SECONDS = 2.0
+MAX_START_AFTER_CONFIRMED_LEAVE_SECONDS = 2.0
 # Graceful stop (0) and SIGKILL (-9); any other code means that the daemon itself crashed.
 EXPECTED_EXIT_CODES = frozenset((0, -9))
 # Share of the final requests that must be served. One of the six daemons may still be waiting.
@@ -44,7 +44,7 @@
     """An upstream gets no new work once the limit after its confirmed leave has passed."""
     for row in history.leaves:
         delays = [(at - row.confirmed_at, call_id) for at, call_id in row.run_starts]
-        late = [entry for entry in delays if entry[0] > MAX_START_AFTER_LEAVE_SECONDS]
+        late = [entry for entry in delays if entry[0] > MAX_START_AFTER_CONFIRMED_LEAVE_SECONDS]
         if late:
             # The ids show whether the requests came from callers of the soak or from elsewhere.
             ids = " ".join(call_id or "-" for _, call_id in late[:4])
