--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -76,8 +76,9 @@
 
 @dataclass(slots=True)
 class CallAwaitingDecision:
-    """A submitted call; `due` is when its claim is appended or its holder is asked again.
+    """A submitted call that was not yet permitted to start or answered.
 
+    `due` is when its claim is appended, its holder is asked again or the stream is read again.
     `unanswered_requests` counts the requests in a row that the holder did not answer.
     """
 
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -29,7 +29,7 @@
         return Offset(self.next_offset - 1) if self.last_record_digest else self.next_offset
 
     def check(self, page: ClaimsRead) -> Continuity:
-        """Compare a page that was read from `start()` with the records read before."""
+        """Compare a page that was read from `next_read_offset()` with the records read before."""
         if page.end < self.next_offset:
             return Continuity.REPLACED
         if page.first > self.next_read_offset():
--- a/packages/agatecross-core/agatecross_core/relay/hedge.py
+++ b/packages/agatecross-core/agatecross_core/relay/hedge.py
@@ -14,8 +14,8 @@
 ) -> Millis | None:
     """Return the delay of the second attempt, or None if it cannot help.
 
-    `mean_time` is the mean time of the calls of the route; `objective` and `time_left` are the
-    times left to the latency objective and to the deadline. All are in milliseconds.
+    `mean_time` is the mean time of the calls of the route; `objective_time_left` and `time_left`
+    are the times left to the latency objective and to the deadline. All are in milliseconds.
     """
     if mean_time is None:
         return None
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -308,7 +308,8 @@
 ) -> None:
     """Run the daemon until SIGTERM or SIGINT, then shut down gracefully.
 
-    SIGHUP reloads the settings through `read`, which may raise `SettingsError` or `OSError`.
+    SIGHUP reloads the settings through `read_settings`, which may raise `SettingsError` or
+    `OSError`.
     """
     sidecar = build_sidecar(settings, front_end, DecisionLog())
     stop = asyncio.Event()
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -31,7 +31,7 @@
         rng: random.Random,
         mean_gap_seconds: float = MEAN_REQUEST_GAP_SECONDS,
     ) -> None:
-        """Send to the daemons of `nodes`, on average `mean_gap` seconds after each answer."""
+        """Send to the daemons of `nodes`, on average `mean_gap_seconds` after each answer."""
         self.name = name
         self.nodes = nodes
         self.history = history
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -43,7 +43,7 @@
 async def run_soak(
     seed: int, seconds: float, recovery_seconds: float, log_directory: Path
 ) -> SoakResult:
-    """Run one seed; the fleet has `recover` seconds to recover after the last fault.
+    """Run one seed; the fleet has `recovery_seconds` to recover after the last fault.
 
     The logs of the daemons stay in `log_directory`.
     """
