--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -14,9 +14,9 @@
     AppendBatch,
     AskHolder,
     BatchAppended,
-    CallFinished,
     CallSubmitted,
     Claim,
+    ClaimedCallFinished,
     ClaimsBatch,
     ClaimsRead,
     Grant,
@@ -75,7 +75,7 @@
 
     def finish(self, call_id, result):
         name, claim_id = self.grants.pop(call_id)
-        self.handle(name, CallFinished(claim_id, RESULTS[result]))
+        self.handle(name, ClaimedCallFinished(claim_id, RESULTS[result]))
         self.outcomes[call_id] = f"finished {result}"
 
     def restart(self, name):
--- a/packages/agatecross-core/agatecross_core/idempotency/decider.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/decider.py
@@ -30,9 +30,9 @@
     AppendBatch,
     AskHolder,
     BatchAppended,
-    CallFinished,
     CallSubmitted,
     Claim,
+    ClaimedCallFinished,
     ClaimsAction,
     ClaimsBatch,
     ClaimsInput,
@@ -139,7 +139,7 @@
                 yield from self._read_failed(now)
             case HolderAnswered():
                 yield from self._holder_answered(message, now)
-            case CallFinished(claim_id, result):
+            case ClaimedCallFinished(claim_id, result):
                 yield from self._call_finished(claim_id, result, now)
             case TimePassed():
                 pass
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -114,7 +114,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallFinished:
+class ClaimedCallFinished:
     """Input: a call that a `Grant` started ended with this result."""
 
     claim_id: ClaimId
@@ -132,7 +132,7 @@
     | ClaimsRead
     | ReadFailed
     | HolderAnswered
-    | CallFinished
+    | ClaimedCallFinished
     | TimePassed
 )
 
@@ -153,7 +153,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Action: start the call; its result must be reported as `CallFinished`."""
+    """Action: start the call; its result must be reported as `ClaimedCallFinished`."""
 
     call_id: CallId
     claim_id: ClaimId
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -22,7 +22,7 @@
 )
 from agatecross_core.config.model import MeshConfig, ServicePolicy
 from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_IDEMPOTENCY_KEY_LENGTH
-from agatecross_core.idempotency.model import CallFinished, CallSubmitted, Grant
+from agatecross_core.idempotency.model import CallSubmitted, ClaimedCallFinished, Grant
 from agatecross_core.ids import (
     Address,
     CallId,
@@ -60,7 +60,7 @@
         listener: HttpListener,
         balancer: Balancer,
         driver: CallDriver,
-        claims: Sender[ClaimAsk | CallFinished],
+        claims: Sender[ClaimAsk | ClaimedCallFinished],
         quarantine: QuarantineDriver,
     ) -> None:
         self.address = address
@@ -152,7 +152,7 @@
             result = await self._run_attempts(call, policy, fingerprint)
             return result
         finally:
-            self.claims.put(CallFinished(claim_reply.claim_id, result))
+            self.claims.put(ClaimedCallFinished(claim_reply.claim_id, result))
 
     async def _run_attempts(
         self, call: Call, policy: ServicePolicy, fingerprint: Fingerprint
