--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -289,10 +289,12 @@
 
 @when("a client sends two POST requests one after the other")
 def send_twice(context):
-    context.found = asyncio.run(asyncio.wait_for(two_requests(context.fault), STEP_TIMEOUT_SECONDS))
+    context.found = asyncio.run(
+        asyncio.wait_for(send_two_requests(context.fault), STEP_TIMEOUT_SECONDS)
+    )
 
 
-async def two_requests(fault):
+async def send_two_requests(fault):
     async def answer(server, writer):
         if fault == "answer late" and server.requests == 1:
             return
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -11,7 +11,7 @@
 from agatecross_standins.ports import PortPool
 from agatecross_standins.soak.fleet import SETTINGS
 
-WAIT_SECONDS = 30.0
+PROCESS_TIMEOUT_SECONDS = 30.0
 # Runs the daemon as `python -m` does; the process sends itself a signal at an import or at exit.
 PROGRAM = """
 import atexit, os, runpy, sys
@@ -118,18 +118,18 @@
 
 @when("SIGTERM comes after it started")
 def step_after_start(context):
-    last = time.monotonic() + WAIT_SECONDS
+    deadline = time.monotonic() + PROCESS_TIMEOUT_SECONDS
     while not count_starts(context):
         running = context.process.poll() is None
         assert running, (context.process.returncode, context.output.read_text())
-        assert time.monotonic() < last, context.output.read_text()
+        assert time.monotonic() < deadline, context.output.read_text()
         time.sleep(0.05)
     context.process.send_signal(signal.SIGTERM)
 
 
 @then('it ends with code {code:d} and logs "daemon_started" {count}')
 def step_ended(context, code, count):
-    found = context.process.wait(WAIT_SECONDS)
+    found = context.process.wait(PROCESS_TIMEOUT_SECONDS)
     text = context.output.read_text(encoding="utf-8")
     assert found == code, (found, text)
     assert count_starts(context) == {"never": 0, "once": 1}[count], text
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -22,22 +22,22 @@
 NODE_COUNT = 6
 
 
-def asked(call_id, seen, once=True, status=200, node=0, ended=2.0):
+def request_record(call_id, seen, once=True, status=200, node=0, ended=2.0):
     return RequestRecord(call_id, node, once, 1.0, ended, seen, status)
 
 
 def add_second_run(history):
-    history.requests.append(asked("x", RequestOutcome.ANSWERED))
+    history.requests.append(request_record("x", RequestOutcome.ANSWERED))
     history.runs["x"] = 2
 
 
 def add_refused_run(history):
-    history.requests.append(asked("x", RequestOutcome.REFUSED, status=503))
+    history.requests.append(request_record("x", RequestOutcome.REFUSED, status=503))
     history.runs["x"] = 1
 
 
 def add_cut_request(history):
-    history.requests.append(asked("x", RequestOutcome.BROKEN, ended=5.0))
+    history.requests.append(request_record("x", RequestOutcome.BROKEN, ended=5.0))
     history.graceful_stops.append((0, 4.0, 6.0))
 
 
@@ -50,8 +50,10 @@
     "nothing else": lambda history: None,
     "a booking that ran twice": add_second_run,
     "a refused booking that ran": add_refused_run,
-    "a foreign answer": lambda h: h.requests.append(asked("x", RequestOutcome.FOREIGN)),
-    "an answer without a run": lambda h: h.requests.append(asked("x", RequestOutcome.ANSWERED)),
+    "a foreign answer": lambda h: h.requests.append(request_record("x", RequestOutcome.FOREIGN)),
+    "an answer without a run": lambda h: h.requests.append(
+        request_record("x", RequestOutcome.ANSWERED)
+    ),
     "a run after a confirmed leave": lambda h: h.leaves.append(
         ConfirmedLeave("u", 10.0, ((11.0, "a"), (12.5, "b")))
     ),
@@ -64,7 +66,7 @@
     "a request cut by a graceful stop": add_cut_request,
     "a request cut while a link was reset": add_cut_request_during_fault,
     "requests that fail at the end": lambda h: h.final_requests.extend(
-        asked(f"f{n}", RequestOutcome.FAILED) for n in range(2)
+        request_record(f"f{n}", RequestOutcome.FAILED) for n in range(2)
     ),
 }
 
@@ -73,15 +75,15 @@
 def step_history_without_violations(context):
     history = History()
     history.requests += [
-        asked("a", RequestOutcome.ANSWERED),
-        asked("b", RequestOutcome.FAILED, status=502),
+        request_record("a", RequestOutcome.ANSWERED),
+        request_record("b", RequestOutcome.FAILED, status=502),
     ]
-    history.requests.append(asked("c", RequestOutcome.REFUSED, status=503))
+    history.requests.append(request_record("c", RequestOutcome.REFUSED, status=503))
     history.runs = {"a": 1, "b": 1}
     history.leaves.append(ConfirmedLeave("u0", 10.0, ((9.0, "a"), (11.9, "b"))))
     history.versions += [VersionObservation(0, 0, 3), VersionObservation(0, 0, 5)]
     history.exits += [(0, 0), (1, -9)]
-    history.final_requests += [asked(f"s{n}", RequestOutcome.ANSWERED) for n in range(10)]
+    history.final_requests += [request_record(f"s{n}", RequestOutcome.ANSWERED) for n in range(10)]
     context.history = history
 
 
