--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -25,7 +25,7 @@
 from agatecross_standins.ports import PortPool
 
 DAEMON_PLACES = (("north", "north-a", "s0"), ("north", "north-a", "s1"), ("south", "south-a", "s0"))
-WAIT_SECONDS = 15.0
+POLL_TIMEOUT_SECONDS = 15.0
 SETTINGS_FILE = """
 [sidecar]
 id = "d1"
@@ -53,11 +53,11 @@
 
 
 async def poll_until(condition, what):
-    for _ in range(int(WAIT_SECONDS / 0.01)):
+    for _ in range(int(POLL_TIMEOUT_SECONDS / 0.01)):
         if condition():
             return
         await asyncio.sleep(0.01)
-    raise AssertionError(f"not in {WAIT_SECONDS} s: {what}")
+    raise AssertionError(f"not in {POLL_TIMEOUT_SECONDS} s: {what}")
 
 
 class Testbed:
@@ -96,12 +96,12 @@
     def sees_all_upstreams(self, sidecar):
         return sum(map(len, sidecar.entry.endpoints_by_service.values())) == len(DAEMON_PLACES)
 
-    async def start_daemon(self, number, previous=None):
+    async def start_daemon(self, number, previous_settings=None):
         region, data_centre, service = DAEMON_PLACES[number]
-        if previous is None:
+        if previous_settings is None:
             addresses = [f"127.0.0.1:{port}" for port in self.ports.reserve(5)]
         else:
-            s = previous
+            s = previous_settings
             addresses = [s.callers, s.peers, s.ready, s.heartbeats, s.metrics]
         settings = SidecarSettings(
             f"d{number}",
@@ -123,7 +123,7 @@
         sidecar = build_sidecar(settings, PlatformFrontEnd(settings), log)
         await sidecar.start()
         tasks = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
-        if previous is None:
+        if previous_settings is None:
             self.sidecars.append(sidecar)
             self.tasks.append(tasks)
         else:
@@ -392,8 +392,8 @@
         settings = [sidecar.settings for sidecar in testbed.sidecars]
         for number in range(len(settings)):
             await testbed.kill_daemon(number)
-        for number, previous in enumerate(settings):
-            await testbed.start_daemon(number, previous)
+        for number, previous_settings in enumerate(settings):
+            await testbed.start_daemon(number, previous_settings)
         await poll_until(lambda: all(s.entry.table for s in testbed.sidecars), "a configuration")
 
     testbed.run(work())
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -276,25 +276,25 @@
 @given("{daemons:d} daemons whose requests come {rate:d} a second for {seconds:d} s, all failing")
 def step_failing_requests(context, daemons, rate, seconds):
     window = Millis(10_000)
-    parents = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
-    children = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
+    request_budgets = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
+    call_budgets = [FleetRetryBudget(0.2, 60, window) for _ in range(daemons)]
     rng = random.Random(5)
     context.requests, context.repeats = [], []
 
-    def calls(daemon, now, repeated):
+    def make_calls(daemon, now, repeated):
         for _ in range(2 if rng.random() < 0.7 else 0):
             context.requests.append(now)
             context.repeats += [now] * repeated
-            children[daemon].add_first_arrival()
-            if children[daemon].take(daemons, now):
+            call_budgets[daemon].add_first_arrival()
+            if call_budgets[daemon].take(daemons, now):
                 context.repeats.append(now)
 
     for number in range(rate * seconds):
         now, daemon = Millis(number * 1000 / rate), number % daemons
-        parents[daemon].add_first_arrival()
-        calls(daemon, now, False)
-        if parents[daemon].take(daemons, now):
-            calls(rng.randrange(daemons), now, True)
+        request_budgets[daemon].add_first_arrival()
+        make_calls(daemon, now, False)
+        if request_budgets[daemon].take(daemons, now):
+            make_calls(rng.randrange(daemons), now, True)
 
 
 @then("in no 10 s the called service gets more repeats than 0.2 of its requests plus 60")
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -419,7 +419,7 @@
 def check_limits(context):
     histories = context.detector.histories
     assert len(histories) <= 512, len(histories)
-    assert all(track.observed_buckets.bit_length() <= 601 for track in histories.values())
+    assert all(history.observed_buckets.bit_length() <= 601 for history in histories.values())
     assert len(context.detector.fleet.observed_counts) <= 601
 
 
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -17,7 +17,7 @@
 from agatecross_standins.platform_upstream import Answer, PlatformUpstream
 
 KIB = 1024
-OTHER_CALLS = 5
+OTHER_CALL_COUNT = 5
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -26,16 +26,18 @@
     """Counts what the daemons read from each connection to an upstream."""
 
     def __init__(self):
-        self.read = Counter()
-        self.peak = Counter()
-        self.original = UpstreamConnection.data_received
+        self.read_bytes = Counter()
+        self.peak_bytes = Counter()
+        self.original_data_received = UpstreamConnection.data_received
 
     def data_received(self, connection, data):
-        self.read[connection] += len(data)
+        self.read_bytes[connection] += len(data)
         pool = connection.pool
         running = [row for row in pool.connections if row.running is not None]
-        self.peak[pool] = max(self.peak[pool], sum(self.read[row] for row in running))
-        self.original(connection, data)
+        self.peak_bytes[pool] = max(
+            self.peak_bytes[pool], sum(self.read_bytes[row] for row in running)
+        )
+        self.original_data_received(connection, data)
 
 
 def exit_task_of(testbed, name):
@@ -115,7 +117,7 @@
         sending = asyncio.ensure_future(context.testbed.send(number, line))
         await poll_until(lambda: any(u.runs for u in context.testbed.upstreams), "the call to run")
         answers = await asyncio.gather(
-            *(context.testbed.send(2, other) for _ in range(OTHER_CALLS))
+            *(context.testbed.send(2, other) for _ in range(OTHER_CALL_COUNT))
         )
         return await sending, answers
 
@@ -124,11 +126,11 @@
 
 @then("the answer is {status:d}, at most {most:d} KiB of it were read and all other calls got 200")
 def step_bounded(context, status, most):
-    read = max(context.counter.read.values())
-    print(f"read {read / KIB:.0f} KiB of the endless answer")
+    read_bytes = max(context.counter.read_bytes.values())
+    print(f"read {read_bytes / KIB:.0f} KiB of the endless answer")
     assert context.answer.status == status, context.answer.status
-    assert [row.status for row in context.answers] == [200] * OTHER_CALLS, context.answers
-    assert read <= most * KIB, read
+    assert [row.status for row in context.answers] == [200] * OTHER_CALL_COUNT, context.answers
+    assert read_bytes <= most * KIB, read_bytes
 
 
 @then("the answer's status is {status:d}")
@@ -168,9 +170,9 @@
 
 @then('the unfinished answers of "{name}" took at most {most:d} KiB together')
 def step_peak(context, name, most):
-    peak = context.counter.peak[exit_task_of(context.testbed, name).pool]
-    print(f"unfinished answers took {peak / KIB:.0f} KiB")
-    assert peak <= most * KIB, peak
+    peak_bytes = context.counter.peak_bytes[exit_task_of(context.testbed, name).pool]
+    print(f"unfinished answers took {peak_bytes / KIB:.0f} KiB")
+    assert peak_bytes <= most * KIB, peak_bytes
 
 
 @then('"{name}" still works on it; once it answers, its connection is kept for the next call')
@@ -193,8 +195,8 @@
 def step_logged_bytes(context, name, pair):
     path = Path(context.testbed.log_paths()[int(name[1:])])
     lines = [row for row in path.read_text().splitlines() if "event=handover_failed" in row]
-    read = max(context.counter.read.values())
-    assert [pair in row and f"read={read}" in row for row in lines] == [True], lines
+    read_bytes = max(context.counter.read_bytes.values())
+    assert [pair in row and f"read={read_bytes}" in row for row in lines] == [True], lines
 
 
 @when("a daemon reads what is announced from a store with endless pages of {size:d} bytes")
