--- a/features/platform.feature
+++ b/features/platform.feature
@@ -31,7 +31,7 @@
       | a missing route                             | whole     | GET    | /none/1 | 404    | 0    |
 
   Scenario: an upstream's failure is logged also while served calls are left out
-    Guards against a log that leaves out a failed call together with the served ones.
+    Guards against a failed call that is left out of the log as served calls are.
     Given a platform fleet
     When a caller of d1 sends "GET /safe/1" 50 times
     And upstreams "u0,u2" answer "error"
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -2,7 +2,8 @@
   Guards against requests that run twice, requests reported as not run that did run, and repeats
   that overload the upstreams.
 
-  # Results: ran STATUS | refused REASON [arrived] | lost REASON; "-" ends the script of upstreams.
+  # Results: ran STATUS | refused REASON [arrived] | lost REASON; "arrived" says that the request had
+  # reached an upstream, and "-" stands for no result.
   Scenario Outline: flow: <guards against>
     Given a relayed call that is "<repeat>" with <attempts> attempts, <endpoints> upstreams and budget <budget>
     When the upstreams answer "<results>"
@@ -25,7 +26,8 @@
       | endless handovers                            | once   | 2        | 9         | 9      | refused overloaded; refused overloaded; refused overloaded | refused overloaded | 3 |
       | work for a caller whose time is up           | safe   | 2        | 3         | 9      | lost timeout                               | lost timeout          | 1    |
 
-  # Events: accept N, finish N, resume N, +MS; each gives new, seen, done, pending or fenced.
+  # Events: accept N gives new or seen; resume N gives done, pending or fenced; finish N and +MS
+  # (time that passes, in milliseconds) give no answer, shown as "-".
   Scenario Outline: ledger: <guards against>
     When the ledger sees "<events>"
     Then its answers are "<answers>"
@@ -39,7 +41,8 @@
       | a running call dropped by its age    | accept 1; +20000; accept 2; resume 1  | new; -; new; pending     |
       | a fence that expires too early       | resume 1; +9000; accept 1             | fenced; -; seen          |
 
-  # Events: beat ID BORN SEQ STATE, leave ID [BORN]; each is accepted (yes) or ignored (no).
+  # Events: a heartbeat (beat ID BORN SEQ STATE) or leave ID [BORN]; each is accepted (yes) or ignored
+  # (no). "other" is a heartbeat of another service, "elsewhere" one of another address.
   Scenario Outline: announcements: <guards against>
     When an upstream announces "<events>"
     Then the announcements are accepted "<accepted>"
@@ -60,7 +63,10 @@
       | another service at the address              | other a 10 1 ready                                      | no           |
       | another address                             | elsewhere a 10 1 ready                                  | no           |
 
-  # Events: call ID RANK LEFT [OBJECTIVE], done ID, cancel ID, learn ROUTE MS, clear, +MS. Slots: 2.
+  # Events: call ID RANK LEFT [OBJECTIVE], done ID, cancel ID, learn ROUTE MS, clear, +MS. LEFT and
+  # OBJECTIVE are the milliseconds until the call's deadline and until its objective, which is the
+  # deadline if left out; rank 0 is the most important. "learn" sets the mean time of a route and of
+  # all calls, and "clear" refuses all waiting calls. There are 2 slots.
   Scenario Outline: slots: <guards against>
     When the slot queue sees "<events>"
     Then the queue does "<actions>"
@@ -97,7 +103,8 @@
     Given routes "a.example /x/", "a.example /x/y/", "b.example /" and "split.example /s/ 9:1"
     Then of 1000 requests on "split.example" "/s/1" any 10 in a row give service "s1" exactly 1
 
-  # Rows: ID INCARNATION SEQUENCE STATE [ADDRESS]; this daemon is "me 100 0".
+  # Rows: ID INCARNATION SEQUENCE STATE [ADDRESS]; the row of the directory's own daemon is
+  # "me 100 0".
   Scenario Outline: directory: <guards against>
     When the directory merges "<rows>"
     Then it routes to "<ready>" and its own incarnation is <incarnation>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -61,7 +61,7 @@
 
 
 class Testbed:
-    """Three sidecars, their upstreams and the store in one event loop."""
+    """Three daemons, their upstreams' stand-ins and the store's stand-in in one event loop."""
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
@@ -212,7 +212,7 @@
 
 @when('upstreams "{names}" answer "{script}"')
 def step_script(context, names, script):
-    # The upstreams share one script: whichever is asked first answers with its next word.
+    # The upstreams share one script: each request, to any of them, gets the next answer of it.
     shared = iter([Answer(word) for word in script.split(",")])
 
     class SharedScript:
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -424,7 +424,7 @@
 
 
 class StubPeers:
-    """Stands in for a driver's HTTP client and balancer: answers after a delay, records reports."""
+    """Stands in for a driver's HTTP client and balancer: answers after a delay, records ends."""
 
     def __init__(self, answers):
         self.answers = answers
@@ -496,6 +496,6 @@
 @then('the caller gets "{result:Text}" and the balancer learned "{learned}"')
 def check_driven(context, result, learned):
     assert (context.result.outcome.value if context.result else "") == result, context.result
-    # Recorded before the loop ended, since its end cancels whatever still runs.
+    # The counts were taken before the loop ended, since its end cancels the attempts still open.
     assert context.learned == sorted(learned.split(", ")), context.learned
     assert context.open == 0
--- a/features/steps/upstream_bytes_steps.py
+++ b/features/steps/upstream_bytes_steps.py
@@ -45,7 +45,7 @@
 
 
 def set_script(testbed, names, items):
-    """Give the upstreams one common script; after its last item, they answer normally."""
+    """Give the upstreams one shared script; after its last item, they answer normally."""
     shared = iter(items)
 
     class SharedScript:
@@ -181,7 +181,7 @@
     exit_task, upstream = exit_task_of(testbed, name), testbed.upstreams[number]
 
     async def work():
-        # Longer than an answer that has begun may go on after the deadline.
+        # Waits longer than an answer that has begun may continue after the deadline.
         await asyncio.sleep(1.5)
         assert len(exit_task.calls) == len(upstream.connections) == 1
         upstream.released.set()
