--- a/features/cli.feature
+++ b/features/cli.feature
@@ -99,7 +99,7 @@
     When the example configuration "lysknude" is published
     Then the client ends with code 0
     When three operators publish at once on version 1
-    Then the exit codes are "0, 3, 3" and the losers name the winner
+    Then the exit codes are "0, 3, 3" and the refused publishes name the winner
     And every daemon has version 2
     When an operator publishes while answers of the log are lost
     Then the client ends with code 0
--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -28,17 +28,17 @@
     And the reported conditions are "<conditions>"
 
     Examples:
-      | behaviour       | offered | next | version | conditions                |
-      | answers newer   | 3       | none | 3       |                           |
-      | fails           | 3       | far  | 2       |                           |
-      | is silent       | 3       | far  | 2       |                           |
-      | answers older   | 3       | far  | 2       |                           |
-      | broken document | 3       | far  | 2       | pull_refused              |
-      | unknown rules   | 3       | none | 2       | pull_refused              |
-      | other seen ids  | 3       | near | 2       |                           |
-      | has findings    | 3       | none | 2       | pull_refused              |
-      | not asked       | 1       | none | 2       |                           |
-      | other digest    | 2       | none | 2       | same_version_other_digest |
+      | behaviour               | offered | next | version | conditions                |
+      | answers newer           | 3       | none | 3       |                           |
+      | fails                   | 3       | far  | 2       |                           |
+      | is silent               | 3       | far  | 2       |                           |
+      | answers older           | 3       | far  | 2       |                           |
+      | sends a broken document | 3       | far  | 2       | pull_refused              |
+      | needs unknown rules     | 3       | none | 2       | pull_refused              |
+      | has other seen ids      | 3       | near | 2       |                           |
+      | has findings            | 3       | none | 2       | pull_refused              |
+      | has an older version    | 1       | none | 2       |                           |
+      | has another digest      | 2       | none | 2       | same_version_other_digest |
 
   Scenario Outline: a reader whose position is 3 meets <log>
     Guards against a reader that skips publishes or stops when its log was cut or replaced.
@@ -72,7 +72,7 @@
     Guards against records of the old log that are folded into a state from the new one.
     Given a reader that folded 3 publishes
     When it takes version 4 and position 4 from a peer that reads a replaced log
-    And the page of the log before arrives with a publish on version 4
+    And the page of the earlier log arrives with a publish on version 4
     Then version 4 is in force and the next read starts at 4
 
   Scenario Outline: snapshots of the newest state are written when <case>
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -65,10 +65,10 @@
       | an absolute target without a route | GET http://a.example/safe/a                                                             | 200      |
       | a malformed request                | \x01\x02                                                                                | 400      |
 
-  Scenario: a failure inside the daemon ends one call, not those beside it on its connection
+  Scenario: a failure inside the daemon ends one call and no other call of its connection
     Guards against an exception while a route is looked up that closes the caller's connection.
     Given a platform fleet
-    When the choice of a service fails inside d1 for "/safe/boom"
+    When the route lookup of d1 fails for "/safe/boom"
     And a caller of d1 writes "GET /safe/a |GET /safe/boom |GET /safe/c"
     Then it reads statuses "200 502 200"
     And d1 has logged "loop_error"
@@ -204,9 +204,9 @@
       | history that is gone                  | forgets | 8       | 8        |
       | a record that cannot be read          | garbles | 8       | 8        |
 
-  # Each daemon selects the readers of the store from its own rows. With different rows, each daemon
-  # may select another one.
-  Scenario: daemons that see a row of their own differently than their peers leave the store unread
+  Scenario: every daemon's row of itself equals the row that its peers hold
+    Guards against a store that no daemon reads: each daemon selects the readers of the store from its
+    own rows, so with different rows each daemon may select another one.
     Given a platform fleet
     Then each daemon knows of itself what its peers know of it, with the latency of the store
 
@@ -242,7 +242,7 @@
     Given a platform fleet
     When upstreams "u0,u2" answer "hold"
     And a caller of d1 sends "GET /safe/1" and leaves
-    Then no upstream still works on it within the deadline of a call
+    Then the upstream that runs it has its connection closed
 
   Scenario: a call whose time is up is answered although the upstream is silent
     Guards against a caller that waits beyond its deadline for an upstream that does not answer.
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -79,9 +79,9 @@
       | a wait beyond the deadline            | learn r 100; call a 1 900; call b 1 900; call c 1 90                     | start a; start b; refuse c overloaded     |
       | answers that all come too late        | learn r 100; call a 1 900 200; call b 1 900 200; call c 1 900 200; call d 1 900 200; call e 1 900 200 | start a; start b; refuse d overloaded; refuse e overloaded |
       | a start that cannot end in time       | call a 1 900; call b 1 900; call c 1 300; learn r 600; done a            | start a; start b; refuse c deadline       |
-      | calls of running work that wait last  | call a 1 900; call b 1 900; call c 1 900 300; call d 1 200 60; done a; done b | start a; start b; start d; start c   |
+      | calls of running work that start last | call a 1 900; call b 1 900; call c 1 900 300; call d 1 200 60; done a; done b | start a; start b; start d; start c   |
       | work for an upstream that leaves      | call a 1 900; call b 1 900; call c 1 900; clear                          | start a; start b; refuse c leaving        |
-      | a caller that left                    | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
+      | a call started after its caller left  | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
 
   Scenario Outline: routes: <guards against>
     Given routes "a.example /x/", "a.example /x/y/", "b.example /" and "split.example /s/ 9:1"
@@ -89,14 +89,14 @@
 
     Examples:
       | guards against                 | host           | path      | route          |
-      | a miss                         | a.example      | /x/1      | a.example/x/   |
+      | a route that is not found      | a.example      | /x/1      | a.example/x/   |
       | a shorter prefix               | a.example      | /x/y/1    | a.example/x/y/ |
       | a prefix cut within a segment  | a.example      | /xy/1     | none           |
       | another host's route           | b.example      | /x/1      | b.example/     |
       | an unknown host                | c.example      | /x/1      | none           |
-      | slashes of the query           | a.example      | /x?q=/x/  | none           |
-      | the port of the host           | a.example:8080 | /x/1      | a.example/x/   |
-      | the case of the host           | A.Example      | /x/1      | a.example/x/   |
+      | a prefix found in the query    | a.example      | /x?q=/x/  | none           |
+      | a host missed for its port     | a.example:8080 | /x/1      | a.example/x/   |
+      | a host missed for its capitals | A.Example      | /x/1      | a.example/x/   |
 
   Scenario: a split keeps its weights over any 10 requests in a row
     Guards against a split that keeps its weights only on average, so that one service gets a burst.
@@ -111,8 +111,8 @@
 
     Examples:
       | guards against                       | rows                                             | ready | incarnation |
-      | an unknown daemon                    | a 5 1 ready                                      | a     | 100         |
-      | an older description                 | a 5 2 draining; a 5 1 ready                      | none  | 100         |
+      | a new daemon that gets no calls      | a 5 1 ready                                      | a     | 100         |
+      | an older row that replaces a newer   | a 5 2 draining; a 5 1 ready                      | none  | 100         |
       | a restart that is ignored            | a 5 9 draining; a 6 0 ready                      | a     | 100         |
       | a clock that was set back            | me 200 3 ready                                   | none  | 201         |
       | two daemons at one address           | a 5 1 ready 10.0.0.9:1; b 6 0 ready 10.0.0.9:1   | b     | 100         |
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -10,7 +10,7 @@
       | case                                      | fleet                           | events                              | purpose | tried | chosen |
       | only ready upstreams get calls            | a@aarhus-a b@aarhus-a           | b becomes starting                  | first   |       | a      |
       | draining upstreams get no calls           | a@aarhus-a b@aarhus-a           | b becomes draining                  | first   |       | a      |
-      | without a ready upstream there is no one  | a@aarhus-a                      | a becomes draining                  | first   |       |        |
+      | without a ready upstream none is chosen   | a@aarhus-a                      | a becomes draining                  | first   |       |        |
       | no attempt starts at the deadline         | a@aarhus-a                      | wait 1000000                        | first   |       |        |
 
     Examples: earlier attempts
@@ -44,8 +44,8 @@
       | the slow time ends                        | a@aarhus-a b@aalborg-b          | all ran 10 *10; a ran 60; wait 450  | first   |       | a      |
       | a frozen upstream gives no answers        | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 40   | first   |       | b      |
       | a second frozen call doubles the time     | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 40; choose; wait 450; a starts; wait 40; choose; wait 500 | first | | b |
-      | one long call is no slowness              | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 5; a ran 10; wait 100 | first | | a    |
-      | a long call that ends is no slowness      | a@aarhus-a b@aalborg-b          | all ran 10 *10; a overlaps 90       | first   |       | a      |
+      | one long call does not count as slow      | a@aarhus-a b@aalborg-b          | all ran 10 *10; a starts; wait 5; a ran 10; wait 100 | first | | a    |
+      | a long call that ends is not slow         | a@aarhus-a b@aalborg-b          | all ran 10 *10; a overlaps 90       | first   |       | a      |
       | fewer calls and lower latency win         | a@aarhus-a b@aarhus-a           | a ran 10 *20; b ran 25 *20          | first   |       | a      |
 
     Examples: failures
@@ -84,13 +84,13 @@
       | latency is not yet known    | a ran 10 *10                       | 0.95     | never |
       | many refusals               | a ran 10 *40; a fails queue-full *2 | 0.95    | never |
       | high utilisation            | a ran 10 *40; a starts *3; b starts *3 | 0.95 | never |
-      | losers keep the quantile up | a ran 10 *30; a cancelled 30 *10   | 0.95     | 30    |
+      | cancelled attempts count    | a ran 10 *30; a cancelled 30 *10   | 0.95     | 30    |
 
   Scenario Outline: the balancer "<name>" <what>
     Guards against a named policy that does not choose as its name says.
     Given the balancer "<name>" over upstreams "a@aarhus-a b@aarhus-a c@roskilde-b"
     When "<events>" happens
-    Then 6 first attempts go to "<chosen>"
+    Then 6 first attempts go, in any order, to "<chosen>"
 
     Examples:
       | name        | what                      | events              | chosen      |
--- a/features/routing_flow.feature
+++ b/features/routing_flow.feature
@@ -71,7 +71,7 @@
   Scenario: the state of the detector stays within its limits
     Guards against memory that grows with the number of upstreams and with time.
     When a detector observes 2000 upstreams for 120 seconds
-    Then it keeps at most 512 tracks of at most 601 buckets
+    Then it keeps at most 512 histories of at most 601 buckets
 
   Scenario Outline: the driver reports how attempts end, <case>
     Guards against attempts that go on after their call, or whose end the balancer is told wrongly.
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -192,22 +192,22 @@
     assert context.reports == [], context.reports
 
 
-@when("an operator publishes a changed folder in {shown} while a daemon stays behind")
-def publish_while_daemon_behind(context, shown):
+@when("an operator publishes a changed folder in {output_format} while a daemon stays behind")
+def publish_while_daemon_behind(context, output_format):
     error, output = io.StringIO(), io.StringIO()
     first = mock.patch.object(in_force, "FIRST_REPORT_SECONDS", 0.0)
     with first, redirect_stderr(error), redirect_stdout(output):
         publish_while(context, "a daemon stays behind")
-        print(FORMATTERS[shown](context.run))
+        print(FORMATTERS[output_format](context.run))
     context.shown = (output.getvalue(), error.getvalue())
 
 
-@then('standard error names "{text}" and standard output has only the result in {shown}')
-def check_streams(context, text, shown):
+@then('standard error names "{text}" and standard output has only the result in {output_format}')
+def check_streams(context, text, output_format):
     output, error = context.shown
     assert text in error, error
     (line,) = output.splitlines()
-    if shown == "json":
+    if output_format == "json":
         assert json.loads(line)["exit_code"] == 4, output
     else:
         assert line == "version 2 accepted, but not in force on: d2", output
@@ -247,11 +247,11 @@
     assert "Traceback" not in result.stderr, result
 
 
-@then('it ends with code {code:d} and lists exactly these findings as "{shown}"')
-def check_listed(context, code, shown):
+@then('it ends with code {code:d} and lists exactly these findings as "{output_format}"')
+def check_listed(context, code, output_format):
     assert context.result.returncode == code, context.result
     wanted = [tuple(row) for row in context.table]
-    if shown == "json":
+    if output_format == "json":
         rows = json.loads(context.result.stdout)["result"]["findings"]
         found = [(r["file"], str(r["line"]), r["key"], r["code"]) for r in rows]
         assert all(r["message"] for r in rows), rows
@@ -277,7 +277,7 @@
         context.results = dict(zip(authors, pool.map(run, authors), strict=True))
 
 
-@then('the exit codes are "{codes}" and the losers name the winner')
+@then('the exit codes are "{codes}" and the refused publishes name the winner')
 def check_exit_codes(context, codes):
     results = context.results
     found = sorted(result.returncode for result in results.values())
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -391,7 +391,7 @@
 @when('peer "near" offers version {offered:d} and its pull ends as "{behaviour}"')
 def end_pull(context, offered, behaviour):
     one, newest = context.one, context.newest
-    digest = newest.digest if offered == 3 else "other" * (behaviour == "other digest")
+    digest = newest.digest if offered == 3 else "other" * (behaviour == "has another digest")
     if offered == 3:
         one.follower.offers.add(PeerVersion(context.peers["far"], offered, digest))
     one.act(
@@ -410,9 +410,9 @@
         "answers newer": reply,
         "fails": None,
         "answers older": replace(reply, version=1),
-        "broken document": replace(reply, changed=broken),
-        "other seen ids": replace(reply, seen_digest="other"),
-        "unknown rules": replace(reply, rules=99),
+        "sends a broken document": replace(reply, changed=broken),
+        "has other seen ids": replace(reply, seen_digest="other"),
+        "needs unknown rules": replace(reply, rules=99),
         "has findings": replace(reply, changed=broken, digest=digest_of(broken)),
     }
     if behaviour == "is silent":
@@ -519,7 +519,7 @@
     one.act(one.follower.pull_answered(PullAnswered(one.pull.pull_id, reply), 0.0))
 
 
-@when("the page of the log before arrives with a publish on version 4")
+@when("the page of the earlier log arrives with a publish on version 4")
 def deliver_late_page(context):
     log = context.log
     for _ in range(2):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -57,7 +57,7 @@
         if condition():
             return
         await asyncio.sleep(0.01)
-    raise AssertionError(f"not in {POLL_TIMEOUT_SECONDS} s: {what}")
+    raise AssertionError(f"timed out after {POLL_TIMEOUT_SECONDS} s waiting for {what}")
 
 
 class Testbed:
@@ -287,7 +287,7 @@
     context.statuses = context.testbed.run(context.testbed.write(number, b"".join(requests)))
 
 
-@when('the choice of a service fails inside d{number:d} for "{path}"')
+@when('the route lookup of d{number:d} fails for "{path}"')
 def step_route_lookup_fails(context, number, path):
     sidecar = context.testbed.sidecars[number]
     table = sidecar.entry.table
@@ -532,7 +532,7 @@
     testbed.run(work())
 
 
-@then("no upstream still works on it within the deadline of a call")
+@then("the upstream that runs it has its connection closed")
 def step_connection_closed(context):
     testbed = context.testbed
     running = [u for u in testbed.upstreams if u.runs["left"]]
@@ -577,4 +577,4 @@
         assert finding in str(error), error
         assert "node.toml:" in str(error), error
     else:
-        raise AssertionError("no finding")
+        raise AssertionError("the settings were accepted")
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -97,7 +97,7 @@
     except StopIteration as stop:
         context.end = stop.value
     else:
-        raise AssertionError("the flow wants another handover")
+        raise AssertionError("the flow asks for a handover beyond the script")
     assert context.sent == len(script), "the flow ended before the script"
 
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -178,7 +178,7 @@
     assert found == (None if delay == "never" else float(delay)), found
 
 
-@then('6 first attempts go to "{chosen:Text}"')
+@then('6 first attempts go, in any order, to "{chosen:Text}"')
 def check_sequence(context, chosen):
     drawn = sorted(context.simulation.choose().member.daemon_id for _ in range(6))
     assert drawn == chosen.split(), drawn
@@ -415,7 +415,7 @@
         context.detector.observe(str(rng.randrange(2000)), "s", rng.random() < 0.3, number * 10.0)
 
 
-@then("it keeps at most 512 tracks of at most 601 buckets")
+@then("it keeps at most 512 histories of at most 601 buckets")
 def check_limits(context):
     histories = context.detector.histories
     assert len(histories) <= 512, len(histories)
