--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -10,7 +10,7 @@
 from agatecross_core.states import MemberState
 
 STEP_TIMEOUT_SECONDS = 30.0
-REQUEST_SECONDS = 0.2
+SECONDS_BEFORE_CLOSE = 0.2
 MEMBER = Member("d1", 1, MemberState.ALIVE, "r", "a", *(f"127.0.0.1:{n}" for n in (1, 2, 3, 4)))
 NOTICE = VersionNotice(MEMBER, Version(1), Digest("x"))
 
@@ -45,7 +45,7 @@
     address = await listener.listen(Address("127.0.0.1:0"), handler)
     request_loop = RequestLoop(address)
     tasks = [asyncio.ensure_future(request_loop.repeat_requests()) for _ in range(count)]
-    await asyncio.sleep(REQUEST_SECONDS)
+    await asyncio.sleep(SECONDS_BEFORE_CLOSE)
     closing = asyncio.ensure_future(listener.close())
     await asyncio.wait([closing], timeout=STEP_TIMEOUT_SECONDS)
     closed = closing.done()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -160,7 +160,7 @@
         http.close()
         return response
 
-    async def write(self, number, data):
+    async def send_bytes(self, number, data):
         host, _, port = self.sidecars[number].settings.callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(data)
@@ -284,7 +284,7 @@
         fields = rest[0].replace("\\n", "\r\n").replace("LONG", "x" * 5000) if rest else "x-a: 1"
         head = f"{method} {target} HTTP/1.1\r\nhost: a.example\r\n{fields}\r\n\r\n"
         requests.append(head.encode())
-    context.statuses = context.testbed.run(context.testbed.write(number, b"".join(requests)))
+    context.statuses = context.testbed.run(context.testbed.send_bytes(number, b"".join(requests)))
 
 
 @when('the route lookup of d{number:d} fails for "{path}"')
