--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -25,7 +25,7 @@
 from agatecross_standins.ports import PortPool
 
 DAEMON_PLACES = (("north", "north-a", "s0"), ("north", "north-a", "s1"), ("south", "south-a", "s0"))
-WAIT_SECONDS = 15.0
+POLL_TIMEOUT_SECONDS = 15.0
 SETTINGS_FILE = """
 [sidecar]
 id = "d1"
@@ -53,15 +53,15 @@
 
 
 async def poll_until(condition, what):
-    for _ in range(int(WAIT_SECONDS / 0.01)):
+    for _ in range(int(POLL_TIMEOUT_SECONDS / 0.01)):
         if condition():
             return
         await asyncio.sleep(0.01)
-    raise AssertionError(f"not in {WAIT_SECONDS} s: {what}")
+    raise AssertionError(f"timed out after {POLL_TIMEOUT_SECONDS} s waiting for {what}")
 
 
 class Testbed:
-    """Three sidecars, their upstreams and the store in one event loop."""
+    """Three daemons, their upstreams' stand-ins and the store's stand-in in one event loop."""
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
@@ -96,12 +96,12 @@
     def sees_all_upstreams(self, sidecar):
         return sum(map(len, sidecar.entry.endpoints_by_service.values())) == len(DAEMON_PLACES)
 
-    async def start_daemon(self, number, previous=None):
+    async def start_daemon(self, number, previous_settings=None):
         region, data_centre, service = DAEMON_PLACES[number]
-        if previous is None:
+        if previous_settings is None:
             addresses = [f"127.0.0.1:{port}" for port in self.ports.reserve(5)]
         else:
-            s = previous
+            s = previous_settings
             addresses = [s.callers, s.peers, s.ready, s.heartbeats, s.metrics]
         settings = SidecarSettings(
             f"d{number}",
@@ -123,7 +123,7 @@
         sidecar = build_sidecar(settings, PlatformFrontEnd(settings), log)
         await sidecar.start()
         tasks = [asyncio.ensure_future(task.run()) for task in sidecar.tasks]
-        if previous is None:
+        if previous_settings is None:
             self.sidecars.append(sidecar)
             self.tasks.append(tasks)
         else:
@@ -160,7 +160,7 @@
         http.close()
         return response
 
-    async def write(self, number, data):
+    async def send_bytes(self, number, data):
         host, _, port = self.sidecars[number].settings.callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(data)
@@ -212,7 +212,7 @@
 
 @when('upstreams "{names}" answer "{script}"')
 def step_script(context, names, script):
-    # The upstreams share one script: whichever is asked first answers with its next word.
+    # The upstreams share one script: each request, to any of them, gets the next answer of it.
     shared = iter([Answer(word) for word in script.split(",")])
 
     class SharedScript:
@@ -284,10 +284,10 @@
         fields = rest[0].replace("\\n", "\r\n").replace("LONG", "x" * 5000) if rest else "x-a: 1"
         head = f"{method} {target} HTTP/1.1\r\nhost: a.example\r\n{fields}\r\n\r\n"
         requests.append(head.encode())
-    context.statuses = context.testbed.run(context.testbed.write(number, b"".join(requests)))
+    context.statuses = context.testbed.run(context.testbed.send_bytes(number, b"".join(requests)))
 
 
-@when('the choice of a service fails inside d{number:d} for "{path}"')
+@when('the route lookup of d{number:d} fails for "{path}"')
 def step_route_lookup_fails(context, number, path):
     sidecar = context.testbed.sidecars[number]
     table = sidecar.entry.table
@@ -392,8 +392,8 @@
         settings = [sidecar.settings for sidecar in testbed.sidecars]
         for number in range(len(settings)):
             await testbed.kill_daemon(number)
-        for number, previous in enumerate(settings):
-            await testbed.start_daemon(number, previous)
+        for number, previous_settings in enumerate(settings):
+            await testbed.start_daemon(number, previous_settings)
         await poll_until(lambda: all(s.entry.table for s in testbed.sidecars), "a configuration")
 
     testbed.run(work())
@@ -532,7 +532,7 @@
     testbed.run(work())
 
 
-@then("no upstream still works on it within the deadline of a call")
+@then("the upstream that runs it has its connection closed")
 def step_connection_closed(context):
     testbed = context.testbed
     running = [u for u in testbed.upstreams if u.runs["left"]]
@@ -577,4 +577,4 @@
         assert finding in str(error), error
         assert "node.toml:" in str(error), error
     else:
-        raise AssertionError("no finding")
+        raise AssertionError("the settings were accepted")
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -178,7 +178,7 @@
     assert found == (None if delay == "never" else float(delay)), found
 
 
-@then('6 first attempts go to "{chosen:Text}"')
+@then('6 first attempts go, in any order, to "{chosen:Text}"')
 def check_sequence(context, chosen):
     drawn = sorted(context.simulation.choose().member.daemon_id for _ in range(6))
     assert drawn == chosen.split(), drawn
@@ -415,16 +415,16 @@
         context.detector.observe(str(rng.randrange(2000)), "s", rng.random() < 0.3, number * 10.0)
 
 
-@then("it keeps at most 512 tracks of at most 601 buckets")
+@then("it keeps at most 512 histories of at most 601 buckets")
 def check_limits(context):
     histories = context.detector.histories
     assert len(histories) <= 512, len(histories)
-    assert all(track.observed_buckets.bit_length() <= 601 for track in histories.values())
+    assert all(history.observed_buckets.bit_length() <= 601 for history in histories.values())
     assert len(context.detector.fleet.observed_counts) <= 601
 
 
 class StubPeers:
-    """Stands in for a driver's HTTP client and balancer: answers after a delay, records reports."""
+    """Stands in for a driver's HTTP client and balancer: answers after a delay, records ends."""
 
     def __init__(self, answers):
         self.answers = answers
@@ -496,6 +496,6 @@
 @then('the caller gets "{result:Text}" and the balancer learned "{learned}"')
 def check_driven(context, result, learned):
     assert (context.result.outcome.value if context.result else "") == result, context.result
-    # Recorded before the loop ended, since its end cancels whatever still runs.
+    # The counts were taken before the loop ended, since its end cancels the attempts still open.
     assert context.learned == sorted(learned.split(", ")), context.learned
     assert context.open == 0
