--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -53,7 +53,7 @@
 
 
 def versions_rise(history: History) -> Iterator[str]:
-    """The version in force never decreases during the lifetime of a daemon process."""
+    """The version in force at a daemon never decreases between two of its restarts."""
     newest: dict[tuple[int, int], int] = {}
     for row in history.versions:
         key = (row.node, row.restarts)
