Log from whom a configuration came and for how long the daemon knew of it

The log named the side a version came from, but not the peer, nor whether it came as a delta or whole, nor whether the daemon had known of it before. Late pushes, unfit deltas and lost pushes looked alike. config_in_force has peer, form and behind_ms, config_pulled names each request to a peer, and a histogram counts the delay. No decision changes.

--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -42,6 +42,12 @@
         self.version = Gauge(
             "agatecross_config_version", "Configuration in force.", registry=self.registry
         )
+        self.config_behind_seconds = Histogram(
+            "agatecross_config_behind_seconds",
+            "Time for which a daemon knew of a newer configuration before it was in force.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
         self.unreadable_configs = Counter(
             "agatecross_configs_unreadable_total",
             "Configuration records that could not be decoded, each counted once.",
--- a/packages/agatecross-daemon/agatecross_daemon/store_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from agatecross_adapters.hop_messages import ConfigDelta
-from agatecross_core.ids import DaemonId, Version
+from agatecross_core.ids import DaemonId, Millis, Version
 from agatecross_core.members.directory import Endpoint
 
 
@@ -16,13 +16,25 @@
     OTHER_REGION = "other-region"
 
 
+@dataclass(frozen=True, slots=True)
+class PeerSource:
+    """The daemon that sent a configuration.
+
+    `behind` is the time since this daemon learnt that a newer version exists, 0 if it did not know.
+    """
+
+    origin: ConfigOrigin
+    daemon_id: DaemonId | None
+    behind: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigReceived:
     """A peer sent a whole configuration, compressed."""
 
     version: Version
     blob: bytes
-    origin: ConfigOrigin
+    source: PeerSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +42,7 @@
     """A peer sent the delta from one configuration to the next."""
 
     delta: ConfigDelta
-    origin: ConfigOrigin
+    source: PeerSource
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -6,12 +6,18 @@
 from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta, HopMessage, Pull
 from agatecross_core.constants import NO_VERSION
 from agatecross_core.distribution.propagation import push_targets
-from agatecross_core.ids import DaemonId, Millis, Version
+from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Version
 from agatecross_core.members.directory import Directory
 
 from ..decision_log import DecisionLog
 from ..mailbox import Sender
-from ..store_messages import ConfigChanged, ConfigOrigin, ConfigReceived, DeltaReceived
+from ..store_messages import (
+    ConfigChanged,
+    ConfigOrigin,
+    ConfigReceived,
+    DeltaReceived,
+    PeerSource,
+)
 from .peer_link import PeerLink
 
 MIN_PULL_INTERVAL = Millis(300)
@@ -56,15 +62,17 @@
             if link is not None and link.connection is not None:
                 link.connection.send(frame)
 
-    def config_received(self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None) -> None:
+    def config_received(
+        self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None, now: Millis
+    ) -> None:
         """Pass a configuration from a peer to the store task if it is newer."""
         if message.version <= self.version:
             return
-        origin = self._origin_of(peer)
+        source = PeerSource(self._origin_of(peer), peer, self._behind(now))
         if isinstance(message, ConfigDelta):
-            self.store.put(DeltaReceived(message, origin))
+            self.store.put(DeltaReceived(message, source))
         else:
-            self.store.put(ConfigReceived(message.version, message.data, origin))
+            self.store.put(ConfigReceived(message.version, message.data, source))
 
     def answer_pull(self, version: Version, send_reply: ReplySender) -> None:
         """Answer a pull from a peer that has `version`, with the delta if that is its base."""
@@ -84,6 +92,13 @@
         same_region = self._origin_of(peer) is ConfigOrigin.REGION
         if same_region or now - self.behind_since > REMOTE_PULL_DELAY:
             self.pulled_at = now
+            self.log.write_change(
+                "config_pulled",
+                version=version,
+                was=self.version,
+                peer=peer or "",
+                behind_ms=int(self._behind(now)),
+            )
             send_reply(Pull(self.version))
 
     def pull_from_region(self, version: Version) -> None:
@@ -101,6 +116,9 @@
             "config_not_pulled", version=version, reason="no open link in the region"
         )
 
+    def _behind(self, now: Millis) -> Millis:
+        return ZERO_MS if self.behind_since is None else Millis(now - self.behind_since)
+
     def _origin_of(self, peer: DaemonId | None) -> ConfigOrigin:
         row = self.directory.rows.get(peer) if peer is not None else None
         same_region = row is not None and row.region == self.directory.me.region
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -331,7 +331,7 @@
             case Ping(_, version):
                 self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic_ms())
             case ConfigBlob() | ConfigDelta():
-                self.config_distributor.config_received(message, peer)
+                self.config_distributor.config_received(message, peer, monotonic_ms())
             case Strikes(strikes):
                 self._record_strikes(strikes)
             case Pull(version):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -12,7 +12,7 @@
 from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.propagation import ReaderRole, long_poll, reader_role
 from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError, StoreError
-from agatecross_core.ids import DaemonId, Millis, Offset, Version
+from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, Version
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.pacing import full_jitter
 from agatecross_core.routing.host_table import HostTable
@@ -21,7 +21,7 @@
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import DrainsLoaded, DrainStored, StoreReachability, TableInForce
-from ..relay_metrics import RelayMetrics
+from ..relay_metrics import MILLISECONDS_PER_SECOND, RelayMetrics
 from ..store_messages import (
     ConfigChanged,
     ConfigOrigin,
@@ -31,6 +31,7 @@
     FullConfigNeeded,
     LinksChanged,
     PeerRemoved,
+    PeerSource,
     StoreDrain,
 )
 
@@ -55,6 +56,7 @@
 # How often a daemon that forgot a peer checks whether the peer is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
+READ_FROM_STORE = PeerSource(ConfigOrigin.STORE, None, ZERO_MS)
 # Storing a drain is retried only while it matters: the upstream exits some seconds after its leave.
 STORE_DRAIN_ATTEMPTS = 8
 # A measured latency is reported to peers if it is below this share of the one they know.
@@ -133,17 +135,17 @@
 
     def _handle(self, message: StoreMessage) -> None:
         match message:
-            case ConfigReceived(_, blob, origin):
+            case ConfigReceived(_, blob, source):
                 try:
                     data = zlib.decompress(blob)
                 except zlib.error as error:
                     self.log.write_change(
-                        "config_malformed", source=origin.value, reason=str(error)
+                        "config_malformed", source=source.origin.value, reason=str(error)
                     )
                     return
-                self._apply_config(data, origin)
-            case DeltaReceived(delta, origin):
-                self._apply_config_delta(delta, origin)
+                self._apply_config(data, source)
+            case DeltaReceived(delta, source):
+                self._apply_config_delta(delta, source)
             case LinksChanged(open_links):
                 self.open_links = open_links
             case StoreDrain(me):
@@ -175,7 +177,7 @@
             return
         data, self.offset = answer
         if data is not None:
-            self._apply_config(data, ConfigOrigin.STORE)
+            self._apply_config(data, READ_FROM_STORE)
         if not self.version:
             # The store has no readable configuration: poll less often, since every daemon does.
             delay = min(MISSING_CONFIG_CAP_SECONDS, READER_CHECK_SECONDS * 2**self.missing_reads)
@@ -206,7 +208,7 @@
             return
         data, self.offset = answer
         if data is not None:
-            self._apply_config(data, ConfigOrigin.STORE)
+            self._apply_config(data, READ_FROM_STORE)
 
     async def _call_store(self, operation: str, call: Awaitable[T]) -> T | None:
         """Return the answer, or None on failure; logs only the first of consecutive failures."""
@@ -242,7 +244,7 @@
             delay = full_jitter(self.failures, STORE_RETRY_BASE, STORE_RETRY_CAP, self.rng)
             await asyncio.sleep((STORE_RETRY_BASE + delay) / 1000)
 
-    def _apply_config_delta(self, delta: ConfigDelta, origin: ConfigOrigin) -> None:
+    def _apply_config_delta(self, delta: ConfigDelta, source: PeerSource) -> None:
         if delta.version <= self.version:
             return
         try:
@@ -254,18 +256,23 @@
             if zlib.crc32(data) != delta.crc:
                 raise DeltaError("delta result does not match its checksum")
         except DeltaError as error:
-            self.log.write_change("config_delta_unfit", version=delta.version, reason=str(error))
+            self.log.write_change(
+                "config_delta_unfit",
+                version=delta.version,
+                peer=source.daemon_id or "",
+                reason=str(error),
+            )
             self.peers.put(FullConfigNeeded(delta.version))
             return
-        self._apply_config(data, origin, delta)
+        self._apply_config(data, source, delta)
 
     def _apply_config(
-        self, data: bytes, origin: ConfigOrigin, received: ConfigDelta | None = None
+        self, data: bytes, source: PeerSource, received: ConfigDelta | None = None
     ) -> None:
         try:
             table = self.decode(data)
         except MessageDecodeError as error:
-            self._report_unreadable(data, origin, error)
+            self._report_unreadable(data, source.origin, error)
             return
         if table.version <= self.version:
             return
@@ -273,16 +280,20 @@
             "config_in_force",
             version=table.version,
             was=self.version,
-            source=origin.value,
+            source=source.origin.value,
+            peer=source.daemon_id or "",
+            form="whole" if received is None else "delta",
+            behind_ms=int(source.behind),
             routes=sum(map(len, table.hosts.values())),
         )
         self._report_unknown_kinds(table)
         delta = received or self._delta_to(table.version, data)
         self.version, self.data = table.version, data
         self.metrics.version.set(table.version)
+        self.metrics.config_behind_seconds.observe(source.behind / MILLISECONDS_PER_SECOND)
         self.entry.put(TableInForce(table))
         blob = zlib.compress(data, COMPRESSION_LEVEL)
-        self.peers.put(ConfigChanged(table.version, blob, delta, origin))
+        self.peers.put(ConfigChanged(table.version, blob, delta, source.origin))
 
     def _report_unreadable(
         self, data: bytes, origin: ConfigOrigin, error: MessageDecodeError
