Pull a newer configuration until it is in force

A daemon that missed a push learnt of the change from a ping, asked one peer once, and repeated nothing: after a lost pull, or a ping from another region, it stayed behind until a later ping, which comes up to 10 s later and seldomer in a large fleet. After a delta that did not fit, every daemon asked the first daemon of its region, whether that had the version or not, once for each delta of a storm. Callers saw an older configuration in force.

Cause: the repair of a lost push was itself sent once, and hung on pings. The decision is an object of its own now (CatchUp): it keeps who told of which version, waits for the push, and pulls from the peer that failed the least until the version is in force.

feeding.feature "a change whose pushes are lost" failed on the code before (timed out after 15 s, the version was never pulled after one ping) and passes in 0.9 s. The tables of pulls test the new object. Not shown to be what the users saw.

--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -35,6 +35,41 @@
     Guards against two daemons that exchange the same unfit delta without an end.
     Then a daemon with version 7 that was sent a wrong delta to version 8 gets the whole version 8
 
+  # n1, n2 and n3 are of the north, s1 and s2 of the south. Events are TIME offer PEER VERSION, when a
+  # peer tells that it has a version; TIME unfit PEER VERSION, for a delta that does not fit; and
+  # TIME force VERSION. Nobody answers the pulls.
+  Scenario Outline: pulls: <guards against>
+    When daemon n1 with version <version> is told "<events>"
+    Then it asks "<peers>", first at <first> to <last> ms, with the base <base>
+
+    Examples:
+      | guards against                                       | version | events                                              | peers    | first | last | base |
+      | a pull to a silent peer that nobody repeats          | 7       | 0 offer n2 8                                        | n2 n2    | 100   | 300  | 7    |
+      | a second pull to the peer that did not answer        | 7       | 0 offer n2 8; 0 offer n3 9                          | n3 n2 n3 | 100   | 300  | 7    |
+      | a region that waits for a second ping of another     | 7       | 0 offer s1 8                                        | s1 s1    | 700   | 1100 | 7    |
+      | a pull across regions for what a near daemon has     | 7       | 0 offer s1 8; 100 offer n2 8                        | n2       | 100   | 300  | 7    |
+      | the same delta again, which does not fit             | 7       | 0 unfit n2 9                                        | n2       | 100   | 300  | 0    |
+      | a whole configuration for each delta of a storm      | 7       | 0 unfit n2 9; 100 force 8; 200 unfit n3 11          | n3       | 300   | 500  | 0    |
+      | a starting daemon that waits for a push              | 0       | 0 offer s1 8                                        | s1       | 0     | 100  | 0    |
+      | a newer version that is dropped with an older one    | 7       | 0 offer n2 8; 0 offer n3 9; 100 force 8             | n3       | 200   | 400  | 8    |
+
+  Scenario Outline: no pull: <guards against>
+    When daemon n1 with version 7 is told "<events>"
+    Then it asks nobody
+
+    Examples:
+      | guards against                               | events                                            |
+      | pulls of a push that is on its way           | 0 offer n2 8; 100 force 8                         |
+      | pulls of what is in force                    | 0 offer n2 7; 0 offer s1 6                        |
+      | whole configurations for deltas that cross   | 0 unfit n2 9; 100 force 9; 200 unfit n3 10; 300 force 10 |
+
+  Scenario: a change whose pushes are lost reaches a daemon of another region after one ping
+    Guards against a daemon that learns of a change once, and asks for it only after a later ping.
+    Given a platform fleet without pushes and pings
+    When the operator writes version 8 with route "/new/"
+    And d0 has version 8 in force and pings d2 once
+    Then every daemon has version 8 in force
+
   # Daemons: NAME REGION LATENCY [unserved] [leaving]. LATENCY is that of the store in ms, 0 while
   # unknown; an unserved daemon gets no answers from the store. The tested daemon is n1 of the north.
   Scenario Outline: readers: <guards against>
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -1,11 +1,14 @@
+import os
 import random
 import re
 from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
-from platform_steps import poll_until
+from platform_steps import poll_until, start_testbed
 
-from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta
+from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta, Ping
+from agatecross_core.distribution.catch_up import CatchUp
 from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.propagation import (
     ReaderRole,
@@ -17,6 +20,14 @@
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import ping_periods
+from agatecross_daemon.decision_log import DecisionLog
+from agatecross_daemon.store_messages import (
+    ConfigChanged,
+    ConfigOrigin,
+    ConfigSource,
+    DeltaReceived,
+)
+from agatecross_daemon.tasks import config_distributor, peers_task
 from agatecross_daemon.tasks.config_distributor import ConfigDistributor
 from agatecross_standins.platform_store import PlatformStoreStandIn
 
@@ -79,12 +90,28 @@
         self.sent.append(message)
 
 
+class RejectingStoreTask:
+    """Finds that no delta fits."""
+
+    def __init__(self):
+        self.distributor = None
+
+    def put(self, message):
+        if isinstance(message, DeltaReceived):
+            self.distributor.delta_unfit(message.delta.version)
+
+
 def make_distributor(name, peers):
     me = Endpoint(name, 1, 0, "10.0.0.1:1", "north", "north-a", "shop")
     directory = Directory(me)
-    directory.merge(replace(me, daemon_id=peer, address=f"10.0.0.2:{len(peer)}") for peer in peers)
+    directory.merge(
+        replace(me, daemon_id=peer, address=f"10.0.0.2:{number}")
+        for number, peer in enumerate(peers)
+    )
     links = {peer: RecordingLink() for peer in peers}
-    return ConfigDistributor(directory, links, None, None), links
+    store, log = RejectingStoreTask(), DecisionLog(os.open(os.devnull, os.O_WRONLY))
+    store.distributor = ConfigDistributor(directory, links, store, random.Random(1), log)
+    return store.distributor
 
 
 @then(
@@ -92,18 +119,62 @@
     "version 8"
 )
 def step_unfit_delta(context, old, new):
-    behind, links = make_distributor("n1", ["n2"])
-    behind.version = old
-    behind.pull_from_region(new)
-    (pull,) = links["n2"].sent
-    ahead, _ = make_distributor("n2", ["n1"])
+    behind, ahead = make_distributor("n1", ["n2"]), make_distributor("n2", ["n1"])
     ahead.version, ahead.blob = new, b"whole"
     ahead.delta = ConfigDelta(old, new, 0, (b"wrong",))
+    configuration = ConfigChanged(old, b"", None, ConfigSource(ConfigOrigin.STORE, None, 0.0))
+    behind.config_changed(configuration, (), 0.0)
+    pulls = []
+    behind.config_received(ahead.delta, pulls.append, "n2", 0.0)
+    for now in range(0, 1_000, 100):
+        behind.pull_if_due(float(now))
     answers = []
-    ahead.answer_pull(pull.version, answers.append)
+    ahead.answer_pull(pulls[0].version, answers.append)
     assert answers == [ConfigBlob(new, b"whole")], answers
 
 
+# The tested daemon is n1 of the north, which has version 7 in force, and is ticked each 100 ms.
+@when('daemon n1 with version {version:d} is told "{events}"')
+def step_told(context, version, events):
+    me = Endpoint("n1", 1, 0, "10.0.0.1:1", "north", "north-a", "shop")
+    peers = {
+        name: replace(me, daemon_id=name, region="north" if name[0] == "n" else "south")
+        for name in ("n2", "n3", "s1", "s2")
+    }
+    catch_up = CatchUp(me, random.Random(3))
+    catch_up.came_into_force(version, None, 0.0)
+    context.pulls = []
+    rows = [row.split() for row in events.split("; ")]
+    for now in range(0, 6_000, 100):
+        for at, kind, *words in rows:
+            if int(at) != now:
+                continue
+            if kind == "offer":
+                catch_up.version_offered(peers[words[0]], int(words[1]), float(now))
+            elif kind == "unfit":
+                catch_up.version_offered(peers[words[0]], int(words[1]), float(now))
+                catch_up.delta_unfit()
+            else:
+                assert kind == "force", kind
+                catch_up.came_into_force(int(words[0]), None, float(now))
+        for pull in catch_up.due(float(now)):
+            context.pulls.append((now, pull.peer, pull.base))
+
+
+@then('it asks "{peers}", first at {first:d} to {last:d} ms, with the base {base:d}')
+def step_asked(context, peers, first, last, base):
+    found = [peer for _, peer, _ in context.pulls]
+    expected = peers.split()
+    assert found[: len(expected)] == expected, context.pulls
+    assert first <= context.pulls[0][0] <= last, context.pulls
+    assert context.pulls[0][2] == base, context.pulls
+
+
+@then("it asks nobody")
+def step_asked_nobody(context):
+    assert not context.pulls, context.pulls
+
+
 @given('the daemons "{daemons}" of which "{reachable}" are reachable')
 def step_daemons(context, daemons, reachable):
     context.endpoints = []
@@ -209,3 +280,30 @@
 def step_ping_rate(context, rate):
     found = sum(1000 / period for period in context.periods.values())
     assert found <= rate, found
+
+
+def never_ping(region, peers):
+    return {peer.daemon_id: Millis(600_000) for peer in peers}
+
+
+@given("a platform fleet without pushes and pings")
+def step_fleet_without_pushes(context):
+    patches = (
+        mock.patch.object(config_distributor, "push_targets", lambda *_: ()),
+        mock.patch.object(peers_task, "ping_periods", never_ping),
+    )
+    for patch in patches:
+        patch.start()
+        context.add_cleanup(patch.stop)
+    start_testbed(context, False)
+
+
+@when("d{number:d} has version {version:d} in force and pings d{other:d} once")
+def step_ping_once(context, number, version, other):
+    sidecar = context.testbed.sidecars[number]
+
+    async def work():
+        await poll_until(lambda: sidecar.store.version == version, "the version from the store")
+        sidecar.peers.links[f"d{other}"].send(Ping(False, version))
+
+    context.testbed.run(work())
--- a/packages/agatecross-core/agatecross_core/distribution/baselines.py
+++ b/packages/agatecross-core/agatecross_core/distribution/baselines.py
@@ -23,7 +23,9 @@
         super().view_changed(members)
         self.readers = (self.me.daemon_id,)
 
-    def peer_version_received(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
+    def peer_version_received(
+        self, message: PeerVersion[Member], now: Millis
+    ) -> Iterator[FollowerAction]:
         """Ignore the versions of peers."""
         del message, now
         yield from ()
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -255,7 +255,9 @@
         self.read_failures += 1
         self.next_read_at = Millis(now + delay)
 
-    def peer_version_received(self, message: PeerVersion, now: Millis) -> Iterator[FollowerAction]:
+    def peer_version_received(
+        self, message: PeerVersion[Member], now: Millis
+    ) -> Iterator[FollowerAction]:
         """Pull from the peer if it has a newer version; report a different digest."""
         self.peer_heard_at = now
         if message.version > self.state.version:
--- a/packages/agatecross-core/agatecross_core/distribution/offers.py
+++ b/packages/agatecross-core/agatecross_core/distribution/offers.py
@@ -3,32 +3,54 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
 
-from ..ids import DaemonId, Digest, Version
-from ..members.records import Member
+from ..ids import DaemonId, DataCentreName, Digest, RegionName, Version
+
+
+class Peer(Protocol):
+    """A daemon and its place."""
+
+    @property
+    def daemon_id(self) -> DaemonId:
+        """Return the id of the daemon."""
+        ...
+
+    @property
+    def region(self) -> RegionName:
+        """Return the region of the daemon."""
+        ...
+
+    @property
+    def data_centre(self) -> DataCentreName:
+        """Return the data centre of the daemon."""
+        ...
+
+
+PeerT = TypeVar("PeerT", bound=Peer)
 
 
 @dataclass(frozen=True, slots=True)
-class PeerVersion:
+class PeerVersion(Generic[PeerT]):
     """The version in force at a peer."""
 
-    peer: Member
+    peer: PeerT
     version: Version
     digest: Digest
 
 
-class VersionOffers:
+class VersionOffers(Generic[PeerT]):
     """Newer versions that peers offer, at most one for each live member."""
 
-    def __init__(self, me: Member, rng: random.Random) -> None:
+    def __init__(self, me: PeerT, rng: random.Random) -> None:
         """Start without offers."""
         self.me = me
         self.rng = rng
-        self.offers: dict[DaemonId, PeerVersion] = {}
+        self.offers: dict[DaemonId, PeerVersion[PeerT]] = {}
         self.failures: dict[DaemonId, int] = {}
         self.refused: set[tuple[Version, Digest]] = set()
 
-    def add(self, offer: PeerVersion) -> None:
+    def add(self, offer: PeerVersion[PeerT]) -> None:
         """Store the newest offer of a peer."""
         self.offers[offer.peer.daemon_id] = offer
 
@@ -47,13 +69,13 @@
         self.offers = {name: o for name, o in self.offers.items() if o.version > version}
         self.refused = {row for row in self.refused if row[0] > version}
 
-    def retain_members(self, members: Iterable[Member]) -> None:
+    def retain_members(self, members: Iterable[PeerT]) -> None:
         """Forget peers that are no longer members."""
         live = {member.daemon_id for member in members}
         self.offers = {name: o for name, o in self.offers.items() if name in live}
         self.failures = {name: n for name, n in self.failures.items() if name in live}
 
-    def best_offer(self, version: Version) -> PeerVersion | None:
+    def best_offer(self, version: Version) -> PeerVersion[PeerT] | None:
         """Return an offer above `version`: fewest failures, then newest, then nearest peer."""
         newer = [
             offer
@@ -62,18 +84,18 @@
         ]
         return min(newer, key=self._order, default=None)
 
-    def choose_position_peer(self, members: Iterable[Member]) -> Member | None:
+    def choose_position_peer(self, members: Iterable[PeerT]) -> PeerT | None:
         """Return a peer to ask for its log position, at random among those with fewest failures."""
         peers = [m for m in members if m.daemon_id != self.me.daemon_id]
         fewest = min((self.failures.get(m.daemon_id, 0) for m in peers), default=0)
         best = [m for m in peers if self.failures.get(m.daemon_id, 0) == fewest]
         return self.rng.choice(best) if best else None
 
-    def _order(self, offer: PeerVersion) -> tuple[int, int, int, float]:
+    def _order(self, offer: PeerVersion[PeerT]) -> tuple[int, int, int, float]:
         failures = self.failures.get(offer.peer.daemon_id, 0)
         return failures, -offer.version, self._distance(offer.peer), self.rng.random()
 
-    def _distance(self, peer: Member) -> int:
+    def _distance(self, peer: PeerT) -> int:
         if peer.data_centre == self.me.data_centre:
             return 0
         return 1 if peer.region == self.me.region else 2
--- a/packages/agatecross-daemon/agatecross_daemon/store_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -17,8 +17,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerSource:
-    """The daemon that sent a configuration.
+class ConfigSource:
+    """The store, or the daemon that sent a configuration.
 
     `behind` is the time since this daemon learnt that a newer version exists, 0 if it did not know.
     """
@@ -34,7 +34,7 @@
 
     version: Version
     blob: bytes
-    source: PeerSource
+    source: ConfigSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,7 @@
     """A peer sent the delta from one configuration to the next."""
 
     delta: ConfigDelta
-    source: PeerSource
+    source: ConfigSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +52,7 @@
     version: Version
     blob: bytes
     delta: ConfigDelta | None
-    origin: ConfigOrigin
+    source: ConfigSource
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -1,12 +1,14 @@
 """Distributes configurations over the links between daemons; belongs to the peers task."""
 
+import random
 from collections.abc import Callable, Collection, Mapping
 
 from agatecross_adapters.hop_codec import encode_hop_message
 from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta, HopMessage, Pull
 from agatecross_core.constants import NO_VERSION
+from agatecross_core.distribution.catch_up import CatchUp
 from agatecross_core.distribution.propagation import push_targets
-from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Version
+from agatecross_core.ids import DaemonId, Millis, Version
 from agatecross_core.members.directory import Directory
 
 from ..decision_log import DecisionLog
@@ -15,16 +17,11 @@
     ConfigChanged,
     ConfigOrigin,
     ConfigReceived,
+    ConfigSource,
     DeltaReceived,
-    PeerSource,
 )
 from .peer_link import PeerLink
 
-MIN_PULL_INTERVAL = Millis(300)
-# Daemons of the same region deliver a change within this time unless the readers of the region are
-# gone; then a whole configuration is pulled over the link between regions.
-REMOTE_PULL_DELAY = Millis(700)
-
 ReplySender = Callable[[HopMessage], None]
 
 
@@ -36,39 +33,49 @@
         directory: Directory,
         links: Mapping[DaemonId, PeerLink],
         store: Sender[ConfigReceived | DeltaReceived],
+        rng: random.Random,
         log: DecisionLog,
     ) -> None:
         self.directory = directory
         self.links = links
         self.store = store
         self.log = log
-        self.version = Version(0)
+        self.version = NO_VERSION
         self.blob = b""
         self.delta: ConfigDelta | None = None
-        self.pulled_at = Millis(0)
-        self.behind_since: Millis | None = None
+        self.catch_up = CatchUp(directory.me, rng)
+        # The connection over which a peer was last heard works; another one may be silently dead.
+        self.reply_senders: dict[DaemonId, ReplySender] = {}
 
-    def config_changed(self, message: ConfigChanged, open_links: Collection[DaemonId]) -> None:
+    def config_changed(
+        self, message: ConfigChanged, open_links: Collection[DaemonId], now: Millis
+    ) -> None:
         """Store a configuration that came into force and push it to the selected peers."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
-        self.behind_since = None
-        if message.origin is ConfigOrigin.REGION:
+        source = message.source
+        self.catch_up.came_into_force(message.version, source.daemon_id, now)
+        if source.origin is ConfigOrigin.REGION:
             return
         frame = encode_hop_message(self.delta or ConfigBlob(self.version, self.blob))
         rows = self.directory.rows.values()
-        from_store = message.origin is ConfigOrigin.STORE
+        from_store = source.origin is ConfigOrigin.STORE
         for daemon_id in push_targets(self.directory.me, rows, open_links, from_store):
             link = self.links.get(daemon_id)
             if link is not None and link.connection is not None:
                 link.connection.send(frame)
 
     def config_received(
-        self, message: ConfigBlob | ConfigDelta, peer: DaemonId | None, now: Millis
+        self,
+        message: ConfigBlob | ConfigDelta,
+        send_reply: ReplySender,
+        peer: DaemonId | None,
+        now: Millis,
     ) -> None:
         """Pass a configuration from a peer to the store task if it is newer."""
         if message.version <= self.version:
             return
-        source = PeerSource(self._origin_of(peer), peer, self._behind(now))
+        source = ConfigSource(self._origin_of(peer), peer, self.catch_up.behind(now))
+        self.version_offered(message.version, send_reply, peer, now)
         if isinstance(message, ConfigDelta):
             self.store.put(DeltaReceived(message, source))
         else:
@@ -81,43 +88,42 @@
         elif self.version > version:
             send_reply(ConfigBlob(self.version, self.blob))
 
-    def pull_if_newer(
+    def version_offered(
         self, version: Version, send_reply: ReplySender, peer: DaemonId | None, now: Millis
     ) -> None:
-        """Pull a newer version from a peer; from another region only if no push arrived in time."""
-        if version <= self.version or now - self.pulled_at < MIN_PULL_INTERVAL:
+        """Record that a peer has a version; it is pulled if no push brings it in time."""
+        row = self.directory.rows.get(peer) if peer is not None else None
+        if row is None or version <= self.version:
             return
-        if self.behind_since is None:
-            self.behind_since = now
-        same_region = self._origin_of(peer) is ConfigOrigin.REGION
-        if same_region or now - self.behind_since > REMOTE_PULL_DELAY:
-            self.pulled_at = now
+        self.reply_senders[row.daemon_id] = send_reply
+        self.catch_up.version_offered(row, version, now)
+        self.pull_if_due(now)
+
+    def delta_unfit(self, version: Version) -> None:
+        """Pull the whole configuration from a peer that has the version of an unfit delta."""
+        self.catch_up.delta_unfit()
+        if self.catch_up.behind_since is None:
+            self.log.write_change(
+                "config_not_pulled", version=version, reason="sender of the delta is unknown"
+            )
+
+    def pull_if_due(self, now: Millis) -> None:
+        """Ask a peer for the newest version that peers have told of, if it is overdue."""
+        for pull in self.catch_up.due(now):
             self.log.write_change(
                 "config_pulled",
-                version=version,
+                version=pull.wanted,
                 was=self.version,
-                peer=peer or "",
-                behind_ms=int(self._behind(now)),
+                base=pull.base,
+                peer=pull.peer,
+                behind_ms=int(self.catch_up.behind(now)),
             )
-            send_reply(Pull(self.version))
-
-    def pull_from_region(self, version: Version) -> None:
-        """Request the whole configuration from the first reachable daemon of the region.
-
-        A pull that names the version in force could be answered by the same delta again.
-        """
-        me = self.directory.me
-        for row in self.directory.others():
-            link = self.links.get(row.daemon_id)
-            if row.region == me.region and link is not None and link.is_open:
-                link.send(Pull(NO_VERSION))
-                return
-        self.log.write_change(
-            "config_not_pulled", version=version, reason="no open link in the region"
-        )
+            self.reply_senders[pull.peer](Pull(pull.base))
 
-    def _behind(self, now: Millis) -> Millis:
-        return ZERO_MS if self.behind_since is None else Millis(now - self.behind_since)
+    def peer_removed(self, daemon_id: DaemonId) -> None:
+        """Drop what a daemon offered that is considered gone."""
+        self.reply_senders.pop(daemon_id, None)
+        self.catch_up.retain_peers(self.directory.others())
 
     def _origin_of(self, peer: DaemonId | None) -> ConfigOrigin:
         row = self.directory.rows.get(peer) if peer is not None else None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -49,7 +49,13 @@
 
 
 ConfigMessage = (
-    ReceivedAsk | ViewChanged | PeerVersion | Tick | RecordsRead | LogReadFailed | PullAnswered
+    ReceivedAsk
+    | ViewChanged
+    | PeerVersion[Member]
+    | Tick
+    | RecordsRead
+    | LogReadFailed
+    | PullAnswered
 )
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -140,7 +140,7 @@
         control: Sender[ControlAsk],
         log: LogService,
         view_subscribers: Iterable[Sender[ViewChanged]],
-        peer_versions: Sender[PeerVersion],
+        peer_versions: Sender[PeerVersion[Member]],
         strike_subscribers: Iterable[Sender[GossipReceived]] = (),
     ) -> None:
         self.swim = swim
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -108,7 +108,7 @@
             log,
         )
         self.server: asyncio.Server | None = None
-        self.config_distributor = ConfigDistributor(directory, self.links, store, log)
+        self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
         self.open_links: frozenset[DaemonId] = frozenset()
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
 
@@ -166,9 +166,9 @@
                         self.directory.update(reaches_store=reachable, store_latency=latency)
                     )
             case ConfigChanged():
-                self.config_distributor.config_changed(message, self.open_links)
+                self.config_distributor.config_changed(message, self.open_links, monotonic_ms())
             case FullConfigNeeded(version):
-                self.config_distributor.pull_from_region(version)
+                self.config_distributor.delta_unfit(version)
             case EndpointsRead(endpoints):
                 self._merge_endpoints(endpoints)
             case StrikesReported(strikes):
@@ -325,13 +325,13 @@
         match message:
             case Hello(_, _, version, endpoints):
                 self._merge_endpoints(endpoints)
-                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic_ms())
+                self.config_distributor.version_offered(version, send_reply, peer, monotonic_ms())
             case Endpoints(endpoints):
                 self._merge_endpoints(endpoints)
             case Ping(_, version):
-                self.config_distributor.pull_if_newer(version, send_reply, peer, monotonic_ms())
+                self.config_distributor.version_offered(version, send_reply, peer, monotonic_ms())
             case ConfigBlob() | ConfigDelta():
-                self.config_distributor.config_received(message, peer, monotonic_ms())
+                self.config_distributor.config_received(message, send_reply, peer, monotonic_ms())
             case Strikes(strikes):
                 self._record_strikes(strikes)
             case Pull(version):
@@ -345,6 +345,7 @@
             if link.down_since is not None and now - link.down_since > FORGET_PEER_AFTER:
                 self._forget_peer(link)
         self._check_open_links()
+        self.config_distributor.pull_if_due(now)
         self.inbound.cancel_orphans(now)
 
     def _check_open_links(self) -> None:
@@ -365,5 +366,6 @@
         self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
         self.directory.remove(link.daemon_id)
+        self.config_distributor.peer_removed(link.daemon_id)
         self._set_ping_periods()
         self.store.put(PeerRemoved(link.daemon_id))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -26,12 +26,12 @@
     ConfigChanged,
     ConfigOrigin,
     ConfigReceived,
+    ConfigSource,
     DeltaReceived,
     EndpointsRead,
     FullConfigNeeded,
     LinksChanged,
     PeerRemoved,
-    PeerSource,
     StoreDrain,
 )
 
@@ -56,7 +56,7 @@
 # How often a daemon that forgot a peer checks whether the peer is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
-READ_FROM_STORE = PeerSource(ConfigOrigin.STORE, None, ZERO_MS)
+READ_FROM_STORE = ConfigSource(ConfigOrigin.STORE, None, ZERO_MS)
 # Storing a drain is retried only while it matters: the upstream exits some seconds after its leave.
 STORE_DRAIN_ATTEMPTS = 8
 # A measured latency is reported to peers if it is below this share of the one they know.
@@ -244,7 +244,7 @@
             delay = full_jitter(self.failures, STORE_RETRY_BASE, STORE_RETRY_CAP, self.rng)
             await asyncio.sleep((STORE_RETRY_BASE + delay) / 1000)
 
-    def _apply_config_delta(self, delta: ConfigDelta, source: PeerSource) -> None:
+    def _apply_config_delta(self, delta: ConfigDelta, source: ConfigSource) -> None:
         if delta.version <= self.version:
             return
         try:
@@ -267,7 +267,7 @@
         self._apply_config(data, source, delta)
 
     def _apply_config(
-        self, data: bytes, source: PeerSource, received: ConfigDelta | None = None
+        self, data: bytes, source: ConfigSource, received: ConfigDelta | None = None
     ) -> None:
         try:
             table = self.decode(data)
@@ -293,7 +293,7 @@
         self.metrics.config_behind_seconds.observe(source.behind / MILLISECONDS_PER_SECOND)
         self.entry.put(TableInForce(table))
         blob = zlib.compress(data, COMPRESSION_LEVEL)
-        self.peers.put(ConfigChanged(table.version, blob, delta, source.origin))
+        self.peers.put(ConfigChanged(table.version, blob, delta, source))
 
     def _report_unreadable(
         self, data: bytes, origin: ConfigOrigin, error: MessageDecodeError
