Send configurations over a link in the order in which they came into force

Since frames cross in pieces, a short frame overtakes a long one. After a change of many routes, whose delta is longer than a piece, the deltas that follow arrived first and did not fit, and each made every daemon ask for the whole configuration. The cause is a channel that promised no order for messages that build on each other; they are sent in order among each other now, and still take turns with all other frames.

frames.feature "a change that overtakes the one it builds on" and "a graceful close that drops a later change" failed on the code before with the plain send: "b c e d a" for "b a c d e".

--- a/features/frames.feature
+++ b/features/frames.feature
@@ -2,7 +2,7 @@
   Guards against short answers that wait for a large one on the same connection, and against large
   answers that are lost, mixed up or taken for whole when the connection breaks.
 
-  # Frames are NAME:BYTES. The connection takes 40,000 bytes at a time, then blocks until the other end
+  # Frames are NAME:BYTES; those that are sent in order among each other begin with "=". The connection takes 40,000 bytes at a time, then blocks until the other end
   # has read them.
   Scenario Outline: <guards against>
     When a connection sends the frames "<frames>" and then <end>
@@ -16,6 +16,9 @@
       | a frame of exactly one piece                 | a:16384; b:16385; c:32768        | stays open       | a b c   |
       | a graceful close that drops what waits       | a:300000; b:10                   | closes gracefully | b a    |
       | a frame sent after the close                 | a:10; close:0; b:10              | stays open       | a       |
+      | a change that overtakes the one it builds on | =a:300000; b:10; =c:10; =d:90000; =e:10 | stays open | b a c d e |
+      | a change behind another kind of large frame  | a:300000; =b:10; =c:90000        | stays open       | b c a   |
+      | a graceful close that drops a later change   | =a:300000; =b:10                 | closes gracefully | a b    |
       | part of a frame that is taken for the whole  | a:10; b:300000                   | breaks           | a       |
 
   Scenario: frames of any size, split at any place
--- a/features/steps/frames_steps.py
+++ b/features/steps/frames_steps.py
@@ -79,8 +79,10 @@
         if name == "close":
             sender.close_gracefully()
             continue
+        send = sender.send_in_order if name.startswith("=") else sender.send
+        name = name.removeprefix("=")
         context.sizes[name] = int(size)
-        sender.send(content(name, int(size)))
+        send(content(name, int(size)))
     if end == "closes gracefully":
         sender.close_gracefully()
     if end == "breaks":
--- a/packages/agatecross-adapters/agatecross_adapters/frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/frames.py
@@ -6,6 +6,9 @@
 - whole frame: 2 bits `PrefixKind.WHOLE`, 30 bits length, the frame
 - piece: 2 bits `PIECE` or `LAST_PIECE`, 30 bits length, 4 bytes number of the frame, the piece
 
+Frames that build on each other, such as the changes of a configuration, are sent in order: the next
+one is not written before the last piece of the one before.
+
 The frame is complete with its last piece; one whose connection ends earlier is dropped.
 """
 
@@ -77,6 +80,9 @@
         self.write_blocked = False
         self.outgoing: deque[OutgoingFrame] = deque()
         self.next_number = 0
+        # The number of the frame sent in order that is being written in pieces, and those after it.
+        self.ordered_number: int | None = None
+        self.ordered: deque[bytes] = deque()
         self.incoming: dict[int, bytearray] = {}
         self.incoming_bytes = 0
         self.received_at = Millis(time.monotonic() * 1000)
@@ -99,6 +105,7 @@
         """Drop incomplete frames and report the connection as closed."""
         self.open = False
         self.outgoing.clear()
+        self.ordered.clear()
         self.incoming.clear()
         self.on_close(self)
 
@@ -141,14 +148,16 @@
         Frames of up to `PIECE_BYTES` arrive in the order in which they were sent; longer ones may
         arrive after frames that were sent later.
         """
-        if not self.open or self.half_closed or self.transport.is_closing():
-            return
-        if len(frame) <= PIECE_BYTES:
-            self.transport.write(_prefix(PrefixKind.WHOLE, len(frame)) + frame)
-            return
-        self.outgoing.append(OutgoingFrame(self.next_number, memoryview(frame)))
-        self.next_number = (self.next_number + 1) & FRAME_NUMBER_MASK
-        self._write_pieces()
+        if self._may_send():
+            self._start_frame(frame)
+            self._write_pieces()
+
+    def send_in_order(self, frame: bytes) -> None:
+        """Send one frame after the frames of any length that were sent in order before."""
+        if self._may_send():
+            self.ordered.append(frame)
+            self._start_ordered_frames()
+            self._write_pieces()
 
     @property
     def unsent(self) -> int:
@@ -156,6 +165,7 @@
         if not self.open:
             return 0
         waiting = sum(len(row.frame) - row.position for row in self.outgoing)
+        waiting += sum(map(len, self.ordered))
         return waiting + self.transport.get_write_buffer_size()
 
     def close_gracefully(self) -> None:
@@ -168,6 +178,23 @@
         """Close at once, dropping unsent data."""
         self.transport.abort()
 
+    def _may_send(self) -> bool:
+        return self.open and not self.half_closed and not self.transport.is_closing()
+
+    def _start_frame(self, frame: bytes) -> int | None:
+        """Write a short frame, or queue the pieces of a long one and return its number."""
+        if len(frame) <= PIECE_BYTES:
+            self.transport.write(_prefix(PrefixKind.WHOLE, len(frame)) + frame)
+            return None
+        number = self.next_number
+        self.next_number = (number + 1) & FRAME_NUMBER_MASK
+        self.outgoing.append(OutgoingFrame(number, memoryview(frame)))
+        return number
+
+    def _start_ordered_frames(self) -> None:
+        while self.ordered and self.ordered_number is None:
+            self.ordered_number = self._start_frame(self.ordered.popleft())
+
     def _write_pieces(self) -> None:
         while self.outgoing and not self.write_blocked:
             row = self.outgoing.popleft()
@@ -181,6 +208,9 @@
                 row.position = end
                 self.outgoing.append(row)
             self.transport.write(b"".join((head, number, piece)))
+            if is_last and row.number == self.ordered_number:
+                self.ordered_number = None
+                self._start_ordered_frames()
         if self.half_closed and not self.outgoing and not self.transport.is_closing():
             half_close(self.transport)
 
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -97,6 +97,9 @@
     strikes: tuple[Strike, ...]
 
 
+ORDERED_MESSAGES = (ConfigBlob, ConfigDelta)
+"""Messages that must arrive in the order in which they were sent: a delta fits its predecessor."""
+
 HopMessage = (
     Hello
     | Handover
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -62,7 +62,7 @@
         for daemon_id in push_targets(self.directory.me, rows, open_links, from_store):
             link = self.links.get(daemon_id)
             if link is not None and link.connection is not None:
-                link.connection.send(frame)
+                link.connection.send_in_order(frame)
 
     def config_received(
         self,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable, Collection
 
 from agatecross_adapters.frames import FrameConnection
-from agatecross_adapters.hop_codec import decode_hop_message, encode_hop_message
+from agatecross_adapters.hop_codec import decode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
+from agatecross_adapters.hop_sending import send_hop_message
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
 from agatecross_core.relay.model import Handover, RelayResult
@@ -31,7 +32,7 @@
 
     def send(self, message: HopMessage) -> None:
         """Send a message."""
-        self.connection.send(encode_hop_message(message))
+        send_hop_message(self.connection, message)
 
 
 class InboundLinks:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -7,8 +7,9 @@
 from enum import Enum
 
 from agatecross_adapters.frames import FrameConnection
-from agatecross_adapters.hop_codec import decode_hop_message, encode_hop_message
+from agatecross_adapters.hop_codec import decode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
+from agatecross_adapters.hop_sending import send_hop_message
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, Millis, Version
 from agatecross_core.members.ping_periods import PING_PERIOD
@@ -90,7 +91,7 @@
     def send(self, message: HopMessage) -> None:
         """Send a message if the connection is open."""
         if self.connection is not None:
-            self.connection.send(encode_hop_message(message))
+            send_hop_message(self.connection, message)
 
     def hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
         """Send a handover, or refuse it as not run if the connection is not open."""
