Read a long configuration to its end over a slow link

A daemon gave up on every call to the store whose whole answer was not there within 1.5 s, or 0.6 s after a long poll. A configuration of 2,500 routes has 440 KB, 590 KB in base64, and takes 1 to 1.4 s of a link of 3.5 Mbit/s that carries calls as well. A reader on such a machine took every change for a silent store and gave way to the next reader, mostly on such a machine too: the change came into force late everywhere, or once the turn had come to a machine with a fast link.

The time-out now bounds the time to the head of the answer; then a part must arrive each second. feeding.feature "a long configuration that is taken for a silent store" failed on the code before (the version was not in force after 15 s) and passes.

--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -131,3 +131,13 @@
     And the operator writes version 8 with route "/new/"
     Then every daemon has version 8 in force
     And no reader had asked the silent store to hold a read for more than 800 ms
+
+  # The record of 1,400 routes has 280 KB.
+  Scenario Outline: a store behind links of <mbit> Mbit/s: <guards against>
+    Given a platform fleet whose links to the store carry <mbit> Mbit/s each
+    When the operator writes versions 8 to <newest> with 1400 more routes
+    Then every daemon has version <newest> in force
+
+    Examples:
+      | guards against                                        | mbit | newest |
+      | a long configuration that is taken for a silent store | 1    | 8      |
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import os
 import random
 import re
@@ -17,7 +18,7 @@
     reader_role,
 )
 from agatecross_core.errors import DeltaError
-from agatecross_core.ids import Millis
+from agatecross_core.ids import Address, Millis
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import ping_periods
 from agatecross_daemon.decision_log import DecisionLog
@@ -29,6 +30,8 @@
 )
 from agatecross_daemon.tasks import config_distributor, peers_task, store_task
 from agatecross_daemon.tasks.config_distributor import ConfigDistributor
+from agatecross_standins.link_proxy import Link
+from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn
 
 
@@ -312,3 +315,39 @@
         sidecar.peers.links[f"d{other}"].send(Ping(False, version))
 
     context.testbed.run(work())
+
+
+@given("a platform fleet whose links to the store carry {mbit:d} Mbit/s each")
+def step_slow_store_links(context, mbit):
+    start_testbed(context, False)
+    testbed = context.testbed
+    _, _, store_port = testbed.store_address.rpartition(":")
+
+    async def work():
+        links = {}
+        for sidecar, port in zip(testbed.sidecars, testbed.ports.reserve(3), strict=True):
+            link = links[sidecar.settings.daemon_id] = Link(mbit, 1.0)
+            context.add_cleanup(lambda link=link: testbed.run(link.close()))
+            await link.serve(port, int(store_port))
+            sidecar.front_end.set_store_address(Address(f"127.0.0.1:{port}"))
+        readers = [row.settings.daemon_id for row in testbed.sidecars if row.store.is_reader()]
+        await poll_until(
+            lambda: all(links[name].carried.forward for name in readers),
+            "the readers to use their links",
+        )
+
+    testbed.run(work())
+
+
+@when("the operator writes versions {first:d} to {last:d} with {count:d} more routes")
+def step_write_many_routes(context, first, last, count):
+    routes = tuple((f"/more/{number}/", "safe", "s0") for number in range(count))
+
+    async def work():
+        for version in range(first, last + 1):
+            context.testbed.store.append_record(
+                "keyed.op", "config", config_record(version, routes)
+            )
+            await asyncio.sleep(0)
+
+    context.testbed.run(work())
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -4,6 +4,8 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -39,6 +41,17 @@
 BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "DELETE"))
 
 
+@dataclass(frozen=True, slots=True)
+class BodyTimeouts:
+    """Limits on the time for the body of a response, instead of one on the whole response.
+
+    A part must arrive every `stall` ms, and the body must be complete `total` ms after its head.
+    """
+
+    stall: Millis
+    total: Millis
+
+
 class ClientStream(IOStream):
     """Connection to a server; counts the bytes sent of the current request."""
 
@@ -68,10 +81,11 @@
 
 
 class ResponseCollector(HTTPMessageDelegate):
-    """Collects one response until it is complete."""
+    """Collects one response until it is complete; calls `on_part` after its head and each part."""
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, on_part: Callable[[], None]) -> None:
         self.method = method
+        self.on_part = on_part
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -89,21 +103,49 @@
         if not framed and not bodiless:
             # Such a body ends when the connection closes, so a truncated one would look complete.
             raise HTTPInputError("response without Content-Length or Transfer-Encoding")
+        self.on_part()
 
     def data_received(self, chunk: bytes) -> None:
         """Store one part of the body."""
         self.chunks.append(chunk)
+        self.on_part()
 
     def finish(self) -> None:
         """Mark the response as complete."""
         self.complete = True
 
 
+class BodyTimer:
+    """Moves the end of the time for a response while parts of its body arrive."""
+
+    def __init__(self, timer: asyncio.Timeout, limits: BodyTimeouts | None) -> None:
+        self.timer = timer
+        self.limits = limits
+        self.latest: float | None = None
+
+    def extend(self) -> None:
+        """Allow the time for the next part, unless the time for the whole body is over."""
+        if self.limits is None or self.timer.expired():
+            return
+        now = asyncio.get_running_loop().time()
+        if self.latest is None:
+            self.latest = now + self.limits.total / 1000
+        self.timer.reschedule(min(self.latest, now + self.limits.stall / 1000))
+
+
 class TornadoHttpClient:
-    """Sends requests over pooled connections; one connection carries one request at a time."""
+    """Sends requests over pooled connections; one connection carries one request at a time.
 
-    def __init__(self, max_idle: int = MAX_IDLE_CONNECTIONS_PER_PEER) -> None:
+    With `body_timeouts`, the timeout of a request bounds only the time to the head of its response.
+    """
+
+    def __init__(
+        self,
+        max_idle: int = MAX_IDLE_CONNECTIONS_PER_PEER,
+        body_timeouts: BodyTimeouts | None = None,
+    ) -> None:
         self.max_idle = max_idle
+        self.body_timeouts = body_timeouts
         self.idle: dict[Address, deque[ClientStream]] = {}
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
@@ -150,8 +192,9 @@
         stream.sent_bytes = 0
         keep = False
         try:
-            async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
-                response, keep = await self._exchange(address, stream, request)
+            async with asyncio.timeout(max(0.0, deadline - time.monotonic())) as timer:
+                extend = BodyTimer(timer, self.body_timeouts).extend
+                response, keep = await self._exchange(address, stream, request, extend)
             return response
         except TimeoutError as error:
             raise ExchangeTimeoutError(address, "no complete response in time") from error
@@ -166,7 +209,11 @@
             self._release(address, stream, keep)
 
     async def _exchange(
-        self, address: Address, stream: ClientStream, request: Request
+        self,
+        address: Address,
+        stream: ClientStream,
+        request: Request,
+        on_part: Callable[[], None],
     ) -> tuple[Response, bool]:
         connection = HTTP1Connection(stream, True, CONNECTION_PARAMETERS)
         headers = HTTPHeaders()
@@ -176,7 +223,7 @@
         if request.body or request.method not in BODILESS_METHODS:
             headers["Content-Length"] = str(len(request.body))
         start = RequestStartLine(request.method, request.path, "HTTP/1.1")
-        collector = ResponseCollector(request.method)
+        collector = ResponseCollector(request.method, on_part)
         try:
             write = connection.write_headers(start, headers, request.body)
             connection.finish()
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -91,23 +91,32 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigRead:
+    """The newest configuration that was read, if any, and the offset after it.
+
+    `left` is the number of later records that the read did not return.
+    """
+
+    data: bytes | None
+    offset: Offset
+    left: int = 0
+
+
 class FleetStore(Protocol):
     """The platform's store of the configuration and of the daemons' endpoint records.
 
     Every method raises `StoreError` when the store fails or sends an unusable response.
     """
 
-    async def newest_config(self) -> tuple[bytes | None, Offset]:
+    async def newest_config(self) -> ConfigRead:
         """Return the newest configuration, if any, and the offset from which to follow the log."""
         ...
 
-    async def next_config(
-        self, start: Offset, wait: Millis, timeout: Millis
-    ) -> tuple[bytes | None, Offset]:
+    async def next_config(self, start: Offset, wait: Millis, timeout: Millis) -> ConfigRead:
         """Wait up to `timeout` for an answer that the store may hold for `wait`.
 
-        Returns the newest configuration among them, if any, and the offset after them. Raises
-        `HistoryLostError` if the records at `start` are no longer retained.
+        Raises `HistoryLostError` if the records at `start` are no longer retained.
         """
         ...
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -8,7 +8,7 @@
 
 from agatecross_adapters.hop_codec import decode_endpoint, encode_endpoint
 from agatecross_adapters.hop_messages import ConfigDelta
-from agatecross_adapters.protocols import FleetStore
+from agatecross_adapters.protocols import ConfigRead, FleetStore
 from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.propagation import ReaderRole, long_poll, reader_role
 from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError, StoreError
@@ -175,9 +175,7 @@
         if answer is None:
             await self._wait_before_retry()
             return
-        data, self.offset = answer
-        if data is not None:
-            self._apply_config(data, READ_FROM_STORE)
+        self._apply_read(answer)
         if not self.version:
             # The store has no readable configuration: poll less often, since every daemon does.
             delay = min(MISSING_CONFIG_CAP_SECONDS, READER_CHECK_SECONDS * 2**self.missing_reads)
@@ -206,9 +204,12 @@
         if answer is None:
             await self._wait_before_retry()
             return
-        data, self.offset = answer
-        if data is not None:
-            self._apply_config(data, READ_FROM_STORE)
+        self._apply_read(answer)
+
+    def _apply_read(self, read: ConfigRead) -> None:
+        self.offset = read.offset
+        if read.data is not None:
+            self._apply_config(read.data, READ_FROM_STORE)
 
     async def _call_store(self, operation: str, call: Awaitable[T]) -> T | None:
         """Return the answer, or None on failure; logs only the first of consecutive failures."""
--- a/packages/agatecross-standins/agatecross_standins/link_proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/link_proxy.py
@@ -66,6 +66,8 @@
         self.carried = CarriedBytes()
         self.restored = asyncio.Event()
         self.restored.set()
+        self.servers: list[asyncio.Server] = []
+        self.connections: set[asyncio.Task[None]] = set()
 
     def set_switches(self, changes: dict[str, object]) -> None:
         """Set the given switches."""
@@ -78,12 +80,22 @@
     async def serve(self, listen: int, target: int) -> None:
         """Forward connections from one port to another."""
 
-        async def handle_connection(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await self._forward_connection(target, reader, writer)
+        def start_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            task = asyncio.ensure_future(self._forward_connection(target, reader, writer))
+            self.connections.add(task)
+            task.add_done_callback(self.connections.discard)
 
-        await asyncio.start_server(handle_connection, "127.0.0.1", listen, backlog=512)
+        self.servers.append(
+            await asyncio.start_server(start_connection, "127.0.0.1", listen, backlog=512)
+        )
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        for server in self.servers:
+            server.close()
+        for task in self.connections:
+            task.cancel()
+        await asyncio.gather(*self.connections, return_exceptions=True)
 
     async def _forward_connection(
         self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -94,10 +106,14 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(
-            self._forward_direction(reader, target_writer, self.forward, "forward"),
-            self._forward_direction(target_reader, writer, self.backward, "backward"),
-        )
+        try:
+            await asyncio.gather(
+                self._forward_direction(reader, target_writer, self.forward, "forward"),
+                self._forward_direction(target_reader, writer, self.backward, "backward"),
+            )
+        finally:
+            writer.close()
+            target_writer.close()
 
     async def _forward_direction(
         self,
@@ -115,6 +131,9 @@
                 await queue.put((direction.arrival_time(len(data), loop.time()), data))
         except OSError:
             pass
+        except asyncio.CancelledError:
+            writing.cancel()
+            raise
         await queue.put((loop.time() + direction.delay_seconds, b""))
         await writing
 
