--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -141,3 +141,4 @@
     Examples:
       | guards against                                        | mbit | newest |
       | a long configuration that is taken for a silent store | 1    | 8      |
+      | a reader that falls behind by reading every version   | 4    | 70     |
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -205,6 +205,10 @@
             await self._wait_before_retry()
             return
         self._apply_read(answer)
+        if answer.left > 1:
+            # Only the newest configuration is needed, and each takes seconds on a slow link.
+            self.log.write_change("config_records_skipped", offset=answer.offset, left=answer.left)
+            self.offset = None
 
     def _apply_read(self, read: ConfigRead) -> None:
         self.offset = read.offset
