Let more daemons read the configuration while the store answers only some

When the store was silent for readers, the next daemons took over two at a time, and each pair took 1.5 s to find out that it was not answered either. A change that was confirmed meanwhile came into force seconds late everywhere: callers got 404 on an added route, or an older route.

For each unserved daemon of the region two more read at once, at most 16, and they learn within 0.6 s whether the store answers. Daemons that were not answered try again every 5 s with a short call, so that the fleet returns to two readers.

--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -125,6 +125,36 @@
       | frequent reads by every reader                | n3 north 4; n2 north 4; n1 north 4  | n2 n1     | backup  |
       | more readers than needed                      | n1 north 4; n2 north 4; n3 north 4  | n2 n3     | none    |
 
+  # The first daemons in the order of their weights get no answer from the store.
+  Scenario Outline: readers of 40 daemons of which <unserved> are unserved: <guards against>
+    Then <readers> daemons read the store
+
+    Examples:
+      | guards against                                | unserved | readers |
+      | more reads than needed                        | 0        | 2       |
+      | readers that try a silent store one by one    | 1        | 4       |
+      | the same after several have failed            | 3        | 8       |
+      | a fleet that reads at once                    | 20       | 16      |
+      | a whole fleet that asks a store that is down  | 40       | 2       |
+
+  # The store falls silent for the first daemons just after the leading one began its long poll, and the
+  # operator changes the configuration. Times are those after which a served daemon reads.
+  Scenario Outline: a store that is silent for <silent> readers in a row: <guards against>
+    Then with a change due within 3000 ms, a daemon that is served reads it after at most <reads> ms
+
+    Examples:
+      | guards against                                   | silent | reads |
+      | a bound that holds with one silent reader only   | 1      | 2700  |
+      | the same with both readers silent                | 2      | 2700  |
+      | readers that take over one after the other       | 4      | 2700  |
+      | a change that is late by many seconds            | 12     | 3600  |
+
+  Scenario: a daemon that the store answers again may read again
+    Guards against daemons that are excluded for minutes because one call to the store failed.
+    Given a platform fleet without pushes and pings, of which the north reads the store
+    When a call of d2 to the store has failed
+    Then every daemon knows that the store answers d2
+
   Scenario Outline: pings of <near> daemons of the region and <remote> of another: <guards against>
     Then a daemon pings each near one every <near_ms> ms and each remote one every <remote_ms> ms
     And it sends at most <rate> idle pings a second
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -12,6 +12,7 @@
 from agatecross_core.distribution.catch_up import CatchUp
 from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.propagation import (
+    ANSWER_MARGIN,
     ConfigOrigin,
     ReaderRole,
     long_poll,
@@ -24,6 +25,7 @@
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import ping_periods
 from agatecross_daemon.decision_log import DecisionLog
+from agatecross_daemon.relay_messages import StoreReachability
 from agatecross_daemon.store_messages import (
     ConfigChanged,
     ConfigSource,
@@ -31,6 +33,7 @@
 )
 from agatecross_daemon.tasks import config_distributor, peers_task, store_task
 from agatecross_daemon.tasks.config_distributor import ConfigDistributor
+from agatecross_daemon.tasks.store_task import READER_CHECK_SECONDS
 from agatecross_standins.link_proxy import Link
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn
@@ -264,6 +267,81 @@
     assert found.value == role, found
 
 
+def make_unserved_region(unserved, count=40):
+    """Return endpoints of one region in the order of their weights; the first are unserved."""
+    me = Endpoint("n0", 1, 0, "10.0.0.1:1", "north", "north-a", "shop", store_latency=Millis(4))
+    names = sorted((f"n{i}" for i in range(count)), key=reader_weight)
+    return [
+        replace(me, daemon_id=name, reaches_store=number >= unserved)
+        for number, name in enumerate(names)
+    ]
+
+
+def roles(rows):
+    names = frozenset(row.daemon_id for row in rows)
+    return {row.daemon_id: reader_role(row, rows, names) for row in rows}
+
+
+@then("{readers:d} daemons read the store")
+def step_reader_count(context, readers):
+    rows = make_unserved_region(int(context.active_outline["unserved"]))
+    found = sum(role is not ReaderRole.NONE for role in roles(rows).values())
+    assert found == readers, found
+
+
+@then(
+    "with a change due within {due:d} ms, a daemon that is served reads it after at most "
+    "{limit:d} ms"
+)
+def step_takeover(context, due, limit):
+    silent = int(context.active_outline["silent"])
+    rows = make_unserved_region(0)
+    started, failed = {}, set()
+    for now in range(0, 20_000, 50):
+        for row in rows[:silent]:
+            name = row.daemon_id
+            if name in started and now >= started[name][1]:
+                failed.add(name)
+        rows = [replace(row, reaches_store=row.daemon_id not in failed) for row in rows]
+        for name, role in roles(rows).items():
+            if role is ReaderRole.NONE or name in started:
+                continue
+            # Readers that join later notice their role after a while and read the newest record.
+            joined = now + (READER_CHECK_SECONDS * 1000 if now else 0)
+            known = long_poll(role, Millis(due)).timeout if not now else ANSWER_MARGIN
+            started[name] = (joined, joined + known)
+        served = [started[row.daemon_id][0] for row in rows[silent:] if row.daemon_id in started]
+        # Those that read from the start hold a poll that the change answers at once.
+        if served:
+            break
+    assert min(served) <= limit, (served, now)
+
+
+@when("a call of d{number:d} to the store has failed")
+def step_call_failed(context, number):
+    store = context.testbed.sidecars[number].store
+
+    async def work():
+        store.failures = 1
+        store.peers.put(StoreReachability(False, store.latency))
+        await wait_for_reachability(context.testbed, number, False)
+
+    context.testbed.run(work())
+
+
+@then("every daemon knows that the store answers d{number:d}")
+def step_knows_store(context, number):
+    context.testbed.run(wait_for_reachability(context.testbed, number, True))
+
+
+async def wait_for_reachability(testbed, number, expected):
+    directories = [sidecar.peers.directory for sidecar in testbed.sidecars]
+    await poll_until(
+        lambda: all(row.rows[f"d{number}"].reaches_store is expected for row in directories),
+        "the reachability of the store",
+    )
+
+
 @when("the store falls silent for the daemons that read it")
 def step_silent_for_readers(context):
     testbed = context.testbed
@@ -330,6 +408,8 @@
         mock.patch.object(config_distributor, "push_targets", lambda *_: ()),
         mock.patch.object(peers_task, "ping_periods", never_ping),
         mock.patch.object(store_task, "reader_role", north_reads),
+        # A later reading of the announcements shows as well that the store answers.
+        mock.patch.object(store_task, "ANNOUNCEMENT_READ_DELAYS_SECONDS", (0.0,)),
     )
     for patch in patches:
         patch.start()
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -245,7 +245,7 @@
 
 def use_listing(data):
     store = PlatformStore("127.0.0.1:1", OneAnswerClient(data))
-    asyncio.run(store.newest_config())
+    asyncio.run(store.newest_config(Millis(2)))
 
 
 def use_settings(data):
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -109,10 +109,14 @@
     Every method raises `StoreError` when the store fails or sends an unusable response.
     """
 
-    async def newest_config(self) -> ConfigRead:
+    async def newest_config(self, timeout: Millis) -> ConfigRead:
         """Return the newest configuration, if any, and the offset from which to follow the log."""
         ...
 
+    async def check(self) -> None:
+        """Make a short call that changes nothing, to learn whether the store answers."""
+        ...
+
     async def next_config(self, start: Offset, wait: Millis, timeout: Millis) -> ConfigRead:
         """Wait up to `timeout` for an answer that the store may hold for `wait`.
 
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -19,14 +19,19 @@
 TAKEOVER_TIME = Millis(600)
 # An answer of a slow store takes 60 times the usual 4 ms, and one lost packet 200 to 300 ms more.
 ANSWER_MARGIN = Millis(600)
+# Readers that join for each one that the store does not answer. The next in turn are likely to have
+# the same trouble, and a change must not wait for one after the other.
+READERS_PER_UNSERVED = 2
+# Bounds the calls to a store that answers nobody.
+MAX_READERS = 16
 # Limits the reads of a store whose changes must be in force within a second or less.
 MIN_LONG_POLL_WAIT = Millis(200)
 # A backup reader covers the death of the leading one, which its peers notice by themselves.
 BACKUP_POLL_WAIT = Millis(2_500)
 
 
-# A change of 1,400 routes has 26 KB as a delta, which takes 0.25 s to send four times over a link of
-# 3.5 Mbit/s, beside calls. A region of 650 daemons has five levels.
+# A change of 1,400 routes has 26 KB as a delta. On a link of 3.5 Mbit/s it takes 0.25 s to send it
+# four times, beside calls. A region of 650 daemons has five levels.
 PUSH_FANOUT = 4
 
 
@@ -78,10 +83,13 @@
     reachable_rows = _reachable_endpoints(me, rows, reachable)
     eligible = [row for row in reachable_rows if _may_read(row)]
     nearest = _nearest_region(eligible)
+    count = READERS_PER_REGION
     if nearest is None:
         eligible, nearest = reachable_rows, me.region
+    else:
+        count = _reader_count(row for row in reachable_rows if row.region == nearest)
     candidates = [row for row in eligible if row.region == nearest]
-    readers = _select_readers_in(candidates, nearest)
+    readers = select_readers((row.daemon_id for row in candidates), count)
     if me.daemon_id not in readers:
         return ReaderRole.NONE
     has_spare = len(candidates) > len(readers)
@@ -133,6 +141,6 @@
     return min(timed)[1] if timed else None
 
 
-def _select_readers_in(rows: Iterable[Endpoint], region: RegionName) -> tuple[DaemonId, ...]:
-    ids = (row.daemon_id for row in rows if row.region == region)
-    return select_readers(ids, READERS_PER_REGION)
+def _reader_count(rows: Iterable[Endpoint]) -> int:
+    unserved = sum(not row.reaches_store for row in rows)
+    return min(MAX_READERS, READERS_PER_REGION + READERS_PER_UNSERVED * unserved)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -11,6 +11,7 @@
 from agatecross_adapters.protocols import ConfigRead, FleetStore
 from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.propagation import (
+    ANSWER_MARGIN,
     ConfigOrigin,
     ReaderRole,
     long_poll,
@@ -48,6 +49,8 @@
 # from the daemons of their region report one sooner.
 NON_READER_POLL_SECONDS = 30.0
 NON_READER_RETRY_SECONDS = 4.0
+# A daemon that the store did not answer tries again this often, so that it can be a reader again.
+UNSERVED_CHECK_SECONDS = 5.0
 READER_CHECK_SECONDS = 0.25
 # Longest pause between two reads of a store that holds no configuration that can be read.
 MISSING_CONFIG_CAP_SECONDS = 2.0
@@ -57,6 +60,8 @@
 # are open within 200 ms of the start; a caller's shortest time limit is a few times longer.
 PEER_CONFIG_WAIT_SECONDS = 0.5
 START_POLL_SECONDS = 0.05
+# A starting daemon has no other daemon that could read for it.
+START_READ_TIMEOUT = Millis(1_500)
 # How often a daemon that forgot a peer checks whether the peer is announced again.
 ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
@@ -175,7 +180,10 @@
     async def _read_newest(self) -> None:
         """Wait until a read is due, then read the newest configuration."""
         await self._wait_until_read_due()
-        answer = await self._call_store("newest_config", self.store.newest_config())
+        # A reader takes over from one that the store does not answer, so it must learn quickly
+        # whether it is answered itself.
+        timeout = ANSWER_MARGIN if self.version else START_READ_TIMEOUT
+        answer = await self._call_store("newest_config", self.store.newest_config(timeout))
         if answer is None:
             await self._wait_before_retry()
             return
@@ -191,9 +199,17 @@
             return
         self.offset = None
         left = NON_READER_POLL_SECONDS * self.rng.uniform(0.8, 1.2)
+        check_in = self._next_check()
         while left > 0 and not self.is_reader():
             await asyncio.sleep(READER_CHECK_SECONDS)
             left -= READER_CHECK_SECONDS
+            check_in -= READER_CHECK_SECONDS
+            if self.failures and check_in <= 0:
+                await self._call_store("check", _true_after(self.store.check()))
+                check_in = self._next_check()
+
+    def _next_check(self) -> float:
+        return UNSERVED_CHECK_SECONDS * self.rng.uniform(0.8, 1.2)
 
     async def _read_next(self, offset: Offset, role: ReaderRole) -> None:
         poll = long_poll(role, self.apply_within)
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -111,7 +111,9 @@
                 if self.switches.endless_value_bytes
                 else self._newest_response(topic)
             )
-        return await self._read_response(topic, int(fields["from"]), int(fields.get("waitMs", 0)))
+        most = min(MAX_PAGE_BYTES, 1024 * int(fields.get("maxKilobytes", 1024)))
+        wait_ms = int(fields.get("waitMs", 0))
+        return await self._read_response(topic, int(fields["from"]), wait_ms, most)
 
     def _append_response(self, topic: Topic, body: bytes) -> Response:
         offset = topic.end
@@ -137,7 +139,7 @@
         body = json.dumps({"items": [row], "more": True, "end": self.calls}).encode()
         return Response(200, JSON_HEADERS, body)
 
-    async def _read_response(self, topic: Topic, start: int, wait_ms: int) -> Response:
+    async def _read_response(self, topic: Topic, start: int, wait_ms: int, most: int) -> Response:
         if start < topic.first:
             return Response(410, JSON_HEADERS, json.dumps({"firstOffset": topic.first}).encode())
         if start >= topic.end and wait_ms:
@@ -148,6 +150,6 @@
         body = b""
         for row in rows:
             body += len(row).to_bytes(LENGTH_BYTES, "big") + row
-            if len(body) >= MAX_PAGE_BYTES:
+            if len(body) >= most:
                 break
         return Response(200, (), head + body)
