--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -465,7 +465,8 @@
 
 
 @then(
-    "reading {size:d} KB again and again takes a daemon that is no reader at most {rate:d} KB a second"
+    "reading {size:d} KB again and again takes a daemon that is no reader at most {rate:d} KB a "
+    "second"
 )
 def step_poll_rate(context, size, rate):
     found = size * 4 / 3 / store_task.NON_READER_POLL_SECONDS
