Prefer daemons with fast links as readers and at the top of the push tree

Readers, relays and inner daemons of the tree were chosen by the hash of their id alone. A small machine needs more than a second to read a configuration of 440 KB, beside its calls, and the change is due everywhere within 3 s.

Each daemon announces the rate of its link, a setting that the platform's template fills in. Rates are compared by powers of four, so that equal machines still share the work by hash. The rows "a reader whose link a long change fills" and "a fast link that stays idle" fail without the new order.

--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -70,7 +70,7 @@
     And d0 has version 8 in force and pings d2 once
     Then every daemon has version 8 in force
 
-  # Daemons: NAME REGION LATENCY [unserved] [leaving]. LATENCY is that of the store in ms, 0 while
+  # Daemons: NAME REGION LATENCY [unserved] [leaving] [RATE of its link in Mbit/s]. LATENCY is that of the store in ms, 0 while
   # unknown; an unserved daemon gets no answers from the store. The tested daemon is n1 of the north.
   Scenario Outline: readers: <guards against>
     Given the daemons "<daemons>" of which "<reachable>" are reachable
@@ -124,6 +124,9 @@
       | a wait like a backup's without a third daemon | n1 north 4; n2 north 4; s1 south 20 | n2 s1     | leading |
       | frequent reads by every reader                | n3 north 4; n2 north 4; n1 north 4  | n2 n1     | backup  |
       | more readers than needed                      | n1 north 4; n2 north 4; n3 north 4  | n2 n3     | none    |
+      | a reader whose link a long change fills       | n1 north 4 70mbit; n2 north 4 3mbit; n3 north 4 3mbit | n2 n3 | leading |
+      | a fast link that stays idle                   | n2 north 4 3mbit; n3 north 4 70mbit; n1 north 4 70mbit | n3 n1 | none |
+      | one daemon that always reads for the others   | n1 north 4 80mbit; n2 north 4 70mbit; n3 north 4 70mbit | n2 n3 | none |
 
   # The first daemons in the order of their weights get no answer from the store.
   Scenario Outline: readers of 40 daemons of which <unserved> are unserved: <guards against>
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -187,6 +187,7 @@
     context.endpoints = []
     for text in daemons.split("; "):
         name, region, latency, *flags = text.split()
+        rates = [int(flag.removesuffix("mbit")) for flag in flags if flag.endswith("mbit")]
         endpoint = Endpoint(
             name, 1, 0, f"10.0.0.1:{len(context.endpoints)}", region, f"{region}-a", "shop"
         )
@@ -196,6 +197,7 @@
                 store_latency=Millis(float(latency)),
                 reaches_store="unserved" not in flags,
                 leaving="leaving" in flags,
+                link_rate=rates[0] if rates else 0,
             )
         )
     context.reachable = frozenset(reachable.split()) - {"-"}
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -106,6 +106,7 @@
 }
 """Type and number of the fields after the tag; a later release may append fields."""
 
+# Earlier releases send no rate of the link, which follows these fields.
 ENDPOINT_FIELD_COUNT = 15
 RESULT_FIELD_COUNT = 7
 RESPONSE_FIELD_COUNT = 3
@@ -329,6 +330,7 @@
         endpoint.leaving,
         endpoint.reaches_store,
         int(endpoint.store_latency),
+        endpoint.link_rate,
     )
 
 
@@ -336,6 +338,8 @@
     fields: EndpointFields = msgspec.convert(all_fields[:ENDPOINT_FIELD_COUNT], EndpointFields)
     daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
     state, slots, cold, leaving, reaches_store, store_latency = fields[9:]
+    rest = all_fields[ENDPOINT_FIELD_COUNT:]
+    link_rate = msgspec.convert(rest[0], Count) if rest else 0
     if (message := check_address(address)) is not None:
         raise MessageDecodeError(f"endpoint: {message}")
     return Endpoint(
@@ -355,4 +359,5 @@
         leaving,
         reaches_store,
         Millis(store_latency),
+        link_rate,
     )
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -12,7 +12,7 @@
 from ..constants import READERS_PER_REGION
 from ..ids import DaemonId, Millis, RegionName
 from ..members.directory import Endpoint
-from .readers import reader_weight, select_readers
+from .readers import reader_weight
 
 # After the first reader has found the store silent, the next reader learns of it, reads the store
 # and pushes the change within this time, over a link between regions with one lost packet.
@@ -89,7 +89,7 @@
     else:
         count = _reader_count(row for row in reachable_rows if row.region == nearest)
     candidates = [row for row in eligible if row.region == nearest]
-    readers = select_readers((row.daemon_id for row in candidates), count)
+    readers = [row.daemon_id for row in sorted(candidates, key=_read_order)[:count]]
     if me.daemon_id not in readers:
         return ReaderRole.NONE
     has_spare = len(candidates) > len(readers)
@@ -120,10 +120,18 @@
 
 def _push_order(rows: Iterable[Endpoint]) -> list[DaemonId]:
     """Return the daemons of one region, those that may read the store first, readers on top."""
-    ordered = sorted(rows, key=lambda row: (not _may_read(row), reader_weight(row.daemon_id)))
+    ordered = sorted(rows, key=lambda row: (not _may_read(row), _read_order(row)))
     return [row.daemon_id for row in ordered]
 
 
+def _read_order(row: Endpoint) -> tuple[int, bytes]:
+    """Return the sort key of readers: first the fastest links, by powers of four, then the weight.
+
+    A configuration of 2,500 routes takes a link of 3.5 Mbit/s more than a second to read.
+    """
+    return -((row.link_rate.bit_length() + 1) // 2), reader_weight(row.daemon_id)
+
+
 def _may_read(row: Endpoint) -> bool:
     return row.reaches_store and not row.leaving
 
--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -25,6 +25,7 @@
     is unknown; `born` is its start time in Unix milliseconds; `cold` is its remaining warm-up time.
     `reaches_store` tells whether the daemon recently reached the platform's store; `store_latency`
     is the store's shortest response time in whole milliseconds, or 0 while it has not answered.
+    `link_rate` is the rate of the daemon's own link in Mbit/s, or 0 if it is unknown.
     Durations are encoded in whole milliseconds and must be whole here too, so that a daemon and its
     peers hold the same description of it.
     """
@@ -44,6 +45,7 @@
     leaving: bool = False
     reaches_store: bool = True
     store_latency: Millis = ZERO_MS
+    link_rate: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -223,6 +223,7 @@
         settings.region,
         settings.data_centre,
         settings.service,
+        link_rate=settings.link_rate,
     )
     directory = Directory(own_endpoint)
     entry_mailbox: DirectMailbox[EntryMessage] = DirectMailbox()
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -27,7 +27,13 @@
 DURATION_KEY = Key(str, required=True, format_check=check_duration)
 ADDRESS_KEY = Key(str, required=True, format_check=check_address)
 TABLE_KEYS: Mapping[str, Mapping[str, Key]] = {
-    "sidecar": {"id": NAME_KEY, "region": NAME_KEY, "data_centre": NAME_KEY, "seed": Key(int)},
+    "sidecar": {
+        "id": NAME_KEY,
+        "region": NAME_KEY,
+        "data_centre": NAME_KEY,
+        "link_mbps": Key(float, low=0.0, high=1_000_000.0),
+        "seed": Key(int),
+    },
     "listen": {
         "callers": ADDRESS_KEY,
         "peers": ADDRESS_KEY,
@@ -66,7 +72,7 @@
 
     `announced` is the address at which peers reach the listener at `peers`. `apply_within` is the
     time in milliseconds from the store's answer to the operator until a configuration is in force
-    on every daemon.
+    on every daemon. `link_rate` is the rate of the daemon's own link in Mbit/s, 0 if it is unknown.
     """
 
     daemon_id: DaemonId
@@ -86,6 +92,7 @@
     announced: Address
     apply_within: Millis
     seed: int | None = None
+    link_rate: int = 0
 
 
 def is_sidecar_settings(decoded: DecodedDocument) -> bool:
@@ -140,4 +147,5 @@
         Address(listen.get("peers_announced", listen["peers"])),
         parse_duration(values["store"].get("apply_within", DEFAULT_APPLY_WITHIN)),
         sidecar.get("seed"),
+        int(sidecar.get("link_mbps", 0)),
     )
