--- a/features/feeding.feature
+++ b/features/feeding.feature
@@ -44,14 +44,14 @@
 
     Examples:
       | guards against                                       | version | events                                              | peers    | first | last | base |
-      | a pull to a silent peer that nobody repeats          | 7       | 0 offer n2 8                                        | n2 n2    | 100   | 300  | 7    |
-      | a second pull to the peer that did not answer        | 7       | 0 offer n2 8; 0 offer n3 9                          | n3 n2 n3 | 100   | 300  | 7    |
+      | a pull to a silent peer that nobody repeats          | 7       | 0 offer n2 8                                        | n2 n2    | 300   | 500  | 7    |
+      | a second pull to the peer that did not answer        | 7       | 0 offer n2 8; 0 offer n3 9                          | n3 n2 n3 | 300   | 500  | 7    |
       | a region that waits for a second ping of another     | 7       | 0 offer s1 8                                        | s1 s1    | 700   | 1100 | 7    |
-      | a pull across regions for what a near daemon has     | 7       | 0 offer s1 8; 100 offer n2 8                        | n2       | 100   | 300  | 7    |
-      | the same delta again, which does not fit             | 7       | 0 unfit n2 9                                        | n2       | 100   | 300  | 0    |
-      | a whole configuration for each delta of a storm      | 7       | 0 unfit n2 9; 100 force 8; 200 unfit n3 11          | n3       | 300   | 500  | 0    |
+      | a pull across regions for what a near daemon has     | 7       | 0 offer s1 8; 100 offer n2 8                        | n2       | 300   | 500  | 7    |
+      | the same delta again, which does not fit             | 7       | 0 unfit n2 9                                        | n2       | 300   | 500  | 0    |
+      | a whole configuration for each delta of a storm      | 7       | 0 unfit n2 9; 100 force 8; 200 unfit n3 11          | n3       | 400   | 700  | 0    |
       | a starting daemon that waits for a push              | 0       | 0 offer s1 8                                        | s1       | 0     | 100  | 0    |
-      | a newer version that is dropped with an older one    | 7       | 0 offer n2 8; 0 offer n3 9; 100 force 8             | n3       | 200   | 400  | 8    |
+      | a newer version that is dropped with an older one    | 7       | 0 offer n2 8; 0 offer n3 9; 100 force 8             | n3       | 400   | 600  | 8    |
 
   Scenario Outline: no pull: <guards against>
     When daemon n1 with version 7 is told "<events>"
--- a/packages/agatecross-core/agatecross_core/distribution/catch_up.py
+++ b/packages/agatecross-core/agatecross_core/distribution/catch_up.py
@@ -14,9 +14,9 @@
 from ..members.directory import Endpoint
 from .offers import PeerVersion, VersionOffers
 
-# Pushes within a region arrive within this time; a delta that does not fit is mostly followed by
-# one of the other reader that does.
-NEAR_PULL_DELAY = Millis(150)
+# A push of a long change is passed on over three levels of the tree within this time; pulls before
+# would load the same links. A delta that does not fit is mostly followed by one that does.
+NEAR_PULL_DELAY = Millis(400)
 # Daemons of the same region deliver a change within this time unless the readers of the region are
 # gone; then it is pulled over the link between regions.
 REMOTE_PULL_DELAY = Millis(700)
