Keep to the requests a second that an upstream names

An upstream in need names in its answers how many requests a second it takes from all daemons together. Nothing read it: the daemon next to it started calls as long as slots were free, and upstreams that asked for less got up to 1.8 times of what they had named.

The daemon next to the upstream keeps the limit in front of its slots, as every request passes it; calls that would wait too long are refused at once, and the capacity that it reports to the others follows the limit, so that calls go where there is room. Handovers carry the limit that their sender was told, for a daemon that has just started. limits.feature "a limit binds the whole fleet" failed on the code before (751 calls in 4 s of 125); the other rows test objects that are new.

--- a/packages/agatecross-adapters/agatecross_adapters/header_names.py
+++ b/packages/agatecross-adapters/agatecross_adapters/header_names.py
@@ -9,7 +9,8 @@
 
     The `stamp` field proves that an upstream made the response, the `not_run` field marks a
     refusal by an upstream, `expected_instance` names the instance that a request is for, and the
-    `time_left` field holds milliseconds.
+    `time_left` field holds milliseconds. With `limit` an upstream names how many requests it takes
+    per second, and with `leaving` it says that it is about to end.
     """
 
     call_id: bytes
@@ -19,3 +20,5 @@
     not_run: bytes
     caller_service: bytes
     instance: bytes
+    limit: bytes
+    leaving: bytes
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -3,6 +3,7 @@
 Each message is an array of its tag and its fields in order.
 """
 
+import math
 import zlib
 from collections.abc import Mapping
 from enum import IntEnum
@@ -164,6 +165,7 @@
                 request.target,
                 request.headers,
                 request.body,
+                message.upstream_limit,
             )
         case Result(handover_id, result):
             return (Tag.RESULT, handover_id, *_result_fields(result))
@@ -212,7 +214,7 @@
     fields: Any = msgspec.convert(all_fields[:count], field_types)
     match tag:
         case Tag.HANDOVER:
-            return _handover_from_fields(fields)
+            return _handover_from_fields(fields, all_fields[count:])
         case Tag.RESULT:
             return Result(
                 HandoverId(fields[0]), _result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
@@ -243,7 +245,7 @@
             return Strikes(tuple(_strike_from_fields(strike) for strike in fields[0]))
 
 
-def _handover_from_fields(fields: HandoverFields) -> Handover:
+def _handover_from_fields(fields: HandoverFields, rest: list[Any]) -> Handover:
     handover_id, call_id, route, service, instance, repeat, rank, objective_time_left, time_left = (
         fields[:9]
     )
@@ -263,9 +265,18 @@
         Millis(objective_time_left),
         Millis(time_left),
         RelayRequest(method, target, tuple(headers), body),
+        _upstream_limit(rest),
     )
 
 
+def _upstream_limit(rest: list[Any]) -> float:
+    """Return the limit that follows the other fields; earlier releases send none."""
+    limit = msgspec.convert(rest[0], float) if rest else math.inf
+    if not limit >= 0:
+        raise MessageDecodeError(f"hop message: {limit} is no limit of an upstream")
+    return limit
+
+
 def _is_latin1(text: str) -> bool:
     return text.isascii() or all(ord(character) < 256 for character in text)
 
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -1,11 +1,13 @@
 """Queue in front of the slots of one upstream: important and urgent calls first."""
 
+import math
 from bisect import bisect_right, insort
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from ..ids import HandoverId, Millis, RouteName
 from ..states import Reason
+from .rate_limit import RateLimit
 
 # Weight of one call in the mean costs.
 COST_SAMPLE_WEIGHT = 0.1
@@ -50,11 +52,14 @@
 
 
 class SlotQueue:
-    """Runs at most `slots` calls at once; queues or refuses the others."""
+    """Runs at most `slots` calls at once, starts no more than `limit` allows, queues or refuses
+    the others.
+    """
 
     def __init__(self) -> None:
         """Start without slots."""
         self.slots = 0
+        self.limit = RateLimit()
         self.running: dict[HandoverId, tuple[RouteName, Millis]] = {}
         # Sorted by start order. Within a rank, the earliest objective goes first: calls that
         # upstreams make while they run a call have early objectives, and if they fail, the work
@@ -68,17 +73,35 @@
         """Return the number of calls that run or wait."""
         return len(self.running) + len(self.waiting)
 
+    @property
+    def capacity(self) -> int:
+        """Return the number of calls that can run at once, of slots and limit the lower."""
+        if math.isinf(self.limit.rate) or not self.mean_cost:
+            return self.slots
+        return min(self.slots, max(1, math.ceil(self.limit.concurrency(self.mean_cost))))
+
+    def next_start(self, now: Millis) -> Millis | None:
+        """Return the time until the limit lets a waiting call start, None while no slot is free."""
+        if not self.waiting or len(self.running) >= self.slots:
+            return None
+        return self.limit.wait(1, now)
+
     def admit(
         self, call: CallAwaitingSlot, now: Millis
     ) -> Iterator[StartHandover | RefuseHandover]:
         """Start, queue or refuse a call."""
-        if len(self.running) < self.slots and not self.waiting:
+        has_slot = len(self.running) < self.slots
+        if has_slot and not self.waiting and self.limit.take(now):
             self.running[call.handover_id] = (call.route, now)
             yield StartHandover(call.handover_id)
             return
-        if self._expected_wait(call) > self._max_wait(call, now):
+        max_wait = self._max_wait(call, now)
+        if not has_slot and self._expected_wait(call) > max_wait:
             yield RefuseHandover(call.handover_id, Reason.OVERLOADED)
             return
+        if self.limit.wait(self._position(call) + 1, now) > max_wait:
+            yield RefuseHandover(call.handover_id, Reason.LIMITED)
+            return
         insort(self.waiting, call, key=start_order)
 
     def finish(self, handover_id: HandoverId, now: Millis, counts_for_mean: bool) -> None:
@@ -102,13 +125,26 @@
     def start_waiting(self, now: Millis) -> Iterator[StartHandover | RefuseHandover]:
         """Start waiting calls while slots are free; refuse those that cannot end in time."""
         while self.waiting and len(self.running) < self.slots:
-            call = self.waiting.pop(0)
+            call = self.waiting[0]
             if now + FEASIBLE_COST_SHARE * self.costs.get(call.route, 0.0) >= call.deadline:
+                del self.waiting[0]
                 yield RefuseHandover(call.handover_id, Reason.DEADLINE)
                 continue
+            if not self.limit.take(now):
+                return
+            del self.waiting[0]
             self.running[call.handover_id] = (call.route, now)
             yield StartHandover(call.handover_id)
 
+    def refuse_beyond_limit(self, now: Millis) -> Iterator[RefuseHandover]:
+        """Refuse waiting calls that a new limit lets start too late."""
+        waiting, self.waiting = self.waiting, []
+        for call in waiting:
+            if self.limit.wait(len(self.waiting) + 1, now) > self._max_wait(call, now):
+                yield RefuseHandover(call.handover_id, Reason.LIMITED)
+            else:
+                self.waiting.append(call)
+
     def refuse_all(self, reason: Reason) -> Iterator[RefuseHandover]:
         """Refuse all waiting calls."""
         waiting, self.waiting = self.waiting, []
@@ -116,17 +152,20 @@
             yield RefuseHandover(call.handover_id, reason)
 
     def _expected_wait(self, call: CallAwaitingSlot) -> float:
-        """Return the expected wait, by the work ahead of the call and a mean running call.
+        """Return the expected wait for a slot, by the work ahead of the call and a running call.
 
         One service runs calls of very different cost. With one mean for all of them, a short call
         behind short ones is refused, and a long one is queued behind work that ends too late.
         """
-        ahead = bisect_right(self.waiting, start_order(call), key=start_order)
-        waiting_cost = sum(self._cost_of(row.route) for row in self.waiting[:ahead])
+        ahead = self.waiting[: self._position(call)]
+        waiting_cost = sum(self._cost_of(row.route) for row in ahead)
         running_cost = sum(self._cost_of(route) for route, _ in self.running.values())
         next_slot = running_cost / max(1, len(self.running))
         return (waiting_cost + next_slot) / max(1, self.slots)
 
+    def _position(self, call: CallAwaitingSlot) -> int:
+        return bisect_right(self.waiting, start_order(call), key=start_order)
+
     def _cost_of(self, route: RouteName) -> float:
         return self.costs.get(route, self.mean_cost)
 
--- a/packages/agatecross-core/agatecross_core/members/heartbeat_filter.py
+++ b/packages/agatecross-core/agatecross_core/members/heartbeat_filter.py
@@ -24,6 +24,11 @@
     born: int
     sequence: int
 
+    @property
+    def start(self) -> tuple[InstanceId, int]:
+        """Return the instance and the start time, which differ for each start of an upstream."""
+        return (self.instance, self.born)
+
     @property
     def order(self) -> tuple[int, int]:
         """Return the sort key of the heartbeats that arrive from one address."""
--- a/packages/agatecross-core/agatecross_core/pacing.py
+++ b/packages/agatecross-core/agatecross_core/pacing.py
@@ -17,15 +17,35 @@
 
     def take(self, now: Millis) -> bool:
         """Take a token; return False if there is none."""
-        if self.filled_at is not None:
-            gained = (now - self.filled_at) / self.refill_period
-            self.tokens = min(self.burst, self.tokens + gained)
-        self.filled_at = now
+        self._fill(now)
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
         return True
 
+    def wait(self, count: int, now: Millis) -> Millis:
+        """Return the time until `count` tokens will have been there, those of now included."""
+        self._fill(now)
+        return Millis(max(0.0, count - self.tokens) * self.refill_period)
+
+    def set_tokens(self, tokens: float, now: Millis) -> None:
+        """Replace the tokens."""
+        self.tokens = tokens
+        self.filled_at = now
+
+    def set_rate(self, burst: float, refill_period: Millis, now: Millis) -> None:
+        """Change the rate from now on; keeps the tokens up to the new burst."""
+        self._fill(now)
+        self.burst = burst
+        self.refill_period = refill_period
+        self.tokens = min(burst, self.tokens)
+
+    def _fill(self, now: Millis) -> None:
+        if self.filled_at is not None:
+            gained = (now - self.filled_at) / self.refill_period
+            self.tokens = min(self.burst, self.tokens + gained)
+        self.filled_at = now
+
 
 def full_jitter(attempt: int, base: Millis, cap: Millis, rng: random.Random) -> Millis:
     """Return a random delay from 0 to `base * 2**attempt`, but at most `cap`."""
--- a/packages/agatecross-core/agatecross_core/relay/model.py
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -1,5 +1,6 @@
 """A relayed request, its handover to the daemon next to an upstream, and its result."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -40,7 +41,8 @@
     """One attempt at one upstream.
 
     `objective_time_left` and `time_left` are the milliseconds that were left to the latency
-    objective and to the deadline when it was sent.
+    objective and to the deadline when it was sent. `upstream_limit` is how many calls the upstream
+    takes per second, by the last answer that the sender got of it; infinite without a limit.
     """
 
     handover_id: HandoverId
@@ -53,6 +55,7 @@
     objective_time_left: Millis
     time_left: Millis
     request: RelayRequest
+    upstream_limit: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -42,7 +42,9 @@
 UNREACHABLE_REASONS = frozenset(
     (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM, Reason.LEAVING, Reason.WRONG_INSTANCE)
 )
-OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.SHED, Reason.DEADLINE))
+OVERLOAD_REASONS = frozenset(
+    (Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.LIMITED, Reason.SHED, Reason.DEADLINE)
+)
 
 
 @dataclass(slots=True)
@@ -50,7 +52,8 @@
     """Observations of one instance of an upstream.
 
     `slowness` is a moving average of the cost that it reports for a route, divided by the mean cost
-    of that route; `failure_share` is the recent share of failed attempts, from 0 to 1.
+    of that route; `failure_share` is the recent share of failed attempts, from 0 to 1. `limit` is
+    the number of calls per second that the upstream named in its last answer, infinite without one.
     """
 
     instance: InstanceId
@@ -62,6 +65,7 @@
     failure_share: float = 0.0
     failures_updated_at: Millis = ZERO_MS
     ejected_until: Millis = ZERO_MS
+    limit: float = math.inf
 
 
 class LowestCostBalancer:
@@ -133,6 +137,21 @@
         """Record an attempt that was sent."""
         self.stats_of(endpoint).outstanding += 1
 
+    def record_limit(self, daemon_id: DaemonId, limit: float | None) -> None:
+        """Store the limit that an answer names; None, for one that cannot be read, is ignored."""
+        stats = self.stats.get(daemon_id)
+        if stats is not None and limit is not None:
+            stats.limit = limit
+
+    def limit_of(self, daemon_id: DaemonId) -> float:
+        """Return the limit that the upstream next to a daemon named last, infinite without one."""
+        stats = self.stats.get(daemon_id)
+        return math.inf if stats is None else stats.limit
+
+    def total_limit(self, endpoints: Iterable[Endpoint]) -> float:
+        """Return the calls per second that these upstreams take, infinite if one has no limit."""
+        return sum(self.stats_of(endpoint).limit for endpoint in endpoints)
+
     def record_result(
         self,
         daemon_id: DaemonId,
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -62,6 +62,7 @@
     TIMEOUT = "timeout"
     BAD_REQUEST = "bad-request"
     OVERLOADED = "overloaded"
+    LIMITED = "limited"
     WRONG_INSTANCE = "wrong-instance"
     BAD_ANSWER = "bad-answer"
     ANSWER_TOO_LARGE = "answer-too-large"
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -1,6 +1,7 @@
 """Owns the listener for callers: finds the route of each request and relays it."""
 
 import itertools
+import math
 import random
 from collections.abc import Callable, Mapping
 
@@ -185,6 +186,7 @@
             self.balancer,
             self.peers,
             self._new_handover_id,
+            self.names,
             self._on_call_ended,
         )
         call.begin()
@@ -228,7 +230,7 @@
         return HandoverId(next(self.handover_ids))
 
     def _on_call_ended(self, call: RelayedCall, result: RelayResult) -> None:
-        response = self._response_for(result)
+        response = self._response_for(result, call.context.service)
         took = monotonic_ms() - call.exchange.arrived
         route = call.context.route
         self.metrics.count_call(call.context.service, result, took)
@@ -272,15 +274,19 @@
         headers = self._retry_after_headers() if status == UNAVAILABLE else ()
         exchange.respond(RelayResponse(status, headers, b""))
 
-    def _response_for(self, result: RelayResult) -> RelayResponse:
+    def _response_for(self, result: RelayResult, service: ServiceName) -> RelayResponse:
         if result.response is not None:
             return result.response
         if result.outcome is Outcome.NOT_RUN:
-            return RelayResponse(UNAVAILABLE, self._retry_after_headers(), b"")
+            limit = self.balancer.total_limit(self.endpoints_by_service.get(service, ()))
+            return RelayResponse(UNAVAILABLE, self._retry_after_headers(limit), b"")
         if result.reason is Reason.TIMEOUT:
             return RelayResponse(GATEWAY_TIMEOUT, (), b"")
         return RelayResponse(BAD_GATEWAY, (), b"")
 
-    def _retry_after_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+    def _retry_after_headers(self, limit: float = math.inf) -> tuple[tuple[bytes, bytes], ...]:
+        """Return when to come back to upstreams that take `limit` calls a second, if they do."""
         seconds = self.rng.uniform(RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_MAX_SECONDS)
+        if 0 < limit < math.inf:
+            seconds += 1 / limit
         return ((b"retry-after", b"%.3f" % seconds),)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -7,6 +7,7 @@
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.upstream_connection import UpstreamFailure
 from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamExchange, UpstreamPool
+from agatecross_core.admission.rate_limit import RateLimit
 from agatecross_core.admission.slot_queue import (
     CallAwaitingSlot,
     RefuseHandover,
@@ -36,6 +37,7 @@
     not_run_result,
     unknown_result,
 )
+from agatecross_core.relay.response_notices import read_notices
 from agatecross_core.relay.response_outcome import classify_response
 from agatecross_core.states import Reason, UpstreamState
 
@@ -54,6 +56,7 @@
     RunHandover,
     StrikesReported,
 )
+from .start_timer import StartTimer
 
 ExitMessage = (
     RunHandover
@@ -119,6 +122,7 @@
         self.peers = peers
         self.log = log
         self.queue = SlotQueue()
+        self.start_timer = StartTimer(self.queue, self._start_waiting_calls)
         self.ledger = Ledger()
         self.calls: dict[HandoverId, ExitCall] = {}
         self.pool = UpstreamPool(Address(heartbeat_filter.address), names, self._on_unreachable)
@@ -192,10 +196,11 @@
         if reason is None and time_left <= 0:
             reason = Reason.DEADLINE
         if reason is not None:
-            result = not_run_result(reason, self.queue.load, self.queue.slots)
+            result = not_run_result(reason, self.queue.load, self.queue.capacity)
             self.ledger.finish(handover.handover_id, result, now)
             reply(handover.handover_id, result)
             return
+        self.queue.limit.suggest(handover.upstream_limit, now)
         deadline = Millis(now + time_left)
         call = ExitCall(handover, deadline, reply)
         self.calls[handover.handover_id] = call
@@ -230,6 +235,10 @@
                 self._remove_call(call)
             else:
                 self._start(call)
+        self.start_timer.schedule(monotonic_ms())
+
+    def _start_waiting_calls(self) -> None:
+        self._execute_actions(self.queue.start_waiting(monotonic_ms()))
 
     def _start(self, call: ExitCall) -> None:
         left = Millis(call.deadline - monotonic_ms())
@@ -242,12 +251,32 @@
         if done is UpstreamFailure.CONNECTION_LOST and call.reply is not None:
             self._record_lost_call(call, now)
         result = self._relay_result(call, done)
+        if isinstance(done, RelayResponse) and call.handover.instance == self.instance:
+            self._read_notices(call, done, result, now)
         is_typical = result.response is not None and call.reply is not None
         self.queue.finish(call.handover.handover_id, now, is_typical)
         self._answer(call, result)
         self._remove_call(call)
         self._execute_actions(self.queue.start_waiting(now))
 
+    def _read_notices(
+        self, call: ExitCall, response: RelayResponse, result: RelayResult, now: Millis
+    ) -> None:
+        """Obey the limit and the leave that a response of the current instance announces."""
+        if result.reason not in (None, Reason.SHED):
+            # A spoilt response, or one of another instance at the address.
+            return
+        notices = read_notices(response.headers, self.names.limit, self.names.leaving)
+        limit = self.queue.limit
+        was = limit.rate
+        limit.read_answer(notices.limit, now)
+        if limit.rate != was:
+            self.log.write_change(
+                "upstream_limit_changed", instance=self.instance or "", limit=limit.rate, was=was
+            )
+        if limit.rate < was:
+            self._execute_actions(self.queue.refuse_beyond_limit(now))
+
     def _record_lost_call(self, call: ExitCall, now: Millis) -> None:
         """Record a call whose connection was lost; probe the upstream if none is left open."""
         self.lost_calls = [row for row in self.lost_calls if now - row[0] < CRASH_WINDOW]
@@ -272,7 +301,7 @@
             result.response,
             result.reached_upstream,
             self.queue.load,
-            self.queue.slots,
+            self.queue.capacity,
             Millis(self.queue.costs.get(call.handover.route, 0.0)),
         )
         self.ledger.finish(call.handover.handover_id, full_result, monotonic_ms())
@@ -346,6 +375,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = monotonic_ms()
+        previous = self.heartbeat_filter.current
         if not self.heartbeat_filter.accept(heartbeat, now):
             self.log.write_change(
                 "heartbeat_ignored", instance=heartbeat.instance, sequence=heartbeat.sequence
@@ -355,6 +385,8 @@
         state = UpstreamState.DRAINING if is_leaving else heartbeat.state
         self.unreachable_until = Millis(0)
         self.queue.slots = heartbeat.slots
+        if previous is not None and previous.start != heartbeat.start:
+            self.queue.limit = RateLimit()
         self._update_upstream(heartbeat.instance, state, heartbeat)
 
     def _handle_leave(self, leave: LeaveReceived) -> None:
@@ -431,4 +463,4 @@
         if silent and current is not None and self.state is UpstreamState.READY:
             self._update_upstream(current.instance, UpstreamState.STARTING, current)
         self.leave_replies.expire(now)
-        self._execute_actions(self.queue.start_waiting(now))
+        self._start_waiting_calls()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.caller_connection import ClosedBy, Exchange
+from agatecross_adapters.header_names import HeaderNames
 from agatecross_core.ids import CallId, DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.relay.flow import is_served, reported_result
 from agatecross_core.relay.hedge import hedge_delay
 from agatecross_core.relay.model import Attempt, Handover, RelayRequest, RelayResult, unknown_result
+from agatecross_core.relay.response_notices import read_notices
 from agatecross_core.routing.host_table import HostRoute
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Reason
@@ -55,6 +57,7 @@
         balancer: LowestCostBalancer,
         peers: Sender[SendHandover | CancelRemoteHandover],
         new_handover_id: Callable[[], HandoverId],
+        names: HeaderNames,
         on_end: "Callable[[RelayedCall, RelayResult], None]",
     ) -> None:
         self.context = context
@@ -64,6 +67,7 @@
         self.balancer = balancer
         self.peers = peers
         self.new_handover_id = new_handover_id
+        self.names = names
         self.on_end = on_end
         self.in_flight: dict[HandoverId, SentAttempt] = {}
         self.last_sent: SentAttempt | None = None
@@ -124,6 +128,7 @@
             Millis(self.exchange.arrived + context.route.objective - now),
             Millis(context.deadline - now),
             context.request,
+            self.balancer.limit_of(daemon_id),
         )
         self.peers.put(SendHandover(daemon_id, handover, self._handle_result))
 
@@ -147,6 +152,9 @@
         self.balancer.record_result(
             sent.daemon_id, result, took, self.context.route.name, size, now
         )
+        if result.response is not None:
+            notices = read_notices(result.response.headers, self.names.limit, self.names.leaving)
+            self.balancer.record_limit(sent.daemon_id, notices.limit)
 
     def _on_deadline(self) -> None:
         self._end(unknown_result(Reason.TIMEOUT))
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -48,7 +48,9 @@
     """Serves requests, records their runs, and sends heartbeats to its daemon.
 
     `runs` counts the runs of each request id; `run_starts` has the monotonic start time and the
-    request id of each run.
+    request id of each run. `limit` is the text that responses name as the limit in requests per
+    second, and `named_limits` holds the monotonic time and the text of each that did so; with
+    `leaving`, responses say that the upstream is about to end.
     """
 
     def __init__(self, name: str, service: str, born: int = 1) -> None:
@@ -60,6 +62,9 @@
         self.trickles = False
         self.work_seconds = 0.0
         self.body_bytes = 0
+        self.limit = ""
+        self.leaving = False
+        self.named_limits: list[tuple[float, str]] = []
         self.runs: Counter[str] = Counter()
         self.run_starts: list[tuple[float, str]] = []
         self.received_requests: list[dict[str, str]] = []
@@ -95,6 +100,16 @@
         """Queue answers for the next requests; requests after them get a complete response."""
         self.script.extend(answers)
 
+    def notices(self) -> bytes:
+        """Return the header fields with which a response tells the upstream's limit and its end."""
+        fields = b""
+        if self.limit:
+            self.named_limits.append((time.monotonic(), self.limit))
+            fields += b"server-limit: %s\r\n" % self.limit.encode()
+        if self.leaving:
+            fields += b"server-leaving: 1\r\n"
+        return fields
+
     async def heartbeat(self, daemon: Address, state: str = "ready", **changes: object) -> int:
         """Send a heartbeat to the daemon and return the status of its response."""
         self.sequence += 1
@@ -252,6 +267,7 @@
         if self.transport.is_closing():
             return
         echoed = self.fields.get("x-request-id", "").encode() if call_id is None else call_id
+        extra += self.upstream.notices()
         self.transport.write(
             b"HTTP/1.1 %d X\r\nx-request-id: %s\r\ncontent-length: %d\r\n%s\r\n%s"
             % (status, echoed, len(body), extra, body)
