Take the word of an answer that its upstream is leaving

An upstream that leaves says so in all its answers. Only its heartbeats and its leave were read, so one that tells the daemon next to it late, or whose announcements are lost, got calls until they arrived. The same fact now goes the way of a leave: calls are refused at once, peers are told, and the store keeps it over restarts.

limits.feature "an upstream whose answers say that it leaves", three rows, failed on the code before the limit (9 runs where 1 was allowed) and pass, also with a silent store and after a restart of the daemon.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -42,3 +42,18 @@
     Given a platform fleet
     When the upstreams name a limit of 20 while callers of every daemon send "GET /safe/1" for 9 s, and d0 restarts after 5 s
     Then no upstream got more than 125 calls in 4 s, from 3 s after it first named the limit
+
+  Scenario Outline: an upstream whose answers say that it leaves gets no more calls: <guards against>
+    Given a platform fleet
+    When the store "<store>"
+    And upstream "u0" says in its answers that it leaves
+    And a caller of d0 sends "GET /safe/1" until upstream "u0" has answered
+    And <then>
+    And a caller of d0 sends "GET /safe/1" 8 times
+    Then upstream "u0" has run nothing since it said so
+
+    Examples:
+      | guards against                      | store    | then                                     |
+      | a leave that only a heartbeat tells | works    | upstream "u0" tells its daemon "ready"   |
+      | a leave that needs the store        | is silent | upstream "u0" tells its daemon "ready"  |
+      | a leave that a restart forgets      | works    | d0 is killed and started again           |
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -276,6 +276,8 @@
             )
         if limit.rate < was:
             self._execute_actions(self.queue.refuse_beyond_limit(now))
+        if notices.leaving and self.state is not UpstreamState.DRAINING:
+            self._handle_leave(LeaveReceived(call.handover.instance, None))
 
     def _record_lost_call(self, call: ExitCall, now: Millis) -> None:
         """Record a call whose connection was lost; probe the upstream if none is left open."""
