Let upstreams of the soak name limits and say that they leave

The soak and the tests had no upstream that does either, which the platform's upstreams do. Both kinds of trouble are drawn apart from the others, so that the schedules of the seeds that failed before stay as they are. The check limits_hold uses the platform's own bound.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -11,6 +11,7 @@
 from agatecross_standins.soak.events import (
     ConfirmedLeave,
     History,
+    LimitedTime,
     RequestOutcome,
     RequestRecord,
     VersionObservation,
@@ -57,6 +58,12 @@
     "a run after a confirmed leave": lambda h: h.leaves.append(
         ConfirmedLeave("u", 10.0, ((11.0, "a"), (12.5, "b")))
     ),
+    "a limit that was exceeded": lambda h: h.limited_times.append(
+        LimitedTime("u", 10.0, 0.0, 9.0, tuple((3.0 + n * 0.05, "a") for n in range(70)))
+    ),
+    "a limit that was kept": lambda h: h.limited_times.append(
+        LimitedTime("u", 10.0, 0.0, 9.0, tuple((n * 0.1, "a") for n in range(90)))
+    ),
     "a version that went down": lambda h: h.versions.append(VersionObservation(0, 0, 4)),
     "a version that is lower after a kill": lambda h: h.versions.append(
         VersionObservation(0, 1, 4)
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -50,7 +50,7 @@
     `runs` counts the runs of each request id; `run_starts` has the monotonic start time and the
     request id of each run. `limit` is the text that responses name as the limit in requests per
     second, and `named_limits` holds the monotonic time and the text of each that did so; with
-    `leaving`, responses say that the upstream is about to end.
+    `leaving`, responses say that the upstream is about to end, first at `said_leaving_at`.
     """
 
     def __init__(self, name: str, service: str, born: int = 1) -> None:
@@ -64,6 +64,7 @@
         self.body_bytes = 0
         self.limit = ""
         self.leaving = False
+        self.said_leaving_at: float | None = None
         self.named_limits: list[tuple[float, str]] = []
         self.runs: Counter[str] = Counter()
         self.run_starts: list[tuple[float, str]] = []
@@ -107,6 +108,7 @@
             self.named_limits.append((time.monotonic(), self.limit))
             fields += b"server-limit: %s\r\n" % self.limit.encode()
         if self.leaving:
+            self.said_leaving_at = self.said_leaving_at or time.monotonic()
             fields += b"server-leaving: 1\r\n"
         return fields
 
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of a soak history; each yields the violations of one promise."""
 
+from bisect import bisect_left
 from collections.abc import Callable, Iterator
 
 from .events import History, RequestOutcome
@@ -7,6 +8,11 @@
 Check = Callable[[History], Iterator[str]]
 # Limit of the platform on how long an upstream may be given new work after its confirmed leave.
 MAX_START_AFTER_CONFIRMED_LEAVE_SECONDS = 2.0
+# What the platform allows an upstream with a limit, in each window from a time after it was named.
+LIMIT_SETTLED_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_REQUESTS = 5
 # Graceful stop (0) and SIGKILL (-9); any other code means that the daemon itself crashed.
 EXPECTED_EXIT_CODES = frozenset((0, -9))
 # Share of the final requests that must be served. One of the six daemons may still be waiting.
@@ -52,6 +58,18 @@
             yield f"{row.name} started {len(late)} runs up to {latest:.2f} s after its leave: {ids}"
 
 
+def limits_hold(history: History) -> Iterator[str]:
+    """An upstream that names a limit gets no more than the platform allows beyond it."""
+    for row in history.limited_times:
+        settled = row.named_at + LIMIT_SETTLED_SECONDS
+        starts = [at for at, _ in row.run_starts if settled <= at < row.ended_at]
+        ends = (bisect_left(starts, at + LIMIT_WINDOW_SECONDS) for at in starts)
+        most = max((end - begin for begin, end in enumerate(ends)), default=0)
+        allowed = LIMIT_FACTOR * row.limit * LIMIT_WINDOW_SECONDS + LIMIT_EXTRA_REQUESTS
+        if most > allowed:
+            yield f"{row.name} named {row.limit} a second and started {most} runs in 4 s"
+
+
 def versions_rise(history: History) -> Iterator[str]:
     """The version in force at a daemon never decreases between two of its restarts."""
     newest: dict[tuple[int, int], int] = {}
@@ -112,6 +130,7 @@
     refusals_are_true,
     answers_are_own,
     leaves_bind,
+    limits_hold,
     versions_rise,
     daemons_live,
     stops_are_graceful,
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -34,6 +34,20 @@
     status: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LimitedTime:
+    """A time in which the answers of an upstream named a limit in requests per second.
+
+    `named_at` is the time of the first such answer; times are on the monotonic clock in seconds.
+    """
+
+    name: str
+    limit: float
+    named_at: float
+    ended_at: float
+    run_starts: tuple[tuple[float, str], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ConfirmedLeave:
     """An upstream whose leave was confirmed, with the start time and call id of each run."""
@@ -63,6 +77,7 @@
     """
 
     requests: list[RequestRecord] = field(default_factory=list)
+    limited_times: list[LimitedTime] = field(default_factory=list)
     leaves: list[ConfirmedLeave] = field(default_factory=list)
     versions: list[VersionObservation] = field(default_factory=list)
     runs: dict[str, int] = field(default_factory=dict)
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -9,13 +9,15 @@
 from agatecross_core.ids import Address
 
 from ..platform_upstream import Answer
-from .events import ConfirmedLeave, History
+from .events import ConfirmedLeave, History, LimitedTime
 from .fleet import SHUTDOWN_GRACE_SECONDS, Node, SoakFleet
 from .proxy import LinkMode
 from .schedule import Fault, FaultKind
 
 SLOW_WORK_SECONDS = 0.8
 LINK_DELAY_SECONDS = 0.15
+# Requests per second; an upstream of the soak can serve twenty times as many.
+UPSTREAM_LIMIT = 10.0
 # Node number in a disturbance that affects the whole fleet.
 ALL_NODES = -1
 # Time after a fault, such as a kill, until peers and callers work with the daemon again.
@@ -113,6 +115,10 @@
                 await self.fleet.replace_upstream(node)
             case FaultKind.UPSTREAM_LEAVE:
                 await self._leave_and_replace(node)
+            case FaultKind.UPSTREAM_LIMITED:
+                await self._limit_upstream(node, fault.duration_seconds)
+            case FaultKind.UPSTREAM_SAYS_LEAVING:
+                await self._say_leaving_and_replace(node)
             case FaultKind.STORE_REFUSES:
                 switches.refuse = True
                 await asyncio.sleep(fault.duration_seconds)
@@ -144,6 +150,38 @@
             node.send_signal(signal.SIGKILL)
         self.history.graceful_stops.append((node.number, started_at, time.monotonic()))
 
+    async def _limit_upstream(self, node: Node, seconds: float) -> None:
+        """Let the upstream name a limit in its answers for a time."""
+        upstream = node.upstream
+        if upstream.limit:
+            return
+        upstream.limit = str(UPSTREAM_LIMIT)
+        upstream.named_limits.clear()
+        await asyncio.sleep(seconds)
+        upstream.limit = ""
+        if upstream.named_limits:
+            row = LimitedTime(
+                upstream.name,
+                UPSTREAM_LIMIT,
+                upstream.named_limits[0][0],
+                time.monotonic(),
+                tuple(upstream.run_starts),
+            )
+            self.history.limited_times.append(row)
+
+    async def _say_leaving_and_replace(self, node: Node) -> None:
+        """Let the answers of the upstream say that it leaves, and replace it after a time."""
+        upstream = node.upstream
+        upstream.leaving = True
+        await asyncio.sleep(2 * RECOVERY_SECONDS)
+        if node.upstream is upstream:
+            await self.fleet.replace_upstream(node)
+        if upstream.said_leaving_at is not None:
+            row = ConfirmedLeave(
+                upstream.name, upstream.said_leaving_at, tuple(upstream.run_starts)
+            )
+            self.history.leaves.append(row)
+
     async def _leave_and_replace(self, node: Node) -> None:
         """Announce the leave of the upstream and replace it after the recovery time."""
         upstream = node.upstream
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -1,5 +1,6 @@
 """Seeded schedule of faults, which can overlap and come in series on several nodes."""
 
+import heapq
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -32,6 +33,8 @@
     UPSTREAM_FAULTY = "upstream-faulty"
     UPSTREAM_CRASH = "upstream-crash"
     UPSTREAM_LEAVE = "upstream-leave"
+    UPSTREAM_LIMITED = "upstream-limited"
+    UPSTREAM_SAYS_LEAVING = "upstream-says-leaving"
     STORE_REFUSES = "store-refuses"
     STORE_SILENT = "store-silent"
     STORE_COMPACTION = "store-forgets"
@@ -39,6 +42,15 @@
     PUBLISH = "publish"
 
 
+# Drawn apart from the other kinds, so that the schedules of seeds that failed before stay the same.
+NOTICE_KINDS = (FaultKind.UPSTREAM_LIMITED, FaultKind.UPSTREAM_SAYS_LEAVING)
+DRAWN_KINDS = tuple(kind for kind in FaultKind if kind not in NOTICE_KINDS)
+MEAN_NOTICE_GAP_SECONDS = 4.0
+# A limit binds 3 s after it was first named.
+MIN_NOTICE_SECONDS = 4.0
+MAX_NOTICE_SECONDS = 8.0
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault on a node; it begins `at` seconds after the start of the run."""
@@ -50,6 +62,25 @@
 
 
 def schedule(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
+    """Yield the faults of a run."""
+    yield from heapq.merge(
+        _drawn_faults(seed, seconds, node_count),
+        _notices(seed, seconds, node_count),
+        key=lambda fault: fault.at,
+    )
+
+
+def _notices(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
+    rng = random.Random(f"notices of {seed}")
+    at = 0.0
+    while (at := at + rng.expovariate(1 / MEAN_NOTICE_GAP_SECONDS)) < seconds:
+        duration_seconds = rng.uniform(MIN_NOTICE_SECONDS, MAX_NOTICE_SECONDS)
+        kind, node = rng.choice(NOTICE_KINDS), rng.randrange(node_count)
+        if at + duration_seconds <= seconds + MAX_FAULT_SECONDS:
+            yield Fault(at, duration_seconds, kind, node)
+
+
+def _drawn_faults(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults; about a quarter of the draws become a series on several nodes.
 
     The draws are in order of time, but faults of a series may start after faults of the next draw.
@@ -58,7 +89,7 @@
     at = 0.0
     while True:
         at += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(DRAWN_KINDS)
         duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         count = rng.randint(2, node_count) if rng.random() < SERIES_PROBABILITY else 1
         first = rng.randrange(node_count)
