Move the calls that a crash may have caused out of the exit task

The task that owns the upstream's connections has grown; which lost calls count as strikes is a decision without sockets. Daemons without children in the push tree no longer encode the change.

--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -53,9 +53,12 @@
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         source = message.source
         self.catch_up.came_into_force(message.version, source.daemon_id, now)
-        frame = encode_hop_message(self.delta or ConfigBlob(self.version, self.blob))
         rows = self.directory.rows.values()
-        for daemon_id in push_targets(self.directory.me, rows, open_links, source.origin):
+        targets = tuple(push_targets(self.directory.me, rows, open_links, source.origin))
+        if not targets:
+            return
+        frame = encode_hop_message(self.delta or ConfigBlob(self.version, self.blob))
+        for daemon_id in targets:
             link = self.links.get(daemon_id)
             if link is not None and link.connection is not None:
                 link.connection.send_in_order(frame)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -25,9 +25,8 @@
 )
 from agatecross_core.members.heartbeat_filter import Heartbeat, HeartbeatFilter
 from agatecross_core.members.leave_replies import LeaveReplies
-from agatecross_core.members.records import Strike
 from agatecross_core.pauses import PAUSE_TICK_PERIOD, PauseClock
-from agatecross_core.quarantine.model import relay_fingerprint
+from agatecross_core.quarantine.lost_calls import LostCalls
 from agatecross_core.relay.ledger import Ledger
 from agatecross_core.relay.model import (
     Handover,
@@ -75,8 +74,6 @@
 MISSED_HEARTBEATS_LIMIT = 4
 # Calls are refused for this time after a failed connection, unless a heartbeat arrives earlier.
 UNREACHABLE_BACKOFF = Millis(1_000)
-# A crash resets all connections at once; a refused connection within this time confirms the crash.
-CRASH_WINDOW = Millis(1_500)
 
 # The reason reported for each failure that occurs after the request was written.
 FAILURE_REASONS = {
@@ -112,7 +109,6 @@
         pauses: PauseClock,
         log: DecisionLog,
     ) -> None:
-        self.daemon_id = daemon_id
         self.pauses = pauses
         self.mailbox = mailbox
         mailbox.set_handler(self._handle)
@@ -129,7 +125,7 @@
         self.instance: InstanceId | None = None
         self.state = UpstreamState.STARTING
         self.unreachable_until = Millis(0)
-        self.lost_calls: list[tuple[Millis, Handover]] = []
+        self.lost_calls = LostCalls(daemon_id)
         self.started_at = monotonic_ms()
         self.heartbeats_enabled = False
         self.early_heartbeats: list[Heartbeat] = []
@@ -281,8 +277,7 @@
 
     def _record_lost_call(self, call: ExitCall, now: Millis) -> None:
         """Record a call whose connection was lost; probe the upstream if none is left open."""
-        self.lost_calls = [row for row in self.lost_calls if now - row[0] < CRASH_WINDOW]
-        self.lost_calls.append((now, call.handover))
+        self.lost_calls.record(call.handover, now)
         if not self.pool.connections and not self.pool.dial_tasks:
             self.pool.open_spare_connection()
 
@@ -443,17 +438,11 @@
 
     def _report_death(self, now: Millis) -> None:
         """Report a strike for each call that was running when the upstream crashed."""
-        handovers = [handover for at, handover in self.lost_calls if now - at < CRASH_WINDOW]
-        self.lost_calls.clear()
         current = self.heartbeat_filter.current
-        if not handovers or current is None:
+        strikes = self.lost_calls.take_strikes(Incarnation(current.born), now) if current else ()
+        if not strikes:
             return
-        died = Incarnation(current.born)
-        strikes = tuple(
-            Strike(relay_fingerprint(handover.service, handover.request), self.daemon_id, died)
-            for handover in handovers
-        )
-        self.log.write_change("upstream_died", instance=self.instance or "", running=len(handovers))
+        self.log.write_change("upstream_died", instance=self.instance or "", running=len(strikes))
         self.peers.put(StrikesReported(strikes))
 
     def _tick(self, now: Millis) -> None:
