Read a long page of the log to its end

The table "a long body" tests the time-outs of the client; its first row fails where the time-out bounds the whole response, as it did for the log.

--- a/features/http.feature
+++ b/features/http.feature
@@ -82,6 +82,19 @@
     Guards against a malformed message, of a kind that no row above has, that ends the listener.
     Then a listener answers after each of 300 random messages
 
+  # The head must come within 400 ms. The body is sent in parts, 100 ms apart.
+  Scenario Outline: a long body: <guards against>
+    Given a server that sends a head and then <parts> parts of a body of <of>
+    When a client allows <stall> ms for each part and <total> ms for the body
+    Then the exchange ends with "<end>"
+
+    Examples:
+      | guards against                                  | parts | of | stall | total | end                  |
+      | a slow body that is taken for a silent server   | 8     | 8  | 5000  | 10000 | 200                  |
+      | a server that stops in between                  | 2     | 8  | 300   | 10000 | ExchangeTimeoutError |
+      | a body that never ends                          | 99    | 99 | 5000  | 500   | ExchangeTimeoutError |
+      | a server that sends only a head                 | 0     | 8  | 300   | 10000 | ExchangeTimeoutError |
+
   Scenario Outline: a client whose server <behaviour> ends with "<end>"
     Guards against a truncated response taken as complete, and a wait beyond the timeout.
     Given a server that answers "<raw>" and then <then>
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from agatecross_adapters.http_client import ClientStream, TornadoHttpClient
+from agatecross_adapters.http_client import BodyTimeouts, ClientStream, TornadoHttpClient
 from agatecross_adapters.http_fields import to_origin_form
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Request, Response
@@ -270,6 +270,29 @@
     context.end = asyncio.run(asyncio.wait_for(run(), STEP_TIMEOUT_SECONDS))
 
 
+@given("a server that sends a head and then {parts:d} parts of a body of {of:d}")
+def start_slow_server(context, parts, of):
+    context.parts, context.of = parts, of
+
+
+@when("a client allows {stall:d} ms for each part and {total:d} ms for the body")
+def send_with_body_timeouts(context, stall, total):
+    async def answer(server, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % context.of)
+        for _ in range(context.parts):
+            await asyncio.sleep(0.1)
+            writer.write(b"x")
+
+    async def run():
+        async with RawServer(answer) as server:
+            client = TornadoHttpClient(body_timeouts=BodyTimeouts(Millis(stall), Millis(total)))
+            end = await exchange_outcome(client, server.address, Request("GET", "/", (), b""), 400)
+            client.close()
+            return end
+
+    context.end = asyncio.run(asyncio.wait_for(run(), STEP_TIMEOUT_SECONDS))
+
+
 @then('the exchange ends with "{end}"')
 def check_end(context, end):
     assert context.end == end, context.end
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -10,7 +10,7 @@
 
 from agatecross_adapters.address_map import MappedHttpClient, MappedTransport
 from agatecross_adapters.control_nng import NngTransport, TrafficCounters
-from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_adapters.http_client import BodyTimeouts, TornadoHttpClient
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
@@ -19,7 +19,7 @@
 from agatecross_core.distribution.pulls import PullRequest, VersionNotice
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import OutcomeRequest
-from agatecross_core.ids import ClaimId, Incarnation
+from agatecross_core.ids import ClaimId, Incarnation, Millis
 from agatecross_core.members.records import IndirectProbe, Member, Probe, SyncRequest
 from agatecross_core.members.swim import Swim
 from agatecross_core.quarantine.gate import TrialGate
@@ -46,6 +46,8 @@
 
 # Peers stop sending calls within this time after the leaving state was pushed to them.
 LEAVE_PROPAGATION_SECONDS = 2.0
+# A page of the log takes seconds on a slow link; a log service that stops sending is silent.
+LOG_BODY_TIMEOUTS = BodyTimeouts(stall=Millis(1_000), total=Millis(20_000))
 # Time for open calls to end after a task failed; those that wait for the failed task never end.
 TASK_FAILURE_DRAIN_SECONDS = 10.0
 
@@ -121,7 +123,8 @@
     transport = NngTransport()
     _add_traffic_counters(telemetry, transport.traffic)
     control = MappedTransport(transport, settings.address_map)
-    log = HttpLogService(settings.log_address, TornadoHttpClient())
+    log_client = TornadoHttpClient(body_timeouts=LOG_BODY_TIMEOUTS)
+    log = HttpLogService(settings.log_address, log_client)
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
     mailboxes = Mailboxes()
     location = DaemonLocation(settings.daemon_id, settings.region, settings.data_centre)
