Judge announced leaves in the soak as the platform does

Traced in the logs: its answers said that it leaves and d0 refused at once, but the store was silent then, and all daemons were killed before it kept the leave; the new d0 took a heartbeat that said ready, started four calls, and refused again with their answers, 0.58 s after it had started. The platform excuses a daemon that was restarted or paused after it had passed on such an answer. The check counts a run only if the daemon of its caller was neither since then; the bound stays 2 s.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,8 @@
       | a foreign answer                     | answers_are_own      |
       | an answer without a run              | answers_are_own      |
       | a run after a confirmed leave        | leaves_bind          |
+      | a run after an answer that said so   | announced_leaves_bind |
+      | the same after a restart since then  | -                    |
       | a limit that was exceeded            | limits_hold          |
       | a limit that was kept                | -                    |
       | a version that went down             | versions_rise        |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -9,6 +9,7 @@
 from agatecross_standins.platform_upstream import PlatformUpstream
 from agatecross_standins.soak.checks import violations
 from agatecross_standins.soak.events import (
+    AnnouncedLeave,
     ConfirmedLeave,
     History,
     LimitedTime,
@@ -37,6 +38,16 @@
     history.runs["x"] = 1
 
 
+def add_late_run(history):
+    history.requests.append(request_record("x", RequestOutcome.REFUSED, once=False))
+    history.announced_leaves.append(AnnouncedLeave("u", 10.0, ((11.0, "y"), (12.5, "x"))))
+
+
+def add_excused_late_run(history):
+    add_late_run(history)
+    history.restarts += [(0, 9.0), (1, 11.0), (0, 12.0)]
+
+
 def add_cut_request(history):
     history.requests.append(request_record("x", RequestOutcome.BROKEN, ended=5.0))
     history.graceful_stops.append((0, 4.0, 6.0))
@@ -58,6 +69,8 @@
     "a run after a confirmed leave": lambda h: h.leaves.append(
         ConfirmedLeave("u", 10.0, ((11.0, "a"), (12.5, "b")))
     ),
+    "a run after an answer that said so": add_late_run,
+    "the same after a restart since then": add_excused_late_run,
     "a limit that was exceeded": lambda h: h.limited_times.append(
         LimitedTime("u", 10.0, 0.0, 9.0, tuple((3.0 + n * 0.05, "a") for n in range(70)))
     ),
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -3,6 +3,8 @@
 from bisect import bisect_left
 from collections.abc import Callable, Iterator
 
+from agatecross_core.ids import CallId
+
 from .events import History, RequestOutcome
 
 Check = Callable[[History], Iterator[str]]
@@ -58,6 +60,26 @@
             yield f"{row.name} started {len(late)} runs up to {latest:.2f} s after its leave: {ids}"
 
 
+def announced_leaves_bind(history: History) -> Iterator[str]:
+    """An upstream whose answers say that it leaves gets no new work after the limit.
+
+    The platform excuses a daemon that was restarted or paused since then.
+    """
+    nodes = {row.call_id: row.node for row in history.requests}
+    for row in history.announced_leaves:
+        late = [
+            call_id
+            for at, call_id in row.run_starts
+            if at - row.said_at > MAX_START_AFTER_CONFIRMED_LEAVE_SECONDS
+            and not any(
+                node == nodes.get(CallId(call_id)) and row.said_at < restarted_at <= at
+                for node, restarted_at in history.restarts
+            )
+        ]
+        if late:
+            yield f"{row.name} started {len(late)} runs after it said that it leaves: {late[:4]}"
+
+
 def limits_hold(history: History) -> Iterator[str]:
     """An upstream that names a limit gets no more than the platform allows beyond it."""
     for row in history.limited_times:
@@ -130,6 +152,7 @@
     refusals_are_true,
     answers_are_own,
     leaves_bind,
+    announced_leaves_bind,
     limits_hold,
     versions_rise,
     daemons_live,
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -9,7 +9,7 @@
 from agatecross_core.ids import Address
 
 from ..platform_upstream import Answer
-from .events import ConfirmedLeave, History, LimitedTime
+from .events import AnnouncedLeave, ConfirmedLeave, History, LimitedTime
 from .fleet import SHUTDOWN_GRACE_SECONDS, Node, SoakFleet
 from .proxy import LinkMode
 from .schedule import Fault, FaultKind
@@ -69,13 +69,16 @@
     async def _inject(self, fault: Fault, node: Node) -> None:
         match fault.kind:
             case FaultKind.KILL:
+                self._record_restart(node)
                 node.send_signal(signal.SIGKILL)
             case FaultKind.KILL_ALL:
                 for row in self.fleet.nodes:
+                    self._record_restart(row)
                     row.send_signal(signal.SIGKILL)
             case FaultKind.TERM:
                 await self._stop_gracefully(node)
             case FaultKind.PAUSE:
+                self._record_restart(node)
                 node.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(fault.duration_seconds)
                 node.send_signal(signal.SIGCONT)
@@ -139,6 +142,7 @@
         node.stopping = True
         started_at = time.monotonic()
         process = node.process
+        self._record_restart(node)
         node.send_signal(signal.SIGTERM)
         while (
             node.process is process
@@ -177,10 +181,13 @@
         if node.upstream is upstream:
             await self.fleet.replace_upstream(node)
         if upstream.said_leaving_at is not None:
-            row = ConfirmedLeave(
+            row = AnnouncedLeave(
                 upstream.name, upstream.said_leaving_at, tuple(upstream.run_starts)
             )
-            self.history.leaves.append(row)
+            self.history.announced_leaves.append(row)
+
+    def _record_restart(self, node: Node) -> None:
+        self.history.restarts.append((node.number, time.monotonic()))
 
     async def _leave_and_replace(self, node: Node) -> None:
         """Announce the leave of the upstream and replace it after the recovery time."""
