--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -567,7 +567,9 @@
 @then('d{number:d} logs "{event}" and goes on serving')
 def step_reload_logged(context, number, event):
     assert any(f"event={event}" in line for line in context.lines), context.lines
-    assert context.testbed.run(context.testbed.send(number, "GET /safe/1")).status == 200
+    response = context.testbed.run(context.testbed.send(number, "GET /safe/1"))
+    log = Path(context.testbed.log_paths()[number]).read_text()
+    assert response.status == 200, (response, log)
 
 
 @then('the settings file with "{old}" replaced by "{new}" gives "{finding}"')
