Log the era of the store, and tell a restored store from one that was away

An engineer on call could not tell a store that was away from one that came back from an older copy: neither logs nor metrics named the header Store-Era, and history_lost did not say what the store still has. Answers of the store carry their era to the store task now; store_restored, store_regained and history_lost name what they know, and agatecross_store_era shows the era. No decision changes but one: an answer of an earlier era counts as a failed call. The calls move out of the store task, whose file held two jobs.

The stand-in of the store names an era, answers 410 beyond its end as the platform does, and can come back from a copy.

--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -327,8 +327,8 @@
     store = context.testbed.sidecars[number].store
 
     async def work():
-        store.failures = 1
-        store.peers.put(StoreReachability(False, store.latency))
+        store.calls.failures = 1
+        store.peers.put(StoreReachability(False, store.calls.latency))
         await wait_for_reachability(context.testbed, number, False)
 
     context.testbed.run(work())
@@ -422,6 +422,14 @@
     start_testbed(context, False)
 
 
+@given("a platform fleet of which the north always reads the store")
+def step_fleet_north_reads(context):
+    patch = mock.patch.object(store_task, "reader_role", north_reads)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    start_testbed(context, False)
+
+
 @when("d{number:d} has version {version:d} in force and pings d{other:d} once")
 def step_ping_once(context, number, version, other):
     sidecar = context.testbed.sidecars[number]
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from agatecross_core.calls.model import Request, Response
-from agatecross_core.ids import Address, DaemonId, Millis, Offset, StreamName
+from agatecross_core.ids import Address, DaemonId, Millis, Offset, StoreEra, StreamName
 
 from .codec import ControlMessage
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True, slots=True)
 class LogEntry:
@@ -103,39 +105,53 @@
     left: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer(Generic[T]):
+    """What the store answered, and the era that the answer names, if any.
+
+    The era rises whenever the store comes back from an older copy: what it confirmed in an earlier
+    era may be gone, and offsets of an earlier era may stand for other records.
+    """
+
+    value: T
+    era: StoreEra | None
+
+
 class FleetStore(Protocol):
     """The platform's store of the configuration and of the daemons' endpoint records.
 
     Every method raises `StoreError` when the store fails or sends an unusable response.
     """
 
-    async def newest_config(self, timeout: Millis) -> ConfigRead:
+    async def newest_config(self, timeout: Millis) -> StoreAnswer[ConfigRead]:
         """Return the newest configuration, if any, and the offset from which to follow the log."""
         ...
 
-    async def check(self) -> None:
+    async def check(self) -> StoreAnswer[None]:
         """Make a short call that changes nothing, to learn whether the store answers."""
         ...
 
-    async def next_config(self, start: Offset, wait: Millis, timeout: Millis) -> ConfigRead:
+    async def next_config(
+        self, start: Offset, wait: Millis, timeout: Millis
+    ) -> StoreAnswer[ConfigRead]:
         """Wait up to `timeout` for an answer that the store may hold for `wait`.
 
-        Raises `HistoryLostError` if the records at `start` are no longer retained.
+        Raises `HistoryLostError` if the store does not have the records at `start`.
         """
         ...
 
-    async def announce(self, daemon_id: DaemonId, data: bytes) -> None:
+    async def announce(self, daemon_id: DaemonId, data: bytes) -> StoreAnswer[None]:
         """Store the endpoint record of a daemon."""
         ...
 
-    async def read_announcements(self) -> tuple[bytes, ...]:
+    async def read_announcements(self) -> StoreAnswer[tuple[bytes, ...]]:
         """Return the stored endpoint records."""
         ...
 
-    async def announce_drain(self, daemon_id: DaemonId, data: bytes) -> None:
+    async def announce_drain(self, daemon_id: DaemonId, data: bytes) -> StoreAnswer[None]:
         """Store a second endpoint record of a daemon, for its upstream that is leaving."""
         ...
 
-    async def withdraw(self, daemon_id: DaemonId) -> None:
+    async def withdraw(self, daemon_id: DaemonId) -> StoreAnswer[None]:
         """Delete the stored records of a daemon that is gone."""
         ...
--- a/packages/agatecross-core/agatecross_core/errors.py
+++ b/packages/agatecross-core/agatecross_core/errors.py
@@ -1,6 +1,6 @@
 """The exception hierarchy of agatecross."""
 
-from .ids import Address, DocumentName, StreamName
+from .ids import Address, DocumentName, Offset, StoreEra, StreamName
 
 
 class AgatecrossError(Exception):
@@ -77,8 +77,19 @@
 
 
 class StoreError(AgatecrossError):
-    """The platform's store failed an operation, or did not confirm it."""
+    """The platform's store failed an operation, or did not confirm it.
+
+    `era` is that of the store if it answered and named it.
+    """
+
+    def __init__(self, reason: str, era: StoreEra | None = None) -> None:
+        super().__init__(reason)
+        self.era = era
 
 
 class HistoryLostError(StoreError):
-    """The store no longer has the requested records."""
+    """The store does not have the requested records; `first` is its oldest offset, if named."""
+
+    def __init__(self, reason: str, era: StoreEra | None, first: Offset | None) -> None:
+        super().__init__(reason, era)
+        self.first = first
--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -21,6 +21,10 @@
 
 PublishId = NewType("PublishId", str)
 StreamName = NewType("StreamName", str)
+
+StoreEra = NewType("StoreEra", int)
+"""Counts how often the platform's store came back from an older copy of itself."""
+
 Offset = NewType("Offset", int)
 Incarnation = NewType("Incarnation", int)
 CallId = NewType("CallId", str)
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -64,6 +64,11 @@
             ("operation", "result"),
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "agatecross_store_era",
+            "Era that the platform's store named last; it rises when the store is restored.",
+            registry=self.registry,
+        )
         self.peers = Gauge(
             "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
         )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from agatecross_adapters.hop_codec import decode_endpoint, encode_endpoint
 from agatecross_adapters.hop_messages import ConfigDelta
@@ -17,7 +17,7 @@
     long_poll,
     reader_role,
 )
-from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError, StoreError
+from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError
 from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, Version
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.pacing import full_jitter
@@ -25,7 +25,7 @@
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
-from ..mailbox import Sender, monotonic_ms
+from ..mailbox import Sender
 from ..relay_messages import DrainsLoaded, DrainStored, StoreReachability, TableInForce
 from ..relay_metrics import MILLISECONDS_PER_SECOND, RelayMetrics
 from ..store_messages import (
@@ -39,8 +39,7 @@
     PeerRemoved,
     StoreDrain,
 )
-
-T = TypeVar("T")
+from .store_calls import StoreCalls
 
 StoreMessage = ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved
 STORE_RETRY_BASE = Millis(150)
@@ -68,8 +67,6 @@
 READ_FROM_STORE = ConfigSource(ConfigOrigin.STORE, None, ZERO_MS)
 # Storing a drain is retried only while it matters: the upstream exits some seconds after its leave.
 STORE_DRAIN_ATTEMPTS = 8
-# A measured latency is reported to peers if it is below this share of the one they know.
-LATENCY_UPDATE_RATIO = 0.5
 
 ConfigDecoder = Callable[[bytes], HostTable]
 """Returns the compiled configuration; raises `MessageDecodeError`."""
@@ -108,10 +105,9 @@
         self.unreadable_checksum: int | None = None
         self.missing_reads = 0
         self.open_links: frozenset[DaemonId] = frozenset()
-        self.latency = Millis(0)
+        self.calls = StoreCalls(peers, lambda era: None, log, metrics)
         self.forgot_peer = False
         self.offset: Offset | None = None
-        self.failures = 0
         self.background: set[asyncio.Task[None]] = set()
         self.latest_drain: Endpoint | None = None
 
@@ -182,13 +178,13 @@
         await self._wait_until_read_due()
         # A reader takes over from one that the store does not answer, so it must learn quickly
         # whether it is answered itself; after that, it allows for a store that is only slow.
-        takes_over = self.version and not self.failures
+        takes_over = self.version and not self.calls.failures
         timeout = ANSWER_MARGIN if takes_over else SLOW_READ_TIMEOUT
-        answer = await self._call_store("newest_config", self.store.newest_config(timeout))
+        answer = await self.calls.make("newest_config", self.store.newest_config(timeout))
         if answer is None:
             await self._wait_before_retry()
             return
-        self._apply_read(answer)
+        self._apply_read(answer.value)
         if not self.version:
             # The store has no readable configuration: poll less often, since every daemon does.
             delay = min(MISSING_CONFIG_CAP_SECONDS, READER_CHECK_SECONDS * 2**self.missing_reads)
@@ -205,8 +201,8 @@
             await asyncio.sleep(READER_CHECK_SECONDS)
             left -= READER_CHECK_SECONDS
             check_in -= READER_CHECK_SECONDS
-            if self.failures and check_in <= 0:
-                await self._call_store("check", _true_after(self.store.check()))
+            if self.calls.failures and check_in <= 0:
+                await self.calls.make("check", self.store.check())
                 check_in = self._next_check()
 
     def _next_check(self) -> float:
@@ -215,20 +211,22 @@
     async def _read_next(self, offset: Offset, role: ReaderRole) -> None:
         poll = long_poll(role, self.apply_within)
         try:
-            answer = await self._call_store(
+            answer = await self.calls.make(
                 "next_config", self.store.next_config(offset, poll.wait, poll.timeout)
             )
-        except HistoryLostError:
-            self.log.write_change("history_lost", offset=offset)
+        except HistoryLostError as error:
+            first = "" if error.first is None else error.first
+            self.log.write_change("history_lost", offset=offset, first=first)
             self.offset = None
             return
         if answer is None:
             await self._wait_before_retry()
             return
-        self._apply_read(answer)
-        if answer.left > 1:
+        read = answer.value
+        self._apply_read(read)
+        if read.left > 1:
             # Only the newest configuration is needed, and each takes seconds on a slow link.
-            self.log.write_change("config_records_skipped", offset=answer.offset, left=answer.left)
+            self.log.write_change("config_records_skipped", offset=read.offset, left=read.left)
             self.offset = None
 
     def _apply_read(self, read: ConfigRead) -> None:
@@ -236,38 +234,11 @@
         if read.data is not None:
             self._apply_config(read.data, READ_FROM_STORE)
 
-    async def _call_store(self, operation: str, call: Awaitable[T]) -> T | None:
-        """Return the answer, or None on failure; logs only the first of consecutive failures."""
-        asked_at = monotonic_ms()
-        try:
-            answer = await call
-        except HistoryLostError:
-            raise
-        except StoreError as error:
-            self.metrics.store_calls.labels(operation, "failed").inc()
-            if not self.failures:
-                self.log.write_change("store_lost", operation=operation, reason=str(error))
-            self.failures += 1
-            self.peers.put(StoreReachability(False, self.latency))
-            return None
-        self.metrics.store_calls.labels(operation, "done").inc()
-        if self.failures:
-            self.log.write_change("store_regained", failures=self.failures)
-        self.failures = 0
-        # Whole milliseconds, as peers receive them. Every daemon selects the readers by latency; if
-        # it used a different latency for itself than its peers do, each could expect the other to
-        # read.
-        took = Millis(max(1, int(monotonic_ms() - asked_at)))
-        if not self.latency or took < LATENCY_UPDATE_RATIO * self.latency:
-            self.latency = took
-        self.peers.put(StoreReachability(True, self.latency))
-        return answer
-
     async def _wait_before_retry(self) -> None:
         if self.version and not self.is_reader():
             await asyncio.sleep(NON_READER_RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
         else:
-            delay = full_jitter(self.failures, STORE_RETRY_BASE, STORE_RETRY_CAP, self.rng)
+            delay = full_jitter(self.calls.failures, STORE_RETRY_BASE, STORE_RETRY_CAP, self.rng)
             await asyncio.sleep((STORE_RETRY_BASE + delay) / 1000)
 
     def _apply_config_delta(self, delta: ConfigDelta, source: ConfigSource) -> None:
@@ -370,10 +341,10 @@
 
     async def _read_announcements(self) -> None:
         while (
-            rows := await self._call_store("announced", self.store.read_announcements())
+            answer := await self.calls.make("announced", self.store.read_announcements())
         ) is None:
             await self._wait_before_retry()
-        endpoints = tuple(self._decode_endpoints(rows))
+        endpoints = tuple(self._decode_endpoints(answer.value))
         self.peers.put(EndpointsRead(endpoints))
         self.exit.put(DrainsLoaded())
         me = self.directory.me
@@ -384,7 +355,7 @@
     async def _announce_self(self) -> bool:
         me = self.directory.me
         call = self.store.announce(me.daemon_id, encode_endpoint(me))
-        return await self._call_store("announce", _true_after(call)) is not None
+        return await self.calls.make("announce", call) is not None
 
     def _decode_endpoints(self, rows: tuple[bytes, ...]) -> list[Endpoint]:
         found: list[Endpoint] = []
@@ -402,7 +373,7 @@
                 # A later request took over; an earlier drain must not replace a newer one.
                 return
             call = self.store.announce_drain(me.daemon_id, encode_endpoint(me))
-            if await self._call_store("keep_drain", _true_after(call)) is not None:
+            if await self.calls.make("keep_drain", call) is not None:
                 self.exit.put(DrainStored(me.instance, me.born))
                 return
             await asyncio.sleep(self.rng.uniform(STORE_RETRY_BASE, STORE_RETRY_CAP) / 1000)
@@ -411,9 +382,4 @@
         )
 
     async def _withdraw_announcement(self, daemon_id: DaemonId) -> None:
-        await self._call_store("withdraw", _true_after(self.store.withdraw(daemon_id)))
-
-
-async def _true_after(call: Awaitable[None]) -> bool:
-    await call
-    return True
+        await self.calls.make("withdraw", self.store.withdraw(daemon_id))
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -4,7 +4,8 @@
 import base64
 import contextlib
 import json
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_core.calls.model import Request, Response
@@ -16,6 +17,9 @@
 MAX_PAGE_BYTES = 1024 * 1024
 SILENT_POLL_INTERVAL_SECONDS = 0.02
 JSON_HEADERS = (("Content-Type", "application/json"),)
+ERA_HEADER = "Store-Era"
+FIRST_ERA = 1
+REFUSAL = Response(503, JSON_HEADERS, b"{}")
 
 
 @dataclass(slots=True)
@@ -32,6 +36,10 @@
         """Return the offset of the next record."""
         return self.first + len(self.records)
 
+    def copy(self) -> "Topic":
+        """Return a topic with the same records, to which nobody waits to be appended."""
+        return Topic(list(self.records), self.first, dict(self.newest))
+
 
 @dataclass(slots=True)
 class StoreSwitches:
@@ -51,6 +59,7 @@
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
+        self.era = FIRST_ERA
         self.switches = StoreSwitches()
         self.listener = TornadoHttpListener()
         self.paths: list[str] = []
@@ -80,6 +89,21 @@
         log = self._topic(topic)
         log.first, log.records = log.end, []
 
+    def copy_topics(self) -> dict[str, Topic]:
+        """Return a copy of all topics, as they are now."""
+        return {name: topic.copy() for name, topic in self.topics.items()}
+
+    def restore(self, copy: Mapping[str, Topic]) -> None:
+        """Come back from a copy, in a new era; reads that wait for a record go on in the copy."""
+        replaced, self.topics = self.topics, {name: topic.copy() for name, topic in copy.items()}
+        self.era += 1
+        for topic in replaced.values():
+            topic.appended.set()
+
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key of a topic."""
+        return {key: value for key, (_, value) in self._topic(topic).newest.items()}
+
     def _topic(self, name: str) -> Topic:
         return self.topics.setdefault(name, Topic())
 
@@ -95,14 +119,19 @@
         topic.appended = asyncio.Event()
 
     async def _handle(self, request: Request) -> Response:
+        response = await self._response(request)
+        return replace(response, headers=(*response.headers, (ERA_HEADER, str(self.era))))
+
+    async def _response(self, request: Request) -> Response:
         self.paths.append(request.path)
         while self.switches.silent:
             await asyncio.sleep(SILENT_POLL_INTERVAL_SECONDS)
         if self.switches.refuse:
-            return Response(503, JSON_HEADERS, b"{}")
+            return REFUSAL
         path, _, query = request.path.partition("?")
         fields = dict(part.split("=", 1) for part in query.split("&"))
-        topic = self._topic(fields["topic"])
+        name = fields["topic"]
+        topic = self._topic(name)
         if path == "/-/log-append":
             return self._append_response(topic, request.body)
         if path == "/-/log-newest":
@@ -113,7 +142,7 @@
             )
         most = min(MAX_PAGE_BYTES, 1024 * int(fields.get("maxKilobytes", 1024)))
         wait_ms = int(fields.get("waitMs", 0))
-        return await self._read_response(topic, int(fields["from"]), wait_ms, most)
+        return await self._read_response(name, int(fields["from"]), wait_ms, most)
 
     def _append_response(self, topic: Topic, body: bytes) -> Response:
         offset = topic.end
@@ -139,12 +168,16 @@
         body = json.dumps({"items": [row], "more": True, "end": self.calls}).encode()
         return Response(200, JSON_HEADERS, body)
 
-    async def _read_response(self, topic: Topic, start: int, wait_ms: int, most: int) -> Response:
-        if start < topic.first:
-            return Response(410, JSON_HEADERS, json.dumps({"firstOffset": topic.first}).encode())
-        if start >= topic.end and wait_ms:
+    async def _read_response(self, name: str, start: int, wait_ms: int, most: int) -> Response:
+        topic = self._topic(name)
+        if start == topic.end and wait_ms:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.appended.wait(), wait_ms / 1000)
+            if self.switches.refuse:
+                return REFUSAL
+            topic = self._topic(name)
+        if not topic.first <= start <= topic.end:
+            return Response(410, JSON_HEADERS, json.dumps({"firstOffset": topic.first}).encode())
         head = topic.end.to_bytes(OFFSET_BYTES, "big") + topic.first.to_bytes(OFFSET_BYTES, "big")
         rows = topic.records[max(0, start - topic.first) :]
         body = b""
