Follow the store's log from the newest record after a restore

Callers saw a confirmed change that never came into force: a reader that goes on from the offset that it kept, in a log that came back from an older copy and has grown to that offset again, waits there or reads on, and what stands below it is never seen. Only 410 was noticed, that is, a log still shorter than the offset. Cause: an offset outlived the log that it belongs to; nothing read Store-Era.

An offset is dropped with the first answer of another era, also a refusal, and an answer to a read that was under way is not applied.

--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -18,7 +18,7 @@
     reader_role,
 )
 from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError
-from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, Version
+from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, StoreEra, Version
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.pacing import full_jitter
 from agatecross_core.routing.host_table import HostTable
@@ -105,7 +105,7 @@
         self.unreadable_checksum: int | None = None
         self.missing_reads = 0
         self.open_links: frozenset[DaemonId] = frozenset()
-        self.calls = StoreCalls(peers, lambda era: None, log, metrics)
+        self.calls = StoreCalls(peers, self._on_restored, log, metrics)
         self.forgot_peer = False
         self.offset: Offset | None = None
         self.background: set[asyncio.Task[None]] = set()
@@ -222,6 +222,9 @@
         if answer is None:
             await self._wait_before_retry()
             return
+        if self.offset is None:
+            # The store was restored meanwhile, so the answer follows an offset of an earlier log.
+            return
         read = answer.value
         self._apply_read(read)
         if read.left > 1:
@@ -229,6 +232,11 @@
             self.log.write_change("config_records_skipped", offset=read.offset, left=read.left)
             self.offset = None
 
+    def _on_restored(self, era: StoreEra) -> None:
+        """Read the newest configuration again: at known offsets there may be other records."""
+        del era
+        self.offset = None
+
     def _apply_read(self, read: ConfigRead) -> None:
         self.offset = read.offset
         if read.data is not None:
