Write a daemon's records again after the store came back from an older copy

Callers would reach an upstream that had left: a drain was stored once and counted as stored for ever, so after a restore from a copy without it a restart of all daemons forgot the confirmed leave, and a repeated leave was confirmed at once though the store did not have it. Announcements of daemons that had started since the copy were missing for as long as they ran.

Cause: a fact in the store whose owner writes it once. Now each record is kept with the era in which it was written; one of another era is written again, the drain at once and the announcement within 4 ms for each daemon of the fleet. The daemon whose call shows the rise tells its peers, also those that link to it later, since only readers follow the store; a peer's report only makes a daemon write, and the answer says what the era is. The records move out of the store task into tasks/announcements.

Evidence: store_restored.feature. A withdrawal that a restore undoes has no test yet.

--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -31,7 +31,7 @@
     ConfigSource,
     DeltaReceived,
 )
-from agatecross_daemon.tasks import config_distributor, peers_task, store_task
+from agatecross_daemon.tasks import announcements, config_distributor, peers_task, store_task
 from agatecross_daemon.tasks.config_distributor import ConfigDistributor
 from agatecross_daemon.tasks.store_task import READER_CHECK_SECONDS
 from agatecross_standins.link_proxy import Link
@@ -414,7 +414,7 @@
         mock.patch.object(peers_task, "ping_periods", never_ping),
         mock.patch.object(store_task, "reader_role", north_reads),
         # A later reading of the announcements shows as well that the store answers.
-        mock.patch.object(store_task, "ANNOUNCEMENT_READ_DELAYS_SECONDS", (0.0,)),
+        mock.patch.object(announcements, "READ_DELAYS_SECONDS", (0.0,)),
     )
     for patch in patches:
         patch.start()
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,8 +1,14 @@
-from behave import then, when
-from platform_steps import poll_until
+import random
+from unittest import mock
+
+from behave import given, then, when
+from platform_steps import poll_until, start_testbed
 
 from agatecross_core.distribution.store_era import EraTracker
+from agatecross_core.members.stored_records import StoredRecord, StoredRecords, rewrite_delay
+from agatecross_daemon.tasks import announcements
 from agatecross_standins.platform_config import config_record
+from agatecross_standins.platform_store import Topic
 
 OTHER_RECORD = "other"
 
@@ -11,6 +17,14 @@
     return None if text == "none" else int(text)
 
 
+@given("a platform fleet that has read its announcements")
+def step_settled_fleet(context):
+    patch = mock.patch.object(announcements, "READ_DELAYS_SECONDS", (0.0,))
+    patch.start()
+    context.add_cleanup(patch.stop)
+    start_testbed(context, False)
+
+
 @when("the store is copied")
 def step_copy(context):
     context.store_copy = context.testbed.store.copy_topics()
@@ -39,6 +53,104 @@
     context.testbed.run(work())
 
 
+@when("the store is copied empty")
+def step_copy_empty(context):
+    context.store_copy = {**context.testbed.store.copy_topics(), "keyed.endpoints": Topic()}
+
+
+@when("the store comes back from the copy once")
+def step_restore_once(context):
+    context.testbed.run(restore_store(context, 1))
+
+
+@when("the store comes back from the copy twice")
+def step_restore_twice(context):
+    context.testbed.run(restore_store(context, 2))
+
+
+async def restore_store(context, times):
+    store = context.testbed.store
+    for _ in range(times):
+        appends = store.appends
+        store.restore(context.store_copy)
+        # The second restore takes away what was written after the first.
+        await poll_until(lambda appends=appends: store.appends > appends, "a record to be written")
+
+
+@when("d{informed:d} knows of a restore in era {number:d} and its link from d{other:d} is lost")
+def step_missed_notice(context, informed, number, other):
+    daemons = context.testbed.sidecars
+
+    async def work():
+        daemons[informed].peers.restored_era = number
+        context.appends = context.testbed.store.appends
+        daemons[other].peers.links[f"d{informed}"].connection.abort()
+
+    context.testbed.run(work())
+
+
+@then("d{number:d} writes its announcement again")
+def step_announced_again(context, number):
+    store = context.testbed.store
+    daemon = context.testbed.sidecars[number].store
+
+    async def work():
+        await poll_until(lambda: daemon.reported_era, "the report")
+        await poll_until(lambda: store.appends > context.appends, "the announcement")
+
+    context.testbed.run(work())
+
+
+@then('the store has the records "{keys}" again')
+def step_records(context, keys):
+    store = context.testbed.store
+    wanted = set(keys.split(","))
+    context.testbed.run(poll_until(lambda: store.newest("keyed.endpoints").keys() >= wanted, keys))
+
+
+@when("the store comes back from the copy and refuses appends")
+def step_restore_refusing(context):
+    testbed = context.testbed
+
+    async def work():
+        testbed.store.switches.refuse_appends = True
+        testbed.store.restore(context.store_copy)
+        daemon = testbed.sidecars[0].store
+        await poll_until(lambda: daemon.calls.era == testbed.store.era, "the era of the store")
+
+    testbed.run(work())
+
+
+@when("the store takes appends again")
+def step_take_appends(context):
+    context.testbed.store.switches.refuse_appends = False
+
+
+@then('after "{history}" the records "{missing}" are missing')
+def step_missing(context, history, missing):
+    records = StoredRecords()
+    for entry in history.split("; "):
+        match entry.split():
+            case ["write", name, number]:
+                records.record_written(StoredRecord(name), int(number))
+            case ["restored", number]:
+                records.store_restored(int(number))
+            case ["reported"]:
+                records.restore_reported()
+            case ["drop", name]:
+                records.drop(StoredRecord(name))
+    expected = set() if missing == "-" else set(missing.split(", "))
+    assert {record.value for record in records.missing} == expected, records.missing
+
+
+@then("{count:d} daemons write again within {limit:d} ms, spread over that time")
+def step_delays(context, count, limit):
+    rng = random.Random(1)
+    delays = [rewrite_delay(count, rng) for _ in range(count)]
+    early = sum(delay < limit / 2 for delay in delays)
+    assert max(delays) <= limit and count / 4 < early < 3 * count / 4, (max(delays), early)
+
+
 @then('with era {known} known it says "{change}", and era {present} is present')
 def step_observe(context, known, change, present):
     row = context.active_outline
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -35,3 +35,81 @@
       | a late answer of the earlier era that is believed      | 5     | 4     | 4    | outdated | 5       |
       | the same of a call made before the first answer        | 5     | none  | 4    | outdated | 5       |
       | another store that is never believed, as its era is low | 5     | 5     | 2    | restored | 2       |
+
+  # A copy of the empty topic lacks every announcement. Only the readers follow the store.
+  Scenario Outline: announcements that the store lost <times>: <guards against>
+    Given a platform fleet that has read its announcements
+    When the store is copied empty
+    And the store comes back from the copy <times>
+    Then the store has the records "d0,d1,d2" again
+
+    Examples:
+      | guards against                                            | times |
+      | daemons that no later daemon finds                        | once  |
+      | the same after a second restore while they are written    | twice |
+
+  Scenario: a daemon that had no link to the one that noticed a restore learns of it later
+    Guards against a notice that is sent once, and missed by a daemon whose link is just down.
+    Given a platform fleet
+    When d0 knows of a restore in era 2 and its link from d2 is lost
+    Then d2 writes its announcement again
+
+  Scenario Outline: a fleet that is killed whole after a restore keeps a confirmed <what>
+    Guards against a drain that is stored once: the copy lacks it, and after a restart of all daemons
+    a late heartbeat would undo it.
+    Given a platform fleet
+    When the store is copied
+    And upstream "u0" tells its daemon "<messages>"
+    And the store comes back from the copy <times>
+    Then the store has the records "d0/drain" again
+    When every daemon is killed and started again
+    And upstream "u0" tells its daemon "late ready"
+    And upstream "u2" tells its daemon "ready"
+    And every daemon sees the upstreams "u2"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" ran "none"
+
+    Examples:
+      | what                                          | messages               | times |
+      | drain                                         | draining               | once  |
+      | leave                                         | leave                  | once  |
+      | leave of an upstream that sent no heartbeat   | replaced; leave        | once  |
+      | leave of the upstream after one that left     | leave; replaced; leave | once  |
+      | leave through two restores                    | leave                  | twice |
+
+  Scenario: a leave is confirmed again only once a restored store has its drain
+    Guards against a confirmation of the era before, which the store has lost.
+    Given a platform fleet
+    When the store is copied
+    And upstream "u0" tells its daemon "leave"
+    And the store comes back from the copy and refuses appends
+    And upstream "u0" tells its daemon "leave"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" was answered 503 and ran "none"
+    When the store takes appends again
+    Then the store has the records "d0/drain" again
+    When upstream "u0" tells its daemon "leave"
+    And a caller of d1 sends "GET /safe/1" 6 times
+    Then upstream "u0" was answered 200 and ran "none"
+
+  Scenario Outline: records of a daemon after "<history>": <guards against>
+    Then after "<history>" the records "<missing>" are missing
+
+    Examples:
+      | guards against                                        | history                                                          | missing             |
+      | records that are written though nothing was lost      | write announcement 1; write drain 1                              | -                   |
+      | records of an earlier era                             | write announcement 1; write drain 1; restored 2                  | announcement, drain |
+      | a record that was written in the present era          | write announcement 1; restored 2; write announcement 2           | -                   |
+      | a record confirmed in the new era before it was known | write drain 2; restored 2                                        | -                   |
+      | a second restore while the first is repaired          | write drain 1; restored 2; restored 3; write drain 2; restored 3 | drain               |
+      | a report that stands for more than one write          | write drain 1; reported; write drain 1                           | -                   |
+      | a drain that nobody needs any more                    | write drain 1; restored 2; drop drain                            | -                   |
+      | a record that was never written                       | restored 2; reported                                             | -                   |
+
+  Scenario Outline: <daemons> daemons that write again: <guards against>
+    Then <daemons> daemons write again within <limit> ms, spread over that time
+
+    Examples:
+      | guards against                               | daemons | limit |
+      | a small fleet that waits for seconds         | 16      | 64    |
+      | a fleet that fills the store's queue of 2 s  | 1300    | 5200  |
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -27,6 +27,7 @@
     RegionName,
     RouteName,
     ServiceName,
+    StoreEra,
     Version,
 )
 from agatecross_core.members.directory import Endpoint
@@ -51,6 +52,7 @@
     Pull,
     Result,
     Resume,
+    StoreEraNotice,
     Strikes,
 )
 
@@ -69,6 +71,7 @@
     PULL = 9
     STRIKES = 10
     CONFIG_DELTA = 11
+    STORE_ERA = 12
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -104,6 +107,7 @@
     Tag.PULL: (tuple[Count], 1),
     Tag.STRIKES: (tuple[list[tuple[str, str, Count]]], 1),
     Tag.CONFIG_DELTA: (tuple[Count, Count, Count, bytes], 4),
+    Tag.STORE_ERA: (tuple[Count], 1),
 }
 """Type and number of the fields after the tag; a later release may append fields."""
 
@@ -191,6 +195,8 @@
                 (strike.fingerprint, strike.daemon_id, strike.incarnation) for strike in strikes
             ]
             return (Tag.STRIKES, rows)
+        case StoreEraNotice(era):
+            return (Tag.STORE_ERA, era)
 
 
 def _result_fields(result: RelayResult) -> tuple[Any, ...]:
@@ -243,6 +249,8 @@
             return Pull(Version(fields[0]))
         case Tag.STRIKES:
             return Strikes(tuple(_strike_from_fields(strike) for strike in fields[0]))
+        case Tag.STORE_ERA:
+            return StoreEraNotice(StoreEra(fields[0]))
 
 
 def _handover_from_fields(fields: HandoverFields, rest: list[Any]) -> Handover:
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from agatecross_core.distribution.delta import Step
-from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Version
+from agatecross_core.ids import DaemonId, HandoverId, Incarnation, StoreEra, Version
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult
@@ -97,6 +97,13 @@
     strikes: tuple[Strike, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreEraNotice:
+    """Reports that the platform's store came back from an older copy in `era`."""
+
+    era: StoreEra
+
+
 ORDERED_MESSAGES = (ConfigBlob, ConfigDelta)
 """Messages that must arrive in the order in which they were sent: a delta fits its predecessor."""
 
@@ -112,4 +119,5 @@
     | ConfigDelta
     | Pull
     | Strikes
+    | StoreEraNotice
 )
--- a/packages/agatecross-core/agatecross_core/members/leave_replies.py
+++ b/packages/agatecross-core/agatecross_core/members/leave_replies.py
@@ -39,6 +39,10 @@
         self.stored.add(start)
         self._answer(lambda row: row[0] == start, True)
 
+    def drain_lost(self, start: UpstreamStart) -> None:
+        """Confirm no further leave of this start until its drain is stored again."""
+        self.stored.discard(start)
+
     def expire(self, now: Millis) -> None:
         """Reply to the leaves whose drain was not stored in time that they are not confirmed."""
         self._answer(lambda row: row[1] <= now, False)
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/members/stored_records.py
@@ -0,0 +1,55 @@
+"""Tracks which records of this daemon the platform's store may have lost."""
+
+import random
+from enum import Enum
+
+from ..ids import Millis, StoreEra
+
+# A partition of the store takes 2 ms for each append; other writers need some of that time.
+REWRITE_SPACING = Millis(4)
+
+
+class StoredRecord(Enum):
+    """A record in the store that only this daemon writes.
+
+    `DRAIN` outlives a restart of the daemon, `ANNOUNCEMENT` is replaced by it.
+    """
+
+    DRAIN = "drain"
+    ANNOUNCEMENT = "announcement"
+
+
+class StoredRecords:
+    """Holds the era in which each record was written, and the records to write again.
+
+    A store that comes back from an older copy lost what was written after that copy was made. When
+    that was is not known, so every record of an earlier era counts as missing.
+    """
+
+    def __init__(self) -> None:
+        """Start before the first record is written."""
+        self.written: dict[StoredRecord, StoreEra | None] = {}
+        self.missing: set[StoredRecord] = set()
+
+    def record_written(self, record: StoredRecord, era: StoreEra | None) -> None:
+        """Record that the store confirmed a record in an era."""
+        self.written[record] = era
+        self.missing.discard(record)
+
+    def store_restored(self, era: StoreEra) -> None:
+        """Count the records of other eras as missing, because the store's present era is `era`."""
+        self.missing |= {record for record, written in self.written.items() if written != era}
+
+    def restore_reported(self) -> None:
+        """Count every record as missing, because a peer knows of a later era than this daemon."""
+        self.missing |= self.written.keys()
+
+    def drop(self, record: StoredRecord) -> None:
+        """Stop keeping a record in the store."""
+        self.written.pop(record, None)
+        self.missing.discard(record)
+
+
+def rewrite_delay(daemon_count: int, rng: random.Random) -> Millis:
+    """Return a random delay that spreads the writes of a fleet over what the store can take."""
+    return Millis(rng.uniform(0.0, REWRITE_SPACING * daemon_count))
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -110,6 +110,14 @@
     born: int
 
 
+@dataclass(frozen=True, slots=True)
+class DrainLost:
+    """The store may have lost the drain of the upstream process that started at `born`."""
+
+    instance: InstanceId
+    born: int
+
+
 @dataclass(frozen=True, slots=True)
 class OwnEndpointChanged:
     """Changed fields of the endpoint that this daemon announces for its local upstream."""
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -69,6 +69,12 @@
             "Era that the platform's store named last; it rises when the store is restored.",
             registry=self.registry,
         )
+        self.store_rewrites = Counter(
+            "agatecross_store_records_rewritten_total",
+            "Records of this daemon that were written again because the store was restored.",
+            ("record",),
+            registry=self.registry,
+        )
         self.peers = Gauge(
             "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
         )
--- a/packages/agatecross-daemon/agatecross_daemon/store_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -4,7 +4,7 @@
 
 from agatecross_adapters.hop_messages import ConfigDelta
 from agatecross_core.distribution.propagation import ConfigOrigin
-from agatecross_core.ids import DaemonId, Millis, Version
+from agatecross_core.ids import DaemonId, Millis, StoreEra, Version
 from agatecross_core.members.directory import Endpoint
 
 
@@ -68,6 +68,20 @@
     own_endpoint: Endpoint
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store came back from an older copy in `era`; no peer has reported it yet."""
+
+    era: StoreEra
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRestoreReported:
+    """A peer reports that the store came back from an older copy in `era`."""
+
+    era: StoreEra
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointsRead:
     """Announcements of daemons were read from the store."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -45,6 +45,7 @@
 from ..mailbox import Sender, boottime_ms, monotonic_ms
 from ..relay_messages import (
     CancelHandover,
+    DrainLost,
     DrainsLoaded,
     DrainStored,
     HeartbeatReceived,
@@ -63,6 +64,7 @@
     | ResumeHandover
     | DrainsLoaded
     | DrainStored
+    | DrainLost
     | HeartbeatReceived
     | LeaveReceived
 )
@@ -177,6 +179,8 @@
                     self.early_heartbeats.append(heartbeat)
             case DrainStored(instance, born):
                 self.leave_replies.drain_stored((instance, born))
+            case DrainLost(instance, born):
+                self.leave_replies.drain_lost((instance, born))
             case LeaveReceived():
                 self._handle_leave(message)
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -14,11 +14,19 @@
     HopMessage,
     Ping,
     Pull,
+    StoreEraNotice,
     Strikes,
 )
 from agatecross_core.constants import FULL_TABLE_SENDERS
 from agatecross_core.distribution.readers import select_readers
-from agatecross_core.ids import Address, DaemonId, DataCentreName, HandoverId, Millis
+from agatecross_core.ids import (
+    Address,
+    DaemonId,
+    DataCentreName,
+    HandoverId,
+    Millis,
+    StoreEra,
+)
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import ping_periods
 from agatecross_core.members.records import Strike
@@ -49,6 +57,8 @@
     LinksChanged,
     PeerRemoved,
     StoreDrain,
+    StoreRestored,
+    StoreRestoreReported,
 )
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
@@ -64,6 +74,7 @@
     | ConfigChanged
     | FullConfigNeeded
     | EndpointsRead
+    | StoreRestored
 )
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
@@ -85,7 +96,14 @@
         directory: Directory,
         exit_mailbox: Sender[ExitMessage],
         entry: Sender[FleetChanged | StrikesReported],
-        store: Sender[ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved],
+        store: Sender[
+            ConfigReceived
+            | DeltaReceived
+            | LinksChanged
+            | StoreDrain
+            | PeerRemoved
+            | StoreRestoreReported
+        ],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -111,6 +129,8 @@
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
         self.open_links: frozenset[DaemonId] = frozenset()
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
+        # The latest era in which the store came back from an older copy, 0 if it has not.
+        self.restored_era = StoreEra(0)
 
     async def start(self) -> None:
         """Start accepting connections from other daemons."""
@@ -175,6 +195,9 @@
                 self._record_strikes(strikes)
                 for link in self.links.values():
                     link.send(Strikes(strikes))
+            case StoreRestored(era):
+                self.restored_era = max(self.restored_era, era)
+                self._send_to_peers(StoreEraNotice(era))
 
     def _send_handover(
         self,
@@ -198,14 +221,18 @@
             self.links[daemon_id].cancel(handover_id)
 
     def _announce_self(self, me: Endpoint) -> None:
-        frame = encode_hop_message(Endpoints((me,)))
+        self._send_to_peers(Endpoints((me,)))
+        self._publish_endpoints()
+
+    def _send_to_peers(self, message: HopMessage) -> None:
+        """Send a message once to each peer that is connected in either direction."""
+        frame = encode_hop_message(message)
         reached: set[DaemonId] = set()
         for link in self.links.values():
             if link.is_open and link.connection is not None:
                 link.connection.send(frame)
                 reached.add(link.daemon_id)
         self.inbound.send_to_others(frame, reached)
-        self._publish_endpoints()
 
     def _merge_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         previous = self.directory.me
@@ -325,6 +352,9 @@
         match message:
             case Hello(_, _, version, endpoints):
                 self._merge_endpoints(endpoints)
+                if self.restored_era:
+                    # The peer may have been cut off when the others were notified.
+                    send_reply(StoreEraNotice(self.restored_era))
                 self.config_distributor.version_offered(version, send_reply, peer, monotonic_ms())
             case Endpoints(endpoints):
                 self._merge_endpoints(endpoints)
@@ -334,6 +364,9 @@
                 self.config_distributor.config_received(message, send_reply, peer, monotonic_ms())
             case Strikes(strikes):
                 self._record_strikes(strikes)
+            case StoreEraNotice(era):
+                self.restored_era = max(self.restored_era, era)
+                self.store.put(StoreRestoreReported(era))
             case Pull(version):
                 self.config_distributor.answer_pull(version, send_reply)
             case _:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -1,4 +1,4 @@
-"""Calls the platform's store, and follows the configuration and the daemons announced there."""
+"""Follows the configuration in the platform's store; owns the store's client."""
 
 import asyncio
 import random
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from agatecross_adapters.hop_codec import decode_endpoint, encode_endpoint
 from agatecross_adapters.hop_messages import ConfigDelta
 from agatecross_adapters.protocols import ConfigRead, FleetStore
 from agatecross_core.distribution.delta import apply_delta, make_delta
@@ -19,14 +18,20 @@
 )
 from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError
 from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, StoreEra, Version
-from agatecross_core.members.directory import Directory, Endpoint
+from agatecross_core.members.directory import Directory
 from agatecross_core.pacing import full_jitter
 from agatecross_core.routing.host_table import HostTable
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender
-from ..relay_messages import DrainsLoaded, DrainStored, StoreReachability, TableInForce
+from ..relay_messages import (
+    DrainLost,
+    DrainsLoaded,
+    DrainStored,
+    StoreReachability,
+    TableInForce,
+)
 from ..relay_metrics import MILLISECONDS_PER_SECOND, RelayMetrics
 from ..store_messages import (
     ConfigChanged,
@@ -38,10 +43,15 @@
     LinksChanged,
     PeerRemoved,
     StoreDrain,
+    StoreRestored,
+    StoreRestoreReported,
 )
+from .announcements import Announcements
 from .store_calls import StoreCalls
 
-StoreMessage = ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved
+StoreMessage = (
+    ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved | StoreRestoreReported
+)
 STORE_RETRY_BASE = Millis(150)
 STORE_RETRY_CAP = Millis(1_500)
 # Daemons that do not follow the store read it this often for a change that they missed, in case no
@@ -53,20 +63,14 @@
 READER_CHECK_SECONDS = 0.25
 # Longest pause between two reads of a store that holds no configuration that can be read.
 MISSING_CONFIG_CAP_SECONDS = 2.0
-# The store may answer from a state some seconds old, so announcements are read more than once.
-ANNOUNCEMENT_READ_DELAYS_SECONDS = (0.0, 4.0)
 # A starting daemon reads the store itself if no peer sent the configuration within this time. Links
 # are open within 200 ms of the start; a caller's shortest time limit is a few times longer.
 PEER_CONFIG_WAIT_SECONDS = 0.5
 START_POLL_SECONDS = 0.05
 # The store normally answers in 4 ms; the time-out allows for periods when it is far slower.
 SLOW_READ_TIMEOUT = Millis(1_500)
-# How often a daemon that forgot a peer checks whether the peer is announced again.
-ANNOUNCEMENT_REREAD_SECONDS = 20.0
 COMPRESSION_LEVEL = 6
 READ_FROM_STORE = ConfigSource(ConfigOrigin.STORE, None, ZERO_MS)
-# Storing a drain is retried only while it matters: the upstream exits some seconds after its leave.
-STORE_DRAIN_ATTEMPTS = 8
 
 ConfigDecoder = Callable[[bytes], HostTable]
 """Returns the compiled configuration; raises `MessageDecodeError`."""
@@ -83,8 +87,10 @@
         apply_within: Millis,
         directory: Directory,
         entry: Sender[TableInForce],
-        peers: Sender[ConfigChanged | FullConfigNeeded | StoreReachability | EndpointsRead],
-        exit_mailbox: Sender[DrainsLoaded | DrainStored],
+        peers: Sender[
+            ConfigChanged | FullConfigNeeded | StoreReachability | StoreRestored | EndpointsRead
+        ],
+        exit_mailbox: Sender[DrainsLoaded | DrainStored | DrainLost],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -96,7 +102,6 @@
         self.directory = directory
         self.entry = entry
         self.peers = peers
-        self.exit = exit_mailbox
         self.rng = rng
         self.log = log
         self.metrics = metrics
@@ -106,14 +111,26 @@
         self.missing_reads = 0
         self.open_links: frozenset[DaemonId] = frozenset()
         self.calls = StoreCalls(peers, self._on_restored, log, metrics)
-        self.forgot_peer = False
+        self.announcements = Announcements(
+            store,
+            self.calls,
+            directory,
+            peers,
+            exit_mailbox,
+            self.is_reader,
+            self._wait_before_retry,
+            rng,
+            log,
+            metrics,
+        )
+        # The latest era that a peer reported; its other peers were told of it too.
+        self.reported_era = StoreEra(0)
         self.offset: Offset | None = None
         self.background: set[asyncio.Task[None]] = set()
-        self.latest_drain: Endpoint | None = None
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
-        announcing = asyncio.ensure_future(self._run_announcements())
+        announcing = asyncio.ensure_future(self.announcements.run())
         try:
             await self._wait_for_peer_config()
             while True:
@@ -154,12 +171,13 @@
             case LinksChanged(open_links):
                 self.open_links = open_links
             case StoreDrain(me):
-                self.latest_drain = me
-                self._start_background(self._store_drain(me))
+                self._start_background(self.announcements.store_drain(me))
             case PeerRemoved(daemon_id):
-                self.forgot_peer = True
+                self.announcements.must_reread = True
                 if self.is_reader():
-                    self._start_background(self._withdraw_announcement(daemon_id))
+                    self._start_background(self.announcements.withdraw(daemon_id))
+            case StoreRestoreReported(era):
+                self._handle_reported_restore(era)
 
     def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -234,8 +252,18 @@
 
     def _on_restored(self, era: StoreEra) -> None:
         """Read the newest configuration again: at known offsets there may be other records."""
-        del era
         self.offset = None
+        if era > self.reported_era:
+            self.peers.put(StoreRestored(era))
+        self.announcements.store_restored(era)
+
+    def _handle_reported_restore(self, era: StoreEra) -> None:
+        # Only the store itself says what its era is; the next answer shows it.
+        if era <= max(self.reported_era, self.calls.era or 0):
+            return
+        self.reported_era = era
+        self.log.write_change("store_restore_reported", era=era, known=self.calls.era or "")
+        self.announcements.restore_reported()
 
     def _apply_read(self, read: ConfigRead) -> None:
         self.offset = read.offset
@@ -329,65 +357,3 @@
         if not self.version:
             return None
         return ConfigDelta(self.version, version, zlib.crc32(data), make_delta(self.data, data))
-
-    async def _run_announcements(self) -> None:
-        """Announce this daemon and read all announcements, again after a peer was forgotten."""
-        while not await self._announce_self():
-            await self._wait_before_retry()
-        started_at = asyncio.get_running_loop().time()
-        for delay in ANNOUNCEMENT_READ_DELAYS_SECONDS:
-            jitter = self.rng.uniform(0, 0.3) if delay else 0.0
-            await asyncio.sleep(
-                max(0.0, started_at + delay + jitter - asyncio.get_running_loop().time())
-            )
-            await self._read_announcements()
-        while True:
-            await asyncio.sleep(ANNOUNCEMENT_REREAD_SECONDS * self.rng.uniform(0.8, 1.2))
-            if self.forgot_peer:
-                self.forgot_peer = False
-                await self._read_announcements()
-
-    async def _read_announcements(self) -> None:
-        while (
-            answer := await self.calls.make("announced", self.store.read_announcements())
-        ) is None:
-            await self._wait_before_retry()
-        endpoints = tuple(self._decode_endpoints(answer.value))
-        self.peers.put(EndpointsRead(endpoints))
-        self.exit.put(DrainsLoaded())
-        me = self.directory.me
-        if (me.daemon_id, me.incarnation) not in {(r.daemon_id, r.incarnation) for r in endpoints}:
-            # A peer that could not reach this daemon has withdrawn its announcement.
-            await self._announce_self()
-
-    async def _announce_self(self) -> bool:
-        me = self.directory.me
-        call = self.store.announce(me.daemon_id, encode_endpoint(me))
-        return await self.calls.make("announce", call) is not None
-
-    def _decode_endpoints(self, rows: tuple[bytes, ...]) -> list[Endpoint]:
-        found: list[Endpoint] = []
-        for data in rows:
-            try:
-                found.append(decode_endpoint(data))
-            except MessageDecodeError as error:
-                self.log.write_change("announcement_malformed", reason=str(error))
-        return found
-
-    async def _store_drain(self, me: Endpoint) -> None:
-        """Store a confirmed drain, so that it still applies after a restart."""
-        for _ in range(STORE_DRAIN_ATTEMPTS):
-            if self.latest_drain is not me or me.instance is None:
-                # A later request took over; an earlier drain must not replace a newer one.
-                return
-            call = self.store.announce_drain(me.daemon_id, encode_endpoint(me))
-            if await self.calls.make("keep_drain", call) is not None:
-                self.exit.put(DrainStored(me.instance, me.born))
-                return
-            await asyncio.sleep(self.rng.uniform(STORE_RETRY_BASE, STORE_RETRY_CAP) / 1000)
-        self.log.write_change(
-            "drain_not_stored", instance=me.instance or "", tries=STORE_DRAIN_ATTEMPTS
-        )
-
-    async def _withdraw_announcement(self, daemon_id: DaemonId) -> None:
-        await self.calls.make("withdraw", self.store.withdraw(daemon_id))
--- a/packages/agatecross-standins/agatecross_standins/platform_store.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_store.py
@@ -45,12 +45,15 @@
 class StoreSwitches:
     """Failures to simulate: `refuse` answers with 503; `silent` holds responses until it is unset.
 
+    `refuse_appends` answers with 503 to appends only.
+
     If `endless_value_bytes` is set, `log-newest` always announces a further page, and each page
     holds one value of this size.
     """
 
     refuse: bool = False
     silent: bool = False
+    refuse_appends: bool = False
     endless_value_bytes: int = 0
 
 
@@ -63,6 +66,7 @@
         self.switches = StoreSwitches()
         self.listener = TornadoHttpListener()
         self.paths: list[str] = []
+        self.appends = 0
 
     @property
     def calls(self) -> int:
@@ -133,6 +137,9 @@
         name = fields["topic"]
         topic = self._topic(name)
         if path == "/-/log-append":
+            if self.switches.refuse_appends:
+                return REFUSAL
+            self.appends += 1
             return self._append_response(topic, request.body)
         if path == "/-/log-newest":
             return (
