Let a daemon that is a reader again ask the store at once

A daemon whose call fails while others are still served slept for 4 s, also when it became a reader meanwhile because the store answered nobody; within 0.8 s all 16 daemons slept.

Only readers and daemons without a configuration wait for a retry now; the others wait for their next turn, which ends as soon as they are readers. Evidence: store_restored.feature, "a daemon that is a reader again after its call failed" failed on the commit before (version 8 not in force after 15 s) and passes.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,16 +1,22 @@
+import asyncio
 import random
 from unittest import mock
 
 from behave import given, then, when
+from feeding_steps import wait_for_reachability
 from platform_steps import poll_until, start_testbed
 
+from agatecross_core.distribution.propagation import ReaderRole
 from agatecross_core.distribution.store_era import EraTracker
-from agatecross_core.members.stored_records import StoredRecord, StoredRecords, rewrite_delay
-from agatecross_daemon.tasks import announcements
+from agatecross_core.members.stored_records import StoredRecord, StoredRecords
+from agatecross_core.pacing import fleet_jitter
+from agatecross_daemon.tasks import announcements, store_task
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import Topic
 
 OTHER_RECORD = "other"
+# Longer than any scenario lasts.
+NEVER_SECONDS = 600.0
 
 
 def era(text):
@@ -25,6 +31,62 @@
     start_testbed(context, False)
 
 
+@given("a platform fleet of which only d0 reads the store")
+def step_one_reader(context):
+    roles = context.reader_roles = {"d0": ReaderRole.LEADING}
+    patches = (
+        mock.patch.object(
+            store_task, "reader_role", lambda me, *_: roles.get(me.daemon_id, ReaderRole.NONE)
+        ),
+        mock.patch.object(announcements, "READ_DELAYS_SECONDS", (0.0,)),
+        mock.patch.object(store_task, "NON_READER_RETRY_SECONDS", NEVER_SECONDS),
+        mock.patch.object(store_task, "UNSERVED_CHECK_SECONDS", NEVER_SECONDS),
+    )
+    for patch in patches:
+        patch.start()
+        context.add_cleanup(patch.stop)
+    start_testbed(context, False)
+
+
+@when("d0 loses the store while it is no reader, and is a reader again once the store answers")
+def step_reader_again(context):
+    testbed = context.testbed
+
+    async def work():
+        del context.reader_roles["d0"]
+        await lose_store(testbed, 0)
+        testbed.store.switches.refuse = False
+        await asyncio.sleep(0.1)
+        context.reader_roles["d0"] = ReaderRole.LEADING
+
+    testbed.run(work())
+
+
+@when("every daemon loses the store until it answers d0 again")
+def step_lose_and_regain(context):
+    testbed = context.testbed
+
+    async def work():
+        await lose_store(testbed, 0)
+        for sidecar in testbed.sidecars[1:]:
+            sidecar.store.calls._record_failure("check", "lost")
+        for number in range(len(testbed.sidecars)):
+            await wait_for_reachability(testbed, number, False)
+        # Every daemon has noticed in its turn that nobody is served.
+        await asyncio.sleep(2 * store_task.READER_CHECK_SECONDS)
+        testbed.store.switches.refuse = False
+
+    testbed.run(work())
+
+
+async def lose_store(testbed, number):
+    testbed.store.switches.refuse = True
+    # A record ends the long poll that is under way.
+    testbed.store.append_record("keyed.op", "other", b"{}")
+    calls = testbed.sidecars[number].store.calls
+    await poll_until(lambda: calls.failures, "the daemon to lose the store")
+
+
 @when("the store is copied")
 def step_copy(context):
     context.store_copy = context.testbed.store.copy_topics()
@@ -146,7 +208,7 @@
 @then("{count:d} daemons write again within {limit:d} ms, spread over that time")
 def step_delays(context, count, limit):
     rng = random.Random(1)
-    delays = [rewrite_delay(count, rng) for _ in range(count)]
+    delays = [fleet_jitter(count, rng) for _ in range(count)]
     early = sum(delay < limit / 2 for delay in delays)
     assert max(delays) <= limit and count / 4 < early < 3 * count / 4, (max(delays), early)
 
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -113,3 +113,12 @@
       | guards against                               | daemons | limit |
       | a small fleet that waits for seconds         | 16      | 64    |
       | a fleet that fills the store's queue of 2 s  | 1300    | 5200  |
+
+  # d0 is no reader at the moment at which its call fails, as others are still served.
+  Scenario: a daemon that is a reader again after its call failed asks the store at once
+    Guards against a fleet of which nobody asks a store that is back: on the day restored, every daemon
+    slept for 4 s after one failed call, the readers too.
+    Given a platform fleet of which only d0 reads the store
+    When d0 loses the store while it is no reader, and is a reader again once the store answers
+    And the operator writes version 8 with route "/new/"
+    Then every daemon has version 8 in force
--- a/packages/agatecross-core/agatecross_core/members/stored_records.py
+++ b/packages/agatecross-core/agatecross_core/members/stored_records.py
@@ -1,12 +1,8 @@
 """Tracks which records of this daemon the platform's store may have lost."""
 
-import random
 from enum import Enum
 
-from ..ids import Millis, StoreEra
-
-# A partition of the store takes 2 ms for each append; other writers need some of that time.
-REWRITE_SPACING = Millis(4)
+from ..ids import StoreEra
 
 
 class StoredRecord(Enum):
@@ -48,8 +44,3 @@
         """Stop keeping a record in the store."""
         self.written.pop(record, None)
         self.missing.discard(record)
-
-
-def rewrite_delay(daemon_count: int, rng: random.Random) -> Millis:
-    """Return a random delay that spreads the writes of a fleet over what the store can take."""
-    return Millis(rng.uniform(0.0, REWRITE_SPACING * daemon_count))
--- a/packages/agatecross-core/agatecross_core/pacing.py
+++ b/packages/agatecross-core/agatecross_core/pacing.py
@@ -4,6 +4,9 @@
 
 from .ids import Millis
 
+# A partition of the store takes 2 ms for each append; other writers need some of that time.
+FLEET_CALL_SPACING = Millis(4)
+
 
 class TokenBucket:
     """Holds up to `burst` tokens and gains one in each `refill_period`."""
@@ -51,3 +54,8 @@
     """Return a random delay from 0 to `base * 2**attempt`, but at most `cap`."""
     # The exponent is bounded because in a long outage the power would overflow a float.
     return Millis(rng.uniform(0, min(cap, base * 2 ** min(attempt, 16))))
+
+
+def fleet_jitter(daemon_count: int, rng: random.Random) -> Millis:
+    """Return a random delay that spreads calls which every daemon makes over what a store takes."""
+    return Millis(rng.uniform(0.0, FLEET_CALL_SPACING * daemon_count))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
@@ -9,7 +9,8 @@
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, Millis, StoreEra
 from agatecross_core.members.directory import Directory, Endpoint
-from agatecross_core.members.stored_records import StoredRecord, StoredRecords, rewrite_delay
+from agatecross_core.members.stored_records import StoredRecord, StoredRecords
+from agatecross_core.pacing import fleet_jitter
 from agatecross_core.states import UpstreamState
 
 from ..decision_log import DecisionLog
@@ -115,7 +116,7 @@
             await self.records_missing.wait()
             self.records_missing.clear()
             await self._write_drain_again()
-            delay = rewrite_delay(len(self.directory.rows), self.rng)
+            delay = fleet_jitter(len(self.directory.rows), self.rng)
             await asyncio.sleep(delay / 1000)
             while StoredRecord.ANNOUNCEMENT in self.records.missing:
                 if not await self._write_again(StoredRecord.ANNOUNCEMENT):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -200,7 +200,7 @@
         timeout = ANSWER_MARGIN if takes_over else SLOW_READ_TIMEOUT
         answer = await self.calls.make("newest_config", self.store.newest_config(timeout))
         if answer is None:
-            await self._wait_before_retry()
+            await self._wait_before_reading_again()
             return
         self._apply_read(answer.value)
         if not self.version:
@@ -238,7 +238,7 @@
             self.offset = None
             return
         if answer is None:
-            await self._wait_before_retry()
+            await self._wait_before_reading_again()
             return
         if self.offset is None:
             # The store was restored meanwhile, so the answer follows an offset of an earlier log.
@@ -270,6 +270,14 @@
         if read.data is not None:
             self._apply_config(read.data, READ_FROM_STORE)
 
+    async def _wait_before_reading_again(self) -> None:
+        """Wait before a retry, unless this daemon does not read and waits for its next turn anyway.
+
+        It may become a reader again within that time, when the store answers nobody.
+        """
+        if self.is_reader() or not self.version:
+            await self._wait_before_retry()
+
     async def _wait_before_retry(self) -> None:
         if self.version and not self.is_reader():
             await asyncio.sleep(NON_READER_RETRY_SECONDS * self.rng.uniform(0.8, 1.2))
