Use the store again as soon as it answers one daemon

Each daemon that was not answered waited for its own check, whatever its peers knew.

A daemon that sees that the store answers a peer, after it answered nobody, checks within 4 ms for each daemon of the fleet. Evidence: store_restored.feature, "daemons that lost the store use it again" failed on the commit before (d1 not known to be served after 15 s) and passes.

--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -122,3 +122,10 @@
     When d0 loses the store while it is no reader, and is a reader again once the store answers
     And the operator writes version 8 with route "/new/"
     Then every daemon has version 8 in force
+
+  Scenario: daemons that lost the store use it again as soon as it answers one of them
+    Guards against a store that is read by a single daemon for 5 s after each outage.
+    Given a platform fleet of which only d0 reads the store
+    When every daemon loses the store until it answers d0 again
+    Then every daemon knows that the store answers d1
+    And every daemon knows that the store answers d2
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -19,7 +19,7 @@
 from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError
 from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, StoreEra, Version
 from agatecross_core.members.directory import Directory
-from agatecross_core.pacing import full_jitter
+from agatecross_core.pacing import fleet_jitter, full_jitter
 from agatecross_core.routing.host_table import HostTable
 
 from ..decision_log import DecisionLog
@@ -215,14 +215,25 @@
         self.offset = None
         left = NON_READER_POLL_SECONDS * self.rng.uniform(0.8, 1.2)
         check_in = self._next_check()
+        peers_served = self._serves_a_peer()
         while left > 0 and not self.is_reader():
             await asyncio.sleep(READER_CHECK_SECONDS)
             left -= READER_CHECK_SECONDS
             check_in -= READER_CHECK_SECONDS
+            peers_were_served, peers_served = peers_served, self._serves_a_peer()
+            if peers_served and not peers_were_served:
+                # The outage is over; until others are served, one daemon reads for the fleet.
+                delay = fleet_jitter(len(self.directory.rows), self.rng)
+                check_in = min(check_in, delay / 1000)
             if self.calls.failures and check_in <= 0:
                 await self.calls.make("check", self.store.check())
                 check_in = self._next_check()
 
+    def _serves_a_peer(self) -> bool:
+        """Return whether the store answers any daemon with an open link."""
+        rows = (self.directory.rows.get(daemon_id) for daemon_id in self.open_links)
+        return any(row is not None and row.reaches_store for row in rows)
+
     def _next_check(self) -> float:
         return UNSERVED_CHECK_SECONDS * self.rng.uniform(0.8, 1.2)
 
