Treat a store at another address as one whose log is not known

After a reload that names another store, daemons went on at the offset of the one before, in a log that has other records there, and their announcements and drains were missing from it: the same cause as after a restore, offsets and confirmations that outlive their log.

The store task drops its offset and era and writes its records to the new store.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -12,7 +13,7 @@
 from agatecross_core.pacing import fleet_jitter
 from agatecross_daemon.tasks import announcements, store_task
 from agatecross_standins.platform_config import config_record
-from agatecross_standins.platform_store import Topic
+from agatecross_standins.platform_store import PlatformStoreStandIn, Topic
 
 OTHER_RECORD = "other"
 # Longer than any scenario lasts.
@@ -163,6 +164,23 @@
     context.testbed.run(work())
 
 
+@when("every daemon's settings name another store, which holds version {version:d}")
+def step_other_store(context, version):
+    testbed = context.testbed
+    before, testbed.store = testbed.store, PlatformStoreStandIn()
+    context.add_cleanup(lambda: testbed.run(before.close()))
+
+    async def work():
+        address = testbed.store.listen()
+        for _ in range(before.topics["keyed.op"].end):
+            testbed.store.append_record("keyed.op", "config", config_record(version, ()))
+        for sidecar in testbed.sidecars:
+            settings = replace(sidecar.settings, store=address)
+            sidecar.reload(lambda settings=settings: settings)
+
+    testbed.run(work())
+
+
 @then('the store has the records "{keys}" again')
 def step_records(context, keys):
     store = context.testbed.store
@@ -198,7 +216,7 @@
             case ["restored", number]:
                 records.store_restored(int(number))
             case ["reported"]:
-                records.restore_reported()
+                records.all_missing()
             case ["drop", name]:
                 records.drop(StoredRecord(name))
     expected = set() if missing == "-" else set(missing.split(", "))
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -129,3 +129,11 @@
     When every daemon loses the store until it answers d0 again
     Then every daemon knows that the store answers d1
     And every daemon knows that the store answers d2
+
+  # The log of the other store ends at the same offset, and its era is the same.
+  Scenario: a store at another address is read from its newest record and gets the daemons' records
+    Guards against offsets and announcements of one store that are taken for those of another.
+    Given a platform fleet of which the north always reads the store
+    When every daemon's settings name another store, which holds version 9
+    Then every daemon has version 9 in force
+    And the store has the records "d0,d1,d2" again
--- a/packages/agatecross-core/agatecross_core/members/stored_records.py
+++ b/packages/agatecross-core/agatecross_core/members/stored_records.py
@@ -36,8 +36,8 @@
         """Count the records of other eras as missing, because the store's present era is `era`."""
         self.missing |= {record for record, written in self.written.items() if written != era}
 
-    def restore_reported(self) -> None:
-        """Count every record as missing, because a peer knows of a later era than this daemon."""
+    def all_missing(self) -> None:
+        """Count every record as missing: the store may be one that has never held them."""
         self.missing |= self.written.keys()
 
     def drop(self, record: StoredRecord) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -32,6 +32,7 @@
 from .relay_messages import DrainPlanned, HeartbeatReceived, LeaveReceived
 from .relay_metrics import RelayMetrics
 from .sidecar_settings import SidecarSettings
+from .store_messages import StoreMoved
 from .tasks.entry_task import EntryMessage, EntryTask
 from .tasks.exit_task import ExitMessage, ExitTask
 from .tasks.peers_task import PeersMessage, PeersTask
@@ -88,6 +89,7 @@
     metrics: RelayMetrics
     entry_mailbox: DirectMailbox[EntryMessage]
     exit_mailbox: DirectMailbox[ExitMessage]
+    store_mailbox: DirectMailbox[StoreMessage]
     listeners: list[TornadoHttpListener] = field(default_factory=list)
     leaving: bool = False
 
@@ -125,6 +127,7 @@
         }
         if "store" in changed:
             self.front_end.set_store_address(settings.store)
+            self.store_mailbox.put(StoreMoved())
         if "retries" in changed:
             self.entry.reset_budgets(budget_factory(settings))
         new_values = {name: getattr(settings, name) for name in RELOADABLE_SETTINGS}
@@ -290,6 +293,7 @@
         metrics,
         entry_mailbox,
         exit_mailbox,
+        store_mailbox,
     )
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/store_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -82,6 +82,11 @@
     era: StoreEra
 
 
+@dataclass(frozen=True, slots=True)
+class StoreMoved:
+    """The settings name another store: what is known of the one before does not apply to it."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointsRead:
     """Announcements of daemons were read from the store."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
@@ -81,9 +81,9 @@
         self.records.store_restored(era)
         self._start_writing()
 
-    def restore_reported(self) -> None:
-        """Write everything again, because a peer reports a later era of the store."""
-        self.records.restore_reported()
+    def write_all(self) -> None:
+        """Write everything again: the store is another one, or a peer reports a later era."""
+        self.records.all_missing()
         self._start_writing()
 
     async def store_drain(self, me: Endpoint) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_calls.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_calls.py
@@ -45,6 +45,10 @@
         """Return the newest era that the store has named."""
         return self.eras.era
 
+    def store_moved(self) -> None:
+        """Forget the era, because the next calls go to another store."""
+        self.eras = EraTracker()
+
     async def make(self, operation: str, call: Awaitable[StoreAnswer[T]]) -> StoreAnswer[T] | None:
         """Return the answer, or None on failure; logs only the first of consecutive failures.
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -43,6 +43,7 @@
     LinksChanged,
     PeerRemoved,
     StoreDrain,
+    StoreMoved,
     StoreRestored,
     StoreRestoreReported,
 )
@@ -50,7 +51,13 @@
 from .store_calls import StoreCalls
 
 StoreMessage = (
-    ConfigReceived | DeltaReceived | LinksChanged | StoreDrain | PeerRemoved | StoreRestoreReported
+    ConfigReceived
+    | DeltaReceived
+    | LinksChanged
+    | StoreDrain
+    | PeerRemoved
+    | StoreRestoreReported
+    | StoreMoved
 )
 STORE_RETRY_BASE = Millis(150)
 STORE_RETRY_CAP = Millis(1_500)
@@ -178,6 +185,10 @@
                     self._start_background(self.announcements.withdraw(daemon_id))
             case StoreRestoreReported(era):
                 self._handle_reported_restore(era)
+            case StoreMoved():
+                self.offset = None
+                self.calls.store_moved()
+                self.announcements.write_all()
 
     def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -274,7 +285,7 @@
             return
         self.reported_era = era
         self.log.write_change("store_restore_reported", era=era, known=self.calls.era or "")
-        self.announcements.restore_reported()
+        self.announcements.write_all()
 
     def _apply_read(self, read: ConfigRead) -> None:
         self.offset = read.offset
