--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -7,11 +7,13 @@
 from feeding_steps import wait_for_reachability
 from platform_steps import poll_until, start_testbed
 
+from agatecross_adapters.hop_codec import encode_endpoint
 from agatecross_core.distribution.propagation import ReaderRole
 from agatecross_core.distribution.store_era import EraTracker
+from agatecross_core.ids import Address, Millis
 from agatecross_core.members.stored_records import StoredRecord, StoredRecords
 from agatecross_core.pacing import fleet_jitter
-from agatecross_daemon.tasks import announcements, store_task
+from agatecross_daemon.tasks import announcements, peers_task, store_task
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn, Topic
 
@@ -88,6 +90,41 @@
     await poll_until(lambda: calls.failures, "the daemon to lose the store")
 
 
+@given("a platform fleet that forgets a peer soon")
+def step_forgetful_fleet(context):
+    patches = (
+        mock.patch.object(announcements, "READ_DELAYS_SECONDS", (0.0,)),
+        mock.patch.object(announcements, "REREAD_SECONDS", 0.2),
+        mock.patch.object(peers_task, "FORGET_PEER_AFTER", Millis(500)),
+    )
+    for patch in patches:
+        patch.start()
+        context.add_cleanup(patch.stop)
+    start_testbed(context, False)
+
+
+@when("the store comes back from a copy in which the gone daemon {daemon_id} is announced")
+def step_restore_gone(context, daemon_id):
+    testbed = context.testbed
+
+    async def work():
+        own = testbed.sidecars[0].peers.directory.me
+        # Nothing listens at the discard port.
+        gone = replace(own, daemon_id=daemon_id, address=Address("127.0.0.1:9"))
+        testbed.store.append_record("keyed.endpoints", daemon_id, encode_endpoint(gone))
+        testbed.store.restore(testbed.store.copy_topics())
+
+    testbed.run(work())
+
+
+@then("the store has no record of {daemon_id}")
+def step_no_record(context, daemon_id):
+    store = context.testbed.store
+    context.testbed.run(
+        poll_until(lambda: daemon_id not in store.newest("keyed.endpoints"), "the withdrawal")
+    )
+
+
 @when("the store is copied")
 def step_copy(context):
     context.store_copy = context.testbed.store.copy_topics()
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -137,3 +137,9 @@
     When every daemon's settings name another store, which holds version 9
     Then every daemon has version 9 in force
     And the store has the records "d0,d1,d2" again
+
+  Scenario: an announcement that was withdrawn and that a restore brings back is withdrawn again
+    Guards against daemons that are gone for good, and that each new daemon dials for 20 s.
+    Given a platform fleet that forgets a peer soon
+    When the store comes back from a copy in which the gone daemon d9 is announced
+    Then the store has no record of d9
