Log a version that is given twice with other content

After a restore an operator could use a lost number again for another configuration. The first content stays in force wherever it was taken, so daemons may differ until the next version, and nothing said so. Now config_content_differs names the version and where the other content came from, once each. store_restored.feature has the scenario; the event is new, so it could not pass before.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -125,6 +125,12 @@
     )
 
 
+@when("d{number:d} has noticed the other content")
+def step_noticed(context, number):
+    daemon = context.testbed.sidecars[number].store
+    context.testbed.run(poll_until(lambda: daemon.other_content_checksum, "the other content"))
+
+
 @when("the store is copied")
 def step_copy(context):
     context.store_copy = context.testbed.store.copy_topics()
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -143,3 +143,14 @@
     Given a platform fleet that forgets a peer soon
     When the store comes back from a copy in which the gone daemon d9 is announced
     Then the store has no record of d9
+
+  Scenario: a version that a restored store gives to another configuration
+    Guards against daemons that differ without a sign: the first content of a version stays in force.
+    Given a platform fleet of which the north always reads the store
+    When the operator writes version 8 with route "/new/"
+    Then every daemon has version 8 in force
+    When the operator writes version 8 with route "/other/"
+    And d0 has noticed the other content
+    Then d0 has logged "config_content_differs" with "version=8"
+    When the operator writes version 9 with route "/other/"
+    Then every daemon has version 9 in force
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -115,6 +115,7 @@
         self.version = Version(0)
         self.data = b""
         self.unreadable_checksum: int | None = None
+        self.other_content_checksum: int | None = None
         self.missing_reads = 0
         self.open_links: frozenset[DaemonId] = frozenset()
         self.calls = StoreCalls(peers, self._on_restored, log, metrics)
@@ -338,6 +339,8 @@
             self._report_unreadable(data, source.origin, error)
             return
         if table.version <= self.version:
+            if table.version == self.version and data != self.data:
+                self._report_other_content(data, source)
             return
         self.log.write_change(
             "config_in_force",
@@ -371,6 +374,19 @@
             "config_malformed", source=origin.value, in_force=self.version, reason=str(error)
         )
 
+    def _report_other_content(self, data: bytes, source: ConfigSource) -> None:
+        """Log once that a version given twice has other content; only a later one settles that."""
+        checksum = zlib.crc32(data)
+        if checksum == self.other_content_checksum:
+            return
+        self.other_content_checksum = checksum
+        self.log.write_change(
+            "config_content_differs",
+            version=self.version,
+            source=source.origin.value,
+            peer=source.daemon_id or "",
+        )
+
     def _report_unknown_kinds(self, table: HostTable) -> None:
         self.metrics.unknown_kinds.set(len(table.unknown_kinds))
         if table.unknown_kinds:
