Move the configuration in force out of the store task

No behaviour changes: features feeding, platform, platform_records, relay, limits, fuzz, upstream_bytes, store_restored, drain, drain_review, signals, soak and trace passed before and after.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -128,7 +128,9 @@
 @when("d{number:d} has noticed the other content")
 def step_noticed(context, number):
     daemon = context.testbed.sidecars[number].store
-    context.testbed.run(poll_until(lambda: daemon.other_content_checksum, "the other content"))
+    context.testbed.run(
+        poll_until(lambda: daemon.config.other_content_checksum, "the other content")
+    )
 
 
 @when("the store is copied")
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -3,12 +3,10 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
-from agatecross_adapters.hop_messages import ConfigDelta
 from agatecross_adapters.protocols import ConfigRead, FleetStore
-from agatecross_core.distribution.delta import apply_delta, make_delta
 from agatecross_core.distribution.propagation import (
     ANSWER_MARGIN,
     ConfigOrigin,
@@ -16,11 +14,10 @@
     long_poll,
     reader_role,
 )
-from agatecross_core.errors import DeltaError, HistoryLostError, MessageDecodeError
+from agatecross_core.errors import HistoryLostError
 from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, StoreEra, Version
 from agatecross_core.members.directory import Directory
 from agatecross_core.pacing import fleet_jitter, full_jitter
-from agatecross_core.routing.host_table import HostTable
 
 from ..decision_log import DecisionLog
 from ..direct_mailbox import DirectMailbox
@@ -32,7 +29,7 @@
     StoreReachability,
     TableInForce,
 )
-from ..relay_metrics import MILLISECONDS_PER_SECOND, RelayMetrics
+from ..relay_metrics import RelayMetrics
 from ..store_messages import (
     ConfigChanged,
     ConfigReceived,
@@ -48,6 +45,7 @@
     StoreRestoreReported,
 )
 from .announcements import Announcements
+from .config_holder import ConfigDecoder, ConfigHolder
 from .store_calls import StoreCalls
 
 StoreMessage = (
@@ -76,12 +74,8 @@
 START_POLL_SECONDS = 0.05
 # The store normally answers in 4 ms; the time-out allows for periods when it is far slower.
 SLOW_READ_TIMEOUT = Millis(1_500)
-COMPRESSION_LEVEL = 6
 READ_FROM_STORE = ConfigSource(ConfigOrigin.STORE, None, ZERO_MS)
 
-ConfigDecoder = Callable[[bytes], HostTable]
-"""Returns the compiled configuration; raises `MessageDecodeError`."""
-
 
 class StoreTask:
     """Puts the newest configuration of the store or the peers in force; versions never decrease."""
@@ -104,18 +98,12 @@
     ) -> None:
         mailbox.set_handler(self._handle)
         self.store = store
-        self.decode = decode
         self.apply_within = apply_within
         self.directory = directory
-        self.entry = entry
         self.peers = peers
         self.rng = rng
         self.log = log
-        self.metrics = metrics
-        self.version = Version(0)
-        self.data = b""
-        self.unreadable_checksum: int | None = None
-        self.other_content_checksum: int | None = None
+        self.config = ConfigHolder(decode, entry, peers, log, metrics)
         self.missing_reads = 0
         self.open_links: frozenset[DaemonId] = frozenset()
         self.calls = StoreCalls(peers, self._on_restored, log, metrics)
@@ -136,6 +124,11 @@
         self.offset: Offset | None = None
         self.background: set[asyncio.Task[None]] = set()
 
+    @property
+    def version(self) -> Version:
+        """Return the version in force, 0 before the first."""
+        return self.config.version
+
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
         announcing = asyncio.ensure_future(self.announcements.run())
@@ -173,9 +166,9 @@
                         "config_malformed", source=source.origin.value, reason=str(error)
                     )
                     return
-                self._apply_config(data, source)
+                self.config.apply(data, source)
             case DeltaReceived(delta, source):
-                self._apply_config_delta(delta, source)
+                self.config.apply_delta(delta, source)
             case LinksChanged(open_links):
                 self.open_links = open_links
             case StoreDrain(me):
@@ -291,7 +284,7 @@
     def _apply_read(self, read: ConfigRead) -> None:
         self.offset = read.offset
         if read.data is not None:
-            self._apply_config(read.data, READ_FROM_STORE)
+            self.config.apply(read.data, READ_FROM_STORE)
 
     async def _wait_before_reading_again(self) -> None:
         """Wait before a retry, unless this daemon does not read and waits for its next turn anyway.
@@ -307,99 +300,3 @@
         else:
             delay = full_jitter(self.calls.failures, STORE_RETRY_BASE, STORE_RETRY_CAP, self.rng)
             await asyncio.sleep((STORE_RETRY_BASE + delay) / 1000)
-
-    def _apply_config_delta(self, delta: ConfigDelta, source: ConfigSource) -> None:
-        if delta.version <= self.version:
-            return
-        try:
-            if delta.base != self.version:
-                raise DeltaError(
-                    f"delta is based on version {delta.base}, in force is version {self.version}"
-                )
-            data = apply_delta(self.data, delta.steps)
-            if zlib.crc32(data) != delta.crc:
-                raise DeltaError("delta result does not match its checksum")
-        except DeltaError as error:
-            self.log.write_change(
-                "config_delta_unfit",
-                version=delta.version,
-                peer=source.daemon_id or "",
-                reason=str(error),
-            )
-            self.peers.put(FullConfigNeeded(delta.version))
-            return
-        self._apply_config(data, source, delta)
-
-    def _apply_config(
-        self, data: bytes, source: ConfigSource, received: ConfigDelta | None = None
-    ) -> None:
-        try:
-            table = self.decode(data)
-        except MessageDecodeError as error:
-            self._report_unreadable(data, source.origin, error)
-            return
-        if table.version <= self.version:
-            if table.version == self.version and data != self.data:
-                self._report_other_content(data, source)
-            return
-        self.log.write_change(
-            "config_in_force",
-            version=table.version,
-            was=self.version,
-            source=source.origin.value,
-            peer=source.daemon_id or "",
-            form="whole" if received is None else "delta",
-            behind_ms=int(source.behind),
-            routes=sum(map(len, table.hosts.values())),
-        )
-        self._report_unknown_kinds(table)
-        delta = received or self._delta_to(table.version, data)
-        self.version, self.data = table.version, data
-        self.metrics.version.set(table.version)
-        self.metrics.config_behind_seconds.observe(source.behind / MILLISECONDS_PER_SECOND)
-        self.entry.put(TableInForce(table))
-        blob = zlib.compress(data, COMPRESSION_LEVEL)
-        self.peers.put(ConfigChanged(table.version, blob, delta, source))
-
-    def _report_unreadable(
-        self, data: bytes, origin: ConfigOrigin, error: MessageDecodeError
-    ) -> None:
-        """Log and count a record once, though the store and every peer deliver it again."""
-        checksum = zlib.crc32(data)
-        if checksum == self.unreadable_checksum:
-            return
-        self.unreadable_checksum = checksum
-        self.metrics.unreadable_configs.inc()
-        self.log.write_change(
-            "config_malformed", source=origin.value, in_force=self.version, reason=str(error)
-        )
-
-    def _report_other_content(self, data: bytes, source: ConfigSource) -> None:
-        """Log once that a version given twice has other content; only a later one settles that."""
-        checksum = zlib.crc32(data)
-        if checksum == self.other_content_checksum:
-            return
-        self.other_content_checksum = checksum
-        self.log.write_change(
-            "config_content_differs",
-            version=self.version,
-            source=source.origin.value,
-            peer=source.daemon_id or "",
-        )
-
-    def _report_unknown_kinds(self, table: HostTable) -> None:
-        self.metrics.unknown_kinds.set(len(table.unknown_kinds))
-        if table.unknown_kinds:
-            route, kind = table.unknown_kinds[0]
-            self.log.write_change(
-                "config_kind_unknown",
-                version=table.version,
-                routes=len(table.unknown_kinds),
-                first=route,
-                kind=kind,
-            )
-
-    def _delta_to(self, version: Version, data: bytes) -> ConfigDelta | None:
-        if not self.version:
-            return None
-        return ConfigDelta(self.version, version, zlib.crc32(data), make_delta(self.data, data))
