Fold a restored log of the product's own interface from its start

A log that came back from an older copy and has grown past the reader was taken for the one before: the reader compared the end of the log and, after a failed read only, the last folded record, so a page that belongs after other records was folded onto its state, and readers of one log differed.

Pages of the log service name its era now (0 where it names none); another era restarts the fold, and a version in force still never goes back. The client fails and reads again where the log is replaced while it reads it.

--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -11,6 +11,7 @@
       | none                           | 40       |
       | retention                      | 60       |
       | retention, replacement         | 60       |
+      | retention, restores            | 60       |
 
   Scenario: the fold of random records is whole, idempotent and never partly applied
     Guards against a rejected record that changes the state, or a record that is applied twice.
@@ -53,6 +54,7 @@
       | is empty                        | 3       | 0     | log_replaced        |
       | has lower offsets               | 3       | 2     | log_replaced        |
       | has other records               | 3       | 4     | log_replaced        |
+      | was restored and is longer      | 5       | 5     | log_replaced        |
       | expired the last folded record  | 3       | 6     | log_records_expired |
       | expired records                 | 3       | 6     | log_records_expired |
       | expired records before restart  | 5       | 7     | log_records_expired |
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -66,8 +66,8 @@
 class SimulatedLog:
     """A log that also folds all of its records, as the reference for what readers should reach."""
 
-    def __init__(self, epoch):
-        self.epoch = epoch
+    def __init__(self, epoch, era=0):
+        self.epoch, self.era = epoch, era
         self.entries = []
         self.first = 0
         self.folded = []
@@ -85,7 +85,7 @@
     def page(self, start, limit=512):
         begin = max(start, self.first)
         records = tuple(self.entries[begin:][:limit])
-        return RecordsRead(records, self.first, len(self.entries))
+        return RecordsRead(records, self.first, len(self.entries), self.era)
 
 
 class Instance:
@@ -233,6 +233,23 @@
                     one.must_fail = True
                     one.snapshots.clear()
 
+        if "restores" in faults:
+
+            @rule(lost=st.integers(1, 6), reverse=st.booleans(), again=st.booleans())
+            def restore_log(self, lost, reverse, again):
+                # No read fails: the log may be away between two reads of a daemon.
+                old = self.log
+                kept = max(0, len(old.entries) - lost)
+                log = SimulatedLog(len(self.logs), old.era + 1)
+                log.entries, log.folded = old.entries[:kept], old.folded[:kept]
+                log.first = min(old.first, kept)
+                self.logs.append(log)
+                records = [entry.record for entry in old.entries[kept:]]
+                for record in (records[::-1] if reverse else records) if again else ():
+                    log.append(record)
+                for one in self.instances:
+                    one.snapshots.clear()
+
         @invariant()
         def versions_never_go_back(self):
             for one in self.instances:
@@ -464,7 +481,11 @@
         one.follower.next_read_at = 0.0
         one.act(one.follower.tick(0.0))
         assert one.read.start == 2, "the last folded record is not read again after a failure"
-    if case in ("is empty", "has lower offsets", "has other records"):
+    if case == "was restored and is longer":
+        log = SimulatedLog(1, era=1)
+        for number in range(5):
+            log.append(PublishRecord(f"r{number}", number, 1, base(number + 200)))
+    elif case in ("is empty", "has lower offsets", "has other records"):
         log = SimulatedLog(1) if case == "is empty" else other
     elif case == "needs unknown rules":
         log.append(PublishRecord("p3", 3, 99, base(9)))
@@ -485,7 +506,7 @@
     for _ in range(2 if log.epoch else 1):
         start, one.read = one.read.start, None
         one.act(one.follower.records_read(log.page(start), 0.0))
-    if case in ("has lower offsets", "has other records"):
+    if case in ("has lower offsets", "has other records", "was restored and is longer"):
         assert one.follower.log.state == log.current, "the new log was not folded"
     if case == "has other records":
         assert one.conditions.pop() == "record_undecodable"
--- a/packages/agatecross-adapters/agatecross_adapters/config_records.py
+++ b/packages/agatecross-adapters/agatecross_adapters/config_records.py
@@ -14,7 +14,7 @@
 
 def decode_page(page: LogPage, wall_ms: float) -> RecordsRead:
     """Decode a page; `wall_ms` is the wall-clock time from which the age of snapshots counts."""
-    return RecordsRead(tuple(_decode_entries(page, wall_ms)), page.first, page.end)
+    return RecordsRead(tuple(_decode_entries(page, wall_ms)), page.first, page.end, page.era)
 
 
 def _decode_entries(page: LogPage, wall_ms: float) -> Iterator[OffsetRecord]:
--- a/packages/agatecross-adapters/agatecross_adapters/log_http.py
+++ b/packages/agatecross-adapters/agatecross_adapters/log_http.py
@@ -8,13 +8,14 @@
 import msgspec
 
 from agatecross_core.calls.model import Request, Response
+from agatecross_core.constants import NO_ERA
 from agatecross_core.errors import (
     ConnectFailedError,
     ExchangeError,
     LogOutcomeUnknownError,
     LogUnavailableError,
 )
-from agatecross_core.ids import Address, Millis, Offset, StreamName
+from agatecross_core.ids import Address, Millis, Offset, StoreEra, StreamName
 
 from .protocols import HttpClient, LogEntry, LogPage
 
@@ -60,6 +61,7 @@
     entries: tuple[EntryBody, ...]
     first: int
     end: int
+    era: int = NO_ERA
 
 
 class HttpLogService:
@@ -107,7 +109,7 @@
             )
         except ValueError as error:
             raise LogUnavailableError(stream, f"undecodable record: {error}") from error
-        return LogPage(entries, Offset(page.first), Offset(page.end))
+        return LogPage(entries, Offset(page.first), Offset(page.end), StoreEra(page.era))
 
 
 def _decode_body(stream: StreamName, response: Response, body_type: type[T]) -> T:
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -5,6 +5,7 @@
 from typing import Generic, Protocol, TypeVar
 
 from agatecross_core.calls.model import Request, Response
+from agatecross_core.constants import NO_ERA
 from agatecross_core.ids import Address, DaemonId, Millis, Offset, StoreEra, StreamName
 
 from .codec import ControlMessage
@@ -24,12 +25,14 @@
 class LogPage:
     """Records read from a stream.
 
-    `first` is the oldest retained offset of the stream, `end` the offset of its next record.
+    `first` is the oldest retained offset of the stream, `end` the offset of its next record. `era`
+    rises whenever the log comes back from an older copy; it is 0 if the log names none.
     """
 
     entries: tuple[LogEntry, ...]
     first: Offset
     end: Offset
+    era: StoreEra = NO_ERA
 
 
 class LogService(Protocol):
--- a/packages/agatecross-cli/agatecross_cli/history.py
+++ b/packages/agatecross-cli/agatecross_cli/history.py
@@ -9,7 +9,8 @@
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.model import ConfigRecord, ConfigState, PublishRecord
 from agatecross_core.constants import CONFIG_STREAM, LOG_PAGE_RECORDS
-from agatecross_core.distribution.log_fold import LogFold, RecordFolded, UnknownRules
+from agatecross_core.distribution.log_fold import LogFold, LogReplaced, RecordFolded, UnknownRules
+from agatecross_core.errors import LogUnavailableError
 from agatecross_core.findings import Finding
 from agatecross_core.ids import Millis, Offset, PublishId
 from agatecross_core.states import PublishVerdict
@@ -63,6 +64,10 @@
                     yield FoldedRecord(
                         entry.offset, entry.record, step.verdict, step.findings, state
                     )
+                case LogReplaced():
+                    raise LogUnavailableError(
+                        CONFIG_STREAM, "the log was replaced while it was read"
+                    )
                 case UnknownRules(offset, rules):
                     message = f"record {offset} needs rule set {rules}; this client is too old"
                     raise CommandError(ExitCode.UNKNOWN, message)
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from .ids import Digest, Millis, Offset, StreamName, Version
+from .ids import Digest, Millis, Offset, StoreEra, StreamName, Version
 
 KIB: Final = 1024
 MIB: Final = 1024 * KIB
@@ -16,6 +16,7 @@
 NO_VERSION: Final = Version(0)
 NO_DIGEST: Final = Digest("")
 NO_OFFSET: Final = Offset(-1)
+NO_ERA: Final = StoreEra(0)
 RULE_SET_VERSION: Final = 1
 MAX_OVERLAYS: Final = 64
 MAX_DOCUMENT_BYTES: Final = 256 * KIB
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -11,8 +11,8 @@
     OffsetRecord,
     SnapshotRecord,
 )
-from ..constants import NO_OFFSET
-from ..ids import Offset
+from ..constants import NO_ERA, NO_OFFSET
+from ..ids import Offset, StoreEra
 from ..states import PublishVerdict
 
 
@@ -20,12 +20,14 @@
 class RecordsRead:
     """A page of the config stream.
 
-    `first` is the oldest retained offset, `end` the offset after the newest record.
+    `first` is the oldest retained offset, `end` the offset after the newest record. `era` rises
+    whenever the log comes back from an older copy.
     """
 
     records: tuple[OffsetRecord, ...]
     first: Offset
     end: Offset
+    era: StoreEra = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogReplaced:
-    """The log is not the one read before: its end is too low, or its last folded record differs."""
+    """The log is not the one read before.
+
+    Its era is another one, its end is too low, or its last folded record differs.
+    """
 
     through: Offset
     end: Offset
@@ -74,6 +79,7 @@
         """Start before the first record."""
         self.decoder = decoder
         self.state = ConfigState()
+        self.era: StoreEra | None = None
         self.must_verify = False
         self.search_from: Offset | None = None
         self.blocked = False
@@ -113,7 +119,9 @@
         """Fold a page that was read from `start()`."""
         self.caught_up = False
         self.blocked = False
-        if self._is_replaced_by(page):
+        era, self.era = self.era, page.era
+        # In another era, equal records may stand after other ones than before.
+        if era not in (None, page.era) or self._is_replaced_by(page):
             yield LogReplaced(self.state.through, page.end)
             self.state = ConfigState()
             self.search_from = None
--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -23,7 +23,7 @@
 StreamName = NewType("StreamName", str)
 
 StoreEra = NewType("StoreEra", int)
-"""Counts how often the platform's store came back from an older copy of itself."""
+"""Counts how often the platform's store or log came back from an older copy of itself."""
 
 Offset = NewType("Offset", int)
 Incarnation = NewType("Incarnation", int)
--- a/packages/agatecross-standins/agatecross_standins/log_service.py
+++ b/packages/agatecross-standins/agatecross_standins/log_service.py
@@ -63,6 +63,8 @@
 
     def __init__(self, switches: Switches, appends_per_second: float) -> None:
         self.streams: dict[str, Stream] = {}
+        self.copied: dict[str, Stream] = {}
+        self.era = 1
         self.switches = switches
         self.appends_per_second = appends_per_second
         self.tokens = appends_per_second * RATE_LIMIT_BURST_SECONDS
@@ -73,6 +75,20 @@
         """Return a stream, created on first use."""
         return self.streams.setdefault(name, Stream())
 
+    def copy_streams(self) -> None:
+        """Make the copy from which the next restore comes back."""
+        self.copied = {
+            name: Stream(deque(stream.records), stream.end) for name, stream in self.streams.items()
+        }
+
+    def restore(self) -> None:
+        """Come back from the copy, in a new era."""
+        replaced, self.streams = self.streams, self.copied
+        self.copy_streams()
+        self.era += 1
+        for stream in replaced.values():
+            stream.appended.set()
+
     def take_token(self) -> bool:
         """Take a token for one append from the rate limit; return whether there was one."""
         now = time.monotonic()
@@ -141,13 +157,15 @@
         if self.state.switches.outage:
             self.send_error(503)
             return
+        stream = self.state.stream(name)
         begin = max(start, stream.first)
         rows = list(stream.records)[begin - stream.first :][:limit]
         entries = [
             {"offset": begin + index, "data": base64.b64encode(row).decode()}
             for index, row in enumerate(rows)
         ]
-        self.finish({"entries": entries, "first": stream.first, "end": stream.end})
+        page = {"entries": entries, "first": stream.first, "end": stream.end}
+        self.finish({**page, "era": self.state.era})
 
 
 class SwitchesHandler(RequestHandler):
@@ -158,8 +176,15 @@
         self.state = state
 
     def put(self) -> None:
-        """Set the given switches; `reset` drops every stream."""
+        """Set the given switches.
+
+        `reset` drops every stream, `copy` copies them, and `restore` comes back from that copy.
+        """
         changes = json.loads(self.request.body)
+        if changes.pop("copy", False):
+            self.state.copy_streams()
+        if changes.pop("restore", False):
+            self.state.restore()
         if changes.pop("reset", False):
             self.state.streams.clear()
         for name, value in changes.items():
