Refuse keyed calls after a restore that lost claims nobody else has read

A call with an Idempotency-Key could run twice: a restored log loses the claim that only its daemon has read; that daemon notices at its next read, but another one, whose last record is still there, claims the key again at once. Only the last record that was read, and not the era, told a replaced log.

A page of another era counts as a replaced stream, so keys without a known claim are refused as not run until lost claims are past their retention, as before in that case. Evidence: idempotency.feature, "a claim is lost that only its daemon read" failed on the code before (both calls granted) and passes.

--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -4,7 +4,7 @@
   # Commands: submit DAEMON CALL [FINGERPRINT [MS_LEFT]] with the same key each time; settle [DAEMON..]
   # delivers all effects; batch DAEMON prepares an append and append DAEMON FATE delivers it: landed,
   # lost (written, but the answer is lost), vanished (not written, and no answer) or late (no answer,
-  # written at "land"); finish CALL RESULT; restart DAEMON; down and up switch the log or a daemon's
+  # written at "land"); finish CALL RESULT; restart DAEMON; copy and restore the log; down and up switch the log or a daemon's
   # answers; wait MINUTES; empty replaces the log by an empty one, regrow N appends N empty records,
   # expire drops all records; fill DAEMON N claims N other keys.
 
@@ -49,6 +49,7 @@
       | pause between append and start             | submit A x; batch A; append A landed; wait 1; settle         | x=not-run:deadline                          |
       | the stream was replaced by an empty one    | submit A x; settle; empty; submit A y g; submit B z; settle  | x=granted, y=not-run:key-mismatch, z=not-run:claims-incomplete |
       | the stream was replaced and grew again     | submit A x; settle; empty; regrow 9; submit B z; settle      | x=granted, z=not-run:claims-incomplete      |
+      | a claim is lost that only its daemon read  | copy; submit A x; settle A; restore; submit B y; settle B C  | x=granted, y=not-run:claims-incomplete      |
       | key is free after the refusal time         | submit A x; settle; empty; submit B y; settle; wait 1; settle; wait 16; submit B z; settle | x=granted, y=not-run:claims-incomplete, z=granted |
       | records expired before they were read      | settle; submit A x; settle A; regrow 2; expire; regrow 1; submit B y; settle | x=granted, y=not-run:claims-incomplete |
       | expired records older than the retention   | submit A x; settle; finish x ran; expire; wait 25; regrow 1; wait 21; submit B y; settle | x=finished ran, y=granted |
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -44,6 +44,7 @@
         self.now = 1_000_000.0
         self.ids = 0
         self.log, self.first_offset, self.generation = [], 0, 0
+        self.copied, self.era = 0, 1
         self.down, self.silent_daemons = set(), set()
         self.pending_effects = {name: [] for name in names}
         self.deciders = {name: self.new_decider(name) for name in names}
@@ -119,7 +120,7 @@
             OffsetBatch(offset, self.log[offset][1], self.log[offset][0])
             for offset in range(begin, len(self.log))
         )
-        return ClaimsRead(rows, self.first_offset, len(self.log), int(self.now))
+        return ClaimsRead(rows, self.first_offset, len(self.log), int(self.now), self.era)
 
     def settle(self, rounds=40, names=None):
         for _ in range(rounds):
@@ -186,6 +187,14 @@
         self.fleet.log, self.fleet.first_offset = [], 0
         self.fleet.generation += 1
 
+    def do_copy(self):
+        self.fleet.copied = len(self.fleet.log)
+
+    def do_restore(self):
+        del self.fleet.log[self.fleet.copied :]
+        self.fleet.generation += 1
+        self.fleet.era += 1
+
     def do_regrow(self, count):
         for _ in range(int(count)):
             self.fleet.append(ClaimsBatch())
--- a/packages/agatecross-core/agatecross_core/idempotency/model.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/model.py
@@ -3,7 +3,18 @@
 from dataclasses import dataclass
 
 from ..calls.model import CallResult, Headers
-from ..ids import Address, CallId, ClaimId, DaemonId, Fingerprint, IdempotencyKey, Millis, Offset
+from ..constants import NO_ERA
+from ..ids import (
+    Address,
+    CallId,
+    ClaimId,
+    DaemonId,
+    Fingerprint,
+    IdempotencyKey,
+    Millis,
+    Offset,
+    StoreEra,
+)
 from ..states import AppendState, ClaimedCallState
 
 
@@ -90,13 +101,15 @@
     """Input: a page of the claims stream.
 
     `first` is the oldest retained offset, `end` the offset after the newest record, and `wall_ms`
-    the wall clock of this instance in milliseconds.
+    the wall clock of this instance in milliseconds. `era` rises whenever the log comes back from an
+    older copy.
     """
 
     records: tuple[OffsetBatch, ...]
     first: Offset
     end: Offset
     wall_ms: int
+    era: StoreEra = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/idempotency/stream.py
+++ b/packages/agatecross-core/agatecross_core/idempotency/stream.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from ..constants import IDEMPOTENCY_KEY_RETENTION, MAX_CLOCK_SKEW
-from ..ids import Offset
+from ..ids import Offset, StoreEra
 from .model import ClaimsRead, OffsetBatch
 
 
@@ -23,6 +23,7 @@
         """Start before the first record."""
         self.next_offset = Offset(0)
         self.last_record_digest = ""
+        self.era: StoreEra | None = None
 
     def next_read_offset(self) -> Offset:
         """Return the offset from which to read."""
@@ -30,6 +31,10 @@
 
     def check(self, page: ClaimsRead) -> Continuity:
         """Compare a page that was read from `next_read_offset()` with the records read before."""
+        era, self.era = self.era, page.era
+        if era not in (None, page.era):
+            # Claims that this daemon has not read yet may be lost too.
+            return Continuity.REPLACED
         if page.end < self.next_offset:
             return Continuity.REPLACED
         if page.first > self.next_read_offset():
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/claims_task.py
@@ -136,7 +136,8 @@
             self.mailbox.put(ReadFailed())
             return
         records = tuple(_decode_page(page))
-        self.mailbox.put(ClaimsRead(records, page.first, page.end, _wall_clock_ms()))
+        wall_ms = _wall_clock_ms()
+        self.mailbox.put(ClaimsRead(records, page.first, page.end, wall_ms, page.era))
 
     async def _ask_holder(self, action: AskHolder) -> None:
         answer = await send_control(self.control, action.holder, action.request, OUTCOME_TIMEOUT)
