Announce daemons again after the log of the own interface came back older

A daemon whose announcement the log lost read from its old position on and counted itself as announced, if the log had grown past it; and settled daemons read only every ten minutes. Daemons that start then find nobody.

Another era of the members stream, or a configuration log that was replaced, makes a daemon read the stream from its start. Evidence: members.feature, three rows; they use names that the code before lacks, so they were not run on it.

--- a/features/members.feature
+++ b/features/members.feature
@@ -141,6 +141,18 @@
       | 1300  | 16    | 5    | 24   | 6500  |
       | 1300  | 0     | 500  | 24   | 6500  |
 
+  # The announcement of the daemon was the last of 3 records and is not among the 5 of the other log.
+  Scenario Outline: a daemon whose announcement the log lost: <guards against>
+    Given a daemon that announced itself as record 2 of the log
+    When it learns of another log with 5 records by "<sign>"
+    Then it reads that log from record 0 and announces itself again
+
+    Examples:
+      | guards against                                      | sign                     |
+      | a restored log that has grown past the announcement | the era of its next read |
+      | the same until the next read in ten minutes         | the configuration's log  |
+      | records of a read that began in the earlier log     | a read under way         |
+
   Scenario: a log that is down at start
     Guards against simultaneous retries that overload a recovering log.
     Given a daemon that fails to read the log 12 times
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -392,6 +392,45 @@
     assert context.reads <= reads, context.reads
 
 
+@given("a daemon that announced itself as record {offset:d} of the log")
+def announce_once(context, offset):
+    node = context.node = Bootstrap(make_member(1), random.Random(1))
+    assert [action.start for action in node.tick(0.0)] == [0]
+    own = (offset, AnnounceRecord(node.me, 0))
+    list(node.announcements_read(AnnouncementsRead((own,), 0, offset + 1, 1), (), 0.0))
+    assert node.state is bootstrap.BootstrapState.SETTLED and node.position == offset + 1
+
+
+@when('it learns of another log with {count:d} records by "{sign}"')
+def replace_announcements(context, count, sign):
+    node, now = context.node, context.node.next_read_at
+    context.page = AnnouncementsRead((), 0, count, 2)
+    if sign == "the configuration's log":
+        now = 10.0
+        node.log_replaced(now)
+    else:
+        assert list(node.tick(now))
+        if sign == "a read under way":
+            node.log_replaced(now)
+            stale = AnnouncementsRead(((3, AnnounceRecord(node.me, 0)),), 0, count, 1)
+            list(node.announcements_read(stale, (), now))
+        else:
+            list(node.announcements_read(context.page, (), now))
+    context.now = now
+
+
+@then("it reads that log from record 0 and announces itself again")
+def check_announced_again(context):
+    node, starts, announced = context.node, [], False
+    limit = context.now + 60_000
+    while not announced and context.now < limit:
+        context.now = max(context.now, node.next_read_at)
+        starts += [action.start for action in node.tick(context.now)]
+        answers = list(node.announcements_read(context.page, (), context.now))
+        announced = bootstrap.Announce() in answers
+    assert announced and starts[0] == 0, (announced, starts)
+
+
 @given("a daemon that fails to read the log {count:d} times")
 def fail_reads(context, count):
     context.retry_delays = []
--- a/packages/agatecross-core/agatecross_core/members/bootstrap.py
+++ b/packages/agatecross-core/agatecross_core/members/bootstrap.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..constants import BOOTSTRAP_ANNOUNCEMENTS, MAX_MEMBERS
-from ..ids import Address, DaemonId, Millis, Offset
+from ..constants import BOOTSTRAP_ANNOUNCEMENTS, MAX_MEMBERS, NO_ERA
+from ..ids import Address, DaemonId, Millis, Offset, StoreEra
 from .records import AnnounceRecord, Member
 
 READ_RETRY_BASE_DELAY = Millis(1_000)
@@ -51,11 +51,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnouncementsRead:
-    """Records of the members stream before offset `end`; `first` is the oldest retained offset."""
+    """Records of the members stream before offset `end`; `first` is the oldest retained offset.
+
+    `era` rises whenever the log comes back from an older copy.
+    """
 
     records: tuple[tuple[Offset, AnnounceRecord], ...]
     first: Offset
     end: Offset
+    era: StoreEra = NO_ERA
 
 
 BootstrapAction = ReadAnnouncements | ContactPeer | Announce
@@ -73,9 +77,11 @@
         self.offsets: dict[DaemonId, Offset] = {}
         self.unreachable: set[DaemonId] = set()
         self.position = Offset(0)
+        self.era: StoreEra | None = None
         self.next_read_at: Millis | None = None
         self.read_started_at = Millis(0)
         self.reading = False
+        self.must_discard_read = False
         self.failures = 0
 
     def tick(self, now: Millis) -> Iterator[BootstrapAction]:
@@ -89,6 +95,7 @@
     def read_failed(self, now: Millis) -> None:
         """Schedule another read after a full-jitter delay whose limit doubles with each failure."""
         self.reading = False
+        self.must_discard_read = False
         self._schedule_retry(now)
 
     def announcements_read(
@@ -96,6 +103,9 @@
     ) -> Iterator[BootstrapAction]:
         """Contact announced daemons that are unknown here, and announce this daemon if due."""
         self.reading = False
+        if self.must_discard_read:
+            self.must_discard_read = False
+            return
         self._record_page(page)
         alive = {member.daemon_id: member.control_address for member in live}
         unknown_members = [
@@ -115,14 +125,25 @@
         ids = {i for i, m in self.announced.items() if m.control_address == address}
         self.unreachable = self.unreachable - ids if answered else self.unreachable | ids
 
+    def log_replaced(self, now: Millis) -> None:
+        """Read the stream from its start soon, because the log may have lost announcements."""
+        for daemon_id in list(self.offsets):
+            self._drop(daemon_id)
+        self.position = Offset(0)
+        # A read in flight started at the position in the earlier log.
+        self.must_discard_read = self.reading
+        self.state = BootstrapState.JOINING
+        self.next_read_at = Millis(now + MIN_ANNOUNCE_WINDOW * self.rng.random())
+
     def announce_failed(self, now: Millis) -> None:
         """Schedule another read, which shows whether the append took effect despite the failure."""
         self.state = BootstrapState.JOINING
         self._schedule_retry(now)
 
     def _record_page(self, page: AnnouncementsRead) -> None:
-        # A log that ends at a lower offset than before has lost the earlier announcements.
-        reset = page.end < self.position
+        era, self.era = self.era, page.era
+        # A log of another era, or that ends at a lower offset, may have lost announcements.
+        reset = era not in (None, page.era) or page.end < self.position
         for offset, record in page.records:
             daemon_id = record.member.daemon_id
             self.unreachable.discard(daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -151,6 +151,7 @@
             mailboxes.control,
             log,
             (mailboxes.members, mailboxes.call, mailboxes.admin, mailboxes.upstream),
+            mailboxes.members,
         ),
         UpstreamTask(
             mailboxes.upstream,
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -11,6 +11,11 @@
 from agatecross_core.quarantine.model import InFlightCall, SuspectedRequest
 
 
+@dataclass(frozen=True, slots=True)
+class LogReplacedNotice:
+    """The log is not the one read before, so other streams may have lost records too."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigInForce:
     """A new compiled snapshot is in force."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_task.py
@@ -16,6 +16,7 @@
     PULL_TIMEOUT,
 )
 from agatecross_core.distribution.follower import (
+    Condition,
     ConfigFollower,
     FollowerAction,
     NotifyPeers,
@@ -36,7 +37,7 @@
 
 from ..events import log_event, log_warning
 from ..mailbox import Mailbox, Sender, monotonic_ms
-from ..messages import ConfigInForce, Tick, ViewChanged
+from ..messages import ConfigInForce, LogReplacedNotice, Tick, ViewChanged
 from .control_task import ControlAsk, ReceivedAsk, send_control
 from .subtasks import Subtasks
 
@@ -73,11 +74,13 @@
         control: Sender[ControlAsk],
         log: LogService,
         subscribers: Iterable[Sender[ConfigInForce]],
+        members: Sender[LogReplacedNotice],
     ) -> None:
         self.follower = follower
         self.control = control
         self.log = log
         self.subscribers = tuple(subscribers)
+        self.members = members
         self.mailbox = mailbox
         self.subtasks = Subtasks()
 
@@ -129,6 +132,8 @@
                     _log_verdict(action)
                 case ReportCondition(condition, values):
                     log_warning(condition.value, **dict(values))
+                    if condition is Condition.LOG_REPLACED:
+                        self.members.put(LogReplacedNotice())
                 case ReadLog():
                     self.subtasks.start(self._read_log(action))
                 case PullFrom():
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/members_task.py
@@ -58,6 +58,7 @@
     ConfigInForce,
     GossipReceived,
     Leaving,
+    LogReplacedNotice,
     Tick,
     UpstreamChanged,
     ViewChanged,
@@ -113,6 +114,7 @@
 MembersMessage = (
     ReceivedAsk
     | ConfigInForce
+    | LogReplacedNotice
     | UpstreamChanged
     | Leaving
     | Tick
@@ -182,6 +184,8 @@
                 self._update_own_member(replace(self.swim.me, state=MemberState.LEAVING))
             case BroadcastStrikes(strikes, clearances):
                 self.reports.add(strikes, clearances, now)
+            case LogReplacedNotice():
+                self.bootstrap.log_replaced(now)
             case AnnouncementsRead():
                 self._announcements_read(message, now)
             case MembersStreamFailed(appending):
@@ -391,7 +395,7 @@
 
     async def _read_announcements(self, start: Offset) -> None:
         records: list[tuple[Offset, AnnounceRecord]] = []
-        position = start
+        position, era = start, None
         while True:
             try:
                 page = await self.log.read(MEMBERS_STREAM, position, LOG_PAGE_RECORDS, Millis(0))
@@ -399,9 +403,14 @@
                 log_warning("announcements_unread", reason=error)
                 self.mailbox.put(MembersStreamFailed(appending=False))
                 return
+            if era not in (None, page.era):
+                log_warning("announcements_unread", reason="the log was restored meanwhile")
+                self.mailbox.put(MembersStreamFailed(appending=False))
+                return
+            era = page.era
             records += _decode_page(page)
             if not page.entries or page.entries[-1].offset + 1 >= page.end:
-                self.mailbox.put(AnnouncementsRead(tuple(records), page.first, page.end))
+                self.mailbox.put(AnnouncementsRead(tuple(records), page.first, page.end, era))
                 return
             position = Offset(page.entries[-1].offset + 1)
 
