--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -160,8 +161,14 @@
     def publish(self) -> None:
         """Write the next configuration version, which adds a route named after it."""
         self.version = Version(self.version + 1)
+        self.write_again(("config",))
+
+    def write_again(self, keys: Iterable[str]) -> None:
+        """Write the newest record of each key of the operator's topic, in this order."""
         marker = (f"/v{self.version}/", "safe", "s1")
-        self.store.append_record("keyed.op", "config", config_record(self.version, (marker,)))
+        for key in keys:
+            value = config_record(self.version, (marker,)) if key == "config" else b"{}"
+            self.store.append_record("keyed.op", key, value)
 
     async def replace_upstream(self, node: Node) -> None:
         """Replace the upstream of a daemon by a new one with another name."""
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -23,6 +23,15 @@
 # Time after a fault, such as a kill, until peers and callers work with the daemon again.
 RECOVERY_SECONDS = 3.0
 STOP_POLL_INTERVAL_SECONDS = 0.05
+# Time for which the store is away before it comes back from a copy.
+RESTORE_SECONDS = 0.5
+# Keys of the operator's topic in the order in which they are written after a restore.
+REWRITE_ORDERS = (
+    ("config",),
+    ("config", "other"),
+    ("other", "config"),
+    ("config", "other", "other"),
+)
 FAULTY_ANSWERS = (
     Answer.RESET,
     Answer.EXTRA,
@@ -134,6 +143,20 @@
                 self.fleet.store.compact("keyed.op")
             case FaultKind.STORE_LINK_RESET:
                 node.store_link.reset()
+            case FaultKind.STORE_RESTORED:
+                await self._restore_store(fault)
+
+    async def _restore_store(self, fault: Fault) -> None:
+        """Bring the store back from a copy; the operator writes its newest records again."""
+        store = self.fleet.store
+        copy = store.copy_topics()
+        await asyncio.sleep(fault.duration_seconds)
+        store.switches.refuse = True
+        await asyncio.sleep(RESTORE_SECONDS)
+        store.restore(copy)
+        keys = REWRITE_ORDERS[fault.node % len(REWRITE_ORDERS)]
+        self.fleet.write_again(keys)
+        store.switches.refuse = False
 
     async def _stop_gracefully(self, node: Node) -> None:
         """Send SIGTERM, and SIGKILL if the process still runs after the grace period."""
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -16,7 +16,8 @@
     """Kind of fault and what it affects.
 
     `KILL_ALL` kills every daemon, `HANG_UP` sends SIGHUP, and `STORE_COMPACTION` drops the records
-    of a topic except for the newest value of each key.
+    of a topic except for the newest value of each key. `STORE_RESTORED` brings the store back from
+    a copy that is as old as the fault is long.
     """
 
     KILL = "kill"
@@ -39,16 +40,20 @@
     STORE_SILENT = "store-silent"
     STORE_COMPACTION = "store-forgets"
     STORE_LINK_RESET = "store-link-reset"
+    STORE_RESTORED = "store-restored"
     PUBLISH = "publish"
 
 
 # Drawn apart from the other kinds, so that the schedules of seeds that failed before stay the same.
 NOTICE_KINDS = (FaultKind.UPSTREAM_LIMITED, FaultKind.UPSTREAM_SAYS_LEAVING)
-DRAWN_KINDS = tuple(kind for kind in FaultKind if kind not in NOTICE_KINDS)
+DRAWN_KINDS = tuple(
+    kind for kind in FaultKind if kind not in (*NOTICE_KINDS, FaultKind.STORE_RESTORED)
+)
 MEAN_NOTICE_GAP_SECONDS = 4.0
 # A limit binds 3 s after it was first named.
 MIN_NOTICE_SECONDS = 4.0
 MAX_NOTICE_SECONDS = 8.0
+MEAN_RESTORE_GAP_SECONDS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +71,7 @@
     yield from heapq.merge(
         _drawn_faults(seed, seconds, node_count),
         _notices(seed, seconds, node_count),
+        _restores(seed, seconds, node_count),
         key=lambda fault: fault.at,
     )
 
@@ -80,6 +86,16 @@
             yield Fault(at, duration_seconds, kind, node)
 
 
+def _restores(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
+    rng = random.Random(f"restores of {seed}")
+    at = 0.0
+    while (at := at + rng.expovariate(1 / MEAN_RESTORE_GAP_SECONDS)) < seconds:
+        duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        node = rng.randrange(node_count)
+        if at + duration_seconds <= seconds:
+            yield Fault(at, duration_seconds, FaultKind.STORE_RESTORED, node)
+
+
 def _drawn_faults(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults; about a quarter of the draws become a series on several nodes.
 
