Judge announced leaves in the soak by the end of a graceful stop

Traced: all six daemons got SIGTERM at 69.05 to 69.22 s, u5's answers said it at 70.13, the daemons were back from 74.08 s on, and the store was away for the first 1.4 s of the new d5, which learnt of the drain at 75.44 and refused from then on. The platform excuses daemons that were started in the last seconds, and so does the check; it knew only the time of the signal, which came before the announcement, and not that of the restart.

--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -175,6 +175,8 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
         if node.process is process:
             node.send_signal(signal.SIGKILL)
+        # The next process starts up to the grace period after the signal.
+        self._record_restart(node)
         self.history.graceful_stops.append((node.number, started_at, time.monotonic()))
 
     async def _limit_upstream(self, node: Node, seconds: float) -> None:
--- a/packages/agatecross-standins/agatecross_standins/soak/regressions.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/regressions.py
@@ -8,5 +8,6 @@
     403: "SIGHUP arrived before the daemon had installed its handlers and ended it with code -1",
     406: "a leave before the first heartbeat of its upstream was confirmed but not kept",
     819: "the check judged daemons that were killed after an answer had announced the leave",
+    2006: "the check judged daemons that began to stop before an answer had announced the leave",
 }
 """Cause of the failure by seed; each seed ran for 10 s."""
