--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -90,8 +90,8 @@
     await poll_until(lambda: calls.failures, "the daemon to lose the store")
 
 
-@given("a platform fleet that forgets a peer soon")
-def step_forgetful_fleet(context):
+@given("a platform fleet that removes unreachable peers soon")
+def step_removing_fleet(context):
     patches = (
         mock.patch.object(announcements, "READ_DELAYS_SECONDS", (0.0,)),
         mock.patch.object(announcements, "REREAD_SECONDS", 0.2),
@@ -185,7 +185,7 @@
         await poll_until(lambda appends=appends: store.appends > appends, "a record to be written")
 
 
-@when("d{informed:d} knows of a restore in era {number:d} and its link from d{other:d} is lost")
+@when("d{informed:d} has noticed a restore in era {number:d} and its link from d{other:d} is lost")
 def step_missed_notice(context, informed, number, other):
     daemons = context.testbed.sidecars
 
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -51,7 +51,7 @@
   Scenario: a daemon that had no link to the one that noticed a restore learns of it later
     Guards against a notice that is sent once, and missed by a daemon whose link is just down.
     Given a platform fleet
-    When d0 knows of a restore in era 2 and its link from d2 is lost
+    When d0 has noticed a restore in era 2 and its link from d2 is lost
     Then d2 writes its announcement again
 
   Scenario Outline: a fleet that is killed whole after a restore keeps a confirmed <what>
@@ -140,7 +140,7 @@
 
   Scenario: an announcement that was withdrawn and that a restore brings back is withdrawn again
     Guards against daemons that are gone for good, and that each new daemon dials for 20 s.
-    Given a platform fleet that forgets a peer soon
+    Given a platform fleet that removes unreachable peers soon
     When the store comes back from a copy in which the gone daemon d9 is announced
     Then the store has no record of d9
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
@@ -111,7 +111,7 @@
         self.records_missing.set()
 
     async def _write_missing_records(self) -> None:
-        """Write missing records: the drain at once, since only the store keeps it for a restart."""
+        """Write missing records, the drain first: a restart of all daemons would undo it."""
         while True:
             await self.records_missing.wait()
             self.records_missing.clear()
