Send no call of a test into a stall of its own start

Traced from the printed log: the test process stalled for 0.55 s while it created the three daemons (the incarnations of d0 and d2 are 594 ms apart), the call came 12 ms after the configuration, within the 100 ms in which what is read counts as old as the pause was long, and both of its daemons, which share the process, took the 0.55 s off. The daemons did what they promise. The fixture waits until no daemon is in that time any more; the check stays as it is.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -16,6 +16,7 @@
 from agatecross_core.ids import Address, Millis
 from agatecross_daemon.decision_log import DecisionLog
 from agatecross_daemon.events import format_event
+from agatecross_daemon.mailbox import boottime_ms
 from agatecross_daemon.sidecar import build_sidecar, log_loop_error
 from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings, sidecar_settings
 from agatecross_platform.front_end import PlatformFrontEnd
@@ -93,6 +94,12 @@
         await poll_until(
             lambda: all(self.sees_all_upstreams(s) for s in self.sidecars), "every upstream"
         )
+        # On a busy machine the start stalls this process, which counts as a pause of every daemon.
+        # A call that is read just after it would lose that time at both of its daemons.
+        await poll_until(
+            lambda: not any(s.exit.pauses.waited(boottime_ms()) for s in self.sidecars),
+            "the end of the pause",
+        )
 
     def sees_all_upstreams(self, sidecar):
         return sum(map(len, sidecar.entry.endpoints_by_service.values())) == len(DAEMON_PLACES)
