--- a/review/4/run.py
+++ b/review/4/run.py
@@ -37,6 +37,7 @@
 
 
 async def main(record, files):
+    """Play the case; return 1 if the rule was broken, else 0."""
     rng = random.Random(2)
     store = Store()
     await store.start()
@@ -102,9 +103,7 @@
         for machine in machines:
             found = [row for row in stale if row["id"].startswith(machine.name)]
             last = max((row["sent"] - confirmed for row in found), default=0.0)
-            record.write(
-                "stale", machine=machine.name, requests=len(found), until=f"{last:.2f}s"
-            )
+            record.write("stale", machine=machine.name, requests=len(found), until=f"{last:.2f}s")
         served = sum(row["status"] == 200 for row in late)
         record.write("late_requests", sent=len(late), served=served, run_by_old=len(stale))
         if served < len(late) / 2:
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -50,6 +50,12 @@
     return ports
 
 
+def bound_address(server):
+    """Return the address at which a server listens."""
+    host, port = server.sockets[0].getsockname()
+    return f"{host}:{port}"
+
+
 class Record:
     """The record of one run, written to `record.txt` beside the script."""
 
@@ -109,7 +115,7 @@
     async def start(self):
         """Start serving."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = bound_address(self.server)
 
     def put(self, topic, key, value):
         """Append one record."""
@@ -209,7 +215,7 @@
         """Start serving, at a free port or at the port that it had."""
         port = int(self.address.rpartition(":")[2] or 0)
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = bound_address(self.server)
         self.announced = self.announced or self.address
         self.up = True
 
@@ -366,7 +372,7 @@
         """Start forwarding to `target`."""
         self.target = target
         self.server = await asyncio.start_server(self._forward_connection, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = bound_address(self.server)
 
     def silence(self):
         """Forward nothing more on the open connections; new ones work."""
@@ -570,7 +576,7 @@
 
 
 def config(version, routes):
-    """Return the operator's configuration; a route is (prefix, kind, service, timeout, attempts)."""
+    """Return the operator's configuration of (prefix, kind, service, timeout, attempts) rows."""
     rows = [
         {
             "name": "r" + prefix.strip("/"),
