--- a/review/4/run.py
+++ b/review/4/run.py
@@ -9,7 +9,16 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from standins import Backend, Consumer, Link, Machine, Store, config, run  # noqa: E402
+from standins import (  # noqa: E402
+    Backend,
+    Consumer,
+    Link,
+    Machine,
+    Store,
+    check_running,
+    config,
+    run,
+)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Name, zone, region, service and one-way seconds to the store, which stands in marmara.
@@ -93,6 +102,7 @@
         confirmed = record.now()
         record.write("configuration_confirmed", version="r2")
         await asyncio.gather(*tasks)
+        check_running(machines)
         late = [
             row
             for row in rows
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -32,6 +32,8 @@
     "recover": "15s",
 }
 HEARTBEAT_SECONDS = 1.5
+# A script may run for 120 s.
+MAX_SECONDS = 110.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -602,16 +604,30 @@
     return json.dumps(record).encode()
 
 
+def check_running(machines):
+    """Raise if a daemon has ended, so that its absence isn't taken for a broken rule."""
+    ended = [m.name for m in machines if m.process is None or m.process.poll() is not None]
+    if ended:
+        raise RuntimeError(f"daemons have ended: {ended}")
+
+
 def run(main, folder):
-    """Run `main(record, folder_for_files)`; exit with its result, or 2 if it could not run."""
+    """Run `main(record, folder_for_files)`; exit with its result, or 2 if it could not run.
+
+    A signal or the end of the time ends it in the same way, after its processes have ended.
+    """
     record = Record(folder)
     files = tempfile.mkdtemp(prefix="review-")
 
     async def run_and_exit():
         result = 2
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            result = await main(record, files)
-        except Exception as error:
+            async with asyncio.timeout(MAX_SECONDS):
+                result = await main(record, files)
+        except (Exception, asyncio.CancelledError) as error:
             record.write("could_not_run", error=repr(error).replace(" ", "_"))
         shutil.rmtree(files, ignore_errors=True)
         record.write("result", exit=result)
