Log silent connections between daemons, and which connection a failed call used

The log of a daemon that missed a change could not tell whether a call to the store failed on a new connection or on one that had been idle, nor when a link to a peer was found silent. store_lost names the connection now, and peer_connection_silent the link; agatecross_silent_connections_total counts them.

--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -58,7 +58,15 @@
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
         self.sent_bytes = 0
-        self.idle_since = 0.0
+        # Times of the monotonic clock; a connection that was never idle is new.
+        self.idle_since: float | None = None
+        self.taken_at = 0.0
+
+    def describe(self) -> str:
+        """Return whether the connection is new, or for how long it was idle before its request."""
+        if self.idle_since is None:
+            return "a new connection"
+        return f"a connection idle for {int((self.taken_at - self.idle_since) * 1000)} ms"
 
     def write_to_fd(self, data: memoryview) -> int:
         """Send data and count the bytes."""
@@ -68,7 +76,8 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether an idle connection is recent, open and free of unexpected data."""
-        if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
+        idle_since = now if self.idle_since is None else self.idle_since
+        if self.closed() or (now - idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
             return False
         try:
             self.socket.recv(1, socket.MSG_PEEK)
@@ -166,6 +175,7 @@
         while idle:
             stream = idle.pop()
             if stream.is_usable(now):
+                stream.taken_at = now
                 return stream
             stream.close()
         return None
@@ -197,7 +207,8 @@
                 response, keep = await self._exchange(address, stream, request, extend)
             return response
         except TimeoutError as error:
-            raise ExchangeTimeoutError(address, "no complete response in time") from error
+            reason = f"no complete response in time on {stream.describe()}"
+            raise ExchangeTimeoutError(address, reason) from error
         except ConnectionLostError as error:
             if not stream.sent_bytes:
                 raise ConnectFailedError(
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -75,6 +75,12 @@
             ("record",),
             registry=self.registry,
         )
+        self.silent_connections = Counter(
+            "agatecross_silent_connections_total",
+            "Connections that were closed because the other end did not answer.",
+            ("to",),
+            registry=self.registry,
+        )
         self.peers = Gauge(
             "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
         )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -63,6 +63,7 @@
         new_hello: Callable[[], Hello],
         config_version: Callable[[], Version],
         on_message: "Callable[[PeerLink, HopMessage], None]",
+        on_silent: "Callable[[PeerLink, Millis], None]",
         rng: random.Random,
     ) -> None:
         self.daemon_id = daemon_id
@@ -70,6 +71,8 @@
         self.new_hello = new_hello
         self.config_version = config_version
         self.on_message = on_message
+        # Called with the time since the last byte when a silent connection is closed.
+        self.on_silent = on_silent
         self.rng = rng
         self.ping_period = PING_PERIOD
         self.state = LinkState.DIALING
@@ -113,6 +116,7 @@
             return
         if self.awaiting_pong and now - self.last_ping_at > PONG_TIMEOUT:
             if self.connection.received_at < self.last_ping_at:
+                self.on_silent(self, Millis(now - self.connection.received_at))
                 self.connection.abort()
                 return
             self.awaiting_pong = False
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -276,6 +276,7 @@
             lambda: self._new_hello(endpoint.daemon_id, endpoint.data_centre),
             lambda: self.config_distributor.version,
             self._on_link_message,
+            self._on_silent_link,
             self.rng,
         )
 
@@ -342,6 +343,15 @@
             if self.strikes:
                 link.send(Strikes(tuple(self.strikes)))
 
+    def _on_silent_link(self, link: PeerLink, silent: Millis) -> None:
+        self.metrics.silent_connections.labels("peer").inc()
+        self.log.write_change(
+            "peer_connection_silent",
+            peer=link.daemon_id,
+            silent_ms=int(silent),
+            pending=len(link.pending),
+        )
+
     def _record_strikes(self, strikes: tuple[Strike, ...]) -> None:
         self.strikes.extend(strike for strike in strikes if strike not in self.strikes)
         self.entry.put(StrikesReported(strikes))
