Call the store on a new connection when an idle one is silent

The store and new connections to it were sound.

Cause: a call that timed out on an idle connection counted as a silent store. Evidence, from the log lines added before: between 6.9 and 9.0 s eight daemons of the region wrote store_lost one after the other, the readers for next_config, their successors for newest_config on connections that had been idle for 12.2 to 12.9 s; each left the store to the next one.

The client sends a request that has no head of a response yet again on a new connection, 300 ms before its timeout, and takes the first response. It closes all connections that were idle by then. The total time is the same, so a dead store is still noticed in time for the next reader.

--- /dev/null
+++ b/features/steps/silent_connections_steps.py
@@ -0,0 +1,135 @@
+import asyncio
+from types import SimpleNamespace
+from unittest import mock
+
+from behave import given, then, when
+from http_steps import ANSWER, STEP_TIMEOUT_SECONDS, RawServer, exchange_outcome
+
+from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_core.calls.model import Request
+from agatecross_core.errors import StoreError
+from agatecross_core.ids import DaemonId, Millis, Offset
+from agatecross_platform.front_end import PlatformFrontEnd
+from agatecross_standins.platform_config import config_record
+from agatecross_standins.platform_store import PlatformStoreStandIn
+from agatecross_standins.soak.proxy import FaultyLink
+
+TIMEOUT = Millis(1_500)
+# Leaves most of the timeout to the second connection, as a busy machine may be slow.
+SECOND_TRY = Millis(1_300)
+LONG_TIMEOUT = Millis(10_000)
+LONG_SECOND_TRY = Millis(9_800)
+OPERATIONS = {
+    "newest_config": lambda store: store.newest_config(TIMEOUT),
+    "next_config": lambda store: store.next_config(Offset(0), Millis(100), TIMEOUT),
+    "announce": lambda store: store.announce(DaemonId("d1"), b"record"),
+    "announce_drain": lambda store: store.announce_drain(DaemonId("d1"), b"record"),
+    "check": lambda store: store.check(),
+    "read_announcements": lambda store: store.read_announcements(),
+}
+
+
+@given("a store and a client of it with {idle:d} idle connections")
+def step_store_and_client(context, idle):
+    context.idle = idle
+
+
+@when('the idle connections go silent and the client calls "{operation}"')
+def step_silent_store_connections(context, operation):
+    context.found = asyncio.run(
+        asyncio.wait_for(
+            call_over_silent_connections(operation, context.idle), STEP_TIMEOUT_SECONDS
+        )
+    )
+
+
+async def call_over_silent_connections(operation, idle):
+    stand_in, link, reported = PlatformStoreStandIn(), FaultyLink(), []
+    link.target = stand_in.listen()
+    stand_in.append_record("keyed.op", "config", config_record(7))
+    address = await link.listen()
+    with mock.patch("agatecross_platform.front_end.STORE_SECOND_TRY", SECOND_TRY, create=True):
+        front_end = PlatformFrontEnd(SimpleNamespace(store=address))
+    if hasattr(front_end, "report_silent_connections"):
+        front_end.report_silent_connections(lambda address, idle_time: reported.append(idle_time))
+    call = OPERATIONS[operation]
+    await asyncio.gather(*(front_end.store.check() for _ in range(idle)))
+    opened = [link.accepted]
+    link.silence_connections()
+    ends = []
+    for _ in range(2):
+        try:
+            ends.append(type(await call(front_end.store)).__name__)
+        except StoreError as error:
+            ends.append(str(error))
+        opened.append(link.accepted)
+    await link.close()
+    await stand_in.close()
+    return ends, opened, reported
+
+
+@then("the store answered over 1 new connection, and the idle time of 1 connection is reported")
+def step_store_answered(context):
+    ends, opened, reported = context.found
+    assert ends == ["StoreAnswer", "StoreAnswer"], context.found
+    assert opened[:2] == [context.idle, context.idle + 1], context.found
+    assert len(reported) == 1, context.found
+
+
+@then("the next call needs no further connection")
+def step_no_further_connection(context):
+    _, opened, _ = context.found
+    assert opened[2] == opened[1], context.found
+
+
+@given("a server whose idle connection {behaviour}")
+def step_server(context, behaviour):
+    context.behaviour = behaviour
+
+
+@when("a client that may send a request twice sends one")
+def step_send_on_idle(context):
+    context.found = asyncio.run(
+        asyncio.wait_for(send_on_idle(context.behaviour), STEP_TIMEOUT_SECONDS)
+    )
+
+
+async def send_on_idle(behaviour):
+    reported = []
+
+    async def answer(server, writer):
+        is_first = writer is server.writers[0]
+        if server.requests == 1 or behaviour == "answers":
+            writer.write(ANSWER)
+        elif behaviour == "answers once a new one is opened" and not is_first:
+            server.writers[0].write(ANSWER)
+        elif behaviour == "sends the head and later the body":
+            writer.write(ANSWER[:-1])
+            await asyncio.sleep(0.5)
+            writer.write(ANSWER[-1:])
+        elif behaviour == "is closed by the second request":
+            writer.close()
+        elif behaviour == "is silent" and not is_first:
+            writer.write(ANSWER)
+
+    async with RawServer(answer) as server:
+        client = TornadoHttpClient(second_try=LONG_SECOND_TRY)
+        client.on_silent = lambda address, idle_time: reported.append(idle_time)
+        request = Request("GET", "/", (), b"")
+        assert await exchange_outcome(client, server.address, request, LONG_TIMEOUT) == "200"
+        timeout, client.second_try = LONG_TIMEOUT, LONG_SECOND_TRY
+        if "new" in behaviour and "opened" not in behaviour:
+            timeout, client.second_try = Millis(600), Millis(500)
+        if "refused" in behaviour:
+            server.server.close()
+        end = await exchange_outcome(client, server.address, request, timeout)
+        client.close()
+        return end, server.connections - 1, len(reported)
+
+
+@then(
+    'the exchange ends with "{end}" over {new:d} new connections, '
+    "and {reported:d} silent ones are reported"
+)
+def step_exchange(context, end, new, reported):
+    assert context.found == (end, new, reported), context.found
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -26,7 +26,7 @@
     MAX_RESPONSE_BYTES,
 )
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
-from agatecross_core.ids import Address, Millis
+from agatecross_core.ids import ZERO_MS, Address, Millis
 
 from .http_fields import end_to_end_fields
 
@@ -58,15 +58,15 @@
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock)
         self.sent_bytes = 0
-        # Times of the monotonic clock; a connection that was never idle is new.
-        self.idle_since: float | None = None
-        self.taken_at = 0.0
+        self.idle_since = 0.0
+        # For how long the connection was idle before its present request; None if it is new.
+        self.idle_time: Millis | None = None
 
     def describe(self) -> str:
         """Return whether the connection is new, or for how long it was idle before its request."""
-        if self.idle_since is None:
+        if self.idle_time is None:
             return "a new connection"
-        return f"a connection idle for {int((self.taken_at - self.idle_since) * 1000)} ms"
+        return f"a connection idle for {int(self.idle_time)} ms"
 
     def write_to_fd(self, data: memoryview) -> int:
         """Send data and count the bytes."""
@@ -76,8 +76,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether an idle connection is recent, open and free of unexpected data."""
-        idle_since = now if self.idle_since is None else self.idle_since
-        if self.closed() or (now - idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
+        if self.closed() or (now - self.idle_since) * 1000 > CLIENT_IDLE_TIMEOUT:
             return False
         try:
             self.socket.recv(1, socket.MSG_PEEK)
@@ -127,13 +126,21 @@
 class BodyTimer:
     """Moves the end of the time for a response while parts of its body arrive."""
 
-    def __init__(self, timer: asyncio.Timeout, limits: BodyTimeouts | None) -> None:
+    def __init__(
+        self,
+        timer: asyncio.Timeout,
+        limits: BodyTimeouts | None,
+        on_part: Callable[[], None] | None,
+    ) -> None:
         self.timer = timer
         self.limits = limits
+        self.on_part = on_part
         self.latest: float | None = None
 
     def extend(self) -> None:
         """Allow the time for the next part, unless the time for the whole body is over."""
+        if self.on_part is not None:
+            self.on_part()
         if self.limits is None or self.timer.expired():
             return
         now = asyncio.get_running_loop().time()
@@ -146,36 +153,86 @@
     """Sends requests over pooled connections; one connection carries one request at a time.
 
     With `body_timeouts`, the timeout of a request bounds only the time to the head of its response.
+
+    An idle connection may have gone silent without a reset. With `second_try`, a request that has
+    no answer on such a connection is sent again on a new one when that much of its timeout is left,
+    and the first complete response counts. Every request must then be safe to repeat.
     """
 
     def __init__(
         self,
         max_idle: int = MAX_IDLE_CONNECTIONS_PER_PEER,
         body_timeouts: BodyTimeouts | None = None,
+        second_try: Millis | None = None,
     ) -> None:
         self.max_idle = max_idle
         self.body_timeouts = body_timeouts
+        self.second_try = second_try
         self.idle: dict[Address, deque[ClientStream]] = {}
+        # Called with the address and the idle time when a new connection is answered instead.
+        self.on_silent: Callable[[Address, Millis], None] = _ignore_silent_connection
 
     async def send(self, address: Address, request: Request, timeout: Millis) -> Response:
         """Return the complete response; raises a subclass of `ExchangeError`."""
         deadline = time.monotonic() + timeout / 1000
         while stream := self._take_idle(address):
             try:
-                return await self._send_on(address, stream, request, deadline)
+                if self.second_try is None:
+                    return await self._send_on(address, stream, request, deadline)
+                return await self._send_on_idle(address, stream, request, deadline)
             except ConnectFailedError:
                 # The server closed the pooled connection before the first byte was sent.
                 continue
+        return await self._send_on_new(address, request, deadline)
+
+    async def _send_on_new(self, address: Address, request: Request, deadline: float) -> Response:
+        timeout = Millis(max(0.0, deadline - time.monotonic()) * 1000)
         stream = await self._connect(address, timeout)
         return await self._send_on(address, stream, request, deadline)
 
+    async def _send_on_idle(
+        self, address: Address, stream: ClientStream, request: Request, deadline: float
+    ) -> Response:
+        """Send on an idle connection, and also on a new one if that brings no answer in time."""
+        assert self.second_try is not None
+        started_at = time.monotonic()
+        answering = asyncio.Event()
+        first = asyncio.ensure_future(
+            self._send_on(address, stream, request, deadline, answering.set)
+        )
+        attempts = [first]
+        try:
+            wait = deadline - started_at - self.second_try / 1000
+            await asyncio.wait(attempts, timeout=max(0.0, wait))
+            if first.done() or answering.is_set():
+                return await first
+            second = asyncio.ensure_future(self._send_on_new(address, request, deadline))
+            attempts.append(second)
+            if await _first_response(attempts) is not second:
+                return await first
+            self._discard_idle_before(address, started_at)
+            self.on_silent(address, stream.idle_time or ZERO_MS)
+            return second.result()
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+            await asyncio.gather(*attempts, return_exceptions=True)
+
+    def _discard_idle_before(self, address: Address, moment: float) -> None:
+        """Close the connections that were idle already when one of them was found silent."""
+        idle = self.idle.pop(address, deque())
+        self.idle[address] = deque(stream for stream in idle if stream.idle_since >= moment)
+        for stream in idle:
+            if stream.idle_since < moment:
+                stream.close()
+
     def _take_idle(self, address: Address) -> ClientStream | None:
         idle = self.idle.get(address)
         now = time.monotonic()
         while idle:
             stream = idle.pop()
             if stream.is_usable(now):
-                stream.taken_at = now
+                stream.idle_time = Millis((now - stream.idle_since) * 1000)
                 return stream
             stream.close()
         return None
@@ -197,14 +254,19 @@
         return stream
 
     async def _send_on(
-        self, address: Address, stream: ClientStream, request: Request, deadline: float
+        self,
+        address: Address,
+        stream: ClientStream,
+        request: Request,
+        deadline: float,
+        on_part: Callable[[], None] | None = None,
     ) -> Response:
         stream.sent_bytes = 0
         keep = False
         try:
             async with asyncio.timeout(max(0.0, deadline - time.monotonic())) as timer:
-                extend = BodyTimer(timer, self.body_timeouts).extend
-                response, keep = await self._exchange(address, stream, request, extend)
+                body_timer = BodyTimer(timer, self.body_timeouts, on_part)
+                response, keep = await self._exchange(address, stream, request, body_timer.extend)
             return response
         except TimeoutError as error:
             reason = f"no complete response in time on {stream.describe()}"
@@ -264,5 +326,22 @@
         self.idle.clear()
 
 
+async def _first_response(
+    attempts: Iterable["asyncio.Future[Response]"],
+) -> "asyncio.Future[Response] | None":
+    """Return the first attempt that ends with a response, or None if all of them fail."""
+    pending = set(attempts)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            if attempt.exception() is None:
+                return attempt
+    return None
+
+
+def _ignore_silent_connection(address: Address, idle_time: Millis) -> None:
+    """Report nothing."""
+
+
 def _address_family(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -64,6 +64,10 @@
         """Use the store at this address from the next call on."""
         ...
 
+    def report_silent_connections(self, report: Callable[[Address, Millis], None], /) -> None:
+        """Call `report` with address and idle time of each connection to the store found silent."""
+        ...
+
     def create_heartbeat_handler(
         self, sender: "Sender[HeartbeatReceived | LeaveReceived]"
     ) -> RequestHandler:
@@ -218,6 +222,7 @@
     """Create the tasks and connect their mailboxes."""
     rng = random.Random(settings.seed)
     metrics = RelayMetrics()
+    front_end.report_silent_connections(partial(report_silent_store_connection, log, metrics))
     own_endpoint = Endpoint(
         settings.daemon_id,
         Incarnation(int(time.time() * 1000)),
@@ -297,6 +302,14 @@
     )
 
 
+def report_silent_store_connection(
+    log: DecisionLog, metrics: RelayMetrics, address: Address, idle_time: Millis
+) -> None:
+    """Log and count a silent connection to the store."""
+    metrics.silent_connections.labels("store").inc()
+    log.write_change("store_connection_silent", store=address, idle_ms=int(idle_time))
+
+
 def budget_factory(settings: SidecarSettings) -> Callable[[], FleetRetryBudget]:
     """Return a factory for the retry budget of one service."""
     retries = settings.retries
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -38,6 +38,7 @@
         self.mode = LinkMode.OPEN
         self.delay_seconds = 0.0
         self.connections: list[ProxiedConnection] = []
+        self.accepted = 0
         self.server: asyncio.Server | None = None
 
     async def listen(self) -> Address:
@@ -77,6 +78,7 @@
             return
         connection = ProxiedConnection(client_writer, server_writer)
         self.connections.append(connection)
+        self.accepted += 1
         await asyncio.gather(
             self._forward(connection, client_reader, server_writer, (LinkMode.SILENT,)),
             self._forward(
