Confirm messages that are sent once between daemons

Cause: a change is written once into each link, and a link may have gone silent without a reset. The next sign is the idle ping, each 2 s within a region and each 10 s between regions.

PeerLink sends a ping behind every message that nobody repeats (changes, endpoints with their drains, strikes, cancellations, a restored store) and closes a connection on which no byte comes back in time; the greeting on the next one tells the version and the endpoint. The time-out allows for a long change on the slowest link, and a link on which bytes still arrive stays open. The decision is LinkLiveness, apart from the connection.

Tests: a fleet of the real control tasks on connections in memory, in virtual time, with moments spread over a period of the pings.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -35,3 +35,40 @@
       | answers once a new one is opened           | 200                  | 1   | 0        |
       | sends the head and later the body          | 200                  | 0   | 0        |
       | is closed by the second request            | ConnectionLostError  | 0   | 0        |
+
+  # A change is confirmed the given time after all connections between daemons went silent, at
+  # moments spread over one period of the pings. With a second silence, the connections opened since
+  # go silent as well. Rule of the platform: in force 2 s after the confirmation, or 3 s after the
+  # last silence.
+  Scenario Outline: a change <after> ms after a silence reaches <daemons> daemons: <guards against>
+    Given a fleet of <daemons> daemons in two regions in virtual time, on links of <mbit> Mbit/s
+    When <moments> silences are each followed by a change of <bytes> bytes after <after> ms, with a second silence after <second> ms
+    Then each change was in force everywhere in time
+
+    Examples:
+      | guards against                                      | daemons | mbit | bytes | after | second | moments |
+      | a push that is lost on a silent link                | 4       | 100  | 100   | 3600  | none   | 24      |
+      | a push at the moment of the silence                 | 4       | 100  | 100   | 0     | none   | 24      |
+      | a push while the links are being replaced           | 4       | 100  | 100   | 700   | none   | 24      |
+      | new links that go silent before the push            | 4       | 100  | 100   | 1500  | 1490   | 24      |
+      | new links that go silent after the push             | 4       | 100  | 100   | 1500  | 1520   | 24      |
+      | silences one after the other, level by level        | 60      | 100  | 100   | 3600  | none   | 3       |
+
+  # Events: TIME sent BYTES of a message that must be confirmed, TIME byte, TIME pong, TIME busy and
+  # TIME idle. The link is ticked each 100 ms, and its last byte came at 0 ms.
+  Scenario Outline: pings of a link: <guards against>
+    When a link that is pinged each 10 s is told "<events>"
+    Then it is pinged at "<pings>" and closed at "<closed>" within 4 s
+
+    Examples:
+      | guards against                                        | events                                      | pings                    | closed |
+      | a lost message that waits for the next idle ping      | 1000 sent 100                               | 1000                     | 1800   |
+      | a message behind the ping that was answered           | 1000 sent 100; 1005 sent 100; 1010 pong     | 1000 1100                | 1900   |
+      | a silence hidden by bytes that were on their way      | 1000 sent 100; 1010 byte                    | 1000                     | 1800   |
+      | a ping after each of many cancellations               | 1000 sent 20; 1001 pong; 1002 sent 20; 1003 sent 20; 1110 pong | 1000 1100 | never |
+      | a long change on a slow link taken for silence        | 1000 sent 26000; 1930 pong                  | 1000                     | never  |
+      | a long change that is lost                            | 1000 sent 26000                             | 1000                     | 2000   |
+      | a link closed while its bytes arrive                  | 1000 sent 100; 1600 byte; 2200 byte; 2800 pong | 1000                  | never  |
+      | pings of an idle link that has nothing to confirm     | 1000 byte                                   |                          | never  |
+      | a handover on a link that is silent                   | 1000 busy                                   | 1000                     | 1800   |
+      | a link pinged as if it were busy when it no longer is | 1000 busy; 1001 byte; 1010 pong; 1020 idle  | 1000                     | never  |
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -4,11 +4,13 @@
 
 from behave import given, then, when
 from http_steps import ANSWER, STEP_TIMEOUT_SECONDS, RawServer, exchange_outcome
+from virtual_fleet import VirtualFleet
 
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_core.calls.model import Request
 from agatecross_core.errors import StoreError
 from agatecross_core.ids import DaemonId, Millis, Offset
+from agatecross_core.members.link_liveness import LinkLiveness, LinkStep
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn
@@ -19,6 +21,13 @@
 SECOND_TRY = Millis(1_300)
 LONG_TIMEOUT = Millis(10_000)
 LONG_SECOND_TRY = Millis(9_800)
+# The platform's rules: how soon a version is in force, and how long a fault excuses a machine.
+CONFIG_APPLY_MS = 2_000
+STABILITY_WINDOW_MS = 3_000
+# Time after which every link works again, and the longest period of the pings.
+SETTLED_SECONDS = 13.0
+PING_PERIOD_SECONDS = 10.0
+LINK_OBSERVED_MS = 4_000
 OPERATIONS = {
     "newest_config": lambda store: store.newest_config(TIMEOUT),
     "next_config": lambda store: store.next_config(Offset(0), Millis(100), TIMEOUT),
@@ -133,3 +142,74 @@
 )
 def step_exchange(context, end, new, reported):
     assert context.found == (end, new, reported), context.found
+
+
+@given("a fleet of {daemons:d} daemons in two regions in virtual time, on links of {mbit:g} Mbit/s")
+def step_virtual_fleet(context, daemons, mbit):
+    context.start_fleet = lambda size: VirtualFleet(daemons, mbit, size)
+
+
+@when(
+    "{moments:d} silences are each followed by a change of {size:d} bytes after {after:d} ms, "
+    "with a second silence after {second} ms"
+)
+def step_silences(context, moments, size, after, second):
+    fleet = context.start_fleet(size)
+    context.add_cleanup(fleet.close)
+    events = [(after, fleet.store.publish), (0, fleet.network.silence)]
+    if second != "none":
+        events.append((int(second), fleet.network.silence))
+    events.sort(key=lambda row: row[0])
+    last_silence = max(at for at, event in events if event == fleet.network.silence)
+    in_time = max(after + CONFIG_APPLY_MS, last_silence + STABILITY_WINDOW_MS)
+
+    async def play(moment):
+        now = 0
+        for at, event in events:
+            await asyncio.sleep((at - now) / 1000)
+            now = at
+            event()
+        await asyncio.sleep((in_time - now) / 1000)
+        found = fleet.behind()
+        # The moments are spread over the longest period of the pings.
+        await asyncio.sleep(SETTLED_SECONDS + moment * PING_PERIOD_SECONDS / moments)
+        return found
+
+    context.late = {moment: fleet.run(play(moment)) for moment in range(moments)}
+
+
+@then("each change was in force everywhere in time")
+def step_in_force(context):
+    late = {moment: names for moment, names in context.late.items() if names}
+    assert not late, late
+
+
+@when('a link that is pinged each 10 s is told "{events}"')
+def step_link_events(context, events):
+    liveness = LinkLiveness(Millis(10_000), Millis(0))
+    rows = sorted((int(at), *words) for at, *words in map(str.split, events.split("; ")))
+    rows += [(at, "tick") for at in range(0, LINK_OBSERVED_MS, 100)]
+    received_at, is_busy = 0, False
+    context.pings, context.closed = [], "never"
+    for at, kind, *size in sorted(rows, key=lambda row: row[0]):
+        if kind == "sent":
+            liveness.message_sent(int(size[0]))
+        elif kind in ("byte", "pong"):
+            received_at = at
+        elif kind in ("busy", "idle"):
+            is_busy = kind == "busy"
+        if kind == "pong":
+            liveness.pong_received()
+        step = liveness.next_step(Millis(at), Millis(received_at), is_busy)
+        if step is LinkStep.PING:
+            context.pings.append(at)
+        elif step is LinkStep.CLOSE:
+            context.closed = str(at)
+            return
+
+
+@then('it is pinged at "{pings}" and closed at "{closed}" within 4 s')
+@then('it is pinged at "" and closed at "{closed}" within 4 s')
+def step_pinged(context, closed, pings=""):
+    found = (context.pings, context.closed)
+    assert found == ([int(at) for at in pings.split()], closed), found
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -107,6 +107,9 @@
 ORDERED_MESSAGES = (ConfigBlob, ConfigDelta)
 """Messages that must arrive in the order in which they were sent: a delta fits its predecessor."""
 
+CONFIRMED_MESSAGES = (Cancel, Endpoints, ConfigBlob, ConfigDelta, Strikes, StoreEraNotice)
+"""Messages without an answer that are sent once: only a later ping shows that they arrived."""
+
 HopMessage = (
     Hello
     | Handover
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Callable, Collection, Mapping
 
-from agatecross_adapters.hop_codec import encode_hop_message
 from agatecross_adapters.hop_messages import ConfigBlob, ConfigDelta, HopMessage, Pull
+from agatecross_adapters.hop_sending import encode_for_sending
 from agatecross_core.constants import NO_VERSION
 from agatecross_core.distribution.catch_up import CatchUp
 from agatecross_core.distribution.propagation import ConfigOrigin, push_targets
@@ -57,11 +57,10 @@
         targets = tuple(push_targets(self.directory.me, rows, open_links, source.origin))
         if not targets:
             return
-        frame = encode_hop_message(self.delta or ConfigBlob(self.version, self.blob))
+        change = encode_for_sending(self.delta or ConfigBlob(self.version, self.blob))
         for daemon_id in targets:
-            link = self.links.get(daemon_id)
-            if link is not None and link.connection is not None:
-                link.connection.send_in_order(frame)
+            if (link := self.links.get(daemon_id)) is not None:
+                link.send_encoded(change)
 
     def config_received(
         self,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -5,7 +5,7 @@
 from agatecross_adapters.frames import FrameConnection
 from agatecross_adapters.hop_codec import decode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
-from agatecross_adapters.hop_sending import send_hop_message
+from agatecross_adapters.hop_sending import EncodedMessage, send_hop_message
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
 from agatecross_core.relay.model import Handover, RelayResult
@@ -58,11 +58,11 @@
         """Create the protocol object of a new connection."""
         return FrameConnection(self._on_open, self._on_frame, self._on_close)
 
-    def send_to_others(self, frame: bytes, reached: Collection[DaemonId]) -> None:
-        """Send a frame to the daemons that are not in `reached`."""
+    def send_to_others(self, message: EncodedMessage, reached: Collection[DaemonId]) -> None:
+        """Send a message to the daemons that are not in `reached`."""
         for inbound in self.connections.values():
             if inbound.daemon_id is not None and inbound.daemon_id not in reached:
-                inbound.connection.send(frame)
+                message.send_on(inbound.connection)
 
     def cancel_orphans(self, now: Millis) -> None:
         """Cancel handovers that were not resumed in time after their connection was lost."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -9,9 +9,10 @@
 from agatecross_adapters.frames import FrameConnection
 from agatecross_adapters.hop_codec import decode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
-from agatecross_adapters.hop_sending import send_hop_message
+from agatecross_adapters.hop_sending import EncodedMessage, encode_for_sending
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, Millis, Version
+from agatecross_core.members.link_liveness import LinkLiveness, LinkStep
 from agatecross_core.members.ping_periods import PING_PERIOD
 from agatecross_core.relay.model import (
     Handover,
@@ -29,10 +30,6 @@
 # A restarted daemon is back within a second or two; its peers must reconnect at once.
 REDIAL_DELAY_BASE = Millis(40)
 REDIAL_DELAY_CAP = Millis(1_000)
-# While handovers are pending, a silent connection must be detected well within their deadlines.
-BUSY_PING_PERIOD = Millis(250)
-# Two retransmissions of a lost packet between regions take about 600 ms.
-PONG_TIMEOUT = Millis(700)
 
 
 class LinkState(Enum):
@@ -74,14 +71,14 @@
         # Called with the time since the last byte when a silent connection is closed.
         self.on_silent = on_silent
         self.rng = rng
-        self.ping_period = PING_PERIOD
         self.state = LinkState.DIALING
         self.connection: FrameConnection | None = None
         self.incarnation: Incarnation | None = None
         self.pending: dict[HandoverId, PendingHandover] = {}
         # Links that open together are pinged at different times.
-        self.last_ping_at = Millis(monotonic_ms() - rng.uniform(0, PING_PERIOD))
-        self.awaiting_pong = False
+        self.liveness = LinkLiveness(
+            PING_PERIOD, Millis(monotonic_ms() - rng.uniform(0, PING_PERIOD))
+        )
         self.failed_dials = 0
         self.down_since: Millis | None = monotonic_ms()
         self.dialer = asyncio.ensure_future(self._dial())
@@ -93,8 +90,16 @@
 
     def send(self, message: HopMessage) -> None:
         """Send a message if the connection is open."""
-        if self.connection is not None:
-            send_hop_message(self.connection, message)
+        self.send_encoded(encode_for_sending(message))
+
+    def send_encoded(self, message: EncodedMessage) -> None:
+        """Send an encoded message if the connection is open, and a ping if it must be confirmed."""
+        if self.connection is None:
+            return
+        message.send_on(self.connection)
+        if message.must_confirm:
+            self.liveness.message_sent(len(message.frame))
+            self.check_liveness(monotonic_ms())
 
     def hand_over(self, handover: Handover, reply: ResultReceiver) -> None:
         """Send a handover, or refuse it as not run if the connection is not open."""
@@ -114,18 +119,13 @@
         """Ping a quiet connection; close one that stays silent. Called several times a second."""
         if self.connection is None:
             return
-        if self.awaiting_pong and now - self.last_ping_at > PONG_TIMEOUT:
-            if self.connection.received_at < self.last_ping_at:
-                self.on_silent(self, Millis(now - self.connection.received_at))
+        received_at = self.connection.received_at
+        match self.liveness.next_step(now, received_at, bool(self.pending)):
+            case LinkStep.PING:
+                self.send(Ping(False, self.config_version()))
+            case LinkStep.CLOSE:
+                self.on_silent(self, Millis(now - received_at))
                 self.connection.abort()
-                return
-            self.awaiting_pong = False
-        period = BUSY_PING_PERIOD if self.pending else self.ping_period
-        quiet = now - self.connection.received_at > period or not self.pending
-        if not self.awaiting_pong and quiet and now - self.last_ping_at > period:
-            self.last_ping_at = now
-            self.awaiting_pong = True
-            self.send(Ping(False, self.config_version()))
 
     def close(self) -> None:
         """Stop dialing and close the connection."""
@@ -163,7 +163,7 @@
 
     def _on_open(self, connection: FrameConnection) -> None:
         self.connection = connection
-        self.awaiting_pong = False
+        self.liveness.connection_opened()
         self.send(self.new_hello())
 
     def _on_close(self, connection: FrameConnection) -> None:
@@ -187,7 +187,7 @@
                 self._deliver_result(handover_id, result)
             case Ping(answer, _):
                 if answer:
-                    self.awaiting_pong = False
+                    self.liveness.pong_received()
                 else:
                     self.send(Ping(True, self.config_version()))
                 self.on_message(self, message)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -5,7 +5,6 @@
 from collections import deque
 from collections.abc import Callable
 
-from agatecross_adapters.hop_codec import encode_hop_message
 from agatecross_adapters.hop_messages import (
     ConfigBlob,
     ConfigDelta,
@@ -17,6 +16,7 @@
     StoreEraNotice,
     Strikes,
 )
+from agatecross_adapters.hop_sending import encode_for_sending
 from agatecross_core.constants import FULL_TABLE_SENDERS
 from agatecross_core.distribution.readers import select_readers
 from agatecross_core.ids import (
@@ -193,8 +193,9 @@
                 self._merge_endpoints(endpoints)
             case StrikesReported(strikes):
                 self._record_strikes(strikes)
+                encoded = encode_for_sending(Strikes(strikes))
                 for link in self.links.values():
-                    link.send(Strikes(strikes))
+                    link.send_encoded(encoded)
             case StoreRestored(era):
                 self.restored_era = max(self.restored_era, era)
                 self._send_to_peers(StoreEraNotice(era))
@@ -226,13 +227,13 @@
 
     def _send_to_peers(self, message: HopMessage) -> None:
         """Send a message once to each peer that is connected in either direction."""
-        frame = encode_hop_message(message)
+        encoded = encode_for_sending(message)
         reached: set[DaemonId] = set()
         for link in self.links.values():
-            if link.is_open and link.connection is not None:
-                link.connection.send(frame)
+            if link.is_open:
+                link.send_encoded(encoded)
                 reached.add(link.daemon_id)
-        self.inbound.send_to_others(frame, reached)
+        self.inbound.send_to_others(encoded, reached)
 
     def _merge_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         previous = self.directory.me
@@ -283,7 +284,7 @@
     def _set_ping_periods(self) -> None:
         periods = ping_periods(self.directory.me.region, self.directory.others())
         for daemon_id, link in self.links.items():
-            link.ping_period = periods[daemon_id]
+            link.liveness.period = periods[daemon_id]
 
     def _close_unknown_links(self) -> None:
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
