Push a change again to a peer that greets with an older version

What callers saw: at a silence, requests run by the old service for another 0.4 to 1 s after the link is replaced, on slow links for longer than the rule allows.

Cause: a push that is lost with its connection, or that finds the link closed, was left to the peer, which learns the version from the greeting and waits 400 to 1,000 ms for a push before it pulls, at each level of the tree.

The daemon that pushes to a peer sends the change behind the greeting now: the delta if the peer has its base, else the whole configuration. Only the peer's place in the push tree counts, so a peer that lacks a version gets it once although every daemon greets it. A peer without a configuration pulls at once and gets none unasked.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -53,6 +53,9 @@
       | new links that go silent before the push            | 4       | 100  | 100   | 1500  | 1490   | 24      |
       | new links that go silent after the push             | 4       | 100  | 100   | 1500  | 1520   | 24      |
       | silences one after the other, level by level        | 60      | 100  | 100   | 3600  | none   | 3       |
+      | a push at the moment of the silence, in a deep tree | 60      | 100  | 100   | 0     | none   | 8       |
+      | a long change on slow links                         | 24      | 0.9  | 26000 | 3600  | none   | 8       |
+      | a long change on slow links, at the silence         | 24      | 0.9  | 26000 | 0     | none   | 8       |
 
   # Events: TIME sent BYTES of a message that must be confirmed, TIME byte, TIME pong, TIME busy and
   # TIME idle. The link is ticked each 100 ms, and its last byte came at 0 ms.
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/config_distributor.py
@@ -42,6 +42,8 @@
         self.version = NO_VERSION
         self.blob = b""
         self.delta: ConfigDelta | None = None
+        # Where the version in force came from, which decides to whom it is pushed.
+        self.origin = ConfigOrigin.REGION
         self.catch_up = CatchUp(directory.me, rng)
         # The connection over which a peer was last heard works; another one may be silently dead.
         self.reply_senders: dict[DaemonId, ReplySender] = {}
@@ -52,6 +54,7 @@
         """Store a configuration that came into force and push it to the selected peers."""
         self.version, self.blob, self.delta = message.version, message.blob, message.delta
         source = message.source
+        self.origin = source.origin
         self.catch_up.came_into_force(message.version, source.daemon_id, now)
         rows = self.directory.rows.values()
         targets = tuple(push_targets(self.directory.me, rows, open_links, source.origin))
@@ -62,6 +65,19 @@
             if (link := self.links.get(daemon_id)) is not None:
                 link.send_encoded(change)
 
+    def link_opened(
+        self, link: PeerLink, version: Version, open_links: Collection[DaemonId]
+    ) -> None:
+        """Push again to a peer that greets with an older version, if this daemon pushes to it.
+
+        The change may have been lost with the connection before, or the link was closed then.
+        """
+        if not NO_VERSION < version < self.version:
+            return
+        rows = self.directory.rows.values()
+        if link.daemon_id in push_targets(self.directory.me, rows, open_links, self.origin):
+            self.answer_pull(version, link.send)
+
     def config_received(
         self,
         message: ConfigBlob | ConfigDelta,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -341,6 +341,7 @@
         self._handle_peer_message(message, link.send, link.daemon_id)
         if isinstance(message, Hello):
             self._check_open_links()
+            self.config_distributor.link_opened(link, message.version, self.open_links)
             if self.strikes:
                 link.send(Strikes(tuple(self.strikes)))
 
