Ping the links that carry pushes each second, whatever the fleet's size

What callers saw: by simulation, in a fleet of 194 whose links have all gone silent, requests run by the old service for up to 3.3 s after a change.

Cause: silent links are found one level of the push tree after the other, 0.8 to 0.9 s each, and idle pings, which find them in parallel, become rarer as the fleet grows (each 9.7 s at 97 daemons of a region, each 65 s at 650).

Each daemon pings the few links over which it would push the next change each second: its children in the tree, and from the readers the relays of the other regions. All of them are replaced 2 s after a silence. The first ping on a link is due at a random part of its period, so that the links between regions are no longer pinged in one round with 8 s of nothing after it.

The periods are set at most once a second now instead of at each change of an endpoint, as the order of the push tree takes a sort.

Tests: 60 daemons with the idle pings of 1,300.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -39,23 +39,25 @@
   # A change is confirmed the given time after all connections between daemons went silent, at
   # moments spread over one period of the pings. With a second silence, the connections opened since
   # go silent as well. Rule of the platform: in force 2 s after the confirmation, or 3 s after the
-  # last silence.
+  # last silence. Links are pinged as seldom as in a fleet of the given size.
   Scenario Outline: a change <after> ms after a silence reaches <daemons> daemons: <guards against>
-    Given a fleet of <daemons> daemons in two regions in virtual time, on links of <mbit> Mbit/s
+    Given a fleet of <daemons> daemons in two regions in virtual time, on links of <mbit> Mbit/s, with the idle pings of <fleet>
     When <moments> silences are each followed by a change of <bytes> bytes after <after> ms, with a second silence after <second> ms
     Then each change was in force everywhere in time
 
     Examples:
-      | guards against                                      | daemons | mbit | bytes | after | second | moments |
-      | a push that is lost on a silent link                | 4       | 100  | 100   | 3600  | none   | 24      |
-      | a push at the moment of the silence                 | 4       | 100  | 100   | 0     | none   | 24      |
-      | a push while the links are being replaced           | 4       | 100  | 100   | 700   | none   | 24      |
-      | new links that go silent before the push            | 4       | 100  | 100   | 1500  | 1490   | 24      |
-      | new links that go silent after the push             | 4       | 100  | 100   | 1500  | 1520   | 24      |
-      | silences one after the other, level by level        | 60      | 100  | 100   | 3600  | none   | 3       |
-      | a push at the moment of the silence, in a deep tree | 60      | 100  | 100   | 0     | none   | 8       |
-      | a long change on slow links                         | 24      | 0.9  | 26000 | 3600  | none   | 8       |
-      | a long change on slow links, at the silence         | 24      | 0.9  | 26000 | 0     | none   | 8       |
+      | guards against                                      | daemons | fleet | mbit | bytes | after | second | moments |
+      | a push that is lost on a silent link                | 4       | 4     | 100  | 100   | 3600  | none   | 24      |
+      | a push at the moment of the silence                 | 4       | 4     | 100  | 100   | 0     | none   | 24      |
+      | a push while the links are being replaced           | 4       | 4     | 100  | 100   | 700   | none   | 24      |
+      | new links that go silent before the push            | 4       | 4     | 100  | 100   | 1500  | 1490   | 24      |
+      | new links that go silent after the push             | 4       | 4     | 100  | 100   | 1500  | 1520   | 24      |
+      | silences one after the other, level by level        | 60      | 60    | 100  | 100   | 3600  | none   | 3       |
+      | a push at the moment of the silence, in a deep tree | 60      | 60    | 100  | 100   | 0     | none   | 8       |
+      | a long change on slow links                         | 24      | 24    | 0.9  | 26000 | 3600  | none   | 8       |
+      | a long change on slow links, at the silence         | 24      | 24    | 0.9  | 26000 | 0     | none   | 8       |
+      | links of a large fleet that are seldom pinged       | 60      | 1300  | 100  | 100   | 3600  | none   | 3       |
+      | a large fleet whose new links go silent             | 60      | 1300  | 100  | 100   | 1500  | 1490   | 3       |
 
   # Events: TIME sent BYTES of a message that must be confirmed, TIME byte, TIME pong, TIME busy and
   # TIME idle. The link is ticked each 100 ms, and its last byte came at 0 ms.
--- a/features/steps/feeding_steps.py
+++ b/features/steps/feeding_steps.py
@@ -387,7 +387,7 @@
     me = Endpoint("n", 1, 0, "10.0.0.1:1", "north", "north-a", "shop")
     peers = [replace(me, daemon_id=f"n{i}") for i in range(int(row["near"]))]
     peers += [replace(me, daemon_id=f"s{i}", region="south") for i in range(int(row["remote"]))]
-    context.periods = ping_periods("north", peers)
+    context.periods = ping_periods("north", peers, ())
     assert set(context.periods.values()) == {near_ms, remote_ms} - {0}, set(
         context.periods.values()
     )
@@ -403,7 +403,7 @@
     return ReaderRole.LEADING if me.region == "north" else ReaderRole.NONE
 
 
-def never_ping(region, peers):
+def never_ping(region, peers, pushed):
     return {peer.daemon_id: Millis(600_000) for peer in peers}
 
 
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -10,6 +10,7 @@
 from agatecross_core.calls.model import Request
 from agatecross_core.errors import StoreError
 from agatecross_core.ids import DaemonId, Millis, Offset
+from agatecross_core.members import ping_periods
 from agatecross_core.members.link_liveness import LinkLiveness, LinkStep
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
@@ -144,8 +145,16 @@
     assert context.found == (end, new, reported), context.found
 
 
-@given("a fleet of {daemons:d} daemons in two regions in virtual time, on links of {mbit:g} Mbit/s")
-def step_virtual_fleet(context, daemons, mbit):
+@given(
+    "a fleet of {daemons:d} daemons in two regions in virtual time, on links of {mbit:g} Mbit/s, "
+    "with the idle pings of {fleet:d}"
+)
+def step_virtual_fleet(context, daemons, mbit, fleet):
+    for name in ("PING_SPACING", "REMOTE_PING_SPACING"):
+        spacing = getattr(ping_periods, name) * fleet / daemons
+        patch = mock.patch.object(ping_periods, name, spacing)
+        patch.start()
+        context.add_cleanup(patch.stop)
     context.start_fleet = lambda size: VirtualFleet(daemons, mbit, size)
 
 
--- a/packages/agatecross-core/agatecross_core/distribution/propagation.py
+++ b/packages/agatecross-core/agatecross_core/distribution/propagation.py
@@ -116,6 +116,22 @@
             yield from relays[:READERS_PER_REGION]
 
 
+def push_links(
+    me: Endpoint, rows: Collection[Endpoint], reachable: Collection[DaemonId]
+) -> frozenset[DaemonId]:
+    """Return the daemons to which this daemon pushes the next change, as far as it can tell."""
+    near = _push_order(
+        row for row in _reachable_endpoints(me, rows, reachable) if row.region == me.region
+    )
+    if reader_role(me, rows, reachable) is not ReaderRole.NONE:
+        origin = ConfigOrigin.STORE
+    elif me.daemon_id in near[:READERS_PER_REGION]:
+        origin = ConfigOrigin.OTHER_REGION
+    else:
+        origin = ConfigOrigin.REGION
+    return frozenset(push_targets(me, rows, reachable, origin))
+
+
 def _push_order(rows: Iterable[Endpoint]) -> list[DaemonId]:
     """Return the daemons of one region, those that may read the store first, readers on top."""
     ordered = sorted(rows, key=lambda row: (not _may_read(row), _read_order(row)))
--- a/packages/agatecross-core/agatecross_core/members/link_liveness.py
+++ b/packages/agatecross-core/agatecross_core/members/link_liveness.py
@@ -40,6 +40,12 @@
         self.unconfirmed = False
         self.unconfirmed_bytes = 0
 
+    def set_period(self, period: Millis, now: Millis, elapsed: Millis) -> None:
+        """Change the period, of which `elapsed` has passed, unless a ping is due earlier."""
+        if period != self.period:
+            self.period = period
+            self.last_ping_at = Millis(min(self.last_ping_at, now - elapsed))
+
     def connection_opened(self) -> None:
         """Start with a new connection."""
         self.pong_due_at = None
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -127,6 +127,11 @@
                 self.on_silent(self, Millis(now - received_at))
                 self.connection.abort()
 
+    def set_ping_period(self, period: Millis) -> None:
+        """Set the period of idle pings."""
+        elapsed = Millis(self.rng.uniform(0, period))
+        self.liveness.set_period(period, monotonic_ms(), elapsed)
+
     def close(self) -> None:
         """Stop dialing and close the connection."""
         self.state = LinkState.CLOSED
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -18,8 +18,10 @@
 )
 from agatecross_adapters.hop_sending import encode_for_sending
 from agatecross_core.constants import FULL_TABLE_SENDERS
+from agatecross_core.distribution.propagation import push_links
 from agatecross_core.distribution.readers import select_readers
 from agatecross_core.ids import (
+    ZERO_MS,
     Address,
     DaemonId,
     DataCentreName,
@@ -63,7 +65,7 @@
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
 from .inbound_links import InboundLinks
-from .peer_link import PeerLink
+from .peer_link import LinkState, PeerLink
 
 PeersMessage = (
     StrikesReported
@@ -84,6 +86,7 @@
 MAX_KEPT_STRIKES = 512
 # A daemon unreachable for this long is forgotten; it announces itself again when it is back.
 FORGET_PEER_AFTER = Millis(20_000)
+PERIODS_UPDATE_INTERVAL = Millis(1_000)
 
 
 class PeersTask:
@@ -128,6 +131,8 @@
         self.server: asyncio.Server | None = None
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
         self.open_links: frozenset[DaemonId] = frozenset()
+        self.periods_outdated = False
+        self.periods_due_at = ZERO_MS
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
         # The latest era in which the store came back from an older copy, 0 if it has not.
         self.restored_era = StoreEra(0)
@@ -255,7 +260,7 @@
             )
         if updated:
             self._close_unknown_links()
-            self._set_ping_periods()
+            self.periods_outdated = True
             self._publish_endpoints()
 
     def _apply_own_drain(self, endpoints: tuple[Endpoint, ...]) -> None:
@@ -282,9 +287,15 @@
         )
 
     def _set_ping_periods(self) -> None:
-        periods = ping_periods(self.directory.me.region, self.directory.others())
+        """Set the periods of all links, at most once a second: it takes the time of a sort."""
+        self.periods_outdated = False
+        me, rows = self.directory.me, self.directory.rows.values()
+        # A link that is being replaced is soon open again.
+        expected = {i for i, link in self.links.items() if link.state is not LinkState.DOWN}
+        pushed = push_links(me, rows, expected)
+        periods = ping_periods(me.region, self.directory.others(), pushed)
         for daemon_id, link in self.links.items():
-            link.liveness.period = periods[daemon_id]
+            link.set_ping_period(periods[daemon_id])
 
     def _close_unknown_links(self) -> None:
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
@@ -390,6 +401,9 @@
             if link.down_since is not None and now - link.down_since > FORGET_PEER_AFTER:
                 self._forget_peer(link)
         self._check_open_links()
+        if self.periods_outdated and now >= self.periods_due_at:
+            self.periods_due_at = Millis(now + PERIODS_UPDATE_INTERVAL)
+            self._set_ping_periods()
         self.config_distributor.pull_if_due(now)
         self.inbound.cancel_orphans(now)
 
@@ -403,6 +417,7 @@
             gained=",".join(sorted(open_links - self.open_links)),
         )
         self.open_links = open_links
+        self.periods_outdated = True
         self.metrics.peers.set(len(open_links))
         self.store.put(LinksChanged(open_links))
         self._publish_endpoints()
@@ -412,5 +427,5 @@
         self.links.pop(link.daemon_id).close()
         self.directory.remove(link.daemon_id)
         self.config_distributor.peer_removed(link.daemon_id)
-        self._set_ping_periods()
+        self.periods_outdated = True
         self.store.put(PeerRemoved(link.daemon_id))
