Spread the dials of links that are found silent together

What callers would see: at 1,300 daemons, a daemon whose announcement finds all of its links silent dials and greets 1,299 peers at once, answers no ping meanwhile, and its peers close their links to it as well.

Cause: a silent link was dialed again at once, and messages to all peers that must be confirmed find all silent links at the same moment.

An idle link that is found silent is dialed after a random part of 2 ms for each link of the daemon: 32 ms at 16 daemons, 0.4 s at 194, 2.6 s at 1,300. Links that carry handovers or pushes are dialed at once. A link whose period changes is pinged after a random part of it, also if the period gets shorter.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -77,3 +77,10 @@
       | pings of an idle link that has nothing to confirm     | 1000 byte                                   |                          | never  |
       | a handover on a link that is silent                   | 1000 busy                                   | 1000                     | 1800   |
       | a link pinged as if it were busy when it no longer is | 1000 busy; 1001 byte; 1010 pong; 1020 idle  | 1000                     | never  |
+
+  Scenario: links that are found silent together are dialed one after the other
+    Guards against a daemon of a large fleet that dials and greets all others at once, and then
+    answers no ping in time, so that its peers close the links again.
+    Given a fleet of 60 daemons in two regions in virtual time, on links of 100 Mbit/s, with the idle pings of 1300
+    When every connection goes silent and one daemon announces itself
+    Then it dials at most 10 of its peers within 100 ms, and all of them within 5 s
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+from itertools import pairwise
 from types import SimpleNamespace
 from unittest import mock
 
@@ -12,6 +13,7 @@
 from agatecross_core.ids import DaemonId, Millis, Offset
 from agatecross_core.members import ping_periods
 from agatecross_core.members.link_liveness import LinkLiveness, LinkStep
+from agatecross_daemon.tasks import peers_task
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn
@@ -222,3 +224,33 @@
 def step_pinged(context, closed, pings=""):
     found = (context.pings, context.closed)
     assert found == ([int(at) for at in pings.split()], closed), found
+
+
+@when("every connection goes silent and one daemon announces itself")
+def step_announces(context):
+    # As long as 1,300 links take, over the links of this fleet.
+    spacing = Millis(2 * 1300 / 60)
+    patch = mock.patch.object(peers_task, "REDIAL_SPACING", spacing, create=True)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    fleet = context.start_fleet(0)
+    context.add_cleanup(fleet.close)
+    context.open_links = []
+
+    async def play():
+        fleet.network.silence()
+        fleet.daemons[0].peers.leave()
+        for _ in range(500):
+            await asyncio.sleep(0.01)
+            links = fleet.daemons[0].peers.links.values()
+            context.open_links.append(sum(link.is_open for link in links))
+
+    fleet.run(play())
+
+
+@then("it dials at most {most:d} of its peers within 100 ms, and all of them within 5 s")
+def step_dials(context, most):
+    found = context.open_links
+    dials = [max(0, after - before) for before, after in pairwise(found)]
+    windows = [sum(dials[at : at + 10]) for at in range(len(dials))]
+    assert max(windows) <= most and found[-1] == max(found), found
--- a/packages/agatecross-core/agatecross_core/members/link_liveness.py
+++ b/packages/agatecross-core/agatecross_core/members/link_liveness.py
@@ -41,10 +41,13 @@
         self.unconfirmed_bytes = 0
 
     def set_period(self, period: Millis, now: Millis, elapsed: Millis) -> None:
-        """Change the period, of which `elapsed` has passed, unless a ping is due earlier."""
+        """Change the period; `elapsed` of the first one is over.
+
+        With a random part elapsed, links whose period changes together are not pinged together.
+        """
         if period != self.period:
             self.period = period
-            self.last_ping_at = Millis(min(self.last_ping_at, now - elapsed))
+            self.last_ping_at = Millis(now - elapsed)
 
     def connection_opened(self) -> None:
         """Start with a new connection."""
--- a/packages/agatecross-core/agatecross_core/members/ping_periods.py
+++ b/packages/agatecross-core/agatecross_core/members/ping_periods.py
@@ -18,6 +18,9 @@
 # The few links over which it pushes changes come on top.
 PING_SPACING = Millis(100)
 REMOTE_PING_SPACING = Millis(300)
+# All links of a daemon may be found silent together. To dial a peer and greet it takes both ends
+# some 0.3 ms of a core, so they are dialed again over this time for each link.
+REDIAL_SPACING = Millis(2)
 
 
 def ping_periods(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -11,7 +11,7 @@
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_adapters.hop_sending import EncodedMessage, encode_for_sending
 from agatecross_core.errors import MessageDecodeError
-from agatecross_core.ids import Address, DaemonId, HandoverId, Incarnation, Millis, Version
+from agatecross_core.ids import ZERO_MS, Address, DaemonId, HandoverId, Incarnation, Millis, Version
 from agatecross_core.members.link_liveness import LinkLiveness, LinkStep
 from agatecross_core.members.ping_periods import PING_PERIOD
 from agatecross_core.relay.model import (
@@ -80,6 +80,8 @@
             PING_PERIOD, Millis(monotonic_ms() - rng.uniform(0, PING_PERIOD))
         )
         self.failed_dials = 0
+        self.redial_spread = ZERO_MS
+        self.redial_delay = ZERO_MS
         self.down_since: Millis | None = monotonic_ms()
         self.dialer = asyncio.ensure_future(self._dial())
 
@@ -125,12 +127,15 @@
                 self.send(Ping(False, self.config_version()))
             case LinkStep.CLOSE:
                 self.on_silent(self, Millis(now - received_at))
+                if not self.pending:
+                    self.redial_delay = Millis(self.rng.uniform(0, self.redial_spread))
                 self.connection.abort()
 
-    def set_ping_period(self, period: Millis) -> None:
-        """Set the period of idle pings."""
+    def set_ping_period(self, period: Millis, redial_spread: Millis) -> None:
+        """Set the period of idle pings, and the time over which silent idle links are dialed."""
         elapsed = Millis(self.rng.uniform(0, period))
         self.liveness.set_period(period, monotonic_ms(), elapsed)
+        self.redial_spread = redial_spread
 
     def close(self) -> None:
         """Stop dialing and close the connection."""
@@ -143,6 +148,8 @@
     async def _dial(self) -> None:
         loop = asyncio.get_running_loop()
         host, _, port = self.address.rpartition(":")
+        await asyncio.sleep(self.redial_delay / 1000)
+        self.redial_delay = ZERO_MS
         while self.connection is None:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -30,7 +30,7 @@
     StoreEra,
 )
 from agatecross_core.members.directory import Directory, Endpoint
-from agatecross_core.members.ping_periods import ping_periods
+from agatecross_core.members.ping_periods import REDIAL_SPACING, ping_periods
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult, not_run_result
 from agatecross_core.states import Reason, UpstreamState
@@ -287,15 +287,16 @@
         )
 
     def _set_ping_periods(self) -> None:
-        """Set the periods of all links, at most once a second: it takes the time of a sort."""
+        """Set the periods of all links; sorts the fleet, so it is not called at each change."""
         self.periods_outdated = False
         me, rows = self.directory.me, self.directory.rows.values()
         # A link that is being replaced is soon open again.
         expected = {i for i, link in self.links.items() if link.state is not LinkState.DOWN}
         pushed = push_links(me, rows, expected)
         periods = ping_periods(me.region, self.directory.others(), pushed)
+        spread = Millis(REDIAL_SPACING * len(self.links))
         for daemon_id, link in self.links.items():
-            link.set_ping_period(periods[daemon_id])
+            link.set_ping_period(periods[daemon_id], ZERO_MS if daemon_id in pushed else spread)
 
     def _close_unknown_links(self) -> None:
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
