Close the connection of a peer that has replaced it

What callers saw: an upstream runs a call to its end, up to its time limit, although its caller has left, and the daemon next to it keeps the dead connection open for good.

Cause: a peer closes a silent connection without the other end noticing. The handovers on it were cancelled as orphans only when it closed, so a cancellation that was lost with it was not made up for, and connections piled up.

A greeting closes the connections that the same incarnation of the sender had before.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -84,3 +84,15 @@
     Given a fleet of 60 daemons in two regions in virtual time, on links of 100 Mbit/s, with the idle pings of 1300
     When every connection goes silent and one daemon announces itself
     Then it dials at most 10 of its peers within 100 ms, and all of them within 5 s
+
+  # d0 has handed a call over to d1, which runs it for 60 s.
+  Scenario Outline: a handover on a connection that goes silent: <guards against>
+    Given a fleet of 2 daemons in two regions in virtual time, on links of 100 Mbit/s, with the idle pings of 2
+    When d0 hands a call over, the connection goes silent after <silence> ms, and the caller leaves after <leaves> ms
+    Then d1 has cancelled the call <within> ms after the caller left, and has 1 connection from d0
+
+    Examples:
+      | guards against                                         | silence | leaves | within |
+      | a cancellation that is lost on a silent connection     | 100     | 110    | 3000   |
+      | a cancellation lost while a ping waits for its answer  | 290     | 300    | 3000   |
+      | connections that pile up at the other end              | 100     | 5000   | 3000   |
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -1,9 +1,11 @@
 import asyncio
+from dataclasses import replace
 from itertools import pairwise
 from types import SimpleNamespace
 from unittest import mock
 
 from behave import given, then, when
+from fuzz_steps import HANDOVER
 from http_steps import ANSWER, STEP_TIMEOUT_SECONDS, RawServer, exchange_outcome
 from virtual_fleet import VirtualFleet
 
@@ -13,6 +15,7 @@
 from agatecross_core.ids import DaemonId, Millis, Offset
 from agatecross_core.members import ping_periods
 from agatecross_core.members.link_liveness import LinkLiveness, LinkStep
+from agatecross_daemon.relay_messages import CancelHandover
 from agatecross_daemon.tasks import peers_task
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
@@ -254,3 +257,39 @@
     dials = [max(0, after - before) for before, after in pairwise(found)]
     windows = [sum(dials[at : at + 10]) for at in range(len(dials))]
     assert max(windows) <= most and found[-1] == max(found), found
+
+
+@when(
+    "d0 hands a call over, the connection goes silent after {silence:d} ms, "
+    "and the caller leaves after {leaves:d} ms"
+)
+def step_caller_leaves(context, silence, leaves):
+    fleet = context.start_fleet(0)
+    context.add_cleanup(fleet.close)
+    caller, runner = fleet.daemons
+    handover = replace(HANDOVER, time_left=Millis(60_000))
+    link = caller.peers.links[DaemonId("d1")]
+
+    async def play():
+        link.hand_over(handover, lambda handover_id, result: None)
+        await asyncio.sleep(silence / 1000)
+        fleet.network.silence()
+        await asyncio.sleep((leaves - silence) / 1000)
+        link.cancel(handover.handover_id)
+        await asyncio.sleep(int(context.active_outline["within"]) / 1000)
+
+    fleet.run(play())
+    context.cancelled = CancelHandover(handover.handover_id) in runner.exit_messages
+    context.connections = len(runner.peers.inbound.connections)
+
+
+@then(
+    "d1 has cancelled the call {within:d} ms after the caller left, "
+    "and has {connections:d} connection from d0"
+)
+def step_cancelled(context, within, connections):
+    del within
+    assert (context.cancelled, context.connections) == (True, connections), (
+        context.cancelled,
+        context.connections,
+    )
--- a/features/steps/virtual_fleet.py
+++ b/features/steps/virtual_fleet.py
@@ -95,7 +95,7 @@
     def __init__(self, daemons, mbit=1_000.0, document_bytes=0, delay_ms=8.0):
         self.network = VirtualNetwork(delay_ms / 1000, mbit * 1e6 / 8)
         self.loop = VirtualLoop(self.network)
-        self.daemons, self.tasks, self.leaves = [], [], []
+        self.daemons, self.tasks = [], []
         with mock.patch.object(time, "monotonic", self.loop.time):
             asyncio.set_event_loop(self.loop)
             self.store = SharedStore(document_bytes)
@@ -121,8 +121,18 @@
         log, metrics = DecisionLog(os.open(os.devnull, os.O_WRONLY)), RelayMetrics()
         peers_mailbox, store_mailbox = DirectMailbox(), DirectMailbox()
         ignored = SimpleNamespace(put=lambda message: None)
+        exit_messages = []
+        exit_mailbox = SimpleNamespace(put=exit_messages.append)
         peers = PeersTask(
-            peers_mailbox, address, directory, ignored, ignored, store_mailbox, rng, log, metrics
+            peers_mailbox,
+            address,
+            directory,
+            exit_mailbox,
+            ignored,
+            store_mailbox,
+            rng,
+            log,
+            metrics,
         )
         store = StoreTask(
             store_mailbox,
@@ -137,7 +147,7 @@
             log,
             metrics,
         )
-        return SimpleNamespace(name=name, peers=peers, store=store, directory=directory)
+        return SimpleNamespace(name=name, peers=peers, store=store, exit_messages=exit_messages)
 
     def run(self, work):
         """Run a coroutine in virtual time."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -7,7 +7,7 @@
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_adapters.hop_sending import EncodedMessage, send_hop_message
 from agatecross_core.errors import MessageDecodeError
-from agatecross_core.ids import DaemonId, HandoverId, Millis, Version
+from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Millis, Version
 from agatecross_core.relay.model import Handover, RelayResult
 
 from ..decision_log import DecisionLog
@@ -28,6 +28,7 @@
     def __init__(self, connection: FrameConnection) -> None:
         self.connection = connection
         self.daemon_id: DaemonId | None = None
+        self.incarnation: Incarnation | None = None
         self.handovers: set[HandoverId] = set()
 
     def send(self, message: HopMessage) -> None:
@@ -117,7 +118,8 @@
                 self.orphans = [pair for pair in self.orphans if pair[1] != handover_id]
                 self.exit.put(ResumeHandover(handover_id, self._result_sender(inbound)))
             case Hello():
-                inbound.daemon_id = message.daemon_id
+                self._close_replaced(message)
+                inbound.daemon_id, inbound.incarnation = message.daemon_id, message.incarnation
                 inbound.send(self.new_hello_reply(message))
                 self.on_message(message, inbound.send, inbound.daemon_id)
             case Ping(False, _):
@@ -126,6 +128,17 @@
             case _:
                 self.on_message(message, inbound.send, inbound.daemon_id)
 
+    def _close_replaced(self, hello: Hello) -> None:
+        """Close the connection that the sender of a greeting had before.
+
+        The sender closed it, but on a silent connection that does not arrive. Another incarnation
+        may still run, for instance while it drains, and keeps its connection.
+        """
+        sender = (hello.daemon_id, hello.incarnation)
+        for inbound in list(self.connections.values()):
+            if (inbound.daemon_id, inbound.incarnation) == sender:
+                inbound.connection.abort()
+
     def _result_sender(self, inbound: InboundConnection) -> ResultReceiver:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
             inbound.handovers.discard(handover_id)
