Silence every open connection in the soak, and check that changes arrive

No run of the soak had found that a change is lost on silent connections: its proxy passed the end of a silent connection on, so the other side noticed, and nothing checked how soon a version is in force. A silence of all connections between daemons and to the store is followed by a change now, at most 4 s later; changes_arrive holds daemons that no fault has hit lately to the larger limit of the platform.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 VENV ?= .venv
 SOAK_SEED ?= 1
 SOAK_SEEDS ?= 2
+# A run with only silent connections and changes; with this seed, a change came late before.
+SILENCE_SEED ?= 3102
 SOAK_RECOVER ?= 15
 PACKAGES := core adapters daemon cli standins
 SOURCES := packages platform features
@@ -27,6 +29,8 @@
 soak: setup
 	$(VENV)/bin/python -m agatecross_standins.soak --seed=$(SOAK_SEED) --seeds=$(SOAK_SEEDS) \
 		--recover=$(SOAK_RECOVER) --regressions --known_red=KNOWN-RED.txt
+	$(VENV)/bin/python -m agatecross_standins.soak --seed=$(SILENCE_SEED) --seconds=20 \
+		--recover=$(SOAK_RECOVER) --only=herd-silent --known_red=KNOWN-RED.txt
 
 demo: setup
 	$(VENV)/bin/python -m agatecross_standins.demo
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,8 @@
       | a limit that was kept                | -                    |
       | a version that went down             | versions_rise        |
       | a version that is lower after a kill | -                    |
+      | a version that is late               | changes_arrive       |
+      | a version that is late at a silence  | -                    |
       | a daemon that ended by itself        | daemons_live         |
       | a traceback                          | daemons_live         |
       | a request cut by a graceful stop     | stops_are_graceful   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -58,6 +58,16 @@
     history.disturbances.append((-1, 4.5, 5.5))
 
 
+def add_late_version(history):
+    history.published.append((5, 10.0))
+    history.versions.append(VersionObservation(0, 1, 4, 13.1))
+
+
+def add_late_version_at_silence(history):
+    add_late_version(history)
+    history.disturbances.append((-1, 10.5, 13.5))
+
+
 HISTORY_CHANGES = {
     "nothing else": lambda history: None,
     "a booking that ran twice": add_second_run,
@@ -77,6 +87,8 @@
     "a limit that was kept": lambda h: h.limited_times.append(
         LimitedTime("u", 10.0, 0.0, 9.0, tuple((n * 0.1, "a") for n in range(90)))
     ),
+    "a version that is late": add_late_version,
+    "a version that is late at a silence": add_late_version_at_silence,
     "a version that went down": lambda h: h.versions.append(VersionObservation(0, 0, 4)),
     "a version that is lower after a kill": lambda h: h.versions.append(
         VersionObservation(0, 1, 4)
--- a/packages/agatecross-standins/agatecross_standins/soak/__main__.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/__main__.py
@@ -2,8 +2,9 @@
 
 `python -m agatecross_standins.soak --seed=1 --seeds=5 --seconds=10` prints one line per seed and
 its violations, and exits with code 1 if there are any. `--regressions` adds the seeds that have
-failed before, and `--known_red` names a file that lists seeds whose failure is known. The seed
-determines the schedule and the calls; timing differs from run to run.
+failed before, `--only` limits the kinds of fault, and `--known_red` names a file that lists seeds
+whose failure is known. The seed determines the schedule and the calls; timing differs from run to
+run.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 from .known_red import known_red_seeds
 from .regressions import REGRESSION_SEEDS
 from .run import run_soak
+from .schedule import FaultKind
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
 SEEDS = flags.DEFINE_integer("seeds", 1, "Number of consecutive seeds, run in sequence.")
@@ -30,6 +32,9 @@
 KNOWN_RED = flags.DEFINE_string(
     "known_red", None, "File that lists seeds whose violations are printed but not counted."
 )
+ONLY = flags.DEFINE_multi_enum(
+    "only", [], [kind.value for kind in FaultKind], "Kind of fault to inject; all without it."
+)
 LOGS = flags.DEFINE_string("logs", None, "Directory for the daemons' logs; not deleted.")
 
 
@@ -42,10 +47,12 @@
         seeds += [seed for seed in REGRESSION_SEEDS if seed not in seeds]
     listing = Path(KNOWN_RED.value).read_text(encoding="utf-8") if KNOWN_RED.value else ""
     known_red = known_red_seeds(listing)
+    # Other faults excuse a change that is late, so some runs have silent connections only.
+    kinds = [kind for kind in FaultKind if not ONLY.value or kind.value in ONLY.value]
     for seed in seeds:
         folder = Path(LOGS.value or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(run_soak(seed, SECONDS.value, RECOVER.value, folder))
+        result = asyncio.run(run_soak(seed, SECONDS.value, RECOVER.value, folder, kinds))
         print(f"seed {seed}: {result.summary}; logs in {folder}", flush=True)
         for text in result.violations:
             print(f"  {text}", flush=True)
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -10,6 +10,10 @@
 Check = Callable[[History], Iterator[str]]
 # Limit of the platform on how long an upstream may be given new work after its confirmed leave.
 MAX_START_AFTER_CONFIRMED_LEAVE_SECONDS = 2.0
+# The larger one of the platform's limits on how soon a version must be in force.
+MAX_CONFIG_APPLY_SECONDS = 3.0
+# A signal disturbs a daemon until it has started again and its peers work with it.
+MAX_START_SECONDS = 8.0
 # What the platform allows an upstream with a limit, in each window from a time after it was named.
 LIMIT_SETTLED_SECONDS = 3.0
 LIMIT_WINDOW_SECONDS = 4.0
@@ -105,6 +109,24 @@
         newest[key] = max(newest.get(key, 0), row.version)
 
 
+def changes_arrive(history: History) -> Iterator[str]:
+    """A version is in force in time at each daemon that no fault has hit lately.
+
+    A daemon without any version is starting and refuses requests.
+    """
+    for row in history.versions:
+        due = [v for v, at in history.published if row.at > at + MAX_CONFIG_APPLY_SECONDS]
+        hit = any(
+            affected in (row.node, -1) and begin <= row.at <= end
+            for affected, begin, end in history.disturbances
+        ) or any(
+            node == row.node and at <= row.at <= at + MAX_START_SECONDS
+            for node, at in history.restarts
+        )
+        if due and 0 < row.version < max(due) and not hit:
+            yield f"d{row.node} restart {row.restarts}: {row.version} in force, {max(due)} is due"
+
+
 def daemons_live(history: History) -> Iterator[str]:
     """No daemon exits on its own or logs a traceback."""
     for node, code in history.exits:
@@ -155,6 +177,7 @@
     announced_leaves_bind,
     limits_hold,
     versions_rise,
+    changes_arrive,
     daemons_live,
     stops_are_graceful,
     recovers,
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -68,11 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionObservation:
-    """A version in force on a daemon whose process had been restarted `restarts` times."""
+    """A version in force on a daemon whose process had been restarted `restarts` times.
+
+    It was asked for at `at`, on the monotonic clock in seconds.
+    """
 
     node: int
     restarts: int
     version: int
+    at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -81,6 +85,7 @@
 
     `runs` counts the runs of each call id, and `exits` holds the node number and the exit code of
     each exit. `final_requests` are sent after the fleet has had time to recover.
+    `published` holds each version written by a fault, with the time.
     `graceful_stops` and `disturbances` hold the node number with the start and the end of the
     interval; the number -1 in a disturbance stands for every node. `restarts` holds the node number
     and the time of each signal that ends or pauses a daemon, and of the end of each graceful stop.
@@ -90,6 +95,7 @@
     limited_times: list[LimitedTime] = field(default_factory=list)
     leaves: list[ConfirmedLeave] = field(default_factory=list)
     versions: list[VersionObservation] = field(default_factory=list)
+    published: list[tuple[int, float]] = field(default_factory=list)
     runs: dict[str, int] = field(default_factory=dict)
     exits: list[tuple[int, int]] = field(default_factory=list)
     graceful_stops: list[tuple[int, float, float]] = field(default_factory=list)
--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -66,6 +66,9 @@
     async def _run_fault(self, fault: Fault) -> None:
         node = self.fleet.nodes[fault.node]
         started_at = time.monotonic()
+        if fault.kind is FaultKind.HERD_SILENT:
+            await self._silence_all(fault, started_at)
+            return
         await self._inject(fault, node)
         if fault.kind is FaultKind.TERM:
             return
@@ -106,7 +109,7 @@
             case FaultKind.LINK_SILENT:
                 node.peers_link.silence_connections()
             case FaultKind.PUBLISH:
-                self.fleet.publish()
+                self._publish()
             case _:
                 await self._inject_dependency_fault(fault, node)
 
@@ -146,6 +149,20 @@
             case FaultKind.STORE_RESTORED:
                 await self._restore_store(fault)
 
+    def _publish(self) -> None:
+        self.fleet.publish()
+        self.history.published.append((self.fleet.version, time.monotonic()))
+
+    async def _silence_all(self, fault: Fault, started_at: float) -> None:
+        """Silence every open connection, which disturbs only until the daemons are in touch."""
+        for node in self.fleet.nodes:
+            node.peers_link.silence_connections()
+            node.store_link.silence_connections()
+        row = (ALL_NODES, started_at, started_at + RECOVERY_SECONDS)
+        self.history.disturbances.append(row)
+        await asyncio.sleep(fault.duration_seconds)
+        self._publish()
+
     async def _restore_store(self, fault: Fault) -> None:
         """Bring the store back from a copy; the operator writes its newest records again."""
         store = self.fleet.store
--- a/packages/agatecross-standins/agatecross_standins/soak/proxy.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/proxy.py
@@ -23,12 +23,17 @@
 
 @dataclass(slots=True)
 class ProxiedConnection:
-    """One proxied connection; once silent, it never forwards again."""
+    """One proxied connection; once silent, it never forwards again, not even its end."""
 
     client_writer: asyncio.StreamWriter
     server_writer: asyncio.StreamWriter
     silent: bool = False
 
+    def abort(self) -> None:
+        """Reset both sides."""
+        self.client_writer.transport.abort()
+        self.server_writer.transport.abort()
+
 
 class FaultyLink:
     """Forwards connections to one address, with faults that can be switched on."""
@@ -49,10 +54,10 @@
         return Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
 
     def reset(self) -> None:
-        """Reset every connection."""
+        """Reset every connection that is not silent."""
         for connection in self.connections:
-            connection.client_writer.transport.abort()
-            connection.server_writer.transport.abort()
+            if not connection.silent:
+                connection.abort()
 
     def silence_connections(self) -> None:
         """Stop forwarding on every open connection permanently; new connections still work."""
@@ -63,7 +68,8 @@
         """Stop listening and reset every connection."""
         if self.server is not None:
             self.server.close()
-        self.reset()
+        for connection in self.connections:
+            connection.abort()
         # Gives the forwarding tasks time to notice the closed connections and end.
         await asyncio.sleep(2 * POLL_INTERVAL_SECONDS)
 
@@ -85,7 +91,9 @@
                 connection, server_reader, client_writer, (LinkMode.SILENT, LinkMode.ONE_WAY)
             ),
         )
-        self.connections.remove(connection)
+        # One end of a silent connection may be open until the proxy is closed.
+        if not connection.silent:
+            self.connections.remove(connection)
 
     async def _forward(
         self,
@@ -104,7 +112,9 @@
                     await asyncio.sleep(POLL_INTERVAL_SECONDS if held else 0)
                 writer.write(data)
                 await writer.drain()
-            writer.close()
+            if not connection.silent:
+                writer.close()
         except OSError:
             # Passes a reset on one side on to the other side.
-            writer.transport.abort()
+            if not connection.silent:
+                writer.transport.abort()
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -17,7 +18,7 @@
 from .events import History, RequestOutcome, VersionObservation
 from .fleet import DAEMON_SITES, Node, SoakFleet
 from .injector import Injector
-from .schedule import schedule
+from .schedule import FaultKind, schedule
 
 CALLER_COUNT = 12
 # Callers that stay with one daemon and send almost without pause, so that it always has requests
@@ -41,7 +42,11 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, recovery_seconds: float, log_directory: Path
+    seed: int,
+    seconds: float,
+    recovery_seconds: float,
+    log_directory: Path,
+    kinds: Collection[FaultKind],
 ) -> SoakResult:
     """Run one seed; the fleet has `recovery_seconds` to recover after the last fault.
 
@@ -49,7 +54,7 @@
     """
     history = History()
     fleet = SoakFleet(log_directory)
-    faults = list(schedule(seed, seconds, len(DAEMON_SITES)))
+    faults = list(schedule(seed, seconds, len(DAEMON_SITES), kinds))
     await fleet.start()
     try:
         if not await _wait_until_serving(fleet, START_TIMEOUT_SECONDS):
@@ -118,10 +123,11 @@
     http = TornadoHttpClient()
     while True:
         for node in fleet.nodes:
-            restarts = len(node.exit_codes)
+            restarts, asked_at = len(node.exit_codes), time.monotonic()
             version = await _fetch_version(http, node)
             if version is not None and restarts == len(node.exit_codes):
-                history.versions.append(VersionObservation(node.number, restarts, version))
+                row = VersionObservation(node.number, restarts, version, asked_at)
+                history.versions.append(row)
         await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
 
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -17,7 +17,8 @@
 
     `KILL_ALL` kills every daemon, `HANG_UP` sends SIGHUP, and `STORE_COMPACTION` drops the records
     of a topic except for the newest value of each key. `STORE_RESTORED` brings the store back from
-    a copy that is as old as the fault is long.
+    a copy that is as old as the fault is long. `HERD_SILENT` silences every open connection between
+    daemons and to the store, and publishes a version at the end of the fault.
     """
 
     KILL = "kill"
@@ -42,18 +43,19 @@
     STORE_LINK_RESET = "store-link-reset"
     STORE_RESTORED = "store-restored"
     PUBLISH = "publish"
+    HERD_SILENT = "herd-silent"
 
 
 # Drawn apart from the other kinds, so that the schedules of seeds that failed before stay the same.
 NOTICE_KINDS = (FaultKind.UPSTREAM_LIMITED, FaultKind.UPSTREAM_SAYS_LEAVING)
-DRAWN_KINDS = tuple(
-    kind for kind in FaultKind if kind not in (*NOTICE_KINDS, FaultKind.STORE_RESTORED)
-)
+SEPARATE_KINDS = (*NOTICE_KINDS, FaultKind.STORE_RESTORED, FaultKind.HERD_SILENT)
+DRAWN_KINDS = tuple(kind for kind in FaultKind if kind not in SEPARATE_KINDS)
 MEAN_NOTICE_GAP_SECONDS = 4.0
 # A limit binds 3 s after it was first named.
 MIN_NOTICE_SECONDS = 4.0
 MAX_NOTICE_SECONDS = 8.0
 MEAN_RESTORE_GAP_SECONDS = 4.0
+MEAN_SILENCE_GAP_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,14 +68,18 @@
     node: int
 
 
-def schedule(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
-    """Yield the faults of a run."""
-    yield from heapq.merge(
+def schedule(
+    seed: int, seconds: float, node_count: int, kinds: Collection[FaultKind] = tuple(FaultKind)
+) -> Iterator[Fault]:
+    """Yield the faults of a run; the other kinds than `kinds` are left out."""
+    faults = heapq.merge(
         _drawn_faults(seed, seconds, node_count),
         _notices(seed, seconds, node_count),
         _restores(seed, seconds, node_count),
+        _silences(seed, seconds, node_count),
         key=lambda fault: fault.at,
     )
+    yield from (fault for fault in faults if fault.kind in kinds)
 
 
 def _notices(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
@@ -96,6 +102,14 @@
             yield Fault(at, duration_seconds, FaultKind.STORE_RESTORED, node)
 
 
+def _silences(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
+    rng = random.Random(f"silences of {seed}")
+    at = 0.0
+    while (at := at + rng.expovariate(1 / MEAN_SILENCE_GAP_SECONDS)) < seconds:
+        duration_seconds = rng.uniform(0.0, MAX_FAULT_SECONDS)
+        yield Fault(at, duration_seconds, FaultKind.HERD_SILENT, rng.randrange(node_count))
+
+
 def _drawn_faults(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults; about a quarter of the draws become a series on several nodes.
 
