--- a/packages/agatecross-core/agatecross_core/members/ping_periods.py
+++ b/packages/agatecross-core/agatecross_core/members/ping_periods.py
@@ -18,8 +18,8 @@
 # The few links over which it pushes changes come on top.
 PING_SPACING = Millis(100)
 REMOTE_PING_SPACING = Millis(300)
-# All links of a daemon may be found silent together. To dial a peer and greet it takes both ends
-# some 0.3 ms of a core, so they are dialed again over this time for each link.
+# All links of a daemon may be found silent together. To dial and greet a peer takes 0.6 ms of
+# a core, both ends together, so they are dialed again over this time for each link.
 REDIAL_SPACING = Millis(2)
 
 
