Keep a connection over which a daemon greets twice

What callers would see: handovers cut and asked for again, if a daemon sends a second greeting over its connection.

Cause: since replaced connections are closed, a greeting closes every connection of the same incarnation, also the one that it came over. The search for them also looked at all connections for each greeting, which grows with the square of the fleet at its start.

The newest connection of each incarnation is kept in a table; only an older one is closed. A link that is being closed is not reported as silent again.

Test: "a daemon that greets twice" fails on the parent, where the connection is closed and opened again.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -85,6 +85,12 @@
     When every connection goes silent and one daemon announces itself
     Then it dials at most 10 of its peers within 100 ms, and all of them within 5 s
 
+  Scenario: a daemon that greets twice over one connection keeps it
+    Guards against a connection that is closed as if its sender had replaced it by itself.
+    Given a fleet of 2 daemons in two regions in virtual time, on links of 100 Mbit/s, with the idle pings of 2
+    When d0 greets d1 a second time over their connection
+    Then no link was closed
+
   # d0 has handed a call over to d1, which runs it for 60 s.
   Scenario Outline: a handover on a connection that goes silent: <guards against>
     Given a fleet of 2 daemons in two regions in virtual time, on links of 100 Mbit/s, with the idle pings of 2
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -293,3 +293,23 @@
         context.cancelled,
         context.connections,
     )
+
+
+@when("d0 greets d1 a second time over their connection")
+def step_greets_twice(context):
+    fleet = context.start_fleet(0)
+    context.add_cleanup(fleet.close)
+    context.opened = fleet.network.connections
+
+    async def play():
+        link = fleet.daemons[0].peers.links[DaemonId("d1")]
+        link.send(link.new_hello())
+        await asyncio.sleep(1.0)
+
+    fleet.run(play())
+    context.opened_since = fleet.network.connections - context.opened
+
+
+@then("no link was closed")
+def step_none_closed(context):
+    assert context.opened_since == 0, context.opened_since
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -19,6 +19,7 @@
 # A handover whose connection was lost is cancelled unless it is resumed within this time.
 ORPHAN_TIMEOUT = Millis(1_500)
 
+DaemonProcess = tuple[DaemonId, Incarnation]
 MessageHandler = Callable[[HopMessage, ReplySender, DaemonId | None], None]
 
 
@@ -28,7 +29,7 @@
     def __init__(self, connection: FrameConnection) -> None:
         self.connection = connection
         self.daemon_id: DaemonId | None = None
-        self.incarnation: Incarnation | None = None
+        self.process: DaemonProcess | None = None
         self.handovers: set[HandoverId] = set()
 
     def send(self, message: HopMessage) -> None:
@@ -53,6 +54,8 @@
         self.on_message = on_message
         self.log = log
         self.connections: dict[FrameConnection, InboundConnection] = {}
+        # The newest connection over which each incarnation of a daemon has greeted.
+        self.greeted: dict[DaemonProcess, InboundConnection] = {}
         self.orphans: list[tuple[Millis, HandoverId]] = []
 
     def new_connection(self) -> FrameConnection:
@@ -93,6 +96,8 @@
         if inbound is not None:
             now = monotonic_ms()
             self.orphans += [(now, handover_id) for handover_id in inbound.handovers]
+            if inbound.process is not None and self.greeted.get(inbound.process) is inbound:
+                del self.greeted[inbound.process]
 
     def _on_frame(self, connection: FrameConnection, frame: bytes) -> None:
         inbound = self.connections[connection]
@@ -118,8 +123,9 @@
                 self.orphans = [pair for pair in self.orphans if pair[1] != handover_id]
                 self.exit.put(ResumeHandover(handover_id, self._result_sender(inbound)))
             case Hello():
-                self._close_replaced(message)
-                inbound.daemon_id, inbound.incarnation = message.daemon_id, message.incarnation
+                inbound.daemon_id = message.daemon_id
+                inbound.process = (message.daemon_id, message.incarnation)
+                self._close_replaced(inbound, inbound.process)
                 inbound.send(self.new_hello_reply(message))
                 self.on_message(message, inbound.send, inbound.daemon_id)
             case Ping(False, _):
@@ -128,16 +134,16 @@
             case _:
                 self.on_message(message, inbound.send, inbound.daemon_id)
 
-    def _close_replaced(self, hello: Hello) -> None:
+    def _close_replaced(self, inbound: InboundConnection, process: DaemonProcess) -> None:
         """Close the connection that the sender of a greeting had before.
 
         The sender closed it, but on a silent connection that does not arrive. Another incarnation
         may still run, for instance while it drains, and keeps its connection.
         """
-        sender = (hello.daemon_id, hello.incarnation)
-        for inbound in list(self.connections.values()):
-            if (inbound.daemon_id, inbound.incarnation) == sender:
-                inbound.connection.abort()
+        replaced = self.greeted.get(process, inbound)
+        self.greeted[process] = inbound
+        if replaced is not inbound:
+            replaced.connection.abort()
 
     def _result_sender(self, inbound: InboundConnection) -> ResultReceiver:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -119,7 +119,7 @@
 
     def check_liveness(self, now: Millis) -> None:
         """Ping a quiet connection; close one that stays silent. Called several times a second."""
-        if self.connection is None:
+        if self.connection is None or self.connection.transport.is_closing():
             return
         received_at = self.connection.received_at
         match self.liveness.next_step(now, received_at, bool(self.pending)):
