Check customers' keys and tell the upstream the customer

The configuration's customers were an unknown field: every request was served, and the caller's credentials were passed on to the upstream.

The daemon that a caller reaches now looks its key up by a keyed digest, answers 401 without a valid one, and sends the customer's name in place of the credentials. The customer's rank decides before the route's.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -43,6 +43,7 @@
 from agatecross_core.admission.slot_queue import CallAwaitingSlot, SlotQueue
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.config.model import Document
+from agatecross_core.customers.keys import KeyHasher
 from agatecross_core.distribution.delta import apply_delta
 from agatecross_core.distribution.propagation import ConfigOrigin, push_targets, reader_role
 from agatecross_core.errors import (
@@ -215,6 +216,9 @@
         assert decode_hop_message(encode_hop_message(message)) == message
 
 
+KEY_HASHER = KeyHasher(b"secret")
+
+
 def use_endpoints(rows):
     directory = Directory(ME)
     directory.merge(rows)
@@ -227,7 +231,7 @@
 
 
 def use_configuration(data):
-    table = decode_config(data)
+    table = decode_config(data, KEY_HASHER)
     route = table.find("a.example", "/safe/1")
     if route is not None:
         WeightedSplit().pick(route)
--- a/features/steps/platform_records_steps.py
+++ b/features/steps/platform_records_steps.py
@@ -7,16 +7,19 @@
 
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_core.calls.model import Response
+from agatecross_core.customers.keys import KeyHasher
 from agatecross_core.errors import LogOutcomeUnknownError, LogUnavailableError, MessageDecodeError
 from agatecross_core.ids import Millis, Offset
 from agatecross_platform.configuration import decode_config
 from agatecross_standins.platform_config import config_record
 
+KEY_HASHER = KeyHasher(b"secret")
+
 
 @when('a configuration has a route of the kind "{kind}"')
 @when('a configuration has a route of the kind ""')
 def step_kind(context, kind=""):
-    context.host_table = decode_config(config_record(7, [("/k/", kind, "s0")]))
+    context.host_table = decode_config(config_record(7, [("/k/", kind, "s0")]), KEY_HASHER)
 
 
 @then('its requests run "{runs}", and the table names {unknown:d} routes of an unknown kind')
@@ -46,7 +49,7 @@
 @then('decoding gives "{result}"')
 def step_decode(context, result):
     try:
-        found = f"version {decode_config(context.record).version}"
+        found = f"version {decode_config(context.record, KEY_HASHER).version}"
     except MessageDecodeError:
         found = "unreadable"
     assert found == result, found
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -152,7 +152,7 @@
         sidecar.peers.inbound.abort()
         await asyncio.sleep(0.05)
 
-    async def send(self, number, line):
+    async def send(self, number, line, fields=()):
         method, path = line.split()
         body = b"body" if method == "POST" else b""
         call_id = f"c{next(self.call_numbers)}"
@@ -161,6 +161,7 @@
             ("X-Request-Id", call_id),
             ("X-Deadline-Ms", str(self.time_left_ms)),
             ("X-Caller-Service", "forged"),
+            *fields,
         )
         http = TornadoHttpClient()
         address = self.sidecars[number].settings.callers
--- a/packages/agatecross-adapters/agatecross_adapters/header_names.py
+++ b/packages/agatecross-adapters/agatecross_adapters/header_names.py
@@ -10,7 +10,9 @@
     The `stamp` field proves that an upstream made the response, the `not_run` field marks a
     refusal by an upstream, `expected_instance` names the instance that a request is for, and the
     `time_left` field holds milliseconds. With `limit` an upstream names how many requests it takes
-    per second, and with `leaving` it says that it is about to end.
+    per second, and with `leaving` it says that it is about to end. A caller sends its key in the
+    `authorization` field, after `key_scheme` in lower case; an upstream gets the customer's name in
+    `customer` instead.
     """
 
     call_id: bytes
@@ -22,3 +24,6 @@
     instance: bytes
     limit: bytes
     leaving: bytes
+    authorization: bytes
+    key_scheme: bytes
+    customer: bytes
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -15,8 +15,10 @@
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import (
+    NO_CUSTOMER,
     Address,
     CallId,
+    CustomerName,
     DaemonId,
     DataCentreName,
     Fingerprint,
@@ -170,6 +172,7 @@
                 request.headers,
                 request.body,
                 message.upstream_limit,
+                message.customer,
             )
         case Result(handover_id, result):
             return (Tag.RESULT, handover_id, *_result_fields(result))
@@ -274,6 +277,7 @@
         Millis(time_left),
         RelayRequest(method, target, tuple(headers), body),
         _upstream_limit(rest),
+        CustomerName(msgspec.convert(rest[1], str)) if len(rest) > 1 else NO_CUSTOMER,
     )
 
 
--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -10,6 +10,10 @@
 RouteName = NewType("RouteName", str)
 RegionName = NewType("RegionName", str)
 DataCentreName = NewType("DataCentreName", str)
+CustomerName = NewType("CustomerName", str)
+NO_CUSTOMER = CustomerName("")
+"""Stands for the calls that no customer makes."""
+
 DocumentName = NewType("DocumentName", str)
 """``base`` or the name of the data centre whose overlay it is."""
 
--- a/packages/agatecross-core/agatecross_core/relay/model.py
+++ b/packages/agatecross-core/agatecross_core/relay/model.py
@@ -4,7 +4,18 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..ids import ZERO_MS, CallId, DaemonId, HandoverId, InstanceId, Millis, RouteName, ServiceName
+from ..ids import (
+    NO_CUSTOMER,
+    ZERO_MS,
+    CallId,
+    CustomerName,
+    DaemonId,
+    HandoverId,
+    InstanceId,
+    Millis,
+    RouteName,
+    ServiceName,
+)
 from ..states import Outcome, Reason
 
 HeaderRows = tuple[tuple[bytes, bytes], ...]
@@ -43,6 +54,7 @@
     `objective_time_left` and `time_left` are the milliseconds that were left to the latency
     objective and to the deadline when it was sent. `upstream_limit` is how many calls the upstream
     takes per second, by the last answer that the sender got of it; infinite without a limit.
+    `customer` is the one for which the call is made, empty without one.
     """
 
     handover_id: HandoverId
@@ -56,6 +68,7 @@
     time_left: Millis
     request: RelayRequest
     upstream_limit: float = math.inf
+    customer: CustomerName = NO_CUSTOMER
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/routing/host_table.py
+++ b/packages/agatecross-core/agatecross_core/routing/host_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..customers.keys import KeyTable
 from ..ids import Millis, RouteName, ServiceName, Version
 from ..relay.model import Repeat
 
@@ -13,7 +14,8 @@
 
     `objective` is the time within which an answer has its full value; `rank` orders routes by
     importance, 0 first; `attempts` is the number of upstreams that may run one request; `backends`
-    are services with their weights.
+    are services with their weights. Without `allow_anonymous`, a request needs the key of a
+    customer if the configuration has customers.
     """
 
     name: RouteName
@@ -25,6 +27,7 @@
     rank: int
     attempts: int
     backends: tuple[tuple[ServiceName, float], ...]
+    allow_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +44,7 @@
     """One complete configuration, compiled for look-ups.
 
     `unknown_kinds` are the routes, with their kinds, that the decoder took for the strictest kind.
+    `customers` is None if the configuration has no customers.
     """
 
     def __init__(
@@ -50,10 +54,12 @@
         limits: CallerLimits,
         services: frozenset[ServiceName],
         unknown_kinds: tuple[tuple[RouteName, str], ...] = (),
+        customers: KeyTable | None = None,
     ) -> None:
         """Index the routes by host and prefix."""
         self.version = version
         self.unknown_kinds = unknown_kinds
+        self.customers = customers
         self.limits = limits
         self.services = services
         self.hosts: dict[str, dict[str, HostRoute]] = {}
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -5,9 +5,12 @@
 import random
 from collections.abc import Callable, Mapping
 
+from agatecross_adapters.call_key import name_customer, read_key
 from agatecross_adapters.caller_connection import Exchange
 from agatecross_adapters.caller_listener import CallerListener
 from agatecross_adapters.header_names import HeaderNames
+from agatecross_core.customers.access import decide_access
+from agatecross_core.customers.model import Customer, call_rank
 from agatecross_core.ids import (
     HANDOVER_COUNTER_BITS,
     Address,
@@ -24,7 +27,13 @@
 from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.flow import SERVER_ERROR, RelayPolicy, relay
-from agatecross_core.relay.model import RelayRequest, RelayResponse, RelayResult, Repeat
+from agatecross_core.relay.model import (
+    HeaderRows,
+    RelayRequest,
+    RelayResponse,
+    RelayResult,
+    Repeat,
+)
 from agatecross_core.routing.host_table import HostRoute, HostTable, WeightedSplit
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Outcome, Reason
@@ -49,6 +58,7 @@
 # Refused callers retry after a random time, so that their retries do not form another load peak.
 RETRY_AFTER_MIN_SECONDS = 0.03
 RETRY_AFTER_MAX_SECONDS = 0.12
+UNAUTHORIZED = 401
 NOT_FOUND = 404
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -131,9 +141,14 @@
         if route is None:
             self._refuse(exchange, NOT_FOUND, Reason.NO_ROUTE, table.version)
             return
+        key = read_key(exchange.request.headers, self.names)
+        access = decide_access(table.customers, route.allow_anonymous, key)
+        if access.refusal is not None:
+            self._refuse(exchange, UNAUTHORIZED, access.refusal, table.version)
+            return
         # The caller has waited while this daemon was paused.
         exchange.arrived = Millis(exchange.arrived - self.pauses.waited(boottime_ms()))
-        context = self._new_call_context(exchange, route, table.version)
+        context = self._new_call_context(exchange, route, table, access.customer)
         if context.deadline <= monotonic_ms():
             self._refuse(exchange, UNAVAILABLE, Reason.DEADLINE, table.version)
             return
@@ -191,7 +206,9 @@
         )
         call.begin()
 
-    def _new_call_context(self, exchange: Exchange, route: HostRoute, version: int) -> CallContext:
+    def _new_call_context(
+        self, exchange: Exchange, route: HostRoute, table: HostTable, customer: Customer | None
+    ) -> CallContext:
         time_left, call_id = DEFAULT_CALL_TIMEOUT, b""
         headers: list[tuple[bytes, bytes]] = []
         names = self.names
@@ -204,6 +221,8 @@
             if name not in self.stripped_headers:
                 headers.append(header)
         headers.append((names.caller_service, self.caller_service))
+        if table.customers is not None:
+            headers = list(name_customer(tuple(headers), customer, names))
         request = exchange.request
         return CallContext(
             CallId(call_id.decode("latin-1")),
@@ -211,7 +230,9 @@
             self.traffic_split.pick(route),
             RelayRequest(request.method, request.target, tuple(headers), request.body),
             Millis(exchange.arrived + min(time_left, route.timeout)),
-            version,
+            table.version,
+            route.rank if table.customers is None else call_rank(customer, route.rank),
+            customer,
         )
 
     def _latest_attempt_start(self, context: CallContext) -> Millis:
@@ -245,7 +266,8 @@
                 "call",
                 call_id=call.context.call_id,
                 route=route.name,
-                rank=route.rank,
+                rank=call.context.rank,
+                customer=call.context.customer_name,
                 service=call.context.service,
                 version=call.context.version,
                 upstream=call.last_sent.daemon_id if call.last_sent else "",
@@ -271,8 +293,13 @@
             version=version,
             status=status,
         )
-        headers = self._retry_after_headers() if status == UNAVAILABLE else ()
-        exchange.respond(RelayResponse(status, headers, b""))
+        exchange.respond(RelayResponse(status, self._refusal_headers(status), b""))
+
+    def _refusal_headers(self, status: int) -> HeaderRows:
+        if status == UNAUTHORIZED:
+            # HTTP requires the scheme in such an answer.
+            return ((b"www-authenticate", self.names.key_scheme.title()),)
+        return self._retry_after_headers() if status == UNAVAILABLE else ()
 
     def _response_for(self, result: RelayResult, service: ServiceName) -> RelayResponse:
         if result.response is not None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -6,7 +6,17 @@
 
 from agatecross_adapters.caller_connection import ClosedBy, Exchange
 from agatecross_adapters.header_names import HeaderNames
-from agatecross_core.ids import CallId, DaemonId, HandoverId, InstanceId, Millis, ServiceName
+from agatecross_core.customers.model import Customer
+from agatecross_core.ids import (
+    NO_CUSTOMER,
+    CallId,
+    CustomerName,
+    DaemonId,
+    HandoverId,
+    InstanceId,
+    Millis,
+    ServiceName,
+)
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.relay.flow import is_served, reported_result
 from agatecross_core.relay.hedge import hedge_delay
@@ -26,7 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallContext:
-    """Fixed properties of an accepted call; `deadline` is on the monotonic clock."""
+    """Fixed properties of an accepted call; `deadline` is on the monotonic clock.
+
+    `rank` orders calls by importance, 0 first; `customer` is None for a call without a key.
+    """
 
     call_id: CallId
     route: HostRoute
@@ -34,6 +47,13 @@
     request: RelayRequest
     deadline: Millis
     version: int
+    rank: int
+    customer: Customer | None = None
+
+    @property
+    def customer_name(self) -> CustomerName:
+        """Return the name of the customer, empty without one."""
+        return NO_CUSTOMER if self.customer is None else self.customer.name
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,11 +144,12 @@
             context.service,
             instance,
             context.route.repeat,
-            context.route.rank,
+            context.rank,
             Millis(self.exchange.arrived + context.route.objective - now),
             Millis(context.deadline - now),
             context.request,
             self.balancer.limit_of(daemon_id),
+            context.customer_name,
         )
         self.peers.put(SendHandover(daemon_id, handover, self._handle_result))
 
--- a/packages/agatecross-standins/agatecross_standins/platform_config.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_config.py
@@ -1,7 +1,7 @@
 """The operator's configuration record on the users' platform, for tests and the soak."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 Route = tuple[str, str, str]
 """Path prefix, kind (as `safe`, `unsafe` or `download`) and service."""
@@ -19,10 +19,16 @@
 }
 
 
-def config_record(version: int, extra: Iterable[Route] = (), timeout: str = "2s") -> bytes:
+def config_record(
+    version: int,
+    extra: Iterable[Route] = (),
+    timeout: str = "2s",
+    tenants: Iterable[Mapping[str, object]] = (),
+) -> bytes:
     """Return the record of a version with the default and the extra routes, all on one host.
 
-    `timeout` is a duration and applies to every route.
+    `timeout` is a duration and applies to every route. Only the route `/open/` can be used without
+    a key if there are `tenants`.
     """
     rows = [
         {
@@ -35,9 +41,17 @@
             "priority": 1,
             "service": service,
             "attempts": 2,
+            "allowAnonymous": prefix == "/open/",
         }
         for prefix, kind, service in (*DEFAULT_ROUTES, *extra)
     ]
     services = [{"name": name} for name in ("s0", "s1")]
-    record = {"version": f"r{version}", "routes": rows, "services": services, "limits": LIMITS}
+    record: dict[str, object] = {
+        "version": f"r{version}",
+        "routes": rows,
+        "services": services,
+        "limits": LIMITS,
+    }
+    if tenants := list(tenants):
+        record["tenants"] = tenants
     return json.dumps(record).encode()
