Let operators of the product publish customers and their keys

The base had no customers, so only the users' platform could have them.

A base may now have customers with keys, and routes that need none. The daemon that a caller reaches decides with the same code, answers 401 without a valid key and names the customer to the upstream. Idempotency keys are scoped by customer.

--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -31,3 +31,19 @@
       | nested arrays       | bursa-a  | [          | 5000  | too-deep                                             |
       | a long dotted key   | bursa-a  | a.         | 2000  | not-in-overlay                                       |
       | a too long document | bursa-a  | # comment~ | 30000 | too-long                                             |
+
+  Scenario Outline: customers with <fault> have the finding "<code>"
+    Guards against keys that nobody can use or that two customers hold, and findings that show a key.
+    Given the example configuration "kafeskoop"
+    When "<customers>" is added to the base
+    Then the only finding has code "<code>" and key "<key>", and its text has no "k-1"
+
+    Examples:
+      | fault                   | customers                                                         | code        | key                |
+      | no keys                 | [customers.ann]                                                   | missing     | customers.ann.keys |
+      | a key that is a number  | [customers.ann] ~ keys = [1]                                        | type        | customers.ann.keys |
+      | an empty key            | [customers.ann] ~ keys = ['']                                       | form        | customers.ann.keys |
+      | a key with a space      | [customers.ann] ~ keys = ['k-1 x']                                  | form        | customers.ann.keys |
+      | the key of another      | [customers.ann] ~ keys = ['k-1'] ~ [customers.bob] ~ keys = ['k-1']     | same-key    | customers.bob.keys |
+      | an unknown field        | [customers.ann] ~ keys = ['k-1'] ~ colour = 'red'                     | unknown-key | customers.ann.colour |
+      | a name with a space     | [customers.'a b'] ~ keys = ['k-1']                                  | form        | customers.a b      |
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -62,3 +62,23 @@
     snapshot, findings = compile_documents(context.documents, decode_toml, NO_VERSION)
     assert snapshot is None
     assert sorted({f.code for f in findings}) == sorted(set(codes.split(","))), findings
+
+
+@when('"{customers}" is added to the base')
+def add_customers(context, customers):
+    text = customers.replace("~", "\n")
+    context.documents = [
+        (
+            replace(document, text=f"{document.text}\n{text}\n")
+            if document.name == "base"
+            else document
+        )
+        for document in context.documents
+    ]
+
+
+@then('the only finding has code "{code}" and key "{key}", and its text has no "{secret}"')
+def check_finding_without_secret(context, code, key, secret):
+    _, findings = compile_documents(context.documents, decode_toml, NO_VERSION)
+    assert [(f.code, f.place.key) for f in findings] == [(code, key)], findings
+    assert secret not in str(findings[0]), findings
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -13,7 +13,7 @@
     not_run_result,
     unknown_result,
 )
-from agatecross_core.ids import CallId, Millis, ServiceName
+from agatecross_core.ids import NO_CUSTOMER, CallId, CustomerName, Millis, ServiceName
 from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.states import Outcome, Reason
 
@@ -23,13 +23,19 @@
 DEADLINE_HEADER = "Agatecross-Deadline-Ms"
 OUTCOME_HEADER = "Agatecross-Outcome"
 REASON_HEADER = "Agatecross-Reason"
+CUSTOMER_HEADER = "Agatecross-Customer"
 LOAD_HEADER = "Agatecross-Load"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 IDEMPOTENT_HEADER = "Agatecross-Idempotent"
 
+AUTHORIZATION_HEADER = "Authorization"
+KEY_SCHEME = "token"
+
 PRIVATE_HEADER_PREFIX = "agatecross-"
 
 STATUS_BY_REASON = {
+    Reason.NO_KEY: 401,
+    Reason.UNKNOWN_KEY: 401,
     Reason.NO_ROUTE: 404,
     Reason.BAD_REQUEST: 400,
     Reason.QUARANTINED: 422,
@@ -50,6 +56,30 @@
     )
 
 
+def read_key(request: Request) -> bytes | None:
+    """Return the key of a request, or None if it has no credentials.
+
+    Credentials of another scheme, or several that differ, give an empty key, which nobody holds.
+    """
+    name = AUTHORIZATION_HEADER.lower()
+    credentials = {value.strip() for key, value in request.headers if key.lower() == name}
+    if not credentials:
+        return None
+    scheme, _, key = credentials.pop().partition(" ")
+    is_key = not credentials and scheme.lower() == KEY_SCHEME
+    return key.strip().encode("utf-8", "replace") if is_key else b""
+
+
+def without_key(headers: Headers) -> Headers:
+    """Drop the credentials of a caller, which no other daemon and no upstream may see."""
+    return tuple(field for field in headers if field[0].lower() != AUTHORIZATION_HEADER.lower())
+
+
+def customer_header(call: Call) -> Headers:
+    """Return the header that names the customer of a call, if it has one."""
+    return ((CUSTOMER_HEADER, call.customer),) if call.customer else ()
+
+
 def decode_time_left_ms(request: Request) -> float | None:
     """Return the time left that a request states, or None if that is missing or malformed."""
     text = request.header(DEADLINE_HEADER)
@@ -68,6 +98,7 @@
         (SERVICE_HEADER, call.service),
         (DEADLINE_HEADER, f"{max(0.0, call.deadline - now):.1f}"),
         (IDEMPOTENT_HEADER, "1" if call.idempotent else "0"),
+        *customer_header(call),
     )
     return replace(call.request, headers=headers)
 
@@ -81,7 +112,12 @@
     idempotent = request.header(IDEMPOTENT_HEADER) == "1"
     public_request = replace(request, headers=public_headers(request.headers))
     return Call(
-        CallId(call_id), ServiceName(service), public_request, Millis(now + time_left), idempotent
+        CallId(call_id),
+        ServiceName(service),
+        public_request,
+        Millis(now + time_left),
+        idempotent,
+        customer=CustomerName(request.header(CUSTOMER_HEADER) or NO_CUSTOMER),
     )
 
 
--- a/packages/agatecross-core/agatecross_core/calls/model.py
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..errors import ConnectFailedError, ExchangeError, ExchangeTimeoutError
-from ..ids import CallId, IdempotencyKey, Millis, ServiceName
+from ..ids import NO_CUSTOMER, CallId, CustomerName, IdempotencyKey, Millis, ServiceName
 from ..states import Outcome, Reason
 
 Headers = tuple[tuple[str, str], ...]
@@ -44,7 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A routed call; `deadline` is a reading of this process's monotonic clock."""
+    """A routed call; `deadline` is a reading of this process's monotonic clock.
+
+    `customer` is the one whose key the request had, empty without one.
+    """
 
     call_id: CallId
     service: ServiceName
@@ -52,6 +55,7 @@
     deadline: Millis
     idempotent: bool
     key: IdempotencyKey | None = None
+    customer: CustomerName = NO_CUSTOMER
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/config/check_sites.py
+++ b/packages/agatecross-core/agatecross_core/config/check_sites.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from ..findings import Finding, Place
+from .formats import check_name
 from .model import KeyPath, MergedSite
-from .schema import MESH_KEYS, REGION_KEYS, ROUTE_KEYS, SERVICE_KEYS, TOP_KEYS, Key
+from .schema import CUSTOMER_KEYS, MESH_KEYS, REGION_KEYS, ROUTE_KEYS, SERVICE_KEYS, TOP_KEYS, Key
 
 PlaceLookup = Callable[[KeyPath], Place]
 
@@ -30,7 +31,9 @@
     yield from _check_named(site, "regions", REGION_KEYS)
     yield from _check_named(site, "services", SERVICE_KEYS)
     yield from _check_named(site, "routes", ROUTE_KEYS)
+    yield from _check_named(site, "customers", CUSTOMER_KEYS)
     yield from _check_routes(site)
+    yield from _check_customer_keys(site)
 
 
 def _table(values: Mapping[str, object], key: str) -> Mapping[str, object]:
@@ -137,3 +140,21 @@
             message = f"route {route_by_match[match]!r} has the same host and prefix"
             yield Finding(site.place((*path, "prefix")), "same-match", message)
         route_by_match.setdefault(match, name)
+
+
+def _check_customer_keys(site: MergedSite) -> Iterator[Finding]:
+    """Yield findings on keys; their text names customers, never a key."""
+    holders: dict[str, str] = {}
+    for name, customer in _table(site.values, "customers").items():
+        place = site.place(("customers", name, "keys"))
+        if (message := check_name(name)) is not None:
+            yield Finding(site.place(("customers", name)), "form", message)
+        keys = customer.get("keys") if isinstance(customer, Mapping) else None
+        for key in keys if isinstance(keys, list) else ():
+            if not isinstance(key, str):
+                continue
+            if not key or not key.isascii() or not key.isprintable() or " " in key:
+                yield Finding(place, "form", "a key must be printable ASCII without spaces")
+            elif holders.setdefault(key, name) != name:
+                message = f"customer {holders[key]!r} holds one of these keys"
+                yield Finding(place, "same-key", message)
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -1,10 +1,11 @@
 """Last filter of the pipeline: compiles checked sites; also runs the whole pipeline."""
 
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
+from ..customers.model import Customer
 from ..findings import Finding, sort_findings, split_findings
-from ..ids import DataCentreName, Digest, RegionName, RouteName, ServiceName, Version
+from ..ids import CustomerName, DataCentreName, Digest, RegionName, RouteName, ServiceName, Version
 from .check_sites import check_sites
 from .merge_overlays import merge_overlays
 from .model import (
@@ -50,7 +51,16 @@
     routes = [_compile_route(name, row) for name, row in rows if row.get("enabled", True)]
     routes.sort(key=lambda route: (not route.host, -len(route.prefix), route.name))
     region = _region_of(site, site.data_centre)
-    return SiteConfig(site.data_centre, region, policies, tuple(routes))
+    return SiteConfig(site.data_centre, region, policies, tuple(routes), tuple(_customers(site)))
+
+
+def _customers(site: MergedSite) -> Iterator[tuple[Customer, tuple[str, ...]]]:
+    if "customers" not in site.values:
+        return
+    for name, row in _table_of(site, "customers").items():
+        keys = row["keys"]
+        assert isinstance(keys, list)
+        yield Customer(CustomerName(name)), tuple(keys)
 
 
 def _table_of(site: MergedSite, table: str) -> Mapping[str, dict[str, object]]:
@@ -78,4 +88,5 @@
         str(row["prefix"]),
         ServiceName(str(row["service"])),
         str(row.get("host", "")),
+        row.get("allow_anonymous", False) is True,
     )
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from ..constants import NO_DIGEST, NO_OFFSET, NO_VERSION, RULE_SET_VERSION
+from ..customers.model import Customer
 from ..findings import Finding, Place
 from ..ids import (
     DataCentreName,
@@ -92,12 +93,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Maps a path prefix, on one host if `host` is set, to a service."""
+    """Maps a path prefix, on one host if `host` is set, to a service.
+
+    Without `allow_anonymous`, a request needs the key of a customer if there are customers.
+    """
 
     name: RouteName
     prefix: str
     service: ServiceName
     host: str = ""
+    allow_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,12 +110,14 @@
     """Compiled configuration for daemons of one data centre.
 
     Routes with a host come before those without, and longer prefixes before shorter ones.
+    `customers` holds each customer with its keys.
     """
 
     data_centre: DataCentreName
     region: RegionName
     services: Mapping[ServiceName, ServicePolicy]
     routes: tuple[Route, ...]
+    customers: tuple[tuple[Customer, tuple[str, ...]], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -25,6 +25,7 @@
     "regions": Key(dict, required=True),
     "services": Key(dict, required=True),
     "routes": Key(dict, required=True),
+    "customers": Key(dict),
 }
 MESH_KEYS: Mapping[str, Key] = {"name": Key(str, required=True)}
 REGION_KEYS: Mapping[str, Key] = {"data_centres": Key(list, required=True)}
@@ -42,4 +43,8 @@
     "service": Key(str, required=True),
     "host": Key(str),
     "enabled": Key(bool),
+    "allow_anonymous": Key(bool),
+}
+CUSTOMER_KEYS: Mapping[str, Key] = {
+    "keys": Key(list, required=True),
 }
--- a/packages/agatecross-core/agatecross_core/customers/keys.py
+++ b/packages/agatecross-core/agatecross_core/customers/keys.py
@@ -6,6 +6,7 @@
 from .model import Customer
 
 DIGEST_BYTES = 16
+SECRET_BYTES = 32
 
 
 class KeyHasher:
@@ -17,7 +18,7 @@
     """
 
     def __init__(self, secret: bytes) -> None:
-        """Use a secret of at most 64 random bytes."""
+        """Use a secret of `SECRET_BYTES` random bytes."""
         self.secret = secret
         self.digests: dict[str, bytes] = {}
 
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import signal
 import time
 import uuid
@@ -15,6 +16,7 @@
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.policies import new_admission
+from agatecross_core.customers.keys import SECRET_BYTES, KeyHasher
 from agatecross_core.distribution.baselines import FOLLOWERS_BY_NAME
 from agatecross_core.distribution.pulls import PullRequest, VersionNotice
 from agatecross_core.idempotency.decider import ClaimDecider
@@ -173,6 +175,7 @@
             driver,
             mailboxes.claims,
             QuarantineDriver(own_member, mailboxes.members, mailboxes.control, mailboxes.upstream),
+            KeyHasher(secrets.token_bytes(SECRET_BYTES)),
         ),
         ClaimsTask(
             mailboxes.claims,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import uuid
+from dataclasses import replace
 
 from agatecross_adapters.call_headers import (
     IDEMPOTENCY_KEY_HEADER,
     decode_time_left_ms,
     encode_result,
     public_headers,
+    read_key,
+    without_key,
 )
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.admission.retry import RetryBudget
@@ -22,8 +25,11 @@
 )
 from agatecross_core.config.model import MeshConfig, ServicePolicy
 from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_IDEMPOTENCY_KEY_LENGTH
+from agatecross_core.customers.access import decide_access
+from agatecross_core.customers.keys import KeyHasher, KeyTable
 from agatecross_core.idempotency.model import CallSubmitted, ClaimedCallFinished, Grant
 from agatecross_core.ids import (
+    NO_CUSTOMER,
     Address,
     CallId,
     DataCentreName,
@@ -62,7 +68,10 @@
         driver: CallDriver,
         claims: Sender[ClaimAsk | ClaimedCallFinished],
         quarantine: QuarantineDriver,
+        key_hasher: KeyHasher,
     ) -> None:
+        self.key_hasher = key_hasher
+        self.customers: KeyTable | None = None
         self.address = address
         self.data_centre = data_centre
         self.listener = listener
@@ -90,6 +99,9 @@
         match message:
             case ConfigInForce(snapshot):
                 self.snapshot = snapshot
+                site = snapshot.sites.get(self.data_centre)
+                rows = site.customers if site is not None else ()
+                self.customers = KeyTable(rows, self.key_hasher) if rows else None
             case ViewChanged(view, own_member):
                 self.view = view
                 self.balancer.apply_view(view)
@@ -123,8 +135,16 @@
         route = find_route(site, request.header("Host") or "", request.path)
         if route is None:
             return not_run_result(Reason.NO_ROUTE)
+        access = decide_access(self.customers, route.allow_anonymous, read_key(request))
+        if access.refusal is not None:
+            log_event("call_refused", route=route.name, reason=access.refusal.value)
+            return not_run_result(access.refusal)
         policy = site.services[route.service]
         call = _new_call(request, policy, monotonic_ms())
+        if self.customers is not None:
+            public = replace(call.request, headers=without_key(call.request.headers))
+            name = access.customer.name if access.customer is not None else NO_CUSTOMER
+            call = replace(call, request=public, customer=name)
         fingerprint = fingerprint_of(call.service, call.request)
         if self.quarantine.is_quarantined(fingerprint):
             return not_run_result(Reason.QUARANTINED)
@@ -141,7 +161,9 @@
     async def _claim_and_run(
         self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
     ) -> CallResult:
-        scoped = IdempotencyKey(f"{call.service}/{key}")
+        # Customers choose their keys independently of each other.
+        owner = f"{call.service}/{call.customer}" if call.customer else call.service
+        scoped = IdempotencyKey(f"{owner}/{key}")
         ask: ClaimAsk = new_ask(CallSubmitted(call.call_id, scoped, fingerprint, call.deadline))
         self.claims.put(ask)
         claim_reply = await ask.reply
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/upstream_task.py
@@ -9,6 +9,7 @@
     CALL_ID_HEADER,
     DEADLINE_HEADER,
     LOAD_HEADER,
+    customer_header,
     decode_call,
     encode_result,
 )
@@ -321,6 +322,7 @@
         born = self.born
         headers = (
             *call.request.headers,
+            *customer_header(call),
             (CALL_ID_HEADER, call.call_id),
             (DEADLINE_HEADER, f"{left:.1f}"),
         )
--- a/packages/agatecross-standins/agatecross_standins/upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/upstream.py
@@ -116,6 +116,8 @@
             "upstream": f"127.0.0.1:{PORT.value}",
             "service": SERVICE.value,
             "call_id": call_id,
+            "customer": self.request.headers.get("Agatecross-Customer", ""),
+            "credentials": self.request.headers.get("Authorization", ""),
             "echo": self.request.headers.get("X-Echo", ""),
         }
         size = int(self.get_query_argument("size", "0"))
