Judge requests by deaths and completions, whoever waits for them

A call whose caller had left, or that was over its deadline or cancelled, gave no strike when its upstream died, so its request was never refused. Two deaths refused every request that was merely running, however often it had completed. A death was looked for only when the connection that was lost last carried a call, and an upstream that was back before a connection was refused hid it.

One rule covers these. A run without a complete response counts, whoever still waits for it. A request that completed next to the upstream since the last death there gets no strike. Two strikes make a request a suspect: after 3 s one daemon runs it, one run at a time. A run that completes lifts the strikes in the fleet; one that dies refuses the request for ten minutes. A connection that the upstream ends after such a run is followed by a probe, and a later start of the upstream confirms a death as a refused connection does. Reports between daemons carry what was condemned and lifted in fields that older releases ignore. Strikes that expired are not taken from peers again.

ExitCall and the result of a run move to exit_call, the fields of a report to crash_report_codec.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -56,8 +56,9 @@
 from agatecross_core.ids import Millis, Offset
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.heartbeat_filter import HeartbeatFilter
-from agatecross_core.members.records import Strike
-from agatecross_core.quarantine.strikes import StrikeTable
+from agatecross_core.members.records import Clearance, Strike
+from agatecross_core.quarantine.report import CrashReport
+from agatecross_core.quarantine.suspects import SuspectTable
 from agatecross_core.relay.model import (
     Handover,
     RelayRequest,
@@ -83,6 +84,7 @@
 REQUEST = RelayRequest(b"GET", b"/safe/1", HEADERS, b"")
 HANDOVER = Handover(1, "c1", "r", "s0", "u0", Repeat.SAFE, 1, Millis(500), Millis(900), REQUEST)
 RESPONSE = RelayResponse(200, HEADERS, b"body")
+REPORT = CrashReport((Strike("f", "d1", 1),), ("g",), (Clearance("h", (("d1", 1),)),))
 HOP_SAMPLES = [
     encode_hop_message(message)
     for message in (
@@ -97,7 +99,7 @@
         ConfigBlob(8, b"blob"),
         ConfigDelta(7, 8, 1, (b"new", (0, 2))),
         Pull(7),
-        Strikes((Strike("f", "d1", 1),)),
+        Strikes(REPORT),
     )
 ]
 HEARTBEAT = {
@@ -204,8 +206,8 @@
             list(SlotQueue().admit(waiting, Millis(1)))
             encode_request(message, message.time_left, HEADER_NAMES)
             message.call_id.encode("latin-1")
-        case Strikes(strikes):
-            StrikeTable().add_strikes(strikes, Millis(1))
+        case Strikes(report):
+            SuspectTable().add(report, Millis(1))
         case ConfigDelta(_, version, crc, steps):
             assert version >= 0 and crc >= 0
             with contextlib.suppress(DeltaError):
--- a/features/steps/upstream_answers_steps.py
+++ b/features/steps/upstream_answers_steps.py
@@ -48,7 +48,7 @@
 
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    pool = UpstreamPool(f"127.0.0.1:{port}", HEADER_NAMES, lambda how: None)
+    pool = UpstreamPool(f"127.0.0.1:{port}", HEADER_NAMES, lambda how: None, lambda: None)
     try:
         return await work(pool)
     finally:
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -7,7 +7,7 @@
 import zlib
 from collections.abc import Mapping
 from enum import IntEnum
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
@@ -21,7 +21,6 @@
     CustomerName,
     DaemonId,
     DataCentreName,
-    Fingerprint,
     HandoverId,
     Incarnation,
     InstanceId,
@@ -33,7 +32,6 @@
     Version,
 )
 from agatecross_core.members.directory import Endpoint
-from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import (
     Handover,
     RelayRequest,
@@ -43,6 +41,7 @@
 )
 from agatecross_core.states import Outcome, Reason, UpstreamState
 
+from .crash_report_codec import crash_report_fields, crash_report_from_fields
 from .hop_messages import (
     Cancel,
     ConfigBlob,
@@ -57,6 +56,7 @@
     StoreEraNotice,
     Strikes,
 )
+from .wire_types import Count
 
 
 class Tag(IntEnum):
@@ -87,7 +87,6 @@
 STATE_BY_VALUE = {state.value: state for state in UpstreamState}
 TAG_BY_VALUE = {tag.value: tag for tag in Tag}
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 HeaderFields = list[tuple[bytes, bytes]]
 EndpointFields = tuple[
     str, Count, Count, str, str, str, str, str | None, Count, str, Count, Count, bool, bool, Count
@@ -193,11 +192,8 @@
             return (Tag.CONFIG_DELTA, base, version, crc, zlib.compress(ENCODER.encode(steps)))
         case Pull(version):
             return (Tag.PULL, version)
-        case Strikes(strikes):
-            rows = [
-                (strike.fingerprint, strike.daemon_id, strike.incarnation) for strike in strikes
-            ]
-            return (Tag.STRIKES, rows)
+        case Strikes(report):
+            return (Tag.STRIKES, *crash_report_fields(report))
         case StoreEraNotice(era):
             return (Tag.STORE_ERA, era)
 
@@ -251,7 +247,7 @@
         case Tag.PULL:
             return Pull(Version(fields[0]))
         case Tag.STRIKES:
-            return Strikes(tuple(_strike_from_fields(strike) for strike in fields[0]))
+            return Strikes(crash_report_from_fields(fields[0], all_fields[count:]))
         case Tag.STORE_ERA:
             return StoreEraNotice(StoreEra(fields[0]))
 
@@ -332,10 +328,6 @@
     return data
 
 
-def _strike_from_fields(fields: tuple[str, str, int]) -> Strike:
-    return Strike(Fingerprint(fields[0]), DaemonId(fields[1]), Incarnation(fields[2]))
-
-
 def _endpoint_fields(endpoint: Endpoint) -> tuple[Any, ...]:
     return (
         endpoint.daemon_id,
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -5,7 +5,7 @@
 from agatecross_core.distribution.delta import Step
 from agatecross_core.ids import DaemonId, HandoverId, Incarnation, StoreEra, Version
 from agatecross_core.members.directory import Endpoint
-from agatecross_core.members.records import Strike
+from agatecross_core.quarantine.report import CrashReport
 from agatecross_core.relay.model import Handover, RelayResult
 
 
@@ -92,9 +92,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Strikes:
-    """Reports requests that were running when an upstream died."""
+    """Reports requests that were running when an upstream died, or that are cleared of that."""
 
-    strikes: tuple[Strike, ...]
+    report: CrashReport
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -59,6 +59,7 @@
     idle: "list[UpstreamConnection]"
     connections: "set[UpstreamConnection]"
     unfinished_bytes: int
+    on_reset: Callable[[], None]
 
     def release(self, connection: "UpstreamConnection") -> None:
         """Return an idle connection to the pool."""
@@ -84,6 +85,7 @@
         self.in_message = False
         self.body_until_eof = False
         self.reusable = True
+        self.closed_here = False
         self.requests_sent = 0
         self.late = False
         self.cut_off_timer: asyncio.TimerHandle | None = None
@@ -103,6 +105,8 @@
         if self in self.pool.idle:
             self.pool.idle.remove(self)
         self._fail_running(UpstreamFailure.CONNECTION_LOST)
+        if not self.closed_here:
+            self.pool.on_reset()
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection; a reset does not complete it."""
@@ -118,6 +122,7 @@
     def close(self) -> None:
         """Close at once, dropping the response to the running request."""
         self.reusable = False
+        self.closed_here = True
         self.transport.abort()
 
     def mark_late(self) -> None:
@@ -257,6 +262,7 @@
             self.idle_since = Millis(time.monotonic() * 1000)
             self.pool.release(self)
         else:
+            self.closed_here = True
             self.transport.close()
         running.on_done(response)
 
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -38,11 +38,16 @@
         address: Address,
         names: HeaderNames,
         on_unreachable: Callable[[ConnectFailure], None],
+        on_reset: Callable[[], None],
     ) -> None:
-        """Call `on_unreachable` when a connection attempt fails."""
+        """Call `on_unreachable` when a connection attempt fails.
+
+        `on_reset` is called when the upstream has ended a connection, idle or not.
+        """
         self.address = address
         self.names = names
         self.on_unreachable = on_unreachable
+        self.on_reset = on_reset
         self.idle: list[UpstreamConnection] = []
         self.connections: set[UpstreamConnection] = set()
         self.dial_tasks: set[asyncio.Task[None]] = set()
--- a/packages/agatecross-core/agatecross_core/quarantine/trial.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/trial.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Set
 
 from ..ids import DaemonId, Fingerprint
+from ..members.directory import Endpoint
 from ..members.records import Member
 from ..states import MemberState, UpstreamState
 
@@ -29,5 +30,14 @@
     return max(candidates, key=lambda daemon_id: _weight(fingerprint, daemon_id), default=None)
 
 
+def select_trial_endpoint(
+    fingerprint: Fingerprint, endpoints: Iterable[Endpoint], struck: Set[DaemonId]
+) -> Endpoint | None:
+    """Return the one endpoint that tries a suspected request, as for `select_trial_daemon`."""
+    ready = [row for row in endpoints if row.state is UpstreamState.READY]
+    candidates = [row for row in ready if row.daemon_id not in struck] or ready
+    return max(candidates, key=lambda row: _weight(fingerprint, row.daemon_id), default=None)
+
+
 def _weight(fingerprint: Fingerprint, daemon_id: DaemonId) -> bytes:
     return hashlib.blake2b(f"{fingerprint} {daemon_id}".encode(), digest_size=8).digest()
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -7,7 +7,7 @@
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.heartbeat_filter import Heartbeat
 from agatecross_core.members.leave_replies import LeaveReply
-from agatecross_core.members.records import Strike
+from agatecross_core.quarantine.report import CrashReport
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.model import Handover, RelayResult
 from agatecross_core.routing.host_table import HostTable
@@ -138,7 +138,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StrikesReported:
-    """Requests that were running when an upstream died, here or at a peer."""
+class CrashesReported:
+    """Requests that were running when an upstream died, or cleared of that, here or at a peer."""
 
-    strikes: tuple[Strike, ...]
+    report: CrashReport
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -23,7 +23,9 @@
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.pauses import PauseClock
 from agatecross_core.quarantine.model import relay_fingerprint
-from agatecross_core.quarantine.strikes import StrikeTable
+from agatecross_core.quarantine.report import CrashReport
+from agatecross_core.quarantine.suspects import SuspectTable, Verdict
+from agatecross_core.quarantine.trial import select_trial_endpoint
 from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.flow import SERVER_ERROR, RelayPolicy, relay
@@ -43,16 +45,16 @@
 from ..mailbox import Sender, boottime_ms, monotonic_ms
 from ..relay_messages import (
     CancelRemoteHandover,
+    CrashesReported,
     DrainPlanned,
     FleetChanged,
     SendHandover,
-    StrikesReported,
     TableInForce,
 )
 from ..relay_metrics import RelayMetrics
 from .relayed_call import CallContext, RelayedCall
 
-EntryMessage = TableInForce | FleetChanged | StrikesReported | DrainPlanned
+EntryMessage = TableInForce | FleetChanged | CrashesReported | DrainPlanned
 # Applies to requests that do not state the time left until their deadline.
 DEFAULT_CALL_TIMEOUT = Millis(60_000)
 # Refused callers retry after a random time, so that their retries do not form another load peak.
@@ -99,7 +101,7 @@
         self.endpoints_by_service: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
         self.daemon_count = 1
         self.budgets: dict[ServiceName, FleetRetryBudget] = {}
-        self.strikes = StrikeTable()
+        self.suspects = SuspectTable()
         self.drain_plan: DrainPlan | None = None
         self.stripped_headers = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
@@ -127,9 +129,9 @@
                 self.drain_plan = plan
             case FleetChanged(by_service, daemon_count):
                 self.endpoints_by_service, self.daemon_count = by_service, daemon_count
-            case StrikesReported(strikes):
-                if self.strikes.add_strikes(strikes, monotonic_ms()):
-                    self.log.write_change("strikes_learnt", fingerprints=len(strikes))
+            case CrashesReported(report):
+                if self.suspects.add(report, monotonic_ms()):
+                    self._log_report(report)
 
     def _handle_request(self, exchange: Exchange) -> None:
         table = self.table
@@ -159,7 +161,7 @@
             return
         exchange.deadline = context.deadline
         service = context.service
-        if self.strikes.records and self._is_quarantined(context):
+        if self._judge(context) is Verdict.REFUSED:
             self._refuse(exchange, UNAVAILABLE, Reason.QUARANTINED, table.version)
             return
         budget = self.budgets.get(service)
@@ -168,7 +170,7 @@
         budget.add_first_arrival()
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
-            endpoints = self.endpoints_by_service.get(service, ())
+            endpoints = self._allowed_endpoints(context)
             endpoint = self.balancer.choose(endpoints, tried, route.name, monotonic_ms())
             if endpoint is not None:
                 self.balancer.record_start(endpoint)
@@ -184,6 +186,8 @@
         def choose_hedge(tried: DaemonId) -> Endpoint | None:
             endpoints = self.endpoints_by_service.get(service, ())
             now = monotonic_ms()
+            if self._judge(context) is not Verdict.FREE:
+                return None
             endpoint = self.balancer.choose(endpoints, (tried,), route.name, now)
             if endpoint is None or not self.balancer.has_spare_capacity(endpoint, now):
                 return None
@@ -243,9 +247,32 @@
             else min(context.deadline, self.drain_plan.end)
         )
 
-    def _is_quarantined(self, context: CallContext) -> bool:
+    def _judge(self, context: CallContext) -> Verdict:
+        if not self.suspects.records:
+            return Verdict.FREE
         fingerprint = relay_fingerprint(context.service, context.request)
-        return self.strikes.quarantined(fingerprint, monotonic_ms())
+        return self.suspects.judge(fingerprint, monotonic_ms())
+
+    def _allowed_endpoints(self, context: CallContext) -> tuple[Endpoint, ...]:
+        """Return the endpoints for the next attempt; a suspected request may try only one."""
+        endpoints = self.endpoints_by_service.get(context.service, ())
+        verdict = self._judge(context)
+        if verdict is Verdict.FREE:
+            return endpoints
+        if verdict is Verdict.REFUSED:
+            return ()
+        fingerprint = relay_fingerprint(context.service, context.request)
+        struck = self.suspects.struck_daemons(fingerprint)
+        trial = select_trial_endpoint(fingerprint, endpoints, struck)
+        return () if trial is None else (trial,)
+
+    def _log_report(self, report: CrashReport) -> None:
+        if report.strikes:
+            self.log.write_change("strikes_learnt", fingerprints=len(report.strikes))
+        for fingerprint in report.condemned:
+            self.log.write_change("request_refused", fingerprint=fingerprint)
+        for clearance in report.clearances:
+            self.log.write_change("strikes_lifted", fingerprint=clearance.fingerprint)
 
     def _new_handover_id(self) -> HandoverId:
         return HandoverId(next(self.handover_ids))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -2,11 +2,10 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.upstream_connection import UpstreamFailure
-from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamExchange, UpstreamPool
+from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamPool
 from agatecross_core.admission.rate_limit import RateLimit
 from agatecross_core.admission.slot_queue import (
     CallAwaitingSlot,
@@ -19,14 +18,14 @@
     Address,
     DaemonId,
     HandoverId,
-    Incarnation,
     InstanceId,
     Millis,
 )
 from agatecross_core.members.heartbeat_filter import Heartbeat, HeartbeatFilter
 from agatecross_core.members.leave_replies import LeaveReplies
 from agatecross_core.pauses import PAUSE_TICK_PERIOD, PauseClock
-from agatecross_core.quarantine.lost_calls import LostCalls
+from agatecross_core.quarantine.death_watch import DeathWatch
+from agatecross_core.quarantine.report import CrashReport
 from agatecross_core.relay.ledger import Ledger
 from agatecross_core.relay.model import (
     Handover,
@@ -37,7 +36,6 @@
     unknown_result,
 )
 from agatecross_core.relay.response_notices import read_notices
-from agatecross_core.relay.response_outcome import classify_response
 from agatecross_core.states import Reason, UpstreamState
 
 from ..decision_log import DecisionLog
@@ -45,6 +43,7 @@
 from ..mailbox import Sender, boottime_ms, monotonic_ms
 from ..relay_messages import (
     CancelHandover,
+    CrashesReported,
     DrainLost,
     DrainsLoaded,
     DrainStored,
@@ -54,8 +53,8 @@
     ResultReceiver,
     ResumeHandover,
     RunHandover,
-    StrikesReported,
 )
+from .exit_call import ExitCall, relay_result, run_end
 from .start_timer import StartTimer
 
 ExitMessage = (
@@ -67,6 +66,7 @@
     | DrainLost
     | HeartbeatReceived
     | LeaveReceived
+    | CrashesReported
 )
 # A starting daemon defers heartbeats until it has read the drains that it confirmed earlier, or
 # until this time has passed. The store answers within a few ms; without its answer, the daemon
@@ -77,25 +77,6 @@
 # Calls are refused for this time after a failed connection, unless a heartbeat arrives earlier.
 UNREACHABLE_BACKOFF = Millis(1_000)
 
-# The reason reported for each failure that occurs after the request was written.
-FAILURE_REASONS = {
-    UpstreamFailure.CONNECTION_LOST: Reason.CONNECTION_LOST,
-    UpstreamFailure.MALFORMED: Reason.BAD_ANSWER,
-    UpstreamFailure.TOO_LARGE: Reason.ANSWER_TOO_LARGE,
-    UpstreamFailure.TOO_LATE: Reason.TIMEOUT,
-}
-
-
-@dataclass(slots=True)
-class ExitCall:
-    """A waiting or running call; `reply` is None once the call has been answered or cancelled."""
-
-    handover: Handover
-    deadline: Millis
-    reply: ResultReceiver | None
-    exchange: UpstreamExchange | None = None
-    timer: asyncio.TimerHandle | None = None
-
 
 class ExitTask:
     """Admits calls to the upstream, in order of importance, each at most once."""
@@ -107,7 +88,7 @@
         heartbeat_filter: HeartbeatFilter,
         heartbeat_period: Millis,
         names: HeaderNames,
-        peers: Sender[OwnEndpointChanged | StrikesReported],
+        peers: Sender[OwnEndpointChanged | CrashesReported],
         pauses: PauseClock,
         log: DecisionLog,
     ) -> None:
@@ -123,11 +104,13 @@
         self.start_timer = StartTimer(self.queue, self._start_waiting_calls)
         self.ledger = Ledger()
         self.calls: dict[HandoverId, ExitCall] = {}
-        self.pool = UpstreamPool(Address(heartbeat_filter.address), names, self._on_unreachable)
+        self.pool = UpstreamPool(
+            Address(heartbeat_filter.address), names, self._on_unreachable, self._on_reset
+        )
         self.instance: InstanceId | None = None
         self.state = UpstreamState.STARTING
         self.unreachable_until = Millis(0)
-        self.lost_calls = LostCalls(daemon_id)
+        self.death_watch = DeathWatch(daemon_id)
         self.started_at = monotonic_ms()
         self.heartbeats_enabled = False
         self.early_heartbeats: list[Heartbeat] = []
@@ -183,6 +166,8 @@
                 self.leave_replies.drain_lost((instance, born))
             case LeaveReceived():
                 self._handle_leave(message)
+            case CrashesReported(report):
+                self.death_watch.suspects.add(report, monotonic_ms())
 
     def _handle_handover(self, handover: Handover, reply: ResultReceiver) -> None:
         now = monotonic_ms()
@@ -195,6 +180,8 @@
         reason = self._refusal_reason(handover, now)
         if reason is None and time_left <= 0:
             reason = Reason.DEADLINE
+        if reason is None:
+            reason = self.death_watch.admit(handover, now)
         if reason is not None:
             result = not_run_result(reason, self.queue.load, self.queue.capacity)
             self.ledger.finish(handover.handover_id, result, now)
@@ -248,9 +235,10 @@
 
     def _on_upstream_result(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> None:
         now = monotonic_ms()
-        if done is UpstreamFailure.CONNECTION_LOST and call.reply is not None:
-            self._record_lost_call(call, now)
-        result = self._relay_result(call, done)
+        result = relay_result(done, self.names)
+        if done is not UpstreamFailure.NOT_CONNECTED:
+            end = run_end(call, done, result)
+            self._report_crashes(self.death_watch.run_ended(call.handover, end, now))
         if isinstance(done, RelayResponse) and call.handover.instance == self.instance:
             self._read_notices(call, done, result, now)
         is_typical = result.response is not None and call.reply is not None
@@ -279,19 +267,12 @@
         if notices.leaving and self.state is not UpstreamState.DRAINING:
             self._handle_leave(LeaveReceived(call.handover.instance, None))
 
-    def _record_lost_call(self, call: ExitCall, now: Millis) -> None:
-        """Record a call whose connection was lost; probe the upstream if none is left open."""
-        self.lost_calls.record(call.handover, now)
-        if not self.pool.connections and not self.pool.dial_tasks:
+    def _on_reset(self) -> None:
+        """Learn whether the upstream still listens, if it may have been crashed by a run."""
+        may_have_crashed = self.death_watch.lost_calls.may_have_crashed(monotonic_ms())
+        if may_have_crashed and not self.pool.dial_tasks:
             self.pool.open_spare_connection()
 
-    def _relay_result(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> RelayResult:
-        if isinstance(done, RelayResponse):
-            return classify_response(done, self.names.stamp, self.names.not_run)
-        if done is UpstreamFailure.NOT_CONNECTED:
-            return not_run_result(Reason.CONNECT_FAILED)
-        return unknown_result(FAILURE_REASONS[done])
-
     def _answer(self, call: ExitCall, result: RelayResult) -> None:
         if call.timer is not None:
             call.timer.cancel()
@@ -324,6 +305,7 @@
 
     def _remove_call(self, call: ExitCall) -> None:
         self.calls.pop(call.handover.handover_id, None)
+        self.death_watch.call_removed(call.handover.handover_id)
 
     def _on_deadline(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
@@ -388,6 +370,10 @@
         self.queue.slots = heartbeat.slots
         if previous is not None and previous.start != heartbeat.start:
             self.queue.limit = RateLimit()
+        if previous is not None:
+            self._report_crashes(
+                self.death_watch.upstream_announced(previous.born, heartbeat.born, now)
+            )
         self._update_upstream(heartbeat.instance, state, heartbeat)
 
     def _handle_leave(self, leave: LeaveReceived) -> None:
@@ -432,7 +418,9 @@
     def _on_unreachable(self, how: ConnectFailure) -> None:
         now = monotonic_ms()
         if how is ConnectFailure.REFUSED:
-            self._report_death(now)
+            current = self.heartbeat_filter.current
+            if current is not None:
+                self._report_crashes(self.death_watch.connection_refused(current.born, now))
         if now >= self.unreachable_until:
             self.log.write_change(
                 "upstream_unreachable", instance=self.instance or "", how=how.value
@@ -440,14 +428,15 @@
         self.unreachable_until = Millis(now + UNREACHABLE_BACKOFF)
         self._execute_actions(self.queue.refuse_all(Reason.NO_UPSTREAM))
 
-    def _report_death(self, now: Millis) -> None:
-        """Report a strike for each call that was running when the upstream crashed."""
-        current = self.heartbeat_filter.current
-        strikes = self.lost_calls.take_strikes(Incarnation(current.born), now) if current else ()
-        if not strikes:
+    def _report_crashes(self, report: CrashReport) -> None:
+        """Tell all daemons which requests ran when the upstream died, or are cleared of that."""
+        if not report:
             return
-        self.log.write_change("upstream_died", instance=self.instance or "", running=len(strikes))
-        self.peers.put(StrikesReported(strikes))
+        if report.strikes:
+            self.log.write_change(
+                "upstream_died", instance=self.instance or "", running=len(report.strikes)
+            )
+        self.peers.put(CrashesReported(report))
 
     def _tick(self, now: Millis) -> None:
         if not self.heartbeats_enabled and now - self.started_at > DRAINS_READ_TIMEOUT:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Callable
 
 from agatecross_adapters.hop_messages import (
@@ -31,7 +30,8 @@
 )
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import REDIAL_SPACING, ping_periods
-from agatecross_core.members.records import Strike
+from agatecross_core.quarantine.report import CrashReport
+from agatecross_core.quarantine.suspects import SuspectTable
 from agatecross_core.relay.model import Handover, RelayResult, not_run_result
 from agatecross_core.states import Reason, UpstreamState
 
@@ -41,13 +41,13 @@
 from ..relay_messages import (
     CancelHandover,
     CancelRemoteHandover,
+    CrashesReported,
     FleetChanged,
     LeaveReceived,
     OwnEndpointChanged,
     RunHandover,
     SendHandover,
     StoreReachability,
-    StrikesReported,
 )
 from ..relay_metrics import RelayMetrics
 from ..store_messages import (
@@ -68,7 +68,7 @@
 from .peer_link import LinkState, PeerLink
 
 PeersMessage = (
-    StrikesReported
+    CrashesReported
     | SendHandover
     | CancelRemoteHandover
     | OwnEndpointChanged
@@ -83,7 +83,7 @@
 LISTEN_BACKLOG = 1024
 # The newest strikes are kept for daemons that connect later. An upstream has some tens of slots, so
 # the strikes of ten deaths fit.
-MAX_KEPT_STRIKES = 512
+MAX_KEPT_SUSPECTS = 512
 # A daemon unreachable for this long is forgotten; it announces itself again when it is back.
 FORGET_PEER_AFTER = Millis(20_000)
 PERIODS_UPDATE_INTERVAL = Millis(1_000)
@@ -98,7 +98,7 @@
         address: Address,
         directory: Directory,
         exit_mailbox: Sender[ExitMessage],
-        entry: Sender[FleetChanged | StrikesReported],
+        entry: Sender[FleetChanged | CrashesReported],
         store: Sender[
             ConfigReceived
             | DeltaReceived
@@ -133,7 +133,7 @@
         self.open_links: frozenset[DaemonId] = frozenset()
         self.periods_outdated = False
         self.periods_due_at = ZERO_MS
-        self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
+        self.suspects = SuspectTable(MAX_KEPT_SUSPECTS)
         # The latest era in which the store came back from an older copy, 0 if it has not.
         self.restored_era = StoreEra(0)
 
@@ -196,9 +196,9 @@
                 self.config_distributor.delta_unfit(version)
             case EndpointsRead(endpoints):
                 self._merge_endpoints(endpoints)
-            case StrikesReported(strikes):
-                self._record_strikes(strikes)
-                encoded = encode_for_sending(Strikes(strikes))
+            case CrashesReported(report):
+                self._record_crashes(report)
+                encoded = encode_for_sending(Strikes(report))
                 for link in self.links.values():
                     link.send_encoded(encoded)
             case StoreRestored(era):
@@ -354,8 +354,8 @@
         if isinstance(message, Hello):
             self._check_open_links()
             self.config_distributor.link_opened(link, message.version, self.open_links)
-            if self.strikes:
-                link.send(Strikes(tuple(self.strikes)))
+            if report := self.suspects.snapshot(monotonic_ms()):
+                link.send(Strikes(report))
 
     def _on_silent_link(self, link: PeerLink, silent: Millis) -> None:
         self.metrics.silent_connections.labels("peer").inc()
@@ -366,9 +366,10 @@
             pending=len(link.pending),
         )
 
-    def _record_strikes(self, strikes: tuple[Strike, ...]) -> None:
-        self.strikes.extend(strike for strike in strikes if strike not in self.strikes)
-        self.entry.put(StrikesReported(strikes))
+    def _record_crashes(self, report: CrashReport) -> None:
+        self.suspects.add(report, monotonic_ms())
+        self.entry.put(CrashesReported(report))
+        self.exit.put(CrashesReported(report))
 
     def _handle_peer_message(
         self, message: HopMessage, send_reply: Callable[[HopMessage], None], peer: DaemonId | None
@@ -386,8 +387,8 @@
                 self.config_distributor.version_offered(version, send_reply, peer, monotonic_ms())
             case ConfigBlob() | ConfigDelta():
                 self.config_distributor.config_received(message, send_reply, peer, monotonic_ms())
-            case Strikes(strikes):
-                self._record_strikes(strikes)
+            case Strikes(report):
+                self._record_crashes(report)
             case StoreEraNotice(era):
                 self.restored_era = max(self.restored_era, era)
                 self.store.put(StoreRestoreReported(era))
