Free the slot of an unsafe run whose connection went silent

An unsafe call kept its slot until its connection ended, which a silent one never does: with as many silent connections as slots, an idle upstream got no work until its daemon was restarted. Idle connections that were silent as well failed one call after the other.

The upstream stops work at the deadline that it was told. A run that has sent no byte 3 s after that is given up and its connection closed; the outcome stays unknown. A run without a byte at its deadline also closes the connections that have been idle since before it was sent, as open connections may go silent together. Connections in use cost nothing.

--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -25,6 +25,9 @@
 # A response that begins or continues after its call's deadline must end within this time, or it is
 # cut off. The largest one needs 64 Mbit/s for that, and the upstream runs on the same machine.
 LATE_RESPONSE_SECONDS = 1.0
+# An upstream stops work at the deadline that it was told. Its connection is silent if no byte has
+# arrived by this time after it; an upstream that is paused or starved answers later than usual.
+SILENT_RUN_SECONDS = 3.0
 # The colon, the space and the line end of a header field.
 FIELD_OVERHEAD_BYTES = 4
 
@@ -90,6 +93,7 @@
         self.late = False
         self.cut_off_timer: asyncio.TimerHandle | None = None
         self.idle_since = Millis(0)
+        self.sent_at = Millis(0)
         self.idle_limit = DEFAULT_IDLE_LIMIT
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -129,14 +133,15 @@
         """Cut off the response unless it ends soon.
 
         It gets `LATE_RESPONSE_SECONDS` from now, or from its first byte if that arrives later.
+        Without a byte, the connection is silent after `SILENT_RUN_SECONDS`.
         """
         self.late = True
-        if self.bytes_read():
-            self._schedule_cut_off()
+        self._schedule_cut_off(LATE_RESPONSE_SECONDS if self.bytes_read() else SILENT_RUN_SECONDS)
 
     def send_request(self, running: RunningRequest, data: bytes) -> None:
         """Send one request."""
         self.running = running
+        self.sent_at = Millis(time.monotonic() * 1000)
         self.requests_sent += 1
         self.transport.write(data)
 
@@ -146,10 +151,11 @@
         if running is None:
             self.close()
             return
+        is_first_byte = not running.size.read
         running.size.read += len(data)
         self.pool.add_unfinished_bytes(len(data))
-        if self.late:
-            self._schedule_cut_off()
+        if self.late and is_first_byte:
+            self._schedule_cut_off(LATE_RESPONSE_SECONDS)
         if self.running is None:
             return
         try:
@@ -272,12 +278,12 @@
         if running is not None:
             running.on_done(failure)
 
-    def _schedule_cut_off(self) -> None:
-        if self.cut_off_timer is None and self.running is not None:
+    def _schedule_cut_off(self, seconds: float) -> None:
+        if self.cut_off_timer is not None:
+            self.cut_off_timer.cancel()
+        if self.running is not None:
             loop = asyncio.get_running_loop()
-            self.cut_off_timer = loop.call_later(
-                LATE_RESPONSE_SECONDS, self.fail, UpstreamFailure.TOO_LATE
-            )
+            self.cut_off_timer = loop.call_later(seconds, self.fail, UpstreamFailure.TOO_LATE)
 
     def _detach_running(self) -> RunningRequest | None:
         self.late = False
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -80,6 +80,14 @@
         else:
             connection.close()
 
+    def close_idle_since_before(self, time: Millis) -> int:
+        """Close the connections that have been idle since before `time`; return their number."""
+        old = [connection for connection in self.idle if connection.idle_since < time]
+        for connection in old:
+            self.idle.remove(connection)
+            connection.close()
+        return len(old)
+
     def add_unfinished_bytes(self, count: int) -> None:
         """Count bytes read of incomplete responses; over the limit, the largest response fails."""
         self.unfinished_bytes += count
@@ -172,6 +180,15 @@
         else:
             self.connection.mark_late()
 
+    def close_older_connections(self) -> int:
+        """Close the idle connections on which nothing was heard since the request was sent.
+
+        Open connections may all go silent together, without a reset. Returns their number.
+        """
+        if self.connection is None:
+            return 0
+        return self.pool.close_idle_since_before(self.connection.sent_at)
+
     @property
     def bytes_read(self) -> int:
         """Return the number of bytes that the upstream has sent in response."""
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -5,7 +5,7 @@
 
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.upstream_connection import UpstreamFailure
-from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamPool
+from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamExchange, UpstreamPool
 from agatecross_core.admission.rate_limit import RateLimit
 from agatecross_core.admission.slot_queue import (
     CallAwaitingSlot,
@@ -316,11 +316,20 @@
             self._answer(call, not_run_result(Reason.DEADLINE))
             self._remove_call(call)
             return
+        if not call.exchange.bytes_read:
+            self._report_silence(call.exchange)
         self._answer(call, unknown_result(Reason.TIMEOUT))
         self._stop_if_safe(call)
         if call.handover.repeat is Repeat.ONCE:
             call.exchange.mark_late()
 
+    def _report_silence(self, exchange: UpstreamExchange) -> None:
+        """Close the idle connections that may be silent like the one of a run without a byte."""
+        if closed := exchange.close_older_connections():
+            self.log.write_change(
+                "upstream_silent", instance=self.instance or "", idle_closed=closed
+            )
+
     def _cancel_call(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
         if call is None:
