--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -25,6 +25,9 @@
 # A response that begins or continues after its call's deadline must end within this time, or it is
 # cut off. The largest one needs 64 Mbit/s for that, and the upstream runs on the same machine.
 LATE_RESPONSE_SECONDS = 1.0
+# An upstream stops work at the deadline that it was told. Its connection is silent if no byte has
+# arrived by this time after it; an upstream that is paused or starved answers later than usual.
+SILENT_RUN_SECONDS = 3.0
 # The colon, the space and the line end of a header field.
 FIELD_OVERHEAD_BYTES = 4
 
@@ -59,6 +62,7 @@
     idle: "list[UpstreamConnection]"
     connections: "set[UpstreamConnection]"
     unfinished_bytes: int
+    on_reset: Callable[[], None]
 
     def release(self, connection: "UpstreamConnection") -> None:
         """Return an idle connection to the pool."""
@@ -84,10 +88,12 @@
         self.in_message = False
         self.body_until_eof = False
         self.reusable = True
+        self.closed_here = False
         self.requests_sent = 0
         self.late = False
         self.cut_off_timer: asyncio.TimerHandle | None = None
         self.idle_since = Millis(0)
+        self.sent_at = Millis(0)
         self.idle_limit = DEFAULT_IDLE_LIMIT
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -103,6 +109,8 @@
         if self in self.pool.idle:
             self.pool.idle.remove(self)
         self._fail_running(UpstreamFailure.CONNECTION_LOST)
+        if not self.closed_here:
+            self.pool.on_reset()
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection; a reset does not complete it."""
@@ -118,20 +126,22 @@
     def close(self) -> None:
         """Close at once, dropping the response to the running request."""
         self.reusable = False
+        self.closed_here = True
         self.transport.abort()
 
     def mark_late(self) -> None:
         """Cut off the response unless it ends soon.
 
         It gets `LATE_RESPONSE_SECONDS` from now, or from its first byte if that arrives later.
+        Without a byte, the connection is silent after `SILENT_RUN_SECONDS`.
         """
         self.late = True
-        if self.bytes_read():
-            self._schedule_cut_off()
+        self._schedule_cut_off(LATE_RESPONSE_SECONDS if self.bytes_read() else SILENT_RUN_SECONDS)
 
     def send_request(self, running: RunningRequest, data: bytes) -> None:
         """Send one request."""
         self.running = running
+        self.sent_at = Millis(time.monotonic() * 1000)
         self.requests_sent += 1
         self.transport.write(data)
 
@@ -141,10 +151,11 @@
         if running is None:
             self.close()
             return
+        is_first_byte = not running.size.read
         running.size.read += len(data)
         self.pool.add_unfinished_bytes(len(data))
-        if self.late:
-            self._schedule_cut_off()
+        if self.late and is_first_byte:
+            self._schedule_cut_off(LATE_RESPONSE_SECONDS)
         if self.running is None:
             return
         try:
@@ -257,6 +268,7 @@
             self.idle_since = Millis(time.monotonic() * 1000)
             self.pool.release(self)
         else:
+            self.closed_here = True
             self.transport.close()
         running.on_done(response)
 
@@ -266,12 +278,12 @@
         if running is not None:
             running.on_done(failure)
 
-    def _schedule_cut_off(self) -> None:
-        if self.cut_off_timer is None and self.running is not None:
+    def _schedule_cut_off(self, seconds: float) -> None:
+        if self.cut_off_timer is not None:
+            self.cut_off_timer.cancel()
+        if self.running is not None:
             loop = asyncio.get_running_loop()
-            self.cut_off_timer = loop.call_later(
-                LATE_RESPONSE_SECONDS, self.fail, UpstreamFailure.TOO_LATE
-            )
+            self.cut_off_timer = loop.call_later(seconds, self.fail, UpstreamFailure.TOO_LATE)
 
     def _detach_running(self) -> RunningRequest | None:
         self.late = False
