Decode messages between daemons without repeated type checks

msgspec prepares the check of a tuple type at each conversion, and each endpoint of a peer parsed its address as an IP address again. The fields of messages are structs now, checked addresses and the messages of the last pings are kept. Types and codes moved from hop_codec to hop_fields.

--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -5,9 +5,8 @@
 
 import math
 import zlib
-from collections.abc import Mapping
-from enum import IntEnum
-from typing import Annotated, Any
+from functools import lru_cache
+from typing import Any
 
 import msgspec
 
@@ -43,6 +42,14 @@
 )
 from agatecross_core.states import Outcome, Reason, UpstreamState
 
+from .hop_fields import (
+    FIELD_TYPES,
+    HANDOVER_FIELD_COUNT,
+    RESULT_FIELD_COUNT,
+    EndpointFields,
+    ResponseFields,
+    Tag,
+)
 from .hop_messages import (
     Cancel,
     ConfigBlob,
@@ -58,66 +65,20 @@
     Strikes,
 )
 
-
-class Tag(IntEnum):
-    """Message type, the first field of each message."""
-
-    HELLO = 1
-    HANDOVER = 2
-    CANCEL = 3
-    RESUME = 4
-    PING = 5
-    RESULT = 6
-    ENDPOINTS = 7
-    CONFIG = 8
-    PULL = 9
-    STRIKES = 10
-    CONFIG_DELTA = 11
-    STORE_ERA = 12
-
-
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 # The index of a value is its code on the wire.
 REPEAT_CODES = (Repeat.SAFE, Repeat.ONCE)
 OUTCOME_CODES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
+# Most frames of an idle fleet are pings, which differ only in the version and in the direction.
+MAX_PING_BYTES = 8
+PINGED_VERSIONS = 32
 # A nested array beyond the interpreter's limit raises `RecursionError`.
 DECODE_ERRORS = (msgspec.MsgspecError, zlib.error, ValueError, RecursionError)
 REASON_BY_VALUE = {reason.value: reason for reason in Reason}
 STATE_BY_VALUE = {state.value: state for state in UpstreamState}
 TAG_BY_VALUE = {tag.value: tag for tag in Tag}
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-HeaderFields = list[tuple[bytes, bytes]]
-EndpointFields = tuple[
-    str, Count, Count, str, str, str, str, str | None, Count, str, Count, Count, bool, bool, Count
-]
-HandoverFields = tuple[
-    int, str, str, str, str, Count, int, int, int, bytes, bytes, HeaderFields, bytes
-]
-ResultFields = tuple[int, Count, str | None, bool, Count, Count, Count]
-ResponseFields = tuple[Count, HeaderFields, bytes]
-FIELD_TYPES: Mapping[Tag, tuple[Any, int]] = {
-    Tag.HELLO: (tuple[str, Count, Count, list[list[Any]]], 4),
-    Tag.HANDOVER: (HandoverFields, 13),
-    Tag.CANCEL: (tuple[int], 1),
-    Tag.RESUME: (tuple[int], 1),
-    Tag.PING: (tuple[bool, Count], 2),
-    Tag.RESULT: (ResultFields, 7),
-    Tag.ENDPOINTS: (tuple[list[list[Any]]], 1),
-    Tag.CONFIG: (tuple[Count, bytes], 2),
-    Tag.PULL: (tuple[Count], 1),
-    Tag.STRIKES: (tuple[list[tuple[str, str, Count]]], 1),
-    Tag.CONFIG_DELTA: (tuple[Count, Count, Count, bytes], 4),
-    Tag.STORE_ERA: (tuple[Count], 1),
-}
-"""Type and number of the fields after the tag; a later release may append fields."""
-
-# Earlier releases send no rate of the link, which follows these fields.
-ENDPOINT_FIELD_COUNT = 15
-RESULT_FIELD_COUNT = 7
-RESPONSE_FIELD_COUNT = 3
-
 
 def encode_hop_message(message: HopMessage) -> bytes:
     """Encode a message."""
@@ -129,6 +90,10 @@
 
     Returns None for a message of a type that only later releases know.
     """
+    return _decode_ping(frame) if len(frame) <= MAX_PING_BYTES else _decode(frame)
+
+
+def _decode(frame: bytes) -> HopMessage | None:
     try:
         message = DECODER.decode(frame)
         if not isinstance(message, list) or not message or not isinstance(message[0], int):
@@ -139,6 +104,9 @@
         raise MessageDecodeError(f"hop message: {error}") from error
 
 
+_decode_ping = lru_cache(maxsize=2 * PINGED_VERSIONS)(_decode)
+
+
 def encode_endpoint(endpoint: Endpoint) -> bytes:
     """Encode an endpoint record for the log."""
     return ENCODER.encode(_endpoint_fields(endpoint))
@@ -219,11 +187,10 @@
 
 
 def _message_from_fields(tag: Tag, all_fields: list[Any]) -> HopMessage:
-    field_types, count = FIELD_TYPES[tag]
-    fields: Any = msgspec.convert(all_fields[:count], field_types)
+    fields: Any = msgspec.structs.astuple(msgspec.convert(all_fields, FIELD_TYPES[tag]))
     match tag:
         case Tag.HANDOVER:
-            return _handover_from_fields(fields, all_fields[count:])
+            return _handover_from_fields(fields, all_fields[HANDOVER_FIELD_COUNT:])
         case Tag.RESULT:
             return Result(
                 HandoverId(fields[0]), _result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
@@ -256,7 +223,7 @@
             return StoreEraNotice(StoreEra(fields[0]))
 
 
-def _handover_from_fields(fields: HandoverFields, rest: list[Any]) -> Handover:
+def _handover_from_fields(fields: tuple[Any, ...], rest: list[Any]) -> Handover:
     handover_id, call_id, route, service, instance, repeat, rank, objective_time_left, time_left = (
         fields[:9]
     )
@@ -293,14 +260,14 @@
     return text.isascii() or all(ord(character) < 256 for character in text)
 
 
-def _result_from_fields(fields: ResultFields, rest: list[Any]) -> RelayResult:
+def _result_from_fields(fields: tuple[Any, ...], rest: list[Any]) -> RelayResult:
     _, outcome, reason, reached_upstream, load, slots, cost = fields
     if outcome >= len(OUTCOME_CODES):
         raise MessageDecodeError(f"hop message: unknown outcome code {outcome}")
     response = None
     if rest:
-        status, headers, body = msgspec.convert(rest[:RESPONSE_FIELD_COUNT], ResponseFields)
-        response = RelayResponse(status, tuple(headers), body)
+        wire = msgspec.convert(rest, ResponseFields)
+        response = RelayResponse(wire.status, tuple(wire.headers), wire.body)
     return RelayResult(
         OUTCOME_CODES[outcome],
         # The outcome says what may be done; a later release may know further reasons for it.
@@ -358,29 +325,25 @@
 
 
 def _endpoint_from_fields(all_fields: list[Any]) -> Endpoint:
-    fields: EndpointFields = msgspec.convert(all_fields[:ENDPOINT_FIELD_COUNT], EndpointFields)
-    daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
-    state, slots, cold, leaving, reaches_store, store_latency = fields[9:]
-    rest = all_fields[ENDPOINT_FIELD_COUNT:]
-    link_rate = msgspec.convert(rest[0], Count) if rest else 0
-    if (message := check_address(address)) is not None:
+    wire = msgspec.convert(all_fields, EndpointFields)
+    if (message := check_address(wire.address)) is not None:
         raise MessageDecodeError(f"endpoint: {message}")
     return Endpoint(
-        DaemonId(daemon),
-        Incarnation(incarnation),
-        sequence,
-        Address(address),
-        RegionName(region),
-        DataCentreName(centre),
-        ServiceName(service),
-        InstanceId(instance) if instance is not None else None,
-        born,
+        DaemonId(wire.daemon_id),
+        Incarnation(wire.incarnation),
+        wire.sequence,
+        Address(wire.address),
+        RegionName(wire.region),
+        DataCentreName(wire.data_centre),
+        ServiceName(wire.service),
+        InstanceId(wire.instance) if wire.instance is not None else None,
+        wire.born,
         # An upstream in a state that only later releases know gets no calls.
-        STATE_BY_VALUE.get(state, UpstreamState.STARTING),
-        slots,
-        Millis(cold),
-        leaving,
-        reaches_store,
-        Millis(store_latency),
-        link_rate,
+        STATE_BY_VALUE.get(wire.state, UpstreamState.STARTING),
+        wire.slots,
+        Millis(wire.cold),
+        wire.leaving,
+        wire.reaches_store,
+        Millis(wire.store_latency),
+        wire.link_rate,
     )
--- a/packages/agatecross-core/agatecross_core/config/formats.py
+++ b/packages/agatecross-core/agatecross_core/config/formats.py
@@ -2,6 +2,9 @@
 
 import ipaddress
 from collections.abc import Callable
+from functools import lru_cache
+
+from ..constants import MAX_MEMBERS
 
 FormatCheck = Callable[[str], str | None]
 
@@ -17,6 +20,8 @@
     return None
 
 
+# Peers describe the same addresses again and again, in every greeting and with every change.
+@lru_cache(maxsize=2 * MAX_MEMBERS)
 def check_address(text: str) -> str | None:
     """Check an address of the form `ip:port`; an IPv6 address may be in brackets."""
     host, _, port = text.rpartition(":")
