Keep the directory and the reachable endpoints up without walking the fleet

Each description of a peer walked the whole directory to look for its address and rebuilt the upstreams by service, each greeting looked at every link and chose the daemons that send tables, and each of these sent the entry task a new table. A change of the store's latency is no longer published to the entry task.

--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -1,6 +1,6 @@
 """Descriptions of all daemons and of the upstreams next to them."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from ..ids import (
@@ -65,8 +65,20 @@
         """Start with the description of this daemon only."""
         self.me = me
         self.rows: dict[DaemonId, Endpoint] = {me.daemon_id: me}
-        self.by_service: dict[ServiceName, tuple[Endpoint, ...]] = {}
-        self._rebuild_index()
+        # The other daemons by address. Two may have the same one, if the later one moved there.
+        self.by_address: dict[Address, set[DaemonId]] = {}
+        self.ready_rows: dict[ServiceName, tuple[Endpoint, ...]] | None = None
+
+    @property
+    def by_service(self) -> Mapping[ServiceName, tuple[Endpoint, ...]]:
+        """Return the ready upstreams by service."""
+        if self.ready_rows is None:
+            table: dict[ServiceName, list[Endpoint]] = {}
+            for row in self.rows.values():
+                if row.ready:
+                    table.setdefault(row.service, []).append(row)
+            self.ready_rows = {service: tuple(rows) for service, rows in table.items()}
+        return self.ready_rows
 
     def merge(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
         """Store the descriptions that are newer than the known ones, and return them.
@@ -77,22 +89,22 @@
         newer = [row for row in endpoints if self._accepts(row)]
         for row in newer:
             self._remove_replaced(row)
-            self.rows[row.daemon_id] = row
-        if newer:
-            self._rebuild_index()
+            self._store(row)
         return newer
 
     def update(self, **changes: object) -> Endpoint:
         """Change fields of this daemon's own description and return the new one."""
         self.me = replace(self.me, sequence=self.me.sequence + 1, **changes)  # type: ignore[arg-type]
         self.rows[self.me.daemon_id] = self.me
-        self._rebuild_index()
+        self.ready_rows = None
         return self.me
 
     def remove(self, daemon_id: DaemonId) -> None:
         """Remove the description of a daemon, if it is known."""
-        if self.rows.pop(daemon_id, None) is not None:
-            self._rebuild_index()
+        row = self.rows.pop(daemon_id, None)
+        if row is not None:
+            self._forget_address(row)
+            self.ready_rows = None
 
     def others(self) -> Iterator[Endpoint]:
         """Return an iterator over the descriptions of the other daemons."""
@@ -106,26 +118,27 @@
         known = self.rows.get(row.daemon_id)
         if known is not None:
             return row.order > known.order
-        return all(
-            other.address != row.address or other.incarnation < row.incarnation
-            for other in self.others()
-        )
+        return all(other.incarnation < row.incarnation for other in self._rows_at(row.address))
+
+    def _store(self, row: Endpoint) -> None:
+        known = self.rows.get(row.daemon_id)
+        if known is not None:
+            self._forget_address(known)
+        self.rows[row.daemon_id] = row
+        self.by_address.setdefault(row.address, set()).add(row.daemon_id)
+        self.ready_rows = None
+
+    def _forget_address(self, row: Endpoint) -> None:
+        daemon_ids = self.by_address[row.address]
+        daemon_ids.discard(row.daemon_id)
+        if not daemon_ids:
+            del self.by_address[row.address]
+
+    def _rows_at(self, address: Address) -> list[Endpoint]:
+        return [self.rows[daemon_id] for daemon_id in self.by_address.get(address, ())]
 
     def _remove_replaced(self, row: Endpoint) -> None:
         # A daemon that takes over an address replaces the daemon that used it before.
-        gone = [
-            known.daemon_id
-            for known in self.others()
-            if known.address == row.address
-            and known.daemon_id != row.daemon_id
-            and known.incarnation < row.incarnation
-        ]
-        for daemon_id in gone:
-            del self.rows[daemon_id]
-
-    def _rebuild_index(self) -> None:
-        table: dict[ServiceName, list[Endpoint]] = {}
-        for row in self.rows.values():
-            if row.ready:
-                table.setdefault(row.service, []).append(row)
-        self.by_service = {service: tuple(rows) for service, rows in table.items()}
+        for known in self._rows_at(row.address):
+            if known.daemon_id != row.daemon_id and known.incarnation < row.incarnation:
+                self.remove(known.daemon_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from agatecross_adapters.hop_messages import (
     ConfigBlob,
@@ -64,6 +64,7 @@
 )
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
+from .fleet_publisher import FleetPublisher
 from .inbound_links import InboundLinks
 from .peer_link import LinkState, PeerLink
 
@@ -131,6 +132,7 @@
         self.server: asyncio.Server | None = None
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
         self.open_links: frozenset[DaemonId] = frozenset()
+        self.publisher = FleetPublisher(directory, self.links, entry, log)
         self.periods_outdated = False
         self.periods_due_at = ZERO_MS
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
@@ -147,7 +149,7 @@
             int(port),
             backlog=LISTEN_BACKLOG,
         )
-        self._publish_endpoints()
+        self.publisher.publish()
 
     async def run(self) -> None:
         """Check the connections periodically until cancelled."""
@@ -156,6 +158,7 @@
                 await asyncio.sleep(TICK_SECONDS)
                 self._tick(monotonic_ms())
         finally:
+            self.publisher.close()
             for link in self.links.values():
                 link.close()
             if self.server is not None:
@@ -187,9 +190,8 @@
             case StoreReachability(reachable, latency):
                 me = self.directory.me
                 if (reachable, latency) != (me.reaches_store, me.store_latency):
-                    self._announce_self(
-                        self.directory.update(reaches_store=reachable, store_latency=latency)
-                    )
+                    me = self.directory.update(reaches_store=reachable, store_latency=latency)
+                    self._send_to_peers(Endpoints((me,)))
             case ConfigChanged():
                 self.config_distributor.config_changed(message, self.open_links, monotonic_ms())
             case FullConfigNeeded(version):
@@ -228,7 +230,7 @@
 
     def _announce_self(self, me: Endpoint) -> None:
         self._send_to_peers(Endpoints((me,)))
-        self._publish_endpoints()
+        self.publisher.publish()
 
     def _send_to_peers(self, message: HopMessage) -> None:
         """Send a message once to each peer that is connected in either direction."""
@@ -259,9 +261,13 @@
                 leaving=endpoint.leaving,
             )
         if updated:
-            self._close_unknown_links()
+            if len(self.links) >= len(self.directory.rows):
+                self._close_unknown_links()
             self.periods_outdated = True
-            self._publish_endpoints()
+            if all(endpoint.ready for endpoint in updated):
+                self.publisher.publish_soon()
+            else:
+                self.publisher.publish()
 
     def _apply_own_drain(self, endpoints: tuple[Endpoint, ...]) -> None:
         # A drain that was confirmed before a restart still applies to this daemon.
@@ -310,49 +316,29 @@
         daemons of the same data centre.
         """
         me = self.directory.me
-        others = [
-            endpoint
-            for endpoint in self.directory.rows.values()
-            if endpoint.daemon_id != me.daemon_id
-        ]
-        same_data_centre = [
-            endpoint.daemon_id for endpoint in others if endpoint.data_centre == me.data_centre
-        ]
-        table_senders = select_readers((me.daemon_id, *same_data_centre), FULL_TABLE_SENDERS)
-        if data_centre != me.data_centre or me.daemon_id not in table_senders:
+        others: Iterable[Endpoint] = ()
+        if data_centre == me.data_centre and self._sends_table():
+            others = self.directory.others()
+        elif peer != me.daemon_id and (row := self.directory.rows.get(peer)) is not None:
             # A drain that the peer confirmed before it restarted still applies to it.
-            others = [
-                endpoint
-                for endpoint in others
-                if endpoint.daemon_id == peer and endpoint.state is UpstreamState.DRAINING
-            ]
+            others = (row,) if row.state is UpstreamState.DRAINING else ()
         return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *others))
 
+    def _sends_table(self) -> bool:
+        me = self.directory.me
+        rows = self.directory.rows.values()
+        same_data_centre = (row.daemon_id for row in rows if row.data_centre == me.data_centre)
+        return me.daemon_id in select_readers(same_data_centre, FULL_TABLE_SENDERS)
+
     def _new_hello_reply(self, hello: Hello) -> Hello:
         data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
         return self._new_hello(hello.daemon_id, data_centre)
 
-    def _publish_endpoints(self) -> None:
-        """Send the entry task the reachable endpoints: this daemon and those with an open link."""
-        me = self.directory.me.daemon_id
-        reachable = {
-            service: tuple(
-                endpoint for endpoint in endpoints if self._is_reachable(endpoint.daemon_id, me)
-            )
-            for service, endpoints in self.directory.by_service.items()
-        }
-        self.entry.put(FleetChanged(reachable, len(self.directory.rows)))
-
-    def _is_reachable(self, daemon_id: DaemonId, me: DaemonId) -> bool:
-        if daemon_id == me:
-            return True
-        link = self.links.get(daemon_id)
-        return link is not None and link.is_open
-
     def _on_link_message(self, link: PeerLink, message: HopMessage) -> None:
         self._handle_peer_message(message, link.send, link.daemon_id)
         if isinstance(message, Hello):
-            self._check_open_links()
+            if link.is_open and link.daemon_id not in self.open_links:
+                self._set_open_links(self.open_links | {link.daemon_id})
             self.config_distributor.link_opened(link, message.version, self.open_links)
             if self.strikes:
                 link.send(Strikes(tuple(self.strikes)))
@@ -410,18 +396,19 @@
 
     def _check_open_links(self) -> None:
         open_links = frozenset(i for i, link in self.links.items() if link.is_open)
-        if open_links == self.open_links:
-            return
-        self.log.write_change(
-            "peers_changed",
-            lost=",".join(sorted(self.open_links - open_links)),
-            gained=",".join(sorted(open_links - self.open_links)),
-        )
+        if open_links != self.open_links:
+            self._set_open_links(open_links)
+
+    def _set_open_links(self, open_links: frozenset[DaemonId]) -> None:
+        lost = self.open_links - open_links
         self.open_links = open_links
         self.periods_outdated = True
         self.metrics.peers.set(len(open_links))
         self.store.put(LinksChanged(open_links))
-        self._publish_endpoints()
+        if lost:
+            self.publisher.publish()
+        else:
+            self.publisher.publish_soon()
 
     def _forget_peer(self, link: PeerLink) -> None:
         self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
