Look only at the links on which something is due

Each tick of 100 ms looked at every link three times: for its pings, for the time since it was lost and for the set of open links. A quiet link is now passed over until its next ping or the time-out of its answer, and lost links are found by the time of their loss. The tables of the pings now check in addition that nothing was due before the time until which a link is passed over.

--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -214,7 +214,9 @@
             is_busy = kind == "busy"
         if kind == "pong":
             liveness.pong_received()
+        may_skip = not is_busy and at < liveness.next_check_at
         step = liveness.next_step(Millis(at), Millis(received_at), is_busy)
+        assert step is LinkStep.WAIT or not may_skip, (at, step)
         if step is LinkStep.PING:
             context.pings.append(at)
         elif step is LinkStep.CLOSE:
--- a/packages/agatecross-core/agatecross_core/members/link_liveness.py
+++ b/packages/agatecross-core/agatecross_core/members/link_liveness.py
@@ -40,6 +40,14 @@
         self.unconfirmed = False
         self.unconfirmed_bytes = 0
 
+    @property
+    def next_check_at(self) -> Millis:
+        """Return the time before which nothing is due on a connection without handovers."""
+        if self.pong_due_at is not None:
+            return self.pong_due_at
+        period = CONFIRMATION_SPACING if self.unconfirmed else self.period
+        return Millis(self.last_ping_at + period)
+
     def set_period(self, period: Millis, now: Millis, elapsed: Millis) -> None:
         """Change the period; `elapsed` of the first one is over.
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -307,6 +307,7 @@
     def _close_unknown_links(self) -> None:
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
             self.links.pop(daemon_id).close()
+        self._check_open_links()
 
     def _new_hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
         """Return the hello for a peer: this daemon's endpoint, and the table or the peer's drain.
@@ -384,16 +385,23 @@
 
     def _tick(self, now: Millis) -> None:
         for link in list(self.links.values()):
-            link.check_liveness(now)
-            if link.down_since is not None and now - link.down_since > FORGET_PEER_AFTER:
-                self._forget_peer(link)
-        self._check_open_links()
+            if link.pending or now >= link.liveness.next_check_at:
+                link.check_liveness(now)
+            if link.down_since is not None:
+                self._handle_down_link(link, now)
         if self.periods_outdated and now >= self.periods_due_at:
             self.periods_due_at = Millis(now + PERIODS_UPDATE_INTERVAL)
             self._set_ping_periods()
         self.config_distributor.pull_if_due(now)
         self.inbound.cancel_orphans(now)
 
+    def _handle_down_link(self, link: PeerLink, now: Millis) -> None:
+        assert link.down_since is not None
+        if now - link.down_since > FORGET_PEER_AFTER:
+            self._forget_peer(link)
+        if link.daemon_id in self.open_links:
+            self._check_open_links()
+
     def _check_open_links(self) -> None:
         open_links = frozenset(i for i, link in self.links.items() if link.is_open)
         if open_links != self.open_links:
