Load only what the relaying daemon uses

A start of the relaying daemon also loaded the codec of the other daemon, with the types of keyed calls, pulls and compiled configurations, because the interfaces of all external systems were in one module. The transport between daemons, the documents and the check of a table have modules of their own now, and the names of the outcome headers need no codec.

--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -28,7 +28,8 @@
 from agatecross_cli.main import execute
 from agatecross_cli.output import FORMATTERS
 from agatecross_core.calls.model import Response
-from agatecross_core.config.model import BASE, ConfigState, Document, PublishRecord
+from agatecross_core.config.documents import BASE, Document
+from agatecross_core.config.model import ConfigState, PublishRecord
 from agatecross_core.errors import (
     ConnectFailedError,
     LogOutcomeUnknownError,
--- a/features/steps/config_follow_steps.py
+++ b/features/steps/config_follow_steps.py
@@ -10,15 +10,9 @@
 
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.compile import compile_documents, digest_of
+from agatecross_core.config.documents import BASE, Document
 from agatecross_core.config.fold import fold_entry
-from agatecross_core.config.model import (
-    BASE,
-    ConfigState,
-    Document,
-    OffsetRecord,
-    PublishRecord,
-    SnapshotRecord,
-)
+from agatecross_core.config.model import ConfigState, OffsetRecord, PublishRecord, SnapshotRecord
 from agatecross_core.constants import LOG_RETRY_BASE_DELAY, LOG_RETRY_MAX_DELAY, NO_OFFSET
 from agatecross_core.distribution.follower import (
     ConfigFollower,
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -42,7 +42,7 @@
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.slot_queue import CallAwaitingSlot, SlotQueue
 from agatecross_core.calls.model import Request, Response
-from agatecross_core.config.model import Document
+from agatecross_core.config.documents import Document
 from agatecross_core.customers.keys import KeyHasher
 from agatecross_core.distribution.delta import apply_delta
 from agatecross_core.distribution.propagation import ConfigOrigin, push_targets, reader_role
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,7 +11,7 @@
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.calls.model import Request
-from agatecross_core.config.model import Document
+from agatecross_core.config.documents import Document
 from agatecross_core.errors import SettingsError
 from agatecross_core.ids import Address, Millis
 from agatecross_daemon.decision_log import DecisionLog
--- a/packages/agatecross-adapters/agatecross_adapters/address_map.py
+++ b/packages/agatecross-adapters/agatecross_adapters/address_map.py
@@ -6,7 +6,8 @@
 from agatecross_core.ids import Address, Millis
 
 from .codec import ControlMessage
-from .protocols import ControlHandler, HttpClient, PeerTransport
+from .peer_transport import ControlHandler, PeerTransport
+from .protocols import HttpClient
 
 AddressMap = Mapping[Address, Address]
 
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -17,12 +17,12 @@
 from agatecross_core.routing.model import ReportedLoad
 from agatecross_core.states import Outcome, Reason
 
+from .outcome_headers import OUTCOME_HEADER, REASON_HEADER
+
 CALL_ID_HEADER = "Agatecross-Call-Id"
 SERVICE_HEADER = "Agatecross-Service"
 # Holds the time left in milliseconds, not a point in time.
 DEADLINE_HEADER = "Agatecross-Deadline-Ms"
-OUTCOME_HEADER = "Agatecross-Outcome"
-REASON_HEADER = "Agatecross-Reason"
 CUSTOMER_HEADER = "Agatecross-Customer"
 LOAD_HEADER = "Agatecross-Load"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -14,7 +14,7 @@
 from agatecross_core.ids import Address, Millis
 
 from .codec import ControlMessage, decode_control, encode_control
-from .protocols import ControlHandler
+from .peer_transport import ControlHandler
 
 MAX_CONTROL_BYTES: Final = 32 * 1024 * 1024
 MAX_PEER_SOCKETS: Final = 16
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -32,8 +32,8 @@
 from agatecross_core.ids import Address, Millis
 from agatecross_core.states import Outcome, Reason
 
-from .call_headers import OUTCOME_HEADER, REASON_HEADER
 from .http_fields import HOP_BY_HOP_FIELDS, end_to_end_fields, to_origin_form
+from .outcome_headers import OUTCOME_HEADER, REASON_HEADER
 from .protocols import RequestHandler
 from .server_stream import LingeringClose, ServerStream, StreamServer, stream_of
 
--- a/packages/agatecross-adapters/agatecross_adapters/protocols.py
+++ b/packages/agatecross-adapters/agatecross_adapters/protocols.py
@@ -8,8 +8,6 @@
 from agatecross_core.constants import NO_ERA
 from agatecross_core.ids import Address, DaemonId, Millis, Offset, StoreEra, StreamName
 
-from .codec import ControlMessage
-
 T = TypeVar("T")
 
 
@@ -75,27 +73,6 @@
         ...
 
 
-ControlHandler = Callable[[ControlMessage], Awaitable[ControlMessage]]
-
-
-class PeerTransport(Protocol):
-    """Sends and answers control requests between daemons."""
-
-    async def listen(self, address: Address, handler: ControlHandler) -> Address:
-        """Start answering control requests and return the bound address."""
-        ...
-
-    async def request(
-        self, peer: Address, message: ControlMessage, timeout: Millis
-    ) -> ControlMessage:
-        """Return the peer's reply; raises `PeerError`."""
-        ...
-
-    async def close(self) -> None:
-        """Close the listener and every connection."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigRead:
     """The newest configuration that was read, if any, and the offset after it.
--- a/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
+++ b/packages/agatecross-adapters/agatecross_adapters/toml_documents.py
@@ -4,7 +4,7 @@
 import tomllib
 from collections.abc import Iterator
 
-from agatecross_core.config.model import DecodedDocument, Document, KeyPath
+from agatecross_core.config.documents import DecodedDocument, Document, KeyPath
 from agatecross_core.errors import DocumentSyntaxError
 
 TABLE_HEADER = re.compile(r"^\s*\[+\s*(?P<key>[^\]]+?)\s*\]+")
--- a/packages/agatecross-cli/agatecross_cli/commands/diff.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/diff.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from agatecross_core.config.model import Document
+from agatecross_core.config.documents import Document
 
 from ..command import Command, Context, Result
 from ..documents import read_documents
--- a/packages/agatecross-cli/agatecross_cli/commands/explain.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/explain.py
@@ -6,8 +6,8 @@
 
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.compile import compile_documents
+from agatecross_core.config.documents import Document
 from agatecross_core.config.explain import ExplainedValue, explain_route, merged_site
-from agatecross_core.config.model import Document
 from agatecross_core.ids import DataCentreName, Version
 from agatecross_core.routing.routes import find_route
 
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -6,7 +6,8 @@
 
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.compile import compile_documents
-from agatecross_core.config.model import ConfigState, Document, PublishRecord
+from agatecross_core.config.documents import Document
+from agatecross_core.config.model import ConfigState, PublishRecord
 from agatecross_core.constants import RULE_SET_VERSION
 from agatecross_core.ids import PublishId, Version
 from agatecross_core.states import PublishVerdict
--- a/packages/agatecross-cli/agatecross_cli/documents.py
+++ b/packages/agatecross-cli/agatecross_cli/documents.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from agatecross_core.config.model import BASE, Document
+from agatecross_core.config.documents import BASE, Document
 from agatecross_core.ids import DocumentName
 
 from .command import CommandError
--- a/packages/agatecross-cli/agatecross_cli/findings_output.py
+++ b/packages/agatecross-cli/agatecross_cli/findings_output.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from agatecross_core.config.model import BASE
+from agatecross_core.config.documents import BASE
 from agatecross_core.findings import Finding
 
 from .command import Result
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -7,16 +7,9 @@
 from ..findings import Finding, sort_findings, split_findings
 from ..ids import CustomerName, DataCentreName, Digest, RegionName, RouteName, ServiceName, Version
 from .check_sites import check_sites
+from .documents import Document, DocumentDecoder
 from .merge_overlays import merge_overlays
-from .model import (
-    Document,
-    DocumentDecoder,
-    MergedSite,
-    MeshConfig,
-    Route,
-    ServicePolicy,
-    SiteConfig,
-)
+from .model import MergedSite, MeshConfig, Route, ServicePolicy, SiteConfig
 from .parse_documents import parse_documents
 
 
--- a/packages/agatecross-core/agatecross_core/config/explain.py
+++ b/packages/agatecross-core/agatecross_core/config/explain.py
@@ -5,8 +5,9 @@
 
 from ..findings import Finding, Place
 from ..ids import DataCentreName
+from .documents import Document, DocumentDecoder
 from .merge_overlays import merge_overlays
-from .model import Document, DocumentDecoder, MergedSite, Route, ServicePolicy
+from .model import MergedSite, Route, ServicePolicy
 from .parse_documents import parse_documents
 
 
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -6,16 +6,8 @@
 from ..ids import Version
 from ..states import PublishVerdict
 from .compile import compile_documents, digest_of
-from .model import (
-    ConfigRecord,
-    ConfigState,
-    Document,
-    DocumentDecoder,
-    FoldStep,
-    OffsetRecord,
-    PublishRecord,
-    SnapshotRecord,
-)
+from .documents import Document, DocumentDecoder
+from .model import ConfigRecord, ConfigState, FoldStep, OffsetRecord, PublishRecord, SnapshotRecord
 
 
 def fold_entry(state: ConfigState, entry: OffsetRecord, decoder: DocumentDecoder) -> FoldStep:
--- a/packages/agatecross-core/agatecross_core/config/merge_overlays.py
+++ b/packages/agatecross-core/agatecross_core/config/merge_overlays.py
@@ -5,7 +5,8 @@
 from ..constants import MAX_OVERLAYS
 from ..findings import Finding, Place
 from ..ids import DataCentreName
-from .model import BASE, DecodedDocument, KeyPath, MergedSite
+from .documents import BASE, DecodedDocument, KeyPath
+from .model import MergedSite
 
 OVERLAY_TABLES = ("services", "routes")
 """Tables that an overlay may change; all sites share the list of regions."""
--- a/packages/agatecross-core/agatecross_core/config/model.py
+++ b/packages/agatecross-core/agatecross_core/config/model.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from ..constants import NO_DIGEST, NO_OFFSET, NO_VERSION, RULE_SET_VERSION
 from ..customers.model import Customer
@@ -20,45 +19,10 @@
     Version,
 )
 from ..states import PublishVerdict
-
-BASE = DocumentName("base")
+from .documents import BASE, Document, KeyPath
 
 NO_AGE = Millis(0)
 
-KeyPath = tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Document:
-    """One configuration document as its author wrote it."""
-
-    name: DocumentName
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class DecodedDocument:
-    """Values of a document, and the line number of each key."""
-
-    name: DocumentName
-    values: Mapping[str, object]
-    lines: Mapping[KeyPath, int]
-
-    def place(self, path: KeyPath) -> Place:
-        """Return the place of a key, or of its nearest enclosing table."""
-        for end in range(len(path), 0, -1):
-            if path[:end] in self.lines:
-                return Place(self.name, self.lines[path[:end]], ".".join(path))
-        return Place(self.name, 0, ".".join(path))
-
-
-class DocumentDecoder(Protocol):
-    """Decodes documents; raises `DocumentSyntaxError` if the text is malformed."""
-
-    def __call__(self, document: Document) -> DecodedDocument:
-        """Decode one document."""
-        ...
-
 
 @dataclass(frozen=True, slots=True)
 class MergedSite:
--- a/packages/agatecross-core/agatecross_core/config/parse_documents.py
+++ b/packages/agatecross-core/agatecross_core/config/parse_documents.py
@@ -5,7 +5,7 @@
 from ..constants import MAX_DOCUMENT_BYTES
 from ..errors import DocumentSyntaxError
 from ..findings import Finding, Place
-from .model import DecodedDocument, Document, DocumentDecoder
+from .documents import DecodedDocument, Document, DocumentDecoder
 
 MAX_NESTING = 64
 """The decoder recurses at each level, and all readers must reject the same documents."""
--- a/packages/agatecross-core/agatecross_core/distribution/follower.py
+++ b/packages/agatecross-core/agatecross_core/distribution/follower.py
@@ -5,13 +5,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from ..config.model import (
-    ConfigState,
-    DocumentDecoder,
-    MeshConfig,
-    PublishRecord,
-    SnapshotRecord,
-)
+from ..config.documents import DocumentDecoder
+from ..config.model import ConfigState, MeshConfig, PublishRecord, SnapshotRecord
 from ..constants import (
     LOG_POLL_WAIT,
     LOG_RETRY_BASE_DELAY,
--- a/packages/agatecross-core/agatecross_core/distribution/log_fold.py
+++ b/packages/agatecross-core/agatecross_core/distribution/log_fold.py
@@ -3,14 +3,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ..config.documents import DocumentDecoder
 from ..config.fold import fold_entry, start_from_snapshot
-from ..config.model import (
-    ConfigState,
-    DocumentDecoder,
-    FoldStep,
-    OffsetRecord,
-    SnapshotRecord,
-)
+from ..config.model import ConfigState, FoldStep, OffsetRecord, SnapshotRecord
 from ..constants import NO_ERA, NO_OFFSET
 from ..ids import Offset, StoreEra
 from ..states import PublishVerdict
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -6,7 +6,8 @@
 from enum import Enum
 
 from ..config.compile import compile_documents, digest_of
-from ..config.model import ConfigState, Document, DocumentDecoder, MeshConfig
+from ..config.documents import Document, DocumentDecoder
+from ..config.model import ConfigState, MeshConfig
 from ..constants import NO_DIGEST, NO_OFFSET, RULE_SET_VERSION
 from ..findings import Finding
 from ..ids import Digest, DocumentName, Offset, PublishId, Version
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from agatecross_core.admission.policies import POLICIES
+from agatecross_core.config.documents import DecodedDocument
 from agatecross_core.config.formats import check_address, check_ip, check_name
-from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
 from agatecross_core.distribution.baselines import FOLLOWERS_BY_NAME
 from agatecross_core.errors import SettingsError
--- a/packages/agatecross-daemon/agatecross_daemon/settings_file.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings_file.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 
 from agatecross_adapters.toml_documents import decode_toml
-from agatecross_core.config.check_sites import check_table
-from agatecross_core.config.model import DecodedDocument, Document
+from agatecross_core.config.check_table import check_table
+from agatecross_core.config.documents import DecodedDocument, Document
 from agatecross_core.config.schema import Key
 from agatecross_core.errors import DocumentSyntaxError, SettingsError
 from agatecross_core.findings import Finding
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from agatecross_core.config.documents import DecodedDocument
 from agatecross_core.config.formats import check_address, check_name
-from agatecross_core.config.model import DecodedDocument
 from agatecross_core.config.schema import Key
 from agatecross_core.durations import check_duration, parse_duration
 from agatecross_core.errors import SettingsError
--- a/packages/agatecross-daemon/agatecross_daemon/startup.py
+++ b/packages/agatecross-daemon/agatecross_daemon/startup.py
@@ -9,7 +9,7 @@
 
 from absl import app, flags, logging
 
-from agatecross_core.config.model import DecodedDocument
+from agatecross_core.config.documents import DecodedDocument
 from agatecross_core.errors import SettingsError
 
 from .process_signals import ProcessSignals
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/control_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from agatecross_adapters.codec import ControlMessage
-from agatecross_adapters.protocols import PeerTransport
+from agatecross_adapters.peer_transport import PeerTransport
 from agatecross_core.errors import PeerError
 from agatecross_core.ids import Address, Millis
 
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -31,7 +31,8 @@
 from opentelemetry.trace import Span, SpanKind, Tracer
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
-from agatecross_adapters.call_headers import OUTCOME_HEADER, REASON_HEADER, SERVICE_HEADER
+from agatecross_adapters.call_headers import SERVICE_HEADER
+from agatecross_adapters.outcome_headers import OUTCOME_HEADER, REASON_HEADER
 from agatecross_adapters.protocols import HttpClient, HttpListener, RequestHandler
 from agatecross_core.calls.model import Headers, Request, Response
 from agatecross_core.errors import ExchangeError
--- a/packages/agatecross-standins/agatecross_standins/bench/convergence.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/convergence.py
@@ -18,7 +18,8 @@
 
 from agatecross_adapters.codec import encode_record
 from agatecross_cli.documents import read_documents
-from agatecross_core.config.model import Document, PublishRecord
+from agatecross_core.config.documents import Document
+from agatecross_core.config.model import PublishRecord
 from agatecross_core.constants import CONFIG_STREAM, RULE_SET_VERSION
 from agatecross_core.ids import PublishId, Version
 
--- a/packages/agatecross-standins/agatecross_standins/bench/slopes.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/slopes.py
@@ -18,7 +18,7 @@
 from agatecross_adapters.codec import decode_control, encode_control
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.config.compile import compile_documents
-from agatecross_core.config.model import BASE, Document
+from agatecross_core.config.documents import BASE, Document
 from agatecross_core.constants import MAX_UPDATES_PER_MESSAGE
 from agatecross_core.distribution.readers import readers
 from agatecross_core.ids import (
