--- a/features/deaths.feature
+++ b/features/deaths.feature
@@ -43,3 +43,9 @@
     And the upstream that runs "GET /safe/page" for a caller of d1 crashes, 2 times
     And a caller of d2 sends "GET /safe/page" 6 times
     Then every answer was 200
+
+  Scenario: strikes that have expired are not taken from a peer again
+    Guards against a refusal without an end, as each daemon reminds the others of what they forgot.
+    Given a suspect of two deaths, known to one daemon 5 minutes before the other
+    When each has told the other what it knows every minute for 30 minutes
+    Then both let the request run
--- a/features/steps/deaths_steps.py
+++ b/features/steps/deaths_steps.py
@@ -6,8 +6,10 @@
 
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Endpoint
+from agatecross_core.members.records import Strike
 from agatecross_core.quarantine.death_watch import DeathWatch, RunEnd
 from agatecross_core.quarantine.model import relay_fingerprint
+from agatecross_core.quarantine.report import CrashReport
 from agatecross_core.quarantine.suspects import SuspectTable, Verdict
 from agatecross_core.quarantine.trial import select_trial_endpoint
 from agatecross_core.relay.model import Handover, RelayRequest, Repeat
@@ -200,3 +202,28 @@
     spans = [min(at for at in served if at > first) - first for first in refusals]
     assert max(spans, default=0) <= most, max(spans)
     assert served[-1] >= virtual.now - 1_000
+
+
+@given("a suspect of two deaths, known to one daemon {minutes:d} minutes before the other")
+def step_known_earlier(context, minutes):
+    report = CrashReport((Strike("f", "d1", 1), Strike("f", "d2", 1)))
+    context.tables = (SuspectTable(), SuspectTable())
+    for table, minute in zip(context.tables, (0, minutes), strict=True):
+        table.add(report, Millis(minute * 60_000))
+    context.minute = minutes
+
+
+@when("each has told the other what it knows every minute for {minutes:d} minutes")
+def step_tell_each_other(context, minutes):
+    first, second = context.tables
+    for _ in range(minutes):
+        context.minute += 1
+        now = Millis(context.minute * 60_000)
+        first.add(second.snapshot(now), now)
+        second.add(first.snapshot(now), now)
+
+
+@then("both let the request run")
+def step_both_free(context):
+    now = Millis(context.minute * 60_000)
+    assert [table.judge("f", now) for table in context.tables] == [Verdict.FREE] * 2
--- a/packages/agatecross-core/agatecross_core/quarantine/lost_calls.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/lost_calls.py
@@ -14,6 +14,7 @@
 # An upstream that crashes is back after some seconds. If no connection was refused meanwhile, its
 # later start confirms the crash.
 RESTART_WINDOW = Millis(10_000)
+MAX_LOST_CALLS = 512
 # A request that is run less often than once in so many is rarely running at two deaths.
 MAX_COMPLETED = 4_096
 
@@ -94,7 +95,13 @@
         return CrashReport(tuple(strikes), tuple(condemned))
 
     def _drop_old(self, now: Millis) -> None:
-        self.calls = [call for call in self.calls if now - call.at < RESTART_WINDOW]
+        # Only a run that the upstream broke off can be blamed on a later start.
+        kept = [
+            call
+            for call in self.calls
+            if now - call.at < (RESTART_WINDOW if call.reset else CRASH_WINDOW)
+        ]
+        self.calls = kept[-MAX_LOST_CALLS:]
 
 
 def _request_key(handover: Handover) -> int:
