--- a/features/relay.feature
+++ b/features/relay.feature
@@ -81,11 +81,14 @@
       | more calls than slots                 | call a 1 900; call b 1 900; call c 1 900                                 | start a; start b                          |
       | idle slots                            | call a 1 900; call b 1 900; call c 1 900; done a                         | start a; start b; start c                 |
       | low-priority work started first       | call a 1 900; call b 1 900; call c 2 900; call d 0 900; done a           | start a; start b; start d                 |
-      | a wait beyond the deadline            | learn r 100; call a 1 900; call b 1 900; call c 1 90                     | start a; start b; refuse c overloaded     |
-      | answers that all come too late        | learn r 100; call a 1 900 200; call b 1 900 200; call c 1 900 200; call d 1 900 200; call e 1 900 200 | start a; start b; refuse d overloaded; refuse e overloaded |
+      | a wait beyond the deadline            | learn r 100; call a 1 900; call b 1 900; call c 1 90                     | start a; start b; refuse c deadline       |
+      | answers that all come too late        | learn r 100; call a 1 900 250; call b 1 900 250; call c 1 900 250; call d 1 900 250; call e 1 900 250 | start a; start b; refuse d overloaded; refuse e overloaded |
       | a start that cannot end in time       | call a 1 900; call b 1 900; call c 1 300; learn r 600; done a            | start a; start b; refuse c deadline       |
       | calls of running work that start last | call a 1 900; call b 1 900; call c 1 900 300; call d 1 200 60; done a; done b | start a; start b; start d; start c   |
       | work for an upstream that leaves      | call a 1 900; call b 1 900; call c 1 900; clear                          | start a; start b; refuse c leaving        |
+      | all starts just too late              | call a 1 900; call b 1 900; call c 1 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; refuse c overloaded; start d |
+      | an overtaken call of a higher rank    | call a 1 900; call b 1 900; call c 0 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; start c |
+      | a slow mean that lasts for ever       | learn r 900; call a 1 300; done a; call b 1 300; call c 1 300            | start a; start b; refuse c deadline       |
       | a call started after its caller left  | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
 
   Scenario Outline: routes: <guards against>
