Limit customers over the whole fleet

Customers had a rate and a burst in the configuration that nothing applied. The entry daemon now admits by the share that the customer's home tells, and by its part of the limit without a home; calls beyond it get 429 with a time to come back.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -19,13 +19,8 @@
     SERVICE_HEADER,
     decode_call,
 )
-from agatecross_adapters.hop_codec import (
-    Tag,
-    decode_endpoint,
-    decode_hop_message,
-    encode_endpoint,
-    encode_hop_message,
-)
+from agatecross_adapters.endpoint_codec import decode_endpoint, encode_endpoint
+from agatecross_adapters.hop_codec import Tag, decode_hop_message, encode_hop_message
 from agatecross_adapters.hop_messages import (
     Cancel,
     ConfigBlob,
@@ -54,6 +49,7 @@
     StoreError,
 )
 from agatecross_core.ids import Millis, Offset
+from agatecross_core.limits.model import CustomerUse, LimitAnswer, LimitReport
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.heartbeat_filter import HeartbeatFilter
 from agatecross_core.members.records import Strike
@@ -98,6 +94,8 @@
         ConfigDelta(7, 8, 1, (b"new", (0, 2))),
         Pull(7),
         Strikes((Strike("f", "d1", 1),)),
+        LimitReport("0/1", 3, False, (CustomerUse("ann", 5, 4, -1),)),
+        LimitAnswer("0/1", 3, False, (("ann", 0.25),)),
     )
 ]
 HEARTBEAT = {
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -7,7 +7,7 @@
 from feeding_steps import wait_for_reachability
 from platform_steps import poll_until, start_testbed
 
-from agatecross_adapters.hop_codec import encode_endpoint
+from agatecross_adapters.endpoint_codec import encode_endpoint
 from agatecross_core.distribution.propagation import ReaderRole
 from agatecross_core.distribution.store_era import EraTracker
 from agatecross_core.ids import Address, Millis
--- a/features/steps/virtual_fleet.py
+++ b/features/steps/virtual_fleet.py
@@ -130,6 +130,7 @@
             exit_mailbox,
             ignored,
             store_mailbox,
+            ignored,
             rng,
             log,
             metrics,
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -11,28 +11,26 @@
 
 import msgspec
 
-from agatecross_core.config.formats import check_address
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import (
     NO_CUSTOMER,
-    Address,
     CallId,
     CustomerName,
     DaemonId,
-    DataCentreName,
     Fingerprint,
     HandoverId,
+    HomeSlot,
     Incarnation,
     InstanceId,
     Millis,
-    RegionName,
+    ReportNumber,
     RouteName,
     ServiceName,
     StoreEra,
     Version,
 )
-from agatecross_core.members.directory import Endpoint
+from agatecross_core.limits.model import CustomerUse, LimitAnswer, LimitReport
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import (
     Handover,
@@ -41,8 +39,9 @@
     RelayResult,
     Repeat,
 )
-from agatecross_core.states import Outcome, Reason, UpstreamState
+from agatecross_core.states import Outcome, Reason
 
+from .endpoint_codec import endpoint_fields, endpoint_from_fields
 from .hop_messages import (
     Cancel,
     ConfigBlob,
@@ -74,6 +73,8 @@
     STRIKES = 10
     CONFIG_DELTA = 11
     STORE_ERA = 12
+    LIMIT_REPORT = 13
+    LIMIT_ANSWER = 14
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -84,14 +85,11 @@
 # A nested array beyond the interpreter's limit raises `RecursionError`.
 DECODE_ERRORS = (msgspec.MsgspecError, zlib.error, ValueError, RecursionError)
 REASON_BY_VALUE = {reason.value: reason for reason in Reason}
-STATE_BY_VALUE = {state.value: state for state in UpstreamState}
 TAG_BY_VALUE = {tag.value: tag for tag in Tag}
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 HeaderFields = list[tuple[bytes, bytes]]
-EndpointFields = tuple[
-    str, Count, Count, str, str, str, str, str | None, Count, str, Count, Count, bool, bool, Count
-]
 HandoverFields = tuple[
     int, str, str, str, str, Count, int, int, int, bytes, bytes, HeaderFields, bytes
 ]
@@ -110,11 +108,11 @@
     Tag.STRIKES: (tuple[list[tuple[str, str, Count]]], 1),
     Tag.CONFIG_DELTA: (tuple[Count, Count, Count, bytes], 4),
     Tag.STORE_ERA: (tuple[Count], 1),
+    Tag.LIMIT_REPORT: (tuple[str, Count, bool, list[tuple[str, Count, Count, int]]], 4),
+    Tag.LIMIT_ANSWER: (tuple[str, Count, bool, list[tuple[str, Share]]], 4),
 }
 """Type and number of the fields after the tag; a later release may append fields."""
 
-# Earlier releases send no rate of the link, which follows these fields.
-ENDPOINT_FIELD_COUNT = 15
 RESULT_FIELD_COUNT = 7
 RESPONSE_FIELD_COUNT = 3
 
@@ -139,19 +137,6 @@
         raise MessageDecodeError(f"hop message: {error}") from error
 
 
-def encode_endpoint(endpoint: Endpoint) -> bytes:
-    """Encode an endpoint record for the log."""
-    return ENCODER.encode(_endpoint_fields(endpoint))
-
-
-def decode_endpoint(data: bytes) -> Endpoint:
-    """Decode an endpoint record from the log; raises `MessageDecodeError`."""
-    try:
-        return _endpoint_from_fields(msgspec.convert(DECODER.decode(data), list[Any]))
-    except DECODE_ERRORS as error:
-        raise MessageDecodeError(f"endpoint: {error}") from error
-
-
 def _message_fields(message: HopMessage) -> tuple[Any, ...]:
     match message:
         case Handover():
@@ -177,7 +162,7 @@
         case Result(handover_id, result):
             return (Tag.RESULT, handover_id, *_result_fields(result))
         case Hello():
-            rows = [_endpoint_fields(endpoint) for endpoint in message.endpoints]
+            rows = [endpoint_fields(endpoint) for endpoint in message.endpoints]
             return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
         case Cancel(handover_id):
             return (Tag.CANCEL, handover_id)
@@ -186,7 +171,7 @@
         case Ping(is_reply, version):
             return (Tag.PING, is_reply, version)
         case Endpoints(endpoints):
-            return (Tag.ENDPOINTS, [_endpoint_fields(endpoint) for endpoint in endpoints])
+            return (Tag.ENDPOINTS, [endpoint_fields(endpoint) for endpoint in endpoints])
         case ConfigBlob(version, data):
             return (Tag.CONFIG, version, data)
         case ConfigDelta(base, version, crc, steps):
@@ -200,6 +185,11 @@
             return (Tag.STRIKES, rows)
         case StoreEraNotice(era):
             return (Tag.STORE_ERA, era)
+        case LimitReport(slot, number, is_last, uses):
+            rows = [(use.customer, use.offered, use.admitted, use.used) for use in uses]
+            return (Tag.LIMIT_REPORT, slot, number, is_last, rows)
+        case LimitAnswer(slot, number, is_settling, shares):
+            return (Tag.LIMIT_ANSWER, slot, number, is_settling, shares)
 
 
 def _result_fields(result: RelayResult) -> tuple[Any, ...]:
@@ -234,7 +224,7 @@
                 DaemonId(daemon_id),
                 Incarnation(incarnation),
                 Version(version),
-                tuple(map(_endpoint_from_fields, rows)),
+                tuple(map(endpoint_from_fields, rows)),
             )
         case Tag.CANCEL:
             return Cancel(HandoverId(fields[0]))
@@ -243,7 +233,7 @@
         case Tag.PING:
             return Ping(fields[0], Version(fields[1]))
         case Tag.ENDPOINTS:
-            return Endpoints(tuple(map(_endpoint_from_fields, fields[0])))
+            return Endpoints(tuple(map(endpoint_from_fields, fields[0])))
         case Tag.CONFIG:
             return ConfigBlob(Version(fields[0]), fields[1])
         case Tag.CONFIG_DELTA:
@@ -254,6 +244,17 @@
             return Strikes(tuple(_strike_from_fields(strike) for strike in fields[0]))
         case Tag.STORE_ERA:
             return StoreEraNotice(StoreEra(fields[0]))
+        case Tag.LIMIT_REPORT:
+            slot, number, is_last, uses = fields
+            return LimitReport(
+                HomeSlot(slot),
+                ReportNumber(number),
+                is_last,
+                tuple(CustomerUse(CustomerName(name), *counts) for name, *counts in uses),
+            )
+        case Tag.LIMIT_ANSWER:
+            slot, number, is_settling, shares = fields
+            return LimitAnswer(HomeSlot(slot), ReportNumber(number), is_settling, tuple(shares))
 
 
 def _handover_from_fields(fields: HandoverFields, rest: list[Any]) -> Handover:
@@ -334,53 +335,3 @@
 
 def _strike_from_fields(fields: tuple[str, str, int]) -> Strike:
     return Strike(Fingerprint(fields[0]), DaemonId(fields[1]), Incarnation(fields[2]))
-
-
-def _endpoint_fields(endpoint: Endpoint) -> tuple[Any, ...]:
-    return (
-        endpoint.daemon_id,
-        endpoint.incarnation,
-        endpoint.sequence,
-        endpoint.address,
-        endpoint.region,
-        endpoint.data_centre,
-        endpoint.service,
-        endpoint.instance,
-        endpoint.born,
-        endpoint.state.value,
-        endpoint.slots,
-        int(endpoint.cold),
-        endpoint.leaving,
-        endpoint.reaches_store,
-        int(endpoint.store_latency),
-        endpoint.link_rate,
-    )
-
-
-def _endpoint_from_fields(all_fields: list[Any]) -> Endpoint:
-    fields: EndpointFields = msgspec.convert(all_fields[:ENDPOINT_FIELD_COUNT], EndpointFields)
-    daemon, incarnation, sequence, address, region, centre, service, instance, born = fields[:9]
-    state, slots, cold, leaving, reaches_store, store_latency = fields[9:]
-    rest = all_fields[ENDPOINT_FIELD_COUNT:]
-    link_rate = msgspec.convert(rest[0], Count) if rest else 0
-    if (message := check_address(address)) is not None:
-        raise MessageDecodeError(f"endpoint: {message}")
-    return Endpoint(
-        DaemonId(daemon),
-        Incarnation(incarnation),
-        sequence,
-        Address(address),
-        RegionName(region),
-        DataCentreName(centre),
-        ServiceName(service),
-        InstanceId(instance) if instance is not None else None,
-        born,
-        # An upstream in a state that only later releases know gets no calls.
-        STATE_BY_VALUE.get(state, UpstreamState.STARTING),
-        slots,
-        Millis(cold),
-        leaving,
-        reaches_store,
-        Millis(store_latency),
-        link_rate,
-    )
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -4,6 +4,7 @@
 
 from agatecross_core.distribution.delta import Step
 from agatecross_core.ids import DaemonId, HandoverId, Incarnation, StoreEra, Version
+from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.records import Strike
 from agatecross_core.relay.model import Handover, RelayResult
@@ -123,4 +124,6 @@
     | Pull
     | Strikes
     | StoreEraNotice
+    | LimitReport
+    | LimitAnswer
 )
--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -14,6 +14,12 @@
 NO_CUSTOMER = CustomerName("")
 """Stands for the calls that no customer makes."""
 
+HomeSlot = NewType("HomeSlot", str)
+"""One of the groups into which customers are divided; each has a home, written ``index/count``."""
+
+ReportNumber = NewType("ReportNumber", int)
+"""Counts the reports of one daemon to one home, from 1."""
+
 DocumentName = NewType("DocumentName", str)
 """``base`` or the name of the data centre whose overlay it is."""
 
--- /dev/null
+++ b/packages/agatecross-core/agatecross_core/limits/meters.py
@@ -0,0 +1,56 @@
+"""Rates of events that follow changes."""
+
+import math
+from dataclasses import dataclass
+
+from ..ids import ZERO_MS, Millis
+
+FAST_SPAN = Millis(150)
+SLOW_SPAN = Millis(700)
+# A change beyond this many standard deviations of the fast rate is taken for real.
+SURE_DEVIATIONS = 4.0
+
+
+@dataclass(slots=True)
+class DecayedRate:
+    """Events a second, where earlier events count less and less over `span`."""
+
+    span: Millis
+    weight: float = 0.0
+    at: Millis = ZERO_MS
+
+    def add(self, events: float, now: Millis) -> None:
+        """Add events that happened now."""
+        self.weight = self.weight * math.exp((self.at - now) / self.span) + events
+        self.at = now
+
+    def rate(self, now: Millis) -> float:
+        """Return the events a second."""
+        return self.weight * math.exp((self.at - now) / self.span) / self.span * 1000
+
+    def set_rate(self, rate: float, now: Millis) -> None:
+        """Forget the past and start with a rate."""
+        self.weight, self.at = rate * self.span / 1000, now
+
+
+class DemandMeter:
+    """Demand a second: slow in calm times, so that noise limits nobody, and fast at a change."""
+
+    def __init__(self, now: Millis) -> None:
+        """Start without demand."""
+        self.fast = DecayedRate(FAST_SPAN, at=now)
+        self.slow = DecayedRate(SLOW_SPAN, at=now)
+
+    def add(self, calls: int, now: Millis) -> None:
+        """Add calls that a report tells."""
+        self.fast.add(calls, now)
+        self.slow.add(calls, now)
+
+    def rate(self, now: Millis) -> float:
+        """Return the calls a second."""
+        fast, slow = self.fast.rate(now), self.slow.rate(now)
+        noise = SURE_DEVIATIONS * math.sqrt(max(slow, 1.0) / (2 * FAST_SPAN / 1000))
+        if abs(fast - slow) > noise:
+            self.slow.set_rate(fast, now)
+            return fast
+        return slow
--- a/packages/agatecross-daemon/agatecross_daemon/mailbox.py
+++ b/packages/agatecross-daemon/agatecross_daemon/mailbox.py
@@ -21,6 +21,18 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class FanOut(Generic[M]):
+    """Delivers each message to several mailboxes, in order."""
+
+    receivers: "tuple[Sender[M], ...]"
+
+    def put(self, message: M) -> None:
+        """Deliver a message without waiting."""
+        for receiver in self.receivers:
+            receiver.put(message)
+
+
 class Mailbox(Generic[M]):
     """Message queue of one task."""
 
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from agatecross_adapters.hop_messages import HopMessage
 from agatecross_core.ids import DaemonId, HandoverId, InstanceId, Millis, ServiceName
+from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.heartbeat_filter import Heartbeat
 from agatecross_core.members.leave_replies import LeaveReply
@@ -142,3 +144,29 @@
     """Requests that were running when an upstream died, here or at a peer."""
 
     strikes: tuple[Strike, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeersSeen:
+    """The daemons in the directory, those with an open link, and those whose process has ended."""
+
+    known: frozenset[DaemonId]
+    open_links: frozenset[DaemonId]
+    ended: frozenset[DaemonId]
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send a report to a daemon, if the link to it is open."""
+
+    daemon_id: DaemonId
+    message: LimitReport
+
+
+@dataclass(frozen=True, slots=True)
+class LimitMessageReceived:
+    """A peer sent a message on the limits of customers."""
+
+    message: LimitReport | LimitAnswer
+    daemon_id: DaemonId
+    send_reply: Callable[[HopMessage], None]
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -81,6 +81,11 @@
             ("to",),
             registry=self.registry,
         )
+        self.limited_customers = Gauge(
+            "agatecross_limited_customers",
+            "Customers beyond their limit, of those whose home this daemon is.",
+            registry=self.registry,
+        )
         self.peers = Gauge(
             "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
         )
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -9,11 +9,9 @@
 from dataclasses import dataclass, field, fields, replace
 from functools import partial
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
-from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.http_server import TornadoHttpListener
-from agatecross_adapters.protocols import FleetStore, RequestHandler
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.errors import SettingsError
 from agatecross_core.ids import Address, Incarnation, Millis
@@ -22,19 +20,20 @@
 from agatecross_core.pauses import PauseClock
 from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.drain import LAST_REQUEST_TIME, plan_drain
-from agatecross_core.routing.host_table import HostTable
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
-from .mailbox import Sender, boottime_ms, monotonic_ms
+from .front_end import FrontEnd
+from .mailbox import FanOut, boottime_ms, monotonic_ms
 from .process_signals import ProcessSignals, SignalAction
-from .relay_messages import DrainPlanned, HeartbeatReceived, LeaveReceived
+from .relay_messages import DrainPlanned
 from .relay_metrics import RelayMetrics
 from .sidecar_settings import SidecarSettings
 from .store_messages import StoreMoved
 from .tasks.entry_task import EntryMessage, EntryTask
 from .tasks.exit_task import ExitMessage, ExitTask
+from .tasks.limits_task import LimitsMessage, LimitsTask
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.store_task import StoreMessage, StoreTask
 
@@ -46,39 +45,6 @@
 RELOADABLE_SETTINGS = frozenset(("store", "retries", "grace"))
 
 
-class FrontEnd(Protocol):
-    """What a platform provides: its store, its header names and its decoders."""
-
-    names: HeaderNames
-
-    @property
-    def store(self) -> FleetStore:
-        """Return the platform's store."""
-        ...
-
-    def decode_config(self, data: bytes, /) -> HostTable:
-        """Return the compiled configuration; raises `MessageDecodeError`."""
-        ...
-
-    def set_store_address(self, address: Address) -> None:
-        """Use the store at this address from the next call on."""
-        ...
-
-    def report_silent_connections(self, report: Callable[[Address, Millis], None], /) -> None:
-        """Call `report` with address and idle time of each connection to the store found silent."""
-        ...
-
-    def create_heartbeat_handler(
-        self, sender: "Sender[HeartbeatReceived | LeaveReceived]"
-    ) -> RequestHandler:
-        """Return the handler of the requests that an upstream sends to its local daemon."""
-        ...
-
-    def is_readiness_check(self, request: Request) -> bool:
-        """Return whether a request is a readiness check."""
-        ...
-
-
 @dataclass(slots=True)
 class Sidecar:
     """The tasks of one daemon."""
@@ -89,6 +55,7 @@
     exit: ExitTask
     peers: PeersTask
     store: StoreTask
+    limits: LimitsTask
     log: DecisionLog
     metrics: RelayMetrics
     entry_mailbox: DirectMailbox[EntryMessage]
@@ -98,9 +65,9 @@
     leaving: bool = False
 
     @property
-    def tasks(self) -> tuple[ExitTask, PeersTask, StoreTask]:
+    def tasks(self) -> tuple[ExitTask, PeersTask, StoreTask, LimitsTask]:
         """Return the tasks that run until cancelled."""
-        return (self.exit, self.peers, self.store)
+        return (self.exit, self.peers, self.store, self.limits)
 
     async def start(self) -> None:
         """Open every listener."""
@@ -170,6 +137,7 @@
         await listener.stop_accepting()
         earliest = Millis(monotonic_ms() + LAST_REQUEST_TIME)
         max_loop_delay = max(max_loop_delay, await self._wait_until_finished(earliest, plan.end))
+        self.limits.leave()
         self._log_drain_end(started_at, max_loop_delay)
         self.exit.refuse_waiting_calls()
         await asyncio.gather(listener.finish(CLOSE_TIMEOUT_MS), self.peers.finish(CLOSE_TIMEOUT_MS))
@@ -238,6 +206,8 @@
     exit_mailbox: DirectMailbox[ExitMessage] = DirectMailbox()
     peers_mailbox: DirectMailbox[PeersMessage] = DirectMailbox()
     store_mailbox: DirectMailbox[StoreMessage] = DirectMailbox()
+    limits_mailbox: DirectMailbox[LimitsMessage] = DirectMailbox()
+    limits = LimitsTask(limits_mailbox, settings.daemon_id, peers_mailbox, rng, log, metrics)
     # Ticked by the exit task, which runs for as long as the daemon.
     pauses = PauseClock(boottime_ms())
     entry = EntryTask(
@@ -248,6 +218,7 @@
         LowestCostBalancer(settings.region, settings.data_centre, rng),
         budget_factory(settings),
         peers_mailbox,
+        limits,
         pauses,
         rng,
         log,
@@ -270,6 +241,7 @@
         exit_mailbox,
         entry_mailbox,
         store_mailbox,
+        limits_mailbox,
         rng,
         log,
         metrics,
@@ -280,7 +252,7 @@
         front_end.decode_config,
         settings.apply_within,
         directory,
-        entry_mailbox,
+        FanOut((limits_mailbox, entry_mailbox)),
         peers_mailbox,
         exit_mailbox,
         rng,
@@ -294,6 +266,7 @@
         exit_task,
         peers,
         store,
+        limits,
         log,
         metrics,
         entry_mailbox,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/announcements.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable, Iterator
 
-from agatecross_adapters.hop_codec import decode_endpoint, encode_endpoint
+from agatecross_adapters.endpoint_codec import decode_endpoint, encode_endpoint
 from agatecross_adapters.protocols import FleetStore, StoreAnswer
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, Millis, StoreEra
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -13,8 +13,10 @@
 from agatecross_core.customers.model import Customer, call_rank
 from agatecross_core.ids import (
     HANDOVER_COUNTER_BITS,
+    NO_CUSTOMER,
     Address,
     CallId,
+    CustomerName,
     DaemonId,
     HandoverId,
     Millis,
@@ -50,6 +52,7 @@
     TableInForce,
 )
 from ..relay_metrics import RelayMetrics
+from .limits_task import CustomerLimiter
 from .relayed_call import CallContext, RelayedCall
 
 EntryMessage = TableInForce | FleetChanged | StrikesReported | DrainPlanned
@@ -60,6 +63,7 @@
 RETRY_AFTER_MAX_SECONDS = 0.12
 UNAUTHORIZED = 401
 NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -77,6 +81,7 @@
         balancer: LowestCostBalancer,
         new_budget: Callable[[], FleetRetryBudget],
         peers: Sender[SendHandover | CancelRemoteHandover],
+        limits: CustomerLimiter,
         pauses: PauseClock,
         rng: random.Random,
         log: DecisionLog,
@@ -90,6 +95,7 @@
         self.balancer = balancer
         self.new_budget = new_budget
         self.peers = peers
+        self.limits = limits
         self.rng = rng
         self.log = log
         self.metrics = metrics
@@ -162,6 +168,10 @@
         if self.strikes.records and self._is_quarantined(context):
             self._refuse(exchange, UNAVAILABLE, Reason.QUARANTINED, table.version)
             return
+        customer = access.customer
+        if customer is not None and (wait := self.limits.admit(customer)) is not None:
+            self._refuse_beyond_limit(exchange, customer, wait, table.version)
+            return
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = self.new_budget()
@@ -251,6 +261,8 @@
         return HandoverId(next(self.handover_ids))
 
     def _on_call_ended(self, call: RelayedCall, result: RelayResult) -> None:
+        if call.context.customer is not None:
+            self.limits.settle(call.context.customer, call.arrivals)
         response = self._response_for(result, call.context.service)
         took = monotonic_ms() - call.exchange.arrived
         route = call.context.route
@@ -282,7 +294,23 @@
             )
         call.exchange.respond(response)
 
-    def _refuse(self, exchange: Exchange, status: int, reason: Reason, version: int) -> None:
+    def _refuse_beyond_limit(
+        self, exchange: Exchange, customer: Customer, wait: Millis, version: int
+    ) -> None:
+        header = (b"retry-after", b"%.3f" % (wait / 1000))
+        self._refuse(
+            exchange, TOO_MANY_REQUESTS, Reason.CUSTOMER_LIMIT, version, customer.name, (header,)
+        )
+
+    def _refuse(
+        self,
+        exchange: Exchange,
+        status: int,
+        reason: Reason,
+        version: int,
+        customer: CustomerName = NO_CUSTOMER,
+        headers: HeaderRows = (),
+    ) -> None:
         call_ids = [value for name, value in exchange.request.headers if name == self.names.call_id]
         self.metrics.count_refusal(reason)
         self.log.write_failed_call(
@@ -290,10 +318,11 @@
             call_id=call_ids[0].decode("latin-1") if call_ids else "",
             host=exchange.host,
             reason=reason.value,
+            customer=customer,
             version=version,
             status=status,
         )
-        exchange.respond(RelayResponse(status, self._refusal_headers(status), b""))
+        exchange.respond(RelayResponse(status, headers or self._refusal_headers(status), b""))
 
     def _refusal_headers(self, status: int) -> HeaderRows:
         if status == UNAUTHORIZED:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -80,6 +80,8 @@
             PING_PERIOD, Millis(monotonic_ms() - rng.uniform(0, PING_PERIOD))
         )
         self.failed_dials = 0
+        # Nothing listened at the address after the connection was lost.
+        self.process_ended = False
         self.redial_spread = ZERO_MS
         self.redial_delay = ZERO_MS
         self.down_since: Millis | None = monotonic_ms()
@@ -160,6 +162,7 @@
                     )
             except ConnectionRefusedError:
                 # Nothing listens at the address: the daemon that had the handovers is gone.
+                self.process_ended = True
                 self._fail_pending(lambda pending: True)
             except (OSError, TimeoutError):
                 # The daemon may still run its handovers, so only safe calls may be repeated.
@@ -217,6 +220,7 @@
             self._fail_pending(lambda pending: True)
         self.incarnation = hello.incarnation
         self.state = LinkState.OPEN
+        self.process_ended = False
         self.failed_dials = 0
         self.down_since = None
         for handover_id in list(self.pending):
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -17,18 +17,16 @@
     Strikes,
 )
 from agatecross_adapters.hop_sending import encode_for_sending
-from agatecross_core.constants import FULL_TABLE_SENDERS
 from agatecross_core.distribution.propagation import push_links
-from agatecross_core.distribution.readers import select_readers
 from agatecross_core.ids import (
     ZERO_MS,
     Address,
     DaemonId,
-    DataCentreName,
     HandoverId,
     Millis,
     StoreEra,
 )
+from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import REDIAL_SPACING, ping_periods
 from agatecross_core.members.records import Strike
@@ -43,9 +41,12 @@
     CancelRemoteHandover,
     FleetChanged,
     LeaveReceived,
+    LimitMessageReceived,
     OwnEndpointChanged,
+    PeersSeen,
     RunHandover,
     SendHandover,
+    SendToPeer,
     StoreReachability,
     StrikesReported,
 )
@@ -64,6 +65,7 @@
 )
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
+from .greetings import new_hello, reply_hello
 from .inbound_links import InboundLinks
 from .peer_link import LinkState, PeerLink
 
@@ -77,6 +79,7 @@
     | FullConfigNeeded
     | EndpointsRead
     | StoreRestored
+    | SendToPeer
 )
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
@@ -107,6 +110,7 @@
             | PeerRemoved
             | StoreRestoreReported
         ],
+        limits: Sender[PeersSeen | LimitMessageReceived],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -117,13 +121,14 @@
         self.exit = exit_mailbox
         self.entry = entry
         self.store = store
+        self.limits = limits
         self.rng = rng
         self.log = log
         self.metrics = metrics
         self.links: dict[DaemonId, PeerLink] = {}
         self.inbound = InboundLinks(
             exit_mailbox,
-            self._new_hello_reply,
+            lambda hello: reply_hello(directory, self.config_distributor.version, hello),
             lambda: self.config_distributor.version,
             self._handle_peer_message,
             log,
@@ -131,6 +136,7 @@
         self.server: asyncio.Server | None = None
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
         self.open_links: frozenset[DaemonId] = frozenset()
+        self.seen: PeersSeen | None = None
         self.periods_outdated = False
         self.periods_due_at = ZERO_MS
         self.strikes: deque[Strike] = deque(maxlen=MAX_KEPT_STRIKES)
@@ -201,6 +207,9 @@
                 encoded = encode_for_sending(Strikes(strikes))
                 for link in self.links.values():
                     link.send_encoded(encoded)
+            case SendToPeer(daemon_id, report):
+                if daemon_id in self.links:
+                    self.links[daemon_id].send(report)
             case StoreRestored(era):
                 self.restored_era = max(self.restored_era, era)
                 self._send_to_peers(StoreEraNotice(era))
@@ -279,7 +288,12 @@
         self.links[endpoint.daemon_id] = PeerLink(
             endpoint.daemon_id,
             endpoint.address,
-            lambda: self._new_hello(endpoint.daemon_id, endpoint.data_centre),
+            lambda: new_hello(
+                self.directory,
+                self.config_distributor.version,
+                endpoint.daemon_id,
+                endpoint.data_centre,
+            ),
             lambda: self.config_distributor.version,
             self._on_link_message,
             self._on_silent_link,
@@ -302,36 +316,6 @@
         for daemon_id in [i for i in self.links if i not in self.directory.rows]:
             self.links.pop(daemon_id).close()
 
-    def _new_hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
-        """Return the hello for a peer: this daemon's endpoint, and the table or the peer's drain.
-
-        Every daemon sends a hello to every other one, so the number of whole tables sent would grow
-        with the square of the fleet. Only a few daemons of each data centre send theirs, to the
-        daemons of the same data centre.
-        """
-        me = self.directory.me
-        others = [
-            endpoint
-            for endpoint in self.directory.rows.values()
-            if endpoint.daemon_id != me.daemon_id
-        ]
-        same_data_centre = [
-            endpoint.daemon_id for endpoint in others if endpoint.data_centre == me.data_centre
-        ]
-        table_senders = select_readers((me.daemon_id, *same_data_centre), FULL_TABLE_SENDERS)
-        if data_centre != me.data_centre or me.daemon_id not in table_senders:
-            # A drain that the peer confirmed before it restarted still applies to it.
-            others = [
-                endpoint
-                for endpoint in others
-                if endpoint.daemon_id == peer and endpoint.state is UpstreamState.DRAINING
-            ]
-        return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *others))
-
-    def _new_hello_reply(self, hello: Hello) -> Hello:
-        data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
-        return self._new_hello(hello.daemon_id, data_centre)
-
     def _publish_endpoints(self) -> None:
         """Send the entry task the reachable endpoints: this daemon and those with an open link."""
         me = self.directory.me.daemon_id
@@ -391,6 +375,9 @@
             case StoreEraNotice(era):
                 self.restored_era = max(self.restored_era, era)
                 self.store.put(StoreRestoreReported(era))
+            case LimitReport() | LimitAnswer():
+                if peer is not None:
+                    self.limits.put(LimitMessageReceived(message, peer, send_reply))
             case Pull(version):
                 self.config_distributor.answer_pull(version, send_reply)
             case _:
@@ -402,6 +389,7 @@
             if link.down_since is not None and now - link.down_since > FORGET_PEER_AFTER:
                 self._forget_peer(link)
         self._check_open_links()
+        self._report_peers()
         if self.periods_outdated and now >= self.periods_due_at:
             self.periods_due_at = Millis(now + PERIODS_UPDATE_INTERVAL)
             self._set_ping_periods()
@@ -423,6 +411,13 @@
         self.store.put(LinksChanged(open_links))
         self._publish_endpoints()
 
+    def _report_peers(self) -> None:
+        ended = frozenset(i for i, link in self.links.items() if link.process_ended)
+        seen = PeersSeen(frozenset(self.directory.rows), self.open_links, ended)
+        if seen != self.seen:
+            self.seen = seen
+            self.limits.put(seen)
+
     def _forget_peer(self, link: PeerLink) -> None:
         self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -24,7 +24,7 @@
 from agatecross_core.relay.response_notices import read_notices
 from agatecross_core.routing.host_table import HostRoute
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
-from agatecross_core.states import Reason
+from agatecross_core.states import Outcome, Reason
 
 from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import CancelRemoteHandover, SendHandover
@@ -94,6 +94,8 @@
         self.hedged = False
         self.kept_result: RelayResult | None = None
         self.attempts = 0
+        # Attempts that arrived at an upstream or may have.
+        self.arrivals = 0
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.hedge_timer: asyncio.TimerHandle | None = None
         self.ended = False
@@ -167,6 +169,7 @@
             self._end(self.kept_result)
 
     def _report_to_balancer(self, sent: SentAttempt, result: RelayResult) -> None:
+        self.arrivals += result.outcome is not Outcome.NOT_RUN
         now = monotonic_ms()
         took = Millis(now - sent.sent_at)
         size = len(self.context.request.body)
