--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -11,10 +11,9 @@
 
 # Above the limit, to pass what is due in spite of errors; an overage of 0.1 is allowed.
 RATE_MARGIN = 1.01
-# For a window after a part of the fleet was lost, or has come from a home that is lost: what both
-# admitted meanwhile is not known.
+# For a window after daemons were lost or came: what they admitted elsewhere is not known.
 CAREFUL_MARGIN = 0.9
-MAX_LOSS = 0.9
+MAX_CHANGE = 0.1
 # Calls on top of the burst; a slack of 20 is allowed.
 EXTRA_BURST = 9.0
 # Time over which a surplus or a debt of tokens is evened out.
@@ -108,6 +107,8 @@
         self.careful_until = ZERO_MS
         # The part of the fleet that reports here, followed slowly.
         self.part = 0.0
+        # The number of daemons that report here, followed slowly.
+        self.level = 0.0
         self.refreshed_at = ZERO_MS
         self.shares: tuple[tuple[CustomerName, float], ...] = ()
         self.changes: list[LimitChange] = []
@@ -221,7 +222,8 @@
             self._begin(now)
         else:
             self.part += (part - self.part) * min(1.0, passed / PART_SPAN)
-        if part < MAX_LOSS * self.part:
+        self.level += (len(self.reporters) - self.level) * min(1.0, passed / PART_SPAN)
+        if abs(len(self.reporters) - self.level) > MAX_CHANGE * self.level:
             self.careful_until = Millis(now + WINDOW)
         margin = CAREFUL_MARGIN if now < self.careful_until else RATE_MARGIN
         for name in self.touched | self.limited:
