--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -10,27 +10,25 @@
 
 import msgspec
 
-from agatecross_core.config.formats import check_address
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import (
     NO_CUSTOMER,
-    Address,
     CallId,
     CustomerName,
     DaemonId,
-    DataCentreName,
     HandoverId,
+    HomeSlot,
     Incarnation,
     InstanceId,
     Millis,
-    RegionName,
+    ReportNumber,
     RouteName,
     ServiceName,
     StoreEra,
     Version,
 )
-from agatecross_core.members.directory import Endpoint
+from agatecross_core.limits.model import CustomerUse, LimitAnswer, LimitReport
 from agatecross_core.relay.model import (
     Handover,
     RelayRequest,
@@ -38,15 +36,15 @@
     RelayResult,
     Repeat,
 )
-from agatecross_core.states import Outcome, Reason, UpstreamState
+from agatecross_core.states import Outcome, Reason
 
 from .crash_report_codec import crash_report_fields, crash_report_from_fields
+from .endpoint_codec import endpoint_fields, endpoint_from_fields
 from .hop_fields import (
     FIELD_TYPES,
     HANDOVER_FIELD_COUNT,
     RESULT_FIELD_COUNT,
     STRIKES_FIELD_COUNT,
-    EndpointFields,
     ResponseFields,
     Tag,
 )
@@ -76,7 +74,6 @@
 # A nested array beyond the interpreter's limit raises `RecursionError`.
 DECODE_ERRORS = (msgspec.MsgspecError, zlib.error, ValueError, RecursionError)
 REASON_BY_VALUE = {reason.value: reason for reason in Reason}
-STATE_BY_VALUE = {state.value: state for state in UpstreamState}
 TAG_BY_VALUE = {tag.value: tag for tag in Tag}
 
 
@@ -107,19 +104,6 @@
 _decode_ping = lru_cache(maxsize=2 * PINGED_VERSIONS)(_decode)
 
 
-def encode_endpoint(endpoint: Endpoint) -> bytes:
-    """Encode an endpoint record for the log."""
-    return ENCODER.encode(_endpoint_fields(endpoint))
-
-
-def decode_endpoint(data: bytes) -> Endpoint:
-    """Decode an endpoint record from the log; raises `MessageDecodeError`."""
-    try:
-        return _endpoint_from_fields(msgspec.convert(DECODER.decode(data), list[Any]))
-    except DECODE_ERRORS as error:
-        raise MessageDecodeError(f"endpoint: {error}") from error
-
-
 def _message_fields(message: HopMessage) -> tuple[Any, ...]:
     match message:
         case Handover():
@@ -145,7 +129,7 @@
         case Result(handover_id, result):
             return (Tag.RESULT, handover_id, *_result_fields(result))
         case Hello():
-            rows = [_endpoint_fields(endpoint) for endpoint in message.endpoints]
+            rows = [endpoint_fields(endpoint) for endpoint in message.endpoints]
             return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
         case Cancel(handover_id):
             return (Tag.CANCEL, handover_id)
@@ -154,7 +138,7 @@
         case Ping(is_reply, version):
             return (Tag.PING, is_reply, version)
         case Endpoints(endpoints):
-            return (Tag.ENDPOINTS, [_endpoint_fields(endpoint) for endpoint in endpoints])
+            return (Tag.ENDPOINTS, [endpoint_fields(endpoint) for endpoint in endpoints])
         case ConfigBlob(version, data):
             return (Tag.CONFIG, version, data)
         case ConfigDelta(base, version, crc, steps):
@@ -165,6 +149,11 @@
             return (Tag.STRIKES, *crash_report_fields(report))
         case StoreEraNotice(era):
             return (Tag.STORE_ERA, era)
+        case LimitReport(slot, number, is_last, uses):
+            rows = [(use.customer, use.offered, use.admitted, use.used) for use in uses]
+            return (Tag.LIMIT_REPORT, slot, number, is_last, rows)
+        case LimitAnswer(slot, number, is_settling, shares):
+            return (Tag.LIMIT_ANSWER, slot, number, is_settling, shares)
 
 
 def _result_fields(result: RelayResult) -> tuple[Any, ...]:
@@ -198,7 +187,7 @@
                 DaemonId(daemon_id),
                 Incarnation(incarnation),
                 Version(version),
-                tuple(map(_endpoint_from_fields, rows)),
+                tuple(map(endpoint_from_fields, rows)),
             )
         case Tag.CANCEL:
             return Cancel(HandoverId(fields[0]))
@@ -207,7 +196,7 @@
         case Tag.PING:
             return Ping(fields[0], Version(fields[1]))
         case Tag.ENDPOINTS:
-            return Endpoints(tuple(map(_endpoint_from_fields, fields[0])))
+            return Endpoints(tuple(map(endpoint_from_fields, fields[0])))
         case Tag.CONFIG:
             return ConfigBlob(Version(fields[0]), fields[1])
         case Tag.CONFIG_DELTA:
@@ -218,6 +207,17 @@
             return Strikes(crash_report_from_fields(fields[0], all_fields[STRIKES_FIELD_COUNT:]))
         case Tag.STORE_ERA:
             return StoreEraNotice(StoreEra(fields[0]))
+        case Tag.LIMIT_REPORT:
+            slot, number, is_last, uses = fields
+            return LimitReport(
+                HomeSlot(slot),
+                ReportNumber(number),
+                is_last,
+                tuple(CustomerUse(CustomerName(name), *counts) for name, *counts in uses),
+            )
+        case Tag.LIMIT_ANSWER:
+            slot, number, is_settling, shares = fields
+            return LimitAnswer(HomeSlot(slot), ReportNumber(number), is_settling, tuple(shares))
 
 
 def _handover_from_fields(fields: tuple[Any, ...], rest: list[Any]) -> Handover:
@@ -294,49 +294,3 @@
     if not stream.eof:
         raise MessageDecodeError("hop message: compressed data is incomplete or too large")
     return data
-
-
-def _endpoint_fields(endpoint: Endpoint) -> tuple[Any, ...]:
-    return (
-        endpoint.daemon_id,
-        endpoint.incarnation,
-        endpoint.sequence,
-        endpoint.address,
-        endpoint.region,
-        endpoint.data_centre,
-        endpoint.service,
-        endpoint.instance,
-        endpoint.born,
-        endpoint.state.value,
-        endpoint.slots,
-        int(endpoint.cold),
-        endpoint.leaving,
-        endpoint.reaches_store,
-        int(endpoint.store_latency),
-        endpoint.link_rate,
-    )
-
-
-def _endpoint_from_fields(all_fields: list[Any]) -> Endpoint:
-    wire = msgspec.convert(all_fields, EndpointFields)
-    if (message := check_address(wire.address)) is not None:
-        raise MessageDecodeError(f"endpoint: {message}")
-    return Endpoint(
-        DaemonId(wire.daemon_id),
-        Incarnation(wire.incarnation),
-        wire.sequence,
-        Address(wire.address),
-        RegionName(wire.region),
-        DataCentreName(wire.data_centre),
-        ServiceName(wire.service),
-        InstanceId(wire.instance) if wire.instance is not None else None,
-        wire.born,
-        # An upstream in a state that only later releases know gets no calls.
-        STATE_BY_VALUE.get(wire.state, UpstreamState.STARTING),
-        wire.slots,
-        Millis(wire.cold),
-        wire.leaving,
-        wire.reaches_store,
-        Millis(wire.store_latency),
-        wire.link_rate,
-    )
--- a/packages/agatecross-adapters/agatecross_adapters/hop_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_fields.py
@@ -11,7 +11,7 @@
 
 from msgspec import Struct
 
-from .wire_types import Count
+from .wire_types import Count, Share
 
 
 class Tag(IntEnum):
@@ -29,6 +29,8 @@
     STRIKES = 10
     CONFIG_DELTA = 11
     STORE_ERA = 12
+    LIMIT_REPORT = 13
+    LIMIT_ANSWER = 14
 
 
 HeaderFields = list[tuple[bytes, bytes]]
@@ -135,6 +137,24 @@
     era: Count
 
 
+class LimitReportFields(Struct, array_like=True):
+    """Fields of `LimitReport`."""
+
+    slot: str
+    number: Count
+    is_last: bool
+    uses: list[tuple[str, Count, Count, int]]
+
+
+class LimitAnswerFields(Struct, array_like=True):
+    """Fields of `LimitAnswer`."""
+
+    slot: str
+    number: Count
+    is_settling: bool
+    shares: list[tuple[str, Share]]
+
+
 class EndpointFields(Struct, array_like=True):
     """Fields of an endpoint; earlier releases send no rate of the link."""
 
@@ -169,6 +189,8 @@
     Tag.STRIKES: StrikesFields,
     Tag.CONFIG_DELTA: ConfigDeltaFields,
     Tag.STORE_ERA: StoreEraFields,
+    Tag.LIMIT_REPORT: LimitReportFields,
+    Tag.LIMIT_ANSWER: LimitAnswerFields,
 }
 HANDOVER_FIELD_COUNT = len(HandoverFields.__struct_fields__)
 RESULT_FIELD_COUNT = len(ResultFields.__struct_fields__)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from agatecross_adapters.hop_messages import (
     ConfigBlob,
@@ -16,18 +16,16 @@
     Strikes,
 )
 from agatecross_adapters.hop_sending import encode_for_sending
-from agatecross_core.constants import FULL_TABLE_SENDERS
 from agatecross_core.distribution.propagation import push_links
-from agatecross_core.distribution.readers import select_readers
 from agatecross_core.ids import (
     ZERO_MS,
     Address,
     DaemonId,
-    DataCentreName,
     HandoverId,
     Millis,
     StoreEra,
 )
+from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.ping_periods import REDIAL_SPACING, ping_periods
 from agatecross_core.quarantine.report import CrashReport
@@ -44,9 +42,12 @@
     CrashesReported,
     FleetChanged,
     LeaveReceived,
+    LimitMessageReceived,
     OwnEndpointChanged,
+    PeersSeen,
     RunHandover,
     SendHandover,
+    SendToPeer,
     StoreReachability,
 )
 from ..relay_metrics import RelayMetrics
@@ -65,6 +66,7 @@
 from .config_distributor import ConfigDistributor
 from .exit_task import ExitMessage
 from .fleet_publisher import FleetPublisher
+from .greetings import new_hello, reply_hello
 from .inbound_links import InboundLinks
 from .peer_link import LinkState, PeerLink
 
@@ -78,6 +80,7 @@
     | FullConfigNeeded
     | EndpointsRead
     | StoreRestored
+    | SendToPeer
 )
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
@@ -108,6 +111,7 @@
             | PeerRemoved
             | StoreRestoreReported
         ],
+        limits: Sender[PeersSeen | LimitMessageReceived],
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
@@ -118,13 +122,14 @@
         self.exit = exit_mailbox
         self.entry = entry
         self.store = store
+        self.limits = limits
         self.rng = rng
         self.log = log
         self.metrics = metrics
         self.links: dict[DaemonId, PeerLink] = {}
         self.inbound = InboundLinks(
             exit_mailbox,
-            self._new_hello_reply,
+            lambda hello: reply_hello(directory, self.config_distributor.version, hello),
             lambda: self.config_distributor.version,
             self._handle_peer_message,
             log,
@@ -133,6 +138,7 @@
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
         self.open_links: frozenset[DaemonId] = frozenset()
         self.publisher = FleetPublisher(directory, self.links, entry, log)
+        self.seen: PeersSeen | None = None
         self.periods_outdated = False
         self.periods_due_at = ZERO_MS
         self.suspects = SuspectTable(MAX_KEPT_SUSPECTS)
@@ -203,6 +209,9 @@
                 encoded = encode_for_sending(Strikes(report))
                 for link in self.links.values():
                     link.send_encoded(encoded)
+            case SendToPeer(daemon_id, report):
+                if daemon_id in self.links:
+                    self.links[daemon_id].send(report)
             case StoreRestored(era):
                 self.restored_era = max(self.restored_era, era)
                 self._send_to_peers(StoreEraNotice(era))
@@ -285,7 +294,12 @@
         self.links[endpoint.daemon_id] = PeerLink(
             endpoint.daemon_id,
             endpoint.address,
-            lambda: self._new_hello(endpoint.daemon_id, endpoint.data_centre),
+            lambda: new_hello(
+                self.directory,
+                self.config_distributor.version,
+                endpoint.daemon_id,
+                endpoint.data_centre,
+            ),
             lambda: self.config_distributor.version,
             self._on_link_message,
             self._on_silent_link,
@@ -309,32 +323,6 @@
             self.links.pop(daemon_id).close()
         self._check_open_links()
 
-    def _new_hello(self, peer: DaemonId, data_centre: DataCentreName) -> Hello:
-        """Return the hello for a peer: this daemon's endpoint, and the table or the peer's drain.
-
-        Every daemon sends a hello to every other one, so the number of whole tables sent would grow
-        with the square of the fleet. Only a few daemons of each data centre send theirs, to the
-        daemons of the same data centre.
-        """
-        me = self.directory.me
-        others: Iterable[Endpoint] = ()
-        if data_centre == me.data_centre and self._sends_table():
-            others = self.directory.others()
-        elif peer != me.daemon_id and (row := self.directory.rows.get(peer)) is not None:
-            # A drain that the peer confirmed before it restarted still applies to it.
-            others = (row,) if row.state is UpstreamState.DRAINING else ()
-        return Hello(me.daemon_id, me.incarnation, self.config_distributor.version, (me, *others))
-
-    def _sends_table(self) -> bool:
-        me = self.directory.me
-        rows = self.directory.rows.values()
-        same_data_centre = (row.daemon_id for row in rows if row.data_centre == me.data_centre)
-        return me.daemon_id in select_readers(same_data_centre, FULL_TABLE_SENDERS)
-
-    def _new_hello_reply(self, hello: Hello) -> Hello:
-        data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
-        return self._new_hello(hello.daemon_id, data_centre)
-
     def _on_link_message(self, link: PeerLink, message: HopMessage) -> None:
         self._handle_peer_message(message, link.send, link.daemon_id)
         if isinstance(message, Hello):
@@ -379,6 +367,9 @@
             case StoreEraNotice(era):
                 self.restored_era = max(self.restored_era, era)
                 self.store.put(StoreRestoreReported(era))
+            case LimitReport() | LimitAnswer():
+                if peer is not None:
+                    self.limits.put(LimitMessageReceived(message, peer, send_reply))
             case Pull(version):
                 self.config_distributor.answer_pull(version, send_reply)
             case _:
@@ -390,6 +381,7 @@
                 link.check_liveness(now)
             if link.down_since is not None:
                 self._handle_down_link(link, now)
+        self._report_peers()
         if self.periods_outdated and now >= self.periods_due_at:
             self.periods_due_at = Millis(now + PERIODS_UPDATE_INTERVAL)
             self._set_ping_periods()
@@ -419,6 +411,13 @@
         else:
             self.publisher.publish_soon()
 
+    def _report_peers(self) -> None:
+        ended = frozenset(i for i, link in self.links.items() if link.process_ended)
+        seen = PeersSeen(frozenset(self.directory.rows), self.open_links, ended)
+        if seen != self.seen:
+            self.seen = seen
+            self.limits.put(seen)
+
     def _forget_peer(self, link: PeerLink) -> None:
         self.log.write_change("peer_forgotten", daemon=link.daemon_id, address=link.address)
         self.links.pop(link.daemon_id).close()
--- a/packages/agatecross-standins/agatecross_standins/bench/own_costs.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/own_costs.py
@@ -228,6 +228,7 @@
             sink,
             sink,
             sink,
+            sink,
             rng,
             log,
             RelayMetrics(),
