Silence the connections to upstreams in the soak

The soak silenced connections between daemons and to the store only, so it could not find slots that silent connections to upstreams take. The schedules of the other kinds stay the same.

--- a/packages/agatecross-standins/agatecross_standins/soak/injector.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/injector.py
@@ -119,6 +119,8 @@
         match fault.kind:
             case FaultKind.UPSTREAM_LINK_RESET:
                 node.upstream_link.reset()
+            case FaultKind.UPSTREAM_LINK_SILENT:
+                node.upstream_link.silence_connections()
             case FaultKind.UPSTREAM_SLOW:
                 upstream, normal_work_seconds = node.upstream, node.upstream.work_seconds
                 upstream.work_seconds = SLOW_WORK_SECONDS
--- a/packages/agatecross-standins/agatecross_standins/soak/schedule.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/schedule.py
@@ -19,6 +19,7 @@
     of a topic except for the newest value of each key. `STORE_RESTORED` brings the store back from
     a copy that is as old as the fault is long. `HERD_SILENT` silences every open connection between
     daemons and to the store, and publishes a version at the end of the fault.
+    `UPSTREAM_LINK_SILENT` silences the open connections to one upstream.
     """
 
     KILL = "kill"
@@ -44,11 +45,17 @@
     STORE_RESTORED = "store-restored"
     PUBLISH = "publish"
     HERD_SILENT = "herd-silent"
+    UPSTREAM_LINK_SILENT = "upstream-link-silent"
 
 
 # Drawn apart from the other kinds, so that the schedules of seeds that failed before stay the same.
 NOTICE_KINDS = (FaultKind.UPSTREAM_LIMITED, FaultKind.UPSTREAM_SAYS_LEAVING)
-SEPARATE_KINDS = (*NOTICE_KINDS, FaultKind.STORE_RESTORED, FaultKind.HERD_SILENT)
+SEPARATE_KINDS = (
+    *NOTICE_KINDS,
+    FaultKind.STORE_RESTORED,
+    FaultKind.HERD_SILENT,
+    FaultKind.UPSTREAM_LINK_SILENT,
+)
 DRAWN_KINDS = tuple(kind for kind in FaultKind if kind not in SEPARATE_KINDS)
 MEAN_NOTICE_GAP_SECONDS = 4.0
 # A limit binds 3 s after it was first named.
@@ -77,6 +84,7 @@
         _notices(seed, seconds, node_count),
         _restores(seed, seconds, node_count),
         _silences(seed, seconds, node_count),
+        _upstream_silences(seed, seconds, node_count),
         key=lambda fault: fault.at,
     )
     yield from (fault for fault in faults if fault.kind in kinds)
@@ -110,6 +118,13 @@
         yield Fault(at, duration_seconds, FaultKind.HERD_SILENT, rng.randrange(node_count))
 
 
+def _upstream_silences(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
+    rng = random.Random(f"upstream silences of {seed}")
+    at = 0.0
+    while (at := at + rng.expovariate(1 / MEAN_SILENCE_GAP_SECONDS)) < seconds:
+        yield Fault(at, 0.0, FaultKind.UPSTREAM_LINK_SILENT, rng.randrange(node_count))
+
+
 def _drawn_faults(seed: int, seconds: float, node_count: int) -> Iterator[Fault]:
     """Yield faults; about a quarter of the draws become a series on several nodes.
 
