--- a/packages/agatecross-core/agatecross_core/limits/model.py
+++ b/packages/agatecross-core/agatecross_core/limits/model.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from functools import lru_cache
 
 from ..ids import CustomerName, HomeSlot, Millis, ReportNumber
 
@@ -79,6 +80,7 @@
     free_hold: Millis
 
 
+@lru_cache(maxsize=64)
 def timing(daemons: int) -> Timing:
     """Return the times for a fleet of so many daemons."""
     period = max(REPORT_PERIOD, REPORT_SPACING * daemons)
--- a/packages/agatecross-core/agatecross_core/limits/reporter.py
+++ b/packages/agatecross-core/agatecross_core/limits/reporter.py
@@ -104,6 +104,7 @@
     def retain(self, customers: "frozenset[CustomerName]") -> None:
         """Forget the customers that a configuration no longer has."""
         self.counts = {name: row for name, row in self.counts.items() if name in customers}
+        self.shares = {name: share for name, share in self.shares.items() if name in customers}
         self.unreported &= customers
         self.unanswered &= customers
 
