--- a/packages/agatecross-core/agatecross_core/limits/gate.py
+++ b/packages/agatecross-core/agatecross_core/limits/gate.py
@@ -15,7 +15,7 @@
 # Growth over the calls admitted lately that a daemon allows itself while its home is silent.
 HOLD_GROWTH = 1.5
 # Most daemons see few calls of most customers, and these come at random.
-HOLD_CALLS = 2.0
+HOLD_CALLS = 1.0
 HOLD_DEPTH = Millis(500)
 MIN_WAIT = Millis(50)
 MAX_WAIT = Millis(2_000)
@@ -127,7 +127,8 @@
         self.homes = home_count(self.fleet.largest)
         former = self.reporters.values()
         self.reporters = {
-            slot: SlotReporter(slot, self.fleet, self.links, now) for slot in all_slots(self.homes)
+            slot: SlotReporter(slot, self.fleet, self.links, self.rng, now)
+            for slot in all_slots(self.homes)
         }
         for reporter in self.reporters.values():
             for other in former:
--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -215,7 +215,9 @@
             return
         passed, self.refreshed_at = now - self.refreshed_at, now
         hold = timing(self.fleet.count(now)).hold
-        part = min(1.0, len(self.reporters) / self.fleet.lowest_count(hold, now))
+        # Newcomers get time to report, but not at the start of a fleet with many homes.
+        grace = hold if now - self.begun_at > hold else ZERO_MS
+        part = min(1.0, len(self.reporters) / self.fleet.lowest_count(grace, now))
         if now - self.begun_at < SETTLING:
             self.part = part
         elif part > MAX_GROWTH * self.part:
--- a/packages/agatecross-core/agatecross_core/limits/homes.py
+++ b/packages/agatecross-core/agatecross_core/limits/homes.py
@@ -13,6 +13,9 @@
 # so long; a deployment that loses machines for good has the rest of its limits back after it.
 LOST_DAEMON_COUNTS_FOR = Millis(600_000)
 
+# The longest time for which a newcomer is not counted.
+HISTORY_SPAN = Millis(10_000)
+
 
 def home_count(daemons: int) -> int:
     """Return the number of homes of a fleet."""
@@ -84,6 +87,8 @@
 
     def lowest_count(self, span: Millis, now: Millis) -> int:
         """Return the lowest count of the last `span`: newcomers count only after it."""
-        while len(self.history) > 1 and self.history[1][0] <= now - span:
+        while len(self.history) > 1 and self.history[1][0] <= now - HISTORY_SPAN:
             self.history.pop(0)
-        return min([self.count(now), *(count for _, count in self.history)])
+        times = [at for at, _ in self.history[1:]] + [now]
+        rows = zip(self.history, times, strict=True)
+        return min([self.count(now), *(count for (_, count), end in rows if end > now - span)])
--- a/packages/agatecross-core/agatecross_core/limits/reporter.py
+++ b/packages/agatecross-core/agatecross_core/limits/reporter.py
@@ -1,5 +1,6 @@
 """The entry side of a slot: chooses the home, reports to it, and knows how far its answers go."""
 
+import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -9,11 +10,15 @@
 
 # A new home does not know the use before it; one change a window keeps what that adds small.
 HOME_STEADY_AFTER = WINDOW
+# Daemons that start together find each other within this time, and then have one home.
+START_SPAN = Millis(2_000)
 # A daemon that did not answer is not chosen again for so long.
 AVOID_HOME_FOR = Millis(5_000)
 # Walking the fleet at each tick would cost a percent of a core at 1,300 daemons.
 # A new home learns the demand from the second report on.
 SETTLING_PERIOD = Millis(100)
+# If daemons that start together reported together, demand would seem to go up and down.
+REPORT_SPREAD = (0.7, 1.1)
 CHOICE_INTERVAL = Millis(250)
 
 
@@ -54,8 +59,16 @@
 class SlotReporter:
     """Reports the calls of the customers of one slot."""
 
-    def __init__(self, slot: HomeSlot, fleet: FleetSize, links: PeerLinks, now: Millis) -> None:
+    def __init__(
+        self,
+        slot: HomeSlot,
+        fleet: FleetSize,
+        links: PeerLinks,
+        rng: random.Random,
+        now: Millis,
+    ) -> None:
         """Start without a home."""
+        self.rng = rng
         self.slot = slot
         self.fleet = fleet
         self.links = links
@@ -68,6 +81,7 @@
         self.avoided: dict[DaemonId, Millis] = {}
         self.number = ReportNumber(0)
         self.reported_at = ZERO_MS
+        self.spread = 1.0
         self.waiting_since: Millis | None = None
         self.answered_at: Millis | None = None
         # The last time at which the shares were those of a home that knows the fleet.
@@ -75,7 +89,7 @@
         self.is_settling = False
         # Other daemons have chosen this one.
         self.serves_others = False
-        self.chosen_at = now
+        self.created_at = self.chosen_at = now
         self.choice_due_at = now
 
     def standing(self, customer: CustomerName, now: Millis) -> Standing:
@@ -117,7 +131,7 @@
         interval = times.period if self.unreported else times.presence
         if self.is_settling:
             interval = SETTLING_PERIOD
-        if self.number == 0 or now - self.reported_at >= interval:
+        if self.number == 0 or now - self.reported_at >= self.spread * interval:
             sent.append(SendReport(self.home, self._new_report(False, now)))
         return sent
 
@@ -137,6 +151,9 @@
             self.unanswered.clear()
         if not answer.is_settling:
             self.shares = dict(answer.shares)
+        if not answer.is_settling or self.informed_at is None:
+            # After a start, a home that settles lets this daemon hold; its part alone would refuse
+            # most calls of a fleet that starts again.
             self.informed_at = now
         self.is_settling = answer.is_settling
 
@@ -144,6 +161,7 @@
         self.unanswered |= self.unreported
         self.unreported.clear()
         self.number = ReportNumber(self.number + 1)
+        self.spread = self.rng.uniform(*REPORT_SPREAD)
         self.reported_at = now
         if self.waiting_since is None:
             self.waiting_since = now
@@ -178,11 +196,12 @@
         return sent
 
     def _candidates(self, home: DaemonId | None, now: Millis) -> Iterator[DaemonId]:
+        is_starting = now - self.created_at < START_SPAN
         for daemon, since in self.links.open_since.items():
-            is_steady = daemon == home or now - since >= HOME_STEADY_AFTER
+            is_steady = daemon == home or is_starting or now - since >= HOME_STEADY_AFTER
             if daemon == self.links.me:
                 # A daemon that has just started joins the home of the others.
-                is_candidate = is_steady or self.serves_others
+                is_candidate = self.serves_others or (is_steady and not is_starting)
             else:
                 is_candidate = is_steady or home is None
             if is_candidate and daemon not in self.avoided:
--- a/packages/agatecross-standins/agatecross_standins/bench/limits.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/limits.py
@@ -89,6 +89,11 @@
     fleet.kill(list(fleet.daemons.values())[::2], 1_500)
 
 
+def restart_all(fleet: VirtualLimits) -> None:
+    """Kill the whole fleet; it starts again after 0.8 s."""
+    fleet.kill(list(fleet.daemons.values()), 800)
+
+
 def lose_messages(fleet: VirtualLimits) -> None:
     """Lose a fifth of the messages for 6 s."""
 
@@ -113,6 +118,8 @@
     "hot with the home frozen": (freeze_homes, True),
     "calm with half restarted": (restart_half, False),
     "hot with half restarted": (restart_half, True),
+    "calm with all restarted": (restart_all, False),
+    "hot with all restarted": (restart_all, True),
     "hot with messages lost": (lose_messages, True),
 }
 
@@ -159,7 +166,7 @@
         if not daemon.is_running:
             # Callers move to another daemon.
             running = [row for row in fleet.daemons.values() if row.is_running]
-            chosen = rng.choice(running)
+            chosen = rng.choice(running or [daemon])
         fleet.call(chosen, customer)
 
     return call
