--- a/packages/agatecross-standins/agatecross_standins/bench/limits.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/limits.py
@@ -89,6 +89,11 @@
     fleet.kill(list(fleet.daemons.values())[::2], 1_500)
 
 
+def restart_all(fleet: VirtualLimits) -> None:
+    """Kill the whole fleet; it starts again after 0.8 s."""
+    fleet.kill(list(fleet.daemons.values()), 800)
+
+
 def lose_messages(fleet: VirtualLimits) -> None:
     """Lose a fifth of the messages for 6 s."""
 
@@ -106,14 +111,16 @@
 SCENARIOS: Mapping[str, tuple[Event, bool]] = {
     "calm": (nothing, False),
     "hot": (nothing, True),
-    "third cut off, calm": (cut_third, False),
-    "third cut off, hot": (cut_third, True),
-    "home killed, calm": (kill_homes, False),
-    "home killed, hot": (kill_homes, True),
-    "home frozen, hot": (freeze_homes, True),
-    "half restarted, calm": (restart_half, False),
-    "half restarted, hot": (restart_half, True),
-    "messages lost, hot": (lose_messages, True),
+    "calm with a third cut off": (cut_third, False),
+    "hot with a third cut off": (cut_third, True),
+    "calm with the home killed": (kill_homes, False),
+    "hot with the home killed": (kill_homes, True),
+    "hot with the home frozen": (freeze_homes, True),
+    "calm with half restarted": (restart_half, False),
+    "hot with half restarted": (restart_half, True),
+    "calm with all restarted": (restart_all, False),
+    "hot with all restarted": (restart_all, True),
+    "hot with messages lost": (lose_messages, True),
 }
 
 
@@ -159,7 +166,7 @@
         if not daemon.is_running:
             # Callers move to another daemon.
             running = [row for row in fleet.daemons.values() if row.is_running]
-            chosen = rng.choice(running)
+            chosen = rng.choice(running or [daemon])
         fleet.call(chosen, customer)
 
     return call
