--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -32,11 +32,8 @@
 from agatecross_core.relay.model import (
     Handover,
     RelayRequest,
-    RelayResponse,
-    RelayResult,
     Repeat,
 )
-from agatecross_core.states import Outcome, Reason
 
 from .crash_report_codec import crash_report_fields, crash_report_from_fields
 from .endpoint_codec import endpoint_fields, endpoint_from_fields
@@ -45,7 +42,6 @@
     HANDOVER_FIELD_COUNT,
     RESULT_FIELD_COUNT,
     STRIKES_FIELD_COUNT,
-    ResponseFields,
     Tag,
 )
 from .hop_messages import (
@@ -62,18 +58,17 @@
     StoreEraNotice,
     Strikes,
 )
+from .hop_results import result_fields, result_from_fields
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 # The index of a value is its code on the wire.
 REPEAT_CODES = (Repeat.SAFE, Repeat.ONCE)
-OUTCOME_CODES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
 # Most frames of an idle fleet are pings, which differ only in the version and in the direction.
 MAX_PING_BYTES = 8
 PINGED_VERSIONS = 32
 # A nested array beyond the interpreter's limit raises `RecursionError`.
 DECODE_ERRORS = (msgspec.MsgspecError, zlib.error, ValueError, RecursionError)
-REASON_BY_VALUE = {reason.value: reason for reason in Reason}
 TAG_BY_VALUE = {tag.value: tag for tag in Tag}
 
 
@@ -127,7 +122,7 @@
                 message.customer,
             )
         case Result(handover_id, result):
-            return (Tag.RESULT, handover_id, *_result_fields(result))
+            return (Tag.RESULT, handover_id, *result_fields(result))
         case Hello():
             rows = [endpoint_fields(endpoint) for endpoint in message.endpoints]
             return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
@@ -156,22 +151,6 @@
             return (Tag.LIMIT_ANSWER, slot, number, is_settling, shares)
 
 
-def _result_fields(result: RelayResult) -> tuple[Any, ...]:
-    reason = result.reason.value if result.reason else None
-    head = (
-        OUTCOME_CODES.index(result.outcome),
-        reason,
-        result.reached_upstream,
-        result.load,
-        result.slots,
-        int(result.cost),
-    )
-    response = result.response
-    if response is None:
-        return head
-    return (*head, response.status, response.headers, response.body)
-
-
 def _message_from_fields(tag: Tag, all_fields: list[Any]) -> HopMessage:
     fields: Any = msgspec.structs.astuple(msgspec.convert(all_fields, FIELD_TYPES[tag]))
     match tag:
@@ -179,7 +158,7 @@
             return _handover_from_fields(fields, all_fields[HANDOVER_FIELD_COUNT:])
         case Tag.RESULT:
             return Result(
-                HandoverId(fields[0]), _result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
+                HandoverId(fields[0]), result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
             )
         case Tag.HELLO:
             daemon_id, incarnation, version, rows = fields
@@ -257,26 +236,6 @@
     return text.isascii() or all(ord(character) < 256 for character in text)
 
 
-def _result_from_fields(fields: tuple[Any, ...], rest: list[Any]) -> RelayResult:
-    _, outcome, reason, reached_upstream, load, slots, cost = fields
-    if outcome >= len(OUTCOME_CODES):
-        raise MessageDecodeError(f"hop message: unknown outcome code {outcome}")
-    response = None
-    if rest:
-        wire = msgspec.convert(rest, ResponseFields)
-        response = RelayResponse(wire.status, tuple(wire.headers), wire.body)
-    return RelayResult(
-        OUTCOME_CODES[outcome],
-        # The outcome says what may be done; a later release may know further reasons for it.
-        REASON_BY_VALUE.get(reason, Reason.OTHER) if reason else None,
-        response,
-        reached_upstream,
-        load,
-        slots,
-        Millis(cost),
-    )
-
-
 def _config_delta_from_fields(fields: tuple[int, int, int, bytes]) -> ConfigDelta:
     base, version, crc, packed = fields
     encoded_steps = msgspec.convert(DECODER.decode(_decompress(packed)), list[Any])
