--- a/packages/agatecross-core/agatecross_core/limits/reporter.py
+++ b/packages/agatecross-core/agatecross_core/limits/reporter.py
@@ -46,12 +46,15 @@
     me: DaemonId
     open_since: dict[DaemonId, Millis] = field(default_factory=dict)
     ended: frozenset[DaemonId] = frozenset()
+    changed_at: Millis = ZERO_MS
 
     def update(
         self, open_links: frozenset[DaemonId], ended: frozenset[DaemonId], now: Millis
     ) -> None:
         """Use the open links, and the daemons whose process has ended."""
         before = self.open_since
+        if open_links | {self.me} != self.open_since.keys():
+            self.changed_at = now
         self.open_since = {i: before.get(i, now) for i in open_links | {self.me}}
         self.ended = ended
 
@@ -91,6 +94,7 @@
         self.serves_others = False
         self.created_at = self.chosen_at = now
         self.choice_due_at = now
+        self.compared_at = ZERO_MS
 
     def standing(self, customer: CustomerName, now: Millis) -> Standing:
         """Return how far the last answer goes for a customer."""
@@ -176,6 +180,9 @@
         if home is not None and home not in self.links.ended and now < self.choice_due_at:
             return []
         self.choice_due_at = Millis(now + CHOICE_INTERVAL)
+        if not self._may_choose_other(home, times, now):
+            return []
+        self.compared_at = now
         self.avoided = {i: until for i, until in self.avoided.items() if until > now}
         if home is not None and self._is_lost(home, times, now):
             if home != self.links.me:
@@ -195,6 +202,12 @@
         self.unanswered.clear()
         return sent
 
+    def _may_choose_other(self, home: DaemonId | None, times: Timing, now: Millis) -> bool:
+        """Return whether another home may be the best one since the daemons were compared."""
+        steady_at = max(self.links.changed_at, self.created_at) + HOME_STEADY_AFTER
+        is_settled = self.compared_at > steady_at and not self.avoided
+        return home is None or not is_settled or self._is_lost(home, times, now)
+
     def _candidates(self, home: DaemonId | None, now: Millis) -> Iterator[DaemonId]:
         is_starting = now - self.created_at < START_SPAN
         for daemon, since in self.links.open_since.items():
