Give the stand-in of a pool the callback for resets

The pool calls on_reset since silent and dead upstreams are told apart; the stand-in in the test of hostile streams lacked it.

Measured: features/hostile_streams.feature 2 of 2 scenarios.

--- a/features/steps/hostile_streams_steps.py
+++ b/features/steps/hostile_streams_steps.py
@@ -134,7 +134,12 @@
 def serve_upstream(reads):
     done = []
     pool = SimpleNamespace(
-        names=HEADER_NAMES, idle=[], connections=set(), unfinished_bytes=0, release=pool_release
+        names=HEADER_NAMES,
+        idle=[],
+        connections=set(),
+        unfinished_bytes=0,
+        release=pool_release,
+        on_reset=lambda: None,
     )
 
     def add_unfinished_bytes(count):
