Answer not-run in time, and name fairness as a reason of its own

Cause: a call that waited until its deadline was refused there at the moment at which its entry daemon gave up on it, so the caller got 504 for a request that reached no upstream; a call with too little time left was handed over; and a refusal by one slow upstream for the deadline ended the call though a faster one could serve it.

Change: waiting calls are refused as soon as they cannot end, also while no slot is free. The flow hands over nothing with less time left than 0.4 of the mean cost of the route, and tries another upstream after a refusal for the deadline.

Measured: rows of relay.feature (not-run that comes too late, time left, a slow upstream's refusal).

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -20,12 +20,25 @@
       | more runs than the route allows              | safe   | 1        | 3         | 9      | ran 500                                    | ran 500               | 1    |
       | more repeats than the budget                 | safe   | 2        | 3         | 0      | ran 500                                    | ran 500               | 1    |
       | budget spent on a call that did not run      | safe   | 2        | 3         | 0      | refused overloaded; ran 200                | ran 200               | 2    |
+      | a slow upstream's refusal as the last word   | safe   | 2        | 3         | 9      | refused deadline; ran 200                  | ran 200               | 2    |
       | a refusal after a possible run               | safe   | 2        | 3         | 9      | lost connection-lost; refused overloaded; refused overloaded | lost connection-lost | 3 |
       | a failure hidden by a refusal                | safe   | 2        | 2         | 9      | ran 500; refused overloaded                | ran 500               | 2    |
       | a call without upstreams that is not refused | safe   | 2        | 0         | 9      | -                                          | refused no-upstream   | 0    |
       | endless handovers                            | once   | 2        | 9         | 9      | refused overloaded; refused overloaded; refused overloaded | refused overloaded | 3 |
       | work for a caller whose time is up           | safe   | 2        | 3         | 9      | lost timeout                               | lost timeout          | 1    |
 
+  # LEFT and LEAST are the milliseconds until the deadline and those that a fast upstream needs.
+  Scenario Outline: time left: <guards against>
+    Given a relayed call with <left> ms left, of which upstreams need <least>
+    Then its call is <decision>
+
+    Examples:
+      | guards against                          | left | least | decision            |
+      | a handover that cannot end in time      | 60   | 80    | refused at once     |
+      | a handover without time for a round trip | 5   | 0     | refused at once     |
+      | a refusal of what can still be served   | 100  | 80    | handed over         |
+      | a refusal while the costs are unknown   | 60   | 0     | handed over         |
+
   # Events: accept N gives new or seen; resume N gives done, pending or fenced; finish N and +MS
   # (time that passes, in milliseconds) give no answer, shown as "-".
   Scenario Outline: ledger: <guards against>
@@ -89,6 +102,7 @@
       | all starts just too late              | call a 1 900; call b 1 900; call c 1 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; refuse c overloaded; start d |
       | an overtaken call of a higher rank    | call a 1 900; call b 1 900; call c 0 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; start c |
       | a slow mean that lasts for ever       | learn r 900; call a 1 300; done a; call b 1 300; call c 1 300            | start a; start b; refuse c deadline       |
+      | "not run" that comes too late         | learn r 100; call a 1 900; call b 1 900; call c 1 200; +90               | start a; start b; refuse c deadline       |
       | a call started after its caller left  | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
 
   Scenario Outline: routes: <guards against>
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -88,6 +88,23 @@
     )
 
 
+@given("a relayed call with {left:d} ms left, of which upstreams need {least:d}")
+def step_time_left(context, left, least):
+    policy = RelayPolicy(Repeat.SAFE, 2, Millis(least))
+    context.flow = relay(policy, lambda tried: endpoint("d0"), lambda: Millis(left), lambda: True)
+
+
+@then("its call is {decision}")
+def step_decision(context, decision):
+    try:
+        next(context.flow)
+    except StopIteration as stop:
+        assert decision == "refused at once", stop.value
+        assert describe(stop.value) == "refused deadline", stop.value
+    else:
+        assert decision == "handed over"
+
+
 @when('the upstreams answer "{results}"')
 def step_answer(context, results):
     script = [parse_result(text) for text in results.split("; ") if text != "-"]
--- a/packages/agatecross-cli/agatecross_cli/call_causes.py
+++ b/packages/agatecross-cli/agatecross_cli/call_causes.py
@@ -14,7 +14,8 @@
 SERVER_ERROR_STATUS = 500
 REASON_MEANINGS: Mapping[str, str] = {
     Reason.OVERLOADED.value: "every upstream that was asked had a queue longer than the objective",
-    Reason.DEADLINE.value: "the call waited for a slot until its deadline passed",
+    Reason.OVER_SHARE.value: "its customer asked for more than its fair share of a full upstream",
+    Reason.DEADLINE.value: "the call could not end before its deadline any more",
     Reason.TIMEOUT.value: "the upstream did not answer within the route's or the caller's timeout",
     Reason.CANCELLED.value: "the caller closed its connection",
     Reason.CUT.value: "the caller's daemon stopped before the call ended",
--- a/packages/agatecross-cli/agatecross_cli/deciding_lines.py
+++ b/packages/agatecross-cli/agatecross_cli/deciding_lines.py
@@ -128,6 +128,7 @@
 
 LINE_FINDERS: Mapping[str, LineFinder] = {
     Reason.OVERLOADED.value: find_refusal,
+    Reason.OVER_SHARE.value: find_refusal,
     Reason.DEADLINE.value: find_refusal,
     Reason.TIMEOUT.value: find_refusal,
     Reason.SHED.value: find_refusal,
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -120,7 +120,8 @@
             call = replace(call, over_share=True)
         max_wait = self._max_wait(call, now)
         if not has_slot and self._expected_wait(call, now) > max_wait:
-            yield RefuseHandover(call.handover_id, Reason.OVERLOADED)
+            reason = Reason.OVER_SHARE if over_share else Reason.OVERLOADED
+            yield RefuseHandover(call.handover_id, reason)
             return
         if self.limit.wait(self._position(call) + 1, now) > max_wait:
             yield RefuseHandover(call.handover_id, Reason.LIMITED)
@@ -149,19 +150,21 @@
         return False
 
     def start_waiting(self, now: Millis) -> Iterator[StartHandover | RefuseHandover]:
-        """Start waiting calls while slots are free; refuse those that cannot end in time.
+        """Refuse waiting calls that cannot end in time; start others while slots are free.
+
+        A call is refused as soon as it cannot end, also while no slot is free: at its deadline, the
+        answer "not run" would reach the entry daemon after it has given up on the call.
 
         Of the calls of one precedence, the first one goes that can still meet its objective. Those
         that it overtakes are refused, because others would overtake them until their deadline.
         """
-        while self.waiting and len(self.running) < self.slots:
-            in_time = [call for call in self.waiting if self._can_end(call, now, call.deadline)]
-            for call in self.waiting:
-                if call not in in_time:
-                    yield RefuseHandover(call.handover_id, Reason.DEADLINE)
-            self.waiting = in_time
-            if not in_time or not self.limit.take(now):
-                return
+        waiting, self.waiting = self.waiting, []
+        for call in waiting:
+            if self._can_end(call, now, call.deadline):
+                self.waiting.append(call)
+            else:
+                yield RefuseHandover(call.handover_id, Reason.DEADLINE)
+        while self.waiting and len(self.running) < self.slots and self.limit.take(now):
             overtaken = self._count_overtaken(now)
             for call in self.waiting[:overtaken]:
                 yield RefuseHandover(call.handover_id, Reason.OVERLOADED)
--- a/packages/agatecross-core/agatecross_core/relay/flow.py
+++ b/packages/agatecross-core/agatecross_core/relay/flow.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
 
-from ..ids import DaemonId, Millis
+from ..ids import ZERO_MS, DaemonId, Millis
 from ..members.directory import Endpoint
 from ..states import Outcome, Reason
 from .model import Attempt, RelayResult, Repeat, not_run_result
@@ -11,7 +11,7 @@
 # Until a handover has reached an upstream, further attempts take no token of the retry budget, but
 # each costs a round trip between daemons.
 MAX_HANDOVERS = 3
-# A repeat that starts with less time left than this cannot end in time.
+# A handover with less time left than this cannot end in time.
 MIN_TIME_LEFT = Millis(10)
 SERVER_ERROR = 500
 
@@ -21,10 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayPolicy:
-    """Limits of repeats of a call; `attempts` is the number of upstreams that may run it."""
+    """Limits of repeats of a call; `attempts` is the number of upstreams that may run it.
+
+    `least_time` is the time without which no upstream can end the call, 0 if it is unknown.
+    """
 
     repeat: Repeat
     attempts: int
+    least_time: Millis = ZERO_MS
 
 
 def relay(
@@ -33,13 +37,17 @@
     time_left: Callable[[], Millis],
     may_repeat: Callable[[], bool],
 ) -> Generator[Attempt, RelayResult, RelayResult]:
-    """Yield attempts, receive their results, and return the final result."""
+    """Yield attempts, receive their results, and return the final result.
+
+    Load pattern: callers that come back late, and calls of running upstreams near their deadline.
+    Without enough time left they are answered "not run" at once instead of being handed over.
+    """
     tried: tuple[DaemonId, ...] = ()
     arrivals = 0
     reported: RelayResult | None = None
     for number in range(MAX_HANDOVERS):
-        if reported is not None and time_left() < MIN_TIME_LEFT:
-            return reported
+        if time_left() < max(MIN_TIME_LEFT, policy.least_time):
+            return reported or not_run_result(Reason.DEADLINE)
         endpoint = choose(tried)
         if endpoint is None or endpoint.instance is None:
             return reported or not_run_result(Reason.NO_UPSTREAM)
@@ -56,7 +64,7 @@
 
 def is_repeatable(result: RelayResult, policy: RelayPolicy, arrivals: int) -> bool:
     """Return whether another attempt is allowed after this result."""
-    if result.reason in (Reason.TIMEOUT, Reason.CANCELLED, Reason.DEADLINE):
+    if result.reason in (Reason.TIMEOUT, Reason.CANCELLED):
         return False
     if result.outcome is Outcome.NOT_RUN:
         return arrivals <= policy.attempts
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -30,6 +30,8 @@
 # An upstream that fails one call in five costs as much as one with twice the load.
 LOWEST_COST_FAILURE_COST = 5.0
 LOWEST_COST_FAILURE_HALF_LIFE = Millis(1_500)
+# Upstreams of one service differ in speed; a fast one needs about this share of the mean cost.
+FASTEST_COST_SHARE = 0.4
 # Limits how far the speed of the last calls can shift traffic.
 MAX_SLOWNESS = 6.0
 MIN_SLOWNESS = 0.3
@@ -43,7 +45,14 @@
     (Reason.CONNECT_FAILED, Reason.NO_UPSTREAM, Reason.LEAVING, Reason.WRONG_INSTANCE)
 )
 OVERLOAD_REASONS = frozenset(
-    (Reason.QUEUE_FULL, Reason.OVERLOADED, Reason.LIMITED, Reason.SHED, Reason.DEADLINE)
+    (
+        Reason.QUEUE_FULL,
+        Reason.OVERLOADED,
+        Reason.OVER_SHARE,
+        Reason.LIMITED,
+        Reason.SHED,
+        Reason.DEADLINE,
+    )
 )
 
 
@@ -116,6 +125,10 @@
         mean = self.mean_times.get(route)
         return None if mean is None else Millis(mean)
 
+    def least_time_of(self, route: str) -> Millis:
+        """Return the time that a call of a route takes even at a fast upstream, 0 if unknown."""
+        return Millis(FASTEST_COST_SHARE * self.mean_costs.get(route, 0.0))
+
     def has_spare_capacity(self, endpoint: Endpoint, now: Millis) -> bool:
         """Return whether an endpoint has room for a second attempt."""
         stats = self.stats_of(endpoint)
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -65,6 +65,7 @@
     UNKNOWN_KEY = "unknown-key"
     CUSTOMER_LIMIT = "customer-limit"
     OVERLOADED = "overloaded"
+    OVER_SHARE = "over-share"
     LIMITED = "limited"
     WRONG_INSTANCE = "wrong-instance"
     BAD_ANSWER = "bad-answer"
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -175,7 +175,7 @@
             return endpoint
 
         flow = relay(
-            RelayPolicy(route.repeat, route.attempts),
+            RelayPolicy(route.repeat, route.attempts, self.balancer.least_time_of(route.name)),
             choose,
             lambda: Millis(self._latest_attempt_start(context) - monotonic_ms()),
             lambda: budget.take(self.daemon_count, monotonic_ms()),
