Answer a report that arrives before the home knows any other daemon

The list of the fleet's earlier sizes was empty then, and the home failed on each such report; seen in the feature's fleet of three daemons.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -38,6 +38,10 @@
       | a daemon alone that takes the whole limit  | 50   | 10    | 20    | 1     | 700   | 830  |
       | a customer without a limit that is limited | 0    | 0     | 20    | 10    | 3000  | 3000 |
 
+  Scenario: a report that arrives before the home knows any other daemon is answered
+    Guards against a home that fails at its start.
+    Then a home that knows no daemons answers the first report of "d1"
+
   Scenario: refusals say when to come back, and the upstream does not see them
     Guards against 429 without a time, refused calls that run, and limits for calls without a customer.
     Given a platform fleet in which "ann" may send 1 call a second and a burst of 2
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -10,6 +10,9 @@
 from platform_steps import poll_until, start_testbed
 
 from agatecross_core.customers.model import Customer
+from agatecross_core.limits.home import LimitHome
+from agatecross_core.limits.homes import FleetSize
+from agatecross_core.limits.model import CustomerUse, LimitReport
 from agatecross_standins.bench.limits import run, worst_window
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.virtual_limits import VirtualLimits
@@ -117,6 +120,14 @@
     play()
 
 
+@then('a home that knows no daemons answers the first report of "{daemon}"')
+def step_first_report(context, daemon):
+    home = LimitHome("0/1", FleetSize("d0"))
+    home.set_customers({"ann": Customer("ann", rate=1.0)})
+    report = LimitReport("0/1", 1, False, (CustomerUse("ann", 1, 1, 1),))
+    assert home.receive(report, daemon, START).number == 1
+
+
 @given('a platform fleet in which "ann" may send 1 call a second and a burst of 2')
 def step_limited_fleet(context):
     start_testbed(context, False, 30)
--- a/packages/agatecross-core/agatecross_core/limits/homes.py
+++ b/packages/agatecross-core/agatecross_core/limits/homes.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 
 from ..constants import MAX_MEMBERS
-from ..ids import CustomerName, DaemonId, HomeSlot, Millis
+from ..ids import ZERO_MS, CustomerName, DaemonId, HomeSlot, Millis
 
 # Each daemon reports to every home, so a home more costs each daemon as many messages again.
 DAEMONS_PER_HOME = 256
@@ -58,8 +58,8 @@
         self.lost: dict[DaemonId, Millis] = {}
         # Grows only, so that a fleet of which many daemons end keeps its homes.
         self.largest = 1
-        # Counts of the last time, to tell the lowest one.
-        self.history: list[tuple[Millis, int]] = []
+        # The times of changes with the counts after them, to tell the lowest one.
+        self.history: list[tuple[Millis, int]] = [(ZERO_MS, 1)]
 
     def update(self, known: frozenset[DaemonId], ended: frozenset[DaemonId], now: Millis) -> None:
         """Use the daemons in the directory, and those among them whose process has ended."""
@@ -73,7 +73,7 @@
         self.largest = max(self.largest, len(known))
         before = self.count(now)
         self.running = running
-        if (count := self.count(now)) != before or not self.history:
+        if (count := self.count(now)) != before:
             self.history.append((now, count))
 
     def count(self, now: Millis) -> int:
