--- a/packages/agatecross-core/agatecross_core/members/directory.py
+++ b/packages/agatecross-core/agatecross_core/members/directory.py
@@ -68,8 +68,6 @@
         # The other daemons by address. Two may have the same one, if the later one moved there.
         self.by_address: dict[Address, set[DaemonId]] = {}
         self.ready_rows: dict[ServiceName, tuple[Endpoint, ...]] | None = None
-        # Rises with each change.
-        self.revision = 0
 
     @property
     def by_service(self) -> Mapping[ServiceName, tuple[Endpoint, ...]]:
@@ -98,7 +96,7 @@
         """Change fields of this daemon's own description and return the new one."""
         self.me = replace(self.me, sequence=self.me.sequence + 1, **changes)  # type: ignore[arg-type]
         self.rows[self.me.daemon_id] = self.me
-        self._changed()
+        self.ready_rows = None
         return self.me
 
     def remove(self, daemon_id: DaemonId) -> None:
@@ -106,7 +104,7 @@
         row = self.rows.pop(daemon_id, None)
         if row is not None:
             self._forget_address(row)
-            self._changed()
+            self.ready_rows = None
 
     def others(self) -> Iterator[Endpoint]:
         """Return an iterator over the descriptions of the other daemons."""
@@ -128,7 +126,7 @@
             self._forget_address(known)
         self.rows[row.daemon_id] = row
         self.by_address.setdefault(row.address, set()).add(row.daemon_id)
-        self._changed()
+        self.ready_rows = None
 
     def _forget_address(self, row: Endpoint) -> None:
         daemon_ids = self.by_address[row.address]
@@ -136,10 +134,6 @@
         if not daemon_ids:
             del self.by_address[row.address]
 
-    def _changed(self) -> None:
-        self.ready_rows = None
-        self.revision += 1
-
     def _rows_at(self, address: Address) -> list[Endpoint]:
         return [self.rows[daemon_id] for daemon_id in self.by_address.get(address, ())]
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -106,9 +106,6 @@
         self.config = ConfigHolder(decode, entry, peers, log, metrics)
         self.missing_reads = 0
         self.open_links: frozenset[DaemonId] = frozenset()
-        # The role of this daemon, and the revision of the directory and the links it was found for.
-        self.role = ReaderRole.NONE
-        self.role_basis: tuple[int, frozenset[DaemonId]] | None = None
         self.calls = StoreCalls(peers, self._on_restored, log, metrics)
         self.announcements = Announcements(
             store,
@@ -197,12 +194,7 @@
         return self._reader_role() is not ReaderRole.NONE
 
     def _reader_role(self) -> ReaderRole:
-        basis = (self.directory.revision, self.open_links)
-        if basis != self.role_basis:
-            rows = self.directory.rows.values()
-            self.role = reader_role(self.directory.me, rows, self.open_links)
-            self.role_basis = basis
-        return self.role
+        return reader_role(self.directory.me, self.directory.rows.values(), self.open_links)
 
     async def _read_newest(self) -> None:
         """Wait until a read is due, then read the newest configuration."""
