--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -85,6 +85,7 @@
 HANDOVER = Handover(1, "c1", "r", "s0", "u0", Repeat.SAFE, 1, Millis(500), Millis(900), REQUEST)
 RESPONSE = RelayResponse(200, HEADERS, b"body")
 REPORT = CrashReport((Strike("f", "d1", 1),), ("g",), (Clearance("h", (("d1", 1),)),))
+KEY_HASHER = KeyHasher(b"secret")
 HOP_SAMPLES = [
     encode_hop_message(message)
     for message in (
@@ -218,9 +219,6 @@
         assert decode_hop_message(encode_hop_message(message)) == message
 
 
-KEY_HASHER = KeyHasher(b"secret")
-
-
 def use_endpoints(rows):
     directory = Directory(ME)
     directory.merge(rows)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -81,8 +81,7 @@
 TICK_SECONDS = 0.1
 FINISH_POLL_SECONDS = 0.01
 LISTEN_BACKLOG = 1024
-# The newest strikes are kept for daemons that connect later. An upstream has some tens of slots, so
-# the strikes of ten deaths fit.
+# Suspects are kept for daemons that connect later; what some ten deaths interrupted fits.
 MAX_KEPT_SUSPECTS = 512
 # A daemon unreachable for this long is forgotten; it announces itself again when it is back.
 FORGET_PEER_AFTER = Millis(20_000)
