Do not repeat calls to a service that sheds

Cause: while all upstreams of a service shed for some seconds, each call was sent to one after the other, which used up the budget of repeats and gave them more to shed.

Change: the entry daemon counts, for each service, the requests of the last second that reached an upstream and those that it shed. With half or more shed, no repeat is made and the first refusal is the answer; first attempts go on. The decision is a filter around the flow's results.

Measured: table shedding of relay.feature.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -39,6 +39,19 @@
       | a refusal of what can still be served   | 100  | 80    | handed over         |
       | a refusal while the costs are unknown   | 60   | 0     | handed over         |
 
+  # Results of one service: "shed" and "ran" reached an upstream, "full" is a daemon's refusal.
+  Scenario Outline: shedding: <guards against>
+    When the results of a service are "<results>"
+    Then a call that was shed is tried again: "<again>"
+
+    Examples:
+      | guards against                            | results                                  | again |
+      | a service that sheds asked in turn        | shed; shed; ran; shed; shed              | no    |
+      | one full upstream taken for the service   | shed; ran; ran; ran; shed; ran           | yes   |
+      | a verdict by too few results              | shed; shed                               | yes   |
+      | refusals of daemons taken for shedding    | full; full; full; full; full; shed       | yes   |
+      | a verdict that outlasts the shedding      | shed; shed; shed; shed; shed; +3000      | yes   |
+
   # Events: accept N gives new or seen; resume N gives done, pending or fenced; finish N and +MS
   # (time that passes, in milliseconds) give no answer, shown as "-".
   Scenario Outline: ledger: <guards against>
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -34,6 +34,7 @@
     RelayResult,
     Repeat,
 )
+from agatecross_core.relay.shedding import SheddingServices, observe_results
 from agatecross_core.routing.host_table import HostRoute, HostTable, WeightedSplit
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Outcome, Reason
@@ -99,6 +100,7 @@
         self.endpoints_by_service: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
         self.daemon_count = 1
         self.budgets: dict[ServiceName, FleetRetryBudget] = {}
+        self.shedding = SheddingServices()
         self.strikes = StrikeTable()
         self.drain_plan: DrainPlan | None = None
         self.stripped_headers = frozenset(
@@ -174,11 +176,18 @@
                 self.balancer.record_start(endpoint)
             return endpoint
 
+        def may_repeat() -> bool:
+            now = monotonic_ms()
+            return not self.shedding.includes(service, now) and budget.take(self.daemon_count, now)
+
         flow = relay(
             RelayPolicy(route.repeat, route.attempts, self.balancer.least_time_of(route.name)),
             choose,
             lambda: Millis(self._latest_attempt_start(context) - monotonic_ms()),
-            lambda: budget.take(self.daemon_count, monotonic_ms()),
+            may_repeat,
+        )
+        flow = observe_results(
+            flow, lambda result: self.shedding.record(service, result, monotonic_ms())
         )
 
         def choose_hedge(tried: DaemonId) -> Endpoint | None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -1,7 +1,7 @@
 """A call in progress: sends its attempts, collects their results and answers the caller once."""
 
 import asyncio
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from agatecross_adapters.caller_connection import ClosedBy, Exchange
@@ -20,8 +20,9 @@
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.relay.flow import is_served, reported_result
 from agatecross_core.relay.hedge import hedge_delay
-from agatecross_core.relay.model import Attempt, Handover, RelayRequest, RelayResult, unknown_result
+from agatecross_core.relay.model import Handover, RelayRequest, RelayResult, unknown_result
 from agatecross_core.relay.response_notices import read_notices
+from agatecross_core.relay.shedding import Flow
 from agatecross_core.routing.host_table import HostRoute
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Reason
@@ -29,7 +30,6 @@
 from ..mailbox import Sender, monotonic_ms
 from ..relay_messages import CancelRemoteHandover, SendHandover
 
-Flow = Generator[Attempt, RelayResult, RelayResult]
 HedgeChooser = Callable[[DaemonId], Endpoint | None]
 """Returns the endpoint for a hedged attempt besides the daemon tried first, or None."""
 
