Estimate the wait from running calls while no cost is known

Cause: after a start, the cost of every route is unknown and counted as nothing, so the expected wait was nothing and all calls of the first second were queued.

Change: a running call of unknown cost counts with the time that it has taken so far, and a waiting one with the mean of the running calls.

Measured: a row of relay.feature that fails without the change.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -115,6 +115,7 @@
       | all starts just too late              | call a 1 900; call b 1 900; call c 1 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; refuse c overloaded; start d |
       | an overtaken call of a higher rank    | call a 1 900; call b 1 900; call c 0 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; start c |
       | a slow mean that lasts for ever       | learn r 900; call a 1 300; done a; call b 1 300; call c 1 300            | start a; start b; refuse c deadline       |
+      | endless queues before costs are known | call a 1 900; call b 1 900; +300; call c 1 900 400; call d 1 900 400     | start a; start b; refuse d overloaded     |
       | "not run" that comes too late         | learn r 100; call a 1 900; call b 1 900; call c 1 200; +90               | start a; start b; refuse c deadline       |
       | a call started after its caller left  | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
 
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -212,9 +212,13 @@
         behind short ones is refused, and a long one is queued behind work that ends too late.
         """
         ahead = self.waiting[: self._position(call)]
-        waiting_cost = sum(self._cost_of(row.route) for row in ahead)
-        running_cost = sum(self._cost_of(row.route) for row, _ in self.running.values())
-        next_slot = running_cost / max(1, len(self.running))
+        # After a start no cost is known, and an estimate of nothing would let all calls of the
+        # first second queue up: a running call then counts with the time it has taken so far.
+        running_costs = [
+            self._cost_of(row.route) or now - started for row, started in self.running.values()
+        ]
+        next_slot = sum(running_costs) / max(1, len(running_costs))
+        waiting_cost = sum(self._cost_of(row.route) or next_slot for row in ahead)
         share_left = self.use.share_left(call.precedence, self.slots, now)
         return (waiting_cost + next_slot) / (max(1, self.slots) * share_left)
 
