--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -11,7 +11,7 @@
     StartHandover,
 )
 from agatecross_core.config.formats import MAX_PORT
-from agatecross_core.ids import Millis, ServiceName
+from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.heartbeat_filter import Heartbeat, HeartbeatFilter
 from agatecross_core.relay.budget import FleetRetryBudget
@@ -26,7 +26,6 @@
     unknown_result,
 )
 from agatecross_core.relay.response_outcome import classify_response
-from agatecross_core.relay.shedding import SheddingServices
 from agatecross_core.routing.host_table import CallerLimits, HostRoute, HostTable, WeightedSplit
 from agatecross_core.states import Outcome, Reason, UpstreamState
 
@@ -106,28 +105,6 @@
         assert decision == "handed over"
 
 
-@when('the results of a service are "{results}"')
-def step_service_results(context, results):
-    answers = {
-        "shed": not_run_result(Reason.SHED, reached_upstream=True),
-        "full": not_run_result(Reason.OVERLOADED),
-        "ran": RelayResult(Outcome.RAN, None, RelayResponse(200, (), b""), True),
-    }
-    context.shedding, context.now = SheddingServices(), Millis(0)
-    for word in results.split("; "):
-        if word.startswith("+"):
-            context.now = Millis(context.now + float(word))
-        else:
-            context.now = Millis(context.now + 20)
-            context.shedding.record(ServiceName("s"), answers[word], context.now)
-
-
-@then('a call that was shed is tried again: "{again}"')
-def step_shed_again(context, again):
-    shedding = context.shedding.includes(ServiceName("s"), context.now)
-    assert again == ("no" if shedding else "yes")
-
-
 @when('the upstreams answer "{results}"')
 def step_answer(context, results):
     script = [parse_result(text) for text in results.split("; ") if text != "-"]
