--- a/features/relay.feature
+++ b/features/relay.feature
@@ -39,6 +39,19 @@
       | a refusal of what can still be served   | 100  | 80    | handed over         |
       | a refusal while the costs are unknown   | 60   | 0     | handed over         |
 
+  # Results of one service: "shed" and "ran" reached an upstream, "full" is a daemon's refusal.
+  Scenario Outline: shedding: <guards against>
+    When the results of a service are "<results>"
+    Then a call that was shed is tried again: "<again>"
+
+    Examples:
+      | guards against                            | results                                  | again |
+      | a service that sheds asked in turn        | shed; shed; ran; shed; shed              | no    |
+      | one full upstream taken for the service   | shed; ran; ran; ran; shed; ran           | yes   |
+      | a verdict by too few results              | shed; shed                               | yes   |
+      | refusals of daemons taken for shedding    | full; full; full; full; full; shed       | yes   |
+      | a verdict that outlasts the shedding      | shed; shed; shed; shed; shed; +3000      | yes   |
+
   # Events: accept N gives new or seen; resume N gives done, pending or fenced; finish N and +MS
   # (time that passes, in milliseconds) give no answer, shown as "-".
   Scenario Outline: ledger: <guards against>
@@ -102,6 +115,7 @@
       | all starts just too late              | call a 1 900; call b 1 900; call c 1 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; refuse c overloaded; start d |
       | an overtaken call of a higher rank    | call a 1 900; call b 1 900; call c 0 900 300; call d 1 900 500; +150; learn r 150; done a | start a; start b; start c |
       | a slow mean that lasts for ever       | learn r 900; call a 1 300; done a; call b 1 300; call c 1 300            | start a; start b; refuse c deadline       |
+      | endless queues before costs are known | call a 1 900; call b 1 900; +300; call c 1 900 400; call d 1 900 400     | start a; start b; refuse d overloaded     |
       | "not run" that comes too late         | learn r 100; call a 1 900; call b 1 900; call c 1 200; +90               | start a; start b; refuse c deadline       |
       | a call started after its caller left  | call a 1 900; call b 1 900; call c 1 900; cancel c; done a               | start a; start b                          |
 
