Bound what clients hold in memory and descriptors

Cause: the parser collects a name or a value that has no end before it calls back, fields were kept after the head was refused, a read of 256 KB was parsed whole past the limit on pipelined requests, a body in small chunks was a list of small objects, and nothing bounded all connections together or their descriptors. asyncio and tornado accept as many connections in a row as the backlog. Change: `admission/connection_budget` says, without I/O, which connections are refused or closed when memory (counted in bytes that objects take) or places run short; `connection_guard` carries it out for callers, the heartbeat, ready, metrics and operators' addresses and for other daemons' connections. `message_size` bounds what is fed beside a body. Data is parsed in pieces of 8 KiB and waits behind 64 pipelined requests or unread responses. Trailers have a limit of their own and are dropped; before, they were passed on as header fields and counted on top of the body. A field counts three bytes beside its text, as a client may send no space. Callers and peers are accepted 16 at a time. Settings `limits.memory_mb` and `limits.descriptors`, a metric, a log line a second.

--- a/features/steps/fleet_drain_steps.py
+++ b/features/steps/fleet_drain_steps.py
@@ -123,7 +123,7 @@
             if state == "not sent yet on a new connection":
                 await until(lambda: closing.listener.collectors)
             if state == "incomplete in its body":
-                await until(lambda: any(row.chunks for row in closing.listener.collectors))
+                await until(lambda: any(row.body for row in closing.listener.collectors))
             ending = asyncio.ensure_future(closing.listener.close())
             await until(lambda: closing.listener.closing)
             if not stays_incomplete:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -17,7 +17,8 @@
 from agatecross_daemon.decision_log import DecisionLog
 from agatecross_daemon.events import format_event
 from agatecross_daemon.mailbox import boottime_ms
-from agatecross_daemon.sidecar import build_sidecar, log_loop_error
+from agatecross_daemon.loop_errors import log_loop_error
+from agatecross_daemon.sidecar import build_sidecar
 from agatecross_daemon.sidecar_settings import RetrySettings, SidecarSettings, sidecar_settings
 from agatecross_platform.front_end import PlatformFrontEnd
 from agatecross_standins.platform_config import config_record
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -14,7 +14,10 @@
 from agatecross_core.ids import ZERO_MS, Address, Millis
 from agatecross_core.routing.host_table import CallerLimits
 
-from .caller_connection import CallerConnection, ClosedBy, ExchangeHandler, ParseState
+from .accepting import listen_in_batches
+from .caller_connection import CallerConnection, ParseState
+from .caller_exchange import ClosedBy, ExchangeHandler
+from .connection_guard import ConnectionGuard, new_guard
 
 SWEEP_INTERVAL_SECONDS = 0.25
 ACCEPT_BACKLOG = 1024
@@ -41,9 +44,10 @@
 class CallerListener:
     """Accepts callers' connections on one address."""
 
-    def __init__(self, handler: ExchangeHandler) -> None:
-        """Pass each complete request to `handler`."""
+    def __init__(self, handler: ExchangeHandler, guard: ConnectionGuard | None = None) -> None:
+        """Pass each complete request to `handler`; `guard` bounds the connections."""
         self.handler = handler
+        self.guard = guard or new_guard()
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
@@ -52,10 +56,9 @@
 
     async def listen(self, address: Address) -> Address:
         """Start serving and return the bound address; port 0 lets the kernel choose a port."""
-        loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
-        self.server = await loop.create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=ACCEPT_BACKLOG
+        host = address.rpartition(":")[0]
+        self.server = await listen_in_batches(
+            lambda: CallerConnection(self), address, ACCEPT_BACKLOG
         )
         self._sweep()
         return Address(f"{host}:{self.server.sockets[0].getsockname()[1]}")
--- a/packages/agatecross-adapters/agatecross_adapters/http_server.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_server.py
@@ -19,6 +19,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
+from agatecross_core.admission.connection_budget import FIELD_BYTES, Place
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.constants import (
     MAX_HEAD_BYTES,
@@ -33,6 +34,7 @@
 from agatecross_core.states import Outcome, Reason
 
 from .call_headers import OUTCOME_HEADER, REASON_HEADER
+from .connection_guard import ConnectionGuard, new_guard
 from .http_fields import HOP_BY_HOP_FIELDS, end_to_end_fields, to_origin_form
 from .protocols import RequestHandler
 from .server_stream import LingeringClose, ServerStream, StreamServer, stream_of
@@ -63,7 +65,11 @@
         body_timeout: Millis = SERVER_BODY_TIMEOUT,
         write_timeout: Millis = SERVER_WRITE_TIMEOUT,
         last_read_timeout: Millis = SERVER_LAST_READ_TIMEOUT,
+        place: Place = Place.CALLERS,
+        guard: ConnectionGuard | None = None,
     ) -> None:
+        self.place = place
+        self.guard = guard or new_guard()
         self.head_timeout = head_timeout
         self.body_timeout = body_timeout
         self.write_timeout = write_timeout
@@ -151,7 +157,9 @@
         self.server.stop()
 
     def _open_stream(self, sock: socket.socket) -> ServerStream:
-        stream = ServerStream(sock, self.lingering.close, self._remove_stream)
+        stream = ServerStream(
+            sock, self.lingering.close, self._remove_stream, self.guard, self.place
+        )
         self.streams.add(stream)
         return stream
 
@@ -188,7 +196,8 @@
             # The connection closes after the last response, which would cut off a further request.
             connection.close()
             return
-        stream_of(connection).had_request = True
+        stream_of(connection).had_request = stream_of(connection).serving = True
+        stream_of(connection).count_held()
         task = asyncio.ensure_future(self._respond(connection, request))
         self.handler_tasks.add(task)
         task.add_done_callback(lambda ended: self._response_done(connection, ended))
@@ -196,6 +205,10 @@
 
     def _response_done(self, connection: HTTP1Connection, task: asyncio.Task[None]) -> None:
         self.handler_tasks.discard(task)
+        stream = stream_of(connection) if connection.stream is not None else None
+        if stream is not None:
+            stream.serving, stream.collected_bytes = False, 0
+            stream.count_held()
         if not task.cancelled() and (error := task.exception()) is not None:
             logging.error("event=answer_failed reason=%r", repr(error))
             connection.close()
@@ -263,7 +276,8 @@
         self.connection = connection
         self.start: RequestStartLine | None = None
         self.headers = HTTPHeaders()
-        self.chunks: list[bytes] = []
+        # A list of parts would take many times the memory of a body that arrives in small chunks.
+        self.body = bytearray()
         self.deadline = time.monotonic() + listener.head_timeout / 1000
         listener.collectors.add(self)
 
@@ -300,20 +314,28 @@
             raise HTTPInputError("exactly one Host header is required")
         self.start = start_line
         self.headers = headers
+        fields = list(headers.get_all())
+        self._count(sum(len(name) + len(value) + FIELD_BYTES for name, value in fields))
         self.deadline = time.monotonic() + self.listener.body_timeout / 1000
 
     def data_received(self, chunk: bytes) -> None:
         """Store one part of the body."""
-        self.chunks.append(chunk)
+        self.body += chunk
+        self._count(len(chunk))
 
     def finish(self) -> None:
         """Pass the complete request to the listener."""
         self.listener.collectors.discard(self)
         assert self.start is not None
         path, fields = to_origin_form(self.start.path, end_to_end_fields(self.headers))
-        request = Request(self.start.method, path, fields, b"".join(self.chunks))
+        request = Request(self.start.method, path, fields, bytes(self.body))
         self.listener.handle_request(self.connection, request)
 
+    def _count(self, count: int) -> None:
+        stream = stream_of(self.connection)
+        stream.collected_bytes += count
+        stream.count_held()
+
     def on_connection_close(self) -> None:
         """Discard a request whose connection closed."""
         self.listener.collectors.discard(self)
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -10,8 +10,11 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 
+from agatecross_core.admission.connection_budget import ConnectionPhase, Place, ShedReason
 from agatecross_core.ids import Millis
 
+from .connection_guard import ConnectionGuard
+
 DISCARD_CHUNK_BYTES = 65_536
 
 
@@ -65,20 +68,59 @@
     closed_while_idle = False
     # Set once a request has arrived; a client that has just connected is about to send one.
     had_request = False
+    # Set while a whole request is answered.
+    serving = False
 
     def __init__(
         self,
         sock: socket.socket,
         close_socket: Callable[[socket.socket], None],
         notify_closed: Callable[["ServerStream"], None],
+        guard: ConnectionGuard,
+        place: Place,
     ) -> None:
         super().__init__(sock)
         self.close_socket = close_socket
         self.notify_closed = notify_closed
+        self.guard = guard
+        # Bytes of the request that is being read, taken from the stream already.
+        self.collected_bytes = 0
+        self.held = guard.add(self, place, _peer_name(sock))
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read data and count it, which may close this connection."""
+        count = super().read_from_fd(buf)
+        if count:
+            self.count_held(count)
+        return count
+
+    def count_held(self, more: int = 0) -> None:
+        """Count what this connection holds; `more` bytes are about to be buffered."""
+        # Tornado drops the buffer of a closed stream.
+        unsent = len(self._write_buffer or b"")
+        held = self.collected_bytes + self._read_buffer_size + more + unsent
+        self.guard.update(self.held, held, self._phase(more))
+
+    def shed(self, reason: ShedReason) -> None:
+        """Close the connection; its incomplete request does not run."""
+        del reason
+        self.closed_while_idle = True
+        # Not within a read of this stream.
+        asyncio.get_running_loop().call_soon(self.close)
+
+    def _phase(self, more: int) -> ConnectionPhase:
+        if self.serving:
+            return ConnectionPhase.SERVING
+        if self.writing():
+            return ConnectionPhase.UNREAD
+        if more or self.collected_bytes or self._read_buffer_size:
+            return ConnectionPhase.READING
+        return ConnectionPhase.IDLE if self.had_request else ConnectionPhase.SILENT
 
     def close_fd(self) -> None:
         """Hand over the socket to be closed; called once, when the stream closes."""
         sock, self.socket = self.socket, None  # type: ignore[assignment]
+        self.guard.remove(self.held)
         if self.closed_while_idle and all_acknowledged(sock):
             sock.close()
         else:
@@ -97,6 +139,14 @@
             return False
 
 
+def _peer_name(sock: socket.socket) -> object:
+    try:
+        return sock.getpeername()
+    except OSError:
+        # The peer has reset the connection.
+        return None
+
+
 def all_acknowledged(sock: socket.socket) -> bool:
     """Return whether the peer has acknowledged all sent data."""
     return not any(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -119,6 +119,14 @@
 # A client that has learnt of the close closes its end within a few round trips.
 SERVER_LINGER_TIMEOUT: Final = Millis(1_000)
 
+# Clients' connections.
+# Heads, bodies and unread responses of all clients together: 32 of the largest requests.
+DEFAULT_READING_BYTES: Final = 32 * MIB
+# Share of the machine's memory for them, where the settings state it.
+READING_SHARE: Final = 0.2
+# Descriptors of a process that has no limit on them.
+DEFAULT_DESCRIPTORS: Final = 4_096
+
 # Idempotency.
 CLAIM_BATCH_WAIT: Final = Millis(10)
 IDEMPOTENCY_KEY_RETENTION: Final = Millis(15 * 60_000)
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -15,6 +15,7 @@
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
 from agatecross_adapters.toml_documents import decode_toml
+from agatecross_core.admission.connection_budget import Place
 from agatecross_core.admission.policies import new_admission
 from agatecross_core.customers.keys import SECRET_BYTES, KeyHasher
 from agatecross_core.distribution.baselines import FOLLOWERS_BY_NAME
@@ -30,6 +31,7 @@
 from agatecross_core.routing.model import DaemonLocation
 from agatecross_core.states import MemberState
 
+from .client_limits import build_guard
 from .events import log_event, log_warning
 from .mailbox import Mailbox, Sender
 from .messages import Leaving
@@ -129,6 +131,7 @@
     log = HttpLogService(settings.log_address, log_client)
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
     mailboxes = Mailboxes()
+    guard = build_guard(settings.limits, telemetry.count_shed, log_warning)
     location = DaemonLocation(settings.daemon_id, settings.region, settings.data_centre)
     balancer = new_balancer(settings.balancing, location, rng)
     driver = CallDriver(
@@ -159,7 +162,7 @@
             mailboxes.upstream,
             settings.peer_address,
             settings.data_centre,
-            telemetry.trace_listener(TornadoHttpListener(), "peers"),
+            telemetry.trace_listener(TornadoHttpListener(place=Place.PEERS, guard=guard), "peers"),
             telemetry.trace_client(TornadoHttpClient(), "upstream"),
             mailboxes.members,
             new_admission(settings.admission),
@@ -170,7 +173,7 @@
             mailboxes.call,
             settings.call_address,
             settings.data_centre,
-            telemetry.trace_listener(TornadoHttpListener(), "callers"),
+            telemetry.trace_listener(TornadoHttpListener(guard=guard), "callers"),
             balancer,
             driver,
             mailboxes.claims,
@@ -187,7 +190,7 @@
             mailboxes.admin,
             settings.admin_address,
             own_member,
-            TornadoHttpListener(),
+            TornadoHttpListener(place=Place.ADMIN, guard=guard),
             mailboxes.upstream,
             transport.traffic,
             mailboxes.call,
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from agatecross_core.admission.connection_budget import Place, ShedReason
 from agatecross_core.ids import ServiceName
 from agatecross_core.relay.model import RelayResult
 from agatecross_core.states import Reason
@@ -81,6 +82,12 @@
             ("to",),
             registry=self.registry,
         )
+        self.shed = Counter(
+            "agatecross_connections_shed_total",
+            "Connections or requests refused or closed for lack of memory or places.",
+            ("at", "reason"),
+            registry=self.registry,
+        )
         self.peers = Gauge(
             "agatecross_connected_peers", "Daemons with an open link.", registry=self.registry
         )
@@ -95,6 +102,10 @@
         """Count a request that was refused before it was routed to a service."""
         self.refusals.labels(reason.value).inc()
 
+    def count_shed(self, place: Place, reason: ShedReason) -> None:
+        """Count a connection or request that was refused or closed."""
+        self.shed.labels(place.value, reason.value).inc()
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -15,6 +15,7 @@
 from agatecross_core.ids import Address, DaemonId, DataCentreName, RegionName
 from agatecross_core.routing.balancers import BALANCERS
 
+from .client_limits import LIMITS_KEYS, ClientLimits, client_limits
 from .settings_file import check_tables, read_settings
 from .telemetry import TelemetrySettings
 
@@ -24,6 +25,7 @@
     "policy": Key(dict),
     "telemetry": Key(dict),
     "address_map": Key(dict),
+    "limits": Key(dict),
 }
 DAEMON_KEYS: Mapping[str, Key] = {
     "id": Key(str, required=True, format_check=check_name),
@@ -56,6 +58,7 @@
     "log": LOG_KEYS,
     "policy": POLICY_KEYS,
     "telemetry": TELEMETRY_KEYS,
+    "limits": LIMITS_KEYS,
 }
 
 
@@ -77,6 +80,7 @@
     distribution: str = "peers"
     telemetry: TelemetrySettings = DEFAULT_TELEMETRY
     address_map: Mapping[Address, Address] = field(default_factory=dict)
+    limits: ClientLimits = field(default_factory=ClientLimits)
 
 
 def load_settings(path: Path) -> Settings:
@@ -142,6 +146,7 @@
         policy.get("distribution", "peers"),
         TelemetrySettings(**_table(values, "telemetry")),
         {Address(name): Address(value) for name, value in addresses},
+        client_limits(_table(values, "limits")),
     )
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -4,16 +4,16 @@
 import random
 import signal
 import time
-import traceback
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field, fields, replace
 from functools import partial
-from pathlib import Path
-from typing import Any, Protocol
+from typing import Protocol
 
+from agatecross_adapters.connection_guard import ConnectionGuard
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.protocols import FleetStore, RequestHandler
+from agatecross_core.admission.connection_budget import Place
 from agatecross_core.calls.model import Request, Response
 from agatecross_core.errors import SettingsError
 from agatecross_core.ids import Address, Incarnation, Millis
@@ -25,8 +25,10 @@
 from agatecross_core.routing.host_table import HostTable
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 
+from .client_limits import build_guard
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
+from .loop_errors import log_loop_error
 from .mailbox import Sender, boottime_ms, monotonic_ms
 from .process_signals import ProcessSignals, SignalAction
 from .relay_messages import DrainPlanned, HeartbeatReceived, LeaveReceived
@@ -94,6 +96,7 @@
     entry_mailbox: DirectMailbox[EntryMessage]
     exit_mailbox: DirectMailbox[ExitMessage]
     store_mailbox: DirectMailbox[StoreMessage]
+    guard: ConnectionGuard
     listeners: list[TornadoHttpListener] = field(default_factory=list)
     leaving: bool = False
 
@@ -109,12 +112,12 @@
         await self.entry.start()
         heartbeat_handler = self.front_end.create_heartbeat_handler(self.exit_mailbox)
         handlers = {
-            settings.heartbeats: heartbeat_handler,
-            settings.ready: self._handle_ready,
-            settings.metrics: self._handle_metrics,
+            settings.heartbeats: (Place.HEARTBEATS, heartbeat_handler),
+            settings.ready: (Place.READY, self._handle_ready),
+            settings.metrics: (Place.METRICS, self._handle_metrics),
         }
-        for address, handler in handlers.items():
-            listener = TornadoHttpListener()
+        for address, (place, handler) in handlers.items():
+            listener = TornadoHttpListener(place=place, guard=self.guard)
             listener.listen(address, handler)
             self.listeners.append(listener)
 
@@ -234,6 +237,7 @@
         link_rate=settings.link_rate,
     )
     directory = Directory(own_endpoint)
+    guard = build_guard(settings.limits, metrics.count_shed, log.write_change)
     entry_mailbox: DirectMailbox[EntryMessage] = DirectMailbox()
     exit_mailbox: DirectMailbox[ExitMessage] = DirectMailbox()
     peers_mailbox: DirectMailbox[PeersMessage] = DirectMailbox()
@@ -252,6 +256,7 @@
         rng,
         log,
         metrics,
+        guard,
     )
     exit_task = ExitTask(
         settings.daemon_id,
@@ -273,6 +278,7 @@
         rng,
         log,
         metrics,
+        guard,
     )
     store = StoreTask(
         store_mailbox,
@@ -299,6 +305,7 @@
         entry_mailbox,
         exit_mailbox,
         store_mailbox,
+        guard,
     )
 
 
@@ -316,14 +323,6 @@
     return lambda: FleetRetryBudget(retries.ratio, retries.slack, retries.window)
 
 
-def log_loop_error(log: DecisionLog, context: Mapping[str, Any]) -> None:
-    """Log an exception that reached the event loop, which closes the affected connection."""
-    error = context.get("exception")
-    frames = traceback.extract_tb(error.__traceback__)[-1:] if error is not None else ()
-    place = ",".join(f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames)
-    log.write_change("loop_error", message=context.get("message"), error=repr(error), place=place)
-
-
 async def serve(
     settings: SidecarSettings,
     front_end: FrontEnd,
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar_settings.py
@@ -1,7 +1,7 @@
 """Settings of a daemon that relays calls on the users' platform: TOML schema and validation."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from agatecross_core.config.formats import check_address, check_name
@@ -12,6 +12,7 @@
 from agatecross_core.findings import Finding, sort_findings
 from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis, RegionName, ServiceName
 
+from .client_limits import LIMITS_KEYS, ClientLimits, client_limits
 from .settings_file import check_tables
 
 DEFAULT_APPLY_WITHIN = "2s"
@@ -22,6 +23,7 @@
     "store": Key(dict, required=True),
     "retries": Key(dict, required=True),
     "shutdown": Key(dict, required=True),
+    "limits": Key(dict),
 }
 NAME_KEY = Key(str, required=True, format_check=check_name)
 DURATION_KEY = Key(str, required=True, format_check=check_duration)
@@ -54,6 +56,7 @@
         "window": DURATION_KEY,
     },
     "shutdown": {"grace": DURATION_KEY},
+    "limits": LIMITS_KEYS,
 }
 
 
@@ -93,6 +96,7 @@
     apply_within: Millis
     seed: int | None = None
     link_rate: int = 0
+    limits: ClientLimits = field(default_factory=ClientLimits)
 
 
 def is_sidecar_settings(decoded: DecodedDocument) -> bool:
@@ -148,4 +152,5 @@
         parse_duration(values["store"].get("apply_within", DEFAULT_APPLY_WITHIN)),
         sidecar.get("seed"),
         int(sidecar.get("link_mbps", 0)),
+        client_limits(values.get("limits", {})),
     )
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Mapping
 
 from agatecross_adapters.call_key import name_customer, read_key
-from agatecross_adapters.caller_connection import Exchange
+from agatecross_adapters.caller_exchange import Exchange
 from agatecross_adapters.caller_listener import CallerListener
+from agatecross_adapters.connection_guard import ConnectionGuard
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_core.customers.access import decide_access
 from agatecross_core.customers.model import Customer, call_rank
@@ -81,6 +82,7 @@
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
+        guard: ConnectionGuard | None = None,
     ) -> None:
         mailbox.set_handler(self._handle)
         self.pauses = pauses
@@ -93,7 +95,7 @@
         self.rng = rng
         self.log = log
         self.metrics = metrics
-        self.listener = CallerListener(self._handle_request)
+        self.listener = CallerListener(self._handle_request, guard)
         self.table: HostTable | None = None
         self.traffic_split = WeightedSplit()
         self.endpoints_by_service: Mapping[ServiceName, tuple[Endpoint, ...]] = {}
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Collection
 
+from agatecross_adapters.connection_guard import ConnectionGuard
 from agatecross_adapters.frames import FrameConnection
 from agatecross_adapters.hop_codec import decode_hop_message
 from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
 from agatecross_adapters.hop_sending import EncodedMessage, send_hop_message
+from agatecross_adapters.inbound_frames import InboundFrameConnection
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Millis, Version
 from agatecross_core.relay.model import Handover, RelayResult
@@ -47,20 +49,22 @@
         config_version: Callable[[], Version],
         on_message: MessageHandler,
         log: DecisionLog,
+        guard: ConnectionGuard,
     ) -> None:
         self.exit = exit_mailbox
         self.new_hello_reply = new_hello_reply
         self.config_version = config_version
         self.on_message = on_message
         self.log = log
+        self.guard = guard
         self.connections: dict[FrameConnection, InboundConnection] = {}
         # The newest connection over which each incarnation of a daemon has greeted.
         self.greeted: dict[DaemonProcess, InboundConnection] = {}
         self.orphans: list[tuple[Millis, HandoverId]] = []
 
-    def new_connection(self) -> FrameConnection:
+    def new_connection(self) -> InboundFrameConnection:
         """Create the protocol object of a new connection."""
-        return FrameConnection(self._on_open, self._on_frame, self._on_close)
+        return InboundFrameConnection(self._on_open, self._on_frame, self._on_close, self.guard)
 
     def send_to_others(self, message: EncodedMessage, reached: Collection[DaemonId]) -> None:
         """Send a message to the daemons that are not in `reached`."""
@@ -124,6 +128,8 @@
                 self.exit.put(ResumeHandover(handover_id, self._result_sender(inbound)))
             case Hello():
                 inbound.daemon_id = message.daemon_id
+                if isinstance(connection, InboundFrameConnection):
+                    connection.greeted = True
                 inbound.process = (message.daemon_id, message.incarnation)
                 self._close_replaced(inbound, inbound.process)
                 inbound.send(self.new_hello_reply(message))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -5,6 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 
+from agatecross_adapters.accepting import listen_in_batches
+from agatecross_adapters.connection_guard import ConnectionGuard, new_guard
 from agatecross_adapters.hop_messages import (
     ConfigBlob,
     ConfigDelta,
@@ -110,6 +112,7 @@
         rng: random.Random,
         log: DecisionLog,
         metrics: RelayMetrics,
+        guard: ConnectionGuard | None = None,
     ) -> None:
         mailbox.set_handler(self._handle)
         self.address = address
@@ -127,6 +130,7 @@
             lambda: self.config_distributor.version,
             self._handle_peer_message,
             log,
+            guard or new_guard(),
         )
         self.server: asyncio.Server | None = None
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
@@ -139,13 +143,8 @@
 
     async def start(self) -> None:
         """Start accepting connections from other daemons."""
-        loop = asyncio.get_running_loop()
-        host, _, port = self.address.rpartition(":")
-        self.server = await loop.create_server(
-            self.inbound.new_connection,
-            host,
-            int(port),
-            backlog=LISTEN_BACKLOG,
+        self.server = await listen_in_batches(
+            self.inbound.new_connection, self.address, LISTEN_BACKLOG
         )
         self._publish_endpoints()
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
 
-from agatecross_adapters.caller_connection import ClosedBy, Exchange
+from agatecross_adapters.caller_exchange import ClosedBy, Exchange
 from agatecross_adapters.header_names import HeaderNames
 from agatecross_core.customers.model import Customer
 from agatecross_core.ids import (
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -33,6 +33,7 @@
 
 from agatecross_adapters.call_headers import OUTCOME_HEADER, REASON_HEADER, SERVICE_HEADER
 from agatecross_adapters.protocols import HttpClient, HttpListener, RequestHandler
+from agatecross_core.admission.connection_budget import Place, ShedReason
 from agatecross_core.calls.model import Headers, Request, Response
 from agatecross_core.errors import ExchangeError
 from agatecross_core.ids import Address, DaemonId, DataCentreName, Millis
@@ -113,6 +114,9 @@
         self.meter.create_observable_counter(
             "agatecross.calls", [self._observe_calls], "{call}", "Calls by listener and outcome."
         )
+        self.shed = self.meter.create_counter(
+            "agatecross.connections.shed", "{connection}", "Connections or requests refused."
+        )
         self.call_duration = self.meter.create_histogram(
             "agatecross.call.duration", unit="ms", description="Time from request to response."
         )
@@ -136,6 +140,10 @@
 
         self.meter.create_observable_counter(name, [read_counter], unit, description)
 
+    def count_shed(self, place: Place, reason: ShedReason) -> None:
+        """Count a connection or request that was refused or closed."""
+        self.shed.add(1, {"at": place.value, "reason": reason.value})
+
     def _observe_calls(self, options: CallbackOptions) -> Iterable[Observation]:
         del options
         for (listener, outcome), count in self.call_counts.items():
--- a/packages/agatecross-standins/agatecross_standins/bench/link_costs.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/link_costs.py
@@ -11,6 +11,7 @@
 
 from absl import app, flags
 
+from agatecross_adapters.connection_guard import new_guard
 from agatecross_adapters.hop_messages import Hello, HopMessage, Ping
 from agatecross_core.ids import (
     Address,
@@ -51,7 +52,12 @@
     exit_mailbox: DirectMailbox[ExitMessage] = DirectMailbox()
     log = DecisionLog(os.open(os.devnull, os.O_WRONLY))
     inbound = InboundLinks(
-        exit_mailbox, lambda hello: _hello("b"), lambda: Version(1), lambda *message: None, log
+        exit_mailbox,
+        lambda hello: _hello("b"),
+        lambda: Version(1),
+        lambda *message: None,
+        log,
+        new_guard(),
     )
     loop = asyncio.get_running_loop()
     server = await loop.create_server(inbound.new_connection, "127.0.0.1", 0, backlog=1024)
--- a/packages/agatecross-standins/agatecross_standins/virtual_network.py
+++ b/packages/agatecross-standins/agatecross_standins/virtual_network.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import selectors
+import socket
 from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -141,6 +142,9 @@
 class VirtualServer:
     """A listening address."""
 
+    # There is no listening socket in the kernel.
+    sockets: tuple[socket.socket, ...] = ()
+
     def __init__(self, network: VirtualNetwork, address: tuple[str, int]) -> None:
         self.network = network
         self.address = address
