Treat an answer whose status is no status of HTTP as a failed exchange

Cause: both parsers take any three digits. A status up to 199 counted as interim, so the call waited until its time was over; a HEAD got it as its answer; 600 and 999 reached the caller. Change: a status outside 100 to 599 ends the exchange as malformed at the upstream's connection, and as lost at the client of the own interface and of the store. The connection is not used again, a safe call goes elsewhere within the budget, others get 502. The fields of results move to `hop_results`.

--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -7,7 +7,7 @@
 import zlib
 from collections.abc import Mapping
 from enum import IntEnum
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
@@ -37,11 +37,9 @@
 from agatecross_core.relay.model import (
     Handover,
     RelayRequest,
-    RelayResponse,
-    RelayResult,
     Repeat,
 )
-from agatecross_core.states import Outcome, Reason, UpstreamState
+from agatecross_core.states import UpstreamState
 
 from .hop_messages import (
     Cancel,
@@ -57,6 +55,14 @@
     StoreEraNotice,
     Strikes,
 )
+from .hop_results import (
+    RESULT_FIELD_COUNT,
+    Count,
+    HeaderFields,
+    ResultFields,
+    result_fields,
+    result_from_fields,
+)
 
 
 class Tag(IntEnum):
@@ -80,23 +86,17 @@
 DECODER = msgspec.msgpack.Decoder()
 # The index of a value is its code on the wire.
 REPEAT_CODES = (Repeat.SAFE, Repeat.ONCE)
-OUTCOME_CODES = (Outcome.RAN, Outcome.NOT_RUN, Outcome.UNKNOWN)
 # A nested array beyond the interpreter's limit raises `RecursionError`.
 DECODE_ERRORS = (msgspec.MsgspecError, zlib.error, ValueError, RecursionError)
-REASON_BY_VALUE = {reason.value: reason for reason in Reason}
 STATE_BY_VALUE = {state.value: state for state in UpstreamState}
 TAG_BY_VALUE = {tag.value: tag for tag in Tag}
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-HeaderFields = list[tuple[bytes, bytes]]
 EndpointFields = tuple[
     str, Count, Count, str, str, str, str, str | None, Count, str, Count, Count, bool, bool, Count
 ]
 HandoverFields = tuple[
     int, str, str, str, str, Count, int, int, int, bytes, bytes, HeaderFields, bytes
 ]
-ResultFields = tuple[int, Count, str | None, bool, Count, Count, Count]
-ResponseFields = tuple[Count, HeaderFields, bytes]
 FIELD_TYPES: Mapping[Tag, tuple[Any, int]] = {
     Tag.HELLO: (tuple[str, Count, Count, list[list[Any]]], 4),
     Tag.HANDOVER: (HandoverFields, 13),
@@ -115,8 +115,6 @@
 
 # Earlier releases send no rate of the link, which follows these fields.
 ENDPOINT_FIELD_COUNT = 15
-RESULT_FIELD_COUNT = 7
-RESPONSE_FIELD_COUNT = 3
 
 
 def encode_hop_message(message: HopMessage) -> bytes:
@@ -175,7 +173,7 @@
                 message.customer,
             )
         case Result(handover_id, result):
-            return (Tag.RESULT, handover_id, *_result_fields(result))
+            return (Tag.RESULT, handover_id, *result_fields(result))
         case Hello():
             rows = [_endpoint_fields(endpoint) for endpoint in message.endpoints]
             return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
@@ -202,22 +200,6 @@
             return (Tag.STORE_ERA, era)
 
 
-def _result_fields(result: RelayResult) -> tuple[Any, ...]:
-    reason = result.reason.value if result.reason else None
-    head = (
-        OUTCOME_CODES.index(result.outcome),
-        reason,
-        result.reached_upstream,
-        result.load,
-        result.slots,
-        int(result.cost),
-    )
-    response = result.response
-    if response is None:
-        return head
-    return (*head, response.status, response.headers, response.body)
-
-
 def _message_from_fields(tag: Tag, all_fields: list[Any]) -> HopMessage:
     field_types, count = FIELD_TYPES[tag]
     fields: Any = msgspec.convert(all_fields[:count], field_types)
@@ -226,7 +208,7 @@
             return _handover_from_fields(fields, all_fields[count:])
         case Tag.RESULT:
             return Result(
-                HandoverId(fields[0]), _result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
+                HandoverId(fields[0]), result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
             )
         case Tag.HELLO:
             daemon_id, incarnation, version, rows = fields
@@ -293,26 +275,6 @@
     return text.isascii() or all(ord(character) < 256 for character in text)
 
 
-def _result_from_fields(fields: ResultFields, rest: list[Any]) -> RelayResult:
-    _, outcome, reason, reached_upstream, load, slots, cost = fields
-    if outcome >= len(OUTCOME_CODES):
-        raise MessageDecodeError(f"hop message: unknown outcome code {outcome}")
-    response = None
-    if rest:
-        status, headers, body = msgspec.convert(rest[:RESPONSE_FIELD_COUNT], ResponseFields)
-        response = RelayResponse(status, tuple(headers), body)
-    return RelayResult(
-        OUTCOME_CODES[outcome],
-        # The outcome says what may be done; a later release may know further reasons for it.
-        REASON_BY_VALUE.get(reason, Reason.OTHER) if reason else None,
-        response,
-        reached_upstream,
-        load,
-        slots,
-        Millis(cost),
-    )
-
-
 def _config_delta_from_fields(fields: tuple[int, int, int, bytes]) -> ConfigDelta:
     base, version, crc, packed = fields
     encoded_steps = msgspec.convert(DECODER.decode(_decompress(packed)), list[Any])
--- a/packages/agatecross-adapters/agatecross_adapters/http_client.py
+++ b/packages/agatecross-adapters/agatecross_adapters/http_client.py
@@ -26,6 +26,7 @@
     MAX_RESPONSE_BYTES,
 )
 from agatecross_core.errors import ConnectFailedError, ConnectionLostError, ExchangeTimeoutError
+from agatecross_core.http_status import is_http_status
 from agatecross_core.ids import ZERO_MS, Address, Millis
 
 from .http_fields import end_to_end_fields
@@ -104,6 +105,8 @@
     ) -> None:
         """Store the head; that of an interim response is replaced by the final one."""
         assert isinstance(start_line, ResponseStartLine)
+        if not is_http_status(start_line.code):
+            raise HTTPInputError("the status is not one of HTTP")
         self.status = start_line.code
         self.headers = headers
         bodiless = self.method == "HEAD" or self.status in BODILESS_STATUSES or self.status < 200
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from agatecross_core.constants import MAX_RESPONSE_BYTES
+from agatecross_core.http_status import is_http_status
 from agatecross_core.ids import Millis
 from agatecross_core.relay.model import RelayResponse
 from agatecross_core.relay.response_size import MAX_RESPONSE_HEAD_BYTES, ResponseSize
@@ -186,6 +187,10 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends and how long the connection may be reused."""
+        status = self.parser.get_status_code()
+        if not is_http_status(status):
+            self.fail(UpstreamFailure.MALFORMED)
+            return
         framed = False
         stated_length = 0
         for name, value in self.headers:
@@ -196,7 +201,6 @@
                 self.reusable = False
             elif name == b"keep-alive":
                 self._update_idle_limit(value)
-        status = self.parser.get_status_code()
         self.body_until_eof = (
             not framed and status > MAX_INTERIM_STATUS and status not in BODILESS_STATUSES
         )
