Refuse a connection where all places have whole requests

Cause: a crowd of callers with whole requests that wait could still take every descriptor, as a new connection was accepted when none of the others may be closed. Change: the new connection is closed then, except between daemons. Measured: the row "never whole requests" of `features/connection_budget.feature` fails before (the new connection stays) and passes; it now asks for the close of the new connection instead of none.

--- a/features/connection_budget.feature
+++ b/features/connection_budget.feature
@@ -30,4 +30,4 @@
       | several of them                 | 6      | a-1 silent 0 0; a-2 silent 1 0; a-3 silent 2 0; a-4 silent 3 0; a-5 silent 4 0; b-1 idle 0 0 | a-1 a-2 a-3 a-4 |
       | the slowest that sends one      | 3      | a-1 reading 10 1; a-2 reading 20 1; b-1 idle 0 0       | a-1     |
       | the one that was idle longest   | 2      | a-1 idle 10 0; b-1 idle 0 0                            | b-1     |
-      | never whole requests            | 2      | a-1 serving 0 0; b-1 serving 0 0                       |         |
+      | never whole requests            | 2      | a-1 serving 0 0; b-1 serving 0 0                       | c-1     |
--- a/packages/agatecross-core/agatecross_core/admission/connection_budget.py
+++ b/packages/agatecross-core/agatecross_core/admission/connection_budget.py
@@ -105,11 +105,16 @@
     rows: dict[Place, set[HeldConnection]] = field(default_factory=dict)
 
     def add(self, connection: HeldConnection) -> list[HeldConnection]:
-        """Count a new connection; return those to close for it."""
+        """Count a new connection; return those to close for it, or itself if none may be closed.
+
+        Other daemons are not turned away for daemons: their links are known to be in use.
+        """
         rows = self.rows.setdefault(connection.place, set())
         victims: list[HeldConnection] = []
         if len(rows) >= self.places[connection.place]:
             victims = self._choose_for_places(rows)
+            if not victims and connection.place is not Place.PEERS:
+                victims = _mark([connection])
         rows.add(connection)
         self.used += connection.held
         return victims
