Refuse handovers that may have run before, and keep the ids of daemons apart

Cause: Ledger.accept looked at its rows only, so a handover that was held up for more than 10 s could run after it was fenced or had run. The random part of the ids had 22 bits: two of 1,300 daemons share it one time in five, and an upstream's daemon then takes their handovers for copies of each other.

Change: what may be forgotten counts as seen, so it is answered as unknown. Ids have 38 random and 24 counting bits; an entry daemon takes a new random part when its numbers are used up.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -69,9 +69,20 @@
       | a long run forgotten as it ends      | accept 1; +25000; finish 1; resume 1  | new; -; -; done          |
       | "not run" of a run that is forgotten | accept 1; finish 1; +11000; resume 1  | new; -; -; unknown       |
       | "not run" of an earlier, lost run    | accept 2; finish 2; +11000; resume 1  | new; -; -; unknown       |
+      | a late arrival of a forgotten fence  | resume 1; accept 2; finish 2; +11000; accept 1 | fenced; new; -; -; seen |
+      | a late copy of a forgotten run       | accept 1; finish 1; +11000; accept 1  | new; -; -; seen          |
+      | a refusal of runs that come later    | accept 1; finish 1; +11000; accept 2  | new; -; -; new           |
       | a doubt about runs that come later   | accept 1; finish 1; +11000; resume 2  | new; -; -; fenced        |
       | rows that a long run keeps for ever  | accept 1; accept 2; finish 2; +20000; accept 3; resume 2; resume 1 | new; new; -; -; new; unknown; pending |
 
+  Scenario: the ids of handovers of different daemons differ
+    Guards against two daemons whose handovers are taken for copies of each other.
+    Then 20000 daemons that start give their handovers 60000 different ids
+
+  Scenario: an entry daemon that has used up its numbers takes a new origin
+    Guards against ids that run into those of another daemon.
+    Then the id after the last number of an origin has another origin and number 0
+
   # Events: a heartbeat (beat ID BORN SEQ STATE) or leave ID [BORN]; each is accepted (yes) or ignored
   # (no). "other" is a heartbeat of another service, "elsewhere" one of another address.
   Scenario Outline: announcements: <guards against>
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,6 +1,7 @@
 import itertools
 import random
 from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
 
@@ -14,10 +15,11 @@
 from agatecross_core.ids import Millis
 from agatecross_core.members.directory import Directory, Endpoint
 from agatecross_core.members.heartbeat_filter import Heartbeat, HeartbeatFilter
+from agatecross_core.relay import ledger as ledger_module
 from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.flow import RelayPolicy, relay
 from agatecross_core.relay.hedge import hedge_delay
-from agatecross_core.relay.ledger import Ledger
+from agatecross_core.relay.ledger import Ledger, new_handover_ids
 from agatecross_core.relay.model import (
     RelayResponse,
     RelayResult,
@@ -158,6 +160,24 @@
     assert context.answers == answers.split("; "), context.answers
 
 
+@then("{daemons:d} daemons that start give their handovers {count:d} different ids")
+def step_handover_ids(context, daemons, count):
+    ids = [
+        number
+        for seed in range(daemons)
+        for number in itertools.islice(new_handover_ids(random.Random(seed)), count // daemons)
+    ]
+    assert len(set(ids)) == count, len(set(ids))
+
+
+@then("the id after the last number of an origin has another origin and number 0")
+def step_next_origin(context):
+    with mock.patch.object(ledger_module, "HANDOVER_COUNTER_BITS", 4):
+        numbers = list(itertools.islice(new_handover_ids(random.Random(1)), 17))
+    assert [number & 15 for number in numbers] == [*range(16), 0], numbers
+    assert numbers[16] >> 4 != numbers[15] >> 4, numbers
+
+
 @when('an upstream announces "{script}"')
 def step_announce(context, script):
     table, context.accepted = HeartbeatFilter("shop", "10.0.0.1:80"), []
--- a/packages/agatecross-core/agatecross_core/ids.py
+++ b/packages/agatecross-core/agatecross_core/ids.py
@@ -54,7 +54,10 @@
 ZERO_MS = Millis(0.0)
 
 # The low bits of a handover id count the handovers of an entry daemon; the high bits are its own.
-HANDOVER_COUNTER_BITS = 40
+# With 22 of them, two of 1,300 daemons would share their ids one time in five; with 38, one time in
+# 300,000.
+HANDOVER_COUNTER_BITS = 24
+HANDOVER_ORIGIN_BITS = 38
 
 
 def handover_origin(handover_id: HandoverId) -> int:
--- a/packages/agatecross-core/agatecross_core/relay/ledger.py
+++ b/packages/agatecross-core/agatecross_core/relay/ledger.py
@@ -1,10 +1,19 @@
 """Records the handovers to an upstream, so that each of them runs at most once."""
 
+import random
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
-from ..ids import HandoverId, Millis, handover_counter, handover_origin
+from ..ids import (
+    HANDOVER_COUNTER_BITS,
+    HANDOVER_ORIGIN_BITS,
+    HandoverId,
+    Millis,
+    handover_counter,
+    handover_origin,
+)
 from ..states import Reason
 from .model import RelayResult, not_run_result, unknown_result
 
@@ -18,6 +27,13 @@
 MAX_STORED_RESULT_BYTES = 8 * 1024 * 1024
 
 
+def new_handover_ids(rng: random.Random) -> Iterator[HandoverId]:
+    """Yield ids unlike those of other daemons and earlier runs; a used-up origin is replaced."""
+    while True:
+        origin = rng.getrandbits(HANDOVER_ORIGIN_BITS) << HANDOVER_COUNTER_BITS
+        yield from (HandoverId(origin | number) for number in range(1 << HANDOVER_COUNTER_BITS))
+
+
 class HandoverState(Enum):
     """State of a handover as the daemon next to the upstream knows it."""
 
@@ -49,9 +65,12 @@
         self.result_bytes = 0
 
     def accept(self, handover_id: HandoverId, now: Millis) -> bool:
-        """Record a new handover; return False if it was seen or fenced before."""
+        """Record a new handover; return False if it was seen or fenced before.
+
+        One that may have been forgotten counts as seen, because it may have run.
+        """
         self._expire(now)
-        if handover_id in self.rows:
+        if handover_id in self.rows or self._may_be_forgotten(handover_id):
             return False
         self.rows[handover_id] = HandoverRecord(HandoverState.PENDING, now)
         return True
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -1,6 +1,5 @@
 """Owns the listener for callers: finds the route of each request and relays it."""
 
-import itertools
 import math
 import random
 from collections.abc import Callable, Mapping
@@ -13,7 +12,6 @@
 from agatecross_core.customers.access import decide_access
 from agatecross_core.customers.model import Customer, call_rank
 from agatecross_core.ids import (
-    HANDOVER_COUNTER_BITS,
     NO_CUSTOMER,
     Address,
     CallId,
@@ -32,6 +30,7 @@
 from agatecross_core.relay.budget import FleetRetryBudget
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.flow import SERVER_ERROR, RelayPolicy, relay
+from agatecross_core.relay.ledger import new_handover_ids
 from agatecross_core.relay.model import (
     HeaderRows,
     RelayRequest,
@@ -116,9 +115,7 @@
         self.stripped_headers = frozenset(
             (names.caller_service, names.time_left, names.expected_instance)
         )
-        # Random high bits keep the ids distinct from those of other daemons and of earlier runs.
-        prefix = rng.getrandbits(62 - HANDOVER_COUNTER_BITS) << HANDOVER_COUNTER_BITS
-        self.handover_ids = itertools.count(prefix)
+        self.handover_ids = new_handover_ids(rng)
 
     async def start(self) -> None:
         """Start accepting callers."""
@@ -296,7 +293,7 @@
             self.log.write_change("strikes_lifted", fingerprint=clearance.fingerprint)
 
     def _new_handover_id(self) -> HandoverId:
-        return HandoverId(next(self.handover_ids))
+        return next(self.handover_ids)
 
     def _on_call_ended(self, call: RelayedCall, result: RelayResult) -> None:
         if call.context.customer is not None:
