Settle a peer's report of a restore by the store's next answer

Cause: the latest era that a peer reported was kept for good and passed on. One wrong report of a high era hid every later restore from the daemons that do not read the store themselves.

Change: EraTracker keeps the reported era until an answer to a later call names the present one. A daemon passes a restore on only when its own calls have shown it; one that its peers reported is not sent to all again. The step for a missed notice looks at the log instead of the field that is gone.

The table of reports uses a method that did not exist before, so it was not run on the earlier code.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 from dataclasses import replace
+from pathlib import Path
 from unittest import mock
 
 from behave import given, then, when
@@ -9,7 +10,7 @@
 
 from agatecross_adapters.endpoint_codec import encode_endpoint
 from agatecross_core.distribution.propagation import ReaderRole
-from agatecross_core.distribution.store_era import EraTracker
+from agatecross_core.distribution.store_era import EraTracker, EraView
 from agatecross_core.ids import Address, Millis
 from agatecross_core.members.stored_records import StoredRecord, StoredRecords
 from agatecross_core.pacing import fleet_jitter
@@ -199,11 +200,14 @@
 
 @then("d{number:d} writes its announcement again")
 def step_announced_again(context, number):
-    store = context.testbed.store
-    daemon = context.testbed.sidecars[number].store
+    testbed = context.testbed
+    store = testbed.store
+
+    def is_reported():
+        return "event=store_restore_reported" in Path(testbed.log_paths()[number]).read_text()
 
     async def work():
-        await poll_until(lambda: daemon.reported_era, "the report")
+        await poll_until(is_reported, "the report")
         await poll_until(lambda: store.appends > context.appends, "the announcement")
 
     context.testbed.run(work())
@@ -280,6 +284,21 @@
 def step_observe(context, known, change, present):
     row = context.active_outline
     tracker = EraTracker()
-    tracker.era = era(known)
-    found = tracker.observe(era(row["era"]), era(row["asked"]))
-    assert (found.value, tracker.era) == (change, era(present)), (found, tracker.era)
+    tracker.view = EraView(era(known))
+    found = tracker.observe(era(row["era"]), EraView(era(row["asked"])))
+    assert (found.value, tracker.view.era) == (change, era(present)), (found, tracker.view)
+
+
+@then('reports and answers "{events}" are taken as "{results}"')
+def step_reports(context, events, results):
+    tracker, found = EraTracker(), []
+    asked = tracker.view
+    for event in events.split("; "):
+        word, *number = event.split()
+        if word == "report":
+            found.append("new" if tracker.report(int(number[0])) else "known")
+        elif word == "ask":
+            asked = tracker.view
+        else:
+            found.append(tracker.observe(int(number[0]), asked).value)
+    assert found == results.split("; "), found
--- a/packages/agatecross-daemon/agatecross_daemon/store_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/store_messages.py
@@ -70,9 +70,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreRestored:
-    """The store came back from an older copy in `era`; no peer has reported it yet."""
+    """The store came back from an older copy in `era`; `reported` if a peer has said so before."""
 
     era: StoreEra
+    reported: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -210,9 +210,10 @@
             case SendToPeer(daemon_id, report):
                 if daemon_id in self.links:
                     self.links[daemon_id].send(report)
-            case StoreRestored(era):
-                self.restored_era = max(self.restored_era, era)
-                self._send_to_peers(StoreEraNotice(era))
+            case StoreRestored(era, reported):
+                self.restored_era = era
+                if not reported:
+                    self._send_to_peers(StoreEraNotice(era))
 
     def _send_handover(
         self,
@@ -363,7 +364,7 @@
             case Strikes(report):
                 self._record_crashes(report)
             case StoreEraNotice(era):
-                self.restored_era = max(self.restored_era, era)
+                # Passed on only when an answer of the store has shown it: the report may be wrong.
                 self.store.put(StoreRestoreReported(era))
             case LimitReport() | LimitAnswer():
                 if peer is not None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_calls.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_calls.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 
 from agatecross_adapters.protocols import StoreAnswer
-from agatecross_core.distribution.store_era import EraChange, EraTracker
+from agatecross_core.distribution.store_era import EraChange, EraTracker, EraView
 from agatecross_core.errors import HistoryLostError, StoreError
 from agatecross_core.ids import Millis, StoreEra
 
@@ -28,7 +28,7 @@
     def __init__(
         self,
         peers: Sender[StoreReachability],
-        on_restored: Callable[[StoreEra], None],
+        on_restored: Callable[[StoreEra, EraChange], None],
         log: DecisionLog,
         metrics: RelayMetrics,
     ) -> None:
@@ -43,7 +43,7 @@
     @property
     def era(self) -> StoreEra | None:
         """Return the newest era that the store has named."""
-        return self.eras.era
+        return self.eras.view.era
 
     def store_moved(self) -> None:
         """Forget the era, because the next calls go to another store."""
@@ -55,32 +55,30 @@
         An answer from before the store came back from an older copy counts as a failure.
         Raises `HistoryLostError`.
         """
-        asked_at, known = monotonic_ms(), self.era
+        asked_at, asked = monotonic_ms(), self.eras.view
         try:
             answer = await call
         except HistoryLostError as error:
-            self._observe_era(operation, error.era, known)
+            self._observe_era(operation, error.era, asked)
             raise
         except StoreError as error:
-            self._observe_era(operation, error.era, known)
+            self._observe_era(operation, error.era, asked)
             self._record_failure(operation, str(error))
             return None
-        if self._observe_era(operation, answer.era, known) is EraChange.OUTDATED:
+        if self._observe_era(operation, answer.era, asked) is EraChange.OUTDATED:
             self._record_failure(operation, f"answer of era {answer.era}, present is {self.era}")
             return None
         self._record_success(operation, Millis(monotonic_ms() - asked_at))
         return answer
 
-    def _observe_era(
-        self, operation: str, era: StoreEra | None, known_when_asked: StoreEra | None
-    ) -> EraChange:
-        was, change = self.era, self.eras.observe(era, known_when_asked)
-        if era is None or change not in (EraChange.FIRST, EraChange.RESTORED):
+    def _observe_era(self, operation: str, era: StoreEra | None, asked: EraView) -> EraChange:
+        was, change = self.era, self.eras.observe(era, asked)
+        if era is None or change in (EraChange.NONE, EraChange.OUTDATED):
             return change
         self.metrics.store_era.set(era)
-        if change is EraChange.RESTORED:
+        if change is not EraChange.FIRST:
             self.log.write_change("store_restored", era=era, was=was, operation=operation)
-            self.on_restored(era)
+            self.on_restored(era, change)
         return change
 
     def _record_failure(self, operation: str, reason: str) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/store_task.py
@@ -14,6 +14,7 @@
     long_poll,
     reader_role,
 )
+from agatecross_core.distribution.store_era import EraChange
 from agatecross_core.errors import HistoryLostError
 from agatecross_core.ids import ZERO_MS, DaemonId, Millis, Offset, StoreEra, Version
 from agatecross_core.members.directory import Directory
@@ -119,8 +120,6 @@
             log,
             metrics,
         )
-        # The latest era that a peer reported; its other peers were told of it too.
-        self.reported_era = StoreEra(0)
         self.offset: Offset | None = None
         self.background: set[asyncio.Task[None]] = set()
 
@@ -266,18 +265,16 @@
             self.log.write_change("config_records_skipped", offset=read.offset, left=read.left)
             self.offset = None
 
-    def _on_restored(self, era: StoreEra) -> None:
+    def _on_restored(self, era: StoreEra, change: EraChange) -> None:
         """Read the newest configuration again: at known offsets there may be other records."""
         self.offset = None
-        if era > self.reported_era:
-            self.peers.put(StoreRestored(era))
+        self.peers.put(StoreRestored(era, reported=change is EraChange.CONFIRMED))
         self.announcements.store_restored(era)
 
     def _handle_reported_restore(self, era: StoreEra) -> None:
         # Only the store itself says what its era is; the next answer shows it.
-        if era <= max(self.reported_era, self.calls.era or 0):
+        if not self.calls.eras.report(era):
             return
-        self.reported_era = era
         self.log.write_change("store_restore_reported", era=era, known=self.calls.era or "")
         self.announcements.write_all()
 
