Ignore a caller's offer to upgrade the connection

Cause: httptools takes no body of a request with Connection: Upgrade and Upgrade, and raises HttpParserUpgrade at its end. The request ran with an empty body, and the connection ended with a 400 that belongs to no request; a request pipelined behind it was lost.

Change: the head is parsed again without the Upgrade field by a new parser. A tunnel (CONNECT) is still refused. 100 Continue is sent at the end of the head, so that it is sent once.

--- a/features/http.feature
+++ b/features/http.feature
@@ -28,6 +28,10 @@
       | another protocol            | GET / HTTP/3.0~Host: x~~                                                                | 400      | 0    |
       | pipelined requests          | GET /1 HTTP/1.1~Host: x~~GET /2 HTTP/1.1~Host: x~Connection: close~~                    | 200 200  | 2    |
       | an expectation              | POST / HTTP/1.1~Host: x~Expect: 100-continue~Content-Length: 1~Connection: close~~a     | 100 200  | 1    |
+      | an offer of HTTP/2 | GET /1 HTTP/1.1~Host: x~Connection: Upgrade, HTTP2-Settings~Upgrade: h2c~HTTP2-Settings: AAMAAABkAAQAAP__~~GET /2 HTTP/1.1~Host: x~Connection: close~~ | 200 200 | 2 |
+      | an offer with a body | POST /1 HTTP/1.1~Host: x~Connection: Upgrade, HTTP2-Settings~Upgrade: h2c~HTTP2-Settings: AAMAAABkAAQAAP__~Content-Length: 1~~aGET /2 HTTP/1.1~Host: x~Connection: close~~ | 200 200 | 2 |
+      | an offer of WebSocket | GET /1 HTTP/1.1~Host: x~Connection: Upgrade~Upgrade: websocket~~GET /2 HTTP/1.1~Host: x~Connection: close~~ | 200 200 | 2 |
+      | an announced trailer | POST /1 HTTP/1.1~Host: x~TE: trailers~Trailer: X-Sum~Transfer-Encoding: chunked~~1~a~0~X-Sum: 1~~GET /2 HTTP/1.1~Host: x~Connection: close~~ | 200 200 | 2 |
       | HEAD                        | HEAD / HTTP/1.1~Host: x~Connection: close~~                                             | 200      | 1    |
       | a failing handler           | GET /fail HTTP/1.1~Host: x~Connection: close~~                                          | 500      | 1    |
       | a response with a bad field | GET /bad-field HTTP/1.1~Host: x~Connection: close~~                                     | 500      | 1    |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -63,6 +63,17 @@
       | a length beside chunks             | POST /safe/a content-length: 3\ntransfer-encoding: chunked                              | 400      |
       | a head beyond the limit            | GET /safe/a x-long: LONG                                                                | 431      |
       | an absolute target without a route | GET http://a.example/safe/a                                                             | 200      |
+      | an offer of HTTP/2 taken for an error | GET /safe/a connection: upgrade, http2-settings\nupgrade: h2c\nhttp2-settings: AAMAAABkAAQAAP__\|GET /safe/b x: y | 200 200 |
+      | the same with a body | POST /safe/a connection: upgrade, http2-settings\nupgrade: h2c\nhttp2-settings: AAMAAABkAAQAAP__\ntransfer-encoding: chunked\n\n1\nx\n0\|GET /safe/b connection: close | 200 200 |
+      | the same after another request | GET /safe/a x: y\|GET /safe/b connection: upgrade, http2-settings\nupgrade: h2c\nhttp2-settings: AAMAAABkAAQAAP__\|GET /safe/c x: y | 200 200 200 |
+      | two offers in a row | GET /safe/a connection: upgrade, http2-settings\nupgrade: h2c\nhttp2-settings: AAMAAABkAAQAAP__\|GET /safe/b connection: upgrade, http2-settings\nupgrade: h2c\nhttp2-settings: AAMAAABkAAQAAP__ | 200 200 |
+      | an offer of WebSocket taken for an error | GET /safe/a connection: keep-alive, Upgrade\nupgrade: websocket\nsec-websocket-version: 13\|GET /safe/b x: y | 200 200 |
+      | an offer of TLS with the end of the connection | GET /safe/a connection: upgrade, close\nupgrade: TLS/1.2 | 200 |
+      | an offer without its token in Connection | GET /safe/a upgrade: h2c\|GET /safe/b x: y | 200 200 |
+      | a tunnel that is opened | CONNECT a.example:443 x: y | 400 |
+      | an announced trailer taken for an error | POST /safe/a te: trailers\ntrailer: x-sum\ntransfer-encoding: chunked\n\n1\nx\n0\nx-sum: 1\|GET /safe/b connection: close | 200 200 |
+      | an expectation that is not met | POST /safe/a expect: 100-continue\ntransfer-encoding: chunked\n\n1\nx\n0\|GET /safe/b connection: close | 100 200 200 |
+      | HTTP/2 without an offer | PRI * x: y | 400 |
       | a malformed request                | \x01\x02                                                                                | 400      |
 
   Scenario: a failure inside the daemon ends one call and no other call of its connection
--- a/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_connection.py
@@ -129,13 +129,8 @@
 
     def _feed(self, piece: bytes) -> None:
         self.incoming.size.read += len(piece)
-        try:
-            self.parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            self.reject(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            if not self.rejected:
-                self.reject(HTTPStatus.BAD_REQUEST)
+        while piece:
+            piece = self._feed_parser(piece)
         if not self.rejected and self.incoming.size.framing_exceeded(
             self.listener.limits.head_bytes
         ):
@@ -145,6 +140,24 @@
                 HTTPStatus.BAD_REQUEST if is_idle else HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             )
 
+    def _feed_parser(self, data: bytes) -> bytes:
+        """Parse data, and return what is left to parse after a request that offers an upgrade.
+
+        The offer is ignored. The parser takes no body with it, so the head is parsed again without.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self.rejected or self.half_closed:
+                return b""
+            method, version = self.parser.get_method(), self.parser.get_http_version()
+            self.parser = httptools.HttpRequestParser(self)
+            return self.incoming.head_without_upgrade(method, version) + data[upgrade.args[0] :]
+        except httptools.HttpParserError:
+            if not self.rejected:
+                self.reject(HTTPStatus.BAD_REQUEST)
+        return b""
+
     def _resume(self) -> None:
         """Parse what arrived behind requests that are answered now, then read on."""
         if self.unparsed and not self.transport.is_closing():
@@ -211,14 +224,16 @@
         name = name.lower()
         self.incoming.add_field(name, value)
         self._check_head()
-        if name == b"expect" and value.lower() == b"100-continue" and not self.exchanges:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_headers_complete(self) -> None:
         """Reject ambiguous framing, which allows request smuggling."""
         self.state = ParseState.BODY
         if self.incoming.framing_fields > 1 and not self.rejected:
             self.reject(HTTPStatus.BAD_REQUEST)
+        if self.incoming.expects_continue and not (
+            self.exchanges or self.rejected or self.parser.should_upgrade()
+        ):
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -235,6 +250,10 @@
         """Pass the complete request to the handler, unless an earlier one ended the connection."""
         if self.rejected or self.half_closed:
             return
+        if self.parser.should_upgrade():
+            if self.parser.get_method() == b"CONNECT":
+                self.reject(HTTPStatus.BAD_REQUEST)
+            return
         self.state = ParseState.IDLE
         self.had_request = True
         whole = self.incoming.complete(self.parser.get_method())
--- a/packages/agatecross-adapters/agatecross_adapters/incoming_request.py
+++ b/packages/agatecross-adapters/agatecross_adapters/incoming_request.py
@@ -11,7 +11,7 @@
 class IncomingRequest:
     """Collects the parts of one request and counts their size."""
 
-    __slots__ = ("body", "framing_fields", "headers", "size", "target")
+    __slots__ = ("body", "expects_continue", "framing_fields", "headers", "size", "target")
 
     def __init__(self) -> None:
         """Start with nothing read."""
@@ -21,6 +21,7 @@
         self.body = bytearray()
         self.size = MessageSize()
         self.framing_fields = 0
+        self.expects_continue = False
 
     def add_target(self, part: bytes) -> None:
         """Add a part of the request target."""
@@ -33,6 +34,14 @@
         self.headers.append((name, value))
         if name in FRAMING_FIELDS:
             self.framing_fields += 1
+        elif name == b"expect" and value.lower() == b"100-continue":
+            self.expects_continue = True
+
+    def head_without_upgrade(self, method: bytes, version: str) -> bytes:
+        """Return the head of this request as a client that offers no other protocol sends it."""
+        fields = [b"%s: %s\r\n" % row for row in self.headers if row[0] != b"upgrade"]
+        start = b"%s %s HTTP/%s\r\n" % (method, self.target, version.encode())
+        return start + b"".join(fields) + b"\r\n"
 
     def complete(self, method: bytes) -> tuple[RelayRequest, bytes] | None:
         """Return the whole request and its host, or None without exactly one valid target."""
