Run the hedge rows of the call driver in virtual time

Cause: the rows waited 40 ms against 30 and 20 ms of the machine's clock, so a stall of 10 ms changed which attempt ended first; one row failed once beside other load.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -44,6 +44,7 @@
 from agatecross_core.states import Locality, MemberState, Outcome, Reason, UpstreamState
 from agatecross_daemon.mailbox import monotonic_ms
 from agatecross_daemon.tasks.call_driver import CallDriver
+from agatecross_standins.virtual_network import VirtualLoop, VirtualNetwork
 
 REGIONS = {"aarhus-a": "jylland", "aalborg-b": "jylland", "roskilde-b": "sjaelland"}
 CHOICE_COUNT = 300
@@ -490,7 +491,9 @@
     call = new_call("idempotent", monotonic_ms() + 5_000)
     policy = ServicePolicy(SERVICE, attempts=2, hedge_quantile=0.9)
     flow = run_call(call, policy, chooser, RetryBudget(0.1))
-    context.result = asyncio.run(carry())
+    # In virtual time, so that a busy machine can't change which attempt ends first.
+    with asyncio.Runner(loop_factory=lambda: VirtualLoop(VirtualNetwork(0.0, 1e9))) as runner:
+        context.result = runner.run(carry())
 
 
 @then('the caller gets "{result:Text}" and the balancer learned "{learned}"')
