Remove a margin without effect, and use the usual terms in the limits

RATE_MARGIN was 1.0, so it changed no rate. Comments, texts and the field `heard_at` of the limits and of the strikes named what a daemon "knows" or "hears"; they now say what is held, reported or received. The steps of the limits share the code that sends calls and that strikes a home.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -18,7 +18,7 @@
       | a home that is silent                          | 10      | hot with the home frozen     | 1.0    | 0.95 |
       | refusals while the fleet starts again          | 10      | calm with half restarted | 1.0    | 0.97 |
       | refusals where each daemon sees few calls      | 85      | calm                 | 1.0    | 0.97 |
-      | calls that are admitted before the home knows  | 85      | hot                  | 1.0    | 0.97 |
+      | calls that are admitted before their report    | 85      | hot                  | 1.0    | 0.97 |
       | a home that counts daemons which it has lost   | 85      | hot with a third cut off   | 1.0    | 0.97 |
 
   Scenario: any order of cuts, kills, pauses, lost messages and changes of the limit
@@ -38,9 +38,9 @@
       | a daemon alone that takes the whole limit  | 50   | 10    | 20    | 1     | 700   | 830  |
       | a customer without a limit that is limited | 0    | 0     | 20    | 10    | 3000  | 3000 |
 
-  Scenario: a report that arrives before the home knows any other daemon is answered
+  Scenario: a report that arrives before the directory has any other daemon is answered
     Guards against a home that fails at its start.
-    Then a home that knows no daemons answers the first report of "d1"
+    Then a home with an empty directory answers the first report of "d1"
 
   Scenario: refusals say when to come back, and the upstream does not see them
     Guards against 429 without a time, refused calls that run, and limits for calls without a customer.
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -22,7 +22,7 @@
       | late reports do not extend it            | 9     | p:d1 p:d2 wait:9 p:d3 wait:1               | free        |
       | a strike that crosses its clearance      | 9     | lift:p/d1/d2 p:d2 p:d1                     | free        |
       | a copy of a strike after its clearance   | 9     | p:d1 p:d2 lift:p/d1/d2 p:d2 p:d1           | free        |
-      | a death that the clearance did not know  | 9     | p:d1 lift:p/d1 p:d2 p:d1                   | suspected   |
+      | a death that the clearance did not name  | 9     | p:d1 lift:p/d1 p:d2 p:d1                   | suspected   |
       | deaths after a clearance                 | 9     | p:d1 lift:p/d1 p:d2 p:d3                   | quarantined |
       | strikes far apart                        | 9     | p:d1 wait:11 p:d2                          | suspected   |
       | full table drops the oldest              | 2     | p:d1 q:d1 r:d1 p:d2                        | suspected   |
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -69,22 +69,19 @@
 def act(fleet, fault, share):
     daemons = list(fleet.daemons.values())
     some = daemons[: max(1, int(share * DAEMONS))]
-    match fault:
-        case "cut":
+    match fault.split():
+        case ["cut"]:
             fleet.cut(share)
-        case "heal":
+        case ["heal"]:
             fleet.heal()
-        case "kill":
-            fleet.kill([row for row in some if row.is_running], 300 + 2_000 * share)
-        case "kill home":
-            fleet.kill([row for row in fleet.homes() if row.is_running], 300 + 2_000 * share)
-        case "freeze":
-            fleet.freeze(some, 3_000 * share)
-        case "freeze home":
-            fleet.freeze(fleet.homes(), 3_000 * share)
-        case "lose":
+        case ["kill", *target]:
+            struck = fleet.homes() if target else some
+            fleet.kill([row for row in struck if row.is_running], 300 + 2_000 * share)
+        case ["freeze", *target]:
+            fleet.freeze(fleet.homes() if target else some, 3_000 * share)
+        case ["lose"]:
             fleet.loss = 0.2 * share
-        case "limit":
+        case ["limit"]:
             fleet.set_customers([Customer("ann", rate=RATE * (1 + share), burst=BURST)])
 
 
@@ -120,7 +117,7 @@
     play()
 
 
-@then('a home that knows no daemons answers the first report of "{daemon}"')
+@then('a home with an empty directory answers the first report of "{daemon}"')
 def step_first_report(context, daemon):
     home = LimitHome("0/1", FleetSize("d0"))
     home.set_customers({"ann": Customer("ann", rate=1.0)})
@@ -153,18 +150,16 @@
     testbed = context.testbed
     token = {name: (("Authorization", f"Token k-{name}"),) for name in ("ann", "bob")}
 
+    async def send(caller, count, line, fields, pause):
+        for number in range(count):
+            context.answers[caller].append(await testbed.send(number % 3, line, fields))
+            await asyncio.sleep(pause)
+
     async def work():
         context.answers = {"ann": [], "others": []}
-        for number in range(60):
-            context.answers["ann"].append(
-                await testbed.send(number % 3, "GET /safe/1", token["ann"])
-            )
-            await asyncio.sleep(0.02)
-        for number in range(5):
-            context.answers["others"].append(
-                await testbed.send(number % 3, "GET /safe/1", token["bob"])
-            )
-            context.answers["others"].append(await testbed.send(number % 3, "GET /open/1"))
+        await send("ann", 60, "GET /safe/1", token["ann"], 0.02)
+        await send("others", 5, "GET /safe/1", token["bob"], 0)
+        await send("others", 5, "GET /open/1", (), 0)
 
     testbed.run(work())
 
--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -1,4 +1,4 @@
-"""The home of customers: knows their use over the fleet, and says which share is admitted."""
+"""The home of customers: counts their use over the fleet and decides which share is admitted."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -9,9 +9,8 @@
 from .meters import DecayedRate, DemandMeter
 from .model import WINDOW, CustomerUse, LimitAnswer, LimitReport, timing
 
-# An overage of 0.1 is allowed; it is left to errors.
-RATE_MARGIN = 1.0
-# For a window after daemons were lost or came: what they admitted elsewhere is not known.
+# Part of the rate that is given out for a window after daemons were lost or came, as the calls
+# that they admitted elsewhere are in no report.
 CAREFUL_MARGIN = 0.9
 MAX_CHANGE = 0.1
 # Calls on top of the burst, for customers with a few calls a second; a slack of 20 is allowed.
@@ -21,7 +20,7 @@
 # Tokens that are kept for errors, as the time in which they come in.
 RESERVE = Millis(300)
 SETTLING = Millis(450)
-# When the part of the fleet that reports here grows faster, most use is not known here yet.
+# When the part of the fleet that reports here grows faster, most use is not reported yet.
 MAX_GROWTH = 2.0
 PART_SPAN = Millis(1_000)
 REFRESH_INTERVAL = Millis(20)
@@ -36,10 +35,10 @@
 
 @dataclass(slots=True)
 class Reporter:
-    """What the home knows of a daemon that reports to it."""
+    """State of a daemon that reports to this home."""
 
     number: ReportNumber
-    heard_at: Millis
+    reported_at: Millis
     counts: dict[CustomerName, CustomerUse] = field(default_factory=dict)
 
 
@@ -57,7 +56,7 @@
         self.limited_at: Millis | None = None
 
     def add(self, offered: int, admitted: int, used: int, now: Millis) -> None:
-        """Count calls that a report tells."""
+        """Count the calls of a report."""
         self.demand.add(offered, now)
         self.admitted.add(admitted, now)
         self.used.add(used, now)
@@ -158,11 +157,11 @@
         if report.number == 1 or reporter is None:
             reporter = self.reporters[daemon] = Reporter(report.number, now)
             if report.number > 1:
-                # The counts go back to a time at which nothing is known of them here.
+                # The counts include calls of the time before; only what is added later counts here.
                 reporter.counts = {use.customer: use for use in report.uses}
         elif report.number <= reporter.number:
             return None
-        reporter.number, reporter.heard_at = report.number, now
+        reporter.number, reporter.reported_at = report.number, now
         return reporter
 
     def _count(self, reporter: Reporter, use: CustomerUse, now: Millis) -> None:
@@ -206,7 +205,7 @@
         if now - self.refreshed_at < REFRESH_INTERVAL:
             return
         hold = timing(self.fleet.count(now)).hold
-        silent = [i for i, row in self.reporters.items() if now - row.heard_at > hold]
+        silent = [i for i, row in self.reporters.items() if now - row.reported_at > hold]
         for daemon in silent:
             del self.reporters[daemon]
 
@@ -227,7 +226,7 @@
         self.level += (len(self.reporters) - self.level) * min(1.0, passed / PART_SPAN)
         if abs(len(self.reporters) - self.level) > MAX_CHANGE * self.level:
             self.careful_until = Millis(now + WINDOW)
-        margin = CAREFUL_MARGIN if now < self.careful_until else RATE_MARGIN
+        margin = CAREFUL_MARGIN if now < self.careful_until else 1.0
         for name in self.touched | self.limited:
             pool = self.pools[name]
             pool.refresh(self.customers[name], margin, part, now)
--- a/packages/agatecross-core/agatecross_core/limits/meters.py
+++ b/packages/agatecross-core/agatecross_core/limits/meters.py
@@ -42,7 +42,7 @@
         self.slow = DecayedRate(SLOW_SPAN, at=now)
 
     def add(self, calls: int, now: Millis) -> None:
-        """Add calls that a report tells."""
+        """Add the calls of a report."""
         self.fast.add(calls, now)
         self.slow.add(calls, now)
 
--- a/packages/agatecross-core/agatecross_core/limits/model.py
+++ b/packages/agatecross-core/agatecross_core/limits/model.py
@@ -13,7 +13,7 @@
 
 
 class Standing(Enum):
-    """What a daemon knows of the use of customers elsewhere."""
+    """How current the shares are by which a daemon admits the calls of a customer."""
 
     INFORMED = "informed"
     HOLDING = "holding"
@@ -53,7 +53,7 @@
     """The answer to a report.
 
     `shares` has each customer that is limited now, with the share of its calls to admit. While
-    `is_settling` is set, the home does not know the fleet yet and the earlier shares stay.
+    `is_settling` is set, too few daemons have reported to the home and the earlier shares stay.
     """
 
     slot: HomeSlot
--- a/packages/agatecross-core/agatecross_core/limits/reporter.py
+++ b/packages/agatecross-core/agatecross_core/limits/reporter.py
@@ -1,4 +1,4 @@
-"""The entry side of a slot: chooses the home, reports to it, and knows how far its answers go."""
+"""The entry side of a slot: chooses the home, reports to it, and tracks the age of its answers."""
 
 import random
 from collections.abc import Iterator
@@ -8,17 +8,17 @@
 from .homes import FleetSize, choose_home
 from .model import WINDOW, CustomerUse, LimitAnswer, LimitReport, Standing, Timing, timing
 
-# A new home does not know the use before it; one change a window keeps what that adds small.
+# A new home has no counts of the use before it; one change a window limits what that adds.
 HOME_STEADY_AFTER = WINDOW
 # Daemons that start together find each other within this time, and then have one home.
 START_SPAN = Millis(2_000)
 # A daemon that did not answer is not chosen again for so long.
 AVOID_HOME_FOR = Millis(5_000)
-# Walking the fleet at each tick would cost a percent of a core at 1,300 daemons.
-# A new home learns the demand from the second report on.
+# A new home has a demand from the second report on.
 SETTLING_PERIOD = Millis(100)
 # If daemons that start together reported together, demand would seem to go up and down.
 REPORT_SPREAD = (0.7, 1.1)
+# Comparing all daemons at each tick would cost a percent of a core at 1,300 daemons.
 CHOICE_INTERVAL = Millis(250)
 
 
@@ -87,7 +87,7 @@
         self.spread = 1.0
         self.waiting_since: Millis | None = None
         self.answered_at: Millis | None = None
-        # The last time at which the shares were those of a home that knows the fleet.
+        # The last answer of a home that had settled.
         self.informed_at: Millis | None = None
         self.is_settling = False
         # Other daemons have chosen this one.
@@ -97,7 +97,7 @@
         self.compared_at = ZERO_MS
 
     def standing(self, customer: CustomerName, now: Millis) -> Standing:
-        """Return how far the last answer goes for a customer."""
+        """Return how current the share of a customer is."""
         times = timing(self.fleet.count(now))
         hold = times.limited_hold if customer in self.shares else times.free_hold
         if self.informed_at is None or now - self.informed_at > hold:
@@ -114,7 +114,7 @@
         return counts
 
     def inherit(self, other: "SlotReporter") -> None:
-        """Keep what a reporter knew of customers that are in this slot now."""
+        """Keep the shares of a former reporter, for customers that are in this slot now."""
         self.shares |= other.shares
         if other.informed_at is not None:
             self.informed_at = max(other.informed_at, self.informed_at or ZERO_MS)
@@ -223,5 +223,5 @@
     def _is_lost(self, home: DaemonId, times: Timing, now: Millis) -> bool:
         if home in self.links.ended:
             return True
-        heard_at = max(self.chosen_at, self.answered_at or ZERO_MS)
-        return now - heard_at > times.hold
+        alive_at = max(self.chosen_at, self.answered_at or ZERO_MS)
+        return now - alive_at > times.hold
--- a/packages/agatecross-core/agatecross_core/quarantine/suspects.py
+++ b/packages/agatecross-core/agatecross_core/quarantine/suspects.py
@@ -11,7 +11,7 @@
 from .report import CrashReport
 from .strikes import Death
 
-# No trial starts before runs that began elsewhere have ended and their deaths are known here.
+# No trial starts before runs that began elsewhere have ended and their deaths were reported here.
 TRIAL_DELAY = Millis(3_000)
 # Deaths that are kept for one request: as many as upstreams may die together.
 MAX_DEATHS = 64
@@ -91,7 +91,7 @@
         return CrashReport((), (), (Clearance(fingerprint, tuple(sorted(record.deaths))),))
 
     def snapshot(self, now: Millis) -> CrashReport:
-        """Return all that counts now, for a daemon that was not there to hear it."""
+        """Return all strikes and refusals in force, for a daemon that missed their reports."""
         self._expire(now)
         strikes = tuple(
             Strike(fingerprint, daemon_id, incarnation)
@@ -122,14 +122,14 @@
         record = self.records.get(clearance.fingerprint)
         if record is None or record.condemned:
             return False
-        known = len(record.deaths)
+        before = len(record.deaths)
         record.deaths -= set(clearance.deaths)
         if not record.deaths:
             del self.records[clearance.fingerprint]
-        return len(record.deaths) < known
+        return len(record.deaths) < before
 
     def _expire(self, now: Millis) -> None:
-        """Forget old strikes; a peer that learnt them later may still report them."""
+        """Forget old strikes; a peer that received them later may still report them."""
         while self.records:
             fingerprint, record = next(iter(self.records.items()))
             if now - record.struck_at < QUARANTINE_TIME:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
@@ -21,7 +21,7 @@
 
 LimitsMessage = TableInForce | PeersSeen | LimitMessageReceived
 TICK_SECONDS = 0.1
-# Daemons that know fleets of other sizes divide the customers differently.
+# Daemons whose directories differ in size divide the customers differently.
 MAX_SLOTS = 64
 LOG_BURST_LINES = 20
 LOG_REFILL_INTERVAL = Millis(500)
