Let a home that the others have left join theirs, and measure demand from its start

Causes: a home that had stood still remained its own home for five seconds, while the others reported to another one; a customer whose calls come in there was held to one daemon's part. A home that had just begun counted the time before its start as calm, so its demand was too low when it gave out its first shares.

Changes: a daemon is its own home only while others report to it, if it reaches any. The rates of a demand are those since the home began.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -58,6 +58,23 @@
     When the home of a daemon is silent
     Then the daemon sends it at least 8 reports before it gives it up
 
+  Scenario: a home to which no other daemon reports takes the home of the others
+    Guards against a customer that is held to one daemon's part of its limit after a pause of the home.
+    Given a daemon to which the others of its fleet report
+    When the others choose another home
+    Then the daemon reports to another home until they report to it again
+
+  Scenario Outline: the demand of a customer <after> ms after a home has begun
+    Guards against a surge that is admitted because the time before the home's start counts as calm.
+    When a home gets reports of 100 calls a second for <after> ms
+    Then it measures between 75 and 125 calls a second
+
+    Examples:
+      | after |
+      | 200   |
+      | 500   |
+      | 3000  |
+
   Scenario: a report that arrives before the directory has any other daemon is answered
     Guards against a home that fails at its start.
     Then a home with an empty directory answers the first report of "d1"
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -12,8 +12,9 @@
 from agatecross_core.customers.model import Customer
 from agatecross_core.limits.gate import CustomerGate
 from agatecross_core.limits.home import LimitHome
-from agatecross_core.limits.homes import FleetSize
-from agatecross_core.limits.model import CustomerUse, LimitReport
+from agatecross_core.limits.homes import FleetSize, choose_home
+from agatecross_core.limits.meters import DemandMeter
+from agatecross_core.limits.model import CustomerUse, LimitAnswer, LimitReport
 from agatecross_standins.bench.limits import run, worst_window
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.virtual_limits import VirtualLimits
@@ -167,6 +168,54 @@
     assert homes.count("d1") >= count, homes
 
 
+def homes_while(gate, now, span, reports):
+    """Return the homes to which a gate reports; others report to it if `reports` says so."""
+    homes = []
+    for step in range(span // 100):
+        if reports:
+            gate.report_received("0/1")
+        for row in gate.tick(now + 100 * step):
+            homes.append(row.home)
+            if not row.report.is_last:
+                answer = LimitAnswer("0/1", row.report.number, False, ())
+                gate.receive(answer, row.home, now + 100 * step)
+    return homes
+
+
+@given("a daemon to which the others of its fleet report")
+def step_serving_daemon(context):
+    daemons = frozenset(("d0", "d1", "d2"))
+    context.me = me = choose_home("0/1", daemons)
+    context.gate = gate = CustomerGate(me, random.Random(SEED))
+    gate.set_customers({"ann": Customer("ann", rate=1.0)})
+    gate.set_peers(daemons, daemons - {me}, frozenset(), START)
+    assert homes_while(gate, START, 5_000, True)[-1] == me
+
+
+@when("the others choose another home")
+def step_others_choose(context):
+    context.homes = homes_while(context.gate, START + 5_000, 3_000, False)
+
+
+@then("the daemon reports to another home until they report to it again")
+def step_joins(context):
+    assert context.homes[-1] != context.me, context.homes
+    assert homes_while(context.gate, START + 8_000, 1_000, True)[-1] == context.me
+
+
+@when("a home gets reports of 100 calls a second for {span:d} ms")
+def step_demand(context, span):
+    meter = DemandMeter(START)
+    for now in range(100, span + 1, 100):
+        meter.add(10, START + now)
+    context.demand = meter.rate(START + span)
+
+
+@then("it measures between {least:d} and {most:d} calls a second")
+def step_measured(context, least, most):
+    assert least <= context.demand <= most, context.demand
+
+
 @given('a platform fleet in which "ann" may send 1 call a second and a burst of 2')
 def step_limited_fleet(context):
     start_testbed(context, False, 30)
--- a/packages/agatecross-core/agatecross_core/limits/gate.py
+++ b/packages/agatecross-core/agatecross_core/limits/gate.py
@@ -96,9 +96,8 @@
     def report_received(self, slot: HomeSlot) -> None:
         """Note that another daemon reports to this one."""
         reporter = self.reporters.get(slot)
-        if reporter is not None and not reporter.serves_others:
-            reporter.serves_others = True
-            reporter.compared_at = ZERO_MS
+        if reporter is not None:
+            reporter.note_report()
 
     def admit(self, customer: Customer, now: Millis) -> Millis | None:
         """Count a call; return None if it is admitted, else the time to the next one with room."""
--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -56,7 +56,7 @@
         """Start without tokens at `since`: another home may have given them out before."""
         self.tokens = 0.0
         self.filled_at = since
-        self.demand = DemandMeter(now)
+        self.demand = DemandMeter(since)
         self.admitted = DecayedRate(RUN_SHARE_SPAN, at=now)
         self.used = DecayedRate(RUN_SHARE_SPAN, at=now)
         self.share = 1.0
--- a/packages/agatecross-core/agatecross_core/limits/meters.py
+++ b/packages/agatecross-core/agatecross_core/limits/meters.py
@@ -13,11 +13,15 @@
 
 @dataclass(slots=True)
 class DecayedRate:
-    """Events a second, where earlier events count less and less over `span`."""
+    """Events a second, where earlier events count less and less over `span`.
+
+    With `since`, nothing was counted before it, and the rate is that of the time after it.
+    """
 
     span: Millis
     weight: float = 0.0
     at: Millis = ZERO_MS
+    since: Millis | None = None
 
     def add(self, events: float, now: Millis) -> None:
         """Add events that happened now."""
@@ -26,20 +30,23 @@
 
     def rate(self, now: Millis) -> float:
         """Return the events a second."""
-        return self.weight * math.exp((self.at - now) / self.span) / self.span * 1000
+        weight = self.weight * math.exp((self.at - now) / self.span)
+        if self.since is not None:
+            weight /= 1 - math.exp((self.since - max(now, self.since + 1)) / self.span)
+        return weight / self.span * 1000
 
     def set_rate(self, rate: float, now: Millis) -> None:
         """Forget the past and start with a rate."""
-        self.weight, self.at = rate * self.span / 1000, now
+        self.weight, self.at, self.since = rate * self.span / 1000, now, None
 
 
 class DemandMeter:
     """Demand a second: slow in calm times, so that noise limits nobody, and fast at a change."""
 
-    def __init__(self, now: Millis) -> None:
-        """Start without demand."""
-        self.fast = DecayedRate(FAST_SPAN, at=now)
-        self.slow = DecayedRate(SLOW_SPAN, at=now)
+    def __init__(self, since: Millis) -> None:
+        """Start without demand at `since`, from when on calls are counted."""
+        self.fast = DecayedRate(FAST_SPAN, at=since, since=since)
+        self.slow = DecayedRate(SLOW_SPAN, at=since, since=since)
 
     def add(self, calls: int, now: Millis) -> None:
         """Add the calls of a report."""
--- a/packages/agatecross-core/agatecross_core/limits/reporter.py
+++ b/packages/agatecross-core/agatecross_core/limits/reporter.py
@@ -91,8 +91,10 @@
         # The last answer of a home that had settled.
         self.informed_at: Millis | None = None
         self.is_settling = False
-        # Other daemons have chosen this one.
+        # Other daemons have chosen this one; the last tick at which they had reported to it.
         self.serves_others = False
+        self.has_reports = False
+        self.others_at = ZERO_MS
         self.created_at = self.chosen_at = now
         self.choice_due_at = now
         self.compared_at = ZERO_MS
@@ -106,6 +108,13 @@
         is_late = self.waiting_since is not None and now - self.waiting_since > times.answer_timeout
         return Standing.HOLDING if is_late or self.is_settling else Standing.INFORMED
 
+    def note_report(self) -> None:
+        """Note that another daemon reports to this one."""
+        if not self.serves_others:
+            self.compared_at = ZERO_MS
+            self.avoided.pop(self.links.me, None)
+        self.serves_others = self.has_reports = True
+
     def counts_of(self, customer: CustomerName) -> Counts:
         """Return the counts of a customer, which the caller changes."""
         self.unreported.add(customer)
@@ -130,6 +139,10 @@
     def tick(self, now: Millis) -> list[SendReport]:
         """Return the reports that are due."""
         times = timing(self.fleet.count(now))
+        if self.has_reports:
+            self.has_reports, self.others_at = False, now
+        elif now - self.others_at > times.hold:
+            self.serves_others = False
         sent = self._choose_home(times, now)
         if self.home is None:
             return sent
@@ -189,8 +202,7 @@
         self.compared_at = now
         self.avoided = {i: until for i, until in self.avoided.items() if until > now}
         if home is not None and self._is_lost(home, times, now):
-            if home != self.links.me:
-                self.avoided[home] = Millis(now + AVOID_HOME_FOR)
+            self.avoided[home] = Millis(now + AVOID_HOME_FOR)
             home = None
         best = choose_home(self.slot, self._candidates(home, now)) or self.links.me
         if home is not None and home not in self.links.open_since:
@@ -228,4 +240,7 @@
         if home in self.links.ended:
             return True
         alive_at = max(self.chosen_at, self.answered_at or ZERO_MS)
+        if home == self.links.me and len(self.links.open_since) > 1:
+            # After a pause or a cut, the other daemons have another home.
+            alive_at = max(self.chosen_at, self.others_at)
         return now - alive_at > times.hold
