Answer all daemons at once when a customer's calls surge

Cause: a daemon got a lower share only with the answer to its next report.

Change: when the calls beyond the rate until all have reported would exceed 0.05 of a window's and 10, the home sends its answer to all daemons, four for each report that comes in, once for each time that a customer becomes limited. No message has changed; a daemon takes an answer to its last report as before.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -75,6 +75,17 @@
       | 500   |
       | 3000  |
 
+  # Each of 20 daemons reports four times a second; "ann" may send 100 calls a second and a burst of 25.
+  Scenario Outline: a home tells all daemons of a surge before they report: <guards against>
+    When the daemons report <before> calls a second of "ann" for 3 s and <after> for 1 s
+    Then the home answers <count> daemons that did not report
+
+    Examples:
+      | guards against                                        | before | after | count |
+      | a surge that passes until each daemon has reported    | 80     | 600   | 15 to 20 |
+      | messages for a customer within its limit              | 80     | 90    | 0 to 0   |
+      | messages for each report while a customer stays limited | 600  | 600   | 0 to 0   |
+
   Scenario: a report that arrives before the directory has any other daemon is answered
     Guards against a home that fails at its start.
     Then a home with an empty directory answers the first report of "d1"
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -216,6 +216,30 @@
     assert least <= context.demand <= most, context.demand
 
 
+@when('the daemons report {before:d} calls a second of "ann" for 3 s and {after:d} for 1 s')
+def step_surge(context, before, after):
+    ids = [f"d{number}" for number in range(20)]
+    fleet = FleetSize("d0")
+    fleet.update(frozenset(ids), frozenset(), START)
+    home = LimitHome("0/1", fleet)
+    home.set_customers({"ann": Customer("ann", rate=100.0, burst=25.0)})
+    calls, context.pushed = 0.0, []
+    for number in range(320):
+        now = START + 12.5 * number
+        calls += (before if number < 240 else after) / 80
+        # Each daemon has a twentieth of the calls.
+        use = CustomerUse("ann", round(calls / 20), round(calls / 20), round(calls / 20))
+        home.receive(LimitReport("0/1", number // 20 + 1, False, (use,)), ids[number % 20], now)
+        pushes = home.take_pushes(now)
+        context.pushed += [daemon for daemon, _ in pushes] if number >= 240 else []
+
+
+@then("the home answers {least:d} to {most:d} daemons that did not report")
+def step_pushed(context, least, most):
+    assert least <= len(context.pushed) <= most, context.pushed
+    assert len(set(context.pushed)) == len(context.pushed), context.pushed
+
+
 @given('a platform fleet in which "ann" may send 1 call a second and a burst of 2')
 def step_limited_fleet(context):
     start_testbed(context, False, 30)
--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from itertools import chain
+from itertools import chain, islice
 
 from ..constants import MAX_MEMBERS
 from ..customers.model import Customer
@@ -33,6 +33,12 @@
 # A customer that was not limited for so long ceases to be.
 CALM_TIME = Millis(1_000)
 MAX_SHARES = 1_024
+# Calls beyond the rate, as a part of a window and as a number, that may pass until each daemon has
+# reported again; with more, it gets an answer before.
+URGENT_PART = 0.05
+URGENT_CALLS = 10.0
+# Such answers for each report that comes in, so that they do not hold up others.
+PUSHES_PER_REPORT = 4
 
 
 @dataclass(slots=True)
@@ -120,6 +126,9 @@
         self.refreshed_at = ZERO_MS
         self.shares: tuple[tuple[CustomerName, float], ...] = ()
         self.changes: list[LimitChange] = []
+        # Customers of which too many calls pass, and the daemons that are still to be told.
+        self.urgent: set[CustomerName] = set()
+        self.to_push: dict[DaemonId, None] = {}
 
     def set_customers(self, customers: Mapping[CustomerName, Customer]) -> None:
         """Use the customers of a configuration; those without a limit are not counted."""
@@ -146,10 +155,37 @@
             del self.reporters[daemon]
             return None
         self._refresh(now)
+        self.to_push.pop(daemon, None)
+        return self._answer(report.number, now)
+
+    def take_pushes(self, now: Millis) -> list[tuple[DaemonId, LimitAnswer]]:
+        """Return answers to daemons whose next report would come too late for a surge."""
+        taken = list(islice(self.to_push, PUSHES_PER_REPORT))
+        for daemon in taken:
+            del self.to_push[daemon]
+        return [
+            (daemon, self._answer(self.reporters[daemon].number, now))
+            for daemon in taken
+            if daemon in self.reporters
+        ]
+
+    def _answer(self, number: ReportNumber, now: Millis) -> LimitAnswer:
         is_settling = now - self.begun_at < SETTLING
-        return LimitAnswer(
-            self.slot, report.number, is_settling, () if is_settling else self.shares
-        )
+        return LimitAnswer(self.slot, number, is_settling, () if is_settling else self.shares)
+
+    def _is_urgent(self, name: CustomerName, now: Millis) -> bool:
+        """Return whether too many calls would pass until all daemons have reported again."""
+        rate, pool = self.customers[name].rate, self.pools[name]
+        excess = (pool.demand.rate(now) - rate) / 1000 * timing(self.fleet.count(now)).period
+        return excess - max(0.0, pool.tokens) > URGENT_PART * rate * WINDOW / 1000 + URGENT_CALLS
+
+    def _plan_pushes(self, now: Millis) -> None:
+        """Answer all daemons soon if a customer has just become limited by a surge."""
+        self.urgent &= self.limited
+        surged = {name for name in self.limited - self.urgent if self._is_urgent(name, now)}
+        if surged:
+            self.urgent |= surged
+            self.to_push = dict.fromkeys(self.reporters)
 
     def _begin(self, now: Millis) -> None:
         """Forget the use so far: most of the fleet used another home until now."""
@@ -257,6 +293,8 @@
         self.shares = tuple(sorted((row for row in rows if row[1] < 1.0), key=_by_share))[
             :MAX_SHARES
         ]
+        if now - self.begun_at >= SETTLING:
+            self._plan_pushes(now)
 
 
 def _by_share(row: tuple[CustomerName, float]) -> float:
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -157,10 +157,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendToPeer:
-    """Send a report to a daemon, if the link to it is open."""
+    """Send a message on the limits of customers to a daemon, if the link to it is open."""
 
     daemon_id: DaemonId
-    message: LimitReport
+    message: LimitReport | LimitAnswer
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
@@ -129,6 +129,11 @@
             home = self.homes[report.slot] = LimitHome(report.slot, self.gate.fleet)
             home.set_customers(self.gate.customers)
         answer = home.receive(report, daemon_id, now)
+        for other_id, pushed in home.take_pushes(now):
+            if other_id == self.daemon_id:
+                self.gate.receive(pushed, other_id, now)
+            else:
+                self.peers.put(SendToPeer(other_id, pushed))
         for change in home.take_changes():
             self._log_change(change, now)
         self.metrics.limited_customers.set(sum(len(row.limited) for row in self.homes.values()))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -207,9 +207,9 @@
                 encoded = encode_for_sending(Strikes(report))
                 for link in self.links.values():
                     link.send_encoded(encoded)
-            case SendToPeer(daemon_id, report):
+            case SendToPeer(daemon_id, limit_message):
                 if daemon_id in self.links:
-                    self.links[daemon_id].send(report)
+                    self.links[daemon_id].send(limit_message)
             case StoreRestored(era):
                 self.restored_era = max(self.restored_era, era)
                 self._send_to_peers(StoreEraNotice(era))
--- a/packages/agatecross-standins/agatecross_standins/virtual_limits.py
+++ b/packages/agatecross-standins/agatecross_standins/virtual_limits.py
@@ -209,7 +209,11 @@
         if limit_home is None:
             limit_home = home.homes[report.slot] = LimitHome(report.slot, home.gate.fleet)
             limit_home.set_customers(home.gate.customers)
-        return limit_home.receive(report, sender.daemon_id, Millis(self.now))
+        answer = limit_home.receive(report, sender.daemon_id, Millis(self.now))
+        for daemon_id, pushed in limit_home.take_pushes(Millis(self.now)):
+            target = self.daemons[daemon_id]
+            self._send(home, target, pushed, partial(self._take_answer, target, home, pushed))
+        return answer
 
     def _send(
         self,
