--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -6,20 +6,21 @@
   # clumps; "hot" ones send five times as much for 7 s. The windows are those of 5 s, each against
   # (rate x 5 s + burst) x 1.1 + 20.
   Scenario Outline: <daemons> daemons, <event>: <guards against>
-    When the bench plays "<event>" with <daemons> daemons
+    When the bench plays "<event>" with <daemons> daemons and the seed <seed>
     Then no window has more than <window> of what is allowed, and <due> of what is due passes
 
     Examples:
-      | guards against                                 | daemons | event                | window | due  |
-      | refusals without a reason                      | 10      | calm                 | 1.0    | 0.97 |
-      | a limit that each daemon applies on its own    | 10      | hot                  | 1.0    | 0.97 |
-      | a second home that admits the limit once more  | 10      | hot with a third cut off   | 1.0    | 0.95 |
-      | a home whose memory is lost                    | 10      | hot with the home killed     | 1.0    | 0.97 |
-      | a home that is silent                          | 10      | hot with the home frozen     | 1.0    | 0.95 |
-      | refusals while the fleet starts again          | 10      | calm with half restarted | 1.0    | 0.97 |
-      | refusals where each daemon sees few calls      | 85      | calm                 | 1.0    | 0.97 |
-      | calls that are admitted before the home knows  | 85      | hot                  | 1.0    | 0.97 |
-      | a home that counts daemons which it has lost   | 85      | hot with a third cut off   | 1.0    | 0.97 |
+      | guards against                                 | daemons | event                | window | due  | seed |
+      | refusals without a reason                      | 10      | calm                 | 1.0    | 0.97 | 7    |
+      | a limit that each daemon applies on its own    | 10      | hot                  | 1.0    | 0.97 | 7    |
+      | a second home that admits the limit once more  | 10      | hot with a third cut off   | 1.0    | 0.95 | 7    |
+      | a home whose memory is lost                    | 10      | hot with the home killed     | 1.0    | 0.97 | 7    |
+      | a home that is silent                          | 10      | hot with the home frozen     | 1.0    | 0.95 | 7    |
+      | refusals while the fleet starts again          | 10      | calm with half restarted | 1.0    | 0.97 | 7    |
+      | refusals where each daemon sees few calls      | 85      | calm                 | 1.0    | 0.97 | 7    |
+      | calls that are admitted before their report    | 85      | hot                  | 1.0    | 0.97 | 7    |
+      | a home that counts daemons which it has lost   | 85      | hot with a third cut off   | 1.0    | 0.97 | 7    |
+      | a home that gives out the parts of newcomers   | 10      | hot with half restarted | 1.0 | 0.95 | 203  |
 
   Scenario: any order of cuts, kills, pauses, lost messages and changes of the limit
     Guards against a way around the limit that no table names, and against a fleet that stays limited.
@@ -38,9 +39,56 @@
       | a daemon alone that takes the whole limit  | 50   | 10    | 20    | 1     | 700   | 830  |
       | a customer without a limit that is limited | 0    | 0     | 20    | 10    | 3000  | 3000 |
 
-  Scenario: a report that arrives before the home knows any other daemon is answered
+  # NUMBER:CUSTOMER=CALLS is a report of "d1" with the calls since it chose the home, "wait" 2 s in which
+  # other daemons report.
+  Scenario Outline: a home counts the calls of a daemon once: <guards against>
+    When a home gets the reports "<reports>" of a daemon
+    Then it has counted <ann> calls of "ann" and <bob> of "bob"
+
+    Examples:
+      | guards against                                          | reports                           | ann | bob |
+      | calls that are counted in no report                     | 1:ann=5,bob=2 2:ann=9             | 9   | 2   |
+      | a report that arrives twice                             | 1:ann=5 2:ann=9 2:ann=9           | 9   | 0   |
+      | a customer whose calls are counted again after silence  | 1:ann=5,bob=7 wait 4:ann=9 5:bob=8 | 5  | 8   |
+      | calls before the home's start that count for a customer | 4:ann=9 5:ann=10,bob=50 6:bob=51  | 1   | 1   |
+      | calls after a daemon's restart that are not counted     | 1:ann=5 wait 1:ann=3              | 8   | 0   |
+
+  Scenario: a daemon repeats a report that is not answered
+    Guards against a daemon that leaves a home because a few messages are lost.
+    When the home of a daemon is silent
+    Then the daemon sends it at least 8 reports before it gives it up
+
+  Scenario: a home to which no other daemon reports takes the home of the others
+    Guards against a customer that is held to one daemon's part of its limit after a pause of the home.
+    Given a daemon to which the others of its fleet report
+    When the others choose another home
+    Then the daemon reports to another home until they report to it again
+
+  Scenario Outline: the demand of a customer <after> ms after a home has begun
+    Guards against a surge that is admitted because the time before the home's start counts as calm.
+    When a home gets reports of 100 calls a second for <after> ms
+    Then it measures between 75 and 125 calls a second
+
+    Examples:
+      | after |
+      | 200   |
+      | 500   |
+      | 3000  |
+
+  # Each of 20 daemons reports four times a second; "ann" may send 100 calls a second and a burst of 25.
+  Scenario Outline: a home tells all daemons of a surge before they report: <guards against>
+    When the daemons report <before> calls a second of "ann" for 3 s and <after> for 1 s
+    Then the home answers <count> daemons that did not report
+
+    Examples:
+      | guards against                                        | before | after | count |
+      | a surge that passes until each daemon has reported    | 80     | 600   | 15 to 20 |
+      | messages for a customer within its limit              | 80     | 90    | 0 to 0   |
+      | messages for each report while a customer stays limited | 600  | 600   | 0 to 0   |
+
+  Scenario: a report that arrives before the directory has any other daemon is answered
     Guards against a home that fails at its start.
-    Then a home that knows no daemons answers the first report of "d1"
+    Then a home with an empty directory answers the first report of "d1"
 
   Scenario: refusals say when to come back, and the upstream does not see them
     Guards against 429 without a time, refused calls that run, and limits for calls without a customer.
--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -1,17 +1,18 @@
-"""The home of customers: knows their use over the fleet, and says which share is admitted."""
+"""The home of customers: counts their use over the fleet and decides which share is admitted."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from itertools import chain, islice
 
+from ..constants import MAX_MEMBERS
 from ..customers.model import Customer
 from ..ids import ZERO_MS, CustomerName, DaemonId, HomeSlot, Millis, ReportNumber
 from .homes import FleetSize
 from .meters import DecayedRate, DemandMeter
 from .model import WINDOW, CustomerUse, LimitAnswer, LimitReport, timing
 
-# An overage of 0.1 is allowed; it is left to errors.
-RATE_MARGIN = 1.0
-# For a window after daemons were lost or came: what they admitted elsewhere is not known.
+# Part of the rate that is given out for a window after daemons were lost or came, as the calls
+# that they admitted elsewhere are in no report.
 CAREFUL_MARGIN = 0.9
 MAX_CHANGE = 0.1
 # Calls on top of the burst, for customers with a few calls a second; a slack of 20 is allowed.
@@ -21,7 +22,7 @@
 # Tokens that are kept for errors, as the time in which they come in.
 RESERVE = Millis(300)
 SETTLING = Millis(450)
-# When the part of the fleet that reports here grows faster, most use is not known here yet.
+# When the part of the fleet that reports here grows faster, most use is not reported yet.
 MAX_GROWTH = 2.0
 PART_SPAN = Millis(1_000)
 REFRESH_INTERVAL = Millis(20)
@@ -32,15 +33,26 @@
 # A customer that was not limited for so long ceases to be.
 CALM_TIME = Millis(1_000)
 MAX_SHARES = 1_024
+# Calls beyond the rate, as a part of a window and as a number, that may pass until each daemon has
+# reported again; with more, it gets an answer before.
+URGENT_PART = 0.05
+URGENT_CALLS = 10.0
+# Such answers for each report that comes in, so that they do not hold up others.
+PUSHES_PER_REPORT = 4
 
 
 @dataclass(slots=True)
 class Reporter:
-    """What the home knows of a daemon that reports to it."""
+    """State of a daemon that reports to this home.
+
+    With `is_joined`, its counts began before its first report here, and those of customers that
+    this report did not have are unknown.
+    """
 
     number: ReportNumber
-    heard_at: Millis
+    reported_at: Millis
     counts: dict[CustomerName, CustomerUse] = field(default_factory=dict)
+    is_joined: bool = False
 
 
 class Pool:
@@ -50,14 +62,14 @@
         """Start without tokens at `since`: another home may have given them out before."""
         self.tokens = 0.0
         self.filled_at = since
-        self.demand = DemandMeter(now)
+        self.demand = DemandMeter(since)
         self.admitted = DecayedRate(RUN_SHARE_SPAN, at=now)
         self.used = DecayedRate(RUN_SHARE_SPAN, at=now)
         self.share = 1.0
         self.limited_at: Millis | None = None
 
     def add(self, offered: int, admitted: int, used: int, now: Millis) -> None:
-        """Count calls that a report tells."""
+        """Count the calls of a report."""
         self.demand.add(offered, now)
         self.admitted.add(admitted, now)
         self.used.add(used, now)
@@ -100,6 +112,8 @@
         self.fleet = fleet
         self.customers: Mapping[CustomerName, Customer] = {}
         self.reporters: dict[DaemonId, Reporter] = {}
+        # Daemons that were given up; the counts in their reports go on where these end.
+        self.silent: dict[DaemonId, Reporter] = {}
         self.pools: dict[CustomerName, Pool] = {}
         self.touched: set[CustomerName] = set()
         self.limited: set[CustomerName] = set()
@@ -112,6 +126,9 @@
         self.refreshed_at = ZERO_MS
         self.shares: tuple[tuple[CustomerName, float], ...] = ()
         self.changes: list[LimitChange] = []
+        # Customers of which too many calls pass, and the daemons that are still to be told.
+        self.urgent: set[CustomerName] = set()
+        self.to_push: dict[DaemonId, None] = {}
 
     def set_customers(self, customers: Mapping[CustomerName, Customer]) -> None:
         """Use the customers of a configuration; those without a limit are not counted."""
@@ -119,7 +136,7 @@
         self.pools = {name: pool for name, pool in self.pools.items() if name in self.customers}
         self.touched &= self.customers.keys()
         self.limited &= self.customers.keys()
-        for reporter in self.reporters.values():
+        for reporter in chain(self.reporters.values(), self.silent.values()):
             reporter.counts = {
                 name: use for name, use in reporter.counts.items() if name in self.customers
             }
@@ -138,10 +155,37 @@
             del self.reporters[daemon]
             return None
         self._refresh(now)
+        self.to_push.pop(daemon, None)
+        return self._answer(report.number, now)
+
+    def take_pushes(self, now: Millis) -> list[tuple[DaemonId, LimitAnswer]]:
+        """Return answers to daemons whose next report would come too late for a surge."""
+        taken = list(islice(self.to_push, PUSHES_PER_REPORT))
+        for daemon in taken:
+            del self.to_push[daemon]
+        return [
+            (daemon, self._answer(self.reporters[daemon].number, now))
+            for daemon in taken
+            if daemon in self.reporters
+        ]
+
+    def _answer(self, number: ReportNumber, now: Millis) -> LimitAnswer:
         is_settling = now - self.begun_at < SETTLING
-        return LimitAnswer(
-            self.slot, report.number, is_settling, () if is_settling else self.shares
-        )
+        return LimitAnswer(self.slot, number, is_settling, () if is_settling else self.shares)
+
+    def _is_urgent(self, name: CustomerName, now: Millis) -> bool:
+        """Return whether too many calls would pass until all daemons have reported again."""
+        rate, pool = self.customers[name].rate, self.pools[name]
+        excess = (pool.demand.rate(now) - rate) / 1000 * timing(self.fleet.count(now)).period
+        return excess - max(0.0, pool.tokens) > URGENT_PART * rate * WINDOW / 1000 + URGENT_CALLS
+
+    def _plan_pushes(self, now: Millis) -> None:
+        """Answer all daemons soon if a customer has just become limited by a surge."""
+        self.urgent &= self.limited
+        surged = {name for name in self.limited - self.urgent if self._is_urgent(name, now)}
+        if surged:
+            self.urgent |= surged
+            self.to_push = dict.fromkeys(self.reporters)
 
     def _begin(self, now: Millis) -> None:
         """Forget the use so far: most of the fleet used another home until now."""
@@ -155,21 +199,31 @@
 
     def _reporter(self, report: LimitReport, daemon: DaemonId, now: Millis) -> Reporter | None:
         reporter = self.reporters.get(daemon)
-        if report.number == 1 or reporter is None:
-            reporter = self.reporters[daemon] = Reporter(report.number, now)
-            if report.number > 1:
-                # The counts go back to a time at which nothing is known of them here.
-                reporter.counts = {use.customer: use for use in report.uses}
-        elif report.number <= reporter.number:
+        if reporter is not None and 1 < report.number <= reporter.number:
             return None
-        reporter.number, reporter.heard_at = report.number, now
+        if reporter is None or report.number == 1:
+            reporter = self.reporters[daemon] = self._join(report, daemon, now)
+        reporter.number, reporter.reported_at = report.number, now
         return reporter
 
+    def _join(self, report: LimitReport, daemon: DaemonId, now: Millis) -> Reporter:
+        """Return the state of a daemon that did not report until now."""
+        before = self.silent.pop(daemon, None)
+        if report.number == 1:
+            return Reporter(report.number, now)
+        # Calls of the time before were admitted by the daemon's part of the limit.
+        counts = {use.customer: use for use in report.uses}
+        if before is not None and before.number < report.number:
+            return Reporter(report.number, now, before.counts | counts, before.is_joined)
+        return Reporter(report.number, now, counts, before is None)
+
     def _count(self, reporter: Reporter, use: CustomerUse, now: Millis) -> None:
         if use.customer not in self.customers:
             return
-        before = reporter.counts.get(use.customer) or CustomerUse(use.customer, 0, 0, 0)
+        before = reporter.counts.get(use.customer)
         reporter.counts[use.customer] = use
+        if before is None:
+            before = use if reporter.is_joined else CustomerUse(use.customer, 0, 0, 0)
         pool = self.pools.get(use.customer)
         if pool is None:
             pool = self.pools[use.customer] = Pool(self.begun_at, now)
@@ -206,18 +260,18 @@
         if now - self.refreshed_at < REFRESH_INTERVAL:
             return
         hold = timing(self.fleet.count(now)).hold
-        silent = [i for i, row in self.reporters.items() if now - row.heard_at > hold]
+        silent = [i for i, row in self.reporters.items() if now - row.reported_at > hold]
         for daemon in silent:
-            del self.reporters[daemon]
+            self.silent[daemon] = self.reporters.pop(daemon)
+        while len(self.silent) > MAX_MEMBERS:
+            del self.silent[next(iter(self.silent))]
 
     def _refresh(self, now: Millis) -> None:
         if now - self.refreshed_at < REFRESH_INTERVAL:
             return
         passed, self.refreshed_at = now - self.refreshed_at, now
-        hold = timing(self.fleet.count(now)).hold
-        # Newcomers get time to report, but not at the start of a fleet with many homes.
-        grace = hold if now - self.begun_at > hold else ZERO_MS
-        part = min(1.0, len(self.reporters) / self.fleet.lowest_count(grace, now))
+        # A daemon that has just started counts at once: until it reports, it admits its own part.
+        part = min(1.0, len(self.reporters) / self.fleet.count(now))
         if now - self.begun_at < SETTLING:
             self.part = part
         elif part > MAX_GROWTH * self.part:
@@ -227,7 +281,7 @@
         self.level += (len(self.reporters) - self.level) * min(1.0, passed / PART_SPAN)
         if abs(len(self.reporters) - self.level) > MAX_CHANGE * self.level:
             self.careful_until = Millis(now + WINDOW)
-        margin = CAREFUL_MARGIN if now < self.careful_until else RATE_MARGIN
+        margin = CAREFUL_MARGIN if now < self.careful_until else 1.0
         for name in self.touched | self.limited:
             pool = self.pools[name]
             pool.refresh(self.customers[name], margin, part, now)
@@ -239,6 +293,8 @@
         self.shares = tuple(sorted((row for row in rows if row[1] < 1.0), key=_by_share))[
             :MAX_SHARES
         ]
+        if now - self.begun_at >= SETTLING:
+            self._plan_pushes(now)
 
 
 def _by_share(row: tuple[CustomerName, float]) -> float:
--- a/packages/agatecross-core/agatecross_core/limits/reporter.py
+++ b/packages/agatecross-core/agatecross_core/limits/reporter.py
@@ -1,4 +1,4 @@
-"""The entry side of a slot: chooses the home, reports to it, and knows how far its answers go."""
+"""The entry side of a slot: chooses the home, reports to it, and tracks the age of its answers."""
 
 import random
 from collections.abc import Iterator
@@ -6,19 +6,20 @@
 
 from ..ids import ZERO_MS, CustomerName, DaemonId, HomeSlot, Millis, ReportNumber
 from .homes import FleetSize, choose_home
-from .model import WINDOW, CustomerUse, LimitAnswer, LimitReport, Standing, Timing, timing
+from .model import CustomerUse, LimitAnswer, LimitReport, Standing, Timing, timing
 
-# A new home does not know the use before it; one change a window keeps what that adds small.
-HOME_STEADY_AFTER = WINDOW
+# A new home has no counts of the use before it, so homes may not follow each other faster. While a
+# fleet has two, a customer whose calls come in at one of them gets only that part of its limit.
+HOME_STEADY_AFTER = Millis(2_500)
 # Daemons that start together find each other within this time, and then have one home.
 START_SPAN = Millis(2_000)
 # A daemon that did not answer is not chosen again for so long.
 AVOID_HOME_FOR = Millis(5_000)
-# Walking the fleet at each tick would cost a percent of a core at 1,300 daemons.
-# A new home learns the demand from the second report on.
+# A new home has a demand from the second report on.
 SETTLING_PERIOD = Millis(100)
 # If daemons that start together reported together, demand would seem to go up and down.
 REPORT_SPREAD = (0.7, 1.1)
+# Comparing all daemons at each tick would cost a percent of a core at 1,300 daemons.
 CHOICE_INTERVAL = Millis(250)
 
 
@@ -87,17 +88,19 @@
         self.spread = 1.0
         self.waiting_since: Millis | None = None
         self.answered_at: Millis | None = None
-        # The last time at which the shares were those of a home that knows the fleet.
+        # The last answer of a home that had settled.
         self.informed_at: Millis | None = None
         self.is_settling = False
-        # Other daemons have chosen this one.
+        # Other daemons have chosen this one; the last tick at which they had reported to it.
         self.serves_others = False
+        self.has_reports = False
+        self.others_at = ZERO_MS
         self.created_at = self.chosen_at = now
         self.choice_due_at = now
         self.compared_at = ZERO_MS
 
     def standing(self, customer: CustomerName, now: Millis) -> Standing:
-        """Return how far the last answer goes for a customer."""
+        """Return how current the share of a customer is."""
         times = timing(self.fleet.count(now))
         hold = times.limited_hold if customer in self.shares else times.free_hold
         if self.informed_at is None or now - self.informed_at > hold:
@@ -105,6 +108,13 @@
         is_late = self.waiting_since is not None and now - self.waiting_since > times.answer_timeout
         return Standing.HOLDING if is_late or self.is_settling else Standing.INFORMED
 
+    def note_report(self) -> None:
+        """Note that another daemon reports to this one."""
+        if not self.serves_others:
+            self.compared_at = ZERO_MS
+            self.avoided.pop(self.links.me, None)
+        self.serves_others = self.has_reports = True
+
     def counts_of(self, customer: CustomerName) -> Counts:
         """Return the counts of a customer, which the caller changes."""
         self.unreported.add(customer)
@@ -114,7 +124,7 @@
         return counts
 
     def inherit(self, other: "SlotReporter") -> None:
-        """Keep what a reporter knew of customers that are in this slot now."""
+        """Keep the shares of a former reporter, for customers that are in this slot now."""
         self.shares |= other.shares
         if other.informed_at is not None:
             self.informed_at = max(other.informed_at, self.informed_at or ZERO_MS)
@@ -129,12 +139,19 @@
     def tick(self, now: Millis) -> list[SendReport]:
         """Return the reports that are due."""
         times = timing(self.fleet.count(now))
+        if self.has_reports:
+            self.has_reports, self.others_at = False, now
+        elif now - self.others_at > times.hold:
+            self.serves_others = False
         sent = self._choose_home(times, now)
         if self.home is None:
             return sent
         interval = times.period if self.unreported else times.presence
         if self.is_settling:
             interval = SETTLING_PERIOD
+        elif self.waiting_since is not None:
+            # Otherwise four lost messages in a row would make this daemon leave a home that runs.
+            interval = times.retry
         if self.number == 0 or now - self.reported_at >= self.spread * interval:
             sent.append(SendReport(self.home, self._new_report(False, now)))
         return sent
@@ -185,8 +202,7 @@
         self.compared_at = now
         self.avoided = {i: until for i, until in self.avoided.items() if until > now}
         if home is not None and self._is_lost(home, times, now):
-            if home != self.links.me:
-                self.avoided[home] = Millis(now + AVOID_HOME_FOR)
+            self.avoided[home] = Millis(now + AVOID_HOME_FOR)
             home = None
         best = choose_home(self.slot, self._candidates(home, now)) or self.links.me
         if home is not None and home not in self.links.open_since:
@@ -223,5 +239,8 @@
     def _is_lost(self, home: DaemonId, times: Timing, now: Millis) -> bool:
         if home in self.links.ended:
             return True
-        heard_at = max(self.chosen_at, self.answered_at or ZERO_MS)
-        return now - heard_at > times.hold
+        alive_at = max(self.chosen_at, self.answered_at or ZERO_MS)
+        if home == self.links.me and len(self.links.open_since) > 1:
+            # After a pause or a cut, the other daemons have another home.
+            alive_at = max(self.chosen_at, self.others_at)
+        return now - alive_at > times.hold
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
@@ -21,7 +21,7 @@
 
 LimitsMessage = TableInForce | PeersSeen | LimitMessageReceived
 TICK_SECONDS = 0.1
-# Daemons that know fleets of other sizes divide the customers differently.
+# Daemons whose directories differ in size divide the customers differently.
 MAX_SLOTS = 64
 LOG_BURST_LINES = 20
 LOG_REFILL_INTERVAL = Millis(500)
@@ -129,6 +129,11 @@
             home = self.homes[report.slot] = LimitHome(report.slot, self.gate.fleet)
             home.set_customers(self.gate.customers)
         answer = home.receive(report, daemon_id, now)
+        for other_id, pushed in home.take_pushes(now):
+            if other_id == self.daemon_id:
+                self.gate.receive(pushed, other_id, now)
+            else:
+                self.peers.put(SendToPeer(other_id, pushed))
         for change in home.take_changes():
             self._log_change(change, now)
         self.metrics.limited_customers.set(sum(len(row.limited) for row in self.homes.values()))
