Pass the customer of a handover to the queue

Cause: the exit task built the waiting call without its customer, so the queue counted no demand and no customer was ever over its fair share in a running daemon.

Change: the customer goes into the waiting call, with a scenario that failed first (customers.feature, counted [[], [], []]).

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -29,6 +29,13 @@
       | a withdrawn key of use on an open route     | /open/1 | Authorization: Token k-eve                               | 401    | 0    | -    |
       | a missing route that needs a key            | /none/1 | X-A: 1                                                   | 404    | 0    | -    |
 
+  Scenario: the daemon next to the upstream counts a call for its customer
+    Guards against a queue that never learns whose calls it holds, so that no customer is over its share.
+    Given a platform fleet with customers
+    When a caller of d1 with the fields "Authorization: Token k-ann-1" sends "GET /safe/1"
+    Then the answer is 200 and all upstreams ran it 1 times
+    And the queue of the upstream that ran it counts demand of "ann"
+
   Scenario: credentials are passed on where the configuration has no customers
     Guards against a change for deployments without customers.
     Given a platform fleet
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -55,6 +55,14 @@
             assert "authorization" not in fields, fields
 
 
+@then('the queue of the upstream that ran it counts demand of "{name}"')
+def step_counted_demand(context, name):
+    testbed = context.testbed
+    ran = [bool(upstream.received_requests) for upstream in testbed.upstreams]
+    counted = [list(sidecar.exit.queue.demand.recent.sums) for sidecar in testbed.sidecars]
+    assert counted == [[name] if has_run else [] for has_run in ran], (ran, counted)
+
+
 @then('the upstream saw the fields "{fields}"')
 def step_saw_fields(context, fields):
     received = [row for upstream in context.testbed.upstreams for row in upstream.received_requests]
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -195,7 +195,12 @@
         call.timer = loop.call_later(time_left / 1000, self._on_deadline, handover.handover_id)
         objective = Millis(now + handover.objective_time_left - waited)
         waiting = CallAwaitingSlot(
-            handover.handover_id, handover.route, handover.rank, objective, deadline
+            handover.handover_id,
+            handover.route,
+            handover.rank,
+            objective,
+            deadline,
+            handover.customer,
         )
         self._execute_actions(self.queue.admit(waiting, now))
 
