Allow for chance before a customer counts as over its fair share

Cause: with 3 slots, a customer has few calls in two seconds, and their number varies by chance. The queue took that for demand over the share: customers that sent no more than usual were refused, beside a hot customer and also without one.

Change: demand is over a share only beyond two standard deviations of independent calls, over one second instead of two, so that a hot customer is found sooner.

--- a/features/steps/load_patterns_steps.py
+++ b/features/steps/load_patterns_steps.py
@@ -165,6 +165,13 @@
     return sum(getattr(row, field) for row in rows) / sum(row.asked for row in rows)
 
 
+def share_in_objective_while_hot(rows):
+    rows = list(rows)
+    return sum(row.in_objective_while_hot for row in rows) / sum(
+        row.asked_while_hot for row in rows
+    )
+
+
 @when('calls of "{routes}" arrive at {slots:d} slots with a load of {load}')
 def step_replay(context, routes, slots, load):
     policies = (SlotQueue, LateQueue, OneMeanQueue)
@@ -194,31 +201,39 @@
 
 @when('of customers "{routes}", {customer} sends {times:g} times its usual to {slots:d} slots')
 def step_hot_customer(context, routes, customer, times, slots):
-    hot = HotCustomer(customer, times)
-    runs = ((SlotQueue, HotCustomer()), (SlotQueue, hot), (UnfairQueue, hot))
-    context.others = [
-        [
-            row
-            for name, row in replay_policy(
-                policy, parse_routes(routes), slots, str(USUAL_LOAD), hot, HOT_SEEDS
-            ).items()
-            if customer_of(name) != customer
-        ]
-        for policy, hot in runs
+    hot, usual = HotCustomer(customer, times), HotCustomer()
+    context.customer = customer
+    context.runs = [
+        replay_policy(policy, parse_routes(routes), slots, str(USUAL_LOAD), demand, HOT_SEEDS)
+        for policy, demand in (
+            (SlotQueue, usual),
+            (SlotQueue, hot),
+            (UnfairQueue, hot),
+            (UnfairQueue, usual),
+        )
     ]
 
 
 @then("the other customers are served within the objective at most {loss:f} less")
 def step_others(context, loss):
-    usual, hot, unfair = (
-        sum(row.in_objective_while_hot for row in rows) / sum(row.asked_while_hot for row in rows)
-        for rows in context.others
+    usual, hot, unfair, _ = (
+        share_in_objective_while_hot(
+            row for name, row in routes.items() if customer_of(name) != context.customer
+        )
+        for routes in context.runs
     )
     print(f"other customers: usual {usual:.3f}, hot {hot:.3f}, without fairness {unfair:.3f}")
     assert hot >= usual - loss, (usual, hot)
     assert unfair < usual - loss, "the load does not show the failure"
 
 
+@then("all customers together, while none is hot, at most {loss:f} less than without fairness")
+def step_cost_of_fairness(context, loss):
+    usual, _, _, unfair = map(share_in_objective, context.runs)
+    print(f"all customers, none hot: {usual:.3f}, without fairness {unfair:.3f}")
+    assert usual >= unfair - loss, (usual, unfair)
+
+
 @then("no route is served less than half as often as all together")
 def step_not_starved(context):
     routes = context.replayed[SlotQueue]
--- a/packages/agatecross-core/agatecross_core/admission/slot_use.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_use.py
@@ -8,7 +8,8 @@
 
 # Long enough for some tens of calls of an upstream with few slots, short enough to follow a burst.
 USE_WINDOW = Millis(1_000)
-DEMAND_WINDOW = Millis(2_000)
+# A hot customer takes the place of others until it is found: within a part of this time.
+DEMAND_WINDOW = Millis(1_000)
 # Bursts last some seconds; the usual demand must hardly follow them.
 USUAL_WINDOW = Millis(30_000)
 # About one call: the weight of a customer without usual demand.
@@ -16,6 +17,9 @@
 # Calls of lower precedence are always expected to get this share of the slots, so that a busy
 # second does not turn all of them away.
 MIN_SHARE_LEFT = 0.1
+# Independent calls vary by chance. Demand is over a share only if it exceeds it by this many
+# standard deviations; with one, 1 to 2 calls in 100 are refused by chance on 3 slots.
+CHANCE_DEVIATIONS = 2.0
 # Customers below this sum are forgotten; it is far below the cost of one call.
 FORGOTTEN_SUM = 0.1
 
@@ -78,6 +82,9 @@
     fairness). A customer is over only if it asks for more than an equal share and also for more
     than a share in proportion to its usual demand: a large customer may stay as large as it is,
     and a small one may vary. While all demand fits into the slots, nobody is over.
+
+    A second of few slots has few calls of each customer, whose number varies by chance. Counting
+    that as demand over the share refuses calls of customers that ask for no more than usual.
     """
 
     def __init__(self) -> None:
@@ -93,20 +100,27 @@
         if customer == NO_CUSTOMER:
             return False
         self.recent.add(customer, cost, now)
-        is_over = self._is_over_share(customer, slots)
+        is_over = self._is_over_share(customer, cost, slots)
         if not is_over:
             self.usual.add(customer, cost, now)
         return is_over
 
-    def _is_over_share(self, customer: CustomerName, slots: int) -> bool:
+    def _is_over_share(self, customer: CustomerName, cost: float, slots: int) -> bool:
         asked = self.recent.sums
         capacity = slots * float(DEMAND_WINDOW)
         if sum(asked.values()) <= capacity or customer not in asked:
             return False
-        if asked[customer] <= fair_level(asked, dict.fromkeys(asked, 1.0), capacity):
+        equal_share = fair_level(asked, dict.fromkeys(asked, 1.0), capacity)
+        if not exceeds_share(asked[customer], equal_share, cost):
             return False
         usual = {name: self.usual.sums.get(name, 0.0) + MIN_USUAL_DEMAND for name in asked}
-        return asked[customer] > fair_level(asked, usual, capacity) * usual[customer]
+        usual_share = fair_level(asked, usual, capacity) * usual[customer]
+        return exceeds_share(asked[customer], usual_share, cost)
+
+
+def exceeds_share(asked: float, share: float, cost: float) -> bool:
+    """Return whether demand by calls of `cost` ms exceeds a share by more than chance explains."""
+    return asked > share + CHANCE_DEVIATIONS * math.sqrt(share * cost)
 
 
 def fair_level(
