Let long requests take turns on the link of the daemon that runs them

Change: a daemon with a known link rate asks its peers (Hello) to announce handovers that would occupy its link for more than 20 ms. It invites one after the other, the earliest objective first, and refuses one that would arrive after its objective, so that the entry daemon asks another one before any byte is sent. A handover that was only announced has not run, whatever happens to the link.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -22,11 +22,13 @@
 from agatecross_adapters.endpoint_codec import decode_endpoint, encode_endpoint
 from agatecross_adapters.hop_codec import Tag, decode_hop_message, encode_hop_message
 from agatecross_adapters.hop_messages import (
+    Announce,
     Cancel,
     ConfigBlob,
     ConfigDelta,
     Endpoints,
     Hello,
+    Invite,
     Ping,
     Pull,
     Result,
@@ -63,6 +65,7 @@
     Repeat,
     not_run_result,
 )
+from agatecross_core.relay.transfer_turns import AnnouncedRequest, TransferTurns
 from agatecross_core.routing.host_table import WeightedSplit
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 from agatecross_core.states import Outcome, Reason, UpstreamState
@@ -85,8 +88,10 @@
 HOP_SAMPLES = [
     encode_hop_message(message)
     for message in (
-        Hello("d1", 1, 7, (PEER,)),
+        Hello("d1", 1, 7, (PEER,), 12_500),
         HANDOVER,
+        Announce(1, 60_000, Millis(500), Millis(900)),
+        Invite(1),
         Cancel(1),
         Resume(1),
         Ping(False, 7),
@@ -205,6 +210,10 @@
             list(SlotQueue().admit(waiting, Millis(1)))
             encode_request(message, message.time_left, HEADER_NAMES)
             message.call_id.encode("latin-1")
+        case Announce(handover_id, size, objective, left):
+            turns = TransferTurns(5)
+            for name in (handover_id, -1):
+                list(turns.announce(AnnouncedRequest(name, size, objective, left), Millis(1)))
         case Strikes(report):
             SuspectTable().add(report, Millis(1))
         case ConfigDelta(_, version, crc, steps):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -74,6 +74,7 @@
         self.sidecars, self.tasks, self.upstreams = [], [], []
         self.statuses, self.call_numbers = [], itertools.count()
         self.route_timeout, self.time_left_ms = "2s", 900
+        self.link_rate = 0
 
     def run(self, work):
         return self.loop.run_until_complete(asyncio.wait_for(work, 60))
@@ -126,6 +127,7 @@
             Address(addresses[1]),
             Millis(2_000),
             number,
+            link_rate=self.link_rate,
         )
         path = Path(self.folder.name) / f"d{number}-{len(self.log_files)}.log"
         self.log_files.append(path.open("wb"))
@@ -205,8 +207,9 @@
         return [file.name for file in self.log_files]
 
 
-def start_testbed(context, refusing, seconds_per_call=None):
+def start_testbed(context, refusing, seconds_per_call=None, link_rate=0):
     context.testbed = Testbed()
+    context.testbed.link_rate = link_rate
     if seconds_per_call is not None:
         context.testbed.route_timeout = f"{seconds_per_call}s"
         context.testbed.time_left_ms = seconds_per_call * 1000
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -45,12 +45,14 @@
     Tag,
 )
 from .hop_messages import (
+    Announce,
     Cancel,
     ConfigBlob,
     ConfigDelta,
     Endpoints,
     Hello,
     HopMessage,
+    Invite,
     Ping,
     Pull,
     Result,
@@ -125,7 +127,18 @@
             return (Tag.RESULT, handover_id, *result_fields(result))
         case Hello():
             rows = [endpoint_fields(endpoint) for endpoint in message.endpoints]
-            return (Tag.HELLO, message.daemon_id, message.incarnation, message.version, rows)
+            return (
+                Tag.HELLO,
+                message.daemon_id,
+                message.incarnation,
+                message.version,
+                rows,
+                message.announce_above,
+            )
+        case Announce(handover_id, size, objective_time_left, time_left):
+            return (Tag.ANNOUNCE, handover_id, size, int(objective_time_left), int(time_left))
+        case Invite(handover_id):
+            return (Tag.INVITE, handover_id)
         case Cancel(handover_id):
             return (Tag.CANCEL, handover_id)
         case Resume(handover_id):
@@ -161,13 +174,18 @@
                 HandoverId(fields[0]), result_from_fields(fields, all_fields[RESULT_FIELD_COUNT:])
             )
         case Tag.HELLO:
-            daemon_id, incarnation, version, rows = fields
+            daemon_id, incarnation, version, rows, announce_above = fields
             return Hello(
                 DaemonId(daemon_id),
                 Incarnation(incarnation),
                 Version(version),
                 tuple(map(endpoint_from_fields, rows)),
+                announce_above,
             )
+        case Tag.ANNOUNCE:
+            return Announce(HandoverId(fields[0]), fields[1], *map(Millis, fields[2:]))
+        case Tag.INVITE:
+            return Invite(HandoverId(fields[0]))
         case Tag.CANCEL:
             return Cancel(HandoverId(fields[0]))
         case Tag.RESUME:
--- a/packages/agatecross-adapters/agatecross_adapters/hop_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_fields.py
@@ -31,6 +31,8 @@
     STORE_ERA = 12
     LIMIT_REPORT = 13
     LIMIT_ANSWER = 14
+    ANNOUNCE = 15
+    INVITE = 16
 
 
 HeaderFields = list[tuple[bytes, bytes]]
@@ -38,12 +40,13 @@
 
 
 class HelloFields(Struct, array_like=True):
-    """Fields of `Hello`."""
+    """Fields of `Hello`; earlier releases need no announcement."""
 
     daemon_id: str
     incarnation: Count
     version: Count
     endpoints: EncodedEndpoints
+    announce_above: Count = 0
 
 
 class HandoverFields(Struct, array_like=True):
@@ -65,11 +68,20 @@
 
 
 class HandoverIdFields(Struct, array_like=True):
-    """Fields of `Cancel` and `Resume`."""
+    """Fields of `Cancel`, `Resume` and `Invite`."""
 
     handover_id: int
 
 
+class AnnounceFields(Struct, array_like=True):
+    """Fields of `Announce`."""
+
+    handover_id: int
+    size: Count
+    objective_time_left: int
+    time_left: int
+
+
 class PingFields(Struct, array_like=True):
     """Fields of `Ping`."""
 
@@ -191,6 +203,8 @@
     Tag.STORE_ERA: StoreEraFields,
     Tag.LIMIT_REPORT: LimitReportFields,
     Tag.LIMIT_ANSWER: LimitAnswerFields,
+    Tag.ANNOUNCE: AnnounceFields,
+    Tag.INVITE: HandoverIdFields,
 }
 HANDOVER_FIELD_COUNT = len(HandoverFields.__struct_fields__)
 RESULT_FIELD_COUNT = len(ResultFields.__struct_fields__)
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from agatecross_core.distribution.delta import Step
-from agatecross_core.ids import DaemonId, HandoverId, Incarnation, StoreEra, Version
+from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Millis, StoreEra, Version
 from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.quarantine.report import CrashReport
@@ -14,13 +14,35 @@
 class Hello:
     """First message in each direction: the sender and the endpoint records its peer lacks.
 
-    The first endpoint record is the sender's own.
+    The first endpoint record is the sender's own. Handovers to the sender with more than
+    `announce_above` bytes must be announced first, unless it is 0.
     """
 
     daemon_id: DaemonId
     incarnation: Incarnation
     version: Version
     endpoints: tuple[Endpoint, ...]
+    announce_above: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """Asks for the turn to send a handover with a body of `size` bytes.
+
+    It is answered by an `Invite`, or by the `Result` of a handover that did not run.
+    """
+
+    handover_id: HandoverId
+    size: int
+    objective_time_left: Millis
+    time_left: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Invite:
+    """Lets the receiver send the handover that it has announced."""
+
+    handover_id: HandoverId
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +135,8 @@
 
 HopMessage = (
     Hello
+    | Announce
+    | Invite
     | Handover
     | Cancel
     | Resume
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/greetings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/greetings.py
@@ -11,7 +11,11 @@
 
 
 def new_hello(
-    directory: Directory, version: Version, peer: DaemonId, data_centre: DataCentreName
+    directory: Directory,
+    version: Version,
+    peer: DaemonId,
+    data_centre: DataCentreName,
+    announce_above: int = 0,
 ) -> Hello:
     """Return the hello for a peer: this daemon's endpoint, and the table or the peer's drain.
 
@@ -26,13 +30,13 @@
     elif peer != me.daemon_id and (row := directory.rows.get(peer)) is not None:
         # A drain that the peer confirmed before it restarted still applies to it.
         others = (row,) if row.state is UpstreamState.DRAINING else ()
-    return Hello(me.daemon_id, me.incarnation, version, (me, *others))
+    return Hello(me.daemon_id, me.incarnation, version, (me, *others), announce_above)
 
 
-def reply_hello(directory: Directory, version: Version, hello: Hello) -> Hello:
+def reply_hello(directory: Directory, version: Version, hello: Hello, announce_above: int) -> Hello:
     """Return the hello in reply to that of a peer."""
     data_centre = hello.endpoints[0].data_centre if hello.endpoints else DataCentreName("")
-    return new_hello(directory, version, hello.daemon_id, data_centre)
+    return new_hello(directory, version, hello.daemon_id, data_centre, announce_above)
 
 
 def _sends_table(directory: Directory) -> bool:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -1,16 +1,27 @@
 """Connections dialed by other daemons: they receive handovers and send the results back."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from agatecross_adapters.connection_guard import ConnectionGuard
 from agatecross_adapters.frames import FrameConnection
 from agatecross_adapters.hop_codec import decode_hop_message
-from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
+from agatecross_adapters.hop_messages import (
+    Announce,
+    Cancel,
+    Hello,
+    HopMessage,
+    Invite,
+    Ping,
+    Result,
+    Resume,
+)
 from agatecross_adapters.hop_sending import EncodedMessage, send_hop_message
 from agatecross_adapters.inbound_frames import InboundFrameConnection
+from agatecross_core.admission.slot_queue import RefuseHandover
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Millis, Version
-from agatecross_core.relay.model import Handover, RelayResult
+from agatecross_core.relay.model import Handover, RelayResult, not_run_result
+from agatecross_core.relay.transfer_turns import AnnouncedRequest, InviteRequest, TransferTurns
 
 from ..decision_log import DecisionLog
 from ..mailbox import Sender, monotonic_ms
@@ -40,7 +51,10 @@
 
 
 class InboundLinks:
-    """Passes handovers to the exit task, and every other message to `on_message`."""
+    """Passes handovers to the exit task, and every other message to `on_message`.
+
+    Other daemons announce long handovers first; `link_rate` in Mbit/s decides which ones.
+    """
 
     def __init__(
         self,
@@ -50,6 +64,7 @@
         on_message: MessageHandler,
         log: DecisionLog,
         guard: ConnectionGuard,
+        link_rate: int = 0,
     ) -> None:
         self.exit = exit_mailbox
         self.new_hello_reply = new_hello_reply
@@ -61,6 +76,9 @@
         # The newest connection over which each incarnation of a daemon has greeted.
         self.greeted: dict[DaemonProcess, InboundConnection] = {}
         self.orphans: list[tuple[Millis, HandoverId]] = []
+        self.turns = TransferTurns(link_rate)
+        # The connection over which each handover was announced that has not arrived yet.
+        self.announced: dict[HandoverId, InboundConnection] = {}
 
     def new_connection(self) -> InboundFrameConnection:
         """Create the protocol object of a new connection."""
@@ -77,6 +95,10 @@
         while self.orphans and now - self.orphans[0][0] > ORPHAN_TIMEOUT:
             self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
 
+    def invite_next(self, now: Millis) -> None:
+        """Pass the turn on if the handover that was invited last is overdue."""
+        self._execute_actions(self.turns.invite_next(now))
+
     @property
     def unsent(self) -> int:
         """Return the number of bytes of results and answers not yet passed to the kernel."""
@@ -99,6 +121,8 @@
         inbound = self.connections.pop(connection, None)
         if inbound is not None:
             now = monotonic_ms()
+            for handover_id in [i for i, row in self.announced.items() if row is inbound]:
+                self._end_turn(handover_id, now)
             self.orphans += [(now, handover_id) for handover_id in inbound.handovers]
             if inbound.process is not None and self.greeted.get(inbound.process) is inbound:
                 del self.greeted[inbound.process]
@@ -118,10 +142,14 @@
                 self.log.write_change("peer_message_unknown", peer=inbound.daemon_id or "")
             case Handover():
                 inbound.handovers.add(message.handover_id)
+                self._end_turn(message.handover_id, monotonic_ms())
                 self.exit.put(RunHandover(message, self._result_sender(inbound)))
             case Cancel(handover_id):
                 inbound.handovers.discard(handover_id)
+                self._end_turn(handover_id, monotonic_ms())
                 self.exit.put(CancelHandover(handover_id))
+            case Announce():
+                self._handle_announcement(inbound, message)
             case Resume(handover_id):
                 inbound.handovers.add(handover_id)
                 self.orphans = [pair for pair in self.orphans if pair[1] != handover_id]
@@ -151,6 +179,36 @@
         if replaced is not inbound:
             replaced.connection.abort()
 
+    def _handle_announcement(self, inbound: InboundConnection, message: Announce) -> None:
+        now = monotonic_ms()
+        self._end_turn(message.handover_id, now)
+        self.announced[message.handover_id] = inbound
+        request = AnnouncedRequest(
+            message.handover_id,
+            message.size,
+            Millis(now + message.objective_time_left),
+            Millis(now + message.time_left),
+        )
+        self._execute_actions(self.turns.announce(request, now))
+
+    def _end_turn(self, handover_id: HandoverId, now: Millis) -> None:
+        if self.announced.pop(handover_id, None) is not None:
+            self._execute_actions(self.turns.end(handover_id, now))
+
+    def _execute_actions(self, actions: Iterable[InviteRequest | RefuseHandover]) -> None:
+        for action in actions:
+            if isinstance(action, InviteRequest):
+                self.announced[action.handover_id].send(Invite(action.handover_id))
+                continue
+            inbound = self.announced.pop(action.handover_id)
+            self.log.write_failed_call(
+                "announcement_refused",
+                peer=inbound.daemon_id or "",
+                reason=action.reason.value,
+                waiting=len(self.turns.waiting),
+            )
+            inbound.send(Result(action.handover_id, not_run_result(action.reason)))
+
     def _result_sender(self, inbound: InboundConnection) -> ResultReceiver:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
             inbound.handovers.discard(handover_id)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -3,12 +3,21 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from agatecross_adapters.frames import FrameConnection
 from agatecross_adapters.hop_codec import decode_hop_message
-from agatecross_adapters.hop_messages import Cancel, Hello, HopMessage, Ping, Result, Resume
+from agatecross_adapters.hop_messages import (
+    Announce,
+    Cancel,
+    Hello,
+    HopMessage,
+    Invite,
+    Ping,
+    Result,
+    Resume,
+)
 from agatecross_adapters.hop_sending import EncodedMessage, encode_for_sending
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.ids import ZERO_MS, Address, DaemonId, HandoverId, Incarnation, Millis, Version
@@ -43,11 +52,12 @@
 
 @dataclass(slots=True)
 class PendingHandover:
-    """A handover whose result has not arrived yet."""
+    """A handover whose result has not arrived yet, and which may still wait for its turn."""
 
     handover: Handover
     reply: ResultReceiver
-    deadline: Millis
+    started_at: Millis
+    is_sent: bool = False
 
 
 class PeerLink:
@@ -74,6 +84,8 @@
         self.state = LinkState.DIALING
         self.connection: FrameConnection | None = None
         self.incarnation: Incarnation | None = None
+        # The size above which the peer wants handovers to be announced, 0 for none.
+        self.announce_above = 0
         self.pending: dict[HandoverId, PendingHandover] = {}
         # Links that open together are pinged at different times.
         self.liveness = LinkLiveness(
@@ -110,9 +122,9 @@
         if self.state is not LinkState.OPEN:
             reply(handover.handover_id, not_run_result(Reason.CONNECT_FAILED))
             return
-        deadline = Millis(monotonic_ms() + handover.time_left)
-        self.pending[handover.handover_id] = PendingHandover(handover, reply, deadline)
-        self.send(handover)
+        pending = PendingHandover(handover, reply, monotonic_ms())
+        self.pending[handover.handover_id] = pending
+        self._send_or_announce(pending)
 
     def cancel(self, handover_id: HandoverId) -> None:
         """Stop waiting for the result of a handover."""
@@ -200,6 +212,8 @@
                 pass
             case Result(handover_id, result):
                 self._deliver_result(handover_id, result)
+            case Invite(handover_id):
+                self._send_invited(handover_id)
             case Ping(answer, _):
                 if answer:
                     self.liveness.pong_received()
@@ -223,8 +237,37 @@
         self.process_ended = False
         self.failed_dials = 0
         self.down_since = None
-        for handover_id in list(self.pending):
-            self.send(Resume(handover_id))
+        self.announce_above = hello.announce_above
+        for handover_id, pending in list(self.pending.items()):
+            if pending.is_sent:
+                self.send(Resume(handover_id))
+            else:
+                self._send_or_announce(pending)
+
+    def _send_or_announce(self, pending: PendingHandover) -> None:
+        handover = self._with_time_left_now(pending)
+        size = len(handover.request.body)
+        if 0 < self.announce_above < size:
+            times = handover.objective_time_left, handover.time_left
+            self.send(Announce(handover.handover_id, size, *times))
+        else:
+            pending.is_sent = True
+            self.send(handover)
+
+    def _send_invited(self, handover_id: HandoverId) -> None:
+        """Send a handover in its turn, unless nobody waits for its result any more."""
+        pending = self.pending.get(handover_id)
+        if pending is not None and not pending.is_sent:
+            pending.is_sent = True
+            self.send(self._with_time_left_now(pending))
+
+    def _with_time_left_now(self, pending: PendingHandover) -> Handover:
+        handover, waited = pending.handover, monotonic_ms() - pending.started_at
+        return replace(
+            handover,
+            objective_time_left=Millis(handover.objective_time_left - waited),
+            time_left=Millis(handover.time_left - waited),
+        )
 
     def _deliver_result(self, handover_id: HandoverId, result: RelayResult) -> None:
         pending = self.pending.pop(handover_id, None)
@@ -233,5 +276,7 @@
 
     def _fail_pending(self, matches: Callable[[PendingHandover], bool]) -> None:
         for handover_id, pending in list(self.pending.items()):
-            if matches(pending):
+            if not pending.is_sent:
+                self._deliver_result(handover_id, not_run_result(Reason.CONNECT_FAILED))
+            elif matches(pending):
                 self._deliver_result(handover_id, unknown_result(Reason.CONNECTION_LOST))
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -131,11 +131,12 @@
         self.links: dict[DaemonId, PeerLink] = {}
         self.inbound = InboundLinks(
             exit_mailbox,
-            lambda hello: reply_hello(directory, self.config_distributor.version, hello),
+            self._reply_hello,
             lambda: self.config_distributor.version,
             self._handle_peer_message,
             log,
             guard or new_guard(),
+            directory.me.link_rate,
         )
         self.server: asyncio.Server | None = None
         self.config_distributor = ConfigDistributor(directory, self.links, store, rng, log)
@@ -283,6 +284,10 @@
             if own and endpoint.state is UpstreamState.DRAINING and endpoint.instance is not None:
                 self.exit.put(LeaveReceived(endpoint.instance, endpoint.born))
 
+    def _reply_hello(self, hello: Hello) -> Hello:
+        announce_above = self.inbound.turns.announce_above
+        return reply_hello(self.directory, self.config_distributor.version, hello, announce_above)
+
     def _dial(self, endpoint: Endpoint) -> None:
         link = self.links.get(endpoint.daemon_id)
         if link is not None and link.address == endpoint.address:
@@ -385,6 +390,7 @@
             self._set_ping_periods()
         self.config_distributor.pull_if_due(now)
         self.inbound.cancel_orphans(now)
+        self.inbound.invite_next(now)
 
     def _handle_down_link(self, link: PeerLink, now: Millis) -> None:
         assert link.down_since is not None
