--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -90,7 +90,7 @@
     for message in (
         Hello("d1", 1, 7, (PEER,), 12_500),
         HANDOVER,
-        Announce(1, 60_000, Millis(500), Millis(900)),
+        Announce(1, "c1", 60_000, Millis(500), Millis(900)),
         Invite(1),
         Cancel(1),
         Resume(1),
@@ -210,7 +210,7 @@
             list(SlotQueue().admit(waiting, Millis(1)))
             encode_request(message, message.time_left, HEADER_NAMES)
             message.call_id.encode("latin-1")
-        case Announce(handover_id, size, objective, left):
+        case Announce(handover_id, _, size, objective, left):
             turns = TransferTurns(5)
             for name in (handover_id, -1):
                 list(turns.announce(AnnouncedRequest(name, size, objective, left), Millis(1)))
--- a/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_codec.py
@@ -135,8 +135,9 @@
                 rows,
                 message.announce_above,
             )
-        case Announce(handover_id, size, objective_time_left, time_left):
-            return (Tag.ANNOUNCE, handover_id, size, int(objective_time_left), int(time_left))
+        case Announce(handover_id, call_id, size, objective_time_left, time_left):
+            times = int(objective_time_left), int(time_left)
+            return (Tag.ANNOUNCE, handover_id, call_id, size, *times)
         case Invite(handover_id):
             return (Tag.INVITE, handover_id)
         case Cancel(handover_id):
@@ -183,7 +184,8 @@
                 announce_above,
             )
         case Tag.ANNOUNCE:
-            return Announce(HandoverId(fields[0]), fields[1], *map(Millis, fields[2:]))
+            handover_id, call_id, size, *times = fields
+            return Announce(HandoverId(handover_id), CallId(call_id), size, *map(Millis, times))
         case Tag.INVITE:
             return Invite(HandoverId(fields[0]))
         case Tag.CANCEL:
--- a/packages/agatecross-adapters/agatecross_adapters/hop_fields.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_fields.py
@@ -77,6 +77,7 @@
     """Fields of `Announce`."""
 
     handover_id: int
+    call_id: str
     size: Count
     objective_time_left: int
     time_left: int
--- a/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
+++ b/packages/agatecross-adapters/agatecross_adapters/hop_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from agatecross_core.distribution.delta import Step
-from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Millis, StoreEra, Version
+from agatecross_core.ids import CallId, DaemonId, HandoverId, Incarnation, Millis, StoreEra, Version
 from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.quarantine.report import CrashReport
@@ -33,6 +33,7 @@
     """
 
     handover_id: HandoverId
+    call_id: CallId
     size: int
     objective_time_left: Millis
     time_left: Millis
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -77,8 +77,8 @@
         self.greeted: dict[DaemonProcess, InboundConnection] = {}
         self.orphans: list[tuple[Millis, HandoverId]] = []
         self.turns = TransferTurns(link_rate)
-        # The connection over which each handover was announced that has not arrived yet.
-        self.announced: dict[HandoverId, InboundConnection] = {}
+        # The announced handovers that have not arrived yet, with their connections.
+        self.announced: dict[HandoverId, tuple[InboundConnection, Announce]] = {}
 
     def new_connection(self) -> InboundFrameConnection:
         """Create the protocol object of a new connection."""
@@ -121,7 +121,7 @@
         inbound = self.connections.pop(connection, None)
         if inbound is not None:
             now = monotonic_ms()
-            for handover_id in [i for i, row in self.announced.items() if row is inbound]:
+            for handover_id in [i for i, row in self.announced.items() if row[0] is inbound]:
                 self._end_turn(handover_id, now)
             self.orphans += [(now, handover_id) for handover_id in inbound.handovers]
             if inbound.process is not None and self.greeted.get(inbound.process) is inbound:
@@ -182,7 +182,7 @@
     def _handle_announcement(self, inbound: InboundConnection, message: Announce) -> None:
         now = monotonic_ms()
         self._end_turn(message.handover_id, now)
-        self.announced[message.handover_id] = inbound
+        self.announced[message.handover_id] = inbound, message
         request = AnnouncedRequest(
             message.handover_id,
             message.size,
@@ -198,16 +198,20 @@
     def _execute_actions(self, actions: Iterable[InviteRequest | RefuseHandover]) -> None:
         for action in actions:
             if isinstance(action, InviteRequest):
-                self.announced[action.handover_id].send(Invite(action.handover_id))
+                inbound, _ = self.announced[action.handover_id]
+                inbound.send(Invite(action.handover_id))
                 continue
-            inbound = self.announced.pop(action.handover_id)
+            inbound, message = self.announced.pop(action.handover_id)
+            result = not_run_result(action.reason)
             self.log.write_failed_call(
-                "announcement_refused",
-                peer=inbound.daemon_id or "",
+                "handover_failed",
+                call_id=message.call_id,
+                outcome=result.outcome.value,
                 reason=action.reason.value,
+                announced=message.size,
                 waiting=len(self.turns.waiting),
             )
-            inbound.send(Result(action.handover_id, not_run_result(action.reason)))
+            inbound.send(Result(action.handover_id, result))
 
     def _result_sender(self, inbound: InboundConnection) -> ResultReceiver:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -249,7 +249,7 @@
         size = len(handover.request.body)
         if 0 < self.announce_above < size:
             times = handover.objective_time_left, handover.time_left
-            self.send(Announce(handover.handover_id, size, *times))
+            self.send(Announce(handover.handover_id, handover.call_id, size, *times))
         else:
             pending.is_sent = True
             self.send(handover)
