Log the time limit that a caller stated with its call

Cause: a caller that comes back after a refusal states less time than before, and no line showed it. Change: the call line has stated_ms.

--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -255,6 +255,7 @@
             self.traffic_split.pick(route),
             RelayRequest(request.method, request.target, tuple(headers), request.body),
             Millis(exchange.arrived + min(time_left, route.timeout)),
+            time_left,
             table.version,
             route.rank if table.customers is None else call_rank(customer, route.rank),
             customer,
@@ -328,6 +329,7 @@
                 reason=result.reason.value if result.reason else "",
                 target=call.context.request.target.decode("latin-1"),
                 status=response.status,
+                stated_ms=int(call.context.stated_time),
                 took_ms=int(took),
             )
         call.exchange.respond(response)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/relayed_call.py
@@ -38,6 +38,7 @@
 class CallContext:
     """Fixed properties of an accepted call; `deadline` is on the monotonic clock.
 
+    `stated_time` is the time limit that the caller stated, which the route's timeout may cut.
     `rank` orders calls by importance, 0 first; `customer` is None for a call without a key.
     """
 
@@ -46,6 +47,7 @@
     service: ServiceName
     request: RelayRequest
     deadline: Millis
+    stated_time: Millis
     version: int
     rank: int
     customer: Customer | None = None
