Invite the next long request before the last one has arrived, refuse it in time for its run

Change: two requests may be on their way, each invited when the link is expected to have carried the one before at five sixths of its rate; one is refused if it would need more than 0.7 of the time to its objective to arrive. A timer passes the turn on instead of the tick of 100 ms.

Tests: the rows of turns have the times of the new schedule and six new cases; the replay has a row with the round trip of two regions; its bounds are unchanged.

--- a/features/steps/transfer_turns_fleet_steps.py
+++ b/features/steps/transfer_turns_fleet_steps.py
@@ -6,10 +6,9 @@
 from platform_steps import poll_until, start_testbed
 
 from agatecross_core.ids import Millis
-from agatecross_core.relay.transfer_turns import MAX_ROUND_TRIP, AnnouncedRequest
 from agatecross_daemon.mailbox import monotonic_ms
 
-HELD_MS = 300
+HELD_MS = 150
 
 
 def announced(testbed):
@@ -41,8 +40,8 @@
     now = monotonic_ms()
     for sidecar in testbed.sidecars:
         turns = sidecar.peers.inbound.turns
-        turns.invited = AnnouncedRequest("held", 0, now, now)
-        turns.invited_at = Millis(now + HELD_MS - MAX_ROUND_TRIP)
+        turns.link_free_at = Millis(now + HELD_MS)
+        turns.invited["held"] = Millis(now + HELD_MS)
 
 
 @given("a platform fleet on links of {rate:d} Mbit/s")
--- a/features/steps/transfer_turns_steps.py
+++ b/features/steps/transfer_turns_steps.py
@@ -1,4 +1,5 @@
 import heapq
+import math
 import random
 
 from behave import then, when
@@ -11,7 +12,6 @@
 PACKET_BYTES = 1_500
 SIZE_SPREAD = 0.6
 OBJECTIVE, DEADLINE = 800, 4_000
-ROUND_TRIP = 2.0
 DURATION_MS = 120_000
 
 
@@ -55,13 +55,15 @@
     def end(self, handover_id, now):
         yield from ()
 
-    invite_next = end
+    def next_invitation(self):
+        return None
 
 
 class SharedLink:
     """Replays uploads and short calls over one link in virtual time, packet by packet."""
 
-    def __init__(self, policy, rate, uploads, size, seed):
+    def __init__(self, policy, rate, uploads, size, round_trip, seed):
+        self.round_trip = round_trip
         self.policy, self.packet_ms = policy, PACKET_BYTES / (rate * 125)
         rng = random.Random(seed)
         self.events, self.link_free_at = [], 0.0
@@ -80,7 +82,9 @@
     def run(self):
         while self.events:
             now, number, kind = heapq.heappop(self.events)
-            if kind == "short":
+            if kind == "turn":
+                self.act(self.policy.invite_next(Millis(now)), now)
+            elif kind == "short":
                 self.short_waits.append(self.transmit(now) - now)
             elif kind == "upload":
                 at, size = self.uploads[number]
@@ -106,8 +110,12 @@
         for action in actions:
             if isinstance(action, InviteRequest):
                 packets = max(1, round(self.uploads[action.handover_id][1] / PACKET_BYTES))
-                event = (now + ROUND_TRIP, action.handover_id, packets)
+                event = (now + self.round_trip, action.handover_id, packets)
                 heapq.heappush(self.events, event)
+        due = self.policy.next_invitation()
+        if due is not None:
+            # Sorts behind the requests of the same time.
+            heapq.heappush(self.events, (max(now, due), math.inf, "turn"))
 
     @property
     def short_wait(self):
@@ -119,11 +127,12 @@
 
 
 @when(
-    "{uploads:d} uploads a second of {size:d} bytes and short calls share a link of {rate:d} Mbit/s"
+    "{uploads:d} uploads a second of {size:d} bytes, a round trip of {round_trip:d} ms away, and "
+    "short calls share a link of {rate:d} Mbit/s"
 )
-def step_share_link(context, uploads, size, rate):
+def step_share_link(context, uploads, size, round_trip, rate):
     context.links = [
-        SharedLink(policy, rate, uploads, size, seed=1).run()
+        SharedLink(policy, rate, uploads, size, round_trip, seed=1).run()
         for policy in (SendAtOnce(), TransferTurns(rate))
     ]
 
--- a/features/transfer_turns.feature
+++ b/features/transfer_turns.feature
@@ -2,26 +2,29 @@
   Guards against short calls that wait behind all uploads on their way to a daemon, and against uploads
   that are lost, never invited or run late because of their turns.
 
-  # The link has 5 Mbit/s, so a request of 62,500 bytes takes 100 ms. "a 62500 500/900" announces request
-  # a with 500 ms to its objective and 900 ms to its deadline; end a: it has arrived or is cancelled;
-  # +100 is time; tick is the periodic check. ID+ is an invitation, ID- a refusal.
+  # The link has 5 Mbit/s, so a request of 52,083 bytes takes 100 ms of the five sixths for long ones.
+  # "a 52083 500/900" announces request a with 500 ms to its objective and 900 ms to its deadline; end a:
+  # it has arrived or is cancelled; +100 is time; tick is the timer. ID+ is an invitation, ID- a refusal.
   Scenario Outline: turns: <guards against>
     When on a link of 5 Mbit/s these requests are announced: "<events>"
     Then the announcements are answered "<answers>"
 
     Examples:
-      | guards against                                 | events                                                      | answers           |
-      | a request that waits for a free link           | a 62500 500/900                                             | a+                |
-      | two requests at once                           | a 62500 500/900; b 62500 500/900                            | a+                |
-      | a turn that is not passed on                   | a 62500 500/900; b 62500 500/900; +100; end a; end b        | a+ b+             |
-      | the order of arrival before the objective      | a 62500 500/900; b 9000 900/900; c 9000 400/900; end a      | a+ c+             |
-      | a request that can only arrive late            | a 62500 500/900; b 62500 240/900; c 62500 250/900           | a+ c-             |
-      | a place for the time that a request has taken  | a 62500 500/900; +90; b 62500 150/900                       | a+                |
-      | a refusal while the link is free               | a 62500 10/900                                              | a+                |
-      | a cancelled request that is invited            | a 62500 500/900; b 9000 500/900; c 9000 500/900; end b; end a | a+ c+           |
-      | a slow sender that keeps the turn              | a 62500 500/900; b 9000 500/900; +200; tick; +60; tick      | a+ b+             |
-      | an overdue request that ends another one's turn | a 62500 500/900; b 9000 500/900; c 9000 500/900; +260; tick; end a; end b | a+ b+ c+ |
-      | a request that waits beyond its deadline       | a 62500 500/900; b 9000 150/200; +190; tick                 | a+ b-             |
+      | guards against                                  | events                                                                            | answers     |
+      | a request that waits for a free link            | a 52083 500/900                                                                   | a+          |
+      | two requests at once                            | a 52083 500/900; b 52083 500/900; +90; tick                                       | a+          |
+      | a round trip lost between two requests          | a 52083 500/900; b 52083 500/900; +101; tick                                      | a+ b+       |
+      | three requests on their way                     | a 52083 500/900; b 5000 500/900; c 5000 500/900; +101; tick; +30; tick            | a+ b+       |
+      | a turn that is not passed on                    | a 52083 500/900; b 52083 500/900; +50; end a; end b                               | a+ b+       |
+      | the order of arrival before the objective       | a 52083 500/900; b 5000 900/900; c 5000 400/900; end a                            | a+ c+       |
+      | a request that can only arrive late             | a 52083 500/900; b 52083 400/900; c 52083 420/900                                 | a+ c-       |
+      | an arrival that leaves no time for the run      | a 52083 500/900; +10; b 52083 300/900                                             | a+          |
+      | an arrival that leaves too little for the run   | a 52083 500/900; +10; b 52083 290/900; c 52083 390/900                            | a+ c-       |
+      | a refusal while the link is free                | a 52083 10/900                                                                    | a+          |
+      | a cancelled request that is invited             | a 52083 500/900; b 5000 500/900; c 5000 500/900; end b; end a                     | a+ c+       |
+      | slow senders that keep the turns                | a 52083 500/900; b 5000 500/900; c 5000 500/900; +101; tick; +140; tick; +20; tick | a+ b+ c+   |
+      | an overdue request that ends another one's turn | a 52083 500/900; b 52083 500/900; c 5000 700/900; +260; tick; end a               | a+ b+       |
+      | a request that waits beyond its deadline        | a 52083 500/900; b 5000 350/99; +101; tick                                        | a+ b-       |
 
   Scenario Outline: <link> Mbit/s: requests of more than <bytes> bytes are announced
     Then on a link of <link> Mbit/s the announced size is <bytes>
@@ -32,21 +35,22 @@
       | 5    | 12500   |
       | 1000 | 2500000 |
 
-  # Before: every sender sends at once. Senders have links of the same rate; 60 short calls a second of
+  # Before: every sender sends at once. The round trip is that of a data centre, or of two regions. Senders have links of the same rate; 60 short calls a second of
   # 1,500 bytes come between. Bounds: a short call, whose objective may be 200 ms, must not lose a quarter
   # of it on the way; uploads, with an objective of 800 ms, must not arrive later for it.
-  Scenario Outline: a link of <link> Mbit/s with <uploads> uploads a second of <bytes> bytes
-    When <uploads> uploads a second of <bytes> bytes and short calls share a link of <link> Mbit/s
+  Scenario Outline: <uploads> uploads a second on <link> Mbit/s, <trip> ms away
+    When <uploads> uploads a second of 60000 bytes, a round trip of <trip> ms away, and short calls share a link of <link> Mbit/s
     Then nine in ten short calls wait at least <before> ms before, and at most 50 ms now
     And uploads arrive within 800 ms at most 0.02 less often
 
     Examples: guards against a queue of uploads before the short calls
-      | link | uploads | bytes | before |
-      | 5    | 6       | 60000 | 60     |
-      | 5    | 8       | 60000 | 100    |
-      | 10   | 16      | 60000 | 60     |
+      | link | uploads | trip | before |
+      | 5    | 6       | 2    | 60     |
+      | 5    | 8       | 2    | 100    |
+      | 5    | 7       | 17   | 100    |
+      | 10   | 16      | 2    | 60     |
 
-  # Turns at both upstreams' daemons are taken for 300 ms while a request of 60,000 bytes waits at d1.
+  # Turns at both upstreams' daemons are taken for 150 ms while a request of 60,000 bytes waits at d1.
   Scenario Outline: fleet: <guards against>
     Given a platform fleet on links of 10 Mbit/s
     When a caller of d1 sends "<line>" with 60000 bytes while turns are taken, and <event>
--- a/packages/agatecross-core/agatecross_core/relay/transfer_turns.py
+++ b/packages/agatecross-core/agatecross_core/relay/transfer_turns.py
@@ -12,6 +12,13 @@
 # because the announcement costs a round trip: up to some 20 ms between regions.
 LONG_TRANSFER = Millis(20)
 BYTES_PER_MS_AND_MBIT = 125
+# The rest of the link is for short calls, of which nobody knows beforehand.
+TURNS_SHARE = 5 / 6
+# A request must be expected to arrive within this share of the time to its objective. The rest is
+# for its slot and its run; otherwise it would be refused after all of its bytes were sent.
+ARRIVAL_SHARE = 0.7
+# While one request is on its way, the next one is invited, so that no round trip is lost.
+MAX_INVITED = 2
 # The sender's own link may be busy. The turn passes on when a request has not arrived after this
 # multiple of the time that it needs, and a round trip.
 OVERDUE_FACTOR = 2.0
@@ -40,18 +47,19 @@
 
 
 class TransferTurns:
-    """Invites one long request after the other, the earliest objective first.
+    """Invites long requests at the rate of the link, the earliest objective first.
 
     Load pattern: uploads arrive at an upstream whose daemon has a narrow link. Sent at once, they
     fill the queue of the link, and the short calls of running upstreams wait behind all of them.
-    A request that would arrive after its objective is refused before its bytes are sent.
+    A request that would arrive too late is refused before its bytes are sent.
     """
 
     def __init__(self, link_rate: int) -> None:
         """Take the rate of the own link in Mbit/s; without it no request is announced."""
         self.bytes_per_ms = link_rate * BYTES_PER_MS_AND_MBIT
-        self.invited: AnnouncedRequest | None = None
-        self.invited_at = ZERO_MS
+        # The invited requests that have not arrived, and when they are overdue.
+        self.invited: dict[HandoverId, Millis] = {}
+        self.link_free_at = ZERO_MS
         self.waiting: list[AnnouncedRequest] = []
 
     @property
@@ -59,11 +67,20 @@
         """Return the size above which requests are announced, 0 if none is."""
         return int(LONG_TRANSFER * self.bytes_per_ms)
 
+    def next_invitation(self) -> Millis | None:
+        """Return when the next request is invited at the latest, or None if none waits."""
+        if not self.waiting:
+            return None
+        if not self.invited:
+            return ZERO_MS
+        return min(self.invited.values()) if self._is_full() else self.link_free_at
+
     def announce(
         self, request: AnnouncedRequest, now: Millis
     ) -> Iterator[InviteRequest | RefuseHandover]:
         """Invite, queue or refuse a request."""
-        if self.invited is not None and self._expected_end(request, now) > request.objective_at:
+        latest = now + ARRIVAL_SHARE * (request.objective_at - now)
+        if self.invited and self._expected_end(request, now) > latest:
             yield RefuseHandover(request.handover_id, Reason.OVERLOADED)
             return
         insort(self.waiting, request, key=_objective)
@@ -71,14 +88,12 @@
 
     def end(self, handover_id: HandoverId, now: Millis) -> Iterator[InviteRequest | RefuseHandover]:
         """Pass the turn on: the request has arrived, or nobody waits for its answer any more."""
-        if self.invited is not None and self.invited.handover_id == handover_id:
-            self.invited = None
-        else:
+        if self.invited.pop(handover_id, None) is None:
             self.waiting = [row for row in self.waiting if row.handover_id != handover_id]
         yield from self.invite_next(now)
 
     def invite_next(self, now: Millis) -> Iterator[InviteRequest | RefuseHandover]:
-        """Invite the next request if the link is free or the invited one is overdue.
+        """Invite the next requests if the link is free or an invited one is overdue.
 
         Those that cannot arrive before their deadline any more are refused.
         """
@@ -88,25 +103,30 @@
                 self.waiting.append(row)
             else:
                 yield RefuseHandover(row.handover_id, Reason.DEADLINE)
-        if self.waiting and now >= self._free_at():
-            self.invited, self.invited_at = self.waiting.pop(0), now
-            yield InviteRequest(self.invited.handover_id)
-
-    def _free_at(self) -> Millis:
-        if self.invited is None:
-            return ZERO_MS
-        overdue = OVERDUE_FACTOR * self._duration(self.invited) + MAX_ROUND_TRIP
-        return Millis(self.invited_at + overdue)
+        self.invited = {key: overdue for key, overdue in self.invited.items() if now < overdue}
+        while self.waiting and (not self.invited or self._has_turn(now)):
+            request = self.waiting.pop(0)
+            duration = self._duration(request)
+            self.invited[request.handover_id] = Millis(
+                now + OVERDUE_FACTOR * duration + MAX_ROUND_TRIP
+            )
+            self.link_free_at = Millis(now + duration)
+            yield InviteRequest(request.handover_id)
+
+    def _has_turn(self, now: Millis) -> bool:
+        return not self._is_full() and now >= self.link_free_at
+
+    def _is_full(self) -> bool:
+        return len(self.invited) >= MAX_INVITED
 
     def _expected_end(self, request: AnnouncedRequest, now: Millis) -> float:
         ahead = self.waiting[: bisect_right(self.waiting, _objective(request), key=_objective)]
-        left = 0.0
-        if self.invited is not None:
-            left = max(0.0, self.invited_at + self._duration(self.invited) - now)
-        return now + left + sum(map(self._duration, ahead)) + self._duration(request)
+        start = max(now, self.link_free_at)
+        return start + sum(map(self._duration, ahead)) + self._duration(request)
 
     def _duration(self, request: AnnouncedRequest) -> float:
-        return request.size / self.bytes_per_ms if self.bytes_per_ms else 0.0
+        rate = TURNS_SHARE * self.bytes_per_ms
+        return request.size / rate if rate else 0.0
 
 
 def _objective(request: AnnouncedRequest) -> Millis:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -1,5 +1,6 @@
 """Connections dialed by other daemons: they receive handovers and send the results back."""
 
+import asyncio
 from collections.abc import Callable, Collection, Iterable
 
 from agatecross_adapters.connection_guard import ConnectionGuard
@@ -79,6 +80,7 @@
         self.turns = TransferTurns(link_rate)
         # The announced handovers that have not arrived yet, with their connections.
         self.announced: dict[HandoverId, tuple[InboundConnection, Announce]] = {}
+        self.turn_timer: asyncio.TimerHandle | None = None
 
     def new_connection(self) -> InboundFrameConnection:
         """Create the protocol object of a new connection."""
@@ -95,10 +97,6 @@
         while self.orphans and now - self.orphans[0][0] > ORPHAN_TIMEOUT:
             self.exit.put(CancelHandover(self.orphans.pop(0)[1]))
 
-    def invite_next(self, now: Millis) -> None:
-        """Pass the turn on if the handover that was invited last is overdue."""
-        self._execute_actions(self.turns.invite_next(now))
-
     @property
     def unsent(self) -> int:
         """Return the number of bytes of results and answers not yet passed to the kernel."""
@@ -212,6 +210,14 @@
                 waiting=len(self.turns.waiting),
             )
             inbound.send(Result(action.handover_id, result))
+        due = self.turns.next_invitation()
+        if due is not None and self.turn_timer is None:
+            delay = max(0.0, due - monotonic_ms()) / 1000
+            self.turn_timer = asyncio.get_running_loop().call_later(delay, self._on_turn)
+
+    def _on_turn(self) -> None:
+        self.turn_timer = None
+        self._execute_actions(self.turns.invite_next(monotonic_ms()))
 
     def _result_sender(self, inbound: InboundConnection) -> ResultReceiver:
         def reply(handover_id: HandoverId, result: RelayResult) -> None:
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peers_task.py
@@ -390,7 +390,6 @@
             self._set_ping_periods()
         self.config_distributor.pull_if_due(now)
         self.inbound.cancel_orphans(now)
-        self.inbound.invite_next(now)
 
     def _handle_down_link(self, link: PeerLink, now: Millis) -> None:
         assert link.down_since is not None
