Keep calls in their data centre while they are answered in time there

Cause: the balancer compared shares of busy slots with a penalty for distance and size. With three slots, one more busy slot at home than elsewhere moved a small call, although a slot was free at home.

Change: core/routing/spill takes the nearest locality in which the expected wait is at most half of what the call can spare before its objective. A call goes farther after two attempts near by, and always when no near upstream can be reached. Calls that leave take their size from an allowance and return it when they are answered, so that bytes sent in vain stay under a twentieth. The penalties, which were derived from prices of links, are gone. An upstream that fails more than three in ten calls is used only without another one. Far upstreams are looked at only when needed. agatecross_handovers_total counts attempts by distance.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -190,7 +190,7 @@
             use_endpoints(rows)
         case Result(_, result):
             balancer = LowestCostBalancer("north", "north-a", random.Random(1))
-            balancer.record_start(PEER)
+            balancer.record_start(PEER, "r")
             balancer.record_result("d1", result, Millis(5), "r", 3, Millis(10))
             assert balancer.cost(PEER, Millis(20)) >= 0
         case Handover():
@@ -224,7 +224,7 @@
     list(push_targets(directory.me, directory.rows.values(), directory.rows, ConfigOrigin.STORE))
     balancer = LowestCostBalancer("north", "north-a", random.Random(1))
     for endpoints in directory.by_service.values():
-        balancer.choose(endpoints, (), "r", Millis(1))
+        balancer.choose(endpoints, (), "r", Millis(1), Millis(1))
     assert all(":" in row.address for row in directory.rows.values())
 
 
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -1,24 +1,18 @@
-"""Choice of an upstream by load, observed speed and distance."""
+"""Choice of an upstream by distance, load and observed speed."""
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from ..ids import ZERO_MS, DaemonId, DataCentreName, InstanceId, Millis, RegionName
 from ..members.directory import Endpoint
 from ..relay.model import RelayResult
-from ..states import Outcome, Reason
+from ..states import Locality, Outcome, Reason
+from .spill import Offer, SpillAllowance, select_offer
 
 # A reported load loses half of its weight in this time: calls last some tens of milliseconds.
 REPORTED_LOAD_HALF_LIFE = Millis(250)
-# Extra share of busy slots that a nearer upstream may have before a farther one is chosen: a part
-# for the latency, and a part per KiB of a call, because traffic on these links is paid for. On the
-# more expensive of the current links, 6 KiB between regions cost as much as a served call is worth.
-REGION_PENALTY = 0.2
-REGION_PENALTY_PER_KIB = 0.06
-REMOTE_PENALTY = 0.5
-REMOTE_PENALTY_PER_KIB = 0.35
 SIZE_SAMPLE_WEIGHT = 0.05
 KIB = 1024
 MEAN_SAMPLE_WEIGHT = 0.02
@@ -38,7 +32,13 @@
 # A second attempt of a slow call is sent only to an upstream of which more than half of the
 # slots stay free with it.
 SECOND_ATTEMPT_MAX_BUSY_SHARE = 0.5
+# An upstream that fails more than this share of its calls is used only without another one.
+MAX_FAILURE_SHARE = 0.3
 LOWEST_COST_EJECTION_TIME = Millis(400)
+# An upstream that refused a call for lack of room has room again within some tens of milliseconds.
+REFUSAL_PAUSE = Millis(50)
+# Ranks an upstream behind all others.
+EJECTED_COST = 100.0
 COLD_SLOTS_DIVISOR = 2.0
 SERVER_ERROR = 500
 UNREACHABLE_REASONS = frozenset(
@@ -63,9 +63,11 @@
     `slowness` is a moving average of the cost that it reports for a route, divided by the mean cost
     of that route; `failure_share` is the recent share of failed attempts, from 0 to 1. `limit` is
     the number of calls per second that the upstream named in its last answer, infinite without one.
+    Until `ejected_until` it is taken to be unreachable, and until `full_until` to have no room.
     """
 
     instance: InstanceId
+    locality: Locality
     outstanding: int = 0
     others_load: float = 0.0
     load_reported_at: Millis = ZERO_MS
@@ -74,11 +76,15 @@
     failure_share: float = 0.0
     failures_updated_at: Millis = ZERO_MS
     ejected_until: Millis = ZERO_MS
+    full_until: Millis = ZERO_MS
     limit: float = math.inf
 
 
 class LowestCostBalancer:
-    """Chooses endpoints for attempts and learns from their results."""
+    """Chooses endpoints for attempts and learns from their results.
+
+    Load pattern: upstreams of different speed, of which each daemon sees only its own calls.
+    """
 
     def __init__(self, region: RegionName, data_centre: DataCentreName, rng: random.Random) -> None:
         """Start without observations."""
@@ -89,37 +95,56 @@
         self.mean_times: dict[str, float] = {}
         self.mean_costs: dict[str, float] = {}
         self.mean_sizes: dict[str, float] = {}
+        self.spill = SpillAllowance()
 
     def choose(
-        self, endpoints: Iterable[Endpoint], tried: Collection[DaemonId], route: str, now: Millis
+        self,
+        endpoints: Iterable[Endpoint],
+        tried: Collection[DaemonId],
+        route: str,
+        objective_left: Millis,
+        now: Millis,
     ) -> Endpoint | None:
-        """Return the endpoint with the lowest cost that was not tried, or None."""
-        size = self.mean_sizes.get(route, 1.0)
-        best: Endpoint | None = None
-        best_cost = math.inf
-        for endpoint in endpoints:
-            if endpoint.daemon_id in tried:
-                continue
-            cost = self.cost(endpoint, now) + self._distance_penalty(endpoint, size)
-            if cost < best_cost:
-                best, best_cost = endpoint, cost
-        return best
+        """Return the endpoint for the next attempt that was not tried, or None.
+
+        `objective_left` is the time left until the call's latency objective.
+        """
+        untried = (endpoint for endpoint in endpoints if endpoint.daemon_id not in tried)
+        offers = self._best_offers(untried, route, now)
+        may_leave = self.spill.allows(self._size_of(route))
+        chosen = select_offer(offers, objective_left, len(tried), may_leave)
+        return None if chosen is None else chosen.endpoint
 
     def cost(self, endpoint: Endpoint, now: Millis) -> float:
         """Return the share of busy slots, scaled by slowness and failures; high while ejected."""
         stats = self.stats_of(endpoint)
-        slots = max(1.0, stats.slots or endpoint.slots)
-        if endpoint.cold > 0:
-            slots = max(1.0, slots / COLD_SLOTS_DIVISOR)
-        busy = (stats.outstanding + self._others_load(stats, now) + 1.0) / slots
-        failure_share = stats.failure_share * math.exp2(
-            -(now - stats.failures_updated_at) / LOWEST_COST_FAILURE_HALF_LIFE
-        )
+        busy = (self._load_of(stats, now) + 1.0) / self._slots_of(endpoint, stats)
+        failure_share = self._failure_share_of(stats, now)
         cost = (busy + 0.1) * stats.slowness * (1 + LOWEST_COST_FAILURE_COST * failure_share)
-        if now < stats.ejected_until:
-            cost += 100.0
+        if now < stats.full_until or not self._is_available(stats, now):
+            cost += EJECTED_COST
         return cost + self.rng.random() * 0.02
 
+    def _best_offers(
+        self, endpoints: Iterable[Endpoint], route: str, now: Millis
+    ) -> Iterator[Offer]:
+        """Yield the offer of the upstream with the lowest cost in each locality, nearest first."""
+        rows: dict[Locality, list[Endpoint]] = {locality: [] for locality in Locality}
+        for endpoint in endpoints:
+            rows[self.locality_of(endpoint)].append(endpoint)
+        for locality, known in rows.items():
+            if known:
+                best = min(known, key=lambda endpoint: self.cost(endpoint, now))
+                yield self._offer(best, locality, route, now)
+
+    def _offer(self, endpoint: Endpoint, locality: Locality, route: str, now: Millis) -> Offer:
+        stats = self.stats_of(endpoint)
+        run_time = Millis(self.mean_costs.get(route, 0.0) * stats.slowness)
+        slots = self._slots_of(endpoint, stats)
+        waiting = max(0.0, self._load_of(stats, now) + 1.0 - slots)
+        wait = Millis(math.inf if now < stats.full_until else waiting / slots * run_time)
+        return Offer(endpoint, locality, wait, run_time, self._is_available(stats, now))
+
     def mean_time_of(self, route: str) -> Millis | None:
         """Return the mean time of the served calls of a route."""
         mean = self.mean_times.get(route)
@@ -132,9 +157,9 @@
     def has_spare_capacity(self, endpoint: Endpoint, now: Millis) -> bool:
         """Return whether an endpoint has room for a second attempt."""
         stats = self.stats_of(endpoint)
-        busy = stats.outstanding + self._others_load(stats, now) + 1.0
+        busy = self._load_of(stats, now) + 1.0
         spare = busy < SECOND_ATTEMPT_MAX_BUSY_SHARE * max(1, stats.slots or endpoint.slots)
-        return spare and now >= stats.ejected_until
+        return spare and now >= max(stats.ejected_until, stats.full_until)
 
     def stats_of(self, endpoint: Endpoint) -> InstanceStats:
         """Return the observations of the current instance of an endpoint."""
@@ -142,13 +167,22 @@
         assert endpoint.instance is not None
         if stats is None or stats.instance != endpoint.instance:
             outstanding = stats.outstanding if stats else 0
-            stats = InstanceStats(endpoint.instance, outstanding)
+            locality = self.locality_of(endpoint)
+            stats = InstanceStats(endpoint.instance, locality, outstanding)
             self.stats[endpoint.daemon_id] = stats
         return stats
 
-    def record_start(self, endpoint: Endpoint) -> None:
+    def record_call(self, route: str) -> None:
+        """Record a call before its first attempt."""
+        largest = max(self.mean_sizes.values(), default=1.0)
+        self.spill.add_call(self._size_of(route), largest)
+
+    def record_start(self, endpoint: Endpoint, route: str) -> None:
         """Record an attempt that was sent."""
-        self.stats_of(endpoint).outstanding += 1
+        stats = self.stats_of(endpoint)
+        stats.outstanding += 1
+        if stats.locality is not Locality.DATA_CENTRE:
+            self.spill.take(self._size_of(route))
 
     def record_limit(self, daemon_id: DaemonId, limit: float | None) -> None:
         """Store the limit that an answer names; None, for one that cannot be read, is ignored."""
@@ -186,7 +220,7 @@
         if result.reason in UNREACHABLE_REASONS:
             stats.ejected_until = Millis(now + LOWEST_COST_EJECTION_TIME)
         elif result.reason in OVERLOAD_REASONS:
-            stats.ejected_until = Millis(now + LOWEST_COST_EJECTION_TIME / 8)
+            stats.full_until = Millis(now + REFUSAL_PAUSE)
         failed = result.outcome is Outcome.UNKNOWN or (
             result.response is not None and result.response.status >= SERVER_ERROR
         )
@@ -198,14 +232,14 @@
         if result.cost > 0:
             self._learn_slowness(stats, result.cost, route)
         if result.response is not None:
+            if stats.locality is not Locality.DATA_CENTRE:
+                self.spill.give_back(self._size_of(route))
             size = (sent + len(result.response.body)) / KIB
             mean_size = self.mean_sizes.get(route, size)
             self.mean_sizes[route] = mean_size + SIZE_SAMPLE_WEIGHT * (size - mean_size)
 
     def _learn_failure(self, stats: InstanceStats, failed: bool, now: Millis) -> None:
-        decayed = stats.failure_share * math.exp2(
-            -(now - stats.failures_updated_at) / LOWEST_COST_FAILURE_HALF_LIFE
-        )
+        decayed = self._failure_share_of(stats, now)
         stats.failure_share = decayed + LOWEST_COST_FAILURE_WEIGHT * (failed - decayed)
         stats.failures_updated_at = now
 
@@ -222,14 +256,29 @@
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, cost / max(1.0, mean)))
         stats.slowness += SLOWNESS_SAMPLE_WEIGHT * (ratio - stats.slowness)
 
-    def _others_load(self, stats: InstanceStats, now: Millis) -> float:
-        return stats.others_load * math.exp2(
-            -(now - stats.load_reported_at) / REPORTED_LOAD_HALF_LIFE
-        )
+    def _load_of(self, stats: InstanceStats, now: Millis) -> float:
+        """Return the expected number of calls that run at an upstream or wait for it."""
+        age = now - stats.load_reported_at
+        return stats.outstanding + stats.others_load * math.exp2(-age / REPORTED_LOAD_HALF_LIFE)
+
+    def _slots_of(self, endpoint: Endpoint, stats: InstanceStats) -> float:
+        slots = max(1.0, stats.slots or endpoint.slots)
+        return slots if endpoint.cold <= 0 else max(1.0, slots / COLD_SLOTS_DIVISOR)
+
+    def _failure_share_of(self, stats: InstanceStats, now: Millis) -> float:
+        age = now - stats.failures_updated_at
+        return stats.failure_share * math.exp2(-age / LOWEST_COST_FAILURE_HALF_LIFE)
+
+    def _is_available(self, stats: InstanceStats, now: Millis) -> bool:
+        failing = self._failure_share_of(stats, now) > MAX_FAILURE_SHARE
+        return now >= stats.ejected_until and not failing
+
+    def _size_of(self, route: str) -> float:
+        """Return the mean size of the request and the response of a route in KiB."""
+        return self.mean_sizes.get(route, 1.0)
 
-    def _distance_penalty(self, endpoint: Endpoint, size: float) -> float:
+    def locality_of(self, endpoint: Endpoint) -> Locality:
+        """Return the distance of an endpoint."""
         if endpoint.data_centre == self.data_centre:
-            return 0.0
-        if endpoint.region == self.region:
-            return REGION_PENALTY + REGION_PENALTY_PER_KIB * size
-        return REMOTE_PENALTY + REMOTE_PENALTY_PER_KIB * size
+            return Locality.DATA_CENTRE
+        return Locality.REGION if endpoint.region == self.region else Locality.REMOTE
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -5,7 +5,7 @@
 from agatecross_core.admission.connection_budget import Place, ShedReason
 from agatecross_core.ids import ServiceName
 from agatecross_core.relay.model import RelayResult
-from agatecross_core.states import Reason
+from agatecross_core.states import Locality, Reason
 
 # From the latency added by one hop to the longest route timeouts.
 LATENCY_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -33,6 +33,12 @@
             ("reason",),
             registry=self.registry,
         )
+        self.handovers = Counter(
+            "agatecross_handovers_total",
+            "Attempts by service and by the distance of the upstream.",
+            ("service", "locality"),
+            registry=self.registry,
+        )
         self.call_seconds = Histogram(
             "agatecross_call_seconds",
             "Time from the first byte of a request to its answer.",
@@ -103,6 +109,10 @@
         self.calls.labels(service, result.outcome.value, reason).inc()
         self.call_seconds.labels(service).observe(duration_ms / MILLISECONDS_PER_SECOND)
 
+    def count_handover(self, service: ServiceName, locality: Locality) -> None:
+        """Count an attempt at an upstream."""
+        self.handovers.labels(service, locality.name.lower()).inc()
+
     def count_refusal(self, reason: Reason) -> None:
         """Count a request that was refused before it was routed to a service."""
         self.refusals.labels(reason.value).inc()
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/entry_task.py
@@ -182,12 +182,19 @@
         if budget is None:
             budget = self.budgets[service] = self.new_budget()
         budget.add_first_arrival()
+        self.balancer.record_call(route.name)
+
+        def record_attempt(endpoint: Endpoint) -> None:
+            self.balancer.record_start(endpoint, route.name)
+            self.metrics.count_handover(service, self.balancer.locality_of(endpoint))
 
         def choose(tried: tuple[DaemonId, ...]) -> Endpoint | None:
             endpoints = self._allowed_endpoints(context)
-            endpoint = self.balancer.choose(endpoints, tried, route.name, monotonic_ms())
+            now = monotonic_ms()
+            left = Millis(exchange.arrived + route.objective - now)
+            endpoint = self.balancer.choose(endpoints, tried, route.name, left, now)
             if endpoint is not None:
-                self.balancer.record_start(endpoint)
+                record_attempt(endpoint)
             return endpoint
 
         def may_repeat() -> bool:
@@ -209,12 +216,13 @@
             now = monotonic_ms()
             if self._judge(context) is not Verdict.FREE:
                 return None
-            endpoint = self.balancer.choose(endpoints, (tried,), route.name, now)
+            left = Millis(exchange.arrived + route.objective - now)
+            endpoint = self.balancer.choose(endpoints, (tried,), route.name, left, now)
             if endpoint is None or not self.balancer.has_spare_capacity(endpoint, now):
                 return None
             if not budget.take(self.daemon_count, now):
                 return None
-            self.balancer.record_start(endpoint)
+            record_attempt(endpoint)
             return endpoint
 
         hedged = route.repeat is Repeat.SAFE and route.attempts > 1
--- a/packages/agatecross-standins/agatecross_standins/bench/own_costs.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/own_costs.py
@@ -62,6 +62,7 @@
 MESSAGES = 5_000
 IDLE_SECONDS = 5.0
 POLL_SECONDS = 0.02
+OBJECTIVE = Millis(500)
 # On a busy machine, links that stay down for 20 s are given up, and the star stays incomplete.
 STAR_TIMEOUT_SECONDS = 120.0
 CENTRES = 4
@@ -206,9 +207,9 @@
     endpoints = [make_endpoint(number) for number in range(UPSTREAMS.value)]
     before = time.process_time()
     for number in range(CHOICES):
-        chosen = balancer.choose(endpoints, (), "route", Millis(number * 3.0))
+        chosen = balancer.choose(endpoints, (), "route", OBJECTIVE, Millis(number * 3.0))
         assert chosen is not None
-        balancer.record_start(chosen)
+        balancer.record_start(chosen, "route")
     return (time.process_time() - before) * 1e6 / CHOICES
 
 
