Space probes of an upstream that resets connections, and send unwritten requests elsewhere

Cause: each reset of a connection opened another one, to learn whether the upstream still listens. A request was written to a new connection at once, so each call to a full upstream may have run: 502 each time, no other upstream was asked.

A fake pool in hostile_streams_steps got the new attribute of the pool.

--- a/features/steps/hostile_streams_steps.py
+++ b/features/steps/hostile_streams_steps.py
@@ -15,6 +15,7 @@
 from agatecross_adapters.message_size import FRAMING_SLACK_BYTES
 from agatecross_adapters.upstream_connection import RunningRequest, UpstreamConnection
 from agatecross_core.admission.connection_budget import CONNECTION_BYTES, FIELD_BYTES
+from agatecross_core.admission.new_connections import NewConnections
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.ids import Millis
 from agatecross_core.relay.model import RelayResponse
@@ -138,6 +139,7 @@
         idle=[],
         connections=set(),
         unfinished_bytes=0,
+        new_connections=NewConnections(),
         release=pool_release,
         on_reset=lambda: None,
     )
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_connection.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from agatecross_core.admission.new_connections import NewConnections
 from agatecross_core.constants import MAX_RESPONSE_BYTES
 from agatecross_core.http_status import is_http_status
 from agatecross_core.ids import Millis
@@ -34,15 +35,22 @@
 
 
 class UpstreamFailure(Enum):
-    """Why an exchange with the upstream gave no complete response."""
+    """Why an exchange with the upstream gave no complete response.
+
+    With `NOT_CONNECTED` and `RESET_UNUSED` the request was not written; the latter is the failure
+    of a new connection that the upstream reset, as some do when they are full.
+    """
 
     NOT_CONNECTED = "not-connected"
+    RESET_UNUSED = "reset-unused"
     CONNECTION_LOST = "connection-lost"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
     TOO_LATE = "too-late"
 
 
+UNSENT_FAILURES = frozenset((UpstreamFailure.NOT_CONNECTED, UpstreamFailure.RESET_UNUSED))
+
 UpstreamCallback = Callable[[RelayResponse | UpstreamFailure], None]
 
 
@@ -63,6 +71,7 @@
     idle: "list[UpstreamConnection]"
     connections: "set[UpstreamConnection]"
     unfinished_bytes: int
+    new_connections: NewConnections
     on_reset: Callable[[], None]
 
     def release(self, connection: "UpstreamConnection") -> None:
@@ -91,6 +100,8 @@
         self.reusable = True
         self.closed_here = False
         self.requests_sent = 0
+        # The upstream has sent a byte on this connection.
+        self.answered = False
         self.late = False
         self.cut_off_timer: asyncio.TimerHandle | None = None
         self.idle_since = Millis(0)
@@ -109,8 +120,11 @@
         self.pool.connections.discard(self)
         if self in self.pool.idle:
             self.pool.idle.remove(self)
+        is_unanswered = not self.answered
         self._fail_running(UpstreamFailure.CONNECTION_LOST)
         if not self.closed_here:
+            if is_unanswered:
+                self.pool.new_connections.record_reset(Millis(time.monotonic() * 1000))
             self.pool.on_reset()
 
     def eof_received(self) -> bool:
@@ -152,6 +166,7 @@
         if running is None:
             self.close()
             return
+        self.answered = True
         is_first_byte = not running.size.read
         running.size.read += len(data)
         self.pool.add_unfinished_bytes(len(data))
--- a/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
+++ b/packages/agatecross-adapters/agatecross_adapters/upstream_pool.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Any
 
+from agatecross_core.admission.new_connections import NewConnections
 from agatecross_core.ids import Address, Millis
 from agatecross_core.relay.model import Handover
 from agatecross_core.relay.response_size import MAX_UNFINISHED_RESPONSE_BYTES, ResponseSize
@@ -51,6 +52,7 @@
         self.idle: list[UpstreamConnection] = []
         self.connections: set[UpstreamConnection] = set()
         self.dial_tasks: set[asyncio.Task[None]] = set()
+        self.new_connections = NewConnections()
         # Bytes read of incomplete responses, over all connections.
         self.unfinished_bytes = 0
 
@@ -106,22 +108,35 @@
         task.add_done_callback(self.dial_tasks.discard)
 
     async def _dial_for(self, exchange: "UpstreamExchange") -> None:
-        connection = await self._dial()
-        if connection is None:
-            exchange.fail(UpstreamFailure.NOT_CONNECTED)
+        connection = await self._open_connection()
+        if isinstance(connection, UpstreamFailure):
+            exchange.fail(connection)
         elif exchange.cancelled:
-            self.release(connection)
+            self._release_unused(connection)
             exchange.fail(UpstreamFailure.NOT_CONNECTED)
         else:
             exchange.start(connection)
 
     async def _dial_spare(self) -> None:
-        connection = await self._dial()
-        if connection is not None:
-            connection.idle_since = Millis(time.monotonic() * 1000)
-            self.release(connection)
+        connection = await self._open_connection()
+        if isinstance(connection, UpstreamConnection):
+            self._release_unused(connection)
 
-    async def _dial(self) -> "UpstreamConnection | None":
+    def _release_unused(self, connection: "UpstreamConnection") -> None:
+        connection.idle_since = Millis(time.monotonic() * 1000)
+        self.release(connection)
+
+    async def _open_connection(self) -> "UpstreamConnection | UpstreamFailure":
+        """Open a connection; leave it unused for a while if the upstream resets new ones."""
+        connection = await self._dial()
+        if isinstance(connection, UpstreamFailure):
+            return connection
+        settle_time = self.new_connections.settle_time(Millis(time.monotonic() * 1000))
+        if settle_time:
+            await asyncio.sleep(settle_time / 1000)
+        return UpstreamFailure.RESET_UNUSED if connection.transport.is_closing() else connection
+
+    async def _dial(self) -> "UpstreamConnection | UpstreamFailure":
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -131,10 +146,14 @@
                 )
         except ConnectionRefusedError:
             self.on_unreachable(ConnectFailure.REFUSED)
-            return None
+            return UpstreamFailure.NOT_CONNECTED
+        except ConnectionResetError:
+            # It listens, but has no room for a connection.
+            self.new_connections.record_reset(Millis(time.monotonic() * 1000))
+            return UpstreamFailure.RESET_UNUSED
         except (OSError, TimeoutError):
             self.on_unreachable(ConnectFailure.SILENT)
-            return None
+            return UpstreamFailure.NOT_CONNECTED
         return connection
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_call.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_call.py
@@ -47,6 +47,8 @@
         return classify_response(done, names.stamp, names.not_run)
     if done is UpstreamFailure.NOT_CONNECTED:
         return not_run_result(Reason.CONNECT_FAILED)
+    if done is UpstreamFailure.RESET_UNUSED:
+        return not_run_result(Reason.QUEUE_FULL)
     return unknown_result(FAILURE_REASONS[done])
 
 
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from agatecross_adapters.header_names import HeaderNames
-from agatecross_adapters.upstream_connection import UpstreamFailure
+from agatecross_adapters.upstream_connection import UNSENT_FAILURES, UpstreamFailure
 from agatecross_adapters.upstream_pool import ConnectFailure, UpstreamExchange, UpstreamPool
 from agatecross_core.admission.rate_limit import RateLimit
 from agatecross_core.admission.slot_queue import (
@@ -55,6 +55,7 @@
     RunHandover,
 )
 from .exit_call import ExitCall, relay_result, run_end
+from .listen_probe import ListenProbe
 from .start_timer import StartTimer
 
 ExitMessage = (
@@ -102,6 +103,7 @@
         self.log = log
         self.queue = SlotQueue()
         self.start_timer = StartTimer(self.queue, self._start_waiting_calls)
+        self.listen_probe = ListenProbe(self._probe_listener)
         self.ledger = Ledger()
         self.calls: dict[HandoverId, ExitCall] = {}
         self.pool = UpstreamPool(
@@ -236,7 +238,7 @@
     def _on_upstream_result(self, call: ExitCall, done: RelayResponse | UpstreamFailure) -> None:
         now = monotonic_ms()
         result = relay_result(done, self.names)
-        if done is not UpstreamFailure.NOT_CONNECTED:
+        if done not in UNSENT_FAILURES:
             end = run_end(call, done, result)
             self._report_crashes(self.death_watch.run_ended(call.handover, end, now))
         if isinstance(done, RelayResponse) and call.handover.instance == self.instance:
@@ -269,6 +271,10 @@
 
     def _on_reset(self) -> None:
         """Learn whether the upstream still listens, if it may have been crashed by a run."""
+        if self.death_watch.lost_calls.may_have_crashed(monotonic_ms()):
+            self.listen_probe.schedule(monotonic_ms())
+
+    def _probe_listener(self) -> None:
         may_have_crashed = self.death_watch.lost_calls.may_have_crashed(monotonic_ms())
         if may_have_crashed and not self.pool.dial_tasks:
             self.pool.open_spare_connection()
--- a/packages/agatecross-standins/agatecross_standins/platform_upstream.py
+++ b/packages/agatecross-standins/agatecross_standins/platform_upstream.py
@@ -50,7 +50,8 @@
     `runs` counts the runs of each request id; `run_starts` has the monotonic start time and the
     request id of each run. `limit` is the text that responses name as the limit in requests per
     second, and `named_limits` holds the monotonic time and the text of each that did so; with
-    `leaving`, responses say that the upstream is about to end, first at `said_leaving_at`.
+    `leaving`, responses say that the upstream is about to end, first at `said_leaving_at`. While it
+    is `full`, it resets each new connection; `accepted` counts the new connections.
     """
 
     def __init__(self, name: str, service: str, born: int = 1) -> None:
@@ -64,6 +65,8 @@
         self.body_bytes = 0
         self.limit = ""
         self.leaving = False
+        self.full = False
+        self.accepted = 0
         self.said_leaving_at: float | None = None
         self.named_limits: list[tuple[float, str]] = []
         self.runs: Counter[str] = Counter()
@@ -154,10 +157,13 @@
         self.held_answers: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection."""
+        """Register the connection, or reset it if the upstream is full."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.upstream.connections.add(self)
+        self.upstream.accepted += 1
+        if self.upstream.full:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel its held answers."""
