Send calls past a full region to one that has room

Cause: of three attempts two stay near by and the third goes to the region, also while the whole region refuses and another one has room.

Change: LocalityRefusals remembers for two seconds which localities refused most calls of a route. A call leaves a data centre that does after one refusal, and asks such a region last. The allowance grows by a quarter of what other data centres answered.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -1,4 +1,3 @@
-import contextlib
 import heapq
 import itertools
 import math
@@ -171,8 +170,10 @@
         fleet.count["left"] += left and ran
         fleet.count["in vain"] += self.route.kib / 2 if left and not ran else 0
         fleet.count["in time"] += ran and fleet.now - self.arrived <= self.route.objective
-        with contextlib.suppress(StopIteration):
+        try:
             self.attempt(self.flow.send(result))
+        except StopIteration as stop:
+            fleet.count["refused"] += stop.value.outcome is Outcome.NOT_RUN
 
 
 @given('the offers "{offers}"')
@@ -180,8 +181,15 @@
 def step_offers(context, offers=""):
     rows = (row.split() for row in offers.split("; ") if row)
     context.offers = [
-        Offer(name, LOCALITIES[locality], Millis(float(wait)), Millis(100), not down)
-        for name, locality, wait, *down in rows
+        Offer(
+            name,
+            LOCALITIES[locality],
+            Millis(float(wait)),
+            Millis(100),
+            "down" not in state,
+            "full" in state,
+        )
+        for name, locality, wait, *state in rows
     ]
 
 
--- a/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
+++ b/packages/agatecross-core/agatecross_core/routing/lowest_cost.py
@@ -9,7 +9,7 @@
 from ..members.directory import Endpoint
 from ..relay.model import RelayResult
 from ..states import Locality, Outcome, Reason
-from .spill import Offer, SpillAllowance, select_offer
+from .spill import LocalityRefusals, Offer, SpillAllowance, select_offer
 
 # A reported load loses half of its weight in this time: calls last some tens of milliseconds.
 REPORTED_LOAD_HALF_LIFE = Millis(250)
@@ -96,6 +96,7 @@
         self.mean_costs: dict[str, float] = {}
         self.mean_sizes: dict[str, float] = {}
         self.spill = SpillAllowance()
+        self.refusals = LocalityRefusals()
 
     def choose(
         self,
@@ -143,7 +144,9 @@
         slots = self._slots_of(endpoint, stats)
         waiting = max(0.0, self._load_of(stats, now) + 1.0 - slots)
         wait = Millis(math.inf if now < stats.full_until else waiting / slots * run_time)
-        return Offer(endpoint, locality, wait, run_time, self._is_available(stats, now))
+        available = self._is_available(stats, now)
+        refusing = self.refusals.includes(route, locality, now)
+        return Offer(endpoint, locality, wait, run_time, available, refusing)
 
     def mean_time_of(self, route: str) -> Millis | None:
         """Return the mean time of the served calls of a route."""
@@ -174,8 +177,7 @@
 
     def record_call(self, route: str) -> None:
         """Record a call before its first attempt."""
-        largest = max(self.mean_sizes.values(), default=1.0)
-        self.spill.add_call(self._size_of(route), largest)
+        self.spill.add_call(self._size_of(route), self._largest_size())
 
     def record_start(self, endpoint: Endpoint, route: str) -> None:
         """Record an attempt that was sent."""
@@ -217,9 +219,11 @@
             stats.slots = result.slots
             stats.others_load = max(0.0, result.load - stats.outstanding)
             stats.load_reported_at = now
+        is_refused = result.reason in OVERLOAD_REASONS
+        self.refusals.record(route, stats.locality, is_refused, now)
         if result.reason in UNREACHABLE_REASONS:
             stats.ejected_until = Millis(now + LOWEST_COST_EJECTION_TIME)
-        elif result.reason in OVERLOAD_REASONS:
+        elif is_refused:
             stats.full_until = Millis(now + REFUSAL_PAUSE)
         failed = result.outcome is Outcome.UNKNOWN or (
             result.response is not None and result.response.status >= SERVER_ERROR
@@ -233,7 +237,7 @@
             self._learn_slowness(stats, result.cost, route)
         if result.response is not None:
             if stats.locality is not Locality.DATA_CENTRE:
-                self.spill.give_back(self._size_of(route))
+                self.spill.give_back(self._size_of(route), self._largest_size())
             size = (sent + len(result.response.body)) / KIB
             mean_size = self.mean_sizes.get(route, size)
             self.mean_sizes[route] = mean_size + SIZE_SAMPLE_WEIGHT * (size - mean_size)
@@ -277,6 +281,9 @@
         """Return the mean size of the request and the response of a route in KiB."""
         return self.mean_sizes.get(route, 1.0)
 
+    def _largest_size(self) -> float:
+        return max(self.mean_sizes.values(), default=1.0)
+
     def locality_of(self, endpoint: Endpoint) -> Locality:
         """Return the distance of an endpoint."""
         if endpoint.data_centre == self.data_centre:
--- a/packages/agatecross-core/agatecross_core/routing/spill.py
+++ b/packages/agatecross-core/agatecross_core/routing/spill.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from ..admission.slot_use import RecentSums
 from ..ids import Millis
 from ..members.directory import Endpoint
 from ..states import Locality
@@ -18,8 +19,16 @@
 MAX_NEAR_ATTEMPTS = 2
 # Bytes that are sent to other data centres in vain, as a share of the bytes of all calls.
 VAIN_SHARE = 0.05
+# Further bytes that may be sent in vain, as a share of those that other data centres answered: in
+# an overload of everything most calls that leave are refused, and with room elsewhere few are.
+ANSWERED_SHARE = 0.25
 # What a daemon may save up of that share, in calls of its largest route.
 VAIN_CALLS = 4
+# A daemon sends some calls of a route to other data centres in this time.
+REFUSALS_WINDOW = Millis(2_000)
+# With less weight of results a locality counts as having room, so that it is asked again.
+MIN_RESULTS = 0.5
+REFUSING_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +36,8 @@
     """What an upstream is expected to do with a call.
 
     The call is expected to wait for `wait` and to run for `run_time`. An upstream that fails or
-    cannot be reached is not `available`.
+    cannot be reached is not `available`. The upstreams of a `refusing` locality refused most of the
+    last calls of the route.
     """
 
     endpoint: Endpoint
@@ -35,6 +45,7 @@
     wait: Millis
     run_time: Millis
     available: bool
+    refusing: bool = False
 
     def is_in_time(self, objective_left: Millis) -> bool:
         """Return whether the call is expected to be answered within its objective."""
@@ -42,12 +53,39 @@
         return self.available and spare > 0 and self.wait <= WAIT_SHARE * spare
 
 
+class LocalityRefusals:
+    """Finds the localities that refused most of the calls of a route during the last seconds.
+
+    Load pattern: a whole region is full for some seconds while another one has room. Asking two
+    upstreams near by and one in the region would refuse calls that the other region can serve.
+    """
+
+    def __init__(self) -> None:
+        """Start without results."""
+        self.results: RecentSums[tuple[str, Locality]] = RecentSums(REFUSALS_WINDOW)
+        self.refused: RecentSums[tuple[str, Locality]] = RecentSums(REFUSALS_WINDOW)
+
+    def record(self, route: str, locality: Locality, refused: bool, now: Millis) -> None:
+        """Record the result of an attempt."""
+        self.results.add((route, locality), 1.0, now)
+        self.refused.add((route, locality), float(refused), now)
+
+    def includes(self, route: str, locality: Locality, now: Millis) -> bool:
+        """Return whether a locality refuses most calls of a route."""
+        self.results.decay(now)
+        self.refused.decay(now)
+        results = self.results.sums.get((route, locality), 0.0)
+        refused = self.refused.sums.get((route, locality), 0.0)
+        return results >= MIN_RESULTS and refused >= REFUSING_SHARE * results
+
+
 class SpillAllowance:
     """Bounds the bytes that calls take to other data centres in vain.
 
     Load pattern: all data centres are full. Calls that leave one are refused in the next, and large
     ones fill the links between them. Each call that leaves takes its size from the allowance and
-    returns it when it is answered, so calls may leave for as long as there is room elsewhere.
+    returns somewhat more when it is answered, so more calls may leave for as long as most of them
+    find room elsewhere.
     """
 
     def __init__(self) -> None:
@@ -56,7 +94,7 @@
 
     def add_call(self, size: float, largest: float) -> None:
         """Record a call of this size, wherever it goes; `largest` is the size of the largest."""
-        self.left = min(self.left + VAIN_SHARE * size, max(self.left, VAIN_CALLS * largest))
+        self._add(VAIN_SHARE * size, largest)
 
     def allows(self, size: float) -> bool:
         """Return whether a call of this size may leave."""
@@ -66,9 +104,13 @@
         """Record a call that leaves."""
         self.left -= size
 
-    def give_back(self, size: float) -> None:
+    def give_back(self, size: float, largest: float) -> None:
         """Record the answer to a call that left."""
         self.left += size
+        self._add(ANSWERED_SHARE * size, largest)
+
+    def _add(self, size: float, largest: float) -> None:
+        self.left = min(self.left + size, max(self.left, VAIN_CALLS * largest))
 
 
 def select_offer(
@@ -103,10 +145,11 @@
     if nearest is None:
         return
     is_near = nearest.locality is Locality.DATA_CENTRE
+    max_near_attempts = 1 if nearest.refusing else MAX_NEAR_ATTEMPTS
     if is_near and nearest.available and not may_leave:
         yield nearest
-    elif is_near and attempts >= MAX_NEAR_ATTEMPTS:
-        yield from list(offers) or [nearest]
+    elif is_near and attempts >= max_near_attempts:
+        yield from sorted(offers, key=lambda offer: offer.refusing) or [nearest]
     else:
         yield nearest
         yield from offers
