Check bad values of the limits for clients

The tables of settings had no rows for limits.memory_mb and limits.descriptors. Each now has rows for wrong types, values outside the range and misspelt names, on both interfaces.

--- a/features/config_settings.feature
+++ b/features/config_settings.feature
@@ -18,6 +18,18 @@
       | address, bad port   | address = "127.0.0.1:9000" | address = "127.0.0.1:0"   | 13: log.address: '127.0.0.1:0' has no port from 1 to 65535 [form] |
       | empty id            | id = "d"                   | id = ""                   | 2: daemon.id: '' is empty or contains white space [form]       |
       | unknown policy      | balancing = "adaptive"     | balancing = "adaptiv"     | 16: policy.balancing: 'adaptiv' is not one of adaptive, round-robin, two-random; did you mean 'adaptive'? [choice] |
+      | memory as text      | memory_mb = 200            | memory_mb = "200"         | 19: limits.memory_mb: must be a number [type] |
+      | memory as Boolean   | memory_mb = 200            | memory_mb = true          | 19: limits.memory_mb: must be a number [type] |
+      | too little memory   | memory_mb = 200            | memory_mb = 15.9          | 19: limits.memory_mb: must be at least 16 [range] |
+      | too much memory     | memory_mb = 200            | memory_mb = 1000001       | 19: limits.memory_mb: must be at most 1e+06 [range] |
+      | memory, no number   | memory_mb = 200            | memory_mb = nan           | 19: limits.memory_mb: must be a finite number [range] |
+      | negative memory     | memory_mb = 200            | memory_mb = -200          | 19: limits.memory_mb: must be at least 16 [range] |
+      | descriptors as text | descriptors = 4096         | descriptors = "4096"      | 20: limits.descriptors: must be a number [type] |
+      | part of a descriptor | descriptors = 4096         | descriptors = 4096.5      | 20: limits.descriptors: must be a number [type] |
+      | too few descriptors | descriptors = 4096         | descriptors = 31          | 20: limits.descriptors: must be at least 32 [range] |
+      | too many descriptors | descriptors = 4096         | descriptors = 1000001     | 20: limits.descriptors: must be at most 1e+06 [range] |
+      | unknown limit       | descriptors = 4096         | descriptor = 4096         | 20: limits.descriptor: unknown key 'descriptor'; did you mean 'descriptors'? [unknown-key] |
+      | unknown limits table | [limits]                   | [limit]                   | 18: limit: unknown key 'limit'; did you mean 'limits'? [unknown-key] |
 
   Scenario: every finding of the settings is shown and the daemon exits with code 2
     Given valid settings in which "peer_port = 7002" is replaced by "peer_prt = 7002"
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -275,3 +275,7 @@
       | a wrong type                 | ratio = 0.2            | ratio = "0.2"           | must be a number |
       | two listeners at one address | 10.1.0.8:8302          | 10.1.0.8:8304           | has the same address |
       | an address without a port    | 10.200.1.7:8309        | 10.200.1.7              | not an address   |
+      | too little memory            | memory_mb = 200        | memory_mb = 15          | limits.memory_mb: must be at least 16 |
+      | memory that is no number     | memory_mb = 200        | memory_mb = nan         | limits.memory_mb: must be a finite number |
+      | too few descriptors          | descriptors = 4096     | descriptors = 31        | limits.descriptors: must be at least 32 |
+      | a misspelt limit             | descriptors = 4096     | descriptor = 4096       | did you mean 'descriptors' |
--- a/features/steps/config_settings_steps.py
+++ b/features/steps/config_settings_steps.py
@@ -24,6 +24,10 @@
 
 [policy]
 balancing = "adaptive"
+
+[limits]
+memory_mb = 200
+descriptors = 4096
 """
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -51,6 +51,9 @@
 window = "10s"
 [shutdown]
 grace = "6s"
+[limits]
+memory_mb = 200
+descriptors = 4096
 """
 
 
