Add hostile clients at the control port, and some that keep sending

Guards against a crowd at the control port of the own interface, and against turns of the event loop and refusals by which a crowd that keeps sending takes the place of ordinary callers. The ordinary request is sent while the crowd goes on.

--- a/features/hostile_clients.feature
+++ b/features/hostile_clients.feature
@@ -31,6 +31,7 @@
       | callers | 8     | a trailer without end       | 48     |
       | callers | 100   | half a body                 | 48     |
       | callers | 8     | requests for large answers  | 48     |
+      | callers | 150   | three large answers unread  | 48     |
       | callers | 400   | nothing                     | 48     |
 
     Examples: the other addresses
@@ -46,6 +47,20 @@
       | peers      | 8     | a frame not ended           | 48     |
       | peers      | 400   | nothing                     | 48     |
 
+  Scenario Outline: relaying daemon: <busy> connections keep sending <kind>, <silent> only connect
+    Guards against turns of the loop that are so long that nobody else is accepted or read.
+    Given a relaying daemon process for hostile clients
+    When <busy> clients keep sending "<kind>" to "callers" and <silent> only connect
+    Then an ordinary request is answered 200
+    And the process lives, its memory grew by at most <growth> MiB, with at most 192 descriptors
+
+    Examples:
+      | busy | kind                    | silent | growth |
+      | 90   | chunks of two bytes     | 0      | 48     |
+      | 90   | chunks of two bytes     | 1300   | 48     |
+      | 90   | half a body             | 1300   | 48     |
+      | 90   | empty lines without end | 1300   | 48     |
+
   Scenario Outline: own interface, <address>: <crowd> connections with <kind>
     Given a daemon process with the own interface for hostile clients
     When <crowd> clients connect to "<address>" and each sends "<kind>"
@@ -67,3 +82,17 @@
       | admin   | 400   | nothing                     | 48     |
       | peers   | 100   | half a body                 | 48     |
       | peers   | 400   | nothing                     | 48     |
+
+  Scenario Outline: own interface, control messages: <crowd> connections with <kind>
+    Given a daemon process with the own interface for hostile clients
+    When <crowd> clients connect to "control" and each sends "<kind>"
+    Then the process lives, its memory grew by at most <growth> MiB, with at most 192 descriptors
+    And an ordinary request is answered 503
+    And a control message is answered
+
+    Examples:
+      | crowd | kind                | growth |
+      | 400   | nothing             | 48     |
+      | 400   | half a greeting     | 48     |
+      | 400   | a greeting          | 48     |
+      | 8     | a message not ended | 48     |
--- a/features/steps/hostile_clients_steps.py
+++ b/features/steps/hostile_clients_steps.py
@@ -12,10 +12,12 @@
 from behave import given, then, when
 from signals_steps import FLEET_SETTINGS, PORT_NAMES, kill_and_wait
 
+from agatecross_adapters.control_nng import NngTransport
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_core.calls.model import Request
-from agatecross_core.errors import ExchangeError
-from agatecross_core.ids import Millis
+from agatecross_core.errors import ExchangeError, PeerError
+from agatecross_core.ids import Address, DaemonId, Digest, Incarnation, Millis, Version
+from agatecross_core.members.records import Gossip, Identity, Probe
 from agatecross_daemon import settings, sidecar_settings
 from agatecross_standins.platform_config import config_record
 from agatecross_standins.platform_store import PlatformStoreStandIn
@@ -37,6 +39,8 @@
 STEP_TIMEOUT_SECONDS = 120.0
 START_TIMEOUT_SECONDS = 30.0
 ANSWER_TIMEOUT = Millis(30_000)
+# Until clients that keep sending have all been accepted.
+KEEP_SENDING_SECONDS = 2.0
 # A client has sent what the daemon reads of it if nothing more was taken for this time.
 STALLED_SECONDS = 2.0
 BLOCK_BYTES = 64 * 1024
@@ -47,6 +51,8 @@
 LARGE_GET = (
     b"GET /safe/1 HTTP/1.1\r\nhost: a.example\r\nx-request-id: g\r\nx-deadline-ms: 90000\r\n"
 )
+# What NNG sends first on a connection of a requesting socket.
+NNG_GREETING = b"\x00SP\x00\x00\x30\x00\x00"
 # What each kind of client sends first, what it repeats, and how many bytes it repeats in all.
 KINDS = {
     "nothing": (b"", b"", 0),
@@ -68,9 +74,15 @@
     "a trailer without end": (CHUNKED + b"0\r\na: ", b"b", ENDLESS),
     "half a body": (STATED + b"\r\n", b"b", 1_000_000),
     "requests for large answers": (b"", LARGE_GET + b"\r\n", 64 * len(LARGE_GET + b"\r\n")),
+    "three large answers unread": (b"", LARGE_GET + b"\r\n", 3 * len(LARGE_GET + b"\r\n")),
     # A frame of 64 MiB between daemons, of which the end does not come.
     "a frame not ended": ((48 * MIB).to_bytes(4, "big"), b"b", ENDLESS),
+    "a greeting": (NNG_GREETING, b"", 0),
+    "half a greeting": (NNG_GREETING[:4], b"", 0),
+    "a message not ended": (NNG_GREETING + (30 * MIB).to_bytes(8, "big"), b"b", ENDLESS),
 }
+# The settings of the own interface take other ports for these addresses.
+OWN_PORTS = {"admin": "heartbeats", "control": "ready"}
 ENDINGS = {"short lines, body not ended": b"\r\nb"}
 
 
@@ -85,6 +97,7 @@
         self.ports = dict(zip(PORT_NAMES, self.pool.reserve(len(PORT_NAMES)), strict=True))
         self.store, self.upstream = PlatformStoreStandIn(), PlatformUpstream("u1", "s0", 1_000)
         self.sockets = []
+        self.senders = []
         self.peak_bytes, self.peak_descriptors = 0, 0
 
     def run(self, work):
@@ -140,8 +153,7 @@
                 await asyncio.sleep(0.05)
 
     async def send_all(self, address, count, kind):
-        # The settings of the own interface take the port of the heartbeats for operators.
-        port = self.ports["heartbeats" if address == "admin" else address]
+        port = self.ports[OWN_PORTS.get(address, address)]
         prefix, repeated, size = KINDS[kind]
         data = prefix + repeated * (size // max(1, len(repeated))) + ENDINGS.get(kind, b"")
         watch = asyncio.ensure_future(self.watch())
@@ -163,6 +175,24 @@
             for start in range(0, len(data), BLOCK_BYTES):
                 async with asyncio.timeout(STALLED_SECONDS):
                     await loop.sock_sendall(sock, data[start : start + BLOCK_BYTES])
+        return sock
+
+    async def keep_sending(self, address, busy, kind, silent):
+        port = self.ports[address]
+        prefix, repeated, size = KINDS[kind]
+        data = prefix + repeated * (size // max(1, len(repeated)))
+
+        async def send_again():
+            while True:
+                sock = await self.send(port, data)
+                self.sockets.remove(sock)
+                sock.close()
+                await asyncio.sleep(0.01)
+
+        self.senders = [asyncio.ensure_future(send_again()) for _ in range(busy)]
+        self.senders.append(asyncio.ensure_future(self.watch()))
+        await asyncio.sleep(KEEP_SENDING_SECONDS)
+        await asyncio.gather(*(self.send(port, b"") for _ in range(silent)))
 
     async def watch(self):
         while True:
@@ -185,8 +215,24 @@
         finally:
             client.close()
 
+    async def control_answer(self):
+        transport = NngTransport()
+        probe = Probe(
+            Identity(DaemonId("d2"), Incarnation(1)), DaemonId("d1"), Gossip(Version(0), Digest(""))
+        )
+        address = Address(f"127.0.0.1:{self.ports[OWN_PORTS['control']]}")
+        try:
+            return type(await transport.request(address, probe, ANSWER_TIMEOUT)).__name__
+        except PeerError as error:
+            return repr(error)
+        finally:
+            await transport.close()
+
     def close(self):
         async def stop():
+            for sender in self.senders:
+                sender.cancel()
+            await asyncio.gather(*self.senders, return_exceptions=True)
             self.upstream.crash()
             await self.store.close()
 
@@ -220,6 +266,11 @@
     context.crowd.run(context.crowd.send_all(address, count, kind))
 
 
+@when('{busy:d} clients keep sending "{kind}" to "{address}" and {silent:d} only connect')
+def step_keep_sending(context, busy, kind, address, silent):
+    context.crowd.run(context.crowd.keep_sending(address, busy, kind, silent))
+
+
 @then(
     "the process lives, its memory grew by at most {growth:d} MiB, "
     "with at most {descriptors:d} descriptors"
@@ -237,3 +288,9 @@
 def step_ordinary(context, status):
     found = context.crowd.run(context.crowd.ordinary_status())
     assert found == status, found
+
+
+@then("a control message is answered")
+def step_control(context):
+    found = context.crowd.run(context.crowd.control_answer())
+    assert found == "ProbeAck", found
