Bound connections and requests at the control port

NNG bounds neither the connections that it accepts nor those that never greet, and it allocates a message of up to 32 MiB when its length arrives. A crowd at this port took all descriptors of the process, so that no other address could accept.

The daemon accepts control connections itself now and counts them with the guard of all clients, with an eighth of the descriptors. NNG gets a connection (its transport socket://) when the greeting of a requesting socket has arrived. Requests are bounded by limits.control_request_kb, 256 by default; the largest that daemons send, 65 digests with long names, takes 12,557 bytes. Answers keep the bound of 32 MiB, since daemons dial for them. A peer that does not read its answer no longer keeps a responder for ever.

--- a/features/config_settings.feature
+++ b/features/config_settings.feature
@@ -28,6 +28,10 @@
       | part of a descriptor | descriptors = 4096         | descriptors = 4096.5      | 20: limits.descriptors: must be a number [type] |
       | too few descriptors | descriptors = 4096         | descriptors = 31          | 20: limits.descriptors: must be at least 32 [range] |
       | too many descriptors | descriptors = 4096         | descriptors = 1000001     | 20: limits.descriptors: must be at most 1e+06 [range] |
+      | request as text     | control_request_kb = 256   | control_request_kb = "256" | 21: limits.control_request_kb: must be a number [type] |
+      | part of a KB        | control_request_kb = 256   | control_request_kb = 256.5 | 21: limits.control_request_kb: must be a number [type] |
+      | too small requests  | control_request_kb = 256   | control_request_kb = 63   | 21: limits.control_request_kb: must be at least 64 [range] |
+      | too large requests  | control_request_kb = 256   | control_request_kb = 32769 | 21: limits.control_request_kb: must be at most 32768 [range] |
       | unknown limit       | descriptors = 4096         | descriptor = 4096         | 20: limits.descriptor: unknown key 'descriptor'; did you mean 'descriptors'? [unknown-key] |
       | unknown limits table | [limits]                   | [limit]                   | 18: limit: unknown key 'limit'; did you mean 'limits'? [unknown-key] |
 
--- a/features/steps/config_settings_steps.py
+++ b/features/steps/config_settings_steps.py
@@ -28,6 +28,7 @@
 [limits]
 memory_mb = 200
 descriptors = 4096
+control_request_kb = 256
 """
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/control_nng.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_nng.py
@@ -1,8 +1,9 @@
 """Control requests between daemons, over NNG request/reply sockets."""
 
 import asyncio
+import socket
 from collections import OrderedDict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Final
@@ -10,13 +11,17 @@
 import pynng
 from pynng import _nng
 
+from agatecross_core.constants import DEFAULT_CONTROL_REQUEST_BYTES
 from agatecross_core.errors import MessageDecodeError, PeerError
 from agatecross_core.ids import Address, Millis
 
 from .codec import ControlMessage, decode_control, encode_control
+from .connection_guard import ConnectionGuard, new_guard
+from .control_accepting import ControlAcceptor
 from .peer_transport import ControlHandler
 
-MAX_CONTROL_BYTES: Final = 32 * 1024 * 1024
+# Answers may hold a whole configuration.
+MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
 MAX_PEER_SOCKETS: Final = 16
 # Answering an indirect probe occupies a context for up to a probe timeout; direct probes must
 # still find a free one.
@@ -37,6 +42,11 @@
 }
 
 
+# NNG's transport for connections that were accepted elsewhere.
+ACCEPTED_URL: Final = "socket://"
+ACCEPTED_OPTION: Final = b"socket:fd"
+
+
 def limit_nng_threads() -> None:
     """Bound NNG's threads in this process; has no effect once a socket was opened."""
     for parameter, value in NNG_THREADS.items():
@@ -61,14 +71,65 @@
     active_requests: int = 0
 
 
+class NngListener:
+    """Passes accepted connections to a replying socket of NNG."""
+
+    def __init__(self, replier: pynng.Rep0) -> None:
+        """Use a socket that does not listen yet."""
+        self.replier = replier
+        self.listener = replier.listen(ACCEPTED_URL)
+
+    def call_when_added(self, on_added: Callable[[], None]) -> None:
+        """Call `on_added` in the event loop for each new connection."""
+        loop = asyncio.get_running_loop()
+
+        def report(pipe: object) -> None:
+            # Called in a thread of NNG.
+            del pipe
+            if not loop.is_closed():
+                loop.call_soon_threadsafe(on_added)
+
+        self.replier.add_post_pipe_connect_cb(report)
+
+    def take(self, sock: socket.socket) -> bool:
+        """Take over a connection; return False if that is not possible."""
+        taken = not _nng.lib.nng_listener_set_int(
+            self.listener.listener, ACCEPTED_OPTION, sock.fileno()
+        )
+        if taken:
+            sock.detach()
+        return taken
+
+    def count(self) -> int:
+        """Return the number of connections in use."""
+        return len(self._open_pipes())
+
+    def keep_newest(self, count: int) -> None:
+        """Close the connections that were added first, beyond this number."""
+        pipes = self._open_pipes()
+        for pipe in pipes[: max(0, len(pipes) - count)]:
+            pipe.close()
+
+    def _open_pipes(self) -> list[pynng.Pipe]:
+        return [pipe for pipe in self.replier.pipes if not pipe.closed]
+
+
 class NngTransport:
     """Answers and sends control requests; keeps connections to the most recently used peers.
 
     At most `MAX_PEER_SOCKETS` requests, and therefore dials, are in flight; further ones wait.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        guard: ConnectionGuard | None = None,
+        max_request_bytes: int = DEFAULT_CONTROL_REQUEST_BYTES,
+    ) -> None:
+        """Count the connections of peers with `guard`, and end those that send longer requests."""
         limit_nng_threads()
+        self.guard = guard or new_guard()
+        self.max_request_bytes = max_request_bytes
+        self.acceptor: ControlAcceptor | None = None
         self.listener: pynng.Rep0 | None = None
         self.responders: list[asyncio.Task[None]] = []
         self.closing = False
@@ -79,13 +140,16 @@
 
     async def listen(self, address: Address, handler: ControlHandler) -> Address:
         """Start answering control requests and return the bound address."""
-        self.listener = pynng.Rep0(recv_max_size=MAX_CONTROL_BYTES)
-        bound = self.listener.listen(f"tcp://{address}")
+        self.listener = pynng.Rep0(recv_max_size=self.max_request_bytes)
+        owner = NngListener(self.listener)
+        self.acceptor = ControlAcceptor(owner, self.guard)
+        owner.call_when_added(self.acceptor.close_surplus)
+        bound = self.acceptor.listen(address)
         for _ in range(RESPONDER_COUNT):
             context = self.listener.new_context()
             self.contexts.append(context)
             self.responders.append(asyncio.ensure_future(self._serve_requests(context, handler)))
-        return Address(str(bound.local_address))
+        return bound
 
     async def _serve_requests(self, context: pynng.Context, handler: ControlHandler) -> None:
         # pynng loses a cancellation that arrives together with a message, so the loop checks
@@ -107,7 +171,9 @@
             return
         async with asyncio.timeout(HANDLER_TIMEOUT / 1000):
             reply = encode_control(await handler(decode_control(data)))
-        await context.asend(reply)
+        # A peer that does not read its answers would keep this responder from the others.
+        async with asyncio.timeout(HANDLER_TIMEOUT / 1000):
+            await context.asend(reply)
         self.traffic.sent_bytes += len(reply)
         self.traffic.messages += 1
 
@@ -156,7 +222,7 @@
     def _dial(self, address: Address) -> pynng.Req0:
         self.traffic.dials += 1
         socket = pynng.Req0(
-            recv_max_size=MAX_CONTROL_BYTES,
+            recv_max_size=MAX_ANSWER_BYTES,
             reconnect_time_min=REDIAL_MIN_MS,
             reconnect_time_max=REDIAL_MAX_MS,
         )
@@ -175,6 +241,8 @@
     async def close(self) -> None:
         """Close the listener and every connection."""
         self.closing = True
+        if self.acceptor is not None:
+            self.acceptor.close()
         for task in self.responders:
             task.cancel()
         await asyncio.gather(*self.responders, return_exceptions=True)
--- a/packages/agatecross-core/agatecross_core/admission/connection_budget.py
+++ b/packages/agatecross-core/agatecross_core/admission/connection_budget.py
@@ -31,9 +31,11 @@
     HEARTBEATS = "heartbeats"
     METRICS = "metrics"
     ADMIN = "admin"
+    CONTROL = "control"
 
 
-# Parts of the descriptors; the rest is for dialled links, upstreams, the store and files.
+# Parts of the descriptors; the rest is for dialled links, upstreams, the store and files. No daemon
+# has all of these addresses.
 PLACE_SHARES: Final[Mapping[Place, float]] = {
     Place.CALLERS: 3 / 8,
     Place.PEERS: 1 / 4,
@@ -41,6 +43,7 @@
     Place.HEARTBEATS: 1 / 32,
     Place.METRICS: 1 / 32,
     Place.ADMIN: 1 / 32,
+    Place.CONTROL: 1 / 8,
 }
 
 
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -124,6 +124,9 @@
 DEFAULT_READING_BYTES: Final = 32 * MIB
 # Share of the machine's memory for them, where the settings state it.
 READING_SHARE: Final = 0.2
+# Control requests hold no documents: the digests of 65 documents with long names take 13 KB, 12
+# members 5 KB.
+DEFAULT_CONTROL_REQUEST_BYTES: Final = 256 * KIB
 # Descriptors of a process that has no limit on them.
 DEFAULT_DESCRIPTORS: Final = 4_096
 
--- a/packages/agatecross-daemon/agatecross_daemon/client_limits.py
+++ b/packages/agatecross-daemon/agatecross_daemon/client_limits.py
@@ -9,8 +9,10 @@
 from agatecross_core.admission.connection_budget import Place, ShedReason
 from agatecross_core.config.schema import Key
 from agatecross_core.constants import (
+    DEFAULT_CONTROL_REQUEST_BYTES,
     DEFAULT_DESCRIPTORS,
     DEFAULT_READING_BYTES,
+    KIB,
     MIB,
     READING_SHARE,
 )
@@ -22,15 +24,23 @@
     "memory_mb": Key(float, low=16, high=1_000_000),
     "descriptors": Key(int, low=32, high=1_000_000),
 }
+FLEET_LIMITS_KEYS: Mapping[str, Key] = {
+    **LIMITS_KEYS,
+    "control_request_kb": Key(int, low=64, high=32_768),
+}
 REPORT_INTERVAL = Millis(1_000)
 
 
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
-    """Bytes that all clients' connections may hold, and the descriptors of the process."""
+    """Bytes that all clients' connections may hold, and the descriptors of the process.
+
+    `control_request_bytes` is the largest control request of another daemon.
+    """
 
     reading_bytes: int = DEFAULT_READING_BYTES
     descriptors: int = DEFAULT_DESCRIPTORS
+    control_request_bytes: int = DEFAULT_CONTROL_REQUEST_BYTES
 
 
 def client_limits(values: Mapping[str, Any]) -> ClientLimits:
@@ -39,9 +49,10 @@
     allowed = DEFAULT_DESCRIPTORS if soft == resource.RLIM_INFINITY else soft
     descriptors = min(int(values.get("descriptors", DEFAULT_DESCRIPTORS)), allowed)
     memory_mb = values.get("memory_mb")
-    if memory_mb is None:
-        return ClientLimits(descriptors=descriptors)
-    return ClientLimits(int(memory_mb * MIB * READING_SHARE), descriptors)
+    reading = DEFAULT_READING_BYTES if memory_mb is None else int(memory_mb * MIB * READING_SHARE)
+    control_kb = values.get("control_request_kb")
+    control = DEFAULT_CONTROL_REQUEST_BYTES if control_kb is None else control_kb * KIB
+    return ClientLimits(reading, descriptors, control)
 
 
 class EventWriter(Protocol):
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -124,14 +124,14 @@
     """Create the tasks and connect their mailboxes."""
     own_member = new_own_member(settings)
     rng = random.Random(settings.seed)
-    transport = NngTransport()
+    guard = build_guard(settings.limits, telemetry.count_shed, log_warning)
+    transport = NngTransport(guard, settings.limits.control_request_bytes)
     _add_traffic_counters(telemetry, transport.traffic)
     control = MappedTransport(transport, settings.address_map)
     log_client = TornadoHttpClient(body_timeouts=LOG_BODY_TIMEOUTS)
     log = HttpLogService(settings.log_address, log_client)
     peers = MappedHttpClient(TornadoHttpClient(), settings.address_map)
     mailboxes = Mailboxes()
-    guard = build_guard(settings.limits, telemetry.count_shed, log_warning)
     location = DaemonLocation(settings.daemon_id, settings.region, settings.data_centre)
     balancer = new_balancer(settings.balancing, location, rng)
     driver = CallDriver(
--- a/packages/agatecross-daemon/agatecross_daemon/settings.py
+++ b/packages/agatecross-daemon/agatecross_daemon/settings.py
@@ -15,7 +15,7 @@
 from agatecross_core.ids import Address, DaemonId, DataCentreName, RegionName
 from agatecross_core.routing.balancers import BALANCERS
 
-from .client_limits import LIMITS_KEYS, ClientLimits, client_limits
+from .client_limits import FLEET_LIMITS_KEYS, ClientLimits, client_limits
 from .settings_file import check_tables, read_settings
 from .telemetry import TelemetrySettings
 
@@ -58,7 +58,7 @@
     "log": LOG_KEYS,
     "policy": POLICY_KEYS,
     "telemetry": TELEMETRY_KEYS,
-    "limits": LIMITS_KEYS,
+    "limits": FLEET_LIMITS_KEYS,
 }
 
 
