--- a/features/steps/config_settings_steps.py
+++ b/features/steps/config_settings_steps.py
@@ -24,6 +24,11 @@
 
 [policy]
 balancing = "adaptive"
+
+[limits]
+memory_mb = 200
+descriptors = 4096
+control_request_kb = 256
 """
 
 
