Apply limits of customers in the project's own configuration and daemon

Limits over the fleet held on the users' platform only: the product's own configuration could not state one, and its daemon did not apply any.

Configuration: `[customers.NAME]` takes `rate_per_second` and `burst`, from rule set 3 on. The fold checks each record under its own rule set, so readers of rule set 2 reach the same verdict, and `publish` uses rule set 2 for documents without limits, which earlier daemons go on reading.

Daemon: `fleet_limits_task` turns members, configuration and control messages (`UseRequest`, `UseReply`) into the messages of `limits_task`, whose decisions stay as they are. Membership can't tell whether a lost process has ended, so lost members are checked by a connection to their control port; a refusal ends their part of the limit. Calls beyond a limit get 429 with `Retry-After`. Without limits no report is sent and no port is checked.

View: `agatecross customers` shows limit, use, refusals, share and home over all daemons, on the users' platform those of one daemon by its metrics address. Metrics have the 8 limited customers with the most calls, and the others together.

--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -47,3 +47,25 @@
       | the key of another      | [customers.ann] ~ keys = ['k-1'] ~ [customers.bob] ~ keys = ['k-1']     | same-key    | customers.bob.keys |
       | an unknown field        | [customers.ann] ~ keys = ['k-1'] ~ colour = 'red'                     | unknown-key | customers.ann.colour |
       | a name with a space     | [customers.'a b'] ~ keys = ['k-1']                                  | form        | customers.a b      |
+      | no rate with its burst  | [customers.ann] ~ keys = ['k-1'] ~ burst = 5                          | no-rate     | customers.ann.burst |
+      | a rate of zero          | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = 0                | range       | customers.ann.rate_per_second |
+      | a rate out of range     | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = 2000000          | range       | customers.ann.rate_per_second |
+      | a rate that is no number | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = nan             | range       | customers.ann.rate_per_second |
+      | a rate in quotes        | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = '5'              | type        | customers.ann.rate_per_second |
+      | a rate that is true     | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = true             | type        | customers.ann.rate_per_second |
+      | a burst below zero      | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = 5 ~ burst = -1   | range       | customers.ann.burst |
+      | a misspelt rate         | [customers.ann] ~ keys = ['k-1'] ~ rate_per_secnd = 5                 | unknown-key | customers.ann.rate_per_secnd |
+
+  Scenario Outline: rule sets: customers with "<customers>"
+    Guards against daemons of an earlier release that refuse a version which others put in force, and that
+    stop at versions which they know.
+    Given the example configuration "kafeskoop"
+    When "<customers>" is added to the base
+    Then rule set 2 finds "<findings>", rule set 3 nothing, and it is published under rule set <rules>
+    And the customer has the rate <rate> and the burst <burst>
+
+    Examples:
+      | customers                                                            | findings    | rules | rate | burst |
+      | [customers.ann] ~ keys = ['k-1']                                     |             | 2     | 0    | 0     |
+      | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = 2.5             | unknown-key | 3     | 2.5  | 2.5   |
+      | [customers.ann] ~ keys = ['k-1'] ~ rate_per_second = 50 ~ burst = 9  | unknown-key unknown-key | 3     | 50   | 9     |
--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -51,3 +51,5 @@
     And all calls of "bob" and those without a key are served
     And a daemon has logged "call_refused" with "reason=customer-limit customer=ann"
     And the home has logged "customer_limited" with "customer=ann"
+    And the client's customers at the metrics addresses show the refusals of "ann" and no "bob"
+    And the metrics of a daemon have 'agatecross_customer_calls_per_second{calls="offered",customer="ann"}'
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -5,7 +5,7 @@
 
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_cli.documents import read_documents
-from agatecross_core.config.compile import compile_documents
+from agatecross_core.config.compile import compile_documents, lowest_rules
 from agatecross_core.constants import NO_VERSION
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
@@ -82,3 +82,26 @@
     _, findings = compile_documents(context.documents, decode_toml, NO_VERSION)
     assert [(f.code, f.place.key) for f in findings] == [(code, key)], findings
     assert secret not in str(findings[0]), findings
+
+
+@then(
+    'rule set 2 finds "{codes}", rule set 3 nothing, and it is published under rule set {rules:d}'
+)
+def check_rule_sets(context, codes, rules):
+    _, findings = compile_documents(context.documents, decode_toml, NO_VERSION, 2)
+    assert [f.code for f in findings] == codes.split(), findings
+    context.mesh_config, findings = compile_documents(context.documents, decode_toml, NO_VERSION, 3)
+    assert not findings, findings
+    assert lowest_rules(context.documents, decode_toml) == rules
+
+
+@then('rule set 2 finds "", rule set 3 nothing, and it is published under rule set {rules:d}')
+def check_rule_sets_without_findings(context, rules):
+    check_rule_sets(context, "", rules)
+
+
+@then("the customer has the rate {rate:g} and the burst {burst:g}")
+def check_limit(context, rate, burst):
+    for site in context.mesh_config.sites.values():
+        rows = [(customer.rate, customer.burst) for customer, _ in site.customers]
+        assert rows == [(rate, burst)], rows
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -9,6 +9,10 @@
 from hypothesis import strategies as st
 from platform_steps import poll_until, start_testbed
 
+from agatecross_adapters.http_client import TornadoHttpClient
+from agatecross_cli.command import Context
+from agatecross_cli.commands import customers
+from agatecross_core.calls.model import Request
 from agatecross_core.customers.model import Customer
 from agatecross_core.limits.home import LimitHome
 from agatecross_core.limits.homes import FleetSize
@@ -207,3 +211,31 @@
         if f"event={event} " in line and fields in line
     ]
     assert lines
+
+
+@then(
+    "the client's customers at the metrics addresses "
+    'show the refusals of "{name}" and no "{other}"'
+)
+def step_customers(context, name, other):
+    async def work():
+        rows = []
+        for sidecar in context.testbed.sidecars:
+            client = Context(None, TornadoHttpClient(), sidecar.settings.metrics, 1.0)
+            rows += (await customers.run(client, ())).body["customers"]
+        return rows
+
+    rows = context.testbed.run(work())
+    assert {row.customer for row in rows} == {name}, rows
+    refused = sum(answer.status == 429 for answer in context.answers[name])
+    assert sum(row.refused for row in rows) == refused, (rows, refused)
+
+
+@then("the metrics of a daemon have '{text}'")
+def step_metrics(context, text):
+    async def work():
+        request = Request("GET", "/metrics", (), b"")
+        address = context.testbed.sidecars[0].settings.metrics
+        return await TornadoHttpClient().send(address, request, 2_000.0)
+
+    assert text in context.testbed.run(work()).body.decode()
--- a/packages/agatecross-adapters/agatecross_adapters/call_headers.py
+++ b/packages/agatecross-adapters/agatecross_adapters/call_headers.py
@@ -25,6 +25,7 @@
 DEADLINE_HEADER = "Agatecross-Deadline-Ms"
 CUSTOMER_HEADER = "Agatecross-Customer"
 LOAD_HEADER = "Agatecross-Load"
+RETRY_AFTER_HEADER = "Retry-After"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 IDEMPOTENT_HEADER = "Agatecross-Idempotent"
 
@@ -37,6 +38,7 @@
     Reason.NO_KEY: 401,
     Reason.UNKNOWN_KEY: 401,
     Reason.NO_ROUTE: 404,
+    Reason.CUSTOMER_LIMIT: 429,
     Reason.BAD_REQUEST: 400,
     Reason.QUARANTINED: 422,
     Reason.KEY_MISMATCH: 422,
@@ -131,6 +133,8 @@
     body = f"{result.outcome.value}: {reason.value}\n".encode()
     status = STATUS_BY_REASON.get(reason, DEFAULT_STATUS)
     headers = (("Content-Type", "text/plain"), outcome, (REASON_HEADER, reason.value), *extra)
+    if result.retry_after is not None:
+        headers = (*headers, (RETRY_AFTER_HEADER, f"{result.retry_after / 1000:.3f}"))
     return Response(status, headers, body)
 
 
--- a/packages/agatecross-adapters/agatecross_adapters/codec.py
+++ b/packages/agatecross-adapters/agatecross_adapters/codec.py
@@ -9,6 +9,7 @@
 from agatecross_core.distribution.pulls import NoticeAck, PullReply, PullRequest, VersionNotice
 from agatecross_core.errors import MessageDecodeError
 from agatecross_core.idempotency.model import ClaimsBatch, OutcomeReply, OutcomeRequest
+from agatecross_core.limits.requests import UseReply, UseRequest
 from agatecross_core.members.records import (
     AnnounceRecord,
     IndirectProbe,
@@ -37,6 +38,8 @@
     | OutcomeReply
     | StrikeNotice
     | StrikeAck
+    | UseRequest
+    | UseReply
 )
 LogRecord = ConfigRecord | AnnounceRecord | ClaimsBatch
 
@@ -54,6 +57,8 @@
     21: OutcomeReply,
     22: StrikeNotice,
     23: StrikeAck,
+    24: UseRequest,
+    25: UseReply,
 }
 TAG_BY_CONTROL_TYPE: Final = {
     message_type: tag for tag, message_type in CONTROL_TYPE_BY_TAG.items()
--- a/packages/agatecross-cli/agatecross_cli/commands/publish.py
+++ b/packages/agatecross-cli/agatecross_cli/commands/publish.py
@@ -5,10 +5,9 @@
 from pathlib import Path
 
 from agatecross_adapters.toml_documents import decode_toml
-from agatecross_core.config.compile import compile_documents
+from agatecross_core.config.compile import compile_documents, lowest_rules
 from agatecross_core.config.documents import Document
 from agatecross_core.config.model import ConfigState, PublishRecord
-from agatecross_core.constants import RULE_SET_VERSION
 from agatecross_core.ids import PublishId, Version
 from agatecross_core.states import PublishVerdict
 
@@ -78,7 +77,7 @@
     return PublishRecord(
         PublishId(uuid.uuid4().hex),
         state.version,
-        RULE_SET_VERSION,
+        lowest_rules(documents, decode_toml),
         tuple(d for d in documents if before.get(d.name) != d.text),
         tuple(name for name in before if name not in names),
         author,
--- a/packages/agatecross-cli/agatecross_cli/main.py
+++ b/packages/agatecross-cli/agatecross_cli/main.py
@@ -14,7 +14,7 @@
 from agatecross_core.ids import Address
 
 from .command import Command, CommandError, Context, Result
-from .commands import causes, check, diff, explain, log, publish, status, trace
+from .commands import causes, check, customers, diff, explain, log, publish, status, trace
 from .exit_codes import ExitCode
 from .output import FORMATTERS
 
@@ -27,6 +27,7 @@
     "explain": explain.COMMAND,
     "trace": trace.COMMAND,
     "causes": causes.COMMAND,
+    "customers": customers.COMMAND,
 }
 
 LOG = flags.DEFINE_string("log", "127.0.0.1:9000", "Address of the log service.")
--- a/packages/agatecross-core/agatecross_core/calls/model.py
+++ b/packages/agatecross-core/agatecross_core/calls/model.py
@@ -60,16 +60,20 @@
 
 @dataclass(frozen=True, slots=True)
 class CallResult:
-    """Result of a call or of one attempt; `response` is None unless a complete one is available."""
+    """Result of a call or of one attempt; `response` is None unless a complete one is available.
+
+    `retry_after` is the time after which the caller of a refused call should come back, if known.
+    """
 
     outcome: Outcome
     response: Response | None = None
     reason: Reason | None = None
+    retry_after: Millis | None = None
 
 
-def not_run_result(reason: Reason) -> CallResult:
+def not_run_result(reason: Reason, retry_after: Millis | None = None) -> CallResult:
     """Return the result of a call that certainly did not run."""
-    return CallResult(Outcome.NOT_RUN, None, reason)
+    return CallResult(Outcome.NOT_RUN, None, reason, retry_after)
 
 
 def unknown_result(reason: Reason) -> CallResult:
--- a/packages/agatecross-core/agatecross_core/config/check_sites.py
+++ b/packages/agatecross-core/agatecross_core/config/check_sites.py
@@ -7,31 +7,43 @@
 from .check_table import check_table
 from .formats import check_name
 from .model import MergedSite
-from .schema import CUSTOMER_KEYS, MESH_KEYS, REGION_KEYS, ROUTE_KEYS, SERVICE_KEYS, TOP_KEYS, Key
+from .schema import (
+    CUSTOMER_KEYS,
+    MESH_KEYS,
+    REGION_KEYS,
+    ROUTE_KEYS,
+    SERVICE_KEYS,
+    TOP_KEYS,
+    Key,
+    keys_of_rules,
+)
 
 
-def check_sites(items: Iterable[MergedSite | Finding]) -> Iterator[MergedSite | Finding]:
+def check_sites(
+    items: Iterable[MergedSite | Finding], rules: int
+) -> Iterator[MergedSite | Finding]:
     """Yield each item, and after each site its findings, except those already yielded here."""
     seen: set[Finding] = set()
     for item in items:
         yield item
         if isinstance(item, Finding):
             continue
-        for finding in _check_site(item):
+        for finding in _check_site(item, rules):
             if finding not in seen:
                 seen.add(finding)
                 yield finding
 
 
-def _check_site(site: MergedSite) -> Iterator[Finding]:
+def _check_site(site: MergedSite, rules: int) -> Iterator[Finding]:
     yield from check_table(site.place, site.values, TOP_KEYS, ())
     yield from check_table(site.place, _table(site.values, "mesh"), MESH_KEYS, ("mesh",))
     yield from _check_named(site, "regions", REGION_KEYS)
     yield from _check_named(site, "services", SERVICE_KEYS)
     yield from _check_named(site, "routes", ROUTE_KEYS)
-    yield from _check_named(site, "customers", CUSTOMER_KEYS)
+    yield from _check_named(site, "customers", keys_of_rules(CUSTOMER_KEYS, rules))
     yield from _check_routes(site)
     yield from _check_customer_keys(site)
+    yield from _check_customer_limits(site)
 
 
 def _table(values: Mapping[str, object], key: str) -> Mapping[str, object]:
@@ -86,3 +98,11 @@
             elif holders.setdefault(key, name) != name:
                 message = f"customer {holders[key]!r} holds one of these keys"
                 yield Finding(place, "same-key", message)
+
+
+def _check_customer_limits(site: MergedSite) -> Iterator[Finding]:
+    for name, customer in _table(site.values, "customers").items():
+        given = customer.keys() if isinstance(customer, Mapping) else ()
+        if "burst" in given and "rate_per_second" not in given:
+            place = site.place(("customers", name, "burst"))
+            yield Finding(place, "no-rate", "a burst needs the key 'rate_per_second'")
--- a/packages/agatecross-core/agatecross_core/config/compile.py
+++ b/packages/agatecross-core/agatecross_core/config/compile.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Iterable, Iterator, Mapping
 
+from ..constants import NO_VERSION, RULE_SET_VERSION, RULE_SET_WITHOUT_LIMITS
 from ..customers.model import Customer
 from ..findings import Finding, sort_findings, split_findings
 from ..ids import CustomerName, DataCentreName, Digest, RegionName, RouteName, ServiceName, Version
@@ -14,12 +15,19 @@
 
 
 def compile_documents(
-    documents: Iterable[Document], decoder: DocumentDecoder, version: Version
+    documents: Iterable[Document],
+    decoder: DocumentDecoder,
+    version: Version,
+    rules: int = RULE_SET_VERSION,
 ) -> tuple[MeshConfig | None, tuple[Finding, ...]]:
-    """Run the whole pipeline; the compiled configuration is None if there are findings."""
+    """Run the whole pipeline; the compiled configuration is None if there are findings.
+
+    Readers that know only an earlier rule set must reach the same verdict, so `rules` is the one
+    under which the documents were published.
+    """
     documents = tuple(documents)
     sites, findings = split_findings(
-        check_sites(merge_overlays(parse_documents(documents, decoder)))
+        check_sites(merge_overlays(parse_documents(documents, decoder)), rules)
     )
     if findings:
         return None, tuple(sort_findings(findings))
@@ -27,6 +35,15 @@
     return MeshConfig(version, digest_of(documents), compiled), ()
 
 
+def lowest_rules(documents: Iterable[Document], decoder: DocumentDecoder) -> int:
+    """Return the rule set to publish valid documents under.
+
+    Daemons of an earlier release go on reading as long as no limit of a customer is used.
+    """
+    _, findings = compile_documents(documents, decoder, NO_VERSION, RULE_SET_WITHOUT_LIMITS)
+    return RULE_SET_VERSION if findings else RULE_SET_WITHOUT_LIMITS
+
+
 def digest_of(documents: Iterable[Document]) -> Digest:
     """Return the digest of a set of documents, independent of their order."""
     digest = hashlib.blake2b(digest_size=16)
@@ -53,7 +70,16 @@
     for name, row in _table_of(site, "customers").items():
         keys = row["keys"]
         assert isinstance(keys, list)
-        yield Customer(CustomerName(name)), tuple(keys)
+        yield _compile_customer(name, row), tuple(keys)
+
+
+def _compile_customer(name: str, row: Mapping[str, object]) -> Customer:
+    """Return a customer; without a burst it is the calls of one second."""
+    rate = row.get("rate_per_second", 0.0)
+    burst = row.get("burst", rate)
+    assert isinstance(rate, int | float)
+    assert isinstance(burst, int | float)
+    return Customer(CustomerName(name), rate=float(rate), burst=float(burst))
 
 
 def _table_of(site: MergedSite, table: str) -> Mapping[str, dict[str, object]]:
--- a/packages/agatecross-core/agatecross_core/config/fold.py
+++ b/packages/agatecross-core/agatecross_core/config/fold.py
@@ -60,7 +60,9 @@
     if record.parent != state.version:
         return FoldStep(refused, PublishVerdict.CONFLICT)
     documents = merge_documents(state.documents, record)
-    mesh_config, findings = compile_documents(documents, decoder, Version(state.version + 1))
+    mesh_config, findings = compile_documents(
+        documents, decoder, Version(state.version + 1), record.rules
+    )
     if mesh_config is None:
         return FoldStep(refused, PublishVerdict.REJECTED, findings)
     accepted = replace(
@@ -90,7 +92,9 @@
         return FoldStep(ConfigState(seen=record.seen), PublishVerdict.ACCEPTED)
     if digest_of(record.documents) != record.digest:
         return FoldStep(state, PublishVerdict.REJECTED)
-    mesh_config, findings = compile_documents(record.documents, decoder, record.version)
+    mesh_config, findings = compile_documents(
+        record.documents, decoder, record.version, record.rules
+    )
     if mesh_config is None:
         return FoldStep(state, PublishVerdict.REJECTED, findings)
     adopted = ConfigState(
--- a/packages/agatecross-core/agatecross_core/config/schema.py
+++ b/packages/agatecross-core/agatecross_core/config/schema.py
@@ -3,12 +3,18 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from ..constants import RULE_SET_WITHOUT_LIMITS
 from .formats import FormatCheck
 
+LIMITS_RULES = RULE_SET_WITHOUT_LIMITS + 1
+
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """Type of the value of one key, whether the key is required, and which values are allowed."""
+    """Type of the value of one key, whether the key is required, and which values are allowed.
+
+    `since` is the first rule set that has the key; under earlier ones the key is unknown.
+    """
 
     kind: type
     required: bool = False
@@ -16,6 +22,12 @@
     high: float | None = None
     choices: tuple[str, ...] = ()
     format_check: FormatCheck | None = None
+    since: int = 0
+
+
+def keys_of_rules(keys: Mapping[str, Key], rules: int) -> Mapping[str, Key]:
+    """Return the keys that a rule set has."""
+    return {name: key for name, key in keys.items() if key.since <= rules}
 
 
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
@@ -47,4 +59,6 @@
 }
 CUSTOMER_KEYS: Mapping[str, Key] = {
     "keys": Key(list, required=True),
+    "rate_per_second": Key(float, low=0.1, high=1_000_000.0, since=LIMITS_RULES),
+    "burst": Key(float, low=0.0, high=1_000_000.0, since=LIMITS_RULES),
 }
--- a/packages/agatecross-core/agatecross_core/constants.py
+++ b/packages/agatecross-core/agatecross_core/constants.py
@@ -17,7 +17,9 @@
 NO_DIGEST: Final = Digest("")
 NO_OFFSET: Final = Offset(-1)
 NO_ERA: Final = StoreEra(0)
-RULE_SET_VERSION: Final = 2
+RULE_SET_VERSION: Final = 3
+# The last rule set without limits of customers.
+RULE_SET_WITHOUT_LIMITS: Final = 2
 MAX_OVERLAYS: Final = 64
 MAX_DOCUMENT_BYTES: Final = 256 * KIB
 MAX_SEEN_PUBLISH_IDS: Final = 4096
--- a/packages/agatecross-core/agatecross_core/distribution/pulls.py
+++ b/packages/agatecross-core/agatecross_core/distribution/pulls.py
@@ -140,7 +140,7 @@
     documents = _assemble_documents(state.documents, reply)
     if digest_of(documents) != reply.digest:
         return PullResult(PullVerdict.CORRUPT)
-    mesh_config, findings = compile_documents(documents, decoder, reply.version)
+    mesh_config, findings = compile_documents(documents, decoder, reply.version, reply.rules)
     if mesh_config is None:
         return PullResult(PullVerdict.FINDINGS, findings=findings)
     adopted = ConfigState(
--- a/packages/agatecross-core/agatecross_core/limits/gate.py
+++ b/packages/agatecross-core/agatecross_core/limits/gate.py
@@ -25,12 +25,16 @@
 
 @dataclass(slots=True)
 class Account:
-    """State of a customer at this daemon; `credit` is the part of a call that may be admitted."""
+    """State of a customer at this daemon; `credit` is the part of a call that may be admitted.
+
+    `refused` counts calls since the daemon started.
+    """
 
     credit: float
     tokens: float
     filled_at: Millis
     is_alone: bool = False
+    refused: int = 0
     offered: DecayedRate = field(default_factory=lambda: DecayedRate(RATE_SPAN))
     admitted: DecayedRate = field(default_factory=lambda: DecayedRate(RATE_SPAN))
 
@@ -115,6 +119,7 @@
             counts.used += 1
             account.admitted.add(1, now)
             return None
+        account.refused += 1
         wait *= self.rng.uniform(*WAIT_SPREAD)
         return Millis(min(MAX_WAIT, max(MIN_WAIT, wait)))
 
--- a/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
+++ b/packages/agatecross-daemon/agatecross_daemon/fleet_daemon.py
@@ -14,6 +14,7 @@
 from agatecross_adapters.http_client import BodyTimeouts, TornadoHttpClient
 from agatecross_adapters.http_server import TornadoHttpListener
 from agatecross_adapters.log_http import HttpLogService
+from agatecross_adapters.port_check import TcpEndCheck
 from agatecross_adapters.toml_documents import decode_toml
 from agatecross_core.admission.connection_budget import Place
 from agatecross_core.admission.policies import new_admission
@@ -23,6 +24,7 @@
 from agatecross_core.idempotency.decider import ClaimDecider
 from agatecross_core.idempotency.model import OutcomeRequest
 from agatecross_core.ids import ClaimId, Incarnation, Millis
+from agatecross_core.limits.requests import UseRequest
 from agatecross_core.members.records import IndirectProbe, Member, Probe, SyncRequest
 from agatecross_core.members.swim import Swim
 from agatecross_core.quarantine.gate import TrialGate
@@ -43,6 +45,7 @@
 from .tasks.claims_task import ClaimsMessage, ClaimsTask
 from .tasks.config_task import ConfigMessage, ConfigTask
 from .tasks.control_task import ControlAsk, ControlTask, ReceivedAsk
+from .tasks.fleet_limits_task import FleetLimitsMessage, FleetLimitsTask
 from .tasks.members_task import MembersMessage, MembersTask
 from .tasks.quarantine_driver import QuarantineDriver
 from .tasks.upstream_task import UpstreamMessage, UpstreamTask
@@ -75,6 +78,7 @@
     call: Mailbox[CallMessage] = field(default_factory=Mailbox)
     claims: Mailbox[ClaimsMessage] = field(default_factory=Mailbox)
     admin: Mailbox[AdminMessage] = field(default_factory=Mailbox)
+    limits: Mailbox[FleetLimitsMessage] = field(default_factory=Mailbox)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +92,7 @@
     call: CallTask
     claims: ClaimsTask
     admin: AdminTask
+    limits: FleetLimitsTask
 
     def all(self) -> tuple[Task, ...]:
         """Return every task."""
@@ -99,6 +104,7 @@
             self.call,
             self.claims,
             self.admin,
+            self.limits,
         )
 
 
@@ -137,6 +143,15 @@
     driver = CallDriver(
         settings.daemon_id, balancer, telemetry.trace_client(peers, "peer"), mailboxes.upstream
     )
+    limits = FleetLimitsTask(
+        mailboxes.limits,
+        settings.daemon_id,
+        settings.data_centre,
+        mailboxes.control,
+        TcpEndCheck(),
+        rng,
+    )
+    _add_limits_metrics(telemetry, limits)
     return Tasks(
         ControlTask(
             mailboxes.control, settings.control_address, control, _receivers_by_type(mailboxes)
@@ -146,7 +161,7 @@
             Swim(own_member, rng),
             mailboxes.control,
             log,
-            (mailboxes.config, mailboxes.call, mailboxes.admin),
+            (mailboxes.config, mailboxes.call, mailboxes.admin, mailboxes.limits),
             mailboxes.config,
             (mailboxes.call,),
         ),
@@ -155,7 +170,13 @@
             FOLLOWERS_BY_NAME[settings.distribution](own_member, decode_toml, rng),
             mailboxes.control,
             log,
-            (mailboxes.members, mailboxes.call, mailboxes.admin, mailboxes.upstream),
+            (
+                mailboxes.members,
+                mailboxes.limits,
+                mailboxes.call,
+                mailboxes.admin,
+                mailboxes.upstream,
+            ),
             mailboxes.members,
         ),
         UpstreamTask(
@@ -179,6 +200,7 @@
             mailboxes.claims,
             QuarantineDriver(own_member, mailboxes.members, mailboxes.control, mailboxes.upstream),
             KeyHasher(secrets.token_bytes(SECRET_BYTES)),
+            limits.limits,
         ),
         ClaimsTask(
             mailboxes.claims,
@@ -195,7 +217,9 @@
             transport.traffic,
             mailboxes.call,
             telemetry.collect,
+            mailboxes.limits,
         ),
+        limits,
     )
 
 
@@ -208,6 +232,22 @@
     telemetry.add_counter(f"{name}.dials", "{dial}", "Control connections.", lambda: traffic.dials)
 
 
+def _add_limits_metrics(telemetry: Telemetry, limits: FleetLimitsTask) -> None:
+    name = "agatecross.customers"
+    telemetry.add_counter(
+        f"{name}.reports", "{report}", "Reports to homes.", lambda: limits.reports_sent
+    )
+    telemetry.add_gauge(
+        f"{name}.limited",
+        "{customer}",
+        "Customers beyond their limit, of those whose home this daemon is.",
+        limits.observe_limited,
+    )
+    telemetry.add_gauge(
+        f"{name}.rate", "{call}/s", "Calls of the largest customers here.", limits.observe_rates
+    )
+
+
 def _receivers_by_type(mailboxes: Mailboxes) -> dict[type, Sender[ReceivedAsk]]:
     return {
         Probe: mailboxes.members,
@@ -217,6 +257,7 @@
         PullRequest: mailboxes.config,
         OutcomeRequest: mailboxes.claims,
         StrikeNotice: mailboxes.call,
+        UseRequest: mailboxes.limits,
     }
 
 
@@ -273,5 +314,6 @@
     await asyncio.sleep(LEAVE_PROPAGATION_SECONDS)
     tasks.upstream.mailbox.put(leaving)
     await tasks.call.drain()
+    tasks.limits.mailbox.put(leaving)
     await tasks.upstream.drain()
     await tasks.admin.drain()
--- a/packages/agatecross-daemon/agatecross_daemon/messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/messages.py
@@ -100,6 +100,13 @@
     suspects: Mapping[Fingerprint, SuspectedRequest]
 
 
+@dataclass(frozen=True, slots=True)
+class ListCustomers:
+    """Request from the admin task: return the use of limited customers, or of one if named."""
+
+    customer: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class ListQuarantine:
     """Request from the admin task: return the rows of the quarantine table."""
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.hop_messages import HopMessage
-from agatecross_core.ids import DaemonId, HandoverId, InstanceId, Millis, ServiceName
+from agatecross_core.customers.model import Customer
+from agatecross_core.ids import CustomerName, DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.heartbeat_filter import Heartbeat
@@ -24,6 +25,13 @@
     table: HostTable
 
 
+@dataclass(frozen=True, slots=True)
+class CustomersInForce:
+    """The customers of a configuration that came into force."""
+
+    customers: Mapping[CustomerName, Customer]
+
+
 @dataclass(frozen=True, slots=True)
 class FleetChanged:
     """The reachable endpoints that accept calls, by service, and the number of known daemons."""
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -1,9 +1,12 @@
 """Prometheus metrics of relayed calls: counters, gauges and a latency histogram."""
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from agatecross_core.admission.connection_budget import Place, ShedReason
 from agatecross_core.ids import ServiceName
+from agatecross_core.limits.usage import CustomerRates
 from agatecross_core.relay.model import RelayResult
 from agatecross_core.states import Reason
 
@@ -15,7 +18,7 @@
 class RelayMetrics:
     """Metrics of one daemon.
 
-    Label values are names of configured services and enum values only.
+    Label values are names of configured services, of a few customers, and enum values only.
     """
 
     def __init__(self) -> None:
@@ -87,6 +90,12 @@
             "Customers beyond their limit, of those whose home this daemon is.",
             registry=self.registry,
         )
+        self.customer_rates = Gauge(
+            "agatecross_customer_calls_per_second",
+            "Calls here of the limited customers with most calls; the others together.",
+            ("customer", "calls"),
+            registry=self.registry,
+        )
         self.shed = Counter(
             "agatecross_connections_shed_total",
             "Connections or requests refused or closed for lack of memory or places.",
@@ -111,6 +120,13 @@
         """Count a connection or request that was refused or closed."""
         self.shed.labels(place.value, reason.value).inc()
 
+    def set_customer_rates(self, rows: Iterable[CustomerRates]) -> None:
+        """Replace the rows of customers."""
+        self.customer_rates.clear()
+        for row in rows:
+            self.customer_rates.labels(row.customer, "offered").set(row.offered_per_second)
+            self.customer_rates.labels(row.customer, "admitted").set(row.admitted_per_second)
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -22,6 +22,7 @@
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 
 from .client_limits import build_guard
+from .customer_view import metrics_response
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
 from .front_end import FrontEnd
@@ -182,10 +183,7 @@
         return Response(200 if ready else 503, (), b"")
 
     async def _handle_metrics(self, request: Request) -> Response:
-        del request
-        return Response(
-            200, (("Content-Type", "text/plain; version=0.0.4"),), self.metrics.render()
-        )
+        return metrics_response(request.path, self.limits.gate, self.metrics, monotonic_ms())
 
 
 def build_sidecar(settings: SidecarSettings, front_end: FrontEnd, log: DecisionLog) -> Sidecar:
@@ -210,7 +208,14 @@
     peers_mailbox: DirectMailbox[PeersMessage] = DirectMailbox()
     store_mailbox: DirectMailbox[StoreMessage] = DirectMailbox()
     limits_mailbox: DirectMailbox[LimitsMessage] = DirectMailbox()
-    limits = LimitsTask(limits_mailbox, settings.daemon_id, peers_mailbox, rng, log, metrics)
+    limits = LimitsTask(
+        limits_mailbox,
+        settings.daemon_id,
+        peers_mailbox,
+        rng,
+        log.write_change,
+        metrics.limited_customers.set,
+    )
     # Ticked by the exit task, which runs for as long as the daemon.
     pauses = PauseClock(boottime_ms())
     entry = EntryTask(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/admin_task.py
@@ -15,8 +15,17 @@
 from agatecross_core.members.view import FleetView
 from agatecross_core.states import DaemonState
 
+from ..customer_view import customer_of_path, customers_response
 from ..mailbox import Mailbox, Sender, new_ask
-from ..messages import ConfigInForce, Leaving, LiftQuarantine, ListQuarantine, ViewChanged
+from ..messages import (
+    ConfigInForce,
+    Leaving,
+    LiftQuarantine,
+    ListCustomers,
+    ListQuarantine,
+    ViewChanged,
+)
+from .fleet_limits_task import ListCustomersAsk
 from .quarantine_driver import LiftAsk, ListAsk
 from .upstream_task import UpstreamAnnounced
 
@@ -58,6 +67,7 @@
         traffic: TrafficCounters,
         quarantine: Sender[ListAsk | LiftAsk],
         collect_metrics: Callable[[], bytes],
+        customers: Sender[ListCustomersAsk],
     ) -> None:
         self.address = address
         self.own_member = own_member
@@ -66,6 +76,7 @@
         self.traffic = traffic
         self.quarantine = quarantine
         self.collect_metrics = collect_metrics
+        self.customers = customers
         self.mailbox = mailbox
         self.state = DaemonState.STARTING
         self.version = NO_VERSION
@@ -105,6 +116,9 @@
             return await self._lift_quarantine(
                 Fingerprint(path.removeprefix(f"{QUARANTINE_PATH}/"))
             )
+        customer = customer_of_path(path)
+        if request.method == "GET" and customer is not None:
+            return await self._list_customers(customer)
         handler = self.handlers.get((request.method, path))
         return (
             handler(request)
@@ -117,6 +131,11 @@
         self.quarantine.put(ask)
         return _json_response(200, await ask.reply)
 
+    async def _list_customers(self, customer: str) -> Response:
+        ask: ListCustomersAsk = new_ask(ListCustomers(customer))
+        self.customers.put(ask)
+        return customers_response(await ask.reply)
+
     async def _lift_quarantine(self, fingerprint: Fingerprint) -> Response:
         ask: LiftAsk = new_ask(LiftQuarantine(fingerprint))
         self.quarantine.put(ask)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/call_task.py
@@ -14,6 +14,7 @@
 )
 from agatecross_adapters.protocols import HttpListener
 from agatecross_core.admission.retry import RetryBudget
+from agatecross_core.calls.arrivals import ArrivalCount, count_arrivals
 from agatecross_core.calls.flow import run_call
 from agatecross_core.calls.model import (
     Call,
@@ -23,10 +24,11 @@
     not_run_result,
     unknown_result,
 )
-from agatecross_core.config.model import MeshConfig, ServicePolicy
+from agatecross_core.config.model import MeshConfig, Route, ServicePolicy
 from agatecross_core.constants import MAX_CALLS_IN_FLIGHT, MAX_IDEMPOTENCY_KEY_LENGTH
 from agatecross_core.customers.access import decide_access
 from agatecross_core.customers.keys import KeyHasher, KeyTable
+from agatecross_core.customers.model import Customer
 from agatecross_core.idempotency.model import CallSubmitted, ClaimedCallFinished, Grant
 from agatecross_core.ids import (
     NO_CUSTOMER,
@@ -39,6 +41,7 @@
     ServiceName,
 )
 from agatecross_core.members.view import FleetView
+from agatecross_core.pacing import TokenBucket
 from agatecross_core.quarantine.model import fingerprint_of
 from agatecross_core.routing.model import Candidate, ChoiceRequest
 from agatecross_core.routing.router import Balancer
@@ -50,8 +53,13 @@
 from ..messages import ConfigInForce, Leaving, ViewChanged
 from .call_driver import CallDriver
 from .claims_task import ClaimAsk
+from .limits_task import CustomerLimiter
 from .quarantine_driver import QuarantineDriver, QuarantineMessage
 
+# A customer beyond its limit may be refused thousands of times a second.
+LIMIT_LOG_LINES = 20
+LIMIT_LOG_INTERVAL = Millis(500)
+
 CallMessage = ConfigInForce | ViewChanged | Leaving | QuarantineMessage
 
 
@@ -69,8 +77,11 @@
         claims: Sender[ClaimAsk | ClaimedCallFinished],
         quarantine: QuarantineDriver,
         key_hasher: KeyHasher,
+        limits: CustomerLimiter,
     ) -> None:
         self.key_hasher = key_hasher
+        self.limits = limits
+        self.limit_log = TokenBucket(LIMIT_LOG_LINES, LIMIT_LOG_INTERVAL)
         self.customers: KeyTable | None = None
         self.address = address
         self.data_centre = data_centre
@@ -148,18 +159,46 @@
         fingerprint = fingerprint_of(call.service, call.request)
         if self.quarantine.is_quarantined(fingerprint):
             return not_run_result(Reason.QUARANTINED)
-        if call.key is None or call.idempotent:
-            return await self._run_attempts(call, policy, fingerprint)
-        if len(call.key) > MAX_IDEMPOTENCY_KEY_LENGTH:
+        key = None if call.idempotent else call.key
+        if key is not None and len(key) > MAX_IDEMPOTENCY_KEY_LENGTH:
             return not_run_result(Reason.BAD_REQUEST)
+        customer = access.customer
+        if customer is not None and (wait := self.limits.admit(customer)) is not None:
+            self._log_limited(route, customer)
+            return not_run_result(Reason.CUSTOMER_LIMIT, wait)
+        if key is None:
+            return await self._run_counted(call, policy, key, fingerprint, customer)
         # The call continues when its caller disconnects, so that a resubmission finds its outcome.
-        task = asyncio.ensure_future(self._claim_and_run(call, policy, call.key, fingerprint))
+        task = asyncio.ensure_future(self._run_counted(call, policy, key, fingerprint, customer))
         self.keyed_calls.add(task)
         task.add_done_callback(self.keyed_calls.discard)
         return await asyncio.shield(task)
 
+    async def _run_counted(
+        self,
+        call: Call,
+        policy: ServicePolicy,
+        key: IdempotencyKey | None,
+        fingerprint: Fingerprint,
+        customer: Customer | None,
+    ) -> CallResult:
+        """Run an admitted call, and tell the limits at how many upstreams it arrived."""
+        arrivals = ArrivalCount()
+        try:
+            if key is None:
+                return await self._run_attempts(call, policy, fingerprint, arrivals)
+            return await self._claim_and_run(call, policy, key, fingerprint, arrivals)
+        finally:
+            if customer is not None:
+                self.limits.settle(customer, arrivals.number)
+
     async def _claim_and_run(
-        self, call: Call, policy: ServicePolicy, key: IdempotencyKey, fingerprint: Fingerprint
+        self,
+        call: Call,
+        policy: ServicePolicy,
+        key: IdempotencyKey,
+        fingerprint: Fingerprint,
+        arrivals: ArrivalCount,
     ) -> CallResult:
         # Customers choose their keys independently of each other.
         owner = f"{call.service}/{call.customer}" if call.customer else call.service
@@ -171,17 +210,22 @@
             return claim_reply
         result = unknown_result(Reason.CONNECTION_LOST)
         try:
-            result = await self._run_attempts(call, policy, fingerprint)
+            result = await self._run_attempts(call, policy, fingerprint, arrivals)
             return result
         finally:
             self.claims.put(ClaimedCallFinished(claim_reply.claim_id, result))
 
     async def _run_attempts(
-        self, call: Call, policy: ServicePolicy, fingerprint: Fingerprint
+        self,
+        call: Call,
+        policy: ServicePolicy,
+        fingerprint: Fingerprint,
+        arrivals: ArrivalCount,
     ) -> CallResult:
         budget = self.budgets.setdefault(policy.name, RetryBudget(policy.retry_ratio))
         chooser = self.quarantine.restrict_chooser(fingerprint, call.request.path, self._choose)
-        result = await self.driver.drive(run_call(call, policy, chooser, budget))
+        flow = count_arrivals(run_call(call, policy, chooser, budget), arrivals)
+        result = await self.driver.drive(flow)
         if result.outcome is Outcome.RAN:
             self.quarantine.clear_fingerprint(fingerprint)
         elif result.outcome is Outcome.NOT_RUN and self.quarantine.is_quarantined(fingerprint):
@@ -189,6 +233,11 @@
         self._log_failure(call, result)
         return result
 
+    def _log_limited(self, route: Route, customer: Customer) -> None:
+        if self.limit_log.take(monotonic_ms()):
+            reason = Reason.CUSTOMER_LIMIT.value
+            log_event("call_refused", route=route.name, reason=reason, customer=customer.name)
+
     def _log_failure(self, call: Call, result: CallResult) -> None:
         if result.response is None:
             log_event(
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/limits_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from agatecross_core.customers.model import Customer
@@ -11,15 +12,19 @@
 from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.limits.reporter import SendReport
 from agatecross_core.pacing import TokenBucket
-from agatecross_core.routing.host_table import HostTable
 
-from ..decision_log import DecisionLog
+from ..client_limits import EventWriter
 from ..direct_mailbox import DirectMailbox
 from ..mailbox import Sender, monotonic_ms
-from ..relay_messages import LimitMessageReceived, PeersSeen, SendToPeer, TableInForce
-from ..relay_metrics import RelayMetrics
-
-LimitsMessage = TableInForce | PeersSeen | LimitMessageReceived
+from ..relay_messages import (
+    CustomersInForce,
+    LimitMessageReceived,
+    PeersSeen,
+    SendToPeer,
+    TableInForce,
+)
+
+LimitsMessage = TableInForce | CustomersInForce | PeersSeen | LimitMessageReceived
 TICK_SECONDS = 0.1
 # Daemons that know fleets of other sizes divide the customers differently.
 MAX_SLOTS = 64
@@ -48,14 +53,14 @@
         daemon_id: DaemonId,
         peers: Sender[SendToPeer],
         rng: random.Random,
-        log: DecisionLog,
-        metrics: RelayMetrics,
+        write_change: EventWriter,
+        set_limited_count: Callable[[float], None],
     ) -> None:
         mailbox.set_handler(self._handle)
         self.daemon_id = daemon_id
         self.peers = peers
-        self.log = log
-        self.metrics = metrics
+        self.write_change = write_change
+        self.set_limited_count = set_limited_count
         self.gate = CustomerGate(daemon_id, rng)
         self.homes: dict[HomeSlot, LimitHome] = {}
         self.log_limiter = TokenBucket(LOG_BURST_LINES, LOG_REFILL_INTERVAL)
@@ -87,7 +92,9 @@
         now = monotonic_ms()
         match message:
             case TableInForce(table):
-                self._set_table(table)
+                self._set_customers({} if table.customers is None else table.customers.customers)
+            case CustomersInForce(customers):
+                self._set_customers(customers)
             case PeersSeen(known, open_links, ended):
                 self.gate.set_peers(known, open_links, ended, now)
             case LimitMessageReceived(LimitReport() as report, daemon_id, send_reply):
@@ -98,10 +105,7 @@
             case LimitMessageReceived(LimitAnswer() as answer, daemon_id, _):
                 self.gate.receive(answer, daemon_id, now)
 
-    def _set_table(self, table: HostTable) -> None:
-        customers: dict[CustomerName, Customer] = (
-            {} if table.customers is None else table.customers.customers
-        )
+    def _set_customers(self, customers: Mapping[CustomerName, Customer]) -> None:
         self.gate.set_customers(customers)
         for home in self.homes.values():
             home.set_customers(customers)
@@ -131,13 +135,13 @@
         answer = home.receive(report, daemon_id, now)
         for change in home.take_changes():
             self._log_change(change, now)
-        self.metrics.limited_customers.set(sum(len(row.limited) for row in self.homes.values()))
+        self.set_limited_count(sum(len(row.limited) for row in self.homes.values()))
         return answer
 
     def _log_change(self, change: LimitChange, now: Millis) -> None:
         if not self.log_limiter.take(now):
             return
-        self.log.write_change(
+        self.write_change(
             "customer_limited" if change.is_limited else "customer_unlimited",
             customer=change.customer.name,
             limit=change.customer.rate,
--- a/packages/agatecross-daemon/agatecross_daemon/telemetry.py
+++ b/packages/agatecross-daemon/agatecross_daemon/telemetry.py
@@ -48,6 +48,9 @@
 CallCounts = Counter[tuple[str, str]]
 """Calls by listener and outcome."""
 
+GaugeRow = tuple[float, dict[str, str]]
+"""A value with its attributes."""
+
 
 @dataclass(frozen=True, slots=True)
 class TelemetrySettings:
@@ -141,6 +144,17 @@
 
         self.meter.create_observable_counter(name, [read_counter], unit, description)
 
+    def add_gauge(
+        self, name: str, unit: str, description: str, read: Callable[[], Iterable[GaugeRow]]
+    ) -> None:
+        """Add a gauge whose rows are read when metrics are collected."""
+
+        def read_gauge(options: CallbackOptions) -> Iterable[Observation]:
+            del options
+            return [Observation(value, attributes) for value, attributes in read()]
+
+        self.meter.create_observable_gauge(name, [read_gauge], unit, description)
+
     def count_shed(self, place: Place, reason: ShedReason) -> None:
         """Count a connection or request that was refused or closed."""
         self.shed.add(1, {"at": place.value, "reason": reason.value})
