Log and count refused requests and silent connections of upstreams

A heartbeat or leave request that could not be decoded was answered 400 and left no trace, so an upstream that got no calls for it could not be told from one that sent nothing. Connections to an upstream that were closed as silent had no metric, and their line was not bounded.

`message_fields.feature` and `silent_upstreams.feature` check lines and counts, with 60 refused heartbeats for the bound.

--- a/features/message_fields.feature
+++ b/features/message_fields.feature
@@ -29,3 +29,19 @@
       | a missing field             | zone    | -     | 400    | none |
       | a field of another type     | version | 7     | 400    | none |
       | an empty field              | zone    | ""    | 400    | none |
+
+  # The body is JSON; the request is the last part of the path.
+  Scenario Outline: refused requests of an upstream: <guards against>
+    Given a platform fleet
+    When upstream "u0" sends its daemon <count> times the <request> request "<body>"
+    Then each is answered with <status>
+    And d0 has counted <counted> in 'agatecross_upstream_requests_refused_total{request="<request>"}'
+    And d0 has written between <least> and <most> lines of "upstream_request_refused" for "<request>"
+
+    Examples:
+      | guards against                         | request   | body                 | count | status | counted | least | most |
+      | an upstream that is ignored in silence | heartbeat | {}                   | 1     | 400    | 1       | 1     | 1    |
+      | a leave that is ignored in silence     | leave     | {"born":null}        | 1     | 400    | 1       | 1     | 1    |
+      | a log that an upstream fills           | heartbeat | {"state":            | 60    | 400    | 60      | 5     | 20   |
+      | a line as long as what was sent        | heartbeat | LONG                 | 2     | 400    | 2       | 2     | 2    |
+      | a request that is not refused          | leave     | {"born":7}           | 2     | 200    | 0       | 0     | 0    |
--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -13,3 +13,12 @@
       | guards against                              | upstreams | line         | idle | running | batches |
       | slots that unsafe runs keep for good        | u1        | POST /peer/1 | 4    | 4       | 1000    |
       | idle connections that fail one by one       | u1        | POST /peer/1 | 4    | 1       | 1       |
+
+  Scenario: the connections that were closed are logged and counted
+    Guards against a silence that neither the log nor a metric shows.
+    Given a platform fleet
+    When upstreams "u1" go silent on the connections of 4 served "POST /peer/1"
+    And callers of d0 send "POST /peer/1" 1 times at once
+    Then every answer was 504
+    And d1 has logged "upstream_silent" with "idle_closed=3"
+    And d1 has counted 3 in 'agatecross_silent_connections_total{to="upstream"}'
--- a/features/steps/message_fields_steps.py
+++ b/features/steps/message_fields_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import copy
 import json
+from pathlib import Path
 from typing import get_args
 
 import msgspec
@@ -113,3 +114,40 @@
 @then("the heartbeat is answered with {status:d}")
 def step_beat_status(context, status):
     assert context.beat_status == status, context.beat_status
+
+
+@when('upstream "{name}" sends its daemon {count:d} times the {request} request "{body}"')
+def step_send_bodies(context, name, count, request, body):
+    number = int(name[1:])
+    upstream, testbed = context.testbed.upstreams[number], context.testbed
+    address = testbed.sidecars[number].settings.heartbeats
+    text = json.dumps({**HEARTBEAT, "state": "x" * 5_000}) if body == "LONG" else body
+
+    async def work():
+        return [
+            await upstream.send_announcement(address, request, text.encode()) for _ in range(count)
+        ]
+
+    context.statuses = testbed.run(work())
+
+
+@then("each is answered with {status:d}")
+def step_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@then("d{number:d} has counted {count:d} in '{metric}'")
+def step_counted(context, number, count, metric):
+    text = context.testbed.sidecars[number].metrics.render().decode()
+    rows = [line for line in text.splitlines() if line.startswith(metric)]
+    values = [float(line.rpartition(" ")[2]) for line in rows]
+    assert sum(values) == count, rows
+
+
+@then('d{number:d} has written between {least:d} and {most:d} lines of "{event}" for "{request}"')
+def step_lines(context, number, least, most, event, request):
+    context.testbed.sidecars[number].log.flush()
+    text = Path(context.testbed.log_paths()[number]).read_text()
+    rows = [line for line in text.splitlines() if f"event={event} request={request} " in line]
+    assert least <= len(rows) <= most, rows
+    assert all(len(row) < 1_000 for row in rows), rows
--- a/packages/agatecross-core/agatecross_core/states.py
+++ b/packages/agatecross-core/agatecross_core/states.py
@@ -20,6 +20,13 @@
     DRAINING = "draining"
 
 
+class UpstreamRequest(Enum):
+    """Request that an upstream sends to the daemon next to it."""
+
+    HEARTBEAT = "heartbeat"
+    LEAVE = "leave"
+
+
 class DaemonState(Enum):
     """State of this daemon towards callers."""
 
--- a/packages/agatecross-daemon/agatecross_daemon/front_end.py
+++ b/packages/agatecross-daemon/agatecross_daemon/front_end.py
@@ -10,7 +10,7 @@
 from agatecross_core.routing.host_table import HostTable
 
 from .mailbox import Sender
-from .relay_messages import HeartbeatReceived, LeaveReceived
+from .relay_messages import UpstreamMessage
 
 
 class FrontEnd(Protocol):
@@ -35,9 +35,7 @@
         """Call `report` with address and idle time of each connection to the store found silent."""
         ...
 
-    def create_heartbeat_handler(
-        self, sender: Sender[HeartbeatReceived | LeaveReceived]
-    ) -> RequestHandler:
+    def create_heartbeat_handler(self, sender: Sender[UpstreamMessage]) -> RequestHandler:
         """Return the handler of the requests that an upstream sends to its local daemon."""
         ...
 
--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -14,6 +14,7 @@
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.model import Handover, RelayResult
 from agatecross_core.routing.host_table import HostTable
+from agatecross_core.states import UpstreamRequest
 
 ResultReceiver = Callable[[HandoverId, RelayResult], None]
 
@@ -94,6 +95,15 @@
     heartbeat: Heartbeat
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamRequestRefused:
+    """A request of the local upstream could not be decoded."""
+
+    request: UpstreamRequest
+    instance: InstanceId
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class LeaveReceived:
     """The local upstream is leaving and accepts no new calls.
@@ -107,6 +117,10 @@
     reply: LeaveReply | None = None
 
 
+UpstreamMessage = HeartbeatReceived | LeaveReceived | UpstreamRequestRefused
+"""What the local upstream's requests become."""
+
+
 @dataclass(frozen=True, slots=True)
 class DrainsLoaded:
     """The drains that this daemon confirmed before a restart were loaded from the store."""
--- a/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_metrics.py
@@ -85,6 +85,12 @@
             ("to",),
             registry=self.registry,
         )
+        self.upstream_requests_refused = Counter(
+            "agatecross_upstream_requests_refused_total",
+            "Heartbeats and leave requests of the local upstream that could not be decoded.",
+            ("request",),
+            registry=self.registry,
+        )
         self.limited_customers = Gauge(
             "agatecross_limited_customers",
             "Customers beyond their limit, of those whose home this daemon is.",
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -38,6 +38,7 @@
 from .tasks.limits_task import LimitsMessage, LimitsTask
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.store_task import StoreMessage, StoreTask
+from .upstream_reports import UpstreamReports
 
 # Time for callers and peers to read their last responses and close. It elapses at most twice after
 # the drain, once for callers and peers together and once for the other listeners; both fit into
@@ -242,6 +243,7 @@
         peers_mailbox,
         pauses,
         log,
+        UpstreamReports(log.write_change, metrics),
     )
     peers = PeersTask(
         peers_mailbox,
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/exit_task.py
@@ -53,7 +53,10 @@
     ResultReceiver,
     ResumeHandover,
     RunHandover,
+    UpstreamMessage,
+    UpstreamRequestRefused,
 )
+from ..upstream_reports import UpstreamReports
 from .exit_call import ExitCall, relay_result, run_end
 from .start_timer import StartTimer
 
@@ -64,8 +67,7 @@
     | DrainsLoaded
     | DrainStored
     | DrainLost
-    | HeartbeatReceived
-    | LeaveReceived
+    | UpstreamMessage
     | CrashesReported
 )
 # A starting daemon defers heartbeats until it has read the drains that it confirmed earlier, or
@@ -91,8 +93,10 @@
         peers: Sender[OwnEndpointChanged | CrashesReported],
         pauses: PauseClock,
         log: DecisionLog,
+        reports: UpstreamReports,
     ) -> None:
         self.pauses = pauses
+        self.reports = reports
         self.mailbox = mailbox
         mailbox.set_handler(self._handle)
         self.heartbeat_filter = heartbeat_filter
@@ -166,6 +170,8 @@
                 self.leave_replies.drain_lost((instance, born))
             case LeaveReceived():
                 self._handle_leave(message)
+            case UpstreamRequestRefused(request, instance, reason):
+                self.reports.request_refused(request, instance, reason)
             case CrashesReported(report):
                 self.death_watch.suspects.add(report, monotonic_ms())
 
@@ -325,10 +331,7 @@
 
     def _report_silence(self, exchange: UpstreamExchange) -> None:
         """Close the idle connections that may be silent like the one of a run without a byte."""
-        if closed := exchange.close_older_connections():
-            self.log.write_change(
-                "upstream_silent", instance=self.instance or "", idle_closed=closed
-            )
+        self.reports.connections_silent(self.instance, exchange.close_older_connections())
 
     def _cancel_call(self, handover_id: HandoverId) -> None:
         call = self.calls.get(handover_id)
