--- a/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
+++ b/packages/agatecross-daemon/agatecross_daemon/relay_messages.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from agatecross_adapters.hop_messages import HopMessage
-from agatecross_core.ids import DaemonId, HandoverId, InstanceId, Millis, ServiceName
+from agatecross_core.customers.model import Customer
+from agatecross_core.ids import CustomerName, DaemonId, HandoverId, InstanceId, Millis, ServiceName
 from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.members.directory import Endpoint
 from agatecross_core.members.heartbeat_filter import Heartbeat
@@ -13,6 +14,7 @@
 from agatecross_core.relay.drain import DrainPlan
 from agatecross_core.relay.model import Handover, RelayResult
 from agatecross_core.routing.host_table import HostTable
+from agatecross_core.states import UpstreamRequest
 
 ResultReceiver = Callable[[HandoverId, RelayResult], None]
 
@@ -24,6 +26,13 @@
     table: HostTable
 
 
+@dataclass(frozen=True, slots=True)
+class CustomersInForce:
+    """The customers of a configuration that came into force."""
+
+    customers: Mapping[CustomerName, Customer]
+
+
 @dataclass(frozen=True, slots=True)
 class FleetChanged:
     """The reachable endpoints that accept calls, by service, and the number of known daemons."""
@@ -86,6 +95,15 @@
     heartbeat: Heartbeat
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamRequestRefused:
+    """A request of the local upstream could not be decoded."""
+
+    request: UpstreamRequest
+    instance: InstanceId
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class LeaveReceived:
     """The local upstream is leaving and accepts no new calls.
@@ -99,6 +117,10 @@
     reply: LeaveReply | None = None
 
 
+UpstreamMessage = HeartbeatReceived | LeaveReceived | UpstreamRequestRefused
+"""What the local upstream's requests become."""
+
+
 @dataclass(frozen=True, slots=True)
 class DrainsLoaded:
     """The drains that this daemon confirmed before a restart were loaded from the store."""
--- a/packages/agatecross-daemon/agatecross_daemon/sidecar.py
+++ b/packages/agatecross-daemon/agatecross_daemon/sidecar.py
@@ -22,6 +22,7 @@
 from agatecross_core.routing.lowest_cost import LowestCostBalancer
 
 from .client_limits import build_guard
+from .customer_view import metrics_response
 from .decision_log import DecisionLog
 from .direct_mailbox import DirectMailbox
 from .front_end import FrontEnd
@@ -37,6 +38,7 @@
 from .tasks.limits_task import LimitsMessage, LimitsTask
 from .tasks.peers_task import PeersMessage, PeersTask
 from .tasks.store_task import StoreMessage, StoreTask
+from .upstream_reports import UpstreamReports
 
 # Time for callers and peers to read their last responses and close. It elapses at most twice after
 # the drain, once for callers and peers together and once for the other listeners; both fit into
@@ -182,10 +184,7 @@
         return Response(200 if ready else 503, (), b"")
 
     async def _handle_metrics(self, request: Request) -> Response:
-        del request
-        return Response(
-            200, (("Content-Type", "text/plain; version=0.0.4"),), self.metrics.render()
-        )
+        return metrics_response(request.path, self.limits.gate, self.metrics, monotonic_ms())
 
 
 def build_sidecar(settings: SidecarSettings, front_end: FrontEnd, log: DecisionLog) -> Sidecar:
@@ -210,7 +209,14 @@
     peers_mailbox: DirectMailbox[PeersMessage] = DirectMailbox()
     store_mailbox: DirectMailbox[StoreMessage] = DirectMailbox()
     limits_mailbox: DirectMailbox[LimitsMessage] = DirectMailbox()
-    limits = LimitsTask(limits_mailbox, settings.daemon_id, peers_mailbox, rng, log, metrics)
+    limits = LimitsTask(
+        limits_mailbox,
+        settings.daemon_id,
+        peers_mailbox,
+        rng,
+        log.write_change,
+        metrics.limited_customers.set,
+    )
     # Ticked by the exit task, which runs for as long as the daemon.
     pauses = PauseClock(boottime_ms())
     entry = EntryTask(
@@ -237,6 +243,7 @@
         peers_mailbox,
         pauses,
         log,
+        UpstreamReports(log.write_change, metrics),
     )
     peers = PeersTask(
         peers_mailbox,
