Carry unasked answers of a home to members of the product's own fleet

Cause: a home answers all daemons at once when a customer's calls surge, and the control messages of limits had reports and replies only.

Change: UseRequest carries either a report or an answer.

--- a/packages/agatecross-core/agatecross_core/limits/requests.py
+++ b/packages/agatecross-core/agatecross_core/limits/requests.py
@@ -8,10 +8,11 @@
 
 @dataclass(frozen=True, slots=True)
 class UseRequest:
-    """The report of a daemon to the home of a slot."""
+    """The report of a daemon to the home of a slot, or an answer that the home gives unasked."""
 
     sender: DaemonId
-    report: LimitReport
+    report: LimitReport | None
+    answer: LimitAnswer | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/fleet_limits_task.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/fleet_limits_task.py
@@ -10,7 +10,7 @@
 from agatecross_adapters.port_check import EndCheck
 from agatecross_core.config.model import MeshConfig
 from agatecross_core.ids import DaemonId, DataCentreName, Millis
-from agatecross_core.limits.model import LimitAnswer
+from agatecross_core.limits.model import LimitAnswer, LimitReport
 from agatecross_core.limits.presence import FleetPresence
 from agatecross_core.limits.requests import UseReply, UseRequest
 from agatecross_core.limits.usage import CustomerUsage, metric_rows
@@ -85,7 +85,7 @@
         self.presence = FleetPresence(daemon_id)
         self.inbox: DirectMailbox[LimitsMessage] = DirectMailbox()
         self.outbox: DirectMailbox[SendToPeer] = DirectMailbox()
-        self.outbox.set_handler(self._send_report)
+        self.outbox.set_handler(self._send_message)
         self.limited_customers = 0.0
         self.limits = LimitsTask(
             self.inbox, daemon_id, self.outbox, rng, log_event, self._set_limited_count
@@ -152,21 +152,28 @@
         presence = self.presence
         self.inbox.put(PeersSeen(presence.known, presence.reachable, presence.ended))
 
-    def _send_report(self, message: SendToPeer) -> None:
+    def _send_message(self, message: SendToPeer) -> None:
         member = self.presence.members.get(message.daemon_id)
         if member is not None:
-            self.reports_sent += 1
-            request = UseRequest(self.daemon_id, message.message)
-            self.subtasks.start(self._exchange_report(member, request))
-
-    async def _exchange_report(self, home: Member, request: UseRequest) -> None:
+            match message.message:
+                case LimitAnswer() as answer:
+                    request = UseRequest(self.daemon_id, None, answer)
+                case report:
+                    self.reports_sent += 1
+                    request = UseRequest(self.daemon_id, report)
+            self.subtasks.start(self._exchange(member, request))
+
+    async def _exchange(self, home: Member, request: UseRequest) -> None:
         reply = await send_control(self.control, home.control_address, request, REPORT_TIMEOUT)
         self.mailbox.put(ReportAnswered(home.daemon_id, reply))
 
     def _answer_report(self, message: ControlMessage) -> UseReply:
         replies: list[HopMessage] = []
-        if isinstance(message, UseRequest):
-            self.inbox.put(LimitMessageReceived(message.report, message.sender, replies.append))
+        match message:
+            case UseRequest(sender, LimitReport() as report):
+                self.inbox.put(LimitMessageReceived(report, sender, replies.append))
+            case UseRequest(sender, None, LimitAnswer() as answer):
+                self.inbox.put(LimitMessageReceived(answer, sender, _ignore))
         answers = (row for row in replies if isinstance(row, LimitAnswer))
         return UseReply(next(answers, None))
 
