Hold a customer to its calls from before its home fell silent

Cause: a daemon without an answer admitted up to 1.5 times what it admitted lately, and "lately" went on while it waited. The silence counted only 0.4 s after a report.

Change: the rate is that of the time at which the home last answered, or the daemon's part if that is more, and it counts from one period (0.25 s) after an unanswered report, as reports are repeated now.

The former property stays as it was.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -26,6 +26,22 @@
     Guards against a way around the limit that no table names, and against a fleet that stays limited.
     Then 60 runs of seed 39 keep every window of a hot customer within its limit
 
+  Scenario: faults at the same moment or one after the other, and limits that rise and fall
+    Guards against parts of the limit that add up to more while homes and daemons disagree.
+    Then 100 stateful runs of 20 steps keep every window within the limit of its time
+
+  # From half of its limit, the customer's calls rise to four times the limit.
+  Scenario Outline: a surge that begins together with a fault: <guards against>
+    When a customer's calls surge <after> ms after "<fault>" hits <share> of the fleet
+    Then no window of the customer has more than is allowed
+
+    Examples:
+      | guards against                                       | fault       | share | after |
+      | parts that are cut off and admit as much as lately   | cut         | 0.5   | 0     |
+      | a part that is cut off a moment before               | cut         | 0.5   | 500   |
+      | daemons that admit the surge while their home pauses | freeze home | 0.7   | 0     |
+      | daemons that admit the surge while they have no home | kill home   | 0.5   | 0     |
+
   # A customer's calls a second to each of 10 daemons; "alone" ones reach no other daemon.
   Scenario Outline: what passes in 20 s: <guards against>
     When a customer with the limit <rate> and burst <burst> sends <calls> calls a second to each daemon, <alone> of them alone
--- a/packages/agatecross-core/agatecross_core/limits/gate.py
+++ b/packages/agatecross-core/agatecross_core/limits/gate.py
@@ -25,12 +25,17 @@
 
 @dataclass(slots=True)
 class Account:
-    """State of a customer at this daemon; `credit` is the part of a call that may be admitted."""
+    """State of a customer at this daemon.
+
+    `credit` is the part of a call that may be admitted. `steady` is the rate of admitted calls when
+    the home last answered, so that a surge while it is silent gives no more room.
+    """
 
     credit: float
     tokens: float
     filled_at: Millis
     is_alone: bool = False
+    steady: float = 0.0
     offered: DecayedRate = field(default_factory=lambda: DecayedRate(RATE_SPAN))
     admitted: DecayedRate = field(default_factory=lambda: DecayedRate(RATE_SPAN))
 
@@ -151,6 +156,8 @@
     ) -> float | None:
         """Return None to admit the call, or the expected time until the next one is admitted."""
         standing = reporter.standing(customer.name, now)
+        if standing is Standing.INFORMED and reporter.waiting_since is None:
+            account.steady = account.admitted.rate(now)
         share = reporter.shares.get(customer.name, 1.0)
         has_token, token_wait = self._refill(customer, account, standing, share < 1.0, now)
         if standing is Standing.ALONE:
@@ -184,7 +191,7 @@
         daemons = self.fleet.count(now)
         rate, depth = customer.rate / daemons, max(1.0, customer.burst / daemons)
         if standing is not Standing.ALONE:
-            rate += (1.0 if is_limited else HOLD_GROWTH) * account.admitted.rate(now)
+            rate = max(rate, (1.0 if is_limited else HOLD_GROWTH) * account.steady)
             depth += rate * HOLD_DEPTH / 1000 + (0.0 if is_limited else HOLD_CALLS)
         if (standing is Standing.ALONE) != account.is_alone:
             account.is_alone = not account.is_alone
--- a/packages/agatecross-core/agatecross_core/limits/model.py
+++ b/packages/agatecross-core/agatecross_core/limits/model.py
@@ -91,7 +91,7 @@
         Millis(period),
         Millis(2 * period),
         Millis(0.4 * period),
-        Millis(period + 150),
+        Millis(period),
         Millis(hold),
         Millis(0.7 * hold),
         Millis(2 * hold),
--- a/packages/agatecross-standins/agatecross_standins/bench/limits.py
+++ b/packages/agatecross-standins/agatecross_standins/bench/limits.py
@@ -173,9 +173,14 @@
     return call
 
 
+def allowed_calls(rate: float, burst: float) -> float:
+    """Return how many calls of a customer may arrive in a window."""
+    return (rate * WINDOW_MS / 1000 + burst) * (1 + OVERAGE) + SLACK
+
+
 def worst_window(customer: Customer, arrivals: Sequence[float]) -> float:
     """Return the most arrivals in a window over what is allowed."""
-    allowed = (customer.rate * WINDOW_MS / 1000 + customer.burst) * (1 + OVERAGE) + SLACK
+    allowed = allowed_calls(customer.rate, customer.burst)
     first, worst = 0, 0
     times = sorted(arrivals)
     for number, time in enumerate(times):
