Let the soak check keys and the limit of a hot customer

Each version of the soak's configuration has two customers. One holds a key that stays and one that only this version has; callers use the newest such key, the one before it and an unknown one. The other has a limit of 20 calls a second, and its callers send several times that. From outside it is checked that no call with an unknown key runs, none with a withdrawn one after the time that a version may take, that a key of each version never gets 401, and that what ran of the limited customer stays within its limit in each window of 5 s.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -24,6 +24,14 @@
       | a version that is lower after a kill | -                    |
       | a version that is late               | changes_arrive       |
       | a version that is late at a silence  | -                    |
+      | a run with an unknown key            | keys_bind            |
+      | a run with a withdrawn key           | keys_bind            |
+      | a run with a key withdrawn just now  | -                    |
+      | a run with the newest key            | -                    |
+      | a withdrawn key while a link is cut  | -                    |
+      | a key in force that was refused      | keys_are_accepted    |
+      | 141 runs of the limited customer     | -                    |
+      | 142 runs of the limited customer     | customer_limit_holds |
       | a daemon that ended by itself        | daemons_live         |
       | a traceback                          | daemons_live         |
       | a request cut by a graceful stop     | stops_are_graceful   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,8 +24,34 @@
 NODE_COUNT = 6
 
 
-def request_record(call_id, seen, once=True, status=200, node=0, ended=2.0):
-    return RequestRecord(call_id, node, once, 1.0, ended, seen, status)
+def request_record(call_id, seen, once=True, status=200, node=0, ended=2.0, key="k-main"):
+    return RequestRecord(call_id, node, once, 1.0, ended, seen, status, key)
+
+
+def add_run_with(key, published_at):
+    def add(history):
+        history.requests.append(request_record("x", RequestOutcome.ANSWERED, key=key))
+        history.published += [(2, published_at - 5.0), (3, published_at)]
+        history.runs["x"] = 1
+
+    return add
+
+
+def add_run_in_touch_again(history):
+    add_run_with("k-version-2", -3.0)(history)
+    history.disturbances.append((-1, 0.0, 1.5))
+
+
+def add_hot_runs(count):
+    def add(history):
+        for number in range(count):
+            row = request_record(f"h{number}", RequestOutcome.ANSWERED, key="k-hot")
+            history.requests.append(row)
+            history.runs[row.call_id] = 1
+            # All are sent at 1.0; those after 6.0 are in another window.
+            history.first_runs[row.call_id] = 2.0 + 0.02 * number
+
+    return add
 
 
 def add_second_run(history):
@@ -93,6 +119,16 @@
     "a version that is lower after a kill": lambda h: h.versions.append(
         VersionObservation(0, 1, 4)
     ),
+    "a run with an unknown key": add_run_with("k-unknown", 0.0),
+    "a run with a withdrawn key": add_run_with("k-version-2", -3.0),
+    "a run with a key withdrawn just now": add_run_with("k-version-2", 0.0),
+    "a run with the newest key": add_run_with("k-version-3", -3.0),
+    "a withdrawn key while a link is cut": add_run_in_touch_again,
+    "a key in force that was refused": lambda h: h.requests.append(
+        request_record("x", RequestOutcome.FAILED, status=401)
+    ),
+    "141 runs of the limited customer": add_hot_runs(141),
+    "142 runs of the limited customer": add_hot_runs(142),
     "a daemon that ended by itself": lambda h: h.exits.append((0, 1)),
     "a traceback": lambda h: h.tracebacks.append("d0.log: Traceback"),
     "a request cut by a graceful stop": add_cut_request,
--- a/packages/agatecross-standins/agatecross_standins/soak/callers.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/callers.py
@@ -7,6 +7,7 @@
 
 from agatecross_core.ids import CallId
 
+from .customers import MAIN_KEY, KeyChoice
 from .events import History, RequestOutcome, RequestRecord
 from .fleet import Node
 
@@ -30,8 +31,10 @@
         history: History,
         rng: random.Random,
         mean_gap_seconds: float = MEAN_REQUEST_GAP_SECONDS,
+        choose_key: KeyChoice = lambda: MAIN_KEY,
     ) -> None:
         """Send to the daemons of `nodes`, on average `mean_gap_seconds` after each answer."""
+        self.choose_key = choose_key
         self.name = name
         self.nodes = nodes
         self.history = history
@@ -57,10 +60,12 @@
         assert self.streams is not None
         reader, writer = self.streams
         call_id = CallId(f"{self.name}-{next(self.request_numbers)}")
+        key = self.choose_key()
         body = b"body" if method == "POST" else b""
         head = (
             f"{method} {prefix}{call_id} HTTP/1.1\r\nhost: a.example\r\nx-request-id: {call_id}\r\n"
-            f"x-deadline-ms: {DEADLINE_MS}\r\ncontent-length: {len(body)}\r\n\r\n"
+            f"authorization: Token {key}\r\nx-deadline-ms: {DEADLINE_MS}\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
         )
         started_at = time.monotonic()
         try:
@@ -76,12 +81,20 @@
                 started_at,
                 time.monotonic(),
                 RequestOutcome.BROKEN,
+                key=key,
             )
         if close:
             self.disconnect()
         outcome = _classify(status, answer, call_id)
         return RequestRecord(
-            call_id, self.node.number, at_most_once, started_at, time.monotonic(), outcome, status
+            call_id,
+            self.node.number,
+            at_most_once,
+            started_at,
+            time.monotonic(),
+            outcome,
+            status,
+            key,
         )
 
     def disconnect(self) -> None:
--- a/packages/agatecross-standins/agatecross_standins/soak/checks.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/checks.py
@@ -5,15 +5,13 @@
 
 from agatecross_core.ids import CallId
 
+from .customer_checks import customer_limit_holds, keys_are_accepted, keys_bind
+from .disturbances import MAX_CONFIG_APPLY_SECONDS, is_disturbed
 from .events import History, RequestOutcome
 
 Check = Callable[[History], Iterator[str]]
 # Limit of the platform on how long an upstream may be given new work after its confirmed leave.
 MAX_START_AFTER_CONFIRMED_LEAVE_SECONDS = 2.0
-# The larger one of the platform's limits on how soon a version must be in force.
-MAX_CONFIG_APPLY_SECONDS = 3.0
-# A signal disturbs a daemon until it has started again and its peers work with it.
-MAX_START_SECONDS = 8.0
 # What the platform allows an upstream with a limit, in each window from a time after it was named.
 LIMIT_SETTLED_SECONDS = 3.0
 LIMIT_WINDOW_SECONDS = 4.0
@@ -116,14 +114,7 @@
     """
     for row in history.versions:
         due = [v for v, at in history.published if row.at > at + MAX_CONFIG_APPLY_SECONDS]
-        hit = any(
-            affected in (row.node, -1) and begin <= row.at <= end
-            for affected, begin, end in history.disturbances
-        ) or any(
-            node == row.node and at <= row.at <= at + MAX_START_SECONDS
-            for node, at in history.restarts
-        )
-        if due and 0 < row.version < max(due) and not hit:
+        if due and 0 < row.version < max(due) and not is_disturbed(history, row.node, row.at):
             yield f"d{row.node} restart {row.restarts}: {row.version} in force, {max(due)} is due"
 
 
@@ -176,6 +167,9 @@
     leaves_bind,
     announced_leaves_bind,
     limits_hold,
+    keys_bind,
+    keys_are_accepted,
+    customer_limit_holds,
     versions_rise,
     changes_arrive,
     daemons_live,
--- a/packages/agatecross-standins/agatecross_standins/soak/events.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/events.py
@@ -5,6 +5,8 @@
 
 from agatecross_core.ids import CallId
 
+from .customers import MAIN_KEY
+
 
 class RequestOutcome(Enum):
     """How a request ended for its caller.
@@ -23,7 +25,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestRecord:
-    """One request and its outcome; times on the monotonic clock in seconds."""
+    """One request and its outcome; times on the monotonic clock in seconds.
+
+    `key` is the customer's key that it had.
+    """
 
     call_id: CallId
     node: int
@@ -32,6 +37,7 @@
     ended_at: float
     outcome: RequestOutcome
     status: int = 0
+    key: str = MAIN_KEY
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +89,9 @@
 class History:
     """Everything recorded in one run.
 
-    `runs` counts the runs of each call id, and `exits` holds the node number and the exit code of
-    each exit. `final_requests` are sent after the fleet has had time to recover.
+    `runs` counts the runs of each call id, `first_runs` has the start of the first one, and `exits`
+    holds the node number and the exit code of each exit. `final_requests` are sent after the fleet
+    has had time to recover.
     `published` holds each version written by a fault, with the time.
     `graceful_stops` and `disturbances` hold the node number with the start and the end of the
     interval; the number -1 in a disturbance stands for every node. `restarts` holds the node number
@@ -97,6 +104,7 @@
     versions: list[VersionObservation] = field(default_factory=list)
     published: list[tuple[int, float]] = field(default_factory=list)
     runs: dict[str, int] = field(default_factory=dict)
+    first_runs: dict[str, float] = field(default_factory=dict)
     exits: list[tuple[int, int]] = field(default_factory=list)
     graceful_stops: list[tuple[int, float, float]] = field(default_factory=list)
     announced_leaves: list[AnnouncedLeave] = field(default_factory=list)
--- a/packages/agatecross-standins/agatecross_standins/soak/fleet.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/fleet.py
@@ -18,6 +18,7 @@
 from ..platform_store import PlatformStoreStandIn
 from ..platform_upstream import PlatformUpstream
 from ..ports import PortPool
+from .customers import customer_rows
 from .proxy import FaultyLink
 
 DAEMON_SITES = (
@@ -167,7 +168,8 @@
         """Write the newest record of each key of the operator's topic, in this order."""
         marker = (f"/v{self.version}/", "safe", "s1")
         for key in keys:
-            value = config_record(self.version, (marker,)) if key == "config" else b"{}"
+            record = config_record(self.version, (marker,), tenants=customer_rows(self.version))
+            value = record if key == "config" else b"{}"
             self.store.append_record("keyed.op", key, value)
 
     async def replace_upstream(self, node: Node) -> None:
--- a/packages/agatecross-standins/agatecross_standins/soak/run.py
+++ b/packages/agatecross-standins/agatecross_standins/soak/run.py
@@ -11,10 +11,11 @@
 from agatecross_adapters.http_client import TornadoHttpClient
 from agatecross_core.calls.model import Request
 from agatecross_core.errors import ExchangeError
-from agatecross_core.ids import Address, Millis
+from agatecross_core.ids import Address, Millis, Version
 
 from .callers import Caller
 from .checks import violations
+from .customers import HOT_KEY, UNKNOWN_KEY, KeyChoice, version_key
 from .events import History, RequestOutcome, VersionObservation
 from .fleet import DAEMON_SITES, Node, SoakFleet
 from .injector import Injector
@@ -25,6 +26,10 @@
 # in progress when it drains.
 BUSY_CALLER_COUNT = 6
 BUSY_REQUEST_GAP_SECONDS = 0.005
+# Together they send some five times what the limit of their customer allows.
+HOT_CALLER_COUNT = 3
+# Callers with the newest key, one that was withdrawn, or none that is known.
+KEY_CALLER_COUNT = 2
 # Long enough for six interpreters to start on a busy machine; not a limit of the product.
 START_TIMEOUT_SECONDS = 120.0
 FINAL_ROUNDS = 5
@@ -74,6 +79,21 @@
             )
             for n in range(BUSY_CALLER_COUNT)
         ]
+        callers += [
+            Caller(
+                f"h{n}",
+                fleet.nodes,
+                history,
+                random.Random(rng.random()),
+                choose_key=lambda: HOT_KEY,
+            )
+            for n in range(HOT_CALLER_COUNT)
+        ]
+        callers += [
+            Caller(f"k{n}", fleet.nodes, history, key_rng, choose_key=_key_choice(fleet, key_rng))
+            for n in range(KEY_CALLER_COUNT)
+            for key_rng in (random.Random(rng.random()),)
+        ]
         tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
         tasks.append(asyncio.ensure_future(_record_versions(fleet, history)))
         injector = Injector(fleet, history)
@@ -92,6 +112,16 @@
     return SoakResult(f"{len(faults)} faults, {counts}", tuple(violations(history)))
 
 
+def _key_choice(fleet: SoakFleet, rng: random.Random) -> KeyChoice:
+    """Return a choice among the newest key, the one before it and an unknown one."""
+
+    def choose() -> str:
+        before = Version(max(1, fleet.version - 1))
+        return rng.choice((version_key(fleet.version), version_key(before), UNKNOWN_KEY))
+
+    return choose
+
+
 async def _wait_until_serving(fleet: SoakFleet, seconds: float) -> bool:
     """Wait until every daemon answers the newest route; return whether all did in time."""
     deadline = time.monotonic() + seconds
@@ -148,6 +178,8 @@
     runs: Counter[str] = Counter()
     for upstream in [*fleet.replaced_upstreams, *(node.upstream for node in fleet.nodes)]:
         runs.update(upstream.runs)
+        for at, call_id in upstream.run_starts:
+            history.first_runs[call_id] = min(at, history.first_runs.get(call_id, at))
     history.runs = dict(runs)
     for node in fleet.nodes:
         history.exits += [(node.number, code) for code in node.exit_codes]
