Bound the announced requests, and set the timer of turns to the next turn

Cause: a peer could announce requests without end, and a timer that was set for an overdue request was kept when an earlier turn became due: a request then waited until its deadline (found by reading).

Change: at most 1,024 announced requests are held; the timer is set anew after every event.

--- a/features/steps/transfer_turns_fleet_steps.py
+++ b/features/steps/transfer_turns_fleet_steps.py
@@ -5,6 +5,9 @@
 from behave import given, then, when
 from platform_steps import poll_until, start_testbed
 
+from agatecross_adapters.frames import FrameConnection
+from agatecross_adapters.hop_codec import decode_hop_message, encode_hop_message
+from agatecross_adapters.hop_messages import Announce, Result
 from agatecross_core.ids import Millis
 from agatecross_daemon.mailbox import monotonic_ms
 
@@ -44,6 +47,23 @@
         turns.invited["held"] = Millis(now + HELD_MS)
 
 
+def take_turns_of_two(testbed):
+    """Let two requests be on their way that are overdue only after the caller's deadline."""
+    now = monotonic_ms()
+    for sidecar in testbed.sidecars:
+        inbound = sidecar.peers.inbound
+        inbound.turns.link_free_at = Millis(now + HELD_MS)
+        for name in ("first", "second"):
+            inbound.turns.invited[name] = Millis(now + 60_000)
+            inbound.announced[name] = (None, None)
+
+
+def end_first(testbed):
+    for sidecar in testbed.sidecars:
+        sidecar.peers.inbound._end_turn("first", monotonic_ms())
+        del sidecar.peers.inbound.announced["second"]
+
+
 @given("a platform fleet on links of {rate:d} Mbit/s")
 def step_fleet(context, rate):
     start_testbed(context, False, 30, rate)
@@ -54,10 +74,13 @@
     testbed = context.testbed
 
     async def work():
-        take_turns(testbed)
+        take = take_turns_of_two if event == "one of two arrives" else take_turns
+        take(testbed)
         reader, writer = await open_caller(testbed, 1, request_bytes(line, 1, size))
-        await poll_until(lambda: announced(testbed), "an announcement")
+        await poll_until(lambda: set(announced(testbed)) - {"first", "second"}, "an announcement")
         match event:
+            case "one of two arrives":
+                end_first(testbed)
             case "the links of d1 break":
                 for link in testbed.sidecars[1].peers.links.values():
                     link.connection.abort()
@@ -114,3 +137,36 @@
     assert len(calls) == (context.count if which == "each" else 0), calls
     runs = sum((upstream.runs for upstream in context.testbed.upstreams), Counter())
     assert sorted(runs.values()) == [1] * context.count, runs
+
+
+@when("a peer announces {count:d} requests to d{number:d} and sends none")
+def step_announce_without_end(context, count, number):
+    testbed, context.answers = context.testbed, []
+
+    def add_answer(_, frame):
+        context.answers.append(decode_hop_message(frame))
+
+    async def work():
+        host, _, port = testbed.sidecars[number].settings.peers.rpartition(":")
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: FrameConnection(lambda _: None, add_answer, lambda _: None), host, int(port)
+        )
+        for handover_id in range(count):
+            message = Announce(handover_id, f"c{handover_id}", 0, Millis(2**40), Millis(2**40))
+            connection.send(encode_hop_message(message))
+        await poll_until(lambda: len(context.answers) >= count - 1024, "the refusals")
+        context.held = len(announced(testbed))
+        connection.abort()
+
+    testbed.run(work())
+
+
+@then("d{number:d} holds {held:d} announcements and refused {refused:d}")
+def step_bounded(context, number, held, refused):
+    refusals = [row for row in context.answers if isinstance(row, Result)]
+    assert (context.held, len(refusals)) == (held, refused), (context.held, len(refusals))
+
+
+@then("a caller of d{number:d} gets 200")
+def step_still_serves(context, number):
+    assert context.testbed.run(context.testbed.send(number, "GET /safe/1")).status == 200
--- a/features/transfer_turns.feature
+++ b/features/transfer_turns.feature
@@ -60,6 +60,7 @@
     Examples:
       | guards against                              | line         | event                | status | runs |
       | a request that is never invited             | POST /once/1 | nothing happens      | 200    | 1    |
+      | a timer that waits for a later turn         | POST /once/1 | one of two arrives | 200    | 1    |
       | a request that is lost with its link        | POST /once/1 | the links of d1 break | 200   | 1    |
       | a request that runs though its caller left  | POST /once/1 | the caller leaves    | none   | 0    |
       | a request said to have run that was not sent | POST /once/1 | d0 and d2 are killed | 503   | 0    |
@@ -76,3 +77,10 @@
     Given a platform fleet on links of 10 Mbit/s
     When callers of d1 send 2 requests of 20000 bytes at once
     Then all are answered 200, none after it was announced, and ran once
+
+  Scenario: a peer that announces without end
+    Guards against memory that grows with what a peer announces and never sends.
+    Given a platform fleet on links of 10 Mbit/s
+    When a peer announces 3000 requests to d0 and sends none
+    Then d0 holds 1024 announcements and refused 1976
+    And a caller of d0 gets 200
--- a/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/inbound_links.py
@@ -23,6 +23,7 @@
 from agatecross_core.ids import DaemonId, HandoverId, Incarnation, Millis, Version
 from agatecross_core.relay.model import Handover, RelayResult, not_run_result
 from agatecross_core.relay.transfer_turns import AnnouncedRequest, InviteRequest, TransferTurns
+from agatecross_core.states import Reason
 
 from ..decision_log import DecisionLog
 from ..mailbox import Sender, monotonic_ms
@@ -33,6 +34,9 @@
 # A handover whose connection was lost is cancelled unless it is resumed within this time.
 ORPHAN_TIMEOUT = Millis(1_500)
 
+# Far more announced handovers than a link carries; a peer that announces without end holds no more.
+MAX_ANNOUNCED = 1_024
+
 DaemonProcess = tuple[DaemonId, Incarnation]
 MessageHandler = Callable[[HopMessage, ReplySender, DaemonId | None], None]
 
@@ -180,6 +184,9 @@
     def _handle_announcement(self, inbound: InboundConnection, message: Announce) -> None:
         now = monotonic_ms()
         self._end_turn(message.handover_id, now)
+        if len(self.announced) >= MAX_ANNOUNCED:
+            self._refuse_announcement(inbound, message, Reason.OVERLOADED)
+            return
         self.announced[message.handover_id] = inbound, message
         request = AnnouncedRequest(
             message.handover_id,
@@ -200,21 +207,32 @@
                 inbound.send(Invite(action.handover_id))
                 continue
             inbound, message = self.announced.pop(action.handover_id)
-            result = not_run_result(action.reason)
-            self.log.write_failed_call(
-                "handover_failed",
-                call_id=message.call_id,
-                outcome=result.outcome.value,
-                reason=action.reason.value,
-                announced=message.size,
-                waiting=len(self.turns.waiting),
-            )
-            inbound.send(Result(action.handover_id, result))
+            self._refuse_announcement(inbound, message, action.reason)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        if self.turn_timer is not None:
+            self.turn_timer.cancel()
+            self.turn_timer = None
         due = self.turns.next_invitation()
-        if due is not None and self.turn_timer is None:
+        if due is not None:
             delay = max(0.0, due - monotonic_ms()) / 1000
             self.turn_timer = asyncio.get_running_loop().call_later(delay, self._on_turn)
 
+    def _refuse_announcement(
+        self, inbound: InboundConnection, message: Announce, reason: Reason
+    ) -> None:
+        result = not_run_result(reason)
+        self.log.write_failed_call(
+            "handover_failed",
+            call_id=message.call_id,
+            outcome=result.outcome.value,
+            reason=reason.value,
+            announced=message.size,
+            waiting=len(self.turns.waiting),
+        )
+        inbound.send(Result(message.handover_id, result))
+
     def _on_turn(self) -> None:
         self.turn_timer = None
         self._execute_actions(self.turns.invite_next(monotonic_ms()))
