--- a/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
+++ b/packages/agatecross-daemon/agatecross_daemon/tasks/peer_link.py
@@ -263,6 +263,8 @@
 
     def _with_time_left_now(self, pending: PendingHandover) -> Handover:
         handover, waited = pending.handover, monotonic_ms() - pending.started_at
+        if waited < 1:
+            return handover
         return replace(
             handover,
             objective_time_left=Millis(handover.objective_time_left - waited),
