Keep the allowance within its bounds where calls have to leave

Cause: calls without a near upstream leave whatever the allowance has. Those that were refused drove it below zero, and it grows by a twentieth of a call for each call, so calls stayed for long after the outage; those that were answered raised it over its cap.

Change: the allowance stays between zero and its cap.

Result (placement.feature, failed first): after 100 calls that had to leave a call may leave after 21 others, as after a start, and at most 4 at once.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -47,6 +47,19 @@
       | refusals while another region has room      | read .7 180 576 1383 0 2; order .3 170 694 1735 1 9  | 0.75     | 6 6 12 12 | refused | at least 0.05 | at most 0.05 | 0.01 |
       | callers that stay without a near upstream   | read .7 130 576 1383 0 2; order .3 170 694 1735 1 9  | 0.6      | 0 5 5 5   | left    | at least 0.2  | at least 0.2 | 0.02 |
 
+  # All calls have the same size. The allowance is a twentieth of the bytes of all calls.
+  Scenario Outline: allowance: <guards against>
+    When <forced> calls had to leave and <answered> were answered, and <stayed> others stay
+    Then a call may leave: <may_leave>, and at most <at_once> at once
+
+    Examples:
+      | guards against                                   | forced | answered | stayed | may_leave | at_once |
+      | bytes in vain right after a start                | 0      | 0        | 0      | no        | 0       |
+      | no call that leaves for lack of earlier ones     | 0      | 0        | 21     | yes       | 1       |
+      | calls that stay for long after an outage near by | 100    | 0        | 21     | yes       | 1       |
+      | a flood after calls that had to leave            | 100    | 100      | 0      | yes       | 4       |
+      | a flood after a calm hour                        | 0      | 0        | 10000  | yes       | 4       |
+
   # Each daemon is told once how much longer an upstream is slow after its start.
   Scenario Outline: an upstream that was to be cold for <cold> ms, <age> ms ago, gets <low> to <high> % of calls
     Guards against upstreams that get few calls for as long as they run because they started cold.
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -13,7 +13,7 @@
 from agatecross_core.relay.flow import RelayPolicy, relay
 from agatecross_core.relay.model import RelayResponse, RelayResult, Repeat, not_run_result
 from agatecross_core.routing.lowest_cost import KIB, LowestCostBalancer
-from agatecross_core.routing.spill import Offer, select_offer
+from agatecross_core.routing.spill import Offer, SpillAllowance, select_offer
 from agatecross_core.states import Locality, Outcome, UpstreamState
 
 LOCALITIES = {
@@ -257,3 +257,23 @@
 @then("it gets {low:d} to {high:d} % of the calls")
 def step_cold_share(context, low, high):
     assert low <= context.cold_share <= high, context.cold_share
+
+
+@when("{forced:d} calls had to leave and {answered:d} were answered, and {stayed:d} others stay")
+def step_allowance(context, forced, answered, stayed):
+    context.allowance = allowance = SpillAllowance()
+    for _ in range(forced):
+        allowance.take(1.0)
+    for _ in range(answered):
+        allowance.give_back(1.0, 1.0)
+    for _ in range(stayed):
+        allowance.add_call(1.0, 1.0)
+
+
+@then("a call may leave: {may_leave}, and at most {at_once:d} at once")
+def step_may_leave(context, may_leave, at_once):
+    count = 0
+    while context.allowance.allows(1.0) and count <= at_once:
+        context.allowance.take(1.0)
+        count += 1
+    assert (count > 0, count <= at_once) == (may_leave == "yes", True), count
--- a/packages/agatecross-core/agatecross_core/routing/spill.py
+++ b/packages/agatecross-core/agatecross_core/routing/spill.py
@@ -101,16 +101,15 @@
         return self.left >= size
 
     def take(self, size: float) -> None:
-        """Record a call that leaves."""
-        self.left -= size
+        """Record a call that leaves; one that cannot stay may exceed the allowance."""
+        self.left = max(0.0, self.left - size)
 
     def give_back(self, size: float, largest: float) -> None:
         """Record the answer to a call that left."""
-        self.left += size
-        self._add(ANSWERED_SHARE * size, largest)
+        self._add((1 + ANSWERED_SHARE) * size, largest)
 
     def _add(self, size: float, largest: float) -> None:
-        self.left = min(self.left + size, max(self.left, VAIN_CALLS * largest))
+        self.left = min(self.left + size, VAIN_CALLS * largest)
 
 
 def select_offer(
