Serve ordinary callers beside clients that keep sending or read no answers

Causes, found by the tests of hostile clients and a trial with 4,009 connections: - 512 pipelined calls started before memory counted as short, and their answers were held at once. - A connection was read in parts of 256 KiB, so a turn of the event loop grew with the crowd; 16 connections are accepted in a turn. - A connection with an incomplete request was in a cycle with its parser, so its body stayed in memory after it was closed until the garbage collector ran. Growing bodies were moved in the heap. - Connections that were closing still took places, so a batch of new ones closed four more for each, among them ordinary ones whose first request had not been read. - Unsent bytes were counted until the next event of the connection, a part of a response of up to 1 MiB was never closed for memory, and neither was an unsent last response.

Changes: PipelineWindow (core) decides how many pipelined requests start by the size of the last responses; ReadingTurns shares each turn among connections that have sent much; bodies are kept in blocks; a refused or closed connection frees its request at once; slow requests are closed before few new connections; closing connections are not counted as places. The parser's callbacks are a filter of their own (request_reader), as are the requests that wait (request_queue). The check in drain_review_steps waits until no request runs instead of until all are answered, since requests wait now while nothing is read; the bound on the bytes held is unchanged.

--- a/features/connection_budget.feature
+++ b/features/connection_budget.feature
@@ -17,6 +17,7 @@
       | the source that holds most    | 1000   | a-1 reading 0 350; b-1 reading 900 310; b-2 reading 900 300 | c-1 | 150 | b-1 |
       | never whole requests          | 1000   | a-1 serving 0 800; b-1 reading 900 150        | c-1    | 100  | b-1 c-1 |
       | who does not read responses   | 1000   | a-1 unread 0 500; b-1 reading 500 300         | c-1    | 300  | a-1    |
+      | a part of a response taken    | 1000   | a-1 sending 0 500; b-1 reading 500 300        | c-1    | 300  | a-1    |
 
   Scenario Outline: places: <case>
     Given a budget of 9000 KB and connections "<held>"
@@ -31,3 +32,16 @@
       | the slowest that sends one      | 3      | a-1 reading 10 1; a-2 reading 20 1; b-1 idle 0 0       | a-1     |
       | the one that was idle longest   | 2      | a-1 idle 10 0; b-1 idle 0 0                            | b-1     |
       | never whole requests            | 2      | a-1 serving 0 0; b-1 serving 0 0                       | c-1     |
+      | the slowest before few new ones | 4      | a-1 reading 10 1; a-2 reading 20 1; a-3 reading 30 1; b-1 silent 0 0 | a-1 |
+      | many new ones before the slow   | 4      | a-1 reading 10 1; b-1 silent 0 0; b-2 silent 1 0; b-3 silent 2 0 | b-1 b-2 b-3 |
+      | few new ones before the idle    | 4      | a-1 idle 0 0; a-2 idle 0 0; b-1 silent 900 0; b-2 serving 0 0 | b-1 |
+      | never a response being taken    | 2      | a-1 sending 0 0; b-1 serving 0 0                       | c-1     |
+      | responses that are not taken    | 2      | a-1 unread 0 0; b-1 sending 0 0                        | a-1     |
+
+  Scenario: several connect before those that are closed for them have ended
+    Guards against many that are closed for a few new ones in one turn of the loop.
+    Given a budget of 9000 KB and connections "a-1 silent 0 0; a-2 silent 1 0; a-3 silent 2 0; a-4 silent 3 0; a-5 silent 4 0; a-6 silent 5 0"
+    When "c-1" connects where 6 may
+    And those that were chosen are closing
+    And "c-2" connects where 6 may
+    Then "" are closed
--- a/features/steps/connection_budget_steps.py
+++ b/features/steps/connection_budget_steps.py
@@ -51,3 +51,9 @@
 @then('"" are closed')
 def step_closed(context, names=""):
     assert sorted(row.owner for row in context.victims) == names.split(), context.victims
+
+
+@when("those that were chosen are closing")
+def step_closing(context):
+    for row in context.victims:
+        row.closing = True
--- a/features/steps/drain_review_steps.py
+++ b/features/steps/drain_review_steps.py
@@ -169,7 +169,7 @@
 
         def settled():
             context.most_unsent = max(context.most_unsent, listener.unsent)
-            return not connection.exchanges and not connection.transport.is_reading()
+            return not (connection.requests.window.running or connection.transport.is_reading())
 
         try:
             await poll_until(
--- a/features/steps/hostile_streams_steps.py
+++ b/features/steps/hostile_streams_steps.py
@@ -1,11 +1,12 @@
 import asyncio
 from types import SimpleNamespace
 
-from behave import then
+from behave import then, when
 from hypothesis import HealthCheck, seed, settings
 from hypothesis import given as given_example
 from hypothesis import strategies as st
 
+from agatecross_adapters.body_blocks import BodyBlocks
 from agatecross_adapters.caller_connection import (
     MAX_PIPELINED_REQUESTS,
     PARSED_BYTES,
@@ -13,6 +14,7 @@
 )
 from agatecross_adapters.connection_guard import new_guard
 from agatecross_adapters.message_size import FRAMING_SLACK_BYTES
+from agatecross_adapters.reading_turns import ReadingTurns
 from agatecross_adapters.upstream_connection import RunningRequest, UpstreamConnection
 from agatecross_core.admission.connection_budget import CONNECTION_BYTES, FIELD_BYTES
 from agatecross_core.constants import MAX_RESPONSE_BYTES
@@ -108,7 +110,12 @@
 def serve_caller(reads):
     guard, waiting = new_guard(), []
     listener = SimpleNamespace(
-        handler=waiting.append, limits=LIMITS, connections=set(), closing=False, guard=guard
+        handler=waiting.append,
+        limits=LIMITS,
+        connections=set(),
+        closing=False,
+        guard=guard,
+        turns=ReadingTurns(),
     )
     connection = CallerConnection(listener)
     connection.connection_made(Transport())
@@ -116,17 +123,22 @@
     most_read = 2 * HEAD_BYTES + FRAMING_SLACK_BYTES + PARSED_BYTES
     for read in reads:
         connection.data_received(read)
-        fields = len(connection.incoming.headers)
+        while connection.waits_for_turn:
+            listener.turns.start_turn()
+        fields = len(connection.reader.incoming.headers)
         assert fields <= HEAD_BYTES // SHORTEST_FIELD_BYTES + 1, fields
-        assert len(connection.incoming.body) <= BODY_BYTES
+        assert connection.reader.incoming.body.size <= BODY_BYTES
         assert len(connection.exchanges) <= most_requests, len(connection.exchanges)
-        assert connection.incoming.size.held <= most_read + BODY_BYTES + (fields + 1) * FIELD_BYTES
+        assert (
+            connection.reader.incoming.size.held
+            <= most_read + BODY_BYTES + (fields + 1) * FIELD_BYTES
+        )
         # A connection that was rejected ignores the rest.
-        assert guard.budget.used >= CONNECTION_BYTES and connection.waiting_bytes >= 0
+        assert guard.budget.used >= CONNECTION_BYTES and connection.requests.held_bytes >= 0
     for exchange in waiting:
         exchange.respond(RelayResponse(200, (), b"ok"))
     if not connection.half_closed and not connection.unparsed:
-        assert not connection.waiting_bytes, connection.waiting_bytes
+        assert not connection.requests.held_bytes, connection.requests.held_bytes
     connection.connection_lost(None)
     assert not guard.budget.used, guard.budget.used
 
@@ -187,3 +199,54 @@
         asyncio.run(play())
 
     check()
+
+
+@when("a body of {count:d} parts of {size:d} bytes is collected")
+def step_collect(context, count, size):
+    context.parts = [bytes([row % 256]) * size for row in range(count)]
+    context.body = BodyBlocks()
+    for part in context.parts:
+        context.body.add(part)
+
+
+@then("it is whole, in at most {count:d} blocks")
+def step_whole(context, count):
+    assert context.body.whole() == b"".join(context.parts)
+    assert context.body.size == sum(map(len, context.parts))
+    assert len(context.body.blocks) <= count, len(context.body.blocks)
+
+
+class WaitingConnection:
+    def __init__(self, name, left, turns, done):
+        self.name, self.left, self.turns, self.done = name, left, turns, done
+
+    def continue_parsing(self):
+        while self.left and self.turns.take(PARSED_BYTES):
+            self.left -= PARSED_BYTES
+            self.done.append(self.name)
+        if self.left:
+            self.turns.wait(self)
+
+
+@when("{count:d} connections wait for turns with {size:d} KiB each")
+def step_wait(context, count, size):
+    async def work():
+        turns, done = ReadingTurns(), []
+        for name in range(count):
+            turns.wait(WaitingConnection(name, size * 1024, turns, done))
+        context.done_by_turn = []
+        while turns.waiting:
+            before = len(done)
+            turns.start_turn()
+            context.done_by_turn.append(done[before:])
+
+    asyncio.run(work())
+
+
+@then("{count:d} turns parse all, with at most 32 KiB in each and the connections in their order")
+def step_turns(context, count):
+    rows = context.done_by_turn
+    assert len(rows) == count, len(rows)
+    assert all(len(row) * PARSED_BYTES <= 32 * 1024 for row in rows), rows
+    first = list(dict.fromkeys(name for row in rows for name in row))
+    assert first == sorted(first), first
--- a/packages/agatecross-adapters/agatecross_adapters/caller_exchange.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_exchange.py
@@ -34,7 +34,8 @@
 
     `arrived` is when the first byte of the request was read and `deadline` when the caller stops
     waiting, both in milliseconds of the monotonic clock. `on_abandoned` is called when no
-    response can be sent any more, or by `notify_handlers_of_close` just before that.
+    response can be sent any more, or by `notify_handlers_of_close` just before that. `held` is the
+    number of bytes that it holds, and `started` is set once the handler is called.
     """
 
     connection: ResponseQueue
@@ -46,6 +47,7 @@
     on_abandoned: Callable[[ClosedBy], None] | None = None
     deadline: Millis = ZERO_MS
     held: int = 0
+    started: bool = False
 
     def respond(self, response: RelayResponse) -> None:
         """Send the response once the earlier requests on the connection are answered."""
--- a/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
+++ b/packages/agatecross-adapters/agatecross_adapters/caller_listener.py
@@ -11,13 +11,16 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from agatecross_core.admission.connection_budget import Place
 from agatecross_core.ids import ZERO_MS, Address, Millis
 from agatecross_core.routing.host_table import CallerLimits
 
-from .accepting import listen_in_batches
-from .caller_connection import CallerConnection, ParseState
+from .accepting import ACCEPT_BATCH, PLACES_PER_BATCH, listen_in_batches
+from .caller_connection import CallerConnection
 from .caller_exchange import ClosedBy, ExchangeHandler
 from .connection_guard import ConnectionGuard, new_guard
+from .reading_turns import ReadingTurns
+from .request_reader import ParseState
 
 SWEEP_INTERVAL_SECONDS = 0.25
 ACCEPT_BACKLOG = 1024
@@ -48,6 +51,7 @@
         """Pass each complete request to `handler`; `guard` bounds the connections."""
         self.handler = handler
         self.guard = guard or new_guard()
+        self.turns = ReadingTurns()
         self.limits = DEFAULT_LIMITS
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
@@ -58,11 +62,14 @@
         """Start serving and return the bound address; port 0 lets the kernel choose a port."""
         host = address.rpartition(":")[0]
         self.server = await listen_in_batches(
-            lambda: CallerConnection(self), address, ACCEPT_BACKLOG
+            lambda: CallerConnection(self), address, ACCEPT_BACKLOG, self._accept_batch()
         )
         self._sweep()
         return Address(f"{host}:{self.server.sockets[0].getsockname()[1]}")
 
+    def _accept_batch(self) -> int:
+        return max(ACCEPT_BATCH, self.guard.budget.places[Place.CALLERS] // PLACES_PER_BATCH)
+
     def close_after_responses(self) -> None:
         """Close each connection after its next response that no further request waits behind."""
         self.closing = True
@@ -135,7 +142,7 @@
         connections = self.connections
         return UnfinishedWork(
             self.pending,
-            sum(connection.state is not ParseState.IDLE for connection in connections),
+            sum(connection.reader.state is not ParseState.IDLE for connection in connections),
             sum(connection.has_unread_data() for connection in connections),
             self.unsent,
         )
--- a/packages/agatecross-adapters/agatecross_adapters/connection_guard.py
+++ b/packages/agatecross-adapters/agatecross_adapters/connection_guard.py
@@ -45,6 +45,11 @@
         """Count the bytes and the phase of a connection, which may be shed by this."""
         self._shed(self.budget.update(connection, held, phase, _now()), ShedReason.MEMORY)
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether no further whole request may be taken."""
+        return self.budget.exhausted
+
     def refuses(self, place: Place) -> bool:
         """Return whether a whole request must be refused, and report it."""
         if self.budget.exhausted:
@@ -54,7 +59,7 @@
     def _shed(self, victims: list[HeldConnection], reason: ShedReason) -> None:
         for victim in victims:
             self.on_shed(victim.place, reason)
-            victim.owner.shed(reason)
+            victim.closing = victim.owner.shed(reason) or victim.closing
 
 
 def new_guard(
--- a/packages/agatecross-adapters/agatecross_adapters/control_accepting.py
+++ b/packages/agatecross-adapters/agatecross_adapters/control_accepting.py
@@ -67,11 +67,12 @@
         self.loop.add_reader(sock, self._read)
         self.timer = self.loop.call_later(GREETING_TIMEOUT / 1000, self._end)
 
-    def shed(self, reason: ShedReason) -> None:
+    def shed(self, reason: ShedReason) -> bool:
         """Close the connection."""
         del reason
         # Not within the call that counts a new connection.
         self.loop.call_soon(self._end)
+        return True
 
     def release(self) -> socket.socket:
         """Stop waiting and return the socket."""
@@ -107,11 +108,12 @@
         self.held = held
         self.passed_at = _now()
 
-    def shed(self, reason: ShedReason) -> None:
+    def shed(self, reason: ShedReason) -> bool:
         """Close the oldest connection."""
         del reason
         # Not within the call that counts a new connection.
         asyncio.get_running_loop().call_soon(self.close_oldest, self)
+        return True
 
 
 class ControlAcceptor:
--- a/packages/agatecross-adapters/agatecross_adapters/inbound_frames.py
+++ b/packages/agatecross-adapters/agatecross_adapters/inbound_frames.py
@@ -50,10 +50,11 @@
         held = len(self.buffer) + self.incoming_bytes
         self.guard.update(self.held, held, self._phase(held))
 
-    def shed(self, reason: ShedReason) -> None:
+    def shed(self, reason: ShedReason) -> bool:
         """Close the connection; its handovers may be resumed on another one."""
         del reason
         self.transport.abort()
+        return True
 
     def _phase(self, held: int) -> ConnectionPhase:
         if self.greeted and held <= SPARED_BYTES:
--- a/packages/agatecross-adapters/agatecross_adapters/incoming_request.py
+++ b/packages/agatecross-adapters/agatecross_adapters/incoming_request.py
@@ -2,6 +2,7 @@
 
 from agatecross_core.relay.model import RelayRequest
 
+from .body_blocks import BodyBlocks
 from .http1_bytes import end_to_end_fields, split_absolute_form
 from .message_size import MessageSize
 
@@ -17,8 +18,7 @@
         """Start with nothing read."""
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        # A list of parts would take many times the memory of a body that arrives in small chunks.
-        self.body = bytearray()
+        self.body = BodyBlocks()
         self.size = MessageSize()
         self.framing_fields = 0
 
@@ -43,4 +43,4 @@
         if len(hosts) != 1 or not target.startswith(b"/"):
             return None
         fields = end_to_end_fields(self.headers)
-        return RelayRequest(method, target, fields, bytes(self.body)), hosts[0]
+        return RelayRequest(method, target, fields, self.body.whole()), hosts[0]
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -101,12 +101,13 @@
         held = self.collected_bytes + self._read_buffer_size + more + unsent
         self.guard.update(self.held, held, self._phase(more))
 
-    def shed(self, reason: ShedReason) -> None:
+    def shed(self, reason: ShedReason) -> bool:
         """Close the connection; its incomplete request does not run."""
         del reason
         self.closed_while_idle = True
         # Not within a read of this stream.
         asyncio.get_running_loop().call_soon(self.close)
+        return True
 
     def _phase(self, more: int) -> ConnectionPhase:
         if self.serving:
--- a/packages/agatecross-core/agatecross_core/admission/connection_budget.py
+++ b/packages/agatecross-core/agatecross_core/admission/connection_budget.py
@@ -18,6 +18,9 @@
 FREED_SHARE: Final = 0.875
 # So many places are freed at once, so that a crowd that connects causes few searches.
 FREED_PLACES: Final = 4
+# Up to this share of the places, connections without a request are spared before slow requests:
+# those that have just come would otherwise be closed before their first byte is read.
+NEW_SHARE: Final = 0.5
 # A connection counts as at least this old, so that size decides among new ones.
 MIN_AGE: Final = Millis(100)
 
@@ -51,13 +54,15 @@
     """What a connection does.
 
     `SILENT` has had no request yet, `READING` has an incomplete one, `IDLE` is between requests,
-    `UNREAD` does not take its responses, `SERVING` has whole requests and is never closed.
+    `UNREAD` does not take its responses, `SENDING` has taken a part of a response and is closed for
+    memory only, `SERVING` has whole requests and is never closed.
     """
 
     SILENT = "silent"
     READING = "reading"
     IDLE = "idle"
     UNREAD = "unread"
+    SENDING = "sending"
     SERVING = "serving"
 
 
@@ -75,19 +80,32 @@
     ConnectionPhase.IDLE,
     ConnectionPhase.UNREAD,
 )
+PLACE_ORDER_FEW_NEW: Final = (
+    ConnectionPhase.READING,
+    ConnectionPhase.SILENT,
+    ConnectionPhase.IDLE,
+    ConnectionPhase.UNREAD,
+)
+# Phases in which a connection may hold much that is no whole request.
+MEMORY_PHASES: Final = frozenset(
+    (ConnectionPhase.READING, ConnectionPhase.UNREAD, ConnectionPhase.SENDING)
+)
 
 
 class Sheddable(Protocol):
     """A connection that can be refused or closed."""
 
-    def shed(self, reason: ShedReason) -> None:
-        """Refuse the incomplete request truly, or close the connection."""
+    def shed(self, reason: ShedReason) -> bool:
+        """Refuse the incomplete request truly, or close the connection and return True."""
         ...
 
 
 @dataclass(slots=True, eq=False)
 class HeldConnection:
-    """One connection: its bytes, and since when, in milliseconds, it has been in its phase."""
+    """One connection: its bytes, and since when, in milliseconds, it has been in its phase.
+
+    `shed` is set once it was chosen, and `closing` once that has closed it.
+    """
 
     owner: Sheddable
     place: Place
@@ -96,6 +114,7 @@
     phase: ConnectionPhase = ConnectionPhase.SILENT
     held: int = CONNECTION_BYTES
     shed: bool = False
+    closing: bool = False
 
 
 @dataclass(slots=True)
@@ -114,8 +133,11 @@
         """
         rows = self.rows.setdefault(connection.place, set())
         victims: list[HeldConnection] = []
-        if len(rows) >= self.places[connection.place]:
-            victims = self._choose_for_places(rows)
+        places = self.places[connection.place]
+        # The places of connections that are closing are free some turns of the loop later; several
+        # new ones in one turn must not close more for them.
+        if len(rows) >= places and sum(not row.closing for row in rows) >= places:
+            victims = self._choose_for_places(rows, places)
             if not victims and connection.place is not Place.PEERS:
                 victims = _mark([connection])
         rows.add(connection)
@@ -146,10 +168,13 @@
         """Return whether no further whole request may be taken."""
         return self.used > self.max_bytes
 
-    def _choose_for_places(self, rows: Iterable[HeldConnection]) -> list[HeldConnection]:
+    def _choose_for_places(
+        self, rows: Iterable[HeldConnection], places: int
+    ) -> list[HeldConnection]:
         """Return the oldest of the first phase in which there are any."""
-        for phase in PLACE_ORDER:
-            found = [row for row in rows if row.phase is phase and not row.shed]
+        silent = sum(row.phase is ConnectionPhase.SILENT for row in rows)
+        for phase in PLACE_ORDER if silent > places * NEW_SHARE else PLACE_ORDER_FEW_NEW:
+            found = [row for row in rows if row.phase is phase and _may_close(row)]
             if found:
                 found.sort(key=lambda row: row.since)
                 return _mark(found[: FREED_PLACES if phase is ConnectionPhase.SILENT else 1])
@@ -157,12 +182,11 @@
 
     def _choose_for_memory(self, now: Millis) -> list[HeldConnection]:
         """Return the largest and oldest, of the source that holds most if that is over half."""
-        phases = (ConnectionPhase.READING, ConnectionPhase.UNREAD)
         found = [
             row
             for rows in self.rows.values()
             for row in rows
-            if row.phase in phases and not row.shed
+            if row.phase in MEMORY_PHASES and not row.shed
         ]
         by_source: dict[str, int] = {}
         for row in found:
@@ -182,6 +206,11 @@
         return _mark(victims)
 
 
+def _may_close(row: HeldConnection) -> bool:
+    """Return whether a connection may be closed; one that was refused is silent until it ends."""
+    return not row.closing and (not row.shed or row.phase is ConnectionPhase.SILENT)
+
+
 def _mark(victims: list[HeldConnection]) -> list[HeldConnection]:
     for row in victims:
         row.shed = True
