Take the size of reports into account when a surge is detected

Cause: demand follows at once when its fast rate lies four deviations above the slow one, and the deviation was that of single calls. Calls arrive in reports, though: 25 calls of one daemon in one report looked like twice the demand, so a customer far within its limit whose calls come in at few daemons was limited for most of a second, again and again.

Change: the deviation is that of reports of the sizes seen lately.

The new scenario with one daemon failed before.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -91,6 +91,17 @@
       | 500   |
       | 3000  |
 
+  Scenario Outline: a customer within its limit whose calls come in at <daemons> daemons
+    Guards against reports of many calls that are taken for a surge.
+    When a home gets reports of 100 calls a second from <daemons> daemons for 10 s, with a limit of 160
+    Then no answer limits the customer
+
+    Examples:
+      | daemons |
+      | 1       |
+      | 2       |
+      | 20      |
+
   # Each of 20 daemons reports four times a second; "ann" may send 100 calls a second and a burst of 25.
   Scenario Outline: a home tells all daemons of a surge before they report: <guards against>
     When the daemons report <before> calls a second of "ann" for 3 s and <after> for 1 s
--- a/features/steps/limits_home_steps.py
+++ b/features/steps/limits_home_steps.py
@@ -110,6 +110,32 @@
     assert least <= context.demand <= most, context.demand
 
 
+@when(
+    "a home gets reports of 100 calls a second from {count:d} daemons for 10 s, with a limit of "
+    "{rate:g}"
+)
+def step_few_daemons(context, count, rate):
+    ids = [f"d{number}" for number in range(count)]
+    fleet = FleetSize("d0")
+    fleet.update(frozenset(ids), frozenset(), START)
+    home = LimitHome("0/1", fleet)
+    home.set_customers({"ann": Customer("ann", rate=rate, burst=rate / 4)})
+    context.shares = []
+    for number in range(40 * count):
+        # A daemon sends its first report when it chooses the home, from when on calls count.
+        calls = round(25 / count * (number // count))
+        report = LimitReport(
+            "0/1", number // count + 1, False, (CustomerUse("ann", calls, calls, calls),)
+        )
+        answer = home.receive(report, ids[number % count], START + 250 * (number + 1) / count)
+        context.shares.append(dict(answer.shares))
+
+
+@then("no answer limits the customer")
+def step_unlimited(context):
+    assert not any(context.shares), context.shares
+
+
 @when('the daemons report {before:d} calls a second of "ann" for 3 s and {after:d} for 1 s')
 def step_surge(context, before, after):
     ids = [f"d{number}" for number in range(20)]
--- a/packages/agatecross-core/agatecross_core/limits/meters.py
+++ b/packages/agatecross-core/agatecross_core/limits/meters.py
@@ -47,16 +47,21 @@
         """Start without demand at `since`, from when on calls are counted."""
         self.fast = DecayedRate(FAST_SPAN, at=since, since=since)
         self.slow = DecayedRate(SLOW_SPAN, at=since, since=since)
+        # The squares of the calls in a report; a customer whose calls come in at few daemons has
+        # large reports, and the fast rate jumps with each of them.
+        self.squares = DecayedRate(SLOW_SPAN, at=since, since=since)
 
     def add(self, calls: int, now: Millis) -> None:
         """Add the calls of a report."""
         self.fast.add(calls, now)
         self.slow.add(calls, now)
+        self.squares.add(calls * calls, now)
 
     def rate(self, now: Millis) -> float:
         """Return the calls a second."""
         fast, slow = self.fast.rate(now), self.slow.rate(now)
-        noise = SURE_DEVIATIONS * math.sqrt(max(slow, 1.0) / (2 * FAST_SPAN / 1000))
+        squares = max(self.squares.rate(now), slow, 1.0)
+        noise = SURE_DEVIATIONS * math.sqrt(squares / (2 * FAST_SPAN / 1000))
         if abs(fast - slow) > noise:
             self.slow.set_rate(fast, now)
             return fast
