Let the virtual fleet's configurations rise only

Two changes of the limit within 300 ms could come into force in the wrong order at a daemon of the stand-in, which no daemon does.

--- a/packages/agatecross-standins/agatecross_standins/virtual_limits.py
+++ b/packages/agatecross-standins/agatecross_standins/virtual_limits.py
@@ -39,6 +39,8 @@
         self.group = 0
         self.is_running = True
         self.wakes_at = 0.0
+        # The version of the configuration in force, which never falls.
+        self.version = 0
         self.sent: Counter[str] = Counter()
         self.reset()
 
@@ -61,6 +63,7 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
         self.loss = 0.0
+        self.version = 0
         self.offered: list[tuple[float, CustomerName]] = []
         self.arrivals: list[tuple[float, CustomerName]] = []
         for daemon in self.daemons.values():
@@ -120,11 +123,12 @@
     def set_customers(self, customers: Iterable[Customer]) -> None:
         """Bring a configuration into force, at each daemon a little later."""
         self.customers = {row.name: row for row in customers}
-        table = self.customers
+        self.version += 1
+        table, version = self.customers, self.version
         for daemon in self.daemons.values():
             self.at(
                 self.now + self.rng.uniform(0, 300),
-                partial(self._set_table, daemon, table),
+                partial(self._set_table, daemon, table, version),
             )
 
     def homes(self) -> list[Daemon]:
@@ -152,7 +156,10 @@
         known = frozenset(self.daemons)
         daemon.gate.set_peers(known, open_links, ended, Millis(self.now))
 
-    def _set_table(self, daemon: Daemon, table: dict[CustomerName, Customer]) -> None:
+    def _set_table(self, daemon: Daemon, table: dict[CustomerName, Customer], version: int) -> None:
+        if version < daemon.version:
+            return
+        daemon.version = version
         daemon.gate.set_customers(table)
         for home in daemon.homes.values():
             home.set_customers(table)
@@ -160,7 +167,7 @@
     def _start(self, daemon: Daemon) -> None:
         daemon.reset()
         daemon.is_running = True
-        self._set_table(daemon, self.customers)
+        self._set_table(daemon, self.customers, self.version)
         self.see_peers(daemon)
         self.at(self.now + OPENED_AFTER, self.see_all_peers)
         self._tick(daemon)
