--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -37,6 +37,8 @@
 # reported again; with more, it gets an answer before.
 URGENT_PART = 0.05
 URGENT_CALLS = 10.0
+# Part of the share in the last such answer below which another one follows.
+URGENT_FALL = 0.5
 # Such answers for each report that comes in, so that they do not hold up others.
 PUSHES_PER_REPORT = 4
 
@@ -126,8 +128,9 @@
         self.refreshed_at = ZERO_MS
         self.shares: tuple[tuple[CustomerName, float], ...] = ()
         self.changes: list[LimitChange] = []
-        # Customers of which too many calls pass, and the daemons that are still to be told.
-        self.urgent: set[CustomerName] = set()
+        # Customers of which too many calls pass with the shares that all daemons were told, and the
+        # daemons that are still to be told.
+        self.urgent: dict[CustomerName, float] = {}
         self.to_push: dict[DaemonId, None] = {}
 
     def set_customers(self, customers: Mapping[CustomerName, Customer]) -> None:
@@ -181,8 +184,13 @@
 
     def _plan_pushes(self, now: Millis) -> None:
         """Answer all daemons soon if a customer has just become limited by a surge."""
-        self.urgent &= self.limited
-        surged = {name for name in self.limited - self.urgent if self._is_urgent(name, now)}
+        self.urgent = {name: row for name, row in self.urgent.items() if name in self.limited}
+        shares = {name: self.pools[name].share for name in self.limited}
+        surged = {
+            name: share
+            for name, share in shares.items()
+            if share < URGENT_FALL * self.urgent.get(name, 2.0) and self._is_urgent(name, now)
+        }
         if surged:
             self.urgent |= surged
             self.to_push = dict.fromkeys(self.reporters)
