Take the margin for the objective back

The row it added to load_patterns.feature goes with it, as it fails at 0.606 without the change.

Measured: relay, load_patterns, transfer_turns and admission.feature pass (188 scenarios).

--- a/features/load_patterns.feature
+++ b/features/load_patterns.feature
@@ -22,8 +22,7 @@
   # counts only the calls that are ahead at the moment of arrival. Bounds of "now": 19 of 20 calls that
   # the slots can end in time (.53, since 3 in 100 are seven times as long) are served within their
   # objective; 1 caller in 50 may wait in vain for a refusal that it could have had at once; 1 run in
-  # 200 may end after its caller's deadline, which is far fewer than the long ones; long work with short
-  # calls gets the share for which there are slots (.70).
+  # 200 may end after its caller's deadline, which is far fewer than the long ones.
   Scenario Outline: order: <guards against>
     When calls of "<routes>" arrive at <slots> slots with a load of <load>
     Then of all calls, <figure> <before> before, <after> now
@@ -32,7 +31,6 @@
       | guards against                         | routes                                          | slots | load | figure         | before       | after         |
       | waiting calls that all start too late  | read 1 156 738 2800 2                           | 5     | 1.6  | "in objective" | at most .40  | at least .503 |
       | lower ranks held while others overtake | read .7 130 576 1383 0; order .3 170 694 1735 1 | 3     | 1.2  | "held in vain" | at least .05 | at most .02   |
-      | long work refused that is in time      | view .6 940 3014 8037 2; status .4 110 406 1219 1 | 7     | 1.2  | "in objective" | at most .65  | at least .70  |
       | slots used by calls that end too late  | read .7 130 576 1383 0; order .3 170 694 1735 1 | 3     | 1.2  | "ran in vain"  | at least .01 | at most .005  |
 
   # Bounds: while one customer sends six times its usual, the others lose at most 2 in 100 of what they
--- a/features/steps/load_patterns_steps.py
+++ b/features/steps/load_patterns_steps.py
@@ -36,8 +36,8 @@
         to_objective = call.objective_at - now - 1.2 * self.costs.get(call.route, 0.0)
         return max(to_objective, 0.1 * (call.deadline - now))
 
-    def _can_end_in_time(self, call, now):
-        return now + 0.6 * self.costs.get(call.route, 0.0) < call.deadline
+    def _can_end(self, call, now, by):
+        return now + 0.6 * self.costs.get(call.route, 0.0) < by
 
     def _count_overtaken(self, now):
         return 0
--- a/packages/agatecross-core/agatecross_core/admission/slot_queue.py
+++ b/packages/agatecross-core/agatecross_core/admission/slot_queue.py
@@ -15,10 +15,9 @@
 # A call that would miss its latency objective is not queued, because its answer has little value.
 # But every call may wait for this share of the time to its deadline.
 MIN_WAIT_SHARE = 0.03
-# A started call must be expected to end before its deadline within this multiple of the mean cost,
-# or it is refused. Before its objective, the mean is enough: most calls take less than it, and a
-# late answer has some value. With a factor there, long work is refused that would be in time.
-DEADLINE_COST_FACTOR = 1.2
+# A started call is expected to end within this multiple of the mean cost: before its objective, or
+# it gives way to one that is; before its deadline, or it is refused.
+EXPECTED_COST_FACTOR = 1.2
 # The expected wait is a mean, and other upstreams may have room: a call is queued only if it could
 # also wait this many times as long.
 WAIT_MARGIN_FACTOR = 1.5
@@ -110,7 +109,7 @@
         cost = self._cost_of(call.route)
         over_share = self.demand.record(call.customer, cost, now, self.slots)
         # An idle upstream gets a call in any case, since only calls show that it is faster now.
-        if self.running and not self._can_end_in_time(call, now):
+        if self.running and not self._can_end(call, now, call.deadline):
             yield RefuseHandover(call.handover_id, Reason.DEADLINE)
             return
         has_slot = len(self.running) < self.slots
@@ -161,7 +160,7 @@
         """
         waiting, self.waiting = self.waiting, []
         for call in waiting:
-            if self._can_end_in_time(call, now):
+            if self._can_end(call, now, call.deadline):
                 self.waiting.append(call)
             else:
                 yield RefuseHandover(call.handover_id, Reason.DEADLINE)
@@ -192,9 +191,9 @@
         self.running[call.handover_id] = (call, now)
         return StartHandover(call.handover_id)
 
-    def _can_end_in_time(self, call: CallAwaitingSlot, now: Millis) -> bool:
-        """Return whether a call that starts now is expected to end before its deadline."""
-        return now + DEADLINE_COST_FACTOR * self.costs.get(call.route, 0.0) < call.deadline
+    def _can_end(self, call: CallAwaitingSlot, now: Millis, by: Millis) -> bool:
+        """Return whether a call that starts now is expected to end before a time."""
+        return now + EXPECTED_COST_FACTOR * self.costs.get(call.route, 0.0) < by
 
     def _count_overtaken(self, now: Millis) -> int:
         """Return how many calls the first one that can meet its objective overtakes."""
@@ -202,7 +201,7 @@
         for position, call in enumerate(self.waiting):
             if call.precedence != precedence:
                 break
-            if now + self.costs.get(call.route, 0.0) < call.objective_at:
+            if self._can_end(call, now, call.objective_at):
                 return position
         return 0
 
@@ -230,7 +229,7 @@
         return self.costs.get(route, self.mean_cost)
 
     def _max_wait(self, call: CallAwaitingSlot, now: Millis) -> float:
-        cost = self.costs.get(call.route, 0.0)
+        cost = EXPECTED_COST_FACTOR * self.costs.get(call.route, 0.0)
         wait_within_objective = (call.objective_at - now - cost) / WAIT_MARGIN_FACTOR
         return max(wait_within_objective, MIN_WAIT_SHARE * (call.deadline - now))
 
