Tell all daemons again while a surge grows, and detect it at three deviations

Cause: with the size of reports in the deviation, a surge at 1,300 daemons was detected later, and the first answers to all daemons had a share from the beginning of the surge.

Change: the calls that would pass are those with the share that all daemons were told last, so they are told again while it lets too many pass. As the deviation has the size of reports now, three of them are enough.

The scenario of the surge counts the daemons that are told, and each at most three times, in place of once: the bound of one time was that of the former rule.

--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -105,7 +105,7 @@
   # Each of 20 daemons reports four times a second; "ann" may send 100 calls a second and a burst of 25.
   Scenario Outline: a home tells all daemons of a surge before they report: <guards against>
     When the daemons report <before> calls a second of "ann" for 3 s and <after> for 1 s
-    Then the home answers <count> daemons that did not report
+    Then the home answers <count> daemons that did not report, none more than 3 times
 
     Examples:
       | guards against                                        | before | after | count |
--- a/packages/agatecross-core/agatecross_core/limits/home.py
+++ b/packages/agatecross-core/agatecross_core/limits/home.py
@@ -126,8 +126,8 @@
         self.refreshed_at = ZERO_MS
         self.shares: tuple[tuple[CustomerName, float], ...] = ()
         self.changes: list[LimitChange] = []
-        # Customers of which too many calls pass, and the daemons that are still to be told.
-        self.urgent: set[CustomerName] = set()
+        # Shares that all daemons were told at a surge, and the daemons that are still to be told.
+        self.told: dict[CustomerName, float] = {}
         self.to_push: dict[DaemonId, None] = {}
 
     def set_customers(self, customers: Mapping[CustomerName, Customer]) -> None:
@@ -175,16 +175,21 @@
 
     def _is_urgent(self, name: CustomerName, now: Millis) -> bool:
         """Return whether too many calls would pass until all daemons have reported again."""
-        rate, pool = self.customers[name].rate, self.pools[name]
-        excess = (pool.demand.rate(now) - rate) / 1000 * timing(self.fleet.count(now)).period
-        return excess - max(0.0, pool.tokens) > URGENT_PART * rate * WINDOW / 1000 + URGENT_CALLS
+        rate, pool, told = self.customers[name].rate, self.pools[name], self.told.get(name, 1.0)
+        excess = (pool.demand.rate(now) * told - rate) / 1000 * timing(self.fleet.count(now)).period
+        is_large = (
+            excess - max(0.0, pool.tokens) > URGENT_PART * rate * WINDOW / 1000 + URGENT_CALLS
+        )
+        return is_large and pool.share < told
 
     def _plan_pushes(self, now: Millis) -> None:
-        """Answer all daemons soon if a customer has just become limited by a surge."""
-        self.urgent &= self.limited
-        surged = {name for name in self.limited - self.urgent if self._is_urgent(name, now)}
+        """Answer all daemons soon if too many calls of a customer pass with what they were told."""
+        self.told = {name: share for name, share in self.told.items() if name in self.limited}
+        surged = {
+            name: self.pools[name].share for name in self.limited if self._is_urgent(name, now)
+        }
         if surged:
-            self.urgent |= surged
+            self.told |= surged
             self.to_push = dict.fromkeys(self.reporters)
 
     def _begin(self, now: Millis) -> None:
--- a/packages/agatecross-core/agatecross_core/limits/meters.py
+++ b/packages/agatecross-core/agatecross_core/limits/meters.py
@@ -8,7 +8,7 @@
 FAST_SPAN = Millis(150)
 SLOW_SPAN = Millis(700)
 # A change beyond this many standard deviations of the fast rate is taken for real.
-SURE_DEVIATIONS = 4.0
+SURE_DEVIATIONS = 3.0
 
 
 @dataclass(slots=True)
