--- a/features/hostile_clients.feature
+++ b/features/hostile_clients.feature
@@ -96,3 +96,18 @@
       | 400   | half a greeting     | 48     |
       | 400   | a greeting          | 48     |
       | 8     | a message not ended | 48     |
+
+  Scenario Outline: <process>, <address>: <crowd> connections that all wait to be accepted
+    Guards against connections that are accepted in one turn beyond the places, which are free later.
+    Given <process> for hostile clients
+    When <crowd> clients connect to "<address>" while the process is paused
+    Then the process lives, its memory grew by at most 48 MiB, with at most 192 descriptors
+    And an ordinary request is answered <status>
+
+    Examples:
+      | process                               | address | crowd | status |
+      | a relaying daemon process             | callers | 400   | 200    |
+      | a relaying daemon process             | peers   | 400   | 200    |
+      | a relaying daemon process             | metrics | 400   | 200    |
+      | a daemon process with the own interface | callers | 400   | 503    |
+      | a daemon process with the own interface | peers   | 400   | 503    |
--- a/features/steps/hostile_clients_steps.py
+++ b/features/steps/hostile_clients_steps.py
@@ -1,11 +1,14 @@
 import asyncio
 import contextlib
 import json
+import os
 import resource
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import psutil
@@ -194,6 +197,16 @@
         await asyncio.sleep(KEEP_SENDING_SECONDS)
         await asyncio.gather(*(self.send(port, b"") for _ in range(silent)))
 
+    async def connect_while_paused(self, address, count):
+        """Let all connections wait in the kernel's queue before the first one is accepted."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+        await asyncio.gather(*(self.send(self.ports[address], b"") for _ in range(count)))
+        os.kill(self.process.pid, signal.SIGCONT)
+        until = time.monotonic() + STALLED_SECONDS
+        while time.monotonic() < until:
+            self.peak_bytes = max(self.peak_bytes, self.observed.memory_info().rss)
+            self.peak_descriptors = max(self.peak_descriptors, self.observed.num_fds())
+
     async def watch(self):
         while True:
             with contextlib.suppress(psutil.NoSuchProcess):
@@ -266,6 +279,11 @@
     context.crowd.run(context.crowd.send_all(address, count, kind))
 
 
+@when('{count:d} clients connect to "{address}" while the process is paused')
+def step_paused(context, count, address):
+    context.crowd.run(context.crowd.connect_while_paused(address, count))
+
+
 @when('{busy:d} clients keep sending "{kind}" to "{address}" and {silent:d} only connect')
 def step_keep_sending(context, busy, kind, address, silent):
     context.crowd.run(context.crowd.keep_sending(address, busy, kind, silent))
--- a/packages/agatecross-adapters/agatecross_adapters/server_stream.py
+++ b/packages/agatecross-adapters/agatecross_adapters/server_stream.py
@@ -4,7 +4,7 @@
 import fcntl
 import socket
 import termios
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -13,6 +13,7 @@
 from agatecross_core.admission.connection_budget import ConnectionPhase, Place, ShedReason
 from agatecross_core.ids import Millis
 
+from .accepting import ACCEPT_BATCH
 from .connection_guard import ConnectionGuard
 
 DISCARD_CHUNK_BYTES = 65_536
@@ -163,6 +164,33 @@
     """Serves each connection through a `ServerStream`."""
 
     open_stream: Callable[[socket.socket], ServerStream]
+    listening: tuple[socket.socket, ...] = ()
+
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept a few connections in each turn of the loop.
+
+        Tornado accepts up to 128, before the connections that are closed for them have ended.
+        """
+        self.listening = tuple(sockets)
+        for listening in self.listening:
+            asyncio.get_running_loop().add_reader(listening, self._accept_batch, listening)
+
+    def stop(self) -> None:
+        """Stop accepting."""
+        listening, self.listening = self.listening, ()
+        for sock in listening:
+            asyncio.get_running_loop().remove_reader(sock)
+            sock.close()
+
+    def _accept_batch(self, listening: socket.socket) -> None:
+        for _ in range(ACCEPT_BATCH):
+            try:
+                sock, address = listening.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            self.handle_stream(IOStream(sock), address)
 
     def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
         """Start serving a connection."""
