--- a/features/steps/deaths_steps.py
+++ b/features/steps/deaths_steps.py
@@ -108,7 +108,7 @@
             return
         report = daemon.watch.run_ended(handover, RunEnd.SERVED, self.now)
         daemon.watch.call_removed(handover.handover_id)
-        self.tell(daemon, report)
+        self.send_report(daemon, report)
         self.served_at.setdefault(handover.request.target, []).append(self.now)
 
     def crash_with(self, daemon, handover):
@@ -123,20 +123,20 @@
             daemon.watch.call_removed(handover.handover_id)
         daemon.running = {}
         if not self.back_at_once:
-            self.tell(daemon, daemon.watch.connection_refused(daemon.born, self.now))
+            self.send_report(daemon, daemon.watch.connection_refused(daemon.born, self.now))
         self.after(SHORT_DOWN_MS if self.back_at_once else DOWN_MS, self.start, daemon)
 
     def start(self, daemon):
         daemon.born, previous, daemon.is_up = daemon.born + 1, daemon.born, True
-        self.tell(daemon, daemon.watch.upstream_announced(previous, daemon.born, self.now))
+        self.send_report(daemon, daemon.watch.upstream_announced(previous, daemon.born, self.now))
 
-    def tell(self, daemon, report):
+    def send_report(self, daemon, report):
         if report:
-            self.hear(daemon, report)
+            self.receive_report(daemon, report)
             for peer in self.daemons:
-                self.after(NOTICE_MS, self.hear, peer, report)
+                self.after(NOTICE_MS, self.receive_report, peer, report)
 
-    def hear(self, daemon, report):
+    def receive_report(self, daemon, report):
         daemon.watch.suspects.add(report, self.now)
         daemon.entry.add(report, self.now)
 
@@ -145,7 +145,7 @@
         if not daemon.running:
             daemon.forget()
             for peer in self.daemons:
-                self.hear(daemon, peer.entry.snapshot(self.now))
+                self.receive_report(daemon, peer.entry.snapshot(self.now))
 
 
 @given("{count:d} upstreams, each next to a daemon, with {sound:d} sound requests a second")
