--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # their sources, so this only checks that they compile.
 set -eu
 cd "$(dirname "$0")"
-python3 - lib-2/rig.py [0-9]*/run.py <<'PYTHON'
+python3 - lib-2/rig.py {6,7,8,9,10}/run.py <<'PYTHON'
 import sys
 from pathlib import Path
 
